Give unsafe requests a new connection once an idle one proved dead

In sev639 endpoints drop idle connections and show it by nothing but a reset on the next use. A request that must not run twice is lost by that. One such find now puts idle connections in doubt for 30 s: unsafe requests then get a new connection unless one was in use within 50 ms; repeatable ones go on using idle ones and show whether the doubt holds.

--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -9,6 +9,8 @@
 #include <string>
 #include <utility>
 
+#include "sidecar/log.h"
+
 namespace kelpspring {
 
 namespace asio = boost::asio;
@@ -29,6 +31,16 @@
 // From an answer's first byte to its last: answers are made before they are sent.
 constexpr auto kAnswerSpan = std::chrono::milliseconds(300);
 constexpr int kMostInterim = 8;  // 1xx answers ahead of the real one.
+// How long a find that an idle connection was dead is remembered, and up to which idle time one is
+// trusted meanwhile.
+constexpr auto kDoubtSpan = std::chrono::seconds(30);
+constexpr auto kTrustedIdle = std::chrono::milliseconds(50);
+
+// Whether a request that may have run can be sent again, as the method tells (RFC 9110, 9.2.2) or
+// the key that lets an endpoint know a repeat.
+bool Repeatable(const HttpRequest& message) {
+  return message.method() == http::verb::get || !message["Idempotency-Key"].empty();
+}
 
 // Whether the head leaves no doubt where the answer ends. An end told by the close alone cannot be
 // told from a break, and a coding that is not known hides the length.
@@ -70,7 +82,9 @@
     done_ = std::move(done);
     sent_ = 0;
     written_ = false;
-    if (state_ == State::kIdle) return Write();
+    const bool reused = state_ == State::kIdle;
+    idle_ = reused ? Clock::now() - idle_since_ : Clock::duration::zero();
+    if (reused) return Write();
     Arm(std::min(until_, Clock::now() + owner_.connect_timeout_));
     socket_.async_connect(dial_, [self = shared_from_this()](error_code ec) {
       if (self->state_ == State::kConnecting) self->Connected(ec);
@@ -235,7 +249,10 @@
   void Spoilt() { Finish(written_ ? OutcomeCode::kError : OutcomeCode::kConnectFailed); }
 
   // Ended. Before the request's last byte was handed over it never ran.
-  void Broken() { Finish(written_ ? OutcomeCode::kReset : OutcomeCode::kConnectFailed); }
+  void Broken() {
+    if (!begun_ && buffer_.size() == 0 && idle_ > kTrustedIdle) owner_.NoteStale(idle_);
+    Finish(written_ ? OutcomeCode::kReset : OutcomeCode::kConnectFailed);
+  }
 
   void Drop() {
     const auto self = shared_from_this();
@@ -271,7 +288,8 @@
   std::size_t sent_ = 0;                  // Of it.
   bool written_ = false;                  // The kernel has its last byte.
   int interim_ = 0;
-  bool begun_ = false;  // A part of the answer has come.
+  bool begun_ = false;      // A part of the answer has come.
+  Clock::duration idle_{};  // How long it lay idle before the present request.
   Clock::time_point until_;
   Clock::time_point idle_since_;
   Done done_;
@@ -321,12 +339,7 @@
     return done({OutcomeCode::kNeverSent, {}});
   }
   Endpoint& endpoint = it->second;
-  ConnectionPtr connection;
-  while (!connection && !endpoint.idle.empty()) {
-    connection = endpoint.idle.back();
-    endpoint.idle.pop_back();
-    if (!connection->Alive()) std::exchange(connection, nullptr)->Close();
-  }
+  ConnectionPtr connection = TakeIdle(endpoint, message);
   if (!connection) {
     if (!budget_.Take()) return done({OutcomeCode::kConnectFailed, {}});
     connection = std::make_shared<Connection>(*this, id, endpoint);
@@ -335,6 +348,39 @@
   connection->Start(key, message, until, std::move(done));
 }
 
+// Guards against whatever drops idle connections without a word (an endpoint under pressure, a box
+// in between): a request that then goes out on one ends as a reset, and one that must not run twice
+// is lost by that. While there is doubt such requests get a connection of their own; repeatable
+// ones go on using what lies idle, and so show for how long the doubt lasts. Harm: handshakes.
+Upstream::ConnectionPtr Upstream::TakeIdle(Endpoint& endpoint, const HttpRequest& message) {
+  const auto now = Clock::now();
+  const bool wary = now < doubt_until_ && !Repeatable(message);
+  while (!endpoint.idle.empty()) {
+    ConnectionPtr connection = endpoint.idle.back();
+    if (wary && now - connection->idle_since() > kTrustedIdle) {
+      // The new one takes the place of the oldest, so that their number does not grow.
+      endpoint.idle.front()->Close();
+      endpoint.idle.pop_front();
+      return nullptr;
+    }
+    endpoint.idle.pop_back();
+    if (connection->Alive()) return connection;
+    connection->Close();
+  }
+  return nullptr;
+}
+
+void Upstream::NoteStale(Clock::duration idle) {
+  const auto now = Clock::now();
+  if (now >= doubt_until_) {
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(idle).count();
+    LogLine("a connection broke on use without an answer after it lay idle for " +
+            std::to_string(ms) +
+            " ms: requests that must not be repeated get new ones for a while");
+  }
+  doubt_until_ = now + kDoubtSpan;
+}
+
 void Upstream::Cancel(Key key) {
   const auto it = attempts_.find(key);
   if (it == attempts_.end()) return;
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -86,6 +86,10 @@
   };
 
   Endpoint* Find(gaugecart::EndpointId id);
+  // The idle connection to use for this message; null if a new one is to be opened.
+  ConnectionPtr TakeIdle(Endpoint& endpoint, const HttpRequest& message);
+  // A reused connection broke before any answer: it may have been dropped while it lay idle.
+  void NoteStale(Clock::duration idle);
 
   boost::asio::io_context& io_;
   SocketBudget& budget_;
@@ -93,6 +97,7 @@
   std::chrono::microseconds connect_timeout_;
   std::unordered_map<gaugecart::EndpointId, Endpoint> endpoints_;
   std::map<Key, ConnectionPtr> attempts_;
+  Clock::time_point doubt_until_{};  // Until then idle connections may be dead without a sign.
 };
 
 }  // namespace kelpspring
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -75,6 +75,11 @@
   // Waits for the other side to close; false if bytes come instead.
   bool Closed() { return pending_.empty() && !More(); }
   void Close() { socket_.close(); }
+  // Ends it without a word but the reset.
+  void Reset() {
+    socket_.set_option(boost::asio::socket_base::linger(true, 0));
+    socket_.close();
+  }
 
  private:
   bool More() {
--- a/tests/trouble_test.cpp
+++ b/tests/trouble_test.cpp
@@ -2,11 +2,13 @@
 #include <gtest/gtest.h>
 #include <sys/wait.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <string>
+#include <thread>
 
 #include "loopback.h"
 #include "settings.h"
@@ -131,6 +133,42 @@
 // ---- Bad clients ----
 
 // A head that two readers can understand in two ways may hide another request in its body.
+// Some endpoints drop idle connections and tell so by nothing but a reset on the next use. A
+// request that can be repeated finds that out and is saved; one that cannot gets a connection of
+// its own.
+TEST(Unruly, OnceAnIdleConnectionWasDeadUnsafeRequestsGetNewOnes) {
+  constexpr auto kIdle = std::chrono::milliseconds(120);
+  Bench b;
+  Peer client = b.sidecar.Connect();
+  client.Write(Call("0000000000000001", "unsafe"));
+  Peer first = b.endpoint.Accept();
+  first.Read();
+  first.Write(Reply("200 OK", "one"));
+  EXPECT_EQ(client.Read().body, "one");
+
+  std::this_thread::sleep_for(kIdle);
+  client.Write(Call("0000000000000002", "safe"));
+  EXPECT_EQ(first.Read().body, "hi");  // No sign of trouble yet: what lies idle is used.
+  first.Reset();
+  Peer second = b.endpoint.Accept();
+  second.Read();
+  second.Write(Reply("200 OK", "two"));
+  EXPECT_EQ(client.Read().body, "two");
+
+  std::this_thread::sleep_for(kIdle);
+  client.Write(Call("0000000000000003", "safe"));
+  EXPECT_EQ(second.Read().body, "hi");
+  second.Write(Reply("200 OK", "three"));
+  EXPECT_EQ(client.Read().body, "three");
+
+  std::this_thread::sleep_for(kIdle);
+  client.Write(Call("0000000000000004", "unsafe"));
+  Peer third = b.endpoint.Accept();
+  EXPECT_EQ(third.Read().body, "hi");
+  third.Write(Reply("200 OK", "four"));
+  EXPECT_EQ(client.Read().body, "four");
+}
+
 TEST(BadClient, WhatIsNotPlainIsRejectedAndTheConnectionEnds) {
   Bench b;
   const std::string head = "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: " + std::string(kId) +
