Send a silent repeatable call a second time, to another endpoint

In sev4234 one attempt in fifty meets with silence at sound endpoints. The module gave each attempt all the time left, so that a call of a class that may be repeated was lost with it, and the tier above with that. It now sends one more copy after three usual answer times: within the pool, on a retry's token, while the level is calm, two copies at most.

The test fails without the change: no second send comes.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,9 +1,7 @@
-// Every decision of gaugecart. Interface: include/gaugecart/choice.h.
-//
-// A call takes this path: its class names a priority level with a pool of its own; its tenant is
-// dealt a hand of the level's queues; free seats of the pool go round the queues in turn; a
-// rotation over a subset of endpoints names where it goes; the ledger has the last word on every
-// action.
+// Every decision of gaugecart. Interface: include/gaugecart/choice.h. A call takes this path: its
+// class names a priority level with a pool of its own; its tenant is dealt a hand of the level's
+// queues; free seats of the pool go round the queues in turn; a rotation over a subset of endpoints
+// names where it goes; the ledger has the last word on every action.
 #include "gaugecart/choice.h"
 
 #include <algorithm>
@@ -52,6 +50,8 @@
 constexpr double kFairChance = 4.0;  // Usual answer times that give an endpoint a fair chance...
 constexpr double kAtTheEnd = 0.8;    // ...and part of its time after which a failure is its end.
 constexpr double kOverdue = 8.0;     // Usual answer times after which a call holds no seat.
+constexpr double kSecondAfter =
+    3.0;  // Usual answer times of silence before a second copy goes out.
 constexpr std::size_t kFirstSubset = 3;  // Endpoints in use at the start.
 constexpr double kGolden = 0.6180339887498949;
 constexpr std::size_t kEvenRanks = 12;    // Ranks dealt evenly over the group; private beyond.
@@ -154,7 +154,6 @@
 
 struct Call {
   Request request;
-  Micros arrived = 0;
   bool queued = false;
   bool streaming = false;
   std::vector<Attempt> attempts;
@@ -180,11 +179,10 @@
     const auto it = calls_.find(id);
     return it == calls_.end() ? nullptr : &it->second;
   }
-  Call* Take(const Request& request, Micros now) {
+  Call* Take(const Request& request) {
     const auto [it, fresh] = calls_.try_emplace(request.id);
     if (!fresh) return nullptr;  // An id never comes twice; a repeat changes nothing.
     it->second.request = request;
-    it->second.arrived = now;
     return &it->second;
   }
   void Drop(RequestId id) { calls_.erase(id); }
@@ -251,7 +249,6 @@
   std::vector<Out> outs;  // Own attempts not yet answered, oldest first.
 
   double failure_rate = 0.0;
-  double weight_of_evidence = 0.0;
   int strikes = 0;
   bool ejected = false;
   bool on_trial = false;
@@ -338,7 +335,6 @@
     return it == servers_.end() ? nullptr : &it->second;
   }
   std::size_t size() const { return ready_.size(); }
-  std::size_t subset_size() const { return wanted_; }
 
   bool Cold(const Server& s, Micros now) const {
     return s.info.launched > 0 && settings_.warm_up > 0 &&
@@ -368,11 +364,10 @@
   // `usual` is the level's usual answer time, 0 where unknown. Returns whether the outcome may be
   // laid at the endpoint's door.
   //
-  // Guards against callers that give up early, cut the time short or repeat hard: an attempt with
-  // less time than an answer usually takes ends in a time-out, or in an error from a tier below
-  // that ran into the same end, at the healthiest endpoint. Counted as failures these ejected sound
-  // endpoints and shut the limit. Also covers retries sent late. Harm: an endpoint that is silent
-  // only to such calls is found out later, by the calls that have a fair chance.
+  // Guards against callers that give up early or retry late: an attempt with less time than an
+  // answer usually takes ends in a time-out, or in an error from a tier below that ran into the
+  // same end, at the healthiest endpoint. Counted as failures these ejected sound endpoints and
+  // shut the limit. Harm: an endpoint silent only to such calls is found out later, by other calls.
   bool NoteOutcome(Server& s, const Outcome& o, std::uint32_t level, double usual, Micros now) {
     const auto it = std::find_if(s.outs.begin(), s.outs.end(), [&](const Server::Out& out) {
       return out.request == o.request && out.attempt == o.attempt;
@@ -400,9 +395,8 @@
       return false;
     }
     // "Full" tells of load, not of health, and so does a connection refused by an endpoint that has
-    // just answered. It turns calls away faster than others serve them, so that it always seems the
-    // least loaded and would draw all calls to itself: it is passed over for about an answer's
-    // time.
+    // just answered. It turns calls away faster than others serve them and would draw all calls to
+    // itself: it is passed over for about an answer's time.
     const bool alive = now - s.last_answer < kAliveSpan;
     if (o.code == OutcomeCode::kFull || (o.code == OutcomeCode::kConnectFailed && alive)) {
       const Micros rest = usual > 0 ? static_cast<Micros>(usual) : kFullRest;
@@ -494,11 +488,9 @@
         std::count_if(ready_.begin(), ready_.end(), [](const Server* s) { return s->ejected; }));
   }
 
-  // Found in the incident if54a87: endpoints that answered one class and swallowed the other looked
-  // sound, as the answers of the one hid the silence of the other. A level passes over an endpoint
-  // that fails its own calls far more than the level's usual; one time-out weighs as two errors.
-  // Guards against any fault that strikes one class: a lock, a full disk, a bad code path. Harm:
-  // two time-outs by chance keep a level from a sound endpoint for some seconds.
+  // Guards against faults that strike one class: answers of another hid them. A level passes over
+  // an endpoint that fails its own calls far more than usual; one time-out weighs as two errors.
+  // Harm: two time-outs by chance keep a level from a sound endpoint for some seconds.
   void NoteLevel(Server& s, OutcomeCode code, std::uint32_t level, Micros now) {
     Server::LevelHealth& h = s.Of(level);
     const bool failed = code != OutcomeCode::kOk;
@@ -870,11 +862,10 @@
     }
   }
   // Where answers have grown slow, seats that nothing used are no seats: hundreds of balancers with
-  // few calls each would fill the servers far beyond what they can do before a single one of them
-  // had come down from its first limit. While the usual answer comes after its aim even two seats a
-  // level are too many for such a group; with less than one a level rests between calls. Guards
-  // against any tier that has become too small for its callers. Harm: where a slowness is not of
-  // the callers' making, calls are held or refused that would only have been late.
+  // few calls each would fill the servers far beyond what they can do before one of them had come
+  // down from its first limit. While the usual answer comes after its aim even two seats a level
+  // are too many for such a group; with less than one a level rests between calls. Harm: where a
+  // slowness is not of the callers' making, calls are refused that would only have been late.
   void Overload(double in_use, bool slow, bool late) {
     if (slow) limit_ = std::min(limit_, in_use + 1.0);
     const double floor = late ? floor_ * kLastSeat / kSeatFloor : std::min(floor_, limit_);
@@ -932,7 +923,7 @@
 
   void OnRequest(Micros now, const Request& request) {
     if (request.priority_level >= levels_.size()) return;
-    Call* call = ledger_.Take(request, now);
+    Call* call = ledger_.Take(request);
     if (call == nullptr) return;
     const std::uint32_t tenant = TenantOf(request);
     arrivals_[tenant].Add(now, 1.0);
@@ -1005,7 +996,7 @@
   static constexpr Micros kNever = std::numeric_limits<Micros>::max();
 
   struct Due {
-    enum Kind { kAnswer, kQueue, kFollow, kPump, kOverdue };
+    enum Kind { kAnswer, kQueue, kFollow, kPump, kOverdue, kSecond };
     Micros at;
     std::uint64_t order;
     Kind kind;
@@ -1145,6 +1136,7 @@
     if (!ledger_.MaySendTo(call, server.info, now)) return;  // The last gate.
     const std::uint32_t index = call.request.priority_level;
     const auto attempt = static_cast<std::uint32_t>(call.attempts.size());
+    if (!call.AnyOut()) ArmSecond(call, attempt, now);  // Two copies at once are enough.
     call.attempts.push_back({server.info.id, now, server.info.zone, server.info.cell, true, false});
     outs_[std::pair(call.request.id, attempt)] = {index, now, true};
     ++levels_[index].in_flight;
@@ -1163,10 +1155,9 @@
   }
 
   // While the pool has a seat, one request from each non-empty queue in turn. Tenants within their
-  // share go first; what is beyond a share takes only seats that are spare, and so does a call with
-  // less time left than an answer usually takes. Guards against callers that repeat hard or arrive
-  // with little time, and against retries so late that they cannot win. Harm: where answer times
-  // spread widely, some such calls would have been answered in time.
+  // share go first; what is beyond a share takes only spare seats, and so does a call with less
+  // time left than an answer usually takes: a retry so late that it cannot win. Harm: where answer
+  // times spread widely, some such calls would have been answered in time.
   void Pump(std::uint32_t index, Micros now) {
     Level& level = levels_[index];
     while (level.waiting() > 0) {
@@ -1199,9 +1190,8 @@
   }
 
   // Guards against endpoints that swallow calls: each pinned a seat until its time was up, and a
-  // few of them stalled the level, whose refusals are failures in the tiers above. Acts only while
-  // the level's usual answer is well inside its aim, so a slowness of all endpoints frees no seat.
-  // Harm: very long work is no longer counted by the pool once it is overdue.
+  // few stalled the level. Acts only while the level's usual answer is well inside its aim, so a
+  // slowness of all endpoints frees no seat. Harm: overdue work is no longer counted by the pool.
   void GiveSeatBack(RequestId request, std::uint32_t attempt, Micros now) {
     const auto out = outs_.find(std::pair(request, attempt));
     if (out == outs_.end() || !out->second.seated) return;
@@ -1213,6 +1203,28 @@
     Pump(out->second.level, now);
   }
 
+  void ArmSecond(const Call& call, std::uint32_t attempt, Micros now) {
+    const double after = kSecondAfter * levels_[call.request.priority_level].typical;
+    const bool safe = ledger_.ClassOf(call).repeat == Repeat::kIdempotent;
+    if (!settings_.may_duplicate || after <= 0 || !safe) return;
+    Arm(now + static_cast<Micros>(after), Due::kSecond, call.request.id, attempt);
+  }
+  // Guards against calls that get lost and endpoints that stop (sev4234): silence was waited for
+  // until the caller's time was up. Only within the pool, on a retry's token and while the level is
+  // calm: where all have grown slow a copy is only more load. Harm: some work is done twice.
+  void SendSecond(RequestId request, std::uint32_t attempt, Micros now) {
+    const auto out = outs_.find(std::pair(request, attempt));
+    Call* call = ledger_.Find(request);
+    if (out == outs_.end() || call == nullptr || attempt + 1 != call->attempts.size()) return;
+    const Level& level = levels_[out->second.level];
+    const bool room = static_cast<double>(level.in_flight) + 1.0 <= Seats(out->second.level, now);
+    if (!room || !level.Calm() || retry_tokens_ < 1.0) return;
+    Server* server = fleet_.Pick(ledger_, *call, now);
+    if (server == nullptr || server->info.id == call->attempts[attempt].endpoint) return;
+    retry_tokens_ -= 1.0;
+    Send(*call, *server, now);
+  }
+
   void Handle(const Due& due, Micros now) {
     switch (due.kind) {
       case Due::kAnswer:
@@ -1228,6 +1240,9 @@
       case Due::kOverdue:
         GiveSeatBack(due.request, due.attempt, now);
         break;
+      case Due::kSecond:
+        SendSecond(due.request, due.attempt, now);
+        break;
       case Due::kFollow:
         actions_.Follow();
         break;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -91,6 +91,72 @@
   EXPECT_EQ(d.recorder.Count(Action::kRefuse) + d.recorder.Count(Action::kFail), 1u);
 }
 
+// Seen in sev4234: calls that were lost on the way were waited for until the caller's time was up.
+Settings MayDuplicate(Repeat repeat) {
+  Settings s = BasicSettings();
+  s.classes = {Class(repeat, 1'000'000, 4'000'000)};
+  s.may_duplicate = true;
+  return s;
+}
+
+// Calls answered after 100 ms each, so that the usual answer time is known.
+void AnswerSome(Driver& d, RequestId count) {
+  for (RequestId id = 1; id <= count; ++id) {
+    d.recorder.Take();
+    d.Ask(id);
+    ASSERT_EQ(d.Sends().size(), 1u);
+    const EndpointId endpoint = d.Sends()[0].endpoint;
+    d.Advance(d.now + 100'000);
+    d.Answer(id, endpoint, OutcomeCode::kOk, 0, 100'000);
+  }
+  d.recorder.Take();
+}
+
+TEST(Silence, ARepeatableCallGetsASecondCopyElsewhere) {
+  Driver d(MayDuplicate(Repeat::kIdempotent));
+  d.List(Nodes(5));
+  AnswerSome(d, 40);
+  d.Ask(100);
+  ASSERT_EQ(d.Sends().size(), 1u);
+  d.Advance(d.now + 200'000);
+  EXPECT_EQ(d.Sends().size(), 1u);  // Not much longer than usual.
+  d.Advance(d.now + 700'000);
+  ASSERT_EQ(d.Sends().size(), 2u);
+  EXPECT_EQ(d.Sends()[1].request, 100u);
+  EXPECT_NE(d.Sends()[1].endpoint, d.Sends()[0].endpoint);
+  d.Answer(100, d.Sends()[1].endpoint, OutcomeCode::kOk, 1, 100'000);
+  d.Advance(d.now + 5'000'000);
+  EXPECT_EQ(d.Sends().size(), 2u);
+  EXPECT_EQ(d.recorder.Count(Action::kFail) + d.recorder.Count(Action::kRefuse), 0u);
+}
+
+TEST(Silence, WhatMustNotRunTwiceIsWaitedFor) {
+  for (const Repeat repeat : {Repeat::kAtMostOnce, Repeat::kDeduplicated}) {
+    Driver d(MayDuplicate(repeat));
+    d.List(Nodes(5));
+    AnswerSome(d, 40);
+    d.Ask(100);
+    d.Advance(d.now + 3'000'000);
+    EXPECT_EQ(d.Sends().size(), 1u);
+  }
+}
+
+// Where all have grown slow, copies would only be more load.
+TEST(Silence, NoCopyIsSentWhenTheWholeLevelIsSlow) {
+  Driver d(MayDuplicate(Repeat::kIdempotent));
+  d.List(Nodes(5));
+  AnswerSome(d, 40);
+  for (RequestId id = 100; id < 104; ++id) d.Ask(id);
+  const auto sends = d.Sends();
+  ASSERT_EQ(sends.size(), 4u);
+  d.Advance(d.now + 250'000);
+  for (std::size_t i = 0; i < 3; ++i) {
+    d.Answer(sends[i].request, sends[i].endpoint, OutcomeCode::kOk, 0, 900'000);
+  }
+  d.Advance(d.now + 1'000'000);
+  EXPECT_EQ(d.Sends().size(), 4u);
+}
+
 TEST(Ledger, AnAtMostOnceRequestThatMayHaveRunFailsAndIsNotRepeated) {
   Settings s = BasicSettings();
   s.classes[0].repeat = Repeat::kAtMostOnce;
