Let a limit far below its start win back seats quickly

Below half its start it now rises by a quarter seat with each answer inside half the aim, also where answers are not at their calmest.

The test fails without the change: 2 calls let through after 15 flights of prompt answers where 10 or more are expected.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -37,6 +37,8 @@
 constexpr double kCutPart = 0.25;     // ...or this part of a limit of less than two.
 constexpr double kRise = 1.0;         // Seats won for a small limit's worth of prompt answers...
 constexpr double kRisePart = 0.0625;  // ...or this for each: one late in eight keeps the balance.
+constexpr double kLowPart = 0.5;      // Below this part of the first limit it is on its way back...
+constexpr double kRecovery = 0.25;    // ...and wins this for each prompt answer.
 constexpr double kSeatFloor = 2.0;    // Seats a level keeps while answers come in time...
 constexpr double kLastSeat = 0.25;    // ...and where they come too late: it still learns.
 constexpr double kTypicalSpan = 3e6;  // Microseconds in which a level's usual time is forgotten.
@@ -341,7 +343,6 @@
            now - s.info.launched < settings_.warm_up;
   }
 
-  // The subset grows by one when this balancer's own calls outnumber it.
   void NoteInFlight(std::size_t in_flight) {
     if (in_flight > wanted_ && wanted_ < ready_.size()) {
       ++wanted_;
@@ -402,8 +403,8 @@
       const Micros rest = usual > 0 ? static_cast<Micros>(usual) : kFullRest;
       s.full_until = now + (rest << std::min(s.fulls++, kFullDoublings));
       // Connections that are open still carry calls: passing such an endpoint over as a whole threw
-      // all calls on the few that could still be connected to. Guards against slow or failing
-      // handshakes and full tables of connections. Harm: none seen; it is a cap on one endpoint.
+      // all calls on the few that could still be connected to. Guards against failing handshakes
+      // and full tables of connections.
       s.carries = o.code == OutcomeCode::kFull ? 0 : s.outs.size() + s.idle.size();
       if (o.code == OutcomeCode::kConnectFailed) connect_trouble_until_ = now + kConnectSpan;
       return true;
@@ -513,7 +514,6 @@
 
   void Eject(Server& s, Micros now) {
     const Micros span = std::min(kEjectCap, kEjectBase << std::min(s.strikes, 4));
-    // Spread by seed, so that balancers do not come back in step.
     s.eject_until =
         now + span +
         static_cast<Micros>(static_cast<double>(span) * 0.5 *
@@ -554,10 +554,9 @@
 
   // Rule four. A cold endpoint gets what a warm member of this subset gets, times the multiple of
   // its present part of capacity that the rule allows, and half of that for chance. Each endpoint
-  // sits in subsets in proportion to the warm ones, so the group's total keeps the same proportion
-  // however large the group is. Credit starts at nothing and never saves up a burst. Where a
-  // release has replaced all, what a warm one got last still holds; it used to fade, and nothing
-  // was sent.
+  // sits in subsets in proportion to the warm ones, so the group's total keeps that proportion.
+  // Credit starts at nothing and never saves up a burst. Where a release has replaced all, what a
+  // warm one got last still holds; it used to fade, and nothing was sent.
   bool ColdCredit(Server& s, Micros now) {
     const double age = static_cast<double>(std::max<Micros>(0, now - s.info.launched));
     const double part = settings_.cold_from +
@@ -592,8 +591,7 @@
 
   // The endpoint at this rank of this balancer's order. The first ranks are shuffles common to the
   // group, laid over the balancers' numbers by size, so that every endpoint stands in equally many
-  // subsets, where a plain hash would crowd some and leave others idle. Later ranks follow a
-  // private shuffle.
+  // subsets; a plain hash would crowd some. Later ranks follow a private shuffle.
   Server* Ranked(std::size_t rank) {
     while (ranks_.size() <= rank) {
       if (ranks_.size() < kEvenRanks && DealEvenRank()) continue;
@@ -611,8 +609,7 @@
   bool DealEvenRank() { return DealEvenRank(true) || DealEvenRank(false); }
   bool DealEvenRank(bool near) {
     // In one zone the ranks of all balancers together go round the endpoints: whole laps, each in
-    // an order of its own, so that none stands in many more subsets than another at any size of
-    // subset. A shuffle for each rank would leave that to chance.
+    // an order of its own, so that none stands in many more subsets than another.
     const std::size_t pick =
         ranks_.size() * settings_.group_size + settings_.me % settings_.group_size;
     const bool lap = near && NearAll();
@@ -691,8 +688,8 @@
 
 // ---- Priority levels: shares, pool, queues, fair release ----
 
-// How much of its share each tenant has left at this balancer. Quotas count client calls, so they
-// bind where those come in; calls of lower tiers were admitted above, and their work is sunk.
+// What each tenant has left of its share here. Quotas count client calls, so they bind where those
+// come in; calls of lower tiers were admitted above, and their work is sunk.
 class Shares {
  public:
   explicit Shares(const Settings& s) {
@@ -795,16 +792,10 @@
     ++waiting_;
   }
 
-  bool Remove(RequestId request, std::uint32_t tenant) {
+  void Remove(RequestId request, std::uint32_t tenant) {
     for (std::size_t q : Hand(tenant)) {
-      for (auto it = queues_[q].begin(); it != queues_[q].end(); ++it) {
-        if (it->request != request) continue;
-        queues_[q].erase(it);
-        --waiting_;
-        return true;
-      }
+      waiting_ -= std::erase_if(queues_[q], [&](const Waiting& w) { return w.request == request; });
     }
-    return false;
   }
 
   std::size_t waiting() const { return waiting_; }
@@ -849,15 +840,20 @@
 };
 
 // The learned total of seats, dealt to the levels by shares. Each answer moves it by itself, so the
-// balance stands at the same part of late answers whether a balancer has five calls out or five
-// hundred; a cut for each flight with any late answer in it would starve the busy ones.
+// balance stands at the same part of late answers whether five calls are out or five hundred.
 class Limiter {
  public:
-  Limiter(double start, double floor) : limit_(start), floor_(floor) {}
+  Limiter(double start, double floor) : limit_(start), start_(start), floor_(floor) {}
+
+  // Far below where it began: a fall goes deeper than the trouble, and answers that are as many as
+  // the seats would take minutes to win back at the usual pace what was lost in seconds.
+  bool Low() const { return limit_ < kLowPart * start_; }
 
   void Prompt(double in_use, bool whole) {
     // A limit that is not reached learns nothing from success.
-    if (in_use * 2.0 >= limit_) {
+    if (in_use * 2.0 >= limit_ && Low()) {
+      limit_ += kRecovery;
+    } else if (in_use * 2.0 >= limit_) {
       limit_ += whole || limit_ < floor_ ? std::clamp(kRise / limit_, kRisePart, 1.0) : kRisePart;
     }
   }
@@ -875,6 +871,7 @@
 
  private:
   double limit_;
+  double start_;
   double floor_;
 };
 
@@ -1016,8 +1013,8 @@
   };
 
   // Seats that carry all tenants' shares if an answer takes half its aim, and never so few that a
-  // quiet balancer would hold. Real capacity is told nowhere; a start sized for the whole aim puts
-  // dozens of calls on a server before the first late answer can say that this was too much.
+  // quiet balancer would hold. A start sized for the whole aim puts dozens of calls on a server
+  // before the first late answer can say that this was too much.
   static double FirstLimit(const Settings& s) {
     double quota = 0.0;
     for (const TenantSettings& t : s.tenants) quota += t.quota_per_s;
@@ -1080,11 +1077,12 @@
         retry_tokens_ = std::min(kRetryCap, retry_tokens_ + kRetryRatio);
         const double rtt = static_cast<double>(o.rtt);
         level.NoteAnswer(rtt, now);
-        // An answer can be well inside its aim and still tell of a queue: where calm answers take a
-        // sixth of the aim, a limit that rises until they are late jams servers long before.
+        // An answer well inside its aim can still tell of a queue: a limit that rises until answers
+        // are late jams servers long before.
         if (o.rtt > c.aim) {
           limiter_.Overload(InFlight(), slow, late);
-        } else if (rtt <= kPromptPart * static_cast<double>(c.aim) && calm) {
+        } else if (rtt <= kPromptPart * static_cast<double>(c.aim) &&
+                   (calm || (!slow && limiter_.Low()))) {
           limiter_.Prompt(InFlight() + 1.0, !settings_.tail_counts);
         }
         break;
@@ -1119,8 +1117,7 @@
     End(*call);
   }
 
-  // A call that no connection could be had for has cost its endpoint next to nothing: it goes on
-  // without a token.
+  // What never got a connection has cost its endpoint next to nothing: it goes on without a token.
   void AfterFailure(Call& call, bool unconnected, Micros now) {
     if (ledger_.MaySendAgain(call, now) && (unconnected || retry_tokens_ >= 1.0)) {
       if (Server* server = fleet_.Pick(ledger_, call, now)) {
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -504,6 +504,36 @@
   EXPECT_LE(admitted(), before + 1);
 }
 
+// Seen on a day of shared slowness: the limit fell from 95 to 6 in five seconds and then won back
+// one seat a second, as answers never again looked as calm as they had on empty servers.
+TEST(Limiter, FarBelowItsStartItRecoversQuicklyThoughAnswersAreNotAtTheirCalmest) {
+  Settings s = BasicSettings();
+  s.tenants = {{240, 1.0}};  // The first limit is 30.
+  Driver d(s);
+  d.List(Nodes(40));
+  RequestId id = 10'000;
+  // Each flight asks for far more than the limit allows.
+  const auto flight = [&](OutcomeCode code, Micros rtt) {
+    d.recorder.Take();
+    for (int i = 0; i < 60; ++i) d.Ask(++id);
+    const std::vector<Action> sends = d.Sends();
+    d.now += rtt;
+    for (RequestId done = id - 59; done <= id; ++done) d.balancer.OnAbandoned(d.now, done);
+    for (const Action& a : sends) d.Answer(a.request, a.endpoint, code, a.attempt, rtt, true);
+    return sends.size();
+  };
+  for (int i = 0; i < 4; ++i) flight(OutcomeCode::kOk, 20'000);
+  const std::size_t first = flight(OutcomeCode::kOk, 20'000);
+  ASSERT_GE(first, 20u);
+  for (int i = 0; i < 40; ++i) flight(OutcomeCode::kTimeout, 100'000);
+  ASSERT_LE(flight(OutcomeCode::kOk, 100'000), 5u);
+  // Prompt by the aim, though five times what they took at first.
+  for (int i = 0; i < 15; ++i) flight(OutcomeCode::kOk, 100'000);
+  const std::size_t back = flight(OutcomeCode::kOk, 100'000);
+  EXPECT_GE(back, 10u);
+  EXPECT_LT(back, first);  // All the way only with calm answers.
+}
+
 TEST(Health, AnEndpointThatKeepsFailingIsSkippedAndComesBack) {
   Driver d(BasicSettings());
   d.List(Nodes(6));
