Keep calls that must not run twice away from endpoints that just failed

An endpoint is ejected only after some failures in a row; each cost a call that may not be repeated, while half of the calls could have tested it for free. For such calls recent failures now weigh as load in the choice; repeatable calls go on testing and clear the endpoint again.

The test fails without the change: three of nine unsafe calls go to the endpoint that has just failed.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -56,11 +56,12 @@
     3.0;  // Usual answer times of silence before a second copy goes out.
 constexpr std::size_t kFirstSubset = 3;  // Endpoints in use at the start.
 constexpr double kGolden = 0.6180339887498949;
-constexpr std::size_t kEvenRanks = 12;    // Ranks dealt evenly over the group; private beyond.
-constexpr double kHealthGain = 0.25;      // Weight of one outcome in an endpoint's failure rate.
-constexpr double kEjectRate = 0.45;       // Failure rate that ejects an endpoint...
-constexpr double kEjectOver = 2.5;        // ...if it is also this many times the usual one.
-constexpr double kMaxEjected = 0.34;      // Largest part of the fleet that may be ejected.
+constexpr std::size_t kEvenRanks = 12;  // Ranks dealt evenly over the group; private beyond.
+constexpr double kHealthGain = 0.25;    // Weight of one outcome in an endpoint's failure rate.
+constexpr double kEjectRate = 0.45;     // Failure rate that ejects an endpoint...
+constexpr double kWary = 12.0;          // Load that failures weigh as to calls not to be repeated.
+constexpr double kEjectOver = 2.5;      // ...if it is also this many times the usual one.
+constexpr double kMaxEjected = 0.34;    // Largest part of the fleet that may be ejected.
 constexpr Micros kEjectBase = 2'000'000;  // First ejection; doubles up to the cap.
 constexpr Micros kEjectCap = 16'000'000;
 constexpr double kColdSafety = 0.5;      // Part of a cold endpoint's budget that is used.
@@ -460,6 +461,8 @@
     }
     if (candidates->empty()) return nullptr;
     const std::size_t n = candidates->size();
+    // What must not run twice is lost by a failure; what may be repeated goes on testing.
+    const double wary = c.repeat == Repeat::kAtMostOnce ? kWary : 0.0;
     Server* best = nullptr;
     std::array<double, 4> best_cost{};
     for (std::size_t i = 0; i < n; ++i) {
@@ -471,9 +474,9 @@
                                      [&](const Attempt& a) { return a.endpoint == s->info.id; });
       const bool ejected = (s->ejected && (s->on_trial || now < s->eject_until)) ||
                            now < s->Of(call.request.priority_level).passed_until;
-      const std::array<double, 4> cost = {ejected ? 1.0 : 0.0, tried ? 1.0 : 0.0,
-                                          PassedOver(*s, call.request.priority_level, now),
-                                          static_cast<double>(s->outs.size() + 1) * s->Pace(now)};
+      const std::array<double, 4> cost = {
+          ejected ? 1.0 : 0.0, tried ? 1.0 : 0.0, PassedOver(*s, call.request.priority_level, now),
+          static_cast<double>(s->outs.size() + 1) * s->Pace(now) * (1.0 + wary * s->failure_rate)};
       if (best == nullptr || cost < best_cost) {
         best = s;
         best_cost = cost;
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -534,6 +534,30 @@
   EXPECT_LT(back, first);  // All the way only with calm answers.
 }
 
+// What must not run twice is lost by one failure. It keeps away from an endpoint that has just
+// failed until calls that may be repeated have shown that it answers again.
+TEST(Health, UnsafeCallsLeaveAnEndpointThatHasFailedToRepeatableOnes) {
+  Settings s = BasicSettings();
+  s.classes = {Class(Repeat::kIdempotent), Class(Repeat::kAtMostOnce)};
+  Driver d(s);
+  d.List(Nodes(3));
+  RequestId id = 0;
+  const auto ask = [&](std::uint32_t level, OutcomeCode code) {
+    d.recorder.Take();
+    d.Ask(++id, level);
+    const EndpointId endpoint = d.Sends().at(0).endpoint;
+    d.now += 10'000;
+    d.Answer(id, endpoint, code, 0, 10'000, true);
+    return endpoint;
+  };
+  for (int i = 0; i < 9; ++i) ask(0, OutcomeCode::kOk);
+  const EndpointId failed = ask(0, OutcomeCode::kError);
+  for (int i = 0; i < 9; ++i) EXPECT_NE(ask(1, OutcomeCode::kOk), failed) << i;
+  int tested = 0;
+  for (int i = 0; i < 30; ++i) tested += ask(0, OutcomeCode::kOk) == failed ? 1 : 0;
+  EXPECT_GE(tested, 5);
+}
+
 TEST(Health, AnEndpointThatKeepsFailingIsSkippedAndComesBack) {
   Driver d(BasicSettings());
   d.List(Nodes(6));
