Add shelflab: a fleet on loopback, load, incidents and a report in one command

Need: the product could be seen at work only with the users' kit; a newcomer could not start it and nothing of ours could be measured.

--- /dev/null
+++ b/src/lab/emulation.cpp
@@ -0,0 +1,1022 @@
+#include "lab/emulation.h"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/post.hpp>
+#include <charconv>
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "lab/clock.h"
+
+namespace shelflab {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr int kBacklog = 4096;
+constexpr Micros kSweep = 100'000;  // Idle connections, sidecars' health and the like.
+constexpr Micros kReadyWithin = 30 * kSecond;
+constexpr Micros kCallMemory = 60 * kSecond;
+// What discovery has to tell counts as told at the latest so long after it was listed: the longest
+// that a sidecar may go without asking, and 6 s for an answer that does not arrive.
+constexpr Micros kToldWithin = 16 * kSecond;
+constexpr std::size_t kCallsOfNode = 4096;
+constexpr std::uint16_t kSidecarPort = 7000;
+
+tcp::endpoint Loopback() { return {asio::ip::address_v4::loopback(), 0}; }
+
+// A network of its own for the sidecars of this process: 127.A.tier.number, so that a restarted one
+// finds its address free.
+tcp::endpoint SidecarAddress(std::uint32_t tier, std::uint32_t number) {
+  const auto mine = static_cast<std::uint32_t>(64 + ::getpid() % 128);
+  const std::uint32_t host =
+      (127U << 24) | (mine << 16) | ((tier * 32 + number / 250 + 1) << 8) | (number % 250 + 1);
+  return {asio::ip::address_v4(host), kSidecarPort};
+}
+
+Micros WallClock(Micros time) {
+  const auto wall = std::chrono::system_clock::now() + std::chrono::microseconds(time - Now());
+  return std::chrono::duration_cast<std::chrono::microseconds>(wall.time_since_epoch()).count();
+}
+
+std::string AddressText(const tcp::endpoint& e) {
+  return e.address().to_string() + ":" + std::to_string(e.port());
+}
+
+}  // namespace
+
+// ---- What it holds ----
+
+// A listener that can be shut (refuses), muffled (nothing comes up) and opened again, always at the
+// same address.
+struct Emulation::Door {
+  explicit Door(asio::io_context& io) : acceptor(io) {}
+  tcp::acceptor acceptor;
+  tcp::endpoint address;
+  bool open = false;
+  bool muffled = false;
+  bool accepting = false;
+  std::vector<tcp::socket> plugs;  // Fill a muffled door's queue.
+  std::function<void(tcp::socket)> enter;
+};
+
+class Emulation::Line : public Stream {
+ public:
+  Line(Socket socket, Emulation& owner) : Stream(std::move(socket)), owner_(owner) {
+    ++owner_.connections_;
+  }
+  ~Line() override { --owner_.connections_; }
+
+ protected:
+  Emulation& owner_;
+  Reader<true> reader_;
+};
+
+class Emulation::EndpointLine : public Line {
+ public:
+  EndpointLine(Socket socket, Emulation& owner, NodeId at, std::uint32_t from)
+      : Line(std::move(socket), owner), node(at), sidecar(from) {}
+
+  NodeId node;
+  std::uint32_t sidecar;
+  bool fresh = true;
+  bool busy = false;
+  bool dead = false;  // What comes next ends as a reset.
+  Micros idle_since = 0;
+  std::list<std::shared_ptr<EndpointLine>>::iterator place;
+
+  auto& message() { return reader_.message(); }
+  void NextRequest() {
+    reader_.Next();
+    busy = false;
+    idle_since = Now();
+    if (reader_.has_more()) OnBytes({});
+  }
+  void Leave();
+
+ protected:
+  void OnBytes(std::string_view bytes) override {
+    if (dead) {
+      const auto self = shared_from_this();
+      Reset();
+      return Leave();
+    }
+    const auto state = reader_.Feed(bytes);
+    if (state == Reader<true>::State::kMalformed) {
+      const auto self = shared_from_this();
+      Write(AnswerText(400, "Bad Request", ""));
+      CloseAfterWriting();
+      return Leave();
+    }
+    if (state != Reader<true>::State::kWhole || busy) return;
+    busy = true;
+    owner_.OnRequest(*this);
+  }
+  void OnClosed() override { Leave(); }
+};
+
+class Emulation::DiscoveryLine : public Line {
+ public:
+  DiscoveryLine(Socket socket, Emulation& owner, std::uint32_t from)
+      : Line(std::move(socket), owner), sidecar(from) {}
+  std::uint32_t sidecar;
+  std::uint64_t call = 0;
+  auto& message() { return reader_.message(); }
+  void NextRequest() { reader_.Next(); }
+
+ protected:
+  void OnBytes(std::string_view bytes) override {
+    const auto state = reader_.Feed(bytes);
+    if (state == Reader<true>::State::kMalformed) return Close();
+    if (state == Reader<true>::State::kWhole) owner_.OnDiscoveryCall(*this);
+  }
+  void OnClosed() override {
+    if (call != 0) owner_.catalog_.Hangup(call);
+  }
+};
+
+struct Emulation::Node {
+  NodeId id = 0;
+  std::vector<std::unique_ptr<Door>> doors;  // One for each sidecar that may call; or one for all.
+  std::list<std::shared_ptr<EndpointLine>> lines;
+  bool paused = false;
+  bool silent = false;
+  std::unique_ptr<CallerPool> calls;  // To the next tier.
+  std::uint32_t sidecar = 0;          // Its own, if it has calls.
+  NodeWindow window;
+};
+
+struct Emulation::Sidecar {
+  explicit Sidecar(asio::io_context& io) : door(io), timer(io) {}
+  std::uint32_t tier = 0;    // That it sends to.
+  std::uint32_t number = 0;  // Among those of its tier.
+  std::uint32_t place = 0;   // Among all.
+  tcp::endpoint listen;
+  Door door;  // Its discovery.
+  std::vector<std::weak_ptr<DiscoveryLine>> asking;
+  Process process;
+  std::uint64_t life = 0;
+  bool ready = false;
+  bool wanted = false;
+  Micros started = 0;
+  asio::steady_timer timer;
+};
+
+struct Emulation::Open {
+  std::weak_ptr<EndpointLine> line;
+  std::uint64_t txn = 0;
+  std::uint32_t cls = 0;
+  NodeId node = 0;
+  std::string tenant;
+  Micros came = 0;
+};
+
+void Emulation::EndpointLine::Leave() {
+  Node& at = *owner_.nodes_[node];
+  if (place == at.lines.end()) return;
+  const auto self = *place;
+  at.lines.erase(place);
+  place = at.lines.end();
+}
+
+// ---- Construction ----
+
+Emulation::Emulation(asio::io_context& io, const Plan& plan, EmulationOptions options,
+                     SeenSink seen)
+    : io_(io),
+      plan_(plan),
+      options_(std::move(options)),
+      seen_(std::move(seen)),
+      fleet_(plan.fleet, options_.seed),
+      catalog_(plan.fleet.discovery, static_cast<std::uint32_t>(plan.fleet.tiers.size())),
+      timer_(io),
+      sweep_timer_(io),
+      txns_(options_.seed, 0x7c05) {
+  const auto& tiers = plan_.fleet.tiers;
+  first_tier_sidecars_ = tiers.front().sidecars;
+  for (std::uint32_t t = 0; t < tiers.size(); ++t) {
+    const std::uint32_t count = t == 0 ? first_tier_sidecars_ : tiers[t - 1].nodes;
+    for (std::uint32_t n = 0; n < count; ++n) {
+      Sidecar& s = *sidecars_.emplace_back(std::make_unique<Sidecar>(io_));
+      s.tier = t;
+      s.number = n;
+      s.place = static_cast<std::uint32_t>(sidecars_.size()) - 1;
+      s.listen = SidecarAddress(t, n);
+      s.door.enter = [this, place = s.place](tcp::socket socket) {
+        const auto line = std::make_shared<DiscoveryLine>(std::move(socket), *this, place);
+        auto& asking = sidecars_[place]->asking;
+        std::erase_if(asking, [](const auto& l) { return l.expired(); });
+        asking.push_back(line);
+        line->StartReading();
+      };
+      OpenDoor(s.door);
+    }
+  }
+  std::uint32_t later = first_tier_sidecars_;
+  for (NodeId id = 0; id < fleet_.size(); ++id) {
+    Node& node = *nodes_.emplace_back(std::make_unique<Node>());
+    node.id = id;
+    const std::uint32_t tier = fleet_.tier(id);
+    const std::uint32_t doors = tier == 0 ? first_tier_sidecars_ : 1;
+    for (std::uint32_t d = 0; d < doors; ++d) {
+      Door& door = *node.doors.emplace_back(std::make_unique<Door>(io_));
+      door.enter = [this, id, d](tcp::socket socket) {
+        Node& at = *nodes_[id];
+        const auto line = std::make_shared<EndpointLine>(std::move(socket), *this, id, d);
+        line->idle_since = Now();
+        line->place = at.lines.insert(at.lines.end(), line);
+        if (!at.paused && !at.silent) line->StartReading();
+      };
+      OpenDoor(door);
+    }
+    if (tier + 1 < tiers.size()) {
+      node.sidecar = later++;
+      const tcp::endpoint target = sidecars_[node.sidecar]->listen;
+      node.calls = std::make_unique<CallerPool>(
+          io_, [target] { return std::optional<tcp::endpoint>(target); },
+          [this, place = node.sidecar](const Seen& s) {
+            Seen told = s;
+            told.sidecar = place;
+            seen_(told);
+          },
+          kCallsOfNode);
+    }
+  }
+  for (std::uint32_t t = 0; t < tiers.size(); ++t) {
+    std::vector<Listed> rows;
+    const NodeId first = FirstNode(plan_.fleet, t);
+    for (NodeId n = 0; n < tiers[t].nodes; ++n) rows.push_back({first + n, Health::kServing, 0});
+    catalog_.List(t, rows);
+  }
+  SweepIdle();
+}
+
+Emulation::~Emulation() { Stop(); }
+
+void Emulation::Stop() {
+  if (std::exchange(stopped_, true)) return;
+  timer_.cancel();
+  sweep_timer_.cancel();
+  for (auto& s : sidecars_) {
+    ++s->life;
+    s->wanted = false;
+    s->process.Kill();
+    s->timer.cancel();
+    ShutDoor(s->door);
+    for (const auto& line : s->asking) {
+      if (const auto l = line.lock()) l->Close();
+    }
+  }
+  for (auto& node : nodes_) {
+    if (node->calls) node->calls->Stop();
+    for (auto& door : node->doors) ShutDoor(*door);
+    while (!node->lines.empty()) {
+      const auto line = node->lines.front();
+      line->Reset();
+      line->Leave();
+    }
+  }
+}
+
+// ---- Doors ----
+
+void Emulation::OpenDoor(Door& door) {
+  if (door.open) return;
+  if (!door.acceptor.is_open()) {
+    door.acceptor.open(tcp::v4());
+    door.acceptor.set_option(tcp::acceptor::reuse_address(true));
+    door.acceptor.bind(door.address.port() == 0 ? Loopback() : door.address);
+    door.address = door.acceptor.local_endpoint();
+  }
+  door.acceptor.non_blocking(true);
+  door.acceptor.listen(kBacklog);
+  door.open = true;
+  Accept(door);
+}
+
+// A socket that is bound but does not listen keeps the address and refuses who comes.
+void Emulation::ShutDoor(Door& door) {
+  door.plugs.clear();
+  door.muffled = false;
+  if (!door.open) return;
+  door.open = false;
+  error_code ignored;
+  door.acceptor.close(ignored);
+  if (stopped_) return;
+  door.acceptor.open(tcp::v4());
+  door.acceptor.set_option(tcp::acceptor::reuse_address(true));
+  door.acceptor.bind(door.address);
+}
+
+void Emulation::Accept(Door& door) {
+  if (!door.open || door.muffled || door.accepting) return;
+  door.accepting = true;
+  door.acceptor.async_accept([this, &door](error_code ec, tcp::socket socket) {
+    door.accepting = false;
+    if (stopped_ || ec == asio::error::operation_aborted) return;
+    if (!ec) {
+      Prepare(socket);
+      if (door.muffled) {
+        door.plugs.push_back(std::move(socket));
+        return;
+      }
+      door.enter(std::move(socket));
+    } else {
+      spdlog::warn("accept at {}: {}", AddressText(door.address), ec.message());
+    }
+    Accept(door);
+  });
+}
+
+// While its queue is full, the kernel drops what else knocks: connections never come up.
+void Emulation::Muffle(Door& door, bool on) {
+  if (!door.open || door.muffled == on) return;
+  door.muffled = on;
+  if (on) {
+    error_code ignored;
+    door.acceptor.cancel(ignored);
+    ::listen(door.acceptor.native_handle(), 0);
+    for (int i = 0; i < 2; ++i) {
+      tcp::socket& plug = door.plugs.emplace_back(io_);
+      plug.open(tcp::v4());
+      plug.non_blocking(true);
+      plug.connect(door.address, ignored);
+    }
+    return;
+  }
+  // What came in the meantime is reset, once it is back.
+  ::listen(door.acceptor.native_handle(), kBacklog);
+  for (;;) {
+    error_code ec;
+    tcp::socket waiting(io_);
+    door.acceptor.accept(waiting, ec);
+    if (ec) break;
+    error_code ignored;
+    waiting.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
+  door.plugs.clear();
+  Accept(door);
+}
+
+// ---- Time ----
+
+void Emulation::Arm() {
+  Micros next = std::min(fleet_.Next(), catalog_.Next());
+  if (!steps_.empty()) next = std::min(next, steps_.begin()->first);
+  if (next == armed_ || stopped_) return;
+  armed_ = next;
+  if (next == kNever) return;
+  timer_.expires_at(At(next));
+  timer_.async_wait([this, next](error_code ec) {
+    if (ec || stopped_) return;
+    armed_ = kNever;
+    late_.Add(Now() - next);
+    Tick();
+  });
+}
+
+void Emulation::Tick() {
+  const Micros now = Now();
+  while (!steps_.empty() && steps_.begin()->first <= now) {
+    const Step step = steps_.begin()->second;
+    steps_.erase(steps_.begin());
+    Carry(step);
+  }
+  fleet_.Advance(now);
+  catalog_.Advance(now);
+  Settle();
+}
+
+// Carries out what the fleet and the catalog have decided, until they have nothing more to say.
+void Emulation::Settle() {
+  if (settling_) return;
+  settling_ = true;
+  for (;;) {
+    const std::vector<FleetEffect> effects = fleet_.TakeEffects();
+    const std::vector<CatalogAnswer> answers = catalog_.TakeAnswers();
+    if (effects.empty() && answers.empty()) break;
+    for (const FleetEffect& e : effects) {
+      switch (e.kind) {
+        case FleetEffect::Kind::kAnswer:
+          Answer(e);
+          break;
+        case FleetEffect::Kind::kCall:
+          CallNextTier(e);
+          break;
+        case FleetEffect::Kind::kDied:
+          Died(e.node);
+          break;
+        case FleetEffect::Kind::kStarted:
+          Started(e.node);
+          break;
+        case FleetEffect::Kind::kFellOver: {
+          Seen seen;
+          seen.kind = Seen::Kind::kFellOver;
+          seen.at = e.at;
+          seen.node = e.node;
+          seen_(seen);
+          spdlog::warn("{} was pushed over while cold", NodeName(plan_.fleet, e.node));
+          break;
+        }
+      }
+    }
+    for (const CatalogAnswer& a : answers) AnswerDiscovery(a);
+  }
+  settling_ = false;
+  Arm();
+}
+
+void Emulation::Play(const std::vector<Step>& steps) {
+  const Micros now = Now();
+  for (Step step : steps) {
+    step.at += now;
+    steps_.emplace(step.at, step);
+  }
+  Arm();
+}
+
+void Emulation::Carry(const Step& step) {
+  const Micros now = Now();
+  using Do = Step::Kind;
+  fleet_.Advance(now);
+  switch (step.kind) {
+    case Do::kBurst:
+      if (on_burst_) on_burst_(step.size);
+      break;
+    case Do::kDiscoveryLate:
+      catalog_.SetLateness(step.size < 0 ? -1 : static_cast<Micros>(step.size * 1e6));
+      break;
+    case Do::kDiscoveryBusy:
+      catalog_.SetBusy(step.size > 0);
+      break;
+    case Do::kDiscoveryDown:
+      catalog_.SetDown(step.size > 0);
+      for (auto& s : sidecars_) {
+        step.size > 0 ? ShutDoor(s->door) : OpenDoor(s->door);
+        for (const auto& line : std::exchange(s->asking, {})) {
+          if (const auto l = line.lock()) l->Reset();
+        }
+      }
+      break;
+    case Do::kSidecarTerminate:
+      if (step.node < first_tier_sidecars_) {
+        sidecars_[step.node]->wanted = false;
+        sidecars_[step.node]->ready = false;
+        sidecars_[step.node]->process.Signal(SIGTERM);
+      }
+      break;
+    case Do::kSidecarStart:
+      if (step.node < first_tier_sidecars_) StartSidecar(*sidecars_[step.node]);
+      break;
+    default:
+      break;
+  }
+  const bool concerns_node = step.node < nodes_.size();
+  fleet_.Apply(now, step);
+  if (!concerns_node) return Settle();
+  Node& node = *nodes_[step.node];
+  switch (step.kind) {
+    case Do::kNodeDeadIdle:
+      for (const auto& line : node.lines) line->dead = !line->busy;
+      break;
+    case Do::kNodePause:
+    case Do::kNodeSilence: {
+      const bool pause = step.kind == Do::kNodePause;
+      (pause ? node.paused : node.silent) = step.size > 0;
+      const bool quiet = node.paused || node.silent;
+      if (!pause) {
+        for (auto& door : node.doors) Muffle(*door, step.size > 0);
+      }
+      // Back from silence, the connections of before are reset by a peer that knows them no more.
+      while (!pause && step.size <= 0 && !node.lines.empty()) {
+        const auto line = node.lines.front();
+        line->Reset();
+        line->Leave();
+      }
+      for (const auto& line : std::list<std::shared_ptr<EndpointLine>>(node.lines)) {
+        quiet ? line->StopReading() : line->StartReading();
+      }
+      break;
+    }
+    case Do::kNodeDrain:
+      Fact(step.node, step.size > 0 ? Health::kDraining : Health::kServing,
+           fleet_.View(step.node).started);
+      break;
+    default:
+      break;
+  }
+  Settle();
+}
+
+// ---- Endpoints ----
+
+void Emulation::OnRequest(EndpointLine& line) {
+  const Micros now = Now();
+  auto& message = line.message();
+  const auto self = std::static_pointer_cast<EndpointLine>(line.shared_from_this());
+  const auto txn_text = message["X-Txn"];
+  const auto txn = ParseTxn({txn_text.data(), txn_text.size()});
+  const std::string lane(message["X-Lane"]);
+  const auto& classes = plan_.fleet.classes;
+  const auto cls = std::find_if(classes.begin(), classes.end(),
+                                [&](const ClassSpec& c) { return c.name == lane; });
+  if (!txn || cls == classes.end()) {
+    line.Write(AnswerText(txn ? 400 : 404, "Not a request", ""));
+    return line.NextRequest();
+  }
+  Attempt attempt;
+  attempt.id = ++next_attempt_;
+  attempt.node = line.node;
+  attempt.cls = static_cast<std::uint32_t>(cls - classes.begin());
+  attempt.fresh = std::exchange(line.fresh, false);
+  Micros left = 0;
+  const auto remaining = message["X-Remaining-Ms"];
+  const auto r = std::from_chars(remaining.data(), remaining.data() + remaining.size(), left);
+  attempt.due = r.ec == std::errc() ? now + left * 1000 : now + cls->give_up;
+
+  std::uint32_t sidecar = line.sidecar;
+  if (fleet_.tier(line.node) > 0) {
+    const auto caller = caller_of_.find(*txn);
+    sidecar = caller == caller_of_.end() ? UINT32_MAX : caller->second;
+  }
+  Seen seen;
+  seen.kind = Seen::Kind::kAttemptBegan;
+  seen.at = now;
+  seen.txn = *txn;
+  seen.node = line.node;
+  seen.sidecar = sidecar;
+  seen.cls = attempt.cls;
+  seen_(seen);
+  Node& node = *nodes_[line.node];
+  ++node.window.came;
+  Open open;
+  open.line = self;
+  open.txn = *txn;
+  open.cls = attempt.cls;
+  open.node = line.node;
+  open.tenant = std::string(message["X-Org"]);
+  open.came = now;
+  open_.emplace(attempt.id, std::move(open));
+  if (node.lines.size() > plan_.fleet.tiers[fleet_.tier(line.node)].server.connections) {
+    FleetEffect full;
+    full.kind = FleetEffect::Kind::kAnswer;
+    full.answer = FleetEffect::Answer::kTurnedAway;
+    full.attempt = attempt.id;
+    Answer(full);
+    self->CloseAfterWriting();
+    return self->Leave();
+  }
+  fleet_.OnAttempt(now, attempt);
+  Settle();
+}
+
+void Emulation::Answer(const FleetEffect& e) {
+  const auto it = open_.find(e.attempt);
+  if (it == open_.end()) return;
+  const Open open = std::move(it->second);
+  open_.erase(it);
+  const auto line = open.line.lock();
+  Node& node = *nodes_[open.node];
+  const Micros now = Now();
+  Seen seen;
+  seen.kind = Seen::Kind::kAttemptEnded;
+  seen.at = now;
+  seen.txn = open.txn;
+  seen.node = open.node;
+  std::string text;
+  using Way = FleetEffect::Answer;
+  switch (e.answer) {
+    case Way::kOk:
+    case Way::kHalf: {
+      std::string body = fmt::format("{{\"txn\":\"{:016x}\",\"node\":{}}}", open.txn, open.node);
+      if (body.size() < plan_.answer_bytes) body.resize(plan_.answer_bytes, ' ');
+      text = AnswerText(200, "OK", body);
+      seen.status = e.answer == Way::kOk ? 200 : 0;
+      seen.body = BodyHash(body);
+      ++(e.answer == Way::kOk ? node.window.served : node.window.failed);
+      node.window.service += static_cast<double>(now - open.came);
+      ++node.window.timed;
+      break;
+    }
+    case Way::kError:
+      text = AnswerText(500, "Internal Server Error", "error");
+      seen.status = 500;
+      ++node.window.failed;
+      break;
+    case Way::kTurnedAway:
+      text = AnswerText(503, "Service Unavailable", "full", "X-Turned-Away: 1\r\n");
+      seen.status = 503;
+      seen.never_ran = true;
+      ++node.window.turned_away;
+      break;
+    case Way::kReset:
+      ++node.window.failed;
+      break;
+  }
+  const bool heard = line && line->open() && !node.silent;
+  if (!heard) {
+    seen.status = 0;
+    seen.never_ran = false;
+  }
+  seen_(seen);
+  if (!heard) return;
+  if (e.answer == Way::kReset) {
+    line->Reset();
+    return line->Leave();
+  }
+  if (e.answer == Way::kHalf) {
+    line->Write(std::string_view(text).substr(0, text.size() / 2));
+    line->CloseAfterWriting();
+    return line->Leave();
+  }
+  line->Write(text);
+  line->NextRequest();
+}
+
+void Emulation::CallNextTier(const FleetEffect& e) {
+  const auto it = open_.find(e.attempt);
+  if (it == open_.end()) return;
+  Node& node = *nodes_[e.node];
+  CallRequest request;
+  request.txn = txns_.Bits();
+  request.cls_index = e.cls;
+  request.cls = &plan_.fleet.classes[e.cls];
+  request.tenant = it->second.tenant;
+  const Micros now = Now();
+  request.due = e.due;
+  if (e.due <= now) {
+    // No time is left for it: the caller itself fails.
+    asio::post(io_, [this, attempt = e.attempt] {
+      fleet_.CallDone(Now(), attempt, false);
+      Settle();
+    });
+    return;
+  }
+  // The tenant's name must outlive the call; the settings have it.
+  for (const TenantSpec& t : plan_.fleet.tenants) {
+    if (t.name == request.tenant) request.tenant = t.name;
+  }
+  caller_of_[request.txn] = node.sidecar;
+  caller_ends_.emplace_back(now + kCallMemory, request.txn);
+  node.calls->Call(request, [this, attempt = e.attempt](const CallResult& result) {
+    fleet_.CallDone(Now(), attempt, result.end == TryEnd::kServed);
+    Settle();
+  });
+}
+
+// ---- Lives of nodes ----
+
+void Emulation::Fact(NodeId id, Health health, Micros started) {
+  const Micros now = Now();
+  const Listed row{id, health, started};
+  catalog_.OnFact(now, fleet_.tier(id), row);
+  told_late_.emplace(now + plan_.fleet.discovery.lateness + kToldWithin,
+                     std::make_pair(fleet_.tier(id), row));
+}
+
+void Emulation::Died(NodeId id) {
+  Node& node = *nodes_[id];
+  spdlog::info("{} died", NodeName(plan_.fleet, id));
+  node.paused = node.silent = false;
+  for (auto& door : node.doors) ShutDoor(*door);
+  while (!node.lines.empty()) {
+    const auto line = node.lines.front();
+    line->Reset();
+    line->Leave();
+  }
+  std::erase_if(open_, [id](const auto& entry) { return entry.second.node == id; });
+  if (node.calls) {
+    // Its sidecar goes with it, and is owed nothing.
+    node.calls->Stop();
+    Sidecar& s = *sidecars_[node.sidecar];
+    s.wanted = s.ready = false;
+    ++s.life;
+    s.process.Kill();
+  }
+  Fact(id, Health::kDeleted, 0);
+}
+
+void Emulation::Started(NodeId id) {
+  Node& node = *nodes_[id];
+  spdlog::info("{} starts", NodeName(plan_.fleet, id));
+  for (auto& door : node.doors) OpenDoor(*door);
+  if (node.calls) StartSidecar(*sidecars_[node.sidecar]);
+  Fact(id, Health::kServing, Now());
+}
+
+// Connections that have stood idle too long are closed, those that died are told late.
+void Emulation::SweepIdle() {
+  sweep_timer_.expires_after(std::chrono::microseconds(kSweep));
+  sweep_timer_.async_wait([this](error_code ec) {
+    if (ec || stopped_) return;
+    const Micros now = Now();
+    for (auto& node : nodes_) {
+      const Micros idle = plan_.fleet.tiers[fleet_.tier(node->id)].server.idle_close;
+      if (idle <= 0 || node->paused || node->silent) continue;
+      for (auto it = node->lines.begin(); it != node->lines.end();) {
+        const auto line = *it++;
+        if (line->busy || now - line->idle_since < idle) continue;
+        line->Close();
+        line->Leave();
+      }
+    }
+    while (!caller_ends_.empty() && caller_ends_.front().first <= now) {
+      caller_of_.erase(caller_ends_.front().second);
+      caller_ends_.pop_front();
+    }
+    CountTold();
+    Watch();
+    SweepIdle();
+  });
+}
+
+void Emulation::CountTold() {
+  const Micros now = Now();
+  while (!told_late_.empty() && told_late_.begin()->first <= now) {
+    const auto [tier, row] = told_late_.begin()->second;
+    told_late_.erase(told_late_.begin());
+    const NodeView view = fleet_.View(row.node);
+    // Not if it has changed again since.
+    const bool holds = row.health == Health::kDraining ? view.state == NodeState::kDraining
+                                                       : view.state == NodeState::kDown;
+    if (row.health == Health::kServing || !holds) continue;
+    for (const auto& s : sidecars_) {
+      if (s->tier == tier) TellRow(s->place, row, now);
+    }
+  }
+}
+
+// ---- Discovery ----
+
+void Emulation::OnDiscoveryCall(DiscoveryLine& line) {
+  const std::string target(line.message().target());
+  CatalogCall call;
+  call.id = ++next_call_;
+  call.tier = sidecars_[line.sidecar]->tier;
+  const auto number = [&](const std::string& name) -> std::optional<std::int64_t> {
+    const std::size_t at = target.find(name + "=");
+    std::int64_t value = 0;
+    if (at == std::string::npos) return std::nullopt;
+    const char* begin = target.data() + at + name.size() + 1;
+    const auto r = std::from_chars(begin, target.data() + target.size(), value);
+    if (r.ec != std::errc()) return std::nullopt;
+    return value;
+  };
+  if (target.rfind("/catalog/members", 0) != 0) {
+    line.Write(AnswerText(404, "Not Found", ""));
+    return line.NextRequest();
+  }
+  call.after = number("after");
+  call.wait = std::clamp<std::int64_t>(number("wait_ms").value_or(0), 0, 60'000) * 1000;
+  line.call = call.id;
+  asking_[call.id] = std::static_pointer_cast<DiscoveryLine>(line.shared_from_this());
+  catalog_.OnCall(Now(), call);
+  Settle();
+}
+
+void Emulation::AnswerDiscovery(const CatalogAnswer& answer) {
+  const auto it = asking_.find(answer.call);
+  if (it == asking_.end()) return;
+  const auto line = it->second.lock();
+  asking_.erase(it);
+  if (!line || !line->open()) return;
+  line->call = 0;
+  line->NextRequest();
+  if (!answer.ok) return line->Write(AnswerText(503, "Service Unavailable", "busy"));
+  const Micros now = Now();
+  nlohmann::json hosts = nlohmann::json::array();
+  const std::uint32_t tier = sidecars_[line->sidecar]->tier;
+  for (const Listed& row : answer.rows) {
+    const Node& node = *nodes_[row.node];
+    const std::size_t door = tier == 0 ? sidecars_[line->sidecar]->number : 0;
+    hosts.push_back({{"host", NodeName(plan_.fleet, row.node)},
+                     {"dial", AddressText(node.doors[door]->address)},
+                     {"site", plan_.fleet.zone},
+                     {"class", fleet_.kind(row.node)},
+                     {"block", 0},
+                     {"health", row.health == Health::kServing    ? "SERVING"
+                                : row.health == Health::kDraining ? "DRAINING"
+                                                                  : "DELETED"},
+                     {"share", 1.0},
+                     {"born_ms", row.started == 0 ? 0 : WallClock(row.started) / 1000}});
+    TellRow(line->sidecar, row, now);
+  }
+  if (answer.whole) {
+    const NodeId first = FirstNode(plan_.fleet, tier);
+    std::vector<bool> named(plan_.fleet.tiers[tier].nodes);
+    for (const Listed& row : answer.rows) named[row.node - first] = true;
+    for (NodeId n = 0; n < named.size(); ++n) {
+      if (!named[n]) TellRow(line->sidecar, {first + n, Health::kDeleted, 0}, now);
+    }
+  }
+  const nlohmann::json body = {{"seq", answer.seq}, {"whole", answer.whole}, {"hosts", hosts}};
+  line->Write(AnswerText(200, "OK", body.dump()));
+}
+
+void Emulation::TellRow(std::uint32_t sidecar, const Listed& row, Micros at) {
+  Seen seen;
+  seen.kind = row.health == Health::kServing ? Seen::Kind::kServing : Seen::Kind::kTold;
+  seen.at = at;
+  seen.node = row.node;
+  seen.sidecar = sidecar;
+  seen_(seen);
+}
+
+// ---- Sidecars ----
+
+std::string Emulation::ConfigOf(const Sidecar& s) const {
+  using Json = nlohmann::json;
+  const FleetSpec& fleet = plan_.fleet;
+  const ServerSpec& server = fleet.tiers[s.tier].server;
+  Json classes = Json::array();
+  for (const ClassSpec& c : fleet.classes) {
+    classes.push_back(
+        {{"name", c.name},
+         {"aim", c.aim},
+         {"giveUp", c.give_up},
+         {"worth", c.worth},
+         {"lateShare", 0.0},
+         {"group", "all"},
+         {"stream", false},
+         {"repeat", c.repeat == Repeat::kIdempotent ? "idempotent" : "at_most_once"}});
+  }
+  Json tenants = Json::array();
+  for (const TenantSpec& t : fleet.tenants) {
+    tenants.push_back({{"name", t.name}, {"share", t.share}, {"quotaPerS", t.quota_per_s}});
+  }
+  Json tiers = Json::array();
+  for (const TierSpec& t : fleet.tiers) tiers.push_back(t.name);
+  Json hosts = Json::array();
+  const auto [seq, rows] = catalog_.Whole(s.tier);
+  for (const Listed& row : rows) {
+    const std::size_t door = s.tier == 0 ? s.number : 0;
+    hosts.push_back({{"host", NodeName(fleet, row.node)},
+                     {"dial", AddressText(nodes_[row.node]->doors[door]->address)},
+                     {"site", fleet.zone},
+                     {"class", fleet_.kind(row.node)},
+                     {"block", 0},
+                     {"health", row.health == Health::kDraining ? "DRAINING" : "SERVING"},
+                     {"share", 1.0},
+                     {"born_ms", row.started == 0 ? 0 : WallClock(row.started) / 1000}});
+  }
+  const std::uint32_t group =
+      s.tier == 0 ? fleet.tiers.front().sidecars : fleet.tiers[s.tier - 1].nodes;
+  const Json settings = {{"classes", classes},
+                         {"tenants", tenants},
+                         {"tiers", tiers},
+                         {"tier", s.tier},
+                         {"me", s.number},
+                         {"groupSize", group},
+                         {"localities", Json::array({fleet.zone})},
+                         {"zone", fleet.zone},
+                         {"discovery", "ask"},
+                         {"weights", "none"},
+                         {"round", 5000},
+                         {"domain", {{"passesDeadline", true}}},
+                         {"report", {{"via", "none"}, {"fields", Json::array()}}},
+                         {"permissions",
+                          {{"cancelling", true},
+                           {"connectTimeout", 200'000},
+                           {"keepalive", server.idle_close},
+                           {"maxAttempts", fleet.max_attempts},
+                           {"mayDuplicate", true},
+                           {"retryAfter", true},
+                           {"maxRetryAfter", plan_.load.client.longest_advice}}},
+                         {"safety",
+                          {{"answerSlack", 20'000},
+                           {"askWithin", 10 * kSecond},
+                           {"coldFrom", server.cold_share},
+                           {"warmUp", server.warm_up},
+                           {"drainGrace", fleet.drain_grace},
+                           {"fall", server.fall},
+                           {"fallMultiple", server.fall_multiple}}}};
+  const Json config = {
+      {"name", fmt::format("t{}n{}", s.tier, s.number)},
+      {"listen", AddressText(s.listen)},
+      {"discovery", AddressText(s.door.address)},
+      {"seed",
+       fmt::format("{:016x}", options_.seed * 0x9e3779b97f4a7c15ULL + s.place * 977 + s.life)},
+      {"limits",
+       {{"cores", 1.0}, {"memory_mb", plan_.limits.memory_mb}, {"sockets", plan_.limits.sockets}}},
+      {"known", {{"seq", seq}, {"whole", true}, {"hosts", hosts}}},
+      {"settings", settings}};
+  return config.dump();
+}
+
+void Emulation::Start(std::function<void(std::string)> ready) {
+  ready_ = std::move(ready);
+  if (options_.sidecar_program.empty()) {
+    asio::post(io_, [this] { CheckAllReady(); });
+    return;
+  }
+  for (auto& s : sidecars_) StartSidecar(*s);
+}
+
+void Emulation::StartSidecar(Sidecar& s) {
+  if (stopped_ || options_.sidecar_program.empty()) return;
+  s.process.Kill();
+  s.ready = false;
+  s.wanted = true;
+  s.started = Now();
+  ++s.life;
+  const std::string base = fmt::format("{}/t{}n{}", options_.folder, s.tier, s.number);
+  std::ofstream(base + ".json") << ConfigOf(s);
+  s.process =
+      Process({options_.sidecar_program}, {{"PROXY_CONFIG", base + ".json"}}, base + ".log");
+  AwaitReady(s, s.life);
+}
+
+// Asks for its health until that is 200.
+void Emulation::AwaitReady(Sidecar& s, std::uint64_t life) {
+  s.timer.expires_after(std::chrono::milliseconds(10));
+  s.timer.async_wait([this, &s, life](error_code ec) {
+    if (ec || stopped_ || life != s.life) return;
+    const auto probe = std::make_shared<tcp::socket>(io_);
+    probe->async_connect(s.listen, [this, &s, life, probe](error_code connected) {
+      if (stopped_ || life != s.life) return;
+      if (connected) return AwaitReady(s, life);
+      static const std::string ask = "GET /_health HTTP/1.1\r\nHost: lab\r\n\r\n";
+      const auto reply = std::make_shared<std::string>(256, '\0');
+      error_code ignored;
+      probe->write_some(asio::buffer(ask), ignored);
+      probe->async_read_some(asio::buffer(*reply),
+                             [this, &s, life, probe, reply](error_code read, std::size_t) {
+                               if (stopped_ || life != s.life) return;
+                               if (read || reply->compare(0, 12, "HTTP/1.1 200") != 0) {
+                                 return AwaitReady(s, life);
+                               }
+                               s.ready = true;
+                               CheckAllReady();
+                             });
+    });
+  });
+}
+
+void Emulation::CheckAllReady() {
+  if (!ready_) return;
+  const bool all = options_.sidecar_program.empty() ||
+                   std::all_of(sidecars_.begin(), sidecars_.end(),
+                               [](const auto& s) { return s->ready || !s->wanted; });
+  if (all) std::exchange(ready_, nullptr)({});
+}
+
+// Notices sidecars that ended by themselves and ones that never get ready.
+void Emulation::Watch() {
+  for (auto& s : sidecars_) {
+    const auto status = s->process.pid() > 0 ? s->process.Ended() : std::nullopt;
+    if (status && s->wanted) {
+      ++crashes_;
+      s->wanted = s->ready = false;
+      ++s->life;
+      spdlog::error("sidecar t{}n{} ended by itself, status {}; its log: {}/t{}n{}.log", s->tier,
+                    s->number, *status, options_.folder, s->tier, s->number);
+      if (ready_) {
+        std::exchange(
+            ready_, nullptr)(fmt::format("sidecar t{}n{} did not start; see {}/t{}n{}.log", s->tier,
+                                         s->number, options_.folder, s->tier, s->number));
+      }
+    }
+    if (ready_ && s->wanted && !s->ready && Now() - s->started > kReadyWithin) {
+      std::exchange(ready_, nullptr)(
+          fmt::format("sidecar t{}n{} is not ready after 30 s", s->tier, s->number));
+    }
+  }
+}
+
+std::vector<tcp::endpoint> Emulation::Targets() const {
+  std::vector<tcp::endpoint> targets;
+  for (std::uint32_t i = 0; i < first_tier_sidecars_; ++i) targets.push_back(sidecars_[i]->listen);
+  return targets;
+}
+
+std::vector<SidecarView> Emulation::Sidecars() const {
+  std::vector<SidecarView> views;
+  for (const auto& s : sidecars_) {
+    views.push_back({s->tier, s->number, s->listen, s->ready, s->process.pid()});
+  }
+  return views;
+}
+
+Emulation::Endpoint Emulation::NodeAddress(NodeId node) const {
+  return nodes_[node]->doors.front()->address;
+}
+
+std::vector<NodeWindow> Emulation::TakeWindows() {
+  std::vector<NodeWindow> windows;
+  for (auto& node : nodes_) windows.push_back(std::exchange(node->window, {}));
+  return windows;
+}
+
+}  // namespace shelflab
--- /dev/null
+++ b/src/lab/emulation.h
@@ -0,0 +1,151 @@
+// A fleet on loopback sockets: the pure fleet and catalog under real connections, with the sidecars
+// as real processes. It moves bytes and keeps time; what happens is decided in src/emulator.
+//
+// Addresses. Every sidecar has its own address of discovery, and those of the first tier have their
+// own address for each node, so that it is known who asks and who sends; a sidecar of a later tier
+// is known by the requests that its one caller gave it.
+#ifndef SHELFLAB_LAB_EMULATION_H_
+#define SHELFLAB_LAB_EMULATION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "emulator/catalog.h"
+#include "emulator/fleet.h"
+#include "lab/caller.h"
+#include "lab/lateness.h"
+#include "lab/plan.h"
+#include "lab/process.h"
+
+namespace shelflab {
+
+struct EmulationOptions {
+  std::string sidecar_program;  // Empty: no sidecars are started, only the endpoints and discovery.
+  std::string folder;           // For configurations and logs; must exist.
+  std::uint64_t seed = 1;
+};
+
+struct SidecarView {
+  std::uint32_t tier = 0;
+  std::uint32_t number = 0;
+  boost::asio::ip::tcp::endpoint listen;
+  bool ready = false;
+  pid_t pid = -1;
+};
+
+// What went on since the last look: for the windows of a report.
+struct NodeWindow {
+  std::uint64_t came = 0, served = 0, turned_away = 0, failed = 0;
+  double service = 0;       // Time from an attempt's arrival to its answer, summed, microseconds.
+  double work = 0;          // Work that those attempts were drawn.
+  std::uint64_t timed = 0;  // How many of them.
+};
+
+class Emulation {
+ public:
+  using Endpoint = boost::asio::ip::tcp::endpoint;
+
+  // Throws boost::system::system_error where an address cannot be had.
+  Emulation(boost::asio::io_context& io, const Plan& plan, EmulationOptions options, SeenSink seen);
+  ~Emulation();
+  Emulation(const Emulation&) = delete;
+  Emulation& operator=(const Emulation&) = delete;
+
+  // Starts the sidecars; `ready` is called once all of them answer, or with what is wrong.
+  void Start(std::function<void(std::string error)> ready);
+  // Steps are counted from now on.
+  void Play(const std::vector<Step>& steps);
+  void Carry(const Step& step);
+  // Ends all sidecars and connections.
+  void Stop();
+
+  // Where clients connect: the sidecars of the first tier.
+  std::vector<Endpoint> Targets() const;
+  std::vector<SidecarView> Sidecars() const;
+  const Fleet& fleet() const { return fleet_; }
+  // The endpoint of a node as the first sidecar of its tier knows it.
+  Endpoint NodeAddress(NodeId node) const;
+  std::size_t connections() const { return connections_; }
+  std::uint64_t attempts() const { return next_attempt_; }
+  const Lateness& lateness() const { return late_; }
+  // Burst factors are the load's: told to whoever drives it.
+  void OnBurst(std::function<void(double)> on_burst) { on_burst_ = std::move(on_burst); }
+  // Sidecars that ended though nobody told them to.
+  std::uint64_t crashes() const { return crashes_; }
+  std::vector<NodeWindow> TakeWindows();
+
+ private:
+  class Line;
+  class EndpointLine;
+  class DiscoveryLine;
+  struct Door;
+  struct Node;
+  struct Sidecar;
+  struct Open;
+
+  void Accept(Door& door);
+  void OpenDoor(Door& door);
+  void ShutDoor(Door& door);
+  void Muffle(Door& door, bool on);
+  void OnRequest(EndpointLine& line);
+  void OnDiscoveryCall(DiscoveryLine& line);
+  void Settle();
+  void Arm();
+  void Tick();
+  void Answer(const FleetEffect& effect);
+  void CallNextTier(const FleetEffect& effect);
+  void Died(NodeId node);
+  void Started(NodeId node);
+  void AnswerDiscovery(const CatalogAnswer& answer);
+  void TellRow(std::uint32_t sidecar, const Listed& row, Micros at);
+  void Fact(NodeId node, Health health, Micros started);
+  void SweepIdle();
+  void CountTold();
+  void StartSidecar(Sidecar& sidecar);
+  void AwaitReady(Sidecar& sidecar, std::uint64_t life);
+  std::string ConfigOf(const Sidecar& sidecar) const;
+  void Watch();
+  void CheckAllReady();
+
+  boost::asio::io_context& io_;
+  Plan plan_;
+  EmulationOptions options_;
+  SeenSink seen_;
+  Fleet fleet_;
+  Catalog catalog_;
+  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer sweep_timer_;
+  Micros armed_ = kNever;
+  bool settling_ = false;
+  bool stopped_ = false;
+  Lateness late_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<std::unique_ptr<Sidecar>> sidecars_;
+  std::uint32_t first_tier_sidecars_ = 0;
+  std::unordered_map<std::uint64_t, Open> open_;  // Attempts at endpoints, by their number.
+  std::unordered_map<std::uint64_t, std::weak_ptr<DiscoveryLine>> asking_;
+  std::unordered_map<std::uint64_t, std::uint32_t> caller_of_;  // Requests of later tiers.
+  std::deque<std::pair<Micros, std::uint64_t>> caller_ends_;
+  std::multimap<Micros, Step> steps_;
+  std::multimap<Micros, std::pair<std::uint32_t, Listed>> told_late_;
+  std::uint64_t next_attempt_ = 0;
+  std::uint64_t next_call_ = 0;
+  Random txns_;
+  std::size_t connections_ = 0;
+  std::function<void(std::string)> ready_;
+  std::function<void(double)> on_burst_;
+  std::uint64_t crashes_ = 0;
+};
+
+}  // namespace shelflab
+
+#endif  // SHELFLAB_LAB_EMULATION_H_
