Add rehearsals, incidents by command, bench, limits, capture and playback to shelflab

Need: an incident must be steerable while a fleet runs, a sidecar's cost must be known against a relay that only moves bytes, and a recorded slowdown must be playable.

--- a/src/emulator/account.cpp
+++ b/src/emulator/account.cpp
@@ -118,7 +118,7 @@
     Break(Rule::kUnanswered, seen,
           Hex(seen.txn) + " answered " + std::to_string((seen.at - r.due) / 1000) + " ms late");
   }
-  if (seen.status == kServed &&
+  if (sight_.endpoints && seen.status == kServed &&
       std::find(r.bodies.begin(), r.bodies.end(), seen.body) == r.bodies.end()) {
     Break(Rule::kForged, seen, Hex(seen.txn) + " served with what no endpoint answered");
   }
@@ -129,8 +129,15 @@
 }
 
 void Account::Began(const Seen& seen) {
-  const auto it = requests_.find(seen.txn);
+  auto it = requests_.find(seen.txn);
   ++attempts_;
+  if (it == requests_.end() && !sight_.clients) {
+    it = requests_.emplace(seen.txn, Request{}).first;
+    it->second.cls = seen.cls;
+    it->second.due = seen.at;
+    it->second.ended = true;
+    ends_.emplace(seen.at + kMemory, seen.txn);
+  }
   if (it == requests_.end()) {
     return Break(Rule::kForeign, seen, Hex(seen.txn) + " was sent by no client");
   }
--- a/src/emulator/account.h
+++ b/src/emulator/account.h
@@ -74,11 +74,19 @@
   std::string text;
 };
 
+// What the observer can see. Where it does not see the clients, a request is known from its first
+// attempt on; where it does not see the endpoints, it cannot tell a forged answer.
+struct Sight {
+  bool clients = true;
+  bool endpoints = true;
+};
+
 class Account {
  public:
   // `slack`: how far past a limit an event may be seen, in microseconds: what the rules grant real
   // sockets, and the observer's own lateness.
-  Account(const FleetSpec& spec, Micros slack) : spec_(spec), slack_(slack) {}
+  Account(const FleetSpec& spec, Micros slack, Sight sight = {})
+      : spec_(spec), slack_(slack), sight_(sight) {}
 
   // Events in the order of their times; those of one time in any order that cause and effect allow.
   void On(const Seen& seen);
@@ -112,6 +120,7 @@
 
   FleetSpec spec_;
   Micros slack_;
+  Sight sight_;
   std::unordered_map<std::uint64_t, Request> requests_;
   std::multimap<Micros, std::uint64_t> ends_;  // When to look at a request again.
   std::map<std::pair<std::uint32_t, NodeId>, Micros> told_;
--- a/src/emulator/fleet.cpp
+++ b/src/emulator/fleet.cpp
@@ -47,6 +47,7 @@
         server.speed = build.Between(k.speed_low, k.speed_high);
         kind = k.name;
       }
+      if (n < tier.speeds.size()) server.speed = tier.speeds[n];
       Node& node = nodes_.emplace_back(server, t);
       node.kind = kind;
       node.speed = server.speed;
--- a/src/emulator/spec.h
+++ b/src/emulator/spec.h
@@ -83,6 +83,7 @@
   double before_calls = 0.5;   // Share of the work that is done before the calls.
   ServerSpec server;           // Speed comes from the kinds.
   std::vector<KindSpec> kinds;
+  std::vector<double> speeds;  // By node, in place of what the kinds would draw; may be empty.
 };
 
 struct DiscoverySpec {
--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -12,10 +12,14 @@
 #include <stdexcept>
 #include <string>
 
+#include "lab/bench.h"
+#include "lab/control.h"
 #include "lab/emulation.h"
 #include "lab/experiment.h"
 #include "lab/folder.h"
 #include "lab/plan.h"
+#include "lab/playback.h"
+#include "lab/rehearsal.h"
 
 namespace shelflab {
 namespace {
@@ -36,6 +40,20 @@
   if (!file) throw std::runtime_error(path + ": cannot be written");
 }
 
+// As a shell tells of a program that Ctrl-C has ended.
+void ExitIfInterrupted(const nlohmann::json& result) {
+  constexpr int kInterrupted = 130;
+  if (result.at("interrupted").get<bool>()) {
+    std::cout.flush();
+    throw CLI::RuntimeError(kInterrupted);
+  }
+}
+
+std::function<void(const std::string&)> Progress(bool quiet) {
+  if (quiet) return nullptr;
+  return [](const std::string& line) { std::cerr << line << '\n'; };
+}
+
 void AddExperiment(CLI::App& app) {
   struct Options {
     std::string file, out, report, program, logs;
@@ -59,11 +77,12 @@
     ExperimentOptions options;
     options.sidecar_program = SidecarProgram(o->program);
     options.folder = folder.path();
-    if (!o->quiet) options.progress = [](const std::string& line) { std::cerr << line << '\n'; };
+    options.progress = Progress(o->quiet);
     const nlohmann::json result = RunExperiment(plan, options);
     if (!o->out.empty()) WriteFile(o->out, result.dump(1) + "\n");
     if (!o->report.empty()) WriteFile(o->report, ReportOf(result));
     std::cout << Summary(result);
+    ExitIfInterrupted(result);
   });
 }
 
@@ -85,12 +104,268 @@
   c->callback([a, b] { std::cout << Compare(ReadResult(*a), ReadResult(*b)); });
 }
 
+nlohmann::json ReadJson(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw BadPlan(path + ": cannot be read");
+  nlohmann::json json = nlohmann::json::parse(file, nullptr, false);
+  if (json.is_discarded()) throw BadPlan(path + ": expected JSON");
+  return json;
+}
+
+void AddEmulate(CLI::App& app) {
+  struct Options {
+    std::string file, program, logs, control = DefaultControlPath(), state;
+    double seconds = 0;
+    bool bare = false;
+  };
+  const auto o = std::make_shared<Options>();
+  CLI::App* c = app.add_subcommand("emulate", "Run a fleet until it is stopped");
+  c->add_option("FLEET", o->file, "the fleet, and incidents if it has any (TOML)")->required();
+  c->add_option("--program", o->program, "the sidecar, in place of the kelpspring beside this");
+  c->add_flag("--no-sidecars", o->bare, "endpoints and discovery only");
+  c->add_option("--logs", o->logs, "keep the sidecars' configurations and logs in this folder");
+  c->add_option("--control", o->control, "path of the control socket")->capture_default_str();
+  c->add_option("--state", o->state, "write the addresses to this file (JSON) once it is ready");
+  c->add_option("--for", o->seconds, "seconds until it stops by itself")
+      ->check(CLI::PositiveNumber);
+  c->callback([o] {
+    const Plan plan = ReadPlan(o->file);
+    Need(plan, o->file, false);
+    const Folder folder(o->logs);
+    RehearsalOptions options;
+    if (!o->bare) options.sidecar_program = SidecarProgram(o->program);
+    options.folder = folder.path();
+    options.control = o->control;
+    options.state_file = o->state;
+    options.seconds = o->seconds;
+    options.seed = plan.experiment.seed;
+    Rehearse(plan, options);
+  });
+}
+
+void AddLoad(CLI::App& app) {
+  struct Options {
+    std::string file, state, out, report;
+    std::vector<std::string> targets;
+    bool quiet = false;
+  };
+  const auto o = std::make_shared<Options>();
+  CLI::App* c = app.add_subcommand("load", "Send a load to sidecars and tell what came of it");
+  c->add_option("FILE", o->file, "classes, tenants and load (TOML)")->required();
+  c->add_option("-t,--target", o->targets, "ADDRESS:PORT of a sidecar; may be given again")
+      ->delimiter(',');
+  c->add_option("--state", o->state, "take the targets from the file that emulate wrote");
+  c->add_option("-o,--out", o->out, "the result (JSON)");
+  c->add_option("--report", o->report, "the report (HTML)");
+  c->add_flag("-q,--quiet", o->quiet, "no progress");
+  c->callback([o] {
+    const Plan plan = ReadPlan(o->file);
+    if (plan.fleet.classes.empty()) throw BadPlan(o->file + ": [[class]]: missing");
+    if (!plan.has_load) throw BadPlan(o->file + ": [load]: missing");
+    LoadOptions options;
+    options.targets = o->targets;
+    if (!o->state.empty()) {
+      for (const auto& t : ReadJson(o->state).value("targets", nlohmann::json::array())) {
+        options.targets.push_back(t.get<std::string>());
+      }
+    }
+    if (options.targets.empty()) throw BadPlan("--target or --state: expected one of them");
+    options.seed = plan.experiment.seed;
+    options.quiet = o->quiet;
+    const nlohmann::json result = RunLoad(plan, options);
+    if (!o->out.empty()) WriteFile(o->out, result.dump(1) + "\n");
+    if (!o->report.empty()) WriteFile(o->report, ReportOf(result));
+    std::cout << Summary(result);
+    ExitIfInterrupted(result);
+  });
+}
+
+void AddIncident(CLI::App& app) {
+  struct Options {
+    std::string kind, control = DefaultControlPath(), tier;
+    std::vector<std::string> nodes;
+    double share = 0, size = 0, lasts = 0, after = 0;
+  };
+  const auto o = std::make_shared<Options>();
+  std::string kinds;
+  for (const std::string& word : TroubleWords()) kinds += (kinds.empty() ? "" : ", ") + word;
+  CLI::App* c = app.add_subcommand("incident", "Start an incident in a running emulation");
+  c->add_option("KIND", o->kind, "status, stop, or one of: " + kinds)->required();
+  c->add_option("--control", o->control, "path of the control socket")->capture_default_str();
+  c->add_option("--tier", o->tier, "only this tier");
+  c->add_option("--node", o->nodes, "only this node; may be given again")->delimiter(',');
+  c->add_option("--share", o->share, "this share of the nodes");
+  c->add_option("--size", o->size, "how bad it is; what that means depends on the kind");
+  c->add_option("--for", o->lasts, "seconds it lasts; left out: until it is undone");
+  c->add_option("--in", o->after, "seconds until it begins");
+  c->callback([o] {
+    nlohmann::json question = {{"do", o->kind}};
+    if (o->kind != "status" && o->kind != "stop") {
+      std::string toml = fmt::format("[[incident]]\nkind = {}\n", nlohmann::json(o->kind).dump());
+      if (!o->tier.empty()) toml += "tier = " + nlohmann::json(o->tier).dump() + "\n";
+      if (!o->nodes.empty()) toml += "nodes = " + nlohmann::json(o->nodes).dump() + "\n";
+      if (o->share > 0) toml += fmt::format("share = {}\n", o->share);
+      if (o->size > 0) toml += fmt::format("size = {}\n", o->size);
+      if (o->lasts > 0) toml += fmt::format("for = {}\n", o->lasts);
+      toml += fmt::format("at = {}\n", o->after);
+      ParseIncidents(toml, "incident");  // What is wrong with it is told here, and exits with 2.
+      question = {{"do", "incident"}, {"toml", toml}};
+    }
+    std::cout << AskControl(o->control, question).dump(1) << "\n";
+  });
+}
+
+void AddBench(CLI::App& app) {
+  struct Options {
+    BenchOptions bench;
+    std::string out, program;
+    bool quiet = false;
+  };
+  const auto o = std::make_shared<Options>();
+  CLI::App* c = app.add_subcommand(
+      "bench", "Measure a sidecar's cost against no sidecar and a bare byte relay");
+  c->add_option("--connections", o->bench.connections, "of the closed loop")
+      ->check(CLI::Range(2, 10000))
+      ->capture_default_str();
+  c->add_option("--endpoints", o->bench.endpoints)
+      ->check(CLI::Range(1, 1000))
+      ->capture_default_str();
+  c->add_option("--seconds", o->bench.seconds, "for each measurement")
+      ->check(CLI::Range(0.5, 600.0))
+      ->capture_default_str();
+  c->add_option("--repeats", o->bench.repeats, "figures are medians over these")
+      ->check(CLI::Range(1, 100))
+      ->capture_default_str();
+  c->add_option("--idle", o->bench.idle_connections, "connections held for the memory figure")
+      ->check(CLI::Range(100, 15000))
+      ->capture_default_str();
+  c->add_option("--program", o->program, "the sidecar, in place of the kelpspring beside this");
+  c->add_option("-o,--out", o->out, "the result (JSON)");
+  c->add_flag("-q,--quiet", o->quiet, "no progress");
+  c->callback([o] {
+    const Folder folder("");
+    o->bench.sidecar_program = SidecarProgram(o->program);
+    o->bench.folder = folder.path();
+    o->bench.progress = Progress(o->quiet);
+    const nlohmann::json result = RunBench(o->bench);
+    if (!o->out.empty()) WriteFile(o->out, result.dump(1) + "\n");
+    std::cout << BenchSummary(result);
+  });
+  const auto endpoints = std::make_shared<std::uint32_t>(1);
+  CLI::App* echo = app.add_subcommand("peer-echo", "The bench's endpoint");
+  echo->group("");
+  echo->add_option("N", *endpoints)->check(CLI::Range(1, 1000));
+  echo->callback([endpoints] { RunEcho(*endpoints); });
+  const auto target = std::make_shared<std::string>();
+  CLI::App* relay = app.add_subcommand("peer-relay", "The bench's relay");
+  relay->group("");
+  relay->add_option("TARGET", *target)->required();
+  relay->callback([target] { RunRelay(ParseTarget(*target)); });
+}
+
+void AddLimits(CLI::App& app) {
+  struct Options {
+    LimitsOptions limits;
+    std::string out;
+  };
+  const auto o = std::make_shared<Options>();
+  o->limits.rates = {5000, 10000, 15000, 20000, 25000, 30000};
+  CLI::App* c = app.add_subcommand("limits", "Measure what the lab itself holds before it is late");
+  c->add_option("--rates", o->limits.rates, "requests a second, a step each")->delimiter(',');
+  c->add_option("--nodes", o->limits.nodes)->check(CLI::Range(1, 5000))->capture_default_str();
+  c->add_option("--connections", o->limits.connections)
+      ->check(CLI::Range(1, 100000))
+      ->capture_default_str();
+  c->add_option("--seconds", o->limits.seconds, "for each step")
+      ->check(CLI::Range(0.5, 600.0))
+      ->capture_default_str();
+  c->add_option("-o,--out", o->out, "the result (JSON)");
+  c->callback([o] {
+    const Folder folder("");
+    o->limits.folder = folder.path();
+    o->limits.progress = [](const std::string& line) { std::cout << line << std::endl; };
+    const nlohmann::json result = RunLimits(o->limits);
+    if (!o->out.empty()) WriteFile(o->out, result.dump(1) + "\n");
+  });
+}
+
+void AddCapture(CLI::App& app) {
+  struct Options {
+    std::string result, out;
+    std::size_t run = 0;
+  };
+  const auto o = std::make_shared<Options>();
+  CLI::App* c = app.add_subcommand("capture", "Make a recording of a day out of a result");
+  c->add_option("RESULT", o->result, "the result (JSON)")->required();
+  c->add_option("-o,--out", o->out, "the recording (JSON)")->required();
+  c->add_option("--run", o->run, "which run, from 0")->capture_default_str();
+  c->callback([o] { WriteFile(o->out, Capture(ReadResult(o->result), o->run).dump() + "\n"); });
+}
+
+void AddPlayback(CLI::App& app) {
+  struct Options {
+    std::string day, fleet, program, out, report;
+    std::uint32_t repeats = 5;
+    double least = 50;
+    bool quiet = false;
+  };
+  const auto o = std::make_shared<Options>();
+  CLI::App* c = app.add_subcommand("playback", "Fit a recorded day to a fleet and play it");
+  c->add_option("DAY", o->day, "the recording (JSON)")->required();
+  c->add_option("FLEET", o->fleet, "the fleet (TOML); its speeds and incidents are not used")
+      ->required();
+  c->add_option("--repeats", o->repeats, "how many plays, each with its seed")
+      ->capture_default_str();
+  c->add_option("--least", o->least, "leave out windows with fewer requests of a class")
+      ->capture_default_str();
+  c->add_option("--program", o->program, "the sidecar, in place of the kelpspring beside this");
+  c->add_option("-o,--out", o->out, "the result (JSON)");
+  c->add_option("--report", o->report, "the report (HTML)");
+  c->add_flag("-q,--quiet", o->quiet, "no progress");
+  c->callback([o] {
+    const nlohmann::json day = ReadJson(o->day);
+    Plan fleet = ReadPlan(o->fleet);
+    Need(fleet, o->fleet, false);
+    Fit fit;
+    try {
+      fit = FitDay(day, fleet.fleet);
+    } catch (const std::runtime_error& e) {
+      throw BadPlan(o->day + ": " + e.what());
+    }
+    for (const SlowStretch& s : fit.stretches) {
+      std::cerr << fmt::format(
+          "fitted: {} {:.1f} times slower from {:g} to {:g} s\n", NodeName(fleet.fleet, s.node),
+          s.factor, static_cast<double>(s.from) / 1e6, static_cast<double>(s.until) / 1e6);
+    }
+    Plan plan = PlanOf(day, fleet, fit);
+    plan.experiment.repeats = o->repeats;
+    plan.experiment.seed += 1000;  // Other draws than those of the day.
+    const Folder folder("");
+    ExperimentOptions options;
+    options.sidecar_program = SidecarProgram(o->program);
+    options.folder = folder.path();
+    options.progress = Progress(o->quiet);
+    const nlohmann::json result = RunExperiment(plan, options);
+    if (!o->out.empty()) WriteFile(o->out, result.dump(1) + "\n");
+    if (!o->report.empty()) WriteFile(o->report, ReportOf(result));
+    std::cout << Summary(result) << NearnessText(Nearness(day, result, o->least));
+    ExitIfInterrupted(result);
+  });
+}
+
 }  // namespace
 
 void AddCommands(CLI::App& app) {
+  AddEmulate(app);
+  AddIncident(app);
+  AddLoad(app);
   AddExperiment(app);
   AddReport(app);
   AddCompare(app);
+  AddBench(app);
+  AddLimits(app);
+  AddCapture(app);
+  AddPlayback(app);
 }
 
 }  // namespace shelflab
--- a/src/lab/emulation.cpp
+++ b/src/lab/emulation.cpp
@@ -181,6 +181,8 @@
   NodeId node = 0;
   std::string tenant;
   Micros came = 0;
+  Micros calling = 0;    // Spent in calls to the next tier,
+  Micros called_at = 0;  // the last of which began then.
 };
 
 void Emulation::EndpointLine::Leave() {
@@ -352,7 +354,9 @@
       tcp::socket& plug = door.plugs.emplace_back(io_);
       plug.open(tcp::v4());
       plug.non_blocking(true);
-      plug.connect(door.address, ignored);
+      // Not Asio's connect, which would wait for what is not meant to come up.
+      ::connect(plug.native_handle(), door.address.data(),
+                static_cast<socklen_t>(door.address.size()));
     }
     return;
   }
@@ -608,6 +612,9 @@
       ++(e.answer == Way::kOk ? node.window.served : node.window.failed);
       node.window.service += static_cast<double>(now - open.came);
       ++node.window.timed;
+      if (options_.record) {
+        service_times_.push_back({open.node, open.came, now - open.came - open.calling});
+      }
       break;
     }
     case Way::kError:
@@ -670,8 +677,12 @@
   }
   caller_of_[request.txn] = node.sidecar;
   caller_ends_.emplace_back(now + kCallMemory, request.txn);
+  it->second.called_at = now;
   node.calls->Call(request, [this, attempt = e.attempt](const CallResult& result) {
-    fleet_.CallDone(Now(), attempt, result.end == TryEnd::kServed);
+    const Micros ended = Now();
+    const auto caller = open_.find(attempt);
+    if (caller != open_.end()) caller->second.calling += ended - caller->second.called_at;
+    fleet_.CallDone(ended, attempt, result.end == TryEnd::kServed);
     Settle();
   });
 }
--- a/src/lab/emulation.h
+++ b/src/lab/emulation.h
@@ -32,6 +32,7 @@
   std::string sidecar_program;  // Empty: no sidecars are started, only the endpoints and discovery.
   std::string folder;           // For configurations and logs; must exist.
   std::uint64_t seed = 1;
+  bool record = false;  // Keep all service times.
 };
 
 struct SidecarView {
@@ -50,6 +51,13 @@
   std::uint64_t timed = 0;  // How many of them.
 };
 
+// What a node took for its own part of a request that it served, calls to the next tier left out.
+struct ServiceTime {
+  NodeId node = 0;
+  Micros came = 0;
+  Micros own = 0;
+};
+
 class Emulation {
  public:
   using Endpoint = boost::asio::ip::tcp::endpoint;
@@ -82,6 +90,8 @@
   // Sidecars that ended though nobody told them to.
   std::uint64_t crashes() const { return crashes_; }
   std::vector<NodeWindow> TakeWindows();
+  // Kept only where the options ask for it.
+  const std::vector<ServiceTime>& service_times() const { return service_times_; }
 
  private:
   class Line;
@@ -144,6 +154,7 @@
   std::function<void(std::string)> ready_;
   std::function<void(double)> on_burst_;
   std::uint64_t crashes_ = 0;
+  std::vector<ServiceTime> service_times_;
 };
 
 }  // namespace shelflab
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -1,6 +1,5 @@
 #include "lab/experiment.h"
 
-#include <fmt/chrono.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -10,8 +9,6 @@
 #include <chrono>
 #include <cmath>
 #include <csignal>
-#include <ctime>
-#include <filesystem>
 #include <stdexcept>
 #include <thread>
 
@@ -19,6 +16,7 @@
 #include "lab/clock.h"
 #include "lab/emulation.h"
 #include "lab/loadrun.h"
+#include "lab/result.h"
 
 namespace shelflab {
 namespace {
@@ -27,79 +25,20 @@
 using boost::system::error_code;
 using Json = nlohmann::json;
 
-// A tool that is late by more than this, one time in a hundred, tells of itself.
-constexpr Micros kTrustedLateness = 5000;
-constexpr double kTrustedStarved = 0.005;
 // Granted by the protocol to every time limit on sockets.
 constexpr Micros kSlack = 50'000;
 // After the last request: for what is still under way at the endpoints.
+// Of the service times in a recording.
+constexpr Micros kServiceWindow = 500'000;
 constexpr auto kSettle = std::chrono::milliseconds(300);
 
-Json JsonOf(const Cell& cell) {
-  return {{"arrivals", cell.arrivals},
-          {"in_time", cell.in_time},
-          {"late", cell.late},
-          {"refused", cell.refused},
-          {"failed", cell.failed},
-          {"timed_out", cell.timed_out},
-          {"unreached", cell.unreached},
-          {"tries", cell.tries},
-          {"refusals", cell.refusals},
-          {"p50_ms", cell.latency.Quantile(0.5)},
-          {"p90_ms", cell.latency.Quantile(0.9)},
-          {"p99_ms", cell.latency.Quantile(0.99)},
-          {"mean_ms", cell.latency.Mean()}};
-}
-
-Json JsonOf(const std::vector<Incident>& incidents) {
-  Json list = Json::array();
-  for (const Incident& i : incidents) {
-    list.push_back({{"kind", WordOf(i.trouble)},
-                    {"at_s", static_cast<double>(i.at) / 1e6},
-                    {"for_s", static_cast<double>(i.lasts) / 1e6},
-                    {"size", i.size},
-                    {"tier", i.tier.value_or("")},
-                    {"share", i.share},
-                    {"nodes", i.nodes}});
-  }
-  return list;
-}
-
-// What all runs of a plan have in common.
-Json HeadOf(const Plan& plan) {
-  Json classes = Json::array();
-  for (const ClassSpec& c : plan.fleet.classes) {
-    classes.push_back({{"name", c.name},
-                       {"aim_ms", static_cast<double>(c.aim) / 1000},
-                       {"worth", c.worth},
-                       {"repeat", c.repeat == Repeat::kIdempotent ? "safe" : "never"}});
-  }
-  Json tenants = Json::array();
-  for (const TenantSpec& t : plan.fleet.tenants) tenants.push_back({{"name", t.name}});
-  Json tiers = Json::array();
-  for (const TierSpec& t : plan.fleet.tiers) {
-    tiers.push_back({{"name", t.name}, {"nodes", t.nodes}, {"sidecars", t.sidecars}});
-  }
-  return {{"schema", "shelflab.result.1"},
-          {"name", plan.experiment.name},
-          {"made_at", fmt::format("{:%Y-%m-%dT%H:%M:%SZ}", fmt::gmtime(std::time(nullptr)))},
-          {"seed", plan.experiment.seed},
-          {"window_s", static_cast<double>(plan.experiment.window) / 1e6},
-          {"classes", classes},
-          {"tenants", tenants},
-          {"tiers", tiers},
-          {"incidents", JsonOf(plan.incidents)},
-          {"interrupted", false},
-          {"runs", Json::array()}};
-}
-
 // One play. The emulation and its processes live on this thread, the load on one of its own.
 class Play {
  public:
   Play(const Plan& plan, const ExperimentOptions& options, std::uint64_t seed)
       : plan_(plan),
         options_(options),
-        emulation_(io_, plan_, {options.sidecar_program, options.folder, seed},
+        emulation_(io_, plan_, {options.sidecar_program, options.folder, seed, true},
                    [this](const Seen& s) { seen_.push_back(s); }),
         signals_(io_, SIGINT, SIGTERM),
         window_timer_(io_),
@@ -196,17 +135,17 @@
                                                    emulation_.lateness().Quantile(0.999)));
     for (const Seen& s : seen_) account.On(s);
     if (!interrupted_) account.Expire(ended_at_);
-    Json run = {{"seed", seed_}};
-    run["windows"] = Windows();
-    run["totals"] = Totals(account);
-    run["classes"] = Json::array();
-    for (std::size_t c = 0; c < plan_.fleet.classes.size(); ++c) {
-      run["classes"].push_back(JsonOf(load_.tally().OfClass(c)));
-    }
-    run["tenants"] = Json::array();
-    for (const Cell& cell : load_.tally().tenants()) run["tenants"].push_back(JsonOf(cell));
-    run["account"] = AccountOf(account);
-    run["tool"] = Tool();
+    ToolState tools;
+    tools.load = load_.lateness();
+    tools.fleet = emulation_.lateness();
+    tools.arrivals = load_.arrivals();
+    tools.starved = load_.starved();
+    tools.crashes = emulation_.crashes();
+    Json run = RunOf(plan_, load_.tally(), account, tools);
+    run["seed"] = seed_;
+    PutTiers(run, account);
+    run["service_window_s"] = static_cast<double>(kServiceWindow) / 1e6;
+    run["nodes"] = NodesOf();
     return run;
   }
 
@@ -223,19 +162,24 @@
     }
   }
 
-  Json Windows() const {
-    Json windows = Json::array();
-    const Tally& tally = load_.tally();
-    for (std::size_t w = 0; w < tally.windows(); ++w) {
-      Json classes = Json::array();
-      for (std::size_t c = 0; c < plan_.fleet.classes.size(); ++c) {
-        classes.push_back(JsonOf(tally.At(w, c)));
+  void PutTiers(Json& run, const Account& account) const {
+    Json& windows = run["windows"];
+    for (std::size_t w = 0; w < windows.size() && w < node_windows_.size(); ++w) {
+      windows[w]["tiers"] = TiersOf(node_windows_[w]);
+    }
+    Json& totals = run["totals"];
+    const double arrivals = std::max<double>(1, totals.at("arrivals").get<double>());
+    totals["attempts_per_request"] = static_cast<double>(account.attempts()) / arrivals;
+    Json by_tier = Json::array();
+    for (std::uint32_t t = 0; t < plan_.fleet.tiers.size(); ++t) {
+      std::uint64_t came = 0;
+      const NodeId first = FirstNode(plan_.fleet, t);
+      for (NodeId n = first; n < first + plan_.fleet.tiers[t].nodes; ++n) {
+        came += emulation_.fleet().View(n).came;
       }
-      Json window = {{"classes", classes}, {"goodput", tally.Goodput(w, w + 1)}};
-      if (w < node_windows_.size()) window["tiers"] = TiersOf(node_windows_[w]);
-      windows.push_back(window);
+      by_tier.push_back(static_cast<double>(came) / arrivals);
     }
-    return windows;
+    totals["attempts_per_request_by_tier"] = by_tier;
   }
 
   Json TiersOf(const std::vector<NodeWindow>& nodes) const {
@@ -265,78 +209,21 @@
     return tiers;
   }
 
-  Json Totals(const Account& account) const {
-    Cell all;
-    for (std::size_t c = 0; c < plan_.fleet.classes.size(); ++c) all.Add(load_.tally().OfClass(c));
-    Json totals = JsonOf(all);
-    totals["goodput"] = load_.tally().Goodput();
-    double worst = 1;
-    const auto span = static_cast<std::size_t>(
-        std::max(1.0, std::ceil(10e6 / static_cast<double>(plan_.experiment.window))));
-    for (std::size_t w = 0; w + span <= load_.tally().windows(); ++w) {
-      worst = std::min(worst, load_.tally().Goodput(w, w + span));
-    }
-    totals["goodput_worst_10s"] = worst;
-    const double arrivals = static_cast<double>(std::max<std::uint64_t>(1, all.arrivals));
-    totals["attempts_per_request"] = static_cast<double>(account.attempts()) / arrivals;
-    Json by_tier = Json::array();
-    for (std::uint32_t t = 0; t < plan_.fleet.tiers.size(); ++t) {
-      std::uint64_t came = 0;
-      const NodeId first = FirstNode(plan_.fleet, t);
-      for (NodeId n = first; n < first + plan_.fleet.tiers[t].nodes; ++n) {
-        came += emulation_.fleet().View(n).came;
-      }
-      by_tier.push_back(static_cast<double>(came) / arrivals);
-    }
-    totals["attempts_per_request_by_tier"] = by_tier;
-    return totals;
-  }
-
-  static Json AccountOf(const Account& account) {
-    Json rules = Json::object();
-    for (std::size_t r = 0; r < kRules; ++r) {
-      rules[WordOf(static_cast<Rule>(r))] = account.broken()[r];
-    }
-    Json examples = Json::array();
-    for (const Broken& b : account.examples()) {
-      examples.push_back({{"rule", WordOf(b.rule)}, {"text", b.text}});
-    }
-    return {{"requests", account.taken()},
-            {"attempts", account.attempts()},
-            {"broken", account.all_broken()},
-            {"rules", rules},
-            {"examples", examples}};
-  }
-
-  Json Tool() const {
-    const Lateness& load = load_.lateness();
-    const Lateness& fleet = emulation_.lateness();
-    const double starved = static_cast<double>(load_.starved()) /
-                           static_cast<double>(std::max<std::uint64_t>(1, load_.arrivals()));
-    Json distrust = Json::array();
-    if (load.Quantile(0.99) > kTrustedLateness) {
-      distrust.push_back(fmt::format("the load tool sent 1 in 100 requests over {:.1f} ms late",
-                                     static_cast<double>(load.Quantile(0.99)) / 1000));
-    }
-    if (fleet.Quantile(0.99) > kTrustedLateness) {
-      distrust.push_back(fmt::format("the emulator was over {:.1f} ms late 1 time in 100",
-                                     static_cast<double>(fleet.Quantile(0.99)) / 1000));
-    }
-    if (starved > kTrustedStarved) {
-      distrust.push_back(
-          fmt::format("{:.1f} % of requests found every client busy", starved * 100));
+  // For a recording: what each node took for its own part of each request, by when that came.
+  Json NodesOf() const {
+    const auto slots = static_cast<std::size_t>(plan_.load.Length() / kServiceWindow) + 1;
+    Json nodes = Json::array();
+    for (NodeId n = 0; n < emulation_.fleet().size(); ++n) {
+      nodes.push_back(
+          {{"name", NodeName(plan_.fleet, n)}, {"service_ms", Json(slots, Json::array())}});
     }
-    if (emulation_.crashes() > 0) {
-      distrust.push_back(fmt::format("{} sidecars ended by themselves", emulation_.crashes()));
+    for (const ServiceTime& s : emulation_.service_times()) {
+      const Micros at = s.came - start_;
+      if (at < 0 || static_cast<std::size_t>(at / kServiceWindow) >= slots) continue;
+      nodes[s.node]["service_ms"][static_cast<std::size_t>(at / kServiceWindow)].push_back(
+          std::round(static_cast<double>(s.own) / 10) / 100);
     }
-    return {{"load_late_p99_ms", static_cast<double>(load.Quantile(0.99)) / 1000},
-            {"load_late_worst_ms", static_cast<double>(load.worst()) / 1000},
-            {"fleet_late_p99_ms", static_cast<double>(fleet.Quantile(0.99)) / 1000},
-            {"fleet_late_worst_ms", static_cast<double>(fleet.worst()) / 1000},
-            {"starved", load_.starved()},
-            {"crashes", emulation_.crashes()},
-            {"trusted", distrust.empty()},
-            {"distrust", distrust}};
+    return nodes;
   }
 
   Plan plan_;
--- a/src/lab/loadrun.cpp
+++ b/src/lab/loadrun.cpp
@@ -79,6 +79,10 @@
   Next();
 }
 
+void LoadRun::Connect() {
+  for (const auto& c : clients_) c->caller->Connect();
+}
+
 void LoadRun::Stop() {
   stopped_ = true;
   next_.reset();
--- a/src/lab/loadrun.h
+++ b/src/lab/loadrun.h
@@ -42,6 +42,8 @@
   LoadRun(const LoadRun&) = delete;
   LoadRun& operator=(const LoadRun&) = delete;
 
+  // Opens every client's connection ahead of time.
+  void Connect();
   // Intended times count from `start` on the lab's clock; `done` is called when the last request
   // has ended.
   void Start(Micros start, std::function<void()> done);
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -1,5 +1,5 @@
 // shelflab: the command line of the emulator, the load tool and the experiments. Exit codes: 0
-// well, 1 a run went wrong, 2 bad input.
+// well, 1 a run went wrong, 2 bad input, 130 interrupted.
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 #include <sys/resource.h>
@@ -41,6 +41,8 @@
   shelflab::AddCommands(app);
   try {
     app.parse(argc, argv);
+  } catch (const CLI::RuntimeError& e) {
+    return e.get_exit_code();
   } catch (const CLI::ParseError& e) {
     return app.exit(e) == 0 ? 0 : kBadInput;
   } catch (const shelflab::BadPlan& e) {
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -15,6 +15,7 @@
 namespace shelflab {
 namespace {
 
+constexpr double kAnySpan = 1e9;  // Seconds or milliseconds: no bound that a reader needs to know.
 constexpr double kInfinite = std::numeric_limits<double>::infinity();
 
 std::string Plain(double value) {
@@ -24,7 +25,7 @@
 }
 
 std::string RangeText(double low, double high) {
-  if (high == kInfinite) return "a number from " + Plain(low) + " up";
+  if (high >= kAnySpan) return "a number from " + Plain(low) + " up";
   return "a number from " + Plain(low) + " to " + Plain(high);
 }
 
@@ -88,7 +89,7 @@
   // A span in units of `unit` microseconds.
   void Span(const char* key, Micros& out, double low, double unit = kSecond) {
     double value = static_cast<double>(out) / unit;
-    Number(key, value, low, 1e9);
+    Number(key, value, low, kAnySpan);
     out = static_cast<Micros>(std::llround(value * unit));
   }
   // A number, or a pair from low to high.
@@ -114,7 +115,7 @@
   void SpanPair(const char* key, Micros& low, Micros& high, double unit = kSecond) {
     double a = static_cast<double>(low) / unit;
     double b = static_cast<double>(high) / unit;
-    Pair(key, a, b, 0, 1e9);
+    Pair(key, a, b, 0, kAnySpan);
     low = static_cast<Micros>(std::llround(a * unit));
     high = static_cast<Micros>(std::llround(b * unit));
   }
@@ -138,6 +139,18 @@
       Fault(key, node->source().begin, "expected a list of texts");
     }
   }
+  void Numbers(const char* key, std::vector<double>& out, double low) {
+    const toml::node* node = Find(key);
+    if (node == nullptr) return;
+    const toml::array* array = node->as_array();
+    for (std::size_t i = 0; array != nullptr && i < array->size(); ++i) {
+      const auto value = array->get(i)->value<double>();
+      if (value && *value >= low) out.push_back(*value);
+    }
+    if (array == nullptr || out.size() != array->size()) {
+      Fault(key, node->source().begin, "expected a list of " + RangeText(low, kInfinite));
+    }
+  }
   template <typename Value>
   void Word(const char* key, Value& out, const std::vector<std::pair<std::string, Value>>& words) {
     const toml::node* node = Find(key);
@@ -237,6 +250,10 @@
   t.Number("fall_multiple", s.fall_multiple, 0.001);
   t.Span("fall", s.fall, 0);
   t.Number("speed", s.speed, 0.0001);
+  t.Numbers("speeds", tier.speeds, 0.0001);
+  if (!tier.speeds.empty() && tier.speeds.size() != tier.nodes) {
+    t.Fault("speeds", "expected one for each of the " + std::to_string(tier.nodes) + " nodes");
+  }
   t.Sub("choke", [&](Table& choke) {
     for (const char* key : {"crowd", "enter", "slowdown", "leave"}) choke.Required(key);
     choke.Number("crowd", s.choke.crowd, 0);
