Refine a fit by playing it; keep connections in the pure model

Change: playback plays the fit ahead and corrects speeds and factors by what nodes took; stretches are found from a low quantile; Connections is a pure table; more clients than descriptors are refused at the start; limits measures the lab itself.

--- a/src/emulator/account.cpp
+++ b/src/emulator/account.cpp
@@ -7,7 +7,7 @@
 
 constexpr std::size_t kMostExamples = 20;
 // An attempt may come in long after its request was answered; after this it is held foreign.
-constexpr Micros kMemory = 30 * kSecond;
+constexpr Micros kMemory = 8 * kSecond;
 constexpr int kServed = 200;
 
 std::string Hex(std::uint64_t txn) {
--- a/src/emulator/incident.cpp
+++ b/src/emulator/incident.cpp
@@ -201,6 +201,7 @@
 
 std::vector<std::string> TroubleWords() {
   std::vector<std::string> words;
+  words.reserve(kWords.size());
   for (const auto& [t, word] : kWords) words.emplace_back(word);
   return words;
 }
--- a/src/emulator/load.cpp
+++ b/src/emulator/load.cpp
@@ -9,6 +9,7 @@
 template <typename Specs>
 std::vector<double> SummedShares(const Specs& specs) {
   std::vector<double> sums;
+  sums.reserve(specs.size());
   double sum = 0;
   for (const auto& s : specs) sums.push_back(sum += s.share);
   for (double& s : sums) s /= sum;
--- a/src/emulator/server.h
+++ b/src/emulator/server.h
@@ -88,19 +88,19 @@
   std::deque<JobId> room_;        // Waiting for a slot.
   std::deque<Running> ready_;     // In a slot, waiting for a core: first come, first served.
   std::vector<Running> running_;  // At most one for each core.
-  std::uint32_t in_slots_ = 0;
+  std::deque<std::pair<Micros, double>> sent_;  // Work that came lately, while cold.
+  double sent_sum_ = 0;
   double rate_ = 1;  // Work a microsecond of one core, valid since settled_.
   double slow_ = 1;
-  bool paused_ = false;
   Micros started_ = 0;
-  bool cold_start_ = false;
   Micros settled_ = 0;
   Micros next_warm_ = kNever;
-  bool choked_ = false;
   Micros crowded_since_ = kNever;
   Micros calm_since_ = kNever;
-  std::deque<std::pair<Micros, double>> sent_;  // Work that came lately, while cold.
-  double sent_sum_ = 0;
+  std::uint32_t in_slots_ = 0;
+  bool paused_ = false;
+  bool cold_start_ = false;
+  bool choked_ = false;
   bool fell_ = false;
 };
 
--- a/src/lab/bench.cpp
+++ b/src/lab/bench.cpp
@@ -169,6 +169,10 @@
   plan.load.client.retries = 0;
   asio::io_context io(1);
   LoadRun load(io, plan, {target}, 1, [](const Seen&) {});
+  // What is measured is requests, not the opening of connections.
+  load.Connect();
+  io.run_for(milliseconds(500));
+  io.restart();
   load.Start(Now() + 50'000, [&] { io.stop(); });
   io.run();
   const Cell cell = load.tally().OfClass(0);
--- a/src/lab/caller.cpp
+++ b/src/lab/caller.cpp
@@ -36,7 +36,7 @@
     }
     if (state != Reader<false>::State::kWhole) return;
     auto& message = reader_.message();
-    const int status = message.result_int();
+    const int status = static_cast<int>(message.result_int());
     const std::string body = std::move(message.body());
     const auto advice = message["Retry-After"];
     const double seconds = advice.empty() ? 0 : std::strtod(std::string(advice).c_str(), nullptr);
--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -1,6 +1,7 @@
 #include "lab/commands.h"
 
 #include <fmt/format.h>
+#include <sys/resource.h>
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -25,7 +26,7 @@
 namespace {
 
 std::string SidecarProgram(const std::string& given) {
-  const std::string program =
+  std::string program =
       given.empty() ? (std::filesystem::path(ProgramFolder()) / "kelpspring").string() : given;
   if (!std::filesystem::exists(program)) {
     throw BadPlan(program + ": expected the sidecar's program (--program)");
@@ -40,6 +41,24 @@
   if (!file) throw std::runtime_error(path + ": cannot be written");
 }
 
+// Descriptors beyond those of the clients: listeners, nodes' connections, files.
+constexpr std::uint64_t kOtherDescriptors = 64;
+
+// More clients than descriptors would be told as sidecars that nobody can reach.
+void NeedDescriptors(const Plan& plan, const std::string& path, bool with_fleet) {
+  rlimit files{};
+  if (getrlimit(RLIMIT_NOFILE, &files) != 0 || files.rlim_cur == RLIM_INFINITY) return;
+  std::uint64_t others = kOtherDescriptors;
+  if (with_fleet) {
+    // A listener for each sidecar that may call a node, and a connection or two on each.
+    others += std::uint64_t{4} * NodeCount(plan.fleet) * plan.fleet.tiers.front().sidecars;
+  }
+  if (plan.load.client.clients + others <= files.rlim_cur) return;
+  throw BadPlan(fmt::format("{}: load.clients: expected at most {}, for there are {} descriptors",
+                            path, files.rlim_cur > others ? files.rlim_cur - others : 0,
+                            files.rlim_cur));
+}
+
 // As a shell tells of a program that Ctrl-C has ended.
 void ExitIfInterrupted(const nlohmann::json& result) {
   constexpr int kInterrupted = 130;
@@ -72,6 +91,7 @@
   c->callback([o] {
     Plan plan = ReadPlan(o->file);
     Need(plan, o->file, true);
+    NeedDescriptors(plan, o->file, true);
     if (o->repeats > 0) plan.experiment.repeats = o->repeats;
     const Folder folder(o->logs);
     ExperimentOptions options;
@@ -162,6 +182,7 @@
     const Plan plan = ReadPlan(o->file);
     if (plan.fleet.classes.empty()) throw BadPlan(o->file + ": [[class]]: missing");
     if (!plan.has_load) throw BadPlan(o->file + ": [load]: missing");
+    NeedDescriptors(plan, o->file, false);
     LoadOptions options;
     options.targets = o->targets;
     if (!o->state.empty()) {
@@ -306,6 +327,7 @@
   struct Options {
     std::string day, fleet, program, out, report;
     std::uint32_t repeats = 5;
+    std::uint32_t passes = 2;
     double least = 50;
     bool quiet = false;
   };
@@ -316,6 +338,8 @@
       ->required();
   c->add_option("--repeats", o->repeats, "how many plays, each with its seed")
       ->capture_default_str();
+  c->add_option("--passes", o->passes, "plays ahead of those, each to refine the fit")
+      ->capture_default_str();
   c->add_option("--least", o->least, "leave out windows with fewer requests of a class")
       ->capture_default_str();
   c->add_option("--program", o->program, "the sidecar, in place of the kelpspring beside this");
@@ -332,6 +356,20 @@
     } catch (const std::runtime_error& e) {
       throw BadPlan(o->day + ": " + e.what());
     }
+    const Folder folder("");
+    ExperimentOptions options;
+    options.sidecar_program = SidecarProgram(o->program);
+    options.folder = folder.path();
+    options.progress = Progress(o->quiet);
+    const std::uint64_t seed = fleet.experiment.seed + 1000;  // Other draws than those of the day.
+    for (std::uint32_t pass = 0; pass < o->passes; ++pass) {
+      Plan plan = PlanOf(day, fleet, fit);
+      plan.experiment.repeats = 1;
+      plan.experiment.seed = seed + 1000 + pass;
+      const nlohmann::json played = RunExperiment(plan, options);
+      ExitIfInterrupted(played);
+      fit = Refine(day, Capture(played, 0), fit);
+    }
     for (const SlowStretch& s : fit.stretches) {
       std::cerr << fmt::format(
           "fitted: {} {:.1f} times slower from {:g} to {:g} s\n", NodeName(fleet.fleet, s.node),
@@ -339,12 +377,7 @@
     }
     Plan plan = PlanOf(day, fleet, fit);
     plan.experiment.repeats = o->repeats;
-    plan.experiment.seed += 1000;  // Other draws than those of the day.
-    const Folder folder("");
-    ExperimentOptions options;
-    options.sidecar_program = SidecarProgram(o->program);
-    options.folder = folder.path();
-    options.progress = Progress(o->quiet);
+    plan.experiment.seed = seed;
     const nlohmann::json result = RunExperiment(plan, options);
     if (!o->out.empty()) WriteFile(o->out, result.dump(1) + "\n");
     if (!o->report.empty()) WriteFile(o->report, ReportOf(result));
--- a/src/lab/compare.cpp
+++ b/src/lab/compare.cpp
@@ -57,7 +57,7 @@
   for (std::size_t c = 0; c < classes.size(); ++c) {
     const std::string name = classes[c].at("name").get<std::string>();
     const auto add = [&](const std::string& what, int better, auto of) {
-      figures.push_back(Over(runs, name + " " + what, better,
+      figures.push_back(Over(runs, fmt::format("{} {}", name, what), better,
                              [&](const Json& run) { return of(run.at("classes").at(c)); }));
     };
     add("in time", 1, [](const Json& cell) { return Share(cell, "in_time"); });
--- a/src/lab/control.cpp
+++ b/src/lab/control.cpp
@@ -152,7 +152,7 @@
     const std::size_t n = socket.read_some(asio::buffer(chunk), ec);
     text.append(chunk.data(), n);
   }
-  const Json answer = Json::parse(text, nullptr, false);
+  Json answer = Json::parse(text, nullptr, false);
   if (!answer.is_object()) throw std::runtime_error(path + ": not an answer");
   if (!answer.value("ok", false)) throw std::runtime_error(answer.value("error", "refused"));
   return answer;
--- a/src/lab/emulation.cpp
+++ b/src/lab/emulation.cpp
@@ -11,6 +11,7 @@
 #include <charconv>
 #include <chrono>
 #include <csignal>
+#include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -91,28 +92,15 @@
 
   NodeId node;
   std::uint32_t sidecar;
-  bool fresh = true;
   bool busy = false;
-  bool dead = false;  // What comes next ends as a reset.
-  Micros idle_since = 0;
-  std::list<std::shared_ptr<EndpointLine>>::iterator place;
+  ConnectionId id = 0;
 
   auto& message() { return reader_.message(); }
-  void NextRequest() {
-    reader_.Next();
-    busy = false;
-    idle_since = Now();
-    if (reader_.has_more()) OnBytes({});
-  }
+  void NextRequest();
   void Leave();
 
  protected:
   void OnBytes(std::string_view bytes) override {
-    if (dead) {
-      const auto self = shared_from_this();
-      Reset();
-      return Leave();
-    }
     const auto state = reader_.Feed(bytes);
     if (state == Reader<true>::State::kMalformed) {
       const auto self = shared_from_this();
@@ -143,14 +131,18 @@
     if (state == Reader<true>::State::kWhole) owner_.OnDiscoveryCall(*this);
   }
   void OnClosed() override {
-    if (call != 0) owner_.catalog_.Hangup(call);
+    if (call == 0) return;
+    owner_.catalog_.Hangup(call);
+    owner_.asking_.erase(call);
   }
 };
 
 struct Emulation::Node {
+  explicit Node(const ServerSpec& s) : connections(s.connections, s.idle_close) {}
   NodeId id = 0;
   std::vector<std::unique_ptr<Door>> doors;  // One for each sidecar that may call; or one for all.
-  std::list<std::shared_ptr<EndpointLine>> lines;
+  std::unordered_map<ConnectionId, std::shared_ptr<EndpointLine>> lines;
+  Connections connections;
   bool paused = false;
   bool silent = false;
   std::unique_ptr<CallerPool> calls;  // To the next tier.
@@ -185,12 +177,24 @@
   Micros called_at = 0;  // the last of which began then.
 };
 
+void Emulation::EndpointLine::NextRequest() {
+  reader_.Next();
+  busy = false;
+  owner_.nodes_[node]->connections.OnAnswered(Now(), id);
+  if (reader_.has_more()) OnBytes({});
+}
+
 void Emulation::EndpointLine::Leave() {
   Node& at = *owner_.nodes_[node];
-  if (place == at.lines.end()) return;
-  const auto self = *place;
-  at.lines.erase(place);
-  place = at.lines.end();
+  at.connections.Closed(id);
+  const auto self = at.lines.extract(id);  // Keeps this alive to the end of the function.
+}
+
+// As a process that ends, or a machine that is back and knows nothing of before.
+void Emulation::ResetLines(NodeId id) {
+  Node& node = *nodes_[id];
+  node.connections.Clear();
+  for (const auto& [connection, line] : std::exchange(node.lines, {})) line->Reset();
 }
 
 // ---- Construction ----
@@ -228,7 +232,8 @@
   }
   std::uint32_t later = first_tier_sidecars_;
   for (NodeId id = 0; id < fleet_.size(); ++id) {
-    Node& node = *nodes_.emplace_back(std::make_unique<Node>());
+    Node& node =
+        *nodes_.emplace_back(std::make_unique<Node>(plan_.fleet.tiers[fleet_.tier(id)].server));
     node.id = id;
     const std::uint32_t tier = fleet_.tier(id);
     const std::uint32_t doors = tier == 0 ? first_tier_sidecars_ : 1;
@@ -237,8 +242,9 @@
       door.enter = [this, id, d](tcp::socket socket) {
         Node& at = *nodes_[id];
         const auto line = std::make_shared<EndpointLine>(std::move(socket), *this, id, d);
-        line->idle_since = Now();
-        line->place = at.lines.insert(at.lines.end(), line);
+        line->id = ++next_connection_;
+        at.connections.Opened(Now(), line->id);
+        at.lines.emplace(line->id, line);
         if (!at.paused && !at.silent) line->StartReading();
       };
       OpenDoor(door);
@@ -265,7 +271,13 @@
   SweepIdle();
 }
 
-Emulation::~Emulation() { Stop(); }
+Emulation::~Emulation() {
+  try {
+    Stop();
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "shelflab: stopping the fleet: %s\n", e.what());
+  }
+}
 
 void Emulation::Stop() {
   if (std::exchange(stopped_, true)) return;
@@ -284,11 +296,7 @@
   for (auto& node : nodes_) {
     if (node->calls) node->calls->Stop();
     for (auto& door : node->doors) ShutDoor(*door);
-    while (!node->lines.empty()) {
-      const auto line = node->lines.front();
-      line->Reset();
-      line->Leave();
-    }
+    ResetLines(node->id);
   }
 }
 
@@ -355,8 +363,8 @@
       plug.open(tcp::v4());
       plug.non_blocking(true);
       // Not Asio's connect, which would wait for what is not meant to come up.
-      ::connect(plug.native_handle(), door.address.data(),
-                static_cast<socklen_t>(door.address.size()));
+      static_cast<void>(::connect(plug.native_handle(), door.address.data(),
+                                  static_cast<socklen_t>(door.address.size())));
     }
     return;
   }
@@ -467,6 +475,7 @@
       break;
     case Do::kDiscoveryDown:
       catalog_.SetDown(step.size > 0);
+      asking_.clear();
       for (auto& s : sidecars_) {
         step.size > 0 ? ShutDoor(s->door) : OpenDoor(s->door);
         for (const auto& line : std::exchange(s->asking, {})) {
@@ -493,7 +502,7 @@
   Node& node = *nodes_[step.node];
   switch (step.kind) {
     case Do::kNodeDeadIdle:
-      for (const auto& line : node.lines) line->dead = !line->busy;
+      node.connections.KillIdle();
       break;
     case Do::kNodePause:
     case Do::kNodeSilence: {
@@ -504,12 +513,8 @@
         for (auto& door : node.doors) Muffle(*door, step.size > 0);
       }
       // Back from silence, the connections of before are reset by a peer that knows them no more.
-      while (!pause && step.size <= 0 && !node.lines.empty()) {
-        const auto line = node.lines.front();
-        line->Reset();
-        line->Leave();
-      }
-      for (const auto& line : std::list<std::shared_ptr<EndpointLine>>(node.lines)) {
+      if (!pause && step.size <= 0) ResetLines(step.node);
+      for (const auto& [connection, line] : node.lines) {
         quiet ? line->StopReading() : line->StartReading();
       }
       break;
@@ -530,6 +535,11 @@
   const Micros now = Now();
   auto& message = line.message();
   const auto self = std::static_pointer_cast<EndpointLine>(line.shared_from_this());
+  const auto verdict = nodes_[line.node]->connections.OnRequest(line.id);
+  if (verdict == Connections::Verdict::kReset) {
+    line.Reset();
+    return line.Leave();
+  }
   const auto txn_text = message["X-Txn"];
   const auto txn = ParseTxn({txn_text.data(), txn_text.size()});
   const std::string lane(message["X-Lane"]);
@@ -544,7 +554,7 @@
   attempt.id = ++next_attempt_;
   attempt.node = line.node;
   attempt.cls = static_cast<std::uint32_t>(cls - classes.begin());
-  attempt.fresh = std::exchange(line.fresh, false);
+  attempt.fresh = verdict == Connections::Verdict::kFirst;
   Micros left = 0;
   const auto remaining = message["X-Remaining-Ms"];
   const auto r = std::from_chars(remaining.data(), remaining.data() + remaining.size(), left);
@@ -573,7 +583,7 @@
   open.tenant = std::string(message["X-Org"]);
   open.came = now;
   open_.emplace(attempt.id, std::move(open));
-  if (node.lines.size() > plan_.fleet.tiers[fleet_.tier(line.node)].server.connections) {
+  if (verdict == Connections::Verdict::kTurnAway) {
     FleetEffect full;
     full.kind = FleetEffect::Kind::kAnswer;
     full.answer = FleetEffect::Answer::kTurnedAway;
@@ -702,11 +712,7 @@
   spdlog::info("{} died", NodeName(plan_.fleet, id));
   node.paused = node.silent = false;
   for (auto& door : node.doors) ShutDoor(*door);
-  while (!node.lines.empty()) {
-    const auto line = node.lines.front();
-    line->Reset();
-    line->Leave();
-  }
+  ResetLines(id);
   std::erase_if(open_, [id](const auto& entry) { return entry.second.node == id; });
   if (node.calls) {
     // Its sidecar goes with it, and is owed nothing.
@@ -734,13 +740,10 @@
     if (ec || stopped_) return;
     const Micros now = Now();
     for (auto& node : nodes_) {
-      const Micros idle = plan_.fleet.tiers[fleet_.tier(node->id)].server.idle_close;
-      if (idle <= 0 || node->paused || node->silent) continue;
-      for (auto it = node->lines.begin(); it != node->lines.end();) {
-        const auto line = *it++;
-        if (line->busy || now - line->idle_since < idle) continue;
-        line->Close();
-        line->Leave();
+      if (node->paused || node->silent) continue;
+      for (const ConnectionId id : node->connections.Expire(now)) {
+        const auto line = node->lines.extract(id);
+        if (!line.empty()) line.mapped()->Close();
       }
     }
     while (!caller_ends_.empty() && caller_ends_.front().first <= now) {
@@ -824,18 +827,22 @@
                      {"born_ms", row.started == 0 ? 0 : WallClock(row.started) / 1000}});
     TellRow(line->sidecar, row, now);
   }
-  if (answer.whole) {
-    const NodeId first = FirstNode(plan_.fleet, tier);
-    std::vector<bool> named(plan_.fleet.tiers[tier].nodes);
-    for (const Listed& row : answer.rows) named[row.node - first] = true;
-    for (NodeId n = 0; n < named.size(); ++n) {
-      if (!named[n]) TellRow(line->sidecar, {first + n, Health::kDeleted, 0}, now);
-    }
-  }
+  if (answer.whole) TellAbsent(line->sidecar, answer.rows, now);
   const nlohmann::json body = {{"seq", answer.seq}, {"whole", answer.whole}, {"hosts", hosts}};
   line->Write(AnswerText(200, "OK", body.dump()));
 }
 
+// What a whole list does not name is gone.
+void Emulation::TellAbsent(std::uint32_t sidecar, const std::vector<Listed>& rows, Micros at) {
+  const std::uint32_t tier = sidecars_[sidecar]->tier;
+  const NodeId first = FirstNode(plan_.fleet, tier);
+  std::vector<bool> named(plan_.fleet.tiers[tier].nodes);
+  for (const Listed& row : rows) named[row.node - first] = true;
+  for (NodeId n = 0; n < named.size(); ++n) {
+    if (!named[n]) TellRow(sidecar, {first + n, Health::kDeleted, 0}, at);
+  }
+}
+
 void Emulation::TellRow(std::uint32_t sidecar, const Listed& row, Micros at) {
   Seen seen;
   seen.kind = row.health == Health::kServing ? Seen::Kind::kServing : Seen::Kind::kTold;
@@ -917,8 +924,8 @@
       {"name", fmt::format("t{}n{}", s.tier, s.number)},
       {"listen", AddressText(s.listen)},
       {"discovery", AddressText(s.door.address)},
-      {"seed",
-       fmt::format("{:016x}", options_.seed * 0x9e3779b97f4a7c15ULL + s.place * 977 + s.life)},
+      {"seed", fmt::format("{:016x}", options_.seed * 0x9e3779b97f4a7c15ULL +
+                                          std::uint64_t{977} * s.place + s.life)},
       {"limits",
        {{"cores", 1.0}, {"memory_mb", plan_.limits.memory_mb}, {"sockets", plan_.limits.sockets}}},
       {"known", {{"seq", seq}, {"whole", true}, {"hosts", hosts}}},
@@ -942,6 +949,10 @@
   s.wanted = true;
   s.started = Now();
   ++s.life;
+  // It starts from the present list, and knows nothing of what its last life was told.
+  const auto rows = catalog_.Whole(s.tier).second;
+  for (const Listed& row : rows) TellRow(s.place, row, s.started);
+  TellAbsent(s.place, rows, s.started);
   const std::string base = fmt::format("{}/t{}n{}", options_.folder, s.tier, s.number);
   std::ofstream(base + ".json") << ConfigOf(s);
   s.process =
@@ -1024,6 +1035,10 @@
   return nodes_[node]->doors.front()->address;
 }
 
+Emulation::Endpoint Emulation::DiscoveryAddress(std::size_t sidecar) const {
+  return sidecars_[sidecar]->door.address;
+}
+
 std::vector<NodeWindow> Emulation::TakeWindows() {
   std::vector<NodeWindow> windows;
   for (auto& node : nodes_) windows.push_back(std::exchange(node->window, {}));
--- a/src/lab/emulation.h
+++ b/src/lab/emulation.h
@@ -12,7 +12,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,6 +19,7 @@
 #include <vector>
 
 #include "emulator/catalog.h"
+#include "emulator/connections.h"
 #include "emulator/fleet.h"
 #include "lab/caller.h"
 #include "lab/lateness.h"
@@ -82,6 +82,8 @@
   const Fleet& fleet() const { return fleet_; }
   // The endpoint of a node as the first sidecar of its tier knows it.
   Endpoint NodeAddress(NodeId node) const;
+  // Where a sidecar, by its place among all, finds discovery.
+  Endpoint DiscoveryAddress(std::size_t sidecar) const;
   std::size_t connections() const { return connections_; }
   std::uint64_t attempts() const { return next_attempt_; }
   const Lateness& lateness() const { return late_; }
@@ -117,8 +119,10 @@
   void Started(NodeId node);
   void AnswerDiscovery(const CatalogAnswer& answer);
   void TellRow(std::uint32_t sidecar, const Listed& row, Micros at);
+  void TellAbsent(std::uint32_t sidecar, const std::vector<Listed>& rows, Micros at);
   void Fact(NodeId node, Health health, Micros started);
   void SweepIdle();
+  void ResetLines(NodeId node);
   void CountTold();
   void StartSidecar(Sidecar& sidecar);
   void AwaitReady(Sidecar& sidecar, std::uint64_t life);
@@ -149,6 +153,7 @@
   std::multimap<Micros, std::pair<std::uint32_t, Listed>> told_late_;
   std::uint64_t next_attempt_ = 0;
   std::uint64_t next_call_ = 0;
+  std::uint64_t next_connection_ = 0;
   Random txns_;
   std::size_t connections_ = 0;
   std::function<void(std::string)> ready_;
--- a/src/lab/limits.cpp
+++ b/src/lab/limits.cpp
@@ -40,7 +40,7 @@
   const auto until = std::chrono::steady_clock::now() + kStartWithin;
   while (std::chrono::steady_clock::now() < until) {
     std::ifstream file(path);
-    const Json state = Json::parse(file, nullptr, false);
+    Json state = Json::parse(file, nullptr, false);
     if (state.is_object()) return state;
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
--- a/src/lab/loadrun.cpp
+++ b/src/lab/loadrun.cpp
@@ -1,5 +1,7 @@
 #include "lab/loadrun.h"
 
+#include <cstdio>
+#include <exception>
 #include <utility>
 
 #include "lab/clock.h"
@@ -42,7 +44,7 @@
 };
 
 LoadRun::LoadRun(asio::io_context& io, const Plan& plan, std::vector<Caller::Endpoint> targets,
-                 std::uint64_t seed, SeenSink seen)
+                 std::uint64_t seed, const SeenSink& seen)
     : io_(io),
       plan_(plan),
       front_(std::move(targets)),
@@ -56,7 +58,7 @@
     c.caller = std::make_shared<Caller>(
         io_,
         [this, &c]() -> std::optional<Caller::Endpoint> {
-          const auto target = front_.Next(Now());
+          auto target = front_.Next(Now());
           if (target) c.target = *target;
           return target;
         },
@@ -66,9 +68,10 @@
 }
 
 LoadRun::~LoadRun() {
-  for (auto& c : clients_) {
-    c->caller->Stop();
-    c->timer.cancel();
+  try {
+    for (auto& c : clients_) c->caller->Stop();
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "shelflab: stopping the load: %s\n", e.what());
   }
 }
 
--- a/src/lab/loadrun.h
+++ b/src/lab/loadrun.h
@@ -3,6 +3,7 @@
 #ifndef SHELFLAB_LAB_LOADRUN_H_
 #define SHELFLAB_LAB_LOADRUN_H_
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
@@ -37,7 +38,7 @@
 class LoadRun {
  public:
   LoadRun(boost::asio::io_context& io, const Plan& plan, std::vector<Caller::Endpoint> targets,
-          std::uint64_t seed, SeenSink seen);
+          std::uint64_t seed, const SeenSink& seen);
   ~LoadRun();
   LoadRun(const LoadRun&) = delete;
   LoadRun& operator=(const LoadRun&) = delete;
@@ -85,8 +86,9 @@
   std::deque<Arrival> waiting_;
   std::function<void()> done_;
   Lateness late_;
-  std::uint64_t arrived_ = 0;
-  std::uint64_t ended_ = 0;
+  // Another thread may look at these two while the load runs.
+  std::atomic<std::uint64_t> arrived_ = 0;
+  std::atomic<std::uint64_t> ended_ = 0;
   std::uint64_t starved_ = 0;
   bool stopped_ = false;
 };
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -6,6 +6,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdio>
 #include <filesystem>
 #include <iostream>
 #include <string>
@@ -27,18 +28,7 @@
   setrlimit(RLIMIT_NOFILE, &files);
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
-  std::signal(SIGPIPE, SIG_IGN);
-  RaiseDescriptors();
-  shelflab::ClockOrigin();
-  spdlog::set_default_logger(spdlog::stderr_logger_st("shelflab"));
-  spdlog::set_pattern("%H:%M:%S.%e %l %v");
-
-  CLI::App app{"An emulated fleet, load on it, incidents, experiments"};
-  app.require_subcommand(1);
-  shelflab::AddCommands(app);
+int Run(CLI::App& app, int argc, char** argv) {
   try {
     app.parse(argc, argv);
   } catch (const CLI::RuntimeError& e) {
@@ -48,9 +38,25 @@
   } catch (const shelflab::BadPlan& e) {
     std::cerr << e.what() << '\n';
     return kBadInput;
+  }
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    std::signal(SIGPIPE, SIG_IGN);
+    RaiseDescriptors();
+    shelflab::ClockOrigin();
+    spdlog::set_default_logger(spdlog::stderr_logger_st("shelflab"));
+    spdlog::set_pattern("%H:%M:%S.%e %l %v");
+    CLI::App app{"An emulated fleet, load on it, incidents, experiments"};
+    app.require_subcommand(1);
+    shelflab::AddCommands(app);
+    return Run(app, argc, argv);
   } catch (const std::exception& e) {
-    std::cerr << "shelflab: " << e.what() << '\n';
+    std::fprintf(stderr, "shelflab: %s\n", e.what());
     return kWentWrong;
   }
-  return 0;
 }
--- a/src/lab/playback.cpp
+++ b/src/lab/playback.cpp
@@ -20,12 +20,16 @@
 // when it took less than the second figure.
 constexpr double kEnter = 1.4;
 constexpr double kLeave = 1.15;
-constexpr double kLeastFactor = 1.3;       // A stretch that is less slow is left out as chance.
-constexpr std::size_t kLeastRequests = 4;  // The same for one that fewer requests tell of.
+constexpr double kLeastFactor = 1.3;       // A stretch that is less slow is left out as chance,
+constexpr std::size_t kLeastWindows = 3;   // and so is a shorter one, but for one that is
+constexpr double kPlainFactor = 2;         // plainly slow, told by
+constexpr std::size_t kLeastRequests = 3;  // so many requests.
 // What is fitted: a low quantile says how fast a node works; the mean says how it was crowded too,
 // and a sidecar sends more evenly than the Poisson arrivals of the fit.
 constexpr double kFitted = 0.25;
 constexpr std::size_t kJobs = 8000;   // Simulated for each trial of a fit.
+constexpr double kMiddle = 0.5;       // What a refinement compares.
+constexpr double kMostRefined = 2;    // At a time, either way.
 constexpr int kTrials = 18;           // Halvings of the range.
 constexpr Micros kCallSpan = 20'000;  // Stands for a call while own times are fitted.
 constexpr double kTenth = 0.1;
@@ -64,11 +68,26 @@
   std::size_t until = 0;  // One past the last window.
 };
 
-// How long a node took in a window and its neighbours; 0 where nothing was sent in it.
+// How long a node took around a window; 0 where nothing was sent in it. A window of few requests is
+// looked at together with the next ones: a node that is avoided gets few.
 double Level(const std::vector<Window>& windows, std::size_t w) {
+  constexpr std::size_t kEnough = 5;
+  constexpr std::size_t kMostJoined = 3;
   if (windows[w].empty()) return 0;
-  const std::size_t from = w > 0 ? w - 1 : 0;
-  return QuantileOf(Joined(windows, from, std::min(windows.size(), w + 2)), kFitted);
+  std::vector<double> times = windows[w];
+  for (std::size_t n = w + 1; n < std::min(windows.size(), w + kMostJoined); ++n) {
+    if (times.size() >= kEnough) break;
+    times.insert(times.end(), windows[n].begin(), windows[n].end());
+  }
+  return QuantileOf(std::move(times), kFitted);
+}
+
+// Short or slightly slow stretches are as likely chance; long or very slow ones are not.
+bool Believed(const std::vector<Window>& windows, const Span& span, double calm) {
+  const std::vector<double> times = Joined(windows, span.from, span.until);
+  const double ratio = QuantileOf(times, kFitted) / calm;
+  if (times.size() >= kLeastRequests && ratio >= kPlainFactor) return true;
+  return span.until - span.from >= kLeastWindows && ratio >= kLeastFactor;
 }
 
 // Windows in which nothing was sent to the node tell nothing: they belong to a span that goes on
@@ -85,14 +104,18 @@
       if (level > 0) last = w;
     }
     span.until = last + 1 + (std::min(w, windows.size()) - last - 1) / 2;
-    const std::vector<double> times = Joined(windows, span.from, span.until);
-    if (times.size() >= kLeastRequests && QuantileOf(times, kFitted) >= kLeastFactor * calm) {
-      spans.push_back(span);
-    }
+    if (Believed(windows, span, calm)) spans.push_back(span);
   }
   return spans;
 }
 
+// What tells how slow a node was: the first and last windows of a stretch are in part calm ones.
+std::vector<double> CoreOf(const std::vector<Window>& windows, const Span& span) {
+  std::vector<double> core =
+      Joined(windows, span.from + 1, std::max(span.from + 1, span.until - 1));
+  return core.size() >= kLeastRequests ? core : Joined(windows, span.from, span.until);
+}
+
 // What the fit plays a node with.
 struct Trial {
   ServerSpec server;
@@ -149,8 +172,9 @@
     };
     double at = random.Exponential(gap);
     const double end = t.length > 0 ? static_cast<double>(t.length) : gap * kJobs;
-    for (; at < end; at += random.Exponential(gap)) {
+    while (at < end) {
       const auto now = static_cast<Micros>(at);
+      at += random.Exponential(gap);
       run_to(now);
       const double unit = random.Unit();
       const auto cls = static_cast<std::size_t>(
@@ -292,10 +316,9 @@
     fit.speeds.push_back(trial.server.speed);
     for (const Span& s : spans) {
       trial.length = static_cast<Micros>(static_cast<double>(s.until - s.from) * window);
-      const std::vector<double> times = Joined(windows, s.from, s.until);
-      trial.per_second =
-          static_cast<double>(times.size()) / (static_cast<double>(trial.length) / 1e6);
-      const double factor = Solve(1, 100, QuantileOf(times, kFitted), [&](double x) {
+      const auto all = static_cast<double>(Joined(windows, s.from, s.until).size());
+      trial.per_second = all / (static_cast<double>(trial.length) / 1e6);
+      const double factor = Solve(1, 100, QuantileOf(CoreOf(windows, s), kFitted), [&](double x) {
         trial.slow = x;
         return OwnTime(trial);
       });
@@ -309,6 +332,44 @@
   throw std::runtime_error(std::string("not a recording: ") + e.what());
 }
 
+Fit Refine(const Json& day, const Json& played, const Fit& fit) {
+  const double window = day.at("service_window_s").get<double>() * 1e6;
+  const auto place = [&](Micros at) {
+    return static_cast<std::size_t>(static_cast<double>(at) / window);
+  };
+  // How many times as long the day took as the play did, over some windows of both.
+  const auto ratio = [](const std::vector<double>& on_the_day, const std::vector<double>& in_play) {
+    if (on_the_day.size() < kLeastRequests || in_play.size() < kLeastRequests) return 1.0;
+    const double x = QuantileOf(on_the_day, kMiddle) / QuantileOf(in_play, kMiddle);
+    return std::clamp(x, 1 / kMostRefined, kMostRefined);
+  };
+  Fit better = fit;
+  for (NodeId n = 0; n < fit.speeds.size(); ++n) {
+    std::vector<Window> recorded = WindowsOf(day.at("nodes").at(n));
+    std::vector<Window> repeated = WindowsOf(played.at("nodes").at(n));
+    repeated.resize(recorded.size());
+    std::vector<double> factors;
+    for (const SlowStretch& s : fit.stretches) {
+      if (s.node != n) continue;
+      const Span span{place(s.from), std::min(recorded.size(), place(s.until))};
+      factors.push_back(ratio(CoreOf(recorded, span), CoreOf(repeated, span)));
+      for (std::size_t w = span.from; w < span.until; ++w) {
+        recorded[w].clear();
+        repeated[w].clear();
+      }
+    }
+    const double calm =
+        ratio(Joined(recorded, 0, recorded.size()), Joined(repeated, 0, repeated.size()));
+    better.speeds[n] /= calm;
+    std::size_t next = 0;
+    for (SlowStretch& s : better.stretches) {
+      // The stretch is told in times of the calm speed, which has just changed.
+      if (s.node == n) s.factor = std::max(1.0, s.factor * factors[next++] / calm);
+    }
+  }
+  return better;
+}
+
 Plan PlanOf(const Json& day, const Plan& fleet, const Fit& fit) {
   Plan plan = fleet;
   plan.has_load = true;
--- a/src/lab/playback.h
+++ b/src/lab/playback.h
@@ -37,6 +37,11 @@
 // Throws std::runtime_error, naming the key, if recording and fleet do not belong together.
 Fit FitDay(const nlohmann::json& day, const FleetSpec& fleet);
 
+// A fit again, after a play of it was recorded: where a node took longer in the play than on the
+// day, its speed goes up in proportion, and so for its stretches. It puts right what the model of a
+// single node cannot know: how a sidecar deals out its requests, and what the wire costs.
+Fit Refine(const nlohmann::json& day, const nlohmann::json& played, const Fit& fit);
+
 // The plan that plays the day: the fleet at the fitted speeds, the recorded arrivals, the stretches
 // as incidents.
 Plan PlanOf(const nlohmann::json& day, const Plan& fleet, const Fit& fit);
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -14,13 +14,12 @@
 #include <stdexcept>
 #include <system_error>
 
-extern char** environ;
-
 namespace shelflab {
 namespace {
 
 std::vector<char*> Pointers(std::vector<std::string>& words) {
   std::vector<char*> pointers;
+  pointers.reserve(words.size() + 1);
   for (std::string& w : words) pointers.push_back(w.data());
   pointers.push_back(nullptr);
   return pointers;
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -101,14 +101,16 @@
           Escaped(i.at("kind").get<std::string>()), at);
     }
     const double tick = TickOf(most);
-    for (double v = 0; v <= most * 1.001; v += tick) {
+    for (int i = 0; i * tick <= most * 1.001; ++i) {
+      const double v = i * tick;
       svg += fmt::format(
           "<path d=\"M{} {:.1f}H{}\" stroke=\"#ddd\"/><text x=\"{}\" y=\"{:.1f}\" "
           "text-anchor=\"end\">{:g}{}</text>",
           kLeft, y(v), kWidth - kRight, kLeft - 6, y(v) + 4, v, v + tick > most ? " " + unit_ : "");
     }
     const double step = TickOf(seconds);
-    for (double s = 0; s <= seconds * 1.001; s += step) {
+    for (int i = 0; i * step <= seconds * 1.001; ++i) {
+      const double s = i * step;
       svg += fmt::format("<text x=\"{:.1f}\" y=\"{}\" text-anchor=\"middle\">{:g}{}</text>", x(s),
                          kHeight - 8, s, s + step > seconds ? " s" : "");
     }
--- a/tests/emulator/model_test.cpp
+++ b/tests/emulator/model_test.cpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "emulator/catalog.h"
+#include "emulator/connections.h"
 #include "emulator/fleet.h"
 #include "emulator/incident.h"
 #include "emulator/load.h"
@@ -303,6 +304,53 @@
   EXPECT_TRUE(Until(60 * kSecond).empty());
 }
 
+// ---- Connections ----
+
+using Verdict = Connections::Verdict;
+
+TEST(ConnectionsTest, TheFirstRequestCostsAHandshakeTheNextDoesNot) {
+  Connections table(10, 0);
+  table.Opened(0, 1);
+  EXPECT_EQ(table.OnRequest(1), Verdict::kFirst);
+  table.OnAnswered(5, 1);
+  EXPECT_EQ(table.OnRequest(1), Verdict::kServe);
+  EXPECT_EQ(table.OnRequest(9), Verdict::kTurnAway) << "unknown";
+  EXPECT_EQ(table.Next(), kNever) << "nothing is closed for standing idle";
+}
+
+TEST(ConnectionsTest, MoreThanTheCapAreTurnedAwayUntilOneLeaves) {
+  Connections table(2, 0);
+  for (ConnectionId id = 1; id <= 3; ++id) table.Opened(0, id);
+  EXPECT_EQ(table.OnRequest(3), Verdict::kTurnAway);
+  table.Closed(1);
+  EXPECT_EQ(table.OnRequest(3), Verdict::kFirst);
+}
+
+TEST(ConnectionsTest, OnlyWhatStandsIdleForItsTimeIsClosed) {
+  Connections table(10, kSecond);
+  table.Opened(0, 1);
+  table.Opened(0, 2);
+  table.OnRequest(2);
+  EXPECT_EQ(table.Next(), kSecond);
+  EXPECT_EQ(table.Expire(kSecond), std::vector<ConnectionId>{1});
+  EXPECT_EQ(table.Next(), kNever) << "the other is busy";
+  table.OnAnswered(5 * kSecond, 2);
+  EXPECT_TRUE(table.Expire(6 * kSecond - 1).empty());
+  EXPECT_EQ(table.Expire(6 * kSecond), std::vector<ConnectionId>{2});
+  EXPECT_EQ(table.size(), 0U);
+}
+
+TEST(ConnectionsTest, DeadOnesSayItWithTheNextRequest) {
+  Connections table(10, 0);
+  table.Opened(0, 1);
+  table.Opened(0, 2);
+  table.OnRequest(2);
+  table.KillIdle();
+  EXPECT_EQ(table.OnRequest(1), Verdict::kReset);
+  table.OnAnswered(1, 2);
+  EXPECT_EQ(table.OnRequest(2), Verdict::kServe) << "it was not idle";
+}
+
 // ---- Callers ----
 
 TEST(ArrivalsTest, FollowTheRateAndTheShares) {
--- a/tests/lab/emulation_test.cpp
+++ b/tests/lab/emulation_test.cpp
@@ -214,6 +214,39 @@
   EXPECT_EQ(Await(second), OutcomeCode::kOk);
 }
 
+TEST_F(EmulationTest, DiscoveryTellsWhatItKnowsRefusesWhenBusyAndIsGoneWhenDown) {
+  using boost::asio::ip::tcp;
+  const tcp::endpoint at = emulation_.DiscoveryAddress(0);
+  // Empty where no connection came up, or it ended without an answer.
+  const auto ask = [&]() -> std::string {
+    tcp::socket socket(io_);
+    std::string answer;
+    bool over = false;
+    socket.async_connect(at, [&](boost::system::error_code ec) {
+      over = over || ec;
+      if (ec) return;
+      boost::asio::write(
+          socket,
+          boost::asio::buffer(std::string("GET /catalog/members HTTP/1.1\r\nHost: d\r\n\r\n")));
+      boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(answer), "\r\n\r\n",
+                                    [&](boost::system::error_code, std::size_t) { over = true; });
+    });
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!over && std::chrono::steady_clock::now() < until) io_.run_one_for(milliseconds(100));
+    return answer;
+  };
+  const std::string whole = ask();
+  EXPECT_NE(whole.find("HTTP/1.1 200"), std::string::npos);
+  EXPECT_NE(whole.find("\"host\":\"store-1\""), std::string::npos) << whole;
+  Do(Step::Kind::kDiscoveryBusy, 1);
+  EXPECT_EQ(ask().substr(0, 12), "HTTP/1.1 503");
+  Do(Step::Kind::kDiscoveryBusy, 0);
+  Do(Step::Kind::kDiscoveryDown, 1);
+  EXPECT_EQ(ask(), "");
+  Do(Step::Kind::kDiscoveryDown, 0);
+  EXPECT_EQ(ask().substr(0, 12), "HTTP/1.1 200");
+}
+
 // ---- A whole fleet with real sidecars ----
 
 const char kWhole[] = R"(
@@ -240,7 +273,7 @@
 [[tier]]
 name = "front"
 nodes = 2
-sidecars = 1
+sidecars = 2
 cores = 2
 calls = 1.5
 work_share = 0.4
@@ -274,6 +307,12 @@
 kind = "discovery_down"
 at = 1.0
 for = 0.5
+[[incident]]
+kind = "sidecar_restart"
+share = 0.5
+at = 2.0
+drain = 0.5
+down = 0.1
 )";
 
 TEST(Experiment, TwoTiersWithRealSidecarsKeepTheRulesThroughIncidents) {
--- a/tests/lab/lab_test.cpp
+++ b/tests/lab/lab_test.cpp
@@ -398,6 +398,27 @@
   EXPECT_THROW(FitDay(day, other), std::runtime_error);
 }
 
+TEST(RefineTest, MovesSpeedsAndFactorsTowardsTheDay) {
+  const auto day = [](double calm, double slow) {
+    Json windows = Json::array();
+    for (int w = 0; w < 20; ++w) {
+      const double ms = w >= 8 && w < 14 ? slow : calm;
+      windows.push_back(Json::array({ms, ms, ms}));
+    }
+    return Json{{"service_window_s", 0.5}, {"nodes", {{{"name", "x"}, {"service_ms", windows}}}}};
+  };
+  Fit fit;
+  fit.speeds = {2};
+  fit.stretches = {{0, 4 * kSecond, 7 * kSecond, 3}};
+  // The play was a tenth too quick in calm times, and a fifth too quick in the stretch.
+  const Fit better = Refine(day(11, 36), day(10, 30), fit);
+  EXPECT_NEAR(better.speeds.at(0), 2 / 1.1, 1e-9);
+  EXPECT_NEAR(better.stretches.at(0).factor, 3 * 1.2 / 1.1, 1e-9);
+  const Fit same = Refine(day(10, 30), day(10, 30), fit);
+  EXPECT_DOUBLE_EQ(same.speeds.at(0), 2);
+  EXPECT_DOUBLE_EQ(same.stretches.at(0).factor, 3);
+}
+
 TEST(NearnessTest, CountsTheWindowsWithinATenth) {
   const Json cell = {{"p50_ms", 100}, {"p90_ms", 200}, {"p99_ms", 300}};
   Json day = {{"classes", {{{"name", "look"}}}}, {"arrivals", {{60}, {60}, {3}}}};
@@ -460,6 +481,69 @@
   EXPECT_GT(std::filesystem::file_size(folder.path() + "/r.html"), 1000U);
 }
 
+TEST(BadInput, MoreClientsThanDescriptorsAreToldBeforeAnythingStarts) {
+  const Folder folder("");
+  const std::string plan = folder.path() + "/plan.toml";
+  std::ofstream(plan) << "[[class]]\nname='a'\nwork_ms=1\naim=0.1\ngive_up=1\nrepeat='safe'\n"
+                         "[load]\nclients=5000\n[[load.phase]]\nfor=1\nrate=50\n";
+  const std::string command =
+      std::string("ulimit -n 1000; exec ") + SHELFLAB_PROGRAM + " load " + plan + " -t 127.0.0.1:9";
+  Process lab({"/bin/sh", "-c", command}, {}, folder.path() + "/log");
+  int status = 0;
+  ASSERT_EQ(::waitpid(lab.pid(), &status, 0), lab.pid());
+  EXPECT_EQ(WEXITSTATUS(status), 2);
+  std::ifstream log(folder.path() + "/log");
+  std::string line;
+  std::getline(log, line);
+  EXPECT_EQ(line, plan + ": load.clients: expected at most 936, for there are 1000 descriptors");
+}
+
+// ---- A rehearsal, steered over its socket ----
+
+TEST(Rehearsing, AnIncidentByCommandIsSeenByTheLoadAndTheStatus) {
+  const Folder folder("");
+  const std::string plan = folder.path() + "/plan.toml";
+  const std::string state = folder.path() + "/state.json";
+  const std::string socket = folder.path() + "/c.sock";
+  std::ofstream(plan) << "[[class]]\nname='a'\nwork_ms=1\naim=0.2\ngive_up=1\nrepeat='safe'\n"
+                         "[[tier]]\nname='x'\nnodes=3\n[load]\nclients=8\n"
+                         "[[load.phase]]\nfor=1\nrate=80\n";
+  Process fleet({SHELFLAB_PROGRAM, "emulate", plan, "--program", KELPSPRING_PROGRAM, "--state",
+                 state, "--control", socket},
+                {}, folder.path() + "/log");
+  const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(60);
+  while (!std::filesystem::exists(state) && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  ASSERT_TRUE(std::filesystem::exists(state));
+  EXPECT_EQ(AskControl(socket,
+                       {{"do", "incident"}, {"toml", "[[incident]]\nkind='lost'\nnodes=['x-1']\n"}})
+                .at("steps"),
+            1);
+  EXPECT_THROW(AskControl(socket, {{"do", "incident"}, {"toml", "[[incident]]\nkind='x'\n"}}),
+               std::runtime_error);
+  EXPECT_EQ(AskControl(socket, {{"do", "status"}}).at("node_states").at(1).at("state"), "down");
+
+  LoadOptions options;
+  options.quiet = true;
+  const Json addresses = AskControl(socket, {{"do", "status"}});
+  for (const auto& t : addresses.at("targets")) options.targets.push_back(t.get<std::string>());
+  const Json run = RunLoad(ReadPlan(plan), options).at("runs").at(0);
+  EXPECT_GT(run.at("totals").at("in_time").get<double>(),
+            run.at("totals").at("arrivals").get<double>() * 0.8);
+  EXPECT_EQ(run.at("account").at("broken"), 0) << run.at("account").dump(1);
+  const Json status = AskControl(socket, {{"do", "status"}});
+  EXPECT_GT(status.at("attempts").get<int>(), 40);
+  EXPECT_EQ(status.at("rules_broken"), 0);
+  EXPECT_EQ(status.at("node_states").at(1).at("came"), 0);
+
+  AskControl(socket, {{"do", "stop"}});
+  int ended = 0;
+  ASSERT_EQ(::waitpid(fleet.pid(), &ended, 0), fleet.pid());
+  EXPECT_EQ(WEXITSTATUS(ended), 0);
+  EXPECT_EQ(ProcessesOf(folder.path()), 0);
+}
+
 TEST(BadInput, ExitsWithTwoAndOneLine) {
   const Folder folder("");
   const std::string plan = folder.path() + "/plan.toml";
