--- a/src/lab/emulation.h
+++ b/src/lab/emulation.h
@@ -139,12 +139,9 @@
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer sweep_timer_;
   Micros armed_ = kNever;
-  bool settling_ = false;
-  bool stopped_ = false;
   Lateness late_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::vector<std::unique_ptr<Sidecar>> sidecars_;
-  std::uint32_t first_tier_sidecars_ = 0;
   std::unordered_map<std::uint64_t, Open> open_;  // Attempts at endpoints, by their number.
   std::unordered_map<std::uint64_t, std::weak_ptr<DiscoveryLine>> asking_;
   std::unordered_map<std::uint64_t, std::uint32_t> caller_of_;  // Requests of later tiers.
@@ -160,6 +157,9 @@
   std::function<void(double)> on_burst_;
   std::uint64_t crashes_ = 0;
   std::vector<ServiceTime> service_times_;
+  std::uint32_t first_tier_sidecars_ = 0;
+  bool settling_ = false;
+  bool stopped_ = false;
 };
 
 }  // namespace shelflab
