Write a row of the emulated list in one place

Cause: discovery's answer and a sidecar's configuration each spelt out the same eight fields of a member, with health worded twice.

--- a/src/lab/emulation.cpp
+++ b/src/lab/emulation.cpp
@@ -56,6 +56,31 @@
   return e.address().to_string() + ":" + std::to_string(e.port());
 }
 
+const char* WordOf(Health health) {
+  switch (health) {
+    case Health::kServing:
+      return "SERVING";
+    case Health::kDraining:
+      return "DRAINING";
+    case Health::kDeleted:
+      break;
+  }
+  return "DELETED";
+}
+
+// A row of the list, as discovery tells it and as a configuration knows it.
+nlohmann::json RowText(const FleetSpec& fleet, const Listed& row, const tcp::endpoint& dial,
+                       const std::string& kind) {
+  return {{"host", NodeName(fleet, row.node)},
+          {"dial", AddressText(dial)},
+          {"site", fleet.zone},
+          {"class", kind},
+          {"block", 0},
+          {"health", WordOf(row.health)},
+          {"share", 1.0},
+          {"born_ms", row.started == 0 ? 0 : WallClock(row.started) / 1000}};
+}
+
 }  // namespace
 
 // ---- What it holds ----
@@ -815,16 +840,7 @@
   for (const Listed& row : answer.rows) {
     const Node& node = *nodes_[row.node];
     const std::size_t door = tier == 0 ? sidecars_[line->sidecar]->number : 0;
-    hosts.push_back({{"host", NodeName(plan_.fleet, row.node)},
-                     {"dial", AddressText(node.doors[door]->address)},
-                     {"site", plan_.fleet.zone},
-                     {"class", fleet_.kind(row.node)},
-                     {"block", 0},
-                     {"health", row.health == Health::kServing    ? "SERVING"
-                                : row.health == Health::kDraining ? "DRAINING"
-                                                                  : "DELETED"},
-                     {"share", 1.0},
-                     {"born_ms", row.started == 0 ? 0 : WallClock(row.started) / 1000}});
+    hosts.push_back(RowText(plan_.fleet, row, node.doors[door]->address, fleet_.kind(row.node)));
     TellRow(line->sidecar, row, now);
   }
   if (answer.whole) TellAbsent(line->sidecar, answer.rows, now);
@@ -880,14 +896,8 @@
   const auto [seq, rows] = catalog_.Whole(s.tier);
   for (const Listed& row : rows) {
     const std::size_t door = s.tier == 0 ? s.number : 0;
-    hosts.push_back({{"host", NodeName(fleet, row.node)},
-                     {"dial", AddressText(nodes_[row.node]->doors[door]->address)},
-                     {"site", fleet.zone},
-                     {"class", fleet_.kind(row.node)},
-                     {"block", 0},
-                     {"health", row.health == Health::kDraining ? "DRAINING" : "SERVING"},
-                     {"share", 1.0},
-                     {"born_ms", row.started == 0 ? 0 : WallClock(row.started) / 1000}});
+    hosts.push_back(
+        RowText(fleet, row, nodes_[row.node]->doors[door]->address, fleet_.kind(row.node)));
   }
   const std::uint32_t group =
       s.tier == 0 ? fleet.tiers.front().sidecars : fleet.tiers[s.tier - 1].nodes;
