--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -2,12 +2,14 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <boost/asio/io_context.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <utility>
 
+#include "net/sockets.h"
 #include "sidecar/config.h"
 #include "sidecar/log.h"
 #include "sidecar/sidecar.h"
@@ -15,17 +17,13 @@
 namespace {
 
 // A new configuration that cannot be used leaves the old one in force.
-void ReloadOnSignal(boost::asio::signal_set& signals, kelpspring::Sidecar& sidecar) {
-  signals.async_wait([&](boost::system::error_code ec, int) {
-    if (ec) return;
-    ReloadOnSignal(signals, sidecar);
-    try {
-      sidecar.Reload(kelpspring::LoadConfig(std::getenv("PROXY_CONFIG")));
-      kelpspring::LogLine("reloaded the configuration");
-    } catch (const std::exception& e) {
-      kelpspring::LogLine(std::string("the old configuration is kept: ") + e.what());
-    }
-  });
+void Reload(kelpspring::Sidecar& sidecar) {
+  try {
+    sidecar.Reload(kelpspring::LoadConfig(std::getenv("PROXY_CONFIG")));
+    kelpspring::LogToStandardError("reloaded the configuration");
+  } catch (const std::exception& e) {
+    kelpspring::LogToStandardError(std::string("the old configuration is kept: ") + e.what());
+  }
 }
 
 }  // namespace
@@ -39,20 +37,19 @@
       config.sockets = std::max<std::size_t>(files.rlim_cur, kelpspring::kFewestSockets);
     }
     boost::asio::io_context io(1);
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    boost::asio::signal_set reloads(io, SIGHUP);
-    kelpspring::Sidecar sidecar(io, std::move(config));
-    ReloadOnSignal(reloads, sidecar);
-    signals.async_wait([&](boost::system::error_code ec, int) {
-      if (!ec) sidecar.Drain([&] { io.stop(); });
-    });
+    net::SocketLoop loop(io);
+    kelpspring::Sidecar sidecar(loop, std::move(config));
+    loop.OnSignal(SIGHUP, [&] { Reload(sidecar); });
+    for (const int signal : {SIGTERM, SIGINT}) {
+      loop.OnSignal(signal, [&] { sidecar.Drain([&] { io.stop(); }); });
+    }
     for (;;) {
       try {
         io.run();
         return 0;
       } catch (const std::exception& e) {
         // One connection's trouble is no reason to drop all the others.
-        kelpspring::LogLine(std::string("unexpected: ") + e.what());
+        kelpspring::LogToStandardError(std::string("unexpected: ") + e.what());
       }
     }
   } catch (const std::exception& e) {
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -2,10 +2,10 @@
 #ifndef KELPSPRING_CONFIG_H_
 #define KELPSPRING_CONFIG_H_
 
-#include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
 #include <string>
 
+#include "net/address.h"
 #include "settings.h"
 #include "sidecar/discovery.h"
 
@@ -15,8 +15,8 @@
 
 struct Config {
   std::string name;
-  boost::asio::ip::tcp::endpoint listen;
-  boost::asio::ip::tcp::endpoint discovery;
+  net::Address listen;
+  net::Address discovery;
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;  // File descriptors it may hold.
   MemberList known;
--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -1,26 +1,20 @@
 #include "sidecar/discovery.h"
 
 #include <algorithm>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-#include <charconv>
+#include <boost/beast/http/parser.hpp>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
 #include "settings.h"
-#include "sidecar/log.h"
+#include "sidecar/http.h"
 
 namespace kelpspring {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
-using asio::ip::tcp;
+namespace http = boost::beast::http;
 using boost::system::error_code;
 using gaugecart::BadInput;
 using Json = nlohmann::json;
-using Clock = std::chrono::steady_clock;
 
 namespace {
 
@@ -37,17 +31,10 @@
 
 }  // namespace
 
-tcp::endpoint ParseAddress(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  std::uint16_t port = 0;
-  error_code ec;
-  if (colon != std::string::npos) {
-    const char* end = text.data() + text.size();
-    const auto r = std::from_chars(text.data() + colon + 1, end, port);
-    const auto address = asio::ip::make_address(text.substr(0, colon), ec);
-    if (!ec && r.ec == std::errc() && r.ptr == end) return {address, port};
-  }
-  throw BadInput("expected an address and port");
+net::Address ParseAddress(const std::string& text) {
+  const auto address = net::Address::Parse(text);
+  if (!address) throw BadInput("expected an address and port");
+  return *address;
 }
 
 MemberList ParseMembers(const Json& json) {
@@ -79,59 +66,75 @@
 }
 
 // One call at a time over a connection that is kept.
-class Discovery::Asker : public std::enable_shared_from_this<Asker> {
+class Discovery::Asker : public net::StreamUser {
  public:
   using Done = std::function<void(std::optional<MemberList>)>;
 
-  Asker(asio::io_context& io, tcp::endpoint address) : io_(io), address_(std::move(address)) {}
+  Asker(net::Loop& loop, Log& log, const net::Address& address)
+      : loop_(loop),
+        log_(log),
+        address_(address),
+        timer_(loop.NewTimer([this] { Fail("no answer in time"); })) {}
 
   void Ask(const std::string& target, std::chrono::milliseconds wait, Done done) {
     if (done_) return;  // One at a time; what is under way brings the list as well.
     done_ = std::move(done);
-    const std::uint64_t call = ++call_;
     limit_ = wait + kGrace;
-    request_ = {http::verb::get, target, 11};
-    request_.set(http::field::host, address_.address().to_string());
-    if (stream_) return Write(call);
-    stream_.emplace(io_);
-    buffer_.clear();
-    stream_->expires_after(kGrace);
-    stream_->async_connect(address_, [this, self = shared_from_this(), call](error_code ec) {
-      if (call != call_) return;
-      if (ec) return Fail(ec.message());
-      error_code ignored;
-      stream_->socket().set_option(tcp::no_delay(true), ignored);
-      Write(call);
-    });
+    http::request<http::string_body> request{http::verb::get, target, 11};
+    request.set(http::field::host, address_.Host());
+    outgoing_.Start(TextOf(request));
+    if (connected_) return Write();
+    incoming_.Clear();
+    timer_->ArmAt(loop_.Now() + kGrace);
+    stream_ = loop_.Dial(address_, *this);
   }
 
-  // Drops the connection and the call that is out, which then brings nothing. Not to be used again.
-  void Stop() {
-    ++call_;
-    done_ = nullptr;
-    if (stream_) stream_->close();
+ private:
+  void OnConnected(net::Fault fault) override {
+    if (fault != net::Fault::kNone) return Fail(net::WordOf(fault));
+    connected_ = true;
+    Write();
   }
 
- private:
-  void Write(std::uint64_t call) {
+  void Write() {
     // A discovery that is cut off says nothing at all: the call needs an end of its own.
-    stream_->expires_after(limit_);
+    timer_->ArmAt(loop_.Now() + limit_);
     parser_.emplace();
     parser_->body_limit(kListLimit);
-    http::async_write(*stream_, request_,
-                      [this, self = shared_from_this(), call](error_code ec, std::size_t) {
-                        if (call != call_) return;
-                        if (ec) return Fail(ec.message());
-                        http::async_read(*stream_, buffer_, *parser_,
-                                         [this, self, call](error_code read, std::size_t) {
-                                           if (call == call_) Read(read);
-                                         });
-                      });
+    stream_->Receive();
+    OnWritable();
+  }
+
+  void OnWritable() override {
+    if (outgoing_.Flush(*stream_) == Outgoing::State::kBroken)
+      Fail(net::WordOf(net::Fault::kReset));
+  }
+
+  void OnBytes(std::string_view bytes) override {
+    if (!done_) return Drop();  // Bytes that nobody asked for.
+    incoming_.Append(bytes);
+    while (!incoming_.empty() && !parser_->is_done()) {
+      error_code ec;
+      const std::size_t used = parser_->put(incoming_.data(), ec);
+      incoming_.Consume(used);
+      if (ec == http::error::need_more || (!ec && used == 0)) break;
+      if (ec) return Fail(ec.message());
+    }
+    if (parser_->is_done()) return Read();
+    stream_->Receive();
   }
 
-  void Read(error_code ec) {
-    if (ec) return Fail(ec.message());
-    const auto& answer = parser_->get();
+  void OnEnd(net::Fault fault) override {
+    if (!done_) return Drop();
+    // An answer may be framed by the end of its connection.
+    error_code ec;
+    if (fault == net::Fault::kEnd && parser_->is_header_done()) parser_->put_eof(ec);
+    if (fault == net::Fault::kEnd && parser_->is_done() && !ec) return Read();
+    Fail(net::WordOf(fault));
+  }
+
+  void Read() {
+    const auto answer = parser_->release();
     if (answer.result() != http::status::ok) {
       return Fail("status " + std::to_string(answer.result_int()));
     }
@@ -141,34 +144,45 @@
     } catch (const std::exception& e) {
       return Fail(e.what());
     }
-    if (answer.keep_alive()) {
-      stream_->expires_never();
+    timer_->Cancel();
+    if (answer.keep_alive() && incoming_.empty()) {
+      stream_->Receive();  // To see its end.
     } else {
-      stream_.reset();
+      Drop();
     }
     std::exchange(done_, nullptr)(std::move(list));
   }
 
-  void Fail(const std::string& why) {
-    LogLine("discovery: " + why);
+  void Drop() {
+    timer_->Cancel();
+    connected_ = false;
+    incoming_.Clear();
     stream_.reset();
+  }
+
+  void Fail(const std::string& why) {
+    log_.Line("discovery: " + why);
+    Drop();
     std::exchange(done_, nullptr)(std::nullopt);
   }
 
-  asio::io_context& io_;
-  tcp::endpoint address_;
-  std::optional<beast::tcp_stream> stream_;
-  beast::flat_buffer buffer_;
-  http::request<http::empty_body> request_;
+  net::Loop& loop_;
+  Log& log_;
+  net::Address address_;
+  net::StreamPtr stream_;
+  net::TimerPtr timer_;
+  bool connected_ = false;
+  Incoming incoming_;
+  Outgoing outgoing_;
   std::optional<http::response_parser<http::string_body>> parser_;
   std::chrono::milliseconds limit_{0};
   Done done_;
-  std::uint64_t call_ = 0;
 };
 
-Discovery::Discovery(asio::io_context& io, const tcp::endpoint& address, std::int64_t seq,
+Discovery::Discovery(net::Loop& loop, Log& log, const net::Address& address, std::int64_t seq,
                      std::chrono::microseconds ask_within, OnList on_list, OnFailed on_failed)
-    : io_(io),
+    : loop_(loop),
+      log_(log),
       address_(address),
       wait_(std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(ask_within),
                        std::chrono::milliseconds(1000), std::chrono::milliseconds(60'000))),
@@ -176,23 +190,20 @@
       ask_within_(ask_within),
       on_list_(std::move(on_list)),
       on_failed_(std::move(on_failed)),
-      watcher_(std::make_shared<Asker>(io, address)),
-      fetcher_(std::make_shared<Asker>(io, address)),
-      pause_(io) {}
+      watcher_(std::make_unique<Asker>(loop, log, address)),
+      fetcher_(std::make_unique<Asker>(loop, log, address)),
+      pause_(loop.NewTimer([this] { PauseOver(); })) {}
 
-Discovery::~Discovery() {
-  watcher_->Stop();
-  fetcher_->Stop();
-}
+Discovery::~Discovery() = default;
 
 void Discovery::Watch() {
   if (std::exchange(watching_, true)) return;
-  pause_.cancel();
+  pause_->Cancel();
   Next();
 }
 
 void Discovery::Next() {
-  const auto asked = Clock::now();
+  const net::Time asked = loop_.Now();
   const std::string watch =
       seq_ ? "?after=" + std::to_string(*seq_) + "&wait_ms=" + std::to_string(wait_.count()) : "";
   watcher_->Ask("/catalog/members" + watch, seq_ ? wait_ : kGrace,
@@ -201,25 +212,21 @@
                   const bool news = list->seq != seq_;
                   seq_ = list->seq;
                   on_list_(*list);
-                  if (news || Clock::now() - asked >= kBriefly) return Next();
+                  if (news || loop_.Now() - asked >= kBriefly) return Next();
                   // Guards against a discovery that answers at once with nothing new: asking
                   // again without a pause would be a busy loop over the network.
-                  pause_.expires_after(kBriefly);
-                  pause_.async_wait([this](error_code ec) {
-                    if (!ec) Next();
-                  });
+                  pause_->ArmAt(loop_.Now() + kBriefly);
                 });
 }
 
 void Discovery::Failed() {
   watching_ = false;
-  pause_.expires_after(ask_within_);
-  pause_.async_wait([this](error_code ec) {
-    if (!ec) Watch();
-  });
+  pause_->ArmAt(loop_.Now() + ask_within_);
   on_failed_();
 }
 
+void Discovery::PauseOver() { watching_ ? Next() : Watch(); }
+
 void Discovery::Fetch() {
   fetcher_->Ask("/catalog/members", kGrace, [this](const std::optional<MemberList>& list) {
     if (!list) return on_failed_();
@@ -228,14 +235,13 @@
   });
 }
 
-void Discovery::Move(const tcp::endpoint& address) {
+void Discovery::Move(const net::Address& address) {
   if (address == address_) return;
   address_ = address;
-  watcher_->Stop();
-  fetcher_->Stop();
-  watcher_ = std::make_shared<Asker>(io_, address);
-  fetcher_ = std::make_shared<Asker>(io_, address);
-  pause_.cancel();
+  // The calls that are out bring nothing any more.
+  watcher_ = std::make_unique<Asker>(loop_, log_, address);
+  fetcher_ = std::make_unique<Asker>(loop_, log_, address);
+  pause_->Cancel();
   seq_.reset();  // Another discovery may count from elsewhere.
   watching_ = true;
   Next();
--- a/src/sidecar/discovery.h
+++ b/src/sidecar/discovery.h
@@ -2,7 +2,6 @@
 #ifndef KELPSPRING_DISCOVERY_H_
 #define KELPSPRING_DISCOVERY_H_
 
-#include <boost/asio.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -13,15 +12,17 @@
 #include <vector>
 
 #include "gaugecart/choice.h"
+#include "net/loop.h"
+#include "sidecar/log.h"
 
 namespace kelpspring {
 
 // Throws BadInput unless the text is an address and a port, as in 10.0.0.4:3000.
-boost::asio::ip::tcp::endpoint ParseAddress(const std::string& text);
+net::Address ParseAddress(const std::string& text);
 
 struct Member {
   std::string host;  // The same word at every sidecar.
-  boost::asio::ip::tcp::endpoint dial;
+  net::Address dial;
   std::string site;
   std::int64_t block = -1;
   gaugecart::Availability health = gaugecart::Availability::kReady;
@@ -43,9 +44,8 @@
   using OnList = std::function<void(const MemberList&)>;
   using OnFailed = std::function<void()>;
 
-  Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
-            std::int64_t seq, std::chrono::microseconds ask_within, OnList on_list,
-            OnFailed on_failed);
+  Discovery(net::Loop& loop, Log& log, const net::Address& address, std::int64_t seq,
+            std::chrono::microseconds ask_within, OnList on_list, OnFailed on_failed);
   ~Discovery();
 
   // Starts the watch unless it is on. It ends with the first call that fails; whoever is told of
@@ -55,24 +55,26 @@
   void Fetch();
   // Goes on at another address at once: gets the whole list there and then watches. What is known
   // stays until that has come.
-  void Move(const boost::asio::ip::tcp::endpoint& address);
+  void Move(const net::Address& address);
 
  private:
   class Asker;
   void Next();
   void Failed();
+  void PauseOver();
 
-  boost::asio::io_context& io_;
-  boost::asio::ip::tcp::endpoint address_;
+  net::Loop& loop_;
+  Log& log_;
+  net::Address address_;
   std::chrono::milliseconds wait_;
   std::optional<std::int64_t> seq_;  // None: the whole list is wanted first.
   std::chrono::microseconds ask_within_;
   OnList on_list_;
   OnFailed on_failed_;
-  std::shared_ptr<Asker> watcher_;
-  std::shared_ptr<Asker> fetcher_;
-  boost::asio::steady_timer pause_;
-  bool watching_ = false;
+  std::unique_ptr<Asker> watcher_;
+  std::unique_ptr<Asker> fetcher_;
+  net::TimerPtr pause_;
+  bool watching_ = false;  // Else the pause is one between watches.
 };
 
 }  // namespace kelpspring
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -1,24 +1,17 @@
 #include "sidecar/server.h"
 
-#include <sys/socket.h>
-
 #include <utility>
 #include <vector>
 
-#include "sidecar/log.h"
-
 namespace kelpspring {
 
-namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using asio::ip::tcp;
 using boost::system::error_code;
 
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t kReadChunk = 8192;
 constexpr std::size_t kReadAhead = 32768;      // Of a next request while one is held.
 constexpr std::size_t kLingerBytes = 1 << 18;  // Read away of what follows an error.
 // One limit for each phase. Whoever sends nothing usable is told so, or closed, within 3 s.
@@ -45,10 +38,13 @@
 
 }  // namespace
 
-Client::Client(Server& server, tcp::socket socket)
-    : server_(server), socket_(std::move(socket)), timer_(socket_.get_executor()) {}
+Client::Client(Server& server, net::StreamPtr stream)
+    : server_(server),
+      stream_(std::move(stream)),
+      timer_(server.loop_.NewTimer([this] { TimeUp(); })) {}
 
 void Client::Start() {
+  stream_->SetUser(*this);
   Rest(kFirstSpan);
   Read();
 }
@@ -66,30 +62,29 @@
 
 void Client::Read() {
   // A flood of requests sent ahead waits in the socket, not in memory.
-  if (reading_ || state_ == State::kClosed || buffer_.size() >= kReadAhead) return;
-  reading_ = true;
-  if (buffer_.size() == 0 && buffer_.capacity() > kReadChunk) buffer_.shrink_to_fit();
-  socket_.async_read_some(buffer_.prepare(kReadChunk),
-                          [self = shared_from_this()](error_code ec, std::size_t n) {
-                            self->reading_ = false;
-                            if (self->state_ == State::kClosed) return;
-                            self->buffer_.commit(n);
-                            self->Got(ec);
-                          });
+  if (state_ == State::kClosed || incoming_.size() >= kReadAhead) return;
+  incoming_.Trim();
+  stream_->Receive();
 }
 
-void Client::Got(error_code ec) {
-  if (ec) {  // An end of the client's side means that it has gone.
-    const auto gone = std::exchange(gone_, nullptr);
-    Close();
-    if (gone) gone();
-    return;
-  }
+// An end of the client's side means that it has gone.
+void Client::OnEnd(net::Fault) { Leave(); }
+
+void Client::Leave() {
+  const auto self = shared_from_this();
+  const auto gone = std::exchange(gone_, nullptr);
+  Close();
+  if (gone) gone();
+}
+
+void Client::OnBytes(std::string_view bytes) {
+  const auto self = shared_from_this();
   if (state_ == State::kLingering) {
-    if (buffer_.size() > linger_left_) return Close();
-    linger_left_ -= buffer_.size();
-    buffer_.clear();
+    if (bytes.size() > linger_left_) return Close();
+    linger_left_ -= bytes.size();
+    return Read();
   }
+  incoming_.Append(bytes);
   if (state_ == State::kIdle) Parse();
   // While a request is held the read watches for the client's end.
   Read();
@@ -104,11 +99,11 @@
     if (!first_) Arm(kRequestSpan);
     if (!yields_) Yields(kWaiting);
   }
-  while (buffer_.size() > 0 && !parser_->is_done()) {
+  while (!incoming_.empty() && !parser_->is_done()) {
     error_code ec;
     const bool in_head = !parser_->is_header_done();
-    const std::size_t used = parser_->put(buffer_.data(), ec);
-    buffer_.consume(used);
+    const std::size_t used = parser_->put(incoming_.data(), ec);
+    incoming_.Consume(used);
     if (ec == http::error::need_more || (!ec && used == 0)) break;
     if (ec == http::error::body_limit) return Reject(413, "the body is over 64 KiB\n");
     if (ec == http::error::header_limit) return Reject(431, "the head is too large\n");
@@ -119,10 +114,10 @@
   }
   if (!parser_->is_done()) {
     // The head of a chunk without end, as long as it may be read ahead.
-    if (buffer_.size() >= kReadAhead) Reject(400, "malformed HTTP\n");
+    if (incoming_.size() >= kReadAhead) Reject(400, "malformed HTTP\n");
     return;
   }
-  Disarm();
+  timer_->Cancel();
   Yields(std::nullopt);
   first_ = false;
   HttpRequest request = parser_->release();
@@ -139,13 +134,13 @@
 
 // What cannot be read as a request ends the connection: where the next one starts is not known.
 void Client::Reject(unsigned status, const std::string& text) {
-  Disarm();
+  timer_->Cancel();
   Yields(std::nullopt);
   parser_.reset();
-  buffer_.clear();
+  incoming_.Clear();
   state_ = State::kHeld;
   keep_alive_ = false;
-  LogLine("a client's request was rejected: " + text.substr(0, text.size() - 1));
+  server_.log_.Line("a client's request was rejected: " + text.substr(0, text.size() - 1));
   RespondPlain(status, text);
 }
 
@@ -160,39 +155,54 @@
   if (state_ != State::kHeld) return;
   gone_ = nullptr;
   state_ = State::kAnswering;
-  response_ = std::move(response);
   if (server_.draining_) keep_alive_ = false;
-  response_.version(version_);
-  response_.keep_alive(keep_alive_);
-  response_.prepare_payload();
+  response.version(version_);
+  response.keep_alive(keep_alive_);
+  response.prepare_payload();
+  outgoing_.Start(TextOf(response));
   Arm(kAnswerSpan);
-  http::async_write(socket_, response_, [self = shared_from_this()](error_code ec, std::size_t) {
-    if (self->state_ == State::kAnswering) self->Answered(ec);
-  });
+  Flush();
 }
 
-void Client::Answered(error_code ec) {
-  response_ = {};
-  if (ec) return Close();
+void Client::Flush() {
+  if (state_ != State::kAnswering) return;
+  const auto self = shared_from_this();
+  switch (outgoing_.Flush(*stream_)) {
+    case Outgoing::State::kAllOut:
+      return Answered();
+    case Outgoing::State::kBroken:
+      return Close();
+    case Outgoing::State::kMoreToCome:
+      return;
+  }
+}
+
+void Client::Answered() {
   // An answer that was under way when the drain began did not say that this is the end.
   if (!keep_alive_ || server_.closed_) return Linger();
   state_ = State::kIdle;
-  if (buffer_.size() > 0) {
-    Parse();
-  } else {
+  if (incoming_.empty()) {
     Rest(kRestSpan);
     server_.Accept();
+    return Read();
   }
-  if (state_ == State::kIdle || state_ == State::kHeld) Read();
+  // Not from here: a row of requests sent ahead would be answered one inside the other.
+  timer_->Cancel();
+  server_.loop_.Post([self = shared_from_this()] { self->Next(); });
+}
+
+void Client::Next() {
+  if (state_ != State::kIdle) return;
+  if (!incoming_.empty()) Parse();
+  Read();
 }
 
 // Closing at once with bytes unread would reset the connection, and the client might lose the
 // answer: it is given a moment to close first.
 void Client::Linger() {
   state_ = State::kLingering;
-  error_code ignored;
-  socket_.shutdown(tcp::socket::shutdown_send, ignored);
-  buffer_.clear();
+  stream_->EndSending();
+  incoming_.Clear();
   linger_left_ = kLingerBytes;
   Yields(kLeaving);
   Arm(kLingerSpan);
@@ -201,17 +211,7 @@
   server_.CheckDone();
 }
 
-void Client::Arm(milliseconds span) {
-  timer_.expires_after(span);
-  timer_.async_wait([self = shared_from_this(), turn = ++timer_turn_](error_code) {
-    if (turn == self->timer_turn_) self->TimeUp();
-  });
-}
-
-void Client::Disarm() {
-  ++timer_turn_;
-  timer_.cancel();
-}
+void Client::Arm(milliseconds span) { timer_->ArmAt(server_.loop_.Now() + span); }
 
 void Client::TimeUp() {
   if (state_ == State::kIdle) {
@@ -219,36 +219,31 @@
     if (!parser_ && HasUnread()) return Arm(kCrossingSpan);
     if (parser_) return Reject(408, "the rest of the request did not come\n");
   }
-  const auto gone = std::exchange(gone_, nullptr);
-  Close();
-  if (gone) gone();
+  Leave();
 }
 
-bool Client::HasUnread() {
-  char byte = 0;
-  return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
+bool Client::HasUnread() { return stream_->Peek() == net::Ahead::kBytes; }
 
 void Client::Close() {
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
   gone_ = nullptr;
-  Disarm();
+  timer_->Cancel();
   Yields(std::nullopt);
-  error_code ignored;
-  socket_.close(ignored);
+  stream_->Close();
   server_.Removed(shared_from_this());
 }
 
-Server::Server(asio::io_context& io, const tcp::endpoint& listen, SocketBudget& budget,
+Server::Server(net::Loop& loop, Log& log, const net::Address& listen, SocketBudget& budget,
                std::function<bool()> ready, OnRequest on_request)
-    : io_(io),
+    : loop_(loop),
+      log_(log),
       budget_(budget),
       ready_(std::move(ready)),
       on_request_(std::move(on_request)),
-      acceptor_(io, listen),
-      pause_(io),
-      drain_timer_(io),
+      listener_(loop.Listen(listen)),
+      pause_(loop.NewTimer([this] { Accept(); })),
+      drain_timer_(loop.NewTimer([this] { CloseListener(); })),
       // Clients with a request are a third at most, and each may need one connection to an
       // endpoint; what is left is for those that have sent nothing usable yet.
       most_clients_(budget.limit / 3 * 2) {
@@ -259,34 +254,30 @@
   if (accepting_ || closed_) return;
   if (clients_.size() >= most_clients_ && !MakeRoom()) return;
   if (!budget_.Take() && !(MakeRoom() && budget_.Take())) {
-    budget_.on_room = [this] { asio::post(io_, [this] { Accept(); }); };
+    budget_.on_room = [this] { loop_.Post([this] { Accept(); }); };
     return;
   }
   accepting_ = true;
-  acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+  listener_->Accept([this](net::Fault fault, net::StreamPtr stream) {
     accepting_ = false;
-    if (!ec) {
-      // Also if the listener has been closed since: the client may have sent its request.
-      Accepted(std::move(socket));
-      return closed_ ? CloseAllIdle() : Accept();
-    }
-    budget_.Release();
-    if (closed_) return;
-    if (ec == asio::error::connection_aborted) return Accept();
-    // Out of descriptors, say: an accept at once would fail again, and so on without end.
-    LogLine("accept: " + ec.message());
-    budget_.evict_idle();
-    pause_.expires_after(kAcceptPause);
-    pause_.async_wait([this](error_code wait) {
-      if (!wait) Accept();
-    });
+    if (fault != net::Fault::kNone) return AcceptFailed(fault);
+    // Also if the listener has been closed since: the client may have sent its request.
+    Accepted(std::move(stream));
+    closed_ ? CloseAllIdle() : Accept();
   });
 }
 
-void Server::Accepted(tcp::socket socket) {
-  error_code ignored;
-  socket.set_option(tcp::no_delay(true), ignored);
-  const auto client = std::make_shared<Client>(*this, std::move(socket));
+void Server::AcceptFailed(net::Fault fault) {
+  budget_.Release();
+  if (closed_) return;
+  // Out of descriptors, say: an accept at once would fail again, and so on without end.
+  log_.Line(std::string("accept: ") + net::WordOf(fault));
+  budget_.evict_idle();
+  pause_->ArmAt(loop_.Now() + kAcceptPause);
+}
+
+void Server::Accepted(net::StreamPtr stream) {
+  const auto client = std::make_shared<Client>(*this, std::move(stream));
   clients_.insert(client);
   client->Start();
 }
@@ -311,33 +302,27 @@
   budget_.Release();
   if (closed_) return CheckDone();
   // Not from inside a loop over the clients.
-  asio::post(io_, [this] { Accept(); });
+  loop_.Post([this] { Accept(); });
 }
 
 void Server::Drain(std::function<void()> done) {
   if (std::exchange(draining_, true)) return;
   done_ = std::move(done);
-  drain_timer_.expires_after(kDrainWindow);
-  drain_timer_.async_wait([this](error_code ec) {
-    if (!ec) CloseListener();
-  });
+  drain_timer_->ArmAt(loop_.Now() + kDrainWindow);
 }
 
 void Server::CloseListener() {
   // Closing a listener resets what stands in its queue, so that is taken out first.
-  error_code ec;
-  acceptor_.non_blocking(true, ec);
   while (clients_.size() < most_clients_ && budget_.Take()) {
-    tcp::socket socket(io_);
-    acceptor_.accept(socket, ec);
-    if (ec) {
+    net::StreamPtr stream = listener_->TakeWaiting();
+    if (!stream) {
       budget_.Release();
       break;
     }
-    Accepted(std::move(socket));
+    Accepted(std::move(stream));
   }
   closed_ = true;
-  acceptor_.close(ec);
+  listener_->Close();
   CloseAllIdle();
 }
 
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -3,9 +3,7 @@
 #define KELPSPRING_SERVER_H_
 
 #include <array>
-#include <boost/asio.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -14,6 +12,9 @@
 #include <string>
 #include <unordered_set>
 
+#include "net/loop.h"
+#include "sidecar/http.h"
+#include "sidecar/log.h"
 #include "sidecar/upstream.h"
 
 namespace kelpspring {
@@ -25,9 +26,9 @@
 enum Yield : std::size_t { kLeaving, kWaiting, kYields };
 
 // One connection. Holds one request at a time, from its last byte to its answer.
-class Client : public std::enable_shared_from_this<Client> {
+class Client : public net::StreamUser, public std::enable_shared_from_this<Client> {
  public:
-  Client(Server& server, boost::asio::ip::tcp::socket socket);
+  Client(Server& server, net::StreamPtr stream);
 
   void Start();
   // The final answer to the request that is held.
@@ -52,29 +53,31 @@
   void Yields(std::optional<Yield> as);
   void TimeUp();
 
+  void OnBytes(std::string_view bytes) override;
+  void OnEnd(net::Fault fault) override;
+  void OnWritable() override { Flush(); }
   void Read();
-  void Got(boost::system::error_code ec);
   void Parse();
-  void Answered(boost::system::error_code ec);
+  void Flush();
+  void Answered();
+  void Next();
+  void Leave();
   void Linger();
   void Arm(std::chrono::milliseconds span);
-  void Disarm();
 
   Server& server_;
-  boost::asio::ip::tcp::socket socket_;
-  boost::asio::steady_timer timer_;
-  std::uint64_t timer_turn_ = 0;
+  net::StreamPtr stream_;
+  net::TimerPtr timer_;
   bool first_ = true;  // No request has come on it yet.
   std::optional<Yield> yields_;
   std::uint64_t used_ = 0;       // Its key there.
   std::size_t linger_left_ = 0;  // Bytes still to be read away.
   State state_ = State::kIdle;
-  boost::beast::flat_buffer buffer_;
-  bool reading_ = false;
+  Incoming incoming_;
+  Outgoing outgoing_;
   bool keep_alive_ = true;
   unsigned version_ = 11;
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
-  HttpResponse response_;
   std::function<void()> gone_;
 };
 
@@ -82,13 +85,15 @@
  public:
   using OnRequest = std::function<void(const std::shared_ptr<Client>&, HttpRequest)>;
 
-  // Throws boost::system::system_error if it cannot listen.
-  Server(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen,
-         SocketBudget& budget, std::function<bool()> ready, OnRequest on_request);
+  // Throws net::Error if it cannot listen.
+  Server(net::Loop& loop, Log& log, const net::Address& listen, SocketBudget& budget,
+         std::function<bool()> ready, OnRequest on_request);
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
-  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  net::Address address() const { return listener_->address(); }
+  std::size_t clients() const { return clients_.size(); }
+  bool accepting() const { return accepting_; }
   // Stops in order: unhealthy at once, closed to new clients after a while, and `done` is called
   // when nothing is held any more.
   void Drain(std::function<void()> done);
@@ -97,7 +102,8 @@
   friend class Client;
 
   void Accept();
-  void Accepted(boost::asio::ip::tcp::socket socket);
+  void Accepted(net::StreamPtr stream);
+  void AcceptFailed(net::Fault fault);
   bool MakeRoom();
   void CloseAllIdle();
   std::uint64_t NextUse() { return ++uses_; }
@@ -105,13 +111,14 @@
   void CloseListener();
   void CheckDone();
 
-  boost::asio::io_context& io_;
+  net::Loop& loop_;
+  Log& log_;
   SocketBudget& budget_;
   std::function<bool()> ready_;
   OnRequest on_request_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_;
-  boost::asio::steady_timer drain_timer_;
+  net::ListenerPtr listener_;
+  net::TimerPtr pause_;
+  net::TimerPtr drain_timer_;
   std::unordered_set<std::shared_ptr<Client>> clients_;
   // Those that can be closed to make room, longest in their state first.
   std::array<std::map<std::uint64_t, Client*>, kYields> yielding_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -9,14 +9,10 @@
 #include <optional>
 #include <unordered_set>
 
-#include "sidecar/log.h"
-
 namespace kelpspring {
 
-namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
-using boost::system::error_code;
 using gaugecart::Availability;
 using gaugecart::EndpointId;
 using gaugecart::ListKind;
@@ -82,32 +78,31 @@
   return any ? std::optional(report) : std::nullopt;
 }
 
-Sidecar::Sidecar(asio::io_context& io, Config config)
-    : io_(io),
+Sidecar::Sidecar(net::Loop& loop, Config config, LogSink sink)
+    : loop_(loop),
+      log_(loop, std::move(sink)),
       config_(std::move(config)),
-      start_(Clock::now()),
+      start_(loop.Now()),
       // Unix time once, so that endpoints' start times compare; from then on a clock no step moves.
-      epoch_(std::chrono::duration_cast<std::chrono::microseconds>(
-                 std::chrono::system_clock::now().time_since_epoch())
-                 .count()),
+      epoch_(loop.WallMicros()),
       budget_{config_.sockets - kOwnSockets, 0, nullptr, nullptr},
-      upstream_(io, budget_, std::chrono::microseconds(config_.setup.settings.keepalive),
+      upstream_(loop, log_, budget_, std::chrono::microseconds(config_.setup.settings.keepalive),
                 std::chrono::microseconds(config_.setup.connect_timeout)),
       discovery_(
-          io, config_.discovery, config_.known.seq,
+          loop, log_, config_.discovery, config_.known.seq,
           std::chrono::microseconds(config_.setup.settings.ask_within),
           [this](const MemberList& list) {
             OnList(list.whole ? ListKind::kFull : ListKind::kChanges, list);
           },
           [this] { Run([this] { balancer_->OnDiscoveryFailed(Now()); }); }),
-      timer_(io) {
+      timer_(loop.NewTimer([this] { TimerFired(); })) {
   Run([this] {
     balancer_ = std::make_unique<gaugecart::Balancer>(
         config_.setup.settings, config_.seed, static_cast<gaugecart::Actions*>(this), Now());
   });
   OnList(ListKind::kStale, config_.known);
   server_ = std::make_unique<Server>(
-      io, config_.listen, budget_, [this] { return has_members_; },
+      loop, log_, config_.listen, budget_, [this] { return has_members_; },
       [this](const std::shared_ptr<Client>& client, HttpRequest message) {
         OnRequest(client, std::move(message));
       });
@@ -118,7 +113,7 @@
 
 Sidecar::Micros Sidecar::Now() const {
   return epoch_ +
-         std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - start_).count();
+         std::chrono::duration_cast<std::chrono::microseconds>(loop_.Now() - start_).count();
 }
 
 // The module's events and its actions, one after the other: an action may cause an event at once,
@@ -176,22 +171,28 @@
   Run([this] { discovery_.Fetch(); });
 }
 
-void Sidecar::Log(const std::string& text) { LogLine(text); }
+void Sidecar::Log(const std::string& text) { log_.Line(text); }
 
 void Sidecar::ArmTimer() {
   if (timers_.empty() || timers_.top().at == timer_at_) return;
   timer_at_ = timers_.top().at;
-  timer_.expires_at(At(timer_at_));
-  timer_.async_wait([this](error_code ec) {
-    if (ec) return;  // Armed anew for an earlier time.
-    timer_at_ = 0;
-    while (!timers_.empty() && timers_.top().at <= Now()) {
-      const std::uint64_t mark = timers_.top().mark;
-      timers_.pop();
-      Run([this, mark] { balancer_->OnTimer(Now(), mark); });
-    }
-    ArmTimer();
-  });
+  timer_->ArmAt(At(timer_at_));
+}
+
+void Sidecar::TimerFired() {
+  timer_at_ = 0;
+  while (!timers_.empty() && timers_.top().at <= Now()) {
+    const std::uint64_t mark = timers_.top().mark;
+    timers_.pop();
+    Run([this, mark] { balancer_->OnTimer(Now(), mark); });
+  }
+  ArmTimer();
+}
+
+Sidecar::Holds Sidecar::holds() const {
+  // An accept that is waited for holds a place for who comes.
+  const std::size_t awaited = server_->accepting() ? 1 : 0;
+  return {live_.size(), upstream_.attempts(), server_->clients(), budget_.open - awaited};
 }
 
 void Sidecar::OnList(ListKind kind, const MemberList& list) {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -2,7 +2,6 @@
 #ifndef KELPSPRING_SIDECAR_H_
 #define KELPSPRING_SIDECAR_H_
 
-#include <boost/asio.hpp>
 #include <chrono>
 #include <deque>
 #include <functional>
@@ -29,18 +28,26 @@
 
 class Sidecar : private gaugecart::Actions {
  public:
-  // Throws std::invalid_argument or boost::system::system_error.
-  Sidecar(boost::asio::io_context& io, Config config);
+  // Throws std::invalid_argument or net::Error.
+  Sidecar(net::Loop& loop, Config config, LogSink sink = LogToStandardError);
 
-  boost::asio::ip::tcp::endpoint address() const { return server_->address(); }
+  net::Address address() const { return server_->address(); }
   // Finishes what is held; `done` is called after that.
   void Drain(std::function<void()> done);
   // Takes over what may change while it runs, the address of discovery; the rest of a configuration
   // holds from one start to the next.
   void Reload(const Config& config);
 
+  // What it holds at this moment. With nothing to do, all but clients and sockets is 0.
+  struct Holds {
+    std::size_t requests = 0;
+    std::size_t attempts = 0;
+    std::size_t clients = 0;
+    std::size_t sockets = 0;  // Of clients and of endpoints, idle ones included.
+  };
+  Holds holds() const;
+
  private:
-  using Clock = std::chrono::steady_clock;
   using Micros = gaugecart::Micros;
   using RequestId = gaugecart::RequestId;
 
@@ -69,9 +76,7 @@
   void Log(const std::string& text) override;
 
   Micros Now() const;
-  Clock::time_point At(Micros time) const {
-    return start_ + std::chrono::microseconds(time - epoch_);
-  }
+  net::Time At(Micros time) const { return start_ + std::chrono::microseconds(time - epoch_); }
   void Run(std::function<void()> step);
 
   void OnList(gaugecart::ListKind kind, const MemberList& list);
@@ -86,14 +91,16 @@
   void Gone(RequestId id);
   void EraseIfOver(RequestId id);
   void ArmTimer();
+  void TimerFired();
 
-  boost::asio::io_context& io_;
+  net::Loop& loop_;
+  kelpspring::Log log_;
   Config config_;
-  const Clock::time_point start_;
+  const net::Time start_;
   const Micros epoch_;
   SocketBudget budget_;
   gaugecart::Words words_;
-  std::unordered_map<gaugecart::EndpointId, std::string> hosts_;  // What the list names.
+  std::map<gaugecart::EndpointId, std::string> hosts_;  // What the list names.
   bool has_members_ = false;
   Upstream upstream_;
   Discovery discovery_;
@@ -101,8 +108,8 @@
   bool running_ = false;
   std::unordered_map<RequestId, Live> live_;
   std::priority_queue<Timer> timers_;
-  boost::asio::steady_timer timer_;
-  Micros timer_at_ = 0;
+  net::TimerPtr timer_;
+  Micros timer_at_ = 0;  // 0: not armed.
   std::unique_ptr<gaugecart::Balancer> balancer_;
   std::unique_ptr<Server> server_;
 };
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -1,22 +1,14 @@
 #include "sidecar/upstream.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <optional>
-#include <sstream>
 #include <string>
 #include <utility>
 
-#include "sidecar/log.h"
-
 namespace kelpspring {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
-using asio::ip::tcp;
+namespace http = boost::beast::http;
 using boost::system::error_code;
 using gaugecart::EndpointId;
 using gaugecart::Micros;
@@ -27,7 +19,6 @@
 constexpr std::chrono::microseconds kDefaultIdle = std::chrono::seconds(4);
 constexpr std::chrono::microseconds kDefaultConnect = std::chrono::milliseconds(250);
 constexpr double kIdlePart = 0.8;  // Of the keepalive; past all of it, what is written is lost.
-constexpr std::size_t kReadChunk = 8192;
 // From an answer's first byte to its last: answers are made before they are sent.
 constexpr auto kAnswerSpan = std::chrono::milliseconds(300);
 constexpr int kMostInterim = 8;  // 1xx answers ahead of the real one.
@@ -65,56 +56,49 @@
 
 }  // namespace
 
-class Upstream::Connection : public std::enable_shared_from_this<Connection> {
+class Upstream::Connection : public net::StreamUser,
+                             public std::enable_shared_from_this<Connection> {
  public:
   Connection(Upstream& owner, EndpointId id, const Endpoint& endpoint)
       : owner_(owner),
         id_(id),
         version_(endpoint.version),
         dial_(endpoint.dial),
-        socket_(owner.io_),
-        timer_(owner.io_) {}
+        timer_(owner.loop_.NewTimer([this] { TimeUp(); })) {}
 
-  void Start(Key key, const HttpRequest& message, Clock::time_point until, Done done) {
+  void Start(Key key, HttpRequest& message, net::Time until, Done done) {
     key_ = key;
     message_ = &message;
     until_ = until;
     done_ = std::move(done);
-    sent_ = 0;
     written_ = false;
     const bool reused = state_ == State::kIdle;
-    idle_ = reused ? Clock::now() - idle_since_ : Clock::duration::zero();
+    idle_ = reused ? owner_.loop_.Now() - idle_since_ : net::Span::zero();
     if (reused) return Write();
-    Arm(std::min(until_, Clock::now() + owner_.connect_timeout_));
-    socket_.async_connect(dial_, [self = shared_from_this()](error_code ec) {
-      if (self->state_ == State::kConnecting) self->Connected(ec);
-    });
+    timer_->ArmAt(std::min<net::Time>(until_, owner_.loop_.Now() + owner_.connect_timeout_));
+    stream_ = owner_.loop_.Dial(dial_, *this);
   }
 
   // Whether an idle connection is still good. The pending read sees an end of it too, but only
   // when its turn comes: a request written before that would count as one that may have run.
-  bool Alive() {
-    char byte = 0;
-    const auto n = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-  }
+  bool Alive() { return stream_->Peek() == net::Ahead::kNothing; }
 
   bool connecting() const { return state_ == State::kConnecting; }
-  Clock::time_point idle_since() const { return idle_since_; }
+  net::Time idle_since() const { return idle_since_; }
 
   void Finish(OutcomeCode code, HttpResponse answer = {}, bool reusable = false) {
     const auto self = shared_from_this();
     const Done done = std::exchange(done_, nullptr);
     message_ = nullptr;
-    text_ = {};
+    outgoing_.Clear();
     parser_.reset();
     owner_.attempts_.erase(key_);
     Endpoint* endpoint = owner_.Find(id_);
     if (reusable && endpoint != nullptr && endpoint->ready && endpoint->version == version_) {
       state_ = State::kIdle;
-      idle_since_ = Clock::now();
+      idle_since_ = owner_.loop_.Now();
       endpoint->idle.push_back(self);
-      Arm(idle_since_ + owner_.idle_span_);
+      timer_->ArmAt(idle_since_ + owner_.idle_span_);
       Read();
     } else {
       Close();
@@ -125,21 +109,17 @@
   void Close() {
     if (state_ == State::kClosed) return;
     state_ = State::kClosed;
-    ++timer_turn_;
-    timer_.cancel();
-    error_code ignored;
-    socket_.close(ignored);
+    timer_->Cancel();
+    if (stream_) stream_->Close();
     owner_.budget_.Release();
   }
 
  private:
   enum class State { kConnecting, kBusy, kIdle, kClosed };
 
-  void Connected(error_code ec) {
-    if (ec) return Finish(OutcomeCode::kConnectFailed);
-    error_code ignored;
-    socket_.set_option(tcp::no_delay(true), ignored);
-    socket_.non_blocking(true, ignored);
+  void OnConnected(net::Fault fault) override {
+    const auto self = shared_from_this();
+    if (fault != net::Fault::kNone) return Finish(OutcomeCode::kConnectFailed);
     // The list may have changed while the connection came up: a send counts from its first byte.
     const Endpoint* endpoint = owner_.Find(id_);
     if (endpoint == nullptr || !endpoint->ready || endpoint->version != version_) {
@@ -149,16 +129,13 @@
   }
 
   void Write() {
-    const auto now = Clock::now();
+    const net::Time now = owner_.loop_.Now();
     if (now >= until_) return Finish(OutcomeCode::kConnectFailed);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until_ - now).count();
-    http::request_header<> head = message_->base();
-    head.set("X-Remaining-Ms", std::to_string(std::max<std::int64_t>(1, left)));
-    std::ostringstream text;
-    text << head << message_->body();
-    text_ = text.str();
+    message_->set("X-Remaining-Ms", std::to_string(std::max<std::int64_t>(1, left)));
+    outgoing_.Start(TextOf(*message_));
     state_ = State::kBusy;
-    Arm(until_);
+    timer_->ArmAt(until_);
     NextParser();
     interim_ = 0;
     begun_ = false;
@@ -166,46 +143,51 @@
     if (state_ == State::kBusy) Read();
   }
 
-  // Writes at once what the kernel takes, so that at every moment it is known whether the last byte
-  // has left: a time-out or a reset may come before a handler could have told of it, and an attempt
-  // that may have run must not pass for one that never did.
+  // At every moment it is known whether the last byte has left: a time-out or a reset may come
+  // before a handler could have told of it, and an attempt that may have run must not pass for one
+  // that never did.
   void Flush() {
-    while (sent_ < text_.size()) {
-      error_code ec;
-      sent_ += socket_.write_some(asio::buffer(text_.data() + sent_, text_.size() - sent_), ec);
-      if (ec == asio::error::would_block) {
-        const auto again = [self = shared_from_this(), key = key_](error_code) {
-          if (self->state_ == State::kBusy && self->key_ == key) self->Flush();
-        };
-        return socket_.async_wait(tcp::socket::wait_write, again);
-      }
-      if (ec) return Finish(OutcomeCode::kConnectFailed);  // Its last byte never left.
+    switch (outgoing_.Flush(*stream_)) {
+      case Outgoing::State::kAllOut:
+        written_ = true;
+        return;
+      case Outgoing::State::kBroken:
+        return Finish(OutcomeCode::kConnectFailed);  // Its last byte never left.
+      case Outgoing::State::kMoreToCome:
+        return;
     }
-    written_ = true;
-    text_ = {};
+  }
+
+  void OnWritable() override {
+    const auto self = shared_from_this();
+    if (state_ == State::kBusy && !written_) Flush();
   }
 
   // One read is always pending, also on an idle connection, to see its end at once.
   void Read() {
-    if (reading_) return;
-    reading_ = true;
-    if (buffer_.size() == 0 && buffer_.capacity() > kReadChunk) buffer_.shrink_to_fit();
-    socket_.async_read_some(buffer_.prepare(kReadChunk),
-                            [self = shared_from_this()](error_code ec, std::size_t n) {
-                              self->reading_ = false;
-                              if (self->state_ == State::kClosed) return;
-                              self->buffer_.commit(n);
-                              self->Got(ec);
-                            });
+    incoming_.Trim();
+    stream_->Receive();
   }
 
-  void Got(error_code ec) {
+  void OnBytes(std::string_view bytes) override {
+    const auto self = shared_from_this();
+    incoming_.Append(bytes);
+    Got(net::Fault::kNone);
+  }
+
+  void OnEnd(net::Fault fault) override {
+    const auto self = shared_from_this();
+    Got(fault);
+  }
+
+  void Got(net::Fault fault) {
     if (state_ == State::kIdle) return Drop();  // Its end, or bytes that nobody asked for.
-    if (ec && ec != asio::error::eof) return Broken();
-    while (buffer_.size() > 0 && !parser_->is_done()) {
+    if (fault != net::Fault::kNone && fault != net::Fault::kEnd) return Broken();
+    const bool ended = fault == net::Fault::kEnd;
+    while (!incoming_.empty() && !parser_->is_done()) {
       error_code parse;
-      const std::size_t used = parser_->put(buffer_.data(), parse);
-      buffer_.consume(used);
+      const std::size_t used = parser_->put(incoming_.data(), parse);
+      incoming_.Consume(used);
       if (parse == http::error::need_more || (!parse && used == 0)) break;
       if (parse) return Spoilt();
       if (!parser_->is_header_done()) continue;
@@ -218,17 +200,17 @@
     }
     // What cannot be parsed yet is a head or a chunk's head: one without end must not fill memory.
     if (!parser_->is_done()) {
-      if (ec) return Broken();
-      if (buffer_.size() > kHeaderLimit) return Spoilt();
+      if (ended) return Broken();
+      if (incoming_.size() > kHeaderLimit) return Spoilt();
       // One that is said to be longer than it is would be waited for until the request's end.
-      if (!begun_ && (buffer_.size() > 0 || parser_->is_header_done())) {
+      if (!begun_ && (!incoming_.empty() || parser_->is_header_done())) {
         begun_ = true;
-        Arm(std::min(until_, Clock::now() + kAnswerSpan));
+        timer_->ArmAt(std::min<net::Time>(until_, owner_.loop_.Now() + kAnswerSpan));
       }
       return Read();
     }
     // Bytes beyond the answer belong to no request; the connection is of no further use.
-    const bool reusable = !ec && written_ && parser_->keep_alive() && buffer_.size() == 0;
+    const bool reusable = !ended && written_ && parser_->keep_alive() && incoming_.empty();
     HttpResponse answer = parser_->release();
     const OutcomeCode code = CodeOf(answer);
     // What came before the request was out is no answer to it.
@@ -250,7 +232,7 @@
 
   // Ended. Before the request's last byte was handed over it never ran.
   void Broken() {
-    if (!begun_ && buffer_.size() == 0 && idle_ > kTrustedIdle) owner_.NoteStale(idle_);
+    if (!begun_ && incoming_.empty() && idle_ > kTrustedIdle) owner_.NoteStale(idle_);
     Finish(written_ ? OutcomeCode::kReset : OutcomeCode::kConnectFailed);
   }
 
@@ -260,44 +242,39 @@
     Close();
   }
 
-  void Arm(Clock::time_point at) {
-    timer_.expires_at(at);
-    timer_.async_wait([self = shared_from_this(), turn = ++timer_turn_](error_code) {
-      if (turn != self->timer_turn_) return;  // Armed anew since; this one had already fired.
-      if (self->state_ == State::kIdle) return self->Drop();
-      if (self->begun_) return self->Spoilt();
-      self->Finish(self->state_ == State::kBusy && self->written_ ? OutcomeCode::kTimeout
-                                                                  : OutcomeCode::kConnectFailed);
-    });
+  void TimeUp() {
+    const auto self = shared_from_this();
+    if (state_ == State::kIdle) return Drop();
+    if (begun_) return Spoilt();
+    Finish(state_ == State::kBusy && written_ ? OutcomeCode::kTimeout
+                                              : OutcomeCode::kConnectFailed);
   }
 
   Upstream& owner_;
   EndpointId id_;
   std::uint64_t version_;
-  tcp::endpoint dial_;
-  tcp::socket socket_;
-  asio::steady_timer timer_;
-  std::uint64_t timer_turn_ = 0;
+  net::Address dial_;
+  net::StreamPtr stream_;
+  net::TimerPtr timer_;
   State state_ = State::kConnecting;
-  beast::flat_buffer buffer_;
-  bool reading_ = false;
+  Incoming incoming_;
+  Outgoing outgoing_;
   std::optional<http::response_parser<http::string_body>> parser_;
   Key key_{};
-  const HttpRequest* message_ = nullptr;  // The caller keeps it until the attempt is over.
-  std::string text_;                      // As it goes out.
-  std::size_t sent_ = 0;                  // Of it.
-  bool written_ = false;                  // The kernel has its last byte.
+  HttpRequest* message_ = nullptr;  // The caller keeps it until the attempt is over.
+  bool written_ = false;            // The machine has its last byte.
   int interim_ = 0;
-  bool begun_ = false;      // A part of the answer has come.
-  Clock::duration idle_{};  // How long it lay idle before the present request.
-  Clock::time_point until_;
-  Clock::time_point idle_since_;
+  bool begun_ = false;  // A part of the answer has come.
+  net::Span idle_{};    // How long it lay idle before the present request.
+  net::Time until_;
+  net::Time idle_since_;
   Done done_;
 };
 
-Upstream::Upstream(asio::io_context& io, SocketBudget& budget, std::chrono::microseconds keepalive,
-                   std::chrono::microseconds connect_timeout)
-    : io_(io),
+Upstream::Upstream(net::Loop& loop, Log& log, SocketBudget& budget,
+                   std::chrono::microseconds keepalive, std::chrono::microseconds connect_timeout)
+    : loop_(loop),
+      log_(log),
       budget_(budget),
       idle_span_(keepalive.count() > 0 ? std::chrono::microseconds(static_cast<std::int64_t>(
                                              static_cast<double>(keepalive.count()) * kIdlePart))
@@ -306,6 +283,8 @@
   budget_.evict_idle = [this] { return EvictIdle(); };
 }
 
+Upstream::~Upstream() = default;
+
 Upstream::Endpoint* Upstream::Find(EndpointId id) {
   const auto it = endpoints_.find(id);
   return it == endpoints_.end() ? nullptr : &it->second;
@@ -318,7 +297,7 @@
   endpoints_.erase(it);  // What is still out to it ends by itself.
 }
 
-void Upstream::SetEndpoint(EndpointId id, const tcp::endpoint& dial, bool ready, Micros born) {
+void Upstream::SetEndpoint(EndpointId id, const net::Address& dial, bool ready, Micros born) {
   Endpoint& endpoint = endpoints_[id];
   if ((ready && endpoint.dial != dial) || endpoint.born != born) {
     ++endpoint.version;
@@ -332,8 +311,7 @@
   for (const ConnectionPtr& connection : std::exchange(endpoint.idle, {})) connection->Close();
 }
 
-void Upstream::Send(Key key, EndpointId id, const HttpRequest& message, Clock::time_point until,
-                    Done done) {
+void Upstream::Send(Key key, EndpointId id, HttpRequest& message, net::Time until, Done done) {
   const auto it = endpoints_.find(id);
   if (it == endpoints_.end() || !it->second.ready) {
     return done({OutcomeCode::kNeverSent, {}});
@@ -353,7 +331,7 @@
 // is lost by that. While there is doubt such requests get a connection of their own; repeatable
 // ones go on using what lies idle, and so show for how long the doubt lasts. Harm: handshakes.
 Upstream::ConnectionPtr Upstream::TakeIdle(Endpoint& endpoint, const HttpRequest& message) {
-  const auto now = Clock::now();
+  const net::Time now = loop_.Now();
   const bool wary = now < doubt_until_ && !Repeatable(message);
   while (!endpoint.idle.empty()) {
     ConnectionPtr connection = endpoint.idle.back();
@@ -370,13 +348,13 @@
   return nullptr;
 }
 
-void Upstream::NoteStale(Clock::duration idle) {
-  const auto now = Clock::now();
+void Upstream::NoteStale(net::Span idle) {
+  const net::Time now = loop_.Now();
   if (now >= doubt_until_) {
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(idle).count();
-    LogLine("a connection broke on use without an answer after it lay idle for " +
-            std::to_string(ms) +
-            " ms: requests that must not be repeated get new ones for a while");
+    log_.Line("a connection broke on use without an answer after it lay idle for " +
+              std::to_string(ms) +
+              " ms: requests that must not be repeated get new ones for a while");
   }
   doubt_until_ = now + kDoubtSpan;
 }
--- a/tests/lab/emulation_test.cpp
+++ b/tests/lab/emulation_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio.hpp>
 #include <chrono>
 #include <optional>
 #include <string>
@@ -16,6 +17,7 @@
 #include "lab/experiment.h"
 #include "lab/folder.h"
 #include "lab/plan.h"
+#include "net/sockets.h"
 #include "sidecar/upstream.h"
 
 namespace shelflab {
@@ -49,10 +51,9 @@
       : plan_(ParsePlan(text, "test")),
         account_(plan_.fleet, 50'000, {false, true}),
         emulation_(io_, plan_, {}, [this](const Seen& s) { account_.On(s); }),
-        upstream_(io_, budget_, std::chrono::seconds(60), milliseconds(300)) {
+        upstream_(loop_, log_, budget_, std::chrono::seconds(60), milliseconds(300)) {
     budget_.limit = 1000;
-    upstream_.SetEndpoint(0, emulation_.NodeAddress(0), true, 0);
-    upstream_.SetEndpoint(1, emulation_.NodeAddress(1), true, 0);
+    for (const NodeId node : {0U, 1U}) upstream_.SetEndpoint(node, AddressOf(node), true, 0);
   }
   ~EmulationTest() override {
     emulation_.Stop();
@@ -69,7 +70,7 @@
     message->set("X-Lane", "look");
     message->set("X-Remaining-Ms", std::to_string(patience.count()));
     auto outcome = std::make_shared<Outcome>();
-    upstream_.Send({id, 0}, 0, *message, std::chrono::steady_clock::now() + patience,
+    upstream_.Send({id, 0}, 0, *message, loop_.Now() + patience,
                    [outcome, message](kelpspring::Answer a) { *outcome = std::move(a); });
     return outcome;
   }
@@ -96,6 +97,12 @@
   Plan plan_;
   Account account_;
   Emulation emulation_;
+  net::Address AddressOf(NodeId node) const {
+    return net::Address::V4(0x7f000001, emulation_.NodeAddress(node).port());
+  }
+
+  net::SocketLoop loop_{io_};
+  kelpspring::Log log_{loop_, kelpspring::LogToStandardError};
   kelpspring::SocketBudget budget_;
   kelpspring::Upstream upstream_;
   std::uint64_t next_ = 0;
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -14,6 +14,7 @@
 #include <thread>
 #include <utility>
 
+#include "net/sockets.h"
 #include "sidecar/config.h"
 #include "sidecar/sidecar.h"
 
@@ -185,17 +186,17 @@
 class Running {
  public:
   explicit Running(const std::string& config)
-      : sidecar_(io_, ParseConfig(config)), thread_([this] { io_.run(); }) {}
+      : sidecar_(loop_, ParseConfig(config)), thread_([this] { io_.run(); }) {}
   ~Running() {
     io_.stop();
     if (thread_.joinable()) thread_.join();
   }
   Peer Connect() {
     tcp::socket socket(io_clients_);
-    socket.connect(sidecar_.address());
+    socket.connect(address());
     return Peer(std::move(socket));
   }
-  tcp::endpoint address() const { return sidecar_.address(); }
+  tcp::endpoint address() const { return Loopback(sidecar_.address().port()); }
   void Drain() {
     boost::asio::post(io_, [this] { sidecar_.Drain([this] { io_.stop(); }); });
   }
@@ -207,6 +208,7 @@
  private:
   boost::asio::io_context io_;
   boost::asio::io_context io_clients_;
+  net::SocketLoop loop_{io_};
   Sidecar sidecar_;
   std::thread thread_;
 };
