Play the sidecar's code on a virtual network against faults drawn from a seed

Need: an incident that happens once cannot be studied. src/net/virtual implements the seam with a virtual clock, machines, processes, streams that are cut, late, narrow, broken, forgotten or cut off, and datagrams; ties in time are drawn. src/seeds plays a world on it: nodes of the emulator's model in two tiers, discovery, clients, and sidecars of the real code, all in one process, judged by the account after each event. shelflab seeds plays many on all cores, replays one with its timeline, shrinks one to a short script.

The account no longer tells a late answer as a second one.

--- a/src/emulator/account.cpp
+++ b/src/emulator/account.cpp
@@ -1,6 +1,7 @@
 #include "emulator/account.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace shelflab {
 namespace {
@@ -105,6 +106,7 @@
     r.ended = true;
     return;
   }
+  if (std::exchange(r.late, false)) return;
   if (r.ended) {
     if (seen.kind == Seen::Kind::kFinal)
       Break(Rule::kTwice, seen, Hex(seen.txn) + " answered again");
@@ -167,7 +169,7 @@
     if (it == requests_.end()) continue;
     Request& r = it->second;
     if (r.taken && !r.ended) {
-      r.ended = true;
+      r.ended = r.late = true;
       Seen seen;
       seen.at = at;
       seen.txn = txn;
--- a/src/emulator/account.h
+++ b/src/emulator/account.h
@@ -109,6 +109,7 @@
     Micros last = 0;
     bool taken = false;
     bool ended = false;  // Answered, or nothing is owed.
+    bool late = false;   // Held unanswered; an answer may still come.
     std::uint32_t attempts = 0;
     std::uint32_t unproven = 0;         // Attempts that may have run, or still may.
     std::vector<std::uint64_t> bodies;  // Of whole 200 answers by endpoints.
--- a/src/emulator/catalog.h
+++ b/src/emulator/catalog.h
@@ -51,6 +51,7 @@
   void Hangup(std::uint64_t call);
   // From now on: the lateness of changes (below 0: as specified), calls refused, service gone.
   void SetLateness(Micros lateness) { late_ = lateness < 0 ? spec_.lateness : lateness; }
+  Micros lateness() const { return late_; }
   void SetBusy(bool busy) { busy_ = busy; }
   // Forgets all calls; those who made them get no answer.
   void SetDown(bool down);
--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -21,6 +21,7 @@
 #include "lab/plan.h"
 #include "lab/playback.h"
 #include "lab/rehearsal.h"
+#include "lab/seeds.h"
 
 namespace shelflab {
 namespace {
@@ -386,6 +387,26 @@
   });
 }
 
+void AddSeeds(CLI::App& app) {
+  const auto o = std::make_shared<SeedsOptions>();
+  CLI::App* c = app.add_subcommand(
+      "seeds", "Play scripted faults drawn from seeds on a virtual clock, every rule checked");
+  c->add_option("--from", o->from, "the first seed")->capture_default_str();
+  c->add_option("--count", o->count, "how many seeds")->capture_default_str();
+  c->add_option("--jobs", o->jobs, "at a time; as many as there are cores if not given")
+      ->check(CLI::Range(1, 1024));
+  auto* replay = c->add_option("--replay", o->replay, "play this seed and tell its timeline");
+  c->add_option("--shrink", o->shrink, "find the least script of this seed that still fails")
+      ->excludes(replay);
+  c->add_option("--script", o->script, "play this file, in place of what a seed draws");
+  c->add_option("-o,--out", o->out, "where the figures (JSON) or the shrunk script go");
+  c->add_flag("-q,--quiet", o->quiet, "no progress, no timeline");
+  c->callback([o] {
+    const int code = RunSeeds(*o);
+    if (code != 0) throw CLI::RuntimeError(code);
+  });
+}
+
 }  // namespace
 
 void AddCommands(CLI::App& app) {
@@ -399,6 +420,7 @@
   AddLimits(app);
   AddCapture(app);
   AddPlayback(app);
+  AddSeeds(app);
 }
 
 }  // namespace shelflab
--- /dev/null
+++ b/src/seeds/sidecars.cpp
@@ -0,0 +1,156 @@
+// The world's sidecars: the program's own code, a process on the virtual network each.
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+
+#include "seeds/world.h"
+
+namespace seeds {
+
+using shelflab::kSecond;
+using shelflab::Repeat;
+
+constexpr std::uint16_t kSidecarPort = 7000;
+constexpr std::size_t kMachineDescriptors = 4096;  // What the machine would give.
+constexpr Micros kInFrontAfter = 20'000;
+constexpr Micros kFrontNotices =
+    300'000;  // At a planned restart new connections go on for so long.
+// The longest deadline, counted as 3 s where it is shorter, and 0.7 s: then SIGKILL comes.
+constexpr Micros kKillAfter = 3 * kSecond + 700'000;
+
+net::Address World::SidecarAddress(const Side& side) const {
+  return net::Address::V4(side.host, kSidecarPort);
+}
+
+std::string World::ConfigOf(const Side& side) const {
+  using Json = nlohmann::json;
+  const Scene& scene = script_.scene;
+  const shelflab::ServerSpec& server = spec_.tiers[side.tier].server;
+  Json classes = Json::array();
+  for (const shelflab::ClassSpec& c : spec_.classes) {
+    classes.push_back(
+        {{"name", c.name},
+         {"aim", c.aim},
+         {"giveUp", c.give_up},
+         {"worth", c.worth},
+         {"repeat", c.repeat == Repeat::kIdempotent ? "idempotent" : "at_most_once"}});
+  }
+  Json tenants = Json::array();
+  for (const shelflab::TenantSpec& t : spec_.tenants) {
+    tenants.push_back({{"name", t.name}, {"share", t.share}, {"quotaPerS", t.quota_per_s}});
+  }
+  const bool first = side.tier == 0;
+  const Json settings = {{"classes", classes},
+                         {"tenants", tenants},
+                         {"tiers", Json::array({"front", "store"})},
+                         {"tier", side.tier},
+                         {"me", first ? side.place : side.place - scene.sidecars},
+                         {"groupSize", first ? scene.sidecars : scene.nodes[0]},
+                         {"localities", Json::array({"z"})},
+                         {"zone", "z"},
+                         {"discovery", scene.push ? "push" : "ask"},
+                         {"weights", "none"},
+                         {"round", 5000},
+                         {"domain", {{"passesDeadline", true}}},
+                         {"report", {{"via", "none"}, {"fields", Json::array()}}},
+                         {"permissions",
+                          {{"cancelling", true},
+                           {"connectTimeout", 200'000},
+                           {"keepalive", server.idle_close},
+                           {"maxAttempts", spec_.max_attempts},
+                           {"mayDuplicate", true},
+                           {"retryAfter", true},
+                           {"maxRetryAfter", 2 * kSecond}}},
+                         {"safety",
+                          {{"answerSlack", 20'000},
+                           {"askWithin", 10 * kSecond},
+                           {"coldFrom", server.cold_share},
+                           {"warmUp", server.warm_up},
+                           {"drainGrace", spec_.drain_grace},
+                           {"fall", server.fall},
+                           {"fallMultiple", server.fall_multiple}}}};
+  const auto [seq, rows] = catalog_.Whole(side.tier);
+  const Json config = {
+      {"name", fmt::format("s{}", side.place)},
+      {"listen", SidecarAddress(side).Text()},
+      {"discovery", DoorOf(side, side.other_door).Text()},
+      {"seed",
+       fmt::format("{:016x}", scene.seed * 0x9e3779b97f4a7c15ULL + side.place * 977 + side.life)},
+      {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", scene.descriptors}}},
+      {"known", Json::parse(ListText(seq, true, rows))},
+      {"settings", settings}};
+  return config.dump();
+}
+
+void World::StartSidecar(std::uint32_t place) {
+  Side& side = *sides_[place];
+  side.sidecar.reset();
+  ++side.life;
+  side.draining = false;
+  side.retrying.clear();
+  side.asking.clear();
+  side.births.clear();
+  const auto [seq, rows] = catalog_.Whole(side.tier);
+  side.told = 0;
+  Bury(std::move(side.process));
+  side.process = std::make_unique<net::VirtualProcess>(net_, side.host, fmt::format("s{}", place),
+                                                       kMachineDescriptors);
+  side.sidecar = std::make_unique<kelpspring::Sidecar>(
+      *side.process, kelpspring::ParseConfig(ConfigOf(side)), [this, place](std::string_view line) {
+        Say([&] { return fmt::format("sidecar {}: {}", place, line); });
+      });
+  Say([&] { return fmt::format("sidecar {} starts", place); });
+  // It starts from the present list, and knows nothing of what its last life was told.
+  Tell(place, side.life, seq, true, rows);
+  After(kInFrontAfter, [this, place, life = side.life] {
+    if (sides_[place]->life == life) sides_[place]->in_front = true;
+  });
+}
+
+// A planned restart: SIGTERM, and SIGKILL if it has not ended by then.
+void World::Terminate(std::uint32_t place, Micros down) {
+  Side& side = *sides_[place];
+  if (!side.sidecar || side.draining) return;
+  side.draining = true;
+  const std::uint64_t life = side.life;
+  Say([&] { return fmt::format("sidecar {} gets SIGTERM", place); });
+  After(kFrontNotices, [this, place, life] {
+    if (sides_[place]->life == life) sides_[place]->in_front = false;
+  });
+  side.sidecar->Drain([this, place, life, down] {
+    // From outside of its own call.
+    After(0, [this, place, life, down] {
+      if (sides_[place]->life == life) EndSidecar(place, false, down);
+    });
+  });
+  After(kKillAfter, [this, place, life, down] {
+    if (sides_[place]->life != life || !sides_[place]->sidecar) return;
+    Find("drain without an end", fmt::format("sidecar {} had to be killed", place));
+    EndSidecar(place, true, down);
+  });
+}
+
+// Starts it again after `down`, unless that is never.
+void World::EndSidecar(std::uint32_t place, bool crash, Micros down) {
+  Side& side = *sides_[place];
+  if (!side.sidecar) return;
+  Say([&] { return fmt::format("sidecar {} {}", place, crash ? "is killed" : "ends"); });
+  if (side.process->most_descriptors_held() > script_.scene.descriptors) {
+    Find("more descriptors than allowed",
+         fmt::format("sidecar {} held {} of {}", place, side.process->most_descriptors_held(),
+                     script_.scene.descriptors));
+  }
+  crash ? side.process->Kill() : side.process->Exit();
+  ++side.life;
+  side.draining = false;
+  side.in_front = false;
+  // A process that is gone runs nothing more; its objects go when nothing of it is on the stack.
+  Bury(std::move(side.process));
+  After(0, [sidecar = std::shared_ptr<kelpspring::Sidecar>(std::move(side.sidecar))] {});
+  if (down == shelflab::kNever) return;
+  After(down, [this, place, life = side.life] {
+    if (sides_[place]->life == life) StartSidecar(place);
+  });
+}
+
+}  // namespace seeds
