--- a/include/gaugecart/choice.h
+++ b/include/gaugecart/choice.h
@@ -6,7 +6,9 @@
 #ifndef GAUGECART_CHOICE_H_
 #define GAUGECART_CHOICE_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -61,6 +63,8 @@
   bool may_duplicate = false;  // Two attempts of one request may be out at once.
   bool may_advise = false;     // A refusal may say how long to stay away.
   std::uint32_t max_attempts = 1;
+  // Requests held from which on a pool that has more than its even part of them takes no more in.
+  std::size_t most_held = std::numeric_limits<std::size_t>::max();
   Micros max_advice = 0;
 
   Micros keepalive = 0;  // Idle connections are closed after this long; 0: not known.
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -216,16 +216,11 @@
     const Attempt* first = call.FirstMayHaveRun();
     const ClassSettings& c = ClassOf(call);
     if (first == nullptr || c.repeat != Repeat::kDeduplicated) return true;
-    switch (c.group) {
-      case DedupGroup::kAll:
-        return true;
-      case DedupGroup::kZone:
-        return endpoint.zone == first->zone && first->zone >= 0;
-      case DedupGroup::kCell:
-        return endpoint.cell == first->cell && first->cell >= 0;
-    }
-    return false;
+    if (c.group == DedupGroup::kAll) return true;
+    if (c.group == DedupGroup::kZone) return endpoint.zone == first->zone && first->zone >= 0;
+    return endpoint.cell == first->cell && first->cell >= 0;
   }
+  std::size_t held() const { return calls_.size(); }
 
  private:
   const Settings& settings_;
@@ -929,6 +924,9 @@
     arrivals_[tenant].Add(now, 1.0);
     Level& level = levels_[request.priority_level];
     level.demand.Add(now, Expected(request.priority_level) / 1e6);
+    // More would leave the next no way in, not even to be refused. What a pool's share covers stays.
+    const std::size_t mine = (level.waiting() + level.in_flight) * levels_.size();
+    if (std::min(ledger_.held() - 1, mine) >= settings_.most_held) return Refuse(request.id, now);
     Arm(request.due, Due::kAnswer, request.id);
     const Micros wait = WaitCap(*call, now);
     call->queued = true;
--- a/src/seeds/clients.cpp
+++ b/src/seeds/clients.cpp
@@ -61,6 +61,12 @@
     ask_.reset();
     Close();
   }
+  // Its process stands still: what it sees from now on is late by its own doing.
+  void Excuse() {
+    if (!ask_ || !sent_) return;
+    Tell(Seen::Kind::kGone);
+    muted_ = true;
+  }
   bool slow = false;
 
  private:
@@ -153,6 +159,14 @@
   }
 
   void Tell(Seen::Kind kind, int status = 0, std::uint64_t body = 0) {
+    if (muted_) return;
+    world_.Say([&] {
+      static constexpr std::array<const char*, 4> kWords = {"is sent to", "is answered by",
+                                                            "is cut by", "is given up at"};
+      return fmt::format("{:016x} {} sidecar {}{}", ask_->txn,
+                         kWords[static_cast<std::size_t>(kind)], place,
+                         status == 0 ? std::string() : fmt::format(": {}", status));
+    });
     Seen seen;
     seen.kind = kind;
     seen.at = world_.Now();
@@ -175,7 +189,7 @@
     ask_.reset();
     last_txn_ = ask.txn;
     sent_any_ = true;
-    sent_ = resent_ = slow = false;
+    sent_ = resent_ = slow = muted_ = false;
     world_.Ended(ask, end, advice);
   }
 
@@ -190,6 +204,7 @@
   bool sent_ = false;
   bool sent_any_ = false;
   bool resent_ = false;
+  bool muted_ = false;
   bool used_ = false;
 };
 
@@ -324,6 +339,12 @@
   After(0, [mine] {});
 }
 
+void World::ExcuseCallsOf(const net::VirtualProcess& process) {
+  for (const auto& [number, line] : calls_) {
+    if (&line->process() == &process) line->Excuse();
+  }
+}
+
 // Makes the client's leave reach its sidecar at the instant of the reply to its request.
 void World::CancelWithReply(std::uint64_t txn, net::Time arrival) {
   const auto it = by_txn_.find(txn);
--- a/src/seeds/discovery.cpp
+++ b/src/seeds/discovery.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::uint32_t kDiscoveryHost = 0x0a000101;
 constexpr std::uint16_t kNodePort = 3000;
+constexpr Micros kLookAgain = 1'000;
 constexpr Micros kConnecting = 20'000;  // A connection as young as that may not be up yet.
 
 class DiscoveryLine : public Peer {
@@ -152,12 +153,23 @@
   }
   line.Send(AnswerText(200, "OK", text));
   // It counts as told when it gets there.
+  const auto told = std::static_pointer_cast<DiscoveryLine>(line.shared_from_this());
   net_.At(net::VirtualNet::Arrival(*line.stream()),
-          [this, place = line.sidecar, life = side.life, host = side.host, seq, whole, rows] {
-            if (net_.Reaches(host, kDiscoveryHost)) Tell(place, life, seq, whole, rows);
+          [this, told, life = side.life, seq, whole, rows] {
+            Delivered(told, life, seq, whole, rows);
           });
 }
 
+// What a cut holds up arrives at its end.
+void World::Delivered(const std::shared_ptr<DiscoveryLine>& line, std::uint64_t life,
+                      std::int64_t seq, bool whole, const std::vector<Listed>& rows) {
+  if (net_.Reaches(sides_[line->sidecar]->host, kDiscoveryHost)) {
+    return Tell(line->sidecar, life, seq, whole, rows);
+  }
+  if (life != sides_[line->sidecar]->life) return;
+  After(kLookAgain, [=, this] { Delivered(line, life, seq, whole, rows); });
+}
+
 void World::Tell(std::uint32_t place, std::uint64_t life, std::int64_t seq, bool whole,
                  const std::vector<Listed>& rows) {
   Side& side = *sides_[place];
--- a/src/seeds/faults.cpp
+++ b/src/seeds/faults.cpp
@@ -69,6 +69,8 @@
   };
   const std::uint32_t node_host = nodes_[f.target]->host;
   Side& side = *sides_[f.other];
+  // Inside one machine nothing is cut or forgotten.
+  if (side.host == node_host && (f.kind == Kind::kForget || f.kind == Kind::kBreak)) return;
   switch (f.kind) {
     case Kind::kSlow:
       step(Step::Kind::kNodeSlow, f.size);
@@ -88,6 +90,7 @@
     case Kind::kPause:
       step(Step::Kind::kNodePause, 1);
       nodes_[f.target]->process->SetPaused(true);
+      ExcuseCallsOf(*nodes_[f.target]->process);
       break;
     case Kind::kSilence:
       net_.SetCutOff(node_host, true);
--- a/src/seeds/world.h
+++ b/src/seeds/world.h
@@ -128,6 +128,8 @@
   void AnswerCall(const shelflab::CatalogAnswer& answer);
   void SendList(DiscoveryLine& line, std::int64_t seq, bool whole,
                 const std::vector<shelflab::Listed>& rows);
+  void Delivered(const std::shared_ptr<DiscoveryLine>& line, std::uint64_t life, std::int64_t seq,
+                 bool whole, const std::vector<shelflab::Listed>& rows);
   void Tell(std::uint32_t place, std::uint64_t life, std::int64_t seq, bool whole,
             const std::vector<shelflab::Listed>& rows);
   void TellRow(Side& side, const shelflab::Listed& row);
@@ -149,6 +151,7 @@
   void Begin(Ask ask);
   void Resend(Ask ask);
   void DropCallsOf(const net::VirtualProcess& process);
+  void ExcuseCallsOf(const net::VirtualProcess& process);
   void Ended(const Ask& ask, shelflab::TryEnd end, Micros advice);
   void NewStray(int sort);
   void CancelWithReply(std::uint64_t txn, net::Time arrival);
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -21,6 +21,8 @@
 constexpr auto kAnswerSpan = milliseconds(2500);   // For a client to take its answer.
 constexpr auto kLingerSpan = milliseconds(500);
 constexpr auto kCrossingSpan = milliseconds(100);  // For what has come but was not read yet.
+// From the accept, in which a first request may be on its way: closing would lose it.
+constexpr auto kFreshSpan = milliseconds(20);
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 // At a planned restart the front goes on sending new connections for up to 0.4 s.
 constexpr auto kDrainWindow = std::chrono::milliseconds(500);
@@ -45,6 +47,7 @@
 
 void Client::Start() {
   stream_->SetUser(*this);
+  fresh_until_ = server_.loop_.Now() + kFreshSpan;
   Rest(kFirstSpan);
   Read();
 }
@@ -120,6 +123,7 @@
   timer_->Cancel();
   Yields(std::nullopt);
   first_ = false;
+  fresh_until_ = {};
   HttpRequest request = parser_->release();
   parser_.reset();
   state_ = State::kHeld;
@@ -244,9 +248,7 @@
       listener_(loop.Listen(listen)),
       pause_(loop.NewTimer([this] { Accept(); })),
       drain_timer_(loop.NewTimer([this] { CloseListener(); })),
-      // Clients with a request are a third at most, and each may need one connection to an
-      // endpoint; what is left is for those that have sent nothing usable yet.
-      most_clients_(budget.limit / 3 * 2) {
+      most_clients_(MostClients(budget.limit)) {
   Accept();
 }
 
@@ -254,10 +256,12 @@
   if (accepting_ || closed_) return;
   if (clients_.size() >= most_clients_ && !MakeRoom()) return;
   if (!budget_.Take() && !(MakeRoom() && budget_.Take())) {
+    budget_.client_waits = true;
     budget_.on_room = [this] { loop_.Post([this] { Accept(); }); };
     return;
   }
   accepting_ = true;
+  budget_.client_waits = false;
   listener_->Accept([this](net::Fault fault, net::StreamPtr stream) {
     accepting_ = false;
     if (fault != net::Fault::kNone) return AcceptFailed(fault);
@@ -285,11 +289,18 @@
 // Requests wait unseen in the accept queue, so what is not owed an answer makes room for it: first
 // those that have had their last, then those without a whole request, the longest so first: a fresh
 // one is about to carry a request, and one half read may never be whole. Nothing is walked: under a
-// flood this happens with each connection.
+// flood this happens with each connection. One that has only just come up is spared for a moment,
+// or it would be closed for the next in the queue before its request could get here.
 bool Server::MakeRoom() {
+  const net::Time now = loop_.Now();
   for (const auto& clients : yielding_) {
     for (const auto& [use, client] : clients) {
       if (client->at_rest() && client->HasUnread()) continue;
+      if (client->fresh_until() > now) {
+        // Those after it are fresher still.
+        pause_->ArmAt(client->fresh_until());
+        break;
+      }
       client->Close();
       return true;
     }
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -44,6 +44,8 @@
   // A request, or a part of one, has come and has not been looked at.
   bool HasUnread();
   bool at_rest() const { return state_ == State::kIdle && !parser_; }
+  // Until then its first request may still be on its way: it came up only just now.
+  net::Time fresh_until() const { return fresh_until_; }
   void Close();
 
  private:
@@ -69,6 +71,7 @@
   net::StreamPtr stream_;
   net::TimerPtr timer_;
   bool first_ = true;  // No request has come on it yet.
+  net::Time fresh_until_;
   std::optional<Yield> yields_;
   std::uint64_t used_ = 0;       // Its key there.
   std::size_t linger_left_ = 0;  // Bytes still to be read away.
@@ -92,6 +95,9 @@
   Server& operator=(const Server&) = delete;
 
   net::Address address() const { return listener_->address(); }
+  // Of so many sockets. Clients with a request are a third at most, and each may need one
+  // connection to an endpoint; what is left is for those that have sent nothing usable yet.
+  static std::size_t MostClients(std::size_t sockets) { return sockets / 3 * 2; }
   std::size_t clients() const { return clients_.size(); }
   bool accepting() const { return accepting_; }
   // Stops in order: unhealthy at once, closed to new clients after a while, and `done` is called
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -96,6 +96,8 @@
           },
           [this] { Run([this] { balancer_->OnDiscoveryFailed(Now()); }); }),
       timer_(loop.NewTimer([this] { TimerFired(); })) {
+  // An eighth of the places is left for those who are to be refused.
+  config_.setup.settings.most_held = Server::MostClients(budget_.limit) / 8 * 7;
   Run([this] {
     balancer_ = std::make_unique<gaugecart::Balancer>(
         config_.setup.settings, config_.seed, static_cast<gaugecart::Actions*>(this), Now());
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -319,7 +319,7 @@
   Endpoint& endpoint = it->second;
   ConnectionPtr connection = TakeIdle(endpoint, message);
   if (!connection) {
-    if (!budget_.Take()) return done({OutcomeCode::kConnectFailed, {}});
+    if (!budget_.TakeForAttempt()) return done({OutcomeCode::kConnectFailed, {}});
     connection = std::make_shared<Connection>(*this, id, endpoint);
   }
   attempts_[key] = connection;
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -25,12 +25,16 @@
   std::size_t open = 0;
   std::function<bool()> evict_idle;
   std::function<void()> on_room;  // Called once, at the next release; must not act at once.
+  bool client_waits = false;      // One stands in the accept queue for want of a place.
 
   bool Take() {
     if (open >= limit && !(evict_idle && evict_idle())) return false;
     ++open;
     return true;
   }
+  // For an attempt: the next free place belongs to the client that waits. Attempts end and start
+  // anew at once, and it would wait until its time was over.
+  bool TakeForAttempt() { return !(client_waits && open + 1 >= limit) && Take(); }
   void Release() {
     --open;
     if (on_room) std::exchange(on_room, nullptr)();
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -46,6 +46,23 @@
   EXPECT_EQ(d.recorder.Count(Action::kRefuse), 0u);
 }
 
+// At the limit a request must still get its answer: one that nobody can take in gets none.
+TEST(Path, APoolBeyondItsPartIsRefusedWhereNoMoreCanBeHeld) {
+  Settings s = BasicSettings();
+  s.classes = {Class(Repeat::kIdempotent), Class(Repeat::kIdempotent)};
+  s.most_held = 8;
+  Driver d(s);
+  d.List(Nodes(5));
+  for (RequestId id = 1; id <= 8; ++id) d.Ask(id, 0);
+  EXPECT_EQ(d.recorder.Count(Action::kRefuse), 0u);
+  d.Ask(9, 0);
+  ASSERT_EQ(d.recorder.Count(Action::kRefuse), 1u);
+  for (RequestId id = 11; id <= 14; ++id) d.Ask(id, 1);  // Its own part stays its own.
+  EXPECT_EQ(d.recorder.Count(Action::kRefuse), 1u);
+  d.Ask(15, 1);
+  EXPECT_EQ(d.recorder.Count(Action::kRefuse), 2u);
+}
+
 TEST(Path, ARequestOfAnUnknownLevelOrATwiceGivenIdChangesNothing) {
   Driver d(BasicSettings());
   d.List(Nodes(3));
