Test the checker of the seeded runs with faults compiled into the sidecar

Need: a checker that never fires proves nothing. Tests of the virtual network, of replay, coverage and script files.

--- a/src/net/virtual.cpp
+++ b/src/net/virtual.cpp
@@ -304,7 +304,11 @@
 }
 
 bool VirtualProcess::TakeDescriptor() {
-  if (!alive_ || descriptors_ >= most_descriptors_) return false;
+  if (!alive_) return false;
+  if (descriptors_ >= most_descriptors_) {
+    ++refused_descriptors_;
+    return false;
+  }
   peak_descriptors_ = std::max(peak_descriptors_, ++descriptors_);
   return true;
 }
--- a/src/net/virtual.h
+++ b/src/net/virtual.h
@@ -85,6 +85,8 @@
   std::uint32_t host() const { return host_; }
   std::size_t descriptors() const { return descriptors_; }
   std::size_t most_descriptors_held() const { return peak_descriptors_; }
+  // How often one was wanted and none was left.
+  std::uint64_t refused_descriptors() const { return refused_descriptors_; }
   std::size_t timers_armed() const { return timers_armed_; }
 
  private:
@@ -104,6 +106,7 @@
   std::size_t most_descriptors_;
   std::size_t descriptors_ = 0;
   std::size_t peak_descriptors_ = 0;
+  std::uint64_t refused_descriptors_ = 0;
   std::size_t timers_armed_ = 0;
   std::int64_t wall_step_ = 0;
   bool alive_ = true;
--- a/src/seeds/discovery.cpp
+++ b/src/seeds/discovery.cpp
@@ -197,7 +197,9 @@
   seen.node = row.node;
   seen.sidecar = side.place;
   account_.On(seen);
-  if (row.health == Health::kServing) side.births[row.node] = row.started;
+  if (row.health == Health::kServing && side.births[row.node].first != row.started) {
+    side.births[row.node] = {row.started, Now()};
+  }
   const auto it = connecting_.find(side.place);
   if (row.health == Health::kDraining && it != connecting_.end() && it->second.first == row.node &&
       Now() - it->second.second < kConnecting) {
--- a/src/seeds/endpoints.cpp
+++ b/src/seeds/endpoints.cpp
@@ -247,16 +247,15 @@
   Fact(id, Health::kDeleted, 0);
 }
 
-// A sidecar can spare only a node of whose start it has been told.
+// A sidecar can spare only a node of whose start it was told before the fall began.
 void World::Fell(NodeId id) {
   const Micros now = Now();
   const Micros started = fleet_.View(id).started;
   for (const auto& side : sides_) {
     if (side->tier != fleet_.tier(id) || !side->process) continue;
     const auto it = side->births.find(id);
-    if (it == side->births.end() || it->second < started || now - started < 2 * shelflab::kSecond) {
-      return;
-    }
+    if (it == side->births.end() || it->second.first < started) return;
+    if (now - it->second.second < spec_.tiers[side->tier].server.fall) return;
   }
   Seen seen;
   seen.kind = Seen::Kind::kFellOver;
--- a/src/seeds/faults.cpp
+++ b/src/seeds/faults.cpp
@@ -14,6 +14,7 @@
 using shelflab::NodeState;
 using shelflab::Step;
 
+constexpr Micros kOneMoreChange = 50'000;
 constexpr std::uint32_t kDiscoveryHost = 0x0a000101;
 
 void World::Schedule() {
@@ -137,11 +138,19 @@
       catalog_.SetBusy(true);
       break;
     case Kind::kDiscoveryDown:
-    case Kind::kDiscoveryOld:
-      for (std::uint32_t t : {0U, 1U}) std::tie(old_seq_[t], old_rows_[t]) = catalog_.Whole(t);
       catalog_.SetDown(true);
       StopDiscovery();
       break;
+    case Kind::kDiscoveryOld: {
+      // Something changes before it goes, so that what it knows on its return is older.
+      const auto view = fleet_.View(f.target);
+      if (view.state == NodeState::kServing) Fact(f.target, Health::kServing, view.started, true);
+      After(kOneMoreChange, [this] {
+        catalog_.SetDown(true);
+        StopDiscovery();
+      });
+      break;
+    }
     case Kind::kDiscoveryGarbled:
       garbled_ = true;
       break;
@@ -162,8 +171,8 @@
       return;
     case Kind::kDescriptors:
       if (!side.process) return;
-      side.process->SetDescriptors(side.process->descriptors() + static_cast<std::size_t>(f.size));
-      Count(Moment::kRefusedByDescriptors);
+      side.process->SetDescriptors(static_cast<std::size_t>(
+          std::max(4.0, static_cast<double>(side.process->descriptors()) + f.size)));
       break;
     case Kind::kWallStep:
       if (side.process) side.process->StepWall(static_cast<std::int64_t>(f.size * 1e6));
@@ -268,7 +277,9 @@
     case Kind::kDiscoveryCut:
       return net_.SetCut(side.host, kDiscoveryHost, false);
     case Kind::kDescriptors:
-      if (side.process) side.process->SetDescriptors(4096);
+      if (!side.process) return;
+      if (side.process->refused_descriptors() > 0) Count(Moment::kRefusedByDescriptors);
+      side.process->SetDescriptors(4096);
       return;
     case Kind::kBurst:
       knob_.burst = 1;
--- a/src/seeds/script.h
+++ b/src/seeds/script.h
@@ -41,7 +41,7 @@
   kDiscoveryLate,     // size: seconds.
   kDiscoveryBusy,     //
   kDiscoveryDown,     //
-  kDiscoveryOld,      // Down, and back with the list as it was when it went.
+  kDiscoveryOld,      // Down, and back for `size` seconds with the list of the beginning.
   kDiscoveryGarbled,  // Answers that are no list.
   kDiscoveryCut,      // Sidecar `other` cannot reach it.
   // Sidecars. `other`: its place.
--- a/src/seeds/world.h
+++ b/src/seeds/world.h
@@ -81,9 +81,10 @@
     std::uint64_t life = 0;
     bool in_front = false;  // New requests go to it.
     bool draining = false;
-    bool other_door = false;           // It asks discovery at its second address.
-    std::int64_t told = 0;             // The newest version that it was told.
-    std::map<NodeId, Micros> births;   // As told, of its tier.
+    bool other_door = false;  // It asks discovery at its second address.
+    std::int64_t told = 0;    // The newest version that it was told.
+    // Of its tier's nodes: the start that it was told, and when.
+    std::map<NodeId, std::pair<Micros, Micros>> births;
     std::set<std::uint64_t> retrying;  // Requests that go on after a failed attempt.
     std::set<std::uint64_t> asking;    // Its watches that are open.
   };
@@ -208,7 +209,7 @@
   Knob knob_;
   bool garbled_ = false;
   Micros old_until_ = 0;
-  std::int64_t old_seq_[2] = {0, 0};
+  std::int64_t old_seq_[2] = {0, 0};  // The list as it was at the beginning.
   std::vector<shelflab::Listed> old_rows_[2];
   std::optional<NodeId> drain_on_accept_;
   Micros drain_lasts_ = 0;
--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -8,6 +8,7 @@
 
 #include "settings.h"
 #include "sidecar/http.h"
+#include "sidecar/mutant.h"
 
 namespace kelpspring {
 
@@ -225,7 +226,10 @@
   on_failed_();
 }
 
-void Discovery::PauseOver() { watching_ ? Next() : Watch(); }
+void Discovery::PauseOver() {
+  if (Mutated(Mutant::kBusyLoop)) return pause_->ArmAt(loop_.Now());
+  watching_ ? Next() : Watch();
+}
 
 void Discovery::Fetch() {
   fetcher_->Ask("/catalog/members", kGrace, [this](const std::optional<MemberList>& list) {
--- /dev/null
+++ b/src/sidecar/mutant.h
@@ -0,0 +1,39 @@
+// Faults that can be compiled in, one at a time, to see that the seeded runs find them. The program
+// has none: there every question is answered no at compile time, and nothing of it is left.
+#ifndef KELPSPRING_MUTANT_H_
+#define KELPSPRING_MUTANT_H_
+
+namespace kelpspring {
+
+enum class Mutant {
+  kNone,
+  kDropAnswer,      // The connection is closed in place of an answer.
+  kNoFailure,       // A failure is not told to the client.
+  kAnswerTwice,     //
+  kForgeBody,       // An answer is changed on its way.
+  kCallItUnsent,    // A break after the request was out passes for one before.
+  kRefuseFailures,  // What may have run is refused in place of failed.
+  kManyAttempts,    // The limit on attempts does not hold.
+  kDeafToDrains,    // The list's word on drains is not heard.
+  kBlindToBirths,   // Every node passes for warm.
+  kWrongId,         // Requests go on under another id.
+  kNoBudget,        // Descriptors are not counted.
+  kLeakRequest,     // A request that is over is not forgotten.
+  kLeakSocket,      // A closed connection goes on counting.
+  kAcceptNoMore,    // The first accept that fails is the last.
+  kBusyLoop,        // A timer that is set to now, again and again.
+  kCloseFresh,      // As before seed 447: a fresh connection makes room at once,
+  kHoldAll,         // all places may be held,
+  kAttemptsFirst,   // and attempts take freed places ahead of clients.
+};
+
+#ifdef KELPSPRING_MUTANTS
+inline thread_local Mutant active_mutant = Mutant::kNone;
+inline bool Mutated(Mutant mutant) { return active_mutant == mutant; }
+#else
+constexpr bool Mutated(Mutant) { return false; }
+#endif
+
+}  // namespace kelpspring
+
+#endif  // KELPSPRING_MUTANT_H_
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -3,6 +3,8 @@
 #include <utility>
 #include <vector>
 
+#include "sidecar/mutant.h"
+
 namespace kelpspring {
 
 namespace http = boost::beast::http;
@@ -163,7 +165,10 @@
   response.version(version_);
   response.keep_alive(keep_alive_);
   response.prepare_payload();
-  outgoing_.Start(TextOf(response));
+  std::string text = TextOf(response);
+  if (Mutated(Mutant::kDropAnswer)) return Close();
+  if (Mutated(Mutant::kAnswerTwice)) text += text;
+  outgoing_.Start(std::move(text));
   Arm(kAnswerSpan);
   Flush();
 }
@@ -276,6 +281,7 @@
   if (closed_) return;
   // Out of descriptors, say: an accept at once would fail again, and so on without end.
   log_.Line(std::string("accept: ") + net::WordOf(fault));
+  if (Mutated(Mutant::kAcceptNoMore)) return;
   budget_.evict_idle();
   pause_->ArmAt(loop_.Now() + kAcceptPause);
 }
@@ -296,7 +302,7 @@
   for (const auto& clients : yielding_) {
     for (const auto& [use, client] : clients) {
       if (client->at_rest() && client->HasUnread()) continue;
-      if (client->fresh_until() > now) {
+      if (client->fresh_until() > now && !Mutated(Mutant::kCloseFresh)) {
         // Those after it are fresher still.
         pause_->ArmAt(client->fresh_until());
         break;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -9,6 +9,8 @@
 #include <optional>
 #include <unordered_set>
 
+#include "sidecar/mutant.h"
+
 namespace kelpspring {
 
 namespace beast = boost::beast;
@@ -97,7 +99,11 @@
           [this] { Run([this] { balancer_->OnDiscoveryFailed(Now()); }); }),
       timer_(loop.NewTimer([this] { TimerFired(); })) {
   // An eighth of the places is left for those who are to be refused.
-  config_.setup.settings.most_held = Server::MostClients(budget_.limit) / 8 * 7;
+  if (!Mutated(Mutant::kHoldAll)) {
+    config_.setup.settings.most_held = Server::MostClients(budget_.limit) / 8 * 7;
+  }
+  if (Mutated(Mutant::kManyAttempts)) config_.setup.settings.max_attempts = 9;
+  if (Mutated(Mutant::kNoBudget)) budget_.limit = 100'000;
   Run([this] {
     balancer_ = std::make_unique<gaugecart::Balancer>(
         config_.setup.settings, config_.seed, static_cast<gaugecart::Actions*>(this), Now());
@@ -153,6 +159,8 @@
 }
 
 void Sidecar::Fail(RequestId request) {
+  if (Mutated(Mutant::kNoFailure)) return;
+  if (Mutated(Mutant::kRefuseFailures)) return Refuse(request, 0);
   Run([=, this] { Finish(request, Plain(http::status::bad_gateway, "failed\n")); });
 }
 
@@ -208,14 +216,17 @@
     e.zone = gaugecart::Lookup(config_.setup.zones, m.site);
     e.cell = m.block;
     e.availability = m.health;
-    e.launched = m.born;
+    e.launched = Mutated(Mutant::kBlindToBirths) ? 0 : m.born;
+    if (Mutated(Mutant::kDeafToDrains) && m.health == Availability::kDraining) {
+      e.availability = Availability::kReady;
+    }
     endpoints.push_back(e);
     named.insert(e.id);
     if (m.health == Availability::kGone) {
       Forget(m.host, e.id);
     } else {
       hosts_[e.id] = m.host;
-      upstream_.SetEndpoint(e.id, m.dial, m.health == Availability::kReady, m.born);
+      upstream_.SetEndpoint(e.id, m.dial, e.availability == Availability::kReady, m.born);
     }
   }
   if (kind != ListKind::kChanges) {
@@ -303,6 +314,7 @@
   }
   live.message.body() = std::move(message.body());
   live.message.prepare_payload();
+  if (Mutated(Mutant::kWrongId)) live.message.set("X-Txn", "00000000000000ff");
   live.due = request.due;
   client->OnGone([this, id = request.id] { Gone(id); });
   Run([this, request] { balancer_->OnRequest(Now(), request); });
@@ -343,6 +355,7 @@
       response.set(http::field::content_type, type);
     }
     response.body() = std::move(answer.message.body());
+    if (Mutated(Mutant::kForgeBody)) response.body() += '!';
     Finish(id, std::move(response));
   }
   --it->second.out;  // Not before: a request with nothing out and no client is forgotten.
@@ -377,6 +390,7 @@
 }
 
 void Sidecar::EraseIfOver(RequestId id) {
+  if (Mutated(Mutant::kLeakRequest)) return;
   const auto it = live_.find(id);
   if (it != live_.end() && !it->second.client && it->second.out == 0) live_.erase(it);
 }
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <utility>
 
+#include "sidecar/mutant.h"
+
 namespace kelpspring {
 
 namespace http = boost::beast::http;
@@ -111,7 +113,7 @@
     state_ = State::kClosed;
     timer_->Cancel();
     if (stream_) stream_->Close();
-    owner_.budget_.Release();
+    if (!Mutated(Mutant::kLeakSocket)) owner_.budget_.Release();
   }
 
  private:
@@ -232,6 +234,7 @@
 
   // Ended. Before the request's last byte was handed over it never ran.
   void Broken() {
+    if (Mutated(Mutant::kCallItUnsent)) return Finish(OutcomeCode::kConnectFailed);
     if (!begun_ && incoming_.empty() && idle_ > kTrustedIdle) owner_.NoteStale(idle_);
     Finish(written_ ? OutcomeCode::kReset : OutcomeCode::kConnectFailed);
   }
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -15,6 +15,7 @@
 #include "net/loop.h"
 #include "sidecar/http.h"
 #include "sidecar/log.h"
+#include "sidecar/mutant.h"
 
 namespace kelpspring {
 
@@ -34,7 +35,10 @@
   }
   // For an attempt: the next free place belongs to the client that waits. Attempts end and start
   // anew at once, and it would wait until its time was over.
-  bool TakeForAttempt() { return !(client_waits && open + 1 >= limit) && Take(); }
+  bool TakeForAttempt() {
+    if (client_waits && open + 1 >= limit && !Mutated(Mutant::kAttemptsFirst)) return false;
+    return Take();
+  }
   void Release() {
     --open;
     if (on_room) std::exchange(on_room, nullptr)();
--- /dev/null
+++ b/tests/seeds/seeds_test.cpp
@@ -0,0 +1,85 @@
+// Seeded runs of the sidecar as it is: no rule broken, one seed one history, every rare moment met.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+#include "seeds/run.h"
+
+namespace seeds {
+namespace {
+
+std::string FirstFinding(const RunResult& r) {
+  return r.findings.empty() ? "" : r.findings.front().rule + ": " + r.findings.front().text;
+}
+
+// Split in four, so that they run side by side.
+class SeedsTest : public ::testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(SeedsTest, BreakNoRule) {
+  for (std::uint64_t seed = GetParam(); seed < GetParam() + 50; ++seed) {
+    const RunResult r = Play(Draw(seed));
+    EXPECT_EQ(FirstFinding(r), "") << "seed " << seed;
+    EXPECT_GT(r.attempts, 100U);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(TwoHundred, SeedsTest, ::testing::Values(1, 51, 101, 151));
+
+TEST(Replay, GivesTheSameHistoryAndATimelineChangesNothing) {
+  for (const std::uint64_t seed : {3ULL, 7ULL, 20ULL}) {
+    const RunResult once = Play(Draw(seed));
+    std::size_t lines = 0;
+    const RunResult again = Play(Draw(seed), [&](Micros, const std::string&) { ++lines; });
+    EXPECT_EQ(once.hash, again.hash);
+    EXPECT_EQ(once.events, again.events);
+    EXPECT_GT(lines, 100U);
+    EXPECT_NE(once.hash, Play(Draw(seed + 1)).hash);
+  }
+}
+
+// What shall be rare in the field is common here.
+TEST(Coverage, EveryRareMomentIsMetInSomeOfTwoHundredSeeds) {
+  std::array<int, kMoments> met{};
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    if (std::all_of(met.begin(), met.end(), [](int n) { return n > 0; })) return;
+    const RunResult r = Play(Draw(seed));
+    for (std::size_t m = 0; m < kMoments; ++m) met[m] += r.moments[m] > 0 ? 1 : 0;
+  }
+  for (std::size_t m = 0; m < kMoments; ++m) {
+    EXPECT_GT(met[m], 0) << WordOf(static_cast<Moment>(m));
+  }
+}
+
+TEST(ScriptFile, SaysAllThatASeedDrew) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    const Script script = Draw(seed);
+    const Script read = ParseScript(TextOf(script), "drawn.toml");
+    EXPECT_EQ(TextOf(read), TextOf(script));
+    EXPECT_EQ(read.faults.size(), script.faults.size());
+  }
+}
+
+TEST(ScriptFile, BadOnesAreNamedByLineAndKey) {
+  const auto fault = [](const std::string& text) {
+    try {
+      ParseScript(text, "bad.toml");
+    } catch (const BadScript& e) {
+      return std::string(e.what());
+    }
+    return std::string("accepted");
+  };
+  EXPECT_EQ(fault("x = 1"), "bad.toml: expected a table [scene]");
+  EXPECT_EQ(fault("[scene]\nrate = \"fast\""),
+            "bad.toml:2: scene.rate: expected a number from 0.1 to 10000");
+  EXPECT_EQ(fault("[scene]\nlate = 1"), "bad.toml:2: scene.late: expected no such key");
+  EXPECT_EQ(fault("[scene]\n[[fault]]\nkind = \"flood\"\nat = 1"),
+            "bad.toml:3: fault.kind: expected a kind of fault, such as \"slow\"");
+  EXPECT_EQ(fault("[scene]\n[[fault]]\nkind = \"cut\"\ntarget = 99"),
+            "bad.toml:4: fault.target: expected a number from 0 to 6");
+  EXPECT_EQ(fault("[scene]"), "accepted");
+}
+
+}  // namespace
+}  // namespace seeds
