--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -924,7 +924,7 @@
     arrivals_[tenant].Add(now, 1.0);
     Level& level = levels_[request.priority_level];
     level.demand.Add(now, Expected(request.priority_level) / 1e6);
-    // More would leave the next no way in, not even to be refused. What a pool's share covers stays.
+    // More would leave the next no way in, not even to be refused. A pool keeps its even part.
     const std::size_t mine = (level.waiting() + level.in_flight) * levels_.size();
     if (std::min(ledger_.held() - 1, mine) >= settings_.most_held) return Refuse(request.id, now);
     Arm(request.due, Due::kAnswer, request.id);
