--- a/src/net/address.h
+++ b/src/net/address.h
@@ -27,7 +27,7 @@
   bool v6() const { return v6_; }
   const std::array<std::uint8_t, 16>& bytes() const { return bytes_; }
 
-  auto operator<=>(const Address&) const = default;
+  auto operator<=>(const Address&) const = default;  // NOLINT(modernize-use-nullptr): its error.
 
  private:
   std::array<std::uint8_t, 16> bytes_{};  // In network order; the first 4 for IPv4.
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -91,7 +91,8 @@
   void Cancel() { armed_ = false; }
   void End() {
     armed_ = false;
-    timer_.cancel();
+    error_code ignored;
+    timer_.cancel(ignored);
   }
 
  private:
@@ -296,7 +297,8 @@
     acceptor_.non_blocking(true, ec);
     tcp::socket socket(io_);
     acceptor_.accept(socket, ec);
-    return ec ? nullptr : Accepted(std::move(socket), buffer_);
+    if (ec) return nullptr;
+    return Accepted(std::move(socket), buffer_);
   }
 
   void Close() {
--- a/src/net/virtual.cpp
+++ b/src/net/virtual.cpp
@@ -1,6 +1,5 @@
 #include "net/virtual.h"
 
-#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <algorithm>
@@ -73,7 +72,7 @@
  public:
   VirtualTimer(VirtualProcess& process, std::function<void()> fired)
       : state_(std::make_shared<State>(process, std::move(fired))) {}
-  ~VirtualTimer() override { Cancel(); }
+  ~VirtualTimer() override { VirtualTimer::Cancel(); }
   VirtualTimer(const VirtualTimer&) = delete;
   VirtualTimer& operator=(const VirtualTimer&) = delete;
 
--- a/src/seeds/sidecars.cpp
+++ b/src/seeds/sidecars.cpp
@@ -74,8 +74,8 @@
       {"name", fmt::format("s{}", side.place)},
       {"listen", SidecarAddress(side).Text()},
       {"discovery", DoorOf(side, side.other_door).Text()},
-      {"seed",
-       fmt::format("{:016x}", scene.seed * 0x9e3779b97f4a7c15ULL + side.place * 977 + side.life)},
+      {"seed", fmt::format("{:016x}", scene.seed * 0x9e3779b97f4a7c15ULL +
+                                          std::uint64_t{977} * side.place + side.life)},
       {"limits", {{"cores", 1.0}, {"memory_mb", 64}, {"sockets", scene.descriptors}}},
       {"known", Json::parse(ListText(seq, true, rows))},
       {"settings", settings}};
