Tell a lack of descriptors by its number

Where none is left UBSan cannot look into error categories (it needs a pipe for that) and ended AcceptsAgainAfterDescriptorsRanOut under ctest; the number is compared first.

--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -37,10 +37,12 @@
 
 Fault FaultOf(error_code ec) {
   if (!ec) return Fault::kNone;
+  // By value, and first: where no descriptor is left, sanitizers cannot look into categories. No
+  // other category of Asio's has these values.
+  if (ec.value() == EMFILE || ec.value() == ENFILE) return Fault::kNoDescriptors;
   if (ec == asio::error::eof) return Fault::kEnd;
   if (ec == asio::error::connection_refused) return Fault::kRefused;
   if (ec == asio::error::operation_aborted) return Fault::kClosed;
-  if (ec == asio::error::no_descriptors || ec.value() == ENFILE) return Fault::kNoDescriptors;
   if (ec == asio::error::host_unreachable || ec == asio::error::network_unreachable ||
       ec == asio::error::timed_out) {
     return Fault::kUnreachable;
