Write a host's number, the world's addresses and a call's process once

The change wrote the host of an address out of its bytes twice (now Address::V4Host), the addresses of discovery and nodes twice (now in world.h) and the process behind a call twice (now World::CallerOf).

--- a/src/net/address.cpp
+++ b/src/net/address.cpp
@@ -15,6 +15,12 @@
   return address;
 }
 
+std::uint32_t Address::V4Host() const {
+  std::uint32_t host = 0;
+  for (std::size_t i = 0; i < 4; ++i) host = host << 8 | bytes_[i];
+  return host;
+}
+
 Address Address::FromBytes(const std::array<std::uint8_t, 16>& bytes, bool v6, std::uint16_t port) {
   Address address;
   address.bytes_ = bytes;
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -21,8 +21,9 @@
   // From the bytes of the network, 4 or 16 of them.
   static Address FromBytes(const std::array<std::uint8_t, 16>& bytes, bool v6, std::uint16_t port);
 
-  std::string Host() const;  // "10.0.0.4"
-  std::string Text() const;  // "10.0.0.4:3000", "[::1]:3000"
+  std::uint32_t V4Host() const;  // As V4 takes it; of IPv4 only.
+  std::string Host() const;      // "10.0.0.4"
+  std::string Text() const;      // "10.0.0.4:3000", "[::1]:3000"
   std::uint16_t port() const { return port_; }
   bool v6() const { return v6_; }
   const std::array<std::uint8_t, 16>& bytes() const { return bytes_; }
--- a/src/net/virtual.cpp
+++ b/src/net/virtual.cpp
@@ -31,12 +31,6 @@
   kResumeTag,
 };
 
-std::uint32_t HostOf(const Address& address) {
-  std::uint32_t host = 0;
-  for (std::size_t i = 0; i < 4; ++i) host = host << 8 | address.bytes()[i];
-  return host;
-}
-
 std::pair<std::uint32_t, std::uint32_t> Pair(std::uint32_t a, std::uint32_t b) {
   return {std::min(a, b), std::max(a, b)};
 }
@@ -248,7 +242,7 @@
   Address address() const override { return address_; }
   bool Send(const Address& to, std::string_view bytes) override {
     VirtualNet& net = process_.net_;
-    const std::uint32_t there = HostOf(to);
+    const std::uint32_t there = to.V4Host();
     const Weather& weather = net.WeatherBetween(process_.host_, there);
     if (!process_.alive_ || net.random_.Chance(weather.lose)) return process_.alive_;
     const int copies = net.random_.Chance(weather.repeat) ? 2 : 1;
@@ -322,10 +316,10 @@
   mine.open = true;
   net_.next_port_ = net_.next_port_ < 60000 ? net_.next_port_ + 1 : 20000;
   mine.address = Address::V4(host_, net_.next_port_);
-  c->ends[1].host = HostOf(to);
+  c->ends[1].host = to.V4Host();
   c->ends[1].address = to;
   const bool counted = TakeDescriptor();
-  const Weather& weather = net_.WeatherBetween(host_, HostOf(to));
+  const Weather& weather = net_.WeatherBetween(host_, to.V4Host());
   const auto fail = [this, c](Time at, Fault fault) {
     net_.PutFor(*this, at, true, kUpTag, [c, fault] {
       if (c->ends[0].open && c->ends[0].user != nullptr) c->ends[0].user->OnConnected(fault);
@@ -334,16 +328,16 @@
   if (!counted) {
     fail(net_.now_, Fault::kNoDescriptors);
   } else if (net_.random_.Chance(weather.refuse)) {
-    fail(net_.Travel(host_, HostOf(to)), Fault::kRefused);
+    fail(net_.Travel(host_, to.V4Host()), Fault::kRefused);
   } else if (!net_.random_.Chance(weather.ignore)) {
-    net_.PutDrawn(net_.Travel(host_, HostOf(to)), kKnockTag, [net = &net_, c] { net->Knock(c); });
+    net_.PutDrawn(net_.Travel(host_, to.V4Host()), kKnockTag, [net = &net_, c] { net->Knock(c); });
   }
   return std::make_unique<VirtualStream>(*this, c, 0, counted);
 }
 
 ListenerPtr VirtualProcess::Listen(const Address& at) {
   Address address = at;
-  if (at.port() == 0) address = Address::V4(HostOf(at), ++net_.next_port_);
+  if (at.port() == 0) address = Address::V4(at.V4Host(), ++net_.next_port_);
   if (net_.listeners_.count(address) != 0) {
     throw Error(Fault::kOther, "listen at " + address.Text() + ": in use");
   }
@@ -355,7 +349,7 @@
 
 DatagramsPtr VirtualProcess::Bind(const Address& at, Datagrams::OnMessage on_message) {
   Address address = at;
-  if (at.port() == 0) address = Address::V4(HostOf(at), ++net_.next_port_);
+  if (at.port() == 0) address = Address::V4(at.V4Host(), ++net_.next_port_);
   if (net_.bound_.count(address) != 0) {
     throw Error(Fault::kOther, "datagrams at " + address.Text() + ": in use");
   }
--- a/src/seeds/clients.cpp
+++ b/src/seeds/clients.cpp
@@ -255,10 +255,13 @@
   Begin(std::move(ask));
 }
 
+net::VirtualProcess& World::CallerOf(const Ask& ask) {
+  return ask.attempt == 0 ? *client_ : *nodes_[open_.at(ask.attempt).node]->process;
+}
+
 void World::Begin(Ask ask) {
   ++result_.requests;
-  net::VirtualProcess& from =
-      ask.attempt == 0 ? *client_ : *nodes_[open_.at(ask.attempt).node]->process;
+  net::VirtualProcess& from = CallerOf(ask);
   std::shared_ptr<CallLine> line;
   for (const auto& [number, candidate] : calls_) {
     if (candidate->idle() && candidate->place == ask.sidecar && &candidate->process() == &from) {
@@ -294,8 +297,7 @@
     account_.On(seen);
     return Ended(ask, TryEnd::kFailed, 0);
   }
-  net::VirtualProcess& from =
-      ask.attempt == 0 ? *client_ : *nodes_[open_.at(ask.attempt).node]->process;
+  net::VirtualProcess& from = CallerOf(ask);
   const auto line = std::make_shared<CallLine>(*this, from, ask.sidecar, ++next_line_);
   calls_.emplace(line->number, line);
   line->life_ = sides_[ask.sidecar]->life;
--- a/src/seeds/discovery.cpp
+++ b/src/seeds/discovery.cpp
@@ -19,8 +19,6 @@
 using shelflab::Reader;
 using shelflab::Seen;
 
-constexpr std::uint32_t kDiscoveryHost = 0x0a000101;
-constexpr std::uint16_t kNodePort = 3000;
 constexpr Micros kLookAgain = 1'000;
 constexpr Micros kConnecting = 20'000;  // A connection as young as that may not be up yet.
 
--- a/src/seeds/endpoints.cpp
+++ b/src/seeds/endpoints.cpp
@@ -20,7 +20,6 @@
 using shelflab::Reader;
 using shelflab::Seen;
 
-constexpr std::uint16_t kNodePort = 3000;
 constexpr Micros kSweep = 50'000;
 
 class NodeLine : public Peer {
@@ -81,10 +80,8 @@
     if (fault != net::Fault::kNone) return;
     Node& node = *nodes_[id];
     std::uint32_t from = UINT32_MAX;
-    std::uint32_t host = 0;
-    const auto peer = stream->peer().bytes();
-    for (std::size_t i = 0; i < 4; ++i) host = host << 8 | peer[i];
-    if (const auto it = side_of_host_.find(host); it != side_of_host_.end()) from = it->second;
+    const auto it = side_of_host_.find(stream->peer().V4Host());
+    if (it != side_of_host_.end()) from = it->second;
     const auto line = std::make_shared<NodeLine>(*this, id, from, ++next_line_);
     node.connections.Opened(Now(), line->id);
     node.lines.emplace(line->id, line);
--- a/src/seeds/faults.cpp
+++ b/src/seeds/faults.cpp
@@ -15,7 +15,6 @@
 using shelflab::Step;
 
 constexpr Micros kOneMoreChange = 50'000;
-constexpr std::uint32_t kDiscoveryHost = 0x0a000101;
 
 void World::Schedule() {
   for (const Fault& f : script_.faults) {
--- a/src/seeds/world.h
+++ b/src/seeds/world.h
@@ -27,6 +27,9 @@
 
 using shelflab::NodeId;
 
+constexpr std::uint32_t kDiscoveryHost = 0x0a000101;
+constexpr std::uint16_t kNodePort = 3000;
+
 class NodeLine;
 class DiscoveryLine;
 class CallLine;
@@ -151,6 +154,7 @@
   void Retry(Ask ask);
   void Begin(Ask ask);
   void Resend(Ask ask);
+  net::VirtualProcess& CallerOf(const Ask& ask);
   void DropCallsOf(const net::VirtualProcess& process);
   void ExcuseCallsOf(const net::VirtualProcess& process);
   void Ended(const Ask& ask, shelflab::TryEnd end, Micros advice);
