--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -7,6 +7,8 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <span>
+#include <string_view>
 #include <utility>
 
 #include "net/sockets.h"
@@ -28,10 +30,17 @@
 
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
   try {
     std::signal(SIGPIPE, SIG_IGN);
+    const std::span<char*> words(argv, static_cast<std::size_t>(argc));
+    const bool traced = words.size() == 2 && words[1] == std::string_view("--trace");
+    if (words.size() > 1 && !traced) {
+      std::cerr << "kelpspring: " << words[1] << ": expected no argument, or --trace" << std::endl;
+      return 2;
+    }
     kelpspring::Config config = kelpspring::LoadConfig(std::getenv("PROXY_CONFIG"));
+    config.traced = traced;
     rlimit files{};
     if (getrlimit(RLIMIT_NOFILE, &files) == 0 && files.rlim_cur < config.sockets) {
       config.sockets = std::max<std::size_t>(files.rlim_cur, kelpspring::kFewestSockets);
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -10,10 +10,11 @@
 #include <deque>
 #include <limits>
 #include <queue>
-#include <stdexcept>
 #include <unordered_map>
 #include <utility>
 
+#include "validate.h"
+
 namespace gaugecart {
 namespace {
 
@@ -108,42 +109,6 @@
   Micros since_ = -1;
 };
 
-// ---- Settings ----
-
-void Require(bool ok, const std::string& what) {
-  if (!ok) throw std::invalid_argument("gaugecart settings: " + what);
-}
-
-void Validate(const Settings& s) {
-  Require(!s.classes.empty(), "classes is empty");
-  for (std::size_t i = 0; i < s.classes.size(); ++i) {
-    const std::string at = "classes[" + std::to_string(i) + "].";
-    const ClassSettings& c = s.classes[i];
-    Require(c.aim > 0, at + "aim must be positive");
-    Require(c.give_up > 0, at + "give_up must be positive");
-    Require(c.dedup_window >= 0, at + "dedup_window must not be negative");
-    Require(std::isfinite(c.worth) && c.worth >= 0, at + "worth must be a number from 0 up");
-    Require(std::isfinite(c.late_share), at + "late_share must be a number");
-  }
-  for (std::size_t i = 0; i < s.tenants.size(); ++i) {
-    const std::string at = "tenants[" + std::to_string(i) + "].";
-    const TenantSettings& t = s.tenants[i];
-    Require(std::isfinite(t.share) && t.share >= 0, at + "share must be a number from 0 up");
-    Require(std::isfinite(t.quota_per_s) && t.quota_per_s >= 0,
-            at + "quota_per_s must be a number from 0 up");
-  }
-  Require(s.group_size >= 1, "group_size must be at least 1");
-  Require(s.max_attempts >= 1, "max_attempts must be at least 1");
-  Require(s.round > 0, "round must be positive");
-  Require(s.keepalive >= 0, "keepalive must not be negative");
-  Require(s.ask_within > 0, "ask_within must be positive");
-  Require(s.drain_grace >= 0, "drain_grace must not be negative");
-  Require(s.warm_up >= 0, "warm_up must not be negative");
-  Require(s.fall >= 0, "fall must not be negative");
-  Require(s.cold_from > 0 && s.cold_from <= 1, "cold_from must be above 0 and at most 1");
-  Require(std::isfinite(s.fall_multiple) && s.fall_multiple > 0, "fall_multiple must be positive");
-}
-
 // ---- The ledger: what was taken, what may have run, what is lawful ----
 
 struct Attempt {
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -21,6 +21,7 @@
   std::size_t sockets = 1024;  // File descriptors it may hold.
   MemberList known;
   gaugecart::Setup setup;
+  bool traced = false;  // A line for each event; asked for on the command line.
 };
 
 // Throws gaugecart::BadInput naming the field at fault.
--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -80,6 +80,7 @@
   void Ask(const std::string& target, std::chrono::milliseconds wait, Done done) {
     if (done_) return;  // One at a time; what is under way brings the list as well.
     done_ = std::move(done);
+    log_.Trace([&] { return "ask " + target; });
     limit_ = wait + kGrace;
     http::request<http::string_body> request{http::verb::get, target, 11};
     request.set(http::field::host, address_.Host());
@@ -163,6 +164,7 @@
 
   void Fail(const std::string& why) {
     log_.Line("discovery: " + why);
+    log_.Trace([&] { return "unanswered " + why; });
     Drop();
     std::exchange(done_, nullptr)(std::nullopt);
   }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -45,6 +45,28 @@
                                                   "X-Org",      "X-Entity", "X-Resent",
                                                   "X-Estimate", "X-Labels", "Idempotency-Key"};
 
+const char* WordOf(OutcomeCode code) {
+  switch (code) {
+    case OutcomeCode::kOk:
+      return "ok";
+    case OutcomeCode::kError:
+      return "error";
+    case OutcomeCode::kFull:
+      return "full";
+    case OutcomeCode::kTimeout:
+      return "timeout";
+    case OutcomeCode::kConnectFailed:
+      return "connect_failed";
+    case OutcomeCode::kReset:
+      return "reset";
+    case OutcomeCode::kCancelled:
+      return "cancelled";
+    case OutcomeCode::kNeverSent:
+      return "never_sent";
+  }
+  return "unknown";
+}
+
 HttpResponse Plain(http::status status, const char* text) {
   HttpResponse response{status, 11};
   response.set(http::field::content_type, "text/plain");
@@ -82,7 +104,7 @@
 
 Sidecar::Sidecar(net::Loop& loop, Config config, LogSink sink)
     : loop_(loop),
-      log_(loop, std::move(sink)),
+      log_(loop, std::move(sink), config.traced),
       config_(std::move(config)),
       start_(loop.Now()),
       // Unix time once, so that endpoints' start times compare; from then on a clock no step moves.
@@ -108,6 +130,11 @@
     balancer_ = std::make_unique<gaugecart::Balancer>(
         config_.setup.settings, config_.seed, static_cast<gaugecart::Actions*>(this), Now());
   });
+  log_.Trace([&] {
+    const gaugecart::Settings& own = config_.setup.settings;
+    return "start " + config_.name + " tier " + std::to_string(own.tier) + " number " +
+           std::to_string(own.me) + " of " + std::to_string(own.group_size);
+  });
   OnList(ListKind::kStale, config_.known);
   server_ = std::make_unique<Server>(
       loop, log_, config_.listen, budget_, [this] { return has_members_; },
@@ -147,6 +174,7 @@
 
 void Sidecar::Refuse(RequestId request, Micros advice) {
   Run([=, this] {
+    log_.Trace([&] { return "refused " + std::to_string(request); });
     HttpResponse response = Plain(http::status::service_unavailable, "refused: try again\n");
     if (advice > 0) {
       std::array<char, 32> text{};
@@ -161,7 +189,10 @@
 void Sidecar::Fail(RequestId request) {
   if (Mutated(Mutant::kNoFailure)) return;
   if (Mutated(Mutant::kRefuseFailures)) return Refuse(request, 0);
-  Run([=, this] { Finish(request, Plain(http::status::bad_gateway, "failed\n")); });
+  Run([=, this] {
+    log_.Trace([&] { return "failed " + std::to_string(request); });
+    Finish(request, Plain(http::status::bad_gateway, "failed\n"));
+  });
 }
 
 void Sidecar::Cancel(RequestId request, std::uint32_t attempt) {
@@ -239,6 +270,13 @@
       if (named.count(id) == 0) Forget(host, id);
     }
   }
+  log_.Trace([&] {
+    std::string text = "list " + std::to_string(list.seq) + (list.whole ? " whole" : " changes");
+    for (const Member& m : list.members) {
+      text += ' ' + m.host + '=' + std::to_string(static_cast<int>(m.health));
+    }
+    return text;
+  });
   has_members_ = has_members_ || !endpoints.empty();
   Run([this, kind, endpoints = std::move(endpoints)] {
     balancer_->OnEndpoints(Now(), kind, endpoints);
@@ -320,6 +358,11 @@
   if (Mutated(Mutant::kWrongId)) live.message.set("X-Txn", "00000000000000ff");
   live.due = request.due;
   client->OnGone([this, id = request.id] { Gone(id); });
+  log_.Trace([&] {
+    return "request " + std::to_string(request.id) + " tier " +
+           std::to_string(config_.setup.settings.tier) + " level " +
+           std::to_string(request.priority_level) + " left " + std::to_string(request.due - Now());
+  });
   Run([this, request] { balancer_->OnRequest(Now(), request); });
 }
 
@@ -337,6 +380,10 @@
   if (!live.client || now >= until || attempt >= config_.setup.settings.max_attempts) {
     return done({OutcomeCode::kNeverSent, {}});
   }
+  log_.Trace([&] {
+    return "send " + std::to_string(id) + ' ' + std::to_string(attempt) + " to " + hosts_[endpoint] +
+           " age " + std::to_string(upstream_.Age(endpoint, now));
+  });
   upstream_.Send({id, attempt}, endpoint, live.message, At(until), done);
 }
 
@@ -350,6 +397,11 @@
   outcome.endpoint = endpoint;
   outcome.code = answer.code;
   outcome.rtt = Now() - sent;
+  log_.Trace([&] {
+    return "outcome " + std::to_string(id) + ' ' + std::to_string(attempt) + " from " +
+           (hosts_.count(endpoint) != 0 ? hosts_[endpoint] : "gone") + ' ' + WordOf(answer.code) +
+           " after " + std::to_string(outcome.rtt);
+  });
   outcome.report = ParseLoad(View(answer.message["X-Pressure"]));
   if (answer.code == OutcomeCode::kOk) {
     // Its head is built anew: framing and extras of an endpoint's are between the two of us.
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -78,6 +78,7 @@
     idle_ = reused ? owner_.loop_.Now() - idle_since_ : net::Span::zero();
     if (reused) return Write();
     timer_->ArmAt(std::min<net::Time>(until_, owner_.loop_.Now() + owner_.connect_timeout_));
+    owner_.log_.Trace([&] { return "connect " + dial_.Text(); });
     stream_ = owner_.loop_.Dial(dial_, *this);
   }
 
@@ -293,6 +294,11 @@
   return it == endpoints_.end() ? nullptr : &it->second;
 }
 
+Micros Upstream::Age(EndpointId id, Micros now) const {
+  const auto it = endpoints_.find(id);
+  return it == endpoints_.end() || it->second.born == 0 ? -1 : now - it->second.born;
+}
+
 void Upstream::Forget(EndpointId id) {
   const auto it = endpoints_.find(id);
   if (it == endpoints_.end()) return;
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -76,6 +76,8 @@
   void Withdraw(Key key);
   bool EvictIdle();
   std::size_t attempts() const { return attempts_.size(); }
+  // Microseconds since the endpoint's process started; -1 where it is long ago or not known.
+  gaugecart::Micros Age(gaugecart::EndpointId id, gaugecart::Micros now) const;
 
  private:
   class Connection;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -2,9 +2,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <random>
 
 #include "harness.h"
@@ -179,16 +181,25 @@
   double per_node_per_s;  // What a warm node bears, and by assumption all it can.
 };
 
-// Sends of a whole group to each cold endpoint, over every window of the rule's length.
-void CheckColdBudget(const ColdDay& day) {
+constexpr Micros kColdStart = 1'000'000'000;
+constexpr Micros kColdBorn = kColdStart + 5'000'000;
+constexpr Micros kColdTold = kColdBorn + 500'000;
+
+Settings ColdSettings(const ColdDay& day) {
   Settings s = BasicSettings();
   s.group_size = day.group;
   s.cold_from = 0.2;
   s.warm_up = 10'000'000;
   s.fall_multiple = 3.0;
   s.fall = 1'000'000;
+  return s;
+}
+
+// When a whole group sent to each cold endpoint.
+std::map<EndpointId, std::vector<Micros>> ColdSends(const ColdDay& day) {
+  Settings s = ColdSettings(day);
   std::vector<std::unique_ptr<Driver>> drivers;
-  const Micros start = 1'000'000'000;
+  const Micros start = kColdStart;
   for (std::uint32_t i = 0; i < day.group; ++i) {
     s.me = i;
     drivers.push_back(std::make_unique<Driver>(s, i + 1, start));
@@ -206,11 +217,11 @@
   RequestId id = 0;
   const double rate = day.per_node_per_s * day.warm / 1e6;  // Arrivals a microsecond.
   std::exponential_distribution<> gap(rate);
-  const Micros born = start + 5'000'000;
+  const Micros born = kColdBorn;
   bool told = false;
   for (double t = 0; t < 15e6; t += gap(rng)) {
     const Micros now = start + static_cast<Micros>(t);
-    if (!told && now >= born + 500'000) {
+    if (!told && now >= kColdTold) {
       told = true;
       std::vector<Endpoint> nodes = Nodes(day.warm);
       for (EndpointId c = 0; c < day.cold; ++c) nodes.push_back(Node(1'000 + c, born));
@@ -238,8 +249,15 @@
     drivers[who]->Ask(++id);
     collect(who);
   }
+  return sends;
+}
+
+// Sends of a whole group to each cold endpoint, over every window of the rule's length.
+void CheckColdBudget(const ColdDay& day) {
+  const Settings s = ColdSettings(day);
+  const Micros born = kColdBorn;
   std::size_t total = 0;
-  for (const auto& [node, times] : sends) {
+  for (const auto& [node, times] : ColdSends(day)) {
     total += times.size();
     for (std::size_t i = 0; i < times.size(); ++i) {
       const Micros end = times[i] + s.fall;
@@ -258,6 +276,24 @@
 TEST(Cold, SeveralAreKeptWithinTheirBudgetByManyBalancers) { CheckColdBudget({80, 20, 6, 20}); }
 TEST(Cold, MostOfTheFleetIsKeptWithinItsBudget) { CheckColdBudget({30, 10, 25, 20}); }
 
+// Seen on days at size: told by one list of new endpoints, all balancers of a group began to save up
+// for them at the same instant. For seconds these got nothing, then a call of every balancer at
+// once, many times what a cold endpoint can do; it never came back from that.
+TEST(Cold, AHundredBalancersMeetNewEndpointsOneAfterTheOther) {
+  const ColdDay day{100, 20, 12, 10};
+  constexpr int kSeconds = 6;
+  std::array<int, kSeconds> by_second{};
+  for (const auto& [node, times] : ColdSends(day)) {
+    for (const Micros at : times) {
+      if (const auto second = (at - kColdTold) / 1'000'000; second < kSeconds) ++by_second[second];
+    }
+  }
+  const int total = std::accumulate(by_second.begin(), by_second.end(), 0);
+  // Even would be a sixth each; cold ones gain capacity meanwhile, and counts vary by chance.
+  EXPECT_GE(by_second[0] * kSeconds * 3, total);
+  EXPECT_LE(*std::max_element(by_second.begin(), by_second.end()) * kSeconds, 2 * total);
+}
+
 // A release that replaces every endpoint leaves no warm one to measure by. Their share used to fade
 // with the last of them, and what came was refused until the new ones were warm.
 TEST(Cold, AFleetReplacedAsAWholeGoesOnServing) {
