Let a cold endpoint's budget follow what warm ones have borne, not what they get now

Cause: where warm endpoints are jammed and calls refused, a warm one's share falls to a third, and with it what every sidecar allows the young ones, which held 2 to 5 attempts and answered all. Checked and ruled out: a limit that binds (14 seats, 8 used), the subset's size (all 16). Change: the share rises at once and is forgotten over the warm-up time; nothing is held of the first 4 s.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -97,6 +97,7 @@
     const double age = std::max<double>(1e5, static_cast<double>(now - since_)) / kRateSpan;
     return sum_ / (1.0 - std::exp(-age)) * 1e6 / kRateSpan;
   }
+  bool Settled(Micros now) const { return since_ >= 0 && now - since_ >= kRateSpan; }
 
  private:
   void Fade(Micros now) {
@@ -539,8 +540,18 @@
     return s.cold_credit >= 1.0;
   }
 
+  // What a warm member has borne, forgotten over the time that an endpoint takes to warm up: of
+  // what is sent now less tells that warm ones are shunned or calls refused, not what one can do.
   void NoteWarmShare(Micros now) {
-    if (warm_members_ >= 1.0) warm_share_ = warm_sends_.Rate(now) / warm_members_;
+    if (warm_members_ < 1.0) return;
+    const double passed = static_cast<double>(now - warm_share_at_);
+    warm_share_at_ = now;
+    // The first calls after a start make a rate of a moment's length.
+    const double held =
+        warm_sends_.Settled(now)
+            ? warm_share_ * std::exp(-passed / static_cast<double>(settings_.warm_up + 1))
+            : 0.0;
+    warm_share_ = std::max(held, warm_sends_.Rate(now) / warm_members_);
   }
 
   const std::vector<Server*>& Subset(Micros now) {
@@ -650,6 +661,7 @@
   std::size_t cursor_ = 0;
   double warm_members_ = 0.0;
   double warm_share_ = 0.0;  // What a warm member got, while there was one.
+  Micros warm_share_at_ = 0;
   double usual_failure_ = 0.0;
   std::vector<double> usual_by_level_;
   Fading warm_sends_;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -295,6 +295,36 @@
   EXPECT_LE(*std::max_element(by_second.begin(), by_second.end()) * kSeconds, 2 * total);
 }
 
+// Seen on days at size: where warm endpoints were jammed and calls refused, what a warm one got
+// fell and with it what young ones were allowed, though these had room. Here a lull does the same.
+TEST(Cold, ALullDoesNotShrinkWhatAYoungEndpointMayGet) {
+  Settings s = BasicSettings();
+  s.warm_up = 40'000'000;
+  Driver d(s);
+  d.List(Nodes(4));
+  RequestId id = 0;
+  std::size_t young = 0;
+  const auto play = [&](Micros span, Micros gap) {
+    young = 0;
+    for (const Micros end = d.now + span; d.now < end;) {
+      d.Advance(d.now + gap);
+      d.recorder.Take();
+      d.Ask(++id);
+      for (const Action& a : d.Sends()) {
+        d.Answer(a.request, a.endpoint, OutcomeCode::kOk);
+        young += a.endpoint >= 10 ? 1 : 0;
+      }
+    }
+  };
+  play(10'000'000, 12'500);  // 80 a second, 20 or more to each of the subset.
+  std::vector<Endpoint> nodes = Nodes(4);
+  for (EndpointId i = 10; i < 14; ++i) nodes.push_back(Node(i, d.now));
+  d.List(nodes);
+  play(8'000'000, 1'000'000);
+  play(1'000'000, 12'500);
+  EXPECT_GE(young, 30u);
+}
+
 // A release that replaces every endpoint leaves no warm one to measure by. Their share used to fade
 // with the last of them, and what came was refused until the new ones were warm.
 TEST(Cold, AFleetReplacedAsAWholeGoesOnServing) {
