--- a/src/lab/seeds.cpp
+++ b/src/lab/seeds.cpp
@@ -19,6 +19,7 @@
 
 #include "lab/plan.h"
 #include "seeds/run.h"
+#include "seeds/size.h"
 
 namespace shelflab {
 namespace {
@@ -39,6 +40,11 @@
 }
 
 Script ScriptFor(const SeedsOptions& options, std::uint64_t seed) {
+  if (!options.shape.empty()) {
+    const auto shape = seeds::ShapeOf(options.shape);
+    if (!shape) throw BadPlan("--shape " + options.shape + ": expected release, zone or join");
+    return seeds::AtSize(*shape, seed, {options.sidecars, {options.nodes, options.nodes}});
+  }
   if (options.script.empty()) return seeds::Draw(seed);
   try {
     return seeds::ParseScript(FileText(options.script), options.script);
@@ -160,6 +166,27 @@
       r.events, r.requests, r.attempts, 100 * r.served, 100 * r.served_after, r.hash);
 }
 
+void PrintSeconds(const RunResult& r) {
+  std::cout << fmt::format("{:>6}{:>10}{:>8}{:>8}{:>8}{:>8}{:>8}{:>8}{:>9}{:>8}{:>9}\n", "second",
+                           "connects", "lists", "sends", "young", "errors", "full", "served",
+                           "refused", "failed", "retries");
+  for (std::size_t i = 0; i < r.seconds.size(); ++i) {
+    const seeds::Second& s = r.seconds[i];
+    std::cout << fmt::format("{:>6}{:>10}{:>8}{:>8}{:>8}{:>8}{:>8}{:>8}{:>9}{:>8}{:>9}\n", i,
+                             s.connects, s.list_calls, s.sends, s.young, s.errors, s.turned_away,
+                             s.served, s.refused, s.failed, s.retries);
+  }
+  std::cout << fmt::format("the fullest tenth of a second holds {} list calls\n", r.fullest_tenth);
+}
+
+// A scene at size: what the fleet did by second, and whether the rules held.
+int PlayAtSize(const SeedsOptions& options) {
+  const RunResult r = seeds::Play(ScriptFor(options, options.from));
+  PrintSeconds(r);
+  PrintResult(r);
+  return r.findings.empty() ? 0 : 1;
+}
+
 int Replay(const SeedsOptions& options, std::uint64_t seed) {
   const Script script = ScriptFor(options, seed);
   std::cout << seeds::TextOf(script) << '\n';
@@ -201,6 +228,7 @@
 
 int RunSeeds(const SeedsOptions& options) {
   if (options.shrink) return ShrinkOne(options, *options.shrink);
+  if (!options.shape.empty()) return PlayAtSize(options);
   if (options.replay) return Replay(options, *options.replay);
   if (!options.script.empty()) return Replay(options, 0);
   return PlayMany(options);
--- a/src/lab/seeds.h
+++ b/src/lab/seeds.h
@@ -15,7 +15,10 @@
   std::optional<std::uint64_t> replay;
   std::optional<std::uint64_t> shrink;
   std::string script;  // A file, in place of what the seed draws.
-  std::string out;     // Where the shrunk script goes, or the figures of many runs (JSON).
+  std::string shape;   // A scene at the size of a whole fleet, in place of what the seed draws.
+  std::uint32_t sidecars = 70;
+  std::uint32_t nodes = 30;  // Of each tier.
+  std::string out;           // Where the shrunk script goes, or the figures of many runs (JSON).
   bool quiet = false;
 };
 
--- a/src/seeds/clients.cpp
+++ b/src/seeds/clients.cpp
@@ -332,7 +332,10 @@
     return Settle();
   }
   by_txn_.erase(ask.txn);
+  if (end == TryEnd::kRefused) ++ThisSecond().refused;
+  if (end != TryEnd::kServed && end != TryEnd::kRefused) ++ThisSecond().failed;
   if (end == TryEnd::kServed) {
+    ++ThisSecond().served;
     ++served_;
     if (ask.begun > last_fault_ + kBackWithin) ++served_after_;
     return;
@@ -342,6 +345,7 @@
   if (!pause) return;
   Ask next = ask;
   ++next.tries;
+  ++ThisSecond().retries;
   After(*pause, [this, next] {
     if (next.until > Now()) Retry(next);
   });
--- a/src/seeds/discovery.cpp
+++ b/src/seeds/discovery.cpp
@@ -14,6 +14,7 @@
 using shelflab::AnswerText;
 using shelflab::FirstNode;
 using shelflab::Health;
+using shelflab::kSecond;
 using shelflab::Listed;
 using shelflab::NodeName;
 using shelflab::Reader;
@@ -84,6 +85,8 @@
 void World::OnCall(DiscoveryLine& line) {
   shelflab::CatalogCall call = shelflab::ParseCatalogCall(std::string(line.message().target()));
   call.id = ++next_call_;
+  ++ThisSecond().list_calls;
+  ++list_calls_by_tenth_[Now() / (kSecond / 10)];
   call.tier = sides_[line.sidecar]->tier;
   // One that was told an older list by a discovery that forgot asks for what it never heard of.
   if (Now() < old_until_) {
--- a/src/seeds/endpoints.cpp
+++ b/src/seeds/endpoints.cpp
@@ -84,6 +84,7 @@
     if (it != side_of_host_.end()) from = it->second;
     const auto line = std::make_shared<NodeLine>(*this, id, from, ++next_line_);
     node.connections.Opened(Now(), line->id);
+    ++ThisSecond().connects;
     node.lines.emplace(line->id, line);
     line->Adopt(std::move(stream));
     if (from != UINT32_MAX) connecting_[from] = {id, Now()};
@@ -135,6 +136,9 @@
   seen.cls = attempt.cls;
   account_.On(seen);
   ++result_.attempts;
+  ++ThisSecond().sends;
+  const Micros started = fleet_.View(line.node).started;
+  if (started > 0 && now - started < spec_.tiers[0].server.warm_up) ++ThisSecond().young;
   Say([&] { return fmt::format("{:016x} reaches {}", *txn, NodeName(spec_, line.node)); });
   open_[attempt.id] = {self,      *txn,         attempt.cls,
                        line.node, line.sidecar, std::string(message["X-Org"])};
@@ -163,6 +167,8 @@
   seen.node = open.node;
   std::string text;
   using Way = FleetEffect::Answer;
+  if (e.answer == Way::kError || e.answer == Way::kReset) ++ThisSecond().errors;
+  if (e.answer == Way::kTurnedAway) ++ThisSecond().turned_away;
   if (e.answer == Way::kOk || e.answer == Way::kHalf) {
     std::string body = fmt::format("{{\"txn\":\"{:016x}\",\"node\":{}}}", open.txn, open.node);
     if (body.size() < script_.scene.answer_bytes) body.resize(script_.scene.answer_bytes, '.');
--- a/src/seeds/run.h
+++ b/src/seeds/run.h
@@ -34,6 +34,20 @@
   std::string text;
 };
 
+// What the whole fleet did in one second, as the wire shows it.
+struct Second {
+  std::uint64_t connects = 0;    // Connections that nodes took.
+  std::uint64_t list_calls = 0;  // That discovery took.
+  std::uint64_t sends = 0;       // Attempts that reached a node...
+  std::uint64_t young = 0;       // ...that was not yet warm.
+  std::uint64_t errors = 0;
+  std::uint64_t turned_away = 0;
+  std::uint64_t served = 0;   // Tries of clients...
+  std::uint64_t refused = 0;  // ...
+  std::uint64_t failed = 0;   // ...by how they ended, those without an answer included.
+  std::uint64_t retries = 0;  // Of clients.
+};
+
 struct RunResult {
   std::uint64_t hash = 0;  // Of all events: equal for equal histories.
   std::uint64_t events = 0;
@@ -43,6 +57,8 @@
   double served = 0;        // Share of the clients' requests.
   double served_after = 1;  // Of those sent once all faults were over for kBackWithin.
   std::vector<Finding> findings;
+  std::vector<Second> seconds;
+  std::uint64_t fullest_tenth = 0;  // Most list calls in a tenth of a second: calls in step show.
   std::array<std::uint64_t, kMoments> moments{};
 };
 
--- a/src/seeds/script.cpp
+++ b/src/seeds/script.cpp
@@ -151,10 +151,11 @@
 std::string TextOf(const Script& script) {
   const Scene& s = script.scene;
   std::string text = fmt::format(
-      "[scene]\nseed = {}\nlength = {}\nsidecars = {}\nnodes = [{}, {}]\nrate = {}\ncalls = {}\n"
+      "[scene]\nseed = {}\nlength = {}\nsidecars = {}\nnodes = [{}, {}]\nrate = {}\ncalls = "
+      "{}\nwork = {}\n"
       "answer_bytes = {}\nlatency = [{}, {}]\ngrain = {}\ncut = {}\nwindow = {}\n"
       "descriptors = {}\nidle_close = {}\npush = {}\n",
-      s.seed, s.length, s.sidecars, s.nodes[0], s.nodes[1], s.rate, s.calls, s.answer_bytes,
+      s.seed, s.length, s.sidecars, s.nodes[0], s.nodes[1], s.rate, s.calls, s.work, s.answer_bytes,
       s.latency_low, s.latency_high, s.grain, s.cut, s.window, s.descriptors, s.idle_close, s.push);
   for (const Fault& f : script.faults) {
     fmt::format_to(std::back_inserter(text),
@@ -247,10 +248,11 @@
   TableReader r(table, name, "scene");
   r.Read("seed", s.seed, 0, 9e18);
   r.Read("length", s.length, 1e6, kMostTime);
-  r.Read("sidecars", s.sidecars, 1, 16);
+  r.Read("sidecars", s.sidecars, 1, 128);
   r.ReadPair("nodes", s.nodes[0], s.nodes[1], 1, 64);
   r.Read("rate", s.rate, 0.1, 10000);
   r.Read("calls", s.calls, 0, 10);
+  r.Read("work", s.work, 0.1, 100);
   r.Read("answer_bytes", s.answer_bytes, 0, 60000);
   r.ReadPair("latency", s.latency_low, s.latency_high, 1, 1e6);
   r.Read("grain", s.grain, 1, 1e6);
--- a/src/seeds/script.h
+++ b/src/seeds/script.h
@@ -83,6 +83,7 @@
   std::uint32_t nodes[2] = {3, 4};
   double rate = 30;  // Requests a second.
   double calls = 1.5;
+  double work = 1;  // How many times as long work takes, and clients wait for it.
   std::uint32_t answer_bytes = 200;
   Micros latency_low = 100;
   Micros latency_high = 600;
--- a/src/seeds/world.cpp
+++ b/src/seeds/world.cpp
@@ -28,13 +28,13 @@
 
 FleetSpec SpecOf(const Scene& scene) {
   FleetSpec spec;
-  spec.zone = "z";
-  const auto cls = [](const char* name, Repeat repeat, double low, double high) {
+  spec.zone = std::string(1, 'z');  // As a literal, g++ 12 warns of a copy that cannot be.
+  const auto cls = [&](const char* name, Repeat repeat, double low, double high) {
     shelflab::ClassSpec c;
     c.name = name;
-    c.work = {shelflab::Shape::kUniform, low, high};
-    c.aim = 250'000;
-    c.give_up = 1'500'000;
+    c.work = {shelflab::Shape::kUniform, low * scene.work, high * scene.work};
+    c.aim = static_cast<Micros>(250'000 * scene.work);
+    c.give_up = static_cast<Micros>(1'500'000 * scene.work);
     c.worth = 5;
     c.repeat = repeat;
     return c;
@@ -53,7 +53,7 @@
   server.cold_share = 0.05;
   server.warm_up = 6 * kSecond;
   server.fall_multiple = 1.5;
-  server.fall = 300'000;
+  server.fall = static_cast<Micros>(300'000 * scene.work);
   for (const int tier : {0, 1}) {
     shelflab::TierSpec t;
     t.name = tier == 0 ? "front" : "store";
@@ -158,8 +158,14 @@
   if (timeline_) timeline_(Now(), text());
 }
 
+Second& World::ThisSecond() {
+  const auto second = static_cast<std::size_t>(Now() / kSecond);
+  if (result_.seconds.size() <= second) result_.seconds.resize(second + 1);
+  return result_.seconds[second];
+}
+
 void World::Find(const std::string& rule, const std::string& text) {
-  Say([&] { return "BROKEN: " + rule + ": " + text; });
+  Say([&] { return fmt::format("BROKEN: {}: {}", rule, text); });
   if (result_.findings.size() < kMostFindings) result_.findings.push_back({rule, Now(), text});
 }
 
@@ -276,6 +282,9 @@
     Find("time stands still", e.what());
   }
   result_.hash = net_.hash();
+  for (const auto& [tenth, calls] : list_calls_by_tenth_) {
+    result_.fullest_tenth = std::max(result_.fullest_tenth, calls);
+  }
   result_.events = net_.events();
   result_.simulated = Now();
   result_.served = asked_ == 0 ? 1 : static_cast<double>(served_) / static_cast<double>(asked_);
--- a/src/seeds/world.h
+++ b/src/seeds/world.h
@@ -112,6 +112,7 @@
   void Settle();
   void Say(const std::function<std::string()>& text);
   void Count(Moment moment) { ++result_.moments[static_cast<std::size_t>(moment)]; }
+  Second& ThisSecond();
   void Find(const std::string& rule, const std::string& text);
   void CheckAccount();
 
@@ -222,6 +223,7 @@
   Micros drain_lasts_ = 0;
   std::optional<std::uint32_t> terminate_in_answer_;
   std::map<std::uint32_t, std::pair<NodeId, Micros>> connecting_;  // By sidecar: lately accepted.
+  std::map<Micros, std::uint64_t> list_calls_by_tenth_;
   std::uint64_t asked_ = 0, served_ = 0, asked_after_ = 0, served_after_ = 0;
 };
 
--- a/tests/seeds/seeds_test.cpp
+++ b/tests/seeds/seeds_test.cpp
@@ -7,6 +7,7 @@
 
 #include "seeds/run.h"
 #include "seeds/scripts.h"
+#include "seeds/size.h"
 
 namespace seeds {
 namespace {
@@ -48,6 +49,29 @@
   EXPECT_GT(r.served_after, 0.99);
 }
 
+// A fleet of many sidecars, small enough for every build; `shelflab seeds --shape` plays a hundred.
+class FleetTest : public ::testing::TestWithParam<Shape> {};
+
+TEST_P(FleetTest, HoldsAtSize) {
+  const Script script = AtSize(GetParam(), 1, {24, {12, 12}});
+  const RunResult r = Play(script);
+  EXPECT_EQ(FirstFinding(r), "");
+  EXPECT_GT(r.served, 0.95);
+  std::uint64_t young = 0;
+  std::uint64_t served = 0;
+  for (const Second& s : r.seconds) {
+    young += s.young;
+    served += s.served;
+  }
+  EXPECT_GT(young, 100U);  // What has come back cold is put to use.
+  EXPECT_GT(served, 2000U);
+  EXPECT_EQ(r.hash, Play(script).hash);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleet, FleetTest,
+                         ::testing::Values(Shape::kRelease, Shape::kZone, Shape::kJoin),
+                         [](const auto& shape) { return std::string(WordOf(shape.param)); });
+
 // What shall be rare in the field is common here.
 TEST(Coverage, EveryRareMomentIsMetInSomeOfTwoHundredSeeds) {
   std::array<int, kMoments> met{};
