Open the operators' door, drain on call, serve two processes on one listening socket

Change: src/control/door (own places, oldest without a whole call gives way), src/sidecar/drain.h (one state machine for operators and SIGTERM), SocketLoop::Inherit for PROXY_LISTEN_FD; a copy of a shared socket leaves the poll set before it is closed; a process that was handed the socket first gets the present list (1.5 s at most) and says yes then; at SIGTERM it stops accepting at once.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -3,14 +3,17 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <charconv>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <utility>
 
+#include "control/door.h"
 #include "net/sockets.h"
 #include "sidecar/config.h"
 #include "sidecar/log.h"
@@ -28,6 +31,39 @@
   }
 }
 
+// The clients' listening socket, where the platform holds it and names it; null where it does not.
+net::ListenerPtr Inherited(net::SocketLoop& loop) {
+  const char* word = std::getenv("PROXY_LISTEN_FD");
+  if (word == nullptr || *word == '\0') return nullptr;
+  const std::string_view text(word);
+  int descriptor = -1;
+  const auto r = std::from_chars(text.data(), text.data() + text.size(), descriptor);
+  if (r.ec != std::errc() || r.ptr != text.data() + text.size() || descriptor < 0) {
+    throw gaugecart::BadInput("PROXY_LISTEN_FD: expected the number of a descriptor, got " +
+                              std::string(text));
+  }
+  try {
+    return loop.Inherit(descriptor);
+  } catch (const net::Error& e) {
+    throw gaugecart::BadInput(std::string("PROXY_LISTEN_FD: ") + e.what());
+  }
+}
+
+std::unique_ptr<control::Door> OpenDoor(net::Loop& loop, kelpspring::Sidecar& sidecar,
+                                        const std::optional<net::Address>& at) {
+  if (!at) return nullptr;
+  try {
+    return std::make_unique<control::Door>(
+        loop, sidecar.log(), *at,
+        control::Orders{.ready = [&] { return sidecar.ready(); },
+                        .metrics = [] { return std::string(); },
+                        .drain = [&] { sidecar.StartDrain(); },
+                        .undrain = [&] { return sidecar.EndDrain(); }});
+  } catch (const net::Error& e) {
+    throw gaugecart::BadInput(std::string("console: ") + e.what());
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -41,16 +77,21 @@
     }
     kelpspring::Config config = kelpspring::LoadConfig(std::getenv("PROXY_CONFIG"));
     config.traced = traced;
+    if (const char* console = std::getenv("PROXY_CONSOLE"); !config.console && console != nullptr) {
+      config.console = kelpspring::ConsoleAddress(console);
+    }
     rlimit files{};
     if (getrlimit(RLIMIT_NOFILE, &files) == 0 && files.rlim_cur < config.sockets) {
       config.sockets = std::max<std::size_t>(files.rlim_cur, kelpspring::kFewestSockets);
     }
     boost::asio::io_context io(1);
     net::SocketLoop loop(io);
-    kelpspring::Sidecar sidecar(loop, std::move(config));
+    const auto console = config.console;
+    kelpspring::Sidecar sidecar(loop, std::move(config), {.inherited = Inherited(loop)});
+    const auto door = OpenDoor(loop, sidecar, console);
     loop.OnSignal(SIGHUP, [&] { Reload(sidecar); });
     for (const int signal : {SIGTERM, SIGINT}) {
-      loop.OnSignal(signal, [&] { sidecar.Drain([&] { io.stop(); }); });
+      loop.OnSignal(signal, [&] { sidecar.Leave([&] { io.stop(); }); });
     }
     for (;;) {
       try {
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -1,6 +1,7 @@
 #include "net/sockets.h"
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -278,7 +279,9 @@
 class ListenerState : public std::enable_shared_from_this<ListenerState> {
  public:
   ListenerState(asio::io_context& io, SharedBuffer buffer, const Address& at)
-      : io_(io), buffer_(std::move(buffer)), acceptor_(io, EndpointOf<tcp::endpoint>(at)) {
+      : ListenerState(io, std::move(buffer), tcp::acceptor(io, EndpointOf<tcp::endpoint>(at))) {}
+  ListenerState(asio::io_context& io, SharedBuffer buffer, tcp::acceptor acceptor)
+      : io_(io), buffer_(std::move(buffer)), acceptor_(std::move(acceptor)) {
     address_ = AddressOf(acceptor_.local_endpoint());
   }
 
@@ -303,9 +306,12 @@
     return Accepted(std::move(socket), buffer_);
   }
 
+  // Out of the poll set before it is closed: closing alone leaves it there as long as another
+  // process holds the same socket, and its events would go on waking this one.
   void Close() {
+    if (!acceptor_.is_open()) return;
     error_code ignored;
-    acceptor_.close(ignored);
+    ::close(acceptor_.release(ignored));
   }
 
  private:
@@ -444,6 +450,31 @@
   }
 }
 
+ListenerPtr SocketLoop::Inherit(int descriptor) {
+  const auto name = "descriptor " + std::to_string(descriptor);
+  int listens = 0;
+  int type = 0;
+  sockaddr_storage at{};
+  socklen_t size = sizeof listens;
+  if (::getsockopt(descriptor, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0 ||
+      ::getsockopt(descriptor, SOL_SOCKET, SO_TYPE, &type, &size) != 0 || type != SOCK_STREAM) {
+    throw Error(Fault::kOther, name + ": expected a listening TCP socket");
+  }
+  size = sizeof at;
+  if (::getsockname(descriptor, reinterpret_cast<sockaddr*>(&at), &size) != 0 ||
+      (at.ss_family != AF_INET && at.ss_family != AF_INET6)) {
+    throw Error(Fault::kOther, name + ": expected a listening TCP socket");
+  }
+  try {
+    tcp::acceptor acceptor(shared_->io, at.ss_family == AF_INET ? tcp::v4() : tcp::v6(),
+                           descriptor);
+    return std::make_unique<SocketListener>(std::make_shared<ListenerState>(
+        shared_->io, SharedBuffer(shared_, &shared_->buffer), std::move(acceptor)));
+  } catch (const boost::system::system_error& e) {
+    throw Error(FaultOf(e.code()), name + ": " + e.code().message());
+  }
+}
+
 DatagramsPtr SocketLoop::Bind(const Address& at, Datagrams::OnMessage on_message) {
   try {
     return std::make_unique<SocketDatagrams>(std::make_shared<DatagramState>(
--- a/src/net/sockets.h
+++ b/src/net/sockets.h
@@ -27,6 +27,9 @@
   ListenerPtr Listen(const Address& at) override;
   DatagramsPtr Bind(const Address& at, Datagrams::OnMessage on_message) override;
 
+  // Takes over a listening socket that the process was started with. Throws Error if it is none.
+  ListenerPtr Inherit(int descriptor);
+
   // Calls it each time the process gets that signal.
   void OnSignal(int signal, std::function<void()> step);
 
--- a/src/seeds/sidecars.cpp
+++ b/src/seeds/sidecars.cpp
@@ -54,9 +54,10 @@
   side.process = std::make_unique<net::VirtualProcess>(net_, side.host, fmt::format("s{}", place),
                                                        kMachineDescriptors);
   side.sidecar = std::make_unique<kelpspring::Sidecar>(
-      *side.process, kelpspring::ParseConfig(ConfigOf(side)), [this, place](std::string_view line) {
+      *side.process, kelpspring::ParseConfig(ConfigOf(side)),
+      kelpspring::Sidecar::Wiring{.sink = [this, place](std::string_view line) {
         Say([&] { return fmt::format("sidecar {}: {}", place, line); });
-      });
+      }});
   Say([&] { return fmt::format("sidecar {} starts", place); });
   // It starts from the present list, and knows nothing of what its last life was told.
   Tell(place, side.life, seq, true, rows);
@@ -75,7 +76,7 @@
   After(kFrontNotices, [this, place, life] {
     if (sides_[place]->life == life) sides_[place]->in_front = false;
   });
-  side.sidecar->Drain([this, place, life, down] {
+  side.sidecar->Leave([this, place, life, down] {
     // From outside of its own call.
     After(0, [this, place, life, down] {
       if (sides_[place]->life == life) EndSidecar(place, false, down);
--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -46,6 +46,9 @@
   Field(json, "listen", [&](const Json& j) { config.listen = ParseAddress(j); });
   Field(json, "discovery", [&](const Json& j) { config.discovery = ParseAddress(j); });
   Field(json, "seed", [&](const Json& j) { config.seed = ParseSeed(j); });
+  if (json.contains("console")) {
+    Field(json, "console", [&](const Json& j) { config.console = ParseAddress(j); });
+  }
   if (json.contains("limits")) {
     Field(json, "limits", [&](const Json& j) {
       config.sockets = j.value("sockets", config.sockets);
@@ -68,4 +71,13 @@
   return ParseConfig(text.str());
 }
 
+std::optional<net::Address> ConsoleAddress(const std::string& text) {
+  if (text.empty()) return std::nullopt;
+  try {
+    return ParseAddress(text);
+  } catch (const BadInput& e) {
+    throw BadInput(std::string("PROXY_CONSOLE: ") + e.what());
+  }
+}
+
 }  // namespace kelpspring
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -3,6 +3,7 @@
 #define KELPSPRING_CONFIG_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "net/address.h"
@@ -17,6 +18,7 @@
   std::string name;
   net::Address listen;
   net::Address discovery;
+  std::optional<net::Address> console;  // The operators' door; none where it is not asked for.
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;  // File descriptors it may hold.
   MemberList known;
@@ -27,6 +29,8 @@
 // Throws gaugecart::BadInput naming the field at fault.
 Config ParseConfig(const std::string& text);
 Config LoadConfig(const char* path);
+// The address in PROXY_CONSOLE, for a configuration that names none; none if it is empty.
+std::optional<net::Address> ConsoleAddress(const std::string& text);
 
 }  // namespace kelpspring
 
--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -185,9 +185,9 @@
   Done done_;
 };
 
-Discovery::Discovery(net::Loop& loop, Log& log, const net::Address& address, std::int64_t seq,
-                     std::chrono::microseconds ask_within, std::uint64_t seed, OnList on_list,
-                     OnFailed on_failed)
+Discovery::Discovery(net::Loop& loop, Log& log, const net::Address& address,
+                     std::optional<std::int64_t> seq, std::chrono::microseconds ask_within,
+                     std::uint64_t seed, OnList on_list, OnFailed on_failed)
     : loop_(loop),
       log_(log),
       address_(address),
--- a/src/sidecar/discovery.h
+++ b/src/sidecar/discovery.h
@@ -44,7 +44,8 @@
   using OnList = std::function<void(const MemberList&)>;
   using OnFailed = std::function<void()>;
 
-  Discovery(net::Loop& loop, Log& log, const net::Address& address, std::int64_t seq,
+  // Without `seq` the first call asks for the whole list.
+  Discovery(net::Loop& loop, Log& log, const net::Address& address, std::optional<std::int64_t> seq,
             std::chrono::microseconds ask_within, std::uint64_t seed, OnList on_list,
             OnFailed on_failed);
   ~Discovery();
--- a/src/sidecar/http.h
+++ b/src/sidecar/http.h
@@ -21,6 +21,17 @@
 constexpr std::uint64_t kBodyLimit = 65536;
 constexpr std::uint32_t kHeaderLimit = 16384;
 
+inline std::string_view View(boost::beast::string_view s) { return {s.data(), s.size()}; }
+
+// The path of a request's target, without query, in origin and in absolute form.
+inline std::string_view PathOf(std::string_view target) {
+  if (const auto scheme = target.find("://"); scheme != target.npos && target.front() != '/') {
+    const auto path = target.find_first_of("/?", scheme + 3);
+    target = path == target.npos ? "/" : target.substr(path);
+  }
+  return target.substr(0, target.find('?'));
+}
+
 // A whole message as it goes out.
 template <bool kIsRequest>
 std::string TextOf(
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -26,8 +26,13 @@
 // From the accept, in which a first request may be on its way: closing would lose it.
 constexpr auto kFreshSpan = milliseconds(20);
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
-// At a planned restart the front goes on sending new connections for up to 0.4 s.
-constexpr auto kDrainWindow = std::chrono::milliseconds(500);
+// From the start of a drain: the front goes on sending new connections for up to 0.4 s.
+constexpr auto kDrainWindow = milliseconds(500);
+// What is half read by then is refused. At 4 s nothing may be there from the last 2 s; and of a
+// process that leaves, what comes later than this could find no end before SIGKILL.
+constexpr auto kDrainHalfRead = milliseconds(1800);
+constexpr auto kLeaveHalfRead = milliseconds(700);
+constexpr auto kLastSpan = milliseconds(200);  // For a request on a connection taken in meanwhile.
 
 // How a request's length must be told: once, by plain digits or as chunks. Beast takes more than
 // that, and where two readers can differ on where a request ends, another hides in its body.
@@ -50,10 +55,15 @@
 void Client::Start() {
   stream_->SetUser(*this);
   fresh_until_ = server_.loop_.Now() + kFreshSpan;
-  Rest(kFirstSpan);
+  Rest(server_.shut() ? kLastSpan : kFirstSpan);
   Read();
 }
 
+void Client::Hurry() {
+  if (fresh_until_ <= server_.loop_.Now()) return Close();
+  Rest(kLastSpan);
+}
+
 void Client::Rest(milliseconds span) {
   Yields(kWaiting);
   Arm(span);
@@ -131,8 +141,8 @@
   state_ = State::kHeld;
   keep_alive_ = request.keep_alive() && request.version() >= 11;
   version_ = request.version();
-  if (request.target() == "/_health") {
-    const bool ready = server_.ready_() && !server_.draining_;
+  if (PathOf(View(request.target())) == "/_health") {
+    const bool ready = server_.ready_() && server_.drain_.healthy();
     return RespondPlain(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
   }
   server_.on_request_(shared_from_this(), std::move(request));
@@ -161,7 +171,7 @@
   if (state_ != State::kHeld) return;
   gone_ = nullptr;
   state_ = State::kAnswering;
-  if (server_.draining_) keep_alive_ = false;
+  if (server_.phase_ != Server::Phase::kOpen) keep_alive_ = false;
   response.version(version_);
   response.keep_alive(keep_alive_);
   response.prepare_payload();
@@ -188,7 +198,7 @@
 
 void Client::Answered() {
   // An answer that was under way when the drain began did not say that this is the end.
-  if (!keep_alive_ || server_.closed_) return Linger();
+  if (!keep_alive_ || server_.shut()) return Linger();
   state_ = State::kIdle;
   if (incoming_.empty()) {
     Rest(kRestSpan);
@@ -243,22 +253,26 @@
   server_.Removed(shared_from_this());
 }
 
-Server::Server(net::Loop& loop, Log& log, const net::Address& listen, SocketBudget& budget,
-               std::function<bool()> ready, OnRequest on_request)
+Server::Server(net::Loop& loop, Log& log, net::ListenerPtr listener, SocketBudget& budget,
+               const Drain& drain, std::function<bool()> ready, OnRequest on_request)
     : loop_(loop),
       log_(log),
       budget_(budget),
+      drain_(drain),
       ready_(std::move(ready)),
       on_request_(std::move(on_request)),
-      listener_(loop.Listen(listen)),
+      listener_(std::move(listener)),
       pause_(loop.NewTimer([this] { Accept(); })),
-      drain_timer_(loop.NewTimer([this] { CloseListener(); })),
-      most_clients_(MostClients(budget.limit)) {
+      drain_timer_(loop.NewTimer([this] { NextPhase(); })),
+      most_clients_(MostClients(budget.limit)) {}
+
+void Server::Open() {
+  open_ = true;
   Accept();
 }
 
 void Server::Accept() {
-  if (accepting_ || closed_) return;
+  if (accepting_ || closed_ || !open_) return;
   if (clients_.size() >= most_clients_ && !MakeRoom()) return;
   if (!budget_.Take() && !(MakeRoom() && budget_.Take())) {
     budget_.client_waits = true;
@@ -272,7 +286,7 @@
     if (fault != net::Fault::kNone) return AcceptFailed(fault);
     // Also if the listener has been closed since: the client may have sent its request.
     Accepted(std::move(stream));
-    closed_ ? CloseAllIdle() : Accept();
+    Accept();
   });
 }
 
@@ -322,10 +336,36 @@
   loop_.Post([this] { Accept(); });
 }
 
-void Server::Drain(std::function<void()> done) {
-  if (std::exchange(draining_, true)) return;
+void Server::StartDrain() {
+  phase_ = Phase::kAnswersClose;
+  drained_at_ = loop_.Now();
+  drain_timer_->ArmAt(drained_at_ + kDrainWindow);
+}
+
+void Server::EndDrain() {
+  phase_ = Phase::kOpen;
+  drain_timer_->Cancel();
+}
+
+void Server::Leave(bool shared, std::function<void()> done) {
   done_ = std::move(done);
-  drain_timer_->ArmAt(loop_.Now() + kDrainWindow);
+  StartDrain();
+  if (!shared) return;
+  closed_ = true;
+  listener_->Close();
+}
+
+void Server::NextPhase() {
+  const bool leaving = drain_.state() == Drain::State::kLeaving;
+  if (phase_ == Phase::kAnswersClose) {
+    phase_ = Phase::kNoneIdle;
+    drain_timer_->ArmAt(drained_at_ + (leaving ? kLeaveHalfRead : kDrainHalfRead));
+    if (leaving && !closed_) CloseListener();
+    CloseAllIdle();
+  } else if (phase_ == Phase::kNoneIdle) {
+    phase_ = Phase::kNoneHalfRead;
+    RefuseHalfRead();
+  }
 }
 
 void Server::CloseListener() {
@@ -340,19 +380,26 @@
   }
   closed_ = true;
   listener_->Close();
-  CloseAllIdle();
 }
 
 void Server::CloseAllIdle() {
   const auto waiting = yielding_[kWaiting];
   for (const auto& [use, client] : waiting) {
-    if (client->at_rest() && !client->HasUnread()) client->Close();
+    if (client->at_rest() && !client->HasUnread()) client->Hurry();
   }
   CheckDone();
 }
 
+// Its last byte has not come, so it was not taken: trying again is harmless.
+void Server::RefuseHalfRead() {
+  const auto waiting = yielding_[kWaiting];
+  for (const auto& [use, client] : waiting) {
+    if (client->half_read()) client->Reject(503, "draining: try again\n");
+  }
+}
+
 void Server::CheckDone() {
-  if (!closed_ || !done_) return;
+  if (!closed_ || !shut() || !done_) return;
   for (const auto& client : clients_) {
     if (!client->finished()) return;
   }
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -1,4 +1,4 @@
-// Connections of clients: HTTP in and out, limits, /_health, and the drain at the end.
+// Connections of clients: HTTP in and out, limits, /_health, and what a drain does to them.
 #ifndef KELPSPRING_SERVER_H_
 #define KELPSPRING_SERVER_H_
 
@@ -13,6 +13,7 @@
 #include <unordered_set>
 
 #include "net/loop.h"
+#include "sidecar/drain.h"
 #include "sidecar/http.h"
 #include "sidecar/log.h"
 #include "sidecar/upstream.h"
@@ -44,8 +45,12 @@
   // A request, or a part of one, has come and has not been looked at.
   bool HasUnread();
   bool at_rest() const { return state_ == State::kIdle && !parser_; }
+  // A part of a request has come.
+  bool half_read() const { return state_ == State::kIdle && parser_; }
   // Until then its first request may still be on its way: it came up only just now.
   net::Time fresh_until() const { return fresh_until_; }
+  // Closes it, at rest, unless its first request may still be on its way: that has a last moment.
+  void Hurry();
   void Close();
 
  private:
@@ -88,9 +93,9 @@
  public:
   using OnRequest = std::function<void(const std::shared_ptr<Client>&, HttpRequest)>;
 
-  // Throws net::Error if it cannot listen.
-  Server(net::Loop& loop, Log& log, const net::Address& listen, SocketBudget& budget,
-         std::function<bool()> ready, OnRequest on_request);
+  // Takes in nobody before Open. `ready` tells whether it could serve if it is not drained.
+  Server(net::Loop& loop, Log& log, net::ListenerPtr listener, SocketBudget& budget,
+         const Drain& drain, std::function<bool()> ready, OnRequest on_request);
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
@@ -100,9 +105,14 @@
   static std::size_t MostClients(std::size_t sockets) { return sockets / 3 * 2; }
   std::size_t clients() const { return clients_.size(); }
   bool accepting() const { return accepting_; }
-  // Stops in order: unhealthy at once, closed to new clients after a while, and `done` is called
-  // when nothing is held any more.
-  void Drain(std::function<void()> done);
+  void Open();
+  // From now on each answer ends its connection; after a while idle ones are closed, and then what
+  // is half read is refused. New ones are still taken in.
+  void StartDrain();
+  void EndDrain();
+  // The same for good, and the listener is closed: at once if another process accepts from the same
+  // socket, else after a while. `done` is called when nothing is held any more.
+  void Leave(bool shared, std::function<void()> done);
 
  private:
   friend class Client;
@@ -114,12 +124,19 @@
   void CloseAllIdle();
   std::uint64_t NextUse() { return ++uses_; }
   void Removed(const std::shared_ptr<Client>& client);
+  enum class Phase { kOpen, kAnswersClose, kNoneIdle, kNoneHalfRead };
+
+  void NextPhase();
   void CloseListener();
+  void RefuseHalfRead();
   void CheckDone();
+  // Nothing becomes idle any more.
+  bool shut() const { return phase_ >= Phase::kNoneIdle; }
 
   net::Loop& loop_;
   Log& log_;
   SocketBudget& budget_;
+  const Drain& drain_;
   std::function<bool()> ready_;
   OnRequest on_request_;
   net::ListenerPtr listener_;
@@ -130,9 +147,11 @@
   std::array<std::map<std::uint64_t, Client*>, kYields> yielding_;
   std::size_t most_clients_;
   std::uint64_t uses_ = 0;
+  bool open_ = false;
   bool accepting_ = false;
-  bool draining_ = false;
-  bool closed_ = false;
+  Phase phase_ = Phase::kOpen;
+  net::Time drained_at_{};
+  bool closed_ = false;  // The listener.
   std::function<void()> done_;
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -24,6 +24,12 @@
 
 // Descriptors that are neither clients' nor endpoints': listener, event loop, discovery, logs.
 constexpr std::size_t kOwnSockets = 24;
+// The operators' door keeps its own beside them (control/door.h): its connections, its listener and
+// one that is being taken in.
+constexpr std::size_t kDoorSockets = 14;
+// How long a process that takes over waits for the present list of endpoints; then the one that it
+// was started with must do, as for any start.
+constexpr auto kSettleSpan = std::chrono::milliseconds(1500);
 constexpr std::int64_t kLongestMs = 3'600'000;
 // An answer needs a moment to get out: all ends this much before the client's time does.
 constexpr gaugecart::Micros kAnswerMargin = 10'000;
@@ -37,8 +43,6 @@
   return value;
 }
 
-std::string_view View(beast::string_view s) { return {s.data(), s.size()}; }
-
 // The headers of a request that mean something to an endpoint. It goes on built anew from these, so
 // that nothing else of what a client has sent reaches anyone.
 constexpr std::array<const char*, 9> kPassedOn = {"Host",       "X-Txn",    "X-Lane",
@@ -102,24 +106,31 @@
   return any ? std::optional(report) : std::nullopt;
 }
 
-Sidecar::Sidecar(net::Loop& loop, Config config, LogSink sink)
+Sidecar::Sidecar(net::Loop& loop, Config config, Wiring wiring)
     : loop_(loop),
-      log_(loop, std::move(sink), config.traced),
+      log_(loop, std::move(wiring.sink), config.traced),
       config_(std::move(config)),
       start_(loop.Now()),
       // Unix time once, so that endpoints' start times compare; from then on a clock no step moves.
       epoch_(loop.WallMicros()),
-      budget_{config_.sockets - kOwnSockets, 0, nullptr, nullptr},
+      budget_{config_.sockets - kOwnSockets - (config_.console ? kDoorSockets : 0), 0, nullptr,
+              nullptr},
+      settled_(wiring.inherited == nullptr),
+      drain_(wiring.inherited != nullptr),
       upstream_(loop, log_, budget_, std::chrono::microseconds(config_.setup.settings.keepalive),
                 std::chrono::microseconds(config_.setup.connect_timeout)),
       discovery_(
-          loop, log_, config_.discovery, config_.known.seq,
+          loop, log_, config_.discovery,
+          // One that takes over wants the whole present list, not the next change.
+          settled_ ? std::optional(config_.known.seq) : std::nullopt,
           std::chrono::microseconds(config_.setup.settings.ask_within), config_.seed,
           [this](const MemberList& list) {
             OnList(list.whole ? ListKind::kFull : ListKind::kChanges, list);
+            Settle();
           },
           [this] { Run([this] { balancer_->OnDiscoveryFailed(Now()); }); }),
-      timer_(loop.NewTimer([this] { TimerFired(); })) {
+      timer_(loop.NewTimer([this] { TimerFired(); })),
+      settle_timer_(loop.NewTimer([this] { Settle(); })) {
   // An eighth of the places is left for those who are to be refused.
   if (!Mutated(Mutant::kHoldAll)) {
     config_.setup.settings.most_held = Server::MostClients(budget_.limit) / 8 * 7;
@@ -137,14 +148,43 @@
   });
   OnList(ListKind::kStale, config_.known);
   server_ = std::make_unique<Server>(
-      loop, log_, config_.listen, budget_, [this] { return has_members_; },
+      loop, log_, settled_ ? loop.Listen(config_.listen) : std::move(wiring.inherited), budget_,
+      drain_, [this] { return CanServe(); },
       [this](const std::shared_ptr<Client>& client, HttpRequest message) {
         OnRequest(client, std::move(message));
       });
-  if (!config_.setup.settings.discovery_by_ask) discovery_.Watch();
+  if (settled_) {
+    server_->Open();
+  } else {
+    settle_timer_->ArmAt(loop.Now() + kSettleSpan);
+  }
+  if (!config_.setup.settings.discovery_by_ask || !settled_) discovery_.Watch();
+}
+
+// Nobody is taken in before: until then the other process serves.
+void Sidecar::Settle() {
+  if (std::exchange(settled_, true)) return;
+  settle_timer_->Cancel();
+  server_->Open();
+}
+
+void Sidecar::Leave(std::function<void()> done) {
+  if (drain_.Leave()) server_->Leave(drain_.shared(), std::move(done));
+}
+
+void Sidecar::StartDrain() {
+  if (!drain_.Begin()) return;
+  log_.Line("draining, as an operator asked");
+  server_->StartDrain();
 }
 
-void Sidecar::Drain(std::function<void()> done) { server_->Drain(std::move(done)); }
+bool Sidecar::EndDrain() {
+  if (drain_.End()) {
+    log_.Line("serving again, as an operator asked");
+    server_->EndDrain();
+  }
+  return drain_.serving();
+}
 
 Sidecar::Micros Sidecar::Now() const {
   return epoch_ +
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -28,12 +28,27 @@
 
 class Sidecar : private gaugecart::Actions {
  public:
+  // What the process hands in beside the configuration.
+  struct Wiring {
+    LogSink sink = LogToStandardError;
+    // A listening socket that other processes hold too; without one the sidecar has its own.
+    net::ListenerPtr inherited = nullptr;
+  };
+
   // Throws std::invalid_argument or net::Error.
-  Sidecar(net::Loop& loop, Config config, LogSink sink = LogToStandardError);
+  Sidecar(net::Loop& loop, Config config, Wiring wiring);
+  Sidecar(net::Loop& loop, Config config) : Sidecar(loop, std::move(config), Wiring()) {}
 
   net::Address address() const { return server_->address(); }
   // Finishes what is held; `done` is called after that.
-  void Drain(std::function<void()> done);
+  void Leave(std::function<void()> done);
+  // An operator's wish; the process stays.
+  void StartDrain();
+  // False if the process is leaving.
+  bool EndDrain();
+  // Whether it serves, or would as soon as somebody comes.
+  bool ready() const { return CanServe() && drain_.serving(); }
+  kelpspring::Log& log() { return log_; }
   // Takes over what may change while it runs, the address of discovery; the rest of a configuration
   // holds from one start to the next.
   void Reload(const Config& config);
@@ -75,6 +90,11 @@
   void Refresh() override;
   void Log(const std::string& text) override;
 
+  // It knows endpoints, and, where another process may be serving still, their present list or as
+  // much of it as could be had in time.
+  bool CanServe() const { return has_members_ && settled_; }
+  void Settle();
+
   Micros Now() const;
   net::Time At(Micros time) const { return start_ + std::chrono::microseconds(time - epoch_); }
   void Run(std::function<void()> step);
@@ -104,6 +124,8 @@
   gaugecart::Words words_;
   std::map<gaugecart::EndpointId, std::string> hosts_;  // What the list names.
   bool has_members_ = false;
+  bool settled_;
+  Drain drain_;
   Upstream upstream_;
   Discovery discovery_;
   std::deque<std::function<void()>> steps_;
@@ -112,6 +134,7 @@
   std::priority_queue<Timer> timers_;
   net::TimerPtr timer_;
   Micros timer_at_ = 0;  // 0: not armed.
+  net::TimerPtr settle_timer_;
   std::unique_ptr<gaugecart::Balancer> balancer_;
   std::unique_ptr<Server> server_;
 };
--- /dev/null
+++ b/tests/control/door_test.cpp
@@ -0,0 +1,153 @@
+// The operators' door and the drain, on the virtual network.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "scene.h"
+
+namespace scene {
+namespace {
+
+using kelpspring::Drain;
+
+TEST(DrainMachine, GoesBackFromADrainAndNeverFromLeaving) {
+  Drain drain(false);
+  EXPECT_FALSE(drain.End());
+  EXPECT_TRUE(drain.Begin());
+  EXPECT_FALSE(drain.Begin());
+  EXPECT_FALSE(drain.healthy());
+  EXPECT_TRUE(drain.End());
+  EXPECT_TRUE(drain.healthy());
+  EXPECT_TRUE(drain.Leave());
+  EXPECT_FALSE(drain.Leave());
+  EXPECT_FALSE(drain.Begin() || drain.End() || drain.healthy() || drain.serving());
+}
+
+// The front sees one sidecar: one of two processes on a socket leaves without a word, unless the
+// sidecar was drained.
+TEST(DrainMachine, OneOfTwoLeavesHealthy) {
+  Drain drain(true);
+  drain.Leave();
+  EXPECT_TRUE(drain.healthy());
+  EXPECT_FALSE(drain.serving());
+  Drain drained(true);
+  drained.Begin();
+  drained.Leave();
+  EXPECT_FALSE(drained.healthy());
+}
+
+TEST(Door, AnswersEachCallAndEndsItsConnection) {
+  Scene s;
+  const auto ready = s.AskDoor("GET", "/ready");
+  EXPECT_EQ(ready->Status(), 200);
+  EXPECT_TRUE(ready->ended);
+  EXPECT_EQ(s.AskDoor("GET", "/ready?now=1")->Status(), 200);
+  EXPECT_EQ(s.AskDoor("GET", "http://h:1/ready")->Status(), 200);
+  EXPECT_EQ(s.AskDoor("GET", "/metrics")->Status(), 200);
+  EXPECT_EQ(s.AskDoor("GET", "/api")->Status(), 404);
+  const auto wrong = s.AskDoor("GET", "/drain");
+  EXPECT_EQ(wrong->Status(), 405);
+  EXPECT_TRUE(wrong->Has("Allow: POST\r\n"));
+  EXPECT_EQ(s.Open(kDoorAt, "noise\r\n\r\n")->Status(), 400);
+  EXPECT_EQ(s.Open(kDoorAt, "GET /" + std::string(9000, 'x'))->Status(), 431);
+  EXPECT_EQ(s.Open(kDoorAt, "POST /drain HTTP/1.1\r\nContent-Length: 5000\r\n\r\n")->Status(), 413);
+  EXPECT_EQ(s.Health(), 200);  // None of these has drained it.
+  s.Run(seconds(1));
+  EXPECT_EQ(s.door->callers(), 0u);
+}
+
+// Forty callers that say nothing whole, far beyond the places: a whole call among them is answered
+// within a tick, and those that go on saying nothing are gone within 2 s.
+TEST(Door, CallersWithoutAWholeCallKeepNobodyOut) {
+  Scene s;
+  std::vector<TalkPtr> holders;
+  for (int i = 0; i < 40; ++i) {
+    holders.push_back(s.Open(kDoorAt, i % 2 == 0 ? "" : "GET /ready HTTP/1.1\r\nX-Half: "));
+    EXPECT_LE(s.door->callers(), control::Door::kPlaces);
+    if (i % 5 == 0) {
+      EXPECT_EQ(s.AskDoor("GET", "/ready")->Status(), 200) << i;
+    }
+  }
+  s.Run(seconds(3));
+  EXPECT_EQ(s.door->callers(), 0u);
+  for (const auto& holder : holders) EXPECT_TRUE(holder->ended);
+}
+
+// The clients have used up every place of theirs, and more knock: the door has its own.
+TEST(Door, AnswersWhenTheClientsHoldEveryPlace) {
+  Scene s(128);
+  std::vector<TalkPtr> crowd;
+  for (int i = 0; i < 200; ++i) crowd.push_back(s.Open(kClientsAt, "GET /api HTTP/1.1\r\n"));
+  EXPECT_GT(s.machine.descriptors(), 40u);
+  EXPECT_EQ(s.AskDoor("GET", "/ready")->Status(), 200);
+  EXPECT_EQ(s.AskDoor("POST", "/drain")->Status(), 200);
+}
+
+TEST(Drained, SaysNoAtOnceServesStragglersAndComesBack) {
+  Scene s;
+  const auto idle = s.Open(kClientsAt, Call(1));
+  s.at_node.at(0)->Send(Answer("one"));
+  s.Run(milliseconds(5));
+  EXPECT_TRUE(idle->Has("one"));
+  EXPECT_EQ(s.AskDoor("POST", "/drain")->Status(), 200);
+  EXPECT_EQ(s.AskDoor("POST", "/drain")->Status(), 200);
+  EXPECT_EQ(s.Health(), 503);
+  EXPECT_EQ(s.AskDoor("GET", "/ready")->Status(), 503);
+  EXPECT_FALSE(idle->ended);
+  const auto straggler = s.Open(kClientsAt, Call(2));
+  s.at_node.at(0)->Send(Answer("two"));
+  s.Run(milliseconds(5));
+  EXPECT_EQ(straggler->Status(), 200);
+  EXPECT_TRUE(straggler->Has("Connection: close"));
+  EXPECT_TRUE(straggler->ended);
+  s.Run(milliseconds(600));
+  EXPECT_TRUE(idle->ended);
+  EXPECT_EQ(s.Health(), 503);
+  EXPECT_EQ(s.AskDoor("POST", "/undrain")->Status(), 200);
+  EXPECT_EQ(s.Health(), 200);
+  EXPECT_EQ(s.AskDoor("GET", "/ready")->Status(), 200);
+  const auto after = s.Open(kClientsAt, Call(3));
+  s.at_node.at(0)->Send(Answer("three"));
+  s.Run(seconds(1));
+  EXPECT_EQ(after->Status(), 200);
+  EXPECT_FALSE(after->ended);  // Kept again.
+}
+
+// By 4 s nothing is idle and nothing is half read, while what was taken before goes on.
+TEST(Drained, LeavesNothingIdleAndLetsOldRequestsFinish) {
+  Scene s;
+  const auto taken = s.Open(kClientsAt, Call(1));
+  const auto half = s.Open(kClientsAt, "GET /api HTTP/1.1\r\nX-Half: ");
+  const auto silent = s.Open(kClientsAt);
+  s.AskDoor("POST", "/drain");
+  s.Run(milliseconds(700));
+  EXPECT_TRUE(silent->ended);
+  EXPECT_FALSE(half->ended);
+  s.Run(milliseconds(1200));
+  EXPECT_EQ(half->Status(), 503);
+  EXPECT_TRUE(half->ended);
+  const auto late = s.Open(kClientsAt);
+  EXPECT_FALSE(taken->ended);
+  s.at_node.at(0)->Send(Answer("kept"));
+  s.Run(milliseconds(300));
+  EXPECT_TRUE(taken->Has("kept"));
+  EXPECT_TRUE(taken->ended);
+  EXPECT_TRUE(late->ended);
+  EXPECT_EQ(s.sidecar->holds().clients, 0u);
+}
+
+TEST(Drained, SigtermInADrainEndsItAndUndrainIsRefused) {
+  Scene s;
+  s.AskDoor("POST", "/drain");
+  s.Run(milliseconds(100));
+  bool done = false;
+  s.sidecar->Leave([&] { done = true; });
+  EXPECT_EQ(s.AskDoor("POST", "/undrain")->Status(), 409);
+  EXPECT_EQ(s.AskDoor("POST", "/drain")->Status(), 200);
+  s.Run(milliseconds(600));
+  EXPECT_TRUE(done);
+}
+
+}  // namespace
+}  // namespace scene
--- a/tests/fuzz/stage.cpp
+++ b/tests/fuzz/stage.cpp
@@ -150,7 +150,7 @@
         std::make_unique<kelpspring::Sidecar>(machine_,
                                               kelpspring::ParseConfig(shelflab::SidecarConfig(
                                                   fleet, place, nlohmann::json::parse(ListText()))),
-                                              [](std::string_view) {});
+                                              {.sink = [](std::string_view) {}});
     Run(milliseconds(100));
   }
   std::shared_ptr<Asking> Ask(std::string text) {
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -198,7 +198,7 @@
   }
   tcp::endpoint address() const { return Loopback(sidecar_.address().port()); }
   void Drain() {
-    boost::asio::post(io_, [this] { sidecar_.Drain([this] { io_.stop(); }); });
+    boost::asio::post(io_, [this] { sidecar_.Leave([this] { io_.stop(); }); });
   }
   void Reload(const std::string& config) {
     boost::asio::post(io_, [this, config] { sidecar_.Reload(ParseConfig(config)); });
