Report figures at /metrics: transactions by class, sends, current, cluster

Change: the glue tells each request's life once to an observer; src/metrics counts it in cells made at the start and words it; Balancer::Avoided tells how many listed endpoints the module keeps calls from. Tests: Figures.* (red first: an abandoned request passed for a failed one in the test's own hand).

--- a/include/gaugecart/choice.h
+++ b/include/gaugecart/choice.h
@@ -166,6 +166,9 @@
   void OnAbandoned(Micros now, RequestId request);
   void OnTimer(Micros now, std::uint64_t mark);
 
+  // How many listed endpoints calls are kept from at this moment.
+  std::size_t Avoided(Micros now) const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "control/door.h"
+#include "metrics/registry.h"
 #include "net/sockets.h"
 #include "sidecar/config.h"
 #include "sidecar/log.h"
@@ -50,13 +51,17 @@
 }
 
 std::unique_ptr<control::Door> OpenDoor(net::Loop& loop, kelpspring::Sidecar& sidecar,
+                                        const metrics::Registry& registry,
                                         const std::optional<net::Address>& at) {
   if (!at) return nullptr;
   try {
     return std::make_unique<control::Door>(
         loop, sidecar.log(), *at,
         control::Orders{.ready = [&] { return sidecar.ready(); },
-                        .metrics = [] { return std::string(); },
+                        .metrics =
+                            [&] {
+                              return registry.Text({sidecar.listed(), sidecar.avoided()});
+                            },
                         .drain = [&] { sidecar.StartDrain(); },
                         .undrain = [&] { return sidecar.EndDrain(); }});
   } catch (const net::Error& e) {
@@ -87,8 +92,10 @@
     boost::asio::io_context io(1);
     net::SocketLoop loop(io);
     const auto console = config.console;
-    kelpspring::Sidecar sidecar(loop, std::move(config), {.inherited = Inherited(loop)});
-    const auto door = OpenDoor(loop, sidecar, console);
+    metrics::Registry registry(gaugecart::InOrder(config.setup.classes));
+    kelpspring::Sidecar sidecar(loop, std::move(config),
+                                {.inherited = Inherited(loop), .observer = &registry});
+    const auto door = OpenDoor(loop, sidecar, registry, console);
     loop.OnSignal(SIGHUP, [&] { Reload(sidecar); });
     for (const int signal : {SIGTERM, SIGINT}) {
       loop.OnSignal(signal, [&] { sidecar.Leave([&] { io.stop(); }); });
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -293,6 +293,15 @@
   }
   std::size_t size() const { return ready_.size(); }
 
+  // Listed endpoints that calls are kept from: draining, or shunned for their failures.
+  std::size_t Avoided(Micros now) const {
+    return static_cast<std::size_t>(
+        std::count_if(servers_.begin(), servers_.end(), [&](const auto& entry) {
+          const Server& s = entry.second;
+          return s.listed && (!s.Ready() || (s.ejected && (s.on_trial || now < s.eject_until)));
+        }));
+  }
+
   bool Cold(const Server& s, Micros now) const {
     return s.info.launched > 0 && settings_.warm_up > 0 &&
            now - s.info.launched < settings_.warm_up;
@@ -950,6 +959,8 @@
     SetWireTimer();
   }
 
+  std::size_t Avoided(Micros now) const { return fleet_.Avoided(now); }
+
   void OnAbandoned(Micros now, RequestId request) {
     if (Call* call = ledger_.Find(request)) End(*call);
     PumpAll(now);
@@ -1277,5 +1288,6 @@
 void Balancer::OnOutcome(Micros now, const Outcome& outcome) { impl_->OnOutcome(now, outcome); }
 void Balancer::OnAbandoned(Micros now, RequestId request) { impl_->OnAbandoned(now, request); }
 void Balancer::OnTimer(Micros now, std::uint64_t mark) { impl_->OnTimer(now, mark); }
+std::size_t Balancer::Avoided(Micros now) const { return impl_->Avoided(now); }
 
 }  // namespace gaugecart
--- /dev/null
+++ b/src/metrics/registry.cpp
@@ -0,0 +1,70 @@
+#include "metrics/registry.h"
+
+#include <string_view>
+
+namespace metrics {
+namespace {
+
+// By kelpspring::Ending.
+constexpr std::array<std::string_view, 4> kStateWords = {"answered", "deferred", "errored",
+                                                         "abandoned"};
+
+std::string Escaped(std::string_view value) {
+  std::string text;
+  for (const char c : value) {
+    if (c == '\\' || c == '"') text += '\\';
+    if (c == '\n') {
+      text += "\\n";
+    } else {
+      text += c;
+    }
+  }
+  return text;
+}
+
+void Family(std::string& text, std::string_view name, std::string_view type,
+            std::string_view help) {
+  text.append("# HELP ").append(name).append(" ").append(help).append("\n# TYPE ");
+  text.append(name).append(" ").append(type).append("\n");
+}
+
+void Single(std::string& text, std::string_view name, std::string_view type, std::string_view help,
+            std::uint64_t value) {
+  Family(text, name, type, help);
+  text.append(name).append(" ").append(std::to_string(value)).append("\n");
+}
+
+}  // namespace
+
+Registry::Registry(const std::vector<std::string>& classes) {
+  for (const std::string& name : classes) cells_.push_back({Escaped(name), {}});
+}
+
+void Registry::OnTaken(std::uint32_t) { ++current_; }
+
+void Registry::OnSent(std::uint32_t) { ++sends_; }
+
+void Registry::OnEnded(std::uint32_t level, kelpspring::Ending how) {
+  --current_;
+  ++cells_.at(level).ended.at(static_cast<std::size_t>(how));
+}
+
+std::string Registry::Text(const Cluster& cluster) const {
+  std::string text;
+  Family(text, "app_transactions", "counter", "Requests that have ended, by class and how.");
+  for (const Cells& cells : cells_) {
+    for (std::size_t state = 0; state < kStates; ++state) {
+      text.append("app_transactions{group=\"").append(cells.group).append("\",state=\"");
+      text.append(kStateWords.at(state)).append("\"} ");
+      text.append(std::to_string(cells.ended.at(state))).append("\n");
+    }
+  }
+  Single(text, "app_sends", "counter", "Attempts written whole to endpoints.", sends_);
+  Single(text, "app_current", "gauge", "Requests taken and not ended.", current_);
+  Single(text, "app_cluster_size", "gauge", "Endpoints in the list.", cluster.size);
+  Single(text, "app_cluster_unhealthy", "gauge", "Listed endpoints that are avoided now.",
+         cluster.avoided);
+  return text;
+}
+
+}  // namespace metrics
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -16,6 +16,12 @@
   return it == names.end() ? -1 : it->second;
 }
 
+std::vector<std::string> InOrder(const Names& names) {
+  std::vector<std::string> words(names.size());
+  for (const auto& [word, number] : names) words.at(static_cast<std::size_t>(number)) = word;
+  return words;
+}
+
 namespace {
 
 using Json = nlohmann::json;
--- a/src/settings.h
+++ b/src/settings.h
@@ -24,6 +24,7 @@
 using Names = std::unordered_map<std::string, std::int32_t>;
 
 std::int32_t Lookup(const Names& names, std::string_view name);  // -1 where unknown.
+std::vector<std::string> InOrder(const Names& names);            // By their numbers, from 0.
 
 // Endpoint words and their ids. Holds names only: nothing an instance has learned. An id is given
 // once, also if its word is forgotten.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -118,7 +118,13 @@
       settled_(wiring.inherited == nullptr),
       drain_(wiring.inherited != nullptr),
       upstream_(loop, log_, budget_, std::chrono::microseconds(config_.setup.settings.keepalive),
-                std::chrono::microseconds(config_.setup.connect_timeout)),
+                std::chrono::microseconds(config_.setup.connect_timeout),
+                [this](Upstream::Key key) {
+                  const auto it = live_.find(key.first);
+                  if (observer_ != nullptr && it != live_.end()) {
+                    observer_->OnSent(it->second.level);
+                  }
+                }),
       discovery_(
           loop, log_, config_.discovery,
           // One that takes over wants the whole present list, not the next change.
@@ -129,6 +135,7 @@
             Settle();
           },
           [this] { Run([this] { balancer_->OnDiscoveryFailed(Now()); }); }),
+      observer_(wiring.observer),
       timer_(loop.NewTimer([this] { TimerFired(); })),
       settle_timer_(loop.NewTimer([this] { Settle(); })) {
   // An eighth of the places is left for those who are to be refused.
@@ -222,7 +229,7 @@
           std::snprintf(text.data(), text.size(), "%.3f", static_cast<double>(advice) / 1e6);
       response.set(http::field::retry_after, std::string(text.data(), static_cast<std::size_t>(n)));
     }
-    Finish(request, std::move(response));
+    Finish(request, std::move(response), Ending::kRefused);
   });
 }
 
@@ -231,7 +238,7 @@
   if (Mutated(Mutant::kRefuseFailures)) return Refuse(request, 0);
   Run([=, this] {
     log_.Trace([&] { return "failed " + std::to_string(request); });
-    Finish(request, Plain(http::status::bad_gateway, "failed\n"));
+    Finish(request, Plain(http::status::bad_gateway, "failed\n"), Ending::kFailed);
   });
 }
 
@@ -402,6 +409,8 @@
   live.message.prepare_payload();
   if (Mutated(Mutant::kWrongId)) live.message.set("X-Txn", "00000000000000ff");
   live.due = request.due;
+  live.level = request.priority_level;
+  if (observer_ != nullptr) observer_->OnTaken(live.level);
   client->OnGone([this, id = request.id] { Gone(id); });
   log_.Trace([&] {
     return "request " + std::to_string(request.id) + " tier " +
@@ -455,7 +464,7 @@
     }
     response.body() = std::move(answer.message.body());
     if (Mutated(Mutant::kForgeBody)) response.body() += '!';
-    Finish(id, std::move(response));
+    Finish(id, std::move(response), Ending::kAnswered);
   }
   --it->second.out;  // Not before: a request with nothing out and no client is forgotten.
   outcome.closed = it->second.client == nullptr;
@@ -466,18 +475,22 @@
 }
 
 // The one final answer; what comes later for the request finds no client.
-void Sidecar::Finish(RequestId id, HttpResponse response) {
+void Sidecar::Finish(RequestId id, HttpResponse response, Ending how) {
   const auto it = live_.find(id);
   if (it == live_.end() || !it->second.client) return;
-  const auto client = std::exchange(it->second.client, nullptr);
-  client->Respond(std::move(response));
+  Release(it->second, how)->Respond(std::move(response));
   EraseIfOver(id);
 }
 
+std::shared_ptr<Client> Sidecar::Release(Live& live, Ending how) {
+  if (observer_ != nullptr) observer_->OnEnded(live.level, how);
+  return std::exchange(live.client, nullptr);
+}
+
 void Sidecar::Gone(RequestId id) {
   const auto it = live_.find(id);
   if (it == live_.end() || !it->second.client) return;
-  it->second.client = nullptr;
+  Release(it->second, Ending::kAbandoned);
   Run([this, id] { balancer_->OnAbandoned(Now(), id); });
   Run([this, id] {
     const auto live = live_.find(id);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -17,6 +17,7 @@
 #include "gaugecart/choice.h"
 #include "sidecar/config.h"
 #include "sidecar/discovery.h"
+#include "sidecar/observer.h"
 #include "sidecar/server.h"
 #include "sidecar/upstream.h"
 
@@ -33,6 +34,8 @@
     LogSink sink = LogToStandardError;
     // A listening socket that other processes hold too; without one the sidecar has its own.
     net::ListenerPtr inherited = nullptr;
+    // Told of each request's life; must outlive the sidecar.
+    Observer* observer = nullptr;
   };
 
   // Throws std::invalid_argument or net::Error.
@@ -49,6 +52,9 @@
   // Whether it serves, or would as soon as somebody comes.
   bool ready() const { return CanServe() && drain_.serving(); }
   kelpspring::Log& log() { return log_; }
+  // Endpoints in the list, and how many of them the module avoids.
+  std::size_t listed() const { return hosts_.size(); }
+  std::size_t avoided() const { return balancer_->Avoided(Now()); }
   // Takes over what may change while it runs, the address of discovery; the rest of a configuration
   // holds from one start to the next.
   void Reload(const Config& config);
@@ -71,6 +77,7 @@
     std::shared_ptr<Client> client;  // Null once nothing is owed any more.
     HttpRequest message;
     Micros due = 0;
+    std::uint32_t level = 0;
     std::uint32_t attempts = 0;
     std::uint32_t out = 0;
   };
@@ -109,7 +116,9 @@
   void StartAttempt(RequestId id, gaugecart::EndpointId endpoint, Micros timeout);
   void EndAttempt(RequestId id, std::uint32_t attempt, gaugecart::EndpointId endpoint, Micros sent,
                   Answer answer);
-  void Finish(RequestId id, HttpResponse response);
+  void Finish(RequestId id, HttpResponse response, Ending how);
+  // Nothing is owed for the request any more.
+  std::shared_ptr<Client> Release(Live& live, Ending how);
   void Gone(RequestId id);
   void EraseIfOver(RequestId id);
   void ArmTimer();
@@ -131,6 +140,7 @@
   std::deque<std::function<void()>> steps_;
   bool running_ = false;
   std::unordered_map<RequestId, Live> live_;
+  Observer* observer_;
   std::priority_queue<Timer> timers_;
   net::TimerPtr timer_;
   Micros timer_at_ = 0;  // 0: not armed.
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -153,6 +153,7 @@
     switch (outgoing_.Flush(*stream_)) {
       case Outgoing::State::kAllOut:
         written_ = true;
+        owner_.on_whole_(key_);
         return;
       case Outgoing::State::kBroken:
         return Finish(OutcomeCode::kConnectFailed);  // Its last byte never left.
@@ -276,14 +277,16 @@
 };
 
 Upstream::Upstream(net::Loop& loop, Log& log, SocketBudget& budget,
-                   std::chrono::microseconds keepalive, std::chrono::microseconds connect_timeout)
+                   std::chrono::microseconds keepalive, std::chrono::microseconds connect_timeout,
+                   OnWhole on_whole)
     : loop_(loop),
       log_(log),
       budget_(budget),
       idle_span_(keepalive.count() > 0 ? std::chrono::microseconds(static_cast<std::int64_t>(
                                              static_cast<double>(keepalive.count()) * kIdlePart))
                                        : kDefaultIdle),
-      connect_timeout_(connect_timeout.count() > 0 ? connect_timeout : kDefaultConnect) {
+      connect_timeout_(connect_timeout.count() > 0 ? connect_timeout : kDefaultConnect),
+      on_whole_(std::move(on_whole)) {
   budget_.evict_idle = [this] { return EvictIdle(); };
 }
 
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -54,9 +54,10 @@
  public:
   using Key = std::pair<gaugecart::RequestId, std::uint32_t>;  // Request and attempt.
   using Done = std::function<void(Answer)>;
+  using OnWhole = std::function<void(Key)>;  // An attempt has been written whole.
 
   Upstream(net::Loop& loop, Log& log, SocketBudget& budget, std::chrono::microseconds keepalive,
-           std::chrono::microseconds connect_timeout);
+           std::chrono::microseconds connect_timeout, OnWhole on_whole);
   ~Upstream();
   Upstream(const Upstream&) = delete;
   Upstream& operator=(const Upstream&) = delete;
@@ -101,6 +102,7 @@
   SocketBudget& budget_;
   std::chrono::microseconds idle_span_;
   std::chrono::microseconds connect_timeout_;
+  OnWhole on_whole_;
   std::map<gaugecart::EndpointId, Endpoint> endpoints_;
   std::map<Key, ConnectionPtr> attempts_;
   net::Time doubt_until_{};  // Until then idle connections may be dead without a sign.
--- a/tests/control/door_test.cpp
+++ b/tests/control/door_test.cpp
@@ -149,5 +149,54 @@
   EXPECT_TRUE(done);
 }
 
+// ---- Figures ----
+
+std::string Transactions(const std::string& group, const std::string& state, int count) {
+  return "\napp_transactions{group=\"" + group + "\",state=\"" + state + "\"} " +
+         std::to_string(count) + "\n";
+}
+
+TEST(Figures, StandAtZeroForEveryClassFromTheStart) {
+  Scene s;
+  const auto figures = s.AskDoor("GET", "/metrics");
+  EXPECT_TRUE(figures->Has("Content-Type: text/plain; version=0.0.4"));
+  for (const char* group : {"read", "wr\\\"ite"}) {
+    for (const char* state : {"answered", "deferred", "errored", "abandoned"}) {
+      EXPECT_TRUE(figures->Has(Transactions(group, state, 0))) << group << ' ' << state;
+    }
+  }
+  for (const char* line : {"\napp_sends 0\n", "\napp_current 0\n", "\napp_cluster_size 1\n",
+                           "\napp_cluster_unhealthy 0\n"}) {
+    EXPECT_TRUE(figures->Has(line)) << line;
+  }
+}
+
+// However a request ends, it is counted once, and nothing is left current.
+TEST(Figures, CountEachEndOnce) {
+  Scene s;
+  const auto answered = s.Open(kClientsAt, Call(1));
+  EXPECT_TRUE(s.AskDoor("GET", "/metrics")->Has("\napp_current 1\n"));
+  s.at_node.at(0)->Send(Answer("one"));
+  s.Run(milliseconds(5));
+  const auto failed = s.Open(kClientsAt, Call(2, "effect"));
+  s.at_node.at(0)->Send(Answer("bad", "500 Bad"));  // May have run: failed.
+  s.Run(milliseconds(5));
+  const auto gone = s.Open(kClientsAt, Call(3));
+  gone->Close();
+  s.Run(milliseconds(50));
+  for (const auto& talk : s.at_node) talk->Close();
+  s.node.Kill();
+  const auto refused = s.Open(kClientsAt, Call(4, "effect"));  // Nobody there: never ran.
+  s.Run(seconds(3));
+  EXPECT_EQ(refused->Status(), 503);
+  const auto figures = s.AskDoor("GET", "/metrics");
+  EXPECT_TRUE(figures->Has(Transactions("read", "answered", 1)));
+  EXPECT_TRUE(figures->Has(Transactions("read", "abandoned", 1)));
+  EXPECT_TRUE(figures->Has(Transactions("wr\\\"ite", "errored", 1)));
+  EXPECT_TRUE(figures->Has(Transactions("wr\\\"ite", "deferred", 1)));
+  EXPECT_TRUE(figures->Has("\napp_sends 3\n")) << figures->got;
+  EXPECT_TRUE(figures->Has("\napp_current 0\n"));
+}
+
 }  // namespace
 }  // namespace scene
--- a/tests/scene.h
+++ b/tests/scene.h
@@ -10,10 +10,12 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "control/door.h"
 #include "lab/catalog_wire.h"
 #include "lab/sidecar_config.h"
+#include "metrics/registry.h"
 #include "net/virtual.h"
 #include "seeds/peer.h"
 #include "sidecar/sidecar.h"
@@ -119,14 +121,19 @@
     config["console"] = kDoorAt.Text();
     sidecar = std::make_unique<kelpspring::Sidecar>(
         machine, kelpspring::ParseConfig(config.dump()),
-        kelpspring::Sidecar::Wiring{.sink = [this](std::string_view line) {
-          log += line;
-          log += '\n';
-        }});
+        kelpspring::Sidecar::Wiring{.sink =
+                                        [this](std::string_view line) {
+                                          log += line;
+                                          log += '\n';
+                                        },
+                                    .observer = &registry});
     door = std::make_unique<control::Door>(
         machine, sidecar->log(), kDoorAt,
         control::Orders{.ready = [this] { return sidecar->ready(); },
-                        .metrics = [] { return std::string(); },
+                        .metrics =
+                            [this] {
+                              return registry.Text({sidecar->listed(), sidecar->avoided()});
+                            },
                         .drain = [this] { sidecar->StartDrain(); },
                         .undrain = [this] { return sidecar->EndDrain(); }});
     Run(milliseconds(50));
@@ -170,6 +177,7 @@
   net::VirtualProcess node, discovery, client, machine;
   std::deque<TalkPtr> at_node, at_discovery;
   std::string log;
+  metrics::Registry registry{std::vector<std::string>{"read", "wr\"ite"}};
   std::unique_ptr<kelpspring::Sidecar> sidecar;
   std::unique_ptr<control::Door> door;
 
