--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -17,8 +17,13 @@
 }
 
 std::vector<std::string> InOrder(const Names& names) {
-  std::vector<std::string> words(names.size());
-  for (const auto& [word, number] : names) words.at(static_cast<std::size_t>(number)) = word;
+  std::vector<std::string> words;
+  for (const auto& [word, number] : names) {
+    // A word that is given twice has the later number.
+    const auto place = static_cast<std::size_t>(number);
+    if (words.size() <= place) words.resize(place + 1);
+    words[place] = word;
+  }
   return words;
 }
 
