--- a/src/seeds/peer.h
+++ b/src/seeds/peer.h
@@ -49,6 +49,7 @@
     if (!on && !over_ && stream_) stream_->Receive();
   }
   bool over() const { return over_; }
+  std::size_t unsent() const { return unsent_.size(); }
   bool up() const { return up_; }
   net::Stream* stream() { return stream_.get(); }
 
--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -52,6 +52,8 @@
   if (json.contains("limits")) {
     Field(json, "limits", [&](const Json& j) {
       config.sockets = j.value("sockets", config.sockets);
+      config.memory_mb = j.value("memory_mb", config.memory_mb);
+      if (config.memory_mb < 1) throw BadInput("memory_mb: expected at least 1");
       if (config.sockets < kFewestSockets) throw BadInput("sockets: expected at least 64");
     });
   }
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -21,6 +21,7 @@
   std::optional<net::Address> console;  // The operators' door; none where it is not asked for.
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;  // File descriptors it may hold.
+  std::size_t memory_mb = 64;  // The memory it is given.
   MemberList known;
   gaugecart::Setup setup;
   bool traced = false;  // A line for each event; asked for on the command line.
--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -85,7 +85,7 @@
     done_ = std::move(done);
     log_.Trace([&] { return "ask " + target; });
     limit_ = wait + kGrace;
-    http::request<http::string_body> request{http::verb::get, target, 11};
+    HttpRequest request{http::verb::get, target, 11};
     request.set(http::field::host, address_.Host());
     outgoing_.Start(TextOf(request));
     if (connected_) return Write();
--- a/src/sidecar/http.h
+++ b/src/sidecar/http.h
@@ -2,11 +2,15 @@
 #ifndef KELPSPRING_HTTP_H_
 #define KELPSPRING_HTTP_H_
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <charconv>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -15,46 +19,121 @@
 
 namespace kelpspring {
 
-using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
-using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+// A body as text. Unlike Beast's own it takes no memory for what is only announced, and what has
+// come can be taken out while more is on its way.
+struct TextBody {
+  using value_type = std::string;
+  static std::uint64_t size(const value_type& body) { return body.size(); }
+  using writer = boost::beast::http::string_body::writer;
+  class reader {
+   public:
+    template <bool kIsRequest, typename Fields>
+    reader(boost::beast::http::header<kIsRequest, Fields>&, value_type& body) : body_(body) {}
+    void init(const boost::optional<std::uint64_t>&, boost::system::error_code& ec) { ec = {}; }
+    template <typename Buffers>
+    std::size_t put(const Buffers& buffers, boost::system::error_code& ec) {
+      ec = {};
+      std::size_t taken = 0;
+      for (const boost::asio::const_buffer part : boost::beast::buffers_range_ref(buffers)) {
+        body_.append(static_cast<const char*>(part.data()), part.size());
+        taken += part.size();
+      }
+      return taken;
+    }
+    void finish(boost::system::error_code& ec) { ec = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
+using HttpRequest = boost::beast::http::request<TextBody>;
+using HttpResponse = boost::beast::http::response<TextBody>;
 
-constexpr std::uint64_t kBodyLimit = 65536;
+constexpr std::uint64_t kHeldBody = 65536;           // Up to this a body is held whole.
+constexpr std::uint64_t kLeastHeld = 8192;           // The same, where memory is short.
+constexpr std::uint64_t kLargestBody = 64ULL << 20;  // What is announced as longer is refused.
 constexpr std::uint32_t kHeaderLimit = 16384;
 
+// How much of a body may be held, so that all bodies together stay within a quarter of the memory.
+struct BodyBudget {
+  std::uint64_t bytes = 0;
+  std::size_t holders = 0;  // Connections on both sides.
+
+  std::uint64_t Each() const {
+    return std::clamp(bytes / std::max<std::size_t>(1, holders), kLeastHeld, kHeldBody);
+  }
+};
+
 inline std::string_view View(boost::beast::string_view s) { return {s.data(), s.size()}; }
 
-// The path of a request's target, without query, in origin and in absolute form.
+// A request's target: where it names a scheme and an authority (absolute form) these are set apart.
+struct Target {
+  std::string_view authority;
+  std::string_view origin;  // Path and query.
+};
+inline Target Split(std::string_view target) {
+  const auto scheme = target.find("://");
+  if (scheme == target.npos || target.front() == '/' || target.find('/') < scheme) {
+    return {{}, target};
+  }
+  const std::string_view rest = target.substr(scheme + 3);
+  const auto path = std::min(rest.find_first_of("/?"), rest.size());
+  return {rest.substr(0, path), path == rest.size() ? "/" : rest.substr(path)};
+}
 inline std::string_view PathOf(std::string_view target) {
-  if (const auto scheme = target.find("://"); scheme != target.npos && target.front() != '/') {
-    const auto path = target.find_first_of("/?", scheme + 3);
-    target = path == target.npos ? "/" : target.substr(path);
+  const std::string_view origin = Split(target).origin;
+  return origin.substr(0, origin.find('?'));
+}
+
+template <typename Buffers>
+std::size_t AppendTo(std::string& text, const Buffers& buffers) {
+  std::size_t taken = 0;
+  for (const boost::asio::const_buffer part : boost::beast::buffers_range_ref(buffers)) {
+    text.append(static_cast<const char*>(part.data()), part.size());
+    taken += part.size();
   }
-  return target.substr(0, target.find('?'));
+  return taken;
 }
 
 // A whole message as it goes out.
 template <bool kIsRequest>
-std::string TextOf(
-    const boost::beast::http::message<kIsRequest, boost::beast::http::string_body>& message) {
-  namespace http = boost::beast::http;
-  http::serializer<kIsRequest, http::string_body> serializer(message);
+std::string TextOf(const boost::beast::http::message<kIsRequest, TextBody>& message) {
+  boost::beast::http::serializer<kIsRequest, TextBody> serializer(message);
   std::string text;
   boost::system::error_code ec;
   while (!serializer.is_done() && !ec) {
     serializer.next(ec, [&](boost::system::error_code&, const auto& buffers) {
-      std::size_t taken = 0;
-      for (auto it = boost::asio::buffer_sequence_begin(buffers);
-           it != boost::asio::buffer_sequence_end(buffers); ++it) {
-        const boost::asio::const_buffer part(*it);
-        text.append(static_cast<const char*>(part.data()), part.size());
-        taken += part.size();
-      }
-      serializer.consume(taken);
+      serializer.consume(AppendTo(text, buffers));
     });
   }
   return text;
 }
 
+// Its head alone; the body follows in parts.
+inline std::string HeadOf(const HttpRequest& message) {
+  std::string text;
+  HttpRequest::fields_type::writer writer(message, message.version(), message.method());
+  AppendTo(text, writer.get());
+  return text;
+}
+inline std::string HeadOf(const HttpResponse& message) {
+  std::string text;
+  HttpResponse::fields_type::writer writer(message, message.version(), message.result_int());
+  AppendTo(text, writer.get());
+  return text;
+}
+
+// A part of a body as one chunk; none for no bytes, which would end it.
+inline std::string ChunkOf(std::string_view part) {
+  if (part.empty()) return {};
+  std::array<char, 16> digits{};
+  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), part.size(), 16).ptr;
+  std::string chunk(digits.data(), end);
+  return chunk.append("\r\n").append(part).append("\r\n");
+}
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
 // What has come and was not used yet. One that is empty holds no memory.
 class Incoming {
  public:
@@ -84,17 +163,25 @@
     text_ = std::move(text);
     sent_ = 0;
   }
+  // Behind what has not gone out yet.
+  void Add(std::string text) {
+    if (empty()) return Start(std::move(text));
+    text_.erase(0, sent_);
+    sent_ = 0;
+    text_ += text;
+  }
   // Writes at once what the machine takes, so that at every moment it is known whether the last
   // byte has left. kMoreToCome: to be called again at OnWritable.
   State Flush(net::Stream& stream) {
+    if (empty()) return State::kAllOut;
     const net::Written written = stream.Write(std::string_view(text_).substr(sent_));
     sent_ += written.bytes;
     if (written.fault != net::Fault::kNone) return State::kBroken;
     if (sent_ < text_.size()) return State::kMoreToCome;
-    text_ = {};
-    sent_ = 0;
+    Clear();
     return State::kAllOut;
   }
+  bool empty() const { return sent_ == text_.size(); }
   void Clear() {
     text_ = {};
     sent_ = 0;
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -16,11 +16,16 @@
 
 constexpr std::size_t kReadAhead = 32768;      // Of a next request while one is held.
 constexpr std::size_t kLingerBytes = 1 << 18;  // Read away of what follows an error.
+// The least pace of a body, half the slowest that operators name: its time grows with what comes.
+constexpr std::int64_t kLeastBytesPerSecond = 32'000;
 // One limit for each phase. Whoever sends nothing usable is told so, or closed, within 3 s.
 constexpr auto kFirstSpan = milliseconds(2500);  // From the connection to the first request's end.
 constexpr auto kRequestSpan = milliseconds(2500);  // From a later request's first byte to its last.
 constexpr auto kRestSpan = milliseconds(4000);     // Between requests; 2 s is the least allowed.
-constexpr auto kAnswerSpan = milliseconds(2500);   // For a client to take its answer.
+constexpr auto kAnswerSpan = milliseconds(2500);   // For a client to take a part of its answer.
+// The same of an answer in parts. What the machine holds for a slow reader is some megabytes, and
+// it asks for more only after a good part of them: at 64 kB/s that takes many seconds.
+constexpr auto kTakeSpan = milliseconds(30'000);
 constexpr auto kLingerSpan = milliseconds(500);
 constexpr auto kCrossingSpan = milliseconds(100);  // For what has come but was not read yet.
 // From the accept, in which a first request may be on its way: closing would lose it.
@@ -36,7 +41,7 @@
 
 // How a request's length must be told: once, by plain digits or as chunks. Beast takes more than
 // that, and where two readers can differ on where a request ends, another hides in its body.
-bool Framed(const http::request_parser<http::string_body>& parser) {
+bool Framed(const http::request_parser<TextBody>& parser) {
   const auto& head = parser.get();
   const auto length = head[http::field::content_length];
   const bool digits = length.find_first_not_of("0123456789") == length.npos;
@@ -55,6 +60,7 @@
 void Client::Start() {
   stream_->SetUser(*this);
   fresh_until_ = server_.loop_.Now() + kFreshSpan;
+  awaited_since_ = server_.loop_.Now();
   Rest(server_.shut() ? kLastSpan : kFirstSpan);
   Read();
 }
@@ -100,52 +106,136 @@
     return Read();
   }
   incoming_.Append(bytes);
-  if (state_ == State::kIdle) Parse();
+  if (state_ == State::kIdle) {
+    Parse();
+  } else if (feed_) {
+    FeedNext();
+  }
   // While a request is held the read watches for the client's end.
   Read();
 }
 
-void Client::Parse() {
-  if (!parser_) {
-    parser_.emplace();
-    // Not eager, so that the head is looked at before any of the body is taken in.
-    parser_->header_limit(kHeaderLimit);
-    parser_->body_limit(kBodyLimit);
-    if (!first_) Arm(kRequestSpan);
-    if (!yields_) Yields(kWaiting);
-  }
+void Client::StartParser() {
+  parser_.emplace();
+  // Not eager, so that the head is looked at before any of the body is taken in.
+  parser_->header_limit(kHeaderLimit);
+  parser_->body_limit(kLargestBody);
+  head_.reset();
+  came_ = 0;
+  // The first request's time counts from its connection.
+  if (!first_) spent_ = {};
+  if (!yields_) Yields(kWaiting);
+}
+
+bool Client::Take() {
   while (!incoming_.empty() && !parser_->is_done()) {
     error_code ec;
     const bool in_head = !parser_->is_header_done();
     const std::size_t used = parser_->put(incoming_.data(), ec);
     incoming_.Consume(used);
     if (ec == http::error::need_more || (!ec && used == 0)) break;
-    if (ec == http::error::body_limit) return Reject(413, "the body is over 64 KiB\n");
-    if (ec == http::error::header_limit) return Reject(431, "the head is too large\n");
-    if (ec) return Reject(400, "malformed HTTP\n");
-    if (in_head && parser_->is_header_done() && !Framed(*parser_)) {
-      return Reject(400, "the length is not told plainly\n");
-    }
+    if (ec == http::error::body_limit) return Spoil(413, "the body is over 64 MiB\n"), false;
+    if (ec == http::error::header_limit) return Spoil(431, "the head is too large\n"), false;
+    if (ec) return Spoil(400, "malformed HTTP\n"), false;
+    if (!in_head) came_ += used;
+    if (in_head && parser_->is_header_done() && !LookAtHead()) return false;
   }
-  if (!parser_->is_done()) {
-    // The head of a chunk without end, as long as it may be read ahead.
-    if (incoming_.size() >= kReadAhead) Reject(400, "malformed HTTP\n");
-    return;
+  // The head of a chunk without end, as long as it may be read ahead.
+  if (!parser_->is_done() && incoming_.size() >= kReadAhead) {
+    return Spoil(400, "malformed HTTP\n"), false;
+  }
+  return true;
+}
+
+bool Client::LookAtHead() {
+  if (!Framed(*parser_)) return Spoil(400, "the length is not told plainly\n"), false;
+  const auto& head = parser_->get();
+  if (parser_->chunked()) head_ = head.base();
+  const auto expect = head[http::field::expect];
+  if (expect.empty() || head.version() < 11) return true;
+  if (!boost::beast::iequals(expect, "100-continue")) {
+    return Spoil(417, "Expect: 100-continue is all that can be met\n"), false;
   }
+  if (!incoming_.empty() || parser_->is_done()) return true;  // It has not waited.
+  outgoing_.Start("HTTP/1.1 100 Continue\r\n\r\n");
+  outgoing_.Flush(*stream_);
+  return true;
+}
+
+void Client::Spoil(unsigned status, const std::string& text) {
+  feed_ = nullptr;
+  const auto gone = std::exchange(gone_, nullptr);
+  if (gone) gone();
+  Reject(status, text);
+}
+
+// Only waiting for the client counts: while nobody wants more of its body it may not be able to
+// send.
+void Client::Await() {
+  if (awaited_since_) return;
+  const net::Time now = server_.loop_.Now();
+  awaited_since_ = now;
+  const auto paced = std::chrono::microseconds(static_cast<std::int64_t>(came_) * 1'000'000 /
+                                               kLeastBytesPerSecond);
+  timer_->ArmAt(now + kRequestSpan + paced - spent_);
+}
+
+void Client::Came() {
+  if (!awaited_since_) return;
+  spent_ += server_.loop_.Now() - *awaited_since_;
+  awaited_since_.reset();
+}
+
+void Client::Parse() {
+  Came();
+  if (!parser_) StartParser();
+  if (!Take()) return;
+  const std::string& body = parser_->get().body();
+  if (!parser_->is_done() && body.size() < server_.most_body_()) return Await();
   timer_->Cancel();
   Yields(std::nullopt);
   first_ = false;
   fresh_until_ = {};
-  HttpRequest request = parser_->release();
-  parser_.reset();
+  Arrival arrival{parser_->is_done(), std::nullopt};
+  if (const auto length = parser_->content_length()) arrival.length = *length;
+  HttpRequest request = head_ ? HttpRequest(std::move(*head_)) : HttpRequest(parser_->get().base());
+  request.body() = std::exchange(parser_->get().body(), {});
+  if (arrival.whole) parser_.reset();
   state_ = State::kHeld;
   keep_alive_ = request.keep_alive() && request.version() >= 11;
   version_ = request.version();
+  Dispatch(std::move(request), arrival);
+}
+
+void Client::Dispatch(HttpRequest request, Arrival arrival) {
   if (PathOf(View(request.target())) == "/_health") {
     const bool ready = server_.ready_() && server_.drain_.healthy();
     return RespondPlain(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
   }
-  server_.on_request_(shared_from_this(), std::move(request));
+  server_.on_request_(shared_from_this(), std::move(request), arrival);
+}
+
+void Client::Pull(Feed feed) {
+  if (state_ != State::kHeld || !parser_) return;
+  feed_ = std::move(feed);
+  FeedNext();
+}
+
+void Client::FeedNext() {
+  const auto self = shared_from_this();
+  Came();
+  if (!Take()) return;
+  std::string part = std::exchange(parser_->get().body(), {});
+  const bool last = parser_->is_done();
+  if (part.empty() && !last) {
+    Await();
+    return Read();
+  }
+  timer_->Cancel();
+  if (last) parser_.reset();
+  const Feed feed = std::exchange(feed_, nullptr);
+  feed(std::move(part), last);
+  Read();
 }
 
 // What cannot be read as a request ends the connection: where the next one starts is not known.
@@ -154,6 +244,7 @@
   Yields(std::nullopt);
   parser_.reset();
   incoming_.Clear();
+  if (state_ == State::kClosed) return;
   state_ = State::kHeld;
   keep_alive_ = false;
   server_.log_.Line("a client's request was rejected: " + text.substr(0, text.size() - 1));
@@ -170,36 +261,81 @@
 void Client::Respond(HttpResponse response) {
   if (state_ != State::kHeld) return;
   gone_ = nullptr;
+  feed_ = nullptr;
   state_ = State::kAnswering;
-  if (server_.phase_ != Server::Phase::kOpen) keep_alive_ = false;
+  // What is left of a request that is answered before its end belongs to nothing.
+  if (server_.phase_ != Server::Phase::kOpen || parser_) keep_alive_ = false;
   response.version(version_);
   response.keep_alive(keep_alive_);
   response.prepare_payload();
   std::string text = TextOf(response);
   if (Mutated(Mutant::kDropAnswer)) return Close();
   if (Mutated(Mutant::kAnswerTwice)) text += text;
-  outgoing_.Start(std::move(text));
+  outgoing_.Add(std::move(text));
   Arm(kAnswerSpan);
   Flush();
 }
 
+void Client::Begin(HttpResponse head, std::optional<std::uint64_t> length,
+                   std::function<void()> drained) {
+  if (state_ != State::kHeld) return;
+  state_ = State::kStreaming;
+  drained_ = std::move(drained);
+  ending_ = false;
+  chunked_ = !length && version_ >= 11;
+  if (server_.phase_ != Server::Phase::kOpen || parser_) keep_alive_ = false;
+  head.version(version_);
+  if (length) head.content_length(*length);
+  if (chunked_) head.chunked(true);
+  head.keep_alive(keep_alive_);
+  outgoing_.Add(HeadOf(head));
+}
+
+bool Client::Part(std::string_view bytes) {
+  if (state_ != State::kStreaming) return true;
+  outgoing_.Add(chunked_ ? ChunkOf(bytes) : std::string(bytes));
+  Flush();
+  return outgoing_.empty();
+}
+
+void Client::EndBody() {
+  if (state_ != State::kStreaming) return;
+  gone_ = nullptr;
+  drained_ = nullptr;
+  ending_ = true;
+  if (chunked_) outgoing_.Add(std::string(kLastChunk));
+  Flush();
+}
+
+void Client::Break() {
+  if (state_ != State::kStreaming) return;
+  const auto self = shared_from_this();
+  gone_ = nullptr;
+  stream_->Reset();
+  Close();
+}
+
 void Client::Flush() {
-  if (state_ != State::kAnswering) return;
+  if (state_ != State::kAnswering && state_ != State::kStreaming) return;
   const auto self = shared_from_this();
+  const bool streaming = state_ == State::kStreaming;
   switch (outgoing_.Flush(*stream_)) {
     case Outgoing::State::kAllOut:
-      return Answered();
+      if (!streaming || ending_) return Answered();
+      return timer_->Cancel();
     case Outgoing::State::kBroken:
-      return Close();
+      return Leave();
     case Outgoing::State::kMoreToCome:
-      return;
+      return Arm(streaming ? kTakeSpan : kAnswerSpan);
   }
 }
 
 void Client::Answered() {
+  drained_ = nullptr;
   // An answer that was under way when the drain began did not say that this is the end.
   if (!keep_alive_ || server_.shut()) return Linger();
   state_ = State::kIdle;
+  spent_ = {};
   if (incoming_.empty()) {
     Rest(kRestSpan);
     server_.Accept();
@@ -222,9 +358,11 @@
   state_ = State::kLingering;
   stream_->EndSending();
   incoming_.Clear();
-  linger_left_ = kLingerBytes;
+  // The rest of a long request may be on its way, from a client that reads only after it.
+  linger_left_ = parser_ ? kLargestBody : kLingerBytes;
+  Arm(parser_ ? kRequestSpan : kLingerSpan);
+  parser_.reset();
   Yields(kLeaving);
-  Arm(kLingerSpan);
   Read();
   server_.Accept();
   server_.CheckDone();
@@ -238,9 +376,16 @@
     if (!parser_ && HasUnread()) return Arm(kCrossingSpan);
     if (parser_) return Reject(408, "the rest of the request did not come\n");
   }
+  if (state_ == State::kHeld) return Spoil(408, "the rest of the request did not come\n");
   Leave();
 }
 
+void Client::OnWritable() {
+  const auto self = shared_from_this();
+  Flush();
+  if (state_ == State::kStreaming && outgoing_.empty() && drained_) drained_();
+}
+
 bool Client::HasUnread() { return stream_->Peek() == net::Ahead::kBytes; }
 
 void Client::Close() {
@@ -248,18 +393,23 @@
   state_ = State::kClosed;
   gone_ = nullptr;
   timer_->Cancel();
+  feed_ = nullptr;
+  drained_ = nullptr;
+  outgoing_.Clear();
   Yields(std::nullopt);
   stream_->Close();
   server_.Removed(shared_from_this());
 }
 
 Server::Server(net::Loop& loop, Log& log, net::ListenerPtr listener, SocketBudget& budget,
-               const Drain& drain, std::function<bool()> ready, OnRequest on_request)
+               const Drain& drain, std::function<bool()> ready,
+               std::function<std::uint64_t()> most_body, OnRequest on_request)
     : loop_(loop),
       log_(log),
       budget_(budget),
       drain_(drain),
       ready_(std::move(ready)),
+      most_body_(std::move(most_body)),
       on_request_(std::move(on_request)),
       listener_(std::move(listener)),
       pause_(loop.NewTimer([this] { Accept(); })),
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -26,18 +26,36 @@
 // Waiting goes from one answer to the next request's last byte.
 enum Yield : std::size_t { kLeaving, kWaiting, kYields };
 
-// One connection. Holds one request at a time, from its last byte to its answer.
+// How a request came: whole, or with the rest of its body still on the way.
+struct Arrival {
+  bool whole = true;
+  std::optional<std::uint64_t> length;  // Of the whole body, where its head told it.
+};
+
+// One connection. Holds one request at a time, from its last byte (of a long one: from as much of
+// it as may be held) to its answer.
 class Client : public net::StreamUser, public std::enable_shared_from_this<Client> {
  public:
   Client(Server& server, net::StreamPtr stream);
 
   void Start();
-  // The final answer to the request that is held.
+  // The final answer to the request that is held. What is still to come of it is read away.
   void Respond(HttpResponse response);
+  // An answer that goes out as it comes: its head; then parts of its body, each time false if no
+  // more is wanted before `drained` is called; then its end. Without a length it goes in chunks.
+  void Begin(HttpResponse head, std::optional<std::uint64_t> length, std::function<void()> drained);
+  bool Part(std::string_view bytes);
+  void EndBody();
+  // Ends it so that the client can tell it is not whole.
+  void Break();
+  // The next part of a request's body, once there is one; `last` with the body's end.
+  using Feed = std::function<void(std::string part, bool last)>;
+  void Pull(Feed feed);
   void RespondPlain(unsigned status, const std::string& text);
   // Answers what cannot be used, and ends the connection.
   void Reject(unsigned status, const std::string& text);
-  // Called if the client goes away before its request is answered.
+  // Called if the client goes away, or the rest of its request fails to come, before its request is
+  // answered to the end.
   void OnGone(std::function<void()> gone) { gone_ = std::move(gone); }
 
   // Nothing more is owed on it.
@@ -55,14 +73,26 @@
 
  private:
   // Idle also while a request is half read.
-  enum class State { kIdle, kHeld, kAnswering, kLingering, kClosed };
+  enum class State { kIdle, kHeld, kAnswering, kStreaming, kLingering, kClosed };
+  using Parser = boost::beast::http::request_parser<TextBody>;
+  void StartParser();
+  // Takes in what has come; false if that ended in a rejection.
+  bool Take();
+  bool LookAtHead();
+  void Dispatch(HttpRequest request, Arrival arrival);
+  void FeedNext();
+  // The client's fault while its request was under way.
+  void Spoil(unsigned status, const std::string& text);
+  // Waiting for the client: as long as it keeps the least pace.
+  void Await();
+  void Came();
   void Rest(std::chrono::milliseconds span);
   void Yields(std::optional<Yield> as);
   void TimeUp();
 
   void OnBytes(std::string_view bytes) override;
   void OnEnd(net::Fault fault) override;
-  void OnWritable() override { Flush(); }
+  void OnWritable() override;
   void Read();
   void Parse();
   void Flush();
@@ -85,17 +115,27 @@
   Outgoing outgoing_;
   bool keep_alive_ = true;
   unsigned version_ = 11;
-  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
+  std::optional<Parser> parser_;  // Of a request that has not come whole.
+  std::optional<boost::beast::http::request_header<>> head_;  // Before any trailers.
+  std::uint64_t came_ = 0;                                    // Bytes of its body.
+  net::Span spent_{};                                         // Waiting for it.
+  std::optional<net::Time> awaited_since_;
+  Feed feed_;
+  bool chunked_ = false;  // The answer that goes out in parts.
+  bool ending_ = false;   // All of it has been handed in.
+  std::function<void()> drained_;
   std::function<void()> gone_;
 };
 
 class Server {
  public:
-  using OnRequest = std::function<void(const std::shared_ptr<Client>&, HttpRequest)>;
+  using OnRequest = std::function<void(const std::shared_ptr<Client>&, HttpRequest, Arrival)>;
 
-  // Takes in nobody before Open. `ready` tells whether it could serve if it is not drained.
+  // Takes in nobody before Open. `ready` tells whether it could serve if it is not drained;
+  // `most_body` how much of a body may be held at this moment.
   Server(net::Loop& loop, Log& log, net::ListenerPtr listener, SocketBudget& budget,
-         const Drain& drain, std::function<bool()> ready, OnRequest on_request);
+         const Drain& drain, std::function<bool()> ready, std::function<std::uint64_t()> most_body,
+         OnRequest on_request);
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
@@ -138,6 +178,7 @@
   SocketBudget& budget_;
   const Drain& drain_;
   std::function<bool()> ready_;
+  std::function<std::uint64_t()> most_body_;
   OnRequest on_request_;
   net::ListenerPtr listener_;
   net::TimerPtr pause_;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -33,6 +33,8 @@
 constexpr std::int64_t kLongestMs = 3'600'000;
 // An answer needs a moment to get out: all ends this much before the client's time does.
 constexpr gaugecart::Micros kAnswerMargin = 10'000;
+// The least silence that ends what goes in parts; else it is the longest that a caller waits.
+constexpr net::Span kLeastSilence = std::chrono::seconds(2);
 
 template <typename T>
 std::optional<T> Number(beast::string_view word, int base = 10) {
@@ -71,6 +73,15 @@
   return "unknown";
 }
 
+// An endpoint's answer with its head built anew: framing and extras are between it and us.
+HttpResponse FromEndpoint(const HttpResponse& answer) {
+  HttpResponse response{http::status::ok, 11};
+  if (const auto type = answer[http::field::content_type]; !type.empty()) {
+    response.set(http::field::content_type, type);
+  }
+  return response;
+}
+
 HttpResponse Plain(http::status status, const char* text) {
   HttpResponse response{status, 11};
   response.set(http::field::content_type, "text/plain");
@@ -118,13 +129,8 @@
       settled_(wiring.inherited == nullptr),
       drain_(wiring.inherited != nullptr),
       upstream_(loop, log_, budget_, std::chrono::microseconds(config_.setup.settings.keepalive),
-                std::chrono::microseconds(config_.setup.connect_timeout),
-                [this](Upstream::Key key) {
-                  const auto it = live_.find(key.first);
-                  if (observer_ != nullptr && it != live_.end()) {
-                    observer_->OnSent(it->second.level);
-                  }
-                }),
+                std::chrono::microseconds(config_.setup.connect_timeout), *this,
+                [this] { return MostBody(); }),
       discovery_(
           loop, log_, config_.discovery,
           // One that takes over wants the whole present list, not the next change.
@@ -156,9 +162,9 @@
   OnList(ListKind::kStale, config_.known);
   server_ = std::make_unique<Server>(
       loop, log_, settled_ ? loop.Listen(config_.listen) : std::move(wiring.inherited), budget_,
-      drain_, [this] { return CanServe(); },
-      [this](const std::shared_ptr<Client>& client, HttpRequest message) {
-        OnRequest(client, std::move(message));
+      drain_, [this] { return CanServe(); }, [this] { return MostBody(); },
+      [this](const std::shared_ptr<Client>& client, HttpRequest message, Arrival arrival) {
+        OnRequest(client, std::move(message), arrival);
       });
   if (settled_) {
     server_->Open();
@@ -391,7 +397,31 @@
   return {};
 }
 
-void Sidecar::OnRequest(const std::shared_ptr<Client>& client, HttpRequest message) {
+HttpRequest Sidecar::Onward(HttpRequest message, Arrival arrival) {
+  const Target target = Split(View(message.target()));
+  HttpRequest onward{message.method(),
+                     beast::string_view(target.origin.data(), target.origin.size()), 11};
+  for (const char* name : kPassedOn) {
+    if (const auto it = message.find(name); it != message.end()) onward.set(name, it->value());
+  }
+  // A target in absolute form names the host itself (RFC 9112, 3.2.2).
+  if (!target.authority.empty()) {
+    onward.set(http::field::host,
+               beast::string_view(target.authority.data(), target.authority.size()));
+  }
+  onward.body() = std::move(message.body());
+  if (arrival.whole) {
+    onward.prepare_payload();
+  } else if (arrival.length) {
+    onward.content_length(*arrival.length);
+  } else {
+    onward.chunked(true);
+  }
+  return onward;
+}
+
+void Sidecar::OnRequest(const std::shared_ptr<Client>& client, HttpRequest message,
+                        Arrival arrival) {
   gaugecart::Request request;
   const std::string wrong = Read(message, request);
   if (!wrong.empty()) {
@@ -399,14 +429,9 @@
   }
   Live& live = live_[request.id];
   live.client = client;
-  live.message = {message.method(), message.target(), 11};
-  for (const char* name : kPassedOn) {
-    if (const auto it = message.find(name); it != message.end()) {
-      live.message.set(name, it->value());
-    }
-  }
-  live.message.body() = std::move(message.body());
-  live.message.prepare_payload();
+  live.message = Onward(std::move(message), arrival);
+  live.more = !arrival.whole;
+  live.left = std::chrono::microseconds(request.due - Now());
   if (Mutated(Mutant::kWrongId)) live.message.set("X-Txn", "00000000000000ff");
   live.due = request.due;
   live.level = request.priority_level;
@@ -431,14 +456,67 @@
   const auto done = [this, id, attempt, endpoint, now](Answer answer) {
     EndAttempt(id, attempt, endpoint, now, std::move(answer));
   };
-  if (!live.client || now >= until || attempt >= config_.setup.settings.max_attempts) {
+  // What is not kept cannot be sent twice, and the rest of a body comes once.
+  const bool spent = live.bound.has_value() || (live.more && live.out > 1);
+  if (!live.client || now >= until || attempt >= config_.setup.settings.max_attempts || spent) {
     return done({OutcomeCode::kNeverSent, {}});
   }
   log_.Trace([&] {
     return "send " + std::to_string(id) + ' ' + std::to_string(attempt) + " to " +
            NameOf(endpoint) + " age " + std::to_string(upstream_.Age(endpoint, now));
   });
-  upstream_.Send({id, attempt}, endpoint, live.message, At(until), done);
+  const auto silence =
+      std::chrono::microseconds(config_.setup.settings.classes[live.level].give_up);
+  upstream_.Send(
+      {id, attempt}, endpoint,
+      {live.message, live.more, At(until), live.left, std::max<net::Span>(silence, kLeastSilence)},
+      done);
+}
+
+std::uint64_t Sidecar::MostBody() const {
+  const std::size_t holders = (server_ ? server_->clients() : 0) + upstream_.attempts();
+  return BodyBudget{config_.memory_mb * (1 << 20) / 4, holders}.Each();
+}
+
+void Sidecar::OnWhole(AttemptKey key) {
+  const auto it = live_.find(key.first);
+  if (observer_ != nullptr && it != live_.end()) observer_->OnSent(it->second.level);
+}
+
+bool Sidecar::Bind(Live& live, AttemptKey key) {
+  if (live.bound) return *live.bound == key.second;
+  live.bound = key.second;
+  live.message.body() = {};
+  Run([this, key] { balancer_->OnFirstByte(Now(), key.first, key.second); });
+  return true;
+}
+
+void Sidecar::OnWantsMore(AttemptKey key) {
+  const auto it = live_.find(key.first);
+  if (it == live_.end() || !it->second.client || !Bind(it->second, key)) return;
+  it->second.client->Pull([this, key](const std::string& part, bool last) {
+    const auto live = live_.find(key.first);
+    if (live == live_.end()) return;
+    if (last) live->second.more = false;
+    upstream_.Feed(key, part, last);
+  });
+}
+
+bool Sidecar::OnAnswerBegun(AttemptKey key, HttpResponse head,
+                            std::optional<std::uint64_t> length) {
+  const auto it = live_.find(key.first);
+  if (it == live_.end() || !it->second.client || !Bind(it->second, key)) return false;
+  Live& live = it->second;
+  live.passing = true;
+  live.client->Begin(FromEndpoint(head), length, [this, key] { upstream_.Resume(key); });
+  return true;
+}
+
+bool Sidecar::OnAnswerPart(AttemptKey key, std::string_view part) {
+  const auto it = live_.find(key.first);
+  if (it == live_.end() || !it->second.client) return true;
+  const auto client = it->second.client;
+  return client->Part(part);
 }
 
 void Sidecar::EndAttempt(RequestId id, std::uint32_t attempt, EndpointId endpoint, Micros sent,
@@ -456,12 +534,13 @@
            NameOf(endpoint) + ' ' + WordOf(answer.code) + " after " + std::to_string(outcome.rtt);
   });
   outcome.report = ParseLoad(View(answer.message["X-Pressure"]));
-  if (answer.code == OutcomeCode::kOk) {
-    // Its head is built anew: framing and extras of an endpoint's are between the two of us.
-    HttpResponse response{http::status::ok, 11};
-    if (const auto type = answer.message[http::field::content_type]; !type.empty()) {
-      response.set(http::field::content_type, type);
-    }
+  if (answer.took) {
+    outcome.rtt = std::chrono::duration_cast<std::chrono::microseconds>(*answer.took).count();
+  }
+  if (it->second.passing && it->second.bound == attempt) {
+    EndPassing(it->second, answer.code);
+  } else if (answer.code == OutcomeCode::kOk) {
+    HttpResponse response = FromEndpoint(answer.message);
     response.body() = std::move(answer.message.body());
     if (Mutated(Mutant::kForgeBody)) response.body() += '!';
     Finish(id, std::move(response), Ending::kAnswered);
@@ -477,11 +556,27 @@
 // The one final answer; what comes later for the request finds no client.
 void Sidecar::Finish(RequestId id, HttpResponse response, Ending how) {
   const auto it = live_.find(id);
-  if (it == live_.end() || !it->second.client) return;
+  // An answer that goes out in parts is the final one already.
+  if (it == live_.end() || !it->second.client || it->second.passing) return;
   Release(it->second, how)->Respond(std::move(response));
+  CancelParts(id);
   EraseIfOver(id);
 }
 
+void Sidecar::CancelParts(RequestId id) {
+  const auto it = live_.find(id);
+  if (it == live_.end() || it->second.out == 0) return;
+  const Live& live = it->second;
+  if (live.more || live.passing) upstream_.Cancel({id, live.bound.value_or(live.attempts - 1)});
+}
+
+void Sidecar::EndPassing(Live& live, OutcomeCode code) {
+  if (!live.client) return;
+  const bool whole = code == OutcomeCode::kOk;
+  const auto client = Release(live, whole ? Ending::kAnswered : Ending::kFailed);
+  whole ? client->EndBody() : client->Break();
+}
+
 std::shared_ptr<Client> Sidecar::Release(Live& live, Ending how) {
   if (observer_ != nullptr) observer_->OnEnded(live.level, how);
   return std::exchange(live.client, nullptr);
@@ -496,7 +591,9 @@
     const auto live = live_.find(id);
     if (live == live_.end()) return;
     // What an endpoint has begun goes on, as the module expects; what it has not seen need not.
+    // What goes in parts has nobody to come from or to go to.
     if (live->second.out > 0) upstream_.Withdraw({id, live->second.attempts - 1});
+    CancelParts(id);
     EraseIfOver(id);
   });
 }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -27,7 +27,7 @@
 // known. Throws nothing: what cannot be read is left out.
 std::optional<gaugecart::LoadReport> ParseLoad(std::string_view text);
 
-class Sidecar : private gaugecart::Actions {
+class Sidecar : private gaugecart::Actions, private AttemptUser {
  public:
   // What the process hands in beside the configuration.
   struct Wiring {
@@ -76,7 +76,13 @@
   struct Live {
     std::shared_ptr<Client> client;  // Null once nothing is owed any more.
     HttpRequest message;
+    bool more = false;  // The client still has a part of its body.
+    // The attempt that it is bound to, once a part of the body is no longer kept or a part of the
+    // answer has gone out.
+    std::optional<std::uint32_t> bound;
+    bool passing = false;  // Its answer goes out in parts.
     Micros due = 0;
+    net::Span left{};
     std::uint32_t level = 0;
     std::uint32_t attempts = 0;
     std::uint32_t out = 0;
@@ -102,12 +108,25 @@
   bool CanServe() const { return has_members_ && settled_; }
   void Settle();
 
+  // AttemptUser.
+  void OnWhole(AttemptKey key) override;
+  void OnWantsMore(AttemptKey key) override;
+  bool OnAnswerBegun(AttemptKey key, HttpResponse head,
+                     std::optional<std::uint64_t> length) override;
+  bool OnAnswerPart(AttemptKey key, std::string_view part) override;
+  // The request stays with this attempt: no other can be made of what is left. False if it is bound
+  // to another.
+  bool Bind(Live& live, AttemptKey key);
+  std::uint64_t MostBody() const;
+
   Micros Now() const;
   net::Time At(Micros time) const { return start_ + std::chrono::microseconds(time - epoch_); }
   void Run(std::function<void()> step);
 
   void OnList(gaugecart::ListKind kind, const MemberList& list);
-  void OnRequest(const std::shared_ptr<Client>& client, HttpRequest message);
+  void OnRequest(const std::shared_ptr<Client>& client, HttpRequest message, Arrival arrival);
+  // The request as it goes on: built anew of what means something to an endpoint.
+  static HttpRequest Onward(HttpRequest message, Arrival arrival);
   void Forget(const std::string& host, gaugecart::EndpointId id);
   // For traces: an attempt may outlive its endpoint's place in the list.
   std::string NameOf(gaugecart::EndpointId id) const;
@@ -117,6 +136,10 @@
   void EndAttempt(RequestId id, std::uint32_t attempt, gaugecart::EndpointId endpoint, Micros sent,
                   Answer answer);
   void Finish(RequestId id, HttpResponse response, Ending how);
+  // The answer that went out in parts is whole, or will never be.
+  void EndPassing(Live& live, gaugecart::OutcomeCode code);
+  // With its client gone or answered, what goes in parts has nobody to come from or to go to.
+  void CancelParts(RequestId id);
   // Nothing is owed for the request any more.
   std::shared_ptr<Client> Release(Live& live, Ending how);
   void Gone(RequestId id);
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -21,7 +21,7 @@
 constexpr std::chrono::microseconds kDefaultIdle = std::chrono::seconds(4);
 constexpr std::chrono::microseconds kDefaultConnect = std::chrono::milliseconds(250);
 constexpr double kIdlePart = 0.8;  // Of the keepalive; past all of it, what is written is lost.
-// From an answer's first byte to its last: answers are made before they are sent.
+// The longest silence inside an answer that is held whole: answers are made before they are sent.
 constexpr auto kAnswerSpan = std::chrono::milliseconds(300);
 constexpr int kMostInterim = 8;  // 1xx answers ahead of the real one.
 // How long a find that an idle connection was dead is remembered, and up to which idle time one is
@@ -35,12 +35,9 @@
   return message.method() == http::verb::get || !message["Idempotency-Key"].empty();
 }
 
-// Whether the head leaves no doubt where the answer ends. An end told by the close alone cannot be
-// told from a break, and a coding that is not known hides the length.
-bool Framed(const http::response_parser<http::string_body>& parser) {
-  const HttpResponse& head = parser.get();
-  return !parser.need_eof() &&
-         (head.count(http::field::transfer_encoding) == 0 || parser.chunked());
+// Whether the head leaves no doubt where the answer ends. A coding that is not known hides it.
+bool Framed(const http::response_parser<TextBody>& parser) {
+  return parser.get().count(http::field::transfer_encoding) == 0 || parser.chunked();
 }
 
 OutcomeCode CodeOf(const HttpResponse& answer) {
@@ -68,12 +65,19 @@
         dial_(endpoint.dial),
         timer_(owner.loop_.NewTimer([this] { TimeUp(); })) {}
 
-  void Start(Key key, HttpRequest& message, net::Time until, Done done) {
+  void Start(Key key, const Outbound& outbound, Done done) {
     key_ = key;
-    message_ = &message;
-    until_ = until;
+    message_ = &outbound.message;
+    until_ = outbound.until;
+    left_ = outbound.left;
+    silence_ = outbound.silence;
+    more_ = outbound.more;
+    in_parts_ = more_;
     done_ = std::move(done);
     written_ = false;
+    passing_ = false;
+    paused_ = false;
+    took_.reset();
     const bool reused = state_ == State::kIdle;
     idle_ = reused ? owner_.loop_.Now() - idle_since_ : net::Span::zero();
     if (reused) return Write();
@@ -106,7 +110,24 @@
     } else {
       Close();
     }
-    if (done) done({code, std::move(answer)});
+    if (done) done({code, std::move(answer), in_parts_ ? took_ : std::nullopt});
+  }
+
+  void Feed(std::string_view part, bool last) {
+    if (state_ != State::kBusy || !more_) return;
+    const auto self = shared_from_this();
+    const bool chunked = message_->chunked();
+    outgoing_.Add(chunked ? ChunkOf(part) : std::string(part));
+    if (last && chunked) outgoing_.Add(std::string(kLastChunk));
+    if (last) more_ = false;
+    Flush();
+  }
+
+  void Resume() {
+    if (!std::exchange(paused_, false)) return;
+    const auto self = shared_from_this();
+    AwaitAnswer();
+    Read();
   }
 
   void Close() {
@@ -134,9 +155,10 @@
   void Write() {
     const net::Time now = owner_.loop_.Now();
     if (now >= until_) return Finish(OutcomeCode::kConnectFailed);
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until_ - now).count();
-    message_->set("X-Remaining-Ms", std::to_string(std::max<std::int64_t>(1, left)));
-    outgoing_.Start(TextOf(*message_));
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        more_ ? left_ : net::Span(until_ - now));
+    message_->set("X-Remaining-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
+    outgoing_.Start(more_ ? FirstPart() : TextOf(*message_));
     state_ = State::kBusy;
     timer_->ArmAt(until_);
     NextParser();
@@ -146,25 +168,45 @@
     if (state_ == State::kBusy) Read();
   }
 
+  std::string FirstPart() const {
+    std::string text = HeadOf(*message_);
+    return text += message_->chunked() ? ChunkOf(message_->body()) : message_->body();
+  }
+
   // At every moment it is known whether the last byte has left: a time-out or a reset may come
   // before a handler could have told of it, and an attempt that may have run must not pass for one
   // that never did.
   void Flush() {
     switch (outgoing_.Flush(*stream_)) {
       case Outgoing::State::kAllOut:
-        written_ = true;
-        owner_.on_whole_(key_);
-        return;
+        return more_ ? WantMore() : Whole();
       case Outgoing::State::kBroken:
         return Finish(OutcomeCode::kConnectFailed);  // Its last byte never left.
       case Outgoing::State::kMoreToCome:
+        if (in_parts_) timer_->ArmAt(owner_.loop_.Now() + silence_);
         return;
     }
   }
 
+  // The client's own pace is guarded where it is read.
+  void WantMore() {
+    timer_->Cancel();
+    owner_.user_.OnWantsMore(key_);
+  }
+
+  void Whole() {
+    written_ = true;
+    whole_at_ = owner_.loop_.Now();
+    if (in_parts_) {
+      until_ = whole_at_ + left_;
+      timer_->ArmAt(until_);
+    }
+    owner_.user_.OnWhole(key_);
+  }
+
   void OnWritable() override {
     const auto self = shared_from_this();
-    if (state_ == State::kBusy && !written_) Flush();
+    if (state_ == State::kBusy && !written_ && !outgoing_.empty()) Flush();
   }
 
   // One read is always pending, also on an idle connection, to see its end at once.
@@ -187,47 +229,109 @@
   void Got(net::Fault fault) {
     if (state_ == State::kIdle) return Drop();  // Its end, or bytes that nobody asked for.
     if (fault != net::Fault::kNone && fault != net::Fault::kEnd) return Broken();
-    const bool ended = fault == net::Fault::kEnd;
-    while (!incoming_.empty() && !parser_->is_done()) {
-      error_code parse;
-      const std::size_t used = parser_->put(incoming_.data(), parse);
-      incoming_.Consume(used);
-      if (parse == http::error::need_more || (!parse && used == 0)) break;
-      if (parse) return Spoilt();
-      if (!parser_->is_header_done()) continue;
-      if (!Framed(*parser_)) return Spoilt();
-      if (parser_->is_done() && parser_->get().result_int() < 200) {
-        // A 1xx answer only announces the real one; an endless row of them announces nothing.
-        if (++interim_ > kMostInterim) return Spoilt();
-        NextParser();
-      }
+    bool ended = fault == net::Fault::kEnd;
+    if (!Take()) return Spoilt();
+    // Without a length and without chunks the end tells the end.
+    if (ended && parser_->is_header_done() && parser_->need_eof() && !parser_->is_done()) {
+      error_code ec;
+      parser_->put_eof(ec);
+      if (ec) return Spoilt();
     }
+    if (passing_ || IsLong()) return PassOn(ended);
     // What cannot be parsed yet is a head or a chunk's head: one without end must not fill memory.
     if (!parser_->is_done()) {
       if (ended) return Broken();
       if (incoming_.size() > kHeaderLimit) return Spoilt();
       // One that is said to be longer than it is would be waited for until the request's end.
-      if (!begun_ && (!incoming_.empty() || parser_->is_header_done())) {
+      if (!incoming_.empty() || parser_->is_header_done()) {
         begun_ = true;
         timer_->ArmAt(std::min<net::Time>(until_, owner_.loop_.Now() + kAnswerSpan));
       }
       return Read();
     }
-    // Bytes beyond the answer belong to no request; the connection is of no further use.
-    const bool reusable = !ended && written_ && parser_->keep_alive() && incoming_.empty();
-    HttpResponse answer = parser_->release();
-    const OutcomeCode code = CodeOf(answer);
     // What came before the request was out is no answer to it.
-    if (code == OutcomeCode::kOk && !written_) return Broken();
-    Finish(code, std::move(answer), reusable);
+    if (code_ == OutcomeCode::kOk && !written_) return Broken();
+    took_ = owner_.loop_.Now() - whole_at_;
+    const bool reusable = Reusable(ended);
+    HttpResponse answer = parser_->release();
+    Finish(code_, std::move(answer), reusable);
+  }
+
+  // Takes in what has come; false if it is no answer.
+  bool Take() {
+    while (!incoming_.empty() && !parser_->is_done()) {
+      error_code parse;
+      const bool in_head = !parser_->is_header_done();
+      const std::size_t used = parser_->put(incoming_.data(), parse);
+      incoming_.Consume(used);
+      if (parse == http::error::need_more || (!parse && used == 0)) break;
+      if (parse) return false;
+      if (!parser_->is_header_done()) continue;
+      if (in_head) {
+        if (!Framed(*parser_)) return false;
+        code_ = CodeOf(parser_->get());  // Before any trailers.
+      }
+      if (parser_->is_done() && parser_->get().result_int() < 200) {
+        // A 1xx answer only announces the real one; an endless row of them announces nothing.
+        if (++interim_ > kMostInterim) return false;
+        NextParser();
+      }
+    }
+    return true;
+  }
+
+  // Bytes beyond the answer belong to no request; the connection is of no further use.
+  bool Reusable(bool ended) const {
+    return !ended && written_ && parser_->keep_alive() && incoming_.empty();
+  }
+
+  // Longer than may be held. Of what is no answer to pass on the code is all that matters.
+  bool IsLong() const {
+    if (!parser_->is_header_done() || parser_->get().result_int() < 200) return false;
+    const std::uint64_t most = owner_.most_body_();
+    const auto length = parser_->content_length();
+    return (length && *length > most) || parser_->get().body().size() > most;
   }
 
+  void PassOn(bool ended) {
+    if (code_ != OutcomeCode::kOk) return Finish(code_);
+    if (!written_) return Broken();
+    if (!passing_ && !BeginPassing()) return;
+    const std::string part = std::exchange(parser_->get().body(), {});
+    const bool wanted = part.empty() || owner_.user_.OnAnswerPart(key_, part);
+    if (state_ != State::kBusy) return;  // Cancelled: its client has gone.
+    if (parser_->is_done()) return Finish(OutcomeCode::kOk, {}, Reusable(ended));
+    if (ended) return Broken();
+    if (incoming_.size() > kHeaderLimit) return Spoilt();
+    if (!wanted) {
+      paused_ = true;
+      return timer_->Cancel();
+    }
+    AwaitAnswer();
+    Read();
+  }
+
+  bool BeginPassing() {
+    passing_ = true;
+    begun_ = true;
+    in_parts_ = true;
+    took_ = owner_.loop_.Now() - whole_at_;
+    HttpResponse head(parser_->get().base());
+    std::optional<std::uint64_t> length;
+    if (const auto told = parser_->content_length()) length = *told;
+    const bool wanted = owner_.user_.OnAnswerBegun(key_, std::move(head), length);
+    if (!wanted && state_ == State::kBusy) Finish(OutcomeCode::kCancelled);
+    return state_ == State::kBusy;
+  }
+
+  void AwaitAnswer() { timer_->ArmAt(owner_.loop_.Now() + silence_); }
+
   void NextParser() {
     parser_.emplace();
     // Not eager: Beast 1.74 then drops the error of a body over its limit if a part of the body has
     // come with the head, and takes in all of it.
     parser_->header_limit(kHeaderLimit);
-    parser_->body_limit(kBodyLimit);
+    parser_->body_limit(kLargestBody);
   }
 
   // The endpoint has answered, and not in a way that can be used. It may have run, as with an error
@@ -264,7 +368,8 @@
   State state_ = State::kConnecting;
   Incoming incoming_;
   Outgoing outgoing_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::response_parser<TextBody>> parser_;
+  OutcomeCode code_ = OutcomeCode::kError;  // By the answer's head.
   Key key_{};
   HttpRequest* message_ = nullptr;  // The caller keeps it until the attempt is over.
   bool written_ = false;            // The machine has its last byte.
@@ -272,13 +377,21 @@
   bool begun_ = false;  // A part of the answer has come.
   net::Span idle_{};    // How long it lay idle before the present request.
   net::Time until_;
+  net::Span left_{};
+  net::Span silence_{};
+  bool more_ = false;      // Of the request's body, to be asked for.
+  bool in_parts_ = false;  // The request or its answer.
+  bool passing_ = false;   // The answer goes out in parts,
+  bool paused_ = false;    // and no more of it is wanted now.
+  net::Time whole_at_;     // When the request's last byte was written.
+  std::optional<net::Span> took_;
   net::Time idle_since_;
   Done done_;
 };
 
 Upstream::Upstream(net::Loop& loop, Log& log, SocketBudget& budget,
                    std::chrono::microseconds keepalive, std::chrono::microseconds connect_timeout,
-                   OnWhole on_whole)
+                   AttemptUser& user, std::function<std::uint64_t()> most_body)
     : loop_(loop),
       log_(log),
       budget_(budget),
@@ -286,7 +399,8 @@
                                              static_cast<double>(keepalive.count()) * kIdlePart))
                                        : kDefaultIdle),
       connect_timeout_(connect_timeout.count() > 0 ? connect_timeout : kDefaultConnect),
-      on_whole_(std::move(on_whole)) {
+      user_(user),
+      most_body_(std::move(most_body)) {
   budget_.evict_idle = [this] { return EvictIdle(); };
 }
 
@@ -323,19 +437,19 @@
   for (const ConnectionPtr& connection : std::exchange(endpoint.idle, {})) connection->Close();
 }
 
-void Upstream::Send(Key key, EndpointId id, HttpRequest& message, net::Time until, Done done) {
+void Upstream::Send(Key key, EndpointId id, const Outbound& outbound, Done done) {
   const auto it = endpoints_.find(id);
   if (it == endpoints_.end() || !it->second.ready) {
     return done({OutcomeCode::kNeverSent, {}});
   }
   Endpoint& endpoint = it->second;
-  ConnectionPtr connection = TakeIdle(endpoint, message);
+  ConnectionPtr connection = TakeIdle(endpoint, outbound.message);
   if (!connection) {
     if (!budget_.TakeForAttempt()) return done({OutcomeCode::kConnectFailed, {}});
     connection = std::make_shared<Connection>(*this, id, endpoint);
   }
   attempts_[key] = connection;
-  connection->Start(key, message, until, std::move(done));
+  connection->Start(key, outbound, std::move(done));
 }
 
 // Guards against whatever drops idle connections without a word (an endpoint under pressure, a box
@@ -371,6 +485,20 @@
   doubt_until_ = now + kDoubtSpan;
 }
 
+void Upstream::Feed(Key key, std::string_view part, bool last) {
+  const auto it = attempts_.find(key);
+  if (it == attempts_.end()) return;
+  const ConnectionPtr connection = it->second;
+  connection->Feed(part, last);
+}
+
+void Upstream::Resume(Key key) {
+  const auto it = attempts_.find(key);
+  if (it == attempts_.end()) return;
+  const ConnectionPtr connection = it->second;
+  connection->Resume();
+}
+
 void Upstream::Cancel(Key key) {
   const auto it = attempts_.find(key);
   if (it == attempts_.end()) return;
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -9,6 +9,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string_view>
 #include <utility>
 
 #include "gaugecart/choice.h"
@@ -47,17 +49,51 @@
 
 struct Answer {
   gaugecart::OutcomeCode code = gaugecart::OutcomeCode::kNeverSent;
-  HttpResponse message;  // Empty unless the endpoint answered.
+  HttpResponse message;  // Empty unless the endpoint answered, and of one that went out in parts.
+  // From the last byte of the request to the answer, or to its first byte if it went out in parts;
+  // of attempts in parts only.
+  std::optional<net::Span> took = std::nullopt;
+};
+
+using AttemptKey = std::pair<gaugecart::RequestId, std::uint32_t>;  // Request and attempt.
+
+// A request as it goes to an endpoint. The message must stay where it is until the attempt is over
+// or has asked for more; each send sets X-Remaining-Ms in it.
+struct Outbound {
+  HttpRequest& message;
+  // Its body goes on beyond what the message holds: in parts, by Feed.
+  bool more = false;
+  net::Time until;      // The attempt's end. With `more` it counts to the end of the held part, and
+  net::Span left{};     // from the last byte on the request has this long.
+  net::Span silence{};  // What is under way in parts ends when nothing has moved for so long.
+};
+
+// Who is told of attempts. It may act on the attempt at once.
+class AttemptUser {
+ public:
+  // It has been written whole.
+  virtual void OnWhole(AttemptKey key) = 0;
+  // All that was given of its body has been written, and it goes on.
+  virtual void OnWantsMore(AttemptKey key) = 0;
+  // Its answer is longer than may be held and comes in parts; here is its head. Returns whether it
+  // is wanted.
+  virtual bool OnAnswerBegun(AttemptKey key, HttpResponse head,
+                             std::optional<std::uint64_t> length) = 0;
+  // False: no more until Resume.
+  virtual bool OnAnswerPart(AttemptKey key, std::string_view part) = 0;
+
+ protected:
+  ~AttemptUser() = default;
 };
 
 class Upstream {
  public:
-  using Key = std::pair<gaugecart::RequestId, std::uint32_t>;  // Request and attempt.
+  using Key = AttemptKey;
   using Done = std::function<void(Answer)>;
-  using OnWhole = std::function<void(Key)>;  // An attempt has been written whole.
 
   Upstream(net::Loop& loop, Log& log, SocketBudget& budget, std::chrono::microseconds keepalive,
-           std::chrono::microseconds connect_timeout, OnWhole on_whole);
+           std::chrono::microseconds connect_timeout, AttemptUser& user,
+           std::function<std::uint64_t()> most_body);
   ~Upstream();
   Upstream(const Upstream&) = delete;
   Upstream& operator=(const Upstream&) = delete;
@@ -68,10 +104,13 @@
                    gaugecart::Micros born);
   // One that has left the list: nothing new goes to it, and nothing of it is kept.
   void Forget(gaugecart::EndpointId id);
-  // Starts an attempt that ends at `until` at the latest. `done` is called once, perhaps at once;
-  // by then its connection is closed or idle. The message must stay where it is until then; each
-  // send sets X-Remaining-Ms in it.
-  void Send(Key key, gaugecart::EndpointId id, HttpRequest& message, net::Time until, Done done);
+  // Starts an attempt. `done` is called once, perhaps at once; by then its connection is closed or
+  // idle.
+  void Send(Key key, gaugecart::EndpointId id, const Outbound& outbound, Done done);
+  // The next part of its request's body.
+  void Feed(Key key, std::string_view part, bool last);
+  // More of its answer is wanted.
+  void Resume(Key key);
   void Cancel(Key key);
   // Takes back an attempt of which nothing has been sent.
   void Withdraw(Key key);
@@ -102,7 +141,8 @@
   SocketBudget& budget_;
   std::chrono::microseconds idle_span_;
   std::chrono::microseconds connect_timeout_;
-  OnWhole on_whole_;
+  AttemptUser& user_;
+  std::function<std::uint64_t()> most_body_;
   std::map<gaugecart::EndpointId, Endpoint> endpoints_;
   std::map<Key, ConnectionPtr> attempts_;
   net::Time doubt_until_{};  // Until then idle connections may be dead without a sign.
--- a/tests/scene.h
+++ b/tests/scene.h
@@ -160,6 +160,8 @@
   int Health() { return Open(kClientsAt, "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n")->Status(); }
   void Run(net::Span span) { net_.RunUntil(net_.Now() + span); }
   net::Time Now() const { return net_.Now(); }
+  // Nothing passes between the sidecar and its node.
+  void CutNode(bool on) { net_.SetCut(kHost, node.host(), on); }
 
  private:
   void Accept(net::Listener& door_at, std::deque<TalkPtr>& talks) {
