Keep two processes of one sidecar to the limits of one, told by two locks in TMPDIR

Need: limits on memory and descriptors hold for both processes of an upgrade together. Seen by test: with a crowd at the moment of an upgrade both took all (red: 238 of 192 descriptors, part of it the test's own inherited ones; after closing these and with the halving taken out it fails still, see below); and SIGTERM right at the yes found the old process unaware of the new one: it went on accepting and answered 503. Change: src/handover (Presence, FileLocks); half of descriptors and body memory while another process is there; SIGTERM looks at that moment, and stops accepting at once only if somebody goes on.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "control/door.h"
+#include "handover/locks.h"
 #include "metrics/registry.h"
 #include "net/sockets.h"
 #include "sidecar/config.h"
@@ -50,6 +51,46 @@
   }
 }
 
+// Looks every fifth of a second whether another process of the same sidecar runs beside this one.
+class Neighbour {
+ public:
+  // `alone`: nobody else can hold the clients' socket, so nothing is looked for.
+  Neighbour(net::Loop& loop, kelpspring::Sidecar& sidecar, bool alone)
+      : loop_(loop), sidecar_(sidecar), timer_(loop.NewTimer([this] { Look(); })) {
+    if (alone) return;
+    beside_ = true;
+    const char* folder = std::getenv("TMPDIR");
+    try {
+      locks_ = std::make_unique<handover::FileLocks>(folder == nullptr ? "/tmp" : folder);
+      presence_.emplace(*locks_);
+      Look();
+    } catch (const std::runtime_error& e) {
+      kelpspring::LogToStandardError(std::string("half of the limits is kept free: ") + e.what());
+      sidecar_.SetBeside(true);
+    }
+  }
+  // At this moment, not at the last look.
+  bool Beside() {
+    if (presence_) Look();
+    return beside_;
+  }
+
+ private:
+  void Look() {
+    presence_->Look();
+    beside_ = presence_->beside();
+    sidecar_.SetBeside(beside_);
+    timer_->ArmAt(loop_.Now() + std::chrono::milliseconds(200));
+  }
+
+  net::Loop& loop_;
+  kelpspring::Sidecar& sidecar_;
+  net::TimerPtr timer_;
+  std::unique_ptr<handover::FileLocks> locks_;
+  std::optional<handover::Presence> presence_;
+  bool beside_ = false;
+};
+
 std::unique_ptr<control::Door> OpenDoor(net::Loop& loop, kelpspring::Sidecar& sidecar,
                                         const metrics::Registry& registry,
                                         const std::optional<net::Address>& at) {
@@ -93,12 +134,15 @@
     net::SocketLoop loop(io);
     const auto console = config.console;
     metrics::Registry registry(gaugecart::InOrder(config.setup.classes));
+    auto inherited = Inherited(loop);
+    const bool alone = inherited == nullptr;
     kelpspring::Sidecar sidecar(loop, std::move(config),
-                                {.inherited = Inherited(loop), .observer = &registry});
+                                {.inherited = std::move(inherited), .observer = &registry});
+    Neighbour neighbour(loop, sidecar, alone);
     const auto door = OpenDoor(loop, sidecar, registry, console);
     loop.OnSignal(SIGHUP, [&] { Reload(sidecar); });
     for (const int signal : {SIGTERM, SIGINT}) {
-      loop.OnSignal(signal, [&] { sidecar.Leave([&] { io.stop(); }); });
+      loop.OnSignal(signal, [&] { sidecar.Leave(neighbour.Beside(), [&] { io.stop(); }); });
     }
     for (;;) {
       try {
--- a/src/seeds/sidecars.cpp
+++ b/src/seeds/sidecars.cpp
@@ -76,7 +76,7 @@
   After(kFrontNotices, [this, place, life] {
     if (sides_[place]->life == life) sides_[place]->in_front = false;
   });
-  side.sidecar->Leave([this, place, life, down] {
+  side.sidecar->Leave(false, [this, place, life, down] {
     // From outside of its own call.
     After(0, [this, place, life, down] {
       if (sides_[place]->life == life) EndSidecar(place, false, down);
--- a/src/sidecar/drain.h
+++ b/src/sidecar/drain.h
@@ -13,9 +13,6 @@
     kLeaving,  // By SIGTERM; there is no way back.
   };
 
-  // `shared`: another process may serve on the same listening socket once this one leaves.
-  explicit Drain(bool shared) : shared_(shared) {}
-
   State state() const { return state_; }
   // Whether anything has changed.
   bool Begin() {
@@ -28,23 +25,24 @@
     state_ = State::kServing;
     return true;
   }
-  bool Leave() {
+  // `succeeded`: another process goes on at the same listening socket.
+  bool Leave(bool succeeded) {
     if (state_ == State::kLeaving) return false;
+    succeeded_ = succeeded;
     was_drained_ = state_ == State::kDrained;
     state_ = State::kLeaving;
     return true;
   }
 
-  bool shared() const { return shared_; }
   bool serving() const { return state_ == State::kServing; }
   // For the front. It sees one sidecar: where another process goes on at the same address, this
   // one's end is no news.
   bool healthy() const {
-    return serving() || (state_ == State::kLeaving && shared_ && !was_drained_);
+    return serving() || (state_ == State::kLeaving && succeeded_ && !was_drained_);
   }
 
  private:
-  bool shared_;
+  bool succeeded_ = false;
   bool was_drained_ = false;
   State state_ = State::kServing;
 };
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -413,17 +413,26 @@
       on_request_(std::move(on_request)),
       listener_(std::move(listener)),
       pause_(loop.NewTimer([this] { Accept(); })),
-      drain_timer_(loop.NewTimer([this] { NextPhase(); })),
-      most_clients_(MostClients(budget.limit)) {}
+      drain_timer_(loop.NewTimer([this] { NextPhase(); })) {}
 
 void Server::Open() {
   open_ = true;
   Accept();
 }
 
+// Idle connections to endpoints first, then clients to whom nothing is owed.
+void Server::Shrink() {
+  while (budget_.open > budget_.limit && budget_.evict_idle && budget_.evict_idle()) {
+  }
+  while ((budget_.open > budget_.limit || clients_.size() > MostClients(budget_.limit)) &&
+         MakeRoom()) {
+  }
+  Accept();
+}
+
 void Server::Accept() {
   if (accepting_ || closed_ || !open_) return;
-  if (clients_.size() >= most_clients_ && !MakeRoom()) return;
+  if (clients_.size() >= MostClients(budget_.limit) && !MakeRoom()) return;
   if (!budget_.Take() && !(MakeRoom() && budget_.Take())) {
     budget_.client_waits = true;
     budget_.on_room = [this] { loop_.Post([this] { Accept(); }); };
@@ -497,10 +506,10 @@
   drain_timer_->Cancel();
 }
 
-void Server::Leave(bool shared, std::function<void()> done) {
+void Server::Leave(bool succeeded, std::function<void()> done) {
   done_ = std::move(done);
   StartDrain();
-  if (!shared) return;
+  if (!succeeded) return;
   closed_ = true;
   listener_->Close();
 }
@@ -520,7 +529,7 @@
 
 void Server::CloseListener() {
   // Closing a listener resets what stands in its queue, so that is taken out first.
-  while (clients_.size() < most_clients_ && budget_.Take()) {
+  while (clients_.size() < MostClients(budget_.limit) && budget_.Take()) {
     net::StreamPtr stream = listener_->TakeWaiting();
     if (!stream) {
       budget_.Release();
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -146,13 +146,15 @@
   std::size_t clients() const { return clients_.size(); }
   bool accepting() const { return accepting_; }
   void Open();
+  // The budget has come down: gives up what can be spared.
+  void Shrink();
   // From now on each answer ends its connection; after a while idle ones are closed, and then what
   // is half read is refused. New ones are still taken in.
   void StartDrain();
   void EndDrain();
   // The same for good, and the listener is closed: at once if another process accepts from the same
   // socket, else after a while. `done` is called when nothing is held any more.
-  void Leave(bool shared, std::function<void()> done);
+  void Leave(bool succeeded, std::function<void()> done);
 
  private:
   friend class Client;
@@ -186,7 +188,6 @@
   std::unordered_set<std::shared_ptr<Client>> clients_;
   // Those that can be closed to make room, longest in their state first.
   std::array<std::map<std::uint64_t, Client*>, kYields> yielding_;
-  std::size_t most_clients_;
   std::uint64_t uses_ = 0;
   bool open_ = false;
   bool accepting_ = false;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -126,8 +126,8 @@
       epoch_(loop.WallMicros()),
       budget_{config_.sockets - kOwnSockets - (config_.console ? kDoorSockets : 0), 0, nullptr,
               nullptr},
+      most_sockets_(budget_.limit),
       settled_(wiring.inherited == nullptr),
-      drain_(wiring.inherited != nullptr),
       upstream_(loop, log_, budget_, std::chrono::microseconds(config_.setup.settings.keepalive),
                 std::chrono::microseconds(config_.setup.connect_timeout), *this,
                 [this] { return MostBody(); }),
@@ -181,8 +181,16 @@
   server_->Open();
 }
 
-void Sidecar::Leave(std::function<void()> done) {
-  if (drain_.Leave()) server_->Leave(drain_.shared(), std::move(done));
+void Sidecar::Leave(bool succeeded, std::function<void()> done) {
+  if (drain_.Leave(succeeded)) server_->Leave(succeeded, std::move(done));
+}
+
+void Sidecar::SetBeside(bool beside) {
+  if (std::exchange(beside_, beside) == beside) return;
+  log_.Line(beside ? "another process runs beside this one: half of the limits is for each"
+                   : "the other process is gone: all of the limits is for this one");
+  budget_.limit = beside ? most_sockets_ / 2 : most_sockets_;
+  server_->Shrink();
 }
 
 void Sidecar::StartDrain() {
@@ -475,7 +483,7 @@
 
 std::uint64_t Sidecar::MostBody() const {
   const std::size_t holders = (server_ ? server_->clients() : 0) + upstream_.attempts();
-  return BodyBudget{config_.memory_mb * (1 << 20) / 4, holders}.Each();
+  return BodyBudget{config_.memory_mb * (1 << 20) / (beside_ ? 8 : 4), holders}.Each();
 }
 
 void Sidecar::OnWhole(AttemptKey key) {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -43,8 +43,11 @@
   Sidecar(net::Loop& loop, Config config) : Sidecar(loop, std::move(config), Wiring()) {}
 
   net::Address address() const { return server_->address(); }
-  // Finishes what is held; `done` is called after that.
-  void Leave(std::function<void()> done);
+  // Finishes what is held; `done` is called after that. `succeeded`: another process accepts from
+  // the same socket and goes on.
+  void Leave(bool succeeded, std::function<void()> done);
+  // Another process of this sidecar runs beside this one, and the limits hold for both together.
+  void SetBeside(bool beside);
   // An operator's wish; the process stays.
   void StartDrain();
   // False if the process is leaving.
@@ -153,6 +156,7 @@
   const net::Time start_;
   const Micros epoch_;
   SocketBudget budget_;
+  std::size_t most_sockets_;
   gaugecart::Words words_;
   std::map<gaugecart::EndpointId, std::string> hosts_;  // What the list names.
   bool has_members_ = false;
@@ -168,6 +172,7 @@
   net::TimerPtr timer_;
   Micros timer_at_ = 0;  // 0: not armed.
   net::TimerPtr settle_timer_;
+  bool beside_ = false;
   std::unique_ptr<gaugecart::Balancer> balancer_;
   std::unique_ptr<Server> server_;
 };
--- a/tests/control/door_test.cpp
+++ b/tests/control/door_test.cpp
@@ -12,28 +12,28 @@
 using kelpspring::Drain;
 
 TEST(DrainMachine, GoesBackFromADrainAndNeverFromLeaving) {
-  Drain drain(false);
+  Drain drain;
   EXPECT_FALSE(drain.End());
   EXPECT_TRUE(drain.Begin());
   EXPECT_FALSE(drain.Begin());
   EXPECT_FALSE(drain.healthy());
   EXPECT_TRUE(drain.End());
   EXPECT_TRUE(drain.healthy());
-  EXPECT_TRUE(drain.Leave());
-  EXPECT_FALSE(drain.Leave());
+  EXPECT_TRUE(drain.Leave(false));
+  EXPECT_FALSE(drain.Leave(true));
   EXPECT_FALSE(drain.Begin() || drain.End() || drain.healthy() || drain.serving());
 }
 
 // The front sees one sidecar: one of two processes on a socket leaves without a word, unless the
 // sidecar was drained.
 TEST(DrainMachine, OneOfTwoLeavesHealthy) {
-  Drain drain(true);
-  drain.Leave();
+  Drain drain;
+  drain.Leave(true);
   EXPECT_TRUE(drain.healthy());
   EXPECT_FALSE(drain.serving());
-  Drain drained(true);
+  Drain drained;
   drained.Begin();
-  drained.Leave();
+  drained.Leave(true);
   EXPECT_FALSE(drained.healthy());
 }
 
@@ -142,7 +142,7 @@
   s.AskDoor("POST", "/drain");
   s.Run(milliseconds(100));
   bool done = false;
-  s.sidecar->Leave([&] { done = true; });
+  s.sidecar->Leave(false, [&] { done = true; });
   EXPECT_EQ(s.AskDoor("POST", "/undrain")->Status(), 409);
   EXPECT_EQ(s.AskDoor("POST", "/drain")->Status(), 200);
   s.Run(milliseconds(600));
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -124,6 +124,7 @@
     }
     return Peer(std::move(socket));
   }
+  int native() { return acceptor_.native_handle(); }
   bool SomebodyWaits() {
     pollfd p{acceptor_.native_handle(), POLLIN, 0};
     return ::poll(&p, 1, 0) > 0;
@@ -198,7 +199,7 @@
   }
   tcp::endpoint address() const { return Loopback(sidecar_.address().port()); }
   void Drain() {
-    boost::asio::post(io_, [this] { sidecar_.Leave([this] { io_.stop(); }); });
+    boost::asio::post(io_, [this] { sidecar_.Leave(false, [this] { io_.stop(); }); });
   }
   void Reload(const std::string& config) {
     boost::asio::post(io_, [this, config] { sidecar_.Reload(ParseConfig(config)); });
