--- a/src/control/door.cpp
+++ b/src/control/door.cpp
@@ -180,9 +180,7 @@
   Accept();
 }
 
-Door::~Door() {
-  while (!callers_.empty()) callers_.front()->End();
-}
+Door::~Door() = default;  // Each caller's connection closes with it.
 
 void Door::Accept() {
   listener_->Accept([this](net::Fault fault, net::StreamPtr stream) {
