Say parse step, plain answer, terms and attempt look-up once; move a head, not copy it

Found on reading the whole change again: four copies of one parse loop (client, endpoint, discovery, door) are PutStep; three plain text answers are PlainText; TextBody's reader is AppendTo; keep-alive and version of an answer were set twice (SetTerms); four look-ups of an attempt are AttemptOf. Streaming had made every request copy its head out of the parser where it was moved before; it is moved out when it is whole, which also makes the special case for trailers unnecessary. The descriptors of the door were a second number in the sidecar: it is told now (Wiring::set_aside, Door::kDescriptors). What the door asks for is wired in one place (control/orders.h). The neighbour keeps no copy of what Presence knows. Behaviour as before. Tests: those there are, unchanged.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -13,7 +13,7 @@
 #include <string_view>
 #include <utility>
 
-#include "control/door.h"
+#include "control/orders.h"
 #include "handover/locks.h"
 #include "metrics/registry.h"
 #include "net/sockets.h"
@@ -56,9 +56,8 @@
  public:
   // `alone`: nobody else can hold the clients' socket, so nothing is looked for.
   Neighbour(net::Loop& loop, kelpspring::Sidecar& sidecar, bool alone)
-      : loop_(loop), sidecar_(sidecar), timer_(loop.NewTimer([this] { Look(); })) {
-    if (alone) return;
-    beside_ = true;
+      : loop_(loop), sidecar_(sidecar), timer_(loop.NewTimer([this] { Look(); })), alone_(alone) {
+    if (alone_) return;
     const char* folder = std::getenv("TMPDIR");
     try {
       locks_ = std::make_unique<handover::FileLocks>(folder == nullptr ? "/tmp" : folder);
@@ -71,15 +70,15 @@
   }
   // At this moment, not at the last look.
   bool Beside() {
-    if (presence_) Look();
-    return beside_;
+    if (!presence_) return !alone_;
+    Look();
+    return presence_->beside();
   }
 
  private:
   void Look() {
     presence_->Look();
-    beside_ = presence_->beside();
-    sidecar_.SetBeside(beside_);
+    sidecar_.SetBeside(presence_->beside());
     timer_->ArmAt(loop_.Now() + std::chrono::milliseconds(200));
   }
 
@@ -87,8 +86,8 @@
   kelpspring::Sidecar& sidecar_;
   net::TimerPtr timer_;
   std::unique_ptr<handover::FileLocks> locks_;
-  std::optional<handover::Presence> presence_;
-  bool beside_ = false;
+  std::optional<handover::Presence> presence_;  // None where the locks cannot be had.
+  bool alone_;
 };
 
 std::unique_ptr<control::Door> OpenDoor(net::Loop& loop, kelpspring::Sidecar& sidecar,
@@ -96,15 +95,8 @@
                                         const std::optional<net::Address>& at) {
   if (!at) return nullptr;
   try {
-    return std::make_unique<control::Door>(
-        loop, sidecar.log(), *at,
-        control::Orders{.ready = [&] { return sidecar.ready(); },
-                        .metrics =
-                            [&] {
-                              return registry.Text({sidecar.listed(), sidecar.avoided()});
-                            },
-                        .drain = [&] { sidecar.StartDrain(); },
-                        .undrain = [&] { return sidecar.EndDrain(); }});
+    return std::make_unique<control::Door>(loop, sidecar.log(), *at,
+                                           control::OrdersFor(sidecar, registry));
   } catch (const net::Error& e) {
     throw gaugecart::BadInput(std::string("console: ") + e.what());
   }
@@ -137,7 +129,9 @@
     auto inherited = Inherited(loop);
     const bool alone = inherited == nullptr;
     kelpspring::Sidecar sidecar(loop, std::move(config),
-                                {.inherited = std::move(inherited), .observer = &registry});
+                                {.inherited = std::move(inherited),
+                                 .observer = &registry,
+                                 .set_aside = console ? control::Door::kDescriptors : 0});
     Neighbour neighbour(loop, sidecar, alone);
     const auto door = OpenDoor(loop, sidecar, registry, console);
     loop.OnSignal(SIGHUP, [&] { Reload(sidecar); });
--- a/src/control/door.cpp
+++ b/src/control/door.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/beast/http/parser.hpp>
-#include <optional>
 #include <utility>
 
 #include "sidecar/http.h"
@@ -12,6 +11,7 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 using kelpspring::HttpResponse;
+using kelpspring::PlainText;
 
 namespace {
 
@@ -22,15 +22,8 @@
 constexpr auto kLingerSpan = std::chrono::milliseconds(500);
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 
-HttpResponse Text(http::status status, std::string body) {
-  HttpResponse response{status, 11};
-  response.set(http::field::content_type, "text/plain");
-  response.body() = std::move(body);
-  return response;
-}
-
 HttpResponse YesOrNo(bool yes, http::status no, const char* if_yes, const char* if_no) {
-  return Text(yes ? http::status::ok : no, yes ? if_yes : if_no);
+  return PlainText(yes ? http::status::ok : no, yes ? if_yes : if_no);
 }
 
 struct Path {
@@ -47,7 +40,7 @@
   for (const Path& path : {kReady, kMetrics, kDrain, kUndrain}) {
     if (name != path.name) continue;
     if (method != path.method) {
-      auto response = Text(http::status::method_not_allowed, "expected another method\n");
+      auto response = PlainText(http::status::method_not_allowed, "expected another method\n");
       response.set(http::field::allow, http::to_string(path.method));
       return response;
     }
@@ -55,7 +48,7 @@
       return YesOrNo(orders.ready(), http::status::service_unavailable, "ready\n", "not ready\n");
     }
     if (name == kMetrics.name) {
-      auto response = Text(http::status::ok, orders.metrics());
+      auto response = PlainText(http::status::ok, orders.metrics());
       response.set(http::field::content_type, "text/plain; version=0.0.4; charset=utf-8");
       return response;
     }
@@ -64,9 +57,9 @@
                      "this process is leaving\n");
     }
     orders.drain();
-    return Text(http::status::ok, "draining\n");
+    return PlainText(http::status::ok, "draining\n");
   }
-  return Text(http::status::not_found, "expected /ready, /metrics, /drain or /undrain\n");
+  return PlainText(http::status::not_found, "expected /ready, /metrics, /drain or /undrain\n");
 }
 
 }  // namespace
@@ -118,23 +111,19 @@
 
   void Read(std::string_view bytes) {
     incoming_.Append(bytes);
-    while (!incoming_.empty() && !parser_.is_done()) {
-      error_code ec;
-      const std::size_t used = parser_.put(incoming_.data(), ec);
-      incoming_.Consume(used);
-      if (ec == http::error::need_more || (!ec && used == 0)) break;
-      if (ec == http::error::body_limit)
-        return Answer(Text(http::status::payload_too_large, "the body is over 4 KiB\n"));
-      if (ec == http::error::header_limit)
-        return Answer(
-            Text(http::status::request_header_fields_too_large, "the head is over 8 KiB\n"));
-      if (ec) return Answer(Text(http::status::bad_request, "malformed HTTP\n"));
+    error_code ec;
+    while (kelpspring::PutStep(parser_, incoming_, ec) > 0) {
     }
-    if (parser_.is_done()) {
+    const bool endless = !parser_.is_done() && incoming_.size() > kHeadLimit;
+    if (ec == http::error::body_limit) {
+      Answer(PlainText(http::status::payload_too_large, "the body is over 4 KiB\n"));
+    } else if (ec == http::error::header_limit || (!ec && endless)) {
+      Answer(PlainText(http::status::request_header_fields_too_large, "the head is over 8 KiB\n"));
+    } else if (ec) {
+      Answer(PlainText(http::status::bad_request, "malformed HTTP\n"));
+    } else if (parser_.is_done()) {
       const auto& call = parser_.get();
       Answer(Obey(door_.orders_, call.method(), kelpspring::View(call.target())));
-    } else if (incoming_.size() > kHeadLimit) {
-      Answer(Text(http::status::request_header_fields_too_large, "the head is over 8 KiB\n"));
     }
   }
 
@@ -168,7 +157,7 @@
   State state_ = State::kReading;
   kelpspring::Incoming incoming_;
   kelpspring::Outgoing outgoing_;
-  http::request_parser<http::string_body> parser_;
+  http::request_parser<kelpspring::TextBody> parser_;
 };
 
 Door::Door(net::Loop& loop, kelpspring::Log& log, const net::Address& at, Orders orders)
--- a/src/seeds/clients.cpp
+++ b/src/seeds/clients.cpp
@@ -119,13 +119,13 @@
       return Close();
     }
     Tell(Seen::Kind::kFinal, status, BodyHash(message.body()));
-    if (Present()) NoteSeen(status);
-    reader_.Next();
-    used_ = true;
-    if (!keep) Close();
     TryEnd end = TryEnd::kFailed;
     if (status == 200) end = TryEnd::kServed;
     if (status == 429 || status == 503) end = TryEnd::kRefused;
+    if (Present()) NoteSeen(status, end);
+    reader_.Next();
+    used_ = true;
+    if (!keep) Close();
     Done(end, static_cast<Micros>(std::llround(seconds * 1e6)));
   }
 
@@ -151,10 +151,10 @@
 
   // The sidecar is the one that it was sent to.
   bool Present() const { return world_.sides_[place]->life == life_; }
-  void NoteSeen(int status) {
-    const auto how = status == 200                    ? kelpspring::Ending::kAnswered
-                     : status == 429 || status == 503 ? kelpspring::Ending::kRefused
-                                                      : kelpspring::Ending::kFailed;
+  void NoteSeen(int status, TryEnd end) {
+    const auto how = end == TryEnd::kServed    ? kelpspring::Ending::kAnswered
+                     : end == TryEnd::kRefused ? kelpspring::Ending::kRefused
+                                               : kelpspring::Ending::kFailed;
     // What was turned away unread was not taken.
     if (status >= 400 && status < 429) return;
     ++world_.sides_[place]->seen.answers[static_cast<std::size_t>(how)];
--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -118,13 +118,10 @@
   void OnBytes(std::string_view bytes) override {
     if (!done_) return Drop();  // Bytes that nobody asked for.
     incoming_.Append(bytes);
-    while (!incoming_.empty() && !parser_->is_done()) {
-      error_code ec;
-      const std::size_t used = parser_->put(incoming_.data(), ec);
-      incoming_.Consume(used);
-      if (ec == http::error::need_more || (!ec && used == 0)) break;
-      if (ec) return Fail(ec.message());
+    error_code ec;
+    while (PutStep(*parser_, incoming_, ec) > 0) {
     }
+    if (ec) return Fail(ec.message());
     if (parser_->is_done()) return Read();
     stream_->Receive();
   }
--- a/src/sidecar/http.h
+++ b/src/sidecar/http.h
@@ -7,6 +7,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -14,11 +15,22 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "net/loop.h"
 
 namespace kelpspring {
 
+template <typename Buffers>
+std::size_t AppendTo(std::string& text, const Buffers& buffers) {
+  std::size_t taken = 0;
+  for (const boost::asio::const_buffer part : boost::beast::buffers_range_ref(buffers)) {
+    text.append(static_cast<const char*>(part.data()), part.size());
+    taken += part.size();
+  }
+  return taken;
+}
+
 // A body as text. Unlike Beast's own it takes no memory for what is only announced, and what has
 // come can be taken out while more is on its way.
 struct TextBody {
@@ -33,12 +45,7 @@
     template <typename Buffers>
     std::size_t put(const Buffers& buffers, boost::system::error_code& ec) {
       ec = {};
-      std::size_t taken = 0;
-      for (const boost::asio::const_buffer part : boost::beast::buffers_range_ref(buffers)) {
-        body_.append(static_cast<const char*>(part.data()), part.size());
-        taken += part.size();
-      }
-      return taken;
+      return AppendTo(body_, buffers);
     }
     void finish(boost::system::error_code& ec) { ec = {}; }
 
@@ -65,6 +72,13 @@
   }
 };
 
+inline HttpResponse PlainText(boost::beast::http::status status, std::string text) {
+  HttpResponse response{status, 11};
+  response.set(boost::beast::http::field::content_type, "text/plain");
+  response.body() = std::move(text);
+  return response;
+}
+
 inline std::string_view View(boost::beast::string_view s) { return {s.data(), s.size()}; }
 
 // A request's target: where it names a scheme and an authority (absolute form) these are set apart.
@@ -86,16 +100,6 @@
   return origin.substr(0, origin.find('?'));
 }
 
-template <typename Buffers>
-std::size_t AppendTo(std::string& text, const Buffers& buffers) {
-  std::size_t taken = 0;
-  for (const boost::asio::const_buffer part : boost::beast::buffers_range_ref(buffers)) {
-    text.append(static_cast<const char*>(part.data()), part.size());
-    taken += part.size();
-  }
-  return taken;
-}
-
 // A whole message as it goes out.
 template <bool kIsRequest>
 std::string TextOf(const boost::beast::http::message<kIsRequest, TextBody>& message) {
@@ -154,6 +158,19 @@
   boost::beast::flat_buffer buffer_;
 };
 
+// One step of what has come into a parser: how many bytes it took. 0 once it is done or needs more,
+// or where what has come is no HTTP, which `ec` tells.
+template <typename Parser>
+std::size_t PutStep(Parser& parser, Incoming& incoming, boost::system::error_code& ec) {
+  ec = {};
+  if (incoming.empty() || parser.is_done()) return 0;
+  const std::size_t used = parser.put(incoming.data(), ec);
+  incoming.Consume(used);
+  if (!ec) return used;
+  if (ec == boost::beast::http::error::need_more) ec = {};
+  return 0;
+}
+
 // What goes out, handed over as fast as the other side takes it.
 class Outgoing {
  public:
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -128,18 +128,14 @@
 }
 
 bool Client::Take() {
-  while (!incoming_.empty() && !parser_->is_done()) {
-    error_code ec;
-    const bool in_head = !parser_->is_header_done();
-    const std::size_t used = parser_->put(incoming_.data(), ec);
-    incoming_.Consume(used);
-    if (ec == http::error::need_more || (!ec && used == 0)) break;
-    if (ec == http::error::body_limit) return Spoil(413, "the body is over 64 MiB\n"), false;
-    if (ec == http::error::header_limit) return Spoil(431, "the head is too large\n"), false;
-    if (ec) return Spoil(400, "malformed HTTP\n"), false;
-    if (!in_head) came_ += used;
-    if (in_head && parser_->is_header_done() && !LookAtHead()) return false;
+  error_code ec;
+  while (const std::size_t used = PutStep(*parser_, incoming_, ec)) {
+    if (head_) came_ += used;
+    if (!head_ && parser_->is_header_done() && !LookAtHead()) return false;
   }
+  if (ec == http::error::body_limit) return Spoil(413, "the body is over 64 MiB\n"), false;
+  if (ec == http::error::header_limit) return Spoil(431, "the head is too large\n"), false;
+  if (ec) return Spoil(400, "malformed HTTP\n"), false;
   // The head of a chunk without end, as long as it may be read ahead.
   if (!parser_->is_done() && incoming_.size() >= kReadAhead) {
     return Spoil(400, "malformed HTTP\n"), false;
@@ -149,10 +145,9 @@
 
 bool Client::LookAtHead() {
   if (!Framed(*parser_)) return Spoil(400, "the length is not told plainly\n"), false;
-  const auto& head = parser_->get();
-  if (parser_->chunked()) head_ = head.base();
-  const auto expect = head[http::field::expect];
-  if (expect.empty() || head.version() < 11) return true;
+  head_ = std::move(parser_->get().base());
+  const auto expect = (*head_)[http::field::expect];
+  if (expect.empty() || head_->version() < 11) return true;
   if (!boost::beast::iequals(expect, "100-continue")) {
     return Spoil(417, "Expect: 100-continue is all that can be met\n"), false;
   }
@@ -198,7 +193,7 @@
   fresh_until_ = {};
   Arrival arrival{parser_->is_done(), std::nullopt};
   if (const auto length = parser_->content_length()) arrival.length = *length;
-  HttpRequest request = head_ ? HttpRequest(std::move(*head_)) : HttpRequest(parser_->get().base());
+  HttpRequest request(std::move(*head_));
   request.body() = std::exchange(parser_->get().body(), {});
   if (arrival.whole) parser_.reset();
   state_ = State::kHeld;
@@ -252,10 +247,14 @@
 }
 
 void Client::RespondPlain(unsigned status, const std::string& text) {
-  HttpResponse response{http::int_to_status(status), 11};
-  response.set(http::field::content_type, "text/plain");
-  response.body() = text;
-  Respond(std::move(response));
+  Respond(PlainText(http::int_to_status(status), text));
+}
+
+void Client::SetTerms(HttpResponse& answer) {
+  // What is left of a request that is answered before its end belongs to nothing.
+  if (server_.phase_ != Server::Phase::kOpen || parser_) keep_alive_ = false;
+  answer.version(version_);
+  answer.keep_alive(keep_alive_);
 }
 
 void Client::Respond(HttpResponse response) {
@@ -263,10 +262,7 @@
   gone_ = nullptr;
   feed_ = nullptr;
   state_ = State::kAnswering;
-  // What is left of a request that is answered before its end belongs to nothing.
-  if (server_.phase_ != Server::Phase::kOpen || parser_) keep_alive_ = false;
-  response.version(version_);
-  response.keep_alive(keep_alive_);
+  SetTerms(response);
   response.prepare_payload();
   std::string text = TextOf(response);
   if (Mutated(Mutant::kDropAnswer)) return Close();
@@ -283,11 +279,9 @@
   drained_ = std::move(drained);
   ending_ = false;
   chunked_ = !length && version_ >= 11;
-  if (server_.phase_ != Server::Phase::kOpen || parser_) keep_alive_ = false;
-  head.version(version_);
+  SetTerms(head);
   if (length) head.content_length(*length);
   if (chunked_) head.chunked(true);
-  head.keep_alive(keep_alive_);
   outgoing_.Add(HeadOf(head));
 }
 
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -94,6 +94,8 @@
   void OnEnd(net::Fault fault) override;
   void OnWritable() override;
   void Read();
+  // Version and end of the connection, as they are told with an answer.
+  void SetTerms(HttpResponse& answer);
   void Parse();
   void Flush();
   void Answered();
@@ -116,9 +118,10 @@
   bool keep_alive_ = true;
   unsigned version_ = 11;
   std::optional<Parser> parser_;  // Of a request that has not come whole.
-  std::optional<boost::beast::http::request_header<>> head_;  // Before any trailers.
-  std::uint64_t came_ = 0;                                    // Bytes of its body.
-  net::Span spent_{};                                         // Waiting for it.
+  // Taken out of the parser as soon as it is whole, so that no trailer gets into it.
+  std::optional<boost::beast::http::request_header<>> head_;
+  std::uint64_t came_ = 0;  // Bytes of its body.
+  net::Span spent_{};       // Waiting for it.
   std::optional<net::Time> awaited_since_;
   Feed feed_;
   bool chunked_ = false;  // The answer that goes out in parts.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -24,9 +24,6 @@
 
 // Descriptors that are neither clients' nor endpoints': listener, event loop, discovery, logs.
 constexpr std::size_t kOwnSockets = 24;
-// The operators' door keeps its own beside them (control/door.h): its connections, its listener and
-// one that is being taken in.
-constexpr std::size_t kDoorSockets = 14;
 // How long a process that takes over waits for the present list of endpoints; then the one that it
 // was started with must do, as for any start.
 constexpr auto kSettleSpan = std::chrono::milliseconds(1500);
@@ -82,13 +79,6 @@
   return response;
 }
 
-HttpResponse Plain(http::status status, const char* text) {
-  HttpResponse response{status, 11};
-  response.set(http::field::content_type, "text/plain");
-  response.body() = text;
-  return response;
-}
-
 }  // namespace
 
 std::optional<gaugecart::LoadReport> ParseLoad(std::string_view text) {
@@ -124,8 +114,7 @@
       start_(loop.Now()),
       // Unix time once, so that endpoints' start times compare; from then on a clock no step moves.
       epoch_(loop.WallMicros()),
-      budget_{config_.sockets - kOwnSockets - (config_.console ? kDoorSockets : 0), 0, nullptr,
-              nullptr},
+      budget_{config_.sockets - kOwnSockets - wiring.set_aside, 0, nullptr, nullptr},
       most_sockets_(budget_.limit),
       settled_(wiring.inherited == nullptr),
       upstream_(loop, log_, budget_, std::chrono::microseconds(config_.setup.settings.keepalive),
@@ -236,7 +225,7 @@
 void Sidecar::Refuse(RequestId request, Micros advice) {
   Run([=, this] {
     log_.Trace([&] { return "refused " + std::to_string(request); });
-    HttpResponse response = Plain(http::status::service_unavailable, "refused: try again\n");
+    HttpResponse response = PlainText(http::status::service_unavailable, "refused: try again\n");
     if (advice > 0) {
       std::array<char, 32> text{};
       const auto n =
@@ -252,7 +241,7 @@
   if (Mutated(Mutant::kRefuseFailures)) return Refuse(request, 0);
   Run([=, this] {
     log_.Trace([&] { return "failed " + std::to_string(request); });
-    Finish(request, Plain(http::status::bad_gateway, "failed\n"), Ending::kFailed);
+    Finish(request, PlainText(http::status::bad_gateway, "failed\n"), Ending::kFailed);
   });
 }
 
@@ -482,7 +471,7 @@
 }
 
 std::uint64_t Sidecar::MostBody() const {
-  const std::size_t holders = (server_ ? server_->clients() : 0) + upstream_.attempts();
+  const std::size_t holders = server_->clients() + upstream_.attempts();
   return BodyBudget{config_.memory_mb * (1 << 20) / (beside_ ? 8 : 4), holders}.Each();
 }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -36,6 +36,8 @@
     net::ListenerPtr inherited = nullptr;
     // Told of each request's life; must outlive the sidecar.
     Observer* observer = nullptr;
+    // Descriptors that others in the process keep for themselves, as the operators' door does.
+    std::size_t set_aside = 0;
   };
 
   // Throws std::invalid_argument or net::Error.
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -229,7 +229,7 @@
   void Got(net::Fault fault) {
     if (state_ == State::kIdle) return Drop();  // Its end, or bytes that nobody asked for.
     if (fault != net::Fault::kNone && fault != net::Fault::kEnd) return Broken();
-    bool ended = fault == net::Fault::kEnd;
+    const bool ended = fault == net::Fault::kEnd;
     if (!Take()) return Spoilt();
     // Without a length and without chunks the end tells the end.
     if (ended && parser_->is_header_done() && parser_->need_eof() && !parser_->is_done()) {
@@ -259,15 +259,11 @@
 
   // Takes in what has come; false if it is no answer.
   bool Take() {
-    while (!incoming_.empty() && !parser_->is_done()) {
-      error_code parse;
-      const bool in_head = !parser_->is_header_done();
-      const std::size_t used = parser_->put(incoming_.data(), parse);
-      incoming_.Consume(used);
-      if (parse == http::error::need_more || (!parse && used == 0)) break;
-      if (parse) return false;
+    error_code ec;
+    bool in_head = !parser_->is_header_done();
+    while (PutStep(*parser_, incoming_, ec) > 0) {
       if (!parser_->is_header_done()) continue;
-      if (in_head) {
+      if (std::exchange(in_head, false)) {
         if (!Framed(*parser_)) return false;
         code_ = CodeOf(parser_->get());  // Before any trailers.
       }
@@ -275,9 +271,10 @@
         // A 1xx answer only announces the real one; an endless row of them announces nothing.
         if (++interim_ > kMostInterim) return false;
         NextParser();
+        in_head = true;
       }
     }
-    return true;
+    return !ec;
   }
 
   // Bytes beyond the answer belong to no request; the connection is of no further use.
@@ -485,32 +482,27 @@
   doubt_until_ = now + kDoubtSpan;
 }
 
-void Upstream::Feed(Key key, std::string_view part, bool last) {
+// Held by the caller: what is done to it may end it.
+Upstream::ConnectionPtr Upstream::AttemptOf(Key key) const {
   const auto it = attempts_.find(key);
-  if (it == attempts_.end()) return;
-  const ConnectionPtr connection = it->second;
-  connection->Feed(part, last);
+  return it == attempts_.end() ? nullptr : it->second;
+}
+
+void Upstream::Feed(Key key, std::string_view part, bool last) {
+  if (const auto connection = AttemptOf(key)) connection->Feed(part, last);
 }
 
 void Upstream::Resume(Key key) {
-  const auto it = attempts_.find(key);
-  if (it == attempts_.end()) return;
-  const ConnectionPtr connection = it->second;
-  connection->Resume();
+  if (const auto connection = AttemptOf(key)) connection->Resume();
 }
 
 void Upstream::Cancel(Key key) {
-  const auto it = attempts_.find(key);
-  if (it == attempts_.end()) return;
-  const ConnectionPtr connection = it->second;
-  connection->Finish(OutcomeCode::kCancelled);
+  if (const auto connection = AttemptOf(key)) connection->Finish(OutcomeCode::kCancelled);
 }
 
 void Upstream::Withdraw(Key key) {
-  const auto it = attempts_.find(key);
-  if (it == attempts_.end() || !it->second->connecting()) return;
-  const ConnectionPtr connection = it->second;
-  connection->Finish(OutcomeCode::kNeverSent);
+  const auto connection = AttemptOf(key);
+  if (connection && connection->connecting()) connection->Finish(OutcomeCode::kNeverSent);
 }
 
 bool Upstream::EvictIdle() {
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -131,6 +131,7 @@
   };
 
   Endpoint* Find(gaugecart::EndpointId id);
+  ConnectionPtr AttemptOf(Key key) const;  // Null once it is over.
   // The idle connection to use for this message; null if a new one is to be opened.
   ConnectionPtr TakeIdle(Endpoint& endpoint, const HttpRequest& message);
   // A reused connection broke before any answer: it may have been dropped while it lay idle.
