--- a/tests/fuzz/stage.cpp
+++ b/tests/fuzz/stage.cpp
@@ -5,60 +5,26 @@
 #include <functional>
 #include <list>
 #include <memory>
-#include <nlohmann/json.hpp>
 
-#include "control/door.h"
 #include "fuzz/targets.h"
-#include "lab/catalog_wire.h"
-#include "lab/sidecar_config.h"
 #include "lab/wire.h"
-#include "metrics/registry.h"
-#include "net/virtual.h"
-#include "seeds/peer.h"
-#include "sidecar/sidecar.h"
+#include "rig.h"
 
 namespace fuzz {
 namespace {
 
+using rig::kClientsAt;
+using rig::kDoorAt;
 using seeds::Peer;
 using shelflab::AnswerText;
 using shelflab::Reader;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::uint32_t kNodeHost = 0x0a010001;
-constexpr std::uint32_t kSidecarHost = 0x0a090001;
-constexpr std::uint32_t kClientHost = 0x0a000001;
-constexpr std::uint32_t kDiscoveryHost = 0x0a000101;
 constexpr auto kDue = seconds(1);
 constexpr auto kWhole = seconds(20);  // Long beyond each time-out of the sidecar.
 
-const net::Address kNodeAt = net::Address::V4(kNodeHost, 3000);
-const net::Address kSidecarAt = net::Address::V4(kSidecarHost, 7000);
-const net::Address kDoorAt = net::Address::V4(kSidecarHost, 7001);
-const net::Address kDiscoveryAt = net::Address::V4(kDiscoveryHost, 5000);
-
-shelflab::FleetSpec Fleet() {
-  shelflab::FleetSpec fleet;
-  fleet.zone = "z";
-  shelflab::ClassSpec c;
-  c.name = "read";
-  c.aim = 250'000;
-  c.give_up = 1'000'000;
-  c.repeat = shelflab::Repeat::kIdempotent;
-  fleet.classes = {c};
-  shelflab::TierSpec tier;
-  tier.name = "only";
-  tier.nodes = 1;
-  fleet.tiers = {tier};
-  fleet.max_attempts = 3;
-  return fleet;
-}
-
-std::string ListText() {
-  const auto row = JsonOf(shelflab::MemberRow{"n0", kNodeAt.Text(), "z", "k"});
-  return nlohmann::json{{"seq", 1}, {"whole", true}, {"hosts", {row}}}.dump();
-}
+shelflab::FleetSpec Fleet() { return rig::Fleet({"read"}, 250'000, 1'000'000); }
 
 // Answers each request that it can read by what `answer` makes of it.
 class Answering : public Peer {
@@ -111,64 +77,38 @@
   Reader<false> reader_;
 };
 
-class Stage {
+class Stage : public rig::Rig {
  public:
   explicit Stage(std::string_view bytes)
-      : net_(XXH64(bytes.data(), bytes.size(), 0)),
-        node_(net_, kNodeHost, "node", 1000),
-        discovery_(net_, kDiscoveryHost, "discovery", 1000),
-        client_(net_, kClientHost, "client", 1000),
-        machine_(net_, kSidecarHost, "sidecar", 1000) {
+      : Rig(XXH64(bytes.data(), bytes.size(), 0), 1000, {"read"}) {
     net::Weather weather;
     weather.cut = 0.5;
     net_.SetWeather(weather);
   }
-  ~Stage() {
-    machine_.Kill();
-    door_.reset();
-    sidecar_.reset();
-    for (net::VirtualProcess* p : {&node_, &discovery_, &client_}) p->Kill();
-    net_.Clear();
-  }
-  Stage(const Stage&) = delete;
-  Stage& operator=(const Stage&) = delete;
+  ~Stage() { End(); }
 
   std::function<std::string()> at_node = [] { return AnswerText(200, "OK", "served"); };
-  std::function<std::string()> at_discovery = [] { return AnswerText(200, "OK", ListText()); };
+  std::function<std::string()> at_discovery = [] { return AnswerText(200, "OK", rig::ListText()); };
 
   bool push = false;
 
   void Open() {
-    node_door_ = node_.Listen(kNodeAt);
-    discovery_door_ = discovery_.Listen(kDiscoveryAt);
-    Accept(*node_door_, at_node, true);
-    Accept(*discovery_door_, at_discovery, false);
-    const shelflab::FleetSpec fleet = Fleet();
     shelflab::SidecarPlace place;
-    place.name = "s0";
-    place.listen = kSidecarAt.Text();
-    place.discovery = kDiscoveryAt.Text();
     place.push = push;  // A watch that is always answered at once would go round and round.
     place.longest_advice = 1'000'000;
-    sidecar_ = std::make_unique<kelpspring::Sidecar>(
-        machine_,
-        kelpspring::ParseConfig(
-            shelflab::SidecarConfig(fleet, place, nlohmann::json::parse(ListText()))),
-        kelpspring::Sidecar::Wiring{.sink = [](std::string_view) {}, .observer = &registry_});
-    door_ = std::make_unique<control::Door>(
-        machine_, sidecar_->log(), kDoorAt,
-        control::Orders{.ready = [this] { return sidecar_->ready(); },
-                        .metrics =
-                            [this] {
-                              return registry_.Text({sidecar_->listed(), sidecar_->avoided()});
-                            },
-                        .drain = [this] { sidecar_->StartDrain(); },
-                        .undrain = [this] { return sidecar_->EndDrain(); }});
+    const auto answering = [this](const std::function<std::string()>& answer, bool strict) {
+      return [this, &answer, strict] {
+        return peers_.emplace_back(std::make_shared<Answering>(answer, strict));
+      };
+    };
+    Start(
+        Fleet(), place, [](std::string_view) {}, answering(at_node, true),
+        answering(at_discovery, false));
     Run(milliseconds(100));
   }
-  std::shared_ptr<Asking> Ask(std::string text, const net::Address& at = kSidecarAt) {
+  std::shared_ptr<Asking> Ask(std::string text, const net::Address& at = kClientsAt) {
     auto peer = std::make_shared<Asking>(std::move(text));
-    peer->Dial(client_, at);
+    peer->Dial(client, at);
     return peer;
   }
   std::shared_ptr<Asking> AskWell(std::uint64_t txn) {
@@ -180,35 +120,18 @@
     request.due = std::chrono::duration_cast<std::chrono::microseconds>(kDue).count();
     return Ask(RequestText(request, 0));
   }
-  void Run(net::Span span) { net_.RunUntil(net_.Now() + span); }
-
   // After the whole time the sidecar must hold nothing of all this.
   void CheckRest() {
     Run(kWhole);
-    const auto holds = sidecar_->holds();
+    const auto holds = sidecar->holds();
     if (holds.requests + holds.attempts + holds.clients + holds.sockets > 0) {
       throw Breach("something is left at rest");
     }
-    if (registry_.current() + door_->callers() > 0) throw Breach("somebody counts at rest");
+    if (registry.current() + door->callers() > 0) throw Breach("somebody counts at rest");
   }
 
  private:
-  void Accept(net::Listener& door, const std::function<std::string()>& answer, bool strict) {
-    door.Accept([this, &door, &answer, strict](net::Fault fault, net::StreamPtr stream) {
-      if (fault != net::Fault::kNone) return;
-      peers_.push_back(std::make_shared<Answering>(answer, strict));
-      peers_.back()->Adopt(std::move(stream));
-      Accept(door, answer, strict);
-    });
-  }
-
-  net::VirtualNet net_;
-  net::VirtualProcess node_, discovery_, client_, machine_;
-  net::ListenerPtr node_door_, discovery_door_;
   std::list<std::shared_ptr<Peer>> peers_;
-  metrics::Registry registry_{std::vector<std::string>{"read"}};
-  std::unique_ptr<kelpspring::Sidecar> sidecar_;
-  std::unique_ptr<control::Door> door_;
 };
 
 void MustBeAnswered(const Asking& asking, bool well) {
--- a/tests/scene.h
+++ b/tests/scene.h
@@ -7,30 +7,18 @@
 #include <chrono>
 #include <deque>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
-#include <vector>
 
-#include "control/door.h"
-#include "lab/catalog_wire.h"
-#include "lab/sidecar_config.h"
-#include "metrics/registry.h"
-#include "net/virtual.h"
-#include "seeds/peer.h"
-#include "sidecar/sidecar.h"
+#include "rig.h"
 
 namespace scene {
 
+using rig::kClientsAt;
+using rig::kDoorAt;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::uint32_t kHost = 0x0a090001;
-const net::Address kClientsAt = net::Address::V4(kHost, 7000);
-const net::Address kDoorAt = net::Address::V4(kHost, 7001);
-const net::Address kNodeAt = net::Address::V4(0x0a010001, 3000);
-const net::Address kDiscoveryAt = net::Address::V4(0x0a000101, 5000);
-
 // Keeps what it is told, and whether the other side has ended.
 struct Talk : seeds::Peer {
   std::string got;
@@ -58,31 +46,6 @@
   void Up() override { Send(text); }
 };
 
-inline shelflab::FleetSpec Fleet() {
-  shelflab::FleetSpec fleet;
-  fleet.zone = "z";
-  shelflab::ClassSpec read;
-  read.name = "read";
-  read.aim = 500'000;
-  read.give_up = 3'000'000;
-  read.repeat = shelflab::Repeat::kIdempotent;
-  shelflab::ClassSpec write = read;
-  write.name = "write";
-  write.repeat = shelflab::Repeat::kAtMostOnce;
-  fleet.classes = {read, write};
-  shelflab::TierSpec tier;
-  tier.name = "only";
-  tier.nodes = 1;
-  fleet.tiers = {tier};
-  fleet.max_attempts = 3;
-  return fleet;
-}
-
-inline std::string ListText() {
-  const auto row = JsonOf(shelflab::MemberRow{"n0", kNodeAt.Text(), "z", "k"});
-  return nlohmann::json{{"seq", 1}, {"whole", true}, {"hosts", {row}}}.dump();
-}
-
 inline std::string Call(int txn, const std::string& body = "", const std::string& more = "") {
   std::string id = std::to_string(txn);
   id.insert(0, 16 - id.size(), '0');
@@ -98,55 +61,25 @@
          body;
 }
 
-class Scene {
+class Scene : public rig::Rig {
  public:
   explicit Scene(std::size_t sockets = 256, std::uint64_t seed = 7)
-      : net_(seed),
-        node(net_, 0x0a010001, "node", 10'000),
-        discovery(net_, 0x0a000101, "discovery", 1000),
-        client(net_, 0x0a000001, "client", 10'000),
-        machine(net_, kHost, "sidecar", sockets) {
-    node_door_ = node.Listen(kNodeAt);
-    discovery_door_ = discovery.Listen(kDiscoveryAt);
-    Accept(*node_door_, at_node);
-    Accept(*discovery_door_, at_discovery);
-    const shelflab::FleetSpec fleet = Fleet();
+      : Rig(seed, sockets, {"read", "wr\"ite"}) {
     shelflab::SidecarPlace place;
-    place.name = "s0";
-    place.listen = kClientsAt.Text();
-    place.discovery = kDiscoveryAt.Text();
     place.sockets = sockets;
-    auto config = nlohmann::json::parse(
-        shelflab::SidecarConfig(fleet, place, nlohmann::json::parse(ListText())));
-    config["console"] = kDoorAt.Text();
-    sidecar = std::make_unique<kelpspring::Sidecar>(
-        machine, kelpspring::ParseConfig(config.dump()),
-        kelpspring::Sidecar::Wiring{.sink =
-                                        [this](std::string_view line) {
-                                          log += line;
-                                          log += '\n';
-                                        },
-                                    .observer = &registry});
-    door = std::make_unique<control::Door>(
-        machine, sidecar->log(), kDoorAt,
-        control::Orders{.ready = [this] { return sidecar->ready(); },
-                        .metrics =
-                            [this] {
-                              return registry.Text({sidecar->listed(), sidecar->avoided()});
-                            },
-                        .drain = [this] { sidecar->StartDrain(); },
-                        .undrain = [this] { return sidecar->EndDrain(); }});
+    const auto keep = [](std::deque<TalkPtr>& talks) {
+      return [&talks] { return talks.emplace_back(std::make_shared<Talk>()); };
+    };
+    Start(
+        rig::Fleet({"read", "write"}, 500'000, 3'000'000), place,
+        [this](std::string_view line) {
+          log += line;
+          log += '\n';
+        },
+        keep(at_node), keep(at_discovery));
     Run(milliseconds(50));
   }
-  ~Scene() {
-    machine.Kill();
-    door.reset();
-    sidecar.reset();
-    for (net::VirtualProcess* p : {&node, &discovery, &client}) p->Kill();
-    net_.Clear();
-  }
-  Scene(const Scene&) = delete;
-  Scene& operator=(const Scene&) = delete;
+  ~Scene() { End(); }
 
   TalkPtr Open(const net::Address& to, const std::string& text = "") {
     auto talk = std::make_shared<Opening>(text);
@@ -158,33 +91,11 @@
     return Open(kDoorAt, method + ' ' + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
   }
   int Health() { return Open(kClientsAt, "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n")->Status(); }
-  void Run(net::Span span) { net_.RunUntil(net_.Now() + span); }
-  net::Time Now() const { return net_.Now(); }
   // Nothing passes between the sidecar and its node.
-  void CutNode(bool on) { net_.SetCut(kHost, node.host(), on); }
+  void CutNode(bool on) { net_.SetCut(rig::kHost, node.host(), on); }
 
- private:
-  void Accept(net::Listener& door_at, std::deque<TalkPtr>& talks) {
-    door_at.Accept([this, &door_at, &talks](net::Fault fault, net::StreamPtr stream) {
-      if (fault != net::Fault::kNone) return;
-      talks.push_back(std::make_shared<Talk>());
-      talks.back()->Adopt(std::move(stream));
-      Accept(door_at, talks);
-    });
-  }
-
-  net::VirtualNet net_;
-
- public:
-  net::VirtualProcess node, discovery, client, machine;
   std::deque<TalkPtr> at_node, at_discovery;
   std::string log;
-  metrics::Registry registry{std::vector<std::string>{"read", "wr\"ite"}};
-  std::unique_ptr<kelpspring::Sidecar> sidecar;
-  std::unique_ptr<control::Door> door;
-
- private:
-  net::ListenerPtr node_door_, discovery_door_;
 };
 
 }  // namespace scene
--- a/tests/stream/stream_test.cpp
+++ b/tests/stream/stream_test.cpp
@@ -45,13 +45,11 @@
   }
 }
 
-std::string Long(const std::string& body) { return Answer(body); }
-
 TEST(LongAnswer, GoesOutAsItComesAndKeepsBothConnections) {
   Scene s;
   const std::string body = Filler(kMegabyte);
   const auto client = s.Open(kClientsAt, Call(1));
-  const std::string answer = Long(body);
+  const std::string answer = Answer(body);
   s.at_node.at(0)->Send(answer.substr(0, 5000));
   s.Run(milliseconds(20));
   EXPECT_GT(BodyOf(client->got).size(), 4000u);  // Long before the rest is there.
@@ -74,7 +72,7 @@
   Scene s;
   const std::string body = Filler(6 * kHeld);
   const auto client = s.Open(kClientsAt, Call(1));
-  const std::string answer = Long(body);
+  const std::string answer = Answer(body);
   for (std::size_t at = 0; at < answer.size(); at += kHeld) {
     s.at_node.at(0)->Send(answer.substr(at, kHeld));
     s.Run(seconds(1));
@@ -153,7 +151,7 @@
   Scene s;
   std::vector<TalkPtr> stopped;
   std::size_t taken = 0;
-  const std::string answer = Long(Filler(4 * kMegabyte));
+  const std::string answer = Answer(Filler(4 * kMegabyte));
   for (int i = 0; i < 4; ++i) {
     stopped.push_back(s.Open(kClientsAt, Call(i + 1)));
     stopped.back()->Hold(true);
@@ -164,7 +162,7 @@
   // Windows of the machines on both ways, and one part in between.
   EXPECT_LT(taken / 4, kMegabyte);
   const auto fifth = s.Open(kClientsAt, Call(5));
-  s.at_node.back()->Send(Long(Filler(kMegabyte)));
+  s.at_node.back()->Send(Answer(Filler(kMegabyte)));
   s.Run(seconds(1));
   EXPECT_EQ(BodyOf(fifth->got).size(), kMegabyte);
   for (const auto& client : stopped) client->Hold(false);
