Get the newest list from peers where discovery is silent

Change: src/peers asks three peers at a time by datagrams and takes the newest whole list by version and age; answers are bounded; figures count what is dropped. The judge holds each heard list to what discovery told and when; mutants kHearAnyAge and kCallItFresh are found.

--- a/src/app/remember.h
+++ b/src/app/remember.h
@@ -67,6 +67,7 @@
     if (verdict != recovery::Recall::kTake) return;
     try {
       config.known = ParseMembers(nlohmann::json::parse(snapshot.list));
+      config.known_age = std::chrono::microseconds(*age);
     } catch (const std::exception& e) {
       LogToStandardError(std::string("remembered list: ") + e.what());
     }
--- a/src/control/orders.h
+++ b/src/control/orders.h
@@ -13,7 +13,7 @@
   return {.ready = [&] { return sidecar.ready(); },
           .metrics =
               [&] {
-                return registry.Text({sidecar.listed(), sidecar.avoided()});
+                return registry.Text({sidecar.listed(), sidecar.avoided(), sidecar.peer_counts()});
               },
           .drain = [&] { sidecar.StartDrain(); },
           .undrain = [&] { return sidecar.EndDrain(); }};
--- a/src/lab/emulation.cpp
+++ b/src/lab/emulation.cpp
@@ -319,13 +319,13 @@
         *nodes_.emplace_back(std::make_unique<Node>(plan_.fleet.tiers[fleet_.tier(id)].server));
     node.id = id;
     const std::uint32_t tier = fleet_.tier(id);
-    const std::uint32_t doors = tier == 0 ? first_tier_sidecars_ : 1;
+    const std::uint32_t doors = OneDoor(tier) ? 1 : first_tier_sidecars_;
     for (std::uint32_t d = 0; d < doors; ++d) {
       Door& door = *node.doors.emplace_back(std::make_unique<Door>(io_));
       door.enter = [this, id, d](tcp::socket socket) {
         Node& at = *nodes_[id];
-        // Those of later tiers share a door; which of them this is shows with the first request.
-        const Sidecar* side = fleet_.tier(id) == 0 ? sidecars_[d].get() : nullptr;
+        // Where several share a door, which of them this is shows with the first request.
+        const Sidecar* side = OneDoor(fleet_.tier(id)) ? nullptr : sidecars_[d].get();
         const auto line = std::make_shared<EndpointLine>(
             std::move(socket), *this, id, d,
             side != nullptr ? side->links[Index(storm::End::kNodes)] : nullptr);
@@ -360,6 +360,7 @@
     for (const Listed& row : rows) known.rows[row.node] = row;
   }
   for (auto& s : sidecars_) s->had = first_lists_[s->tier];
+  if (options_.peers > 0) StartRelay();
   SweepIdle();
 }
 
@@ -375,6 +376,7 @@
   if (std::exchange(stopped_, true)) return;
   timer_.cancel();
   sweep_timer_.cancel();
+  if (relay_) relay_->Stop();
   for (auto& s : sidecars_) {
     ++s->life;
     s->wanted = false;
@@ -653,7 +655,7 @@
   attempt.due = r.ec == std::errc() ? now + left * 1000 : now + cls->give_up;
 
   std::uint32_t sidecar = line.sidecar;
-  if (fleet_.tier(line.node) > 0) {
+  if (OneDoor(fleet_.tier(line.node))) {
     const auto caller = caller_of_.find(*txn);
     sidecar = caller == caller_of_.end() ? UINT32_MAX : caller->second;
   }
@@ -895,7 +897,7 @@
   const Sidecar& side = *sidecars_[line->sidecar];
   for (const Listed& row : answer.rows) {
     const Node& node = *nodes_[row.node];
-    const std::size_t door = side.tier == 0 ? side.number : 0;
+    const std::size_t door = OneDoor(side.tier) ? 0 : side.number;
     hosts.push_back(RowText(plan_.fleet, row, node.doors[door]->address, fleet_.kind(row.node)));
   }
   const nlohmann::json body = {{"seq", answer.seq}, {"whole", answer.whole}, {"hosts", hosts}};
@@ -945,11 +947,47 @@
 
 // ---- Sidecars ----
 
+// Datagrams take the ports that streams have: of the sidecar itself, and of its discovery.
+void Emulation::StartRelay() {
+  std::vector<Relay::Endpoint> own;
+  std::vector<Relay::Endpoint> theirs;
+  for (std::uint32_t i = 0; i < first_tier_sidecars_; ++i) {
+    const Sidecar& s = *sidecars_[i];
+    own.emplace_back(s.listen.address(), s.listen.port());
+    theirs.emplace_back(s.door.address.address(), s.door.address.port());
+  }
+  relay_ = std::make_unique<Relay>(io_, own, theirs, options_.seed);
+}
+
+// Each is a peer of its peers. Distances double, so that any two are few steps apart.
+std::vector<std::string> Emulation::PeersOf(const Sidecar& s) const {
+  const std::uint32_t n = first_tier_sidecars_;
+  std::vector<std::uint32_t> numbers;
+  for (std::uint32_t step = 1; step < n && numbers.size() < options_.peers; step *= 2) {
+    for (const std::uint32_t other : {(s.number + step) % n, (s.number + n - step) % n}) {
+      if (std::find(numbers.begin(), numbers.end(), other) == numbers.end() && other != s.number) {
+        numbers.push_back(other);
+      }
+    }
+  }
+  std::vector<std::string> addresses;
+  for (const std::uint32_t other : numbers) {
+    addresses.push_back(AddressText(sidecars_[other]->door.address));
+  }
+  return addresses;
+}
+
+void Emulation::Expect(std::uint64_t txn, std::uint32_t number) {
+  if (!relay_) return;
+  caller_of_[txn] = number;
+  caller_ends_.emplace_back(Now() + kCallMemory, txn);
+}
+
 std::string Emulation::ConfigOf(const Sidecar& s, const Had& known) const {
   const FleetSpec& fleet = plan_.fleet;
   nlohmann::json hosts = nlohmann::json::array();
   for (const auto& [id, row] : known.rows) {
-    const std::size_t door = s.tier == 0 ? s.number : 0;
+    const std::size_t door = OneDoor(s.tier) ? 0 : s.number;
     hosts.push_back(
         RowText(fleet, row, nodes_[row.node]->doors[door]->address, fleet_.kind(row.node)));
   }
@@ -958,6 +996,11 @@
   place.listen = AddressText(s.listen);
   place.discovery = AddressText(s.door.address);
   if (options_.stateful && s.tier == 0) place.state_dir = StateOf(s);
+  if (relay_ && s.tier == 0) {
+    place.peer_listen = AddressText(s.listen);
+    place.peers = PeersOf(s);
+    place.peer_list_age = options_.peer_list_age;
+  }
   place.seed = options_.seed * 0x9e3779b97f4a7c15ULL + std::uint64_t{977} * s.place + s.life;
   place.tier = s.tier;
   place.me = s.number;
@@ -1109,6 +1152,10 @@
 }
 
 void Emulation::SetLink(std::uint32_t number, storm::End to, const LinkFault& fault) {
+  if (to == storm::End::kPeers) {
+    if (relay_) relay_->SetFault(number, fault);
+    return;
+  }
   Sidecar& s = *sidecars_[number];
   Link& link = *s.links[Index(to)];
   const LinkFault before = std::exchange(link.fault, fault);
--- a/src/lab/emulation.h
+++ b/src/lab/emulation.h
@@ -25,6 +25,7 @@
 #include "lab/lateness.h"
 #include "lab/plan.h"
 #include "lab/process.h"
+#include "lab/relay.h"
 
 namespace shelflab {
 
@@ -46,6 +47,11 @@
   bool record = false;    // Keep all service times.
   bool traced = false;    // Sidecars write a trace into their logs.
   bool stateful = false;  // Sidecars of the first tier remember, each in a folder of its own.
+  // Sidecars of the first tier are told of so many peers. Endpoints then have one address for all
+  // of them, for lists that go from one to another: who sends is known by the request, which
+  // whoever drives the load tells beforehand.
+  std::uint32_t peers = 0;
+  Micros peer_list_age = 300 * kSecond;
   std::function<void(const FleetNote&)> notes = nullptr;  // May be empty.
 };
 
@@ -55,14 +61,6 @@
   storm::Folder folder = storm::Folder::kKept;
 };
 
-// What a link does to what goes over it.
-struct LinkFault {
-  bool deaf = false;  // Nothing reaches the sidecar.
-  bool mute = false;  // Nothing of the sidecar comes through.
-  bool shut = false;  // No connection comes up.
-  Micros delay = 0;   // Added to whatever goes to the sidecar.
-};
-
 struct SidecarView {
   std::uint32_t tier = 0;
   std::uint32_t number = 0;
@@ -112,6 +110,9 @@
   void SetLink(std::uint32_t number, storm::End to, const LinkFault& fault);
   void ResetLink(std::uint32_t number, storm::End to);
 
+  // The request goes to that sidecar of the first tier next.
+  void Expect(std::uint64_t txn, std::uint32_t number);
+
   // Where clients connect: the sidecars of the first tier.
   std::vector<Endpoint> Targets() const;
   std::vector<SidecarView> Sidecars() const;
@@ -164,6 +165,9 @@
   void CountTold();
   void StartSidecar(Sidecar& sidecar, const Restart& restart = {});
   std::string StateOf(const Sidecar& sidecar) const;
+  bool OneDoor(std::uint32_t tier) const { return tier != 0 || options_.peers > 0; }
+  void StartRelay();
+  std::vector<std::string> PeersOf(const Sidecar& sidecar) const;
   void Befall(const Sidecar& sidecar, storm::Folder folder) const;
   void StartAgain(Sidecar& sidecar, std::uint64_t life, Micros at, Micros kill_at,
                   const Restart& restart);
@@ -189,6 +193,7 @@
   Lateness late_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::vector<std::unique_ptr<Sidecar>> sidecars_;
+  std::unique_ptr<Relay> relay_;                  // Null without peers.
   std::vector<Had> first_lists_;                  // By tier.
   std::unordered_map<std::uint64_t, Open> open_;  // Attempts at endpoints, by their number.
   std::unordered_map<std::uint64_t, std::weak_ptr<DiscoveryLine>> asking_;
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -365,13 +365,26 @@
   using storm::Deed;
   t.Required("deed");
   t.Required("at");
-  t.Word<Deed>("deed", e.deed, WordsTo(Deed::kReset));
+  t.Word<Deed>("deed", e.deed, WordsTo(Deed::kSplit));
   t.Span("at", e.at, 0);
   t.Span("for", e.lasts, 0);
   t.Number("share", e.share, 0.000001, 1);
-  if (e.deed == Deed::kDelay) t.Required("delay_ms");
+  if (e.deed == Deed::kDelay || e.deed == Deed::kReorder) t.Required("delay_ms");
   t.Number("delay_ms", e.size, 0, 60'000);
-  t.Word<storm::End>("to", e.to, WordsTo(storm::End::kDiscovery));
+  t.Word<storm::End>("to", e.to, WordsTo(storm::End::kPeers));
+  if (OnMessages(e.deed)) {
+    if (!t.Has("to")) e.to = storm::End::kPeers;
+    if (e.to != storm::End::kPeers) t.Fault("to", "expected peers for a deed to messages");
+    if (e.deed == Deed::kLose || e.deed == Deed::kRepeat) {
+      t.Required("part");
+      t.Number("part", e.size, 0, 1);
+    }
+  } else if (t.Has("part")) {
+    t.Fault("part", "expected only for lose and repeat");
+  }
+  if (e.deed == Deed::kReset && e.to == storm::End::kPeers) {
+    t.Fault("to", "expected nodes or discovery: datagrams have no connection to reset");
+  }
   if (!OnLinks(e.deed) && t.Has("to")) t.Fault("to", "expected only for a deed to links");
   t.Word<storm::Memory>("memory", e.memory, WordsTo(storm::Memory::kNone));
   t.Word<storm::Folder>("folder", e.folder, WordsTo(storm::Folder::kGarbage));
@@ -482,7 +495,19 @@
     plan.storm.present = true;
     t.Span("notice", plan.storm.notice, 0);
     t.Bool("state", plan.storm.state);
-    t.Each("event", [&](Table& e) { ReadEvent(e, plan.storm.events.emplace_back()); });
+    t.Count("peers", plan.storm.peers, 0, 64);
+    t.Span("list_age", plan.storm.list_age, 0.001);
+    t.Each("event", [&](Table& e) {
+      storm::Event& event = plan.storm.events.emplace_back();
+      ReadEvent(e, event);
+      if (!OnLinks(event.deed)) return;
+      const bool peers = event.to == storm::End::kPeers;
+      if (peers && plan.storm.peers == 0) e.Fault("to", "expected storm.peers above 0");
+      if (event.to == storm::End::kNodes && plan.storm.peers > 0) {
+        e.Fault("to",
+                "expected discovery or peers: with peers all know an endpoint by one address");
+      }
+    });
   });
 }
 
--- a/src/lab/sidecar_config.h
+++ b/src/lab/sidecar_config.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <vector>
 
 #include "emulator/spec.h"
 
@@ -16,6 +17,10 @@
   std::string listen;       // Address and port.
   std::string discovery;    // Address and port.
   std::string state_dir{};  // Where it remembers; empty: nowhere.
+  // The channel to peers, as the configuration has it; empty: none.
+  std::string peer_listen{};
+  std::vector<std::string> peers{};
+  Micros peer_list_age = 300 * kSecond;
   std::uint64_t seed = 0;
   std::uint32_t tier = 0;
   std::uint32_t me = 0;     // Its number among those of its tier,
--- a/src/lab/storm.cpp
+++ b/src/lab/storm.cpp
@@ -94,6 +94,12 @@
   std::set<std::uint32_t> still_;
 };
 
+storm::Promise PromiseOf(const Plan& plan) {
+  storm::Promise promise;
+  promise.list_age = plan.storm.list_age;
+  return promise;
+}
+
 // One play, all of it on one thread.
 class Play {
  public:
@@ -105,7 +111,7 @@
         account_(plan.fleet, kSlack + kClientGrace),
         excuses_([this](const Seen& s) { account_.On(s); }),
         emulation_(io_, plan_, Options(), [this](const Seen& s) { excuses_.OnNode(s); }),
-        load_(io_, plan_, emulation_.Targets(), seed_, [this](const Seen& s) { excuses_.On(s); }),
+        load_(io_, plan_, emulation_.Targets(), seed_, [this](const Seen& s) { OnLoad(s); }),
         signals_(io_, SIGINT, SIGTERM),
         deal_timer_(io_),
         tick_(io_),
@@ -139,6 +145,8 @@
     options.seed = seed_;
     options.traced = true;
     options.stateful = plan_.storm.state;
+    options.peers = plan_.storm.peers;
+    options.peer_list_age = plan_.storm.list_age;
     options.notes = [this](const FleetNote& note) { On(note); };
     return options;
   }
@@ -190,7 +198,7 @@
       case Deed::kReset:
         return emulation_.ResetLink(deal.process, e.to);
       case Deed::kSilence:
-        fault = {true, true, true, 0};
+        fault.deaf = fault.mute = fault.shut = true;
         break;
       case Deed::kDeaf:
         fault.deaf = true;
@@ -201,6 +209,18 @@
       case Deed::kDelay:
         fault.delay = static_cast<Micros>(e.size * 1000);
         break;
+      case Deed::kLose:
+        fault.lose = e.size;
+        break;
+      case Deed::kRepeat:
+        fault.repeat = e.size;
+        break;
+      case Deed::kReorder:
+        fault.reorder = static_cast<Micros>(e.size * 1000);
+        break;
+      case Deed::kSplit:
+        fault.apart = true;
+        break;
     }
     emulation_.SetLink(deal.process, e.to, fault);
     After(e.lasts, [this, p = deal.process, to = e.to] { emulation_.SetLink(p, to, {}); });
@@ -234,6 +254,11 @@
 
   // ---- What is seen of the processes ----
 
+  void OnLoad(const Seen& seen) {
+    if (seen.kind == Seen::Kind::kTaken) emulation_.Expect(seen.txn, seen.sidecar);
+    excuses_.On(seen);
+  }
+
   void On(const FleetNote& note) {
     using Kind = FleetNote::Kind;
     if (note.sidecar >= plan_.fleet.tiers.front().sidecars) return;
@@ -317,7 +342,7 @@
     if (!interrupted_) account_.Expire(ended_at_);
     Json run = RunOf(plan_, load_.tally(), account_, StateOf(load_, emulation_));
     run["seed"] = seed_;
-    run["storm"] = JsonOf(storm::Judge(history_, {}, start_));
+    run["storm"] = JsonOf(storm::Judge(history_, PromiseOf(plan_), start_));
     run["storm"]["deals"] = dealt_;
     run["storm"]["last_fault_s"] = static_cast<double>(storm::EndOf(plan_.storm)) / 1e6;
     run["storm"]["deals_late_worst_ms"] = static_cast<double>(late_.worst()) / 1000;
@@ -346,6 +371,7 @@
     }
     return {{"findings", findings},
             {"found", j.findings.size()},
+            {"heard", j.heard},
             {"decisions", j.decisions},
             {"calls", j.calls},
             {"fullest_tenth_calls", j.fullest_tenth_calls},
@@ -442,12 +468,15 @@
   const Json& storm = run.at("storm");
   std::string text = fmt::format(
       "{} deeds, {} decisions held to the promises, {} findings; rules broken: {}\n"
-      "list calls {}, the fullest tenth of a second {}; connections {}, the fullest tenth {}\n",
+      "list calls {}, the fullest tenth of a second {}; connections {}, the fullest tenth {}; "
+      "lists "
+      "from peers {}\n",
       storm.at("deals").get<std::size_t>(), storm.at("decisions").get<std::size_t>(),
       storm.at("found").get<std::size_t>(), run.at("account").at("broken").get<std::uint64_t>(),
       storm.at("calls").get<std::size_t>(), storm.at("fullest_tenth_calls").get<std::size_t>(),
       storm.at("connections").get<std::size_t>(),
-      storm.at("fullest_tenth_connections").get<std::size_t>());
+      storm.at("fullest_tenth_connections").get<std::size_t>(),
+      storm.at("heard").get<std::size_t>());
   text += ReturnsText(storm);
   for (const Json& f : storm.at("findings")) {
     text += fmt::format("found: {} at {:.3f} s: {}: {}\n", f.at("rule").get<std::string>(),
--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -34,6 +34,24 @@
   text.append(name).append(" ").append(std::to_string(value)).append("\n");
 }
 
+void Peers(std::string& text, const peers::Counts& counts) {
+  Single(text, "app_peer_questions", "counter", "Questions sent to peers.", counts.asked);
+  Single(text, "app_peer_lists", "counter", "Lists taken from peers.", counts.taken);
+  Family(text, "app_peer_answers", "counter", "Questions of peers, by what became of them.");
+  const auto row = [&](std::string_view name, std::string_view label, std::uint64_t value) {
+    text.append(name).append("{").append(label).append("\"} ");
+    text.append(std::to_string(value)).append("\n");
+  };
+  row("app_peer_answers", "how=\"answered", counts.answered);
+  row("app_peer_answers", "how=\"declined", counts.declined);
+  Family(text, "app_peer_dropped", "counter", "Messages and lists of peers left out, by why.");
+  row("app_peer_dropped", "why=\"strange", counts.strange);
+  row("app_peer_dropped", "why=\"malformed", counts.malformed);
+  row("app_peer_dropped", "why=\"foreign", counts.foreign);
+  row("app_peer_dropped", "why=\"unasked", counts.unasked);
+  row("app_peer_dropped", "why=\"unusable", counts.unusable);
+}
+
 }  // namespace
 
 Registry::Registry(const std::vector<std::string>& classes) {
@@ -64,6 +82,7 @@
   Single(text, "app_cluster_size", "gauge", "Endpoints in the list.", cluster.size);
   Single(text, "app_cluster_unhealthy", "gauge", "Listed endpoints that are avoided now.",
          cluster.avoided);
+  if (cluster.peers) Peers(text, *cluster.peers);
   return text;
 }
 
--- a/src/metrics/registry.h
+++ b/src/metrics/registry.h
@@ -5,17 +5,20 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "peers/channel.h"
 #include "sidecar/observer.h"
 
 namespace metrics {
 
 // What is read at the moment of the question.
 struct Cluster {
-  std::size_t size = 0;     // Endpoints in the list.
-  std::size_t avoided = 0;  // Of these, the ones that the decision module avoids.
+  std::size_t size = 0;                  // Endpoints in the list.
+  std::size_t avoided = 0;               // Of these, the ones that the decision module avoids.
+  std::optional<peers::Counts> peers{};  // Where it has the channel to peers.
 };
 
 class Registry : public kelpspring::Observer {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -144,6 +144,9 @@
   virtual Time Now() const = 0;
   // Microseconds since 1970, by a clock that may be stepped at any time.
   virtual std::int64_t WallMicros() const = 0;
+  // Microseconds since some moment, by a clock that no step moves and that goes on while the
+  // machine sleeps: for whatever holds only so long.
+  virtual std::int64_t LastingMicros() const = 0;
   virtual TimerPtr NewTimer(std::function<void()> fired) = 0;
   // Calls it after what runs now, in the order of the posts.
   virtual void Post(std::function<void()> step) = 0;
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cerrno>
+#include <ctime>
 #include <utility>
 #include <vector>
 
@@ -427,6 +428,12 @@
       .count();
 }
 
+std::int64_t SocketLoop::LastingMicros() const {
+  timespec at{};
+  ::clock_gettime(CLOCK_BOOTTIME, &at);
+  return std::int64_t{at.tv_sec} * 1'000'000 + at.tv_nsec / 1000;
+}
+
 TimerPtr SocketLoop::NewTimer(std::function<void()> fired) {
   return std::make_unique<SocketTimer>(std::make_shared<TimerState>(shared_->io, std::move(fired)));
 }
--- a/src/net/sockets.h
+++ b/src/net/sockets.h
@@ -21,6 +21,7 @@
 
   Time Now() const override;
   std::int64_t WallMicros() const override;
+  std::int64_t LastingMicros() const override;
   TimerPtr NewTimer(std::function<void()> fired) override;
   void Post(std::function<void()> step) override;
   StreamPtr Dial(const Address& to, StreamUser& user) override;
--- a/src/net/virtual.cpp
+++ b/src/net/virtual.cpp
@@ -297,6 +297,11 @@
              .count();
 }
 
+std::int64_t VirtualProcess::LastingMicros() const {
+  return std::chrono::duration_cast<std::chrono::microseconds>(net_.now_.time_since_epoch())
+      .count();
+}
+
 TimerPtr VirtualProcess::NewTimer(std::function<void()> fired) {
   return std::make_unique<VirtualTimer>(*this, std::move(fired));
 }
--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/config.h"
 
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -24,6 +25,15 @@
 }
 
 constexpr double kLongestListAge = 7 * 24 * 3600;  // Seconds.
+constexpr std::size_t kMostPeers = 1024;
+
+std::chrono::microseconds ParseListAge(const Json& value, const char* name) {
+  const double seconds = value.is_number() ? value.get<double>() : -1;
+  if (!(seconds > 0 && seconds <= kLongestListAge)) {
+    throw BadInput(std::string(name) + ": expected seconds, above 0 and at most 604800");
+  }
+  return std::chrono::microseconds(static_cast<std::int64_t>(seconds * 1e6));
+}
 
 // "state_dir": "/var/lib/shelflink", "state": {"list_age_s": 300}
 StateSettings ParseState(const Json& folder, const Json* more) {
@@ -36,15 +46,43 @@
   if (!more->is_object()) throw BadInput("state: expected an object");
   for (const auto& [key, value] : more->items()) {
     if (key != "list_age_s") throw BadInput("state." + key + ": expected list_age_s only");
-    const double seconds = value.is_number() ? value.get<double>() : -1;
-    if (!(seconds > 0 && seconds <= kLongestListAge)) {
-      throw BadInput("state.list_age_s: expected seconds, above 0 and at most 604800");
-    }
-    state.list_age = std::chrono::microseconds(static_cast<std::int64_t>(seconds * 1e6));
+    state.list_age = ParseListAge(value, "state.list_age_s");
   }
   return state;
 }
 
+// All of a fleet may be given the same list: the own address in it is passed over.
+std::vector<net::Address> ParseOthers(const Json& json, const net::Address& own) {
+  std::vector<net::Address> others;
+  if (!json.is_array()) throw BadInput("expected a list of addresses");
+  for (const Json& j : json) {
+    const net::Address other = ParseAddress(j.get<std::string>());
+    if (other == own || std::find(others.begin(), others.end(), other) != others.end()) continue;
+    others.push_back(other);
+  }
+  if (others.size() > kMostPeers) throw BadInput("expected at most 1024 addresses");
+  return others;
+}
+
+// "peers": {"fleet": "store", "listen": "10.0.0.5:4100", "others": ["10.0.0.6:4100"]}
+PeerSettings ParsePeers(const Json& json) {
+  if (!json.is_object()) throw BadInput("expected an object");
+  for (const auto& [key, value] : json.items()) {
+    if (key != "fleet" && key != "listen" && key != "others" && key != "list_age_s") {
+      throw BadInput(key + ": expected fleet, listen, others or list_age_s");
+    }
+  }
+  PeerSettings peers;
+  Field(json, "fleet", [&](const Json& j) { peers.fleet = j.get<std::string>(); });
+  if (peers.fleet.empty()) throw BadInput("fleet: expected a name");
+  Field(json, "listen", [&](const Json& j) { peers.listen = ParseAddress(j); });
+  Field(json, "others", [&](const Json& j) { peers.others = ParseOthers(j, peers.listen); });
+  if (json.contains("list_age_s")) {
+    peers.list_age = ParseListAge(json["list_age_s"], "list_age_s");
+  }
+  return peers;
+}
+
 std::uint64_t ParseSeed(const std::string& word) {
   std::uint64_t seed = 0;
   const char* end = word.data() + word.size();
@@ -86,6 +124,9 @@
   } else if (json.contains("state")) {
     throw BadInput("state: expected beside state_dir only");
   }
+  if (json.contains("peers")) {
+    Field(json, "peers", [&](const Json& j) { config.peers = ParsePeers(j); });
+  }
   if (json.contains("known")) {
     Field(json, "known", [&](const Json& j) { config.known = ParseMembers(j); });
   }
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "net/address.h"
 #include "settings.h"
@@ -21,6 +22,14 @@
   std::chrono::microseconds list_age{std::chrono::minutes(5)};  // An older list decides nothing.
 };
 
+// The channel to others of the fleet.
+struct PeerSettings {
+  net::Address listen;
+  std::vector<net::Address> others;
+  std::string fleet;  // Its name: whoever bears another is no peer.
+  std::chrono::microseconds list_age{std::chrono::minutes(5)};  // An older list is not taken.
+};
+
 struct Config {
   std::string name;
   net::Address listen;
@@ -30,7 +39,10 @@
   std::size_t sockets = 1024;  // File descriptors it may hold.
   std::size_t memory_mb = 64;  // The memory it is given.
   MemberList known;
+  // Since discovery said that it holds; none where that is not known.
+  std::optional<std::chrono::microseconds> known_age;
   std::optional<StateSettings> state;  // None: nothing is stored.
+  std::optional<PeerSettings> peers;   // None: no channel.
   gaugecart::Setup setup;
   bool traced = false;  // A line for each event; asked for on the command line.
 };
--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -96,6 +96,7 @@
     done_ = std::move(done);
     log_.Trace([&] { return "ask " + target; });
     limit_ = wait + kGrace;
+    asked_ = loop_.LastingMicros();
     HttpRequest request{http::verb::get, target, 11};
     request.set(http::field::host, address_.Host());
     outgoing_.Start(TextOf(request));
@@ -156,6 +157,7 @@
     std::optional<MemberList> list;
     try {
       list = ParseMembers(Json::parse(answer.body()));
+      list->asked = asked_;
     } catch (const std::exception& e) {
       return Fail(e.what());
     }
@@ -192,6 +194,7 @@
   Outgoing outgoing_;
   std::optional<http::response_parser<http::string_body>> parser_;
   std::chrono::milliseconds limit_{0};
+  gaugecart::Micros asked_ = 0;
   Done done_;
 };
 
@@ -244,7 +247,7 @@
                   on_list_(*list);
                   const recovery::Micros next = pace_.OnAnswer(Now(), Now() - asked, news);
                   if (next > Now()) return pause_->ArmAt(At(next));
-                  if (At(Now()) - At(asked) >= kBriefly) return Next();
+                  if (loop_.Now() - At(asked) >= kBriefly) return Next();
                   // Guards against a discovery that answers at once with nothing new: asking
                   // again without a pause would be a busy loop over the network.
                   pause_->ArmAt(loop_.Now() + kBriefly);
--- a/src/sidecar/discovery.h
+++ b/src/sidecar/discovery.h
@@ -35,6 +35,8 @@
   std::int64_t seq = 0;
   bool whole = false;
   std::vector<Member> members;
+  // When it was asked for, by net::Loop::LastingMicros(): it held then or later. 0: not known.
+  gaugecart::Micros asked = 0;
 };
 
 // Throws BadInput; a list is taken whole or not at all.
--- a/src/sidecar/members.cpp
+++ b/src/sidecar/members.cpp
@@ -19,7 +19,7 @@
 }
 
 MemberList MemberBook::Whole() const {
-  MemberList list{seq_, true, {}};
+  MemberList list{seq_, true, {}, 0};
   for (const auto& [host, member] : members_) list.members.push_back(member);
   return list;
 }
--- a/src/sidecar/mutant.h
+++ b/src/sidecar/mutant.h
@@ -29,6 +29,8 @@
   kTrustOldList,    // Once it has a list it takes no other.
   kIgnoreAge,       // What is remembered is used however old it is,
   kOverwrite,       // and replaced at the start by what is known then.
+  kHearAnyAge,      // A peer's list is taken however old it is,
+  kCallItFresh,     // and called as new as can be when it is passed on.
 };
 
 #ifdef KELPSPRING_MUTANTS
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <cstdio>
 #include <limits>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <unordered_set>
 
@@ -127,12 +128,7 @@
                                                      : std::nullopt,
           {config_.setup.settings.me, config_.setup.settings.group_size,
            config_.setup.settings.ask_within, !config_.known.members.empty(), config_.seed},
-          [this](const MemberList& list) {
-            OnList(list.whole ? ListKind::kFull : ListKind::kChanges, list);
-            Settle();
-            if (told_list_) told_list_(list);
-          },
-          [this] { Run([this] { balancer_->OnDiscoveryFailed(Now()); }); }),
+          [this](const MemberList& list) { OnDiscovery(list); }, [this] { OnDiscoveryFailed(); }),
       observer_(wiring.observer),
       told_list_(std::move(wiring.on_list)),
       timer_(loop.NewTimer([this] { TimerFired(); })),
@@ -164,6 +160,7 @@
   } else {
     settle_timer_->ArmAt(loop.Now() + kSettleSpan);
   }
+  if (config_.peers) OpenPeers();
   // One that takes over is alone in that; others may start with all of their group.
   if (!settled_) {
     discovery_.Watch();
@@ -172,6 +169,95 @@
   }
 }
 
+void Sidecar::OpenPeers() {
+  const PeerSettings& own = *config_.peers;
+  peers::Channel::Setup setup;
+  setup.listen = own.listen;
+  setup.others = own.others;
+  setup.fleet = gaugecart::HashOfWord(own.fleet);
+  setup.shared_address = !settled_;
+  setup.terms.seed = config_.seed;
+  setup.terms.list_age = own.list_age.count();
+  setup.terms.ask_within = config_.setup.settings.ask_within;
+  if (Mutated(Mutant::kHearAnyAge)) setup.terms.list_age *= 1000;
+  peers_ = std::make_unique<peers::Channel>(
+      loop_, std::move(setup), [this](const peers::Heard& heard) { return OnHeard(heard); });
+  // Of a list of unknown age nothing is told to others.
+  if (has_members_ && config_.known_age) {
+    Offer(loop_.LastingMicros() - config_.known_age->count());
+  }
+  peers_->Begin(has_members_ ? std::optional(config_.known.seq) : std::nullopt);
+}
+
+void Sidecar::OnDiscovery(const MemberList& list) {
+  if (peers_) peers_->OnDiscoveryAnswered(list.seq);
+  if (!OlderThanPeers(list)) {
+    OnList(list.whole ? ListKind::kFull : ListKind::kChanges, list);
+    if (peers_) Offer(list.asked);
+  }
+  Settle();
+  if (told_list_) told_list_(list);
+}
+
+void Sidecar::OnDiscoveryFailed() {
+  if (peers_) peers_->OnDiscoveryFailed();
+  Run([this] { balancer_->OnDiscoveryFailed(Now()); });
+}
+
+// An answer may have been on its way while others were told more. Discovery goes on from what it
+// said, so that nothing is lost with it. If it says the same to a question asked since, it has gone
+// back itself, and it is the one that numbers lists.
+bool Sidecar::OlderThanPeers(const MemberList& list) {
+  if (!heard_ || list.seq >= *heard_) {
+    heard_.reset();
+    return false;
+  }
+  if (list.whole && asked_anew_) {
+    log_.Line("discovery has gone back to list " + std::to_string(list.seq));
+    heard_.reset();
+    peers_->Begin(list.seq);
+    return false;
+  }
+  if (!std::exchange(asked_anew_, true)) discovery_.Fetch();
+  return true;
+}
+
+bool Sidecar::OnHeard(const peers::Heard& heard) {
+  MemberList list;
+  try {
+    list = ParseMembers(nlohmann::json::parse(heard.text));
+  } catch (const std::exception& e) {
+    log_.Line(std::string("a peer's list: ") + e.what());
+    return false;
+  }
+  if (!list.whole || list.seq != heard.version || list.members.empty()) {
+    log_.Line("a peer's list: expected a whole one of version " + std::to_string(heard.version));
+    return false;
+  }
+  if (has_members_ && list.seq <= version_) return false;
+  log_.Line("list " + std::to_string(list.seq) + " from " +
+            config_.peers->others[heard.peer].Text());
+  log_.Trace([&] {
+    return "heard " + std::to_string(list.seq) + " held " +
+           std::to_string(loop_.WallMicros() - (loop_.LastingMicros() - heard.held_at));
+  });
+  heard_ = list.seq;
+  asked_anew_ = false;
+  OnList(ListKind::kStale, list);
+  Offer(heard.held_at);
+  return true;
+}
+
+void Sidecar::Offer(gaugecart::Micros held_at) {
+  if (Mutated(Mutant::kCallItFresh)) held_at = std::max(held_at, loop_.LastingMicros());
+  if (version_ == std::exchange(offered_, version_)) return peers_->answerer().SetHeld(held_at);
+  peers_->answerer().SetList(version_, held_at, [this] { return TextOf(book_.Whole()); });
+}
+
+std::optional<peers::Counts> Sidecar::peer_counts() const {
+  return peers_ ? std::optional(peers_->counts()) : std::nullopt;
+}
+
 // Nobody is taken in before: until then the other process serves.
 void Sidecar::Settle() {
   if (std::exchange(settled_, true)) return;
@@ -337,6 +423,7 @@
     }
     return text;
   });
+  if (config_.peers) book_.Apply(list);
   has_members_ = has_members_ || !endpoints.empty();
   version_ = list.seq;
   Run([this, kind, endpoints = std::move(endpoints)] {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -15,8 +15,10 @@
 #include <vector>
 
 #include "gaugecart/choice.h"
+#include "peers/channel.h"
 #include "sidecar/config.h"
 #include "sidecar/discovery.h"
+#include "sidecar/members.h"
 #include "sidecar/observer.h"
 #include "sidecar/server.h"
 #include "sidecar/upstream.h"
@@ -62,6 +64,8 @@
   // Endpoints in the list, and how many of them the module avoids.
   std::size_t listed() const { return hosts_.size(); }
   std::size_t avoided() const { return balancer_->Avoided(Now()); }
+  // What passed between it and its peers; none where it has no such channel.
+  std::optional<peers::Counts> peer_counts() const;
   // Takes over what may change while it runs, the address of discovery; the rest of a configuration
   // holds from one start to the next.
   void Reload(const Config& config);
@@ -130,6 +134,14 @@
   net::Time At(Micros time) const { return start_ + std::chrono::microseconds(time - epoch_); }
   void Run(std::function<void()> step);
 
+  void OpenPeers();
+  void OnDiscovery(const MemberList& list);
+  void OnDiscoveryFailed();
+  // Whether what discovery says is older than what others of the fleet had from it.
+  bool OlderThanPeers(const MemberList& list);
+  bool OnHeard(const peers::Heard& heard);
+  // To others of the fleet. `held_at`: when discovery said so, by the lasting clock.
+  void Offer(gaugecart::Micros held_at);
   void OnList(gaugecart::ListKind kind, const MemberList& list);
   void OnRequest(const std::shared_ptr<Client>& client, HttpRequest message, Arrival arrival);
   // The request as it goes on: built anew of what means something to an endpoint.
@@ -174,6 +186,11 @@
   std::unordered_map<RequestId, Live> live_;
   Observer* observer_;
   std::function<void(const MemberList&)> told_list_;
+  std::unique_ptr<peers::Channel> peers_;  // Null where there is none.
+  MemberBook book_;                        // What is offered to them.
+  std::int64_t offered_ = 0;               // Its version as it was offered last.
+  std::optional<std::int64_t> heard_;      // Of a list of theirs that decisions rest on.
+  bool asked_anew_ = false;                // Discovery, since it seemed to have gone back.
   std::priority_queue<Timer> timers_;
   net::TimerPtr timer_;
   Micros timer_at_ = 0;  // 0: not armed.
--- a/src/storm/history.cpp
+++ b/src/storm/history.cpp
@@ -80,6 +80,10 @@
   record.what = std::string(event);
   if (event == what::kList) {
     record.version = Number(NextWord(rest));
+  } else if (event == what::kHeard) {
+    record.version = Number(NextWord(rest));
+    const auto held = Number(After(rest, "held"));
+    if (held) record.about = std::to_string(*held - start);
   } else if (event == what::kSend) {
     record.version = Number(After(rest, "version"));
     record.about = std::string(After(rest, "to"));
--- a/src/storm/history.h
+++ b/src/storm/history.h
@@ -18,8 +18,10 @@
 // What of it the judgement knows; other words may stand in a history and are passed over.
 namespace what {
 // Of processes.
-constexpr const char* kList = "list";  // It took a list: version.
-constexpr const char* kAsk = "ask";    // It asked discovery.
+constexpr const char* kList = "list";    // It took a list: version.
+constexpr const char* kHeard = "heard";  // It took a list of a peer: version; about: since when, on
+                                         // the lab's clock, discovery is known to have said it.
+constexpr const char* kAsk = "ask";      // It asked discovery.
 constexpr const char* kSend = "send";  // It sent an attempt, resting on a version; about: to whom.
 // Of the lab.
 constexpr const char* kStarted = "started";
--- a/src/storm/judge.cpp
+++ b/src/storm/judge.cpp
@@ -1,6 +1,7 @@
 #include "storm/judge.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace storm {
@@ -36,7 +37,11 @@
     if (r.what == what::kStarted) return Started(r);
     if (r.what == what::kReady) return Ready(r);
     Life& life = lives_[{r.who, r.life}];
-    if (r.what == what::kTold && r.version) life.told.emplace_back(r.at, *r.version);
+    if (r.what == what::kTold && r.version) {
+      life.told.emplace_back(r.at, *r.version);
+      said_[*r.version] = r.at;
+    }
+    if (r.what == what::kHeard && r.version) Heard(r);
     if (r.what == what::kList && r.version) Took(r, life);
     if (r.what == what::kSend) Decided(r, life);
     if (r.what == what::kStopped) life.stopped_at = r.at;
@@ -95,6 +100,29 @@
     life.has = r.version;
   }
 
+  // A list of a peer was told by discovery to somebody, is not called younger than that, and is
+  // within its age.
+  void Heard(const Record& r) {
+    ++judgement_.heard;
+    const std::string name = "version " + std::to_string(*r.version);
+    const auto said = said_.find(*r.version);
+    Micros held = 0;
+    const auto end = r.about.data() + r.about.size();
+    if (std::from_chars(r.about.data(), end, held).ptr != end || r.about.empty()) {
+      return Find(r, "a list of a peer of no age", name);
+    }
+    if (said == said_.end()) return Find(r, "a list of a peer that discovery told nobody", name);
+    if (held > said->second + promise_.clocks) {
+      Find(r, "a list of a peer called younger than it is",
+           name + " by " + std::to_string((held - said->second) / 1000) + " ms");
+    }
+    const Micros age = r.at - std::min(held, said->second);
+    if (age > promise_.list_age + promise_.clocks) {
+      Find(r, "a list of a peer beyond its age",
+           name + " after " + std::to_string(age / 1000) + " ms");
+    }
+  }
+
   // A decision is stale where it rests on a version although a newer one was written to the process
   // so long ago that, running, it must have read it.
   void Decided(const Record& r, const Life& life) {
@@ -120,6 +148,7 @@
   Judgement judgement_;
   std::map<Key, Life> lives_;
   std::map<Key, std::size_t> index_;
+  std::map<std::int64_t, Micros> said_;  // By version: when discovery wrote it last, to anybody.
   std::vector<Micros> calls_;
   std::vector<Micros> connections_;
 };
--- a/src/storm/judge.h
+++ b/src/storm/judge.h
@@ -16,6 +16,10 @@
 struct Promise {
   // From the write of a version to a process until its decisions rest on it, while it runs.
   Micros knows_within = 250'000;
+  // Beyond which a list of a peer decides nothing, and how exactly the clocks of processes and lab
+  // compare.
+  Micros list_age = 300 * kSecond;
+  Micros clocks = 20'000;
   // Within which list calls of a process that has come back are counted.
   Micros return_span = 10 * kSecond;
 };
@@ -44,6 +48,7 @@
   std::size_t fullest_tenth_calls = 0;  // In a tenth of a second from `since` on.
   std::size_t connections = 0;          // That came up at endpoints.
   std::size_t fullest_tenth_connections = 0;
+  std::size_t heard = 0;      // Lists that were taken from peers.
   std::size_t decisions = 0;  // That were held to the promise about stale ones.
 };
 
--- a/src/storm/script.cpp
+++ b/src/storm/script.cpp
@@ -10,9 +10,11 @@
 namespace storm {
 namespace {
 
-constexpr std::array<const char*, 8> kDeeds = {"kill", "terminate", "stop",  "silence",
-                                               "deaf", "mute",      "delay", "reset"};
-constexpr std::array<const char*, 2> kEnds = {"nodes", "discovery"};
+constexpr std::array<const char*, 12> kDeeds = {"kill", "terminate", "stop",    "silence",
+                                                "deaf", "mute",      "delay",   "reset",
+                                                "lose", "repeat",    "reorder", "split"};
+constexpr std::size_t kDrawnDeeds = 8;  // Of any process; the others are drawn for messages.
+constexpr std::array<const char*, 3> kEnds = {"nodes", "discovery", "peers"};
 constexpr std::array<const char*, 3> kMemories = {"last", "first", "none"};
 constexpr std::array<const char*, 5> kFolders = {"kept", "empty", "torn", "foreign", "garbage"};
 
@@ -63,10 +65,32 @@
   }
 }
 
+// Endpoints have one address for all where lists go from one process to another: their links stay.
+void DrawMessages(Storm& storm, double latest, Dice& dice) {
+  storm.peers = 4;
+  for (Event& e : storm.events) {
+    if (OnLinks(e.deed) && e.to == End::kNodes) e.to = End::kDiscovery;
+  }
+  constexpr std::array kOnMessages = {Deed::kSilence, Deed::kDeaf,   Deed::kMute,    Deed::kDelay,
+                                      Deed::kLose,    Deed::kRepeat, Deed::kReorder, Deed::kSplit};
+  for (std::size_t i = 0, count = 1 + dice.Below(3); i < count; ++i) {
+    Event e;
+    e.deed = kOnMessages.at(dice.Below(kOnMessages.size()));
+    e.to = End::kPeers;
+    e.at = static_cast<Micros>(dice.Between(0, latest));
+    e.lasts = static_cast<Micros>(dice.Between(0.5, 5) * kSecond);
+    e.share = dice.Between(0.2, 1);
+    const bool late = e.deed == Deed::kDelay || e.deed == Deed::kReorder;
+    e.size = late ? std::round(dice.Between(5, 300)) : dice.Between(0.1, 0.8);
+    storm.events.push_back(e);
+  }
+}
+
 }  // namespace
 
 const char* WordOf(Deed deed) { return kDeeds[static_cast<std::size_t>(deed)]; }
 bool OnLinks(Deed deed) { return deed >= Deed::kSilence; }
+bool OnMessages(Deed deed) { return deed >= Deed::kLose; }
 const char* WordOf(End end) { return kEnds[static_cast<std::size_t>(end)]; }
 const char* WordOf(Memory memory) { return kMemories[static_cast<std::size_t>(memory)]; }
 const char* WordOf(Folder folder) { return kFolders[static_cast<std::size_t>(folder)]; }
@@ -101,7 +125,7 @@
   Micros near = kSecond;
   for (std::size_t i = 0; i < count; ++i) {
     Event e;
-    e.deed = static_cast<Deed>(dice.Below(kDeeds.size()));
+    e.deed = static_cast<Deed>(dice.Below(kDrawnDeeds));
     // Two in three come within a second of another.
     near = dice.Unit() < 2.0 / 3 && i > 0 ? near + static_cast<Micros>(dice.Between(0, 1) * kSecond)
                                           : static_cast<Micros>(dice.Between(kSecond, latest));
@@ -110,11 +134,12 @@
     e.lasts = static_cast<Micros>(dice.Between(range.shortest, range.longest) * kSecond);
     e.share = dice.Between(0.1, e.deed == Deed::kStop ? 0.5 : 1);
     e.size = e.deed == Deed::kDelay ? std::round(dice.Between(5, 300)) : 0;
-    e.to = static_cast<End>(dice.Below(kEnds.size()));
+    e.to = static_cast<End>(dice.Below(2));
     e.memory = static_cast<Memory>(dice.Below(kMemories.size()));
     e.folder = static_cast<Folder>(dice.Below(kFolders.size()));
     storm.events.push_back(e);
   }
+  if (drawing.peers) DrawMessages(storm, latest, dice);
   std::stable_sort(storm.events.begin(), storm.events.end(),
                    [](const Event& a, const Event& b) { return a.at < b.at; });
   return storm;
--- a/src/storm/script.h
+++ b/src/storm/script.h
@@ -23,12 +23,18 @@
   kMute,     // The other way: nothing of the process reaches `to`.
   kDelay,    // size: milliseconds more for each answer.
   kReset,    // Every connection is reset, once.
+  // Links between processes only, whose messages are datagrams.
+  kLose,     // size: share of the messages that are lost.
+  kRepeat,   // size: share of them that come twice.
+  kReorder,  // size: milliseconds by which each is late, drawn up to this.
+  kSplit,    // The share and the others: nothing passes between the two.
 };
 const char* WordOf(Deed deed);
 bool OnLinks(Deed deed);
+bool OnMessages(Deed deed);
 
 // Who stands at the other end of a link.
-enum class End { kNodes, kDiscovery };
+enum class End { kNodes, kDiscovery, kPeers };
 const char* WordOf(End end);
 
 // The list that a process is started with again.
@@ -62,8 +68,10 @@
 
 struct Storm {
   bool present = false;
-  bool state = false;       // Processes remember, each in a folder of its own.
-  Micros notice = kSecond;  // From a process's death until the front deals it nothing more.
+  bool state = false;               // Processes remember, each in a folder of its own.
+  std::uint32_t peers = 0;          // That each process is told of; 0: none.
+  Micros list_age = 300 * kSecond;  // Beyond which a list of theirs is not taken.
+  Micros notice = kSecond;          // From a process's death until the front deals it nothing more.
   std::vector<Event> events;
 };
 
@@ -87,6 +95,7 @@
   Micros length = 20 * kSecond;
   std::uint32_t fewest = 2;
   std::uint32_t most = 5;
+  bool peers = false;  // Processes have peers, and links between them are befallen too.
 };
 Storm Draw(std::uint64_t seed, const Drawing& drawing);
 
--- a/tests/storm/judge_test.cpp
+++ b/tests/storm/judge_test.cpp
@@ -20,6 +20,32 @@
   return rules;
 }
 
+// A list of a peer: told by discovery at 1 s to another process.
+TEST(HeardLists, AreJudgedByWhatDiscoveryTold) {
+  const auto told = [](Micros at) {
+    Record r = Of(at, what::kTold, 5);
+    r.who = "t0n1";
+    return r;
+  };
+  const auto heard = [](Micros at, Micros held) {
+    return Of(at, what::kHeard, 5, 1, std::to_string(held));
+  };
+  EXPECT_TRUE(Rules({told(kSecond), heard(2 * kSecond, kSecond - 5'000)}).empty());
+  EXPECT_EQ(Rules({heard(2 * kSecond, kSecond)}),
+            std::vector<std::string>{"a list of a peer that discovery told nobody"});
+  EXPECT_EQ(Rules({told(kSecond), heard(2 * kSecond, 2 * kSecond)}),
+            std::vector<std::string>{"a list of a peer called younger than it is"});
+  EXPECT_EQ(Rules({told(kSecond), heard(302 * kSecond, kSecond)}),
+            std::vector<std::string>{"a list of a peer beyond its age"});
+  EXPECT_EQ(Rules({told(kSecond), Of(2 * kSecond, what::kHeard, 5)}),
+            std::vector<std::string>{"a list of a peer of no age"});
+  const auto record = FromTrace("sidecar: trace 7000000 heard 5 held 6500000", 6'000'000);
+  ASSERT_TRUE(record);
+  EXPECT_EQ(record->at, kSecond);
+  EXPECT_EQ(record->version, 5);
+  EXPECT_EQ(record->about, "500000");
+}
+
 TEST(Script, AShareIsDealtByTheSeedAlone) {
   Storm storm;
   storm.events = {{Deed::kStop, 2 * kSecond, kSecond, 0.3},
--- a/tests/storm/storm_test.cpp
+++ b/tests/storm/storm_test.cpp
@@ -137,6 +137,77 @@
   }
 }
 
+// Half of the nodes are replaced and seven in ten sidecars killed with nothing remembered, while
+// discovery is down: the others tell them the newest list, and they serve by it before discovery is
+// back.
+std::string Bereft(const std::string& more) {
+  return Fleet(10, 9) +
+         "[[incident]]\nkind='lost'\nat=0.5\nfor=0.3\nnodes=['x-1','x-2']\n"
+         "[[incident]]\nkind='discovery_down'\nat=2.5\nfor=4\n"
+         "[storm]\nnotice=0.3\npeers=6\n" +
+         more + "[[storm.event]]\ndeed='kill'\nat=3.5\nfor=0.2\nshare=0.7\nmemory='none'\n";
+}
+
+TEST(Peers, WithDiscoveryDownThoseThatKnowNothingLearnFromTheOthersWithinASecond) {
+  for (const std::string messages :
+       {"",
+        "[[storm.event]]\ndeed='lose'\nat=0\nfor=8\npart=0.3\n"
+        "[[storm.event]]\ndeed='reorder'\nat=0\nfor=8\ndelay_ms=20\n"}) {
+    SCOPED_TRACE(messages);
+    const Played p = PlayOf(ParsePlan(Bereft(messages), "storm"));
+    ExpectKept(p);
+    EXPECT_GE(p.storm().at("heard"), 7);
+    ASSERT_EQ(p.storm().at("backs").size(), 7U);
+    for (const Json& back : p.storm().at("backs")) {
+      ASSERT_FALSE(back.at("ready_s").is_null()) << back.dump();
+      EXPECT_LT(back.at("ready_s").get<double>(), messages.empty() ? 1.5 : 2.5) << back.dump();
+    }
+  }
+}
+
+// Two parts that do not reach each other: those on the side where nobody knows wait for discovery,
+// and nobody takes what is beyond its age.
+TEST(Peers, WhereNobodyIsReachedOrAllIsTooOldTheyWaitForDiscovery) {
+  for (const std::string more :
+       {"[[storm.event]]\ndeed='silence'\nat=0\nfor=8\nto='peers'\n", "list_age=0.5\n"}) {
+    SCOPED_TRACE(more);
+    const Played p = PlayOf(ParsePlan(Bereft(more), "storm"));
+    ExpectKept(p);
+    EXPECT_EQ(p.storm().at("heard"), 0);
+    ASSERT_EQ(p.storm().at("backs").size(), 7U);
+    for (const Json& back : p.storm().at("backs")) {
+      ASSERT_FALSE(back.at("ready_s").is_null()) << back.dump();
+      EXPECT_GT(back.at("ready_s").get<double>(), 2)
+          << back.dump();  // Back 2.8 s after they start.
+    }
+  }
+}
+
+TEST(Peers, DrawnFaultsOfMessagesKeepThePromises) {
+  for (const std::uint64_t seed : {4ULL, 5ULL}) {
+    Plan plan = ParsePlan(Fleet(8, 8), "storm");
+    plan.experiment.seed = seed;
+    plan.storm = storm::Draw(seed, {8 * storm::kSecond, 2, 5, true});
+    SCOPED_TRACE(seed);
+    ExpectKept(PlayOf(plan));
+  }
+}
+
+TEST(Peers, MutantsThatTakeAnyAgeOrCallItFreshAreFound) {
+  using kelpspring::Mutant;
+  for (const Mutant mutant : {Mutant::kHearAnyAge, Mutant::kCallItFresh}) {
+    const bool any_age = mutant == Mutant::kHearAnyAge;
+    ::setenv("SHELFLINK_MUTANT", std::to_string(static_cast<int>(mutant)).c_str(), 1);
+    const Played p =
+        PlayOf(ParsePlan(Bereft(any_age ? "list_age=0.5\n" : ""), "storm"), MUTANT_PROGRAM);
+    ::unsetenv("SHELFLINK_MUTANT");
+    EXPECT_GT(p.storm().at("found").get<int>(), 0);
+    EXPECT_NE(p.storm().at("findings").dump().find(any_age ? "beyond its age" : "called younger"),
+              std::string::npos)
+        << p.storm().at("findings").dump(1);
+  }
+}
+
 // A sidecar that goes on by its first list is found, by the run and again from its history.
 TEST(Storm, AMutantThatTrustsItsOldListIsFound) {
   const std::string number = std::to_string(static_cast<int>(kelpspring::Mutant::kTrustOldList));
@@ -203,6 +274,13 @@
             "bad.toml:5: storm.event.memory: expected only for kill and terminate");
   EXPECT_EQ(fault("[storm]\n[[storm.event]]\nat=1\ndeed='kill'\nto='nodes'"),
             "bad.toml:5: storm.event.to: expected only for a deed to links");
+  EXPECT_EQ(
+      fault("[storm]\n[[storm.event]]\nat=1\ndeed='lose'\npart=0.5\nto='nodes'"),
+      "bad.toml:6: storm.event.to: expected peers for a deed to messages\n"
+      "bad.toml:6: storm.event.to: expected discovery or peers: with peers all know an endpoint "
+      "by one address");
+  EXPECT_EQ(fault("[storm]\n[[storm.event]]\nat=1\ndeed='split'"),
+            "bad.toml:2: storm.event.to: expected storm.peers above 0");
   EXPECT_EQ(fault("[storm]\nwild=1"), "bad.toml:2: storm.wild: unknown key");
 }
 
