Count what a peer says of a node as told; example without discovery

Seen: 295 and 330 sends after a drain with 100 processes, half of the endpoints replaced, discovery down from the kill on. Checked: every one was to a node whose end discovery had told and whose return (version 13) the sender had heard from a peer; the account knew discovery's word alone. The rig was at fault: the account is now told of heard lists, from the traces, at the end.

--- a/src/lab/emulation.cpp
+++ b/src/lab/emulation.cpp
@@ -923,6 +923,23 @@
       s.had.rows[row.node] = row;
     }
   }
+  if (relay_ && s.tier == 0) versions_[answer.seq] = s.had.rows;
+}
+
+std::vector<Seen> Emulation::HeardBy(std::uint32_t number, std::int64_t version, Micros at) const {
+  std::vector<Seen> told;
+  const auto rows = versions_.find(version);
+  if (rows == versions_.end()) return told;
+  for (NodeId node = 0; node < plan_.fleet.tiers.front().nodes; ++node) {
+    const auto row = rows->second.find(node);
+    const bool serves = row != rows->second.end() && row->second.health == Health::kServing;
+    Seen& seen = told.emplace_back();
+    seen.kind = serves ? Seen::Kind::kServing : Seen::Kind::kTold;
+    seen.at = at;
+    seen.node = node;
+    seen.sidecar = number;
+  }
+  return told;
 }
 
 // What a whole list does not name is gone.
--- a/src/lab/emulation.h
+++ b/src/lab/emulation.h
@@ -113,6 +113,10 @@
   // The request goes to that sidecar of the first tier next.
   void Expect(std::uint64_t txn, std::uint32_t number);
 
+  // What the account is to be told of a sidecar of the first tier that took a list of that version
+  // from a peer; nothing where discovery told no such list.
+  std::vector<Seen> HeardBy(std::uint32_t number, std::int64_t version, Micros at) const;
+
   // Where clients connect: the sidecars of the first tier.
   std::vector<Endpoint> Targets() const;
   std::vector<SidecarView> Sidecars() const;
@@ -193,8 +197,9 @@
   Lateness late_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::vector<std::unique_ptr<Sidecar>> sidecars_;
-  std::unique_ptr<Relay> relay_;                  // Null without peers.
-  std::vector<Had> first_lists_;                  // By tier.
+  std::unique_ptr<Relay> relay_;                               // Null without peers.
+  std::map<std::int64_t, std::map<NodeId, Listed>> versions_;  // Of the first tier, as told.
+  std::vector<Had> first_lists_;                               // By tier.
   std::unordered_map<std::uint64_t, Open> open_;  // Attempts at endpoints, by their number.
   std::unordered_map<std::uint64_t, std::weak_ptr<DiscoveryLine>> asking_;
   std::unordered_map<std::uint64_t, std::uint32_t> caller_of_;  // Requests of later tiers.
--- a/src/lab/storm.cpp
+++ b/src/lab/storm.cpp
@@ -109,7 +109,7 @@
         seed_(plan.experiment.seed),
         wall_start_(WallStart()),
         account_(plan.fleet, kSlack + kClientGrace),
-        excuses_([this](const Seen& s) { account_.On(s); }),
+        excuses_([this](const Seen& s) { Tell(s); }),
         emulation_(io_, plan_, Options(), [this](const Seen& s) { excuses_.OnNode(s); }),
         load_(io_, plan_, emulation_.Targets(), seed_, [this](const Seen& s) { OnLoad(s); }),
         signals_(io_, SIGINT, SIGTERM),
@@ -310,6 +310,29 @@
 
   // ---- The end ----
 
+  // Who has peers is told by them too, which shows in the traces only: then all waits for those.
+  void Tell(const Seen& seen) {
+    if (plan_.storm.peers > 0) {
+      seen_.push_back(seen);
+    } else {
+      account_.On(seen);
+    }
+  }
+
+  void SettleAccount() {
+    for (const Record& r : history_) {
+      if (r.what != storm::what::kHeard || !r.version) continue;
+      const auto process = std::stoul(r.who.substr(NameOf(0).size() - 1));
+      for (const Seen& seen :
+           emulation_.HeardBy(static_cast<std::uint32_t>(process), *r.version, r.at)) {
+        seen_.push_back(seen);
+      }
+    }
+    std::stable_sort(seen_.begin(), seen_.end(),
+                     [](const Seen& a, const Seen& b) { return a.at < b.at; });
+    for (const Seen& seen : seen_) account_.On(seen);
+  }
+
   // The processes' own part, from their traces; each start goes on in the same file.
   void ReadTraces() {
     for (std::uint32_t p = 0; p < plan_.fleet.tiers.front().sidecars; ++p) {
@@ -339,6 +362,7 @@
     std::stable_sort(history_.begin(), history_.end(),
                      [](const Record& a, const Record& b) { return a.at < b.at; });
     WriteHistory();
+    SettleAccount();
     if (!interrupted_) account_.Expire(ended_at_);
     Json run = RunOf(plan_, load_.tally(), account_, StateOf(load_, emulation_));
     run["seed"] = seed_;
@@ -397,6 +421,7 @@
   std::size_t dealt_ = 0;
   Lateness late_;
   std::vector<Record> history_;
+  std::vector<Seen> seen_;  // That the account has not been told yet.
   std::map<std::uint32_t, std::uint64_t> lives_;
   Micros start_ = 0;
   Micros ended_at_ = 0;
--- a/tests/storm/storm_test.cpp
+++ b/tests/storm/storm_test.cpp
@@ -182,6 +182,20 @@
   }
 }
 
+// Discovery tells of a node's end, and goes down half way through telling of its return: the others
+// hear of that from peers, and may send to the node again.
+TEST(Peers, WhatAPeerSaysOfANodeCountsAsTold) {
+  std::string fleet = Fleet(10, 9);
+  fleet.replace(fleet.find("call_ms=5"), 9, "call_ms=60");
+  const Played p =
+      PlayOf(ParsePlan(fleet + "[[incident]]\nkind='lost'\nat=1\nfor=2\nnodes=['x-1']\n"
+                               "[[incident]]\nkind='discovery_down'\nat=3.4\nfor=8\n"
+                               "[storm]\npeers=6\n",
+                       "storm"));
+  ExpectKept(p);
+  EXPECT_GT(p.storm().at("heard"), 0);
+}
+
 TEST(Peers, DrawnFaultsOfMessagesKeepThePromises) {
   for (const std::uint64_t seed : {4ULL, 5ULL}) {
     Plan plan = ParsePlan(Fleet(8, 8), "storm");
