Remember learned limits and shunned endpoints across a restart

Change: the module tells what it has learned and takes it back by one event (OnLearned: the lower limit, shunned endpoints of the same process and never more than may be shunned); stored beside the list with a checksum and an age of its own (state.lesson_age_s, 60 s), stores of the program before are taken over; the judge holds each recall to what an earlier life of the process had stored.

--- a/include/gaugecart/choice.h
+++ b/include/gaugecart/choice.h
@@ -132,6 +132,18 @@
   std::optional<LoadReport> report;
 };
 
+// What a balancer has learned that a later one in its place may begin with.
+struct Lesson {
+  struct Shunned {
+    EndpointId endpoint = 0;
+    Micros launched = 0;  // As in its Endpoint: of another process nothing was learned.
+    Micros left = 0;      // How long it is still to be shunned.
+    std::int32_t strikes = 0;
+  };
+  double limit = 0;  // Seats of all priority levels together; 0: not learned.
+  std::vector<Shunned> shunned;
+};
+
 // Where decisions go. A call must not enter the balancer again.
 class Actions {
  public:
@@ -166,6 +178,12 @@
   void OnAbandoned(Micros now, RequestId request);
   void OnTimer(Micros now, std::uint64_t mark);
 
+  // What an earlier balancer in this place had learned; after the list. The caller answers for its
+  // age. The limit counts up to where a start would begin, shunned endpoints up to the part of the
+  // list that may be shunned at all.
+  void OnLearned(Micros now, const Lesson& lesson);
+  Lesson Learned(Micros now) const;
+
   // How many listed endpoints calls are kept from at this moment.
   std::size_t Avoided(Micros now) const;
 
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -52,6 +52,35 @@
   }
 }
 
+// Looks now and then what the sidecar has learned, for its next start.
+class Lessons {
+ public:
+  Lessons(net::Loop& loop, kelpspring::Sidecar& sidecar, kelpspring::Remember& remember)
+      : loop_(loop),
+        sidecar_(sidecar),
+        remember_(remember),
+        timer_(loop.NewTimer([this] { Look(); })) {
+    timer_->ArmAt(loop_.Now() + kPause);
+  }
+
+ private:
+  // A limit that is older says little; a shunned endpoint is shunned for 2 s at least.
+  static constexpr auto kPause = std::chrono::seconds(2);
+
+  void Look() {
+    const kelpspring::Lesson lesson = sidecar_.Learned();
+    if (remember_.OnLesson(lesson)) {
+      sidecar_.log().Trace([&] { return "lesson " + WordsOf(lesson); });
+    }
+    timer_->ArmAt(loop_.Now() + kPause);
+  }
+
+  net::Loop& loop_;
+  kelpspring::Sidecar& sidecar_;
+  kelpspring::Remember& remember_;
+  net::TimerPtr timer_;
+};
+
 // Looks every fifth of a second whether another process of the same sidecar runs beside this one.
 class Neighbour {
  public:
@@ -140,6 +169,8 @@
                                      },
                                  .set_aside = console ? control::Door::kDescriptors : 0});
     Neighbour neighbour(loop, sidecar, alone);
+    std::optional<Lessons> lessons;
+    if (remember) lessons.emplace(loop, sidecar, *remember);
     const auto door = OpenDoor(loop, sidecar, registry, console);
     loop.OnSignal(SIGHUP, [&] { Reload(sidecar); });
     for (const int signal : {SIGTERM, SIGINT}) {
--- a/src/app/remember.h
+++ b/src/app/remember.h
@@ -3,6 +3,7 @@
 #define KELPSPRING_APP_REMEMBER_H_
 
 #include "sidecar/config.h"
+#include "sidecar/lesson.h"
 #include "sidecar/members.h"
 
 #ifdef KELPSPRING_STATE
@@ -29,10 +30,12 @@
       return;
     }
     if (!store_.set_aside().empty()) LogToStandardError(store_.set_aside());
-    if (const auto snapshot = store_.Load()) Recall(config, *snapshot);
+    if (const auto snapshot = store_.Load()) {
+      current_ = *snapshot;
+      if (!current_.list.empty()) Recall(config);
+      RecallLesson(config);
+    }
     book_.Apply(config.known);
-    seq_ = config.known.seq;
-    text_ = TextOf(book_.Whole());
     keeper_.emplace(store_, kPause, [](const std::string& fault) {
       LogToStandardError("state is not stored: " + fault);
     });
@@ -46,37 +49,70 @@
     if (list.whole || !list.members.empty() || list.seq != seq_) {
       book_.Apply(list);
       seq_ = list.seq;
-      text_ = TextOf(book_.Whole());
+      current_.version = list.seq;
+      current_.list = TextOf(book_.Whole());
     }
-    keeper_->Put({seq_, text_, state::Here()});
+    current_.learned = state::Here();
+    keeper_->Put(current_);
+  }
+
+  // False if it says no more than the last one: then nothing is written.
+  bool OnLesson(const Lesson& lesson) {
+    const std::string words = WordsOf(lesson);
+    if (!keeper_ || words == lesson_words_) return false;
+    lesson_words_ = words;
+    current_.lesson = TextOf(lesson);
+    current_.lesson_learned = state::Here();
+    keeper_->Put(current_);
+    return true;
   }
 
  private:
   // A change of the list reaches the disk within this, and no more often.
   static constexpr auto kPause = std::chrono::seconds(1);
 
-  static void Recall(Config& config, const state::Snapshot& snapshot) {
-    auto age = state::AgeOf(snapshot.learned, state::Here());
-    if (Mutated(Mutant::kIgnoreAge)) age = 0;
+  static std::optional<state::Micros> AgeOf(const state::Moment& learned) {
+    if (Mutated(Mutant::kIgnoreAge)) return 0;
+    return state::AgeOf(learned, state::Here());
+  }
+
+  void Recall(Config& config) const {
+    const auto age = AgeOf(current_.learned);
     const auto known =
         config.known.members.empty() ? std::nullopt : std::optional(config.known.seq);
     const auto verdict =
-        recovery::MayRecall(age, config.state->list_age.count(), snapshot.version, known);
-    LogToStandardError("remembered list " + std::to_string(snapshot.version) + ": " +
+        recovery::MayRecall(age, config.state->list_age.count(), current_.version, known);
+    LogToStandardError("remembered list " + std::to_string(current_.version) + ": " +
                        recovery::WordOf(verdict));
     if (verdict != recovery::Recall::kTake) return;
     try {
-      config.known = ParseMembers(nlohmann::json::parse(snapshot.list));
+      config.known = ParseMembers(nlohmann::json::parse(current_.list));
       config.known_age = std::chrono::microseconds(*age);
     } catch (const std::exception& e) {
       LogToStandardError(std::string("remembered list: ") + e.what());
     }
   }
 
+  // Limits and shunned endpoints hold whichever list it starts from.
+  void RecallLesson(Config& config) const {
+    if (current_.lesson.empty()) return;
+    const auto age = AgeOf(current_.lesson_learned);
+    const auto verdict =
+        recovery::MayRecall(age, config.state->lesson_age.count(), 0, std::nullopt);
+    LogToStandardError(std::string("remembered lesson: ") + recovery::WordOf(verdict));
+    if (verdict != recovery::Recall::kTake) return;
+    try {
+      config.lesson = Aged(ParseLesson(current_.lesson), *age);
+    } catch (const std::exception& e) {
+      LogToStandardError(std::string("remembered lesson: ") + e.what());
+    }
+  }
+
   state::Store store_;
   MemberBook book_;
-  std::int64_t seq_ = 0;
-  std::string text_;  // Of the book.
+  std::int64_t seq_ = -1;     // Of what discovery told last in this life.
+  state::Snapshot current_;   // What is stored, or is to be next.
+  std::string lesson_words_;  // Of the lesson in it, if it is of this life.
   std::optional<state::Keeper> keeper_;
 };
 
@@ -89,6 +125,7 @@
     throw gaugecart::BadInput("state_dir: this build stores no state, expected none");
   }
   void OnList(const MemberList&) {}
+  bool OnLesson(const Lesson&) { return false; }
 };
 
 #endif
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -299,6 +299,24 @@
         }));
   }
 
+  std::vector<Lesson::Shunned> Shunned(Micros now) const {
+    std::vector<Lesson::Shunned> all;
+    for (const Server* s : ready_) {
+      if (!s->ejected || now >= s->eject_until) continue;
+      all.push_back({s->info.id, s->info.launched, s->eject_until - now, s->strikes});
+    }
+    return all;
+  }
+
+  void Shun(const Lesson::Shunned& told, Micros now) {
+    Server* s = Find(told.endpoint);
+    if (s == nullptr || !s->Ready() || s->info.launched != told.launched || MostEjected()) return;
+    s->ejected = true;
+    s->strikes = std::clamp(told.strikes, 1, 4);
+    s->eject_until = now + std::clamp<Micros>(told.left, 0, 2 * kEjectCap);
+    stale_ = true;
+  }
+
   bool Cold(const Server& s, Micros now) const {
     return s.info.launched > 0 && settings_.warm_up > 0 &&
            now - s.info.launched < settings_.warm_up;
@@ -399,7 +417,7 @@
     if (!failed && s.strikes > 0 && s.failure_rate < 0.05) s.strikes = 0;
     // Compared with the usual rate, so that what ails everyone ejects no one.
     if (failed && s.failure_rate >= kEjectRate && s.failure_rate > kEjectOver * usual_failure_ &&
-        static_cast<double>(ejected_count() + 1) <= kMaxEjected * static_cast<double>(size())) {
+        !MostEjected()) {
       Eject(s, now);
     }
     return true;
@@ -447,9 +465,11 @@
   }
 
  private:
-  std::size_t ejected_count() const {
-    return static_cast<std::size_t>(
-        std::count_if(ready_.begin(), ready_.end(), [](const Server* s) { return s->ejected; }));
+  // One more would be beyond the part of the fleet that may be ejected.
+  bool MostEjected() const {
+    const auto ejected =
+        std::count_if(ready_.begin(), ready_.end(), [](const Server* s) { return s->ejected; });
+    return static_cast<double>(ejected + 1) > kMaxEjected * static_cast<double>(size());
   }
 
   // Guards against faults that strike one class: answers of another hid them. A level passes over
@@ -848,6 +868,8 @@
     limit_ = std::max(floor, limit_ - std::min(kCut, limit_ * kCutPart));
   }
   double limit() const { return limit_; }
+  // Where an earlier one stood; higher than a start begins it has to be won again.
+  void Recall(double limit) { limit_ = std::clamp(limit, std::min(floor_, start_), start_); }
 
  private:
   double limit_;
@@ -957,6 +979,13 @@
 
   std::size_t Avoided(Micros now) const { return fleet_.Avoided(now); }
 
+  Lesson Learned(Micros now) const { return {limiter_.limit(), fleet_.Shunned(now)}; }
+
+  void OnLearned(Micros now, const Lesson& lesson) {
+    if (lesson.limit > 0) limiter_.Recall(lesson.limit);
+    for (const Lesson::Shunned& shunned : lesson.shunned) fleet_.Shun(shunned, now);
+  }
+
   void OnAbandoned(Micros now, RequestId request) {
     if (Call* call = ledger_.Find(request)) End(*call);
     PumpAll(now);
@@ -1238,6 +1267,8 @@
 void Balancer::OnOutcome(Micros now, const Outcome& outcome) { impl_->OnOutcome(now, outcome); }
 void Balancer::OnAbandoned(Micros now, RequestId request) { impl_->OnAbandoned(now, request); }
 void Balancer::OnTimer(Micros now, std::uint64_t mark) { impl_->OnTimer(now, mark); }
+void Balancer::OnLearned(Micros now, const Lesson& lesson) { impl_->OnLearned(now, lesson); }
+Lesson Balancer::Learned(Micros now) const { return impl_->Learned(now); }
 std::size_t Balancer::Avoided(Micros now) const { return impl_->Avoided(now); }
 
 }  // namespace gaugecart
--- a/src/lab/storm.cpp
+++ b/src/lab/storm.cpp
@@ -396,6 +396,7 @@
     return {{"findings", findings},
             {"found", j.findings.size()},
             {"heard", j.heard},
+            {"recalled", j.recalled},
             {"decisions", j.decisions},
             {"calls", j.calls},
             {"fullest_tenth_calls", j.fullest_tenth_calls},
--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -27,7 +27,7 @@
 constexpr double kLongestListAge = 7 * 24 * 3600;  // Seconds.
 constexpr std::size_t kMostPeers = 1024;
 
-std::chrono::microseconds ParseListAge(const Json& value, const char* name) {
+std::chrono::microseconds ParseAge(const Json& value, const char* name) {
   const double seconds = value.is_number() ? value.get<double>() : -1;
   if (!(seconds > 0 && seconds <= kLongestListAge)) {
     throw BadInput(std::string(name) + ": expected seconds, above 0 and at most 604800");
@@ -45,8 +45,13 @@
   if (more == nullptr) return state;
   if (!more->is_object()) throw BadInput("state: expected an object");
   for (const auto& [key, value] : more->items()) {
-    if (key != "list_age_s") throw BadInput("state." + key + ": expected list_age_s only");
-    state.list_age = ParseListAge(value, "state.list_age_s");
+    if (key == "list_age_s") {
+      state.list_age = ParseAge(value, "state.list_age_s");
+    } else if (key == "lesson_age_s") {
+      state.lesson_age = ParseAge(value, "state.lesson_age_s");
+    } else {
+      throw BadInput("state." + key + ": expected list_age_s or lesson_age_s");
+    }
   }
   return state;
 }
@@ -78,7 +83,7 @@
   Field(json, "listen", [&](const Json& j) { peers.listen = ParseAddress(j); });
   Field(json, "others", [&](const Json& j) { peers.others = ParseOthers(j, peers.listen); });
   if (json.contains("list_age_s")) {
-    peers.list_age = ParseListAge(json["list_age_s"], "list_age_s");
+    peers.list_age = ParseAge(json["list_age_s"], "list_age_s");
   }
   return peers;
 }
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -11,6 +11,7 @@
 #include "net/address.h"
 #include "settings.h"
 #include "sidecar/discovery.h"
+#include "sidecar/lesson.h"
 
 namespace kelpspring {
 
@@ -20,6 +21,8 @@
 struct StateSettings {
   std::string folder;
   std::chrono::microseconds list_age{std::chrono::minutes(5)};  // An older list decides nothing.
+  // An older lesson decides nothing: what endpoints can bear changes with all others' load.
+  std::chrono::microseconds lesson_age{std::chrono::minutes(1)};
 };
 
 // The channel to others of the fleet.
@@ -42,6 +45,7 @@
   // Since discovery said that it holds; none where that is not known.
   std::optional<std::chrono::microseconds> known_age;
   std::optional<StateSettings> state;  // None: nothing is stored.
+  std::optional<Lesson> lesson;        // Of its last life, as old as it is now.
   std::optional<PeerSettings> peers;   // None: no channel.
   gaugecart::Setup setup;
   bool traced = false;  // A line for each event; asked for on the command line.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -149,6 +149,7 @@
            std::to_string(own.me) + " of " + std::to_string(own.group_size);
   });
   OnList(ListKind::kStale, config_.known);
+  if (config_.lesson) Recall(*config_.lesson);
   server_ = std::make_unique<Server>(
       loop, log_, settled_ ? loop.Listen(config_.listen) : std::move(wiring.inherited), budget_,
       drain_, [this] { return CanServe(); }, [this] { return MostBody(); },
@@ -169,6 +170,26 @@
   }
 }
 
+Lesson Sidecar::Learned() const {
+  const gaugecart::Lesson learned = balancer_->Learned(Now());
+  Lesson lesson{learned.limit, {}};
+  for (const auto& s : learned.shunned) {
+    lesson.shunned.push_back({NameOf(s.endpoint), s.launched, s.left, s.strikes});
+  }
+  return lesson;
+}
+
+void Sidecar::Recall(const Lesson& lesson) {
+  log_.Trace([&] { return "recall " + WordsOf(lesson); });
+  gaugecart::Lesson learned{lesson.limit, {}};
+  for (const auto& s : lesson.shunned) {
+    for (const auto& [id, host] : hosts_) {
+      if (host == s.host) learned.shunned.push_back({id, s.born, s.left, s.strikes});
+    }
+  }
+  Run([this, learned = std::move(learned)] { balancer_->OnLearned(Now(), learned); });
+}
+
 void Sidecar::OpenPeers() {
   const PeerSettings& own = *config_.peers;
   peers::Channel::Setup setup;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -64,6 +64,8 @@
   // Endpoints in the list, and how many of them the module avoids.
   std::size_t listed() const { return hosts_.size(); }
   std::size_t avoided() const { return balancer_->Avoided(Now()); }
+  // What its next start may begin with.
+  Lesson Learned() const;
   // What passed between it and its peers; none where it has no such channel.
   std::optional<peers::Counts> peer_counts() const;
   // Takes over what may change while it runs, the address of discovery; the rest of a configuration
@@ -134,6 +136,7 @@
   net::Time At(Micros time) const { return start_ + std::chrono::microseconds(time - epoch_); }
   void Run(std::function<void()> step);
 
+  void Recall(const Lesson& lesson);
   void OpenPeers();
   void OnDiscovery(const MemberList& list);
   void OnDiscoveryFailed();
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -17,7 +17,7 @@
 
 // Marks the file as a sidecar's store ("klsp"); the schema's number is what `user_version` holds.
 constexpr int kApplication = 0x6b6c7370;
-constexpr int kSchema = 1;
+constexpr int kSchema = 2;  // 1 had no lesson.
 constexpr int kBusyMs = 100;
 // Copies kept of what was set aside for one reason; a further one replaces the last.
 constexpr int kMostAside = 3;
@@ -25,10 +25,20 @@
 constexpr const char* kMake =
     "CREATE TABLE IF NOT EXISTS snapshot (one INTEGER PRIMARY KEY CHECK (one = 1), owner TEXT NOT "
     "NULL, version INTEGER NOT NULL, list TEXT NOT NULL, boot TEXT NOT NULL, uptime INTEGER NOT "
-    "NULL, wall INTEGER NOT NULL, checksum INTEGER NOT NULL)";
+    "NULL, wall INTEGER NOT NULL, checksum INTEGER NOT NULL, lesson TEXT NOT NULL DEFAULT '', "
+    "lesson_boot TEXT NOT NULL DEFAULT '', lesson_uptime INTEGER NOT NULL DEFAULT 0, lesson_wall "
+    "INTEGER NOT NULL DEFAULT 0)";
+constexpr const char* kFromFirst =
+    "ALTER TABLE snapshot ADD COLUMN lesson TEXT NOT NULL DEFAULT '';"
+    "ALTER TABLE snapshot ADD COLUMN lesson_boot TEXT NOT NULL DEFAULT '';"
+    "ALTER TABLE snapshot ADD COLUMN lesson_uptime INTEGER NOT NULL DEFAULT 0;"
+    "ALTER TABLE snapshot ADD COLUMN lesson_wall INTEGER NOT NULL DEFAULT 0;"
+    "PRAGMA user_version = 2;";
 constexpr const char* kRead =
-    "SELECT owner, version, list, boot, uptime, wall, checksum FROM snapshot WHERE one = 1";
-constexpr const char* kWrite = "INSERT OR REPLACE INTO snapshot VALUES (1, ?, ?, ?, ?, ?, ?, ?)";
+    "SELECT owner, version, list, boot, uptime, wall, checksum, lesson, lesson_boot, "
+    "lesson_uptime, lesson_wall FROM snapshot WHERE one = 1";
+constexpr const char* kWrite =
+    "INSERT OR REPLACE INTO snapshot VALUES (1, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)";
 
 // FNV-1a over all that a row says: SQLite checks its own pages only for their form.
 std::int64_t ChecksumOf(const std::string& owner, const Snapshot& s) {
@@ -41,6 +51,11 @@
   add(s.list);
   add(s.learned.boot);
   for (const Micros n : {s.version, s.learned.uptime, s.learned.wall}) add(std::to_string(n));
+  if (!s.lesson.empty()) {
+    add(s.lesson);
+    add(s.lesson_learned.boot);
+    for (const Micros n : {s.lesson_learned.uptime, s.lesson_learned.wall}) add(std::to_string(n));
+  }
   return static_cast<std::int64_t>(h);
 }
 
@@ -71,6 +86,14 @@
   bool ok_ = false;
 };
 
+Snapshot SnapshotOf(Statement& row) {
+  return {row.Number(1),
+          row.Text(2),
+          {row.Text(3), row.Number(4), row.Number(5)},
+          row.Text(7),
+          {row.Text(8), row.Number(9), row.Number(10)}};
+}
+
 bool Run(sqlite3* db, const char* text) {
   return sqlite3_exec(db, text, nullptr, nullptr, nullptr) == SQLITE_OK;
 }
@@ -145,13 +168,19 @@
   if (Pragma(db, "PRAGMA user_version") > kSchema) return "newer";
   Statement check(db, "PRAGMA quick_check(1)");
   if (check.Step() != SQLITE_ROW || check.Text(0) != "ok") return "torn";
+  if (Pragma(db, "PRAGMA user_version") < kSchema) {
+    const bool moved = Run(db, "BEGIN IMMEDIATE") && Run(db, kFromFirst) && Run(db, "COMMIT");
+    if (!moved) {
+      Run(db, "ROLLBACK");
+      return "unreadable";
+    }
+  }
   Statement row(db, kRead);
   const int step = row.Step();
   if (step == SQLITE_DONE) return {};
   if (step != SQLITE_ROW) return "torn";
   if (row.Text(0) != owner_) return "foreign";
-  const Snapshot s{row.Number(1), row.Text(2), {row.Text(3), row.Number(4), row.Number(5)}};
-  return row.Number(6) == ChecksumOf(owner_, s) ? "" : "torn";
+  return row.Number(6) == ChecksumOf(owner_, SnapshotOf(row)) ? "" : "torn";
 }
 
 // What belongs to the database goes with it, so that no journal of it meets the next one.
@@ -179,14 +208,13 @@
   if (!db_) return std::nullopt;
   Statement row(db_.get(), kRead);
   if (row.Step() != SQLITE_ROW) return std::nullopt;
-  return Snapshot{row.Number(1), row.Text(2), {row.Text(3), row.Number(4), row.Number(5)}};
+  return SnapshotOf(row);
 }
 
 std::string Store::Save(const Snapshot& snapshot) {
   if (!db_) return "no store is open";
-  if (snapshot.list.size() > kMostBytes) {
-    return "expected at most " + std::to_string(kMostBytes) + " bytes, got " +
-           std::to_string(snapshot.list.size());
+  if (const std::size_t size = snapshot.list.size() + snapshot.lesson.size(); size > kMostBytes) {
+    return "expected at most " + std::to_string(kMostBytes) + " bytes, got " + std::to_string(size);
   }
   // Where the disk was full at the start, nothing is made yet.
   if (!Run(db_.get(), kMake)) return sqlite3_errmsg(db_.get());
@@ -199,6 +227,10 @@
   row.Bind(5, snapshot.learned.uptime);
   row.Bind(6, snapshot.learned.wall);
   row.Bind(7, ChecksumOf(owner_, snapshot));
+  row.Bind(8, snapshot.lesson);
+  row.Bind(9, snapshot.lesson_learned.boot);
+  row.Bind(10, snapshot.lesson_learned.uptime);
+  row.Bind(11, snapshot.lesson_learned.wall);
   return row.Step() == SQLITE_DONE ? std::string() : sqlite3_errmsg(db_.get());
 }
 
--- a/src/state/store.h
+++ b/src/state/store.h
@@ -27,6 +27,9 @@
   std::int64_t version = 0;  // Of the list.
   std::string list;          // In discovery's form.
   Moment learned;
+  // What else the process had learned, in its own form, and when; empty: nothing.
+  std::string lesson{};
+  Moment lesson_learned{};
 };
 
 // A folder that cannot be used: names it and says what was expected.
--- a/src/storm/history.cpp
+++ b/src/storm/history.cpp
@@ -84,6 +84,9 @@
     record.version = Number(NextWord(rest));
     const auto held = Number(After(rest, "held"));
     if (held) record.about = std::to_string(*held - start);
+  } else if (event == what::kLesson || event == what::kRecall) {
+    rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
+    record.about = std::string(rest);
   } else if (event == what::kSend) {
     record.version = Number(After(rest, "version"));
     record.about = std::string(After(rest, "to"));
--- a/src/storm/history.h
+++ b/src/storm/history.h
@@ -21,7 +21,9 @@
 constexpr const char* kList = "list";    // It took a list: version.
 constexpr const char* kHeard = "heard";  // It took a list of a peer: version; about: since when, on
                                          // the lab's clock, discovery is known to have said it.
-constexpr const char* kAsk = "ask";      // It asked discovery.
+constexpr const char* kLesson = "lesson";  // It stored what it had learned; about: in its words.
+constexpr const char* kRecall = "recall";  // It began with what an earlier life had learned; about.
+constexpr const char* kAsk = "ask";        // It asked discovery.
 constexpr const char* kSend = "send";  // It sent an attempt, resting on a version; about: to whom.
 // Of the lab.
 constexpr const char* kStarted = "started";
--- a/src/storm/judge.cpp
+++ b/src/storm/judge.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
+#include <sstream>
 #include <utility>
 
 namespace storm {
@@ -42,6 +44,8 @@
       said_[*r.version] = r.at;
     }
     if (r.what == what::kHeard && r.version) Heard(r);
+    if (r.what == what::kLesson) lessons_[r.who].push_back(r);
+    if (r.what == what::kRecall) Recalled(r);
     if (r.what == what::kList && r.version) Took(r, life);
     if (r.what == what::kSend) Decided(r, life);
     if (r.what == what::kStopped) life.stopped_at = r.at;
@@ -123,6 +127,35 @@
     }
   }
 
+  // Limits and shunned endpoints that a process begins with were learned by an earlier life of its
+  // own, not too long ago.
+  void Recalled(const Record& r) {
+    ++judgement_.recalled;
+    const Record* last = nullptr;
+    for (const Record& lesson : lessons_[r.who]) {
+      if (lesson.life < r.life && Within(r.about, lesson.about)) last = &lesson;
+    }
+    if (last == nullptr) return Find(r, "a lesson that nobody learned", r.about);
+    if (r.at - last->at > promise_.lesson_age + promise_.clocks) {
+      Find(r, "a lesson beyond its age",
+           r.about + " after " + std::to_string((r.at - last->at) / 1000) + " ms");
+    }
+  }
+
+  // The same limit, and nobody shunned who was not; some may have served their time since.
+  static bool Within(const std::string& recalled, const std::string& learned) {
+    const auto words = [](const std::string& text) {
+      std::istringstream in(text);
+      return std::vector<std::string>(std::istream_iterator<std::string>(in), {});
+    };
+    const auto had = words(learned);
+    const auto has = words(recalled);
+    if (has.empty() || had.empty() || has.front() != had.front()) return false;
+    return std::all_of(has.begin(), has.end(), [&](const std::string& word) {
+      return std::find(had.begin(), had.end(), word) != had.end();
+    });
+  }
+
   // A decision is stale where it rests on a version although a newer one was written to the process
   // so long ago that, running, it must have read it.
   void Decided(const Record& r, const Life& life) {
@@ -148,6 +181,7 @@
   Judgement judgement_;
   std::map<Key, Life> lives_;
   std::map<Key, std::size_t> index_;
+  std::map<std::string, std::vector<Record>> lessons_;  // By process.
   std::map<std::int64_t, Micros> said_;  // By version: when discovery wrote it last, to anybody.
   std::vector<Micros> calls_;
   std::vector<Micros> connections_;
--- a/src/storm/judge.h
+++ b/src/storm/judge.h
@@ -20,6 +20,8 @@
   // compare.
   Micros list_age = 300 * kSecond;
   Micros clocks = 20'000;
+  // Beyond which limits and shunned endpoints of an earlier life decide nothing.
+  Micros lesson_age = 60 * kSecond;
   // Within which list calls of a process that has come back are counted.
   Micros return_span = 10 * kSecond;
 };
@@ -49,6 +51,7 @@
   std::size_t connections = 0;          // That came up at endpoints.
   std::size_t fullest_tenth_connections = 0;
   std::size_t heard = 0;      // Lists that were taken from peers.
+  std::size_t recalled = 0;   // Lessons of earlier lives that a process began with.
   std::size_t decisions = 0;  // That were held to the promise about stale ones.
 };
 
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -38,6 +38,54 @@
   EXPECT_EQ(message([](Settings&) {}), "accepted");
 }
 
+// ---- What an earlier life had learned ----
+
+TEST(Lesson, ALowerLimitIsTakenAHigherOneIsWonAgain) {
+  Driver fresh(BasicSettings());
+  const double start = fresh.balancer.Learned(fresh.now).limit;
+  for (const double told : {start * 0.6, start * 3, 0.0}) {
+    Driver d(BasicSettings());
+    d.balancer.OnLearned(d.now, {told, {}});
+    EXPECT_DOUBLE_EQ(d.balancer.Learned(d.now).limit, told > 0 ? std::min(told, start) : start);
+  }
+  Driver d(BasicSettings());
+  d.balancer.OnLearned(d.now, {0.001, {}});
+  EXPECT_GE(d.balancer.Learned(d.now).limit, 1.0);  // Never so low that it learns nothing.
+}
+
+TEST(Lesson, AShunnedEndpointStaysShunnedForItsTimeAndNoLonger) {
+  Driver d(BasicSettings());
+  const auto nodes = Nodes(6);
+  d.List(nodes);
+  const EndpointId bad = nodes[2].id;
+  d.balancer.OnLearned(d.now, {0, {{bad, nodes[2].launched, 2'000'000, 1}}});
+  EXPECT_EQ(d.balancer.Avoided(d.now), 1u);
+  ASSERT_EQ(d.balancer.Learned(d.now).shunned.size(), 1u);
+  EXPECT_EQ(d.balancer.Learned(d.now).shunned[0].left, 2'000'000);
+  for (RequestId id = 1; id <= 12; ++id) {
+    d.Ask(id);
+    EXPECT_NE(d.Sends().back().endpoint, bad);
+    d.Answer(id, d.Sends().back().endpoint, OutcomeCode::kOk);
+  }
+  d.Advance(d.now + 2'100'000);
+  EXPECT_EQ(d.balancer.Avoided(d.now), 0u);
+}
+
+TEST(Lesson, OfAnotherProcessOrBeyondWhatMayBeShunnedNothingIsTaken) {
+  Driver d(BasicSettings());
+  const auto nodes = Nodes(6);
+  d.List(nodes);
+  d.balancer.OnLearned(
+      d.now, {0, {{nodes[0].id, nodes[0].launched + 5, 2'000'000, 1}, {999, 0, 2'000'000, 1}}});
+  EXPECT_EQ(d.balancer.Avoided(d.now), 0u);
+  Lesson all;
+  for (const Endpoint& e : nodes) all.shunned.push_back({e.id, e.launched, 1'000'000'000, 100});
+  d.balancer.OnLearned(d.now, all);
+  EXPECT_EQ(d.balancer.Avoided(d.now), 2u);  // Of six.
+  d.Advance(d.now + 33'000'000);
+  EXPECT_EQ(d.balancer.Avoided(d.now), 0u);
+}
+
 TEST(Path, AQuietBalancerSendsAtOnceAndPassesTheAnswer) {
   Driver d(BasicSettings());
   d.List(Nodes(5));
--- a/tests/state/remember_test.cpp
+++ b/tests/state/remember_test.cpp
@@ -81,7 +81,7 @@
     const std::string config = folder_.path() + "/" + std::to_string(number) + ".json";
     std::ofstream(config) << SidecarConfig(
         Spec(), place, {{"seq", 0}, {"whole", true}, {"hosts", nlohmann::json::array()}});
-    return Process({program}, {{"PROXY_CONFIG", config}}, Log(number));
+    return Process({program, "--trace"}, {{"PROXY_CONFIG", config}}, Log(number));
   }
 
   // What it answers at /_health, as soon as it answers at all.
@@ -127,6 +127,21 @@
   EXPECT_NE(Text(1).find("remembered list 41: taken"), std::string::npos) << Text(1);
 }
 
+TEST_F(Remembering, ALessonIsBegunWithWhileItIsYoung) {
+  for (const int seconds : {59, 61}) {
+    std::filesystem::create_directories(State());
+    state::Store(State(), "s1")
+        .Save({41, ListText(41), SecondsAgo(seconds),
+               R"({"limit":7.5,"shunned":[{"host":"n0","born":0,"left":90000000,"strikes":2}]})",
+               SecondsAgo(seconds)});
+    Process process = Start(seconds);
+    EXPECT_EQ(Health(seconds), 200);
+    const std::string word = seconds == 59 ? "taken" : "left: too old";
+    EXPECT_NE(Text(seconds).find("remembered lesson: " + word), std::string::npos) << Text(seconds);
+    EXPECT_EQ(Text(seconds).find("recall 7.5 shunned n0") != std::string::npos, seconds == 59);
+  }
+}
+
 // Yesterday's addresses may be others' today.
 TEST_F(Remembering, AnOldListDecidesNothingAndStays) {
   Keep(SecondsAgo(301));
--- a/tests/state/store_test.cpp
+++ b/tests/state/store_test.cpp
@@ -46,6 +46,54 @@
           {"boot-1", 1000 + version, 2000 + version}};
 }
 
+TEST(Store, KeepsALessonBesideTheListAndChecksItToo) {
+  const Folder folder;
+  Snapshot with = Of(3);
+  with.lesson = "limit 12";
+  with.lesson_learned = {"boot-1", 77, 88};
+  {
+    Store store(folder.path(), "s1");
+    ASSERT_EQ(store.Save(with), "");
+  }
+  {
+    Store store(folder.path(), "s1");
+    EXPECT_EQ(store.Load()->lesson, "limit 12");
+    EXPECT_EQ(store.Load()->lesson_learned.uptime, 77);
+  }
+  sqlite3* db = nullptr;
+  ASSERT_EQ(sqlite3_open(folder.file().c_str(), &db), SQLITE_OK);
+  sqlite3_exec(db, "UPDATE snapshot SET lesson = 'limit 13'", nullptr, nullptr, nullptr);
+  sqlite3_close(db);
+  Store store(folder.path(), "s1");
+  EXPECT_NE(store.set_aside().find("torn"), std::string::npos);
+}
+
+// As the program before lessons left it.
+TEST(Store, TakesOverWhatAnOlderProgramKept) {
+  const Folder folder;
+  {
+    Store store(folder.path(), "s1");
+    ASSERT_EQ(store.Save(Of(3)), "");
+  }
+  sqlite3* db = nullptr;
+  ASSERT_EQ(sqlite3_open(folder.file().c_str(), &db), SQLITE_OK);
+  for (const char* step :
+       {"ALTER TABLE snapshot DROP COLUMN lesson", "ALTER TABLE snapshot DROP COLUMN lesson_boot",
+        "ALTER TABLE snapshot DROP COLUMN lesson_uptime",
+        "ALTER TABLE snapshot DROP COLUMN lesson_wall", "PRAGMA user_version = 1"}) {
+    ASSERT_EQ(sqlite3_exec(db, step, nullptr, nullptr, nullptr), SQLITE_OK) << step;
+  }
+  sqlite3_close(db);
+  Store store(folder.path(), "s1");
+  EXPECT_EQ(store.set_aside(), "");
+  ASSERT_TRUE(store.Load());
+  EXPECT_EQ(store.Load()->list, Of(3).list);
+  Snapshot with = Of(4);
+  with.lesson = "limit 12";
+  EXPECT_EQ(store.Save(with), "");
+  EXPECT_EQ(store.Load()->lesson, "limit 12");
+}
+
 TEST(Store, GivesBackWhatWasSavedLast) {
   const Folder folder;
   {
--- a/tests/storm/judge_test.cpp
+++ b/tests/storm/judge_test.cpp
@@ -46,6 +46,28 @@
   EXPECT_EQ(record->about, "500000");
 }
 
+TEST(Lessons, AreJudgedByWhatTheProcessHadLearnedBefore) {
+  const auto lesson = [](Micros at, const std::string& words, std::uint64_t life) {
+    return Of(at, what::kLesson, {}, life, words);
+  };
+  const auto recall = [](Micros at, const std::string& words) {
+    return Of(at, what::kRecall, {}, 2, words);
+  };
+  EXPECT_TRUE(Rules({lesson(kSecond, "9.5 shunned a b", 1), lesson(2 * kSecond, "8.0 shunned", 1),
+                     recall(4 * kSecond, "9.5 shunned b")})
+                  .empty());
+  const std::vector<std::string> nobody{"a lesson that nobody learned"};
+  EXPECT_EQ(Rules({lesson(kSecond, "9.5 shunned a", 1), recall(4 * kSecond, "9.5 shunned b")}),
+            nobody);
+  EXPECT_EQ(Rules({lesson(kSecond, "9.5 shunned", 1), recall(4 * kSecond, "9.4 shunned")}), nobody);
+  EXPECT_EQ(Rules({lesson(kSecond, "9.5 shunned", 2), recall(4 * kSecond, "9.5 shunned")}), nobody);
+  EXPECT_EQ(Rules({lesson(kSecond, "9.5 shunned", 1), recall(62 * kSecond, "9.5 shunned")}),
+            std::vector<std::string>{"a lesson beyond its age"});
+  const auto record = FromTrace("sidecar: trace 7000000 recall 9.5 shunned a b", 6'000'000);
+  ASSERT_TRUE(record);
+  EXPECT_EQ(record->about, "9.5 shunned a b");
+}
+
 TEST(Script, AShareIsDealtByTheSeedAlone) {
   Storm storm;
   storm.events = {{Deed::kStop, 2 * kSecond, kSecond, 0.3},
--- a/tests/storm/storm_test.cpp
+++ b/tests/storm/storm_test.cpp
@@ -127,6 +127,19 @@
   }
 }
 
+// One endpoint fails everything; who is killed begins with the limit that it had, and with that
+// endpoint shunned where it was.
+TEST(Storm, LimitsAndShunnedEndpointsOutliveARestart) {
+  const Played p = PlayOf(ParsePlan(
+      Fleet(6, 14) +
+          "[[incident]]\nkind='fast_errors'\nat=4.5\nfor=8\nsize=1.0\nnodes=['x-1']\n"
+          "[storm]\nnotice=0.3\nstate=true\n"
+          "[[storm.event]]\ndeed='kill'\nat=9\nfor=0.2\nshare=0.7\nmemory='none'\nfolder='kept'\n",
+      "storm"));
+  ExpectKept(p);
+  EXPECT_GE(p.storm().at("recalled"), 3);
+}
+
 TEST(Storm, DrawnOnesKeepThePromises) {
   for (const std::uint64_t seed : {1ULL, 2ULL, 3ULL}) {
     Plan plan = ParsePlan(Fleet(8, 8), "storm");
