Ask discovery later the fresher the list is that a process starts with

With a stored list the window for the first call grows from the group's to half of askWithin with what is left of the list's age, so that those who know nothing are served first. Lists of unknown age (the platform's) ask as before. Shown: pace_test FirstAsk.TheFresher..., which failed to compile before.

--- a/src/recovery/pace.cpp
+++ b/src/recovery/pace.cpp
@@ -39,8 +39,10 @@
 Micros Pace::FirstAsk(Micros start) const {
   if (place_.group <= 1) return start;
   const double place = std::fmod((static_cast<double>(place_.me) + 0.5) * kGolden, 1.0);
-  const Micros most = std::min(kLongestFirst, place_.ask_within / 2);
-  return start + Scaled(Window(kCallGuess, most), place);
+  const Micros half = place_.ask_within / 2;
+  const Micros window = Window(kCallGuess, std::min(kLongestFirst, half));
+  // What was told a moment ago can wait, and leaves discovery to those that know nothing.
+  return start + Scaled(std::max(window, Scaled(half, std::clamp(place_.fresh, 0.0, 1.0))), place);
 }
 
 Micros Pace::OnAnswer(Micros now, Micros took, bool news) {
--- a/src/recovery/pace.h
+++ b/src/recovery/pace.h
@@ -37,6 +37,7 @@
     std::uint32_t group = 1;  // Members of the group.
     Micros ask_within = 10'000'000;  // The longest that a member may go without asking.
     bool knows = false;              // It was started with a list.
+    double fresh = 0;                // From 1 for one just told to 0: too old, or of unknown age.
     std::uint64_t seed = 0;          // Of all that is drawn.
   };
   explicit Pace(const Place& place) : place_(place), draws_(place.seed), returning_(!place.knows) {}
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -71,6 +71,13 @@
   return "unknown";
 }
 
+// Of the list that it starts with: how much of the time for which it may be used is left.
+double FreshnessOf(const Config& config) {
+  if (!config.known_age || !config.state) return 0;
+  const auto age = static_cast<double>(config.known_age->count());
+  return std::max(0.0, 1.0 - age / static_cast<double>(config.state->list_age.count()));
+}
+
 // An endpoint's answer with its head built anew: framing and extras are between it and us.
 HttpResponse FromEndpoint(const HttpResponse& answer) {
   HttpResponse response{http::status::ok, 11};
@@ -127,7 +134,8 @@
           settled_ && !config_.known.members.empty() ? std::optional(config_.known.seq)
                                                      : std::nullopt,
           {config_.setup.settings.me, config_.setup.settings.group_size,
-           config_.setup.settings.ask_within, !config_.known.members.empty(), config_.seed},
+           config_.setup.settings.ask_within, !config_.known.members.empty(), FreshnessOf(config_),
+           config_.seed},
           [this](const MemberList& list) { OnDiscovery(list); }, [this] { OnDiscoveryFailed(); }),
       observer_(wiring.observer),
       told_list_(std::move(wiring.on_list)),
--- a/tests/recovery/pace_test.cpp
+++ b/tests/recovery/pace_test.cpp
@@ -15,7 +15,7 @@
 constexpr Micros kSecond = 1'000'000;
 
 Pace::Place PlaceOf(std::uint32_t me, std::uint32_t group, bool knows = false) {
-  return {me, group, 10 * kSecond, knows, 77 + std::uint64_t{me}};
+  return {me, group, 10 * kSecond, knows, 0, 77 + std::uint64_t{me}};
 }
 
 TEST(FirstAsk, OneThatIsAloneAsksAtOnce) { EXPECT_EQ(Pace(PlaceOf(0, 1)).FirstAsk(500), 500); }
@@ -38,6 +38,22 @@
   }
 }
 
+TEST(FirstAsk, TheFresherItsListTheLaterOneAsksAndAnOldOneAsOneOfUnknownAge) {
+  const auto last = [](double fresh) {
+    Micros latest = 0;
+    for (std::uint32_t me = 0; me < 50; ++me) {
+      Pace::Place place = PlaceOf(me, 50, true);
+      place.fresh = fresh;
+      latest = std::max(latest, Pace(place).FirstAsk(0));
+    }
+    return latest;
+  };
+  EXPECT_LE(last(0), 50 * kCallGuess);
+  EXPECT_GT(last(0.5), 2 * kSecond);
+  EXPECT_GT(last(1), 4 * kSecond);
+  EXPECT_LE(last(7), 5 * kSecond);  // Never beyond half of what it may go without asking.
+}
+
 TEST(FirstAsk, NobodyWaitsLongerThanACallMay) {
   for (std::uint32_t me = 0; me < 5000; me += 7) {
     EXPECT_LE(Pace(PlaceOf(me, 5000)).FirstAsk(0), 4 * kSecond);
