Read the channel to peers from peer_lists, not from the platform's peers

At fault: the key in ParseConfig. The tests made their configurations without it. Now the key is peer_lists; sidecar_test Config.PeersOfThePlatform... holds a configuration in the platform's form.

--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -69,7 +69,7 @@
   return others;
 }
 
-// "peers": {"fleet": "store", "listen": "10.0.0.5:4100", "others": ["10.0.0.6:4100"]}
+// "peer_lists": {"fleet": "store", "listen": "10.0.0.5:4100", "others": ["10.0.0.6:4100"]}
 PeerSettings ParsePeers(const Json& json) {
   if (!json.is_object()) throw BadInput("expected an object");
   for (const auto& [key, value] : json.items()) {
@@ -129,8 +129,9 @@
   } else if (json.contains("state")) {
     throw BadInput("state: expected beside state_dir only");
   }
-  if (json.contains("peers")) {
-    Field(json, "peers", [&](const Json& j) { config.peers = ParsePeers(j); });
+  // Not "peers": by that name the platform lists addresses of a channel of its own.
+  if (json.contains("peer_lists")) {
+    Field(json, "peer_lists", [&](const Json& j) { config.peers = ParsePeers(j); });
   }
   if (json.contains("known")) {
     Field(json, "known", [&](const Json& j) { config.known = ParseMembers(j); });
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -342,6 +342,39 @@
   EXPECT_EQ(client.Read().Status(), 503);
 }
 
+// The platform names addresses of a channel of its own by "peers"; ours is another key.
+TEST(Config, PeersOfThePlatformAreNotOursAndOursAreReadOrNamed) {
+  const auto with = [](const std::string& more) {
+    std::string text = ConfigText("127.0.0.1:1", "");
+    return text.insert(1, more + ",");
+  };
+  const Config platform = ParseConfig(with(
+      R"("peer_listen":"10.0.0.4:7946","peers":["10.3.0.1:7946"],"peers_all":"10.3.255.1:7946")"));
+  EXPECT_FALSE(platform.peers);
+  const Config own =
+      ParseConfig(with(R"("peer_lists":{"fleet":"f","listen":"10.0.0.5:1","list_age_s":2,)"
+                       R"("others":["10.0.0.5:1","10.0.0.6:1","10.0.0.6:1"]})"));
+  ASSERT_TRUE(own.peers);
+  ASSERT_EQ(own.peers->others.size(), 1U);  // Neither itself nor one twice.
+  EXPECT_EQ(own.peers->others[0].Text(), "10.0.0.6:1");
+  EXPECT_EQ(own.peers->list_age, std::chrono::seconds(2));
+  const auto fault = [&](const std::string& more) {
+    try {
+      ParseConfig(with(more));
+    } catch (const gaugecart::BadInput& e) {
+      return std::string(e.what());
+    }
+    return std::string("accepted");
+  };
+  EXPECT_EQ(fault(R"("peer_lists":[])"), "peer_lists: expected an object");
+  EXPECT_EQ(fault(R"("peer_lists":{"fleet":"","listen":"10.0.0.5:1","others":[]})"),
+            "peer_lists: fleet: expected a name");
+  EXPECT_EQ(fault(R"("peer_lists":{"fleet":"f","listen":"here","others":[]})"),
+            "peer_lists: listen: expected an address and port");
+  EXPECT_EQ(fault(R"("peer_lists":{"fleet":"f","listen":"10.0.0.5:1","others":[],"wild":1})"),
+            "peer_lists: wild: expected fleet, listen, others or list_age_s");
+}
+
 TEST(Config, NamesTheFieldAtFault) {
   const std::string good = ConfigText("127.0.0.1:1", "");
   EXPECT_NO_THROW(ParseConfig(good));
