--- a/src/storm/explore.h
+++ b/src/storm/explore.h
@@ -36,9 +36,10 @@
   std::set<std::string> seen;
   std::vector<Step> steps;
   const auto enter = [&](World world) {
-    if (!seen.insert(world.Key()).second) return;
-    ++result.states;
+    // Before it is compared: a broken promise may show in nothing that is to come.
     result.broken = world.Broken();
+    if (result.broken.empty() && !seen.insert(world.Key()).second) return;
+    ++result.states;
     std::vector<std::string> moves = world.Moves();
     result.ends += moves.empty() ? 1 : 0;
     steps.push_back({std::move(world), std::move(moves)});
