--- a/src/lab/emulation.cpp
+++ b/src/lab/emulation.cpp
@@ -988,6 +988,7 @@
     }
   }
   std::vector<std::string> addresses;
+  addresses.reserve(numbers.size());
   for (const std::uint32_t other : numbers) {
     addresses.push_back(AddressText(sidecars_[other]->door.address));
   }
--- a/src/lab/sidecar_config.cpp
+++ b/src/lab/sidecar_config.cpp
@@ -88,9 +88,9 @@
   if (!place.state_dir.empty()) config["state_dir"] = place.state_dir;
   if (!place.peer_listen.empty()) {
     config["peer_lists"] = {{"fleet", fleet.tiers[place.tier].name},
-                       {"listen", place.peer_listen},
-                       {"others", place.peers},
-                       {"list_age_s", static_cast<double>(place.peer_list_age) / 1e6}};
+                            {"listen", place.peer_listen},
+                            {"others", place.peers},
+                            {"list_age_s", static_cast<double>(place.peer_list_age) / 1e6}};
   }
   return config.dump();
 }
