--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -3,9 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/ip/udp.hpp>
 #include <string>
 
 #include "loopback.h"
+#include "peers/message.h"
 #include "settings.h"
 
 namespace kelpspring::testing {
@@ -342,6 +344,58 @@
   EXPECT_EQ(client.Read().Status(), 503);
 }
 
+// A list of a peer is newer than what discovery answers: that was on its way, and it is asked anew.
+// If it then says the same, it has gone back itself.
+TEST(PeerLists, AnOlderAnswerOfDiscoveryIsLeftOutOnceAndThenIsItsWord) {
+  using boost::asio::ip::udp;
+  boost::asio::io_context io;
+  const udp::endpoint any(boost::asio::ip::address_v4::loopback(), 0);
+  udp::socket peer(io, any);
+  auto own = std::make_unique<udp::socket>(io, any);
+  const udp::endpoint sidecar_at = own->local_endpoint();
+  own.reset();
+  const auto text = [](const udp::endpoint& e) { return "127.0.0.1:" + std::to_string(e.port()); };
+  Listener discovery;
+  Listener old_endpoint;
+  Listener new_endpoint;
+  std::string config = ConfigText(discovery.Address(), "");
+  config.insert(1, R"("peer_lists":{"fleet":"f","listen":")" + text(sidecar_at) +
+                       R"(","others":[")" + text(peer.local_endpoint()) + R"("]},)");
+  Running sidecar{config};
+  Peer call = discovery.Accept();
+  EXPECT_TRUE(call.Read().Has("GET /catalog/members HTTP"));
+
+  std::string bytes(2048, 0);
+  udp::endpoint from;
+  bytes.resize(peer.receive_from(boost::asio::buffer(bytes), from));
+  const auto ask = peers::Decode(bytes);
+  ASSERT_TRUE(ask);
+  peers::Message part = *ask;
+  part.kind = peers::Kind::kPart;
+  part.version = 50;
+  part.parts = 1;
+  part.bytes = List(50, true, Member("e2", new_endpoint.Address()));
+  part.checksum = peers::ChecksumOf(part.bytes);
+  peer.send_to(boost::asio::buffer(peers::Encode(part)), from);
+
+  Peer client = sidecar.Connect();
+  do {  // Until it has read the list.
+    client.Write("GET /_health HTTP/1.1\r\nHost: h\r\n\r\n");
+  } while (client.Read().Status() != 200);
+  client.Write(Call("00000000000000a1", "safe"));
+  Peer endpoint = new_endpoint.Accept();
+  EXPECT_TRUE(endpoint.Read().Has("/api"));
+  endpoint.Write(Reply("200 OK", "x"));
+  EXPECT_EQ(client.Read().Status(), 200);
+
+  const std::string older = Reply("200 OK", List(45, true, Member("e1", old_endpoint.Address())));
+  call.Write(older);
+  Peer anew = discovery.Accept();
+  EXPECT_TRUE(anew.Read().Has("GET /catalog/members HTTP"));
+  anew.Write(older);
+  EXPECT_TRUE(endpoint.Closed());  // It is in the list no more.
+}
+
 // The platform names addresses of a channel of its own by "peers"; ours is another key.
 TEST(Config, PeersOfThePlatformAreNotOursAndOursAreReadOrNamed) {
   const auto with = [](const std::string& more) {
