Draw from one SplitMix64, tell rows in one place; drop what nobody asks

Read again: the storm's dice and the candidate each kept a SplitMix64 of their own (now src/draws.h), HeardBy built what TellRow builds (now ToldOf), Relay counted what nobody read, Waits took one word twice. Behaviour as before.

--- a/src/lab/emulation.cpp
+++ b/src/lab/emulation.cpp
@@ -71,6 +71,16 @@
                           row.health, row.started == 0 ? 0 : WallClock(row.started) / 1000});
 }
 
+// What a sidecar counts as told by a row of a list.
+Seen ToldOf(std::uint32_t sidecar, const Listed& row, Micros at) {
+  Seen seen;
+  seen.kind = row.health == Health::kServing ? Seen::Kind::kServing : Seen::Kind::kTold;
+  seen.at = at;
+  seen.node = row.node;
+  seen.sidecar = sidecar;
+  return seen;
+}
+
 }  // namespace
 
 // ---- What it holds ----
@@ -932,12 +942,8 @@
   if (rows == versions_.end()) return told;
   for (NodeId node = 0; node < plan_.fleet.tiers.front().nodes; ++node) {
     const auto row = rows->second.find(node);
-    const bool serves = row != rows->second.end() && row->second.health == Health::kServing;
-    Seen& seen = told.emplace_back();
-    seen.kind = serves ? Seen::Kind::kServing : Seen::Kind::kTold;
-    seen.at = at;
-    seen.node = node;
-    seen.sidecar = number;
+    const bool listed = row != rows->second.end();
+    told.push_back(ToldOf(number, listed ? row->second : Listed{node, Health::kDeleted, 0}, at));
   }
   return told;
 }
@@ -954,12 +960,7 @@
 }
 
 void Emulation::TellRow(std::uint32_t sidecar, const Listed& row, Micros at) {
-  Seen seen;
-  seen.kind = row.health == Health::kServing ? Seen::Kind::kServing : Seen::Kind::kTold;
-  seen.at = at;
-  seen.node = row.node;
-  seen.sidecar = sidecar;
-  seen_(seen);
+  seen_(ToldOf(sidecar, row, at));
 }
 
 // ---- Sidecars ----
--- a/src/lab/relay.cpp
+++ b/src/lab/relay.cpp
@@ -80,7 +80,6 @@
 void Relay::Deliver(std::size_t from, std::size_t to, const std::string& bytes) {
   error_code ignored;
   sockets_[from].send_to(asio::buffer(bytes), own_[to], 0, ignored);
-  ++carried_;
 }
 
 }  // namespace shelflab
--- a/src/lab/relay.h
+++ b/src/lab/relay.h
@@ -43,7 +43,6 @@
   void SetFault(std::size_t process, const LinkFault& fault) { faults_[process] = fault; }
   // From now on nothing is carried.
   void Stop();
-  std::uint64_t carried() const { return carried_; }
 
  private:
   void Wait(std::size_t to);
@@ -57,7 +56,6 @@
   std::vector<boost::asio::ip::udp::socket> sockets_;
   std::vector<LinkFault> faults_;
   Random random_;
-  std::uint64_t carried_ = 0;
   std::shared_ptr<bool> open_ = std::make_shared<bool>(true);
 };
 
--- a/src/ownership/candidate.cpp
+++ b/src/ownership/candidate.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "mix.h"
-
 namespace ownership {
 namespace {
 
@@ -15,12 +13,6 @@
 
 Candidate::Candidate(Terms terms) : terms_(std::move(terms)), draws_(terms_.seed) {}
 
-double Candidate::Draw() {
-  const double drawn = gaugecart::Unit(gaugecart::Mix(draws_));
-  draws_ += gaugecart::kMixStep;
-  return drawn;
-}
-
 void Candidate::Start(Micros now) { Proceed(now); }
 
 void Candidate::OnTimer(Micros now) {
@@ -51,9 +43,10 @@
   requests_.push_back(out_.back().request);
 }
 
-bool Candidate::Waits(Ask a, Ask b) const {
-  return std::any_of(out_.begin(), out_.end(),
-                     [&](const Out& o) { return o.request.ask == a || o.request.ask == b; });
+bool Candidate::Waits(std::initializer_list<Ask> asks) const {
+  return std::any_of(out_.begin(), out_.end(), [&](const Out& o) {
+    return std::find(asks.begin(), asks.end(), o.request.ask) != asks.end();
+  });
 }
 
 // Without the lease nothing is its own, whatever the store says of the key.
@@ -128,21 +121,21 @@
     look_at_ = now + terms_.ttl / 2;
   } else if (claim_at_ == kNever) {
     claim_at_ = std::max(now, yield_until_) +
-                static_cast<Micros>(Draw() * static_cast<double>(terms_.spread));
+                static_cast<Micros>(draws_.Unit() * static_cast<double>(terms_.spread));
   }
 }
 
 void Candidate::Proceed(Micros now) {
   if (leaving_) return;
   if (!lease_) {
-    if (!Waits(Ask::kGrant, Ask::kGrant)) Send(now, Ask::kGrant);
+    if (!Waits({Ask::kGrant})) Send(now, Ask::kGrant);
     return;
   }
-  if (now >= renew_at_ && !Waits(Ask::kKeepAlive, Ask::kKeepAlive)) {
+  if (now >= renew_at_ && !Waits({Ask::kKeepAlive})) {
     Send(now, Ask::kKeepAlive);
     renew_at_ = now + terms_.ttl / kRenewals;
   }
-  if (mine_ || Waits(Ask::kClaim, Ask::kRead)) return;
+  if (mine_ || Waits({Ask::kClaim, Ask::kRead})) return;
   if (now >= claim_at_) {
     claim_at_ = kNever;
     look_at_ = kNever;
@@ -159,8 +152,8 @@
   for (const Out& o : out_) next = std::min(next, o.at + terms_.answer_within);
   if (leaving_ || !lease_) return next;
   next = std::min(next, lease_until_);
-  if (!Waits(Ask::kKeepAlive, Ask::kKeepAlive)) next = std::min(next, renew_at_);
-  if (mine_ || Waits(Ask::kClaim, Ask::kRead)) return next;
+  if (!Waits({Ask::kKeepAlive})) next = std::min(next, renew_at_);
+  if (mine_ || Waits({Ask::kClaim, Ask::kRead})) return next;
   return std::min({next, claim_at_, look_at_});
 }
 
--- a/src/ownership/candidate.h
+++ b/src/ownership/candidate.h
@@ -9,12 +9,14 @@
 #define SHELFLINK_OWNERSHIP_CANDIDATE_H_
 
 #include <cstdint>
+#include <initializer_list>
 #include <limits>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "draws.h"
 #include "ownership/fence.h"
 
 namespace ownership {
@@ -90,15 +92,15 @@
   };
 
   void Send(Micros now, Ask ask);
-  bool Waits(Ask a, Ask b) const;
+  // Whether an answer to one of these is still to come.
+  bool Waits(std::initializer_list<Ask> asks) const;
   void Drop(Micros now);
   void OnHolding(Micros now, const std::optional<Holding>& holding, LeaseId asked_under);
   void GiveUpLate(Micros now);
   void Proceed(Micros now);
-  double Draw();
 
   Terms terms_;
-  std::uint64_t draws_;
+  gaugecart::Draws draws_;
   std::optional<LeaseId> lease_;
   Micros lease_until_ = 0;  // By the own clock, the margin taken off.
   Micros renew_at_ = kNever;
--- a/src/ownership/fence.h
+++ b/src/ownership/fence.h
@@ -2,7 +2,6 @@
 #ifndef SHELFLINK_OWNERSHIP_FENCE_H_
 #define SHELFLINK_OWNERSHIP_FENCE_H_
 
-#include <algorithm>
 #include <cstdint>
 
 namespace ownership {
--- a/src/storm/script.cpp
+++ b/src/storm/script.cpp
@@ -5,7 +5,7 @@
 #include <cmath>
 #include <numeric>
 
-#include "mix.h"
+#include "draws.h"
 
 namespace storm {
 namespace {
@@ -18,22 +18,17 @@
 constexpr std::array<const char*, 3> kMemories = {"last", "first", "none"};
 constexpr std::array<const char*, 5> kFolders = {"kept", "empty", "torn", "foreign", "garbage"};
 
-// SplitMix64, so that a script needs no library to be drawn again.
 class Dice {
  public:
-  explicit Dice(std::uint64_t seed) : state_(seed) {}
-  double Unit() {
-    const double drawn = gaugecart::Unit(gaugecart::Mix(state_));
-    state_ += gaugecart::kMixStep;
-    return drawn;
-  }
+  explicit Dice(std::uint64_t seed) : draws_(seed) {}
+  double Unit() { return draws_.Unit(); }
   double Between(double low, double high) { return low + (high - low) * Unit(); }
   std::size_t Below(std::size_t n) {
     return std::min(n - 1, static_cast<std::size_t>(Unit() * static_cast<double>(n)));
   }
 
  private:
-  std::uint64_t state_;
+  gaugecart::Draws draws_;
 };
 
 std::vector<std::uint32_t> Chosen(std::uint32_t processes, double share, Dice& dice) {
