--- a/tests/coordination/store_model_test.cpp
+++ b/tests/coordination/store_model_test.cpp
@@ -1,8 +1,8 @@
 // The store as its interface is published: revisions, compares, leases, events, compaction.
-#include "coordination/model.h"
-
 #include <gtest/gtest.h>
 
+#include "coordination/model.h"
+
 namespace coordination {
 namespace {
 
