--- a/src/coordination/model.cpp
+++ b/src/coordination/model.cpp
@@ -155,13 +155,16 @@
   return true;
 }
 
-void Model::Advance(Micros now) {
-  for (;;) {
-    const auto out = std::find_if(leases_.begin(), leases_.end(),
-                                  [&](const auto& l) { return l.second.until <= now; });
-    if (out == leases_.end()) return;
-    Revoke(out->first);
+std::vector<LeaseId> Model::RunOut(Micros now) const {
+  std::vector<LeaseId> out;
+  for (const auto& [id, lease] : leases_) {
+    if (lease.until <= now) out.push_back(id);
   }
+  return out;
+}
+
+void Model::Advance(Micros now) {
+  for (const LeaseId id : RunOut(now)) Revoke(id);
 }
 
 Micros Model::next() const {
--- a/src/coordination/model.h
+++ b/src/coordination/model.h
@@ -5,7 +5,6 @@
 #ifndef SHELFLINK_COORDINATION_MODEL_H_
 #define SHELFLINK_COORDINATION_MODEL_H_
 
-#include <cstdint>
 #include <limits>
 #include <map>
 #include <optional>
@@ -15,64 +14,9 @@
 #include <utility>
 #include <vector>
 
-namespace coordination {
-
-using Micros = std::int64_t;  // Of the driver's clock.
-using Revision = std::int64_t;
-using LeaseId = std::int64_t;
-
-struct Entry {
-  std::string key;
-  std::string value;
-  Revision created = 0;
-  Revision modified = 0;
-  std::int64_t version = 0;  // Puts since it was created; 0: it is gone.
-  LeaseId lease = 0;         // 0: none.
-};
-
-// Keys from `key` up to and without `end`; `end` empty: that key alone; "\0": all from it on.
-struct Range {
-  std::string key;
-  std::string end{};
-};
-// All keys that begin with it.
-Range Prefix(const std::string& key);
-
-struct Compare {
-  enum class Of { kVersion, kCreated, kModified, kLease, kValue };
-  enum class Is { kEqual, kNotEqual, kLess, kGreater };
-  std::string key;  // One that is not there compares as 0 and as the empty value.
-  Of of = Of::kVersion;
-  Is is = Is::kEqual;
-  std::int64_t number = 0;
-  std::string value{};
-};
+#include "coordination/words.h"
 
-struct Operation {
-  enum class What { kPut, kDelete, kRange };
-  What what = What::kRange;
-  Range range{};
-  std::string value{};
-  LeaseId lease = 0;
-};
-
-struct Txn {
-  std::vector<Compare> compares;  // All must hold for `then`, else `otherwise` is done.
-  std::vector<Operation> then;
-  std::vector<Operation> otherwise{};
-};
-
-struct Done {
-  bool succeeded = false;  // The compares held.
-  Revision revision = 0;   // Of the store after it.
-  // By operation: what a range found, what a delete took away, nothing for a put.
-  std::vector<std::vector<Entry>> found;
-};
-
-struct Event {
-  bool gone = false;  // Then `entry` names the key and the revision only.
-  Entry entry;
-};
+namespace coordination {
 
 // Refused as a whole, with nothing done.
 struct Refused : std::runtime_error {
@@ -96,6 +40,8 @@
   bool Revoke(LeaseId lease);
   // Lets go of what has run out.
   void Advance(Micros now);
+  // What would be let go of.
+  std::vector<LeaseId> RunOut(Micros now) const;
   // When a lease runs out next.
   Micros next() const;
   // It comes back after standing still: every lease has its whole time again.
