Maintenance in turn: members, one owner and orders, in the program where configured

With coordination in the configuration a sidecar holds its record among the members, is a candidate for maintenance, calls members in turn when it owns it and takes its own part when it is called; the operators' door has /fleet, /orders and /turn, figures tell members, owner, late calls and calls to the store. Off without the key.

--- /dev/null
+++ b/src/app/fleet_part.h
@@ -0,0 +1,65 @@
+// Ties a sidecar to its fleet, where a coordination store is configured.
+#ifndef KELPSPRING_APP_FLEET_PART_H_
+#define KELPSPRING_APP_FLEET_PART_H_
+
+#include <unistd.h>
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "control/door.h"
+#include "fleet/fleet.h"
+#include "sidecar/config.h"
+#include "sidecar/sidecar.h"
+
+namespace kelpspring {
+
+// The program's, as records of members name it.
+constexpr const char* kBuild = "1";
+
+inline fleet::Setup FleetSetup(const net::Loop& loop, const Config& config) {
+  fleet::Setup setup;
+  setup.servers = config.coordination->servers;
+  setup.fleet = config.coordination->fleet;
+  setup.ttl = config.coordination->ttl.count();
+  setup.self.name = config.name;
+  setup.self.address = config.listen.Text();
+  setup.self.door = config.coordination->door.Text();
+  setup.self.group = "tier " + std::to_string(config.setup.settings.tier);
+  setup.self.build = kBuild;
+  // Wall clock and process number: a step of the clock alone does not make two starts one.
+  setup.self.start = std::to_string(loop.WallMicros()) + '.' + std::to_string(getpid());
+  setup.seed = config.seed;
+  return setup;
+}
+
+inline fleet::Hands HandsOf(Sidecar& sidecar, std::function<void()> leave) {
+  return {.drain = [&] { return sidecar.StartDrain(); },
+          .undrain = [&] { sidecar.EndDrain(); },
+          .held = [&] { return sidecar.holds().requests; },
+          .leave = std::move(leave)};
+}
+
+// The door's calls that concern the fleet.
+inline auto FleetOrders(fleet::Fleet& fleet) {
+  return [&fleet](std::string_view path, const std::string& body,
+                  const control::Orders::Answered& answered) {
+    const auto on = [&answered](const fleet::Answer& a) { answered(a.status, a.text); };
+    const fleet::Answered later = [answered](const fleet::Answer& a) {
+      answered(a.status, a.text);
+    };
+    using maintenance::State;
+    if (path == "/fleet") return on({200, fleet.Status()});
+    if (path == "/turn") return on(fleet.OnCall(body));
+    if (path == "/orders") return fleet.Begin(body, later);
+    if (path == "/orders/pause") return fleet.Change(State::kPaused, later);
+    if (path == "/orders/resume") return fleet.Change(State::kRunning, later);
+    fleet.Change(State::kOff, later);
+  };
+}
+
+}  // namespace kelpspring
+
+#endif  // KELPSPRING_APP_FLEET_PART_H_
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -8,11 +8,13 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string_view>
 #include <utility>
 
+#include "app/fleet_part.h"
 #include "app/remember.h"
 #include "control/orders.h"
 #include "handover/locks.h"
@@ -122,11 +124,15 @@
 
 std::unique_ptr<control::Door> OpenDoor(net::Loop& loop, kelpspring::Sidecar& sidecar,
                                         const metrics::Registry& registry,
+                                        const std::unique_ptr<fleet::Fleet>& fleet,
                                         const std::optional<net::Address>& at) {
   if (!at) return nullptr;
   try {
-    return std::make_unique<control::Door>(loop, sidecar.log(), *at,
-                                           control::OrdersFor(sidecar, registry));
+    control::Orders orders = control::OrdersFor(sidecar, registry, [&fleet] {
+      return fleet ? std::optional(fleet->counts()) : std::nullopt;
+    });
+    if (fleet) orders.fleet = kelpspring::FleetOrders(*fleet);
+    return std::make_unique<control::Door>(loop, sidecar.log(), *at, std::move(orders));
   } catch (const net::Error& e) {
     throw gaugecart::BadInput(std::string("console: ") + e.what());
   }
@@ -157,6 +163,8 @@
     boost::asio::io_context io(1);
     net::SocketLoop loop(io);
     const auto console = config.console;
+    const bool coordinated = config.coordination.has_value();
+    const auto fleet_setup = coordinated ? kelpspring::FleetSetup(loop, config) : fleet::Setup();
     metrics::Registry registry(gaugecart::InOrder(config.setup.classes));
     auto inherited = Inherited(loop);
     const bool alone = inherited == nullptr;
@@ -167,14 +175,29 @@
                                      [&remember](const kelpspring::MemberList& list) {
                                        if (remember) remember->OnList(list);
                                      },
-                                 .set_aside = console ? control::Door::kDescriptors : 0});
+                                 .set_aside = (console ? control::Door::kDescriptors : 0) +
+                                              (coordinated ? fleet::Fleet::kDescriptors : 0)});
     Neighbour neighbour(loop, sidecar, alone);
     std::optional<Lessons> lessons;
     if (remember) lessons.emplace(loop, sidecar, *remember);
-    const auto door = OpenDoor(loop, sidecar, registry, console);
+    std::unique_ptr<fleet::Fleet> fleet;
+    // What it owns goes to others at once; its clients have the time that they need.
+    const auto leave = [&] {
+      const auto left = std::make_shared<int>(fleet ? 2 : 1);
+      const auto one = [&io, left] {
+        if (--*left == 0) io.stop();
+      };
+      if (fleet) fleet->Leave(one);
+      sidecar.Leave(neighbour.Beside(), one);
+    };
+    if (coordinated) {
+      fleet = std::make_unique<fleet::Fleet>(loop, sidecar.log(), fleet_setup,
+                                             kelpspring::HandsOf(sidecar, leave));
+    }
+    const auto door = OpenDoor(loop, sidecar, registry, fleet, console);
     loop.OnSignal(SIGHUP, [&] { Reload(sidecar); });
     for (const int signal : {SIGTERM, SIGINT}) {
-      loop.OnSignal(signal, [&] { sidecar.Leave(neighbour.Beside(), [&] { io.stop(); }); });
+      loop.OnSignal(signal, leave);
     }
     for (;;) {
       try {
--- a/src/control/door.cpp
+++ b/src/control/door.cpp
@@ -1,6 +1,7 @@
 #include "control/door.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/beast/http/parser.hpp>
 #include <utility>
 
@@ -34,16 +35,29 @@
 constexpr Path kMetrics{"/metrics", http::verb::get};
 constexpr Path kDrain{"/drain", http::verb::post};
 constexpr Path kUndrain{"/undrain", http::verb::post};
+// Of the fleet, where there is a channel to it.
+constexpr std::array kFleet = {
+    Path{"/fleet", http::verb::get},         Path{"/orders", http::verb::post},
+    Path{"/orders/pause", http::verb::post}, Path{"/orders/resume", http::verb::post},
+    Path{"/orders/off", http::verb::post},   Path{"/turn", http::verb::post}};
+
+HttpResponse WrongMethod(const Path& path) {
+  auto response = PlainText(http::status::method_not_allowed, "expected another method\n");
+  response.set(http::field::allow, http::to_string(path.method));
+  return response;
+}
+
+const Path* FleetPath(std::string_view name) {
+  const auto it = std::find_if(kFleet.begin(), kFleet.end(),
+                               [&](const Path& path) { return path.name == name; });
+  return it == kFleet.end() ? nullptr : it;
+}
 
 HttpResponse Obey(const Orders& orders, http::verb method, std::string_view target) {
   const std::string_view name = kelpspring::PathOf(target);
   for (const Path& path : {kReady, kMetrics, kDrain, kUndrain}) {
     if (name != path.name) continue;
-    if (method != path.method) {
-      auto response = PlainText(http::status::method_not_allowed, "expected another method\n");
-      response.set(http::field::allow, http::to_string(path.method));
-      return response;
-    }
+    if (method != path.method) return WrongMethod(path);
     if (name == kReady.name) {
       return YesOrNo(orders.ready(), http::status::service_unavailable, "ready\n", "not ready\n");
     }
@@ -85,6 +99,7 @@
 
   void End() {
     const auto self = shared_from_this();
+    ended_ = true;
     timer_->Cancel();
     stream_->Close();
     door_.Remove(self);
@@ -122,11 +137,27 @@
     } else if (ec) {
       Answer(PlainText(http::status::bad_request, "malformed HTTP\n"));
     } else if (parser_.is_done()) {
-      const auto& call = parser_.get();
-      Answer(Obey(door_.orders_, call.method(), kelpspring::View(call.target())));
+      Obeyed();
     }
   }
 
+  void Obeyed() {
+    const auto& call = parser_.get();
+    const std::string_view target = kelpspring::View(call.target());
+    const Path* path = door_.orders_.fleet ? FleetPath(kelpspring::PathOf(target)) : nullptr;
+    if (path == nullptr) return Answer(Obey(door_.orders_, call.method(), target));
+    if (call.method() != path->method) return Answer(WrongMethod(*path));
+    // Until then it counts as one that is being answered.
+    state_ = State::kAnswering;
+    timer_->ArmAt(door_.loop_.Now() + kAnswerSpan);
+    door_.orders_.fleet(
+        path->name, call.body(), [weak = weak_from_this()](int status, std::string text) {
+          const auto self = weak.lock();
+          if (!self || self->ended_) return;
+          self->Answer(PlainText(static_cast<http::status>(status), std::move(text)));
+        });
+  }
+
   void Answer(HttpResponse response) {
     state_ = State::kAnswering;
     incoming_.Clear();
@@ -155,6 +186,7 @@
   net::StreamPtr stream_;
   net::TimerPtr timer_;
   State state_ = State::kReading;
+  bool ended_ = false;
   kelpspring::Incoming incoming_;
   kelpspring::Outgoing outgoing_;
   http::request_parser<kelpspring::TextBody> parser_;
--- a/src/control/door.h
+++ b/src/control/door.h
@@ -1,6 +1,7 @@
-// The operators' door: a second HTTP listener for /ready, /metrics, /drain and /undrain, one call
-// to a connection. Its places are its own, so that no crowd of clients keeps the staff out. It
-// decides nothing and must never touch a client's request: all it does leaves through Orders.
+// The operators' door: a second HTTP listener for /ready, /metrics, /drain and /undrain, and what
+// concerns the fleet; one call to a connection. Its places are its own, so that no crowd of clients
+// keeps the staff out. It decides nothing and must never touch a client's request: all it does
+// leaves through Orders.
 #ifndef SHELFLINK_CONTROL_DOOR_H_
 #define SHELFLINK_CONTROL_DOOR_H_
 
@@ -9,6 +10,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "net/loop.h"
 #include "sidecar/log.h"
@@ -20,6 +22,10 @@
   std::function<std::string()> metrics;
   std::function<void()> drain;
   std::function<bool()> undrain;  // False: the process is leaving.
+  // Calls that concern the fleet, by path (/fleet, /orders, /orders/pause, /orders/resume,
+  // /orders/off, /turn) and body; answered then or later. Empty: there is no such channel.
+  using Answered = std::function<void(int status, std::string text)>;
+  std::function<void(std::string_view path, const std::string& body, Answered)> fleet = nullptr;
 };
 
 class Door {
--- a/src/control/orders.h
+++ b/src/control/orders.h
@@ -2,18 +2,24 @@
 #ifndef SHELFLINK_CONTROL_ORDERS_H_
 #define SHELFLINK_CONTROL_ORDERS_H_
 
+#include <functional>
+#include <optional>
+#include <utility>
+
 #include "control/door.h"
 #include "metrics/registry.h"
 #include "sidecar/sidecar.h"
 
 namespace control {
 
-// Both must outlive the door.
-inline Orders OrdersFor(kelpspring::Sidecar& sidecar, const metrics::Registry& registry) {
+// Both must outlive the door. `fleet`: its counts, where there is a channel to it.
+inline Orders OrdersFor(kelpspring::Sidecar& sidecar, const metrics::Registry& registry,
+                        std::function<std::optional<fleet::Counts>()> fleet = nullptr) {
   return {.ready = [&] { return sidecar.ready(); },
           .metrics =
-              [&] {
-                return registry.Text({sidecar.listed(), sidecar.avoided(), sidecar.peer_counts()});
+              [&, fleet = std::move(fleet)] {
+                return registry.Text({sidecar.listed(), sidecar.avoided(), sidecar.peer_counts(),
+                                      fleet ? fleet() : std::nullopt});
               },
           .drain = [&] { sidecar.StartDrain(); },
           .undrain = [&] { return sidecar.EndDrain(); }};
--- a/src/coordination/http_store.cpp
+++ b/src/coordination/http_store.cpp
@@ -88,9 +88,8 @@
     OnWritable();
   }
 
-  void OnWritable() override {
-    if (outgoing_.Flush(*stream_) == Outgoing::State::kBroken) Broken("reset");
-  }
+  // One that is broken is told by the receive that is out: not from inside the call.
+  void OnWritable() override { outgoing_.Flush(*stream_); }
 
   void OnBytes(std::string_view bytes) override {
     if (!call_) return Broken("bytes that nobody asked for");
@@ -192,8 +191,10 @@
     const auto free = std::find_if(lines_.begin(), lines_.end(), [this](const auto& line) {
       return !line->call() && line->server() == Server();
     });
+    const CallPtr call = waiting_.front();
     if (free != lines_.end()) {
-      (*free)->Carry(waiting_.front());
+      waiting_.pop_front();
+      (*free)->Carry(call);
     } else {
       // One that is free but leads to another address makes room.
       if (lines_.size() >= kLines) {
@@ -202,10 +203,10 @@
         if (other == lines_.end()) return;
         lines_.erase(other);
       }
+      waiting_.pop_front();
       lines_.push_back(std::make_unique<Line>(*this, Server()));
-      lines_.back()->Carry(waiting_.front());
+      lines_.back()->Carry(call);
     }
-    waiting_.pop_front();
   }
 }
 
--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -52,6 +52,24 @@
   row("app_peer_dropped", "why=\"unusable", counts.unusable);
 }
 
+void Fleet(std::string& text, const fleet::Counts& counts) {
+  Single(text, "app_fleet_members", "gauge", "Members that the store names.", counts.members);
+  Single(text, "app_fleet_joins", "counter", "Members seen to join.", counts.joins);
+  Single(text, "app_fleet_leaves", "counter", "Members seen to leave.", counts.leaves);
+  Single(text, "app_fleet_owns", "gauge", "1 while this one owns maintenance.",
+         counts.owns ? 1 : 0);
+  Single(text, "app_fleet_late_calls", "counter", "Calls of owners that own no more, refused.",
+         counts.late_calls);
+  Family(text, "app_store_calls", "counter", "Calls to the store, by how they ended.");
+  const auto row = [&](std::string_view how, std::uint64_t value) {
+    text.append("app_store_calls{how=\"").append(how).append("\"} ");
+    text.append(std::to_string(value)).append("\n");
+  };
+  row("done", counts.store_done);
+  row("refused", counts.store_refused);
+  row("unknown", counts.store_unknown);
+}
+
 }  // namespace
 
 Registry::Registry(const std::vector<std::string>& classes) {
@@ -83,6 +101,7 @@
   Single(text, "app_cluster_unhealthy", "gauge", "Listed endpoints that are avoided now.",
          cluster.avoided);
   if (cluster.peers) Peers(text, *cluster.peers);
+  if (cluster.fleet) Fleet(text, *cluster.fleet);
   return text;
 }
 
--- a/src/metrics/registry.h
+++ b/src/metrics/registry.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/counts.h"
 #include "peers/channel.h"
 #include "sidecar/observer.h"
 
@@ -19,6 +20,7 @@
   std::size_t size = 0;                  // Endpoints in the list.
   std::size_t avoided = 0;               // Of these, the ones that the decision module avoids.
   std::optional<peers::Counts> peers{};  // Where it has the channel to peers.
+  std::optional<fleet::Counts> fleet{};  // Where it has a coordination store.
 };
 
 class Registry : public kelpspring::Observer {
--- a/src/sidecar/config.cpp
+++ b/src/sidecar/config.cpp
@@ -88,6 +88,55 @@
   return peers;
 }
 
+constexpr double kLeastTtl = 1;  // Seconds; the store counts in whole ones.
+constexpr double kMostTtl = 600;
+constexpr std::size_t kMostServers = 16;
+
+// "http://10.0.0.9:2379"
+net::Address ParseServer(const std::string& text) {
+  static const std::string kScheme = "http://";
+  if (text.compare(0, kScheme.size(), kScheme) != 0) {
+    throw BadInput("expected http://ADDRESS:PORT, got '" + text + "'");
+  }
+  return ParseAddress(text.substr(kScheme.size()));
+}
+
+// "coordination": {"fleet": "store", "store": ["http://10.0.0.9:2379"], "ttl_s": 5}
+CoordinationSettings ParseCoordination(const Json& json,
+                                       const std::optional<net::Address>& console) {
+  if (!json.is_object()) throw BadInput("expected an object");
+  for (const auto& [key, value] : json.items()) {
+    if (key != "fleet" && key != "store" && key != "ttl_s" && key != "door") {
+      throw BadInput(key + ": expected fleet, store, ttl_s or door");
+    }
+  }
+  if (!console) throw BadInput("expected beside console only: others call there");
+  CoordinationSettings own;
+  Field(json, "fleet", [&](const Json& j) { own.fleet = j.get<std::string>(); });
+  if (own.fleet.empty() || own.fleet.find('/') != std::string::npos) {
+    throw BadInput("fleet: expected a name without '/'");
+  }
+  Field(json, "store", [&](const Json& j) {
+    if (!j.is_array() || j.empty() || j.size() > kMostServers) {
+      throw BadInput("expected a list of 1 to 16 addresses");
+    }
+    for (const Json& server : j) own.servers.push_back(ParseServer(server.get<std::string>()));
+  });
+  if (json.contains("ttl_s")) {
+    Field(json, "ttl_s", [&](const Json& j) {
+      const double seconds = j.is_number() ? j.get<double>() : 0;
+      if (!(seconds >= kLeastTtl && seconds <= kMostTtl)) {
+        throw BadInput("expected seconds, from 1 to 600");
+      }
+      own.ttl = std::chrono::microseconds(static_cast<std::int64_t>(seconds * 1e6));
+    });
+  }
+  own.door = *console;
+  if (json.contains("door"))
+    Field(json, "door", [&](const Json& j) { own.door = ParseAddress(j); });
+  return own;
+}
+
 std::uint64_t ParseSeed(const std::string& word) {
   std::uint64_t seed = 0;
   const char* end = word.data() + word.size();
@@ -133,6 +182,10 @@
   if (json.contains("peer_lists")) {
     Field(json, "peer_lists", [&](const Json& j) { config.peers = ParsePeers(j); });
   }
+  if (json.contains("coordination")) {
+    Field(json, "coordination",
+          [&](const Json& j) { config.coordination = ParseCoordination(j, config.console); });
+  }
   if (json.contains("known")) {
     Field(json, "known", [&](const Json& j) { config.known = ParseMembers(j); });
   }
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -33,6 +33,14 @@
   std::chrono::microseconds list_age{std::chrono::minutes(5)};  // An older list is not taken.
 };
 
+// The store that a fleet shares, for work that one does for all.
+struct CoordinationSettings {
+  std::vector<net::Address> servers;  // One at least; tried in turn.
+  std::string fleet;                  // Its name: keys of others are not touched.
+  std::chrono::microseconds ttl{std::chrono::seconds(5)};  // Of leases.
+  net::Address door;  // Where others of the fleet reach the operators' door.
+};
+
 struct Config {
   std::string name;
   net::Address listen;
@@ -47,6 +55,7 @@
   std::optional<StateSettings> state;  // None: nothing is stored.
   std::optional<Lesson> lesson;        // Of its last life, as old as it is now.
   std::optional<PeerSettings> peers;   // None: no channel.
+  std::optional<CoordinationSettings> coordination;  // None: it does nothing on others' behalf.
   gaugecart::Setup setup;
   bool traced = false;  // A line for each event; asked for on the command line.
 };
--- a/src/sidecar/mutant.h
+++ b/src/sidecar/mutant.h
@@ -31,6 +31,9 @@
   kOverwrite,       // and replaced at the start by what is known then.
   kHearAnyAge,      // A peer's list is taken however old it is,
   kCallItFresh,     // and called as new as can be when it is passed on.
+  kActLate,         // An owner acts on though its lease may be over.
+  kObeyLate,        // A call is obeyed whoever owns the work by then,
+  kNoSlots,         // and however many are out.
 };
 
 #ifdef KELPSPRING_MUTANTS
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -306,10 +306,11 @@
   server_->Shrink();
 }
 
-void Sidecar::StartDrain() {
-  if (!drain_.Begin()) return;
+bool Sidecar::StartDrain() {
+  if (!drain_.Begin()) return false;
   log_.Line("draining, as an operator asked");
   server_->StartDrain();
+  return true;
 }
 
 bool Sidecar::EndDrain() {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -54,8 +54,8 @@
   void Leave(bool succeeded, std::function<void()> done);
   // Another process of this sidecar runs beside this one, and the limits hold for both together.
   void SetBeside(bool beside);
-  // An operator's wish; the process stays.
-  void StartDrain();
+  // An operator's wish; the process stays. False: it was drained already, or is leaving.
+  bool StartDrain();
   // False if the process is leaving.
   bool EndDrain();
   // Whether it serves, or would as soon as somebody comes.
