--- a/src/coordination/http_store.cpp
+++ b/src/coordination/http_store.cpp
@@ -37,7 +37,7 @@
   Fate fate = Fate::kUnknown;
   std::string why{};
   int code = 0;  // Of the store's error.
-  Json json{};
+  Json json = nullptr;
 };
 
 struct HttpStore::Call {
--- a/src/coordination/stand_in.cpp
+++ b/src/coordination/stand_in.cpp
@@ -50,7 +50,7 @@
 
 struct StandIn::Reply {
   http::status status = http::status::ok;
-  Json body{};
+  Json body = nullptr;
   std::optional<wire::WatchOrder> watch{};
 
   static Reply Bad(wire::Code code, const std::string& why) {
@@ -270,7 +270,9 @@
     journal.remove_prefix(end + 1);
     ++number;
     try {
-      const Json json = Json::parse(line);
+      const Json json = Json::parse(line, nullptr, false);
+      // One that was cut while it was written was not acknowledged either.
+      if (json.is_discarded()) continue;
       if (json.contains("txn")) model_.Apply(wire::TxnOf(json["txn"]));
       if (json.contains("grant")) {
         model_.Grant(0, wire::NumberIn(json, "ttl"), wire::NumberIn(json, "grant"));
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -22,8 +22,13 @@
 namespace {
 
 constexpr auto kTick = std::chrono::milliseconds(100);
-// An owner's call, to its end; it acts only while it owns the work for as long.
-constexpr Micros kCallSpan = 1'000'000;
+// An owner's call, to its end; it acts only while it owns the work for as long. Never over a
+// quarter of a lease, so that one that has just been renewed holds for it.
+constexpr Micros kMostCallSpan = 1'000'000;
+Micros CallSpan(Micros ttl) { return std::min(kMostCallSpan, ttl / 4); }
+// At the least: a front that asks for its health now and then has noticed by then, and nobody comes
+// any more.
+constexpr Micros kLeastOut = 1'000'000;
 // For what it holds when its turn comes; clients are waited for no longer, as at SIGTERM.
 constexpr Micros kDrainSpan = 30'000'000;
 
@@ -34,7 +39,7 @@
   terms.name = std::move(name);
   terms.ttl = ttl;
   terms.margin = ttl / 10;
-  terms.answer_within = std::min<Micros>(kCallSpan, ttl / 4);
+  terms.answer_within = CallSpan(ttl);
   terms.spread = 100'000;
   terms.seed = seed;
   return terms;
@@ -78,7 +83,7 @@
       setup_(std::move(setup)),
       hands_(std::move(hands)),
       keys_{"/shelflink/" + setup_.fleet + '/'},
-      store_(loop, {setup_.servers, std::min<Micros>(kCallSpan, setup_.ttl / 4), 30'000'000,
+      store_(loop, {setup_.servers, CallSpan(setup_.ttl), 30'000'000,
                     [this](const std::string& line) { log_.Line(line); }}),
       view_(loop, store_, coordination::Prefix(keys_.prefix), setup_.seed ^ 1,
             [this] { OnView(); }),
@@ -265,7 +270,9 @@
 }
 
 void Fleet::LookDrained(const Standing& standing) {
-  if (!duty_.out() || (hands_.held() > 0 && Now() - out_since_ < kDrainSpan)) return;
+  const Micros out_for = Now() - out_since_;
+  if (!duty_.out() || out_for < kLeastOut) return;
+  if (hands_.held() > 0 && out_for < kDrainSpan) return;
   const auto part = PartOf(keys_.PartOf(standing.order.id, setup_.self.name));
   const bool own = part && part->start == setup_.self.start;
   if (standing.order.what == maintenance::What::kRestart && own) {
@@ -280,7 +287,7 @@
 // For as long as one call takes.
 bool Fleet::MayAct() const {
   const bool once = kelpspring::Mutated(kelpspring::Mutant::kActLate) && work_.fence() > 0;
-  return once || work_.Owns(kCallSpan);
+  return once || work_.Owns(CallSpan(setup_.ttl));
 }
 
 void Fleet::Plan(const Standing& standing) {
@@ -311,7 +318,8 @@
     return "act " + std::to_string(work_.fence()) + ' ' + standing.order.id + ' ' + to.member;
   });
   const maintenance::Call call{standing.order.id, standing.revision, work_.fence(), to.slot};
-  poster_.Post(*door, "/turn", maintenance::TextOf(call), std::chrono::microseconds(kCallSpan),
+  poster_.Post(*door, "/turn", maintenance::TextOf(call),
+               std::chrono::microseconds(CallSpan(setup_.ttl)),
                [this, member = to.member, alive = std::weak_ptr<bool>(alive_)](
                    int status, const std::string& text) {
                  if (alive.expired() || status == 202) return;
@@ -395,7 +403,7 @@
   Replace(order, maintenance::ChangeOrder(keys_, order, standing->revision), std::move(answered));
 }
 
-void Fleet::Replace(const Order& order, Txn txn, Answered answered) {
+void Fleet::Replace(const Order& order, const Txn& txn, Answered answered) {
   log_.Line("order " + order.id + ": " + WordOf(order.state) + ", as an operator asked");
   store_.Commit(txn, [id = order.id,
                       answered = std::move(answered)](const coordination::Answer<Done>& answer) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -109,7 +109,7 @@
   void EndOrder(const Standing& standing, maintenance::State state, const std::string& why);
   void Tick();
   void KeepLooking(const Standing& standing);
-  void Replace(const maintenance::Order& order, coordination::Txn txn, Answered answered);
+  void Replace(const maintenance::Order& order, const coordination::Txn& txn, Answered answered);
   bool SomebodyOut(const Standing& standing) const;
 
   net::Loop& loop_;
--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -16,6 +16,7 @@
 
 #include "lab/bench.h"
 #include "lab/control.h"
+#include "lab/coordinator.h"
 #include "lab/emulation.h"
 #include "lab/experiment.h"
 #include "lab/folder.h"
@@ -393,7 +394,7 @@
   struct Options {
     std::string file, out, report, program, logs, history, judge;
     std::optional<std::uint64_t> seed;
-    bool draw = false, compare = false, quiet = false;
+    bool draw = false, coordination = false, compare = false, quiet = false;
   };
   const auto o = std::make_shared<Options>();
   CLI::App* c = app.add_subcommand(
@@ -401,6 +402,8 @@
   auto* file = c->add_option("file", o->file, "fleet, load and [storm] (TOML)");
   c->add_option("--seed", o->seed, "in place of the file's");
   c->add_flag("--draw", o->draw, "draw the storm from the seed, in place of the file's");
+  c->add_flag("--coordination", o->coordination,
+              "with --draw: with a coordination store, and deeds to it and to owners");
   c->add_flag("--compare", o->compare,
               "play it without the storm first, for the time to full service");
   c->add_option("--program", o->program, "the sidecar, in place of the kelpspring beside this");
@@ -424,6 +427,7 @@
     if (o->draw) {
       storm::Drawing drawing;
       drawing.length = plan.load.Length();
+      drawing.coordination = o->coordination;
       plan.storm = storm::Draw(plan.experiment.seed, drawing);
     }
     if (!plan.storm.present) throw BadPlan(o->file + ": [storm]: missing");
@@ -464,6 +468,52 @@
   });
 }
 
+void AddCoordinator(CLI::App& app) {
+  const auto o = std::make_shared<CoordinatorOptions>();
+  CLI::App* c = app.add_subcommand(
+      "coordinator", "Stand in for a coordination store, over its published interface");
+  c->add_option("--listen", o->listen, "address and port")->capture_default_str();
+  c->add_option("--journal", o->journal, "keep what is acknowledged in this file");
+  c->add_option("--seed", o->seed, "of the answers that are lost")->capture_default_str();
+  c->callback([o] { RunCoordinator(*o); });
+}
+
+// drain and restart begin an order; the others speak of the one that is open.
+void AddFleet(CLI::App& app) {
+  struct Options {
+    FleetCall call;
+    std::string what;
+    std::vector<std::string> members;
+    std::uint32_t at_once = 1;
+    double back_within = 60;
+  };
+  const auto o = std::make_shared<Options>();
+  CLI::App* c = app.add_subcommand("fleet", "Ask a fleet through the door of one of its sidecars");
+  c->add_option("--door", o->call.door, "address and port of an operators' door")->required();
+  c->add_option("what", o->what, "show, drain, restart, pause, resume or off")
+      ->required()
+      ->check(CLI::IsMember({"show", "drain", "restart", "pause", "resume", "off"}));
+  c->add_option("--members", o->members, "these alone, in this order; all if not given")
+      ->delimiter(',');
+  c->add_option("--at-once", o->at_once, "how many may be out")->capture_default_str();
+  c->add_option("--back-within", o->back_within, "seconds, beyond which the order stops")
+      ->capture_default_str();
+  c->callback([o] {
+    if (o->what != "show") o->call.method = "POST";
+    if (o->what == "drain" || o->what == "restart") {
+      o->call.path = "/orders";
+      nlohmann::json wish = {
+          {"what", o->what}, {"at_once", o->at_once}, {"back_within_s", o->back_within}};
+      if (!o->members.empty()) wish["members"] = o->members;
+      o->call.body = wish.dump();
+    } else if (o->what != "show") {
+      o->call.path = "/orders/" + o->what;
+    }
+    const int code = AskFleet(o->call);
+    if (code != 0) throw CLI::RuntimeError(code);
+  });
+}
+
 void AddSeeds(CLI::App& app) {
   const auto o = std::make_shared<SeedsOptions>();
   CLI::App* c = app.add_subcommand(
@@ -508,6 +558,8 @@
   AddPlayback(app);
   AddSeeds(app);
   AddStorm(app);
+  AddCoordinator(app);
+  AddFleet(app);
 }
 
 }  // namespace shelflab
--- a/src/lab/emulation.cpp
+++ b/src/lab/emulation.cpp
@@ -39,6 +39,11 @@
 constexpr Micros kToldWithin = 16 * kSecond;
 constexpr std::size_t kCallsOfNode = 4096;
 constexpr std::uint16_t kSidecarPort = 7000;
+constexpr std::uint16_t kConsolePort = 7001;
+constexpr std::uint16_t kStorePort = 7002;
+constexpr std::uint32_t kStoreTier = 7;  // A row of addresses that no tier has.
+constexpr auto kHealthPause = std::chrono::milliseconds(100);
+constexpr Micros kSupervisorPause = 50'000;
 // From SIGTERM to SIGKILL: the longest deadline, counted as 3 s, and 0.7 s.
 constexpr Micros kKillAfter = 3 * kSecond + 700'000;
 
@@ -249,6 +254,7 @@
   std::uint64_t life = 0;  // Moves on with every start and every end.
   std::uint64_t starts = 0;
   bool ready = false;
+  bool unhealthy = false;  // It says so itself.
   bool wanted = false;
   Micros started = 0;
   Had had;
@@ -300,6 +306,7 @@
       catalog_(plan.fleet.discovery, static_cast<std::uint32_t>(plan.fleet.tiers.size())),
       timer_(io),
       sweep_timer_(io),
+      health_timer_(io),
       txns_(options_.seed, 0x7c05) {
   const auto& tiers = plan_.fleet.tiers;
   first_tier_sidecars_ = tiers.front().sidecars;
@@ -371,6 +378,7 @@
   }
   for (auto& s : sidecars_) s->had = first_lists_[s->tier];
   if (options_.peers > 0) StartRelay();
+  if (options_.coordinated) StartStoreRig();
   SweepIdle();
 }
 
@@ -386,7 +394,9 @@
   if (std::exchange(stopped_, true)) return;
   timer_.cancel();
   sweep_timer_.cancel();
+  health_timer_.cancel();
   if (relay_) relay_->Stop();
+  if (store_) store_->Stop();
   for (auto& s : sidecars_) {
     ++s->life;
     s->wanted = false;
@@ -1020,6 +1030,13 @@
     place.peers = PeersOf(s);
     place.peer_list_age = options_.peer_list_age;
   }
+  if (store_ && s.tier == 0) {
+    place.console = AddressText(store_->OwnDoor(s.number));
+    place.fleet = kStormFleet;
+    place.store = store_->StoreAddress(s.number);
+    place.door = store_->DoorAddress(s.number);
+    place.ttl = options_.ttl;
+  }
   place.seed = options_.seed * 0x9e3779b97f4a7c15ULL + std::uint64_t{977} * s.place + s.life;
   place.tier = s.tier;
   place.me = s.number;
@@ -1036,7 +1053,65 @@
     asio::post(io_, [this] { CheckAllReady(); });
     return;
   }
-  for (auto& s : sidecars_) StartSidecar(*s);
+  if (!store_) {
+    for (auto& s : sidecars_) StartSidecar(*s);
+    return;
+  }
+  store_->Start([this](const std::string& error) {
+    if (!error.empty()) return std::exchange(ready_, nullptr)(error);
+    for (auto& s : sidecars_) StartSidecar(*s);
+    ProbeHealth();
+  });
+}
+
+void Emulation::StartStoreRig() {
+  StoreRig::Setup setup;
+  setup.program = options_.lab_program;
+  setup.folder = options_.folder;
+  setup.seed = options_.seed;
+  setup.at = {SidecarAddress(kStoreTier, 0).address(), kStorePort};
+  for (std::uint32_t i = 0; i < first_tier_sidecars_; ++i) {
+    setup.doors.emplace_back(sidecars_[i]->listen.address(), kConsolePort);
+  }
+  store_ = std::make_unique<StoreRig>(io_, std::move(setup));
+}
+
+// As a front does that asks each sidecar for its health: who is not healthy gets no new
+// connections.
+void Emulation::ProbeHealth() {
+  for (std::uint32_t i = 0; i < first_tier_sidecars_; ++i) {
+    Sidecar& s = *sidecars_[i];
+    if (!s.wanted || (!s.ready && !s.unhealthy)) continue;
+    AskHealth(s, [this, &s, life = s.life](bool healthy) {
+      if (stopped_ || life != s.life || !s.wanted || s.unhealthy != healthy) return;
+      s.unhealthy = !healthy;
+      s.ready = healthy;
+      Note(healthy ? FleetNote::Kind::kReady : FleetNote::Kind::kUnready, s);
+    });
+  }
+  health_timer_.expires_after(kHealthPause);
+  health_timer_.async_wait([this](error_code ec) {
+    if (!ec && !stopped_) ProbeHealth();
+  });
+}
+
+// One that does not answer in time says nothing: a process that stands still is not drained.
+void Emulation::AskHealth(const Sidecar& s, std::function<void(bool)> told) {
+  CallHttp(io_, s.listen, "GET", "/_health", "",
+           [told = std::move(told)](int status, const std::string&) {
+             if (status != 0) told(status == 200);
+           });
+}
+
+bool Emulation::IsReady(std::uint32_t number) const { return sidecars_[number]->ready; }
+
+// It ended by itself, in order, as one that was restarted in its turn: whoever keeps it running
+// starts it again.
+void Emulation::Leave(Sidecar& s) {
+  s.wanted = s.ready = false;
+  const std::uint64_t life = ++s.life;
+  Note(FleetNote::Kind::kLeft, s);
+  StartAgain(s, life, Now() + kSupervisorPause, Now(), {});
 }
 
 std::string Emulation::StateOf(const Sidecar& s) const {
@@ -1066,7 +1141,7 @@
 void Emulation::StartSidecar(Sidecar& s, const Restart& restart) {
   if (stopped_ || options_.sidecar_program.empty()) return;
   s.process.Kill();
-  s.ready = false;
+  s.ready = s.unhealthy = false;
   s.wanted = true;
   s.started = Now();
   ++s.life;
@@ -1175,6 +1250,7 @@
     if (relay_) relay_->SetFault(number, fault);
     return;
   }
+  if (to >= storm::End::kStore) return StoreLink(number, to).SetFault(fault);
   Sidecar& s = *sidecars_[number];
   Link& link = *s.links[Index(to)];
   const LinkFault before = std::exchange(link.fault, fault);
@@ -1187,7 +1263,12 @@
   }
 }
 
+TcpRelay& Emulation::StoreLink(std::uint32_t number, storm::End to) {
+  return to == storm::End::kStore ? store_->StoreLink(number) : store_->DoorLink(number);
+}
+
 void Emulation::ResetLink(std::uint32_t number, storm::End to) {
+  if (to >= storm::End::kStore) return StoreLink(number, to).Reset();
   for (const auto& line : LinesOf(*sidecars_[number], to)) {
     line->Reset();
     if (to == storm::End::kNodes) {
@@ -1239,7 +1320,9 @@
 void Emulation::Watch() {
   for (auto& s : sidecars_) {
     const auto status = s->process.pid() > 0 ? s->process.Ended() : std::nullopt;
-    if (status && s->wanted) {
+    if (status && s->wanted && store_ && *status == 0) {
+      Leave(*s);
+    } else if (status && s->wanted) {
       ++crashes_;
       s->wanted = s->ready = false;
       ++s->life;
--- a/src/lab/emulation.h
+++ b/src/lab/emulation.h
@@ -26,12 +26,25 @@
 #include "lab/plan.h"
 #include "lab/process.h"
 #include "lab/relay.h"
+#include "lab/store_rig.h"
 
 namespace shelflab {
 
 // What befalls one sidecar, or what it does that others see.
 struct FleetNote {
-  enum class Kind { kStarted, kReady, kKilled, kStopped, kWoken, kCalled, kTold, kConnected };
+  // kLeft: it ended by itself, in order. kUnready: it says that it is not healthy; kReady again.
+  enum class Kind {
+    kStarted,
+    kReady,
+    kKilled,
+    kStopped,
+    kWoken,
+    kCalled,
+    kTold,
+    kConnected,
+    kLeft,
+    kUnready
+  };
   Kind kind = Kind::kStarted;
   Micros at = 0;
   std::uint32_t sidecar = 0;  // Its place among all.
@@ -52,6 +65,12 @@
   // whoever drives the load tells beforehand.
   std::uint32_t peers = 0;
   Micros peer_list_age = 300 * kSecond;
+  // There is a coordination store, a process of its own, and sidecars of the first tier are members
+  // of one fleet. One that ends by itself is started again, and a front is told who says that it is
+  // not healthy.
+  bool coordinated = false;
+  std::string lab_program{};                              // That has the store.
+  Micros ttl = 3 * kSecond;                               // Of leases.
   std::function<void(const FleetNote&)> notes = nullptr;  // May be empty.
 };
 
@@ -110,6 +129,11 @@
   void SetLink(std::uint32_t number, storm::End to, const LinkFault& fault);
   void ResetLink(std::uint32_t number, storm::End to);
 
+  // Null where there is no coordination store.
+  StoreRig* store() { return store_.get(); }
+  // Whether it is running and answers for its health.
+  bool IsReady(std::uint32_t number) const;
+
   // The request goes to that sidecar of the first tier next.
   void Expect(std::uint64_t txn, std::uint32_t number);
 
@@ -171,6 +195,11 @@
   std::string StateOf(const Sidecar& sidecar) const;
   bool OneDoor(std::uint32_t tier) const { return tier != 0 || options_.peers > 0; }
   void StartRelay();
+  void StartStoreRig();
+  TcpRelay& StoreLink(std::uint32_t number, storm::End to);
+  void ProbeHealth();
+  void Leave(Sidecar& sidecar);
+  void AskHealth(const Sidecar& sidecar, std::function<void(bool healthy)> told);
   std::vector<std::string> PeersOf(const Sidecar& sidecar) const;
   void Befall(const Sidecar& sidecar, storm::Folder folder) const;
   void StartAgain(Sidecar& sidecar, std::uint64_t life, Micros at, Micros kill_at,
@@ -197,7 +226,9 @@
   Lateness late_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::vector<std::unique_ptr<Sidecar>> sidecars_;
-  std::unique_ptr<Relay> relay_;                               // Null without peers.
+  std::unique_ptr<Relay> relay_;     // Null without peers.
+  std::unique_ptr<StoreRig> store_;  // Null without coordination.
+  boost::asio::steady_timer health_timer_;
   std::map<std::int64_t, std::map<NodeId, Listed>> versions_;  // Of the first tier, as told.
   std::vector<Had> first_lists_;                               // By tier.
   std::unordered_map<std::uint64_t, Open> open_;  // Attempts at endpoints, by their number.
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -365,22 +365,28 @@
   using storm::Deed;
   t.Required("deed");
   t.Required("at");
-  t.Word<Deed>("deed", e.deed, WordsTo(Deed::kSplit));
+  t.Word<Deed>("deed", e.deed, WordsTo(Deed::kStoreCompact));
   t.Span("at", e.at, 0);
   t.Span("for", e.lasts, 0);
   t.Number("share", e.share, 0.000001, 1);
-  if (e.deed == Deed::kDelay || e.deed == Deed::kReorder) t.Required("delay_ms");
+  const bool late =
+      e.deed == Deed::kDelay || e.deed == Deed::kReorder || e.deed == Deed::kStoreLate;
+  if (late) t.Required("delay_ms");
+  t.Bool("owner", e.owner);
+  if (e.owner && (t.Has("share") || OnStore(e.deed))) {
+    t.Fault("owner", "expected without a share, for a deed to processes or links");
+  }
   t.Number("delay_ms", e.size, 0, 60'000);
-  t.Word<storm::End>("to", e.to, WordsTo(storm::End::kPeers));
+  t.Word<storm::End>("to", e.to, WordsTo(storm::End::kDoors));
   if (OnMessages(e.deed)) {
     if (!t.Has("to")) e.to = storm::End::kPeers;
     if (e.to != storm::End::kPeers) t.Fault("to", "expected peers for a deed to messages");
-    if (e.deed == Deed::kLose || e.deed == Deed::kRepeat) {
-      t.Required("part");
-      t.Number("part", e.size, 0, 1);
-    }
+  }
+  if (e.deed == Deed::kLose || e.deed == Deed::kRepeat || e.deed == Deed::kStoreLose) {
+    t.Required("part");
+    t.Number("part", e.size, 0, 1);
   } else if (t.Has("part")) {
-    t.Fault("part", "expected only for lose and repeat");
+    t.Fault("part", "expected only for lose, repeat and store_lose");
   }
   if (e.deed == Deed::kReset && e.to == storm::End::kPeers) {
     t.Fault("to", "expected nodes or discovery: datagrams have no connection to reset");
@@ -394,6 +400,16 @@
   }
 }
 
+void ReadOrder(Table& t, storm::Order& o) {
+  using Ask = storm::Order::Ask;
+  t.Required("at");
+  t.Required("ask");
+  t.Span("at", o.at, 0);
+  t.Word<Ask>("ask", o.ask, WordsTo(Ask::kOff));
+  t.Count("at_once", o.at_once, 1, 5000);
+  t.Span("back_within", o.back_within, 1);
+}
+
 void ReadFleet(Table& root, Plan& plan) {
   root.Sub("fleet", [&](Table& t) {
     t.Text("zone", plan.fleet.zone);
@@ -497,9 +513,18 @@
     t.Bool("state", plan.storm.state);
     t.Count("peers", plan.storm.peers, 0, 64);
     t.Span("list_age", plan.storm.list_age, 0.001);
+    t.Bool("coordination", plan.storm.coordination);
+    t.Span("ttl", plan.storm.ttl, 1);
+    t.Each("order", [&](Table& o) { ReadOrder(o, plan.storm.orders.emplace_back()); });
+    if (!plan.storm.orders.empty() && !plan.storm.coordination) {
+      t.Fault("order", "expected storm.coordination");
+    }
     t.Each("event", [&](Table& e) {
       storm::Event& event = plan.storm.events.emplace_back();
       ReadEvent(e, event);
+      const bool store = event.owner || OnStore(event.deed) ||
+                         (OnLinks(event.deed) && event.to >= storm::End::kStore);
+      if (store && !plan.storm.coordination) e.Fault("deed", "expected storm.coordination");
       if (!OnLinks(event.deed)) return;
       const bool peers = event.to == storm::End::kPeers;
       if (peers && plan.storm.peers == 0) e.Fault("to", "expected storm.peers above 0");
--- a/src/lab/sidecar_config.cpp
+++ b/src/lab/sidecar_config.cpp
@@ -92,6 +92,13 @@
                             {"others", place.peers},
                             {"list_age_s", static_cast<double>(place.peer_list_age) / 1e6}};
   }
+  if (!place.console.empty()) config["console"] = place.console;
+  if (!place.store.empty()) {
+    config["coordination"] = {{"fleet", place.fleet},
+                              {"store", Json::array({"http://" + place.store})},
+                              {"door", place.door},
+                              {"ttl_s", static_cast<double>(place.ttl) / 1e6}};
+  }
   return config.dump();
 }
 
--- a/src/lab/sidecar_config.h
+++ b/src/lab/sidecar_config.h
@@ -21,6 +21,12 @@
   std::string peer_listen{};
   std::vector<std::string> peers{};
   Micros peer_list_age = 300 * kSecond;
+  // The operators' door, and what it shares with its fleet; empty: none.
+  std::string console{};
+  std::string fleet{};
+  std::string store{};       // Address and port.
+  std::string door{};        // Where others find the operators' door.
+  Micros ttl = 5 * kSecond;  // Of leases.
   std::uint64_t seed = 0;
   std::uint32_t tier = 0;
   std::uint32_t me = 0;     // Its number among those of its tier,
--- a/src/lab/storm.cpp
+++ b/src/lab/storm.cpp
@@ -36,6 +36,7 @@
 constexpr Micros kAhead = 300'000;
 constexpr auto kSettle = std::chrono::milliseconds(500);
 // After SIGTERM the front deals out connections for so long.
+constexpr Micros kAskPause = 200'000;  // Between an operator's tries.
 constexpr Micros kTermNotice = 300'000;
 constexpr std::size_t kMostFindings = 20;  // Told in a result, of each run.
 
@@ -147,6 +148,10 @@
     options.stateful = plan_.storm.state;
     options.peers = plan_.storm.peers;
     options.peer_list_age = plan_.storm.list_age;
+    options.coordinated = plan_.storm.coordination;
+    options.ttl = plan_.storm.ttl;
+    options.lab_program =
+        options_.lab_program.empty() ? ProgramFolder() + "/shelflab" : options_.lab_program;
     options.notes = [this](const FleetNote& note) { On(note); };
     return options;
   }
@@ -166,9 +171,88 @@
     for (std::size_t i = 0; i < emulation_.Targets().size(); ++i) load_.TellFront(i, true);
     load_.Start(start_, [this] { Finish(); });
     NextDeal();
+    for (const storm::Order& order : plan_.storm.orders) {
+      After(start_ + order.at - Now(), [this, order] { Ask(order, 0); });
+    }
     Tick();
   }
 
+  // ---- What operators ask ----
+
+  // Of the first process that can do it, as an operator would.
+  void Ask(const storm::Order& order, std::uint32_t first) {
+    if (interrupted_ || Now() > start_ + plan_.load.Length()) return;
+    const std::uint32_t count = plan_.fleet.tiers.front().sidecars;
+    std::uint32_t process = first;
+    while (process < count && !emulation_.IsReady(process)) ++process;
+    const auto later = [this, order](std::uint32_t next) {
+      After(kAskPause, [this, order, next] { Ask(order, next); });
+    };
+    if (process >= count) return later(0);
+    const Json wish = {{"what", WordOf(order.ask)},
+                       {"at_once", order.at_once},
+                       {"back_within_s", static_cast<double>(order.back_within) / 1e6}};
+    const bool begins = order.ask <= storm::Order::Ask::kRestart;
+    CallHttp(io_, emulation_.store()->OwnDoor(process), "POST",
+             begins ? "/orders" : std::string("/orders/") + WordOf(order.ask),
+             begins ? wish.dump() : "",
+             [this, order, process, begins, later](int status, const std::string& text) {
+               const std::string id = text.substr(0, text.find('\n'));
+               // What is not known is looked at by asking again: an order that stands is refused.
+               if (status != 200 && status != 409) return later(process + 1);
+               if (status == 200 && begins) Ordered(id, order.at_once);
+               if (status == 409 && begins) NoteStandingOrder();
+             });
+  }
+
+  void Ordered(const std::string& id, std::uint32_t at_once) {
+    history_.push_back({Now(), "operator", 0, storm::what::kOrdered, at_once, id});
+  }
+  void NoteStandingOrder() {
+    emulation_.store()->AskOrder([this](const std::string& text) {
+      const Json order = Json::parse(text, nullptr, false);
+      if (order.is_object()) Ordered(order.value("id", ""), order.value("at_once", 1U));
+    });
+  }
+
+  // ---- Deeds to the store and to owners ----
+
+  void CarryToStore(const storm::Event& e) {
+    StoreRig& store = *emulation_.store();
+    const auto faults = [&](const char* key, double size) {
+      store.Tell("/lab/faults", Json{{key, size}}.dump());
+      After(e.lasts, [&store] { store.Tell("/lab/faults", "{}"); });
+    };
+    switch (e.deed) {
+      case Deed::kStoreKill:
+        store.Kill();
+        return After(e.lasts, [&store] { store.StartAgain(); });
+      case Deed::kStoreStop:
+        store.Halt();
+        return After(e.lasts, [&store] { store.Wake(); });
+      case Deed::kStoreLate:
+        store.Tell("/lab/faults", Json{{"late_ms", static_cast<unsigned>(e.size)}}.dump());
+        return After(e.lasts, [&store] { store.Tell("/lab/faults", "{}"); });
+      case Deed::kStoreLose:
+        return faults("lose", e.size);
+      case Deed::kStoreDrop:
+        return store.Tell("/lab/drop_watches", "{}");
+      default:
+        return store.Tell("/lab/compact", "{}");
+    }
+  }
+
+  // Where the store cannot say who it is, nobody is befallen.
+  void CarryToOwner(const storm::Deal& deal) {
+    emulation_.store()->AskOwner([this, deal](std::optional<std::uint32_t> process) {
+      if (!process || *process >= plan_.fleet.tiers.front().sidecars) return;
+      storm::Deal known = deal;
+      known.process = *process;
+      known.event.owner = false;
+      Carry(known);
+    });
+  }
+
   void NextDeal() {
     if (dealt_ >= deals_.size()) return;
     deal_timer_.expires_at(At(start_ + deals_[dealt_].at));
@@ -184,6 +268,11 @@
 
   void Carry(const storm::Deal& deal) {
     const storm::Event& e = deal.event;
+    if (e.owner) return CarryToOwner(deal);
+    if (OnStore(e.deed)) {
+      history_.push_back({Now(), "store", 0, "fault", std::nullopt, WordOf(e.deed)});
+      return CarryToStore(e);
+    }
     history_.push_back({Now(), NameOf(deal.process), 0, "fault", std::nullopt, WordOf(e.deed)});
     const Restart restart{e.memory, e.folder};
     LinkFault fault;
@@ -221,6 +310,8 @@
       case Deed::kSplit:
         fault.apart = true;
         break;
+      default:
+        return;
     }
     emulation_.SetLink(deal.process, e.to, fault);
     After(e.lasts, [this, p = deal.process, to = e.to] { emulation_.SetLink(p, to, {}); });
@@ -249,7 +340,14 @@
 
   void Finish() {
     settle_timer_.expires_after(kSettle);
-    settle_timer_.async_wait([this](error_code) { io_.stop(); });
+    settle_timer_.async_wait([this](error_code) {
+      if (!plan_.storm.coordination || interrupted_) return io_.stop();
+      emulation_.store()->AskOrder([this](const std::string& text) {
+        const Json order = Json::parse(text, nullptr, false);
+        order_ = order.is_object() ? order.value("state", "") : "";
+        io_.stop();
+      });
+    });
   }
 
   // ---- What is seen of the processes ----
@@ -280,6 +378,9 @@
         excuses_.Excuse(note.sidecar, note.at);
         excuses_.SetStill(note.sidecar, true);
         return tell_front(std::min(plan_.storm.notice, kTermNotice), false);
+      case Kind::kUnready:
+      case Kind::kLeft:
+        return load_.TellFront(note.sidecar, false);
       case Kind::kStopped:
         excuses_.Excuse(note.sidecar, note.at);
         excuses_.SetStill(note.sidecar, true);
@@ -301,7 +402,9 @@
         {FleetNote::Kind::kWoken, storm::what::kWoken},
         {FleetNote::Kind::kCalled, storm::what::kCalled},
         {FleetNote::Kind::kTold, storm::what::kTold},
-        {FleetNote::Kind::kConnected, storm::what::kConnected}};
+        {FleetNote::Kind::kConnected, storm::what::kConnected},
+        {FleetNote::Kind::kLeft, storm::what::kLeft},
+        {FleetNote::Kind::kUnready, storm::what::kUnready}};
     Record record{note.at, NameOf(note.sidecar), note.life, kWords.at(note.kind), {}, {}};
     if (note.kind == FleetNote::Kind::kTold) record.version = note.version;
     if (note.kind == FleetNote::Kind::kConnected) record.about = NodeName(plan_.fleet, note.node);
@@ -398,6 +501,11 @@
             {"heard", j.heard},
             {"recalled", j.recalled},
             {"decisions", j.decisions},
+            {"wins", j.wins},
+            {"outs", j.outs},
+            {"late_refused", j.late_refused},
+            {"longest_ownerless_s", static_cast<double>(j.longest_ownerless) / 1e6},
+            {"order", order_},
             {"calls", j.calls},
             {"fullest_tenth_calls", j.fullest_tenth_calls},
             {"connections", j.connections},
@@ -427,6 +535,7 @@
   Micros start_ = 0;
   Micros ended_at_ = 0;
   bool interrupted_ = false;
+  std::string order_;  // Its state at the end.
   std::string error_;
 };
 
--- a/src/lab/storm.h
+++ b/src/lab/storm.h
@@ -14,7 +14,9 @@
 
 struct StormOptions {
   std::string sidecar_program;
-  std::string folder;   // For configurations, logs and the history.
+  std::string folder;  // For configurations, logs and the history.
+  // With a coordination store: the program that has it; empty: the shelflab beside this.
+  std::string lab_program{};
   std::string history;  // Where the history goes (JSON lines); empty: nowhere.
   bool calm = false;    // The same load without the storm, to compare with.
   // A line of progress now and then.
--- a/src/storm/history.cpp
+++ b/src/storm/history.cpp
@@ -87,6 +87,12 @@
   } else if (event == what::kLesson || event == what::kRecall) {
     rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
     record.about = std::string(rest);
+  } else if (event == what::kWon || event == what::kLost || event == what::kAct ||
+             event == what::kOut || event == what::kBack || event == what::kLate ||
+             event == what::kRefused) {
+    record.version = Number(NextWord(rest));
+    rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
+    record.about = std::string(rest);
   } else if (event == what::kSend) {
     record.version = Number(After(rest, "version"));
     record.about = std::string(After(rest, "to"));
--- a/src/storm/history.h
+++ b/src/storm/history.h
@@ -25,7 +25,18 @@
 constexpr const char* kRecall = "recall";  // It began with what an earlier life had learned; about.
 constexpr const char* kAsk = "ask";        // It asked discovery.
 constexpr const char* kSend = "send";  // It sent an attempt, resting on a version; about: to whom.
+// Of processes that share a coordination store; version: a fence.
+constexpr const char* kWon = "won";    // It owns maintenance from now on.
+constexpr const char* kLost = "lost";  // It owns it no more.
+constexpr const char* kAct = "act";    // It called a member; about: order and member.
+constexpr const char* kOut = "out";    // Its turn: it goes out; version: the revision at which the
+                                       // store noted its part; about: the caller's fence, order.
+constexpr const char* kBack = "back";  // It is back; about: order.
+constexpr const char* kLate = "refused_late";         // A call: the fence is lower than one seen.
+constexpr const char* kRefused = "refused_by_store";  // A call: the store says that it is over.
 // Of the lab.
+constexpr const char* kOrdered = "ordered";  // An operator's order was taken; version: how many may
+                                             // be out at once; about: its name.
 constexpr const char* kStarted = "started";
 constexpr const char* kReady = "ready";
 constexpr const char* kKilled = "killed";
@@ -34,6 +45,8 @@
 constexpr const char* kCalled = "called";        // Its call reached discovery.
 constexpr const char* kTold = "told";            // Discovery has written it an answer: version.
 constexpr const char* kConnected = "connected";  // A connection of it came up; about: at whom.
+constexpr const char* kLeft = "left";            // It ended by itself, in order.
+constexpr const char* kUnready = "unready";      // It says that it is not healthy.
 }  // namespace what
 
 struct Record {
--- a/src/storm/judge.cpp
+++ b/src/storm/judge.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
 #include <iterator>
+#include <set>
 #include <sstream>
 #include <utility>
 
@@ -29,11 +31,126 @@
   }
 };
 
+std::vector<std::string> WordsOf(const std::string& text) {
+  std::istringstream in(text);
+  return std::vector<std::string>(std::istream_iterator<std::string>(in), {});
+}
+
+std::optional<std::int64_t> NumberOf(const std::string& word) {
+  std::int64_t value = 0;
+  const char* end = word.data() + word.size();
+  const auto r = std::from_chars(word.data(), end, value);
+  return r.ec == std::errc() && r.ptr == end ? std::optional(value) : std::nullopt;
+}
+
+// Of work that one does for all: who owned it, who obeyed whom. What the store has ordered is
+// compared by its revisions, which no clock sways.
+class Turns {
+ public:
+  using Find = std::function<void(const Record&, std::string rule, std::string text)>;
+
+  Turns(const Promise& promise, Find find) : promise_(promise), find_(std::move(find)) {}
+
+  // In a first pass, since whoever wins tells so later than the store did it.
+  void Hear(const Record& r) {
+    if (r.what == what::kWon && r.version) wins_.emplace_back(r.at, *r.version);
+    if (r.what == what::kOrdered && r.version) at_once_[r.about] = *r.version;
+  }
+
+  void Read(const Record& r, Judgement& judgement) {
+    if (r.what == what::kWon && r.version) Won(r, judgement);
+    if (r.what == what::kOut) Out(r, judgement);
+    if (r.what == what::kAct) Act(r);
+    if (r.what == what::kBack) Back(r);
+    if (r.what == what::kLate || r.what == what::kRefused) ++judgement.late_refused;
+    // Whoever owned does so no more, or cannot act on it.
+    const bool ends = r.what == what::kLost || r.what == what::kKilled ||
+                      r.what == what::kStopped || r.what == what::kLeft;
+    if (ends && r.who == owner_ && !ownerless_) ownerless_ = r.at;
+    if (r.what == what::kWoken && r.who == owner_) ownerless_.reset();
+  }
+
+ private:
+  void Won(const Record& r, Judgement& judgement) {
+    ++judgement.wins;
+    if (ownerless_) {
+      judgement.longest_ownerless = std::max(judgement.longest_ownerless, r.at - *ownerless_);
+    }
+    owner_ = r.who;
+    ownerless_.reset();
+    if (!fences_.insert(*r.version).second) {
+      find_(r, "one fence for two", std::to_string(*r.version));
+    }
+  }
+
+  // The receiver's guard: fences never go down, and nobody is obeyed after another has won.
+  void Out(const Record& r, Judgement& judgement) {
+    ++judgement.outs;
+    const auto words = WordsOf(r.about);
+    const auto fence = words.empty() ? std::nullopt : NumberOf(words.front());
+    if (!r.version || !fence || words.size() < 2) return find_(r, "a turn of no fence", r.about);
+    std::int64_t& highest = highest_[r.who];
+    if (*fence < highest) {
+      find_(r, "a lower fence after a higher",
+            std::to_string(*fence) + " after " + std::to_string(highest));
+    }
+    highest = std::max(highest, *fence);
+    for (const auto& [at, won] : wins_) {
+      if (won > *fence && won < *r.version) {
+        find_(r, "a late owner was obeyed",
+              "fence " + std::to_string(*fence) + " at revision " + std::to_string(*r.version) +
+                  ", after " + std::to_string(won) + " had won");
+      }
+    }
+    const std::string& order = words[1];
+    if (!outs_.insert(order + ' ' + r.who).second) find_(r, "out twice for one order", order);
+    std::set<std::string>& out = out_now_[order];
+    out.insert(r.who);
+    const auto most = at_once_.find(order);
+    if (most != at_once_.end() && static_cast<std::int64_t>(out.size()) > most->second) {
+      find_(r, "more are out than were to be", std::to_string(out.size()) + " of " + order);
+    }
+  }
+
+  void Back(const Record& r) { out_now_[r.about].erase(r.who); }
+
+  void Act(const Record& r) {
+    for (const auto& [at, won] : wins_) {
+      if (r.version && won > *r.version && at + promise_.act_slack < r.at) {
+        return find_(r, "an owner acted late",
+                     "with fence " + std::to_string(*r.version) + ", " +
+                         std::to_string((r.at - at) / 1000) + " ms after " + std::to_string(won) +
+                         " had won");
+      }
+    }
+  }
+
+  const Promise& promise_;
+  Find find_;
+  std::vector<std::pair<Micros, std::int64_t>> wins_;
+  std::map<std::string, std::int64_t> at_once_;  // By order.
+  std::set<std::int64_t> fences_;
+  std::map<std::string, std::int64_t> highest_;  // By process: fence that it obeyed.
+  std::set<std::string> outs_;                   // Order and process.
+  std::map<std::string, std::set<std::string>> out_now_;
+  std::string owner_;
+  std::optional<Micros> ownerless_;  // Since then.
+};
+
 class Reader {
  public:
-  Reader(const Promise& promise, Micros since) : promise_(promise), since_(since) {}
+  Reader(const Promise& promise, Micros since)
+      : promise_(promise),
+        since_(since),
+        turns_(promise_, [this](const Record& r, std::string rule, std::string text) {
+          Find(r, std::move(rule), std::move(text));
+        }) {}
+  Reader(const Reader&) = delete;
+  Reader& operator=(const Reader&) = delete;
 
+  void Hear(const Record& r) { turns_.Hear(r); }
   void Read(const Record& r) {
+    turns_.Read(r, judgement_);
     if (r.what == what::kCalled) return Called(r);
     if (r.what == what::kConnected) return Connected(r);
     if (r.what == what::kStarted) return Started(r);
@@ -144,12 +261,8 @@
 
   // The same limit, and nobody shunned who was not; some may have served their time since.
   static bool Within(const std::string& recalled, const std::string& learned) {
-    const auto words = [](const std::string& text) {
-      std::istringstream in(text);
-      return std::vector<std::string>(std::istream_iterator<std::string>(in), {});
-    };
-    const auto had = words(learned);
-    const auto has = words(recalled);
+    const auto had = WordsOf(learned);
+    const auto has = WordsOf(recalled);
     if (has.empty() || had.empty() || has.front() != had.front()) return false;
     return std::all_of(has.begin(), has.end(), [&](const std::string& word) {
       return std::find(had.begin(), had.end(), word) != had.end();
@@ -185,6 +298,7 @@
   std::map<std::int64_t, Micros> said_;  // By version: when discovery wrote it last, to anybody.
   std::vector<Micros> calls_;
   std::vector<Micros> connections_;
+  Turns turns_;
 };
 
 }  // namespace
@@ -203,6 +317,7 @@
   std::stable_sort(history.begin(), history.end(),
                    [](const Record& a, const Record& b) { return a.at < b.at; });
   Reader reader(promise, since);
+  for (const Record& record : history) reader.Hear(record);
   for (const Record& record : history) reader.Read(record);
   return reader.Finish();
 }
--- a/src/storm/judge.h
+++ b/src/storm/judge.h
@@ -22,6 +22,8 @@
   Micros clocks = 20'000;
   // Beyond which limits and shunned endpoints of an earlier life decide nothing.
   Micros lesson_age = 60 * kSecond;
+  // How exactly an owner's look at its lease and its call are one.
+  Micros act_slack = 50'000;
   // Within which list calls of a process that has come back are counted.
   Micros return_span = 10 * kSecond;
 };
@@ -53,6 +55,11 @@
   std::size_t heard = 0;      // Lists that were taken from peers.
   std::size_t recalled = 0;   // Lessons of earlier lives that a process began with.
   std::size_t decisions = 0;  // That were held to the promise about stale ones.
+  // Of work that one does for all.
+  std::size_t wins = 0;          // Of its ownership.
+  std::size_t outs = 0;          // Turns that were taken.
+  std::size_t late_refused = 0;  // Calls of owners that owned no more, by receiver or store.
+  Micros longest_ownerless = 0;  // From a loss, a death or a stop of the owner to the next win.
 };
 
 // In any order of the records; those before `since` count for what was known, not for the tenths.
--- a/src/storm/script.cpp
+++ b/src/storm/script.cpp
@@ -10,11 +10,13 @@
 namespace storm {
 namespace {
 
-constexpr std::array<const char*, 12> kDeeds = {"kill", "terminate", "stop",    "silence",
-                                                "deaf", "mute",      "delay",   "reset",
-                                                "lose", "repeat",    "reorder", "split"};
+constexpr std::array<const char*, 18> kDeeds = {
+    "kill",       "terminate",  "stop",       "silence",    "deaf",       "mute",
+    "delay",      "reset",      "lose",       "repeat",     "reorder",    "split",
+    "store_kill", "store_stop", "store_late", "store_lose", "store_drop", "store_compact"};
+constexpr std::array<const char*, 5> kAsks = {"drain", "restart", "pause", "resume", "off"};
 constexpr std::size_t kDrawnDeeds = 8;  // Of any process; the others are drawn for messages.
-constexpr std::array<const char*, 3> kEnds = {"nodes", "discovery", "peers"};
+constexpr std::array<const char*, 5> kEnds = {"nodes", "discovery", "peers", "store", "doors"};
 constexpr std::array<const char*, 3> kMemories = {"last", "first", "none"};
 constexpr std::array<const char*, 5> kFolders = {"kept", "empty", "torn", "foreign", "garbage"};
 
@@ -81,11 +83,47 @@
   }
 }
 
+// To owners, the store and the links between: what may go wrong with work that one does for all.
+void DrawCoordination(Storm& storm, double latest, Dice& dice) {
+  storm.coordination = true;
+  Order order;
+  order.at = kSecond;
+  order.ask = dice.Unit() < 0.5 ? Order::Ask::kDrain : Order::Ask::kRestart;
+  order.at_once = 1 + static_cast<std::uint32_t>(dice.Below(3));
+  storm.orders.push_back(order);
+  constexpr std::array kToStore = {Deed::kStoreKill, Deed::kStoreStop, Deed::kStoreLate,
+                                   Deed::kStoreLose, Deed::kStoreDrop, Deed::kStoreCompact};
+  constexpr std::array kToOwner = {Deed::kKill, Deed::kTerminate, Deed::kStop,  Deed::kSilence,
+                                   Deed::kDeaf, Deed::kMute,      Deed::kDelay, Deed::kReset};
+  for (std::size_t i = 0, count = 3 + dice.Below(5); i < count; ++i) {
+    Event e;
+    const bool store = dice.Unit() < 0.4;
+    e.deed =
+        store ? kToStore.at(dice.Below(kToStore.size())) : kToOwner.at(dice.Below(kToOwner.size()));
+    e.at = static_cast<Micros>(dice.Between(static_cast<double>(kSecond), latest));
+    e.lasts = static_cast<Micros>(dice.Between(0.3, 3 * static_cast<double>(storm.ttl) / kSecond) *
+                                  kSecond);
+    e.owner = !store && dice.Unit() < 0.6;
+    e.share = dice.Between(0.1, 0.5);
+    e.to = dice.Unit() < 0.6 ? End::kStore : End::kDoors;
+    e.size =
+        e.deed == Deed::kStoreLose ? dice.Between(0.1, 0.7) : std::round(dice.Between(50, 2000));
+    const bool once =
+        e.deed == Deed::kReset || e.deed == Deed::kStoreDrop || e.deed == Deed::kStoreCompact;
+    if (once) e.lasts = 0;
+    // Requests of a process that is killed are judged like any others.
+    if (e.deed == Deed::kKill || e.deed == Deed::kTerminate) e.lasts = std::min(e.lasts, kSecond);
+    storm.events.push_back(e);
+  }
+}
+
 }  // namespace
 
 const char* WordOf(Deed deed) { return kDeeds[static_cast<std::size_t>(deed)]; }
-bool OnLinks(Deed deed) { return deed >= Deed::kSilence; }
-bool OnMessages(Deed deed) { return deed >= Deed::kLose; }
+const char* WordOf(Order::Ask ask) { return kAsks[static_cast<std::size_t>(ask)]; }
+bool OnLinks(Deed deed) { return deed >= Deed::kSilence && !OnStore(deed); }
+bool OnMessages(Deed deed) { return deed >= Deed::kLose && !OnStore(deed); }
+bool OnStore(Deed deed) { return deed >= Deed::kStoreKill; }
 const char* WordOf(End end) { return kEnds[static_cast<std::size_t>(end)]; }
 const char* WordOf(Memory memory) { return kMemories[static_cast<std::size_t>(memory)]; }
 const char* WordOf(Folder folder) { return kFolders[static_cast<std::size_t>(folder)]; }
@@ -94,6 +132,10 @@
   std::vector<Deal> deals;
   Dice dice(seed ^ 0x73746f726d);
   for (const Event& event : storm.events) {
+    if (event.owner || OnStore(event.deed)) {
+      deals.push_back({event.at, 0, event});
+      continue;
+    }
     for (const std::uint32_t process : Chosen(processes, event.share, dice)) {
       deals.push_back({event.at, process, event});
     }
@@ -106,6 +148,7 @@
 Micros EndOf(const Storm& storm) {
   Micros end = 0;
   for (const Event& event : storm.events) end = std::max(end, event.at + event.lasts);
+  for (const Order& order : storm.orders) end = std::max(end, order.at);
   return end;
 }
 
@@ -135,6 +178,7 @@
     storm.events.push_back(e);
   }
   if (drawing.peers) DrawMessages(storm, latest, dice);
+  if (drawing.coordination) DrawCoordination(storm, latest, dice);
   std::stable_sort(storm.events.begin(), storm.events.end(),
                    [](const Event& a, const Event& b) { return a.at < b.at; });
   return storm;
--- a/src/storm/script.h
+++ b/src/storm/script.h
@@ -28,13 +28,22 @@
   kRepeat,   // size: share of them that come twice.
   kReorder,  // size: milliseconds by which each is late, drawn up to this.
   kSplit,    // The share and the others: nothing passes between the two.
+  // The coordination store itself, until `lasts` is over.
+  kStoreKill,     // SIGKILL; started again with what it had acknowledged.
+  kStoreStop,     // SIGSTOP, and SIGCONT.
+  kStoreLate,     // size: milliseconds from each effect to its answer.
+  kStoreLose,     // size: share of the answers that never come, though their effect is there.
+  kStoreDrop,     // Every watch is dropped, once.
+  kStoreCompact,  // All that happened before is forgotten, once.
 };
 const char* WordOf(Deed deed);
 bool OnLinks(Deed deed);
 bool OnMessages(Deed deed);
+bool OnStore(Deed deed);
 
 // Who stands at the other end of a link.
-enum class End { kNodes, kDiscovery, kPeers };
+// kStore: the coordination store; kDoors: the others' calls to the process.
+enum class End { kNodes, kDiscovery, kPeers, kStore, kDoors };
 const char* WordOf(End end);
 
 // The list that a process is started with again.
@@ -64,15 +73,29 @@
   End to = End::kDiscovery;
   Memory memory = Memory::kLast;
   Folder folder = Folder::kKept;
+  bool owner = false;  // To whoever owns maintenance then, in place of a share.
 };
 
+// What an operator asks of the fleet, through the door of some process.
+struct Order {
+  enum class Ask { kDrain, kRestart, kPause, kResume, kOff };
+  Micros at = 0;
+  Ask ask = Ask::kDrain;
+  std::uint32_t at_once = 1;
+  Micros back_within = 60 * kSecond;
+};
+const char* WordOf(Order::Ask ask);
+
 struct Storm {
   bool present = false;
   bool state = false;               // Processes remember, each in a folder of its own.
   std::uint32_t peers = 0;          // That each process is told of; 0: none.
   Micros list_age = 300 * kSecond;  // Beyond which a list of theirs is not taken.
   Micros notice = kSecond;          // From a process's death until the front deals it nothing more.
+  bool coordination = false;        // There is a coordination store, and all are members.
+  Micros ttl = 3 * kSecond;         // Of leases.
   std::vector<Event> events;
+  std::vector<Order> orders;
 };
 
 // One deed to one process.
@@ -96,6 +119,9 @@
   std::uint32_t fewest = 2;
   std::uint32_t most = 5;
   bool peers = false;  // Processes have peers, and links between them are befallen too.
+  // There is a coordination store and an order to all; deeds are to owners, the store and links to
+  // it too.
+  bool coordination = false;
 };
 Storm Draw(std::uint64_t seed, const Drawing& drawing);
 
--- /dev/null
+++ b/tests/storm/owner_test.cpp
@@ -0,0 +1,199 @@
+// Maintenance in turn by real processes: sidecars, a coordination store and a lab between all of
+// them, the owner stopped, cut off, killed and ended. Judged on counts, fences and revisions.
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+#include <string>
+
+#include "lab/folder.h"
+#include "lab/process.h"
+#include "lab/processes.h"
+#include "lab/storm.h"
+#include "sidecar/mutant.h"
+
+namespace shelflab {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string Fleet(int sidecars, double seconds) {
+  return "[discovery]\nlateness=0.2\ncall_ms=5\n"
+         "[[class]]\nname='a'\nshare=60\nwork_ms=2\naim=0.3\ngive_up=1.5\nrepeat='safe'\n"
+         "[[class]]\nname='b'\nshare=40\nwork_ms=2\naim=0.3\ngive_up=1.5\nrepeat='never'\n"
+         "[[tier]]\nname='x'\nnodes=4\ncores=2\nsidecars=" +
+         std::to_string(sidecars) +
+         "\n[load]\nclients=32\nretries=2\n[[load.phase]]\nfor=" + std::to_string(seconds) +
+         "\nrate=60\n[storm]\nnotice=0.3\ncoordination=true\nttl=1\n";
+}
+
+std::string OrderAt(double at, const std::string& ask, int at_once) {
+  return "[[storm.order]]\nat=" + std::to_string(at) + "\nask='" + ask +
+         "'\nat_once=" + std::to_string(at_once) + "\n";
+}
+
+std::string EventAt(double at, double span, const std::string& deed, const std::string& more = "") {
+  return "[[storm.event]]\nat=" + std::to_string(at) + "\nfor=" + std::to_string(span) +
+         "\ndeed='" + deed + "'\n" + more;
+}
+
+struct Played {
+  Json run;
+  std::string history;
+  std::string again;
+  const Json& storm() const { return run.at("storm"); }
+  // Requests that got no answer worth having.
+  std::uint64_t Lost() const {
+    std::uint64_t lost = 0;
+    for (const Json& w : run.at("windows")) {
+      lost += w.value("failed", std::uint64_t{0}) + w.value("cut", std::uint64_t{0});
+    }
+    return lost;
+  }
+};
+
+Played PlayOf(const Plan& plan, const std::string& program = KELPSPRING_PROGRAM) {
+  const Folder folder("");
+  StormOptions options;
+  options.sidecar_program = program;
+  options.lab_program = SHELFLAB_PROGRAM;
+  options.folder = folder.path();
+  options.history = folder.path() + "/history.jsonl";
+  const Json result = RunStorm(plan, options);
+  std::ifstream file(options.history);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return {result.at("runs").at(0), text.str(), JudgeFile(options.history)};
+}
+
+void ExpectKept(const Played& p, int outs) {
+  EXPECT_EQ(p.storm().at("found"), 0) << p.storm().at("findings").dump(1);
+  EXPECT_EQ(p.run.at("account").at("broken"), 0) << p.run.at("account").dump(1);
+  EXPECT_EQ(p.run.at("tool").at("crashes"), 0);
+  EXPECT_EQ(p.storm().at("outs"), outs);
+  EXPECT_EQ(p.storm().at("order"), "done");
+  EXPECT_EQ(p.again, "");
+}
+
+// Calls are late on their way from 1.0 s on, the owner stands still for three lease times after it
+// has made one: it is refused when it arrives, and all have their turn by the next owner.
+std::string LateOwner() {
+  return Fleet(5, 16) + EventAt(0.8, 2, "delay", "delay_ms=1700\nto='doors'\n") +
+         OrderAt(1, "drain", 1) + EventAt(1.25, 3.2, "stop", "owner=true\n");
+}
+
+TEST(Owner, OneThatSleptThroughItsLeaseIsRefusedAndEachHasItsTurnOnce) {
+  const Played p = PlayOf(ParsePlan(LateOwner(), "storm"));
+  ExpectKept(p, 5);
+  EXPECT_GE(p.storm().at("wins").get<int>(), 2);
+  EXPECT_GE(p.storm().at("late_refused").get<int>(), 1);
+}
+
+// Cut off from the store but not from the others, then the other way round; the store gone for
+// longer than a lease; the owner killed.
+TEST(Owner, CutOffOrKilledOrWithoutAStoreAnotherGoesOn) {
+  const Played p = PlayOf(
+      ParsePlan(Fleet(5, 22) + OrderAt(1, "drain", 1) +
+                    EventAt(1.3, 3, "silence", "owner=true\nto='store'\n") +
+                    EventAt(5.5, 2, "silence", "owner=true\nto='doors'\n") +
+                    EventAt(8, 2.5, "store_kill") + EventAt(12, 0.3, "kill", "owner=true\n") +
+                    EventAt(13, 0, "store_compact") + EventAt(13.2, 0, "store_drop"),
+                "storm"));
+  ExpectKept(p, 5);
+  EXPECT_GE(p.storm().at("wins").get<int>(), 3);
+}
+
+// Each ends and is started again by whoever keeps it running; the owner is told to end on the way.
+TEST(Owner, RestartsInTurnWhileTheStoreAnswersLateOrNotAtAll) {
+  const Played p = PlayOf(ParsePlan(Fleet(6, 26) + OrderAt(1, "restart", 2) +
+                                        EventAt(1.1, 3, "store_lose", "part=0.3\n") +
+                                        EventAt(5, 2, "store_late", "delay_ms=300\n") +
+                                        EventAt(8, 0.3, "terminate", "owner=true\n"),
+                                    "storm"));
+  EXPECT_EQ(p.storm().at("found"), 0) << p.storm().at("findings").dump(1);
+  EXPECT_EQ(p.run.at("account").at("broken"), 0) << p.run.at("account").dump(1);
+  EXPECT_EQ(p.run.at("tool").at("crashes"), 0);
+  EXPECT_EQ(p.storm().at("order"), "done");
+  EXPECT_EQ(p.again, "");
+  // One of them may have been told to end before its turn had begun.
+  EXPECT_GE(p.storm().at("backs").size(), 6U);
+  EXPECT_GE(p.storm().at("outs").get<int>(), 5);
+}
+
+TEST(Owner, DrawnOnesKeepThePromises) {
+  for (const std::uint64_t seed : {11ULL, 12ULL}) {
+    Plan plan = ParsePlan(Fleet(6, 14), "storm");
+    plan.experiment.seed = seed;
+    storm::Drawing drawing{14 * storm::kSecond, 1, 2};
+    drawing.coordination = true;
+    plan.storm = storm::Draw(seed, drawing);
+    SCOPED_TRACE(seed);
+    const Played p = PlayOf(plan);
+    EXPECT_EQ(p.storm().at("found"), 0) << p.storm().at("findings").dump(1);
+    EXPECT_EQ(p.run.at("account").at("broken"), 0) << p.run.at("account").dump(1);
+    EXPECT_EQ(p.run.at("tool").at("crashes"), 0);
+    EXPECT_GE(p.storm().at("wins").get<int>(), 1);
+  }
+}
+
+TEST(Owner, MutantsThatObeyOrActLateAreFound) {
+  using kelpspring::Mutant;
+  for (const Mutant mutant : {Mutant::kObeyLate, Mutant::kActLate}) {
+    const bool obeys = mutant == Mutant::kObeyLate;
+    ::setenv("SHELFLINK_MUTANT", std::to_string(static_cast<int>(mutant)).c_str(), 1);
+    const Played p = PlayOf(ParsePlan(LateOwner(), "storm"), MUTANT_PROGRAM);
+    ::unsetenv("SHELFLINK_MUTANT");
+    EXPECT_NE(p.again.find(obeys ? "a late owner was obeyed" : "an owner acted late"),
+              std::string::npos)
+        << p.again;
+  }
+}
+
+// As an operator does it, with processes of nobody's but the test's.
+TEST(Owner, AnOperatorSeesTheFleetAndOrdersThroughAnyDoor) {
+  const Folder folder("");
+  const auto ask = [&](const std::vector<std::string>& words) {
+    const std::string out = folder.path() + "/out";
+    std::ofstream(out, std::ios::trunc).close();
+    std::vector<std::string> command = {SHELFLAB_PROGRAM, "fleet", "--door", "127.0.0.1:9"};
+    command.insert(command.end(), words.begin(), words.end());
+    Process call(command, {}, out);
+    std::optional<int> status;
+    EXPECT_TRUE(ComesTrue([&] { return status || (status = call.Ended()).has_value(); }));
+    std::ifstream file(out);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return std::pair(WEXITSTATUS(status.value_or(0)), text.str());
+  };
+  EXPECT_EQ(ask({"show"}), std::pair(1, std::string("127.0.0.1:9: no answer\n")));
+  EXPECT_EQ(ask({"stop"}).first, 2);
+  EXPECT_EQ(ask({}).first, 2);
+}
+
+TEST(BadOwnerStorm, IsNamedByLineAndKey) {
+  const auto fault = [](const std::string& text) {
+    try {
+      ParsePlan(text, "bad.toml");
+    } catch (const BadPlan& e) {
+      return std::string(e.what());
+    }
+    return std::string("accepted");
+  };
+  EXPECT_EQ(fault("[storm]\n[[storm.event]]\nat=1\ndeed='store_kill'"),
+            "bad.toml:4: storm.event.deed: expected storm.coordination");
+  EXPECT_EQ(fault("[storm]\n[[storm.event]]\nat=1\ndeed='kill'\nowner=true"),
+            "bad.toml:4: storm.event.deed: expected storm.coordination");
+  EXPECT_EQ(fault("[storm]\ncoordination=true\n[[storm.event]]\nat=1\ndeed='store_late'"),
+            "bad.toml:3: storm.event.delay_ms: missing");
+  EXPECT_EQ(fault("[storm]\ncoordination=true\n[[storm.event]]\nat=1\ndeed='kill'\nowner=true\n"
+                  "share=0.5"),
+            "bad.toml:6: storm.event.owner: expected without a share, for a deed to processes or "
+            "links");
+  EXPECT_EQ(fault("[storm]\ncoordination=true\n[[storm.order]]\nat=1\nask='dance'").substr(0, 29),
+            "bad.toml:5: storm.order.ask: ");
+}
+
+}  // namespace
+}  // namespace shelflab
