--- a/tests/fleet/fleet_mutants_test.cpp
+++ b/tests/fleet/fleet_mutants_test.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint64_t kSeeds = 40;
 
 // The first seed that finds something, and what. The search begins shortly before one that does,
-// for time's sake: all are found from seed 1 on as well.
+// for time's sake: from seed 1 on they are found by seeds 2, 327 and 142.
 std::pair<std::uint64_t, std::string> Found(Mutant mutant, std::uint64_t from) {
   kelpspring::active_mutant = mutant;
   for (std::uint64_t seed = from; seed < from + kSeeds; ++seed) {
@@ -32,7 +32,8 @@
     std::string finding;
   };
   for (const auto& [mutant, from, finding] :
-       {Case{Mutant::kActLate, 1, "acted late"}, Case{Mutant::kObeyLate, 20, "obeyed a late owner"},
+       {Case{Mutant::kActLate, 1, "acted late"},
+        Case{Mutant::kObeyLate, 310, "obeyed a late owner"},
         Case{Mutant::kNoSlots, 125, "more than so many are out"}}) {
     const auto [seed, broken] = Found(mutant, from);
     EXPECT_NE(broken.find(finding), std::string::npos)
