Claim the lab's network, so that two labs at once never share sidecars' addresses

At fault: SidecarAddress took the process number modulo 128. Now whoever listens at a network's last address has it.

--- a/src/lab/emulation.cpp
+++ b/src/lab/emulation.cpp
@@ -1,6 +1,8 @@
 #include "lab/emulation.h"
 
+#include <arpa/inet.h>
 #include <fmt/format.h>
+#include <netinet/in.h>
 #include <spdlog/spdlog.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,6 +18,7 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <utility>
 
 #include "lab/catalog_wire.h"
@@ -41,6 +44,7 @@
 constexpr std::uint16_t kSidecarPort = 7000;
 constexpr std::uint16_t kConsolePort = 7001;
 constexpr std::uint16_t kStorePort = 7002;
+constexpr std::uint16_t kClaimPort = 7003;
 constexpr std::uint32_t kStoreTier = 7;  // A row of addresses that no tier has.
 constexpr auto kHealthPause = std::chrono::milliseconds(100);
 constexpr Micros kSupervisorPause = 50'000;
@@ -49,10 +53,33 @@
 
 tcp::endpoint Loopback() { return {asio::ip::address_v4::loopback(), 0}; }
 
+// The A of 127.A for this process, no other lab's at the same time: whoever listens at its last
+// address has it, until the process ends.
+std::uint32_t ClaimNetwork() {
+  constexpr std::uint32_t kFirst = 64;
+  constexpr std::uint32_t kCount = 128;
+  const auto wish = static_cast<std::uint32_t>(::getpid());
+  for (std::uint32_t i = 0; i < kCount; ++i) {
+    const std::uint32_t a = kFirst + (wish + i) % kCount;
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_port = htons(kClaimPort);
+    at.sin_addr.s_addr = htonl((127U << 24) | (a << 16) | 0xfffe);
+    const int claim = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (claim < 0) break;
+    if (::bind(claim, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 &&
+        ::listen(claim, 1) == 0) {
+      return a;
+    }
+    ::close(claim);
+  }
+  throw std::runtime_error("expected a free network among 127.64 to 127.191");
+}
+
 // A network of its own for the sidecars of this process: 127.A.tier.number, so that a restarted one
 // finds its address free.
 tcp::endpoint SidecarAddress(std::uint32_t tier, std::uint32_t number) {
-  const auto mine = static_cast<std::uint32_t>(64 + ::getpid() % 128);
+  static const std::uint32_t mine = ClaimNetwork();
   const std::uint32_t host =
       (127U << 24) | (mine << 16) | ((tier * 32 + number / 250 + 1) << 8) | (number % 250 + 1);
   return {asio::ip::address_v4(host), kSidecarPort};
