Let idle candidates hold no lease: at rest a member costs the store one renewal

Reckoned, not measured, for leases of 3 s: each member renewed two leases three times and looked at the key twice within one, 2.7 calls a second. A candidate now takes a lease only when the key is free, and where a view follows the key it looks once in ten lease times.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -41,6 +41,8 @@
   terms.margin = ttl / 10;
   terms.answer_within = CallSpan(ttl);
   terms.spread = 100'000;
+  terms.look_every =
+      10 * ttl;  // The view tells of its end, and reads anew where it may have missed it.
   terms.seed = seed;
   return terms;
 }
--- a/src/ownership/candidate.cpp
+++ b/src/ownership/candidate.cpp
@@ -51,17 +51,17 @@
 
 // Without the lease nothing is its own, whatever the store says of the key.
 void Candidate::Drop(Micros now) {
-  if (mine_) {
-    if (now - won_at_ >= kSteady * terms_.ttl) lost_ = 0;
-    yield_until_ = now + (terms_.ttl << std::min(lost_++, kMostDoublings));
-  }
   lease_.reset();
   renew_at_ = kNever;
-  mine_ = false;
+  if (!std::exchange(mine_, false)) return;
+  if (now - won_at_ >= kSteady * terms_.ttl) lost_ = 0;
+  yield_until_ = now + (terms_.ttl << std::min(lost_++, kMostDoublings));
   claim_at_ = kNever;
   look_at_ = now;
 }
 
+bool Candidate::NeedsLease() const { return mine_ || claim_at_ != kNever || Waits({Ask::kClaim}); }
+
 // Their answers, should they come, are of no use any more. What a claim has done is to be read.
 void Candidate::GiveUpLate(Micros now) {
   const auto late = [&](const Out& o) { return now >= o.at + terms_.answer_within; };
@@ -97,7 +97,7 @@
       break;
     case Ask::kClaim:
     case Ask::kRead:
-      OnHolding(now, reply.holding, out.request.lease);
+      OnHolding(now, reply.holding);
       break;
     case Ask::kRelease:
       break;
@@ -105,9 +105,9 @@
   Proceed(now);
 }
 
-void Candidate::OnHolding(Micros now, const std::optional<Holding>& holding, LeaseId asked_under) {
-  if (!lease_ || *lease_ != asked_under || leaving_) return;
-  if (holding && holding->name == terms_.name && holding->lease == *lease_) {
+void Candidate::OnHolding(Micros now, const std::optional<Holding>& holding) {
+  if (leaving_) return;
+  if (holding && lease_ && holding->name == terms_.name && holding->lease == *lease_) {
     if (!mine_) won_at_ = now;
     mine_ = true;
     fence_ = holding->fence;
@@ -118,7 +118,7 @@
   if (holding) {
     // Somebody else's: a watch tells of its end, and a look now and then where that is lost.
     claim_at_ = kNever;
-    look_at_ = now + terms_.ttl / 2;
+    look_at_ = now + (terms_.look_every > 0 ? terms_.look_every : terms_.ttl / 2);
   } else if (claim_at_ == kNever) {
     claim_at_ = std::max(now, yield_until_) +
                 static_cast<Micros>(draws_.Unit() * static_cast<double>(terms_.spread));
@@ -127,16 +127,16 @@
 
 void Candidate::Proceed(Micros now) {
   if (leaving_) return;
-  if (!lease_) {
-    if (!Waits({Ask::kGrant})) Send(now, Ask::kGrant);
-    return;
-  }
-  if (now >= renew_at_ && !Waits({Ask::kKeepAlive})) {
+  if (lease_ && NeedsLease() && now >= renew_at_ && !Waits({Ask::kKeepAlive})) {
     Send(now, Ask::kKeepAlive);
     renew_at_ = now + terms_.ttl / kRenewals;
   }
   if (mine_ || Waits({Ask::kClaim, Ask::kRead})) return;
   if (now >= claim_at_) {
+    if (!lease_) {
+      if (!Waits({Ask::kGrant})) Send(now, Ask::kGrant);
+      return;
+    }
     claim_at_ = kNever;
     look_at_ = kNever;
     return Send(now, Ask::kClaim);
@@ -150,10 +150,14 @@
 Micros Candidate::next() const {
   Micros next = kNever;
   for (const Out& o : out_) next = std::min(next, o.at + terms_.answer_within);
-  if (leaving_ || !lease_) return next;
-  next = std::min(next, lease_until_);
-  if (!Waits({Ask::kKeepAlive})) next = std::min(next, renew_at_);
+  if (leaving_) return next;
+  if (lease_) {
+    next = std::min(next, lease_until_);
+    if (NeedsLease() && !Waits({Ask::kKeepAlive})) next = std::min(next, renew_at_);
+  }
   if (mine_ || Waits({Ask::kClaim, Ask::kRead})) return next;
+  // One that waits for its lease claims when that has come.
+  if (claim_at_ != kNever && !lease_ && Waits({Ask::kGrant})) return next;
   return std::min({next, claim_at_, look_at_});
 }
 
--- a/src/ownership/candidate.h
+++ b/src/ownership/candidate.h
@@ -1,10 +1,11 @@
 // One process's part in owning one piece of work: pure, events with their time in, requests to the
 // coordination store out. Times are of a clock that no step moves and that counts sleep.
 //
-// It holds a lease, claims the key under it when it is free, and owns the work while the key is its
-// own and the lease holds by its own clock. A request without an answer is unknown: a claim is read
-// back, and what stands there under its name and its lease is its own. A late answer to a request
-// that was given up is no answer.
+// It looks whose the key is. When it is free it takes a lease and claims the key under it, and it
+// owns the work while the key is its own and the lease holds by its own clock. One that has nothing
+// to claim lets its lease run out: a fleet's idle candidates cost the store next to nothing. A
+// request without an answer is unknown: a claim is read back, and what stands there under its name
+// and its lease is its own. A late answer to a request that was given up is no answer.
 #ifndef SHELFLINK_OWNERSHIP_CANDIDATE_H_
 #define SHELFLINK_OWNERSHIP_CANDIDATE_H_
 
@@ -30,7 +31,8 @@
   Micros margin = 500'000;  // Given up so long before the lease runs out by the own clock.
   Micros answer_within = 1'000'000;  // After that a request's fate is unknown.
   Micros spread = 500'000;           // Claims for a key that is free are drawn over this.
-  std::uint64_t seed = 0;            // Of all that is drawn.
+  Micros look_every = 0;   // At another's key, in case its end is not told; 0: half of `ttl`.
+  std::uint64_t seed = 0;  // Of all that is drawn.
 };
 
 enum class Ask {
@@ -95,7 +97,9 @@
   // Whether an answer to one of these is still to come.
   bool Waits(std::initializer_list<Ask> asks) const;
   void Drop(Micros now);
-  void OnHolding(Micros now, const std::optional<Holding>& holding, LeaseId asked_under);
+  void OnHolding(Micros now, const std::optional<Holding>& holding);
+  // Whether its lease is of use: it owns, or is about to claim.
+  bool NeedsLease() const;
   void GiveUpLate(Micros now);
   void Proceed(Micros now);
 
