Remember the highest fence across restarts where there is a state folder

It spares nothing of the question to the store, which is asked before anything is accepted; it refuses a late owner while the store is out of reach. Tests: Store.KeepsAFence*, Store.TakesOverWhatTheProgramBeforeFencesKept, Duty.Refuses*.

--- a/src/app/fleet_part.h
+++ b/src/app/fleet_part.h
@@ -36,6 +36,7 @@
   // Wall clock and process number: a step of the clock alone does not make two starts one.
   setup.self.start = std::to_string(loop.WallMicros()) + '.' + std::to_string(getpid());
   setup.seed = config.seed;
+  setup.fence = config.fence;
   return setup;
 }
 
@@ -59,11 +60,13 @@
 #endif
 }
 
-inline fleet::Hands HandsOf(Sidecar& sidecar, std::function<void()> leave) {
+inline fleet::Hands HandsOf(Sidecar& sidecar, std::function<void()> leave,
+                            std::function<void(ownership::Fence)> on_fence) {
   return {.drain = [&] { return sidecar.StartDrain(); },
           .undrain = [&] { sidecar.EndDrain(); },
           .held = [&] { return sidecar.holds().requests; },
-          .leave = std::move(leave)};
+          .leave = std::move(leave),
+          .on_fence = std::move(on_fence)};
 }
 
 // The door's calls that concern the fleet.
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -192,10 +192,12 @@
       sidecar.Leave(neighbour.Beside(), one);
     };
     if (coordinated) {
-      fleet =
-          std::make_unique<fleet::Fleet>(loop, sidecar.log(), fleet_setup,
-                                         kelpspring::OpenStore(loop, sidecar.log(), *coordination),
-                                         kelpspring::HandsOf(sidecar, leave));
+      fleet = std::make_unique<fleet::Fleet>(
+          loop, sidecar.log(), fleet_setup,
+          kelpspring::OpenStore(loop, sidecar.log(), *coordination),
+          kelpspring::HandsOf(sidecar, leave, [&remember](ownership::Fence fence) {
+            if (remember) remember->OnFence(fence);
+          }));
     }
     const auto door = OpenDoor(loop, sidecar, registry, fleet, console);
     loop.OnSignal(SIGHUP, [&] { Reload(sidecar); });
--- a/src/app/remember.h
+++ b/src/app/remember.h
@@ -34,6 +34,7 @@
       current_ = *snapshot;
       if (!current_.list.empty()) Recall(config);
       RecallLesson(config);
+      config.fence = current_.fence;
     }
     book_.Apply(config.known);
     keeper_.emplace(store_, kPause, [](const std::string& fault) {
@@ -67,6 +68,12 @@
     return true;
   }
 
+  void OnFence(std::int64_t fence) {
+    if (!keeper_ || fence <= current_.fence) return;
+    current_.fence = fence;
+    keeper_->Put(current_);
+  }
+
  private:
   // A change of the list reaches the disk within this, and no more often.
   static constexpr auto kPause = std::chrono::seconds(1);
@@ -126,6 +133,7 @@
   }
   void OnList(const MemberList&) {}
   bool OnLesson(const Lesson&) { return false; }
+  void OnFence(std::int64_t) {}
 };
 
 #endif
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -107,7 +107,7 @@
               if (owns) tick_->ArmAt(loop_.Now());
             }),
       poster_(loop),
-      duty_(setup_.self.start),
+      duty_(setup_.self.start, setup_.fence),
       tick_(loop.NewTimer([this] { Tick(); })) {}
 
 Fleet::~Fleet() = default;
@@ -134,10 +134,17 @@
   } else {
     Take(duty_.OnPart({}, std::nullopt), {});
   }
+  KeepFence();
   membership_.OnView();
   work_.OnView();
 }
 
+void Fleet::KeepFence() {
+  if (duty_.seen() <= std::max(kept_, setup_.fence)) return;
+  kept_ = duty_.seen();
+  if (hands_.on_fence) hands_.on_fence(kept_);
+}
+
 void Fleet::CountMembers() {
   std::set<std::string> members;
   const std::string prefix = keys_.Members();
@@ -216,6 +223,7 @@
       log_.Trace([&] { return "refused_by_store " + std::to_string(call.fence); });
     }
     duty_.OnTaken(call, succeeded);
+    KeepFence();
   });
   return {202, "taken up\n"};
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -47,6 +47,7 @@
   Micros ttl = 5'000'000;  // Of its leases.
   Member self;
   std::uint64_t seed = 0;
+  ownership::Fence fence = 0;  // The highest that an earlier life has seen, where that was kept.
 };
 
 struct Hands {
@@ -54,6 +55,8 @@
   std::function<void()> undrain;
   std::function<std::size_t()> held;  // Requests.
   std::function<void()> leave;        // As SIGTERM does.
+  // The highest fence that it has seen has grown; to outlive a restart. May be empty.
+  std::function<void(ownership::Fence)> on_fence = nullptr;
 };
 
 // What the operators' door answers.
@@ -100,6 +103,7 @@
   std::optional<Standing> TheOrder();
   std::optional<maintenance::Part> PartOf(const std::string& key) const;
   void DoDuty(const Standing& standing);
+  void KeepFence();
   void Take(maintenance::Duty::Step step, const Standing& standing);
   void BringBack(const Standing& standing);
   void TraceOut(const Standing& standing) const;
@@ -136,7 +140,8 @@
   bool ending_ = false;    // An end of the order is on its way to the store.
   bool bringing_ = false;  // So is its own return.
   Micros out_since_ = 0;
-  std::string bad_order_;  // The last one that could not be read: said once.
+  ownership::Fence kept_ = 0;  // Told to be kept.
+  std::string bad_order_;      // The last one that could not be read: said once.
   bool leaving_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/maintenance/duty.h
+++ b/src/maintenance/duty.h
@@ -33,8 +33,10 @@
     kServe       // Serve again: there is nothing to commit any more.
   };
 
-  // `start` is unlike that of any other life of this member.
-  explicit Duty(std::string start) : start_(std::move(start)) {}
+  // `start` is unlike that of any other life of this member; `seen` is the highest fence that an
+  // earlier one has seen, where that was kept.
+  explicit Duty(std::string start, ownership::Fence seen = 0)
+      : start_(std::move(start)), guard_(seen) {}
 
   Verdict OnCall(const Call& call);
   // The store's answer to TakePart has come, or will not.
--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -55,6 +55,7 @@
   std::optional<std::chrono::microseconds> known_age;
   std::optional<StateSettings> state;                // None: nothing is stored.
   std::optional<Lesson> lesson;                      // Of its last life, as old as it is now.
+  std::int64_t fence = 0;  // The highest of an owner that an earlier life has seen.
   std::optional<PeerSettings> peers;                 // None: no channel.
   std::optional<CoordinationSettings> coordination;  // None: it does nothing on others' behalf.
   gaugecart::Setup setup;
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -17,7 +17,7 @@
 
 // Marks the file as a sidecar's store ("klsp"); the schema's number is what `user_version` holds.
 constexpr int kApplication = 0x6b6c7370;
-constexpr int kSchema = 2;  // 1 had no lesson.
+constexpr int kSchema = 3;  // 1 had no lesson, 2 no fence.
 constexpr int kBusyMs = 100;
 // Copies kept of what was set aside for one reason; a further one replaces the last.
 constexpr int kMostAside = 3;
@@ -27,18 +27,20 @@
     "NULL, version INTEGER NOT NULL, list TEXT NOT NULL, boot TEXT NOT NULL, uptime INTEGER NOT "
     "NULL, wall INTEGER NOT NULL, checksum INTEGER NOT NULL, lesson TEXT NOT NULL DEFAULT '', "
     "lesson_boot TEXT NOT NULL DEFAULT '', lesson_uptime INTEGER NOT NULL DEFAULT 0, lesson_wall "
-    "INTEGER NOT NULL DEFAULT 0)";
+    "INTEGER NOT NULL DEFAULT 0, fence INTEGER NOT NULL DEFAULT 0)";
 constexpr const char* kFromFirst =
     "ALTER TABLE snapshot ADD COLUMN lesson TEXT NOT NULL DEFAULT '';"
     "ALTER TABLE snapshot ADD COLUMN lesson_boot TEXT NOT NULL DEFAULT '';"
     "ALTER TABLE snapshot ADD COLUMN lesson_uptime INTEGER NOT NULL DEFAULT 0;"
     "ALTER TABLE snapshot ADD COLUMN lesson_wall INTEGER NOT NULL DEFAULT 0;"
     "PRAGMA user_version = 2;";
+constexpr const char* kFromSecond =
+    "ALTER TABLE snapshot ADD COLUMN fence INTEGER NOT NULL DEFAULT 0; PRAGMA user_version = 3;";
 constexpr const char* kRead =
     "SELECT owner, version, list, boot, uptime, wall, checksum, lesson, lesson_boot, "
-    "lesson_uptime, lesson_wall FROM snapshot WHERE one = 1";
+    "lesson_uptime, lesson_wall, fence FROM snapshot WHERE one = 1";
 constexpr const char* kWrite =
-    "INSERT OR REPLACE INTO snapshot VALUES (1, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)";
+    "INSERT OR REPLACE INTO snapshot VALUES (1, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)";
 
 // FNV-1a over all that a row says: SQLite checks its own pages only for their form.
 std::int64_t ChecksumOf(const std::string& owner, const Snapshot& s) {
@@ -56,6 +58,7 @@
     add(s.lesson_learned.boot);
     for (const Micros n : {s.lesson_learned.uptime, s.lesson_learned.wall}) add(std::to_string(n));
   }
+  if (s.fence != 0) add(std::to_string(s.fence));
   return static_cast<std::int64_t>(h);
 }
 
@@ -91,7 +94,8 @@
           row.Text(2),
           {row.Text(3), row.Number(4), row.Number(5)},
           row.Text(7),
-          {row.Text(8), row.Number(9), row.Number(10)}};
+          {row.Text(8), row.Number(9), row.Number(10)},
+          row.Number(11)};
 }
 
 bool Run(sqlite3* db, const char* text) {
@@ -168,8 +172,9 @@
   if (Pragma(db, "PRAGMA user_version") > kSchema) return "newer";
   Statement check(db, "PRAGMA quick_check(1)");
   if (check.Step() != SQLITE_ROW || check.Text(0) != "ok") return "torn";
-  if (Pragma(db, "PRAGMA user_version") < kSchema) {
-    const bool moved = Run(db, "BEGIN IMMEDIATE") && Run(db, kFromFirst) && Run(db, "COMMIT");
+  if (const std::int64_t had = Pragma(db, "PRAGMA user_version"); had < kSchema) {
+    const bool moved = Run(db, "BEGIN IMMEDIATE") && (had > 1 || Run(db, kFromFirst)) &&
+                       Run(db, kFromSecond) && Run(db, "COMMIT");
     if (!moved) {
       Run(db, "ROLLBACK");
       return "unreadable";
@@ -231,6 +236,7 @@
   row.Bind(9, snapshot.lesson_learned.boot);
   row.Bind(10, snapshot.lesson_learned.uptime);
   row.Bind(11, snapshot.lesson_learned.wall);
+  row.Bind(12, snapshot.fence);
   return row.Step() == SQLITE_DONE ? std::string() : sqlite3_errmsg(db_.get());
 }
 
--- a/src/state/store.h
+++ b/src/state/store.h
@@ -30,6 +30,8 @@
   // What else the process had learned, in its own form, and when; empty: nothing.
   std::string lesson{};
   Moment lesson_learned{};
+  // The highest fence of an owner that the process has seen; it has no age, since it only grows.
+  std::int64_t fence = 0;
 };
 
 // A folder that cannot be used: names it and says what was expected.
--- a/tests/maintenance/maintenance_test.cpp
+++ b/tests/maintenance/maintenance_test.cpp
@@ -135,6 +135,24 @@
   EXPECT_EQ(CallsOf(turn.Plan(62'000'000, seen)), "");
 }
 
+// ---- The member's guard ----
+
+TEST(Duty, RefusesAFenceBelowOneOfItsOwnOrAnEarlierLife) {
+  Duty duty("s2", 9);
+  const auto call = [](Fence fence) { return Call{"o1", 5, fence, 0}; };
+  EXPECT_EQ(duty.OnCall(call(8)), Duty::Verdict::kLate);
+  EXPECT_EQ(duty.OnCall(call(9)), Duty::Verdict::kTakeUp);
+  EXPECT_EQ(duty.OnCall(call(9)), Duty::Verdict::kBusy);
+  duty.OnTaken(call(9), false);
+  // That somebody calls with a higher one is not yet the store's word.
+  EXPECT_EQ(duty.OnCall(call(12)), Duty::Verdict::kTakeUp);
+  duty.OnTaken(call(12), false);
+  EXPECT_EQ(duty.seen(), 9);
+  duty.OnOwner(12);
+  EXPECT_EQ(duty.OnCall(call(11)), Duty::Verdict::kLate);
+  EXPECT_EQ(duty.seen(), 12);
+}
+
 // ---- All interleavings ----
 
 enum class Fault { kNone, kNoFence, kNoSlot, kForgetful };
--- a/tests/state/store_test.cpp
+++ b/tests/state/store_test.cpp
@@ -68,6 +68,43 @@
   EXPECT_NE(store.set_aside().find("torn"), std::string::npos);
 }
 
+TEST(Store, KeepsAFenceAndNobodyElsesIsTaken) {
+  const Folder folder;
+  {
+    Store store(folder.path(), "s1");
+    Snapshot with = Of(3);
+    with.fence = 812;
+    ASSERT_EQ(store.Save(with), "");
+  }
+  EXPECT_EQ(Store(folder.path(), "s1").Load()->fence, 812);
+  sqlite3* db = nullptr;
+  ASSERT_EQ(sqlite3_open(folder.file().c_str(), &db), SQLITE_OK);
+  sqlite3_exec(db, "UPDATE snapshot SET fence = 7", nullptr, nullptr, nullptr);
+  sqlite3_close(db);
+  Store store(folder.path(), "s1");
+  EXPECT_NE(store.set_aside().find("torn"), std::string::npos);
+}
+
+// As the program before fences left it.
+TEST(Store, TakesOverWhatTheProgramBeforeFencesKept) {
+  const Folder folder;
+  {
+    Store store(folder.path(), "s1");
+    ASSERT_EQ(store.Save(Of(3)), "");
+  }
+  sqlite3* db = nullptr;
+  ASSERT_EQ(sqlite3_open(folder.file().c_str(), &db), SQLITE_OK);
+  ASSERT_EQ(sqlite3_exec(db, "ALTER TABLE snapshot DROP COLUMN fence; PRAGMA user_version = 2",
+                         nullptr, nullptr, nullptr),
+            SQLITE_OK);
+  sqlite3_close(db);
+  Store store(folder.path(), "s1");
+  EXPECT_EQ(store.set_aside(), "");
+  ASSERT_TRUE(store.Load());
+  EXPECT_EQ(store.Load()->list, Of(3).list);
+  EXPECT_EQ(store.Load()->fence, 0);
+}
+
 // As the program before lessons left it.
 TEST(Store, TakesOverWhatAnOlderProgramKept) {
   const Folder folder;
@@ -78,7 +115,8 @@
   sqlite3* db = nullptr;
   ASSERT_EQ(sqlite3_open(folder.file().c_str(), &db), SQLITE_OK);
   for (const char* step :
-       {"ALTER TABLE snapshot DROP COLUMN lesson", "ALTER TABLE snapshot DROP COLUMN lesson_boot",
+       {"ALTER TABLE snapshot DROP COLUMN fence", "ALTER TABLE snapshot DROP COLUMN lesson",
+        "ALTER TABLE snapshot DROP COLUMN lesson_boot",
         "ALTER TABLE snapshot DROP COLUMN lesson_uptime",
         "ALTER TABLE snapshot DROP COLUMN lesson_wall", "PRAGMA user_version = 1"}) {
     ASSERT_EQ(sqlite3_exec(db, step, nullptr, nullptr, nullptr), SQLITE_OK) << step;
