Play storms over a store in a folder

Key folder_store; owner and order are asked at the doors then. Owner.AStoreInAFolderServesThoseOfOneMachine: an owner stopped for three lease times with its calls held up, the next one killed: each of five is drained once, nobody obeys a late call (one play).

--- a/src/lab/emulation.cpp
+++ b/src/lab/emulation.cpp
@@ -1096,6 +1096,7 @@
   setup.program = options_.lab_program;
   setup.folder = options_.folder;
   setup.seed = options_.seed;
+  setup.in_folder = options_.folder_store;
   setup.at = {SidecarAddress(kStoreTier, 0).address(), kStorePort};
   for (std::uint32_t i = 0; i < first_tier_sidecars_; ++i) {
     setup.doors.emplace_back(sidecars_[i]->listen.address(), kConsolePort);
--- a/src/lab/emulation.h
+++ b/src/lab/emulation.h
@@ -69,8 +69,9 @@
   // of one fleet. One that ends by itself is started again, and a front is told who says that it is
   // not healthy.
   bool coordinated = false;
-  std::string lab_program{};                              // That has the store.
-  Micros ttl = 3 * kSecond;                               // Of leases.
+  bool folder_store = false;  // That store is in a folder, not a process of its own.
+  std::string lab_program{};  // That has the store.
+  Micros ttl = 3 * kSecond;   // Of leases.
   std::function<void(const FleetNote&)> notes = nullptr;  // May be empty.
 };
 
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -514,6 +514,10 @@
     t.Count("peers", plan.storm.peers, 0, 64);
     t.Span("list_age", plan.storm.list_age, 0.001);
     t.Bool("coordination", plan.storm.coordination);
+    t.Bool("folder_store", plan.storm.folder_store);
+    if (plan.storm.folder_store && !plan.storm.coordination) {
+      t.Fault("folder_store", "expected storm.coordination");
+    }
     t.Span("ttl", plan.storm.ttl, 1);
     t.Each("order", [&](Table& o) { ReadOrder(o, plan.storm.orders.emplace_back()); });
     if (!plan.storm.orders.empty() && !plan.storm.coordination) {
@@ -525,6 +529,11 @@
       const bool store = event.owner || OnStore(event.deed) ||
                          (OnLinks(event.deed) && event.to >= storm::End::kStore);
       if (store && !plan.storm.coordination) e.Fault("deed", "expected storm.coordination");
+      const bool process =
+          OnStore(event.deed) || (OnLinks(event.deed) && event.to == storm::End::kStore);
+      if (process && plan.storm.folder_store) {
+        e.Fault("deed", "expected none to the store or its links: it is in a folder");
+      }
       if (!OnLinks(event.deed)) return;
       const bool peers = event.to == storm::End::kPeers;
       if (peers && plan.storm.peers == 0) e.Fault("to", "expected storm.peers above 0");
--- a/src/lab/sidecar_config.cpp
+++ b/src/lab/sidecar_config.cpp
@@ -94,10 +94,12 @@
   }
   if (!place.console.empty()) config["console"] = place.console;
   if (!place.store.empty()) {
-    config["coordination"] = {{"fleet", place.fleet},
-                              {"store", Json::array({"http://" + place.store})},
-                              {"door", place.door},
-                              {"ttl_s", static_cast<double>(place.ttl) / 1e6}};
+    config["coordination"] = {
+        {"fleet", place.fleet},
+        {"store",
+         place.store.front() == 'f' ? Json(place.store) : Json::array({"http://" + place.store})},
+        {"door", place.door},
+        {"ttl_s", static_cast<double>(place.ttl) / 1e6}};
   }
   return config.dump();
 }
--- a/src/lab/sidecar_config.h
+++ b/src/lab/sidecar_config.h
@@ -24,7 +24,7 @@
   // The operators' door, and what it shares with its fleet; empty: none.
   std::string console{};
   std::string fleet{};
-  std::string store{};       // Address and port.
+  std::string store{};       // Address and port, or file:/FOLDER.
   std::string door{};        // Where others find the operators' door.
   Micros ttl = 5 * kSecond;  // Of leases.
   std::uint64_t seed = 0;
--- a/src/lab/store_rig.cpp
+++ b/src/lab/store_rig.cpp
@@ -139,6 +139,11 @@
   // A play begins with nothing; within it the stand-in comes back with all that it had said.
   std::error_code ignored;
   std::filesystem::remove(setup_.folder + "/coordinator.journal", ignored);
+  if (setup_.in_folder) {
+    std::filesystem::remove_all(StoreFolder(), ignored);
+    std::filesystem::create_directories(StoreFolder(), ignored);
+    return ready(ignored ? StoreFolder() + ": " + ignored.message() : "");
+  }
   StartAgain();
   AwaitReady(kReadyTries, std::move(ready));
 }
@@ -167,7 +172,10 @@
   process_.Kill();
 }
 
+std::string StoreRig::StoreFolder() const { return setup_.folder + "/store"; }
+
 std::string StoreRig::StoreAddress(std::size_t process) const {
+  if (setup_.in_folder) return "file:" + std::filesystem::absolute(StoreFolder()).string();
   return TextOf(store_links_[process]->address());
 }
 
@@ -194,7 +202,25 @@
            });
 }
 
+void StoreRig::AskDoors(std::size_t first, std::function<void(const Json&)> told) {
+  if (first >= setup_.doors.size()) return told(nullptr);
+  CallHttp(io_, setup_.doors[first], "GET", "/fleet", "",
+           [this, first, told = std::move(told)](int status, const std::string& body) {
+             const Json fleet = status == 200 ? Json::parse(body, nullptr, false) : Json();
+             const bool follows = fleet.is_object() && fleet.value("following", false);
+             if (follows || stopped_) return told(fleet);
+             AskDoors(first + 1, told);
+           });
+}
+
 void StoreRig::AskOwner(std::function<void(std::optional<std::uint32_t>)> told) {
+  if (setup_.in_folder) {
+    return AskDoors(0, [told = std::move(told)](const Json& fleet) {
+      const bool owned = fleet.is_object() && fleet.contains("owner");
+      const std::string name = owned ? fleet["owner"].value("name", "") : "";
+      told(NumberOf(name.substr(0, name.find(' '))));
+    });
+  }
   const maintenance::Keys keys{std::string("/shelflink/") + kStormFleet + '/'};
   AskKey(keys.Work(), [told = std::move(told)](const std::string& value) {
     told(NumberOf(value.substr(0, value.find(' '))));
@@ -202,6 +228,11 @@
 }
 
 void StoreRig::AskOrder(std::function<void(const std::string&)> told) {
+  if (setup_.in_folder) {
+    return AskDoors(0, [told = std::move(told)](const Json& fleet) {
+      told(fleet.is_object() && fleet.contains("order") ? fleet["order"].dump() : "");
+    });
+  }
   const maintenance::Keys keys{std::string("/shelflink/") + kStormFleet + '/'};
   AskKey(keys.TheOrder(), std::move(told));
 }
--- a/src/lab/store_rig.h
+++ b/src/lab/store_rig.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,9 +31,10 @@
   using Endpoint = boost::asio::ip::tcp::endpoint;
 
   struct Setup {
-    std::string program;  // This lab's, which has the stand-in.
-    std::string folder;   // For its journal and log.
-    Endpoint at;          // Where the stand-in listens, also after a restart.
+    std::string program;     // This lab's, which has the stand-in.
+    std::string folder;      // For its journal and log.
+    Endpoint at;             // Where the stand-in listens, also after a restart.
+    bool in_folder = false;  // There is none: the store is in a folder beside.
     std::uint64_t seed = 0;
     std::vector<Endpoint> doors;  // The operators' doors of the processes, by number.
   };
@@ -66,6 +68,9 @@
  private:
   void AwaitReady(int tries, std::function<void(const std::string&)> ready);
   void AskKey(const std::string& key, std::function<void(const std::string& value)> told);
+  // What the first process that answers and follows says of the fleet; null if none does.
+  void AskDoors(std::size_t first, std::function<void(const nlohmann::json& fleet)> told);
+  std::string StoreFolder() const;
 
   boost::asio::io_context& io_;
   Setup setup_;
--- a/src/lab/storm.cpp
+++ b/src/lab/storm.cpp
@@ -149,6 +149,7 @@
     options.peers = plan_.storm.peers;
     options.peer_list_age = plan_.storm.list_age;
     options.coordinated = plan_.storm.coordination;
+    options.folder_store = plan_.storm.folder_store;
     options.ttl = plan_.storm.ttl;
     options.lab_program =
         options_.lab_program.empty() ? ProgramFolder() + "/shelflab" : options_.lab_program;
--- a/src/storm/script.h
+++ b/src/storm/script.h
@@ -93,6 +93,7 @@
   Micros list_age = 300 * kSecond;  // Beyond which a list of theirs is not taken.
   Micros notice = kSecond;          // From a process's death until the front deals it nothing more.
   bool coordination = false;        // There is a coordination store, and all are members.
+  bool folder_store = false;        // It is in a folder, not a process of its own.
   Micros ttl = 3 * kSecond;         // Of leases.
   std::vector<Event> events;
   std::vector<Order> orders;
--- a/tests/storm/owner_test.cpp
+++ b/tests/storm/owner_test.cpp
@@ -122,6 +122,17 @@
   EXPECT_GE(p.storm().at("outs").get<int>(), 5);
 }
 
+// The same without a process that holds the store: a folder that all of them lock in turn.
+TEST(Owner, AStoreInAFolderServesThoseOfOneMachine) {
+  const Played p = PlayOf(ParsePlan(
+      Fleet(5, 16) + "folder_store=true\n" +
+          EventAt(0.8, 2, "delay", "delay_ms=1700\nto='doors'\n") + OrderAt(1, "drain", 1) +
+          EventAt(1.25, 3.2, "stop", "owner=true\n") + EventAt(6, 0.3, "kill", "owner=true\n"),
+      "storm"));
+  ExpectKept(p, 5);
+  EXPECT_GE(p.storm().at("wins").get<int>(), 3);
+}
+
 TEST(Owner, DrawnOnesKeepThePromises) {
   for (const std::uint64_t seed : {11ULL, 12ULL}) {
     Plan plan = ParsePlan(Fleet(6, 14), "storm");
@@ -183,6 +194,10 @@
   };
   EXPECT_EQ(fault("[storm]\n[[storm.event]]\nat=1\ndeed='store_kill'"),
             "bad.toml:4: storm.event.deed: expected storm.coordination");
+  EXPECT_EQ(fault("[storm]\ncoordination=true\nfolder_store=true\n[[storm.event]]\nat=1\n"
+                  "deed='store_stop'"),
+            "bad.toml:6: storm.event.deed: expected none to the store or its links: it is in a "
+            "folder");
   EXPECT_EQ(fault("[storm]\n[[storm.event]]\nat=1\ndeed='kill'\nowner=true"),
             "bad.toml:4: storm.event.deed: expected storm.coordination");
   EXPECT_EQ(fault("[storm]\ncoordination=true\n[[storm.event]]\nat=1\ndeed='store_late'"),
