--- a/src/sidecar/config.h
+++ b/src/sidecar/config.h
@@ -53,10 +53,10 @@
   MemberList known;
   // Since discovery said that it holds; none where that is not known.
   std::optional<std::chrono::microseconds> known_age;
-  std::optional<StateSettings> state;                // None: nothing is stored.
-  std::optional<Lesson> lesson;                      // Of its last life, as old as it is now.
-  std::int64_t fence = 0;  // The highest of an owner that an earlier life has seen.
-  std::optional<PeerSettings> peers;                 // None: no channel.
+  std::optional<StateSettings> state;  // None: nothing is stored.
+  std::optional<Lesson> lesson;        // Of its last life, as old as it is now.
+  std::int64_t fence = 0;              // The highest of an owner that an earlier life has seen.
+  std::optional<PeerSettings> peers;   // None: no channel.
   std::optional<CoordinationSettings> coordination;  // None: it does nothing on others' behalf.
   gaugecart::Setup setup;
   bool traced = false;  // A line for each event; asked for on the command line.
--- a/tests/storm/storm_test.cpp
+++ b/tests/storm/storm_test.cpp
@@ -152,8 +152,8 @@
 
 // Half of the nodes are replaced and seven in ten sidecars killed with nothing remembered, while
 // discovery is down: the others tell them the newest list, and they serve by it before discovery is
-// back. That is at 6.5 s; who was refused until then waits for up to half of the 10 s that it may go
-// without asking.
+// back. That is at 6.5 s; who was refused until then waits for up to half of the 10 s that it may
+// go without asking.
 std::string Bereft(const std::string& more) {
   return Fleet(10, 12) +
          "[[incident]]\nkind='lost'\nat=0.5\nfor=0.3\nnodes=['x-1','x-2']\n"
