Read anew where a store stands before what is known, and say so

Seen: a view of a store that had lost what it had went on as if it followed (View.OfAStoreThatLost*, seen to fail): it waited for the revision after the last known one, and would have taken the new store's events from there on beside entries of the old. Cause: the answer to a watch says the store's revision, and nobody looked at it (http_store.cpp, Hear). Now a watch on a store that stands before what is known is over and the range is read; a read that goes back is counted, what is known stays, and /fleet tells of it.

--- a/src/coordination/http_store.cpp
+++ b/src/coordination/http_store.cpp
@@ -381,6 +381,11 @@
       return user_.on_compacted(told.compacted);
     }
     if (told.cancelled) return Over("cancelled");
+    // It would wait for revisions that are known already, and be told others' by their names.
+    if (told.created && told.revision < upto_) {
+      Shut();
+      return user_.on_compacted(told.revision);
+    }
     // The header's revision is the store's: events up to it may still be on their way.
     if (!told.events.empty()) {
       upto_ = std::max(upto_, told.events.back().entry.modified);
--- a/src/coordination/store.h
+++ b/src/coordination/store.h
@@ -42,8 +42,8 @@
   struct User {
     // All that happened to the range up to and with that revision, in order.
     std::function<void(const std::vector<Event>& events, Revision upto)> on_events;
-    // What happened up to and with that revision cannot be had any more: the range is to be read
-    // again. The watch is over.
+    // What happened up to and with that revision cannot be had any more, or the store stands at
+    // one before those known: the range is to be read again. The watch is over.
     std::function<void(Revision compacted)> on_compacted;
     // The watch is over; nothing was left out up to the last revision that was told.
     std::function<void(const std::string& why)> on_broken;
--- a/src/coordination/view.cpp
+++ b/src/coordination/view.cpp
@@ -40,7 +40,10 @@
 void View::OnRead(const Answer<Done>& answer) {
   if (!answer.done() || answer.value.found.size() != 1) return Pause(true);
   // One of several servers may lag behind what another has told.
-  if (answer.value.revision < upto_) return Pause(true);
+  if (answer.value.revision < upto_) {
+    ++went_back_;
+    return Pause(true);
+  }
   entries_.clear();
   for (const Entry& e : answer.value.found.front()) entries_[e.key] = e;
   upto_ = answer.value.revision;
--- a/src/coordination/view.h
+++ b/src/coordination/view.h
@@ -36,6 +36,9 @@
   Revision upto() const { return upto_; }
   // How often it was read whole.
   std::uint64_t reads() const { return reads_; }
+  // Reads that were answered by a revision before one that is known: a server that lags, or a store
+  // that has lost what it had. What is known stays; nothing newer is followed until it is there.
+  std::uint64_t went_back() const { return went_back_; }
 
  private:
   void Read();
@@ -59,6 +62,7 @@
   Entries entries_;
   Revision upto_ = 0;
   std::uint64_t reads_ = 0;
+  std::uint64_t went_back_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -441,10 +441,15 @@
     Json record = entry == nullptr ? Json() : Json::parse(entry->value, nullptr, false);
     members.push_back(record.is_object() ? record : Json{{"name", name}});
   }
-  Json json = {{"fleet", setup_.fleet},  {"members", members},
-               {"joins", joins_},        {"leaves", leaves_},
-               {"known", view_.known()}, {"following", view_.following()},
-               {"owns", work_.Owns()},   {"late_calls", late_calls_}};
+  Json json = {{"fleet", setup_.fleet},
+               {"members", members},
+               {"joins", joins_},
+               {"leaves", leaves_},
+               {"known", view_.known()},
+               {"following", view_.following()},
+               {"store_went_back", view_.went_back()},
+               {"owns", work_.Owns()},
+               {"late_calls", late_calls_}};
   if (const Entry* work = view_.Find(keys_.Work())) {
     json["owner"] = {{"name", work->value}, {"fence", work->created}};
   }
--- a/src/state/shared_store.cpp
+++ b/src/state/shared_store.cpp
@@ -238,7 +238,7 @@
   Revision from() const { return from_; }
 
   void Tell(const std::optional<std::vector<coordination::Event>>& events, Revision revision) {
-    if (!events) {
+    if (!events || revision + 1 < from_) {
       if (!alive_.expired()) store_->watches_.remove(this);
       return user_.on_compacted(revision);
     }
--- a/tests/coordination/coordination_test.cpp
+++ b/tests/coordination/coordination_test.cpp
@@ -326,6 +326,26 @@
   EXPECT_EQ(view.entries().size(), 1U);
 }
 
+// Revisions that begin anew say nothing of what was before: fences would go down.
+TEST(View, OfAStoreThatLostWhatItHadKeepsWhatItKnowsAndSaysSo) {
+  World w;
+  HttpStore& store = w.User();
+  for (const char* value : {"1", "2", "3"}) ASSERT_TRUE(w.Commit(store, Put("a/1", value)).done());
+  View view(w.user, store, Prefix("a/"), 1, [] {});
+  w.Pass(std::chrono::milliseconds(500));
+  ASSERT_TRUE(view.following());
+  w.journal.clear();
+  w.Restart();
+  w.Commit(store, Put("a/2", "x"));
+  w.Pass(std::chrono::seconds(10));
+  w.stand_in->Compact();
+  w.Pass(std::chrono::seconds(20));
+  EXPECT_GT(view.went_back(), 0U);
+  EXPECT_FALSE(view.following());
+  ASSERT_NE(view.Find("a/1"), nullptr);
+  EXPECT_EQ(view.Find("a/2"), nullptr);
+}
+
 TEST(View, OfADeadConnectionFollowsAgain) {
   World w;
   HttpStore& store = w.User();
