--- a/src/coordination/http_store.cpp
+++ b/src/coordination/http_store.cpp
@@ -36,8 +36,8 @@
 struct HttpStore::Reply {
   Fate fate = Fate::kUnknown;
   std::string why{};
-  int code = 0;  // Of the store's error.
-  Json json = nullptr;
+  int code = 0;                        // Of the store's error.
+  std::shared_ptr<const Json> json{};  // Of one that is done.
 };
 
 struct HttpStore::Call {
@@ -136,12 +136,13 @@
   static Reply Understand(const kelpspring::HttpResponse& answer) {
     Reply reply;
     try {
-      reply.json = Json::parse(answer.body());
+      Json json = Json::parse(answer.body());
       if (answer.result() == http::status::ok) {
         reply.fate = Fate::kDone;
+        reply.json = std::make_shared<const Json>(std::move(json));
         return reply;
       }
-      const wire::Error error = wire::ErrorOf(reply.json);
+      const wire::Error error = wire::ErrorOf(json);
       reply.code = error.code;
       reply.why = error.text;
       if (wire::NothingDone(error.code)) reply.fate = Fate::kRefused;
@@ -283,8 +284,8 @@
   Start(wire::path::kGrant, body.dump(),
         ReadAs<Lease>(std::move(then), [](const Reply& reply, Answer<Lease>& answer) {
           if (!answer.done()) return;
-          answer.value = {wire::NumberIn(reply.json, "ID"),
-                          wire::NumberIn(reply.json, "TTL") * kMicros};
+          answer.value = {wire::NumberIn(*reply.json, "ID"),
+                          wire::NumberIn(*reply.json, "TTL") * kMicros};
           if (answer.value.id == 0) throw wire::BadWire("ID: expected one");
         }));
 }
@@ -293,7 +294,7 @@
   Start(wire::path::kKeepAlive, Json{{"ID", std::to_string(lease)}}.dump(),
         ReadAs<Lease>(std::move(then), [](const Reply& reply, Answer<Lease>& answer) {
           if (!answer.done()) return;
-          const Json& result = reply.json.at("result");
+          const Json& result = reply.json->at("result");
           const Micros ttl = wire::NumberIn(result, "TTL") * kMicros;
           if (ttl > 0) answer.value = {wire::NumberIn(result, "ID"), ttl};
         }));
@@ -310,7 +311,7 @@
 void HttpStore::Commit(const Txn& txn, Then<Done> then) {
   Start(wire::path::kTxn, wire::JsonOf(txn).dump(),
         ReadAs<Done>(std::move(then), [](const Reply& reply, Answer<Done>& answer) {
-          if (answer.done()) answer.value = wire::DoneOf(reply.json);
+          if (answer.done()) answer.value = wire::DoneOf(*reply.json);
         }));
 }
 
--- a/src/coordination/stand_in.cpp
+++ b/src/coordination/stand_in.cpp
@@ -48,7 +48,7 @@
 
 }  // namespace
 
-struct StandIn::Reply {
+struct StandIn::Reply {  // NOLINT(bugprone-exception-escape): JSON moves, and allocates nothing.
   http::status status = http::status::ok;
   Json body = nullptr;
   std::optional<wire::WatchOrder> watch{};
