Say each walk, look and span of a fleet's part once; read an order once for each revision

Read over: OnView and Tick told the same look twice, keys under a prefix were walked in two places and their end was made by hand in a third beside coordination::Prefix, one span had two names, and the order's JSON was parsed at every tick. Behaviour as before; an order that cannot be read is still told once for each revision.

--- a/src/app/fleet_part.h
+++ b/src/app/fleet_part.h
@@ -44,7 +44,7 @@
 inline std::unique_ptr<coordination::Store> OpenStore(net::Loop& loop, Log& log,
                                                       const CoordinationSettings& settings) {
   const auto say = [&log](const std::string& line) { log.Line(line); };
-  const auto within = fleet::Fleet::StoreSpan(settings.ttl.count());
+  const auto within = fleet::Fleet::CallSpan(settings.ttl.count());
   if (!settings.servers.empty()) {
     coordination::HttpStore::Setup setup;
     setup.servers = settings.servers;
--- a/src/coordination/model.cpp
+++ b/src/coordination/model.cpp
@@ -28,14 +28,6 @@
 
 }  // namespace
 
-Range Prefix(const std::string& key) {
-  std::string end = key;
-  while (!end.empty() && static_cast<unsigned char>(end.back()) == 0xff) end.pop_back();
-  if (end.empty()) return {key, std::string(1, '\0')};
-  end.back() = static_cast<char>(static_cast<unsigned char>(end.back()) + 1);
-  return {key, end};
-}
-
 bool Model::Holds(const Compare& c) const {
   const auto it = entries_.find(c.key);
   const Entry entry = it == entries_.end() ? Entry{} : it->second;
--- a/src/coordination/view.cpp
+++ b/src/coordination/view.cpp
@@ -28,6 +28,15 @@
   return it == entries_.end() ? nullptr : &it->second;
 }
 
+std::map<std::string, const Entry*> View::Under(const std::string& prefix) const {
+  std::map<std::string, const Entry*> under;
+  for (auto it = entries_.lower_bound(prefix); it != entries_.end(); ++it) {
+    if (it->first.compare(0, prefix.size(), prefix) != 0) break;
+    under.emplace(it->first.substr(prefix.size()), &it->second);
+  }
+  return under;
+}
+
 void View::Read() {
   ++reads_;
   Txn txn;
--- a/src/coordination/view.h
+++ b/src/coordination/view.h
@@ -33,6 +33,8 @@
   bool following() const { return watch_ != nullptr; }
   const Entries& entries() const { return entries_; }
   const Entry* Find(const std::string& key) const;
+  // Of the keys that begin with it, by what follows that, in their order.
+  std::map<std::string, const Entry*> Under(const std::string& prefix) const;
   Revision upto() const { return upto_; }
   // How often it was read whole.
   std::uint64_t reads() const { return reads_; }
--- a/src/coordination/words.h
+++ b/src/coordination/words.h
@@ -28,7 +28,13 @@
   std::string end{};
 };
 // All keys that begin with it.
-Range Prefix(const std::string& key);
+inline Range Prefix(const std::string& key) {
+  std::string end = key;
+  while (!end.empty() && static_cast<unsigned char>(end.back()) == 0xff) end.pop_back();
+  if (end.empty()) return {key, std::string(1, '\0')};
+  end.back() = static_cast<char>(static_cast<unsigned char>(end.back()) + 1);
+  return {key, end};
+}
 
 struct Compare {
   enum class Of { kVersion, kCreated, kModified, kLease, kValue };
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -25,7 +25,6 @@
 // An owner's call, to its end; it acts only while it owns the work for as long. Never over a
 // quarter of a lease, so that one that has just been renewed holds for it.
 constexpr Micros kMostCallSpan = 1'000'000;
-Micros CallSpan(Micros ttl) { return std::min(kMostCallSpan, ttl / 4); }
 // At the least: a front that asks for its health now and then has noticed by then, and nobody comes
 // any more.
 constexpr Micros kLeastOut = 1'000'000;
@@ -39,7 +38,7 @@
   terms.name = std::move(name);
   terms.ttl = ttl;
   terms.margin = ttl / 10;
-  terms.answer_within = CallSpan(ttl);
+  terms.answer_within = Fleet::CallSpan(ttl);
   terms.spread = 100'000;
   terms.look_every =
       10 * ttl;  // The view tells of its end, and reads anew where it may have missed it.
@@ -79,7 +78,7 @@
   return m;
 }
 
-Micros Fleet::StoreSpan(Micros ttl) { return CallSpan(ttl); }
+Micros Fleet::CallSpan(Micros ttl) { return std::min(kMostCallSpan, ttl / 4); }
 
 Fleet::Fleet(net::Loop& loop, kelpspring::Log& log, Setup setup,
              std::unique_ptr<coordination::Store> store, Hands hands)
@@ -127,10 +126,8 @@
 void Fleet::OnView() {
   CountMembers();
   if (const Entry* work = view_.Find(keys_.Work())) duty_.OnOwner(work->created);
-  if (const auto standing = TheOrder()) {
-    DoDuty(*standing);
-    if (MayAct()) Plan(*standing);
-    KeepLooking(*standing);
+  if (const Standing* standing = TheOrder()) {
+    Look(*standing);
   } else {
     Take(duty_.OnPart({}, std::nullopt), {});
   }
@@ -147,12 +144,7 @@
 
 void Fleet::CountMembers() {
   std::set<std::string> members;
-  const std::string prefix = keys_.Members();
-  const auto& entries = view_.entries();
-  for (auto it = entries.lower_bound(prefix); it != entries.end(); ++it) {
-    if (it->first.compare(0, prefix.size(), prefix) != 0) break;
-    members.insert(it->first.substr(prefix.size()));
-  }
+  for (const auto& [name, entry] : view_.Under(keys_.Members())) members.insert(name);
   // Those that stood there before it looked have not joined.
   if (std::exchange(counted_, true)) {
     for (const auto& name : members) joins_ += members_.count(name) == 0 ? 1 : 0;
@@ -161,17 +153,19 @@
   members_ = std::move(members);
 }
 
-std::optional<Fleet::Standing> Fleet::TheOrder() {
+// Read once for each revision: an order may name thousands.
+const Fleet::Standing* Fleet::TheOrder() {
   const Entry* entry = view_.Find(keys_.TheOrder());
-  if (entry == nullptr) return std::nullopt;
-  try {
-    return Standing{maintenance::ParseOrder(entry->value), entry->modified};
-  } catch (const BadOrder& e) {
-    if (std::exchange(bad_order_, entry->value) != entry->value) {
+  if (entry == nullptr) return nullptr;
+  if (std::exchange(order_read_, entry->modified) != entry->modified) {
+    try {
+      order_ = Standing{maintenance::ParseOrder(entry->value), entry->modified};
+    } catch (const BadOrder& e) {
+      order_.reset();
       log_.Line("the order in the store: " + std::string(e.what()));
     }
-    return std::nullopt;
   }
+  return order_ ? &*order_ : nullptr;
 }
 
 std::optional<Part> Fleet::PartOf(const std::string& key) const {
@@ -184,6 +178,14 @@
   }
 }
 
+std::string Fleet::OwnKey(const Standing& standing) const {
+  return keys_.PartOf(standing.order.id, setup_.self.name);
+}
+
+std::optional<Part> Fleet::OwnPart(const Standing& standing) const {
+  return PartOf(OwnKey(standing));
+}
+
 // ---- Its own turn ----
 
 Answer Fleet::OnCall(const std::string& text) {
@@ -228,11 +230,6 @@
   return {202, "taken up\n"};
 }
 
-void Fleet::DoDuty(const Standing& standing) {
-  Take(duty_.OnPart(standing.order.id, PartOf(keys_.PartOf(standing.order.id, setup_.self.name))),
-       standing);
-}
-
 void Fleet::Take(Duty::Step step, const Standing& standing) {
   switch (step) {
     case Duty::Step::kNothing:
@@ -252,9 +249,8 @@
 
 // With the revision at which the store noted it: that says who owned the work then.
 void Fleet::TraceOut(const Standing& standing) const {
-  const std::string key = keys_.PartOf(standing.order.id, setup_.self.name);
-  const Entry* entry = view_.Find(key);
-  const auto part = PartOf(key);
+  const Entry* entry = view_.Find(OwnKey(standing));
+  const auto part = OwnPart(standing);
   if (entry == nullptr || !part) return;
   log_.Trace([&] {
     return "out " + std::to_string(entry->created) + ' ' + std::to_string(part->fence) + ' ' +
@@ -267,9 +263,8 @@
 }
 
 void Fleet::BringBack(const Standing& standing) {
-  const std::string key = keys_.PartOf(standing.order.id, setup_.self.name);
-  const Entry* entry = view_.Find(key);
-  const auto part = PartOf(key);
+  const Entry* entry = view_.Find(OwnKey(standing));
+  const auto part = OwnPart(standing);
   if (!part || part->back || std::exchange(bringing_, true)) return;
   tick_->ArmAt(loop_.Now() + kTick);
   log_.Trace([&] { return "back " + std::to_string(part->fence) + ' ' + standing.order.id; });
@@ -285,7 +280,7 @@
   const Micros out_for = Now() - out_since_;
   if (!duty_.out() || out_for < kLeastOut) return;
   if (hands_.held() > 0 && out_for < kDrainSpan) return;
-  const auto part = PartOf(keys_.PartOf(standing.order.id, setup_.self.name));
+  const auto part = OwnPart(standing);
   const bool own = part && part->start == setup_.self.start;
   if (standing.order.what == maintenance::What::kRestart && own) {
     if (!leaving_) hands_.leave();
@@ -353,17 +348,16 @@
 }
 
 void Fleet::Tick() {
-  const auto standing = TheOrder();
-  if (standing) {
-    if (duty_.out()) LookDrained(*standing);
-    DoDuty(*standing);
-    if (MayAct()) Plan(*standing);
-  }
-  if (standing) KeepLooking(*standing);
+  const Standing* standing = TheOrder();
+  if (standing == nullptr) return;
+  if (duty_.out()) LookDrained(*standing);
+  Look(*standing);
 }
 
-// Only while there is something to look at.
-void Fleet::KeepLooking(const Standing& standing) {
+// Its own turn, the owner's part, and again in a while where there is something to look at.
+void Fleet::Look(const Standing& standing) {
+  Take(duty_.OnPart(standing.order.id, OwnPart(standing)), standing);
+  if (MayAct()) Plan(standing);
   if (duty_.out() || (work_.Owns() && standing.order.open())) {
     tick_->ArmAt(loop_.Now() + kTick);
   }
@@ -389,26 +383,26 @@
     return answer(400, e.what());
   }
   const Entry* entry = view_.Find(keys_.TheOrder());
-  const auto standing = TheOrder();
-  if (standing && standing->order.open()) {
+  const Standing* standing = TheOrder();
+  if (standing != nullptr && standing->order.open()) {
     return answer(409, "order " + standing->order.id + " is " + WordOf(standing->order.state));
   }
-  if (standing && SomebodyOut(*standing)) {
+  if (standing != nullptr && SomebodyOut(*standing)) {
     return answer(409, "order " + standing->order.id + ": somebody is still out");
   }
   const coordination::Revision seen = entry == nullptr ? 0 : entry->modified;
   // Each order stands in the place of another revision: so no two have the same name.
   order.id = "o" + std::to_string(seen);
-  Replace(
-      order,
-      maintenance::BeginOrder(keys_, order, seen, standing ? standing->order.id : std::string()),
-      std::move(answered));
+  Replace(order,
+          maintenance::BeginOrder(keys_, order, seen,
+                                  standing != nullptr ? standing->order.id : std::string()),
+          std::move(answered));
 }
 
 void Fleet::Change(State state, Answered answered) {
-  const auto standing = TheOrder();
+  const Standing* standing = TheOrder();
   const auto answer = [&](int status, const std::string& text) { answered({status, text + '\n'}); };
-  if (!standing || !standing->order.open()) return answer(409, "no order is open");
+  if (standing == nullptr || !standing->order.open()) return answer(409, "no order is open");
   if (standing->order.state == state) return answer(200, standing->order.id);
   Order order = standing->order;
   order.state = state;
@@ -457,12 +451,8 @@
     json["order"] = Json::parse(entry->value, nullptr, false);
     const std::string id = json["order"].is_object() ? json["order"].value("id", "") : "";
     json["parts"] = Json::object();
-    const std::string prefix = keys_.Parts(id);
-    const auto& entries = view_.entries();
-    for (auto it = entries.lower_bound(prefix); it != entries.end(); ++it) {
-      if (it->first.compare(0, prefix.size(), prefix) != 0) break;
-      json["parts"][it->first.substr(prefix.size())] =
-          Json::parse(it->second.value, nullptr, false);
+    for (const auto& [name, part] : view_.Under(keys_.Parts(id))) {
+      json["parts"][name] = Json::parse(part->value, nullptr, false);
     }
   }
   return json.dump(1, ' ', false, Json::error_handler_t::replace) + '\n';
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -68,8 +68,8 @@
 
 class Fleet {
  public:
-  // For one call to the store, that it is unknown after, where leases hold for so long.
-  static Micros StoreSpan(Micros ttl);
+  // For one call, to the store or to a member, where leases hold for so long.
+  static Micros CallSpan(Micros ttl);
   // Descriptors that it may hold: calls to the store, the watch, calls to others.
   static constexpr std::size_t kDescriptors =
       coordination::HttpStore::kDescriptors + 1 + Poster::kMost;
@@ -100,9 +100,11 @@
   Micros Now() const { return loop_.LastingMicros(); }
   void OnView();
   void CountMembers();
-  std::optional<Standing> TheOrder();
+  // Null where there is none, or none that can be read.
+  const Standing* TheOrder();
   std::optional<maintenance::Part> PartOf(const std::string& key) const;
-  void DoDuty(const Standing& standing);
+  std::string OwnKey(const Standing& standing) const;
+  std::optional<maintenance::Part> OwnPart(const Standing& standing) const;
   void KeepFence();
   void Take(maintenance::Duty::Step step, const Standing& standing);
   void BringBack(const Standing& standing);
@@ -114,7 +116,7 @@
   void CallMember(const Standing& standing, const maintenance::Turn::Say::ToCall& to);
   void EndOrder(const Standing& standing, maintenance::State state, const std::string& why);
   void Tick();
-  void KeepLooking(const Standing& standing);
+  void Look(const Standing& standing);
   void Replace(const maintenance::Order& order, const coordination::Txn& txn, Answered answered);
   bool SomebodyOut(const Standing& standing) const;
 
@@ -140,8 +142,9 @@
   bool ending_ = false;    // An end of the order is on its way to the store.
   bool bringing_ = false;  // So is its own return.
   Micros out_since_ = 0;
-  ownership::Fence kept_ = 0;  // Told to be kept.
-  std::string bad_order_;      // The last one that could not be read: said once.
+  ownership::Fence kept_ = 0;              // Told to be kept.
+  coordination::Revision order_read_ = 0;  // At which the order was read last,
+  std::optional<Standing> order_;          // and what it was.
   bool leaving_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/maintenance/order.cpp
+++ b/src/maintenance/order.cpp
@@ -226,9 +226,7 @@
   Txn txn = ChangeOrder(keys, order, seen);
   if (last.empty()) return txn;
   for (const std::string& prefix : {keys.Parts(last), keys.Slots(last)}) {
-    // As coordination::Prefix, whose last byte here is always '/'.
-    txn.then.push_back(
-        {Operation::What::kDelete, {prefix, prefix.substr(0, prefix.size() - 1) + '0'}});
+    txn.then.push_back({Operation::What::kDelete, coordination::Prefix(prefix)});
   }
   return txn;
 }
--- a/tests/fleet/world.h
+++ b/tests/fleet/world.h
@@ -33,7 +33,7 @@
 inline std::unique_ptr<coordination::Store> StoreFor(net::Loop& loop) {
   coordination::HttpStore::Setup setup;
   setup.servers = {StoreAt()};
-  setup.within = Fleet::StoreSpan(kTtl);
+  setup.within = Fleet::CallSpan(kTtl);
   return std::make_unique<coordination::HttpStore>(loop, std::move(setup));
 }
 
