Share the statement, the folder's check, a figure's row and the store's faults

Read over: the store in a folder had an SQLite statement and a check of its folder of its own beside those of the stored state; the figures of the fleet wrote a labelled row of their own; late and lost answers were told to the stand-in by two copies. One of each now (state/sqlite.h, CheckFolder, Row). Only the words for a file or a link in the place of the folder are others: those of the stored state, which name which of the two it is. Tests of state, store, door and stand-in pass (50).

--- a/src/coordination/stand_in.cpp
+++ b/src/coordination/stand_in.cpp
@@ -162,9 +162,10 @@
     ++owner_.calls_;
     const auto call = parser_->release();
     const std::string_view path = kelpspring::PathOf(kelpspring::View(call.target()));
+    const bool lab = path.substr(0, 5) == "/lab/";
     try {
       const Json body = Json::parse(call.body().empty() ? "{}" : call.body());
-      reply_ = path.substr(0, 5) == "/lab/" ? owner_.Lab(path, body) : owner_.Obey(path, body);
+      reply_ = lab ? owner_.Lab(path, body) : owner_.Obey(path, body);
     } catch (const Refused& e) {
       reply_ =
           Reply::Bad(e.what() == std::string("requested lease not found") ? wire::Code::kNotFound
@@ -174,7 +175,6 @@
       reply_ = Reply::Bad(wire::Code::kInvalid, e.what());
     }
     step_ = Step::kAfter;
-    const bool lab = path.substr(0, 5) == "/lab/";
     if (!lab && owner_.draws_.Unit() < owner_.faults_.lose) return End();
     if (!lab && owner_.faults_.late > 0) return Sleep(owner_.faults_.late);
     Answer();
--- a/src/lab/storm.cpp
+++ b/src/lab/storm.cpp
@@ -220,8 +220,8 @@
 
   void CarryToStore(const storm::Event& e) {
     StoreRig& store = *emulation_.store();
-    const auto faults = [&](const char* key, double size) {
-      store.Tell("/lab/faults", Json{{key, size}}.dump());
+    const auto faults = [&](const Json& what) {
+      store.Tell("/lab/faults", what.dump());
       After(e.lasts, [&store] { store.Tell("/lab/faults", "{}"); });
     };
     switch (e.deed) {
@@ -232,10 +232,9 @@
         store.Halt();
         return After(e.lasts, [&store] { store.Wake(); });
       case Deed::kStoreLate:
-        store.Tell("/lab/faults", Json{{"late_ms", static_cast<unsigned>(e.size)}}.dump());
-        return After(e.lasts, [&store] { store.Tell("/lab/faults", "{}"); });
+        return faults(Json::object({{"late_ms", static_cast<unsigned>(e.size)}}));
       case Deed::kStoreLose:
-        return faults("lose", e.size);
+        return faults(Json::object({{"lose", e.size}}));
       case Deed::kStoreDrop:
         return store.Tell("/lab/drop_watches", "{}");
       default:
--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -34,22 +34,25 @@
   text.append(name).append(" ").append(std::to_string(value)).append("\n");
 }
 
+// Of a family, the value of one label.
+void Row(std::string& text, std::string_view name, std::string_view label, std::string_view word,
+         std::uint64_t value) {
+  text.append(name).append("{").append(label).append("=\"").append(word).append("\"} ");
+  text.append(std::to_string(value)).append("\n");
+}
+
 void Peers(std::string& text, const peers::Counts& counts) {
   Single(text, "app_peer_questions", "counter", "Questions sent to peers.", counts.asked);
   Single(text, "app_peer_lists", "counter", "Lists taken from peers.", counts.taken);
   Family(text, "app_peer_answers", "counter", "Questions of peers, by what became of them.");
-  const auto row = [&](std::string_view name, std::string_view label, std::uint64_t value) {
-    text.append(name).append("{").append(label).append("\"} ");
-    text.append(std::to_string(value)).append("\n");
-  };
-  row("app_peer_answers", "how=\"answered", counts.answered);
-  row("app_peer_answers", "how=\"declined", counts.declined);
+  Row(text, "app_peer_answers", "how", "answered", counts.answered);
+  Row(text, "app_peer_answers", "how", "declined", counts.declined);
   Family(text, "app_peer_dropped", "counter", "Messages and lists of peers left out, by why.");
-  row("app_peer_dropped", "why=\"strange", counts.strange);
-  row("app_peer_dropped", "why=\"malformed", counts.malformed);
-  row("app_peer_dropped", "why=\"foreign", counts.foreign);
-  row("app_peer_dropped", "why=\"unasked", counts.unasked);
-  row("app_peer_dropped", "why=\"unusable", counts.unusable);
+  Row(text, "app_peer_dropped", "why", "strange", counts.strange);
+  Row(text, "app_peer_dropped", "why", "malformed", counts.malformed);
+  Row(text, "app_peer_dropped", "why", "foreign", counts.foreign);
+  Row(text, "app_peer_dropped", "why", "unasked", counts.unasked);
+  Row(text, "app_peer_dropped", "why", "unusable", counts.unusable);
 }
 
 void Fleet(std::string& text, const fleet::Counts& counts) {
@@ -61,13 +64,9 @@
   Single(text, "app_fleet_late_calls", "counter", "Calls of owners that own no more, refused.",
          counts.late_calls);
   Family(text, "app_store_calls", "counter", "Calls to the store, by how they ended.");
-  const auto row = [&](std::string_view how, std::uint64_t value) {
-    text.append("app_store_calls{how=\"").append(how).append("\"} ");
-    text.append(std::to_string(value)).append("\n");
-  };
-  row("done", counts.store_done);
-  row("refused", counts.store_refused);
-  row("unknown", counts.store_unknown);
+  Row(text, "app_store_calls", "how", "done", counts.store_done);
+  Row(text, "app_store_calls", "how", "refused", counts.store_refused);
+  Row(text, "app_store_calls", "how", "unknown", counts.store_unknown);
 }
 
 }  // namespace
--- a/src/state/shared_store.cpp
+++ b/src/state/shared_store.cpp
@@ -1,18 +1,13 @@
 #include "state/shared_store.h"
 
-#include <sqlite3.h>
-#include <sys/stat.h>
-#include <unistd.h>
-
 #include <algorithm>
-#include <cerrno>
 #include <chrono>
-#include <cstring>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "coordination/wire.h"
 #include "state/moment.h"
+#include "state/sqlite.h"
 #include "state/store.h"
 
 namespace state {
@@ -37,58 +32,23 @@
 constexpr auto kSoon = std::chrono::milliseconds(2);
 constexpr auto kLook = std::chrono::milliseconds(50);
 
-void CheckFolder(const std::string& folder) {
-  struct stat info {};
-  if (::lstat(folder.c_str(), &info) != 0) {
-    throw BadFolder(folder + ": expected a folder: " + std::strerror(errno));
-  }
-  if (!S_ISDIR(info.st_mode)) throw BadFolder(folder + ": expected a folder, no file or link");
-  if (::access(folder.c_str(), W_OK | X_OK) != 0) {
-    throw BadFolder(folder + ": expected a folder that can be written: " + std::strerror(errno));
-  }
-}
-
 // What cannot be done on the disk, and whether that is certain.
 struct DiskFault {
   Fate fate;
   std::string why;
 };
 
-class Statement {
- public:
-  Statement(sqlite3* db, const char* text) : db_(db) {
-    if (sqlite3_prepare_v2(db, text, -1, &statement_, nullptr) != SQLITE_OK) {
-      throw DiskFault{Fate::kRefused, sqlite3_errmsg(db)};
-    }
-  }
-  ~Statement() { sqlite3_finalize(statement_); }
-  Statement(const Statement&) = delete;
-  Statement& operator=(const Statement&) = delete;
-
-  void Bind(int at, const std::string& text) {
-    sqlite3_bind_text64(statement_, at, text.data(), text.size(), SQLITE_STATIC, SQLITE_UTF8);
-  }
-  bool Row() {
-    const int code = sqlite3_step(statement_);
-    if (code == SQLITE_ROW) return true;
-    if (code == SQLITE_DONE) return false;
-    throw DiskFault{Fate::kRefused, sqlite3_errmsg(db_)};
-  }
-  std::string Text(int column) {
-    const auto* bytes = reinterpret_cast<const char*>(sqlite3_column_text(statement_, column));
-    const auto size = static_cast<std::size_t>(sqlite3_column_bytes(statement_, column));
-    return bytes == nullptr ? std::string() : std::string(bytes, size);
-  }
-  std::int64_t Number(int column) { return sqlite3_column_int64(statement_, column); }
-
- private:
-  sqlite3* db_;
-  sqlite3_stmt* statement_ = nullptr;
-};
+// Whether there is a row, or that it is done.
+bool Row(sqlite3* db, Statement& statement) {
+  const int code = statement.Step();
+  if (code == SQLITE_ROW) return true;
+  if (code == SQLITE_DONE) return false;
+  throw DiskFault{Fate::kRefused, sqlite3_errmsg(db)};
+}
 
-std::int64_t Pragma(sqlite3* db, const char* text) {
+std::int64_t NumberOf(sqlite3* db, const char* text) {
   Statement s(db, text);
-  return s.Row() ? s.Number(0) : -1;
+  return Row(db, s) ? s.Number(0) : -1;
 }
 
 }  // namespace
@@ -106,7 +66,7 @@
   void Do(const Step& step, bool writes) {
     Open();
     // Most looks find that nobody has changed anything.
-    if (!writes && fresh_ && Pragma(db_, "PRAGMA data_version") == version_ &&
+    if (!writes && fresh_ && NumberOf(db_, "PRAGMA data_version") == version_ &&
         model_.next() > Here().uptime) {
       return step(model_, Here().uptime);
     }
@@ -131,7 +91,7 @@
       sqlite3_exec(db_, "ROLLBACK", nullptr, nullptr, nullptr);
       throw DiskFault{Fate::kUnknown, why};
     }
-    version_ = Pragma(db_, "PRAGMA data_version");
+    version_ = NumberOf(db_, "PRAGMA data_version");
   }
 
  private:
@@ -161,8 +121,8 @@
   }
 
   void Prepare() {
-    const std::int64_t owner = Pragma(db_, "PRAGMA application_id");
-    const bool empty = Pragma(db_, "SELECT count(*) FROM sqlite_master") == 0;
+    const std::int64_t owner = NumberOf(db_, "PRAGMA application_id");
+    const bool empty = NumberOf(db_, "SELECT count(*) FROM sqlite_master") == 0;
     if (empty && owner == 0) {
       Run(("PRAGMA application_id = " + std::to_string(kApplication)).c_str());
       Run(("PRAGMA user_version = " + std::to_string(kSchema)).c_str());
@@ -170,14 +130,14 @@
           "CREATE TABLE store (one INTEGER PRIMARY KEY CHECK (one = 1), boot TEXT NOT NULL, "
           "image TEXT NOT NULL)");
     }
-    if (owner != kApplication || Pragma(db_, "PRAGMA user_version") != kSchema) {
+    if (owner != kApplication || NumberOf(db_, "PRAGMA user_version") != kSchema) {
       throw DiskFault{Fate::kRefused, path_ + ": expected a coordination store of schema 1"};
     }
   }
 
   void Read() {
     Statement row(db_, "SELECT boot, image FROM store WHERE one = 1");
-    if (!row.Row()) {
+    if (!Row(db_, row)) {
       if (!image_.empty()) model_ = Model();
       image_.clear();
       fresh_ = true;
@@ -205,7 +165,7 @@
     const std::string boot = Here().boot;
     put.Bind(1, boot);
     put.Bind(2, image);
-    put.Row();
+    Row(db_, put);
     image_ = std::move(image);
   }
 
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -12,6 +12,8 @@
 #include <filesystem>
 #include <utility>
 
+#include "state/sqlite.h"
+
 namespace state {
 namespace {
 
@@ -62,33 +64,6 @@
   return static_cast<std::int64_t>(h);
 }
 
-class Statement {
- public:
-  Statement(sqlite3* db, const char* text) {
-    ok_ = sqlite3_prepare_v2(db, text, -1, &statement_, nullptr) == SQLITE_OK;
-  }
-  ~Statement() { sqlite3_finalize(statement_); }
-  Statement(const Statement&) = delete;
-  Statement& operator=(const Statement&) = delete;
-
-  bool ok() const { return ok_; }
-  int Step() { return ok_ ? sqlite3_step(statement_) : SQLITE_ERROR; }
-  void Bind(int at, const std::string& text) {
-    sqlite3_bind_text64(statement_, at, text.data(), text.size(), SQLITE_STATIC, SQLITE_UTF8);
-  }
-  void Bind(int at, std::int64_t number) { sqlite3_bind_int64(statement_, at, number); }
-  std::string Text(int column) {
-    const void* bytes = sqlite3_column_blob(statement_, column);
-    const auto size = static_cast<std::size_t>(sqlite3_column_bytes(statement_, column));
-    return bytes == nullptr ? std::string() : std::string(static_cast<const char*>(bytes), size);
-  }
-  std::int64_t Number(int column) { return sqlite3_column_int64(statement_, column); }
-
- private:
-  sqlite3_stmt* statement_ = nullptr;
-  bool ok_ = false;
-};
-
 Snapshot SnapshotOf(Statement& row) {
   return {row.Number(1),
           row.Text(2),
@@ -107,6 +82,8 @@
   return s.Step() == SQLITE_ROW ? s.Number(0) : -1;
 }
 
+}  // namespace
+
 void CheckFolder(const std::string& folder) {
   struct stat info {};
   if (::lstat(folder.c_str(), &info) != 0) {
@@ -119,8 +96,6 @@
   }
 }
 
-}  // namespace
-
 void Store::Close::operator()(sqlite3* db) const { sqlite3_close(db); }
 
 Store::Store(const std::string& folder, std::string owner)
--- a/src/state/store.h
+++ b/src/state/store.h
@@ -39,6 +39,9 @@
   using std::runtime_error::runtime_error;
 };
 
+// Throws BadFolder for one that is missing, not writable, a link or no folder.
+void CheckFolder(const std::string& folder);
+
 class Store {
  public:
   // `owner` is the sidecar's name. Throws BadFolder for a folder that is missing, not writable, a
