Do not write a repeat after its window, also where its connection comes up late

Ruled out: the choice of the endpoint (cell and zone are kept by the ledger), second copies (none are sent).

At fault: Ledger::MaySendAgain (choice.cpp) holds the decision to the window, but Connection::Write (upstream.cpp) wrote whatever came up before the connect timeout, so a repeat decided in time left up to that timeout later; a long body later still. Now the module tells until when the last byte may go out (Actions::Send, write_by), and the connection holds to it while it comes up, while it writes and while it waits for more of the body: past it nothing has run, and the attempt ends as one that never connected.

The wire of the simulator has no such figure: the adapter leaves it out. Tests: Window.ARepeatWhoseConnectionComesUpAfterItIsNotSent (real sockets; without the guard the repeat arrives), Window.TheRepeatIsToldUntilWhenItMayBeWritten.

--- a/include/gaugecart/choice.h
+++ b/include/gaugecart/choice.h
@@ -148,8 +148,10 @@
 class Actions {
  public:
   virtual ~Actions() = default;
-  // Starts the next attempt of the request, to be given up after the timeout.
-  virtual void Send(RequestId request, EndpointId endpoint, Micros timeout) = 0;
+  // Starts the next attempt of the request, to be given up after the timeout. Where `write_by` is
+  // told, its last byte may go out up to then: later it would not be known as a repeat any more.
+  virtual void Send(RequestId request, EndpointId endpoint, Micros timeout,
+                    std::optional<Micros> write_by) = 0;
   // Final answer: nothing ran, trying again is harmless; advice 0 means none.
   virtual void Refuse(RequestId request, Micros advice) = 0;
   // Final answer that promises nothing.
--- a/src/adapter/host.cpp
+++ b/src/adapter/host.cpp
@@ -106,7 +106,8 @@
  public:
   explicit Replies(const Words& words) : words_(words) {}
 
-  void Send(RequestId request, EndpointId endpoint, Micros timeout) override {
+  void Send(RequestId request, EndpointId endpoint, Micros timeout,
+            std::optional<Micros>) override {
     text_ += "ISSUE ";
     Hex(request);
     text_ += ' ';
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -163,8 +163,15 @@
     if (first == nullptr) return true;
     const ClassSettings& c = ClassOf(call);
     if (c.repeat == Repeat::kAtMostOnce) return false;
-    // A round's margin: the send leaves with the batch, not at the instant of the decision.
-    return c.repeat == Repeat::kIdempotent || now + settings_.round <= first->sent + c.dedup_window;
+    return c.repeat == Repeat::kIdempotent || now <= *WriteBy(call);
+  }
+  // Until when the next attempt may be written: its connection may come up late, or take its bytes
+  // slowly. A round's margin, for it leaves with the batch, not at the instant of the decision.
+  std::optional<Micros> WriteBy(const Call& call) const {
+    const Attempt* first = call.FirstMayHaveRun();
+    const ClassSettings& c = ClassOf(call);
+    if (first == nullptr || c.repeat != Repeat::kDeduplicated) return std::nullopt;
+    return first->sent + c.dedup_window - settings_.round;
   }
   bool MaySendTo(const Call& call, const Endpoint& endpoint, Micros now) const {
     if (endpoint.availability != Availability::kReady || !MaySendAgain(call, now)) return false;
@@ -1148,6 +1155,7 @@
     if (!ledger_.MaySendTo(call, server.info, now)) return;  // The last gate.
     const std::uint32_t index = call.request.priority_level;
     const auto attempt = static_cast<std::uint32_t>(call.attempts.size());
+    const std::optional<Micros> write_by = ledger_.WriteBy(call);
     call.attempts.push_back({server.info.id, now, server.info.zone, server.info.cell, true, false});
     outs_[std::pair(call.request.id, attempt)] = index;
     ++levels_[index].in_flight;
@@ -1155,7 +1163,7 @@
     const Micros left = call.request.due - now;
     fleet_.NoteSent(server, {call.request.id, attempt, now, c.aim, left, index}, now);
     fleet_.NoteInFlight(static_cast<std::size_t>(InFlight()));
-    actions_.Send(call.request.id, server.info.id, left);
+    actions_.Send(call.request.id, server.info.id, left, write_by);
   }
 
   void PumpAll(Micros now) {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -343,8 +343,9 @@
   }
 }
 
-void Sidecar::Send(RequestId request, EndpointId endpoint, Micros timeout) {
-  Run([=, this] { StartAttempt(request, endpoint, timeout); });
+void Sidecar::Send(RequestId request, EndpointId endpoint, Micros timeout,
+                   std::optional<Micros> write_by) {
+  Run([=, this] { StartAttempt(request, endpoint, timeout, write_by); });
 }
 
 void Sidecar::Refuse(RequestId request, Micros advice) {
@@ -570,7 +571,8 @@
   Run([this, request] { balancer_->OnRequest(Now(), request); });
 }
 
-void Sidecar::StartAttempt(RequestId id, EndpointId endpoint, Micros timeout) {
+void Sidecar::StartAttempt(RequestId id, EndpointId endpoint, Micros timeout,
+                           std::optional<Micros> write_by) {
   const auto it = live_.find(id);
   if (it == live_.end()) return;
   Live& live = it->second;
@@ -593,10 +595,10 @@
   });
   const auto silence =
       std::chrono::microseconds(config_.setup.settings.classes[live.level].give_up);
-  upstream_.Send(
-      {id, attempt}, endpoint,
-      {live.message, live.more, At(until), live.left, std::max<net::Span>(silence, kLeastSilence)},
-      done);
+  upstream_.Send({id, attempt}, endpoint,
+                 {live.message, live.more, write_by ? std::optional(At(*write_by)) : std::nullopt,
+                  At(until), live.left, std::max<net::Span>(silence, kLeastSilence)},
+                 done);
 }
 
 std::uint64_t Sidecar::MostBody() const {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -107,7 +107,8 @@
   };
 
   // gaugecart::Actions. Each is queued and carried out once the module has returned.
-  void Send(RequestId request, gaugecart::EndpointId endpoint, Micros timeout) override;
+  void Send(RequestId request, gaugecart::EndpointId endpoint, Micros timeout,
+            std::optional<Micros> write_by) override;
   void Refuse(RequestId request, Micros advice) override;
   void Fail(RequestId request) override;
   void Cancel(RequestId request, std::uint32_t attempt) override;
@@ -154,7 +155,8 @@
   std::string NameOf(gaugecart::EndpointId id) const;
   // Empty if the request can be taken; else what is wrong with it.
   std::string Read(const HttpRequest& message, gaugecart::Request& request) const;
-  void StartAttempt(RequestId id, gaugecart::EndpointId endpoint, Micros timeout);
+  void StartAttempt(RequestId id, gaugecart::EndpointId endpoint, Micros timeout,
+                    std::optional<Micros> write_by);
   void EndAttempt(RequestId id, std::uint32_t attempt, gaugecart::EndpointId endpoint, Micros sent,
                   Answer answer);
   void Finish(RequestId id, HttpResponse response, Ending how);
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -69,6 +69,7 @@
     key_ = key;
     message_ = &outbound.message;
     until_ = outbound.until;
+    write_by_ = outbound.write_by;
     left_ = outbound.left;
     silence_ = outbound.silence;
     more_ = outbound.more;
@@ -81,7 +82,7 @@
     const bool reused = state_ == State::kIdle;
     idle_ = reused ? owner_.loop_.Now() - idle_since_ : net::Span::zero();
     if (reused) return Write();
-    timer_->ArmAt(std::min<net::Time>(until_, owner_.loop_.Now() + owner_.connect_timeout_));
+    timer_->ArmAt(std::min(WriteEnd(), owner_.loop_.Now() + owner_.connect_timeout_));
     owner_.log_.Trace([&] { return "connect " + dial_.Text(); });
     stream_ = owner_.loop_.Dial(dial_, *this);
   }
@@ -154,13 +155,13 @@
 
   void Write() {
     const net::Time now = owner_.loop_.Now();
-    if (now >= until_) return Finish(OutcomeCode::kConnectFailed);
+    if (now >= WriteEnd()) return Finish(OutcomeCode::kConnectFailed);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         more_ ? left_ : net::Span(until_ - now));
     message_->set("X-Remaining-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
     outgoing_.Start(more_ ? FirstPart() : TextOf(*message_));
     state_ = State::kBusy;
-    timer_->ArmAt(until_);
+    timer_->ArmAt(WriteEnd());
     NextParser();
     interim_ = 0;
     begun_ = false;
@@ -183,24 +184,26 @@
       case Outgoing::State::kBroken:
         return Finish(OutcomeCode::kConnectFailed);  // Its last byte never left.
       case Outgoing::State::kMoreToCome:
-        if (in_parts_) timer_->ArmAt(owner_.loop_.Now() + silence_);
+        if (in_parts_) ArmForWrite(owner_.loop_.Now() + silence_);
         return;
     }
   }
 
+  // By then its last byte is out, or it is given up with nothing having run.
+  net::Time WriteEnd() const { return write_by_ ? std::min(until_, *write_by_) : until_; }
+  void ArmForWrite(net::Time at) { timer_->ArmAt(write_by_ ? std::min(at, *write_by_) : at); }
+
   // The client's own pace is guarded where it is read.
   void WantMore() {
-    timer_->Cancel();
+    write_by_ ? timer_->ArmAt(*write_by_) : timer_->Cancel();
     owner_.user_.OnWantsMore(key_);
   }
 
   void Whole() {
     written_ = true;
     whole_at_ = owner_.loop_.Now();
-    if (in_parts_) {
-      until_ = whole_at_ + left_;
-      timer_->ArmAt(until_);
-    }
+    if (in_parts_) until_ = whole_at_ + left_;
+    if (in_parts_ || write_by_) timer_->ArmAt(until_);
     owner_.user_.OnWhole(key_);
   }
 
@@ -374,6 +377,7 @@
   bool begun_ = false;  // A part of the answer has come.
   net::Span idle_{};    // How long it lay idle before the present request.
   net::Time until_;
+  std::optional<net::Time> write_by_;
   net::Span left_{};
   net::Span silence_{};
   bool more_ = false;      // Of the request's body, to be asked for.
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -63,6 +63,7 @@
   HttpRequest& message;
   // Its body goes on beyond what the message holds: in parts, by Feed.
   bool more = false;
+  std::optional<net::Time> write_by;  // Its last byte may not go out later; none: at any time.
   net::Time until;      // The attempt's end. With `more` it counts to the end of the held part, and
   net::Span left{};     // from the last byte on the request has this long.
   net::Span silence{};  // What is under way in parts ends when nothing has moved for so long.
--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -391,6 +391,22 @@
 }
 
 // The learned limit falls on time-outs and comes back with prompt answers.
+TEST(Window, TheRepeatIsToldUntilWhenItMayBeWritten) {
+  Settings s = BasicSettings();
+  s.classes = {Class(Repeat::kDeduplicated)};
+  Driver d(s);
+  d.List(Nodes(5));
+  d.Ask(1);
+  const Action first = d.Sends().at(0);
+  EXPECT_EQ(d.recorder.write_by, std::nullopt);  // Nothing has run.
+  const Micros sent = d.now;
+  d.recorder.Take();
+  d.now += 300'000;
+  d.Answer(1, first.endpoint, OutcomeCode::kReset, 0, 300'000);
+  ASSERT_EQ(d.Sends().size(), 1u);
+  EXPECT_EQ(d.recorder.write_by, sent + s.classes[0].dedup_window - s.round);
+}
+
 TEST(Limiter, FallsUnderTimeoutsAndRecovers) {
   Settings s = BasicSettings();
   s.tenants = {{60, 1.0}};
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -24,7 +24,8 @@
 
 class Recorder : public Actions {
  public:
-  void Send(RequestId r, EndpointId e, Micros t) override {
+  void Send(RequestId r, EndpointId e, Micros t, std::optional<Micros> by) override {
+    write_by = by;
     all.push_back({Action::kSend, r, e, t, 0});
   }
   void Refuse(RequestId r, Micros advice) override {
@@ -50,6 +51,7 @@
   }
 
   std::vector<Action> all;
+  std::optional<Micros> write_by;  // Of the latest send.
   std::multiset<Micros> timers;
 };
 
--- a/tests/lab/emulation_test.cpp
+++ b/tests/lab/emulation_test.cpp
@@ -82,7 +82,7 @@
     message->set("X-Lane", "look");
     message->set("X-Remaining-Ms", std::to_string(patience.count()));
     auto outcome = std::make_shared<Outcome>();
-    upstream_.Send({id, 0}, 0, {*message, false, loop_.Now() + patience, {}, {}},
+    upstream_.Send({id, 0}, 0, {*message, false, std::nullopt, loop_.Now() + patience, {}, {}},
                    [outcome, message](kelpspring::Answer a) { *outcome = std::move(a); });
     return outcome;
   }
--- a/tests/readme_example.cpp
+++ b/tests/readme_example.cpp
@@ -17,7 +17,8 @@
   RequestId last_request = 0;
   gaugecart::EndpointId last_endpoint = 0;
 
-  void Send(RequestId request, gaugecart::EndpointId endpoint, Micros) override {
+  void Send(RequestId request, gaugecart::EndpointId endpoint, Micros,
+            std::optional<Micros>) override {
     ++sends;
     last_request = request;
     last_endpoint = endpoint;
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -345,6 +345,37 @@
   EXPECT_EQ(client.Read().Status(), 503);
 }
 
+// A repeat is known as one for a while only, and its connection may come up after that: found on a
+// deployment whose repeats are dropped for 0.9 s while connections come up 1 s late.
+TEST(Window, ARepeatWhoseConnectionComesUpAfterItIsNotSent) {
+  Listener discovery;
+  Listener sound;
+  Listener slow(0);
+  Peer filler = slow.Connect();  // Until this is accepted, no other connection comes up.
+  std::string config = ConfigText(discovery.Address(), Member("e1", sound.Address()), "push");
+  const std::string window = R"("dedupWindow":6000000)";
+  config.replace(config.find(window), window.size(), R"("dedupWindow":400000)");
+  Running sidecar(config);
+  Peer watch = discovery.Accept();
+  watch.Read();
+  Peer client = sidecar.Connect();
+  client.Write(Call(kId, "keyed", "9000", "Idempotency-Key: k-1\r\n"));
+  Peer first = sound.Accept();
+  EXPECT_EQ(first.Read().body, "hi");
+  watch.Write(Reply("200 OK", List(42, false, Member("e2", slow.Address()))));
+  EXPECT_TRUE(watch.Read().Has("after=42&"));
+  first.Reset();
+  Peer other = sidecar.Connect();
+  for (int i = 0; i < 2; ++i) {  // A second answer comes after all that was there at the first.
+    other.Write("GET /_health HTTP/1.1\r\n\r\n");
+    EXPECT_EQ(other.Read().Status(), 200);
+  }
+  slow.Accept();  // The machine tries again to connect after a second.
+  EXPECT_EQ(client.Read().Status(), 502);
+  const bool came_up = slow.SomebodyWaits();
+  EXPECT_TRUE(!came_up || slow.Accept().Closed());
+}
+
 // A list of a peer is newer than what discovery answers: that was on its way, and it is asked anew.
 // If it then says the same, it has gone back itself.
 TEST(PeerLists, AnOlderAnswerOfDiscoveryIsLeftOutOnceAndThenIsItsWord) {
