Hold calls to discovery, added up in their worst order, under the 6 s of the term

Traces: n0's watch fell silent; 12.0 s after it was opened (wait 10 s, grace 2 s) it was given up, the next call came 0.65 s later and was answered 0.3 s after that: 0.95 s after the change counted as told, where 0.5 s are granted.

Ruled out: sends on connections that came up late (the trace's last list is the old one), discovery's own lateness (its answer took 0.3 s).

Now pace.h states each span, and static_asserts add them up: a watch waits 3 s at most while discovery keeps up, a second call is made beside one that may hang (whose own turn may still come), pauses after a failure are 0.5 s, after a refusal 1.25 s whatever its advice, first calls are spread over 3 s. Where lists are pushed all this follows from the time in which sends must end. A watch waits longer again where discovery is seen to be behind with its calls. The pace alone says when to ask again.

The scenes of return ask for lists: pushed ones may not be spread. One test of descriptors and one of half a list assumed that nobody asks in their first seconds.

--- a/src/recovery/pace.h
+++ b/src/recovery/pace.h
@@ -10,6 +10,7 @@
 #ifndef SHELFLINK_RECOVERY_PACE_H_
 #define SHELFLINK_RECOVERY_PACE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -22,8 +23,39 @@
 // either happens once in a start.
 constexpr Micros kCallGuess = 20'000;
 
-// Part of discovery's time that is left, while a group comes back, to calls other than the second
-// ones of those who have their list.
+// What discovery has to tell counts as told so long after it had it and could be reached, whatever
+// has become of the calls. The spans below are parts of it: added up in the worst order in which
+// they may follow one another they leave kAnswer for the call that brings the news.
+constexpr Micros kTold = 6'000'000;
+constexpr Micros kAnswer = 500'000;
+// How long a watch may wait while discovery keeps up. Beside a watch that has not answered so much
+// later than its wait another is opened.
+constexpr Micros kWatch = 3'000'000;
+constexpr Micros kLate = 750'000;
+// A connection that has not come up by then will not.
+constexpr Micros kDial = 1'000'000;
+// Beside a call that has no reason to wait but its turn a second one is made after so long: it may
+// hang. It is not given up itself, for its turn may still come.
+constexpr Micros kTurn = 2'250'000;
+// Guards against a discovery that answers at once with nothing new: asking again without a pause
+// would be a busy loop over the network. Inside the 200 ms that keep a watch.
+constexpr Micros kGap = 100'000;
+// The most by which the first calls of all that start together are spread, and the second ones.
+constexpr Micros kMostFirst = 3'000'000;
+static_assert(kMostFirst + kTurn + kAnswer < kTold);
+// The same of their calls where nobody is there.
+constexpr Micros kMostSpread = 1'500'000;
+// The most between two calls, where the first may have found discovery there and got no word,
+constexpr Micros kMostPause = 500'000;
+// and where it was refused, whatever it was advised.
+constexpr Micros kMostAway = 1'250'000;
+static_assert(kTurn + kMostPause + kMostAway + kMostSpread + kAnswer <= kTold);
+static_assert(kWatch + kLate + kMostPause + kMostAway + kAnswer <= kTold);
+static_assert(kWatch + kLate + kDial + kMostPause + kAnswer <= kTold);
+static_assert(kDial + kMostPause + kMostAway + kTurn + kAnswer <= kTold);
+
+// Part of discovery's time that is left, while a group comes back, to calls other than those of
+// members who have a list: to members who have none, and to groups of other tiers.
 constexpr Micros kRoomFactor = 4;
 
 // After a change that all were told of at once, the least window for asking again. It lies inside
@@ -39,8 +71,16 @@
     bool knows = false;              // It was started with a list.
     double fresh = 0;                // From 1 for one just told to 0: too old, or of unknown age.
     std::uint64_t seed = 0;          // Of all that is drawn.
+    // Where lists are pushed, an agent of this member's own has them: calls burden nobody, and what
+    // the agent has counts as told from the first moment. Then how long all pauses may be; else 0.
+    Micros pushed_within = 0;
   };
-  explicit Pace(const Place& place) : place_(place), draws_(place.seed), returning_(!place.knows) {}
+  explicit Pace(const Place& place) : place_(place), rng_(place.seed), returning_(!place.knows) {}
+
+  // How long a connection to discovery may take to come up.
+  Micros Dial() const { return Bounded(kDial); }
+  // The least time from one call to the next where nothing new is told.
+  Micros Gap() const { return Bounded(kGap); }
 
   // When one that starts at `start` makes its first call.
   Micros FirstAsk(Micros start) const;
@@ -50,13 +90,23 @@
   Micros OnAnswer(Micros now, Micros took, bool news);
 
   // Why a call brought nothing.
+  enum class Why {
+    kAbsent,  // Nobody takes calls there.
+    kLost,    // It broke off, or no answer came: discovery may have been there.
+    kRefused  // Discovery is there and said no.
+  };
   struct Failure {
-    bool refused = false;          // Discovery is there and said no; else it cannot be reached.
-    std::optional<Micros> advice;  // How long it asks to stay away.
+    Why why = Why::kLost;
+    std::optional<Micros> advice = std::nullopt;  // How long it asks to stay away.
   };
-  // Returns the time before which it is not to be asked; when it is, is for others to say.
+  // Returns when to ask again.
   Micros OnFailure(Micros now, const Failure& failure);
 
+  // How long the next watch may wait.
+  Micros Wait() const { return std::min(wait_, Longest()); }
+  // A watch was answered, or given up, so much later than its wait was over.
+  void OnWatchOver(Micros late, bool answered);
+
   // What one call is known or guessed to cost discovery.
   Micros CallCost() const { return shown_.value_or(kCallGuess); }
 
@@ -64,14 +114,23 @@
   double Draw();
   // The time that discovery needs for one call of each member, within limits.
   Micros Window(Micros cost, Micros most) const;
+  Micros Longest() const;
+  static Micros Most(Why why);
+  bool pushed() const { return place_.pushed_within > 0; }
+  // No longer than lists that are pushed allow.
+  Micros Bounded(Micros span) const {
+    return pushed() ? std::min(span, place_.pushed_within) : span;
+  }
 
   Place place_;
-  std::uint64_t draws_;
+  std::uint64_t rng_;
   // What an answer took that had nothing to wait for but its turn: the first, to one that knew
   // nothing. A watch may have waited for news, and tells nothing of what discovery needs.
   std::optional<Micros> shown_;
   bool returning_;    // It knew nothing at its start, and has not been told yet.
-  int refusals_ = 0;  // In a row.
+  int failures_ = 0;  // In a row.
+  Micros wait_ = kWatch;
+  int overdue_ = 0;  // Watches without an answer, in a row.
 };
 
 }  // namespace recovery
--- a/src/seeds/size.cpp
+++ b/src/seeds/size.cpp
@@ -130,7 +130,7 @@
   scene.work = kWork;
   scene.cut = 0;
   const bool killed = shape == Shape::kHerd || shape == Shape::kForget;
-  scene.push = killed;
+  scene.push = false;  // What is pushed is told at once: nothing may be spread there.
   scene.forget = shape == Shape::kForget;
   if (killed) scene.list_cost = kBusyListCost;
   if (size.list_cost > 0) scene.list_cost = size.list_cost;
--- a/src/sidecar/discovery.cpp
+++ b/src/sidecar/discovery.cpp
@@ -20,13 +20,12 @@
 
 namespace {
 
-constexpr std::uint64_t kListLimit = 4 << 20;     // Bytes of one list.
-constexpr auto kGrace = std::chrono::seconds(2);  // An answer later than its wait by this is none.
-// A call for the whole list waits its turn: with the grace it is given up when the protocol takes
-// what it had to tell for told, 6 s after it was made, and not while it may still come.
-constexpr auto kTurn = std::chrono::seconds(4);
-constexpr auto kBriefly = std::chrono::milliseconds(100);  // Inside the 200 ms that keep a watch.
-constexpr double kMostAdvice = 3600;                       // Seconds.
+constexpr std::uint64_t kListLimit = 4 << 20;  // Bytes of one list.
+// A call is given up when the protocol takes what it had to tell for told: that long after it was
+// made, or, of one that may wait, so long after its wait is over.
+constexpr auto kGrace = std::chrono::seconds(2);
+constexpr auto kLongestCall = std::chrono::microseconds(recovery::kTold);
+constexpr double kMostAdvice = 3600;  // Seconds.
 
 gaugecart::Availability HealthOf(const std::string& word) {
   if (word == "SERVING") return gaugecart::Availability::kReady;
@@ -91,23 +90,34 @@
         address_(address),
         timer_(loop.NewTimer([this] { Fail("no answer in time"); })) {}
 
-  void Ask(const std::string& target, std::chrono::milliseconds wait, Done done) {
+  void Ask(const std::string& target, recovery::Micros dial, std::chrono::microseconds limit,
+           Done done) {
     if (done_) return;  // One at a time; what is under way brings the list as well.
     done_ = std::move(done);
     log_.Trace([&] { return "ask " + target; });
-    limit_ = wait + kGrace;
+    limit_ = limit;
     asked_ = loop_.LastingMicros();
     HttpRequest request{http::verb::get, target, 11};
     request.set(http::field::host, address_.Host());
     outgoing_.Start(TextOf(request));
     if (connected_) return Write();
     incoming_.Clear();
-    timer_->ArmAt(loop_.Now() + kGrace);
+    timer_->ArmAt(loop_.Now() + std::chrono::microseconds(dial));
     stream_ = loop_.Dial(address_, *this);
   }
+  bool asking() const { return done_ != nullptr; }
+  // What is under way is wanted no more.
+  void GiveUp() {
+    if (!asking()) return;
+    Drop();
+    done_ = nullptr;
+  }
 
  private:
+  using Why = recovery::Pace::Why;
+
   void OnConnected(net::Fault fault) override {
+    if (fault == net::Fault::kRefused) return Fail(net::WordOf(fault), {Why::kAbsent});
     if (fault != net::Fault::kNone) return Fail(net::WordOf(fault));
     connected_ = true;
     Write();
@@ -152,7 +162,7 @@
     if (answer.result() != http::status::ok) {
       const auto word = answer[http::field::retry_after];
       return Fail("status " + std::to_string(answer.result_int()),
-                  {true, AdviceOf({word.data(), word.size()})});
+                  {Why::kRefused, AdviceOf({word.data(), word.size()})});
     }
     std::optional<MemberList> list;
     try {
@@ -193,7 +203,7 @@
   Incoming incoming_;
   Outgoing outgoing_;
   std::optional<http::response_parser<http::string_body>> parser_;
-  std::chrono::milliseconds limit_{0};
+  std::chrono::microseconds limit_{0};
   gaugecart::Micros asked_ = 0;
   Done done_;
 };
@@ -204,15 +214,14 @@
     : loop_(loop),
       log_(log),
       address_(address),
-      wait_(std::clamp(std::chrono::milliseconds(place.ask_within / 1000),
-                       std::chrono::milliseconds(1000), std::chrono::milliseconds(60'000))),
       seq_(seq),
-      ask_within_(place.ask_within),
       pace_(place),
       on_list_(std::move(on_list)),
       on_failed_(std::move(on_failed)),
       watcher_(std::make_unique<Asker>(loop, log, address)),
+      second_(std::make_unique<Asker>(loop, log, address)),
       fetcher_(std::make_unique<Asker>(loop, log, address)),
+      silence_(loop.NewTimer([this] { OnSilence(); })),
       pause_(loop.NewTimer([this] { PauseOver(); })) {}
 
 Discovery::~Discovery() = default;
@@ -236,28 +245,52 @@
 }
 
 void Discovery::Next() {
-  const recovery::Micros asked = Now();
+  asked_ = Now();
+  answer_by_ = asked_ + (seq_ ? pace_.Wait() : 0);
+  Ask(*watcher_);
+  silence_->ArmAt(At(answer_by_ + (seq_ ? recovery::kLate : recovery::kTurn)));
+}
+
+void Discovery::Ask(Asker& line) {
+  const auto wait = std::chrono::milliseconds(pace_.Wait() / 1000);
   const std::string watch =
-      seq_ ? "?after=" + std::to_string(*seq_) + "&wait_ms=" + std::to_string(wait_.count()) : "";
-  watcher_->Ask("/catalog/members" + watch, seq_ ? wait_ : kTurn,
-                [this, asked](const std::optional<MemberList>& list, const Failure& failure) {
-                  if (!list) return Failed(failure);
-                  const bool news = list->seq != seq_;
-                  seq_ = list->seq;
-                  on_list_(*list);
-                  const recovery::Micros next = pace_.OnAnswer(Now(), Now() - asked, news);
-                  if (next > Now()) return pause_->ArmAt(At(next));
-                  if (loop_.Now() - At(asked) >= kBriefly) return Next();
-                  // Guards against a discovery that answers at once with nothing new: asking
-                  // again without a pause would be a busy loop over the network.
-                  pause_->ArmAt(loop_.Now() + kBriefly);
-                });
+      seq_ ? "?after=" + std::to_string(*seq_) + "&wait_ms=" + std::to_string(wait.count()) : "";
+  line.Ask("/catalog/members" + watch, pace_.Dial(), seq_ ? wait + kGrace : kLongestCall,
+           [this, &line](const std::optional<MemberList>& list, const Failure& failure) {
+             list ? Answered(line, *list) : Unanswered(line, failure);
+           });
+}
+
+// It may have lost its connection without a word, or wait its turn. Its place in that is kept, and
+// what has been lost is found out, by asking on another connection too.
+void Discovery::OnSilence() {
+  if (seq_) pace_.OnWatchOver(Now() - answer_by_, false);
+  Ask(*second_);
+}
+
+void Discovery::Answered(Asker& line, const MemberList& list) {
+  silence_->Cancel();
+  const bool watched = seq_.has_value();
+  const bool second = &line == second_.get();
+  if (second) std::swap(watcher_, second_);
+  second_->GiveUp();
+  const bool news = list.seq != seq_;
+  seq_ = list.seq;
+  if (watched && !news && !second) pace_.OnWatchOver(Now() - answer_by_, true);
+  on_list_(list);
+  const recovery::Micros next = pace_.OnAnswer(Now(), Now() - asked_, news);
+  if (next > Now()) return pause_->ArmAt(At(next));
+  if (Now() - asked_ >= pace_.Gap()) return Next();
+  pause_->ArmAt(At(Now() + pace_.Gap()));
 }
 
-void Discovery::Failed(const Failure& failure) {
+void Discovery::Unanswered(Asker& line, const Failure& failure) {
+  if (&line == watcher_.get() && second_->asking()) return;  // That one knows more.
+  silence_->Cancel();
+  watcher_->GiveUp();
   watching_ = false;
   not_before_ = pace_.OnFailure(Now(), failure);
-  pause_->ArmAt(std::max(At(not_before_), loop_.Now() + ask_within_));
+  pause_->ArmAt(At(not_before_));
   on_failed_();
 }
 
@@ -267,7 +300,7 @@
 }
 
 void Discovery::Fetch() {
-  fetcher_->Ask("/catalog/members", kTurn,
+  fetcher_->Ask("/catalog/members", pace_.Dial(), kLongestCall,
                 [this](const std::optional<MemberList>& list, const Failure&) {
                   if (!list) return on_failed_();
                   // The watch goes on from its own version: what it says again does no harm.
@@ -280,8 +313,10 @@
   address_ = address;
   // The calls that are out bring nothing any more.
   watcher_ = std::make_unique<Asker>(loop_, log_, address);
+  second_ = std::make_unique<Asker>(loop_, log_, address);
   fetcher_ = std::make_unique<Asker>(loop_, log_, address);
   pause_->Cancel();
+  silence_->Cancel();
   seq_.reset();  // Another discovery may count from elsewhere.
   watching_ = true;
   Next();
--- a/src/sidecar/discovery.h
+++ b/src/sidecar/discovery.h
@@ -55,8 +55,7 @@
   // Takes this process's place among all that may be starting now, and watches from then on.
   void Begin();
   // Starts the watch unless it is on, as soon as the pace allows a call. It ends with the first
-  // call that fails; whoever is told of the failure decides when to ask again, and only if nobody
-  // does is it taken up after a while.
+  // call that fails, and is taken up again when the pace says so.
   void Watch();
   // Asks for the whole list once.
   void Fetch();
@@ -69,7 +68,10 @@
   using Failure = recovery::Pace::Failure;
 
   void Next();
-  void Failed(const Failure& failure);
+  void Ask(Asker& line);
+  void OnSilence();
+  void Answered(Asker& line, const MemberList& list);
+  void Unanswered(Asker& line, const Failure& failure);
   void PauseOver();
   // The pace's clock: microseconds of the loop's.
   recovery::Micros Now() const;
@@ -78,15 +80,18 @@
   net::Loop& loop_;
   Log& log_;
   net::Address address_;
-  std::chrono::milliseconds wait_;
   std::optional<std::int64_t> seq_;  // None: the whole list is wanted first.
-  std::chrono::microseconds ask_within_;
   recovery::Pace pace_;
   recovery::Micros not_before_ = 0;  // What the pace said last.
   OnList on_list_;
   OnFailed on_failed_;
   std::unique_ptr<Asker> watcher_;
+  // Asks beside the watcher where that may hang: whichever is answered first goes on.
+  std::unique_ptr<Asker> second_;
   std::unique_ptr<Asker> fetcher_;
+  recovery::Micros asked_ = 0;  // When the watcher was, and when its wait is over.
+  recovery::Micros answer_by_ = 0;
+  net::TimerPtr silence_;
   net::TimerPtr pause_;
   bool watching_ = false;  // Else the pause is one between watches.
 };
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -78,6 +78,13 @@
   return std::max(0.0, 1.0 - age / static_cast<double>(config.state->list_age.count()));
 }
 
+// What is pushed counts as told at once: of the time in which sends must end then, a dial and the
+// pause before it may each take this part. 0 where lists are asked for.
+gaugecart::Micros PushedWithin(const gaugecart::Settings& settings) {
+  constexpr gaugecart::Micros kLeast = 20'000;
+  return settings.discovery_by_ask ? 0 : std::max(kLeast, settings.drain_grace / 4);
+}
+
 // An endpoint's answer with its head built anew: framing and extras are between it and us.
 HttpResponse FromEndpoint(const HttpResponse& answer) {
   HttpResponse response{http::status::ok, 11};
@@ -135,7 +142,7 @@
                                                      : std::nullopt,
           {config_.setup.settings.me, config_.setup.settings.group_size,
            config_.setup.settings.ask_within, !config_.known.members.empty(), FreshnessOf(config_),
-           config_.seed},
+           config_.seed, PushedWithin(config_.setup.settings)},
           [this](const MemberList& list) { OnDiscovery(list); }, [this] { OnDiscoveryFailed(); }),
       observer_(wiring.observer),
       told_list_(std::move(wiring.on_list)),
@@ -171,11 +178,7 @@
   }
   if (config_.peers) OpenPeers();
   // One that takes over is alone in that; others may start with all of their group.
-  if (!settled_) {
-    discovery_.Watch();
-  } else if (!config_.setup.settings.discovery_by_ask || !has_members_) {
-    discovery_.Begin();
-  }
+  settled_ ? discovery_.Begin() : discovery_.Watch();
 }
 
 Lesson Sidecar::Learned() const {
--- /dev/null
+++ b/tests/ending/ending_test.cpp
@@ -0,0 +1,81 @@
+// The moments in which something ends while something is still owed: docs/design/endings.md.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+#include "recovery/pace.h"
+#include "scene.h"
+
+namespace scene {
+namespace {
+
+std::size_t Requests(const Scene& s) {
+  return static_cast<std::size_t>(std::count_if(
+      s.at_node.begin(), s.at_node.end(), [](const TalkPtr& talk) { return talk->Has("/api"); }));
+}
+
+std::string Changed(const std::string& health) {
+  const shelflab::MemberRow row{"n0", rig::kNodeAt.Text(), "z", "k"};
+  nlohmann::json host = JsonOf(row);
+  host["health"] = health;
+  return Answer(nlohmann::json{{"seq", 2}, {"whole", false}, {"hosts", {host}}}.dump());
+}
+
+// ---- Discovery ----
+
+TEST(SilentWatch, AnotherIsOpenedSoSoonThatADrainIsKnownWithinTheTerm) {
+  Scene s;
+  ASSERT_EQ(s.at_discovery.size(), 1u);  // It says nothing, and never will.
+  s.Run(std::chrono::microseconds(recovery::kWatch + recovery::kLate));
+  s.Run(milliseconds(100));
+  ASSERT_EQ(s.at_discovery.size(), 2u);
+  EXPECT_FALSE(s.at_discovery.at(0)->ended);  // Its turn may still come.
+  s.at_discovery.at(1)->Send(Changed("DRAINING"));
+  s.Run(milliseconds(20));
+  EXPECT_TRUE(s.at_discovery.at(0)->ended);
+  s.Open(kClientsAt, Call(1));
+  s.Run(seconds(1));
+  EXPECT_EQ(Requests(s), 0u);
+  EXPECT_EQ(std::count(s.log.begin(), s.log.end(), '\n'), 0) << s.log;  // Nothing has failed.
+}
+
+TEST(SilentWatch, ALateAnswerOfItIsTakenAndTheOtherGivenUp) {
+  Scene s;
+  s.Run(seconds(4));
+  ASSERT_EQ(s.at_discovery.size(), 2u);
+  s.at_discovery.at(0)->Send(Changed("DRAINING"));
+  s.Run(milliseconds(20));
+  EXPECT_TRUE(s.at_discovery.at(1)->ended);
+  s.Open(kClientsAt, Call(1));
+  s.Run(seconds(1));
+  EXPECT_EQ(Requests(s), 0u);
+}
+
+// Whatever becomes of each call, the next follows so soon that the last of them is answered in
+// time.
+TEST(LostDiscovery, IsFoundWithinTheTermOfItsReturnWithTheTableFullOfIdleClients) {
+  Scene s(64);
+  s.CutDiscovery(true);
+  s.Run(seconds(20));  // By then calls have hung and been given up several times.
+  std::vector<TalkPtr> idle;
+  for (int i = 0; i < 100; ++i) idle.push_back(s.Open(kClientsAt));
+  s.Run(milliseconds(500));
+  const std::size_t before = s.at_discovery.size();
+  s.CutDiscovery(false);
+  s.Run(std::chrono::microseconds(recovery::kTold - recovery::kAnswer));
+  ASSERT_GT(s.at_discovery.size(), before);
+  EXPECT_TRUE(std::any_of(s.at_discovery.begin() + static_cast<std::ptrdiff_t>(before),
+                          s.at_discovery.end(),
+                          [](const TalkPtr& talk) { return talk->Has("/catalog/members"); }));
+  const auto client = s.Open(kClientsAt, Call(1));
+  s.Run(milliseconds(200));
+  ASSERT_EQ(Requests(s), 1u);
+  s.at_node.back()->Send(Answer("one"));
+  s.Run(milliseconds(20));
+  EXPECT_EQ(client->Status(), 200);
+}
+
+}  // namespace
+}  // namespace scene
--- a/tests/scene.h
+++ b/tests/scene.h
@@ -93,6 +93,13 @@
   int Health() { return Open(kClientsAt, "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n")->Status(); }
   // Nothing passes between the sidecar and its node.
   void CutNode(bool on) { net_.SetCut(rig::kHost, node.host(), on); }
+  // What goes between them takes so long.
+  void SlowNode(milliseconds span) {
+    net::Weather weather = net_.weather();
+    weather.latency_low = weather.latency_high = span;
+    net_.SetWeather(rig::kHost, node.host(), weather);
+  }
+  void CutDiscovery(bool on) { net_.SetCut(rig::kHost, discovery.host(), on); }
 
   std::deque<TalkPtr> at_node, at_discovery;
   std::string log;
--- a/tests/sidecar_test.cpp
+++ b/tests/sidecar_test.cpp
@@ -249,6 +249,8 @@
   Bench b;
   boost::asio::io_context io;
   tcp::socket socket(io, tcp::v4());
+  Peer watch = b.discovery.Accept();  // Its dial is over before there are none left.
+  watch.Read();
   rlimit usual{};
   ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &usual), 0);
   const int lowest_free = ::dup(0);
