Leave only when those who were answered last have read it

Found by reading each path that ends something. A drained process ended as soon as nothing was owed, with connections still lingering (Server::CheckDone took a lingering client for finished). The end of a process closes what is open, and a close over unread bytes resets the connection: a client that had sent its next request, not having seen that this was the end, lost the answer before it.

Test: Leaving.WaitsUntilWhoeverWasAnsweredLastHasReadIt, seen to fail with the old condition.

--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -552,10 +552,9 @@
 }
 
 void Server::CheckDone() {
-  if (!closed_ || !shut() || !done_) return;
-  for (const auto& client : clients_) {
-    if (!client->finished()) return;
-  }
+  // The end of the process would close what lingers, and take an answer with it that the client has
+  // not read while bytes of its own are unread here.
+  if (!closed_ || !shut() || !done_ || !clients_.empty()) return;
   std::exchange(done_, nullptr)();
 }
 
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -58,8 +58,9 @@
   // answered to the end.
   void OnGone(std::function<void()> gone) { gone_ = std::move(gone); }
 
-  // Nothing more is owed on it.
-  bool finished() const { return state_ == State::kLingering || state_ == State::kClosed; }
+  // Whether the client has gone, also where its end stands behind bytes that are not read yet. If
+  // so, whoever waits for that is told at once.
+  bool HasLeft();
   // A request, or a part of one, has come and has not been looked at.
   bool HasUnread();
   bool at_rest() const { return state_ == State::kIdle && !parser_; }
--- a/tests/ending/ending_test.cpp
+++ b/tests/ending/ending_test.cpp
@@ -77,5 +77,30 @@
   EXPECT_EQ(client->Status(), 200);
 }
 
+// ---- The end of the process ----
+
+// Its end closes what is open, and over unread bytes that resets the connection: a client that had
+// sent on would lose the answer before it.
+TEST(Leaving, WaitsUntilWhoeverWasAnsweredLastHasReadIt) {
+  Scene s;
+  const auto client = s.Open(kClientsAt, Call(1));
+  bool done = false;
+  s.sidecar->Leave(false, [&done] { done = true; });
+  s.Run(milliseconds(900));
+  ASSERT_EQ(Requests(s), 1u);
+  client->Hold(true);  // It is slow to read.
+  s.at_node.back()->Send(Answer("one"));
+  s.Run(milliseconds(50));
+  client->Send(Call(2));  // It had not seen that this is the end.
+  s.Run(milliseconds(50));
+  EXPECT_FALSE(done);
+  client->Hold(false);
+  s.Run(seconds(1));
+  EXPECT_EQ(client->Status(), 200);
+  EXPECT_FALSE(client->broken);
+  EXPECT_TRUE(done);
+  EXPECT_EQ(Requests(s), 1u);  // What was read after the shutdown is not sent on.
+}
+
 }  // namespace
 }  // namespace scene
