Begin no attempt for a client that has left, also where its end is not read yet

Found by reading: while a request is held, at most 32 KB of what its client sends on are read (server.cpp, Client::Read), and an end of the connection that stands behind more than that is not seen.

Now the machine is asked, whatever is unread (poll for POLLRDHUP; net::Stream::Ended), at the two places where an attempt begins: before it starts, and once its own connection is up. That is at the instant that counts, with no timer, and also covers an end that comes in the same wake-up.

Tests: LeftClient.*, each seen to fail without the look it is about.

--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -89,6 +89,9 @@
   // Hands over what the machine takes at once. Less than all without a fault: OnWritable follows.
   virtual Written Write(std::string_view bytes) = 0;
   virtual Ahead Peek() = 0;
+  // Whether the other side has ended or broken it, as far as this machine knows. Other than Peek it
+  // tells so also while bytes that came before are unread.
+  virtual bool Ended() = 0;
   // Half close: the other side reads an end after what was written.
   virtual void EndSending() = 0;
   // No more is told to the user. Closing with bytes unread may reset the connection.
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -1,5 +1,6 @@
 #include "net/sockets.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -203,6 +204,12 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Ahead::kNothing : Ahead::kOver;
   }
 
+  bool Ended() {
+    if (user_ == nullptr) return true;
+    pollfd one{socket_.native_handle(), POLLRDHUP, 0};
+    return ::poll(&one, 1, 0) > 0;
+  }
+
   void EndSending() {
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -260,6 +267,7 @@
   void Receive() override { state_->Receive(); }
   Written Write(std::string_view bytes) override { return state_->Write(bytes); }
   Ahead Peek() override { return state_->Peek(); }
+  bool Ended() override { return state_->Ended(); }
   void EndSending() override { state_->EndSending(); }
   void Close() override { state_->Close(); }
   void Reset() override { state_->Reset(); }
--- a/src/net/virtual.cpp
+++ b/src/net/virtual.cpp
@@ -136,6 +136,10 @@
     if (!e.arrived.empty()) return Ahead::kBytes;
     return !e.open || e.broken || e.end_arrived ? Ahead::kOver : Ahead::kNothing;
   }
+  bool Ended() override {
+    const VirtualConnection::End& e = end();
+    return !e.open || e.broken || e.end_arrived;
+  }
   void EndSending() override {
     if (end().open && c_->up) process_.net_.SendEnd(c_, 1 - side_, process_.net_.now_);
   }
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -98,6 +98,12 @@
   if (gone) gone();
 }
 
+bool Client::HasLeft() {
+  if (state_ == State::kClosed || !stream_->Ended()) return state_ == State::kClosed;
+  Leave();
+  return true;
+}
+
 void Client::OnBytes(std::string_view bytes) {
   const auto self = shared_from_this();
   if (state_ == State::kLingering) {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -588,7 +588,8 @@
   };
   // What is not kept cannot be sent twice, and the rest of a body comes once.
   const bool spent = live.bound.has_value() || (live.more && live.out > 1);
-  if (!live.client || now >= until || attempt >= config_.setup.settings.max_attempts || spent) {
+  if (!live.client || live.client->HasLeft() || now >= until ||
+      attempt >= config_.setup.settings.max_attempts || spent) {
     return done({OutcomeCode::kNeverSent, {}});
   }
   log_.Trace([&] {
@@ -609,6 +610,11 @@
   return BodyBudget{config_.memory_mb * (1 << 20) / (beside_ ? 8 : 4), holders}.Each();
 }
 
+bool Sidecar::OnUp(AttemptKey key) {
+  const auto it = live_.find(key.first);
+  return it != live_.end() && it->second.client && !it->second.client->HasLeft();
+}
+
 void Sidecar::OnWhole(AttemptKey key) {
   const auto it = live_.find(key.first);
   if (observer_ != nullptr && it != live_.end()) observer_->OnSent(it->second.level);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -123,6 +123,7 @@
   void Settle();
 
   // AttemptUser.
+  bool OnUp(AttemptKey key) override;
   void OnWhole(AttemptKey key) override;
   void OnWantsMore(AttemptKey key) override;
   bool OnAnswerBegun(AttemptKey key, HttpResponse head,
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -150,6 +150,9 @@
     if (endpoint == nullptr || !endpoint->ready || endpoint->version != version_) {
       return Finish(OutcomeCode::kConnectFailed);
     }
+    const bool wanted = owner_.user_.OnUp(key_);
+    if (state_ != State::kConnecting) return;  // Taken back meanwhile.
+    if (!wanted) return Finish(OutcomeCode::kNeverSent);
     Write();
   }
 
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -72,6 +72,8 @@
 // Who is told of attempts. It may act on the attempt at once.
 class AttemptUser {
  public:
+  // Its connection has come up. False: nothing of it is to be sent any more.
+  virtual bool OnUp(AttemptKey key) = 0;
   // It has been written whole.
   virtual void OnWhole(AttemptKey key) = 0;
   // All that was given of its body has been written, and it goes on.
--- a/tests/ending/ending_test.cpp
+++ b/tests/ending/ending_test.cpp
@@ -11,6 +11,8 @@
 namespace scene {
 namespace {
 
+constexpr std::size_t kMuch = 40'000;  // Of bytes sent ahead: more than is read of them.
+
 std::size_t Requests(const Scene& s) {
   return static_cast<std::size_t>(std::count_if(
       s.at_node.begin(), s.at_node.end(), [](const TalkPtr& talk) { return talk->Has("/api"); }));
@@ -77,6 +79,47 @@
   EXPECT_EQ(client->Status(), 200);
 }
 
+// ---- Clients that leave ----
+
+// Its end stands behind bytes that nobody reads while a request is held.
+TEST(LeftClient, GetsNoAttemptThoughReadingFromItWasPaused) {
+  Scene s;
+  s.CutNode(true);
+  const auto client = s.Open(kClientsAt, Call(1) + std::string(kMuch, 'x'));
+  s.Run(milliseconds(20));
+  client->Close();
+  s.Run(milliseconds(20));
+  s.CutNode(false);
+  s.Run(seconds(3));
+  EXPECT_EQ(Requests(s), 0u);
+  EXPECT_EQ(s.sidecar->holds().requests, 0u);
+}
+
+// The same between attempts, where the next one has a connection that lies idle.
+TEST(LeftClient, GetsNoFurtherAttemptThoughReadingFromItWasPaused) {
+  Scene s;
+  const auto client = s.Open(kClientsAt, Call(1) + std::string(kMuch, 'x'));
+  ASSERT_EQ(Requests(s), 1u);
+  client->Close();
+  s.Run(milliseconds(20));
+  const std::string first = s.at_node.at(0)->got;
+  s.at_node.at(0)->Send(Answer("no", "500 Internal Server Error"));
+  s.Run(seconds(3));
+  EXPECT_EQ(s.at_node.at(0)->got, first);
+  EXPECT_EQ(Requests(s), 1u);
+}
+
+// The same while the attempt's own connection comes up: the cut holds that up, and no timer looks.
+TEST(LeftClient, GetsNothingOnAConnectionThatComesUpAfterItWent) {
+  Scene s;
+  s.SlowNode(milliseconds(60));
+  const auto client = s.Open(kClientsAt, Call(1) + std::string(kMuch, 'x'));
+  client->Close();
+  s.Run(seconds(3));
+  ASSERT_FALSE(s.at_node.empty());
+  EXPECT_EQ(Requests(s), 0u);
+}
+
 // ---- The end of the process ----
 
 // Its end closes what is open, and over unread bytes that resets the connection: a client that had
--- a/tests/lab/emulation_test.cpp
+++ b/tests/lab/emulation_test.cpp
@@ -46,6 +46,7 @@
 
 // Long messages are not played here.
 struct Nobody : kelpspring::AttemptUser {
+  bool OnUp(kelpspring::AttemptKey) override { return true; }
   void OnWhole(kelpspring::AttemptKey) override {}
   void OnWantsMore(kelpspring::AttemptKey) override {}
   bool OnAnswerBegun(kelpspring::AttemptKey, kelpspring::HttpResponse,
