--- a/src/emulator/account.cpp
+++ b/src/emulator/account.cpp
@@ -10,6 +10,7 @@
 // An attempt may come in long after its request was answered; after this it is held foreign.
 constexpr Micros kMemory = 8 * kSecond;
 constexpr int kServed = 200;
+constexpr Micros kLeftSpan = 100'000;  // By the terms: an attempt that begins later is a break.
 
 std::string Hex(std::uint64_t txn) {
   std::string hex(16, '0');
@@ -43,6 +44,8 @@
       return "cold nodes pushed over";
     case Rule::kForeign:
       return "requests nobody sent";
+    case Rule::kAfterLeft:
+      return "attempts for clients that had left";
   }
   return "?";
 }
@@ -75,6 +78,7 @@
     }
     case Kind::kFinal:
     case Kind::kCut:
+    case Kind::kLeft:
     case Kind::kGone: {
       const auto it = requests_.find(seen.txn);
       if (it != requests_.end()) Final(it->second, seen);
@@ -102,7 +106,8 @@
 }
 
 void Account::Final(Request& r, const Seen& seen) {
-  if (seen.kind == Seen::Kind::kGone) {
+  if (seen.kind == Seen::Kind::kLeft) r.left = std::min(r.left, seen.at);
+  if (seen.kind == Seen::Kind::kGone || seen.kind == Seen::Kind::kLeft) {
     r.ended = true;
     return;
   }
@@ -155,6 +160,11 @@
   }
   // A send counts from its first byte, however long a cut held that up.
   const Micros sent = seen.sent > 0 ? seen.sent : seen.at;
+  if (r.left != kNever && sent > r.left + kLeftSpan + slack_) {
+    Break(Rule::kAfterLeft, seen,
+          Hex(seen.txn) + " sent to node " + std::to_string(seen.node) + " " +
+              std::to_string((sent - r.left) / 1000) + " ms after its client had left");
+  }
   const auto told = told_.find({seen.sidecar, seen.node});
   if (told != told_.end() && sent > told->second + spec_.drain_grace + slack_) {
     Break(Rule::kDrain, seen,
--- a/src/emulator/account.h
+++ b/src/emulator/account.h
@@ -37,8 +37,9 @@
   kDrain,
   kColdFall,
   kForeign,
+  kAfterLeft,  // An attempt begun for a client that had gone.
 };
-constexpr std::size_t kRules = 10;
+constexpr std::size_t kRules = 11;
 const char* WordOf(Rule rule);
 
 struct Seen {
@@ -47,6 +48,7 @@
     kFinal,         // It got an answer: status, body.
     kCut,           // Its connection ended before a whole answer came.
     kGone,          // The client went away, or the sidecar was killed: nothing is owed.
+    kLeft,          // The same, and it closed the connection: nothing more may be begun for it.
     kAttemptBegan,  // `txn` has reached `node` whole, through `sidecar`.
     kAttemptEnded,  // ... and was answered: never_ran where the answer proves that; body.
     kTold,          // `sidecar` was told that `node` drains or is gone ...
@@ -109,8 +111,9 @@
     Micros due = kNever;
     Micros last = 0;
     bool taken = false;
-    bool ended = false;  // Answered, or nothing is owed.
-    bool late = false;   // Held unanswered; an answer may still come.
+    bool ended = false;    // Answered, or nothing is owed.
+    bool late = false;     // Held unanswered; an answer may still come.
+    Micros left = kNever;  // When its client closed the connection.
     std::uint32_t attempts = 0;
     std::uint32_t unproven = 0;         // Attempts that may have run, or still may.
     std::vector<std::uint64_t> bodies;  // Of whole 200 answers by endpoints.
--- a/src/seeds/clients.cpp
+++ b/src/seeds/clients.cpp
@@ -50,7 +50,7 @@
   void Leave(std::optional<net::Time> arriving = std::nullopt) {
     if (!ask_ || over()) return;
     const auto self = shared_from_this();
-    Tell(Seen::Kind::kGone);
+    Tell(Seen::Kind::kLeft);
     timer_->Cancel();
     if (arriving) net::VirtualNet::CloseArriving(*stream(), *arriving);
     Close();
@@ -192,8 +192,9 @@
   void Tell(Seen::Kind kind, int status = 0, std::uint64_t body = 0) {
     if (muted_) return;
     world_.Say([&] {
-      static constexpr std::array<const char*, 4> kWords = {"is sent to", "is answered by",
-                                                            "is cut by", "is given up at"};
+      static constexpr std::array<const char*, 5> kWords = {"is sent to", "is answered by",
+                                                            "is cut by", "is given up at",
+                                                            "is left by its client at"};
       return fmt::format("{:016x} {} sidecar {}{}", ask_->txn,
                          kWords[static_cast<std::size_t>(kind)], place,
                          status == 0 ? std::string() : fmt::format(": {}", status));
--- a/src/sidecar/mutant.h
+++ b/src/sidecar/mutant.h
@@ -25,6 +25,7 @@
   kCloseFresh,      // As before seed 447: a fresh connection makes room at once,
   kHoldAll,         // all places may be held,
   kAttemptsFirst,   // and attempts take freed places ahead of clients.
+  kServeLeft,       // A client that has left is served on.
   kAskInStep,       // A fresh process asks discovery at once, as all that start with it do.
   kTrustOldList,    // Once it has a list it takes no other.
   kIgnoreAge,       // What is remembered is used however old it is,
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -99,6 +99,7 @@
 }
 
 bool Client::HasLeft() {
+  if (Mutated(Mutant::kServeLeft)) return false;
   if (state_ == State::kClosed || !stream_->Ended()) return state_ == State::kClosed;
   Leave();
   return true;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -721,7 +721,7 @@
 
 void Sidecar::Gone(RequestId id) {
   const auto it = live_.find(id);
-  if (it == live_.end() || !it->second.client) return;
+  if (it == live_.end() || !it->second.client || Mutated(Mutant::kServeLeft)) return;
   Release(it->second, Ending::kAbandoned);
   Run([this, id] { balancer_->OnAbandoned(Now(), id); });
   Run([this, id] {
--- a/tests/seeds/mutants_test.cpp
+++ b/tests/seeds/mutants_test.cpp
@@ -64,6 +64,7 @@
                       Case{Mutant::kCrowdNewborn, "cold nodes pushed over"},
                       Case{Mutant::kNoBudget, "more descriptors than allowed"},
                       Case{Mutant::kAcceptNoMore, "service is not back", 201},
+                      Case{Mutant::kServeLeft, "attempts for clients that had left"},
                       Case{Mutant::kBusyLoop, "time stands still"}),
     [](const auto& tested) {
       std::string name;
