--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -100,7 +100,8 @@
 
 bool Client::HasLeft() {
   if (Mutated(Mutant::kServeLeft)) return false;
-  if (state_ == State::kClosed || !stream_->Ended()) return state_ == State::kClosed;
+  if (state_ == State::kClosed) return true;
+  if (!stream_->Ended()) return false;
   Leave();
   return true;
 }
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -82,7 +82,7 @@
     const bool reused = state_ == State::kIdle;
     idle_ = reused ? owner_.loop_.Now() - idle_since_ : net::Span::zero();
     if (reused) return Write();
-    timer_->ArmAt(std::min(WriteEnd(), owner_.loop_.Now() + owner_.connect_timeout_));
+    timer_->ArmAt(std::min(WriteEnd(until_), owner_.loop_.Now() + owner_.connect_timeout_));
     owner_.log_.Trace([&] { return "connect " + dial_.Text(); });
     stream_ = owner_.loop_.Dial(dial_, *this);
   }
@@ -158,13 +158,13 @@
 
   void Write() {
     const net::Time now = owner_.loop_.Now();
-    if (now >= WriteEnd()) return Finish(OutcomeCode::kConnectFailed);
+    if (now >= WriteEnd(until_)) return Finish(OutcomeCode::kConnectFailed);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         more_ ? left_ : net::Span(until_ - now));
     message_->set("X-Remaining-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
     outgoing_.Start(more_ ? FirstPart() : TextOf(*message_));
     state_ = State::kBusy;
-    timer_->ArmAt(WriteEnd());
+    timer_->ArmAt(WriteEnd(until_));
     NextParser();
     interim_ = 0;
     begun_ = false;
@@ -187,14 +187,13 @@
       case Outgoing::State::kBroken:
         return Finish(OutcomeCode::kConnectFailed);  // Its last byte never left.
       case Outgoing::State::kMoreToCome:
-        if (in_parts_) ArmForWrite(owner_.loop_.Now() + silence_);
+        if (in_parts_) timer_->ArmAt(WriteEnd(owner_.loop_.Now() + silence_));
         return;
     }
   }
 
   // By then its last byte is out, or it is given up with nothing having run.
-  net::Time WriteEnd() const { return write_by_ ? std::min(until_, *write_by_) : until_; }
-  void ArmForWrite(net::Time at) { timer_->ArmAt(write_by_ ? std::min(at, *write_by_) : at); }
+  net::Time WriteEnd(net::Time at) const { return write_by_ ? std::min(at, *write_by_) : at; }
 
   // The client's own pace is guarded where it is read.
   void WantMore() {
