--- a/tests/choice_test.cpp
+++ b/tests/choice_test.cpp
@@ -391,7 +391,6 @@
   return seats;
 }
 
-// The learned limit falls on time-outs and comes back with prompt answers.
 TEST(Window, TheRepeatIsToldUntilWhenItMayBeWritten) {
   Settings s = BasicSettings();
   s.classes = {Class(Repeat::kDeduplicated)};
@@ -408,6 +407,7 @@
   EXPECT_EQ(d.recorder.write_by, sent + s.classes[0].dedup_window - s.round);
 }
 
+// The learned limit falls on time-outs and comes back with prompt answers.
 TEST(Limiter, FallsUnderTimeoutsAndRecovers) {
   Settings s = BasicSettings();
   s.tenants = {{60, 1.0}};
--- a/tests/ending/ending_test.cpp
+++ b/tests/ending/ending_test.cpp
@@ -18,11 +18,17 @@
       s.at_node.begin(), s.at_node.end(), [](const TalkPtr& talk) { return talk->Has("/api"); }));
 }
 
-std::string Changed(const std::string& health) {
-  const shelflab::MemberRow row{"n0", rig::kNodeAt.Text(), "z", "k"};
-  nlohmann::json host = JsonOf(row);
-  host["health"] = health;
-  return Answer(nlohmann::json{{"seq", 2}, {"whole", false}, {"hosts", {host}}}.dump());
+// Discovery says on this connection that the node drains: the other is given up, and nothing goes
+// to the node any more.
+void ExpectHeeded(Scene& s, Talk& told, const Talk& other) {
+  nlohmann::json row = JsonOf(shelflab::MemberRow{"n0", rig::kNodeAt.Text(), "z", "k"});
+  row["health"] = "DRAINING";
+  told.Send(Answer(nlohmann::json{{"seq", 2}, {"whole", false}, {"hosts", {row}}}.dump()));
+  s.Run(milliseconds(20));
+  EXPECT_TRUE(other.ended);
+  s.Open(kClientsAt, Call(1));
+  s.Run(seconds(1));
+  EXPECT_EQ(Requests(s), 0u);
 }
 
 // ---- Discovery ----
@@ -34,12 +40,7 @@
   s.Run(milliseconds(100));
   ASSERT_EQ(s.at_discovery.size(), 2u);
   EXPECT_FALSE(s.at_discovery.at(0)->ended);  // Its turn may still come.
-  s.at_discovery.at(1)->Send(Changed("DRAINING"));
-  s.Run(milliseconds(20));
-  EXPECT_TRUE(s.at_discovery.at(0)->ended);
-  s.Open(kClientsAt, Call(1));
-  s.Run(seconds(1));
-  EXPECT_EQ(Requests(s), 0u);
+  ExpectHeeded(s, *s.at_discovery.at(1), *s.at_discovery.at(0));
   EXPECT_EQ(std::count(s.log.begin(), s.log.end(), '\n'), 0) << s.log;  // Nothing has failed.
 }
 
@@ -47,12 +48,7 @@
   Scene s;
   s.Run(seconds(4));
   ASSERT_EQ(s.at_discovery.size(), 2u);
-  s.at_discovery.at(0)->Send(Changed("DRAINING"));
-  s.Run(milliseconds(20));
-  EXPECT_TRUE(s.at_discovery.at(1)->ended);
-  s.Open(kClientsAt, Call(1));
-  s.Run(seconds(1));
-  EXPECT_EQ(Requests(s), 0u);
+  ExpectHeeded(s, *s.at_discovery.at(0), *s.at_discovery.at(1));
 }
 
 // Whatever becomes of each call, the next follows so soon that the last of them is answered in
