Design of the serving tier, its interfaces and its place in the build

Cause: the list and settings that the sidecar lived on are switched off; the tier that replaces them needs a design before code. Nothing of it is built yet.

--- /dev/null
+++ b/src/tier/cluster/agent.h
@@ -0,0 +1,70 @@
+// A sidecar's or store's part in the cluster: finds the core from the seeds, renews its lease there,
+// receives the parts of the view (from the core or through the relay tree) and passes them on, and
+// carries counts of use upwards.
+#ifndef SHELFLINK_TIER_CLUSTER_AGENT_H_
+#define SHELFLINK_TIER_CLUSTER_AGENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "net/loop.h"
+#include "tier/cluster/view.h"
+#include "tier/foundation/settings.h"
+#include "tier/transport/hub.h"
+
+namespace shelflink::cluster {
+
+class Agent {
+ public:
+  struct Changes {  // Each may be empty. Called after the view has taken the new part.
+    std::function<void()> configuration;
+    std::function<void()> endpoints;
+    std::function<void()> placement;
+    std::function<void()> members;
+    std::function<void(bool in_touch)> contact;
+  };
+  // What a store tells with each renewal, for placement.
+  struct StoreReport {
+    std::string disk;  // Identity.
+    std::uint64_t bytes_used = 0;
+    std::uint64_t bytes_free = 0;
+    std::uint64_t tokens_queued = 0;
+  };
+
+  Agent(net::Loop& loop, transport::Hub& hub, const ProcessSettings& settings, Changes changes);
+  ~Agent();
+  Agent(const Agent&) = delete;
+  Agent& operator=(const Agent&) = delete;
+
+  const View& view() const;
+  // The lease is valid: the core's primary has heard of this process within it.
+  bool in_touch() const;
+  // When the lease ends; in the past where there is none.
+  net::Time lease_until() const;
+  // The core's primary, as far as known.
+  std::optional<net::Address> primary() const;
+
+  void SetReady(bool ready);
+  // A request of that tenant has begun to run (its first event came) now.
+  void CountUse(const std::string& tenant);
+  // Tokens in flight and waiting of a service, for orders of endpoints; the newest value holds.
+  void SetLoad(const std::string& service, std::uint64_t tokens_running,
+               std::uint64_t tokens_waiting);
+  void SetStoreReport(std::function<StoreReport()> report);
+  // The settings file has changed: other seeds.
+  void SetSeeds(const std::vector<net::Address>& seeds);
+  // Gives the lease back: others learn at once that this process leaves.
+  void Leave(std::function<void()> done);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace shelflink::cluster
+
+#endif  // SHELFLINK_TIER_CLUSTER_AGENT_H_
--- /dev/null
+++ b/src/tier/configuration/model.h
@@ -0,0 +1,108 @@
+// The operators' configuration as typed values, parsed and checked whole from its JSON.
+#ifndef SHELFLINK_TIER_CONFIGURATION_MODEL_H_
+#define SHELFLINK_TIER_CONFIGURATION_MODEL_H_
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "tier/foundation/result.h"
+
+namespace shelflink::configuration {
+
+using std::chrono::milliseconds;
+
+enum class RouteKind { kIdempotent, kNonIdempotent, kStreaming, kBatch };
+
+struct SplitPart {
+  std::string service;
+  double weight = 1.0;
+};
+
+struct Route {
+  std::string name;
+  std::string hostname;
+  std::string path_prefix;  // Begins and ends with a slash.
+  RouteKind kind = RouteKind::kNonIdempotent;
+  milliseconds timeout{0};  // 0 only where the kind has none (batch).
+  milliseconds slo{0};
+  int priority = 0;  // 0 is highest.
+  std::vector<SplitPart> split;  // At least one; a plain `service` is one part.
+  int max_attempts = 1;
+  bool is_public = false;
+  bool sticky = false;
+  bool resumable = false;
+  milliseconds gap_aim{0};
+  milliseconds run_aim{0};  // Batch: all results are due so long after the first send.
+  milliseconds keep{0};     // Batch: an item may be given up so long after the first send.
+  std::optional<std::uint64_t> max_queued_tokens;  // Batch, where the route tells it.
+};
+
+struct Engine {
+  int slots = 0;
+  std::uint64_t kv_tokens = 0;
+};
+
+struct Autoscale {
+  int min = 0;  // For each zone.
+  int max = 0;
+  milliseconds boot{0};
+};
+
+struct Service {
+  std::string name;
+  std::string health_path;
+  int max_conns = 0;  // Of each endpoint, from all callers together; 0: not told.
+  std::optional<Engine> engine;
+  std::optional<Autoscale> autoscale;
+};
+
+struct ClientLimits {
+  std::size_t max_header_bytes = 16384;
+  std::size_t max_body_bytes = 4194304;
+  milliseconds header_timeout{3000};
+  milliseconds idle_timeout{15000};
+};
+
+struct Tenant {
+  std::string name;
+  std::vector<std::string> api_keys;
+  std::optional<int> priority;
+  std::optional<std::uint64_t> max_queued_tokens;
+};
+
+struct Configuration {
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<Service> services;
+  ClientLimits limits;
+  bool has_tenants = false;  // Whether `tenants` stands in the document at all.
+  std::vector<Tenant> tenants;
+
+  // Longest prefix among the routes of that host (a port behind the host is ignored, case too);
+  // null: no route. `path` without the query.
+  const Route* FindRoute(std::string_view host, std::string_view path) const;
+  const Route* RouteNamed(std::string_view name) const;
+  const Service* ServiceNamed(std::string_view name) const;
+  // Null: unknown key. Constant lookup, not a walk.
+  const Tenant* TenantOfKey(std::string_view key) const;
+  // Must be called after the lists have been changed by hand (tests); Parse does.
+  void Index();
+
+ private:
+  struct Lookup;
+  std::shared_ptr<const Lookup> lookup_;
+};
+
+// All findings together. Unknown fields are kept by the document and ignored here.
+BOOST_OUTCOME_V2_NAMESPACE::basic_result<Configuration, Findings,
+                                         BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>
+Parse(std::string_view json);
+
+}  // namespace shelflink::configuration
+
+#endif  // SHELFLINK_TIER_CONFIGURATION_MODEL_H_
--- /dev/null
+++ b/src/tier/coordination/replicator.h
@@ -0,0 +1,70 @@
+// A replicated ordered map under one primary: what others embed of the coordination library.
+//
+// The primary of an epoch decides; a write is acknowledged when every replica of the epoch's set
+// (fault tolerance + 1 at least) has it synced. Witnesses keep only epochs (number, primary, replica
+// set, witnesses) and decide by majority who follows. There is no majority log.
+#ifndef SHELFLINK_TIER_COORDINATION_REPLICATOR_H_
+#define SHELFLINK_TIER_COORDINATION_REPLICATOR_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/address.h"
+#include "tier/foundation/result.h"
+
+namespace shelflink::coordination {
+
+struct Write {
+  std::string key;
+  std::optional<std::string> value;  // None: removed.
+};
+
+// The committed map as this replica knows it; ordered.
+using Contents = std::map<std::string, std::string, std::less<>>;
+
+struct CoreMember {
+  std::string node;
+  std::string zone;
+  std::string disk;  // Identity, drawn when the disk was empty; another disk is another member.
+  net::Address address;
+};
+
+// The interface; coordination/group.h runs it over a hub and LMDB, tests use one of their own.
+class Replicator {
+ public:
+  // Runs on the primary, one at a time, on everything committed before: the writes to make, or why
+  // not. No writes: `done` is told only once it is certain that this was still the primary (a
+  // linearizable read).
+  using Plan = std::function<Result<std::vector<Write>>(const Contents& committed)>;
+  // kUnavailable: not the primary, nothing happened. kUnknown: it may come into force or not.
+  using Done = std::function<void(Result<void>)>;
+
+  struct Watcher {
+    // On every replica, in order, as soon as it knows them committed. All of the contents after a
+    // start or a catch-up: `writes` then holds every key.
+    std::function<void(const std::vector<Write>& writes)> committed;
+    // This replica has become the primary of that epoch, or is it no longer. As primary all earlier
+    // commits have been told.
+    std::function<void(bool primary, std::uint64_t epoch)> role;
+  };
+
+  virtual ~Replicator() = default;
+  virtual void SetWatcher(Watcher watcher) = 0;
+  virtual void Submit(Plan plan, Done done) = 0;
+  virtual const Contents& contents() const = 0;
+  virtual bool is_primary() const = 0;  // With a valid lease.
+  virtual std::uint64_t epoch() const = 0;
+  virtual std::optional<net::Address> primary() const = 0;  // Internal address, where known.
+  virtual std::vector<CoreMember> members() const = 0;      // Replicas and witnesses.
+  // Hands the primary's place over (SIGTERM); done is told when another has it or it failed.
+  virtual void Transfer(std::function<void(bool)> done) = 0;
+};
+
+}  // namespace shelflink::coordination
+
+#endif  // SHELFLINK_TIER_COORDINATION_REPLICATOR_H_
--- /dev/null
+++ b/src/tier/foundation/log.h
@@ -0,0 +1,31 @@
+// Logging by log4cplus: one event a line, to standard error. Keys of tenants never go in.
+#ifndef SHELFLINK_TIER_FOUNDATION_LOG_H_
+#define SHELFLINK_TIER_FOUNDATION_LOG_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace shelflink::log {
+
+enum class Level { kDebug, kInfo, kWarning, kError };
+
+// Once per process, before the first line. Without it lines go nowhere (tests).
+void Start(const std::string& node, Level least);
+// `module` names the logger ("proxy", "core.replica"); `text` is one line.
+void Line(Level level, std::string_view module, const std::string& text);
+bool Enabled(Level level, std::string_view module);
+inline void Info(std::string_view module, const std::string& text) {
+  Line(Level::kInfo, module, text);
+}
+inline void Warning(std::string_view module, const std::string& text) {
+  Line(Level::kWarning, module, text);
+}
+// For events that may come in floods: one line a minute per key, with the count of those left out.
+// `now_micros` is any steady clock.
+void Bounded(Level level, std::string_view module, const std::string& key, const std::string& text,
+             long long now_micros);
+
+}  // namespace shelflink::log
+
+#endif  // SHELFLINK_TIER_FOUNDATION_LOG_H_
