--- a/src/tier/cluster/agent.h
+++ b/src/tier/cluster/agent.h
@@ -1,6 +1,6 @@
-// A sidecar's or store's part in the cluster: finds the core from the seeds, renews its lease there,
-// receives the parts of the view (from the core or through the relay tree) and passes them on, and
-// carries counts of use upwards.
+// A sidecar's or store's part in the cluster: finds the core from the seeds, renews its lease
+// there, receives the parts of the view (from the core or through the relay tree) and passes them
+// on, and carries counts of use upwards.
 #ifndef SHELFLINK_TIER_CLUSTER_AGENT_H_
 #define SHELFLINK_TIER_CLUSTER_AGENT_H_
 
--- a/src/tier/configuration/model.h
+++ b/src/tier/configuration/model.h
@@ -30,7 +30,7 @@
   RouteKind kind = RouteKind::kNonIdempotent;
   milliseconds timeout{0};  // 0 only where the kind has none (batch).
   milliseconds slo{0};
-  int priority = 0;  // 0 is highest.
+  int priority = 0;              // 0 is highest.
   std::vector<SplitPart> split;  // At least one; a plain `service` is one part.
   int max_attempts = 1;
   bool is_public = false;
--- a/src/tier/coordination/replicator.h
+++ b/src/tier/coordination/replicator.h
@@ -1,8 +1,8 @@
 // A replicated ordered map under one primary: what others embed of the coordination library.
 //
 // The primary of an epoch decides; a write is acknowledged when every replica of the epoch's set
-// (fault tolerance + 1 at least) has it synced. Witnesses keep only epochs (number, primary, replica
-// set, witnesses) and decide by majority who follows. There is no majority log.
+// (fault tolerance + 1 at least) has it synced. Witnesses keep only epochs (number, primary,
+// replica set, witnesses) and decide by majority who follows. There is no majority log.
 #ifndef SHELFLINK_TIER_COORDINATION_REPLICATOR_H_
 #define SHELFLINK_TIER_COORDINATION_REPLICATOR_H_
 
--- a/src/tier/foundation/result.h
+++ b/src/tier/foundation/result.h
@@ -37,8 +37,9 @@
 std::string TextOf(const Findings& findings);
 
 template <typename T>
-using Result = BOOST_OUTCOME_V2_NAMESPACE::basic_result<
-    T, Error, BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
+using Result =
+    BOOST_OUTCOME_V2_NAMESPACE::basic_result<T, Error,
+                                             BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
 
 inline Error MakeError(ErrorCode code, std::string text) { return {code, std::move(text)}; }
 
--- a/src/tier/policy/module.h
+++ b/src/tier/policy/module.h
@@ -28,8 +28,8 @@
 
 struct ServiceInfo {
   std::string name;
-  int max_conns = 0;             // Of each endpoint, from all sidecars; 0: not told.
-  std::uint64_t kv_tokens = 0;   // Memory of each endpoint; 0: no model engine.
+  int max_conns = 0;            // Of each endpoint, from all sidecars; 0: not told.
+  std::uint64_t kv_tokens = 0;  // Memory of each endpoint; 0: no model engine.
   std::vector<EndpointInfo> endpoints;
 };
 
@@ -37,8 +37,8 @@
 struct Shape {
   std::string node;
   std::string zone;
-  std::uint32_t sidecars = 1;   // Ready ones, this one among them.
-  std::uint32_t levels = 1;     // Priority levels, 0 the most urgent; the last one is batch's.
+  std::uint32_t sidecars = 1;    // Ready ones, this one among them.
+  std::uint32_t levels = 1;      // Priority levels, 0 the most urgent; the last one is batch's.
   std::size_t most_held = 4096;  // Calls held in all; what comes beyond is refused.
 };
 
@@ -50,13 +50,13 @@
 struct Call {
   CallId id = 0;
   std::uint32_t level = 0;
-  std::uint64_t flow = 0;        // Hash of the tenant; of the route where there is none.
+  std::uint64_t flow = 0;  // Hash of the tenant; of the route where there is none.
   std::string service;
-  Micros due = kNever;           // The caller stops waiting.
-  Micros timeout = 0;            // The route's; a fixed fraction of it is the longest wait.
-  Micros objective = 0;          // To the first event or the answer.
+  Micros due = kNever;   // The caller stops waiting.
+  Micros timeout = 0;    // The route's; a fixed fraction of it is the longest wait.
+  Micros objective = 0;  // To the first event or the answer.
   int max_attempts = 1;
-  bool repeatable = false;       // Idempotent, or a stream that may be resumed.
+  bool repeatable = false;  // Idempotent, or a stream that may be resumed.
   bool batch = false;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t output_tokens = 0;
@@ -64,15 +64,15 @@
 };
 
 enum class Outcome {
-  kSuccess,     // Whole.
-  kNotRun,      // The endpoint said so (503 or 429 with Shelflink-Not-Run).
-  kMisdirected, // 421: another instance has the address.
-  kNeverSent,   // Connecting failed, or its last byte never left.
-  kError,       // An answer of failure; it has run.
-  kReset,       // Broken after it was sent, before any event; it may have run.
-  kTimeout,     // Silence; it may have run.
-  kCut,         // Broken in the middle of its events.
-  kCancelled,   // Given up on this side.
+  kSuccess,      // Whole.
+  kNotRun,       // The endpoint said so (503 or 429 with Shelflink-Not-Run).
+  kMisdirected,  // 421: another instance has the address.
+  kNeverSent,    // Connecting failed, or its last byte never left.
+  kError,        // An answer of failure; it has run.
+  kReset,        // Broken after it was sent, before any event; it may have run.
+  kTimeout,      // Silence; it may have run.
+  kCut,          // Broken in the middle of its events.
+  kCancelled,    // Given up on this side.
 };
 
 class Actions {
--- a/src/tier/proxy/calls.h
+++ b/src/tier/proxy/calls.h
@@ -23,18 +23,18 @@
 struct CallRequest {
   std::string request_id;  // Shelflink-Request-Id, as the client or the item has it.
   std::string method = "POST";
-  std::string target;      // Path and query, unchanged.
-  HeaderList headers;      // As they go on, without what concerns one connection, keys and tenant.
+  std::string target;  // Path and query, unchanged.
+  HeaderList headers;  // As they go on, without what concerns one connection, keys and tenant.
   std::string body;
   std::shared_ptr<const configuration::Configuration> configuration;  // In force when it came.
   const configuration::Route* route = nullptr;                        // Of that configuration.
-  std::string tenant;      // Empty: public.
+  std::string tenant;                                                 // Empty: public.
   std::uint32_t level = 0;
   bool batch = false;
   bool resumable = false;
-  std::optional<net::Time> due;        // Of the caller; none: the route's timeout alone.
+  std::optional<net::Time> due;                // Of the caller; none: the route's timeout alone.
   std::optional<std::uint64_t> last_event_id;  // Continue behind this event.
-  std::optional<int> max_attempts;     // In place of the route's.
+  std::optional<int> max_attempts;             // In place of the route's.
 };
 
 struct Event {
@@ -51,7 +51,7 @@
 
 struct CallSummary {
   CallEnd end = CallEnd::kFailed;
-  int status = 0;                      // Of the endpoint's last answer; 0: none.
+  int status = 0;  // Of the endpoint's last answer; 0: none.
   std::optional<double> retry_after_s;
   bool may_have_run = false;
 };
@@ -60,7 +60,8 @@
 class CallUser {
  public:
   // Head of the answer that will be passed on; once. `length` where the endpoint told it.
-  virtual void OnHead(int status, const HeaderList& headers, std::optional<std::uint64_t> length) = 0;
+  virtual void OnHead(int status, const HeaderList& headers,
+                      std::optional<std::uint64_t> length) = 0;
   // Bytes of the body as they came (streams: whole events only). Returns false if no more is wanted
   // until Resume.
   virtual bool OnBody(std::string_view bytes) = 0;
--- a/src/tier/transport/hub.h
+++ b/src/tier/transport/hub.h
@@ -6,9 +6,9 @@
 // between the same two processes within one connection, in order; after a loss the sender of a Call
 // learns kUnknown, the sender of a Send nothing. So whoever sends repeats, and receivers guard.
 //
-// Limits: kLargestFrame bytes a frame; kMostQueued bytes queued to one peer, beyond which Send drops
-// (counted) and Call fails with kUnavailable. A frame that is malformed, too long or of another
-// protocol version closes its connection and is counted by cause.
+// Limits: kLargestFrame bytes a frame; kMostQueued bytes queued to one peer, beyond which Send
+// drops (counted) and Call fails with kUnavailable. A frame that is malformed, too long or of
+// another protocol version closes its connection and is counted by cause.
 #ifndef SHELFLINK_TIER_TRANSPORT_HUB_H_
 #define SHELFLINK_TIER_TRANSPORT_HUB_H_
 
@@ -38,10 +38,10 @@
 
 // Who speaks: told by the first frame of each connection, on both sides.
 struct PeerIdentity {
-  std::string node;          // Name of the machine.
-  std::string role;          // "proxy", "core", "store"
+  std::string node;  // Name of the machine.
+  std::string role;  // "proxy", "core", "store"
   std::string zone;
-  net::Address address;      // Of its internal listener.
+  net::Address address;           // Of its internal listener.
   std::uint64_t incarnation = 0;  // Drawn at each start of the process.
 };
 
@@ -55,7 +55,8 @@
   using OnPeer = std::function<void(const PeerIdentity& peer, bool up)>;
 
   struct Options {
-    std::chrono::milliseconds silence{1500};  // Owed an answer for so long: the connection is closed.
+    std::chrono::milliseconds silence{
+        1500};  // Owed an answer for so long: the connection is closed.
     std::chrono::milliseconds connect{1000};
     std::chrono::milliseconds redial{100};  // First pause; doubles to 1 s.
     std::size_t most_connections = 4096;
