Messages of the cluster: renewals, parts of the view, reports on backups

Stores need them to tell the core's primary of joiners that are complete and of backups that stall; Agent::ReportBackup sends it. core_program.h declares RunCore.

--- a/src/tier/cluster/agent.h
+++ b/src/tier/cluster/agent.h
@@ -1,6 +1,6 @@
-// A sidecar's or store's part in the cluster: finds the core from the seeds, renews its lease there,
-// receives the parts of the view (from the core or through the relay tree) and passes them on, and
-// carries counts of use upwards.
+// A sidecar's or store's part in the cluster: finds the core from the seeds, renews its lease
+// there, receives the parts of the view (from the core or through the relay tree) and passes them
+// on, and carries counts of use upwards.
 #ifndef SHELFLINK_TIER_CLUSTER_AGENT_H_
 #define SHELFLINK_TIER_CLUSTER_AGENT_H_
 
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "net/loop.h"
+#include "tier/cluster/messages.h"
 #include "tier/cluster/view.h"
 #include "tier/foundation/settings.h"
 #include "tier/transport/hub.h"
@@ -28,12 +29,7 @@
     std::function<void(bool in_touch)> contact;
   };
   // What a store tells with each renewal, for placement.
-  struct StoreReport {
-    std::string disk;  // Identity.
-    std::uint64_t bytes_used = 0;
-    std::uint64_t bytes_free = 0;
-    std::uint64_t tokens_queued = 0;
-  };
+  using StoreReport = StoreState;
 
   Agent(net::Loop& loop, transport::Hub& hub, const ProcessSettings& settings, Changes changes);
   ~Agent();
@@ -55,6 +51,9 @@
   void SetLoad(const std::string& service, std::uint64_t tokens_running,
                std::uint64_t tokens_waiting);
   void SetStoreReport(std::function<StoreReport()> report);
+  // Tells the core's primary of a backup of a partition. kUnavailable: no primary known or reached;
+  // kConflict: the row has changed. Whoever reports repeats until the row says so.
+  void ReportBackup(const BackupReport& report, std::function<void(Result<void>)> done);
   // The settings file has changed: other seeds.
   void SetSeeds(const std::vector<net::Address>& seeds);
   // Gives the lease back: others learn at once that this process leaves.
--- /dev/null
+++ b/src/tier/cluster/core_program.h
@@ -0,0 +1,14 @@
+// The core process: a replica of the control state, and the cluster's services where it is primary.
+#ifndef SHELFLINK_TIER_CLUSTER_CORE_PROGRAM_H_
+#define SHELFLINK_TIER_CLUSTER_CORE_PROGRAM_H_
+
+#include "tier/foundation/settings.h"
+
+namespace shelflink::cluster {
+
+// Until SIGTERM. Returns the exit code.
+int RunCore(const ProcessSettings& settings);
+
+}  // namespace shelflink::cluster
+
+#endif  // SHELFLINK_TIER_CLUSTER_CORE_PROGRAM_H_
--- /dev/null
+++ b/src/tier/cluster/messages.h
@@ -0,0 +1,138 @@
+// Messages between agents and the core's primary, and between parents and children of the relay
+// tree. Typed values and their CBOR form; whoever receives one that cannot be read drops it.
+#ifndef SHELFLINK_TIER_CLUSTER_MESSAGES_H_
+#define SHELFLINK_TIER_CLUSTER_MESSAGES_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/address.h"
+#include "tier/cluster/view.h"
+#include "tier/foundation/result.h"
+#include "tier/transport/hub.h"
+
+namespace shelflink::cluster {
+
+// Call, agent to core: Renewal -> RenewalAnswer.
+constexpr transport::MessageKind kRenewKind = transport::kClusterKinds + 0;
+// Send, downwards: Push.
+constexpr transport::MessageKind kPushKind = transport::kClusterKinds + 1;
+// Call, agent to whoever has the part (parent or core): Fetch -> Push. kNotFound: not that version.
+constexpr transport::MessageKind kFetchKind = transport::kClusterKinds + 2;
+// Call, agent to core: Leave -> empty.
+constexpr transport::MessageKind kLeaveKind = transport::kClusterKinds + 3;
+// Call, store that is primary of a partition to core: BackupReport -> empty. kConflict: the row has
+// another epoch by now; the placement that says so follows.
+constexpr transport::MessageKind kBackupReportKind = transport::kClusterKinds + 4;
+// Call, core to the core's primary: an operator's order.
+constexpr transport::MessageKind kOrderKind = transport::kClusterKinds + 5;
+
+enum class Part : std::uint8_t { kConfiguration, kEndpoints, kPlacement, kMembers };
+constexpr std::size_t kParts = 4;
+
+struct PartVersions {
+  Version of[kParts];
+  Version& operator[](Part part) { return of[static_cast<std::size_t>(part)]; }
+  const Version& operator[](Part part) const { return of[static_cast<std::size_t>(part)]; }
+  bool operator==(const PartVersions&) const = default;
+};
+
+// Requests of one tenant that began to run in one window, counted by one life of one sidecar;
+// cumulative, so that a repeated message changes nothing.
+struct UseCount {
+  std::uint64_t window = 0;
+  std::string tenant;
+  std::uint64_t count = 0;
+  bool operator==(const UseCount&) const = default;
+};
+
+// Tokens of a service at one sidecar.
+struct ServiceLoad {
+  std::string service;
+  std::uint64_t tokens_running = 0;
+  std::uint64_t tokens_waiting = 0;
+  bool operator==(const ServiceLoad&) const = default;
+};
+
+// What a store tells of itself.
+struct StoreState {
+  std::string disk;
+  std::uint64_t bytes_used = 0;
+  std::uint64_t bytes_free = 0;
+  std::uint64_t tokens_queued = 0;
+  bool operator==(const StoreState&) const = default;
+};
+
+struct Renewal {
+  bool ready = false;
+  PartVersions versions;
+  bool parent_silent = false;  // Asks for another parent than `parent`.
+  std::optional<net::Address> parent;
+  std::int64_t wall_micros = 0;   // Its time of day, so that the core can tell whose is wrong.
+  std::uint64_t window_open = 0;  // All windows before this one are counted to their end.
+  std::vector<UseCount> uses;     // Of every window that the core has not told as settled.
+  std::vector<ServiceLoad> loads;
+  std::optional<StoreState> store;
+  bool operator==(const Renewal&) const = default;
+};
+
+struct RenewalAnswer {
+  bool accepted = false;                // By the core's primary.
+  std::optional<net::Address> primary;  // Where not accepted: who is, if known.
+  std::uint64_t epoch = 0;
+  std::uint32_t lease_ms = 0;          // From when the renewal was sent.
+  std::uint32_t interval_ms = 0;       // Until the next renewal.
+  PartVersions versions;               // The newest.
+  std::optional<net::Address> parent;  // In the relay tree; none: the core itself.
+  std::vector<net::Address> children;  // Whom to pass pushes on to.
+  std::int64_t true_micros = 0;        // Time of day as most processes have it.
+  std::uint64_t settled_before = 0;    // Windows below are reported; their counts can go.
+  std::vector<net::Address> cores;     // All core processes known.
+  bool operator==(const RenewalAnswer&) const = default;
+};
+
+struct Push {
+  Part part = Part::kConfiguration;
+  Version version;
+  std::string body;  // Configuration: its JSON; others: see view_codec.h.
+  bool operator==(const Push&) const = default;
+};
+
+struct Fetch {
+  Part part = Part::kConfiguration;
+  Version least;  // An older one is of no use.
+  bool operator==(const Fetch&) const = default;
+};
+
+// Told by the primary of a partition, of one of its backups under that epoch of the row.
+enum class BackupCondition : std::uint8_t {
+  kComplete,  // The joiner holds everything; every later write is synced there too.
+  kStalled,   // It does not answer; writes cannot be acknowledged with it.
+};
+struct BackupReport {
+  std::uint32_t partition = 0;
+  std::uint64_t epoch = 0;  // Of the row.
+  std::string disk;         // Of the backup.
+  BackupCondition condition = BackupCondition::kComplete;
+  bool operator==(const BackupReport&) const = default;
+};
+
+std::string Encode(const Renewal& message);
+std::string Encode(const RenewalAnswer& message);
+std::string Encode(const Push& message);
+std::string Encode(const Fetch& message);
+std::string Encode(const BackupReport& message);
+
+// kInvalid where the body is no such message.
+Result<Renewal> DecodeRenewal(std::string_view body);
+Result<RenewalAnswer> DecodeRenewalAnswer(std::string_view body);
+Result<Push> DecodePush(std::string_view body);
+Result<Fetch> DecodeFetch(std::string_view body);
+Result<BackupReport> DecodeBackupReport(std::string_view body);
+
+}  // namespace shelflink::cluster
+
+#endif  // SHELFLINK_TIER_CLUSTER_MESSAGES_H_
--- a/src/tier/cluster/view.h
+++ b/src/tier/cluster/view.h
@@ -1,5 +1,5 @@
-// What every process of the tier knows of the tier, in parts with a version each. The core's primary
-// makes them; the relay tree carries them; a process never takes a lower version of a part.
+// What every process of the tier knows of the tier, in parts with a version each. The core's
+// primary makes them; the relay tree carries them; a process never takes a lower version of a part.
 #ifndef SHELFLINK_TIER_CLUSTER_VIEW_H_
 #define SHELFLINK_TIER_CLUSTER_VIEW_H_
 
@@ -37,12 +37,13 @@
 
 // Batch jobs lie in partitions by the hash of their tenant (batch/partition.h).
 struct PartitionRow {
-  std::uint64_t epoch = 0;  // Rises with every change of the row; fences what an older primary does.
+  std::uint64_t epoch =
+      0;  // Rises with every change of the row; fences what an older primary does.
   net::Address primary;
-  std::string primary_disk;             // Identity of the disk, drawn when it was empty.
-  std::vector<net::Address> backups;    // Every write is synced by each of them too.
+  std::string primary_disk;           // Identity of the disk, drawn when it was empty.
+  std::vector<net::Address> backups;  // Every write is synced by each of them too.
   std::vector<std::string> backup_disks;
-  std::vector<bool> complete;           // Of each backup: whether it has all, and may follow.
+  std::vector<bool> complete;  // Of each backup: whether it has all, and may follow.
 };
 struct Placement {
   Version version;
