--- /dev/null
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -0,0 +1,252 @@
+#include "tier/storage/lmdb_storage.h"
+
+#include <lmdb.h>
+#include <sys/stat.h>
+
+#include <cstring>
+#include <filesystem>
+#include <system_error>
+
+#include "tier/foundation/log.h"
+
+namespace shelflink::storage {
+
+namespace {
+
+constexpr char kModule[] = "storage";
+constexpr std::size_t kChecksumSize = 8;
+constexpr mode_t kFileMode = 0600;
+// LMDB's own error codes are negative; these say that the file is not what LMDB wrote.
+bool IsDamage(int code) {
+  return code == MDB_INVALID || code == MDB_VERSION_MISMATCH || code == MDB_CORRUPTED ||
+         code == MDB_PAGE_NOTFOUND || code == MDB_PANIC || code == MDB_INCOMPATIBLE ||
+         code == MDB_BAD_TXN;
+}
+
+constexpr std::uint64_t kHashStart = 0xcbf29ce484222325;
+constexpr std::uint64_t kHashPrime = 0x100000001b3;
+
+// FNV-1a; it guards against damage, not against people.
+std::uint64_t Hash(std::uint64_t hash, std::string_view bytes) {
+  for (const char byte : bytes) {
+    hash = (hash ^ static_cast<unsigned char>(byte)) * kHashPrime;
+  }
+  return hash;
+}
+
+std::uint64_t Checksum(std::string_view key, std::string_view value) {
+  return Hash(Hash(kHashStart, key) * kHashPrime, value);
+}
+
+MDB_val ToVal(std::string_view bytes) {
+  return {bytes.size(), const_cast<char*>(bytes.data())};  // LMDB does not write through it.
+}
+std::string_view ToView(const MDB_val& val) {
+  return {static_cast<const char*>(val.mv_data), val.mv_size};
+}
+
+// The value without its checksum; none where it does not fit.
+std::optional<std::string_view> Checked(std::string_view key, std::string_view stored) {
+  if (stored.size() < kChecksumSize) return std::nullopt;
+  const std::string_view value = stored.substr(kChecksumSize);
+  std::uint64_t told = 0;
+  std::memcpy(&told, stored.data(), kChecksumSize);
+  if (told != Checksum(key, value)) return std::nullopt;
+  return value;
+}
+
+
+}  // namespace
+
+Result<std::unique_ptr<LmdbStorage>> LmdbStorage::Open(net::Loop& loop, const Options& options) {
+  for (int round = 0; round < 2; ++round) {
+    std::error_code error;
+    std::filesystem::create_directory(options.folder, error);
+    if (error) return MakeError(ErrorCode::kStorage, options.folder + ": " + error.message());
+    std::unique_ptr<LmdbStorage> storage(new LmdbStorage(loop));
+    const int code = storage->OpenEnvironment(options);
+    const bool damaged = code == 0 ? options.verify && !storage->Verify() : IsDamage(code);
+    if (code == 0 && !damaged) return storage;
+    if (!damaged) return MakeError(ErrorCode::kStorage, options.folder + ": " + mdb_strerror(code));
+    storage.reset();
+    log::Line(log::Level::kError, kModule,
+              options.folder + " is damaged and set aside; this disk counts as a new one");
+    const std::string aside = options.folder + ".damaged";
+    std::filesystem::remove_all(aside, error);
+    std::filesystem::rename(options.folder, aside, error);
+    if (error) return MakeError(ErrorCode::kStorage, options.folder + ": " + error.message());
+  }
+  return MakeError(ErrorCode::kStorage, options.folder + ": an empty file is found damaged");
+}
+
+LmdbStorage::~LmdbStorage() {
+  *alive_ = false;
+  if (reading_ != nullptr) mdb_txn_abort(reading_);
+  if (writing_ != nullptr) mdb_txn_abort(writing_);
+  if (environment_ != nullptr) mdb_env_close(environment_);
+}
+
+int LmdbStorage::OpenEnvironment(const Options& options) {
+  bytes_limit_ = options.bytes_limit;
+  if (const int code = mdb_env_create(&environment_); code != 0) return code;
+  if (const int code = mdb_env_set_mapsize(environment_, bytes_limit_); code != 0) return code;
+  if (const int code = mdb_env_open(environment_, options.folder.c_str(), MDB_NOLOCK, kFileMode);
+      code != 0) {
+    return code;
+  }
+  // A file shorter than its pages would end the process at the first read beyond its end.
+  MDB_envinfo info{};
+  MDB_stat stat{};
+  struct stat file {};
+  mdb_env_info(environment_, &info);
+  mdb_env_stat(environment_, &stat);
+  const std::uint64_t told = (std::uint64_t{info.me_last_pgno} + 1) * stat.ms_psize;
+  if (::stat((options.folder + "/data.mdb").c_str(), &file) != 0) return MDB_CORRUPTED;
+  if (static_cast<std::uint64_t>(file.st_size) < told) return MDB_CORRUPTED;
+  MDB_txn* transaction = nullptr;
+  if (const int code = mdb_txn_begin(environment_, nullptr, 0, &transaction); code != 0) {
+    return code;
+  }
+  if (const int code = mdb_dbi_open(transaction, nullptr, 0, &table_); code != 0) {
+    mdb_txn_abort(transaction);
+    return code;
+  }
+  return mdb_txn_commit(transaction);
+}
+
+bool LmdbStorage::Verify() const {
+  Scan("", "", [](std::string_view, std::string_view) { return true; });
+  return error_.empty();
+}
+
+MDB_txn* LmdbStorage::Reading() const {
+  if (writing_ != nullptr) return writing_;
+  const int code = reading_ == nullptr
+                       ? mdb_txn_begin(environment_, nullptr, MDB_RDONLY, &reading_)
+                       : mdb_txn_renew(reading_);
+  if (code == 0) return reading_;
+  Fail(code);
+  return nullptr;
+}
+
+void LmdbStorage::DoneReading() const {
+  if (writing_ == nullptr && reading_ != nullptr) mdb_txn_reset(reading_);
+}
+
+std::optional<std::string> LmdbStorage::Get(std::string_view key) const {
+  if (failed()) return std::nullopt;
+  MDB_txn* const transaction = Reading();
+  if (transaction == nullptr) return std::nullopt;
+  MDB_val name = ToVal(key);
+  MDB_val found{};
+  std::optional<std::string> result;
+  const int code = mdb_get(transaction, table_, &name, &found);
+  if (code == 0) {
+    const auto value = Checked(key, ToView(found));
+    if (value) {
+      result.emplace(*value);
+    } else {
+      Fail(MDB_CORRUPTED);
+    }
+  } else if (code != MDB_NOTFOUND) {
+    Fail(code);
+  }
+  DoneReading();
+  return result;
+}
+
+void LmdbStorage::Scan(std::string_view prefix, std::string_view from,
+                       const Visitor& visitor) const {
+  if (failed()) return;
+  MDB_txn* const transaction = Reading();
+  if (transaction == nullptr) return;
+  MDB_cursor* cursor = nullptr;
+  if (const int code = mdb_cursor_open(transaction, table_, &cursor); code != 0) {
+    Fail(code);
+    return;
+  }
+  const std::string_view start = from < prefix ? prefix : from;
+  MDB_val key = ToVal(start);
+  MDB_val found{};
+  int code = mdb_cursor_get(cursor, &key, &found, start.empty() ? MDB_FIRST : MDB_SET_RANGE);
+  while (code == 0 && ToView(key).substr(0, prefix.size()) == prefix) {
+    const auto value = Checked(ToView(key), ToView(found));
+    if (!value) code = MDB_CORRUPTED;
+    if (!value || !visitor(ToView(key), *value)) break;
+    code = mdb_cursor_get(cursor, &key, &found, MDB_NEXT);
+  }
+  mdb_cursor_close(cursor);
+  if (code != 0 && code != MDB_NOTFOUND) Fail(code);
+  DoneReading();
+}
+
+void LmdbStorage::Apply(const Batch& batch) {
+  if (failed()) return;
+  if (const int code = ApplyAll(batch); code != 0) Fail(code);
+}
+
+int LmdbStorage::ApplyAll(const Batch& batch) {
+  if (writing_ == nullptr) {
+    const int code = mdb_txn_begin(environment_, nullptr, 0, &writing_);
+    if (code != 0) return code;
+  }
+  for (const Batch::Change& change : batch.changes()) {
+    MDB_val key = ToVal(change.key);
+    if (!change.value) {
+      const int code = mdb_del(writing_, table_, &key, nullptr);
+      if (code != 0 && code != MDB_NOTFOUND) return code;
+      continue;
+    }
+    const std::uint64_t checksum = Checksum(change.key, *change.value);
+    MDB_val room{kChecksumSize + change.value->size(), nullptr};
+    const int code = mdb_put(writing_, table_, &key, &room, MDB_RESERVE);
+    if (code != 0) return code;
+    char* const to = static_cast<char*>(room.mv_data);
+    std::memcpy(to, &checksum, kChecksumSize);
+    std::memcpy(to + kChecksumSize, change.value->data(), change.value->size());
+  }
+  return 0;
+}
+
+void LmdbStorage::Sync(Synced done) {
+  waiting_.push_back(std::move(done));
+  if (waiting_.size() > 1) return;
+  loop_.Post([this, alive = alive_] {
+    if (*alive) Commit();
+  });
+}
+
+void LmdbStorage::Commit() {
+  if (!failed() && writing_ != nullptr) {
+    const int code = mdb_txn_commit(writing_);
+    writing_ = nullptr;
+    if (code != 0) Fail(code);
+  }
+  const std::vector<Synced> told = std::move(waiting_);
+  waiting_.clear();
+  const std::shared_ptr<bool> alive = alive_;
+  for (const Synced& done : told) {
+    if (!*alive) return;
+    if (failed()) {
+      done(MakeError(ErrorCode::kStorage, error_));
+    } else {
+      done(BOOST_OUTCOME_V2_NAMESPACE::success());
+    }
+  }
+}
+
+Usage LmdbStorage::usage() const {
+  MDB_envinfo info{};
+  MDB_stat stat{};
+  mdb_env_info(environment_, &info);
+  mdb_env_stat(environment_, &stat);
+  return {(std::uint64_t{info.me_last_pgno} + 1) * stat.ms_psize, bytes_limit_};
+}
+
+void LmdbStorage::Fail(int code) const {
+  if (failed()) return;
+  error_ = mdb_strerror(code);
+  log::Line(log::Level::kError, kModule, "nothing more is stored: " + error_);
+}
+
+}  // namespace shelflink::storage
--- /dev/null
+++ b/src/tier/storage/lmdb_storage.h
@@ -0,0 +1,66 @@
+// Storage in a folder by LMDB. Every value carries a checksum of its key and itself; a file that
+// LMDB or a checksum finds damaged is never served from.
+#ifndef SHELFLINK_TIER_STORAGE_LMDB_STORAGE_H_
+#define SHELFLINK_TIER_STORAGE_LMDB_STORAGE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/loop.h"
+#include "tier/storage/storage.h"
+
+struct MDB_env;
+struct MDB_txn;
+
+namespace shelflink::storage {
+
+class LmdbStorage : public Storage {
+ public:
+  struct Options {
+    std::string folder;            // Made where it is missing; its parent must exist.
+    std::uint64_t bytes_limit = 0;  // Size of the map: the most that the file may grow to.
+    bool verify = true;            // Read everything once when opening.
+  };
+
+  // A damaged file: one log line, its folder is renamed to `folder`.damaged (in place of an older
+  // one) and an empty storage opened. Other errors (no room, no right) are returned.
+  static Result<std::unique_ptr<LmdbStorage>> Open(net::Loop& loop, const Options& options);
+  ~LmdbStorage() override;
+  LmdbStorage(const LmdbStorage&) = delete;
+  LmdbStorage& operator=(const LmdbStorage&) = delete;
+
+  std::optional<std::string> Get(std::string_view key) const override;
+  void Scan(std::string_view prefix, std::string_view from, const Visitor& visitor) const override;
+  void Apply(const Batch& batch) override;
+  void Sync(Synced done) override;
+  Usage usage() const override;
+  bool failed() const override { return !error_.empty(); }
+
+ private:
+  explicit LmdbStorage(net::Loop& loop) : loop_(loop) {}
+
+  int OpenEnvironment(const Options& options);
+  bool Verify() const;
+  // The write transaction where one is open, else the read transaction.
+  MDB_txn* Reading() const;
+  void DoneReading() const;
+  int ApplyAll(const Batch& batch);
+  void Commit();
+  void Fail(int code) const;
+
+  net::Loop& loop_;
+  MDB_env* environment_ = nullptr;
+  unsigned table_ = 0;
+  MDB_txn* writing_ = nullptr;
+  mutable MDB_txn* reading_ = nullptr;
+  std::uint64_t bytes_limit_ = 0;
+  std::vector<Synced> waiting_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  mutable std::string error_;
+};
+
+}  // namespace shelflink::storage
+
+#endif  // SHELFLINK_TIER_STORAGE_LMDB_STORAGE_H_
--- /dev/null
+++ b/src/tier/storage/storage.h
@@ -0,0 +1,83 @@
+// Durable key-value storage with atomic batches: what replicas, witnesses and the batch store keep.
+//
+// A batch is visible to reads at once and durable after a Sync that was asked for later has been
+// told. Batches become durable in their order, each whole or not at all. After an error nothing more
+// is stored: every later Sync fails, and the owner must stop vouching for this disk.
+#ifndef SHELFLINK_TIER_STORAGE_STORAGE_H_
+#define SHELFLINK_TIER_STORAGE_STORAGE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "tier/foundation/result.h"
+
+namespace shelflink::storage {
+
+constexpr std::size_t kLongestKey = 480;
+
+// Changes that become durable together or not at all, in the order of the calls.
+class Batch {
+ public:
+  struct Change {
+    std::string key;
+    std::optional<std::string> value;  // None: removed.
+  };
+
+  Batch& Put(std::string key, std::string value) {
+    changes_.push_back({std::move(key), std::move(value)});
+    return *this;
+  }
+  Batch& Remove(std::string key) {
+    changes_.push_back({std::move(key), std::nullopt});
+    return *this;
+  }
+  bool empty() const { return changes_.empty(); }
+  const std::vector<Change>& changes() const { return changes_; }
+
+ private:
+  std::vector<Change> changes_;
+};
+
+struct Usage {
+  std::uint64_t bytes_used = 0;
+  std::uint64_t bytes_limit = 0;
+};
+
+class Storage {
+ public:
+  // Returns false to stop.
+  using Visitor = std::function<bool(std::string_view key, std::string_view value)>;
+  using Synced = std::function<void(Result<void>)>;
+
+  virtual ~Storage() = default;
+  virtual std::optional<std::string> Get(std::string_view key) const = 0;
+  // Keys that begin with `prefix` and are not below `from`, in order. The visitor must not change
+  // the storage.
+  virtual void Scan(std::string_view prefix, std::string_view from,
+                    const Visitor& visitor) const = 0;
+  // Keys are 1 to kLongestKey bytes long.
+  virtual void Apply(const Batch& batch) = 0;
+  // Makes all batches applied so far durable; never calls back from inside. Several that are asked
+  // for in one turn of the loop share one sync.
+  virtual void Sync(Synced done) = 0;
+  virtual Usage usage() const = 0;
+  virtual bool failed() const = 0;
+};
+
+// The identity of this disk: read, or drawn from `random` and applied (not yet synced) when the
+// storage holds none. `is_new` tells which.
+struct DiskIdentity {
+  std::string id;
+  bool is_new = false;
+};
+DiskIdentity ReadOrDrawIdentity(Storage& storage, const std::function<std::uint64_t()>& random);
+
+}  // namespace shelflink::storage
+
+#endif  // SHELFLINK_TIER_STORAGE_STORAGE_H_
