--- a/src/tier/storage/crash_storage.h
+++ b/src/tier/storage/crash_storage.h
@@ -46,8 +46,7 @@
   // Runs the step when a sync takes its end, after what runs now.
   using Schedule = std::function<void(std::function<void()>)>;
 
-  CrashStorage(CrashDisk& disk, Schedule schedule)
-      : disk_(disk), schedule_(std::move(schedule)) {}
+  CrashStorage(CrashDisk& disk, Schedule schedule) : disk_(disk), schedule_(std::move(schedule)) {}
   std::optional<std::string> Get(std::string_view key) const override;
   void Scan(std::string_view prefix, std::string_view from, const Visitor& visitor) const override;
   void Apply(const Batch& batch) override;
--- a/src/tier/storage/lmdb_storage.cpp
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -55,7 +55,6 @@
   return value;
 }
 
-
 }  // namespace
 
 Result<std::unique_ptr<LmdbStorage>> LmdbStorage::Open(net::Loop& loop, const Options& options) {
@@ -121,9 +120,8 @@
 
 MDB_txn* LmdbStorage::Reading() const {
   if (writing_ != nullptr) return writing_;
-  const int code = reading_ == nullptr
-                       ? mdb_txn_begin(environment_, nullptr, MDB_RDONLY, &reading_)
-                       : mdb_txn_renew(reading_);
+  const int code = reading_ == nullptr ? mdb_txn_begin(environment_, nullptr, MDB_RDONLY, &reading_)
+                                       : mdb_txn_renew(reading_);
   if (code == 0) return reading_;
   Fail(code);
   return nullptr;
--- a/src/tier/storage/lmdb_storage.h
+++ b/src/tier/storage/lmdb_storage.h
@@ -19,9 +19,9 @@
 class LmdbStorage : public Storage {
  public:
   struct Options {
-    std::string folder;            // Made where it is missing; its parent must exist.
+    std::string folder;             // Made where it is missing; its parent must exist.
     std::uint64_t bytes_limit = 0;  // Size of the map: the most that the file may grow to.
-    bool verify = true;            // Read everything once when opening.
+    bool verify = true;             // Read everything once when opening.
   };
 
   // A damaged file: one log line, its folder is renamed to `folder`.damaged (in place of an older
--- a/src/tier/storage/storage.h
+++ b/src/tier/storage/storage.h
@@ -1,8 +1,8 @@
 // Durable key-value storage with atomic batches: what replicas, witnesses and the batch store keep.
 //
 // A batch is visible to reads at once and durable after a Sync that was asked for later has been
-// told. Batches become durable in their order, each whole or not at all. After an error nothing more
-// is stored: every later Sync fails, and the owner must stop vouching for this disk.
+// told. Batches become durable in their order, each whole or not at all. After an error nothing
+// more is stored: every later Sync fails, and the owner must stop vouching for this disk.
 #ifndef SHELFLINK_TIER_STORAGE_STORAGE_H_
 #define SHELFLINK_TIER_STORAGE_STORAGE_H_
 
--- /dev/null
+++ b/tests/tier/storage/storage_test.cpp
@@ -0,0 +1,253 @@
+#define BOOST_TEST_MODULE tier_storage
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <deque>
+#include <filesystem>
+#include <fstream>
+
+#include "net/loop.h"
+#include "tier/storage/crash_storage.h"
+#include "tier/storage/lmdb_storage.h"
+
+namespace shelflink::storage {
+namespace {
+
+// Runs posted steps when told; storage needs nothing else of a loop.
+class StepLoop : public net::Loop {
+ public:
+  net::Time Now() const override { return {}; }
+  std::int64_t WallMicros() const override { return 0; }
+  std::int64_t LastingMicros() const override { return 0; }
+  net::TimerPtr NewTimer(std::function<void()>) override { return nullptr; }
+  void Post(std::function<void()> step) override { steps_.push_back(std::move(step)); }
+  net::StreamPtr Dial(const net::Address&, net::StreamUser&) override { return nullptr; }
+  net::ListenerPtr Listen(const net::Address&) override { return nullptr; }
+  net::DatagramsPtr Bind(const net::Address&, net::Datagrams::OnMessage) override {
+    return nullptr;
+  }
+  void Run() {
+    while (!steps_.empty()) {
+      const auto step = std::move(steps_.front());
+      steps_.pop_front();
+      step();
+    }
+  }
+
+ private:
+  std::deque<std::function<void()>> steps_;
+};
+
+struct Folder {
+  Folder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "storageXXXXXX").string();
+    BOOST_REQUIRE(mkdtemp(pattern.data()) != nullptr);
+    path = pattern;
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  LmdbStorage::Options Options(std::uint64_t limit = 4U << 20) const {
+    return {(path / "core").string(), limit, true};
+  }
+  std::filesystem::path path;
+};
+
+std::vector<std::string> KeysOf(const Storage& storage, std::string_view prefix,
+                                std::string_view from = "") {
+  std::vector<std::string> keys;
+  storage.Scan(prefix, from, [&](std::string_view key, std::string_view) {
+    keys.emplace_back(key);
+    return true;
+  });
+  return keys;
+}
+
+void CheckOrderAndPrefixes(Storage& storage) {
+  Batch batch;
+  batch.Put("b1", "x").Put("a", "1").Put("b2", "y").Put("c", "").Remove("none");
+  storage.Apply(batch);
+  storage.Apply(Batch().Put("b1", "z").Remove("a"));
+  BOOST_TEST((KeysOf(storage, "b") == std::vector<std::string>{"b1", "b2"}));
+  BOOST_TEST((KeysOf(storage, "b", "b11") == std::vector<std::string>{"b2"}));
+  BOOST_TEST((KeysOf(storage, "") == std::vector<std::string>{"b1", "b2", "c"}));
+  BOOST_TEST(storage.Get("b1").value() == "z");
+  BOOST_TEST(storage.Get("c").value().empty());
+  BOOST_TEST(!storage.Get("a").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(both_kinds_read_what_was_applied_in_order_and_by_prefix) {
+  const Folder folder;
+  StepLoop loop;
+  const auto lmdb = LmdbStorage::Open(loop, folder.Options());
+  BOOST_REQUIRE(lmdb.has_value());
+  CheckOrderAndPrefixes(*lmdb.value());
+  CrashDisk disk;
+  CrashStorage crash(disk, [](std::function<void()> step) { step(); });
+  CheckOrderAndPrefixes(crash);
+}
+
+BOOST_AUTO_TEST_CASE(lmdb_keeps_what_a_sync_covered_and_nothing_else) {
+  const Folder folder;
+  StepLoop loop;
+  int told = 0;
+  {
+    const auto storage = LmdbStorage::Open(loop, folder.Options());
+    BOOST_REQUIRE(storage.has_value());
+    storage.value()->Apply(Batch().Put("kept", "1"));
+    storage.value()->Sync([&](const Result<void>& result) { told += result.has_value(); });
+    storage.value()->Sync([&](const Result<void>& result) { told += result.has_value(); });
+    BOOST_TEST(told == 0);
+    loop.Run();
+    BOOST_TEST(told == 2);
+    storage.value()->Apply(Batch().Put("lost", "1"));
+    BOOST_TEST(storage.value()->Get("lost").has_value());
+  }
+  const auto storage = LmdbStorage::Open(loop, folder.Options());
+  BOOST_REQUIRE(storage.has_value());
+  BOOST_TEST((KeysOf(*storage.value(), "") == std::vector<std::string>{"kept"}));
+}
+
+BOOST_AUTO_TEST_CASE(an_identity_is_drawn_once_a_disk) {
+  const Folder folder;
+  StepLoop loop;
+  std::uint64_t next = 7;
+  const auto random = [&] { return next++; };
+  std::string first;
+  {
+    const auto storage = LmdbStorage::Open(loop, folder.Options());
+    const DiskIdentity drawn = ReadOrDrawIdentity(*storage.value(), random);
+    BOOST_TEST(drawn.is_new);
+    first = drawn.id;
+    storage.value()->Sync([](const Result<void>&) {});
+    loop.Run();
+  }
+  const auto storage = LmdbStorage::Open(loop, folder.Options());
+  const DiskIdentity read = ReadOrDrawIdentity(*storage.value(), random);
+  BOOST_TEST(!read.is_new);
+  BOOST_TEST(read.id == first);
+}
+
+void WriteSome(StepLoop& loop, const Folder& folder) {
+  const auto storage = LmdbStorage::Open(loop, folder.Options());
+  BOOST_REQUIRE(storage.has_value());
+  for (int i = 0; i < 200; ++i) {
+    storage.value()->Apply(Batch().Put("key" + std::to_string(i), std::string(100, 'v')));
+  }
+  storage.value()->Sync([](const Result<void>&) {});
+  loop.Run();
+}
+
+// Each damage: the storage opens empty, and what was there is set aside.
+void CheckSetAside(StepLoop& loop, const Folder& folder) {
+  const auto storage = LmdbStorage::Open(loop, folder.Options());
+  BOOST_REQUIRE(storage.has_value());
+  BOOST_TEST(KeysOf(*storage.value(), "").empty());
+  BOOST_TEST(std::filesystem::exists(folder.path / "core.damaged" / "data.mdb"));
+  storage.value()->Apply(Batch().Put("a", "b"));
+  bool stored = false;
+  storage.value()->Sync([&](const Result<void>& result) { stored = result.has_value(); });
+  loop.Run();
+  BOOST_TEST(stored);
+}
+
+BOOST_AUTO_TEST_CASE(a_truncated_file_is_set_aside) {
+  const Folder folder;
+  StepLoop loop;
+  WriteSome(loop, folder);
+  const auto file = folder.path / "core" / "data.mdb";
+  std::filesystem::resize_file(file, std::filesystem::file_size(file) / 2);
+  CheckSetAside(loop, folder);
+}
+
+BOOST_AUTO_TEST_CASE(a_file_of_something_else_is_set_aside) {
+  const Folder folder;
+  StepLoop loop;
+  std::filesystem::create_directory(folder.path / "core");
+  std::ofstream(folder.path / "core" / "data.mdb") << std::string(8192, 'x');
+  CheckSetAside(loop, folder);
+}
+
+BOOST_AUTO_TEST_CASE(one_changed_byte_of_a_value_is_found) {
+  const Folder folder;
+  StepLoop loop;
+  WriteSome(loop, folder);
+  const auto file = folder.path / "core" / "data.mdb";
+  std::string bytes(std::filesystem::file_size(file), '\0');
+  std::ifstream(file, std::ios::binary).read(bytes.data(), static_cast<long>(bytes.size()));
+  // The value may also lie in a page that is free by now: change it wherever it stands.
+  const std::string value(100, 'v');
+  for (auto at = bytes.find(value); at != std::string::npos; at = bytes.find(value, at + 1)) {
+    bytes[at + 50] = 'w';
+  }
+  std::ofstream(file, std::ios::binary).write(bytes.data(), static_cast<long>(bytes.size()));
+  CheckSetAside(loop, folder);
+}
+
+BOOST_AUTO_TEST_CASE(a_full_storage_fails_for_good_and_keeps_what_it_had) {
+  const Folder folder;
+  StepLoop loop;
+  {
+    const auto storage = LmdbStorage::Open(loop, folder.Options(1U << 20));
+    BOOST_REQUIRE(storage.has_value());
+    storage.value()->Apply(Batch().Put("kept", "1"));
+    storage.value()->Sync([](const Result<void>&) {});
+    loop.Run();
+    ErrorCode code{};
+    bool refused = false;
+    const auto see = [&](const Result<void>& result) {
+      refused = result.has_error();
+      if (refused) code = result.error().code;
+    };
+    for (int i = 0; i < 40 && !refused; ++i) {
+      storage.value()->Apply(Batch().Put("big" + std::to_string(i), std::string(65536, 'b')));
+      storage.value()->Sync(see);
+      loop.Run();
+    }
+    BOOST_TEST(refused);
+    BOOST_TEST((code == ErrorCode::kStorage));
+    BOOST_TEST(storage.value()->failed());
+    refused = false;
+    storage.value()->Sync(see);
+    loop.Run();
+    BOOST_TEST(refused);
+  }
+  const auto storage = LmdbStorage::Open(loop, folder.Options(1U << 20));
+  BOOST_REQUIRE(storage.has_value());
+  BOOST_TEST(storage.value()->Get("kept").value() == "1");
+}
+
+BOOST_AUTO_TEST_CASE(a_power_loss_keeps_a_prefix_of_what_was_not_synced) {
+  for (std::size_t kept = 0; kept <= 3; ++kept) {
+    CrashDisk disk;
+    CrashStorage storage(disk, [](std::function<void()> step) { step(); });
+    storage.Apply(Batch().Put("a", "1"));
+    storage.Sync([](const Result<void>&) {});
+    storage.Apply(Batch().Put("b", "1"));
+    storage.Apply(Batch().Put("c", "1").Remove("a"));
+    disk.LosePower(kept);
+    CrashStorage again(disk, [](std::function<void()> step) { step(); });
+    BOOST_TEST(again.Get("a").has_value() == (kept < 2));
+    BOOST_TEST(again.Get("b").has_value() == (kept >= 1));
+    BOOST_TEST(again.Get("c").has_value() == (kept >= 2));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_sync_covers_what_was_applied_before_it_was_asked_for) {
+  CrashDisk disk;
+  std::deque<std::function<void()>> steps;
+  CrashStorage storage(disk, [&](std::function<void()> step) { steps.push_back(std::move(step)); });
+  storage.Apply(Batch().Put("a", "1"));
+  bool told = false;
+  storage.Sync([&](const Result<void>&) { told = true; });
+  storage.Apply(Batch().Put("b", "1"));
+  steps.front()();
+  BOOST_TEST(told);
+  BOOST_TEST(disk.unsynced() == 1U);
+  disk.LosePower(0);
+  BOOST_TEST(storage.Get("a").has_value());
+  BOOST_TEST(!storage.Get("b").has_value());
+}
+
+}  // namespace
+}  // namespace shelflink::storage
