--- /dev/null
+++ b/src/tier/configuration/json.cpp
@@ -0,0 +1,110 @@
+#include "tier/configuration/json.h"
+
+#include <glib.h>
+
+#include <utility>
+
+namespace shelflink::json {
+namespace {
+
+constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
+
+// White space as cJSON has it: every control character is.
+std::size_t SkipWhiteSpace(std::string_view text, std::size_t at) {
+  while (at < text.size() && static_cast<unsigned char>(text[at]) <= ' ') ++at;
+  return at;
+}
+
+bool HoldsEscapedNul(std::string_view text) {
+  constexpr std::string_view kEscape = "u0000";
+  for (std::size_t at = text.find(kEscape); at != std::string_view::npos;
+       at = text.find(kEscape, at + 1)) {
+    std::size_t backslashes = 0;
+    while (backslashes < at && text[at - backslashes - 1] == '\\') ++backslashes;
+    if (backslashes % 2 == 1) return true;
+  }
+  return false;
+}
+
+std::string PlaceOfByte(std::size_t offset) { return "byte " + std::to_string(offset); }
+
+// One value that starts at `at`, behind white space; `end` is the byte behind it.
+Tree ReadValue(std::string_view text, std::size_t at, std::size_t& end) {
+  const char* behind = nullptr;
+  Tree tree(cJSON_ParseWithLengthOpts(text.data() + at, text.size() - at, &behind, 0));
+  end = behind == nullptr ? at : static_cast<std::size_t>(behind - text.data());
+  return tree;
+}
+
+// Walks the members or items between `open` and `close`.
+std::optional<std::vector<Part>> PartsOf(std::string_view text, char open, char close, bool named) {
+  std::size_t at = SkipWhiteSpace(text, 0);
+  if (at >= text.size() || text[at] != open) return std::nullopt;
+  std::vector<Part> parts;
+  at = SkipWhiteSpace(text, at + 1);
+  while (at < text.size() && text[at] != close) {
+    Part part;
+    std::size_t end = at;
+    if (named) {
+      const Tree name = ReadValue(text, at, end);
+      if (name == nullptr || !cJSON_IsString(name.get())) return std::nullopt;
+      part.name = name->valuestring;
+      at = SkipWhiteSpace(text, end);
+      if (at >= text.size() || text[at] != ':') return std::nullopt;
+      at = SkipWhiteSpace(text, at + 1);
+    }
+    if (ReadValue(text, at, end) == nullptr) return std::nullopt;
+    part.value = text.substr(at, end - at);
+    parts.push_back(std::move(part));
+    at = SkipWhiteSpace(text, end);
+    if (at < text.size() && text[at] == ',') at = SkipWhiteSpace(text, at + 1);
+  }
+  return parts;
+}
+
+}  // namespace
+
+Tree ReadWhole(std::string_view text, Findings& findings) {
+  if (!g_utf8_validate_len(text.data(), text.size(), nullptr)) {
+    findings.push_back({"document", "expected UTF-8 without NUL"});
+    return nullptr;
+  }
+  if (text.starts_with(kByteOrderMark)) {
+    findings.push_back({PlaceOfByte(0), "expected no byte order mark"});
+    return nullptr;
+  }
+  if (HoldsEscapedNul(text)) {
+    findings.push_back({"document", "expected no NUL in a string"});
+    return nullptr;
+  }
+  std::size_t end = 0;
+  Tree tree = ReadValue(text, 0, end);
+  if (tree == nullptr) {
+    findings.push_back({PlaceOfByte(end), "expected whole JSON"});
+    return nullptr;
+  }
+  end = SkipWhiteSpace(text, end);
+  if (end != text.size()) {
+    findings.push_back({PlaceOfByte(end), "expected the end of the document"});
+    return nullptr;
+  }
+  return tree;
+}
+
+std::optional<std::vector<Part>> MembersOf(std::string_view object) {
+  return PartsOf(object, '{', '}', true);
+}
+
+std::optional<std::vector<Part>> ItemsOf(std::string_view array) {
+  return PartsOf(array, '[', ']', false);
+}
+
+std::string Quoted(std::string_view text) {
+  const Tree tree(cJSON_CreateString(std::string(text).c_str()));
+  char* printed = cJSON_PrintUnformatted(tree.get());
+  std::string quoted = printed;
+  cJSON_free(printed);
+  return quoted;
+}
+
+}  // namespace shelflink::json
--- /dev/null
+++ b/src/tier/configuration/json.h
@@ -0,0 +1,42 @@
+// JSON texts read by cJSON: whole or not at all, and the byte ranges of their parts, so that a part
+// can be taken into another text without being printed anew (cJSON keeps numbers as doubles).
+#ifndef SHELFLINK_TIER_CONFIGURATION_JSON_H_
+#define SHELFLINK_TIER_CONFIGURATION_JSON_H_
+
+#include <cjson/cJSON.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "tier/foundation/result.h"
+
+namespace shelflink::json {
+
+struct TreeDelete {
+  void operator()(cJSON* tree) const { cJSON_Delete(tree); }
+};
+using Tree = std::unique_ptr<cJSON, TreeDelete>;
+
+// The text as one value with nothing but white space behind it. Null, with a finding, where it is
+// cut short, followed by more, not UTF-8 or holds a NUL, which cJSON would take for the end of a
+// string.
+Tree ReadWhole(std::string_view text, Findings& findings);
+
+// One member of an object, or one item of an array (then without a name), as it stands in the text.
+struct Part {
+  std::string name;
+  std::string_view value;
+};
+// Of a text that ReadWhole has taken. None: it is of another kind.
+std::optional<std::vector<Part>> MembersOf(std::string_view object);
+std::optional<std::vector<Part>> ItemsOf(std::string_view array);
+
+// A string as a JSON text, with its quotes.
+std::string Quoted(std::string_view text);
+
+}  // namespace shelflink::json
+
+#endif  // SHELFLINK_TIER_CONFIGURATION_JSON_H_
