--- /dev/null
+++ b/src/tier/configuration/book.h
@@ -0,0 +1,54 @@
+// The orders that change the configuration, as plans over the replicated map: pure functions of
+// what is committed and of the order.
+//
+// The map holds the document in force as the operator sent it, its version, and for the last
+// kOrdersRemembered orders taken a digest each, so that an order whose acknowledgement was lost is
+// acknowledged again when it is repeated, also after later changes.
+#ifndef SHELFLINK_TIER_CONFIGURATION_BOOK_H_
+#define SHELFLINK_TIER_CONFIGURATION_BOOK_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "tier/coordination/replicator.h"
+#include "tier/foundation/result.h"
+
+namespace shelflink::configuration {
+
+// Keys in the replicated map; nobody else writes below kKeyPrefix.
+constexpr std::string_view kKeyPrefix = "config/";
+constexpr std::string_view kDocumentKey = "config/document";
+constexpr std::string_view kVersionKey = "config/version";
+constexpr std::string_view kTakenPrefix = "config/taken/";  // Then the version, 20 digits.
+constexpr std::size_t kOrdersRemembered = 1024;
+
+enum class ChangeMethod : std::uint8_t {
+  kPut,    // A whole configuration.
+  kPatch,  // Items to add, replace or remove by name.
+};
+
+struct ChangeOrder {
+  ChangeMethod method = ChangeMethod::kPut;
+  std::uint64_t base_version = 0;  // If-Match; 0: none is in force.
+  std::string body;                // JSON.
+};
+
+// The writes that take the order. None: it has been taken before and is acknowledged again.
+// Errors: kInvalid (every finding in its text), kConflict (another version is in force).
+Result<std::vector<coordination::Write>> PlanChange(const coordination::Contents& committed,
+                                                    const ChangeOrder& order);
+
+// What is in force.
+struct StoredConfiguration {
+  std::uint64_t version = 0;
+  std::string_view document;  // Lies in the contents.
+};
+// None: no configuration has been taken yet.
+std::optional<StoredConfiguration> CurrentConfiguration(const coordination::Contents& committed);
+
+}  // namespace shelflink::configuration
+
+#endif  // SHELFLINK_TIER_CONFIGURATION_BOOK_H_
--- /dev/null
+++ b/src/tier/operator_api/forwarder.h
@@ -0,0 +1,66 @@
+// Executes the operator's orders at the primary, from whichever core process received them: here
+// where this is the primary, else by a call through the hub. It looks for the primary again until
+// the order's time is over.
+//
+// Repeating an order is safe: a change that was taken is acknowledged again, one that was refused
+// stays refused.
+#ifndef SHELFLINK_TIER_OPERATOR_API_FORWARDER_H_
+#define SHELFLINK_TIER_OPERATOR_API_FORWARDER_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "net/loop.h"
+#include "tier/operator_api/service.h"
+#include "tier/transport/hub.h"
+
+namespace shelflink::operator_api {
+
+constexpr transport::MessageKind kOrderCall = transport::kOperatorKinds;
+
+struct ReadConfigurationOrder {};
+struct RetireStateOrder {
+  std::string node;
+};
+using Order =
+    std::variant<configuration::ChangeOrder, ReadConfigurationOrder, RetireOrder, RetireStateOrder>;
+
+// What an order came to, where it succeeded.
+struct Acknowledged {};
+struct Document {
+  std::string json;
+};
+using Answer = std::variant<Acknowledged, Document, RetireState>;
+
+class Forwarder {
+ public:
+  struct Options {
+    // An order has its answer after so long, be it kUnavailable or kUnknown. The operator turns to
+    // another process after one second of silence.
+    std::chrono::milliseconds answer_within{850};
+    // No primary known or reached: looks again after so long.
+    std::chrono::milliseconds look_again{40};
+  };
+  // Called once, never from inside Execute; not after the forwarder is gone.
+  using Done = std::function<void(Result<Answer>)>;
+
+  // Serves kOrderCall on the hub. Hub and service outlive it.
+  Forwarder(net::Loop& loop, transport::Hub& hub, OperatorService& service, Options options);
+  ~Forwarder();
+  Forwarder(const Forwarder&) = delete;
+  Forwarder& operator=(const Forwarder&) = delete;
+
+  // `received`: when the order came in; its time counts from there.
+  void Execute(net::Time received, Order order, Done done);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace shelflink::operator_api
+
+#endif  // SHELFLINK_TIER_OPERATOR_API_FORWARDER_H_
--- /dev/null
+++ b/src/tier/operator_api/server.h
@@ -0,0 +1,54 @@
+// The operator's HTTP interface on a core process: PUT, PATCH and GET /config, POST and GET
+// /retire/NODE. Checks the form of requests and turns answers into status codes; knows nothing of
+// configurations themselves.
+//
+// Limits: kMostOrders under way, beyond which 503 with Retry-After; kMostConnections open; a body
+// of the configured size, beyond which 413; slow senders are closed after the configured times.
+#ifndef SHELFLINK_TIER_OPERATOR_API_SERVER_H_
+#define SHELFLINK_TIER_OPERATOR_API_SERVER_H_
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "net/address.h"
+#include "net/loop.h"
+#include "tier/configuration/model.h"
+#include "tier/operator_api/forwarder.h"
+
+namespace shelflink::operator_api {
+
+constexpr std::size_t kMostOrders = 16;  // The operator has eight under way at most.
+constexpr std::size_t kMostConnections = 64;
+constexpr std::size_t kLeastBodyLimit = 8U << 20;
+
+class Server {
+ public:
+  struct Counters {
+    std::map<int, std::uint64_t> answers;  // By status code.
+    std::uint64_t refused_connections = 0;
+    std::uint64_t slow_connections = 0;
+  };
+
+  // Listens there, on the thread's default GLib context. Throws net::Error where it is taken.
+  Server(net::Loop& loop, Forwarder& forwarder, const net::Address& listen);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  // Of the configuration in force. A body may always have kLeastBodyLimit bytes.
+  void SetLimits(const configuration::ClientLimits& limits);
+  // Takes no more connections; orders under way are answered.
+  void StopListening();
+  net::Address address() const;
+  const Counters& counters() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace shelflink::operator_api
+
+#endif  // SHELFLINK_TIER_OPERATOR_API_SERVER_H_
--- /dev/null
+++ b/src/tier/platform/list_reader.h
@@ -0,0 +1,67 @@
+// Reads the platform's list of endpoints again and again, page after page, within a share of the
+// platform's rate. Yields complete lists only: a walk that fails midway is dropped and started
+// anew.
+//
+// Pure: it names the call that is due and is told what came of it; one call at a time.
+#ifndef SHELFLINK_TIER_PLATFORM_LIST_READER_H_
+#define SHELFLINK_TIER_PLATFORM_LIST_READER_H_
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "net/loop.h"
+#include "tier/platform/platform.h"
+
+namespace shelflink::platform {
+
+class ListReader {
+ public:
+  struct Options {
+    double rate_per_s =
+        1.0;  // The platform's, for all callers together; half of it is used at most.
+    std::chrono::milliseconds drain{3000};  // An endpoint that drains must be known well within it.
+  };
+
+  explicit ListReader(const Options& options);
+
+  // The first walk is due at once; what was begun before is forgotten.
+  void Start(net::Time now);
+  void Stop();
+  bool running() const { return running_; }
+
+  // When the next call is due; none while one is under way or the reader is stopped.
+  std::optional<net::Time> next_due() const;
+  // The call that is due now, if one is. It then is under way until its outcome is told.
+  std::optional<ListRequest> TakeDue(net::Time now);
+
+  // The outcome of the call under way. OnPage answers the whole list after its last page.
+  std::optional<std::vector<cluster::EndpointEntry>> OnPage(net::Time now, InstancePage page);
+  void OnFailure(net::Time now, const CallError& error);
+
+  // Failures since the last complete list.
+  std::uint32_t failures() const { return failures_; }
+
+ private:
+  void BeginWalk(net::Time due);
+  void Fail(net::Time now, net::Span least_pause);
+  std::vector<cluster::EndpointEntry> FinishWalk(net::Time now);
+
+  net::Span call_spacing_;
+  net::Span walk_period_;
+  bool running_ = false;
+  bool under_way_ = false;
+  net::Time next_call_{};
+  net::Time last_call_{};
+  net::Time walk_started_{};
+  std::string page_token_;
+  std::set<std::string> tokens_seen_;  // Of this walk; a token that comes again would never end it.
+  std::vector<cluster::EndpointEntry> entries_;
+  std::uint32_t failures_ = 0;
+};
+
+}  // namespace shelflink::platform
+
+#endif  // SHELFLINK_TIER_PLATFORM_LIST_READER_H_
