--- /dev/null
+++ b/src/tier/configuration/book.cpp
@@ -0,0 +1,118 @@
+#include "tier/configuration/book.h"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <iterator>
+#include <memory>
+#include <utility>
+
+#include "tier/configuration/model.h"
+#include "tier/configuration/patch.h"
+
+namespace shelflink::configuration {
+namespace {
+
+using coordination::Contents;
+using coordination::Write;
+
+constexpr int kVersionDigits = 20;
+
+std::string TakenKey(std::uint64_t version) {
+  std::string digits = std::to_string(version);
+  digits.insert(0, kVersionDigits - digits.size(), '0');
+  return std::string(kTakenPrefix) + digits;
+}
+
+// What makes two orders the same order: method, base and every byte of the body.
+std::string DigestOf(const ChangeOrder& order) {
+  const std::unique_ptr<GChecksum, decltype(&g_checksum_free)> sum(
+      g_checksum_new(G_CHECKSUM_SHA256), &g_checksum_free);
+  const auto add = [&](std::string_view bytes) {
+    g_checksum_update(sum.get(), reinterpret_cast<const guchar*>(bytes.data()),
+                      static_cast<gssize>(bytes.size()));
+  };
+  add(order.method == ChangeMethod::kPut ? "PUT " : "PATCH ");
+  add(std::to_string(order.base_version) + "\n");
+  add(order.body);
+  return g_checksum_get_string(sum.get());
+}
+
+bool WasTaken(const Contents& committed, std::uint64_t version, const std::string& digest) {
+  const auto found = committed.find(TakenKey(version));
+  return found != committed.end() && found->second == digest;
+}
+
+// The removals that leave room for one more order.
+std::vector<Write> ForgetOldOrders(const Contents& committed) {
+  const auto first = committed.lower_bound(kTakenPrefix);
+  auto last = first;
+  std::size_t remembered = 0;
+  while (last != committed.end() && last->first.starts_with(kTakenPrefix)) {
+    ++last;
+    ++remembered;
+  }
+  std::vector<Write> writes;
+  for (auto entry = first; entry != last && remembered >= kOrdersRemembered; ++entry) {
+    writes.push_back({entry->first, std::nullopt});
+    --remembered;
+  }
+  return writes;
+}
+
+Error Invalid(const Findings& findings) { return {ErrorCode::kInvalid, TextOf(findings)}; }
+
+std::vector<Write> WritesOf(const Contents& committed, std::uint64_t version, std::string document,
+                            std::string digest) {
+  std::vector<Write> writes = ForgetOldOrders(committed);
+  writes.push_back({std::string(kDocumentKey), std::move(document)});
+  writes.push_back({std::string(kVersionKey), std::to_string(version)});
+  writes.push_back({TakenKey(version), std::move(digest)});
+  return writes;
+}
+
+}  // namespace
+
+std::optional<StoredConfiguration> CurrentConfiguration(const Contents& committed) {
+  const auto version = committed.find(kVersionKey);
+  const auto document = committed.find(kDocumentKey);
+  if (version == committed.end() || document == committed.end()) return std::nullopt;
+  StoredConfiguration current;
+  const std::string& digits = version->second;
+  std::from_chars(digits.data(), digits.data() + digits.size(), current.version);
+  current.document = document->second;
+  return current;
+}
+
+Result<std::vector<Write>> PlanChange(const Contents& committed, const ChangeOrder& order) {
+  const StoredConfiguration current =
+      CurrentConfiguration(committed).value_or(StoredConfiguration{});
+  Findings findings;
+  const std::optional<std::uint64_t> version = VersionOf(order.body, findings);
+  if (!version) return Invalid(findings);
+  std::string digest = DigestOf(order);
+  if (WasTaken(committed, *version, digest)) return std::vector<Write>{};
+  if (order.base_version != current.version) {
+    return MakeError(ErrorCode::kConflict,
+                     "version " + std::to_string(current.version) + " is in force");
+  }
+  if (*version <= current.version) {
+    findings.push_back(
+        {"configVersion", "expected a number above " + std::to_string(current.version)});
+  }
+  std::optional<std::string> document = order.body;
+  if (order.method == ChangeMethod::kPatch) {
+    document = ApplyPatch(current.document, order.body, findings);
+  }
+  if (!document) return Invalid(findings);
+  const auto parsed = Parse(*document);
+  if (!parsed) {
+    findings.insert(findings.end(), parsed.error().begin(), parsed.error().end());
+  }
+  if (!findings.empty()) return Invalid(findings);
+  return WritesOf(committed, *version, std::move(*document), std::move(digest));
+}
+
+}  // namespace shelflink::configuration
--- a/tests/tier/configuration/parse_test.cpp
+++ b/tests/tier/configuration/parse_test.cpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "sample.h"
+#include "configuration/sample.h"
 #include "tier/configuration/json.h"
 #include "tier/configuration/model.h"
 
