--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -18,11 +18,8 @@
 constexpr std::size_t kLingerBytes = 1 << 18;  // Read away of what follows an error.
 // The least pace of a body, half the slowest that operators name: its time grows with what comes.
 constexpr std::int64_t kLeastBytesPerSecond = 32'000;
-// One limit for each phase. Whoever sends nothing usable is told so, or closed, within 3 s.
-constexpr auto kFirstSpan = milliseconds(2500);  // From the connection to the first request's end.
-constexpr auto kRequestSpan = milliseconds(2500);  // From a later request's first byte to its last.
-constexpr auto kRestSpan = milliseconds(4000);     // Between requests; 2 s is the least allowed.
-constexpr auto kAnswerSpan = milliseconds(2500);   // For a client to take a part of its answer.
+// One limit for each phase, beside those of ServerTerms.
+constexpr auto kAnswerSpan = milliseconds(2500);  // For a client to take a part of its answer.
 // The same of an answer in parts. What the machine holds for a slow reader is some megabytes, and
 // it asks for more only after a good part of them: at 64 kB/s that takes many seconds.
 constexpr auto kTakeSpan = milliseconds(30'000);
@@ -31,12 +28,8 @@
 // From the accept, in which a first request may be on its way: closing would lose it.
 constexpr auto kFreshSpan = milliseconds(20);
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
-// From the start of a drain: the front goes on sending new connections for up to 0.4 s.
-constexpr auto kDrainWindow = milliseconds(500);
-// What is half read by then is refused. At 4 s nothing may be there from the last 2 s; and of a
-// process that leaves, what comes later than this could find no end before SIGKILL.
+// From the start of a drain that is not for good: what is half read by then is refused.
 constexpr auto kDrainHalfRead = milliseconds(1800);
-constexpr auto kLeaveHalfRead = milliseconds(700);
 constexpr auto kLastSpan = milliseconds(200);  // For a request on a connection taken in meanwhile.
 
 // How a request's length must be told: once, by plain digits or as chunks. Beast takes more than
@@ -50,6 +43,12 @@
   return codings == 0 || boost::beast::iequals(head[http::field::transfer_encoding], "chunked");
 }
 
+std::string SizeText(std::uint64_t bytes) {
+  constexpr std::uint64_t kMebibyte = 1 << 20;
+  if (bytes % kMebibyte == 0) return std::to_string(bytes / kMebibyte) + " MiB";
+  return std::to_string(bytes) + " bytes";
+}
+
 }  // namespace
 
 Client::Client(Server& server, net::StreamPtr stream)
@@ -61,7 +60,8 @@
   stream_->SetUser(*this);
   fresh_until_ = server_.loop_.Now() + kFreshSpan;
   awaited_since_ = server_.loop_.Now();
-  Rest(server_.shut() ? kLastSpan : kFirstSpan);
+  const ServerTerms& terms = server_.terms_;
+  Rest(server_.shut() ? kLastSpan : terms.first_span.value_or(terms.rest_span));
   Read();
 }
 
@@ -126,22 +126,35 @@
 void Client::StartParser() {
   parser_.emplace();
   // Not eager, so that the head is looked at before any of the body is taken in.
-  parser_->header_limit(kHeaderLimit);
-  parser_->body_limit(kLargestBody);
+  parser_->header_limit(server_.terms_.header_limit);
+  parser_->body_limit(server_.terms_.body_limit);
   head_.reset();
   came_ = 0;
-  // The first request's time counts from its connection.
-  if (!first_) spent_ = {};
+  if (!first_ || !server_.terms_.first_span) spent_ = {};
   if (!yields_) Yields(kWaiting);
 }
 
+// Beast joins a value that goes on in a further line; other readers see two headers. A head is
+// parsed only once all of it is there.
+bool Client::Folded() const {
+  const auto data = incoming_.data();
+  const std::string_view text(static_cast<const char*>(data.data()), data.size());
+  const std::string_view head = text.substr(0, text.find("\r\n\r\n"));
+  return head.find("\r\n ") != head.npos || head.find("\r\n\t") != head.npos;
+}
+
 bool Client::Take() {
   error_code ec;
+  if (!head_ && !server_.terms_.folded_headers && Folded()) {
+    return Spoil(400, "malformed HTTP\n"), false;
+  }
   while (const std::size_t used = PutStep(*parser_, incoming_, ec)) {
     if (head_) came_ += used;
     if (!head_ && parser_->is_header_done() && !LookAtHead()) return false;
   }
-  if (ec == http::error::body_limit) return Spoil(413, "the body is over 64 MiB\n"), false;
+  if (ec == http::error::body_limit) {
+    return Spoil(413, "the body is over " + SizeText(server_.terms_.body_limit) + '\n'), false;
+  }
   if (ec == http::error::header_limit) return Spoil(431, "the head is too large\n"), false;
   if (ec) return Spoil(400, "malformed HTTP\n"), false;
   // The head of a chunk without end, as long as it may be read ahead.
@@ -180,7 +193,7 @@
   awaited_since_ = now;
   const auto paced = std::chrono::microseconds(static_cast<std::int64_t>(came_) * 1'000'000 /
                                                kLeastBytesPerSecond);
-  timer_->ArmAt(now + kRequestSpan + paced - spent_);
+  timer_->ArmAt(now + server_.terms_.request_span + paced - spent_);
 }
 
 void Client::Came() {
@@ -211,7 +224,8 @@
 }
 
 void Client::Dispatch(HttpRequest request, Arrival arrival) {
-  if (PathOf(View(request.target())) == "/_health") {
+  const std::string& health = server_.terms_.health_path;
+  if (!health.empty() && PathOf(View(request.target())) == health) {
     const bool ready = server_.ready_() && server_.drain_.healthy();
     return RespondPlain(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
   }
@@ -250,6 +264,7 @@
   if (state_ == State::kClosed) return;
   state_ = State::kHeld;
   keep_alive_ = false;
+  ++server_.rejected_[status];
   server_.log_.Line("a client's request was rejected: " + text.substr(0, text.size() - 1));
   RespondPlain(status, text);
 }
@@ -287,6 +302,7 @@
   drained_ = std::move(drained);
   ending_ = false;
   chunked_ = !length && version_ >= 11;
+  sized_ = length.has_value();
   SetTerms(head);
   if (length) head.content_length(*length);
   if (chunked_) head.chunked(true);
@@ -313,7 +329,7 @@
   if (state_ != State::kStreaming) return;
   const auto self = shared_from_this();
   gone_ = nullptr;
-  stream_->Reset();
+  if (server_.terms_.break_by_reset || !(chunked_ || sized_)) stream_->Reset();
   Close();
 }
 
@@ -339,7 +355,7 @@
   state_ = State::kIdle;
   spent_ = {};
   if (incoming_.empty()) {
-    Rest(kRestSpan);
+    Rest(server_.terms_.rest_span);
     server_.Accept();
     return Read();
   }
@@ -361,8 +377,8 @@
   stream_->EndSending();
   incoming_.Clear();
   // The rest of a long request may be on its way, from a client that reads only after it.
-  linger_left_ = parser_ ? kLargestBody : kLingerBytes;
-  Arm(parser_ ? kRequestSpan : kLingerSpan);
+  linger_left_ = parser_ ? server_.terms_.body_limit : kLingerBytes;
+  Arm(parser_ ? server_.terms_.request_span : kLingerSpan);
   parser_.reset();
   Yields(kLeaving);
   Read();
@@ -405,7 +421,7 @@
 
 Server::Server(net::Loop& loop, Log& log, net::ListenerPtr listener, SocketBudget& budget,
                const Drain& drain, std::function<bool()> ready,
-               std::function<std::uint64_t()> most_body, OnRequest on_request)
+               std::function<std::uint64_t()> most_body, OnRequest on_request, ServerTerms terms)
     : loop_(loop),
       log_(log),
       budget_(budget),
@@ -413,6 +429,7 @@
       ready_(std::move(ready)),
       most_body_(std::move(most_body)),
       on_request_(std::move(on_request)),
+      terms_(std::move(terms)),
       listener_(std::move(listener)),
       pause_(loop.NewTimer([this] { Accept(); })),
       drain_timer_(loop.NewTimer([this] { NextPhase(); })) {}
@@ -500,7 +517,7 @@
 void Server::StartDrain() {
   phase_ = Phase::kAnswersClose;
   drained_at_ = loop_.Now();
-  drain_timer_->ArmAt(drained_at_ + kDrainWindow);
+  drain_timer_->ArmAt(drained_at_ + terms_.drain_window);
 }
 
 void Server::EndDrain() {
@@ -520,7 +537,7 @@
   const bool leaving = drain_.state() == Drain::State::kLeaving;
   if (phase_ == Phase::kAnswersClose) {
     phase_ = Phase::kNoneIdle;
-    drain_timer_->ArmAt(drained_at_ + (leaving ? kLeaveHalfRead : kDrainHalfRead));
+    drain_timer_->ArmAt(drained_at_ + (leaving ? terms_.leave_half_read : kDrainHalfRead));
     if (leaving && !closed_) CloseListener();
     CloseAllIdle();
   } else if (phase_ == Phase::kNoneIdle) {
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -22,6 +22,27 @@
 
 class Server;
 
+// What a server grants its clients, and for how long. As it stands here: the program in service.
+struct ServerTerms {
+  std::string health_path = "/_health";  // Answered here; empty: no path is.
+  std::uint32_t header_limit = kHeaderLimit;
+  std::uint64_t body_limit = kLargestBody;
+  // From the connection to the first request's end, if its time counts from there at all: else a
+  // new connection may rest as long as any other.
+  std::optional<std::chrono::milliseconds> first_span = std::chrono::milliseconds(2500);
+  // From a request's first byte to its last; grows with what comes of its body.
+  std::chrono::milliseconds request_span{2500};
+  std::chrono::milliseconds rest_span{4000};  // Between requests.
+  // From the start of a drain: how long the front goes on sending new connections, and when what is
+  // half read by then is refused by a process that leaves.
+  std::chrono::milliseconds drain_window{500};
+  std::chrono::milliseconds leave_half_read{700};
+  bool folded_headers = true;  // Whether a header's value may go on in a further line.
+  // How an answer that is not whole ends: by a reset, which may take with it what the client has
+  // not read yet; or, where its framing shows that it is not whole, by a plain close.
+  bool break_by_reset = true;
+};
+
 // What a connection is doing while nothing is owed on it, in the order in which they make room.
 // Waiting goes from one answer to the next request's last byte.
 enum Yield : std::size_t { kLeaving, kWaiting, kYields };
@@ -88,6 +109,7 @@
   void Await();
   void Came();
   void Rest(std::chrono::milliseconds span);
+  bool Folded() const;
   void Yields(std::optional<Yield> as);
   void TimeUp();
 
@@ -126,6 +148,7 @@
   std::optional<net::Time> awaited_since_;
   Feed feed_;
   bool chunked_ = false;  // The answer that goes out in parts.
+  bool sized_ = false;    // Its head told its length.
   bool ending_ = false;   // All of it has been handed in.
   std::function<void()> drained_;
   std::function<void()> gone_;
@@ -139,7 +162,7 @@
   // `most_body` how much of a body may be held at this moment.
   Server(net::Loop& loop, Log& log, net::ListenerPtr listener, SocketBudget& budget,
          const Drain& drain, std::function<bool()> ready, std::function<std::uint64_t()> most_body,
-         OnRequest on_request);
+         OnRequest on_request, ServerTerms terms = {});
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
@@ -149,6 +172,10 @@
   static std::size_t MostClients(std::size_t sockets) { return sockets / 3 * 2; }
   std::size_t clients() const { return clients_.size(); }
   bool accepting() const { return accepting_; }
+  // Hold from the next request of each connection on.
+  void SetTerms(ServerTerms terms) { terms_ = std::move(terms); }
+  // Requests that could not be used, by the status that they were answered with.
+  const std::map<unsigned, std::uint64_t>& rejected() const { return rejected_; }
   void Open();
   // The budget has come down: gives up what can be spared.
   void Shrink();
@@ -186,6 +213,8 @@
   std::function<bool()> ready_;
   std::function<std::uint64_t()> most_body_;
   OnRequest on_request_;
+  ServerTerms terms_;
+  std::map<unsigned, std::uint64_t> rejected_;
   net::ListenerPtr listener_;
   net::TimerPtr pause_;
   net::TimerPtr drain_timer_;
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/beast/http/parser.hpp>
+#include <charconv>
 #include <optional>
 #include <string>
 #include <utility>
@@ -21,17 +22,17 @@
 constexpr std::chrono::microseconds kDefaultIdle = std::chrono::seconds(4);
 constexpr std::chrono::microseconds kDefaultConnect = std::chrono::milliseconds(250);
 constexpr double kIdlePart = 0.8;  // Of the keepalive; past all of it, what is written is lost.
-// The longest silence inside an answer that is held whole: answers are made before they are sent.
-constexpr auto kAnswerSpan = std::chrono::milliseconds(300);
-constexpr int kMostInterim = 8;  // 1xx answers ahead of the real one.
+constexpr int kMostInterim = 8;    // 1xx answers ahead of the real one.
 // How long a find that an idle connection was dead is remembered, and up to which idle time one is
 // trusted meanwhile.
 constexpr auto kDoubtSpan = std::chrono::seconds(30);
 constexpr auto kTrustedIdle = std::chrono::milliseconds(50);
 
 // Whether a request that may have run can be sent again, as the method tells (RFC 9110, 9.2.2) or
-// the key that lets an endpoint know a repeat.
-bool Repeatable(const HttpRequest& message) {
+// the key that lets an endpoint know a repeat; or as its sender knows.
+bool Repeatable(const Outbound& outbound) {
+  const HttpRequest& message = outbound.message;
+  if (outbound.repeatable) return *outbound.repeatable;
   return message.method() == http::verb::get || !message["Idempotency-Key"].empty();
 }
 
@@ -53,8 +54,22 @@
   }
 }
 
+// How long an endpoint keeps an idle connection ("timeout=5" or "5"); none if it does not tell.
+std::optional<std::chrono::seconds> KeptIdle(const HttpResponse& answer) {
+  std::string_view word = View(answer[http::field::keep_alive]);
+  if (const auto equals = word.find("timeout="); equals != word.npos) {
+    word.remove_prefix(equals + std::string_view("timeout=").size());
+  }
+  unsigned seconds = 0;
+  const auto read = std::from_chars(word.data(), word.data() + word.size(), seconds);
+  if (read.ec != std::errc()) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
 }  // namespace
 
+Reading ReadHead(AttemptKey, const HttpResponse& head) { return {CodeOf(head), AnswerUse::kHold}; }
+
 class Upstream::Connection : public net::StreamUser,
                              public std::enable_shared_from_this<Connection> {
  public:
@@ -72,6 +87,7 @@
     write_by_ = outbound.write_by;
     left_ = outbound.left;
     silence_ = outbound.silence;
+    end_ = outbound.end;
     more_ = outbound.more;
     in_parts_ = more_;
     done_ = std::move(done);
@@ -84,6 +100,7 @@
     if (reused) return Write();
     timer_->ArmAt(std::min(WriteEnd(until_), owner_.loop_.Now() + owner_.connect_timeout_));
     owner_.log_.Trace([&] { return "connect " + dial_.Text(); });
+    ++owner_.dials_;
     stream_ = owner_.loop_.Dial(dial_, *this);
   }
 
@@ -102,11 +119,12 @@
     parser_.reset();
     owner_.attempts_.erase(key_);
     Endpoint* endpoint = owner_.Find(id_);
-    if (reusable && endpoint != nullptr && endpoint->ready && endpoint->version == version_) {
+    if (reusable && endpoint != nullptr && endpoint->ready && endpoint->version == version_ &&
+        idle_span_ > net::Span::zero()) {
       state_ = State::kIdle;
       idle_since_ = owner_.loop_.Now();
       endpoint->idle.push_back(self);
-      timer_->ArmAt(idle_since_ + owner_.idle_span_);
+      timer_->ArmAt(idle_since_ + idle_span_);
       Read();
     } else {
       Close();
@@ -161,7 +179,8 @@
     if (now >= WriteEnd(until_)) return Finish(OutcomeCode::kConnectFailed);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         more_ ? left_ : net::Span(until_ - now));
-    message_->set("X-Remaining-Ms", std::to_string(std::max<std::int64_t>(1, left.count())));
+    message_->set(owner_.terms_.remaining_header,
+                  std::to_string(std::max<std::int64_t>(1, left.count())));
     outgoing_.Start(more_ ? FirstPart() : TextOf(*message_));
     state_ = State::kBusy;
     timer_->ArmAt(WriteEnd(until_));
@@ -250,7 +269,7 @@
       // One that is said to be longer than it is would be waited for until the request's end.
       if (!incoming_.empty() || parser_->is_header_done()) {
         begun_ = true;
-        timer_->ArmAt(std::min<net::Time>(until_, owner_.loop_.Now() + kAnswerSpan));
+        AwaitRest();
       }
       return Read();
     }
@@ -268,11 +287,9 @@
     bool in_head = !parser_->is_header_done();
     while (PutStep(*parser_, incoming_, ec) > 0) {
       if (!parser_->is_header_done()) continue;
-      if (std::exchange(in_head, false)) {
-        if (!Framed(*parser_)) return false;
-        code_ = CodeOf(parser_->get());  // Before any trailers.
-      }
-      if (parser_->is_done() && parser_->get().result_int() < 200) {
+      if (std::exchange(in_head, false) && !TakeHead()) return false;
+      if (skips()) parser_->get().body().clear();
+      if (parser_->is_done() && (parser_->get().result_int() < 200 || skips())) {
         // A 1xx answer only announces the real one; an endless row of them announces nothing.
         if (++interim_ > kMostInterim) return false;
         NextParser();
@@ -282,6 +299,26 @@
     return !ec;
   }
 
+  // Before any trailers. False if it is no answer.
+  bool TakeHead() {
+    if (!Framed(*parser_)) return false;
+    if (parser_->get().result_int() < 200) return true;
+    reading_ = owner_.terms_.read_head(key_, parser_->get());
+    code_ = reading_.code;
+    idle_span_ = owner_.idle_span_;
+    if (!owner_.terms_.heed_keep_alive) return true;
+    if (const auto kept = KeptIdle(parser_->get())) {
+      const net::Span own = std::chrono::duration_cast<net::Span>(*kept * kIdlePart);
+      idle_span_ = std::min(idle_span_, own);
+    }
+    return true;
+  }
+
+  bool skips() const {
+    return parser_->is_header_done() && parser_->get().result_int() >= 200 &&
+           reading_.use == AnswerUse::kSkip;
+  }
+
   // Bytes beyond the answer belong to no request; the connection is of no further use.
   bool Reusable(bool ended) const {
     return !ended && written_ && parser_->keep_alive() && incoming_.empty();
@@ -289,7 +326,8 @@
 
   // Longer than may be held. Of what is no answer to pass on the code is all that matters.
   bool IsLong() const {
-    if (!parser_->is_header_done() || parser_->get().result_int() < 200) return false;
+    if (!parser_->is_header_done() || parser_->get().result_int() < 200 || skips()) return false;
+    if (reading_.use == AnswerUse::kPass && code_ == OutcomeCode::kOk) return true;
     const std::uint64_t most = owner_.most_body_();
     const auto length = parser_->content_length();
     return (length && *length > most) || parser_->get().body().size() > most;
@@ -326,7 +364,16 @@
     return state_ == State::kBusy;
   }
 
-  void AwaitAnswer() { timer_->ArmAt(owner_.loop_.Now() + silence_); }
+  void AwaitAnswer() {
+    const net::Time silent = owner_.loop_.Now() + silence_;
+    timer_->ArmAt(end_ ? std::min(*end_, silent) : silent);
+  }
+
+  void AwaitRest() {
+    const auto silence = owner_.terms_.answer_silence;
+    if (silence == silence.zero()) return;
+    timer_->ArmAt(std::min<net::Time>(until_, owner_.loop_.Now() + silence));
+  }
 
   void NextParser() {
     parser_.emplace();
@@ -334,6 +381,8 @@
     // come with the head, and takes in all of it.
     parser_->header_limit(kHeaderLimit);
     parser_->body_limit(kLargestBody);
+    parser_->skip(message_->method() == http::verb::head);
+    reading_ = {};
   }
 
   // The endpoint has answered, and not in a way that can be used. It may have run, as with an error
@@ -371,7 +420,9 @@
   Incoming incoming_;
   Outgoing outgoing_;
   std::optional<http::response_parser<TextBody>> parser_;
-  OutcomeCode code_ = OutcomeCode::kError;  // By the answer's head.
+  Reading reading_;                         // Of the answer's head.
+  OutcomeCode code_ = OutcomeCode::kError;  // The same, or none yet.
+  net::Span idle_span_{};                   // How long it may lie idle after the present answer.
   Key key_{};
   HttpRequest* message_ = nullptr;  // The caller keeps it until the attempt is over.
   bool written_ = false;            // The machine has its last byte.
@@ -382,6 +433,7 @@
   std::optional<net::Time> write_by_;
   net::Span left_{};
   net::Span silence_{};
+  std::optional<net::Time> end_;
   bool more_ = false;      // Of the request's body, to be asked for.
   bool in_parts_ = false;  // The request or its answer.
   bool passing_ = false;   // The answer goes out in parts,
@@ -394,7 +446,7 @@
 
 Upstream::Upstream(net::Loop& loop, Log& log, SocketBudget& budget,
                    std::chrono::microseconds keepalive, std::chrono::microseconds connect_timeout,
-                   AttemptUser& user, std::function<std::uint64_t()> most_body)
+                   AttemptUser& user, std::function<std::uint64_t()> most_body, UpstreamTerms terms)
     : loop_(loop),
       log_(log),
       budget_(budget),
@@ -403,7 +455,8 @@
                                        : kDefaultIdle),
       connect_timeout_(connect_timeout.count() > 0 ? connect_timeout : kDefaultConnect),
       user_(user),
-      most_body_(std::move(most_body)) {
+      most_body_(std::move(most_body)),
+      terms_(std::move(terms)) {
   budget_.evict_idle = [this] { return EvictIdle(); };
 }
 
@@ -446,7 +499,7 @@
     return done({OutcomeCode::kNeverSent, {}});
   }
   Endpoint& endpoint = it->second;
-  ConnectionPtr connection = TakeIdle(endpoint, outbound.message);
+  ConnectionPtr connection = TakeIdle(endpoint, outbound);
   if (!connection) {
     if (!budget_.TakeForAttempt()) return done({OutcomeCode::kConnectFailed, {}});
     connection = std::make_shared<Connection>(*this, id, endpoint);
@@ -459,9 +512,9 @@
 // in between): a request that then goes out on one ends as a reset, and one that must not run twice
 // is lost by that. While there is doubt such requests get a connection of their own; repeatable
 // ones go on using what lies idle, and so show for how long the doubt lasts. Harm: handshakes.
-Upstream::ConnectionPtr Upstream::TakeIdle(Endpoint& endpoint, const HttpRequest& message) {
+Upstream::ConnectionPtr Upstream::TakeIdle(Endpoint& endpoint, const Outbound& outbound) {
   const net::Time now = loop_.Now();
-  const bool wary = now < doubt_until_ && !Repeatable(message);
+  const bool wary = now < doubt_until_ && !Repeatable(outbound);
   while (!endpoint.idle.empty()) {
     ConnectionPtr connection = endpoint.idle.back();
     if (wary && now - connection->idle_since() > kTrustedIdle) {
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -57,8 +58,33 @@
 
 using AttemptKey = std::pair<gaugecart::RequestId, std::uint32_t>;  // Request and attempt.
 
+// What becomes of an answer, as its head tells.
+enum class AnswerUse {
+  kHold,  // Held whole; a longer one goes on in parts.
+  kPass,  // Goes on in parts from the start.
+  kSkip,  // Belongs to another request: read away, and the right one follows.
+};
+struct Reading {
+  gaugecart::OutcomeCode code = gaugecart::OutcomeCode::kError;
+  AnswerUse use = AnswerUse::kHold;
+};
+
+// As the endpoints of the program in service mean it.
+Reading ReadHead(AttemptKey key, const HttpResponse& head);
+
+// What differs between the protocols that endpoints speak. As it stands here: the program in
+// service.
+struct UpstreamTerms {
+  std::string remaining_header = "X-Remaining-Ms";  // Set by each send: what is left, in ms.
+  std::function<Reading(AttemptKey, const HttpResponse& head)> read_head = ReadHead;
+  // The longest silence inside an answer that is held whole: 0: until the attempt's end.
+  std::chrono::milliseconds answer_silence{300};
+  // Whether an endpoint's Keep-Alive bounds how long its connection lies idle.
+  bool heed_keep_alive = false;
+};
+
 // A request as it goes to an endpoint. The message must stay where it is until the attempt is over
-// or has asked for more; each send sets X-Remaining-Ms in it.
+// or has asked for more; each send sets the time that is left in it.
 struct Outbound {
   HttpRequest& message;
   // Its body goes on beyond what the message holds: in parts, by Feed.
@@ -66,7 +92,10 @@
   std::optional<net::Time> write_by;  // Its last byte may not go out later; none: at any time.
   net::Time until;      // The attempt's end. With `more` it counts to the end of the held part, and
   net::Span left{};     // from the last byte on the request has this long.
-  net::Span silence{};  // What is under way in parts ends when nothing has moved for so long.
+  net::Span silence{};  // What is under way in parts ends when nothing has moved for so long,
+  std::optional<net::Time> end;  // and then at the latest.
+  // Whether it may be sent again once it may have run; none: as its method and headers tell.
+  std::optional<bool> repeatable;
 };
 
 // Who is told of attempts. It may act on the attempt at once.
@@ -96,7 +125,7 @@
 
   Upstream(net::Loop& loop, Log& log, SocketBudget& budget, std::chrono::microseconds keepalive,
            std::chrono::microseconds connect_timeout, AttemptUser& user,
-           std::function<std::uint64_t()> most_body);
+           std::function<std::uint64_t()> most_body, UpstreamTerms terms = {});
   ~Upstream();
   Upstream(const Upstream&) = delete;
   Upstream& operator=(const Upstream&) = delete;
@@ -119,6 +148,7 @@
   void Withdraw(Key key);
   bool EvictIdle();
   std::size_t attempts() const { return attempts_.size(); }
+  std::uint64_t dials() const { return dials_; }  // Since the start.
   // Microseconds since the endpoint's process started; -1 where it is long ago or not known.
   gaugecart::Micros Age(gaugecart::EndpointId id, gaugecart::Micros now) const;
 
@@ -136,7 +166,7 @@
   Endpoint* Find(gaugecart::EndpointId id);
   ConnectionPtr AttemptOf(Key key) const;  // Null once it is over.
   // The idle connection to use for this message; null if a new one is to be opened.
-  ConnectionPtr TakeIdle(Endpoint& endpoint, const HttpRequest& message);
+  ConnectionPtr TakeIdle(Endpoint& endpoint, const Outbound& outbound);
   // A reused connection broke before any answer: it may have been dropped while it lay idle.
   void NoteStale(net::Span idle);
 
@@ -147,6 +177,8 @@
   std::chrono::microseconds connect_timeout_;
   AttemptUser& user_;
   std::function<std::uint64_t()> most_body_;
+  UpstreamTerms terms_;
+  std::uint64_t dials_ = 0;
   std::map<gaugecart::EndpointId, Endpoint> endpoints_;
   std::map<Key, ConnectionPtr> attempts_;
   net::Time doubt_until_{};  // Until then idle connections may be dead without a sign.
