Calls ask their user right before each send whether it may still go out

Cause: a batch item may only reach an endpoint under a valid lease, also when it waited in a queue, when its process was frozen, or when a cut stream is resumed inside a call. Change: CallUser::MaySend, true by default, to be asked by the implementation of Calls before each send. For the proxy: please ask it in the place where an attempt is sent.

--- a/src/tier/proxy/calls.h
+++ b/src/tier/proxy/calls.h
@@ -59,6 +59,10 @@
 // Told of one call; may cancel it from inside any of these.
 class CallUser {
  public:
+  // Asked right before each send to an endpoint, resumptions included: whoever holds a right that
+  // runs out (the lease of a batch item) checks it here, at the moment of acting. False: nothing is
+  // sent and the call ends, kRefused if it was never sent before, else kBroken or kFailed.
+  virtual bool MaySend() { return true; }
   // Head of the answer that will be passed on; once. `length` where the endpoint told it.
   virtual void OnHead(int status, const HeaderList& headers,
                       std::optional<std::uint64_t> length) = 0;
