--- /dev/null
+++ b/src/tier/transport/outbox.h
@@ -0,0 +1,58 @@
+// What waits to be written on one connection, and how far the writing has come: so that whoever
+// asks knows of each frame whether any byte of it may have left. Pure.
+#ifndef SHELFLINK_TIER_TRANSPORT_OUTBOX_H_
+#define SHELFLINK_TIER_TRANSPORT_OUTBOX_H_
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace shelflink::transport {
+
+class Outbox {
+ public:
+  // Small frames are put together up to this size, so that one write takes them all.
+  static constexpr std::size_t kChunk = 65536;
+
+  // Appends a frame and returns its place: the number of bytes that stand before it, those already
+  // written included.
+  std::uint64_t Append(std::string frame) {
+    const std::uint64_t place = appended_;
+    appended_ += frame.size();
+    if (!chunks_.empty() && chunks_.back().size() + frame.size() <= kChunk) {
+      chunks_.back() += frame;
+    } else {
+      chunks_.push_back(std::move(frame));
+    }
+    return place;
+  }
+
+  bool empty() const { return written_ == appended_; }
+  std::size_t size() const { return static_cast<std::size_t>(appended_ - written_); }
+  std::uint64_t written() const { return written_; }
+
+  // What to write next; of an outbox that is not empty.
+  std::string_view Front() const {
+    return std::string_view(chunks_.front()).substr(front_written_);
+  }
+  void Written(std::size_t bytes) {
+    written_ += bytes;
+    front_written_ += bytes;
+    if (front_written_ < chunks_.front().size()) return;
+    chunks_.pop_front();
+    front_written_ = 0;
+    if (chunks_.empty()) chunks_.shrink_to_fit();
+  }
+
+ private:
+  std::deque<std::string> chunks_;
+  std::size_t front_written_ = 0;
+  std::uint64_t appended_ = 0;
+  std::uint64_t written_ = 0;
+};
+
+}  // namespace shelflink::transport
+
+#endif  // SHELFLINK_TIER_TRANSPORT_OUTBOX_H_
