--- a/src/tier/transport/hub.cpp
+++ b/src/tier/transport/hub.cpp
@@ -39,7 +39,8 @@
 struct PendingCall {
   Hub::Reply done;
   net::Time deadline;
-  std::uint64_t connection = 0;  // 0: it stands in no connection's queue.
+  bool handed_over = false;      // To a connection or to this process itself.
+  std::uint64_t connection = 0;  // Whose queue it stands in, or stood.
   std::uint64_t place = 0;       // Of its frame in that connection's stream.
 };
 
@@ -312,6 +313,7 @@
   if (body.size() > kLargestBody) {
     FinishLater(call, MakeError(ErrorCode::kTooLarge, "the message is longer than a frame"));
   } else if (to == self.address) {
+    calls[call].handed_over = true;
     Post([this, kind, call, body = std::move(body)] { TakeCall(self, 0, {kind, call, body}); });
   } else {
     Deliver(to, EncodeCall(kind, call, body), call);
@@ -341,6 +343,7 @@
   }
   const auto it = calls.find(frame.call);
   if (it == calls.end()) return;  // Its time ran out while it waited: it must not leave any more.
+  it->second.handed_over = true;
   it->second.connection = connection.id();
   it->second.place = connection.Queue(std::move(frame.bytes), Connection::Expects::kSignOfLife);
   connection.OpenCall(frame.call);
@@ -438,8 +441,8 @@
 void Hub::Impl::ExpireCalls(net::Time now) {
   while (!deadlines.empty() && deadlines.begin()->first <= now) {
     const std::uint64_t call = deadlines.begin()->second;
-    const bool queued = calls.at(call).connection != 0;
-    Finish(call, queued ? Unknown("no answer in time") : Unavailable("no connection in time"));
+    const bool handed_over = calls.at(call).handed_over;
+    Finish(call, handed_over ? Unknown("no answer in time") : Unavailable("no connection in time"));
   }
 }
 
--- a/src/tier/transport/hub.h
+++ b/src/tier/transport/hub.h
@@ -91,7 +91,7 @@
 
  private:
   struct Impl;
-  std::unique_ptr<Impl> impl_;
+  std::shared_ptr<Impl> impl_;
 };
 
 }  // namespace shelflink::transport
