--- a/src/tier/transport/connection.cpp
+++ b/src/tier/transport/connection.cpp
@@ -8,8 +8,8 @@
                        const PeerIdentity& self, Spans spans)
     : id_(id), loop_(loop), owner_(owner), self_(self), spans_(spans), silence_(spans.silence) {}
 
-void Connection::Dial(const net::Address& to) {
-  dialled_ = true;
+void Connection::Dial(const net::Address& to, std::uint64_t dial) {
+  dial_ = dial;
   dialled_address_ = to;
   state_deadline_ = loop_.Now() + spans_.connect;
   stream_ = loop_.Dial(to, *this);
@@ -24,7 +24,7 @@
 void Connection::StartGreeting() {
   state_ = State::kGreeting;
   state_deadline_ = loop_.Now() + spans_.silence;
-  outbox_.Append(EncodeHello(self_));
+  outbox_.Append(EncodeHello(self_, dial_));
   owner_.OnQueued(*this);
   owner_.OnChanged(*this);
   stream_->Receive();
@@ -154,7 +154,8 @@
   const auto* hello = std::get_if<HelloFrame>(&frame);
   if (hello == nullptr) return Break(WordOf(FrameFault::kMalformed));
   peer_ = hello->identity;
-  if (peer_.address == self_.address || (dialled_ && peer_.address != dialled_address_)) {
+  peer_dial_ = hello->dial;
+  if (peer_.address == self_.address || (dialled() && peer_.address != dialled_address_)) {
     return Break("address");
   }
   state_ = State::kGreeted;
--- a/src/tier/transport/connection.h
+++ b/src/tier/transport/connection.h
@@ -50,11 +50,14 @@
   Connection& operator=(const Connection&) = delete;
 
   // One of these first.
-  void Dial(const net::Address& to);
+  // `dial` counts the dials of this process, from 1.
+  void Dial(const net::Address& to, std::uint64_t dial);
   void Accept(net::StreamPtr stream);
 
   std::uint64_t id() const { return id_; }
-  bool dialled() const { return dialled_; }
+  bool dialled() const { return dial_ != 0; }
+  // The peer's count of its dials; 0 where this side dialled.
+  std::uint64_t peer_dial() const { return peer_dial_; }
   const net::Address& dialled_address() const { return dialled_address_; }
   bool greeted() const { return state_ == State::kGreeted; }
   bool closed() const { return state_ == State::kClosed; }
@@ -104,7 +107,8 @@
   Spans spans_;
   State state_ = State::kDialling;
   net::Address dialled_address_;
-  bool dialled_ = false;
+  std::uint64_t dial_ = 0;  // 0 where the peer dialled.
+  std::uint64_t peer_dial_ = 0;
   bool blocked_ = false;      // The machine takes no more until OnWritable.
   net::Time state_deadline_;  // Of dialling and greeting.
   std::size_t largest_frame_ = kLargestHello;
--- a/src/tier/transport/frames.cpp
+++ b/src/tier/transport/frames.cpp
@@ -99,6 +99,7 @@
   hello.identity.zone = reader.Text();
   const auto address = net::Address::Parse(reader.Text());
   hello.identity.incarnation = reader.Uint();
+  hello.dial = reader.Uint();
   if (!reader.ok() || !address) return FrameFault::kMalformed;
   hello.identity.address = *address;
   return Frame(std::move(hello));
@@ -154,11 +155,11 @@
   return "too_long";
 }
 
-std::string EncodeHello(const PeerIdentity& identity, std::uint64_t version) {
+std::string EncodeHello(const PeerIdentity& identity, std::uint64_t dial, std::uint64_t version) {
   cbor::Writer writer;
-  writer.Array(7).Uint(Number(Type::kHello)).Uint(version);
+  writer.Array(8).Uint(Number(Type::kHello)).Uint(version);
   writer.Text(identity.node).Text(identity.role).Text(identity.zone);
-  writer.Text(identity.address.Text()).Uint(identity.incarnation);
+  writer.Text(identity.address.Text()).Uint(identity.incarnation).Uint(dial);
   return Framed(writer.data());
 }
 
--- a/src/tier/transport/frames.h
+++ b/src/tier/transport/frames.h
@@ -15,6 +15,9 @@
 // The first frame of each side.
 struct HelloFrame {
   PeerIdentity identity;
+  // Counts the connections that the sender has dialled in this life, so that the receiver knows
+  // which of several is the newest; 0 from the side that accepted.
+  std::uint64_t dial = 0;
 };
 // One way, with no answer.
 struct MessageFrame {
@@ -51,7 +54,8 @@
 constexpr std::size_t kLargestBody = kLargestFrame - kMostEnvelope;
 
 // Each makes one whole frame, its length included.
-std::string EncodeHello(const PeerIdentity& identity, std::uint64_t version = kProtocolVersion);
+std::string EncodeHello(const PeerIdentity& identity, std::uint64_t dial,
+                        std::uint64_t version = kProtocolVersion);
 std::string EncodeMessage(MessageKind kind, std::string_view body);
 std::string EncodeCall(MessageKind kind, std::uint64_t call, std::string_view body);
 std::string EncodeAnswer(std::uint64_t call, std::string_view body);
--- a/src/tier/transport/hub.cpp
+++ b/src/tier/transport/hub.cpp
@@ -81,7 +81,7 @@
   void EnsureDial(const net::Address& address, Peer& peer);
   void OnDialFailed(const net::Address& address);
   void DropWaiting(Peer& peer, const std::string& reason);
-  void SupersedeOlder(const Connection& newest, Peer& peer);
+  bool Supersede(Connection& connection, Peer& peer);
 
   // Frames out.
   void Deliver(const net::Address& to, std::string frame, std::uint64_t call);
@@ -120,6 +120,7 @@
   net::Time next_check = net::Time::max();  // No connection's NextCheck is before it.
 
   std::uint64_t last_connection = 0;
+  std::uint64_t last_dial = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections;
   std::unordered_set<Connection*> watched;          // Those with a NextCheck.
   std::vector<std::unique_ptr<Connection>> closed;  // Until no call of theirs runs any more.
@@ -213,7 +214,7 @@
   }
   Connection& connection = NewConnection();
   peer.dialling = &connection;
-  connection.Dial(address);
+  connection.Dial(address, ++last_dial);
   OnChanged(connection);
 }
 
@@ -235,22 +236,30 @@
   }
 }
 
-// A process that was started anew does not use the connections of its earlier life.
-void Hub::Impl::SupersedeOlder(const Connection& newest, Peer& peer) {
+// A process that was started anew does not use the connections of its earlier life, and whoever
+// dials again has given up what it dialled before. So what still lies unread in the older
+// connection can't be taken for newer. False if `connection` itself is the older one.
+bool Hub::Impl::Supersede(Connection& connection, Peer& peer) {
   std::vector<Connection*> older;
-  for (Connection* connection : peer.connections) {
-    if (connection->peer().incarnation != newest.peer().incarnation) older.push_back(connection);
+  for (Connection* other : peer.connections) {
+    if (other->peer().incarnation != connection.peer().incarnation) {
+      older.push_back(other);
+    } else if (!other->dialled() && !connection.dialled()) {
+      const bool newer = connection.peer_dial() > other->peer_dial();
+      older.push_back(newer ? other : &connection);
+    }
   }
-  for (Connection* connection : older) OnBroken(*connection, "superseded");
+  for (Connection* one : older) OnBroken(*one, "superseded");
+  return !connection.closed();
 }
 
 void Hub::Impl::OnGreeted(Connection& connection) {
   const PeerIdentity& identity = connection.peer();
+  if (!Supersede(connection, PeerAt(identity.address))) return;
   Peer& peer = PeerAt(identity.address);
   if (peer.dialling == &connection) peer.dialling = nullptr;
   peer.pause = {};
   peer.not_before = {};
-  SupersedeOlder(connection, peer);
   peer.connections.push_back(&connection);
   peer.waiting_bytes = 0;
   for (WaitingFrame& frame : std::exchange(peer.waiting, {})) {
