--- /dev/null
+++ b/src/tier/coordination/record.cpp
@@ -0,0 +1,104 @@
+#include "tier/coordination/record.h"
+
+#include <algorithm>
+
+namespace shelflink::coordination {
+
+namespace {
+constexpr std::size_t kMostMembers = 64;
+
+void WriteAll(cbor::Writer& out, const std::vector<CoreMember>& members) {
+  out.Array(members.size());
+  for (const CoreMember& member : members) Put(out, member);
+}
+}  // namespace
+
+const CoreMember* FindDisk(const std::vector<CoreMember>& members, std::string_view disk) {
+  const auto found = std::find_if(members.begin(), members.end(),
+                                  [&](const CoreMember& member) { return member.disk == disk; });
+  return found == members.end() ? nullptr : &*found;
+}
+
+bool SameMembers(const std::vector<CoreMember>& a, const std::vector<CoreMember>& b) {
+  return a.size() == b.size() && std::all_of(a.begin(), a.end(), [&](const CoreMember& member) {
+           return FindDisk(b, member.disk) != nullptr;
+         });
+}
+
+bool IsWitnessOf(const Record& base, const CoreMember& member) {
+  if (base.number > 0) return FindDisk(base.witnesses, member.disk) != nullptr;
+  return std::any_of(base.witnesses.begin(), base.witnesses.end(), [&](const CoreMember& seed) {
+    return seed.address == member.address;
+  });
+}
+
+std::size_t Majority(const Record& base) { return base.witnesses.size() / 2 + 1; }
+
+std::vector<CoreMember> MembersOf(const Record& record) {
+  std::vector<CoreMember> members = record.replicas;
+  for (const CoreMember& witness : record.witnesses) {
+    if (record.number == 0 || FindDisk(members, witness.disk) == nullptr) {
+      members.push_back(witness);
+    }
+  }
+  return members;
+}
+
+void Put(cbor::Writer& out, const CoreMember& member) {
+  out.Array(4).Text(member.disk).Text(member.node).Text(member.zone).Text(member.address.Text());
+}
+
+CoreMember ReadMember(cbor::Reader& in) {
+  CoreMember member;
+  if (in.Array() < 4) in.Fail();
+  member.disk = in.Text();
+  member.node = in.Text();
+  member.zone = in.Text();
+  const auto address = net::Address::Parse(in.Text());
+  if (address) {
+    member.address = *address;
+  } else {
+    in.Fail();
+  }
+  return member;
+}
+
+std::vector<CoreMember> ReadMembers(cbor::Reader& in) {
+  const std::size_t count = in.Array();
+  if (count > kMostMembers) in.Fail();
+  std::vector<CoreMember> members;
+  for (std::size_t i = 0; i < count && in.ok(); ++i) members.push_back(ReadMember(in));
+  return members;
+}
+
+void Put(cbor::Writer& out, const Record& record) {
+  out.Array(5).Uint(record.number).Text(record.primary).Uint(record.incarnation);
+  WriteAll(out, record.replicas);
+  WriteAll(out, record.witnesses);
+}
+
+Record ReadRecord(cbor::Reader& in) {
+  Record record;
+  if (in.Array() < 5) in.Fail();
+  record.number = in.Uint();
+  record.primary = in.Text();
+  record.incarnation = in.Uint();
+  record.replicas = ReadMembers(in);
+  record.witnesses = ReadMembers(in);
+  return record;
+}
+
+void Put(cbor::Writer& out, const Ballot& ballot) {
+  out.Array(3).Uint(ballot.round).Text(ballot.disk).Uint(ballot.incarnation);
+}
+
+Ballot ReadBallot(cbor::Reader& in) {
+  Ballot ballot;
+  if (in.Array() < 3) in.Fail();
+  ballot.round = in.Uint();
+  ballot.disk = in.Text();
+  ballot.incarnation = in.Uint();
+  return ballot;
+}
+
+}  // namespace shelflink::coordination
--- /dev/null
+++ b/src/tier/coordination/replica.h
@@ -0,0 +1,204 @@
+// A primary-backup replica of an ordered map, under an epoch that others decide.
+//
+// Pure: events with their time in, messages and changes of its storage out. It holds no map in
+// memory, only the tail of entries that it does not know committed; the map lies in the storage.
+//
+// The owner hands it assignments {epoch, primary, replicas} and must see to this:
+//  - one process is primary of an epoch, once: a restarted one gets a new epoch;
+//  - the primary of epoch e+1 was a complete replica of epoch e;
+//  - a replica joins only when Joined() says so, after Require() of the assignment before.
+// Then every entry that was told committed is part of every later primary's map, because it was
+// synced by all replicas of its epoch, and of each of them before the next assignment names it.
+//
+// It must never acknowledge with fewer than `least_replicas` disks, never take an entry from a
+// primary of an older epoch, and never discard entries of an epoch it is a replica of unless the
+// primary put others in their places.
+#ifndef SHELFLINK_TIER_COORDINATION_REPLICA_H_
+#define SHELFLINK_TIER_COORDINATION_REPLICA_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tier/coordination/catch_up.h"
+#include "tier/coordination/messages.h"
+#include "tier/coordination/step.h"
+#include "tier/foundation/result.h"
+
+namespace shelflink::coordination {
+
+// Who holds the data in an epoch; disks.
+struct Assignment {
+  std::uint64_t epoch = 0;
+  std::string primary;
+  std::vector<std::string> replicas;  // The primary among them.
+};
+
+// What a step of the replica brings about; the owner carries it out in this order.
+struct ReplicaOutput {
+  std::vector<std::pair<std::string, ReplicaMessage>> messages;  // To disks.
+  // The stored map was replaced as a whole: read it anew (Replica::ForEach).
+  bool reset = false;
+  // Entries that have become known as committed, in order.
+  std::vector<Entry> committed;
+};
+
+class Replica {
+ public:
+  struct Options {
+    std::string disk;                // Of this replica.
+    std::string prefix;              // Of its keys in the storage; ends with a slash.
+    std::size_t least_replicas = 2;  // Fault tolerance + 1.
+    net::Span resend = std::chrono::milliseconds(300);       // Unanswered for so long: again.
+    net::Span catch_up_patience = std::chrono::seconds(1);   // Then the catch-up begins anew.
+    std::size_t most_message_bytes = 1U << 20;               // Of entries, or of range contents.
+    std::size_t most_unacknowledged_bytes = 16U << 20;       // Beyond: Propose refuses.
+    std::size_t most_unacknowledged_entries = 4096;
+  };
+
+  // Reads what the storage holds.
+  Replica(Options options, const storage::Storage& storage);
+
+  // Founding: complete with an empty map. Only on a first start.
+  void Found(Step& step);
+
+  // A newer assignment; older ones are ignored. `acting`: this process is its primary.
+  void Assign(Step& step, ReplicaOutput& out, const Assignment& assignment, bool acting);
+
+  // ---- As primary.
+
+  // Stores the writes and sends them; they are in force when `committed` tells of the position. Not
+  // the primary: kUnavailable; too much is unacknowledged: kExhausted; unusable key: kInvalid.
+  Result<Position> Propose(Step& step, ReplicaOutput& out, std::vector<Write> writes);
+  // Everything of earlier epochs is committed in this one: new entries may be judged on the map.
+  bool Serving() const;
+  // From now on nothing is committed that these (learners) have not synced too.
+  void Require(const std::set<std::string>& learners);
+  // A learner that has everything committed, in its present session.
+  bool Joined(const std::string& disk) const;
+  // Since when the replica owes an acknowledgement; none: it owes nothing.
+  std::optional<net::Time> Owing(const std::string& disk) const;
+  // All of this primary's entries are synced there.
+  bool HasAll(const std::string& disk) const;
+  void DropLearner(const std::string& disk);
+
+  // ---- As learner: neither primary nor replica of the assignment.
+
+  // Begins to catch up with the primary; no effect while it is under way or done.
+  void CatchUp(Step& step, ReplicaOutput& out);
+
+  // ---- All.
+
+  void OnMessage(Step& step, ReplicaOutput& out, const std::string& from,
+                 const ReplicaMessage& message);
+  void OnSynced(Step& step, ReplicaOutput& out, Ticket ticket);
+  // Resends what stayed unanswered. Wanted about every `resend`.
+  void OnTimer(Step& step, ReplicaOutput& out);
+
+  // Has the whole map up to some commit; a learner that is catching up has not.
+  bool complete() const { return complete_; }
+  std::uint64_t epoch() const { return assignment_.epoch; }
+  bool acting() const { return acting_; }
+  Position committed() const { return applied_; }
+  Position last() const;
+  std::size_t tail_entries() const { return tail_.size(); }
+  // The committed map, in order.
+  void ForEach(const storage::Storage& storage,
+               const std::function<bool(std::string_view key, std::string_view value)>& visit) const;
+  std::optional<std::string> Get(const storage::Storage& storage, std::string_view key) const;
+
+  void Fingerprint(cbor::Writer& out, net::Time now) const;
+
+ private:
+  // What the primary knows of another replica or of a learner.
+  struct Follower {
+    std::uint64_t match = 0;  // Synced up to here; 0: not told in this epoch.
+    std::uint64_t next = 0;   // To be sent.
+    std::optional<net::Time> owing_since;
+    net::Time sent_at{};
+    std::uint64_t told_committed = 0;
+    std::uint64_t tried_from = 0;  // Where a mismatch was last resent from.
+    std::uint64_t session = 0;  // Of a learner; 0: a replica.
+    bool joined = false;
+  };
+  struct HeldReply {
+    Ticket ticket = 0;
+    AppendReply reply;
+  };
+  // A learner's way to a complete map.
+  struct Session {
+    std::uint64_t id = 0;
+    bool started = false;  // The primary has answered: the tail is streamed from `base` on.
+    bool fetched = false;
+    Position newest;       // Of all contents taken.
+    net::Time heard_at{};
+    RangeRepair repair;
+  };
+
+  std::uint64_t LastSequence() const { return applied_.sequence + tail_.size(); }
+  const Entry& At(std::uint64_t sequence) const;
+  Position PositionOf(std::uint64_t sequence) const;
+  bool IsReplica(const std::string& disk) const;
+  std::string TailKey(std::uint64_t sequence) const;
+  std::string MapKey(std::string_view key) const;
+  KeyValues StoredMap(const storage::Storage& storage) const;
+  bool IsLearning() const { return session_.has_value() && session_->started; }
+
+  void Load(const storage::Storage& storage);
+  void PutState(storage::Batch& batch) const;
+  void Truncate(storage::Batch& batch, std::uint64_t from);
+  void AppendOne(storage::Batch& batch, Entry entry);
+  void ApplyUpTo(Step& step, ReplicaOutput& out, std::uint64_t sequence);
+
+  void SendEntries(Step& step, ReplicaOutput& out, const std::string& to, Follower& follower);
+  void TellCommitted(Step& step, ReplicaOutput& out);
+  void AdvanceCommitted(Step& step, ReplicaOutput& out);
+
+  void On(Step& step, ReplicaOutput& out, const std::string& from, const Append& message);
+  void On(Step& step, ReplicaOutput& out, const std::string& from, const AppendReply& message);
+  void On(Step& step, ReplicaOutput& out, const std::string& from, const CatchUpRequest& message);
+  void On(Step& step, ReplicaOutput& out, const std::string& from, const CatchUpReply& message);
+  // Returns where to resend from if the message does not fit what is here.
+  std::optional<std::uint64_t> Mismatch(const Append& message) const;
+  void Take(Step& step, const Append& message);
+  void Reply(Step& step, ReplicaOutput& out, AppendReply reply);
+  void StartSession(Step& step, ReplicaOutput& out);
+  void AskOn(Step& step, ReplicaOutput& out);
+  void FinishIfWhole(Step& step, ReplicaOutput& out);
+  void WantSync(Step& step);
+  void Send(ReplicaOutput& out, const std::string& to, ReplicaMessage message) const;
+
+  Options options_;
+  Assignment assignment_;
+  bool acting_ = false;
+
+  // Stored.
+  Position applied_;         // The map holds all entries up to here, all committed.
+  bool complete_ = false;
+  std::deque<Entry> tail_;   // The entries behind it, without gaps.
+  std::size_t tail_bytes_ = 0;
+
+  // As primary, of this epoch.
+  std::map<std::string, Follower> followers_;
+  std::set<std::string> required_;
+  std::uint64_t own_match_ = 0;  // Synced here.
+  std::deque<std::pair<Ticket, std::uint64_t>> own_syncs_;
+  std::uint64_t barrier_ = 0;    // Last entry of earlier epochs.
+
+  // As replica or learner, of this epoch.
+  std::uint64_t verified_ = 0;   // Equal to the primary's entries up to here.
+  std::deque<HeldReply> held_;
+  Ticket last_wanted_ = 0;       // Sync asked for, and told.
+  Ticket last_synced_ = 0;
+  std::optional<Session> session_;
+  std::uint64_t sessions_ = 0;
+};
+
+}  // namespace shelflink::coordination
+
+#endif  // SHELFLINK_TIER_COORDINATION_REPLICA_H_
--- /dev/null
+++ b/src/tier/coordination/witness.h
@@ -0,0 +1,70 @@
+// A witness: remembers epoch records and nothing else, and helps to decide the next one.
+//
+// Pure. It changes its storage through the step and tells what to answer; the answer may leave only
+// after the sync that the step asks for. It must never vote on a record whose predecessor does not
+// name its disk, never take back a vote, and never help a rival of the primary whose lease it
+// granted while that lease runs.
+#ifndef SHELFLINK_TIER_COORDINATION_WITNESS_H_
+#define SHELFLINK_TIER_COORDINATION_WITNESS_H_
+
+#include <optional>
+#include <string>
+
+#include "net/loop.h"
+#include "tier/coordination/messages.h"
+#include "tier/coordination/record.h"
+#include "tier/coordination/step.h"
+
+namespace shelflink::coordination {
+
+class Witness {
+ public:
+  struct Options {
+    CoreMember self;
+    net::Span lease{};
+  };
+
+  // Reads what the disk remembers. A started witness cannot know which leases it granted before: it
+  // acts as if it had granted one at `now` to the primary of the newest record it knows.
+  Witness(Options options, const storage::Storage& storage, net::Time now);
+
+  // First start of the whole system: record 0 with the seeds as witnesses.
+  void Found(Step& step, std::vector<CoreMember> seeds);
+
+  const Record& record() const { return state_.record; }  // The newest decided one known.
+  // Takes a decided record; false if it is not newer.
+  bool Learn(Step& step, const Record& decided);
+
+  // Answers are for the proposer. `base` of the request is decided; the owner has learnt it.
+  PrepareReply OnPrepare(Step& step, const Prepare& request);
+  AcceptReply OnAccept(Step& step, const Accept& request);
+
+  // A lease for the primary of the newest record, from now on.
+  bool Grant(net::Time now, const std::string& primary, std::uint64_t number);
+  net::Time granted_until() const { return granted_until_; }
+
+  void Fingerprint(cbor::Writer& out, net::Time now) const;
+
+ private:
+  struct State {
+    Record record;
+    Ballot promised;  // For record.number + 1, as is what follows.
+    Ballot accepted;
+    std::optional<Record> value;
+    bool founder = false;
+  };
+
+  void Store(Step& step);
+  void Load(const storage::Storage& storage);
+  bool MayVote() const;
+  // Left of a lease that forbids to help this proposer.
+  net::Span LeaseAgainst(net::Time now, const Ballot& ballot) const;
+
+  Options options_;
+  State state_;
+  net::Time granted_until_{};
+};
+
+}  // namespace shelflink::coordination
+
+#endif  // SHELFLINK_TIER_COORDINATION_WITNESS_H_
