--- a/src/tier/coordination/catch_up.cpp
+++ b/src/tier/coordination/catch_up.cpp
@@ -32,11 +32,12 @@
 }  // namespace
 
 void KeyValues::Visit(const KeyRange& range, const Visitor& visitor) const {
-  storage_.Scan(prefix_, prefix_ + range.from, [&](std::string_view stored, std::string_view value) {
-    const std::string_view key = stored.substr(prefix_.size());
-    if (!range.until.empty() && key >= range.until) return false;
-    return visitor(key, value);
-  });
+  storage_.Scan(prefix_, prefix_ + range.from,
+                [&](std::string_view stored, std::string_view value) {
+                  const std::string_view key = stored.substr(prefix_.size());
+                  if (!range.until.empty() && key >= range.until) return false;
+                  return visitor(key, value);
+                });
 }
 
 RangeDigest DigestOf(const KeyValues& map, const KeyRange& range) {
@@ -132,7 +133,8 @@
 
 void RangeRepair::Fingerprint(cbor::Writer& out) const {
   out.Uint(open_.size());
-  for (const Open& open : open_) out.Bytes(open.range.from).Bytes(open.range.until).Bool(open.small);
+  for (const Open& open : open_)
+    out.Bytes(open.range.from).Bytes(open.range.until).Bool(open.small);
 }
 
 }  // namespace shelflink::coordination
--- a/src/tier/coordination/catch_up.h
+++ b/src/tier/coordination/catch_up.h
@@ -1,5 +1,5 @@
-// Repair of an ordered map by range digests: ranges whose digests agree stay, others are split until
-// they are small, and only small ones that differ move.
+// Repair of an ordered map by range digests: ranges whose digests agree stay, others are split
+// until they are small, and only small ones that differ move.
 #ifndef SHELFLINK_TIER_COORDINATION_CATCH_UP_H_
 #define SHELFLINK_TIER_COORDINATION_CATCH_UP_H_
 
@@ -34,7 +34,8 @@
 // The range in at most `parts` parts of about equal numbers of keys, without gaps.
 std::vector<RangeDigest> SplitDigests(const KeyValues& map, const KeyRange& range,
                                       std::size_t parts);
-// From the range's start on as much as `most_bytes` allow, one key at least; its range tells how far.
+// From the range's start on as much as `most_bytes` allow, one key at least; its range tells how
+// far.
 RangeContents ContentsOf(const KeyValues& map, const KeyRange& range, std::size_t most_bytes);
 // Makes the map in the batch's storage equal to the contents within their range.
 void Replace(const KeyValues& map, const std::string& prefix, const RangeContents& contents,
--- /dev/null
+++ b/src/tier/coordination/member.h
@@ -0,0 +1,209 @@
+// A member of a group that replicates one map: witness and replica together, with elections, leases
+// and changes of the members.
+//
+// Pure: events with their time in, what to send and to tell out. The owner carries messages, syncs
+// the storage and calls OnTimer at deadline(). A member without a disk takes part in nothing; it
+// learns who the primary is.
+#ifndef SHELFLINK_TIER_COORDINATION_MEMBER_H_
+#define SHELFLINK_TIER_COORDINATION_MEMBER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tier/coordination/choice.h"
+#include "tier/coordination/messages.h"
+#include "tier/coordination/proposer.h"
+#include "tier/coordination/replica.h"
+#include "tier/coordination/step.h"
+#include "tier/coordination/witness.h"
+
+namespace shelflink::coordination {
+
+// Who sent a message.
+struct Sender {
+  CoreMember member;  // `disk` empty: it has none.
+  std::uint64_t incarnation = 0;
+};
+
+// What a step of the member brings about, to be carried out in this order.
+struct MemberOutput {
+  struct Role {
+    bool primary = false;
+    std::uint64_t epoch = 0;
+  };
+
+  std::vector<std::pair<net::Address, Message>> messages;
+  bool reset = false;  // As in ReplicaOutput.
+  std::vector<Entry> committed;
+  std::vector<Role> roles;          // Changes of this member's part.
+  std::optional<bool> transferred;  // The transfer is over: whether another has the place.
+};
+
+class Member {
+ public:
+  struct Options {
+    CoreMember self;
+    std::uint64_t incarnation = 0;  // Drawn at the start of the process; unlike earlier ones.
+    bool found = false;             // First start of the whole system, with an empty disk.
+    std::vector<net::Address> seeds;
+    std::size_t failures = 1;  // That must be survived at one time.
+    net::Span lease = std::chrono::milliseconds(1000);
+    // A member that lost the primary's place lets others campaign first for so long.
+    net::Span reluctant = std::chrono::milliseconds(3000);
+    std::string prefix = "core/";
+  };
+
+  Member(Options options, const storage::Storage& storage, net::Time now);
+
+  void Start(Step& step, MemberOutput& out);
+  void OnMessage(Step& step, MemberOutput& out, const Sender& from, const Message& message);
+  void OnSynced(Step& step, MemberOutput& out, Ticket ticket);
+  void OnTimer(Step& step, MemberOutput& out);
+  net::Time deadline() const;  // When OnTimer is due.
+
+  // As primary, while Idle(): as Replica::Propose.
+  Result<Position> Propose(Step& step, MemberOutput& out, std::vector<Write> writes);
+  // Hands the primary's place to another; `transferred` tells. A member that is not the primary
+  // tells it that it leaves.
+  void Transfer(Step& step, MemberOutput& out);
+
+  // The primary, with a lease at this moment.
+  bool HasLease(net::Time now) const;
+  // Has told its owner that it is the primary, of this epoch.
+  bool primary() const { return told_role_.primary; }
+  // The map may be judged: nothing of earlier epochs is still to be committed.
+  bool Serving(net::Time now) const {
+    return told_role_.primary && !transferring_ && HasLease(now) && replica_.Serving();
+  }
+  std::uint64_t epoch() const { return told_role_.epoch; }
+  const Record& record() const { return witness_.record(); }
+  const Replica& replica() const { return replica_; }
+  std::optional<net::Address> primary_address() const;
+
+  void Fingerprint(cbor::Writer& out, net::Time now) const;
+
+ private:
+  struct Peer {
+    CoreMember member;
+    std::uint64_t incarnation = 0;
+    std::optional<net::Time> heard_at;
+    std::optional<net::Time> lease_until;  // Its promise to this primary.
+    bool refuses = false;                  // Its newest answer to a renewal.
+    bool fresh = false;
+    bool leaving = false;
+  };
+  struct Proposal {
+    Proposer proposer;
+    std::optional<Record> planned;  // None: an election, the value is chosen when prepared.
+    net::Time ends_at{};
+    net::Time resend_at{};
+    std::optional<net::Time> choose_at = std::nullopt;
+  };
+  struct Held {
+    Ticket ticket = 0;
+    net::Address to;
+    Message message;
+  };
+
+  bool has_disk() const { return !options_.self.disk.empty(); }
+  bool IsSelf(const std::string& disk) const { return has_disk() && disk == options_.self.disk; }
+  net::Span renew_every() const { return options_.lease / 3; }
+  net::Span silent_after() const { return options_.lease * 11 / 20; }
+  std::size_t least_replicas() const { return options_.failures + 1; }
+  std::size_t most_replicas() const { return 2 * options_.failures + 1; }
+  net::Span Jitter(net::Span most);
+
+  // Messages to itself are handled in place.
+  void Send(MemberOutput& out, const net::Address& to, Message message);
+  void Finish(Step& step, MemberOutput& out);
+  void Dispatch(Step& step, MemberOutput& out, const Sender& from, const Message& message);
+  void On(Step& step, MemberOutput& out, const Sender& from, const Prepare& message);
+  void On(Step& step, MemberOutput& out, const Sender& from, const PrepareReply& message);
+  void On(Step& step, MemberOutput& out, const Sender& from, const Accept& message);
+  void On(Step& step, MemberOutput& out, const Sender& from, const AcceptReply& message);
+  void On(Step& step, MemberOutput& out, const Sender& from, const Decided& message);
+  void On(Step& step, MemberOutput& out, const Sender& from, const Renew& message);
+  void On(Step& step, MemberOutput& out, const Sender& from, const RenewReply& message);
+  void On(Step& step, MemberOutput& out, const Sender& from, const Hello& message);
+  void On(Step& step, MemberOutput& out, const Sender& from, const Leave& message);
+  // Sends once all that is stored is synced.
+  void SendDurable(Step& step, MemberOutput& out, const net::Address& to, Message message);
+  void Take(Step& step, MemberOutput& out, ReplicaOutput replica_out);
+
+  Peer& PeerOf(const CoreMember& member);
+  const Peer* FindPeer(const std::string& disk) const;
+  bool Heard(const Peer& peer, net::Time now, net::Span within) const;
+  bool IsThere(const std::string& disk, net::Time now) const;
+  // Disks heard of lately, this member first.
+  std::vector<CoreMember> There(net::Time now, net::Span within) const;
+
+  // Elections.
+  bool MayCampaign() const;
+  void AwaitPrimary(net::Time now);
+  std::size_t Rank() const;
+  std::optional<Record> ElectionRecord(net::Time now) const;
+  std::optional<Record> FoundingRecord(net::Time now) const;
+  void StartProposal(Step& step, MemberOutput& out, std::optional<Record> planned);
+  void SendProposal(Step& step, MemberOutput& out);
+  void AdvanceProposal(Step& step, MemberOutput& out);
+  void ProposeValue(Step& step, MemberOutput& out);
+  void GiveUp(Step& step, MemberOutput& out);
+  bool Adopt(Step& step, MemberOutput& out, const Record& record);
+  void Announce(MemberOutput& out, const Record& before, const Record& record);
+
+  // As primary.
+  net::Time LeaseUntil() const;
+  net::Time LeaseUntil(const std::vector<CoreMember>& witnesses) const;
+  void SendRenewals(Step& step, MemberOutput& out);
+  void Review(Step& step, MemberOutput& out);
+  std::optional<Record> Improved(net::Time now) const;
+  bool IsInvited(const CoreMember& member, net::Time now) const;
+  bool HearsMajority(net::Time now) const;
+  void UpdateRole(net::Time now, MemberOutput& out);
+  void SayHello(MemberOutput& out, bool answer);
+  void TryTransfer(Step& step, MemberOutput& out);
+  std::optional<Record> TransferRecord(net::Time now) const;
+  bool Owes(const std::string& disk, net::Time now) const;
+  std::vector<CoreMember> Joining(net::Time now) const;
+  std::optional<net::Address> AddressOf(const std::string& disk) const;
+  std::optional<net::Time> NextSilence() const;
+  std::set<net::Address> OthersKnown() const;
+
+  Options options_;
+  Witness witness_;
+  Replica replica_;
+  std::map<std::string, Peer> peers_;  // By address.
+  std::deque<Held> held_;
+  std::deque<Message> to_self_;
+  Ticket last_wanted_ = 0;
+  Ticket last_synced_ = 0;
+  std::uint64_t random_ = 0;
+  std::uint64_t round_ = 0;
+
+  net::Time heard_primary_at_{};
+  net::Time election_at_{};
+  net::Time hello_at_{};
+  std::optional<net::Time> place_lost_at_;
+  std::optional<Proposal> proposal_;
+
+  bool acting_ = false;  // Primary of the newest record known, by this incarnation.
+  bool relinquished_ = false;
+  std::vector<Record> offered_;  // Values proposed for the next record; any may be decided.
+  net::Time renew_at_{};
+  std::optional<net::Time> review_at_;
+  bool renewals_paused_ = false;  // Nobody answers: others must be free to elect.
+  net::Time judge_from_{};        // Silence before this is not held against others.
+  bool transferring_ = false;
+  net::Time transfer_until_{};
+  MemberOutput::Role told_role_;
+};
+
+}  // namespace shelflink::coordination
+
+#endif  // SHELFLINK_TIER_COORDINATION_MEMBER_H_
--- a/src/tier/coordination/messages.cpp
+++ b/src/tier/coordination/messages.cpp
@@ -9,7 +9,8 @@
 using cbor::Reader;
 using cbor::Writer;
 
-// Every count is checked against the input as the items are read: a Reader that fails ends the loop.
+// Every count is checked against the input as the items are read: a Reader that fails ends the
+// loop.
 template <typename T, typename ReadOne>
 std::vector<T> ReadList(Reader& in, ReadOne read_one) {
   std::vector<T> list;
@@ -129,7 +130,7 @@
 
 // ---- One pair of functions a message: its fields in order.
 
-constexpr std::size_t kFields[] = {2, 7, 3, 5, 1, 3, 3, 2, 0, 4, 5, 5, 6};
+constexpr std::size_t kFields[] = {2, 7, 3, 5, 1, 3, 3, 3, 0, 4, 5, 5, 6};
 static_assert(std::size(kFields) == std::variant_size_v<Message>);
 
 void WriteFields(Writer& out, const Prepare& m) {
@@ -205,10 +206,11 @@
   m.granted = in.Bool();
 }
 
-void WriteFields(Writer& out, const Hello& m) { out.Uint(m.number).Bool(m.fresh); }
+void WriteFields(Writer& out, const Hello& m) { out.Uint(m.number).Bool(m.fresh).Bool(m.answer); }
 void ReadFields(Reader& in, Hello& m) {
   m.number = in.Uint();
   m.fresh = in.Bool();
+  m.answer = in.Bool();
 }
 
 void WriteFields(Writer&, const Leave&) {}
--- a/src/tier/coordination/messages.h
+++ b/src/tier/coordination/messages.h
@@ -58,10 +58,12 @@
   std::uint64_t token = 0;
   bool granted = false;
 };
-// From whoever has no primary or is new. Answered by Decided where that helps.
+// From whoever has no primary or is new. Answered by Decided where the receiver knows a newer
+// record.
 struct Hello {
   std::uint64_t number = 0;
-  bool fresh = false;  // Founding member without a record.
+  bool fresh = false;   // Founding member without a record.
+  bool answer = false;  // Wants to know whether the receiver is there.
 };
 // The sender is about to stop.
 struct Leave {};
--- a/src/tier/coordination/record.cpp
+++ b/src/tier/coordination/record.cpp
@@ -27,9 +27,8 @@
 
 bool IsWitnessOf(const Record& base, const CoreMember& member) {
   if (base.number > 0) return FindDisk(base.witnesses, member.disk) != nullptr;
-  return std::any_of(base.witnesses.begin(), base.witnesses.end(), [&](const CoreMember& seed) {
-    return seed.address == member.address;
-  });
+  return std::any_of(base.witnesses.begin(), base.witnesses.end(),
+                     [&](const CoreMember& seed) { return seed.address == member.address; });
 }
 
 std::size_t Majority(const Record& base) { return base.witnesses.size() / 2 + 1; }
--- a/src/tier/coordination/replica.h
+++ b/src/tier/coordination/replica.h
@@ -54,10 +54,10 @@
     std::string disk;                // Of this replica.
     std::string prefix;              // Of its keys in the storage; ends with a slash.
     std::size_t least_replicas = 2;  // Fault tolerance + 1.
-    net::Span resend = std::chrono::milliseconds(300);       // Unanswered for so long: again.
-    net::Span catch_up_patience = std::chrono::seconds(1);   // Then the catch-up begins anew.
-    std::size_t most_message_bytes = 1U << 20;               // Of entries, or of range contents.
-    std::size_t most_unacknowledged_bytes = 16U << 20;       // Beyond: Propose refuses.
+    net::Span resend = std::chrono::milliseconds(300);      // Unanswered for so long: again.
+    net::Span catch_up_patience = std::chrono::seconds(1);  // Then the catch-up begins anew.
+    std::size_t most_message_bytes = 1U << 20;              // Of entries, or of range contents.
+    std::size_t most_unacknowledged_bytes = 16U << 20;      // Beyond: Propose refuses.
     std::size_t most_unacknowledged_entries = 4096;
   };
 
@@ -108,8 +108,9 @@
   Position last() const;
   std::size_t tail_entries() const { return tail_.size(); }
   // The committed map, in order.
-  void ForEach(const storage::Storage& storage,
-               const std::function<bool(std::string_view key, std::string_view value)>& visit) const;
+  void ForEach(
+      const storage::Storage& storage,
+      const std::function<bool(std::string_view key, std::string_view value)>& visit) const;
   std::optional<std::string> Get(const storage::Storage& storage, std::string_view key) const;
 
   void Fingerprint(cbor::Writer& out, net::Time now) const;
@@ -123,7 +124,7 @@
     net::Time sent_at{};
     std::uint64_t told_committed = 0;
     std::uint64_t tried_from = 0;  // Where a mismatch was last resent from.
-    std::uint64_t session = 0;  // Of a learner; 0: a replica.
+    std::uint64_t session = 0;     // Of a learner; 0: a replica.
     bool joined = false;
   };
   struct HeldReply {
@@ -135,7 +136,7 @@
     std::uint64_t id = 0;
     bool started = false;  // The primary has answered: the tail is streamed from `base` on.
     bool fetched = false;
-    Position newest;       // Of all contents taken.
+    Position newest;  // Of all contents taken.
     net::Time heard_at{};
     RangeRepair repair;
   };
@@ -178,9 +179,9 @@
   bool acting_ = false;
 
   // Stored.
-  Position applied_;         // The map holds all entries up to here, all committed.
+  Position applied_;  // The map holds all entries up to here, all committed.
   bool complete_ = false;
-  std::deque<Entry> tail_;   // The entries behind it, without gaps.
+  std::deque<Entry> tail_;  // The entries behind it, without gaps.
   std::size_t tail_bytes_ = 0;
 
   // As primary, of this epoch.
@@ -188,12 +189,12 @@
   std::set<std::string> required_;
   std::uint64_t own_match_ = 0;  // Synced here.
   std::deque<std::pair<Ticket, std::uint64_t>> own_syncs_;
-  std::uint64_t barrier_ = 0;    // Last entry of earlier epochs.
+  std::uint64_t barrier_ = 0;  // Last entry of earlier epochs.
 
   // As replica or learner, of this epoch.
-  std::uint64_t verified_ = 0;   // Equal to the primary's entries up to here.
+  std::uint64_t verified_ = 0;  // Equal to the primary's entries up to here.
   std::deque<HeldReply> held_;
-  Ticket last_wanted_ = 0;       // Sync asked for, and told.
+  Ticket last_wanted_ = 0;  // Sync asked for, and told.
   Ticket last_synced_ = 0;
   std::optional<Session> session_;
   std::uint64_t sessions_ = 0;
--- a/src/tier/coordination/step.h
+++ b/src/tier/coordination/step.h
@@ -15,8 +15,8 @@
 struct Step {
   net::Time now;
   storage::Storage& storage;
-  Ticket ticket = 0;         // Rises with every step.
-  bool wants_sync = false;   // Out: the owner syncs after the step and tells its ticket then.
+  Ticket ticket = 0;        // Rises with every step.
+  bool wants_sync = false;  // Out: the owner syncs after the step and tells its ticket then.
 };
 
 }  // namespace shelflink::coordination
--- a/src/tier/coordination/witness.cpp
+++ b/src/tier/coordination/witness.cpp
@@ -17,11 +17,12 @@
 Witness::Witness(Options options, const storage::Storage& storage, net::Time now)
     : options_(std::move(options)) {
   Load(storage);
-  if (state_.record.number > 0) granted_until_ = now + options_.lease;
+  granted_until_ = now + options_.lease;
 }
 
 void Witness::Found(Step& step, std::vector<CoreMember> seeds) {
   state_.founder = true;
+  granted_until_ = {};
   state_.record.witnesses = std::move(seeds);
   Store(step);
 }
--- a/src/tier/coordination/witness.h
+++ b/src/tier/coordination/witness.h
@@ -32,6 +32,7 @@
   void Found(Step& step, std::vector<CoreMember> seeds);
 
   const Record& record() const { return state_.record; }  // The newest decided one known.
+  bool founder() const { return state_.founder; }
   // Takes a decided record; false if it is not newer.
   bool Learn(Step& step, const Record& decided);
 
