--- /dev/null
+++ b/src/tier/coordination/group.h
@@ -0,0 +1,121 @@
+// Runs a member of a group over a hub, a loop and a storage: the core's Replicator.
+//
+// It carries messages, syncs and one timer, folds the committed map into memory and plays the plans
+// of Submit one at a time. All decisions are the Member's.
+//
+// Limits: kMostWaiting plans wait; one more is refused (kExhausted). Writes that would fill the
+// storage beyond kMostFullPercent are refused before anything happens.
+#ifndef SHELFLINK_TIER_COORDINATION_GROUP_H_
+#define SHELFLINK_TIER_COORDINATION_GROUP_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/loop.h"
+#include "tier/coordination/member.h"
+#include "tier/coordination/replicator.h"
+#include "tier/foundation/settings.h"
+#include "tier/storage/storage.h"
+#include "tier/transport/hub.h"
+
+namespace shelflink::coordination {
+
+constexpr std::size_t kMostWaiting = 256;
+constexpr std::uint64_t kMostFullPercent = 80;
+
+class Group : public Replicator {
+ public:
+  struct Options {
+    Member::Options member;       // `self` and `incarnation` are filled in by the group.
+    Milliseconds patience{3000};  // So long a write waits for its acknowledgement: then kUnknown.
+  };
+  // What the settings say; `found` is true only where `bootstrap` is.
+  static Options OptionsOf(const ProcessSettings& settings);
+  // The storage of a core process; null without a disk.
+  static Result<std::unique_ptr<storage::Storage>> OpenStorage(net::Loop& loop,
+                                                               const ProcessSettings& settings);
+
+  // Without a storage it is no member and forwards its owner to the primary. `random` draws the
+  // identity of an empty disk.
+  Group(net::Loop& loop, transport::Hub& hub, std::unique_ptr<storage::Storage> storage,
+        Options options, const std::function<std::uint64_t()>& random);
+  Group(net::Loop& loop, transport::Hub& hub, const ProcessSettings& settings,
+        std::unique_ptr<storage::Storage> storage);
+  ~Group() override;
+  Group(const Group&) = delete;
+  Group& operator=(const Group&) = delete;
+
+  void SetWatcher(Watcher watcher) override;
+  void Submit(Plan plan, Done done) override;
+  const Contents& contents() const override { return contents_; }
+  bool is_primary() const override;
+  std::uint64_t epoch() const override;
+  std::optional<net::Address> primary() const override;
+  std::vector<CoreMember> members() const override;
+  void Transfer(std::function<void(bool)> done) override;
+
+  void SetSeeds(const std::vector<net::Address>& control_seeds, const ProcessSettings& settings);
+  // The disk has refused: this process vouches for nothing any more.
+  bool failed() const { return failed_; }
+  const Member& member() const { return *member_; }
+
+ private:
+  struct Request {
+    Plan plan;
+    Done done;
+    net::Time until{};
+  };
+  struct InFlight {
+    Position position;
+    Done done;
+    net::Time until{};
+  };
+  using Event = std::function<void(Step&, MemberOutput&)>;
+
+  void Run(const Event& event);
+  void Carry(const Step& step, MemberOutput& out);
+  void SyncFor(Ticket ticket);
+  void OnBody(const transport::PeerIdentity& from, std::string_view body);
+  void OnTimer();
+  void Arm();
+  void Reload();
+  void Take(const Entry& entry);
+  void ToldRole(const MemberOutput::Role& role);
+  void Pump();
+  void Start(Request request);
+  bool HasRoomFor(const std::vector<Write>& writes) const;
+  void Expire(net::Time now);
+  void AnswerLater(Done done, Result<void> result);
+  void FailAll();
+  void BeginTransfer();
+  void EndTransfer(bool moved);
+  void SayIfStuck(net::Time now);
+
+  net::Loop& loop_;
+  transport::Hub& hub_;
+  std::unique_ptr<storage::Storage> storage_;
+  Options options_;
+  std::unique_ptr<Member> member_;
+  net::TimerPtr timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  Watcher watcher_;
+  Contents contents_;
+  std::deque<Request> waiting_;
+  std::optional<InFlight> in_flight_;
+  Ticket ticket_ = 0;
+  bool running_ = false;  // Inside a step and what it brings about.
+  bool failed_ = false;
+  std::function<void(bool)> transferred_;
+  bool transfer_begun_ = false;
+  net::Time transfer_from_{};
+};
+
+}  // namespace shelflink::coordination
+
+#endif  // SHELFLINK_TIER_COORDINATION_GROUP_H_
--- a/src/tier/coordination/member.h
+++ b/src/tier/coordination/member.h
@@ -73,6 +73,12 @@
   // tells it that it leaves.
   void Transfer(Step& step, MemberOutput& out);
 
+  void SetSeeds(std::vector<net::Address> seeds) { options_.seeds = std::move(seeds); }
+  // No primary has been heard of for so long.
+  bool IsStuck(net::Time now, net::Span longest) const {
+    return !acting_ && now - heard_primary_at_ > longest;
+  }
+
   // The primary, with a lease at this moment.
   bool HasLease(net::Time now) const;
   // Has told its owner that it is the primary, of this epoch.
