--- /dev/null
+++ b/tests/tier/coordination/cluster.h
@@ -0,0 +1,196 @@
+// Groups on the virtual network, with disks that can lose power, be wiped, be full or stall.
+#ifndef SHELFLINK_TESTS_TIER_COORDINATION_CLUSTER_H_
+#define SHELFLINK_TESTS_TIER_COORDINATION_CLUSTER_H_
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/virtual.h"
+#include "tier/coordination/group.h"
+#include "tier/storage/crash_storage.h"
+#include "tier/transport/hub.h"
+
+namespace shelflink::coordination {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint16_t kPort = 7361;
+constexpr net::Span kSyncTakes = milliseconds(4);
+
+// One machine of the core: its disk outlives its processes.
+class Machine {
+ public:
+  Machine(net::VirtualNet& net, std::uint32_t host, std::string zone, Group::Options options)
+      : net_(net), host_(host), zone_(std::move(zone)), options_(std::move(options)) {}
+  ~Machine() { Stop(); }
+  Machine(const Machine&) = delete;
+  Machine& operator=(const Machine&) = delete;
+
+  void Start(bool bootstrap, bool with_disk = true) {
+    ++lives_;
+    process_ = std::make_unique<net::VirtualProcess>(net_, host_, "core", 256);
+    transport::PeerIdentity self{"node-" + std::to_string(host_ & 0xffU), "core", zone_, address(),
+                                 (std::uint64_t{host_} << 20U) + lives_};
+    hub_ = std::make_unique<transport::Hub>(*process_, self, transport::Hub::Options{});
+    std::unique_ptr<storage::Storage> storage;
+    if (with_disk) {
+      storage = std::make_unique<storage::CrashStorage>(
+          disk, [this](std::function<void()> step) { Schedule(std::move(step)); });
+    }
+    Group::Options options = options_;
+    options.member.found = bootstrap;
+    group_ = std::make_unique<Group>(*process_, *hub_, std::move(storage), options,
+                                     [this] { return ++identities_ * 1000003 + host_; });
+    group_->SetWatcher({[this](const std::vector<Write>& writes) {
+                          if (committed) committed(writes);
+                        },
+                        [this](bool primary, std::uint64_t epoch) {
+                          if (role) role(primary, epoch);
+                        }});
+  }
+  // The process ends at once; of what no sync covers `kept` batches remain.
+  void Stop(std::size_t kept = 0) {
+    if (!process_) return;
+    process_->Kill();
+    syncs_.clear();
+    group_.reset();
+    hub_.reset();
+    graveyard_.push_back(std::move(process_));
+    disk.LosePower(kept);
+  }
+  void Wipe() {
+    Stop();
+    disk.Wipe();
+  }
+
+  bool up() const { return process_ != nullptr; }
+  Group& group() { return *group_; }
+  net::VirtualProcess& process() { return *process_; }
+  net::Address address() const { return net::Address::V4(host_, kPort); }
+  std::uint32_t host() const { return host_; }
+
+  storage::CrashDisk disk;
+  std::function<void(const std::vector<Write>&)> committed;
+  std::function<void(bool, std::uint64_t)> role;
+
+ private:
+  void Schedule(std::function<void()> step) {
+    syncs_.remove_if([](const Pending& pending) { return pending.done; });
+    Pending& pending = syncs_.emplace_back();
+    pending.timer = process_->NewTimer([&pending, step = std::move(step)] {
+      pending.done = true;
+      const auto run = step;  // Scheduling again may free this.
+      run();
+    });
+    pending.timer->ArmAt(process_->Now() + kSyncTakes);
+  }
+
+  struct Pending {
+    net::TimerPtr timer;
+    bool done = false;
+  };
+
+  net::VirtualNet& net_;
+  std::uint32_t host_;
+  std::string zone_;
+  Group::Options options_;
+  std::uint64_t lives_ = 0;
+  std::uint64_t identities_ = 0;
+  std::unique_ptr<net::VirtualProcess> process_;
+  std::unique_ptr<transport::Hub> hub_;
+  std::unique_ptr<Group> group_;
+  std::list<Pending> syncs_;
+  std::vector<std::unique_ptr<net::VirtualProcess>> graveyard_;
+};
+
+class Cluster {
+ public:
+  explicit Cluster(std::size_t size, std::uint64_t seed = 1, std::size_t failures = 1) : net(seed) {
+    options_.member.failures = failures;
+    for (std::size_t i = 0; i < std::min<std::size_t>(size, 3); ++i) {
+      options_.member.seeds.push_back(net::Address::V4(HostOf(i), kPort));
+    }
+    for (std::size_t i = 0; i < size; ++i) AddMachine();
+  }
+  ~Cluster() {
+    machines.clear();
+    net.Clear();
+  }
+
+  Machine& AddMachine() {
+    const std::size_t index = machines.size();
+    machines.push_back(
+        std::make_unique<Machine>(net, HostOf(index), "zone-" + std::to_string(index), options_));
+    return *machines.back();
+  }
+  void StartAll(bool bootstrap = true) {
+    for (auto& machine : machines) machine->Start(bootstrap);
+  }
+  void Run(net::Span span) { net.RunUntil(net.Now() + span); }
+  // Runs until it holds; false if it does not within the span.
+  bool RunUntil(const std::function<bool()>& holds, net::Span most) {
+    const net::Time until = net.Now() + most;
+    while (!holds()) {
+      if (net.Now() >= until) return false;
+      net.RunUntil(net.Now() + milliseconds(5));
+    }
+    return true;
+  }
+  Machine* Primary() {
+    for (auto& machine : machines) {
+      if (machine->up() && machine->group().is_primary()) return machine.get();
+    }
+    return nullptr;
+  }
+  Machine& At(std::size_t index) { return *machines[index]; }
+  Machine& Other(const Machine& not_this, std::size_t nth = 0) {
+    for (auto& machine : machines) {
+      if (machine.get() != &not_this && nth-- == 0) return *machine;
+    }
+    return *machines.front();
+  }
+  // Sends a write to whoever is primary, again and again, until it is acknowledged.
+  bool Put(const std::string& key, const std::string& value, net::Span most) {
+    const net::Time until = net.Now() + most;
+    while (net.Now() < until) {
+      Machine* const primary = Primary();
+      if (primary == nullptr) {
+        Run(milliseconds(20));
+        continue;
+      }
+      std::optional<bool> taken;
+      primary->group().Submit(
+          [&](const Contents&) -> Result<std::vector<Write>> {
+            return std::vector<Write>{{key, value}};
+          },
+          [&](const Result<void>& result) { taken = result.has_value(); });
+      const Machine* const asked = primary;
+      RunUntil([&] { return taken.has_value() || !asked->up(); }, until - net.Now());
+      if (taken.value_or(false)) return true;
+      Run(milliseconds(50));
+    }
+    return false;
+  }
+
+  net::VirtualNet net;
+  std::vector<std::unique_ptr<Machine>> machines;
+
+ private:
+  static std::uint32_t HostOf(std::size_t index) {
+    return 0x0a000001 + static_cast<std::uint32_t>(index);
+  }
+  Group::Options options_;
+};
+
+}  // namespace shelflink::coordination
+
+#endif  // SHELFLINK_TESTS_TIER_COORDINATION_CLUSTER_H_
