Split the decision module by concern into src/policy

Cause: the serving tier is to link the same admission and selection, and src/choice.cpp held all of it in one file.

--- a/include/gaugecart/choice.h
+++ b/include/gaugecart/choice.h
@@ -2,7 +2,7 @@
 //
 // One Balancer decides for one caller. It reads no clock, does no I/O, starts no thread and shares
 // nothing; every event method takes the present time, and every decision leaves through Actions.
-// The decisions themselves are in src/choice.cpp.
+// The decisions themselves are in src/policy.
 #ifndef GAUGECART_CHOICE_H_
 #define GAUGECART_CHOICE_H_
 
