--- a/src/tier/batch/messages.cpp
+++ b/src/tier/batch/messages.cpp
@@ -34,7 +34,6 @@
 };
 
 void Put(Writer& out, milliseconds value) { out.Int(value.count()); }
-void Put(Writer& out, std::string_view value) { out.Bytes(value); }
 void Put(Writer& out, const std::optional<std::uint64_t>& value) {
   if (value) {
     out.Uint(*value);
