--- /dev/null
+++ b/src/tier/batch/store_service.cpp
@@ -0,0 +1,298 @@
+#include "tier/batch/store_service.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "tier/foundation/log.h"
+
+namespace shelflink::batch {
+namespace {
+
+constexpr std::string_view kLogName = "batch.store";
+// The store counts a lease from when the offer came, the proxy from before it sent it; the store
+// waits a little longer still before it hands the item to another.
+constexpr milliseconds kLeaseMargin{500};
+// Timers later than this: the process stood still.
+constexpr milliseconds kStall{300};
+// Due times that lie closer together than this are handled in one wake-up.
+constexpr milliseconds kWakeGrain{20};
+
+Micros InMicros(milliseconds span) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
+}
+
+JobBook::Options BookOptions(const Bounds& bounds, std::uint64_t issuer) {
+  JobBook::Options options;
+  options.lease_span = InMicros(LeaseSpan(bounds) + kLeaseMargin);
+  options.status = InMicros(bounds.status);
+  options.clock_skew = InMicros(bounds.max_skew);
+  options.issuer = issuer;
+  return options;
+}
+
+Error NotServing() { return MakeError(ErrorCode::kUnavailable, "not the partition's primary now"); }
+
+const JobRef& JobOf(const Submit& message) { return message.job; }
+const JobRef& JobOf(const Read& message) { return message.job; }
+const JobRef& JobOf(const JobRef& message) { return message; }
+const JobRef& JobOf(const ItemRef& message) { return message.job; }
+
+}  // namespace
+
+StoreService::StoreService(net::Loop& loop, transport::Hub& hub, PartitionReplicas& replicas,
+                           const Bounds& bounds, std::uint64_t issuer)
+    : loop_(loop),
+      hub_(hub),
+      replicas_(replicas),
+      clock_(loop),
+      book_options_(BookOptions(bounds, issuer)),
+      timer_(loop.NewTimer([this] { OnTimer(); })) {
+  RegisterCalls();
+  hub_.Watch([this](const transport::PeerIdentity& peer, bool up) {
+    if (!up) room_.Close(peer.address);
+  });
+  replicas_.SetEvents(
+      {[this](std::uint32_t partition, PartitionLog& log) { OnPrimary(partition, log); },
+       [this](std::uint32_t partition) { OnLost(partition); }});
+}
+
+StoreService::~StoreService() {
+  *alive_ = false;
+  replicas_.SetEvents({});
+}
+
+// --- Calls --------------------------------------------------------------------------------------
+
+template <typename Message>
+void StoreService::HandleJobCall(
+    MessageKind kind, std::function<void(PartitionServer&, const Message&, Reply)> handler) {
+  hub_.HandleCall(kind, [this, handler = std::move(handler)](const transport::PeerIdentity&,
+                                                             std::string_view body, Reply reply) {
+    const Result<Message> message = Decode<Message>(body);
+    if (!message) {
+      reply(message.error());
+      return;
+    }
+    const JobRef& job = JobOf(message.value());
+    PartitionServer* server = Serving(job.partition, job.epoch);
+    if (server == nullptr) {
+      reply(NotServing());
+      return;
+    }
+    handler(*server, message.value(), std::move(reply));
+  });
+}
+
+void StoreService::RegisterCalls() {
+  HandleJobCall<Submit>(kSubmit,
+                        [this](PartitionServer& server, const Submit& submit, Reply reply) {
+                          server.OnSubmit(submit, replicas_.has_room(), std::move(reply));
+                        });
+  HandleJobCall<Read>(kRead, [](PartitionServer& server, const Read& read, Reply reply) {
+    server.OnRead(read, std::move(reply));
+  });
+  HandleJobCall<ItemRef>(kBody, [](PartitionServer& server, const ItemRef& item, Reply reply) {
+    server.OnBody(item, reply);
+  });
+  HandleJobCall<JobRef>(kEnd, [](PartitionServer& server, const JobRef& job, Reply reply) {
+    server.OnEnd(job, std::move(reply));
+  });
+  hub_.HandleCall(kFinished,
+                  [this](const transport::PeerIdentity& from, std::string_view body, Reply reply) {
+                    const Result<Finished> finished = Decode<Finished>(body);
+                    if (!finished) {
+                      reply(finished.error());
+                      return;
+                    }
+                    const JobRef& job = finished.value().item.job;
+                    PartitionServer* server = Serving(job.partition, job.epoch);
+                    if (server == nullptr) {
+                      reply(NotServing());
+                      return;
+                    }
+                    if (finished.value().outcome == RunOutcome::kReturned)
+                      room_.Close(from.address);
+                    server->OnFinished(finished.value(), std::move(reply));
+                  });
+  hub_.HandleCall(kOffer, [this](const transport::PeerIdentity& from, std::string_view body,
+                                 const Reply& reply) {
+    const Result<Offer> offer = Decode<Offer>(body);
+    if (offer) {
+      OnOffer(from, offer.value(), reply);
+    } else {
+      reply(offer.error());
+    }
+  });
+  hub_.HandleCall(kAdopt, [this](const transport::PeerIdentity& from, std::string_view body,
+                                 const Reply& reply) {
+    const Result<Adopt> adopt = Decode<Adopt>(body);
+    if (adopt) {
+      OnAdopt(from, adopt.value(), reply);
+    } else {
+      reply(adopt.error());
+    }
+  });
+}
+
+PartitionServer* StoreService::Serving(std::uint32_t partition, std::uint64_t epoch) {
+  const auto found = served_.find(partition);
+  if (found == served_.end()) return nullptr;
+  const Served& served = found->second;
+  if (!served.log->serving() || epoch > served.log->epoch()) return nullptr;
+  return served.server.get();
+}
+
+void StoreService::OnOffer(const transport::PeerIdentity& from, const Offer& offer,
+                           const Reply& reply) {
+  const JobBook::Holder holder{from.address, from.incarnation};
+  for (auto& [partition, served] : served_) served.server->OnProxy(holder);
+  OfferAnswer answer;
+  for (const HeldLease& held : offer.held) {
+    PartitionServer* server = Serving(held.partition, 0);
+    answer.held.push_back(server == nullptr ? LeaseStatus::kNotPrimary
+                                            : server->OnHeld(holder, held));
+  }
+  room_.OnOffer(loop_.Now(), from.address, offer.capacity);
+  reply(Encode(answer));
+  ScheduleWork();
+}
+
+void StoreService::OnAdopt(const transport::PeerIdentity& from, const Adopt& adopt,
+                           const Reply& reply) {
+  const JobBook::Holder holder{from.address, from.incarnation};
+  AdoptAnswer answer;
+  for (const Adoption& adoption : adopt.leases) {
+    const JobRef& job = adoption.item.job;
+    PartitionServer* server = Serving(job.partition, job.epoch);
+    answer.leases.push_back(server == nullptr ? LeaseStatus::kNotPrimary
+                                              : server->OnAdopt(holder, adoption));
+  }
+  reply(Encode(answer));
+  ScheduleWork();
+}
+
+// --- Partitions ---------------------------------------------------------------------------------
+
+void StoreService::OnPrimary(std::uint32_t partition, PartitionLog& log) {
+  OnLost(partition);
+  PartitionServer::Events events;
+  events.work = [this] { ScheduleWork(); };
+  events.failed = [this, partition] { DropLater(partition); };
+  auto server = std::make_unique<PartitionServer>(loop_, clock_, partition, log, book_options_,
+                                                  std::move(events));
+  const Result<void> loaded = server->Load();
+  if (!loaded) {
+    log::Line(
+        log::Level::kError, kLogName,
+        "partition " + std::to_string(partition) + " cannot be served: " + loaded.error().text);
+    return;
+  }
+  server->SetRoutes(routes_);
+  served_[partition] = {&log, std::move(server)};
+  ScheduleWork();
+}
+
+void StoreService::OnLost(std::uint32_t partition) { served_.erase(partition); }
+
+void StoreService::DropLater(std::uint32_t partition) {
+  loop_.Post([this, partition, alive = alive_] {
+    if (*alive) OnLost(partition);
+  });
+}
+
+void StoreService::OnConfiguration(const configuration::Configuration& configuration) {
+  routes_.clear();
+  for (const configuration::Route& route : configuration.routes) {
+    if (route.kind == configuration::RouteKind::kBatch) routes_.insert(route.name);
+  }
+  for (auto& [partition, served] : served_) served.server->SetRoutes(routes_);
+  ScheduleWork();
+}
+
+std::uint64_t StoreService::queued_tokens() const {
+  std::uint64_t tokens = 0;
+  for (const auto& [partition, served] : served_) tokens += served.server->book().queued_tokens();
+  return tokens;
+}
+
+// --- Hand-out -----------------------------------------------------------------------------------
+
+void StoreService::ScheduleWork() {
+  if (work_posted_) return;
+  work_posted_ = true;
+  loop_.Post([this, alive = alive_] {
+    if (*alive) Work();
+  });
+}
+
+void StoreService::Work() {
+  work_posted_ = false;
+  SendRevocations();
+  for (;;) {
+    const std::optional<net::Address> proxy =
+        room_.Most(loop_.Now(), [this](const net::Address& address) { return LeasesOf(address); });
+    if (!proxy || !LendOne(*proxy)) break;
+  }
+  ArmTimer();
+}
+
+void StoreService::SendRevocations() {
+  for (auto& [partition, served] : served_) {
+    for (const JobBook::Revocation& revocation : served.server->TakeRevocations()) {
+      hub_.Send(revocation.to, kRevoke, Encode(Revoke{partition, revocation.lease}));
+    }
+  }
+}
+
+bool StoreService::LendOne(const net::Address& proxy) {
+  if (served_.empty()) return false;
+  auto next = served_.upper_bound(last_lent_);
+  for (std::size_t tried = 0; tried < served_.size(); ++tried) {
+    if (next == served_.end()) next = served_.begin();
+    Served& served = next->second;
+    if (served.log->serving()) {
+      if (const std::optional<Assign> assign = served.server->Lend(proxy)) {
+        hub_.Send(proxy, kAssign, Encode(*assign));
+        last_lent_ = next->first;
+        return true;
+      }
+    }
+    ++next;
+  }
+  return false;
+}
+
+std::size_t StoreService::LeasesOf(const net::Address& proxy) const {
+  std::size_t leases = 0;
+  for (const auto& [partition, served] : served_) leases += served.server->LeasesOf(proxy);
+  return leases;
+}
+
+// --- Time ---------------------------------------------------------------------------------------
+
+void StoreService::OnTimer() {
+  armed_ = false;
+  const net::Span late = loop_.Now() - armed_for_;
+  for (auto& [partition, served] : served_) {
+    if (late > kStall) served.server->OnStall(late);
+    served.server->OnTick();
+  }
+  ScheduleWork();
+}
+
+void StoreService::ArmTimer() {
+  std::optional<net::Time> wake;
+  for (const auto& [partition, served] : served_) {
+    const std::optional<net::Time> at = served.server->NextWake();
+    if (at && (!wake || *at < *wake)) wake = at;
+  }
+  if (!wake) return;
+  const net::Time at = std::max(*wake, loop_.Now()) + kWakeGrain;
+  if (armed_ && armed_for_ <= at) return;
+  armed_ = true;
+  armed_for_ = at;
+  timer_->ArmAt(at);
+}
+
+}  // namespace shelflink::batch
--- /dev/null
+++ b/src/tier/batch/store_service.h
@@ -0,0 +1,84 @@
+// The messages of a store process: calls for batch jobs go to the server of their partition where
+// this store is its primary, and items to proxies that have room.
+//
+// Whether a partition is served is checked against the steady clock at each call: a store that was
+// frozen, cut off or deposed answers kUnavailable.
+#ifndef SHELFLINK_TIER_BATCH_STORE_SERVICE_H_
+#define SHELFLINK_TIER_BATCH_STORE_SERVICE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "net/loop.h"
+#include "tier/batch/messages.h"
+#include "tier/batch/partition_replicas.h"
+#include "tier/batch/partition_server.h"
+#include "tier/batch/proxy_room.h"
+#include "tier/configuration/model.h"
+#include "tier/transport/hub.h"
+
+namespace shelflink::batch {
+
+class StoreService {
+ public:
+  StoreService(net::Loop& loop, transport::Hub& hub, PartitionReplicas& replicas,
+               const Bounds& bounds, std::uint64_t issuer);
+  ~StoreService();
+  StoreService(const StoreService&) = delete;
+  StoreService& operator=(const StoreService&) = delete;
+
+  void OnConfiguration(const configuration::Configuration& configuration);
+  std::uint64_t queued_tokens() const;  // Of all partitions served here.
+
+ private:
+  using Reply = transport::Hub::Reply;
+
+  void RegisterCalls();
+  template <typename Message>
+  void HandleJobCall(MessageKind kind,
+                     std::function<void(PartitionServer&, const Message&, Reply)> handler);
+  void OnOffer(const transport::PeerIdentity& from, const Offer& offer, const Reply& reply);
+  void OnAdopt(const transport::PeerIdentity& from, const Adopt& adopt, const Reply& reply);
+  // Null where this store cannot decide for the partition now. A sender that knows a newer row
+  // (`epoch`) is not answered under an older one.
+  PartitionServer* Serving(std::uint32_t partition, std::uint64_t epoch);
+
+  void OnPrimary(std::uint32_t partition, PartitionLog& log);
+  void OnLost(std::uint32_t partition);
+  void DropLater(std::uint32_t partition);
+
+  void ScheduleWork();
+  void Work();
+  void SendRevocations();
+  bool LendOne(const net::Address& proxy);
+  std::size_t LeasesOf(const net::Address& proxy) const;
+  void OnTimer();
+  void ArmTimer();
+
+  struct Served {
+    PartitionLog* log = nullptr;
+    std::unique_ptr<PartitionServer> server;
+  };
+
+  net::Loop& loop_;
+  transport::Hub& hub_;
+  PartitionReplicas& replicas_;
+  JobClock clock_;
+  JobBook::Options book_options_;
+  std::set<std::string> routes_;
+  std::map<std::uint32_t, Served> served_;
+  std::uint32_t last_lent_ = 0;  // Partitions take turns behind this one.
+  ProxyRoom room_;
+  bool work_posted_ = false;
+  net::TimerPtr timer_;
+  net::Time armed_for_{};
+  bool armed_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace shelflink::batch
+
+#endif  // SHELFLINK_TIER_BATCH_STORE_SERVICE_H_
