--- /dev/null
+++ b/src/tier/batch/runner.cpp
@@ -0,0 +1,487 @@
+#include "tier/batch/runner.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tier/batch/item_run.h"
+#include "tier/batch/offer_credit.h"
+#include "tier/foundation/log.h"
+
+namespace shelflink::batch {
+namespace {
+
+// Between offers to a store: with leases to renew, without any, and at least.
+constexpr milliseconds kBusyInterval{400};
+constexpr milliseconds kIdleInterval{1000};
+constexpr milliseconds kShortestInterval{50};
+constexpr milliseconds kAnswerTimeout{1000};
+// After an endpoint's or the policy's refusal no new items are asked for, for so long at least.
+constexpr milliseconds kRefusalPause{200};
+constexpr milliseconds kLongestRefusalPause{2000};
+// Of the output that one offer carries; the rest goes with the next.
+constexpr std::size_t kMostOfferedOutput = 4U << 20;
+// What an item is taken to need before any has been seen.
+constexpr std::size_t kLeastItemBytes = 4096;
+
+// What an offer named, to read its answer by.
+struct NamedLease {
+  LeaseId lease;
+  std::uint64_t events = 0;  // Of the output that the store has if it answers kRenewed.
+  std::uint64_t bytes = 0;
+};
+
+// A store that is the primary of some partition, or that has assigned something.
+struct Store {
+  OfferCredit credit;
+  net::Time due = net::Time::min();  // The next offer.
+  bool offering = false;             // An offer is under way.
+  std::optional<net::Time> vouched;  // When the newest offer that it answered was sent.
+};
+
+}  // namespace
+
+class Runner::Impl : public std::enable_shared_from_this<Runner::Impl> {
+ public:
+  Impl(net::Loop& loop, transport::Hub& hub, proxy::Calls& calls, ViewSource view,
+       const Bounds& bounds)
+      : loop_(loop),
+        hub_(hub),
+        calls_(calls),
+        view_(view),
+        span_(LeaseSpan(bounds)),
+        reports_(loop, hub, std::move(view)) {
+    timer_ = loop_.NewTimer([this] { OfferToDue(); });
+  }
+
+  void Begin() {
+    hub_.Handle(kAssign, [weak = weak_from_this()](const transport::PeerIdentity& from,
+                                                   std::string_view body) {
+      if (const auto self = weak.lock()) self->OnAssign(from.address, body);
+    });
+    hub_.Handle(kRevoke,
+                [weak = weak_from_this()](const transport::PeerIdentity&, std::string_view body) {
+                  if (const auto self = weak.lock()) self->OnRevoke(body);
+                });
+    OnPlacement();
+  }
+
+  void OnPlacement() {
+    reports_.OnPlacement();
+    const std::set<net::Address> primaries = Primaries();
+    std::erase_if(stores_, [&](const auto& entry) { return !primaries.contains(entry.first); });
+    for (const net::Address& primary : primaries) stores_[primary].due = net::Time::min();
+    for (auto& [lease, run] : runs_) {
+      const auto known = vouching_.find(lease);
+      if (known != vouching_.end() && known->second != PrimaryOf(run->partition())) {
+        run->output().ForgetConfirmed();
+        vouching_.erase(known);
+      }
+    }
+    OfferSoon();
+  }
+
+  void OnConfiguration() {
+    const auto& configuration = view_().configuration;
+    if (configuration == nullptr) return;
+    for (ItemRun* run : AllRuns()) run->OnConfiguration(*configuration);
+  }
+
+  void Drain(std::function<void()> done) {
+    draining_ = true;
+    drained_ = std::move(done);
+    // First the word that no more is wanted, so that what is handed back doesn't return.
+    for (auto& [address, store] : stores_) SendOffer(address, store, 0);
+    for (ItemRun* run : AllRuns()) run->HandBack();
+    TellIfDrained();
+  }
+
+  std::size_t runs() const { return runs_.size(); }
+  const Counters& counters() const { return counters_; }
+
+ private:
+  // --- Placement ---
+
+  std::optional<net::Address> PrimaryOf(std::uint32_t partition) const {
+    const auto& placement = view_().placement;
+    if (placement == nullptr || partition >= placement->rows.size()) return std::nullopt;
+    const net::Address& primary = placement->rows[partition].primary;
+    if (primary.port() == 0) return std::nullopt;
+    return primary;
+  }
+
+  std::set<net::Address> Primaries() const {
+    std::set<net::Address> primaries;
+    const auto& placement = view_().placement;
+    if (placement == nullptr) return primaries;
+    for (const cluster::PartitionRow& row : placement->rows) {
+      if (row.primary.port() != 0) primaries.insert(row.primary);
+    }
+    return primaries;
+  }
+
+  std::vector<ItemRun*> AllRuns() {
+    std::vector<ItemRun*> all;
+    all.reserve(runs_.size());
+    for (auto& [lease, run] : runs_) all.push_back(run.get());
+    return all;
+  }
+
+  ItemRun* Find(const LeaseId& lease) {
+    const auto found = runs_.find(lease);
+    return found == runs_.end() ? nullptr : found->second.get();
+  }
+
+  // --- Offers ---
+
+  // New items that may be asked for now, of all stores together.
+  std::uint32_t Room() {
+    if (draining_ || loop_.Now() < refused_until_) return 0;
+    std::size_t held_bytes = 0;
+    std::size_t awaiting = 0;
+    for (const auto& [lease, run] : runs_) {
+      held_bytes += run->bytes();
+      if (run->state() == ItemRun::State::kAwaitingLease) ++awaiting;
+    }
+    std::size_t room = calls_.BatchRoom();
+    room -= std::min(room, awaiting);
+    room = std::min(room, kMostRuns - std::min(kMostRuns, runs_.size()));
+    const std::size_t free_bytes = kMostHeldBytes - std::min(kMostHeldBytes, held_bytes);
+    return static_cast<std::uint32_t>(std::min(room, free_bytes / typical_bytes_));
+  }
+
+  void OfferToDue() {
+    const net::Time now = loop_.Now();
+    last_round_ = now;
+    std::vector<net::Address> due;
+    std::uint32_t room = Room();
+    for (const auto& [address, store] : stores_) {
+      if (store.due <= now && !store.offering) {
+        due.push_back(address);
+      } else {
+        room -= std::min(room, store.credit.left());
+      }
+    }
+    // Whoever came first in this round comes last in the next, when room is short.
+    if (!due.empty()) std::rotate(due.begin(), due.begin() + rounds_++ % due.size(), due.end());
+    typical_bytes_ = std::max(kLeastItemBytes, typical_bytes_ - typical_bytes_ / 16);
+    for (const net::Address& address : due) {
+      Store& store = stores_.at(address);
+      const std::uint32_t granted = store.credit.Grant(room);
+      room -= granted;
+      SendOffer(address, store, granted);
+    }
+    ArmTimer();
+  }
+
+  void SendOffer(const net::Address& address, Store& store, std::uint32_t granted) {
+    const net::Time now = loop_.Now();
+    Offer offer;
+    std::vector<NamedLease> named;
+    std::size_t output_bytes = 0;
+    for (auto& [lease, run] : runs_) {
+      if (PrimaryOf(run->partition()) != address) continue;
+      HeldLease held{run->partition(), lease, std::nullopt};
+      if (output_bytes < kMostOfferedOutput) held.more = run->output().Unconfirmed();
+      NamedLease name{lease, 0, 0};
+      if (held.more) {
+        output_bytes += held.more->text.size();
+        name.events = held.more->events;
+        name.bytes = held.more->offset + held.more->text.size();
+      }
+      named.push_back(name);
+      offer.held.push_back(std::move(held));
+    }
+    offer.capacity = draining_ ? 0 : static_cast<std::uint32_t>(offer.held.size()) + granted;
+    store.due = now + (named.empty() ? kIdleInterval : kBusyInterval);
+    store.offering = true;
+    hub_.Call(address, kOffer, Encode(offer), kAnswerTimeout,
+              [weak = weak_from_this(), address, now,
+               named = std::move(named)](const Result<std::string>& answer) {
+                if (const auto self = weak.lock()) {
+                  self->OnOfferAnswer(address, now, named, answer);
+                }
+              });
+  }
+
+  void OnOfferAnswer(const net::Address& address, net::Time sent,
+                     const std::vector<NamedLease>& named, const Result<std::string>& answer) {
+    const auto store = stores_.find(address);
+    if (store != stores_.end()) store->second.offering = false;
+    ArmTimer();
+    if (!answer) return;
+    const Result<OfferAnswer> decoded = Decode<OfferAnswer>(answer.value());
+    if (!decoded || decoded.value().held.size() != named.size()) return;
+    if (store != stores_.end()) store->second.vouched = sent;
+    std::vector<ItemRun*> unknown;
+    for (std::size_t i = 0; i < named.size(); ++i) {
+      ItemRun* run = Find(named[i].lease);
+      if (run == nullptr) continue;
+      switch (decoded.value().held[i]) {
+        case LeaseStatus::kRenewed:
+          run->output().Confirm(named[i].events, named[i].bytes);
+          OnRenewed(address, *run, sent);
+          break;
+        case LeaseStatus::kRevoked:
+          OnRevoked(named[i].lease);
+          break;
+        case LeaseStatus::kUnknown:
+          if (!run->adopting) unknown.push_back(run);
+          break;
+        case LeaseStatus::kNotPrimary:
+          break;
+      }
+    }
+    if (!unknown.empty()) SendAdopt(address, unknown);
+  }
+
+  void SendAdopt(const net::Address& address, const std::vector<ItemRun*>& runs) {
+    Adopt adopt;
+    std::vector<NamedLease> named;
+    for (ItemRun* run : runs) {
+      run->adopting = true;
+      const Output& output = run->output().all();
+      adopt.leases.push_back({run->item(), run->lease(), output});
+      named.push_back({run->lease(), output.events, output.text.size()});
+    }
+    const net::Time now = loop_.Now();
+    hub_.Call(address, kAdopt, Encode(adopt), kAnswerTimeout,
+              [weak = weak_from_this(), address, now,
+               named = std::move(named)](const Result<std::string>& answer) {
+                if (const auto self = weak.lock()) {
+                  self->OnAdoptAnswer(address, now, named, answer);
+                }
+              });
+  }
+
+  void OnAdoptAnswer(const net::Address& address, net::Time sent,
+                     const std::vector<NamedLease>& named, const Result<std::string>& answer) {
+    for (const NamedLease& name : named) {
+      if (ItemRun* run = Find(name.lease)) run->adopting = false;
+    }
+    if (!answer) return;
+    const Result<AdoptAnswer> decoded = Decode<AdoptAnswer>(answer.value());
+    if (!decoded || decoded.value().leases.size() != named.size()) return;
+    for (std::size_t i = 0; i < named.size(); ++i) {
+      ItemRun* run = Find(named[i].lease);
+      if (run == nullptr) continue;
+      if (decoded.value().leases[i] == LeaseStatus::kRenewed) {
+        ++counters_.adopted;
+        run->output().Confirm(named[i].events, named[i].bytes);
+        OnRenewed(address, *run, sent);
+      } else if (decoded.value().leases[i] == LeaseStatus::kRevoked) {
+        OnRevoked(named[i].lease);
+      }
+    }
+  }
+
+  void OnRenewed(const net::Address& store, ItemRun& run, net::Time sent) {
+    vouching_[run.lease()] = store;
+    run.Extend(sent + span_);
+    StartIfLeased(run);
+  }
+
+  void OfferSoon() {
+    const net::Time at = std::max(loop_.Now(), last_round_ + kShortestInterval);
+    timer_->ArmAt(at);
+  }
+
+  void ArmTimer() {
+    net::Time next = net::Time::max();
+    for (const auto& [address, store] : stores_) {
+      if (!store.offering) next = std::min(next, store.due);
+    }
+    if (next == net::Time::max()) return;  // An answer or another placement arms it.
+    timer_->ArmAt(std::max(next, last_round_ + kShortestInterval));
+  }
+
+  void WantOffer(const net::Address& address) {
+    const auto store = stores_.find(address);
+    if (store == stores_.end()) return;
+    store->second.due = net::Time::min();
+    ArmTimer();
+  }
+
+  // --- Items ---
+
+  void OnAssign(const net::Address& from, std::string_view body) {
+    Result<Assign> decoded = Decode<Assign>(body);
+    if (!decoded) return;
+    Assign& assign = decoded.value();
+    const LeaseId lease = assign.lease;
+    if (runs_.contains(lease)) return;
+    ++counters_.assigned;
+    DropOlderRun(assign.item);
+    const auto store = stores_.find(from);
+    if (store != stores_.end()) {
+      store->second.credit.OnAssigned();
+      if (store->second.credit.used_up()) WantOffer(from);
+    }
+    auto run =
+        std::make_unique<ItemRun>(loop_, calls_, std::move(assign),
+                                  [this](ItemRun& over, const RunEnd& end) { OnOver(over, end); });
+    typical_bytes_ = std::max(typical_bytes_, run->body_bytes());
+    ItemRun& added = *run;
+    runs_.emplace(lease, std::move(run));
+    if (draining_ || runs_.size() > kMostRuns) {
+      added.HandBack();
+      return;
+    }
+    // The store gave the lease after it had taken the newest offer that it has answered, since
+    // messages of one connection keep their order.
+    if (store != stores_.end() && store->second.vouched) {
+      vouching_[lease] = from;
+      added.Extend(*store->second.vouched + span_);
+    }
+    StartIfLeased(added);
+    if (added.state() == ItemRun::State::kAwaitingLease) WantOffer(from);
+  }
+
+  // A store gives an item again only if an older lease of it is over.
+  void DropOlderRun(const ItemRef& item) {
+    for (const auto& [lease, run] : runs_) {
+      const ItemRef& other = run->item();
+      if (run->state() == ItemRun::State::kReporting || other.item != item.item ||
+          other.job.job != item.job.job || other.job.tenant != item.job.tenant ||
+          other.job.host != item.job.host) {
+        continue;
+      }
+      OnRevoked(LeaseId(lease));
+      return;
+    }
+  }
+
+  void StartIfLeased(ItemRun& run) {
+    if (run.state() == ItemRun::State::kAwaitingLease && run.lease_valid()) {
+      run.Start(view_().configuration);
+    }
+  }
+
+  void OnRevoke(std::string_view body) {
+    const Result<Revoke> decoded = Decode<Revoke>(body);
+    if (decoded) OnRevoked(decoded.value().lease);
+  }
+
+  void OnRevoked(const LeaseId& lease) {
+    const ItemRun* run = Find(lease);
+    // What is over is still reported: a whole output is one whoever brings it.
+    if (run == nullptr || run->state() == ItemRun::State::kReporting) return;
+    ++counters_.revoked;
+    Forget(lease);
+  }
+
+  // Cancels its call where there is one.
+  void Forget(const LeaseId& lease) {
+    runs_.erase(lease);
+    vouching_.erase(lease);
+    TellIfDrained();
+  }
+
+  // Perhaps from inside an event of the run's call: the run must stay until the report is taken.
+  void OnOver(ItemRun& run, const RunEnd& end) {
+    Count(end.outcome);
+    if (end.refused) PauseAfterRefusal(end);
+    StoreCaller::Question question;
+    question.kind = kFinished;
+    question.job = run.item().job;
+    question.until = loop_.Now() + kReportPatience;
+    // The table keeps the run until `done`, and `reports_` lives no longer than this.
+    question.encode = [this, lease = run.lease()](const JobRef& job) {
+      Finished report = Find(lease)->Report();
+      report.item.job = job;
+      return Encode(report);
+    };
+    question.done = [this, lease = run.lease()](const Result<std::string>& answer) {
+      OnReported(lease, answer);
+    };
+    reports_.Ask(std::move(question));
+  }
+
+  void OnReported(const LeaseId& lease, const Result<std::string>& answer) {
+    const bool lost = !answer && (answer.error().code == ErrorCode::kUnknown ||
+                                  answer.error().code == ErrorCode::kUnavailable);
+    if (lost) {
+      ++counters_.reports_lost;
+      log::Warning("batch.run",
+                   "no store took the report of a run in time: " + answer.error().text);
+    }
+    Forget(lease);
+  }
+
+  void PauseAfterRefusal(const RunEnd& end) {
+    milliseconds pause = kRefusalPause;
+    if (end.retry_after_s) {
+      const double asked_ms = std::clamp(*end.retry_after_s * 1000.0, 0.0,
+                                         static_cast<double>(kLongestRefusalPause.count()));
+      pause = std::max(pause, milliseconds(static_cast<std::int64_t>(asked_ms)));
+    }
+    refused_until_ = std::max(refused_until_, loop_.Now() + pause);
+    // Stores must not go on filling what they were granted before.
+    for (auto& [address, store] : stores_) {
+      if (store.credit.left() != 0) store.due = net::Time::min();
+    }
+    ArmTimer();
+  }
+
+  void Count(RunOutcome outcome) {
+    switch (outcome) {
+      case RunOutcome::kComplete:
+        ++counters_.completed;
+        return;
+      case RunOutcome::kError:
+        ++counters_.errors;
+        return;
+      case RunOutcome::kImpossible:
+        ++counters_.impossible;
+        return;
+      case RunOutcome::kInterrupted:
+        ++counters_.interrupted;
+        return;
+      case RunOutcome::kReturned:
+        ++counters_.returned;
+        return;
+    }
+  }
+
+  void TellIfDrained() {
+    if (!draining_ || !runs_.empty() || !drained_) return;
+    loop_.Post(std::move(drained_));
+    drained_ = nullptr;
+  }
+
+  net::Loop& loop_;
+  transport::Hub& hub_;
+  proxy::Calls& calls_;
+  ViewSource view_;
+  net::Span span_;
+  StoreCaller reports_;
+  net::TimerPtr timer_;
+  std::map<net::Address, Store> stores_;
+  std::map<LeaseId, std::unique_ptr<ItemRun>> runs_;
+  std::map<LeaseId, net::Address> vouching_;  // Which store renewed a lease last.
+  net::Time last_round_ = net::Time::min() + kShortestInterval;
+  net::Time refused_until_ = net::Time::min();
+  std::size_t rounds_ = 0;
+  std::size_t typical_bytes_ = kLeastItemBytes;  // Of the largest items seen lately.
+  bool draining_ = false;
+  std::function<void()> drained_;
+  Counters counters_;
+};
+
+Runner::Runner(net::Loop& loop, transport::Hub& hub, proxy::Calls& calls, ViewSource view,
+               const Bounds& bounds)
+    : impl_(std::make_shared<Impl>(loop, hub, calls, std::move(view), bounds)) {
+  impl_->Begin();
+}
+Runner::~Runner() = default;
+void Runner::OnPlacement() { impl_->OnPlacement(); }
+void Runner::OnConfiguration() { impl_->OnConfiguration(); }
+void Runner::Drain(std::function<void()> done) { impl_->Drain(std::move(done)); }
+std::size_t Runner::runs() const { return impl_->runs(); }
+const Runner::Counters& Runner::counters() const { return impl_->counters(); }
+
+}  // namespace shelflink::batch
