--- a/tests/tier/batch/front.cmake
+++ b/tests/tier/batch/front.cmake
@@ -7,3 +7,8 @@
 if(TARGET shelflink_tier_configuration)
   shelflink_tier_test(batch/job_json_test shelflink_tier_batch_job_json)
 endif()
+if(TARGET shelflink_tier_batch_front)
+  shelflink_tier_test(batch/item_output_test shelflink_tier_batch_front)
+  shelflink_tier_test(batch/offer_credit_test shelflink_tier_batch_front)
+  shelflink_tier_test(batch/item_run_test shelflink_tier_batch_front shelflink_virtual)
+endif()
