--- a/tests/tier/batch/item_run_test.cpp
+++ b/tests/tier/batch/item_run_test.cpp
@@ -6,8 +6,8 @@
 #include <optional>
 #include <string>
 
+#include "batch/scripted_calls.h"
 #include "net/virtual.h"
-#include "tier/batch/scripted_calls.h"
 
 namespace shelflink::batch {
 namespace {
