--- a/src/tier/batch/runner.cpp
+++ b/src/tier/batch/runner.cpp
@@ -299,10 +299,11 @@
     timer_->ArmAt(std::max(next, last_round_ + kShortestInterval));
   }
 
-  void WantOffer(const net::Address& address) {
+  // The next offer to that store goes out by then.
+  void WantOffer(const net::Address& address, net::Time by) {
     const auto store = stores_.find(address);
     if (store == stores_.end()) return;
-    store->second.due = net::Time::min();
+    store->second.due = std::min(store->second.due, by);
     ArmTimer();
   }
 
@@ -319,7 +320,7 @@
     const auto store = stores_.find(from);
     if (store != stores_.end()) {
       store->second.credit.OnAssigned();
-      if (store->second.credit.used_up()) WantOffer(from);
+      WantOffer(from, store->second.credit.used_up() ? loop_.Now() : loop_.Now() + kBusyInterval);
     }
     auto run =
         std::make_unique<ItemRun>(loop_, calls_, std::move(assign),
@@ -338,7 +339,7 @@
       added.Extend(*store->second.vouched + span_);
     }
     StartIfLeased(added);
-    if (added.state() == ItemRun::State::kAwaitingLease) WantOffer(from);
+    if (added.state() == ItemRun::State::kAwaitingLease) WantOffer(from, loop_.Now());
   }
 
   // A store gives an item again only if an older lease of it is over.
