--- a/src/tier/batch/runner.cpp
+++ b/src/tier/batch/runner.cpp
@@ -15,9 +15,10 @@
 namespace shelflink::batch {
 namespace {
 
-// Between offers to a store: with leases to renew, without any, and at least.
+// Between offers to a store: with leases to renew, without any, and at least. An offer counts at
+// the store for a second (ProxyRoom::kOfferHolds).
 constexpr milliseconds kBusyInterval{400};
-constexpr milliseconds kIdleInterval{1000};
+constexpr milliseconds kIdleInterval{800};
 constexpr milliseconds kShortestInterval{50};
 constexpr milliseconds kAnswerTimeout{1000};
 // After an endpoint's or the policy's refusal no new items are asked for, for so long at least.
