--- a/src/tier/configuration/parse.cpp
+++ b/src/tier/configuration/parse.cpp
@@ -1,184 +1,24 @@
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <set>
 #include <utility>
 
 #include "tier/configuration/json.h"
 #include "tier/configuration/model.h"
+#include "tier/configuration/object_reader.h"
 
 namespace shelflink::configuration {
 namespace {
 
-constexpr double kLargestExactInteger = 9007199254740992.0;  // 2^53: cJSON keeps doubles.
+using json::ItemPlace;
+using json::ObjectReader;
+using json::Range;
+
 constexpr double kLargestInt = 2147483647.0;
-constexpr double kLongestMilliseconds = 1e15;
 constexpr double kMillisecondsPerSecond = 1000.0;
-
-// Where a number must lie.
-struct Range {
-  double least = 0.0;
-  double most = kLargestExactInteger;
-};
 constexpr Range kCount{0.0, kLargestInt};
 constexpr Range kAtLeastOne{1.0, kLargestInt};
 
-std::string ItemPlace(const std::string& list, std::size_t index) {
-  return list + "[" + std::to_string(index) + "]";
-}
-
-// Reads the known members of one object; whatever is wrong becomes a finding.
-class ObjectReader {
- public:
-  ObjectReader(const cJSON* object, std::string place, Findings& findings)
-      : object_(object), place_(std::move(place)), findings_(findings) {
-    if (!cJSON_IsObject(object)) {
-      findings_.push_back({place_.empty() ? "document" : place_, "expected an object"});
-      object_ = nullptr;
-      return;
-    }
-    FindRepeatedNames();
-  }
-
-  bool usable() const { return object_ != nullptr; }
-
-  // Null where it is missing or null.
-  const cJSON* Member(const char* name) const {
-    if (object_ == nullptr) return nullptr;
-    const cJSON* member = cJSON_GetObjectItemCaseSensitive(object_, name);
-    return member == nullptr || cJSON_IsNull(member) ? nullptr : member;
-  }
-
-  std::string PlaceOf(const char* name) const {
-    return place_.empty() ? std::string(name) : place_ + "." + name;
-  }
-
-  void Report(const char* name, std::string expected) {
-    findings_.push_back({PlaceOf(name), std::move(expected)});
-  }
-
-  void Text(const char* name, std::string& target) {
-    const cJSON* member = Member(name);
-    if (member == nullptr) return;
-    if (!cJSON_IsString(member)) {
-      Report(name, "expected a string");
-      return;
-    }
-    target = member->valuestring;
-  }
-
-  void RequiredText(const char* name, std::string& target) {
-    if (usable() && Member(name) == nullptr) {
-      Report(name, "expected a string, found nothing");
-      return;
-    }
-    Text(name, target);
-    if (cJSON_IsString(Member(name)) && target.empty()) {
-      Report(name, "expected a string that is not empty");
-    }
-  }
-
-  void Flag(const char* name, bool& target) {
-    const cJSON* member = Member(name);
-    if (member == nullptr) return;
-    if (!cJSON_IsBool(member)) {
-      Report(name, "expected true or false");
-      return;
-    }
-    target = cJSON_IsTrue(member);
-  }
-
-  // None where it is missing or wrong.
-  std::optional<double> Number(const char* name, Range range) {
-    const cJSON* member = Member(name);
-    if (member == nullptr) return std::nullopt;
-    const bool fits = cJSON_IsNumber(member) && std::isfinite(member->valuedouble) &&
-                      member->valuedouble >= range.least && member->valuedouble <= range.most;
-    if (fits) return member->valuedouble;
-    Report(name, "expected a number of " + ShortNumber(range.least) + " at least");
-    return std::nullopt;
-  }
-
-  std::optional<double> WholeNumber(const char* name, Range range) {
-    const std::optional<double> number = Number(name, range);
-    if (!number || std::floor(*number) == *number) return number;
-    Report(name, "expected a whole number");
-    return std::nullopt;
-  }
-
-  void Int(const char* name, Range range, int& target) {
-    if (const auto number = WholeNumber(name, range)) target = static_cast<int>(*number);
-  }
-
-  void OptionalInt(const char* name, Range range, std::optional<int>& target) {
-    if (const auto number = WholeNumber(name, range)) target = static_cast<int>(*number);
-  }
-
-  void Size(const char* name, std::uint64_t& target) {
-    if (const auto number = WholeNumber(name, {})) target = static_cast<std::uint64_t>(*number);
-  }
-
-  void OptionalSize(const char* name, std::optional<std::uint64_t>& target) {
-    if (const auto number = WholeNumber(name, {})) target = static_cast<std::uint64_t>(*number);
-  }
-
-  // `scale`: milliseconds in one unit. Parts of a millisecond count as a whole one.
-  void Span(const char* name, double scale, milliseconds& target) {
-    const auto number = Number(name, {0.0, kLongestMilliseconds / scale});
-    if (number) target = milliseconds(static_cast<std::int64_t>(std::ceil(*number * scale)));
-  }
-
-  void SpanAboveZero(const char* name, milliseconds& target) {
-    const cJSON* member = Member(name);
-    const bool is_zero = cJSON_IsNumber(member) && member->valuedouble == 0.0;
-    if (is_zero) {
-      Report(name, "expected a number above 0");
-      return;
-    }
-    Span(name, 1.0, target);
-  }
-
-  void SizeAboveZero(const char* name, std::size_t& target) {
-    const auto number = WholeNumber(name, {1.0, kLargestExactInteger});
-    if (number) target = static_cast<std::size_t>(*number);
-  }
-
-  // Calls `each(item, place)` for the items of a list. False: there is none.
-  template <typename Each>
-  bool List(const char* name, Each each) {
-    const cJSON* list = Member(name);
-    if (list == nullptr) return false;
-    if (!cJSON_IsArray(list)) {
-      Report(name, "expected a list");
-      return true;
-    }
-    std::size_t index = 0;
-    for (const cJSON* item = list->child; item != nullptr; item = item->next) {
-      each(item, ItemPlace(PlaceOf(name), index));
-      ++index;
-    }
-    return true;
-  }
-
- private:
-  static std::string ShortNumber(double number) {
-    return std::to_string(static_cast<std::int64_t>(number));
-  }
-
-  // Readers differ in which of two they take, so neither is taken.
-  void FindRepeatedNames() {
-    std::set<std::string_view> names;
-    for (const cJSON* member = object_->child; member != nullptr; member = member->next) {
-      if (names.insert(member->string).second) continue;
-      findings_.push_back({PlaceOf(member->string), "expected once, found again"});
-    }
-  }
-
-  const cJSON* object_;
-  std::string place_;
-  Findings& findings_;
-};
-
 std::optional<RouteKind> KindOf(std::string_view word) {
   if (word == "idempotent") return RouteKind::kIdempotent;
   if (word == "non_idempotent") return RouteKind::kNonIdempotent;
@@ -383,7 +223,7 @@
     reader.Report("configVersion", "expected a whole number above 0, found nothing");
     return;
   }
-  const auto version = reader.WholeNumber("configVersion", {1.0, kLargestExactInteger});
+  const auto version = reader.WholeNumber("configVersion", {1.0, json::kLargestExactInteger});
   if (version) configuration.version = static_cast<std::uint64_t>(*version);
 }
 
--- a/src/tier/operator_api/forwarder.h
+++ b/src/tier/operator_api/forwarder.h
@@ -10,30 +10,16 @@
 #include <chrono>
 #include <functional>
 #include <memory>
-#include <string>
-#include <variant>
 
 #include "net/loop.h"
+#include "tier/operator_api/messages.h"
 #include "tier/operator_api/service.h"
 #include "tier/transport/hub.h"
 
 namespace shelflink::operator_api {
 
 constexpr transport::MessageKind kOrderCall = transport::kOperatorKinds;
-
-struct ReadConfigurationOrder {};
-struct RetireStateOrder {
-  std::string node;
-};
-using Order =
-    std::variant<configuration::ChangeOrder, ReadConfigurationOrder, RetireOrder, RetireStateOrder>;
-
-// What an order came to, where it succeeded.
-struct Acknowledged {};
-struct Document {
-  std::string json;
-};
-using Answer = std::variant<Acknowledged, Document, RetireState>;
+constexpr std::size_t kMostForwarded = 64;  // Orders of others under way here; more: kExhausted.
 
 class Forwarder {
  public:
--- /dev/null
+++ b/src/tier/operator_api/requests.cpp
@@ -0,0 +1,144 @@
+#include "tier/operator_api/requests.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+#include "tier/configuration/json.h"
+
+namespace shelflink::operator_api {
+namespace {
+
+using configuration::ChangeMethod;
+using configuration::ChangeOrder;
+
+constexpr std::string_view kConfigPath = "/config";
+constexpr std::string_view kRetirePrefix = "/retire/";
+constexpr std::size_t kLongestNodeName = 255;
+constexpr double kLongestDeadlineS = 1e9;
+constexpr double kMillisecondsPerSecond = 1000.0;
+constexpr double kRetryAfterS = 0.2;
+
+HttpAnswer NotAllowed(std::string_view allowed) {
+  HttpAnswer answer = ErrorAnswer(status::kMethodNotAllowed, "this path has other methods");
+  answer.allow = allowed;
+  return answer;
+}
+
+// A version with or without quotes.
+std::optional<std::uint64_t> VersionOf(std::string_view if_match) {
+  if (if_match.size() >= 2 && if_match.front() == '"' && if_match.back() == '"') {
+    if_match = if_match.substr(1, if_match.size() - 2);
+  }
+  std::uint64_t version = 0;
+  const char* end = if_match.data() + if_match.size();
+  const auto [behind, error] = std::from_chars(if_match.data(), end, version);
+  if (if_match.empty() || error != std::errc() || behind != end) return std::nullopt;
+  return version;
+}
+
+std::variant<Order, HttpAnswer> ChangeOf(const HttpRequest& request, ChangeMethod method) {
+  const auto base = request.if_match ? VersionOf(*request.if_match) : std::nullopt;
+  if (!base) return ErrorAnswer(status::kBadRequest, "If-Match: expected a version");
+  return Order(ChangeOrder{method, *base, std::string(request.body)});
+}
+
+std::variant<Order, HttpAnswer> ConfigOrder(const HttpRequest& request) {
+  if (request.method == "PUT") return ChangeOf(request, ChangeMethod::kPut);
+  if (request.method == "PATCH") return ChangeOf(request, ChangeMethod::kPatch);
+  if (request.method == "GET") return Order(ReadConfigurationOrder{});
+  return NotAllowed("GET, PUT, PATCH");
+}
+
+bool IsNodeName(std::string_view name) {
+  const auto fits = [](char letter) {
+    const bool alphanumeric = (letter >= 'a' && letter <= 'z') ||
+                              (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9');
+    return alphanumeric || letter == '-' || letter == '.' || letter == '_';
+  };
+  return !name.empty() && name.size() <= kLongestNodeName &&
+         std::all_of(name.begin(), name.end(), fits);
+}
+
+// `deadlineS` of the body, 0 where it tells none.
+std::variant<std::chrono::milliseconds, HttpAnswer> DeadlineOf(std::string_view body) {
+  if (body.empty()) return std::chrono::milliseconds(0);
+  Findings findings;
+  const json::Tree tree = json::ReadWhole(body, findings);
+  if (tree == nullptr) return ErrorAnswer(status::kBadRequest, TextOf(findings));
+  if (!cJSON_IsObject(tree.get())) {
+    return ErrorAnswer(status::kBadRequest, "document: expected an object");
+  }
+  const cJSON* member = cJSON_GetObjectItemCaseSensitive(tree.get(), "deadlineS");
+  if (member == nullptr) return std::chrono::milliseconds(0);
+  const double seconds = cJSON_IsNumber(member) ? member->valuedouble : -1.0;
+  if (!(seconds >= 0.0 && seconds <= kLongestDeadlineS)) {
+    return ErrorAnswer(status::kBadRequest, "deadlineS: expected a number of 0 at least");
+  }
+  const double milliseconds = std::ceil(seconds * kMillisecondsPerSecond);
+  return std::chrono::milliseconds(static_cast<std::int64_t>(milliseconds));
+}
+
+std::variant<Order, HttpAnswer> RetirementOrder(const HttpRequest& request) {
+  const std::string node(request.path.substr(kRetirePrefix.size()));
+  if (!IsNodeName(node)) return ErrorAnswer(status::kNotFound, "no such machine");
+  if (request.method == "GET") return Order(RetireStateOrder{node});
+  if (request.method != "POST") return NotAllowed("GET, POST");
+  auto deadline = DeadlineOf(request.body);
+  if (auto* refusal = std::get_if<HttpAnswer>(&deadline)) return std::move(*refusal);
+  return Order(RetireOrder{node, std::get<std::chrono::milliseconds>(deadline)});
+}
+
+int StatusOf(const Order& order, ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kInvalid:
+      return status::kBadRequest;
+    case ErrorCode::kNotFound:
+      return status::kNotFound;
+    case ErrorCode::kConflict:
+      return std::holds_alternative<ChangeOrder>(order) ? status::kPreconditionFailed
+                                                        : status::kConflict;
+    case ErrorCode::kTooLarge:
+      return status::kPayloadTooLarge;
+    case ErrorCode::kUnavailable:
+    case ErrorCode::kExhausted:
+      return status::kServiceUnavailable;
+    case ErrorCode::kUnknown:
+    case ErrorCode::kStorage:
+      return status::kGatewayTimeout;
+  }
+  return status::kGatewayTimeout;
+}
+
+struct BodyOf {
+  std::string operator()(const Acknowledged&) const { return R"({"result":"acknowledged"})"; }
+  std::string operator()(const Document& document) const { return document.json; }
+  std::string operator()(RetireState state) const {
+    return state == RetireState::kCompleted ? R"({"state":"completed"})" : R"({"state":"running"})";
+  }
+};
+
+}  // namespace
+
+HttpAnswer ErrorAnswer(int status, std::string_view text) {
+  HttpAnswer answer;
+  answer.status = status;
+  answer.body = R"({"error":)" + json::Quoted(text) + "}";
+  return answer;
+}
+
+std::variant<Order, HttpAnswer> OrderOf(const HttpRequest& request) {
+  if (request.path == kConfigPath) return ConfigOrder(request);
+  if (request.path.starts_with(kRetirePrefix)) return RetirementOrder(request);
+  return ErrorAnswer(status::kNotFound, "no such path");
+}
+
+HttpAnswer HttpAnswerOf(const Order& order, const Result<Answer>& result) {
+  if (result) return {status::kOk, std::visit(BodyOf{}, result.value()), {}, {}};
+  HttpAnswer answer = ErrorAnswer(StatusOf(order, result.error().code), result.error().text);
+  if (result.error().code == ErrorCode::kExhausted) answer.retry_after_s = kRetryAfterS;
+  return answer;
+}
+
+}  // namespace shelflink::operator_api
--- /dev/null
+++ b/src/tier/operator_api/requests.h
@@ -0,0 +1,49 @@
+// The operator's requests as orders, and answers as status codes and JSON. Pure: no connection.
+#ifndef SHELFLINK_TIER_OPERATOR_API_REQUESTS_H_
+#define SHELFLINK_TIER_OPERATOR_API_REQUESTS_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "tier/foundation/result.h"
+#include "tier/operator_api/messages.h"
+
+namespace shelflink::operator_api {
+
+namespace status {
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kConflict = 409;
+constexpr int kPreconditionFailed = 412;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+}  // namespace status
+
+struct HttpRequest {
+  std::string_view method;
+  std::string_view path;  // Without the query.
+  std::optional<std::string_view> if_match;
+  std::string_view body;
+};
+
+struct HttpAnswer {
+  int status = status::kOk;
+  std::string body;   // JSON.
+  std::string allow;  // With 405: the methods that there are.
+  std::optional<double> retry_after_s;
+};
+
+// What a request asks for, or the answer that refuses its form.
+std::variant<Order, HttpAnswer> OrderOf(const HttpRequest& request);
+
+HttpAnswer HttpAnswerOf(const Order& order, const Result<Answer>& result);
+HttpAnswer ErrorAnswer(int status, std::string_view text);
+
+}  // namespace shelflink::operator_api
+
+#endif  // SHELFLINK_TIER_OPERATOR_API_REQUESTS_H_
--- a/src/tier/operator_api/server.h
+++ b/src/tier/operator_api/server.h
@@ -20,7 +20,7 @@
 namespace shelflink::operator_api {
 
 constexpr std::size_t kMostOrders = 16;  // The operator has eight under way at most.
-constexpr std::size_t kMostConnections = 64;
+constexpr std::size_t kMostConnections = 256;
 constexpr std::size_t kLeastBodyLimit = 8U << 20;
 
 class Server {
@@ -44,8 +44,9 @@
   net::Address address() const;
   const Counters& counters() const;
 
- private:
   struct Impl;
+
+ private:
   std::unique_ptr<Impl> impl_;
 };
 
--- a/src/tier/platform/list_reader.h
+++ b/src/tier/platform/list_reader.h
@@ -46,8 +46,9 @@
 
  private:
   void BeginWalk(net::Time due);
-  void Fail(net::Time now, net::Span least_pause);
-  std::vector<cluster::EndpointEntry> FinishWalk(net::Time now);
+  void FailWalk(net::Time now);
+  net::Time AfterFailure(net::Time now) const;
+  std::vector<cluster::EndpointEntry> FinishWalk();
 
   net::Span call_spacing_;
   net::Span walk_period_;
@@ -57,6 +58,7 @@
   net::Time last_call_{};
   net::Time walk_started_{};
   std::string page_token_;
+  std::uint32_t page_failures_ = 0;    // Of the page that is due.
   std::set<std::string> tokens_seen_;  // Of this walk; a token that comes again would never end it.
   std::vector<cluster::EndpointEntry> entries_;
   std::uint32_t failures_ = 0;
