--- a/src/tier/operator_api/forwarder.cpp
+++ b/src/tier/operator_api/forwarder.cpp
@@ -139,8 +139,9 @@
   pending->attempt_under_way = true;
   pending->timer->ArmAt(pending->deadline);
   const auto left = std::chrono::duration_cast<milliseconds>(pending->deadline - loop.Now());
+  const milliseconds timeout = std::clamp(left, milliseconds(1), options.attempt);
   hub.Call(
-      primary, kOrderCall, EncodeOrder(pending->order), std::max(left, milliseconds(1)),
+      primary, kOrderCall, EncodeOrder(pending->order), timeout,
       [weak_self = std::weak_ptr(self), weak = std::weak_ptr(pending)](Result<std::string> reply) {
         const auto alive = weak_self.lock();
         const PendingPtr held = weak.lock();
--- a/src/tier/operator_api/forwarder.h
+++ b/src/tier/operator_api/forwarder.h
@@ -27,6 +27,9 @@
     // An order has its answer after so long, be it kUnavailable or kUnknown. The operator turns to
     // another process after one second of silence.
     std::chrono::milliseconds answer_within{850};
+    // A call to the primary that is silent for so long is made again, to whoever is the primary
+    // then.
+    std::chrono::milliseconds attempt{400};
     // No primary known or reached: looks again after so long.
     std::chrono::milliseconds look_again{40};
   };
--- a/src/tier/operator_api/server.cpp
+++ b/src/tier/operator_api/server.cpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "tier/foundation/log.h"
 #include "tier/operator_api/requests.h"
@@ -24,17 +25,21 @@
 constexpr std::chrono::milliseconds kBodyTime{10000};
 constexpr double kBusyRetryAfterS = 0.2;
 
+constexpr int kBacklog = 128;
+
 enum class Phase : std::uint8_t {
-  kIdle,      // Nothing, or a part of the head, has come.
+  kIdle,      // Between two requests.
+  kHead,      // A part of a head may have come.
   kBody,      // The head has come.
   kOrder,     // The order is under way.
   kAnswered,  // The answer is being written.
 };
 
-struct Request {
-  Phase phase = Phase::kIdle;
+struct Connection {
+  SoupServerMessage* message = nullptr;  // Of the request that is being served.
+  Phase phase = Phase::kHead;
   net::Time received{};               // The head.
-  std::optional<net::Time> deadline;  // Of this phase; then the connection is closed.
+  std::optional<net::Time> deadline;  // Of this phase; then it is closed.
   std::size_t body_bytes = 0;
 };
 
@@ -54,10 +59,13 @@
 }
 
 // Two readers could see different ends of such a request.
-bool HasUnclearLength(SoupMessageHeaders* headers) {
-  const int lengths = CountOf(headers, "Content-Length");
-  const int encodings = CountOf(headers, "Transfer-Encoding");
-  return lengths + encodings > 1;
+bool HasTwoLengths(SoupMessageHeaders* headers) {
+  return CountOf(headers, "Content-Length") + CountOf(headers, "Transfer-Encoding") > 1;
+}
+
+bool HasMalformedLength(SoupMessageHeaders* headers) {
+  const std::string_view length = TextOf(soup_message_headers_get_list(headers, "Content-Length"));
+  return length.find_first_not_of("0123456789, ") != std::string_view::npos;
 }
 
 std::size_t BodyLimit(const configuration::ClientLimits& limits) {
@@ -109,36 +117,76 @@
   SoupServerMessage* message_;
 };
 
+// A socket that listens, with a queue for new connections longer than GLib's own.
+GSocket* ListeningSocket(const net::Address& at) {
+  GError* error = nullptr;
+  const GSocketFamily family = at.v6() ? G_SOCKET_FAMILY_IPV6 : G_SOCKET_FAMILY_IPV4;
+  GSocket* socket = g_socket_new(family, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error);
+  bool listens = false;
+  if (socket != nullptr) {
+    g_socket_set_blocking(socket, FALSE);
+    g_socket_set_listen_backlog(socket, kBacklog);
+    GSocketAddress* address = g_inet_socket_address_new_from_string(at.Host().c_str(), at.port());
+    listens = g_socket_bind(socket, address, TRUE, &error) && g_socket_listen(socket, &error);
+    g_object_unref(address);
+  }
+  if (listens) return socket;
+  const std::string text = error->message;
+  g_error_free(error);
+  if (socket != nullptr) g_object_unref(socket);
+  throw net::Error(net::Fault::kOther, "operator API at " + at.Text() + ": " + text);
+}
+
+net::Address BoundAddress(GSocket* socket, const net::Address& wanted) {
+  GSocketAddress* address = g_socket_get_local_address(socket, nullptr);
+  if (address == nullptr) return wanted;
+  const guint16 port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(address));
+  g_object_unref(address);
+  return net::Address::FromBytes(wanted.bytes(), wanted.v6(), port);
+}
+
 }  // namespace
 
 struct Server::Impl {
   Impl(net::Loop& the_loop, Forwarder& the_forwarder, const net::Address& listen);
   ~Impl();
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
 
+  // What libsoup tells of a request.
   void OnStarted(SoupServerMessage* message);
   void OnHead(SoupServerMessage* message);
   void OnChunk(SoupServerMessage* message, std::size_t bytes);
   void OnRequest(SoupServerMessage* message);
-  void OnAnswered(SoupServerMessage* message, const HttpAnswer& answer);
   void OnGone(SoupServerMessage* message);
+  void OnDisconnected(SoupServerMessage* message);
 
+  void StartOrder(SoupServerMessage* message, Connection& connection, Order order);
+  void FinishOrder(SoupServerMessage* message, const HttpAnswer& answer);
+  void Reply(SoupServerMessage* message, const HttpAnswer& answer);
   void RefuseLate(SoupServerMessage* message, int status, std::string_view text);
-  void MakeRoom(SoupServerMessage* newcomer);
-  void SetDeadline(Request& request, std::optional<net::Time> deadline);
-  void CloseOverdue();
-  void Disconnect(SoupServerMessage* message);
+
+  Connection* ConnectionOf(SoupServerMessage* message);
+  void Release(GSocket* socket);
+  void Shut(GSocket* socket);
+  void MakeRoom();
+  void SetDeadline(Connection& connection, std::optional<net::Time> deadline);
+  void ShutOverdue();
+  void StopListening();
 
   net::Loop& loop;
   Forwarder& forwarder;
   SoupServer* server = nullptr;
+  GSocket* listener = nullptr;
   net::Address bound;
   configuration::ClientLimits limits;
-  bool listening = true;
   std::size_t orders = 0;
-  std::map<SoupServerMessage*, Request> requests;  // One for each open connection.
+  std::map<GSocket*, Connection> connections;  // Each key holds a reference.
+  std::map<SoupServerMessage*, GSocket*> messages;
   net::TimerPtr overdue;
   net::Time overdue_at = net::Time::max();
   Counters counters;
+  // Callbacks that outlive the server find it expired.
   std::shared_ptr<Impl*> self = std::make_shared<Impl*>(this);
 };
 
@@ -154,6 +202,9 @@
 void OnChunkSignal(SoupServerMessage* message, GBytes* chunk, gpointer data) {
   ImplOf(data)->OnChunk(message, g_bytes_get_size(chunk));
 }
+void OnDisconnectedSignal(SoupServerMessage* message, gpointer data) {
+  ImplOf(data)->OnDisconnected(message);
+}
 void OnHeadHandler(SoupServer*, SoupServerMessage* message, const char*, GHashTable*,
                    gpointer data) {
   ImplOf(data)->OnHead(message);
@@ -166,72 +217,92 @@
   ImplOf(data)->OnGone(reinterpret_cast<SoupServerMessage*>(message));
 }
 
+HttpRequest HttpRequestOf(SoupServerMessage* message) {
+  const SoupMessageBody* body = soup_server_message_get_request_body(message);
+  HttpRequest request;
+  request.method = TextOf(soup_server_message_get_method(message));
+  request.path = TextOf(g_uri_get_path(soup_server_message_get_uri(message)));
+  const char* if_match =
+      soup_message_headers_get_one(soup_server_message_get_request_headers(message), "If-Match");
+  if (if_match != nullptr) request.if_match = if_match;
+  if (body->data != nullptr) request.body = {body->data, static_cast<std::size_t>(body->length)};
+  return request;
+}
+
+// libsoup takes a chunk size that it can't read for the end of the body.
+bool HasEmptyChunkedBody(SoupServerMessage* message) {
+  SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
+  return soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED &&
+         soup_server_message_get_request_body(message)->length == 0;
+}
+
+HttpAnswer BusyAnswer() {
+  HttpAnswer answer = ErrorAnswer(status::kServiceUnavailable, "too many orders under way");
+  answer.retry_after_s = kBusyRetryAfterS;
+  return answer;
+}
+
 }  // namespace
 
 Server::Impl::Impl(net::Loop& the_loop, Forwarder& the_forwarder, const net::Address& listen)
     : loop(the_loop), forwarder(the_forwarder) {
-  overdue = loop.NewTimer([this] { CloseOverdue(); });
+  listener = ListeningSocket(listen);
+  bound = BoundAddress(listener, listen);
+  overdue = loop.NewTimer([this] { ShutOverdue(); });
   server = soup_server_new("server-header", nullptr, nullptr);
   soup_server_add_early_handler(server, nullptr, OnHeadHandler, this, nullptr);
   soup_server_add_handler(server, nullptr, OnRequestHandler, this, nullptr);
   g_signal_connect(server, "request-started", G_CALLBACK(OnStartedSignal), this);
-  GSocketAddress* address =
-      g_inet_socket_address_new_from_string(listen.Host().c_str(), listen.port());
-  GError* error = nullptr;
-  const bool taken = !soup_server_listen(server, address, SoupServerListenOptions{}, &error);
-  g_object_unref(address);
-  if (taken) {
-    const std::string text = error->message;
-    g_error_free(error);
-    g_object_unref(server);
-    throw net::Error(net::Fault::kOther, "operator API at " + listen.Text() + ": " + text);
-  }
-  GSList* uris = soup_server_get_uris(server);
-  const int port = uris == nullptr ? listen.port() : g_uri_get_port(static_cast<GUri*>(uris->data));
-  g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(g_uri_unref));
-  bound = net::Address::Parse(listen.Host() + ":" + std::to_string(port)).value_or(listen);
+  soup_server_listen_socket(server, listener, SoupServerListenOptions{}, nullptr);
 }
 
 Server::Impl::~Impl() {
-  for (const auto& [message, request] : requests) {
+  g_signal_handlers_disconnect_by_data(server, this);
+  for (const auto& [message, socket] : messages) {
     g_object_weak_unref(G_OBJECT(message), OnMessageGone, this);
     g_signal_handlers_disconnect_by_data(message, this);
   }
-  g_signal_handlers_disconnect_by_data(server, this);
+  for (const auto& [socket, connection] : connections) {
+    g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+    g_object_unref(socket);
+  }
   soup_server_remove_handler(server, nullptr);
   soup_server_disconnect(server);
   g_object_unref(server);
+  if (listener != nullptr) g_object_unref(listener);
 }
 
+// ---- Requests ----
+
 void Server::Impl::OnStarted(SoupServerMessage* message) {
-  Request& request = requests[message];
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket == nullptr) return;
+  const auto [found, is_new] = connections.try_emplace(socket);
+  if (is_new) g_object_ref(socket);
+  messages[message] = socket;
   g_object_weak_ref(G_OBJECT(message), OnMessageGone, this);
   g_signal_connect(message, "got-chunk", G_CALLBACK(OnChunkSignal), this);
-  SetDeadline(request, loop.Now() + limits.idle_timeout);
-  if (requests.size() > kMostConnections) MakeRoom(message);
-}
-
-// Closes the connection that has been idle for longest; the newcomer where none is idle.
-void Server::Impl::MakeRoom(SoupServerMessage* newcomer) {
-  SoupServerMessage* victim = newcomer;
-  net::Time earliest = net::Time::max();
-  for (const auto& [message, request] : requests) {
-    if (message == newcomer || request.phase != Phase::kIdle || !request.deadline) continue;
-    if (*request.deadline >= earliest) continue;
-    earliest = *request.deadline;
-    victim = message;
-  }
-  ++counters.refused_connections;
-  Disconnect(victim);
+  g_signal_connect(message, "disconnected", G_CALLBACK(OnDisconnectedSignal), this);
+  Connection& connection = found->second;
+  connection.message = message;
+  connection.phase = Phase::kHead;
+  connection.body_bytes = 0;
+  SetDeadline(connection, loop.Now() + limits.header_timeout);
+  if (connections.size() > kMostConnections) MakeRoom();
 }
 
 void Server::Impl::OnHead(SoupServerMessage* message) {
-  Request& request = requests[message];
-  request.phase = Phase::kBody;
-  request.received = loop.Now();
-  SetDeadline(request, request.received + kBodyTime);
+  Connection* connection = ConnectionOf(message);
+  if (connection == nullptr) return;
+  connection->phase = Phase::kBody;
+  connection->received = loop.Now();
+  SetDeadline(*connection, connection->received + kBodyTime);
   SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
-  if (HasUnclearLength(headers)) {
+  if (HasMalformedLength(headers)) {
+    Shut(messages.at(message));  // Where its body ends nobody knows.
+    return;
+  }
+  if (HasTwoLengths(headers)) {
     RefuseLate(message, status::kBadRequest, "expected one length of the body");
     return;
   }
@@ -242,110 +313,183 @@
 }
 
 void Server::Impl::OnChunk(SoupServerMessage* message, std::size_t bytes) {
-  Request& request = requests[message];
-  request.body_bytes += bytes;
+  Connection* connection = ConnectionOf(message);
+  if (connection == nullptr) return;
+  connection->body_bytes += bytes;
   const std::size_t limit = BodyLimit(limits);
-  if (request.body_bytes > limit * kDrainFactor) {
-    Disconnect(message);
-  } else if (request.body_bytes > limit && soup_server_message_get_status(message) == 0) {
+  if (connection->body_bytes > limit * kDrainFactor) {
+    Shut(messages.at(message));
+  } else if (connection->body_bytes > limit && soup_server_message_get_status(message) == 0) {
     RefuseLate(message, status::kPayloadTooLarge, "the body is too large");
   }
 }
 
-// The answer to a request that is still coming: what comes is dropped, then it is written.
-void Server::Impl::RefuseLate(SoupServerMessage* message, int status, std::string_view text) {
-  soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
-  CloseAfterwards(message);
-  const HttpAnswer answer = ErrorAnswer(status, text);
-  WriteAnswer(message, answer);
-  ++counters.answers[answer.status];
-}
-
 void Server::Impl::OnRequest(SoupServerMessage* message) {
-  Request& request = requests[message];
-  SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
-  const SoupMessageBody* body = soup_server_message_get_request_body(message);
-  HttpRequest http;
-  http.method = TextOf(soup_server_message_get_method(message));
-  http.path = TextOf(g_uri_get_path(soup_server_message_get_uri(message)));
-  if (const char* if_match = soup_message_headers_get_one(headers, "If-Match")) {
-    http.if_match = if_match;
-  }
-  http.body = std::string_view(body->data == nullptr ? "" : body->data,
-                               body->data == nullptr ? 0 : static_cast<std::size_t>(body->length));
-  auto wanted = OrderOf(http);
-  if (const auto* refusal = std::get_if<HttpAnswer>(&wanted)) {
-    OnAnswered(message, *refusal);
+  Connection* connection = ConnectionOf(message);
+  if (connection == nullptr) return;
+  if (HasEmptyChunkedBody(message)) {
+    CloseAfterwards(message);
+    Reply(message, ErrorAnswer(status::kBadRequest, "the body has no readable chunk"));
     return;
   }
-  if (orders >= kMostOrders) {
-    HttpAnswer busy = ErrorAnswer(status::kServiceUnavailable, "too many orders under way");
-    busy.retry_after_s = kBusyRetryAfterS;
-    OnAnswered(message, busy);
-    return;
+  auto wanted = OrderOf(HttpRequestOf(message));
+  if (const auto* refusal = std::get_if<HttpAnswer>(&wanted)) {
+    Reply(message, *refusal);
+  } else if (orders >= kMostOrders) {
+    Reply(message, BusyAnswer());
+  } else {
+    StartOrder(message, *connection, std::get<Order>(std::move(wanted)));
   }
+}
+
+void Server::Impl::StartOrder(SoupServerMessage* message, Connection& connection, Order order) {
   ++orders;
-  request.phase = Phase::kOrder;
-  SetDeadline(request, std::nullopt);
+  connection.phase = Phase::kOrder;
+  SetDeadline(connection, std::nullopt);  // The forwarder answers in time.
   soup_server_message_pause(message);
-  Order order = std::get<Order>(std::move(wanted));
   Order kept = WithoutBody(order);
-  forwarder.Execute(request.received, std::move(order),
+  forwarder.Execute(connection.received, std::move(order),
                     [weak = std::weak_ptr(self), kept = std::move(kept),
                      held = std::make_shared<MessageReference>(message)](Result<Answer> result) {
                       const auto alive = weak.lock();
-                      if (!alive) return;
-                      --(*alive)->orders;
-                      (*alive)->OnAnswered(held->get(), HttpAnswerOf(kept, result));
-                      soup_server_message_unpause(held->get());
+                      if (alive) (*alive)->FinishOrder(held->get(), HttpAnswerOf(kept, result));
                     });
 }
 
-void Server::Impl::OnAnswered(SoupServerMessage* message, const HttpAnswer& answer) {
+void Server::Impl::FinishOrder(SoupServerMessage* message, const HttpAnswer& answer) {
+  --orders;
+  if (ConnectionOf(message) == nullptr) return;  // The operator has left.
+  Reply(message, answer);
+  soup_server_message_unpause(message);
+}
+
+void Server::Impl::Reply(SoupServerMessage* message, const HttpAnswer& answer) {
   ++counters.answers[answer.status];
-  if (!listening) CloseAfterwards(message);
+  if (listener == nullptr) CloseAfterwards(message);
   WriteAnswer(message, answer);
-  const auto found = requests.find(message);
-  if (found != requests.end()) {
-    found->second.phase = Phase::kAnswered;
-    SetDeadline(found->second, loop.Now() + limits.idle_timeout);
+  if (Connection* connection = ConnectionOf(message)) {
+    connection->phase = Phase::kAnswered;
+    SetDeadline(*connection, loop.Now() + limits.idle_timeout);
   }
   if (log::Enabled(log::Level::kInfo, kLogName)) {
-    log::Info(kLogName, std::string(TextOf(soup_server_message_get_method(message))) + " " +
-                            g_uri_get_path(soup_server_message_get_uri(message)) + ": " +
+    const HttpRequest request = HttpRequestOf(message);
+    log::Info(kLogName, std::string(request.method) + " " + std::string(request.path) + ": " +
                             std::to_string(answer.status));
   }
 }
 
-void Server::Impl::OnGone(SoupServerMessage* message) { requests.erase(message); }
+// The answer to a request that is still coming: what comes is dropped, then it is written.
+void Server::Impl::RefuseLate(SoupServerMessage* message, int status, std::string_view text) {
+  soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+  CloseAfterwards(message);
+  const HttpAnswer answer = ErrorAnswer(status, text);
+  WriteAnswer(message, answer);
+  ++counters.answers[answer.status];
+}
+
+// The request is over; its connection stays for the next.
+void Server::Impl::OnGone(SoupServerMessage* message) {
+  const auto found = messages.find(message);
+  if (found == messages.end()) return;
+  GSocket* socket = found->second;
+  messages.erase(found);
+  if (g_socket_is_closed(socket)) {
+    Release(socket);
+    return;
+  }
+  Connection& connection = connections.at(socket);
+  if (connection.message != message) return;
+  connection.message = nullptr;
+  connection.phase = Phase::kIdle;
+  SetDeadline(connection, loop.Now() + limits.idle_timeout);
+}
+
+void Server::Impl::OnDisconnected(SoupServerMessage* message) {
+  const auto found = messages.find(message);
+  if (found == messages.end()) return;
+  GSocket* socket = found->second;
+  messages.erase(found);
+  g_object_weak_unref(G_OBJECT(message), OnMessageGone, this);
+  g_signal_handlers_disconnect_by_data(message, this);
+  Release(socket);
+}
+
+// ---- Connections ----
+
+Connection* Server::Impl::ConnectionOf(SoupServerMessage* message) {
+  const auto found = messages.find(message);
+  if (found == messages.end()) return nullptr;
+  const auto connection = connections.find(found->second);
+  return connection == connections.end() ? nullptr : &connection->second;
+}
+
+void Server::Impl::Release(GSocket* socket) {
+  if (connections.erase(socket) != 0) g_object_unref(socket);
+}
+
+// libsoup then reads the end of the connection and lets it go.
+void Server::Impl::Shut(GSocket* socket) {
+  if (!g_socket_is_closed(socket)) g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+}
+
+// Lets go of connections that the other side has closed while idle; if none is, closes the one that
+// has been idle for longest.
+void Server::Impl::MakeRoom() {
+  std::vector<GSocket*> idle;
+  for (const auto& [socket, connection] : connections) {
+    if (connection.phase == Phase::kIdle) idle.push_back(socket);
+  }
+  std::sort(idle.begin(), idle.end(), [this](GSocket* left, GSocket* right) {
+    return connections.at(left).deadline < connections.at(right).deadline;
+  });
+  const auto closed = std::find_if(idle.begin(), idle.end(),
+                                   [](GSocket* socket) { return g_socket_is_closed(socket); });
+  ++counters.refused_connections;
+  if (idle.empty()) return;
+  GSocket* victim = closed == idle.end() ? idle.front() : *closed;
+  Shut(victim);
+  Release(victim);
+}
 
-void Server::Impl::SetDeadline(Request& request, std::optional<net::Time> deadline) {
-  request.deadline = deadline;
+void Server::Impl::SetDeadline(Connection& connection, std::optional<net::Time> deadline) {
+  connection.deadline = deadline;
   if (!deadline || *deadline >= overdue_at) return;
   overdue_at = *deadline;
   overdue->ArmAt(overdue_at);
 }
 
-void Server::Impl::CloseOverdue() {
+void Server::Impl::ShutOverdue() {
   const net::Time now = loop.Now();
   overdue_at = net::Time::max();
-  for (auto& [message, request] : requests) {
-    if (!request.deadline) continue;
-    if (*request.deadline <= now) {
-      ++counters.slow_connections;
-      request.deadline.reset();
-      Disconnect(message);
-    } else {
-      overdue_at = std::min(overdue_at, *request.deadline);
+  std::vector<GSocket*> idle;
+  for (auto& [socket, connection] : connections) {
+    if (!connection.deadline) continue;
+    if (*connection.deadline > now) {
+      overdue_at = std::min(overdue_at, *connection.deadline);
+      continue;
     }
+    connection.deadline.reset();
+    if (connection.phase != Phase::kIdle) ++counters.slow_connections;
+    if (connection.phase == Phase::kIdle) idle.push_back(socket);
+    Shut(socket);
   }
+  for (GSocket* socket : idle) Release(socket);
   if (overdue_at != net::Time::max()) overdue->ArmAt(overdue_at);
 }
 
-// libsoup reads the end of the connection and lets it go.
-void Server::Impl::Disconnect(SoupServerMessage* message) {
-  GSocket* socket = soup_server_message_get_socket(message);
-  if (socket != nullptr) g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+void Server::Impl::StopListening() {
+  if (listener == nullptr) return;
+  g_socket_close(listener, nullptr);
+  g_object_unref(listener);
+  listener = nullptr;
+  std::vector<GSocket*> idle;
+  for (const auto& [socket, connection] : connections) {
+    if (connection.phase == Phase::kIdle) idle.push_back(socket);
+  }
+  for (GSocket* socket : idle) {
+    Shut(socket);
+    Release(socket);
+  }
 }
 
 Server::Server(net::Loop& loop, Forwarder& forwarder, const net::Address& listen)
@@ -355,10 +499,7 @@
 
 void Server::SetLimits(const configuration::ClientLimits& limits) { impl_->limits = limits; }
 
-void Server::StopListening() {
-  impl_->listening = false;
-  soup_server_disconnect(impl_->server);
-}
+void Server::StopListening() { impl_->StopListening(); }
 
 net::Address Server::address() const { return impl_->bound; }
 
--- /dev/null
+++ b/tests/tier/operator_api/operator_server_test.cpp
@@ -0,0 +1,360 @@
+// The operator's HTTP interface over loopback, with clients that send what they like, byte by byte.
+// Nothing sleeps: each scene runs the loop until what it waits for has happened.
+#define BOOST_TEST_MODULE operator_server
+#include <glib.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/glib_loop.h"
+#include "operator_api/fake_service.h"
+#include "tier/operator_api/server.h"
+
+namespace shelflink::operator_api {
+namespace {
+
+using configuration::ChangeMethod;
+using std::chrono::milliseconds;
+
+const net::Address kAnyPort = net::Address::V4(0x7f000001, 0);
+constexpr auto kPatience = std::chrono::seconds(10);  // A scene that takes longer has failed.
+
+// A connection that writes raw bytes and notes what comes back.
+class Client : public net::StreamUser {
+ public:
+  Client(net::Loop& loop, const net::Address& server) : stream_(loop.Dial(server, *this)) {}
+
+  void Send(std::string bytes) {
+    unsent_ += bytes;
+    if (connected_) WriteMore();
+  }
+  void Close() { stream_->Close(); }
+
+  void OnConnected(net::Fault fault) override {
+    connected_ = fault == net::Fault::kNone;
+    ended = !connected_;
+    if (!connected_) return;
+    stream_->Receive();
+    WriteMore();
+  }
+  void OnBytes(std::string_view bytes) override {
+    got += bytes;
+    stream_->Receive();
+  }
+  void OnEnd(net::Fault) override { ended = true; }
+  void OnWritable() override { WriteMore(); }
+
+  // Answers that have come whole: all of the server's carry a length.
+  std::size_t answers() const {
+    std::size_t count = 0;
+    std::size_t at = 0;
+    while (AnswerEnd(at) != std::string::npos) {
+      at = AnswerEnd(at);
+      ++count;
+    }
+    return count;
+  }
+  int status(std::size_t index = 0) const {
+    std::size_t at = 0;
+    for (std::size_t i = 0; i < index; ++i) at = AnswerEnd(at);
+    return std::stoi(got.substr(at + 9, 3));
+  }
+  bool has(const std::string& text) const { return got.find(text) != std::string::npos; }
+
+  std::string got;
+  bool ended = false;
+
+ private:
+  std::size_t AnswerEnd(std::size_t at) const {
+    if (at == std::string::npos) return at;
+    const std::size_t head = got.find("\r\n\r\n", at);
+    if (head == std::string::npos) return head;
+    const std::size_t length_at = got.find("Content-Length: ", at);
+    BOOST_REQUIRE(length_at < head);
+    const std::size_t end = head + 4 + std::stoul(got.substr(length_at + 16));
+    return end <= got.size() ? end : std::string::npos;
+  }
+  void WriteMore() {
+    const net::Written written = stream_->Write(unsent_);
+    unsent_.erase(0, written.bytes);
+  }
+
+  net::StreamPtr stream_;
+  std::string unsent_;
+  bool connected_ = false;
+};
+
+struct Scene {
+  Scene() { service.is_primary_here = true; }
+
+  void RunUntil(const std::function<bool()>& done) {
+    const net::Time limit = loop.Now() + kPatience;
+    const net::TimerPtr guard = loop.NewTimer([] {});
+    guard->ArmAt(limit);
+    while (!done()) {
+      BOOST_REQUIRE(loop.Now() < limit);
+      g_main_context_iteration(nullptr, TRUE);
+    }
+  }
+  std::unique_ptr<Client> Connect(const std::string& bytes = "") {
+    auto client = std::make_unique<Client>(loop, server->address());
+    client->Send(bytes);
+    return client;
+  }
+  // The status of the only answer to these bytes.
+  int StatusOf(const std::string& bytes) {
+    const auto client = Connect(bytes);
+    RunUntil([&] { return client->answers() >= 1 || client->ended; });
+    BOOST_REQUIRE_MESSAGE(client->answers() == 1, "no answer to " << bytes.substr(0, 100));
+    return client->status();
+  }
+
+  net::GlibLoop loop;
+  FakeService service{loop};
+  transport::Hub hub{loop, transport::PeerIdentity{"node", "core", "zone", kAnyPort, 1},
+                     transport::Hub::Options{}};
+  std::unique_ptr<Forwarder> forwarder =
+      std::make_unique<Forwarder>(loop, hub, service, Forwarder::Options{});
+  std::unique_ptr<Server> server = std::make_unique<Server>(loop, *forwarder, kAnyPort);
+};
+
+std::string Request(const std::string& line, const std::string& headers = "",
+                    const std::string& body = "") {
+  return line + " HTTP/1.1\r\nHost: core\r\n" + headers +
+         (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" +
+         body;
+}
+
+BOOST_FIXTURE_TEST_SUITE(server, Scene)
+
+BOOST_AUTO_TEST_CASE(serves_each_order) {
+  service.document_result = std::string(R"({"configVersion":7,"rate":2200000.0})");
+  const auto put = Connect(Request("PUT /config", "If-Match: 5\r\n", "{\"configVersion\":7}"));
+  RunUntil([&] { return put->answers() == 1; });
+  BOOST_TEST(put->status() == 200);
+  BOOST_REQUIRE(service.changes.size() == 1U);
+  BOOST_TEST((service.changes[0].method == ChangeMethod::kPut));
+  BOOST_TEST(service.changes[0].base_version == 5U);
+  BOOST_TEST(service.changes[0].body == "{\"configVersion\":7}");
+  const auto get = Connect(Request("GET /config?x=1"));
+  RunUntil([&] { return get->answers() == 1; });
+  BOOST_TEST(get->status() == 200);
+  BOOST_TEST(get->has("Content-Type: application/json"));
+  BOOST_TEST(get->has(R"({"configVersion":7,"rate":2200000.0})"));
+  BOOST_TEST(StatusOf(Request("PATCH /config", "If-Match: 7\r\n", "{}")) == 200);
+  BOOST_TEST((service.changes[1].method == ChangeMethod::kPatch));
+  BOOST_TEST(StatusOf(Request("POST /retire/store-1", "", R"({"deadlineS":10})")) == 200);
+  BOOST_TEST(service.retirements[0].node == "store-1");
+  const auto state = Connect(Request("GET /retire/store-1"));
+  RunUntil([&] { return state->answers() == 1; });
+  BOOST_TEST(state->has(R"({"state":"running"})"));
+}
+
+BOOST_AUTO_TEST_CASE(a_body_may_come_in_chunks_and_a_connection_serve_many) {
+  const auto client =
+      Connect(Request("PUT /config", "If-Match: 5\r\nTransfer-Encoding: chunked\r\n") +
+              "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  RunUntil([&] { return client->answers() == 1; });
+  BOOST_TEST(service.changes[0].body == "abcde");
+  client->Send(Request("GET /config"));
+  RunUntil([&] { return client->answers() == 2; });
+  BOOST_TEST(client->status(1) == 200);
+  BOOST_TEST(!client->ended);
+}
+
+BOOST_AUTO_TEST_CASE(errors_have_their_status_and_reason) {
+  service.change_result = MakeError(ErrorCode::kInvalid, "routes[0].timeoutMs: expected more");
+  const auto client = Connect(Request("PUT /config", "If-Match: 5\r\n", "{}"));
+  RunUntil([&] { return client->answers() == 1; });
+  BOOST_TEST(client->status() == 400);
+  BOOST_TEST(client->has(R"({"error":"routes[0].timeoutMs: expected more"})"));
+  service.change_result = MakeError(ErrorCode::kConflict, "version 7 is in force");
+  BOOST_TEST(StatusOf(Request("PUT /config", "If-Match: 5\r\n", "{}")) == 412);
+  service.retire_result = MakeError(ErrorCode::kConflict, "too few would be left");
+  BOOST_TEST(StatusOf(Request("POST /retire/a")) == 409);
+  service.state_result = MakeError(ErrorCode::kNotFound, "nobody asked");
+  BOOST_TEST(StatusOf(Request("GET /retire/a")) == 404);
+}
+
+BOOST_AUTO_TEST_CASE(other_methods_and_paths_are_refused) {
+  BOOST_TEST(StatusOf(Request("POST /config", "", "{}")) == 405);
+  BOOST_TEST(StatusOf(Request("DELETE /config")) == 405);
+  BOOST_TEST(StatusOf(Request("GET /")) == 404);
+  BOOST_TEST(StatusOf(Request("GET /retire/")) == 404);
+  BOOST_TEST(StatusOf(Request("PUT /configuration", "If-Match: 5\r\n", "{}")) == 404);
+  BOOST_TEST(StatusOf(Request("PUT /config", "", "{}")) == 400);
+  BOOST_TEST(service.changes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(without_a_primary_it_is_503_in_time) {
+  service.is_primary_here = false;
+  const net::Time start = loop.Now();
+  BOOST_TEST(StatusOf(Request("PUT /config", "If-Match: 5\r\n", "{}")) == 503);
+  BOOST_TEST((loop.Now() - start < std::chrono::seconds(1)));
+  BOOST_TEST(StatusOf(Request("GET /config")) == 503);
+}
+
+BOOST_AUTO_TEST_CASE(an_order_without_an_outcome_is_504_in_time) {
+  service.hold = true;
+  const net::Time start = loop.Now();
+  BOOST_TEST(StatusOf(Request("PUT /config", "If-Match: 5\r\n", "{}")) == 504);
+  BOOST_TEST((loop.Now() - start < std::chrono::seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(orders_under_way_are_bounded) {
+  service.hold = true;
+  std::vector<std::unique_ptr<Client>> clients;
+  for (std::size_t i = 0; i < kMostOrders; ++i) {
+    clients.push_back(Connect(Request("PUT /config", "If-Match: 5\r\n", "{}")));
+  }
+  RunUntil([&] { return service.held() == kMostOrders; });
+  const auto beyond = Connect(Request("PUT /config", "If-Match: 5\r\n", "{}"));
+  RunUntil([&] { return beyond->answers() == 1; });
+  BOOST_TEST(beyond->status() == 503);
+  BOOST_TEST(beyond->has("Retry-After: 0.2"));
+  service.Release();
+  for (const auto& client : clients) {
+    RunUntil([&] { return client->answers() == 1; });
+    BOOST_TEST(client->status() == 200);
+  }
+  service.hold = false;
+  BOOST_TEST(StatusOf(Request("PUT /config", "If-Match: 5\r\n", "{}")) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(a_body_beyond_the_limit_is_413) {
+  const std::string large(kLeastBodyLimit + 1, 'x');
+  const auto told = Connect(Request("PUT /config", "If-Match: 5\r\n", large));
+  RunUntil([&] { return told->answers() == 1; });
+  BOOST_TEST(told->status() == 413);
+  RunUntil([&] { return told->ended; });
+  std::string chunked = Request("PUT /config", "If-Match: 5\r\nTransfer-Encoding: chunked\r\n");
+  char size[32];
+  std::snprintf(size, sizeof size, "%zx\r\n", large.size());
+  chunked += size + large + "\r\n0\r\n\r\n";
+  BOOST_TEST(StatusOf(chunked) == 413);
+  BOOST_TEST(service.changes.empty());
+  const std::string fits(kLeastBodyLimit, 'x');
+  BOOST_TEST(StatusOf(Request("PUT /config", "If-Match: 5\r\n", fits)) == 200);
+  BOOST_TEST(service.changes[0].body.size() == kLeastBodyLimit);
+}
+
+BOOST_AUTO_TEST_CASE(the_limit_follows_the_configuration) {
+  configuration::ClientLimits limits;
+  limits.max_body_bytes = kLeastBodyLimit + 10;
+  server->SetLimits(limits);
+  const std::string body(kLeastBodyLimit + 5, 'x');
+  BOOST_TEST(StatusOf(Request("PUT /config", "If-Match: 5\r\n", body)) == 200);
+}
+
+// Whatever its form, none of these may become an order, and the server goes on.
+BOOST_AUTO_TEST_CASE(malformed_requests_never_become_orders) {
+  const std::vector<std::string> malformed = {
+      "PUT /config HTTP/1.1\r\nHost: a\r\nIf-Match: 5\r\nContent-Length: 2\r\nContent-Length: "
+      "4\r\n\r\n{}{}",
+      "PUT /config HTTP/1.1\r\nHost: a\r\nIf-Match: 5\r\nContent-Length: 2\r\nContent-Length: "
+      "2\r\n\r\n{}",
+      "PUT /config HTTP/1.1\r\nHost: a\r\nIf-Match: 5\r\nContent-Length: 2\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+      "PUT /config HTTP/1.1\r\nHost: a\r\nIf-Match: 5\r\nContent-Length: -1\r\n\r\n{}",
+      "PUT /config HTTP/1.1\r\nHost: a\r\nIf-Match: 5\r\nContent-Length: 2x\r\n\r\n{}",
+      "PUT /config HTTP/1.1\r\nHost: a\r\nIf-Match: 5\r\nTransfer-Encoding: "
+      "chunked\r\n\r\nzz\r\n{}\r\n0\r\n\r\n",
+      "PUT /config HTTP/9.9\r\nHost: a\r\nIf-Match: 5\r\nContent-Length: 2\r\n\r\n{}",
+      "\x16\x03\x01\x02 nonsense\r\n\r\n",
+      "PUT\r\n\r\n",
+      "GET /config HTTP/1.1\r\nHost: a\r\n: nothing\r\n" + std::string(200000, 'h') + "\r\n\r\n",
+  };
+  for (const std::string& bytes : malformed) {
+    BOOST_TEST_CONTEXT(bytes.substr(0, 120)) {
+      const auto client = Connect(bytes);
+      RunUntil([&] { return client->ended || !client->got.empty(); });
+      if (!client->got.empty()) {
+        RunUntil([&] { return client->ended || client->answers() >= 1; });
+        if (client->answers() >= 1) BOOST_TEST(client->status() >= 400);
+      }
+      BOOST_TEST(service.changes.empty());
+    }
+  }
+  BOOST_TEST(StatusOf(Request("GET /config")) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(half_a_request_is_closed_after_a_time) {
+  configuration::ClientLimits limits;
+  limits.header_timeout = milliseconds(50);
+  server->SetLimits(limits);
+  const auto silent = Connect();
+  const auto half_head = Connect("PUT /config HTTP/1.1\r\nHost: co");
+  RunUntil([&] { return silent->ended && half_head->ended; });
+  BOOST_TEST(server->counters().slow_connections >= 2U);
+  BOOST_TEST(service.changes.empty());
+  BOOST_TEST(StatusOf(Request("GET /config")) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(half_a_body_never_becomes_an_order) {
+  const auto client =
+      Connect("PUT /config HTTP/1.1\r\nHost: a\r\nIf-Match: 5\r\nContent-Length: 9\r\n\r\n{}");
+  BOOST_TEST(StatusOf(Request("GET /config")) == 200);
+  client->Close();
+  BOOST_TEST(StatusOf(Request("GET /config")) == 200);
+  BOOST_TEST(service.changes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_client_that_leaves_while_its_order_is_under_way_harms_nobody) {
+  service.hold = true;
+  const auto leaving = Connect(Request("PUT /config", "If-Match: 5\r\n", "{}"));
+  RunUntil([&] { return service.held() == 1; });
+  leaving->Close();
+  service.Release();
+  service.hold = false;
+  for (int i = 0; i < 5; ++i) BOOST_TEST(StatusOf(Request("GET /config")) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(room_is_made_among_idle_connections) {
+  std::vector<std::unique_ptr<Client>> idle;
+  for (std::size_t i = 0; i < kMostConnections; ++i) {
+    idle.push_back(Connect(Request("GET /config")));
+    RunUntil([&] { return idle.back()->answers() == 1 || idle.back()->ended; });
+  }
+  BOOST_TEST(StatusOf(Request("GET /config")) == 200);
+  RunUntil([&] { return server->counters().refused_connections >= 1U; });
+  const auto has_ended = [](const std::unique_ptr<Client>& client) { return client->ended; };
+  RunUntil([&] { return std::any_of(idle.begin(), idle.end(), has_ended); });
+}
+
+BOOST_AUTO_TEST_CASE(an_address_that_is_taken_is_told) {
+  BOOST_CHECK_THROW(Server(loop, *forwarder, server->address()), net::Error);
+}
+
+BOOST_AUTO_TEST_CASE(what_is_under_way_is_answered_after_listening_ends) {
+  service.hold = true;
+  const auto client = Connect(Request("PUT /config", "If-Match: 5\r\n", "{}"));
+  RunUntil([&] { return service.held() == 1; });
+  server->StopListening();
+  service.Release();
+  RunUntil([&] { return client->answers() == 1; });
+  BOOST_TEST(client->status() == 200);
+  BOOST_TEST(client->has("Connection: close"));
+  const auto late = Connect(Request("GET /config"));
+  RunUntil([&] { return late->ended; });
+  BOOST_TEST(late->got.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_server_may_end_with_orders_under_way) {
+  service.hold = true;
+  const auto client = Connect(Request("PUT /config", "If-Match: 5\r\n", "{}"));
+  const auto idle = Connect();
+  RunUntil([&] { return service.held() == 1; });
+  server.reset();
+  service.Release();
+  for (int i = 0; i < 50; ++i) g_main_context_iteration(nullptr, FALSE);
+  BOOST_TEST(client->answers() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace shelflink::operator_api
