--- /dev/null
+++ b/src/tier/operator_api/server.cpp
@@ -0,0 +1,508 @@
+#include "tier/operator_api/server.h"
+
+#include <libsoup/soup.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "tier/foundation/log.h"
+#include "tier/operator_api/requests.h"
+
+namespace shelflink::operator_api {
+namespace {
+
+constexpr std::string_view kLogName = "operator";
+constexpr std::size_t kMostBodyLimit = 32U
+                                       << 20;  // What one frame between processes holds, and more.
+// A body beyond the limit is read and dropped, up to so many times the limit: an answer that meets
+// unread bytes would be lost by a reset.
+constexpr std::size_t kDrainFactor = 4;
+constexpr std::chrono::milliseconds kBodyTime{10000};
+constexpr double kBusyRetryAfterS = 0.2;
+
+constexpr int kBacklog = 128;
+
+enum class Phase : std::uint8_t {
+  kIdle,      // Between two requests.
+  kHead,      // A part of a head may have come.
+  kBody,      // The head has come.
+  kOrder,     // The order is under way.
+  kAnswered,  // The answer is being written.
+};
+
+struct Connection {
+  SoupServerMessage* message = nullptr;  // Of the request that is being served.
+  Phase phase = Phase::kHead;
+  net::Time received{};               // The head.
+  std::optional<net::Time> deadline;  // Of this phase; then it is closed.
+  std::size_t body_bytes = 0;
+};
+
+std::string_view TextOf(const char* text) { return text == nullptr ? "" : text; }
+
+// How often a header stands in the request.
+int CountOf(SoupMessageHeaders* headers, std::string_view wanted) {
+  int count = 0;
+  SoupMessageHeadersIter iterator;
+  soup_message_headers_iter_init(&iterator, headers);
+  const char* name = nullptr;
+  const char* value = nullptr;
+  while (soup_message_headers_iter_next(&iterator, &name, &value)) {
+    if (g_ascii_strcasecmp(name, std::string(wanted).c_str()) == 0) ++count;
+  }
+  return count;
+}
+
+// Two readers could see different ends of such a request.
+bool HasTwoLengths(SoupMessageHeaders* headers) {
+  return CountOf(headers, "Content-Length") + CountOf(headers, "Transfer-Encoding") > 1;
+}
+
+bool HasMalformedLength(SoupMessageHeaders* headers) {
+  const std::string_view length = TextOf(soup_message_headers_get_list(headers, "Content-Length"));
+  return length.find_first_not_of("0123456789, ") != std::string_view::npos;
+}
+
+std::size_t BodyLimit(const configuration::ClientLimits& limits) {
+  return std::clamp(limits.max_body_bytes, kLeastBodyLimit, kMostBodyLimit);
+}
+
+// What of an order decides how its answer reads.
+Order WithoutBody(const Order& order) {
+  if (const auto* change = std::get_if<configuration::ChangeOrder>(&order)) {
+    return configuration::ChangeOrder{change->method, change->base_version, {}};
+  }
+  return order;
+}
+
+std::string SecondsText(double seconds) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", seconds);
+  return text;
+}
+
+void CloseAfterwards(SoupServerMessage* message) {
+  soup_message_headers_replace(soup_server_message_get_response_headers(message), "Connection",
+                               "close");
+}
+
+void WriteAnswer(SoupServerMessage* message, const HttpAnswer& answer) {
+  SoupMessageHeaders* headers = soup_server_message_get_response_headers(message);
+  if (!answer.allow.empty()) soup_message_headers_replace(headers, "Allow", answer.allow.c_str());
+  if (answer.retry_after_s) {
+    soup_message_headers_replace(headers, "Retry-After",
+                                 SecondsText(*answer.retry_after_s).c_str());
+  }
+  soup_server_message_set_status(message, static_cast<guint>(answer.status), nullptr);
+  soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY,
+                                   answer.body.data(), answer.body.size());
+}
+
+// Keeps a message while its order is under way.
+class MessageReference {
+ public:
+  explicit MessageReference(SoupServerMessage* message)
+      : message_(static_cast<SoupServerMessage*>(g_object_ref(message))) {}
+  ~MessageReference() { g_object_unref(message_); }
+  MessageReference(const MessageReference&) = delete;
+  MessageReference& operator=(const MessageReference&) = delete;
+  SoupServerMessage* get() const { return message_; }
+
+ private:
+  SoupServerMessage* message_;
+};
+
+// A socket that listens, with a queue for new connections longer than GLib's own.
+GSocket* ListeningSocket(const net::Address& at) {
+  GError* error = nullptr;
+  const GSocketFamily family = at.v6() ? G_SOCKET_FAMILY_IPV6 : G_SOCKET_FAMILY_IPV4;
+  GSocket* socket = g_socket_new(family, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error);
+  bool listens = false;
+  if (socket != nullptr) {
+    g_socket_set_blocking(socket, FALSE);
+    g_socket_set_listen_backlog(socket, kBacklog);
+    GSocketAddress* address = g_inet_socket_address_new_from_string(at.Host().c_str(), at.port());
+    listens = g_socket_bind(socket, address, TRUE, &error) && g_socket_listen(socket, &error);
+    g_object_unref(address);
+  }
+  if (listens) return socket;
+  const std::string text = error->message;
+  g_error_free(error);
+  if (socket != nullptr) g_object_unref(socket);
+  throw net::Error(net::Fault::kOther, "operator API at " + at.Text() + ": " + text);
+}
+
+net::Address BoundAddress(GSocket* socket, const net::Address& wanted) {
+  GSocketAddress* address = g_socket_get_local_address(socket, nullptr);
+  if (address == nullptr) return wanted;
+  const guint16 port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(address));
+  g_object_unref(address);
+  return net::Address::FromBytes(wanted.bytes(), wanted.v6(), port);
+}
+
+}  // namespace
+
+struct Server::Impl {
+  Impl(net::Loop& the_loop, Forwarder& the_forwarder, const net::Address& listen);
+  ~Impl();
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  // What libsoup tells of a request.
+  void OnStarted(SoupServerMessage* message);
+  void OnHead(SoupServerMessage* message);
+  void OnChunk(SoupServerMessage* message, std::size_t bytes);
+  void OnRequest(SoupServerMessage* message);
+  void OnGone(SoupServerMessage* message);
+  void OnDisconnected(SoupServerMessage* message);
+
+  void StartOrder(SoupServerMessage* message, Connection& connection, Order order);
+  void FinishOrder(SoupServerMessage* message, const HttpAnswer& answer);
+  void Reply(SoupServerMessage* message, const HttpAnswer& answer);
+  void RefuseLate(SoupServerMessage* message, int status, std::string_view text);
+
+  Connection* ConnectionOf(SoupServerMessage* message);
+  void Release(GSocket* socket);
+  void Shut(GSocket* socket);
+  void MakeRoom();
+  void SetDeadline(Connection& connection, std::optional<net::Time> deadline);
+  void ShutOverdue();
+  void StopListening();
+
+  net::Loop& loop;
+  Forwarder& forwarder;
+  SoupServer* server = nullptr;
+  GSocket* listener = nullptr;
+  net::Address bound;
+  configuration::ClientLimits limits;
+  std::size_t orders = 0;
+  std::map<GSocket*, Connection> connections;  // Each key holds a reference.
+  std::map<SoupServerMessage*, GSocket*> messages;
+  net::TimerPtr overdue;
+  net::Time overdue_at = net::Time::max();
+  Counters counters;
+  // Callbacks that outlive the server find it expired.
+  std::shared_ptr<Impl*> self = std::make_shared<Impl*>(this);
+};
+
+namespace {
+
+using Impl = Server::Impl;
+
+Impl* ImplOf(gpointer data) { return static_cast<Impl*>(data); }
+
+void OnStartedSignal(SoupServer*, SoupServerMessage* message, gpointer data) {
+  ImplOf(data)->OnStarted(message);
+}
+void OnChunkSignal(SoupServerMessage* message, GBytes* chunk, gpointer data) {
+  ImplOf(data)->OnChunk(message, g_bytes_get_size(chunk));
+}
+void OnDisconnectedSignal(SoupServerMessage* message, gpointer data) {
+  ImplOf(data)->OnDisconnected(message);
+}
+void OnHeadHandler(SoupServer*, SoupServerMessage* message, const char*, GHashTable*,
+                   gpointer data) {
+  ImplOf(data)->OnHead(message);
+}
+void OnRequestHandler(SoupServer*, SoupServerMessage* message, const char*, GHashTable*,
+                      gpointer data) {
+  ImplOf(data)->OnRequest(message);
+}
+void OnMessageGone(gpointer data, GObject* message) {
+  ImplOf(data)->OnGone(reinterpret_cast<SoupServerMessage*>(message));
+}
+
+HttpRequest HttpRequestOf(SoupServerMessage* message) {
+  const SoupMessageBody* body = soup_server_message_get_request_body(message);
+  HttpRequest request;
+  request.method = TextOf(soup_server_message_get_method(message));
+  request.path = TextOf(g_uri_get_path(soup_server_message_get_uri(message)));
+  const char* if_match =
+      soup_message_headers_get_one(soup_server_message_get_request_headers(message), "If-Match");
+  if (if_match != nullptr) request.if_match = if_match;
+  if (body->data != nullptr) request.body = {body->data, static_cast<std::size_t>(body->length)};
+  return request;
+}
+
+// libsoup takes a chunk size that it can't read for the end of the body.
+bool HasEmptyChunkedBody(SoupServerMessage* message) {
+  SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
+  return soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED &&
+         soup_server_message_get_request_body(message)->length == 0;
+}
+
+HttpAnswer BusyAnswer() {
+  HttpAnswer answer = ErrorAnswer(status::kServiceUnavailable, "too many orders under way");
+  answer.retry_after_s = kBusyRetryAfterS;
+  return answer;
+}
+
+}  // namespace
+
+Server::Impl::Impl(net::Loop& the_loop, Forwarder& the_forwarder, const net::Address& listen)
+    : loop(the_loop), forwarder(the_forwarder) {
+  listener = ListeningSocket(listen);
+  bound = BoundAddress(listener, listen);
+  overdue = loop.NewTimer([this] { ShutOverdue(); });
+  server = soup_server_new("server-header", nullptr, nullptr);
+  soup_server_add_early_handler(server, nullptr, OnHeadHandler, this, nullptr);
+  soup_server_add_handler(server, nullptr, OnRequestHandler, this, nullptr);
+  g_signal_connect(server, "request-started", G_CALLBACK(OnStartedSignal), this);
+  soup_server_listen_socket(server, listener, SoupServerListenOptions{}, nullptr);
+}
+
+Server::Impl::~Impl() {
+  g_signal_handlers_disconnect_by_data(server, this);
+  for (const auto& [message, socket] : messages) {
+    g_object_weak_unref(G_OBJECT(message), OnMessageGone, this);
+    g_signal_handlers_disconnect_by_data(message, this);
+  }
+  for (const auto& [socket, connection] : connections) {
+    g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+    g_object_unref(socket);
+  }
+  soup_server_remove_handler(server, nullptr);
+  soup_server_disconnect(server);
+  g_object_unref(server);
+  if (listener != nullptr) g_object_unref(listener);
+}
+
+// ---- Requests ----
+
+void Server::Impl::OnStarted(SoupServerMessage* message) {
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket == nullptr) return;
+  const auto [found, is_new] = connections.try_emplace(socket);
+  if (is_new) g_object_ref(socket);
+  messages[message] = socket;
+  g_object_weak_ref(G_OBJECT(message), OnMessageGone, this);
+  g_signal_connect(message, "got-chunk", G_CALLBACK(OnChunkSignal), this);
+  g_signal_connect(message, "disconnected", G_CALLBACK(OnDisconnectedSignal), this);
+  Connection& connection = found->second;
+  connection.message = message;
+  connection.phase = Phase::kHead;
+  connection.body_bytes = 0;
+  SetDeadline(connection, loop.Now() + limits.header_timeout);
+  if (connections.size() > kMostConnections) MakeRoom();
+}
+
+void Server::Impl::OnHead(SoupServerMessage* message) {
+  Connection* connection = ConnectionOf(message);
+  if (connection == nullptr) return;
+  connection->phase = Phase::kBody;
+  connection->received = loop.Now();
+  SetDeadline(*connection, connection->received + kBodyTime);
+  SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
+  if (HasMalformedLength(headers)) {
+    Shut(messages.at(message));  // Where its body ends nobody knows.
+    return;
+  }
+  if (HasTwoLengths(headers)) {
+    RefuseLate(message, status::kBadRequest, "expected one length of the body");
+    return;
+  }
+  const goffset length = soup_message_headers_get_content_length(headers);
+  if (static_cast<std::size_t>(std::max<goffset>(length, 0)) > BodyLimit(limits)) {
+    RefuseLate(message, status::kPayloadTooLarge, "the body is too large");
+  }
+}
+
+void Server::Impl::OnChunk(SoupServerMessage* message, std::size_t bytes) {
+  Connection* connection = ConnectionOf(message);
+  if (connection == nullptr) return;
+  connection->body_bytes += bytes;
+  const std::size_t limit = BodyLimit(limits);
+  if (connection->body_bytes > limit * kDrainFactor) {
+    Shut(messages.at(message));
+  } else if (connection->body_bytes > limit && soup_server_message_get_status(message) == 0) {
+    RefuseLate(message, status::kPayloadTooLarge, "the body is too large");
+  }
+}
+
+void Server::Impl::OnRequest(SoupServerMessage* message) {
+  Connection* connection = ConnectionOf(message);
+  if (connection == nullptr) return;
+  if (HasEmptyChunkedBody(message)) {
+    CloseAfterwards(message);
+    Reply(message, ErrorAnswer(status::kBadRequest, "the body has no readable chunk"));
+    return;
+  }
+  auto wanted = OrderOf(HttpRequestOf(message));
+  if (const auto* refusal = std::get_if<HttpAnswer>(&wanted)) {
+    Reply(message, *refusal);
+  } else if (orders >= kMostOrders) {
+    Reply(message, BusyAnswer());
+  } else {
+    StartOrder(message, *connection, std::get<Order>(std::move(wanted)));
+  }
+}
+
+void Server::Impl::StartOrder(SoupServerMessage* message, Connection& connection, Order order) {
+  ++orders;
+  connection.phase = Phase::kOrder;
+  SetDeadline(connection, std::nullopt);  // The forwarder answers in time.
+  soup_server_message_pause(message);
+  Order kept = WithoutBody(order);
+  forwarder.Execute(connection.received, std::move(order),
+                    [weak = std::weak_ptr(self), kept = std::move(kept),
+                     held = std::make_shared<MessageReference>(message)](Result<Answer> result) {
+                      const auto alive = weak.lock();
+                      if (alive) (*alive)->FinishOrder(held->get(), HttpAnswerOf(kept, result));
+                    });
+}
+
+void Server::Impl::FinishOrder(SoupServerMessage* message, const HttpAnswer& answer) {
+  --orders;
+  if (ConnectionOf(message) == nullptr) return;  // The operator has left.
+  Reply(message, answer);
+  soup_server_message_unpause(message);
+}
+
+void Server::Impl::Reply(SoupServerMessage* message, const HttpAnswer& answer) {
+  ++counters.answers[answer.status];
+  if (listener == nullptr) CloseAfterwards(message);
+  WriteAnswer(message, answer);
+  if (Connection* connection = ConnectionOf(message)) {
+    connection->phase = Phase::kAnswered;
+    SetDeadline(*connection, loop.Now() + limits.idle_timeout);
+  }
+  if (log::Enabled(log::Level::kInfo, kLogName)) {
+    const HttpRequest request = HttpRequestOf(message);
+    log::Info(kLogName, std::string(request.method) + " " + std::string(request.path) + ": " +
+                            std::to_string(answer.status));
+  }
+}
+
+// The answer to a request that is still coming: what comes is dropped, then it is written.
+void Server::Impl::RefuseLate(SoupServerMessage* message, int status, std::string_view text) {
+  soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+  CloseAfterwards(message);
+  const HttpAnswer answer = ErrorAnswer(status, text);
+  WriteAnswer(message, answer);
+  ++counters.answers[answer.status];
+}
+
+// The request is over; its connection stays for the next.
+void Server::Impl::OnGone(SoupServerMessage* message) {
+  const auto found = messages.find(message);
+  if (found == messages.end()) return;
+  GSocket* socket = found->second;
+  messages.erase(found);
+  if (g_socket_is_closed(socket)) {
+    Release(socket);
+    return;
+  }
+  Connection& connection = connections.at(socket);
+  if (connection.message != message) return;
+  connection.message = nullptr;
+  connection.phase = Phase::kIdle;
+  SetDeadline(connection, loop.Now() + limits.idle_timeout);
+}
+
+void Server::Impl::OnDisconnected(SoupServerMessage* message) {
+  const auto found = messages.find(message);
+  if (found == messages.end()) return;
+  GSocket* socket = found->second;
+  messages.erase(found);
+  g_object_weak_unref(G_OBJECT(message), OnMessageGone, this);
+  g_signal_handlers_disconnect_by_data(message, this);
+  Release(socket);
+}
+
+// ---- Connections ----
+
+Connection* Server::Impl::ConnectionOf(SoupServerMessage* message) {
+  const auto found = messages.find(message);
+  if (found == messages.end()) return nullptr;
+  const auto connection = connections.find(found->second);
+  return connection == connections.end() ? nullptr : &connection->second;
+}
+
+void Server::Impl::Release(GSocket* socket) {
+  if (connections.erase(socket) != 0) g_object_unref(socket);
+}
+
+// libsoup then reads the end of the connection and lets it go.
+void Server::Impl::Shut(GSocket* socket) {
+  if (!g_socket_is_closed(socket)) g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+}
+
+// Lets go of connections that the other side has closed while idle; if none is, closes the one that
+// has been idle for longest.
+void Server::Impl::MakeRoom() {
+  std::vector<GSocket*> idle;
+  for (const auto& [socket, connection] : connections) {
+    if (connection.phase == Phase::kIdle) idle.push_back(socket);
+  }
+  std::sort(idle.begin(), idle.end(), [this](GSocket* left, GSocket* right) {
+    return connections.at(left).deadline < connections.at(right).deadline;
+  });
+  const auto closed = std::find_if(idle.begin(), idle.end(),
+                                   [](GSocket* socket) { return g_socket_is_closed(socket); });
+  ++counters.refused_connections;
+  if (idle.empty()) return;
+  GSocket* victim = closed == idle.end() ? idle.front() : *closed;
+  Shut(victim);
+  Release(victim);
+}
+
+void Server::Impl::SetDeadline(Connection& connection, std::optional<net::Time> deadline) {
+  connection.deadline = deadline;
+  if (!deadline || *deadline >= overdue_at) return;
+  overdue_at = *deadline;
+  overdue->ArmAt(overdue_at);
+}
+
+void Server::Impl::ShutOverdue() {
+  const net::Time now = loop.Now();
+  overdue_at = net::Time::max();
+  std::vector<GSocket*> idle;
+  for (auto& [socket, connection] : connections) {
+    if (!connection.deadline) continue;
+    if (*connection.deadline > now) {
+      overdue_at = std::min(overdue_at, *connection.deadline);
+      continue;
+    }
+    connection.deadline.reset();
+    if (connection.phase != Phase::kIdle) ++counters.slow_connections;
+    if (connection.phase == Phase::kIdle) idle.push_back(socket);
+    Shut(socket);
+  }
+  for (GSocket* socket : idle) Release(socket);
+  if (overdue_at != net::Time::max()) overdue->ArmAt(overdue_at);
+}
+
+void Server::Impl::StopListening() {
+  if (listener == nullptr) return;
+  g_socket_close(listener, nullptr);
+  g_object_unref(listener);
+  listener = nullptr;
+  std::vector<GSocket*> idle;
+  for (const auto& [socket, connection] : connections) {
+    if (connection.phase == Phase::kIdle) idle.push_back(socket);
+  }
+  for (GSocket* socket : idle) {
+    Shut(socket);
+    Release(socket);
+  }
+}
+
+Server::Server(net::Loop& loop, Forwarder& forwarder, const net::Address& listen)
+    : impl_(std::make_unique<Impl>(loop, forwarder, listen)) {}
+
+Server::~Server() = default;
+
+void Server::SetLimits(const configuration::ClientLimits& limits) { impl_->limits = limits; }
+
+void Server::StopListening() { impl_->StopListening(); }
+
+net::Address Server::address() const { return impl_->bound; }
+
+const Server::Counters& Server::counters() const { return impl_->counters; }
+
+}  // namespace shelflink::operator_api
