Tier: the whole decision module, of the parts that it shares with gaugecart

Isolated pools with dealt hands of bounded queues, a learned limit, a subset that starts at three and grows with the calls in flight, and a pick by expected time to the first event: prompt parts that the endpoint keeps, tokens to read before, load that it told, memory, health, pace, cold start. Retries of what is safe within a budget.

--- a/src/policy/subset.h
+++ b/src/policy/subset.h
@@ -20,6 +20,7 @@
     ++size_;
     return true;
   }
+  void Shrink() { size_ = std::max(kFirstSubset, size_ - 1); }
   std::size_t size() const { return size_; }
 
  private:
--- /dev/null
+++ b/src/tier/policy/call.cpp
@@ -0,0 +1,33 @@
+#include "tier/policy/call.h"
+
+#include <algorithm>
+
+#include "tier/policy/endpoint.h"
+
+namespace shelflink::policy {
+
+bool HeldCall::AnyOut() const {
+  return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
+}
+
+bool HeldCall::Tried(const Endpoint& endpoint) const {
+  return std::any_of(attempts.begin(), attempts.end(),
+                     [&](const Attempt& a) { return a.endpoint_hash == endpoint.hash(); });
+}
+
+bool ProvesUnrun(Outcome outcome) {
+  return outcome == Outcome::kNotRun || outcome == Outcome::kMisdirected ||
+         outcome == Outcome::kNeverSent;
+}
+
+bool CountsAsSend(Outcome outcome) {
+  return outcome != Outcome::kNeverSent && outcome != Outcome::kMisdirected;
+}
+
+bool MaySendAgain(const HeldCall& held, Micros now) {
+  if (now >= held.call.due || held.AnyOut()) return false;
+  if (held.may_have_run && !held.call.repeatable) return false;
+  return held.sends < std::max(1, held.call.max_attempts) && held.attempts.size() < kMostAttempts;
+}
+
+}  // namespace shelflink::policy
--- /dev/null
+++ b/src/tier/policy/endpoint.cpp
@@ -0,0 +1,136 @@
+#include "tier/policy/endpoint.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shelflink::policy {
+namespace {
+
+constexpr Micros kMisdirectedSpan = 10'000'000;  // The list has been read anew by then.
+constexpr double kLoadSpan = 2e6;                // Microseconds in which a told load is forgotten.
+constexpr double kPaceGain = 0.2;                // Weight of one first event in an endpoint's pace.
+constexpr double kPaceSpan = 5e6;                // Microseconds in which an old pace is forgotten.
+constexpr double kMostPace = 8.0;                // Slower than this tells no more.
+constexpr int kMostDoublings = 3;                // How often the rest of a full endpoint doubles.
+
+std::uint64_t MemoryOf(const Call& call) {
+  return std::uint64_t{call.prompt_tokens} + call.output_tokens;
+}
+
+std::pair<Micros, Micros> OverdueKey(const Attempt& attempt) {
+  return {attempt.sent + attempt.patience, attempt.patience};
+}
+
+void Subtract(std::uint64_t& from, std::uint64_t amount) { from -= std::min(from, amount); }
+
+}  // namespace
+
+void Endpoint::Update(Micros now, const EndpointInfo& info, std::uint64_t kv_tokens) {
+  if (!listed_) {
+    cold_since_ = now;
+    last_sign_ = now;
+  }
+  info_ = info;
+  listed_ = true;
+  slots_ = std::max(1, info.slots);
+  unusable_until_ = 0;
+  prefixes_.SetCapacity(kv_tokens);
+}
+
+void Endpoint::NoteMisdirected(Micros now) { unusable_until_ = now + kMisdirectedSpan; }
+
+bool Endpoint::Usable(Micros now) const {
+  return listed_ && !info_.draining && now >= unusable_until_;
+}
+
+void Endpoint::Book(Attempt& attempt, const Call& call) {
+  ++calls_;
+  unread_tokens_ += attempt.read_tokens;
+  output_tokens_ += attempt.output_tokens;
+  booked_output_tokens_ += call.output_tokens;
+  memory_tokens_ += MemoryOf(call);
+  first_events_due_.insert(OverdueKey(attempt));
+  prefixes_.NoteSent(call.prompt);
+}
+
+void Endpoint::NoteFirstEvent(Micros now, Attempt& attempt, const Call& call) {
+  NoteSign(now);
+  rests_ = 0;
+  first_events_due_.erase(first_events_due_.find(OverdueKey(attempt)));
+  Subtract(unread_tokens_, attempt.read_tokens);
+  attempt.read_tokens = 0;
+  attempt.begun = true;
+  prefixes_.NoteRead(call.prompt);
+}
+
+void Endpoint::NoteProgress(Micros now, Attempt& attempt, std::uint32_t tokens) {
+  NoteSign(now);
+  const std::uint64_t done = std::min<std::uint64_t>(attempt.output_tokens, tokens);
+  attempt.output_tokens -= done;
+  Subtract(output_tokens_, done);
+}
+
+void Endpoint::Unbook(Attempt& attempt, const Call& call) {
+  --calls_;
+  if (!attempt.begun) first_events_due_.erase(first_events_due_.find(OverdueKey(attempt)));
+  Subtract(unread_tokens_, attempt.read_tokens);
+  Subtract(output_tokens_, attempt.output_tokens);
+  Subtract(booked_output_tokens_, call.output_tokens);
+  Subtract(memory_tokens_, MemoryOf(call));
+}
+
+void Endpoint::NoteSign(Micros now) { last_sign_ = std::max(last_sign_, now); }
+
+void Endpoint::NoteFull(Micros now, Micros rest) {
+  rest_until_ = now + (rest << std::min(rests_, kMostDoublings));
+  ++rests_;
+}
+
+bool Endpoint::Silent(Micros now) const {
+  if (first_events_due_.empty()) return false;
+  const auto [overdue_at, patience] = *first_events_due_.begin();
+  return now >= overdue_at && now - last_sign_ >= patience;
+}
+
+void Endpoint::NoteLoad(Micros now, std::uint32_t running, std::uint32_t waiting,
+                        std::uint32_t slots) {
+  if (slots > 0) slots_ = static_cast<int>(slots);
+  const double all = static_cast<double>(running) + waiting;
+  told_others_ = std::max(0.0, all - static_cast<double>(calls_));
+  told_waiting_ = std::min(told_others_, static_cast<double>(waiting));
+  told_at_ = now;
+}
+
+double Endpoint::Others(Micros now) const {
+  return told_others_ * std::exp(-static_cast<double>(now - told_at_) / kLoadSpan);
+}
+
+double Endpoint::OthersWaiting(Micros now) const {
+  return told_waiting_ * std::exp(-static_cast<double>(now - told_at_) / kLoadSpan);
+}
+
+double Endpoint::Running(Micros now) const {
+  const auto own = static_cast<double>(calls_);
+  const double left = booked_output_tokens_ > 0 ? static_cast<double>(output_tokens_) /
+                                                      static_cast<double>(booked_output_tokens_)
+                                                : 1.0;
+  return Others(now) + own * 0.5 * (1.0 + left);
+}
+
+void Endpoint::NotePace(Micros now, double ratio) {
+  const double present = Pace(now);
+  pace_ = present + kPaceGain * (std::min(kMostPace, ratio) - present);
+  pace_at_ = now;
+}
+
+double Endpoint::Pace(Micros now) const {
+  return 1.0 + (pace_ - 1.0) * std::exp(-static_cast<double>(now - pace_at_) / kPaceSpan);
+}
+
+double Endpoint::Coldness(Micros now) const {
+  if (now >= info_.cold_until) return 0.0;
+  const auto whole = static_cast<double>(info_.cold_until - cold_since_);
+  return whole > 0 ? static_cast<double>(info_.cold_until - now) / whole : 1.0;
+}
+
+}  // namespace shelflink::policy
--- /dev/null
+++ b/src/tier/policy/endpoint.h
@@ -0,0 +1,101 @@
+// What this sidecar knows of one endpoint: what it has out there, what the endpoint told of its
+// load, which prompt parts it keeps, how it does.
+#ifndef SHELFLINK_TIER_POLICY_ENDPOINT_H_
+#define SHELFLINK_TIER_POLICY_ENDPOINT_H_
+
+#include <cstdint>
+#include <set>
+#include <utility>
+
+#include "policy/health.h"
+#include "tier/policy/call.h"
+#include "tier/policy/module.h"
+#include "tier/policy/prefix_cache.h"
+
+namespace shelflink::policy {
+
+class Endpoint {
+ public:
+  explicit Endpoint(std::uint64_t hash) : hash_(hash) {}
+
+  // From the list.
+  void Update(Micros now, const EndpointInfo& info, std::uint64_t kv_tokens);
+  void SetListed(bool listed) { listed_ = listed; }
+  // Another instance has its address: nothing goes there until a new list or for a while.
+  void NoteMisdirected(Micros now);
+  // Whether anything may be sent to it at all.
+  bool Usable(Micros now) const;
+
+  // Attempts.
+  // Its sums hold what the attempt carries until Unbook.
+  void Book(Attempt& attempt, const Call& call);
+  void NoteFirstEvent(Micros now, Attempt& attempt, const Call& call);
+  void NoteProgress(Micros now, Attempt& attempt, std::uint32_t tokens);
+  void Unbook(Attempt& attempt, const Call& call);
+  // It has shown a sign of life.
+  void NoteSign(Micros now);
+  // Turned the call away, or could not be connected to: passed over for `rest`, doubling.
+  void NoteFull(Micros now, Micros rest);
+  bool Resting(Micros now) const { return now < rest_until_; }
+  // A first event is overdue, and nothing has come from it for as long.
+  bool Silent(Micros now) const;
+  Micros last_sign() const { return last_sign_; }
+
+  // Load.
+  void NoteLoad(Micros now, std::uint32_t running, std::uint32_t waiting, std::uint32_t slots);
+  // Calls of others there, as last told, fading.
+  double Others(Micros now) const;
+  // Those of them that wait for a slot.
+  double OthersWaiting(Micros now) const;
+  // All calls there; an own stream near its end weighs less.
+  double Running(Micros now) const;
+  int slots() const { return slots_; }
+  std::size_t calls() const { return calls_; }
+  std::uint64_t unread_tokens() const { return unread_tokens_; }
+  std::uint64_t memory_tokens() const { return memory_tokens_; }
+
+  // Time to the first event against what was expected.
+  void NotePace(Micros now, double ratio);
+  double Pace(Micros now) const;
+  // From 1 (just started) to 0.
+  double Coldness(Micros now) const;
+
+  const EndpointInfo& info() const { return info_; }
+  std::uint64_t hash() const { return hash_; }
+  bool listed() const { return listed_; }
+  gaugecart::Health& health() { return health_; }
+  const gaugecart::Health& health() const { return health_; }
+  PrefixCache& prefixes() { return prefixes_; }
+  const PrefixCache& prefixes() const { return prefixes_; }
+
+ private:
+  EndpointInfo info_;
+  std::uint64_t hash_;
+  bool listed_ = false;
+  int slots_ = 1;
+  Micros cold_since_ = 0;
+  Micros unusable_until_ = 0;
+
+  std::size_t calls_ = 0;
+  std::uint64_t unread_tokens_ = 0;
+  std::uint64_t output_tokens_ = 0;         // Still to come on own calls.
+  std::uint64_t booked_output_tokens_ = 0;  // The same when they were sent.
+  std::uint64_t memory_tokens_ = 0;
+  std::multiset<std::pair<Micros, Micros>> first_events_due_;  // When, and after what patience.
+  Micros last_sign_ = 0;
+  Micros rest_until_ = 0;
+  int rests_ = 0;
+
+  double told_others_ = 0.0;
+  double told_waiting_ = 0.0;
+  Micros told_at_ = 0;
+
+  double pace_ = 1.0;
+  Micros pace_at_ = 0;
+  gaugecart::Health health_;
+  PrefixCache prefixes_;
+};
+
+}  // namespace shelflink::policy
+
+#endif  // SHELFLINK_TIER_POLICY_ENDPOINT_H_
--- a/src/tier/policy/module.cpp
+++ b/src/tier/policy/module.cpp
@@ -1,49 +1,58 @@
 #include "tier/policy/module.h"
 
 #include <algorithm>
-#include <deque>
-#include <functional>
-#include <map>
-#include <queue>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
+#include "deadlines.h"
 #include "mix.h"
+#include "tier/policy/call.h"
+#include "tier/policy/endpoint.h"
+#include "tier/policy/levels.h"
+#include "tier/policy/picker.h"
+#include "tier/policy/subset.h"
 
 namespace shelflink::policy {
 namespace {
 
-constexpr double kWaitFraction = 0.1;       // Longest wait in a queue, as part of the timeout.
-constexpr std::size_t kQueueCapacity = 64;  // Calls waiting in one level.
-constexpr std::size_t kFirstLimit = 256;    // Calls in flight of one level.
-constexpr Micros kRetryAfter = 100'000;     // The least advice of a refusal.
-
-struct Attempt {
-  std::string endpoint;
-  bool out = true;
-  std::uint64_t tokens = 0;  // Booked at the endpoint.
-};
-
-struct HeldCall {
-  Call call;
-  bool queued = false;
-  bool may_have_run = false;
-  std::vector<Attempt> attempts;
-};
-
-struct Endpoint {
-  EndpointInfo info;
-  std::uint64_t tokens = 0;  // In flight.
-  std::size_t calls = 0;
-};
+constexpr double kWaitFraction = 0.05;     // Longest wait in a queue, as part of the timeout...
+constexpr double kWaitObjective = 0.25;    // ...and of the objective: later a refusal is late.
+constexpr double kStartFactor = 2.0;       // First limit, in even shares of all endpoints' slots.
+constexpr double kFloorFactor = 0.5;       // The least the limit falls to, likewise.
+constexpr double kBatchFactor = 0.35;      // The most batch calls at once, likewise.
+constexpr double kBusy = 0.7;              // Part of the slots taken at which no batch call starts.
+constexpr double kConnectionFactor = 2.0;  // Connections before one counts as too many, likewise.
+constexpr double kPatience = 4.0;          // Expected times to a first event until it is overdue...
+constexpr double kLeastPatience = 0.5;     // ...at least so many objectives...
+constexpr double kMostPatience = 2.0;      // ...and at most so many.
+constexpr double kLeastOffer = 0.1;        // Objectives that a retry must have left.
+constexpr double kHasty = 1.0;             // Objectives: a time-out with less time tells nothing.
+constexpr double kAdviceLeast = 0.5;       // Objectives after which a refused call may come back...
+constexpr double kAdviceSpread = 1.0;      // ...and so many more, drawn for each...
+constexpr double kAdviceMost = 0.25;       // ...but never beyond this part of its time left.
+constexpr Micros kAliveSpan = 2'000'000;   // A sign this recent shows that it is up.
+constexpr Micros kRest = 100'000;          // How long a full endpoint is passed over at first.
+constexpr double kUsualGain = 0.05;        // Weight of one call in what is usual.
+constexpr int kHeavy = 2;  // Failures that silence counts as: nothing else ends it so late.
+
+Micros Part(double part, Micros span) {
+  return static_cast<Micros>(part * static_cast<double>(span));
+}
 
+// One service: its endpoints as far as they are known, the subset in use, what is learned of all.
 struct Service {
-  std::vector<std::string> endpoints;
-};
-
-struct Level {
-  std::deque<CallId> queue;
+  explicit Service(Subset::Finder find) : subset(std::move(find)) {}
+
+  std::unordered_map<std::string, Endpoint> touched;  // By id; only those that were ever members.
+  Subset subset;
+  Picker picker;
+  ServiceFacts facts;
+  gaugecart::UsualFailure usual_failure;
+  int max_connections = 0;
+  double slots = 0.0;  // Of all endpoints.
   std::size_t in_flight = 0;
+  bool gone = false;
 };
 
 }  // namespace
@@ -53,216 +62,459 @@
   Impl(std::uint64_t seed, Actions& actions) : seed_(seed), actions_(actions) {}
 
   void OnShape(Micros now, const Shape& shape) {
+    now_ = now;
     shape_ = shape;
-    levels_.resize(std::max<std::size_t>(levels_.size(), std::max(1U, shape.levels)));
-    ReleaseAll(now);
+    levels_.SetCount(std::max(1U, shape.levels));
+    for (auto& [name, service] : services_) Place(*service);
+    UpdateHints();
+    Settle();
   }
 
-  void OnService(Micros now, const ServiceInfo& service) {
-    Forget(service.name);
-    Service& known = services_[service.name];
-    for (const EndpointInfo& info : service.endpoints) {
-      known.endpoints.push_back(info.id);
-      endpoints_[info.id].info = info;
-    }
-    ReleaseAll(now);
+  void OnService(Micros now, const ServiceInfo& info) {
+    now_ = now;
+    Service& service = ServiceNamed(info.name);
+    service.gone = false;
+    service.facts.kv_tokens = info.kv_tokens;
+    service.max_connections = info.max_conns;
+    service.slots = 0.0;
+    for (const EndpointInfo& endpoint : info.endpoints) service.slots += endpoint.slots;
+    service.subset.SetEndpoints(info.endpoints);
+    UpdateTouched(service, info.endpoints);
+    UpdateHints();
+    Settle();
   }
 
-  void OnServiceGone(Micros now, const std::string& service) {
-    Forget(service);
-    services_.erase(service);
-    ReleaseAll(now);
+  void OnServiceGone(Micros now, const std::string& name) {
+    now_ = now;
+    const auto it = services_.find(name);
+    if (it == services_.end()) return;
+    it->second->gone = true;
+    it->second->slots = 0.0;
+    it->second->subset.SetEndpoints({});
+    UpdateTouched(*it->second, {});
+    if (it->second->in_flight == 0) services_.erase(it);
+    UpdateHints();
+    Settle();
   }
 
   void OnCall(Micros now, const Call& call) {
+    now_ = now;
     const auto [it, fresh] = calls_.try_emplace(call.id);
-    if (!fresh) return;
+    if (!fresh) return;  // An id never comes twice; a repeat changes nothing.
     HeldCall& held = it->second;
     held.call = call;
-    held.call.level = std::min<std::uint32_t>(call.level, levels_.size() - 1);
-    Level& level = levels_[held.call.level];
-    if (calls_.size() > shape_.most_held) return Refuse(held);
-    if (level.queue.empty() && Free(level) && TrySend(now, held)) return;
-    const Micros wait = LongestWait(now, call);
-    if (wait <= 0 || level.queue.size() >= kQueueCapacity) return Refuse(held);
+    held.call.level =
+        static_cast<std::uint32_t>(std::min<std::size_t>(call.level, levels_.count() - 1));
+    if (calls_.size() > shape_.most_held || !CanServe(call.service)) return Refuse(held);
+    const std::uint32_t level = held.call.level;
+    NoteUsual(services_.at(call.service)->facts, call);
+    levels_.NoteArrival(now, level);
     held.queued = true;
-    level.queue.push_back(call.id);
-    Arm(now + wait, call.id);
+    const auto shed = levels_.Enqueue(level, {call.id, call.flow, call.due});
+    if (shed) Refuse(calls_.at(*shed));
+    Pump(level);
+    WaitOrRefuse(call.id);
+    ArmTimer();
   }
 
-  void OnProgress(CallId id, std::uint32_t attempt, std::uint32_t tokens) {
+  void OnFirstEvent(Micros now, CallId id, std::uint32_t number) {
+    now_ = now;
     HeldCall* held = Find(id);
-    if (held == nullptr || attempt >= held->attempts.size()) return;
-    Attempt& told = held->attempts[attempt];
-    const auto it = endpoints_.find(told.endpoint);
-    const std::uint64_t done = std::min<std::uint64_t>(told.tokens, tokens);
-    told.tokens -= done;
-    if (it != endpoints_.end()) it->second.tokens -= std::min(it->second.tokens, done);
+    Attempt* attempt = OutAttempt(held, number);
+    if (attempt != nullptr && !attempt->begun) Begin(*held, *attempt);
   }
 
-  void OnOutcome(Micros now, CallId id, std::uint32_t attempt, Outcome outcome, bool again) {
+  void OnProgress(Micros now, CallId id, std::uint32_t number, std::uint32_t tokens) {
+    now_ = now;
+    Attempt* attempt = OutAttempt(Find(id), number);
+    if (attempt != nullptr) attempt->endpoint->NoteProgress(now, *attempt, tokens);
+  }
+
+  void OnOutcome(Micros now, CallId id, std::uint32_t number, Outcome outcome, bool again) {
+    now_ = now;
     HeldCall* held = Find(id);
-    if (held == nullptr || attempt >= held->attempts.size() || !held->attempts[attempt].out) return;
-    Release(*held, held->attempts[attempt]);
-    const bool not_run = outcome == Outcome::kNotRun || outcome == Outcome::kMisdirected ||
-                         outcome == Outcome::kNeverSent;
-    if (!not_run) held->may_have_run = true;
-    const bool may_repeat = !held->may_have_run || held->call.repeatable;
-    const bool attempts_left =
-        held->attempts.size() < static_cast<std::size_t>(std::max(1, held->call.max_attempts));
+    Attempt* attempt = OutAttempt(held, number);
+    if (attempt == nullptr) return;
+    Learn(*held, *attempt, outcome);
+    Finish(*held, *attempt);
+    if (!CountsAsSend(outcome)) --held->sends;
+    if (!ProvesUnrun(outcome)) held->may_have_run = true;
     if (!again) {
       calls_.erase(id);
-    } else if (!may_repeat || !attempts_left || now >= held->call.due || !TrySend(now, *held)) {
+    } else if (!Retry(*held, outcome)) {
       End(*held);
     }
-    ReleaseAll(now);
+    Settle();
   }
 
   void OnAbandoned(Micros now, CallId id) {
+    now_ = now;
     HeldCall* held = Find(id);
     if (held == nullptr) return;
     for (Attempt& attempt : held->attempts) {
-      if (attempt.out) Release(*held, attempt);
+      if (!attempt.out) continue;
+      // A caller that left because nothing came tells what a time-out tells.
+      const bool overdue = !attempt.begun && now - attempt.sent >= attempt.patience;
+      Learn(*held, attempt, overdue ? Outcome::kTimeout : Outcome::kCancelled);
+      Finish(*held, attempt);
+    }
+    Forget(*held);
+    Settle();
+  }
+
+  void OnLoad(Micros now, const std::string& id, std::uint32_t running, std::uint32_t waiting,
+              std::uint32_t slots) {
+    now_ = now;
+    for (auto& [name, service] : services_) {
+      const auto it = service->touched.find(id);
+      if (it != service->touched.end()) it->second.NoteLoad(now, running, waiting, slots);
     }
-    Dequeue(*held);
-    calls_.erase(id);
-    ReleaseAll(now);
   }
 
   void OnTimer(Micros now) {
-    while (!timers_.empty() && timers_.top().first <= now) {
-      const CallId id = timers_.top().second;
-      timers_.pop();
+    now_ = now;
+    deadlines_.Run(now, [&](CallId id) {
       HeldCall* held = Find(id);
       if (held != nullptr && held->queued) Refuse(*held);
-    }
-    if (!timers_.empty()) actions_.SetTimer(timers_.top().first);
+    });
+    Settle();
   }
 
-  std::uint32_t Room(std::uint32_t level) const {
-    if (level >= levels_.size() || !levels_[level].queue.empty()) return 0;
-    return static_cast<std::uint32_t>(kFirstLimit -
-                                      std::min(kFirstLimit, levels_[level].in_flight));
+  std::uint32_t Room(Micros now, std::uint32_t level) const {
+    if (level >= levels_.count() || levels_.AnyWaiting()) return 0;
+    double seats = levels_.Seats(now, level);
+    if (levels_.IsBatch(level)) {
+      if (!HasSpareSlots(now)) return 0;
+      seats = std::min(seats, std::max(1.0, kBatchFactor * EvenShare(AllSlots())));
+    }
+    const double room = seats - static_cast<double>(levels_.in_flight(level));
+    return static_cast<std::uint32_t>(std::max(0.0, room));
   }
 
  private:
-  using Timer = std::pair<Micros, CallId>;
+  // ---- Services and endpoints ----
+
+  Service& ServiceNamed(const std::string& name) {
+    const auto it = services_.find(name);
+    if (it != services_.end()) return *it->second;
+    auto service = std::make_unique<Service>(
+        [this, name](const EndpointInfo& info, std::uint64_t hash) -> Endpoint& {
+          return Touch(*services_.at(name), info, hash);
+        });
+    Service& made = *services_.emplace(name, std::move(service)).first->second;
+    Place(made);
+    return made;
+  }
+
+  Endpoint& Touch(Service& service, const EndpointInfo& info, std::uint64_t hash) {
+    const auto [it, fresh] = service.touched.try_emplace(info.id, hash);
+    if (fresh) it->second.Update(now_, info, service.facts.kv_tokens);
+    return it->second;
+  }
+
+  void Place(Service& service) {
+    service.subset.SetNode(shape_.node, shape_.zone);
+    service.picker = Picker(shape_.zone);
+  }
+
+  // Of an endpoint that is gone nothing is kept once nothing is out to it.
+  void UpdateTouched(Service& service, const std::vector<EndpointInfo>& listed) {
+    for (auto& [id, endpoint] : service.touched) endpoint.SetListed(false);
+    for (const EndpointInfo& info : listed) {
+      const auto it = service.touched.find(info.id);
+      if (it != service.touched.end()) it->second.Update(now_, info, service.facts.kv_tokens);
+    }
+    std::erase_if(service.touched, [](const auto& entry) {
+      return !entry.second.listed() && entry.second.calls() == 0;
+    });
+  }
+
+  double AllSlots() const {
+    double slots = 0.0;
+    for (const auto& [name, service] : services_) slots += service->slots;
+    return slots;
+  }
+
+  double EvenShare(double of_all) const { return of_all / std::max(1U, shape_.sidecars); }
+
+  void UpdateHints() {
+    const double share = EvenShare(AllSlots());
+    levels_.StartFrom(kStartFactor * share);
+    levels_.SetFloor(kFloorFactor * share);
+    for (auto& [name, service] : services_) {
+      service->facts.connections_share = kConnectionFactor * EvenShare(service->max_connections);
+    }
+  }
+
+  bool CanServe(const std::string& name) {
+    const auto it = services_.find(name);
+    if (it == services_.end() || it->second->gone) return false;
+    return !it->second->subset.Members(now_).empty();
+  }
+
+  bool HasSpareSlots(Micros now) const {
+    for (const auto& [name, service] : services_) {
+      double running = 0.0;
+      double slots = 0.0;
+      for (const Endpoint* endpoint : service->subset.Members(now)) {
+        running += endpoint->Running(now);
+        slots += endpoint->slots();
+      }
+      if (running < kBusy * slots) return true;
+    }
+    return false;
+  }
+
+  static void NoteUsual(ServiceFacts& facts, const Call& call) {
+    const double memory = static_cast<double>(call.prompt_tokens) + call.output_tokens;
+    facts.usual_prompt += kUsualGain * (call.prompt_tokens - facts.usual_prompt);
+    facts.usual_memory += kUsualGain * (memory - facts.usual_memory);
+  }
+
+  // ---- Calls ----
 
   HeldCall* Find(CallId id) {
     const auto it = calls_.find(id);
     return it == calls_.end() ? nullptr : &it->second;
   }
 
-  void Forget(const std::string& service) {
-    const auto it = services_.find(service);
-    if (it == services_.end()) return;
-    for (const std::string& id : it->second.endpoints) {
-      const auto endpoint = endpoints_.find(id);
-      if (endpoint == endpoints_.end()) continue;
-      if (endpoint->second.calls == 0) {
-        endpoints_.erase(endpoint);
-      } else {
-        endpoint->second.info.draining = true;
-      }
-    }
-    it->second.endpoints.clear();
-  }
-
-  static bool Free(const Level& level) { return level.in_flight < kFirstLimit; }
-
-  static Micros LongestWait(Micros now, const Call& call) {
-    if (call.timeout <= 0) return 0;
-    const auto fraction = static_cast<Micros>(kWaitFraction * static_cast<double>(call.timeout));
-    return call.due == kNever ? fraction : std::min(fraction, call.due - now);
-  }
-
-  bool TrySend(Micros now, HeldCall& held) {
-    if (now >= held.call.due) return false;
-    const auto service = services_.find(held.call.service);
-    if (service == services_.end()) return false;
-    Endpoint* best = nullptr;
-    std::pair<bool, std::uint64_t> best_cost;
-    for (const std::string& id : service->second.endpoints) {
-      Endpoint& endpoint = endpoints_.at(id);
-      if (endpoint.info.draining) continue;
-      const bool tried = std::any_of(held.attempts.begin(), held.attempts.end(),
-                                     [&](const Attempt& a) { return a.endpoint == id; });
-      const std::pair cost{tried, endpoint.tokens};
-      if (best == nullptr || cost < best_cost) {
-        best = &endpoint;
-        best_cost = cost;
-      }
+  static Attempt* OutAttempt(HeldCall* held, std::uint32_t number) {
+    if (held == nullptr || number >= held->attempts.size()) return nullptr;
+    return held->attempts[number].out ? &held->attempts[number] : nullptr;
+  }
+
+  Micros LongestWait(const HeldCall& held) const {
+    const Call& call = held.call;
+    if (call.timeout <= 0) return 0;  // Batch items wait in the store.
+    Micros wait =
+        std::min(Part(kWaitFraction, call.timeout), Part(kWaitObjective, ObjectiveOf(call)));
+    // Leave the work its usual time: a wait that eats it wins nothing.
+    if (call.due != kNever) wait = std::min(wait, call.due - now_ - levels_.UsualSpan(call.level));
+    return wait;
+  }
+
+  void WaitOrRefuse(CallId id) {
+    HeldCall* held = Find(id);
+    if (held == nullptr || !held->queued) return;
+    const Micros wait = LongestWait(*held);
+    if (wait <= 0) return Refuse(*held);
+    deadlines_.Add(now_ + wait, id);
+  }
+
+  void Settle() {
+    for (std::uint32_t level = 0; level < levels_.count(); ++level) Pump(level);
+    ArmTimer();
+  }
+
+  void ArmTimer() {
+    deadlines_.Arm([&](Micros at) { actions_.SetTimer(at); });
+  }
+
+  void Pump(std::uint32_t level) {
+    while (const auto next = levels_.Next(now_, level)) {
+      HeldCall* held = Find(next->request);
+      if (held == nullptr) continue;
+      held->queued = false;
+      if (now_ >= held->call.due || !TrySend(*held, false)) Refuse(*held);
     }
-    if (best == nullptr) return false;
-    Book(held, *best);
+  }
+
+  bool TrySend(HeldCall& held, bool elsewhere) {
+    const auto it = services_.find(held.call.service);
+    if (it == services_.end()) return false;
+    Service& service = *it->second;
+    Endpoint* endpoint =
+        service.picker.Pick(now_, held, service.subset.Members(now_), service.facts, elsewhere);
+    if (endpoint == nullptr) return false;
+    Send(held, service, *endpoint);
     return true;
   }
 
-  void Book(HeldCall& held, Endpoint& endpoint) {
-    const std::uint64_t tokens = held.call.prompt_tokens + held.call.output_tokens + 1ULL;
-    endpoint.tokens += tokens;
-    ++endpoint.calls;
-    ++levels_[held.call.level].in_flight;
-    held.queued = false;
-    held.attempts.push_back({endpoint.info.id, true, tokens});
-    actions_.Send(held.call.id, static_cast<std::uint32_t>(held.attempts.size() - 1),
-                  endpoint.info.id);
+  void Send(HeldCall& held, Service& service, Endpoint& endpoint) {
+    const Call& call = held.call;
+    Attempt attempt;
+    attempt.endpoint = &endpoint;
+    attempt.endpoint_hash = endpoint.hash();
+    attempt.sent = now_;
+    attempt.read_tokens = Picker::ReadTokens(call, endpoint);
+    attempt.model_tokens = static_cast<double>(attempt.read_tokens + endpoint.unread_tokens());
+    attempt.output_tokens = call.output_tokens;
+    attempt.patience = PatienceOf(call, service.facts, attempt.model_tokens);
+    endpoint.Book(attempt, call);
+    endpoint.health().StartTrial();
+    levels_.Start(call.level);
+    ++service.in_flight;
+    ++held.sends;
+    service.subset.NoteInFlight(now_, service.in_flight, PrefixOf(call));
+    held.attempts.push_back(attempt);
+    actions_.Send(call.id, static_cast<std::uint32_t>(held.attempts.size() - 1),
+                  endpoint.info().id);
   }
 
-  void Release(HeldCall& held, Attempt& attempt) {
+  static Micros PatienceOf(const Call& call, const ServiceFacts& facts, double tokens) {
+    const Micros objective = ObjectiveOf(call);
+    if (!facts.first_event.Known()) return Part(kMostPatience, objective);
+    const auto patience = static_cast<Micros>(kPatience * facts.first_event.Expected(tokens));
+    return std::clamp(patience, Part(kLeastPatience, objective), Part(kMostPatience, objective));
+  }
+
+  // The attempt is over; its seat and what it held at the endpoint are free.
+  void Finish(HeldCall& held, Attempt& attempt) {
+    attempt.endpoint->Unbook(attempt, held.call);
+    attempt.endpoint = nullptr;
     attempt.out = false;
-    --levels_[held.call.level].in_flight;
-    const auto it = endpoints_.find(attempt.endpoint);
-    if (it == endpoints_.end()) return;
-    it->second.tokens -= std::min(it->second.tokens, attempt.tokens);
-    --it->second.calls;
-  }
-
-  void ReleaseAll(Micros now) {
-    for (Level& level : levels_) {
-      while (!level.queue.empty() && Free(level)) {
-        HeldCall* held = Find(level.queue.front());
-        if (held != nullptr && !TrySend(now, *held)) break;
-        level.queue.pop_front();
-      }
-    }
+    levels_.Finish(held.call.level);
+    const auto it = services_.find(held.call.service);
+    if (--it->second->in_flight == 0 && it->second->gone) services_.erase(it);
   }
 
-  void Dequeue(HeldCall& held) {
-    if (held.queued) std::erase(levels_[held.call.level].queue, held.call.id);
-    held.queued = false;
+  bool Retry(HeldCall& held, Outcome outcome) {
+    if (!MaySendAgain(held, now_)) return false;
+    if (held.call.due - now_ < Part(kLeastOffer, ObjectiveOf(held.call))) return false;
+    // What never reached an endpoint has cost none any work: it needs no token.
+    const bool costs = CountsAsSend(outcome);
+    if (costs && !retry_budget_.Has()) return false;
+    // An endpoint that turned the call away would do so again.
+    const bool elsewhere = outcome == Outcome::kNotRun || outcome == Outcome::kMisdirected;
+    if (!TrySend(held, elsewhere)) return false;
+    if (costs) retry_budget_.Spend();
+    return true;
   }
 
   void End(HeldCall& held) {
-    if (held.may_have_run && !held.call.repeatable) {
-      actions_.Fail(held.call.id);
-      calls_.erase(held.call.id);
-    } else {
-      Refuse(held);
-    }
+    if (!held.may_have_run) return Refuse(held);
+    actions_.Fail(held.call.id);
+    Forget(held);
   }
 
   void Refuse(HeldCall& held) {
-    const CallId id = held.call.id;
-    Dequeue(held);
-    const double spread = gaugecart::Unit(gaugecart::Mix(seed_ ^ id));
-    calls_.erase(id);
-    actions_.Refuse(id, static_cast<Micros>(static_cast<double>(kRetryAfter) * (1.0 + spread)));
+    actions_.Refuse(held.call.id, RetryAfter(held.call));
+    Forget(held);
+  }
+
+  // Those refused at one moment must not all be back at one moment.
+  Micros RetryAfter(const Call& call) const {
+    const double draw = gaugecart::Unit(gaugecart::Mix(seed_ ^ call.id));
+    const Micros advice = Part(kAdviceLeast + kAdviceSpread * draw, ObjectiveOf(call));
+    if (call.due == kNever) return advice;
+    return std::min(advice, std::max<Micros>(0, Part(kAdviceMost, call.due - now_)));
   }
 
-  void Arm(Micros at, CallId id) {
-    timers_.push({at, id});
-    actions_.SetTimer(timers_.top().first);
+  void Forget(HeldCall& held) {
+    if (held.queued) levels_.Remove(held.call.level, held.call.id, held.call.flow);
+    calls_.erase(held.call.id);
+  }
+
+  // ---- Learning ----
+
+  void Begin(HeldCall& held, Attempt& attempt) {
+    ServiceFacts& facts = services_.at(held.call.service)->facts;
+    const Micros took = now_ - attempt.sent;
+    const double expected = facts.first_event.Expected(attempt.model_tokens);
+    if (facts.first_event.Known() && expected > 0) {
+      attempt.endpoint->NotePace(now_, static_cast<double>(took) / expected);
+    }
+    facts.first_event.Note(attempt.model_tokens, static_cast<double>(took));
+    attempt.endpoint->NoteFirstEvent(now_, attempt, held.call);
+    levels_.NoteFirstEvent(now_, held.call.level, took, ObjectiveOf(held.call));
+    NoteHealth(held, *attempt.endpoint, false, 1);
+  }
+
+  void Learn(HeldCall& held, Attempt& attempt, Outcome outcome) {
+    Endpoint& endpoint = *attempt.endpoint;
+    const std::uint32_t level = held.call.level;
+    switch (outcome) {
+      case Outcome::kSuccess:
+        if (!attempt.begun) Begin(held, attempt);
+        endpoint.NoteSign(now_);
+        levels_.NoteServed(now_, level, now_ - attempt.sent);
+        retry_budget_.Earn();
+        break;
+      case Outcome::kNotRun:
+        endpoint.NoteSign(now_);
+        endpoint.NoteFull(now_, kRest);
+        endpoint.prefixes().NoteUnread(held.call.prompt);
+        endpoint.health().EndTrial();
+        levels_.NoteOverload(level);
+        break;
+      case Outcome::kMisdirected:
+        endpoint.NoteMisdirected(now_);
+        endpoint.prefixes().NoteUnread(held.call.prompt);
+        endpoint.health().EndTrial();
+        services_.at(held.call.service)->subset.Invalidate();
+        break;
+      case Outcome::kNeverSent:
+        endpoint.prefixes().NoteUnread(held.call.prompt);
+        LearnUnreachable(held, endpoint);
+        break;
+      case Outcome::kError:
+        endpoint.NoteSign(now_);
+        NoteHealth(held, endpoint, true, 1);
+        break;
+      case Outcome::kReset:
+        NoteHealth(held, endpoint, true, 1);
+        levels_.NoteOverload(level);
+        break;
+      case Outcome::kTimeout:
+        LearnTimeout(held, attempt);
+        break;
+      case Outcome::kCut:
+        NoteHealth(held, endpoint, true, 1);
+        break;
+      case Outcome::kCancelled:
+        endpoint.health().EndTrial();
+        break;
+    }
+  }
+
+  // One that has just shown life may be short of connections only; it is passed over for a while.
+  void LearnUnreachable(HeldCall& held, Endpoint& endpoint) {
+    endpoint.NoteFull(now_, kRest);
+    if (endpoint.health().ejected() || now_ - endpoint.last_sign() >= kAliveSpan) {
+      NoteHealth(held, endpoint, true, kHeavy);
+    }
+  }
+
+  // With less time than a fair chance takes, a call ends late at the healthiest endpoint.
+  void LearnTimeout(HeldCall& held, Attempt& attempt) {
+    const Micros allowed = held.call.due == kNever ? kNever : held.call.due - attempt.sent;
+    if (allowed < Part(kHasty, ObjectiveOf(held.call))) {
+      return attempt.endpoint->health().EndTrial();
+    }
+    NoteHealth(held, *attempt.endpoint, true, attempt.begun ? 1 : kHeavy);
+    levels_.NoteOverload(held.call.level);
+  }
+
+  void NoteHealth(HeldCall& held, Endpoint& endpoint, bool failed, int times) {
+    Service& service = *services_.at(held.call.service);
+    const auto most_ejected = [&] { return MostEjected(service); };
+    service.usual_failure.Note(failed);
+    bool changed = false;
+    for (int i = 0; i < times && !changed; ++i) {
+      changed = endpoint.health().Note(failed, service.usual_failure, most_ejected,
+                                       seed_ ^ endpoint.hash(), now_);
+    }
+    if (changed) service.subset.Invalidate();
+  }
+
+  // One more would be beyond the part of the subset that may be ejected at once.
+  bool MostEjected(Service& service) {
+    const std::vector<Endpoint*>& members = service.subset.Members(now_);
+    const auto ejected = std::count_if(members.begin(), members.end(),
+                                       [](const Endpoint* e) { return e->health().ejected(); });
+    return static_cast<double>(ejected + 1) >
+           gaugecart::kMaxEjected * static_cast<double>(members.size());
   }
 
   std::uint64_t seed_;
   Actions& actions_;
+  Micros now_ = 0;
   Shape shape_;
-  std::vector<Level> levels_{1};
-  std::unordered_map<std::string, Service> services_;
-  std::unordered_map<std::string, Endpoint> endpoints_;
+  Levels levels_;
+  std::unordered_map<std::string, std::unique_ptr<Service>> services_;
   std::unordered_map<CallId, HeldCall> calls_;
-  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  gaugecart::Deadlines<CallId> deadlines_;
+  gaugecart::RetryBudget retry_budget_;
 };
 
 Module::Module(std::uint64_t seed, Actions& actions)
@@ -275,17 +527,24 @@
   impl_->OnServiceGone(now, service);
 }
 void Module::OnCall(Micros now, const Call& call) { impl_->OnCall(now, call); }
-void Module::OnFirstEvent(Micros, CallId, std::uint32_t) {}
-void Module::OnProgress(Micros, CallId call, std::uint32_t attempt, std::uint32_t tokens) {
-  impl_->OnProgress(call, attempt, tokens);
+void Module::OnFirstEvent(Micros now, CallId call, std::uint32_t attempt) {
+  impl_->OnFirstEvent(now, call, attempt);
+}
+void Module::OnProgress(Micros now, CallId call, std::uint32_t attempt, std::uint32_t tokens) {
+  impl_->OnProgress(now, call, attempt, tokens);
 }
 void Module::OnOutcome(Micros now, CallId call, std::uint32_t attempt, Outcome outcome,
                        bool again) {
   impl_->OnOutcome(now, call, attempt, outcome, again);
 }
 void Module::OnAbandoned(Micros now, CallId call) { impl_->OnAbandoned(now, call); }
-void Module::OnLoad(Micros, const std::string&, std::uint32_t, std::uint32_t, std::uint32_t) {}
+void Module::OnLoad(Micros now, const std::string& endpoint, std::uint32_t running,
+                    std::uint32_t waiting, std::uint32_t slots) {
+  impl_->OnLoad(now, endpoint, running, waiting, slots);
+}
 void Module::OnTimer(Micros now) { impl_->OnTimer(now); }
-std::uint32_t Module::Room(Micros, std::uint32_t level) const { return impl_->Room(level); }
+std::uint32_t Module::Room(Micros now, std::uint32_t level) const {
+  return impl_->Room(now, level);
+}
 
 }  // namespace shelflink::policy
--- /dev/null
+++ b/src/tier/policy/picker.h
@@ -0,0 +1,57 @@
+// Which member of a service's subset a call goes to: the one at which it costs least, where cost is
+// the expected time to the first event, weighed up by what else the call would do there.
+#ifndef SHELFLINK_TIER_POLICY_PICKER_H_
+#define SHELFLINK_TIER_POLICY_PICKER_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "tier/policy/call.h"
+#include "tier/policy/endpoint.h"
+#include "tier/policy/first_event_model.h"
+#include "tier/policy/module.h"
+
+namespace shelflink::policy {
+
+// The last shared part of a prompt: what its requests are kept together by. None without parts.
+std::optional<std::uint64_t> PrefixOf(const Call& call);
+// The span that costs are measured by where a route tells no objective.
+Micros ObjectiveOf(const Call& call);
+
+// What all endpoints of a service have in common.
+struct ServiceFacts {
+  std::uint64_t kv_tokens = 0;     // Memory of each endpoint; 0: no model engine.
+  double connections_share = 0.0;  // Of each endpoint's connections for this sidecar; 0: not told.
+  double usual_prompt = 0.0;       // Tokens of a call's prompt, and of all of it.
+  double usual_memory = 0.0;
+  FirstEventModel first_event;
+};
+
+class Picker {
+ public:
+  explicit Picker(std::string zone = {}) : zone_(std::move(zone)) {}
+
+  // Null: none may be sent to. `retry_elsewhere`: endpoints that it was sent to don't count.
+  Endpoint* Pick(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
+                 const ServiceFacts& facts, bool retry_elsewhere);
+
+  // Prompt tokens that the endpoint would have to read.
+  static std::uint64_t ReadTokens(const Call& call, const Endpoint& endpoint);
+
+ private:
+  // The lower, the better, before any cost counts.
+  enum class Standing { kSound, kResting, kTried, kSilent, kEjected };
+  static Standing StandingOf(Micros now, const HeldCall& held, const Endpoint& endpoint);
+  static const Endpoint* OwnerOf(Micros now, const Call& call,
+                                 const std::vector<Endpoint*>& members);
+  double Cost(Micros now, const Call& call, const Endpoint& endpoint, bool owner,
+              const ServiceFacts& facts) const;
+
+  std::string zone_;
+  std::size_t cursor_ = 0;
+};
+
+}  // namespace shelflink::policy
+
+#endif  // SHELFLINK_TIER_POLICY_PICKER_H_
--- /dev/null
+++ b/src/tier/policy/subset.cpp
@@ -0,0 +1,134 @@
+#include "tier/policy/subset.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "mix.h"
+
+namespace shelflink::policy {
+namespace {
+
+constexpr Micros kRebuildSpan = 500'000;    // Pauses of ejected endpoints end without an event.
+constexpr Micros kShrinkSpan = 10'000'000;  // So long quiet, and one leaves.
+constexpr std::size_t kFirstSorted = 32;
+constexpr std::uint64_t kFarKey = std::uint64_t{1} << 63;  // Keys of other zones lie above it.
+
+}  // namespace
+
+std::uint64_t HashOf(const std::string& text) {
+  std::uint64_t hash = 0xcbf29ce484222325ULL;  // FNV-1a
+  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+  return gaugecart::Mix(hash);
+}
+
+std::uint64_t RendezvousScore(std::uint64_t prefix, std::uint64_t endpoint_hash) {
+  return gaugecart::Mix(gaugecart::Mix(prefix) ^ endpoint_hash);
+}
+
+void Subset::SetNode(const std::string& node, const std::string& zone) {
+  const std::uint64_t hash = HashOf(node);
+  if (hash == node_hash_ && zone == zone_) return;
+  node_hash_ = hash;
+  zone_ = zone;
+  Rank();
+}
+
+void Subset::SetEndpoints(const std::vector<EndpointInfo>& endpoints) {
+  endpoints_ = endpoints;
+  hashes_.clear();
+  hashes_.reserve(endpoints_.size());
+  for (const EndpointInfo& info : endpoints_) hashes_.push_back(HashOf(info.id));
+  std::erase_if(adopted_, [&](std::uint64_t hash) {
+    return std::find(hashes_.begin(), hashes_.end(), hash) == hashes_.end();
+  });
+  members_.clear();  // What they point at may be gone.
+  Rank();
+}
+
+void Subset::Rank() {
+  ranks_.clear();
+  ranks_.reserve(endpoints_.size());
+  for (std::uint32_t i = 0; i < endpoints_.size(); ++i) {
+    const std::uint64_t near_key = gaugecart::Mix(node_hash_ ^ hashes_[i]) >> 1;
+    ranks_.push_back({endpoints_[i].zone == zone_ ? near_key : near_key | kFarKey, i});
+  }
+  sorted_ = 0;
+  stale_ = true;
+}
+
+std::optional<std::uint32_t> Subset::AtRank(std::size_t rank) {
+  if (rank >= ranks_.size()) return std::nullopt;
+  if (rank >= sorted_) {
+    // Each time twice as far: a small subset of a long list is never worth sorting all of it.
+    const std::size_t target = std::min(ranks_.size(), std::max(kFirstSorted, 2 * (rank + 1)));
+    const auto at = [&](std::size_t i) { return ranks_.begin() + static_cast<std::ptrdiff_t>(i); };
+    std::partial_sort(at(sorted_), at(target), ranks_.end());
+    sorted_ = target;
+  }
+  return ranks_[rank].index;
+}
+
+const std::vector<Endpoint*>& Subset::Members(Micros now) {
+  if (!stale_ && now < rebuild_at_) return members_;
+  stale_ = false;
+  rebuild_at_ = now + kRebuildSpan;
+  members_.clear();
+  sound_ = 0;
+  for (const std::uint64_t hash : adopted_) {
+    const auto it = std::find(hashes_.begin(), hashes_.end(), hash);
+    Join(static_cast<std::uint32_t>(it - hashes_.begin()), now);
+  }
+  for (std::size_t rank = 0; sound_ < size_.size(); ++rank) {
+    const std::optional<std::uint32_t> index = AtRank(rank);
+    if (!index) break;
+    if (std::find(adopted_.begin(), adopted_.end(), hashes_[*index]) == adopted_.end()) {
+      Join(*index, now);
+    }
+  }
+  return members_;
+}
+
+void Subset::Join(std::uint32_t index, Micros now) {
+  if (endpoints_[index].draining) return;
+  Endpoint& endpoint = find_(endpoints_[index], hashes_[index]);
+  if (!endpoint.Usable(now)) return;
+  members_.push_back(&endpoint);
+  if (!endpoint.health().ejected()) ++sound_;
+}
+
+void Subset::NoteInFlight(Micros now, std::size_t in_flight, std::optional<std::uint64_t> prefix) {
+  window_peak_ = std::max(window_peak_, in_flight);
+  if (now >= window_end_) {
+    if (window_end_ > 0 && window_peak_ < size_.size()) {
+      size_.Shrink();
+      adopted_.resize(std::min(adopted_.size(), size_.size() - gaugecart::kFirstSubset));
+      stale_ = true;
+    }
+    window_end_ = now + kShrinkSpan;
+    window_peak_ = in_flight;
+  }
+  if (!size_.Grow(in_flight, endpoints_.size())) return;
+  stale_ = true;
+  if (prefix) Adopt(*prefix, now);
+}
+
+void Subset::Adopt(std::uint64_t prefix, Micros now) {
+  std::size_t owner = endpoints_.size();
+  std::uint64_t best = 0;
+  for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+    const std::uint64_t score = RendezvousScore(prefix, hashes_[i]);
+    if (endpoints_[i].draining || score < best) continue;
+    best = score;
+    owner = i;
+  }
+  if (owner == endpoints_.size()) return;
+  const Endpoint& endpoint = find_(endpoints_[owner], hashes_[owner]);
+  if (Contains(endpoint) || !endpoint.Usable(now) || endpoint.health().ejected()) return;
+  adopted_.push_back(hashes_[owner]);
+}
+
+bool Subset::Contains(const Endpoint& endpoint) const {
+  return std::find(members_.begin(), members_.end(), &endpoint) != members_.end();
+}
+
+}  // namespace shelflink::policy
