--- /dev/null
+++ b/src/tier/cluster/agent.cpp
@@ -0,0 +1,430 @@
+#include "tier/cluster/agent.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "tier/cluster/core_finder.h"
+#include "tier/cluster/use_counts.h"
+#include "tier/cluster/view_store.h"
+#include "tier/foundation/log.h"
+
+namespace shelflink::cluster {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kCallTimeout{400};        // Of a renewal; then the next core is asked.
+constexpr milliseconds kFetchTimeout{400};       // From a parent; then the core is asked.
+constexpr milliseconds kCoreFetchTimeout{1000};  // From the core.
+constexpr milliseconds kRetryPause{100};
+constexpr milliseconds kPushGrace{40};  // What a renewal names as newer may be on its way.
+constexpr milliseconds kReportTimeout{1000};
+constexpr milliseconds kLeaveTimeout{300};
+constexpr const char* kModule = "cluster.agent";
+
+std::int64_t SteadyMicros(net::Time time) {
+  return duration_cast<microseconds>(time.time_since_epoch()).count();
+}
+
+constexpr Part kAllParts[] = {Part::kConfiguration, Part::kEndpoints, Part::kPlacement,
+                              Part::kMembers};
+
+}  // namespace
+
+struct Agent::Impl {
+  Impl(net::Loop& the_loop, transport::Hub& the_hub, const ProcessSettings& the_settings,
+       Changes the_changes)
+      : loop(the_loop), hub(the_hub), settings(the_settings), changes(std::move(the_changes)) {
+    SetSeeds(settings.seeds);
+    renew_timer = loop.NewTimer([this] { Renew(); });
+    lease_timer = loop.NewTimer([this] { CheckLease(); });
+    repair_timer = loop.NewTimer([this] { FetchStaleParts(); });
+    hub.Handle(kPushKind, [this](const transport::PeerIdentity& from, std::string_view body) {
+      OnPush(from, body);
+    });
+    hub.HandleCall(kFetchKind,
+                   [this](const transport::PeerIdentity&, std::string_view body,
+                          transport::Hub::Reply reply) { OnFetch(body, std::move(reply)); });
+    renew_timer->ArmAt(loop.Now());
+  }
+
+  void SetSeeds(const std::vector<net::Address>& controls) {
+    std::vector<net::Address> seeds;
+    for (const net::Address& control : controls) {
+      seeds.push_back(CoreAddressOf(settings, control));
+    }
+    finder.SetSeeds(std::move(seeds));
+  }
+
+  // --- Renewals ---
+
+  void Renew() {
+    if (renewing || leaving) return;
+    const std::optional<net::Address> target = finder.Target();
+    if (!target) {
+      RenewAfter(kRetryPause);
+      return;
+    }
+    Renewal renewal = MakeRenewal();
+    const net::Time sent = loop.Now();
+    renewing = true;
+    renew_again = false;
+    std::string body = Encode(renewal);
+    hub.Call(*target, kRenewKind, std::move(body), kCallTimeout,
+             [this, alive = Alive(), target = *target, sent,
+              uses = std::move(renewal.uses)](Result<std::string> answer) {
+               if (alive.expired()) return;
+               renewing = false;
+               OnRenewed(target, sent, uses, answer);
+             });
+  }
+
+  Renewal MakeRenewal() {
+    Renewal renewal;
+    renewal.ready = ready;
+    renewal.versions = store.versions();
+    renewal.parent = parent;
+    renewal.parent_silent = parent_silent;
+    renewal.wall_micros = loop.WallMicros();
+    renewal.window_open = CurrentWindow();
+    renewal.uses = uses.Unacknowledged();
+    for (const auto& [service, load] : loads) renewal.loads.push_back(load);
+    if (report) renewal.store = report();
+    return renewal;
+  }
+
+  void OnRenewed(const net::Address& by, net::Time sent, const std::vector<UseCount>& told,
+                 const Result<std::string>& body) {
+    if (!body) {
+      finder.Failed(by);
+      const bool waited = loop.Now() - sent >= kCallTimeout;
+      RenewAfter(waited ? milliseconds(0) : kRetryPause);
+      return;
+    }
+    const Result<RenewalAnswer> answer = DecodeRenewalAnswer(body.value());
+    if (!answer) {
+      log::Bounded(log::Level::kWarning, kModule, "answer", answer.error().text,
+                   SteadyMicros(loop.Now()));
+      finder.Failed(by);
+      RenewAfter(kRetryPause);
+      return;
+    }
+    if (!answer.value().accepted) {
+      const bool at_once = finder.Declined(by, answer.value().primary);
+      RenewAfter(at_once ? milliseconds(0) : kRetryPause);
+      return;
+    }
+    OnAccepted(by, sent, told, answer.value());
+  }
+
+  void OnAccepted(const net::Address& by, net::Time sent, const std::vector<UseCount>& told,
+                  const RenewalAnswer& answer) {
+    if (answer.epoch < epoch) {  // A former primary, however it came to answer.
+      finder.Failed(by);
+      RenewAfter(kRetryPause);
+      return;
+    }
+    epoch = answer.epoch;
+    finder.Accepted(by);
+    finder.Learn(answer.cores);
+    uses.Acknowledge(answer.incarnation, told);
+    uses.Settle(answer.settled_before);
+    SetTrueTime(sent, answer.true_micros);
+    if (parent != answer.parent) parent_silent = false;
+    parent = answer.parent;
+    children = answer.children;
+    ExtendLease(sent + milliseconds(answer.lease_ms));
+    RenewAfter(renew_again ? milliseconds(0) : milliseconds(answer.interval_ms));
+    Repair(answer.versions);
+  }
+
+  void RenewAfter(milliseconds pause) { renew_timer->ArmAt(loop.Now() + pause); }
+
+  void RenewSoon() {
+    renew_again = true;
+    if (!renewing) RenewAfter(milliseconds(0));
+  }
+
+  // --- The lease ---
+
+  bool InTouch() const { return loop.Now() < lease_until; }
+
+  void ExtendLease(net::Time until) {
+    if (until <= lease_until || until <= loop.Now()) return;
+    lease_until = until;
+    if (!touched) {
+      touched = true;
+      lease_timer->ArmAt(lease_until);
+      log::Info(kModule, "in touch with the core");
+      if (changes.contact) changes.contact(true);
+    }
+  }
+
+  void CheckLease() {
+    if (InTouch()) {
+      lease_timer->ArmAt(lease_until);
+      return;
+    }
+    touched = false;
+    log::Warning(kModule, "out of touch with the core: the lease has run out");
+    if (changes.contact) changes.contact(false);
+  }
+
+  // --- True time ---
+
+  void SetTrueTime(net::Time sent, std::int64_t true_micros) {
+    const net::Time middle = sent + (loop.Now() - sent) / 2;
+    true_ahead = true_micros - SteadyMicros(middle);
+  }
+
+  std::uint64_t CurrentWindow() const {
+    const std::int64_t now =
+        true_ahead ? SteadyMicros(loop.Now()) + *true_ahead : loop.WallMicros();
+    const std::int64_t span = duration_cast<microseconds>(settings.bounds.usage_window).count();
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(now, 0) /
+                                      std::max<std::int64_t>(span, 1));
+  }
+
+  // --- Parts of the view ---
+
+  bool MayPush(const transport::PeerIdentity& from) const {
+    return from.role == "core" || (parent && from.address == *parent);
+  }
+
+  void OnPush(const transport::PeerIdentity& from, std::string_view body) {
+    if (!MayPush(from)) {
+      ++pushes_refused;
+      return;
+    }
+    const Result<Push> push = DecodePush(body);
+    if (!push) {
+      log::Bounded(log::Level::kWarning, kModule, "push", push.error().text + " from " + from.node,
+                   SteadyMicros(loop.Now()));
+      return;
+    }
+    TakePush(push.value());
+  }
+
+  void TakePush(const Push& push) {
+    const Result<bool> taken = store.Take(push);
+    if (!taken) {
+      log::Bounded(log::Level::kWarning, kModule, "part", taken.error().text,
+                   SteadyMicros(loop.Now()));
+      return;
+    }
+    if (!taken.value()) return;
+    PassOn(push);
+    Tell(push.part);
+  }
+
+  void PassOn(const Push& push) {
+    if (children.empty()) return;
+    const std::string body = Encode(push);
+    for (const net::Address& child : children) hub.Send(child, kPushKind, body);
+  }
+
+  void Tell(Part part) {
+    const std::function<void()>* told = nullptr;
+    switch (part) {
+      case Part::kConfiguration:
+        told = &changes.configuration;
+        break;
+      case Part::kEndpoints:
+        told = &changes.endpoints;
+        break;
+      case Part::kPlacement:
+        told = &changes.placement;
+        break;
+      case Part::kMembers:
+        told = &changes.members;
+        break;
+    }
+    if (told != nullptr && *told) (*told)();
+  }
+
+  void OnFetch(std::string_view body, transport::Hub::Reply reply) {
+    const Result<Fetch> fetch = DecodeFetch(body);
+    if (!fetch) {
+      reply(fetch.error());
+      return;
+    }
+    const Part part = fetch.value().part;
+    if (!store.Has(part) || store.versions()[part] < fetch.value().least) {
+      reply(MakeError(ErrorCode::kNotFound, "no such version of the part here"));
+      return;
+    }
+    reply(Encode(store.PushOf(part)));
+  }
+
+  bool IsStale(Part part) const { return store.versions()[part] < newest[part]; }
+
+  // The renewal's answer names the newest versions; what a push has not brought is asked for.
+  void Repair(const PartVersions& versions) {
+    newest = versions;
+    bool stale = false;
+    bool missing = false;
+    for (const Part part : kAllParts) {
+      stale = stale || IsStale(part);
+      missing = missing || (IsStale(part) && !store.Has(part));
+    }
+    if (stale) repair_timer->ArmAt(loop.Now() + (missing ? milliseconds(0) : kPushGrace));
+  }
+
+  void FetchStaleParts() {
+    for (const Part part : kAllParts) {
+      if (IsStale(part)) FetchPart(part);
+    }
+  }
+
+  void FetchPart(Part part) {
+    bool& under_way = fetching[static_cast<std::size_t>(part)];
+    if (under_way) return;
+    const bool from_parent = parent && !parent_silent;
+    const std::optional<net::Address> source = from_parent ? parent : finder.primary();
+    if (!source) return;
+    under_way = true;
+    hub.Call(*source, kFetchKind, Encode(Fetch{part, newest[part]}),
+             from_parent ? kFetchTimeout : kCoreFetchTimeout,
+             [this, alive = Alive(), part, from_parent](const Result<std::string>& body) {
+               if (alive.expired()) return;
+               fetching[static_cast<std::size_t>(part)] = false;
+               OnFetched(part, from_parent, body);
+             });
+  }
+
+  void OnFetched(Part part, bool from_parent, const Result<std::string>& body) {
+    const Result<Push> push = body ? DecodePush(body.value()) : Result<Push>(body.error());
+    if (push) TakePush(push.value());
+    if (!IsStale(part) || !from_parent) return;  // The next renewal sees what is still missing.
+    // A parent that has no such version is late as well; only a silent one is replaced.
+    const bool silent = !body && body.error().code != ErrorCode::kNotFound;
+    if (silent) {
+      parent_silent = true;
+      FetchPart(part);
+      RenewSoon();
+      return;
+    }
+    FetchFromCore(part);
+  }
+
+  void FetchFromCore(Part part) {
+    const std::optional<net::Address> source = finder.primary();
+    bool& under_way = fetching[static_cast<std::size_t>(part)];
+    if (!source || under_way) return;
+    under_way = true;
+    hub.Call(*source, kFetchKind, Encode(Fetch{part, newest[part]}), kCoreFetchTimeout,
+             [this, alive = Alive(), part](const Result<std::string>& body) {
+               if (alive.expired()) return;
+               fetching[static_cast<std::size_t>(part)] = false;
+               OnFetched(part, false, body);
+             });
+  }
+
+  // --- Farewell ---
+
+  void Leave(std::function<void()> done) {
+    leaving = true;
+    renew_timer->Cancel();
+    const std::optional<net::Address> target = finder.primary();
+    if (!target) {
+      if (done) loop.Post(std::move(done));
+      return;
+    }
+    hub.Call(*target, kLeaveKind, std::string(), kLeaveTimeout,
+             [alive = Alive(), done = std::move(done)](const Result<std::string>&) {
+               if (!alive.expired() && done) done();
+             });
+  }
+
+  std::weak_ptr<char> Alive() const { return life; }
+
+  net::Loop& loop;
+  transport::Hub& hub;
+  ProcessSettings settings;
+  Changes changes;
+  CoreFinder finder;
+  ViewStore store;
+  UseCounts uses;
+  std::map<std::string, ServiceLoad> loads;
+  std::function<StoreReport()> report;
+  bool ready = false;
+
+  net::TimerPtr renew_timer;
+  net::TimerPtr lease_timer;
+  net::TimerPtr repair_timer;
+  bool renewing = false;
+  bool renew_again = false;
+  bool leaving = false;
+  bool touched = false;
+  net::Time lease_until{};
+  std::uint64_t epoch = 0;
+  std::optional<std::int64_t> true_ahead;  // True time less the steady clock, in microseconds.
+
+  std::optional<net::Address> parent;
+  bool parent_silent = false;
+  std::vector<net::Address> children;
+  PartVersions newest;  // As the primary told last.
+  bool fetching[kParts] = {};
+  std::uint64_t pushes_refused = 0;
+  std::shared_ptr<char> life = std::make_shared<char>();
+};
+
+Agent::Agent(net::Loop& loop, transport::Hub& hub, const ProcessSettings& settings, Changes changes)
+    : impl_(std::make_unique<Impl>(loop, hub, settings, std::move(changes))) {}
+
+Agent::~Agent() = default;
+
+const View& Agent::view() const { return impl_->store.view(); }
+
+bool Agent::in_touch() const { return impl_->InTouch(); }
+
+net::Time Agent::lease_until() const { return impl_->lease_until; }
+
+std::optional<net::Address> Agent::primary() const { return impl_->finder.primary(); }
+
+void Agent::SetReady(bool ready) {
+  if (impl_->ready == ready) return;
+  impl_->ready = ready;
+  impl_->RenewSoon();
+}
+
+void Agent::CountUse(const std::string& tenant) {
+  impl_->uses.Count(impl_->CurrentWindow(), tenant);
+}
+
+void Agent::SetLoad(const std::string& service, std::uint64_t tokens_running,
+                    std::uint64_t tokens_waiting) {
+  impl_->loads[service] = {service, tokens_running, tokens_waiting};
+}
+
+void Agent::SetStoreReport(std::function<StoreReport()> report) {
+  impl_->report = std::move(report);
+}
+
+void Agent::ReportBackup(const BackupReport& report, std::function<void(Result<void>)> done) {
+  const std::optional<net::Address> target = impl_->finder.primary();
+  if (!target) {
+    impl_->loop.Post([done = std::move(done)] {
+      done(MakeError(ErrorCode::kUnavailable, "no primary of the core is known"));
+    });
+    return;
+  }
+  impl_->hub.Call(
+      *target, kBackupReportKind, Encode(report), kReportTimeout,
+      [alive = impl_->Alive(), done = std::move(done)](const Result<std::string>& body) {
+        if (alive.expired()) return;
+        if (body) {
+          done(BOOST_OUTCOME_V2_NAMESPACE::success());
+        } else {
+          done(body.error());
+        }
+      });
+}
+
+void Agent::SetSeeds(const std::vector<net::Address>& seeds) { impl_->SetSeeds(seeds); }
+
+void Agent::Leave(std::function<void()> done) { impl_->Leave(std::move(done)); }
+
+}  // namespace shelflink::cluster
--- /dev/null
+++ b/src/tier/cluster/clock_estimate.h
@@ -0,0 +1,29 @@
+// True time as most processes have it: each member tells its time of day, and the median of what
+// they are ahead of the primary's steady clock counts, so that a clock that is stepped moves
+// nothing. Pure.
+#ifndef SHELFLINK_TIER_CLUSTER_CLOCK_ESTIMATE_H_
+#define SHELFLINK_TIER_CLUSTER_CLOCK_ESTIMATE_H_
+
+#include <cstdint>
+#include <map>
+
+#include "net/address.h"
+#include "net/loop.h"
+
+namespace shelflink::cluster {
+
+class ClockEstimate {
+ public:
+  void Hear(net::Time now, const net::Address& member, std::int64_t wall_micros);
+  void Forget(const net::Address& member) { ahead_.erase(member); }
+  void Clear() { ahead_.clear(); }
+  // Microseconds since 1970; `own_wall` counts as one more voice.
+  std::int64_t TrueMicros(net::Time now, std::int64_t own_wall) const;
+
+ private:
+  std::map<net::Address, std::int64_t> ahead_;  // Time of day less steady clock, in microseconds.
+};
+
+}  // namespace shelflink::cluster
+
+#endif  // SHELFLINK_TIER_CLUSTER_CLOCK_ESTIMATE_H_
--- /dev/null
+++ b/src/tier/cluster/core_service.cpp
@@ -0,0 +1,482 @@
+#include "tier/cluster/core_service.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "tier/cluster/clock_estimate.h"
+#include "tier/cluster/control_state.h"
+#include "tier/cluster/endpoint_watch.h"
+#include "tier/cluster/member_table.h"
+#include "tier/cluster/messages.h"
+#include "tier/cluster/placement_keeper.h"
+#include "tier/cluster/relay_tree.h"
+#include "tier/cluster/scale_duty.h"
+#include "tier/cluster/usage_duty.h"
+#include "tier/cluster/view_codec.h"
+#include "tier/cluster/view_publisher.h"
+#include "tier/foundation/log.h"
+
+namespace shelflink::cluster {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{250};
+constexpr milliseconds kLongestStoreLease{1500};
+constexpr milliseconds kMembersGap{250};    // Between two lists of members, at the least,
+constexpr milliseconds kMembersGapEach{1};  // and for each member.
+constexpr milliseconds kAdoptTimeout{500};
+constexpr std::size_t kMembersAtFullRate = 200;
+constexpr const char* kModule = "cluster.core";
+
+LeaseSpans SpansOf(const ProcessSettings& settings) {
+  const milliseconds contact = settings.bounds.contact;
+  return {contact, std::min(contact / 2, kLongestStoreLease)};
+}
+
+PlacementRules RulesOf(const ProcessSettings& settings) {
+  const FaultTolerance& tolerance = settings.tolerance;
+  PlacementRules rules;
+  const int lost = std::max({tolerance.machines, tolerance.zones, tolerance.regions, 0});
+  rules.copies = static_cast<std::size_t>(lost) + 1;
+  rules.distinct_zones = tolerance.zones > 0 || tolerance.regions > 0;
+  return rules;
+}
+
+bool HasDuty(const ProcessSettings& settings, const std::string& duty) {
+  return settings.contracts.count("leader") > 0 && settings.cloud.duties.count(duty) > 0;
+}
+
+}  // namespace
+
+milliseconds RenewalInterval(const ProcessSettings& settings, std::size_t members) {
+  const milliseconds contact = settings.bounds.contact;
+  const milliseconds shortest = std::min(settings.heartbeat / 2, contact / 6);
+  const milliseconds longest = std::max(shortest, std::min(settings.heartbeat, contact / 3));
+  const auto factor = std::max<std::size_t>(members, kMembersAtFullRate);
+  const milliseconds scaled(shortest.count() * static_cast<std::int64_t>(factor) /
+                            static_cast<std::int64_t>(kMembersAtFullRate));
+  return std::clamp(scaled, shortest, longest);
+}
+
+struct CoreService::Impl {
+  Impl(net::Loop& the_loop, transport::Hub& the_hub, coordination::Replicator& the_replicator,
+       platform::Platform* platform, const ProcessSettings& the_settings)
+      : loop(the_loop),
+        hub(the_hub),
+        replicator(the_replicator),
+        settings(the_settings),
+        spans(SpansOf(settings)),
+        members(spans),
+        publisher(hub),
+        keeper(loop, replicator, members, RulesOf(settings), spans.store),
+        pace(settings.cloud.duty_per_s) {
+    if (platform != nullptr) MakePlatformParts(*platform);
+    tick_timer = loop.NewTimer([this] { Tick(); });
+    Serve();
+    coordination::Replicator::Watcher watcher;
+    watcher.committed = [this](const std::vector<coordination::Write>& writes) {
+      OnCommitted(writes);
+    };
+    watcher.role = [this](bool primary, std::uint64_t of_epoch) { OnRole(primary, of_epoch); };
+    replicator.SetWatcher(std::move(watcher));
+  }
+
+  void MakePlatformParts(platform::Platform& platform) {
+    watch = std::make_unique<EndpointWatch>(
+        loop, platform,
+        platform::ListReader::Options{settings.cloud.rate_per_s, settings.bounds.drain},
+        [this](const std::vector<EndpointEntry>& entries) { PublishEndpoints(entries); });
+    if (HasDuty(settings, "usage_report")) {
+      usage =
+          std::make_unique<UsageDuty>(UsageDuty::Parts{loop, replicator, platform, members, ledger,
+                                                       pace, [this] { return TrueMicros(); }},
+                                      settings);
+    }
+    if (HasDuty(settings, "autoscale")) {
+      scale =
+          std::make_unique<ScaleDuty>(ScaleDuty::Parts{loop, replicator, platform, members, pace},
+                                      settings.node, ScaleTuning());
+    }
+  }
+
+  void Serve() {
+    using transport::Hub;
+    using transport::PeerIdentity;
+    hub.HandleCall(kRenewKind, [this](const PeerIdentity& from, std::string_view body,
+                                      Hub::Reply reply) { reply(OnRenewal(from, body)); });
+    hub.HandleCall(kFetchKind, [this](const PeerIdentity&, std::string_view body,
+                                      Hub::Reply reply) { reply(publisher.Answer(body)); });
+    hub.HandleCall(kLeaveKind, [this](const PeerIdentity& from, std::string_view,
+                                      Hub::Reply reply) { reply(OnLeave(from)); });
+    hub.HandleCall(kBackupReportKind,
+                   [this](const PeerIdentity&, std::string_view body, Hub::Reply reply) {
+                     OnBackupReport(body, std::move(reply));
+                   });
+    hub.Watch([this](const PeerIdentity& peer, bool up) {
+      if (!up) tree.Distrust(peer.address);
+    });
+  }
+
+  // --- The role ---
+
+  bool Leads() const { return leading && replicator.is_primary(); }
+
+  void OnRole(bool primary, std::uint64_t the_epoch) {
+    if (leading) StopLeading();
+    if (primary) StartLeading(the_epoch);
+  }
+
+  void StartLeading(std::uint64_t the_epoch) {
+    log::Info(kModule, "primary of epoch " + std::to_string(the_epoch));
+    leading = true;
+    epoch = the_epoch;
+    led_since = loop.Now();
+    count = 0;
+    members.Clear();
+    tree.Clear();
+    clock.Clear();
+    members_changed = true;
+    keeper.Start();
+    if (watch) watch->Start();
+    if (usage) usage->Start(epoch);
+    if (scale) scale->Start(epoch);
+    tick_timer->ArmAt(loop.Now() + kTick);
+  }
+
+  void StopLeading() {
+    log::Info(kModule, "no longer primary of epoch " + std::to_string(epoch));
+    leading = false;
+    tick_timer->Cancel();
+    keeper.Stop();
+    if (watch) watch->Stop();
+    if (usage) usage->Stop();
+    if (scale) scale->Stop();
+  }
+
+  void Tick() {
+    tick_timer->ArmAt(loop.Now() + kTick);
+    if (!Leads()) return;
+    for (const MemberLease& lease : members.Expire(loop.Now())) {
+      log::Info(kModule,
+                "lease of " + lease.member.role + " " + lease.member.node + " has run out");
+      Forget(lease.member.address);
+    }
+    keeper.Evaluate();
+    PublishMembers();
+    if (usage) usage->Tick();
+    if (scale) scale->Tick(configuration.get(), watch->entries());
+  }
+
+  // --- Members ---
+
+  void Forget(const net::Address& member) {
+    tree.Remove(member);
+    clock.Forget(member);
+    members_changed = true;
+  }
+
+  RenewalAnswer Decline() const {
+    RenewalAnswer answer;
+    answer.primary = replicator.primary();
+    answer.epoch = replicator.epoch();
+    return answer;
+  }
+
+  Result<std::string> OnRenewal(const transport::PeerIdentity& from, std::string_view body) {
+    const Result<Renewal> renewal = DecodeRenewal(body);
+    if (!renewal) return renewal.error();
+    if (!Leads()) return Encode(Decline());
+    const MemberTable::Renewed renewed = members.Renew(loop.Now(), from, renewal.value());
+    if (renewed == MemberTable::Renewed::kRefused) {
+      return MakeError(ErrorCode::kExhausted, "too many members");
+    }
+    HearMember(from, renewal.value());
+    if (renewed == MemberTable::Renewed::kChanged) {
+      members_changed = true;
+      if (from.role == "store") keeper.Evaluate();
+    }
+    return Encode(Accept(from.address));
+  }
+
+  void HearMember(const transport::PeerIdentity& from, const Renewal& renewal) {
+    tree.Add(from.address, from.zone);
+    const std::optional<net::Address> parent = tree.ParentOf(from.address);
+    if (renewal.parent_silent && parent && renewal.parent == parent) tree.Distrust(*parent);
+    clock.Hear(loop.Now(), from.address, renewal.wall_micros);
+    ledger.Hear(from.address, from.incarnation, renewal.uses);
+    AdoptEndpoints(from.address, renewal.versions[Part::kEndpoints]);
+  }
+
+  RenewalAnswer Accept(const net::Address& member) const {
+    RenewalAnswer answer;
+    answer.accepted = true;
+    answer.primary = hub.self().address;
+    answer.epoch = epoch;
+    answer.incarnation = hub.self().incarnation;
+    const MemberLease& lease = members.leases().at(member);
+    const net::Span span = spans.Of(lease.member.role);
+    answer.lease_ms =
+        static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(span).count());
+    answer.interval_ms =
+        static_cast<std::uint32_t>(RenewalInterval(settings, members.leases().size()).count());
+    answer.versions = publisher.versions();
+    answer.parent = tree.ParentOf(member);
+    answer.children = tree.ChildrenOf(member);
+    answer.true_micros = TrueMicros();
+    answer.settled_before = ledger.settled_before();
+    for (const coordination::CoreMember& core : replicator.members()) {
+      answer.cores.push_back(core.address);
+    }
+    return answer;
+  }
+
+  Result<std::string> OnLeave(const transport::PeerIdentity& from) {
+    if (!Leads()) return MakeError(ErrorCode::kUnavailable, "not the primary");
+    if (members.Leave(from.address, from.incarnation)) {
+      log::Info(kModule, from.role + " " + from.node + " leaves");
+      Forget(from.address);
+      if (from.role == "store") keeper.Evaluate();
+    }
+    return std::string();
+  }
+
+  void OnBackupReport(std::string_view body, transport::Hub::Reply reply) {
+    const Result<BackupReport> report = DecodeBackupReport(body);
+    if (!report) {
+      reply(report.error());
+      return;
+    }
+    if (!Leads()) {
+      reply(MakeError(ErrorCode::kUnavailable, "not the primary"));
+      return;
+    }
+    keeper.OnReport(report.value(), [reply = std::move(reply)](const Result<void>& result) {
+      if (result) {
+        reply(std::string());
+      } else {
+        reply(result.error());
+      }
+    });
+  }
+
+  std::int64_t TrueMicros() const { return clock.TrueMicros(loop.Now(), loop.WallMicros()); }
+
+  // --- Parts of the view ---
+
+  Version NextVersion() { return {epoch, ++count}; }
+
+  void Publish(Part part, const Version& version, std::string body) {
+    const bool push = Leads();
+    publisher.Publish({part, version, std::move(body)},
+                      push ? tree.Leaders() : std::vector<net::Address>());
+  }
+
+  // Until every member in touch has spoken with this primary, the list would be too short.
+  void PublishMembers() {
+    const net::Time now = loop.Now();
+    const net::Span hearing = 2 * RenewalInterval(settings, 0) + kTick;
+    const auto members_now = static_cast<std::int64_t>(members.leases().size());
+    if (!members_changed || now < led_since + hearing) return;
+    if (now < members_published + kMembersGap + kMembersGapEach * members_now) return;
+    members_changed = false;
+    members_published = now;
+    std::vector<Member> all = members.All();
+    for (const coordination::CoreMember& core : replicator.members()) {
+      all.push_back({core.node, "core", core.zone, core.address, true});
+    }
+    Publish(Part::kMembers, NextVersion(), EncodeMembers(all));
+  }
+
+  void PublishEndpoints(const std::vector<EndpointEntry>& entries) {
+    if (!Leads()) return;
+    Publish(Part::kEndpoints, NextVersion(), EncodeEndpoints(entries));
+  }
+
+  // While the platform is out of reach, a new primary passes on the list that the members have.
+  void AdoptEndpoints(const net::Address& member, const Version& has) {
+    if (adopting || has <= publisher.versions()[Part::kEndpoints]) return;
+    adopting = true;
+    hub.Call(member, kFetchKind, Encode(Fetch{Part::kEndpoints, has}), kAdoptTimeout,
+             [this, alive = std::weak_ptr<char>(life)](const Result<std::string>& body) {
+               if (alive.expired()) return;
+               adopting = false;
+               const Result<Push> push = body ? DecodePush(body.value()) : body.error();
+               if (push && push.value().part == Part::kEndpoints && Leads()) {
+                 publisher.Publish(push.value(), tree.Leaders());
+               }
+             });
+  }
+
+  void OnCommitted(const std::vector<coordination::Write>& writes) {
+    bool configuration_changed = false;
+    bool placement_changed = false;
+    for (const coordination::Write& write : writes) {
+      configuration_changed |= write.key.starts_with(configuration::kKeyPrefix);
+      placement_changed |= write.key == kPlacementCountKey;
+    }
+    if (configuration_changed) TakeConfiguration();
+    if (placement_changed) {
+      const coordination::Contents& contents = replicator.contents();
+      Publish(Part::kPlacement, {0, NumberAt(contents, kPlacementCountKey)},
+              EncodePlacement(RowsOf(contents)));
+    }
+  }
+
+  // Goes out with the commit, before the operator is answered.
+  void TakeConfiguration() {
+    const auto current = configuration::CurrentConfiguration(replicator.contents());
+    if (!current || (configuration && configuration->version >= current->version)) return;
+    Publish(Part::kConfiguration, {0, current->version}, std::string(current->document));
+    auto parsed = configuration::Parse(current->document);
+    if (!parsed) {
+      log::Line(log::Level::kError, kModule,
+                "the configuration in force cannot be read: " + TextOf(parsed.error()));
+      return;
+    }
+    configuration = std::make_shared<const configuration::Configuration>(std::move(parsed.value()));
+    if (configuration_watcher) configuration_watcher(configuration);
+  }
+
+  // --- Orders ---
+
+  using Contents = coordination::Contents;
+  using Writes = std::vector<coordination::Write>;
+
+  // Reads what is certain to be in force.
+  template <typename Read>
+  void ReadCommitted(Read read) {
+    replicator.Submit([](const Contents&) -> Result<Writes> { return Writes(); },
+                      [alive = std::weak_ptr<char>(life), read](const Result<void>& result) {
+                        if (!alive.expired()) read(result);
+                      });
+  }
+
+  void Retire(const std::string& node, RetireDone done) {
+    replicator.Submit(
+        [this, alive = std::weak_ptr<char>(life),
+         node](const Contents& committed) -> Result<Writes> {
+          if (alive.expired()) return MakeError(ErrorCode::kUnavailable, "ending");
+          return PlanRetire(committed, node);
+        },
+        [this, alive = std::weak_ptr<char>(life), done](const Result<void>& result) {
+          if (alive.expired()) return;
+          if (result) keeper.Evaluate();
+          done(result);
+        });
+  }
+
+  Result<Writes> PlanRetire(const Contents& committed, const std::string& node) const {
+    if (committed.contains(RetireKey(node))) return Writes();
+    const std::vector<StoreCandidate> stores = keeper.Candidates(committed);
+    const bool known = std::any_of(stores.begin(), stores.end(),
+                                   [&](const StoreCandidate& store) { return store.node == node; });
+    if (!known) return MakeError(ErrorCode::kNotFound, "no store of that name is known");
+    if (!MayRetire(stores, node, keeper.rules())) {
+      return MakeError(ErrorCode::kConflict, "too few stores would be left");
+    }
+    return Writes{{RetireKey(node), EncodeNumber(1)}};
+  }
+
+  Result<operator_api::RetireState> RetireStateOf(const std::string& node) const {
+    const Contents& contents = replicator.contents();
+    if (!contents.contains(RetireKey(node))) {
+      return MakeError(ErrorCode::kNotFound, "nobody asked for this store to be emptied");
+    }
+    const auto stores = StoresOf(contents);
+    const auto store = stores.find(node);
+    if (store == stores.end()) return operator_api::RetireState::kRunning;
+    const std::vector<PartitionRow> rows = RowsOf(contents);
+    const bool named = std::any_of(rows.begin(), rows.end(), [&](const PartitionRow& row) {
+      return Names(row, store->second.disk) || row.primary == store->second.address ||
+             std::count(row.backups.begin(), row.backups.end(), store->second.address) > 0;
+    });
+    return named ? operator_api::RetireState::kRunning : operator_api::RetireState::kCompleted;
+  }
+
+  net::Loop& loop;
+  transport::Hub& hub;
+  coordination::Replicator& replicator;
+  ProcessSettings settings;
+  LeaseSpans spans;
+  MemberTable members;
+  RelayTree tree;
+  ClockEstimate clock;
+  UsageLedger ledger;
+  ViewPublisher publisher;
+  PlacementKeeper keeper;
+  DutyPace pace;
+  std::unique_ptr<EndpointWatch> watch;  // Null: no platform.
+  std::unique_ptr<UsageDuty> usage;      // Null: not our duty.
+  std::unique_ptr<ScaleDuty> scale;
+  net::TimerPtr tick_timer;
+
+  bool leading = false;
+  std::uint64_t epoch = 0;
+  std::uint64_t count = 0;  // Of the parts made under this epoch.
+  net::Time led_since{};
+  bool members_changed = false;
+  net::Time members_published{};
+  bool adopting = false;
+  std::shared_ptr<const configuration::Configuration> configuration;
+  std::function<void(const std::shared_ptr<const configuration::Configuration>&)>
+      configuration_watcher;
+  std::shared_ptr<char> life = std::make_shared<char>();
+};
+
+CoreService::CoreService(net::Loop& loop, transport::Hub& hub, coordination::Replicator& replicator,
+                         platform::Platform* platform, const ProcessSettings& settings)
+    : impl_(std::make_unique<Impl>(loop, hub, replicator, platform, settings)) {}
+
+CoreService::~CoreService() = default;
+
+void CoreService::WatchConfiguration(
+    std::function<void(const std::shared_ptr<const configuration::Configuration>&)> watcher) {
+  impl_->configuration_watcher = std::move(watcher);
+  if (impl_->configuration) impl_->configuration_watcher(impl_->configuration);
+}
+
+bool CoreService::is_primary() const { return impl_->Leads(); }
+
+std::optional<net::Address> CoreService::primary() const { return impl_->replicator.primary(); }
+
+void CoreService::ChangeConfiguration(configuration::ChangeOrder order, ChangeDone done) {
+  impl_->replicator.Submit(
+      [order = std::move(order)](const coordination::Contents& committed) {
+        return configuration::PlanChange(committed, order);
+      },
+      std::move(done));
+}
+
+void CoreService::ReadConfiguration(DocumentDone done) {
+  impl_->ReadCommitted([impl = impl_.get(), done = std::move(done)](const Result<void>& result) {
+    if (!result) {
+      done(result.error());
+      return;
+    }
+    const auto current = configuration::CurrentConfiguration(impl->replicator.contents());
+    if (current) {
+      done(std::string(current->document));
+    } else {
+      done(MakeError(ErrorCode::kNotFound, "no configuration has been taken yet"));
+    }
+  });
+}
+
+void CoreService::Retire(operator_api::RetireOrder order, RetireDone done) {
+  impl_->Retire(order.node, std::move(done));
+}
+
+void CoreService::ReadRetireState(std::string node, RetireStateDone done) {
+  impl_->ReadCommitted([impl = impl_.get(), node = std::move(node),
+                        done = std::move(done)](const Result<void>& result) {
+    if (result) {
+      done(impl->RetireStateOf(node));
+    } else {
+      done(result.error());
+    }
+  });
+}
+
+}  // namespace shelflink::cluster
--- a/src/tier/cluster/messages.h
+++ b/src/tier/cluster/messages.h
@@ -27,8 +27,6 @@
 // Call, store that is primary of a partition to core: BackupReport -> empty. kConflict: the row has
 // another epoch by now; the placement that says so follows.
 constexpr transport::MessageKind kBackupReportKind = transport::kClusterKinds + 4;
-// Call, core to the core's primary: an operator's order.
-constexpr transport::MessageKind kOrderKind = transport::kClusterKinds + 5;
 
 enum class Part : std::uint8_t { kConfiguration, kEndpoints, kPlacement, kMembers };
 constexpr std::size_t kParts = 4;
@@ -83,6 +81,7 @@
   bool accepted = false;                // By the core's primary.
   std::optional<net::Address> primary;  // Where not accepted: who is, if known.
   std::uint64_t epoch = 0;
+  std::uint64_t incarnation = 0;       // Of the core process, which has taken the counts of use.
   std::uint32_t lease_ms = 0;          // From when the renewal was sent.
   std::uint32_t interval_ms = 0;       // Until the next renewal.
   PartVersions versions;               // The newest.
--- /dev/null
+++ b/src/tier/cluster/relay_tree.h
@@ -0,0 +1,50 @@
+// The tree that parts of the view flow down: the core's primary tells one leader in each zone, and
+// each process passes them on to a bounded number of children in its zone, so that a change crosses
+// between zones once. Pure.
+//
+// Within a zone the members stand in a list, a heap of kRelayFanOut branches whose first element is
+// the leader: the depth is logarithmic. A member that goes is replaced by the last one, so that few
+// others get another parent. A member whose child found it silent goes to the end, where it has no
+// children. The tree is for speed; what it loses is repaired by the versions in each renewal.
+#ifndef SHELFLINK_TIER_CLUSTER_RELAY_TREE_H_
+#define SHELFLINK_TIER_CLUSTER_RELAY_TREE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/address.h"
+
+namespace shelflink::cluster {
+
+constexpr std::size_t kRelayFanOut = 8;
+
+class RelayTree {
+ public:
+  void Add(const net::Address& member, const std::string& zone);
+  void Remove(const net::Address& member);
+  // A child has not heard from it.
+  void Distrust(const net::Address& member);
+  void Clear();
+
+  // None: the core's primary itself.
+  std::optional<net::Address> ParentOf(const net::Address& member) const;
+  std::vector<net::Address> ChildrenOf(const net::Address& member) const;
+  // Whom the primary tells.
+  std::vector<net::Address> Leaders() const;
+
+ private:
+  struct Place {
+    std::string zone;
+    std::size_t index = 0;
+  };
+  void Put(const std::string& zone, std::size_t index, const net::Address& member);
+
+  std::map<std::string, std::vector<net::Address>> zones_;
+  std::map<net::Address, Place> places_;
+};
+
+}  // namespace shelflink::cluster
+
+#endif  // SHELFLINK_TIER_CLUSTER_RELAY_TREE_H_
