--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/server.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -83,7 +84,7 @@
 
 void Client::Read() {
   // A flood of requests sent ahead waits in the socket, not in memory.
-  if (state_ == State::kClosed || incoming_.size() >= kReadAhead) return;
+  if (state_ == State::kClosed || incoming_.size() >= server_.MostReadAhead()) return;
   incoming_.Trim();
   stream_->Receive();
 }
@@ -158,7 +159,7 @@
   if (ec == http::error::header_limit) return Spoil(431, "the head is too large\n"), false;
   if (ec) return Spoil(400, "malformed HTTP\n"), false;
   // The head of a chunk without end, as long as it may be read ahead.
-  if (!parser_->is_done() && incoming_.size() >= kReadAhead) {
+  if (!parser_->is_done() && incoming_.size() >= server_.MostReadAhead()) {
     return Spoil(400, "malformed HTTP\n"), false;
   }
   return true;
@@ -434,6 +435,11 @@
       pause_(loop.NewTimer([this] { Accept(); })),
       drain_timer_(loop.NewTimer([this] { NextPhase(); })) {}
 
+// A head is parsed only once all of it is there.
+std::size_t Server::MostReadAhead() const {
+  return std::max<std::size_t>(kReadAhead, 2 * std::size_t{terms_.header_limit});
+}
+
 void Server::Open() {
   open_ = true;
   Accept();
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -190,6 +190,7 @@
  private:
   friend class Client;
 
+  std::size_t MostReadAhead() const;
   void Accept();
   void Accepted(net::StreamPtr stream);
   void AcceptFailed(net::Fault fault);
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -88,6 +88,7 @@
     left_ = outbound.left;
     silence_ = outbound.silence;
     end_ = outbound.end;
+    deadline_ = outbound.deadline.value_or(outbound.until);
     more_ = outbound.more;
     in_parts_ = more_;
     done_ = std::move(done);
@@ -178,7 +179,7 @@
     const net::Time now = owner_.loop_.Now();
     if (now >= WriteEnd(until_)) return Finish(OutcomeCode::kConnectFailed);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        more_ ? left_ : net::Span(until_ - now));
+        more_ ? left_ : net::Span(deadline_ - now));
     message_->set(owner_.terms_.remaining_header,
                   std::to_string(std::max<std::int64_t>(1, left.count())));
     outgoing_.Start(more_ ? FirstPart() : TextOf(*message_));
@@ -434,6 +435,7 @@
   net::Span left_{};
   net::Span silence_{};
   std::optional<net::Time> end_;
+  net::Time deadline_;
   bool more_ = false;      // Of the request's body, to be asked for.
   bool in_parts_ = false;  // The request or its answer.
   bool passing_ = false;   // The answer goes out in parts,
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -93,9 +93,11 @@
   net::Time until;      // The attempt's end. With `more` it counts to the end of the held part, and
   net::Span left{};     // from the last byte on the request has this long.
   net::Span silence{};  // What is under way in parts ends when nothing has moved for so long,
-  std::optional<net::Time> end;  // and then at the latest.
+  std::optional<net::Time> end = std::nullopt;  // and then at the latest.
+  // What the endpoint is told that it has; none: until the attempt's end.
+  std::optional<net::Time> deadline = std::nullopt;
   // Whether it may be sent again once it may have run; none: as its method and headers tell.
-  std::optional<bool> repeatable;
+  std::optional<bool> repeatable = std::nullopt;
 };
 
 // Who is told of attempts. It may act on the attempt at once.
--- a/src/tier/proxy/calls.h
+++ b/src/tier/proxy/calls.h
@@ -65,7 +65,9 @@
   // Bytes of the body as they came (streams: whole events only). Returns false if no more is wanted
   // until Resume.
   virtual bool OnBody(std::string_view bytes) = 0;
-  // Streams: each whole event, before its bytes are handed to OnBody.
+  // Streams: each whole event, before its bytes are handed to OnBody; only where they are wanted,
+  // as events are taken apart for that alone.
+  virtual bool WantsEvents() const { return true; }
   virtual void OnEvent(const Event&) {}
   virtual void OnEnd(const CallSummary& summary) = 0;
 
--- /dev/null
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -0,0 +1,611 @@
+#include "tier/proxy/endpoint_calls.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <utility>
+#include <vector>
+
+#include "mix.h"
+#include "tier/proxy/event_stream.h"
+#include "tier/proxy/headers.h"
+#include "tier/proxy/names.h"
+
+namespace shelflink::proxy {
+
+using configuration::Route;
+using configuration::RouteKind;
+using gaugecart::OutcomeCode;
+using kelpspring::AnswerUse;
+using kelpspring::AttemptKey;
+using kelpspring::HttpResponse;
+using kelpspring::View;
+using policy::CallId;
+using policy::Micros;
+using policy::Outcome;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int kMostSends = 16;                // Of one call, however many did not run it.
+constexpr std::uint64_t kHeldAnswer = 65536;  // A longer answer goes on in parts.
+constexpr auto kConnectSpan = milliseconds(250);
+// Beyond the route's time-out an answer under way may go on for so long.
+constexpr auto kEndSlack = milliseconds(100);
+// What a batch item may take at one endpoint where its sender tells no time.
+constexpr auto kItemSpan = std::chrono::seconds(60);
+constexpr auto kItemFirstSilence = std::chrono::seconds(10);
+// Clients give a stream up after a silence of these, whichever is longest.
+constexpr auto kLeastSilence = milliseconds(2000);
+constexpr int kSilentObjectives = 4;
+constexpr int kSilentGaps = 8;
+// A stream that may go on elsewhere is not waited for that long.
+constexpr auto kLeastPatience = milliseconds(1000);
+constexpr int kPatientGaps = 5;
+constexpr double kPatientPart = 0.6;  // Of the silence that clients bear, before the first event.
+
+milliseconds ClientSilence(const Route& route) {
+  return std::max({kLeastSilence, kSilentObjectives * route.slo, kSilentGaps * route.gap_aim});
+}
+
+// These promise that the request never ran.
+bool IsPromise(unsigned status) {
+  return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+bool IsEventStream(const HttpResponse& head) {
+  const auto type = head[boost::beast::http::field::content_type];
+  return boost::beast::iequals(type.substr(0, type.find(';')), "text/event-stream");
+}
+
+std::uint64_t HashOf(std::string_view text) {
+  constexpr std::uint64_t kOffset = 0xcbf29ce484222325;
+  constexpr std::uint64_t kPrime = 0x100000001b3;
+  std::uint64_t hash = kOffset;
+  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
+  return gaugecart::Mix(hash);
+}
+
+// Which of the route's services takes the call: by weight, always the same for one request.
+const std::string& ServiceOf(const Route& route, std::string_view request_id) {
+  double sum = 0;
+  for (const auto& part : route.split) sum += part.weight;
+  double left = gaugecart::Unit(HashOf(request_id)) * sum;
+  for (const auto& part : route.split) {
+    left -= part.weight;
+    if (left < 0) return part.service;
+  }
+  return route.split.back().service;
+}
+
+boost::beast::string_view Text(std::string_view text) { return {text.data(), text.size()}; }
+
+bool IsTarget(std::string_view target) {
+  return !target.empty() && target.front() == '/' &&
+         std::none_of(target.begin(), target.end(),
+                      [](char c) { return static_cast<unsigned char>(c) <= 0x20 || c == 0x7f; });
+}
+
+kelpspring::HttpRequest MessageOf(CallRequest& request) {
+  kelpspring::HttpRequest message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  for (const auto& [name, value] : request.headers) {
+    if (!request.batch || MayBeSent(name, value)) message.insert(name, value);
+  }
+  if (message.find(boost::beast::http::field::host) == message.end()) {
+    message.set(boost::beast::http::field::host, request.route->hostname);
+  }
+  message.set(kRequestIdHeader, request.request_id);
+  if (!request.tenant.empty()) message.set(kTenantHeader, request.tenant);
+  if (request.last_event_id) {
+    message.set(kLastEventIdHeader, std::to_string(*request.last_event_id));
+  }
+  message.body() = std::move(request.body);
+  const bool takes_body = request.method != "GET" && request.method != "HEAD";
+  if (takes_body || !message.body().empty()) message.content_length(message.body().size());
+  return message;
+}
+
+}  // namespace
+
+struct EndpointCalls::LiveCall {
+  CallId id = 0;
+  CallRequest request;
+  CallUser* user = nullptr;
+  kelpspring::HttpRequest message;
+  std::string service;
+  net::Time deadline;  // What endpoints are told,
+  net::Time end;       // and when it is over for good.
+  bool repeatable = false;
+  bool starting = true;  // Start has not returned: nothing may be told yet.
+  bool out = false;      // An attempt is under way:
+  std::uint32_t attempt = 0;
+  std::string endpoint;
+  int sends = 0;
+  int ran = 0;             // Endpoints that may have run it, the present one not among them.
+  bool streaming = false;  // The present attempt's answer is a stream of events.
+  bool passing = false;    // It goes on in parts.
+  bool head_told = false;
+  std::optional<HttpResponse> head;  // Of a stream, until its first event.
+  EventStream events;
+  std::optional<HttpResponse> failure;  // An endpoint's own, handed over if nothing better comes.
+  int status = 0;
+
+  int max_attempts() const { return request.max_attempts.value_or(request.route->max_attempts); }
+  bool is_stream_route() const {
+    return request.batch || request.route->kind == RouteKind::kStreaming;
+  }
+};
+
+EndpointCalls::EndpointCalls(net::Loop& loop, kelpspring::Log& log,
+                             kelpspring::SocketBudget& budget, Options options)
+    : loop_(loop),
+      log_(log),
+      options_(std::move(options)),
+      upstream_(loop, log, budget, std::chrono::microseconds(0), kConnectSpan, *this,
+                [] { return kHeldAnswer; },
+                {kDeadlineHeader,
+                 [this](AttemptKey key, const HttpResponse& head) { return ReadHead(key, head); },
+                 milliseconds(0), true}),
+      module_(options_.seed, *this),
+      timer_(loop.NewTimer([this] {
+        module_.OnTimer(Now());
+        CarryOut();
+      })) {}
+
+EndpointCalls::~EndpointCalls() = default;
+
+Micros EndpointCalls::MicrosOf(net::Time time) const {
+  return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
+}
+
+Micros EndpointCalls::Now() const { return MicrosOf(loop_.Now()); }
+
+// ---- The view ----
+
+void EndpointCalls::OnView(const cluster::View& view) {
+  const bool fresh_configuration = view.configuration != configuration_;
+  const bool fresh_list = view.endpoints != list_;
+  const bool fresh_members = view.members != members_;
+  configuration_ = view.configuration;
+  list_ = view.endpoints;
+  members_ = view.members;
+  if (fresh_configuration || fresh_members) TakeShape(view);
+  if (fresh_list) TakeEndpoints(view);
+  if (fresh_configuration || fresh_list) TellServices(view);
+  CarryOut();
+}
+
+void EndpointCalls::TakeShape(const cluster::View& view) {
+  if (view.configuration) levels_ = Levels(*view.configuration);
+  policy::Shape shape;
+  shape.node = options_.node;
+  shape.zone = options_.zone;
+  shape.levels = levels_.count();
+  shape.most_held = options_.most_held;
+  if (view.members) {
+    const auto ready = std::count_if(
+        view.members->all.begin(), view.members->all.end(),
+        [](const cluster::Member& member) { return member.role == "proxy" && member.ready; });
+    shape.sidecars = static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(1, ready));
+  }
+  module_.OnShape(Now(), shape);
+}
+
+// Draining or gone: nothing new goes there from this moment on, also what is being dialled.
+void EndpointCalls::TakeEndpoints(const cluster::View& view) {
+  std::unordered_set<std::string> listed;
+  if (view.endpoints) {
+    for (const cluster::EndpointEntry& entry : view.endpoints->entries) {
+      listed.insert(entry.id);
+      KnownEndpoint& known = endpoints_[entry.id];
+      if (known.number == 0) known.number = ++last_endpoint_;
+      known.address = entry.address;
+      known.draining = entry.draining;
+      upstream_.SetEndpoint(known.number, known.address, !known.draining && !known.misdirected, 0);
+    }
+  }
+  for (auto it = endpoints_.begin(); it != endpoints_.end();) {
+    const auto present = it++;
+    if (listed.contains(present->first)) continue;
+    upstream_.Forget(present->second.number);
+    endpoints_.erase(present);
+  }
+}
+
+void EndpointCalls::TellServices(const cluster::View& view) {
+  std::map<std::string, policy::ServiceInfo> services;
+  if (view.configuration) {
+    for (const configuration::Service& service : view.configuration->services) {
+      policy::ServiceInfo& info = services[service.name];
+      info.max_conns = service.max_conns;
+      if (service.engine) info.kv_tokens = service.engine->kv_tokens;
+    }
+  }
+  if (view.endpoints) {
+    for (const cluster::EndpointEntry& entry : view.endpoints->entries) {
+      const auto cold = std::chrono::duration_cast<std::chrono::microseconds>(entry.cold_left);
+      const bool gone = endpoints_[entry.id].misdirected;
+      services[entry.service].endpoints.push_back(
+          {entry.id, entry.zone, entry.slots, entry.draining || gone, Now() + cold.count()});
+    }
+  }
+  for (auto it = services_.begin(); it != services_.end();) {
+    const auto present = it++;
+    if (services.contains(*present)) continue;
+    module_.OnServiceGone(Now(), *present);
+    services_.erase(present);
+  }
+  for (auto& [name, info] : services) {
+    info.name = name;
+    services_.insert(name);
+    module_.OnService(Now(), info);
+  }
+}
+
+// ---- Calls ----
+
+CallId EndpointCalls::Start(CallRequest request, CallUser& user) {
+  const auto live = std::make_shared<LiveCall>();
+  const net::Time now = loop_.Now();
+  live->id = ++last_call_;
+  live->user = &user;
+  live->service = ServiceOf(*request.route, request.request_id);
+  live->repeatable =
+      request.batch || request.resumable || request.route->kind == RouteKind::kIdempotent;
+  const net::Span span = request.batch ? net::Span(kItemSpan) : net::Span(request.route->timeout);
+  live->deadline = std::min(request.due.value_or(net::Time::max()), now + span);
+  live->end = std::min(request.due.value_or(net::Time::max()), now + span + kEndSlack);
+  live->events = EventStream(request.last_event_id);
+  live->message = MessageOf(request);
+  live->request = std::move(request);
+  calls_[live->id] = live;
+  if (IsTarget(live->request.target)) {
+    module_.OnCall(Now(), DescriptionOf(*live, live->id));
+    CarryOut();
+  } else {
+    Finish(live, CallEnd::kFailed);
+  }
+  live->starting = false;
+  return live->id;
+}
+
+policy::Call EndpointCalls::DescriptionOf(const LiveCall& live, CallId id) const {
+  const CallRequest& request = live.request;
+  const Route& route = *request.route;
+  policy::Call call;
+  call.id = id;
+  call.level = request.batch ? levels_.batch() : request.level;
+  call.flow = HashOf(request.tenant.empty() ? route.name : request.tenant);
+  call.service = live.service;
+  if (!request.batch || request.due) call.due = MicrosOf(live.deadline);
+  call.timeout = std::chrono::duration_cast<std::chrono::microseconds>(route.timeout).count();
+  call.objective = std::chrono::duration_cast<std::chrono::microseconds>(route.slo).count();
+  call.max_attempts = live.max_attempts();
+  call.repeatable = live.repeatable;
+  call.batch = request.batch;
+  const TokenCount tokens = ParseTokenCount(ValueOf(request.headers, kTokenCountHeader));
+  call.prompt_tokens = tokens.prompt;
+  call.output_tokens = tokens.most_out;
+  call.prompt = ParsePromptPrefix(ValueOf(request.headers, kPromptPrefixHeader));
+  return call;
+}
+
+void EndpointCalls::Resume(CallId call) {
+  const LivePtr live = Find(call);
+  if (live && live->out) upstream_.Resume({call, live->attempt});
+}
+
+void EndpointCalls::Cancel(CallId call) {
+  const LivePtr live = Find(call);
+  if (!live) return;
+  calls_.erase(call);
+  if (live->out) upstream_.Cancel({call, live->attempt});
+  module_.OnAbandoned(Now(), call);
+  CarryOut();
+}
+
+std::uint32_t EndpointCalls::BatchRoom() const { return module_.Room(Now(), levels_.batch()); }
+
+std::map<std::string, EndpointCalls::Load> EndpointCalls::Loads() const {
+  std::map<std::string, Load> loads;
+  for (const auto& [id, live] : calls_) {
+    const auto count = ParseTokenCount(ValueOf(live->request.headers, kTokenCountHeader));
+    Load& load = loads[live->service];
+    (live->out ? load.running : load.waiting) += std::uint64_t{count.prompt} + count.most_out;
+  }
+  return loads;
+}
+
+EndpointCalls::LivePtr EndpointCalls::Find(CallId call) const {
+  const auto it = calls_.find(call);
+  return it == calls_.end() ? nullptr : it->second;
+}
+
+EndpointCalls::LivePtr EndpointCalls::FindAttempt(AttemptKey key) const {
+  LivePtr live = Find(key.first);
+  return live && live->out && live->attempt == key.second ? live : nullptr;
+}
+
+// ---- Decisions of the module ----
+
+void EndpointCalls::Send(CallId call, std::uint32_t attempt, const std::string& endpoint) {
+  decisions_.push_back({Decision::Kind::kSend, call, attempt, endpoint, 0});
+}
+
+void EndpointCalls::Refuse(CallId call, Micros retry_after) {
+  decisions_.push_back({Decision::Kind::kRefuse, call, 0, {}, retry_after});
+}
+
+void EndpointCalls::Fail(CallId call) {
+  decisions_.push_back({Decision::Kind::kFail, call, 0, {}, 0});
+}
+
+void EndpointCalls::SetTimer(Micros at) { timer_->ArmAt(net::Time(std::chrono::microseconds(at))); }
+
+void EndpointCalls::CarryOut() {
+  if (std::exchange(carrying_out_, true)) return;
+  while (!decisions_.empty()) {
+    const Decision decision = std::move(decisions_.front());
+    decisions_.pop_front();
+    if (decision.kind == Decision::Kind::kSend) {
+      StartAttempt(decision);
+    } else if (const LivePtr live = Find(decision.call)) {
+      const bool refused = decision.kind == Decision::Kind::kRefuse && live->ran == 0;
+      Finish(live, refused ? CallEnd::kRefused : CallEnd::kFailed, decision.retry_after);
+    }
+  }
+  carrying_out_ = false;
+}
+
+void EndpointCalls::StartAttempt(const Decision& decision) {
+  const LivePtr live = Find(decision.call);
+  if (!live) return;
+  const AttemptKey key{decision.call, decision.attempt};
+  live->attempt = decision.attempt;
+  live->endpoint = decision.endpoint;
+  live->out = true;
+  live->streaming = false;
+  live->passing = false;
+  live->head.reset();
+  const auto known = endpoints_.find(decision.endpoint);
+  const net::Time now = loop_.Now();
+  if (known == endpoints_.end() || now >= live->deadline || live->sends >= kMostSends) {
+    return EndUnsent(live, key, Outcome::kNeverSent);
+  }
+  ++live->sends;
+  live->message.set(kExpectInstanceHeader, decision.endpoint);
+  if (live->events.events() > 0 && live->events.last_id()) {
+    live->message.set(kLastEventIdHeader, std::to_string(*live->events.last_id()));
+  }
+  const Route& route = *live->request.route;
+  const bool could_move = live->request.resumable && live->ran + 1 < live->max_attempts();
+  const milliseconds silence = ClientSilence(route);
+  const net::Span patience =
+      std::min<net::Span>(silence, std::max(kLeastPatience, kPatientGaps * route.gap_aim));
+  net::Time until = live->end;
+  if (live->request.batch) {
+    until = std::min(until, now + kItemFirstSilence);
+  } else if (live->is_stream_route()) {
+    const double part = could_move ? kPatientPart : 1.0;
+    until = std::min(until, now + std::chrono::duration_cast<net::Span>(silence * part));
+  }
+  kelpspring::Outbound outbound{live->message, false, std::nullopt, until, {}};
+  outbound.silence = could_move ? patience : net::Span(silence);
+  outbound.end = live->end;
+  outbound.deadline = live->deadline;
+  outbound.repeatable = live->repeatable;
+  upstream_.Send(key, known->second.number, outbound,
+                 [this, key](kelpspring::Answer answer) { EndAttempt(key, std::move(answer)); });
+}
+
+// ---- What endpoints answer ----
+
+bool EndpointCalls::OnUp(AttemptKey key) { return FindAttempt(key) != nullptr; }
+
+kelpspring::Reading EndpointCalls::ReadHead(AttemptKey key, const HttpResponse& head) const {
+  const LivePtr live = FindAttempt(key);
+  if (!live) return {OutcomeCode::kError, AnswerUse::kHold};
+  const unsigned status = head.result_int();
+  const auto id = head[kRequestIdHeader];
+  if (!id.empty() && id != Text(live->request.request_id)) {
+    return {OutcomeCode::kError, AnswerUse::kSkip};
+  }
+  if (status == 421 || head.count(kNotRunHeader) != 0) return {OutcomeCode::kFull};
+  const bool success = status / 100 == 2;
+  // Without the id it may belong to anybody, without the stamp it is no endpoint's success, and a
+  // promise that the endpoint did not mean must not be passed on.
+  if (id.empty() || (success && head[kStampHeader].empty()) || IsPromise(status)) {
+    return {OutcomeCode::kError};
+  }
+  const bool stream = success && live->is_stream_route() && IsEventStream(head);
+  return {OutcomeCode::kOk, stream ? AnswerUse::kPass : AnswerUse::kHold};
+}
+
+void EndpointCalls::NoteLoad(const LiveCall& live, const HttpResponse& head) {
+  const auto load = ParseServerLoad(View(head[kServerLoadHeader]));
+  if (load) module_.OnLoad(Now(), live.endpoint, load->running, load->waiting, load->slots);
+}
+
+bool EndpointCalls::OnAnswerBegun(AttemptKey key, HttpResponse head,
+                                  std::optional<std::uint64_t> length) {
+  const LivePtr live = FindAttempt(key);
+  if (!live) return false;
+  NoteLoad(*live, head);
+  live->passing = true;
+  live->streaming = live->is_stream_route() && IsEventStream(head);
+  if (live->streaming) {
+    if (!live->head_told) live->head = std::move(head);
+    return true;
+  }
+  // A further run that is no stream cannot continue one.
+  if (live->head_told) return false;
+  module_.OnFirstEvent(Now(), key.first, key.second);
+  TellHead(live, head, length);
+  return FindAttempt(key) != nullptr;
+}
+
+void EndpointCalls::TellHead(const LivePtr& live, const HttpResponse& head,
+                             std::optional<std::uint64_t> length) {
+  live->head_told = true;
+  live->status = static_cast<int>(head.result_int());
+  live->user->OnHead(live->status, AnswerHeaders(head), length);
+}
+
+bool EndpointCalls::OnAnswerPart(AttemptKey key, std::string_view part) {
+  const LivePtr live = FindAttempt(key);
+  if (!live) return false;
+  return live->streaming ? TellEvents(live, key, part) : live->user->OnBody(part);
+}
+
+bool EndpointCalls::TellEvents(const LivePtr& live, AttemptKey key, std::string_view part) {
+  const bool first = live->events.events() == 0;
+  const EventStream::Taken taken =
+      live->user->WantsEvents()
+          ? live->events.Take(part, [&](const Event& event) { live->user->OnEvent(event); })
+          : live->events.Take(part);
+  if (!FindAttempt(key)) return false;
+  if (taken.events > 0) {
+    if (first) module_.OnFirstEvent(Now(), key.first, key.second);
+    module_.OnProgress(Now(), key.first, key.second, taken.events);
+    CarryOut();
+  }
+  if (!taken.bytes.empty() && live->head) {
+    TellHead(live, *std::exchange(live->head, std::nullopt), std::nullopt);
+    if (!FindAttempt(key)) return false;
+  }
+  const bool wanted = taken.bytes.empty() || live->user->OnBody(taken.bytes);
+  if (!taken.broken || !FindAttempt(key)) return wanted;
+  log_.Line("a stream's events do not follow one another: it is cut");
+  live->out = false;
+  upstream_.Cancel(key);
+  Tell(key, Outcome::kCut, false);
+  Finish(live, CallEnd::kBroken);
+  return false;
+}
+
+void EndpointCalls::EndAttempt(AttemptKey key, kelpspring::Answer answer) {
+  const LivePtr live = FindAttempt(key);
+  if (!live) return;
+  switch (answer.code) {
+    case OutcomeCode::kOk:
+      if (live->streaming) return EndStream(live, key);
+      return EndAnswered(live, key, std::move(answer.message));
+    case OutcomeCode::kFull: {
+      NoteLoad(*live, answer.message);
+      const bool misdirected = answer.message.result_int() == 421;
+      const auto known = endpoints_.find(live->endpoint);
+      if (misdirected && known != endpoints_.end()) {
+        known->second.misdirected = true;
+        upstream_.SetEndpoint(known->second.number, known->second.address, false, 0);
+      }
+      return EndUnsent(live, key, misdirected ? Outcome::kMisdirected : Outcome::kNotRun);
+    }
+    case OutcomeCode::kNeverSent:
+    case OutcomeCode::kConnectFailed:
+      return EndUnsent(live, key, Outcome::kNeverSent);
+    case OutcomeCode::kTimeout:
+      return EndBroken(live, key, Outcome::kTimeout);
+    case OutcomeCode::kCancelled:
+      return EndBroken(live, key, Outcome::kCancelled);
+    case OutcomeCode::kReset:
+      return EndBroken(live, key, Outcome::kReset);
+    case OutcomeCode::kError:
+      return EndBroken(live, key, Outcome::kError);
+  }
+}
+
+// This endpoint did not run it; another may be asked at any time.
+void EndpointCalls::EndUnsent(const LivePtr& live, AttemptKey key, Outcome outcome) {
+  live->out = false;
+  const bool again = live->sends < kMostSends && loop_.Now() < live->deadline;
+  Tell(key, outcome, again);
+  if (again) return;
+  Finish(live, live->ran == 0 ? CallEnd::kRefused : CallEnd::kFailed);
+}
+
+bool EndpointCalls::MayGoOn(const LiveCall& live) const {
+  if (!live.repeatable || live.ran >= live.max_attempts()) return false;
+  if (live.sends >= kMostSends || loop_.Now() >= live.deadline) return false;
+  // An answer that has begun can only be continued as a stream whose events can be told apart.
+  return !live.head_told ||
+         (live.request.resumable && live.events.events() > 0 && live.events.CanRejoin());
+}
+
+// It may have run, and no whole answer came of it.
+void EndpointCalls::EndBroken(const LivePtr& live, AttemptKey key, Outcome outcome) {
+  live->out = false;
+  ++live->ran;
+  const bool again = MayGoOn(*live);
+  if (live->streaming && live->events.events() > 0) outcome = Outcome::kCut;
+  if (again) live->events.Rejoin();
+  Tell(key, outcome, again);
+  if (!again) Finish(live, CallEnd::kFailed);
+}
+
+void EndpointCalls::EndStream(const LivePtr& live, AttemptKey key) {
+  // Its framing says that it is whole, so what stands behind the last event belongs to it.
+  const std::string rest(live->events.rest());
+  if (live->head) TellHead(live, *std::exchange(live->head, std::nullopt), std::nullopt);
+  if (!rest.empty() && FindAttempt(key)) live->user->OnBody(rest);
+  live->out = false;
+  Tell(key, Outcome::kSuccess, false);
+  Finish(live, CallEnd::kComplete);
+}
+
+void EndpointCalls::EndAnswered(const LivePtr& live, AttemptKey key, HttpResponse message) {
+  if (live->passing) {  // All of it has gone on in parts.
+    live->out = false;
+    Tell(key, live->status >= 500 ? Outcome::kError : Outcome::kSuccess, false);
+    return Finish(live, CallEnd::kComplete);
+  }
+  NoteLoad(*live, message);
+  // A further run that is no stream cannot continue one.
+  if (live->head_told) return EndBroken(live, key, Outcome::kError);
+  const bool failed = message.result_int() >= 500;
+  live->out = false;
+  if (failed) ++live->ran;
+  const bool again = failed && !live->request.batch && MayGoOn(*live);
+  if (again) {
+    live->failure = std::move(message);
+  } else {
+    HandOver(live, std::move(message));
+  }
+  Tell(key, failed ? Outcome::kError : Outcome::kSuccess, again);
+}
+
+void EndpointCalls::HandOver(const LivePtr& live, HttpResponse message) {
+  TellHead(live, message, message.body().size());
+  if (!Find(live->id)) return;
+  if (!message.body().empty()) live->user->OnBody(message.body());
+  Finish(live, CallEnd::kComplete);
+}
+
+void EndpointCalls::Tell(AttemptKey key, Outcome outcome, bool again) {
+  module_.OnOutcome(Now(), key.first, key.second, outcome, again);
+  CarryOut();
+}
+
+// The one end of a call, unless it was cancelled.
+void EndpointCalls::Finish(const LivePtr& live, CallEnd end, Micros retry_after) {
+  if (calls_.erase(live->id) == 0) return;
+  const bool unanswered = end == CallEnd::kRefused || end == CallEnd::kFailed;
+  if (unanswered && live->failure && !live->head_told) {
+    const HttpResponse failure = *std::exchange(live->failure, std::nullopt);
+    calls_[live->id] = live;
+    return HandOver(live, failure);
+  }
+  CallSummary summary;
+  summary.end = unanswered && live->head_told ? CallEnd::kBroken : end;
+  summary.status = live->status;
+  summary.may_have_run = live->ran > 0 || summary.end == CallEnd::kComplete;
+  if (retry_after > 0) summary.retry_after_s = static_cast<double>(retry_after) / 1e6;
+  if (!live->starting) return live->user->OnEnd(summary);
+  calls_[live->id] = live;  // Until it is told, it can be cancelled.
+  loop_.Post([this, live, summary] {
+    if (calls_.erase(live->id) != 0) live->user->OnEnd(summary);
+  });
+}
+
+}  // namespace shelflink::proxy
--- /dev/null
+++ b/src/tier/proxy/front.cpp
@@ -0,0 +1,232 @@
+#include "tier/proxy/front.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include "tier/proxy/batch_requests.h"
+#include "tier/proxy/headers.h"
+#include "tier/proxy/names.h"
+
+namespace shelflink::proxy {
+
+using configuration::Configuration;
+using configuration::Route;
+using configuration::RouteKind;
+using configuration::Tenant;
+using kelpspring::HttpRequest;
+using kelpspring::HttpResponse;
+using kelpspring::View;
+using std::chrono::milliseconds;
+
+namespace {
+
+namespace http = boost::beast::http;
+
+// The platform needs two missed checks, a second apart, to send no more new connections.
+constexpr auto kPlatformNotices = milliseconds(2500);
+// Clients keep within the limits by their own clocks; what the way takes comes on top.
+constexpr auto kWaySlack = milliseconds(500);
+constexpr double kNotReadyRetryAfter = 0.25;
+
+kelpspring::ServerTerms TermsOf(const configuration::ClientLimits& limits, milliseconds grace) {
+  kelpspring::ServerTerms terms;
+  terms.health_path.clear();
+  terms.header_limit = static_cast<std::uint32_t>(limits.max_header_bytes);
+  terms.body_limit = limits.max_body_bytes;
+  terms.first_span.reset();
+  terms.request_span = limits.header_timeout + kWaySlack;
+  terms.rest_span = limits.idle_timeout;
+  terms.drain_window = std::min(kPlatformNotices, grace / 3);
+  terms.leave_half_read = grace / 2;
+  terms.folded_headers = false;
+  terms.break_by_reset = false;
+  return terms;
+}
+
+HttpResponse Refusal(std::optional<double> retry_after) {
+  HttpResponse response = kelpspring::PlainText(http::status::service_unavailable,
+                                                "has not run and will not: try again\n");
+  if (retry_after) {
+    std::array<char, 32> text{};
+    const int length = std::snprintf(text.data(), text.size(), "%.3f", *retry_after);
+    response.set(kRetryAfterHeader, std::string(text.data(), static_cast<std::size_t>(length)));
+  }
+  return response;
+}
+
+HttpResponse HeadOf(int status, const HeaderList& headers) {
+  HttpResponse head{http::int_to_status(static_cast<unsigned>(status)), 11};
+  if (head.result() == http::status::unknown) head.result(static_cast<unsigned>(status));
+  for (const auto& [name, value] : headers) head.insert(name, value);
+  return head;
+}
+
+}  // namespace
+
+// One request of a client, from its call to the end of its answer.
+class Front::Exchange : public CallUser {
+ public:
+  Exchange(Front& front, ClientPtr client, std::string tenant, net::Time due)
+      : front_(front), client_(std::move(client)), tenant_(std::move(tenant)), due_(due) {}
+
+  void Start(CallRequest request) {
+    call_ = front_.wiring_.calls.Start(std::move(request), *this);
+    client_->OnGone([this] {
+      front_.wiring_.calls.Cancel(call_);
+      front_.Ended(this);
+    });
+  }
+
+ private:
+  void OnHead(int status, const HeaderList& headers, std::optional<std::uint64_t> length) override {
+    client_->Begin(HeadOf(status, headers), length, [this] { front_.wiring_.calls.Resume(call_); });
+  }
+
+  bool OnBody(std::string_view bytes) override {
+    if (!std::exchange(counted_, true)) CountUse();
+    const ClientPtr client = client_;  // Its end would end this.
+    return client->Part(bytes);
+  }
+
+  bool WantsEvents() const override { return false; }
+
+  void OnEnd(const CallSummary& summary) override {
+    const ClientPtr client = client_;
+    const net::Time due = due_;
+    Front& front = front_;
+    front.Ended(this);
+    switch (summary.end) {
+      case CallEnd::kComplete:
+        return client->EndBody();
+      case CallEnd::kBroken:
+        return client->Break();
+      case CallEnd::kRefused:
+        return client->Respond(Refusal(summary.retry_after_s));
+      case CallEnd::kFailed:
+        break;
+    }
+    const bool late = front.loop_.Now() >= due;
+    client->RespondPlain(late ? 504 : 502, late ? "no answer in time\n" : "no usable answer\n");
+  }
+
+  void CountUse() {
+    if (!tenant_.empty() && front_.wiring_.count_use) front_.wiring_.count_use(tenant_);
+  }
+
+  Front& front_;
+  ClientPtr client_;
+  std::string tenant_;
+  net::Time due_;
+  policy::CallId call_ = 0;
+  bool counted_ = false;
+};
+
+Front::Front(net::Loop& loop, kelpspring::Log& log, net::ListenerPtr listener,
+             kelpspring::SocketBudget& budget, const kelpspring::Drain& drain, Wiring wiring,
+             milliseconds grace)
+    : loop_(loop),
+      wiring_(std::move(wiring)),
+      grace_(grace),
+      server_(
+          loop, log, std::move(listener), budget, drain, [] { return true; },
+          // A body is taken whole, up to the limit, before anything is decided.
+          [] { return UINT64_MAX; },
+          [this](const ClientPtr& client, HttpRequest request, kelpspring::Arrival) {
+            OnRequest(client, std::move(request));
+          },
+          TermsOf({}, grace)) {
+  server_.Open();
+}
+
+Front::~Front() {
+  for (Exchange* exchange : exchanges_) delete exchange;
+}
+
+void Front::SetConfiguration(std::shared_ptr<const Configuration> configuration) {
+  configuration_ = std::move(configuration);
+  if (!configuration_) return;
+  levels_ = Levels(*configuration_);
+  server_.SetTerms(TermsOf(configuration_->limits, grace_));
+}
+
+void Front::Ended(Exchange* exchange) {
+  // Not from inside what it does.
+  if (exchanges_.erase(exchange) != 0) loop_.Post([exchange] { delete exchange; });
+}
+
+// Jobs are read and ended by paths of their own, under the host of a batch route.
+const Route* Front::BatchRouteOf(std::string_view host, std::string_view path) const {
+  if (!IsBatchJobPath(path)) return nullptr;
+  for (const Route& route : configuration_->routes) {
+    if (route.kind == RouteKind::kBatch &&
+        configuration_->FindRoute(host, route.path_prefix) == &route) {
+      return &route;
+    }
+  }
+  return nullptr;
+}
+
+void Front::OnRequest(const ClientPtr& client, HttpRequest request) {
+  if (!configuration_) return client->Respond(Refusal(kNotReadyRetryAfter));
+  const kelpspring::Target target = kelpspring::Split(View(request.target()));
+  const std::string_view path = kelpspring::PathOf(target.origin);
+  if (request.count(http::field::host) != 1 || path.empty() || path.front() != '/') {
+    return client->Reject(400, "expected one Host and an absolute path\n");
+  }
+  const std::string_view host =
+      target.authority.empty() ? View(request[http::field::host]) : target.authority;
+  const Route* route = configuration_->FindRoute(host, path);
+  if (route == nullptr) route = BatchRouteOf(host, path);
+  if (route == nullptr) return client->RespondPlain(404, "no route\n");
+  const Tenant* tenant = nullptr;
+  if (configuration_->has_tenants && !route->is_public) {
+    if (request.count(kCredentialHeader) == 1) {
+      tenant = configuration_->TenantOfKey(View(request[kCredentialHeader]));
+    }
+    if (tenant == nullptr) return client->RespondPlain(401, "unknown key\n");
+  }
+  if (route->kind != RouteKind::kBatch) {
+    return StartCall(client, std::move(request), *route, tenant);
+  }
+  if (wiring_.batch == nullptr) return client->Respond(Refusal(kNotReadyRetryAfter));
+  const BatchCaller caller{configuration_, route, tenant == nullptr ? "" : tenant->name,
+                           loop_.Now()};
+  AnswerBatchRequest(client, std::move(request), caller, *wiring_.batch);
+}
+
+void Front::StartCall(const ClientPtr& client, HttpRequest request, const Route& route,
+                      const Tenant* tenant) {
+  if (request.count(kRequestIdHeader) != 1 || request[kRequestIdHeader].empty()) {
+    return client->RespondPlain(400, "Shelflink-Request-Id: expected once\n");
+  }
+  CallRequest call;
+  call.request_id = std::string(View(request[kRequestIdHeader]));
+  call.method = std::string(View(request.method_string()));
+  call.target = std::string(kelpspring::Split(View(request.target())).origin);
+  call.headers = RequestHeaders(request);
+  call.body = std::move(request.body());
+  call.configuration = configuration_;
+  call.route = &route;
+  if (tenant != nullptr) call.tenant = tenant->name;
+  const bool ranked = tenant != nullptr && tenant->priority;
+  call.level = levels_.Of(ranked ? *tenant->priority : route.priority);
+  call.resumable = route.kind == RouteKind::kStreaming && route.resumable;
+  const net::Time now = loop_.Now();
+  net::Time due = now + route.timeout;
+  if (const auto left = WholeNumber(View(request[kDeadlineHeader]))) {
+    constexpr std::uint64_t kLongest = 86'400'000;
+    call.due = now + milliseconds(std::min(*left, kLongest));
+    due = std::min(due, *call.due);
+  }
+  if (call.resumable) {
+    call.last_event_id = WholeNumber(View(request[kLastEventIdHeader]));
+  }
+  auto* exchange =
+      new Exchange(*this, client, tenant == nullptr ? std::string() : tenant->name, due);
+  exchanges_.insert(exchange);
+  exchange->Start(std::move(call));
+}
+
+}  // namespace shelflink::proxy
--- /dev/null
+++ b/src/tier/proxy/front.h
@@ -0,0 +1,73 @@
+// Where clients come in: requests are read, checked against the configuration in force and made
+// into calls or into questions to the batch part; their answers go back as they come.
+//
+// Nothing that cannot be used is passed on. Limits: the configuration's `limits` for what a client
+// may send, Server::MostClients connections.
+#ifndef SHELFLINK_TIER_PROXY_FRONT_H_
+#define SHELFLINK_TIER_PROXY_FRONT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+#include "net/loop.h"
+#include "sidecar/drain.h"
+#include "sidecar/log.h"
+#include "sidecar/server.h"
+#include "tier/proxy/batch_front.h"
+#include "tier/proxy/calls.h"
+#include "tier/proxy/levels.h"
+
+namespace shelflink::proxy {
+
+class Front {
+ public:
+  struct Wiring {
+    Calls& calls;
+    BatchFront* batch = nullptr;  // Null: batch jobs are answered with 503.
+    // An endpoint has begun to run a request of that tenant. May be empty.
+    std::function<void(const std::string& tenant)> count_use;
+  };
+
+  Front(net::Loop& loop, kelpspring::Log& log, net::ListenerPtr listener,
+        kelpspring::SocketBudget& budget, const kelpspring::Drain& drain, Wiring wiring,
+        std::chrono::milliseconds grace);
+  ~Front();
+  Front(const Front&) = delete;
+  Front& operator=(const Front&) = delete;
+
+  // In force from the next request on.
+  void SetConfiguration(std::shared_ptr<const configuration::Configuration> configuration);
+  // After the drain has begun to leave: answers end their connections, new connections are taken in
+  // for a while, and `done` is called when nothing is held any more.
+  void Leave(std::function<void()> done) { server_.Leave(false, std::move(done)); }
+
+  net::Address address() const { return server_.address(); }
+  std::size_t clients() const { return server_.clients(); }
+  const std::map<unsigned, std::uint64_t>& rejected() const { return server_.rejected(); }
+
+ private:
+  class Exchange;
+  using ClientPtr = std::shared_ptr<kelpspring::Client>;
+
+  void OnRequest(const ClientPtr& client, kelpspring::HttpRequest request);
+  void OnBatchRequest(const ClientPtr& client, kelpspring::HttpRequest request, BatchCaller caller,
+                      std::string_view path);
+  void StartCall(const ClientPtr& client, kelpspring::HttpRequest request,
+                 const configuration::Route& route, const configuration::Tenant* tenant);
+  const configuration::Route* BatchRouteOf(std::string_view host, std::string_view path) const;
+  void Ended(Exchange* exchange);
+
+  net::Loop& loop_;
+  Wiring wiring_;
+  std::chrono::milliseconds grace_;
+  std::shared_ptr<const configuration::Configuration> configuration_;
+  Levels levels_;
+  std::unordered_set<Exchange*> exchanges_;
+  kelpspring::Server server_;
+};
+
+}  // namespace shelflink::proxy
+
+#endif  // SHELFLINK_TIER_PROXY_FRONT_H_
