--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -122,6 +122,7 @@
   bool out = false;      // An attempt is under way:
   std::uint32_t attempt = 0;
   std::string endpoint;
+  bool forbidden = false;  // Its user does not let it be sent.
   int sends = 0;
   int ran = 0;             // Endpoints that may have run it, the present one not among them.
   bool streaming = false;  // The present attempt's answer is a stream of events.
@@ -369,9 +370,11 @@
   live->streaming = false;
   live->passing = false;
   live->head.reset();
+  live->forbidden = !live->user->MaySend();
   const auto known = endpoints_.find(decision.endpoint);
   const net::Time now = loop_.Now();
-  if (known == endpoints_.end() || now >= live->deadline || live->sends >= kMostSends) {
+  if (live->forbidden || known == endpoints_.end() || now >= live->deadline ||
+      live->sends >= kMostSends) {
     return EndUnsent(live, key, Outcome::kNeverSent);
   }
   ++live->sends;
@@ -402,7 +405,12 @@
 
 // ---- What endpoints answer ----
 
-bool EndpointCalls::OnUp(AttemptKey key) { return FindAttempt(key) != nullptr; }
+bool EndpointCalls::OnUp(AttemptKey key) {
+  const LivePtr live = FindAttempt(key);
+  if (!live) return false;
+  live->forbidden = !live->user->MaySend();
+  return !live->forbidden;
+}
 
 kelpspring::Reading EndpointCalls::ReadHead(AttemptKey key, const HttpResponse& head) const {
   const LivePtr live = FindAttempt(key);
@@ -519,7 +527,7 @@
 // This endpoint did not run it; another may be asked at any time.
 void EndpointCalls::EndUnsent(const LivePtr& live, AttemptKey key, Outcome outcome) {
   live->out = false;
-  const bool again = live->sends < kMostSends && loop_.Now() < live->deadline;
+  const bool again = !live->forbidden && live->sends < kMostSends && loop_.Now() < live->deadline;
   Tell(key, outcome, again);
   if (again) return;
   Finish(live, live->ran == 0 ? CallEnd::kRefused : CallEnd::kFailed);
--- a/src/tier/proxy/front.cpp
+++ b/src/tier/proxy/front.cpp
@@ -66,7 +66,7 @@
 }  // namespace
 
 // One request of a client, from its call to the end of its answer.
-class Front::Exchange : public CallUser {
+class Front::Exchange final : public CallUser {
  public:
   Exchange(Front& front, ClientPtr client, std::string tenant, net::Time due)
       : front_(front), client_(std::move(client)), tenant_(std::move(tenant)), due_(due) {}
@@ -140,9 +140,7 @@
   server_.Open();
 }
 
-Front::~Front() {
-  for (Exchange* exchange : exchanges_) delete exchange;
-}
+Front::~Front() = default;
 
 void Front::SetConfiguration(std::shared_ptr<const Configuration> configuration) {
   configuration_ = std::move(configuration);
@@ -151,10 +149,8 @@
   server_.SetTerms(TermsOf(configuration_->limits, grace_));
 }
 
-void Front::Ended(Exchange* exchange) {
-  // Not from inside what it does.
-  if (exchanges_.erase(exchange) != 0) loop_.Post([exchange] { delete exchange; });
-}
+// The exchange exists no more after this.
+void Front::Ended(Exchange* exchange) { exchanges_.erase(exchange); }
 
 // Jobs are read and ended by paths of their own, under the host of a batch route.
 const Route* Front::BatchRouteOf(std::string_view host, std::string_view path) const {
@@ -205,6 +201,9 @@
   call.request_id = std::string(View(request[kRequestIdHeader]));
   call.method = std::string(View(request.method_string()));
   call.target = std::string(kelpspring::Split(View(request.target())).origin);
+  // A target in absolute form names the host itself (RFC 9112, 3.2.2).
+  const std::string_view authority = kelpspring::Split(View(request.target())).authority;
+  if (!authority.empty()) request.set(http::field::host, std::string(authority));
   call.headers = RequestHeaders(request);
   call.body = std::move(request.body());
   call.configuration = configuration_;
@@ -223,10 +222,10 @@
   if (call.resumable) {
     call.last_event_id = WholeNumber(View(request[kLastEventIdHeader]));
   }
-  auto* exchange =
-      new Exchange(*this, client, tenant == nullptr ? std::string() : tenant->name, due);
-  exchanges_.insert(exchange);
-  exchange->Start(std::move(call));
+  auto exchange = std::make_unique<Exchange>(*this, client, call.tenant, due);
+  Exchange& started = *exchange;
+  exchanges_.emplace(&started, std::move(exchange));
+  started.Start(std::move(call));
 }
 
 }  // namespace shelflink::proxy
--- a/src/tier/proxy/front.h
+++ b/src/tier/proxy/front.h
@@ -9,7 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_set>
+#include <unordered_map>
 
 #include "net/loop.h"
 #include "sidecar/drain.h"
@@ -64,7 +64,7 @@
   std::chrono::milliseconds grace_;
   std::shared_ptr<const configuration::Configuration> configuration_;
   Levels levels_;
-  std::unordered_set<Exchange*> exchanges_;
+  std::unordered_map<Exchange*, std::unique_ptr<Exchange>> exchanges_;
   kelpspring::Server server_;
 };
 
