Proxy of the serving tier: front, calls to endpoints, streams

Clients' requests are read by the connection code of the program in service, checked against the configuration in force (host and longest prefix, key, limits) and sent where the decision module says, each send naming the instance that it means.

--- /dev/null
+++ b/tests/tier/proxy/front_test.cpp
@@ -0,0 +1,262 @@
+// Requests and answers of clients: what is owed at the client's end.
+#define BOOST_TEST_MODULE proxy_front
+#include <boost/test/unit_test.hpp>
+
+#include "proxy/stand_in.h"
+
+using stand_in::Answers;
+using stand_in::Client;
+using stand_in::Endpoint;
+using stand_in::Message;
+using stand_in::milliseconds;
+using stand_in::Request;
+using stand_in::Sample;
+using stand_in::World;
+
+BOOST_AUTO_TEST_CASE(passes_request_and_answer_on) {
+  World world;
+  Endpoint& endpoint = world.Add(Answers("the bytes", "X-More: yes\r\nKeep-Alive: timeout=5\r\n"));
+  auto client = world.Ask(Request("/post/one?q=1%202", "9c41d07be2a35f68",
+                                  "X-Other: kept\r\nConnection: X-Hop, keep-alive\r\nX-Hop: no\r\n"
+                                  "Shelflink-Tenant: forged\r\nShelflink-Credential: key-1\r\n"));
+  world.Run(milliseconds(100));
+  const Message answer = client->Answer();
+  BOOST_TEST(answer.whole);
+  BOOST_TEST(answer.Status() == 200);
+  BOOST_TEST(answer.body == "the bytes");
+  BOOST_TEST(answer.Value("Shelflink-Response-Stamp") == "stamp.1");
+  BOOST_TEST(answer.Value("X-More") == "yes");
+  BOOST_TEST(answer.Count("Keep-Alive") == 0U);
+  BOOST_REQUIRE(endpoint.requests.size() == 1U);
+  const Message& seen = endpoint.requests.front();
+  BOOST_TEST(seen.first == "POST /post/one?q=1%202 HTTP/1.1");
+  BOOST_TEST(seen.body == "prompt");
+  BOOST_TEST(seen.Value("Host") == "a.example");
+  BOOST_TEST(seen.Value("X-Other") == "kept");
+  BOOST_TEST(seen.Value("Shelflink-Request-Id") == "9c41d07be2a35f68");
+  BOOST_TEST(seen.Value("Shelflink-Expect-Instance") == "i-0");
+  BOOST_TEST(seen.Count("X-Hop") == 0U);
+  BOOST_TEST(seen.Count("Connection") == 0U);
+  BOOST_TEST(seen.Count("Shelflink-Tenant") == 0U);
+  BOOST_TEST(seen.Count("Shelflink-Credential") == 0U);
+  const int left = std::stoi(seen.Value("Shelflink-Deadline-Ms"));
+  BOOST_TEST(left <= 3000);
+  BOOST_TEST(left >= 2950);
+}
+
+BOOST_AUTO_TEST_CASE(tenant_comes_from_the_key) {
+  World world;
+  Endpoint& endpoint = world.Add(Answers("x"));
+  const std::string forged = "Shelflink-Tenant: forged\r\n";
+  auto known = world.Ask(Request("/keyed/a", "01", "Shelflink-Credential: key-2\r\n" + forged));
+  auto unknown = world.Ask(Request("/keyed/a", "02", "Shelflink-Credential: key-3\r\n" + forged));
+  auto keyless = world.Ask(Request("/keyed/a", "03", forged));
+  world.Run(milliseconds(100));
+  BOOST_TEST(known->Answer().Status() == 200);
+  BOOST_TEST(unknown->Answer().Status() == 401);
+  BOOST_TEST(keyless->Answer().Status() == 401);
+  BOOST_REQUIRE(endpoint.requests.size() == 1U);
+  BOOST_TEST(endpoint.requests.front().Value("Shelflink-Tenant") == "ten");
+  BOOST_TEST(endpoint.requests.front().Count("Shelflink-Tenant") == 1U);
+  BOOST_TEST(endpoint.requests.front().Count("Shelflink-Credential") == 0U);
+  BOOST_TEST(world.used["ten"] == 1);
+}
+
+BOOST_AUTO_TEST_CASE(key_that_was_taken_away_is_refused_on_the_next_request) {
+  World world;
+  world.Add(Answers("x"));
+  auto client = world.Ask(Request("/keyed/a", "01", "Shelflink-Credential: key-2\r\n"));
+  world.Run(milliseconds(100));
+  BOOST_TEST(client->Answer().Status() == 200);
+  auto changed = Sample();
+  changed.tenants[0].api_keys = {"key-1"};
+  changed.Index();
+  world.SetConfiguration(changed);
+  client->Send(Request("/keyed/a", "02", "Shelflink-Credential: key-2\r\n"));
+  world.Run(milliseconds(100));
+  BOOST_TEST(client->Answer().Status() == 401);
+}
+
+BOOST_AUTO_TEST_CASE(takes_a_body_in_chunks_and_passes_it_with_its_length) {
+  World world;
+  Endpoint& endpoint = world.Add(Answers("x"));
+  auto client = world.Ask(
+      "POST /post/a HTTP/1.1\r\nHost: a.example\r\nShelflink-Request-Id: 01\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+  world.Run(milliseconds(50));
+  BOOST_TEST(endpoint.requests.empty());
+  client->Send("2\r\nde\r\n0\r\n\r\n");
+  world.Run(milliseconds(50));
+  BOOST_TEST(client->Answer().Status() == 200);
+  BOOST_REQUIRE(endpoint.requests.size() == 1U);
+  BOOST_TEST(endpoint.requests.front().body == "abcde");
+  BOOST_TEST(endpoint.requests.front().Value("Content-Length") == "5");
+  BOOST_TEST(endpoint.requests.front().Count("Transfer-Encoding") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(answers_pipelined_requests_in_order) {
+  World world;
+  world.Add([](Endpoint::Line& line, const Message& request) {
+    line.Write(Endpoint::Whole(request, request.Value("Shelflink-Request-Id")));
+  });
+  auto client = world.Ask(Request("/post/a", "01") + Request("/post/a", "02") +
+                          Request("/nowhere/a", "03") + Request("/post/a", "04"));
+  world.Run(milliseconds(100));
+  BOOST_TEST(client->Answer().body == "01");
+  BOOST_TEST(client->Answer().body == "02");
+  BOOST_TEST(client->Answer().Status() == 404);
+  BOOST_TEST(client->Answer().body == "04");
+}
+
+// ---- What cannot be used is answered or closed, and never passed on ----
+
+namespace {
+
+struct BadRequest {
+  const char* name;
+  std::string text;
+  int status;  // 0: closed.
+};
+
+std::string Lines(const std::string& lines) {
+  return "POST /post/a HTTP/1.1\r\nHost: a.example\r\nShelflink-Request-Id: 01\r\n" + lines;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(bad_requests_are_never_passed_on) {
+  const std::string huge(20'000, 'x');
+  const std::vector<BadRequest> all = {
+      {"two lengths", Lines("Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"), 400},
+      {"the same length twice", Lines("Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc"), 400},
+      {"a list of lengths", Lines("Content-Length: 3, 3\r\n\r\nabc"), 400},
+      {"a signed length", Lines("Content-Length: +3\r\n\r\nabc"), 400},
+      {"length and chunks",
+       Lines("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), 400},
+      {"chunks and length",
+       Lines("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n"), 400},
+      {"an unknown coding", Lines("Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"), 400},
+      {"a coding in disguise", Lines("Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n"), 400},
+      {"a bare line feed", "POST /post/a HTTP/1.1\nHost: a.example\n\n", 400},
+      {"a bare line feed in the headers", Lines("X-A: b\nContent-Length: 0\r\n\r\n"), 400},
+      {"a folded header", Lines("X-A: b\r\n c\r\nContent-Length: 0\r\n\r\n"), 400},
+      {"a header without a name", Lines(": b\r\nContent-Length: 0\r\n\r\n"), 400},
+      {"a space before the colon", Lines("X-A : b\r\nContent-Length: 0\r\n\r\n"), 400},
+      {"no host", "POST /post/a HTTP/1.1\r\nShelflink-Request-Id: 01\r\nContent-Length: 0\r\n\r\n",
+       400},
+      {"two hosts", Lines("Host: b.example\r\nContent-Length: 0\r\n\r\n"), 400},
+      {"two ids", Lines("Shelflink-Request-Id: 02\r\nContent-Length: 0\r\n\r\n"), 400},
+      {"no id", "POST /post/a HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n", 400},
+      {"no path", "POST * HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n", 400},
+      {"too large a head", Lines("X-A: " + huge + "\r\nContent-Length: 0\r\n\r\n"), 431},
+      {"too large a body", Lines("Content-Length: 5000000\r\n\r\n"), 413},
+      {"a chunk size that is none", Lines("Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n"), 400},
+      {"no HTTP", "hello there\r\n\r\n", 400},
+      {"another protocol's start", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 400},
+  };
+  for (const BadRequest& bad : all) {
+    BOOST_TEST_CONTEXT(bad.name) {
+      World world;
+      Endpoint& endpoint = world.Add(Answers("x"));
+      auto client = world.Ask(bad.text);
+      world.Run(milliseconds(1000));
+      const Message answer = client->Answer();
+      BOOST_TEST(answer.Status() == bad.status);
+      BOOST_TEST(endpoint.requests.empty());
+      BOOST_TEST(answer.Count("Shelflink-Response-Stamp") == 0U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(no_route_is_404) {
+  World world;
+  Endpoint& endpoint = world.Add(Answers("x"));
+  auto path = world.Ask(Request("/nowhere/a"));
+  auto host =
+      world.Ask("GET /get/a HTTP/1.1\r\nHost: b.example\r\nShelflink-Request-Id: 01\r\n\r\n");
+  world.Run(milliseconds(100));
+  BOOST_TEST(path->Answer().Status() == 404);
+  BOOST_TEST(host->Answer().Status() == 404);
+  BOOST_TEST(endpoint.requests.empty());
+}
+
+BOOST_AUTO_TEST_CASE(chunked_body_over_the_limit_is_413) {
+  auto configuration = Sample();
+  configuration.limits.max_body_bytes = 100;
+  World world(1, configuration);
+  Endpoint& endpoint = world.Add(Answers("x"));
+  const std::string head =
+      "POST /post/a HTTP/1.1\r\nHost: a.example\r\nShelflink-Request-Id: 01\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  auto over = world.Ask(head + Endpoint::Chunk(std::string(60, 'a')) +
+                        Endpoint::Chunk(std::string(60, 'b')) + "0\r\n\r\n");
+  auto within = world.Ask(head + Endpoint::Chunk(std::string(60, 'a')) +
+                          Endpoint::Chunk(std::string(40, 'b')) + "0\r\n\r\n");
+  world.Run(milliseconds(100));
+  BOOST_TEST(over->Answer().Status() == 413);
+  BOOST_TEST(within->Answer().Status() == 200);
+  BOOST_TEST(endpoint.requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(half_a_request_for_ever_is_ended) {
+  const std::vector<std::string> halves = {"POST /post/a HT", Lines(""),
+                                           Lines("Content-Length: 5\r\n\r\nab")};
+  for (const std::string& half : halves) {
+    BOOST_TEST_CONTEXT(half) {
+      World world;
+      Endpoint& endpoint = world.Add(Answers("x"));
+      auto client = world.Ask(half);
+      world.Run(milliseconds(3000));
+      BOOST_TEST(!client->over);  // The limit is the client's due.
+      world.Run(milliseconds(2000));
+      BOOST_TEST(client->Answer().Status() == 408);
+      BOOST_TEST(client->over);
+      BOOST_TEST(endpoint.requests.empty());
+      BOOST_TEST(world.front.rejected().at(408) == 1U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(connections_may_rest_as_long_as_the_limits_say) {
+  World world;
+  world.Add(Answers("x"));
+  auto fresh = world.Dial();
+  auto used = world.Ask(Request("/post/a", "01"));
+  world.Run(milliseconds(12'000));  // Four fifths of 15 s.
+  BOOST_TEST(used->Answer().Status() == 200);
+  used->Send(Request("/post/a", "02"));
+  fresh->Send(Request("/post/a", "03"));
+  world.Run(milliseconds(100));
+  BOOST_TEST(used->Answer().Status() == 200);
+  BOOST_TEST(fresh->Answer().Status() == 200);
+  world.Run(milliseconds(16'000));
+  BOOST_TEST(used->over);
+}
+
+BOOST_AUTO_TEST_CASE(leaving_serves_what_comes_while_the_platform_looks_away) {
+  World world;
+  world.Add([&](Endpoint::Line& line, const Message& request) {
+    world.endpoints[0]->Stream(line, request, 40, milliseconds(50));
+  });
+  auto idle = world.Ask(Request("/stream/a", "00"));
+  world.Run(milliseconds(20));
+  auto half = world.Ask(Lines("Content-Length: 5\r\n\r\nab"));
+  world.Run(milliseconds(20));
+  bool done = false;
+  world.drain.Leave(false);
+  world.front.Leave([&] { done = true; });
+  world.Run(milliseconds(2000));
+  auto late = world.Ask(Request("/stream/a", "01"));  // The platform has not noticed yet.
+  half->Send("cde");
+  world.Run(milliseconds(1000));
+  BOOST_TEST(idle->Answer().whole);  // It had begun before the drain.
+  BOOST_TEST(idle->over);
+  BOOST_TEST(!done);
+  world.Run(milliseconds(3000));
+  const Message answer = late->Answer();
+  BOOST_TEST(answer.whole);
+  BOOST_TEST(answer.Value("Connection") == "close");
+  BOOST_TEST(half->Answer().Status() == 200);
+  world.Run(milliseconds(1000));
+  BOOST_TEST(done);
+}
--- /dev/null
+++ b/tests/tier/proxy/stream_test.cpp
@@ -0,0 +1,320 @@
+// Streams: events as they arrive, whole, in order, once; and resumption within one answer.
+#define BOOST_TEST_MODULE proxy_stream
+#include <boost/test/unit_test.hpp>
+
+#include "proxy/stand_in.h"
+#include "tier/proxy/event_stream.h"
+
+using shelflink::proxy::EventStream;
+using stand_in::Client;
+using stand_in::Endpoint;
+using stand_in::Message;
+using stand_in::milliseconds;
+using stand_in::Request;
+using stand_in::World;
+using Line = Endpoint::Line;
+
+namespace {
+
+std::string Events(int first, int last) {
+  std::string text;
+  for (int number = first; number <= last; ++number) text += Endpoint::EventText(number);
+  return text;
+}
+
+}  // namespace
+
+// ---- The splitter ----
+
+BOOST_AUTO_TEST_CASE(events_go_on_whole_however_they_are_cut) {
+  const std::string text = "versions: 3\n" + Events(1, 5) + ": still here\n\n" + Events(6, 6);
+  for (std::size_t size = 1; size <= text.size(); ++size) {
+    EventStream stream;
+    std::string out;
+    for (std::size_t at = 0; at < text.size(); at += size) {
+      const auto taken = stream.Take(std::string_view(text).substr(at, size));
+      BOOST_TEST(!taken.broken);
+      out += taken.bytes;
+      BOOST_TEST((out.empty() || out.substr(out.size() - 2) == "\n\n"));
+    }
+    BOOST_TEST(out == text);
+    BOOST_TEST(stream.events() == 6U);
+    BOOST_TEST(stream.last_id().value() == 6U);
+    BOOST_TEST(stream.rest().empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(events_are_told_with_id_and_data) {
+  EventStream stream;
+  std::vector<shelflink::proxy::Event> events;
+  stream.Take("id: 4\r\ndata: a\r\ndata:b\r\n\r\ndata\n\n",
+              [&](const shelflink::proxy::Event& event) { events.push_back(event); });
+  BOOST_REQUIRE(events.size() == 2U);
+  BOOST_TEST(events[0].id.value() == 4U);
+  BOOST_TEST(events[0].data == "a\nb");
+  BOOST_TEST(!events[1].id.has_value());
+  BOOST_TEST(events[1].data.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_further_run_joins_without_gap_or_repeat) {
+  EventStream stream;
+  stream.Take(Events(1, 3) + "id: 4\nda");
+  stream.Rejoin();
+  const auto repeated = stream.Take(Events(2, 5));
+  BOOST_TEST(!repeated.broken);
+  BOOST_TEST(repeated.bytes == Events(4, 5));
+  stream.Rejoin();
+  BOOST_TEST(stream.Take(Events(7, 7)).broken);
+}
+
+BOOST_AUTO_TEST_CASE(ids_that_rise_by_more_join_too) {
+  EventStream stream;
+  stream.Take("id: 3\ndata: a\n\nid: 8\ndata: b\n\n");
+  stream.Rejoin();
+  const auto taken = stream.Take("id: 8\ndata: b\n\nid: 12\ndata: c\n\n");
+  BOOST_TEST(!taken.broken);
+  BOOST_TEST(taken.bytes == "id: 12\ndata: c\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(events_without_ids_cannot_be_joined) {
+  EventStream stream;
+  stream.Take("data: a\n\n");
+  BOOST_TEST(!stream.CanRejoin());
+}
+
+BOOST_AUTO_TEST_CASE(an_event_without_end_breaks) {
+  EventStream stream;
+  bool broken = false;
+  const std::string piece(65536, 'x');
+  for (int n = 0; n < 20 && !broken; ++n) broken = stream.Take(piece).broken;
+  BOOST_TEST(broken);
+}
+
+// ---- Through the proxy ----
+
+BOOST_AUTO_TEST_CASE(events_pass_as_they_arrive) {
+  World world;
+  Endpoint& endpoint = world.Add([&](Line& line, const Message& request) {
+    world.endpoints[0]->Stream(line, request, 5, milliseconds(100));
+  });
+  auto client = world.Ask(Request("/stream/a"));
+  world.Run(milliseconds(250));
+  BOOST_TEST(client->pieces.size() == 3U);
+  world.Run(milliseconds(500));
+  const Message answer = client->Answer();
+  BOOST_TEST(answer.whole);
+  BOOST_TEST(answer.body == Events(1, 5));
+  BOOST_TEST(answer.Value("Content-Type") == "text/event-stream");
+  BOOST_TEST(answer.Value("Shelflink-Response-Stamp") == "stamp.1");
+  BOOST_TEST(endpoint.requests.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(use_is_counted_with_the_first_event) {
+  auto configuration = stand_in::Sample();
+  configuration.routes[2].is_public = false;
+  configuration.Index();
+  World world(1, configuration);
+  world.Add([&](Line& line, const Message& request) {
+    line.Write(Endpoint::StreamHead(request));
+    world.endpoints[0]->Later(milliseconds(300),
+                              [&line] { line.Write(Endpoint::Chunk(Events(1, 1)) + "0\r\n\r\n"); });
+  });
+  auto client = world.Ask(Request("/stream/a", "01", "Shelflink-Credential: key-1\r\n"));
+  world.Run(milliseconds(200));
+  BOOST_TEST(world.used.count("ten") == 0U);
+  world.Run(milliseconds(200));
+  BOOST_TEST(world.used["ten"] == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_cut_stream_that_cannot_be_resumed_does_not_look_whole) {
+  for (const bool reset : {true, false}) {
+    World world;
+    const auto breaks = [&, reset](Line& line, const Message& request) {
+      world.endpoints[0]->Stream(line, request, 3, milliseconds(20), [reset](Line& cut) {
+        cut.Write(Endpoint::Chunk("id: 4\ndata: par"));
+        reset ? cut.Reset() : cut.Close();
+      });
+    };
+    world.Add(breaks);
+    auto client = world.Ask(Request("/stream/a"));
+    world.Run(milliseconds(500));
+    BOOST_TEST(client->over);
+    const Message answer = client->Answer();
+    BOOST_TEST(!answer.whole);
+    BOOST_TEST(answer.body == Events(1, 3));  // The part of an event is dropped.
+    BOOST_TEST(world.Served() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_cut_stream_goes_on_elsewhere_in_the_same_answer) {
+  World world;
+  int runs = 0;
+  const auto behaviour = [&](Line& line, const Message& request) {
+    Endpoint& own = *world.endpoints[request.Value("Shelflink-Expect-Instance") == "i-0" ? 0 : 1];
+    if (runs++ > 0) return own.Stream(line, request, 6);
+    own.Stream(line, request, 3, milliseconds(20), [](Line& cut) {
+      cut.Write(Endpoint::Chunk("id: 4\ndata: par"));
+      cut.Reset();
+    });
+  };
+  world.Add(behaviour);
+  world.Add(behaviour);
+  auto client = world.Ask(Request("/resume/a"));
+  world.Run(milliseconds(1000));
+  const Message answer = client->Answer();
+  BOOST_TEST(answer.whole);
+  BOOST_TEST(answer.body == Events(1, 6));
+  BOOST_TEST(answer.Count("Shelflink-Response-Stamp") == 1U);
+  BOOST_TEST(world.Served() == 2U);
+  std::string continued;
+  for (const auto& endpoint : world.endpoints) {
+    for (const Message& request : endpoint->requests) {
+      continued += request.Value("Last-Event-Id");
+      BOOST_TEST(request.body == "prompt");
+    }
+  }
+  BOOST_TEST(continued == "3");
+}
+
+BOOST_AUTO_TEST_CASE(a_gap_at_the_join_breaks_the_answer) {
+  World world;
+  int runs = 0;
+  const auto behaviour = [&](Line& line, const Message& request) {
+    line.Write(Endpoint::StreamHead(request));
+    if (runs++ == 0) {
+      line.Write(Endpoint::Chunk(Events(1, 3)));
+      world.endpoints[0]->Later(milliseconds(20), [&line] { line.Reset(); });
+    } else {
+      line.Write(Endpoint::Chunk(Events(5, 6)) + "0\r\n\r\n");
+    }
+  };
+  world.Add(behaviour);
+  world.Add(behaviour);
+  auto client = world.Ask(Request("/resume/a"));
+  world.Run(milliseconds(500));
+  BOOST_TEST(client->over);
+  const Message answer = client->Answer();
+  BOOST_TEST(!answer.whole);
+  BOOST_TEST(answer.body == Events(1, 3));
+}
+
+BOOST_AUTO_TEST_CASE(the_clients_own_last_event_id_is_passed_on) {
+  World world;
+  Endpoint& endpoint = world.Add(
+      [&](Line& line, const Message& request) { world.endpoints[0]->Stream(line, request, 6); });
+  auto client = world.Ask(Request("/resume/a", "01", "Last-Event-Id: 4\r\n"));
+  world.Run(milliseconds(300));
+  BOOST_TEST(client->Answer().body == Events(5, 6));
+  BOOST_TEST(endpoint.requests.front().Value("Last-Event-Id") == "4");
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_end_alone_was_lost_is_completed) {
+  World world;
+  int runs = 0;
+  const auto behaviour = [&](Line& line, const Message& request) {
+    line.Write(Endpoint::StreamHead(request));
+    if (runs++ == 0) {
+      line.Write(Endpoint::Chunk(Events(1, 3)));
+      world.endpoints[0]->Later(milliseconds(20), [&line] { line.Reset(); });
+    } else {
+      line.Write("0\r\n\r\n");
+    }
+  };
+  world.Add(behaviour);
+  world.Add(behaviour);
+  auto client = world.Ask(Request("/resume/a"));
+  world.Run(milliseconds(500));
+  const Message answer = client->Answer();
+  BOOST_TEST(answer.whole);
+  BOOST_TEST(answer.body == Events(1, 3));
+}
+
+BOOST_AUTO_TEST_CASE(resumption_keeps_to_the_limit_of_attempts) {
+  World world;
+  const auto behaviour = [&](Line& line, const Message& request) {
+    world.endpoints[0]->Stream(line, request, 100, milliseconds(5), nullptr);
+    world.endpoints[0]->Later(milliseconds(20), [&line] { line.Reset(); });
+  };
+  for (int number = 0; number < 4; ++number) world.Add(behaviour);
+  auto client = world.Ask(Request("/resume/a"));
+  world.Run(milliseconds(1000));
+  BOOST_TEST(client->over);
+  BOOST_TEST(!client->Answer().whole);
+  BOOST_TEST(world.Served() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_stream_is_continued_before_its_client_gives_up) {
+  World world;
+  int runs = 0;
+  const auto behaviour = [&](Line& line, const Message& request) {
+    Endpoint& own = *world.endpoints[request.Value("Shelflink-Expect-Instance") == "i-0" ? 0 : 1];
+    if (runs++ > 0) return own.Stream(line, request, 6);
+    own.Stream(line, request, 3, milliseconds(20), [](Line&) {});
+  };
+  world.Add(behaviour);
+  world.Add(behaviour);
+  auto client = world.Ask(Request("/resume/a"));
+  world.Run(milliseconds(1900));
+  const Message answer = client->Answer();
+  BOOST_TEST(answer.whole);
+  BOOST_TEST(answer.body == Events(1, 6));
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_stream_is_cut_when_its_client_has_given_up) {
+  World world;
+  Endpoint& endpoint = world.Add([&](Line& line, const Message& request) {
+    world.endpoints[0]->Stream(line, request, 3, milliseconds(20), [](Line&) {});
+  });
+  auto client = world.Ask(Request("/stream/a"));
+  world.Run(milliseconds(1900));
+  BOOST_TEST(!client->over);
+  world.Run(milliseconds(500));
+  BOOST_TEST(client->over);
+  BOOST_TEST(!client->Answer().whole);
+  BOOST_TEST(endpoint.left == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_ends_with_the_routes_time) {
+  World world;
+  world.Add([&](Line& line, const Message& request) {
+    world.endpoints[0]->Stream(line, request, 1000, milliseconds(50));
+  });
+  auto client = world.Ask(Request("/stream/a"));
+  world.Run(milliseconds(2950));
+  BOOST_TEST(!client->over);
+  world.Run(milliseconds(300));
+  BOOST_TEST(client->over);
+  BOOST_TEST(!client->Answer().whole);
+}
+
+BOOST_AUTO_TEST_CASE(refused_before_its_first_event_goes_on_at_another) {
+  World world;
+  int runs = 0;
+  const auto behaviour = [&](Line& line, const Message& request) {
+    if (runs++ == 0) return line.Write(Endpoint::NotRun(request));
+    world.endpoints[0]->Stream(line, request, 3);
+  };
+  world.Add(behaviour);
+  world.Add(behaviour);
+  auto client = world.Ask(Request("/stream/a"));
+  world.Run(milliseconds(300));
+  BOOST_TEST(client->Answer().body == Events(1, 3));
+}
+
+BOOST_AUTO_TEST_CASE(a_client_that_does_not_read_holds_its_endpoint_up_only) {
+  World world;
+  const std::string large(60'000, 'd');
+  world.Add([&](Line& line, const Message& request) {
+    line.Write(Endpoint::StreamHead(request));
+    std::string text;
+    for (int number = 1; number <= 8; ++number) {
+      text += Endpoint::Chunk("id: " + std::to_string(number) + "\ndata: " + large + "\n\n");
+    }
+    line.Write(text + "0\r\n\r\n");
+  });
+  auto client = world.Ask(Request("/stream/a"));
+  world.Run(milliseconds(1000));
+  const Message answer = client->Answer();
+  BOOST_TEST(answer.whole);
+  BOOST_TEST(answer.body.size() > 8 * large.size());
+}
