--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -210,7 +210,7 @@
     AdoptEndpoints(from.address, renewal.versions[Part::kEndpoints]);
   }
 
-  RenewalAnswer Accept(const net::Address& member) const {
+  RenewalAnswer Accept(const net::Address& member) {
     RenewalAnswer answer;
     answer.accepted = true;
     answer.primary = hub.self().address;
@@ -225,6 +225,7 @@
     answer.versions = publisher.versions();
     answer.parent = tree.ParentOf(member);
     answer.children = tree.ChildrenOf(member);
+    tree.MarkTold(member, answer.children);
     answer.true_micros = TrueMicros();
     answer.settled_before = ledger.settled_before();
     for (const coordination::CoreMember& core : replicator.members()) {
@@ -271,7 +272,7 @@
   void Publish(Part part, const Version& version, std::string body) {
     const bool push = Leads();
     publisher.Publish({part, version, std::move(body)},
-                      push ? tree.Leaders() : std::vector<net::Address>());
+                      push ? tree.PushTargets() : std::vector<net::Address>());
   }
 
   // Until every member in touch has spoken with this primary, the list would be too short.
@@ -305,7 +306,7 @@
                adopting = false;
                const Result<Push> push = body ? DecodePush(body.value()) : body.error();
                if (push && push.value().part == Part::kEndpoints && Leads()) {
-                 publisher.Publish(push.value(), tree.Leaders());
+                 publisher.Publish(push.value(), tree.PushTargets());
                }
              });
   }
--- a/src/tier/cluster/relay_tree.cpp
+++ b/src/tier/cluster/relay_tree.cpp
@@ -1,6 +1,7 @@
 #include "tier/cluster/relay_tree.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace shelflink::cluster {
 
@@ -25,6 +26,7 @@
   if (found == places_.end()) return;
   const Place place = found->second;
   places_.erase(found);
+  told_children_.erase(member);
   std::vector<net::Address>& list = zones_[place.zone];
   const net::Address last = list.back();
   list.pop_back();
@@ -47,6 +49,7 @@
 void RelayTree::Clear() {
   zones_.clear();
   places_.clear();
+  told_children_.clear();
 }
 
 std::optional<net::Address> RelayTree::ParentOf(const net::Address& member) const {
@@ -66,10 +69,28 @@
   return children;
 }
 
-std::vector<net::Address> RelayTree::Leaders() const {
-  std::vector<net::Address> leaders;
-  for (const auto& [zone, list] : zones_) leaders.push_back(list.front());
-  return leaders;
+void RelayTree::MarkTold(const net::Address& member, std::vector<net::Address> children) {
+  if (children.empty()) {
+    told_children_.erase(member);
+  } else {
+    told_children_[member] = std::move(children);
+  }
+}
+
+bool RelayTree::ParentKnows(const net::Address& member) const {
+  const std::optional<net::Address> parent = ParentOf(member);
+  if (!parent) return false;
+  const auto told = told_children_.find(*parent);
+  if (told == told_children_.end()) return false;
+  return std::find(told->second.begin(), told->second.end(), member) != told->second.end();
+}
+
+std::vector<net::Address> RelayTree::PushTargets() const {
+  std::vector<net::Address> targets;
+  for (const auto& [member, place] : places_) {
+    if (!ParentKnows(member)) targets.push_back(member);
+  }
+  return targets;
 }
 
 }  // namespace shelflink::cluster
--- a/src/tier/cluster/relay_tree.h
+++ b/src/tier/cluster/relay_tree.h
@@ -31,10 +31,13 @@
   // None: the core's primary itself.
   std::optional<net::Address> ParentOf(const net::Address& member) const;
   std::vector<net::Address> ChildrenOf(const net::Address& member) const;
-  // Whom the primary tells.
-  std::vector<net::Address> Leaders() const;
+  // The member has been told these children and passes pushes on to them from now on.
+  void MarkTold(const net::Address& member, std::vector<net::Address> children);
+  // Whom the primary tells itself: the leaders, and those whose parent does not know them yet.
+  std::vector<net::Address> PushTargets() const;
 
  private:
+  bool ParentKnows(const net::Address& member) const;
   struct Place {
     std::string zone;
     std::size_t index = 0;
@@ -43,6 +46,7 @@
 
   std::map<std::string, std::vector<net::Address>> zones_;
   std::map<net::Address, Place> places_;
+  std::map<net::Address, std::vector<net::Address>> told_children_;
 };
 
 }  // namespace shelflink::cluster
--- a/src/tier/cluster/view_publisher.cpp
+++ b/src/tier/cluster/view_publisher.cpp
@@ -2,12 +2,12 @@
 
 namespace shelflink::cluster {
 
-void ViewPublisher::Publish(Push push, const std::vector<net::Address>& leaders) {
+void ViewPublisher::Publish(Push push, const std::vector<net::Address>& targets) {
   if (push.version <= versions_[push.part]) return;
   versions_[push.part] = push.version;
   std::string& encoded = encoded_[static_cast<std::size_t>(push.part)];
   encoded = Encode(push);
-  for (const net::Address& leader : leaders) hub_.Send(leader, kPushKind, encoded);
+  for (const net::Address& target : targets) hub_.Send(target, kPushKind, encoded);
 }
 
 Result<std::string> ViewPublisher::Answer(std::string_view body) const {
--- a/src/tier/cluster/view_publisher.h
+++ b/src/tier/cluster/view_publisher.h
@@ -1,5 +1,5 @@
-// The newest parts of the view at a core process: pushes them to the leaders of the relay tree and
-// answers whoever asks for one.
+// The newest parts of the view at a core process: pushes them into the relay tree and answers
+// whoever asks for one.
 #ifndef SHELFLINK_TIER_CLUSTER_VIEW_PUBLISHER_H_
 #define SHELFLINK_TIER_CLUSTER_VIEW_PUBLISHER_H_
 
@@ -16,7 +16,7 @@
   explicit ViewPublisher(transport::Hub& hub) : hub_(hub) {}
 
   // Of no effect unless it is newer than what stands.
-  void Publish(Push push, const std::vector<net::Address>& leaders);
+  void Publish(Push push, const std::vector<net::Address>& targets);
   const PartVersions& versions() const { return versions_; }
   // kNotFound where that version is not here.
   Result<std::string> Answer(std::string_view fetch) const;
--- /dev/null
+++ b/tests/tier/cluster/agent_test.cpp
@@ -0,0 +1,252 @@
+// Agents and the core service on the virtual network: joining, following, repair, failover.
+#define BOOST_TEST_MODULE cluster_agent
+#include "tier/cluster/agent.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "cluster/rig.h"
+
+namespace shelflink::cluster {
+namespace {
+
+constexpr milliseconds kConfigApply{2000};
+
+bool AllInTouch(Rig& rig) {
+  return std::all_of(rig.proxies.begin(), rig.proxies.end(),
+                     [](const auto& proxy) { return !proxy->up() || proxy->agent().in_touch(); });
+}
+
+BOOST_AUTO_TEST_CASE(agents_join_and_take_the_configuration) {
+  Rig rig(3, 11);
+  rig.Start();
+  BOOST_TEST(rig.RunUntil([&] { return AllInTouch(rig); }, seconds(2)));
+  BOOST_REQUIRE(rig.Put(5, 0));
+  BOOST_TEST(rig.RunUntil([&] { return rig.AllHave(5); }, milliseconds(100)));
+}
+
+BOOST_AUTO_TEST_CASE(an_agent_started_before_any_core_joins_later) {
+  Rig rig(3, 2);
+  for (auto& proxy : rig.proxies) proxy->Start();
+  rig.Run(seconds(3));
+  for (auto& core : rig.cores) core->Start();
+  rig.Run(milliseconds(500));
+  rig.Elect(2);
+  BOOST_TEST(rig.RunUntil([&] { return AllInTouch(rig); }, seconds(2)));
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_agent_has_everything_again_soon) {
+  Rig rig;
+  rig.platform.list = {
+      {"i-1", "big", net::Address::V4(0x0a640001, 80), "zone-0", 8, false, milliseconds(0)}};
+  rig.Start();
+  rig.Run(seconds(2));
+  BOOST_REQUIRE(rig.Put(5, 0));
+  rig.proxies[1]->Stop();
+  rig.Run(milliseconds(300));
+  rig.proxies[1]->Start();
+  BOOST_TEST(rig.RunUntil(
+      [&] {
+        const View& view = rig.proxies[1]->agent().view();
+        return view.configuration && view.endpoints && view.endpoints->entries.size() == 1 &&
+               view.members;
+      },
+      milliseconds(500)));
+}
+
+BOOST_AUTO_TEST_CASE(every_agent_follows_over_a_failover_and_never_back) {
+  Rig rig(3, 11);
+  rig.Start();
+  rig.Run(seconds(2));
+  std::uint64_t version = 0;
+  for (std::size_t round = 0; round < 4; ++round) {
+    BOOST_REQUIRE(rig.Put(version + 3, version));
+    version += 3;
+    // The acknowledgement is out; the primary dies before anything else of it is.
+    RigCore& primary = rig.Primary();
+    primary.Stop();
+    rig.Run(seconds(1));
+    rig.Elect(&primary == rig.cores[0].get() ? 1 : 0);
+    BOOST_TEST(rig.RunUntil([&] { return rig.AllHave(version); }, kConfigApply));
+    primary.Start();
+    rig.Run(seconds(1));
+  }
+  for (const auto& proxy : rig.proxies) BOOST_TEST(!proxy->stepped_back);
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_in_force_without_acknowledgement_reaches_all) {
+  Rig rig(3, 5);
+  rig.Start();
+  rig.Run(seconds(2));
+  BOOST_REQUIRE(rig.Put(5, 0));
+  rig.map.lose_next_done = true;
+  BOOST_TEST(!rig.Put(6, 5));
+  rig.cores[0]->Stop();
+  rig.cores[0]->Start();
+  rig.Elect(1);
+  // Repeated at another primary it is acknowledged again.
+  BOOST_TEST(rig.Put(6, 5).has_value());
+  BOOST_TEST(rig.RunUntil([&] { return rig.AllHave(6); }, kConfigApply));
+}
+
+BOOST_AUTO_TEST_CASE(contact_is_lost_with_the_lease_and_comes_back) {
+  Rig rig;
+  rig.Start();
+  rig.Run(seconds(2));
+  RigAgent& cut = *rig.proxies[0];
+  rig.net.SetCutOff(cut.host(), true);
+  rig.Run(milliseconds(1500));
+  BOOST_TEST(cut.agent().in_touch());  // The lease still runs.
+  rig.Run(milliseconds(2000));
+  BOOST_TEST(!cut.agent().in_touch());
+  BOOST_TEST((cut.contacts == std::vector<bool>{true, false}));
+  BOOST_REQUIRE(rig.Put(9, 0));
+  rig.net.SetCutOff(cut.host(), false);
+  BOOST_TEST(rig.RunUntil([&] { return cut.configuration_version() == 9; }, kConfigApply));
+  BOOST_TEST(cut.agent().in_touch());
+}
+
+BOOST_AUTO_TEST_CASE(a_frozen_agent_wakes_out_of_touch) {
+  Rig rig;
+  rig.Start();
+  rig.Run(seconds(2));
+  rig.proxies[0]->process().SetPaused(true);
+  rig.Run(seconds(5));
+  BOOST_TEST(!rig.proxies[0]->agent().in_touch());
+  rig.proxies[0]->process().SetPaused(false);
+  BOOST_TEST(rig.RunUntil([&] { return rig.proxies[0]->agent().in_touch(); }, seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_primary_is_left_for_its_successor) {
+  Rig rig(3, 5);
+  rig.Start();
+  rig.Run(seconds(2));
+  rig.net.SetCutOff(rig.cores[0]->host(), true);
+  rig.Run(milliseconds(1200));
+  rig.Elect(1);
+  BOOST_TEST(rig.RunUntil(
+      [&] {
+        return std::all_of(rig.proxies.begin(), rig.proxies.end(), [&](const auto& proxy) {
+          return proxy->agent().primary() == rig.cores[1]->address();
+        });
+      },
+      milliseconds(1700)));
+  for (const auto& proxy : rig.proxies) BOOST_TEST(proxy->contacts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_parent_is_replaced) {
+  Rig rig(3, 9);  // Three in each zone: one leader, two children.
+  rig.Start();
+  rig.Run(seconds(2));
+  BOOST_REQUIRE(rig.Put(5, 0));
+  rig.Run(seconds(1));
+  // Each machine in turn is frozen, the leader of its zone among them.
+  std::uint64_t version = 5;
+  for (auto& frozen : rig.proxies) {
+    frozen->process().SetPaused(true);
+    BOOST_REQUIRE(rig.Put(version + 1, version));
+    ++version;
+    const auto others_have = [&] {
+      return std::all_of(rig.proxies.begin(), rig.proxies.end(), [&](const auto& proxy) {
+        return proxy == frozen || proxy->configuration_version() == version;
+      });
+    };
+    BOOST_TEST(rig.RunUntil(others_have, kConfigApply));
+    frozen->process().SetPaused(false);
+    BOOST_TEST(rig.RunUntil([&] { return rig.AllHave(version); }, kConfigApply));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(lost_pushes_are_repaired_by_renewals) {
+  Rig rig(3, 6);
+  rig.Start();
+  rig.Run(seconds(2));
+  std::uint64_t version = 0;
+  for (int round = 0; round < 5; ++round) {
+    // Every connection breaks at the moment of the push.
+    for (const auto& proxy : rig.proxies) {
+      for (const auto& core : rig.cores) rig.net.ResetBetween(core->host(), proxy->host());
+      for (const auto& other : rig.proxies) {
+        if (other != proxy) rig.net.ResetBetween(other->host(), proxy->host());
+      }
+    }
+    BOOST_REQUIRE(rig.Put(version + 2, version));
+    version += 2;
+    BOOST_TEST(rig.RunUntil([&] { return rig.AllHave(version); }, kConfigApply));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_hundred_agents_follow_in_time) {
+  Rig rig(3, 100);
+  rig.Start();
+  BOOST_TEST(rig.RunUntil([&] { return AllInTouch(rig); }, seconds(3)));
+  rig.Run(seconds(2));
+  for (std::uint64_t version = 1; version <= 5; ++version) {
+    BOOST_REQUIRE(rig.Put(version, version - 1));
+    BOOST_TEST(rig.RunUntil([&] { return rig.AllHave(version); }, milliseconds(200)));
+  }
+  for (const auto& proxy : rig.proxies) BOOST_TEST(!proxy->stepped_back);
+}
+
+BOOST_AUTO_TEST_CASE(members_name_the_ready_sidecars_and_the_cores) {
+  Rig rig(3, 4);
+  rig.Start();
+  for (auto& proxy : rig.proxies) proxy->agent().SetReady(true);
+  rig.Run(seconds(3));
+  const auto count = [&](const std::string& role) {
+    const auto& all = rig.proxies[0]->agent().view().members->all;
+    return std::count_if(all.begin(), all.end(),
+                         [&](const Member& member) { return member.role == role && member.ready; });
+  };
+  BOOST_TEST(count("proxy") == 4);
+  BOOST_TEST(count("core") == 3);
+  bool left = false;
+  rig.proxies[3]->agent().Leave([&] { left = true; });
+  BOOST_TEST(rig.RunUntil([&] { return count("proxy") == 3; }, seconds(1)));
+  BOOST_TEST(left);
+}
+
+BOOST_AUTO_TEST_CASE(endpoints_flow_and_stand_while_the_platform_is_down) {
+  Rig rig;
+  EndpointEntry endpoint{"i-1", "big",          net::Address::V4(0x0a640001, 80), "zone-0", 8,
+                         false, milliseconds(0)};
+  rig.platform.list = {endpoint};
+  rig.Start();
+  rig.Run(seconds(2));
+  rig.platform.list[0].draining = true;
+  BOOST_TEST(rig.RunUntil(
+      [&] {
+        return std::all_of(rig.proxies.begin(), rig.proxies.end(), [](const auto& proxy) {
+          return proxy->agent().view().endpoints->entries[0].draining;
+        });
+      },
+      milliseconds(2000)));
+  // A new primary that cannot reach the platform, and a sidecar that knows nothing.
+  rig.platform.up = false;
+  rig.Elect(1);
+  rig.Run(seconds(1));
+  rig.proxies[2]->Stop();
+  rig.proxies[2]->Start();
+  BOOST_TEST(rig.RunUntil(
+      [&] {
+        const auto& endpoints = rig.proxies[2]->agent().view().endpoints;
+        return endpoints && endpoints->entries.size() == 1;
+      },
+      seconds(2)));
+}
+
+BOOST_AUTO_TEST_CASE(an_unchanged_list_is_not_pushed) {
+  Rig rig;
+  rig.platform.list = {
+      {"i-1", "big", net::Address::V4(0x0a640001, 80), "zone-0", 8, false, milliseconds(900)}};
+  rig.Start();
+  rig.Run(seconds(3));
+  const Version before = rig.proxies[0]->agent().view().endpoints->version;
+  const std::uint64_t calls = rig.platform.list_calls;
+  rig.platform.list[0].cold_left = milliseconds(100);
+  rig.Run(seconds(3));
+  BOOST_TEST(rig.platform.list_calls > calls);
+  BOOST_TEST((rig.proxies[0]->agent().view().endpoints->version == before));
+}
+
+}  // namespace
+}  // namespace shelflink::cluster
