--- /dev/null
+++ b/src/tier/proxy/program.cpp
@@ -0,0 +1,161 @@
+#include "tier/proxy/program.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "mix.h"
+#include "sidecar/drain.h"
+#include "sidecar/log.h"
+#include "sidecar/server.h"
+#include "tier/cluster/agent.h"
+#include "tier/foundation/log.h"
+#include "tier/proxy/endpoint_calls.h"
+#include "tier/proxy/front.h"
+#include "tier/proxy/readiness.h"
+#include "tier/transport/hub.h"
+
+namespace shelflink::proxy {
+namespace {
+
+// Descriptors that are neither clients' nor endpoints'.
+constexpr std::size_t kFileDescriptors = 200;
+constexpr std::size_t kInternalDescriptors = 200;  // The hub's, the loop's, the ready listener's.
+constexpr std::size_t kLeastSockets = 64;
+constexpr std::size_t kReadySockets = 32;
+// The lease is given back within this, or runs out by itself.
+constexpr auto kGiveBack = std::chrono::milliseconds(300);
+
+std::size_t SocketsFor(const ProcessSettings& settings) {
+  constexpr std::size_t kOthers = kFileDescriptors + kInternalDescriptors;
+  const std::size_t all = settings.limits.max_fds;
+  return std::max(kLeastSockets, all > kOthers ? all - kOthers : all / 2);
+}
+
+net::Address Needed(const std::optional<net::Address>& address, const char* key) {
+  if (!address) throw net::Error(net::Fault::kOther, std::string(key) + ": expected an address");
+  return *address;
+}
+
+std::uint64_t SeedOf(const net::Loop& loop, const ProcessSettings& settings) {
+  std::uint64_t seed = static_cast<std::uint64_t>(loop.WallMicros());
+  for (const char c : settings.node) seed = gaugecart::Mix(seed ^ static_cast<unsigned char>(c));
+  return seed;
+}
+
+transport::PeerIdentity IdentityOf(const ProcessSettings& settings, std::uint64_t seed) {
+  return {settings.node, "proxy", settings.zone, InternalAddress(settings, ProcessKind::kProxy),
+          gaugecart::Mix(seed)};
+}
+
+kelpspring::ServerTerms ReadyTerms() {
+  kelpspring::ServerTerms terms;
+  terms.health_path = "/ready";
+  return terms;
+}
+
+}  // namespace
+
+struct Program::Impl {
+  Impl(net::Loop& the_loop, const ProcessSettings& the_settings)
+      : loop(the_loop),
+        settings(the_settings),
+        seed(SeedOf(loop, settings)),
+        log(loop, [](std::string_view line) { log::Info("proxy", std::string(line)); }),
+        budget{SocketsFor(settings), 0, nullptr, nullptr},
+        ready_budget{kReadySockets, 0, [] { return false; }, nullptr},
+        hub(loop, IdentityOf(settings, seed), {}),
+        agent(loop, hub, settings,
+              {[this] { OnConfiguration(); }, [this] { OnView(); }, nullptr, [this] { OnView(); },
+               [this](bool) { TellReady(); }}),
+        calls(loop, log, budget,
+              {settings.node, settings.zone, seed,
+               kelpspring::Server::MostClients(budget.limit) / 8 * 7}),
+        front(loop, log, loop.Listen(Needed(settings.listen_front, "listen.front")), budget, drain,
+              {calls, nullptr, [this](const std::string& tenant) { agent.CountUse(tenant); }},
+              settings.bounds.grace),
+        ready_server(
+            loop, log, loop.Listen(Needed(settings.listen_ready, "listen.ready")), ready_budget,
+            drain, [this] { return Ready(); }, [] { return std::uint64_t{0}; },
+            [](const std::shared_ptr<kelpspring::Client>& client, kelpspring::HttpRequest,
+               kelpspring::Arrival) { client->RespondPlain(404, "GET /ready is served here\n"); },
+            ReadyTerms()),
+        load_timer(loop.NewTimer([this] { TellLoads(); })),
+        leave_timer(loop.NewTimer([this] { Left(); })) {
+    ready_server.Open();
+    TellLoads();
+  }
+
+  bool Ready() const {
+    Readiness readiness;
+    readiness.leaving = !drain.serving();
+    readiness.has_configuration = agent.view().configuration != nullptr;
+    readiness.has_endpoints = agent.view().endpoints != nullptr;
+    readiness.had_lease = agent.lease_until() > net::Time();
+    readiness.lease_until = agent.lease_until();
+    readiness.slack = settings.bounds.contact;
+    return readiness.Ready(loop.Now());
+  }
+
+  void OnConfiguration() {
+    front.SetConfiguration(agent.view().configuration);
+    OnView();
+  }
+  void OnView() {
+    calls.OnView(agent.view());
+    TellReady();
+  }
+  void TellReady() { agent.SetReady(Ready()); }
+
+  void TellLoads() {
+    for (const auto& [service, load] : calls.Loads()) {
+      agent.SetLoad(service, load.running, load.waiting);
+      loaded[service] = true;
+    }
+    for (auto& [service, fresh] : loaded) {
+      if (!std::exchange(fresh, false)) agent.SetLoad(service, 0, 0);
+    }
+    load_timer->ArmAt(loop.Now() + settings.heartbeat);
+  }
+
+  void Leave(std::function<void()> when_done) {
+    if (!drain.Leave(false)) return;
+    done = std::move(when_done);
+    TellReady();
+    front.Leave([this] {
+      leave_timer->ArmAt(loop.Now() + kGiveBack);
+      agent.Leave([this] { Left(); });
+    });
+  }
+  void Left() {
+    leave_timer->Cancel();
+    if (done) std::exchange(done, nullptr)();
+  }
+
+  net::Loop& loop;
+  ProcessSettings settings;
+  std::uint64_t seed;
+  kelpspring::Log log;
+  kelpspring::SocketBudget budget;
+  kelpspring::SocketBudget ready_budget;
+  kelpspring::Drain drain;
+  transport::Hub hub;
+  cluster::Agent agent;
+  EndpointCalls calls;
+  Front front;
+  kelpspring::Server ready_server;
+  net::TimerPtr load_timer;
+  net::TimerPtr leave_timer;
+  std::map<std::string, bool> loaded;  // Services whose load was told; whether at the last time.
+  std::function<void()> done;
+};
+
+Program::Program(net::Loop& loop, const ProcessSettings& settings)
+    : impl_(std::make_unique<Impl>(loop, settings)) {}
+Program::~Program() = default;
+
+void Program::Reload(const ProcessSettings& settings) { impl_->agent.SetSeeds(settings.seeds); }
+void Program::Leave(std::function<void()> done) { impl_->Leave(std::move(done)); }
+bool Program::ready() const { return impl_->Ready(); }
+
+}  // namespace shelflink::proxy
--- /dev/null
+++ b/src/tier/proxy/program.h
@@ -0,0 +1,35 @@
+// The proxy process, on any loop: takes the settings, finds the core, serves clients, says whether
+// it is ready, and leaves in order. What it knows lasts no longer than it runs.
+#ifndef SHELFLINK_TIER_PROXY_PROGRAM_H_
+#define SHELFLINK_TIER_PROXY_PROGRAM_H_
+
+#include <functional>
+#include <memory>
+
+#include "net/loop.h"
+#include "tier/foundation/settings.h"
+
+namespace shelflink::proxy {
+
+class Program {
+ public:
+  // Throws net::Error where an address is taken.
+  Program(net::Loop& loop, const ProcessSettings& settings);
+  ~Program();
+  Program(const Program&) = delete;
+  Program& operator=(const Program&) = delete;
+
+  // What may change while it runs: the seeds. The rest holds from one start to the next.
+  void Reload(const ProcessSettings& settings);
+  // Not ready from now on; finishes what is held; `done` is called after that.
+  void Leave(std::function<void()> done);
+  bool ready() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace shelflink::proxy
+
+#endif  // SHELFLINK_TIER_PROXY_PROGRAM_H_
