--- a/src/tier/proxy/program.cpp
+++ b/src/tier/proxy/program.cpp
@@ -8,6 +8,8 @@
 #include "sidecar/drain.h"
 #include "sidecar/log.h"
 #include "sidecar/server.h"
+#include "tier/batch/front.h"
+#include "tier/batch/runner.h"
 #include "tier/cluster/agent.h"
 #include "tier/foundation/log.h"
 #include "tier/proxy/endpoint_calls.h"
@@ -66,13 +68,15 @@
         ready_budget{kReadySockets, 0, [] { return false; }, nullptr},
         hub(loop, IdentityOf(settings, seed), {}),
         agent(loop, hub, settings,
-              {[this] { OnConfiguration(); }, [this] { OnView(); }, nullptr, [this] { OnView(); },
-               [this](bool) { TellReady(); }}),
+              {[this] { OnConfiguration(); }, [this] { OnView(); }, [this] { OnPlacement(); },
+               [this] { OnView(); }, [this](bool) { TellReady(); }}),
         calls(loop, log, budget,
               {settings.node, settings.zone, seed,
                kelpspring::Server::MostClients(budget.limit) / 8 * 7}),
+        batch_front(loop, hub, View(), settings.bounds),
+        runner(loop, hub, calls, View(), settings.bounds),
         front(loop, log, loop.Listen(Needed(settings.listen_front, "listen.front")), budget, drain,
-              {calls, nullptr, [this](const std::string& tenant) { agent.CountUse(tenant); }},
+              {calls, &batch_front, [this](const std::string& tenant) { agent.CountUse(tenant); }},
               settings.bounds.grace),
         ready_server(
             loop, log, loop.Listen(Needed(settings.listen_ready, "listen.ready")), ready_budget,
@@ -86,6 +90,10 @@
     TellLoads();
   }
 
+  batch::ViewSource View() {
+    return [this]() -> const cluster::View& { return agent.view(); };
+  }
+
   bool Ready() const {
     Readiness readiness;
     readiness.leaving = !drain.serving();
@@ -100,6 +108,11 @@
   void OnConfiguration() {
     front.SetConfiguration(agent.view().configuration);
     OnView();
+    runner.OnConfiguration();
+  }
+  void OnPlacement() {
+    batch_front.OnPlacement();
+    runner.OnPlacement();
   }
   void OnView() {
     calls.OnView(agent.view());
@@ -122,10 +135,13 @@
     if (!drain.Leave(false)) return;
     done = std::move(when_done);
     TellReady();
-    front.Leave([this] {
-      leave_timer->ArmAt(loop.Now() + kGiveBack);
-      agent.Leave([this] { Left(); });
-    });
+    runner.Drain([this] { PartLeft(); });
+    front.Leave([this] { PartLeft(); });
+  }
+  void PartLeft() {
+    if (--parts_to_leave > 0) return;
+    leave_timer->ArmAt(loop.Now() + kGiveBack);
+    agent.Leave([this] { Left(); });
   }
   void Left() {
     leave_timer->Cancel();
@@ -142,11 +158,14 @@
   transport::Hub hub;
   cluster::Agent agent;
   EndpointCalls calls;
+  batch::Front batch_front;
+  batch::Runner runner;
   Front front;
   kelpspring::Server ready_server;
   net::TimerPtr load_timer;
   net::TimerPtr leave_timer;
   std::map<std::string, bool> loaded;  // Services whose load was told; whether at the last time.
+  int parts_to_leave = 2;              // The runner and the front.
   std::function<void()> done;
 };
 
