Move a late stream only where its endpoint has fallen silent for all; bound the bodies held

A stream that could go on elsewhere was moved after a second without an event, also where its endpoint was only busy: under a burst that would have added runs where there were too many. Bodies together are held to a quarter of the memory; what never ran is always told so; an endpoint's Keep-Alive may also lengthen how long a connection is kept.

--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -203,14 +203,21 @@
   awaited_since_.reset();
 }
 
+void Client::HoldsBody(std::uint64_t bytes) {
+  server_.body_bytes_ += bytes - held_;
+  held_ = bytes;
+}
+
 void Client::Parse() {
   Came();
   if (!parser_) StartParser();
   if (!Take()) return;
   const std::string& body = parser_->get().body();
+  HoldsBody(body.size());
   if (!parser_->is_done() && body.size() < server_.most_body_()) return Await();
   timer_->Cancel();
   Yields(std::nullopt);
+  HoldsBody(0);
   first_ = false;
   fresh_until_ = {};
   Arrival arrival{parser_->is_done(), std::nullopt};
@@ -260,6 +267,7 @@
 void Client::Reject(unsigned status, const std::string& text) {
   timer_->Cancel();
   Yields(std::nullopt);
+  HoldsBody(0);
   parser_.reset();
   incoming_.Clear();
   if (state_ == State::kClosed) return;
@@ -411,6 +419,7 @@
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
   gone_ = nullptr;
+  HoldsBody(0);
   timer_->Cancel();
   feed_ = nullptr;
   drained_ = nullptr;
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -109,6 +109,8 @@
   void Await();
   void Came();
   void Rest(std::chrono::milliseconds span);
+  // So much of a body that is not whole is held here.
+  void HoldsBody(std::uint64_t bytes);
   bool Folded() const;
   void Yields(std::optional<Yield> as);
   void TimeUp();
@@ -144,6 +146,7 @@
   // Taken out of the parser as soon as it is whole, so that no trailer gets into it.
   std::optional<boost::beast::http::request_header<>> head_;
   std::uint64_t came_ = 0;  // Bytes of its body.
+  std::uint64_t held_ = 0;  // Of these here.
   net::Span spent_{};       // Waiting for it.
   std::optional<net::Time> awaited_since_;
   Feed feed_;
@@ -172,6 +175,8 @@
   static std::size_t MostClients(std::size_t sockets) { return sockets / 3 * 2; }
   std::size_t clients() const { return clients_.size(); }
   bool accepting() const { return accepting_; }
+  // Of bodies that have not come whole.
+  std::uint64_t body_bytes() const { return body_bytes_; }
   // Hold from the next request of each connection on.
   void SetTerms(ServerTerms terms) { terms_ = std::move(terms); }
   // Requests that could not be used, by the status that they were answered with.
@@ -216,6 +221,7 @@
   OnRequest on_request_;
   ServerTerms terms_;
   std::map<unsigned, std::uint64_t> rejected_;
+  std::uint64_t body_bytes_ = 0;
   net::ListenerPtr listener_;
   net::TimerPtr pause_;
   net::TimerPtr drain_timer_;
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -309,8 +309,7 @@
     idle_span_ = owner_.idle_span_;
     if (!owner_.terms_.heed_keep_alive) return true;
     if (const auto kept = KeptIdle(parser_->get())) {
-      const net::Span own = std::chrono::duration_cast<net::Span>(*kept * kIdlePart);
-      idle_span_ = std::min(idle_span_, own);
+      idle_span_ = std::chrono::duration_cast<net::Span>(*kept * kIdlePart);
     }
     return true;
   }
@@ -406,6 +405,9 @@
   void TimeUp() {
     const auto self = shared_from_this();
     if (state_ == State::kIdle) return Drop();
+    if (state_ == State::kBusy && written_) {
+      if (const auto later = owner_.user_.OnLate(key_)) return timer_->ArmAt(*later);
+    }
     if (begun_) return Spoilt();
     Finish(state_ == State::kBusy && written_ ? OutcomeCode::kTimeout
                                               : OutcomeCode::kConnectFailed);
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -115,6 +115,9 @@
                              std::optional<std::uint64_t> length) = 0;
   // False: no more until Resume.
   virtual bool OnAnswerPart(AttemptKey key, std::string_view part) = 0;
+  // Its time is over, or it has been silent for too long, with the request out. Until when it is to
+  // be waited for nevertheless; none: it is given up.
+  virtual std::optional<net::Time> OnLate(AttemptKey) { return std::nullopt; }
 
  protected:
   ~AttemptUser() = default;
--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -41,7 +41,8 @@
 // A stream that may go on elsewhere is not waited for that long.
 constexpr auto kLeastPatience = milliseconds(1000);
 constexpr int kPatientGaps = 5;
-constexpr double kPatientPart = 0.6;  // Of the silence that clients bear, before the first event.
+// How often one that is late is looked at again, while its endpoint answers others.
+constexpr auto kLookAgain = milliseconds(250);
 
 milliseconds ClientSilence(const Route& route) {
   return std::max({kLeastSilence, kSilentObjectives * route.slo, kSilentGaps * route.gap_aim});
@@ -122,7 +123,9 @@
   bool out = false;      // An attempt is under way:
   std::uint32_t attempt = 0;
   std::string endpoint;
-  bool forbidden = false;  // Its user does not let it be sent.
+  bool forbidden = false;    // Its user does not let it be sent.
+  net::Time moved{};         // When the present attempt was sent, or its last part came,
+  net::Span most_silence{};  // and how long nothing may follow.
   int sends = 0;
   int ran = 0;             // Endpoints that may have run it, the present one not among them.
   bool streaming = false;  // The present attempt's answer is a stream of events.
@@ -353,8 +356,8 @@
     if (decision.kind == Decision::Kind::kSend) {
       StartAttempt(decision);
     } else if (const LivePtr live = Find(decision.call)) {
-      const bool refused = decision.kind == Decision::Kind::kRefuse && live->ran == 0;
-      Finish(live, refused ? CallEnd::kRefused : CallEnd::kFailed, decision.retry_after);
+      // What never ran is told so, whatever the module calls it.
+      Finish(live, live->ran == 0 ? CallEnd::kRefused : CallEnd::kFailed, decision.retry_after);
     }
   }
   carrying_out_ = false;
@@ -382,17 +385,17 @@
   if (live->events.events() > 0 && live->events.last_id()) {
     live->message.set(kLastEventIdHeader, std::to_string(*live->events.last_id()));
   }
+  live->moved = now;
   const Route& route = *live->request.route;
-  const bool could_move = live->request.resumable && live->ran + 1 < live->max_attempts();
   const milliseconds silence = ClientSilence(route);
+  live->most_silence = live->request.batch ? net::Span(kItemFirstSilence) : net::Span(silence);
+  // Where it could go on at another endpoint, one that has fallen silent is not waited for as long.
+  const bool could_move = live->request.resumable && live->ran + 1 < live->max_attempts();
   const net::Span patience =
       std::min<net::Span>(silence, std::max(kLeastPatience, kPatientGaps * route.gap_aim));
   net::Time until = live->end;
-  if (live->request.batch) {
-    until = std::min(until, now + kItemFirstSilence);
-  } else if (live->is_stream_route()) {
-    const double part = could_move ? kPatientPart : 1.0;
-    until = std::min(until, now + std::chrono::duration_cast<net::Span>(silence * part));
+  if (live->is_stream_route()) {
+    until = std::min(until, now + (could_move ? patience : live->most_silence));
   }
   kelpspring::Outbound outbound{live->message, false, std::nullopt, until, {}};
   outbound.silence = could_move ? patience : net::Span(silence);
@@ -436,10 +439,30 @@
   if (load) module_.OnLoad(Now(), live.endpoint, load->running, load->waiting, load->slots);
 }
 
+void EndpointCalls::NoteHeard(LiveCall& live) {
+  live.moved = loop_.Now();
+  const auto known = endpoints_.find(live.endpoint);
+  if (known != endpoints_.end()) known->second.heard = live.moved;
+}
+
+// A stream whose endpoint answers others is late, not lost: moving it would only add work where
+// there is too much of it. One whose endpoint has fallen silent for all goes on elsewhere.
+std::optional<net::Time> EndpointCalls::OnLate(AttemptKey key) {
+  const LivePtr live = FindAttempt(key);
+  if (!live || !live->is_stream_route()) return std::nullopt;
+  const net::Time now = loop_.Now();
+  const net::Time last = std::min(live->end, live->moved + live->most_silence);
+  const auto known = endpoints_.find(live->endpoint);
+  const bool alive = known != endpoints_.end() && known->second.heard + kLeastPatience > now;
+  if (!alive || now >= last) return std::nullopt;
+  return std::min<net::Time>(last, now + kLookAgain);
+}
+
 bool EndpointCalls::OnAnswerBegun(AttemptKey key, HttpResponse head,
                                   std::optional<std::uint64_t> length) {
   const LivePtr live = FindAttempt(key);
   if (!live) return false;
+  NoteHeard(*live);
   NoteLoad(*live, head);
   live->passing = true;
   live->streaming = live->is_stream_route() && IsEventStream(head);
@@ -464,6 +487,7 @@
 bool EndpointCalls::OnAnswerPart(AttemptKey key, std::string_view part) {
   const LivePtr live = FindAttempt(key);
   if (!live) return false;
+  NoteHeard(*live);
   return live->streaming ? TellEvents(live, key, part) : live->user->OnBody(part);
 }
 
@@ -501,6 +525,7 @@
       if (live->streaming) return EndStream(live, key);
       return EndAnswered(live, key, std::move(answer.message));
     case OutcomeCode::kFull: {
+      NoteHeard(*live);
       NoteLoad(*live, answer.message);
       const bool misdirected = answer.message.result_int() == 421;
       const auto known = endpoints_.find(live->endpoint);
@@ -568,6 +593,7 @@
     Tell(key, live->status >= 500 ? Outcome::kError : Outcome::kSuccess, false);
     return Finish(live, CallEnd::kComplete);
   }
+  NoteHeard(*live);
   NoteLoad(*live, message);
   // A further run that is no stream cannot continue one.
   if (live->head_told) return EndBroken(live, key, Outcome::kError);
--- a/src/tier/proxy/endpoint_calls.h
+++ b/src/tier/proxy/endpoint_calls.h
@@ -65,6 +65,7 @@
     std::uint32_t number = 0;
     net::Address address;
     bool draining = false;
+    net::Time heard{};  // When an answer, or a part of one, last came from it.
     bool misdirected =
         false;  // Another instance has its address: it is gone, whatever the list says.
   };
@@ -93,6 +94,7 @@
   bool OnAnswerBegun(kelpspring::AttemptKey key, kelpspring::HttpResponse head,
                      std::optional<std::uint64_t> length) override;
   bool OnAnswerPart(kelpspring::AttemptKey key, std::string_view part) override;
+  std::optional<net::Time> OnLate(kelpspring::AttemptKey key) override;
 
   kelpspring::Reading ReadHead(kelpspring::AttemptKey key,
                                const kelpspring::HttpResponse& head) const;
@@ -118,6 +120,7 @@
                 std::optional<std::uint64_t> length);
   bool TellEvents(const LivePtr& live, kelpspring::AttemptKey key, std::string_view part);
   void HandOver(const LivePtr& live, kelpspring::HttpResponse message);
+  void NoteHeard(LiveCall& live);
   void NoteLoad(const LiveCall& live, const kelpspring::HttpResponse& head);
   void Tell(kelpspring::AttemptKey key, policy::Outcome outcome, bool again);
   void Finish(const LivePtr& live, CallEnd end, policy::Micros retry_after = 0);
--- a/src/tier/proxy/front.cpp
+++ b/src/tier/proxy/front.cpp
@@ -29,6 +29,7 @@
 // Clients keep within the limits by their own clocks; what the way takes comes on top.
 constexpr auto kWaySlack = milliseconds(500);
 constexpr double kNotReadyRetryAfter = 0.25;
+constexpr double kNoRoomRetryAfter = 0.5;
 
 kelpspring::ServerTerms TermsOf(const configuration::ClientLimits& limits, milliseconds grace) {
   kelpspring::ServerTerms terms;
@@ -68,8 +69,17 @@
 // One request of a client, from its call to the end of its answer.
 class Front::Exchange final : public CallUser {
  public:
-  Exchange(Front& front, ClientPtr client, std::string tenant, net::Time due)
-      : front_(front), client_(std::move(client)), tenant_(std::move(tenant)), due_(due) {}
+  Exchange(Front& front, ClientPtr client, std::string tenant, net::Time due, std::uint64_t body)
+      : front_(front),
+        client_(std::move(client)),
+        tenant_(std::move(tenant)),
+        due_(due),
+        body_(body) {
+    front_.called_bodies_ += body_;
+  }
+  ~Exchange() { front_.called_bodies_ -= body_; }
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
 
   void Start(CallRequest request) {
     call_ = front_.wiring_.calls.Start(std::move(request), *this);
@@ -119,21 +129,28 @@
   ClientPtr client_;
   std::string tenant_;
   net::Time due_;
+  std::uint64_t body_;  // Its bytes.
   policy::CallId call_ = 0;
   bool counted_ = false;
 };
 
 Front::Front(net::Loop& loop, kelpspring::Log& log, net::ListenerPtr listener,
              kelpspring::SocketBudget& budget, const kelpspring::Drain& drain, Wiring wiring,
-             milliseconds grace)
+             milliseconds grace, std::uint64_t memory)
     : loop_(loop),
       wiring_(std::move(wiring)),
       grace_(grace),
+      most_bodies_(memory / 4),
       server_(
           loop, log, std::move(listener), budget, drain, [] { return true; },
-          // A body is taken whole, up to the limit, before anything is decided.
-          [] { return UINT64_MAX; },
-          [this](const ClientPtr& client, HttpRequest request, kelpspring::Arrival) {
+          // A body is taken whole, up to the limit, before anything is decided; one that would not
+          // fit into memory comes as a part and is refused.
+          [this] {
+            const bool room = server_.body_bytes() + called_bodies_ < most_bodies_;
+            return room ? UINT64_MAX : kelpspring::kHeldBody;
+          },
+          [this](const ClientPtr& client, HttpRequest request, kelpspring::Arrival arrival) {
+            if (!arrival.whole) return client->Respond(Refusal(kNoRoomRetryAfter));
             OnRequest(client, std::move(request));
           },
           TermsOf({}, grace)) {
@@ -222,7 +239,7 @@
   if (call.resumable) {
     call.last_event_id = WholeNumber(View(request[kLastEventIdHeader]));
   }
-  auto exchange = std::make_unique<Exchange>(*this, client, call.tenant, due);
+  auto exchange = std::make_unique<Exchange>(*this, client, call.tenant, due, call.body.size());
   Exchange& started = *exchange;
   exchanges_.emplace(&started, std::move(exchange));
   started.Start(std::move(call));
--- a/src/tier/proxy/front.h
+++ b/src/tier/proxy/front.h
@@ -2,7 +2,8 @@
 // into calls or into questions to the batch part; their answers go back as they come.
 //
 // Nothing that cannot be used is passed on. Limits: the configuration's `limits` for what a client
-// may send, Server::MostClients connections.
+// may send, Server::MostClients connections, and a quarter of the memory for bodies: beyond that
+// bodies over kHeldBody are refused with 503.
 #ifndef SHELFLINK_TIER_PROXY_FRONT_H_
 #define SHELFLINK_TIER_PROXY_FRONT_H_
 
@@ -32,7 +33,7 @@
 
   Front(net::Loop& loop, kelpspring::Log& log, net::ListenerPtr listener,
         kelpspring::SocketBudget& budget, const kelpspring::Drain& drain, Wiring wiring,
-        std::chrono::milliseconds grace);
+        std::chrono::milliseconds grace, std::uint64_t memory);
   ~Front();
   Front(const Front&) = delete;
   Front& operator=(const Front&) = delete;
@@ -62,6 +63,8 @@
   net::Loop& loop_;
   Wiring wiring_;
   std::chrono::milliseconds grace_;
+  std::uint64_t most_bodies_;        // Bytes of bodies held in all.
+  std::uint64_t called_bodies_ = 0;  // Of requests whose calls are under way.
   std::shared_ptr<const configuration::Configuration> configuration_;
   Levels levels_;
   std::unordered_map<Exchange*, std::unique_ptr<Exchange>> exchanges_;
--- a/src/tier/proxy/program.cpp
+++ b/src/tier/proxy/program.cpp
@@ -77,7 +77,7 @@
         runner(loop, hub, calls, View(), settings.bounds),
         front(loop, log, loop.Listen(Needed(settings.listen_front, "listen.front")), budget, drain,
               {calls, &batch_front, [this](const std::string& tenant) { agent.CountUse(tenant); }},
-              settings.bounds.grace),
+              settings.bounds.grace, settings.limits.memory_mb << 20),
         ready_server(
             loop, log, loop.Listen(Needed(settings.listen_ready, "listen.ready")), ready_budget,
             drain, [this] { return Ready(); }, [] { return std::uint64_t{0}; },
--- a/tests/tier/proxy/front_test.cpp
+++ b/tests/tier/proxy/front_test.cpp
@@ -198,6 +198,25 @@
   BOOST_TEST(endpoint.requests.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(bodies_that_do_not_fit_into_memory_are_refused) {
+  World world(1, Sample(), 4 << 20);
+  Endpoint& endpoint = world.Add([](Endpoint::Line&, const Message&) {});
+  const std::string body(600'000, 'b');
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int number = 0; number < 4; ++number) {
+    clients.push_back(world.Ask(Request("/post/a", "0" + std::to_string(number), "", body)));
+    world.Run(milliseconds(300));
+  }
+  auto small = world.Ask(Request("/post/a", "0a"));
+  world.Run(milliseconds(100));
+  BOOST_TEST(clients[0]->came.empty());
+  BOOST_TEST(clients[1]->Answer().Status() == 503);
+  BOOST_TEST(clients[2]->Answer().Status() == 503);
+  BOOST_TEST(clients[3]->Answer().Status() == 503);
+  BOOST_TEST(small->came.empty());
+  BOOST_TEST(endpoint.requests.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(half_a_request_for_ever_is_ended) {
   const std::vector<std::string> halves = {"POST /post/a HT", Lines(""),
                                            Lines("Content-Length: 5\r\n\r\nab")};
--- a/tests/tier/proxy/stand_in.h
+++ b/tests/tier/proxy/stand_in.h
@@ -253,11 +253,8 @@
       : process_(process), stream_(process.Dial(to, *this)) {}
 
   void Send(const std::string& text) {
-    if (!up_) {
-      waiting_ += text;
-      return;
-    }
-    stream_->Write(text);
+    unsent_ += text;
+    if (up_) OnWritable();
   }
   void Leave() {
     stream_->Close();
@@ -280,9 +277,12 @@
   void OnConnected(net::Fault fault) override {
     if (fault != net::Fault::kNone) return OnEnd(fault);
     up_ = true;
-    if (!waiting_.empty()) stream_->Write(waiting_);
+    OnWritable();
     stream_->Receive();
   }
+  void OnWritable() override {
+    if (!over && !unsent_.empty()) unsent_.erase(0, stream_->Write(unsent_).bytes);
+  }
   void OnBytes(std::string_view bytes) override {
     came.append(bytes);
     pieces.emplace_back(process_.Now(), std::string(bytes));
@@ -296,7 +296,7 @@
 
   net::VirtualProcess& process_;
   net::StreamPtr stream_;
-  std::string waiting_;
+  std::string unsent_;
   bool up_ = false;
 };
 
@@ -339,7 +339,8 @@
 
 class World {
  public:
-  explicit World(std::uint64_t seed = 1, Configuration configuration = Sample())
+  explicit World(std::uint64_t seed = 1, Configuration configuration = Sample(),
+                 std::uint64_t memory = 64 << 20)
       : network(seed),
         process(network, 0x0a010001, "proxy", 1000),
         outside(network, 0x0a090001, "clients", 1000),
@@ -348,7 +349,7 @@
         calls(process, log, budget, {"proxy", "zone", seed, 100}),
         front(process, log, process.Listen(net::Address::V4(0x0a010001, 8689)), budget, drain,
               {calls, nullptr, [this](const std::string& tenant) { ++used[tenant]; }},
-              milliseconds(8000)) {
+              milliseconds(8000), memory) {
     SetConfiguration(std::move(configuration));
   }
   ~World() { network.Clear(); }
--- a/tests/tier/proxy/stream_test.cpp
+++ b/tests/tier/proxy/stream_test.cpp
@@ -260,6 +260,27 @@
   BOOST_TEST(answer.body == Events(1, 6));
 }
 
+BOOST_AUTO_TEST_CASE(a_slow_stream_stays_where_its_endpoint_answers_others) {
+  World world;
+  const auto behaviour = [&](Line& line, const Message& request) {
+    Endpoint& own = *world.endpoints[0];
+    if (request.Value("Shelflink-Request-Id") != "slow") return own.Stream(line, request, 3);
+    line.Write(Endpoint::StreamHead(request));
+    own.Later(milliseconds(1800),
+              [&line] { line.Write(Endpoint::Chunk(Events(1, 1)) + "0\r\n\r\n"); });
+  };
+  world.Add(behaviour);
+  auto slow = world.Ask(Request("/resume/a", "slow"));
+  for (int number = 0; number < 6; ++number) {
+    auto other = world.Ask(Request("/resume/a", std::to_string(number)));
+    world.Run(milliseconds(300));
+    BOOST_TEST(other->Answer().whole);
+  }
+  world.Run(milliseconds(300));
+  BOOST_TEST(slow->Answer().body == Events(1, 1));
+  BOOST_TEST(world.Served() == 7U);
+}
+
 BOOST_AUTO_TEST_CASE(a_silent_stream_is_cut_when_its_client_has_given_up) {
   World world;
   Endpoint& endpoint = world.Add([&](Line& line, const Message& request) {
