--- /dev/null
+++ b/src/tier/batch/store_program.cpp
@@ -0,0 +1,138 @@
+#include "tier/batch/store_program.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "net/glib_loop.h"
+#include "tier/batch/local_replicas.h"
+#include "tier/batch/store_service.h"
+#include "tier/cluster/agent.h"
+#include "tier/foundation/log.h"
+#include "tier/storage/lmdb_storage.h"
+#include "tier/transport/hub.h"
+
+namespace shelflink::batch {
+namespace {
+
+constexpr std::string_view kLogName = "batch.store";
+constexpr std::uint64_t kBytesPerMegabyte = 1U << 20;
+// What the file system itself needs of the disk.
+constexpr double kMapShare = 0.95;
+// For the core to take the lease back before the process ends.
+constexpr Milliseconds kLeaveSpan{1500};
+
+std::uint64_t Draw() {
+  static std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+transport::PeerIdentity IdentityOf(const ProcessSettings& settings) {
+  transport::PeerIdentity self;
+  self.node = settings.node;
+  self.role = "store";
+  self.zone = settings.zone;
+  self.address = InternalAddress(settings, ProcessKind::kStore);
+  self.incarnation = Draw();
+  return self;
+}
+
+Result<std::unique_ptr<storage::LmdbStorage>> OpenDisk(net::Loop& loop,
+                                                       const ProcessSettings& settings) {
+  if (settings.data_dir.empty()) {
+    return MakeError(ErrorCode::kInvalid, "a store needs dataDir");
+  }
+  storage::LmdbStorage::Options options;
+  options.folder = settings.data_dir + "/batch";
+  options.bytes_limit = static_cast<std::uint64_t>(
+      kMapShare * static_cast<double>(settings.limits.disk_mb * kBytesPerMegabyte));
+  return storage::LmdbStorage::Open(loop, options);
+}
+
+// All of the process, wired together.
+class StoreProcess {
+ public:
+  StoreProcess(const ProcessSettings& settings, net::GlibLoop& loop, storage::Storage& disk)
+      : loop_(loop),
+        disk_(disk),
+        identity_(storage::ReadOrDrawIdentity(disk, Draw)),
+        hub_(loop, IdentityOf(settings), {}),
+        agent_(loop, hub_, settings, AgentChanges()),
+        replicas_(loop, disk, identity_.id, [this] { return agent_.lease_until(); }),
+        service_(loop, hub_, replicas_, settings.bounds, Draw()),
+        leave_timer_(loop.NewTimer([this] { loop_.Stop(); })) {
+    agent_.SetStoreReport([this] { return Report(); });
+    loop_.OnSignal(SIGTERM, [this] { Leave(); });
+    loop_.OnSignal(SIGHUP, [this] { ReloadSettings(); });
+    // The disk's identity must be there for good before anybody counts on it.
+    disk_.Sync([this](const Result<void>& synced) { agent_.SetReady(synced.has_value()); });
+  }
+
+ private:
+  cluster::Agent::Changes AgentChanges() {
+    cluster::Agent::Changes changes;
+    changes.placement = [this] {
+      if (agent_.view().placement) replicas_.OnPlacement(*agent_.view().placement);
+    };
+    changes.configuration = [this] {
+      if (agent_.view().configuration) service_.OnConfiguration(*agent_.view().configuration);
+    };
+    return changes;
+  }
+
+  cluster::Agent::StoreReport Report() const {
+    const storage::Usage usage = disk_.usage();
+    cluster::Agent::StoreReport report;
+    report.disk = identity_.id;
+    report.bytes_used = usage.bytes_used;
+    report.bytes_free = usage.bytes_limit - std::min(usage.bytes_used, usage.bytes_limit);
+    report.tokens_queued = service_.queued_tokens();
+    return report;
+  }
+
+  void Leave() {
+    if (leaving_) return;
+    leaving_ = true;
+    leave_timer_->ArmAt(loop_.Now() + kLeaveSpan);
+    agent_.Leave([this] { loop_.Stop(); });
+  }
+
+  void ReloadSettings() {
+    const char* path = std::getenv("SHELFLINK_CONFIG");
+    if (path == nullptr) return;
+    const auto settings = ReadSettings(path);
+    if (settings) {
+      agent_.SetSeeds(settings.value().seeds);
+    } else {
+      log::Warning(kLogName, "settings not taken: " + TextOf(settings.error()));
+    }
+  }
+
+  net::GlibLoop& loop_;
+  storage::Storage& disk_;
+  storage::DiskIdentity identity_;
+  transport::Hub hub_;
+  cluster::Agent agent_;
+  LocalReplicas replicas_;
+  StoreService service_;
+  net::TimerPtr leave_timer_;
+  bool leaving_ = false;
+};
+
+}  // namespace
+
+int RunStore(const ProcessSettings& settings) {
+  net::GlibLoop loop;
+  auto disk = OpenDisk(loop, settings);
+  if (!disk) {
+    log::Line(log::Level::kError, kLogName, "cannot open the disk: " + disk.error().text);
+    return EXIT_FAILURE;
+  }
+  StoreProcess process(settings, loop, *disk.value());
+  loop.Run();
+  return EXIT_SUCCESS;
+}
+
+}  // namespace shelflink::batch
--- /dev/null
+++ b/src/tier/batch/store_program.h
@@ -0,0 +1,14 @@
+// The store process: partitions of batch jobs on this machine's disk.
+#ifndef SHELFLINK_TIER_BATCH_STORE_PROGRAM_H_
+#define SHELFLINK_TIER_BATCH_STORE_PROGRAM_H_
+
+#include "tier/foundation/settings.h"
+
+namespace shelflink::batch {
+
+// Until SIGTERM. Returns the exit code.
+int RunStore(const ProcessSettings& settings);
+
+}  // namespace shelflink::batch
+
+#endif  // SHELFLINK_TIER_BATCH_STORE_PROGRAM_H_
