--- /dev/null
+++ b/src/tier/batch/store.cmake
@@ -0,0 +1,11 @@
+# The store's side.
+# What a store decides, without clock, disk or network.
+shelflink_tier_library(shelflink_tier_batch_book job_book.cpp job_records.cpp proxy_room.cpp
+  run_queue.cpp)
+target_link_libraries(shelflink_tier_batch_book PUBLIC shelflink_tier_batch_messages
+  PRIVATE PkgConfig::GLIB)
+
+shelflink_tier_library(shelflink_tier_store local_replicas.cpp partition_server.cpp
+  store_service.cpp)
+target_link_libraries(shelflink_tier_store PUBLIC shelflink_tier_batch_book shelflink_tier_storage
+  shelflink_tier_transport)
