--- a/src/tier/batch/partition_log.h
+++ b/src/tier/batch/partition_log.h
@@ -26,6 +26,8 @@
   // newest row it knows, has every write in force, and its lease holds by the steady clock.
   virtual bool serving() const = 0;
   virtual std::uint64_t epoch() const = 0;
+  // Whether the disks of all replicas take new jobs and have room behind them for their results.
+  virtual bool has_room() const = 0;
   // All or nothing, in the order of the calls. `done` is never called from inside: success once
   // every replica of the row has it synced, kUnknown if that did not come about under this epoch;
   // whether the writes are in force is then decided by whoever is the primary next.
--- a/src/tier/batch/partition_replicas.h
+++ b/src/tier/batch/partition_replicas.h
@@ -22,8 +22,6 @@
   virtual ~PartitionReplicas() = default;
   virtual void SetEvents(Events events) = 0;
   virtual void OnPlacement(const cluster::Placement& placement) = 0;
-  // Whether the disk takes new jobs: what is under way has room left behind them.
-  virtual bool has_room() const = 0;
 };
 
 }  // namespace shelflink::batch
--- a/src/tier/batch/partition_server.cpp
+++ b/src/tier/batch/partition_server.cpp
@@ -99,9 +99,9 @@
 
 // --- Calls of clients ---------------------------------------------------------------------------
 
-void PartitionServer::OnSubmit(const Submit& submit, bool room_on_disk, Reply reply) {
-  if (!room_on_disk && !book_.Has(submit.job)) {
-    reply(MakeError(ErrorCode::kUnavailable, "no room on the store's disk"));
+void PartitionServer::OnSubmit(const Submit& submit, Reply reply) {
+  if (!log_.has_room() && !book_.Has(submit.job)) {
+    reply(MakeError(ErrorCode::kUnavailable, "no room on the disks of the stores"));
     return;
   }
   const SubmitAnswer answer = book_.OnSubmit(clock_.Now(), submit);
--- a/src/tier/batch/partition_server.h
+++ b/src/tier/batch/partition_server.h
@@ -60,7 +60,7 @@
   Result<void> Load();
   void SetRoutes(const std::set<std::string>& names) { book_.SetRoutes(names); }
 
-  void OnSubmit(const Submit& submit, bool room_on_disk, Reply reply);
+  void OnSubmit(const Submit& submit, Reply reply);
   void OnRead(const Read& read, Reply reply);
   void OnBody(const ItemRef& item, const Reply& reply);
   void OnEnd(const JobRef& job, Reply reply);
--- /dev/null
+++ b/src/tier/batch/replica_host.cpp
@@ -0,0 +1,239 @@
+#include "tier/batch/replica_host.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "tier/foundation/log.h"
+
+namespace shelflink::batch {
+namespace {
+
+constexpr std::string_view kLogName = "batch.replicas";
+constexpr std::string_view kLifeKey = "life";
+constexpr milliseconds kTick{150};
+// A timer later than this: the process stood still, and so did its view of the others.
+constexpr milliseconds kStall{150};
+constexpr milliseconds kReportPause{500};
+// A partition that no row gives to this disk any more is kept so long: the disk may be named again
+// soon, and then little has to move.
+constexpr milliseconds kKeepUnnamed{20000};
+constexpr double kRoomShare = 0.8;
+
+bool Names(const cluster::PartitionRow& row, const std::string& disk) {
+  const auto& backups = row.backup_disks;
+  return row.primary_disk == disk ||
+         std::find(backups.begin(), backups.end(), disk) != backups.end();
+}
+
+}  // namespace
+
+ReplicaHost::ReplicaHost(net::Loop& loop, transport::Hub& hub, storage::Storage& storage,
+                         Options options, Outside outside)
+    : loop_(loop),
+      hub_(hub),
+      storage_(storage),
+      options_(std::move(options)),
+      outside_(std::move(outside)),
+      timer_(loop.NewTimer([this] { OnTimer(); })) {
+  around_ = std::make_unique<PartitionSurroundings>(PartitionSurroundings{
+      loop_, storage_, options_.disk, options_.least_replicas, outside_.lease_until,
+      [this] { return HasRoom(); }, [this] { return ++ticket_; },
+      [this](const net::Address& to, ReplicaFrame frame) {
+        hub_.Send(to, kReplicate, Encode(std::move(frame)));
+        ArmTimer();
+      },
+      [this] { LookLater(); }});
+  hub_.Handle(kReplicate, [this](const transport::PeerIdentity& from, std::string_view body) {
+    OnFrame(from, body);
+  });
+  CountLife();
+}
+
+ReplicaHost::~ReplicaHost() {
+  *alive_ = false;
+  hub_.Handle(kReplicate, nullptr);
+}
+
+void ReplicaHost::CountLife() {
+  const std::optional<std::string> stored = storage_.Get(kLifeKey);
+  life_ = 1 + (stored ? std::strtoull(stored->c_str(), nullptr, 10) : 0);
+  storage::Batch batch;
+  batch.Put(std::string(kLifeKey), std::to_string(life_));
+  storage_.Apply(batch);
+  storage_.Sync([this, alive = alive_](const Result<void>& synced) {
+    if (!*alive || !synced) return;
+    life_is_synced_ = true;
+    if (placement_) TakePlacement();
+  });
+}
+
+// --- Placement ----------------------------------------------------------------------------------
+
+void ReplicaHost::OnPlacement(const cluster::Placement& placement) {
+  placement_ = placement;
+  if (life_is_synced_) TakePlacement();
+}
+
+void ReplicaHost::TakePlacement() {
+  for (std::uint32_t partition = 0; partition < placement_->rows.size(); ++partition) {
+    TakeRow(partition, placement_->rows[partition]);
+  }
+  ArmTimer();
+}
+
+void ReplicaHost::TakeRow(std::uint32_t partition, const cluster::PartitionRow& row) {
+  const bool named = Names(row, options_.disk);
+  const auto found = hosted_.find(partition);
+  if (found == hosted_.end() && !named && !IsStored(partition)) return;
+  auto& hosted = found == hosted_.end() ? hosted_[partition] : found->second;
+  if (!hosted) hosted = std::make_unique<HostedPartition>(*around_, partition);
+  if (named) {
+    hosted->TakeRow(row, life_);
+  } else if (row.epoch > hosted->row_epoch()) {
+    hosted->LeaveRow(row.epoch);
+  }
+}
+
+bool ReplicaHost::IsStored(std::uint32_t partition) const {
+  bool stored = false;
+  const std::string prefix = HostedPartition::PrefixOf(partition);
+  storage_.Scan(prefix, prefix, [&](std::string_view, std::string_view) {
+    stored = true;
+    return false;
+  });
+  return stored;
+}
+
+void ReplicaHost::LookLater() {
+  if (look_posted_) return;
+  look_posted_ = true;
+  loop_.Post([this, alive = alive_] {
+    if (*alive) Look();
+  });
+}
+
+// Tells who leads what now.
+void ReplicaHost::Look() {
+  look_posted_ = false;
+  for (auto& [partition, hosted] : hosted_) {
+    const bool leading = hosted->leading();
+    if (leading == (led_.count(partition) != 0)) continue;
+    if (leading) {
+      led_.insert(partition);
+      if (events_.primary) events_.primary(partition, *hosted);
+    } else {
+      Lost(partition);
+    }
+  }
+}
+
+void ReplicaHost::Lost(std::uint32_t partition) {
+  if (led_.erase(partition) != 0 && events_.lost) events_.lost(partition);
+}
+
+// --- Frames -------------------------------------------------------------------------------------
+
+void ReplicaHost::OnFrame(const transport::PeerIdentity& from, std::string_view body) {
+  const Result<ReplicaFrame> frame = DecodeReplicaFrame(body);
+  if (!frame) {
+    log::Bounded(log::Level::kWarning, kLogName, "malformed",
+                 "dropped a frame from " + from.address.Text() + ": " + frame.error().text,
+                 loop_.Now().time_since_epoch() / std::chrono::microseconds(1));
+    return;
+  }
+  const auto found = hosted_.find(frame.value().partition);
+  if (found != hosted_.end()) found->second->OnFrame(frame.value());
+}
+
+// --- Time ---------------------------------------------------------------------------------------
+
+void ReplicaHost::ArmTimer() {
+  if (timer_armed_) return;
+  const bool wanted = std::any_of(hosted_.begin(), hosted_.end(), [](const auto& entry) {
+    return entry.second->busy() || !entry.second->named();
+  });
+  if (!wanted) return;
+  timer_armed_ = true;
+  timer_due_ = loop_.Now() + kTick;
+  timer_->ArmAt(timer_due_);
+}
+
+void ReplicaHost::OnTimer() {
+  timer_armed_ = false;
+  const bool stood_still = loop_.Now() - timer_due_ > kStall;
+  for (auto& [partition, hosted] : hosted_) {
+    if (hosted->busy()) hosted->OnTimer();
+  }
+  ReportJoined();
+  if (stood_still) {
+    stalled_before_.clear();
+  } else {
+    ReportStalled();
+  }
+  ChooseLearners();
+  DropUnnamed();
+  ArmTimer();
+}
+
+void ReplicaHost::ReportJoined() {
+  for (auto& [partition, hosted] : hosted_) {
+    for (const std::string& disk : hosted->Joined()) {
+      Report({partition, hosted->row_epoch(), disk, cluster::BackupCondition::kComplete});
+    }
+  }
+}
+
+void ReplicaHost::ReportStalled() {
+  std::set<std::pair<std::uint32_t, std::string>> stalled;
+  for (auto& [partition, hosted] : hosted_) {
+    for (const std::string& disk : hosted->Stalled(options_.patience)) {
+      stalled.emplace(partition, disk);
+      // Seen twice: an answer may have come that was not read yet.
+      if (stalled_before_.count({partition, disk}) == 0) continue;
+      Report({partition, hosted->row_epoch(), disk, cluster::BackupCondition::kStalled});
+    }
+  }
+  stalled_before_ = std::move(stalled);
+}
+
+void ReplicaHost::Report(const cluster::BackupReport& report) {
+  net::Time& reported_at = reported_[{report.partition, report.disk}];
+  const net::Time now = loop_.Now();
+  if (reported_at != net::Time{} && now - reported_at < kReportPause) return;
+  reported_at = now;
+  outside_.report(report);
+}
+
+void ReplicaHost::ChooseLearners() {
+  std::vector<HostedPartition*> learning;
+  for (auto& [partition, hosted] : hosted_) {
+    if (hosted->learning()) learning.push_back(hosted.get());
+  }
+  std::stable_sort(learning.begin(), learning.end(),
+                   [](const HostedPartition* one, const HostedPartition* other) {
+                     return one->complete_copies() < other->complete_copies();
+                   });
+  if (learning.size() > options_.most_catching_up) learning.resize(options_.most_catching_up);
+  for (HostedPartition* hosted : learning) hosted->CatchUp();
+}
+
+void ReplicaHost::DropUnnamed() {
+  for (auto entry = hosted_.begin(); entry != hosted_.end();) {
+    HostedPartition& hosted = *entry->second;
+    if (hosted.named() || loop_.Now() - hosted.left_at() < kKeepUnnamed) {
+      ++entry;
+      continue;
+    }
+    hosted.Erase();
+    Lost(entry->first);
+    entry = hosted_.erase(entry);
+  }
+}
+
+bool ReplicaHost::HasRoom() const {
+  const storage::Usage usage = storage_.usage();
+  return static_cast<double>(usage.bytes_used) <
+         kRoomShare * static_cast<double>(usage.bytes_limit);
+}
+
+}  // namespace shelflink::batch
--- a/src/tier/batch/store.cmake
+++ b/src/tier/batch/store.cmake
@@ -5,7 +5,7 @@
 target_link_libraries(shelflink_tier_batch_book PUBLIC shelflink_tier_batch_messages
   PRIVATE PkgConfig::GLIB)
 
-shelflink_tier_library(shelflink_tier_store local_replicas.cpp partition_server.cpp
-  store_service.cpp)
-target_link_libraries(shelflink_tier_store PUBLIC shelflink_tier_batch_book shelflink_tier_storage
-  shelflink_tier_transport)
+shelflink_tier_library(shelflink_tier_store hosted_partition.cpp partition_server.cpp
+  replica_frame.cpp replica_host.cpp store_service.cpp)
+target_link_libraries(shelflink_tier_store PUBLIC shelflink_tier_batch_book shelflink_tier_replication
+  shelflink_tier_storage shelflink_tier_transport)
--- a/src/tier/batch/store_program.cpp
+++ b/src/tier/batch/store_program.cpp
@@ -1,15 +1,18 @@
 #include "tier/batch/store_program.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
 #include "net/glib_loop.h"
-#include "tier/batch/local_replicas.h"
+#include "tier/batch/replica_host.h"
 #include "tier/batch/store_service.h"
 #include "tier/cluster/agent.h"
+#include "tier/cluster/messages.h"
 #include "tier/foundation/log.h"
 #include "tier/storage/lmdb_storage.h"
 #include "tier/transport/hub.h"
@@ -23,6 +26,7 @@
 constexpr double kMapShare = 0.95;
 // For the core to take the lease back before the process ends.
 constexpr Milliseconds kLeaveSpan{1500};
+constexpr Milliseconds kReportTimeout{1000};
 
 std::uint64_t Draw() {
   static std::random_device device;
@@ -51,6 +55,15 @@
   return storage::LmdbStorage::Open(loop, options);
 }
 
+ReplicaHost::Options HostOptions(const ProcessSettings& settings, const std::string& disk) {
+  const FaultTolerance& tolerance = settings.tolerance;
+  ReplicaHost::Options options;
+  options.disk = disk;
+  options.least_replicas = 1 + static_cast<std::size_t>(std::max(
+                                   {tolerance.machines, tolerance.zones, tolerance.regions, 0}));
+  return options;
+}
+
 // All of the process, wired together.
 class StoreProcess {
  public:
@@ -60,7 +73,7 @@
         identity_(storage::ReadOrDrawIdentity(disk, Draw)),
         hub_(loop, IdentityOf(settings), {}),
         agent_(loop, hub_, settings, AgentChanges()),
-        replicas_(loop, disk, identity_.id, [this] { return agent_.lease_until(); }),
+        replicas_(loop, hub_, disk, HostOptions(settings, identity_.id), HostOutside()),
         service_(loop, hub_, replicas_, settings.bounds, Draw()),
         leave_timer_(loop.NewTimer([this] { loop_.Stop(); })) {
     agent_.SetStoreReport([this] { return Report(); });
@@ -82,6 +95,18 @@
     return changes;
   }
 
+  ReplicaHost::Outside HostOutside() {
+    ReplicaHost::Outside outside;
+    outside.lease_until = [this] { return agent_.lease_until(); };
+    outside.report = [this](const cluster::BackupReport& report) {
+      const std::optional<net::Address> core = agent_.primary();
+      if (!core) return;
+      hub_.Call(*core, cluster::kBackupReportKind, cluster::Encode(report), kReportTimeout,
+                [](const Result<std::string>&) {});  // The next placement tells.
+    };
+    return outside;
+  }
+
   cluster::Agent::StoreReport Report() const {
     const storage::Usage usage = disk_.usage();
     cluster::Agent::StoreReport report;
@@ -115,7 +140,7 @@
   storage::DiskIdentity identity_;
   transport::Hub hub_;
   cluster::Agent agent_;
-  LocalReplicas replicas_;
+  ReplicaHost replicas_;
   StoreService service_;
   net::TimerPtr leave_timer_;
   bool leaving_ = false;
--- a/src/tier/batch/store_service.cpp
+++ b/src/tier/batch/store_service.cpp
@@ -87,7 +87,7 @@
 void StoreService::RegisterCalls() {
   HandleJobCall<Submit>(kSubmit,
                         [this](PartitionServer& server, const Submit& submit, Reply reply) {
-                          server.OnSubmit(submit, replicas_.has_room(), std::move(reply));
+                          server.OnSubmit(submit, std::move(reply));
                         });
   HandleJobCall<Read>(kRead, [](PartitionServer& server, const Read& read, Reply reply) {
     server.OnRead(read, std::move(reply));
