Loop on GLib: one waiting call a turn, no epoll set inside a poll set

The context polled the epoll set and epoll_wait followed; an epoll set within a poll set is moreover what few programs do, so no world need support it. The epoll set (net/epoll_set.h) now waits in place of poll and takes in what GLib polls. A socket of others is registered anew each turn, since its number may have been closed and reused unseen; without that the test ADescriptorThatGotTheNumberOfAClosedOneIsTold fails, as tried. With two loops in a thread, or a descriptor that epoll refuses, it is poll as before.

--- a/src/net/glib_loop.cpp
+++ b/src/net/glib_loop.cpp
@@ -5,7 +5,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,20 +14,22 @@
 #include <cerrno>
 #include <cstring>
 #include <ctime>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "net/epoll_set.h"
+
 namespace net {
 
 namespace {
 
 namespace intrusive = boost::intrusive;
 
-constexpr std::size_t kReadChunk = 16384;   // Bytes taken in at a time.
-constexpr std::size_t kEventsAtOnce = 128;  // Taken from the epoll set by one call.
-constexpr int kReadsAtOnce = 8;             // Of one stream, before others have their turn.
-constexpr int kPostRounds = 4;              // Rounds of posted steps before sockets' turn.
+constexpr std::size_t kReadChunk = 16384;  // Bytes taken in at a time.
+constexpr int kReadsAtOnce = 8;            // Of one stream, before others have their turn.
+constexpr int kPostRounds = 4;             // Rounds of posted steps before sockets' turn.
 constexpr std::uint32_t kReadEvents = EPOLLIN | EPOLLRDHUP;
 constexpr std::uint32_t kBrokenEvents = EPOLLERR | EPOLLHUP;
 
@@ -181,16 +182,7 @@
   Time firing_until_;
 };
 
-// ---- The epoll set and its GLib source ----
-
-// Whoever is told of events on a descriptor. It may be destroyed in OnEvents.
-class Watched {
- public:
-  virtual void OnEvents(std::uint32_t events) = 0;
-
- protected:
-  ~Watched() = default;
-};
+// ---- The GLib source ----
 
 // What all objects of one loop share; it lives as long as the last of them.
 class Machine {
@@ -209,50 +201,33 @@
 
   void Post(std::function<void()> step) { posted_.push_back(std::move(step)); }
 
-  // Tells `watched` of `events` on the descriptor from now on. False where the set takes no more.
-  bool Add(int descriptor, std::uint32_t events, Watched& watched);
-  void Change(int descriptor, std::uint32_t events);
-  void Remove(int descriptor);
-  // To be called before the descriptor is closed, which takes it out of the set.
-  void Forget(int descriptor);
-
-  // Whether OnEvents of `watched` runs and it has not been closed in the meantime.
-  bool Telling(const Watched& watched) const { return telling_ == &watched; }
-  // Called by whoever is closed.
-  void StopTelling(const Watched& watched) {
-    if (telling_ == &watched) telling_ = nullptr;
-  }
+  EpollSet& sockets() { return sockets_; }
 
  private:
   struct Source {
     GSource base;
     Machine* machine;
   };
-  struct Slot {
-    Watched* watched = nullptr;
-    std::uint32_t generation = 0;  // Tells events of an earlier owner of the descriptor.
-  };
 
   static gboolean Prepare(GSource* source, gint* timeout);
   static gboolean Check(GSource* source);
   static gboolean Dispatch(GSource* source, GSourceFunc, gpointer);
   static Machine& Of(GSource* source) { return *reinterpret_cast<Source*>(source)->machine; }
 
-  epoll_event EventFor(int descriptor, std::uint32_t events) const;
+  static gint Poll(GPollFD* places, guint count, gint timeout);
+  static Machine* OnlyOneIn(std::span<const pollfd> places);
+
   bool SocketsReady() const { return g_source_query_unix_fd(source_, tag_) != 0; }
-  void TakeEvents();
   void RunPosted();
 
   static GSourceFuncs functions_;
+  static thread_local std::vector<Machine*> of_thread_;
 
   GMainContext* context_ = nullptr;
   GSource* source_ = nullptr;
   gpointer tag_ = nullptr;
   bool dispatching_ = false;
-  int epoll_ = -1;
-  std::vector<Slot> slots_;  // By descriptor.
-  const Watched* telling_ = nullptr;
-  std::array<epoll_event, kEventsAtOnce> events_{};
+  EpollSet sockets_;
   std::array<char, kReadChunk> buffer_{};
   TimerQueue timers_;
   std::vector<std::function<void()>> posted_;
@@ -261,22 +236,23 @@
 GSourceFuncs Machine::functions_ = {Machine::Prepare, Machine::Check, Machine::Dispatch,
                                     nullptr,          nullptr,        nullptr};
 
+thread_local std::vector<Machine*> Machine::of_thread_;
+
 Machine::Machine() : context_(g_main_context_ref_thread_default()) {
-  epoll_ = ::epoll_create1(EPOLL_CLOEXEC);
-  if (epoll_ < 0) throw Error(FaultOf(errno), std::string("epoll: ") + std::strerror(errno));
   source_ = g_source_new(&functions_, sizeof(Source));
   reinterpret_cast<Source*>(source_)->machine = this;
   g_source_set_name(source_, "net::GlibLoop");
-  tag_ = g_source_add_unix_fd(source_, epoll_, G_IO_IN);
+  tag_ = g_source_add_unix_fd(source_, sockets_.descriptor(), G_IO_IN);
   // GLib takes a source that must not recurse out of the poll set while it is dispatched, and each
   // way wakes the context by a write to its event descriptor. `dispatching_` keeps out recursion.
   g_source_set_can_recurse(source_, TRUE);
   g_source_attach(source_, context_);
+  of_thread_.push_back(this);
+  g_main_context_set_poll_func(context_, Poll);
 }
 
 Machine::~Machine() {
   End();
-  if (epoll_ >= 0) ::close(epoll_);
   g_main_context_unref(context_);
 }
 
@@ -284,11 +260,35 @@
   if (source_ != nullptr) {
     g_source_destroy(source_);
     g_source_unref(std::exchange(source_, nullptr));
+    std::erase(of_thread_, this);
+    if (of_thread_.empty()) g_main_context_set_poll_func(context_, nullptr);
   }
   // What is dropped may post something more.
   while (!posted_.empty()) const auto dropped = std::exchange(posted_, {});
 }
 
+// The waiting of the context. The usual case is one loop in a thread, whose epoll set waits for
+// all.
+gint Machine::Poll(GPollFD* places, guint count, gint timeout) {
+  static_assert(sizeof(GPollFD) == sizeof(pollfd));
+  const std::span<pollfd> all(reinterpret_cast<pollfd*>(places), count);
+  Machine* machine = OnlyOneIn(all);
+  if (machine == nullptr) return g_poll(places, count, timeout);
+  return machine->sockets_.Wait(all, timeout);
+}
+
+Machine* Machine::OnlyOneIn(std::span<const pollfd> places) {
+  Machine* only = nullptr;
+  for (const pollfd& place : places) {
+    for (Machine* machine : of_thread_) {
+      if (machine->sockets_.descriptor() != place.fd) continue;
+      if (only != nullptr) return nullptr;
+      only = machine;
+    }
+  }
+  return only;
+}
+
 gboolean Machine::Prepare(GSource* source, gint* timeout) {
   Machine& machine = Of(source);
   *timeout = -1;
@@ -315,7 +315,7 @@
 gboolean Machine::Dispatch(GSource* source, GSourceFunc, gpointer) {
   Machine& machine = Of(source);
   if (std::exchange(machine.dispatching_, true)) return G_SOURCE_CONTINUE;
-  if (machine.SocketsReady()) machine.TakeEvents();
+  if (machine.SocketsReady()) machine.sockets_.TakeEvents();
   if (!machine.timers_.empty()) machine.timers_.Fire(MonotonicNow());
   for (int round = 0; round < kPostRounds && !machine.posted_.empty(); ++round) {
     machine.RunPosted();
@@ -324,19 +324,6 @@
   return G_SOURCE_CONTINUE;
 }
 
-void Machine::TakeEvents() {
-  const int count = ::epoll_wait(epoll_, events_.data(), static_cast<int>(events_.size()), 0);
-  for (int i = 0; i < count; ++i) {
-    const epoll_event& event = events_[static_cast<std::size_t>(i)];
-    const auto descriptor = static_cast<std::size_t>(event.data.u64 & 0xffffffffU);
-    const Slot slot = slots_[descriptor];
-    if (slot.watched == nullptr || slot.generation != event.data.u64 >> 32) continue;
-    telling_ = slot.watched;
-    slot.watched->OnEvents(event.events);
-    telling_ = nullptr;
-  }
-}
-
 void Machine::RunPosted() {
   auto steps = std::exchange(posted_, {});
   for (auto& step : steps) step();
@@ -344,41 +331,6 @@
   if (posted_.empty()) posted_ = std::move(steps);  // Keeps the room.
 }
 
-epoll_event Machine::EventFor(int descriptor, std::uint32_t events) const {
-  const std::uint64_t generation = slots_[static_cast<std::size_t>(descriptor)].generation;
-  epoll_event event{};
-  event.events = events;
-  event.data.u64 = generation << 32 | static_cast<std::uint32_t>(descriptor);
-  return event;
-}
-
-bool Machine::Add(int descriptor, std::uint32_t events, Watched& watched) {
-  const auto index = static_cast<std::size_t>(descriptor);
-  if (index >= slots_.size()) slots_.resize(std::max(index + 1, slots_.size() * 2));
-  slots_[index].watched = &watched;
-  ++slots_[index].generation;
-  epoll_event event = EventFor(descriptor, events);
-  if (::epoll_ctl(epoll_, EPOLL_CTL_ADD, descriptor, &event) == 0) return true;
-  slots_[index].watched = nullptr;
-  return false;
-}
-
-void Machine::Change(int descriptor, std::uint32_t events) {
-  epoll_event event = EventFor(descriptor, events);
-  ::epoll_ctl(epoll_, EPOLL_CTL_MOD, descriptor, &event);
-}
-
-void Machine::Remove(int descriptor) {
-  ::epoll_ctl(epoll_, EPOLL_CTL_DEL, descriptor, nullptr);
-  Forget(descriptor);
-}
-
-void Machine::Forget(int descriptor) {
-  Slot& slot = slots_[static_cast<std::size_t>(descriptor)];
-  slot.watched = nullptr;
-  ++slot.generation;
-}
-
 using MachinePtr = std::shared_ptr<Machine>;
 
 // One descriptor and what of it is watched at the moment. Closes it at the end.
@@ -399,10 +351,10 @@
     if (events == events_) return true;
     const std::uint32_t before = std::exchange(events_, events);
     if (events == 0) {
-      machine_->Remove(number_);
+      machine_->sockets().Remove(number_);
     } else if (before != 0) {
-      machine_->Change(number_, events);
-    } else if (!machine_->Add(number_, events, watched)) {
+      machine_->sockets().Change(number_, events);
+    } else if (!machine_->sockets().Add(number_, events, watched)) {
       events_ = 0;
       return false;
     }
@@ -411,7 +363,7 @@
 
   void Close() {
     if (!open()) return;
-    if (events_ != 0) machine_->Forget(number_);
+    if (events_ != 0) machine_->sockets().Forget(number_);
     events_ = 0;
     ::close(std::exchange(number_, -1));
   }
@@ -503,7 +455,7 @@
   void CloseSocket() {
     user_ = nullptr;
     pending_.reset();
-    socket_.machine()->StopTelling(*this);
+    socket_.machine()->sockets().StopTelling(*this);
     socket_.Close();
   }
 
@@ -543,11 +495,11 @@
     } else if ((events & (kReadEvents | kBrokenEvents)) != 0) {
       ReadOrMute(events);
     }
-    if (!machine->Telling(*this)) return;
+    if (!machine->sockets().Telling(*this)) return;
     if (awaiting_room_ && !connecting_ && (events & (EPOLLOUT | kBrokenEvents)) != 0) {
       awaiting_room_ = false;
       user_->OnWritable();  // An error shows at the write that follows.
-      if (!machine->Telling(*this)) return;
+      if (!machine->sockets().Telling(*this)) return;
     }
     Refresh();
   }
@@ -570,7 +522,7 @@
     // A full buffer promises more: it is read without another turn of the loop if the user asks.
     for (int reads = 0; reads < kReadsAtOnce && receiving_; ++reads) {
       const std::size_t n = ReadOnce();
-      if (!machine->Telling(*this) || n < kReadChunk) return;
+      if (!machine->sockets().Telling(*this) || n < kReadChunk) return;
     }
   }
 
@@ -677,7 +629,7 @@
       throw Error(Fault::kNoDescriptors, "datagrams at " + address.Text() + ": not watched");
     }
   }
-  ~GlibDatagrams() override { socket_.machine()->StopTelling(*this); }
+  ~GlibDatagrams() override { socket_.machine()->sockets().StopTelling(*this); }
   GlibDatagrams(const GlibDatagrams&) = delete;
   GlibDatagrams& operator=(const GlibDatagrams&) = delete;
 
@@ -695,7 +647,7 @@
   void OnEvents(std::uint32_t) override {
     const std::shared_ptr<OnMessage> on_message = on_message_;
     const MachinePtr machine = socket_.machine();
-    while (machine->Telling(*this)) {
+    while (machine->sockets().Telling(*this)) {
       SocketAddress from;
       auto& buffer = machine->buffer();
       const auto n =
--- a/src/net/glib_loop.h
+++ b/src/net/glib_loop.h
@@ -1,5 +1,5 @@
 // net::Loop on a GLib main context, so that libsoup and the project's own connections share one
-// thread and one loop. Sockets are watched by one epoll set that is a single GLib source.
+// thread and one loop. Sockets are watched by one epoll set, which also waits for the context.
 #ifndef SHELFLINK_NET_GLIB_LOOP_H_
 #define SHELFLINK_NET_GLIB_LOOP_H_
 
--- a/tests/tier/transport/glib_loop_test.cpp
+++ b/tests/tier/transport/glib_loop_test.cpp
@@ -3,15 +3,19 @@
 #define BOOST_TEST_MODULE glib_loop
 #include "net/glib_loop.h"
 
+#include <glib-unix.h>
 #include <glib.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <cstdio>
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace net {
@@ -439,6 +443,143 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// ---- Beside other users of the context ----
+
+// Two ends of a connection that GLib, not the loop, watches at one end.
+class Neighbour {
+ public:
+  Neighbour() {
+    int ends[2];
+    BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends) == 0);
+    watched_ = ends[0];
+    other_ = ends[1];
+    Watch(watched_);
+  }
+  ~Neighbour() {
+    Unwatch();
+    close(watched_);
+    close(other_);
+  }
+  Neighbour(const Neighbour&) = delete;
+  Neighbour& operator=(const Neighbour&) = delete;
+
+  void Watch(int descriptor) {
+    source_ = g_unix_fd_add(
+        descriptor, G_IO_IN,
+        [](gint, GIOCondition, gpointer self) -> gboolean {
+          ++static_cast<Neighbour*>(self)->told;
+          return G_SOURCE_CONTINUE;
+        },
+        this);
+  }
+  void Unwatch() {
+    if (source_ != 0) g_source_remove(std::exchange(source_, 0));
+  }
+  void Send() { BOOST_REQUIRE(write(other_, "x", 1) == 1); }
+  void Read() {
+    char byte = 0;
+    BOOST_REQUIRE(read(watched_, &byte, 1) == 1);
+  }
+  int descriptor() const { return watched_; }
+
+  int told = 0;
+
+ private:
+  guint source_ = 0;
+  int watched_ = -1;
+  int other_ = -1;
+};
+
+BOOST_FIXTURE_TEST_SUITE(neighbours, Scene)
+
+BOOST_AUTO_TEST_CASE(DescriptorsThatGlibWatchesAreToldBesideTheLoops) {
+  Neighbour neighbour;
+  Connect();
+  neighbour.Send();
+  client.stream->Write("x");
+  RunUntil([&] { return neighbour.told > 0 && server.got == "x"; });
+  neighbour.Read();
+  const int told = neighbour.told;
+  RunTurns();
+  BOOST_TEST(neighbour.told == told);
+  client.stream->Write("y");
+  RunUntil([&] { return server.got == "xy"; });
+  neighbour.Send();
+  RunUntil([&] { return neighbour.told > told; });
+}
+
+BOOST_AUTO_TEST_CASE(ADescriptorThatGotTheNumberOfAClosedOneIsTold) {
+  auto neighbour = std::make_unique<Neighbour>();
+  RunTurns();
+  for (int i = 0; i < 3; ++i) {
+    const int before = neighbour->descriptor();
+    neighbour.reset();
+    neighbour = std::make_unique<Neighbour>();
+    BOOST_TEST(neighbour->descriptor() == before);
+    neighbour->Send();
+    RunUntil([&] { return neighbour->told > 0; });
+    neighbour->Read();
+    RunTurns();
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ASocketOfTheLoopMayGetTheNumberOfAClosedNeighbour) {
+  auto neighbour = std::make_unique<Neighbour>();
+  RunTurns();
+  neighbour.reset();
+  Connect();
+  client.stream->Write("x");
+  RunUntil([&] { return server.got == "x"; });
+  // And the other way round.
+  client.stream->Close();
+  RunUntil([&] { return server.ends == 1; });
+  neighbour = std::make_unique<Neighbour>();
+  neighbour->Send();
+  RunUntil([&] { return neighbour->told > 0; });
+}
+
+BOOST_AUTO_TEST_CASE(ADescriptorThatGlibWatchesNoMoreDoesNotWakeTheLoop) {
+  Neighbour neighbour;
+  neighbour.Send();
+  RunUntil([&] { return neighbour.told > 0; });
+  neighbour.Unwatch();
+  RunTurns();
+  BOOST_TEST(!g_main_context_pending(nullptr));
+  neighbour.Watch(neighbour.descriptor());
+  const int told = neighbour.told;
+  RunUntil([&] { return neighbour.told > told; });
+}
+
+BOOST_AUTO_TEST_CASE(WhatEpollCannotWatchIsWaitedForByPoll) {
+  std::FILE* file = std::tmpfile();
+  BOOST_REQUIRE(file != nullptr);
+  {
+    Neighbour neighbour;
+    neighbour.Unwatch();
+    neighbour.Watch(fileno(file));  // Always readable, and nothing for epoll.
+    Connect();
+    client.stream->Write("x");
+    RunUntil([&] { return neighbour.told > 0 && server.got == "x"; });
+  }
+  std::fclose(file);
+  client.stream->Write("y");
+  RunUntil([&] { return server.got == "xy"; });
+}
+
+BOOST_AUTO_TEST_CASE(TwoLoopsShareAContext) {
+  GlibLoop second;
+  bool fired = false;
+  const TimerPtr timer = second.NewTimer([&] { fired = true; });
+  timer->ArmAt(second.Now() + milliseconds(1));
+  User other;
+  other.stream = second.Dial(listener->address(), other);
+  Connect();
+  client.stream->Write("x");
+  RunUntil([&] { return fired && other.answers == 1; });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(others, Scene)
 
 BOOST_AUTO_TEST_CASE(DatagramsComeWhole) {
