Hub: a bound on all queues together; watchers may be added by a watcher; hub on the loop on GLib

64 MB to each of several peers that stand still would not fit into a process of 260 MB. The loop keeps its events to itself while somebody runs the context inside a step.

--- a/src/net/glib_loop.cpp
+++ b/src/net/glib_loop.cpp
@@ -274,7 +274,16 @@
   const std::span<pollfd> all(reinterpret_cast<pollfd*>(places), count);
   Machine* machine = OnlyOneIn(all);
   if (machine == nullptr) return g_poll(places, count, timeout);
-  return machine->sockets_.Wait(all, timeout);
+  if (!machine->dispatching_) return machine->sockets_.Wait(all, timeout);
+  // Somebody runs the context inside a step: the loop's events wait until that is over.
+  const auto own = std::find_if(all.begin(), all.end(), [machine](const pollfd& place) {
+    return place.fd == machine->sockets_.descriptor();
+  });
+  const int descriptor = std::exchange(own->fd, -1);  // Which poll leaves out.
+  const gint ready = g_poll(places, count, timeout);
+  own->fd = descriptor;
+  own->revents = 0;
+  return ready;
 }
 
 Machine* Machine::OnlyOneIn(std::span<const pollfd> places) {
--- a/src/tier/transport/connection.cpp
+++ b/src/tier/transport/connection.cpp
@@ -24,14 +24,19 @@
 void Connection::StartGreeting() {
   state_ = State::kGreeting;
   state_deadline_ = loop_.Now() + spans_.silence;
-  outbox_.Append(EncodeHello(self_, dial_));
+  Append(EncodeHello(self_, dial_));
   owner_.OnQueued(*this);
   owner_.OnChanged(*this);
   stream_->Receive();
 }
 
+std::uint64_t Connection::Append(std::string frame) {
+  owner_.OnBytesQueued(frame.size());
+  return outbox_.Append(std::move(frame));
+}
+
 std::uint64_t Connection::Queue(std::string frame, Expects expects) {
-  const std::uint64_t place = outbox_.Append(std::move(frame));
+  const std::uint64_t place = Append(std::move(frame));
   if (expects == Expects::kSignOfLife) {
     silence_.Sent(loop_.Now());
     owner_.OnChanged(*this);
--- a/src/tier/transport/connection.h
+++ b/src/tier/transport/connection.h
@@ -30,6 +30,7 @@
   // Something is queued that no OnWritable will follow for.
   virtual void OnQueued(Connection& connection) = 0;
   virtual void OnBytesRead(std::size_t bytes) = 0;
+  virtual void OnBytesQueued(std::size_t bytes) = 0;
   virtual void OnBytesWritten(std::size_t bytes) = 0;
 
  protected:
@@ -96,6 +97,7 @@
   void OnWritable() override;
 
   void StartGreeting();
+  std::uint64_t Append(std::string frame);
   bool Take(std::string_view payload);
   void Greet(const Frame& frame);
   void Break(const char* cause);
--- a/src/tier/transport/hub.cpp
+++ b/src/tier/transport/hub.cpp
@@ -1,6 +1,7 @@
 #include "tier/transport/hub.h"
 
 #include <algorithm>
+#include <deque>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -65,10 +66,15 @@
   void OnChanged(Connection& connection) override;
   void OnQueued(Connection& connection) override;
   void OnBytesRead(std::size_t bytes) override { counters.bytes_in += bytes; }
-  void OnBytesWritten(std::size_t bytes) override { counters.bytes_out += bytes; }
+  void OnBytesQueued(std::size_t bytes) override { queued_in_all += bytes; }
+  void OnBytesWritten(std::size_t bytes) override {
+    counters.bytes_out += bytes;
+    queued_in_all -= bytes;
+  }
 
   // Posts a step that is left out if the hub is gone by then.
   void Post(std::function<void()> step);
+  void TellWatchers(const PeerIdentity& peer, bool up);
   void Drop(const char* cause) { ++counters.dropped[cause]; }
 
   // Accepting and dialling.
@@ -79,10 +85,14 @@
   void SweepPeers();
   void EnsureDial(const net::Address& address, Peer& peer);
   void OnDialFailed(const net::Address& address);
+  std::vector<WaitingFrame> TakeWaiting(Peer& peer);
   void DropWaiting(Peer& peer, const std::string& reason);
   bool Supersede(Connection& connection, Peer& peer);
 
   // Frames out.
+  bool HasRoom(std::size_t queued_to_peer, std::size_t more) const {
+    return queued_to_peer + more <= kMostQueued && queued_in_all + more <= kMostQueuedInAll;
+  }
   void Deliver(const net::Address& to, std::string frame, std::uint64_t call);
   void QueueOn(Connection& connection, WaitingFrame frame);
   void QueueAnswer(std::uint64_t connection, std::string frame);
@@ -110,7 +120,7 @@
   Counters counters;
   std::unordered_map<MessageKind, OnMessage> message_handlers;
   std::unordered_map<MessageKind, OnCall> call_handlers;
-  std::vector<OnPeer> watchers;
+  std::deque<OnPeer> watchers;  // Which may grow while one of them runs.
 
   net::ListenerPtr listener;
   net::TimerPtr timer;
@@ -118,6 +128,7 @@
   net::Time accept_again = net::Time::max();
   net::Time next_check = net::Time::max();  // No connection's NextCheck is before it.
 
+  std::size_t queued_in_all = 0;  // Bytes, of all outboxes and waiting frames.
   std::uint64_t last_connection = 0;
   std::uint64_t last_dial = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections;
@@ -156,6 +167,11 @@
   });
 }
 
+void Hub::Impl::TellWatchers(const PeerIdentity& peer, bool up) {
+  const std::size_t count = watchers.size();
+  for (std::size_t i = 0; i < count; ++i) watchers[i](peer, up);
+}
+
 // ---- Accepting and dialling ----
 
 void Hub::Impl::AcceptNext() {
@@ -226,9 +242,13 @@
   if (peer.connections.empty()) DropWaiting(peer, "no connection to " + address.Text());
 }
 
+std::vector<WaitingFrame> Hub::Impl::TakeWaiting(Peer& peer) {
+  queued_in_all -= std::exchange(peer.waiting_bytes, 0);
+  return std::exchange(peer.waiting, {});
+}
+
 void Hub::Impl::DropWaiting(Peer& peer, const std::string& reason) {
-  const auto waiting = std::exchange(peer.waiting, {});
-  peer.waiting_bytes = 0;
+  const auto waiting = TakeWaiting(peer);
   for (const WaitingFrame& frame : waiting) {
     if (frame.call == 0) Drop("unreachable");
     if (frame.call != 0) FinishLater(frame.call, Unavailable(reason));
@@ -260,12 +280,11 @@
   peer.pause = {};
   peer.not_before = {};
   peer.connections.push_back(&connection);
-  peer.waiting_bytes = 0;
-  for (WaitingFrame& frame : std::exchange(peer.waiting, {})) {
+  for (WaitingFrame& frame : TakeWaiting(peer)) {
     QueueOn(connection, std::move(frame));
   }
   if (peer.connections.size() > 1) return;
-  for (const OnPeer& watcher : watchers) watcher(identity, true);
+  TellWatchers(identity, true);
 }
 
 void Hub::Impl::OnBroken(Connection& connection, const char* cause) {
@@ -279,6 +298,7 @@
                  "connection with " + where + " closed: " + cause, loop.LastingMicros());
   }
   connection.Close();
+  queued_in_all -= connection.queued();
   const auto it = connections.find(connection.id());
   closed.push_back(std::move(it->second));
   connections.erase(it);
@@ -299,7 +319,7 @@
   std::erase(peer.connections, &connection);
   Rearm();
   if (!peer.connections.empty()) return;
-  for (const OnPeer& watcher : watchers) watcher(connection.peer(), false);
+  TellWatchers(connection.peer(), false);
 }
 
 // ---- Frames out ----
@@ -333,13 +353,14 @@
   Peer& peer = PeerAt(to);
   Connection* connection = peer.connections.empty() ? nullptr : peer.connections.front();
   const std::size_t queued = connection == nullptr ? peer.waiting_bytes : connection->queued();
-  if (queued + frame.size() > kMostQueued) {
+  if (!HasRoom(queued, frame.size())) {
     Drop("queue");
     if (call != 0) FinishLater(call, Unavailable("the queue to " + to.Text() + " is full"));
     return;
   }
   if (connection != nullptr) return QueueOn(*connection, {std::move(frame), call});
   peer.waiting_bytes += frame.size();
+  queued_in_all += frame.size();
   peer.waiting.push_back({std::move(frame), call});
   EnsureDial(to, peer);
 }
@@ -360,7 +381,7 @@
 void Hub::Impl::QueueAnswer(std::uint64_t connection, std::string frame) {
   const auto it = connections.find(connection);
   if (it == connections.end()) return Drop("late");
-  if (it->second->queued() + frame.size() > kMostQueued) return Drop("queue");
+  if (!HasRoom(it->second->queued(), frame.size())) return Drop("queue");
   it->second->Queue(std::move(frame), Connection::Expects::kNothing);
 }
 
--- a/src/tier/transport/hub.h
+++ b/src/tier/transport/hub.h
@@ -6,9 +6,9 @@
 // between the same two processes within one connection, in order; after a loss the sender of a Call
 // learns kUnknown, the sender of a Send nothing. So whoever sends repeats, and receivers guard.
 //
-// Limits: kLargestFrame bytes a frame; kMostQueued bytes queued to one peer, beyond which Send
-// drops (counted) and Call fails with kUnavailable. A frame that is malformed, too long or of
-// another protocol version closes its connection and is counted by cause.
+// Limits: kLargestFrame bytes a frame; kMostQueued bytes queued to one peer and kMostQueuedInAll to
+// all together, beyond which Send drops (counted) and Call fails with kUnavailable. A frame that is
+// malformed, too long or of another protocol version closes its connection and is counted by cause.
 #ifndef SHELFLINK_TIER_TRANSPORT_HUB_H_
 #define SHELFLINK_TIER_TRANSPORT_HUB_H_
 
@@ -28,6 +28,7 @@
 constexpr std::uint64_t kProtocolVersion = 1;
 constexpr std::size_t kLargestFrame = 48U << 20;
 constexpr std::size_t kMostQueued = 64U << 20;
+constexpr std::size_t kMostQueuedInAll = 96U << 20;
 
 // Kinds of messages; each module defines its own within its range.
 using MessageKind = std::uint16_t;
--- a/tests/tier/transport/glib_loop_test.cpp
+++ b/tests/tier/transport/glib_loop_test.cpp
@@ -620,6 +620,24 @@
   RunUntil([&] { return outer == 1 && inner == 1; });
 }
 
+BOOST_AUTO_TEST_CASE(AContextThatIsRunInsideOnBytesLosesNoOtherEvent) {
+  Connect();
+  int nested = 0;
+  const auto run_inside = [&] {
+    ++nested;
+    RunTurns(3);
+  };
+  client.on_bytes = run_inside;
+  server.on_bytes = run_inside;
+  // Both are ready in one turn.
+  client.stream->Write("to the server");
+  server.stream->Write("to the client");
+  RunUntil([&] { return server.reads == 1 && client.reads == 1; });
+  BOOST_TEST(nested == 2);
+  BOOST_TEST(server.got == "to the server");
+  BOOST_TEST(client.got == "to the client");
+}
+
 BOOST_AUTO_TEST_CASE(RunGoesOnUntilStop) {
   int steps = 0;
   loop.Post([&] { ++steps; });
--- a/tests/tier/transport/hub_test.cpp
+++ b/tests/tier/transport/hub_test.cpp
@@ -354,6 +354,27 @@
   BOOST_TEST(b->notes.empty());
 }
 
+BOOST_AUTO_TEST_CASE(AllQueuesTogetherAreBoundedAndFreedWithTheirConnections) {
+  Connect();
+  Node c(net, 0x0a000003);
+  const net::Address nobody = net::Address::V4(0x0a000004, 7000);
+  net.SetCutOff(0x0a000004, true);
+  const std::string large(16U << 20, 'x');
+  for (int round = 0; round < 3; ++round) {
+    b->process.SetPaused(true);
+    const std::uint64_t dropped = a->dropped("queue");
+    for (int i = 0; i < 3; ++i) a->hub->Send(b->address(), kNote, large);
+    for (int i = 0; i < 3; ++i) a->hub->Send(nobody, kNote, large);
+    BOOST_TEST(a->dropped("queue") == dropped + 1);  // 96 MB of bodies, and the frames' heads.
+    Run(seconds(5));
+    b->process.SetPaused(false);
+    Run(seconds(5));
+  }
+  a->hub->Send(c.address(), kNote, large);
+  Run(seconds(5));
+  BOOST_TEST(c.notes.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(WhatIsLongerThanAFrameIsNotSent) {
   const std::string too_long(kLargestFrame, 'x');
   a->hub->Send(b->address(), kNote, too_long);
