Tell a call's head ahead of its first event

Cause: EndpointCalls::TellEvents told users their events before the head; the run of a batch item takes no event before a good head, so each result lacked its first piece. Ruled out: the parser (raw streams logged in a trial were whole), the store's joining of parts.

--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -493,10 +493,13 @@
 
 bool EndpointCalls::TellEvents(const LivePtr& live, AttemptKey key, std::string_view part) {
   const bool first = live->events.events() == 0;
-  const EventStream::Taken taken =
-      live->user->WantsEvents()
-          ? live->events.Take(part, [&](const Event& event) { live->user->OnEvent(event); })
-          : live->events.Take(part);
+  // The head goes ahead of the first event; its user may cancel the call at either.
+  const auto tell_event = [&](const Event& event) {
+    if (live->head) TellHead(live, *std::exchange(live->head, std::nullopt), std::nullopt);
+    if (FindAttempt(key)) live->user->OnEvent(event);
+  };
+  const EventStream::Taken taken = live->user->WantsEvents() ? live->events.Take(part, tell_event)
+                                                             : live->events.Take(part);
   if (!FindAttempt(key)) return false;
   if (taken.events > 0) {
     if (first) module_.OnFirstEvent(Now(), key.first, key.second);
