Storm of groups on the virtual network, and what it found

Cause: a regained lease let plans run on a map with an entry still to be committed; a primary with a stalled disk kept its place; entries overtook the record of their epoch; renewals answered each other without end.

--- a/src/tier/coordination/group.cpp
+++ b/src/tier/coordination/group.cpp
@@ -99,7 +99,7 @@
 
 Group::~Group() {
   *alive_ = false;
-  hub_.Handle(kGroupMessage, nullptr);
+  hub_.Handle(kGroupMessage, [](const transport::PeerIdentity&, std::string_view) {});
 }
 
 void Group::SetWatcher(Watcher watcher) {
@@ -140,7 +140,7 @@
     return;
   }
   if (step.wants_sync) SyncFor(step.ticket);
-  Carry(step, out);
+  Carry(out);
   running_ = false;
   Pump();
   Arm();
@@ -157,8 +157,7 @@
   });
 }
 
-void Group::Carry(const Step& step, MemberOutput& out) {
-  static_cast<void>(step);
+void Group::Carry(const MemberOutput& out) {
   for (const auto& [to, message] : out.messages) {
     cbor::Writer frame;
     frame.Array(2).Text(options_.member.self.disk).Bytes(Encode(message));
--- a/src/tier/coordination/group.h
+++ b/src/tier/coordination/group.h
@@ -79,7 +79,7 @@
   using Event = std::function<void(Step&, MemberOutput&)>;
 
   void Run(const Event& event);
-  void Carry(const Step& step, MemberOutput& out);
+  void Carry(const MemberOutput& out);
   void SyncFor(Ticket ticket);
   void OnBody(const transport::PeerIdentity& from, std::string_view body);
   void OnTimer();
--- a/src/tier/coordination/member.cpp
+++ b/src/tier/coordination/member.cpp
@@ -79,20 +79,21 @@
 
 void Member::OnSynced(Step& step, MemberOutput& out, Ticket ticket) {
   last_synced_ = std::max(last_synced_, ticket);
+  unsynced_since_ = step.now;
   while (!held_.empty() && held_.front().ticket <= ticket) {
     Send(out, held_.front().to, std::move(held_.front().message));
     held_.pop_front();
   }
   ReplicaOutput replica_out;
   replica_.OnSynced(step, replica_out, ticket);
-  Take(step, out, std::move(replica_out));
+  Take(out, std::move(replica_out));
   Finish(step, out);
 }
 
 void Member::OnTimer(Step& step, MemberOutput& out) {
   // A process that stood still has not listened: silence counts from now on.
   if (step.now - deadline() > options_.lease / 4) judge_from_ = step.now;
-  if (proposal_ && step.now >= proposal_->ends_at) GiveUp(step, out);
+  if (proposal_ && step.now >= proposal_->ends_at) GiveUp(step);
   if (proposal_ && proposal_->choose_at && step.now >= *proposal_->choose_at) {
     AdvanceProposal(step, out);
   }
@@ -102,7 +103,7 @@
       SendRenewals(step, out);
       ReplicaOutput replica_out;
       replica_.OnTimer(step, replica_out);
-      Take(step, out, std::move(replica_out));
+      Take(out, std::move(replica_out));
     }
     Review(step, out);
   } else {
@@ -141,7 +142,10 @@
     to_self_.pop_front();
     Dispatch(step, out, {options_.self, options_.incarnation}, message);
   }
-  if (step.wants_sync) last_wanted_ = std::max(last_wanted_, step.ticket);
+  if (step.wants_sync) {
+    if (last_wanted_ <= last_synced_) unsynced_since_ = step.now;
+    last_wanted_ = std::max(last_wanted_, step.ticket);
+  }
   UpdateRole(step.now, out);
 }
 
@@ -149,11 +153,14 @@
   Peer& peer = PeerOf(from.member);
   if (peer.incarnation != from.incarnation) peer.leaving = false;
   peer.incarnation = from.incarnation;
+  // One that comes or returns hears of its primary at once.
+  const bool returns = !peer.heard_at || step.now - *peer.heard_at > options_.lease;
+  if (acting_ && !renewals_paused_ && returns) renew_at_ = step.now;
   peer.heard_at = step.now;
   if (const auto replicated = AsReplicaMessage(message)) {
     ReplicaOutput replica_out;
     replica_.OnMessage(step, replica_out, from.member.disk, *replicated);
-    Take(step, out, std::move(replica_out));
+    Take(out, std::move(replica_out));
     if (!Joining(step.now).empty()) review_at_ = step.now;
   } else {
     std::visit(
@@ -164,7 +171,9 @@
         },
         message);
   }
-  if (acting_ && renewals_paused_ && HearsMajority(step.now)) renew_at_ = step.now;
+  if (acting_ && renewals_paused_ && HearsMajority(step.now) && !DiskStalls(step.now)) {
+    renew_at_ = step.now;
+  }
 }
 
 void Member::Send(MemberOutput& out, const net::Address& to, Message message) {
@@ -184,8 +193,7 @@
   }
 }
 
-void Member::Take(Step& step, MemberOutput& out, ReplicaOutput replica_out) {
-  static_cast<void>(step);
+void Member::Take(MemberOutput& out, ReplicaOutput replica_out) {
   for (auto& [disk, message] : replica_out.messages) {
     if (const auto address = AddressOf(disk)) Send(out, *address, AsMessage(std::move(message)));
   }
@@ -258,9 +266,8 @@
   for (const net::Address& address : to) Send(out, address, Hello{record().number, fresh, answer});
 }
 
-void Member::On(Step& step, MemberOutput& out, const Sender& from, const Hello& message) {
+void Member::On(Step&, MemberOutput& out, const Sender& from, const Hello& message) {
   PeerOf(from.member).fresh = message.fresh;
-  if (acting_) renew_at_ = step.now;
   if (message.number < record().number) {
     Send(out, from.member.address, Decided{record()});
   } else if (message.answer || message.number > record().number) {
@@ -268,9 +275,7 @@
   }
 }
 
-void Member::On(Step& step, MemberOutput& out, const Sender& from, const Leave& message) {
-  static_cast<void>(message);
-  static_cast<void>(out);
+void Member::On(Step& step, MemberOutput&, const Sender& from, const Leave&) {
   PeerOf(from.member).leaving = true;
   review_at_ = step.now;
 }
@@ -309,8 +314,7 @@
   AdvanceProposal(step, out);
 }
 
-void Member::On(Step& step, MemberOutput& out, const Sender& from, const Decided& message) {
-  static_cast<void>(from);
+void Member::On(Step& step, MemberOutput& out, const Sender&, const Decided& message) {
   Adopt(step, out, message.record);
 }
 
@@ -376,13 +380,13 @@
     case Proposer::Phase::kPrepared:
       break;
     case Proposer::Phase::kRefused:
-      GiveUp(step, out);
+      GiveUp(step);
       return;
     case Proposer::Phase::kDecided: {
       const Record before = record();
       const Record decided = proposal_->proposer.value();
       Adopt(step, out, decided);
-      Announce(out, before, decided);
+      if (!acting_) Announce(out, before, decided);
       // Whoever it names may be gone: its own election does not wait for a whole lease.
       if (!acting_) election_at_ = std::min(election_at_, step.now + options_.lease / 4);
       return;
@@ -408,7 +412,7 @@
   // Since it was planned, others may have come and gone.
   if (acting_ && !transferring_) own = Improved(step.now);
   if (!own && !proposer.found()) {
-    GiveUp(step, out);
+    GiveUp(step);
     return;
   }
   proposer.Propose(own ? *own : *proposer.found());
@@ -428,8 +432,7 @@
   SendProposal(step, out);
 }
 
-void Member::GiveUp(Step& step, MemberOutput& out) {
-  static_cast<void>(out);
+void Member::GiveUp(const Step& step) {
   const Proposer& proposer = proposal_->proposer;
   round_ = std::max(round_, proposer.blocking().round);
   const auto lease_left = std::chrono::milliseconds(proposer.lease_left_ms());
@@ -485,6 +488,7 @@
 }
 
 bool Member::Adopt(Step& step, MemberOutput& out, const Record& record) {
+  const Record before = this->record();
   if (!witness_.Learn(step, record)) return false;
   const bool acted = acting_;
   acting_ = IsSelf(record.primary) && record.incarnation == options_.incarnation;
@@ -497,10 +501,12 @@
     // A promise to the primary outlasts its record only for as long as it stays the primary.
     if (!acted || !acting_) peer.lease_until.reset();
   }
+  // Entries of an epoch that a replica does not know yet would be lost on it.
+  if (acting_) Announce(out, before, record);
   ReplicaOutput replica_out;
   replica_.Assign(step, replica_out, {record.number, record.primary, DisksOf(record.replicas)},
                   acting_);
-  Take(step, out, std::move(replica_out));
+  Take(out, std::move(replica_out));
   AwaitPrimary(step.now);
   if (transferring_ && !acting_) {
     transferring_ = false;
@@ -573,10 +579,15 @@
   return heard >= Majority(record());
 }
 
+bool Member::DiskStalls(net::Time now) const {
+  return last_wanted_ > last_synced_ &&
+         now - std::max(unsynced_since_, judge_from_) > silent_after();
+}
+
 void Member::SendRenewals(Step& step, MemberOutput& out) {
   renew_at_ = step.now + renew_every();
-  // One that hears nobody must not keep others from an election by what it sends.
-  renewals_paused_ = !HearsMajority(step.now);
+  // One that hears nobody or cannot store must not keep others from an election by what it sends.
+  renewals_paused_ = !HearsMajority(step.now) || DiskStalls(step.now);
   if (renewals_paused_) {
     SayHello(out, true);
     return;
@@ -634,7 +645,7 @@
     if (message.invite && has_disk()) {
       ReplicaOutput replica_out;
       replica_.CatchUp(step, replica_out);
-      Take(step, out, std::move(replica_out));
+      Take(out, std::move(replica_out));
     }
   }
   Send(out, from.member.address, reply);
@@ -705,8 +716,7 @@
     const Peer* const peer = FindPeer(replica.disk);
     if (IsSelf(replica.disk) || peer == nullptr || !peer->heard_at) continue;
     const net::Time at = std::max(*peer->heard_at, judge_from_) + silent_after() + net::Span(1);
-    // One that has fallen silent already is looked at with each renewal.
-    if (at <= renew_at_ - renew_every()) continue;
+    if (at <= reviewed_at_) continue;  // Looked at again with each renewal.
     next = std::min(next.value_or(at), at);
   }
   return next;
@@ -714,6 +724,7 @@
 
 void Member::Review(Step& step, MemberOutput& out) {
   if (!acting_ || proposal_) return;
+  reviewed_at_ = step.now;
   if (review_at_ && step.now >= *review_at_) review_at_.reset();
   if (transferring_) {
     TryTransfer(step, out);
@@ -773,7 +784,7 @@
   if (!acting_ || transferring_) return MakeError(ErrorCode::kUnavailable, "not the primary");
   ReplicaOutput replica_out;
   auto position = replica_.Propose(step, replica_out, std::move(writes));
-  Take(step, out, std::move(replica_out));
+  Take(out, std::move(replica_out));
   Finish(step, out);
   return position;
 }
--- a/src/tier/coordination/member.h
+++ b/src/tier/coordination/member.h
@@ -83,9 +83,10 @@
   bool HasLease(net::Time now) const;
   // Has told its owner that it is the primary, of this epoch.
   bool primary() const { return told_role_.primary; }
-  // The map may be judged: nothing of earlier epochs is still to be committed.
+  // The map may be judged: no entry, also none that its client has been told unknown, is still to
+  // be committed.
   bool Serving(net::Time now) const {
-    return told_role_.primary && !transferring_ && HasLease(now) && replica_.Serving();
+    return told_role_.primary && !transferring_ && HasLease(now) && replica_.tail_entries() == 0;
   }
   std::uint64_t epoch() const { return told_role_.epoch; }
   const Record& record() const { return witness_.record(); }
@@ -140,7 +141,7 @@
   void On(Step& step, MemberOutput& out, const Sender& from, const Leave& message);
   // Sends once all that is stored is synced.
   void SendDurable(Step& step, MemberOutput& out, const net::Address& to, Message message);
-  void Take(Step& step, MemberOutput& out, ReplicaOutput replica_out);
+  void Take(MemberOutput& out, ReplicaOutput replica_out);
 
   Peer& PeerOf(const CoreMember& member);
   const Peer* FindPeer(const std::string& disk) const;
@@ -159,7 +160,7 @@
   void SendProposal(Step& step, MemberOutput& out);
   void AdvanceProposal(Step& step, MemberOutput& out);
   void ProposeValue(Step& step, MemberOutput& out);
-  void GiveUp(Step& step, MemberOutput& out);
+  void GiveUp(const Step& step);
   bool Adopt(Step& step, MemberOutput& out, const Record& record);
   void Announce(MemberOutput& out, const Record& before, const Record& record);
 
@@ -170,6 +171,7 @@
   void Review(Step& step, MemberOutput& out);
   std::optional<Record> Improved(net::Time now) const;
   bool IsInvited(const CoreMember& member, net::Time now) const;
+  bool DiskStalls(net::Time now) const;
   bool HearsMajority(net::Time now) const;
   void UpdateRole(net::Time now, MemberOutput& out);
   void SayHello(MemberOutput& out, bool answer);
@@ -189,6 +191,7 @@
   std::deque<Message> to_self_;
   Ticket last_wanted_ = 0;
   Ticket last_synced_ = 0;
+  net::Time unsynced_since_{};
   std::uint64_t random_ = 0;
   std::uint64_t round_ = 0;
 
@@ -203,6 +206,7 @@
   std::vector<Record> offered_;  // Values proposed for the next record; any may be decided.
   net::Time renew_at_{};
   std::optional<net::Time> review_at_;
+  net::Time reviewed_at_{};
   bool renewals_paused_ = false;  // Nobody answers: others must be free to elect.
   net::Time judge_from_{};        // Silence before this is not held against others.
   bool transferring_ = false;
--- a/src/tier/coordination/replica.cpp
+++ b/src/tier/coordination/replica.cpp
@@ -271,7 +271,7 @@
   ApplyUpTo(step, out, std::min(message.committed, verified_));
   FinishIfWhole(step, out);
   reply.matched = true;
-  Reply(step, out, reply);
+  Reply(out, reply);
 }
 
 void Replica::Take(Step& step, const Append& message) {
@@ -294,8 +294,7 @@
   WantSync(step);
 }
 
-void Replica::Reply(Step& step, ReplicaOutput& out, AppendReply reply) {
-  static_cast<void>(step);
+void Replica::Reply(ReplicaOutput& out, AppendReply reply) {
   reply.match = verified_;
   if (session_ && complete_) reply.session = session_->id;
   if (last_wanted_ <= last_synced_) {
@@ -391,7 +390,7 @@
   AppendReply reply;
   reply.epoch = assignment_.epoch;
   reply.matched = true;
-  Reply(step, out, reply);
+  Reply(out, reply);
 }
 
 // ---- All.
--- a/src/tier/coordination/replica.h
+++ b/src/tier/coordination/replica.h
@@ -75,7 +75,8 @@
   // Stores the writes and sends them; they are in force when `committed` tells of the position. Not
   // the primary: kUnavailable; too much is unacknowledged: kExhausted; unusable key: kInvalid.
   Result<Position> Propose(Step& step, ReplicaOutput& out, std::vector<Write> writes);
-  // Everything of earlier epochs is committed in this one: new entries may be judged on the map.
+  // Everything of earlier epochs is committed in this one. Whoever judges an order on the committed
+  // map must also know the entries behind it (tail_entries).
   bool Serving() const;
   // From now on nothing is committed that these (learners) have not synced too.
   void Require(const std::set<std::string>& learners);
@@ -167,7 +168,7 @@
   // Returns where to resend from if the message does not fit what is here.
   std::optional<std::uint64_t> Mismatch(const Append& message) const;
   void Take(Step& step, const Append& message);
-  void Reply(Step& step, ReplicaOutput& out, AppendReply reply);
+  void Reply(ReplicaOutput& out, AppendReply reply);
   void StartSession(Step& step, ReplicaOutput& out);
   void AskOn(Step& step, ReplicaOutput& out);
   void FinishIfWhole(Step& step, ReplicaOutput& out);
--- a/tests/tier/coordination/cluster.h
+++ b/tests/tier/coordination/cluster.h
@@ -66,19 +66,27 @@
     hub_.reset();
     graveyard_.push_back(std::move(process_));
     disk.LosePower(kept);
+    paused = false;
   }
   void Wipe() {
     Stop();
     disk.Wipe();
   }
 
+  void SetPaused(bool is_paused) {
+    paused = is_paused;
+    if (process_) process_->SetPaused(is_paused);
+  }
+
   bool up() const { return process_ != nullptr; }
+  std::uint64_t lives() const { return lives_; }
   Group& group() { return *group_; }
   net::VirtualProcess& process() { return *process_; }
   net::Address address() const { return net::Address::V4(host_, kPort); }
   std::uint32_t host() const { return host_; }
 
   storage::CrashDisk disk;
+  bool paused = false;
   std::function<void(const std::vector<Write>&)> committed;
   std::function<void(bool, std::uint64_t)> role;
 
--- /dev/null
+++ b/tests/tier/coordination/history.h
@@ -0,0 +1,112 @@
+// What a run promised, and whether it was kept: knows acknowledgements and what replicas told, and
+// nothing of how they came about.
+#ifndef SHELFLINK_TESTS_TIER_COORDINATION_HISTORY_H_
+#define SHELFLINK_TESTS_TIER_COORDINATION_HISTORY_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tier/coordination/replicator.h"
+
+namespace shelflink::coordination {
+
+// One versioned document, changed on top of the version that it names, as the operator's is.
+struct Document {
+  std::uint64_t version = 0;
+  std::string content;
+  bool operator==(const Document&) const = default;
+};
+
+constexpr char kDocumentKey[] = "document";
+
+inline std::string TextOf(const Document& document) {
+  return std::to_string(document.version) + ":" + document.content;
+}
+
+inline Document DocumentIn(const Contents& contents) {
+  const auto found = contents.find(kDocumentKey);
+  if (found == contents.end()) return {};
+  const std::size_t colon = found->second.find(':');
+  return {std::stoull(found->second.substr(0, colon)), found->second.substr(colon + 1)};
+}
+
+// An order that a client repeats until it is answered for certain.
+struct Order {
+  std::uint64_t base = 0;
+  std::string content;
+};
+
+// The plan that the order stands for: taken already, taken now, or in conflict.
+inline Result<std::vector<Write>> PlanOf(const Order& order, const Contents& contents) {
+  const Document now = DocumentIn(contents);
+  if (now == Document{order.base + 1, order.content}) return std::vector<Write>{};
+  if (now.version != order.base) return MakeError(ErrorCode::kConflict, "another version");
+  return std::vector<Write>{{kDocumentKey, TextOf({order.base + 1, order.content})}};
+}
+
+class History {
+ public:
+  void Acknowledged(const Order& order) {
+    const Document taken{order.base + 1, order.content};
+    const auto [at, is_new] = acknowledged_.emplace(taken.version, taken.content);
+    if (!is_new && at->second != taken.content) {
+      Find("two acknowledged as version " + std::to_string(taken.version));
+    }
+    newest_ = std::max(newest_, taken.version);
+  }
+  // `process` names one life of one replica.
+  void Committed(const std::string& process, const Document& document) {
+    const auto [at, is_new] = committed_.emplace(document.version, document.content);
+    if (!is_new && at->second != document.content) {
+      Find("two committed as version " + std::to_string(document.version));
+    }
+    std::uint64_t& before = seen_[process];
+    if (document.version < before) Find(process + " steps back");
+    before = std::max(before, document.version);
+  }
+  void BecamePrimary(const std::string& process, std::uint64_t epoch) {
+    const auto [at, is_new] = holders_.emplace(epoch, process);
+    if (!is_new && at->second != process) {
+      Find("epoch " + std::to_string(epoch) + " is used by " + at->second + " and " + process);
+    }
+  }
+  void PrimariesAtOnce(std::size_t count) {
+    if (count > 1) Find("two primaries at once");
+  }
+  // A read that is certain, begun when `least` was acknowledged.
+  void Read(std::uint64_t least, const Document& document) {
+    if (document.version < least) Find("a read is older than what was acknowledged before");
+  }
+  void AtTheEnd(const Document& document) {
+    if (document.version < newest_) Find("an acknowledged version is lost");
+    const auto found = acknowledged_.find(document.version);
+    if (found != acknowledged_.end() && found->second != document.content) {
+      Find("the last version is not what was acknowledged");
+    }
+  }
+  std::uint64_t newest() const { return newest_; }
+  std::size_t acknowledged() const { return acknowledged_.size(); }
+  const std::vector<std::string>& findings() const { return findings_; }
+
+ private:
+  void Find(std::string text) {
+    if (findings_.size() < 10) findings_.push_back(std::move(text));
+  }
+
+  std::map<std::uint64_t, std::string> acknowledged_;
+  std::map<std::uint64_t, std::string> committed_;
+  std::map<std::string, std::uint64_t> seen_;
+  std::map<std::uint64_t, std::string> holders_;
+  std::uint64_t newest_ = 0;
+  std::vector<std::string> findings_;
+};
+
+}  // namespace shelflink::coordination
+
+#endif  // SHELFLINK_TESTS_TIER_COORDINATION_HISTORY_H_
