--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/server.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -83,7 +84,7 @@
 
 void Client::Read() {
   // A flood of requests sent ahead waits in the socket, not in memory.
-  if (state_ == State::kClosed || incoming_.size() >= kReadAhead) return;
+  if (state_ == State::kClosed || incoming_.size() >= server_.MostReadAhead()) return;
   incoming_.Trim();
   stream_->Receive();
 }
@@ -158,7 +159,7 @@
   if (ec == http::error::header_limit) return Spoil(431, "the head is too large\n"), false;
   if (ec) return Spoil(400, "malformed HTTP\n"), false;
   // The head of a chunk without end, as long as it may be read ahead.
-  if (!parser_->is_done() && incoming_.size() >= kReadAhead) {
+  if (!parser_->is_done() && incoming_.size() >= server_.MostReadAhead()) {
     return Spoil(400, "malformed HTTP\n"), false;
   }
   return true;
@@ -202,14 +203,21 @@
   awaited_since_.reset();
 }
 
+void Client::HoldsBody(std::uint64_t bytes) {
+  server_.body_bytes_ += bytes - held_;
+  held_ = bytes;
+}
+
 void Client::Parse() {
   Came();
   if (!parser_) StartParser();
   if (!Take()) return;
   const std::string& body = parser_->get().body();
+  HoldsBody(body.size());
   if (!parser_->is_done() && body.size() < server_.most_body_()) return Await();
   timer_->Cancel();
   Yields(std::nullopt);
+  HoldsBody(0);
   first_ = false;
   fresh_until_ = {};
   Arrival arrival{parser_->is_done(), std::nullopt};
@@ -259,6 +267,7 @@
 void Client::Reject(unsigned status, const std::string& text) {
   timer_->Cancel();
   Yields(std::nullopt);
+  HoldsBody(0);
   parser_.reset();
   incoming_.Clear();
   if (state_ == State::kClosed) return;
@@ -410,6 +419,7 @@
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
   gone_ = nullptr;
+  HoldsBody(0);
   timer_->Cancel();
   feed_ = nullptr;
   drained_ = nullptr;
@@ -434,6 +444,11 @@
       pause_(loop.NewTimer([this] { Accept(); })),
       drain_timer_(loop.NewTimer([this] { NextPhase(); })) {}
 
+// A head is parsed only once all of it is there.
+std::size_t Server::MostReadAhead() const {
+  return std::max<std::size_t>(kReadAhead, 2 * std::size_t{terms_.header_limit});
+}
+
 void Server::Open() {
   open_ = true;
   Accept();
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -88,6 +88,7 @@
     left_ = outbound.left;
     silence_ = outbound.silence;
     end_ = outbound.end;
+    deadline_ = outbound.deadline.value_or(outbound.until);
     more_ = outbound.more;
     in_parts_ = more_;
     done_ = std::move(done);
@@ -178,7 +179,7 @@
     const net::Time now = owner_.loop_.Now();
     if (now >= WriteEnd(until_)) return Finish(OutcomeCode::kConnectFailed);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        more_ ? left_ : net::Span(until_ - now));
+        more_ ? left_ : net::Span(deadline_ - now));
     message_->set(owner_.terms_.remaining_header,
                   std::to_string(std::max<std::int64_t>(1, left.count())));
     outgoing_.Start(more_ ? FirstPart() : TextOf(*message_));
@@ -308,8 +309,7 @@
     idle_span_ = owner_.idle_span_;
     if (!owner_.terms_.heed_keep_alive) return true;
     if (const auto kept = KeptIdle(parser_->get())) {
-      const net::Span own = std::chrono::duration_cast<net::Span>(*kept * kIdlePart);
-      idle_span_ = std::min(idle_span_, own);
+      idle_span_ = std::chrono::duration_cast<net::Span>(*kept * kIdlePart);
     }
     return true;
   }
@@ -405,6 +405,9 @@
   void TimeUp() {
     const auto self = shared_from_this();
     if (state_ == State::kIdle) return Drop();
+    if (state_ == State::kBusy && written_) {
+      if (const auto later = owner_.user_.OnLate(key_)) return timer_->ArmAt(*later);
+    }
     if (begun_) return Spoilt();
     Finish(state_ == State::kBusy && written_ ? OutcomeCode::kTimeout
                                               : OutcomeCode::kConnectFailed);
@@ -434,6 +437,7 @@
   net::Span left_{};
   net::Span silence_{};
   std::optional<net::Time> end_;
+  net::Time deadline_;
   bool more_ = false;      // Of the request's body, to be asked for.
   bool in_parts_ = false;  // The request or its answer.
   bool passing_ = false;   // The answer goes out in parts,
--- a/src/tier/batch/front.cmake
+++ b/src/tier/batch/front.cmake
@@ -2,3 +2,8 @@
 shelflink_tier_library(shelflink_tier_batch_job_json base64.cpp json_text.cpp job_json.cpp)
 target_link_libraries(shelflink_tier_batch_job_json PUBLIC shelflink_tier_batch_messages
     shelflink_tier_configuration PRIVATE PkgConfig::CJSON)
+
+shelflink_tier_library(shelflink_tier_batch_front
+    store_caller.cpp front.cpp item_output.cpp item_run.cpp runner.cpp)
+target_link_libraries(shelflink_tier_batch_front PUBLIC shelflink_tier_batch_job_json
+    shelflink_tier_batch_messages shelflink_tier_configuration shelflink_tier_transport)
