Explorer of the core's state machines, and what it found

Cause: a witness that had accepted another primary's record still granted leases after the former one's own prepare; a learner could be told an older map than before; one that left stayed deaf.

--- a/src/tier/coordination/member.cpp
+++ b/src/tier/coordination/member.cpp
@@ -151,7 +151,7 @@
 
 void Member::Dispatch(Step& step, MemberOutput& out, const Sender& from, const Message& message) {
   Peer& peer = PeerOf(from.member);
-  if (peer.incarnation != from.incarnation) peer.leaving = false;
+  if (peer.incarnation != from.incarnation) peer.leaves_until.reset();
   peer.incarnation = from.incarnation;
   // One that comes or returns hears of its primary at once.
   const bool returns = !peer.heard_at || step.now - *peer.heard_at > options_.lease;
@@ -226,7 +226,7 @@
 }
 
 bool Member::Heard(const Peer& peer, net::Time now, net::Span within) const {
-  return peer.heard_at && !peer.leaving && now - std::max(*peer.heard_at, judge_from_) <= within;
+  return peer.heard_at && now - std::max(*peer.heard_at, judge_from_) <= within;
 }
 
 bool Member::IsThere(const std::string& disk, net::Time now) const {
@@ -235,10 +235,16 @@
   return peer != nullptr && Heard(*peer, now, silent_after());
 }
 
+bool Member::Leaves(const std::string& disk, net::Time now) const {
+  const Peer* const peer = FindPeer(disk);
+  return peer != nullptr && peer->leaves_until && now < *peer->leaves_until;
+}
+
 std::vector<CoreMember> Member::There(net::Time now, net::Span within) const {
   std::vector<CoreMember> members{options_.self};
   for (const auto& [address, peer] : peers_) {
-    const bool counts = !peer.member.disk.empty() && !IsSelf(peer.member.disk);
+    const bool leaves = peer.leaves_until && now < *peer.leaves_until;
+    const bool counts = !peer.member.disk.empty() && !IsSelf(peer.member.disk) && !leaves;
     if (counts && Heard(peer, now, within)) members.push_back(peer.member);
   }
   return members;
@@ -276,7 +282,7 @@
 }
 
 void Member::On(Step& step, MemberOutput&, const Sender& from, const Leave&) {
-  PeerOf(from.member).leaving = true;
+  PeerOf(from.member).leaves_until = step.now + options_.lease * kForgetAfterLeases;
   review_at_ = step.now;
 }
 
@@ -692,7 +698,8 @@
   situation.joining = Joining(now);
   for (const CoreMember& replica : record().replicas) {
     if (IsSelf(replica.disk)) continue;
-    const bool there = IsThere(replica.disk, now) && !Owes(replica.disk, now);
+    const bool there =
+        IsThere(replica.disk, now) && !Owes(replica.disk, now) && !Leaves(replica.disk, now);
     (there ? situation.staying : situation.silent).push_back(replica);
   }
   Record next = record();
@@ -797,7 +804,7 @@
   replica_.Fingerprint(out, now);
   for (const auto& [address, peer] : peers_) {
     out.Text(address).Text(peer.member.disk).Uint(peer.incarnation);
-    out.Bool(peer.refuses).Bool(peer.fresh).Bool(peer.leaving);
+    out.Bool(peer.refuses).Bool(peer.fresh).Bool(peer.leaves_until.has_value());
     out.Bool(Heard(peer, now, silent_after()));
     left(peer.lease_until.value_or(net::Time::max()));
   }
--- a/src/tier/coordination/member.h
+++ b/src/tier/coordination/member.h
@@ -93,6 +93,8 @@
   const Replica& replica() const { return replica_; }
   std::optional<net::Address> primary_address() const;
 
+  const Options& options() const { return options_; }
+
   void Fingerprint(cbor::Writer& out, net::Time now) const;
 
  private:
@@ -103,7 +105,7 @@
     std::optional<net::Time> lease_until;  // Its promise to this primary.
     bool refuses = false;                  // Its newest answer to a renewal.
     bool fresh = false;
-    bool leaving = false;
+    std::optional<net::Time> leaves_until;  // It has said so; forgotten if it stays after all.
   };
   struct Proposal {
     Proposer proposer;
@@ -147,7 +149,8 @@
   const Peer* FindPeer(const std::string& disk) const;
   bool Heard(const Peer& peer, net::Time now, net::Span within) const;
   bool IsThere(const std::string& disk, net::Time now) const;
-  // Disks heard of lately, this member first.
+  bool Leaves(const std::string& disk, net::Time now) const;
+  // Disks heard of lately that do not leave, this member first.
   std::vector<CoreMember> There(net::Time now, net::Span within) const;
 
   // Elections.
--- a/src/tier/coordination/replica.cpp
+++ b/src/tier/coordination/replica.cpp
@@ -42,6 +42,7 @@
   applied_.epoch = in.Uint();
   applied_.sequence = in.Uint();
   complete_ = in.Bool() && in.ok();
+  told_ = complete_ ? applied_.sequence : 0;
   storage.Scan(options_.prefix + "t", "", [&](std::string_view, std::string_view value) {
     std::optional<Entry> entry = DecodeEntry(value);
     if (!entry || entry->position.sequence != LastSequence() + 1) {
@@ -335,6 +336,7 @@
   if (message.start) {
     session_->started = true;
     complete_ = false;
+    reset_due_ = false;
     storage::Batch batch;
     Truncate(batch, applied_.sequence + 1);
     applied_ = message.at;
@@ -386,7 +388,8 @@
   PutState(batch);
   step.storage.Apply(batch);
   WantSync(step);
-  out.reset = true;
+  reset_due_ = true;
+  TellReset(out);
   AppendReply reply;
   reply.epoch = assignment_.epoch;
   reply.matched = true;
@@ -498,10 +501,22 @@
       }
     }
     batch.Remove(TailKey(entry.position.sequence));
-    if (complete_) out.committed.push_back(std::move(entry));
+    if (!complete_ || reset_due_) continue;
+    out.committed.push_back(std::move(entry));
+    told_ = applied_.sequence;
   }
   PutState(batch);
   step.storage.Apply(batch);
+  TellReset(out);
+}
+
+// A new primary may learn late what was committed before it: whoever follows it must not be told an
+// older map than it was told before.
+void Replica::TellReset(ReplicaOutput& out) {
+  if (!reset_due_ || applied_.sequence < told_) return;
+  reset_due_ = false;
+  told_ = applied_.sequence;
+  out.reset = true;
 }
 
 void Replica::WantSync(Step& step) {
@@ -523,6 +538,7 @@
     out.Bool(now - follower.sent_at >= options_.resend);
   }
   for (const std::string& disk : required_) out.Text(disk);
+  out.Uint(told_).Bool(reset_due_);
   out.Uint(own_match_).Uint(own_syncs_.size()).Uint(barrier_).Uint(verified_).Uint(held_.size());
   if (!session_) return;
   out.Bool(session_->started).Bool(session_->fetched).Uint(session_->newest.sequence);
--- a/src/tier/coordination/replica.h
+++ b/src/tier/coordination/replica.h
@@ -173,6 +173,7 @@
   void AskOn(Step& step, ReplicaOutput& out);
   void FinishIfWhole(Step& step, ReplicaOutput& out);
   void WantSync(Step& step);
+  void TellReset(ReplicaOutput& out);
   void Send(ReplicaOutput& out, const std::string& to, ReplicaMessage message) const;
 
   Options options_;
@@ -185,6 +186,9 @@
   std::deque<Entry> tail_;  // The entries behind it, without gaps.
   std::size_t tail_bytes_ = 0;
 
+  std::uint64_t told_ = 0;  // The owner knows the map up to here.
+  bool reset_due_ = false;  // It is to read the map anew, once that is no older.
+
   // As primary, of this epoch.
   std::map<std::string, Follower> followers_;
   std::set<std::string> required_;
--- a/src/tier/coordination/witness.cpp
+++ b/src/tier/coordination/witness.cpp
@@ -98,8 +98,9 @@
 bool Witness::Grant(net::Time now, const std::string& primary, std::uint64_t number) {
   if (number == 0 || number != state_.record.number) return false;
   if (primary != state_.record.primary) return false;
-  // Whoever was promised a vote may already have had it counted.
+  // Whoever was promised a vote, or got it, may have had it counted already.
   if (state_.promised.round != 0 && state_.promised.disk != primary) return false;
+  if (state_.value && state_.value->primary != primary) return false;
   granted_until_ = std::max(granted_until_, now + options_.lease);
   return true;
 }
--- /dev/null
+++ b/tests/tier/coordination/explorer_test.cpp
@@ -0,0 +1,46 @@
+// Exploration of the real state machines: what no sequence of choices may break.
+//
+//   tier_explorer_test [-- FIRST_SEED WALKS]
+#define BOOST_TEST_MODULE coordination_explorer
+#include "coordination/explorer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <iostream>
+
+namespace shelflink::coordination {
+namespace {
+
+std::uint64_t Argument(int index, std::uint64_t otherwise) {
+  const auto& suite = boost::unit_test::framework::master_test_suite();
+  return suite.argc > index ? std::strtoull(suite.argv[index], nullptr, 10) : otherwise;
+}
+
+void Report(const std::string& name, const Exploration& result) {
+  std::cout << name << ": " << result.states << " states, " << result.steps << " steps, depth "
+            << result.depth << ", " << result.recoveries << " recoveries\n";
+  if (result.finding) BOOST_ERROR(name << ": " << *result.finding);
+}
+
+BOOST_AUTO_TEST_CASE(every_choice_to_a_depth) {
+  for (const std::size_t nodes : {std::size_t{3}, std::size_t{4}}) {
+    for (const NamedWorld& from : Beginnings(nodes)) {
+      const Exploration result = ExploreAll(from, {}, nodes == 3 ? 4 : 3, 200000, 512);
+      Report(std::to_string(nodes) + " members, " + from.name, result);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(long_random_walks) {
+  const std::uint64_t first = Argument(1, 1);
+  const std::size_t walks = Argument(2, 40);
+  for (const std::size_t nodes : {std::size_t{3}, std::size_t{4}}) {
+    for (const NamedWorld& from : Beginnings(nodes)) {
+      Report(std::to_string(nodes) + " members, walks, " + from.name,
+             ExploreAtRandom(from, first, walks, 400));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace shelflink::coordination
--- a/tests/tier/coordination/history.h
+++ b/tests/tier/coordination/history.h
@@ -60,6 +60,13 @@
     }
     newest_ = std::max(newest_, taken.version);
   }
+  // An order was refused for certain, because another version is in force.
+  void Refused(const Order& order) {
+    const auto found = acknowledged_.find(order.base + 1);
+    const bool taken = found != acknowledged_.end() && found->second == order.content;
+    const bool newest = committed_.empty() || committed_.rbegin()->first <= order.base + 1;
+    if (taken && newest) Find("an acknowledged order is refused when it is repeated");
+  }
   // `process` names one life of one replica.
   void Committed(const std::string& process, const Document& document) {
     const auto [at, is_new] = committed_.emplace(document.version, document.content);
