--- a/src/tier/coordination/replica.h
+++ b/src/tier/coordination/replica.h
@@ -75,7 +75,8 @@
   // Stores the writes and sends them; they are in force when `committed` tells of the position. Not
   // the primary: kUnavailable; too much is unacknowledged: kExhausted; unusable key: kInvalid.
   Result<Position> Propose(Step& step, ReplicaOutput& out, std::vector<Write> writes);
-  // Everything of earlier epochs is committed in this one: new entries may be judged on the map.
+  // Everything of earlier epochs is committed in this one. Whoever judges an order on the committed
+  // map must also know the entries behind it (tail_entries).
   bool Serving() const;
   // From now on nothing is committed that these (learners) have not synced too.
   void Require(const std::set<std::string>& learners);
@@ -167,11 +168,12 @@
   // Returns where to resend from if the message does not fit what is here.
   std::optional<std::uint64_t> Mismatch(const Append& message) const;
   void Take(Step& step, const Append& message);
-  void Reply(Step& step, ReplicaOutput& out, AppendReply reply);
+  void Reply(ReplicaOutput& out, AppendReply reply);
   void StartSession(Step& step, ReplicaOutput& out);
   void AskOn(Step& step, ReplicaOutput& out);
   void FinishIfWhole(Step& step, ReplicaOutput& out);
   void WantSync(Step& step);
+  void TellReset(ReplicaOutput& out);
   void Send(ReplicaOutput& out, const std::string& to, ReplicaMessage message) const;
 
   Options options_;
@@ -184,6 +186,9 @@
   std::deque<Entry> tail_;  // The entries behind it, without gaps.
   std::size_t tail_bytes_ = 0;
 
+  std::uint64_t told_ = 0;  // The owner knows the map up to here.
+  bool reset_due_ = false;  // It is to read the map anew, once that is no older.
+
   // As primary, of this epoch.
   std::map<std::string, Follower> followers_;
   std::set<std::string> required_;
