--- a/src/tier/policy/call.cpp
+++ b/src/tier/policy/call.cpp
@@ -15,6 +15,12 @@
                      [&](const Attempt& a) { return a.endpoint_hash == endpoint.hash(); });
 }
 
+bool HeldCall::TurnedAwayBy(const Endpoint& endpoint) const {
+  return std::any_of(attempts.begin(), attempts.end(), [&](const Attempt& a) {
+    return a.turned_away && a.endpoint_hash == endpoint.hash();
+  });
+}
+
 bool ProvesUnrun(Outcome outcome) {
   return outcome == Outcome::kNotRun || outcome == Outcome::kMisdirected ||
          outcome == Outcome::kNeverSent;
--- a/src/tier/policy/levels.cpp
+++ b/src/tier/policy/levels.cpp
@@ -8,7 +8,7 @@
 
 constexpr double kBatchShare = 0.25;  // Of the limit, where there is a batch level.
 constexpr double kEvenPart = 0.25;    // Of what live levels have, dealt evenly; the rest by demand.
-constexpr double kUrgency = 2.0;      // Weight of a level's demand against the next one's.
+constexpr double kUrgency = 4.0;      // Weight of a level's demand against the next one's.
 constexpr double kPromptPart = 0.5;   // First events within this part of the objective: more room.
 constexpr double kFirstSpan = 0.5;    // Seconds that a call is taken to last before one has.
 constexpr double kFirstLimit = 16.0;  // For each level, before any endpoint is known.
--- a/src/tier/policy/module.cpp
+++ b/src/tier/policy/module.cpp
@@ -34,6 +34,9 @@
 constexpr Micros kAliveSpan = 2'000'000;   // A sign this recent shows that it is up.
 constexpr Micros kRest = 100'000;          // How long a full endpoint is passed over at first.
 constexpr double kUsualGain = 0.05;        // Weight of one call in what is usual.
+// Signs of overload that one call turned away counts as: with one, every eighth send would find its
+// endpoint full once the limit stands still, urgent ones among them.
+constexpr int kFullWeight = 4;
 constexpr int kHeavy = 2;  // Failures that silence counts as: nothing else ends it so late.
 
 Micros Part(double part, Micros span) {
@@ -135,7 +138,10 @@
     HeldCall* held = Find(id);
     Attempt* attempt = OutAttempt(held, number);
     if (attempt == nullptr) return;
-    Learn(*held, *attempt, outcome);
+    // What was never sent and is not to go on was given up on this side.
+    const bool given_up = outcome == Outcome::kNeverSent && !again;
+    Learn(*held, *attempt, given_up ? Outcome::kCancelled : outcome);
+    attempt->turned_away = outcome == Outcome::kNotRun || outcome == Outcome::kMisdirected;
     Finish(*held, *attempt);
     if (!CountsAsSend(outcome)) --held->sends;
     if (!ProvesUnrun(outcome)) held->may_have_run = true;
@@ -315,16 +321,16 @@
       HeldCall* held = Find(next->request);
       if (held == nullptr) continue;
       held->queued = false;
-      if (now_ >= held->call.due || !TrySend(*held, false)) Refuse(*held);
+      if (now_ >= held->call.due || !TrySend(*held)) Refuse(*held);
     }
   }
 
-  bool TrySend(HeldCall& held, bool elsewhere) {
+  bool TrySend(HeldCall& held) {
     const auto it = services_.find(held.call.service);
     if (it == services_.end()) return false;
     Service& service = *it->second;
     Endpoint* endpoint =
-        service.picker.Pick(now_, held, service.subset.Members(now_), service.facts, elsewhere);
+        service.picker.Pick(now_, held, service.subset.Members(now_), service.facts);
     if (endpoint == nullptr) return false;
     Send(held, service, *endpoint);
     return true;
@@ -374,9 +380,7 @@
     // What never reached an endpoint has cost none any work: it needs no token.
     const bool costs = CountsAsSend(outcome);
     if (costs && !retry_budget_.Has()) return false;
-    // An endpoint that turned the call away would do so again.
-    const bool elsewhere = outcome == Outcome::kNotRun || outcome == Outcome::kMisdirected;
-    if (!TrySend(held, elsewhere)) return false;
+    if (!TrySend(held)) return false;
     if (costs) retry_budget_.Spend();
     return true;
   }
@@ -435,7 +439,7 @@
         endpoint.NoteFull(now_, kRest);
         endpoint.prefixes().NoteUnread(held.call.prompt);
         endpoint.health().EndTrial();
-        levels_.NoteOverload(level);
+        for (int i = 0; i < kFullWeight; ++i) levels_.NoteOverload(level);
         break;
       case Outcome::kMisdirected:
         endpoint.NoteMisdirected(now_);
@@ -462,6 +466,7 @@
         NoteHealth(held, endpoint, true, 1);
         break;
       case Outcome::kCancelled:
+        if (!attempt.begun) endpoint.prefixes().NoteUnread(held.call.prompt);
         endpoint.health().EndTrial();
         break;
     }
--- a/src/tier/policy/picker.cpp
+++ b/src/tier/policy/picker.cpp
@@ -63,14 +63,13 @@
 }
 
 Endpoint* Picker::Pick(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
-                       const ServiceFacts& facts, bool retry_elsewhere) {
+                       const ServiceFacts& facts) {
   if (members.empty()) return nullptr;
   const Endpoint* owner = OwnerOf(now, held.call, members);
   Endpoint* best = nullptr;
   std::pair<Standing, double> best_cost;
   const auto consider = [&](Endpoint* endpoint) {
-    if (!endpoint->Usable(now)) return;
-    if (retry_elsewhere && held.Tried(*endpoint)) return;
+    if (!endpoint->Usable(now) || held.TurnedAwayBy(*endpoint)) return;
     const std::pair cost{StandingOf(now, held, *endpoint),
                          Cost(now, held.call, *endpoint, endpoint == owner, facts)};
     if (best != nullptr && cost >= best_cost) return;
--- a/src/tier/policy/picker.h
+++ b/src/tier/policy/picker.h
@@ -32,9 +32,9 @@
  public:
   explicit Picker(std::string zone = {}) : zone_(std::move(zone)) {}
 
-  // Null: none may be sent to. `retry_elsewhere`: endpoints that it was sent to don't count.
+  // Null: none may be sent to.
   Endpoint* Pick(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
-                 const ServiceFacts& facts, bool retry_elsewhere);
+                 const ServiceFacts& facts);
 
   // Prompt tokens that the endpoint would have to read.
   static std::uint64_t ReadTokens(const Call& call, const Endpoint& endpoint);
--- a/src/tier/policy/subset.cpp
+++ b/src/tier/policy/subset.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Micros kRebuildSpan = 500'000;    // Pauses of ejected endpoints end without an event.
-constexpr Micros kShrinkSpan = 10'000'000;  // So long quiet, and one leaves.
+constexpr Micros kShrinkSpan = 60'000'000;  // So long quiet, and one leaves.
 constexpr std::size_t kFirstSorted = 32;
 constexpr std::uint64_t kFarKey = std::uint64_t{1} << 63;  // Keys of other zones lie above it.
 
--- /dev/null
+++ b/tests/tier/policy/policy_scenarios_test.cpp
@@ -0,0 +1,28 @@
+// What must hold of the decision module whatever the seed.
+#define BOOST_TEST_MODULE tier_policy_scenarios
+#include <boost/test/unit_test.hpp>
+
+#include "policy/scenarios.h"
+
+namespace shelflink::policy::testing {
+
+BOOST_AUTO_TEST_CASE(hold_for_every_seed) {
+  for (const Scenario& scenario : AllScenarios()) {
+    BOOST_TEST_CONTEXT(scenario.name) {
+      std::uint64_t bad = 0;
+      for (std::uint64_t seed = 1; seed <= scenario.seeds; ++seed) {
+        const Findings findings = scenario.play(seed);
+        if (findings.empty()) continue;
+        ++bad;
+        if (bad <= 3) {
+          for (const std::string& finding : findings) {
+            BOOST_TEST_MESSAGE(scenario.name << ", seed " << seed << ": " << finding);
+          }
+        }
+      }
+      BOOST_TEST(bad == 0U);
+    }
+  }
+}
+
+}  // namespace shelflink::policy::testing
--- /dev/null
+++ b/tests/tier/policy/scenarios.h
@@ -0,0 +1,50 @@
+// What must hold of the decision module for every seed: scenarios among simple endpoints, and rows
+// of random events. Each returns what it found wrong.
+#ifndef SHELFLINK_TESTS_TIER_POLICY_SCENARIOS_H_
+#define SHELFLINK_TESTS_TIER_POLICY_SCENARIOS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace shelflink::policy::testing {
+
+using Findings = std::vector<std::string>;
+
+struct Scenario {
+  const char* name;
+  Findings (*play)(std::uint64_t seed);
+  std::uint64_t seeds;  // How many a test plays.
+};
+
+// Nothing is held or refused, and prompts are answered promptly.
+Findings Quiet(std::uint64_t seed);
+// A flood of one level takes nothing from another.
+Findings Isolation(std::uint64_t seed);
+// A tenant that floods its level doesn't starve the others, and nobody waits beyond the cap.
+Findings FairTenants(std::uint64_t seed);
+// Sidecars that know the same don't all go to one endpoint.
+Findings NoHerd(std::uint64_t seed);
+// One endpoint that goes dark, fails, or turns slow costs little.
+Findings OneDark(std::uint64_t seed);
+Findings OneFailing(std::uint64_t seed);
+Findings OneUnreachable(std::uint64_t seed);
+Findings OneSlow(std::uint64_t seed);
+// All endpoints go silent: calls go on being tried, and are served again soon after.
+Findings AllDark(std::uint64_t seed);
+// All endpoints turn everything away: few sends, and every call is told soon.
+Findings AllFull(std::uint64_t seed);
+// Batch items taken up by the room that is told don't slow live calls, and get on.
+Findings BatchYields(std::uint64_t seed);
+// Calls with shared prompt parts meet where the parts are kept.
+Findings Stickiness(std::uint64_t seed);
+// Many calls of one prefix spread once their endpoint is loaded.
+Findings HotPrefix(std::uint64_t seed);
+// Whatever the events are: rules on repeats, attempts, drains and final answers.
+Findings Lawful(std::uint64_t seed);
+
+const std::vector<Scenario>& AllScenarios();
+
+}  // namespace shelflink::policy::testing
+
+#endif  // SHELFLINK_TESTS_TIER_POLICY_SCENARIOS_H_
--- /dev/null
+++ b/tests/tier/policy/world.h
@@ -0,0 +1,372 @@
+// A simple model of endpoints, clients and sidecars on a virtual clock, to see what the decision
+// module brings about. Endpoints read prompts one after the other, keep parts, run calls in slots
+// and queue a few more.
+#ifndef SHELFLINK_TESTS_TIER_POLICY_WORLD_H_
+#define SHELFLINK_TESTS_TIER_POLICY_WORLD_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "draws.h"
+#include "tier/policy/module.h"
+
+namespace shelflink::policy::testing {
+
+constexpr Micros kMillisecond = 1000;
+constexpr Micros kSecond = 1'000'000;
+
+struct EngineOptions {
+  int slots = 16;
+  double micros_per_prompt_token = 4.0;
+  double micros_per_output_token = 1000.0;
+  std::size_t most_waiting = 6;
+  std::uint64_t kv_tokens = 200'000;
+};
+
+enum class Trouble {
+  kNone,
+  kDark,     // Takes what comes and says nothing.
+  kRefused,  // Connections fail.
+  kErrors,   // Every answer is a failure, at once.
+  kFull,     // Turns everything away.
+};
+
+// What became of one call of a client.
+struct Record {
+  Micros came = 0;
+  Micros sent = -1;  // First.
+  Micros first_event = -1;
+  Micros ended = -1;
+  std::uint32_t level = 0;
+  std::uint64_t flow = 0;
+  int sends = 0;
+  bool served = false;
+  bool refused = false;
+  bool failed = false;
+  bool abandoned = false;
+};
+
+class World;
+
+class Engine {
+ public:
+  Engine(World& world, std::string id, const EngineOptions& options)
+      : world_(world), id_(std::move(id)), options_(options) {}
+
+  struct Work {
+    std::size_t sidecar;
+    CallId call;
+    std::uint32_t attempt;
+    Call what;
+  };
+
+  void Arrive(const Work& work);
+  void Leave(std::size_t sidecar, CallId call);
+
+  const std::string& id() const { return id_; }
+  std::size_t running() const { return running_.size(); }
+  std::size_t waiting() const { return waiting_.size(); }
+  const EngineOptions& options() const { return options_; }
+
+  Trouble trouble = Trouble::kNone;
+  double slowness = 1.0;
+  bool draining = false;
+  std::uint64_t prompt_tokens_read = 0;
+  std::uint64_t arrived = 0;
+  std::size_t most_running = 0;
+  std::uint64_t shared_parts_read = 0;
+
+ private:
+  using Key = std::pair<std::size_t, CallId>;
+
+  void Admit(const Work& work);
+  void Step(const Work& work, std::uint32_t done);
+  void End(const Work& work, Outcome outcome);
+  std::uint64_t Read(const Call& call);
+
+  World& world_;
+  std::string id_;
+  EngineOptions options_;
+  std::map<Key, Work> running_;
+  std::deque<Work> waiting_;
+  Micros reader_free_ = 0;
+  std::map<std::uint64_t, std::uint64_t> kept_;  // Part to the count of its last use.
+  std::map<std::uint64_t, std::uint32_t> kept_tokens_;
+  std::uint64_t kept_sum_ = 0;
+  std::uint64_t uses_ = 0;
+};
+
+class World {
+ public:
+  World(std::uint64_t seed, std::size_t sidecars, std::size_t engines,
+        const EngineOptions& options = {}, std::uint32_t levels = 3)
+      : draws(gaugecart::Mix(seed)) {
+    for (std::size_t i = 0; i < engines; ++i) {
+      engines_.push_back(std::make_unique<Engine>(*this, "endpoint-" + std::to_string(i), options));
+    }
+    for (std::size_t i = 0; i < sidecars; ++i) {
+      nodes_.push_back(std::make_unique<Node>(*this, i, seed));
+      Shape shape;
+      shape.node = "edge-" + std::to_string(seed) + "-" + std::to_string(i);
+      shape.zone = "zone-" + std::to_string(i % 2);
+      shape.sidecars = static_cast<std::uint32_t>(sidecars);
+      shape.levels = levels;
+      nodes_[i]->module.OnShape(0, shape);
+    }
+    List();
+  }
+
+  // Tells all sidecars of the endpoints as they are.
+  void List() {
+    ServiceInfo service;
+    service.name = "model";
+    service.kv_tokens = engines_.front()->options().kv_tokens;
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+      EndpointInfo info;
+      info.id = engines_[i]->id();
+      info.zone = "zone-" + std::to_string(i % 2);
+      info.slots = engines_[i]->options().slots;
+      info.draining = engines_[i]->draining;
+      service.endpoints.push_back(info);
+    }
+    for (auto& node : nodes_) node->module.OnService(now_, service);
+  }
+
+  // A client's call; it leaves if nothing has come for two seconds.
+  CallId Ask(std::size_t sidecar, Call call) {
+    call.id = ++last_call_;
+    call.service = "model";
+    if (!call.batch) {
+      if (call.timeout == 0) call.timeout = 5 * kSecond;
+      if (call.objective == 0) call.objective = 300 * kMillisecond;
+      if (call.due == kNever) call.due = now_ + 5 * kSecond;
+    }
+    Record& record = records_[call.id];
+    record.came = now_;
+    record.level = call.level;
+    record.flow = call.flow;
+    nodes_[sidecar]->module.OnCall(now_, call);
+    if (!call.batch) {
+      At(now_ + 2 * kSecond, [this, sidecar, id = call.id] {
+        const Record& known = records_[id];
+        if (known.ended >= 0 || known.first_event >= 0) return;
+        for (auto& engine : engines_) engine->Leave(sidecar, id);
+        records_[id].abandoned = true;
+        records_[id].ended = now_;
+        nodes_[sidecar]->calls.erase(id);
+        nodes_[sidecar]->module.OnAbandoned(now_, id);
+      });
+    }
+    calls_of(sidecar)[call.id] = call;
+    return call.id;
+  }
+
+  void At(Micros at, std::function<void()> what) {
+    events_.push({std::max(at, now_), next_order_++, std::move(what)});
+  }
+  void RunUntil(Micros until) {
+    while (!events_.empty() && events_.top().at <= until) {
+      Event event = events_.top();
+      events_.pop();
+      now_ = event.at;
+      event.what();
+    }
+    now_ = until;
+  }
+
+  Micros now() const { return now_; }
+  Module& module(std::size_t sidecar) { return nodes_[sidecar]->module; }
+  Engine& engine(std::size_t index) { return *engines_[index]; }
+  std::size_t engines() const { return engines_.size(); }
+  std::size_t sidecars() const { return nodes_.size(); }
+  const std::map<CallId, Record>& records() const { return records_; }
+  Record& record(CallId id) { return records_[id]; }
+  std::uint64_t sends() const { return sends_; }
+
+  gaugecart::Draws draws;
+
+ private:
+  friend class Engine;
+
+  struct Event {
+    Micros at;
+    std::uint64_t order;
+    std::function<void()> what;
+    bool operator<(const Event& other) const {
+      return std::pair(at, order) > std::pair(other.at, other.order);
+    }
+  };
+
+  struct Node : Actions {
+    Node(World& in, std::size_t number, std::uint64_t seed)
+        : world(in), index(number), module(seed * 100 + number, *this) {}
+
+    void Send(CallId call, std::uint32_t attempt, const std::string& endpoint) override {
+      Record& record = world.records_[call];
+      if (record.sent < 0) record.sent = world.now_;
+      ++record.sends;
+      ++world.sends_;
+      world.At(world.now_ + kMillisecond / 2, [this, call, attempt, endpoint] {
+        for (auto& engine : world.engines_) {
+          if (engine->id() == endpoint && calls.contains(call)) {
+            engine->Arrive({index, call, attempt, calls.at(call)});
+          }
+        }
+      });
+    }
+    void Refuse(CallId call, Micros) override {
+      World::Close(world.records_[call], world.now_).refused = true;
+    }
+    void Fail(CallId call) override {
+      World::Close(world.records_[call], world.now_).failed = true;
+    }
+    void SetTimer(Micros at) override {
+      world.At(at, [this] { module.OnTimer(world.now_); });
+    }
+
+    World& world;
+    std::size_t index;
+    std::map<CallId, Call> calls;
+    Module module;
+  };
+
+  static Record& Close(Record& record, Micros now) {
+    record.ended = now;
+    return record;
+  }
+
+  std::map<CallId, Call>& calls_of(std::size_t sidecar) { return nodes_[sidecar]->calls; }
+
+  // The endpoint's answer on its way back; `again` as the proxy would tell it.
+  void Tell(std::size_t sidecar, CallId call, std::uint32_t attempt, Outcome outcome) {
+    At(now_ + kMillisecond / 2, [this, sidecar, call, attempt, outcome] {
+      Record& record = records_[call];
+      if (record.ended >= 0) return;
+      const bool again = outcome != Outcome::kSuccess && outcome != Outcome::kError;
+      if (!again) {
+        record.ended = now_;
+        record.served = outcome == Outcome::kSuccess;
+        record.failed = !record.served;
+      }
+      nodes_[sidecar]->module.OnOutcome(now_, call, attempt, outcome, again);
+    });
+  }
+
+  Micros now_ = 0;
+  std::vector<std::unique_ptr<Engine>> engines_;
+  std::vector<std::unique_ptr<Node>> nodes_;
+  std::map<CallId, Record> records_;
+  std::priority_queue<Event> events_;
+  std::uint64_t next_order_ = 0;
+  CallId last_call_ = 0;
+  std::uint64_t sends_ = 0;
+};
+
+inline void Engine::Arrive(const Work& work) {
+  ++arrived;
+  if (trouble == Trouble::kDark) return;
+  if (trouble == Trouble::kRefused) {
+    return world_.Tell(work.sidecar, work.call, work.attempt, Outcome::kNeverSent);
+  }
+  if (trouble == Trouble::kErrors) {
+    return world_.Tell(work.sidecar, work.call, work.attempt, Outcome::kError);
+  }
+  const bool full = static_cast<int>(running_.size()) >= options_.slots;
+  if (trouble == Trouble::kFull || (full && waiting_.size() >= options_.most_waiting)) {
+    return world_.Tell(work.sidecar, work.call, work.attempt, Outcome::kNotRun);
+  }
+  if (full) {
+    waiting_.push_back(work);
+  } else {
+    Admit(work);
+  }
+}
+
+inline void Engine::Leave(std::size_t sidecar, CallId call) {
+  std::erase_if(waiting_, [&](const Work& w) { return w.sidecar == sidecar && w.call == call; });
+  running_.erase({sidecar, call});
+}
+
+inline void Engine::Admit(const Work& work) {
+  running_[{work.sidecar, work.call}] = work;
+  most_running = std::max(most_running, running_.size());
+  const auto tokens = static_cast<double>(Read(work.what));
+  const auto reading = static_cast<Micros>(tokens * options_.micros_per_prompt_token * slowness);
+  reader_free_ = std::max(reader_free_, world_.now()) + reading;
+  world_.At(reader_free_, [this, work] { Step(work, 0); });
+}
+
+inline void Engine::Step(const Work& work, std::uint32_t done) {
+  if (!running_.contains({work.sidecar, work.call}) || trouble == Trouble::kDark) return;
+  constexpr std::uint32_t kPiece = 8;
+  const std::uint32_t left = work.what.output_tokens - std::min(done, work.what.output_tokens);
+  const std::uint32_t piece = std::min(kPiece, left);
+  world_.At(world_.now() + kMillisecond / 2,
+            [this, work, done, piece, running = running_.size(), waiting = waiting_.size()] {
+              Record& record = world_.record(work.call);
+              if (record.ended >= 0) return;
+              Module& module = world_.module(work.sidecar);
+              if (done == 0) {
+                record.first_event = world_.now();
+                module.OnLoad(world_.now(), id_, static_cast<std::uint32_t>(running),
+                              static_cast<std::uint32_t>(waiting),
+                              static_cast<std::uint32_t>(options_.slots));
+                module.OnFirstEvent(world_.now(), work.call, work.attempt);
+              }
+              module.OnProgress(world_.now(), work.call, work.attempt, piece);
+            });
+  if (left <= piece) return End(work, Outcome::kSuccess);
+  const double load = 1.0 + static_cast<double>(running_.size()) / options_.slots;
+  const double span = options_.micros_per_output_token * piece * load * slowness;
+  world_.At(world_.now() + static_cast<Micros>(span),
+            [this, work, done, piece] { Step(work, done + piece); });
+}
+
+inline void Engine::End(const Work& work, Outcome outcome) {
+  running_.erase({work.sidecar, work.call});
+  world_.Tell(work.sidecar, work.call, work.attempt, outcome);
+  while (!waiting_.empty() && static_cast<int>(running_.size()) < options_.slots) {
+    const Work next = waiting_.front();
+    waiting_.pop_front();
+    Admit(next);
+  }
+}
+
+// Tokens of the prompt that are not kept; all of them are kept afterwards.
+inline std::uint64_t Engine::Read(const Call& call) {
+  std::uint64_t kept = 0;
+  bool all = true;
+  for (std::size_t i = 0; i < call.prompt.size(); ++i) {
+    const PromptPart& part = call.prompt[i];
+    all = all && kept_.contains(part.id);
+    if (all) kept += part.tokens;
+    if (!all && i + 1 < call.prompt.size()) ++shared_parts_read;
+    if (!kept_.contains(part.id)) kept_sum_ += part.tokens;
+    kept_[part.id] = ++uses_;
+    kept_tokens_[part.id] = part.tokens;
+  }
+  while (kept_sum_ > options_.kv_tokens) {
+    const auto oldest =
+        std::min_element(kept_.begin(), kept_.end(),
+                         [](const auto& a, const auto& b) { return a.second < b.second; });
+    kept_sum_ -= kept_tokens_[oldest->first];
+    kept_.erase(oldest);
+  }
+  const std::uint64_t to_read =
+      call.prompt_tokens - std::min<std::uint64_t>(kept, call.prompt_tokens);
+  prompt_tokens_read += to_read;
+  return to_read;
+}
+
+}  // namespace shelflink::policy::testing
+
+#endif  // SHELFLINK_TESTS_TIER_POLICY_WORLD_H_
