--- a/src/tier/policy/levels.cpp
+++ b/src/tier/policy/levels.cpp
@@ -60,6 +60,11 @@
   return next;
 }
 
+void Levels::PutBack(std::uint32_t level, const gaugecart::Waiting& waiting) {
+  levels_[level].pool.queues.PutBack(waiting);
+  ++levels_[level].waiting[waiting.flow];
+}
+
 void Levels::Unwait(Entry& entry, std::uint64_t flow) {
   const auto it = entry.waiting.find(flow);
   if (it != entry.waiting.end() && --it->second == 0) entry.waiting.erase(it);
--- a/src/tier/policy/levels.h
+++ b/src/tier/policy/levels.h
@@ -39,6 +39,9 @@
   // The next call of the level while its pool has room.
   std::optional<gaugecart::Waiting> Next(Micros now, std::uint32_t level);
 
+  // Back to the front: it cannot be sent just now.
+  void PutBack(std::uint32_t level, const gaugecart::Waiting& waiting);
+
   void Start(std::uint32_t level) { ++levels_[level].pool.in_flight; }
   void Finish(std::uint32_t level) { --levels_[level].pool.in_flight; }
   std::size_t in_flight(std::uint32_t level) const { return levels_[level].pool.in_flight; }
--- a/src/tier/policy/module.cpp
+++ b/src/tier/policy/module.cpp
@@ -24,7 +24,7 @@
 constexpr double kBusy = 0.7;              // Part of the slots taken at which no batch call starts.
 constexpr double kConnectionFactor = 2.0;  // Connections before one counts as too many, likewise.
 constexpr double kPatience = 4.0;          // Expected times to a first event until it is overdue...
-constexpr double kLeastPatience = 0.5;     // ...at least so many objectives...
+constexpr double kLeastPatience = 0.25;    // ...at least so many objectives...
 constexpr double kMostPatience = 2.0;      // ...and at most so many.
 constexpr double kLeastOffer = 0.1;        // Objectives that a retry must have left.
 constexpr double kHasty = 1.0;             // Objectives: a time-out with less time tells nothing.
@@ -320,24 +320,27 @@
     while (const auto next = levels_.Next(now_, level)) {
       HeldCall* held = Find(next->request);
       if (held == nullptr) continue;
+      const Choice choice = now_ < held->call.due ? Pick(*held) : Choice{};
+      if (choice.crowded && !held->call.batch) return levels_.PutBack(level, *next);
       held->queued = false;
-      if (now_ >= held->call.due || !TrySend(*held)) Refuse(*held);
+      if (choice.endpoint != nullptr) {
+        Send(*held, *choice.endpoint);
+      } else {
+        Refuse(*held);
+      }
     }
   }
 
-  bool TrySend(HeldCall& held) {
+  Choice Pick(const HeldCall& held) {
     const auto it = services_.find(held.call.service);
-    if (it == services_.end()) return false;
+    if (it == services_.end()) return {};
     Service& service = *it->second;
-    Endpoint* endpoint =
-        service.picker.Pick(now_, held, service.subset.Members(now_), service.facts);
-    if (endpoint == nullptr) return false;
-    Send(held, service, *endpoint);
-    return true;
+    return service.picker.Pick(now_, held, service.subset.Members(now_), service.facts);
   }
 
-  void Send(HeldCall& held, Service& service, Endpoint& endpoint) {
+  void Send(HeldCall& held, Endpoint& endpoint) {
     const Call& call = held.call;
+    Service& service = *services_.at(call.service);
     Attempt attempt;
     attempt.endpoint = &endpoint;
     attempt.endpoint_hash = endpoint.hash();
@@ -380,8 +383,10 @@
     // What never reached an endpoint has cost none any work: it needs no token.
     const bool costs = CountsAsSend(outcome);
     if (costs && !retry_budget_.Has()) return false;
-    if (!TrySend(held)) return false;
+    Endpoint* endpoint = Pick(held).endpoint;
+    if (endpoint == nullptr) return false;
     if (costs) retry_budget_.Spend();
+    Send(held, *endpoint);
     return true;
   }
 
--- a/src/tier/policy/picker.cpp
+++ b/src/tier/policy/picker.cpp
@@ -35,6 +35,16 @@
 constexpr double kWary = 12.0;  // Load that failures weigh as to calls that must not run twice...
 constexpr double kBold = 2.0;   // ...and to those that may.
 
+// An endpoint's slots that a call may take: the last ones are kept for more urgent levels, and the
+// first level may also wait there.
+constexpr double kLowerPart = 0.95;
+constexpr double kBatchPart = 0.8;
+
+double MostLoad(const Call& call) {
+  if (call.batch) return kBatchPart;
+  return call.level == 0 ? std::numeric_limits<double>::infinity() : kLowerPart;
+}
+
 double Square(double x) { return x * x; }
 
 std::uint64_t SharedTokens(const Call& call) {
@@ -62,14 +72,20 @@
   return call.prompt_tokens - std::min<std::uint64_t>(kept, call.prompt_tokens);
 }
 
-Endpoint* Picker::Pick(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
-                       const ServiceFacts& facts) {
-  if (members.empty()) return nullptr;
+Choice Picker::Pick(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
+                    const ServiceFacts& facts) {
+  if (members.empty()) return {};
+  const double most_load = MostLoad(held.call);
+  bool crowded = false;
   const Endpoint* owner = OwnerOf(now, held.call, members);
   Endpoint* best = nullptr;
   std::pair<Standing, double> best_cost;
   const auto consider = [&](Endpoint* endpoint) {
     if (!endpoint->Usable(now) || held.TurnedAwayBy(*endpoint)) return;
+    if (endpoint->Running(now) + 1.0 > most_load * endpoint->slots()) {
+      crowded = true;
+      return;
+    }
     const std::pair cost{StandingOf(now, held, *endpoint),
                          Cost(now, held.call, *endpoint, endpoint == owner, facts)};
     if (best != nullptr && cost >= best_cost) return;
@@ -85,7 +101,7 @@
     consider(*std::find(members.begin(), members.end(), owner));
   }
   ++cursor_;
-  return best;
+  return {best, best == nullptr && crowded};
 }
 
 Picker::Standing Picker::StandingOf(Micros now, const HeldCall& held, const Endpoint& endpoint) {
--- a/src/tier/policy/picker.h
+++ b/src/tier/policy/picker.h
@@ -28,13 +28,18 @@
   FirstEventModel first_event;
 };
 
+struct Choice {
+  Endpoint* endpoint = nullptr;  // Null: none may be sent to now.
+  // Only for the slots that are left to more urgent levels: it may be otherwise in a moment.
+  bool crowded = false;
+};
+
 class Picker {
  public:
   explicit Picker(std::string zone = {}) : zone_(std::move(zone)) {}
 
-  // Null: none may be sent to.
-  Endpoint* Pick(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
-                 const ServiceFacts& facts);
+  Choice Pick(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
+              const ServiceFacts& facts);
 
   // Prompt tokens that the endpoint would have to read.
   static std::uint64_t ReadTokens(const Call& call, const Endpoint& endpoint);
