Placement: move from the heaviest store, primaries included; tests of the core service

A store that came back got its share back in over 30 s of virtual time: moves took backups only, so rows of a store full of primaries never moved and others zigzagged.

--- a/src/tier/cluster/placement.cpp
+++ b/src/tier/cluster/placement.cpp
@@ -80,18 +80,26 @@
     ReplaceLostBackups(partition, copies);
     AddMissing(partition, copies);
     ReplaceRetiringPrimary(partition, copies);
-    DropSurplus(copies);
+    DropSurplus(partition, copies);
   }
 
-  // Adds a joiner where the row would lie better elsewhere; says whether it did.
-  bool Move(std::size_t partition, std::vector<Copy>& copies) {
-    if (copies.size() != rules_.copies || joins_ >= rules_.most_moves) return false;
+  // How much better the row would lie with a joiner in place of one of its copies; 0: not at all.
+  std::size_t GainOfMove(std::size_t partition, const std::vector<Copy>& copies) const {
+    if (copies.size() != rules_.copies || joins_ >= rules_.most_moves) return 0;
     const bool settled = std::all_of(copies.begin(), copies.end(), [&](const Copy& copy) {
       return copy.complete && IsLive(copy.disk);
     });
-    if (!settled) return false;
-    if (HasZoneTwice(copies)) return AddJoiner(partition, copies, /*zone_must_differ=*/true);
-    return MoveToEmptier(partition, copies);
+    if (!settled) return 0;
+    const StoreCandidate* joiner = MoveTarget(partition, copies);
+    if (joiner == nullptr) return 0;
+    if (HasZoneTwice(copies)) return kPartitions * rules_.copies;  // Before all others.
+    const std::size_t from = ShareOf(copies[Heaviest(copies)].disk).copies;
+    const std::size_t to = ShareOf(joiner->disk).copies;
+    return from >= to + kTolerableSpread ? from - to : 0;
+  }
+
+  void Move(std::size_t partition, std::vector<Copy>& copies) const {
+    Append(copies, *MoveTarget(partition, copies));
   }
 
   // Hands the primary's part to a complete backup that has fewer; says whether it did.
@@ -286,54 +294,61 @@
   }
 
   // Once enough copies are whole, those that retire or are one too many go.
-  void DropSurplus(std::vector<Copy>& copies) {
+  void DropSurplus(std::size_t partition, std::vector<Copy>& copies) const {
     if (CountWhole(copies) < rules_.copies) return;
     while (copies.size() > rules_.copies) {
-      const std::size_t worst = WorstBackup(copies);
+      const std::size_t worst = WorstCopy(copies);
       const bool whole = copies[worst].complete && IsUsable(copies[worst].disk);
       if (whole && CountWhole(copies) <= rules_.copies) return;
-      copies.erase(copies.begin() + static_cast<std::ptrdiff_t>(worst));
+      if (worst == 0) {
+        const std::optional<std::size_t> successor = Successor(partition, copies, false);
+        if (!successor) return;
+        std::swap(copies.front(), copies[*successor]);
+        copies.erase(copies.begin() + static_cast<std::ptrdiff_t>(*successor));
+      } else {
+        copies.erase(copies.begin() + static_cast<std::ptrdiff_t>(worst));
+      }
     }
   }
 
-  std::size_t WorstBackup(const std::vector<Copy>& copies) const {
-    std::size_t worst = 1;
-    for (std::size_t index = 2; index < copies.size(); ++index) {
+  std::size_t WorstCopy(const std::vector<Copy>& copies) const {
+    std::size_t worst = 0;
+    for (std::size_t index = 1; index < copies.size(); ++index) {
       if (DropRank(copies, index) > DropRank(copies, worst)) worst = index;
     }
     return worst;
   }
 
-  // Higher goes first: who retires, who is lost, who shares a zone with another copy, who has most.
-  std::tuple<bool, bool, bool, bool, std::size_t, std::string_view> DropRank(
-      const std::vector<Copy>& copies, std::size_t index) const {
+  // Higher goes first: who retires, is lost, misses something, shares a zone with another copy, or
+  // has most; a backup before the primary.
+  std::tuple<bool, bool, bool, bool, std::size_t, bool> DropRank(const std::vector<Copy>& copies,
+                                                                 std::size_t index) const {
     const Copy& copy = copies[index];
     std::vector<Copy> rest = copies;
     rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(index));
     const StoreCandidate* store = Find(copy.disk);
     const bool shares_zone = store != nullptr && ZoneTaken(rest, store->zone);
     return {IsRetiring(copy.disk), !IsLive(copy.disk),        !copy.complete,
-            shares_zone,           ShareOf(copy.disk).copies, copy.disk};
+            shares_zone,           ShareOf(copy.disk).copies, index > 0};
   }
 
-  // The primary stays where it is, as it cannot be dropped in one step.
-  bool MoveToEmptier(std::size_t partition, std::vector<Copy>& copies) {
-    std::size_t most = 0;
+  // The copy whose store holds the most.
+  std::size_t Heaviest(const std::vector<Copy>& copies) const {
+    std::size_t heaviest = 0;
     for (std::size_t index = 1; index < copies.size(); ++index) {
-      most = std::max(most, ShareOf(copies[index].disk).copies);
+      const std::size_t share = ShareOf(copies[index].disk).copies;
+      if (share > ShareOf(copies[heaviest].disk).copies) heaviest = index;
     }
-    std::vector<Copy> without = copies;
-    for (std::size_t index = 1; index < copies.size(); ++index) {
-      if (ShareOf(copies[index].disk).copies != most) continue;
-      without.erase(without.begin() + static_cast<std::ptrdiff_t>(index));
-      break;
-    }
-    const StoreCandidate* joiner = Joiner(partition, without, rules_.distinct_zones);
-    if (joiner == nullptr || Contains(copies, joiner->disk)) return false;
-    if (ZoneTaken(without, joiner->zone)) return false;
-    if (ShareOf(joiner->disk).copies + kTolerableSpread > most) return false;
-    Append(copies, *joiner);
-    return true;
+    return heaviest;
+  }
+
+  // Who would take the place of the heaviest copy, in no zone of the others.
+  const StoreCandidate* MoveTarget(std::size_t partition, const std::vector<Copy>& copies) const {
+    if (HasZoneTwice(copies)) return Joiner(partition, copies, /*zone_must_differ=*/true);
+    std::vector<Copy> rest = copies;
+    rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(Heaviest(copies)));
+    const StoreCandidate* joiner = Joiner(partition, rest, /*zone_must_differ=*/true);
+    return joiner == nullptr || Contains(copies, joiner->disk) ? nullptr : joiner;
   }
 
   const std::vector<StoreCandidate>& stores_;
@@ -346,6 +361,41 @@
 
 }  // namespace
 
+namespace {
+
+using Table = std::vector<std::vector<Copy>>;  // Index: partition.
+
+// The rows that gain most first, as many as may move at a time.
+void MoveToEmptier(Planner& planner, Table& rows) {
+  while (true) {
+    std::size_t best = 0;
+    std::size_t best_gain = 0;
+    for (std::size_t partition = 0; partition < rows.size(); ++partition) {
+      const std::size_t gain = planner.GainOfMove(partition, rows[partition]);
+      if (gain > best_gain) {
+        best = partition;
+        best_gain = gain;
+      }
+    }
+    if (best_gain == 0) return;
+    planner.Count(rows[best], -1);
+    planner.Move(best, rows[best]);
+    planner.Count(rows[best], +1);
+  }
+}
+
+void SwapPrimaries(Planner& planner, Table& rows) {
+  for (std::vector<Copy>& copies : rows) {
+    std::vector<Copy> swapped = copies;
+    if (!planner.SwapPrimary(swapped)) continue;
+    planner.Count(copies, -1);
+    copies = std::move(swapped);
+    planner.Count(copies, +1);
+  }
+}
+
+}  // namespace
+
 std::vector<PartitionRow> FirstPlacement(const std::vector<StoreCandidate>& stores,
                                          const PlacementRules& rules) {
   const Stalled none;
@@ -369,7 +419,7 @@
                                    const std::vector<StoreCandidate>& stores,
                                    const Stalled& stalled, const PlacementRules& rules) {
   Planner planner(stores, stalled, rules);
-  std::vector<std::vector<Copy>> next;
+  Table next;
   for (const PartitionRow& row : rows) {
     next.push_back(CopiesOf(row));
     planner.Count(next.back(), +1);
@@ -384,12 +434,9 @@
     data_lost[partition] = lost;
     repaired = repaired || !SameCopies(rows[partition], RowOf(0, next[partition]));
   }
-  for (std::size_t partition = 0; partition < rows.size() && !repaired; ++partition) {
-    std::vector<Copy> moved = next[partition];
-    if (!planner.Move(partition, moved) && !planner.SwapPrimary(moved)) continue;
-    planner.Count(next[partition], -1);
-    next[partition] = std::move(moved);
-    planner.Count(next[partition], +1);
+  if (!repaired) {
+    MoveToEmptier(planner, next);
+    SwapPrimaries(planner, next);
   }
   std::vector<RowChange> changes;
   for (std::size_t partition = 0; partition < rows.size(); ++partition) {
--- a/src/tier/cluster/placement.h
+++ b/src/tier/cluster/placement.h
@@ -38,7 +38,7 @@
 struct PlacementRules {
   std::size_t copies = 2;       // Fault tolerance + 1.
   bool distinct_zones = false;  // Copies in one zone are not allowed, rather than avoided.
-  std::size_t most_moves = 4;   // Joiners at a time that no loss asks for.
+  std::size_t most_moves = 8;   // Joiners at a time that no loss asks for.
 };
 
 // A backup that the partition's primary cannot reach, by partition and disk.
--- /dev/null
+++ b/tests/tier/cluster/core_service_test.cpp
@@ -0,0 +1,239 @@
+// The core service with stores and the operator: placement over losses, reports on backups,
+// retirement, orders; each on the virtual network.
+#define BOOST_TEST_MODULE core_service
+#include "tier/cluster/core_service.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "cluster/rig.h"
+#include "tier/cluster/control_state.h"
+#include "tier/cluster/placement.h"
+
+namespace shelflink::cluster {
+namespace {
+
+using operator_api::RetireState;
+
+std::vector<PartitionRow> Rows(const Rig& rig) { return RowsOf(rig.map.contents); }
+
+bool AllComplete(const std::vector<PartitionRow>& rows, std::size_t copies) {
+  return !rows.empty() && std::all_of(rows.begin(), rows.end(), [&](const PartitionRow& row) {
+    return row.backups.size() + 1 == copies &&
+           std::find(row.complete.begin(), row.complete.end(), false) == row.complete.end();
+  });
+}
+
+bool AnyNames(const std::vector<PartitionRow>& rows, const std::string& disk) {
+  return std::any_of(rows.begin(), rows.end(),
+                     [&](const PartitionRow& row) { return Names(row, disk); });
+}
+
+// Each store that is primary of a row says of its joiners that they are complete, as a store does
+// that copies fast.
+void CompleteJoiners(Rig& rig) {
+  for (auto& store : rig.stores) {
+    if (!store->up() || !store->agent().view().placement) continue;
+    const auto placement = store->agent().view().placement;
+    for (std::size_t partition = 0; partition < placement->rows.size(); ++partition) {
+      const PartitionRow& row = placement->rows[partition];
+      if (row.primary_disk != store->disk) continue;
+      for (std::size_t index = 0; index < row.backups.size(); ++index) {
+        if (row.complete[index]) continue;
+        store->agent().ReportBackup({static_cast<std::uint32_t>(partition), row.epoch,
+                                     row.backup_disks[index], BackupCondition::kComplete},
+                                    [](const Result<void>&) {});
+      }
+    }
+  }
+}
+
+// Lets joiners complete until the placement is whole and lies still.
+bool Settles(Rig& rig, std::size_t copies, net::Span within) {
+  const net::Time end = rig.net.Now() + within;
+  std::uint64_t count = 0;
+  while (rig.net.Now() < end) {
+    CompleteJoiners(rig);
+    rig.Run(milliseconds(300));
+    const std::uint64_t now = NumberAt(rig.map.contents, kPlacementCountKey);
+    if (now == count && AllComplete(Rows(rig), copies)) return true;
+    count = now;
+  }
+  return false;
+}
+
+std::optional<Result<void>> Retire(Rig& rig, const std::string& node) {
+  std::optional<Result<void>> result;
+  rig.Primary().service().Retire({node, seconds(10)},
+                                 [&](Result<void> told) { result = std::move(told); });
+  rig.RunUntil([&] { return result.has_value(); }, seconds(1));
+  return result;
+}
+
+std::optional<Result<RetireState>> StateOf(Rig& rig, const std::string& node) {
+  std::optional<Result<RetireState>> result;
+  rig.Primary().service().ReadRetireState(
+      node, [&](Result<RetireState> told) { result = std::move(told); });
+  rig.RunUntil([&] { return result.has_value(); }, seconds(1));
+  return result;
+}
+
+BOOST_AUTO_TEST_CASE(partitions_are_placed_when_the_stores_are_there) {
+  Rig rig(3, 2, 4);
+  rig.Start();
+  BOOST_TEST(rig.RunUntil([&] { return Rows(rig).size() == kPartitions; }, seconds(3)));
+  rig.Run(milliseconds(200));
+  for (auto* group : {&rig.proxies, &rig.stores}) {
+    for (const auto& machine : *group) {
+      BOOST_REQUIRE(machine->agent().view().placement);
+      BOOST_TEST(machine->agent().view().placement->rows.size() == kPartitions);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_store_is_replaced_after_its_lease_and_not_before) {
+  Rig rig(3, 2, 4);
+  rig.Start();
+  BOOST_REQUIRE(Settles(rig, 2, seconds(5)));
+  const auto before = Rows(rig);
+  rig.stores[1]->Stop();
+  const std::string disk = rig.stores[1]->disk;
+  rig.Run(milliseconds(900));
+  BOOST_TEST(AnyNames(Rows(rig), disk));
+  BOOST_TEST(rig.RunUntil([&] { return !AnyNames(Rows(rig), disk); }, milliseconds(1200)));
+  const auto after = Rows(rig);
+  for (std::size_t partition = 0; partition < after.size(); ++partition) {
+    BOOST_TEST(Names(before[partition], after[partition].primary_disk));
+  }
+  BOOST_TEST(Settles(rig, 2, seconds(5)));
+  rig.stores[1]->Start();
+  BOOST_TEST(Settles(rig, 2, seconds(30)));
+  BOOST_TEST(AnyNames(Rows(rig), disk));
+}
+
+BOOST_AUTO_TEST_CASE(a_store_restarted_within_its_lease_costs_no_change) {
+  Rig rig(3, 1, 4);
+  rig.Start();
+  BOOST_REQUIRE(Settles(rig, 2, seconds(5)));
+  const std::uint64_t count = NumberAt(rig.map.contents, kPlacementCountKey);
+  rig.stores[2]->Stop();
+  rig.Run(milliseconds(500));
+  rig.stores[2]->Start();
+  rig.Run(seconds(4));
+  BOOST_TEST(NumberAt(rig.map.contents, kPlacementCountKey) == count);
+}
+
+BOOST_AUTO_TEST_CASE(a_store_whose_disk_was_wiped_is_replaced_at_once) {
+  Rig rig(3, 1, 4);
+  rig.Start();
+  BOOST_REQUIRE(Settles(rig, 2, seconds(5)));
+  const std::string old_disk = rig.stores[0]->disk;
+  rig.stores[0]->Stop();
+  rig.stores[0]->disk = "drawn anew";
+  rig.stores[0]->Start();
+  BOOST_TEST(rig.RunUntil([&] { return !AnyNames(Rows(rig), old_disk); }, milliseconds(500)));
+  for (const PartitionRow& row : Rows(rig)) BOOST_TEST(row.primary_disk != "drawn anew");
+  BOOST_TEST(Settles(rig, 2, seconds(30)));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_primary_loses_no_store_that_lives) {
+  Rig rig(3, 1, 4);
+  rig.Start();
+  BOOST_REQUIRE(Settles(rig, 2, seconds(5)));
+  const auto before = Rows(rig);
+  rig.cores[0]->Stop();
+  rig.Run(seconds(2));
+  rig.Elect(1);
+  rig.Run(seconds(4));
+  const auto after = Rows(rig);
+  for (std::size_t partition = 0; partition < after.size(); ++partition) {
+    BOOST_TEST(after[partition].epoch == before[partition].epoch);
+  }
+  // And one that went at the same time is found.
+  rig.cores[0]->Start();
+  rig.stores[3]->Stop();
+  rig.Elect(2);
+  BOOST_TEST(rig.RunUntil([&] { return !AnyNames(Rows(rig), rig.stores[3]->disk); }, seconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(reports_count_only_for_the_row_as_it_is) {
+  Rig rig(3, 1, 3);
+  rig.Start();
+  BOOST_REQUIRE(Settles(rig, 2, seconds(5)));
+  const PartitionRow row = Rows(rig)[3];
+  const auto report = [&](std::uint64_t epoch, const std::string& disk, BackupCondition condition) {
+    std::optional<Result<void>> result;
+    rig.stores[0]->agent().ReportBackup({3, epoch, disk, condition},
+                                        [&](Result<void> told) { result = std::move(told); });
+    rig.RunUntil([&] { return result.has_value(); }, seconds(1));
+    return *result;
+  };
+  const std::string backup = row.backup_disks[0];
+  BOOST_TEST((report(row.epoch - 1, backup, BackupCondition::kStalled).error().code ==
+              ErrorCode::kConflict));
+  BOOST_TEST((report(row.epoch, "stranger", BackupCondition::kStalled).error().code ==
+              ErrorCode::kConflict));
+  BOOST_TEST(Rows(rig)[3].epoch == row.epoch);
+  BOOST_TEST(report(row.epoch, backup, BackupCondition::kComplete).has_value());
+  BOOST_TEST(Rows(rig)[3].epoch == row.epoch);
+  BOOST_TEST(report(row.epoch, backup, BackupCondition::kStalled).has_value());
+  BOOST_TEST(Rows(rig)[3].epoch == row.epoch + 1);
+  BOOST_TEST(!Names(Rows(rig)[3], backup));
+  BOOST_TEST(Rows(rig)[3].primary_disk == row.primary_disk);
+}
+
+BOOST_AUTO_TEST_CASE(a_retiring_store_is_emptied_over_a_failover) {
+  Rig rig(3, 1, 4);
+  rig.Start();
+  BOOST_REQUIRE(Settles(rig, 2, seconds(5)));
+  BOOST_TEST((StateOf(rig, "store-1")->error().code == ErrorCode::kNotFound));
+  BOOST_TEST((Retire(rig, "store-77")->error().code == ErrorCode::kNotFound));
+  BOOST_REQUIRE(Retire(rig, "store-1")->has_value());
+  BOOST_TEST(Retire(rig, "store-1")->has_value());
+  BOOST_TEST((StateOf(rig, "store-1")->value() == RetireState::kRunning));
+  rig.Elect(2);
+  BOOST_TEST(Settles(rig, 2, seconds(30)));
+  BOOST_TEST(!AnyNames(Rows(rig), rig.stores[1]->disk));
+  BOOST_TEST((StateOf(rig, "store-1")->value() == RetireState::kCompleted));
+  BOOST_TEST(Retire(rig, "store-1")->has_value());
+}
+
+BOOST_AUTO_TEST_CASE(retirement_is_refused_where_too_few_would_be_left) {
+  Rig rig(3, 1, 3);
+  rig.Start();
+  BOOST_REQUIRE(Settles(rig, 2, seconds(5)));
+  BOOST_REQUIRE(Retire(rig, "store-1")->has_value());
+  BOOST_TEST((Retire(rig, "store-2")->error().code == ErrorCode::kConflict));
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read_back_as_it_was_sent) {
+  Rig rig;
+  rig.Start();
+  std::optional<Result<std::string>> read;
+  const auto read_back = [&] {
+    read.reset();
+    rig.Primary().service().ReadConfiguration([&](Result<std::string> told) { read = told; });
+    rig.RunUntil([&] { return read.has_value(); }, seconds(1));
+    return *read;
+  };
+  BOOST_TEST((read_back().error().code == ErrorCode::kNotFound));
+  BOOST_REQUIRE(rig.Put(4, 0));
+  rig.Elect(1);
+  BOOST_TEST(read_back().value() == RigConfiguration(4));
+  BOOST_TEST((rig.Put(9, 3).error().code == ErrorCode::kConflict));
+  BOOST_TEST(rig.Put(4, 0).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_is_not_the_primary_changes_nothing) {
+  Rig rig;
+  rig.Start();
+  std::optional<Result<void>> result;
+  rig.cores[1]->service().ChangeConfiguration(
+      {configuration::ChangeMethod::kPut, 0, RigConfiguration(1)},
+      [&](Result<void> told) { result = std::move(told); });
+  BOOST_REQUIRE(rig.RunUntil([&] { return result.has_value(); }, seconds(1)));
+  BOOST_TEST((result->error().code == ErrorCode::kUnavailable));
+  BOOST_TEST(rig.map.contents.empty());
+}
+
+}  // namespace
+}  // namespace shelflink::cluster
