--- /dev/null
+++ b/tests/tier/cluster/cluster_parts_test.cpp
@@ -0,0 +1,271 @@
+// The small pure parts: finder of the core, relay tree, clock estimate, leases, orders of
+// endpoints.
+#define BOOST_TEST_MODULE cluster_parts
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <random>
+#include <set>
+
+#include "tier/cluster/clock_estimate.h"
+#include "tier/cluster/core_finder.h"
+#include "tier/cluster/core_service.h"
+#include "tier/cluster/member_table.h"
+#include "tier/cluster/relay_tree.h"
+#include "tier/cluster/scale_planner.h"
+
+namespace shelflink::cluster {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+net::Address At(std::uint32_t host) { return net::Address::V4(host, 7360); }
+net::Time After(net::Span span) { return net::Time{} + span; }
+
+// --- Finder ---
+
+BOOST_AUTO_TEST_CASE(finder_asks_each_seed_in_turn_until_one_accepts) {
+  CoreFinder finder;
+  BOOST_TEST(!finder.Target().has_value());
+  finder.SetSeeds({At(1), At(2), At(3)});
+  std::set<net::Address> asked;
+  for (int turn = 0; turn < 3; ++turn) {
+    asked.insert(*finder.Target());
+    finder.Failed(*finder.Target());
+  }
+  BOOST_TEST(asked.size() == 3U);
+  finder.Accepted(At(2));
+  BOOST_TEST((finder.Target() == At(2)));
+}
+
+BOOST_AUTO_TEST_CASE(finder_follows_a_hint_but_not_to_who_has_just_been_silent) {
+  CoreFinder finder;
+  finder.SetSeeds({At(1), At(2)});
+  BOOST_TEST(finder.Declined(At(1), At(9)));
+  BOOST_TEST((finder.Target() == At(9)));
+  finder.Failed(At(9));
+  const net::Address asked = *finder.Target();
+  BOOST_TEST(!finder.Declined(asked, At(9)));
+  BOOST_TEST((finder.Target() != At(9)));
+  BOOST_TEST(finder.Declined(*finder.Target(), At(9)));  // Said again: worth another try.
+}
+
+BOOST_AUTO_TEST_CASE(finder_ends_a_circle_of_hints) {
+  CoreFinder finder;
+  finder.SetSeeds({At(1), At(2)});
+  int at_once = 0;
+  for (int step = 0; step < 12; ++step) {
+    const net::Address asked = *finder.Target();
+    at_once += finder.Declined(asked, asked == At(1) ? At(2) : At(1)) ? 1 : 0;
+  }
+  BOOST_TEST(at_once <= 9);
+}
+
+BOOST_AUTO_TEST_CASE(finder_knows_learned_cores_when_all_seeds_are_gone) {
+  CoreFinder finder;
+  finder.SetSeeds({At(1)});
+  finder.Learn({At(5), At(6)});
+  finder.SetSeeds({At(7)});
+  std::set<net::Address> asked;
+  for (int turn = 0; turn < 6; ++turn) {
+    asked.insert(*finder.Target());
+    finder.Failed(*finder.Target());
+  }
+  BOOST_TEST((asked == std::set<net::Address>{At(5), At(6), At(7)}));
+}
+
+// --- Relay tree ---
+
+std::size_t DepthOf(const RelayTree& tree, net::Address member) {
+  std::size_t depth = 0;
+  while (const auto parent = tree.ParentOf(member)) {
+    member = *parent;
+    BOOST_REQUIRE_LT(++depth, 10U);
+  }
+  return depth;
+}
+
+BOOST_AUTO_TEST_CASE(tree_reaches_everybody_once_within_its_bounds) {
+  std::mt19937_64 random(7);
+  for (int round = 0; round < 200; ++round) {
+    RelayTree tree;
+    std::set<net::Address> members;
+    for (int step = 0; step < 150; ++step) {
+      const net::Address member = At(static_cast<std::uint32_t>(random() % 100 + 1));
+      switch (random() % 4) {
+        case 0:
+          tree.Remove(member);
+          members.erase(member);
+          break;
+        case 1:
+          tree.Distrust(member);
+          break;
+        default:
+          tree.Add(member, "zone-" + std::to_string(member.V4Host() % 3));
+          members.insert(member);
+          break;
+      }
+    }
+    std::set<net::Address> reached;
+    for (const net::Address& member : members) {
+      BOOST_REQUIRE_LE(DepthOf(tree, member), 3U);
+      const auto children = tree.ChildrenOf(member);
+      BOOST_REQUIRE_LE(children.size(), kRelayFanOut);
+      for (const net::Address& child : children) {
+        BOOST_REQUIRE(reached.insert(child).second);
+        BOOST_REQUIRE((tree.ParentOf(child) == member));
+      }
+      if (!tree.ParentOf(member)) BOOST_REQUIRE(reached.insert(member).second);
+    }
+    BOOST_REQUIRE((reached == members));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(tree_puts_a_distrusted_leader_last) {
+  RelayTree tree;
+  for (std::uint32_t host = 1; host <= 4; ++host) tree.Add(At(host), "zone");
+  BOOST_TEST((tree.ParentOf(At(2)) == At(1)));
+  tree.Distrust(At(1));
+  BOOST_TEST(tree.ChildrenOf(At(1)).empty());
+  BOOST_TEST(!tree.ParentOf(At(4)).has_value());
+  BOOST_TEST((tree.ParentOf(At(2)) == At(4)));
+}
+
+BOOST_AUTO_TEST_CASE(tree_lets_the_primary_tell_whom_no_parent_knows) {
+  RelayTree tree;
+  for (std::uint32_t host = 1; host <= 3; ++host) tree.Add(At(host), "zone");
+  BOOST_TEST(tree.PushTargets().size() == 3U);
+  tree.MarkTold(At(1), tree.ChildrenOf(At(1)));
+  BOOST_TEST((tree.PushTargets() == std::vector<net::Address>{At(1)}));
+  tree.Add(At(4), "zone");
+  BOOST_TEST((tree.PushTargets() == std::vector<net::Address>{At(1), At(4)}));
+  tree.Remove(At(1));
+  BOOST_TEST(tree.PushTargets().size() == 3U);
+}
+
+// --- Clock ---
+
+BOOST_AUTO_TEST_CASE(estimate_is_what_most_clocks_say) {
+  ClockEstimate estimate;
+  const std::int64_t truth = 1'700'000'000'000'000;
+  for (std::uint32_t host = 1; host <= 4; ++host) estimate.Hear(net::Time{}, At(host), truth);
+  estimate.Hear(net::Time{}, At(5), truth + 5'000'000);
+  BOOST_TEST(estimate.TrueMicros(net::Time{}, truth - 4'000'000) == truth);
+  BOOST_TEST(estimate.TrueMicros(After(seconds(2)), truth + 9'000'000) == truth + 2'000'000);
+}
+
+// --- Leases ---
+
+transport::PeerIdentity Who(std::uint32_t host, const std::string& role, std::uint64_t life) {
+  return {role + std::to_string(host), role, "zone", At(host), life};
+}
+
+BOOST_AUTO_TEST_CASE(leases_end_by_role_and_only_without_renewal) {
+  MemberTable table({seconds(3), milliseconds(1500)});
+  table.Renew(net::Time{}, Who(1, "proxy", 1), Renewal());
+  table.Renew(net::Time{}, Who(2, "store", 1), Renewal());
+  BOOST_TEST(table.Expire(After(milliseconds(1499))).empty());
+  const auto ended = table.Expire(After(milliseconds(1500)));
+  BOOST_REQUIRE_EQUAL(ended.size(), 1U);
+  BOOST_TEST(ended[0].member.role == "store");
+  table.Renew(After(seconds(2)), Who(1, "proxy", 1), Renewal());
+  BOOST_TEST(table.Expire(After(seconds(4))).empty());
+  BOOST_TEST(table.Expire(After(seconds(5))).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(only_what_others_see_counts_as_a_change) {
+  MemberTable table({seconds(3), milliseconds(1500)});
+  using Renewed = MemberTable::Renewed;
+  Renewal renewal;
+  BOOST_TEST((table.Renew(net::Time{}, Who(1, "store", 1), renewal) == Renewed::kChanged));
+  renewal.window_open = 8;
+  BOOST_TEST((table.Renew(net::Time{}, Who(1, "store", 1), renewal) == Renewed::kKnown));
+  renewal.store = StoreState{"disk", 0, 0, 0};
+  BOOST_TEST((table.Renew(net::Time{}, Who(1, "store", 1), renewal) == Renewed::kChanged));
+  renewal.store->bytes_used = 5;
+  BOOST_TEST((table.Renew(net::Time{}, Who(1, "store", 1), renewal) == Renewed::kKnown));
+  renewal.ready = true;
+  BOOST_TEST((table.Renew(net::Time{}, Who(1, "store", 1), renewal) == Renewed::kChanged));
+  BOOST_TEST((table.Renew(net::Time{}, Who(1, "store", 2), renewal) == Renewed::kChanged));
+  BOOST_TEST(!table.Leave(At(1), 1));  // Of the life before.
+  BOOST_TEST(table.Leave(At(1), 2));
+}
+
+BOOST_AUTO_TEST_CASE(a_full_table_refuses_newcomers_and_keeps_its_members) {
+  MemberTable table({seconds(3), seconds(3)});
+  for (std::uint32_t host = 1; host <= kMostMembers; ++host) {
+    table.Renew(net::Time{}, Who(host, "proxy", 1), Renewal());
+  }
+  BOOST_TEST((table.Renew(net::Time{}, Who(99999, "proxy", 1), Renewal()) ==
+              MemberTable::Renewed::kRefused));
+  BOOST_TEST(
+      (table.Renew(net::Time{}, Who(5, "proxy", 1), Renewal()) == MemberTable::Renewed::kKnown));
+}
+
+BOOST_AUTO_TEST_CASE(renewals_are_rarer_in_a_large_cluster_but_within_the_bounds) {
+  ProcessSettings settings;
+  BOOST_TEST((RenewalInterval(settings, 20) == milliseconds(500)));
+  BOOST_TEST((RenewalInterval(settings, 400) == milliseconds(1000)));
+  BOOST_TEST((RenewalInterval(settings, 4000) == milliseconds(1000)));
+}
+
+// --- Orders of endpoints ---
+
+configuration::Service Scaled() {
+  configuration::Service service;
+  service.name = "big";
+  service.engine = configuration::Engine{32, 100000};
+  service.autoscale = configuration::Autoscale{2, 6, milliseconds(4000)};
+  return service;
+}
+
+ScaleLoad Load(std::uint64_t running, std::uint64_t waiting) {
+  return {true, running, waiting, {{"a", 3}, {"b", 3}}};
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_ordered_before_a_load_is_known) {
+  ScalePlanner planner{ScaleTuning()};
+  ScaleLoad load = Load(0, 0);
+  load.known = false;
+  BOOST_TEST(planner.Plan(net::Time{}, Scaled(), load).empty());
+}
+
+BOOST_AUTO_TEST_CASE(orders_rise_at_once_within_the_bounds) {
+  ScalePlanner planner{ScaleTuning()};
+  const auto orders = planner.Plan(net::Time{}, Scaled(), Load(300000, 150000));
+  BOOST_REQUIRE_EQUAL(orders.size(), 2U);  // 450,000 tokens at 50,000 an endpoint, in two zones.
+  BOOST_TEST(orders[0].desired == 5);
+  BOOST_TEST(planner.Plan(net::Time{}, Scaled(), Load(300000, 150000)).empty());
+  const auto most = planner.Plan(net::Time{}, Scaled(), Load(90000000, 0));
+  BOOST_REQUIRE_EQUAL(most.size(), 2U);
+  BOOST_TEST(most[1].desired == 6);
+}
+
+BOOST_AUTO_TEST_CASE(orders_fall_slowly_and_not_below_the_least) {
+  const ScaleTuning tuning;
+  ScalePlanner planner{tuning};
+  int desired = 3;
+  net::Time last{};
+  for (int step = 0; step <= 400; ++step) {
+    const net::Time now = After(milliseconds(250) * step);
+    for (const platform::ScaleOrder& order : planner.Plan(now, Scaled(), Load(0, 0))) {
+      if (order.zone != "a") continue;
+      BOOST_TEST(order.desired == desired - 1);
+      BOOST_TEST((now - net::Time{} >= tuning.fall_after));
+      if (desired < 3) BOOST_TEST((now - last >= tuning.fall_step));
+      desired = order.desired;
+      last = now;
+    }
+  }
+  BOOST_TEST(desired == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_load_that_comes_back_stops_the_fall) {
+  ScalePlanner planner{ScaleTuning()};
+  planner.Plan(net::Time{}, Scaled(), Load(0, 0));
+  planner.Plan(After(seconds(14)), Scaled(), Load(300000, 0));
+  BOOST_TEST(planner.Plan(After(seconds(16)), Scaled(), Load(0, 0)).empty());
+}
+
+}  // namespace
+}  // namespace shelflink::cluster
