--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -44,14 +44,14 @@
     hub.Handle(kPushKind, [this](const transport::PeerIdentity& from, std::string_view body) {
       OnPush(from, body);
     });
-    hub.HandleCall(kFetchKind,
-                   [this](const transport::PeerIdentity&, std::string_view body,
-                          transport::Hub::Reply reply) { OnFetch(body, std::move(reply)); });
+    hub.HandleCall(kFetchKind, [this](const transport::PeerIdentity&, std::string_view body,
+                                      transport::Hub::Reply reply) { OnFetch(body, reply); });
     renew_timer->ArmAt(loop.Now());
   }
 
   void SetSeeds(const std::vector<net::Address>& controls) {
     std::vector<net::Address> seeds;
+    seeds.reserve(controls.size());
     for (const net::Address& control : controls) {
       seeds.push_back(CoreAddressOf(settings, control));
     }
@@ -74,7 +74,7 @@
     std::string body = Encode(renewal);
     hub.Call(*target, kRenewKind, std::move(body), kCallTimeout,
              [this, alive = Alive(), target = *target, sent,
-              uses = std::move(renewal.uses)](Result<std::string> answer) {
+              uses = std::move(renewal.uses)](const Result<std::string>& answer) {
                if (alive.expired()) return;
                renewing = false;
                OnRenewed(target, sent, uses, answer);
@@ -244,7 +244,7 @@
     if (told != nullptr && *told) (*told)();
   }
 
-  void OnFetch(std::string_view body, transport::Hub::Reply reply) {
+  void OnFetch(std::string_view body, const transport::Hub::Reply& reply) {
     const Result<Fetch> fetch = DecodeFetch(body);
     if (!fetch) {
       reply(fetch.error());
--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -105,11 +105,11 @@
     using transport::Hub;
     using transport::PeerIdentity;
     hub.HandleCall(kRenewKind, [this](const PeerIdentity& from, std::string_view body,
-                                      Hub::Reply reply) { reply(OnRenewal(from, body)); });
+                                      const Hub::Reply& reply) { reply(OnRenewal(from, body)); });
     hub.HandleCall(kFetchKind, [this](const PeerIdentity&, std::string_view body,
-                                      Hub::Reply reply) { reply(publisher.Answer(body)); });
+                                      const Hub::Reply& reply) { reply(publisher.Answer(body)); });
     hub.HandleCall(kLeaveKind, [this](const PeerIdentity& from, std::string_view,
-                                      Hub::Reply reply) { reply(OnLeave(from)); });
+                                      const Hub::Reply& reply) { reply(OnLeave(from)); });
     hub.HandleCall(kBackupReportKind,
                    [this](const PeerIdentity&, std::string_view body, Hub::Reply reply) {
                      OnBackupReport(body, std::move(reply));
@@ -355,7 +355,7 @@
                       });
   }
 
-  void Retire(const std::string& node, RetireDone done) {
+  void Retire(const std::string& node, const RetireDone& done) {
     replicator.Submit(
         [this, alive = std::weak_ptr<char>(life),
          node](const Contents& committed) -> Result<Writes> {
@@ -467,7 +467,7 @@
 }
 
 void CoreService::Retire(operator_api::RetireOrder order, RetireDone done) {
-  impl_->Retire(order.node, std::move(done));
+  impl_->Retire(order.node, done);
 }
 
 void CoreService::ReadRetireState(std::string node, RetireStateDone done) {
--- a/src/tier/cluster/placement_keeper.cpp
+++ b/src/tier/cluster/placement_keeper.cpp
@@ -35,7 +35,7 @@
   Refuse(std::exchange(waiting_, {}), MakeError(ErrorCode::kUnavailable, "no longer the primary"));
 }
 
-void PlacementKeeper::Refuse(std::vector<WaitingReport> reports, const Error& error) {
+void PlacementKeeper::Refuse(const std::vector<WaitingReport>& reports, const Error& error) {
   for (const WaitingReport& waiting : reports) waiting.done(error);
 }
 
@@ -59,6 +59,7 @@
                             lease.store->tokens_queued};
   }
   std::vector<StoreCandidate> candidates;
+  candidates.reserve(by_node.size());
   for (auto& [node, candidate] : by_node) candidates.push_back(std::move(candidate));
   return candidates;
 }
--- a/src/tier/cluster/placement_keeper.h
+++ b/src/tier/cluster/placement_keeper.h
@@ -61,7 +61,7 @@
   void MakeChanges(const coordination::Contents& contents, Proposal& proposal);
   Stalled CurrentlyStalled();
   void OnCommitted(const Result<void>& result);
-  void Refuse(std::vector<WaitingReport> reports, const Error& error);
+  static void Refuse(const std::vector<WaitingReport>& reports, const Error& error);
 
   net::Loop& loop_;
   coordination::Replicator& replicator_;
--- a/src/tier/cluster/view.h
+++ b/src/tier/cluster/view.h
@@ -18,7 +18,7 @@
 struct Version {
   std::uint64_t epoch = 0;
   std::uint64_t count = 0;
-  auto operator<=>(const Version&) const = default;
+  auto operator<=>(const Version&) const = default;  // NOLINT(modernize-use-nullptr): its error.
 };
 
 struct EndpointEntry {
--- a/src/tier/cluster/view_publisher.cpp
+++ b/src/tier/cluster/view_publisher.cpp
@@ -2,7 +2,7 @@
 
 namespace shelflink::cluster {
 
-void ViewPublisher::Publish(Push push, const std::vector<net::Address>& targets) {
+void ViewPublisher::Publish(const Push& push, const std::vector<net::Address>& targets) {
   if (push.version <= versions_[push.part]) return;
   versions_[push.part] = push.version;
   std::string& encoded = encoded_[static_cast<std::size_t>(push.part)];
--- a/src/tier/cluster/view_publisher.h
+++ b/src/tier/cluster/view_publisher.h
@@ -16,7 +16,7 @@
   explicit ViewPublisher(transport::Hub& hub) : hub_(hub) {}
 
   // Of no effect unless it is newer than what stands.
-  void Publish(Push push, const std::vector<net::Address>& targets);
+  void Publish(const Push& push, const std::vector<net::Address>& targets);
   const PartVersions& versions() const { return versions_; }
   // kNotFound where that version is not here.
   Result<std::string> Answer(std::string_view fetch) const;
--- a/src/tier/programs/control_main.cpp
+++ b/src/tier/programs/control_main.cpp
@@ -3,7 +3,9 @@
 // left in order, 1 settings, addresses or a disk that cannot be used, 2 usage.
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
+#include <exception>
 #include <iostream>
 #include <string>
 
@@ -36,10 +38,7 @@
   return run(settings.value());
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
-  std::signal(SIGPIPE, SIG_IGN);
+int RunCommand(int argc, char** argv) {
   CLI::App app("Control plane of the shelflink serving tier");
   app.require_subcommand(1);
   const CLI::App* core = app.add_subcommand(
@@ -56,3 +55,17 @@
   if (core->parsed()) return Run(shelflink::cluster::RunCore);
   return store->parsed() ? Run(shelflink::batch::RunStore) : kUsage;
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    return RunCommand(argc, argv);
+  } catch (const std::exception& error) {
+    std::fputs("shelflink-control: ", stderr);
+    std::fputs(error.what(), stderr);
+    std::fputs("\n", stderr);
+    return kBadSettings;
+  }
+}
