--- a/tests/tier/cluster/placement_test.cpp
+++ b/tests/tier/cluster/placement_test.cpp
@@ -223,6 +223,16 @@
   BOOST_TEST(primaries[stores[3].disk] + 4 >= kPartitions / 4);
 }
 
+// Found by the store's fault histories: the joiner of a move was taken for the surplus copy.
+BOOST_AUTO_TEST_CASE(a_joiner_under_way_is_neither_dropped_nor_joined_by_more) {
+  auto stores = Stores(3);
+  const PlacementRules rules;
+  auto rows = FirstPlacement(stores, rules);
+  stores.push_back(Store(9, "zone-9"));
+  Apply(rows, NextChanges(rows, stores, {}, rules));
+  BOOST_TEST(NextChanges(rows, stores, {}, rules).empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_retiring_store_is_emptied_without_a_loss_of_copies) {
   auto stores = Stores(4);
   const PlacementRules rules;
