Tests of the proxy by mutation, of its parts, of batch requests and of calls as items use them

The head is told before the first event, as a batch run needs it; items go out with the least urgent priority, clients' requests with that of their level; the module hears of the first event of each attempt.

--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -26,6 +26,7 @@
 
 namespace {
 
+constexpr std::uint32_t kLeastUrgent = 9;     // Of an endpoint's priorities.
 constexpr int kMostSends = 16;                // Of one call, however many did not run it.
 constexpr std::uint64_t kHeldAnswer = 65536;  // A longer answer goes on in parts.
 constexpr auto kConnectSpan = milliseconds(250);
@@ -99,6 +100,8 @@
   }
   message.set(kRequestIdHeader, request.request_id);
   if (!request.tenant.empty()) message.set(kTenantHeader, request.tenant);
+  const auto rank = request.batch ? kLeastUrgent : std::min(request.level, kLeastUrgent - 1);
+  message.set(kPriorityHeader, std::to_string(rank));
   if (request.last_event_id) {
     message.set(kLastEventIdHeader, std::to_string(*request.last_event_id));
   }
@@ -128,6 +131,7 @@
   net::Span most_silence{};  // and how long nothing may follow.
   int sends = 0;
   int ran = 0;             // Endpoints that may have run it, the present one not among them.
+  bool begun = false;      // Of the present attempt an event has come.
   bool streaming = false;  // The present attempt's answer is a stream of events.
   bool passing = false;    // It goes on in parts.
   bool head_told = false;
@@ -252,6 +256,7 @@
 
 CallId EndpointCalls::Start(CallRequest request, CallUser& user) {
   const auto live = std::make_shared<LiveCall>();
+  if (request.batch) request.level = levels_.batch();
   const net::Time now = loop_.Now();
   live->id = ++last_call_;
   live->user = &user;
@@ -280,7 +285,7 @@
   const Route& route = *request.route;
   policy::Call call;
   call.id = id;
-  call.level = request.batch ? levels_.batch() : request.level;
+  call.level = request.level;
   call.flow = HashOf(request.tenant.empty() ? route.name : request.tenant);
   call.service = live.service;
   if (!request.batch || request.due) call.due = MicrosOf(live.deadline);
@@ -370,6 +375,7 @@
   live->attempt = decision.attempt;
   live->endpoint = decision.endpoint;
   live->out = true;
+  live->begun = false;
   live->streaming = false;
   live->passing = false;
   live->head.reset();
@@ -484,6 +490,10 @@
   live->user->OnHead(live->status, AnswerHeaders(head), length);
 }
 
+void EndpointCalls::TellPendingHead(const LivePtr& live) {
+  if (live->head) TellHead(live, *std::exchange(live->head, std::nullopt), std::nullopt);
+}
+
 bool EndpointCalls::OnAnswerPart(AttemptKey key, std::string_view part) {
   const LivePtr live = FindAttempt(key);
   if (!live) return false;
@@ -492,21 +502,21 @@
 }
 
 bool EndpointCalls::TellEvents(const LivePtr& live, AttemptKey key, std::string_view part) {
-  const bool first = live->events.events() == 0;
+  // The head goes before the first event; whoever is told may cancel the call.
+  const auto on_event = [&](const Event& event) {
+    if (FindAttempt(key)) TellPendingHead(live);
+    if (FindAttempt(key)) live->user->OnEvent(event);
+  };
   const EventStream::Taken taken =
-      live->user->WantsEvents()
-          ? live->events.Take(part, [&](const Event& event) { live->user->OnEvent(event); })
-          : live->events.Take(part);
+      live->user->WantsEvents() ? live->events.Take(part, on_event) : live->events.Take(part);
   if (!FindAttempt(key)) return false;
   if (taken.events > 0) {
-    if (first) module_.OnFirstEvent(Now(), key.first, key.second);
+    if (!std::exchange(live->begun, true)) module_.OnFirstEvent(Now(), key.first, key.second);
     module_.OnProgress(Now(), key.first, key.second, taken.events);
     CarryOut();
   }
-  if (!taken.bytes.empty() && live->head) {
-    TellHead(live, *std::exchange(live->head, std::nullopt), std::nullopt);
-    if (!FindAttempt(key)) return false;
-  }
+  if (!taken.bytes.empty()) TellPendingHead(live);
+  if (!FindAttempt(key)) return false;
   const bool wanted = taken.bytes.empty() || live->user->OnBody(taken.bytes);
   if (!taken.broken || !FindAttempt(key)) return wanted;
   log_.Line("a stream's events do not follow one another: it is cut");
@@ -580,7 +590,7 @@
 void EndpointCalls::EndStream(const LivePtr& live, AttemptKey key) {
   // Its framing says that it is whole, so what stands behind the last event belongs to it.
   const std::string rest(live->events.rest());
-  if (live->head) TellHead(live, *std::exchange(live->head, std::nullopt), std::nullopt);
+  TellPendingHead(live);
   if (!rest.empty() && FindAttempt(key)) live->user->OnBody(rest);
   live->out = false;
   Tell(key, Outcome::kSuccess, false);
--- a/src/tier/proxy/endpoint_calls.h
+++ b/src/tier/proxy/endpoint_calls.h
@@ -118,6 +118,7 @@
   bool MayGoOn(const LiveCall& live) const;
   void TellHead(const LivePtr& live, const kelpspring::HttpResponse& head,
                 std::optional<std::uint64_t> length);
+  void TellPendingHead(const LivePtr& live);  // Of a stream, where it has not been told.
   bool TellEvents(const LivePtr& live, kelpspring::AttemptKey key, std::string_view part);
   void HandOver(const LivePtr& live, kelpspring::HttpResponse message);
   void NoteHeard(LiveCall& live);
--- /dev/null
+++ b/tests/tier/proxy/mutation_test.cpp
@@ -0,0 +1,233 @@
+// One message changed in one place at a time, both ways: whatever comes of it, nothing that was not
+// sent runs, nothing looks whole that is not, and the next request is served as ever.
+#define BOOST_TEST_MODULE proxy_mutation
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+#include "proxy/stand_in.h"
+
+using stand_in::Answers;
+using stand_in::Client;
+using stand_in::Endpoint;
+using stand_in::Lower;
+using stand_in::Message;
+using stand_in::milliseconds;
+using stand_in::Request;
+using stand_in::World;
+using Line = Endpoint::Line;
+
+namespace {
+
+// Every text that differs from the given one in one place.
+std::vector<std::string> Mutations(const std::string& text) {
+  const std::string others(" \t\r\n:,;0a\0\x80", 11);
+  std::vector<std::string> all;
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    all.push_back(text.substr(0, at));
+    all.push_back(text.substr(0, at) + text.substr(at + 1));
+    all.push_back(text.substr(0, at) + text[at] + text.substr(at));
+    for (const char other : others) {
+      if (other == text[at]) continue;
+      all.push_back(text.substr(0, at) + other + text.substr(at + 1));
+      all.push_back(text.substr(0, at) + other + text.substr(at));
+    }
+  }
+  // Each line left out, doubled, or exchanged with the next.
+  std::size_t start = 0;
+  while (start < text.size()) {
+    const std::size_t end = text.find('\n', start);
+    if (end == text.npos) break;
+    const std::string line = text.substr(start, end + 1 - start);
+    all.push_back(text.substr(0, start) + text.substr(end + 1));
+    all.push_back(text.substr(0, start) + line + line + text.substr(end + 1));
+    const std::size_t next = text.find('\n', end + 1);
+    if (next != text.npos) {
+      all.push_back(text.substr(0, start) + text.substr(end + 1, next - end) + line +
+                    text.substr(next + 1));
+    }
+    start = end + 1;
+  }
+  return all;
+}
+
+std::string Shown(const std::string& text) {
+  std::string shown;
+  for (const char c : text) {
+    if (c == '\r') {
+      shown += "\\r";
+    } else if (c == '\n') {
+      shown += "\\n";
+    } else {
+      shown += static_cast<unsigned char>(c) < 0x20 || c == 0x7f ? '?' : c;
+    }
+  }
+  return shown;
+}
+
+std::string TargetOf(const Message& request) {
+  const std::size_t start = request.first.find(' ') + 1;
+  return request.first.substr(start, request.first.rfind(' ') - start);
+}
+
+// What an endpoint may see of what a client has sent.
+void CheckSeen(const Message& seen, const std::string& sent) {
+  BOOST_TEST(sent.find(TargetOf(seen)) != sent.npos);
+  BOOST_TEST(sent.find(seen.Value("Shelflink-Request-Id")) != sent.npos);
+  BOOST_TEST(sent.find(seen.body) != sent.npos);
+  BOOST_TEST(seen.Count("Content-Length") == 1U);
+  BOOST_TEST(seen.Count("Transfer-Encoding") == 0U);
+  BOOST_TEST(seen.Count("Shelflink-Request-Id") == 1U);
+  BOOST_TEST(seen.Count("Shelflink-Credential") == 0U);
+  BOOST_TEST(seen.Count("Host") == 1U);
+  for (const auto& [name, value] : seen.headers) {
+    BOOST_TEST(name.find_first_of(" \t\r\n") == name.npos);
+    BOOST_TEST(value.find_first_of("\r\n") == value.npos);
+    if (Lower(name) == "shelflink-tenant") BOOST_TEST(value == "ten");
+  }
+}
+
+void CheckClientMessage(World& world, const std::string& text) {
+  BOOST_TEST_CONTEXT(Shown(text)) {
+    Endpoint& endpoint = *world.endpoints.front();
+    endpoint.requests.clear();
+    auto client = world.Ask(text);
+    world.Run(milliseconds(30));
+    client->Leave();
+    for (const Message& seen : endpoint.requests) CheckSeen(seen, text);
+    while (true) {
+      const Message answer = client->Answer();
+      if (!answer.whole) break;
+      const bool success = answer.Status() == 200;
+      BOOST_TEST((answer.Value("Shelflink-Response-Stamp") == "stamp.1") == success);
+      if (success) BOOST_TEST(answer.body == "served");
+    }
+    world.Run(milliseconds(10));
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(clients_requests_with_a_length) {
+  World world;
+  world.Add(Answers("served"));
+  const std::string text =
+      "POST /keyed/a?q HTTP/1.1\r\nHost: a.example\r\nShelflink-Request-Id: 0a0b\r\n"
+      "Shelflink-Credential: key-1\r\nConnection: x-a\r\nX-A: b\r\nContent-Length: 9\r\n\r\n"
+      "some body";
+  const std::string next =
+      "POST /keyed/b HTTP/1.1\r\nHost: a.example\r\nShelflink-Request-Id: 0c0d\r\n"
+      "Shelflink-Credential: key-2\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string& mutation : Mutations(text)) CheckClientMessage(world, mutation + next);
+  BOOST_TEST(world.calls.held() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(clients_requests_in_chunks) {
+  World world;
+  world.Add(Answers("served"));
+  const std::string text =
+      "POST /post/a HTTP/1.1\r\nHost: a.example\r\nShelflink-Request-Id: 0a0b\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  const std::string next =
+      "GET /get/b HTTP/1.1\r\nHost: a.example\r\nShelflink-Request-Id: 0c0d\r\n\r\n";
+  for (const std::string& mutation : Mutations(text)) {
+    BOOST_TEST_CONTEXT(Shown(mutation)) {
+      Endpoint& endpoint = *world.endpoints.front();
+      endpoint.requests.clear();
+      auto client = world.Ask(mutation + next);
+      world.Run(milliseconds(30));
+      client->Leave();
+      for (const Message& seen : endpoint.requests) {
+        BOOST_TEST(seen.Count("Transfer-Encoding") == 0U);
+        BOOST_TEST(seen.body.size() <= mutation.size() + next.size());
+        // Nothing of the next request was taken for this one's body but by its own length.
+        if (seen.Value("Shelflink-Request-Id") == "0c0d") BOOST_TEST(seen.body.empty());
+      }
+      world.Run(milliseconds(10));
+    }
+  }
+  BOOST_TEST(world.calls.held() == 0U);
+}
+
+namespace {
+
+// An endpoint that answers the first request with that text, and the others well.
+void CheckAnswer(const std::string& path, const std::string& text, bool may_pass_body) {
+  BOOST_TEST_CONTEXT(Shown(text)) {
+    World world;
+    bool first = true;
+    world.Add([&](Line& line, const Message& request) {
+      if (std::exchange(first, false)) {
+        line.Write(text);
+        world.endpoints[0]->Later(milliseconds(100), [&line] { line.Close(); });
+      } else {
+        line.Write(Endpoint::Whole(request, "the next one's"));
+      }
+    });
+    auto client = world.Ask(Request(path, "0a0b"));
+    world.Run(milliseconds(50));
+    // While the first may still be waited for.
+    auto next = world.Ask(Request("/post/a", "0c0d"));
+    world.Run(milliseconds(300));
+    BOOST_TEST(next->Answer().body == "the next one's");
+    const Message answer = client->Answer();
+    BOOST_TEST(answer.Status() != 503);
+    BOOST_TEST(answer.Status() != 429);
+    if (answer.Status() / 100 == 2) {
+      BOOST_TEST(answer.Value("Shelflink-Request-Id") == "0a0b");
+      BOOST_TEST(answer.Count("Shelflink-Response-Stamp") >= 1U);
+      if (answer.whole) BOOST_TEST((may_pass_body || !answer.body.empty()));
+    }
+    BOOST_TEST(world.endpoints[0]->requests.size() == 2U);
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(endpoints_answers) {
+  const std::string text =
+      "HTTP/1.1 200 OK\r\nShelflink-Request-Id: 0a0b\r\nShelflink-Response-Stamp: 3e1b\r\n"
+      "Keep-Alive: timeout=5\r\nContent-Length: 5\r\n\r\nbytes";
+  for (const std::string& mutation : Mutations(text)) CheckAnswer("/post/a", mutation, true);
+}
+
+BOOST_AUTO_TEST_CASE(endpoints_streams) {
+  const std::string text =
+      "HTTP/1.1 200 OK\r\nShelflink-Request-Id: 0a0b\r\nShelflink-Response-Stamp: 3e1b\r\n"
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      Endpoint::Chunk(Endpoint::EventText(1)) + Endpoint::Chunk(Endpoint::EventText(2)) +
+      "0\r\n\r\n";
+  for (const std::string& mutation : Mutations(text)) CheckAnswer("/stream/a", mutation, true);
+}
+
+BOOST_AUTO_TEST_CASE(answers_that_end_early_never_look_whole) {
+  const std::string sized =
+      "HTTP/1.1 200 OK\r\nShelflink-Request-Id: 0a0b\r\nShelflink-Response-Stamp: 3e1b\r\n"
+      "Content-Length: 5\r\n\r\nbytes";
+  const std::string stream =
+      "HTTP/1.1 200 OK\r\nShelflink-Request-Id: 0a0b\r\nShelflink-Response-Stamp: 3e1b\r\n"
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      Endpoint::Chunk(Endpoint::EventText(1)) + Endpoint::Chunk(Endpoint::EventText(2)) +
+      "0\r\n\r\n";
+  for (const auto& [path, text] :
+       {std::pair<std::string, std::string>{"/post/a", sized}, {"/stream/a", stream}}) {
+    for (std::size_t length = 0; length < text.size(); ++length) {
+      BOOST_TEST_CONTEXT(Shown(text.substr(0, length))) {
+        World world;
+        const std::string part = text.substr(0, length);
+        world.Add([&](Line& line, const Message&) {
+          line.Write(part);
+          world.endpoints[0]->Later(milliseconds(20), [&line] { line.Close(); });
+        });
+        auto client = world.Ask(Request(path, "0a0b"));
+        world.Run(milliseconds(100));
+        const Message answer = client->Answer();
+        if (answer.Status() == 200) {
+          BOOST_TEST(!answer.whole);
+          BOOST_TEST(client->over);
+        } else {
+          BOOST_TEST(answer.Status() == 502);
+        }
+      }
+    }
+  }
+}
--- a/tests/tier/proxy/stand_in.h
+++ b/tests/tier/proxy/stand_in.h
@@ -340,7 +340,7 @@
 class World {
  public:
   explicit World(std::uint64_t seed = 1, Configuration configuration = Sample(),
-                 std::uint64_t memory = 64 << 20)
+                 std::uint64_t memory = 64 << 20, shelflink::proxy::BatchFront* batch = nullptr)
       : network(seed),
         process(network, 0x0a010001, "proxy", 1000),
         outside(network, 0x0a090001, "clients", 1000),
@@ -348,7 +348,7 @@
         budget{500, 0, nullptr, nullptr},
         calls(process, log, budget, {"proxy", "zone", seed, 100}),
         front(process, log, process.Listen(net::Address::V4(0x0a010001, 8689)), budget, drain,
-              {calls, nullptr, [this](const std::string& tenant) { ++used[tenant]; }},
+              {calls, batch, [this](const std::string& tenant) { ++used[tenant]; }},
               milliseconds(8000), memory) {
     SetConfiguration(std::move(configuration));
   }
