Split the calls of the proxy: answers' meaning, outgoing requests, registry of endpoints

One file held four jobs. An endpoint whose address another instance has is also told to the decision module at once.

--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -1,21 +1,20 @@
 #include "tier/proxy/endpoint_calls.h"
 
 #include <algorithm>
-#include <boost/beast/core/string.hpp>
 #include <utility>
 #include <vector>
 
-#include "mix.h"
+#include "tier/proxy/answer_reading.h"
 #include "tier/proxy/event_stream.h"
 #include "tier/proxy/headers.h"
 #include "tier/proxy/names.h"
+#include "tier/proxy/outgoing_request.h"
 
 namespace shelflink::proxy {
 
 using configuration::Route;
 using configuration::RouteKind;
 using gaugecart::OutcomeCode;
-using kelpspring::AnswerUse;
 using kelpspring::AttemptKey;
 using kelpspring::HttpResponse;
 using kelpspring::View;
@@ -26,7 +25,6 @@
 
 namespace {
 
-constexpr std::uint32_t kLeastUrgent = 9;     // Of an endpoint's priorities.
 constexpr int kMostSends = 16;                // Of one call, however many did not run it.
 constexpr std::uint64_t kHeldAnswer = 65536;  // A longer answer goes on in parts.
 constexpr auto kConnectSpan = milliseconds(250);
@@ -35,82 +33,9 @@
 // What a batch item may take at one endpoint where its sender tells no time.
 constexpr auto kItemSpan = std::chrono::seconds(60);
 constexpr auto kItemFirstSilence = std::chrono::seconds(10);
-// Clients give a stream up after a silence of these, whichever is longest.
-constexpr auto kLeastSilence = milliseconds(2000);
-constexpr int kSilentObjectives = 4;
-constexpr int kSilentGaps = 8;
-// A stream that may go on elsewhere is not waited for that long.
-constexpr auto kLeastPatience = milliseconds(1000);
-constexpr int kPatientGaps = 5;
 // How often one that is late is looked at again, while its endpoint answers others.
 constexpr auto kLookAgain = milliseconds(250);
 
-milliseconds ClientSilence(const Route& route) {
-  return std::max({kLeastSilence, kSilentObjectives * route.slo, kSilentGaps * route.gap_aim});
-}
-
-// These promise that the request never ran.
-bool IsPromise(unsigned status) {
-  return status == 429 || status == 503 || status == 408 || status == 421;
-}
-
-bool IsEventStream(const HttpResponse& head) {
-  const auto type = head[boost::beast::http::field::content_type];
-  return boost::beast::iequals(type.substr(0, type.find(';')), "text/event-stream");
-}
-
-std::uint64_t HashOf(std::string_view text) {
-  constexpr std::uint64_t kOffset = 0xcbf29ce484222325;
-  constexpr std::uint64_t kPrime = 0x100000001b3;
-  std::uint64_t hash = kOffset;
-  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
-  return gaugecart::Mix(hash);
-}
-
-// Which of the route's services takes the call: by weight, always the same for one request.
-const std::string& ServiceOf(const Route& route, std::string_view request_id) {
-  double sum = 0;
-  for (const auto& part : route.split) sum += part.weight;
-  double left = gaugecart::Unit(HashOf(request_id)) * sum;
-  for (const auto& part : route.split) {
-    left -= part.weight;
-    if (left < 0) return part.service;
-  }
-  return route.split.back().service;
-}
-
-boost::beast::string_view Text(std::string_view text) { return {text.data(), text.size()}; }
-
-bool IsTarget(std::string_view target) {
-  return !target.empty() && target.front() == '/' &&
-         std::none_of(target.begin(), target.end(),
-                      [](char c) { return static_cast<unsigned char>(c) <= 0x20 || c == 0x7f; });
-}
-
-kelpspring::HttpRequest MessageOf(CallRequest& request) {
-  kelpspring::HttpRequest message;
-  message.version(11);
-  message.method_string(request.method);
-  message.target(request.target);
-  for (const auto& [name, value] : request.headers) {
-    if (!request.batch || MayBeSent(name, value)) message.insert(name, value);
-  }
-  if (message.find(boost::beast::http::field::host) == message.end()) {
-    message.set(boost::beast::http::field::host, request.route->hostname);
-  }
-  message.set(kRequestIdHeader, request.request_id);
-  if (!request.tenant.empty()) message.set(kTenantHeader, request.tenant);
-  const auto rank = request.batch ? kLeastUrgent : std::min(request.level, kLeastUrgent - 1);
-  message.set(kPriorityHeader, std::to_string(rank));
-  if (request.last_event_id) {
-    message.set(kLastEventIdHeader, std::to_string(*request.last_event_id));
-  }
-  message.body() = std::move(request.body);
-  const bool takes_body = request.method != "GET" && request.method != "HEAD";
-  if (takes_body || !message.body().empty()) message.content_length(message.body().size());
-  return message;
-}
-
 }  // namespace
 
 struct EndpointCalls::LiveCall {
@@ -139,6 +64,7 @@
   EventStream events;
   std::optional<HttpResponse> failure;  // An endpoint's own, handed over if nothing better comes.
   int status = 0;
+  TokenCount tokens;
 
   int max_attempts() const { return request.max_attempts.value_or(request.route->max_attempts); }
   bool is_stream_route() const {
@@ -156,6 +82,7 @@
                 {kDeadlineHeader,
                  [this](AttemptKey key, const HttpResponse& head) { return ReadHead(key, head); },
                  milliseconds(0), true}),
+      registry_(upstream_),
       module_(options_.seed, *this),
       timer_(loop.NewTimer([this] {
         module_.OnTimer(Now());
@@ -180,8 +107,8 @@
   list_ = view.endpoints;
   members_ = view.members;
   if (fresh_configuration || fresh_members) TakeShape(view);
-  if (fresh_list) TakeEndpoints(view);
-  if (fresh_configuration || fresh_list) TellServices(view);
+  if (fresh_list && list_) registry_.Take(*list_);
+  if (fresh_configuration || fresh_list) TellServices();
   CarryOut();
 }
 
@@ -201,52 +128,15 @@
   module_.OnShape(Now(), shape);
 }
 
-// Draining or gone: nothing new goes there from this moment on, also what is being dialled.
-void EndpointCalls::TakeEndpoints(const cluster::View& view) {
-  std::unordered_set<std::string> listed;
-  if (view.endpoints) {
-    for (const cluster::EndpointEntry& entry : view.endpoints->entries) {
-      listed.insert(entry.id);
-      KnownEndpoint& known = endpoints_[entry.id];
-      if (known.number == 0) known.number = ++last_endpoint_;
-      known.address = entry.address;
-      known.draining = entry.draining;
-      upstream_.SetEndpoint(known.number, known.address, !known.draining && !known.misdirected, 0);
-    }
-  }
-  for (auto it = endpoints_.begin(); it != endpoints_.end();) {
-    const auto present = it++;
-    if (listed.contains(present->first)) continue;
-    upstream_.Forget(present->second.number);
-    endpoints_.erase(present);
-  }
-}
-
-void EndpointCalls::TellServices(const cluster::View& view) {
-  std::map<std::string, policy::ServiceInfo> services;
-  if (view.configuration) {
-    for (const configuration::Service& service : view.configuration->services) {
-      policy::ServiceInfo& info = services[service.name];
-      info.max_conns = service.max_conns;
-      if (service.engine) info.kv_tokens = service.engine->kv_tokens;
-    }
-  }
-  if (view.endpoints) {
-    for (const cluster::EndpointEntry& entry : view.endpoints->entries) {
-      const auto cold = std::chrono::duration_cast<std::chrono::microseconds>(entry.cold_left);
-      const bool gone = endpoints_[entry.id].misdirected;
-      services[entry.service].endpoints.push_back(
-          {entry.id, entry.zone, entry.slots, entry.draining || gone, Now() + cold.count()});
-    }
-  }
+void EndpointCalls::TellServices() {
+  const auto services = registry_.Services(configuration_.get(), list_.get(), Now());
   for (auto it = services_.begin(); it != services_.end();) {
     const auto present = it++;
     if (services.contains(*present)) continue;
     module_.OnServiceGone(Now(), *present);
     services_.erase(present);
   }
-  for (auto& [name, info] : services) {
-    info.name = name;
+  for (const auto& [name, info] : services) {
     services_.insert(name);
     module_.OnService(Now(), info);
   }
@@ -267,7 +157,8 @@
   live->deadline = std::min(request.due.value_or(net::Time::max()), now + span);
   live->end = std::min(request.due.value_or(net::Time::max()), now + span + kEndSlack);
   live->events = EventStream(request.last_event_id);
-  live->message = MessageOf(request);
+  live->tokens = ParseTokenCount(ValueOf(request.headers, kTokenCountHeader));
+  live->message = OutgoingMessage(request);
   live->request = std::move(request);
   calls_[live->id] = live;
   if (IsTarget(live->request.target)) {
@@ -294,9 +185,8 @@
   call.max_attempts = live.max_attempts();
   call.repeatable = live.repeatable;
   call.batch = request.batch;
-  const TokenCount tokens = ParseTokenCount(ValueOf(request.headers, kTokenCountHeader));
-  call.prompt_tokens = tokens.prompt;
-  call.output_tokens = tokens.most_out;
+  call.prompt_tokens = live.tokens.prompt;
+  call.output_tokens = live.tokens.most_out;
   call.prompt = ParsePromptPrefix(ValueOf(request.headers, kPromptPrefixHeader));
   return call;
 }
@@ -320,9 +210,9 @@
 std::map<std::string, EndpointCalls::Load> EndpointCalls::Loads() const {
   std::map<std::string, Load> loads;
   for (const auto& [id, live] : calls_) {
-    const auto count = ParseTokenCount(ValueOf(live->request.headers, kTokenCountHeader));
     Load& load = loads[live->service];
-    (live->out ? load.running : load.waiting) += std::uint64_t{count.prompt} + count.most_out;
+    (live->out ? load.running : load.waiting) +=
+        std::uint64_t{live->tokens.prompt} + live->tokens.most_out;
   }
   return loads;
 }
@@ -380,10 +270,9 @@
   live->passing = false;
   live->head.reset();
   live->forbidden = !live->user->MaySend();
-  const auto known = endpoints_.find(decision.endpoint);
+  const KnownEndpoint* known = registry_.Find(decision.endpoint);
   const net::Time now = loop_.Now();
-  if (live->forbidden || known == endpoints_.end() || now >= live->deadline ||
-      live->sends >= kMostSends) {
+  if (live->forbidden || known == nullptr || now >= live->deadline || live->sends >= kMostSends) {
     return EndUnsent(live, key, Outcome::kNeverSent);
   }
   ++live->sends;
@@ -397,18 +286,17 @@
   live->most_silence = live->request.batch ? net::Span(kItemFirstSilence) : net::Span(silence);
   // Where it could go on at another endpoint, one that has fallen silent is not waited for as long.
   const bool could_move = live->request.resumable && live->ran + 1 < live->max_attempts();
-  const net::Span patience =
-      std::min<net::Span>(silence, std::max(kLeastPatience, kPatientGaps * route.gap_aim));
   net::Time until = live->end;
   if (live->is_stream_route()) {
-    until = std::min(until, now + (could_move ? patience : live->most_silence));
+    until =
+        std::min(until, now + (could_move ? net::Span(MovePatience(route)) : live->most_silence));
   }
   kelpspring::Outbound outbound{live->message, false, std::nullopt, until, {}};
-  outbound.silence = could_move ? patience : net::Span(silence);
+  outbound.silence = could_move ? MovePatience(route) : silence;
   outbound.end = live->end;
   outbound.deadline = live->deadline;
   outbound.repeatable = live->repeatable;
-  upstream_.Send(key, known->second.number, outbound,
+  upstream_.Send(key, known->number, outbound,
                  [this, key](kelpspring::Answer answer) { EndAttempt(key, std::move(answer)); });
 }
 
@@ -423,21 +311,8 @@
 
 kelpspring::Reading EndpointCalls::ReadHead(AttemptKey key, const HttpResponse& head) const {
   const LivePtr live = FindAttempt(key);
-  if (!live) return {OutcomeCode::kError, AnswerUse::kHold};
-  const unsigned status = head.result_int();
-  const auto id = head[kRequestIdHeader];
-  if (!id.empty() && id != Text(live->request.request_id)) {
-    return {OutcomeCode::kError, AnswerUse::kSkip};
-  }
-  if (status == 421 || head.count(kNotRunHeader) != 0) return {OutcomeCode::kFull};
-  const bool success = status / 100 == 2;
-  // Without the id it may belong to anybody, without the stamp it is no endpoint's success, and a
-  // promise that the endpoint did not mean must not be passed on.
-  if (id.empty() || (success && head[kStampHeader].empty()) || IsPromise(status)) {
-    return {OutcomeCode::kError};
-  }
-  const bool stream = success && live->is_stream_route() && IsEventStream(head);
-  return {OutcomeCode::kOk, stream ? AnswerUse::kPass : AnswerUse::kHold};
+  if (!live) return {};
+  return ReadAnswerHead({live->request.request_id, live->is_stream_route()}, head);
 }
 
 void EndpointCalls::NoteLoad(const LiveCall& live, const HttpResponse& head) {
@@ -447,8 +322,7 @@
 
 void EndpointCalls::NoteHeard(LiveCall& live) {
   live.moved = loop_.Now();
-  const auto known = endpoints_.find(live.endpoint);
-  if (known != endpoints_.end()) known->second.heard = live.moved;
+  registry_.NoteHeard(live.endpoint, live.moved);
 }
 
 // A stream whose endpoint answers others is late, not lost: moving it would only add work where
@@ -458,8 +332,8 @@
   if (!live || !live->is_stream_route()) return std::nullopt;
   const net::Time now = loop_.Now();
   const net::Time last = std::min(live->end, live->moved + live->most_silence);
-  const auto known = endpoints_.find(live->endpoint);
-  const bool alive = known != endpoints_.end() && known->second.heard + kLeastPatience > now;
+  const KnownEndpoint* known = registry_.Find(live->endpoint);
+  const bool alive = known != nullptr && known->heard + MovePatience(*live->request.route) > now;
   if (!alive || now >= last) return std::nullopt;
   return std::min<net::Time>(last, now + kLookAgain);
 }
@@ -538,10 +412,9 @@
       NoteHeard(*live);
       NoteLoad(*live, answer.message);
       const bool misdirected = answer.message.result_int() == 421;
-      const auto known = endpoints_.find(live->endpoint);
-      if (misdirected && known != endpoints_.end()) {
-        known->second.misdirected = true;
-        upstream_.SetEndpoint(known->second.number, known->second.address, false, 0);
+      if (misdirected) {
+        registry_.NoteMisdirected(live->endpoint);
+        TellServices();
       }
       return EndUnsent(live, key, misdirected ? Outcome::kMisdirected : Outcome::kNotRun);
     }
--- a/src/tier/proxy/endpoint_calls.h
+++ b/src/tier/proxy/endpoint_calls.h
@@ -21,6 +21,7 @@
 #include "tier/cluster/view.h"
 #include "tier/policy/module.h"
 #include "tier/proxy/calls.h"
+#include "tier/proxy/endpoint_registry.h"
 #include "tier/proxy/levels.h"
 
 namespace shelflink::proxy {
@@ -61,14 +62,6 @@
  private:
   struct LiveCall;
   using LivePtr = std::shared_ptr<LiveCall>;
-  struct KnownEndpoint {
-    std::uint32_t number = 0;
-    net::Address address;
-    bool draining = false;
-    net::Time heard{};  // When an answer, or a part of one, last came from it.
-    bool misdirected =
-        false;  // Another instance has its address: it is gone, whatever the list says.
-  };
   // What the module decided, carried out once it has returned.
   struct Decision {
     enum class Kind { kSend, kRefuse, kFail } kind = Kind::kFail;
@@ -100,8 +93,7 @@
                                const kelpspring::HttpResponse& head) const;
 
   void TakeShape(const cluster::View& view);
-  void TakeEndpoints(const cluster::View& view);
-  void TellServices(const cluster::View& view);
+  void TellServices();
 
   LivePtr Find(policy::CallId call) const;
   LivePtr FindAttempt(kelpspring::AttemptKey key) const;  // Null unless it is the present one.
@@ -130,12 +122,11 @@
   kelpspring::Log& log_;
   Options options_;
   kelpspring::Upstream upstream_;
+  EndpointRegistry registry_;
   policy::Module module_;
   net::TimerPtr timer_;
   policy::CallId last_call_ = 0;
-  std::uint32_t last_endpoint_ = 0;
   std::unordered_map<policy::CallId, LivePtr> calls_;
-  std::unordered_map<std::string, KnownEndpoint> endpoints_;
   std::unordered_set<std::string> services_;  // That the module knows.
   std::shared_ptr<const configuration::Configuration> configuration_;
   std::shared_ptr<const cluster::EndpointList> list_;
