--- a/src/tier/batch/hosted_partition.h
+++ b/src/tier/batch/hosted_partition.h
@@ -61,8 +61,8 @@
   bool leading() const { return replica_.Serving() && named_; }
   // Something is under way that OnTimer must drive.
   bool busy() const;
-  // An incomplete backup that has not everything yet.
-  bool learning() const { return named_ && !complete_in_row_ && !replica_.complete(); }
+  // An incomplete backup, whatever it had in earlier rows.
+  bool learning() const { return named_ && !complete_in_row_; }
   bool named() const { return named_; }
   bool acting() const { return replica_.acting(); }
   std::size_t complete_copies() const;
--- a/src/tier/batch/job_book.h
+++ b/src/tier/batch/job_book.h
@@ -44,7 +44,7 @@
     Micros adoption_grace = 1'000'000;
     Micros status = 120'000'000;    // Results stay so long after the first send.
     Micros clock_skew = 5'000'000;  // Wall clocks of two machines differ by no more.
-    std::uint64_t issuer = 0;       // Of leases; drawn at each start.
+    std::uint64_t issuer = 0;       // Of leases; no other book ever has it.
     std::size_t most_items = 100'000;
     std::size_t most_output_bytes = 32U << 20;
   };
--- a/src/tier/batch/messages.h
+++ b/src/tier/batch/messages.h
@@ -115,7 +115,7 @@
 
 // Drawn by the store that gave the lease; unique for ever, and kept when another store adopts it.
 struct LeaseId {
-  std::uint64_t issuer = 0;  // Drawn at each start of the store process.
+  std::uint64_t issuer = 0;  // Drawn anew whenever a store becomes a partition's primary.
   std::uint64_t number = 0;
   auto operator<=>(const LeaseId&) const = default;
 };
--- a/src/tier/batch/store_service.cpp
+++ b/src/tier/batch/store_service.cpp
@@ -179,6 +179,7 @@
   PartitionServer::Events events;
   events.work = [this] { ScheduleWork(); };
   events.failed = [this, partition] { DropLater(partition); };
+  ++book_options_.issuer;  // Each book counts its leases from the start.
   auto server = std::make_unique<PartitionServer>(loop_, clock_, partition, log, book_options_,
                                                   std::move(events));
   const Result<void> loaded = server->Load();
--- a/src/tier/batch/store_service.h
+++ b/src/tier/batch/store_service.h
@@ -24,6 +24,7 @@
 
 class StoreService {
  public:
+  // `issuer`: drawn at random at each start of the process.
   StoreService(net::Loop& loop, transport::Hub& hub, PartitionReplicas& replicas,
                const Bounds& bounds, std::uint64_t issuer);
   ~StoreService();
