--- a/tests/tier/batch/store_test.cpp
+++ b/tests/tier/batch/store_test.cpp
@@ -307,6 +307,19 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(rows_stand_still_in_calm) {
+  for (std::uint32_t stores = 2; stores <= 6; ++stores) {
+    StoreWorld world(stores, stores);
+    world.RunFor(seconds(20));
+    std::vector<std::uint64_t> before;
+    for (const auto& row : world.rows()) before.push_back(row.epoch);
+    world.RunFor(seconds(10));
+    std::vector<std::uint64_t> after;
+    for (const auto& row : world.rows()) after.push_back(row.epoch);
+    BOOST_TEST(before == after, boost::test_tools::per_element());
+  }
+}
+
 // Faults of one store at a time, as the tolerance is, between jobs that come all the time.
 void PlayFaults(std::uint64_t seed) {
   StoreWorld world(seed, 4);
@@ -363,6 +376,9 @@
     for (int waited = 0; waited < 52; ++waited) live_for(milliseconds(100));
   }
   CheckAllDone(world, clients);
+  for (const auto& row : world.rows()) {
+    BOOST_TEST(row.epoch < 100U, "a row changed " << row.epoch << " times");
+  }
 }
 
 BOOST_AUTO_TEST_CASE(promises_hold_through_faults_of_one_store_at_a_time) {
