Placement: a joiner that was added to take another's place is not dropped before it is whole

Cause: a move adds an incomplete copy to a settled row; the next plan saw enough whole copies and dropped the newcomer as surplus, the one after added it again: rows changed ten times a second for as long as a store's share was uneven, and no move ever ended.

--- a/src/tier/cluster/placement.cpp
+++ b/src/tier/cluster/placement.cpp
@@ -293,9 +293,17 @@
                       [&](const Copy& copy) { return copy.complete && IsUsable(copy.disk); }));
   }
 
+  // A joiner that still catches up: it was added to take another's place, so nobody goes before it
+  // is whole, itself least of all.
+  bool HasUsableJoiner(std::size_t partition, const std::vector<Copy>& copies) const {
+    return std::any_of(copies.begin(), copies.end(), [&](const Copy& copy) {
+      return !copy.complete && IsUsable(copy.disk) && stalled_.count({partition, copy.disk}) == 0;
+    });
+  }
+
   // Once enough copies are whole, those that retire or are one too many go.
   void DropSurplus(std::size_t partition, std::vector<Copy>& copies) const {
-    if (CountWhole(copies) < rules_.copies) return;
+    if (CountWhole(copies) < rules_.copies || HasUsableJoiner(partition, copies)) return;
     while (copies.size() > rules_.copies) {
       const std::size_t worst = WorstCopy(copies);
       const bool whole = copies[worst].complete && IsUsable(copies[worst].disk);
