--- a/src/tier/batch/store_service.cpp
+++ b/src/tier/batch/store_service.cpp
@@ -190,11 +190,17 @@
     return;
   }
   server->SetRoutes(routes_);
+  log::Info(kLogName, "partition " + std::to_string(partition) + ": primary under row " +
+                          std::to_string(log.epoch()) + ", " +
+                          std::to_string(server->book().jobs()) + " jobs");
   served_[partition] = {&log, std::move(server)};
   ScheduleWork();
 }
 
-void StoreService::OnLost(std::uint32_t partition) { served_.erase(partition); }
+void StoreService::OnLost(std::uint32_t partition) {
+  if (served_.erase(partition) == 0) return;
+  log::Info(kLogName, "partition " + std::to_string(partition) + ": no longer the primary");
+}
 
 void StoreService::DropLater(std::uint32_t partition) {
   loop_.Post([this, partition, alive = alive_] {
