Storage: memory stays bounded when a large file is read, and freed pages count as room

Pages are let go after each 8 MB read. And usage told the file's length, which never shrinks: a store whose jobs were forgotten would have refused new ones for ever.

--- a/src/tier/storage/lmdb_storage.cpp
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -1,8 +1,11 @@
 #include "tier/storage/lmdb_storage.h"
 
 #include <lmdb.h>
+#include <sys/mman.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <cstring>
 #include <filesystem>
 #include <system_error>
@@ -16,6 +19,11 @@
 constexpr char kModule[] = "storage";
 constexpr std::size_t kChecksumSize = 8;
 constexpr mode_t kFileMode = 0600;
+// Read through the map before it is let go.
+constexpr std::size_t kMostBytesRead = 8U << 20;
+// Commits after which free pages are counted anew.
+constexpr std::size_t kCommitsPerCount = 32;
+constexpr MDB_dbi kFreePagesTable = 0;  // LMDB's own: lists of page numbers, the count in front.
 // LMDB's own error codes are negative; these say that the file is not what LMDB wrote.
 bool IsDamage(int code) {
   return code == MDB_INVALID || code == MDB_VERSION_MISMATCH || code == MDB_CORRUPTED ||
@@ -142,6 +150,7 @@
   if (code == 0) {
     const auto value = Checked(key, ToView(found));
     if (value) {
+      CountRead(found);
       result.emplace(*value);
     } else {
       Fail(MDB_CORRUPTED);
@@ -169,6 +178,7 @@
   int code = mdb_cursor_get(cursor, &key, &found, start.empty() ? MDB_FIRST : MDB_SET_RANGE);
   while (code == 0 && ToView(key).substr(0, prefix.size()) == prefix) {
     const auto value = Checked(ToView(key), ToView(found));
+    CountRead(found);
     if (!value) code = MDB_CORRUPTED;
     if (!value || !visitor(ToView(key), *value)) break;
     code = mdb_cursor_get(cursor, &key, &found, MDB_NEXT);
@@ -219,6 +229,10 @@
     const int code = mdb_txn_commit(writing_);
     writing_ = nullptr;
     if (code != 0) Fail(code);
+    if (++commits_since_counted_ >= kCommitsPerCount) {
+      commits_since_counted_ = 0;
+      free_pages_.reset();
+    }
   }
   const std::vector<Synced> told = std::move(waiting_);
   waiting_.clear();
@@ -233,12 +247,49 @@
   }
 }
 
+void LmdbStorage::CountRead(const MDB_val& read) const {
+  if (writing_ == nullptr) {  // Else it may stand in the transaction's own memory.
+    const auto* const from = static_cast<const char*>(read.mv_data);
+    read_from_ = read_from_ == nullptr ? from : std::min(read_from_, from);
+    read_to_ = std::max(read_to_, from + read.mv_size);
+  }
+  bytes_read_ += read.mv_size;
+  if (bytes_read_ < kMostBytesRead || read_from_ == nullptr) return;
+  bytes_read_ = 0;
+  // The map is read-only and of a file: whatever is needed again is read again.
+  const auto page = static_cast<std::uintptr_t>(::sysconf(_SC_PAGESIZE));
+  const std::uintptr_t first = reinterpret_cast<std::uintptr_t>(read_from_) / page * page;
+  const std::uintptr_t last = reinterpret_cast<std::uintptr_t>(read_to_);
+  ::madvise(reinterpret_cast<void*>(first), last - first, MADV_DONTNEED);
+}
+
+std::uint64_t LmdbStorage::FreePages() const {
+  if (free_pages_) return *free_pages_;
+  std::uint64_t pages = 0;
+  MDB_txn* const transaction = Reading();
+  MDB_cursor* cursor = nullptr;
+  if (transaction != nullptr && mdb_cursor_open(transaction, kFreePagesTable, &cursor) == 0) {
+    MDB_val key{};
+    MDB_val list{};
+    while (mdb_cursor_get(cursor, &key, &list, MDB_NEXT) == 0) {
+      std::size_t count = 0;
+      std::memcpy(&count, list.mv_data, sizeof count);
+      pages += count;
+    }
+    mdb_cursor_close(cursor);
+  }
+  if (transaction != nullptr) DoneReading();
+  free_pages_ = pages;
+  return pages;
+}
+
 Usage LmdbStorage::usage() const {
   MDB_envinfo info{};
   MDB_stat stat{};
   mdb_env_info(environment_, &info);
   mdb_env_stat(environment_, &stat);
-  return {(std::uint64_t{info.me_last_pgno} + 1) * stat.ms_psize, bytes_limit_};
+  const std::uint64_t pages = std::uint64_t{info.me_last_pgno} + 1;
+  return {(pages - std::min(pages, FreePages())) * stat.ms_psize, bytes_limit_};
 }
 
 void LmdbStorage::Fail(int code) const {
--- a/src/tier/storage/lmdb_storage.h
+++ b/src/tier/storage/lmdb_storage.h
@@ -13,6 +13,7 @@
 
 struct MDB_env;
 struct MDB_txn;
+struct MDB_val;
 
 namespace shelflink::storage {
 
@@ -49,6 +50,11 @@
   int ApplyAll(const Batch& batch);
   void Commit();
   void Fail(int code) const;
+  // These were read through the map. What was read is let go now and then: pages of the map count
+  // as memory of the process, and the file may be larger than that.
+  void CountRead(const MDB_val& read) const;
+  // Pages of the file that hold nothing.
+  std::uint64_t FreePages() const;
 
   net::Loop& loop_;
   MDB_env* environment_ = nullptr;
@@ -56,6 +62,11 @@
   MDB_txn* writing_ = nullptr;
   mutable MDB_txn* reading_ = nullptr;
   std::uint64_t bytes_limit_ = 0;
+  mutable std::size_t bytes_read_ = 0;       // Since the map was let go.
+  mutable const char* read_from_ = nullptr;  // The part of the map that was ever read.
+  mutable const char* read_to_ = nullptr;
+  mutable std::optional<std::uint64_t> free_pages_;  // As counted since the last few commits.
+  std::size_t commits_since_counted_ = 0;
   std::vector<Synced> waiting_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   mutable std::string error_;
--- a/tests/tier/storage/storage_test.cpp
+++ b/tests/tier/storage/storage_test.cpp
@@ -249,5 +249,56 @@
   BOOST_TEST(!storage.Get("b").has_value());
 }
 
+// Bytes of memory that the process holds now.
+std::size_t ResidentBytes() {
+  std::ifstream statm("/proc/self/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  statm >> total >> resident;
+  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+BOOST_AUTO_TEST_CASE(a_file_larger_than_the_memory_can_be_read_through) {
+  constexpr std::size_t kValue = 100'000;
+  constexpr int kValues = 800;
+  StepLoop loop;
+  Folder folder;
+  auto storage = LmdbStorage::Open(loop, folder.Options(200U << 20));
+  BOOST_REQUIRE(storage);
+  for (int number = 0; number < kValues; ++number) {
+    Batch batch;
+    batch.Put("key" + std::to_string(number), std::string(kValue, 'v'));
+    storage.value()->Apply(batch);
+    storage.value()->Sync([](const Result<void>&) {});
+    loop.Run();
+  }
+  const std::size_t before = ResidentBytes();
+  std::size_t read = 0;
+  storage.value()->Scan("", "", [&](std::string_view, std::string_view value) {
+    read += value.size();
+    return true;
+  });
+  BOOST_TEST(read == kValue * kValues);
+  BOOST_TEST(ResidentBytes() < before + (30U << 20));
+}
+
+BOOST_AUTO_TEST_CASE(room_of_removed_values_counts_as_free) {
+  StepLoop loop;
+  Folder folder;
+  auto storage = LmdbStorage::Open(loop, folder.Options(20U << 20));
+  BOOST_REQUIRE(storage);
+  const auto commit = [&](const Batch& batch) {
+    storage.value()->Apply(batch);
+    storage.value()->Sync([](const Result<void>&) {});
+    loop.Run();
+  };
+  commit(Batch().Put("large", std::string(10U << 20, 'v')));
+  const std::uint64_t full = storage.value()->usage().bytes_used;
+  commit(Batch().Remove("large"));
+  for (int number = 0; number < 40; ++number) commit(Batch().Put("small", std::to_string(number)));
+  BOOST_TEST(full > (10U << 20));
+  BOOST_TEST(storage.value()->usage().bytes_used < (1U << 20));
+}
+
 }  // namespace
 }  // namespace shelflink::storage
