--- a/src/tier/batch/job_json.cpp
+++ b/src/tier/batch/job_json.cpp
@@ -207,7 +207,7 @@
       if (requests != nullptr) findings_.Add("requests", "expected once, found twice");
       requests = field;
     }
-    if (!cJSON_IsArray(requests)) {
+    if (requests == nullptr || !cJSON_IsArray(requests)) {
       findings_.Add("requests", "expected a list of 1 to " + std::to_string(kMostItems) + " items");
       return;
     }
--- a/src/tier/batch/runner.cpp
+++ b/src/tier/batch/runner.cpp
@@ -141,7 +141,7 @@
 
   // New items that may be asked for now, of all stores together.
   std::uint32_t Room() {
-    if (draining_ || loop_.Now() < refused_until_) return 0;
+    if (loop_.Now() < refused_until_) return 0;
     std::size_t held_bytes = 0;
     std::size_t awaiting = 0;
     for (const auto& [lease, run] : runs_) {
@@ -168,7 +168,10 @@
       }
     }
     // Whoever came first in this round comes last in the next, when room is short.
-    if (!due.empty()) std::rotate(due.begin(), due.begin() + rounds_++ % due.size(), due.end());
+    if (!due.empty()) {
+      const auto shift = static_cast<std::ptrdiff_t>(rounds_++ % due.size());
+      std::rotate(due.begin(), due.begin() + shift, due.end());
+    }
     typical_bytes_ = std::max(kLeastItemBytes, typical_bytes_ - typical_bytes_ / 16);
     for (const net::Address& address : due) {
       Store& store = stores_.at(address);
