Write pages of results directly: any text leaves the answer readable

Cause: cJSON ends a text at a NUL and passes on bytes that are no UTF-8, so that one garbled event made a whole page unreadable. Change: json_text moves to the foundation, PageJson writes with it; more tests of the runner from mutants that lived (lease vouched for from the answer, two adoptions at a time, awaiting items not counted as taking room).

--- a/src/tier/batch/front.cmake
+++ b/src/tier/batch/front.cmake
@@ -1,5 +1,5 @@
 # The batch interface of the sidecars: submissions read, jobs submitted to the stores, items run.
-shelflink_tier_library(shelflink_tier_batch_job_json base64.cpp json_text.cpp job_json.cpp)
+shelflink_tier_library(shelflink_tier_batch_job_json base64.cpp job_json.cpp)
 target_link_libraries(shelflink_tier_batch_job_json PUBLIC shelflink_tier_batch_messages
     shelflink_tier_configuration PRIVATE PkgConfig::CJSON)
 
--- a/src/tier/batch/job_json.cpp
+++ b/src/tier/batch/job_json.cpp
@@ -10,7 +10,7 @@
 #include <unordered_set>
 
 #include "tier/batch/base64.h"
-#include "tier/batch/json_text.h"
+#include "tier/foundation/json_text.h"
 
 namespace shelflink::batch {
 namespace {
--- a/src/tier/batch/json_text.cpp
+++ b/src/tier/foundation/json_text.cpp
@@ -1,9 +1,9 @@
-#include "tier/batch/json_text.h"
+#include "tier/foundation/json_text.h"
 
 #include <cstddef>
 #include <cstdint>
 
-namespace shelflink::batch {
+namespace shelflink {
 namespace {
 
 constexpr std::string_view kReplacement = "\xef\xbf\xbd";
@@ -96,4 +96,4 @@
   out += '"';
 }
 
-}  // namespace shelflink::batch
+}  // namespace shelflink
--- a/src/tier/proxy/batch_requests.cpp
+++ b/src/tier/proxy/batch_requests.cpp
@@ -1,10 +1,9 @@
 #include "tier/proxy/batch_requests.h"
 
-#include <cjson/cJSON.h>
-
 #include <cstdlib>
 #include <utility>
 
+#include "tier/foundation/json_text.h"
 #include "tier/proxy/headers.h"
 #include "tier/proxy/names.h"
 
@@ -144,21 +143,21 @@
 }
 
 std::string PageJson(const BatchPage& page, std::uint64_t after) {
-  cJSON* root = cJSON_CreateObject();
-  cJSON_AddNumberToObject(root, "total", static_cast<double>(page.total));
-  cJSON_AddNumberToObject(root, "nextToken", static_cast<double>(after + page.results.size()));
-  cJSON* results = cJSON_AddArrayToObject(root, "results");
+  std::string json = "{\"total\":" + std::to_string(page.total) +
+                     ",\"nextToken\":" + std::to_string(after + page.results.size()) +
+                     ",\"results\":[";
+  const char* separator = "";
   for (const BatchResult& result : page.results) {
-    cJSON* entry = cJSON_CreateObject();
-    cJSON_AddItemToObject(entry, "id", cJSON_CreateStringReference(result.id.c_str()));
-    cJSON_AddStringToObject(entry, "state", result.completed ? "completed" : "dead_letter");
-    cJSON_AddItemToObject(entry, "text", cJSON_CreateStringReference(result.text.c_str()));
-    cJSON_AddItemToArray(results, entry);
+    json += separator;
+    json += "{\"id\":";
+    AppendJsonString(json, result.id);
+    json += result.completed ? ",\"state\":\"completed\"" : ",\"state\":\"dead_letter\"";
+    json += ",\"text\":";
+    AppendJsonString(json, result.text);
+    json += '}';
+    separator = ",";
   }
-  char* text = cJSON_PrintUnformatted(root);
-  std::string json = text == nullptr ? std::string() : std::string(text);
-  cJSON_free(text);
-  cJSON_Delete(root);
+  json += "]}";
   return json;
 }
 
--- a/tests/tier/batch/runner_test.cpp
+++ b/tests/tier/batch/runner_test.cpp
@@ -135,6 +135,18 @@
   BOOST_TEST(offer.held.size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(what_awaits_its_lease_takes_room, Fixture) {
+  calls.room = 4;
+  first.silent = true;
+  Pass(seconds(3));
+  for (std::uint64_t i = 1; i <= 3; ++i)
+    first.Give(proxy.address(), Item("i-" + std::to_string(i), i));
+  Pass(milliseconds(1200));
+  const auto offer = first.Last<Offer>(kOffer);
+  BOOST_TEST(offer.held.size() == 3U);
+  BOOST_TEST(offer.capacity == 4U);
+}
+
 BOOST_FIXTURE_TEST_CASE(all_stores_together_are_granted_no_more_than_the_room, Fixture) {
   calls.room = 3;
   Place({first.address(), second.address()}, 2);
@@ -217,6 +229,24 @@
   BOOST_TEST(!calls.open.at(call).user->MaySend());
 }
 
+BOOST_FIXTURE_TEST_CASE(an_assignment_is_vouched_for_from_when_the_offer_was_sent, Fixture) {
+  const auto answer = first.answer;
+  net::Time offered{};
+  first.answer = [&](MessageKind, std::string_view) -> std::optional<Result<std::string>> {
+    if (first.unanswered.empty()) offered = net.Now();
+    return std::nullopt;
+  };
+  while (first.unanswered.empty()) Pass(milliseconds(1));
+  Pass(milliseconds(900));
+  first.unanswered[0](*answer(kOffer, first.questions.back().body));  // Held up on its way.
+  Pass(kSoon);
+  const policy::CallId call = Started(Item("i-1", 1));
+  net.RunUntil(offered + LeaseSpan(Bounds()) - milliseconds(10));
+  BOOST_TEST(calls.open.at(call).user->MaySend());
+  net.RunUntil(offered + LeaseSpan(Bounds()));
+  BOOST_TEST(!calls.open.at(call).user->MaySend());
+}
+
 BOOST_FIXTURE_TEST_CASE(an_unanswered_offer_extends_nothing, Fixture) {
   first.silent = true;
   Pass(LeaseSpan(Bounds()) + milliseconds(10));
@@ -338,6 +368,19 @@
   BOOST_TEST(first.adoptions.size() == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(one_adoption_at_a_time, Fixture) {
+  Streaming(Item("i-1", 1), 2);
+  first.known.clear();
+  const auto answer = first.answer;
+  first.answer = [&](MessageKind kind, std::string_view body) {
+    return kind == kAdopt ? std::optional<Result<std::string>>() : answer(kind, body);
+  };
+  Pass(milliseconds(1000));
+  BOOST_TEST(first.Count(kAdopt) == 1U);
+  Pass(milliseconds(2000));  // It got no answer: another one.
+  BOOST_TEST(first.Count(kAdopt) > 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(what_nobody_adopts_is_cancelled, Fixture) {
   Streaming(Item("i-1", 1), 2);
   second.adopts = false;
--- a/tests/tier/batch/json_text_test.cpp
+++ b/tests/tier/foundation/json_text_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE json_text
-#include "tier/batch/json_text.h"
+#include "tier/foundation/json_text.h"
 
 #include <cjson/cJSON.h>
 #include <glib.h>
@@ -8,7 +8,7 @@
 #include <random>
 #include <string>
 
-namespace shelflink::batch {
+namespace shelflink {
 namespace {
 
 std::string Written(std::string_view text) {
@@ -79,4 +79,4 @@
 }
 
 }  // namespace
-}  // namespace shelflink::batch
+}  // namespace shelflink
