Offers of a large fleet bounded a store, a drain bounded in time, short room dealt among all stores

Cause: with 1,000 sidecars every store would get 1,250 idle offers a second, and all of them at once after a change of placement; a drain waited up to 60 s for silent stores; a store whose offers came out of step never got short room. The stand-in for replication follows PartitionLog::has_room.

--- a/src/tier/batch/runner.cpp
+++ b/src/tier/batch/runner.cpp
@@ -10,17 +10,21 @@
 
 #include "tier/batch/item_run.h"
 #include "tier/batch/offer_credit.h"
+#include "tier/batch/partition.h"
 #include "tier/foundation/log.h"
 
 namespace shelflink::batch {
 namespace {
 
-// Between offers to a store: with leases to renew, without any, and at least. An offer counts at
-// the store for a second (ProxyRoom::kOfferHolds).
+// Between offers to a store: with leases to renew, without any (in a small fleet), at least. An
+// offer counts at the store for a second (ProxyRoom::kOfferHolds).
 constexpr milliseconds kBusyInterval{400};
 constexpr milliseconds kIdleInterval{800};
 constexpr milliseconds kShortestInterval{50};
 constexpr milliseconds kAnswerTimeout{1000};
+// Stores whose offers are due so soon after one another share a round: fewer wake-ups, and room
+// that is short is dealt among all of them in turn.
+constexpr milliseconds kRoundWindow{400};
 // After an endpoint's or the policy's refusal no new items are asked for, for so long at least.
 constexpr milliseconds kRefusalPause{200};
 constexpr milliseconds kLongestRefusalPause{2000};
@@ -75,15 +79,19 @@
     reports_.OnPlacement();
     const std::set<net::Address> primaries = Primaries();
     std::erase_if(stores_, [&](const auto& entry) { return !primaries.contains(entry.first); });
-    for (const net::Address& primary : primaries) stores_[primary].due = net::Time::min();
+    for (const net::Address& primary : primaries) {
+      if (!stores_.contains(primary)) stores_[primary].due = loop_.Now() + FirstDelay();
+    }
     for (auto& [lease, run] : runs_) {
       const auto known = vouching_.find(lease);
       if (known != vouching_.end() && known->second != PrimaryOf(run->partition())) {
         run->output().ForgetConfirmed();
         vouching_.erase(known);
       }
+      // The new primary gives an item to another proxy soon, unless it hears of the run.
+      if (const auto primary = PrimaryOf(run->partition())) WantOffer(*primary, loop_.Now());
     }
-    OfferSoon();
+    ArmTimer();
   }
 
   void OnConfiguration() {
@@ -98,6 +106,8 @@
     // First the word that no more is wanted, so that what is handed back doesn't return.
     for (auto& [address, store] : stores_) SendOffer(address, store, 0);
     for (ItemRun* run : AllRuns()) run->HandBack();
+    drain_timer_ = loop_.NewTimer([this] { TellDrained(); });
+    drain_timer_->ArmAt(loop_.Now() + kDrainPatience);
     TellIfDrained();
   }
 
@@ -125,6 +135,24 @@
     return primaries;
   }
 
+  // Between two offers to a store of which nothing is leased: in a large fleet each proxy offers
+  // seldom, and the stores hear of enough room nevertheless.
+  milliseconds IdleInterval() const {
+    std::size_t proxies = 0;
+    if (const auto& members = view_().members) {
+      proxies = static_cast<std::size_t>(
+          std::count_if(members->all.begin(), members->all.end(),
+                        [](const cluster::Member& member) { return member.role == "proxy"; }));
+    }
+    return std::max(kIdleInterval, milliseconds(proxies * 1000 / kMostOffersAStore));
+  }
+
+  // Of the first offer to a store: in a large fleet the proxies' offers spread over the interval.
+  milliseconds FirstDelay() const {
+    const auto spread = static_cast<std::uint64_t>((IdleInterval() - kIdleInterval).count());
+    return milliseconds(spread == 0 ? 0 : StableHash(hub_.self().address.Text()) % spread);
+  }
+
   std::vector<ItemRun*> AllRuns() {
     std::vector<ItemRun*> all;
     all.reserve(runs_.size());
@@ -161,7 +189,7 @@
     std::vector<net::Address> due;
     std::uint32_t room = Room();
     for (const auto& [address, store] : stores_) {
-      if (store.due <= now && !store.offering) {
+      if (store.due < now + kRoundWindow && !store.offering) {
         due.push_back(address);
       } else {
         room -= std::min(room, store.credit.left());
@@ -201,7 +229,7 @@
       offer.held.push_back(std::move(held));
     }
     offer.capacity = draining_ ? 0 : static_cast<std::uint32_t>(offer.held.size()) + granted;
-    store.due = now + (named.empty() ? kIdleInterval : kBusyInterval);
+    store.due = now + (named.empty() ? IdleInterval() : kBusyInterval);
     store.offering = true;
     hub_.Call(address, kOffer, Encode(offer), kAnswerTimeout,
               [weak = weak_from_this(), address, now,
@@ -289,11 +317,6 @@
     StartIfLeased(run);
   }
 
-  void OfferSoon() {
-    const net::Time at = std::max(loop_.Now(), last_round_ + kShortestInterval);
-    timer_->ArmAt(at);
-  }
-
   void ArmTimer() {
     net::Time next = net::Time::max();
     for (const auto& [address, store] : stores_) {
@@ -453,9 +476,10 @@
   }
 
   void TellIfDrained() {
-    if (!draining_ || !runs_.empty() || !drained_) return;
-    loop_.Post(std::move(drained_));
-    drained_ = nullptr;
+    if (draining_ && runs_.empty()) TellDrained();
+  }
+  void TellDrained() {
+    if (drained_) loop_.Post(std::exchange(drained_, nullptr));
   }
 
   net::Loop& loop_;
@@ -473,6 +497,7 @@
   std::size_t rounds_ = 0;
   std::size_t typical_bytes_ = kLeastItemBytes;  // Of the largest items seen lately.
   bool draining_ = false;
+  net::TimerPtr drain_timer_;
   std::function<void()> drained_;
   Counters counters_;
 };
--- a/tests/tier/batch/memory_replicas.h
+++ b/tests/tier/batch/memory_replicas.h
@@ -45,7 +45,6 @@
       : loop_(loop), shared_(shared), self_(self) {}
 
   void SetEvents(Events events) override { events_ = std::move(events); }
-  bool has_room() const override { return true; }
   void OnPlacement(const cluster::Placement& placement) override {
     for (std::uint32_t partition = 0; partition < placement.rows.size(); ++partition) {
       const cluster::PartitionRow& row = placement.rows[partition];
@@ -71,6 +70,7 @@
     }
     bool serving() const override { return shared_.epoch == epoch_; }
     std::uint64_t epoch() const override { return epoch_; }
+    bool has_room() const override { return true; }
     void Commit(std::vector<coordination::Write> writes, Done done) override {
       Apply(seen_, writes);
       pending_.push_back({std::move(writes), std::move(done)});
--- a/tests/tier/batch/runner_test.cpp
+++ b/tests/tier/batch/runner_test.cpp
@@ -126,6 +126,41 @@
   BOOST_TEST(first.Count(kOffer) - before >= 11U);
 }
 
+BOOST_FIXTURE_TEST_CASE(in_a_large_fleet_each_idle_runner_offers_seldom, Fixture) {
+  auto members = std::make_shared<cluster::Members>();
+  members->all.resize(1000);
+  for (cluster::Member& member : members->all) member.role = "proxy";
+  members->all.resize(1030);  // Others don't count.
+  view.members = members;
+  Pass(seconds(1));
+  const std::size_t before = first.Count(kOffer);
+  Pass(seconds(100));
+  BOOST_TEST(first.Count(kOffer) - before <= 5U);
+  BOOST_TEST(first.Count(kOffer) - before >= 4U);
+  const policy::CallId call = Started(Item("i-1", 1));
+  Pass(seconds(10));
+  BOOST_TEST(calls.Send(call));  // What is leased is renewed as ever.
+}
+
+BOOST_FIXTURE_TEST_CASE(a_new_primary_in_a_large_fleet_is_not_met_by_all_at_once, Fixture) {
+  auto members = std::make_shared<cluster::Members>();
+  members->all.resize(1000);
+  for (cluster::Member& member : members->all) member.role = "proxy";
+  view.members = members;
+  Place({second.address()}, 2);
+  Pass(kSoon);
+  BOOST_TEST(second.Count(kOffer) == 0U);
+  Pass(seconds(20));
+  BOOST_TEST(second.Count(kOffer) >= 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(another_placement_with_the_same_stores_costs_no_offer, Fixture) {
+  const std::size_t before = first.Count(kOffer);
+  for (std::uint64_t epoch = 2; epoch < 10; ++epoch) Place({first.address()}, epoch);
+  Pass(kSoon);
+  BOOST_TEST(first.Count(kOffer) == before);
+}
+
 BOOST_FIXTURE_TEST_CASE(without_room_nothing_new_is_asked_for, Fixture) {
   calls.room = 0;
   Started(Item("i-1", 1));
@@ -542,6 +577,21 @@
   BOOST_TEST((first.questions[1].kind == kFinished));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_drain_waits_for_silent_stores_only_so_long, Fixture) {
+  Streaming(Item("i-1", 1), 2);
+  first.process.SetPaused(true);
+  int drained = 0;
+  runner->Drain([&] { ++drained; });
+  Pass(kDrainPatience - milliseconds(10));
+  BOOST_TEST(drained == 0);
+  Pass(kSoon);
+  BOOST_TEST(drained == 1);
+  first.process.SetPaused(false);
+  Pass(seconds(10));
+  BOOST_TEST(drained == 1);
+  BOOST_TEST(first.finished.size() >= 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(an_idle_runner_drains_at_once, Fixture) {
   bool drained = false;
   runner->Drain([&] { drained = true; });
