--- a/src/tier/storage/lmdb_storage.h
+++ b/src/tier/storage/lmdb_storage.h
@@ -50,9 +50,13 @@
   int ApplyAll(const Batch& batch);
   void Commit();
   void Fail(int code) const;
-  // These were read through the map. What was read is let go now and then: pages of the map count
-  // as memory of the process, and the file may be larger than that.
-  void CountRead(const MDB_val& read) const;
+  // One pass of a Scan; where it goes on once the map has been let go.
+  std::optional<std::string> ScanPart(std::string_view prefix, const std::string& start,
+                                      const Visitor& visitor) const;
+  // Pages read through the map count as memory of the process, and the file may be larger than
+  // that: the file is mapped anew after so many bytes. Not while a write is open.
+  bool MustLetGo() const;
+  void LetGo() const;
   // Pages of the file that hold nothing.
   std::uint64_t FreePages() const;
 
@@ -63,8 +67,6 @@
   mutable MDB_txn* reading_ = nullptr;
   std::uint64_t bytes_limit_ = 0;
   mutable std::size_t bytes_read_ = 0;       // Since the map was let go.
-  mutable const char* read_from_ = nullptr;  // The part of the map that was ever read.
-  mutable const char* read_to_ = nullptr;
   mutable std::optional<std::uint64_t> free_pages_;  // As counted since the last few commits.
   std::size_t commits_since_counted_ = 0;
   std::vector<Synced> waiting_;
