Hub: bytes that went before a fault of the same write may have left

SocketLoop's Write tells both at once; the bytes were left out of the count, so a call of which a part had gone could end as kUnavailable.

--- a/src/tier/transport/connection.cpp
+++ b/src/tier/transport/connection.cpp
@@ -49,10 +49,11 @@
   while (!closed() && !blocked_ && !outbox_.empty()) {
     const std::string_view front = outbox_.Front();
     const net::Written written = stream_->Write(front);
-    if (written.fault != net::Fault::kNone) return Break("reset");
     blocked_ = written.bytes < front.size();
+    // Before a fault some bytes may have gone, which the calls must be judged by.
     outbox_.Written(written.bytes);
     owner_.OnBytesWritten(written.bytes);
+    if (written.fault != net::Fault::kNone) return Break("reset");
   }
   if (!blocked_ || closed()) return;
   // A peer that does not read owes a sign of life, whatever it was sent.
--- a/src/tier/transport/hub.h
+++ b/src/tier/transport/hub.h
@@ -5,6 +5,8 @@
 // something was owed (pings at hub level). A message is delivered once or lost, never twice and,
 // between the same two processes within one connection, in order; after a loss the sender of a Call
 // learns kUnknown, the sender of a Send nothing. So whoever sends repeats, and receivers guard.
+// Messages go on the oldest connection with the peer, whoever dialled it. Of several that one
+// process dialled only the newest counts: what an older one still holds is not delivered after it.
 //
 // Limits: kLargestFrame bytes a frame; kMostQueued bytes queued to one peer and kMostQueuedInAll to
 // all together, beyond which Send drops (counted) and Call fails with kUnavailable. A frame that is
