--- a/src/tier/storage/lmdb_storage.cpp
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -3,6 +3,7 @@
 #include <lmdb.h>
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <cstring>
 #include <filesystem>
 #include <system_error>
@@ -16,6 +17,11 @@
 constexpr char kModule[] = "storage";
 constexpr std::size_t kChecksumSize = 8;
 constexpr mode_t kFileMode = 0600;
+// Read through the map before it is let go.
+constexpr std::size_t kMostBytesRead = 8U << 20;
+// Commits after which free pages are counted anew.
+constexpr std::size_t kCommitsPerCount = 32;
+constexpr MDB_dbi kFreePagesTable = 0;  // LMDB's own: lists of page numbers, the count in front.
 // LMDB's own error codes are negative; these say that the file is not what LMDB wrote.
 bool IsDamage(int code) {
   return code == MDB_INVALID || code == MDB_VERSION_MISMATCH || code == MDB_CORRUPTED ||
@@ -128,7 +134,9 @@
 }
 
 void LmdbStorage::DoneReading() const {
-  if (writing_ == nullptr && reading_ != nullptr) mdb_txn_reset(reading_);
+  if (writing_ != nullptr || reading_ == nullptr) return;
+  mdb_txn_reset(reading_);
+  if (MustLetGo()) LetGo();
 }
 
 std::optional<std::string> LmdbStorage::Get(std::string_view key) const {
@@ -142,6 +150,7 @@
   if (code == 0) {
     const auto value = Checked(key, ToView(found));
     if (value) {
+      bytes_read_ += found.mv_size;
       result.emplace(*value);
     } else {
       Fail(MDB_CORRUPTED);
@@ -155,20 +164,30 @@
 
 void LmdbStorage::Scan(std::string_view prefix, std::string_view from,
                        const Visitor& visitor) const {
-  if (failed()) return;
+  std::optional<std::string> next(from < prefix ? prefix : from);
+  while (next && !failed()) next = ScanPart(prefix, *next, visitor);
+}
+
+std::optional<std::string> LmdbStorage::ScanPart(std::string_view prefix, const std::string& start,
+                                                 const Visitor& visitor) const {
   MDB_txn* const transaction = Reading();
-  if (transaction == nullptr) return;
+  if (transaction == nullptr) return std::nullopt;
   MDB_cursor* cursor = nullptr;
   if (const int code = mdb_cursor_open(transaction, table_, &cursor); code != 0) {
     Fail(code);
-    return;
+    return std::nullopt;
   }
-  const std::string_view start = from < prefix ? prefix : from;
+  std::optional<std::string> next;
   MDB_val key = ToVal(start);
   MDB_val found{};
   int code = mdb_cursor_get(cursor, &key, &found, start.empty() ? MDB_FIRST : MDB_SET_RANGE);
   while (code == 0 && ToView(key).substr(0, prefix.size()) == prefix) {
+    if (MustLetGo()) {
+      next.emplace(ToView(key));
+      break;
+    }
     const auto value = Checked(ToView(key), ToView(found));
+    bytes_read_ += found.mv_size;
     if (!value) code = MDB_CORRUPTED;
     if (!value || !visitor(ToView(key), *value)) break;
     code = mdb_cursor_get(cursor, &key, &found, MDB_NEXT);
@@ -176,6 +195,7 @@
   mdb_cursor_close(cursor);
   if (code != 0 && code != MDB_NOTFOUND) Fail(code);
   DoneReading();
+  return next;
 }
 
 void LmdbStorage::Apply(const Batch& batch) {
@@ -219,6 +239,10 @@
     const int code = mdb_txn_commit(writing_);
     writing_ = nullptr;
     if (code != 0) Fail(code);
+    if (++commits_since_counted_ >= kCommitsPerCount) {
+      commits_since_counted_ = 0;
+      free_pages_.reset();
+    }
   }
   const std::vector<Synced> told = std::move(waiting_);
   waiting_.clear();
@@ -233,12 +257,43 @@
   }
 }
 
+bool LmdbStorage::MustLetGo() const {
+  return writing_ == nullptr && bytes_read_ >= kMostBytesRead;
+}
+
+void LmdbStorage::LetGo() const {
+  bytes_read_ = 0;
+  // Setting the size maps the file anew; nothing may point into the old map.
+  if (const int code = mdb_env_set_mapsize(environment_, bytes_limit_); code != 0) Fail(code);
+}
+
+std::uint64_t LmdbStorage::FreePages() const {
+  if (free_pages_) return *free_pages_;
+  std::uint64_t pages = 0;
+  MDB_txn* const transaction = Reading();
+  MDB_cursor* cursor = nullptr;
+  if (transaction != nullptr && mdb_cursor_open(transaction, kFreePagesTable, &cursor) == 0) {
+    MDB_val key{};
+    MDB_val list{};
+    while (mdb_cursor_get(cursor, &key, &list, MDB_NEXT) == 0) {
+      std::size_t count = 0;
+      std::memcpy(&count, list.mv_data, sizeof count);
+      pages += count;
+    }
+    mdb_cursor_close(cursor);
+  }
+  if (transaction != nullptr) DoneReading();
+  free_pages_ = pages;
+  return pages;
+}
+
 Usage LmdbStorage::usage() const {
   MDB_envinfo info{};
   MDB_stat stat{};
   mdb_env_info(environment_, &info);
   mdb_env_stat(environment_, &stat);
-  return {(std::uint64_t{info.me_last_pgno} + 1) * stat.ms_psize, bytes_limit_};
+  const std::uint64_t pages = std::uint64_t{info.me_last_pgno} + 1;
+  return {(pages - std::min(pages, FreePages())) * stat.ms_psize, bytes_limit_};
 }
 
 void LmdbStorage::Fail(int code) const {
