--- /dev/null
+++ b/tests/tier/coordination/member_test.cpp
@@ -0,0 +1,103 @@
+// Single steps of a member that long explorations seldom meet.
+#define BOOST_TEST_MODULE coordination_member
+#include <boost/test/unit_test.hpp>
+
+#include "coordination/world.h"
+
+namespace shelflink::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+World Serving(std::size_t size) {
+  World world(size, 1);
+  world.NextOrder(0);
+  for (std::size_t node = 0; node < size; ++node) world.Start(node, true);
+  world.Run(seconds(2));
+  BOOST_REQUIRE(world.Primary().has_value());
+  return world;
+}
+
+// Delivers a record as decided.
+void Decide(World& world, std::size_t node, const Record& record) {
+  const std::size_t other = (node + 1) % world.nodes.size();
+  const Member::Options& from = world.nodes[other].member->options();
+  world.flights.push_back({{from.self, from.incarnation}, node, Decided{record}});
+  world.Deliver(world.flights.size() - 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_record_that_names_an_earlier_life_of_the_disk_is_not_acted_on) {
+  World world = Serving(3);
+  const std::size_t primary = world.Primary().value();
+  Record next = world.nodes[primary].member->record();
+  ++next.number;
+  world.Crash(primary, 1000);
+  world.Start(primary);
+  Decide(world, primary, next);
+  const Member& member = *world.nodes[primary].member;
+  BOOST_TEST(member.record().number == next.number);
+  BOOST_TEST(!member.replica().acting());
+  world.Run(seconds(3));
+  // Someone has it, under a number of its own.
+  BOOST_REQUIRE(world.Primary().has_value());
+  BOOST_TEST(world.nodes[*world.Primary()].member->epoch() > next.number);
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_that_offers_its_place_to_another_acts_no_more) {
+  World world = Serving(3);
+  const std::size_t primary = world.Primary().value();
+  const Member& member = *world.nodes[primary].member;
+  world.Transfer(primary);
+  // Until the others are asked to accept it; their answers are never delivered.
+  bool offered = false;
+  for (int i = 0; i < 100 && !offered; ++i) {
+    world.EndSync(primary);
+    for (std::size_t flight = 0; flight < world.flights.size(); ++flight) {
+      const Flight& one = world.flights[flight];
+      offered = offered || std::holds_alternative<Accept>(one.message);
+    }
+    if (offered) break;
+    for (std::size_t node = 0; node < 3; ++node) {
+      if (!world.nodes[node].syncs.empty()) world.EndSync(node);
+    }
+    if (!world.flights.empty()) world.Deliver(0);
+    if (world.nodes[primary].syncs.empty()) world.Fire(primary);
+  }
+  BOOST_TEST(offered);
+  BOOST_TEST(!member.HasLease(world.now));
+  BOOST_TEST(!member.primary());
+}
+
+BOOST_AUTO_TEST_CASE(a_member_without_a_disk_only_learns_who_is_primary) {
+  World world(4, 1);
+  world.nodes[3].identity.clear();
+  world.NextOrder(0);
+  for (std::size_t node = 0; node < 4; ++node) world.Start(node, true);
+  world.Run(seconds(2));
+  const Member& member = *world.nodes[3].member;
+  BOOST_REQUIRE(world.Primary().has_value());
+  BOOST_TEST(member.primary_address().has_value());
+  BOOST_TEST(FindDisk(MembersOf(member.record()), "") == nullptr);
+  const std::size_t primary = world.Primary().value();
+  world.Crash(primary, 0);
+  world.Run(seconds(3));
+  BOOST_REQUIRE(world.Primary().has_value());
+  BOOST_TEST((member.primary_address().value() ==
+              world.nodes[*world.Primary()].member->options().self.address));
+}
+
+BOOST_AUTO_TEST_CASE(a_stalled_disk_costs_the_primary_its_place) {
+  World world = Serving(3);
+  const std::size_t primary = world.Primary().value();
+  const net::Time from = world.now;
+  World::Trouble trouble;
+  trouble.stalled = [primary](std::size_t node) { return node == primary; };
+  BOOST_TEST(world.Acknowledges(0, seconds(4), trouble));
+  BOOST_TEST((world.now - from <= milliseconds(2600)));
+  BOOST_TEST(world.Primary().value() != primary);
+  BOOST_TEST(world.history.findings().empty());
+}
+
+}  // namespace
+}  // namespace shelflink::coordination
--- a/tests/tier/coordination/world.cpp
+++ b/tests/tier/coordination/world.cpp
@@ -177,6 +177,7 @@
 
 void World::EndSync(std::size_t node) {
   Node& one = nodes[node];
+  if (one.syncs.empty()) return;
   const auto [ticket, covered] = one.syncs.front();
   one.syncs.pop_front();
   one.disk.MakeDurable(covered);
@@ -269,7 +270,8 @@
     }
     for (std::size_t node = 0; node < nodes.size(); ++node) {
       if (still(node)) continue;
-      const std::size_t under_way = nodes[node].syncs.size();
+      const bool stalled = trouble.stalled && trouble.stalled(node);
+      const std::size_t under_way = stalled ? 0 : nodes[node].syncs.size();
       for (std::size_t i = 0; i < under_way; ++i) EndSync(node);
       if (up(node) && nodes[node].member->deadline() <= now) Fire(node);
     }
--- a/tests/tier/coordination/world.h
+++ b/tests/tier/coordination/world.h
@@ -59,6 +59,14 @@
   Message message;
 };
 
+// What a fair run leaves out: `cut` tells between whom nothing passes, `still` whose process does
+// nothing, `stalled` whose disk ends no sync.
+struct Trouble {
+  std::function<bool(std::size_t from, std::size_t to)> cut = nullptr;
+  std::function<bool(std::size_t node)> still = nullptr;
+  std::function<bool(std::size_t node)> stalled = nullptr;
+};
+
 class World {
  public:
   World(std::size_t nodes, std::size_t failures);
@@ -77,12 +85,8 @@
   void Submit(std::size_t node, std::size_t client);
   void NextOrder(std::size_t client);  // Gives the present one up, answered or not.
 
-  // ---- Fair play: everything is delivered in order and in time for so long. `cut` tells between
-  // whom nothing passes; `still` whose process does nothing.
-  struct Trouble {
-    std::function<bool(std::size_t from, std::size_t to)> cut;
-    std::function<bool(std::size_t node)> still;
-  };
+  // ---- Fair play: everything is delivered in order and in time for so long.
+  using Trouble = coordination::Trouble;
   void Run(net::Span span, const Trouble& trouble = {});
   // Runs until a client's order is acknowledged, sent again and again to whoever is primary.
   bool Acknowledges(std::size_t client, net::Span most, const Trouble& trouble = {});
