Give a slow platform time to answer; tell the reason of a refused order in the log

Cause: with a fixed second a call, a platform that is slower than that never answers at all, and each call is paid.

--- a/src/tier/operator_api/server.cpp
+++ b/src/tier/operator_api/server.cpp
@@ -26,6 +26,7 @@
 constexpr double kBusyRetryAfterS = 0.2;
 
 constexpr int kBacklog = 128;
+constexpr std::size_t kLongestLoggedReason = 300;
 
 enum class Phase : std::uint8_t {
   kIdle,      // Between two requests.
@@ -374,8 +375,10 @@
   }
   if (log::Enabled(log::Level::kInfo, kLogName)) {
     const HttpRequest request = HttpRequestOf(message);
+    const std::string reason =
+        answer.status == status::kOk ? "" : " " + answer.body.substr(0, kLongestLoggedReason);
     log::Info(kLogName, std::string(request.method) + " " + std::string(request.path) + ": " +
-                            std::to_string(answer.status));
+                            std::to_string(answer.status) + reason);
   }
 }
 
--- a/src/tier/platform/soup_platform.cpp
+++ b/src/tier/platform/soup_platform.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "tier/configuration/json.h"
+#include "tier/platform/call_timeout.h"
 #include "tier/platform/instance_page.h"
 
 namespace shelflink::platform {
@@ -22,6 +23,7 @@
 constexpr std::size_t kReadSize = 64U << 10;
 constexpr double kLongestRetryAfterS = 3600.0;
 constexpr double kMillisecondsPerSecond = 1000.0;
+constexpr gint64 kMicrosPerMilli = 1000;
 
 // What the platform answered, whatever its status.
 struct HttpAnswer {
@@ -112,12 +114,19 @@
   SoupCall& operator=(const SoupCall&) = delete;
 
   void Start(SoupSession* session, milliseconds timeout) {
+    started_ = g_get_monotonic_time();
     timeout_ = g_timeout_source_new(static_cast<guint>(timeout.count()));
     g_source_set_callback(timeout_, OnTimeout, this, nullptr);
     g_source_attach(timeout_, g_main_context_get_thread_default());
     soup_session_send_async(session, message_, G_PRIORITY_DEFAULT, cancellable_, OnSent, Hold());
   }
 
+  bool timed_out() const { return timed_out_; }
+  // Since the start.
+  milliseconds elapsed() const {
+    return milliseconds((g_get_monotonic_time() - started_) / kMicrosPerMilli);
+  }
+
   // Nothing is told any more.
   void Abandon() {
     done_ = nullptr;
@@ -138,6 +147,7 @@
   static gboolean OnTimeout(gpointer data) {
     auto* call = static_cast<SoupCall*>(data);
     const Held held = call->shared_from_this();
+    call->timed_out_ = true;
     call->Finish(Failure(ErrorCode::kUnknown, "no answer from the platform in time"));
     return G_SOURCE_REMOVE;
   }
@@ -208,14 +218,16 @@
   SoupMessage* message_;
   GCancellable* cancellable_;
   GSource* timeout_ = nullptr;
+  gint64 started_ = 0;  // Microseconds of GLib's steady clock.
+  bool timed_out_ = false;
   GInputStream* stream_ = nullptr;
   HttpAnswer answer_;
   AnswerDone done_;
 };
 
 struct SoupPlatform::Impl {
-  Impl(const net::Address& address, milliseconds the_timeout)
-      : origin("http://" + address.Text()), timeout(the_timeout) {
+  Impl(const net::Address& address, milliseconds least_timeout)
+      : origin("http://" + address.Text()), timeout(least_timeout) {
     // Without a resolver of its own, the session would look for a proxy on the machine.
     session = soup_session_new_with_options(
         "proxy-resolver", nullptr, "max-conns", kMostConnections, "max-conns-per-host",
@@ -236,12 +248,21 @@
     auto slot = std::make_shared<std::weak_ptr<SoupCall>>();
     auto call = std::make_shared<SoupCall>(
         message, [this, slot, done = std::move(done)](CallResult<HttpAnswer> answer) {
-          calls.erase(slot->lock());
+          Forget(slot->lock());
           done(std::move(answer));
         });
     *slot = call;
     calls.insert(call);
-    call->Start(session, timeout);
+    call->Start(session, timeout.current());
+  }
+
+  void Forget(const std::shared_ptr<SoupCall>& call) {
+    calls.erase(call);
+    if (call->timed_out()) {
+      timeout.OnSilence();
+    } else {
+      timeout.OnAnswer(call->elapsed());
+    }
   }
 
   void Post(const std::string& target, const std::string& body, const DutyHolder& holder,
@@ -262,13 +283,13 @@
   }
 
   std::string origin;
-  milliseconds timeout;
+  CallTimeout timeout;
   SoupSession* session = nullptr;
   std::set<std::shared_ptr<SoupCall>> calls;
 };
 
-SoupPlatform::SoupPlatform(const net::Address& address, milliseconds call_timeout)
-    : impl_(std::make_unique<Impl>(address, call_timeout)) {}
+SoupPlatform::SoupPlatform(const net::Address& address, milliseconds least_timeout)
+    : impl_(std::make_unique<Impl>(address, least_timeout)) {}
 
 SoupPlatform::~SoupPlatform() = default;
 
--- a/src/tier/platform/soup_platform.h
+++ b/src/tier/platform/soup_platform.h
@@ -1,6 +1,7 @@
 // The platform's calls over HTTP by libsoup, on the thread's default GLib context.
 //
-// Limits: kMostConnections kept; an answer of kLargestAnswer bytes; kCallTimeout a call.
+// Limits: kMostConnections kept; an answer of kLargestAnswer bytes; kCallTimeout a call, up to four
+// times that after silences (platform/call_timeout.h).
 #ifndef SHELFLINK_TIER_PLATFORM_SOUP_PLATFORM_H_
 #define SHELFLINK_TIER_PLATFORM_SOUP_PLATFORM_H_
 
@@ -14,13 +15,13 @@
 namespace shelflink::platform {
 
 constexpr std::size_t kLargestAnswer = 16U << 20;
-constexpr unsigned kMostConnections = 2;
+constexpr unsigned kMostConnections = 4;
 constexpr std::chrono::milliseconds kCallTimeout{1000};
 
 class SoupPlatform : public Platform {
  public:
   explicit SoupPlatform(const net::Address& address,
-                        std::chrono::milliseconds call_timeout = kCallTimeout);
+                        std::chrono::milliseconds least_timeout = kCallTimeout);
   ~SoupPlatform() override;
   SoupPlatform(const SoupPlatform&) = delete;
   SoupPlatform& operator=(const SoupPlatform&) = delete;
--- a/tests/tier/platform/soup_platform_test.cpp
+++ b/tests/tier/platform/soup_platform_test.cpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "net/glib_loop.h"
+#include "tier/platform/call_timeout.h"
 
 namespace shelflink::platform {
 namespace {
@@ -42,7 +43,7 @@
     guint status = 200;
     std::string body;
     std::string retry_after;
-    bool hold = false;  // Never answers.
+    bool hold = false;  // Answers only when released.
   };
   struct Request {
     std::string method;
@@ -64,9 +65,14 @@
     g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(g_uri_unref));
   }
   ~StandIn() {
+    for (SoupServerMessage* message : held) g_object_unref(message);
     soup_server_disconnect(server);
     g_object_unref(server);
   }
+  // Lets the newest answer that was held go.
+  void Release() {
+    if (!held.empty()) soup_server_message_unpause(held.back());
+  }
   StandIn(const StandIn&) = delete;
   StandIn& operator=(const StandIn&) = delete;
 
@@ -99,7 +105,7 @@
     const Answer& answer = self->answers[index];
     if (answer.hold) {
       soup_server_message_pause(message);
-      return;
+      self->held.push_back(static_cast<SoupServerMessage*>(g_object_ref(message)));
     }
     soup_server_message_set_status(message, answer.status, nullptr);
     if (!answer.retry_after.empty()) {
@@ -114,6 +120,7 @@
   net::Address address;
   std::vector<Answer> answers;
   std::vector<Request> requests;
+  std::vector<SoupServerMessage*> held;
 };
 
 struct Scene : Loop {
@@ -244,6 +251,41 @@
   BOOST_TEST(List(platform).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(the_time_of_a_call_grows_with_silences_and_follows_answers) {
+  CallTimeout timeout(milliseconds(1000));
+  BOOST_TEST((timeout.current() == milliseconds(1000)));
+  timeout.OnSilence();
+  BOOST_TEST((timeout.current() == milliseconds(2000)));
+  timeout.OnSilence();
+  timeout.OnSilence();
+  BOOST_TEST((timeout.current() == milliseconds(4000)));
+  timeout.OnAnswer(milliseconds(1200));
+  BOOST_TEST((timeout.current() == milliseconds(2400)));
+  timeout.OnAnswer(milliseconds(3000));
+  BOOST_TEST((timeout.current() == milliseconds(4000)));
+  timeout.OnAnswer(milliseconds(5));
+  BOOST_TEST((timeout.current() == milliseconds(1000)));
+}
+
+// Three times as slow as the least time-out: the first call is given up, a later one answered.
+BOOST_AUTO_TEST_CASE(a_platform_that_is_slow_gets_to_answer) {
+  StandIn stand_in;
+  stand_in.answers = {{200, kPage, "", true}};
+  SoupPlatform platform(stand_in.address, kShortTimeout);
+  int silences = 0;
+  std::optional<CallResult<InstancePage>> got;
+  const net::TimerPtr slow = loop.NewTimer([&] { stand_in.Release(); });
+  while (!got || !*got) {
+    BOOST_REQUIRE(silences < 5);
+    got.reset();
+    platform.List({}, [&](CallResult<InstancePage> result) { got = std::move(result); });
+    slow->ArmAt(loop.Now() + kShortTimeout * 3);
+    RunUntil([&] { return got.has_value(); });
+    if (!*got) ++silences;
+  }
+  BOOST_TEST(silences >= 1);
+}
+
 BOOST_AUTO_TEST_CASE(nobody_there_is_unknown) {
   net::Address address;
   {
