An order has its answer within 0.8 s

Cause: three core processes on loopback, the primary killed: 503 reached the operator 0.99 s after it was sent (0.85 s are ours, the rest the way and a busy machine), and after 1 s the operator has gone.

--- a/src/tier/operator_api/forwarder.h
+++ b/src/tier/operator_api/forwarder.h
@@ -28,7 +28,7 @@
   struct Options {
     // An order has its answer after so long, be it kUnavailable or kUnknown. The operator turns to
     // another process after one second of silence.
-    std::chrono::milliseconds answer_within{850};
+    std::chrono::milliseconds answer_within{800};
     // A call to the primary that is silent for so long is made again, to whoever is the primary
     // then.
     std::chrono::milliseconds attempt{400};
