Bound values and findings of one JSON text

Cause: cJSON takes some 80 bytes a value and each empty item makes several findings, so 8 MB of short items would take a core process past its 260 MB. Change: 500,000 values a text, 1,000 findings, then lists are not read on.

--- a/src/tier/configuration/json.cpp
+++ b/src/tier/configuration/json.cpp
@@ -26,6 +26,23 @@
   return false;
 }
 
+// What stands before values, outside strings: not fewer than the values but for the first.
+std::size_t CountSeparators(std::string_view text) {
+  std::size_t count = 0;
+  bool in_string = false;
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    const char letter = text[at];
+    if (in_string && letter == '\\') {
+      ++at;
+    } else if (letter == '"') {
+      in_string = !in_string;
+    } else if (!in_string && (letter == ',' || letter == '[' || letter == '{')) {
+      ++count;
+    }
+  }
+  return count;
+}
+
 std::string PlaceOfByte(std::size_t offset) { return "byte " + std::to_string(offset); }
 
 // One value that starts at `at`, behind white space; `end` is the byte behind it.
@@ -77,6 +94,10 @@
     findings.push_back({"document", "expected no NUL in a string"});
     return nullptr;
   }
+  if (CountSeparators(text) >= kMostValues) {
+    findings.push_back({"document", "expected at most " + std::to_string(kMostValues) + " values"});
+    return nullptr;
+  }
   std::size_t end = 0;
   Tree tree = ReadValue(text, 0, end);
   if (tree == nullptr) {
--- a/src/tier/configuration/json.h
+++ b/src/tier/configuration/json.h
@@ -20,9 +20,12 @@
 };
 using Tree = std::unique_ptr<cJSON, TreeDelete>;
 
+// Values in one text. cJSON takes some 80 bytes for each, however short it is.
+constexpr std::size_t kMostValues = 500000;
+
 // The text as one value with nothing but white space behind it. Null, with a finding, where it is
-// cut short, followed by more, not UTF-8 or holds a NUL, which cJSON would take for the end of a
-// string.
+// cut short, followed by more, not UTF-8, holds more than kMostValues, or holds a NUL, which cJSON
+// would take for the end of a string.
 Tree ReadWhole(std::string_view text, Findings& findings);
 
 // One member of an object, or one item of an array (then without a name), as it stands in the text.
--- a/src/tier/configuration/object_reader.h
+++ b/src/tier/configuration/object_reader.h
@@ -17,6 +17,9 @@
 
 constexpr double kLargestExactInteger = 9007199254740992.0;  // 2^53: cJSON keeps doubles.
 
+// Beyond so many findings the items of a list are not read any more.
+constexpr std::size_t kMostFindings = 1000;
+
 // Where a number must lie.
 struct Range {
   double least = 0.0;
@@ -64,6 +67,7 @@
     }
     std::size_t index = 0;
     for (const cJSON* item = list->child; item != nullptr; item = item->next) {
+      if (findings_.size() >= kMostFindings) break;
       each(item, ItemPlace(PlaceOf(name), index));
       ++index;
     }
--- a/tests/tier/configuration/parse_test.cpp
+++ b/tests/tier/configuration/parse_test.cpp
@@ -7,6 +7,7 @@
 #include "configuration/sample.h"
 #include "tier/configuration/json.h"
 #include "tier/configuration/model.h"
+#include "tier/configuration/object_reader.h"
 
 namespace shelflink::configuration {
 namespace {
@@ -199,6 +200,24 @@
   }
 }
 
+// What a short text makes of many values and findings stays within bounds.
+BOOST_AUTO_TEST_CASE(bounds_values_and_findings) {
+  const auto document_with = [](std::size_t items, const std::string& item) {
+    std::string text = R"({"configVersion":1,"services":[],"note":",[{,\",[{","routes":[)";
+    for (std::size_t i = 0; i < items; ++i) text += (i == 0 ? "" : ",") + item;
+    return text + "]}";
+  };
+  const Findings many_values = FindingsOf(document_with(json::kMostValues, "0"));
+  BOOST_REQUIRE(many_values.size() == 1U);
+  BOOST_TEST(many_values[0].place == "document");
+  const Findings many_findings = FindingsOf(document_with(100000, "{}"));
+  BOOST_TEST(many_findings.size() >= json::kMostFindings);
+  BOOST_TEST(many_findings.size() < json::kMostFindings + 10);
+  std::string note = kSample;
+  note = With(note, "\"note\":\"", "\"note\":\"" + std::string(json::kMostValues, ','));
+  BOOST_TEST(Parse(note).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(never_tells_a_key) {
   for (const Finding& finding : FindingsOf(With(kSample, "\"key-three\"", "\"key-two\""))) {
     BOOST_TEST(finding.expected.find("key-two") == std::string::npos);
