--- a/src/tier/configuration/object_reader.cpp
+++ b/src/tier/configuration/object_reader.cpp
@@ -1,9 +1,10 @@
 #include "tier/configuration/object_reader.h"
 
+#include <algorithm>
 #include <cmath>
-#include <set>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace shelflink::json {
 namespace {
@@ -30,10 +31,14 @@
 
 // Readers differ in which of two they take, so neither is taken.
 void ObjectReader::FindRepeatedNames() {
-  std::set<std::string_view> names;
+  std::vector<std::string_view> names;
   for (const cJSON* member = object_->child; member != nullptr; member = member->next) {
-    if (names.insert(member->string).second) continue;
-    findings_.push_back({PlaceOf(member->string), "expected once, found again"});
+    names.emplace_back(member->string);
+  }
+  std::sort(names.begin(), names.end());
+  for (auto at = std::adjacent_find(names.begin(), names.end()); at != names.end();
+       at = std::adjacent_find(at + 1, names.end())) {
+    findings_.push_back({PlaceOf(at->data()), "expected once, found again"});
   }
 }
 
