Tier policy: tests of each part alone, and faults that the scenarios must find

New scenarios for what no scenario found before: pools that lend, calls that wait too long, silence that is trusted where a prefix is kept, load that is ignored, a subset that never grows.

--- a/src/tier/policy/call.cpp
+++ b/src/tier/policy/call.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "tier/policy/endpoint.h"
+#include "tier/policy/mutant.h"
 
 namespace shelflink::policy {
 
@@ -17,7 +18,7 @@
 
 bool HeldCall::TurnedAwayBy(const Endpoint& endpoint) const {
   return std::any_of(attempts.begin(), attempts.end(), [&](const Attempt& a) {
-    return a.turned_away && a.endpoint_hash == endpoint.hash();
+    return a.turned_away && !Mutated(Mutant::kAskAgain) && a.endpoint_hash == endpoint.hash();
   });
 }
 
@@ -32,8 +33,10 @@
 
 bool MaySendAgain(const HeldCall& held, Micros now) {
   if (now >= held.call.due || held.AnyOut()) return false;
-  if (held.may_have_run && !held.call.repeatable) return false;
-  return held.sends < std::max(1, held.call.max_attempts) && held.attempts.size() < kMostAttempts;
+  const bool may_repeat = held.call.repeatable || Mutated(Mutant::kRepeatAnything);
+  if (held.may_have_run && !may_repeat) return false;
+  const int most = Mutated(Mutant::kManyAttempts) ? 9 : std::max(1, held.call.max_attempts);
+  return held.sends < most && held.attempts.size() < kMostAttempts;
 }
 
 }  // namespace shelflink::policy
--- a/src/tier/policy/endpoint.cpp
+++ b/src/tier/policy/endpoint.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "tier/policy/mutant.h"
+
 namespace shelflink::policy {
 namespace {
 
@@ -40,7 +42,8 @@
 void Endpoint::NoteMisdirected(Micros now) { unusable_until_ = now + kMisdirectedSpan; }
 
 bool Endpoint::Usable(Micros now) const {
-  return listed_ && !info_.draining && now >= unusable_until_;
+  const bool drains = info_.draining && !Mutated(Mutant::kDeafToDrains);
+  return listed_ && !drains && now >= unusable_until_;
 }
 
 void Endpoint::Book(Attempt& attempt, const Call& call) {
@@ -87,7 +90,7 @@
 }
 
 bool Endpoint::Silent(Micros now) const {
-  if (first_events_due_.empty()) return false;
+  if (first_events_due_.empty() || Mutated(Mutant::kTrustSilence)) return false;
   const auto [overdue_at, patience] = *first_events_due_.begin();
   return now >= overdue_at && now - last_sign_ >= patience;
 }
--- a/src/tier/policy/levels.cpp
+++ b/src/tier/policy/levels.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "tier/policy/mutant.h"
+
 namespace shelflink::policy {
 namespace {
 
@@ -111,6 +113,7 @@
 
 double Levels::Seats(Micros now, std::uint32_t level) const {
   const double all = limit();
+  if (Mutated(Mutant::kLendPools)) return all;
   if (IsBatch(level)) return kBatchShare * all;
   const std::size_t live = levels_.size() > 1 ? levels_.size() - 1 : 1;
   double asked = 0.0;
--- a/src/tier/policy/module.cpp
+++ b/src/tier/policy/module.cpp
@@ -10,6 +10,7 @@
 #include "tier/policy/call.h"
 #include "tier/policy/endpoint.h"
 #include "tier/policy/levels.h"
+#include "tier/policy/mutant.h"
 #include "tier/policy/picker.h"
 #include "tier/policy/subset.h"
 
@@ -106,6 +107,7 @@
     if (!fresh) return;  // An id never comes twice; a repeat changes nothing.
     HeldCall& held = it->second;
     held.call = call;
+    if (Mutated(Mutant::kOneFlow)) held.call.flow = 0;
     held.call.level =
         static_cast<std::uint32_t>(std::min<std::size_t>(call.level, levels_.count() - 1));
     if (calls_.size() > shape_.most_held || !CanServe(call.service)) return Refuse(held);
@@ -113,7 +115,7 @@
     NoteUsual(services_.at(call.service)->facts, call);
     levels_.NoteArrival(now, level);
     held.queued = true;
-    const auto shed = levels_.Enqueue(level, {call.id, call.flow, call.due});
+    const auto shed = levels_.Enqueue(level, {call.id, held.call.flow, call.due});
     if (shed) Refuse(calls_.at(*shed));
     Pump(level);
     WaitOrRefuse(call.id);
@@ -189,6 +191,7 @@
   std::uint32_t Room(Micros now, std::uint32_t level) const {
     if (level >= levels_.count() || levels_.AnyWaiting()) return 0;
     double seats = levels_.Seats(now, level);
+    if (Mutated(Mutant::kBatchUnbounded)) return 1000;
     if (levels_.IsBatch(level)) {
       if (!HasSpareSlots(now)) return 0;
       seats = std::min(seats, std::max(1.0, kBatchFactor * EvenShare(AllSlots())));
@@ -291,6 +294,7 @@
 
   Micros LongestWait(const HeldCall& held) const {
     const Call& call = held.call;
+    if (Mutated(Mutant::kWaitLong)) return call.due - now_;
     if (call.timeout <= 0) return 0;  // Batch items wait in the store.
     Micros wait =
         std::min(Part(kWaitFraction, call.timeout), Part(kWaitObjective, ObjectiveOf(call)));
@@ -382,7 +386,7 @@
     if (held.call.due - now_ < Part(kLeastOffer, ObjectiveOf(held.call))) return false;
     // What never reached an endpoint has cost none any work: it needs no token.
     const bool costs = CountsAsSend(outcome);
-    if (costs && !retry_budget_.Has()) return false;
+    if (costs && !retry_budget_.Has() && !Mutated(Mutant::kNoRetryBudget)) return false;
     Endpoint* endpoint = Pick(held).endpoint;
     if (endpoint == nullptr) return false;
     if (costs) retry_budget_.Spend();
@@ -391,7 +395,7 @@
   }
 
   void End(HeldCall& held) {
-    if (!held.may_have_run) return Refuse(held);
+    if (!held.may_have_run || Mutated(Mutant::kRefuseFailures)) return Refuse(held);
     actions_.Fail(held.call.id);
     Forget(held);
   }
@@ -498,6 +502,7 @@
   void NoteHealth(HeldCall& held, Endpoint& endpoint, bool failed, int times) {
     Service& service = *services_.at(held.call.service);
     const auto most_ejected = [&] { return MostEjected(service); };
+    if (failed && Mutated(Mutant::kNeverEject)) return;
     service.usual_failure.Note(failed);
     bool changed = false;
     for (int i = 0; i < times && !changed; ++i) {
--- a/src/tier/policy/picker.cpp
+++ b/src/tier/policy/picker.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 #include <utility>
 
+#include "tier/policy/mutant.h"
 #include "tier/policy/subset.h"
 
 namespace shelflink::policy {
@@ -42,7 +43,9 @@
 
 double MostLoad(const Call& call) {
   if (call.batch) return kBatchPart;
-  return call.level == 0 ? std::numeric_limits<double>::infinity() : kLowerPart;
+  return call.level == 0 || Mutated(Mutant::kFillLastSlots)
+             ? std::numeric_limits<double>::infinity()
+             : kLowerPart;
 }
 
 double Square(double x) { return x * x; }
@@ -68,6 +71,7 @@
 }
 
 std::uint64_t Picker::ReadTokens(const Call& call, const Endpoint& endpoint) {
+  if (Mutated(Mutant::kIgnorePrefix)) return call.prompt_tokens;
   const std::uint64_t kept = endpoint.prefixes().Kept(call.prompt);
   return call.prompt_tokens - std::min<std::uint64_t>(kept, call.prompt_tokens);
 }
@@ -101,6 +105,7 @@
     consider(*std::find(members.begin(), members.end(), owner));
   }
   ++cursor_;
+  if (Mutated(Mutant::kNoPanic) && best_cost.first >= Standing::kSilent) return {};
   return {best, best == nullptr && crowded};
 }
 
@@ -114,7 +119,7 @@
 const Endpoint* Picker::OwnerOf(Micros now, const Call& call,
                                 const std::vector<Endpoint*>& members) {
   const std::optional<std::uint64_t> prefix = PrefixOf(call);
-  if (!prefix) return nullptr;
+  if (!prefix || Mutated(Mutant::kIgnorePrefix)) return nullptr;
   const Endpoint* owner = nullptr;
   std::uint64_t best = 0;
   double load = 0.0;
@@ -142,7 +147,8 @@
   const double first =
       facts.first_event.Expected(ahead + std::min(to_read, own_part) + kReadAgain * again);
 
-  const double load = (endpoint.Running(now) + 1.0) / endpoint.slots();
+  const double load =
+      Mutated(Mutant::kIgnoreLoad) ? 0.0 : (endpoint.Running(now) + 1.0) / endpoint.slots();
   double burden = kFullCost * Square(std::min(1.0, load)) + kWaitCost * std::max(0.0, load - 1.0);
   if (facts.kv_tokens > 0) {
     const double taken = static_cast<double>(endpoint.memory_tokens()) + call.prompt_tokens +
@@ -156,7 +162,8 @@
   }
   if (!zone_.empty() && endpoint.info().zone != zone_) burden += kFarCost;
   const double failures = (call.repeatable ? kBold : kWary) * endpoint.health().failure_rate();
-  return (first + objective * burden) * endpoint.Pace(now) * (1.0 + failures) *
+  const double pace = Mutated(Mutant::kIgnorePace) ? 1.0 : endpoint.Pace(now);
+  return (first + objective * burden) * pace * (1.0 + failures) *
          (1.0 + (kColdCost - 1.0) * endpoint.Coldness(now));
 }
 
--- a/src/tier/policy/subset.cpp
+++ b/src/tier/policy/subset.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "mix.h"
+#include "tier/policy/mutant.h"
 
 namespace shelflink::policy {
 namespace {
@@ -89,7 +90,6 @@
 }
 
 void Subset::Join(std::uint32_t index, Micros now) {
-  if (endpoints_[index].draining) return;
   Endpoint& endpoint = find_(endpoints_[index], hashes_[index]);
   if (!endpoint.Usable(now)) return;
   members_.push_back(&endpoint);
@@ -107,7 +107,7 @@
     window_end_ = now + kShrinkSpan;
     window_peak_ = in_flight;
   }
-  if (!size_.Grow(in_flight, endpoints_.size())) return;
+  if (Mutated(Mutant::kSubsetStays) || !size_.Grow(in_flight, endpoints_.size())) return;
   stale_ = true;
   if (prefix) Adopt(*prefix, now);
 }
--- a/src/tier/policy/subset.h
+++ b/src/tier/policy/subset.h
@@ -47,7 +47,9 @@
   struct Ranked {
     std::uint64_t key;
     std::uint32_t index;
-    auto operator<=>(const Ranked&) const = default;
+    bool operator<(const Ranked& other) const {
+      return key != other.key ? key < other.key : index < other.index;
+    }
   };
 
   void Rank();
--- /dev/null
+++ b/tests/tier/policy/policy_parts_test.cpp
@@ -0,0 +1,551 @@
+// The parts of the decision module, each alone.
+#define BOOST_TEST_MODULE tier_policy_parts
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "draws.h"
+#include "tier/policy/endpoint.h"
+#include "tier/policy/first_event_model.h"
+#include "tier/policy/levels.h"
+#include "tier/policy/picker.h"
+#include "tier/policy/prefix_cache.h"
+#include "tier/policy/subset.h"
+
+namespace shelflink::policy {
+namespace {
+
+constexpr Micros kMs = 1000;
+constexpr Micros kSecond = 1'000'000;
+
+std::vector<PromptPart> Prompt(std::initializer_list<std::uint64_t> ids) {
+  std::vector<PromptPart> prompt;
+  for (const std::uint64_t id : ids) prompt.push_back({id, 100});
+  return prompt;
+}
+
+EndpointInfo Info(const std::string& id, const std::string& zone = "here", int slots = 10) {
+  EndpointInfo info;
+  info.id = id;
+  info.zone = zone;
+  info.slots = slots;
+  return info;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(prefix_cache)
+
+BOOST_AUTO_TEST_CASE(a_part_counts_only_if_all_before_it_are_kept) {
+  PrefixCache cache;
+  cache.SetCapacity(1000);
+  cache.NoteSent(Prompt({1, 2, 3}));
+  BOOST_TEST(cache.Kept(Prompt({1, 2, 3})) == 300U);
+  BOOST_TEST(cache.Kept(Prompt({1, 2, 9})) == 200U);
+  BOOST_TEST(cache.Kept(Prompt({9, 2, 3})) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(the_part_unused_longest_gives_way_and_the_end_of_a_prompt_first) {
+  PrefixCache cache;
+  cache.SetCapacity(400);
+  cache.NoteSent(Prompt({1, 2}));
+  cache.NoteSent(Prompt({5, 6}));
+  cache.NoteSent(Prompt({1}));
+  cache.NoteSent(Prompt({7}));
+  BOOST_TEST(cache.Kept(Prompt({1})) == 100U);
+  BOOST_TEST(cache.Kept(Prompt({1, 2})) == 100U);
+  BOOST_TEST(cache.Kept(Prompt({5, 6})) == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(what_was_never_read_is_dropped_unless_another_prompt_brought_it) {
+  PrefixCache cache;
+  cache.SetCapacity(1000);
+  cache.NoteSent(Prompt({1, 2}));
+  cache.NoteRead(Prompt({1, 2}));
+  cache.NoteSent(Prompt({1, 3}));
+  cache.NoteUnread(Prompt({1, 3}));
+  BOOST_TEST(cache.Kept(Prompt({1, 2})) == 200U);
+  BOOST_TEST(cache.Kept(Prompt({1, 3})) == 100U);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_nothing_without_memory_and_bounds_its_entries) {
+  PrefixCache none;
+  none.NoteSent(Prompt({1}));
+  BOOST_TEST(none.Kept(Prompt({1})) == 0U);
+  PrefixCache cache;
+  cache.SetCapacity(1'000'000);
+  for (std::uint64_t id = 0; id < 10'000; ++id) cache.NoteSent({{id, 0}});
+  BOOST_TEST(cache.size() == PrefixCache::kMostParts);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(first_event_model)
+
+BOOST_AUTO_TEST_CASE(learns_base_and_time_of_a_token) {
+  FirstEventModel model;
+  gaugecart::Draws draws(7);
+  for (int i = 0; i < 300; ++i) {
+    const double tokens = 200.0 + 10'000.0 * draws.Unit();
+    model.Note(tokens, (8'000.0 + 3.5 * tokens) * (0.9 + 0.2 * draws.Unit()));
+  }
+  BOOST_TEST(std::abs(model.PerToken() - 3.5) < 0.4);
+  BOOST_TEST(std::abs(model.Base() - 8'000.0) < 2'500.0);
+}
+
+BOOST_AUTO_TEST_CASE(reading_is_never_free_nor_all_that_there_is) {
+  FirstEventModel model;
+  for (int i = 0; i < 100; ++i) model.Note(1000.0, 20'000.0 + i % 3);
+  BOOST_TEST(model.PerToken() > 0.0);
+  BOOST_TEST(std::abs(model.Expected(1000.0) - 20'000.0) < 100.0);
+  for (int i = 0; i < 100; ++i) model.Note(0.0, 5'000.0);
+  BOOST_TEST(model.Base() >= 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(follows_a_change) {
+  FirstEventModel model;
+  for (int i = 0; i < 200; ++i) model.Note(100.0 * (i % 20), 1'000.0 + 200.0 * (i % 20));
+  for (int i = 0; i < 300; ++i) model.Note(100.0 * (i % 20), 1'000.0 + 600.0 * (i % 20));
+  BOOST_TEST(std::abs(model.PerToken() - 6.0) < 0.5);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(endpoint)
+
+struct OneEndpoint {
+  OneEndpoint() { known.Update(0, Info("a"), 1000); }
+  Attempt Sent(Micros now) {
+    Attempt attempt;
+    attempt.endpoint = &known;
+    attempt.sent = now;
+    attempt.patience = 100 * kMs;
+    attempt.output_tokens = 20;
+    attempt.read_tokens = 50;
+    known.Book(attempt, call);
+    return attempt;
+  }
+  Endpoint known{1};
+  Call call;
+};
+
+BOOST_FIXTURE_TEST_CASE(is_silent_once_a_first_event_is_overdue_and_nothing_else_came,
+                        OneEndpoint) {
+  Attempt first = Sent(0);
+  BOOST_TEST(!known.Silent(99 * kMs));
+  BOOST_TEST(known.Silent(100 * kMs));
+  known.NoteSign(110 * kMs);  // Another call's event.
+  BOOST_TEST(!known.Silent(150 * kMs));
+  BOOST_TEST(known.Silent(210 * kMs));
+  known.NoteFirstEvent(220 * kMs, first, call);
+  BOOST_TEST(!known.Silent(kSecond));
+  known.Unbook(first, call);
+  BOOST_TEST(known.calls() == 0U);
+  BOOST_TEST(known.unread_tokens() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(what_it_tells_of_others_fades, OneEndpoint) {
+  Sent(0);
+  known.NoteLoad(0, 8, 2, 16);
+  BOOST_TEST(known.slots() == 16);
+  BOOST_TEST(known.Others(0) == 9.0);
+  BOOST_TEST(known.OthersWaiting(0) == 2.0);
+  BOOST_TEST(known.Others(10 * kSecond) < 0.1);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_near_its_end_weighs_less, OneEndpoint) {
+  call.output_tokens = 20;
+  Attempt attempt = Sent(0);
+  BOOST_TEST(known.Running(0) == 1.0);
+  known.NoteFirstEvent(0, attempt, call);
+  known.NoteProgress(0, attempt, 20);
+  BOOST_TEST(known.Running(0) == 0.5);
+  known.NoteProgress(0, attempt, 20);  // More than was announced.
+  known.Unbook(attempt, call);
+  BOOST_TEST(known.Running(0) == 0.0);
+}
+
+BOOST_FIXTURE_TEST_CASE(rests_longer_each_time_it_turns_a_call_away, OneEndpoint) {
+  known.NoteFull(0, 100 * kMs);
+  BOOST_TEST(known.Resting(99 * kMs));
+  BOOST_TEST(!known.Resting(100 * kMs));
+  known.NoteFull(kSecond, 100 * kMs);
+  BOOST_TEST(known.Resting(kSecond + 199 * kMs));
+  for (int i = 0; i < 20; ++i) known.NoteFull(2 * kSecond, 100 * kMs);
+  BOOST_TEST(!known.Resting(2 * kSecond + 800 * kMs));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_not_usable_while_draining_misdirected_or_gone, OneEndpoint) {
+  BOOST_TEST(known.Usable(0));
+  known.NoteMisdirected(0);
+  BOOST_TEST(!known.Usable(kSecond));
+  known.Update(kSecond, Info("a"), 0);  // A newer list names it again.
+  BOOST_TEST(known.Usable(kSecond));
+  EndpointInfo draining = Info("a");
+  draining.draining = true;
+  known.Update(kSecond, draining, 0);
+  BOOST_TEST(!known.Usable(kSecond));
+  known.SetListed(false);
+  BOOST_TEST(!known.Usable(kSecond));
+}
+
+BOOST_FIXTURE_TEST_CASE(cold_eases_in, OneEndpoint) {
+  Endpoint young{2};
+  EndpointInfo info = Info("b");
+  info.cold_until = 5 * kSecond;
+  young.Update(kSecond, info, 0);
+  BOOST_TEST(young.Coldness(kSecond) == 1.0);
+  BOOST_TEST(young.Coldness(3 * kSecond) == 0.5);
+  BOOST_TEST(young.Coldness(5 * kSecond) == 0.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(subset)
+
+struct Fleet {
+  Fleet()
+      : subset([this](const EndpointInfo& info, std::uint64_t hash) -> Endpoint& {
+          const auto [it, fresh] = known.try_emplace(info.id, hash);
+          if (fresh) it->second.Update(0, info, 0);
+          return it->second;
+        }) {}
+  void List(int here, int there) {
+    std::vector<EndpointInfo> infos;
+    for (int i = 0; i < here; ++i) infos.push_back(Info("here-" + std::to_string(i)));
+    for (int i = 0; i < there; ++i) infos.push_back(Info("there-" + std::to_string(i), "there"));
+    subset.SetEndpoints(infos);
+  }
+  std::set<std::string> Ids(Micros now) {
+    std::set<std::string> ids;
+    for (const Endpoint* member : subset.Members(now)) ids.insert(member->info().id);
+    return ids;
+  }
+  std::map<std::string, Endpoint> known;
+  Subset subset;
+};
+
+BOOST_FIXTURE_TEST_CASE(starts_at_three_of_its_zone_by_the_nodes_name, Fleet) {
+  subset.SetNode("edge-1", "here");
+  List(20, 20);
+  const std::set<std::string> first = Ids(0);
+  BOOST_TEST(first.size() == 3U);
+  for (const std::string& id : first) BOOST_TEST(id.starts_with("here"));
+  BOOST_TEST((Ids(kSecond) == first));
+  subset.SetNode("edge-2", "here");
+  BOOST_TEST((Ids(kSecond) != first));
+  BOOST_TEST(known.size() <= 6U);  // Of forty it touches few.
+}
+
+BOOST_FIXTURE_TEST_CASE(grows_by_one_when_calls_in_flight_exceed_it, Fleet) {
+  subset.SetNode("edge-1", "here");
+  List(4, 4);
+  subset.NoteInFlight(0, 3, std::nullopt);
+  BOOST_TEST(Ids(0).size() == 3U);
+  subset.NoteInFlight(0, 4, std::nullopt);
+  BOOST_TEST(Ids(0).size() == 4U);
+  for (std::size_t calls = 5; calls < 100; ++calls) subset.NoteInFlight(0, calls, std::nullopt);
+  BOOST_TEST(Ids(0).size() == 8U);
+}
+
+BOOST_FIXTURE_TEST_CASE(grows_by_the_owner_of_the_prefix, Fleet) {
+  constexpr std::uint64_t kPrefix = 77;
+  subset.SetNode("edge-1", "here");
+  List(0, 50);
+  std::string owner;
+  std::uint64_t best = 0;
+  for (const EndpointInfo& info : subset.endpoints()) {
+    const std::uint64_t score = RendezvousScore(kPrefix, HashOf(info.id));
+    if (score <= best) continue;
+    best = score;
+    owner = info.id;
+  }
+  BOOST_TEST(!Ids(0).contains(owner));
+  subset.NoteInFlight(0, 2, kPrefix);
+  BOOST_TEST(!Ids(0).contains(owner));  // Never by prefix alone.
+  subset.NoteInFlight(0, 4, kPrefix);
+  BOOST_TEST(Ids(0).contains(owner));
+  BOOST_TEST(Ids(0).size() == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(shrinks_when_it_has_long_been_quiet_but_not_below_three, Fleet) {
+  subset.SetNode("edge-1", "here");
+  List(10, 0);
+  for (std::size_t calls = 1; calls <= 6; ++calls) subset.NoteInFlight(0, calls, std::nullopt);
+  BOOST_TEST(subset.size() == 6U);
+  subset.NoteInFlight(30 * kSecond, 1, std::nullopt);
+  BOOST_TEST(subset.size() == 6U);
+  for (int minute = 1; minute < 30; ++minute) {
+    subset.NoteInFlight(minute * 70 * kSecond, 1, std::nullopt);
+  }
+  BOOST_TEST(subset.size() == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(another_joins_in_the_stead_of_one_that_drains_or_is_ejected, Fleet) {
+  subset.SetNode("edge-1", "here");
+  List(10, 0);
+  const std::set<std::string> before = Ids(0);
+  Endpoint& sick = known.at(*before.begin());
+  gaugecart::UsualFailure usual;
+  for (int i = 0; i < 5; ++i) {
+    usual.Note(false);
+    sick.health().Note(
+        true, usual, [] { return false; }, 1, 0);
+  }
+  BOOST_TEST(sick.health().ejected());
+  subset.Invalidate();
+  BOOST_TEST(Ids(0).size() == 4U);
+  EndpointInfo draining = sick.info();
+  draining.draining = true;
+  sick.Update(0, draining, 0);
+  subset.Invalidate();
+  BOOST_TEST(Ids(0).size() == 3U);
+  BOOST_TEST(!Ids(0).contains(sick.info().id));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_new_list_keeps_the_order, Fleet) {
+  subset.SetNode("edge-1", "here");
+  List(300, 0);
+  for (std::size_t calls = 1; calls <= 100; ++calls) subset.NoteInFlight(0, calls, std::nullopt);
+  const std::set<std::string> before = Ids(0);
+  BOOST_TEST(before.size() == 100U);
+  List(299, 0);
+  std::size_t kept = 0;
+  for (const std::string& id : Ids(0)) kept += before.contains(id) ? 1 : 0;
+  BOOST_TEST(kept >= 99U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(levels)
+
+BOOST_AUTO_TEST_CASE(batch_has_a_pool_of_its_own_and_pools_add_up) {
+  Levels levels;
+  levels.SetCount(3);
+  levels.StartFrom(100.0);
+  levels.NoteArrival(0, 0);
+  const double all = levels.Seats(0, 0) + levels.Seats(0, 1) + levels.Seats(0, 2);
+  BOOST_TEST(levels.Seats(0, 2) == 25.0);
+  BOOST_TEST(all <= 100.0 + 2.0);
+  BOOST_TEST(levels.Seats(0, 0) > levels.Seats(0, 1));
+  BOOST_TEST(levels.Seats(0, 1) >= 2.0);
+}
+
+BOOST_AUTO_TEST_CASE(releases_one_call_of_each_flow_in_turn_while_there_is_room) {
+  Levels levels;
+  levels.SetCount(1);
+  for (CallId id = 1; id <= 10; ++id) BOOST_TEST(!levels.Enqueue(0, {id, 5, 0}));
+  BOOST_TEST(!levels.Enqueue(0, {100, 6, 0}));
+  std::vector<CallId> released;
+  while (const auto next = levels.Next(0, 0)) {
+    levels.Start(0);
+    released.push_back(next->request);
+  }
+  BOOST_TEST(released.size() == 11U);
+  const auto other = std::find(released.begin(), released.end(), 100U) - released.begin();
+  BOOST_TEST(other <= 2);
+  BOOST_TEST(!levels.AnyWaiting());
+}
+
+BOOST_AUTO_TEST_CASE(holds_when_the_pool_is_taken_and_sheds_the_flow_that_waits_most) {
+  Levels levels;
+  levels.SetCount(1);
+  std::size_t started = 0;
+  while (static_cast<double>(started) + 1.0 <= levels.Seats(0, 0)) {
+    levels.Start(0);
+    ++started;
+  }
+  std::size_t shed = 0;
+  for (CallId id = 1; id <= 100; ++id) {
+    const auto out = levels.Enqueue(0, {id, 5, 0});
+    if (!out) continue;
+    ++shed;
+    levels.Remove(0, *out, 5);
+  }
+  BOOST_TEST(shed == 68U);  // Two queues of sixteen are its hand.
+  BOOST_TEST(!levels.Next(0, 0));
+  levels.Finish(0);
+  BOOST_TEST(levels.Next(0, 0).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_limit_falls_on_late_first_events_and_turned_away_calls_and_rises_again) {
+  Levels levels;
+  levels.SetCount(1);
+  levels.StartFrom(50.0);
+  for (int i = 0; i < 40; ++i) levels.Start(0);
+  for (int i = 0; i < 100; ++i) levels.NoteFirstEvent(i * kMs, 0, 30 * kMs, 300 * kMs);
+  const double before = levels.limit();
+  BOOST_TEST(before > 50.0);
+  for (int i = 0; i < 20; ++i) levels.NoteFirstEvent(i * kMs, 0, 500 * kMs, 300 * kMs);
+  const double low = levels.limit();
+  BOOST_TEST(low < 0.9 * before);
+  for (int i = 0; i < 40; ++i) levels.NoteOverload(0);
+  BOOST_TEST(levels.limit() < low);
+  for (int i = 0; i < 400; ++i) levels.NoteFirstEvent(i * kMs, 0, 30 * kMs, 300 * kMs);
+  BOOST_TEST(levels.limit() > low);
+}
+
+BOOST_AUTO_TEST_CASE(the_limit_never_falls_below_what_the_endpoints_surely_have) {
+  Levels levels;
+  levels.SetCount(2);
+  levels.SetFloor(30.0);
+  levels.StartFrom(60.0);
+  for (int i = 0; i < 500; ++i) levels.NoteOverload(0);
+  BOOST_TEST(levels.limit() == 30.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(picker)
+
+struct Members {
+  explicit Members(std::size_t count = 4) {
+    for (std::size_t i = 0; i < count; ++i) {
+      known.push_back(std::make_unique<Endpoint>(HashOf("e" + std::to_string(i))));
+      known[i]->Update(0, Info("e" + std::to_string(i)), 100'000);
+      members.push_back(known[i].get());
+    }
+    facts.kv_tokens = 100'000;
+    for (int i = 0; i < 50; ++i) facts.first_event.Note(100.0 * (i % 20), 5e3 + 400.0 * (i % 20));
+    held.call.objective = 300 * kMs;
+    held.call.prompt = Prompt({1, 2, 3});
+    held.call.prompt_tokens = 300;
+    held.call.output_tokens = 10;
+  }
+  Endpoint* Pick(Micros now = 0) { return picker.Pick(now, held, members, facts).endpoint; }
+  // So many calls, sent at the time.
+  void Load(std::size_t index, int calls, Micros now = 0) {
+    for (int i = 0; i < calls; ++i) {
+      Attempt attempt;
+      attempt.sent = now;
+      attempt.patience = kSecond;
+      known[index]->Book(attempt, other);
+    }
+  }
+  std::vector<std::unique_ptr<Endpoint>> known;
+  std::vector<Endpoint*> members;
+  ServiceFacts facts;
+  HeldCall held;
+  Call other;
+  Picker picker{"here"};
+};
+
+BOOST_FIXTURE_TEST_CASE(without_prompts_it_rotates, Members) {
+  held.call.prompt.clear();
+  std::set<Endpoint*> picked;
+  for (int i = 0; i < 4; ++i) picked.insert(Pick());
+  BOOST_TEST(picked.size() == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(prefers_where_the_shared_parts_are_kept_until_load_outweighs_it, Members) {
+  held.call.prompt = {{1, 20'000}, {2, 100}};
+  held.call.prompt_tokens = 20'100;
+  known[2]->prefixes().NoteSent({{1, 20'000}});
+  for (int i = 0; i < 8; ++i) BOOST_TEST(Pick() == members[2]);
+  Load(2, 12);  // More than its slots.
+  BOOST_TEST(Pick() != members[2]);
+}
+
+BOOST_FIXTURE_TEST_CASE(nodes_agree_on_the_owner_of_a_prefix_without_talk, Members) {
+  Members elsewhere;
+  std::set<Endpoint*> owners;
+  for (std::uint64_t prefix = 0; prefix < 60; ++prefix) {
+    held.call.prompt = {{prefix, 3000}, {9999, 100}};
+    held.call.prompt_tokens = 3100;
+    elsewhere.held = held;
+    for (std::uint64_t i = 0; i < prefix % 4; ++i)
+      elsewhere.Pick();  // Its rotation stands elsewhere.
+    const Endpoint* here = Pick();
+    BOOST_TEST(here->hash() == elsewhere.Pick()->hash());
+    owners.insert(Pick());
+  }
+  BOOST_TEST(owners.size() == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_owner_far_above_the_mean_load_is_no_owner, Members) {
+  const Endpoint* owner = Pick();
+  for (std::size_t i = 0; i < 4; ++i) {
+    if (members[i] == owner) Load(i, 6);
+  }
+  BOOST_TEST(Pick() != owner);
+}
+
+BOOST_FIXTURE_TEST_CASE(passes_over_silent_ejected_resting_and_tried_endpoints, Members) {
+  Load(0, 1);
+  const Micros late = 2 * kSecond;
+  BOOST_TEST(known[0]->Silent(late));
+  known[1]->NoteFull(late, kSecond);
+  held.attempts.push_back({});
+  held.attempts.back().out = false;
+  held.attempts.back().endpoint_hash = known[2]->hash();
+  for (int i = 0; i < 8; ++i) BOOST_TEST(Pick(late) == members[3]);
+  held.attempts.back().endpoint_hash = known[3]->hash();
+  members.pop_back();
+  for (int i = 0; i < 8; ++i) BOOST_TEST(Pick(late) == members[2]);
+  members.pop_back();
+  for (int i = 0; i < 8; ++i) BOOST_TEST(Pick(late) == members[1]);
+  members.pop_back();
+  BOOST_TEST(Pick(late) == members[0]);  // Better than nowhere.
+}
+
+BOOST_FIXTURE_TEST_CASE(keeps_from_memory_that_runs_out, Members) {
+  held.call.prompt.clear();
+  held.call.prompt_tokens = 20'000;
+  other.prompt_tokens = 90'000;
+  for (std::size_t i = 0; i < 3; ++i) Load(i, 1);
+  for (int i = 0; i < 8; ++i) BOOST_TEST(Pick() == members[3]);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_slow_or_cold_or_far_endpoint_costs_more, Members) {
+  held.call.prompt.clear();
+  for (int i = 0; i < 20; ++i) known[0]->NotePace(0, 5.0);
+  EndpointInfo cold = Info("e1");
+  cold.cold_until = 10 * kSecond;
+  known[1]->SetListed(false);
+  known[1]->Update(0, cold, 100'000);
+  known[2]->Update(0, Info("e2", "there"), 100'000);
+  for (int i = 0; i < 8; ++i) BOOST_TEST(Pick() == members[3]);
+}
+
+BOOST_FIXTURE_TEST_CASE(lower_levels_and_batch_leave_the_last_slots, Members) {
+  for (std::size_t i = 0; i < 4; ++i) Load(i, 9);
+  held.call.level = 1;
+  BOOST_TEST(picker.Pick(0, held, members, facts).crowded);
+  held.call.level = 0;
+  BOOST_TEST(Pick() != nullptr);
+  Members half;
+  for (std::size_t i = 0; i < 4; ++i) half.Load(i, 8);
+  half.held.call.level = 1;
+  BOOST_TEST(half.Pick() != nullptr);
+  half.held.call.batch = true;
+  BOOST_TEST(half.Pick() == nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_endpoint_short_of_connections_for_us_is_a_last_resort, Members) {
+  facts.connections_share = 2.0;
+  held.call.prompt = {{1, 5'000}, {2, 10}};
+  held.call.prompt_tokens = 5'010;
+  known[0]->prefixes().NoteSent({{1, 5'000}});
+  BOOST_TEST(Pick() == members[0]);
+  Load(0, 2);
+  BOOST_TEST(Pick() != members[0]);
+}
+
+BOOST_AUTO_TEST_CASE(a_large_subset_is_looked_at_in_part_and_none_is_left_out) {
+  Members many(100);
+  many.held.call.prompt.clear();
+  std::set<Endpoint*> picked;
+  for (int i = 0; i < 100; ++i) {
+    Endpoint* endpoint = many.Pick();
+    picked.insert(endpoint);
+    Attempt attempt;
+    endpoint->Book(attempt, many.other);
+  }
+  BOOST_TEST(picked.size() >= 80U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace shelflink::policy
--- a/tests/tier/policy/scenarios.cpp
+++ b/tests/tier/policy/scenarios.cpp
@@ -138,6 +138,42 @@
   return findings;
 }
 
+Findings PoolsKeepApart(std::uint64_t seed) {
+  World world(seed, 1, 4);
+  for (std::size_t i = 0; i < world.engines(); ++i) world.engine(i).trouble = Trouble::kDark;
+  for (std::uint32_t level = 0; level < 2; ++level) {
+    Pour(world, 0, 0, kSecond, 2000.0, [&world, level] {
+      Call call = Triage(world, world.draws.Word() % 8);
+      call.level = level;
+      return call;
+    });
+  }
+  world.RunUntil(kSecond);
+  Findings findings;
+  double sent[2] = {0.0, 0.0};
+  for (const auto& [id, record] : world.records()) sent[record.level] += record.sent >= 0 ? 1 : 0;
+  // Twice the endpoints' slots is where the limit starts; a quarter of it is batch's.
+  constexpr double kLive = 0.75 * 2.0 * 4 * 16;
+  Expect(findings, sent[0] + sent[1] <= 1.25 * kLive, "live levels keep to their part",
+         sent[0] + sent[1]);
+  Expect(findings, sent[0] >= 0.5 * kLive, "the urgent level has most of it", sent[0]);
+  Expect(findings, sent[1] >= 4.0, "the next one has its own", sent[1]);
+  return findings;
+}
+
+Findings StuckSeats(std::uint64_t seed) {
+  World world(seed, 1, 3);
+  for (std::size_t i = 0; i < world.engines(); ++i) world.engine(i).trouble = Trouble::kDark;
+  Pour(world, 0, 0, kSecond, 500.0, Triages(world));
+  world.RunUntil(1500 * kMillisecond);
+  Findings findings;
+  const Tally tally = Count(world, 0, kSecond);
+  Expect(findings, tally.refused >= 0.5 * tally.all, "most are refused", tally.refused / tally.all);
+  Expect(findings, tally.longest_wait <= 80 * kMillisecond, "and told soon",
+         static_cast<double>(tally.longest_wait));
+  return findings;
+}
+
 Findings FairTenants(std::uint64_t seed) {
   World world(seed, 1, 4);
   Pour(world, 0, 0, 4 * kSecond, 4000.0, [&world] { return Triage(world, 77); });
@@ -206,6 +242,24 @@
 }
 Findings OneSlow(std::uint64_t seed) { return PlayTrouble(seed, Trouble::kNone, 10.0, 0.03); }
 
+Findings DarkOwner(std::uint64_t seed) {
+  World world(seed, 3, 8);
+  PourAll(world, 6 * kSecond, 10.0, [&world] { return Summary(world, 7); });
+  world.At(2 * kSecond, [&world] {
+    std::size_t busiest = 0;
+    for (std::size_t i = 0; i < world.engines(); ++i) {
+      if (world.engine(i).arrived > world.engine(busiest).arrived) busiest = i;
+    }
+    world.engine(busiest).trouble = Trouble::kDark;
+  });
+  world.RunUntil(12 * kSecond);
+  Findings findings;
+  const Tally tally = Count(world, 2 * kSecond, 6 * kSecond);
+  Expect(findings, tally.served >= 0.95 * tally.all, "few calls are lost",
+         tally.served / tally.all);
+  return findings;
+}
+
 Findings AllDark(std::uint64_t seed) {
   World world(seed, 3, 6);
   PourAll(world, 8 * kSecond, 20.0, Triages(world));
@@ -341,6 +395,35 @@
   return findings;
 }
 
+Findings LongAnswers(std::uint64_t seed) {
+  World world(seed, 6, 9);
+  PourAll(world, 4 * kSecond, 12.0, [&world] {
+    Call call = Triage(world, world.draws.Word() % 8);
+    call.prompt = {{9, 300}, {10, 500}};
+    call.output_tokens = 400;
+    return call;
+  });
+  world.RunUntil(10 * kSecond);
+  Findings findings;
+  Tally tally = Count(world, kSecond, 4 * kSecond);
+  Expect(findings, tally.served >= 0.99 * tally.all, "long answers are served",
+         tally.served / tally.all);
+  const Micros most = tally.FirstEvent(0.95);
+  Expect(findings, most <= 50 * kMillisecond, "none waits for a slot", static_cast<double>(most));
+  return findings;
+}
+
+Findings SubsetGrows(std::uint64_t seed) {
+  World world(seed, 1, 9);
+  Pour(world, 0, 0, 3 * kSecond, 2000.0, Triages(world));
+  world.RunUntil(8 * kSecond);
+  Findings findings;
+  const Tally tally = Count(world, kSecond, 3 * kSecond);
+  Expect(findings, tally.served >= 0.95 * tally.all, "one sidecar uses many endpoints",
+         tally.served / tally.all);
+  return findings;
+}
+
 namespace {
 
 // Drives one module by random events and keeps its own account of what is lawful.
@@ -534,12 +617,17 @@
   }
 
   void EndAll() {
+    // What waits may be sent once others are over, or when a timer rings.
     for (int i = 0; i < 10'000; ++i) {
       const auto id = AnyOut();
-      if (!id) break;
-      Tell(*id, Outcome::kSuccess, false);
+      if (id) {
+        Tell(*id, Outcome::kSuccess, false);
+      } else if (timer_ != kNever) {
+        Pass(timer_);
+      } else {
+        break;
+      }
     }
-    Pass(now_ + 60'000'000);
     if (timer_ != kNever) Note("a timer is left though nothing waits");
   }
 
@@ -561,9 +649,12 @@
   static const std::vector<Scenario> all = {
       {"quiet", Quiet, 30},
       {"isolation", Isolation, 10},
+      {"pools keep apart", PoolsKeepApart, 20},
+      {"stuck seats", StuckSeats, 20},
       {"fair tenants", FairTenants, 10},
       {"no herd", NoHerd, 10},
       {"one dark", OneDark, 20},
+      {"dark owner", DarkOwner, 20},
       {"one failing", OneFailing, 20},
       {"one unreachable", OneUnreachable, 20},
       {"one slow", OneSlow, 20},
@@ -572,6 +663,8 @@
       {"batch yields", BatchYields, 10},
       {"stickiness", Stickiness, 20},
       {"hot prefix", HotPrefix, 10},
+      {"long answers", LongAnswers, 10},
+      {"subset grows", SubsetGrows, 5},
       {"lawful", Lawful, 3000},
   };
   return all;
--- a/tests/tier/policy/scenarios.h
+++ b/tests/tier/policy/scenarios.h
@@ -21,12 +21,18 @@
 Findings Quiet(std::uint64_t seed);
 // A flood of one level takes nothing from another.
 Findings Isolation(std::uint64_t seed);
+// All levels together keep to the limit, each to its own pool.
+Findings PoolsKeepApart(std::uint64_t seed);
+// Where seats are stuck what comes is told soon that it can neither run nor wait.
+Findings StuckSeats(std::uint64_t seed);
 // A tenant that floods its level doesn't starve the others, and nobody waits beyond the cap.
 Findings FairTenants(std::uint64_t seed);
 // Sidecars that know the same don't all go to one endpoint.
 Findings NoHerd(std::uint64_t seed);
 // One endpoint that goes dark, fails, or turns slow costs little.
 Findings OneDark(std::uint64_t seed);
+// The endpoint that keeps what most calls share goes dark.
+Findings DarkOwner(std::uint64_t seed);
 Findings OneFailing(std::uint64_t seed);
 Findings OneUnreachable(std::uint64_t seed);
 Findings OneSlow(std::uint64_t seed);
@@ -40,6 +46,10 @@
 Findings Stickiness(std::uint64_t seed);
 // Many calls of one prefix spread once their endpoint is loaded.
 Findings HotPrefix(std::uint64_t seed);
+// Long answers that cost no reading spread over the slots all the same.
+Findings LongAnswers(std::uint64_t seed);
+// One sidecar alone brings as many endpoints into use as its load takes.
+Findings SubsetGrows(std::uint64_t seed);
 // Whatever the events are: rules on repeats, attempts, drains and final answers.
 Findings Lawful(std::uint64_t seed);
 
