--- a/tests/tier/policy/policy_module_test.cpp
+++ b/tests/tier/policy/policy_module_test.cpp
@@ -1,6 +1,7 @@
 // The decision module of the serving tier, event by event.
 #define BOOST_TEST_MODULE tier_policy_module
 #include <boost/test/unit_test.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,12 +23,16 @@
   void Send(CallId call, std::uint32_t attempt, const std::string& endpoint) override {
     sent.push_back({call, attempt, endpoint});
   }
-  void Refuse(CallId call, Micros) override { refused.push_back(call); }
+  void Refuse(CallId call, Micros retry_after) override {
+    refused.push_back(call);
+    advice.insert(retry_after);
+  }
   void Fail(CallId call) override { failed.push_back(call); }
   void SetTimer(Micros at) override { timer = at; }
 
   std::vector<Sent> sent;
   std::vector<CallId> refused;
+  std::set<Micros> advice;
   std::vector<CallId> failed;
   Micros timer = kNever;
 };
@@ -95,4 +100,155 @@
   for (const Sent& sent : actions.sent) BOOST_TEST(sent.endpoint == "b");
 }
 
+BOOST_FIXTURE_TEST_CASE(a_misdirected_address_gets_nothing_until_a_list_names_it_anew, Fixture) {
+  module.OnCall(0, NewCall(1));
+  const std::string moved = actions.sent[0].endpoint;
+  module.OnOutcome(1, 1, 0, Outcome::kMisdirected, true);
+  for (CallId id = 2; id <= 10; ++id) module.OnCall(2, NewCall(id));
+  for (std::size_t i = 1; i < actions.sent.size(); ++i) {
+    BOOST_TEST(actions.sent[i].endpoint != moved);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(what_never_left_is_no_send_and_needs_no_repeatable_call, Fixture) {
+  Call call = NewCall(1);
+  call.max_attempts = 1;
+  module.OnCall(0, call);
+  module.OnOutcome(1, 1, 0, Outcome::kNeverSent, true);
+  BOOST_REQUIRE_EQUAL(actions.sent.size(), 2U);
+  BOOST_TEST(actions.sent[1].attempt == 1U);
+  module.OnOutcome(2, 1, 1, Outcome::kNotRun, true);
+  BOOST_TEST(actions.sent.size() == 2U);
+  BOOST_TEST(actions.refused.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_cut_stream_goes_on_at_another_endpoint_if_it_may, Fixture) {
+  Call call = NewCall(1);
+  call.repeatable = true;
+  module.OnCall(0, call);
+  module.OnFirstEvent(1, 1, 0);
+  module.OnOutcome(2, 1, 0, Outcome::kCut, true);
+  BOOST_REQUIRE_EQUAL(actions.sent.size(), 2U);
+  BOOST_TEST(actions.sent[0].endpoint != actions.sent[1].endpoint);
+  module.OnOutcome(3, 1, 1, Outcome::kCut, true);
+  BOOST_TEST(actions.failed.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(no_retry_with_next_to_no_time_left, Fixture) {
+  Call call = NewCall(1);
+  call.objective = 300 * kMs;
+  module.OnCall(0, call);
+  module.OnOutcome(call.due - 10 * kMs, 1, 0, Outcome::kNotRun, true);
+  BOOST_TEST(actions.sent.size() == 1U);
+  BOOST_TEST(actions.refused.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(refused_calls_are_told_to_come_back_at_different_times, Fixture) {
+  module.OnServiceGone(0, "model");
+  for (CallId id = 1; id <= 50; ++id) module.OnCall(1, NewCall(id));
+  BOOST_REQUIRE_EQUAL(actions.refused.size(), 50U);
+  BOOST_TEST(actions.advice.size() > 40U);
+  BOOST_TEST(*actions.advice.begin() >= 100 * kMs);
+  BOOST_TEST(*actions.advice.rbegin() <= 1250 * kMs);
+}
+
+BOOST_FIXTURE_TEST_CASE(no_more_calls_are_held_than_may_be, Fixture) {
+  Shape shape;
+  shape.node = "edge-1";
+  shape.levels = 2;
+  shape.most_held = 5;
+  module.OnShape(0, shape);
+  for (CallId id = 1; id <= 8; ++id) module.OnCall(1, NewCall(id));
+  BOOST_TEST(actions.sent.size() == 5U);
+  BOOST_TEST(actions.refused.size() == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_service_may_go_while_its_calls_are_out, Fixture) {
+  module.OnCall(0, NewCall(1));
+  module.OnCall(0, NewCall(2));
+  module.OnServiceGone(1, "model");
+  module.OnFirstEvent(2, 1, 0);
+  module.OnOutcome(3, 1, 0, Outcome::kSuccess, false);
+  module.OnOutcome(4, 2, 0, Outcome::kNotRun, true);
+  BOOST_TEST(actions.refused.size() == 1U);
+  module.OnCall(5, NewCall(3));
+  BOOST_TEST(actions.refused.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_endpoint_may_leave_the_list_while_its_call_is_out, Fixture) {
+  module.OnCall(0, NewCall(1));
+  ServiceInfo service;
+  service.name = "model";
+  service.endpoints = {{"c", "z", 8, false, 0}};
+  module.OnService(1, service);
+  module.OnProgress(2, 1, 0, 5);
+  module.OnLoad(2, actions.sent[0].endpoint, 3, 0, 8);
+  module.OnOutcome(3, 1, 0, Outcome::kNotRun, true);
+  BOOST_REQUIRE_EQUAL(actions.sent.size(), 2U);
+  BOOST_TEST(actions.sent[1].endpoint == "c");
+}
+
+BOOST_FIXTURE_TEST_CASE(batch_has_room_while_slots_are_free_and_is_refused_at_once_without,
+                        Fixture) {
+  const std::uint32_t room = module.Room(0, 1);
+  BOOST_TEST(room >= 1U);
+  BOOST_TEST(room <= 5U);  // A third of sixteen slots.
+  for (CallId id = 1; id <= 12; ++id) module.OnCall(0, NewCall(id));
+  BOOST_TEST(module.Room(0, 1) == 0U);
+  const std::size_t sent = actions.sent.size();
+  for (CallId id = 100; id < 130; ++id) {
+    Call call = NewCall(id);
+    call.batch = true;
+    call.level = 1;
+    call.timeout = 0;
+    call.due = kNever;
+    module.OnCall(1, call);
+  }
+  BOOST_TEST(actions.refused.size() >= 26U);
+  BOOST_TEST(actions.refused.size() + actions.sent.size() - sent == 30U);
+}
+
+BOOST_FIXTURE_TEST_CASE(callers_who_leave_a_silent_endpoint_tell_of_it, Fixture) {
+  module.OnCall(0, NewCall(1));
+  const std::string dark = actions.sent[0].endpoint;
+  Micros now = 0;
+  CallId id = 1;
+  // Whenever the dark one is picked its caller leaves after two seconds; the other answers at once.
+  std::size_t to_dark = 1;
+  for (int i = 0; i < 40; ++i) {
+    const std::size_t last = actions.sent.size() - 1;
+    if (actions.sent[last].endpoint == dark) {
+      now += 2000 * kMs;
+      module.OnAbandoned(now, id);
+    } else {
+      now += 20 * kMs;
+      module.OnFirstEvent(now, id, 0);
+      module.OnOutcome(now, id, 0, Outcome::kSuccess, false);
+    }
+    Call call = NewCall(++id);
+    call.due = now + 5000 * kMs;
+    module.OnCall(now, call);
+    if (actions.sent.back().endpoint == dark) ++to_dark;
+  }
+  BOOST_TEST(to_dark <= 12U);
+}
+
+BOOST_FIXTURE_TEST_CASE(what_is_repeated_or_unknown_changes_nothing, Fixture) {
+  module.OnCall(0, NewCall(1));
+  module.OnCall(0, NewCall(1));
+  BOOST_TEST(actions.sent.size() == 1U);
+  module.OnFirstEvent(1, 7, 0);
+  module.OnFirstEvent(1, 1, 5);
+  module.OnProgress(1, 7, 0, 3);
+  module.OnOutcome(1, 7, 0, Outcome::kReset, true);
+  module.OnAbandoned(1, 7);
+  module.OnLoad(1, "nobody", 1, 1, 1);
+  module.OnOutcome(2, 1, 0, Outcome::kSuccess, false);
+  module.OnOutcome(3, 1, 0, Outcome::kReset, true);
+  BOOST_TEST(actions.sent.size() == 1U);
+  BOOST_TEST(actions.failed.empty());
+  BOOST_TEST(actions.refused.empty());
+  BOOST_TEST(module.Room(3, 9) == 0U);
+}
+
 }  // namespace shelflink::policy
