Tier policy: the first limit follows the number of sidecars; the owner of a prefix costs less to find

Cause: the first sidecar of a start knows of no other, and its limit stood at the whole fleet's slots for good. Now the start is taken anew while nothing has told what is too much, and where the limit is more than twice it.

--- a/src/tier/policy/levels.cpp
+++ b/src/tier/policy/levels.cpp
@@ -13,6 +13,7 @@
 constexpr double kUrgency = 4.0;      // Weight of a level's demand against the next one's.
 constexpr double kPromptPart = 0.5;   // First events within this part of the objective: more room.
 constexpr double kFirstSpan = 0.5;    // Seconds that a call is taken to last before one has.
+constexpr double kFarAbove = 2.0;     // Starts, beyond which a limit begins anew.
 constexpr double kFirstLimit = 16.0;  // For each level, before any endpoint is known.
 constexpr double kMicrosInSecond = 1e6;
 
@@ -25,12 +26,20 @@
 void Levels::SetCount(std::size_t count) {
   const std::size_t before = levels_.size();
   while (levels_.size() < count) levels_.emplace_back(static_cast<std::uint32_t>(levels_.size()));
-  if (levels_.size() == before) return;
-  const auto all = static_cast<double>(levels_.size());
-  const double start = std::max(kFirstLimit * all, limiter_ ? limiter_->limit() : 0.0);
-  limiter_.emplace(start, gaugecart::kSeatFloor * all);
+  if (levels_.size() != before) BeginAt(limiter_ ? limiter_->limit() : 0.0);
 }
 
+void Levels::StartFrom(double limit) {
+  if (!told_ || limiter_->limit() > kFarAbove * std::max(limit, LeastStart())) BeginAt(limit);
+}
+
+void Levels::BeginAt(double limit) {
+  limiter_.emplace(std::max(limit, LeastStart()),
+                   gaugecart::kSeatFloor * static_cast<double>(levels_.size()));
+}
+
+double Levels::LeastStart() const { return kFirstLimit * static_cast<double>(levels_.size()); }
+
 void Levels::NoteArrival(Micros now, std::uint32_t level) {
   const double usual = levels_[level].held.typical() / kMicrosInSecond;
   levels_[level].pool.demand.Add(now, usual > 0 ? usual : kFirstSpan);
@@ -87,7 +96,7 @@
   const bool low = limiter_->Low();
   // Where first events take no longer than in calm times, fewer calls do not make them faster.
   if (part > 1.0 && !(calm && low)) {
-    limiter_->Overload(InFlight(), slow, late);
+    Overload(slow, late);
   } else if ((calm && low) || (part <= kPromptPart && (calm || (!slow && low)))) {
     limiter_->Prompt(InFlight(), true);
   }
@@ -100,7 +109,12 @@
 void Levels::NoteOverload(std::uint32_t level) {
   const gaugecart::Level& pool = levels_[level].pool;
   const bool slow = !pool.Calm() && pool.times.typical() > kPromptPart;
-  limiter_->Overload(InFlight(), slow, slow && pool.times.typical() > 1.0);
+  Overload(slow, slow && pool.times.typical() > 1.0);
+}
+
+void Levels::Overload(bool slow, bool late) {
+  told_ = true;
+  limiter_->Overload(InFlight(), slow, late);
 }
 
 Micros Levels::UsualSpan(std::uint32_t level) const {
--- a/src/tier/policy/levels.h
+++ b/src/tier/policy/levels.h
@@ -25,8 +25,10 @@
   // module lives: calls may still be in them.
   void SetCount(std::size_t count);
   std::size_t count() const { return levels_.size(); }
-  // A limit at which nothing is held, while nothing has told what is too much.
-  void StartFrom(double limit) { limiter_->StartFrom(limit); }
+  // A limit at which nothing is held. It is taken while nothing has told what is too much, and
+  // where the present limit is far above it: what one sidecar of few may start with is too much for
+  // many.
+  void StartFrom(double limit);
 
   // Seats that the limit never falls below: so many the endpoints surely have for this sidecar.
   void SetFloor(double seats) { floor_ = seats; }
@@ -71,10 +73,14 @@
 
   void Unwait(Entry& entry, std::uint64_t flow);
   double InFlight() const;
+  void Overload(bool slow, bool late);
+  void BeginAt(double limit);
+  double LeastStart() const;
 
   std::vector<Entry> levels_;
   std::optional<gaugecart::Limiter> limiter_;
   double floor_ = 0.0;
+  bool told_ = false;  // Of overload.
 };
 
 }  // namespace shelflink::policy
--- a/src/tier/policy/picker.cpp
+++ b/src/tier/policy/picker.cpp
@@ -117,22 +117,26 @@
 }
 
 const Endpoint* Picker::OwnerOf(Micros now, const Call& call,
-                                const std::vector<Endpoint*>& members) {
+                                const std::vector<Endpoint*>& members) const {
   const std::optional<std::uint64_t> prefix = PrefixOf(call);
   if (!prefix || Mutated(Mutant::kIgnorePrefix)) return nullptr;
   const Endpoint* owner = nullptr;
   std::uint64_t best = 0;
-  double load = 0.0;
   for (const Endpoint* endpoint : members) {
-    load += endpoint->Running(now) / endpoint->slots();
-    if (!endpoint->Usable(now) || endpoint->health().ejected() || endpoint->Silent(now)) continue;
     const std::uint64_t score = RendezvousScore(*prefix, endpoint->hash());
     if (owner != nullptr && score < best) continue;
+    if (!endpoint->Usable(now) || endpoint->health().ejected() || endpoint->Silent(now)) continue;
     owner = endpoint;
     best = score;
   }
   if (owner == nullptr) return nullptr;
-  const double mean = load / static_cast<double>(members.size()) * owner->slots();
+  double load = 0.0;
+  const std::size_t looked_at = std::min(kWindow, members.size());
+  for (std::size_t i = 0; i < looked_at; ++i) {
+    const Endpoint& endpoint = *members[(cursor_ + i) % members.size()];
+    load += endpoint.Running(now) / endpoint.slots();
+  }
+  const double mean = load / static_cast<double>(looked_at) * owner->slots();
   return owner->Running(now) <= kOwnerBound * mean + kOwnerSlack ? owner : nullptr;
 }
 
--- a/src/tier/policy/picker.h
+++ b/src/tier/policy/picker.h
@@ -48,8 +48,8 @@
   // The lower, the better, before any cost counts.
   enum class Standing { kSound, kResting, kTried, kSilent, kEjected };
   static Standing StandingOf(Micros now, const HeldCall& held, const Endpoint& endpoint);
-  static const Endpoint* OwnerOf(Micros now, const Call& call,
-                                 const std::vector<Endpoint*>& members);
+  const Endpoint* OwnerOf(Micros now, const Call& call,
+                          const std::vector<Endpoint*>& members) const;
   double Cost(Micros now, const Call& call, const Endpoint& endpoint, bool owner,
               const ServiceFacts& facts) const;
 
--- a/tests/tier/policy/policy_parts_test.cpp
+++ b/tests/tier/policy/policy_parts_test.cpp
@@ -387,6 +387,20 @@
   BOOST_TEST(levels.limit() > low);
 }
 
+BOOST_AUTO_TEST_CASE(the_first_limit_follows_what_is_told_of_the_fleet) {
+  Levels levels;
+  levels.SetCount(2);
+  levels.StartFrom(1000.0);
+  levels.StartFrom(100.0);  // There are ten times as many sidecars now.
+  BOOST_TEST(levels.limit() == 100.0);
+  levels.NoteOverload(0);
+  const double learned = levels.limit();
+  levels.StartFrom(90.0);
+  BOOST_TEST(levels.limit() == learned);
+  levels.StartFrom(40.0);
+  BOOST_TEST(levels.limit() == 40.0);
+}
+
 BOOST_AUTO_TEST_CASE(the_limit_never_falls_below_what_the_endpoints_surely_have) {
   Levels levels;
   levels.SetCount(2);
