--- a/src/tier/batch/job_json.cpp
+++ b/src/tier/batch/job_json.cpp
@@ -10,7 +10,7 @@
 #include <unordered_set>
 
 #include "tier/batch/base64.h"
-#include "tier/batch/json_text.h"
+#include "tier/foundation/json_text.h"
 
 namespace shelflink::batch {
 namespace {
@@ -207,7 +207,7 @@
       if (requests != nullptr) findings_.Add("requests", "expected once, found twice");
       requests = field;
     }
-    if (!cJSON_IsArray(requests)) {
+    if (requests == nullptr || !cJSON_IsArray(requests)) {
       findings_.Add("requests", "expected a list of 1 to " + std::to_string(kMostItems) + " items");
       return;
     }
--- a/src/tier/storage/lmdb_storage.cpp
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -1,9 +1,7 @@
 #include "tier/storage/lmdb_storage.h"
 
 #include <lmdb.h>
-#include <sys/mman.h>
 #include <sys/stat.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cstring>
@@ -136,7 +134,9 @@
 }
 
 void LmdbStorage::DoneReading() const {
-  if (writing_ == nullptr && reading_ != nullptr) mdb_txn_reset(reading_);
+  if (writing_ != nullptr || reading_ == nullptr) return;
+  mdb_txn_reset(reading_);
+  if (MustLetGo()) LetGo();
 }
 
 std::optional<std::string> LmdbStorage::Get(std::string_view key) const {
@@ -150,7 +150,7 @@
   if (code == 0) {
     const auto value = Checked(key, ToView(found));
     if (value) {
-      CountRead(found);
+      bytes_read_ += found.mv_size;
       result.emplace(*value);
     } else {
       Fail(MDB_CORRUPTED);
@@ -164,21 +164,30 @@
 
 void LmdbStorage::Scan(std::string_view prefix, std::string_view from,
                        const Visitor& visitor) const {
-  if (failed()) return;
+  std::optional<std::string> next(from < prefix ? prefix : from);
+  while (next && !failed()) next = ScanPart(prefix, *next, visitor);
+}
+
+std::optional<std::string> LmdbStorage::ScanPart(std::string_view prefix, const std::string& start,
+                                                 const Visitor& visitor) const {
   MDB_txn* const transaction = Reading();
-  if (transaction == nullptr) return;
+  if (transaction == nullptr) return std::nullopt;
   MDB_cursor* cursor = nullptr;
   if (const int code = mdb_cursor_open(transaction, table_, &cursor); code != 0) {
     Fail(code);
-    return;
+    return std::nullopt;
   }
-  const std::string_view start = from < prefix ? prefix : from;
+  std::optional<std::string> next;
   MDB_val key = ToVal(start);
   MDB_val found{};
   int code = mdb_cursor_get(cursor, &key, &found, start.empty() ? MDB_FIRST : MDB_SET_RANGE);
   while (code == 0 && ToView(key).substr(0, prefix.size()) == prefix) {
+    if (MustLetGo()) {
+      next.emplace(ToView(key));
+      break;
+    }
     const auto value = Checked(ToView(key), ToView(found));
-    CountRead(found);
+    bytes_read_ += found.mv_size;
     if (!value) code = MDB_CORRUPTED;
     if (!value || !visitor(ToView(key), *value)) break;
     code = mdb_cursor_get(cursor, &key, &found, MDB_NEXT);
@@ -186,6 +195,7 @@
   mdb_cursor_close(cursor);
   if (code != 0 && code != MDB_NOTFOUND) Fail(code);
   DoneReading();
+  return next;
 }
 
 void LmdbStorage::Apply(const Batch& batch) {
@@ -247,20 +257,14 @@
   }
 }
 
-void LmdbStorage::CountRead(const MDB_val& read) const {
-  if (writing_ == nullptr) {  // Else it may stand in the transaction's own memory.
-    const auto* const from = static_cast<const char*>(read.mv_data);
-    read_from_ = read_from_ == nullptr ? from : std::min(read_from_, from);
-    read_to_ = std::max(read_to_, from + read.mv_size);
-  }
-  bytes_read_ += read.mv_size;
-  if (bytes_read_ < kMostBytesRead || read_from_ == nullptr) return;
+bool LmdbStorage::MustLetGo() const {
+  return writing_ == nullptr && bytes_read_ >= kMostBytesRead;
+}
+
+void LmdbStorage::LetGo() const {
   bytes_read_ = 0;
-  // The map is read-only and of a file: whatever is needed again is read again.
-  const auto page = static_cast<std::uintptr_t>(::sysconf(_SC_PAGESIZE));
-  const std::uintptr_t first = reinterpret_cast<std::uintptr_t>(read_from_) / page * page;
-  const std::uintptr_t last = reinterpret_cast<std::uintptr_t>(read_to_);
-  ::madvise(reinterpret_cast<void*>(first), last - first, MADV_DONTNEED);
+  // Setting the size maps the file anew; nothing may point into the old map.
+  if (const int code = mdb_env_set_mapsize(environment_, bytes_limit_); code != 0) Fail(code);
 }
 
 std::uint64_t LmdbStorage::FreePages() const {
