Tier policy: the last level stays batch's when a configuration has fewer levels

Cause: the levels kept for calls still in them counted as levels; after a configuration with fewer priorities batch calls came in a live level, and a quarter of the seats went to none.

--- a/src/tier/policy/levels.cpp
+++ b/src/tier/policy/levels.cpp
@@ -24,6 +24,7 @@
 Levels::Levels() { SetCount(1); }
 
 void Levels::SetCount(std::size_t count) {
+  count_ = count;
   const std::size_t before = levels_.size();
   while (levels_.size() < count) levels_.emplace_back(static_cast<std::uint32_t>(levels_.size()));
   if (levels_.size() != before) BeginAt(limiter_ ? limiter_->limit() : 0.0);
@@ -121,15 +122,14 @@
   return static_cast<Micros>(levels_[level].held.typical());
 }
 
-bool Levels::IsBatch(std::uint32_t level) const {
-  return levels_.size() > 1 && level + 1 == levels_.size();
-}
+bool Levels::IsBatch(std::uint32_t level) const { return count_ > 1 && level + 1 == count_; }
 
 double Levels::Seats(Micros now, std::uint32_t level) const {
   const double all = limit();
   if (Mutated(Mutant::kLendPools)) return all;
   if (IsBatch(level)) return kBatchShare * all;
-  const std::size_t live = levels_.size() > 1 ? levels_.size() - 1 : 1;
+  if (level >= count_) return gaugecart::kSeatFloor;  // What is left there still drains.
+  const std::size_t live = count_ > 1 ? count_ - 1 : 1;
   double asked = 0.0;
   double own = 0.0;
   for (std::size_t i = 0; i < live; ++i) {
@@ -140,7 +140,7 @@
   }
   const double even = 1.0 / static_cast<double>(live);
   const double share = kEvenPart * even + (1.0 - kEvenPart) * (asked > 0 ? own / asked : even);
-  const double seats = (levels_.size() > 1 ? 1.0 - kBatchShare : 1.0) * all;
+  const double seats = (count_ > 1 ? 1.0 - kBatchShare : 1.0) * all;
   return std::max(std::min(gaugecart::kSeatFloor, seats * even), seats * share);
 }
 
--- a/src/tier/policy/levels.h
+++ b/src/tier/policy/levels.h
@@ -21,10 +21,11 @@
  public:
   Levels();
 
-  // The last level is batch's where there are two or more. Levels are never taken away while the
-  // module lives: calls may still be in them.
+  // The last level is batch's where there are two or more. A level that is no more is kept while
+  // the module lives: calls may still be in it.
   void SetCount(std::size_t count);
-  std::size_t count() const { return levels_.size(); }
+  std::size_t count() const { return count_; }
+  std::size_t kept() const { return levels_.size(); }
   // A limit at which nothing is held. It is taken while nothing has told what is too much, and
   // where the present limit is far above it: what one sidecar of few may start with is too much for
   // many.
@@ -79,6 +80,7 @@
 
   std::vector<Entry> levels_;
   std::optional<gaugecart::Limiter> limiter_;
+  std::size_t count_ = 0;
   double floor_ = 0.0;
   bool told_ = false;  // Of overload.
 };
--- a/src/tier/policy/module.cpp
+++ b/src/tier/policy/module.cpp
@@ -295,7 +295,7 @@
   Micros LongestWait(const HeldCall& held) const {
     const Call& call = held.call;
     if (Mutated(Mutant::kWaitLong)) return call.due - now_;
-    if (call.timeout <= 0) return 0;  // Batch items wait in the store.
+    if (call.batch || call.timeout <= 0) return 0;  // Batch items wait in the store.
     Micros wait =
         std::min(Part(kWaitFraction, call.timeout), Part(kWaitObjective, ObjectiveOf(call)));
     // Leave the work its usual time: a wait that eats it wins nothing.
@@ -312,7 +312,7 @@
   }
 
   void Settle() {
-    for (std::uint32_t level = 0; level < levels_.count(); ++level) Pump(level);
+    for (std::uint32_t level = 0; level < levels_.kept(); ++level) Pump(level);
     ArmTimer();
   }
 
--- a/tests/tier/policy/policy_parts_test.cpp
+++ b/tests/tier/policy/policy_parts_test.cpp
@@ -387,6 +387,18 @@
   BOOST_TEST(levels.limit() > low);
 }
 
+BOOST_AUTO_TEST_CASE(the_last_level_is_batchs_also_when_levels_become_fewer) {
+  Levels levels;
+  levels.SetCount(4);
+  levels.StartFrom(100.0);
+  levels.Enqueue(3, {1, 5, 0});
+  levels.SetCount(2);
+  BOOST_TEST(levels.IsBatch(1));
+  BOOST_TEST(levels.Seats(0, 1) == 25.0);
+  BOOST_TEST(levels.Seats(0, 0) == 75.0);
+  BOOST_TEST(levels.Next(0, 3).has_value());  // What was in one that is no more drains.
+}
+
 BOOST_AUTO_TEST_CASE(the_first_limit_follows_what_is_told_of_the_fleet) {
   Levels levels;
   levels.SetCount(2);
