Tier policy: late or refused batch calls take no seats from live ones

Cause: endpoints let batch calls wait for urgent ones and turn them away first; the module took that for overload. In the new test 6 of 24 live calls at once were sent after 200 such batch calls, now all.

--- a/src/tier/policy/module.cpp
+++ b/src/tier/policy/module.cpp
@@ -27,6 +27,7 @@
 constexpr double kPatience = 4.0;          // Expected times to a first event until it is overdue...
 constexpr double kLeastPatience = 0.25;    // ...at least so many objectives...
 constexpr double kMostPatience = 2.0;      // ...and at most so many.
+constexpr double kBatchPatience = 5.0;     // Of batch calls, which endpoints let wait for others.
 constexpr double kLeastOffer = 0.1;        // Objectives that a retry must have left.
 constexpr double kHasty = 1.0;             // Objectives: a time-out with less time tells nothing.
 constexpr double kAdviceLeast = 0.5;       // Objectives after which a refused call may come back...
@@ -366,6 +367,7 @@
 
   static Micros PatienceOf(const Call& call, const ServiceFacts& facts, double tokens) {
     const Micros objective = ObjectiveOf(call);
+    if (call.batch) return Part(kBatchPatience, objective);
     if (!facts.first_event.Known()) return Part(kMostPatience, objective);
     const auto patience = static_cast<Micros>(kPatience * facts.first_event.Expected(tokens));
     return std::clamp(patience, Part(kLeastPatience, objective), Part(kMostPatience, objective));
@@ -423,24 +425,26 @@
   void Begin(HeldCall& held, Attempt& attempt) {
     ServiceFacts& facts = services_.at(held.call.service)->facts;
     const Micros took = now_ - attempt.sent;
-    const double expected = facts.first_event.Expected(attempt.model_tokens);
-    if (facts.first_event.Known() && expected > 0) {
-      attempt.endpoint->NotePace(now_, static_cast<double>(took) / expected);
-    }
-    facts.first_event.Note(attempt.model_tokens, static_cast<double>(took));
     attempt.endpoint->NoteFirstEvent(now_, attempt, held.call);
-    levels_.NoteFirstEvent(now_, held.call.level, took, ObjectiveOf(held.call));
+    // How long a batch call waited for more urgent ones tells nothing of the endpoint.
+    if (!held.call.batch) {
+      const double expected = facts.first_event.Expected(attempt.model_tokens);
+      if (facts.first_event.Known() && expected > 0) {
+        attempt.endpoint->NotePace(now_, static_cast<double>(took) / expected);
+      }
+      facts.first_event.Note(attempt.model_tokens, static_cast<double>(took));
+      levels_.NoteFirstEvent(now_, held.call.level, took, ObjectiveOf(held.call));
+    }
     NoteHealth(held, *attempt.endpoint, false, 1);
   }
 
   void Learn(HeldCall& held, Attempt& attempt, Outcome outcome) {
     Endpoint& endpoint = *attempt.endpoint;
-    const std::uint32_t level = held.call.level;
     switch (outcome) {
       case Outcome::kSuccess:
         if (!attempt.begun) Begin(held, attempt);
         endpoint.NoteSign(now_);
-        levels_.NoteServed(now_, level, now_ - attempt.sent);
+        levels_.NoteServed(now_, held.call.level, now_ - attempt.sent);
         retry_budget_.Earn();
         break;
       case Outcome::kNotRun:
@@ -448,7 +452,7 @@
         endpoint.NoteFull(now_, kRest);
         endpoint.prefixes().NoteUnread(held.call.prompt);
         endpoint.health().EndTrial();
-        for (int i = 0; i < kFullWeight; ++i) levels_.NoteOverload(level);
+        for (int i = 0; i < kFullWeight; ++i) NoteOverload(held.call);
         break;
       case Outcome::kMisdirected:
         endpoint.NoteMisdirected(now_);
@@ -466,7 +470,7 @@
         break;
       case Outcome::kReset:
         NoteHealth(held, endpoint, true, 1);
-        levels_.NoteOverload(level);
+        NoteOverload(held.call);
         break;
       case Outcome::kTimeout:
         LearnTimeout(held, attempt);
@@ -496,7 +500,12 @@
       return attempt.endpoint->health().EndTrial();
     }
     NoteHealth(held, *attempt.endpoint, true, attempt.begun ? 1 : kHeavy);
-    levels_.NoteOverload(held.call.level);
+    NoteOverload(held.call);
+  }
+
+  // Batch calls are the first that an endpoint turns away or lets wait: live ones need not yield.
+  void NoteOverload(const Call& call) {
+    if (!call.batch) levels_.NoteOverload(call.level);
   }
 
   void NoteHealth(HeldCall& held, Endpoint& endpoint, bool failed, int times) {
--- a/tests/tier/policy/policy_module_test.cpp
+++ b/tests/tier/policy/policy_module_test.cpp
@@ -208,6 +208,34 @@
   BOOST_TEST(actions.refused.size() + actions.sent.size() - sent == 30U);
 }
 
+BOOST_FIXTURE_TEST_CASE(late_or_refused_batch_calls_take_no_seats_from_live_ones, Fixture) {
+  Micros now = 0;
+  for (CallId id = 1; id <= 200; ++id) {
+    Call call = NewCall(id);
+    call.batch = true;
+    call.level = 1;
+    call.timeout = 0;
+    call.due = kNever;
+    call.objective = 400 * kMs;
+    module.OnCall(now, call);
+    now += 1500 * kMs;
+    if (id % 2 == 0) {
+      module.OnFirstEvent(now, id, 0);
+      module.OnOutcome(now, id, 0, Outcome::kSuccess, false);
+    } else {
+      module.OnOutcome(now, id, 0, Outcome::kNotRun, false);
+    }
+  }
+  BOOST_REQUIRE_EQUAL(actions.sent.size(), 200U);
+  // As many live calls at once as before anything was learned: three quarters of the first limit.
+  for (CallId id = 1001; id <= 1024; ++id) {
+    Call call = NewCall(id);
+    call.due = now + 5000 * kMs;
+    module.OnCall(now, call);
+  }
+  BOOST_TEST(actions.sent.size() == 224U);
+}
+
 BOOST_FIXTURE_TEST_CASE(callers_who_leave_a_silent_endpoint_tell_of_it, Fixture) {
   module.OnCall(0, NewCall(1));
   const std::string dark = actions.sent[0].endpoint;
