--- a/src/tier/policy/endpoint.cpp
+++ b/src/tier/policy/endpoint.cpp
@@ -8,12 +8,13 @@
 namespace shelflink::policy {
 namespace {
 
-constexpr Micros kMisdirectedSpan = 10'000'000;  // The list has been read anew by then.
-constexpr double kLoadSpan = 2e6;                // Microseconds in which a told load is forgotten.
-constexpr double kPaceGain = 0.2;                // Weight of one first event in an endpoint's pace.
-constexpr double kPaceSpan = 5e6;                // Microseconds in which an old pace is forgotten.
-constexpr double kMostPace = 8.0;                // Slower than this tells no more.
-constexpr int kMostDoublings = 3;                // How often the rest of a full endpoint doubles.
+// A list that is behind goes on naming the instance that has lost its address.
+constexpr Micros kMisdirectedSpan = 10'000'000;
+constexpr double kLoadSpan = 2e6;  // Microseconds in which a told load is forgotten.
+constexpr double kPaceGain = 0.2;  // Weight of one first event in an endpoint's pace.
+constexpr double kPaceSpan = 5e6;  // Microseconds in which an old pace is forgotten.
+constexpr double kMostPace = 8.0;  // Slower than this tells no more.
+constexpr int kMostDoublings = 3;  // How often the rest of a full endpoint doubles.
 
 std::uint64_t MemoryOf(const Call& call) {
   return std::uint64_t{call.prompt_tokens} + call.output_tokens;
@@ -35,7 +36,6 @@
   info_ = info;
   listed_ = true;
   slots_ = std::max(1, info.slots);
-  unusable_until_ = 0;
   prefixes_.SetCapacity(kv_tokens);
 }
 
--- a/src/tier/policy/endpoint.h
+++ b/src/tier/policy/endpoint.h
@@ -21,7 +21,7 @@
   // From the list.
   void Update(Micros now, const EndpointInfo& info, std::uint64_t kv_tokens);
   void SetListed(bool listed) { listed_ = listed; }
-  // Another instance has its address: nothing goes there until a new list or for a while.
+  // Another instance has its address: nothing goes there for a while.
   void NoteMisdirected(Micros now);
   // Whether anything may be sent to it at all.
   bool Usable(Micros now) const;
--- a/tests/tier/policy/policy_module_test.cpp
+++ b/tests/tier/policy/policy_module_test.cpp
@@ -100,7 +100,7 @@
   for (const Sent& sent : actions.sent) BOOST_TEST(sent.endpoint == "b");
 }
 
-BOOST_FIXTURE_TEST_CASE(a_misdirected_address_gets_nothing_until_a_list_names_it_anew, Fixture) {
+BOOST_FIXTURE_TEST_CASE(an_instance_that_lost_its_address_gets_nothing, Fixture) {
   module.OnCall(0, NewCall(1));
   const std::string moved = actions.sent[0].endpoint;
   module.OnOutcome(1, 1, 0, Outcome::kMisdirected, true);
--- a/tests/tier/policy/policy_parts_test.cpp
+++ b/tests/tier/policy/policy_parts_test.cpp
@@ -181,14 +181,16 @@
   BOOST_TEST(known.Usable(0));
   known.NoteMisdirected(0);
   BOOST_TEST(!known.Usable(kSecond));
-  known.Update(kSecond, Info("a"), 0);  // A newer list names it again.
-  BOOST_TEST(known.Usable(kSecond));
+  known.Update(kSecond, Info("a"), 0);  // A list that is behind.
+  BOOST_TEST(!known.Usable(9 * kSecond));
+  BOOST_TEST(known.Usable(10 * kSecond));
   EndpointInfo draining = Info("a");
   draining.draining = true;
-  known.Update(kSecond, draining, 0);
-  BOOST_TEST(!known.Usable(kSecond));
+  known.Update(10 * kSecond, draining, 0);
+  BOOST_TEST(!known.Usable(10 * kSecond));
+  known.Update(11 * kSecond, Info("a"), 0);
   known.SetListed(false);
-  BOOST_TEST(!known.Usable(kSecond));
+  BOOST_TEST(!known.Usable(11 * kSecond));
 }
 
 BOOST_FIXTURE_TEST_CASE(cold_eases_in, OneEndpoint) {
@@ -203,6 +205,58 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(health)
+
+struct OneHealth {
+  bool Note(bool failed, Micros now, bool most_ejected = false) {
+    usual.Note(failed);
+    return health.Note(
+        failed, usual, [&] { return most_ejected; }, 1, now);
+  }
+  // Until it is ejected.
+  void Fail(Micros now) {
+    for (int i = 0; i < 20 && !health.ejected(); ++i) Note(true, now);
+  }
+  gaugecart::UsualFailure usual;
+  gaugecart::Health health;
+};
+
+BOOST_FIXTURE_TEST_CASE(is_ejected_for_a_growing_pause_and_let_back_by_one_good_answer, OneHealth) {
+  Fail(0);
+  BOOST_TEST(health.ejected());
+  const Micros first = health.Left(0);
+  BOOST_TEST(health.Avoided(first - 1));
+  BOOST_TEST(!health.Avoided(first));
+  health.StartTrial();
+  BOOST_TEST(health.Avoided(first));  // One trial at a time.
+  Note(true, first);
+  BOOST_TEST(health.Left(first) > first);
+  const Micros second = first + health.Left(first);
+  health.StartTrial();
+  BOOST_TEST(Note(false, second));
+  BOOST_TEST(!health.ejected());
+  BOOST_TEST(!health.Avoided(second));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_trial_that_tells_nothing_leaves_room_for_another, OneHealth) {
+  Fail(0);
+  const Micros later = health.Left(0);
+  health.StartTrial();
+  health.EndTrial();
+  BOOST_TEST(!health.Avoided(later));
+}
+
+BOOST_FIXTURE_TEST_CASE(nothing_is_ejected_for_what_ails_all_or_beyond_the_bound, OneHealth) {
+  for (int i = 0; i < 20; ++i) Note(true, 0, true);
+  BOOST_TEST(!health.ejected());
+  OneHealth other;
+  for (int i = 0; i < 200; ++i) other.usual.Note(true);
+  for (int i = 0; i < 20; ++i) other.Note(true, 0);
+  BOOST_TEST(!other.health.ejected());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(subset)
 
 struct Fleet {
