--- a/tests/tier/policy/scenarios.cpp
+++ b/tests/tier/policy/scenarios.cpp
@@ -260,6 +260,36 @@
   return findings;
 }
 
+Findings Release(std::uint64_t seed) {
+  constexpr std::size_t kEngines = 6;
+  World world(seed, 3, kEngines);
+  PourAll(world, 6 * kSecond, 40.0, Triages(world));
+  for (std::size_t i = 0; i < kEngines; ++i) {
+    const Micros at = kSecond + static_cast<Micros>(i) * 700 * kMillisecond;
+    world.At(at, [&world, i] {
+      Engine& fresh = world.AddEngine();
+      fresh.cold_until = world.now() + kSecond;
+      fresh.slowness = 3.0;
+      world.At(fresh.cold_until, [&fresh] { fresh.slowness = 1.0; });
+      world.engine(i).draining = true;
+      world.List();
+    });
+    world.At(at + 500 * kMillisecond, [&world, i] {
+      world.engine(i).listed = false;
+      world.engine(i).trouble = Trouble::kRefused;
+      world.List();
+    });
+  }
+  world.RunUntil(10 * kSecond);
+  Findings findings;
+  Tally tally = Count(world, 0, 6 * kSecond);
+  Expect(findings, tally.served == tally.all, "all are served", tally.served / tally.all);
+  const Micros most = tally.FirstEvent(0.99);
+  Expect(findings, most <= 150 * kMillisecond, "first events come in time",
+         static_cast<double>(most));
+  return findings;
+}
+
 Findings AllDark(std::uint64_t seed) {
   World world(seed, 3, 6);
   PourAll(world, 8 * kSecond, 20.0, Triages(world));
@@ -658,6 +688,7 @@
       {"one failing", OneFailing, 20},
       {"one unreachable", OneUnreachable, 20},
       {"one slow", OneSlow, 20},
+      {"release", Release, 20},
       {"all dark", AllDark, 20},
       {"all full", AllFull, 20},
       {"batch yields", BatchYields, 10},
--- a/tests/tier/policy/scenarios.h
+++ b/tests/tier/policy/scenarios.h
@@ -36,6 +36,8 @@
 Findings OneFailing(std::uint64_t seed);
 Findings OneUnreachable(std::uint64_t seed);
 Findings OneSlow(std::uint64_t seed);
+// Endpoints are replaced one after the other: drained, new ones cold.
+Findings Release(std::uint64_t seed);
 // All endpoints go silent: calls go on being tried, and are served again soon after.
 Findings AllDark(std::uint64_t seed);
 // All endpoints turn everything away: few sends, and every call is told soon.
--- a/tests/tier/policy/world.h
+++ b/tests/tier/policy/world.h
@@ -80,6 +80,8 @@
   Trouble trouble = Trouble::kNone;
   double slowness = 1.0;
   bool draining = false;
+  bool listed = true;
+  Micros cold_until = 0;
   std::uint64_t prompt_tokens_read = 0;
   std::uint64_t arrived = 0;
   std::size_t most_running = 0;
@@ -131,16 +133,25 @@
     service.name = "model";
     service.kv_tokens = engines_.front()->options().kv_tokens;
     for (std::size_t i = 0; i < engines_.size(); ++i) {
+      if (!engines_[i]->listed) continue;
       EndpointInfo info;
       info.id = engines_[i]->id();
       info.zone = "zone-" + std::to_string(i % 2);
       info.slots = engines_[i]->options().slots;
       info.draining = engines_[i]->draining;
+      info.cold_until = engines_[i]->cold_until;
       service.endpoints.push_back(info);
     }
     for (auto& node : nodes_) node->module.OnService(now_, service);
   }
 
+  Engine& AddEngine() {
+    const std::string id = "endpoint-" + std::to_string(engines_.size());
+    const EngineOptions options = engines_.front()->options();
+    engines_.push_back(std::make_unique<Engine>(*this, id, options));
+    return *engines_.back();
+  }
+
   // A client's call; it leaves if nothing has come for two seconds.
   CallId Ask(std::size_t sidecar, Call call) {
     call.id = ++last_call_;
