--- a/src/tier/policy/levels.cpp
+++ b/src/tier/policy/levels.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "tier/policy/mutant.h"
+
 namespace shelflink::policy {
 namespace {
 
@@ -11,6 +13,7 @@
 constexpr double kUrgency = 4.0;      // Weight of a level's demand against the next one's.
 constexpr double kPromptPart = 0.5;   // First events within this part of the objective: more room.
 constexpr double kFirstSpan = 0.5;    // Seconds that a call is taken to last before one has.
+constexpr double kFarAbove = 2.0;     // Starts, beyond which a limit begins anew.
 constexpr double kFirstLimit = 16.0;  // For each level, before any endpoint is known.
 constexpr double kMicrosInSecond = 1e6;
 
@@ -21,14 +24,23 @@
 Levels::Levels() { SetCount(1); }
 
 void Levels::SetCount(std::size_t count) {
+  count_ = count;
   const std::size_t before = levels_.size();
   while (levels_.size() < count) levels_.emplace_back(static_cast<std::uint32_t>(levels_.size()));
-  if (levels_.size() == before) return;
-  const auto all = static_cast<double>(levels_.size());
-  const double start = std::max(kFirstLimit * all, limiter_ ? limiter_->limit() : 0.0);
-  limiter_.emplace(start, gaugecart::kSeatFloor * all);
+  if (levels_.size() != before) BeginAt(limiter_ ? limiter_->limit() : 0.0);
+}
+
+void Levels::StartFrom(double limit) {
+  if (!told_ || limiter_->limit() > kFarAbove * std::max(limit, LeastStart())) BeginAt(limit);
+}
+
+void Levels::BeginAt(double limit) {
+  limiter_.emplace(std::max(limit, LeastStart()),
+                   gaugecart::kSeatFloor * static_cast<double>(levels_.size()));
 }
 
+double Levels::LeastStart() const { return kFirstLimit * static_cast<double>(levels_.size()); }
+
 void Levels::NoteArrival(Micros now, std::uint32_t level) {
   const double usual = levels_[level].held.typical() / kMicrosInSecond;
   levels_[level].pool.demand.Add(now, usual > 0 ? usual : kFirstSpan);
@@ -85,7 +97,7 @@
   const bool low = limiter_->Low();
   // Where first events take no longer than in calm times, fewer calls do not make them faster.
   if (part > 1.0 && !(calm && low)) {
-    limiter_->Overload(InFlight(), slow, late);
+    Overload(slow, late);
   } else if ((calm && low) || (part <= kPromptPart && (calm || (!slow && low)))) {
     limiter_->Prompt(InFlight(), true);
   }
@@ -98,21 +110,26 @@
 void Levels::NoteOverload(std::uint32_t level) {
   const gaugecart::Level& pool = levels_[level].pool;
   const bool slow = !pool.Calm() && pool.times.typical() > kPromptPart;
-  limiter_->Overload(InFlight(), slow, slow && pool.times.typical() > 1.0);
+  Overload(slow, slow && pool.times.typical() > 1.0);
+}
+
+void Levels::Overload(bool slow, bool late) {
+  told_ = true;
+  limiter_->Overload(InFlight(), slow, late);
 }
 
 Micros Levels::UsualSpan(std::uint32_t level) const {
   return static_cast<Micros>(levels_[level].held.typical());
 }
 
-bool Levels::IsBatch(std::uint32_t level) const {
-  return levels_.size() > 1 && level + 1 == levels_.size();
-}
+bool Levels::IsBatch(std::uint32_t level) const { return count_ > 1 && level + 1 == count_; }
 
 double Levels::Seats(Micros now, std::uint32_t level) const {
   const double all = limit();
+  if (Mutated(Mutant::kLendPools)) return all;
   if (IsBatch(level)) return kBatchShare * all;
-  const std::size_t live = levels_.size() > 1 ? levels_.size() - 1 : 1;
+  if (level >= count_) return gaugecart::kSeatFloor;  // What is left there still drains.
+  const std::size_t live = count_ > 1 ? count_ - 1 : 1;
   double asked = 0.0;
   double own = 0.0;
   for (std::size_t i = 0; i < live; ++i) {
@@ -123,7 +140,7 @@
   }
   const double even = 1.0 / static_cast<double>(live);
   const double share = kEvenPart * even + (1.0 - kEvenPart) * (asked > 0 ? own / asked : even);
-  const double seats = (levels_.size() > 1 ? 1.0 - kBatchShare : 1.0) * all;
+  const double seats = (count_ > 1 ? 1.0 - kBatchShare : 1.0) * all;
   return std::max(std::min(gaugecart::kSeatFloor, seats * even), seats * share);
 }
 
