Core: a primary that goes on under a later epoch forgets no lease, nor one that stood still

Seen on real processes: each change of the record's replicas made the primary start anew, so every loss of a replica cost the stores' leases and 1.5 s of placement. Leases also outlast a standstill of the primary itself (two cases in core_service_test, one in cluster_parts_test).

--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -124,6 +124,10 @@
   bool Leads() const { return leading && replicator.is_primary(); }
 
   void OnRole(bool primary, std::uint64_t the_epoch) {
+    if (primary && leading && the_epoch == epoch + 1) {
+      GoOnLeading(the_epoch);
+      return;
+    }
     if (leading) StopLeading();
     if (primary) StartLeading(the_epoch);
   }
@@ -142,7 +146,15 @@
     if (watch) watch->Start();
     if (usage) usage->Start(epoch);
     if (scale) scale->Start(epoch);
-    tick_timer->ArmAt(loop.Now() + kTick);
+    ArmTick();
+  }
+
+  // The replicas have changed, the primary has not: leases and the duties' state still hold.
+  void GoOnLeading(std::uint64_t the_epoch) {
+    epoch = the_epoch;
+    members_changed = true;
+    if (usage) usage->SetFence(epoch);
+    if (scale) scale->SetFence(epoch);
   }
 
   void StopLeading() {
@@ -155,9 +167,16 @@
     if (scale) scale->Stop();
   }
 
+  void ArmTick() {
+    next_tick = loop.Now() + kTick;
+    tick_timer->ArmAt(next_tick);
+  }
+
   void Tick() {
-    tick_timer->ArmAt(loop.Now() + kTick);
+    const net::Span late = loop.Now() - next_tick;
+    ArmTick();
     if (!Leads()) return;
+    if (late > kTick) members.Extend(late);
     for (const MemberLease& lease : members.Expire(loop.Now())) {
       log::Info(kModule,
                 "lease of " + lease.member.role + " " + lease.member.node + " has run out");
@@ -418,6 +437,7 @@
   std::uint64_t epoch = 0;
   std::uint64_t count = 0;  // Of the parts made under this epoch.
   net::Time led_since{};
+  net::Time next_tick{};
   bool members_changed = false;
   net::Time members_published{};
   bool adopting = false;
--- a/src/tier/cluster/member_table.cpp
+++ b/src/tier/cluster/member_table.cpp
@@ -36,6 +36,10 @@
   return true;
 }
 
+void MemberTable::Extend(net::Span span) {
+  for (auto& [address, lease] : leases_) lease.until += span;
+}
+
 std::vector<MemberLease> MemberTable::Expire(net::Time now) {
   std::vector<MemberLease> ended;
   for (auto entry = leases_.begin(); entry != leases_.end();) {
--- a/src/tier/cluster/member_table.h
+++ b/src/tier/cluster/member_table.h
@@ -44,6 +44,9 @@
   Renewed Renew(net::Time now, const transport::PeerIdentity& who, const Renewal& renewal);
   // Whether it was a member. Another life's farewell does not end this one.
   bool Leave(const net::Address& address, std::uint64_t incarnation);
+  // This process has stood still for so long and may not have heard renewals: all leases last that
+  // much longer here, which is safe, for their holders count from before they asked.
+  void Extend(net::Span span);
   // Ends the leases that have run out; the members that went.
   std::vector<MemberLease> Expire(net::Time now);
   // When the next lease ends unless it is renewed; Time::max() where there is none.
--- a/src/tier/cluster/scale_duty.cpp
+++ b/src/tier/cluster/scale_duty.cpp
@@ -75,14 +75,14 @@
   const auto& [subject, desired] = *waiting_.begin();
   const platform::ScaleOrder order{subject.first, subject.second, desired};
   ordering_ = true;
-  parts_.platform.Scale(
-      order, {node_, epoch_},
-      [this, run = std::weak_ptr<char>(run_), order](const platform::CallResult<void>& result) {
-        if (!run.expired()) OnOrdered(order, result);
-      });
+  parts_.platform.Scale(order, {node_, epoch_},
+                        [this, run = std::weak_ptr<char>(run_), order,
+                         fence = epoch_](const platform::CallResult<void>& result) {
+                          if (!run.expired()) OnOrdered(order, fence, result);
+                        });
 }
 
-void ScaleDuty::OnOrdered(const platform::ScaleOrder& order,
+void ScaleDuty::OnOrdered(const platform::ScaleOrder& order, std::uint64_t fence,
                           const platform::CallResult<void>& result) {
   ordering_ = false;
   const net::Time now = parts_.loop.Now();
@@ -97,7 +97,7 @@
   }
   log::Warning(kModule, order.service + " in " + order.zone + ": " + result.error().text);
   const ErrorCode code = result.error().code;
-  if (code == ErrorCode::kConflict) {  // A later holder orders now.
+  if (code == ErrorCode::kConflict && fence == epoch_) {  // A later holder orders now.
     Stop();
     return;
   }
--- a/src/tier/cluster/scale_duty.h
+++ b/src/tier/cluster/scale_duty.h
@@ -36,6 +36,8 @@
 
   void Start(std::uint64_t epoch);
   void Stop();
+  // The same holder goes on under a later epoch.
+  void SetFence(std::uint64_t epoch) { epoch_ = epoch; }
   // `endpoints`: as the platform tells them now; none: no list yet, nothing is ordered.
   void Tick(const configuration::Configuration* configuration,
             const std::optional<std::vector<EndpointEntry>>& endpoints);
@@ -47,7 +49,8 @@
   ScaleLoad LoadOf(const configuration::Service& service,
                    const std::vector<EndpointEntry>& endpoints) const;
   void SendNext();
-  void OnOrdered(const platform::ScaleOrder& order, const platform::CallResult<void>& result);
+  void OnOrdered(const platform::ScaleOrder& order, std::uint64_t fence,
+                 const platform::CallResult<void>& result);
 
   Parts parts_;
   std::string node_;
--- a/src/tier/cluster/usage_duty.cpp
+++ b/src/tier/cluster/usage_duty.cpp
@@ -138,13 +138,14 @@
   if (due == windows.end() || !parts_.pace.Take(now)) return;
   reporting_ = true;
   parts_.platform.ReportUsage({due->first, due->second}, {node_, epoch_},
-                              [this, run = std::weak_ptr<char>(run_),
-                               window = due->first](const platform::CallResult<void>& result) {
-                                if (!run.expired()) OnReported(window, result);
+                              [this, run = std::weak_ptr<char>(run_), window = due->first,
+                               fence = epoch_](const platform::CallResult<void>& result) {
+                                if (!run.expired()) OnReported(window, fence, result);
                               });
 }
 
-void UsageDuty::OnReported(std::uint64_t window, const platform::CallResult<void>& result) {
+void UsageDuty::OnReported(std::uint64_t window, std::uint64_t fence,
+                           const platform::CallResult<void>& result) {
   reporting_ = false;
   const net::Time now = parts_.loop.Now();
   if (result) {
@@ -154,7 +155,7 @@
     ReportNext();
     return;
   }
-  if (result.error().code == ErrorCode::kConflict) {
+  if (result.error().code == ErrorCode::kConflict && fence == epoch_) {
     log::Warning(kModule, "the platform knows a later holder of the duty");
     Stop();
     return;
--- a/src/tier/cluster/usage_duty.h
+++ b/src/tier/cluster/usage_duty.h
@@ -39,6 +39,8 @@
 
   void Start(std::uint64_t epoch);
   void Stop();
+  // The same holder goes on under a later epoch.
+  void SetFence(std::uint64_t epoch) { epoch_ = epoch; }
   // Does what is due; called a few times a second.
   void Tick();
 
@@ -53,7 +55,8 @@
   Result<std::vector<coordination::Write>> PlanCommit(const coordination::Contents& committed,
                                                       std::uint64_t window) const;
   void ReportNext();
-  void OnReported(std::uint64_t window, const platform::CallResult<void>& result);
+  void OnReported(std::uint64_t window, std::uint64_t fence,
+                  const platform::CallResult<void>& result);
 
   Parts parts_;
   std::string node_;
--- a/tests/tier/cluster/cluster_parts_test.cpp
+++ b/tests/tier/cluster/cluster_parts_test.cpp
@@ -173,6 +173,14 @@
   BOOST_TEST(table.Expire(After(seconds(5))).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(leases_outlast_a_standstill_of_this_process) {
+  MemberTable table({seconds(3), milliseconds(1500)});
+  table.Renew(net::Time{}, Who(2, "store", 1), Renewal());
+  table.Extend(seconds(2));
+  BOOST_TEST(table.Expire(After(milliseconds(3499))).empty());
+  BOOST_TEST(table.Expire(After(milliseconds(3500))).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(only_what_others_see_counts_as_a_change) {
   MemberTable table({seconds(3), milliseconds(1500)});
   using Renewed = MemberTable::Renewed;
--- a/tests/tier/cluster/core_service_test.cpp
+++ b/tests/tier/cluster/core_service_test.cpp
@@ -155,6 +155,36 @@
   BOOST_TEST(rig.RunUntil([&] { return !AnyNames(Rows(rig), rig.stores[3]->disk); }, seconds(3)));
 }
 
+BOOST_AUTO_TEST_CASE(a_primary_under_a_later_epoch_forgets_no_lease) {
+  Rig rig(3, 2, 4);
+  rig.Start();
+  BOOST_REQUIRE(Settles(rig, 2, seconds(5)));
+  rig.stores[1]->Stop();
+  for (int step = 0; step < 4; ++step) {
+    rig.Run(milliseconds(300));
+    rig.map.RaiseEpoch();
+  }
+  // Its lease ran on over all the changes.
+  BOOST_TEST(
+      rig.RunUntil([&] { return !AnyNames(Rows(rig), rig.stores[1]->disk); }, milliseconds(800)));
+  for (const auto& proxy : rig.proxies) {
+    BOOST_TEST(proxy->agent().in_touch());
+    BOOST_TEST(proxy->contacts.size() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_that_stood_still_blames_nobody_for_it) {
+  Rig rig(3, 1, 4);
+  rig.Start();
+  BOOST_REQUIRE(Settles(rig, 2, seconds(5)));
+  const std::uint64_t count = NumberAt(rig.map.contents, kPlacementCountKey);
+  rig.cores[0]->process().SetPaused(true);
+  rig.Run(milliseconds(2500));
+  rig.cores[0]->process().SetPaused(false);
+  rig.Run(seconds(3));
+  BOOST_TEST(NumberAt(rig.map.contents, kPlacementCountKey) == count);
+}
+
 BOOST_AUTO_TEST_CASE(reports_count_only_for_the_row_as_it_is) {
   Rig rig(3, 1, 3);
   rig.Start();
--- a/tests/tier/cluster/rig.h
+++ b/tests/tier/cluster/rig.h
@@ -43,6 +43,8 @@
   std::vector<coordination::Write> unheard;
 
   void Elect(MemoryReplicator* next);
+  // The same primary under another record.
+  void RaiseEpoch();
 };
 
 class MemoryReplicator : public coordination::Replicator {
@@ -143,6 +145,11 @@
   if (next != nullptr) next->TellRole(true);
 }
 
+inline void SharedMap::RaiseEpoch() {
+  ++epoch;
+  if (primary != nullptr) primary->TellRole(true);
+}
+
 // The platform as all core processes see it.
 struct PlatformWorld {
   struct UsageCall {
