--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -216,9 +216,18 @@
     }
     if (!taken.value()) return;
     PassOn(push);
+    if (push.part == Part::kMembers) LearnCores();
     Tell(push.part);
   }
 
+  void LearnCores() {
+    std::vector<net::Address> cores;
+    for (const Member& member : store.view().members->all) {
+      if (member.role == "core") cores.push_back(member.address);
+    }
+    finder.Learn(std::move(cores));
+  }
+
   void PassOn(const Push& push) {
     if (children.empty()) return;
     const std::string body = Encode(push);
--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -247,8 +247,10 @@
     tree.MarkTold(member, answer.children);
     answer.true_micros = TrueMicros();
     answer.settled_before = ledger.settled_before();
-    for (const coordination::CoreMember& core : replicator.members()) {
-      answer.cores.push_back(core.address);
+    if (lease.versions[Part::kMembers] == Version()) {
+      for (const coordination::CoreMember& core : replicator.members()) {
+        answer.cores.push_back(core.address);
+      }
     }
     return answer;
   }
--- a/src/tier/cluster/messages.h
+++ b/src/tier/cluster/messages.h
@@ -89,7 +89,7 @@
   std::vector<net::Address> children;  // Whom to pass pushes on to.
   std::int64_t true_micros = 0;        // Time of day as most processes have it.
   std::uint64_t settled_before = 0;    // Windows below are reported; their counts can go.
-  std::vector<net::Address> cores;     // All core processes known.
+  std::vector<net::Address> cores;     // For an agent without members yet: all core processes.
   bool operator==(const RenewalAnswer&) const = default;
 };
 
--- a/tests/tier/cluster/agent_test.cpp
+++ b/tests/tier/cluster/agent_test.cpp
@@ -187,6 +187,52 @@
   for (const auto& proxy : rig.proxies) BOOST_TEST(!proxy->stepped_back);
 }
 
+// What a sidecar at rest and a change cost, at the size that large deployments have.
+BOOST_AUTO_TEST_CASE(a_thousand_agents_follow_in_time_and_cheaply) {
+  Rig rig(3, 1000);
+  rig.Start();
+  BOOST_TEST(rig.RunUntil([&] { return AllInTouch(rig); }, seconds(5)));
+  rig.Run(seconds(10));
+  const auto bytes = [&] {
+    std::uint64_t sum = 0;
+    for (const auto& proxy : rig.proxies) sum += proxy->hub().counters().bytes_out;
+    return sum + rig.cores[0]->hub().counters().bytes_out;
+  };
+  const std::uint64_t before = bytes();
+  rig.Run(seconds(10));
+  const double at_rest = static_cast<double>(bytes() - before) / 1000 / 10;
+  BOOST_TEST_MESSAGE("bytes a second and sidecar at rest: " << at_rest);
+  BOOST_TEST(at_rest < 1000);
+  net::Span slowest{};
+  const std::uint64_t primary_before = rig.cores[0]->hub().counters().bytes_out;
+  for (std::uint64_t version = 1; version <= 5; ++version) {
+    BOOST_REQUIRE(rig.Put(version, version - 1));
+    const net::Time acknowledged = rig.net.Now();
+    BOOST_TEST(rig.RunUntil([&] { return rig.AllHave(version); }, milliseconds(200)));
+    slowest = std::max<net::Span>(slowest, rig.net.Now() - acknowledged);
+  }
+  BOOST_TEST_MESSAGE(
+      "ms from the acknowledgement until the last of 1000 follows: " << slowest / milliseconds(1));
+  BOOST_TEST_MESSAGE("bytes of the primary for five changes of "
+                     << RigConfiguration(1).size()
+                     << " bytes: " << rig.cores[0]->hub().counters().bytes_out - primary_before);
+}
+
+BOOST_AUTO_TEST_CASE(an_agent_whose_seeds_are_gone_finds_the_core_by_its_members) {
+  Rig rig(4, 3);
+  rig.Start();
+  rig.Run(seconds(3));
+  // The seeds are the first three; the fourth is the primary when those are cut off.
+  rig.Elect(3);
+  rig.Run(seconds(2));
+  for (std::size_t core = 0; core < 3; ++core) {
+    rig.net.SetCutOff(rig.cores[core]->host(), true);
+  }
+  rig.proxies[1]->agent().SetSeeds({});
+  rig.Run(seconds(5));
+  for (const auto& proxy : rig.proxies) BOOST_TEST(proxy->agent().in_touch());
+}
+
 BOOST_AUTO_TEST_CASE(members_name_the_ready_sidecars_and_the_cores) {
   Rig rig(3, 4);
   rig.Start();
