--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -341,7 +341,7 @@
       if (done) loop.Post(std::move(done));
       return;
     }
-    hub.Call(*target, kLeaveKind, std::string(), kLeaveTimeout,
+    hub.Call(*target, kLeaveKind, Encode(MakeRenewal()), kLeaveTimeout,
              [alive = Alive(), done = std::move(done)](const Result<std::string>&) {
                if (!alive.expired() && done) done();
              });
--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -89,10 +89,9 @@
         platform::ListReader::Options{settings.cloud.rate_per_s, settings.bounds.drain},
         [this](const std::vector<EndpointEntry>& entries) { PublishEndpoints(entries); });
     if (HasDuty(settings, "usage_report")) {
-      usage =
-          std::make_unique<UsageDuty>(UsageDuty::Parts{loop, replicator, platform, members, ledger,
-                                                       pace, [this] { return TrueMicros(); }},
-                                      settings);
+      usage = std::make_unique<UsageDuty>(UsageDuty::Parts{loop, replicator, platform, ledger, pace,
+                                                           [this] { return TrueMicros(); }},
+                                          settings);
     }
     if (HasDuty(settings, "autoscale")) {
       scale =
@@ -108,8 +107,8 @@
                                       const Hub::Reply& reply) { reply(OnRenewal(from, body)); });
     hub.HandleCall(kFetchKind, [this](const PeerIdentity&, std::string_view body,
                                       const Hub::Reply& reply) { reply(publisher.Answer(body)); });
-    hub.HandleCall(kLeaveKind, [this](const PeerIdentity& from, std::string_view,
-                                      const Hub::Reply& reply) { reply(OnLeave(from)); });
+    hub.HandleCall(kLeaveKind, [this](const PeerIdentity& from, std::string_view body,
+                                      const Hub::Reply& reply) { reply(OnLeave(from, body)); });
     hub.HandleCall(kBackupReportKind,
                    [this](const PeerIdentity&, std::string_view body, Hub::Reply reply) {
                      OnBackupReport(body, std::move(reply));
@@ -225,10 +224,15 @@
     const std::optional<net::Address> parent = tree.ParentOf(from.address);
     if (renewal.parent_silent && parent && renewal.parent == parent) tree.Distrust(*parent);
     clock.Hear(loop.Now(), from.address, renewal.wall_micros);
-    ledger.Hear(from.address, from.incarnation, renewal.uses);
+    HearUses(from, renewal);
     AdoptEndpoints(from.address, renewal.versions[Part::kEndpoints]);
   }
 
+  void HearUses(const transport::PeerIdentity& from, const Renewal& renewal) {
+    ledger.Hear(from.address, from.incarnation, renewal.uses);
+    if (usage && from.role == "proxy") usage->Hear(from.address, renewal.window_open);
+  }
+
   RenewalAnswer Accept(const net::Address& member) {
     RenewalAnswer answer;
     answer.accepted = true;
@@ -255,8 +259,12 @@
     return answer;
   }
 
-  Result<std::string> OnLeave(const transport::PeerIdentity& from) {
+  Result<std::string> OnLeave(const transport::PeerIdentity& from, std::string_view body) {
+    const Result<Renewal> last = DecodeRenewal(body);
+    if (!last) return last.error();
     if (!Leads()) return MakeError(ErrorCode::kUnavailable, "not the primary");
+    HearUses(from, last.value());
+    if (usage) usage->Forget(from.address);
     if (members.Leave(from.address, from.incarnation)) {
       log::Info(kModule, from.role + " " + from.node + " leaves");
       Forget(from.address);
--- a/src/tier/cluster/messages.h
+++ b/src/tier/cluster/messages.h
@@ -22,7 +22,7 @@
 constexpr transport::MessageKind kPushKind = transport::kClusterKinds + 1;
 // Call, agent to whoever has the part (parent or core): Fetch -> Push. kNotFound: not that version.
 constexpr transport::MessageKind kFetchKind = transport::kClusterKinds + 2;
-// Call, agent to core: Leave -> empty.
+// Call, agent to core: its last Renewal -> empty. It leaves; others learn so at once.
 constexpr transport::MessageKind kLeaveKind = transport::kClusterKinds + 3;
 // Call, store that is primary of a partition to core: BackupReport -> empty. kConflict: the row has
 // another epoch by now; the placement that says so follows.
--- a/src/tier/cluster/usage_duty.cpp
+++ b/src/tier/cluster/usage_duty.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::chrono::milliseconds kFirstPause{300};
 constexpr std::chrono::milliseconds kLongestPause{2000};
+constexpr double kWaitedShare = 0.7;  // Of the time that a window may be late.
 constexpr const char* kModule = "cluster.usage";
 
 std::int64_t Micros(std::chrono::milliseconds span) {
@@ -24,13 +25,15 @@
       node_(settings.node),
       span_micros_(std::max<std::int64_t>(Micros(settings.bounds.usage_window), 1)),
       late_micros_(Micros(settings.bounds.usage_late)),
-      hearing_(settings.bounds.contact / 2) {}
+      hearing_(settings.bounds.contact / 4),
+      progress_(settings.bounds.usage_late) {}
 
 void UsageDuty::Start(std::uint64_t epoch) {
   run_ = std::make_shared<char>();
   running_ = true;
   epoch_ = epoch;
   started_ = parts_.loop.Now();
+  progress_.Clear();
   committing_ = false;
   reporting_ = false;
   first_window_ = 0;
@@ -77,22 +80,17 @@
   return first_window_;
 }
 
-bool UsageDuty::AllHaveCounted(std::uint64_t window) const {
-  if (parts_.loop.Now() < started_ + hearing_) return false;
-  for (const auto& [address, lease] : parts_.members.leases()) {
-    if (lease.member.role == "proxy" && lease.window_open <= window) return false;
-  }
-  return true;
-}
-
-bool UsageDuty::IsComplete(std::uint64_t window) const {
+bool UsageDuty::IsComplete(std::uint64_t window) {
   const std::int64_t since_end = parts_.true_micros() - EndOf(window);
   if (since_end < 0) return false;
-  return AllHaveCounted(window) || since_end >= late_micros_ / 2;
+  const net::Time now = parts_.loop.Now();
+  const bool knows_all = now >= started_ + std::chrono::microseconds(late_micros_);
+  if (knows_all && progress_.AllBeyond(now, window)) return true;
+  return static_cast<double>(since_end) >= kWaitedShare * static_cast<double>(late_micros_);
 }
 
 void UsageDuty::CommitNext() {
-  if (committing_ || parts_.loop.Now() < started_ + hearing_ / 2) return;
+  if (committing_ || parts_.loop.Now() < started_ + hearing_) return;
   if (first_window_ == 0) first_window_ = WindowAt(parts_.true_micros());
   const std::optional<std::uint64_t> window = NextWindow();
   if (!window || !IsComplete(*window)) return;
--- a/tests/tier/cluster/cluster_messages_test.cpp
+++ b/tests/tier/cluster/cluster_messages_test.cpp
@@ -252,7 +252,8 @@
   Stranger stranger(rig, "proxy");
   const net::Address core = rig.cores[0]->address();
   const std::uint64_t epoch = rig.map.epoch;
-  for (const transport::MessageKind kind : {kRenewKind, kFetchKind, kBackupReportKind}) {
+  for (const transport::MessageKind kind :
+       {kRenewKind, kFetchKind, kLeaveKind, kBackupReportKind}) {
     BOOST_TEST((stranger.Call(core, kind, "nonsense").error().code == ErrorCode::kInvalid));
     BOOST_TEST((stranger.Call(core, kind, "").error().code == ErrorCode::kInvalid));
   }
--- a/tests/tier/cluster/usage_test.cpp
+++ b/tests/tier/cluster/usage_test.cpp
@@ -161,6 +161,39 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(sidecars_on_the_far_side_of_a_cut_are_waited_for) {
+  for (const bool new_primary : {false, true}) {
+    Rig rig(3, 9);
+    rig.Start();
+    Traffic traffic(rig);
+    traffic.Run(seconds(13));
+    for (std::size_t index = 0; index < 4; ++index) {
+      rig.net.SetCutOff(rig.proxies[index]->host(), true);
+    }
+    if (new_primary) rig.Elect(1);
+    traffic.Run(seconds(5));
+    for (const auto& proxy : rig.proxies) rig.net.SetCutOff(proxy->host(), false);
+    traffic.Run(seconds(18));
+    CheckNear(rig, traffic, 0.0, 5);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_farewell_brings_the_last_counts) {
+  Rig rig(3, 3);
+  rig.Start();
+  Traffic traffic(rig);
+  for (int round = 0; round < 3; ++round) {
+    traffic.Run(milliseconds(6230));
+    rig.proxies[1]->agent().Leave([] {});
+    rig.Run(milliseconds(20));
+    rig.proxies[1]->Stop();
+    traffic.Run(seconds(1));
+    rig.proxies[1]->Start();
+  }
+  traffic.Run(seconds(14));
+  CheckNear(rig, traffic, 0.0, 5);
+}
+
 BOOST_AUTO_TEST_CASE(a_dead_sidecar_delays_a_window_but_does_not_stop_it) {
   Rig rig(3, 6);
   rig.Start();
