--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -216,9 +216,18 @@
     }
     if (!taken.value()) return;
     PassOn(push);
+    if (push.part == Part::kMembers) LearnCores();
     Tell(push.part);
   }
 
+  void LearnCores() {
+    std::vector<net::Address> cores;
+    for (const Member& member : store.view().members->all) {
+      if (member.role == "core") cores.push_back(member.address);
+    }
+    finder.Learn(std::move(cores));
+  }
+
   void PassOn(const Push& push) {
     if (children.empty()) return;
     const std::string body = Encode(push);
@@ -332,7 +341,7 @@
       if (done) loop.Post(std::move(done));
       return;
     }
-    hub.Call(*target, kLeaveKind, std::string(), kLeaveTimeout,
+    hub.Call(*target, kLeaveKind, Encode(MakeRenewal()), kLeaveTimeout,
              [alive = Alive(), done = std::move(done)](const Result<std::string>&) {
                if (!alive.expired() && done) done();
              });
