--- a/src/tier/programs/data_main.cpp
+++ b/src/tier/programs/data_main.cpp
@@ -3,7 +3,9 @@
 // cannot be used, 2 usage.
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
+#include <exception>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -65,10 +67,7 @@
   return 0;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
-  std::signal(SIGPIPE, SIG_IGN);
+int Run(int argc, char** argv) {
   CLI::App app("Data plane of the shelflink serving tier");
   app.require_subcommand(1);
   const CLI::App* proxy = app.add_subcommand(
@@ -81,3 +80,15 @@
   }
   return proxy->parsed() ? RunProxy() : kUsage;
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    return Run(argc, argv);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "shelflink-data: %s\n", error.what());
+    return kBadSettings;
+  }
+}
--- a/src/tier/proxy/program.cpp
+++ b/src/tier/proxy/program.cpp
@@ -81,7 +81,7 @@
         ready_server(
             loop, log, loop.Listen(Needed(settings.listen_ready, "listen.ready")), ready_budget,
             drain, [this] { return Ready(); }, [] { return std::uint64_t{0}; },
-            [](const std::shared_ptr<kelpspring::Client>& client, kelpspring::HttpRequest,
+            [](const std::shared_ptr<kelpspring::Client>& client, const kelpspring::HttpRequest&,
                kelpspring::Arrival) { client->RespondPlain(404, "GET /ready is served here\n"); },
             ReadyTerms()),
         load_timer(loop.NewTimer([this] { TellLoads(); })),
