--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -179,9 +179,12 @@
     true_ahead = true_micros - SteadyMicros(middle);
   }
 
+  std::int64_t TrueMicros() const {
+    return true_ahead ? SteadyMicros(loop.Now()) + *true_ahead : loop.WallMicros();
+  }
+
   std::uint64_t CurrentWindow() const {
-    const std::int64_t now =
-        true_ahead ? SteadyMicros(loop.Now()) + *true_ahead : loop.WallMicros();
+    const std::int64_t now = TrueMicros();
     const std::int64_t span = duration_cast<microseconds>(settings.bounds.usage_window).count();
     return static_cast<std::uint64_t>(std::max<std::int64_t>(now, 0) /
                                       std::max<std::int64_t>(span, 1));
@@ -382,6 +385,8 @@
 
 net::Time Agent::lease_until() const { return impl_->lease_until; }
 
+std::int64_t Agent::TrueMicros() const { return impl_->TrueMicros(); }
+
 std::optional<net::Address> Agent::primary() const { return impl_->finder.primary(); }
 
 void Agent::SetReady(bool ready) {
