Stores: memory of submissions bounded, clock corrected by the core's, cheap wake-ups; tests of both and of full disks

Cause: a submission of 4 MB stands in some six forms until it is stored, so a few at once could pass a process's memory limit; a store started while its clock was stepped would have forgotten results early; each event walked every lease of every partition. An acknowledgement by one disk only is caught by the judge.

--- a/src/tier/batch/job_book.cpp
+++ b/src/tier/batch/job_book.cpp
@@ -80,11 +80,12 @@
 }
 
 void JobBook::FinishLoading(Micros now) {
+  loaded_items_from_ = now + options_.adoption_grace;
   for (auto& [number, job] : jobs_) {
     job.durable = true;
     job.visible = job.listed.size();
     RunQueue::Job queued{job.owner, job.header.route, job.header.due,
-                         job.header.due - job.header.first_sent, now + options_.adoption_grace};
+                         job.header.due - job.header.first_sent, loaded_items_from_};
     queue_.AddJob(number, std::move(queued));
     for (std::uint32_t index = 0; index < job.items.size(); ++index) {
       if (job.items[index].state == ItemState::kListed || job.ended) {
@@ -261,6 +262,7 @@
   item.state = ItemState::kLeased;
   item.lease = lease;
   holders_[entry.holder].leases.insert(lease);
+  no_expiry_before_ = leases_.empty() ? entry.until : std::min(no_expiry_before_, entry.until);
   leases_.emplace(lease, entry);
 }
 
@@ -346,12 +348,19 @@
 
 void JobBook::OnStall(Micros span) {
   for (auto& [id, lease] : leases_) lease.until += span;
+  no_expiry_before_ += span;
 }
 
 void JobBook::ExpireLeases(Micros now) {
+  if (leases_.empty() || now < no_expiry_before_) return;
   std::vector<LeaseId> expired;
+  no_expiry_before_ = now + options_.lease_span;
   for (const auto& [id, lease] : leases_) {
-    if (lease.until <= now) expired.push_back(id);
+    if (lease.until <= now) {
+      expired.push_back(id);
+    } else {
+      no_expiry_before_ = std::min(no_expiry_before_, lease.until);
+    }
   }
   for (const LeaseId id : expired) {
     const LeaseEntry lease = leases_.at(id);
@@ -493,11 +502,12 @@
 }
 
 std::optional<Micros> JobBook::NextWake(Micros now) const {
-  std::optional<Micros> wake = queue_.NextFree(now);
+  std::optional<Micros> wake;
   const auto consider = [&wake](Micros at) {
     if (!wake || at < *wake) wake = at;
   };
-  for (const auto& [id, lease] : leases_) consider(lease.until);
+  if (HasWaiting() && now < loaded_items_from_) consider(loaded_items_from_);
+  if (!leases_.empty()) consider(no_expiry_before_);
   if (!checks_.empty()) consider(checks_.begin()->first);
   return wake;
 }
@@ -531,9 +541,8 @@
   return assignment;
 }
 
-std::size_t JobBook::LeasesOf(const net::Address& proxy) const {
-  const auto found = holders_.find(proxy);
-  return found == holders_.end() ? 0 : found->second.leases.size();
+void JobBook::CountLeases(std::map<net::Address, std::size_t>& held) const {
+  for (const auto& [proxy, entry] : holders_) held[proxy] += entry.leases.size();
 }
 
 std::vector<JobBook::Revocation> JobBook::TakeRevocations() {
--- a/src/tier/batch/job_book.h
+++ b/src/tier/batch/job_book.h
@@ -103,9 +103,11 @@
   // Whatever is due. Call at NextWake and whenever convenient.
   void OnTick(Micros now);
   std::optional<Micros> NextWake(Micros now) const;
+  bool HasWaiting() const { return queue_.size() > 0; }
   // Leases the next item to that proxy, which must have room for it; none: no item may run now.
   std::optional<Assignment> NextAssignment(Micros now, const net::Address& proxy);
-  std::size_t LeasesOf(const net::Address& proxy) const;
+  // Adds the number of leases that each proxy holds.
+  void CountLeases(std::map<net::Address, std::size_t>& held) const;
   std::vector<Revocation> TakeRevocations();
 
   std::vector<coordination::Write> TakeWrites();
@@ -201,6 +203,8 @@
   RunQueue queue_;
   std::map<LeaseId, LeaseEntry> leases_;
   std::uint64_t next_lease_ = 1;
+  Micros no_expiry_before_ = 0;  // Of any lease.
+  Micros loaded_items_from_ = 0;
   std::map<net::Address, HolderEntry> holders_;
   std::vector<Revocation> revocations_;
   std::set<std::pair<Micros, JobNumber>> checks_;
--- a/src/tier/batch/partition_server.cpp
+++ b/src/tier/batch/partition_server.cpp
@@ -209,10 +209,6 @@
   return book_.OnAdopt(clock_.Now(), holder, adoption);
 }
 
-void PartitionServer::OnStall(net::Span span) {
-  book_.OnStall(std::chrono::duration_cast<std::chrono::microseconds>(span).count());
-}
-
 std::optional<Assign> PartitionServer::Lend(const net::Address& proxy) {
   std::optional<JobBook::Assignment> assignment = book_.NextAssignment(clock_.Now(), proxy);
   if (!assignment) return {};
--- a/src/tier/batch/partition_server.h
+++ b/src/tier/batch/partition_server.h
@@ -24,19 +24,28 @@
 
 namespace shelflink::batch {
 
-// The time of day as it was when the process started, moved on by the steady clock: no step of the
-// wall clock makes a job due or dead.
+// The time of day as it was known when it was last corrected, moved on by the steady clock: no step
+// of the machine's wall clock makes a job due or dead.
 class JobClock {
  public:
   explicit JobClock(const net::Loop& loop)
       : loop_(loop), wall_(loop.WallMicros()), steady_(loop.Now()) {}
-  Micros Now() const {
-    return wall_ +
-           std::chrono::duration_cast<std::chrono::microseconds>(loop_.Now() - steady_).count();
-  }
+  Micros Now() const { return wall_ + SinceSteady(loop_.Now()); }
   net::Time SteadyAt(Micros at) const { return steady_ + std::chrono::microseconds(at - wall_); }
+  // Takes that time of day where this one is far from it; returns by how much it has moved.
+  Micros Correct(Micros wall) {
+    constexpr Micros kFar = 1'000'000;
+    const Micros ahead = wall - Now();
+    if (ahead < kFar && ahead > -kFar) return 0;
+    wall_ += ahead;
+    return ahead;
+  }
 
  private:
+  Micros SinceSteady(net::Time now) const {
+    return std::chrono::duration_cast<std::chrono::microseconds>(now - steady_).count();
+  }
+
   const net::Loop& loop_;
   Micros wall_;
   net::Time steady_;
@@ -68,12 +77,12 @@
   void OnProxy(const JobBook::Holder& holder) { book_.OnProxy(holder); }
   LeaseStatus OnHeld(const JobBook::Holder& holder, const HeldLease& held);
   LeaseStatus OnAdopt(const JobBook::Holder& holder, const Adoption& adoption);
-  void OnStall(net::Span span);
+  // Leases go on so much longer: the process stood still, or the clock was corrected.
+  void OnStall(Micros span) { book_.OnStall(span); }
 
   // Leases the next item to that proxy, payload and all.
   std::optional<Assign> Lend(const net::Address& proxy);
   std::vector<JobBook::Revocation> TakeRevocations() { return book_.TakeRevocations(); }
-  std::size_t LeasesOf(const net::Address& proxy) const { return book_.LeasesOf(proxy); }
 
   void OnTick();
   std::optional<net::Time> NextWake() const;
--- a/src/tier/batch/proxy_room.cpp
+++ b/src/tier/batch/proxy_room.cpp
@@ -8,7 +8,7 @@
 
 void ProxyRoom::Close(const net::Address& proxy) { proxies_.erase(proxy); }
 
-std::optional<net::Address> ProxyRoom::Most(net::Time now, const LeasesOf& leases_of) {
+std::optional<net::Address> ProxyRoom::Most(net::Time now, const Leases& leases) {
   std::optional<net::Address> best;
   std::size_t best_room = 0;
   for (auto entry = proxies_.begin(); entry != proxies_.end();) {
@@ -17,7 +17,8 @@
       entry = proxies_.erase(entry);
       continue;
     }
-    const std::size_t held = leases_of(address);
+    const auto found = leases.find(address);
+    const std::size_t held = found == leases.end() ? 0 : found->second;
     if (offer.capacity > held && offer.capacity - held > best_room) {
       best_room = offer.capacity - held;
       best = address;
--- a/src/tier/batch/proxy_room.h
+++ b/src/tier/batch/proxy_room.h
@@ -4,7 +4,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
 
@@ -15,7 +14,7 @@
 
 class ProxyRoom {
  public:
-  using LeasesOf = std::function<std::size_t(const net::Address&)>;
+  using Leases = std::map<net::Address, std::size_t>;  // Those that each proxy holds.
   // An offer counts so long: several times the pause between two.
   static constexpr std::chrono::milliseconds kOfferHolds{1000};
 
@@ -24,7 +23,7 @@
   // It takes nothing until its next offer: it gave an item back, or its connection broke.
   void Close(const net::Address& proxy);
   // The proxy with the most room; none: nobody has any.
-  std::optional<net::Address> Most(net::Time now, const LeasesOf& leases_of);
+  std::optional<net::Address> Most(net::Time now, const Leases& held);
 
  private:
   struct Entry {
--- a/src/tier/batch/run_queue.cpp
+++ b/src/tier/batch/run_queue.cpp
@@ -102,17 +102,6 @@
   return Candidate{urgent ? Urgency::kUrgent : Urgency::kAhead, number, largest};
 }
 
-std::optional<Micros> RunQueue::NextFree(Micros now) const {
-  std::optional<Micros> next;
-  for (const auto& [name, owner] : owners_) {
-    for (const auto& [due, number] : owner.jobs) {
-      const Micros from = jobs_.at(number).job.from;
-      if (from > now && (!next || from < *next)) next = from;
-    }
-  }
-  return next;
-}
-
 Micros RunQueue::Estimate(const std::string& route, std::uint64_t tokens) const {
   const auto found = pace_.find(route);
   if (found == pace_.end()) return 0;
--- a/src/tier/batch/run_queue.h
+++ b/src/tier/batch/run_queue.h
@@ -45,8 +45,6 @@
 
   // Takes the next item out of the queue and counts it as served to its owner.
   std::optional<Waiting> Take(Micros now, const RouteOpen& route_open);
-  // The earliest time at which an item that is kept back becomes free; none: none is kept back.
-  std::optional<Micros> NextFree(Micros now) const;
 
   // A whole run of an item of that size took so long: how long others of the route will take.
   void LearnPace(const std::string& route, std::uint64_t tokens, Micros duration);
--- a/src/tier/batch/store_program.cpp
+++ b/src/tier/batch/store_program.cpp
@@ -74,7 +74,8 @@
         hub_(loop, IdentityOf(settings), {}),
         agent_(loop, hub_, settings, AgentChanges()),
         replicas_(loop, hub_, disk, HostOptions(settings, identity_.id), HostOutside()),
-        service_(loop, hub_, replicas_, settings.bounds, Draw()),
+        service_(loop, hub_, replicas_,
+                 {settings.bounds, Draw(), [this] { return agent_.TrueMicros(); }}),
         leave_timer_(loop.NewTimer([this] { loop_.Stop(); })) {
     agent_.SetStoreReport([this] { return Report(); });
     loop_.OnSignal(SIGTERM, [this] { Leave(); });
--- a/src/tier/batch/store_service.cpp
+++ b/src/tier/batch/store_service.cpp
@@ -33,7 +33,6 @@
 
 Error NotServing() { return MakeError(ErrorCode::kUnavailable, "not the partition's primary now"); }
 
-const JobRef& JobOf(const Submit& message) { return message.job; }
 const JobRef& JobOf(const Read& message) { return message.job; }
 const JobRef& JobOf(const JobRef& message) { return message; }
 const JobRef& JobOf(const ItemRef& message) { return message.job; }
@@ -41,12 +40,13 @@
 }  // namespace
 
 StoreService::StoreService(net::Loop& loop, transport::Hub& hub, PartitionReplicas& replicas,
-                           const Bounds& bounds, std::uint64_t issuer)
+                           Options options)
     : loop_(loop),
       hub_(hub),
       replicas_(replicas),
+      options_(std::move(options)),
       clock_(loop),
-      book_options_(BookOptions(bounds, issuer)),
+      book_options_(BookOptions(options_.bounds, options_.issuer)),
       timer_(loop.NewTimer([this] { OnTimer(); })) {
   RegisterCalls();
   hub_.Watch([this](const transport::PeerIdentity& peer, bool up) {
@@ -85,10 +85,8 @@
 }
 
 void StoreService::RegisterCalls() {
-  HandleJobCall<Submit>(kSubmit,
-                        [this](PartitionServer& server, const Submit& submit, Reply reply) {
-                          server.OnSubmit(submit, std::move(reply));
-                        });
+  hub_.HandleCall(kSubmit, [this](const transport::PeerIdentity&, std::string_view body,
+                                  Reply reply) { OnSubmit(body, std::move(reply)); });
   HandleJobCall<Read>(kRead, [](PartitionServer& server, const Read& read, Reply reply) {
     server.OnRead(read, std::move(reply));
   });
@@ -135,6 +133,35 @@
   });
 }
 
+void StoreService::OnSubmit(std::string_view body, Reply reply) {
+  const bool entered = gate_.Enter(
+      std::string(body), [this, reply](const std::string& begun) { BeginSubmit(begun, reply); });
+  if (!entered) reply(MakeError(ErrorCode::kUnavailable, "too many submissions are under way"));
+}
+
+void StoreService::BeginSubmit(const std::string& body, const Reply& reply) {
+  Reply leave_and_reply = [this, reply, size = body.size(),
+                           alive = alive_](Result<std::string> answer) {
+    reply(std::move(answer));
+    if (!*alive) return;
+    loop_.Post([this, size, alive] {
+      if (*alive) gate_.Leave(size);
+    });
+  };
+  const Result<Submit> submit = Decode<Submit>(body);
+  if (!submit) {
+    leave_and_reply(submit.error());
+    return;
+  }
+  const JobRef& job = submit.value().job;
+  PartitionServer* server = Serving(job.partition, job.epoch);
+  if (server == nullptr) {
+    leave_and_reply(NotServing());
+    return;
+  }
+  server->OnSubmit(submit.value(), std::move(leave_and_reply));
+}
+
 PartitionServer* StoreService::Serving(std::uint32_t partition, std::uint64_t epoch) {
   const auto found = served_.find(partition);
   if (found == served_.end()) return nullptr;
@@ -176,6 +203,7 @@
 
 void StoreService::OnPrimary(std::uint32_t partition, PartitionLog& log) {
   OnLost(partition);
+  CorrectClock();
   PartitionServer::Events events;
   events.work = [this] { ScheduleWork(); };
   events.failed = [this, partition] { DropLater(partition); };
@@ -236,10 +264,13 @@
 void StoreService::Work() {
   work_posted_ = false;
   SendRevocations();
-  for (;;) {
-    const std::optional<net::Address> proxy =
-        room_.Most(loop_.Now(), [this](const net::Address& address) { return LeasesOf(address); });
-    if (!proxy || !LendOne(*proxy)) break;
+  if (HasWaiting()) {
+    ProxyRoom::Leases leases = CountLeases();
+    for (;;) {
+      const std::optional<net::Address> proxy = room_.Most(loop_.Now(), leases);
+      if (!proxy || !LendOne(*proxy)) break;
+      ++leases[*proxy];
+    }
   }
   ArmTimer();
 }
@@ -270,19 +301,33 @@
   return false;
 }
 
-std::size_t StoreService::LeasesOf(const net::Address& proxy) const {
-  std::size_t leases = 0;
-  for (const auto& [partition, served] : served_) leases += served.server->LeasesOf(proxy);
+bool StoreService::HasWaiting() const {
+  return std::any_of(served_.begin(), served_.end(),
+                     [](const auto& entry) { return entry.second.server->book().HasWaiting(); });
+}
+
+ProxyRoom::Leases StoreService::CountLeases() const {
+  ProxyRoom::Leases leases;
+  for (const auto& [partition, served] : served_) served.server->book().CountLeases(leases);
   return leases;
 }
 
 // --- Time ---------------------------------------------------------------------------------------
 
+void StoreService::CorrectClock() {
+  const Micros moved = clock_.Correct(options_.time_of_day());
+  if (moved == 0) return;
+  for (auto& [partition, served] : served_) served.server->OnStall(moved);
+}
+
 void StoreService::OnTimer() {
   armed_ = false;
   const net::Span late = loop_.Now() - armed_for_;
+  CorrectClock();
   for (auto& [partition, served] : served_) {
-    if (late > kStall) served.server->OnStall(late);
+    if (late > kStall) {
+      served.server->OnStall(std::chrono::duration_cast<std::chrono::microseconds>(late).count());
+    }
     served.server->OnTick();
   }
   ScheduleWork();
--- a/src/tier/batch/store_service.h
+++ b/src/tier/batch/store_service.h
@@ -7,6 +7,7 @@
 #define SHELFLINK_TIER_BATCH_STORE_SERVICE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -17,6 +18,7 @@
 #include "tier/batch/partition_replicas.h"
 #include "tier/batch/partition_server.h"
 #include "tier/batch/proxy_room.h"
+#include "tier/batch/submission_gate.h"
 #include "tier/configuration/model.h"
 #include "tier/transport/hub.h"
 
@@ -24,9 +26,12 @@
 
 class StoreService {
  public:
-  // `issuer`: drawn at random at each start of the process.
-  StoreService(net::Loop& loop, transport::Hub& hub, PartitionReplicas& replicas,
-               const Bounds& bounds, std::uint64_t issuer);
+  struct Options {
+    Bounds bounds;
+    std::uint64_t issuer = 0;             // Drawn at random at each start of the process.
+    std::function<Micros()> time_of_day;  // As most machines have it.
+  };
+  StoreService(net::Loop& loop, transport::Hub& hub, PartitionReplicas& replicas, Options options);
   ~StoreService();
   StoreService(const StoreService&) = delete;
   StoreService& operator=(const StoreService&) = delete;
@@ -38,6 +43,8 @@
   using Reply = transport::Hub::Reply;
 
   void RegisterCalls();
+  void OnSubmit(std::string_view body, Reply reply);
+  void BeginSubmit(const std::string& body, const Reply& reply);
   template <typename Message>
   void HandleJobCall(MessageKind kind,
                      std::function<void(PartitionServer&, const Message&, Reply)> handler);
@@ -54,8 +61,10 @@
   void ScheduleWork();
   void Work();
   void SendRevocations();
+  bool HasWaiting() const;
   bool LendOne(const net::Address& proxy);
-  std::size_t LeasesOf(const net::Address& proxy) const;
+  ProxyRoom::Leases CountLeases() const;
+  void CorrectClock();
   void OnTimer();
   void ArmTimer();
 
@@ -67,8 +76,10 @@
   net::Loop& loop_;
   transport::Hub& hub_;
   PartitionReplicas& replicas_;
+  Options options_;
   JobClock clock_;
   JobBook::Options book_options_;
+  SubmissionGate gate_;
   std::set<std::string> routes_;
   std::map<std::uint32_t, Served> served_;
   std::uint32_t last_lent_ = 0;  // Partitions take turns behind this one.
--- a/src/tier/storage/crash_storage.h
+++ b/src/tier/storage/crash_storage.h
@@ -23,6 +23,7 @@
   void LosePower(std::size_t kept);
   void Wipe();
   void SetFull(bool full) { full_ = full; }
+  void SetBytesUsed(std::uint64_t bytes) { bytes_used_ = bytes; }
   // While stalled no sync ends; the ones under way end when it is over.
   void SetStalled(bool stalled) { stalled_ = stalled; }
   std::size_t unsynced() const { return unsynced_.size(); }
@@ -38,6 +39,7 @@
   std::vector<Batch> unsynced_;
   std::uint64_t syncs_ = 0;
   bool full_ = false;
+  std::uint64_t bytes_used_ = 0;  // As told; nothing is counted.
   bool stalled_ = false;
 };
 
@@ -51,7 +53,7 @@
   void Scan(std::string_view prefix, std::string_view from, const Visitor& visitor) const override;
   void Apply(const Batch& batch) override;
   void Sync(Synced done) override;
-  Usage usage() const override { return {0, 64U << 20}; }
+  Usage usage() const override { return {disk_.bytes_used_, 64U << 20}; }
   bool failed() const override { return failed_; }
 
  private:
--- a/tests/tier/batch/store_test.cpp
+++ b/tests/tier/batch/store_test.cpp
@@ -150,8 +150,8 @@
   StoreWorld& world_;
 };
 
-// Everything accepted is read whole once all is calm.
-void CheckAllDone(StoreWorld& world, Clients& clients) {
+// Reads everything once all is calm; what of the promises does not hold then or did not before.
+std::vector<std::string> BrokenPromises(StoreWorld& world, Clients& clients) {
   for (int round = 0; round < 60; ++round) {
     for (const auto& [id, promise] : world.promises) clients.ReadJob(id, milliseconds(0));
     world.RunFor(seconds(1));
@@ -162,15 +162,21 @@
         });
     if (done && clients.AllAcknowledged()) break;
   }
+  std::vector<std::string> broken = world.broken;
   for (const auto& [id, promise] : world.promises) {
-    BOOST_TEST(promise.acknowledged, "job " << id << " was never accepted");
-    if (promise.end_asked) continue;
-    BOOST_TEST(promise.read.size() == promise.submit.items.size(),
-               "job " << id << ": " << promise.read.size() << " results of "
-                      << promise.submit.items.size());
+    if (!promise.acknowledged) broken.push_back(id + " was never accepted");
+    if (promise.end_asked || promise.read.size() == promise.submit.items.size()) continue;
+    broken.push_back(id + ": " + std::to_string(promise.read.size()) + " results of " +
+                     std::to_string(promise.submit.items.size()));
   }
-  for (const std::string& broken : world.broken) BOOST_ERROR(broken);
-  BOOST_TEST(world.data_lost() == 0U);
+  if (world.data_lost() > 0) broken.push_back("a partition was given up");
+  return broken;
+}
+
+void CheckAllDone(StoreWorld& world, Clients& clients) {
+  const std::vector<std::string> broken = BrokenPromises(world, clients);
+  for (const std::string& one : broken) BOOST_TEST_MESSAGE(one);
+  BOOST_TEST(broken.empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_job_is_accepted_run_and_read) {
@@ -251,6 +257,71 @@
   }
 }
 
+// The same with one copy only: the judge sees what is missing.
+BOOST_AUTO_TEST_CASE(an_acknowledgement_by_one_disk_is_caught) {
+  StoreWorld world(1, 3, 1);
+  Clients clients(world);
+  world.RunFor(seconds(1));
+  clients.SubmitJob("job-0", 3, "a");
+  while (!clients.AllAcknowledged()) world.RunFor(milliseconds(1));
+  const auto primary = world.StoreAt(world.RowOf(world.promises.at("job-0").submit.job).primary);
+  world.Wipe(*primary);
+  world.RunFor(milliseconds(700));
+  world.Start(*primary);
+  BOOST_TEST(!BrokenPromises(world, clients).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_full_disk_refuses_new_jobs_and_keeps_the_old_ones) {
+  StoreWorld world(5, 3);
+  Clients clients(world);
+  world.RunFor(seconds(1));
+  clients.SubmitJob("old", 3, "a");
+  world.RunFor(milliseconds(500));
+  for (const auto& machine : world.machines) machine->disk.SetBytesUsed(60U << 20);
+  const Submit again = world.promises.at("old").submit;
+  Submit fresh = again;
+  fresh.job.job = "new";
+  std::optional<SubmitOutcome> outcome;
+  std::optional<ErrorCode> refusal;
+  world.proxies[0]->CallJob(kSubmit, again.job, Encode(again), [&](const auto& result) {
+    outcome = Decode<SubmitAnswer>(result.value()).value().outcome;
+  });
+  world.proxies[0]->CallJob(kSubmit, fresh.job, Encode(fresh), [&](const auto& result) {
+    if (!result) refusal = result.error().code;
+  });
+  world.RunFor(milliseconds(300));
+  BOOST_CHECK(outcome == SubmitOutcome::kAccepted);
+  BOOST_CHECK(refusal == ErrorCode::kUnavailable);
+  CheckAllDone(world, clients);
+}
+
+BOOST_AUTO_TEST_CASE(a_stepped_clock_is_corrected_by_what_most_machines_have) {
+  net::VirtualNet net(1);
+  net::VirtualProcess loop(net, 1, "store", 10);
+  const Micros right = loop.WallMicros();
+  loop.StepWall(300'000'000);
+  JobClock clock(loop);
+  BOOST_TEST(clock.Correct(right) == -300'000'000);
+  BOOST_TEST(clock.Now() == right);
+  BOOST_TEST(clock.Correct(right + 900'000) == 0);  // Clocks differ a little.
+}
+
+BOOST_AUTO_TEST_CASE(submissions_beyond_the_gate_wait_and_then_are_refused) {
+  SubmissionGate gate;
+  constexpr std::size_t kLarge = 4U << 20;
+  int begun = 0;
+  int refused = 0;
+  for (int number = 0; number < 12; ++number) {
+    if (!gate.Enter(std::string(kLarge, 'x'), [&](const std::string&) { ++begun; })) ++refused;
+  }
+  BOOST_TEST(begun == 1);
+  BOOST_TEST(refused == 5);  // Six wait.
+  for (int number = 0; number < 7; ++number) gate.Leave(kLarge);
+  BOOST_TEST(begun == 7);
+  BOOST_TEST(gate.Enter("small", [&](const std::string&) { ++begun; }));
+  BOOST_TEST(begun == 8);
+}
+
 BOOST_AUTO_TEST_CASE(all_stores_lose_power_and_one_its_disk_too) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     StoreWorld world(seed, 3);
--- a/tests/tier/batch/store_world.h
+++ b/tests/tier/batch/store_world.h
@@ -71,7 +71,7 @@
 // A start of the store's process.
 struct StoreProcessInTest {
   StoreProcessInTest(net::VirtualNet& net, StoreMachine& machine, std::uint64_t incarnation,
-                     std::function<std::uint64_t()> random,
+                     std::size_t copies, std::function<std::uint64_t()> random,
                      std::function<void(const cluster::BackupReport&)> report);
   ~StoreProcessInTest() { loop.Kill(); }
 
@@ -102,6 +102,13 @@
   bool reaches_core() const { return process != nullptr && !paused && !cut; }
 };
 
+// Time of day as all but a stepped machine have it.
+inline Micros WallOf(const net::VirtualNet& net) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(net.Now().time_since_epoch())
+             .count() +
+         1'700'000'000'000'000;
+}
+
 inline transport::PeerIdentity IdentityOf(const StoreMachine& machine, std::uint64_t incarnation) {
   transport::PeerIdentity self;
   self.node = "store-" + std::to_string(machine.number);
@@ -112,14 +119,15 @@
   return self;
 }
 
-inline ReplicaHost::Options HostOptionsOf(const std::string& disk) {
+inline ReplicaHost::Options HostOptionsOf(const std::string& disk, std::size_t copies) {
   ReplicaHost::Options options;
   options.disk = disk;
+  options.least_replicas = copies;
   return options;
 }
 
 inline StoreProcessInTest::StoreProcessInTest(
-    net::VirtualNet& net, StoreMachine& machine, std::uint64_t incarnation,
+    net::VirtualNet& net, StoreMachine& machine, std::uint64_t incarnation, std::size_t copies,
     std::function<std::uint64_t()> random, std::function<void(const cluster::BackupReport&)> report)
     : loop(net, machine.host(), "store-" + std::to_string(machine.number), 200),
       later(loop),
@@ -127,9 +135,9 @@
       storage(machine.disk,
               [this](std::function<void()> step) { later.Run(kSyncTakes, std::move(step)); }),
       identity(storage::ReadOrDrawIdentity(storage, random)),
-      replicas(loop, hub, storage, HostOptionsOf(identity.id),
+      replicas(loop, hub, storage, HostOptionsOf(identity.id, copies),
                {[&machine] { return machine.lease_until; }, std::move(report)}),
-      service(loop, hub, replicas, TestBounds(), random()) {
+      service(loop, hub, replicas, {TestBounds(), random(), [&net] { return WallOf(net); }}) {
   storage.Sync([this](const Result<void>& synced) { identity_synced = synced.has_value(); });
   service.OnConfiguration(TestConfiguration());
 }
@@ -190,8 +198,9 @@
 
 class StoreWorld {
  public:
-  StoreWorld(std::uint64_t seed, std::uint32_t stores) : net(seed), random_(seed * 7919 + 1) {
-    rules_.copies = 2;
+  StoreWorld(std::uint64_t seed, std::uint32_t stores, std::size_t copies = 2)
+      : net(seed), random_(seed * 7919 + 1), copies_(copies) {
+    rules_.copies = copies;
     for (std::uint32_t number = 0; number < stores; ++number) {
       auto machine = std::make_unique<StoreMachine>();
       machine->number = number;
@@ -221,7 +230,7 @@
     StoreMachine& machine = *machines[number];
     machine.lease_until = {};
     machine.process = std::make_unique<StoreProcessInTest>(
-        net, machine, ++incarnations_, [this] { return random_(); },
+        net, machine, ++incarnations_, copies_, [this] { return random_(); },
         [this, number](const cluster::BackupReport& report) { OnReport(number, report); });
   }
   // What LMDB had not committed is gone with the process, as with the power.
@@ -350,6 +359,7 @@
   }
 
   std::mt19937_64 random_;
+  std::size_t copies_;
   cluster::PlacementRules rules_;
   std::vector<cluster::PartitionRow> rows_;
   std::map<std::pair<std::size_t, std::string>, net::Time> stalled_until_;
