--- a/src/tier/policy/module.cpp
+++ b/src/tier/policy/module.cpp
@@ -24,7 +24,7 @@
 constexpr double kBusy = 0.7;              // Part of the slots taken at which no batch call starts.
 constexpr double kConnectionFactor = 2.0;  // Connections before one counts as too many, likewise.
 constexpr double kPatience = 4.0;          // Expected times to a first event until it is overdue...
-constexpr double kLeastPatience = 0.5;     // ...at least so many objectives...
+constexpr double kLeastPatience = 0.25;    // ...at least so many objectives...
 constexpr double kMostPatience = 2.0;      // ...and at most so many.
 constexpr double kLeastOffer = 0.1;        // Objectives that a retry must have left.
 constexpr double kHasty = 1.0;             // Objectives: a time-out with less time tells nothing.
@@ -34,6 +34,9 @@
 constexpr Micros kAliveSpan = 2'000'000;   // A sign this recent shows that it is up.
 constexpr Micros kRest = 100'000;          // How long a full endpoint is passed over at first.
 constexpr double kUsualGain = 0.05;        // Weight of one call in what is usual.
+// Signs of overload that one call turned away counts as: with one, every eighth send would find its
+// endpoint full once the limit stands still, urgent ones among them.
+constexpr int kFullWeight = 4;
 constexpr int kHeavy = 2;  // Failures that silence counts as: nothing else ends it so late.
 
 Micros Part(double part, Micros span) {
@@ -135,7 +138,10 @@
     HeldCall* held = Find(id);
     Attempt* attempt = OutAttempt(held, number);
     if (attempt == nullptr) return;
-    Learn(*held, *attempt, outcome);
+    // What was never sent and is not to go on was given up on this side.
+    const bool given_up = outcome == Outcome::kNeverSent && !again;
+    Learn(*held, *attempt, given_up ? Outcome::kCancelled : outcome);
+    attempt->turned_away = outcome == Outcome::kNotRun || outcome == Outcome::kMisdirected;
     Finish(*held, *attempt);
     if (!CountsAsSend(outcome)) --held->sends;
     if (!ProvesUnrun(outcome)) held->may_have_run = true;
@@ -314,24 +320,27 @@
     while (const auto next = levels_.Next(now_, level)) {
       HeldCall* held = Find(next->request);
       if (held == nullptr) continue;
+      const Choice choice = now_ < held->call.due ? Pick(*held) : Choice{};
+      if (choice.crowded && !held->call.batch) return levels_.PutBack(level, *next);
       held->queued = false;
-      if (now_ >= held->call.due || !TrySend(*held, false)) Refuse(*held);
+      if (choice.endpoint != nullptr) {
+        Send(*held, *choice.endpoint);
+      } else {
+        Refuse(*held);
+      }
     }
   }
 
-  bool TrySend(HeldCall& held, bool elsewhere) {
+  Choice Pick(const HeldCall& held) {
     const auto it = services_.find(held.call.service);
-    if (it == services_.end()) return false;
+    if (it == services_.end()) return {};
     Service& service = *it->second;
-    Endpoint* endpoint =
-        service.picker.Pick(now_, held, service.subset.Members(now_), service.facts, elsewhere);
-    if (endpoint == nullptr) return false;
-    Send(held, service, *endpoint);
-    return true;
+    return service.picker.Pick(now_, held, service.subset.Members(now_), service.facts);
   }
 
-  void Send(HeldCall& held, Service& service, Endpoint& endpoint) {
+  void Send(HeldCall& held, Endpoint& endpoint) {
     const Call& call = held.call;
+    Service& service = *services_.at(call.service);
     Attempt attempt;
     attempt.endpoint = &endpoint;
     attempt.endpoint_hash = endpoint.hash();
@@ -374,10 +383,10 @@
     // What never reached an endpoint has cost none any work: it needs no token.
     const bool costs = CountsAsSend(outcome);
     if (costs && !retry_budget_.Has()) return false;
-    // An endpoint that turned the call away would do so again.
-    const bool elsewhere = outcome == Outcome::kNotRun || outcome == Outcome::kMisdirected;
-    if (!TrySend(held, elsewhere)) return false;
+    Endpoint* endpoint = Pick(held).endpoint;
+    if (endpoint == nullptr) return false;
     if (costs) retry_budget_.Spend();
+    Send(held, *endpoint);
     return true;
   }
 
@@ -435,7 +444,7 @@
         endpoint.NoteFull(now_, kRest);
         endpoint.prefixes().NoteUnread(held.call.prompt);
         endpoint.health().EndTrial();
-        levels_.NoteOverload(level);
+        for (int i = 0; i < kFullWeight; ++i) levels_.NoteOverload(level);
         break;
       case Outcome::kMisdirected:
         endpoint.NoteMisdirected(now_);
@@ -462,6 +471,7 @@
         NoteHealth(held, endpoint, true, 1);
         break;
       case Outcome::kCancelled:
+        if (!attempt.begun) endpoint.prefixes().NoteUnread(held.call.prompt);
         endpoint.health().EndTrial();
         break;
     }
