--- a/src/tier/batch/hosted_partition.cpp
+++ b/src/tier/batch/hosted_partition.cpp
@@ -146,8 +146,9 @@
     });
     commits_.pop_front();
   }
-  if (leading() == told_leading_) return;
-  told_leading_ = leading();
+  const std::pair role(acting(), leading());
+  if (role == told_role_) return;
+  told_role_ = role;
   around_.role_changed();
 }
 
--- a/src/tier/batch/hosted_partition.h
+++ b/src/tier/batch/hosted_partition.h
@@ -33,7 +33,7 @@
   std::function<bool()> has_room;  // On this disk.
   std::function<coordination::Ticket()> next_ticket;
   std::function<void(const net::Address& to, ReplicaFrame frame)> send;
-  std::function<void()> role_changed;  // `leading` is another than before; look again, later.
+  std::function<void()> role_changed;  // `acting` or `leading` is another; look again, later.
 };
 
 class HostedPartition : public PartitionLog {
@@ -103,8 +103,8 @@
   bool complete_in_row_ = false;
   std::uint64_t newest_epoch_ = 0;                 // Of any row of the partition that was heard of.
   std::map<std::string, net::Address> addresses_;  // By disk.
-  std::vector<ReplicaFrame> early_;  // Of rows that this store has yet to be told; a few.
-  bool told_leading_ = false;
+  std::vector<ReplicaFrame> early_;   // Of rows that this store has yet to be told; a few.
+  std::pair<bool, bool> told_role_;   // Acting, leading.
   std::set<std::string> full_disks_;  // Of the other replicas.
   std::deque<std::pair<coordination::Position, Done>> commits_;
   net::Time active_at_{};
--- a/src/tier/batch/replica_host.cpp
+++ b/src/tier/batch/replica_host.cpp
@@ -112,17 +112,17 @@
   });
 }
 
-// Tells who leads what now.
+// Tells who leads what now. A primary that stays one over a change of its row keeps its server:
+// what it has under way is decided in the new row, and until then it serves nothing.
 void ReplicaHost::Look() {
   look_posted_ = false;
   for (auto& [partition, hosted] : hosted_) {
-    const bool leading = hosted->leading();
-    if (leading == (led_.count(partition) != 0)) continue;
-    if (leading) {
+    const bool led = led_.count(partition) != 0;
+    if (led && !hosted->acting()) {
+      Lost(partition);
+    } else if (!led && hosted->leading()) {
       led_.insert(partition);
       if (events_.primary) events_.primary(partition, *hosted);
-    } else {
-      Lost(partition);
     }
   }
 }
