--- a/tests/tier/batch/front.cmake
+++ b/tests/tier/batch/front.cmake
@@ -9,3 +9,8 @@
 shelflink_tier_test(batch/batch_front_test shelflink_tier_batch_front shelflink_virtual)
 shelflink_tier_test(batch/runner_test shelflink_tier_batch_front shelflink_virtual)
 shelflink_tier_test(batch/batch_history_test shelflink_tier_batch_front shelflink_tier_store shelflink_virtual)
+
+# What a sidecar pays for batch jobs; run by hand (docs/measured/batch-sidecar.md).
+add_executable(tier_batch_cost EXCLUDE_FROM_ALL batch_cost.cpp)
+target_include_directories(tier_batch_cost PRIVATE ${PROJECT_SOURCE_DIR}/tests/tier)
+target_link_libraries(tier_batch_cost PRIVATE shelflink_tier_batch_front shelflink_virtual gaugecart_warnings)
