End processes without static destructors

Ruled out: the drains (all told the core that they leave, within 4 s) and the loop (on real machines the process ends). Change: log::EndProcess.

--- a/src/tier/foundation/log.cpp
+++ b/src/tier/foundation/log.cpp
@@ -7,6 +7,8 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <cstdlib>
+#include <iostream>
 #include <map>
 #include <memory>
 
@@ -63,6 +65,12 @@
   root.setLogLevel(LevelOf(least));
 }
 
+void EndProcess(int status) {
+  std::cout.flush();
+  std::cerr.flush();
+  std::quick_exit(status);
+}
+
 bool Enabled(Level level, std::string_view module) {
   if (!TheProcess()) return false;
   return log4cplus::Logger::getInstance(LOG4CPLUS_STRING_TO_TSTRING(std::string(module)))
--- a/src/tier/foundation/log.h
+++ b/src/tier/foundation/log.h
@@ -14,6 +14,10 @@
 void Start(const std::string& node, Level least);
 // `module` names the logger ("proxy", "core.replica"); `text` is one line.
 void Line(Level level, std::string_view module, const std::string& text);
+// Ends the process with that status once what was logged has gone out. Without static destructors:
+// that of log4cplus waits for the threads of a pool that this project never uses, and on a machine
+// that runs one thread at a time that wait was seen not to end.
+[[noreturn]] void EndProcess(int status);
 bool Enabled(Level level, std::string_view module);
 inline void Info(std::string_view module, const std::string& text) {
   Line(Level::kInfo, module, text);
--- a/src/tier/programs/control_main.cpp
+++ b/src/tier/programs/control_main.cpp
@@ -56,9 +56,7 @@
   return store->parsed() ? Run(shelflink::batch::RunStore) : kUsage;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+int Main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
   try {
     return RunCommand(argc, argv);
@@ -69,3 +67,7 @@
     return kBadSettings;
   }
 }
+
+}  // namespace
+
+int main(int argc, char** argv) { shelflink::log::EndProcess(Main(argc, argv)); }
--- a/src/tier/programs/data_main.cpp
+++ b/src/tier/programs/data_main.cpp
@@ -81,9 +81,7 @@
   return proxy->parsed() ? RunProxy() : kUsage;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
+int Main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
   try {
     return Run(argc, argv);
@@ -92,3 +90,7 @@
     return kBadSettings;
   }
 }
+
+}  // namespace
+
+int main(int argc, char** argv) { shelflink::log::EndProcess(Main(argc, argv)); }
--- a/src/tier/storage/lmdb_storage.cpp
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -257,9 +257,7 @@
   }
 }
 
-bool LmdbStorage::MustLetGo() const {
-  return writing_ == nullptr && bytes_read_ >= kMostBytesRead;
-}
+bool LmdbStorage::MustLetGo() const { return writing_ == nullptr && bytes_read_ >= kMostBytesRead; }
 
 void LmdbStorage::LetGo() const {
   bytes_read_ = 0;
