Keep long prompts apart on a part of the endpoints; bound batch prompts that wait to be read

Change: policy/long_prompts; short calls avoid the endpoints that long ones prefer, the same at every sidecar, their number by the share of the reading.

--- a/src/tier/policy/module.cpp
+++ b/src/tier/policy/module.cpp
@@ -17,12 +17,13 @@
 namespace shelflink::policy {
 namespace {
 
-constexpr double kWaitFraction = 0.05;     // Longest wait in a queue, as part of the timeout...
-constexpr double kWaitObjective = 0.25;    // ...and of the objective: later a refusal is late.
-constexpr double kStartFactor = 2.0;       // First limit, in even shares of all endpoints' slots.
-constexpr double kFloorFactor = 0.5;       // The least the limit falls to, likewise.
-constexpr double kBatchFactor = 0.35;      // The most batch calls at once, likewise.
-constexpr double kBusy = 0.7;              // Part of the slots taken at which no batch call starts.
+constexpr double kWaitFraction = 0.05;   // Longest wait in a queue, as part of the timeout...
+constexpr double kWaitObjective = 0.25;  // ...and of the objective: later a refusal is late.
+constexpr double kStartFactor = 2.0;     // First limit, in even shares of all endpoints' slots.
+constexpr double kFloorFactor = 0.5;     // The least the limit falls to, likewise.
+constexpr double kBatchFactor = 0.35;    // The most batch calls at once, likewise.
+constexpr double kBatchReading = 1.0;    // Batch prompts unread at once, for each endpoint in use.
+constexpr double kBusy = 0.7;            // Part of the slots taken at which no batch call starts.
 constexpr double kConnectionFactor = 2.0;  // Connections before one counts as too many, likewise.
 constexpr double kPatience = 4.0;          // Expected times to a first event until it is overdue...
 constexpr double kLeastPatience = 0.25;    // ...at least so many objectives...
@@ -84,6 +85,11 @@
     service.slots = 0.0;
     for (const EndpointInfo& endpoint : info.endpoints) service.slots += endpoint.slots;
     service.subset.SetEndpoints(info.endpoints);
+    std::vector<std::uint64_t> serving;
+    for (const EndpointInfo& endpoint : info.endpoints) {
+      if (!endpoint.draining) serving.push_back(HashOf(endpoint.id));
+    }
+    service.facts.long_prompts.SetEndpoints(std::move(serving));
     UpdateTouched(service, info.endpoints);
     UpdateHints();
     Settle();
@@ -197,7 +203,8 @@
       if (!HasSpareSlots(now)) return 0;
       seats = std::min(seats, std::max(1.0, kBatchFactor * EvenShare(AllSlots())));
     }
-    const double room = seats - static_cast<double>(levels_.in_flight(level));
+    double room = seats - static_cast<double>(levels_.in_flight(level));
+    if (levels_.IsBatch(level)) room = std::min(room, ReadingRoom(now));
     return static_cast<std::uint32_t>(std::max(0.0, room));
   }
 
@@ -262,6 +269,15 @@
     return !it->second->subset.Members(now_).empty();
   }
 
+  // Prompts of batch calls that may still be sent to be read. An endpoint reads them among those of
+  // live calls, whose first events come later for it.
+  double ReadingRoom(Micros now) const {
+    std::size_t members = 0;
+    for (const auto& [name, service] : services_) members += service->subset.Members(now).size();
+    const double most = std::max(1.0, kBatchReading * static_cast<double>(members));
+    return most - static_cast<double>(batch_reading_);
+  }
+
   bool HasSpareSlots(Micros now) const {
     for (const auto& [name, service] : services_) {
       double running = 0.0;
@@ -355,9 +371,15 @@
     attempt.output_tokens = call.output_tokens;
     attempt.patience = PatienceOf(call, service.facts, attempt.model_tokens);
     endpoint.Book(attempt, call);
+    if (call.batch) ++batch_reading_;
     endpoint.health().StartTrial();
     levels_.Start(call.level);
     ++service.in_flight;
+    if (held.sends == 0 && !call.batch && service.facts.first_event.Known()) {
+      const double reading = Picker::OwnReading(call, service.facts);
+      service.facts.long_prompts.Note(
+          reading, LongPrompts::IsLong(reading, static_cast<double>(ObjectiveOf(call))));
+    }
     ++held.sends;
     service.subset.NoteInFlight(now_, service.in_flight, PrefixOf(call));
     held.attempts.push_back(attempt);
@@ -375,6 +397,7 @@
 
   // The attempt is over; its seat and what it held at the endpoint are free.
   void Finish(HeldCall& held, Attempt& attempt) {
+    if (held.call.batch && !attempt.begun) --batch_reading_;
     attempt.endpoint->Unbook(attempt, held.call);
     attempt.endpoint = nullptr;
     attempt.out = false;
@@ -425,6 +448,7 @@
   void Begin(HeldCall& held, Attempt& attempt) {
     ServiceFacts& facts = services_.at(held.call.service)->facts;
     const Micros took = now_ - attempt.sent;
+    if (held.call.batch) --batch_reading_;
     attempt.endpoint->NoteFirstEvent(now_, attempt, held.call);
     // How long a batch call waited for more urgent ones tells nothing of the endpoint.
     if (!held.call.batch) {
@@ -534,6 +558,7 @@
   Actions& actions_;
   Micros now_ = 0;
   Shape shape_;
+  std::size_t batch_reading_ = 0;  // Attempts of batch calls before their first event.
   Levels levels_;
   std::unordered_map<std::string, std::unique_ptr<Service>> services_;
   std::unordered_map<CallId, HeldCall> calls_;
--- a/src/tier/policy/picker.cpp
+++ b/src/tier/policy/picker.cpp
@@ -32,7 +32,10 @@
 constexpr double kMemoryCost = 10.0;     // ...costs so many objectives for all of it: preemption.
 constexpr double kConnectionCost = 1.0;  // Objectives, beyond the own share of its connections.
 constexpr double kFarCost = 0.02;        // Objectives, for another zone.
-constexpr double kColdCost = 3.0;        // Times as slow, just started.
+constexpr double kShortCost =
+    0.4;  // Objectives, for a short prompt at an endpoint for long ones...
+constexpr double kMixedCost = 0.15;  // Objectives, for a long prompt among short ones or reverse.
+constexpr double kColdCost = 3.0;    // Times as slow, just started.
 constexpr double kWary = 12.0;  // Load that failures weigh as to calls that must not run twice...
 constexpr double kBold = 2.0;   // ...and to those that may.
 
@@ -76,12 +79,25 @@
   return call.prompt_tokens - std::min<std::uint64_t>(kept, call.prompt_tokens);
 }
 
+double Picker::OwnReading(const Call& call, const ServiceFacts& facts) {
+  return facts.first_event.PerToken() *
+         static_cast<double>(call.prompt_tokens - SharedTokens(call));
+}
+
+bool Picker::IsMixed(const Call& call, const Endpoint& endpoint, const ServiceFacts& facts) {
+  // What runs without an objective to its events harms nobody by its size, nor is harmed.
+  if (call.batch || !facts.long_prompts.separates()) return false;
+  const bool is_long =
+      LongPrompts::IsLong(OwnReading(call, facts), static_cast<double>(ObjectiveOf(call)));
+  return is_long != facts.long_prompts.Holds(endpoint.hash());
+}
+
 Choice Picker::Pick(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
                     const ServiceFacts& facts) {
   if (members.empty()) return {};
   const double most_load = MostLoad(held.call);
   bool crowded = false;
-  const Endpoint* owner = OwnerOf(now, held.call, members);
+  const Endpoint* owner = OwnerOf(now, held.call, members, facts);
   Endpoint* best = nullptr;
   std::pair<Standing, double> best_cost;
   const auto consider = [&](Endpoint* endpoint) {
@@ -116,8 +132,8 @@
   return endpoint.Resting(now) ? Standing::kResting : Standing::kSound;
 }
 
-const Endpoint* Picker::OwnerOf(Micros now, const Call& call,
-                                const std::vector<Endpoint*>& members) const {
+const Endpoint* Picker::OwnerOf(Micros now, const Call& call, const std::vector<Endpoint*>& members,
+                                const ServiceFacts& facts) const {
   const std::optional<std::uint64_t> prefix = PrefixOf(call);
   if (!prefix || Mutated(Mutant::kIgnorePrefix)) return nullptr;
   const Endpoint* owner = nullptr;
@@ -126,6 +142,7 @@
     const std::uint64_t score = RendezvousScore(*prefix, endpoint->hash());
     if (owner != nullptr && score < best) continue;
     if (!endpoint->Usable(now) || endpoint->health().ejected() || endpoint->Silent(now)) continue;
+    if (IsMixed(call, *endpoint, facts)) continue;
     owner = endpoint;
     best = score;
   }
@@ -165,6 +182,9 @@
     burden += kConnectionCost;
   }
   if (!zone_.empty() && endpoint.info().zone != zone_) burden += kFarCost;
+  if (IsMixed(call, endpoint, facts)) {
+    burden += facts.long_prompts.Holds(endpoint.hash()) ? kShortCost : kMixedCost;
+  }
   const double failures = (call.repeatable ? kBold : kWary) * endpoint.health().failure_rate();
   const double pace = Mutated(Mutant::kIgnorePace) ? 1.0 : endpoint.Pace(now);
   return (first + objective * burden) * pace * (1.0 + failures) *
--- a/src/tier/policy/picker.h
+++ b/src/tier/policy/picker.h
@@ -10,6 +10,7 @@
 #include "tier/policy/call.h"
 #include "tier/policy/endpoint.h"
 #include "tier/policy/first_event_model.h"
+#include "tier/policy/long_prompts.h"
 #include "tier/policy/module.h"
 
 namespace shelflink::policy {
@@ -26,6 +27,7 @@
   double usual_prompt = 0.0;       // Tokens of a call's prompt, and of all of it.
   double usual_memory = 0.0;
   FirstEventModel first_event;
+  LongPrompts long_prompts;
 };
 
 struct Choice {
@@ -43,13 +45,18 @@
 
   // Prompt tokens that the endpoint would have to read.
   static std::uint64_t ReadTokens(const Call& call, const Endpoint& endpoint);
+  // Time that an endpoint takes to read what of the prompt no other call shares.
+  static double OwnReading(const Call& call, const ServiceFacts& facts);
 
  private:
   // The lower, the better, before any cost counts.
   enum class Standing { kSound, kResting, kTried, kSilent, kEjected };
   static Standing StandingOf(Micros now, const HeldCall& held, const Endpoint& endpoint);
-  const Endpoint* OwnerOf(Micros now, const Call& call,
-                          const std::vector<Endpoint*>& members) const;
+  const Endpoint* OwnerOf(Micros now, const Call& call, const std::vector<Endpoint*>& members,
+                          const ServiceFacts& facts) const;
+  // Whether it is one of the endpoints that are for long prompts where the call's is short, or the
+  // other way round.
+  static bool IsMixed(const Call& call, const Endpoint& endpoint, const ServiceFacts& facts);
   double Cost(Micros now, const Call& call, const Endpoint& endpoint, bool owner,
               const ServiceFacts& facts) const;
 
