--- a/tests/tier/transport/hub_cost.cpp
+++ b/tests/tier/transport/hub_cost.cpp
@@ -2,7 +2,7 @@
 // call, a message, a heartbeat of many peers and a megabyte, and memory an idle connection. Not a
 // test. Both ends of every connection run in this process, so a figure holds both.
 //
-//   tier_hub_cost glib|asio calls|messages|heartbeats|megabytes|idle [count]
+//   tier_hub_cost glib|asio calls|messages|heartbeats|reconnects|megabytes|idle [count]
 #include <glib.h>
 #include <malloc.h>
 #include <sys/resource.h>
@@ -60,9 +60,7 @@
 class Measurement {
  public:
   explicit Measurement(const std::string& kind) : driver_(NewDriver(kind)), server_(NewHub()) {
-    server_->Handle(kNote, [this](const PeerIdentity&, std::string_view) { ++notes_; });
-    server_->HandleCall(kEcho, [](const PeerIdentity&, std::string_view body,
-                                  const Hub::Reply& reply) { reply(std::string(body)); });
+    Serve();
   }
 
   void Calls(std::size_t count) {
@@ -96,6 +94,33 @@
     });
   }
 
+  // The server ends and is there again; all peers call it at once.
+  void Reconnects(std::size_t rounds) {
+    std::vector<std::unique_ptr<Hub>> peers;
+    ConnectPeers(peers);
+    const PeerIdentity self = server_->self();
+    Report("us a reconnect", rounds * kPeers, 1e6, [&] {
+      for (std::size_t round = 0; round < rounds; ++round) {
+        server_.reset();
+        server_ = std::make_unique<Hub>(*driver_.loop, self, Hub::Options{});
+        Serve();
+        std::size_t answered = 0;
+        while (answered < kPeers) {
+          answered = 0;
+          std::size_t asked = 0;
+          for (const auto& peer : peers) {
+            peer->Call(self.address, kEcho, std::string(kBody, 'x'), std::chrono::seconds(10),
+                       [&](const Result<std::string>& result) {
+                         ++asked;
+                         if (result) ++answered;
+                       });
+          }
+          RunUntil([&] { return asked == kPeers; });
+        }
+      }
+    });
+  }
+
   void Megabytes(std::size_t count) {
     const auto client = NewHub();
     CallOnce(*client, kBody);
@@ -128,6 +153,12 @@
   }
 
  private:
+  void Serve() {
+    server_->Handle(kNote, [this](const PeerIdentity&, std::string_view) { ++notes_; });
+    server_->HandleCall(kEcho, [](const PeerIdentity&, std::string_view body,
+                                  const Hub::Reply& reply) { reply(std::string(body)); });
+  }
+
   static std::size_t HeapBytes() { return mallinfo2().uordblks; }
 
   std::unique_ptr<Hub> NewHub() {
@@ -171,8 +202,9 @@
 
 int Main(int argc, char** argv) {
   if (argc < 3) {
-    std::fprintf(stderr, "usage: %s glib|asio calls|messages|heartbeats|megabytes|idle [count]\n",
-                 argv[0]);
+    std::fprintf(
+        stderr, "usage: %s glib|asio calls|messages|heartbeats|reconnects|megabytes|idle [count]\n",
+        argv[0]);
     return 2;
   }
   Measurement measurement(argv[1]);
@@ -182,6 +214,7 @@
   if (what == "messages") measurement.Messages(count);
   if (what == "heartbeats") measurement.Heartbeats(count);
   if (what == "megabytes") measurement.Megabytes(count);
+  if (what == "reconnects") measurement.Reconnects(count);
   if (what == "idle") measurement.Idle();
   return 0;
 }
