--- a/src/tier/transport/hub.h
+++ b/src/tier/transport/hub.h
@@ -5,6 +5,8 @@
 // something was owed (pings at hub level). A message is delivered once or lost, never twice and,
 // between the same two processes within one connection, in order; after a loss the sender of a Call
 // learns kUnknown, the sender of a Send nothing. So whoever sends repeats, and receivers guard.
+// Messages go on the oldest connection with the peer, whoever dialled it. Of several that one
+// process dialled only the newest counts: what an older one still holds is not delivered after it.
 //
 // Limits: kLargestFrame bytes a frame; kMostQueued bytes queued to one peer and kMostQueuedInAll to
 // all together, beyond which Send drops (counted) and Call fails with kUnavailable. A frame that is
@@ -59,7 +61,7 @@
     std::chrono::milliseconds silence{
         1500};  // Owed an answer for so long: the connection is closed.
     std::chrono::milliseconds connect{1000};
-    std::chrono::milliseconds redial{100};  // First pause; doubles to 1 s.
+    std::chrono::milliseconds redial{100};  // First pause; doubles to 500 ms.
     std::size_t most_connections = 4096;
   };
 
