--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -179,9 +179,12 @@
     true_ahead = true_micros - SteadyMicros(middle);
   }
 
+  std::int64_t TrueMicros() const {
+    return true_ahead ? SteadyMicros(loop.Now()) + *true_ahead : loop.WallMicros();
+  }
+
   std::uint64_t CurrentWindow() const {
-    const std::int64_t now =
-        true_ahead ? SteadyMicros(loop.Now()) + *true_ahead : loop.WallMicros();
+    const std::int64_t now = TrueMicros();
     const std::int64_t span = duration_cast<microseconds>(settings.bounds.usage_window).count();
     return static_cast<std::uint64_t>(std::max<std::int64_t>(now, 0) /
                                       std::max<std::int64_t>(span, 1));
@@ -216,9 +219,18 @@
     }
     if (!taken.value()) return;
     PassOn(push);
+    if (push.part == Part::kMembers) LearnCores();
     Tell(push.part);
   }
 
+  void LearnCores() {
+    std::vector<net::Address> cores;
+    for (const Member& member : store.view().members->all) {
+      if (member.role == "core") cores.push_back(member.address);
+    }
+    finder.Learn(std::move(cores));
+  }
+
   void PassOn(const Push& push) {
     if (children.empty()) return;
     const std::string body = Encode(push);
@@ -332,7 +344,7 @@
       if (done) loop.Post(std::move(done));
       return;
     }
-    hub.Call(*target, kLeaveKind, std::string(), kLeaveTimeout,
+    hub.Call(*target, kLeaveKind, Encode(MakeRenewal()), kLeaveTimeout,
              [alive = Alive(), done = std::move(done)](const Result<std::string>&) {
                if (!alive.expired() && done) done();
              });
@@ -382,6 +394,8 @@
 
 net::Time Agent::lease_until() const { return impl_->lease_until; }
 
+std::int64_t Agent::TrueMicros() const { return impl_->TrueMicros(); }
+
 std::optional<net::Address> Agent::primary() const { return impl_->finder.primary(); }
 
 void Agent::SetReady(bool ready) {
--- a/src/tier/cluster/messages.h
+++ b/src/tier/cluster/messages.h
@@ -22,7 +22,7 @@
 constexpr transport::MessageKind kPushKind = transport::kClusterKinds + 1;
 // Call, agent to whoever has the part (parent or core): Fetch -> Push. kNotFound: not that version.
 constexpr transport::MessageKind kFetchKind = transport::kClusterKinds + 2;
-// Call, agent to core: Leave -> empty.
+// Call, agent to core: its last Renewal -> empty. It leaves; others learn so at once.
 constexpr transport::MessageKind kLeaveKind = transport::kClusterKinds + 3;
 // Call, store that is primary of a partition to core: BackupReport -> empty. kConflict: the row has
 // another epoch by now; the placement that says so follows.
@@ -89,7 +89,7 @@
   std::vector<net::Address> children;  // Whom to pass pushes on to.
   std::int64_t true_micros = 0;        // Time of day as most processes have it.
   std::uint64_t settled_before = 0;    // Windows below are reported; their counts can go.
-  std::vector<net::Address> cores;     // All core processes known.
+  std::vector<net::Address> cores;     // For an agent without members yet: all core processes.
   bool operator==(const RenewalAnswer&) const = default;
 };
 
