--- a/src/tier/coordination/group.cpp
+++ b/src/tier/coordination/group.cpp
@@ -123,6 +123,7 @@
 void Group::SetSeeds(const std::vector<net::Address>& control_seeds,
                      const ProcessSettings& settings) {
   std::vector<net::Address> seeds;
+  seeds.reserve(control_seeds.size());
   for (const net::Address& seed : control_seeds) seeds.push_back(CoreAddressOf(settings, seed));
   member_->SetSeeds(std::move(seeds));
 }
--- a/src/tier/coordination/member.cpp
+++ b/src/tier/coordination/member.cpp
@@ -19,6 +19,7 @@
 
 std::vector<std::string> DisksOf(const std::vector<CoreMember>& members) {
   std::vector<std::string> disks;
+  disks.reserve(members.size());
   for (const CoreMember& member : members) disks.push_back(member.disk);
   return disks;
 }
--- a/src/tier/coordination/messages.h
+++ b/src/tier/coordination/messages.h
@@ -74,7 +74,7 @@
 struct Position {
   std::uint64_t epoch = 0;
   std::uint64_t sequence = 0;
-  auto operator<=>(const Position&) const = default;
+  auto operator<=>(const Position&) const = default;  // NOLINT(modernize-use-nullptr): its error.
 };
 struct Entry {
   Position position;
--- a/src/tier/coordination/record.h
+++ b/src/tier/coordination/record.h
@@ -31,7 +31,7 @@
   std::uint64_t round = 0;  // 0: none.
   std::string disk;
   std::uint64_t incarnation = 0;
-  auto operator<=>(const Ballot&) const = default;
+  auto operator<=>(const Ballot&) const = default;  // NOLINT(modernize-use-nullptr): its error.
 };
 
 const CoreMember* FindDisk(const std::vector<CoreMember>& members, std::string_view disk);
--- a/src/tier/coordination/replica.cpp
+++ b/src/tier/coordination/replica.cpp
@@ -323,9 +323,10 @@
   // Unlike the sessions of earlier processes on this machine too: its clock goes on.
   const auto by_clock = static_cast<std::uint64_t>(step.now.time_since_epoch().count());
   sessions_ = std::max(sessions_ + 1, by_clock);
-  session_.emplace();
-  session_->id = sessions_;
-  session_->heard_at = step.now;
+  Session session;
+  session.id = sessions_;
+  session.heard_at = step.now;
+  session_ = std::move(session);
   CatchUpRequest request;
   request.epoch = assignment_.epoch;
   request.session = session_->id;
--- a/src/tier/storage/lmdb_storage.cpp
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -232,7 +232,7 @@
     if (code != 0) return code;
     char* const to = static_cast<char*>(room.mv_data);
     std::memcpy(to, &checksum, kChecksumSize);
-    std::memcpy(to + kChecksumSize, change.value->data(), change.value->size());
+    std::copy(change.value->begin(), change.value->end(), to + kChecksumSize);
   }
   return 0;
 }
