--- a/tests/tier/coordination/explorer.cpp
+++ b/tests/tier/coordination/explorer.cpp
@@ -186,6 +186,17 @@
   std::map<std::string, double> factors_;
 };
 
+// One number for each combination of faults left.
+std::uint64_t NumberOf(const Faults& left) {
+  constexpr std::uint64_t kMost = 8;
+  std::uint64_t number = 0;
+  for (const int count : {left.losses, left.repetitions, left.reorderings, left.crashes, left.wipes,
+                          left.late_timers}) {
+    number = number * kMost + static_cast<std::uint64_t>(count);
+  }
+  return number;
+}
+
 World Founded(std::size_t size) {
   World world(size, 1);
   world.NextOrder(0);
@@ -251,13 +262,7 @@
         choice.play(after);
         ++result.steps;
         if ((result.finding = Broken(after))) return result;
-        const Faults& left = after.left;
-        const std::uint64_t budget = static_cast<std::uint64_t>(
-            ((((left.losses * 8 + left.repetitions) * 8 + left.reorderings) * 8 + left.crashes) *
-                 8 +
-             left.wipes) *
-                8 +
-            left.late_timers);
+        const std::uint64_t budget = NumberOf(after.left);
         const std::uint64_t print = after.world.Fingerprint() ^ (budget * 0x9e3779b97f4a7c15);
         if (!seen.insert(print).second) continue;
         ++result.states;
