Tier policy: the first level can't starve the others where slots are short

Cause: lower levels and batch kept off an endpoint's last slots however little they had there, and batch had no room while any live call waited. A quarter of a lower level's pool, and one batch call a sidecar, may now take the last slots.

--- a/src/tier/policy/call.h
+++ b/src/tier/policy/call.h
@@ -27,6 +27,7 @@
 struct HeldCall {
   Call call;
   bool queued = false;
+  bool last_slots = false;    // May take an endpoint's last slots, and wait there for one.
   bool may_have_run = false;  // An attempt that is over may have run.
   int sends = 0;              // Endpoints that it was sent to, as max_attempts counts them.
   std::vector<Attempt> attempts;
--- a/src/tier/policy/module.cpp
+++ b/src/tier/policy/module.cpp
@@ -17,12 +17,13 @@
 namespace shelflink::policy {
 namespace {
 
-constexpr double kWaitFraction = 0.05;     // Longest wait in a queue, as part of the timeout...
-constexpr double kWaitObjective = 0.25;    // ...and of the objective: later a refusal is late.
-constexpr double kStartFactor = 2.0;       // First limit, in even shares of all endpoints' slots.
-constexpr double kFloorFactor = 0.5;       // The least the limit falls to, likewise.
-constexpr double kBatchFactor = 0.35;      // The most batch calls at once, likewise.
-constexpr double kBusy = 0.7;              // Part of the slots taken at which no batch call starts.
+constexpr double kWaitFraction = 0.05;   // Longest wait in a queue, as part of the timeout...
+constexpr double kWaitObjective = 0.25;  // ...and of the objective: later a refusal is late.
+constexpr double kStartFactor = 2.0;     // First limit, in even shares of all endpoints' slots.
+constexpr double kFloorFactor = 0.5;     // The least the limit falls to, likewise.
+constexpr double kBatchFactor = 0.35;    // The most batch calls at once, likewise.
+constexpr double kBusy = 0.7;            // Part of the slots taken from which one batch call runs.
+constexpr double kSurePart = 0.25;       // Part of its pool that a lower level may use in any case.
 constexpr double kConnectionFactor = 2.0;  // Connections before one counts as too many, likewise.
 constexpr double kPatience = 4.0;          // Expected times to a first event until it is overdue...
 constexpr double kLeastPatience = 0.25;    // ...at least so many objectives...
@@ -190,12 +191,15 @@
   }
 
   std::uint32_t Room(Micros now, std::uint32_t level) const {
-    if (level >= levels_.count() || levels_.AnyWaiting()) return 0;
+    if (level >= levels_.count() || levels_.waiting(level) > 0) return 0;
     double seats = levels_.Seats(now, level);
     if (Mutated(Mutant::kBatchUnbounded)) return 1000;
     if (levels_.IsBatch(level)) {
-      if (!HasSpareSlots(now)) return 0;
-      seats = std::min(seats, std::max(1.0, kBatchFactor * EvenShare(AllSlots())));
+      // Where live calls wait or slots are short, one at a time: batch is not to stand still.
+      const bool spare = !levels_.AnyWaiting() && HasSpareSlots(now);
+      if (!spare && Mutated(Mutant::kStarveOthers)) return 0;
+      const double most = spare ? kBatchFactor * EvenShare(AllSlots()) : 1.0;
+      seats = std::min(seats, std::max(1.0, most));
     }
     const double room = seats - static_cast<double>(levels_.in_flight(level));
     return static_cast<std::uint32_t>(std::max(0.0, room));
@@ -325,6 +329,7 @@
     while (const auto next = levels_.Next(now_, level)) {
       HeldCall* held = Find(next->request);
       if (held == nullptr) continue;
+      held->last_slots = MayTakeLastSlots(held->call);
       const Choice choice = now_ < held->call.due ? Pick(*held) : Choice{};
       if (choice.crowded && !held->call.batch) return levels_.PutBack(level, *next);
       held->queued = false;
@@ -336,6 +341,16 @@
     }
   }
 
+  // The last slots of an endpoint are left to the first level, but for so few calls of the others
+  // that none of them is starved while the first takes all there is.
+  bool MayTakeLastSlots(const Call& call) const {
+    const std::size_t out = levels_.in_flight(call.level);
+    if (call.level == 0) return true;
+    if (Mutated(Mutant::kStarveOthers)) return false;
+    if (call.batch) return out == 0;
+    return static_cast<double>(out) + 1.0 <= kSurePart * levels_.Seats(now_, call.level);
+  }
+
   Choice Pick(const HeldCall& held) {
     const auto it = services_.find(held.call.service);
     if (it == services_.end()) return {};
--- a/src/tier/policy/mutant.h
+++ b/src/tier/policy/mutant.h
@@ -24,6 +24,7 @@
   kNoPanic,         // Where all endpoints are in trouble nothing is sent.
   kBatchUnbounded,  // The room told for batch heeds neither pool nor slots.
   kFillLastSlots,   // Lower levels take every slot.
+  kStarveOthers,    // The last slots are the first level's alone, and batch waits for a calm.
   kSubsetStays,     // The subset never grows.
 };
 
--- a/src/tier/policy/picker.cpp
+++ b/src/tier/policy/picker.cpp
@@ -36,16 +36,15 @@
 constexpr double kWary = 12.0;  // Load that failures weigh as to calls that must not run twice...
 constexpr double kBold = 2.0;   // ...and to those that may.
 
-// An endpoint's slots that a call may take: the last ones are kept for more urgent levels, and the
-// first level may also wait there.
+// Part of an endpoint's slots that a call may take unless it may take the last ones too.
 constexpr double kLowerPart = 0.95;
 constexpr double kBatchPart = 0.8;
 
-double MostLoad(const Call& call) {
-  if (call.batch) return kBatchPart;
-  return call.level == 0 || Mutated(Mutant::kFillLastSlots)
-             ? std::numeric_limits<double>::infinity()
-             : kLowerPart;
+double MostLoad(const HeldCall& held) {
+  if (held.last_slots || Mutated(Mutant::kFillLastSlots)) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return held.call.batch ? kBatchPart : kLowerPart;
 }
 
 double Square(double x) { return x * x; }
@@ -79,7 +78,7 @@
 Choice Picker::Pick(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
                     const ServiceFacts& facts) {
   if (members.empty()) return {};
-  const double most_load = MostLoad(held.call);
+  const double most_load = MostLoad(held);
   bool crowded = false;
   const Endpoint* owner = OwnerOf(now, held.call, members);
   Endpoint* best = nullptr;
--- a/tests/tier/policy/policy_mutants_test.cpp
+++ b/tests/tier/policy/policy_mutants_test.cpp
@@ -40,6 +40,7 @@
     {"no panic", Mutant::kNoPanic, AllDark},
     {"batch unbounded", Mutant::kBatchUnbounded, BatchYields},
     {"fill last slots", Mutant::kFillLastSlots, Isolation},
+    {"starve others", Mutant::kStarveOthers, NobodyStarves},
     {"subset stays", Mutant::kSubsetStays, SubsetGrows},
 };
 
--- a/tests/tier/policy/scenarios.cpp
+++ b/tests/tier/policy/scenarios.cpp
@@ -425,6 +425,36 @@
   return findings;
 }
 
+Findings NobodyStarves(std::uint64_t seed) {
+  World world(seed, 3, 4);
+  for (std::uint32_t level = 0; level < 2; ++level) {
+    PourAll(world, 6 * kSecond, 80.0, [&world, level] {
+      Call call = Triage(world, world.draws.Word() % 8);
+      call.output_tokens = 400;
+      call.level = level;
+      return call;
+    });
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    world.At(0, [&world, i] { RunBatch(world, i, 6 * kSecond); });
+  }
+  world.RunUntil(14 * kSecond);
+  Findings findings;
+  Tally of[3];
+  for (std::uint32_t level = 0; level < 3; ++level) {
+    of[level] = Count(world, kSecond, 6 * kSecond,
+                      [level](const Record& record) { return record.level == level; });
+  }
+  const double live = (of[0].served + of[1].served) / (of[0].all + of[1].all);
+  Expect(findings, live <= 0.7, "there is less than is asked for", live);
+  Expect(findings, of[0].served / of[0].all >= of[1].served / of[1].all, "urgent ones go first",
+         of[0].served / of[0].all);
+  Expect(findings, of[1].served / of[1].all >= 0.3 * live, "the lower level is not starved",
+         of[1].served / of[1].all);
+  Expect(findings, of[2].served >= 5.0, "nor is batch", of[2].served);
+  return findings;
+}
+
 Findings LongAnswers(std::uint64_t seed) {
   World world(seed, 6, 9);
   PourAll(world, 4 * kSecond, 12.0, [&world] {
@@ -694,6 +724,7 @@
       {"batch yields", BatchYields, 10},
       {"stickiness", Stickiness, 20},
       {"hot prefix", HotPrefix, 10},
+      {"nobody starves", NobodyStarves, 20},
       {"long answers", LongAnswers, 10},
       {"subset grows", SubsetGrows, 5},
       {"lawful", Lawful, 3000},
--- a/tests/tier/policy/scenarios.h
+++ b/tests/tier/policy/scenarios.h
@@ -48,6 +48,8 @@
 Findings Stickiness(std::uint64_t seed);
 // Many calls of one prefix spread once their endpoint is loaded.
 Findings HotPrefix(std::uint64_t seed);
+// Where the first level alone would take every slot, the others get something.
+Findings NobodyStarves(std::uint64_t seed);
 // Long answers that cost no reading spread over the slots all the same.
 Findings LongAnswers(std::uint64_t seed);
 // One sidecar alone brings as many endpoints into use as its load takes.
