--- a/src/tier/cluster/clock_estimate.cpp
+++ b/src/tier/cluster/clock_estimate.cpp
@@ -6,6 +6,9 @@
 namespace shelflink::cluster {
 namespace {
 
+constexpr std::size_t kFewMembers = 64;
+constexpr std::chrono::milliseconds kKeptFor{200};
+
 std::int64_t SteadyMicros(net::Time now) {
   return std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count();
 }
@@ -16,12 +19,21 @@
   ahead_[member] = wall_micros - SteadyMicros(now);
 }
 
-std::int64_t ClockEstimate::TrueMicros(net::Time now, std::int64_t own_wall) const {
-  std::vector<std::int64_t> voices{own_wall - SteadyMicros(now)};
+std::int64_t ClockEstimate::Median(std::int64_t own_ahead) const {
+  std::vector<std::int64_t> voices{own_ahead};
+  voices.reserve(ahead_.size() + 1);
   for (const auto& [member, ahead] : ahead_) voices.push_back(ahead);
   const auto middle = voices.begin() + static_cast<std::ptrdiff_t>(voices.size() / 2);
   std::nth_element(voices.begin(), middle, voices.end());
-  return SteadyMicros(now) + *middle;
+  return *middle;
+}
+
+std::int64_t ClockEstimate::TrueMicros(net::Time now, std::int64_t own_wall) {
+  if (ahead_.size() <= kFewMembers || now >= median_until_) {
+    median_ = Median(own_wall - SteadyMicros(now));
+    median_until_ = now + kKeptFor;
+  }
+  return SteadyMicros(now) + median_;
 }
 
 }  // namespace shelflink::cluster
--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -292,7 +292,7 @@
     });
   }
 
-  std::int64_t TrueMicros() const { return clock.TrueMicros(loop.Now(), loop.WallMicros()); }
+  std::int64_t TrueMicros() { return clock.TrueMicros(loop.Now(), loop.WallMicros()); }
 
   // --- Parts of the view ---
 
