--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -22,6 +22,9 @@
 constexpr milliseconds kPushGrace{40};  // What a renewal names as newer may be on its way.
 constexpr milliseconds kReportTimeout{1000};
 constexpr milliseconds kLeaveTimeout{300};
+constexpr milliseconds kDetourTimeout{900};  // Two hops.
+constexpr milliseconds kDetourPause{500};
+constexpr std::size_t kMostDetours = 64;  // Forwarded for others at a time; one more is refused.
 constexpr const char* kModule = "cluster.agent";
 
 std::int64_t SteadyMicros(net::Time time) {
@@ -41,11 +44,16 @@
     renew_timer = loop.NewTimer([this] { Renew(); });
     lease_timer = loop.NewTimer([this] { CheckLease(); });
     repair_timer = loop.NewTimer([this] { FetchStaleParts(); });
+    detour_timer = loop.NewTimer([this] { TakeDetour(); });
     hub.Handle(kPushKind, [this](const transport::PeerIdentity& from, std::string_view body) {
       OnPush(from, body);
     });
     hub.HandleCall(kFetchKind, [this](const transport::PeerIdentity&, std::string_view body,
                                       transport::Hub::Reply reply) { OnFetch(body, reply); });
+    hub.HandleCall(kDetourKind, [this](const transport::PeerIdentity& from, std::string_view body,
+                                       transport::Hub::Reply reply) {
+      ForwardDetour(from, body, std::move(reply));
+    });
     renew_timer->ArmAt(loop.Now());
   }
 
@@ -129,9 +137,7 @@
     epoch = answer.epoch;
     finder.Accepted(by);
     finder.Learn(answer.cores);
-    uses.Acknowledge(answer.incarnation, told);
-    uses.Settle(answer.settled_before);
-    SetTrueTime(sent, answer.true_micros);
+    TakeCommon(sent, told, answer);
     if (parent != answer.parent) parent_silent = false;
     parent = answer.parent;
     children = answer.children;
@@ -140,6 +146,12 @@
     Repair(answer.versions);
   }
 
+  void TakeCommon(net::Time sent, const std::vector<UseCount>& told, const RenewalAnswer& answer) {
+    uses.Acknowledge(answer.incarnation, told);
+    uses.Settle(answer.settled_before);
+    SetTrueTime(sent, answer.true_micros);
+  }
+
   void RenewAfter(milliseconds pause) { renew_timer->ArmAt(loop.Now() + pause); }
 
   void RenewSoon() {
@@ -169,9 +181,84 @@
     }
     touched = false;
     log::Warning(kModule, "out of touch with the core: the lease has run out");
+    detour_timer->ArmAt(loop.Now());
     if (changes.contact) changes.contact(false);
   }
 
+  // --- Detours: this sidecar may still reach others that reach the core ---
+
+  // Sidecars in turn, the one that served last first.
+  std::optional<net::Address> DetourPeer() const {
+    if (!store.view().members) return std::nullopt;
+    std::vector<net::Address> peers;
+    for (const Member& member : store.view().members->all) {
+      if (member.role == "proxy" && member.address != hub.self().address) {
+        peers.push_back(member.address);
+      }
+    }
+    if (peers.empty()) return std::nullopt;
+    return peers[detour_turn % peers.size()];
+  }
+
+  void TakeDetour() {
+    if (InTouch() || leaving || hub.self().role != "proxy") return;
+    detour_timer->ArmAt(loop.Now() + kDetourPause);
+    const std::optional<net::Address> peer = DetourPeer();
+    if (!peer || detouring) return;
+    detouring = true;
+    Detour detour{hub.self(), MakeRenewal()};
+    const net::Time sent = loop.Now();
+    std::string body = Encode(detour);
+    hub.Call(*peer, kDetourKind, std::move(body), kDetourTimeout,
+             [this, alive = Alive(), peer = *peer, sent,
+              told = std::move(detour.renewal.uses)](const Result<std::string>& answer) {
+               if (alive.expired()) return;
+               detouring = false;
+               OnDetourAnswer(peer, sent, told, answer);
+             });
+  }
+
+  void OnDetourAnswer(const net::Address& peer, net::Time sent, const std::vector<UseCount>& told,
+                      const Result<std::string>& body) {
+    const Result<RenewalAnswer> answer =
+        body ? DecodeRenewalAnswer(body.value()) : Result<RenewalAnswer>(body.error());
+    if (!answer || !answer.value().accepted || answer.value().epoch < epoch) {
+      ++detour_turn;
+      return;
+    }
+    epoch = answer.value().epoch;
+    TakeCommon(sent, told, answer.value());
+    newest = answer.value().versions;
+    for (const Part part : kAllParts) {
+      if (IsStale(part)) FetchFrom(peer, part, kFetchTimeout, [](const Result<std::string>&) {});
+    }
+  }
+
+  void ForwardDetour(const transport::PeerIdentity& from, std::string_view body,
+                     transport::Hub::Reply reply) {
+    const Result<Detour> detour = DecodeDetour(body);
+    if (!detour || detour.value().origin.address != from.address) {
+      reply(MakeError(ErrorCode::kInvalid, "malformed detour, or not of its sender"));
+      return;
+    }
+    const std::optional<net::Address> target = finder.primary();
+    if (!InTouch() || !target) {
+      reply(MakeError(ErrorCode::kUnavailable, "out of touch as well"));
+      return;
+    }
+    if (detours_forwarded >= kMostDetours) {
+      reply(MakeError(ErrorCode::kExhausted, "too many detours"));
+      return;
+    }
+    ++detours_forwarded;
+    hub.Call(*target, kDetourKind, std::string(body), kCallTimeout,
+             [this, alive = Alive(), reply = std::move(reply)](Result<std::string> answer) {
+               if (alive.expired()) return;
+               --detours_forwarded;
+               reply(std::move(answer));
+             });
+  }
+
   // --- True time ---
 
   void SetTrueTime(net::Time sent, std::int64_t true_micros) {
@@ -288,47 +375,46 @@
   }
 
   void FetchPart(Part part) {
-    bool& under_way = fetching[static_cast<std::size_t>(part)];
-    if (under_way) return;
-    const bool from_parent = parent && !parent_silent;
-    const std::optional<net::Address> source = from_parent ? parent : finder.primary();
+    if (parent && !parent_silent) {
+      FetchFrom(*parent, part, kFetchTimeout,
+                [this, part](const Result<std::string>& body) { AfterParent(part, body); });
+    } else {
+      FetchFromCore(part);
+    }
+  }
+
+  void FetchFromCore(Part part) {
+    const std::optional<net::Address> source = finder.primary();
     if (!source) return;
-    under_way = true;
-    hub.Call(*source, kFetchKind, Encode(Fetch{part, newest[part]}),
-             from_parent ? kFetchTimeout : kCoreFetchTimeout,
-             [this, alive = Alive(), part, from_parent](const Result<std::string>& body) {
-               if (alive.expired()) return;
-               fetching[static_cast<std::size_t>(part)] = false;
-               OnFetched(part, from_parent, body);
-             });
+    // The next renewal sees what is still missing.
+    FetchFrom(*source, part, kCoreFetchTimeout, [](const Result<std::string>&) {});
   }
 
-  void OnFetched(Part part, bool from_parent, const Result<std::string>& body) {
-    const Result<Push> push = body ? DecodePush(body.value()) : Result<Push>(body.error());
-    if (push) TakePush(push.value());
-    if (!IsStale(part) || !from_parent) return;  // The next renewal sees what is still missing.
-    // A parent that has no such version is late as well; only a silent one is replaced.
-    const bool silent = !body && body.error().code != ErrorCode::kNotFound;
-    if (silent) {
+  // A parent that has no such version is late as well; only a silent one is replaced.
+  void AfterParent(Part part, const Result<std::string>& body) {
+    if (!IsStale(part)) return;
+    if (!body && body.error().code != ErrorCode::kNotFound) {
       parent_silent = true;
-      FetchPart(part);
       RenewSoon();
-      return;
     }
     FetchFromCore(part);
   }
 
-  void FetchFromCore(Part part) {
-    const std::optional<net::Address> source = finder.primary();
+  // One at a time for each part. `after` is called once what came has been taken.
+  void FetchFrom(const net::Address& source, Part part, milliseconds timeout,
+                 std::function<void(const Result<std::string>&)> after) {
     bool& under_way = fetching[static_cast<std::size_t>(part)];
-    if (!source || under_way) return;
+    if (under_way) return;
     under_way = true;
-    hub.Call(*source, kFetchKind, Encode(Fetch{part, newest[part]}), kCoreFetchTimeout,
-             [this, alive = Alive(), part](const Result<std::string>& body) {
-               if (alive.expired()) return;
-               fetching[static_cast<std::size_t>(part)] = false;
-               OnFetched(part, false, body);
-             });
+    hub.Call(
+        source, kFetchKind, Encode(Fetch{part, newest[part]}), timeout,
+        [this, alive = Alive(), part, after = std::move(after)](const Result<std::string>& body) {
+          if (alive.expired()) return;
+          fetching[static_cast<std::size_t>(part)] = false;
+          const Result<Push> push = body ? DecodePush(body.value()) : Result<Push>(body.error());
+          if (push) TakePush(push.value());
+          after(body);
+        });
   }
 
   // --- Farewell ---
@@ -363,6 +449,7 @@
   net::TimerPtr renew_timer;
   net::TimerPtr lease_timer;
   net::TimerPtr repair_timer;
+  net::TimerPtr detour_timer;
   bool renewing = false;
   bool renew_again = false;
   bool leaving = false;
@@ -376,6 +463,9 @@
   std::vector<net::Address> children;
   PartVersions newest;  // As the primary told last.
   bool fetching[kParts] = {};
+  bool detouring = false;
+  std::size_t detour_turn = 0;
+  std::size_t detours_forwarded = 0;
   std::uint64_t pushes_refused = 0;
   std::shared_ptr<char> life = std::make_shared<char>();
 };
--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -107,6 +107,8 @@
                                       const Hub::Reply& reply) { reply(OnRenewal(from, body)); });
     hub.HandleCall(kFetchKind, [this](const PeerIdentity&, std::string_view body,
                                       const Hub::Reply& reply) { reply(publisher.Answer(body)); });
+    hub.HandleCall(kDetourKind, [this](const PeerIdentity&, std::string_view body,
+                                       const Hub::Reply& reply) { reply(OnDetour(body)); });
     hub.HandleCall(kLeaveKind, [this](const PeerIdentity& from, std::string_view body,
                                       const Hub::Reply& reply) { reply(OnLeave(from, body)); });
     hub.HandleCall(kBackupReportKind,
@@ -233,24 +235,29 @@
     if (usage && from.role == "proxy") usage->Hear(from.address, renewal.window_open);
   }
 
-  RenewalAnswer Accept(const net::Address& member) {
+  RenewalAnswer CommonAnswer() {
     RenewalAnswer answer;
     answer.accepted = true;
     answer.primary = hub.self().address;
     answer.epoch = epoch;
     answer.incarnation = hub.self().incarnation;
+    answer.versions = publisher.versions();
+    answer.true_micros = TrueMicros();
+    answer.settled_before = ledger.settled_before();
+    return answer;
+  }
+
+  RenewalAnswer Accept(const net::Address& member) {
+    RenewalAnswer answer = CommonAnswer();
     const MemberLease& lease = members.leases().at(member);
     const net::Span span = spans.Of(lease.member.role);
     answer.lease_ms =
         static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(span).count());
     answer.interval_ms =
         static_cast<std::uint32_t>(RenewalInterval(settings, members.leases().size()).count());
-    answer.versions = publisher.versions();
     answer.parent = tree.ParentOf(member);
     answer.children = tree.ChildrenOf(member);
     tree.MarkTold(member, answer.children);
-    answer.true_micros = TrueMicros();
-    answer.settled_before = ledger.settled_before();
     if (lease.versions[Part::kMembers] == Version()) {
       for (const coordination::CoreMember& core : replicator.members()) {
         answer.cores.push_back(core.address);
@@ -259,6 +266,17 @@
     return answer;
   }
 
+  // From a sidecar that reaches only others of its kind: its counts are taken, it gets no lease.
+  Result<std::string> OnDetour(std::string_view body) {
+    const Result<Detour> detour = DecodeDetour(body);
+    if (!detour) return detour.error();
+    if (!Leads()) return MakeError(ErrorCode::kUnavailable, "not the primary");
+    const transport::PeerIdentity& origin = detour.value().origin;
+    clock.Hear(loop.Now(), origin.address, detour.value().renewal.wall_micros);
+    HearUses(origin, detour.value().renewal);
+    return Encode(CommonAnswer());
+  }
+
   Result<std::string> OnLeave(const transport::PeerIdentity& from, std::string_view body) {
     const Result<Renewal> last = DecodeRenewal(body);
     if (!last) return last.error();
--- a/src/tier/cluster/messages.cpp
+++ b/src/tier/cluster/messages.cpp
@@ -112,6 +112,34 @@
   return Checked(reader, std::move(message), "renewal");
 }
 
+std::string Encode(const Detour& message) {
+  const transport::PeerIdentity& origin = message.origin;
+  cbor::Writer writer;
+  writer.Array(6).Text(origin.node).Text(origin.role).Text(origin.zone);
+  cluster::Write(writer, origin.address);
+  writer.Uint(origin.incarnation).Bytes(Encode(message.renewal));
+  return writer.Take();
+}
+
+Result<Detour> DecodeDetour(std::string_view body) {
+  cbor::Reader reader(body);
+  Detour message;
+  std::string_view renewal;
+  {
+    const FieldsReader fields(reader, 6);
+    message.origin.node = reader.Text();
+    message.origin.role = reader.Text();
+    message.origin.zone = reader.Text();
+    message.origin.address = ReadAddress(reader);
+    message.origin.incarnation = reader.Uint();
+    renewal = reader.Bytes();
+  }
+  Result<Renewal> decoded = DecodeRenewal(renewal);
+  if (!decoded) return decoded.error();
+  message.renewal = std::move(decoded.value());
+  return Checked(reader, std::move(message), "detour of a renewal");
+}
+
 std::string Encode(const RenewalAnswer& message) {
   cbor::Writer writer;
   writer.Array(12).Bool(message.accepted);
--- a/src/tier/cluster/messages.h
+++ b/src/tier/cluster/messages.h
@@ -27,6 +27,9 @@
 // Call, store that is primary of a partition to core: BackupReport -> empty. kConflict: the row has
 // another epoch by now; the placement that says so follows.
 constexpr transport::MessageKind kBackupReportKind = transport::kClusterKinds + 4;
+// Call, from an agent that reaches no core process to another agent, and from that one to the
+// core's primary: Detour -> RenewalAnswer without a lease.
+constexpr transport::MessageKind kDetourKind = transport::kClusterKinds + 5;
 
 enum class Part : std::uint8_t { kConfiguration, kEndpoints, kPlacement, kMembers };
 constexpr std::size_t kParts = 4;
@@ -77,6 +80,13 @@
   bool operator==(const Renewal&) const = default;
 };
 
+// A renewal that came by another agent. It gives no lease: it carries counts of use up, and the
+// newest versions down.
+struct Detour {
+  transport::PeerIdentity origin;
+  Renewal renewal;
+};
+
 struct RenewalAnswer {
   bool accepted = false;                // By the core's primary.
   std::optional<net::Address> primary;  // Where not accepted: who is, if known.
@@ -120,6 +130,7 @@
 };
 
 std::string Encode(const Renewal& message);
+std::string Encode(const Detour& message);
 std::string Encode(const RenewalAnswer& message);
 std::string Encode(const Push& message);
 std::string Encode(const Fetch& message);
@@ -127,6 +138,7 @@
 
 // kInvalid where the body is no such message.
 Result<Renewal> DecodeRenewal(std::string_view body);
+Result<Detour> DecodeDetour(std::string_view body);
 Result<RenewalAnswer> DecodeRenewalAnswer(std::string_view body);
 Result<Push> DecodePush(std::string_view body);
 Result<Fetch> DecodeFetch(std::string_view body);
--- a/tests/tier/cluster/cluster_messages_test.cpp
+++ b/tests/tier/cluster/cluster_messages_test.cpp
@@ -51,6 +51,8 @@
 Fetch SomeFetch() { return {Part::kEndpoints, {1, 2}}; }
 BackupReport SomeReport() { return {63, 5, "disk", BackupCondition::kStalled}; }
 
+Detour SomeDetour() { return {{"node", "proxy", "zone", kHere, 12}, SomeRenewal()}; }
+
 PartitionRow SomeRow() { return {8, kHere, "one", {kThere}, {"two"}, {false}}; }
 
 std::string AnyEncoded(std::size_t which) {
@@ -63,8 +65,10 @@
       return Encode(SomePush());
     case 3:
       return Encode(SomeFetch());
-    default:
+    case 4:
       return Encode(SomeReport());
+    default:
+      return Encode(SomeDetour());
   }
 }
 
@@ -91,14 +95,22 @@
       const auto message = DecodeFetch(body);
       return message && stable(message.value(), DecodeFetch(Encode(message.value())));
     }
-    default: {
+    case 4: {
       const auto message = DecodeBackupReport(body);
       return message && stable(message.value(), DecodeBackupReport(Encode(message.value())));
     }
+    default: {
+      const auto message = DecodeDetour(body);
+      if (!message) return false;
+      const auto again = DecodeDetour(Encode(message.value()));
+      BOOST_TEST((again && again.value().renewal == message.value().renewal &&
+                  again.value().origin.address == message.value().origin.address));
+      return true;
+    }
   }
 }
 
-constexpr std::size_t kKinds = 5;
+constexpr std::size_t kKinds = 6;
 
 BOOST_AUTO_TEST_CASE(each_message_comes_back_as_it_went) {
   BOOST_TEST((DecodeRenewal(Encode(SomeRenewal())).value() == SomeRenewal()));
@@ -233,6 +245,10 @@
     proxy.Send(agent, kPushKind, newer);
     BOOST_TEST(rig.proxies[0]->configuration_version() == 5U);
     BOOST_TEST(!proxy.Call(agent, kFetchKind, "nonsense"));
+    BOOST_TEST(!proxy.Call(agent, kDetourKind, "nonsense"));
+    // In another's name.
+    BOOST_TEST(
+        (proxy.Call(agent, kDetourKind, Encode(SomeDetour())).error().code == ErrorCode::kInvalid));
     BOOST_TEST(
         proxy.Call(agent, kFetchKind, Encode(Fetch{Part::kConfiguration, {0, 5}})).has_value());
     BOOST_TEST(!proxy.Call(agent, kFetchKind, Encode(Fetch{Part::kConfiguration, {0, 6}})));
@@ -253,7 +269,7 @@
   const net::Address core = rig.cores[0]->address();
   const std::uint64_t epoch = rig.map.epoch;
   for (const transport::MessageKind kind :
-       {kRenewKind, kFetchKind, kLeaveKind, kBackupReportKind}) {
+       {kRenewKind, kFetchKind, kLeaveKind, kDetourKind, kBackupReportKind}) {
     BOOST_TEST((stranger.Call(core, kind, "nonsense").error().code == ErrorCode::kInvalid));
     BOOST_TEST((stranger.Call(core, kind, "").error().code == ErrorCode::kInvalid));
   }
--- a/tests/tier/cluster/usage_test.cpp
+++ b/tests/tier/cluster/usage_test.cpp
@@ -178,6 +178,29 @@
   }
 }
 
+// As when the machine of the core's primary is cut off from the other core machines and stores, but
+// not from the rest.
+BOOST_AUTO_TEST_CASE(a_sidecar_cut_off_from_the_core_tells_its_counts_by_another) {
+  for (const bool new_primary : {false, true}) {
+    Rig rig(3, 9);
+    rig.Start();
+    Traffic traffic(rig);
+    traffic.Run(seconds(13));
+    for (const auto& core : rig.cores) {
+      rig.net.SetCut(rig.proxies[0]->host(), core->host(), true);
+      rig.net.SetCut(rig.proxies[1]->host(), core->host(), true);
+    }
+    rig.net.SetCut(rig.proxies[0]->host(), rig.proxies[1]->host(), true);
+    if (new_primary) rig.Elect(1);
+    traffic.Run(seconds(30));
+    BOOST_TEST(!rig.proxies[0]->agent().in_touch());
+    CheckNear(rig, traffic, 0.0, 7);
+    // Versions come the same way.
+    BOOST_REQUIRE(rig.Put(3, 0));
+    BOOST_TEST(rig.RunUntil([&] { return rig.AllHave(3); }, milliseconds(2000)));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_farewell_brings_the_last_counts) {
   Rig rig(3, 3);
   rig.Start();
