--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -51,8 +51,8 @@
     hub.HandleCall(kFetchKind, [this](const transport::PeerIdentity&, std::string_view body,
                                       transport::Hub::Reply reply) { OnFetch(body, reply); });
     hub.HandleCall(kDetourKind, [this](const transport::PeerIdentity& from, std::string_view body,
-                                       transport::Hub::Reply reply) {
-      ForwardDetour(from, body, std::move(reply));
+                                       const transport::Hub::Reply& reply) {
+      ForwardDetour(from, body, reply);
     });
     renew_timer->ArmAt(loop.Now());
   }
--- a/tests/tier/cluster/core_service_test.cpp
+++ b/tests/tier/cluster/core_service_test.cpp
@@ -241,7 +241,8 @@
   std::optional<Result<std::string>> read;
   const auto read_back = [&] {
     read.reset();
-    rig.Primary().service().ReadConfiguration([&](Result<std::string> told) { read = told; });
+    rig.Primary().service().ReadConfiguration(
+        [&](const Result<std::string>& told) { read = told; });
     rig.RunUntil([&] { return read.has_value(); }, seconds(1));
     return *read;
   };
