--- a/tests/tier/proxy/batch_requests_test.cpp
+++ b/tests/tier/proxy/batch_requests_test.cpp
@@ -58,6 +58,9 @@
 
 struct Desk {
   Desk() : configuration(stand_in::Sample()), world(1, Keyed(), 64 << 20, &batch) {}
+  ~Desk() { batch.kept.clear(); }  // They hold clients, which must not outlive the world.
+  Desk(const Desk&) = delete;
+  Desk& operator=(const Desk&) = delete;
   static stand_in::Configuration Keyed() {
     auto keyed = stand_in::Sample();
     keyed.routes[5].is_public = false;
