--- a/tests/tier/proxy/path_cost.cpp
+++ b/tests/tier/proxy/path_cost.cpp
@@ -6,6 +6,7 @@
 // can do in their place: take the request whole, send it on, pass the answer on as it comes. It
 // checks no key and no instance, joins no runs and admits everything.
 #include <libsoup/soup.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -52,7 +53,7 @@
   entry.id = "i-0";
   entry.service = "svc";
   entry.address = endpoint;
-  entry.slots = 64;
+  entry.slots = 1000;
   list->entries.push_back(entry);
   view.endpoints = list;
   calls.OnView(view);
@@ -277,6 +278,7 @@
   if (::pipe(pipe.data()) != 0) return 1;
   const pid_t child = ::fork();
   if (child == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     how == "own" ? RunOwn(pipe[1], endpoint.address()) : RunSoup(pipe[1], endpoint.address());
     std::exit(0);
   }
