--- /dev/null
+++ b/tests/tier/proxy/program_test.cpp
@@ -0,0 +1,183 @@
+// The proxy's process beside core processes, a platform, endpoints and clients on the virtual
+// network.
+#define BOOST_TEST_MODULE proxy_program
+#include "tier/proxy/program.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "cluster/rig.h"
+#include "proxy/stand_in.h"
+
+using shelflink::cluster::Rig;
+using shelflink::cluster::RigSettings;
+using stand_in::Answers;
+using stand_in::Client;
+using stand_in::Endpoint;
+using stand_in::Message;
+using stand_in::milliseconds;
+using stand_in::Request;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t kHost = 0x0a020099;
+constexpr std::uint32_t kEndpointHost = 0x0a640001;
+
+shelflink::ProcessSettings SettingsOfProxy() {
+  shelflink::ProcessSettings settings = RigSettings(3);
+  settings.node = "edge-1";
+  settings.role = "proxy";
+  settings.zone = "zone-0";
+  settings.ip = "10.2.0.153";
+  settings.limits.max_fds = 4100;
+  settings.limits.memory_mb = 260;
+  settings.listen_front = net::Address::V4(kHost, 8689);
+  settings.listen_ready = net::Address::V4(kHost, 8687);
+  return settings;
+}
+
+struct Tier {
+  Tier()
+      : rig(3, 0),
+        endpoint(rig.net, kEndpointHost, "i-0", Answers("the bytes")),
+        outside(rig.net, 0x0a090001, "clients", 1000),
+        process(rig.net, kHost, "edge-1", 4100),
+        program(std::make_unique<shelflink::proxy::Program>(process, SettingsOfProxy())) {
+    List(false);
+  }
+  ~Tier() { rig.net.Clear(); }
+
+  void List(bool draining) {
+    rig.platform.list = {{"i-0", "big", endpoint.address, "zone-0", 8, draining, milliseconds(0)}};
+  }
+  void Begin() {
+    rig.Start();
+    rig.Run(seconds(2));
+    BOOST_REQUIRE(rig.Put(5, 0));
+    rig.Run(seconds(2));
+  }
+  Message Ask(std::uint16_t port, const std::string& text) {
+    Client client(outside, net::Address::V4(kHost, port));
+    client.Send(text);
+    rig.Run(milliseconds(300));
+    Message answer = client.Answer();
+    client.Leave();
+    return answer;
+  }
+  int Ready() { return Ask(8687, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").Status(); }
+  Message Get() { return Ask(8689, Request("/a/x", "id" + std::to_string(++asked))); }
+
+  Rig rig;
+  Endpoint endpoint;
+  net::VirtualProcess outside;
+  net::VirtualProcess process;
+  std::unique_ptr<shelflink::proxy::Program> program;
+  int asked = 0;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(is_ready_once_it_can_serve) {
+  Tier tier;
+  tier.rig.Run(seconds(1));
+  BOOST_TEST(tier.Ready() == 503);  // No core yet.
+  BOOST_TEST(tier.Get().Status() == 503);
+  tier.rig.Start();
+  tier.rig.Run(seconds(3));
+  BOOST_TEST(tier.Ready() == 503);  // No configuration yet.
+  BOOST_REQUIRE(tier.rig.Put(5, 0));
+  tier.rig.Run(seconds(1));
+  BOOST_TEST(tier.Ready() == 200);
+  const Message answer = tier.Get();
+  BOOST_TEST(answer.Status() == 200);
+  BOOST_TEST(answer.body == "the bytes");
+}
+
+BOOST_AUTO_TEST_CASE(a_drain_on_the_platforms_list_binds) {
+  Tier tier;
+  tier.Begin();
+  BOOST_TEST(tier.Get().Status() == 200);
+  tier.List(true);
+  tier.rig.Run(seconds(2));
+  const std::size_t before = tier.endpoint.requests.size();
+  BOOST_TEST(tier.Get().Status() == 503);
+  BOOST_TEST(tier.endpoint.requests.size() == before);
+}
+
+BOOST_AUTO_TEST_CASE(without_a_core_it_serves_on_and_says_not_ready_after_a_while) {
+  Tier tier;
+  tier.Begin();
+  for (auto& core : tier.rig.cores) core->Stop();
+  tier.rig.Run(seconds(1));
+  BOOST_TEST(tier.Ready() == 200);
+  tier.rig.Run(seconds(12));
+  BOOST_TEST(tier.Ready() == 503);
+  BOOST_TEST(tier.Get().Status() == 200);
+  for (auto& core : tier.rig.cores) core->Start();
+  tier.rig.Elect(0);
+  tier.rig.Run(seconds(4));
+  BOOST_TEST(tier.Ready() == 200);
+}
+
+BOOST_AUTO_TEST_CASE(leaves_in_order) {
+  Tier tier;
+  tier.Begin();
+  tier.endpoint.behaviour = [&](Endpoint::Line& line, const Message& request) {
+    const Message kept = request;
+    tier.endpoint.Later(milliseconds(700),
+                        [&line, kept] { line.Write(Endpoint::Whole(kept, "late")); });
+  };
+  Client held(tier.outside, net::Address::V4(kHost, 8689));
+  held.Send(Request("/a/x", "held"));
+  tier.rig.Run(milliseconds(100));
+  bool done = false;
+  tier.program->Leave([&] { done = true; });
+  BOOST_TEST(tier.Ready() == 503);
+  tier.rig.Run(milliseconds(500));
+  const Message answer = held.Answer();
+  BOOST_TEST(answer.body == "late");
+  BOOST_TEST(answer.Value("Connection") == "close");
+  BOOST_TEST(!done);  // The platform may still send connections.
+  tier.rig.Run(seconds(5));
+  BOOST_TEST(done);
+}
+
+BOOST_AUTO_TEST_CASE(leaves_without_a_core_too) {
+  Tier tier;
+  tier.rig.Run(seconds(1));
+  bool done = false;
+  tier.program->Leave([&] { done = true; });
+  tier.rig.Run(seconds(8));
+  BOOST_TEST(done);
+}
+
+BOOST_AUTO_TEST_CASE(use_is_reported_by_tenant) {
+  Tier tier;
+  tier.Begin();
+  const std::string keyed =
+      R"({"configVersion":7,"routes":[{"name":"one","hostname":"a.example","pathPrefix":"/a/",)"
+      R"("routeKind":"idempotent","timeoutMs":1000,"service":"big","public":false}],)"
+      R"("services":[{"name":"big"}],"tenants":[{"name":"ten","apiKeys":["key-1"]}]})";
+  bool taken = false;
+  tier.rig.Primary().service().ChangeConfiguration(
+      {shelflink::configuration::ChangeMethod::kPut, 5, keyed},
+      [&](const shelflink::Result<void>& result) { taken = result.has_value(); });
+  tier.rig.Run(seconds(1));
+  BOOST_REQUIRE(taken);
+  BOOST_TEST(tier.Get().Status() == 401);
+  constexpr std::uint64_t kRequests = 7;
+  for (std::uint64_t number = 0; number < kRequests; ++number) {
+    const std::string id = "use" + std::to_string(number);
+    const Message answer = tier.Ask(8689, Request("/a/x", id, "Shelflink-Credential: key-1\r\n"));
+    BOOST_TEST(answer.Status() == 200);
+  }
+  tier.rig.Run(seconds(30));
+  std::uint64_t reported = 0;
+  for (const auto& call : tier.rig.platform.usage) {
+    for (const auto& [tenant, count] : call.counts) {
+      BOOST_TEST(tenant == "ten");
+      reported += count;
+    }
+  }
+  BOOST_TEST(reported == kRequests);
+}
