--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -89,10 +89,9 @@
         platform::ListReader::Options{settings.cloud.rate_per_s, settings.bounds.drain},
         [this](const std::vector<EndpointEntry>& entries) { PublishEndpoints(entries); });
     if (HasDuty(settings, "usage_report")) {
-      usage =
-          std::make_unique<UsageDuty>(UsageDuty::Parts{loop, replicator, platform, members, ledger,
-                                                       pace, [this] { return TrueMicros(); }},
-                                      settings);
+      usage = std::make_unique<UsageDuty>(UsageDuty::Parts{loop, replicator, platform, ledger, pace,
+                                                           [this] { return TrueMicros(); }},
+                                          settings);
     }
     if (HasDuty(settings, "autoscale")) {
       scale =
@@ -108,8 +107,8 @@
                                       const Hub::Reply& reply) { reply(OnRenewal(from, body)); });
     hub.HandleCall(kFetchKind, [this](const PeerIdentity&, std::string_view body,
                                       const Hub::Reply& reply) { reply(publisher.Answer(body)); });
-    hub.HandleCall(kLeaveKind, [this](const PeerIdentity& from, std::string_view,
-                                      const Hub::Reply& reply) { reply(OnLeave(from)); });
+    hub.HandleCall(kLeaveKind, [this](const PeerIdentity& from, std::string_view body,
+                                      const Hub::Reply& reply) { reply(OnLeave(from, body)); });
     hub.HandleCall(kBackupReportKind,
                    [this](const PeerIdentity&, std::string_view body, Hub::Reply reply) {
                      OnBackupReport(body, std::move(reply));
@@ -124,6 +123,10 @@
   bool Leads() const { return leading && replicator.is_primary(); }
 
   void OnRole(bool primary, std::uint64_t the_epoch) {
+    if (primary && leading && the_epoch == epoch + 1) {
+      GoOnLeading(the_epoch);
+      return;
+    }
     if (leading) StopLeading();
     if (primary) StartLeading(the_epoch);
   }
@@ -142,7 +145,15 @@
     if (watch) watch->Start();
     if (usage) usage->Start(epoch);
     if (scale) scale->Start(epoch);
-    tick_timer->ArmAt(loop.Now() + kTick);
+    ArmTick();
+  }
+
+  // The replicas have changed, the primary has not: leases and the duties' state still hold.
+  void GoOnLeading(std::uint64_t the_epoch) {
+    epoch = the_epoch;
+    members_changed = true;
+    if (usage) usage->SetFence(epoch);
+    if (scale) scale->SetFence(epoch);
   }
 
   void StopLeading() {
@@ -155,9 +166,16 @@
     if (scale) scale->Stop();
   }
 
+  void ArmTick() {
+    next_tick = loop.Now() + kTick;
+    tick_timer->ArmAt(next_tick);
+  }
+
   void Tick() {
-    tick_timer->ArmAt(loop.Now() + kTick);
+    const net::Span late = loop.Now() - next_tick;
+    ArmTick();
     if (!Leads()) return;
+    if (late > kTick) members.Extend(late);
     for (const MemberLease& lease : members.Expire(loop.Now())) {
       log::Info(kModule,
                 "lease of " + lease.member.role + " " + lease.member.node + " has run out");
@@ -206,10 +224,15 @@
     const std::optional<net::Address> parent = tree.ParentOf(from.address);
     if (renewal.parent_silent && parent && renewal.parent == parent) tree.Distrust(*parent);
     clock.Hear(loop.Now(), from.address, renewal.wall_micros);
-    ledger.Hear(from.address, from.incarnation, renewal.uses);
+    HearUses(from, renewal);
     AdoptEndpoints(from.address, renewal.versions[Part::kEndpoints]);
   }
 
+  void HearUses(const transport::PeerIdentity& from, const Renewal& renewal) {
+    ledger.Hear(from.address, from.incarnation, renewal.uses);
+    if (usage && from.role == "proxy") usage->Hear(from.address, renewal.window_open);
+  }
+
   RenewalAnswer Accept(const net::Address& member) {
     RenewalAnswer answer;
     answer.accepted = true;
@@ -228,14 +251,20 @@
     tree.MarkTold(member, answer.children);
     answer.true_micros = TrueMicros();
     answer.settled_before = ledger.settled_before();
-    for (const coordination::CoreMember& core : replicator.members()) {
-      answer.cores.push_back(core.address);
+    if (lease.versions[Part::kMembers] == Version()) {
+      for (const coordination::CoreMember& core : replicator.members()) {
+        answer.cores.push_back(core.address);
+      }
     }
     return answer;
   }
 
-  Result<std::string> OnLeave(const transport::PeerIdentity& from) {
+  Result<std::string> OnLeave(const transport::PeerIdentity& from, std::string_view body) {
+    const Result<Renewal> last = DecodeRenewal(body);
+    if (!last) return last.error();
     if (!Leads()) return MakeError(ErrorCode::kUnavailable, "not the primary");
+    HearUses(from, last.value());
+    if (usage) usage->Forget(from.address);
     if (members.Leave(from.address, from.incarnation)) {
       log::Info(kModule, from.role + " " + from.node + " leaves");
       Forget(from.address);
@@ -418,6 +447,7 @@
   std::uint64_t epoch = 0;
   std::uint64_t count = 0;  // Of the parts made under this epoch.
   net::Time led_since{};
+  net::Time next_tick{};
   bool members_changed = false;
   net::Time members_published{};
   bool adopting = false;
