A backup that speaks has not stalled; who caught up or stalled is logged; a program that measures stores

Cause: under writes of 4 MB a busy backup owed acknowledgements for over 400 ms although it worked, was replaced, and the joiner's catch-up made all slower still.

--- a/src/tier/batch/replica_host.cpp
+++ b/src/tier/batch/replica_host.cpp
@@ -141,6 +141,7 @@
                  loop_.Now().time_since_epoch() / std::chrono::microseconds(1));
     return;
   }
+  heard_at_[frame.value().disk] = loop_.Now();
   const auto found = hosted_.find(frame.value().partition);
   if (found != hosted_.end()) found->second->OnFrame(frame.value());
 }
@@ -186,7 +187,10 @@
 void ReplicaHost::ReportStalled() {
   std::set<std::pair<std::uint32_t, std::string>> stalled;
   for (auto& [partition, hosted] : hosted_) {
+    const std::vector<std::string> owed_long = hosted->Stalled(options_.longest_owed);
     for (const std::string& disk : hosted->Stalled(options_.patience)) {
+      const bool too_long = std::count(owed_long.begin(), owed_long.end(), disk) > 0;
+      if (!too_long && !Silent(disk)) continue;
       stalled.emplace(partition, disk);
       // Seen twice: an answer may have come that was not read yet.
       if (stalled_before_.count({partition, disk}) == 0) continue;
@@ -196,11 +200,19 @@
   stalled_before_ = std::move(stalled);
 }
 
+bool ReplicaHost::Silent(const std::string& disk) const {
+  const auto found = heard_at_.find(disk);
+  return found == heard_at_.end() || loop_.Now() - found->second > options_.patience;
+}
+
 void ReplicaHost::Report(const cluster::BackupReport& report) {
   net::Time& reported_at = reported_[{report.partition, report.disk}];
   const net::Time now = loop_.Now();
   if (reported_at != net::Time{} && now - reported_at < kReportPause) return;
   reported_at = now;
+  const bool complete = report.condition == cluster::BackupCondition::kComplete;
+  log::Info(kLogName, "partition " + std::to_string(report.partition) + ": backup " + report.disk +
+                          (complete ? " has caught up" : " owes acknowledgements"));
   outside_.report(report);
 }
 
--- a/src/tier/batch/replica_host.h
+++ b/src/tier/batch/replica_host.h
@@ -41,9 +41,12 @@
 class ReplicaHost : public PartitionReplicas {
  public:
   struct Options {
-    std::string disk;                  // Identity of this store's disk.
-    std::size_t least_replicas = 2;    // Fault tolerance + 1.
-    milliseconds patience{400};        // A backup that owes an acknowledgement longer has stalled.
+    std::string disk;                // Identity of this store's disk.
+    std::size_t least_replicas = 2;  // Fault tolerance + 1.
+    // A backup has stalled that owes an acknowledgement and is silent for so long, or owes one for
+    // `longest_owed` though it speaks: large writes may take a while.
+    milliseconds patience{400};
+    milliseconds longest_owed{2000};
     std::size_t most_catching_up = 4;  // Partitions at a time, the most exposed ones first.
   };
   struct Outside {
@@ -76,6 +79,7 @@
   void OnTimer();
   void ReportJoined();
   void ReportStalled();
+  bool Silent(const std::string& disk) const;
   void Report(const cluster::BackupReport& report);
   void ChooseLearners();
   void DropUnnamed();
@@ -99,6 +103,7 @@
   net::TimerPtr timer_;
   net::Time timer_due_{};
   bool timer_armed_ = false;
+  std::map<std::string, net::Time> heard_at_;  // Of each other disk the last frame.
   std::set<std::pair<std::uint32_t, std::string>> stalled_before_;
   std::map<std::pair<std::uint32_t, std::string>, net::Time> reported_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/tests/tier/batch/store.cmake
+++ b/tests/tier/batch/store.cmake
@@ -3,3 +3,9 @@
 if(TARGET shelflink_tier_core)
   shelflink_tier_test(batch/store_test shelflink_tier_store shelflink_tier_core shelflink_virtual)
 endif()
+# Measures running stores; no test.
+if(TARGET shelflink_tier_cluster_agent)
+  add_executable(tier_store_load ${CMAKE_CURRENT_SOURCE_DIR}/store_load.cpp)
+  target_link_libraries(tier_store_load PRIVATE shelflink_tier_batch_messages
+    shelflink_tier_cluster_agent shelflink_net_glib gaugecart_warnings)
+endif()
