--- a/src/tier/operator_api/forwarder.h
+++ b/src/tier/operator_api/forwarder.h
@@ -19,14 +19,16 @@
 namespace shelflink::operator_api {
 
 constexpr transport::MessageKind kOrderCall = transport::kOperatorKinds;
-constexpr std::size_t kMostForwarded = 64;  // Orders of others under way here; more: kExhausted.
+// Orders of others under way here, and their bytes; more: kExhausted.
+constexpr std::size_t kMostForwarded = 64;
+constexpr std::size_t kMostForwardedBytes = 40U << 20;
 
 class Forwarder {
  public:
   struct Options {
     // An order has its answer after so long, be it kUnavailable or kUnknown. The operator turns to
     // another process after one second of silence.
-    std::chrono::milliseconds answer_within{850};
+    std::chrono::milliseconds answer_within{800};
     // A call to the primary that is silent for so long is made again, to whoever is the primary
     // then.
     std::chrono::milliseconds attempt{400};
