Joiners catch up by events rather than by ticks, sixteen partitions at a time; items count as late by the whole learned pace

Cause: with copies of 21 partitions to be made after a loss, four at a time and each step waiting for a tick of 150 ms, a partition that had lost a copy acknowledged nothing for two seconds more than the lease.

--- /dev/null
+++ b/release/tests/tier/coordination/mutants/lower_ballots_are_accepted/witness.cpp
@@ -0,0 +1,144 @@
+#include "tier/coordination/witness.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace shelflink::coordination {
+
+namespace {
+constexpr char kStateKey[] = "witness";
+
+std::uint64_t CeilMilliseconds(net::Span span) {
+  return static_cast<std::uint64_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(std::max(span, net::Span::zero())).count());
+}
+}  // namespace
+
+Witness::Witness(Options options, const storage::Storage& storage, net::Time now)
+    : options_(std::move(options)) {
+  Load(storage);
+  granted_until_ = now + options_.lease;
+}
+
+void Witness::Found(Step& step, std::vector<CoreMember> seeds) {
+  state_.founder = true;
+  granted_until_ = {};
+  state_.record.witnesses = std::move(seeds);
+  Store(step);
+}
+
+bool Witness::Learn(Step& step, const Record& decided) {
+  if (decided.number <= state_.record.number) return false;
+  state_.record = decided;
+  state_.promised = {};
+  state_.accepted = {};
+  state_.value.reset();
+  Store(step);
+  return true;
+}
+
+bool Witness::MayVote() const {
+  if (state_.record.number == 0 && !state_.founder) return false;
+  return IsWitnessOf(state_.record, options_.self);
+}
+
+net::Span Witness::LeaseAgainst(net::Time now, const Ballot& ballot) const {
+  if (ballot.disk == state_.record.primary) return {};  // Its own lease.
+  return std::max(granted_until_ - now, net::Span::zero());
+}
+
+PrepareReply Witness::OnPrepare(Step& step, const Prepare& request) {
+  PrepareReply reply;
+  reply.number = request.base.number + 1;
+  reply.ballot = request.ballot;
+  if (request.base.number != state_.record.number || !MayVote()) return reply;
+  const net::Span left = LeaseAgainst(step.now, request.ballot);
+  if (left > net::Span::zero()) {
+    reply.lease_left_ms = CeilMilliseconds(left);
+    return reply;
+  }
+  if (request.ballot < state_.promised) {
+    reply.blocking = state_.promised;
+    return reply;
+  }
+  if (request.ballot > state_.promised) {
+    state_.promised = request.ballot;
+    Store(step);
+  }
+  reply.promised = true;
+  reply.accepted = state_.accepted;
+  reply.value = state_.value;
+  return reply;
+}
+
+AcceptReply Witness::OnAccept(Step& step, const Accept& request) {
+  AcceptReply reply;
+  reply.number = request.base.number + 1;
+  reply.ballot = request.ballot;
+  if (request.base.number != state_.record.number || !MayVote()) return reply;
+  const net::Span left = LeaseAgainst(step.now, request.ballot);
+  if (left > net::Span::zero()) {
+    reply.lease_left_ms = CeilMilliseconds(left);
+    return reply;
+  }
+  if (request.ballot != state_.accepted) {
+    state_.promised = request.ballot;
+    state_.accepted = request.ballot;
+    state_.value = request.value;
+    Store(step);
+  }
+  reply.accepted = true;
+  return reply;
+}
+
+bool Witness::Grant(net::Time now, const std::string& primary, std::uint64_t number) {
+  if (number == 0 || number != state_.record.number) return false;
+  if (primary != state_.record.primary) return false;
+  // A vote for another may have been counted already. One that was only promised will not be given
+  // while this lease runs.
+  if (state_.value && state_.value->primary != primary) return false;
+  granted_until_ = std::max(granted_until_, now + options_.lease);
+  return true;
+}
+
+void Witness::Store(Step& step) {
+  cbor::Writer out;
+  out.Array(5);
+  Put(out, state_.record);
+  Put(out, state_.promised);
+  Put(out, state_.accepted);
+  if (state_.value) {
+    Put(out, *state_.value);
+  } else {
+    out.Null();
+  }
+  out.Bool(state_.founder);
+  storage::Batch batch;
+  batch.Put(kStateKey, out.Take());
+  step.storage.Apply(batch);
+  step.wants_sync = true;
+}
+
+void Witness::Load(const storage::Storage& storage) {
+  const auto stored = storage.Get(kStateKey);
+  if (!stored) return;
+  cbor::Reader in(*stored);
+  State state;
+  if (in.Array() < 5) in.Fail();
+  state.record = ReadRecord(in);
+  state.promised = ReadBallot(in);
+  state.accepted = ReadBallot(in);
+  if (!in.TakeNull()) state.value = ReadRecord(in);
+  state.founder = in.Bool();
+  if (in.ok()) state_ = std::move(state);
+}
+
+void Witness::Fingerprint(cbor::Writer& out, net::Time now) const {
+  Put(out, state_.record);
+  Put(out, state_.promised);
+  Put(out, state_.accepted);
+  if (state_.value) Put(out, *state_.value);
+  out.Bool(state_.founder).Int(std::max(granted_until_ - now, net::Span::zero()).count());
+}
+
+}  // namespace shelflink::coordination
--- /dev/null
+++ b/release/tests/tier/coordination/mutants/one_vote_decides/proposer.cpp
@@ -0,0 +1,54 @@
+#include "tier/coordination/proposer.h"
+
+#include <algorithm>
+
+namespace shelflink::coordination {
+
+bool Proposer::Count(const CoreMember& from, bool yes, const Ballot& blocking,
+                     std::uint64_t lease_left_ms) {
+  if (!IsWitnessOf(base_, from) || !answered_.insert(Key(from)).second) return false;
+  ++(yes ? agreed_ : refused_);
+  blocking_ = std::max(blocking_, blocking);
+  lease_left_ms_ = std::max(lease_left_ms_, lease_left_ms);
+  if (refused_ > base_.witnesses.size() - Majority(base_)) phase_ = Phase::kRefused;
+  return true;
+}
+
+void Proposer::OnReply(const CoreMember& from, const PrepareReply& reply) {
+  if (phase_ != Phase::kPreparing && phase_ != Phase::kPrepared) return;
+  if (reply.number != base_.number + 1 || reply.ballot != ballot_) return;
+  if (!Count(from, reply.promised, reply.blocking, reply.lease_left_ms)) return;
+  if (!reply.promised) return;
+  if (reply.value && reply.accepted > found_ballot_) {
+    found_ballot_ = reply.accepted;
+    found_ = reply.value;
+  }
+  if (agreed_ >= Majority(base_)) phase_ = Phase::kPrepared;
+}
+
+void Proposer::Propose(const Record& own) {
+  if (phase_ != Phase::kPrepared) return;
+  value_ = found_ ? *found_ : own;
+  phase_ = Phase::kAccepting;
+  answered_.clear();
+  agreed_ = 0;
+  refused_ = 0;
+}
+
+void Proposer::OnReply(const CoreMember& from, const AcceptReply& reply) {
+  if (phase_ != Phase::kAccepting) return;
+  if (reply.number != base_.number + 1 || reply.ballot != ballot_) return;
+  if (!Count(from, reply.accepted, reply.blocking, reply.lease_left_ms)) return;
+  phase_ = Phase::kDecided;
+}
+
+void Proposer::Fingerprint(cbor::Writer& out) const {
+  out.Uint(base_.number).Uint(static_cast<std::uint64_t>(phase_));
+  Put(out, ballot_);
+  for (const std::string& key : answered_) out.Text(key);
+  out.Uint(agreed_);
+  Put(out, found_ballot_);
+  if (phase_ >= Phase::kAccepting) Put(out, value_);
+}
+
+}  // namespace shelflink::coordination
--- /dev/null
+++ b/release/tests/tier/coordination/mutants/too_few_replicas_suffice/choice.cpp
@@ -0,0 +1,77 @@
+#include "tier/coordination/choice.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+namespace shelflink::coordination {
+
+namespace {
+
+void AddUpTo(std::vector<CoreMember>& chosen, const std::vector<CoreMember>& offered,
+             std::size_t size) {
+  for (const CoreMember& member : offered) {
+    if (chosen.size() >= size) return;
+    if (FindDisk(chosen, member.disk) == nullptr) chosen.push_back(member);
+  }
+}
+
+bool IsReplaced(const CoreMember& member, const std::vector<CoreMember>& there) {
+  return std::any_of(there.begin(), there.end(), [&](const CoreMember& other) {
+    return other.address == member.address && other.disk != member.disk;
+  });
+}
+
+}  // namespace
+
+std::vector<CoreMember> SpreadOverZones(const std::vector<CoreMember>& chosen,
+                                        const std::vector<CoreMember>& offered, std::size_t count) {
+  std::set<std::string> zones;
+  for (const CoreMember& member : chosen) zones.insert(member.zone);
+  std::vector<CoreMember> picked;
+  for (const CoreMember& member : offered) {
+    if (picked.size() < count && zones.insert(member.zone).second) picked.push_back(member);
+  }
+  AddUpTo(picked, offered, count);
+  return picked;
+}
+
+std::vector<CoreMember> ChooseReplicas(const ReplicaSituation& situation) {
+  std::vector<CoreMember> chosen = situation.staying;
+  if (chosen.size() < situation.most) {
+    const auto joining = SpreadOverZones(chosen, situation.joining, situation.most - chosen.size());
+    chosen.insert(chosen.end(), joining.begin(), joining.end());
+  }
+
+  return chosen;
+}
+
+std::vector<CoreMember> ChooseWitnesses(const std::vector<CoreMember>& present,
+                                        const std::vector<CoreMember>& there) {
+  std::vector<CoreMember> staying;
+  std::vector<CoreMember> silent;
+  for (const CoreMember& witness : present) {
+    if (FindDisk(there, witness.disk) != nullptr) {
+      staying.push_back(witness);
+    } else if (!IsReplaced(witness, there)) {
+      silent.push_back(witness);
+    }
+  }
+  std::vector<CoreMember> others;
+  for (const CoreMember& member : there) {
+    if (FindDisk(present, member.disk) == nullptr) others.push_back(member);
+  }
+  const std::size_t known = staying.size() + others.size() + silent.size();
+  const std::size_t odd = known % 2 == 1 ? known : known - std::min<std::size_t>(known, 1);
+  const std::size_t size = std::min(odd, kMostWitnesses);
+  std::vector<CoreMember> chosen = std::move(staying);
+  if (chosen.size() < size) {
+    const auto joining = SpreadOverZones(chosen, others, size - chosen.size());
+    chosen.insert(chosen.end(), joining.begin(), joining.end());
+  }
+  AddUpTo(chosen, silent, size);
+  if (chosen.size() > size) chosen.resize(size);
+  return chosen;
+}
+
+}  // namespace shelflink::coordination
--- a/src/tier/batch/hosted_partition.cpp
+++ b/src/tier/batch/hosted_partition.cpp
@@ -98,6 +98,7 @@
 }
 
 void HostedPartition::AssignEpoch(std::uint64_t epoch, bool acting) {
+  asked_to_catch_up_ = false;
   coordination::Assignment assignment;
   assignment.epoch = epoch;
   assignment.primary = row_.primary_disk;
@@ -202,8 +203,6 @@
     Announce({});
   }
   if (!acting()) return;
-  const std::vector<std::string> joined = Joined();
-  replica_.Require({joined.begin(), joined.end()});
   Run([this](coordination::Step& step, coordination::ReplicaOutput& out) {
     replica_.OnTimer(step, out);
   });
@@ -226,17 +225,19 @@
   return stalled;
 }
 
-std::vector<std::string> HostedPartition::Joined() const {
+std::vector<std::string> HostedPartition::RequireJoined() {
   std::vector<std::string> joined;
   if (!acting()) return joined;
   for (std::size_t index = 0; index < row_.backup_disks.size(); ++index) {
     const std::string& disk = row_.backup_disks[index];
     if (!row_.complete[index] && replica_.Joined(disk)) joined.push_back(disk);
   }
+  replica_.Require({joined.begin(), joined.end()});
   return joined;
 }
 
 void HostedPartition::CatchUp() {
+  asked_to_catch_up_ = true;
   Run([this](coordination::Step& step, coordination::ReplicaOutput& out) {
     replica_.CatchUp(step, out);
   });
--- a/src/tier/batch/hosted_partition.h
+++ b/src/tier/batch/hosted_partition.h
@@ -54,8 +54,11 @@
   // About every resend pause. Of the row's other disks: who stalls, who became complete.
   void OnTimer();
   std::vector<std::string> Stalled(net::Span patience) const;
-  std::vector<std::string> Joined() const;
+  // Joiners that have everything. From now on nothing is committed without them.
+  std::vector<std::string> RequireJoined();
   void CatchUp();
+  // As a joiner: everything has come, as far as is known here.
+  bool caught_up() const { return asked_to_catch_up_ && replica_.complete(); }
 
   // This process is the primary and everything earlier is in force.
   bool leading() const { return replica_.Serving() && named_; }
@@ -109,6 +112,7 @@
   std::deque<std::pair<coordination::Position, Done>> commits_;
   net::Time active_at_{};
   net::Time left_at_{};
+  bool asked_to_catch_up_ = false;     // In this epoch.
   std::optional<net::Time> act_from_;  // A row with a joiner: acts from then on, see TakeRow.
   std::uint64_t life_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/tier/batch/replica_host.cpp
+++ b/src/tier/batch/replica_host.cpp
@@ -78,6 +78,7 @@
   for (std::uint32_t partition = 0; partition < placement_->rows.size(); ++partition) {
     TakeRow(partition, placement_->rows[partition]);
   }
+  LearnLater();
   ArmTimer();
 }
 
@@ -143,7 +144,11 @@
   }
   heard_at_[frame.value().disk] = loop_.Now();
   const auto found = hosted_.find(frame.value().partition);
-  if (found != hosted_.end()) found->second->OnFrame(frame.value());
+  if (found == hosted_.end()) return;
+  HostedPartition& hosted = *found->second;
+  hosted.OnFrame(frame.value());
+  ReportJoined(found->first, hosted);
+  if (hosted.learning()) LearnLater();
 }
 
 // --- Time ---------------------------------------------------------------------------------------
@@ -163,9 +168,10 @@
   timer_armed_ = false;
   const bool stood_still = loop_.Now() - timer_due_ > kStall;
   for (auto& [partition, hosted] : hosted_) {
-    if (hosted->busy()) hosted->OnTimer();
+    if (!hosted->busy()) continue;
+    hosted->OnTimer();
+    ReportJoined(partition, *hosted);
   }
-  ReportJoined();
   if (stood_still) {
     stalled_before_.clear();
   } else {
@@ -176,11 +182,9 @@
   ArmTimer();
 }
 
-void ReplicaHost::ReportJoined() {
-  for (auto& [partition, hosted] : hosted_) {
-    for (const std::string& disk : hosted->Joined()) {
-      Report({partition, hosted->row_epoch(), disk, cluster::BackupCondition::kComplete});
-    }
+void ReplicaHost::ReportJoined(std::uint32_t partition, HostedPartition& hosted) {
+  for (const std::string& disk : hosted.RequireJoined()) {
+    Report({partition, hosted.row_epoch(), disk, cluster::BackupCondition::kComplete});
   }
 }
 
@@ -216,10 +220,20 @@
   outside_.report(report);
 }
 
+void ReplicaHost::LearnLater() {
+  if (learn_posted_) return;
+  learn_posted_ = true;
+  loop_.Post([this, alive = alive_] {
+    if (!*alive) return;
+    learn_posted_ = false;
+    ChooseLearners();
+  });
+}
+
 void ReplicaHost::ChooseLearners() {
   std::vector<HostedPartition*> learning;
   for (auto& [partition, hosted] : hosted_) {
-    if (hosted->learning()) learning.push_back(hosted.get());
+    if (hosted->learning() && !hosted->caught_up()) learning.push_back(hosted.get());
   }
   std::stable_sort(learning.begin(), learning.end(),
                    [](const HostedPartition* one, const HostedPartition* other) {
--- a/src/tier/batch/replica_host.h
+++ b/src/tier/batch/replica_host.h
@@ -47,7 +47,7 @@
     // `longest_owed` though it speaks: large writes may take a while.
     milliseconds patience{400};
     milliseconds longest_owed{2000};
-    std::size_t most_catching_up = 4;  // Partitions at a time, the most exposed ones first.
+    std::size_t most_catching_up = 16;  // Partitions at a time, the most exposed ones first.
   };
   struct Outside {
     std::function<net::Time()> lease_until;  // Of this process at the core.
@@ -77,10 +77,11 @@
 
   void ArmTimer();
   void OnTimer();
-  void ReportJoined();
+  void ReportJoined(std::uint32_t partition, HostedPartition& hosted);
   void ReportStalled();
   bool Silent(const std::string& disk) const;
   void Report(const cluster::BackupReport& report);
+  void LearnLater();
   void ChooseLearners();
   void DropUnnamed();
   // Whether this disk takes new jobs; the rest is kept for results of what has been accepted.
@@ -99,6 +100,7 @@
   std::map<std::uint32_t, std::unique_ptr<HostedPartition>> hosted_;
   std::set<std::uint32_t> led_;  // As told to the service.
   bool look_posted_ = false;
+  bool learn_posted_ = false;
   coordination::Ticket ticket_ = 0;
   net::TimerPtr timer_;
   net::Time timer_due_{};
--- a/src/tier/batch/run_queue.cpp
+++ b/src/tier/batch/run_queue.cpp
@@ -5,9 +5,6 @@
 namespace shelflink::batch {
 namespace {
 
-// A run may turn out faster than those before: an item counts as too late only where most of the
-// learned duration no longer fits.
-constexpr double kCertainShare = 0.7;
 constexpr double kLearningRate = 0.1;
 // Less of the aim left than this: urgent.
 constexpr double kUrgentShare = 0.3;
@@ -105,7 +102,7 @@
 Micros RunQueue::Estimate(const std::string& route, std::uint64_t tokens) const {
   const auto found = pace_.find(route);
   if (found == pace_.end()) return 0;
-  return static_cast<Micros>(kCertainShare * found->second * static_cast<double>(tokens));
+  return static_cast<Micros>(found->second * static_cast<double>(tokens));
 }
 
 void RunQueue::LearnPace(const std::string& route, std::uint64_t tokens, Micros duration) {
