Stores under pressure: early frames bounded by bytes, no hasty resends, no judgement of others after an own standstill

Cause: while the box's disk stalled under load (160,000 waiting items, 128 KB jobs), stores took busy backups for stalled, rows changed, frames of rows to come piled up (up to eight of any size a partition) and unacknowledged writes were sent again three times a second to peers that were slow already: resident memory of one store rose to 326 MB, above a store's limit. Frames kept early are now 256 KB a partition at most; a write is sent again after 1 s (connections lose nothing while they last); a store whose own timer came late judges nobody for a second. The map of the disk's file is let go by what finding a key touches too, not by the bytes of values alone.

--- a/src/tier/batch/hosted_partition.cpp
+++ b/src/tier/batch/hosted_partition.cpp
@@ -7,11 +7,14 @@
 namespace shelflink::batch {
 namespace {
 
-constexpr std::size_t kMostEarlyFrames = 8;
+constexpr std::size_t kMostEarlyBytes = 256U << 10;  // Of all that is kept of a row to come.
 // A row may already be decided that names a joiner complete on the word of an earlier process of
 // this disk; it is known here by then.
 constexpr std::chrono::milliseconds kRestartPause{1000};
 constexpr std::chrono::milliseconds kActiveSpan{2000};
+// Connections lose nothing while they last: sent again sooner, large writes would only come twice
+// to a backup that is slow already.
+constexpr std::chrono::milliseconds kResend{1000};
 
 coordination::Replica::Options ReplicaOptions(const PartitionSurroundings& around,
                                               std::uint32_t partition) {
@@ -19,6 +22,7 @@
   options.disk = around.disk;
   options.prefix = HostedPartition::PrefixOf(partition);
   options.least_replicas = around.least_replicas;
+  options.resend = kResend;
   return options;
 }
 
@@ -161,11 +165,13 @@
                                std::move(message)});
 }
 
-void HostedPartition::OnFrame(const ReplicaFrame& frame) {
+void HostedPartition::OnFrame(const ReplicaFrame& frame, std::size_t bytes) {
   const std::uint64_t row_epoch = RowEpochOf(frame.epoch);
   NoteEpoch(row_epoch);
   if (row_epoch > row_.epoch) {
-    if (frame.message && early_.size() < kMostEarlyFrames) early_.push_back(frame);
+    if (!frame.message || early_bytes_ + bytes > kMostEarlyBytes) return;
+    early_.emplace_back(frame, bytes);
+    early_bytes_ += bytes;
     return;
   }
   if (row_epoch < row_.epoch) {
@@ -191,8 +197,9 @@
 }
 
 void HostedPartition::TakeEarlyFrames() {
-  const std::vector<ReplicaFrame> frames = std::exchange(early_, {});
-  for (const ReplicaFrame& frame : frames) OnFrame(frame);
+  const auto frames = std::exchange(early_, {});
+  early_bytes_ = 0;
+  for (const auto& [frame, bytes] : frames) OnFrame(frame, bytes);
 }
 
 // --- Time ---------------------------------------------------------------------------------------
--- a/src/tier/batch/hosted_partition.h
+++ b/src/tier/batch/hosted_partition.h
@@ -50,7 +50,8 @@
   void TakeRow(const cluster::PartitionRow& row, std::uint64_t life);
   // A newer row does not name this disk: nothing more is vouched for.
   void LeaveRow(std::uint64_t epoch);
-  void OnFrame(const ReplicaFrame& frame);
+  // `bytes`: its size on the wire.
+  void OnFrame(const ReplicaFrame& frame, std::size_t bytes);
   // About every resend pause. Of the row's other disks: who stalls, who became complete.
   void OnTimer();
   std::vector<std::string> Stalled(net::Span patience) const;
@@ -106,7 +107,9 @@
   bool complete_in_row_ = false;
   std::uint64_t newest_epoch_ = 0;                 // Of any row of the partition that was heard of.
   std::map<std::string, net::Address> addresses_;  // By disk.
-  std::vector<ReplicaFrame> early_;   // Of rows that this store has yet to be told; a few.
+  // Of rows that this store has yet to be told, with their sizes; a few, see kMostEarlyBytes.
+  std::vector<std::pair<ReplicaFrame, std::size_t>> early_;
+  std::size_t early_bytes_ = 0;
   std::pair<bool, bool> told_role_;   // Acting, leading.
   std::set<std::string> full_disks_;  // Of the other replicas.
   std::deque<std::pair<coordination::Position, Done>> commits_;
--- a/src/tier/batch/proxy_room.h
+++ b/src/tier/batch/proxy_room.h
@@ -16,7 +16,7 @@
  public:
   using Leases = std::map<net::Address, std::size_t>;  // Those that each proxy holds.
   // An offer counts so long: several times the pause between two.
-  static constexpr std::chrono::milliseconds kOfferHolds{1000};
+  static constexpr std::chrono::milliseconds kOfferHolds{1500};
 
   // The proxy wants to hold so many leases in all.
   void OnOffer(net::Time now, const net::Address& proxy, std::uint32_t capacity);
--- a/src/tier/batch/replica_host.cpp
+++ b/src/tier/batch/replica_host.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds kTick{150};
 // A timer later than this: the process stood still, and so did its view of the others.
 constexpr milliseconds kStall{150};
+// After that it judges nobody for so long: what slowed it may slow the others too.
+constexpr milliseconds kCalmDown{1000};
 constexpr milliseconds kReportPause{500};
 // A partition that no row gives to this disk any more is kept so long: the disk may be named again
 // soon, and then little has to move.
@@ -146,7 +148,7 @@
   const auto found = hosted_.find(frame.value().partition);
   if (found == hosted_.end()) return;
   HostedPartition& hosted = *found->second;
-  hosted.OnFrame(frame.value());
+  hosted.OnFrame(frame.value(), body.size());
   ReportJoined(found->first, hosted);
   if (hosted.learning()) LearnLater();
 }
@@ -174,9 +176,9 @@
   }
   if (stood_still) {
     stalled_before_.clear();
-  } else {
-    ReportStalled();
+    judges_from_ = loop_.Now() + kCalmDown;
   }
+  if (loop_.Now() >= judges_from_) ReportStalled();
   ChooseLearners();
   DropUnnamed();
   ArmTimer();
--- a/src/tier/batch/replica_host.h
+++ b/src/tier/batch/replica_host.h
@@ -105,6 +105,7 @@
   net::TimerPtr timer_;
   net::Time timer_due_{};
   bool timer_armed_ = false;
+  net::Time judges_from_{};                    // Who stalls.
   std::map<std::string, net::Time> heard_at_;  // Of each other disk the last frame.
   std::set<std::pair<std::uint32_t, std::string>> stalled_before_;
   std::map<std::pair<std::uint32_t, std::string>, net::Time> reported_;
--- a/src/tier/storage/lmdb_storage.cpp
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -18,7 +18,12 @@
 constexpr std::size_t kChecksumSize = 8;
 constexpr mode_t kFileMode = 0600;
 // Read through the map before it is let go.
-constexpr std::size_t kMostBytesRead = 8U << 20;
+constexpr std::size_t kMostBytesRead = 24U << 20;
+// What finding one key touches besides its value, about: pages of the way there that few others
+// share. Mapping anew costs the pages that all share, so it must stay seldom.
+constexpr std::size_t kReachOfGet = 16U << 10;
+constexpr std::size_t kReachOfChange = 4U << 10;
+constexpr std::size_t kReachOfNext = 512;
 // Commits after which free pages are counted anew.
 constexpr std::size_t kCommitsPerCount = 32;
 constexpr MDB_dbi kFreePagesTable = 0;  // LMDB's own: lists of page numbers, the count in front.
@@ -150,7 +155,7 @@
   if (code == 0) {
     const auto value = Checked(key, ToView(found));
     if (value) {
-      bytes_read_ += found.mv_size;
+      bytes_read_ += found.mv_size + kReachOfGet;
       result.emplace(*value);
     } else {
       Fail(MDB_CORRUPTED);
@@ -187,7 +192,7 @@
       break;
     }
     const auto value = Checked(ToView(key), ToView(found));
-    bytes_read_ += found.mv_size;
+    bytes_read_ += found.mv_size + kReachOfNext;
     if (!value) code = MDB_CORRUPTED;
     if (!value || !visitor(ToView(key), *value)) break;
     code = mdb_cursor_get(cursor, &key, &found, MDB_NEXT);
@@ -208,6 +213,7 @@
     const int code = mdb_txn_begin(environment_, nullptr, 0, &writing_);
     if (code != 0) return code;
   }
+  bytes_read_ += batch.changes().size() * kReachOfChange;
   for (const Batch::Change& change : batch.changes()) {
     MDB_val key = ToVal(change.key);
     if (!change.value) {
@@ -257,9 +263,7 @@
   }
 }
 
-bool LmdbStorage::MustLetGo() const {
-  return writing_ == nullptr && bytes_read_ >= kMostBytesRead;
-}
+bool LmdbStorage::MustLetGo() const { return writing_ == nullptr && bytes_read_ >= kMostBytesRead; }
 
 void LmdbStorage::LetGo() const {
   bytes_read_ = 0;
--- a/tests/tier/batch/store_load.cpp
+++ b/tests/tier/batch/store_load.cpp
@@ -1,9 +1,12 @@
 // Drives running stores as a proxy would and prints what it measures: submits jobs, completes each
 // item at once, reads the results. Not a test; docs/measured/batch.md says how it is run.
 //
-//   SHELFLINK_CONFIG=proxy.conf tier_store_load JOBS ITEMS BODY_BYTES AT_ONCE
+//   SHELFLINK_CONFIG=proxy.conf tier_store_load JOBS ITEMS BODY_BYTES AT_ONCE [hold]
+//
+// hold: the items are left waiting.
 #include <algorithm>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -29,6 +32,7 @@
   std::uint64_t items = 0;
   std::size_t body_bytes = 0;
   std::uint64_t at_once = 1;
+  bool hold = false;
 };
 
 transport::PeerIdentity IdentityOf(const ProcessSettings& settings) {
@@ -101,14 +105,21 @@
               [this, submit, first_sent](const Result<std::string>& result) {
                 if (!result) {
                   ++refused_;
-                  Send(submit, first_sent);
+                  Again([this, submit, first_sent] { Send(submit, first_sent); });
                   return;
                 }
                 accepted_after_.push_back(loop_.Now() - first_sent);
+                if (plan_.hold && accepted_after_.size() == plan_.jobs) End();
                 SubmitNext();
               });
   }
 
+  // As clients do, not at once.
+  void Again(std::function<void()> step) {
+    pauses_.push_back(loop_.NewTimer(std::move(step)));
+    pauses_.back()->ArmAt(loop_.Now() + milliseconds(200));
+  }
+
   void Complete(const Assign& assign) {
     Finished finished{assign.item, assign.lease, RunOutcome::kComplete, {}};
     finished.output = {std::string(kTextBytes, 't'), 20, 19};
@@ -128,7 +139,7 @@
     for (const auto& [store, unused] : primaries) {
       ++offers_under_way_;
       Offer offer;
-      offer.capacity = 64;
+      offer.capacity = plan_.hold ? 0 : 64;
       hub_.Call(store, kOffer, Encode(offer), milliseconds(1000),
                 [this](const Result<std::string>&) { --offers_under_way_; });
     }
@@ -164,6 +175,7 @@
   std::uint64_t refused_ = 0;
   int offers_under_way_ = 0;
   std::vector<net::Span> accepted_after_;
+  std::vector<net::TimerPtr> pauses_;
 };
 
 }  // namespace
@@ -171,8 +183,9 @@
 
 int main(int argc, char** argv) {
   const char* const path = std::getenv("SHELFLINK_CONFIG");
-  if (argc != 5 || path == nullptr) {
-    std::cerr << "usage: SHELFLINK_CONFIG=FILE tier_store_load JOBS ITEMS BODY_BYTES AT_ONCE\n";
+  if (argc < 5 || path == nullptr) {
+    std::cerr
+        << "usage: SHELFLINK_CONFIG=FILE tier_store_load JOBS ITEMS BODY_BYTES AT_ONCE [hold]\n";
     return 2;
   }
   const auto settings = shelflink::ReadSettings(path);
@@ -181,7 +194,7 @@
     return 1;
   }
   shelflink::batch::Plan plan{std::stoull(argv[1]), std::stoull(argv[2]), std::stoull(argv[3]),
-                              std::stoull(argv[4])};
+                              std::stoull(argv[4]), argc > 5};
   net::GlibLoop loop;
   shelflink::batch::Load load(loop, settings.value(), plan);
   loop.Run();
