--- a/src/tier/batch/replica_host.cpp
+++ b/src/tier/batch/replica_host.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds kTick{150};
 // A timer later than this: the process stood still, and so did its view of the others.
 constexpr milliseconds kStall{150};
+// After that it judges nobody for so long: what slowed it may slow the others too.
+constexpr milliseconds kCalmDown{1000};
 constexpr milliseconds kReportPause{500};
 // A partition that no row gives to this disk any more is kept so long: the disk may be named again
 // soon, and then little has to move.
@@ -78,6 +80,7 @@
   for (std::uint32_t partition = 0; partition < placement_->rows.size(); ++partition) {
     TakeRow(partition, placement_->rows[partition]);
   }
+  LearnLater();
   ArmTimer();
 }
 
@@ -141,8 +144,13 @@
                  loop_.Now().time_since_epoch() / std::chrono::microseconds(1));
     return;
   }
+  heard_at_[frame.value().disk] = loop_.Now();
   const auto found = hosted_.find(frame.value().partition);
-  if (found != hosted_.end()) found->second->OnFrame(frame.value());
+  if (found == hosted_.end()) return;
+  HostedPartition& hosted = *found->second;
+  hosted.OnFrame(frame.value(), body.size());
+  ReportJoined(found->first, hosted);
+  if (hosted.learning()) LearnLater();
 }
 
 // --- Time ---------------------------------------------------------------------------------------
@@ -162,31 +170,33 @@
   timer_armed_ = false;
   const bool stood_still = loop_.Now() - timer_due_ > kStall;
   for (auto& [partition, hosted] : hosted_) {
-    if (hosted->busy()) hosted->OnTimer();
+    if (!hosted->busy()) continue;
+    hosted->OnTimer();
+    ReportJoined(partition, *hosted);
   }
-  ReportJoined();
   if (stood_still) {
     stalled_before_.clear();
-  } else {
-    ReportStalled();
+    judges_from_ = loop_.Now() + kCalmDown;
   }
+  if (loop_.Now() >= judges_from_) ReportStalled();
   ChooseLearners();
   DropUnnamed();
   ArmTimer();
 }
 
-void ReplicaHost::ReportJoined() {
-  for (auto& [partition, hosted] : hosted_) {
-    for (const std::string& disk : hosted->Joined()) {
-      Report({partition, hosted->row_epoch(), disk, cluster::BackupCondition::kComplete});
-    }
+void ReplicaHost::ReportJoined(std::uint32_t partition, HostedPartition& hosted) {
+  for (const std::string& disk : hosted.RequireJoined()) {
+    Report({partition, hosted.row_epoch(), disk, cluster::BackupCondition::kComplete});
   }
 }
 
 void ReplicaHost::ReportStalled() {
   std::set<std::pair<std::uint32_t, std::string>> stalled;
   for (auto& [partition, hosted] : hosted_) {
+    const std::vector<std::string> owed_long = hosted->Stalled(options_.longest_owed);
     for (const std::string& disk : hosted->Stalled(options_.patience)) {
+      const bool too_long = std::count(owed_long.begin(), owed_long.end(), disk) > 0;
+      if (!too_long && !Silent(disk)) continue;
       stalled.emplace(partition, disk);
       // Seen twice: an answer may have come that was not read yet.
       if (stalled_before_.count({partition, disk}) == 0) continue;
@@ -196,18 +206,36 @@
   stalled_before_ = std::move(stalled);
 }
 
+bool ReplicaHost::Silent(const std::string& disk) const {
+  const auto found = heard_at_.find(disk);
+  return found == heard_at_.end() || loop_.Now() - found->second > options_.patience;
+}
+
 void ReplicaHost::Report(const cluster::BackupReport& report) {
   net::Time& reported_at = reported_[{report.partition, report.disk}];
   const net::Time now = loop_.Now();
   if (reported_at != net::Time{} && now - reported_at < kReportPause) return;
   reported_at = now;
+  const bool complete = report.condition == cluster::BackupCondition::kComplete;
+  log::Info(kLogName, "partition " + std::to_string(report.partition) + ": backup " + report.disk +
+                          (complete ? " has caught up" : " owes acknowledgements"));
   outside_.report(report);
 }
 
+void ReplicaHost::LearnLater() {
+  if (learn_posted_) return;
+  learn_posted_ = true;
+  loop_.Post([this, alive = alive_] {
+    if (!*alive) return;
+    learn_posted_ = false;
+    ChooseLearners();
+  });
+}
+
 void ReplicaHost::ChooseLearners() {
   std::vector<HostedPartition*> learning;
   for (auto& [partition, hosted] : hosted_) {
-    if (hosted->learning()) learning.push_back(hosted.get());
+    if (hosted->learning() && !hosted->caught_up()) learning.push_back(hosted.get());
   }
   std::stable_sort(learning.begin(), learning.end(),
                    [](const HostedPartition* one, const HostedPartition* other) {
