Sharper histories of batch jobs: endpoints' 500s bounded so that what is lost shows, longer freezes, cuts and queues

Cause: two mutants lived (items sent outside of their lease, runs continued without Last-Event-Id), because a third 500 excused what never finished and ends of jobs seldom met a frozen sidecar.

--- a/tests/tier/batch/batch_history_test.cpp
+++ b/tests/tier/batch/batch_history_test.cpp
@@ -27,7 +27,7 @@
 
 using std::chrono::seconds;
 
-constexpr std::uint64_t kSeeds = 20;
+constexpr std::uint64_t kSeeds = 40;
 constexpr std::uint32_t kProxies = 3;
 constexpr std::uint32_t kStores = 2;
 constexpr std::size_t kPartitions = 2;
@@ -222,7 +222,7 @@
   void FreezeProxy(std::uint32_t index) {
     if (!proxies_[index] || proxies_[index]->paused) return;
     SetPaused(index, true);
-    net_.At(net_.Now() + Draw(300, 7000), [this, index] { SetPaused(index, false); });
+    net_.At(net_.Now() + Draw(300, 9000), [this, index] { SetPaused(index, false); });
   }
   void SetPaused(std::uint32_t index, bool paused) {
     proxies_[index]->paused = paused;
@@ -259,7 +259,7 @@
     const std::uint32_t one = kFirstHost + proxy;
     const std::uint32_t other = kFirstHost + kFirstStore + store;
     net_.SetCut(one, other, true);
-    net_.At(net_.Now() + Draw(200, 5000), [this, one, other] { net_.SetCut(one, other, false); });
+    net_.At(net_.Now() + Draw(200, 8000), [this, one, other] { net_.SetCut(one, other, false); });
   }
 
   // --- Clients ---
@@ -268,13 +268,13 @@
     Client& client = clients_[number];
     client.job = "job-" + std::to_string(number);
     client.tenant = DrawIndex(3);
-    client.to_be_ended = Chance(25);
+    client.to_be_ended = Chance(40);
     std::map<std::string, ItemNature> items;
     client.json = R"({"requests":[)";
     const std::uint64_t count = 1 + random_() % 8;
     for (std::uint64_t i = 0; i < count; ++i) {
       const std::string id = client.job + "/" + std::to_string(i);
-      items[id] = {1 + random_() % 12, Chance(10)};
+      items[id] = {1 + random_() % 12, Chance(8), Chance(5)};
       client.json += (i == 0 ? "" : ",") + (R"({"id":")" + id) +
                      R"(","path":"/jobs/x","headers":{},"body":"Zm9v","tokens":10})";
     }
--- a/tests/tier/batch/batch_judge.h
+++ b/tests/tier/batch/batch_judge.h
@@ -22,6 +22,7 @@
 struct ItemNature {
   std::uint64_t events = 1;  // Of its whole output, with ids from 1.
   bool impossible = false;   // 422.
+  bool doomed = false;       // 500 as often as it is tried; else less often than maxAttempts.
 };
 
 class BatchJudge {
@@ -53,6 +54,11 @@
     runs_.push_back({job + "/" + item, last_event_id});
     return runs_.size() - 1;
   }
+  // Whether an endpoint may answer 500 once more.
+  bool MayFail(const std::string& job, const std::string& item) {
+    const Job& known = jobs_.at(job);
+    return known.items.at(item).doomed || failures_[job + "/" + item] + 1 < known.max_attempts;
+  }
   void OnFailedAttempt(const std::string& job, const std::string& item) {
     ++failures_[job + "/" + item];
   }
--- a/tests/tier/batch/streaming_endpoints.h
+++ b/tests/tier/batch/streaming_endpoints.h
@@ -31,7 +31,7 @@
     call->job = request.request_id.substr(0, request.request_id.find('/'));
     call->last_event_id = request.last_event_id;
     call->timer = loop_.NewTimer([this, id] { Step(id); });
-    call->timer->ArmAt(loop_.Now() + Draw(0, Chance(10) ? 3000 : 60));
+    call->timer->ArmAt(loop_.Now() + Draw(0, Chance(25) ? 4000 : 60));
     calls_[id] = std::move(call);
     return id;
   }
@@ -84,7 +84,8 @@
       call.user->OnHead(422, {}, std::nullopt);
       return End(id, proxy::CallEnd::kComplete, 422);
     }
-    if (Chance(8) && !call.has_head) {
+    const bool doomed = judge_.NatureOf(call.job, call.item).doomed;
+    if (!call.has_head && (doomed || Chance(8)) && judge_.MayFail(call.job, call.item)) {
       judge_.OnFailedAttempt(call.job, call.item);
       call.user->OnHead(500, {}, std::nullopt);
       return End(id, proxy::CallEnd::kComplete, 500);
