--- a/src/tier/policy/module.cpp
+++ b/src/tier/policy/module.cpp
@@ -10,6 +10,7 @@
 #include "tier/policy/call.h"
 #include "tier/policy/endpoint.h"
 #include "tier/policy/levels.h"
+#include "tier/policy/mutant.h"
 #include "tier/policy/picker.h"
 #include "tier/policy/subset.h"
 
@@ -26,6 +27,7 @@
 constexpr double kPatience = 4.0;          // Expected times to a first event until it is overdue...
 constexpr double kLeastPatience = 0.25;    // ...at least so many objectives...
 constexpr double kMostPatience = 2.0;      // ...and at most so many.
+constexpr double kBatchPatience = 5.0;     // Of batch calls, which endpoints let wait for others.
 constexpr double kLeastOffer = 0.1;        // Objectives that a retry must have left.
 constexpr double kHasty = 1.0;             // Objectives: a time-out with less time tells nothing.
 constexpr double kAdviceLeast = 0.5;       // Objectives after which a refused call may come back...
@@ -106,6 +108,7 @@
     if (!fresh) return;  // An id never comes twice; a repeat changes nothing.
     HeldCall& held = it->second;
     held.call = call;
+    if (Mutated(Mutant::kOneFlow)) held.call.flow = 0;
     held.call.level =
         static_cast<std::uint32_t>(std::min<std::size_t>(call.level, levels_.count() - 1));
     if (calls_.size() > shape_.most_held || !CanServe(call.service)) return Refuse(held);
@@ -113,7 +116,7 @@
     NoteUsual(services_.at(call.service)->facts, call);
     levels_.NoteArrival(now, level);
     held.queued = true;
-    const auto shed = levels_.Enqueue(level, {call.id, call.flow, call.due});
+    const auto shed = levels_.Enqueue(level, {call.id, held.call.flow, call.due});
     if (shed) Refuse(calls_.at(*shed));
     Pump(level);
     WaitOrRefuse(call.id);
@@ -189,6 +192,7 @@
   std::uint32_t Room(Micros now, std::uint32_t level) const {
     if (level >= levels_.count() || levels_.AnyWaiting()) return 0;
     double seats = levels_.Seats(now, level);
+    if (Mutated(Mutant::kBatchUnbounded)) return 1000;
     if (levels_.IsBatch(level)) {
       if (!HasSpareSlots(now)) return 0;
       seats = std::min(seats, std::max(1.0, kBatchFactor * EvenShare(AllSlots())));
@@ -291,7 +295,8 @@
 
   Micros LongestWait(const HeldCall& held) const {
     const Call& call = held.call;
-    if (call.timeout <= 0) return 0;  // Batch items wait in the store.
+    if (Mutated(Mutant::kWaitLong)) return call.due - now_;
+    if (call.batch || call.timeout <= 0) return 0;  // Batch items wait in the store.
     Micros wait =
         std::min(Part(kWaitFraction, call.timeout), Part(kWaitObjective, ObjectiveOf(call)));
     // Leave the work its usual time: a wait that eats it wins nothing.
@@ -308,7 +313,7 @@
   }
 
   void Settle() {
-    for (std::uint32_t level = 0; level < levels_.count(); ++level) Pump(level);
+    for (std::uint32_t level = 0; level < levels_.kept(); ++level) Pump(level);
     ArmTimer();
   }
 
@@ -362,6 +367,7 @@
 
   static Micros PatienceOf(const Call& call, const ServiceFacts& facts, double tokens) {
     const Micros objective = ObjectiveOf(call);
+    if (call.batch) return Part(kBatchPatience, objective);
     if (!facts.first_event.Known()) return Part(kMostPatience, objective);
     const auto patience = static_cast<Micros>(kPatience * facts.first_event.Expected(tokens));
     return std::clamp(patience, Part(kLeastPatience, objective), Part(kMostPatience, objective));
@@ -382,7 +388,7 @@
     if (held.call.due - now_ < Part(kLeastOffer, ObjectiveOf(held.call))) return false;
     // What never reached an endpoint has cost none any work: it needs no token.
     const bool costs = CountsAsSend(outcome);
-    if (costs && !retry_budget_.Has()) return false;
+    if (costs && !retry_budget_.Has() && !Mutated(Mutant::kNoRetryBudget)) return false;
     Endpoint* endpoint = Pick(held).endpoint;
     if (endpoint == nullptr) return false;
     if (costs) retry_budget_.Spend();
@@ -391,7 +397,7 @@
   }
 
   void End(HeldCall& held) {
-    if (!held.may_have_run) return Refuse(held);
+    if (!held.may_have_run || Mutated(Mutant::kRefuseFailures)) return Refuse(held);
     actions_.Fail(held.call.id);
     Forget(held);
   }
@@ -419,24 +425,26 @@
   void Begin(HeldCall& held, Attempt& attempt) {
     ServiceFacts& facts = services_.at(held.call.service)->facts;
     const Micros took = now_ - attempt.sent;
-    const double expected = facts.first_event.Expected(attempt.model_tokens);
-    if (facts.first_event.Known() && expected > 0) {
-      attempt.endpoint->NotePace(now_, static_cast<double>(took) / expected);
-    }
-    facts.first_event.Note(attempt.model_tokens, static_cast<double>(took));
     attempt.endpoint->NoteFirstEvent(now_, attempt, held.call);
-    levels_.NoteFirstEvent(now_, held.call.level, took, ObjectiveOf(held.call));
+    // How long a batch call waited for more urgent ones tells nothing of the endpoint.
+    if (!held.call.batch) {
+      const double expected = facts.first_event.Expected(attempt.model_tokens);
+      if (facts.first_event.Known() && expected > 0) {
+        attempt.endpoint->NotePace(now_, static_cast<double>(took) / expected);
+      }
+      facts.first_event.Note(attempt.model_tokens, static_cast<double>(took));
+      levels_.NoteFirstEvent(now_, held.call.level, took, ObjectiveOf(held.call));
+    }
     NoteHealth(held, *attempt.endpoint, false, 1);
   }
 
   void Learn(HeldCall& held, Attempt& attempt, Outcome outcome) {
     Endpoint& endpoint = *attempt.endpoint;
-    const std::uint32_t level = held.call.level;
     switch (outcome) {
       case Outcome::kSuccess:
         if (!attempt.begun) Begin(held, attempt);
         endpoint.NoteSign(now_);
-        levels_.NoteServed(now_, level, now_ - attempt.sent);
+        levels_.NoteServed(now_, held.call.level, now_ - attempt.sent);
         retry_budget_.Earn();
         break;
       case Outcome::kNotRun:
@@ -444,7 +452,7 @@
         endpoint.NoteFull(now_, kRest);
         endpoint.prefixes().NoteUnread(held.call.prompt);
         endpoint.health().EndTrial();
-        for (int i = 0; i < kFullWeight; ++i) levels_.NoteOverload(level);
+        for (int i = 0; i < kFullWeight; ++i) NoteOverload(held.call);
         break;
       case Outcome::kMisdirected:
         endpoint.NoteMisdirected(now_);
@@ -462,7 +470,7 @@
         break;
       case Outcome::kReset:
         NoteHealth(held, endpoint, true, 1);
-        levels_.NoteOverload(level);
+        NoteOverload(held.call);
         break;
       case Outcome::kTimeout:
         LearnTimeout(held, attempt);
@@ -492,12 +500,18 @@
       return attempt.endpoint->health().EndTrial();
     }
     NoteHealth(held, *attempt.endpoint, true, attempt.begun ? 1 : kHeavy);
-    levels_.NoteOverload(held.call.level);
+    NoteOverload(held.call);
+  }
+
+  // Batch calls are the first that an endpoint turns away or lets wait: live ones need not yield.
+  void NoteOverload(const Call& call) {
+    if (!call.batch) levels_.NoteOverload(call.level);
   }
 
   void NoteHealth(HeldCall& held, Endpoint& endpoint, bool failed, int times) {
     Service& service = *services_.at(held.call.service);
     const auto most_ejected = [&] { return MostEjected(service); };
+    if (failed && Mutated(Mutant::kNeverEject)) return;
     service.usual_failure.Note(failed);
     bool changed = false;
     for (int i = 0; i < times && !changed; ++i) {
