--- a/tests/tier/batch/batch_history_test.cpp
+++ b/tests/tier/batch/batch_history_test.cpp
@@ -58,7 +58,10 @@
   StoreNode(net::VirtualNet& net, std::uint32_t number, SharedPartitions& shared,
             std::uint64_t issuer, const configuration::Configuration& configuration)
       : node(net, number, "store"), replicas(node.process, shared, node.address()) {
-    service = std::make_unique<StoreService>(node.process, *node.hub, replicas, Bounds(), issuer);
+    StoreService::Options options;
+    options.issuer = issuer;
+    options.time_of_day = [this] { return node.process.WallMicros(); };
+    service = std::make_unique<StoreService>(node.process, *node.hub, replicas, std::move(options));
     service->OnConfiguration(configuration);
   }
 
