--- a/src/tier/batch/messages.h
+++ b/src/tier/batch/messages.h
@@ -117,7 +117,7 @@
 struct LeaseId {
   std::uint64_t issuer = 0;  // Drawn anew whenever a store becomes a partition's primary.
   std::uint64_t number = 0;
-  auto operator<=>(const LeaseId&) const = default;
+  auto operator<=>(const LeaseId&) const = default;  // NOLINT(modernize-use-nullptr): its error.
 };
 
 // What is known of an item's output: the text is the data of the first `events` events, joined by
