--- a/tests/tier/coordination/cluster.h
+++ b/tests/tier/coordination/cluster.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -161,6 +162,12 @@
     }
     return nullptr;
   }
+  // For where there must be one.
+  Machine& ThePrimary() {
+    Machine* const primary = Primary();
+    if (primary == nullptr) throw std::runtime_error("there is no primary");
+    return *primary;
+  }
   Machine& At(std::size_t index) { return *machines[index]; }
   Machine& Other(const Machine& not_this, std::size_t nth = 0) {
     for (auto& machine : machines) {
--- a/tests/tier/coordination/group_test.cpp
+++ b/tests/tier/coordination/group_test.cpp
@@ -17,8 +17,8 @@
     const net::Time before = cluster.net.Now();
     BOOST_TEST(cluster.Put("a", "1", seconds(1)));
     BOOST_TEST((cluster.net.Now() - before < milliseconds(100)));
-    BOOST_TEST(cluster.Primary()->group().contents().at("a") == "1");
-    BOOST_TEST(cluster.Primary()->group().epoch() >= 1U);
+    BOOST_TEST(cluster.ThePrimary().group().contents().at("a") == "1");
+    BOOST_TEST(cluster.ThePrimary().group().epoch() >= 1U);
   }
 }
 
@@ -50,7 +50,7 @@
 
 BOOST_AUTO_TEST_CASE(only_the_primary_takes_orders_and_everyone_knows_it) {
   Core core(4);
-  Machine& primary = *core.cluster.Primary();
+  Machine& primary = core.cluster.ThePrimary();
   for (auto& machine : core.cluster.machines) {
     BOOST_TEST((machine->group().primary() == primary.address()));
     if (machine.get() == &primary) continue;
@@ -62,7 +62,7 @@
 
 BOOST_AUTO_TEST_CASE(a_plan_that_finds_a_conflict_or_nothing_to_do_changes_nothing) {
   Core core(3);
-  Machine& primary = *core.cluster.Primary();
+  Machine& primary = core.cluster.ThePrimary();
   const Result<void> refused =
       SubmitTo(core.cluster, primary, [](const Contents& contents) -> Result<std::vector<Write>> {
         BOOST_TEST(contents.at("first") == "1");
@@ -78,7 +78,7 @@
 
 BOOST_AUTO_TEST_CASE(a_write_that_a_cut_off_primary_took_is_unknown) {
   Core core(3);
-  Machine& primary = *core.cluster.Primary();
+  Machine& primary = core.cluster.ThePrimary();
   core.cluster.net.SetCutOff(primary.host(), true);
   const Result<void> result = SubmitTo(core.cluster, primary, PlanToPut("key", "value"));
   BOOST_REQUIRE(result.has_error());
@@ -93,7 +93,7 @@
   for (auto& machine : core.cluster.machines) {
     BOOST_TEST(machine->group().contents().size() == 1U);
   }
-  Machine& other = core.cluster.Other(*core.cluster.Primary());
+  Machine& other = core.cluster.Other(core.cluster.ThePrimary());
   other.Stop();
   other.Start(false);
   BOOST_TEST(core.cluster.RunUntil([&] { return other.group().contents().size() == 1U; },
@@ -103,7 +103,7 @@
 BOOST_AUTO_TEST_CASE(a_transfer_is_over_within_the_time_of_a_stop) {
   for (const std::size_t size : {3U, 4U}) {
     Core core(size);
-    Machine& primary = *core.cluster.Primary();
+    Machine& primary = core.cluster.ThePrimary();
     const net::Time before = core.cluster.net.Now();
     std::optional<bool> moved;
     primary.group().Transfer([&](bool done) { moved = done; });
@@ -122,14 +122,14 @@
   for (const std::size_t size : {3U, 4U}) {
     Core core(size);
     for (int round = 0; round < 2; ++round) {
-      Machine& lost = round == 0 ? *core.cluster.Primary() : core.cluster.At(size);
+      Machine& lost = round == 0 ? core.cluster.ThePrimary() : core.cluster.At(size);
       lost.Wipe();
       core.cluster.Run(seconds(1));
       Machine& fresh = core.cluster.AddMachine();
       fresh.Start(false);
       BOOST_TEST(core.cluster.Put("round" + std::to_string(round), "x", milliseconds(3500)));
       core.cluster.Run(seconds(4));
-      const std::vector<CoreMember> members = core.cluster.Primary()->group().members();
+      const std::vector<CoreMember> members = core.cluster.ThePrimary().group().members();
       const auto is_named = [&](const Machine& machine) {
         return std::any_of(members.begin(), members.end(), [&](const CoreMember& member) {
           return member.address == machine.address();
@@ -159,8 +159,8 @@
   BOOST_TEST(cluster.Put("key", "value", seconds(3)));
   cluster.Run(seconds(2));
   Machine& diskless = cluster.At(3);
-  BOOST_TEST((diskless.group().primary() == cluster.Primary()->address()));
-  for (const CoreMember& member : cluster.Primary()->group().members()) {
+  BOOST_TEST((diskless.group().primary() == cluster.ThePrimary().address()));
+  for (const CoreMember& member : cluster.ThePrimary().group().members()) {
     BOOST_TEST(!member.disk.empty());
   }
 }
@@ -168,7 +168,7 @@
 BOOST_AUTO_TEST_CASE(a_full_disk_costs_its_member_the_place_and_nobody_the_order) {
   for (const bool of_primary : {true, false}) {
     Core core(3);
-    Machine& primary = *core.cluster.Primary();
+    Machine& primary = core.cluster.ThePrimary();
     Machine& full = of_primary ? primary : core.cluster.Other(primary);
     full.disk.SetFull(true);
     BOOST_TEST(core.cluster.Put("second", "2", milliseconds(3500)));
