--- a/src/tier/batch/hosted_partition.cpp
+++ b/src/tier/batch/hosted_partition.cpp
@@ -7,11 +7,14 @@
 namespace shelflink::batch {
 namespace {
 
-constexpr std::size_t kMostEarlyFrames = 8;
+constexpr std::size_t kMostEarlyBytes = 256U << 10;  // Of all that is kept of a row to come.
 // A row may already be decided that names a joiner complete on the word of an earlier process of
 // this disk; it is known here by then.
 constexpr std::chrono::milliseconds kRestartPause{1000};
 constexpr std::chrono::milliseconds kActiveSpan{2000};
+// Connections lose nothing while they last: sent again sooner, large writes would only come twice
+// to a backup that is slow already.
+constexpr std::chrono::milliseconds kResend{1000};
 
 coordination::Replica::Options ReplicaOptions(const PartitionSurroundings& around,
                                               std::uint32_t partition) {
@@ -19,6 +22,7 @@
   options.disk = around.disk;
   options.prefix = HostedPartition::PrefixOf(partition);
   options.least_replicas = around.least_replicas;
+  options.resend = kResend;
   return options;
 }
 
@@ -98,6 +102,7 @@
 }
 
 void HostedPartition::AssignEpoch(std::uint64_t epoch, bool acting) {
+  asked_to_catch_up_ = false;
   coordination::Assignment assignment;
   assignment.epoch = epoch;
   assignment.primary = row_.primary_disk;
@@ -160,11 +165,13 @@
                                std::move(message)});
 }
 
-void HostedPartition::OnFrame(const ReplicaFrame& frame) {
+void HostedPartition::OnFrame(const ReplicaFrame& frame, std::size_t bytes) {
   const std::uint64_t row_epoch = RowEpochOf(frame.epoch);
   NoteEpoch(row_epoch);
   if (row_epoch > row_.epoch) {
-    if (frame.message && early_.size() < kMostEarlyFrames) early_.push_back(frame);
+    if (!frame.message || early_bytes_ + bytes > kMostEarlyBytes) return;
+    early_.emplace_back(frame, bytes);
+    early_bytes_ += bytes;
     return;
   }
   if (row_epoch < row_.epoch) {
@@ -190,8 +197,9 @@
 }
 
 void HostedPartition::TakeEarlyFrames() {
-  const std::vector<ReplicaFrame> frames = std::exchange(early_, {});
-  for (const ReplicaFrame& frame : frames) OnFrame(frame);
+  const auto frames = std::exchange(early_, {});
+  early_bytes_ = 0;
+  for (const auto& [frame, bytes] : frames) OnFrame(frame, bytes);
 }
 
 // --- Time ---------------------------------------------------------------------------------------
@@ -202,8 +210,6 @@
     Announce({});
   }
   if (!acting()) return;
-  const std::vector<std::string> joined = Joined();
-  replica_.Require({joined.begin(), joined.end()});
   Run([this](coordination::Step& step, coordination::ReplicaOutput& out) {
     replica_.OnTimer(step, out);
   });
@@ -226,17 +232,19 @@
   return stalled;
 }
 
-std::vector<std::string> HostedPartition::Joined() const {
+std::vector<std::string> HostedPartition::RequireJoined() {
   std::vector<std::string> joined;
   if (!acting()) return joined;
   for (std::size_t index = 0; index < row_.backup_disks.size(); ++index) {
     const std::string& disk = row_.backup_disks[index];
     if (!row_.complete[index] && replica_.Joined(disk)) joined.push_back(disk);
   }
+  replica_.Require({joined.begin(), joined.end()});
   return joined;
 }
 
 void HostedPartition::CatchUp() {
+  asked_to_catch_up_ = true;
   Run([this](coordination::Step& step, coordination::ReplicaOutput& out) {
     replica_.CatchUp(step, out);
   });
