--- a/tests/tier/coordination/world.cpp
+++ b/tests/tier/coordination/world.cpp
@@ -132,13 +132,13 @@
   Check();
 }
 
-void World::Carry(std::size_t node, MemberOutput& out) {
+void World::Carry(std::size_t node, const MemberOutput& out) {
   Node& one = nodes[node];
   const Member::Options& self = one.member->options();
-  for (auto& [to, message] : out.messages) {
+  for (const auto& [to, message] : out.messages) {
     for (std::size_t other = 0; other < nodes.size(); ++other) {
       if (AddressOf(other) != to) continue;
-      flights.push_back({{self.self, self.incarnation}, other, std::move(message)});
+      flights.push_back({{self.self, self.incarnation}, other, message});
     }
   }
   if (out.reset) history.Committed(NameOf(node), DocumentAt(node));
--- a/tests/tier/coordination/world.h
+++ b/tests/tier/coordination/world.h
@@ -108,7 +108,7 @@
  private:
   using Event = std::function<void(Member&, Step&, MemberOutput&)>;
   void Run(std::size_t node, const Event& event);
-  void Carry(std::size_t node, MemberOutput& out);
+  void Carry(std::size_t node, const MemberOutput& out);
   std::string NameOf(std::size_t node) const;
 
   std::size_t failures_;
--- a/tests/tier/storage/storage_test.cpp
+++ b/tests/tier/storage/storage_test.cpp
@@ -83,7 +83,7 @@
   BOOST_REQUIRE(lmdb.has_value());
   CheckOrderAndPrefixes(*lmdb.value());
   CrashDisk disk;
-  CrashStorage crash(disk, [](std::function<void()> step) { step(); });
+  CrashStorage crash(disk, [](const std::function<void()>& step) { step(); });
   CheckOrderAndPrefixes(crash);
 }
 
@@ -220,13 +220,13 @@
 BOOST_AUTO_TEST_CASE(a_power_loss_keeps_a_prefix_of_what_was_not_synced) {
   for (std::size_t kept = 0; kept <= 3; ++kept) {
     CrashDisk disk;
-    CrashStorage storage(disk, [](std::function<void()> step) { step(); });
+    CrashStorage storage(disk, [](const std::function<void()>& step) { step(); });
     storage.Apply(Batch().Put("a", "1"));
     storage.Sync([](const Result<void>&) {});
     storage.Apply(Batch().Put("b", "1"));
     storage.Apply(Batch().Put("c", "1").Remove("a"));
     disk.LosePower(kept);
-    CrashStorage again(disk, [](std::function<void()> step) { step(); });
+    CrashStorage again(disk, [](const std::function<void()>& step) { step(); });
     BOOST_TEST(again.Get("a").has_value() == (kept < 2));
     BOOST_TEST(again.Get("b").has_value() == (kept >= 1));
     BOOST_TEST(again.Get("c").has_value() == (kept >= 2));
