Leave an endpoint that has fallen silent for all also with idempotent requests; read before giving up

Items are given three seconds, as they wait behind what is more urgent. A process that stood still found its timers due and its answers unread, and cut them: what has come is read first.

--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -22,7 +22,8 @@
 constexpr std::chrono::microseconds kDefaultIdle = std::chrono::seconds(4);
 constexpr std::chrono::microseconds kDefaultConnect = std::chrono::milliseconds(250);
 constexpr double kIdlePart = 0.8;  // Of the keepalive; past all of it, what is written is lost.
-constexpr int kMostInterim = 8;    // 1xx answers ahead of the real one.
+constexpr auto kUnreadSpan = std::chrono::milliseconds(20);  // For what has come to be read.
+constexpr int kMostInterim = 8;                              // 1xx answers ahead of the real one.
 // How long a find that an idle connection was dead is remembered, and up to which idle time one is
 // trusted meanwhile.
 constexpr auto kDoubtSpan = std::chrono::seconds(30);
@@ -405,6 +406,10 @@
   void TimeUp() {
     const auto self = shared_from_this();
     if (state_ == State::kIdle) return Drop();
+    if (owner_.terms_.read_before_time_up && state_ == State::kBusy && !paused_ &&
+        stream_->Peek() == net::Ahead::kBytes) {
+      return timer_->ArmAt(owner_.loop_.Now() + kUnreadSpan);
+    }
     if (state_ == State::kBusy && written_) {
       if (const auto later = owner_.user_.OnLate(key_)) return timer_->ArmAt(*later);
     }
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -81,6 +81,9 @@
   std::chrono::milliseconds answer_silence{300};
   // Whether an endpoint's Keep-Alive bounds how long its connection lies idle.
   bool heed_keep_alive = false;
+  // Whether what has come is read before an attempt's time is over: a process that stood still
+  // finds its timers due and its answers unread.
+  bool read_before_time_up = false;
 };
 
 // A request as it goes to an endpoint. The message must stay where it is until the attempt is over
--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -33,6 +33,8 @@
 // What a batch item may take at one endpoint where its sender tells no time.
 constexpr auto kItemSpan = std::chrono::seconds(60);
 constexpr auto kItemFirstSilence = std::chrono::seconds(10);
+// Items wait behind what is more urgent, and a run too many is dearer than a late one.
+constexpr auto kItemPatience = std::chrono::seconds(3);
 // How often one that is late is looked at again, while its endpoint answers others.
 constexpr auto kLookAgain = milliseconds(250);
 
@@ -53,7 +55,8 @@
   std::string endpoint;
   bool forbidden = false;    // Its user does not let it be sent.
   net::Time moved{};         // When the present attempt was sent, or its last part came,
-  net::Span most_silence{};  // and how long nothing may follow.
+  net::Span most_silence{};  // and how long nothing may follow,
+  net::Span patience{};      // or, at an endpoint that has fallen silent for all.
   int sends = 0;
   int ran = 0;             // Endpoints that may have run it, the present one not among them.
   bool begun = false;      // Of the present attempt an event has come.
@@ -67,6 +70,10 @@
   TokenCount tokens;
 
   int max_attempts() const { return request.max_attempts.value_or(request.route->max_attempts); }
+  // Whether it may go on at another endpoint after this one has fallen silent.
+  bool may_move() const {
+    return request.resumable || request.route->kind == RouteKind::kIdempotent;
+  }
   bool is_stream_route() const {
     return request.batch || request.route->kind == RouteKind::kStreaming;
   }
@@ -81,7 +88,7 @@
                 [] { return kHeldAnswer; },
                 {kDeadlineHeader,
                  [this](AttemptKey key, const HttpResponse& head) { return ReadHead(key, head); },
-                 milliseconds(0), true}),
+                 milliseconds(0), true, true}),
       registry_(upstream_),
       module_(options_.seed, *this),
       timer_(loop.NewTimer([this] {
@@ -285,14 +292,15 @@
   const milliseconds silence = ClientSilence(route);
   live->most_silence = live->request.batch ? net::Span(kItemFirstSilence) : net::Span(silence);
   // Where it could go on at another endpoint, one that has fallen silent is not waited for as long.
-  const bool could_move = live->request.resumable && live->ran + 1 < live->max_attempts();
+  const bool could_move = live->may_move() && live->ran + 1 < live->max_attempts();
+  live->patience = live->request.batch ? net::Span(kItemPatience) : MovePatience(route);
+  const net::Span first_silence = could_move ? live->patience : live->most_silence;
   net::Time until = live->end;
-  if (live->is_stream_route()) {
-    until =
-        std::min(until, now + (could_move ? net::Span(MovePatience(route)) : live->most_silence));
+  if (live->is_stream_route() || could_move) {
+    until = std::min(until, now + first_silence);
   }
   kelpspring::Outbound outbound{live->message, false, std::nullopt, until, {}};
-  outbound.silence = could_move ? MovePatience(route) : silence;
+  outbound.silence = could_move ? live->patience : net::Span(silence);
   outbound.end = live->end;
   outbound.deadline = live->deadline;
   outbound.repeatable = live->repeatable;
@@ -325,15 +333,16 @@
   registry_.NoteHeard(live.endpoint, live.moved);
 }
 
-// A stream whose endpoint answers others is late, not lost: moving it would only add work where
+// A call whose endpoint answers others is late, not lost: moving it would only add work where
 // there is too much of it. One whose endpoint has fallen silent for all goes on elsewhere.
 std::optional<net::Time> EndpointCalls::OnLate(AttemptKey key) {
   const LivePtr live = FindAttempt(key);
-  if (!live || !live->is_stream_route()) return std::nullopt;
+  if (!live) return std::nullopt;
   const net::Time now = loop_.Now();
-  const net::Time last = std::min(live->end, live->moved + live->most_silence);
+  const net::Time last =
+      live->is_stream_route() ? std::min(live->end, live->moved + live->most_silence) : live->end;
   const KnownEndpoint* known = registry_.Find(live->endpoint);
-  const bool alive = known != nullptr && known->heard + MovePatience(*live->request.route) > now;
+  const bool alive = known != nullptr && known->heard + live->patience > now;
   if (!alive || now >= last) return std::nullopt;
   return std::min<net::Time>(last, now + kLookAgain);
 }
--- a/tests/tier/proxy/endpoint_test.cpp
+++ b/tests/tier/proxy/endpoint_test.cpp
@@ -217,6 +217,52 @@
   BOOST_TEST(endpoint.left == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_idempotent_request_leaves_an_endpoint_that_is_silent_for_all) {
+  World world;
+  FirstOnly first([](Line&, const Message&) {});
+  world.Add(first.Then(Answers("x")));
+  world.Add(first.Then(Answers("x")));
+  auto client = world.Ask(Request("/get/a"));
+  world.Run(milliseconds(1500));
+  BOOST_TEST(client->Answer().Status() == 200);
+  BOOST_TEST(world.Served() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(an_idempotent_request_waits_where_others_are_answered) {
+  World world;
+  const auto behaviour = [&](Line& line, const Message& request) {
+    if (request.Value("Shelflink-Request-Id") != "slow") return Answers("x")(line, request);
+    const Message kept = request;
+    world.endpoints[0]->Later(milliseconds(2200),
+                              [&line, kept] { line.Write(Endpoint::Whole(kept, "slow")); });
+  };
+  world.Add(behaviour);
+  auto slow = world.Ask(Request("/get/a", "slow"));
+  for (int number = 0; number < 8; ++number) {
+    auto other = world.Ask(Request("/get/a", std::to_string(number)));
+    world.Run(milliseconds(300));
+    BOOST_TEST(other->Answer().Status() == 200);
+  }
+  BOOST_TEST(slow->Answer().body == "slow");
+  BOOST_TEST(world.Served() == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(a_proxy_that_stood_still_reads_what_has_come_first) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    World world(seed);
+    world.Add([&](Line& line, const Message& request) {
+      world.endpoints[0]->Stream(line, request, 5, milliseconds(20));
+    });
+    auto client = world.Ask(Request("/stream/a"));
+    world.Run(milliseconds(30));
+    world.process.SetPaused(true);
+    world.Run(milliseconds(2500));
+    world.process.SetPaused(false);
+    world.Run(milliseconds(200));
+    BOOST_TEST(client->Answer().whole);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_held_beyond_the_routes_time_out) {
   World world;
   world.Add([](Line&, const Message&) {});
