--- a/src/tier/batch/hosted_partition.h
+++ b/src/tier/batch/hosted_partition.h
@@ -50,12 +50,16 @@
   void TakeRow(const cluster::PartitionRow& row, std::uint64_t life);
   // A newer row does not name this disk: nothing more is vouched for.
   void LeaveRow(std::uint64_t epoch);
-  void OnFrame(const ReplicaFrame& frame);
+  // `bytes`: its size on the wire.
+  void OnFrame(const ReplicaFrame& frame, std::size_t bytes);
   // About every resend pause. Of the row's other disks: who stalls, who became complete.
   void OnTimer();
   std::vector<std::string> Stalled(net::Span patience) const;
-  std::vector<std::string> Joined() const;
+  // Joiners that have everything. From now on nothing is committed without them.
+  std::vector<std::string> RequireJoined();
   void CatchUp();
+  // As a joiner: everything has come, as far as is known here.
+  bool caught_up() const { return asked_to_catch_up_ && replica_.complete(); }
 
   // This process is the primary and everything earlier is in force.
   bool leading() const { return replica_.Serving() && named_; }
@@ -103,12 +107,15 @@
   bool complete_in_row_ = false;
   std::uint64_t newest_epoch_ = 0;                 // Of any row of the partition that was heard of.
   std::map<std::string, net::Address> addresses_;  // By disk.
-  std::vector<ReplicaFrame> early_;   // Of rows that this store has yet to be told; a few.
+  // Of rows that this store has yet to be told, with their sizes; a few, see kMostEarlyBytes.
+  std::vector<std::pair<ReplicaFrame, std::size_t>> early_;
+  std::size_t early_bytes_ = 0;
   std::pair<bool, bool> told_role_;   // Acting, leading.
   std::set<std::string> full_disks_;  // Of the other replicas.
   std::deque<std::pair<coordination::Position, Done>> commits_;
   net::Time active_at_{};
   net::Time left_at_{};
+  bool asked_to_catch_up_ = false;     // In this epoch.
   std::optional<net::Time> act_from_;  // A row with a joiner: acts from then on, see TakeRow.
   std::uint64_t life_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/tier/coordination/replica.cpp
+++ b/src/tier/coordination/replica.cpp
@@ -139,6 +139,11 @@
   if (!IsReplica(disk)) followers_.erase(disk);
 }
 
+void Replica::TellAgain(const std::string& disk) {
+  const auto found = followers_.find(disk);
+  if (found != followers_.end()) found->second.told_committed = 0;
+}
+
 void Replica::SendEntries(Step& step, ReplicaOutput& out, const std::string& to,
                           Follower& follower) {
   Append message;
@@ -318,9 +323,10 @@
   // Unlike the sessions of earlier processes on this machine too: its clock goes on.
   const auto by_clock = static_cast<std::uint64_t>(step.now.time_since_epoch().count());
   sessions_ = std::max(sessions_ + 1, by_clock);
-  session_.emplace();
-  session_->id = sessions_;
-  session_->heard_at = step.now;
+  Session session;
+  session.id = sessions_;
+  session.heard_at = step.now;
+  session_ = std::move(session);
   CatchUpRequest request;
   request.epoch = assignment_.epoch;
   request.session = session_->id;
--- a/src/tier/storage/lmdb_storage.cpp
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -1,7 +1,9 @@
 #include "tier/storage/lmdb_storage.h"
 
+#include <fcntl.h>
 #include <lmdb.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cstring>
@@ -18,7 +20,12 @@
 constexpr std::size_t kChecksumSize = 8;
 constexpr mode_t kFileMode = 0600;
 // Read through the map before it is let go.
-constexpr std::size_t kMostBytesRead = 8U << 20;
+constexpr std::size_t kMostBytesRead = 24U << 20;
+// What finding one key touches besides its value, about: pages of the way there that few others
+// share. Mapping anew costs the pages that all share, so it must stay seldom.
+constexpr std::size_t kReachOfGet = 16U << 10;
+constexpr std::size_t kReachOfChange = 4U << 10;
+constexpr std::size_t kReachOfNext = 512;
 // Commits after which free pages are counted anew.
 constexpr std::size_t kCommitsPerCount = 32;
 constexpr MDB_dbi kFreePagesTable = 0;  // LMDB's own: lists of page numbers, the count in front.
@@ -61,6 +68,14 @@
   return value;
 }
 
+// Makes names that were renamed in a folder last.
+void SyncFolder(const std::string& folder) {
+  const int descriptor = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (descriptor < 0) return;
+  ::fsync(descriptor);
+  ::close(descriptor);
+}
+
 }  // namespace
 
 Result<std::unique_ptr<LmdbStorage>> LmdbStorage::Open(net::Loop& loop, const Options& options) {
@@ -80,6 +95,7 @@
     std::filesystem::remove_all(aside, error);
     std::filesystem::rename(options.folder, aside, error);
     if (error) return MakeError(ErrorCode::kStorage, options.folder + ": " + error.message());
+    SyncFolder(std::filesystem::path(options.folder).parent_path().string());
   }
   return MakeError(ErrorCode::kStorage, options.folder + ": an empty file is found damaged");
 }
@@ -150,7 +166,7 @@
   if (code == 0) {
     const auto value = Checked(key, ToView(found));
     if (value) {
-      bytes_read_ += found.mv_size;
+      bytes_read_ += found.mv_size + kReachOfGet;
       result.emplace(*value);
     } else {
       Fail(MDB_CORRUPTED);
@@ -187,7 +203,7 @@
       break;
     }
     const auto value = Checked(ToView(key), ToView(found));
-    bytes_read_ += found.mv_size;
+    bytes_read_ += found.mv_size + kReachOfNext;
     if (!value) code = MDB_CORRUPTED;
     if (!value || !visitor(ToView(key), *value)) break;
     code = mdb_cursor_get(cursor, &key, &found, MDB_NEXT);
@@ -208,6 +224,7 @@
     const int code = mdb_txn_begin(environment_, nullptr, 0, &writing_);
     if (code != 0) return code;
   }
+  bytes_read_ += batch.changes().size() * kReachOfChange;
   for (const Batch::Change& change : batch.changes()) {
     MDB_val key = ToVal(change.key);
     if (!change.value) {
@@ -221,7 +238,7 @@
     if (code != 0) return code;
     char* const to = static_cast<char*>(room.mv_data);
     std::memcpy(to, &checksum, kChecksumSize);
-    std::memcpy(to + kChecksumSize, change.value->data(), change.value->size());
+    std::copy(change.value->begin(), change.value->end(), to + kChecksumSize);
   }
   return 0;
 }
