--- a/src/tier/batch/replica_host.h
+++ b/src/tier/batch/replica_host.h
@@ -41,10 +41,13 @@
 class ReplicaHost : public PartitionReplicas {
  public:
   struct Options {
-    std::string disk;                  // Identity of this store's disk.
-    std::size_t least_replicas = 2;    // Fault tolerance + 1.
-    milliseconds patience{400};        // A backup that owes an acknowledgement longer has stalled.
-    std::size_t most_catching_up = 4;  // Partitions at a time, the most exposed ones first.
+    std::string disk;                // Identity of this store's disk.
+    std::size_t least_replicas = 2;  // Fault tolerance + 1.
+    // A backup has stalled that owes an acknowledgement and is silent for so long, or owes one for
+    // `longest_owed` though it speaks: large writes may take a while.
+    milliseconds patience{400};
+    milliseconds longest_owed{2000};
+    std::size_t most_catching_up = 16;  // Partitions at a time, the most exposed ones first.
   };
   struct Outside {
     std::function<net::Time()> lease_until;  // Of this process at the core.
@@ -74,9 +77,11 @@
 
   void ArmTimer();
   void OnTimer();
-  void ReportJoined();
+  void ReportJoined(std::uint32_t partition, HostedPartition& hosted);
   void ReportStalled();
+  bool Silent(const std::string& disk) const;
   void Report(const cluster::BackupReport& report);
+  void LearnLater();
   void ChooseLearners();
   void DropUnnamed();
   // Whether this disk takes new jobs; the rest is kept for results of what has been accepted.
@@ -95,10 +100,13 @@
   std::map<std::uint32_t, std::unique_ptr<HostedPartition>> hosted_;
   std::set<std::uint32_t> led_;  // As told to the service.
   bool look_posted_ = false;
+  bool learn_posted_ = false;
   coordination::Ticket ticket_ = 0;
   net::TimerPtr timer_;
   net::Time timer_due_{};
   bool timer_armed_ = false;
+  net::Time judges_from_{};                    // Who stalls.
+  std::map<std::string, net::Time> heard_at_;  // Of each other disk the last frame.
   std::set<std::pair<std::uint32_t, std::string>> stalled_before_;
   std::map<std::pair<std::uint32_t, std::string>, net::Time> reported_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
