--- a/src/tier/storage/lmdb_storage.cpp
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -141,7 +141,7 @@
 void LmdbStorage::DoneReading() const {
   if (writing_ != nullptr || reading_ == nullptr) return;
   mdb_txn_reset(reading_);
-  if (MustLetGo()) LetGo();
+  if (writing_ == nullptr && MustLetGo()) LetGo();
 }
 
 std::optional<std::string> LmdbStorage::Get(std::string_view key) const {
@@ -170,7 +170,12 @@
 void LmdbStorage::Scan(std::string_view prefix, std::string_view from,
                        const Visitor& visitor) const {
   std::optional<std::string> next(from < prefix ? prefix : from);
-  while (next && !failed()) next = ScanPart(prefix, *next, visitor);
+  while (next && !failed()) {
+    next = ScanPart(prefix, *next, visitor);
+    // What is being written is made durable before its time, so that the map can be let go.
+    if (next && writing_ != nullptr) EndWriting();
+    if (next && MustLetGo()) LetGo();
+  }
 }
 
 std::optional<std::string> LmdbStorage::ScanPart(std::string_view prefix, const std::string& start,
@@ -242,9 +247,7 @@
 
 void LmdbStorage::Commit() {
   if (!failed() && writing_ != nullptr) {
-    const int code = mdb_txn_commit(writing_);
-    writing_ = nullptr;
-    if (code != 0) Fail(code);
+    EndWriting();
     if (++commits_since_counted_ >= kCommitsPerCount) {
       commits_since_counted_ = 0;
       free_pages_.reset();
@@ -263,7 +266,13 @@
   }
 }
 
-bool LmdbStorage::MustLetGo() const { return writing_ == nullptr && bytes_read_ >= kMostBytesRead; }
+bool LmdbStorage::MustLetGo() const { return bytes_read_ >= kMostBytesRead; }
+
+void LmdbStorage::EndWriting() const {
+  const int code = mdb_txn_commit(writing_);
+  writing_ = nullptr;
+  if (code != 0) Fail(code);
+}
 
 void LmdbStorage::LetGo() const {
   bytes_read_ = 0;
--- a/src/tier/storage/lmdb_storage.h
+++ b/src/tier/storage/lmdb_storage.h
@@ -55,6 +55,7 @@
                                       const Visitor& visitor) const;
   // Pages read through the map count as memory of the process, and the file may be larger than
   // that: the file is mapped anew after so many bytes. Not while a write is open.
+  void EndWriting() const;
   bool MustLetGo() const;
   void LetGo() const;
   // Pages of the file that hold nothing.
@@ -63,7 +64,7 @@
   net::Loop& loop_;
   MDB_env* environment_ = nullptr;
   unsigned table_ = 0;
-  MDB_txn* writing_ = nullptr;
+  mutable MDB_txn* writing_ = nullptr;
   mutable MDB_txn* reading_ = nullptr;
   std::uint64_t bytes_limit_ = 0;
   mutable std::size_t bytes_read_ = 0;               // Since the map was let go.
--- a/tests/tier/storage/storage_test.cpp
+++ b/tests/tier/storage/storage_test.cpp
@@ -282,6 +282,34 @@
   BOOST_TEST(ResidentBytes() < before + (30U << 20));
 }
 
+BOOST_AUTO_TEST_CASE(a_large_file_can_be_read_through_while_something_is_being_written) {
+  constexpr std::size_t kValue = 100'000;
+  constexpr int kValues = 800;
+  StepLoop loop;
+  Folder folder;
+  auto storage = LmdbStorage::Open(loop, folder.Options(200U << 20));
+  BOOST_REQUIRE(storage);
+  for (int number = 0; number < kValues; ++number) {
+    storage.value()->Apply(Batch().Put("key" + std::to_string(number), std::string(kValue, 'v')));
+    storage.value()->Sync([](const Result<void>&) {});
+    loop.Run();
+  }
+  storage.value()->Apply(Batch().Put("unsynced", "value"));
+  const std::size_t before = ResidentBytes();
+  int read = 0;
+  storage.value()->Scan("", "", [&](std::string_view, std::string_view) {
+    ++read;
+    return true;
+  });
+  BOOST_TEST(read == kValues + 1);
+  BOOST_TEST(ResidentBytes() < before + (40U << 20));
+  bool synced = false;
+  storage.value()->Sync([&](const Result<void>& result) { synced = result.has_value(); });
+  loop.Run();
+  BOOST_TEST(synced);
+  BOOST_TEST(storage.value()->Get("unsynced").value_or("") == "value");
+}
+
 BOOST_AUTO_TEST_CASE(room_of_removed_values_counts_as_free) {
   StepLoop loop;
   Folder folder;
