--- a/tests/tier/configuration/book_test.cpp
+++ b/tests/tier/configuration/book_test.cpp
@@ -135,8 +135,10 @@
   Submit(contents, Put(0, kSample));
   const ChangeOrder order = Patch(7, R"({"configVersion":9,
     "upsert":{"routes":[
-      {"name":"deep","hostname":"x.example","pathPrefix":"/","routeKind":"idempotent","timeoutMs":5,"service":"new"},
-      {"name":"added","hostname":"y.example","pathPrefix":"/","routeKind":"idempotent","timeoutMs":5,"service":"big"}],
+      {"name":"deep","hostname":"x.example","pathPrefix":"/","routeKind":"idempotent",
+       "timeoutMs":5,"service":"new"},
+      {"name":"added","hostname":"y.example","pathPrefix":"/","routeKind":"idempotent",
+       "timeoutMs":5,"service":"big"}],
       "services":[{"name":"new"}]},
     "remove":{"routes":["once","never-there"],"tenants":["second"]}})");
   BOOST_TEST((Submit(contents, order) == Verdict::kTaken));
@@ -157,9 +159,13 @@
 
 BOOST_AUTO_TEST_CASE(a_patch_keeps_unknown_members_and_the_form_of_numbers) {
   const std::string odd =
-      R"({"configVersion":1,"big":18446744073709551615,"rate":2200000.0,"tiny":1e-7,"word":"\u2713 caf\u00e9 \/ \"q\"",)"
-      R"("odd \"name\"":{"a":[1.50,null,true]},"routes":[{"name":"r","hostname":"h","pathPrefix":"/","routeKind":"idempotent",)"
-      R"("timeoutMs":4000.0,"service":"s","exact":0.1000000000000000055511151231257827}],"services":[{"name":"s"}]})";
+      R"({"configVersion":1,"big":18446744073709551615,"rate":2200000.0,"tiny":1e-7,)"
+      R"("word":"\u2713 caf\u00e9 \/ \"q\"",)"
+      R"("odd \"name\"":{"a":[1.50,null,true]},"routes":[{"name":"r","hostname":"h","pathPrefix":"/",)"
+      R"("routeKind":"idempotent",)"
+      R"("timeoutMs":4000.0,"service":"s",)"
+      R"("exact":0.1000000000000000055511151231257827}],)"
+      R"("services":[{"name":"s"}]})";
   Contents contents;
   BOOST_TEST((Submit(contents, Put(0, odd)) == Verdict::kTaken));
   BOOST_TEST((
@@ -167,8 +173,9 @@
           contents,
           Patch(
               1,
-              R"({"configVersion":2.0,"upsert":{"routes":[{"name":"t","hostname":"h","pathPrefix":"/t/","routeKind":"idempotent","timeoutMs":1,"service":"s","n":9007199254740993}]}})")) ==
-      Verdict::kTaken));
+              R"({"configVersion":2.0,"upsert":{"routes":[{"name":"t","hostname":"h","pathPrefix":"/t/",)"
+              R"("routeKind":"idempotent",)"
+              R"("timeoutMs":1,"service":"s","n":9007199254740993}]}})")) == Verdict::kTaken));
   const std::string document = DocumentIn(contents);
   BOOST_TEST_CONTEXT(document) {
     for (const char* kept :
@@ -187,9 +194,13 @@
   Submit(contents, Put(0, kSample));
   const std::vector<std::pair<std::string, std::string>> invalid = {
       {R"("remove":{"services":["small"]})", "routes[1]"},
-      {R"("upsert":{"routes":[{"name":"deep","hostname":"stream.example","pathPrefix":"/a/","routeKind":"idempotent","timeoutMs":5,"service":"big"}]})",
+      {R"("upsert":{"routes":[{"name":"deep","hostname":"stream.example","pathPrefix":"/a/",)"
+       R"("routeKind":"idempotent",)"
+       R"("timeoutMs":5,"service":"big"}]})",
        "routes[1]"},
-      {R"("upsert":{"routes":[{"name":"n","hostname":"n","pathPrefix":"/","routeKind":"idempotent","timeoutMs":0,"service":"big"}]})",
+      {R"("upsert":{"routes":[{"name":"n","hostname":"n","pathPrefix":"/",)"
+       R"("routeKind":"idempotent",)"
+       R"("timeoutMs":0,"service":"big"}]})",
        "routes[4].timeoutMs"},
       {R"("upsert":{"tenants":[{"name":"third","apiKeys":["key-one"]}]})", "tenants[2].apiKeys[0]"},
       {R"("upsert":{"routes":[{"hostname":"n"}]})", "upsert.routes[0]"},
