Stores: results are not taken without bound while a commit stands still, and waiting items reserve room for results

Cause: 160,000 items of 200 bytes were accepted whose results of 4 kB each did not fit the stores' disks; the disk ran full (MDB_MAP_FULL), commits stood still, and results that came meanwhile filled 385 MB of memory. Results are refused (the proxy tells them again) once 2 MB wait for a partition's commit; new jobs are refused while the room that accepted items may need, 4 bytes a token and copy, is no longer there. tier_store_test 14 cases, tier_job_book_test 4 cases pass; the load was not played again.

--- a/src/tier/batch/job_book.cpp
+++ b/src/tier/batch/job_book.cpp
@@ -137,6 +137,7 @@
 }
 
 void JobBook::Store(std::string key, std::optional<std::string> value) {
+  collected_bytes_ += key.size() + (value ? value->size() : 0);
   writes_.push_back({std::move(key), std::move(value)});
   ++revision_;
 }
@@ -551,7 +552,10 @@
 
 // --- Durability ---------------------------------------------------------------------------------
 
-std::vector<coordination::Write> JobBook::TakeWrites() { return std::exchange(writes_, {}); }
+std::vector<coordination::Write> JobBook::TakeWrites() {
+  collected_bytes_ = 0;
+  return std::exchange(writes_, {});
+}
 
 std::vector<std::string> JobBook::OnDurable(Revision revision) {
   std::vector<std::string> listed;
--- a/src/tier/batch/job_book.h
+++ b/src/tier/batch/job_book.h
@@ -111,6 +111,8 @@
   std::vector<Revocation> TakeRevocations();
 
   std::vector<coordination::Write> TakeWrites();
+  // Bytes of what TakeWrites would give.
+  std::size_t collected_bytes() const { return collected_bytes_; }
   Revision revision() const { return revision_; }  // Of the newest change.
   // Everything up to there is stored for good. Tells the jobs that have new results to read.
   std::vector<std::string> OnDurable(Revision revision);
@@ -209,6 +211,7 @@
   std::vector<Revocation> revocations_;
   std::set<std::pair<Micros, JobNumber>> checks_;
   std::vector<coordination::Write> writes_;
+  std::size_t collected_bytes_ = 0;
   Revision revision_ = 0;
   std::deque<Pending> pending_;
 };
--- a/src/tier/batch/partition_server.cpp
+++ b/src/tier/batch/partition_server.cpp
@@ -11,6 +11,9 @@
 constexpr std::string_view kLogName = "batch.store";
 // Beside the text of a result on the wire: its id and framing.
 constexpr std::size_t kResultOverhead = 64;
+// Collected while a commit is under way. Beyond, results are not taken until it is over: a replica
+// that stands still must not fill this process's memory.
+constexpr std::size_t kMostCollected = 2U << 20;
 
 }  // namespace
 
@@ -196,6 +199,10 @@
 // --- Proxies ------------------------------------------------------------------------------------
 
 void PartitionServer::OnFinished(const Finished& finished, Reply reply) {
+  if (book_.collected_bytes() > kMostCollected) {
+    reply(MakeError(ErrorCode::kUnavailable, "too much waits for the commit under way"));
+    return;
+  }
   book_.OnFinished(clock_.Now(), finished);
   Answer(std::move(reply), {});
   events_.work();
--- a/src/tier/batch/replica_host.cpp
+++ b/src/tier/batch/replica_host.cpp
@@ -260,7 +260,8 @@
 
 bool ReplicaHost::HasRoom() const {
   const storage::Usage usage = storage_.usage();
-  return static_cast<double>(usage.bytes_used) <
+  const std::uint64_t reserved = outside_.reserved_bytes ? outside_.reserved_bytes() : 0;
+  return static_cast<double>(usage.bytes_used + reserved) <
          kRoomShare * static_cast<double>(usage.bytes_limit);
 }
 
--- a/src/tier/batch/replica_host.h
+++ b/src/tier/batch/replica_host.h
@@ -52,6 +52,8 @@
   struct Outside {
     std::function<net::Time()> lease_until;  // Of this process at the core.
     std::function<void(const cluster::BackupReport&)> report;
+    // What the results of accepted items may still need of this disk; empty: nothing.
+    std::function<std::uint64_t()> reserved_bytes = nullptr;
   };
 
   // Counts a new life of the disk; nothing is acted upon before that is synced.
--- a/src/tier/batch/store_program.cpp
+++ b/src/tier/batch/store_program.cpp
@@ -27,6 +27,8 @@
 // For the core to take the lease back before the process ends.
 constexpr Milliseconds kLeaveSpan{1500};
 constexpr Milliseconds kReportTimeout{1000};
+// Of a result's text, for each token of its item, prompt and most out together.
+constexpr std::uint64_t kResultBytesPerToken = 4;
 
 std::uint64_t Draw() {
   static std::random_device device;
@@ -105,6 +107,8 @@
       hub_.Call(*core, cluster::kBackupReportKind, cluster::Encode(report), kReportTimeout,
                 [](const Result<std::string>&) {});  // The next placement tells.
     };
+    // Of what is led here and, as others lead about as much, of what is copied here.
+    outside.reserved_bytes = [this] { return 2 * kResultBytesPerToken * service_.queued_tokens(); };
     return outside;
   }
 
