A store whose disk fails gives its lease back and opens the disk anew instead of standing in the way

Cause: after one failed write (a disk that is full for a while) the storage refuses for good, but the process kept its lease: its partitions stayed with a primary that served nothing until somebody restarted it. Tried with real processes: a store with a map of 1 MB under load came back 24 times in its process and left on SIGTERM; that flapping is why the pause now doubles. No automatic test of store_program.

--- a/src/tier/batch/store_program.cpp
+++ b/src/tier/batch/store_program.cpp
@@ -27,6 +27,10 @@
 // For the core to take the lease back before the process ends.
 constexpr Milliseconds kLeaveSpan{1500};
 constexpr Milliseconds kReportTimeout{1000};
+constexpr Milliseconds kDiskCheck{500};
+constexpr Milliseconds kDiskPause{500};  // Until a disk that failed is opened anew; doubles.
+constexpr Milliseconds kLongestDiskPause{8000};
+constexpr Milliseconds kSteady{10000};
 // Of a result's text, for each token of its item, prompt and most out together.
 constexpr std::uint64_t kResultBytesPerToken = 4;
 
@@ -66,7 +70,27 @@
   return options;
 }
 
-// All of the process, wired together.
+void RunFor(net::GlibLoop& loop, Milliseconds span) {
+  const net::TimerPtr timer = loop.NewTimer([&loop] { loop.Stop(); });
+  timer->ArmAt(loop.Now() + span);
+  loop.Run();
+}
+
+// Whether the disk takes writes now; one that is full may be emptied later.
+bool CanWrite(net::GlibLoop& loop, storage::Storage& disk) {
+  bool can = false;
+  storage::Batch probe;
+  probe.Put("probe", "");
+  disk.Apply(probe);
+  disk.Sync([&](const Result<void>& synced) {
+    can = synced.has_value();
+    loop.Stop();
+  });
+  loop.Run();
+  return can;
+}
+
+// All of a start on a disk that takes writes, wired together.
 class StoreProcess {
  public:
   StoreProcess(const ProcessSettings& settings, net::GlibLoop& loop, storage::Storage& disk)
@@ -78,15 +102,43 @@
         replicas_(loop, hub_, disk, HostOptions(settings, identity_.id), HostOutside()),
         service_(loop, hub_, replicas_,
                  {settings.bounds, Draw(), [this] { return agent_.TrueMicros(); }}),
-        leave_timer_(loop.NewTimer([this] { loop_.Stop(); })) {
+        leave_timer_(loop.NewTimer([this] { loop_.Stop(); })),
+        disk_timer_(loop.NewTimer([this] { WatchDisk(); })) {
     agent_.SetStoreReport([this] { return Report(); });
-    loop_.OnSignal(SIGTERM, [this] { Leave(); });
-    loop_.OnSignal(SIGHUP, [this] { ReloadSettings(); });
+    WatchDisk();
     // The disk's identity must be there for good before anybody counts on it.
     disk_.Sync([this](const Result<void>& synced) { agent_.SetReady(synced.has_value()); });
   }
 
+  // Stops the loop when the core has taken the lease back.
+  void Leave() {
+    if (leaving_) return;
+    leaving_ = true;
+    leave_timer_->ArmAt(loop_.Now() + kLeaveSpan);
+    agent_.Leave([this] { loop_.Stop(); });
+  }
+
+  void ReloadSettings() {
+    const char* path = std::getenv("SHELFLINK_CONFIG");
+    if (path == nullptr) return;
+    const auto settings = ReadSettings(path);
+    if (settings) {
+      agent_.SetSeeds(settings.value().seeds);
+    } else {
+      log::Warning(kLogName, "settings not taken: " + TextOf(settings.error()));
+    }
+  }
+
  private:
+  // A disk that failed is vouched for no more: the lease goes back, so that others take over.
+  void WatchDisk() {
+    if (disk_.failed()) {
+      Leave();
+      return;
+    }
+    disk_timer_->ArmAt(loop_.Now() + kDiskCheck);
+  }
+
   cluster::Agent::Changes AgentChanges() {
     cluster::Agent::Changes changes;
     changes.placement = [this] {
@@ -122,24 +174,6 @@
     return report;
   }
 
-  void Leave() {
-    if (leaving_) return;
-    leaving_ = true;
-    leave_timer_->ArmAt(loop_.Now() + kLeaveSpan);
-    agent_.Leave([this] { loop_.Stop(); });
-  }
-
-  void ReloadSettings() {
-    const char* path = std::getenv("SHELFLINK_CONFIG");
-    if (path == nullptr) return;
-    const auto settings = ReadSettings(path);
-    if (settings) {
-      agent_.SetSeeds(settings.value().seeds);
-    } else {
-      log::Warning(kLogName, "settings not taken: " + TextOf(settings.error()));
-    }
-  }
-
   net::GlibLoop& loop_;
   storage::Storage& disk_;
   storage::DiskIdentity identity_;
@@ -148,6 +182,7 @@
   ReplicaHost replicas_;
   StoreService service_;
   net::TimerPtr leave_timer_;
+  net::TimerPtr disk_timer_;
   bool leaving_ = false;
 };
 
@@ -155,13 +190,38 @@
 
 int RunStore(const ProcessSettings& settings) {
   net::GlibLoop loop;
-  auto disk = OpenDisk(loop, settings);
-  if (!disk) {
-    log::Line(log::Level::kError, kLogName, "cannot open the disk: " + disk.error().text);
-    return EXIT_FAILURE;
+  StoreProcess* current = nullptr;
+  bool told_to_end = false;
+  Milliseconds pause = kDiskPause;
+  loop.OnSignal(SIGTERM, [&] {
+    told_to_end = true;
+    if (current != nullptr) {
+      current->Leave();
+    } else {
+      loop.Stop();
+    }
+  });
+  loop.OnSignal(SIGHUP, [&] {
+    if (current != nullptr) current->ReloadSettings();
+  });
+  while (!told_to_end) {
+    auto disk = OpenDisk(loop, settings);
+    if (!disk) {
+      log::Line(log::Level::kError, kLogName, "cannot open the disk: " + disk.error().text);
+      return EXIT_FAILURE;
+    }
+    const net::Time started = loop.Now();
+    if (CanWrite(loop, *disk.value())) {
+      StoreProcess process(settings, loop, *disk.value());
+      current = &process;
+      loop.Run();
+      current = nullptr;
+    }
+    if (told_to_end) break;
+    // A disk that fails again soon is tried ever more seldom: each return moves partitions.
+    pause = loop.Now() - started < kSteady ? std::min(pause * 2, kLongestDiskPause) : kDiskPause;
+    RunFor(loop, pause);
   }
-  StoreProcess process(settings, loop, *disk.value());
-  loop.Run();
   return EXIT_SUCCESS;
 }
 
