--- a/src/tier/batch/store_service.cpp
+++ b/src/tier/batch/store_service.cpp
@@ -86,13 +86,12 @@
 
 void StoreService::RegisterCalls() {
   hub_.HandleCall(kSubmit, [this](const transport::PeerIdentity&, std::string_view body,
-                                  Reply reply) { OnSubmit(body, std::move(reply)); });
+                                  const Reply& reply) { OnSubmit(body, reply); });
   HandleJobCall<Read>(kRead, [](PartitionServer& server, const Read& read, Reply reply) {
     server.OnRead(read, std::move(reply));
   });
-  HandleJobCall<ItemRef>(kBody, [](PartitionServer& server, const ItemRef& item, Reply reply) {
-    server.OnBody(item, reply);
-  });
+  HandleJobCall<ItemRef>(kBody, [](PartitionServer& server, const ItemRef& item,
+                                   const Reply& reply) { server.OnBody(item, reply); });
   HandleJobCall<JobRef>(kEnd, [](PartitionServer& server, const JobRef& job, Reply reply) {
     server.OnEnd(job, std::move(reply));
   });
@@ -133,7 +132,7 @@
   });
 }
 
-void StoreService::OnSubmit(std::string_view body, Reply reply) {
+void StoreService::OnSubmit(std::string_view body, const Reply& reply) {
   const bool entered = gate_.Enter(
       std::string(body), [this, reply](const std::string& begun) { BeginSubmit(begun, reply); });
   if (!entered) reply(MakeError(ErrorCode::kUnavailable, "too many submissions are under way"));
--- a/src/tier/batch/store_service.h
+++ b/src/tier/batch/store_service.h
@@ -43,7 +43,7 @@
   using Reply = transport::Hub::Reply;
 
   void RegisterCalls();
-  void OnSubmit(std::string_view body, Reply reply);
+  void OnSubmit(std::string_view body, const Reply& reply);
   void BeginSubmit(const std::string& body, const Reply& reply);
   template <typename Message>
   void HandleJobCall(MessageKind kind,
--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -48,8 +48,9 @@
     hub.Handle(kPushKind, [this](const transport::PeerIdentity& from, std::string_view body) {
       OnPush(from, body);
     });
-    hub.HandleCall(kFetchKind, [this](const transport::PeerIdentity&, std::string_view body,
-                                      transport::Hub::Reply reply) { OnFetch(body, reply); });
+    hub.HandleCall(kFetchKind,
+                   [this](const transport::PeerIdentity&, std::string_view body,
+                          const transport::Hub::Reply& reply) { OnFetch(body, reply); });
     hub.HandleCall(kDetourKind, [this](const transport::PeerIdentity& from, std::string_view body,
                                        const transport::Hub::Reply& reply) {
       ForwardDetour(from, body, reply);
