One FNV-1a in place of six

Cause: the tier wrote the hash three times more beside the three that stood. Change: gaugecart::Fnv1a in mix.h; values are the same.

--- a/src/peers/message.cpp
+++ b/src/peers/message.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "mix.h"
+
 namespace peers {
 namespace {
 
@@ -83,12 +85,7 @@
   return InForm(m) ? std::optional(std::move(m)) : std::nullopt;
 }
 
-// FNV-1a.
-std::uint64_t ChecksumOf(std::string_view text) {
-  std::uint64_t hash = 0xcbf29ce484222325;
-  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3;
-  return hash;
-}
+std::uint64_t ChecksumOf(std::string_view text) { return gaugecart::Fnv1a(text); }
 
 std::uint16_t PartsOf(std::string_view text) {
   return static_cast<std::uint16_t>((text.size() + kPartBytes - 1) / kPartBytes);
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -3,13 +3,11 @@
 #include <iterator>
 #include <nlohmann/json.hpp>
 
+#include "mix.h"
+
 namespace gaugecart {
 
-std::uint64_t HashOfWord(std::string_view word) {  // FNV-1a: the same at every start.
-  std::uint64_t h = 0xcbf29ce484222325ULL;
-  for (const char c : word) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-  return h;
-}
+std::uint64_t HashOfWord(std::string_view word) { return Fnv1a(word); }
 
 std::int32_t Lookup(const Names& names, std::string_view name) {
   const auto it = names.find(std::string(name));
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <utility>
 
+#include "mix.h"
 #include "state/sqlite.h"
 
 namespace state {
@@ -46,10 +47,10 @@
 
 // FNV-1a over all that a row says: SQLite checks its own pages only for their form.
 std::int64_t ChecksumOf(const std::string& owner, const Snapshot& s) {
-  std::uint64_t h = 0xcbf29ce484222325ULL;
+  std::uint64_t h = gaugecart::kFnvBasis;
   const auto add = [&h](std::string_view bytes) {
-    for (const char c : bytes) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-    h = (h ^ 0xffU) * 0x100000001b3ULL;  // Between parts.
+    h = gaugecart::Fnv1a(bytes, h);
+    h = (h ^ 0xffU) * gaugecart::kFnvPrime;  // Between parts.
   };
   add(owner);
   add(s.list);
--- a/src/tier/batch/partition.h
+++ b/src/tier/batch/partition.h
@@ -7,17 +7,13 @@
 #include <cstdint>
 #include <string_view>
 
+#include "mix.h"
+
 namespace shelflink::batch {
 
 // FNV-1a of 64 bits with a last mixing step; the same on every machine and in every version.
 constexpr std::uint64_t StableHash(std::string_view text) {
-  constexpr std::uint64_t kOffsetBasis = 14695981039346656037ULL;
-  constexpr std::uint64_t kPrime = 1099511628211ULL;
-  std::uint64_t hash = kOffsetBasis;
-  for (const char character : text) {
-    hash ^= static_cast<unsigned char>(character);
-    hash *= kPrime;
-  }
+  std::uint64_t hash = gaugecart::Fnv1a(text);
   hash ^= hash >> 32U;
   hash *= 0xd6e8feb86659fd93ULL;
   hash ^= hash >> 32U;
--- a/src/tier/policy/subset.cpp
+++ b/src/tier/policy/subset.cpp
@@ -16,11 +16,7 @@
 
 }  // namespace
 
-std::uint64_t HashOf(const std::string& text) {
-  std::uint64_t hash = 0xcbf29ce484222325ULL;  // FNV-1a
-  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-  return gaugecart::Mix(hash);
-}
+std::uint64_t HashOf(const std::string& text) { return gaugecart::Mix(gaugecart::Fnv1a(text)); }
 
 std::uint64_t RendezvousScore(std::uint64_t prefix, std::uint64_t endpoint_hash) {
   return gaugecart::Mix(gaugecart::Mix(prefix) ^ endpoint_hash);
--- a/src/tier/storage/lmdb_storage.cpp
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <system_error>
 
+#include "mix.h"
 #include "tier/foundation/log.h"
 
 namespace shelflink::storage {
@@ -36,19 +37,9 @@
          code == MDB_BAD_TXN;
 }
 
-constexpr std::uint64_t kHashStart = 0xcbf29ce484222325;
-constexpr std::uint64_t kHashPrime = 0x100000001b3;
-
-// FNV-1a; it guards against damage, not against people.
-std::uint64_t Hash(std::uint64_t hash, std::string_view bytes) {
-  for (const char byte : bytes) {
-    hash = (hash ^ static_cast<unsigned char>(byte)) * kHashPrime;
-  }
-  return hash;
-}
-
+// It guards against damage, not against people.
 std::uint64_t Checksum(std::string_view key, std::string_view value) {
-  return Hash(Hash(kHashStart, key) * kHashPrime, value);
+  return gaugecart::Fnv1a(value, gaugecart::Fnv1a(key) * gaugecart::kFnvPrime);
 }
 
 MDB_val ToVal(std::string_view bytes) {
