Witness: one check for promise and vote

Cause: the same three refusals stood twice. Change: Witness::MayFollow; the mutant that accepts lower ballots has its text there and is still found. Run with sanitizers: replica, hard cases, that mutant pass; explorer not run anew.

--- a/src/tier/coordination/witness.cpp
+++ b/src/tier/coordination/witness.cpp
@@ -47,20 +47,26 @@
   return std::max(granted_until_ - now, net::Span::zero());
 }
 
-PrepareReply Witness::OnPrepare(Step& step, const Prepare& request) {
-  PrepareReply reply;
-  reply.number = request.base.number + 1;
-  reply.ballot = request.ballot;
-  if (request.base.number != state_.record.number || !MayVote()) return reply;
-  const net::Span left = LeaseAgainst(step.now, request.ballot);
+template <typename Request, typename Reply>
+bool Witness::MayFollow(net::Time now, const Request& request, Reply& reply) const {
+  if (request.base.number != state_.record.number || !MayVote()) return false;
+  const net::Span left = LeaseAgainst(now, request.ballot);
   if (left > net::Span::zero()) {
     reply.lease_left_ms = CeilMilliseconds(left);
-    return reply;
+    return false;
   }
   if (request.ballot < state_.promised) {
     reply.blocking = state_.promised;
-    return reply;
+    return false;
   }
+  return true;
+}
+
+PrepareReply Witness::OnPrepare(Step& step, const Prepare& request) {
+  PrepareReply reply;
+  reply.number = request.base.number + 1;
+  reply.ballot = request.ballot;
+  if (!MayFollow(step.now, request, reply)) return reply;
   if (request.ballot > state_.promised) {
     state_.promised = request.ballot;
     Store(step);
@@ -75,16 +81,7 @@
   AcceptReply reply;
   reply.number = request.base.number + 1;
   reply.ballot = request.ballot;
-  if (request.base.number != state_.record.number || !MayVote()) return reply;
-  const net::Span left = LeaseAgainst(step.now, request.ballot);
-  if (left > net::Span::zero()) {
-    reply.lease_left_ms = CeilMilliseconds(left);
-    return reply;
-  }
-  if (request.ballot < state_.promised) {
-    reply.blocking = state_.promised;
-    return reply;
-  }
+  if (!MayFollow(step.now, request, reply)) return reply;
   if (request.ballot != state_.accepted) {
     state_.promised = request.ballot;
     state_.accepted = request.ballot;
--- a/src/tier/coordination/witness.h
+++ b/src/tier/coordination/witness.h
@@ -58,6 +58,10 @@
   void Store(Step& step);
   void Load(const storage::Storage& storage);
   bool MayVote() const;
+  // Whether this witness may promise or accept: it knows that record, no lease forbids it and no
+  // higher ballot has its promise. Where not, the reply tells which of the last two it was.
+  template <typename Request, typename Reply>
+  bool MayFollow(net::Time now, const Request& request, Reply& reply) const;
   // Left of a lease that forbids to help this proposer.
   net::Span LeaseAgainst(net::Time now, const Ballot& ballot) const;
 
--- a/tests/tier/coordination/mutants.cmake
+++ b/tests/tier/coordination/mutants.cmake
@@ -31,11 +31,11 @@
 coordination_mutant(lease_after_an_accepted_vote witness.cpp
   [=[  if (state_.value && state_.value->primary != primary) return false;]=] "")
 coordination_mutant(lower_ballots_are_accepted witness.cpp
-  [=[  if (request.ballot < state_.promised) {
-    reply.blocking = state_.promised;
-    return reply;
-  }
-  if (request.ballot != state_.accepted) {]=] [=[  if (request.ballot != state_.accepted) {]=])
+  [=[  if (!MayFollow(step.now, request, reply)) return reply;
+  if (request.ballot != state_.accepted) {]=]
+  [=[  if (!MayFollow(step.now, request, reply) && reply.blocking == Ballot()) return reply;
+  reply.blocking = {};
+  if (request.ballot != state_.accepted) {]=])
 coordination_mutant(earlier_proposals_are_ignored proposer.cpp
   [=[value_ = found_ ? *found_ : own;]=] [=[value_ = own;]=])
 coordination_mutant(one_vote_decides proposer.cpp
