Policy: a prompt's length and endpoints' hashes worked out once

Cause: each member looked at for a call computed the length anew, and each list's ids were hashed twice.

--- a/src/tier/policy/long_prompts.cpp
+++ b/src/tier/policy/long_prompts.cpp
@@ -31,7 +31,8 @@
   return reading_micros >= kLongPart * objective_micros;
 }
 
-void LongPrompts::Note(double reading_micros, bool is_long) {
+void LongPrompts::Note(double reading_micros, double objective_micros) {
+  const bool is_long = IsLong(reading_micros, objective_micros);
   all_reading_ = kKept * all_reading_ + reading_micros;
   long_reading_ = kKept * long_reading_ + (is_long ? reading_micros : 0.0);
   ++noted_;
--- a/src/tier/policy/long_prompts.h
+++ b/src/tier/policy/long_prompts.h
@@ -18,7 +18,7 @@
   // A prompt is long if reading it takes this part of the objective or more.
   static bool IsLong(double reading_micros, double objective_micros);
   // A call has been sent whose prompt takes so long to read.
-  void Note(double reading_micros, bool is_long);
+  void Note(double reading_micros, double objective_micros);
   // Whether long prompts are kept apart at all.
   bool separates() const { return count_ > 0; }
   // Whether the endpoint is one of those for long prompts.
--- a/src/tier/policy/module.cpp
+++ b/src/tier/policy/module.cpp
@@ -87,8 +87,8 @@
     for (const EndpointInfo& endpoint : info.endpoints) service.slots += endpoint.slots;
     service.subset.SetEndpoints(info.endpoints);
     std::vector<std::uint64_t> serving;
-    for (const EndpointInfo& endpoint : info.endpoints) {
-      if (!endpoint.draining) serving.push_back(HashOf(endpoint.id));
+    for (std::size_t i = 0; i < info.endpoints.size(); ++i) {
+      if (!info.endpoints[i].draining) serving.push_back(service.subset.hashes()[i]);
     }
     service.facts.long_prompts.SetEndpoints(std::move(serving));
     UpdateTouched(service, info.endpoints);
@@ -391,9 +391,8 @@
     levels_.Start(call.level);
     ++service.in_flight;
     if (held.sends == 0 && !call.batch && service.facts.first_event.Known()) {
-      const double reading = Picker::OwnReading(call, service.facts);
-      service.facts.long_prompts.Note(
-          reading, LongPrompts::IsLong(reading, static_cast<double>(ObjectiveOf(call))));
+      service.facts.long_prompts.Note(Picker::OwnReading(call, service.facts),
+                                      static_cast<double>(ObjectiveOf(call)));
     }
     ++held.sends;
     service.subset.NoteInFlight(now_, service.in_flight, PrefixOf(call));
--- a/src/tier/policy/picker.cpp
+++ b/src/tier/policy/picker.cpp
@@ -83,12 +83,16 @@
          static_cast<double>(call.prompt_tokens - SharedTokens(call));
 }
 
-bool Picker::IsMixed(const Call& call, const Endpoint& endpoint, const ServiceFacts& facts) {
+Picker::Length Picker::LengthOf(const Call& call, const ServiceFacts& facts) {
   // What runs without an objective to its events harms nobody by its size, nor is harmed.
-  if (call.batch || !facts.long_prompts.separates()) return false;
-  const bool is_long =
-      LongPrompts::IsLong(OwnReading(call, facts), static_cast<double>(ObjectiveOf(call)));
-  return is_long != facts.long_prompts.Holds(endpoint.hash());
+  if (call.batch || !facts.long_prompts.separates()) return Length::kAny;
+  const auto objective = static_cast<double>(ObjectiveOf(call));
+  return LongPrompts::IsLong(OwnReading(call, facts), objective) ? Length::kLong : Length::kShort;
+}
+
+bool Picker::IsMixed(Length length, const Endpoint& endpoint, const ServiceFacts& facts) {
+  if (length == Length::kAny) return false;
+  return (length == Length::kLong) != facts.long_prompts.Holds(endpoint.hash());
 }
 
 Choice Picker::Pick(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
@@ -96,7 +100,8 @@
   if (members.empty()) return {};
   const double most_load = MostLoad(held);
   bool crowded = false;
-  const Endpoint* owner = OwnerOf(now, held.call, members, facts);
+  const Length length = LengthOf(held.call, facts);
+  const Endpoint* owner = OwnerOf(now, held.call, members, facts, length);
   Endpoint* best = nullptr;
   std::pair<Standing, double> best_cost;
   const auto consider = [&](Endpoint* endpoint) {
@@ -106,7 +111,7 @@
       return;
     }
     const std::pair cost{StandingOf(now, held, *endpoint),
-                         Cost(now, held.call, *endpoint, endpoint == owner, facts)};
+                         Cost(now, held.call, *endpoint, endpoint == owner, facts, length)};
     if (best != nullptr && cost >= best_cost) return;
     best = endpoint;
     best_cost = cost;
@@ -132,7 +137,7 @@
 }
 
 const Endpoint* Picker::OwnerOf(Micros now, const Call& call, const std::vector<Endpoint*>& members,
-                                const ServiceFacts& facts) const {
+                                const ServiceFacts& facts, Length length) const {
   const std::optional<std::uint64_t> prefix = PrefixOf(call);
   if (!prefix || Mutated(Mutant::kIgnorePrefix)) return nullptr;
   const Endpoint* owner = nullptr;
@@ -141,7 +146,7 @@
     const std::uint64_t score = RendezvousScore(*prefix, endpoint->hash());
     if (owner != nullptr && score < best) continue;
     if (!endpoint->Usable(now) || endpoint->health().ejected() || endpoint->Silent(now)) continue;
-    if (IsMixed(call, *endpoint, facts)) continue;
+    if (IsMixed(length, *endpoint, facts)) continue;
     owner = endpoint;
     best = score;
   }
@@ -157,7 +162,7 @@
 }
 
 double Picker::Cost(Micros now, const Call& call, const Endpoint& endpoint, bool owner,
-                    const ServiceFacts& facts) const {
+                    const ServiceFacts& facts, Length length) const {
   const auto objective = static_cast<double>(ObjectiveOf(call));
   const auto to_read = static_cast<double>(ReadTokens(call, endpoint));
   const auto own_part = static_cast<double>(call.prompt_tokens - SharedTokens(call));
@@ -181,7 +186,7 @@
     burden += kConnectionCost;
   }
   if (!zone_.empty() && endpoint.info().zone != zone_) burden += kFarCost;
-  if (IsMixed(call, endpoint, facts)) {
+  if (IsMixed(length, endpoint, facts)) {
     burden += facts.long_prompts.Holds(endpoint.hash()) ? kShortCost : kMixedCost;
   }
   const double failures = (call.repeatable ? kBold : kWary) * endpoint.health().failure_rate();
--- a/src/tier/policy/picker.h
+++ b/src/tier/policy/picker.h
@@ -52,13 +52,16 @@
   // The lower, the better, before any cost counts.
   enum class Standing { kSound, kResting, kTried, kSilent, kEjected };
   static Standing StandingOf(Micros now, const HeldCall& held, const Endpoint& endpoint);
+  // Of a call's prompt, where that matters for the endpoint.
+  enum class Length { kAny, kShort, kLong };
+  static Length LengthOf(const Call& call, const ServiceFacts& facts);
   const Endpoint* OwnerOf(Micros now, const Call& call, const std::vector<Endpoint*>& members,
-                          const ServiceFacts& facts) const;
+                          const ServiceFacts& facts, Length length) const;
   // Whether it is one of the endpoints that are for long prompts where the call's is short, or the
   // other way round.
-  static bool IsMixed(const Call& call, const Endpoint& endpoint, const ServiceFacts& facts);
+  static bool IsMixed(Length length, const Endpoint& endpoint, const ServiceFacts& facts);
   double Cost(Micros now, const Call& call, const Endpoint& endpoint, bool owner,
-              const ServiceFacts& facts) const;
+              const ServiceFacts& facts, Length length) const;
 
   std::string zone_;
   std::size_t cursor_ = 0;
--- a/src/tier/policy/subset.h
+++ b/src/tier/policy/subset.h
@@ -32,6 +32,8 @@
   void SetNode(const std::string& node, const std::string& zone);
   void SetEndpoints(const std::vector<EndpointInfo>& endpoints);
   const std::vector<EndpointInfo>& endpoints() const { return endpoints_; }
+  // Of those endpoints' ids, in the same order.
+  const std::vector<std::uint64_t>& hashes() const { return hashes_; }
 
   // Members in the order in which they joined.
   const std::vector<Endpoint*>& Members(Micros now);
--- a/tests/tier/policy/long_prompts_test.cpp
+++ b/tests/tier/policy/long_prompts_test.cpp
@@ -24,8 +24,7 @@
 // Calls of which one in `each` has a long prompt.
 void NoteCalls(LongPrompts& prompts, int calls, int each) {
   for (int i = 0; i < calls; ++i) {
-    const double reading = each > 0 && i % each == 0 ? kLong : kShort;
-    prompts.Note(reading, LongPrompts::IsLong(reading, kObjective));
+    prompts.Note(each > 0 && i % each == 0 ? kLong : kShort, kObjective);
   }
 }
 
