Nothing is handed on before its head is whole

Cause: Client::Parse went past the wait for the rest where no byte of a body may be held (the listener of /ready has a bound of 0), and took the value of a head that had not come: a GET in two parts ended the process with 139. Change: the head is waited for whatever the bound. Test: a /ready check cut at every byte.

--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -212,6 +212,8 @@
   Came();
   if (!parser_) StartParser();
   if (!Take()) return;
+  // Nothing is handed on before its head is whole, however little of a body may be held.
+  if (!head_) return Await();
   const std::string& body = parser_->get().body();
   HoldsBody(body.size());
   if (!parser_->is_done() && body.size() < server_.most_body_()) return Await();
--- a/tests/tier/proxy/program_test.cpp
+++ b/tests/tier/proxy/program_test.cpp
@@ -93,6 +93,22 @@
   BOOST_TEST(answer.body == "the bytes");
 }
 
+// The listener of /ready holds no body at all; a head that comes in parts is waited for there too.
+BOOST_AUTO_TEST_CASE(a_readiness_check_in_two_parts_is_answered) {
+  Tier tier;
+  tier.Begin();
+  const std::string check = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+  for (std::size_t cut = 1; cut < check.size(); ++cut) {
+    Client client(tier.outside, net::Address::V4(kHost, 8687));
+    client.Send(check.substr(0, cut));
+    tier.rig.Run(milliseconds(500));
+    client.Send(check.substr(cut));
+    tier.rig.Run(milliseconds(100));
+    BOOST_TEST(client.Answer().Status() == 200);
+    client.Leave();
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_drain_on_the_platforms_list_binds) {
   Tier tier;
   tier.Begin();
