Operator API: no refusal from a process that cannot know; orders remembered by thousands

Cause: an order older than the last 1024 was refused with 412 though it had been taken; a primary just elected answered 404 or 409 to retirements before it had heard of every store; 413 followed the configuration that a member happened to have; a forwarded order that could not be read came back as 400; a primary whose lease lapsed for a moment numbered the parts of its view anew, so that proxies took none for as long as the old count was higher. Change: 8192 digests and a mark for what was forgotten (then no clear answer); 503 while the primary is new; one limit for bodies; kUnavailable for what cannot be read; parts of one epoch counted on. One-way cuts in the virtual network. Mutants of any folder: tests/tier/ mutants.cmake.

--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -136,9 +136,11 @@
   void StartLeading(std::uint64_t the_epoch) {
     log::Info(kModule, "primary of epoch " + std::to_string(the_epoch));
     leading = true;
+    // Its lease may have lapsed for a moment: parts of one epoch are counted on, or none would be
+    // newer than those that are out.
+    if (the_epoch != epoch) count = 0;
     epoch = the_epoch;
     led_since = loop.Now();
-    count = 0;
     members.Clear();
     tree.Clear();
     clock.Clear();
@@ -421,8 +423,12 @@
     const std::vector<StoreCandidate> stores = keeper.Candidates(committed);
     const bool known = std::any_of(stores.begin(), stores.end(),
                                    [&](const StoreCandidate& store) { return store.node == node; });
+    const bool enough_left = MayRetire(stores, node, keeper.rules());
+    if ((!known || !enough_left) && keeper.Patient()) {
+      return MakeError(ErrorCode::kUnavailable, "the stores have not all been heard of yet");
+    }
     if (!known) return MakeError(ErrorCode::kNotFound, "no store of that name is known");
-    if (!MayRetire(stores, node, keeper.rules())) {
+    if (!enough_left) {
       return MakeError(ErrorCode::kConflict, "too few stores would be left");
     }
     return Writes{{RetireKey(node), EncodeNumber(1)}};
--- a/src/tier/cluster/placement_keeper.h
+++ b/src/tier/cluster/placement_keeper.h
@@ -40,6 +40,8 @@
   // All stores known, as of now.
   std::vector<StoreCandidate> Candidates(const coordination::Contents& contents) const;
   const PlacementRules& rules() const { return rules_; }
+  // This primary is so new that it may not have heard of every store yet.
+  bool Patient() const { return loop_.Now() < started_ + patience_; }
 
  private:
   struct WaitingReport {
@@ -53,7 +55,6 @@
     std::vector<coordination::Write> writes;
   };
 
-  bool Patient() const { return loop_.Now() < started_ + patience_; }
   std::vector<coordination::Write> MakeWrites(const coordination::Contents& contents);
   void TakeReports(Proposal& proposal);
   Result<void> TakeReport(Proposal& proposal, const BackupReport& report);
--- a/src/tier/configuration/book.cpp
+++ b/src/tier/configuration/book.cpp
@@ -45,7 +45,13 @@
   return found != committed.end() && found->second == digest;
 }
 
-// The removals that leave room for one more order.
+std::uint64_t NumberIn(std::string_view digits) {
+  std::uint64_t number = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), number);
+  return number;
+}
+
+// The removals that leave room for one more order, and the mark that they leave behind.
 std::vector<Write> ForgetOldOrders(const Contents& committed) {
   const auto first = committed.lower_bound(kTakenPrefix);
   auto last = first;
@@ -55,13 +61,24 @@
     ++remembered;
   }
   std::vector<Write> writes;
+  std::uint64_t forgotten = 0;
   for (auto entry = first; entry != last && remembered >= kOrdersRemembered; ++entry) {
+    forgotten = NumberIn(std::string_view(entry->first).substr(kTakenPrefix.size()));
     writes.push_back({entry->first, std::nullopt});
     --remembered;
   }
+  if (forgotten > 0) writes.push_back({std::string(kForgottenKey), std::to_string(forgotten)});
   return writes;
 }
 
+// Its digest may be among those that were forgotten. An order is only ever taken under a version
+// above its base.
+bool MayBeForgotten(const Contents& committed, const ChangeOrder& order, std::uint64_t version) {
+  const auto forgotten = committed.find(kForgottenKey);
+  return forgotten != committed.end() && version <= NumberIn(forgotten->second) &&
+         version > order.base_version;
+}
+
 Error Invalid(const Findings& findings) { return {ErrorCode::kInvalid, TextOf(findings)}; }
 
 std::vector<Write> WritesOf(const Contents& committed, std::uint64_t version, std::string document,
@@ -80,8 +97,7 @@
   const auto document = committed.find(kDocumentKey);
   if (version == committed.end() || document == committed.end()) return std::nullopt;
   StoredConfiguration current;
-  const std::string& digits = version->second;
-  std::from_chars(digits.data(), digits.data() + digits.size(), current.version);
+  current.version = NumberIn(version->second);
   current.document = document->second;
   return current;
 }
@@ -94,6 +110,10 @@
   if (!version) return Invalid(findings);
   std::string digest = DigestOf(order);
   if (WasTaken(committed, *version, digest)) return std::vector<Write>{};
+  if (MayBeForgotten(committed, order, *version)) {
+    return MakeError(ErrorCode::kUnknown, "so old an order may have been taken: version " +
+                                              std::to_string(current.version) + " is in force");
+  }
   if (order.base_version != current.version) {
     return MakeError(ErrorCode::kConflict,
                      "version " + std::to_string(current.version) + " is in force");
--- a/src/tier/configuration/book.h
+++ b/src/tier/configuration/book.h
@@ -3,7 +3,9 @@
 //
 // The map holds the document in force as the operator sent it, its version, and for the last
 // kOrdersRemembered orders taken a digest each, so that an order whose acknowledgement was lost is
-// acknowledged again when it is repeated, also after later changes.
+// acknowledged again when it is repeated, also after later changes. Of orders older than these only
+// the highest version is kept: whether one of them was taken is no longer known, so it gets no
+// clear answer rather than a refusal.
 #ifndef SHELFLINK_TIER_CONFIGURATION_BOOK_H_
 #define SHELFLINK_TIER_CONFIGURATION_BOOK_H_
 
@@ -22,8 +24,9 @@
 constexpr std::string_view kKeyPrefix = "config/";
 constexpr std::string_view kDocumentKey = "config/document";
 constexpr std::string_view kVersionKey = "config/version";
-constexpr std::string_view kTakenPrefix = "config/taken/";  // Then the version, 20 digits.
-constexpr std::size_t kOrdersRemembered = 1024;
+constexpr std::string_view kTakenPrefix = "config/taken/";      // Then the version, 20 digits.
+constexpr std::string_view kForgottenKey = "config/forgotten";  // Highest version without digest.
+constexpr std::size_t kOrdersRemembered = 8192;                 // About 1 MB in the map.
 
 enum class ChangeMethod : std::uint8_t {
   kPut,    // A whole configuration.
@@ -37,7 +40,8 @@
 };
 
 // The writes that take the order. None: it has been taken before and is acknowledged again.
-// Errors: kInvalid (every finding in its text), kConflict (another version is in force).
+// Errors: kInvalid (every finding in its text), kConflict (another version is in force and this
+// order was never taken), kUnknown (it may have been taken so long ago that its digest is gone).
 Result<std::vector<coordination::Write>> PlanChange(const coordination::Contents& committed,
                                                     const ChangeOrder& order);
 
--- a/src/tier/operator_api/forwarder.cpp
+++ b/src/tier/operator_api/forwarder.cpp
@@ -121,7 +121,8 @@
   void OnTimer(const PendingPtr& pending);
   void GiveUp(const PendingPtr& pending);
   void Finish(const PendingPtr& pending, Result<Answer> answer);
-  void OnForwarded(std::string_view message, transport::Hub::Reply reply);
+  void OnForwarded(const transport::PeerIdentity& from, std::string_view message,
+                   const transport::Hub::Reply& reply);
 
   net::Loop& loop;
   transport::Hub& hub;
@@ -234,10 +235,12 @@
 }
 
 // An order that another core process received. It is not sent on: whoever sent it looks again.
-void Forwarder::Impl::OnForwarded(std::string_view message, transport::Hub::Reply reply) {
-  const std::optional<Order> order = DecodeOrder(message);
+// What cannot be read here was read there, so it is no reason to refuse the operator's order.
+void Forwarder::Impl::OnForwarded(const transport::PeerIdentity& from, std::string_view message,
+                                  const transport::Hub::Reply& reply) {
+  const std::optional<Order> order = from.role == "core" ? DecodeOrder(message) : std::nullopt;
   if (!order) {
-    reply(MakeError(ErrorCode::kInvalid, "the forwarded order cannot be read"));
+    reply(MakeError(ErrorCode::kUnavailable, "the forwarded order cannot be read"));
     return;
   }
   if (!service.is_primary()) {
@@ -249,25 +252,25 @@
     reply(MakeError(ErrorCode::kExhausted, "too many orders under way"));
     return;
   }
-  std::visit(Dispatch(service,
-                      [weak_self = std::weak_ptr(self), reply = std::move(reply),
-                       number = *number](Result<Answer> outcome) {
-                        if (const auto alive = weak_self.lock()) (*alive)->forwarded.End(number);
-                        if (!outcome) return reply(outcome.error());
-                        reply(EncodeAnswer(outcome.value()));
-                      }),
-             *order);
+  std::visit(
+      Dispatch(service,
+               [weak_self = std::weak_ptr(self), reply, number = *number](Result<Answer> outcome) {
+                 if (const auto alive = weak_self.lock()) (*alive)->forwarded.End(number);
+                 if (!outcome) return reply(outcome.error());
+                 reply(EncodeAnswer(outcome.value()));
+               }),
+      *order);
 }
 
 Forwarder::Forwarder(net::Loop& loop, transport::Hub& hub, OperatorService& service,
                      Options options)
     : impl_(std::make_unique<Impl>(loop, hub, service, options)) {
   hub.HandleCall(kOrderCall, [weak_self = std::weak_ptr(impl_->self)](
-                                 const transport::PeerIdentity&, std::string_view body,
-                                 transport::Hub::Reply reply) {
+                                 const transport::PeerIdentity& from, std::string_view body,
+                                 const transport::Hub::Reply& reply) {
     const auto alive = weak_self.lock();
     if (!alive) return reply(MakeError(ErrorCode::kUnavailable, "this process is ending"));
-    (*alive)->OnForwarded(body, std::move(reply));
+    (*alive)->OnForwarded(from, body, reply);
   });
 }
 
--- a/src/tier/operator_api/messages.cpp
+++ b/src/tier/operator_api/messages.cpp
@@ -107,7 +107,7 @@
   cbor::Reader reader(message);
   if (reader.Array() == 0) return std::nullopt;
   std::optional<Order> order = ReadOrder(reader);
-  return reader.ok() ? std::move(order) : std::nullopt;
+  return reader.ok() && reader.AtEnd() ? std::move(order) : std::nullopt;
 }
 
 std::string EncodeAnswer(const Answer& answer) {
@@ -120,7 +120,7 @@
   cbor::Reader reader(message);
   if (reader.Array() == 0) return std::nullopt;
   std::optional<Answer> answer = ReadAnswer(reader);
-  return reader.ok() ? std::move(answer) : std::nullopt;
+  return reader.ok() && reader.AtEnd() ? std::move(answer) : std::nullopt;
 }
 
 }  // namespace shelflink::operator_api
--- a/src/tier/operator_api/server.cpp
+++ b/src/tier/operator_api/server.cpp
@@ -17,8 +17,6 @@
 namespace {
 
 constexpr std::string_view kLogName = "operator";
-constexpr std::size_t kMostBodyLimit = 32U
-                                       << 20;  // What one frame between processes holds, and more.
 // A body beyond the limit is read and dropped, up to so many times the limit: an answer that meets
 // unread bytes would be lost by a reset.
 constexpr std::size_t kDrainFactor = 4;
@@ -70,10 +68,6 @@
   return length.find_first_not_of("0123456789, ") != std::string_view::npos;
 }
 
-std::size_t BodyLimit(const configuration::ClientLimits& limits) {
-  return std::clamp(limits.max_body_bytes, kLeastBodyLimit, kMostBodyLimit);
-}
-
 // What of an order decides how its answer reads.
 Order WithoutBody(const Order& order) {
   if (const auto* change = std::get_if<configuration::ChangeOrder>(&order)) {
@@ -311,7 +305,7 @@
     return;
   }
   const goffset length = soup_message_headers_get_content_length(headers);
-  if (static_cast<std::size_t>(std::max<goffset>(length, 0)) > BodyLimit(limits)) {
+  if (static_cast<std::size_t>(std::max<goffset>(length, 0)) > kBodyLimit) {
     RefuseLate(message, ErrorAnswer(status::kPayloadTooLarge, "the body is too large"));
   }
 }
@@ -320,15 +314,14 @@
   Connection* connection = ConnectionOf(message);
   if (connection == nullptr) return;
   connection->body_bytes += bytes;
-  const std::size_t limit = BodyLimit(limits);
-  if (connection->body_bytes > limit * kDrainFactor) {
+  if (connection->body_bytes > kBodyLimit * kDrainFactor) {
     Shut(messages.at(message));
     return;
   }
   if (soup_server_message_get_status(message) != 0) return;  // Refused: dropped as it comes.
   connection->bytes_held += bytes;
   bytes_held += bytes;
-  if (connection->body_bytes > limit) {
+  if (connection->body_bytes > kBodyLimit) {
     RefuseLate(message, ErrorAnswer(status::kPayloadTooLarge, "the body is too large"));
   } else if (bytes_held > kMostBytesHeld) {
     RefuseLate(message, BusyAnswer());
--- a/src/tier/operator_api/server.h
+++ b/src/tier/operator_api/server.h
@@ -3,8 +3,8 @@
 // configurations themselves.
 //
 // Limits: kMostOrders under way and kMostBytesHeld of bodies, beyond which 503 with Retry-After;
-// kMostConnections open; a body
-// of the configured size, beyond which 413; slow senders are closed after the configured times.
+// kMostConnections open; a body of kBodyLimit, beyond which 413; slow senders are closed after the
+// configured times.
 #ifndef SHELFLINK_TIER_OPERATOR_API_SERVER_H_
 #define SHELFLINK_TIER_OPERATOR_API_SERVER_H_
 
@@ -23,7 +23,9 @@
 constexpr std::size_t kMostOrders = 16;  // The operator has eight under way at most.
 constexpr std::size_t kMostConnections = 256;
 constexpr std::size_t kMostBytesHeld = 40U << 20;  // Of all bodies; beyond it 503 with Retry-After.
-constexpr std::size_t kLeastBodyLimit = 8U << 20;
+// The same at every process, whatever configuration it has: a refusal must not depend on state that
+// may be old.
+constexpr std::size_t kBodyLimit = 16U << 20;
 
 class Server {
  public:
@@ -39,7 +41,7 @@
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
-  // Of the configuration in force. A body may always have kLeastBodyLimit bytes.
+  // Of the newest configuration here: how long connections may be slow or idle.
   void SetLimits(const configuration::ClientLimits& limits);
   // Takes no more connections; orders under way are answered.
   void StopListening();
--- a/tests/net/virtual_test.cpp
+++ b/tests/net/virtual_test.cpp
@@ -147,6 +147,32 @@
   EXPECT_EQ(server.got, "held");
 }
 
+TEST_F(VirtualTest, AOneWayCutHoldsUpOneDirectionOnly) {
+  Connect();
+  net.SetOneWayCut(kHere, kThere, true);
+  client.stream->Write("held");
+  server.stream->Write("passes");
+  Run(std::chrono::seconds(5));
+  EXPECT_EQ(server.got, "");
+  EXPECT_EQ(client.got, "passes");
+  net.SetOneWayCut(kHere, kThere, false);
+  Run(milliseconds(10));
+  EXPECT_EQ(server.got, "held");
+}
+
+TEST_F(VirtualTest, NoConnectionComesUpOverAOneWayCut) {
+  for (const bool back : {false, true}) {
+    client.answers = 0;
+    net.SetOneWayCut(back ? kThere : kHere, back ? kHere : kThere, true);
+    Connect();
+    Run(std::chrono::seconds(5));
+    EXPECT_EQ(client.answers, 0);
+    net.SetOneWayCut(back ? kThere : kHere, back ? kHere : kThere, false);
+    Run(milliseconds(10));
+    EXPECT_EQ(client.answers, 1);
+  }
+}
+
 TEST_F(VirtualTest, AProcessThatDiesResetsItsConnectionsAndRunsNoMore) {
   Connect();
   bool fired = false;
--- a/tests/tier/cluster/core_service_test.cpp
+++ b/tests/tier/cluster/core_service_test.cpp
@@ -258,6 +258,22 @@
   BOOST_TEST((Retire(rig, "store-2")->error().code == ErrorCode::kConflict));
 }
 
+// 404 and 409 are refusals: a primary that has not had the time to hear of every store gives none.
+BOOST_AUTO_TEST_CASE(a_new_primary_refuses_no_retirement_before_it_knows) {
+  Rig rig(3, 1, 3);
+  rig.Start();
+  BOOST_REQUIRE(Settles(rig, 2, seconds(5)));
+  BOOST_REQUIRE(Retire(rig, "store-1")->has_value());
+  rig.Elect(2);
+  BOOST_TEST((Retire(rig, "store-77")->error().code == ErrorCode::kUnavailable));
+  BOOST_TEST((Retire(rig, "store-2")->error().code == ErrorCode::kUnavailable));
+  BOOST_TEST(Retire(rig, "store-1")->has_value());
+  rig.Run(seconds(3));
+  BOOST_TEST((Retire(rig, "store-77")->error().code == ErrorCode::kNotFound));
+  BOOST_TEST((Retire(rig, "store-2")->error().code == ErrorCode::kConflict));
+  BOOST_TEST(Retire(rig, "store-1")->has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_is_read_back_as_it_was_sent) {
   Rig rig;
   rig.Start();
@@ -277,6 +293,38 @@
   BOOST_TEST(rig.Put(4, 0).has_value());
 }
 
+// A lease can lapse and be renewed without another primary in between: the epoch is the same.
+BOOST_AUTO_TEST_CASE(a_lease_that_lapsed_for_a_moment_holds_up_no_part_of_the_view) {
+  Rig rig(3, 2);
+  const auto set_endpoints = [&](int round) {
+    rig.platform.list = {{"i-" + std::to_string(round), "big", net::Address::V4(0x0a640001, 80),
+                          "zone-0", 8, false, milliseconds(0)}};
+  };
+  const auto all_have = [&](int round) {
+    return std::all_of(rig.proxies.begin(), rig.proxies.end(), [&](const auto& proxy) {
+      const auto& endpoints = proxy->agent().view().endpoints;
+      return endpoints && endpoints->entries[0].id == "i-" + std::to_string(round);
+    });
+  };
+  int round = 0;
+  set_endpoints(round);
+  rig.Start();
+  for (; round < 8; ++round) {
+    set_endpoints(round);
+    BOOST_REQUIRE(rig.RunUntil([&] { return all_have(round); }, seconds(3)));
+  }
+  MemoryReplicator* const primary = std::exchange(rig.map.primary, nullptr);
+  primary->TellRole(false);
+  rig.Run(milliseconds(300));
+  rig.map.primary = primary;
+  primary->TellRole(true);
+  for (; round < 12; ++round) {
+    set_endpoints(round);
+    BOOST_TEST(rig.RunUntil([&] { return all_have(round); }, seconds(3)));
+  }
+  for (const auto& proxy : rig.proxies) BOOST_TEST(!proxy->stepped_back);
+}
+
 BOOST_AUTO_TEST_CASE(a_process_that_is_not_the_primary_changes_nothing) {
   Rig rig;
   rig.Start();
--- /dev/null
+++ b/tests/tier/mutants.cmake
@@ -0,0 +1,41 @@
+# Mutants: a source file of the tier with one text replaced, built into a test that must then fail.
+
+# tier_mutated_source(out name file text replacement): writes src/tier/`file` with its one `text`
+# replaced and sets `out` to the path of the result. A text that does not stand in the file exactly
+# once is an error, so that no mutant is the program itself.
+function(tier_mutated_source out name file text replacement)
+  set(source ${PROJECT_SOURCE_DIR}/src/tier/${file})
+  get_filename_component(leaf ${file} NAME)
+  set(mutated ${CMAKE_CURRENT_BINARY_DIR}/mutants/${name}/${leaf})
+  file(READ ${source} whole)
+  string(FIND "${whole}" "${text}" first)
+  string(FIND "${whole}" "${text}" last REVERSE)
+  if(first EQUAL -1 OR NOT first EQUAL last)
+    message(FATAL_ERROR "mutant ${name}: its text stands not exactly once in ${file}")
+  endif()
+  string(REPLACE "${text}" "${replacement}" whole "${whole}")
+  file(CONFIGURE OUTPUT ${mutated} CONTENT "${whole}" @ONLY)
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${source})
+  set(${out} ${mutated} PARENT_SCOPE)
+endfunction()
+
+# tier_mutant(name file text replacement TEST folder/test RUN filter LIBRARIES ...): the mutated
+# file in place of the library's, linked into that Boost.Test program. Its test passes only if
+# Boost.Test counts a failure in the test cases that `filter` names: a crash, a report of a
+# sanitizer or a filter that names nothing does not count as found.
+function(tier_mutant name file text replacement)
+  cmake_parse_arguments(mutant "" "TEST;RUN" "LIBRARIES" ${ARGN})
+  tier_mutated_source(mutated ${name} ${file} "${text}" "${replacement}")
+  add_executable(tier_mutant_${name} ${PROJECT_SOURCE_DIR}/tests/tier/${mutant_TEST}.cpp ${mutated})
+  target_include_directories(tier_mutant_${name} PRIVATE ${PROJECT_SOURCE_DIR}/tests/tier
+    ${PROJECT_SOURCE_DIR}/src)
+  target_compile_definitions(tier_mutant_${name} PRIVATE BOOST_TEST_DYN_LINK)
+  target_link_libraries(tier_mutant_${name} PRIVATE ${mutant_LIBRARIES} Boost::unit_test_framework
+    gaugecart_warnings)
+  target_compile_options(tier_mutant_${name} PRIVATE -Wno-unused-parameter -Wno-unused-variable
+    -Wno-unused-function -Wno-unused-but-set-variable)
+  add_test(NAME tier.mutant_${name}
+    COMMAND tier_mutant_${name} --run_test=${mutant_RUN} --report_level=short)
+  set_tests_properties(tier.mutant_${name} PROPERTIES
+    PASS_REGULAR_EXPRESSION "(failure is|failures are) detected")
+endfunction()
