--- /dev/null
+++ b/tools/playdays/cli.py
@@ -0,0 +1,110 @@
+"""The command line of tools/play-days."""
+import argparse
+import pathlib
+import sys
+import tempfile
+
+from . import bench, days, sites, table
+
+DEPLOY = pathlib.Path("deploy")
+PARTNERS = 4
+
+
+def _arguments(words: list[str]) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="tools/play-days", description=__doc__)
+    parser.add_argument("bench", type=pathlib.Path, help="the bench's program")
+    parser.add_argument("sites", type=pathlib.Path, nargs="+", metavar="SITE", help="site files")
+    parser.add_argument("--days", type=pathlib.Path, default=DEPLOY / "days", help="days by hand, and kinds.toml")
+    parser.add_argument("--variants", type=pathlib.Path, default=DEPLOY / "sites" / "variants.toml")
+    parser.add_argument("--play", default="days,kinds,hunt", help="of days, kinds, hunt, variants; with commas")
+    parser.add_argument("--only", default="", help="only days and variants whose names hold this")
+    parser.add_argument("--most", type=int, default=0, metavar="N", help="at most N days made from the kinds a site")
+    parser.add_argument("--offset", type=int, default=0, help="which of them, where --most leaves some out")
+    parser.add_argument("--partners", type=int, default=PARTNERS, help="kinds that each is paired with")
+    parser.add_argument("--hunt", type=int, default=10, metavar="N", help="days of hunt a site and a variant")
+    parser.add_argument("--jobs", type=int, default=4, help="cores to use")
+    parser.add_argument("--why", default="Days of ours", help="a line for the journal")
+    parser.add_argument("--write", type=pathlib.Path, help="only write the site files into this folder")
+    return parser.parse_args(words)
+
+
+def _own_days(options: argparse.Namespace, parts: set[str], known: list[str], length_s: float) -> list[days.Day]:
+    """The days that are to be played on a site whose kinds of trouble are `known`."""
+    chosen = []
+    if "days" in parts:
+        written = sorted(path for path in options.days.glob("*.toml") if path.name != "kinds.toml")
+        chosen += [days.load_day(path) for path in written]
+    if "kinds" in parts:
+        listed = days.load_kinds(options.days / "kinds.toml")
+        kinds = [listed.get(name, days.Kind(name)) for name in known]
+        made = days.generated(kinds, length_s, options.partners)
+        chosen += days.spread([day for day in made if options.only in day.name], options.most, options.offset)
+    return [day for day in chosen if options.only in day.name]
+
+
+def _with_days(site: dict, own: list[days.Day]) -> dict:
+    return {**site, "day": [days.for_site(day, site) for day in own]}
+
+
+def _play_site(player: bench.Bench, path: pathlib.Path, options: argparse.Namespace, folder: pathlib.Path) -> list:
+    parts = set(options.play.split(","))
+    site = sites.load(path)
+    known = days.kinds_of_site(player.kinds(path))
+    own = _own_days(options, parts, known, site["length_s"])
+    plays = []
+    if own:
+        written = sites.write(_with_days(site, own), path, folder / "days")
+        if not options.write:
+            plays.append(player.score(written, site["name"]))
+    if "hunt" in parts and options.hunt and not options.write:
+        plays.append(player.hunt(path, site["name"], options.hunt))
+    if "variants" in parts:
+        plays += _play_variants(player, path, options, folder)
+    return plays
+
+
+def _play_variants(player: bench.Bench, path: pathlib.Path, options: argparse.Namespace, folder: pathlib.Path) -> list:
+    site = sites.load(path)
+    plays = []
+    for variant in sites.load_variants(options.variants):
+        if options.only not in variant.name or variant.base not in ("", site["name"]):
+            continue
+        edited = sites.apply(site, variant)
+        written = sites.write(edited, path, folder / "variants")
+        if not options.write:
+            plays.append(player.hunt(written, edited["name"], options.hunt))
+    return plays
+
+
+def _report(plays: list[bench.Play], known: set[str], names_kinds: bool) -> bool:
+    rows = table.rows(plays)
+    print(table.render(rows))
+    for play in plays:
+        for day in play.days:
+            if not day.is_clean():
+                print(table.describe(play.site, day))
+        if play.error:
+            print(f"{play.site}: {play.verb}: {play.error}")
+    if names_kinds:
+        missing = table.never_played(known, plays)
+        print(f"kinds never played: {', '.join(missing) or 'none'}")
+    return all(row.is_clean() for row in rows)
+
+
+def main(words: list[str]) -> int:
+    """Plays what the arguments ask for; 1 if something broke, 2 if something is wrong with the input."""
+    options = _arguments(words)
+    player = bench.Bench(options.bench, options.jobs, options.why)
+    plays, known = [], set()
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = options.write or pathlib.Path(temporary)
+        try:
+            for path in options.sites:
+                plays += _play_site(player, path, options, folder)
+                known |= set(days.kinds_of_site(player.kinds(path)))
+        except (days.DayError, sites.EditError, OSError) as error:
+            print(f"play-days: {error}", file=sys.stderr)
+            return 2
+    if options.write:
+        return 0
+    return 0 if _report(plays, known, "kinds" in options.play) else 1
