--- a/tools/packagecheck/debian.py
+++ b/tools/packagecheck/debian.py
@@ -6,7 +6,7 @@
 
 QUERY_FIELDS = ("Package", "Essential", "Priority", "Provides", "Pre-Depends", "Depends", "db:Status-Status")
 FILES_A_CALL = 500
-DOCUMENTATION = "/usr/share/doc"
+DOCUMENTATION = ("/usr/share/doc", "/usr/share/lintian")
 
 
 @dataclasses.dataclass(frozen=True)
