--- a/tests/play_days_test.py
+++ b/tests/play_days_test.py
@@ -159,6 +159,10 @@
         self.assertNotIn("small", day)
         self.assertEqual(day["seed"], days.seed_of("quay", "x"))
 
+    def test_kinds_that_a_site_does_not_open_are_left_out(self):
+        day = days.Day("x", plan=({"at": 1, "kind": "hup"},), faults=({"at": 2, "kind": "burst"},))
+        self.assertEqual(days.on_site(day, {"hup"}).kinds(), {"hup"})
+
     def test_spread_takes_others_with_another_offset(self):
         made = days.generated(KINDS, 30.0, 2)
         first, second = (days.spread(made, 5, offset) for offset in (0, 1))
--- a/tools/playdays/days.py
+++ b/tools/playdays/days.py
@@ -169,6 +169,12 @@
     return zlib.crc32(f"{site_name}/{day_name}".encode()) % SEED_RANGE
 
 
+def on_site(day: Day, known: set[str]) -> Day:
+    """`day` without the kinds that the site's contracts don't open."""
+    kept = {part: tuple(entry for entry in getattr(day, part) if entry["kind"] in known) for part in ENTRY_PARTS}
+    return dataclasses.replace(day, **kept)
+
+
 def for_site(day: Day, site: dict) -> dict:
     """`day` as a [[day]] of `site`: its traffic, and what is expected of a day of trouble, from there."""
     models = site.get("day", [])
