Split coordination/member.cpp by concern

member.cpp (start, events, messages), member_peers.cpp (who is there), member_election.cpp (getting a record decided), member_lease.cpp (the primary's lease), member_change.cpp (membership, transfer). Pure moves; DisksOf goes to record.h. The two mutants of moved texts name their new files.

--- a/src/tier/coordination/member.h
+++ b/src/tier/coordination/member.h
@@ -4,6 +4,10 @@
 // Pure: events with their time in, what to send and to tell out. The owner carries messages, syncs
 // the storage and calls OnTimer at deadline(). A member without a disk takes part in nothing; it
 // learns who the primary is.
+//
+// member.cpp: start, events, messages. member_peers.cpp: who is there. member_election.cpp: getting
+// a record decided. member_lease.cpp: the primary's lease. member_change.cpp: changes of membership
+// and the transfer of the primary's place.
 #ifndef SHELFLINK_TIER_COORDINATION_MEMBER_H_
 #define SHELFLINK_TIER_COORDINATION_MEMBER_H_
 
@@ -120,6 +124,9 @@
     Message message;
   };
 
+  // Others that are no members are no longer written to after so long a silence.
+  static constexpr int kForgetAfterLeases = 5;
+
   bool has_disk() const { return !options_.self.disk.empty(); }
   bool IsSelf(const std::string& disk) const { return has_disk() && disk == options_.self.disk; }
   net::Span renew_every() const { return options_.lease / 3; }
--- /dev/null
+++ b/src/tier/coordination/member_change.cpp
@@ -0,0 +1,139 @@
+// Changes of membership by the primary, and the transfer of its place.
+#include <algorithm>
+
+#include "tier/coordination/member.h"
+
+namespace shelflink::coordination {
+
+bool Member::IsInvited(const CoreMember& member, net::Time now) const {
+  if (member.disk.empty() || FindDisk(record().replicas, member.disk) != nullptr) return false;
+  if (replica_.Joined(member.disk)) return false;
+  std::vector<CoreMember> staying;
+  for (const CoreMember& replica : record().replicas) {
+    if (IsThere(replica.disk, now) && !Owes(replica.disk, now)) staying.push_back(replica);
+  }
+  if (staying.size() >= most_replicas()) return false;
+  std::vector<CoreMember> offered;
+  for (const CoreMember& other : There(now, silent_after())) {
+    if (FindDisk(record().replicas, other.disk) == nullptr) offered.push_back(other);
+  }
+  const auto invited = SpreadOverZones(staying, offered, most_replicas() - staying.size());
+  return FindDisk(invited, member.disk) != nullptr;
+}
+
+bool Member::Owes(const std::string& disk, net::Time now) const {
+  const auto since = replica_.Owing(disk);
+  return since && now - std::max(*since, judge_from_) > silent_after();
+}
+
+std::vector<CoreMember> Member::Joining(net::Time now) const {
+  std::vector<CoreMember> joining;
+  if (!acting_) return joining;
+  for (const CoreMember& other : There(now, silent_after())) {
+    const bool is_replica = FindDisk(record().replicas, other.disk) != nullptr;
+    if (!is_replica && replica_.Joined(other.disk)) joining.push_back(other);
+  }
+  return joining;
+}
+
+std::optional<Record> Member::Improved(net::Time now) const {
+  ReplicaSituation situation;
+  situation.least = least_replicas();
+  situation.most = most_replicas();
+  situation.staying = {options_.self};
+  situation.joining = Joining(now);
+  for (const CoreMember& replica : record().replicas) {
+    if (IsSelf(replica.disk)) continue;
+    const bool there =
+        IsThere(replica.disk, now) && !Owes(replica.disk, now) && !Leaves(replica.disk, now);
+    (there ? situation.staying : situation.silent).push_back(replica);
+  }
+  Record next = record();
+  ++next.number;
+  next.primary = options_.self.disk;
+  next.incarnation = options_.incarnation;
+  next.replicas = ChooseReplicas(situation);
+  // While one may only be late, the witnesses stay as they are.
+  const std::vector<CoreMember> there = There(now, silent_after());
+  const bool settled = there.size() == There(now, options_.lease * 3 / 2).size();
+  if (settled) next.witnesses = ChooseWitnesses(record().witnesses, there);
+  const bool refused = std::any_of(peers_.begin(), peers_.end(),
+                                   [](const auto& item) { return item.second.refuses; });
+  const bool unsettled = !offered_.empty() || refused;
+  const bool same = SameMembers(next.replicas, record().replicas) &&
+                    SameMembers(next.witnesses, record().witnesses);
+  if (same && !unsettled) return std::nullopt;
+  return next;
+}
+
+std::optional<net::Time> Member::NextSilence() const {
+  std::optional<net::Time> next;
+  for (const CoreMember& replica : record().replicas) {
+    const Peer* const peer = FindPeer(replica.disk);
+    if (IsSelf(replica.disk) || peer == nullptr || !peer->heard_at) continue;
+    const net::Time at = std::max(*peer->heard_at, judge_from_) + silent_after() + net::Span(1);
+    if (at <= reviewed_at_) continue;  // Looked at again with each renewal.
+    next = std::min(next.value_or(at), at);
+  }
+  return next;
+}
+
+void Member::Review(Step& step, MemberOutput& out) {
+  if (!acting_ || proposal_) return;
+  reviewed_at_ = step.now;
+  if (review_at_ && step.now >= *review_at_) review_at_.reset();
+  if (transferring_) {
+    TryTransfer(step, out);
+    return;
+  }
+  if (review_at_ || !HearsMajority(step.now)) return;
+  std::optional<Record> improved = Improved(step.now);
+  if (improved) StartProposal(step, out, std::move(improved));
+}
+
+// ---- Handing the place over.
+
+void Member::Transfer(Step& step, MemberOutput& out) {
+  if (!acting_) {
+    if (const auto primary = primary_address()) Send(out, *primary, Leave{});
+    out.transferred = true;
+  } else if (!transferring_) {
+    transferring_ = true;
+    transfer_until_ = step.now + options_.lease * 4 / 5;
+    Review(step, out);
+  }
+  Finish(step, out);
+}
+
+void Member::TryTransfer(Step& step, MemberOutput& out) {
+  if (review_at_ && step.now < transfer_until_) return;
+  std::optional<Record> record = TransferRecord(step.now);
+  if (step.now >= transfer_until_ || !record) {
+    transferring_ = false;
+    out.transferred = false;
+    return;
+  }
+  StartProposal(step, out, std::move(record));
+}
+
+std::optional<Record> Member::TransferRecord(net::Time now) const {
+  const Peer* target = nullptr;
+  for (const CoreMember& replica : record().replicas) {
+    const Peer* const peer = FindPeer(replica.disk);
+    if (IsSelf(replica.disk) || peer == nullptr || !IsThere(replica.disk, now)) continue;
+    if (target == nullptr || !replica_.HasAll(target->member.disk)) target = peer;
+  }
+  if (target == nullptr) return std::nullopt;
+  Record next = record();
+  ++next.number;
+  next.primary = target->member.disk;
+  next.incarnation = target->incarnation;
+  std::vector<CoreMember> others;
+  for (const CoreMember& replica : next.replicas) {
+    if (!IsSelf(replica.disk)) others.push_back(replica);
+  }
+  if (others.size() >= least_replicas()) next.replicas = std::move(others);
+  return next;
+}
+
+}  // namespace shelflink::coordination
--- /dev/null
+++ b/src/tier/coordination/member_peers.cpp
@@ -0,0 +1,90 @@
+// What a member knows of the others: who has been heard of, and when.
+#include <algorithm>
+
+#include "tier/coordination/member.h"
+
+namespace shelflink::coordination {
+
+Member::Peer& Member::PeerOf(const CoreMember& member) {
+  Peer& peer = peers_[member.address.Text()];
+  if (peer.member.disk != member.disk) peer = Peer{};
+  peer.member = member;
+  return peer;
+}
+
+const Member::Peer* Member::FindPeer(const std::string& disk) const {
+  for (const auto& [address, peer] : peers_) {
+    if (peer.member.disk == disk) return &peer;
+  }
+  return nullptr;
+}
+
+std::optional<net::Address> Member::AddressOf(const std::string& disk) const {
+  if (const Peer* const peer = FindPeer(disk)) return peer->member.address;
+  const std::vector<CoreMember> members = MembersOf(record());
+  if (const CoreMember* const member = FindDisk(members, disk)) return member->address;
+  return std::nullopt;
+}
+
+bool Member::Heard(const Peer& peer, net::Time now, net::Span within) const {
+  return peer.heard_at && now - std::max(*peer.heard_at, judge_from_) <= within;
+}
+
+bool Member::IsThere(const std::string& disk, net::Time now) const {
+  if (IsSelf(disk)) return true;
+  const Peer* const peer = FindPeer(disk);
+  return peer != nullptr && Heard(*peer, now, silent_after());
+}
+
+bool Member::Leaves(const std::string& disk, net::Time now) const {
+  const Peer* const peer = FindPeer(disk);
+  return peer != nullptr && peer->leaves_until && now < *peer->leaves_until;
+}
+
+std::vector<CoreMember> Member::There(net::Time now, net::Span within) const {
+  std::vector<CoreMember> members{options_.self};
+  for (const auto& [address, peer] : peers_) {
+    const bool leaves = peer.leaves_until && now < *peer.leaves_until;
+    const bool counts = !peer.member.disk.empty() && !IsSelf(peer.member.disk) && !leaves;
+    if (counts && Heard(peer, now, within)) members.push_back(peer.member);
+  }
+  return members;
+}
+
+std::set<net::Address> Member::OthersKnown() const {
+  std::set<net::Address> known;
+  for (const CoreMember& member : MembersOf(record())) known.insert(member.address);
+  for (const auto& [address, peer] : peers_) known.insert(peer.member.address);
+  known.erase(options_.self.address);
+  return known;
+}
+
+std::optional<net::Address> Member::primary_address() const {
+  const CoreMember* const primary = FindDisk(record().replicas, record().primary);
+  if (primary == nullptr) return std::nullopt;
+  return primary->address;
+}
+
+void Member::SayHello(MemberOutput& out, bool answer) {
+  std::set<net::Address> to = OthersKnown();
+  to.insert(options_.seeds.begin(), options_.seeds.end());
+  to.erase(options_.self.address);
+  const bool fresh = has_disk() && record().number == 0 && witness_.founder();
+  for (const net::Address& address : to) Send(out, address, Hello{record().number, fresh, answer});
+}
+
+void Member::On(Step&, MemberOutput& out, const Sender& from, const Hello& message) {
+  PeerOf(from.member).fresh = message.fresh;
+  if (message.number < record().number) {
+    Send(out, from.member.address, Decided{record()});
+  } else if (message.answer || message.number > record().number) {
+    Send(out, from.member.address, Hello{record().number, false, false});
+  }
+}
+
+void Member::On(Step& step, MemberOutput&, const Sender& from, const Leave&) {
+  PeerOf(from.member).leaves_until = step.now + options_.lease * kForgetAfterLeases;
+  review_at_ = step.now;
+}
+
+}  // namespace shelflink::coordination
--- a/src/tier/coordination/record.cpp
+++ b/src/tier/coordination/record.cpp
@@ -43,6 +43,13 @@
   return members;
 }
 
+std::vector<std::string> DisksOf(const std::vector<CoreMember>& members) {
+  std::vector<std::string> disks;
+  disks.reserve(members.size());
+  for (const CoreMember& member : members) disks.push_back(member.disk);
+  return disks;
+}
+
 void Put(cbor::Writer& out, const CoreMember& member) {
   out.Array(4).Text(member.disk).Text(member.node).Text(member.zone).Text(member.address.Text());
 }
--- a/src/tier/coordination/record.h
+++ b/src/tier/coordination/record.h
@@ -41,6 +41,7 @@
 std::size_t Majority(const Record& base);
 // Of replicas and witnesses together, each once.
 std::vector<CoreMember> MembersOf(const Record& record);
+std::vector<std::string> DisksOf(const std::vector<CoreMember>& members);
 
 void Put(cbor::Writer& out, const CoreMember& member);
 void Put(cbor::Writer& out, const Record& record);
--- a/tests/tier/coordination/mutants.cmake
+++ b/tests/tier/coordination/mutants.cmake
@@ -52,10 +52,10 @@
   [=[  for (const std::string& disk : required_) limit_by(disk);]=] "")
 coordination_mutant(an_older_map_is_told replica.cpp
   [=[  if (!reset_due_ || applied_.sequence < told_) return;]=] [=[  if (!reset_due_) return;]=])
-coordination_mutant(lease_counted_from_the_answer member.cpp
+coordination_mutant(lease_counted_from_the_answer member_lease.cpp
   [=[  const net::Time until = sent_at + options_.lease]=]
   [=[  const net::Time until = step.now + options_.lease]=])
-coordination_mutant(half_a_map_may_lead member.cpp
+coordination_mutant(half_a_map_may_lead member_election.cpp
   [=[  if (!has_disk() || acting_ || !replica_.complete()) return false;]=]
   [=[  if (!has_disk() || acting_) return false;
   if (record().number > 0) return true;]=])
