--- a/src/net/virtual.cpp
+++ b/src/net/virtual.cpp
@@ -499,9 +499,10 @@
   link_weather_[Pair(a, b)] = weather;
 }
 
-bool VirtualNet::IsCut(std::uint32_t a, std::uint32_t b) const {
-  if (a == b) return false;  // Of one machine.
-  return cut_off_.count(a) != 0 || cut_off_.count(b) != 0 || cuts_.count(Pair(a, b)) != 0;
+bool VirtualNet::IsCut(std::uint32_t from, std::uint32_t to) const {
+  if (from == to) return false;  // Of one machine.
+  return cut_off_.count(from) != 0 || cut_off_.count(to) != 0 || cuts_.count(Pair(from, to)) != 0 ||
+         one_way_cuts_.count({from, to}) != 0;
 }
 
 void VirtualNet::SetCutOff(std::uint32_t host, bool cut) {
@@ -514,15 +515,20 @@
   if (!cut) Healed();
 }
 
-void VirtualNet::Hold(std::uint32_t a, std::uint32_t b, std::function<void()> step) {
-  held_.push_back({a, b, std::move(step)});
+void VirtualNet::SetOneWayCut(std::uint32_t from, std::uint32_t to, bool cut) {
+  cut ? void(one_way_cuts_.insert({from, to})) : void(one_way_cuts_.erase({from, to}));
+  if (!cut) Healed();
+}
+
+void VirtualNet::Hold(std::uint32_t from, std::uint32_t to, std::function<void()> step) {
+  held_.push_back({from, to, std::move(step)});
 }
 
 // In their old order, and before anything that is sent from now on.
 void VirtualNet::Healed() {
   std::vector<Held> still;
   for (Held& h : std::exchange(held_, {})) {
-    if (IsCut(h.a, h.b)) {
+    if (IsCut(h.from, h.to)) {
       still.push_back(std::move(h));
     } else {
       Put(now_, 0, kOwnStep, std::move(h.step));
@@ -551,6 +557,7 @@
   VirtualConnection::End& to = c->ends[1];
   if (!from.open) return;
   if (IsCut(from.host, to.host)) return Hold(from.host, to.host, [this, c] { Knock(c); });
+  if (IsCut(to.host, from.host)) return Hold(to.host, from.host, [this, c] { Knock(c); });
   const auto tell = [this, c](Fault fault) {
     PutDrawn(Travel(c->ends[0].host, c->ends[1].host), kUpTag, [this, c, fault] {
       VirtualConnection::End& e = c->ends[0];
@@ -630,8 +637,8 @@
                         const std::string& bytes, Time written) {
   VirtualConnection::End& e = c->ends[to];
   VirtualConnection::End& from = c->ends[1 - to];
-  if (IsCut(e.host, from.host)) {
-    return Hold(e.host, from.host,
+  if (IsCut(from.host, e.host)) {
+    return Hold(from.host, e.host,
                 [this, c, to, bytes, written] { Arrive(c, to, bytes, written); });
   }
   e.under_way -= bytes.size();
@@ -668,7 +675,7 @@
     void operator()() const {
       VirtualConnection::End& at_end = c->ends[to];
       const std::uint32_t other = c->ends[1 - to].host;
-      if (net->IsCut(at_end.host, other)) return net->Hold(at_end.host, other, *this);
+      if (net->IsCut(other, at_end.host)) return net->Hold(other, at_end.host, *this);
       at_end.end_arrived = true;
       net->Mix(c->id << 2 | 2U | static_cast<std::uint64_t>(to));
       if (at_end.open && at_end.wants) {
@@ -689,7 +696,7 @@
 void VirtualNet::Break(const std::shared_ptr<VirtualConnection>& c, int side) {
   VirtualConnection::End& e = c->ends[side];
   const std::uint32_t other = c->ends[1 - side].host;
-  if (IsCut(e.host, other)) return Hold(e.host, other, [this, c, side] { Break(c, side); });
+  if (IsCut(other, e.host)) return Hold(other, e.host, [this, c, side] { Break(c, side); });
   if (std::exchange(e.broken, true) || !e.open) return;
   Mix(c->id << 3 | static_cast<std::uint64_t>(side));
   if (e.wants) RunFor(e.life, [this, c, side] { Serve(c, side); });
--- a/src/net/virtual.h
+++ b/src/net/virtual.h
@@ -141,14 +141,16 @@
   // way arrives after the end of the cut, unless its process has died by then.
   void SetCutOff(std::uint32_t host, bool cut);
   void SetCut(std::uint32_t a, std::uint32_t b, bool cut);
+  // Only what goes this way is cut. No connection comes up between the two meanwhile.
+  void SetOneWayCut(std::uint32_t from, std::uint32_t to, bool cut);
   // Breaks every connection between a and b, both ends told.
   void ResetBetween(std::uint32_t a, std::uint32_t b);
   // Connections between these that carry nothing at this moment are forgotten by the network:
   // neither end is told, and what is written to one next breaks it.
   void ForgetIdle(std::uint32_t a, std::uint32_t b);
 
-  // Whether anything passes between the two now.
-  bool Reaches(std::uint32_t a, std::uint32_t b) const { return !IsCut(a, b); }
+  // Whether anything passes that way now.
+  bool Reaches(std::uint32_t from, std::uint32_t to) const { return !IsCut(from, to); }
   // Whether the network, and neither of its ends, broke this stream.
   static bool BrokenByNet(const Stream& stream);
   // When what was last written to the stream arrives at the other end.
@@ -209,11 +211,11 @@
               std::function<void()> step);
   void RunFor(std::uint64_t life, const std::function<void()>& step);
   const Weather& WeatherBetween(std::uint32_t a, std::uint32_t b) const;
-  bool IsCut(std::uint32_t a, std::uint32_t b) const;
+  bool IsCut(std::uint32_t from, std::uint32_t to) const;
   Time Later(Span by, Span grain) const;
   Time Travel(std::uint32_t a, std::uint32_t b);
   void Healed();
-  void Hold(std::uint32_t a, std::uint32_t b, std::function<void()> step);
+  void Hold(std::uint32_t from, std::uint32_t to, std::function<void()> step);
   void Note(const std::function<std::string()>& text);
   void Mix(std::uint64_t word);
 
@@ -245,9 +247,10 @@
   std::map<std::pair<std::uint32_t, std::uint32_t>, Weather> link_weather_;
   std::set<std::uint32_t> cut_off_;
   std::set<std::pair<std::uint32_t, std::uint32_t>> cuts_;
+  std::set<std::pair<std::uint32_t, std::uint32_t>> one_way_cuts_;  // From, to.
   struct Held {
-    std::uint32_t a;
-    std::uint32_t b;
+    std::uint32_t from;
+    std::uint32_t to;
     std::function<void()> step;
   };
   std::vector<Held> held_;  // What waits for the end of a cut.
--- a/src/tier/storage/crash_storage.h
+++ b/src/tier/storage/crash_storage.h
@@ -48,7 +48,9 @@
   // Runs the step when a sync takes its end, after what runs now.
   using Schedule = std::function<void(std::function<void()>)>;
 
-  CrashStorage(CrashDisk& disk, Schedule schedule) : disk_(disk), schedule_(std::move(schedule)) {}
+  // What an earlier process left unsynced on the disk is covered by the first sync of this one.
+  CrashStorage(CrashDisk& disk, Schedule schedule)
+      : disk_(disk), schedule_(std::move(schedule)), applied_(disk.unsynced()) {}
   std::optional<std::string> Get(std::string_view key) const override;
   void Scan(std::string_view prefix, std::string_view from, const Visitor& visitor) const override;
   void Apply(const Batch& batch) override;
@@ -61,7 +63,7 @@
 
   CrashDisk& disk_;
   Schedule schedule_;
-  std::uint64_t applied_ = 0;  // Batches of this process so far, and how many are durable.
+  std::uint64_t applied_;  // Batches since it was opened, and how many are durable.
   std::uint64_t durable_ = 0;
   bool failed_ = false;
 };
--- /dev/null
+++ b/tests/tier/tier_seeds/day.h
@@ -0,0 +1,28 @@
+// One day of a whole tier: real code of every process on the virtual clock and network, drawn from
+// one seed, with all kinds of trouble; judged by what was seen from outside alone.
+#ifndef SHELFLINK_TESTS_TIER_SEEDS_DAY_H_
+#define SHELFLINK_TESTS_TIER_SEEDS_DAY_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "tier_seeds/deployment.h"
+#include "tier_seeds/journal.h"
+
+namespace shelflink::tier_seeds {
+
+struct DayResult {
+  Deployment deployment;
+  std::vector<Finding> findings;
+  std::map<std::string, std::uint64_t> counts;  // What happened, and how often.
+  std::uint64_t hash = 0;                       // Of all events: equal for equal days.
+  std::uint64_t events = 0;
+};
+
+DayResult PlayDay(std::uint64_t seed, bool trace);
+
+}  // namespace shelflink::tier_seeds
+
+#endif  // SHELFLINK_TESTS_TIER_SEEDS_DAY_H_
--- /dev/null
+++ b/tests/tier/tier_seeds/endpoint_fleet.h
@@ -0,0 +1,142 @@
+// Endpoints as PROTOCOL describes them, with all that may go wrong at one, and the ledger of what
+// was asked and what has run: it judges what an endpoint sees.
+#ifndef SHELFLINK_TESTS_TIER_SEEDS_ENDPOINT_FLEET_H_
+#define SHELFLINK_TESTS_TIER_SEEDS_ENDPOINT_FLEET_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "emulator/random.h"
+#include "net/virtual.h"
+#include "proxy/stand_in.h"
+#include "tier_seeds/deployment.h"
+#include "tier_seeds/journal.h"
+#include "tier_seeds/platform_world.h"
+
+namespace shelflink::tier_seeds {
+
+// A request as its client sent it.
+struct AskedRequest {
+  std::string method;
+  std::string target;
+  std::string body;
+  std::string tenant;   // Empty: a public route.
+  std::string service;  // The only one that any configuration allows; empty: either.
+  bool once = false;    // It may run once at most.
+  bool events = false;  // Answered by a stream of events.
+  bool resumable = false;
+  bool is_item = false;  // Of a batch job.
+};
+
+// One run of a request at an endpoint.
+struct EndpointRun {
+  std::string endpoint;
+  std::string service;
+  std::string stamp;
+  int status = 200;
+  std::string body;     // Whole; of a stream that began at its first event.
+  bool broken = false;  // The endpoint itself spoiled the answer.
+  net::Time at{};
+};
+
+class Ledger {
+ public:
+  explicit Ledger(Journal& journal) : journal_(journal) {}
+
+  void Ask(const std::string& id, AskedRequest request) { asked_[id] = std::move(request); }
+  const AskedRequest* Asked(const std::string& id) const;
+  // The client was told that it has not run and never will.
+  void Promise(const std::string& id, const std::string& how);
+  EndpointRun& Run(const std::string& id, EndpointRun run);
+  const EndpointRun* RunWithStamp(const std::string& id, const std::string& stamp) const;
+  std::size_t Runs(const std::string& id) const;
+
+ private:
+  Journal& journal_;
+  std::map<std::string, AskedRequest> asked_;
+  std::map<std::string, std::vector<std::unique_ptr<EndpointRun>>> runs_;
+  std::map<std::string, std::string> promises_;
+};
+
+// Events of a stream: how many, and their data, by the request's target. Those that may not be
+// resumed carry the stamp of their run, so that pieces of two runs are told apart.
+int EventCount(const std::string& target);
+std::string EventData(const std::string& key, int number);
+std::string EventText(const std::string& key, int number);
+
+class EndpointFleet {
+ public:
+  EndpointFleet(net::VirtualNet& net, Journal& journal, Ledger& ledger, PlatformWorld& platform,
+                const Deployment& deployment);
+  ~EndpointFleet();
+
+  void Start();
+  std::size_t size() const { return places_.size(); }
+  // A new incarnation takes the place after a while, perhaps at the address of another.
+  void Crash(std::size_t place);
+  void ResetConnections(std::size_t place);
+  // Leaves in order: listed as draining, ended afterwards, and another comes.
+  void Drain(std::size_t place);
+  // Share of answers that something is wrong with.
+  void SetMischief(double share) { mischief_ = share; }
+
+ private:
+  struct Serving {
+    stand_in::Message request;
+    std::string id;
+    const AskedRequest* asked = nullptr;
+    EndpointRun* run = nullptr;
+    int next_event = 1;
+    int last_event = 0;
+  };
+  struct Place {
+    std::string service;
+    std::string zone;
+    std::uint32_t host = 0;
+    stand_in::Endpoint* now = nullptr;
+    bool draining = false;
+    std::set<stand_in::Endpoint::Line*> busy;
+  };
+  using Line = stand_in::Endpoint::Line;
+
+  void StartAt(std::size_t place, std::uint32_t host);
+  void TellPlatform();
+  void Serve(std::size_t place, stand_in::Endpoint& endpoint, Line& line,
+             const stand_in::Message& request);
+  bool Accepts(const stand_in::Endpoint& endpoint, const Place& place, Line& line,
+               const stand_in::Message& request);
+  void CheckUnchanged(const std::string& id, const AskedRequest& asked,
+                      const stand_in::Message& request);
+  void Answer(std::size_t place, stand_in::Endpoint& endpoint, Line& line,
+              const std::shared_ptr<Serving>& serving);
+  void AnswerWrongly(std::size_t place, stand_in::Endpoint& endpoint, Line& line,
+                     const std::shared_ptr<Serving>& serving);
+  void Events(std::size_t place, stand_in::Endpoint& endpoint, Line& line,
+              const std::shared_ptr<Serving>& serving);
+  void Done(std::size_t place, const stand_in::Endpoint& endpoint, Line& line);
+  std::string Head(const Serving& serving, const std::string& more) const;
+  std::string Whole(const Serving& serving) const;
+  net::Span ServiceTime();
+
+  net::VirtualNet& net_;
+  Journal& journal_;
+  Ledger& ledger_;
+  PlatformWorld& platform_;
+  const Deployment& deployment_;
+  shelflab::Random random_;
+  double mischief_ = 0;
+  std::vector<Place> places_;
+  std::vector<std::unique_ptr<stand_in::Endpoint>> all_;
+  std::uint32_t next_host_ = kFirstEndpoint;
+  std::uint64_t incarnations_ = 0;
+  std::uint64_t stamps_ = 0;
+};
+
+}  // namespace shelflink::tier_seeds
+
+#endif  // SHELFLINK_TESTS_TIER_SEEDS_ENDPOINT_FLEET_H_
--- /dev/null
+++ b/tests/tier/tier_seeds/main.cpp
@@ -0,0 +1,73 @@
+// tier_seeds: plays days of whole tiers, one a seed, and prints what it found. Exit codes: 0
+// nothing found, 1 something found, 2 usage.
+#include <CLI/CLI.hpp>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <string>
+
+#include "tier/foundation/log.h"
+#include "tier_seeds/day.h"
+
+namespace {
+
+using shelflink::tier_seeds::DayResult;
+
+constexpr int kUsage = 2;
+
+struct Wanted {
+  std::uint64_t from = 1;
+  std::uint64_t count = 1;
+  std::uint64_t seed = 0;  // Above 0: this one alone.
+  bool trace = false;
+  bool counts = false;
+};
+
+void Print(const DayResult& day, bool always) {
+  if (!always && day.findings.empty()) return;
+  std::cout << TextOf(day.deployment) << ", " << day.events << " events, hash " << std::hex
+            << day.hash << std::dec << ": " << day.findings.size() << " findings\n";
+  for (const auto& finding : day.findings) std::cout << "  " << TextOf(finding) << '\n';
+  std::cout.flush();
+}
+
+int Play(const Wanted& wanted) {
+  const std::uint64_t first = wanted.seed > 0 ? wanted.seed : wanted.from;
+  const std::uint64_t count = wanted.seed > 0 ? 1 : wanted.count;
+  std::map<std::string, std::uint64_t> counts;
+  std::uint64_t broken = 0;
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    const DayResult day = shelflink::tier_seeds::PlayDay(seed, wanted.trace);
+    if (!day.findings.empty()) ++broken;
+    Print(day, count == 1);
+    for (const auto& [what, times] : day.counts) counts[what] += times;
+  }
+  if (wanted.counts) {
+    for (const auto& [what, times] : counts) std::cout << "  " << times << " x " << what << '\n';
+  }
+  std::cout << "seeds " << first << " to " << first + count - 1 << ": " << count << " played, "
+            << broken << " with findings\n";
+  return broken == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Wanted wanted;
+  CLI::App app("Plays days of whole tiers on the virtual clock and network, one a seed");
+  app.add_option("--from", wanted.from, "First seed");
+  app.add_option("--count", wanted.count, "How many seeds");
+  app.add_option("--seed", wanted.seed, "Only this seed");
+  app.add_flag("--trace", wanted.trace, "Print what happens");
+  app.add_flag("--counts", wanted.counts, "Print what was played, and how often");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    const int code = app.exit(error);
+    return code == 0 ? 0 : kUsage;
+  }
+  if (wanted.trace) shelflink::log::Start("tier", shelflink::log::Level::kInfo);
+  return Play(wanted);
+}
--- /dev/null
+++ b/tests/tier/tier_seeds/troubles.h
@@ -0,0 +1,97 @@
+// What befalls the machines, links, disks, endpoints and the platform of a day, within what the
+// deployment has to bear: a machine that counts is lost while it is down, frozen, slowed or cut off
+// and for the time to catch up after that; no more of them are lost at one time than the tolerance
+// says, save where all core processes are killed, or all machines lose power, at the same instant.
+#ifndef SHELFLINK_TESTS_TIER_SEEDS_TROUBLES_H_
+#define SHELFLINK_TESTS_TIER_SEEDS_TROUBLES_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "emulator/random.h"
+#include "net/virtual.h"
+#include "tier_seeds/deployment.h"
+#include "tier_seeds/endpoint_fleet.h"
+#include "tier_seeds/journal.h"
+#include "tier_seeds/machines.h"
+#include "tier_seeds/operators.h"
+#include "tier_seeds/platform_world.h"
+
+namespace shelflink::tier_seeds {
+
+// All that a day is made of and that trouble may reach.
+struct TierParts {
+  std::vector<std::unique_ptr<CoreMachine>>& cores;
+  std::vector<std::unique_ptr<StoreMachine>>& stores;
+  std::vector<std::unique_ptr<ProxyMachine>>& proxies;
+  EndpointFleet& endpoints;
+  PlatformWorld& platform;
+  Operators& operators;
+};
+
+class Troubles {
+ public:
+  Troubles(net::VirtualNet& net, Journal& journal, TierParts parts, const Deployment& deployment);
+
+  void Start(net::Time until);
+  // Ends all that still goes on; every machine runs afterwards.
+  void HealAll();
+
+ private:
+  using Step = std::function<void()>;
+
+  void Next(net::Time until);
+  void Draw();
+  // Whether these may be lost besides those that are.
+  bool MayLose(const std::vector<Machine*>& machines) const;
+  void SetLost(const Machine& machine, net::Time until);
+  void TroubleCounted();
+  void TroubleOne(Machine& machine);
+  void TroubleAll();
+  void TroubleProxy();
+  void TroubleEndpoint();
+  void TroublePlatform();
+  void TroubleOperator();
+  void TroubleNetwork();
+
+  void KillFor(Machine& machine, net::Span span, const std::string& how, const Step& kill);
+  void FreezeFor(Machine& machine, net::Span span);
+  void CutOffFor(Machine& machine, net::Span span);
+  void CutFromSomeFor(Machine& machine, net::Span span, bool one_way);
+  void ResetFor(Machine& machine);
+  void StallDiskFor(Machine& machine, net::Span span);
+  void SlowDiskFor(Machine& machine, net::Span span);
+  void Restart(Machine& machine);
+  void AwaitEnd(Machine& machine, std::uint64_t life);
+  // `begin` now, `end` after the span; the machine counts as lost meanwhile and for a while after.
+  void During(Machine& machine, net::Span span, const std::string& what, const Step& begin,
+              const Step& end);
+  void Heal(std::uint64_t number);
+  std::vector<Machine*> Counted();
+  std::vector<Machine*> AllMachines();
+  std::size_t KeptWrites(const Machine& machine);
+  net::Span Between(int least_ms, int most_ms);
+  template <typename T>
+  T& OneOf(std::vector<std::unique_ptr<T>>& all) {
+    return *all[random_.Below(all.size())];
+  }
+
+  net::VirtualNet& net_;
+  Journal& journal_;
+  TierParts parts_;
+  const Deployment& deployment_;
+  shelflab::Random random_;
+  std::map<const Machine*, net::Time> lost_until_;  // Of those that count.
+  std::set<const Machine*> troubled_;
+  std::uint64_t numbers_ = 0;
+  std::map<std::uint64_t, Step> heals_;
+};
+
+}  // namespace shelflink::tier_seeds
+
+#endif  // SHELFLINK_TESTS_TIER_SEEDS_TROUBLES_H_
