--- a/src/net/virtual.h
+++ b/src/net/virtual.h
@@ -141,8 +141,7 @@
   // way arrives after the end of the cut, unless its process has died by then.
   void SetCutOff(std::uint32_t host, bool cut);
   void SetCut(std::uint32_t a, std::uint32_t b, bool cut);
-  // Cuts one direction only: what `from` sends to `to` waits, the other way goes on. No connection
-  // comes up between the two in either direction.
+  // Only what goes this way is cut. No connection comes up between the two meanwhile.
   void SetOneWayCut(std::uint32_t from, std::uint32_t to, bool cut);
   // Breaks every connection between a and b, both ends told.
   void ResetBetween(std::uint32_t a, std::uint32_t b);
@@ -150,7 +149,7 @@
   // neither end is told, and what is written to one next breaks it.
   void ForgetIdle(std::uint32_t a, std::uint32_t b);
 
-  // Whether anything passes from the one to the other now.
+  // Whether anything passes that way now.
   bool Reaches(std::uint32_t from, std::uint32_t to) const { return !IsCut(from, to); }
   // Whether the network, and neither of its ends, broke this stream.
   static bool BrokenByNet(const Stream& stream);
