Half of the witnesses may be lost: the rest goes on with the machines that return

Cause: the witnesses were an odd number. With four core disks and tolerance 2 these were three, and two of them lost at one instant left one: no majority, and control stood still for good. The same with two disks and tolerance 1 (one witness). Change: with 2 f disks or fewer all are witnesses, also an even number; a ballot does without a witness from whose machine another disk answered that very ballot, as long as those that are gone are no majority (IsQuorum: any two such sets share a witness).

--- a/src/tier/coordination/choice.cpp
+++ b/src/tier/coordination/choice.cpp
@@ -16,6 +16,11 @@
   }
 }
 
+std::size_t WitnessCount(std::size_t known, std::size_t failures) {
+  const bool odd = known % 2 == 1;
+  return odd || known <= 2 * failures ? known : known - 1;
+}
+
 bool IsReplaced(const CoreMember& member, const std::vector<CoreMember>& there) {
   return std::any_of(there.begin(), there.end(), [&](const CoreMember& other) {
     return other.address == member.address && other.disk != member.disk;
@@ -47,7 +52,8 @@
 }
 
 std::vector<CoreMember> ChooseWitnesses(const std::vector<CoreMember>& present,
-                                        const std::vector<CoreMember>& there) {
+                                        const std::vector<CoreMember>& there,
+                                        std::size_t failures) {
   std::vector<CoreMember> staying;
   std::vector<CoreMember> silent;
   for (const CoreMember& witness : present) {
@@ -65,8 +71,7 @@
   const std::size_t live = staying.size() + others.size();
   const std::size_t known =
       live >= present.size() ? live : std::min(present.size(), live + silent.size());
-  const std::size_t odd = known % 2 == 1 ? known : known - std::min<std::size_t>(known, 1);
-  const std::size_t size = std::min(odd, kMostWitnesses);
+  const std::size_t size = std::min(WitnessCount(known, failures), kMostWitnesses);
   std::vector<CoreMember> chosen = std::move(staying);
   if (chosen.size() < size) {
     const auto joining = SpreadOverZones(chosen, others, size - chosen.size());
--- a/src/tier/coordination/choice.h
+++ b/src/tier/coordination/choice.h
@@ -27,11 +27,15 @@
 // Never fewer than `least` if as many are known: a silent one stays until another has caught up.
 std::vector<CoreMember> ChooseReplicas(const ReplicaSituation& situation);
 
-// An odd number, as many as are there: witnesses that are there keep their place, silent ones give
-// theirs to others that are there and stay if there are none. A silent one whose address belongs to
-// another disk by now is gone for good.
+// As many as are there: witnesses that are there keep their place, silent ones give theirs to
+// others that are there and stay if there are none. A silent one whose address belongs to another
+// disk by now is gone for good.
+//
+// An odd number of them where a majority outlives `failures` losses at one time. With 2 * failures
+// disks or fewer there is no such majority; then an even number may be chosen, since the half that
+// is left can go on without lost ones whose machines return (see IsQuorum).
 std::vector<CoreMember> ChooseWitnesses(const std::vector<CoreMember>& present,
-                                        const std::vector<CoreMember>& there);
+                                        const std::vector<CoreMember>& there, std::size_t failures);
 
 }  // namespace shelflink::coordination
 
--- a/src/tier/coordination/member.cpp
+++ b/src/tier/coordination/member.cpp
@@ -154,7 +154,7 @@
         },
         message);
   }
-  if (acting_ && renewals_paused_ && HearsMajority(step.now) && !DiskStalls(step.now)) {
+  if (acting_ && renewals_paused_ && HearsQuorum(step.now) && !DiskStalls(step.now)) {
     renew_at_ = step.now;
   }
 }
--- a/src/tier/coordination/member.h
+++ b/src/tier/coordination/member.h
@@ -156,6 +156,8 @@
   const Peer* FindPeer(const std::string& disk) const;
   bool Heard(const Peer& peer, net::Time now, net::Span within) const;
   bool IsThere(const std::string& disk, net::Time now) const;
+  // Another disk has been heard of at its address.
+  bool IsReplaced(const CoreMember& member) const;
   bool Leaves(const std::string& disk, net::Time now) const;
   // Disks heard of lately that do not leave, this member first.
   std::vector<CoreMember> There(net::Time now, net::Span within) const;
@@ -182,7 +184,7 @@
   std::optional<Record> Improved(net::Time now) const;
   bool IsInvited(const CoreMember& member, net::Time now) const;
   bool DiskStalls(net::Time now) const;
-  bool HearsMajority(net::Time now) const;
+  bool HearsQuorum(net::Time now) const;
   void UpdateRole(net::Time now, MemberOutput& out);
   void SayHello(MemberOutput& out, bool answer);
   void TryTransfer(Step& step, MemberOutput& out);
--- a/src/tier/coordination/member_change.cpp
+++ b/src/tier/coordination/member_change.cpp
@@ -56,7 +56,7 @@
   // While one may only be late, the witnesses stay as they are.
   const std::vector<CoreMember> there = There(now, silent_after());
   const bool settled = there.size() == There(now, options_.lease * 3 / 2).size();
-  if (settled) next.witnesses = ChooseWitnesses(record().witnesses, there);
+  if (settled) next.witnesses = ChooseWitnesses(record().witnesses, there, options_.failures);
   const bool refused = std::any_of(peers_.begin(), peers_.end(),
                                    [](const auto& item) { return item.second.refuses; });
   const bool unsettled = !offered_.empty() || refused;
@@ -86,7 +86,7 @@
     TryTransfer(step, out);
     return;
   }
-  if (review_at_ || !HearsMajority(step.now)) return;
+  if (review_at_ || !HearsQuorum(step.now)) return;
   std::optional<Record> improved = Improved(step.now);
   if (improved) StartProposal(step, out, std::move(improved));
 }
--- a/src/tier/coordination/member_election.cpp
+++ b/src/tier/coordination/member_election.cpp
@@ -181,7 +181,7 @@
   founding.replicas.insert(founding.replicas.end(), spread.begin(), spread.end());
   if (founding.replicas.size() < least_replicas()) return std::nullopt;
   others.insert(others.begin(), options_.self);
-  founding.witnesses = ChooseWitnesses({}, others);
+  founding.witnesses = ChooseWitnesses({}, others, options_.failures);
   return founding;
 }
 
--- a/src/tier/coordination/member_lease.cpp
+++ b/src/tier/coordination/member_lease.cpp
@@ -56,12 +56,17 @@
   out.roles.push_back(told_role_);
 }
 
-bool Member::HearsMajority(net::Time now) const {
+bool Member::HearsQuorum(net::Time now) const {
   std::size_t heard = 0;
+  std::size_t gone = 0;
   for (const CoreMember& witness : record().witnesses) {
-    if (IsThere(witness.disk, now)) ++heard;
+    if (IsThere(witness.disk, now)) {
+      ++heard;
+    } else if (IsReplaced(witness)) {
+      ++gone;
+    }
   }
-  return heard >= Majority(record());
+  return IsQuorum(record(), heard, gone);
 }
 
 bool Member::DiskStalls(net::Time now) const {
@@ -72,7 +77,7 @@
 void Member::SendRenewals(Step& step, MemberOutput& out) {
   renew_at_ = step.now + renew_every();
   // One that hears nobody or cannot store must not keep others from an election by what it sends.
-  renewals_paused_ = !HearsMajority(step.now) || DiskStalls(step.now);
+  renewals_paused_ = !HearsQuorum(step.now) || DiskStalls(step.now);
   if (renewals_paused_) {
     SayHello(out, true);
     return;
--- a/src/tier/coordination/member_peers.cpp
+++ b/src/tier/coordination/member_peers.cpp
@@ -36,6 +36,12 @@
   return peer != nullptr && Heard(*peer, now, silent_after());
 }
 
+bool Member::IsReplaced(const CoreMember& member) const {
+  const auto found = peers_.find(member.address.Text());
+  if (found == peers_.end() || FindPeer(member.disk) != nullptr) return false;
+  return !found->second.member.disk.empty() && found->second.member.disk != member.disk;
+}
+
 bool Member::Leaves(const std::string& disk, net::Time now) const {
   const Peer* const peer = FindPeer(disk);
   return peer != nullptr && peer->leaves_until && now < *peer->leaves_until;
--- a/src/tier/coordination/proposer.cpp
+++ b/src/tier/coordination/proposer.cpp
@@ -17,13 +17,16 @@
 void Proposer::OnReply(const CoreMember& from, const PrepareReply& reply) {
   if (phase_ != Phase::kPreparing && phase_ != Phase::kPrepared) return;
   if (reply.number != base_.number + 1 || reply.ballot != ballot_) return;
-  if (!Count(from, reply.promised, reply.blocking, reply.lease_left_ms)) return;
-  if (!reply.promised) return;
+  if (const CoreMember* const replaced = ReplacedWitness(base_, from)) {
+    gone_.insert(replaced->disk);
+  } else if (!Count(from, reply.promised, reply.blocking, reply.lease_left_ms) || !reply.promised) {
+    return;
+  }
   if (reply.value && reply.accepted > found_ballot_) {
     found_ballot_ = reply.accepted;
     found_ = reply.value;
   }
-  if (agreed_ >= Majority(base_)) phase_ = Phase::kPrepared;
+  if (HasQuorum()) phase_ = Phase::kPrepared;
 }
 
 void Proposer::Propose(const Record& own) {
@@ -39,13 +42,14 @@
   if (phase_ != Phase::kAccepting) return;
   if (reply.number != base_.number + 1 || reply.ballot != ballot_) return;
   if (!Count(from, reply.accepted, reply.blocking, reply.lease_left_ms)) return;
-  if (agreed_ >= Majority(base_)) phase_ = Phase::kDecided;
+  if (HasQuorum()) phase_ = Phase::kDecided;
 }
 
 void Proposer::Fingerprint(cbor::Writer& out) const {
   out.Uint(base_.number).Uint(static_cast<std::uint64_t>(phase_));
   Put(out, ballot_);
   for (const std::string& key : answered_) out.Text(key);
+  for (const std::string& disk : gone_) out.Text(disk);
   out.Uint(agreed_);
   Put(out, found_ballot_);
   if (phase_ >= Phase::kAccepting) Put(out, value_);
--- a/src/tier/coordination/proposer.h
+++ b/src/tier/coordination/proposer.h
@@ -2,6 +2,9 @@
 //
 // Pure, and without time: its owner repeats the requests and gives up when it likes. What was asked
 // to be accepted may come to be decided long after.
+//
+// A witness whose disk is lost can never answer. Where its machine answers this very ballot with
+// another disk, which can only have come after it, the ballot does without it (see IsQuorum).
 #ifndef SHELFLINK_TIER_COORDINATION_PROPOSER_H_
 #define SHELFLINK_TIER_COORDINATION_PROPOSER_H_
 
@@ -52,6 +55,7 @@
   std::string Key(const CoreMember& member) const {
     return base_.number == 0 ? member.address.Text() : member.disk;
   }
+  bool HasQuorum() const { return IsQuorum(base_, agreed_, gone_.size()); }
   // Returns whether the answer is the first of this witness in this phase.
   bool Count(const CoreMember& from, bool yes, const Ballot& blocking, std::uint64_t lease_left_ms);
 
@@ -59,6 +63,7 @@
   Ballot ballot_;
   Phase phase_ = Phase::kPreparing;
   std::set<std::string> answered_;  // In this phase.
+  std::set<std::string> gone_;      // Disks of witnesses from whose machine another one answered.
   std::size_t agreed_ = 0;
   std::size_t refused_ = 0;
   Ballot blocking_;
--- a/src/tier/coordination/record.cpp
+++ b/src/tier/coordination/record.cpp
@@ -33,6 +33,21 @@
 
 std::size_t Majority(const Record& base) { return base.witnesses.size() / 2 + 1; }
 
+bool IsQuorum(const Record& base, std::size_t agreed, std::size_t gone) {
+  if (agreed >= Majority(base)) return true;
+  if (gone >= Majority(base)) return false;  // They alone may have decided already.
+  return gone > 0 && agreed + gone >= base.witnesses.size();
+}
+
+const CoreMember* ReplacedWitness(const Record& base, const CoreMember& member) {
+  if (base.number == 0 || member.disk.empty()) return nullptr;
+  if (FindDisk(base.witnesses, member.disk) != nullptr) return nullptr;
+  const auto found =
+      std::find_if(base.witnesses.begin(), base.witnesses.end(),
+                   [&](const CoreMember& witness) { return witness.address == member.address; });
+  return found == base.witnesses.end() ? nullptr : &*found;
+}
+
 std::vector<CoreMember> MembersOf(const Record& record) {
   std::vector<CoreMember> members = record.replicas;
   for (const CoreMember& witness : record.witnesses) {
--- a/src/tier/coordination/record.h
+++ b/src/tier/coordination/record.h
@@ -39,6 +39,12 @@
 // Whether `member` may vote on the record after `base`; record 0 knows addresses only.
 bool IsWitnessOf(const Record& base, const CoreMember& member);
 std::size_t Majority(const Record& base);
+// Whether `agreed` of its witnesses decide the record after `base`: a majority, or all those whose
+// disks still exist where `gone` do not. Any two such sets share a witness, since those that are
+// gone are never a majority: that holds for an even number of witnesses of which half are gone.
+bool IsQuorum(const Record& base, std::size_t agreed, std::size_t gone);
+// The witness of `base` whose disk exists no more if `member` answers: another disk has its place.
+const CoreMember* ReplacedWitness(const Record& base, const CoreMember& member);
 // Of replicas and witnesses together, each once.
 std::vector<CoreMember> MembersOf(const Record& record);
 std::vector<std::string> DisksOf(const std::vector<CoreMember>& members);
--- a/tests/tier/coordination/explorer_test.cpp
+++ b/tests/tier/coordination/explorer_test.cpp
@@ -31,6 +31,18 @@
   }
 }
 
+// Two disks are lost, as many as are tolerated: half of the witnesses of four, fewer of five.
+BOOST_AUTO_TEST_CASE(every_choice_to_a_depth_with_two_losses) {
+  Faults faults;
+  faults.wipes = 2;
+  for (const std::size_t nodes : {std::size_t{4}, std::size_t{5}}) {
+    for (const NamedWorld& from : Beginnings(nodes, 2)) {
+      const Exploration result = ExploreAll(from, faults, nodes == 4 ? 3 : 2, 60000, 256);
+      Report(std::to_string(nodes) + " members, two losses, " + from.name, result);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(long_random_walks) {
   const std::uint64_t first = Argument(1, 1);
   const std::size_t walks = Argument(2, 40);
@@ -42,5 +54,16 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(long_random_walks_with_two_losses) {
+  const std::uint64_t first = Argument(1, 1);
+  const std::size_t walks = Argument(2, 40);
+  for (const std::size_t nodes : {std::size_t{4}, std::size_t{5}}) {
+    for (const NamedWorld& from : Beginnings(nodes, 2)) {
+      Report(std::to_string(nodes) + " members, walks with two losses, " + from.name,
+             ExploreAtRandom(from, first, walks, 400));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace shelflink::coordination
--- a/tests/tier/coordination/world.h
+++ b/tests/tier/coordination/world.h
@@ -51,6 +51,7 @@
   std::deque<std::pair<Ticket, std::uint64_t>> syncs;  // Under way: ticket, batches covered.
   // Orders that wait for their position to be committed.
   std::vector<std::pair<Position, Order>> waiting;
+  std::optional<bool> transferred;  // What the last Transfer of this life came to, once told.
 };
 
 struct Flight {
@@ -101,7 +102,8 @@
 
   std::vector<Node> nodes;
   std::vector<Flight> flights;
-  std::vector<Order> orders;  // Of each client.
+  std::vector<Order> orders;       // Of each client.
+  std::vector<std::size_t> seeds;  // That processes are started with: the first three nodes.
   net::Time now{std::chrono::seconds(100)};
   History history;
 
