One answer for each caller: early answers, callers that left, time left, silence, half events

An answer that came before the request's body was written whole counted as 'never sent': a request that may run once was sent again after an endpoint's 500 or a break. A proxy that had stood still sent requests of clients that had left. A client that did not read held its stream beyond the route's time. Deadlines counted from the body's last byte, and a body could come for longer than its route's time. Silence alone cut streams before their time. A stream without chunks that ended inside an event passed for whole. A connection was used again after a surplus answer. A client's Expect-Version reached endpoints, whose 421 took them out of use; Connection could name the protocol's own headers away. Without a configuration large requests got 413 or 431 in place of 503.

Change: UpstreamTerms::early_answers (the program in service keeps its way), Arrival::began and ServerTerms::longest_arrival, Module::CanMove, CallUser::MaySend asks the client's connection.

--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -114,6 +114,8 @@
     linger_left_ -= bytes.size();
     return Read();
   }
+  came_at_ = server_.loop_.Now();
+  if (incoming_.empty() && !parser_) began_ = came_at_;
   incoming_.Append(bytes);
   if (state_ == State::kIdle) {
     Parse();
@@ -130,6 +132,7 @@
   parser_->header_limit(server_.terms_.header_limit);
   parser_->body_limit(server_.terms_.body_limit);
   head_.reset();
+  whole_by_.reset();
   came_ = 0;
   if (!first_ || !server_.terms_.first_span) spent_ = {};
   if (!yields_) Yields(kWaiting);
@@ -168,6 +171,9 @@
 bool Client::LookAtHead() {
   if (!Framed(*parser_)) return Spoil(400, "the length is not told plainly\n"), false;
   head_ = std::move(parser_->get().base());
+  if (const auto& longest = server_.terms_.longest_arrival) {
+    if (const auto span = longest(*head_)) whole_by_ = began_ + *span;
+  }
   const auto expect = (*head_)[http::field::expect];
   if (expect.empty() || head_->version() < 11) return true;
   if (!boost::beast::iequals(expect, "100-continue")) {
@@ -194,7 +200,8 @@
   awaited_since_ = now;
   const auto paced = std::chrono::microseconds(static_cast<std::int64_t>(came_) * 1'000'000 /
                                                kLeastBytesPerSecond);
-  timer_->ArmAt(now + server_.terms_.request_span + paced - spent_);
+  const net::Time paced_end = now + server_.terms_.request_span + paced - spent_;
+  timer_->ArmAt(whole_by_ ? std::min(*whole_by_, paced_end) : paced_end);
 }
 
 void Client::Came() {
@@ -222,7 +229,8 @@
   HoldsBody(0);
   first_ = false;
   fresh_until_ = {};
-  Arrival arrival{parser_->is_done(), std::nullopt};
+  Arrival arrival{parser_->is_done(), std::nullopt, began_};
+  began_ = came_at_;  // Of the next request, where a part of it has come.
   if (const auto length = parser_->content_length()) arrival.length = *length;
   HttpRequest request(std::move(*head_));
   request.body() = std::exchange(parser_->get().body(), {});
--- a/src/sidecar/server.h
+++ b/src/sidecar/server.h
@@ -37,6 +37,11 @@
   // half read by then is refused by a process that leaves.
   std::chrono::milliseconds drain_window{500};
   std::chrono::milliseconds leave_half_read{700};
+  // How long a request with that head may take to come whole, from its first byte, beside
+  // request_span; none: no longer bound. May be empty.
+  std::function<std::optional<std::chrono::milliseconds>(
+      const boost::beast::http::request_header<boost::beast::http::fields>&)>
+      longest_arrival;
   bool folded_headers = true;  // Whether a header's value may go on in a further line.
   // How an answer that is not whole ends: by a reset, which may take with it what the client has
   // not read yet; or, where its framing shows that it is not whole, by a plain close.
@@ -51,6 +56,7 @@
 struct Arrival {
   bool whole = true;
   std::optional<std::uint64_t> length;  // Of the whole body, where its head told it.
+  net::Time began{};                    // When its first byte came.
 };
 
 // One connection. Holds one request at a time, from its last byte (of a long one: from as much of
@@ -149,6 +155,9 @@
   std::uint64_t held_ = 0;  // Of these here.
   net::Span spent_{};       // Waiting for it.
   std::optional<net::Time> awaited_since_;
+  net::Time came_at_{};                // When bytes last came,
+  net::Time began_{};                  // and the first of the present request.
+  std::optional<net::Time> whole_by_;  // As longest_arrival tells.
   Feed feed_;
   bool chunked_ = false;  // The answer that goes out in parts.
   bool sized_ = false;    // Its head told its length.
--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -92,6 +92,8 @@
     deadline_ = outbound.deadline.value_or(outbound.until);
     more_ = outbound.more;
     in_parts_ = more_;
+    request_in_parts_ = more_;
+    skipped_ = false;
     done_ = std::move(done);
     written_ = false;
     passing_ = false;
@@ -206,13 +208,28 @@
       case Outgoing::State::kAllOut:
         return more_ ? WantMore() : Whole();
       case Outgoing::State::kBroken:
-        return Finish(OutcomeCode::kConnectFailed);  // Its last byte never left.
+        return WriteBroken();
       case Outgoing::State::kMoreToCome:
-        if (in_parts_) timer_->ArmAt(WriteEnd(owner_.loop_.Now() + silence_));
+        if (request_in_parts_) timer_->ArmAt(WriteEnd(owner_.loop_.Now() + silence_));
         return;
     }
   }
 
+  // Its last byte never left; but an answer may have come before the break, and is read first.
+  void WriteBroken() {
+    if (owner_.terms_.early_answers && stream_->Peek() == net::Ahead::kBytes) {
+      return outgoing_.Clear();
+    }
+    Finish(MayHaveRun() ? OutcomeCode::kReset : OutcomeCode::kConnectFailed);
+  }
+
+  // Whether the endpoint may have run the request: it has all of it, or it has begun to answer what
+  // it has.
+  bool MayHaveRun() const {
+    if (written_) return true;
+    return early_ && !skips();
+  }
+
   // By then its last byte is out, or it is given up with nothing having run.
   net::Time WriteEnd(net::Time at) const { return write_by_ ? std::min(at, *write_by_) : at; }
 
@@ -225,8 +242,8 @@
   void Whole() {
     written_ = true;
     whole_at_ = owner_.loop_.Now();
-    if (in_parts_) until_ = whole_at_ + left_;
-    if (in_parts_ || write_by_) timer_->ArmAt(until_);
+    if (request_in_parts_) until_ = whole_at_ + left_;
+    if (request_in_parts_ || write_by_) timer_->ArmAt(until_);
     owner_.user_.OnWhole(key_);
   }
 
@@ -256,6 +273,7 @@
     if (state_ == State::kIdle) return Drop();  // Its end, or bytes that nobody asked for.
     if (fault != net::Fault::kNone && fault != net::Fault::kEnd) return Broken();
     const bool ended = fault == net::Fault::kEnd;
+    early_ = early_ || ComesEarly();
     if (!Take()) return Spoilt();
     // Without a length and without chunks the end tells the end.
     if (ended && parser_->is_header_done() && parser_->need_eof() && !parser_->is_done()) {
@@ -275,14 +293,21 @@
       }
       return Read();
     }
-    // What came before the request was out is no answer to it.
-    if (code_ == OutcomeCode::kOk && !written_) return Broken();
-    took_ = owner_.loop_.Now() - whole_at_;
+    if (code_ == OutcomeCode::kOk && IsTooEarly()) return Broken();
+    NoteTook();
     const bool reusable = Reusable(ended);
     HttpResponse answer = parser_->release();
     Finish(code_, std::move(answer), reusable);
   }
 
+  bool ComesEarly() const { return owner_.terms_.early_answers && !written_ && !incoming_.empty(); }
+  // Without early answers, what came before the request was out is no answer to it.
+  bool IsTooEarly() const { return !written_ && !owner_.terms_.early_answers; }
+
+  void NoteTook() {
+    if (written_) took_ = owner_.loop_.Now() - whole_at_;
+  }
+
   // Takes in what has come; false if it is no answer.
   bool Take() {
     error_code ec;
@@ -307,6 +332,7 @@
     if (parser_->get().result_int() < 200) return true;
     reading_ = owner_.terms_.read_head(key_, parser_->get());
     code_ = reading_.code;
+    if (reading_.use == AnswerUse::kSkip) skipped_ = true;
     idle_span_ = owner_.idle_span_;
     if (!owner_.terms_.heed_keep_alive) return true;
     if (const auto kept = KeptIdle(parser_->get())) {
@@ -320,9 +346,11 @@
            reading_.use == AnswerUse::kSkip;
   }
 
-  // Bytes beyond the answer belong to no request; the connection is of no further use.
+  // Whether nothing is owed on the connection any more in either direction. Bytes beyond the answer
+  // belong to no request. Behind an answer that came early, the rest of its request's body is still
+  // to be read; an endpoint that sent an answer too many may send another.
   bool Reusable(bool ended) const {
-    return !ended && written_ && parser_->keep_alive() && incoming_.empty();
+    return !ended && written_ && !early_ && !skipped_ && parser_->keep_alive() && incoming_.empty();
   }
 
   // Longer than may be held. Of what is no answer to pass on the code is all that matters.
@@ -336,7 +364,7 @@
 
   void PassOn(bool ended) {
     if (code_ != OutcomeCode::kOk) return Finish(code_);
-    if (!written_) return Broken();
+    if (IsTooEarly()) return Broken();
     if (!passing_ && !BeginPassing()) return;
     const std::string part = std::exchange(parser_->get().body(), {});
     const bool wanted = part.empty() || owner_.user_.OnAnswerPart(key_, part);
@@ -346,7 +374,7 @@
     if (incoming_.size() > kHeaderLimit) return Spoilt();
     if (!wanted) {
       paused_ = true;
-      return timer_->Cancel();
+      return end_ ? timer_->ArmAt(*end_) : timer_->Cancel();
     }
     AwaitAnswer();
     Read();
@@ -356,7 +384,7 @@
     passing_ = true;
     begun_ = true;
     in_parts_ = true;
-    took_ = owner_.loop_.Now() - whole_at_;
+    NoteTook();
     HttpResponse head(parser_->get().base());
     std::optional<std::uint64_t> length;
     if (const auto told = parser_->content_length()) length = *told;
@@ -384,17 +412,18 @@
     parser_->body_limit(kLargestBody);
     parser_->skip(message_->method() == http::verb::head);
     reading_ = {};
+    early_ = ComesEarly();
   }
 
   // The endpoint has answered, and not in a way that can be used. It may have run, as with an error
   // that can be read; it is no sign that the endpoint has too much to do, as a break would be.
-  void Spoilt() { Finish(written_ ? OutcomeCode::kError : OutcomeCode::kConnectFailed); }
+  void Spoilt() { Finish(MayHaveRun() ? OutcomeCode::kError : OutcomeCode::kConnectFailed); }
 
   // Ended. Before the request's last byte was handed over it never ran.
   void Broken() {
     if (Mutated(Mutant::kCallItUnsent)) return Finish(OutcomeCode::kConnectFailed);
     if (!begun_ && incoming_.empty() && idle_ > kTrustedIdle) owner_.NoteStale(idle_);
-    Finish(written_ ? OutcomeCode::kReset : OutcomeCode::kConnectFailed);
+    Finish(MayHaveRun() ? OutcomeCode::kReset : OutcomeCode::kConnectFailed);
   }
 
   void Drop() {
@@ -410,12 +439,12 @@
         stream_->Peek() == net::Ahead::kBytes) {
       return timer_->ArmAt(owner_.loop_.Now() + kUnreadSpan);
     }
-    if (state_ == State::kBusy && written_) {
+    if (state_ == State::kBusy && MayHaveRun()) {
       if (const auto later = owner_.user_.OnLate(key_)) return timer_->ArmAt(*later);
     }
     if (begun_) return Spoilt();
-    Finish(state_ == State::kBusy && written_ ? OutcomeCode::kTimeout
-                                              : OutcomeCode::kConnectFailed);
+    Finish(state_ == State::kBusy && MayHaveRun() ? OutcomeCode::kTimeout
+                                                  : OutcomeCode::kConnectFailed);
   }
 
   Upstream& owner_;
@@ -445,9 +474,12 @@
   net::Time deadline_;
   bool more_ = false;      // Of the request's body, to be asked for.
   bool in_parts_ = false;  // The request or its answer.
-  bool passing_ = false;   // The answer goes out in parts,
-  bool paused_ = false;    // and no more of it is wanted now.
-  net::Time whole_at_;     // When the request's last byte was written.
+  bool request_in_parts_ = false;
+  bool early_ = false;    // The present answer began before the request's last byte was written.
+  bool skipped_ = false;  // An answer to another request has come.
+  bool passing_ = false;  // The answer goes out in parts,
+  bool paused_ = false;   // and no more of it is wanted now.
+  net::Time whole_at_;    // When the request's last byte was written.
   std::optional<net::Span> took_;
   net::Time idle_since_;
   Done done_;
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -84,6 +84,9 @@
   // Whether what has come is read before an attempt's time is over: a process that stood still
   // finds its timers due and its answers unread.
   bool read_before_time_up = false;
+  // Whether an answer that begins before the request's last byte was written counts as the
+  // request's own. If so the request may have run from then on, and the connection is not reused.
+  bool early_answers = false;
 };
 
 // A request as it goes to an endpoint. The message must stay where it is until the attempt is over
--- a/src/tier/policy/call.cpp
+++ b/src/tier/policy/call.cpp
@@ -31,12 +31,16 @@
   return outcome != Outcome::kNeverSent && outcome != Outcome::kMisdirected;
 }
 
+bool HasAttemptsLeft(const HeldCall& held, Micros now) {
+  const int most = Mutated(Mutant::kManyAttempts) ? 9 : std::max(1, held.call.max_attempts);
+  return now < held.call.due && held.sends < most && held.attempts.size() < kMostAttempts;
+}
+
 bool MaySendAgain(const HeldCall& held, Micros now) {
-  if (now >= held.call.due || held.AnyOut()) return false;
+  if (held.AnyOut()) return false;
   const bool may_repeat = held.call.repeatable || Mutated(Mutant::kRepeatAnything);
   if (held.may_have_run && !may_repeat) return false;
-  const int most = Mutated(Mutant::kManyAttempts) ? 9 : std::max(1, held.call.max_attempts);
-  return held.sends < most && held.attempts.size() < kMostAttempts;
+  return HasAttemptsLeft(held, now);
 }
 
 }  // namespace shelflink::policy
--- a/src/tier/policy/call.h
+++ b/src/tier/policy/call.h
@@ -42,6 +42,8 @@
 // Whether the attempt counts as one of max_attempts. What never left, or reached another instance
 // than the one meant, was not sent to the endpoint.
 bool CountsAsSend(Outcome outcome);
+// Whether time and attempts are left for another one.
+bool HasAttemptsLeft(const HeldCall& held, Micros now);
 // Whether another attempt would keep the rules; whether it is worth it is not asked here.
 bool MaySendAgain(const HeldCall& held, Micros now);
 // Attempts of one call in all, those that never left among them.
--- a/src/tier/policy/module.cpp
+++ b/src/tier/policy/module.cpp
@@ -196,6 +196,16 @@
     Settle();
   }
 
+  bool CanMove(Micros now, CallId id, std::uint32_t number) {
+    HeldCall* held = Find(id);
+    const Attempt* attempt = OutAttempt(held, number);
+    if (attempt == nullptr || !held->call.repeatable) return false;
+    if (!HasAttemptsLeft(*held, now) || !retry_budget_.Has()) return false;
+    if (held->call.due - now < Part(kLeastOffer, ObjectiveOf(held->call))) return false;
+    Service& service = *services_.at(held->call.service);
+    return Picker::HasOther(now, *held, service.subset.Members(now), *attempt->endpoint);
+  }
+
   std::uint32_t Room(Micros now, std::uint32_t level) const {
     if (level >= levels_.count() || levels_.waiting(level) > 0) return 0;
     double seats = levels_.Seats(now, level);
@@ -606,6 +616,9 @@
   impl_->OnLoad(now, endpoint, running, waiting, slots);
 }
 void Module::OnTimer(Micros now) { impl_->OnTimer(now); }
+bool Module::CanMove(Micros now, CallId call, std::uint32_t attempt) const {
+  return impl_->CanMove(now, call, attempt);
+}
 std::uint32_t Module::Room(Micros now, std::uint32_t level) const {
   return impl_->Room(now, level);
 }
--- a/src/tier/policy/module.h
+++ b/src/tier/policy/module.h
@@ -114,6 +114,8 @@
               std::uint32_t slots);
   void OnTimer(Micros now);
 
+  // Whether the call, given up at the endpoint of this attempt, would go on at another at once.
+  bool CanMove(Micros now, CallId call, std::uint32_t attempt) const;
   // How many more calls of the level would run at once; for whoever takes batch items up.
   std::uint32_t Room(Micros now, std::uint32_t level) const;
 
--- a/src/tier/policy/picker.cpp
+++ b/src/tier/policy/picker.cpp
@@ -129,6 +129,16 @@
   return {best, best == nullptr && crowded};
 }
 
+bool Picker::HasOther(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
+                      const Endpoint& present) {
+  const double most_load = MostLoad(held);
+  return std::any_of(members.begin(), members.end(), [&](const Endpoint* endpoint) {
+    return endpoint != &present && endpoint->Usable(now) && !held.TurnedAwayBy(*endpoint) &&
+           StandingOf(now, held, *endpoint) < Standing::kSilent &&
+           endpoint->Running(now) + 1.0 <= most_load * endpoint->slots();
+  });
+}
+
 Picker::Standing Picker::StandingOf(Micros now, const HeldCall& held, const Endpoint& endpoint) {
   if (endpoint.health().Avoided(now)) return Standing::kEjected;
   if (endpoint.Silent(now)) return Standing::kSilent;
--- a/src/tier/policy/picker.h
+++ b/src/tier/policy/picker.h
@@ -43,6 +43,10 @@
   Choice Pick(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
               const ServiceFacts& facts);
 
+  // Whether another endpoint than this one would take the call now.
+  static bool HasOther(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
+                       const Endpoint& present);
+
   // Prompt tokens that the endpoint would have to read.
   static std::uint64_t ReadTokens(const Call& call, const Endpoint& endpoint);
   // Time that an endpoint takes to read what of the prompt no other call shares.
--- a/src/tier/proxy/calls.h
+++ b/src/tier/proxy/calls.h
@@ -32,7 +32,8 @@
   std::uint32_t level = 0;
   bool batch = false;
   bool resumable = false;
-  std::optional<net::Time> due;                // Of the caller; none: the route's timeout alone.
+  std::optional<net::Time> began;  // The route's timeout counts from then; none: from the start.
+  std::optional<net::Time> due;    // Of the caller; none: the route's timeout alone.
   std::optional<std::uint64_t> last_event_id;  // Continue behind this event.
   std::optional<int> max_attempts;             // In place of the route's.
 };
--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -53,15 +53,18 @@
   bool out = false;      // An attempt is under way:
   std::uint32_t attempt = 0;
   std::string endpoint;
-  bool forbidden = false;    // Its user does not let it be sent.
-  net::Time moved{};         // When the present attempt was sent, or its last part came,
-  net::Span most_silence{};  // and how long nothing may follow,
-  net::Span patience{};      // or, at an endpoint that has fallen silent for all.
+  bool forbidden = false;     // Its user does not let it be sent.
+  net::Time moved{};          // When the present attempt was sent, or its last part came,
+  net::Span most_silence{};   // and how long nothing may follow at most,
+  net::Span first_silence{};  // how long at first until its endpoint is looked at,
+  net::Span later_silence{};  // and how long inside its answer,
+  net::Span patience{};       // or, at an endpoint that has fallen silent for all.
   int sends = 0;
   int ran = 0;             // Endpoints that may have run it, the present one not among them.
   bool begun = false;      // Of the present attempt an event has come.
   bool streaming = false;  // The present attempt's answer is a stream of events.
   bool passing = false;    // It goes on in parts.
+  bool ends_with_connection = false;  // It has neither a length nor chunks.
   bool head_told = false;
   std::optional<HttpResponse> head;  // Of a stream, until its first event.
   EventStream events;
@@ -88,7 +91,7 @@
                 [] { return kHeldAnswer; },
                 {kDeadlineHeader,
                  [this](AttemptKey key, const HttpResponse& head) { return ReadHead(key, head); },
-                 milliseconds(0), true, true}),
+                 milliseconds(0), true, true, true}),
       registry_(upstream_),
       module_(options_.seed, *this),
       timer_(loop.NewTimer([this] {
@@ -161,8 +164,9 @@
   live->repeatable =
       request.batch || request.resumable || request.route->kind == RouteKind::kIdempotent;
   const net::Span span = request.batch ? net::Span(kItemSpan) : net::Span(request.route->timeout);
-  live->deadline = std::min(request.due.value_or(net::Time::max()), now + span);
-  live->end = std::min(request.due.value_or(net::Time::max()), now + span + kEndSlack);
+  const net::Time over = request.began.value_or(now) + span;
+  live->deadline = std::min(request.due.value_or(net::Time::max()), over);
+  live->end = std::min(request.due.value_or(net::Time::max()), over + kEndSlack);
   live->events = EventStream(request.last_event_id);
   live->tokens = ParseTokenCount(ValueOf(request.headers, kTokenCountHeader));
   live->message = OutgoingMessage(request);
@@ -277,6 +281,7 @@
   live->passing = false;
   live->head.reset();
   live->forbidden = !live->user->MaySend();
+  if (!Find(decision.call)) return;  // Cancelled by its user.
   const KnownEndpoint* known = registry_.Find(decision.endpoint);
   const net::Time now = loop_.Now();
   if (live->forbidden || known == nullptr || now >= live->deadline || live->sends >= kMostSends) {
@@ -288,19 +293,10 @@
     live->message.set(kLastEventIdHeader, std::to_string(*live->events.last_id()));
   }
   live->moved = now;
-  const Route& route = *live->request.route;
-  const milliseconds silence = ClientSilence(route);
-  live->most_silence = live->request.batch ? net::Span(kItemFirstSilence) : net::Span(silence);
-  // Where it could go on at another endpoint, one that has fallen silent is not waited for as long.
-  const bool could_move = live->may_move() && live->ran + 1 < live->max_attempts();
-  live->patience = live->request.batch ? net::Span(kItemPatience) : MovePatience(route);
-  const net::Span first_silence = could_move ? live->patience : live->most_silence;
-  net::Time until = live->end;
-  if (live->is_stream_route() || could_move) {
-    until = std::min(until, now + first_silence);
-  }
+  SetSilences(*live, now);
+  const net::Time until = std::min(live->end, now + live->first_silence);
   kelpspring::Outbound outbound{live->message, false, std::nullopt, until, {}};
-  outbound.silence = could_move ? live->patience : net::Span(silence);
+  outbound.silence = live->later_silence;
   outbound.end = live->end;
   outbound.deadline = live->deadline;
   outbound.repeatable = live->repeatable;
@@ -308,13 +304,31 @@
                  [this, key](kelpspring::Answer answer) { EndAttempt(key, std::move(answer)); });
 }
 
+// An endpoint's silence alone never ends an answer to a client: it is waited for to the call's end,
+// but for a call that could go on at another endpoint. Items wait in the store, not here.
+void EndpointCalls::SetSilences(LiveCall& live, net::Time now) {
+  const Route& route = *live.request.route;
+  const bool could_move = live.may_move() && live.ran + 1 < live.max_attempts();
+  if (live.request.batch) {
+    live.patience = kItemPatience;
+    live.most_silence = kItemFirstSilence;
+    live.first_silence = could_move ? live.patience : live.most_silence;
+    live.later_silence = could_move ? live.patience : net::Span(ClientSilence(route));
+    return;
+  }
+  live.patience = MovePatience(route);
+  live.most_silence = std::max(net::Span::zero(), live.end - now);
+  live.first_silence = could_move ? live.patience : live.most_silence;
+  live.later_silence = live.first_silence;
+}
+
 // ---- What endpoints answer ----
 
 bool EndpointCalls::OnUp(AttemptKey key) {
   const LivePtr live = FindAttempt(key);
   if (!live) return false;
   live->forbidden = !live->user->MaySend();
-  return !live->forbidden;
+  return !live->forbidden && Find(key.first) != nullptr;
 }
 
 kelpspring::Reading EndpointCalls::ReadHead(AttemptKey key, const HttpResponse& head) const {
@@ -334,16 +348,17 @@
 }
 
 // A call whose endpoint answers others is late, not lost: moving it would only add work where
-// there is too much of it. One whose endpoint has fallen silent for all goes on elsewhere.
+// there is too much of it. One whose endpoint has fallen silent for all goes on elsewhere, if
+// another endpoint would take it.
 std::optional<net::Time> EndpointCalls::OnLate(AttemptKey key) {
   const LivePtr live = FindAttempt(key);
   if (!live) return std::nullopt;
   const net::Time now = loop_.Now();
-  const net::Time last =
-      live->is_stream_route() ? std::min(live->end, live->moved + live->most_silence) : live->end;
+  const net::Time last = std::min(live->end, live->moved + live->most_silence);
+  if (now >= last) return std::nullopt;
   const KnownEndpoint* known = registry_.Find(live->endpoint);
   const bool alive = known != nullptr && known->heard + live->patience > now;
-  if (!alive || now >= last) return std::nullopt;
+  if (!alive && (live->request.batch || CanMove(*live, key))) return std::nullopt;
   return std::min<net::Time>(last, now + kLookAgain);
 }
 
@@ -355,6 +370,7 @@
   NoteLoad(*live, head);
   live->passing = true;
   live->streaming = live->is_stream_route() && IsEventStream(head);
+  live->ends_with_connection = !length && !head.chunked();
   if (live->streaming) {
     if (!live->head_told) live->head = std::move(head);
     return true;
@@ -453,11 +469,21 @@
 bool EndpointCalls::MayGoOn(const LiveCall& live) const {
   if (!live.repeatable || live.ran >= live.max_attempts()) return false;
   if (live.sends >= kMostSends || loop_.Now() >= live.deadline) return false;
-  // An answer that has begun can only be continued as a stream whose events can be told apart.
+  return CanContinue(live);
+}
+
+// An answer that has begun can only be continued as a stream whose events can be told apart.
+bool EndpointCalls::CanContinue(const LiveCall& live) {
   return !live.head_told ||
          (live.request.resumable && live.events.events() > 0 && live.events.CanRejoin());
 }
 
+// Whether the call, given up at its present endpoint, would go on at another at once.
+bool EndpointCalls::CanMove(const LiveCall& live, AttemptKey key) const {
+  return live.may_move() && live.ran + 1 < live.max_attempts() && live.sends < kMostSends &&
+         CanContinue(live) && module_.CanMove(Now(), key.first, key.second);
+}
+
 // It may have run, and no whole answer came of it.
 void EndpointCalls::EndBroken(const LivePtr& live, AttemptKey key, Outcome outcome) {
   live->out = false;
@@ -470,8 +496,10 @@
 }
 
 void EndpointCalls::EndStream(const LivePtr& live, AttemptKey key) {
-  // Its framing says that it is whole, so what stands behind the last event belongs to it.
   const std::string rest(live->events.rest());
+  // The end of a connection alone does not tell a stream that is whole from one that broke off.
+  if (!rest.empty() && live->ends_with_connection) return EndBroken(live, key, Outcome::kReset);
+  // Its framing says that it is whole, so what stands behind the last event belongs to it.
   TellPendingHead(live);
   if (!rest.empty() && FindAttempt(key)) live->user->OnBody(rest);
   live->out = false;
--- a/src/tier/proxy/endpoint_calls.h
+++ b/src/tier/proxy/endpoint_calls.h
@@ -101,6 +101,7 @@
 
   void CarryOut();
   void StartAttempt(const Decision& decision);
+  static void SetSilences(LiveCall& live, net::Time now);
   void EndAttempt(kelpspring::AttemptKey key, kelpspring::Answer answer);
   void EndUnsent(const LivePtr& live, kelpspring::AttemptKey key, policy::Outcome outcome);
   void EndBroken(const LivePtr& live, kelpspring::AttemptKey key, policy::Outcome outcome);
@@ -108,6 +109,8 @@
   void EndAnswered(const LivePtr& live, kelpspring::AttemptKey key,
                    kelpspring::HttpResponse message);
   bool MayGoOn(const LiveCall& live) const;
+  static bool CanContinue(const LiveCall& live);
+  bool CanMove(const LiveCall& live, kelpspring::AttemptKey key) const;
   void TellHead(const LivePtr& live, const kelpspring::HttpResponse& head,
                 std::optional<std::uint64_t> length);
   void TellPendingHead(const LivePtr& live);  // Of a stream, where it has not been told.
--- a/src/tier/proxy/front.cpp
+++ b/src/tier/proxy/front.cpp
@@ -28,6 +28,7 @@
 constexpr auto kPlatformNotices = milliseconds(2500);
 // Clients keep within the limits by their own clocks; what the way takes comes on top.
 constexpr auto kWaySlack = milliseconds(500);
+constexpr std::size_t kLargestHead = 65536;
 constexpr double kNotReadyRetryAfter = 0.25;
 constexpr double kNoRoomRetryAfter = 0.5;
 
@@ -66,6 +67,23 @@
 
 }  // namespace
 
+// Until a configuration tells the limits, nothing is turned away for its size: all of it gets 503.
+configuration::ClientLimits LimitsBeforeConfiguration() {
+  configuration::ClientLimits limits;
+  limits.max_header_bytes = kLargestHead;
+  limits.max_body_bytes = kelpspring::kLargestBody;
+  return limits;
+}
+
+// What the client will still wait. A fraction of a millisecond does not count.
+std::optional<milliseconds> ClientWait(const HttpRequest& request) {
+  constexpr std::uint64_t kLongest = 86'400'000;
+  const std::string_view text = View(request[kDeadlineHeader]);
+  const auto wait = WholeNumber(text.substr(0, text.find('.')));
+  if (!wait) return std::nullopt;
+  return milliseconds(std::min(*wait, kLongest));
+}
+
 // One request of a client, from its call to the end of its answer.
 class Front::Exchange final : public CallUser {
  public:
@@ -81,15 +99,31 @@
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
 
-  void Start(CallRequest request) {
+  // False: its client has gone meanwhile.
+  bool Start(CallRequest request) {
+    client_->OnGone([this] { Gone(); });
+    started_ = false;
     call_ = front_.wiring_.calls.Start(std::move(request), *this);
-    client_->OnGone([this] {
-      front_.wiring_.calls.Cancel(call_);
-      front_.Ended(this);
-    });
+    started_ = true;
+    if (gone_) front_.wiring_.calls.Cancel(call_);
+    return !gone_;
   }
 
  private:
+  void Gone() {
+    gone_ = true;
+    if (!started_) return;
+    front_.wiring_.calls.Cancel(call_);
+    front_.Ended(this);
+  }
+
+  // Nothing is sent for a client that has left, also if this process stood still meanwhile and its
+  // end has not been read. Finding that out ends this exchange.
+  bool MaySend() override {
+    const ClientPtr client = client_;
+    return !client->HasLeft();
+  }
+
   void OnHead(int status, const HeaderList& headers, std::optional<std::uint64_t> length) override {
     client_->Begin(HeadOf(status, headers), length, [this] { front_.wiring_.calls.Resume(call_); });
   }
@@ -132,6 +166,8 @@
   std::uint64_t body_;  // Its bytes.
   policy::CallId call_ = 0;
   bool counted_ = false;
+  bool started_ = false;
+  bool gone_ = false;
 };
 
 Front::Front(net::Loop& loop, kelpspring::Log& log, net::ListenerPtr listener,
@@ -151,9 +187,9 @@
           },
           [this](const ClientPtr& client, HttpRequest request, kelpspring::Arrival arrival) {
             if (!arrival.whole) return client->Respond(Refusal(kNoRoomRetryAfter));
-            OnRequest(client, std::move(request));
+            OnRequest(client, std::move(request), arrival.began);
           },
-          TermsOf({}, grace)) {
+          TermsOf(LimitsBeforeConfiguration(), grace)) {
   server_.Open();
 }
 
@@ -163,7 +199,20 @@
   configuration_ = std::move(configuration);
   if (!configuration_) return;
   levels_ = Levels(*configuration_);
-  server_.SetTerms(TermsOf(configuration_->limits, grace_));
+  kelpspring::ServerTerms terms = TermsOf(configuration_->limits, grace_);
+  terms.longest_arrival = [this](const auto& head) { return LongestArrival(head); };
+  server_.SetTerms(std::move(terms));
+}
+
+// A request whose body is still coming when its route's time is over is answered then.
+std::optional<milliseconds> Front::LongestArrival(
+    const http::request_header<http::fields>& head) const {
+  const kelpspring::Target target = kelpspring::Split(View(head.target()));
+  const std::string_view host =
+      target.authority.empty() ? View(head[http::field::host]) : target.authority;
+  const Route* route = configuration_->FindRoute(host, kelpspring::PathOf(target.origin));
+  if (route == nullptr || route->kind == RouteKind::kBatch) return std::nullopt;
+  return route->timeout;
 }
 
 // The exchange exists no more after this.
@@ -181,7 +230,7 @@
   return nullptr;
 }
 
-void Front::OnRequest(const ClientPtr& client, HttpRequest request) {
+void Front::OnRequest(const ClientPtr& client, HttpRequest request, net::Time began) {
   if (!configuration_) return client->Respond(Refusal(kNotReadyRetryAfter));
   const kelpspring::Target target = kelpspring::Split(View(request.target()));
   const std::string_view path = kelpspring::PathOf(target.origin);
@@ -201,7 +250,7 @@
     if (tenant == nullptr) return client->RespondPlain(401, "unknown key\n");
   }
   if (route->kind != RouteKind::kBatch) {
-    return StartCall(client, std::move(request), *route, tenant);
+    return StartCall(client, std::move(request), *route, tenant, began);
   }
   if (wiring_.batch == nullptr) return client->Respond(Refusal(kNotReadyRetryAfter));
   const BatchCaller caller{configuration_, route, tenant == nullptr ? "" : tenant->name,
@@ -210,7 +259,7 @@
 }
 
 void Front::StartCall(const ClientPtr& client, HttpRequest request, const Route& route,
-                      const Tenant* tenant) {
+                      const Tenant* tenant, net::Time began) {
   if (request.count(kRequestIdHeader) != 1 || request[kRequestIdHeader].empty()) {
     return client->RespondPlain(400, "Shelflink-Request-Id: expected once\n");
   }
@@ -229,11 +278,11 @@
   const bool ranked = tenant != nullptr && tenant->priority;
   call.level = levels_.Of(ranked ? *tenant->priority : route.priority);
   call.resumable = route.kind == RouteKind::kStreaming && route.resumable;
-  const net::Time now = loop_.Now();
-  net::Time due = now + route.timeout;
-  if (const auto left = WholeNumber(View(request[kDeadlineHeader]))) {
-    constexpr std::uint64_t kLongest = 86'400'000;
-    call.due = now + milliseconds(std::min(*left, kLongest));
+  // All spans count from the request's first byte: its body may have come slowly.
+  call.began = began;
+  net::Time due = began + route.timeout;
+  if (const auto wait = ClientWait(request)) {
+    call.due = began + *wait;
     due = std::min(due, *call.due);
   }
   if (call.resumable) {
@@ -242,7 +291,7 @@
   auto exchange = std::make_unique<Exchange>(*this, client, call.tenant, due, call.body.size());
   Exchange& started = *exchange;
   exchanges_.emplace(&started, std::move(exchange));
-  started.Start(std::move(call));
+  if (!started.Start(std::move(call))) Ended(&started);
 }
 
 }  // namespace shelflink::proxy
--- a/src/tier/proxy/front.h
+++ b/src/tier/proxy/front.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -52,11 +53,13 @@
   class Exchange;
   using ClientPtr = std::shared_ptr<kelpspring::Client>;
 
-  void OnRequest(const ClientPtr& client, kelpspring::HttpRequest request);
-  void OnBatchRequest(const ClientPtr& client, kelpspring::HttpRequest request, BatchCaller caller,
-                      std::string_view path);
+  // `began`: when the request's first byte came.
+  void OnRequest(const ClientPtr& client, kelpspring::HttpRequest request, net::Time began);
+  std::optional<std::chrono::milliseconds> LongestArrival(
+      const boost::beast::http::request_header<boost::beast::http::fields>& head) const;
   void StartCall(const ClientPtr& client, kelpspring::HttpRequest request,
-                 const configuration::Route& route, const configuration::Tenant* tenant);
+                 const configuration::Route& route, const configuration::Tenant* tenant,
+                 net::Time began);
   const configuration::Route* BatchRouteOf(std::string_view host, std::string_view path) const;
   void Ended(Exchange* exchange);
 
--- a/src/tier/proxy/headers.cpp
+++ b/src/tier/proxy/headers.cpp
@@ -18,9 +18,9 @@
     "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE",
     "Trailer",    "Upgrade",    "Expect",           "Content-Length",    "Proxy-Authenticate"};
 // Set by the proxy, whatever the client sent.
-constexpr std::array<std::string_view, 6> kOwn = {kRequestIdHeader,      kDeadlineHeader,
-                                                  kCredentialHeader,     kTenantHeader,
-                                                  kExpectInstanceHeader, kPriorityHeader};
+constexpr std::array<std::string_view, 7> kOwn = {
+    kRequestIdHeader,      kDeadlineHeader, kCredentialHeader,   kTenantHeader,
+    kExpectInstanceHeader, kPriorityHeader, kExpectVersionHeader};
 
 bool Same(std::string_view a, std::string_view b) {
   return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
@@ -41,6 +41,10 @@
   });
 }
 
+bool IsOfProtocol(std::string_view name) {
+  return Same(name.substr(0, std::string_view(kOwnPrefix).size()), kOwnPrefix);
+}
+
 template <typename Fields, typename Skip>
 HeaderList Selected(const Fields& fields, const Skip& skip) {
   const bool names_more = fields.count(boost::beast::http::field::connection) != 0;
@@ -48,7 +52,10 @@
   for (const auto& field : fields) {
     const std::string_view name = View(field.name_string());
     if (Among(kOfConnection, name) || skip(name)) continue;
-    if (names_more && NamedInConnection(fields, field.name_string())) continue;
+    // The protocol's own headers go from end to end, whatever Connection names.
+    if (names_more && !IsOfProtocol(name) && NamedInConnection(fields, field.name_string())) {
+      continue;
+    }
     selected.emplace_back(name, View(field.value()));
   }
   return selected;
--- a/src/tier/proxy/names.h
+++ b/src/tier/proxy/names.h
@@ -17,6 +17,8 @@
 constexpr const char* kWaitHeader = "Shelflink-Wait-Ms";
 constexpr const char* kLastEventIdHeader = "Last-Event-Id";
 constexpr const char* kPriorityHeader = "Priority";
+constexpr const char* kExpectVersionHeader = "Expect-Version";
+constexpr const char* kOwnPrefix = "Shelflink-";  // Of the protocol's own headers.
 constexpr const char* kRetryAfterHeader = "Retry-After";
 
 }  // namespace shelflink::proxy
--- /dev/null
+++ b/tests/tier/proxy/mutants.cmake
@@ -0,0 +1,90 @@
+# One test a mutant: a source file with one text replaced, and the case that must find it. A text
+# that does not stand in its file exactly once is an error, so that no mutant is the program itself.
+foreach(suite exchange_table live_rules)
+  add_library(tier_proxy_${suite}_cases OBJECT ${suite}_test.cpp)
+  target_include_directories(tier_proxy_${suite}_cases PRIVATE ${PROJECT_SOURCE_DIR}/tests/tier
+    ${PROJECT_SOURCE_DIR}/src)
+  target_compile_definitions(tier_proxy_${suite}_cases PRIVATE BOOST_TEST_DYN_LINK)
+  target_link_libraries(tier_proxy_${suite}_cases PUBLIC shelflink_tier_proxy shelflink_virtual
+    Boost::unit_test_framework PRIVATE gaugecart_warnings)
+endforeach()
+
+function(proxy_mutant name suite case file text replacement)
+  set(source ${PROJECT_SOURCE_DIR}/src/${file})
+  set(mutated ${CMAKE_CURRENT_BINARY_DIR}/mutants/${name}/${file})
+  file(READ ${source} whole)
+  string(FIND "${whole}" "${text}" first)
+  string(FIND "${whole}" "${text}" last REVERSE)
+  if(first EQUAL -1 OR NOT first EQUAL last)
+    message(FATAL_ERROR "mutant ${name}: its text stands not exactly once in ${file}")
+  endif()
+  string(REPLACE "${text}" "${replacement}" whole "${whole}")
+  file(CONFIGURE OUTPUT ${mutated} CONTENT "${whole}" @ONLY)
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${source})
+  add_executable(tier_proxy_mutant_${name} ${mutated})
+  target_include_directories(tier_proxy_mutant_${name} PRIVATE ${PROJECT_SOURCE_DIR}/src)
+  target_link_libraries(tier_proxy_mutant_${name} PRIVATE tier_proxy_${suite}_cases
+    gaugecart_warnings)
+  target_compile_options(tier_proxy_mutant_${name} PRIVATE -Wno-unused-parameter
+    -Wno-unused-variable -Wno-unused-function)
+  add_test(NAME tier.proxy_mutant_${name} COMMAND tier_proxy_mutant_${name} --run_test=${case})
+  set_tests_properties(tier.proxy_mutant_${name} PROPERTIES
+    PASS_REGULAR_EXPRESSION "failures? (is|are) detected in the test module")
+endfunction()
+
+proxy_mutant(early_answers_count_as_unsent exchange_table every_cell_of_the_table
+  tier/proxy/endpoint_calls.cpp
+  [=[milliseconds(0), true, true, true}]=] [=[milliseconds(0), true, true, false}]=])
+proxy_mutant(reused_after_an_early_answer exchange_table every_cell_of_the_table
+  sidecar/upstream.cpp [=[written_ && !early_ && !skipped_]=] [=[written_ && !skipped_]=])
+proxy_mutant(reused_after_a_surplus_answer exchange_table every_cell_of_the_table
+  sidecar/upstream.cpp [=[written_ && !early_ && !skipped_]=] [=[written_ && !early_]=])
+proxy_mutant(bytes_behind_an_answer_stay exchange_table every_cell_of_the_table
+  sidecar/upstream.cpp [=[parser_->keep_alive() && incoming_.empty();]=]
+  [=[parser_->keep_alive();]=])
+proxy_mutant(a_reset_counts_as_unsent exchange_table
+  a_request_on_a_dead_idle_connection_is_sent_again_only_where_it_may_be
+  tier/proxy/endpoint_calls.cpp
+  [=[    case OutcomeCode::kReset:
+      return EndBroken(live, key, Outcome::kReset);]=]
+  [=[    case OutcomeCode::kReset:
+      return EndUnsent(live, key, Outcome::kNeverSent);]=])
+proxy_mutant(a_reset_ends_an_answer exchange_table
+  an_answer_without_length_is_whole_by_an_end_and_not_by_a_reset
+  sidecar/upstream.cpp
+  [=[    if (fault != net::Fault::kNone && fault != net::Fault::kEnd) return Broken();
+    const bool ended = fault == net::Fault::kEnd;]=]
+  [=[    const bool ended = fault != net::Fault::kNone;]=])
+proxy_mutant(a_client_that_left_is_served live_rules
+  nothing_is_sent_for_a_client_that_left_while_the_proxy_stood_still
+  tier/proxy/front.cpp [=[return !client->HasLeft();]=] [=[return true;]=])
+proxy_mutant(a_deadline_counts_from_the_last_byte live_rules
+  the_time_left_counts_from_the_requests_first_byte
+  tier/proxy/front.cpp [=[call.due = began + *wait;]=] [=[call.due = loop_.Now() + *wait;]=])
+proxy_mutant(a_client_that_does_not_read_holds_for_ever live_rules
+  a_client_that_does_not_read_holds_nothing_beyond_the_routes_time
+  sidecar/upstream.cpp
+  [=[return end_ ? timer_->ArmAt(*end_) : timer_->Cancel();]=] [=[return timer_->Cancel();]=])
+proxy_mutant(a_body_may_come_for_ever live_rules
+  a_body_that_still_comes_at_the_routes_time_is_answered_then
+  sidecar/server.cpp
+  [=[timer_->ArmAt(whole_by_ ? std::min(*whole_by_, paced_end) : paced_end);]=]
+  [=[timer_->ArmAt(paced_end);]=])
+proxy_mutant(silence_ends_a_stream live_rules silence_alone_does_not_end_a_stream
+  tier/proxy/endpoint_calls.cpp
+  [=[if (!alive && (live->request.batch || CanMove(*live, key))) return std::nullopt;]=]
+  [=[if (!alive) return std::nullopt;]=])
+proxy_mutant(half_an_event_is_whole live_rules
+  a_stream_without_chunks_that_ends_inside_an_event_is_not_whole
+  tier/proxy/endpoint_calls.cpp
+  [=[  if (!rest.empty() && live->ends_with_connection) return EndBroken(live, key, Outcome::kReset);]=]
+  "")
+proxy_mutant(half_an_event_is_kept_over_a_resumption live_rules
+  versions_pass_in_heads_and_events_also_over_a_resumption
+  tier/proxy/event_stream.cpp
+  [=[  buffer_.clear();
+  consumed_ = 0;
+  joined_]=] [=[  joined_]=])
+proxy_mutant(connection_drops_the_protocols_headers live_rules
+  the_protocols_headers_pass_whatever_connection_names
+  tier/proxy/headers.cpp [=[!IsOfProtocol(name) && ]=] "")
