Stores: no lease under a replaced placement; a server whose commit failed is replaced

Cause, by reading: (1) a store that was cut off got its lease back with the renewal, before it heard that its partitions had moved, and answered for them until the news came. (2) A server whose commit failed was taken away and no other took its place while the store stayed the primary: the partition stood still. (3) A primary that was backup in between, both heard of in one event, kept its book. Change: the lease of a store counts only under a placement as new as the renewal's answer names (Agent::placement_lease_until); PartitionReplicas::LeadAnew and a term per time of acting.

--- a/src/tier/batch/hosted_partition.cpp
+++ b/src/tier/batch/hosted_partition.cpp
@@ -110,8 +110,10 @@
   for (std::size_t index = 0; index < row_.backup_disks.size(); ++index) {
     if (row_.complete[index]) assignment.replicas.push_back(row_.backup_disks[index]);
   }
+  const bool acted = replica_.acting();
   Run([&](coordination::Step& step, coordination::ReplicaOutput& out) {
     replica_.Assign(step, out, assignment, acting);
+    if (!acted && replica_.acting()) ++term_;
   });
 }
 
@@ -151,7 +153,7 @@
     });
     commits_.pop_front();
   }
-  const std::pair role(acting(), leading());
+  const std::tuple role(acting(), leading(), term_);
   if (role == told_role_) return;
   told_role_ = role;
   around_.role_changed();
--- a/src/tier/batch/hosted_partition.h
+++ b/src/tier/batch/hosted_partition.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -69,6 +70,9 @@
   bool learning() const { return named_ && !complete_in_row_; }
   bool named() const { return named_; }
   bool acting() const { return replica_.acting(); }
+  // Counts how often this process began to act as the primary: what was known in an earlier term may
+  // be void, for another may have acted in between.
+  std::uint64_t term() const { return term_; }
   std::size_t complete_copies() const;
   std::uint64_t row_epoch() const { return row_.epoch; }
   // When a row left this disk out; only if not named.
@@ -110,7 +114,7 @@
   // Of rows that this store has yet to be told, with their sizes; a few, see kMostEarlyBytes.
   std::vector<std::pair<ReplicaFrame, std::size_t>> early_;
   std::size_t early_bytes_ = 0;
-  std::pair<bool, bool> told_role_;   // Acting, leading.
+  std::tuple<bool, bool, std::uint64_t> told_role_;  // Acting, leading, the term.
   std::set<std::string> full_disks_;  // Of the other replicas.
   std::deque<std::pair<coordination::Position, Done>> commits_;
   net::Time active_at_{};
@@ -118,6 +122,7 @@
   bool asked_to_catch_up_ = false;     // In this epoch.
   std::optional<net::Time> act_from_;  // A row with a joiner: acts from then on, see TakeRow.
   std::uint64_t life_ = 0;
+  std::uint64_t term_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/tier/batch/partition_replicas.h
+++ b/src/tier/batch/partition_replicas.h
@@ -13,7 +13,7 @@
 
 class PartitionReplicas {
  public:
-  struct Events {  // Never called from inside a call of this class.
+  struct Events {  // Never called from inside a call of this class, but for LeadAnew.
     // The log may be read and committed to until `lost` has been told of the same partition.
     std::function<void(std::uint32_t partition, PartitionLog& log)> primary;
     std::function<void(std::uint32_t partition)> lost;
@@ -22,6 +22,9 @@
   virtual ~PartitionReplicas() = default;
   virtual void SetEvents(Events events) = 0;
   virtual void OnPlacement(const cluster::Placement& placement) = 0;
+  // What the owner knew of the partition is void: `lost` is told now, and `primary` once more when
+  // this store still is it.
+  virtual void LeadAnew(std::uint32_t partition) = 0;
 };
 
 }  // namespace shelflink::batch
--- a/src/tier/batch/replica_host.cpp
+++ b/src/tier/batch/replica_host.cpp
@@ -120,16 +120,21 @@
 void ReplicaHost::Look() {
   look_posted_ = false;
   for (auto& [partition, hosted] : hosted_) {
-    const bool led = led_.count(partition) != 0;
-    if (led && !hosted->acting()) {
-      Lost(partition);
-    } else if (!led && hosted->leading()) {
-      led_.insert(partition);
-      if (events_.primary) events_.primary(partition, *hosted);
-    }
+    const auto led = led_.find(partition);
+    const bool goes_on = hosted->acting() && led != led_.end() && led->second == hosted->term();
+    if (goes_on) continue;
+    Lost(partition);
+    if (!hosted->leading()) continue;
+    led_[partition] = hosted->term();
+    if (events_.primary) events_.primary(partition, *hosted);
   }
 }
 
+void ReplicaHost::LeadAnew(std::uint32_t partition) {
+  Lost(partition);
+  LookLater();
+}
+
 void ReplicaHost::Lost(std::uint32_t partition) {
   if (led_.erase(partition) != 0 && events_.lost) events_.lost(partition);
 }
--- a/src/tier/batch/replica_host.h
+++ b/src/tier/batch/replica_host.h
@@ -50,7 +50,8 @@
     std::size_t most_catching_up = 16;  // Partitions at a time, the most exposed ones first.
   };
   struct Outside {
-    std::function<net::Time()> lease_until;  // Of this process at the core.
+    // Of this process at the core, under the newest placement that the core told.
+    std::function<net::Time()> lease_until;
     std::function<void(const cluster::BackupReport&)> report;
     // What the results of accepted items may still need of this disk; empty: nothing.
     std::function<std::uint64_t()> reserved_bytes = nullptr;
@@ -65,6 +66,7 @@
 
   void SetEvents(Events events) override { events_ = std::move(events); }
   void OnPlacement(const cluster::Placement& placement) override;
+  void LeadAnew(std::uint32_t partition) override;
 
  private:
   void CountLife();
@@ -100,7 +102,7 @@
   bool life_is_synced_ = false;
   std::optional<cluster::Placement> placement_;
   std::map<std::uint32_t, std::unique_ptr<HostedPartition>> hosted_;
-  std::set<std::uint32_t> led_;  // As told to the service.
+  std::map<std::uint32_t, std::uint64_t> led_;  // As told to the service, with the terms.
   bool look_posted_ = false;
   bool learn_posted_ = false;
   coordination::Ticket ticket_ = 0;
--- a/src/tier/batch/store_program.cpp
+++ b/src/tier/batch/store_program.cpp
@@ -152,7 +152,7 @@
 
   ReplicaHost::Outside HostOutside() {
     ReplicaHost::Outside outside;
-    outside.lease_until = [this] { return agent_.lease_until(); };
+    outside.lease_until = [this] { return agent_.placement_lease_until(); };
     outside.report = [this](const cluster::BackupReport& report) {
       const std::optional<net::Address> core = agent_.primary();
       if (!core) return;
--- a/src/tier/batch/store_service.cpp
+++ b/src/tier/batch/store_service.cpp
@@ -205,7 +205,9 @@
   CorrectClock();
   PartitionServer::Events events;
   events.work = [this] { ScheduleWork(); };
-  events.failed = [this, partition] { DropLater(partition); };
+  events.failed = [this, partition, issuer = book_options_.issuer + 1] {
+    LoadLater(partition, issuer);
+  };
   ++book_options_.issuer;  // Each book counts its leases from the start.
   auto server = std::make_unique<PartitionServer>(loop_, clock_, partition, log, book_options_,
                                                   std::move(events));
@@ -220,7 +222,7 @@
   log::Info(kLogName, "partition " + std::to_string(partition) + ": primary under row " +
                           std::to_string(log.epoch()) + ", " +
                           std::to_string(server->book().jobs()) + " jobs");
-  served_[partition] = {&log, std::move(server)};
+  served_[partition] = {&log, std::move(server), book_options_.issuer};
   ScheduleWork();
 }
 
@@ -229,9 +231,11 @@
   log::Info(kLogName, "partition " + std::to_string(partition) + ": no longer the primary");
 }
 
-void StoreService::DropLater(std::uint32_t partition) {
-  loop_.Post([this, partition, alive = alive_] {
-    if (*alive) OnLost(partition);
+void StoreService::LoadLater(std::uint32_t partition, std::uint64_t issuer) {
+  loop_.Post([this, partition, issuer, alive = alive_] {
+    if (!*alive) return;
+    const auto found = served_.find(partition);
+    if (found != served_.end() && found->second.issuer == issuer) replicas_.LeadAnew(partition);
   });
 }
 
--- a/src/tier/batch/store_service.h
+++ b/src/tier/batch/store_service.h
@@ -56,7 +56,8 @@
 
   void OnPrimary(std::uint32_t partition, PartitionLog& log);
   void OnLost(std::uint32_t partition);
-  void DropLater(std::uint32_t partition);
+  // A commit of that server failed: another takes its place, if this store still is the primary.
+  void LoadLater(std::uint32_t partition, std::uint64_t issuer);
 
   void ScheduleWork();
   void Work();
@@ -71,6 +72,7 @@
   struct Served {
     PartitionLog* log = nullptr;
     std::unique_ptr<PartitionServer> server;
+    std::uint64_t issuer = 0;  // Of the server's leases; no other server has it.
   };
 
   net::Loop& loop_;
--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -145,6 +145,7 @@
     ExtendLease(sent + milliseconds(answer.lease_ms));
     RenewAfter(renew_again ? milliseconds(0) : milliseconds(answer.interval_ms));
     Repair(answer.versions);
+    ExtendPlacementLease();
   }
 
   void TakeCommon(net::Time sent, const std::vector<UseCount>& told, const RenewalAnswer& answer) {
@@ -175,6 +176,12 @@
     }
   }
 
+  // A process that was frozen or cut off gets its lease back before it hears that its partitions
+  // have moved.
+  void ExtendPlacementLease() {
+    if (!IsStale(Part::kPlacement)) placement_lease_until = lease_until;
+  }
+
   void CheckLease() {
     if (InTouch()) {
       lease_timer->ArmAt(lease_until);
@@ -308,6 +315,7 @@
     if (!taken.value()) return;
     PassOn(push);
     if (push.part == Part::kMembers) LearnCores();
+    if (push.part == Part::kPlacement) ExtendPlacementLease();
     Tell(push.part);
   }
 
@@ -459,6 +467,7 @@
   bool leaving = false;
   bool touched = false;
   net::Time lease_until{};
+  net::Time placement_lease_until{};
   std::uint64_t epoch = 0;
   std::optional<std::int64_t> true_ahead;  // True time less the steady clock, in microseconds.
 
@@ -485,6 +494,8 @@
 
 net::Time Agent::lease_until() const { return impl_->lease_until; }
 
+net::Time Agent::placement_lease_until() const { return impl_->placement_lease_until; }
+
 std::int64_t Agent::TrueMicros() const { return impl_->TrueMicros(); }
 
 std::optional<net::Address> Agent::primary() const { return impl_->finder.primary(); }
--- a/src/tier/cluster/agent.h
+++ b/src/tier/cluster/agent.h
@@ -41,6 +41,9 @@
   bool in_touch() const;
   // When the lease ends; in the past where there is none.
   net::Time lease_until() const;
+  // The same, of those leases alone under which the view has the newest placement that the core had
+  // told: whoever decides by the placement must not decide by one that has been replaced.
+  net::Time placement_lease_until() const;
   // Time of day as most processes have it, in microseconds since 1970; this machine's own before
   // the core has told.
   std::int64_t TrueMicros() const;
--- a/tests/tier/batch/memory_replicas.h
+++ b/tests/tier/batch/memory_replicas.h
@@ -60,6 +60,12 @@
       if (events_.primary) events_.primary(partition, *log);
     }
   }
+  // Only a newer row lets a commit fail here; the next placement brings it.
+  void LeadAnew(std::uint32_t partition) override {
+    if (logs_.count(partition) == 0) return;
+    if (events_.lost) events_.lost(partition);
+    logs_.erase(partition);
+  }
 
  private:
   class Log : public PartitionLog {
--- a/tests/tier/batch/store_world.h
+++ b/tests/tier/batch/store_world.h
@@ -90,16 +90,24 @@
   std::string zone;
   storage::CrashDisk disk;
   std::unique_ptr<StoreProcessInTest> process;
-  net::Time lease_until{};  // As the store counts it.
+  net::Time lease_until{};  // As the store counts it, under the newest placement it was told of.
   net::Time live_until{};   // As the core does.
-  std::string known_disk;   // To the core.
+  // The newest renewal: its end, and which placement the core had then.
+  net::Time renewed_until{};
+  std::uint64_t renewed_placement = 0;
+  std::uint64_t known_placement = 0;  // To the store.
+  std::uint32_t moves = 0;            // Each to another address.
+  std::string known_disk;             // To the core.
   bool paused = false;
   bool cut = false;
   bool retiring = false;
 
-  std::uint32_t host() const { return 0x0a000100U + number; }
+  std::uint32_t host() const { return 0x0a000100U + number + 32U * moves; }
   net::Address address() const { return net::Address::V4(host(), kStorePort); }
   bool reaches_core() const { return process != nullptr && !paused && !cut; }
+  void CountLease() {
+    if (known_placement >= renewed_placement) lease_until = renewed_until;
+  }
 };
 
 // Time of day as all but a stepped machine have it.
@@ -162,6 +170,11 @@
   ProxyInTest& operator=(const ProxyInTest&) = delete;
 
   void SetCapacity(std::uint32_t capacity) { capacity_ = capacity; }
+  void TakePlacement(std::uint64_t count, const std::vector<cluster::PartitionRow>& rows) {
+    if (count <= placement_) return;
+    placement_ = count;
+    rows_ = rows;
+  }
   void CallJob(MessageKind kind, const JobRef& job, std::string body,
                std::function<void(Result<std::string>)> done);
   transport::Hub& hub() { return hub_; }
@@ -177,6 +190,7 @@
     std::optional<Finished> finished;
   };
 
+  net::Address PrimaryOf(const JobRef& job) const { return rows_.at(job.partition).primary; }
   void OnAssign(const Assign& assign);
   void Deliver(LeaseId lease);
   void Advance(LeaseId lease);
@@ -191,6 +205,8 @@
   net::VirtualProcess loop_;
   Later later_;
   transport::Hub hub_;
+  std::uint64_t placement_ = 0;
+  std::vector<cluster::PartitionRow> rows_;  // As known here; they come late.
   std::map<LeaseId, Run> running_;
   std::uint32_t capacity_ = 6;
   std::uint64_t runs_started_ = 0;
@@ -221,6 +237,25 @@
   StoreWorld(const StoreWorld&) = delete;
   StoreWorld& operator=(const StoreWorld&) = delete;
 
+  // The primary's part goes to the first backup and back, and the primary hears of both at once.
+  void SwapTwice(std::uint32_t partition) {
+    cluster::PartitionRow& row = rows_.at(partition);
+    StoreMachine& machine = *machines[*StoreAt(row.primary)];
+    cluster::Placement placement;
+    placement.rows = rows_;
+    cluster::PartitionRow& swapped = placement.rows[partition];
+    std::swap(swapped.primary, swapped.backups[0]);
+    std::swap(swapped.primary_disk, swapped.backup_disks[0]);
+    swapped.epoch = row.epoch + 1;
+    row.epoch += 2;
+    placements_ += 2;
+    machine.known_placement = placements_;
+    machine.process->replicas.OnPlacement(placement);
+    placement.rows = rows_;
+    machine.process->replicas.OnPlacement(placement);
+    TellPlacement();
+  }
+
   std::uint64_t Draw(std::uint64_t below) { return random_() % below; }
   void RunFor(net::Span span) { net.RunUntil(net.Now() + span); }
 
@@ -229,6 +264,8 @@
   void Start(std::uint32_t number) {
     StoreMachine& machine = *machines[number];
     machine.lease_until = {};
+    machine.renewed_until = {};
+    machine.known_placement = 0;
     machine.process = std::make_unique<StoreProcessInTest>(
         net, machine, ++incarnations_, copies_, [this] { return random_(); },
         [this, number](const cluster::BackupReport& report) { OnReport(number, report); });
@@ -245,12 +282,23 @@
     Kill(number);
     machines[number]->disk.Wipe();
   }
+  // An empty machine takes the place of this one, at another address. What it had on disk is given
+  // back.
+  storage::CrashDisk Replace(std::uint32_t number) {
+    Kill(number);
+    StoreMachine& machine = *machines[number];
+    ++machine.moves;
+    return std::exchange(machine.disk, storage::CrashDisk());
+  }
   void Pause(std::uint32_t number, bool paused) {
     StoreMachine& machine = *machines[number];
     if (!machine.process) return;
     machine.paused = paused;
     machine.process->loop.SetPaused(paused);
   }
+  void CutBetween(std::uint32_t one, std::uint32_t other, bool cut) {
+    net.SetCut(machines[one]->host(), machines[other]->host(), cut);
+  }
   void Cut(std::uint32_t number, bool cut) {
     machines[number]->cut = cut;
     net.SetCutOff(machines[number]->host(), cut);
@@ -262,13 +310,14 @@
     return {};
   }
   const cluster::PartitionRow& RowOf(const JobRef& job) const { return rows_.at(job.partition); }
-  bool HasRows() const { return !rows_.empty(); }
   const std::vector<cluster::PartitionRow>& rows() const { return rows_; }
   bool AllComplete() const {
-    return std::all_of(rows_.begin(), rows_.end(), [](const cluster::PartitionRow& row) {
-      return row.backups.size() == 1 && row.complete[0];
+    return std::all_of(rows_.begin(), rows_.end(), [this](const cluster::PartitionRow& row) {
+      return row.backups.size() + 1 == copies_ &&
+             std::count(row.complete.begin(), row.complete.end(), false) == 0;
     });
   }
+  std::size_t copies() const { return copies_; }
   std::uint64_t data_lost() const { return data_lost_; }
 
   net::VirtualNet net;
@@ -276,6 +325,7 @@
   std::vector<std::unique_ptr<ProxyInTest>> proxies;
   std::map<std::string, Promise> promises;  // By job id.
   std::vector<std::string> broken;          // Promises that were broken.
+  std::set<std::string> finished;           // Items of which an endpoint gave the whole output.
 
  private:
   // --- The core -------------------------------------------------------------------------------
@@ -288,7 +338,9 @@
 
   void RenewLease(StoreMachine& machine) {
     if (!machine.reaches_core() || !machine.process->identity_synced) return;
-    machine.lease_until = net.Now() + kStoreLease;
+    machine.renewed_until = net.Now() + kStoreLease;
+    machine.renewed_placement = placements_;
+    machine.CountLease();
     machine.live_until = net.Now() + kStoreLease + milliseconds(20);
     machine.known_disk = machine.process->identity.id;
   }
@@ -315,6 +367,7 @@
       if (candidates.size() < machines.size()) return;
       rows_ = cluster::FirstPlacement(candidates, rules_);
       rows_.resize(kTestPartitions);
+      ++placements_;
     }
     std::erase_if(stalled_until_, [this](const auto& entry) { return entry.second <= net.Now(); });
     cluster::Stalled stalled;
@@ -322,23 +375,32 @@
     for (const cluster::RowChange& change :
          cluster::NextChanges(rows_, candidates, stalled, rules_)) {
       rows_[change.partition] = change.row;
+      ++placements_;
       if (change.data_lost) ++data_lost_;
     }
     TellPlacement();
   }
 
-  // Each reachable store hears of it after a delay of its own.
+  // Each proxy and each reachable store hears of it after a delay of its own.
   void TellPlacement() {
     cluster::Placement placement;
     placement.rows = rows_;
+    for (auto& proxy : proxies) {
+      net.At(net.Now() + milliseconds(1 + Draw(300)),
+             [to = proxy.get(), count = placements_, rows = rows_] {
+               to->TakePlacement(count, rows);
+             });
+    }
     for (auto& machine : machines) {
       if (!machine->reaches_core()) continue;
       StoreMachine* const to = machine.get();
       const StoreProcessInTest* const process = to->process.get();
-      net.At(net.Now() + milliseconds(1 + Draw(30)), [to, process, placement] {
-        if (to->process.get() == process && to->reaches_core()) {
-          to->process->replicas.OnPlacement(placement);
-        }
+      net.At(net.Now() + milliseconds(1 + Draw(30)), [to, process, placement, count = placements_] {
+        if (to->process.get() != process || !to->reaches_core()) return;
+        if (count < to->known_placement) return;
+        to->known_placement = count;
+        to->CountLease();
+        to->process->replicas.OnPlacement(placement);
       });
     }
   }
@@ -351,6 +413,7 @@
       if (row.epoch != report.epoch) return;
       if (report.condition == cluster::BackupCondition::kComplete) {
         row = cluster::WithComplete(row, report.disk);
+        ++placements_;
       } else {
         stalled_until_[{report.partition, report.disk}] = net.Now() + milliseconds(1000);
       }
@@ -363,6 +426,7 @@
   cluster::PlacementRules rules_;
   std::vector<cluster::PartitionRow> rows_;
   std::map<std::pair<std::size_t, std::string>, net::Time> stalled_until_;
+  std::uint64_t placements_ = 0;  // Counts their changes.
   std::uint64_t incarnations_ = 0;
   std::uint64_t data_lost_ = 0;
 };
@@ -412,11 +476,11 @@
 
 inline void ProxyInTest::CallJob(MessageKind kind, const JobRef& job, std::string body,
                                  std::function<void(Result<std::string>)> done) {
-  if (!world_.HasRows()) {
+  if (rows_.empty()) {
     done(MakeError(ErrorCode::kUnavailable, "no placement"));
     return;
   }
-  hub_.Call(world_.RowOf(job).primary, kind, std::move(body), milliseconds(2000),
+  hub_.Call(PrimaryOf(job), kind, std::move(body), milliseconds(2000),
             [done = std::move(done)](Result<std::string> result) { done(std::move(result)); });
 }
 
@@ -477,6 +541,7 @@
     return;
   } else {
     finished.output = run.output;
+    world_.finished.insert(run.assign.item.item);
   }
   run.finished = std::move(finished);
   Tell(lease);
@@ -506,7 +571,7 @@
   std::vector<LeaseId> leases;
   for (const auto& [lease, run] : running_) {
     const JobRef& job = run.assign.item.job;
-    if (!world_.HasRows() || world_.RowOf(job).primary != store) continue;
+    if (rows_.empty() || PrimaryOf(job) != store) continue;
     HeldLease held{job.partition, lease, std::nullopt};
     if (run.confirmed < run.output.text.size()) {
       held.more = OutputPart{run.confirmed, run.output.text.substr(run.confirmed),
--- a/tests/tier/cluster/agent_test.cpp
+++ b/tests/tier/cluster/agent_test.cpp
@@ -116,6 +116,37 @@
   BOOST_TEST(rig.RunUntil([&] { return rig.proxies[0]->agent().in_touch(); }, seconds(1)));
 }
 
+// Found by reading: a store whose lease was renewed before it heard of a new placement answered for
+// partitions that had moved.
+BOOST_AUTO_TEST_CASE(a_lease_decides_nothing_by_a_placement_that_was_replaced) {
+  Rig rig(3, 1, 4);
+  rig.Start();
+  rig.Run(seconds(3));
+  Agent& agent = rig.stores[1]->agent();
+  const auto known = [&] { return agent.view().placement->version.count; };
+  const std::uint64_t before = known();
+  BOOST_TEST((agent.placement_lease_until() == agent.lease_until()));
+  // A placement is committed, and its primary dies before it tells anybody.
+  rig.Primary().service().Retire({"store-0"}, [&](const Result<void>& result) {
+    BOOST_REQUIRE(result.has_value());
+    rig.map.lose_next_done = true;
+  });
+  BOOST_REQUIRE(rig.RunUntil([&] { return !rig.map.unheard.empty(); }, seconds(1)));
+  rig.cores[0]->Stop();
+  rig.Elect(1);
+  const net::Time counted = agent.placement_lease_until();
+  bool renewed = false;
+  const auto heard = [&] {
+    if (known() != before) return true;
+    renewed = renewed || agent.lease_until() > counted;
+    BOOST_TEST((agent.placement_lease_until() == counted));
+    return false;
+  };
+  BOOST_TEST(rig.RunUntil(heard, seconds(3)));
+  BOOST_TEST(renewed);  // Else nothing was tried.
+  BOOST_TEST((agent.placement_lease_until() > counted));
+}
+
 BOOST_AUTO_TEST_CASE(a_silent_primary_is_left_for_its_successor) {
   Rig rig(3, 5);
   rig.Start();
