Job book split by concern; the wait for adoptions moves with a corrected time of day

Fault by reading: when the time of day was corrected backwards, items loaded at a change of the primary waited for as long as the correction.

--- a/src/tier/batch/job_book.h
+++ b/src/tier/batch/job_book.h
@@ -29,7 +29,10 @@
 
 #include "net/address.h"
 #include "tier/batch/job_records.h"
+#include "tier/batch/job_table.h"
+#include "tier/batch/lease_table.h"
 #include "tier/batch/messages.h"
+#include "tier/batch/queued_tokens.h"
 #include "tier/batch/run_queue.h"
 #include "tier/coordination/replicator.h"
 
@@ -72,10 +75,11 @@
     std::vector<Entry> entries;  // Durable ones, from the position asked for on.
   };
 
-  explicit JobBook(Options options) : options_(options) {}
+  explicit JobBook(const Options& options)
+      : options_(options), leases_(options.issuer, options.lease_span) {}
 
   // Before all else: every stored record of the loaded kinds, in the order of keys.
-  Result<void> Load(std::string_view key, std::string_view value);
+  Result<void> Load(std::string_view key, std::string_view value) { return jobs_.Load(key, value); }
   void FinishLoading(Micros now);
 
   // Calls of clients. The answers to the first two hold once revision() is durable.
@@ -85,9 +89,9 @@
   // A client was given the last result of the job.
   void OnReadToEnd(const JobRef& job);
   // The key of the payload of an item that is not listed.
-  Result<std::string> PayloadKey(const ItemRef& item) const;
+  Result<std::string> PayloadKey(const ItemRef& item);
   // A job with this id is there, whatever its content.
-  bool Has(const JobRef& job) const;
+  bool Has(const JobRef& job) const { return jobs_.Find(job).has_value(); }
 
   // Events of proxies. What OnFinished answers holds once revision() is durable.
   // Leases of an earlier start of the same proxy are over.
@@ -95,7 +99,8 @@
   LeaseStatus OnHeld(Micros now, const Holder& holder, const HeldLease& held);
   LeaseStatus OnAdopt(Micros now, const Holder& holder, const Adoption& adoption);
   void OnFinished(Micros now, const Finished& finished);
-  // The process stood still for so long: leases could not be renewed and go on so much longer.
+  // The process stood still for so long, or its time of day was corrected by so much: leases and
+  // the wait for adoptions go on so much longer.
   void OnStall(Micros span);
   // Routes of batch jobs in force; items of others wait.
   void SetRoutes(std::set<std::string> names) { routes_ = std::move(names); }
@@ -107,7 +112,7 @@
   // Leases the next item to that proxy, which must have room for it; none: no item may run now.
   std::optional<Assignment> NextAssignment(Micros now, const net::Address& proxy);
   // Adds the number of leases that each proxy holds.
-  void CountLeases(std::map<net::Address, std::size_t>& held) const;
+  void CountLeases(std::map<net::Address, std::size_t>& held) const { leases_.Count(held); }
   std::vector<Revocation> TakeRevocations();
 
   std::vector<coordination::Write> TakeWrites();
@@ -117,77 +122,36 @@
   // Everything up to there is stored for good. Tells the jobs that have new results to read.
   std::vector<std::string> OnDurable(Revision revision);
 
-  std::uint64_t QueuedTokens(const std::string& owner, const std::string& route) const;
-  std::uint64_t queued_tokens() const { return queued_total_; }
+  std::uint64_t queued_tokens() const { return queued_.total(); }
   std::size_t jobs() const { return jobs_.size(); }
   std::size_t leases() const { return leases_.size(); }
 
  private:
-  using JobNumber = RunQueue::JobNumber;
-  enum class ItemState { kWaiting, kLeased, kListed };
-  struct ItemEntry {
-    ItemState state = ItemState::kWaiting;
-    LeaseId lease;  // Of kLeased.
-    Attempts attempts;
-    Output output;
-  };
-  struct JobEntry {
-    std::string key;
-    std::string owner;
-    JobHeader header;
-    std::vector<ItemEntry> items;
-    std::vector<Listed> listed;  // By position.
-    std::size_t visible = 0;     // How many of these are durable.
-    bool ended = false;
-    bool durable = false;
-    bool read_to_end = false;
-    Micros next_check = 0;  // Where it stands in checks_.
-  };
-  struct LeaseEntry {
-    JobNumber job = 0;
-    std::uint32_t item = 0;
-    net::Address holder;
-    Micros until = 0;
-    std::optional<Micros> given;  // None: adopted.
-  };
-  struct HolderEntry {
-    std::uint64_t incarnation = 0;
-    std::set<LeaseId> leases;
-  };
   struct Pending {  // A change that becomes visible when durable.
     enum class Kind { kAccepted, kListed };
     Revision revision = 0;
     JobNumber job = 0;
     Kind kind = Kind::kAccepted;
   };
-  struct Located {
-    JobNumber number = 0;
-    JobEntry* job = nullptr;
-    std::uint32_t item = 0;
-  };
-
-  std::optional<JobNumber> Find(const JobRef& job) const;
-  std::optional<Located> Find(const ItemRef& item);
-  JobNumber AddJob(std::string key, JobHeader header);
   void Store(std::string key, std::optional<std::string> value);
   bool Fits(const Submit& submit, const std::string& owner, std::uint64_t tokens) const;
 
-  void GiveLease(LeaseId lease, LeaseEntry entry);
-  // The item is left in the state kWaiting but not in the queue.
-  void DropLease(LeaseId lease);
+  void GiveLease(LeaseId id, Lease lease);
+  // Its item waits, and is not in the queue; none: there is no such lease.
+  std::optional<Lease> DropLease(LeaseId id);
+  void RequeueItemsOf(const std::vector<Lease>& dropped);
   void Revoke(LeaseId lease);
   void Requeue(JobNumber number, std::uint32_t item);
-  void Renew(Micros now, LeaseEntry& lease, const std::optional<OutputPart>& more);
+  void TakeOutput(ItemEntry& item, const OutputPart& more);
   void SetOutput(ItemEntry& item, Output output);
 
   void CountFailure(const Located& at, LeaseId lease);
   void ListItem(const Located& at, ResultState state, std::string text);
   void LeaveQueue(const Located& at);
   void EndJob(JobNumber number, JobEntry& job);
-  void ReleaseTokens(const JobEntry& job, std::uint64_t tokens);
-  bool Complete(const JobEntry& job) const { return job.listed.size() == job.items.size(); }
+  void AddTokens(const JobEntry& job);
+  void ReleaseTokens(const JobEntry& job, std::uint32_t item);
 
-  void ExpireLeases(Micros now);
   void Check(Micros now, JobNumber number, JobEntry& job);
   void ScheduleCheck(JobNumber number, JobEntry& job, Micros at);
   void GiveUp(JobNumber number, JobEntry& job);
@@ -195,19 +159,12 @@
 
   Options options_;
   std::set<std::string> routes_;
-  std::map<JobNumber, JobEntry> jobs_;
-  std::map<std::string, JobNumber, std::less<>> numbers_;  // By job key.
-  JobNumber next_number_ = 1;
-  std::map<std::pair<std::string, std::string>, std::uint64_t> queued_;  // By owner and route.
-  std::uint64_t queued_total_ = 0;
-  std::size_t unlisted_ = 0;
+  JobTable jobs_;
+  QueuedTokens queued_;
   std::size_t output_bytes_ = 0;
   RunQueue queue_;
-  std::map<LeaseId, LeaseEntry> leases_;
-  std::uint64_t next_lease_ = 1;
-  Micros no_expiry_before_ = 0;  // Of any lease.
+  LeaseTable leases_;
   Micros loaded_items_from_ = 0;
-  std::map<net::Address, HolderEntry> holders_;
   std::vector<Revocation> revocations_;
   std::set<std::pair<Micros, JobNumber>> checks_;
   std::vector<coordination::Write> writes_;
--- a/src/tier/batch/job_records.h
+++ b/src/tier/batch/job_records.h
@@ -19,6 +19,8 @@
 // Wall clock, since 1970; in a process it only moves forward (see store_service.h).
 using Micros = std::int64_t;
 
+using JobNumber = std::uint64_t;  // Of a job in this process; never stored.
+
 constexpr std::size_t kJobKeyBytes = 16;
 
 enum class RecordKind : char {
--- a/src/tier/batch/run_queue.cpp
+++ b/src/tier/batch/run_queue.cpp
@@ -23,6 +23,12 @@
   jobs_.erase(found);
 }
 
+void RunQueue::Postpone(Micros span) {
+  for (auto& [number, entry] : jobs_) {
+    if (entry.job.from != 0) entry.job.from += span;
+  }
+}
+
 void RunQueue::Add(JobNumber job, std::uint32_t item, std::uint64_t tokens) {
   const auto found = jobs_.find(job);
   if (found == jobs_.end()) return;
--- a/src/tier/batch/run_queue.h
+++ b/src/tier/batch/run_queue.h
@@ -24,7 +24,6 @@
 
 class RunQueue {
  public:
-  using JobNumber = std::uint64_t;
   struct Job {
     std::string owner;
     std::string route;
@@ -40,6 +39,8 @@
 
   void AddJob(JobNumber number, Job job);
   void RemoveJob(JobNumber number);  // With what waits of it.
+  // Jobs that have a time from which they are run wait so much longer; below 0: less long.
+  void Postpone(Micros span);
   void Add(JobNumber job, std::uint32_t item, std::uint64_t tokens);
   void Remove(JobNumber job, std::uint32_t item, std::uint64_t tokens);
 
--- a/src/tier/batch/store.cmake
+++ b/src/tier/batch/store.cmake
@@ -1,7 +1,7 @@
 # The store's side.
 # What a store decides, without clock, disk or network.
-shelflink_tier_library(shelflink_tier_batch_book job_book.cpp job_records.cpp proxy_room.cpp
-  run_queue.cpp)
+shelflink_tier_library(shelflink_tier_batch_book job_book.cpp job_book_runs.cpp
+  job_records.cpp job_table.cpp lease_table.cpp proxy_room.cpp run_queue.cpp)
 target_link_libraries(shelflink_tier_batch_book PUBLIC shelflink_tier_batch_messages
   PRIVATE PkgConfig::GLIB)
 
--- a/tests/tier/batch/job_book_test.cpp
+++ b/tests/tier/batch/job_book_test.cpp
@@ -650,6 +650,147 @@
   return caught;
 }
 
+// A book on a disk, without faults: every change is durable at once.
+class StoredBook {
+ public:
+  explicit StoredBook(Micros now) { Restart(now); }
+
+  void Restart(Micros now) {
+    book_ = std::make_unique<JobBook>(Options(++issuer_));
+    for (const auto& [key, value] : records_) {
+      if (ParseRecordKey(key)->kind > kLastLoaded) continue;
+      BOOST_REQUIRE(book_->Load(key, value).has_value());
+    }
+    book_->FinishLoading(now);
+    book_->SetRoutes({"route"});
+  }
+  void Commit() {
+    for (const coordination::Write& write : book_->TakeWrites()) {
+      if (write.value) {
+        records_[write.key] = *write.value;
+      } else {
+        records_.erase(write.key);
+      }
+    }
+    book_->OnDurable(book_->revision());
+  }
+  JobBook& book() { return *book_; }
+
+ private:
+  std::uint64_t issuer_ = 0;
+  std::map<std::string, std::string> records_;
+  std::unique_ptr<JobBook> book_;
+};
+
+const net::Address kProxy = net::Address::V4(1, 7000);
+
+Submit OneItem() {
+  Submit submit;
+  submit.job = {0, 1, "tenant", "host", "job"};
+  submit.route = "route";
+  submit.run_aim = milliseconds{8000};
+  submit.keep = milliseconds{40000};
+  submit.max_attempts = 3;
+  submit.items.push_back({"item", "/p", {}, "body", 100});
+  return submit;
+}
+
+// With one item that was accepted before its start.
+StoredBook LoadedBook(Micros now) {
+  StoredBook stored(now - kSecond);
+  stored.book().OnSubmit(now - kSecond, OneItem());
+  stored.Commit();
+  stored.Restart(now);
+  return stored;
+}
+
+BOOST_AUTO_TEST_CASE(loaded_items_wait_for_adoptions) {
+  StoredBook stored = LoadedBook(kStart);
+  JobBook& book = stored.book();
+  BOOST_TEST(!book.NextAssignment(kStart + kSecond - 1, kProxy).has_value());
+  BOOST_TEST(book.NextAssignment(kStart + kSecond, kProxy).has_value());
+}
+
+// Found by reading: corrected backwards, the time of day kept loaded items waiting for as long.
+BOOST_AUTO_TEST_CASE(a_corrected_time_of_day_moves_the_wait_for_adoptions) {
+  StoredBook stored = LoadedBook(kStart);
+  JobBook& book = stored.book();
+  const Micros corrected = kStart - 300 * kSecond;
+  book.OnStall(corrected - kStart);
+  BOOST_TEST(!book.NextAssignment(corrected + kSecond - 1, kProxy).has_value());
+  BOOST_TEST(book.NextWake(corrected).value() == corrected + kSecond);
+  BOOST_TEST(book.NextAssignment(corrected + kSecond, kProxy).has_value());
+}
+
+// Whether the item goes out once more, at a store that has just been started.
+std::optional<LeaseId> NextRun(StoredBook& stored, Micros now) {
+  stored.Restart(now);
+  const auto assignment = stored.book().NextAssignment(now + kSecond, kProxy);
+  if (!assignment) return {};
+  return assignment->message.lease;
+}
+
+void Finish(StoredBook& stored, Micros now, LeaseId lease, RunOutcome outcome) {
+  stored.book().OnFinished(now, {{OneItem().job, "item"}, lease, outcome, {}});
+  stored.Commit();
+}
+
+void CheckGivenUp(StoredBook& stored, Micros now) {
+  BOOST_TEST(!NextRun(stored, now).has_value());
+  const auto listing = stored.book().List(OneItem().job, 0);
+  BOOST_REQUIRE(listing.has_value());
+  BOOST_REQUIRE_EQUAL(listing.value().entries.size(), 1U);
+  BOOST_CHECK(listing.value().entries[0].state == ResultState::kDeadLetter);
+  BOOST_TEST(listing.value().entries[0].text_key.empty());
+}
+
+// The answers of 500 are counted over all primaries that the partition has.
+BOOST_AUTO_TEST_CASE(an_item_that_always_fails_runs_as_often_as_it_may_and_no_more) {
+  StoredBook stored = LoadedBook(kStart);
+  Micros now = kStart;
+  for (std::uint32_t run = 0; run < OneItem().max_attempts; ++run) {
+    now += 3 * kSecond;
+    const auto lease = NextRun(stored, now);
+    BOOST_REQUIRE(lease.has_value());
+    Finish(stored, now, *lease, RunOutcome::kError);
+    // The report comes again, at another primary too, and counts once.
+    Finish(stored, now, *lease, RunOutcome::kError);
+    stored.Restart(now);
+    Finish(stored, now, *lease, RunOutcome::kError);
+  }
+  CheckGivenUp(stored, now);
+}
+
+BOOST_AUTO_TEST_CASE(an_item_that_can_never_be_done_is_given_up_at_once) {
+  StoredBook stored = LoadedBook(kStart);
+  const auto lease = NextRun(stored, kStart);
+  BOOST_REQUIRE(lease.has_value());
+  // Its lease has run out, and another store decides by now.
+  stored.Restart(kStart + 5 * kSecond);
+  Finish(stored, kStart + 5 * kSecond, *lease, RunOutcome::kImpossible);
+  CheckGivenUp(stored, kStart + 6 * kSecond);
+}
+
+// Somebody sends a job once more while the quota is used up, by it and others.
+BOOST_AUTO_TEST_CASE(a_job_that_comes_again_is_never_refused_for_the_quota) {
+  JobBook book(Options(1));
+  Submit submit = OneItem();
+  submit.max_queued_tokens = 100;
+  BOOST_CHECK(book.OnSubmit(kStart, submit).outcome == SubmitOutcome::kAccepted);
+  Submit other = submit;
+  other.job.job = "other";
+  BOOST_CHECK(book.OnSubmit(kStart, other).outcome == SubmitOutcome::kExhausted);
+  // Under a configuration with a smaller quota too.
+  submit.max_queued_tokens = 10;
+  BOOST_CHECK(book.OnSubmit(kStart, submit).outcome == SubmitOutcome::kAccepted);
+  BOOST_TEST(book.queued_tokens() == 100U);
+  // And when it has ended, until it is forgotten.
+  BOOST_CHECK(book.OnEnd(kStart, submit.job).has_value());
+  submit.max_queued_tokens = 1;
+  BOOST_CHECK(book.OnSubmit(kStart, submit).outcome == SubmitOutcome::kAccepted);
+  BOOST_TEST(book.queued_tokens() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_position_told_before_its_sync_is_caught) {
   BOOST_TEST(CaughtOf(Mutant::kTellBeforeSync, 300) > 0);
 }
