--- a/src/tier/batch/runner.cpp
+++ b/src/tier/batch/runner.cpp
@@ -3,28 +3,22 @@
 #include <algorithm>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "tier/batch/item_run.h"
-#include "tier/batch/offer_credit.h"
-#include "tier/batch/partition.h"
+#include "tier/batch/offer_schedule.h"
+#include "tier/batch/primaries.h"
+#include "tier/batch/run_table.h"
 #include "tier/foundation/log.h"
 
 namespace shelflink::batch {
 namespace {
 
-// Between offers to a store: with leases to renew, without any (in a small fleet), at least. An
-// offer counts at the store for a second (ProxyRoom::kOfferHolds).
+// Between offers to a store with leases to renew.
 constexpr milliseconds kBusyInterval{400};
-constexpr milliseconds kIdleInterval{800};
-constexpr milliseconds kShortestInterval{50};
 constexpr milliseconds kAnswerTimeout{1000};
-// Stores whose offers are due so soon after one another share a round: fewer wake-ups, and room
-// that is short is dealt among all of them in turn.
-constexpr milliseconds kRoundWindow{400};
 // After an endpoint's or the policy's refusal no new items are asked for, for so long at least.
 constexpr milliseconds kRefusalPause{200};
 constexpr milliseconds kLongestRefusalPause{2000};
@@ -40,14 +34,6 @@
   std::uint64_t bytes = 0;
 };
 
-// A store that is the primary of some partition, or that has assigned something.
-struct Store {
-  OfferCredit credit;
-  net::Time due = net::Time::min();  // The next offer.
-  bool offering = false;             // An offer is under way.
-  std::optional<net::Time> vouched;  // When the newest offer that it answered was sent.
-};
-
 }  // namespace
 
 class Runner::Impl : public std::enable_shared_from_this<Runner::Impl> {
@@ -58,6 +44,7 @@
         hub_(hub),
         calls_(calls),
         view_(view),
+        primaries_(view),
         span_(LeaseSpan(bounds)),
         reports_(loop, hub, std::move(view)) {
     timer_ = loop_.NewTimer([this] { OfferToDue(); });
@@ -77,19 +64,15 @@
 
   void OnPlacement() {
     reports_.OnPlacement();
-    const std::set<net::Address> primaries = Primaries();
-    std::erase_if(stores_, [&](const auto& entry) { return !primaries.contains(entry.first); });
-    for (const net::Address& primary : primaries) {
-      if (!stores_.contains(primary)) stores_[primary].due = loop_.Now() + FirstDelay();
-    }
-    for (auto& [lease, run] : runs_) {
+    offers_.SetStores(primaries_.All(), loop_.Now() + primaries_.FirstDelay(hub_.self().address));
+    for (const auto& [lease, run] : runs_.all()) {
       const auto known = vouching_.find(lease);
-      if (known != vouching_.end() && known->second != PrimaryOf(run->partition())) {
+      if (known != vouching_.end() && known->second != primaries_.Of(run->partition())) {
         run->output().ForgetConfirmed();
         vouching_.erase(known);
       }
       // The new primary gives an item to another proxy soon, unless it hears of the run.
-      if (const auto primary = PrimaryOf(run->partition())) WantOffer(*primary, loop_.Now());
+      if (const auto primary = primaries_.Of(run->partition())) WantOffer(*primary, loop_.Now());
     }
     ArmTimer();
   }
@@ -97,15 +80,15 @@
   void OnConfiguration() {
     const auto& configuration = view_().configuration;
     if (configuration == nullptr) return;
-    for (ItemRun* run : AllRuns()) run->OnConfiguration(*configuration);
+    for (ItemRun* run : runs_.Snapshot()) run->OnConfiguration(*configuration);
   }
 
   void Drain(std::function<void()> done) {
     draining_ = true;
     drained_ = std::move(done);
     // First the word that no more is wanted, so that what is handed back doesn't return.
-    for (auto& [address, store] : stores_) SendOffer(address, store, 0);
-    for (ItemRun* run : AllRuns()) run->HandBack();
+    for (const net::Address& store : offers_.stores()) SendOffer({store, 0});
+    for (ItemRun* run : runs_.Snapshot()) run->HandBack();
     drain_timer_ = loop_.NewTimer([this] { TellDrained(); });
     drain_timer_->ArmAt(loop_.Now() + kDrainPatience);
     TellIfDrained();
@@ -115,108 +98,33 @@
   const Counters& counters() const { return counters_; }
 
  private:
-  // --- Placement ---
-
-  std::optional<net::Address> PrimaryOf(std::uint32_t partition) const {
-    const auto& placement = view_().placement;
-    if (placement == nullptr || partition >= placement->rows.size()) return std::nullopt;
-    const net::Address& primary = placement->rows[partition].primary;
-    if (primary.port() == 0) return std::nullopt;
-    return primary;
-  }
-
-  std::set<net::Address> Primaries() const {
-    std::set<net::Address> primaries;
-    const auto& placement = view_().placement;
-    if (placement == nullptr) return primaries;
-    for (const cluster::PartitionRow& row : placement->rows) {
-      if (row.primary.port() != 0) primaries.insert(row.primary);
-    }
-    return primaries;
-  }
-
-  // Between two offers to a store of which nothing is leased: in a large fleet each proxy offers
-  // seldom, and the stores hear of enough room nevertheless.
-  milliseconds IdleInterval() const {
-    std::size_t proxies = 0;
-    if (const auto& members = view_().members) {
-      proxies = static_cast<std::size_t>(
-          std::count_if(members->all.begin(), members->all.end(),
-                        [](const cluster::Member& member) { return member.role == "proxy"; }));
-    }
-    return std::max(kIdleInterval, milliseconds(proxies * 1000 / kMostOffersAStore));
-  }
-
-  // Of the first offer to a store: in a large fleet the proxies' offers spread over the interval.
-  milliseconds FirstDelay() const {
-    const auto spread = static_cast<std::uint64_t>((IdleInterval() - kIdleInterval).count());
-    return milliseconds(spread == 0 ? 0 : StableHash(hub_.self().address.Text()) % spread);
-  }
-
-  std::vector<ItemRun*> AllRuns() {
-    std::vector<ItemRun*> all;
-    all.reserve(runs_.size());
-    for (auto& [lease, run] : runs_) all.push_back(run.get());
-    return all;
-  }
-
-  ItemRun* Find(const LeaseId& lease) {
-    const auto found = runs_.find(lease);
-    return found == runs_.end() ? nullptr : found->second.get();
-  }
-
   // --- Offers ---
 
   // New items that may be asked for now, of all stores together.
   std::uint32_t Room() {
     if (loop_.Now() < refused_until_) return 0;
-    std::size_t held_bytes = 0;
-    std::size_t awaiting = 0;
-    for (const auto& [lease, run] : runs_) {
-      held_bytes += run->bytes();
-      if (run->state() == ItemRun::State::kAwaitingLease) ++awaiting;
-    }
     std::size_t room = calls_.BatchRoom();
-    room -= std::min(room, awaiting);
+    room -= std::min(room, runs_.awaiting_lease());
     room = std::min(room, kMostRuns - std::min(kMostRuns, runs_.size()));
-    const std::size_t free_bytes = kMostHeldBytes - std::min(kMostHeldBytes, held_bytes);
+    const std::size_t free_bytes = kMostHeldBytes - std::min(kMostHeldBytes, runs_.bytes());
     return static_cast<std::uint32_t>(std::min(room, free_bytes / typical_bytes_));
   }
 
   void OfferToDue() {
-    const net::Time now = loop_.Now();
-    last_round_ = now;
-    std::vector<net::Address> due;
-    std::uint32_t room = Room();
-    for (const auto& [address, store] : stores_) {
-      if (store.due < now + kRoundWindow && !store.offering) {
-        due.push_back(address);
-      } else {
-        room -= std::min(room, store.credit.left());
-      }
-    }
-    // Whoever came first in this round comes last in the next, when room is short.
-    if (!due.empty()) {
-      const auto shift = static_cast<std::ptrdiff_t>(rounds_++ % due.size());
-      std::rotate(due.begin(), due.begin() + shift, due.end());
-    }
+    const std::vector<OfferSchedule::Grant> grants = offers_.Round(loop_.Now(), Room());
     typical_bytes_ = std::max(kLeastItemBytes, typical_bytes_ - typical_bytes_ / 16);
-    for (const net::Address& address : due) {
-      Store& store = stores_.at(address);
-      const std::uint32_t granted = store.credit.Grant(room);
-      room -= granted;
-      SendOffer(address, store, granted);
-    }
+    for (const OfferSchedule::Grant& grant : grants) SendOffer(grant);
     ArmTimer();
   }
 
-  void SendOffer(const net::Address& address, Store& store, std::uint32_t granted) {
+  void SendOffer(const OfferSchedule::Grant& grant) {
+    const net::Address& address = grant.store;
     const net::Time now = loop_.Now();
     Offer offer;
     std::vector<NamedLease> named;
     std::size_t output_bytes = 0;
-    for (auto& [lease, run] : runs_) {
-      if (PrimaryOf(run->partition()) != address) continue;
+    for (const auto& [lease, run] : runs_.all()) {
+      if (primaries_.Of(run->partition()) != address) continue;
       HeldLease held{run->partition(), lease, std::nullopt};
       if (output_bytes < kMostOfferedOutput) held.more = run->output().Unconfirmed();
       NamedLease name{lease, 0, 0};
@@ -228,11 +136,11 @@
       named.push_back(name);
       offer.held.push_back(std::move(held));
     }
-    offer.capacity = draining_ ? 0 : static_cast<std::uint32_t>(offer.held.size()) + granted;
-    store.due = now + (named.empty() ? IdleInterval() : kBusyInterval);
+    offer.capacity = draining_ ? 0 : static_cast<std::uint32_t>(offer.held.size()) + grant.items;
+    net::Time next = now + (named.empty() ? primaries_.IdleInterval() : kBusyInterval);
     // Room is asked for again as soon as a pause after a refusal is over.
-    if (refused_until_ > now) store.due = std::min(store.due, refused_until_);
-    store.offering = true;
+    if (refused_until_ > now) next = std::min(next, refused_until_);
+    offers_.OnSent(address, next);
     hub_.Call(address, kOffer, Encode(offer), kAnswerTimeout,
               [weak = weak_from_this(), address, now,
                named = std::move(named)](const Result<std::string>& answer) {
@@ -244,16 +152,15 @@
 
   void OnOfferAnswer(const net::Address& address, net::Time sent,
                      const std::vector<NamedLease>& named, const Result<std::string>& answer) {
-    const auto store = stores_.find(address);
-    if (store != stores_.end()) store->second.offering = false;
+    offers_.OnAnswered(address);
     ArmTimer();
     if (!answer) return;
     const Result<OfferAnswer> decoded = Decode<OfferAnswer>(answer.value());
     if (!decoded || decoded.value().held.size() != named.size()) return;
-    if (store != stores_.end()) store->second.vouched = sent;
+    offers_.OnVouched(address, sent);
     std::vector<ItemRun*> unknown;
     for (std::size_t i = 0; i < named.size(); ++i) {
-      ItemRun* run = Find(named[i].lease);
+      ItemRun* run = runs_.Find(named[i].lease);
       if (run == nullptr) continue;
       switch (decoded.value().held[i]) {
         case LeaseStatus::kRenewed:
@@ -295,13 +202,13 @@
   void OnAdoptAnswer(const net::Address& address, net::Time sent,
                      const std::vector<NamedLease>& named, const Result<std::string>& answer) {
     for (const NamedLease& name : named) {
-      if (ItemRun* run = Find(name.lease)) run->adopting = false;
+      if (ItemRun* run = runs_.Find(name.lease)) run->adopting = false;
     }
     if (!answer) return;
     const Result<AdoptAnswer> decoded = Decode<AdoptAnswer>(answer.value());
     if (!decoded || decoded.value().leases.size() != named.size()) return;
     for (std::size_t i = 0; i < named.size(); ++i) {
-      ItemRun* run = Find(named[i].lease);
+      ItemRun* run = runs_.Find(named[i].lease);
       if (run == nullptr) continue;
       if (decoded.value().leases[i] == LeaseStatus::kRenewed) {
         ++counters_.adopted;
@@ -320,19 +227,13 @@
   }
 
   void ArmTimer() {
-    net::Time next = net::Time::max();
-    for (const auto& [address, store] : stores_) {
-      if (!store.offering) next = std::min(next, store.due);
-    }
-    if (next == net::Time::max()) return;  // An answer or another placement arms it.
-    timer_->ArmAt(std::max(next, last_round_ + kShortestInterval));
+    // None: an answer or another placement arms it.
+    if (const std::optional<net::Time> next = offers_.NextRound()) timer_->ArmAt(*next);
   }
 
   // The next offer to that store goes out by then.
   void WantOffer(const net::Address& address, net::Time by) {
-    const auto store = stores_.find(address);
-    if (store == stores_.end()) return;
-    store->second.due = std::min(store->second.due, by);
+    offers_.Want(address, by);
     ArmTimer();
   }
 
@@ -343,29 +244,25 @@
     if (!decoded) return;
     Assign& assign = decoded.value();
     const LeaseId lease = assign.lease;
-    if (runs_.contains(lease)) return;
+    if (runs_.Find(lease) != nullptr) return;
     ++counters_.assigned;
     DropOlderRun(assign.item);
-    const auto store = stores_.find(from);
-    if (store != stores_.end()) {
-      store->second.credit.OnAssigned();
-      WantOffer(from, store->second.credit.used_up() ? loop_.Now() : loop_.Now() + kBusyInterval);
-    }
+    offers_.OnAssigned(from, loop_.Now(), loop_.Now() + kBusyInterval);
+    ArmTimer();
     auto run =
         std::make_unique<ItemRun>(loop_, calls_, std::move(assign),
                                   [this](ItemRun& over, const RunEnd& end) { OnOver(over, end); });
     typical_bytes_ = std::max(typical_bytes_, run->body_bytes());
-    ItemRun& added = *run;
-    runs_.emplace(lease, std::move(run));
+    ItemRun& added = runs_.Add(std::move(run));
     if (draining_ || runs_.size() > kMostRuns) {
       added.HandBack();
       return;
     }
     // The store gave the lease after it had taken the newest offer that it has answered, since
     // messages of one connection keep their order.
-    if (store != stores_.end() && store->second.vouched) {
+    if (const std::optional<net::Time> vouched = offers_.Vouched(from)) {
       vouching_[lease] = from;
-      added.Extend(*store->second.vouched + span_);
+      added.Extend(*vouched + span_);
     }
     StartIfLeased(added);
     if (added.state() == ItemRun::State::kAwaitingLease) WantOffer(from, loop_.Now());
@@ -373,16 +270,7 @@
 
   // A store gives an item again only if an older lease of it is over.
   void DropOlderRun(const ItemRef& item) {
-    for (const auto& [lease, run] : runs_) {
-      const ItemRef& other = run->item();
-      if (run->state() == ItemRun::State::kReporting || other.item != item.item ||
-          other.job.job != item.job.job || other.job.tenant != item.job.tenant ||
-          other.job.host != item.job.host) {
-        continue;
-      }
-      OnRevoked(LeaseId(lease));
-      return;
-    }
+    if (const std::optional<LeaseId> older = runs_.UnfinishedOf(item)) OnRevoked(*older);
   }
 
   void StartIfLeased(ItemRun& run) {
@@ -397,7 +285,7 @@
   }
 
   void OnRevoked(const LeaseId& lease) {
-    const ItemRun* run = Find(lease);
+    const ItemRun* run = runs_.Find(lease);
     // What is over is still reported: a whole output is one whoever brings it.
     if (run == nullptr || run->state() == ItemRun::State::kReporting) return;
     ++counters_.revoked;
@@ -406,7 +294,7 @@
 
   // Cancels its call where there is one.
   void Forget(const LeaseId& lease) {
-    runs_.erase(lease);
+    runs_.Erase(lease);
     vouching_.erase(lease);
     TellIfDrained();
   }
@@ -421,7 +309,7 @@
     question.until = loop_.Now() + kReportPatience;
     // The table keeps the run until `done`, and `reports_` lives no longer than this.
     question.encode = [this, lease = run.lease()](const JobRef& job) {
-      Finished report = Find(lease)->Report();
+      Finished report = runs_.Find(lease)->Report();
       report.item.job = job;
       return Encode(report);
     };
@@ -450,10 +338,7 @@
       pause = std::max(pause, milliseconds(static_cast<std::int64_t>(asked_ms)));
     }
     refused_until_ = std::max(refused_until_, loop_.Now() + pause);
-    // Stores must not go on filling what they were granted before.
-    for (auto& [address, store] : stores_) {
-      if (store.credit.left() != 0) store.due = net::Time::min();
-    }
+    offers_.TakeBackGrants();
     ArmTimer();
   }
 
@@ -488,15 +373,14 @@
   transport::Hub& hub_;
   proxy::Calls& calls_;
   ViewSource view_;
+  Primaries primaries_;
   net::Span span_;
   StoreCaller reports_;
   net::TimerPtr timer_;
-  std::map<net::Address, Store> stores_;
-  std::map<LeaseId, std::unique_ptr<ItemRun>> runs_;
+  OfferSchedule offers_;
+  RunTable runs_;
   std::map<LeaseId, net::Address> vouching_;  // Which store renewed a lease last.
-  net::Time last_round_ = net::Time::min() + kShortestInterval;
   net::Time refused_until_ = net::Time::min();
-  std::size_t rounds_ = 0;
   std::size_t typical_bytes_ = kLeastItemBytes;  // Of the largest items seen lately.
   bool draining_ = false;
   net::TimerPtr drain_timer_;
--- a/src/tier/batch/runner.h
+++ b/src/tier/batch/runner.h
@@ -32,7 +32,6 @@
 constexpr std::size_t kMostHeldBytes = 32U << 20;
 constexpr std::chrono::seconds kReportPatience{60};
 constexpr std::chrono::seconds kDrainPatience{2};
-constexpr std::size_t kMostOffersAStore = 50;
 
 class Runner {
  public:
