An item's answer that ends inside an event is not whole

An answer without length ends with its connection; what stands behind the last blank line then shows that the endpoint broke off. It was taken for complete without that event.

--- a/src/tier/batch/item_run.cpp
+++ b/src/tier/batch/item_run.cpp
@@ -31,6 +31,23 @@
          status == kUnavailable;
 }
 
+// Whether a line of a field has come behind the last blank line.
+bool EndsInsideEvent(std::string_view bytes) {
+  bool inside = false;
+  while (!bytes.empty()) {
+    const std::size_t end = bytes.find('\n');
+    std::string_view line = bytes.substr(0, end);
+    bytes.remove_prefix(end == bytes.npos ? bytes.size() : end + 1);
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    if (line.empty()) {
+      inside = false;
+    } else if (line.front() != ':') {
+      inside = true;
+    }
+  }
+  return inside;
+}
+
 // Whether both lead the item to the same services.
 bool LeadAlike(const configuration::Route& one, const configuration::Route& other) {
   const auto same_part = [](const configuration::SplitPart& a, const configuration::SplitPart& b) {
@@ -122,6 +139,13 @@
   });
 }
 
+// Whole events come with their blank lines; an answer may end with its connection, and what stands
+// behind the last event then tells that the endpoint broke off.
+bool ItemRun::OnBody(std::string_view bytes) {
+  inside_event_ = head_status_ == kStatusOk && EndsInsideEvent(bytes);
+  return true;
+}
+
 void ItemRun::OnEvent(const proxy::Event& event) {
   if (state_ != State::kRunning || head_status_ != kStatusOk || !stamped_) return;
   if (output_.Take(event)) return;
@@ -143,7 +167,7 @@
   RunEnd end;
   end.retry_after_s = summary.retry_after_s;
   const int status = head_status_ != 0 ? head_status_ : summary.status;
-  const bool whole = summary.end == proxy::CallEnd::kComplete;
+  const bool whole = summary.end == proxy::CallEnd::kComplete && !inside_event_;
   if (whole && status == kStatusOk && stamped_ && output_.all().events != 0) {
     end.outcome = RunOutcome::kComplete;
   } else if (summary.status == kStatusFailedAttempt) {
--- a/src/tier/batch/item_run.h
+++ b/src/tier/batch/item_run.h
@@ -67,7 +67,7 @@
   bool MaySend() override;
   void OnHead(int status, const proxy::HeaderList& headers,
               std::optional<std::uint64_t> length) override;
-  bool OnBody(std::string_view) override { return true; }
+  bool OnBody(std::string_view bytes) override;
   void OnEvent(const proxy::Event& event) override;
   void OnEnd(const proxy::CallSummary& summary) override;
 
@@ -91,6 +91,7 @@
   std::optional<policy::CallId> call_;
   int head_status_ = 0;  // 0: no head yet.
   bool stamped_ = false;
+  bool inside_event_ = false;  // What came last is not the whole of an event.
   RunEnd end_;
 };
 
--- a/tests/tier/batch/item_run_test.cpp
+++ b/tests/tier/batch/item_run_test.cpp
@@ -108,6 +108,36 @@
   BOOST_TEST(report.item.item == "item-1");
 }
 
+// Of an answer that ends with its connection nothing else tells that the endpoint broke off.
+BOOST_FIXTURE_TEST_CASE(an_answer_that_ends_inside_an_event_is_not_whole, Fixture) {
+  const policy::CallId call = MakeSent();
+  calls.Head(call, 200);
+  calls.Event(call, 1, "e1");
+  calls.Body(call, "id: 1\ndata: e1\n\n");
+  calls.Body(call, "id: 2\nda");
+  calls.Complete(call);
+  BOOST_TEST((Outcome() == RunOutcome::kInterrupted));
+  BOOST_TEST(run->Report().output.text == "e1");
+}
+
+BOOST_FIXTURE_TEST_CASE(the_words_of_a_refusal_are_no_event, Fixture) {
+  const policy::CallId call = MakeSent();
+  calls.Head(call, 503);
+  calls.Body(call, "busy\n");
+  calls.Complete(call, 503);
+  BOOST_TEST((Outcome() == RunOutcome::kReturned));
+  BOOST_TEST(end->refused);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_comment_behind_the_last_event_leaves_it_whole, Fixture) {
+  const policy::CallId call = MakeSent();
+  calls.Head(call, 200);
+  calls.Event(call, 1, "e1");
+  calls.Body(call, "id: 1\r\ndata: e1\r\n\r\n: goodbye\r\n");
+  calls.Complete(call);
+  BOOST_TEST((Outcome() == RunOutcome::kComplete));
+}
+
 BOOST_FIXTURE_TEST_CASE(continues_behind_what_earlier_runs_brought, Fixture) {
   Assign assign = OneItem();
   assign.output = {"e1\ne2", 2, 2};
--- a/tests/tier/batch/scripted_calls.h
+++ b/tests/tier/batch/scripted_calls.h
@@ -64,6 +64,11 @@
     const auto found = open.find(call);
     if (found != open.end()) found->second.user->OnEvent({id, data});
   }
+  // Bytes of the answer as they came, whole events or what stands behind the last.
+  void Body(policy::CallId call, std::string_view bytes) {
+    const auto found = open.find(call);
+    if (found != open.end()) found->second.user->OnBody(bytes);
+  }
   void End(policy::CallId call, const proxy::CallSummary& summary) {
     proxy::CallUser* user = open.at(call).user;
     open.erase(call);
