--- a/src/tier/foundation/log.cpp
+++ b/src/tier/foundation/log.cpp
@@ -9,15 +9,13 @@
 
 #include <cstdlib>
 #include <iostream>
-#include <map>
 #include <memory>
 
+#include "tier/foundation/flood_gate.h"
+
 namespace shelflink::log {
 namespace {
 
-constexpr long long kBoundedSpanMicros = 60'000'000;
-constexpr std::size_t kMostBoundedKeys = 256;  // Beyond these, floods share one entry.
-
 struct Process {
   log4cplus::Initializer initializer;
 };
@@ -41,14 +39,10 @@
   return log4cplus::ERROR_LOG_LEVEL;
 }
 
-struct Flood {
-  long long since = 0;
-  long long left_out = 0;
-};
-
-std::map<std::string, Flood>& Floods() {
-  static std::map<std::string, Flood> floods;
-  return floods;
+// One line a minute for each module and key.
+FloodGate& BoundedLines() {
+  static FloodGate gate;
+  return gate;
 }
 
 }  // namespace
@@ -86,23 +80,15 @@
   }
 }
 
+std::string LeftOut(std::uint64_t lines) {
+  return lines > 0 ? " (" + std::to_string(lines) + " more left out)" : "";
+}
+
 void Bounded(Level level, std::string_view module, const std::string& key, const std::string& text,
              long long now_micros) {
-  std::map<std::string, Flood>& floods = Floods();
-  auto found = floods.find(key);
-  if (found == floods.end()) {
-    const std::string entry = floods.size() < kMostBoundedKeys ? key : std::string();
-    found = floods.try_emplace(entry, Flood{now_micros - kBoundedSpanMicros, 0}).first;
-  }
-  Flood& flood = found->second;
-  if (now_micros - flood.since < kBoundedSpanMicros) {
-    ++flood.left_out;
-    return;
-  }
-  const std::string more =
-      flood.left_out > 0 ? " (" + std::to_string(flood.left_out) + " more left out)" : "";
-  flood = {now_micros, 0};
-  Line(level, module, text + more);
+  const std::string name = std::string(module) + '/' + key;
+  const auto held_back = BoundedLines().Pass(name, now_micros);
+  if (held_back) Line(level, module, text + LeftOut(*held_back));
 }
 
 }  // namespace shelflink::log
--- a/src/tier/foundation/log.h
+++ b/src/tier/foundation/log.h
@@ -2,6 +2,7 @@
 #ifndef SHELFLINK_TIER_FOUNDATION_LOG_H_
 #define SHELFLINK_TIER_FOUNDATION_LOG_H_
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -25,7 +26,10 @@
 inline void Warning(std::string_view module, const std::string& text) {
   Line(Level::kWarning, module, text);
 }
-// For events that may come in floods: one line a minute per key, with the count of those left out.
+// The end of a line that stands for others too: empty where there are none.
+std::string LeftOut(std::uint64_t lines);
+// For events that may come in floods: one line a minute per module and key, with the count of those
+// left out.
 // `now_micros` is any steady clock.
 void Bounded(Level level, std::string_view module, const std::string& key, const std::string& text,
              long long now_micros);
--- a/src/tier/foundation/settings.cpp
+++ b/src/tier/foundation/settings.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr std::string_view kZonePrefix = "zones.";
+constexpr std::size_t kLongestName = 255;  // Of a node or a zone, as its peers take it.
+// In milliseconds, some thirty years: sums with it must fit into nanoseconds.
+constexpr double kLongestSpan = 1e12;
 
 struct Entry {
   std::size_t line = 0;
@@ -91,6 +94,11 @@
     // What one wrong value brings with it is no finding of its own.
     if (!findings_.empty()) return;
     constexpr int kBeyondFirst = static_cast<int>(ProcessKind::kStore);
+    if (settings_.node.size() > kLongestName) Find("node", "expected at most 255 bytes");
+    if (settings_.zone.size() > kLongestName) Find("zone", "expected at most 255 bytes");
+    if (settings_.heartbeat.count() < 1) {
+      Find("heartbeatMs", "expected milliseconds, 1 or more");
+    }
     if (settings_.port_last - settings_.port_first < kBeyondFirst) {
       Find("portRange", "expected three ports at least, the lowest first");
     }
@@ -215,9 +223,8 @@
     const char* expected = std::strcmp(name, "seconds") == 0 ? "expected seconds, 0 or more"
                                                              : "expected milliseconds, 0 or more";
     keys_[key] = {expected, [&to, unit](std::string_view text) {
-                    constexpr double kLongest = 1e12;
                     double value = 0;
-                    if (!ParseNumber(text, 0.0, value) || value > kLongest) return false;
+                    if (!ParseNumber(text, 0.0, value) || value * unit > kLongestSpan) return false;
                     to = Milliseconds(static_cast<std::int64_t>(std::llround(value * unit)));
                     return true;
                   }};
--- a/src/tier/transport/frames.cpp
+++ b/src/tier/transport/frames.cpp
@@ -88,6 +88,12 @@
   return static_cast<MessageKind>(kind);
 }
 
+// Names stand in keys of what is stored, which are short.
+bool HasNames(const PeerIdentity& identity) {
+  return identity.node.size() <= kLongestName && identity.role.size() <= kLongestName &&
+         identity.zone.size() <= kLongestName;
+}
+
 // Each reads the fields behind the type.
 
 FrameResult ReadHello(cbor::Reader& reader) {
@@ -102,7 +108,7 @@
   const auto address = net::Address::Parse(reader.Text());
   hello.identity.incarnation = reader.Uint();
   hello.dial = reader.Uint();
-  if (!reader.ok() || !address) return FrameFault::kMalformed;
+  if (!reader.ok() || !address || !HasNames(hello.identity)) return FrameFault::kMalformed;
   hello.identity.address = *address;
   return Frame(std::move(hello));
 }
--- a/src/tier/transport/frames.h
+++ b/src/tier/transport/frames.h
@@ -50,6 +50,7 @@
 constexpr std::size_t kFrameHead = 4;           // Bytes of the length.
 constexpr std::size_t kMostEnvelope = 64;       // Bytes of a frame beside its body, at most.
 constexpr std::size_t kLargestHello = 4096;     // Nothing longer is taken from a stranger.
+constexpr std::size_t kLongestName = 255;       // Of a node, a role or a zone.
 constexpr std::size_t kLongestErrorText = 512;  // Longer ones are cut.
 constexpr std::size_t kLargestBody = kLargestFrame - kMostEnvelope;
 
--- a/src/tier/transport/hub.h
+++ b/src/tier/transport/hub.h
@@ -72,6 +72,7 @@
   Hub& operator=(const Hub&) = delete;
 
   const PeerIdentity& self() const;
+  // In place of an earlier handler; an empty one takes it away.
   void Handle(MessageKind kind, OnMessage handler);
   void HandleCall(MessageKind kind, OnCall handler);
   // Told of each first connection to a process and of the end of its last one.
@@ -84,11 +85,13 @@
             std::chrono::milliseconds timeout, Reply done);
 
   bool Connected(const net::Address& to) const;
-  // Bytes written and read, frames dropped by cause ("version", "malformed", "too_long", "queue").
+  // Bytes written and read, frames dropped by cause ("version", "malformed", "too_long", "queue"),
+  // and lines of the log about frames that could not be read: one a minute for each cause.
   struct Counters {
     std::uint64_t bytes_out = 0;
     std::uint64_t bytes_in = 0;
     std::map<std::string, std::uint64_t> dropped;
+    std::uint64_t drop_lines = 0;
   };
   const Counters& counters() const;
 
--- a/tests/tier/foundation/settings_test.cpp
+++ b/tests/tier/foundation/settings_test.cpp
@@ -87,7 +87,8 @@
       {"seeds", "10.1.0.14"},        {"bootstrap", "yes"},       {"limits.cpuShare", "0"},
       {"limits.cpuShare", "nan"},    {"limits.memoryMb", "-1"},  {"limits.memoryMb", "2.5"},
       {"heartbeatMs", "soon"},       {"bounds.catchUpS", "-1"},  {"bounds.fencing", "1"},
-      {"cloud.address", "platform"}, {"cloud.ratePerS", "4,4"},  {"faultTolerance.machines", "-1"}};
+      {"cloud.address", "platform"}, {"cloud.ratePerS", "4,4"},  {"faultTolerance.machines", "-1"},
+      {"heartbeatMs", "0"},          {"bounds.catchUpS", "2e9"}, {"bounds.contactMs", "2e12"}};
   for (const auto& [key, value] : wrong) {
     const auto settings = ParseSettings(With(key, value));
     BOOST_REQUIRE_MESSAGE(!settings.has_value(), key << "=" << value);
@@ -96,6 +97,15 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ANameIsAsShortAsPeersTakeIt) {
+  for (const char* key : {"node", "zone"}) {
+    BOOST_TEST(ParseSettings(With(key, std::string(255, 'n').c_str())).has_value());
+    const auto settings = ParseSettings(With(key, std::string(256, 'n').c_str()));
+    BOOST_REQUIRE(!settings.has_value());
+    BOOST_TEST(settings.error()[0].place == key);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(TellsAllFindingsTogether) {
   const auto settings = ParseSettings("node=a\nno equals sign\nbootstrap=maybe\n");
   BOOST_REQUIRE(!settings.has_value());
