Headers longer than Beast's fields hold end no process; requests cut at every byte

Cause: Beast throws std::length_error for a field over 64 KiB and nothing above GLib catches it: a batch item with such a header ended each proxy that ran it, and with maxHeaderBytes over 64 KiB a client did. Beast 1.74 asserts in debug builds that five bytes follow once it saw the head of a first, last chunk; found by the cuts. A spoilt rest of a request put a 400 into an answer that had begun. Spans of a configuration overflowed in sums, a header limit of 4 GiB wrapped to 0. Change: each refused where it is read (431, 400 with its place), or left out; the parser is asked when it can go on; a begun answer is broken off, and a request that is spoilt is answered once.

--- a/src/sidecar/http.h
+++ b/src/sidecar/http.h
@@ -13,6 +13,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <charconv>
 #include <cstdint>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -148,26 +149,49 @@
   auto data() const { return buffer_.cdata(); }
   std::size_t size() const { return buffer_.size(); }
   bool empty() const { return buffer_.size() == 0; }
-  void Consume(std::size_t n) { buffer_.consume(n); }
-  void Clear() { buffer_.clear(); }
+  void Consume(std::size_t n) {
+    buffer_.consume(n);
+    if (n > 0) wanted_ = 0;
+  }
+  void Clear() {
+    buffer_.clear();
+    wanted_ = 0;
+  }
+  // Fewer bytes than these are of no use to the parser.
+  void Want(std::size_t bytes) { wanted_ = bytes; }
+  bool HasWanted() const { return !empty() && size() >= wanted_; }
   void Trim() {
     if (empty()) buffer_.shrink_to_fit();
   }
 
  private:
   boost::beast::flat_buffer buffer_;
+  std::size_t wanted_ = 0;
 };
 
+// The shortest end of a body in chunks. Beast 1.74 asserts that this much is there once it has seen
+// the head of the last chunk, so it isn't asked again before.
+constexpr std::size_t kShortestLastChunk = 5;
+
 // One step of what has come into a parser: how many bytes it took. 0 once it is done or needs more,
-// or where what has come is no HTTP, which `ec` tells.
+// or where what has come is no HTTP, which `ec` tells. A field that is longer than Beast can hold,
+// which it throws at, is over the limit of the head, however high that is.
 template <typename Parser>
 std::size_t PutStep(Parser& parser, Incoming& incoming, boost::system::error_code& ec) {
   ec = {};
-  if (incoming.empty() || parser.is_done()) return 0;
-  const std::size_t used = parser.put(incoming.data(), ec);
+  if (!incoming.HasWanted() || parser.is_done()) return 0;
+  std::size_t used = 0;
+  try {
+    used = parser.put(incoming.data(), ec);
+  } catch (const std::length_error&) {
+    ec = boost::beast::http::error::header_limit;
+    return 0;
+  }
   incoming.Consume(used);
   if (!ec) return used;
-  if (ec == boost::beast::http::error::need_more) ec = {};
+  if (ec != boost::beast::http::error::need_more) return 0;
+  ec = {};
+  if (parser.is_header_done() && parser.chunked()) incoming.Want(kShortestLastChunk);
   return 0;
 }
 
--- a/src/sidecar/server.cpp
+++ b/src/sidecar/server.cpp
@@ -180,10 +180,13 @@
 }
 
 void Client::Spoil(unsigned status, const std::string& text) {
+  const auto self = shared_from_this();
   feed_ = nullptr;
   const auto gone = std::exchange(gone_, nullptr);
   if (gone) gone();
-  Reject(status, text);
+  // An answer that has begun can only be broken off: whatever followed would pass for a part of it.
+  if (state_ == State::kStreaming) return Break();
+  if (state_ == State::kIdle || state_ == State::kHeld) Reject(status, text);
 }
 
 // Only waiting for the client counts: while nobody wants more of its body it may not be able to
@@ -412,7 +415,9 @@
 void Client::OnWritable() {
   const auto self = shared_from_this();
   Flush();
-  if (state_ == State::kStreaming && outgoing_.empty() && drained_) drained_();
+  if (state_ != State::kStreaming || !outgoing_.empty()) return;
+  const auto drained = drained_;  // It may end the answer, and with it the member.
+  if (drained) drained();
 }
 
 bool Client::HasUnread() { return stream_->Peek() == net::Ahead::kBytes; }
--- a/src/tier/batch/job_json.cpp
+++ b/src/tier/batch/job_json.cpp
@@ -296,6 +296,10 @@
       const std::string place = "headers." + std::string(name.substr(0, kLongestQuoted));
       if (!names.insert(lower).second) Add(place, "expected once, found twice");
       const auto value = Text(place, header);
+      if (value && name.size() + value->size() > kLongestHeader) {
+        Add(place, "expected at most " + std::to_string(kLongestHeader) + " bytes with its name");
+        continue;
+      }
       if (!value) continue;
       if (!std::all_of(value->begin(), value->end(), IsHeaderValueCharacter)) {
         Add(place, "expected no control characters");
--- a/src/tier/batch/job_json.h
+++ b/src/tier/batch/job_json.h
@@ -21,6 +21,7 @@
 constexpr std::size_t kMostValues = 65536;
 constexpr std::size_t kLongestId = 256;
 constexpr std::size_t kLongestPath = 8192;
+constexpr std::size_t kLongestHeader = 16384;  // Name and value together.
 constexpr std::uint64_t kMostItemTokens = std::uint64_t{1} << 40U;
 // Findings told of one job; what else is wrong is counted only.
 constexpr std::size_t kMostFindings = 50;
--- a/src/tier/configuration/object_reader.cpp
+++ b/src/tier/configuration/object_reader.cpp
@@ -12,6 +12,8 @@
 using std::chrono::milliseconds;
 
 constexpr double kLongestMilliseconds = 1e15;
+// A longer span is kept as this one, some thirty years: sums with it must fit into nanoseconds.
+constexpr double kEndlessMilliseconds = 1e12;
 
 }  // namespace
 
@@ -128,7 +130,9 @@
 
 void ObjectReader::Span(const char* name, double scale, milliseconds& target) {
   const auto number = Number(name, {0.0, kLongestMilliseconds / scale});
-  if (number) target = milliseconds(static_cast<std::int64_t>(std::ceil(*number * scale)));
+  if (!number) return;
+  const double span = std::min(std::ceil(*number * scale), kEndlessMilliseconds);
+  target = milliseconds(static_cast<std::int64_t>(span));
 }
 
 void ObjectReader::SpanAboveZero(const char* name, milliseconds& target) {
--- a/src/tier/configuration/parse.cpp
+++ b/src/tier/configuration/parse.cpp
@@ -16,9 +16,17 @@
 
 constexpr double kLargestInt = 2147483647.0;
 constexpr double kMillisecondsPerSecond = 1000.0;
+constexpr std::size_t kLongestHeaderText = 4096;  // Of what goes into a header of requests.
 constexpr Range kCount{0.0, kLargestInt};
 constexpr Range kAtLeastOne{1.0, kLargestInt};
 
+// A text that stands in a header of the requests that are passed on.
+void ReadHeaderText(ObjectReader& reader, const char* name, std::string& target) {
+  reader.RequiredText(name, target);
+  if (target.size() <= kLongestHeaderText) return;
+  reader.Report(name, "expected at most " + std::to_string(kLongestHeaderText) + " bytes");
+}
+
 std::optional<RouteKind> KindOf(std::string_view word) {
   if (word == "idempotent") return RouteKind::kIdempotent;
   if (word == "non_idempotent") return RouteKind::kNonIdempotent;
@@ -80,7 +88,7 @@
   Route route;
   if (!reader.usable()) return route;
   reader.RequiredText("name", route.name);
-  reader.RequiredText("hostname", route.hostname);
+  ReadHeaderText(reader, "hostname", route.hostname);
   ReadPrefix(reader, route);
   ReadKind(reader, route);
   ReadTimeout(reader, route);
@@ -137,7 +145,7 @@
   ObjectReader reader(item, place, findings);
   Tenant tenant;
   if (!reader.usable()) return tenant;
-  reader.RequiredText("name", tenant.name);
+  ReadHeaderText(reader, "name", tenant.name);
   reader.List("apiKeys", [&](const cJSON* key, const std::string& at) {
     if (cJSON_IsString(key) && key->valuestring[0] != '\0') {
       tenant.api_keys.emplace_back(key->valuestring);
--- a/src/tier/platform/instance_page.cpp
+++ b/src/tier/platform/instance_page.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr double kMostSlots = 1e6;
+constexpr std::size_t kLongestId = 4096;  // It goes into a header of each request.
 
 void ReadAddress(json::ObjectReader& reader, net::Address& target) {
   std::string text;
@@ -37,6 +38,9 @@
   cluster::EndpointEntry entry;
   if (!reader.usable()) return entry;
   reader.RequiredText("id", entry.id);
+  if (entry.id.size() > kLongestId) {
+    reader.Report("id", "expected at most " + std::to_string(kLongestId) + " bytes");
+  }
   reader.RequiredText("service", entry.service);
   ReadAddress(reader, entry.address);
   reader.Text("zone", entry.zone);
--- a/src/tier/proxy/front.cpp
+++ b/src/tier/proxy/front.cpp
@@ -28,13 +28,16 @@
 constexpr auto kPlatformNotices = milliseconds(2500);
 // Clients keep within the limits by their own clocks; what the way takes comes on top.
 constexpr auto kWaySlack = milliseconds(500);
+// What is configured beyond that is no limit to any client.
+constexpr std::size_t kLargestHeaderLimit = std::size_t{1} << 30;
 constexpr double kNotReadyRetryAfter = 0.25;
 constexpr double kNoRoomRetryAfter = 0.5;
 
 kelpspring::ServerTerms TermsOf(const configuration::ClientLimits& limits, milliseconds grace) {
   kelpspring::ServerTerms terms;
   terms.health_path.clear();
-  terms.header_limit = static_cast<std::uint32_t>(limits.max_header_bytes);
+  terms.header_limit =
+      static_cast<std::uint32_t>(std::min(limits.max_header_bytes, kLargestHeaderLimit));
   terms.body_limit = limits.max_body_bytes;
   terms.first_span.reset();
   terms.request_span = limits.header_timeout + kWaySlack;
--- a/src/tier/proxy/headers.cpp
+++ b/src/tier/proxy/headers.cpp
@@ -89,7 +89,8 @@
 bool MayBeSent(std::string_view name, std::string_view value) {
   const auto control = [](char c) { return static_cast<unsigned char>(c) < 0x20 || c == 0x7f; };
   const auto not_token = [&](char c) { return control(c) || c == ' ' || c == ':'; };
-  return !name.empty() && std::none_of(name.begin(), name.end(), not_token) &&
+  return !name.empty() && name.size() <= kLongestField && value.size() <= kLongestField &&
+         std::none_of(name.begin(), name.end(), not_token) &&
          std::none_of(value.begin(), value.end(), control) && !Among(kOfConnection, name) &&
          !Among(kOwn, name);
 }
--- a/src/tier/proxy/headers.h
+++ b/src/tier/proxy/headers.h
@@ -19,8 +19,10 @@
 // What of an endpoint's answer goes back: all but what concerns one connection and the framing.
 HeaderList AnswerHeaders(const kelpspring::HttpResponse& answer);
 
-// Whether a header of a batch item may be sent: not of one connection, not the proxy's own, and
-// nothing in it that could end the line.
+// The longest name or value that a message holds: Beast throws where one needs more than 16 bits.
+constexpr std::size_t kLongestField = 65000;
+// Whether a header of a batch item may be sent: not of one connection, not the proxy's own, nothing
+// in it that could end the line, and not too long.
 bool MayBeSent(std::string_view name, std::string_view value);
 
 // Digits and nothing else.
--- a/tests/tier/batch/job_json_test.cpp
+++ b/tests/tier/batch/job_json_test.cpp
@@ -99,6 +99,7 @@
         R"("/jobs/a b")", R"("/jobs/a#b")", R"("/jobs/\u00e9")", R"("/?/jobs/")", long_path}},
       {"headers", &ItemText::headers, {"null", "[]", R"("x")", R"({"a b":"v"})", R"({"":"v"})"}},
       {"headers.A", &ItemText::headers, {R"({"A":1})", R"({"A":null})", R"({"A":"x\r\nB: y"})"}},
+      {"headers.A", &ItemText::headers, {R"({"A":")" + std::string(kLongestHeader, 'x') + R"("})"}},
       {"headers.a", &ItemText::headers, {R"({"A":"1","a":"2"})"}},
       {"body", &ItemText::body, {"null", "7", R"("q83vEjRWeJA")", R"("q8 v")", R"("\u00e9===")"}},
       {"tokens",
--- a/tests/tier/configuration/parse_test.cpp
+++ b/tests/tier/configuration/parse_test.cpp
@@ -126,6 +126,8 @@
       {"\"name\":\"small\"", "\"name\":\"small\"},{\"name\":\"big\"", "services[2].name"},
       {"\"name\":\"second\"", "\"name\":\"first\"", "tenants[1].name"},
       {"\"hostname\":\"other.example\",", "", "routes[2].hostname"},
+      {"other.example", std::string(4097, 'h'), "routes[2].hostname"},
+      {"\"name\":\"second\"", "\"name\":\"" + std::string(4097, 't') + "\"", "tenants[1].name"},
       {"\"pathPrefix\":\"/lots/\"", "\"pathPrefix\":\"/lots\"", "routes[3].pathPrefix"},
       {"\"pathPrefix\":\"/lots/\"", "\"pathPrefix\":\"lots/\"", "routes[3].pathPrefix"},
       {"\"routeKind\":\"streaming\"", "\"routeKind\":\"flowing\"", "routes[0].routeKind"},
@@ -224,6 +226,14 @@
   }
 }
 
+// Sums with it must fit into nanoseconds.
+BOOST_AUTO_TEST_CASE(an_endless_time_is_kept_as_thirty_years) {
+  const std::string text = With(kSample, "\"timeoutMs\":4000", "\"timeoutMs\":1e15");
+  const milliseconds timeout = Parsed(text).routes[0].timeout;
+  BOOST_TEST(timeout.count() == 1'000'000'000'000);
+  BOOST_TEST(std::chrono::nanoseconds(timeout).count() == 1'000'000'000'000'000'000);
+}
+
 BOOST_AUTO_TEST_CASE(finds_the_longest_prefix_of_the_host) {
   const Configuration configuration = Parsed(kSample);
   const auto name = [&](const char* host, const char* path) {
--- a/tests/tier/platform/instance_page_test.cpp
+++ b/tests/tier/platform/instance_page_test.cpp
@@ -57,6 +57,7 @@
       {"\"id\":\"i-1\"", "\"id\":7", "instances[0].id"},
       {",\"id\":\"i-1\"", "", "instances[0].id"},
       {"\"id\":\"i-1\"", "\"id\":\"\"", "instances[0].id"},
+      {"\"id\":\"i-1\"", "\"id\":\"" + std::string(4097, 'i') + "\"", "instances[0].id"},
       {"\"service\":\"s2\",", "", "instances[1].service"},
       {"10.128.0.9:8080", "10.128.0.9", "instances[0].address"},
       {"10.128.0.9:8080", "host:8080", "instances[0].address"},
--- a/tests/tier/proxy/mutation_test.cpp
+++ b/tests/tier/proxy/mutation_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <set>
 
+#include "proxy/mutations.h"
 #include "proxy/stand_in.h"
 
 using stand_in::Answers;
@@ -12,58 +13,14 @@
 using stand_in::Lower;
 using stand_in::Message;
 using stand_in::milliseconds;
+using stand_in::Mutations;
 using stand_in::Request;
+using stand_in::Shown;
 using stand_in::World;
 using Line = Endpoint::Line;
 
 namespace {
 
-// Every text that differs from the given one in one place.
-std::vector<std::string> Mutations(const std::string& text) {
-  const std::string others(" \t\r\n:,;0a\0\x80", 11);
-  std::vector<std::string> all;
-  for (std::size_t at = 0; at < text.size(); ++at) {
-    all.push_back(text.substr(0, at));
-    all.push_back(text.substr(0, at) + text.substr(at + 1));
-    all.push_back(text.substr(0, at) + text[at] + text.substr(at));
-    for (const char other : others) {
-      if (other == text[at]) continue;
-      all.push_back(text.substr(0, at) + other + text.substr(at + 1));
-      all.push_back(text.substr(0, at) + other + text.substr(at));
-    }
-  }
-  // Each line left out, doubled, or exchanged with the next.
-  std::size_t start = 0;
-  while (start < text.size()) {
-    const std::size_t end = text.find('\n', start);
-    if (end == text.npos) break;
-    const std::string line = text.substr(start, end + 1 - start);
-    all.push_back(text.substr(0, start) + text.substr(end + 1));
-    all.push_back(text.substr(0, start) + line + line + text.substr(end + 1));
-    const std::size_t next = text.find('\n', end + 1);
-    if (next != text.npos) {
-      all.push_back(text.substr(0, start) + text.substr(end + 1, next - end) + line +
-                    text.substr(next + 1));
-    }
-    start = end + 1;
-  }
-  return all;
-}
-
-std::string Shown(const std::string& text) {
-  std::string shown;
-  for (const char c : text) {
-    if (c == '\r') {
-      shown += "\\r";
-    } else if (c == '\n') {
-      shown += "\\n";
-    } else {
-      shown += static_cast<unsigned char>(c) < 0x20 || c == 0x7f ? '?' : c;
-    }
-  }
-  return shown;
-}
-
 std::string TargetOf(const Message& request) {
   const std::size_t start = request.first.find(' ') + 1;
   return request.first.substr(start, request.first.rfind(' ') - start);
@@ -110,10 +67,7 @@
 BOOST_AUTO_TEST_CASE(clients_requests_with_a_length) {
   World world;
   world.Add(Answers("served"));
-  const std::string text =
-      "POST /keyed/a?q HTTP/1.1\r\nHost: a.example\r\nShelflink-Request-Id: 0a0b\r\n"
-      "Shelflink-Credential: key-1\r\nConnection: x-a\r\nX-A: b\r\nContent-Length: 9\r\n\r\n"
-      "some body";
+  const std::string& text = stand_in::kRequestWithLength;
   const std::string next =
       "POST /keyed/b HTTP/1.1\r\nHost: a.example\r\nShelflink-Request-Id: 0c0d\r\n"
       "Shelflink-Credential: key-2\r\nContent-Length: 0\r\n\r\n";
@@ -124,9 +78,7 @@
 BOOST_AUTO_TEST_CASE(clients_requests_in_chunks) {
   World world;
   world.Add(Answers("served"));
-  const std::string text =
-      "POST /post/a HTTP/1.1\r\nHost: a.example\r\nShelflink-Request-Id: 0a0b\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  const std::string& text = stand_in::kRequestInChunks;
   const std::string next =
       "GET /get/b HTTP/1.1\r\nHost: a.example\r\nShelflink-Request-Id: 0c0d\r\n\r\n";
   for (const std::string& mutation : Mutations(text)) {
