Stores drop and count frames of unnamed disks and older epochs; a full disk counts while named

Cause: a backup that was full and left kept its partition from taking jobs, since only its own frames cleared it; one lease adopted for two items left the job book with a lease it did not know (out_of_range at the holder's restart). Change: each row begins anew; frames are dropped by cause with a line a minute; such a lease is revoked. The operator's server looks a connection up before it uses it.

--- a/src/tier/batch/hosted_partition.cpp
+++ b/src/tier/batch/hosted_partition.cpp
@@ -28,6 +28,12 @@
 
 }  // namespace
 
+bool Names(const cluster::PartitionRow& row, const std::string& disk) {
+  const auto& backups = row.backup_disks;
+  return row.primary_disk == disk ||
+         std::find(backups.begin(), backups.end(), disk) != backups.end();
+}
+
 std::string HostedPartition::PrefixOf(std::uint32_t partition) {
   return "p" + std::to_string(partition) + "/";
 }
@@ -68,6 +74,7 @@
 
 void HostedPartition::TakeMembers(const cluster::PartitionRow& row) {
   row_ = row;
+  full_disks_.clear();  // One that has left says no more; the others say so again.
   named_ = true;
   complete_in_row_ = row.primary_disk == around_.disk;
   addresses_[row.primary_disk] = row.primary;
@@ -165,20 +172,20 @@
                                std::move(message)});
 }
 
-void HostedPartition::OnFrame(const ReplicaFrame& frame, std::size_t bytes) {
+FrameUse HostedPartition::OnFrame(const ReplicaFrame& frame, std::size_t bytes) {
   const std::uint64_t row_epoch = RowEpochOf(frame.epoch);
   NoteEpoch(row_epoch);
   if (row_epoch > row_.epoch) {
-    if (!frame.message || early_bytes_ + bytes > kMostEarlyBytes) return;
+    if (!frame.message || early_bytes_ + bytes > kMostEarlyBytes) return FrameUse::kTaken;
     early_.emplace_back(frame, bytes);
     early_bytes_ += bytes;
-    return;
+    return FrameUse::kTaken;
   }
   if (row_epoch < row_.epoch) {
     SendTo(frame.disk, std::nullopt);  // It learns that it acts in an older row.
-    return;
+    return FrameUse::kOlderEpoch;
   }
-  if (!named_) return;
+  if (!named_ || !Names(row_, frame.disk)) return FrameUse::kUnnamed;
   if (frame.has_room) {
     full_disks_.erase(frame.disk);
   } else {
@@ -188,12 +195,13 @@
   if (from_primary && frame.epoch > replica_.epoch()) AssignEpoch(frame.epoch, false);
   if (acting() && frame.epoch < replica_.epoch()) {
     SendTo(frame.disk, std::nullopt);  // It learns this primary's life.
-    return;
+    return FrameUse::kOlderEpoch;
   }
-  if (frame.epoch != replica_.epoch() || !frame.message) return;
+  if (frame.epoch != replica_.epoch() || !frame.message) return FrameUse::kTaken;
   Run([&](coordination::Step& step, coordination::ReplicaOutput& out) {
     replica_.OnMessage(step, out, frame.disk, *frame.message);
   });
+  return FrameUse::kTaken;
 }
 
 void HostedPartition::TakeEarlyFrames() {
--- a/src/tier/batch/hosted_partition.h
+++ b/src/tier/batch/hosted_partition.h
@@ -36,6 +36,16 @@
   std::function<void()> role_changed;  // `acting` or `leading` is another; look again, later.
 };
 
+// Whether the row gives that disk a part, as primary or as backup.
+bool Names(const cluster::PartitionRow& row, const std::string& disk);
+
+// What came of a frame: taken, or why it was dropped.
+enum class FrameUse : std::uint8_t {
+  kTaken,
+  kOlderEpoch,  // Of a row or a primary that is over.
+  kUnnamed,     // The row does not name its disk, or not this one.
+};
+
 class HostedPartition : public PartitionLog {
  public:
   HostedPartition(PartitionSurroundings& around, std::uint32_t partition);
@@ -51,7 +61,7 @@
   // A newer row does not name this disk: nothing more is vouched for.
   void LeaveRow(std::uint64_t epoch);
   // `bytes`: its size on the wire.
-  void OnFrame(const ReplicaFrame& frame, std::size_t bytes);
+  FrameUse OnFrame(const ReplicaFrame& frame, std::size_t bytes);
   // About every resend pause. Of the row's other disks: who stalls, who became complete.
   void OnTimer();
   std::vector<std::string> Stalled(net::Span patience) const;
--- a/src/tier/batch/job_book.cpp
+++ b/src/tier/batch/job_book.cpp
@@ -334,6 +334,8 @@
       return LeaseStatus::kRevoked;
     }
     current.until = now + options_.lease_span;
+  } else if (leases_.contains(adoption.lease)) {
+    return LeaseStatus::kRevoked;  // It is another item's: no store has given it for this one.
   } else {
     LeaveQueue(*at);
     GiveLease(adoption.lease,
--- a/src/tier/batch/replica_host.cpp
+++ b/src/tier/batch/replica_host.cpp
@@ -21,12 +21,6 @@
 constexpr milliseconds kKeepUnnamed{20000};
 constexpr double kRoomShare = 0.8;
 
-bool Names(const cluster::PartitionRow& row, const std::string& disk) {
-  const auto& backups = row.backup_disks;
-  return row.primary_disk == disk ||
-         std::find(backups.begin(), backups.end(), disk) != backups.end();
-}
-
 }  // namespace
 
 ReplicaHost::ReplicaHost(net::Loop& loop, transport::Hub& hub, storage::Storage& storage,
@@ -36,6 +30,7 @@
       storage_(storage),
       options_(std::move(options)),
       outside_(std::move(outside)),
+      drops_(loop, std::string(kLogName), dropped_),
       timer_(loop.NewTimer([this] { OnTimer(); })) {
   around_ = std::make_unique<PartitionSurroundings>(PartitionSurroundings{
       loop_, storage_, options_.disk, options_.least_replicas, outside_.lease_until,
@@ -139,20 +134,27 @@
 void ReplicaHost::OnFrame(const transport::PeerIdentity& from, std::string_view body) {
   const Result<ReplicaFrame> frame = DecodeReplicaFrame(body);
   if (!frame) {
-    log::Bounded(log::Level::kWarning, kLogName, "malformed",
-                 "dropped a frame from " + from.address.Text() + ": " + frame.error().text,
-                 loop_.Now().time_since_epoch() / std::chrono::microseconds(1));
+    drops_.Tell("malformed", frame.error().text + " from " + from.address.Text());
     return;
   }
   heard_at_[frame.value().disk] = loop_.Now();
   const auto found = hosted_.find(frame.value().partition);
-  if (found == hosted_.end()) return;
+  if (found == hosted_.end()) return drops_.Count("not_hosted");
   HostedPartition& hosted = *found->second;
-  hosted.OnFrame(frame.value(), body.size());
+  CountUse(hosted.OnFrame(frame.value(), body.size()), frame.value(), from);
   ReportJoined(found->first, hosted);
   if (hosted.learning()) LearnLater();
 }
 
+void ReplicaHost::CountUse(FrameUse use, const ReplicaFrame& frame,
+                           const transport::PeerIdentity& from) {
+  if (use == FrameUse::kTaken) return;
+  const bool older = use == FrameUse::kOlderEpoch;
+  drops_.Tell(older ? "older_epoch" : "unnamed_disk",
+              "a frame of disk " + frame.disk + " about partition " +
+                  std::to_string(frame.partition) + " from " + from.address.Text());
+}
+
 // --- Time ---------------------------------------------------------------------------------------
 
 void ReplicaHost::ArmTimer() {
--- a/src/tier/batch/replica_host.h
+++ b/src/tier/batch/replica_host.h
@@ -33,6 +33,7 @@
 #include "tier/batch/messages.h"
 #include "tier/batch/partition_replicas.h"
 #include "tier/cluster/messages.h"
+#include "tier/foundation/drop_counter.h"
 #include "tier/storage/storage.h"
 #include "tier/transport/hub.h"
 
@@ -65,6 +66,8 @@
 
   void SetEvents(Events events) override { events_ = std::move(events); }
   void OnPlacement(const cluster::Placement& placement) override;
+  // Frames of other stores, by cause: "malformed", "older_epoch", "unnamed_disk", "not_hosted".
+  const DropCounter::Counts& dropped() const { return dropped_; }
 
  private:
   void CountLife();
@@ -72,6 +75,7 @@
   void TakeRow(std::uint32_t partition, const cluster::PartitionRow& row);
   bool IsStored(std::uint32_t partition) const;
   void OnFrame(const transport::PeerIdentity& from, std::string_view body);
+  void CountUse(FrameUse use, const ReplicaFrame& frame, const transport::PeerIdentity& from);
 
   void LookLater();
   void Look();
@@ -95,6 +99,8 @@
   Options options_;
   Outside outside_;
   Events events_;
+  DropCounter::Counts dropped_;
+  DropCounter drops_;
   std::unique_ptr<PartitionSurroundings> around_;
   std::uint64_t life_ = 0;
   bool life_is_synced_ = false;
--- a/src/tier/operator_api/server.cpp
+++ b/src/tier/operator_api/server.cpp
@@ -411,11 +411,13 @@
   if (found == messages.end()) return;
   GSocket* socket = found->second;
   messages.erase(found);
+  const auto place = connections.find(socket);
+  if (place == connections.end()) return;  // Let go before: the socket may be gone as well.
   if (g_socket_is_closed(socket)) {
     Release(socket);
     return;
   }
-  Connection& connection = connections.at(socket);
+  Connection& connection = place->second;
   if (connection.message != message) return;
   ForgetBody(connection);
   connection.message = nullptr;
--- a/tests/tier/batch/job_book_test.cpp
+++ b/tests/tier/batch/job_book_test.cpp
@@ -619,6 +619,31 @@
   }
 }
 
+// No store has given it for both; whoever says so is told, and the book stays whole.
+BOOST_AUTO_TEST_CASE(a_lease_of_one_item_is_not_adopted_for_another) {
+  JobBook book(Options(1));
+  Submit submit;
+  submit.job = {0, 1, "tenant", "host", "job"};
+  submit.route = "route";
+  submit.max_attempts = kMaxAttempts;
+  submit.keep = milliseconds(40'000);
+  submit.items = {{"one", "/1", {}, "body", 1}, {"two", "/2", {}, "body", 1}};
+  BOOST_REQUIRE((book.OnSubmit(kStart, submit).outcome == SubmitOutcome::kAccepted));
+  book.TakeWrites();
+  book.OnDurable(book.revision());
+  const JobBook::Holder holder{net::Address::V4(0x0a010001, 1), 1};
+  const LeaseId lease{7, 7};
+  BOOST_TEST(
+      (book.OnAdopt(kStart, holder, {{submit.job, "one"}, lease, {}}) == LeaseStatus::kRenewed));
+  BOOST_TEST(
+      (book.OnAdopt(kStart, holder, {{submit.job, "two"}, lease, {}}) == LeaseStatus::kRevoked));
+  book.OnProxy({holder.address, 2});  // Its leases go back.
+  BOOST_TEST((book.OnAdopt(kStart, {holder.address, 2}, {{submit.job, "two"}, lease, {}}) ==
+              LeaseStatus::kRenewed));
+  book.OnFinished(kStart, {{submit.job, "one"}, lease, RunOutcome::kComplete, {"text", 1, 1}});
+  BOOST_TEST(book.List(submit.job, 0).value().total == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(promises_hold_in_histories_of_two_thousand_seeds) {
   std::uint64_t accepted = 0;
   std::uint64_t listed = 0;
