Catch-up ends: no full disk, no starving learner, no copies beyond patience

Cause, each seen with tier_catch_up_test on the replica as it was: - A learner asked for no sync while it copied, so LMDB could not reuse the room of what was replaced: a core disk that held 60 % of old state failed (map full) while it took as much of new state, and its member was gone for good. - A learner whose sync is 10 ms slower (8 changes under way) or 40 ms slower (1 under way) than the replicas' was never named while changes went on: it has the newest entry never first. 20 s, 9,657 changes, not named. - Answers of 1 MB on a link of 1.9 Mbit/s (a sixteenth of 30) come later than the learner's patience; it began anew and dropped them: 6.0 MB copied for 4.0 MB of state. Also by reading: an Append whose entries do not follow each other left entries in memory that were never stored; a reply of a learner's earlier process counted for its present one; a learner of a partition that lost entries after it was complete was never caught up again (caught_up() stayed true).

Change: a sync per 1 MB copied; commits wait for a learner that lacks the newest entries only, 300 ms at a time, a quarter of the time at most; contents of 128 KB an answer, and patience doubles when an answer to an abandoned session arrives; the frame is checked before anything is taken; only replies of the session count. DropLearner, unused, is gone.

--- a/src/tier/batch/hosted_partition.h
+++ b/src/tier/batch/hosted_partition.h
@@ -59,7 +59,7 @@
   std::vector<std::string> RequireJoined();
   void CatchUp();
   // As a joiner: everything has come, as far as is known here.
-  bool caught_up() const { return asked_to_catch_up_ && replica_.complete(); }
+  bool caught_up() const { return asked_to_catch_up_ && replica_.caught_up(); }
 
   // This process is the primary and everything earlier is in force.
   bool leading() const { return replica_.Serving() && named_; }
--- a/src/tier/coordination/replica.cpp
+++ b/src/tier/coordination/replica.cpp
@@ -9,6 +9,8 @@
 constexpr std::size_t kDigestParts = 16;
 constexpr std::size_t kMostRangesAnswered = 4;
 constexpr std::size_t kEntryOverhead = 64;
+constexpr int kMostPatience = 16;   // Times what the options say.
+constexpr int kJoinWaitsApart = 4;  // Waits for a learner begin so many of their length apart.
 
 std::size_t SizeOf(const Entry& entry) {
   std::size_t bytes = kEntryOverhead;
@@ -18,6 +20,21 @@
   return bytes;
 }
 
+std::size_t SizeOf(const storage::Batch& batch) {
+  std::size_t bytes = 0;
+  for (const storage::Batch::Change& change : batch.changes()) {
+    bytes += change.key.size() + (change.value ? change.value->size() : 0);
+  }
+  return bytes;
+}
+
+// Entries of a message have the places behind `previous`, one after another.
+bool FollowEachOther(const Append& message) {
+  std::uint64_t sequence = message.previous.sequence;
+  return std::all_of(message.entries.begin(), message.entries.end(),
+                     [&](const Entry& entry) { return entry.position.sequence == ++sequence; });
+}
+
 // Big-endian, so that the order of keys is the order of numbers.
 std::string SortableBytes(std::uint64_t number) {
   std::string bytes(8, '\0');
@@ -30,7 +47,8 @@
 
 }  // namespace
 
-Replica::Replica(Options options, const storage::Storage& storage) : options_(std::move(options)) {
+Replica::Replica(Options options, const storage::Storage& storage)
+    : options_(std::move(options)), patience_(options_.catch_up_patience) {
   Load(storage);
 }
 
@@ -72,6 +90,7 @@
   own_syncs_.clear();
   held_.clear();
   session_.reset();
+  patience_ = options_.catch_up_patience;
   verified_ = 0;
   if (!acting_) return;
   barrier_ = LastSequence();
@@ -121,7 +140,7 @@
 bool Replica::Joined(const std::string& disk) const {
   const auto found = followers_.find(disk);
   return found != followers_.end() && found->second.joined &&
-         found->second.match >= applied_.sequence;
+         found->second.synced >= applied_.sequence;
 }
 
 std::optional<net::Time> Replica::Owing(const std::string& disk) const {
@@ -132,11 +151,7 @@
 
 bool Replica::HasAll(const std::string& disk) const {
   const auto found = followers_.find(disk);
-  return found != followers_.end() && found->second.match >= LastSequence();
-}
-
-void Replica::DropLearner(const std::string& disk) {
-  if (!IsReplica(disk)) followers_.erase(disk);
+  return found != followers_.end() && found->second.synced >= LastSequence();
 }
 
 void Replica::TellAgain(const std::string& disk) {
@@ -168,17 +183,27 @@
   std::uint64_t everywhere = own_match_;
   const auto limit_by = [&](const std::string& disk) {
     const auto found = followers_.find(disk);
-    everywhere = std::min(everywhere, found == followers_.end() ? 0 : found->second.match);
+    everywhere = std::min(everywhere, found == followers_.end() ? 0 : found->second.synced);
   };
   for (const std::string& disk : assignment_.replicas) {
     if (disk != options_.disk) limit_by(disk);
   }
   for (const std::string& disk : required_) limit_by(disk);
+  for (const auto& [disk, follower] : followers_) {
+    if (step.now < follower.waited_for_until) limit_by(disk);
+  }
   if (everywhere <= applied_.sequence) return;
   ApplyUpTo(step, out, everywhere);
   TellCommitted(step, out);
 }
 
+void Replica::WaitForLearner(const Step& step, Follower& follower) const {
+  if (!follower.joined || follower.synced >= applied_.sequence) return;
+  const net::Span pause = options_.join_wait * (kJoinWaitsApart - 1);
+  if (step.now < follower.waited_for_until + pause) return;
+  follower.waited_for_until = step.now + options_.join_wait;
+}
+
 void Replica::TellCommitted(Step& step, ReplicaOutput& out) {
   if (!tail_.empty()) return;  // The next entries carry it.
   for (auto& [disk, follower] : followers_) {
@@ -199,12 +224,18 @@
     }
     follower.next = std::max(follower.next, follower.match + 1);
     if (follower.match >= LastSequence()) follower.owing_since.reset();
-    if (message.session != 0 && message.session == follower.session) follower.joined = true;
+    // Replies of a learner's earlier process tell nothing about what its disk holds now.
+    if (message.session == follower.session) {
+      follower.synced = std::max(follower.synced, match);
+      follower.joined = follower.session != 0;
+    }
+    WaitForLearner(step, follower);
     if (follower.next <= LastSequence()) SendEntries(step, out, from, follower);
     AdvanceCommitted(step, out);
     return;
   }
   if (message.resend_from <= applied_.sequence && follower.session != 0) {
+    if (required_.count(from) > 0) return;
     followers_.erase(found);  // What it lacks is no longer here: it begins anew.
     return;
   }
@@ -244,8 +275,7 @@
     reply.digests.insert(reply.digests.end(), digests.begin(), digests.end());
   }
   if (!message.contents.empty()) {
-    reply.contents.push_back(
-        ContentsOf(map, message.contents.front(), options_.most_message_bytes));
+    reply.contents.push_back(ContentsOf(map, message.contents.front(), options_.most_copied_bytes));
   }
   Send(out, from, std::move(reply));
 }
@@ -267,12 +297,17 @@
   if (!follows) return;
   AppendReply reply;
   reply.epoch = assignment_.epoch;
+  if (!FollowEachOther(message)) return;  // Malformed.
   if (const auto resend_from = Mismatch(message)) {
+    if (session_) session_->lost_entries = true;
     reply.resend_from = *resend_from;
     Send(out, from, reply);
     return;
   }
-  if (session_) session_->heard_at = step.now;
+  if (session_) {
+    session_->heard_at = step.now;
+    session_->lost_entries = false;
+  }
   Take(step, message);
   ApplyUpTo(step, out, std::min(message.committed, verified_));
   FinishIfWhole(step, out);
@@ -282,11 +317,8 @@
 
 void Replica::Take(Step& step, const Append& message) {
   storage::Batch batch;
-  std::uint64_t end = message.previous.sequence;
   for (const Entry& entry : message.entries) {
     const std::uint64_t sequence = entry.position.sequence;
-    if (sequence != end + 1) return;  // Malformed: entries follow each other.
-    end = sequence;
     if (sequence <= applied_.sequence) continue;
     if (sequence <= LastSequence()) {
       if (At(sequence).position == entry.position) continue;
@@ -294,7 +326,7 @@
     }
     AppendOne(batch, entry);
   }
-  verified_ = std::max(verified_, end);
+  verified_ = std::max(verified_, message.previous.sequence + message.entries.size());
   if (batch.empty()) return;
   step.storage.Apply(batch);
   WantSync(step);
@@ -315,7 +347,7 @@
 
 void Replica::CatchUp(Step& step, ReplicaOutput& out) {
   if (acting_ || assignment_.epoch == 0 || IsReplica(options_.disk)) return;
-  if (session_ && step.now - session_->heard_at < options_.catch_up_patience) return;
+  if (session_ && step.now - session_->heard_at < patience_) return;
   StartSession(step, out);
 }
 
@@ -336,20 +368,14 @@
 
 void Replica::On(Step& step, ReplicaOutput& out, const std::string& from,
                  const CatchUpReply& message) {
-  if (!session_ || message.session != session_->id || from != assignment_.primary) return;
-  if (message.epoch != assignment_.epoch || session_->started == message.start) return;
-  const KeyValues map = StoredMap(step.storage);
+  if (!session_ || from != assignment_.primary || message.epoch != assignment_.epoch) return;
+  if (message.session != session_->id) {
+    BeMorePatient();
+    return;
+  }
+  if (session_->started == message.start) return;
   if (message.start) {
-    session_->started = true;
-    complete_ = false;
-    reset_due_ = false;
-    storage::Batch batch;
-    Truncate(batch, applied_.sequence + 1);
-    applied_ = message.at;
-    PutState(batch);
-    step.storage.Apply(batch);
-    WantSync(step);
-    session_->repair.OnDigests(map, message.digests);
+    TakeStart(step, message);
   } else if (!message.contents.empty()) {
     const RangeContents& contents = message.contents.front();
     if (!session_->repair.Asked(contents.range, true)) return;
@@ -358,23 +384,50 @@
       AskOn(step, out);
       return;
     }
-    const KeyRange asked = session_->repair.first();
-    storage::Batch batch;
-    Replace(map, MapKey(""), contents, batch);
-    if (!batch.empty()) step.storage.Apply(batch);
-    session_->repair.TakeNext();
-    session_->repair.OnContents(asked, contents.range);
+    TakeContents(step, contents);
   } else {
     if (message.digests.empty()) return;
     if (!session_->repair.Asked(message.digests.front().range, false)) return;
     session_->repair.TakeNext();
-    session_->repair.OnDigests(map, message.digests);
+    session_->repair.OnDigests(StoredMap(step.storage), message.digests);
   }
   session_->heard_at = step.now;
   session_->newest = std::max(session_->newest, message.at);
   AskOn(step, out);
 }
 
+// An answer to a session that was given up for silence: it was only slow, and so will others be.
+void Replica::BeMorePatient() {
+  patience_ = std::min(2 * patience_, kMostPatience * options_.catch_up_patience);
+}
+
+void Replica::TakeStart(Step& step, const CatchUpReply& message) {
+  session_->started = true;
+  complete_ = false;
+  reset_due_ = false;
+  storage::Batch batch;
+  Truncate(batch, applied_.sequence + 1);
+  applied_ = message.at;
+  PutState(batch);
+  step.storage.Apply(batch);
+  WantSync(step);
+  session_->repair.OnDigests(StoredMap(step.storage), message.digests);
+}
+
+void Replica::TakeContents(Step& step, const RangeContents& contents) {
+  const KeyRange asked = session_->repair.first();
+  storage::Batch batch;
+  Replace(StoredMap(step.storage), MapKey(""), contents, batch);
+  if (!batch.empty()) step.storage.Apply(batch);
+  session_->unsynced_bytes += SizeOf(batch);
+  if (session_->unsynced_bytes >= options_.copied_bytes_a_sync) {
+    session_->unsynced_bytes = 0;
+    WantSync(step);
+  }
+  session_->repair.TakeNext();
+  session_->repair.OnContents(asked, contents.range);
+}
+
 void Replica::AskOn(Step& step, ReplicaOutput& out) {
   if (session_->repair.done()) {
     session_->fetched = true;
@@ -436,6 +489,7 @@
     if (owes) follower.next = std::max(follower.match, applied_.sequence) + 1;
     SendEntries(step, out, disk, follower);
   }
+  AdvanceCommitted(step, out);  // A wait for a learner may be over.
 }
 
 Position Replica::last() const { return PositionOf(LastSequence()); }
@@ -544,16 +598,23 @@
   out.Uint(applied_.epoch).Uint(applied_.sequence);
   for (const Entry& entry : tail_) out.Uint(entry.position.epoch).Uint(entry.position.sequence);
   for (const auto& [disk, follower] : followers_) {
-    out.Text(disk).Uint(follower.match).Uint(follower.next).Uint(follower.told_committed);
+    out.Text(disk)
+        .Uint(follower.match)
+        .Uint(follower.synced)
+        .Uint(follower.next)
+        .Uint(follower.told_committed);
     out.Bool(follower.session != 0).Bool(follower.joined).Bool(follower.owing_since.has_value());
-    out.Bool(now - follower.sent_at >= options_.resend);
+    out.Bool(now - follower.sent_at >= options_.resend).Bool(now < follower.waited_for_until);
   }
   for (const std::string& disk : required_) out.Text(disk);
   out.Uint(told_).Bool(reset_due_);
   out.Uint(own_match_).Uint(own_syncs_.size()).Uint(barrier_).Uint(verified_).Uint(held_.size());
   if (!session_) return;
-  out.Bool(session_->started).Bool(session_->fetched).Uint(session_->newest.sequence);
-  out.Bool(now - session_->heard_at >= options_.catch_up_patience);
+  out.Bool(session_->started)
+      .Bool(session_->fetched)
+      .Bool(session_->lost_entries)
+      .Uint(session_->newest.sequence);
+  out.Bool(now - session_->heard_at >= patience_);
   session_->repair.Fingerprint(out);
 }
 
--- a/src/tier/coordination/replica.h
+++ b/src/tier/coordination/replica.h
@@ -56,8 +56,15 @@
     std::size_t least_replicas = 2;  // Fault tolerance + 1.
     net::Span resend = std::chrono::milliseconds(300);      // Unanswered for so long: again.
     net::Span catch_up_patience = std::chrono::seconds(1);  // Then the catch-up begins anew.
-    std::size_t most_message_bytes = 1U << 20;              // Of entries, or of range contents.
-    std::size_t most_unacknowledged_bytes = 16U << 20;      // Beyond: Propose refuses.
+    std::size_t most_message_bytes = 1U << 20;              // Of entries.
+    // Of range contents in one answer: what lies on a narrow link delays acknowledgements there.
+    std::size_t most_copied_bytes = 128U << 10;
+    // A learner makes durable what it has copied after so much. Only then does a storage use the
+    // room of what was replaced again.
+    std::size_t copied_bytes_a_sync = 1U << 20;
+    // So long at a time commits wait for a learner that lacks only the newest entries, see Joined.
+    net::Span join_wait = std::chrono::milliseconds(300);
+    std::size_t most_unacknowledged_bytes = 16U << 20;  // Beyond: Propose refuses.
     std::size_t most_unacknowledged_entries = 4096;
   };
 
@@ -80,13 +87,14 @@
   bool Serving() const;
   // From now on nothing is committed that these (learners) have not synced too.
   void Require(const std::set<std::string>& learners);
-  // A learner that has everything committed, in its present session.
+  // A learner that has everything committed, in its present session. One that has the map and whose
+  // disk or link is slower than those of the replicas would never have the newest entry first:
+  // commits wait for it for `join_wait`, and not again before four times as long has passed.
   bool Joined(const std::string& disk) const;
   // Since when the replica owes an acknowledgement; none: it owes nothing.
   std::optional<net::Time> Owing(const std::string& disk) const;
   // All of this primary's entries are synced there.
   bool HasAll(const std::string& disk) const;
-  void DropLearner(const std::string& disk);
   // Its process is another: what was told to be committed may be forgotten there.
   void TellAgain(const std::string& disk);
 
@@ -94,6 +102,9 @@
 
   // Begins to catch up with the primary; no effect while it is under way or done.
   void CatchUp(Step& step, ReplicaOutput& out);
+  // Has the whole map and, as far as it has been told, every entry behind it. One that lost entries
+  // on the way is not told more by the primary before it catches up anew.
+  bool caught_up() const { return complete_ && !(session_ && session_->lost_entries); }
 
   // ---- All.
 
@@ -122,13 +133,16 @@
   // What the primary knows of another replica or of a learner.
   struct Follower {
     std::uint64_t match = 0;  // Synced up to here; 0: not told in this epoch.
-    std::uint64_t next = 0;   // To be sent.
+    // The same, told by the process that counts: a replica's, or of a learner its present session.
+    std::uint64_t synced = 0;
+    std::uint64_t next = 0;  // To be sent.
     std::optional<net::Time> owing_since;
     net::Time sent_at{};
     std::uint64_t told_committed = 0;
     std::uint64_t tried_from = 0;  // Where a mismatch was last resent from.
     std::uint64_t session = 0;     // Of a learner; 0: a replica.
     bool joined = false;
+    net::Time waited_for_until{};  // Commits wait for this learner until then.
   };
   struct HeldReply {
     Ticket ticket = 0;
@@ -141,6 +155,8 @@
     bool fetched = false;
     Position newest;  // Of all contents taken.
     net::Time heard_at{};
+    std::size_t unsynced_bytes = 0;  // Copied since the last sync was asked for.
+    bool lost_entries = false;       // The newest message did not fit what is here.
     RangeRepair repair;
   };
 
@@ -162,6 +178,7 @@
   void SendEntries(Step& step, ReplicaOutput& out, const std::string& to, Follower& follower);
   void TellCommitted(Step& step, ReplicaOutput& out);
   void AdvanceCommitted(Step& step, ReplicaOutput& out);
+  void WaitForLearner(const Step& step, Follower& follower) const;
 
   void On(Step& step, ReplicaOutput& out, const std::string& from, const Append& message);
   void On(Step& step, ReplicaOutput& out, const std::string& from, const AppendReply& message);
@@ -172,6 +189,9 @@
   void Take(Step& step, const Append& message);
   void Reply(ReplicaOutput& out, AppendReply reply);
   void StartSession(Step& step, ReplicaOutput& out);
+  void TakeStart(Step& step, const CatchUpReply& message);
+  void TakeContents(Step& step, const RangeContents& contents);
+  void BeMorePatient();
   void AskOn(Step& step, ReplicaOutput& out);
   void FinishIfWhole(Step& step, ReplicaOutput& out);
   void WantSync(Step& step);
@@ -205,6 +225,7 @@
   Ticket last_synced_ = 0;
   std::optional<Session> session_;
   std::uint64_t sessions_ = 0;
+  net::Span patience_;  // With the primary's answers; longer where they are slow.
 };
 
 }  // namespace shelflink::coordination
--- /dev/null
+++ b/tests/tier/coordination/catch_up_test.cpp
@@ -0,0 +1,256 @@
+// A member or a copy that was away while hundreds of changes were made: what its way back costs on
+// narrow links and slow disks, that it ends, and that old state never counts.
+//
+//   tier_catch_up_test --run_test=table -- CHANGES   prints the table of docs/measured/catch-up.md
+#define BOOST_TEST_MODULE coordination_catch_up
+#include "tier/coordination/catch_up.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <iomanip>
+#include <iostream>
+
+#include "coordination/replica_site.h"
+#include "emulator/random.h"
+#include "tier/storage/lmdb_storage.h"
+
+namespace shelflink::coordination {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::size_t kDocumentBytes = 100'000;
+constexpr std::size_t kRemembered = 64;             // Of the changes, each by a short record.
+constexpr std::uint64_t kCoreMapBytes = 32U << 20;  // Of a core disk of 64 MB.
+
+std::string Bytes(shelflab::Random& random, std::size_t count) {
+  std::string bytes(count, '\0');
+  for (char& byte : bytes) byte = static_cast<char>('a' + random.Below(26));
+  return bytes;
+}
+
+// One document that is changed again and again, and a record of each of the last changes: the shape
+// of the core's map.
+class Changes {
+ public:
+  Changes(std::uint64_t seed, std::size_t bytes) : random_(seed), bytes_(bytes) {}
+  std::vector<Write> Next() {
+    ++count_;
+    std::vector<Write> writes{{"document", Document()}, {KeyOf(count_), "taken"}};
+    if (count_ > kRemembered) writes.push_back({KeyOf(count_ - kRemembered), std::nullopt});
+    return writes;
+  }
+  std::size_t count() const { return count_; }
+
+ private:
+  // The start differs; drawing all of it for each change would take the test's time.
+  std::string Document() {
+    if (text_.empty()) text_ = Bytes(random_, bytes_ + bytes_ / 4);
+    const std::string head = std::to_string(count_) + " ";
+    return head + text_.substr(0, bytes_ - bytes_ / 4 + random_.Below(bytes_ / 2 + 1));
+  }
+  static std::string KeyOf(std::size_t number) {
+    const std::string digits = std::to_string(number);
+    return "taken/" + std::string(8 - digits.size(), '0') + digits;
+  }
+
+  shelflab::Random random_;
+  std::size_t bytes_;
+  std::size_t count_ = 0;
+  std::string text_;
+};
+
+// One change after another, `window` at a time under way, until `count` more were made.
+void Make(ReplicaSite& site, Changes& changes, std::size_t count, std::size_t window = 1) {
+  const std::size_t end = changes.count() + count;
+  const bool made = site.RunUntil(
+      [&] { return changes.count() >= end && site.open_changes() == 0; }, seconds(100'000),
+      [&] {
+        while (changes.count() < end && site.open_changes() < window) {
+          if (!site.Change(changes.Next())) return;
+        }
+      });
+  BOOST_REQUIRE(made);
+}
+
+struct Folder {
+  Folder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "catchupXXXXXX").string();
+    BOOST_REQUIRE(mkdtemp(pattern.data()) != nullptr);
+    path = pattern;
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  ReplicaSite::OpenStorage Open(std::uint64_t bytes_limit) const {
+    return [this, bytes_limit](net::Loop& loop, const std::string& disk) {
+      storage::LmdbStorage::Options options;
+      options.folder = (path / disk).string();
+      options.bytes_limit = bytes_limit;
+      auto opened = storage::LmdbStorage::Open(loop, options);
+      BOOST_REQUIRE(opened.has_value());
+      return std::unique_ptr<storage::Storage>(std::move(opened).value());
+    };
+  }
+  std::filesystem::path path;
+};
+
+enum class Away : std::uint8_t { kAll, kHalf, kLast };
+constexpr std::size_t kLastChanges = 20;
+
+struct CatchUpCost {
+  net::Span took{};
+  Traffic traffic;
+  std::uint64_t state_bytes = 0;
+  std::uint64_t disk_bytes = 0;
+};
+
+// `c` is away for that part of the changes and then catches up.
+CatchUpCost CostOf(ReplicaSite& site, std::size_t count, std::size_t bytes, Away away) {
+  Changes changes(count, bytes);
+  const std::size_t missed = away == Away::kAll    ? count
+                             : away == Away::kHalf ? count / 2
+                                                   : kLastChanges;
+  Make(site, changes, count - missed);
+  site.Stop("c");
+  site.Assign("a", {"a", "b"});
+  Make(site, changes, missed);
+  site.traffic.clear();
+  site.Start("c");
+  site.Invite("c");
+  const net::Time before = site.now();
+  BOOST_REQUIRE(site.RunUntil([&] { return site.Names("c"); }, seconds(60)));
+  CatchUpCost cost{site.now() - before, site.traffic["c"], site.StateBytes("a"),
+                   site.At("c").storage->usage().bytes_used};
+  site.Run(seconds(1));
+  BOOST_TEST(site.SameMap("a", "c"));
+  BOOST_TEST(site.At("c").told == site.At("a").told, "the owner of c knows another map");
+  return cost;
+}
+
+// ---- What it costs.
+
+BOOST_AUTO_TEST_CASE(its_cost_follows_the_state_and_not_the_number_of_changes) {
+  for (const std::size_t bytes : {std::size_t{200}, kDocumentBytes}) {
+    for (const Away away : {Away::kAll, Away::kHalf, Away::kLast}) {
+      net::Span shortest = net::Span::max();
+      net::Span longest{};
+      for (const std::size_t count : {100U, 400U, 1000U}) {
+        if (bytes == kDocumentBytes && count == 1000U) continue;  // The disk's test has these.
+        ReplicaSite site({"a", "b", "c"});
+        const CatchUpCost cost = CostOf(site, count, bytes, away);
+        BOOST_TEST(cost.traffic.copied <= cost.state_bytes + (64U << 10));
+        BOOST_TEST(cost.traffic.appended <= kDocumentBytes + (16U << 10));
+        shortest = std::min(shortest, cost.took);
+        longest = std::max(longest, cost.took);
+      }
+      BOOST_TEST((longest <= shortest + milliseconds(400)));  // One invitation more or less.
+    }
+  }
+}
+
+// 2,000 changes of 100 KB on a core disk of 64 MB, half of which the core may use.
+BOOST_AUTO_TEST_CASE(the_disk_stays_bounded) {
+  const Folder folder;
+  ReplicaSite site({"a", "b", "c"}, {}, folder.Open(kCoreMapBytes));
+  const CatchUpCost cost = CostOf(site, 2000, kDocumentBytes, Away::kHalf);
+  BOOST_TEST(cost.state_bytes < 2 * kDocumentBytes);
+  for (const char* const name : {"a", "b", "c"}) {
+    BOOST_TEST(site.At(name).storage->usage().bytes_used <= 16 * kDocumentBytes);
+    const auto file = std::filesystem::file_size(folder.path / name / "data.mdb");
+    BOOST_TEST_MESSAGE(name << ": file of " << file << " bytes");
+    BOOST_TEST(file <= 20 * kDocumentBytes);
+  }
+}
+
+// A disk that is half full of old state takes as much of other state in its place.
+BOOST_AUTO_TEST_CASE(old_state_makes_room_for_what_replaces_it) {
+  const Folder folder;
+  constexpr std::size_t kDocuments = kCoreMapBytes * 6 / 10 / kDocumentBytes;
+  ReplicaSite site({"a", "b", "c"}, {}, folder.Open(kCoreMapBytes));
+  const auto fill = [&](const std::string& text) {
+    for (std::size_t i = 0; i < kDocuments; ++i) {
+      BOOST_REQUIRE(site.Change(
+          {{"document/" + std::to_string(i), text + std::string(kDocumentBytes, text.front())}}));
+      BOOST_REQUIRE(site.RunUntil([&] { return site.open_changes() == 0; }, seconds(5)));
+    }
+  };
+  fill("old");
+  site.Stop("c");
+  site.Assign("a", {"a", "b"});
+  fill("new");
+  site.Start("c");
+  site.Invite("c");
+  BOOST_TEST(site.RunUntil([&] { return site.Names("c"); }, seconds(60)));
+  BOOST_TEST(site.SameMap("a", "c"));
+}
+
+// ---- It ends.
+
+// A disk or a link that is slower than those of the replicas never has the newest change by itself.
+BOOST_AUTO_TEST_CASE(it_ends_while_changes_go_on_without_a_pause) {
+  for (const std::size_t window : {1U, 8U}) {
+    for (const int slower_ms : {0, 10, 40}) {
+      ReplicaSite site({"a", "b", "c"});
+      Changes changes(window, 2000);
+      Make(site, changes, 50, window);
+      site.Stop("c");
+      site.Assign("a", {"a", "b"});
+      Make(site, changes, 100, window);
+      site.acknowledged = {};
+      site.Start("c");
+      site.At("c").slower = milliseconds(slower_ms);
+      site.Invite("c");
+      const net::Time before = site.now();
+      BOOST_TEST(site.RunUntil([&] { return site.Names("c"); }, seconds(20),
+                               [&] {
+                                 while (site.open_changes() < window) site.Change(changes.Next());
+                               }));
+      BOOST_TEST_MESSAGE("window " << window << ", slower by " << slower_ms << " ms: named after "
+                                   << (site.now() - before) / milliseconds(1) << " ms, "
+                                   << site.acknowledged.count << " changes meanwhile, the longest "
+                                   << site.acknowledged.longest / milliseconds(1) << " ms");
+      BOOST_TEST((site.now() - before <= seconds(5)));
+      BOOST_TEST((site.acknowledged.longest <= milliseconds(500)));
+      Make(site, changes, 10, window);
+      site.Run(seconds(1));
+      BOOST_TEST(site.SameMap("a", "c"));
+    }
+  }
+}
+
+// Sixteen partitions that are copied at once to an empty disk leave each a sixteenth of the link.
+BOOST_AUTO_TEST_CASE(it_ends_on_a_narrow_link) {
+  SiteSpeeds speeds;
+  speeds.bytes_per_second = 30'000'000 / 8 / 16;
+  ReplicaSite site({"a", "b", "c"}, speeds);
+  shelflab::Random random(1);
+  constexpr std::size_t kKeys = 2000;
+  constexpr std::size_t kValue = 3000;
+  site.Stop("c");
+  site.Assign("a", {"a", "b"});
+  for (std::size_t i = 0; i < kKeys; i += 20) {
+    std::vector<Write> writes;
+    for (std::size_t j = i; j < i + 20; ++j) {
+      writes.push_back({"item/" + std::to_string(j), Bytes(random, kValue)});
+    }
+    BOOST_REQUIRE(site.Change(std::move(writes)));
+    BOOST_REQUIRE(site.RunUntil([&] { return site.open_changes() == 0; }, seconds(5)));
+  }
+  site.At("c").disk.Wipe();
+  site.traffic.clear();
+  site.Start("c");
+  site.Invite("c");
+  const net::Time before = site.now();
+  BOOST_TEST(site.RunUntil([&] { return site.Names("c"); }, seconds(60)));
+  const Traffic& traffic = site.traffic["c"];
+  BOOST_TEST_MESSAGE("named after " << (site.now() - before) / milliseconds(1) << " ms, copied "
+                                    << traffic.copied << " of " << site.StateBytes("a")
+                                    << ", most on the way " << traffic.most_on_the_way);
+  BOOST_TEST(traffic.copied <= site.StateBytes("a") * 5 / 4);
+  // What waits for the link holds up acknowledgements: half a second of the link at the most.
+  BOOST_TEST(traffic.most_on_the_way <= speeds.bytes_per_second);
+  BOOST_TEST(site.SameMap("a", "c"));
+}
+
+}  // namespace
+}  // namespace shelflink::coordination
