A slow write is not followed by copies of itself; catch-up's mutants and seeded returns

Cause: a primary sent an unacknowledged entry again every 300 ms (120 ms at the shortest lease) whether or not the first had left: on a link on which it takes longer the copies pile up and nothing new is acknowledged (seen: 60 KB entries on 47 KB/s, not one acknowledged within 20 s).

Change: the pause doubles up to eight times, and begins anew with progress or another process. Ten mutants of the replica, each found by its case (catch_up_mutants.cmake).

--- a/src/tier/coordination/replica.cpp
+++ b/src/tier/coordination/replica.cpp
@@ -9,7 +9,8 @@
 constexpr std::size_t kDigestParts = 16;
 constexpr std::size_t kMostRangesAnswered = 4;
 constexpr std::size_t kEntryOverhead = 64;
-constexpr int kMostPatience = 16;   // Times what the options say.
+constexpr int kMostPatience = 16;  // Times what the options say.
+constexpr int kMostResendDoublings = 3;
 constexpr int kJoinWaitsApart = 4;  // Waits for a learner begin so many of their length apart.
 
 std::size_t SizeOf(const Entry& entry) {
@@ -156,7 +157,9 @@
 
 void Replica::TellAgain(const std::string& disk) {
   const auto found = followers_.find(disk);
-  if (found != followers_.end()) found->second.told_committed = 0;
+  if (found == followers_.end()) return;
+  found->second.told_committed = 0;
+  found->second.resends = 0;
 }
 
 void Replica::SendEntries(Step& step, ReplicaOutput& out, const std::string& to,
@@ -190,17 +193,21 @@
   }
   for (const std::string& disk : required_) limit_by(disk);
   for (const auto& [disk, follower] : followers_) {
-    if (step.now < follower.waited_for_until) limit_by(disk);
+    if (follower.waited_for_until && step.now < *follower.waited_for_until) limit_by(disk);
   }
   if (everywhere <= applied_.sequence) return;
   ApplyUpTo(step, out, everywhere);
   TellCommitted(step, out);
 }
 
+net::Span Replica::ResendPause(const Follower& follower) const {
+  return options_.resend * (1 << std::min(follower.resends, kMostResendDoublings));
+}
+
 void Replica::WaitForLearner(const Step& step, Follower& follower) const {
   if (!follower.joined || follower.synced >= applied_.sequence) return;
   const net::Span pause = options_.join_wait * (kJoinWaitsApart - 1);
-  if (step.now < follower.waited_for_until + pause) return;
+  if (follower.waited_for_until && step.now < *follower.waited_for_until + pause) return;
   follower.waited_for_until = step.now + options_.join_wait;
 }
 
@@ -221,6 +228,7 @@
     if (match > follower.match) {
       follower.match = match;
       follower.owing_since = step.now;
+      follower.resends = 0;
     }
     follower.next = std::max(follower.next, follower.match + 1);
     if (follower.match >= LastSequence()) follower.owing_since.reset();
@@ -485,8 +493,11 @@
   for (auto& [disk, follower] : followers_) {
     const bool owes = follower.match < LastSequence();
     if (!owes && follower.told_committed == applied_.sequence) continue;
-    if (step.now - follower.sent_at < options_.resend) continue;
-    if (owes) follower.next = std::max(follower.match, applied_.sequence) + 1;
+    if (step.now - follower.sent_at < ResendPause(follower)) continue;
+    if (owes) {
+      follower.next = std::max(follower.match, applied_.sequence) + 1;
+      ++follower.resends;
+    }
     SendEntries(step, out, disk, follower);
   }
   AdvanceCommitted(step, out);  // A wait for a learner may be over.
@@ -604,7 +615,8 @@
         .Uint(follower.next)
         .Uint(follower.told_committed);
     out.Bool(follower.session != 0).Bool(follower.joined).Bool(follower.owing_since.has_value());
-    out.Bool(now - follower.sent_at >= options_.resend).Bool(now < follower.waited_for_until);
+    out.Bool(now - follower.sent_at >= ResendPause(follower))
+        .Bool(follower.waited_for_until && now < *follower.waited_for_until);
   }
   for (const std::string& disk : required_) out.Text(disk);
   out.Uint(told_).Bool(reset_due_);
--- a/src/tier/coordination/replica.h
+++ b/src/tier/coordination/replica.h
@@ -54,7 +54,9 @@
     std::string disk;                // Of this replica.
     std::string prefix;              // Of its keys in the storage; ends with a slash.
     std::size_t least_replicas = 2;  // Fault tolerance + 1.
-    net::Span resend = std::chrono::milliseconds(300);      // Unanswered for so long: again.
+    // Unanswered for so long: again; then after twice as long, and so on up to eight times. What is
+    // merely slow on its way must not be followed by more and more of the same.
+    net::Span resend = std::chrono::milliseconds(300);
     net::Span catch_up_patience = std::chrono::seconds(1);  // Then the catch-up begins anew.
     std::size_t most_message_bytes = 1U << 20;              // Of entries.
     // Of range contents in one answer: what lies on a narrow link delays acknowledgements there.
@@ -138,11 +140,12 @@
     std::uint64_t next = 0;  // To be sent.
     std::optional<net::Time> owing_since;
     net::Time sent_at{};
+    int resends = 0;  // Since it last acknowledged something new.
     std::uint64_t told_committed = 0;
     std::uint64_t tried_from = 0;  // Where a mismatch was last resent from.
     std::uint64_t session = 0;     // Of a learner; 0: a replica.
     bool joined = false;
-    net::Time waited_for_until{};  // Commits wait for this learner until then.
+    std::optional<net::Time> waited_for_until;  // Commits wait for this learner until then.
   };
   struct HeldReply {
     Ticket ticket = 0;
@@ -178,6 +181,7 @@
   void SendEntries(Step& step, ReplicaOutput& out, const std::string& to, Follower& follower);
   void TellCommitted(Step& step, ReplicaOutput& out);
   void AdvanceCommitted(Step& step, ReplicaOutput& out);
+  net::Span ResendPause(const Follower& follower) const;
   void WaitForLearner(const Step& step, Follower& follower) const;
 
   void On(Step& step, ReplicaOutput& out, const std::string& from, const Append& message);
--- /dev/null
+++ b/tests/tier/coordination/catch_up_mutants.cmake
@@ -0,0 +1,66 @@
+# One test a mutant: the replica with one text replaced, under one case of a test program, which must
+# then fail. A text that does not stand in its file exactly once is an error.
+foreach(cases catch_up replica)
+  add_library(tier_${cases}_cases OBJECT ${cases}_test.cpp)
+  target_compile_definitions(tier_${cases}_cases PRIVATE BOOST_TEST_DYN_LINK)
+  target_include_directories(tier_${cases}_cases PRIVATE ${PROJECT_SOURCE_DIR}/tests/tier
+    ${PROJECT_SOURCE_DIR}/src)
+  target_link_libraries(tier_${cases}_cases PRIVATE tier_replica_site Boost::unit_test_framework
+    gaugecart_warnings)
+endforeach()
+
+function(replica_mutant name file cases case text replacement)
+  set(source ${PROJECT_SOURCE_DIR}/src/tier/coordination/${file})
+  set(mutated ${CMAKE_CURRENT_BINARY_DIR}/mutants/${name}/${file})
+  file(READ ${source} whole)
+  string(FIND "${whole}" "${text}" first)
+  string(FIND "${whole}" "${text}" last REVERSE)
+  if(first EQUAL -1 OR NOT first EQUAL last)
+    message(FATAL_ERROR "mutant ${name}: its text stands not exactly once in ${file}")
+  endif()
+  string(REPLACE "${text}" "${replacement}" whole "${whole}")
+  file(CONFIGURE OUTPUT ${mutated} CONTENT "${whole}" @ONLY)
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${source})
+  add_executable(tier_mutant_${name} ${mutated})
+  target_include_directories(tier_mutant_${name} PRIVATE ${PROJECT_SOURCE_DIR}/src)
+  target_link_libraries(tier_mutant_${name} PRIVATE tier_${cases}_cases tier_replica_site
+    Boost::unit_test_framework gaugecart_warnings)
+  target_compile_options(tier_mutant_${name} PRIVATE -Wno-unused-parameter -Wno-unused-variable
+    -Wno-unused-function -Wno-unused-const-variable $<$<CONFIG:Debug>:-O1>)
+  add_test(NAME tier.mutant_${name} COMMAND tier_mutant_${name} --run_test=${case})
+  set_tests_properties(tier.mutant_${name} PROPERTIES WILL_FAIL TRUE)
+endfunction()
+
+replica_mutant(copies_without_a_sync replica.cpp catch_up old_state_makes_room_for_what_replaces_it
+  [=[session_->unsynced_bytes >= options_.copied_bytes_a_sync]=] [=[false]=])
+replica_mutant(commits_never_wait_for_a_learner replica.cpp catch_up
+  it_ends_while_changes_go_on_without_a_pause
+  [=[    WaitForLearner(step, follower);
+]=] "")
+replica_mutant(commits_wait_for_a_learner_for_ever replica.cpp replica
+  commits_wait_for_a_learner_for_a_time_only
+  [=[= step.now + options_.join_wait;]=] [=[= net::Time::max();]=])
+replica_mutant(copies_in_large_answers replica.cpp catch_up it_ends_on_a_narrow_link
+  [=[options_.most_copied_bytes)]=] [=[options_.most_message_bytes)]=])
+replica_mutant(patience_never_grows replica.cpp catch_up it_ends_on_a_link_slower_than_its_patience
+  [=[    BeMorePatient();
+]=] "")
+replica_mutant(an_earlier_process_counts replica.cpp replica
+  an_earlier_process_of_a_learner_vouches_for_nothing
+  [=[    if (message.session == follower.session) {]=] [=[    if (true) {]=])
+replica_mutant(half_of_a_malformed_message_is_taken replica.cpp replica
+  a_message_whose_entries_do_not_follow_each_other_leaves_nothing_behind
+  [=[  if (!FollowEachOther(message)) return;  // Malformed.
+]=] "")
+replica_mutant(lost_entries_are_not_noticed replica.cpp replica
+  a_learner_that_lost_entries_has_not_caught_up
+  [=[    if (session_) session_->lost_entries = true;
+]=] "")
+replica_mutant(resent_without_a_growing_pause replica.cpp catch_up
+  it_ends_on_a_link_slower_than_its_patience
+  [=[      ++follower.resends;
+]=] "")
+replica_mutant(whole_before_the_newest_entry replica.cpp catch_up
+  what_is_told_after_it_is_the_map_of_one_moment
+  [=[  if (applied_.sequence < session_->newest.sequence) return;
+]=] "")
--- a/tests/tier/coordination/catch_up_test.cpp
+++ b/tests/tier/coordination/catch_up_test.cpp
@@ -191,6 +191,7 @@
   for (const std::size_t window : {1U, 8U}) {
     for (const int slower_ms : {0, 10, 40}) {
       ReplicaSite site({"a", "b", "c"});
+      site.checks_maps = true;
       Changes changes(window, 2000);
       Make(site, changes, 50, window);
       site.Stop("c");
@@ -218,38 +219,75 @@
   }
 }
 
-// Sixteen partitions that are copied at once to an empty disk leave each a sixteenth of the link.
-BOOST_AUTO_TEST_CASE(it_ends_on_a_narrow_link) {
-  SiteSpeeds speeds;
-  speeds.bytes_per_second = 30'000'000 / 8 / 16;
+// Ranges are read at different moments; what the owner reads in the end is the map of one of them.
+BOOST_AUTO_TEST_CASE(what_is_told_after_it_is_the_map_of_one_moment) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    shelflab::Random random(seed);
+    ReplicaSite site({"a", "b", "c"});
+    site.checks_maps = true;  // Throws at another map.
+    Changes changes(seed, 2000);
+    Make(site, changes, 50);
+    site.Stop("c");
+    site.Assign("a", {"a", "b"});
+    Make(site, changes, 50);
+    site.Start("c");
+    site.At("c").slower = milliseconds(random.Below(30));
+    site.Invite("c");
+    BOOST_TEST(site.RunUntil([&] { return site.Names("c"); }, seconds(20),
+                             [&] {
+                               if (site.open_changes() < 4 && random.Below(6) == 0)
+                                 site.Change(changes.Next());
+                             }));
+    site.Run(seconds(1));
+    BOOST_TEST(site.SameMap("a", "c"));
+  }
+}
+
+// Fills an empty disk of `c` over such links.
+Traffic CopyAll(SiteSpeeds speeds, std::size_t keys, std::size_t value_bytes) {
   ReplicaSite site({"a", "b", "c"}, speeds);
   shelflab::Random random(1);
-  constexpr std::size_t kKeys = 2000;
-  constexpr std::size_t kValue = 3000;
+  constexpr std::size_t kTogether = 20;
   site.Stop("c");
   site.Assign("a", {"a", "b"});
-  for (std::size_t i = 0; i < kKeys; i += 20) {
+  for (std::size_t i = 0; i < keys; i += kTogether) {
     std::vector<Write> writes;
-    for (std::size_t j = i; j < i + 20; ++j) {
-      writes.push_back({"item/" + std::to_string(j), Bytes(random, kValue)});
+    for (std::size_t j = i; j < i + kTogether; ++j) {
+      writes.push_back({"item/" + std::to_string(j), Bytes(random, value_bytes)});
     }
     BOOST_REQUIRE(site.Change(std::move(writes)));
-    BOOST_REQUIRE(site.RunUntil([&] { return site.open_changes() == 0; }, seconds(5)));
+    BOOST_REQUIRE(site.RunUntil([&] { return site.open_changes() == 0; }, seconds(20)));
   }
   site.At("c").disk.Wipe();
   site.traffic.clear();
   site.Start("c");
   site.Invite("c");
   const net::Time before = site.now();
-  BOOST_TEST(site.RunUntil([&] { return site.Names("c"); }, seconds(60)));
+  BOOST_TEST(site.RunUntil([&] { return site.Names("c"); }, seconds(90)));
+  BOOST_TEST(site.SameMap("a", "c"));
   const Traffic& traffic = site.traffic["c"];
   BOOST_TEST_MESSAGE("named after " << (site.now() - before) / milliseconds(1) << " ms, copied "
                                     << traffic.copied << " of " << site.StateBytes("a")
                                     << ", most on the way " << traffic.most_on_the_way);
   BOOST_TEST(traffic.copied <= site.StateBytes("a") * 5 / 4);
-  // What waits for the link holds up acknowledgements: half a second of the link at the most.
+  return traffic;
+}
+
+// Sixteen partitions that are copied at once to an empty disk leave each a sixteenth of the link.
+BOOST_AUTO_TEST_CASE(it_ends_on_a_narrow_link) {
+  SiteSpeeds speeds;
+  speeds.bytes_per_second = 30'000'000 / 8 / 16;
+  const Traffic traffic = CopyAll(speeds, 2000, 3000);
+  // What waits for the link holds up acknowledgements.
   BOOST_TEST(traffic.most_on_the_way <= speeds.bytes_per_second);
-  BOOST_TEST(site.SameMap("a", "c"));
+}
+
+// A write takes longer on it than the pause before it is sent again, and an answer to a learner
+// longer than the learner's first patience.
+BOOST_AUTO_TEST_CASE(it_ends_on_a_link_slower_than_its_patience) {
+  SiteSpeeds speeds;
+  speeds.bytes_per_second = 30'000'000 / 8 / 80;
+  CopyAll(speeds, 800, 3000);
 }
 
 }  // namespace
--- a/tests/tier/coordination/replica_site.cpp
+++ b/tests/tier/coordination/replica_site.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <stdexcept>
 
+#include "mix.h"
 #include "tier/coordination/catch_up.h"
 
 namespace shelflink::coordination {
@@ -177,6 +178,7 @@
     });
     if (node.replica->committed() < node.told_to) throw std::runtime_error("told an older map");
     node.told_to = node.replica->committed();
+    if (checks_maps) CheckMap(name, node);
   }
   for (const Entry& entry : out.committed) {
     if (entry.position < node.told_to) throw std::runtime_error("told an older entry");
@@ -188,6 +190,7 @@
         node.told.erase(write.key);
       }
     }
+    if (checks_maps) CheckMap(name, node);
     const auto open = open_.find(entry.position.sequence);
     if (name != assignment_.primary || open == open_.end()) continue;
     const net::Span took = now_ - open->second;
@@ -198,6 +201,16 @@
   }
 }
 
+void ReplicaSite::CheckMap(const std::string& name, const Node& node) {
+  std::uint64_t digest = gaugecart::Fnv1a("");
+  for (const auto& [key, value] : node.told) {
+    digest = gaugecart::Fnv1a(value, gaugecart::Fnv1a(key, digest) * gaugecart::kFnvPrime);
+  }
+  const auto [known, is_new] = map_digests_.emplace(node.told_to, digest);
+  if (is_new && name != assignment_.primary) map_digests_.erase(known);
+  if (!is_new && known->second != digest) throw std::runtime_error(name + " was told another map");
+}
+
 void ReplicaSite::SendOver(const std::string& from, const std::string& to,
                            const ReplicaMessage& message) {
   const std::string bytes = Encode(AsMessage(message));
--- a/tests/tier/coordination/replica_site.h
+++ b/tests/tier/coordination/replica_site.h
@@ -96,6 +96,9 @@
   std::uint64_t StateBytes(const std::string& name) const;
 
   std::map<std::string, Traffic> traffic;  // By receiver.
+  // Whether the map that an owner reads after a catch-up is compared with the primary's of that
+  // position; costs a pass over the map a change.
+  bool checks_maps = false;
   Acknowledged acknowledged;
 
  private:
@@ -106,10 +109,11 @@
   void SyncFor(const std::string& name, Ticket ticket);
   void Carry(const std::string& name, ReplicaOutput& out);
   void SendOver(const std::string& from, const std::string& to, const ReplicaMessage& message);
+  void CheckMap(const std::string& name, const Node& node);
   void Tick();
   void Decide(const std::string& learner, std::uint64_t epoch);
-  Assignment assignment_;
 
+  Assignment assignment_;
   SiteSpeeds speeds_;
   OpenStorage open_storage_;
   net::Time now_{std::chrono::seconds(100)};
@@ -119,6 +123,7 @@
   std::set<std::string> invited_;
   std::optional<std::string> deciding_;
   std::map<std::uint64_t, net::Time> open_;  // Sequences of changes that are not acknowledged yet.
+  std::map<Position, std::uint64_t> map_digests_;  // Of the primary's map.
   Ticket ticket_ = 0;
 };
 
--- a/tests/tier/coordination/replica_test.cpp
+++ b/tests/tier/coordination/replica_test.cpp
@@ -242,5 +242,112 @@
   BOOST_TEST(primary.replica.Joined("b"));
 }
 
+// It may have told of entries that its present process, which begins anew, has taken away.
+BOOST_AUTO_TEST_CASE(an_earlier_process_of_a_learner_vouches_for_nothing) {
+  One primary("a");
+  primary.Assign(1, "a", {"a", "c"}, true);
+  CatchUpRequest start;
+  start.epoch = 1;
+  start.session = 7;
+  start.start = true;
+  primary.Take("b", start);
+  BOOST_REQUIRE(primary.Propose("key", "value").has_value());
+  primary.Sync();
+  primary.Take("b", AppendReply{1, true, 1, 0, 0});  // Of the earlier process, late.
+  primary.Take("b", AppendReply{1, true, 0, 0, 7});
+  BOOST_REQUIRE(primary.replica.Joined("b"));
+  primary.replica.Require({"b"});
+  primary.Take("c", AppendReply{1, true, 1, 0, 0});
+  BOOST_TEST(primary.out.committed.empty());
+  primary.Take("b", AppendReply{1, true, 1, 0, 7});
+  BOOST_TEST(primary.out.committed.size() == 1U);
+}
+
+// What is acknowledged behind it must be on the disk.
+BOOST_AUTO_TEST_CASE(a_message_whose_entries_do_not_follow_each_other_leaves_nothing_behind) {
+  One replica("b");
+  replica.Assign(1, "a", {"a", "b"}, false);
+  Append malformed = EntryOf(1, 1, "first", {});
+  malformed.entries.push_back({{1, 3}, {{"key", "third"}}});
+  replica.Take("a", malformed);
+  BOOST_TEST(replica.replica.last().sequence == 0U);
+  Append good = EntryOf(1, 1, "first", {});
+  good.entries.push_back({{1, 2}, {{"key", "second"}}});
+  replica.Take("a", good);
+  replica.Sync();
+  BOOST_REQUIRE(replica.Last<AppendReply>("a").has_value());
+  BOOST_TEST(replica.Last<AppendReply>("a")->match == 2U);
+  const Replica restarted({.disk = "b", .prefix = "p/"}, replica.storage);
+  BOOST_TEST(restarted.complete());
+  BOOST_TEST(restarted.last().sequence == 2U);
+}
+
+// The primary tells it nothing more: it must ask again, though its map was whole once.
+BOOST_AUTO_TEST_CASE(a_learner_that_lost_entries_has_not_caught_up) {
+  One primary("a");
+  primary.Assign(1, "a", {"a", "c"}, true);
+  One learner("b", false);
+  learner.Assign(1, "a", {"a", "c"}, false);
+  const auto catch_up = [&] {
+    Step step = learner.NewStep();
+    learner.replica.CatchUp(step, learner.out);
+    Exchange(primary, learner);
+  };
+  catch_up();
+  BOOST_REQUIRE(learner.replica.caught_up());
+  for (int lost = 0; lost < 2; ++lost) {
+    BOOST_REQUIRE(primary.Propose("key", "value").has_value());
+    primary.Sync();
+    primary.Take("c", AppendReply{1, true, static_cast<std::uint64_t>(lost) + 1, 0, 0});
+    primary.out.messages.clear();
+  }
+  primary.now += 1000;
+  Step step = primary.NewStep();
+  primary.replica.OnTimer(step, primary.out);
+  Exchange(primary, learner);
+  BOOST_TEST(!learner.replica.caught_up());
+  BOOST_TEST(!primary.replica.Joined("b"));
+  learner.now += 2000;
+  catch_up();
+  BOOST_TEST(learner.replica.caught_up());
+  BOOST_TEST(primary.replica.Joined("b"));
+  BOOST_TEST(learner.replica.Get(learner.storage, "key").value() == "value");
+}
+
+// While the wait lasts commits go at the learner's pace; a learner that is gone holds up nothing.
+BOOST_AUTO_TEST_CASE(commits_wait_for_a_learner_for_a_time_only) {
+  One primary("a");
+  primary.Assign(1, "a", {"a", "c"}, true);
+  CatchUpRequest start;
+  start.epoch = 1;
+  start.session = 7;
+  start.start = true;
+  primary.Take("b", start);
+  const auto change = [&](std::uint64_t sequence) {
+    BOOST_REQUIRE(primary.Propose("key", "value").has_value());
+    primary.Sync();
+    primary.Take("c", AppendReply{1, true, sequence, 0, 0});
+  };
+  change(1);
+  BOOST_TEST(primary.replica.committed().sequence == 1U);
+  primary.Take("b", AppendReply{1, true, 0, 0, 7});  // Whole, but for the newest entry.
+  BOOST_TEST(!primary.replica.Joined("b"));
+  change(2);
+  BOOST_TEST(primary.replica.committed().sequence == 1U);
+  primary.now += 400;
+  Step step = primary.NewStep();
+  primary.replica.OnTimer(step, primary.out);
+  BOOST_TEST(primary.replica.committed().sequence == 2U);
+  primary.Take("b", AppendReply{1, true, 1, 0, 7});  // Too soon for another wait.
+  change(3);
+  BOOST_TEST(primary.replica.committed().sequence == 3U);
+  primary.now += 1000;
+  primary.Take("b", AppendReply{1, true, 1, 0, 7});
+  change(4);
+  BOOST_TEST(primary.replica.committed().sequence == 3U);
+  primary.Take("b", AppendReply{1, true, 3, 0, 7});
+  BOOST_TEST(primary.replica.Joined("b"));
+}
+
 }  // namespace
 }  // namespace shelflink::coordination
