--- a/src/tier/coordination/member.h
+++ b/src/tier/coordination/member.h
@@ -4,6 +4,10 @@
 // Pure: events with their time in, what to send and to tell out. The owner carries messages, syncs
 // the storage and calls OnTimer at deadline(). A member without a disk takes part in nothing; it
 // learns who the primary is.
+//
+// member.cpp: start, events, messages. member_peers.cpp: who is there. member_election.cpp: getting
+// a record decided. member_lease.cpp: the primary's lease. member_change.cpp: changes of membership
+// and the transfer of the primary's place.
 #ifndef SHELFLINK_TIER_COORDINATION_MEMBER_H_
 #define SHELFLINK_TIER_COORDINATION_MEMBER_H_
 
@@ -120,6 +124,9 @@
     Message message;
   };
 
+  // Others that are no members are no longer written to after so long a silence.
+  static constexpr int kForgetAfterLeases = 5;
+
   bool has_disk() const { return !options_.self.disk.empty(); }
   bool IsSelf(const std::string& disk) const { return has_disk() && disk == options_.self.disk; }
   net::Span renew_every() const { return options_.lease / 3; }
@@ -149,6 +156,8 @@
   const Peer* FindPeer(const std::string& disk) const;
   bool Heard(const Peer& peer, net::Time now, net::Span within) const;
   bool IsThere(const std::string& disk, net::Time now) const;
+  // Another disk has been heard of at its address.
+  bool IsReplaced(const CoreMember& member) const;
   bool Leaves(const std::string& disk, net::Time now) const;
   // Disks heard of lately that do not leave, this member first.
   std::vector<CoreMember> There(net::Time now, net::Span within) const;
@@ -175,7 +184,7 @@
   std::optional<Record> Improved(net::Time now) const;
   bool IsInvited(const CoreMember& member, net::Time now) const;
   bool DiskStalls(net::Time now) const;
-  bool HearsMajority(net::Time now) const;
+  bool HearsQuorum(net::Time now) const;
   void UpdateRole(net::Time now, MemberOutput& out);
   void SayHello(MemberOutput& out, bool answer);
   void TryTransfer(Step& step, MemberOutput& out);
--- a/tests/tier/coordination/mutants.cmake
+++ b/tests/tier/coordination/mutants.cmake
@@ -1,20 +1,10 @@
-# One test a mutant: a source file with one text replaced, explored until something is broken. A text
-# that does not stand in its file exactly once is an error, so that no mutant is the program itself.
+# One test a mutant (mutants.cmake of the folder above): a state machine with one text replaced, explored
+# until something is broken.
 add_library(tier_mutant_main OBJECT mutant_main.cpp)
 target_link_libraries(tier_mutant_main PRIVATE tier_coordination_world gaugecart_warnings)
 
 function(coordination_mutant name file text replacement)
-  set(source ${PROJECT_SOURCE_DIR}/src/tier/coordination/${file})
-  set(mutated ${CMAKE_CURRENT_BINARY_DIR}/mutants/${name}/${file})
-  file(READ ${source} whole)
-  string(FIND "${whole}" "${text}" first)
-  string(FIND "${whole}" "${text}" last REVERSE)
-  if(first EQUAL -1 OR NOT first EQUAL last)
-    message(FATAL_ERROR "mutant ${name}: its text stands not exactly once in ${file}")
-  endif()
-  string(REPLACE "${text}" "${replacement}" whole "${whole}")
-  file(CONFIGURE OUTPUT ${mutated} CONTENT "${whole}" @ONLY)
-  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${source})
+  tier_mutated_source(mutated ${name} coordination/${file} "${text}" "${replacement}")
   add_executable(tier_mutant_${name} ${mutated})
   target_link_libraries(tier_mutant_${name} PRIVATE tier_mutant_main tier_coordination_world
     gaugecart_warnings)
@@ -39,7 +29,7 @@
 coordination_mutant(earlier_proposals_are_ignored proposer.cpp
   [=[value_ = found_ ? *found_ : own;]=] [=[value_ = own;]=])
 coordination_mutant(one_vote_decides proposer.cpp
-  [=[  if (agreed_ >= Majority(base_)) phase_ = Phase::kDecided;]=]
+  [=[  if (HasQuorum()) phase_ = Phase::kDecided;]=]
   [=[  phase_ = Phase::kDecided;]=])
 coordination_mutant(acknowledged_by_the_primary_alone replica.cpp
   [=[    if (disk != options_.disk) limit_by(disk);]=] "")
@@ -52,10 +42,10 @@
   [=[  for (const std::string& disk : required_) limit_by(disk);]=] "")
 coordination_mutant(an_older_map_is_told replica.cpp
   [=[  if (!reset_due_ || applied_.sequence < told_) return;]=] [=[  if (!reset_due_) return;]=])
-coordination_mutant(lease_counted_from_the_answer member.cpp
+coordination_mutant(lease_counted_from_the_answer member_lease.cpp
   [=[  const net::Time until = sent_at + options_.lease]=]
   [=[  const net::Time until = step.now + options_.lease]=])
-coordination_mutant(half_a_map_may_lead member.cpp
+coordination_mutant(half_a_map_may_lead member_election.cpp
   [=[  if (!has_disk() || acting_ || !replica_.complete()) return false;]=]
   [=[  if (!has_disk() || acting_) return false;
   if (record().number > 0) return true;]=])
