Policy module and endpoint calls split by concern, behaviour unchanged

Measured: tier.policy_module, policy_parts, policy_scenarios (golden digests unchanged), long_prompts, exchange_table, live_rules, endpoint, stream, calls pass.

--- /dev/null
+++ b/src/tier/policy/learning.h
@@ -0,0 +1,42 @@
+// What the outcomes of attempts teach: of an endpoint's pace and health, of a service's usual
+// times, and of how much the endpoints can take. Pure.
+#ifndef SHELFLINK_TIER_POLICY_LEARNING_H_
+#define SHELFLINK_TIER_POLICY_LEARNING_H_
+
+#include <cstdint>
+
+#include "policy/limiter.h"
+#include "tier/policy/call.h"
+#include "tier/policy/levels.h"
+#include "tier/policy/services.h"
+
+namespace shelflink::policy {
+
+class Learning {
+ public:
+  Learning(std::uint64_t seed, Services& services, Levels& levels,
+           gaugecart::RetryBudget& retry_budget)
+      : seed_(seed), services_(services), levels_(levels), retry_budget_(retry_budget) {}
+
+  // A call of the service has come.
+  static void NoteUsual(ServiceFacts& facts, const Call& call);
+  // The first event of an attempt, or its answer.
+  void NoteBegun(Micros now, const HeldCall& held, Attempt& attempt);
+  void NoteOutcome(Micros now, const HeldCall& held, Attempt& attempt, Outcome outcome);
+
+ private:
+  void NoteUnreachable(Micros now, const HeldCall& held, Endpoint& endpoint);
+  void NoteTimeout(Micros now, const HeldCall& held, Attempt& attempt);
+  void NoteOverload(const Call& call);
+  void NoteHealth(Micros now, const HeldCall& held, Endpoint& endpoint, bool failed, int times);
+  static bool MostEjected(Micros now, Service& service);
+
+  std::uint64_t seed_;
+  Services& services_;
+  Levels& levels_;
+  gaugecart::RetryBudget& retry_budget_;
+};
+
+}  // namespace shelflink::policy
+
+#endif  // SHELFLINK_TIER_POLICY_LEARNING_H_
--- /dev/null
+++ b/src/tier/policy/services.h
@@ -0,0 +1,78 @@
+// The services that a sidecar sends calls to: their endpoints as far as they are known, the subset
+// of each that is in use, and what is learned of all of a service's endpoints. Pure.
+#ifndef SHELFLINK_TIER_POLICY_SERVICES_H_
+#define SHELFLINK_TIER_POLICY_SERVICES_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "policy/health.h"
+#include "tier/policy/call.h"
+#include "tier/policy/endpoint.h"
+#include "tier/policy/module.h"
+#include "tier/policy/picker.h"
+#include "tier/policy/subset.h"
+
+namespace shelflink::policy {
+
+struct Service {
+  explicit Service(Subset::Finder find) : subset(std::move(find)) {}
+
+  std::unordered_map<std::string, Endpoint> touched;  // By id; only those that were ever members.
+  Subset subset;
+  Picker picker;
+  ServiceFacts facts;
+  gaugecart::UsualFailure usual_failure;
+  int max_connections = 0;
+  double slots = 0.0;  // Of all endpoints.
+  std::size_t in_flight = 0;
+  bool gone = false;
+};
+
+class Services {
+ public:
+  // The time of the event under way.
+  void SetNow(Micros now) { now_ = now; }
+  // Who this sidecar is, and how many share the endpoints.
+  void SetShape(const Shape& shape);
+  // All of one service; an endpoint that is not among them is gone.
+  void Set(const ServiceInfo& info);
+  // Kept while calls are out to its endpoints. False: it was not known.
+  bool Remove(const std::string& name);
+  // Each endpoint's connections for this sidecar, from the present number of sidecars.
+  void ShareConnections();
+
+  Service* Find(const std::string& name);
+  Service& At(const std::string& name) { return *services_.at(name); }
+  // A call to one of its endpoints is over.
+  void NoteFinished(const std::string& name);
+  void NoteLoad(const std::string& endpoint, std::uint32_t running, std::uint32_t waiting,
+                std::uint32_t slots);
+
+  // This sidecar's even share of what belongs to all.
+  double EvenShare(double of_all) const;
+  double AllSlots() const;
+  // Whether any endpoint of the service is in use.
+  bool CanServe(const std::string& name);
+  std::size_t EndpointsInUse(Micros now) const;
+  // Whether the endpoints of any service are less than busy.
+  bool HasSpareSlots(Micros now) const;
+
+ private:
+  Service& Named(const std::string& name);
+  Endpoint& Touch(Service& service, const EndpointInfo& info, std::uint64_t hash);
+  void Place(Service& service) const;
+  void UpdateTouched(Service& service, const std::vector<EndpointInfo>& listed) const;
+
+  Shape shape_;
+  Micros now_ = 0;
+  std::unordered_map<std::string, std::unique_ptr<Service>> services_;
+};
+
+}  // namespace shelflink::policy
+
+#endif  // SHELFLINK_TIER_POLICY_SERVICES_H_
--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -13,7 +13,6 @@
 namespace shelflink::proxy {
 
 using configuration::Route;
-using configuration::RouteKind;
 using gaugecart::OutcomeCode;
 using kelpspring::AttemptKey;
 using kelpspring::HttpResponse;
@@ -25,63 +24,13 @@
 
 namespace {
 
-constexpr int kMostSends = 16;                // Of one call, however many did not run it.
 constexpr std::uint64_t kHeldAnswer = 65536;  // A longer answer goes on in parts.
 constexpr auto kConnectSpan = milliseconds(250);
-// Beyond the route's time-out an answer under way may go on for so long.
-constexpr auto kEndSlack = milliseconds(100);
-// What a batch item may take at one endpoint where its sender tells no time.
-constexpr auto kItemSpan = std::chrono::seconds(60);
-constexpr auto kItemFirstSilence = std::chrono::seconds(10);
-// Items wait behind what is more urgent, and a run too many is dearer than a late one.
-constexpr auto kItemPatience = std::chrono::seconds(3);
 // How often one that is late is looked at again, while its endpoint answers others.
 constexpr auto kLookAgain = milliseconds(250);
 
 }  // namespace
 
-struct EndpointCalls::LiveCall {
-  CallId id = 0;
-  CallRequest request;
-  CallUser* user = nullptr;
-  kelpspring::HttpRequest message;
-  std::string service;
-  net::Time deadline;  // What endpoints are told,
-  net::Time end;       // and when it is over for good.
-  bool repeatable = false;
-  bool starting = true;  // Start has not returned: nothing may be told yet.
-  bool out = false;      // An attempt is under way:
-  std::uint32_t attempt = 0;
-  std::string endpoint;
-  bool forbidden = false;     // Its user does not let it be sent.
-  net::Time moved{};          // When the present attempt was sent, or its last part came,
-  net::Span most_silence{};   // and how long nothing may follow at most,
-  net::Span first_silence{};  // how long at first until its endpoint is looked at,
-  net::Span later_silence{};  // and how long inside its answer,
-  net::Span patience{};       // or, at an endpoint that has fallen silent for all.
-  int sends = 0;
-  int ran = 0;             // Endpoints that may have run it, the present one not among them.
-  bool begun = false;      // Of the present attempt an event has come.
-  bool streaming = false;  // The present attempt's answer is a stream of events.
-  bool passing = false;    // It goes on in parts.
-  bool ends_with_connection = false;  // It has neither a length nor chunks.
-  bool head_told = false;
-  std::optional<HttpResponse> head;  // Of a stream, until its first event.
-  EventStream events;
-  std::optional<HttpResponse> failure;  // An endpoint's own, handed over if nothing better comes.
-  int status = 0;
-  TokenCount tokens;
-
-  int max_attempts() const { return request.max_attempts.value_or(request.route->max_attempts); }
-  // Whether it may go on at another endpoint after this one has fallen silent.
-  bool may_move() const {
-    return request.resumable || request.route->kind == RouteKind::kIdempotent;
-  }
-  bool is_stream_route() const {
-    return request.batch || request.route->kind == RouteKind::kStreaming;
-  }
-};
-
 EndpointCalls::EndpointCalls(net::Loop& loop, kelpspring::Log& log,
                              kelpspring::SocketBudget& budget, Options options)
     : loop_(loop),
@@ -94,6 +43,7 @@
                  milliseconds(0), true, true, true}),
       registry_(upstream_),
       module_(options_.seed, *this),
+      feed_(module_, registry_, {options_.node, options_.zone, options_.most_held}),
       timer_(loop.NewTimer([this] {
         module_.OnTimer(Now());
         CarryOut();
@@ -107,70 +57,16 @@
 
 Micros EndpointCalls::Now() const { return MicrosOf(loop_.Now()); }
 
-// ---- The view ----
-
 void EndpointCalls::OnView(const cluster::View& view) {
-  const bool fresh_configuration = view.configuration != configuration_;
-  const bool fresh_list = view.endpoints != list_;
-  const bool fresh_members = view.members != members_;
-  configuration_ = view.configuration;
-  list_ = view.endpoints;
-  members_ = view.members;
-  if (fresh_configuration || fresh_members) TakeShape(view);
-  if (fresh_list && list_) registry_.Take(*list_);
-  if (fresh_configuration || fresh_list) TellServices();
+  feed_.OnView(Now(), view);
   CarryOut();
 }
 
-void EndpointCalls::TakeShape(const cluster::View& view) {
-  if (view.configuration) levels_ = Levels(*view.configuration);
-  policy::Shape shape;
-  shape.node = options_.node;
-  shape.zone = options_.zone;
-  shape.levels = levels_.count();
-  shape.most_held = options_.most_held;
-  if (view.members) {
-    const auto ready = std::count_if(
-        view.members->all.begin(), view.members->all.end(),
-        [](const cluster::Member& member) { return member.role == "proxy" && member.ready; });
-    shape.sidecars = static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(1, ready));
-  }
-  module_.OnShape(Now(), shape);
-}
-
-void EndpointCalls::TellServices() {
-  const auto services = registry_.Services(configuration_.get(), list_.get(), Now());
-  for (auto it = services_.begin(); it != services_.end();) {
-    const auto present = it++;
-    if (services.contains(*present)) continue;
-    module_.OnServiceGone(Now(), *present);
-    services_.erase(present);
-  }
-  for (const auto& [name, info] : services) {
-    services_.insert(name);
-    module_.OnService(Now(), info);
-  }
-}
-
 // ---- Calls ----
 
 CallId EndpointCalls::Start(CallRequest request, CallUser& user) {
-  const auto live = std::make_shared<LiveCall>();
-  if (request.batch) request.level = levels_.batch();
-  const net::Time now = loop_.Now();
-  live->id = ++last_call_;
-  live->user = &user;
-  live->service = ServiceOf(*request.route, request.request_id);
-  live->repeatable =
-      request.batch || request.resumable || request.route->kind == RouteKind::kIdempotent;
-  const net::Span span = request.batch ? net::Span(kItemSpan) : net::Span(request.route->timeout);
-  const net::Time over = request.began.value_or(now) + span;
-  live->deadline = std::min(request.due.value_or(net::Time::max()), over);
-  live->end = std::min(request.due.value_or(net::Time::max()), over + kEndSlack);
-  live->events = EventStream(request.last_event_id);
-  live->tokens = ParseTokenCount(ValueOf(request.headers, kTokenCountHeader));
-  live->message = OutgoingMessage(request);
-  live->request = std::move(request);
+  if (request.batch) request.level = feed_.levels().batch();
+  const auto live = std::make_shared<LiveCall>(++last_call_, std::move(request), user, loop_.Now());
   calls_[live->id] = live;
   if (IsTarget(live->request.target)) {
     module_.OnCall(Now(), DescriptionOf(*live, live->id));
@@ -216,7 +112,9 @@
   CarryOut();
 }
 
-std::uint32_t EndpointCalls::BatchRoom() const { return module_.Room(Now(), levels_.batch()); }
+std::uint32_t EndpointCalls::BatchRoom() const {
+  return module_.Room(Now(), feed_.levels().batch());
+}
 
 std::map<std::string, EndpointCalls::Load> EndpointCalls::Loads() const {
   std::map<std::string, Load> loads;
@@ -273,18 +171,12 @@
   const LivePtr live = Find(decision.call);
   if (!live) return;
   const AttemptKey key{decision.call, decision.attempt};
-  live->attempt = decision.attempt;
-  live->endpoint = decision.endpoint;
-  live->out = true;
-  live->begun = false;
-  live->streaming = false;
-  live->passing = false;
-  live->head.reset();
+  live->Begin(decision.attempt, decision.endpoint);
   live->forbidden = !live->user->MaySend();
   if (!Find(decision.call)) return;  // Cancelled by its user.
   const KnownEndpoint* known = registry_.Find(decision.endpoint);
   const net::Time now = loop_.Now();
-  if (live->forbidden || known == nullptr || now >= live->deadline || live->sends >= kMostSends) {
+  if (live->forbidden || known == nullptr || !live->MaySendMore(now)) {
     return EndUnsent(live, key, Outcome::kNeverSent);
   }
   ++live->sends;
@@ -293,7 +185,7 @@
     live->message.set(kLastEventIdHeader, std::to_string(*live->events.last_id()));
   }
   live->moved = now;
-  SetSilences(*live, now);
+  live->SetSilences(now);
   const net::Time until = std::min(live->end, now + live->first_silence);
   kelpspring::Outbound outbound{live->message, false, std::nullopt, until, {}};
   outbound.silence = live->later_silence;
@@ -304,24 +196,6 @@
                  [this, key](kelpspring::Answer answer) { EndAttempt(key, std::move(answer)); });
 }
 
-// An endpoint's silence alone never ends an answer to a client: it is waited for to the call's end,
-// but for a call that could go on at another endpoint. Items wait in the store, not here.
-void EndpointCalls::SetSilences(LiveCall& live, net::Time now) {
-  const Route& route = *live.request.route;
-  const bool could_move = live.may_move() && live.ran + 1 < live.max_attempts();
-  if (live.request.batch) {
-    live.patience = kItemPatience;
-    live.most_silence = kItemFirstSilence;
-    live.first_silence = could_move ? live.patience : live.most_silence;
-    live.later_silence = could_move ? live.patience : net::Span(ClientSilence(route));
-    return;
-  }
-  live.patience = MovePatience(route);
-  live.most_silence = std::max(net::Span::zero(), live.end - now);
-  live.first_silence = could_move ? live.patience : live.most_silence;
-  live.later_silence = live.first_silence;
-}
-
 // ---- What endpoints answer ----
 
 bool EndpointCalls::OnUp(AttemptKey key) {
@@ -439,7 +313,7 @@
       const bool misdirected = answer.message.result_int() == 421;
       if (misdirected) {
         registry_.NoteMisdirected(live->endpoint);
-        TellServices();
+        feed_.TellServices(Now());
       }
       return EndUnsent(live, key, misdirected ? Outcome::kMisdirected : Outcome::kNotRun);
     }
@@ -460,35 +334,23 @@
 // This endpoint did not run it; another may be asked at any time.
 void EndpointCalls::EndUnsent(const LivePtr& live, AttemptKey key, Outcome outcome) {
   live->out = false;
-  const bool again = !live->forbidden && live->sends < kMostSends && loop_.Now() < live->deadline;
+  const bool again = !live->forbidden && live->MaySendMore(loop_.Now());
   Tell(key, outcome, again);
   if (again) return;
   Finish(live, live->ran == 0 ? CallEnd::kRefused : CallEnd::kFailed);
 }
 
-bool EndpointCalls::MayGoOn(const LiveCall& live) const {
-  if (!live.repeatable || live.ran >= live.max_attempts()) return false;
-  if (live.sends >= kMostSends || loop_.Now() >= live.deadline) return false;
-  return CanContinue(live);
-}
-
-// An answer that has begun can only be continued as a stream whose events can be told apart.
-bool EndpointCalls::CanContinue(const LiveCall& live) {
-  return !live.head_told ||
-         (live.request.resumable && live.events.events() > 0 && live.events.CanRejoin());
-}
-
 // Whether the call, given up at its present endpoint, would go on at another at once.
 bool EndpointCalls::CanMove(const LiveCall& live, AttemptKey key) const {
-  return live.may_move() && live.ran + 1 < live.max_attempts() && live.sends < kMostSends &&
-         CanContinue(live) && module_.CanMove(Now(), key.first, key.second);
+  return live.MayMove() && live.sends < LiveCall::kMostSends && live.CanContinue() &&
+         module_.CanMove(Now(), key.first, key.second);
 }
 
 // It may have run, and no whole answer came of it.
 void EndpointCalls::EndBroken(const LivePtr& live, AttemptKey key, Outcome outcome) {
   live->out = false;
   ++live->ran;
-  const bool again = MayGoOn(*live);
+  const bool again = live->MayGoOn(loop_.Now());
   if (live->streaming && live->events.events() > 0) outcome = Outcome::kCut;
   if (again) live->events.Rejoin();
   Tell(key, outcome, again);
@@ -520,7 +382,7 @@
   const bool failed = message.result_int() >= 500;
   live->out = false;
   if (failed) ++live->ran;
-  const bool again = failed && !live->request.batch && MayGoOn(*live);
+  const bool again = failed && !live->request.batch && live->MayGoOn(loop_.Now());
   if (again) {
     live->failure = std::move(message);
   } else {
--- a/src/tier/proxy/endpoint_calls.h
+++ b/src/tier/proxy/endpoint_calls.h
@@ -2,8 +2,8 @@
 //
 // The module says where each attempt goes; this carries it out, tells it what came of it, and joins
 // the attempts of one call into one answer. It holds one attempt of a call at a time. What bounds
-// it: Shape::most_held calls (the module refuses more), kMostSends sends a call, kHeldAnswer bytes
-// of an answer that is held whole, EventStream::kLongestEvent of one event.
+// it: Shape::most_held calls (the module refuses more), LiveCall::kMostSends sends a call,
+// kHeldAnswer bytes of an answer that is held whole, EventStream::kLongestEvent of one event.
 #ifndef SHELFLINK_TIER_PROXY_ENDPOINT_CALLS_H_
 #define SHELFLINK_TIER_PROXY_ENDPOINT_CALLS_H_
 
@@ -13,7 +13,6 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 
 #include "net/loop.h"
 #include "sidecar/log.h"
@@ -22,7 +21,8 @@
 #include "tier/policy/module.h"
 #include "tier/proxy/calls.h"
 #include "tier/proxy/endpoint_registry.h"
-#include "tier/proxy/levels.h"
+#include "tier/proxy/live_call.h"
+#include "tier/proxy/module_feed.h"
 
 namespace shelflink::proxy {
 
@@ -60,7 +60,6 @@
   std::uint64_t dials() const { return upstream_.dials(); }
 
  private:
-  struct LiveCall;
   using LivePtr = std::shared_ptr<LiveCall>;
   // What the module decided, carried out once it has returned.
   struct Decision {
@@ -92,24 +91,18 @@
   kelpspring::Reading ReadHead(kelpspring::AttemptKey key,
                                const kelpspring::HttpResponse& head) const;
 
-  void TakeShape(const cluster::View& view);
-  void TellServices();
-
   LivePtr Find(policy::CallId call) const;
   LivePtr FindAttempt(kelpspring::AttemptKey key) const;  // Null unless it is the present one.
   policy::Call DescriptionOf(const LiveCall& live, policy::CallId call) const;
 
   void CarryOut();
   void StartAttempt(const Decision& decision);
-  static void SetSilences(LiveCall& live, net::Time now);
   void EndAttempt(kelpspring::AttemptKey key, kelpspring::Answer answer);
   void EndUnsent(const LivePtr& live, kelpspring::AttemptKey key, policy::Outcome outcome);
   void EndBroken(const LivePtr& live, kelpspring::AttemptKey key, policy::Outcome outcome);
   void EndStream(const LivePtr& live, kelpspring::AttemptKey key);
   void EndAnswered(const LivePtr& live, kelpspring::AttemptKey key,
                    kelpspring::HttpResponse message);
-  bool MayGoOn(const LiveCall& live) const;
-  static bool CanContinue(const LiveCall& live);
   bool CanMove(const LiveCall& live, kelpspring::AttemptKey key) const;
   void TellHead(const LivePtr& live, const kelpspring::HttpResponse& head,
                 std::optional<std::uint64_t> length);
@@ -127,14 +120,10 @@
   kelpspring::Upstream upstream_;
   EndpointRegistry registry_;
   policy::Module module_;
+  ModuleFeed feed_;
   net::TimerPtr timer_;
   policy::CallId last_call_ = 0;
   std::unordered_map<policy::CallId, LivePtr> calls_;
-  std::unordered_set<std::string> services_;  // That the module knows.
-  std::shared_ptr<const configuration::Configuration> configuration_;
-  std::shared_ptr<const cluster::EndpointList> list_;
-  std::shared_ptr<const cluster::Members> members_;
-  Levels levels_;
   std::deque<Decision> decisions_;
   bool carrying_out_ = false;
 };
