A partition that lost every complete copy is started empty also where a part is left

Cause, by reading: beyond the tolerance the core goes on with a store that is left. Where that was a joiner with a part of the partition, its replica was neither whole nor new, never acted, and the partition's tenants were refused for good. Change: the sole complete copy of a row that never became whole here erases its part and begins empty, as one with nothing stored does.

--- a/src/tier/batch/hosted_partition.cpp
+++ b/src/tier/batch/hosted_partition.cpp
@@ -48,6 +48,10 @@
   life_ = life;
   TakeMembers(row);
   NoteEpoch(row.epoch);
+  if (IsStartedEmpty()) {
+    Erase();
+    replica_ = coordination::Replica(ReplicaOptions(around_, partition_), around_.storage);
+  }
   const bool nothing_stored = !replica_.complete() && replica_.tail_entries() == 0 &&
                               replica_.committed() == coordination::Position{};
   if (complete_in_row_ && nothing_stored) {
@@ -77,6 +81,13 @@
   }
 }
 
+// The row's one complete copy is here, and yet it never became whole here: all that were complete
+// are gone, and the core goes on with what is left. Nothing of a part is worth keeping.
+bool HostedPartition::IsStartedEmpty() const {
+  const bool alone = row_.primary_disk == around_.disk && complete_copies() == 1;
+  return alone && !replica_.complete();
+}
+
 void HostedPartition::Act() {
   act_from_.reset();
   AssignEpoch(ReplicaEpoch(row_.epoch, life_), true);
--- a/src/tier/batch/hosted_partition.h
+++ b/src/tier/batch/hosted_partition.h
@@ -70,8 +70,8 @@
   bool learning() const { return named_ && !complete_in_row_; }
   bool named() const { return named_; }
   bool acting() const { return replica_.acting(); }
-  // Counts how often this process began to act as the primary: what was known in an earlier term may
-  // be void, for another may have acted in between.
+  // Counts how often this process began to act as the primary: what was known in an earlier term
+  // may be void, for another may have acted in between.
   std::uint64_t term() const { return term_; }
   std::size_t complete_copies() const;
   std::uint64_t row_epoch() const { return row_.epoch; }
@@ -97,6 +97,7 @@
   void TakeMembers(const cluster::PartitionRow& row);
   // Tells the others, and who was primary before, which epoch this primary acts in.
   void Announce(const std::string& primary_before);
+  bool IsStartedEmpty() const;
   void Act();
   void AssignEpoch(std::uint64_t epoch, bool acting);
   void TakeEarlyFrames();
@@ -115,7 +116,7 @@
   std::vector<std::pair<ReplicaFrame, std::size_t>> early_;
   std::size_t early_bytes_ = 0;
   std::tuple<bool, bool, std::uint64_t> told_role_;  // Acting, leading, the term.
-  std::set<std::string> full_disks_;  // Of the other replicas.
+  std::set<std::string> full_disks_;                 // Of the other replicas.
   std::deque<std::pair<coordination::Position, Done>> commits_;
   net::Time active_at_{};
   net::Time left_at_{};
--- a/tests/tier/batch/store_loss_test.cpp
+++ b/tests/tier/batch/store_loss_test.cpp
@@ -199,6 +199,45 @@
   });
 }
 
+// Beyond the tolerance jobs are lost, but the partition does not stand still for good: where a
+// joiner held a part only, nobody could act any more.
+BOOST_AUTO_TEST_CASE(a_partition_that_lost_every_complete_copy_takes_new_jobs) {
+  int parts = 0;  // Scenes in which the joiner held something.
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      Scene scene(seed, kSites[0]);
+      StoreWorld& world = scene.world;
+      scene.SubmitJobs(6);
+      const cluster::PartitionRow before = scene.FirstRow();
+      const std::uint32_t partition = world.promises.at("first-0").submit.job.partition;
+      world.Wipe(scene.StoreOfDisk(before.backup_disks[0]));
+      const auto joiner = [&]() -> const StoreMachine* {
+        const cluster::PartitionRow& row = scene.FirstRow();
+        if (row.backups.empty() || row.complete.back()) return nullptr;
+        return world.machines[*world.StoreAt(row.backups.back())].get();
+      };
+      const auto holds_a_part = [&] {
+        const StoreMachine* const machine = joiner();
+        if (machine == nullptr) return false;
+        const std::string prefix = HostedPartition::PrefixOf(partition);
+        const auto& contents = machine->disk.contents();
+        const auto found = contents.lower_bound(prefix);
+        return found != contents.end() && found->first.starts_with(prefix);
+      };
+      if (!scene.RunUntil(holds_a_part, seconds(3))) continue;
+      ++parts;
+      world.Wipe(scene.StoreOfDisk(before.primary_disk));
+      world.RunFor(milliseconds(700));
+      scene.StartAll();
+      world.RunFor(seconds(2));
+      scene.clients.SubmitBeside("afterwards", "first-0");
+      world.RunFor(seconds(10));
+      BOOST_TEST(world.promises.at("afterwards").acknowledged);
+    }
+  }
+  BOOST_TEST(parts > 0);
+}
+
 // Found by reading: a server whose commit had failed was taken away, and no other took its place
 // while the store stayed the primary.
 BOOST_AUTO_TEST_CASE(a_primary_that_was_another_in_between_begins_anew) {
