--- a/tests/tier/batch/item_output_test.cpp
+++ b/tests/tier/batch/item_output_test.cpp
@@ -5,6 +5,9 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
+
+#include "tier/proxy/event_stream.h"
 
 namespace shelflink::batch {
 namespace {
@@ -111,5 +114,24 @@
   }
 }
 
+// A line that tells of another version stands first in its event and is no part of the text; other
+// fields neither.
+BOOST_AUTO_TEST_CASE(only_the_data_of_events_is_text) {
+  ItemOutput output{Output()};
+  proxy::EventStream stream;
+  const std::string_view bytes =
+      "id: 1\ndata: one\n\n"
+      "versions: 7\nid: 2\ndata: two\ndata: and more\n\n"
+      ": alive\n\n"
+      "event: token\nretry: 5\nid: 3\ndata: three\n\n";
+  // In pieces of any length.
+  for (std::size_t at = 0; at < bytes.size(); at += 3) {
+    stream.Take(bytes.substr(at, 3),
+                [&](const proxy::Event& event) { BOOST_TEST(output.Take(event)); });
+  }
+  BOOST_TEST(output.all().text == "one\ntwo\nand more\nthree");
+  BOOST_TEST(output.all().events == 3U);
+}
+
 }  // namespace
 }  // namespace shelflink::batch
