--- a/tests/play_days_test.py
+++ b/tests/play_days_test.py
@@ -248,6 +248,17 @@
         self.assertEqual(table.never_played({"burst", "hup"}, [self.play(played("a"))]), ["hup"])
 
 
+class EntryTest(unittest.TestCase):
+    def test_an_entry_of_the_journal_is_a_play(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "x.json"
+            path.write_text(json.dumps({"cmd": "hunt", "site": "quay", "days": [played("a", wall_s=2.5)]}))
+            play = bench.play_of(path)
+            self.assertEqual((play.site, play.verb, play.seconds, play.error), ("quay", "hunt", 2.5, ""))
+            path.write_text(json.dumps({"cmd": "hunt", "site": "quay", "error": None, "days": []}))
+            self.assertEqual(bench.play_of(path).error, "no day was played")
+
+
 FAKE_BENCH = """#!/usr/bin/env python3
 import json, pathlib, sys, tomllib
 verb, site = sys.argv[1:3]
--- a/tools/playdays/bench.py
+++ b/tools/playdays/bench.py
@@ -59,10 +59,19 @@
     )
 
 
-def read_entry(path: pathlib.Path) -> tuple[PlayedDay, ...]:
-    """The days of the journal entry at `path`."""
+def play_of(path: pathlib.Path, site: str = "", text: str = "") -> Play:
+    """The play that the journal entry at `path` tells of."""
     entry = json.loads(path.read_text())
-    return tuple(read_day(day) for day in entry.get("days") or [])
+    days = entry.get("days") or []
+    return Play(
+        site=site or str(entry.get("site") or ""),
+        verb=str(entry.get("cmd")),
+        days=tuple(read_day(day) for day in days),
+        entry=path.name,
+        seconds=sum(float(day.get("wall_s") or 0) for day in days),
+        text=text,
+        error=str(entry.get("error") or ("" if days else "no day was played")),
+    )
 
 
 class Bench:
@@ -96,8 +105,7 @@
         entries = [path for path in set(JOURNAL.glob("*.json")) - before if is_entry_of(path, verb, site)]
         if not entries:
             return Play(name, verb, (), "", 0, text, f"no journal entry; it said: {text.strip()[-300:]}")
-        newest = max(entries)
-        return Play(name, verb, read_entry(newest), newest.name, seconds_of(newest), text, error_of(newest))
+        return play_of(max(entries), name, text)
 
 
 def is_entry_of(path: pathlib.Path, verb: str, site: pathlib.Path) -> bool:
@@ -105,17 +113,3 @@
     entry = json.loads(path.read_text())
     names = [pathlib.Path(word).name for word in entry.get("argv") or []]
     return entry.get("cmd") == verb and site.name in names
-
-
-def seconds_of(path: pathlib.Path) -> float:
-    """How long the play of a journal entry took, so far as its days say."""
-    entry = json.loads(path.read_text())
-    return sum(float(day.get("wall_s") or 0) for day in entry.get("days") or [])
-
-
-def error_of(path: pathlib.Path) -> str:
-    """Why the play of a journal entry failed, or nothing."""
-    entry = json.loads(path.read_text())
-    if entry.get("error"):
-        return str(entry["error"])
-    return "" if entry.get("days") else "no day was played"
--- a/tools/playdays/cli.py
+++ b/tools/playdays/cli.py
@@ -77,18 +77,11 @@
 
 
 def _report(plays: list[bench.Play], known: set[str], names_kinds: bool) -> bool:
-    rows = table.rows(plays)
-    print(table.render(rows))
-    for play in plays:
-        for day in play.days:
-            if not day.is_clean():
-                print(table.describe(play.site, day))
-        if play.error:
-            print(f"{play.site}: {play.verb}: {play.error}")
+    clean = table.report(plays)
     if names_kinds:
         missing = table.never_played(known, plays)
         print(f"kinds never played: {', '.join(missing) or 'none'}")
-    return all(row.is_clean() for row in rows)
+    return clean
 
 
 def main(words: list[str]) -> int:
--- a/tools/playdays/table.py
+++ b/tools/playdays/table.py
@@ -72,3 +72,16 @@
     """The kinds that no day of the plays had."""
     seen = {kind for play in plays for day in play.days for kind in day.kinds}
     return sorted(known - seen)
+
+
+def report(plays: list[Play]) -> bool:
+    """Prints the table and a line for each day that has to be looked at; whether there was none."""
+    grouped = rows(plays)
+    print(render(grouped))
+    for play in plays:
+        for day in play.days:
+            if not day.is_clean():
+                print(describe(play.site, day))
+        if play.error:
+            print(f"{play.site}: {play.verb}: {play.error}")
+    return all(row.is_clean() for row in grouped)
