--- a/src/tier/batch/job_book_runs.cpp
+++ b/src/tier/batch/job_book_runs.cpp
@@ -27,7 +27,10 @@
   Assignment assignment;
   assignment.payload_key = RecordKey(RecordKind::kPayload, job.key, waiting->item);
   Assign& message = assignment.message;
-  message.item = {{0, 0, job.header.tenant, job.header.host, job.header.job}, header.id};
+  message.item.job.tenant = job.header.tenant;
+  message.item.job.host = job.header.host;
+  message.item.job.job = job.header.job;
+  message.item.item = header.id;
   message.lease = lease;
   message.route = job.header.route;
   message.tokens = header.tokens;
