A retry goes out on another connection than the attempt before it

Cause: an endpoint may send a second answer to an attempt; it bears the id that a retry on the same connection waits for, so the retry was answered by it and a request went out on a connection that still owed. Change: TakeIdle passes over connections whose last attempt was of the same request.

--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -112,6 +112,7 @@
 
   bool connecting() const { return state_ == State::kConnecting; }
   net::Time idle_since() const { return idle_since_; }
+  gaugecart::RequestId last_request() const { return key_.first; }
 
   void Finish(OutcomeCode code, HttpResponse answer = {}, bool reusable = false) {
     const auto self = shared_from_this();
@@ -508,7 +509,7 @@
     return done({OutcomeCode::kNeverSent, {}});
   }
   Endpoint& endpoint = it->second;
-  ConnectionPtr connection = TakeIdle(endpoint, outbound);
+  ConnectionPtr connection = TakeIdle(endpoint, key, outbound);
   if (!connection) {
     if (!budget_.TakeForAttempt()) return done({OutcomeCode::kConnectFailed, {}});
     connection = std::make_shared<Connection>(*this, id, endpoint);
@@ -521,18 +522,22 @@
 // in between): a request that then goes out on one ends as a reset, and one that must not run twice
 // is lost by that. While there is doubt such requests get a connection of their own; repeatable
 // ones go on using what lies idle, and so show for how long the doubt lasts. Harm: handshakes.
-Upstream::ConnectionPtr Upstream::TakeIdle(Endpoint& endpoint, const Outbound& outbound) {
+//
+// One that carried an earlier attempt of the same request is not taken either: a second answer to
+// that attempt may still come, and bears the id that this one waits for.
+Upstream::ConnectionPtr Upstream::TakeIdle(Endpoint& endpoint, Key key, const Outbound& outbound) {
   const net::Time now = loop_.Now();
   const bool wary = now < doubt_until_ && !Repeatable(outbound);
-  while (!endpoint.idle.empty()) {
-    ConnectionPtr connection = endpoint.idle.back();
+  for (std::size_t index = endpoint.idle.size(); index > 0; --index) {
+    ConnectionPtr connection = endpoint.idle[index - 1];
+    if (connection->last_request() == key.first) continue;
     if (wary && now - connection->idle_since() > kTrustedIdle) {
       // The new one takes the place of the oldest, so that their number does not grow.
       endpoint.idle.front()->Close();
       endpoint.idle.pop_front();
       return nullptr;
     }
-    endpoint.idle.pop_back();
+    std::erase(endpoint.idle, connection);
     if (connection->Alive()) return connection;
     connection->Close();
   }
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -174,7 +174,7 @@
   Endpoint* Find(gaugecart::EndpointId id);
   ConnectionPtr AttemptOf(Key key) const;  // Null once it is over.
   // The idle connection to use for this message; null if a new one is to be opened.
-  ConnectionPtr TakeIdle(Endpoint& endpoint, const Outbound& outbound);
+  ConnectionPtr TakeIdle(Endpoint& endpoint, Key key, const Outbound& outbound);
   // A reused connection broke before any answer: it may have been dropped while it lay idle.
   void NoteStale(net::Span idle);
 
--- a/tests/tier/proxy/endpoint_test.cpp
+++ b/tests/tier/proxy/endpoint_test.cpp
@@ -493,3 +493,22 @@
   BOOST_TEST(other.requests.size() > 20U);
   BOOST_TEST(other.requests.size() < 60U);
 }
+
+// A second answer to an attempt bears the id that the next attempt of the same request waits for:
+// that one goes out on another connection.
+BOOST_AUTO_TEST_CASE(a_retry_is_not_answered_by_a_second_answer_to_the_attempt_before) {
+  World world(11);
+  Endpoint* only = nullptr;
+  only = &world.Add([&](Endpoint::Line& line, const Message& request) {
+    if (only->requests.size() > 1) return line.Write(Endpoint::Whole(request, "right"));
+    line.Write(Endpoint::Whole(request, "failed", 500));
+    line.Write(Endpoint::Whole(request, "failed", 500));
+  });
+  auto client = world.Ask(Request("/get/x"));
+  world.Run(milliseconds(500));
+  const Message answer = client->Answer();
+  BOOST_TEST(answer.Status() == 200);
+  BOOST_TEST(answer.body == "right");
+  BOOST_TEST(only->requests.size() == 2U);
+  BOOST_TEST(only->connections == 2U);
+}
