A last chunk that comes cut is put to the parser once it has five bytes

Cause: Beast's parser asserts five bytes behind an empty body's last chunk line; an endpoint or a client that sends 0, CR, LF and one byte more ended a process built with assertions (not the deployed Release build).

--- a/src/sidecar/http.h
+++ b/src/sidecar/http.h
@@ -158,12 +158,22 @@
   boost::beast::flat_buffer buffer_;
 };
 
+// The beginning of a last chunk, with too little behind it: Beast's parser, once it has seen the
+// line "0", asserts that it is given five bytes at least from then on.
+inline bool IsCutLastChunk(const Incoming& incoming) {
+  constexpr std::string_view kLine = "0\r\n";
+  const auto bytes = incoming.data();
+  const std::string_view text(static_cast<const char*>(bytes.data()), bytes.size());
+  return text.size() < kLastChunk.size() && text.substr(0, kLine.size()) == kLine;
+}
+
 // One step of what has come into a parser: how many bytes it took. 0 once it is done or needs more,
 // or where what has come is no HTTP, which `ec` tells.
 template <typename Parser>
 std::size_t PutStep(Parser& parser, Incoming& incoming, boost::system::error_code& ec) {
   ec = {};
   if (incoming.empty() || parser.is_done()) return 0;
+  if (parser.is_header_done() && parser.chunked() && IsCutLastChunk(incoming)) return 0;
   const std::size_t used = parser.put(incoming.data(), ec);
   incoming.Consume(used);
   if (!ec) return used;
--- a/tests/tier/proxy/endpoint_test.cpp
+++ b/tests/tier/proxy/endpoint_test.cpp
@@ -512,3 +512,34 @@
   BOOST_TEST(only->requests.size() == 2U);
   BOOST_TEST(only->connections == 2U);
 }
+
+// The parser's own assertion ends the process where it is compiled in.
+BOOST_AUTO_TEST_CASE(an_empty_body_in_chunks_may_come_cut_anywhere) {
+  const std::string last = "0\r\n\r\n";
+  for (std::size_t first = 1; first < last.size(); ++first) {
+    for (std::size_t second = first + 1; second <= last.size(); ++second) {
+      World world(12);
+      Endpoint* only = nullptr;
+      only = &world.Add([&](Endpoint::Line& line, const Message& request) {
+        line.Write(Endpoint::Head(request, "Transfer-Encoding: chunked\r\n") +
+                   last.substr(0, first));
+        only->Later(milliseconds(5), [&] { line.Write(last.substr(first, second - first)); });
+        only->Later(milliseconds(10), [&] { line.Write(last.substr(second)); });
+      });
+      auto client = world.Dial();
+      client->Send(
+          "POST /get/x HTTP/1.1\r\nHost: a.example\r\nShelflink-Request-Id: cut\r\n"
+          "Shelflink-Deadline-Ms: 3000\r\nTransfer-Encoding: chunked\r\n\r\n" +
+          last.substr(0, first));
+      world.Run(milliseconds(10));
+      client->Send(last.substr(first, second - first));
+      world.Run(milliseconds(10));
+      client->Send(last.substr(second));
+      world.Run(milliseconds(300));
+      const Message answer = client->Answer();
+      BOOST_TEST(answer.Status() == 200);
+      BOOST_TEST(answer.whole);
+      BOOST_TEST(answer.body.empty());
+    }
+  }
+}
