--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -92,6 +92,7 @@
     deadline_ = outbound.deadline.value_or(outbound.until);
     more_ = outbound.more;
     in_parts_ = more_;
+    wire_id_ = WireIdOf(outbound.message);
     done_ = std::move(done);
     written_ = false;
     passing_ = false;
@@ -112,7 +113,10 @@
 
   bool connecting() const { return state_ == State::kConnecting; }
   net::Time idle_since() const { return idle_since_; }
-  gaugecart::RequestId last_request() const { return key_.first; }
+  // Whether its last attempt was of the same request, as its endpoint knows requests.
+  bool LastCarried(Key key, const HttpRequest& message) const {
+    return key_.first == key.first || (!wire_id_.empty() && wire_id_ == WireIdOf(message));
+  }
 
   void Finish(OutcomeCode code, HttpResponse answer = {}, bool reusable = false) {
     const auto self = shared_from_this();
@@ -432,7 +436,13 @@
   Reading reading_;                         // Of the answer's head.
   OutcomeCode code_ = OutcomeCode::kError;  // The same, or none yet.
   net::Span idle_span_{};                   // How long it may lie idle after the present answer.
+  std::string WireIdOf(const HttpRequest& message) const {
+    const std::string& header = owner_.terms_.request_id_header;
+    return header.empty() ? std::string() : std::string(View(message[header]));
+  }
+
   Key key_{};
+  std::string wire_id_;             // Of the present or last request, in the header's words.
   HttpRequest* message_ = nullptr;  // The caller keeps it until the attempt is over.
   bool written_ = false;            // The machine has its last byte.
   int interim_ = 0;
@@ -530,7 +540,7 @@
   const bool wary = now < doubt_until_ && !Repeatable(outbound);
   for (std::size_t index = endpoint.idle.size(); index > 0; --index) {
     ConnectionPtr connection = endpoint.idle[index - 1];
-    if (connection->last_request() == key.first) continue;
+    if (connection->LastCarried(key, outbound.message)) continue;
     if (wary && now - connection->idle_since() > kTrustedIdle) {
       // The new one takes the place of the oldest, so that their number does not grow.
       endpoint.idle.front()->Close();
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -76,6 +76,8 @@
 // service.
 struct UpstreamTerms {
   std::string remaining_header = "X-Remaining-Ms";  // Set by each send: what is left, in ms.
+  // Names a request to endpoints, who give it back; empty: the attempt's key alone names it.
+  std::string request_id_header;
   std::function<Reading(AttemptKey, const HttpResponse& head)> read_head = ReadHead;
   // The longest silence inside an answer that is held whole: 0: until the attempt's end.
   std::chrono::milliseconds answer_silence{300};
--- a/src/tier/transport/hub.cpp
+++ b/src/tier/transport/hub.cpp
@@ -132,7 +132,8 @@
   std::uint64_t last_connection = 0;
   std::uint64_t last_dial = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections;
-  std::unordered_set<Connection*> watched;          // Those with a NextCheck.
+  // Those with a NextCheck, by number: equal seeds check them in equal order.
+  std::map<std::uint64_t, Connection*> watched;
   std::vector<std::unique_ptr<Connection>> closed;  // Until no call of theirs runs any more.
   std::vector<std::uint64_t> to_flush;              // Connections with something queued.
   std::map<net::Address, Peer> peers;
@@ -302,7 +303,7 @@
   const auto it = connections.find(connection.id());
   closed.push_back(std::move(it->second));
   connections.erase(it);
-  watched.erase(&connection);
+  watched.erase(connection.id());
   Post([this] { closed.clear(); });
 
   const auto open_calls = connection.open_calls();
@@ -480,9 +481,9 @@
 void Hub::Impl::OnChanged(Connection& connection) {
   const net::Time check = connection.NextCheck();
   if (check == net::Time::max()) {
-    watched.erase(&connection);
+    watched.erase(connection.id());
   } else {
-    watched.insert(&connection);
+    watched.insert({connection.id(), &connection});
     next_check = std::min(next_check, check);
   }
   if (watched.empty()) next_check = net::Time::max();
@@ -512,7 +513,7 @@
   const net::Span late = now - std::exchange(armed_for, net::Time::max());
   // This process stood still. What the peers said in the meantime may be unread.
   if (late > options.silence / 4) {
-    for (Connection* connection : watched) connection->RestartSpans(now);
+    for (const auto& [id, connection] : watched) connection->RestartSpans(now);
   }
   CheckConnections(now);
   ExpireCalls(now);
@@ -531,12 +532,12 @@
 
 void Hub::Impl::CheckConnections(net::Time now) {
   if (next_check > now) return;
-  const std::vector<Connection*> all(watched.begin(), watched.end());
-  for (Connection* connection : all) {
+  const std::map<std::uint64_t, Connection*> all = watched;
+  for (const auto& [id, connection] : all) {
     if (!connection->closed()) connection->CheckSilence(now);
   }
   next_check = net::Time::max();
-  for (const Connection* connection : watched) {
+  for (const auto& [id, connection] : watched) {
     next_check = std::min(next_check, connection->NextCheck());
   }
 }
--- a/tests/tier/proxy/endpoint_test.cpp
+++ b/tests/tier/proxy/endpoint_test.cpp
@@ -513,6 +513,30 @@
   BOOST_TEST(only->connections == 2U);
 }
 
+// So does one to an earlier request of the same id, as items of batch jobs are sent again.
+BOOST_AUTO_TEST_CASE(a_request_is_not_answered_by_a_second_answer_to_its_like_before) {
+  World world(11);
+  Endpoint* only = nullptr;
+  only = &world.Add([&](Endpoint::Line& line, const Message& request) {
+    if (only->requests.size() > 1) {
+      return only->Later(milliseconds(60),
+                         [&line, request] { line.Write(Endpoint::Whole(request, "right")); });
+    }
+    line.Write(Endpoint::Whole(request, "failed", 500));
+    only->Later(milliseconds(40),
+                [&line, request] { line.Write(Endpoint::Whole(request, "failed", 500)); });
+  });
+  auto first = world.Ask(Request("/post/x", "item"));
+  world.Run(milliseconds(20));
+  BOOST_TEST(first->Answer().Status() == 500);
+  auto second = world.Ask(Request("/post/x", "item"));
+  world.Run(milliseconds(500));
+  const Message answer = second->Answer();
+  BOOST_TEST(answer.Status() == 200);
+  BOOST_TEST(answer.body == "right");
+  BOOST_TEST(only->connections == 2U);
+}
+
 // The parser's own assertion ends the process where it is compiled in.
 BOOST_AUTO_TEST_CASE(an_empty_body_in_chunks_may_come_cut_anywhere) {
   const std::string last = "0\r\n\r\n";
--- a/tests/tier/tier_seeds/configurations.h
+++ b/tests/tier/tier_seeds/configurations.h
@@ -16,7 +16,7 @@
 constexpr const char* kSecondKey = "key-2";
 constexpr const char* kSecondTenant = "ten-2";
 constexpr std::uint64_t kMostQueuedTokens = 4000;  // Of the second tenant.
-constexpr int kMostItemAttempts = 4;
+constexpr int kMostItemAttempts = 3;
 
 // What a configuration is made of. The tag is unlike that of any other order.
 struct ConfigurationDraft {
--- a/tests/tier/tier_seeds/day.cpp
+++ b/tests/tier/tier_seeds/day.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "emulator/random.h"
+#include "tier_seeds/batch_clients.h"
 #include "tier_seeds/endpoint_fleet.h"
 #include "tier_seeds/http_caller.h"
 #include "tier_seeds/live_clients.h"
@@ -61,6 +62,8 @@
     ingress_ = std::make_unique<Ingress>(callers_, proxies_, deployment_.seed);
     clients_ = std::make_unique<LiveClients>(net_, journal_, ledger_, operators_, proxies_,
                                              *ingress_, callers_, deployment_);
+    batch_ = std::make_unique<BatchClients>(net_, journal_, ledger_, proxies_, *ingress_, callers_,
+                                            deployment_);
     troubles_ = std::make_unique<Troubles>(
         net_, journal_, TierParts{cores_, stores_, proxies_, endpoints_, platform_, operators_},
         deployment_);
@@ -81,16 +84,23 @@
     ingress_->Start(net_, end);
     At(net::Time() + kOperatorsBegin,
        [this, trouble_ends] { operators_.Start(trouble_ends + milliseconds(2000)); });
-    At(net::Time() + kClientsBegin, [this, end] { clients_->Start(end); });
+    At(net::Time() + kClientsBegin, [this, trouble_ends, end] {
+      clients_->Start(end);
+      batch_->Start(trouble_ends, trouble_ends + kReadBack);
+    });
     At(net::Time() + kTroubleBegins, [this, trouble_ends] { troubles_->Start(trouble_ends); });
     At(trouble_ends, [this] { troubles_->HealAll(); });
     At(trouble_ends + kCalmChange,
        [this, trouble_ends] { operators_.ChangeInCalm(trouble_ends + kCalmChangeDue); });
     At(trouble_ends + kCalmCount, [this] { clients_->CountFromNow(); });
-    At(trouble_ends + kReadBack, [this, end] { operators_.ReadBack(end); });
+    At(trouble_ends + kReadBack, [this, end] {
+      operators_.ReadBack(end);
+      batch_->ReadBack(end);
+    });
     net_.RunUntil(end + kLastAnswers);
     clients_->JudgeCalm();
     operators_.JudgeHistory();
+    batch_->Judge();
   }
 
   DayResult Result() const {
@@ -146,6 +156,7 @@
   shelflab::Random random_;
   std::unique_ptr<Ingress> ingress_;
   std::unique_ptr<LiveClients> clients_;
+  std::unique_ptr<BatchClients> batch_;
   std::unique_ptr<Troubles> troubles_;
 };
 
--- a/tests/tier/tier_seeds/endpoint_fleet.cpp
+++ b/tests/tier/tier_seeds/endpoint_fleet.cpp
@@ -86,6 +86,20 @@
   return found == runs_.end() ? 0 : found->second.size();
 }
 
+std::size_t Ledger::RunsAnswered(const std::string& id, int status) const {
+  const auto found = runs_.find(id);
+  if (found == runs_.end()) return 0;
+  return static_cast<std::size_t>(
+      std::count_if(found->second.begin(), found->second.end(),
+                    [&](const auto& run) { return run->status == status; }));
+}
+
+std::optional<net::Time> Ledger::LastRun(const std::string& id) const {
+  const auto found = runs_.find(id);
+  if (found == runs_.end()) return std::nullopt;
+  return found->second.back()->at;
+}
+
 // ---- Fleet ----
 
 EndpointFleet::EndpointFleet(net::VirtualNet& net, Journal& journal, Ledger& ledger,
@@ -275,7 +289,11 @@
   serving->request = request;
   serving->id = id;
   serving->asked = asked;
-  if (asked->events) {
+  const bool fails = asked->doomed || (asked->is_item && random_.Chance(0.03));
+  if (fails) {
+    run.status = asked->doomed ? 422 : 500;
+    run.body = run.stamp;
+  } else if (asked->events) {
     const std::string behind = request.Value("Last-Event-Id");
     serving->next_event = behind.empty() ? 1 : std::stoi(behind) + 1;
     serving->last_event = EventCount(asked->target);
@@ -293,7 +311,7 @@
                    journal_.Note([&] { return self->id + " answers " + serving->id; });
                    if (random_.Chance(mischief_)) {
                      AnswerWrongly(place, *self, line, serving);
-                   } else if (serving->asked->events) {
+                   } else if (serving->asked->events && serving->run->status == 200) {
                      line.Write(Head(*serving,
                                      "Content-Type: text/event-stream\r\n"
                                      "Transfer-Encoding: chunked\r\n"));
@@ -349,7 +367,7 @@
                                   const std::shared_ptr<Serving>& serving) {
   journal_.Count("answers spoiled");
   serving->run->broken = true;
-  const bool events = serving->asked->events;
+  const bool events = serving->asked->events && serving->run->status == 200;
   const std::string whole = events ? Head(*serving, "Transfer-Encoding: chunked\r\n") +
                                          Endpoint::Chunk(EventText("spoiled", 1))
                                    : Whole(*serving);
@@ -403,6 +421,7 @@
   if (!line.open()) return Done(place, endpoint, line);
   if (serving->next_event > serving->last_event) {
     Done(place, endpoint, line);
+    ledger_.RanWhole(serving->id);
     return line.Write("0\r\n\r\n");
   }
   const AskedRequest& asked = *serving->asked;
--- a/tests/tier/tier_seeds/endpoint_fleet.h
+++ b/tests/tier/tier_seeds/endpoint_fleet.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,6 +32,7 @@
   bool events = false;  // Answered by a stream of events.
   bool resumable = false;
   bool is_item = false;  // Of a batch job.
+  bool doomed = false;   // Every endpoint answers 422.
 };
 
 // One run of a request at an endpoint.
@@ -55,12 +57,18 @@
   EndpointRun& Run(const std::string& id, EndpointRun run);
   const EndpointRun* RunWithStamp(const std::string& id, const std::string& stamp) const;
   std::size_t Runs(const std::string& id) const;
+  std::size_t RunsAnswered(const std::string& id, int status) const;
+  std::optional<net::Time> LastRun(const std::string& id) const;
+  // An endpoint has sent its last event.
+  void RanWhole(const std::string& id) { whole_.insert(id); }
+  bool HasWholeRun(const std::string& id) const { return whole_.contains(id); }
 
  private:
   Journal& journal_;
   std::map<std::string, AskedRequest> asked_;
   std::map<std::string, std::vector<std::unique_ptr<EndpointRun>>> runs_;
   std::map<std::string, std::string> promises_;
+  std::set<std::string> whole_;
 };
 
 // Events of a stream: how many, and their data, by the request's target. Those that may not be
--- a/tests/tier/tier_seeds/live_clients.cpp
+++ b/tests/tier/tier_seeds/live_clients.cpp
@@ -260,9 +260,13 @@
   const bool fits =
       outcome.whole ? body == run->body : run->body.compare(0, body.size(), body) == 0;
   if (!fits) {
+    const auto differs =
+        std::mismatch(body.begin(), body.end(), run->body.begin(), run->body.end());
+    const auto at = static_cast<std::size_t>(differs.first - body.begin());
     journal_.Report("MIXED",
                     what + " has another body than its endpoint's: " + std::to_string(body.size()) +
-                        " bytes of " + std::to_string(run->body.size()));
+                        " bytes of " + std::to_string(run->body.size()) + ", other from " +
+                        std::to_string(at) + ": \"" + body.substr(at, 80) + "\"");
   }
 }
 
--- a/tests/tier/tier_seeds/main.cpp
+++ b/tests/tier/tier_seeds/main.cpp
@@ -1,5 +1,5 @@
 // tier_seeds: plays days of whole tiers, one a seed, and prints what it found. Exit codes: 0
-// nothing found, 1 something found, 2 usage.
+// nothing found, 1 something found, 2 usage; with --until-found 0 something found, 1 nothing.
 #include <CLI/CLI.hpp>
 #include <cstdint>
 #include <cstdio>
@@ -23,6 +23,7 @@
   std::uint64_t seed = 0;  // Above 0: this one alone.
   bool trace = false;
   bool counts = false;
+  bool until_found = false;
 };
 
 void Print(const DayResult& day, bool always) {
@@ -33,6 +34,19 @@
   std::cout.flush();
 }
 
+// For a program with a fault compiled in: succeeds with the first seed that finds it.
+int PlayUntilFound(const Wanted& wanted) {
+  for (std::uint64_t seed = wanted.from; seed < wanted.from + wanted.count; ++seed) {
+    const DayResult day = shelflink::tier_seeds::PlayDay(seed, false);
+    if (day.findings.empty()) continue;
+    Print(day, true);
+    return EXIT_SUCCESS;
+  }
+  std::cout << "nothing found by seeds " << wanted.from << " to " << wanted.from + wanted.count - 1
+            << '\n';
+  return EXIT_FAILURE;
+}
+
 int Play(const Wanted& wanted) {
   const std::uint64_t first = wanted.seed > 0 ? wanted.seed : wanted.from;
   const std::uint64_t count = wanted.seed > 0 ? 1 : wanted.count;
@@ -62,6 +76,7 @@
   app.add_option("--seed", wanted.seed, "Only this seed");
   app.add_flag("--trace", wanted.trace, "Print what happens");
   app.add_flag("--counts", wanted.counts, "Print what was played, and how often");
+  app.add_flag("--until-found", wanted.until_found, "Succeed once something is found");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
@@ -69,5 +84,5 @@
     return code == 0 ? 0 : kUsage;
   }
   if (wanted.trace) shelflink::log::Start("tier", shelflink::log::Level::kInfo);
-  return Play(wanted);
+  return wanted.until_found ? PlayUntilFound(wanted) : Play(wanted);
 }
--- /dev/null
+++ b/tests/tier/tier_seeds/mutants.cmake
@@ -0,0 +1,40 @@
+# One program a mutant: a source file of the product with one text replaced, played until a day finds
+# something. A text that does not stand in its file exactly once is an error, so that no mutant is the
+# program itself.
+set(mutant_seeds 60)
+function(tier_seeds_mutant name file text replacement)
+  set(source ${PROJECT_SOURCE_DIR}/src/tier/${file})
+  get_filename_component(base ${file} NAME)
+  set(mutated ${CMAKE_CURRENT_BINARY_DIR}/mutants/${name}/${base})
+  file(READ ${source} whole)
+  string(FIND "${whole}" "${text}" first)
+  string(FIND "${whole}" "${text}" last REVERSE)
+  if(first EQUAL -1 OR NOT first EQUAL last)
+    message(FATAL_ERROR "mutant ${name}: its text stands not exactly once in ${file}")
+  endif()
+  string(REPLACE "${text}" "${replacement}" whole "${whole}")
+  file(CONFIGURE OUTPUT ${mutated} CONTENT "${whole}" @ONLY)
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${source})
+  add_executable(tier_seeds_mutant_${name} main.cpp ${mutated})
+  target_link_libraries(tier_seeds_mutant_${name} PRIVATE tier_seeds_world CLI11::CLI11 ${ARGN}
+    gaugecart_warnings)
+  target_compile_options(tier_seeds_mutant_${name} PRIVATE -Wno-unused-parameter
+    -Wno-unused-variable -Wno-unused-function $<$<CONFIG:Debug>:-O1>)
+  add_test(NAME tier.seeds_mutant_${name}
+    COMMAND tier_seeds_mutant_${name} --until-found --from 1 --count ${mutant_seeds})
+  set_tests_properties(tier.seeds_mutant_${name} PROPERTIES TIMEOUT 600)
+endfunction()
+
+tier_seeds_mutant(orders_taken_are_forgotten configuration/book.cpp
+  [=[  if (WasTaken(committed, *version, digest)) return std::vector<Write>{};]=] "" PkgConfig::GLIB)
+tier_seeds_mutant(any_base_is_current configuration/book.cpp
+  [=[  if (order.base_version != current.version) {]=]
+  [=[  if (order.base_version > current.version) {]=] PkgConfig::GLIB)
+tier_seeds_mutant(surplus_answers_are_taken proxy/answer_reading.cpp
+  [=[if (!id.empty() && id != expected.request_id)]=] [=[if (id.empty())]=])
+tier_seeds_mutant(acknowledged_by_the_primary_alone coordination/replica.cpp
+  [=[    if (disk != options_.disk) limit_by(disk);]=] "")
+tier_seeds_mutant(older_parts_are_taken cluster/view_store.cpp
+  [=[  if (push.version <= versions_[push.part]) return false;]=] "")
+tier_seeds_mutant(what_may_have_run_is_sent_again policy/call.cpp
+  [=[  if (held.may_have_run && !may_repeat) return false;]=] "")
