--- a/src/tier/transport/hub_connections.cpp
+++ b/src/tier/transport/hub_connections.cpp
@@ -140,7 +140,7 @@
   const auto it = connections.find(connection.id());
   closed.push_back(std::move(it->second));
   connections.erase(it);
-  watched.erase(&connection);
+  watched.erase(connection.id());
   Post([this] { closed.clear(); });
 
   const auto open_calls = connection.open_calls();
