Forwarder compiles under -O1 as well

Cause: GCC 12 takes the moved temporary of the acknowledgement for uninitialized with -O1 and sanitizers. Change: a named constant, copied.

--- a/src/tier/operator_api/forwarder.cpp
+++ b/src/tier/operator_api/forwarder.cpp
@@ -40,7 +40,8 @@
   OperatorService::ChangeDone Acknowledge() {
     return [done = std::move(done_)](Result<void> result) {
       if (!result) return done(result.error());
-      done(Answer(Acknowledged{}));
+      const Answer acknowledged = Acknowledged{};
+      done(acknowledged);
     };
   }
 
