A core process ends once others hold what it holds

Cause: told to end, a replica said so and ended at once, and a primary after it had handed its place over, also where it was one of the last f + 1 replicas and its successor still copied; a leaver could keep its place while a replica whose disk is lost was counted for it. Change: it stays a member until no record names it as a replica, at most half of graceS; the place is offered again where nobody could take it; a primary keeps itself named unless f + 1 others that are there have all; learners are invited in place of those that leave; lost disks fill places last. second_loss_test: nothing_leaves_before_enough_others_have_everything, a_machine_that_holds_nothing_alone_leaves_at_once, lost_witnesses_that_may_have_decided_alone_stop_the_rest. Five mutants, each found: witnesses_are_always_odd, lost_witnesses_are_waited_for, lost_witnesses_cannot_have_decided, a_leaver_waits_for_nobody (by second_loss_test) and a_witness_that_answers_is_taken_for_lost (by the explorer).

--- a/src/tier/cluster/core_program.cpp
+++ b/src/tier/cluster/core_program.cpp
@@ -18,8 +18,8 @@
 namespace {
 
 constexpr const char* kModule = "core";
-// For handing the primary's place over before the process ends.
-constexpr Milliseconds kTransferSpan{2000};
+// Where nobody can take the primary's place yet, it is offered again.
+constexpr Milliseconds kOfferAgain{200};
 // For the answers of orders that were under way.
 constexpr Milliseconds kAnswerSpan{200};
 
@@ -50,7 +50,8 @@
         platform_(PlatformOf(settings)),
         service_(loop, hub_, group_, platform_.get(), settings),
         forwarder_(loop, hub_, service_, {}),
-        leave_timer_(loop.NewTimer([this] { loop_.Stop(); })) {
+        leave_timer_(loop.NewTimer([this] { loop_.Stop(); })),
+        hand_over_timer_(loop.NewTimer([this] { HandOver(); })) {
     if (settings.listen_control) {
       server_ = std::make_unique<operator_api::Server>(loop, forwarder_, *settings.listen_control);
       service_.WatchConfiguration(
@@ -68,8 +69,19 @@
     leaving_ = true;
     log::Info(kModule, "told to end: handing over");
     if (server_) server_->StopListening();
-    leave_timer_->ArmAt(loop_.Now() + kTransferSpan);
-    group_.Transfer([this](bool) { leave_timer_->ArmAt(loop_.Now() + kAnswerSpan); });
+    // Others take over what this one alone may hold: that may take a copy of the map.
+    leave_timer_->ArmAt(loop_.Now() + settings_.bounds.grace / 2);
+    HandOver();
+  }
+
+  void HandOver() {
+    group_.Transfer([this](bool moved) {
+      if (moved) {
+        leave_timer_->ArmAt(loop_.Now() + kAnswerSpan);
+      } else {
+        hand_over_timer_->ArmAt(loop_.Now() + kOfferAgain);
+      }
+    });
   }
 
   void ReloadSettings() {
@@ -93,6 +105,7 @@
   operator_api::Forwarder forwarder_;
   std::unique_ptr<operator_api::Server> server_;
   net::TimerPtr leave_timer_;
+  net::TimerPtr hand_over_timer_;
   bool leaving_ = false;
 };
 
--- a/src/tier/coordination/member.cpp
+++ b/src/tier/coordination/member.cpp
@@ -78,6 +78,7 @@
     AdvanceProposal(step, out);
   }
   if (proposal_ && step.now >= proposal_->resend_at) SendProposal(step, out);
+  if (leaving_ && step.now >= ask_for_release_at_) AskForRelease(step, out);
   if (acting_) {
     if (step.now >= renew_at_) {
       SendRenewals(step, out);
@@ -104,6 +105,7 @@
     at = std::min(proposal_->ends_at, proposal_->resend_at);
     if (proposal_->choose_at) at = std::min(at, *proposal_->choose_at);
   }
+  if (leaving_) at = std::min(at, ask_for_release_at_);
   if (!acting_) {
     at = std::min(at, hello_at_);
     if (!proposal_ && MayCampaign()) at = std::min(at, election_at_);
@@ -206,7 +208,12 @@
     out.Bool(Heard(peer, now, silent_after()));
     left(peer.lease_until.value_or(net::Time::max()));
   }
-  out.Uint(held_.size()).Uint(round_).Bool(acting_).Bool(relinquished_).Bool(transferring_);
+  out.Uint(held_.size())
+      .Uint(round_)
+      .Bool(acting_)
+      .Bool(relinquished_)
+      .Bool(transferring_)
+      .Bool(leaving_);
   out.Uint(offered_.size()).Bool(told_role_.primary).Uint(told_role_.epoch);
   left(deadline());
   if (proposal_) proposal_->proposer.Fingerprint(out);
--- a/src/tier/coordination/member.h
+++ b/src/tier/coordination/member.h
@@ -73,8 +73,9 @@
 
   // As primary, while Idle(): as Replica::Propose.
   Result<Position> Propose(Step& step, MemberOutput& out, std::vector<Write> writes);
-  // Hands the primary's place to another; `transferred` tells. A member that is not the primary
-  // tells it that it leaves.
+  // Prepares the end of this process: hands the primary's place to another and waits until the
+  // record names enough others as replicas; `transferred` tells. It stays a member meanwhile. False
+  // where nobody can take the place; may be tried again.
   void Transfer(Step& step, MemberOutput& out);
 
   void SetSeeds(std::vector<net::Address> seeds) { options_.seeds = std::move(seeds); }
@@ -188,9 +189,12 @@
   void UpdateRole(net::Time now, MemberOutput& out);
   void SayHello(MemberOutput& out, bool answer);
   void TryTransfer(Step& step, MemberOutput& out);
+  void AskForRelease(const Step& step, MemberOutput& out);
   std::optional<Record> TransferRecord(net::Time now) const;
   bool Owes(const std::string& disk, net::Time now) const;
   std::vector<CoreMember> Joining(net::Time now) const;
+  void PutLikeliestFirst(std::vector<CoreMember>& replicas, net::Time now) const;
+  std::size_t CountOthersWhole(net::Time now) const;
   std::optional<net::Address> AddressOf(const std::string& disk) const;
   std::optional<net::Time> NextSilence() const;
   std::set<net::Address> OthersKnown() const;
@@ -223,6 +227,8 @@
   net::Time judge_from_{};        // Silence before this is not held against others.
   bool transferring_ = false;
   net::Time transfer_until_{};
+  bool leaving_ = false;  // Not the primary, and ends once no record names it as a replica.
+  net::Time ask_for_release_at_{};
   MemberOutput::Role told_role_;
 };
 
--- a/src/tier/coordination/member_change.cpp
+++ b/src/tier/coordination/member_change.cpp
@@ -10,7 +10,9 @@
   if (replica_.Joined(member.disk)) return false;
   std::vector<CoreMember> staying;
   for (const CoreMember& replica : record().replicas) {
-    if (IsThere(replica.disk, now) && !Owes(replica.disk, now)) staying.push_back(replica);
+    const bool stays =
+        IsThere(replica.disk, now) && !Owes(replica.disk, now) && !Leaves(replica.disk, now);
+    if (stays) staying.push_back(replica);
   }
   if (staying.size() >= most_replicas()) return false;
   std::vector<CoreMember> offered;
@@ -36,6 +38,28 @@
   return joining;
 }
 
+// Replicas that cannot be counted on, by how likely they still have everything when it is needed:
+// those that leave but are there, silent ones, a silent primary, those whose disk is lost.
+void Member::PutLikeliestFirst(std::vector<CoreMember>& replicas, net::Time now) const {
+  const auto doubt = [&](const CoreMember& replica) {
+    if (IsReplaced(replica)) return 3;
+    if (IsThere(replica.disk, now)) return 0;
+    return replica.disk == record().primary ? 2 : 1;
+  };
+  std::stable_sort(replicas.begin(), replicas.end(),
+                   [&](const CoreMember& a, const CoreMember& b) { return doubt(a) < doubt(b); });
+}
+
+// Replicas of the record other than this one that are there to stay and have everything.
+std::size_t Member::CountOthersWhole(net::Time now) const {
+  const auto& replicas = record().replicas;
+  const auto counts = [&](const CoreMember& replica) {
+    return !IsSelf(replica.disk) && IsThere(replica.disk, now) && !Leaves(replica.disk, now) &&
+           replica_.HasAll(replica.disk);
+  };
+  return static_cast<std::size_t>(std::count_if(replicas.begin(), replicas.end(), counts));
+}
+
 std::optional<Record> Member::Improved(net::Time now) const {
   ReplicaSituation situation;
   situation.least = least_replicas();
@@ -48,6 +72,7 @@
         IsThere(replica.disk, now) && !Owes(replica.disk, now) && !Leaves(replica.disk, now);
     (there ? situation.staying : situation.silent).push_back(replica);
   }
+  PutLikeliestFirst(situation.silent, now);
   Record next = record();
   ++next.number;
   next.primary = options_.self.disk;
@@ -95,8 +120,8 @@
 
 void Member::Transfer(Step& step, MemberOutput& out) {
   if (!acting_) {
-    if (const auto primary = primary_address()) Send(out, *primary, Leave{});
-    out.transferred = true;
+    leaving_ = true;
+    AskForRelease(step, out);
   } else if (!transferring_) {
     transferring_ = true;
     transfer_until_ = step.now + options_.lease * 4 / 5;
@@ -105,6 +130,17 @@
   Finish(step, out);
 }
 
+// The primary names others in its place, once these have everything. What no record names as a
+// replica any more is held by enough others.
+void Member::AskForRelease(const Step& step, MemberOutput& out) {
+  if (FindDisk(record().replicas, options_.self.disk) == nullptr) {
+    leaving_ = false;
+    out.transferred = true;
+  }
+  ask_for_release_at_ = step.now + renew_every();
+  if (const auto primary = primary_address()) Send(out, *primary, Leave{});
+}
+
 void Member::TryTransfer(Step& step, MemberOutput& out) {
   if (review_at_ && step.now < transfer_until_) return;
   std::optional<Record> record = TransferRecord(step.now);
@@ -121,6 +157,7 @@
   for (const CoreMember& replica : record().replicas) {
     const Peer* const peer = FindPeer(replica.disk);
     if (IsSelf(replica.disk) || peer == nullptr || !IsThere(replica.disk, now)) continue;
+    if (Leaves(replica.disk, now)) continue;
     if (target == nullptr || !replica_.HasAll(target->member.disk)) target = peer;
   }
   if (target == nullptr) return std::nullopt;
@@ -132,7 +169,7 @@
   for (const CoreMember& replica : next.replicas) {
     if (!IsSelf(replica.disk)) others.push_back(replica);
   }
-  if (others.size() >= least_replicas()) next.replicas = std::move(others);
+  if (CountOthersWhole(now) >= least_replicas()) next.replicas = std::move(others);
   return next;
 }
 
--- a/src/tier/coordination/member_election.cpp
+++ b/src/tier/coordination/member_election.cpp
@@ -190,18 +190,11 @@
   situation.least = least_replicas();
   situation.most = std::max(most_replicas(), record().replicas.size());
   situation.staying = {options_.self};
-  std::optional<CoreMember> former;
   for (const CoreMember& replica : record().replicas) {
     if (IsSelf(replica.disk)) continue;
-    if (IsThere(replica.disk, now)) {
-      situation.staying.push_back(replica);
-    } else if (replica.disk == record().primary) {
-      former = replica;
-    } else {
-      situation.silent.push_back(replica);
-    }
+    (IsThere(replica.disk, now) ? situation.staying : situation.silent).push_back(replica);
   }
-  if (former) situation.silent.push_back(*former);
+  PutLikeliestFirst(situation.silent, now);
   Record next = record();
   ++next.number;
   next.primary = options_.self.disk;
@@ -233,9 +226,13 @@
   AwaitPrimary(step.now);
   if (transferring_ && !acting_) {
     transferring_ = false;
-    out.transferred = true;
-    if (const auto primary = primary_address()) Send(out, *primary, Leave{});
+    leaving_ = true;
+  }
+  if (leaving_ && acting_) {
+    leaving_ = false;
+    out.transferred = false;  // It has got the place, to be handed over first.
   }
+  if (leaving_) AskForRelease(step, out);
   const std::vector<CoreMember> members = MembersOf(record);
   if (acting_) {
     renew_at_ = step.now;
--- a/tests/tier/coordination/mutants.cmake
+++ b/tests/tier/coordination/mutants.cmake
@@ -1,9 +1,14 @@
-# One test a mutant: a source file with one text replaced, explored until something is broken. A text
-# that does not stand in its file exactly once is an error, so that no mutant is the program itself.
+# One test a mutant: a source file with one text replaced. A text that does not stand in its file
+# exactly once is an error, so that no mutant is the program itself.
 add_library(tier_mutant_main OBJECT mutant_main.cpp)
 target_link_libraries(tier_mutant_main PRIVATE tier_coordination_world gaugecart_warnings)
+add_library(tier_second_loss_main OBJECT second_loss_test.cpp)
+target_compile_definitions(tier_second_loss_main PRIVATE BOOST_TEST_DYN_LINK)
+target_link_libraries(tier_second_loss_main PRIVATE tier_coordination_world gaugecart_warnings
+  Boost::unit_test_framework)
 
-function(coordination_mutant name file text replacement)
+# Makes the program tier_mutant_NAME: `main` with the mutated file.
+function(add_coordination_mutant main name file text replacement)
   set(source ${PROJECT_SOURCE_DIR}/src/tier/coordination/${file})
   set(mutated ${CMAKE_CURRENT_BINARY_DIR}/mutants/${name}/${file})
   file(READ ${source} whole)
@@ -16,13 +21,27 @@
   file(CONFIGURE OUTPUT ${mutated} CONTENT "${whole}" @ONLY)
   set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${source})
   add_executable(tier_mutant_${name} ${mutated})
-  target_link_libraries(tier_mutant_${name} PRIVATE tier_mutant_main tier_coordination_world
+  target_link_libraries(tier_mutant_${name} PRIVATE ${main} tier_coordination_world
     gaugecart_warnings)
   target_compile_options(tier_mutant_${name} PRIVATE -Wno-unused-parameter -Wno-unused-variable
     $<$<CONFIG:Debug>:-O1>)
+endfunction()
+
+# Explored until something is found broken.
+function(coordination_mutant name file text replacement)
+  add_coordination_mutant(tier_mutant_main ${name} ${file} "${text}" "${replacement}")
   add_test(NAME tier.mutant_${name} COMMAND tier_mutant_${name})
 endfunction()
 
+# Found by that case of second_loss_test, which passes with the program itself.
+function(second_loss_mutant case name file text replacement)
+  add_coordination_mutant(tier_second_loss_main ${name} ${file} "${text}" "${replacement}")
+  target_link_libraries(tier_mutant_${name} PRIVATE Boost::unit_test_framework)
+  add_test(NAME tier.mutant_${name} COMMAND tier_mutant_${name} --run_test=${case})
+  set_tests_properties(tier.mutant_${name} PROPERTIES
+    PASS_REGULAR_EXPRESSION "error: in \"${case}\"" FAIL_REGULAR_EXPRESSION "AddressSanitizer")
+endfunction()
+
 coordination_mutant(votes_are_not_stored witness.cpp
   [=[  step.storage.Apply(batch);
   step.wants_sync = true;]=] "")
@@ -61,3 +80,21 @@
   if (record().number > 0) return true;]=])
 coordination_mutant(too_few_replicas_suffice choice.cpp
   [=[  AddUpTo(chosen, situation.silent, situation.least);]=] "")
+coordination_mutant(a_witness_that_answers_is_taken_for_lost record.cpp
+  [=[  if (FindDisk(base.witnesses, member.disk) != nullptr) return nullptr;]=] "")
+second_loss_mutant(as_many_disks_as_tolerated_are_lost_at_one_instant
+  witnesses_are_always_odd choice.cpp
+  [=[  return odd || known <= 2 * failures ? known : known - 1;]=]
+  [=[  return odd ? known : known - 1;]=])
+second_loss_mutant(as_many_disks_as_tolerated_are_lost_at_one_instant
+  lost_witnesses_are_waited_for record.cpp
+  [=[  return gone > 0 && agreed + gone >= base.witnesses.size();]=] [=[  return false;]=])
+second_loss_mutant(lost_witnesses_that_may_have_decided_alone_stop_the_rest
+  lost_witnesses_cannot_have_decided record.cpp
+  [=[  if (gone >= Majority(base)) return false;  // They alone may have decided already.]=] "")
+second_loss_mutant(nothing_leaves_before_enough_others_have_everything
+  a_leaver_waits_for_nobody member_change.cpp
+  [=[  if (FindDisk(record().replicas, options_.self.disk) == nullptr) {
+    leaving_ = false;]=]
+  [=[  {
+    leaving_ = false;]=])
--- a/tests/tier/coordination/second_loss_test.cpp
+++ b/tests/tier/coordination/second_loss_test.cpp
@@ -69,12 +69,18 @@
 
   // Only disks that exist are named, as many as there should be.
   void CheckRedundant(const std::string& what) const {
+    CheckAllExist(NewestRecord().witnesses, what);
+    CheckReplicasExist(what);
+  }
+
+  void CheckReplicasExist(const std::string& what) const {
     const Record& record = NewestRecord();
     BOOST_TEST(record.replicas.size() >= size_.failures + 1, what);
-    BOOST_TEST(record.replicas.size() ==
-                   std::min(running.size(), std::max(record.replicas.size(), size_.failures + 1)),
-               what);
-    for (const CoreMember& member : MembersOf(record)) {
+    CheckAllExist(record.replicas, what);
+  }
+
+  void CheckAllExist(const std::vector<CoreMember>& members, const std::string& what) const {
+    for (const CoreMember& member : members) {
       const bool exists = std::any_of(running.begin(), running.end(), [&](std::size_t node) {
         return world.up(node) && world.nodes[node].identity == member.disk;
       });
@@ -158,6 +164,22 @@
   }
 }
 
+// Those that are lost may have decided a record that nobody else knows: the rest must not decide
+// another one, though that means that it stands still.
+BOOST_AUTO_TEST_CASE(lost_witnesses_that_may_have_decided_alone_stop_the_rest) {
+  for (const Size size : {Size{3, 2}, Size{5, 3}}) {
+    const Core founded(size);
+    for (const auto& wiped : Subsets(size.members, size.failures)) {
+      Core core = founded;
+      core.LoseAtOnce(wiped);
+      core.world.Run(seconds(10));
+      BOOST_TEST(!core.world.Primary().has_value(), NameOf(size, "goes on\n")
+                                                        << core.world.Describe());
+      for (const std::string& finding : core.world.history.findings()) BOOST_ERROR(finding);
+    }
+  }
+}
+
 // Each machine in turn, twice round: by the time one counts again, the next may go.
 BOOST_AUTO_TEST_CASE(disks_are_lost_one_after_the_other_under_load) {
   std::vector<Size> sizes = kFullyPromised;
@@ -214,5 +236,72 @@
   }
 }
 
+// A machine is told to end while another is lost for good and the successor of that one still
+// copies: it ends only once enough others have everything and are named.
+BOOST_AUTO_TEST_CASE(nothing_leaves_before_enough_others_have_everything) {
+  for (const Size size : {Size{3, 1}, Size{4, 2}, Size{5, 2}}) {
+    for (const bool primary_leaves : {false, true}) {
+      for (std::size_t lost = 0; lost < size.members; ++lost) {
+        // With that, exactly enough replicas are left to acknowledge.
+        Core core(size, 1);
+        const std::size_t gone = size.members - size.failures - 1;
+        std::size_t leaver = core.world.Primary().value();
+        std::vector<std::size_t> lost_ones;
+        for (std::size_t i = 0; lost_ones.size() < gone; ++i) {
+          const std::size_t node = (lost + i) % size.members;
+          if (node != leaver) lost_ones.push_back(node);
+        }
+        for (const std::size_t node : lost_ones) {
+          core.world.Wipe(node);
+          std::erase(core.running, node);
+        }
+        core.RunUnderLoad(seconds(2));
+        if (!primary_leaves) {
+          const auto other = std::find_if(core.running.begin(), core.running.end(),
+                                          [&](std::size_t node) { return node != leaver; });
+          leaver = *other;
+        }
+        core.world.seeds = core.running;
+        const std::size_t successor = size.members;
+        core.world.Start(successor);
+        core.running.push_back(successor);
+        // What the successor needs is held up for a while.
+        const World::Trouble slow{[&](std::size_t from, std::size_t to) {
+                                    return from != to && (to == successor || from == successor);
+                                  },
+                                  nullptr};
+        core.world.Transfer(leaver);
+        const auto left = [&] { return core.world.nodes[leaver].transferred.value_or(false); };
+        core.RunUnderLoad(seconds(1), slow);
+        const std::string what = NameOf(size, primary_leaves ? "the primary" : "a replica");
+        BOOST_TEST(!left(), what << "left too early\n" << core.world.Describe());
+        for (int i = 0; i < 300 && !left(); ++i) core.RunUnderLoad(milliseconds(10));
+        BOOST_TEST(left(), what << "never left\n" << core.world.Describe());
+        // Taken away, disk and all.
+        core.world.Wipe(leaver);
+        std::erase(core.running, leaver);
+        const Record record = core.NewestRecord();
+        BOOST_TEST(FindDisk(record.replicas, core.world.nodes[successor].identity) != nullptr);
+        core.CheckServesAll(what);
+        core.CheckReplicasExist(what);
+      }
+    }
+  }
+}
+
+// With enough others nothing is waited for.
+BOOST_AUTO_TEST_CASE(a_machine_that_holds_nothing_alone_leaves_at_once) {
+  for (const Size size : {Size{3, 1}, Size{4, 1}, Size{4, 2}, Size{5, 2}, Size{8, 2}}) {
+    for (std::size_t leaver = 0; leaver < size.members; ++leaver) {
+      Core core(size);
+      core.world.Transfer(leaver);
+      core.RunUnderLoad(milliseconds(200));
+      BOOST_TEST(core.world.nodes[leaver].transferred.value_or(false),
+                 NameOf(size, "leaver") << leaver << "\n"
+                                        << core.world.Describe());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace shelflink::coordination
