--- a/src/tier/batch/hosted_partition.cpp
+++ b/src/tier/batch/hosted_partition.cpp
@@ -28,6 +28,12 @@
 
 }  // namespace
 
+bool Names(const cluster::PartitionRow& row, const std::string& disk) {
+  const auto& backups = row.backup_disks;
+  return row.primary_disk == disk ||
+         std::find(backups.begin(), backups.end(), disk) != backups.end();
+}
+
 std::string HostedPartition::PrefixOf(std::uint32_t partition) {
   return "p" + std::to_string(partition) + "/";
 }
@@ -48,6 +54,10 @@
   life_ = life;
   TakeMembers(row);
   NoteEpoch(row.epoch);
+  if (IsStartedEmpty()) {
+    Erase();
+    replica_ = coordination::Replica(ReplicaOptions(around_, partition_), around_.storage);
+  }
   const bool nothing_stored = !replica_.complete() && replica_.tail_entries() == 0 &&
                               replica_.committed() == coordination::Position{};
   if (complete_in_row_ && nothing_stored) {
@@ -68,6 +78,7 @@
 
 void HostedPartition::TakeMembers(const cluster::PartitionRow& row) {
   row_ = row;
+  full_disks_.clear();  // One that has left says no more; the others say so again.
   named_ = true;
   complete_in_row_ = row.primary_disk == around_.disk;
   addresses_[row.primary_disk] = row.primary;
@@ -77,6 +88,13 @@
   }
 }
 
+// The row's one complete copy is here, and yet it never became whole here: all that were complete
+// are gone, and the core goes on with what is left. Nothing of a part is worth keeping.
+bool HostedPartition::IsStartedEmpty() const {
+  const bool alone = row_.primary_disk == around_.disk && complete_copies() == 1;
+  return alone && !replica_.complete();
+}
+
 void HostedPartition::Act() {
   act_from_.reset();
   AssignEpoch(ReplicaEpoch(row_.epoch, life_), true);
@@ -167,20 +185,20 @@
                                std::move(message)});
 }
 
-void HostedPartition::OnFrame(const ReplicaFrame& frame, std::size_t bytes) {
+FrameUse HostedPartition::OnFrame(const ReplicaFrame& frame, std::size_t bytes) {
   const std::uint64_t row_epoch = RowEpochOf(frame.epoch);
   NoteEpoch(row_epoch);
   if (row_epoch > row_.epoch) {
-    if (!frame.message || early_bytes_ + bytes > kMostEarlyBytes) return;
+    if (!frame.message || early_bytes_ + bytes > kMostEarlyBytes) return FrameUse::kTaken;
     early_.emplace_back(frame, bytes);
     early_bytes_ += bytes;
-    return;
+    return FrameUse::kTaken;
   }
   if (row_epoch < row_.epoch) {
     SendTo(frame.disk, std::nullopt);  // It learns that it acts in an older row.
-    return;
+    return FrameUse::kOlderEpoch;
   }
-  if (!named_) return;
+  if (!named_ || !Names(row_, frame.disk)) return FrameUse::kUnnamed;
   if (frame.has_room) {
     full_disks_.erase(frame.disk);
   } else {
@@ -190,12 +208,13 @@
   if (from_primary && frame.epoch > replica_.epoch()) AssignEpoch(frame.epoch, false);
   if (acting() && frame.epoch < replica_.epoch()) {
     SendTo(frame.disk, std::nullopt);  // It learns this primary's life.
-    return;
+    return FrameUse::kOlderEpoch;
   }
-  if (frame.epoch != replica_.epoch() || !frame.message) return;
+  if (frame.epoch != replica_.epoch() || !frame.message) return FrameUse::kTaken;
   Run([&](coordination::Step& step, coordination::ReplicaOutput& out) {
     replica_.OnMessage(step, out, frame.disk, *frame.message);
   });
+  return FrameUse::kTaken;
 }
 
 void HostedPartition::TakeEarlyFrames() {
--- a/src/tier/batch/hosted_partition.h
+++ b/src/tier/batch/hosted_partition.h
@@ -37,6 +37,16 @@
   std::function<void()> role_changed;  // `acting` or `leading` is another; look again, later.
 };
 
+// Whether the row gives that disk a part, as primary or as backup.
+bool Names(const cluster::PartitionRow& row, const std::string& disk);
+
+// What came of a frame: taken, or why it was dropped.
+enum class FrameUse : std::uint8_t {
+  kTaken,
+  kOlderEpoch,  // Of a row or a primary that is over.
+  kUnnamed,     // The row does not name its disk, or not this one.
+};
+
 class HostedPartition : public PartitionLog {
  public:
   HostedPartition(PartitionSurroundings& around, std::uint32_t partition);
@@ -52,7 +62,7 @@
   // A newer row does not name this disk: nothing more is vouched for.
   void LeaveRow(std::uint64_t epoch);
   // `bytes`: its size on the wire.
-  void OnFrame(const ReplicaFrame& frame, std::size_t bytes);
+  FrameUse OnFrame(const ReplicaFrame& frame, std::size_t bytes);
   // About every resend pause. Of the row's other disks: who stalls, who became complete.
   void OnTimer();
   std::vector<std::string> Stalled(net::Span patience) const;
@@ -70,8 +80,8 @@
   bool learning() const { return named_ && !complete_in_row_; }
   bool named() const { return named_; }
   bool acting() const { return replica_.acting(); }
-  // Counts how often this process began to act as the primary: what was known in an earlier term may
-  // be void, for another may have acted in between.
+  // Counts how often this process began to act as the primary: what was known in an earlier term
+  // may be void, for another may have acted in between.
   std::uint64_t term() const { return term_; }
   std::size_t complete_copies() const;
   std::uint64_t row_epoch() const { return row_.epoch; }
@@ -97,6 +107,7 @@
   void TakeMembers(const cluster::PartitionRow& row);
   // Tells the others, and who was primary before, which epoch this primary acts in.
   void Announce(const std::string& primary_before);
+  bool IsStartedEmpty() const;
   void Act();
   void AssignEpoch(std::uint64_t epoch, bool acting);
   void TakeEarlyFrames();
@@ -115,7 +126,7 @@
   std::vector<std::pair<ReplicaFrame, std::size_t>> early_;
   std::size_t early_bytes_ = 0;
   std::tuple<bool, bool, std::uint64_t> told_role_;  // Acting, leading, the term.
-  std::set<std::string> full_disks_;  // Of the other replicas.
+  std::set<std::string> full_disks_;                 // Of the other replicas.
   std::deque<std::pair<coordination::Position, Done>> commits_;
   net::Time active_at_{};
   net::Time left_at_{};
--- a/src/tier/batch/job_book_runs.cpp
+++ b/src/tier/batch/job_book_runs.cpp
@@ -27,7 +27,10 @@
   Assignment assignment;
   assignment.payload_key = RecordKey(RecordKind::kPayload, job.key, waiting->item);
   Assign& message = assignment.message;
-  message.item = {{0, 0, job.header.tenant, job.header.host, job.header.job}, header.id};
+  message.item.job.tenant = job.header.tenant;
+  message.item.job.host = job.header.host;
+  message.item.job.job = job.header.job;
+  message.item.item = header.id;
   message.lease = lease;
   message.route = job.header.route;
   message.tokens = header.tokens;
@@ -121,6 +124,8 @@
     const bool same = item.lease == adoption.lease;
     if (!same || leases_.Find(item.lease)->holder != holder.address) return LeaseStatus::kRevoked;
     leases_.Renew(now, item.lease);
+  } else if (leases_.Find(adoption.lease) != nullptr) {
+    return LeaseStatus::kRevoked;  // It is another item's: no store has given it for this one.
   } else {
     LeaveQueue(*at);
     GiveLease(adoption.lease,
