--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -76,6 +76,8 @@
 // service.
 struct UpstreamTerms {
   std::string remaining_header = "X-Remaining-Ms";  // Set by each send: what is left, in ms.
+  // Names a request to endpoints, who give it back; empty: the attempt's key alone names it.
+  std::string request_id_header;
   std::function<Reading(AttemptKey, const HttpResponse& head)> read_head = ReadHead;
   // The longest silence inside an answer that is held whole: 0: until the attempt's end.
   std::chrono::milliseconds answer_silence{300};
@@ -84,6 +86,9 @@
   // Whether what has come is read before an attempt's time is over: a process that stood still
   // finds its timers due and its answers unread.
   bool read_before_time_up = false;
+  // Whether an answer that begins before the request's last byte was written counts as the
+  // request's own. If so the request may have run from then on, and the connection is not reused.
+  bool early_answers = false;
 };
 
 // A request as it goes to an endpoint. The message must stay where it is until the attempt is over
@@ -174,7 +179,7 @@
   Endpoint* Find(gaugecart::EndpointId id);
   ConnectionPtr AttemptOf(Key key) const;  // Null once it is over.
   // The idle connection to use for this message; null if a new one is to be opened.
-  ConnectionPtr TakeIdle(Endpoint& endpoint, const Outbound& outbound);
+  ConnectionPtr TakeIdle(Endpoint& endpoint, Key key, const Outbound& outbound);
   // A reused connection broke before any answer: it may have been dropped while it lay idle.
   void NoteStale(net::Span idle);
 
--- a/src/tier/batch/replica_host.h
+++ b/src/tier/batch/replica_host.h
@@ -33,6 +33,7 @@
 #include "tier/batch/messages.h"
 #include "tier/batch/partition_replicas.h"
 #include "tier/cluster/messages.h"
+#include "tier/foundation/drop_counter.h"
 #include "tier/storage/storage.h"
 #include "tier/transport/hub.h"
 
@@ -50,7 +51,8 @@
     std::size_t most_catching_up = 16;  // Partitions at a time, the most exposed ones first.
   };
   struct Outside {
-    std::function<net::Time()> lease_until;  // Of this process at the core.
+    // Of this process at the core, under the newest placement that the core told.
+    std::function<net::Time()> lease_until;
     std::function<void(const cluster::BackupReport&)> report;
     // What the results of accepted items may still need of this disk; empty: nothing.
     std::function<std::uint64_t()> reserved_bytes = nullptr;
@@ -65,6 +67,9 @@
 
   void SetEvents(Events events) override { events_ = std::move(events); }
   void OnPlacement(const cluster::Placement& placement) override;
+  void LeadAnew(std::uint32_t partition) override;
+  // Frames of other stores, by cause: "malformed", "older_epoch", "unnamed_disk", "not_hosted".
+  const DropCounter::Counts& dropped() const { return dropped_; }
 
  private:
   void CountLife();
@@ -72,6 +77,7 @@
   void TakeRow(std::uint32_t partition, const cluster::PartitionRow& row);
   bool IsStored(std::uint32_t partition) const;
   void OnFrame(const transport::PeerIdentity& from, std::string_view body);
+  void CountUse(FrameUse use, const ReplicaFrame& frame, const transport::PeerIdentity& from);
 
   void LookLater();
   void Look();
@@ -95,12 +101,14 @@
   Options options_;
   Outside outside_;
   Events events_;
+  DropCounter::Counts dropped_;
+  DropCounter drops_;
   std::unique_ptr<PartitionSurroundings> around_;
   std::uint64_t life_ = 0;
   bool life_is_synced_ = false;
   std::optional<cluster::Placement> placement_;
   std::map<std::uint32_t, std::unique_ptr<HostedPartition>> hosted_;
-  std::set<std::uint32_t> led_;  // As told to the service.
+  std::map<std::uint32_t, std::uint64_t> led_;  // As told to the service, with the terms.
   bool look_posted_ = false;
   bool learn_posted_ = false;
   coordination::Ticket ticket_ = 0;
