--- a/tests/tier/proxy/live_rules_test.cpp
+++ b/tests/tier/proxy/live_rules_test.cpp
@@ -347,3 +347,40 @@
   BOOST_TEST(answer.whole);
   BOOST_TEST(answer.body == Events(1, 4));
 }
+
+// ---- Answers that begin before their request's body has been read ----
+
+BOOST_AUTO_TEST_CASE(an_early_stream_or_long_answer_passes_while_the_body_goes_out) {
+  const std::string body(400'000, 'p');
+  const std::string long_answer(200'000, 'b');
+  for (const bool stream : {false, true}) {
+    for (const bool reads_on : {false, true}) {
+      BOOST_TEST_CONTEXT("stream " << stream << ", reads on " << reads_on) {
+        World world;
+        Line* first = nullptr;
+        Endpoint& endpoint = world.Add([](Line&, const Message&) {});
+        endpoint.on_head = [&](Line& line, const Message& request) {
+          if (first != nullptr) return;
+          first = &line;
+          line.Hold();
+          if (reads_on) endpoint.Later(milliseconds(100), [&line] { line.ReadOn(); });
+          if (stream) return endpoint.Stream(line, request, 20, milliseconds(20));
+          line.Write(Endpoint::Whole(request, long_answer));
+        };
+        auto client = world.Ask(Request(stream ? "/stream/a" : "/post/a", "01", "", body));
+        world.Run(milliseconds(1000));
+        const Message answer = client->Answer();
+        BOOST_TEST(answer.whole);
+        BOOST_TEST((answer.body == (stream ? Events(1, 20) : long_answer)));
+        BOOST_REQUIRE(first != nullptr);
+        if (!reads_on) first->ReadOn();  // So that it sees the end.
+        world.Run(milliseconds(100));
+        BOOST_TEST(!first->open());
+        BOOST_TEST(endpoint.connections == 1U);
+        const std::string& text = first->received();
+        const std::size_t begin = text.find("\r\n\r\n") + 4;
+        BOOST_TEST(text.find_first_not_of('p', begin) == std::string::npos);
+      }
+    }
+  }
+}
