--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -94,6 +94,7 @@
     in_parts_ = more_;
     request_in_parts_ = more_;
     skipped_ = false;
+    wire_id_ = WireIdOf(outbound.message);
     done_ = std::move(done);
     written_ = false;
     passing_ = false;
@@ -114,6 +115,10 @@
 
   bool connecting() const { return state_ == State::kConnecting; }
   net::Time idle_since() const { return idle_since_; }
+  // Whether its last attempt was of the same request, as its endpoint knows requests.
+  bool LastCarried(Key key, const HttpRequest& message) const {
+    return key_.first == key.first || (!wire_id_.empty() && wire_id_ == WireIdOf(message));
+  }
 
   void Finish(OutcomeCode code, HttpResponse answer = {}, bool reusable = false) {
     const auto self = shared_from_this();
@@ -460,7 +465,13 @@
   Reading reading_;                         // Of the answer's head.
   OutcomeCode code_ = OutcomeCode::kError;  // The same, or none yet.
   net::Span idle_span_{};                   // How long it may lie idle after the present answer.
+  std::string WireIdOf(const HttpRequest& message) const {
+    const std::string& header = owner_.terms_.request_id_header;
+    return header.empty() ? std::string() : std::string(View(message[header]));
+  }
+
   Key key_{};
+  std::string wire_id_;             // Of the present or last request, in the header's words.
   HttpRequest* message_ = nullptr;  // The caller keeps it until the attempt is over.
   bool written_ = false;            // The machine has its last byte.
   int interim_ = 0;
@@ -540,7 +551,7 @@
     return done({OutcomeCode::kNeverSent, {}});
   }
   Endpoint& endpoint = it->second;
-  ConnectionPtr connection = TakeIdle(endpoint, outbound);
+  ConnectionPtr connection = TakeIdle(endpoint, key, outbound);
   if (!connection) {
     if (!budget_.TakeForAttempt()) return done({OutcomeCode::kConnectFailed, {}});
     connection = std::make_shared<Connection>(*this, id, endpoint);
@@ -553,18 +564,22 @@
 // in between): a request that then goes out on one ends as a reset, and one that must not run twice
 // is lost by that. While there is doubt such requests get a connection of their own; repeatable
 // ones go on using what lies idle, and so show for how long the doubt lasts. Harm: handshakes.
-Upstream::ConnectionPtr Upstream::TakeIdle(Endpoint& endpoint, const Outbound& outbound) {
+//
+// One that carried an earlier attempt of the same request is not taken either: a second answer to
+// that attempt may still come, and bears the id that this one waits for.
+Upstream::ConnectionPtr Upstream::TakeIdle(Endpoint& endpoint, Key key, const Outbound& outbound) {
   const net::Time now = loop_.Now();
   const bool wary = now < doubt_until_ && !Repeatable(outbound);
-  while (!endpoint.idle.empty()) {
-    ConnectionPtr connection = endpoint.idle.back();
+  for (std::size_t index = endpoint.idle.size(); index > 0; --index) {
+    ConnectionPtr connection = endpoint.idle[index - 1];
+    if (connection->LastCarried(key, outbound.message)) continue;
     if (wary && now - connection->idle_since() > kTrustedIdle) {
       // The new one takes the place of the oldest, so that their number does not grow.
       endpoint.idle.front()->Close();
       endpoint.idle.pop_front();
       return nullptr;
     }
-    endpoint.idle.pop_back();
+    std::erase(endpoint.idle, connection);
     if (connection->Alive()) return connection;
     connection->Close();
   }
--- a/src/tier/batch/hosted_partition.h
+++ b/src/tier/batch/hosted_partition.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -36,6 +37,16 @@
   std::function<void()> role_changed;  // `acting` or `leading` is another; look again, later.
 };
 
+// Whether the row gives that disk a part, as primary or as backup.
+bool Names(const cluster::PartitionRow& row, const std::string& disk);
+
+// What came of a frame: taken, or why it was dropped.
+enum class FrameUse : std::uint8_t {
+  kTaken,
+  kOlderEpoch,  // Of a row or a primary that is over.
+  kUnnamed,     // The row does not name its disk, or not this one.
+};
+
 class HostedPartition : public PartitionLog {
  public:
   HostedPartition(PartitionSurroundings& around, std::uint32_t partition);
@@ -51,7 +62,7 @@
   // A newer row does not name this disk: nothing more is vouched for.
   void LeaveRow(std::uint64_t epoch);
   // `bytes`: its size on the wire.
-  void OnFrame(const ReplicaFrame& frame, std::size_t bytes);
+  FrameUse OnFrame(const ReplicaFrame& frame, std::size_t bytes);
   // About every resend pause. Of the row's other disks: who stalls, who became complete.
   void OnTimer();
   std::vector<std::string> Stalled(net::Span patience) const;
@@ -59,7 +70,7 @@
   std::vector<std::string> RequireJoined();
   void CatchUp();
   // As a joiner: everything has come, as far as is known here.
-  bool caught_up() const { return asked_to_catch_up_ && replica_.complete(); }
+  bool caught_up() const { return asked_to_catch_up_ && replica_.caught_up(); }
 
   // This process is the primary and everything earlier is in force.
   bool leading() const { return replica_.Serving() && named_; }
@@ -69,6 +80,9 @@
   bool learning() const { return named_ && !complete_in_row_; }
   bool named() const { return named_; }
   bool acting() const { return replica_.acting(); }
+  // Counts how often this process began to act as the primary: what was known in an earlier term
+  // may be void, for another may have acted in between.
+  std::uint64_t term() const { return term_; }
   std::size_t complete_copies() const;
   std::uint64_t row_epoch() const { return row_.epoch; }
   // When a row left this disk out; only if not named.
@@ -93,6 +107,7 @@
   void TakeMembers(const cluster::PartitionRow& row);
   // Tells the others, and who was primary before, which epoch this primary acts in.
   void Announce(const std::string& primary_before);
+  bool IsStartedEmpty() const;
   void Act();
   void AssignEpoch(std::uint64_t epoch, bool acting);
   void TakeEarlyFrames();
@@ -110,14 +125,15 @@
   // Of rows that this store has yet to be told, with their sizes; a few, see kMostEarlyBytes.
   std::vector<std::pair<ReplicaFrame, std::size_t>> early_;
   std::size_t early_bytes_ = 0;
-  std::pair<bool, bool> told_role_;   // Acting, leading.
-  std::set<std::string> full_disks_;  // Of the other replicas.
+  std::tuple<bool, bool, std::uint64_t> told_role_;  // Acting, leading, the term.
+  std::set<std::string> full_disks_;                 // Of the other replicas.
   std::deque<std::pair<coordination::Position, Done>> commits_;
   net::Time active_at_{};
   net::Time left_at_{};
   bool asked_to_catch_up_ = false;     // In this epoch.
   std::optional<net::Time> act_from_;  // A row with a joiner: acts from then on, see TakeRow.
   std::uint64_t life_ = 0;
+  std::uint64_t term_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
