--- /dev/null
+++ b/tests/tier/batch/mutants.cmake
@@ -0,0 +1,52 @@
+# What keeps batch jobs is taken out one check at a time; each must be found (docs/design/hardening.md).
+set(batch_store_libraries shelflink_tier_store shelflink_tier_core shelflink_virtual)
+
+tier_mutant(lost_copies_are_dropped_at_once cluster/placement.cpp
+  [=[    if (CountWhole(partition, copies) < rules_.copies) return;
+]=] "" TEST batch/store_loss_test RUN many_lose_power_and_then_disks_are_lost
+  LIBRARIES ${batch_store_libraries})
+tier_mutant(stalled_copies_are_dropped_at_once cluster/placement.cpp
+  [=[if (copy.complete || !lost) continue;]=] [=[if (!lost) continue;]=]
+  TEST batch/store_loss_test RUN disks_are_lost_while_a_joiner_comes_for_a_stalled_backup
+  LIBRARIES ${batch_store_libraries})
+tier_mutant(told_before_it_is_durable batch/partition_server.cpp
+  [=[  if (book_.revision() <= durable_) {
+    reply(]=] [=[  if (true) {
+    Changed();
+    reply(]=]
+  TEST batch/store_loss_test RUN many_lose_power_and_then_disks_are_lost,promises_hold_*
+  LIBRARIES ${batch_store_libraries})
+tier_mutant(served_without_a_lease batch/hosted_partition.cpp
+  [=[         around_.loop.Now() < around_.lease_until();]=] [=[         true;]=]
+  TEST batch/store_loss_test RUN promises_hold_* LIBRARIES ${batch_store_libraries})
+tier_mutant(a_part_of_a_partition_stands_still batch/hosted_partition.cpp
+  [=[  return alone && !replica_.complete();]=] [=[  return false;]=]
+  TEST batch/store_loss_test RUN a_partition_that_lost_every_complete_copy_takes_new_jobs
+  LIBRARIES ${batch_store_libraries})
+tier_mutant(leases_count_under_any_placement cluster/agent.cpp
+  [=[    if (!IsStale(Part::kPlacement)) placement_lease_until]=] [=[    placement_lease_until]=]
+  TEST cluster/agent_test RUN a_lease_decides_nothing_by_a_placement_that_was_replaced
+  LIBRARIES shelflink_tier_core shelflink_virtual)
+tier_mutant(whoever_ends_inside_an_event_is_whole batch/item_run.cpp
+  [=[ && !inside_event_;]=] [=[;]=]
+  TEST batch/item_run_test RUN an_answer_that_ends_inside_an_event_is_not_whole
+  LIBRARIES shelflink_tier_batch_front shelflink_virtual)
+tier_mutant(repeats_are_counted_as_new batch/job_book.cpp
+  [=[  if (const auto found = jobs_.FindKey(key)) {]=]
+  [=[  const auto found = jobs_.FindKey(key);
+  if (found && Fits(submit, owner, TokensOf(submit.items))) {]=]
+  TEST batch/job_book_test RUN a_job_that_comes_again_is_never_refused_for_the_quota
+  LIBRARIES shelflink_tier_batch_book)
+tier_mutant(failures_are_forgotten_by_the_next_primary batch/job_book_runs.cpp
+  [=[  Store(RecordKey(RecordKind::kAttempts, at.job->key, at.item), EncodeRecord(item.attempts));
+]=] "" TEST batch/job_book_test RUN an_item_that_always_fails_runs_as_often_as_it_may_and_no_more
+  LIBRARIES shelflink_tier_batch_book)
+tier_mutant(a_report_counts_as_often_as_it_comes batch/job_book_runs.cpp
+  [=[  if (std::find(failed.begin(), failed.end(), lease) != failed.end()) return;
+]=] "" TEST batch/job_book_test RUN an_item_that_always_fails_runs_as_often_as_it_may_and_no_more
+  LIBRARIES shelflink_tier_batch_book)
+tier_mutant(impossible_items_run_again batch/job_book_runs.cpp
+  [=[      ListItem(*at, ResultState::kDeadLetter, {});
+      return;]=] [=[      break;]=]
+  TEST batch/job_book_test RUN an_item_that_can_never_be_done_is_given_up_at_once
+  LIBRARIES shelflink_tier_batch_book)
