--- a/src/tier/batch/job_book_runs.cpp
+++ b/src/tier/batch/job_book_runs.cpp
@@ -124,6 +124,8 @@
     const bool same = item.lease == adoption.lease;
     if (!same || leases_.Find(item.lease)->holder != holder.address) return LeaseStatus::kRevoked;
     leases_.Renew(now, item.lease);
+  } else if (leases_.Find(adoption.lease) != nullptr) {
+    return LeaseStatus::kRevoked;  // It is another item's: no store has given it for this one.
   } else {
     LeaveQueue(*at);
     GiveLease(adoption.lease,
--- a/tests/tier/tier_seeds/live_clients.cpp
+++ b/tests/tier/tier_seeds/live_clients.cpp
@@ -260,9 +260,13 @@
   const bool fits =
       outcome.whole ? body == run->body : run->body.compare(0, body.size(), body) == 0;
   if (!fits) {
+    const auto differs =
+        std::mismatch(body.begin(), body.end(), run->body.begin(), run->body.end());
+    const auto at = static_cast<std::size_t>(differs.first - body.begin());
     journal_.Report("MIXED",
                     what + " has another body than its endpoint's: " + std::to_string(body.size()) +
-                        " bytes of " + std::to_string(run->body.size()));
+                        " bytes of " + std::to_string(run->body.size()) + ", other from " +
+                        std::to_string(at) + ": \"" + body.substr(at, 80) + "\"");
   }
 }
 
@@ -335,6 +339,8 @@
   if (net_.Now() >= until) return;
   net_.At(net_.Now() + milliseconds(150 + random_.Below(300)),
           [this, proxy, until] { Probe(proxy, until); });
+  const ConfigurationOrder* newest = operators_.NewestAcknowledged();
+  if (counting_ && newest != nullptr) return AskForMarker(proxy, *newest);
   const auto recent = operators_.Recent(kRecentOrders);
   if (!recent.empty()) AskForMarker(proxy, *recent[random_.Below(recent.size())]);
 }
@@ -374,10 +380,7 @@
 
 void LiveClients::CountFromNow() {
   counting_ = true;
-  const ConfigurationOrder* newest = operators_.NewestAcknowledged();
   marker_at_.clear();
-  if (newest == nullptr) return;
-  for (std::size_t proxy = 0; proxy < proxies_.size(); ++proxy) AskForMarker(proxy, *newest);
 }
 
 void LiveClients::JudgeCalm() {
