--- a/tests/tier/tier_seeds/operators.cpp
+++ b/tests/tier/tier_seeds/operators.cpp
@@ -217,7 +217,7 @@
   journal_.Count("orders acknowledged");
   order->state = OrderState::kAcknowledged;
   order->seen = true;
-  order->acknowledged_at = net_.Now();
+  if (on_acknowledged) on_acknowledged();
 }
 
 void Operators::Refused(const Order& order, int status) {
--- a/tests/tier/tier_seeds/operators.h
+++ b/tests/tier/tier_seeds/operators.h
@@ -39,7 +39,6 @@
   bool timely = true;  // Built on the newest version that its operator knew to be in force.
   OrderState state = OrderState::kOpen;
   bool seen = false;  // It was in force at some time, as somebody outside saw.
-  net::Time acknowledged_at{};
 };
 
 class Operators {
@@ -66,7 +65,8 @@
   // The orders sent last, newest first.
   std::vector<const ConfigurationOrder*> Recent(std::size_t count) const;
   const ConfigurationOrder* NewestAcknowledged() const;
-  bool AnyAcknowledged() const { return NewestAcknowledged() != nullptr; }
+  // Called at each first acknowledgement, when the operator reads it.
+  std::function<void()> on_acknowledged;
 
  private:
   struct Flow {  // One thing after the other.
--- a/tests/tier/tier_seeds/troubles.cpp
+++ b/tests/tier/tier_seeds/troubles.cpp
@@ -13,6 +13,7 @@
 constexpr milliseconds kRestartTakes{300};
 constexpr milliseconds kLooksAgain{100};
 constexpr milliseconds kUsualSync{4};
+constexpr double kStrikeShare = 0.15;  // Of all acknowledgements.
 // While something goes on, its machine is lost for a time that nobody knows yet.
 constexpr net::Time kUntilHealed = net::Time::max();
 
@@ -47,6 +48,10 @@
 void Troubles::Start(net::Time until) {
   parts_.endpoints.SetMischief(random_.Between(0, 0.12));
   parts_.operators.SetLosses(random_.Between(0, 0.25));
+  until_ = until;
+  parts_.operators.on_acknowledged = [this] {
+    if (net_.Now() < until_ && random_.Chance(kStrikeShare)) TroubleAtAcknowledgement();
+  };
   Next(until);
 }
 
@@ -120,6 +125,26 @@
   }
 }
 
+void Troubles::TroubleAtAcknowledgement() {
+  if (random_.Chance(0.25)) return TroubleAll();
+  std::vector<Machine*> primaries;
+  for (auto& core : parts_.cores) {
+    if (core->up() && core->is_primary()) primaries.push_back(core.get());
+  }
+  if (primaries.empty()) return;
+  Machine* primary = primaries[random_.Below(primaries.size())];
+  if (troubled_.contains(primary) || !MayLose({primary})) return;
+  journal_.Count("trouble at an acknowledgement");
+  switch (random_.Below(3)) {
+    case 0:
+      return KillFor(*primary, Between(100, 1500), "loses power", [&] { primary->LosePower(0); });
+    case 1:
+      return CutOffFor(*primary, Between(500, 5000));
+    default:
+      return KillFor(*primary, Between(100, 3000), "loses its disk", [&] { primary->Wipe(); });
+  }
+}
+
 std::size_t Troubles::KeptWrites(const Machine& machine) {
   return random_.Chance(0.5) ? 0 : random_.Below(machine.unsynced() + 1);
 }
--- a/tests/tier/tier_seeds/troubles.h
+++ b/tests/tier/tier_seeds/troubles.h
@@ -52,6 +52,8 @@
   void SetLost(const Machine& machine, net::Time until);
   void TroubleCounted();
   void TroubleOne(Machine& machine);
+  // Just after a configuration was acknowledged: what the primary alone held would be gone.
+  void TroubleAtAcknowledgement();
   void TroubleAll();
   void TroubleProxy();
   void TroubleEndpoint();
@@ -89,6 +91,7 @@
   std::map<const Machine*, net::Time> lost_until_;  // Of those that count.
   std::set<const Machine*> troubled_;
   std::uint64_t numbers_ = 0;
+  net::Time until_{};
   std::map<std::uint64_t, Step> heals_;
 };
 
