--- a/src/tier/coordination/member.h
+++ b/src/tier/coordination/member.h
@@ -4,6 +4,10 @@
 // Pure: events with their time in, what to send and to tell out. The owner carries messages, syncs
 // the storage and calls OnTimer at deadline(). A member without a disk takes part in nothing; it
 // learns who the primary is.
+//
+// member.cpp: start, events, messages. member_peers.cpp: who is there. member_election.cpp: getting
+// a record decided. member_lease.cpp: the primary's lease. member_change.cpp: changes of membership
+// and the transfer of the primary's place.
 #ifndef SHELFLINK_TIER_COORDINATION_MEMBER_H_
 #define SHELFLINK_TIER_COORDINATION_MEMBER_H_
 
@@ -69,8 +73,9 @@
 
   // As primary, while Idle(): as Replica::Propose.
   Result<Position> Propose(Step& step, MemberOutput& out, std::vector<Write> writes);
-  // Hands the primary's place to another; `transferred` tells. A member that is not the primary
-  // tells it that it leaves.
+  // Prepares the end of this process: hands the primary's place to another and waits until the
+  // record names enough others as replicas; `transferred` tells. It stays a member meanwhile. False
+  // where nobody can take the place; may be tried again.
   void Transfer(Step& step, MemberOutput& out);
 
   void SetSeeds(std::vector<net::Address> seeds) { options_.seeds = std::move(seeds); }
@@ -120,6 +125,9 @@
     Message message;
   };
 
+  // Others that are no members are no longer written to after so long a silence.
+  static constexpr int kForgetAfterLeases = 5;
+
   bool has_disk() const { return !options_.self.disk.empty(); }
   bool IsSelf(const std::string& disk) const { return has_disk() && disk == options_.self.disk; }
   net::Span renew_every() const { return options_.lease / 3; }
@@ -149,6 +157,8 @@
   const Peer* FindPeer(const std::string& disk) const;
   bool Heard(const Peer& peer, net::Time now, net::Span within) const;
   bool IsThere(const std::string& disk, net::Time now) const;
+  // Another disk has been heard of at its address.
+  bool IsReplaced(const CoreMember& member) const;
   bool Leaves(const std::string& disk, net::Time now) const;
   // Disks heard of lately that do not leave, this member first.
   std::vector<CoreMember> There(net::Time now, net::Span within) const;
@@ -175,13 +185,16 @@
   std::optional<Record> Improved(net::Time now) const;
   bool IsInvited(const CoreMember& member, net::Time now) const;
   bool DiskStalls(net::Time now) const;
-  bool HearsMajority(net::Time now) const;
+  bool HearsQuorum(net::Time now) const;
   void UpdateRole(net::Time now, MemberOutput& out);
   void SayHello(MemberOutput& out, bool answer);
   void TryTransfer(Step& step, MemberOutput& out);
+  void AskForRelease(const Step& step, MemberOutput& out);
   std::optional<Record> TransferRecord(net::Time now) const;
   bool Owes(const std::string& disk, net::Time now) const;
   std::vector<CoreMember> Joining(net::Time now) const;
+  void PutLikeliestFirst(std::vector<CoreMember>& replicas, net::Time now) const;
+  std::size_t CountOthersWhole(net::Time now) const;
   std::optional<net::Address> AddressOf(const std::string& disk) const;
   std::optional<net::Time> NextSilence() const;
   std::set<net::Address> OthersKnown() const;
@@ -214,6 +227,8 @@
   net::Time judge_from_{};        // Silence before this is not held against others.
   bool transferring_ = false;
   net::Time transfer_until_{};
+  bool leaving_ = false;  // Not the primary, and ends once no record names it as a replica.
+  net::Time ask_for_release_at_{};
   MemberOutput::Role told_role_;
 };
 
--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -13,7 +13,6 @@
 namespace shelflink::proxy {
 
 using configuration::Route;
-using configuration::RouteKind;
 using gaugecart::OutcomeCode;
 using kelpspring::AttemptKey;
 using kelpspring::HttpResponse;
@@ -25,60 +24,13 @@
 
 namespace {
 
-constexpr int kMostSends = 16;                // Of one call, however many did not run it.
 constexpr std::uint64_t kHeldAnswer = 65536;  // A longer answer goes on in parts.
 constexpr auto kConnectSpan = milliseconds(250);
-// Beyond the route's time-out an answer under way may go on for so long.
-constexpr auto kEndSlack = milliseconds(100);
-// What a batch item may take at one endpoint where its sender tells no time.
-constexpr auto kItemSpan = std::chrono::seconds(60);
-constexpr auto kItemFirstSilence = std::chrono::seconds(10);
-// Items wait behind what is more urgent, and a run too many is dearer than a late one.
-constexpr auto kItemPatience = std::chrono::seconds(3);
 // How often one that is late is looked at again, while its endpoint answers others.
 constexpr auto kLookAgain = milliseconds(250);
 
 }  // namespace
 
-struct EndpointCalls::LiveCall {
-  CallId id = 0;
-  CallRequest request;
-  CallUser* user = nullptr;
-  kelpspring::HttpRequest message;
-  std::string service;
-  net::Time deadline;  // What endpoints are told,
-  net::Time end;       // and when it is over for good.
-  bool repeatable = false;
-  bool starting = true;  // Start has not returned: nothing may be told yet.
-  bool out = false;      // An attempt is under way:
-  std::uint32_t attempt = 0;
-  std::string endpoint;
-  bool forbidden = false;    // Its user does not let it be sent.
-  net::Time moved{};         // When the present attempt was sent, or its last part came,
-  net::Span most_silence{};  // and how long nothing may follow,
-  net::Span patience{};      // or, at an endpoint that has fallen silent for all.
-  int sends = 0;
-  int ran = 0;             // Endpoints that may have run it, the present one not among them.
-  bool begun = false;      // Of the present attempt an event has come.
-  bool streaming = false;  // The present attempt's answer is a stream of events.
-  bool passing = false;    // It goes on in parts.
-  bool head_told = false;
-  std::optional<HttpResponse> head;  // Of a stream, until its first event.
-  EventStream events;
-  std::optional<HttpResponse> failure;  // An endpoint's own, handed over if nothing better comes.
-  int status = 0;
-  TokenCount tokens;
-
-  int max_attempts() const { return request.max_attempts.value_or(request.route->max_attempts); }
-  // Whether it may go on at another endpoint after this one has fallen silent.
-  bool may_move() const {
-    return request.resumable || request.route->kind == RouteKind::kIdempotent;
-  }
-  bool is_stream_route() const {
-    return request.batch || request.route->kind == RouteKind::kStreaming;
-  }
-};
-
 EndpointCalls::EndpointCalls(net::Loop& loop, kelpspring::Log& log,
                              kelpspring::SocketBudget& budget, Options options)
     : loop_(loop),
@@ -88,9 +40,10 @@
                 [] { return kHeldAnswer; },
                 {kDeadlineHeader, kRequestIdHeader,
                  [this](AttemptKey key, const HttpResponse& head) { return ReadHead(key, head); },
-                 milliseconds(0), true, true}),
+                 milliseconds(0), true, true, true}),
       registry_(upstream_),
       module_(options_.seed, *this),
+      feed_(module_, registry_, {options_.node, options_.zone, options_.most_held}),
       timer_(loop.NewTimer([this] {
         module_.OnTimer(Now());
         CarryOut();
@@ -104,69 +57,16 @@
 
 Micros EndpointCalls::Now() const { return MicrosOf(loop_.Now()); }
 
-// ---- The view ----
-
 void EndpointCalls::OnView(const cluster::View& view) {
-  const bool fresh_configuration = view.configuration != configuration_;
-  const bool fresh_list = view.endpoints != list_;
-  const bool fresh_members = view.members != members_;
-  configuration_ = view.configuration;
-  list_ = view.endpoints;
-  members_ = view.members;
-  if (fresh_configuration || fresh_members) TakeShape(view);
-  if (fresh_list && list_) registry_.Take(*list_);
-  if (fresh_configuration || fresh_list) TellServices();
+  feed_.OnView(Now(), view);
   CarryOut();
 }
 
-void EndpointCalls::TakeShape(const cluster::View& view) {
-  if (view.configuration) levels_ = Levels(*view.configuration);
-  policy::Shape shape;
-  shape.node = options_.node;
-  shape.zone = options_.zone;
-  shape.levels = levels_.count();
-  shape.most_held = options_.most_held;
-  if (view.members) {
-    const auto ready = std::count_if(
-        view.members->all.begin(), view.members->all.end(),
-        [](const cluster::Member& member) { return member.role == "proxy" && member.ready; });
-    shape.sidecars = static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(1, ready));
-  }
-  module_.OnShape(Now(), shape);
-}
-
-void EndpointCalls::TellServices() {
-  const auto services = registry_.Services(configuration_.get(), list_.get(), Now());
-  for (auto it = services_.begin(); it != services_.end();) {
-    const auto present = it++;
-    if (services.contains(*present)) continue;
-    module_.OnServiceGone(Now(), *present);
-    services_.erase(present);
-  }
-  for (const auto& [name, info] : services) {
-    services_.insert(name);
-    module_.OnService(Now(), info);
-  }
-}
-
 // ---- Calls ----
 
 CallId EndpointCalls::Start(CallRequest request, CallUser& user) {
-  const auto live = std::make_shared<LiveCall>();
-  if (request.batch) request.level = levels_.batch();
-  const net::Time now = loop_.Now();
-  live->id = ++last_call_;
-  live->user = &user;
-  live->service = ServiceOf(*request.route, request.request_id);
-  live->repeatable =
-      request.batch || request.resumable || request.route->kind == RouteKind::kIdempotent;
-  const net::Span span = request.batch ? net::Span(kItemSpan) : net::Span(request.route->timeout);
-  live->deadline = std::min(request.due.value_or(net::Time::max()), now + span);
-  live->end = std::min(request.due.value_or(net::Time::max()), now + span + kEndSlack);
-  live->events = EventStream(request.last_event_id);
-  live->tokens = ParseTokenCount(ValueOf(request.headers, kTokenCountHeader));
-  live->message = OutgoingMessage(request);
-  live->request = std::move(request);
+  if (request.batch) request.level = feed_.levels().batch();
+  const auto live = std::make_shared<LiveCall>(++last_call_, std::move(request), user, loop_.Now());
   calls_[live->id] = live;
   if (IsTarget(live->request.target)) {
     module_.OnCall(Now(), DescriptionOf(*live, live->id));
@@ -212,7 +112,9 @@
   CarryOut();
 }
 
-std::uint32_t EndpointCalls::BatchRoom() const { return module_.Room(Now(), levels_.batch()); }
+std::uint32_t EndpointCalls::BatchRoom() const {
+  return module_.Room(Now(), feed_.levels().batch());
+}
 
 std::map<std::string, EndpointCalls::Load> EndpointCalls::Loads() const {
   std::map<std::string, Load> loads;
@@ -269,17 +171,12 @@
   const LivePtr live = Find(decision.call);
   if (!live) return;
   const AttemptKey key{decision.call, decision.attempt};
-  live->attempt = decision.attempt;
-  live->endpoint = decision.endpoint;
-  live->out = true;
-  live->begun = false;
-  live->streaming = false;
-  live->passing = false;
-  live->head.reset();
+  live->Begin(decision.attempt, decision.endpoint);
   live->forbidden = !live->user->MaySend();
+  if (!Find(decision.call)) return;  // Cancelled by its user.
   const KnownEndpoint* known = registry_.Find(decision.endpoint);
   const net::Time now = loop_.Now();
-  if (live->forbidden || known == nullptr || now >= live->deadline || live->sends >= kMostSends) {
+  if (live->forbidden || known == nullptr || !live->MaySendMore(now)) {
     return EndUnsent(live, key, Outcome::kNeverSent);
   }
   ++live->sends;
@@ -288,19 +185,10 @@
     live->message.set(kLastEventIdHeader, std::to_string(*live->events.last_id()));
   }
   live->moved = now;
-  const Route& route = *live->request.route;
-  const milliseconds silence = ClientSilence(route);
-  live->most_silence = live->request.batch ? net::Span(kItemFirstSilence) : net::Span(silence);
-  // Where it could go on at another endpoint, one that has fallen silent is not waited for as long.
-  const bool could_move = live->may_move() && live->ran + 1 < live->max_attempts();
-  live->patience = live->request.batch ? net::Span(kItemPatience) : MovePatience(route);
-  const net::Span first_silence = could_move ? live->patience : live->most_silence;
-  net::Time until = live->end;
-  if (live->is_stream_route() || could_move) {
-    until = std::min(until, now + first_silence);
-  }
+  live->SetSilences(now);
+  const net::Time until = std::min(live->end, now + live->first_silence);
   kelpspring::Outbound outbound{live->message, false, std::nullopt, until, {}};
-  outbound.silence = could_move ? live->patience : net::Span(silence);
+  outbound.silence = live->later_silence;
   outbound.end = live->end;
   outbound.deadline = live->deadline;
   outbound.repeatable = live->repeatable;
@@ -314,7 +202,7 @@
   const LivePtr live = FindAttempt(key);
   if (!live) return false;
   live->forbidden = !live->user->MaySend();
-  return !live->forbidden;
+  return !live->forbidden && Find(key.first) != nullptr;
 }
 
 kelpspring::Reading EndpointCalls::ReadHead(AttemptKey key, const HttpResponse& head) const {
@@ -334,16 +222,17 @@
 }
 
 // A call whose endpoint answers others is late, not lost: moving it would only add work where
-// there is too much of it. One whose endpoint has fallen silent for all goes on elsewhere.
+// there is too much of it. One whose endpoint has fallen silent for all goes on elsewhere, if
+// another endpoint would take it.
 std::optional<net::Time> EndpointCalls::OnLate(AttemptKey key) {
   const LivePtr live = FindAttempt(key);
   if (!live) return std::nullopt;
   const net::Time now = loop_.Now();
-  const net::Time last =
-      live->is_stream_route() ? std::min(live->end, live->moved + live->most_silence) : live->end;
+  const net::Time last = std::min(live->end, live->moved + live->most_silence);
+  if (now >= last) return std::nullopt;
   const KnownEndpoint* known = registry_.Find(live->endpoint);
   const bool alive = known != nullptr && known->heard + live->patience > now;
-  if (!alive || now >= last) return std::nullopt;
+  if (!alive && (live->request.batch || CanMove(*live, key))) return std::nullopt;
   return std::min<net::Time>(last, now + kLookAgain);
 }
 
@@ -355,6 +244,7 @@
   NoteLoad(*live, head);
   live->passing = true;
   live->streaming = live->is_stream_route() && IsEventStream(head);
+  live->ends_with_connection = !length && !head.chunked();
   if (live->streaming) {
     if (!live->head_told) live->head = std::move(head);
     return true;
@@ -423,7 +313,7 @@
       const bool misdirected = answer.message.result_int() == 421;
       if (misdirected) {
         registry_.NoteMisdirected(live->endpoint);
-        TellServices();
+        feed_.TellServices(Now());
       }
       return EndUnsent(live, key, misdirected ? Outcome::kMisdirected : Outcome::kNotRun);
     }
@@ -444,25 +334,23 @@
 // This endpoint did not run it; another may be asked at any time.
 void EndpointCalls::EndUnsent(const LivePtr& live, AttemptKey key, Outcome outcome) {
   live->out = false;
-  const bool again = !live->forbidden && live->sends < kMostSends && loop_.Now() < live->deadline;
+  const bool again = !live->forbidden && live->MaySendMore(loop_.Now());
   Tell(key, outcome, again);
   if (again) return;
   Finish(live, live->ran == 0 ? CallEnd::kRefused : CallEnd::kFailed);
 }
 
-bool EndpointCalls::MayGoOn(const LiveCall& live) const {
-  if (!live.repeatable || live.ran >= live.max_attempts()) return false;
-  if (live.sends >= kMostSends || loop_.Now() >= live.deadline) return false;
-  // An answer that has begun can only be continued as a stream whose events can be told apart.
-  return !live.head_told ||
-         (live.request.resumable && live.events.events() > 0 && live.events.CanRejoin());
+// Whether the call, given up at its present endpoint, would go on at another at once.
+bool EndpointCalls::CanMove(const LiveCall& live, AttemptKey key) const {
+  return live.MayMove() && live.sends < LiveCall::kMostSends && live.CanContinue() &&
+         module_.CanMove(Now(), key.first, key.second);
 }
 
 // It may have run, and no whole answer came of it.
 void EndpointCalls::EndBroken(const LivePtr& live, AttemptKey key, Outcome outcome) {
   live->out = false;
   ++live->ran;
-  const bool again = MayGoOn(*live);
+  const bool again = live->MayGoOn(loop_.Now());
   if (live->streaming && live->events.events() > 0) outcome = Outcome::kCut;
   if (again) live->events.Rejoin();
   Tell(key, outcome, again);
@@ -470,8 +358,10 @@
 }
 
 void EndpointCalls::EndStream(const LivePtr& live, AttemptKey key) {
-  // Its framing says that it is whole, so what stands behind the last event belongs to it.
   const std::string rest(live->events.rest());
+  // The end of a connection alone does not tell a stream that is whole from one that broke off.
+  if (!rest.empty() && live->ends_with_connection) return EndBroken(live, key, Outcome::kReset);
+  // Its framing says that it is whole, so what stands behind the last event belongs to it.
   TellPendingHead(live);
   if (!rest.empty() && FindAttempt(key)) live->user->OnBody(rest);
   live->out = false;
@@ -492,7 +382,7 @@
   const bool failed = message.result_int() >= 500;
   live->out = false;
   if (failed) ++live->ran;
-  const bool again = failed && !live->request.batch && MayGoOn(*live);
+  const bool again = failed && !live->request.batch && live->MayGoOn(loop_.Now());
   if (again) {
     live->failure = std::move(message);
   } else {
