--- a/tests/tier/tier_seeds/mutants.cmake
+++ b/tests/tier/tier_seeds/mutants.cmake
@@ -34,7 +34,7 @@
   [=[if (!id.empty() && id != expected.request_id)]=] [=[if (id.empty())]=])
 tier_seeds_mutant(acknowledged_by_the_primary_alone coordination/replica.cpp
   [=[    if (disk != options_.disk) limit_by(disk);]=] "")
-tier_seeds_mutant(all_requests_may_run_again proxy/endpoint_calls.cpp
-  [=[  live->repeatable =]=] [=[  live->repeatable = true ||]=])
+tier_seeds_mutant(all_requests_may_run_again proxy/live_call.cpp
+  [=[      repeatable(request.batch]=] [=[      repeatable(true || request.batch]=])
 tier_seeds_mutant(quotas_are_not_heeded batch/job_book.cpp
   [=[  if (!Fits(submit, owner, TokensOf(submit.items))) {]=] [=[  if (false) {]=] PkgConfig::GLIB)
