--- a/tests/tier/tier_seeds/endpoint_fleet.h
+++ b/tests/tier/tier_seeds/endpoint_fleet.h
@@ -109,6 +109,7 @@
     stand_in::Endpoint* now = nullptr;
     bool draining = false;
     std::set<stand_in::Endpoint::Line*> busy;
+    std::set<stand_in::Endpoint::Line*> cut_short;  // Half an answer went out, no more follows.
   };
   using Line = stand_in::Endpoint::Line;
 
