--- a/src/tier/batch/job_book.h
+++ b/src/tier/batch/job_book.h
@@ -136,7 +136,7 @@
   void Store(std::string key, std::optional<std::string> value);
   bool Fits(const Submit& submit, const std::string& owner, std::uint64_t tokens) const;
 
-  void GiveLease(LeaseId id, Lease lease);
+  void GiveLease(LeaseId id, const Lease& lease);
   // Its item waits, and is not in the queue; none: there is no such lease.
   std::optional<Lease> DropLease(LeaseId id);
   void RequeueItemsOf(const std::vector<Lease>& dropped);
--- a/src/tier/batch/job_book_runs.cpp
+++ b/src/tier/batch/job_book_runs.cpp
@@ -60,11 +60,11 @@
   }
 }
 
-void JobBook::GiveLease(LeaseId id, Lease lease) {
+void JobBook::GiveLease(LeaseId id, const Lease& lease) {
   ItemEntry& item = jobs_.At(lease.job).items[lease.item];
   item.state = ItemState::kLeased;
   item.lease = id;
-  leases_.Give(id, std::move(lease));
+  leases_.Give(id, lease);
 }
 
 std::optional<Lease> JobBook::DropLease(LeaseId id) {
--- a/src/tier/batch/lease_table.cpp
+++ b/src/tier/batch/lease_table.cpp
@@ -5,16 +5,16 @@
 
 namespace shelflink::batch {
 
-void LeaseTable::Give(LeaseId id, Lease lease) {
+void LeaseTable::Give(LeaseId id, const Lease& lease) {
   holders_[lease.holder].leases.insert(id);
   no_expiry_before_ = leases_.empty() ? lease.until : std::min(no_expiry_before_, lease.until);
-  leases_.emplace(id, std::move(lease));
+  leases_.emplace(id, lease);
 }
 
 std::optional<Lease> LeaseTable::Drop(LeaseId id) {
   const auto found = leases_.find(id);
   if (found == leases_.end()) return {};
-  Lease lease = std::move(found->second);
+  const Lease lease = found->second;
   holders_[lease.holder].leases.erase(id);
   leases_.erase(found);
   return lease;
--- a/src/tier/batch/lease_table.h
+++ b/src/tier/batch/lease_table.h
@@ -29,7 +29,7 @@
   LeaseTable(std::uint64_t issuer, Micros span) : issuer_(issuer), span_(span) {}
 
   LeaseId NewId() { return {issuer_, next_number_++}; }
-  void Give(LeaseId id, Lease lease);
+  void Give(LeaseId id, const Lease& lease);
   void Renew(Micros now, LeaseId id) { leases_.at(id).until = now + span_; }
   // None: there is no such lease.
   std::optional<Lease> Drop(LeaseId id);
