--- a/tests/tier/tier_seeds/operators.cpp
+++ b/tests/tier/tier_seeds/operators.cpp
@@ -181,6 +181,10 @@
                      answer.body.substr(0, 120);
             });
             if (answer_lost || !net_.Reaches(core.host(), from)) return;
+            const bool changes = std::holds_alternative<configuration::ChangeOrder>(*order);
+            if (changes && answer.status == 200 && on_acknowledged) {
+              net_.At(net_.Now(), on_acknowledged);
+            }
             After(way, [tell, answer] { tell(answer.status, answer.body); });
           });
     });
@@ -217,7 +221,6 @@
   journal_.Count("orders acknowledged");
   order->state = OrderState::kAcknowledged;
   order->seen = true;
-  if (on_acknowledged) on_acknowledged();
 }
 
 void Operators::Refused(const Order& order, int status) {
--- a/tests/tier/tier_seeds/operators.h
+++ b/tests/tier/tier_seeds/operators.h
@@ -65,7 +65,7 @@
   // The orders sent last, newest first.
   std::vector<const ConfigurationOrder*> Recent(std::size_t count) const;
   const ConfigurationOrder* NewestAcknowledged() const;
-  // Called at each first acknowledgement, when the operator reads it.
+  // Called as a core process acknowledges a change; the answer is on its way then.
   std::function<void()> on_acknowledged;
 
  private:
--- a/tests/tier/tier_seeds/troubles.cpp
+++ b/tests/tier/tier_seeds/troubles.cpp
@@ -126,7 +126,7 @@
 }
 
 void Troubles::TroubleAtAcknowledgement() {
-  if (random_.Chance(0.25)) return TroubleAll();
+  if (random_.Chance(0.35)) return TroubleAll();
   std::vector<Machine*> primaries;
   for (auto& core : parts_.cores) {
     if (core->up() && core->is_primary()) primaries.push_back(core.get());
