--- a/tests/tier/tier_seeds/endpoint_fleet.cpp
+++ b/tests/tier/tier_seeds/endpoint_fleet.cpp
@@ -351,6 +351,7 @@
     }
     case 1:  // Its end is the connection's, and all of it fits into the way.
       if (body.size() > kShortBody) return line.Write(Whole(*serving));
+      places_[place].cut_short.insert(&line);  // More would be its own.
       line.Write(Head(*serving, "Connection: close\r\n") + body);
       return endpoint.Later(std::chrono::milliseconds(1), [&line] {
         if (line.open()) line.Close();
