--- a/src/tier/coordination/messages.cpp
+++ b/src/tier/coordination/messages.cpp
@@ -130,6 +130,8 @@
 
 // ---- One pair of functions a message: its fields in order.
 
+constexpr std::size_t kEntryOverhead = 64;
+
 constexpr std::size_t kFields[] = {2, 7, 3, 5, 1, 3, 3, 3, 0, 4, 5, 5, 6};
 static_assert(std::size(kFields) == std::variant_size_v<Message>);
 
@@ -304,6 +306,14 @@
   return ReadKind(in, kind, std::make_index_sequence<std::variant_size_v<Message>>());
 }
 
+std::size_t SizeOf(const Entry& entry) {
+  std::size_t bytes = kEntryOverhead;
+  for (const Write& write : entry.writes) {
+    bytes += write.key.size() + (write.value ? write.value->size() : 0);
+  }
+  return bytes;
+}
+
 std::string EncodeEntry(const Entry& entry) {
   Writer out;
   WriteEntry(out, entry);
--- a/src/tier/coordination/messages.h
+++ b/src/tier/coordination/messages.h
@@ -80,6 +80,9 @@
   Position position;
   std::vector<Write> writes;
 };
+// About what it takes in memory and on the wire.
+std::size_t SizeOf(const Entry& entry);
+
 struct Append {
   std::uint64_t epoch = 0;
   Position previous;  // Of the entry before the first one.
--- a/tests/tier/coordination/catch_up_mutants.cmake
+++ b/tests/tier/coordination/catch_up_mutants.cmake
@@ -31,21 +31,21 @@
   set_tests_properties(tier.mutant_${name} PROPERTIES WILL_FAIL TRUE)
 endfunction()
 
-replica_mutant(copies_without_a_sync replica.cpp catch_up old_state_makes_room_for_what_replaces_it
+replica_mutant(copies_without_a_sync replica_learner.cpp catch_up old_state_makes_room_for_what_replaces_it
   [=[session_->unsynced_bytes >= options_.copied_bytes_a_sync]=] [=[false]=])
-replica_mutant(commits_never_wait_for_a_learner replica.cpp catch_up
+replica_mutant(commits_never_wait_for_a_learner replica_primary.cpp catch_up
   it_ends_while_changes_go_on_without_a_pause
   [=[    WaitForLearner(step, follower);
 ]=] "")
-replica_mutant(commits_wait_for_a_learner_for_ever replica.cpp replica
+replica_mutant(commits_wait_for_a_learner_for_ever replica_primary.cpp replica
   commits_wait_for_a_learner_for_a_time_only
   [=[= step.now + options_.join_wait;]=] [=[= net::Time::max();]=])
-replica_mutant(copies_in_large_answers replica.cpp catch_up it_ends_on_a_narrow_link
+replica_mutant(copies_in_large_answers replica_primary.cpp catch_up it_ends_on_a_narrow_link
   [=[options_.most_copied_bytes)]=] [=[options_.most_message_bytes)]=])
-replica_mutant(patience_never_grows replica.cpp catch_up it_ends_on_a_link_slower_than_its_patience
+replica_mutant(patience_never_grows replica_learner.cpp catch_up it_ends_on_a_link_slower_than_its_patience
   [=[    BeMorePatient();
 ]=] "")
-replica_mutant(an_earlier_process_counts replica.cpp replica
+replica_mutant(an_earlier_process_counts replica_primary.cpp replica
   an_earlier_process_of_a_learner_vouches_for_nothing
   [=[    if (message.session == follower.session) {]=] [=[    if (true) {]=])
 replica_mutant(half_of_a_malformed_message_is_taken replica.cpp replica
@@ -56,11 +56,11 @@
   a_learner_that_lost_entries_has_not_caught_up
   [=[    if (session_) session_->lost_entries = true;
 ]=] "")
-replica_mutant(resent_without_a_growing_pause replica.cpp catch_up
+replica_mutant(resent_without_a_growing_pause replica_primary.cpp catch_up
   it_ends_on_a_link_slower_than_its_patience
   [=[      ++follower.resends;
 ]=] "")
-replica_mutant(whole_before_the_newest_entry replica.cpp catch_up
+replica_mutant(whole_before_the_newest_entry replica_learner.cpp catch_up
   what_is_told_after_it_is_the_map_of_one_moment
   [=[  if (applied_.sequence < session_->newest.sequence) return;
 ]=] "")
--- a/tests/tier/coordination/mutants.cmake
+++ b/tests/tier/coordination/mutants.cmake
@@ -31,14 +31,14 @@
 coordination_mutant(one_vote_decides proposer.cpp
   [=[  if (HasQuorum()) phase_ = Phase::kDecided;]=]
   [=[  phase_ = Phase::kDecided;]=])
-coordination_mutant(acknowledged_by_the_primary_alone replica.cpp
+coordination_mutant(acknowledged_by_the_primary_alone replica_primary.cpp
   [=[    if (disk != options_.disk) limit_by(disk);]=] "")
 coordination_mutant(told_before_it_is_synced replica.cpp
   [=[  if (last_wanted_ <= last_synced_) {]=] [=[  if (last_wanted_ <= last_synced_ || true) {]=])
 coordination_mutant(entries_of_another_primary_stay replica.cpp
   [=[      if (At(sequence).position == entry.position) continue;
       Truncate(batch, sequence);]=] [=[      continue;]=])
-coordination_mutant(who_joins_is_not_waited_for replica.cpp
+coordination_mutant(who_joins_is_not_waited_for replica_primary.cpp
   [=[  for (const std::string& disk : required_) limit_by(disk);]=] "")
 coordination_mutant(an_older_map_is_told replica.cpp
   [=[  if (!reset_due_ || applied_.sequence < told_) return;]=] [=[  if (!reset_due_) return;]=])
