--- a/src/tier/transport/hub.cpp
+++ b/src/tier/transport/hub.cpp
@@ -198,9 +198,9 @@
 void Hub::Impl::OnChanged(Connection& connection) {
   const net::Time check = connection.NextCheck();
   if (check == net::Time::max()) {
-    watched.erase(&connection);
+    watched.erase(connection.id());
   } else {
-    watched.insert(&connection);
+    watched.insert({connection.id(), &connection});
     next_check = std::min(next_check, check);
   }
   if (watched.empty()) next_check = net::Time::max();
@@ -228,7 +228,7 @@
   const net::Span late = now - std::exchange(armed_for, net::Time::max());
   // This process stood still. What the peers said in the meantime may be unread.
   if (late > options.silence / 4) {
-    for (Connection* connection : watched) connection->RestartSpans(now);
+    for (const auto& [id, connection] : watched) connection->RestartSpans(now);
   }
   CheckConnections(now);
   ExpireCalls(now);
@@ -245,12 +245,12 @@
 
 void Hub::Impl::CheckConnections(net::Time now) {
   if (next_check > now) return;
-  const std::vector<Connection*> all(watched.begin(), watched.end());
-  for (Connection* connection : all) {
+  const std::map<std::uint64_t, Connection*> all = watched;
+  for (const auto& [id, connection] : all) {
     if (!connection->closed()) connection->CheckSilence(now);
   }
   next_check = net::Time::max();
-  for (const Connection* connection : watched) {
+  for (const auto& [id, connection] : watched) {
     next_check = std::min(next_check, connection->NextCheck());
   }
 }
--- a/src/tier/transport/hub_impl.h
+++ b/src/tier/transport/hub_impl.h
@@ -6,10 +6,10 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -126,7 +126,8 @@
   std::uint64_t last_connection = 0;
   std::uint64_t last_dial = 0;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections;
-  std::unordered_set<Connection*> watched;          // Those with a NextCheck.
+  // Those with a NextCheck, by number: equal seeds check them in equal order.
+  std::map<std::uint64_t, Connection*> watched;
   std::vector<std::unique_ptr<Connection>> closed;  // Until no call of theirs runs any more.
   std::vector<std::uint64_t> to_flush;              // Connections with something queued.
   PeerTable peers;
