Idle connections of the program in service are used as before the request's id counted

Cause: passing over the connection that carried the same attempt also bound the program in service, whose endpoints are asked again on the connection of a 503 (Sidecar.SendsOnWhatWasTurnedAwayUnseen failed). Change: only a request's id on the wire counts, which the serving tier alone sets.

--- a/src/sidecar/upstream.cpp
+++ b/src/sidecar/upstream.cpp
@@ -116,8 +116,8 @@
   bool connecting() const { return state_ == State::kConnecting; }
   net::Time idle_since() const { return idle_since_; }
   // Whether its last attempt was of the same request, as its endpoint knows requests.
-  bool LastCarried(Key key, const HttpRequest& message) const {
-    return key_.first == key.first || (!wire_id_.empty() && wire_id_ == WireIdOf(message));
+  bool LastCarried(const HttpRequest& message) const {
+    return !wire_id_.empty() && wire_id_ == WireIdOf(message);
   }
 
   void Finish(OutcomeCode code, HttpResponse answer = {}, bool reusable = false) {
@@ -551,7 +551,7 @@
     return done({OutcomeCode::kNeverSent, {}});
   }
   Endpoint& endpoint = it->second;
-  ConnectionPtr connection = TakeIdle(endpoint, key, outbound);
+  ConnectionPtr connection = TakeIdle(endpoint, outbound);
   if (!connection) {
     if (!budget_.TakeForAttempt()) return done({OutcomeCode::kConnectFailed, {}});
     connection = std::make_shared<Connection>(*this, id, endpoint);
@@ -567,12 +567,12 @@
 //
 // One that carried an earlier attempt of the same request is not taken either: a second answer to
 // that attempt may still come, and bears the id that this one waits for.
-Upstream::ConnectionPtr Upstream::TakeIdle(Endpoint& endpoint, Key key, const Outbound& outbound) {
+Upstream::ConnectionPtr Upstream::TakeIdle(Endpoint& endpoint, const Outbound& outbound) {
   const net::Time now = loop_.Now();
   const bool wary = now < doubt_until_ && !Repeatable(outbound);
   for (std::size_t index = endpoint.idle.size(); index > 0; --index) {
     ConnectionPtr connection = endpoint.idle[index - 1];
-    if (connection->LastCarried(key, outbound.message)) continue;
+    if (connection->LastCarried(outbound.message)) continue;
     if (wary && now - connection->idle_since() > kTrustedIdle) {
       // The new one takes the place of the oldest, so that their number does not grow.
       endpoint.idle.front()->Close();
--- a/src/sidecar/upstream.h
+++ b/src/sidecar/upstream.h
@@ -76,7 +76,8 @@
 // service.
 struct UpstreamTerms {
   std::string remaining_header = "X-Remaining-Ms";  // Set by each send: what is left, in ms.
-  // Names a request to endpoints, who give it back; empty: the attempt's key alone names it.
+  // Names a request to endpoints, who give it back: an attempt then avoids the connection that last
+  // carried the same request. Empty: any idle connection is used.
   std::string request_id_header;
   std::function<Reading(AttemptKey, const HttpResponse& head)> read_head = ReadHead;
   // The longest silence inside an answer that is held whole: 0: until the attempt's end.
@@ -179,7 +180,7 @@
   Endpoint* Find(gaugecart::EndpointId id);
   ConnectionPtr AttemptOf(Key key) const;  // Null once it is over.
   // The idle connection to use for this message; null if a new one is to be opened.
-  ConnectionPtr TakeIdle(Endpoint& endpoint, Key key, const Outbound& outbound);
+  ConnectionPtr TakeIdle(Endpoint& endpoint, const Outbound& outbound);
   // A reused connection broke before any answer: it may have been dropped while it lay idle.
   void NoteStale(net::Span idle);
 
