--- a/tests/tier/tier_seeds/mutants.cmake
+++ b/tests/tier/tier_seeds/mutants.cmake
@@ -1,20 +1,8 @@
-# One program a mutant: a source file of the product with one text replaced, played until a day finds
-# something. A text that does not stand in its file exactly once is an error, so that no mutant is the
-# program itself.
+# One program a mutant (mutants.cmake of the folder above): a text of the product replaced, played until a day
+# finds something.
 set(mutant_seeds 60)
 function(tier_seeds_mutant name file text replacement)
-  set(source ${PROJECT_SOURCE_DIR}/src/tier/${file})
-  get_filename_component(base ${file} NAME)
-  set(mutated ${CMAKE_CURRENT_BINARY_DIR}/mutants/${name}/${base})
-  file(READ ${source} whole)
-  string(FIND "${whole}" "${text}" first)
-  string(FIND "${whole}" "${text}" last REVERSE)
-  if(first EQUAL -1 OR NOT first EQUAL last)
-    message(FATAL_ERROR "mutant ${name}: its text stands not exactly once in ${file}")
-  endif()
-  string(REPLACE "${text}" "${replacement}" whole "${whole}")
-  file(CONFIGURE OUTPUT ${mutated} CONTENT "${whole}" @ONLY)
-  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${source})
+  tier_mutated_source(mutated ${name} ${file} "${text}" "${replacement}")
   add_executable(tier_seeds_mutant_${name} main.cpp ${mutated})
   target_link_libraries(tier_seeds_mutant_${name} PRIVATE tier_seeds_world CLI11::CLI11 ${ARGN}
     gaugecart_warnings)
