--- a/tests/play_days_test.py
+++ b/tests/play_days_test.py
@@ -11,7 +11,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT / "tools"))
-from playdays import bench, cli, days, sites, table, toml_writer  # noqa: E402
+from playdays import bench, cli, days, long_days, sites, table, toml_writer  # noqa: E402
 
 SITE = """
 name = "quay"
@@ -184,6 +184,40 @@
                     days.load_day(path)
 
 
+class LongDaysTest(unittest.TestCase):
+    KINDS = [
+        days.Kind("config_change", "plan", {}, ({"how": "timeout"},)),
+        days.Kind("release", "plan", {"share": 0.4}),
+        days.Kind("disk_full", "faults", {"for_s": 5.0}, ({"on": "core"}, {"on": "store"})),
+        days.Kind("kill_leader", "faults", {"for_s": 3.5}),
+    ]
+
+    def test_a_seed_is_one_day(self):
+        self.assertEqual(long_days.long_day(self.KINDS, 90.0, 3), long_days.long_day(self.KINDS, 90.0, 3))
+        self.assertNotEqual(long_days.long_day(self.KINDS, 90.0, 3), long_days.long_day(self.KINDS, 90.0, 4))
+
+    def test_changes_come_without_a_pause_and_endpoints_leave_all_day(self):
+        day = long_days.long_day(self.KINDS, 92.0, 1)
+        changes = [entry["at"] for entry in day.plan if entry["kind"] == "config_change"]
+        self.assertGreater(len(changes), 250)
+        self.assertLess(max(later - earlier for earlier, later in zip(changes, changes[1:])), 0.5)
+        leavings = [entry["at"] for entry in day.plan if entry["kind"] == "release"]
+        self.assertGreaterEqual(len(leavings), 10)
+
+    def test_troubles_overlap_and_come_more_than_once(self):
+        day = long_days.long_day(self.KINDS, 92.0, 1)
+        overlapping = [
+            (one, other) for one, other in zip(day.faults, day.faults[1:]) if other["at"] < one["at"] + one["for_s"]
+        ]
+        self.assertGreater(len(overlapping), len(day.faults) // 2)
+        full = [entry for entry in day.faults if entry["kind"] == "disk_full" and entry["on"] == "core"]
+        self.assertGreater(len(full), 1)
+
+    def test_kinds_that_a_site_does_not_open_are_not_drawn(self):
+        day = long_days.long_day(self.KINDS[2:3], 92.0, 1)
+        self.assertEqual(day.kinds(), {"disk_full"})
+
+
 class OwnFilesTest(unittest.TestCase):
     """What stands in deploy/."""
 
--- a/tools/playdays/cli.py
+++ b/tools/playdays/cli.py
@@ -4,7 +4,7 @@
 import sys
 import tempfile
 
-from . import bench, days, sites, table
+from . import bench, days, long_days, sites, table
 
 DEPLOY = pathlib.Path("deploy")
 PARTNERS = 4
@@ -16,12 +16,15 @@
     parser.add_argument("sites", type=pathlib.Path, nargs="+", metavar="SITE", help="site files")
     parser.add_argument("--days", type=pathlib.Path, default=DEPLOY / "days", help="days by hand, and kinds.toml")
     parser.add_argument("--variants", type=pathlib.Path, default=DEPLOY / "sites" / "variants.toml")
-    parser.add_argument("--play", default="days,kinds,hunt", help="of days, kinds, hunt, variants; with commas")
+    parser.add_argument("--play", default="days,kinds,hunt", help="of days, kinds, long, hunt, variants; with commas")
     parser.add_argument("--only", default="", help="only days and variants whose names hold this")
     parser.add_argument("--most", type=int, default=0, metavar="N", help="at most N days made from the kinds a site")
     parser.add_argument("--offset", type=int, default=0, help="which of them, where --most leaves some out")
     parser.add_argument("--partners", type=int, default=PARTNERS, help="kinds that each is paired with")
     parser.add_argument("--hunt", type=int, default=10, metavar="N", help="days of hunt a site and a variant")
+    parser.add_argument("--long", type=int, default=4, metavar="N", help="long days a site")
+    parser.add_argument("--length", type=float, default=92.0, metavar="SECONDS", help="of a long day")
+    parser.add_argument("--seed", type=int, default=1, help="of the first long day; the next ones count on")
     parser.add_argument("--jobs", type=int, default=4, help="cores to use")
     parser.add_argument("--why", default="Days of ours", help="a line for the journal")
     parser.add_argument("--write", type=pathlib.Path, help="only write the site files into this folder")
@@ -42,6 +45,22 @@
     return [day for day in chosen if options.only in day.name]
 
 
+def _long_days(options: argparse.Namespace, known: list[str]) -> list[days.Day]:
+    listed = days.load_kinds(options.days / "kinds.toml")
+    kinds = [listed.get(name, days.Kind(name)) for name in known]
+    seeds = range(options.seed, options.seed + options.long)
+    return [long_days.long_day(kinds, options.length, seed) for seed in seeds]
+
+
+def _play_long(player: bench.Bench, path: pathlib.Path, options: argparse.Namespace, folder: pathlib.Path) -> list:
+    """The long days, on a copy of the site whose days are that long."""
+    site = sites.load(path)
+    known = days.kinds_of_site(player.kinds(path))
+    longer = {**site, "length_s": options.length}
+    written = sites.write(_with_days(longer, _long_days(options, known)), path, folder / "long")
+    return [] if options.write else [player.score(written, site["name"])]
+
+
 def _with_days(site: dict, own: list[days.Day]) -> dict:
     return {**site, "day": [days.for_site(day, site) for day in own]}
 
@@ -56,6 +75,8 @@
         written = sites.write(_with_days(site, own), path, folder / "days")
         if not options.write:
             plays.append(player.score(written, site["name"]))
+    if "long" in parts and options.long:
+        plays += _play_long(player, path, options, folder)
     if "hunt" in parts and options.hunt and not options.write:
         plays.append(player.hunt(path, site["name"], options.hunt))
     if "variants" in parts:
