Placement in three files: rows as copies, the planner, and what is asked of them

Change: row_copies and placement_planner stand by themselves; no logic changed, the mutants' texts stand in placement_planner.cpp now. Measured: tier.placement_test, store_loss_test and both mutants of placement pass.

--- a/tests/tier/batch/mutants.cmake
+++ b/tests/tier/batch/mutants.cmake
@@ -1,11 +1,11 @@
 # What keeps batch jobs is taken out one check at a time; each must be found (docs/design/hardening.md).
 set(batch_store_libraries shelflink_tier_store shelflink_tier_core shelflink_virtual)
 
-tier_mutant(lost_copies_are_dropped_at_once cluster/placement.cpp
-  [=[    if (CountWhole(partition, copies) < rules_.copies) return;
+tier_mutant(lost_copies_are_dropped_at_once cluster/placement_planner.cpp
+  [=[  if (CountWhole(partition, copies) < rules_.copies) return;
 ]=] "" TEST batch/store_loss_test RUN many_lose_power_and_then_disks_are_lost
   LIBRARIES ${batch_store_libraries})
-tier_mutant(stalled_copies_are_dropped_at_once cluster/placement.cpp
+tier_mutant(stalled_copies_are_dropped_at_once cluster/placement_planner.cpp
   [=[if (copy.complete || !lost) continue;]=] [=[if (!lost) continue;]=]
   TEST batch/store_loss_test RUN disks_are_lost_while_a_joiner_comes_for_a_stalled_backup
   LIBRARIES ${batch_store_libraries})
