Log: records, lists published or not, and how old a proxy's list is

Cause: what an incident's output could not tell: which members a record names after each change, whether a list that was read was published, and how old each proxy's list is (docs/incidents/full-disks-stop-control.md).

Change: a core process logs each new record with its nodes; the primary logs each list that it publishes (version, endpoints, draining, age) and, once a minute at most, one that it does not, and why; an agent logs the list that it took, once a minute at most, and its age when contact is lost or regained. No logic of records, lists or leases is changed.

Result: tier.core_service_test, agent_test, cluster_parts_test, messages_test and group_test pass.

--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "tier/cluster/core_finder.h"
+#include "tier/cluster/endpoint_summary.h"
 #include "tier/cluster/use_counts.h"
 #include "tier/cluster/view_store.h"
 #include "tier/foundation/log.h"
@@ -171,7 +172,7 @@
     if (!touched) {
       touched = true;
       lease_timer->ArmAt(lease_until);
-      log::Info(kModule, "in touch with the core");
+      log::Info(kModule, "in touch with the core; " + EndpointListText());
       if (changes.contact) changes.contact(true);
     }
   }
@@ -188,7 +189,8 @@
       return;
     }
     touched = false;
-    log::Warning(kModule, "out of touch with the core: the lease has run out");
+    log::Warning(kModule,
+                 "out of touch with the core: the lease has run out; " + EndpointListText());
     detour_timer->ArmAt(loop.Now());
     if (changes.contact) changes.contact(false);
   }
@@ -313,12 +315,27 @@
       return;
     }
     if (!taken.value()) return;
+    if (push.part == Part::kEndpoints) NoteEndpointList();
     PassOn(push);
     if (push.part == Part::kMembers) LearnCores();
     if (push.part == Part::kPlacement) ExtendPlacementLease();
     Tell(push.part);
   }
 
+  void NoteEndpointList() {
+    endpoints_taken_at = loop.Now();
+    log::Bounded(log::Level::kInfo, kModule, "endpoints", EndpointListText(),
+                 SteadyMicros(loop.Now()));
+  }
+
+  std::string EndpointListText() const {
+    const std::shared_ptr<const EndpointList>& list = store.view().endpoints;
+    if (!list) return "endpoint list: none";
+    const std::int64_t age = (loop.Now() - endpoints_taken_at) / milliseconds(1);
+    return "endpoint list: " + TextOf(SummaryOf(list->version, list->entries)) + ", taken " +
+           std::to_string(age) + " ms ago";
+  }
+
   void LearnCores() {
     std::vector<net::Address> cores;
     for (const Member& member : store.view().members->all) {
@@ -474,7 +491,8 @@
   std::optional<net::Address> parent;
   bool parent_silent = false;
   std::vector<net::Address> children;
-  PartVersions newest;  // As the primary told last.
+  net::Time endpoints_taken_at{};  // When the list of endpoints in the view was taken.
+  PartVersions newest;             // As the primary told last.
   bool fetching[kParts] = {};
   bool detouring = false;
   std::size_t detour_turn = 0;
--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -6,6 +6,7 @@
 
 #include "tier/cluster/clock_estimate.h"
 #include "tier/cluster/control_state.h"
+#include "tier/cluster/endpoint_summary.h"
 #include "tier/cluster/endpoint_watch.h"
 #include "tier/cluster/member_table.h"
 #include "tier/cluster/messages.h"
@@ -341,8 +342,35 @@
   }
 
   void PublishEndpoints(const std::vector<EndpointEntry>& entries) {
-    if (!Leads()) return;
-    Publish(Part::kEndpoints, NextVersion(), EncodeEndpoints(entries));
+    if (!Leads()) {
+      SayNotPublished(entries);
+      return;
+    }
+    const Version version = NextVersion();
+    Publish(Part::kEndpoints, version, EncodeEndpoints(entries));
+    SayPublished(SummaryOf(version, entries));
+  }
+
+  void SayPublished(const EndpointSummary& list) {
+    const bool in_force = publisher.versions()[Part::kEndpoints] == list.version;
+    log::Info(kModule, std::string("endpoint list ") + (in_force ? "published" : "not published") +
+                           ": " + TextOf(list) + ", " + AgeOfList() +
+                           (in_force ? "" : "; a newer one is in force"));
+  }
+
+  void SayNotPublished(const std::vector<EndpointEntry>& entries) {
+    const char* reason = leading ? "the primary's lease has lapsed" : "not the primary";
+    log::Bounded(
+        log::Level::kWarning, kModule, "not published",
+        "endpoint list read and not published: " + TextOf(SummaryOf({epoch, count}, entries)) +
+            ", " + AgeOfList() + "; " + reason,
+        loop.Now().time_since_epoch() / std::chrono::microseconds(1));
+  }
+
+  std::string AgeOfList() const {
+    const std::optional<net::Time> read_at = watch->read_at();
+    if (!read_at) return "never read";
+    return "read " + std::to_string((loop.Now() - *read_at) / milliseconds(1)) + " ms ago";
   }
 
   // While the platform is out of reach, a new primary passes on the list that the members have.
--- a/src/tier/cluster/endpoint_watch.cpp
+++ b/src/tier/cluster/endpoint_watch.cpp
@@ -75,6 +75,7 @@
   auto whole = reader_.OnPage(loop_.Now(), std::move(answer.value()));
   Schedule();
   if (!whole) return;
+  read_at_ = loop_.Now();
   std::sort(whole->begin(), whole->end(),
             [](const EndpointEntry& a, const EndpointEntry& b) { return a.id < b.id; });
   const bool same = entries_ && SameEndpoints(*entries_, *whole);
--- a/src/tier/cluster/endpoint_watch.h
+++ b/src/tier/cluster/endpoint_watch.h
@@ -28,6 +28,8 @@
   void Stop();
   // None: no whole list has been read since the start.
   const std::optional<std::vector<EndpointEntry>>& entries() const { return entries_; }
+  // When a whole list was read last, also before the last start; none: never in this process.
+  std::optional<net::Time> read_at() const { return read_at_; }
 
  private:
   void Schedule();
@@ -39,6 +41,7 @@
   platform::ListReader reader_;
   Changed changed_;
   std::optional<std::vector<EndpointEntry>> entries_;
+  std::optional<net::Time> read_at_;
   net::TimerPtr timer_;
   std::shared_ptr<char> run_;  // Of the calls since the last start.
 };
--- a/src/tier/coordination/group.cpp
+++ b/src/tier/coordination/group.cpp
@@ -141,6 +141,7 @@
     return;
   }
   if (step.wants_sync) SyncFor(step.ticket);
+  SayIfRecordChanged();
   Carry(out);
   running_ = false;
   Pump();
@@ -228,6 +229,13 @@
                now.time_since_epoch() / std::chrono::microseconds(1));
 }
 
+void Group::SayIfRecordChanged() {
+  const Record& record = member_->record();
+  if (record.number == record_told_) return;
+  record_told_ = record.number;
+  log::Info(kModule, "record: " + TextOf(record));
+}
+
 // ---- The map and the role.
 
 void Group::Reload() {
--- a/src/tier/coordination/group.h
+++ b/src/tier/coordination/group.h
@@ -96,6 +96,7 @@
   void BeginTransfer();
   void EndTransfer(bool moved);
   void SayIfStuck(net::Time now);
+  void SayIfRecordChanged();
 
   net::Loop& loop_;
   transport::Hub& hub_;
@@ -111,6 +112,7 @@
   Ticket ticket_ = 0;
   bool running_ = false;  // Inside a step and what it brings about.
   bool failed_ = false;
+  std::uint64_t record_told_ = 0;  // Number of the record that the log has told last.
   std::function<void(bool)> transferred_;
   bool transfer_begun_ = false;
   net::Time transfer_from_{};
--- a/src/tier/coordination/record.cpp
+++ b/src/tier/coordination/record.cpp
@@ -11,6 +11,12 @@
   out.Array(members.size());
   for (const CoreMember& member : members) Put(out, member);
 }
+
+std::string NodesOf(const std::vector<CoreMember>& members) {
+  std::string nodes;
+  for (const CoreMember& member : members) nodes += " " + member.node;
+  return nodes;
+}
 }  // namespace
 
 const CoreMember* FindDisk(const std::vector<CoreMember>& members, std::string_view disk) {
@@ -65,6 +71,13 @@
   return disks;
 }
 
+std::string TextOf(const Record& record) {
+  const CoreMember* primary = FindDisk(record.replicas, record.primary);
+  return "epoch " + std::to_string(record.number) + ", primary " +
+         (primary == nullptr ? "none" : primary->node) + ", replicas" + NodesOf(record.replicas) +
+         ", witnesses" + NodesOf(record.witnesses);
+}
+
 void Put(cbor::Writer& out, const CoreMember& member) {
   out.Array(4).Text(member.disk).Text(member.node).Text(member.zone).Text(member.address.Text());
 }
--- a/src/tier/coordination/record.h
+++ b/src/tier/coordination/record.h
@@ -48,6 +48,8 @@
 // Of replicas and witnesses together, each once.
 std::vector<CoreMember> MembersOf(const Record& record);
 std::vector<std::string> DisksOf(const std::vector<CoreMember>& members);
+// For logs: "epoch 3, primary a, replicas a b, witnesses a b c", by the names of the nodes.
+std::string TextOf(const Record& record);
 
 void Put(cbor::Writer& out, const CoreMember& member);
 void Put(cbor::Writer& out, const Record& record);
--- a/tests/tier/cluster/cluster_parts_test.cpp
+++ b/tests/tier/cluster/cluster_parts_test.cpp
@@ -1,5 +1,5 @@
 // The small pure parts: finder of the core, relay tree, clock estimate, leases, orders of
-// endpoints.
+// endpoints, summaries of lists.
 #define BOOST_TEST_MODULE cluster_parts
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
@@ -9,6 +9,7 @@
 #include "tier/cluster/clock_estimate.h"
 #include "tier/cluster/core_finder.h"
 #include "tier/cluster/core_service.h"
+#include "tier/cluster/endpoint_summary.h"
 #include "tier/cluster/member_table.h"
 #include "tier/cluster/relay_tree.h"
 #include "tier/cluster/scale_planner.h"
@@ -275,5 +276,17 @@
   BOOST_TEST(planner.Plan(After(seconds(16)), Scaled(), Load(0, 0)).empty());
 }
 
+// --- Summaries ---
+
+BOOST_AUTO_TEST_CASE(a_summary_counts_the_endpoints_that_drain) {
+  std::vector<EndpointEntry> entries(3);
+  entries[1].draining = true;
+  const EndpointSummary summary = SummaryOf({3, 7}, entries);
+  BOOST_TEST(summary.entries == 3U);
+  BOOST_TEST(summary.draining == 1U);
+  BOOST_TEST(TextOf(summary) == "version 3.7, 3 endpoints, 1 of them draining");
+  BOOST_TEST(TextOf(SummaryOf({}, {})) == "version 0.0, 0 endpoints, 0 of them draining");
+}
+
 }  // namespace
 }  // namespace shelflink::cluster
