Core processes serve GET /metrics beside the operator's paths, where they have any

Cause: why a core process answers 503 could not be asked of it.

Change: the operator's server answers GET and HEAD of /metrics with a text that its owner gives, at once, without a primary and beside as many orders as may be under way; other methods 405. Such answers are neither counted nor logged. Without that text the path is 404 as before.

--- a/src/tier/operator_api/requests.cpp
+++ b/src/tier/operator_api/requests.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "tier/configuration/json.h"
+#include "tier/foundation/metrics_text.h"
 
 namespace shelflink::operator_api {
 namespace {
@@ -134,8 +135,18 @@
   return ErrorAnswer(status::kNotFound, "no such path");
 }
 
+std::optional<HttpAnswer> MetricsAnswerOf(const HttpRequest& request,
+                                          const std::function<std::string()>& text) {
+  if (request.path != kMetricsPath) return std::nullopt;
+  if (request.method != "GET" && request.method != "HEAD") return NotAllowed("GET, HEAD");
+  HttpAnswer answer;
+  answer.body = text();
+  answer.content_type = kMetricsContentType;
+  return answer;
+}
+
 HttpAnswer HttpAnswerOf(const Order& order, const Result<Answer>& result) {
-  if (result) return {status::kOk, std::visit(BodyOf{}, result.value()), {}, {}};
+  if (result) return {status::kOk, std::visit(BodyOf{}, result.value()), {}, {}, kJsonContentType};
   HttpAnswer answer = ErrorAnswer(StatusOf(order, result.error().code), result.error().text);
   if (result.error().code == ErrorCode::kExhausted) answer.retry_after_s = kRetryAfterS;
   return answer;
--- a/src/tier/operator_api/requests.h
+++ b/src/tier/operator_api/requests.h
@@ -2,6 +2,7 @@
 #ifndef SHELFLINK_TIER_OPERATOR_API_REQUESTS_H_
 #define SHELFLINK_TIER_OPERATOR_API_REQUESTS_H_
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -31,11 +32,14 @@
   std::string_view body;
 };
 
+constexpr std::string_view kJsonContentType = "application/json";
+
 struct HttpAnswer {
   int status = status::kOk;
-  std::string body;   // JSON.
+  std::string body;
   std::string allow;  // With 405: the methods that there are.
   std::optional<double> retry_after_s;
+  std::string_view content_type = kJsonContentType;  // Of a constant.
 };
 
 // What a request asks for, or the answer that refuses its form.
@@ -43,6 +47,9 @@
 
 HttpAnswer HttpAnswerOf(const Order& order, const Result<Answer>& result);
 HttpAnswer ErrorAnswer(int status, std::string_view text);
+// GET and HEAD of kMetricsPath; `text` is called for these only. None: another path.
+std::optional<HttpAnswer> MetricsAnswerOf(const HttpRequest& request,
+                                          const std::function<std::string()>& text);
 
 }  // namespace shelflink::operator_api
 
--- a/src/tier/operator_api/server.cpp
+++ b/src/tier/operator_api/server.cpp
@@ -95,8 +95,8 @@
                                  SecondsText(*answer.retry_after_s).c_str());
   }
   soup_server_message_set_status(message, static_cast<guint>(answer.status), nullptr);
-  soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY,
-                                   answer.body.data(), answer.body.size());
+  soup_server_message_set_response(message, std::string(answer.content_type).c_str(),
+                                   SOUP_MEMORY_COPY, answer.body.data(), answer.body.size());
 }
 
 // Keeps a message while its order is under way.
@@ -159,7 +159,8 @@
 
   void StartOrder(SoupServerMessage* message, Connection& connection, Order order);
   void FinishOrder(SoupServerMessage* message, const HttpAnswer& answer);
-  void Reply(SoupServerMessage* message, const HttpAnswer& answer);
+  void Reply(SoupServerMessage* message, const HttpAnswer& answer);  // Sent, counted and logged.
+  void Send(SoupServerMessage* message, const HttpAnswer& answer);
   void RefuseLate(SoupServerMessage* message, const HttpAnswer& answer);
   void ForgetBody(Connection& connection);
 
@@ -184,6 +185,7 @@
   net::TimerPtr overdue;
   net::Time overdue_at = net::Time::max();
   Counters counters;
+  std::function<std::string()> metrics;  // Empty: the path is not served.
   // Callbacks that outlive the server find it expired.
   std::shared_ptr<Impl*> self = std::make_shared<Impl*>(this);
 };
@@ -336,6 +338,12 @@
     Reply(message, ErrorAnswer(status::kBadRequest, "the body has no readable chunk"));
     return;
   }
+  const auto metrics_answer =
+      metrics ? MetricsAnswerOf(HttpRequestOf(message), metrics) : std::nullopt;
+  if (metrics_answer) {
+    Send(message, *metrics_answer);
+    return;
+  }
   auto wanted = OrderOf(HttpRequestOf(message));
   if (const auto* refusal = std::get_if<HttpAnswer>(&wanted)) {
     Reply(message, *refusal);
@@ -370,12 +378,7 @@
 
 void Server::Impl::Reply(SoupServerMessage* message, const HttpAnswer& answer) {
   ++counters.answers[answer.status];
-  if (listener == nullptr) CloseAfterwards(message);
-  WriteAnswer(message, answer);
-  if (Connection* connection = ConnectionOf(message)) {
-    connection->phase = Phase::kAnswered;
-    SetDeadline(*connection, loop.Now() + limits.idle_timeout);
-  }
+  Send(message, answer);
   if (log::Enabled(log::Level::kInfo, kLogName)) {
     const HttpRequest request = HttpRequestOf(message);
     const std::string reason =
@@ -385,6 +388,15 @@
   }
 }
 
+void Server::Impl::Send(SoupServerMessage* message, const HttpAnswer& answer) {
+  if (listener == nullptr) CloseAfterwards(message);
+  WriteAnswer(message, answer);
+  if (Connection* connection = ConnectionOf(message)) {
+    connection->phase = Phase::kAnswered;
+    SetDeadline(*connection, loop.Now() + limits.idle_timeout);
+  }
+}
+
 // The answer to a request that is still coming: what comes is dropped, then it is written.
 void Server::Impl::RefuseLate(SoupServerMessage* message, const HttpAnswer& answer) {
   soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
@@ -517,6 +529,8 @@
 
 void Server::SetLimits(const configuration::ClientLimits& limits) { impl_->limits = limits; }
 
+void Server::SetMetrics(std::function<std::string()> text) { impl_->metrics = std::move(text); }
+
 void Server::StopListening() { impl_->StopListening(); }
 
 net::Address Server::address() const { return impl_->bound; }
--- a/tests/tier/operator_api/operator_server_test.cpp
+++ b/tests/tier/operator_api/operator_server_test.cpp
@@ -75,6 +75,55 @@
   BOOST_TEST(service.changes.empty());
 }
 
+BOOST_AUTO_TEST_CASE(metrics_are_served_where_there_are_any) {
+  BOOST_TEST(StatusOf(Request("GET /metrics")) == 404);
+  int asked = 0;
+  server->SetMetrics([&] {
+    ++asked;
+    return std::string("shelflink_x 1\n");
+  });
+  const auto get = Connect(Request("GET /metrics?x=1"));
+  RunUntil([&] { return get->answers() == 1; });
+  BOOST_TEST(get->status() == 200);
+  BOOST_TEST(get->has("Content-Type: text/plain; version=0.0.4; charset=utf-8\r\n"));
+  BOOST_TEST(get->has("\r\n\r\nshelflink_x 1\n"));
+  const auto head = Connect(Request("HEAD /metrics", "Connection: close\r\n"));
+  RunUntil([&] { return head->ended; });
+  BOOST_TEST(head->status() == 200);
+  BOOST_TEST(head->has("Content-Length: 14\r\n"));
+  BOOST_TEST(!head->has("shelflink_x"));
+  BOOST_TEST(asked == 2);
+  const auto post = Connect(Request("POST /metrics", "", "{}"));
+  RunUntil([&] { return post->answers() == 1; });
+  BOOST_TEST(post->status() == 405);
+  BOOST_TEST(post->has("Allow: GET, HEAD\r\n"));
+  BOOST_TEST(asked == 2);
+}
+
+// They tell why orders are not served, so they may not wait for what these wait for.
+BOOST_AUTO_TEST_CASE(metrics_are_served_beside_orders_and_change_nothing) {
+  server->SetMetrics([] { return std::string("shelflink_x 1\n"); });
+  service.hold = true;
+  std::vector<std::unique_ptr<Client>> clients;
+  for (std::size_t i = 0; i < kMostOrders; ++i) {
+    clients.push_back(Connect(Request("PUT /config", "If-Match: 5\r\n", "{}")));
+  }
+  RunUntil([&] { return service.held() == kMostOrders; });
+  BOOST_TEST(StatusOf(Request("GET /metrics")) == 200);
+  BOOST_TEST(service.held() == kMostOrders);
+  service.hold = false;
+  service.Release();
+  for (const auto& client : clients) {
+    RunUntil([&] { return client->answers() == 1; });
+    BOOST_TEST(client->status() == 200);
+  }
+  service.is_primary_here = false;
+  BOOST_TEST(StatusOf(Request("GET /metrics")) == 200);
+  service.is_primary_here = true;
+  BOOST_TEST(StatusOf(Request("GET /config")) == 200);
+  BOOST_TEST(server->counters().answers.at(200) == kMostOrders + 1);
+}
+
 BOOST_AUTO_TEST_CASE(without_a_primary_it_is_503_in_time) {
   AnswerWithin(milliseconds(60));
   service.is_primary_here = false;
