Proxies and core processes tell their figures at GET /metrics

Cause: an operator could not see how old a proxy's list is, which members a record names, whether a disk refuses, or whether a list that was read has been published (docs/incidents/full-disks-stop-control.md).

Change: proxies serve GET and HEAD of /metrics on the ready listener, core processes on the control listener. What is not known is left out. The age of a proxy's list is a hook (Program::Impl::EndpointsReadAt) until agents know it. No work is added to the path of a request.

Result: tier.metrics_test, core_metrics_test (golden text), program_test (beside /ready, HEAD, cut at every byte, a hundred open readers) and core_service_test (published and not published) pass.

--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -514,6 +514,8 @@
 
 net::Time Agent::placement_lease_until() const { return impl_->placement_lease_until; }
 
+net::Time Agent::endpoints_taken_at() const { return impl_->endpoints_taken_at; }
+
 std::int64_t Agent::TrueMicros() const { return impl_->TrueMicros(); }
 
 std::optional<net::Address> Agent::primary() const { return impl_->finder.primary(); }
--- a/src/tier/cluster/agent.h
+++ b/src/tier/cluster/agent.h
@@ -44,6 +44,8 @@
   // The same, of those leases alone under which the view has the newest placement that the core had
   // told: whoever decides by the placement must not decide by one that has been replaced.
   net::Time placement_lease_until() const;
+  // When the list of endpoints in the view was taken; of no meaning where there is none.
+  net::Time endpoints_taken_at() const;
   // Time of day as most processes have it, in microseconds since 1970; this machine's own before
   // the core has told.
   std::int64_t TrueMicros() const;
--- /dev/null
+++ b/src/tier/cluster/cluster_figures.h
@@ -0,0 +1,27 @@
+// What the cluster's services on a core process count, for metrics.
+#ifndef SHELFLINK_TIER_CLUSTER_CLUSTER_FIGURES_H_
+#define SHELFLINK_TIER_CLUSTER_CLUSTER_FIGURES_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "tier/cluster/endpoint_summary.h"
+
+namespace shelflink::cluster {
+
+struct ClusterFigures {
+  std::map<std::string, std::size_t> leases;      // Of members, by role; only on the primary.
+  std::optional<EndpointSummary> published_list;  // The last of this process's own.
+  std::uint64_t lists_published = 0;              // Since the start, as in the next.
+  std::uint64_t lists_not_published = 0;          // Read all the same.
+  std::optional<std::chrono::nanoseconds>
+      list_age;  // Since the platform's list was last read whole.
+};
+
+}  // namespace shelflink::cluster
+
+#endif  // SHELFLINK_TIER_CLUSTER_CLUSTER_FIGURES_H_
--- /dev/null
+++ b/src/tier/cluster/core_metrics.cpp
@@ -0,0 +1,96 @@
+#include "tier/cluster/core_metrics.h"
+
+namespace shelflink::cluster {
+namespace {
+
+constexpr MetricFamily kIsPrimary{"shelflink_core_is_primary", MetricType::kGauge,
+                                  "Whether this process is the primary and its lease is valid."};
+constexpr MetricFamily kKnowsPrimary{"shelflink_core_knows_primary", MetricType::kGauge,
+                                     "Whether this process knows who the primary is."};
+constexpr MetricFamily kEpoch{"shelflink_core_epoch", MetricType::kGauge,
+                              "Number of the newest record known here."};
+constexpr MetricFamily kReplicas{"shelflink_core_replicas", MetricType::kGauge,
+                                 "Replicas that the record names."};
+constexpr MetricFamily kWitnesses{"shelflink_core_witnesses", MetricType::kGauge,
+                                  "Witnesses that the record names."};
+constexpr MetricFamily kRecordMember{"shelflink_core_record_member", MetricType::kGauge,
+                                     "Always 1; a node that the record names, and as what."};
+constexpr MetricFamily kContents{"shelflink_core_contents_entries", MetricType::kGauge,
+                                 "Keys of the control state that are committed as known here."};
+constexpr MetricFamily kDiskUsed{"shelflink_disk_used_bytes", MetricType::kGauge,
+                                 "What the control state takes of the disk."};
+constexpr MetricFamily kDiskLimit{"shelflink_disk_limit_bytes", MetricType::kGauge,
+                                  "What the control state may take of the disk."};
+constexpr MetricFamily kDiskRefuses{"shelflink_disk_refuses_writes", MetricType::kGauge,
+                                    "Whether the disk refuses writes: it vouches for nothing."};
+constexpr MetricFamily kLeases{"shelflink_core_leases", MetricType::kGauge,
+                               "Valid leases of members, by role; of the primary only."};
+constexpr MetricFamily kListEpoch{"shelflink_endpoint_list_epoch", MetricType::kGauge,
+                                  "Epoch of the list of endpoints published last from here."};
+constexpr MetricFamily kListSequence{"shelflink_endpoint_list_sequence", MetricType::kGauge,
+                                     "Number of that list within its epoch."};
+constexpr MetricFamily kListEntries{"shelflink_endpoint_list_entries", MetricType::kGauge,
+                                    "Endpoints in that list."};
+constexpr MetricFamily kListDraining{"shelflink_endpoint_list_draining_entries", MetricType::kGauge,
+                                     "Endpoints in that list that drain."};
+constexpr MetricFamily kListAge{"shelflink_endpoint_list_age_seconds", MetricType::kGauge,
+                                "Time since the platform's list was last read whole from here."};
+constexpr MetricFamily kListsPublished{"shelflink_endpoint_lists_published_total",
+                                       MetricType::kCounter, "Lists of endpoints published."};
+constexpr MetricFamily kListsNotPublished{"shelflink_endpoint_lists_not_published_total",
+                                          MetricType::kCounter,
+                                          "Lists of endpoints read and not published."};
+constexpr MetricFamily kAnswers{"shelflink_operator_answers_total", MetricType::kCounter,
+                                "Answers to the operator's orders, by status code."};
+
+void AddMembers(MetricsText& text, const std::vector<std::string>& nodes, std::string_view part) {
+  for (const std::string& node : nodes) {
+    text.Add(kRecordMember, std::uint64_t{1}, {{"node", node}, {"part", part}});
+  }
+}
+
+void AddGroup(MetricsText& text, const GroupFigures& group) {
+  text.AddFlag(kIsPrimary, group.is_primary);
+  text.AddFlag(kKnowsPrimary, group.knows_primary);
+  text.Add(kEpoch, group.epoch);
+  text.Add(kReplicas, std::uint64_t{group.replicas.size()});
+  text.Add(kWitnesses, std::uint64_t{group.witnesses.size()});
+  AddMembers(text, group.replicas, "replica");
+  AddMembers(text, group.witnesses, "witness");
+  text.Add(kContents, group.contents_entries);
+  if (!group.disk) return;
+  text.Add(kDiskUsed, group.disk->used_bytes);
+  text.Add(kDiskLimit, group.disk->limit_bytes);
+  text.AddFlag(kDiskRefuses, group.disk->refuses_writes);
+}
+
+void AddCluster(MetricsText& text, const ClusterFigures& cluster) {
+  for (const auto& [role, count] : cluster.leases) {
+    text.Add(kLeases, std::uint64_t{count}, {{"role", role}});
+  }
+  if (cluster.published_list) {
+    text.Add(kListEpoch, cluster.published_list->version.epoch);
+    text.Add(kListSequence, cluster.published_list->version.count);
+    text.Add(kListEntries, std::uint64_t{cluster.published_list->entries});
+    text.Add(kListDraining, std::uint64_t{cluster.published_list->draining});
+  }
+  if (cluster.list_age) text.AddSeconds(kListAge, *cluster.list_age);
+  text.Add(kListsPublished, cluster.lists_published);
+  text.Add(kListsNotPublished, cluster.lists_not_published);
+}
+
+}  // namespace
+
+std::string MetricsOf(const CoreFigures& figures, const Invariants& invariants) {
+  MetricsText text;
+  AddProcessMetrics(text, figures.process, invariants);
+  AddGroup(text, figures.group);
+  AddCluster(text, figures.cluster);
+  for (const auto& [status, count] : figures.operator_answers) {
+    const std::string code = std::to_string(status);
+    text.Add(kAnswers, count, {{"status", code}});
+  }
+  return text.Text();
+}
+
+}  // namespace shelflink::cluster
--- /dev/null
+++ b/src/tier/cluster/core_metrics.h
@@ -0,0 +1,46 @@
+// What a core process tells of itself as metrics. Pure; docs/operate/metrics.md explains each
+// figure.
+#ifndef SHELFLINK_TIER_CLUSTER_CORE_METRICS_H_
+#define SHELFLINK_TIER_CLUSTER_CORE_METRICS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "tier/cluster/cluster_figures.h"
+#include "tier/foundation/process_metrics.h"
+
+namespace shelflink::cluster {
+
+// Of the member of the group that replicates the control state.
+struct GroupFigures {
+  struct Disk {
+    std::uint64_t used_bytes = 0;
+    std::uint64_t limit_bytes = 0;
+    bool refuses_writes = false;
+  };
+
+  bool is_primary = false;     // With a valid lease.
+  bool knows_primary = false;  // Whoever it is.
+  std::uint64_t epoch = 0;
+  std::vector<std::string> replicas;  // Nodes, by the newest record known here.
+  std::vector<std::string> witnesses;
+  std::uint64_t contents_entries = 0;
+  std::optional<Disk> disk;  // None: it has none.
+};
+
+struct CoreFigures {
+  ProcessFigures process;
+  GroupFigures group;
+  ClusterFigures cluster;
+  std::map<int, std::uint64_t> operator_answers;  // By status code.
+};
+
+std::string MetricsOf(const CoreFigures& figures, const Invariants& invariants);
+
+}  // namespace shelflink::cluster
+
+#endif  // SHELFLINK_TIER_CLUSTER_CORE_METRICS_H_
--- a/src/tier/cluster/core_program.cpp
+++ b/src/tier/cluster/core_program.cpp
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "net/glib_loop.h"
+#include "tier/cluster/core_metrics.h"
 #include "tier/cluster/core_service.h"
 #include "tier/coordination/group.h"
 #include "tier/foundation/log.h"
@@ -38,6 +39,29 @@
   return std::make_unique<platform::SoupPlatform>(*settings.cloud.address);
 }
 
+std::vector<std::string> NodesOf(const std::vector<coordination::CoreMember>& members) {
+  std::vector<std::string> nodes;
+  nodes.reserve(members.size());
+  for (const coordination::CoreMember& member : members) nodes.push_back(member.node);
+  return nodes;
+}
+
+GroupFigures FiguresOf(const coordination::Group& group) {
+  const coordination::Record& record = group.member().record();
+  GroupFigures figures;
+  figures.is_primary = group.is_primary();
+  figures.knows_primary = group.primary().has_value();
+  figures.epoch = record.number;
+  figures.replicas = NodesOf(record.replicas);
+  figures.witnesses = NodesOf(record.witnesses);
+  figures.contents_entries = group.contents().size();
+  const storage::Usage usage = group.disk_usage();
+  if (usage.bytes_limit > 0) {
+    figures.disk = {usage.bytes_used, usage.bytes_limit, group.failed()};
+  }
+  return figures;
+}
+
 // All of the process, wired together.
 class CoreProcess {
  public:
@@ -58,6 +82,7 @@
           [this](const std::shared_ptr<const configuration::Configuration>& configuration) {
             server_->SetLimits(configuration->limits);
           });
+      server_->SetMetrics([this] { return MetricsOf(Figures(), ProcessInvariants()); });
     }
     loop_.OnSignal(SIGTERM, [this] { Leave(); });
     loop_.OnSignal(SIGHUP, [this] { ReloadSettings(); });
@@ -84,6 +109,15 @@
     });
   }
 
+  CoreFigures Figures() const {
+    CoreFigures figures;
+    figures.process = {settings_.node, "core", loop_.Now() - started_at_};
+    figures.group = FiguresOf(group_);
+    figures.cluster = service_.figures();
+    figures.operator_answers = server_->counters().answers;
+    return figures;
+  }
+
   void ReloadSettings() {
     const char* path = std::getenv("SHELFLINK_CONFIG");
     if (path == nullptr) return;
@@ -107,6 +141,7 @@
   net::TimerPtr leave_timer_;
   net::TimerPtr hand_over_timer_;
   bool leaving_ = false;
+  net::Time started_at_ = loop_.Now();
 };
 
 }  // namespace
--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -352,13 +352,16 @@
   }
 
   void SayPublished(const EndpointSummary& list) {
+    published_list = list;
     const bool in_force = publisher.versions()[Part::kEndpoints] == list.version;
+    ++(in_force ? lists_published : lists_not_published);
     log::Info(kModule, std::string("endpoint list ") + (in_force ? "published" : "not published") +
                            ": " + TextOf(list) + ", " + AgeOfList() +
                            (in_force ? "" : "; a newer one is in force"));
   }
 
   void SayNotPublished(const std::vector<EndpointEntry>& entries) {
+    ++lists_not_published;
     const char* reason = leading ? "the primary's lease has lapsed" : "not the primary";
     log::Bounded(
         log::Level::kWarning, kModule, "not published",
@@ -367,6 +370,18 @@
         loop.Now().time_since_epoch() / std::chrono::microseconds(1));
   }
 
+  ClusterFigures Figures() const {
+    ClusterFigures figures;
+    if (Leads()) {
+      for (const auto& [address, lease] : members.leases()) ++figures.leases[lease.member.role];
+    }
+    figures.published_list = published_list;
+    figures.lists_published = lists_published;
+    figures.lists_not_published = lists_not_published;
+    if (watch && watch->read_at()) figures.list_age = loop.Now() - *watch->read_at();
+    return figures;
+  }
+
   std::string AgeOfList() const {
     const std::optional<net::Time> read_at = watch->read_at();
     if (!read_at) return "never read";
@@ -503,6 +518,9 @@
   bool members_changed = false;
   net::Time members_published{};
   bool adopting = false;
+  std::optional<EndpointSummary> published_list;  // The last that was read here.
+  std::uint64_t lists_published = 0;
+  std::uint64_t lists_not_published = 0;
   std::shared_ptr<const configuration::Configuration> configuration;
   std::function<void(const std::shared_ptr<const configuration::Configuration>&)>
       configuration_watcher;
@@ -521,6 +539,8 @@
   if (impl_->configuration) impl_->configuration_watcher(impl_->configuration);
 }
 
+ClusterFigures CoreService::figures() const { return impl_->Figures(); }
+
 bool CoreService::is_primary() const { return impl_->Leads(); }
 
 std::optional<net::Address> CoreService::primary() const { return impl_->replicator.primary(); }
--- a/src/tier/cluster/core_service.h
+++ b/src/tier/cluster/core_service.h
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "net/loop.h"
+#include "tier/cluster/cluster_figures.h"
 #include "tier/configuration/model.h"
 #include "tier/coordination/replicator.h"
 #include "tier/foundation/settings.h"
@@ -35,6 +36,9 @@
   void WatchConfiguration(
       std::function<void(const std::shared_ptr<const configuration::Configuration>&)> watcher);
 
+  // For metrics.
+  ClusterFigures figures() const;
+
   bool is_primary() const override;
   std::optional<net::Address> primary() const override;
   void ChangeConfiguration(configuration::ChangeOrder order, ChangeDone done) override;
--- a/src/tier/coordination/group.h
+++ b/src/tier/coordination/group.h
@@ -64,6 +64,8 @@
   // The disk has refused: this process vouches for nothing any more.
   bool failed() const { return failed_; }
   const Member& member() const { return *member_; }
+  // Of the disk; zeros without one.
+  storage::Usage disk_usage() const { return storage_ ? storage_->usage() : storage::Usage{}; }
 
  private:
   struct Request {
--- a/src/tier/proxy/program.cpp
+++ b/src/tier/proxy/program.cpp
@@ -14,6 +14,8 @@
 #include "tier/foundation/log.h"
 #include "tier/proxy/endpoint_calls.h"
 #include "tier/proxy/front.h"
+#include "tier/proxy/metrics.h"
+#include "tier/proxy/metrics_answer.h"
 #include "tier/proxy/readiness.h"
 #include "tier/transport/hub.h"
 
@@ -81,8 +83,10 @@
         ready_server(
             loop, log, loop.Listen(Needed(settings.listen_ready, "listen.ready")), ready_budget,
             drain, [this] { return Ready(); }, [] { return std::uint64_t{0}; },
-            [](const std::shared_ptr<kelpspring::Client>& client, const kelpspring::HttpRequest&,
-               kelpspring::Arrival) { client->RespondPlain(404, "GET /ready is served here\n"); },
+            [this](const std::shared_ptr<kelpspring::Client>& client,
+                   const kelpspring::HttpRequest& request, kelpspring::Arrival) {
+              AnswerMetrics(*client, request, [this] { return Metrics(); });
+            },
             ReadyTerms()),
         load_timer(loop.NewTimer([this] { TellLoads(); })),
         leave_timer(loop.NewTimer([this] { Left(); })) {
@@ -105,6 +109,38 @@
     return readiness.Ready(loop.Now());
   }
 
+  // When the reading of the platform's list began that the list here stands for; net::Time() where
+  // that is not known.
+  static net::Time EndpointsReadAt() { return net::Time(); }
+
+  std::string Metrics() const { return MetricsOf(Figures(), ProcessInvariants()); }
+
+  ProxyFigures Figures() const {
+    const net::Time now = loop.Now();
+    ProxyFigures figures;
+    figures.process = {settings.node, "proxy", now - started_at};
+    figures.ready = Ready();
+    figures.in_touch = agent.in_touch();
+    figures.lease_remaining = std::max(agent.lease_until() - now, net::Span::zero());
+    figures.drain_bound = settings.bounds.drain;
+    NoteView(figures, now);
+    figures.calls = calls.held();
+    figures.endpoint_connections = calls.dials();
+    return figures;
+  }
+
+  void NoteView(ProxyFigures& figures, net::Time now) const {
+    const cluster::View& view = agent.view();
+    if (view.endpoints) {
+      figures.endpoints = cluster::SummaryOf(view.endpoints->version, view.endpoints->entries);
+      figures.endpoints_unchanged = now - agent.endpoints_taken_at();
+      const net::Time read_at = EndpointsReadAt();
+      if (read_at != net::Time()) figures.endpoints_age = now - read_at;
+    }
+    if (view.configuration) figures.configuration_version = view.configuration->version;
+    if (view.placement) figures.placement_version = view.placement->version.count;
+  }
+
   void OnConfiguration() {
     front.SetConfiguration(agent.view().configuration);
     OnView();
@@ -151,6 +187,7 @@
   net::Loop& loop;
   ProcessSettings settings;
   std::uint64_t seed;
+  net::Time started_at = loop.Now();
   kelpspring::Log log;
   kelpspring::SocketBudget budget;
   kelpspring::SocketBudget ready_budget;
--- /dev/null
+++ b/tests/tier/cluster/core_metrics_test.cpp
@@ -0,0 +1,130 @@
+// Every figure of a core process, byte for byte; and what is left out where it is not known.
+#define BOOST_TEST_MODULE core_metrics
+#include "tier/cluster/core_metrics.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace shelflink::cluster {
+namespace {
+
+using std::chrono::milliseconds;
+
+bool Has(const std::string& text, const std::string& line) {
+  return text.find("\n" + line + "\n") != std::string::npos;
+}
+
+CoreFigures SomeFigures() {
+  CoreFigures figures;
+  figures.process = {"edge-1", "core", milliseconds(1500)};
+  figures.group.is_primary = true;
+  figures.group.knows_primary = true;
+  figures.group.epoch = 3;
+  figures.group.replicas = {"edge-1", "edge-2"};
+  figures.group.witnesses = {"edge-1", "edge-2", "edge-3"};
+  figures.group.contents_entries = 12;
+  figures.group.disk = {4096, 33554432, true};
+  figures.cluster.leases = {{"proxy", 33}, {"store", 2}};
+  figures.cluster.published_list = EndpointSummary{{3, 7}, 60, 2};
+  figures.cluster.list_age = milliseconds(250);
+  figures.cluster.lists_published = 7;
+  figures.cluster.lists_not_published = 1;
+  figures.operator_answers = {{200, 5}, {503, 22}};
+  return figures;
+}
+
+// From the first figure behind those that every process has.
+std::string OwnText(const CoreFigures& figures) {
+  const std::string text = MetricsOf(figures, Invariants());
+  return text.substr(text.find("# HELP shelflink_core_is_primary"));
+}
+
+BOOST_AUTO_TEST_CASE(all_figures) {
+  BOOST_TEST(
+      OwnText(SomeFigures()) ==
+      "# HELP shelflink_core_is_primary Whether this process is the primary and its lease is "
+      "valid.\n"
+      "# TYPE shelflink_core_is_primary gauge\n"
+      "shelflink_core_is_primary 1\n"
+      "# HELP shelflink_core_knows_primary Whether this process knows who the primary is.\n"
+      "# TYPE shelflink_core_knows_primary gauge\n"
+      "shelflink_core_knows_primary 1\n"
+      "# HELP shelflink_core_epoch Number of the newest record known here.\n"
+      "# TYPE shelflink_core_epoch gauge\n"
+      "shelflink_core_epoch 3\n"
+      "# HELP shelflink_core_replicas Replicas that the record names.\n"
+      "# TYPE shelflink_core_replicas gauge\n"
+      "shelflink_core_replicas 2\n"
+      "# HELP shelflink_core_witnesses Witnesses that the record names.\n"
+      "# TYPE shelflink_core_witnesses gauge\n"
+      "shelflink_core_witnesses 3\n"
+      "# HELP shelflink_core_record_member Always 1; a node that the record names, and as what.\n"
+      "# TYPE shelflink_core_record_member gauge\n"
+      "shelflink_core_record_member{node=\"edge-1\",part=\"replica\"} 1\n"
+      "shelflink_core_record_member{node=\"edge-2\",part=\"replica\"} 1\n"
+      "shelflink_core_record_member{node=\"edge-1\",part=\"witness\"} 1\n"
+      "shelflink_core_record_member{node=\"edge-2\",part=\"witness\"} 1\n"
+      "shelflink_core_record_member{node=\"edge-3\",part=\"witness\"} 1\n"
+      "# HELP shelflink_core_contents_entries Keys of the control state that are committed as "
+      "known here.\n"
+      "# TYPE shelflink_core_contents_entries gauge\n"
+      "shelflink_core_contents_entries 12\n"
+      "# HELP shelflink_disk_used_bytes What the control state takes of the disk.\n"
+      "# TYPE shelflink_disk_used_bytes gauge\n"
+      "shelflink_disk_used_bytes 4096\n"
+      "# HELP shelflink_disk_limit_bytes What the control state may take of the disk.\n"
+      "# TYPE shelflink_disk_limit_bytes gauge\n"
+      "shelflink_disk_limit_bytes 33554432\n"
+      "# HELP shelflink_disk_refuses_writes Whether the disk refuses writes: it vouches for "
+      "nothing.\n"
+      "# TYPE shelflink_disk_refuses_writes gauge\n"
+      "shelflink_disk_refuses_writes 1\n"
+      "# HELP shelflink_core_leases Valid leases of members, by role; of the primary only.\n"
+      "# TYPE shelflink_core_leases gauge\n"
+      "shelflink_core_leases{role=\"proxy\"} 33\n"
+      "shelflink_core_leases{role=\"store\"} 2\n"
+      "# HELP shelflink_endpoint_list_epoch Epoch of the list of endpoints published last from "
+      "here.\n"
+      "# TYPE shelflink_endpoint_list_epoch gauge\n"
+      "shelflink_endpoint_list_epoch 3\n"
+      "# HELP shelflink_endpoint_list_sequence Number of that list within its epoch.\n"
+      "# TYPE shelflink_endpoint_list_sequence gauge\n"
+      "shelflink_endpoint_list_sequence 7\n"
+      "# HELP shelflink_endpoint_list_entries Endpoints in that list.\n"
+      "# TYPE shelflink_endpoint_list_entries gauge\n"
+      "shelflink_endpoint_list_entries 60\n"
+      "# HELP shelflink_endpoint_list_draining_entries Endpoints in that list that drain.\n"
+      "# TYPE shelflink_endpoint_list_draining_entries gauge\n"
+      "shelflink_endpoint_list_draining_entries 2\n"
+      "# HELP shelflink_endpoint_list_age_seconds Time since the platform's list was last read "
+      "whole from here.\n"
+      "# TYPE shelflink_endpoint_list_age_seconds gauge\n"
+      "shelflink_endpoint_list_age_seconds 0.25\n"
+      "# HELP shelflink_endpoint_lists_published_total Lists of endpoints published.\n"
+      "# TYPE shelflink_endpoint_lists_published_total counter\n"
+      "shelflink_endpoint_lists_published_total 7\n"
+      "# HELP shelflink_endpoint_lists_not_published_total Lists of endpoints read and not "
+      "published.\n"
+      "# TYPE shelflink_endpoint_lists_not_published_total counter\n"
+      "shelflink_endpoint_lists_not_published_total 1\n"
+      "# HELP shelflink_operator_answers_total Answers to the operator's orders, by status code.\n"
+      "# TYPE shelflink_operator_answers_total counter\n"
+      "shelflink_operator_answers_total{status=\"200\"} 5\n"
+      "shelflink_operator_answers_total{status=\"503\"} 22\n");
+}
+
+BOOST_AUTO_TEST_CASE(what_is_not_known_is_left_out) {
+  CoreFigures figures;
+  figures.process = {"edge-9", "core", milliseconds(0)};
+  const std::string text = MetricsOf(figures, Invariants());
+  BOOST_TEST(Has(text, "shelflink_process_info{node=\"edge-9\",role=\"core\"} 1"));
+  BOOST_TEST(Has(text, "shelflink_core_is_primary 0"));
+  BOOST_TEST(Has(text, "shelflink_core_knows_primary 0"));
+  BOOST_TEST(Has(text, "shelflink_endpoint_lists_published_total 0"));
+  for (const char* absent : {"shelflink_disk_", "shelflink_core_leases", "shelflink_core_record_",
+                             "shelflink_endpoint_list_", "shelflink_operator_answers_total"}) {
+    BOOST_TEST(text.find(absent) == std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace shelflink::cluster
--- a/tests/tier/cluster/core_service_test.cpp
+++ b/tests/tier/cluster/core_service_test.cpp
@@ -349,6 +349,33 @@
   for (const auto& proxy : rig.proxies) BOOST_TEST(!proxy->stepped_back);
 }
 
+BOOST_AUTO_TEST_CASE(figures_tell_lists_that_were_published_and_that_were_not) {
+  Rig rig(3, 2);
+  rig.platform.list = {{"i-0", "big", net::Address::V4(0x0a640001, 80), "zone-0", 8, false, {}},
+                       {"i-1", "big", net::Address::V4(0x0a640002, 80), "zone-0", 8, true, {}}};
+  rig.Start();
+  rig.Run(seconds(2));
+  const CoreService& service = rig.Primary().service();
+  const ClusterFigures before = service.figures();
+  BOOST_TEST(before.leases.at("proxy") == 2U);
+  BOOST_REQUIRE(before.published_list.has_value());
+  BOOST_TEST(before.published_list->entries == 2U);
+  BOOST_TEST(before.published_list->draining == 1U);
+  BOOST_TEST(before.lists_published == 1U);
+  BOOST_TEST(before.lists_not_published == 0U);
+  BOOST_REQUIRE(before.list_age.has_value());
+  BOOST_TEST((*before.list_age < seconds(2)));
+  MemoryReplicator* const primary = std::exchange(rig.map.primary, nullptr);  // Its lease lapses.
+  rig.platform.list.pop_back();
+  rig.Run(seconds(2));
+  const ClusterFigures after = service.figures();
+  BOOST_TEST(after.leases.empty());
+  BOOST_TEST(after.lists_published == 1U);
+  BOOST_TEST(after.lists_not_published == 1U);
+  BOOST_TEST(after.published_list->entries == 2U);
+  rig.map.primary = primary;
+}
+
 BOOST_AUTO_TEST_CASE(a_process_that_is_not_the_primary_changes_nothing) {
   Rig rig;
   rig.Start();
--- /dev/null
+++ b/tests/tier/proxy/metrics_test.cpp
@@ -0,0 +1,90 @@
+// Every figure of a proxy, byte for byte; and what is left out where it is not known.
+#define BOOST_TEST_MODULE proxy_metrics
+#include "tier/proxy/metrics.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace shelflink::proxy {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string OwnText(const ProxyFigures& figures) {
+  const std::string text = MetricsOf(figures, Invariants());
+  return text.substr(text.find("# HELP shelflink_ready"));
+}
+
+BOOST_AUTO_TEST_CASE(all_figures) {
+  ProxyFigures figures;
+  figures.ready = true;
+  figures.in_touch = true;
+  figures.lease_remaining = milliseconds(2500);
+  figures.endpoints = cluster::EndpointSummary{{3, 7}, 60, 2};
+  figures.endpoints_unchanged = milliseconds(30125);
+  figures.endpoints_age = milliseconds(750);
+  figures.drain_bound = milliseconds(3000);
+  figures.configuration_version = 41;
+  figures.placement_version = 9;
+  figures.calls = 17;
+  figures.endpoint_connections = 1234;
+  BOOST_TEST(
+      OwnText(figures) ==
+      "# HELP shelflink_ready Whether GET /ready answers 200.\n"
+      "# TYPE shelflink_ready gauge\n"
+      "shelflink_ready 1\n"
+      "# HELP shelflink_core_in_touch Whether the lease from the core's primary is valid.\n"
+      "# TYPE shelflink_core_in_touch gauge\n"
+      "shelflink_core_in_touch 1\n"
+      "# HELP shelflink_lease_remaining_seconds Time until the lease ends; 0 without one.\n"
+      "# TYPE shelflink_lease_remaining_seconds gauge\n"
+      "shelflink_lease_remaining_seconds 2.5\n"
+      "# HELP shelflink_endpoint_list_epoch Epoch of the primary that published the list of "
+      "endpoints.\n"
+      "# TYPE shelflink_endpoint_list_epoch gauge\n"
+      "shelflink_endpoint_list_epoch 3\n"
+      "# HELP shelflink_endpoint_list_sequence Number of the list of endpoints within its epoch.\n"
+      "# TYPE shelflink_endpoint_list_sequence gauge\n"
+      "shelflink_endpoint_list_sequence 7\n"
+      "# HELP shelflink_endpoint_list_entries Endpoints in the list.\n"
+      "# TYPE shelflink_endpoint_list_entries gauge\n"
+      "shelflink_endpoint_list_entries 60\n"
+      "# HELP shelflink_endpoint_list_draining_entries Endpoints in the list that drain.\n"
+      "# TYPE shelflink_endpoint_list_draining_entries gauge\n"
+      "shelflink_endpoint_list_draining_entries 2\n"
+      "# HELP shelflink_endpoint_list_unchanged_seconds Time since this process took the list of "
+      "endpoints.\n"
+      "# TYPE shelflink_endpoint_list_unchanged_seconds gauge\n"
+      "shelflink_endpoint_list_unchanged_seconds 30.125\n"
+      "# HELP shelflink_endpoint_list_age_seconds Time since the platform's list was read that "
+      "the list of endpoints stands for.\n"
+      "# TYPE shelflink_endpoint_list_age_seconds gauge\n"
+      "shelflink_endpoint_list_age_seconds 0.75\n"
+      "# HELP shelflink_drain_bound_seconds bounds.drainMs: no list of endpoints may be older.\n"
+      "# TYPE shelflink_drain_bound_seconds gauge\n"
+      "shelflink_drain_bound_seconds 3\n"
+      "# HELP shelflink_configuration_version Version of the configuration in force here.\n"
+      "# TYPE shelflink_configuration_version gauge\n"
+      "shelflink_configuration_version 41\n"
+      "# HELP shelflink_placement_version Version of the placement of batch partitions here.\n"
+      "# TYPE shelflink_placement_version gauge\n"
+      "shelflink_placement_version 9\n"
+      "# HELP shelflink_endpoint_calls Requests that wait for an endpoint or are at one.\n"
+      "# TYPE shelflink_endpoint_calls gauge\n"
+      "shelflink_endpoint_calls 17\n"
+      "# HELP shelflink_endpoint_connections_total Connections to endpoints that were opened.\n"
+      "# TYPE shelflink_endpoint_connections_total counter\n"
+      "shelflink_endpoint_connections_total 1234\n");
+}
+
+BOOST_AUTO_TEST_CASE(what_is_not_known_is_left_out) {
+  const std::string text = OwnText(ProxyFigures());
+  BOOST_TEST(text.find("\nshelflink_core_in_touch 0\n") != std::string::npos);
+  BOOST_TEST(text.find("\nshelflink_lease_remaining_seconds 0\n") != std::string::npos);
+  for (const char* absent : {"shelflink_endpoint_list_", "shelflink_configuration_version",
+                             "shelflink_placement_version"}) {
+    BOOST_TEST(text.find(absent) == std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace shelflink::proxy
--- a/tests/tier/proxy/program_test.cpp
+++ b/tests/tier/proxy/program_test.cpp
@@ -109,6 +109,93 @@
   }
 }
 
+namespace {
+
+constexpr std::uint16_t kReadyPort = 8687;
+
+std::string MetricsRequest(const std::string& method) {
+  return method + " /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+}
+
+bool HasLine(const Message& answer, const std::string& line) {
+  return answer.body.find("\n" + line + "\n") != std::string::npos;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(metrics_stand_beside_readiness) {
+  Tier tier;
+  tier.rig.Run(seconds(1));
+  const Message early = tier.Ask(kReadyPort, MetricsRequest("GET"));  // No core yet.
+  BOOST_TEST(early.Status() == 200);
+  BOOST_TEST(HasLine(early, "shelflink_ready 0"));
+  BOOST_TEST(HasLine(early, "shelflink_core_in_touch 0"));
+  BOOST_TEST(early.body.find("shelflink_endpoint_list_entries") == std::string::npos);
+  tier.Begin();
+  const Message answer = tier.Ask(kReadyPort, MetricsRequest("GET"));
+  BOOST_TEST(answer.Status() == 200);
+  BOOST_TEST(answer.Value("Content-Type") == "text/plain; version=0.0.4; charset=utf-8");
+  BOOST_TEST(HasLine(answer, "shelflink_process_info{node=\"edge-1\",role=\"proxy\"} 1"));
+  BOOST_TEST(HasLine(answer, "shelflink_ready 1"));
+  BOOST_TEST(HasLine(answer, "shelflink_core_in_touch 1"));
+  BOOST_TEST(HasLine(answer, "shelflink_endpoint_list_entries 1"));
+  BOOST_TEST(HasLine(answer, "shelflink_endpoint_list_draining_entries 0"));
+  BOOST_TEST(HasLine(answer, "shelflink_configuration_version 5"));
+  BOOST_TEST(HasLine(answer, "shelflink_drain_bound_seconds 3"));
+  tier.List(true);
+  tier.rig.Run(seconds(2));
+  const Message draining = tier.Ask(kReadyPort, MetricsRequest("GET"));
+  BOOST_TEST(HasLine(draining, "shelflink_endpoint_list_draining_entries 1"));
+}
+
+BOOST_AUTO_TEST_CASE(metrics_are_read_only) {
+  Tier tier;
+  tier.Begin();
+  Client client(tier.outside, net::Address::V4(kHost, kReadyPort));
+  client.Send(MetricsRequest("HEAD") + "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+  tier.rig.Run(milliseconds(300));
+  const std::size_t head_end = client.came.find("\r\n\r\n");
+  BOOST_REQUIRE(head_end != std::string::npos);
+  BOOST_TEST(client.came.starts_with("HTTP/1.1 200"));
+  BOOST_TEST(client.came.substr(head_end + 4).starts_with("HTTP/1.1 200"));  // Of /ready.
+  BOOST_TEST(client.came.find("shelflink_") == std::string::npos);
+  client.Leave();
+  const Message refused = tier.Ask(kReadyPort, MetricsRequest("DELETE"));
+  BOOST_TEST(refused.Status() == 405);
+  BOOST_TEST(refused.Value("Allow") == "GET, HEAD");
+  BOOST_TEST(tier.Ask(kReadyPort, "GET /other HTTP/1.1\r\nHost: x\r\n\r\n").Status() == 404);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_for_metrics_in_two_parts_is_answered) {
+  Tier tier;
+  tier.Begin();
+  const std::string request = MetricsRequest("GET");
+  for (std::size_t cut = 1; cut < request.size(); ++cut) {
+    Client client(tier.outside, net::Address::V4(kHost, kReadyPort));
+    client.Send(request.substr(0, cut));
+    tier.rig.Run(milliseconds(500));
+    BOOST_TEST(tier.Ready() == 200);
+    client.Send(request.substr(cut));
+    tier.rig.Run(milliseconds(100));
+    BOOST_TEST(HasLine(client.Answer(), "shelflink_ready 1"));
+    client.Leave();
+  }
+}
+
+// More connections than the listener may have, each left open behind its answer.
+BOOST_AUTO_TEST_CASE(readiness_is_told_whoever_reads_metrics) {
+  Tier tier;
+  tier.Begin();
+  std::vector<std::unique_ptr<Client>> readers;
+  for (int i = 0; i < 100; ++i) {
+    readers.push_back(std::make_unique<Client>(tier.outside, net::Address::V4(kHost, kReadyPort)));
+    readers.back()->Send(MetricsRequest("GET"));
+    if (i % 10 == 9) BOOST_TEST(tier.Ready() == 200);
+  }
+  BOOST_TEST(tier.Ready() == 200);
+  for (const auto& reader : readers) reader->Leave();
+}
+
 BOOST_AUTO_TEST_CASE(a_drain_on_the_platforms_list_binds) {
   Tier tier;
   tier.Begin();
