--- a/src/tier/coordination/group.h
+++ b/src/tier/coordination/group.h
@@ -64,6 +64,8 @@
   // The disk has refused: this process vouches for nothing any more.
   bool failed() const { return failed_; }
   const Member& member() const { return *member_; }
+  // Of the disk; zeros without one.
+  storage::Usage disk_usage() const { return storage_ ? storage_->usage() : storage::Usage{}; }
 
  private:
   struct Request {
@@ -96,6 +98,7 @@
   void BeginTransfer();
   void EndTransfer(bool moved);
   void SayIfStuck(net::Time now);
+  void SayIfRecordChanged();
 
   net::Loop& loop_;
   transport::Hub& hub_;
@@ -111,6 +114,7 @@
   Ticket ticket_ = 0;
   bool running_ = false;  // Inside a step and what it brings about.
   bool failed_ = false;
+  std::uint64_t record_told_ = 0;  // Number of the record that the log has told last.
   std::function<void(bool)> transferred_;
   bool transfer_begun_ = false;
   net::Time transfer_from_{};
