Calls to the platform are counted by outcome on core processes

Cause: a list that is not read any more and one that is read and not published look alike from outside.

Change: CountedPlatform passes calls and answers on and counts each that has ended; core processes tell them as shelflink_platform_calls_total.

--- a/src/tier/cluster/core_metrics.cpp
+++ b/src/tier/cluster/core_metrics.cpp
@@ -40,6 +40,8 @@
 constexpr MetricFamily kListsNotPublished{"shelflink_endpoint_lists_not_published_total",
                                           MetricType::kCounter,
                                           "Lists of endpoints read and not published."};
+constexpr MetricFamily kPlatformCalls{"shelflink_platform_calls_total", MetricType::kCounter,
+                                      "Calls to the platform that have ended, by outcome."};
 constexpr MetricFamily kAnswers{"shelflink_operator_answers_total", MetricType::kCounter,
                                 "Answers to the operator's orders, by status code."};
 
@@ -86,6 +88,10 @@
   AddProcessMetrics(text, figures.process, invariants);
   AddGroup(text, figures.group);
   AddCluster(text, figures.cluster);
+  for (const auto& [outcome, count] : figures.platform_calls) {
+    text.Add(kPlatformCalls, count,
+             {{"call", NameOf(outcome.kind)}, {"outcome", OutcomeName(outcome)}});
+  }
   for (const auto& [status, count] : figures.operator_answers) {
     const std::string code = std::to_string(status);
     text.Add(kAnswers, count, {{"status", code}});
--- a/src/tier/cluster/core_metrics.h
+++ b/src/tier/cluster/core_metrics.h
@@ -12,6 +12,7 @@
 
 #include "tier/cluster/cluster_figures.h"
 #include "tier/foundation/process_metrics.h"
+#include "tier/platform/counted_platform.h"
 
 namespace shelflink::cluster {
 
@@ -36,6 +37,7 @@
   ProcessFigures process;
   GroupFigures group;
   ClusterFigures cluster;
+  platform::CallCounts platform_calls;
   std::map<int, std::uint64_t> operator_answers;  // By status code.
 };
 
--- a/src/tier/cluster/core_program.cpp
+++ b/src/tier/cluster/core_program.cpp
@@ -12,6 +12,7 @@
 #include "tier/foundation/log.h"
 #include "tier/operator_api/forwarder.h"
 #include "tier/operator_api/server.h"
+#include "tier/platform/counted_platform.h"
 #include "tier/platform/soup_platform.h"
 #include "tier/transport/hub.h"
 
@@ -34,9 +35,10 @@
           DrawIncarnation()};
 }
 
-std::unique_ptr<platform::Platform> PlatformOf(const ProcessSettings& settings) {
+std::unique_ptr<platform::CountedPlatform> PlatformOf(const ProcessSettings& settings) {
   if (!settings.cloud.address) return nullptr;
-  return std::make_unique<platform::SoupPlatform>(*settings.cloud.address);
+  return std::make_unique<platform::CountedPlatform>(
+      std::make_unique<platform::SoupPlatform>(*settings.cloud.address));
 }
 
 std::vector<std::string> NodesOf(const std::vector<coordination::CoreMember>& members) {
@@ -114,6 +116,7 @@
     figures.process = {settings_.node, "core", loop_.Now() - started_at_};
     figures.group = FiguresOf(group_);
     figures.cluster = service_.figures();
+    if (platform_) figures.platform_calls = platform_->counts();
     figures.operator_answers = server_->counters().answers;
     return figures;
   }
@@ -134,7 +137,7 @@
   net::GlibLoop& loop_;
   transport::Hub hub_;
   coordination::Group group_;
-  std::unique_ptr<platform::Platform> platform_;
+  std::unique_ptr<platform::CountedPlatform> platform_;
   CoreService service_;
   operator_api::Forwarder forwarder_;
   std::unique_ptr<operator_api::Server> server_;
--- a/tests/tier/cluster/core_metrics_test.cpp
+++ b/tests/tier/cluster/core_metrics_test.cpp
@@ -28,6 +28,9 @@
   figures.cluster.list_age = milliseconds(250);
   figures.cluster.lists_published = 7;
   figures.cluster.lists_not_published = 1;
+  using platform::CallKind;
+  figures.platform_calls[{CallKind::kList, std::nullopt}] = 80;
+  figures.platform_calls[{CallKind::kList, ErrorCode::kExhausted}] = 3;
   figures.operator_answers = {{200, 5}, {503, 22}};
   return figures;
 }
@@ -106,6 +109,10 @@
       "published.\n"
       "# TYPE shelflink_endpoint_lists_not_published_total counter\n"
       "shelflink_endpoint_lists_not_published_total 1\n"
+      "# HELP shelflink_platform_calls_total Calls to the platform that have ended, by outcome.\n"
+      "# TYPE shelflink_platform_calls_total counter\n"
+      "shelflink_platform_calls_total{call=\"list\",outcome=\"ok\"} 80\n"
+      "shelflink_platform_calls_total{call=\"list\",outcome=\"exhausted\"} 3\n"
       "# HELP shelflink_operator_answers_total Answers to the operator's orders, by status code.\n"
       "# TYPE shelflink_operator_answers_total counter\n"
       "shelflink_operator_answers_total{status=\"200\"} 5\n"
@@ -121,7 +128,8 @@
   BOOST_TEST(Has(text, "shelflink_core_knows_primary 0"));
   BOOST_TEST(Has(text, "shelflink_endpoint_lists_published_total 0"));
   for (const char* absent : {"shelflink_disk_", "shelflink_core_leases", "shelflink_core_record_",
-                             "shelflink_endpoint_list_", "shelflink_operator_answers_total"}) {
+                             "shelflink_endpoint_list_", "shelflink_platform_calls_total",
+                             "shelflink_operator_answers_total"}) {
     BOOST_TEST(text.find(absent) == std::string::npos);
   }
 }
