--- a/tests/fuzz/tier_control.cpp
+++ b/tests/fuzz/tier_control.cpp
@@ -62,7 +62,10 @@
 // One for all inputs: a server that one of them has harmed must be seen by the next.
 class Control {
  public:
-  Control() { service_.is_primary_here = true; }
+  Control() {
+    service_.is_primary_here = true;
+    server_.SetMetrics([] { return std::string("figures 1\n"); });
+  }
 
   std::unique_ptr<Operator> Connect() {
     return std::make_unique<Operator>(loop_, server_.address());
--- a/tests/fuzz/tier_listeners.cpp
+++ b/tests/fuzz/tier_listeners.cpp
@@ -8,6 +8,7 @@
 #include "fuzz/tier_targets.h"
 #include "proxy/stand_in.h"
 #include "sidecar/server.h"
+#include "tier/proxy/metrics_answer.h"
 #include "tier/transport/frames.h"
 #include "tier/transport/hub.h"
 
@@ -135,7 +136,7 @@
     if (manner_ == Manner::kReadThenAnswer && !arrival.whole) {
       return ReadOn(client, request.body().size());
     }
-    client->RespondPlain(404, "GET /ready is served here\n");
+    shelflink::proxy::AnswerMetrics(*client, request, [] { return std::string("figures 1\n"); });
   }
   void ReadOn(const ClientPtr& client, std::size_t read) {
     client->Pull([this, client, read](const std::string& part, bool last) {
