The text of a record has a name of its own

Cause: TextOf(Record) made calls of the tests' TextOf(Write) ambiguous, so that these did not build. Change: DescriptionOf. Measured: tier_storm_test and tier_messages_test build.

--- a/src/tier/coordination/group.cpp
+++ b/src/tier/coordination/group.cpp
@@ -233,7 +233,7 @@
   const Record& record = member_->record();
   if (record.number == record_told_) return;
   record_told_ = record.number;
-  log::Info(kModule, "record: " + TextOf(record));
+  log::Info(kModule, "record: " + DescriptionOf(record));
 }
 
 // ---- The map and the role.
--- a/src/tier/coordination/record.cpp
+++ b/src/tier/coordination/record.cpp
@@ -71,7 +71,7 @@
   return disks;
 }
 
-std::string TextOf(const Record& record) {
+std::string DescriptionOf(const Record& record) {
   const CoreMember* primary = FindDisk(record.replicas, record.primary);
   return "epoch " + std::to_string(record.number) + ", primary " +
          (primary == nullptr ? "none" : primary->node) + ", replicas" + NodesOf(record.replicas) +
--- a/src/tier/coordination/record.h
+++ b/src/tier/coordination/record.h
@@ -49,7 +49,7 @@
 std::vector<CoreMember> MembersOf(const Record& record);
 std::vector<std::string> DisksOf(const std::vector<CoreMember>& members);
 // For logs: "epoch 3, primary a, replicas a b, witnesses a b c", by the names of the nodes.
-std::string TextOf(const Record& record);
+std::string DescriptionOf(const Record& record);
 
 void Put(cbor::Writer& out, const CoreMember& member);
 void Put(cbor::Writer& out, const Record& record);
--- a/tests/tier/coordination/messages_test.cpp
+++ b/tests/tier/coordination/messages_test.cpp
@@ -77,9 +77,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_record_is_told_by_the_names_of_its_nodes) {
-  BOOST_TEST(TextOf(SomeRecord()) ==
+  BOOST_TEST(DescriptionOf(SomeRecord()) ==
              "epoch 7, primary node-a, replicas node-a node-b, witnesses node-a node-b node-c");
-  BOOST_TEST(TextOf(Record()) == "epoch 0, primary none, replicas, witnesses");
+  BOOST_TEST(DescriptionOf(Record()) == "epoch 0, primary none, replicas, witnesses");
 }
 
 BOOST_AUTO_TEST_CASE(unknown_kinds_are_refused_and_later_fields_ignored) {
