Storages name the class of a failure and recover from it

LmdbStorage kept its first error for the life of the process, so that a disk which was full for seconds was lost to its owner for good, and no owner could tell a full disk from a damaged one.

A storage now tells the class of its failure (full, transient, damaged, fatal) and has Recover(): it drops what was not durable, proves room by a small plain file, opens and verifies the file anew (its cached pages dropped first, since a failed sync may have left pages that no disk has), and writes and syncs a probe through LMDB. A damaged file is set aside when it is found so, without a restart. A write that LMDB reports as EIO because it was cut short counts as full where a plain file finds no room either. CrashStorage fails at any operation with each class, and fails syncs on a full disk too. SIGXFSZ is ignored: a limit of file sizes is an error like others.

--- a/src/tier/coordination/group.cpp
+++ b/src/tier/coordination/group.cpp
@@ -6,6 +6,7 @@
 
 #include "tier/foundation/log.h"
 #include "tier/storage/lmdb_storage.h"
+#include "tier/storage/no_storage.h"
 
 namespace shelflink::coordination {
 
@@ -24,17 +25,6 @@
 constexpr Milliseconds kTransferWaits{150};  // For a write under way.
 constexpr int kStuckLeases = 8;
 
-// Of a process without a disk: it remembers nothing and vouches for nothing.
-class NoStorage : public storage::Storage {
- public:
-  std::optional<std::string> Get(std::string_view) const override { return std::nullopt; }
-  void Scan(std::string_view, std::string_view, const Visitor&) const override {}
-  void Apply(const storage::Batch&) override {}
-  void Sync(Synced) override {}
-  storage::Usage usage() const override { return {}; }
-  bool failed() const override { return false; }
-};
-
 std::uint64_t DrawRandom() {
   std::random_device device;
   return (std::uint64_t{device()} << 32U) | device();
@@ -86,7 +76,7 @@
     member.self.disk = identity.id;
     member.found = member.found && identity.is_new;
   } else {
-    storage_ = std::make_unique<NoStorage>();
+    storage_ = std::make_unique<storage::NoStorage>();
     member.found = false;
   }
   member_ = std::make_unique<Member>(member, *storage_, loop_.Now());
--- a/src/tier/programs/control_main.cpp
+++ b/src/tier/programs/control_main.cpp
@@ -58,6 +58,7 @@
 
 int Main(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);  // A limit of the files' size is told as an error, as a full disk.
   try {
     return RunCommand(argc, argv);
   } catch (const std::exception& error) {
--- a/src/tier/storage/crash_storage.cpp
+++ b/src/tier/storage/crash_storage.cpp
@@ -28,6 +28,21 @@
   unsynced_.clear();
 }
 
+void CrashDisk::FailFrom(std::uint64_t nth, std::uint64_t times, Failure failure) {
+  fails_from_ = operations_ + nth;
+  fails_left_ = times;
+  fails_as_ = failure;
+}
+
+Failure CrashDisk::Operate() {
+  ++operations_;
+  if (fails_left_ > 0 && operations_ >= fails_from_) {
+    --fails_left_;
+    return fails_as_;
+  }
+  return full_ ? Failure::kFull : Failure::kNone;
+}
+
 std::optional<std::string> CrashStorage::Get(std::string_view key) const {
   const auto found = disk_.contents_.find(key);
   if (found == disk_.contents_.end()) return std::nullopt;
@@ -44,39 +59,75 @@
 }
 
 void CrashStorage::Apply(const Batch& batch) {
-  if (failed_ || disk_.full_) {
-    failed_ = true;
-    return;
-  }
+  if (failed()) return;
+  failure_ = disk_.Operate();
+  if (failed()) return;
   CrashDisk::ApplyTo(disk_.contents_, batch);
   disk_.unsynced_.push_back(batch);
   ++applied_;
 }
 
 void CrashStorage::Sync(Synced done) {
-  schedule_([this, covered = applied_, done = std::move(done)] { EndSync(covered, done); });
+  schedule_([this, covered = Covered{applied_, recoveries_}, done = std::move(done)] {
+    EndSync(covered, done);
+  });
 }
 
-void CrashStorage::EndSync(std::size_t covered, const Synced& done) {
-  if (failed_) {
-    done(MakeError(ErrorCode::kStorage, "the disk is full"));
+void CrashStorage::EndSync(Covered covered, const Synced& done) {
+  if (failed() || covered.recoveries != recoveries_) {
+    done(ErrorNow());
     return;
   }
   if (disk_.stalled_) {
     schedule_([this, covered, done] { EndSync(covered, done); });
     return;
   }
-  if (covered > durable_) {
-    const auto count = static_cast<std::ptrdiff_t>(
-        std::min<std::uint64_t>(covered - durable_, disk_.unsynced_.size()));
-    for (auto at = disk_.unsynced_.begin(); at != disk_.unsynced_.begin() + count; ++at) {
-      CrashDisk::ApplyTo(disk_.durable_, *at);
-    }
-    disk_.unsynced_.erase(disk_.unsynced_.begin(), disk_.unsynced_.begin() + count);
-    durable_ = covered;
-    ++disk_.syncs_;
+  if (covered.batches > durable_) failure_ = disk_.Operate();
+  if (failed()) {
+    done(ErrorNow());
+    return;
   }
+  MakeDurable(covered.batches);
   done(BOOST_OUTCOME_V2_NAMESPACE::success());
 }
 
+void CrashStorage::MakeDurable(std::uint64_t covered) {
+  if (covered <= durable_) return;
+  const auto count = static_cast<std::ptrdiff_t>(
+      std::min<std::uint64_t>(covered - durable_, disk_.unsynced_.size()));
+  for (auto at = disk_.unsynced_.begin(); at != disk_.unsynced_.begin() + count; ++at) {
+    CrashDisk::ApplyTo(disk_.durable_, *at);
+  }
+  disk_.unsynced_.erase(disk_.unsynced_.begin(), disk_.unsynced_.begin() + count);
+  durable_ = covered;
+  ++disk_.syncs_;
+}
+
+std::string CrashStorage::failure_text() const {
+  return failed() ? std::string("the disk refuses: ") + NameOf(failure_) : "";
+}
+
+Result<void> CrashStorage::ErrorNow() const {
+  if (failed()) return MakeError(ErrorCode::kStorage, failure_text());
+  return MakeError(ErrorCode::kStorage, "the disk had failed meanwhile");
+}
+
+Result<void> CrashStorage::Recover() {
+  if (!failed()) return BOOST_OUTCOME_V2_NAMESPACE::success();
+  const Failure refused = disk_.Operate();
+  if (refused != Failure::kNone) {
+    return MakeError(ErrorCode::kStorage, std::string("the disk refuses: ") + NameOf(refused));
+  }
+  if (failure_ == Failure::kDamaged) {
+    disk_.Wipe();
+  } else {
+    disk_.LosePower(disk_.kept_on_failure_);
+  }
+  applied_ = 0;
+  durable_ = 0;
+  ++recoveries_;
+  failure_ = Failure::kNone;
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 }  // namespace shelflink::storage
--- a/src/tier/storage/crash_storage.h
+++ b/src/tier/storage/crash_storage.h
@@ -1,6 +1,6 @@
 // A stand-in for a disk in tests that is faithful in a crash: batches that no sync covers may be
 // lost, and those that remain are the oldest of them, each whole. It can also be wiped, be full or
-// stall.
+// stall, and fail at any operation.
 #ifndef SHELFLINK_TIER_STORAGE_CRASH_STORAGE_H_
 #define SHELFLINK_TIER_STORAGE_CRASH_STORAGE_H_
 
@@ -23,6 +23,13 @@
   void LosePower(std::size_t kept);
   void Wipe();
   void SetFull(bool full) { full_ = full; }
+  // The `nth` operation from now on, counted from 1, and the next ones, `times` altogether, fail
+  // so. An operation is an Apply, the end of a sync or an attempt to recover. Damage is of what is
+  // stored: a recovery behind it finds the disk empty.
+  void FailFrom(std::uint64_t nth, std::uint64_t times, Failure failure);
+  std::uint64_t operations() const { return operations_; }
+  // Of batches that no sync had covered before a failure, so many of the oldest remain.
+  void SetKeptOnFailure(std::size_t kept) { kept_on_failure_ = kept; }
   void SetBytesUsed(std::uint64_t bytes) { bytes_used_ = bytes; }
   // While stalled no sync ends; the ones under way end when it is over.
   void SetStalled(bool stalled) { stalled_ = stalled; }
@@ -33,12 +40,19 @@
  private:
   friend class CrashStorage;
   static void ApplyTo(Contents& contents, const Batch& batch);
+  // Counts an operation; how it fails.
+  Failure Operate();
 
   Contents durable_;
   Contents contents_;  // As reads see it.
   std::vector<Batch> unsynced_;
   std::uint64_t syncs_ = 0;
   bool full_ = false;
+  std::uint64_t operations_ = 0;
+  std::uint64_t fails_from_ = 0;
+  std::uint64_t fails_left_ = 0;
+  Failure fails_as_ = Failure::kNone;
+  std::size_t kept_on_failure_ = 0;
   std::uint64_t bytes_used_ = 0;  // As told; nothing is counted.
   bool stalled_ = false;
 };
@@ -56,16 +70,26 @@
   void Apply(const Batch& batch) override;
   void Sync(Synced done) override;
   Usage usage() const override { return {disk_.bytes_used_, 64U << 20}; }
-  bool failed() const override { return failed_; }
+  Failure failure() const override { return failure_; }
+  std::string failure_text() const override;
+  Result<void> Recover() override;
 
  private:
-  void EndSync(std::size_t covered, const Synced& done);
+  // A sync: it belongs to the batches since the opening or the last recovery.
+  struct Covered {
+    std::uint64_t batches = 0;
+    std::uint64_t recoveries = 0;
+  };
+  void EndSync(Covered covered, const Synced& done);
+  void MakeDurable(std::uint64_t covered);
+  Result<void> ErrorNow() const;
 
   CrashDisk& disk_;
   Schedule schedule_;
-  std::uint64_t applied_;  // Batches since it was opened, and how many are durable.
+  std::uint64_t applied_;  // Batches since it was opened or recovered, and how many are durable.
   std::uint64_t durable_ = 0;
-  bool failed_ = false;
+  std::uint64_t recoveries_ = 0;
+  Failure failure_ = Failure::kNone;
 };
 
 }  // namespace shelflink::storage
--- a/src/tier/storage/lmdb_storage.cpp
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -1,17 +1,16 @@
 #include "tier/storage/lmdb_storage.h"
 
-#include <fcntl.h>
 #include <lmdb.h>
 #include <sys/stat.h>
-#include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
-#include <filesystem>
-#include <system_error>
+#include <utility>
 
 #include "mix.h"
 #include "tier/foundation/log.h"
+#include "tier/storage/lmdb_file.h"
 
 namespace shelflink::storage {
 
@@ -30,12 +29,9 @@
 // Commits after which free pages are counted anew.
 constexpr std::size_t kCommitsPerCount = 32;
 constexpr MDB_dbi kFreePagesTable = 0;  // LMDB's own: lists of page numbers, the count in front.
-// LMDB's own error codes are negative; these say that the file is not what LMDB wrote.
-bool IsDamage(int code) {
-  return code == MDB_INVALID || code == MDB_VERSION_MISMATCH || code == MDB_CORRUPTED ||
-         code == MDB_PAGE_NOTFOUND || code == MDB_PANIC || code == MDB_INCOMPATIBLE ||
-         code == MDB_BAD_TXN;
-}
+// Written and removed again before a storage that failed is trusted.
+constexpr char kProbeKey[] = "probe";
+constexpr std::size_t kProbeBytes = 16U << 10;
 
 // It guards against damage, not against people.
 std::uint64_t Checksum(std::string_view key, std::string_view value) {
@@ -59,62 +55,72 @@
   return value;
 }
 
-// Makes names that were renamed in a folder last.
-void SyncFolder(const std::string& folder) {
-  const int descriptor = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (descriptor < 0) return;
-  ::fsync(descriptor);
-  ::close(descriptor);
-}
-
 }  // namespace
 
 Result<std::unique_ptr<LmdbStorage>> LmdbStorage::Open(net::Loop& loop, const Options& options) {
-  for (int round = 0; round < 2; ++round) {
-    std::error_code error;
-    std::filesystem::create_directory(options.folder, error);
-    if (error) return MakeError(ErrorCode::kStorage, options.folder + ": " + error.message());
-    std::unique_ptr<LmdbStorage> storage(new LmdbStorage(loop));
-    const int code = storage->OpenEnvironment(options);
-    const bool damaged = code == 0 ? options.verify && !storage->Verify() : IsDamage(code);
-    if (code == 0 && !damaged) return storage;
-    if (!damaged) return MakeError(ErrorCode::kStorage, options.folder + ": " + mdb_strerror(code));
-    storage.reset();
-    log::Line(log::Level::kError, kModule,
-              options.folder + " is damaged and set aside; this disk counts as a new one");
-    const std::string aside = options.folder + ".damaged";
-    std::filesystem::remove_all(aside, error);
-    std::filesystem::rename(options.folder, aside, error);
-    if (error) return MakeError(ErrorCode::kStorage, options.folder + ": " + error.message());
-    SyncFolder(std::filesystem::path(options.folder).parent_path().string());
+  std::unique_ptr<LmdbStorage> storage = OpenOrFailed(loop, options);
+  if (storage->failed()) {
+    return MakeError(ErrorCode::kStorage, options.folder + ": " + storage->failure_text());
   }
-  return MakeError(ErrorCode::kStorage, options.folder + ": an empty file is found damaged");
+  return storage;
+}
+
+std::unique_ptr<LmdbStorage> LmdbStorage::OpenOrFailed(net::Loop& loop, const Options& options) {
+  std::unique_ptr<LmdbStorage> storage(new LmdbStorage(loop, options));
+  storage->OpenOrSetAside();
+  return storage;
 }
 
 LmdbStorage::~LmdbStorage() {
   *alive_ = false;
-  if (reading_ != nullptr) mdb_txn_abort(reading_);
-  if (writing_ != nullptr) mdb_txn_abort(writing_);
-  if (environment_ != nullptr) mdb_env_close(environment_);
+  CloseEnvironment();
+}
+
+// ---- Opening and closing.
+
+void LmdbStorage::OpenOrSetAside() {
+  error_ = 0;
+  int code = OpenVerified();
+  if (FailureOfCode(code) == Failure::kDamaged) {
+    code = PutAside();
+    if (code == 0) code = OpenVerified();
+  }
+  if (code != 0) CloseEnvironment();
+  error_ = code;
 }
 
-int LmdbStorage::OpenEnvironment(const Options& options) {
-  bytes_limit_ = options.bytes_limit;
+int LmdbStorage::OpenVerified() {
+  if (const int code = MakeFile(options_.folder, options_.bytes_limit); code != 0) return code;
+  if (const int code = OpenEnvironment(); code != 0) return code;
+  return options_.verify ? Verify() : 0;
+}
+
+int LmdbStorage::OpenEnvironment() {
   if (const int code = mdb_env_create(&environment_); code != 0) return code;
-  if (const int code = mdb_env_set_mapsize(environment_, bytes_limit_); code != 0) return code;
-  if (const int code = mdb_env_open(environment_, options.folder.c_str(), MDB_NOLOCK, kFileMode);
+  if (const int code = mdb_env_set_mapsize(environment_, options_.bytes_limit); code != 0) {
+    return code;
+  }
+  if (const int code = mdb_env_open(environment_, options_.folder.c_str(), MDB_NOLOCK, kFileMode);
       code != 0) {
     return code;
   }
-  // A file shorter than its pages would end the process at the first read beyond its end.
+  if (const int code = CheckLength(); code != 0) return code;
+  return OpenTable();
+}
+
+// A file shorter than its pages would end the process at the first read beyond its end.
+int LmdbStorage::CheckLength() const {
   MDB_envinfo info{};
   MDB_stat stat{};
   struct stat file {};
   mdb_env_info(environment_, &info);
   mdb_env_stat(environment_, &stat);
   const std::uint64_t told = (std::uint64_t{info.me_last_pgno} + 1) * stat.ms_psize;
-  if (::stat((options.folder + "/data.mdb").c_str(), &file) != 0) return MDB_CORRUPTED;
-  if (static_cast<std::uint64_t>(file.st_size) < told) return MDB_CORRUPTED;
+  if (::stat((options_.folder + "/data.mdb").c_str(), &file) != 0) return MDB_CORRUPTED;
+  return static_cast<std::uint64_t>(file.st_size) < told ? MDB_CORRUPTED : 0;
+}
+
+int LmdbStorage::OpenTable() {
   MDB_txn* transaction = nullptr;
   if (const int code = mdb_txn_begin(environment_, nullptr, 0, &transaction); code != 0) {
     return code;
@@ -126,11 +132,71 @@
   return mdb_txn_commit(transaction);
 }
 
-bool LmdbStorage::Verify() const {
+int LmdbStorage::Verify() const {
   Scan("", "", [](std::string_view, std::string_view) { return true; });
-  return error_.empty();
+  return std::exchange(error_, 0);
+}
+
+int LmdbStorage::PutAside() {
+  CloseEnvironment();
+  log::Line(log::Level::kError, kModule,
+            options_.folder + " is damaged and set aside; this disk counts as a new one");
+  return SetAside(options_.folder);
 }
 
+void LmdbStorage::CloseEnvironment() {
+  if (reading_ != nullptr) mdb_txn_abort(reading_);
+  if (writing_ != nullptr) mdb_txn_abort(writing_);
+  if (environment_ != nullptr) mdb_env_close(environment_);
+  reading_ = nullptr;
+  writing_ = nullptr;
+  environment_ = nullptr;
+  bytes_read_ = 0;
+  free_pages_.reset();
+}
+
+// ---- After a failure.
+
+Failure LmdbStorage::failure() const { return FailureOfCode(error_); }
+
+std::string LmdbStorage::failure_text() const { return failed() ? mdb_strerror(error_) : ""; }
+
+Result<void> LmdbStorage::Recover() {
+  if (!failed()) return BOOST_OUTCOME_V2_NAMESPACE::success();
+  FailWaiting();
+  if (const int code = ProveRoom(options_.folder); code != 0) {
+    return MakeError(ErrorCode::kStorage, mdb_strerror(code));
+  }
+  CloseEnvironment();
+  DropCachedPages(options_.folder);
+  if (failure() == Failure::kDamaged) {
+    error_ = PutAside();
+    if (failed()) return MakeError(ErrorCode::kStorage, failure_text());
+  }
+  OpenOrSetAside();
+  if (!failed()) WriteProbe();
+  if (failed()) return MakeError(ErrorCode::kStorage, failure_text());
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void LmdbStorage::WriteProbe() {
+  Apply(Batch().Put(kProbeKey, std::string(kProbeBytes, 'p')));
+  if (!failed()) EndWriting();
+  Apply(Batch().Remove(kProbeKey));
+  if (!failed()) EndWriting();
+}
+
+void LmdbStorage::FailWaiting() {
+  const Error error = MakeError(ErrorCode::kStorage, failure_text());
+  loop_.Post([told = std::exchange(waiting_, {}), error, alive = alive_] {
+    for (const Synced& done : told) {
+      if (*alive) done(error);
+    }
+  });
+}
+
+// ---- Reading.
+
 MDB_txn* LmdbStorage::Reading() const {
   if (writing_ != nullptr) return writing_;
   const int code = reading_ == nullptr ? mdb_txn_begin(environment_, nullptr, MDB_RDONLY, &reading_)
@@ -210,6 +276,8 @@
   return next;
 }
 
+// ---- Writing.
+
 void LmdbStorage::Apply(const Batch& batch) {
   if (failed()) return;
   if (const int code = ApplyAll(batch); code != 0) Fail(code);
@@ -261,25 +329,33 @@
   for (const Synced& done : told) {
     if (!*alive) return;
     if (failed()) {
-      done(MakeError(ErrorCode::kStorage, error_));
+      done(MakeError(ErrorCode::kStorage, failure_text()));
     } else {
       done(BOOST_OUTCOME_V2_NAMESPACE::success());
     }
   }
 }
 
+int LmdbStorage::LikelyCause(int code) const {
+  const int room = ProveRoom(options_.folder);
+  return FailureOfCode(room) == Failure::kFull ? room : code;
+}
+
 bool LmdbStorage::MustLetGo() const { return bytes_read_ >= kMostBytesRead; }
 
 void LmdbStorage::EndWriting() const {
-  const int code = mdb_txn_commit(writing_);
+  int code = mdb_txn_commit(writing_);
   writing_ = nullptr;
+  // What LMDB makes of a write that was cut short, as by a disk that has become full.
+  if (code == EIO) code = LikelyCause(code);
   if (code != 0) Fail(code);
 }
 
 void LmdbStorage::LetGo() const {
   bytes_read_ = 0;
   // Setting the size maps the file anew; nothing may point into the old map.
-  if (const int code = mdb_env_set_mapsize(environment_, bytes_limit_); code != 0) Fail(code);
+  if (const int code = mdb_env_set_mapsize(environment_, options_.bytes_limit); code != 0)
+    Fail(code);
 }
 
 std::uint64_t LmdbStorage::FreePages() const {
@@ -303,18 +379,21 @@
 }
 
 Usage LmdbStorage::usage() const {
+  if (environment_ == nullptr) return {0, options_.bytes_limit};
   MDB_envinfo info{};
   MDB_stat stat{};
   mdb_env_info(environment_, &info);
   mdb_env_stat(environment_, &stat);
   const std::uint64_t pages = std::uint64_t{info.me_last_pgno} + 1;
-  return {(pages - std::min(pages, FreePages())) * stat.ms_psize, bytes_limit_};
+  return {(pages - std::min(pages, FreePages())) * stat.ms_psize, options_.bytes_limit};
 }
 
 void LmdbStorage::Fail(int code) const {
   if (failed()) return;
-  error_ = mdb_strerror(code);
-  log::Line(log::Level::kError, kModule, "nothing more is stored: " + error_);
+  error_ = code;
+  if (!options_.log_failures) return;
+  log::Line(log::Level::kError, kModule,
+            std::string("nothing more is stored (") + NameOf(failure()) + "): " + failure_text());
 }
 
 }  // namespace shelflink::storage
--- a/src/tier/storage/lmdb_storage.h
+++ b/src/tier/storage/lmdb_storage.h
@@ -23,11 +23,14 @@
     std::string folder;             // Made where it is missing; its parent must exist.
     std::uint64_t bytes_limit = 0;  // Size of the map: the most that the file may grow to.
     bool verify = true;             // Read everything once when opening.
+    bool log_failures = true;       // False: the owner tells the log why nothing is stored.
   };
 
   // A damaged file: one log line, its folder is renamed to `folder`.damaged (in place of an older
   // one) and an empty storage opened. Other errors (no room, no right) are returned.
   static Result<std::unique_ptr<LmdbStorage>> Open(net::Loop& loop, const Options& options);
+  // As Open, but what cannot be opened is a storage that has failed: Recover() tries again.
+  static std::unique_ptr<LmdbStorage> OpenOrFailed(net::Loop& loop, const Options& options);
   ~LmdbStorage() override;
   LmdbStorage(const LmdbStorage&) = delete;
   LmdbStorage& operator=(const LmdbStorage&) = delete;
@@ -37,13 +40,26 @@
   void Apply(const Batch& batch) override;
   void Sync(Synced done) override;
   Usage usage() const override;
-  bool failed() const override { return !error_.empty(); }
+  Failure failure() const override;
+  std::string failure_text() const override;
+  Result<void> Recover() override;
 
  private:
-  explicit LmdbStorage(net::Loop& loop) : loop_(loop) {}
+  LmdbStorage(net::Loop& loop, const Options& options) : loop_(loop), options_(options) {}
 
-  int OpenEnvironment(const Options& options);
-  bool Verify() const;
+  // Opens the file, in place of a damaged one an empty one; what stands in the way is the failure
+  // afterwards.
+  void OpenOrSetAside();
+  int OpenVerified();
+  int OpenEnvironment();
+  int CheckLength() const;
+  int OpenTable();
+  int Verify() const;
+  int PutAside();
+  void CloseEnvironment();
+  void WriteProbe();
+  // Tells those that wait for a sync that it will not come.
+  void FailWaiting();
   // The write transaction where one is open, else the read transaction.
   MDB_txn* Reading() const;
   void DoneReading() const;
@@ -56,23 +72,24 @@
   // Pages read through the map count as memory of the process, and the file may be larger than
   // that: the file is mapped anew after so many bytes. Not while a write is open.
   void EndWriting() const;
+  int LikelyCause(int code) const;
   bool MustLetGo() const;
   void LetGo() const;
   // Pages of the file that hold nothing.
   std::uint64_t FreePages() const;
 
   net::Loop& loop_;
+  Options options_;
   MDB_env* environment_ = nullptr;
   unsigned table_ = 0;
   mutable MDB_txn* writing_ = nullptr;
   mutable MDB_txn* reading_ = nullptr;
-  std::uint64_t bytes_limit_ = 0;
   mutable std::size_t bytes_read_ = 0;               // Since the map was let go.
   mutable std::optional<std::uint64_t> free_pages_;  // As counted since the last few commits.
   std::size_t commits_since_counted_ = 0;
   std::vector<Synced> waiting_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  mutable std::string error_;
+  mutable int error_ = 0;  // Code of the first error; nothing is stored since.
 };
 
 }  // namespace shelflink::storage
--- a/src/tier/storage/storage.h
+++ b/src/tier/storage/storage.h
@@ -1,8 +1,11 @@
 // Durable key-value storage with atomic batches: what replicas, witnesses and the batch store keep.
 //
 // A batch is visible to reads at once and durable after a Sync that was asked for later has been
-// told. Batches become durable in their order, each whole or not at all. After an error nothing
-// more is stored: every later Sync fails, and the owner must stop vouching for this disk.
+// told. Batches become durable in their order, each whole or not at all.
+//
+// After a failure nothing more is stored and every later Sync fails, until Recover() succeeds: the
+// owner must stop vouching for this disk at once. What it remembers of batches that no sync has
+// covered is void from then on, since any number of the oldest of them may have become durable.
 #ifndef SHELFLINK_TIER_STORAGE_STORAGE_H_
 #define SHELFLINK_TIER_STORAGE_STORAGE_H_
 
@@ -16,6 +19,7 @@
 #include <vector>
 
 #include "tier/foundation/result.h"
+#include "tier/storage/failure.h"
 
 namespace shelflink::storage {
 
@@ -67,7 +71,16 @@
   // for in one turn of the loop share one sync.
   virtual void Sync(Synced done) = 0;
   virtual Usage usage() const = 0;
-  virtual bool failed() const = 0;
+
+  // Why nothing is stored now; kNone: it takes writes as far as is known.
+  virtual Failure failure() const = 0;
+  virtual std::string failure_text() const = 0;  // One line; empty without a failure.
+  bool failed() const { return failure() != Failure::kNone; }
+  // Drops what is not durable, proves by real writes that the disk takes them again, and reads anew
+  // what it holds. A damaged one is set aside: the storage is empty then, another disk than before.
+  // An error: it has still failed, and may be tried again at any time. Blocks. No effect where
+  // nothing has failed.
+  virtual Result<void> Recover() = 0;
 };
 
 // The identity of this disk: read, or drawn from `random` and applied (not yet synced) when the
--- a/tests/tier/coordination/world.cpp
+++ b/tests/tier/coordination/world.cpp
@@ -31,7 +31,9 @@
   void Apply(const storage::Batch& batch) override { disk_.Apply(batch); }
   void Sync(Synced) override {}  // The world syncs by itself.
   storage::Usage usage() const override { return {}; }
-  bool failed() const override { return false; }
+  storage::Failure failure() const override { return storage::Failure::kNone; }
+  std::string failure_text() const override { return ""; }
+  Result<void> Recover() override { return BOOST_OUTCOME_V2_NAMESPACE::success(); }
 
  private:
   ModelDisk& disk_;
