--- a/src/tier/coordination/group.cpp
+++ b/src/tier/coordination/group.cpp
@@ -4,9 +4,9 @@
 #include <random>
 #include <utility>
 
+#include "tier/foundation/invariants.h"
 #include "tier/foundation/log.h"
 #include "tier/storage/lmdb_storage.h"
-#include "tier/storage/no_storage.h"
 
 namespace shelflink::coordination {
 
@@ -25,6 +25,33 @@
 constexpr Milliseconds kTransferWaits{150};  // For a write under way.
 constexpr int kStuckLeases = 8;
 
+// Whoever receives it counts on what this process has stored.
+bool Vouches(const Message& message) {
+  if (const auto* reply = std::get_if<PrepareReply>(&message)) return reply->promised;
+  if (const auto* reply = std::get_if<AcceptReply>(&message)) return reply->accepted;
+  if (const auto* reply = std::get_if<RenewReply>(&message)) return reply->granted;
+  if (const auto* reply = std::get_if<AppendReply>(&message)) return reply->matched;
+  return false;
+}
+
+std::int64_t MicrosOf(net::Time time) {
+  return time.time_since_epoch() / std::chrono::microseconds(1);
+}
+
+std::string SecondsText(net::Span span) {
+  const auto tenths = span / std::chrono::milliseconds(100);
+  return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10) + " s";
+}
+
+// Whose processes this one may have to find by itself again.
+void AddAddressesOf(const Record& record, std::vector<net::Address>& seeds) {
+  for (const CoreMember& member : MembersOf(record)) {
+    if (std::find(seeds.begin(), seeds.end(), member.address) == seeds.end()) {
+      seeds.push_back(member.address);
+    }
+  }
+}
+
 std::uint64_t DrawRandom() {
   std::random_device device;
   return (std::uint64_t{device()} << 32U) | device();
@@ -55,9 +82,13 @@
   storage::LmdbStorage::Options options;
   options.folder = settings.data_dir + "/core";
   options.bytes_limit = settings.limits.disk_mb * kMegabyte / kDiskShare;
-  auto opened = storage::LmdbStorage::Open(loop, options);
-  if (opened.has_error()) return opened.error();
-  return std::unique_ptr<storage::Storage>(std::move(opened).value());
+  options.log_failures = false;
+  std::unique_ptr<storage::Storage> opened = storage::LmdbStorage::OpenOrFailed(loop, options);
+  const storage::Failure failure = opened->failure();
+  if (failure == storage::Failure::kDamaged || failure == storage::Failure::kFatal) {
+    return MakeError(ErrorCode::kStorage, options.folder + ": " + opened->failure_text());
+  }
+  return opened;
 }
 
 Group::Group(net::Loop& loop, transport::Hub& hub, const ProcessSettings& settings,
@@ -65,26 +96,24 @@
     : Group(loop, hub, std::move(storage), OptionsOf(settings), DrawRandom) {}
 
 Group::Group(net::Loop& loop, transport::Hub& hub, std::unique_ptr<storage::Storage> storage,
-             Options options, const std::function<std::uint64_t()>& random)
-    : loop_(loop), hub_(hub), storage_(std::move(storage)), options_(std::move(options)) {
-  Member::Options& member = options_.member;
-  const transport::PeerIdentity& self = hub_.self();
-  member.self = {self.node, self.zone, "", self.address};
-  member.incarnation = self.incarnation;
-  if (storage_) {
-    const storage::DiskIdentity identity = storage::ReadOrDrawIdentity(*storage_, random);
-    member.self.disk = identity.id;
-    member.found = member.found && identity.is_new;
-  } else {
-    storage_ = std::make_unique<storage::NoStorage>();
-    member.found = false;
-  }
-  member_ = std::make_unique<Member>(member, *storage_, loop_.Now());
+             Options options, std::function<std::uint64_t()> random)
+    : loop_(loop),
+      hub_(hub),
+      storage_(std::move(storage)),
+      options_(std::move(options)),
+      random_(std::move(random)),
+      may_found_(options_.member.found) {
+  options_.member.incarnation = hub_.self().incarnation;
   timer_ = loop_.NewTimer([this] { OnTimer(); });
   hub_.Handle(kGroupMessage, [this](const transport::PeerIdentity& from, std::string_view body) {
     OnBody(from, body);
   });
-  Run([this](Step& step, MemberOutput& out) { member_->Start(step, out); });
+  if (storage_ && !storage_->failed()) TakeIdentity();
+  if (storage_ && storage_->failed()) {
+    OnDiskFailure();
+  } else {
+    StartMember();
+  }
 }
 
 Group::~Group() {
@@ -94,12 +123,15 @@
 
 void Group::SetWatcher(Watcher watcher) {
   watcher_ = std::move(watcher);
-  if (member_->replica().complete()) Reload();
+  if (member_->replica().complete() && !Reload()) {
+    OnDiskFailure();
+    return;
+  }
   if (member_->primary() && watcher_.role) watcher_.role(true, member_->epoch());
 }
 
 bool Group::is_primary() const {
-  return !failed_ && member_->primary() && member_->HasLease(loop_.Now());
+  return !failed() && member_->primary() && member_->HasLease(loop_.Now());
 }
 
 std::uint64_t Group::epoch() const {
@@ -115,19 +147,98 @@
   std::vector<net::Address> seeds;
   seeds.reserve(control_seeds.size());
   for (const net::Address& seed : control_seeds) seeds.push_back(CoreAddressOf(settings, seed));
+  options_.member.seeds = seeds;
   member_->SetSeeds(std::move(seeds));
 }
 
+// ---- Lives of the member.
+
+storage::Storage& Group::disk() {
+  if (storage_ && !failed()) return *storage_;
+  return no_storage_;
+}
+
+void Group::TakeIdentity() {
+  const storage::DiskIdentity identity = storage::ReadOrDrawIdentity(*storage_, random_);
+  // One that was drawn by this process and came to be durable before a failure is as good as new.
+  may_found_ = may_found_ && (identity.is_new || identity.id == identity_);
+  identity_ = identity.id;
+}
+
+Member::Options Group::MemberOptions() {
+  const transport::PeerIdentity& self = hub_.self();
+  Member::Options member = options_.member;
+  const bool has_disk = storage_ != nullptr && !failed();
+  member.self = {self.node, self.zone, has_disk ? identity_ : "", self.address};
+  member.found = has_disk && may_found_;
+  member.told = told_sequence_;
+  if (life_ > 1) member.incarnation = random_();
+  member.after_failure = disk_health_.status().failures > 0;
+  if (!has_disk && member_) AddAddressesOf(member_->record(), member.seeds);
+  return member;
+}
+
+void Group::StartMember() {
+  ++life_;
+  member_ = std::make_unique<Member>(MemberOptions(), disk(), loop_.Now());
+  Run([this](Step& step, MemberOutput& out) { member_->Start(step, out); });
+}
+
+// What the member has in memory may be ahead of the disk: it ends here, and nothing of the step
+// that found the failure leaves this process.
+void Group::OnDiskFailure() {
+  const std::uint64_t epoch = member_ ? member_->record().number : 0;
+  log::Line(log::Level::kError, kModule,
+            std::string("the disk refuses (") + storage::NameOf(storage_->failure()) +
+                "): " + storage_->failure_text() +
+                "; this process is no member until it takes writes again");
+  disk_health_.Refuses(loop_.Now());
+  running_ = false;
+  if (told_primary_) ToldRole({false, epoch});
+  if (transferred_) EndTransfer(false);
+  StartMember();
+}
+
+void Group::TryRecovery() {
+  disk_health_.AttemptBegins();
+  if (storage_->Recover().has_error()) {
+    OnRecoveryFailed();
+    return;
+  }
+  TakeIdentity();
+  // Others may name a disk that they have heard of: it does not forget its identity any more.
+  storage_->Sync([this, alive = alive_](const Result<void>& result) {
+    if (!*alive) return;
+    if (result.has_error() || storage_->failed()) {
+      OnRecoveryFailed();
+    } else {
+      OnRecovered();
+    }
+  });
+}
+
+void Group::OnRecoveryFailed() {
+  disk_health_.AttemptFailed(loop_.Now());
+  Arm();
+}
+
+void Group::OnRecovered() {
+  const net::Time now = loop_.Now();
+  log::Line(log::Level::kInfo, kModule,
+            "the disk takes writes again after " + SecondsText(now - disk_health_.status().since));
+  disk_health_.TakesWrites(now);
+  StartMember();
+}
+
 // ---- Steps of the member.
 
 void Group::Run(const Event& event) {
-  if (failed_) return;
-  Step step{loop_.Now(), *storage_, ++ticket_, false};
+  Step step{loop_.Now(), disk(), ++ticket_, false};
   MemberOutput out;
   running_ = true;
   event(step, out);
-  if (storage_->failed()) {
-    FailAll();
+  if (step.storage.failed()) {
+    OnDiskFailure();
     return;
   }
   if (step.wants_sync) SyncFor(step.ticket);
@@ -138,41 +249,54 @@
 }
 
 void Group::SyncFor(Ticket ticket) {
-  storage_->Sync([this, ticket, alive = alive_](const Result<void>& result) {
-    if (!*alive) return;
+  disk().Sync([this, ticket, life = life_, alive = alive_](const Result<void>& result) {
+    if (!*alive || life != life_) return;
     if (result.has_error()) {
-      FailAll();
+      OnDiskFailure();
       return;
     }
+    may_found_ = false;
+    synced_ticket_ = ticket;
     Run([this, ticket](Step& step, MemberOutput& out) { member_->OnSynced(step, out, ticket); });
   });
 }
 
 void Group::Carry(const MemberOutput& out) {
-  for (const auto& [to, message] : out.messages) {
-    cbor::Writer frame;
-    frame.Array(2).Text(options_.member.self.disk).Bytes(Encode(message));
-    hub_.Send(to, kGroupMessage, frame.Take());
+  for (const auto& [to, message] : out.messages) Send(to, message);
+  if (out.reset && !Reload()) {
+    OnDiskFailure();
+    return;
   }
-  if (out.reset) Reload();
   for (const Entry& entry : out.committed) Take(entry);
   for (const MemberOutput::Role& role : out.roles) ToldRole(role);
   if (out.transferred) EndTransfer(*out.transferred);
 }
 
+// Two elements, then the incarnation of the member: that of the process where it is missing.
+void Group::Send(const net::Address& to, const Message& message) {
+  if (Vouches(message) && (storage_ == nullptr || failed() || storage_->failed())) {
+    ProcessInvariants().Violate(Invariant::kMemberCanStore, "an answer to " + to.Text(),
+                                MicrosOf(loop_.Now()));
+  }
+  const Member::Options& self = member_->options();
+  cbor::Writer frame;
+  frame.Array(3).Text(self.self.disk).Bytes(Encode(message)).Uint(self.incarnation);
+  hub_.Send(to, kGroupMessage, frame.Take());
+}
+
 void Group::OnBody(const transport::PeerIdentity& from, std::string_view body) {
   cbor::Reader in(body);
-  if (in.Array() < 2) in.Fail();
+  const std::size_t elements = in.Array();
+  if (elements < 2) in.Fail();
   Sender sender;
   sender.member = {from.node, from.zone, std::string(in.Text()), from.address};
-  sender.incarnation = from.incarnation;
   const std::string_view encoded = in.Bytes();
+  sender.incarnation = elements > 2 ? in.Uint() : from.incarnation;
   const std::optional<Message> message =
       in.ok() && from.role == "core" ? DecodeMessage(encoded) : std::nullopt;
   if (!message) {
     log::Bounded(log::Level::kWarning, kModule, "malformed",
-                 "dropped a malformed message from " + from.address.Text(),
-                 loop_.Now().time_since_epoch() / std::chrono::microseconds(1));
+                 "dropped a malformed message from " + from.address.Text(), MicrosOf(loop_.Now()));
     return;
   }
   Run([&](Step& step, MemberOutput& out) { member_->OnMessage(step, out, sender, *message); });
@@ -182,6 +306,7 @@
   const net::Time now = loop_.Now();
   Expire(now);
   SayIfStuck(now);
+  if (disk_health_.next_attempt() && now >= *disk_health_.next_attempt()) TryRecovery();
   if (transferred_ && !transfer_begun_ && now - transfer_from_ >= kTransferWaits) BeginTransfer();
   if (now >= member_->deadline()) {
     Run([this](Step& step, MemberOutput& out) { member_->OnTimer(step, out); });
@@ -191,23 +316,14 @@
 }
 
 void Group::Arm() {
-  if (failed_) return;
   net::Time at = member_->deadline();
+  if (const auto attempt = disk_health_.next_attempt()) at = std::min(at, *attempt);
   if (!waiting_.empty()) at = std::min(at, waiting_.front().until);
   if (in_flight_) at = std::min(at, in_flight_->until);
   if (transferred_ && !transfer_begun_) at = std::min(at, transfer_from_ + kTransferWaits);
   timer_->ArmAt(at);
 }
 
-void Group::FailAll() {
-  failed_ = true;
-  running_ = false;
-  timer_->Cancel();
-  log::Line(log::Level::kError, kModule, "the disk has failed; this process is no member any more");
-  ToldRole({false, member_->record().number});
-  if (transferred_) EndTransfer(false);
-}
-
 void Group::SayIfStuck(net::Time now) {
   if (!member_->IsStuck(now, options_.member.lease * kStuckLeases)) return;
   std::string nodes;
@@ -215,20 +331,24 @@
   log::Bounded(log::Level::kWarning, kModule, "stuck",
                "no primary: epoch " + std::to_string(member_->record().number) +
                    " needs one of its replicas and a majority of its witnesses; replicas:" + nodes,
-               now.time_since_epoch() / std::chrono::microseconds(1));
+               MicrosOf(now));
 }
 
 // ---- The map and the role.
 
-void Group::Reload() {
-  contents_.clear();
+bool Group::Reload() {
+  Contents contents;
   std::vector<Write> all;
-  member_->replica().ForEach(*storage_, [&](std::string_view key, std::string_view value) {
-    contents_.emplace(key, value);
+  member_->replica().ForEach(disk(), [&](std::string_view key, std::string_view value) {
+    contents.emplace(key, value);
     all.push_back({std::string(key), std::string(value)});
     return true;
   });
+  if (disk().failed()) return false;
+  contents_ = std::move(contents);
+  told_sequence_ = member_->replica().committed().sequence;
   if (watcher_.committed) watcher_.committed(all);
+  return true;
 }
 
 void Group::Take(const Entry& entry) {
@@ -239,10 +359,16 @@
       contents_.erase(write.key);
     }
   }
+  told_sequence_ = entry.position.sequence;
   if (watcher_.committed) watcher_.committed(entry.writes);
   if (!in_flight_ || entry.position.sequence < in_flight_->position.sequence) return;
   const Done done = std::move(in_flight_->done);
   const bool same = entry.position == in_flight_->position;
+  if (same && in_flight_->ticket > synced_ticket_) {
+    ProcessInvariants().Violate(Invariant::kAcknowledgedIsSynced,
+                                "entry " + std::to_string(entry.position.sequence),
+                                MicrosOf(loop_.Now()));
+  }
   in_flight_.reset();
   if (same) {
     done(outcome::success());
@@ -252,6 +378,7 @@
 }
 
 void Group::ToldRole(const MemberOutput::Role& role) {
+  told_primary_ = role.primary;
   log::Info(kModule, (role.primary ? "primary of epoch " : "no longer primary of epoch ") +
                          std::to_string(role.epoch));
   if (!role.primary) {
@@ -287,8 +414,7 @@
 }
 
 void Group::Pump() {
-  while (!failed_ && !running_ && !in_flight_ && !waiting_.empty() &&
-         member_->Serving(loop_.Now())) {
+  while (!running_ && !in_flight_ && !waiting_.empty() && member_->Serving(loop_.Now())) {
     Request request = std::move(waiting_.front());
     waiting_.pop_front();
     Start(std::move(request));
@@ -324,13 +450,13 @@
       refused = position.error();
       return;
     }
-    in_flight_ = InFlight{position.value(), request.done, until};
+    in_flight_ = InFlight{position.value(), step.ticket, request.done, until};
   });
   if (refused) request.done(*refused);
 }
 
-bool Group::HasRoomFor(const std::vector<Write>& writes) const {
-  const storage::Usage usage = storage_->usage();
+bool Group::HasRoomFor(const std::vector<Write>& writes) {
+  const storage::Usage usage = disk().usage();
   std::uint64_t bytes = 0;
   for (const Write& write : writes) {
     // Once as an entry of the tail, once in the map.
@@ -361,7 +487,7 @@
 // ---- Handing over.
 
 void Group::Transfer(std::function<void(bool)> done) {
-  if (failed_ || transferred_) {
+  if (transferred_) {
     loop_.Post([done = std::move(done)] { done(false); });
     return;
   }
--- a/src/tier/coordination/group.h
+++ b/src/tier/coordination/group.h
@@ -3,6 +3,11 @@
 // It carries messages, syncs and one timer, folds the committed map into memory and plays the plans
 // of Submit one at a time. All decisions are the Member's.
 //
+// Where the storage fails it is a member without a disk from that step on, whose messages are not
+// sent: it forwards its owner to the primary and vouches for nothing. It tries to recover the
+// storage meanwhile, and starts a member of another incarnation from what the disk holds then, as a
+// started process does (docs/design/full-disks.md).
+//
 // Limits: kMostWaiting plans wait; one more is refused (kExhausted). Writes that would fill the
 // storage beyond kMostFullPercent are refused before anything happens.
 #ifndef SHELFLINK_TIER_COORDINATION_GROUP_H_
@@ -18,9 +23,11 @@
 #include <vector>
 
 #include "net/loop.h"
+#include "tier/coordination/disk_health.h"
 #include "tier/coordination/member.h"
 #include "tier/coordination/replicator.h"
 #include "tier/foundation/settings.h"
+#include "tier/storage/no_storage.h"
 #include "tier/storage/storage.h"
 #include "tier/transport/hub.h"
 
@@ -37,14 +44,15 @@
   };
   // What the settings say; `found` is true only where `bootstrap` is.
   static Options OptionsOf(const ProcessSettings& settings);
-  // The storage of a core process; null without a disk.
+  // The storage of a core process; null without a disk. One that has no room to be opened has
+  // failed and is recovered once there is room; other errors are returned.
   static Result<std::unique_ptr<storage::Storage>> OpenStorage(net::Loop& loop,
                                                                const ProcessSettings& settings);
 
   // Without a storage it is no member and forwards its owner to the primary. `random` draws the
-  // identity of an empty disk.
+  // identity of an empty disk and the incarnations after the first, which is the hub's.
   Group(net::Loop& loop, transport::Hub& hub, std::unique_ptr<storage::Storage> storage,
-        Options options, const std::function<std::uint64_t()>& random);
+        Options options, std::function<std::uint64_t()> random);
   Group(net::Loop& loop, transport::Hub& hub, const ProcessSettings& settings,
         std::unique_ptr<storage::Storage> storage);
   ~Group() override;
@@ -61,8 +69,9 @@
   void Transfer(std::function<void(bool)> done) override;
 
   void SetSeeds(const std::vector<net::Address>& control_seeds, const ProcessSettings& settings);
-  // The disk has refused: this process vouches for nothing any more.
-  bool failed() const { return failed_; }
+  // The disk refuses: this process vouches for nothing until it takes writes again.
+  bool failed() const { return disk_health_.status().refuses; }
+  const DiskStatus& disk_status() const { return disk_health_.status(); }
   const Member& member() const { return *member_; }
 
  private:
@@ -73,34 +82,52 @@
   };
   struct InFlight {
     Position position;
+    Ticket ticket = 0;  // Of the step that stored it.
     Done done;
     net::Time until{};
   };
   using Event = std::function<void(Step&, MemberOutput&)>;
 
+  // What the present member stores on.
+  storage::Storage& disk();
+  void TakeIdentity();
+  Member::Options MemberOptions();
+  void StartMember();
   void Run(const Event& event);
   void Carry(const MemberOutput& out);
+  void Send(const net::Address& to, const Message& message);
   void SyncFor(Ticket ticket);
   void OnBody(const transport::PeerIdentity& from, std::string_view body);
   void OnTimer();
   void Arm();
-  void Reload();
+  // False: the disk has failed.
+  bool Reload();
   void Take(const Entry& entry);
   void ToldRole(const MemberOutput::Role& role);
   void Pump();
   void Start(Request request);
-  bool HasRoomFor(const std::vector<Write>& writes) const;
+  bool HasRoomFor(const std::vector<Write>& writes);
   void Expire(net::Time now);
   void AnswerLater(Done done, Result<void> result);
-  void FailAll();
+  void OnDiskFailure();
+  void TryRecovery();
+  void OnRecovered();
+  void OnRecoveryFailed();
   void BeginTransfer();
   void EndTransfer(bool moved);
   void SayIfStuck(net::Time now);
 
   net::Loop& loop_;
   transport::Hub& hub_;
-  std::unique_ptr<storage::Storage> storage_;
+  std::unique_ptr<storage::Storage> storage_;  // None: a process without a disk.
+  storage::NoStorage no_storage_;
   Options options_;
+  std::function<std::uint64_t()> random_;
+  DiskHealth disk_health_;
+  std::string identity_;    // Of the disk.
+  bool may_found_ = false;  // Nothing that a member of this process stored is durable yet.
+  std::uint64_t life_ = 0;  // Of the present member; what belonged to earlier ones is void.
+  std::uint64_t told_sequence_ = 0;  // The owner knows the map up to here.
   std::unique_ptr<Member> member_;
   net::TimerPtr timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -109,8 +136,9 @@
   std::deque<Request> waiting_;
   std::optional<InFlight> in_flight_;
   Ticket ticket_ = 0;
+  Ticket synced_ticket_ = 0;
   bool running_ = false;  // Inside a step and what it brings about.
-  bool failed_ = false;
+  bool told_primary_ = false;
   std::function<void(bool)> transferred_;
   bool transfer_begun_ = false;
   net::Time transfer_from_{};
--- a/src/tier/coordination/member.cpp
+++ b/src/tier/coordination/member.cpp
@@ -12,7 +12,8 @@
                 .prefix = options_.prefix,
                 .least_replicas = options_.failures + 1,
                 .resend = options_.lease * 3 / 10,
-                .catch_up_patience = options_.lease},
+                .catch_up_patience = options_.lease,
+                .told = options_.told},
                storage),
       random_(options_.incarnation | 1U) {}
 
@@ -23,6 +24,7 @@
     witness_.Found(step, std::move(seeds));
     replica_.Found(step);
   }
+  if (options_.after_failure) place_lost_at_ = step.now;
   AwaitPrimary(step.now);
   hello_at_ = step.now;
   if (record().number > 0) {
@@ -30,13 +32,14 @@
     replica_.Assign(step, replica_out,
                     {record().number, record().primary, DisksOf(record().replicas)}, false);
     // Its own lease cannot stand in its way; a newer record may be told first.
-    if (IsSelf(record().primary)) election_at_ = step.now + options_.lease / 20;
+    const bool was_primary = IsSelf(record().primary);
+    if (was_primary && !options_.after_failure) election_at_ = step.now + options_.lease / 20;
   } else {
     const auto& seeds = options_.seeds;
     const auto place = std::find(seeds.begin(), seeds.end(), options_.self.address) - seeds.begin();
     election_at_ = step.now + options_.lease * 4 / 5 + options_.lease * 7 / 10 * place;
   }
-  out.reset = replica_.complete();
+  out.reset = replica_.complete() && !replica_.reset_due();
   Finish(step, out);
 }
 
@@ -170,6 +173,7 @@
 }
 
 void Member::SendDurable(Step& step, MemberOutput& out, const net::Address& to, Message message) {
+  if (!has_disk()) return;  // Nothing is durable, so nobody may count it.
   const Ticket wanted = step.wants_sync ? step.ticket : last_wanted_;
   if (wanted <= last_synced_) {
     Send(out, to, std::move(message));
--- a/src/tier/coordination/member.h
+++ b/src/tier/coordination/member.h
@@ -53,7 +53,7 @@
  public:
   struct Options {
     CoreMember self;
-    std::uint64_t incarnation = 0;  // Drawn at the start of the process; unlike earlier ones.
+    std::uint64_t incarnation = 0;  // Drawn at the start of the member; unlike earlier ones.
     bool found = false;             // First start of the whole system, with an empty disk.
     std::vector<net::Address> seeds;
     std::size_t failures = 1;  // That must be survived at one time.
@@ -61,6 +61,10 @@
     // A member that lost the primary's place lets others campaign first for so long.
     net::Span reluctant = std::chrono::milliseconds(3000);
     std::string prefix = "core/";
+    // In place of one whose disk had failed: it lets others campaign first too, since its disk may
+    // fail again soon.
+    bool after_failure = false;
+    std::uint64_t told = 0;  // The owner knows the map up to here; it is told no older one.
   };
 
   Member(Options options, const storage::Storage& storage, net::Time now);
--- a/src/tier/coordination/replica.cpp
+++ b/src/tier/coordination/replica.cpp
@@ -26,7 +26,7 @@
 }  // namespace
 
 Replica::Replica(Options options, const storage::Storage& storage)
-    : options_(std::move(options)), patience_(options_.catch_up_patience) {
+    : options_(std::move(options)), told_(options_.told), patience_(options_.catch_up_patience) {
   Load(storage);
 }
 
@@ -38,7 +38,8 @@
   applied_.epoch = in.Uint();
   applied_.sequence = in.Uint();
   complete_ = in.Bool() && in.ok();
-  told_ = complete_ ? applied_.sequence : 0;
+  reset_due_ = complete_ && applied_.sequence < told_;
+  if (complete_) told_ = std::max(told_, applied_.sequence);
   storage.Scan(options_.prefix + "t", "", [&](std::string_view, std::string_view value) {
     std::optional<Entry> entry = DecodeEntry(value);
     if (!entry || entry->position.sequence != LastSequence() + 1) {
--- a/src/tier/coordination/replica.h
+++ b/src/tier/coordination/replica.h
@@ -68,6 +68,8 @@
     net::Span join_wait = std::chrono::milliseconds(300);
     std::size_t most_unacknowledged_bytes = 16U << 20;  // Beyond: Propose refuses.
     std::size_t most_unacknowledged_entries = 4096;
+    // The owner knows the map up to here from an earlier life: it is told no older one.
+    std::uint64_t told = 0;
   };
 
   // Reads what the storage holds.
@@ -118,6 +120,8 @@
 
   // Has the whole map up to some commit; a learner that is catching up has not.
   bool complete() const { return complete_; }
+  // The stored map is older than what the owner knows: `reset` tells when it no longer is.
+  bool reset_due() const { return reset_due_; }
   std::uint64_t epoch() const { return assignment_.epoch; }
   bool acting() const { return acting_; }
   Position committed() const { return applied_; }
--- a/tests/tier/coordination/cluster.h
+++ b/tests/tier/coordination/cluster.h
@@ -89,6 +89,7 @@
   std::uint32_t host() const { return host_; }
 
   storage::CrashDisk disk;
+  net::Span sync_takes = kSyncTakes;
   bool paused = false;
   std::function<void(const std::vector<Write>&)> committed;
   std::function<void(bool, std::uint64_t)> role;
@@ -102,7 +103,7 @@
       const auto run = step;  // Scheduling again may free this.
       run();
     });
-    pending.timer->ArmAt(process_->Now() + kSyncTakes);
+    pending.timer->ArmAt(process_->Now() + sync_takes);
   }
 
   struct Pending {
--- a/tests/tier/coordination/explorer.cpp
+++ b/tests/tier/coordination/explorer.cpp
@@ -128,11 +128,34 @@
   }
 }
 
+void AddDisks(const Path& path, std::vector<NamedChoice>& choices) {
+  const World& world = path.world;
+  for (std::size_t node = 0; node < world.nodes.size(); ++node) {
+    if (!world.up(node)) continue;
+    const std::string name = std::to_string(node);
+    if (world.nodes[node].refuses) {
+      choices.push_back({"room " + name, [node](Path& p) { p.world.MakeRoom(node); }, 1});
+      continue;
+    }
+    if (path.left.full_disks == 0) continue;
+    for (const std::size_t kept : {std::size_t{0}, kAll}) {
+      if (kept > 0 && world.nodes[node].syncs.empty()) continue;
+      choices.push_back({"full " + name,
+                         [node, kept](Path& p) {
+                           --p.left.full_disks;
+                           p.world.FillDisk(node, kept);
+                         },
+                         0.6});
+    }
+  }
+}
+
 std::vector<NamedChoice> ChoicesOf(const Path& path) {
   std::vector<NamedChoice> choices;
   AddFlights(path, choices);
   AddTimers(path, choices);
   AddProcesses(path, choices);
+  AddDisks(path, choices);
   for (std::size_t client = 0; client < path.world.orders.size(); ++client) {
     if (path.world.orders[client].base >= path.world.history.newest()) continue;
     choices.push_back({"next order " + std::to_string(client),
@@ -151,6 +174,7 @@
   World& world = path.world;
   for (std::size_t node = 0; node < world.nodes.size(); ++node) {
     if (!world.up(node)) world.Start(node);
+    world.MakeRoom(node);
   }
   const bool acknowledges = world.Acknowledges(0, kRecoversWithin);
   if (const auto primary = world.Primary()) world.history.AtTheEnd(world.DocumentAt(*primary));
@@ -191,7 +215,7 @@
   constexpr std::uint64_t kMost = 8;
   std::uint64_t number = 0;
   for (const int count : {left.losses, left.repetitions, left.reorderings, left.crashes, left.wipes,
-                          left.late_timers}) {
+                          left.full_disks, left.late_timers}) {
     number = number * kMost + static_cast<std::uint64_t>(count);
   }
   return number;
@@ -281,7 +305,7 @@
 }
 
 Exploration ExploreAtRandom(const NamedWorld& from, std::uint64_t seed, std::size_t walks,
-                            std::size_t length) {
+                            std::size_t length, std::uint64_t full_disks) {
   Exploration result;
   for (std::size_t walk = 0; walk < walks; ++walk) {
     shelflab::Random random(seed + walk);
@@ -292,6 +316,7 @@
     faults.crashes = static_cast<int>(random.Below(7));
     faults.wipes = static_cast<int>(random.Below(1 + from.failures));
     faults.late_timers = static_cast<int>(random.Below(30));
+    if (full_disks > 0) faults.full_disks = static_cast<int>(random.Below(1 + full_disks));
     Taste taste(random);
     Path path{from.world, faults, from.name + ", walk " + std::to_string(seed + walk) + "\n"};
     for (std::size_t step = 0; step < length; ++step) {
--- a/tests/tier/coordination/explorer.h
+++ b/tests/tier/coordination/explorer.h
@@ -19,6 +19,7 @@
   int reorderings = 1;
   int crashes = 1;
   int wipes = 1;
+  int full_disks = 0;
   int late_timers = 2;  // A timer fires although others were due before: those stood still.
 };
 
@@ -42,9 +43,10 @@
 // must acknowledge again in a fair run.
 Exploration ExploreAll(const NamedWorld& from, const Faults& faults, int depth,
                        std::size_t most_states, std::uint64_t recover_one_in);
-// `walks` random paths of `length` choices each; every one must recover at its end.
+// `walks` random paths of `length` choices each, with up to `full_disks` disks that fill; every one
+// must recover at its end.
 Exploration ExploreAtRandom(const NamedWorld& from, std::uint64_t seed, std::size_t walks,
-                            std::size_t length);
+                            std::size_t length, std::uint64_t full_disks = 0);
 
 }  // namespace shelflink::coordination
 
--- a/tests/tier/coordination/explorer_test.cpp
+++ b/tests/tier/coordination/explorer_test.cpp
@@ -65,5 +65,25 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(every_choice_to_a_depth_with_a_full_disk) {
+  Faults faults;
+  faults.full_disks = 1;
+  for (const NamedWorld& from : Beginnings(3)) {
+    Report("3 members, a full disk, " + from.name, ExploreAll(from, faults, 3, 60000, 256));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(long_random_walks_with_full_disks) {
+  const std::uint64_t first = Argument(1, 1);
+  const std::size_t walks = Argument(2, 40);
+  for (const std::size_t nodes : {std::size_t{3}, std::size_t{4}, std::size_t{5}}) {
+    const std::size_t failures = nodes == 5 ? 2 : 1;
+    for (const NamedWorld& from : Beginnings(nodes, failures)) {
+      Report(std::to_string(nodes) + " members, walks with full disks, " + from.name,
+             ExploreAtRandom(from, first, walks, 400, 6));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace shelflink::coordination
--- a/tests/tier/coordination/full_disk_test.cpp
+++ b/tests/tier/coordination/full_disk_test.cpp
@@ -2,8 +2,10 @@
 // again once there is room, without a restart, however often it happens and on whichever disks.
 #define BOOST_TEST_MODULE coordination_full_disk
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 #include "coordination/cluster.h"
+#include "tier/foundation/invariants.h"
 
 namespace shelflink::coordination {
 namespace {
@@ -12,6 +14,18 @@
 // From the return of the room until the member has its part again.
 constexpr net::Span kRecovery = seconds(12);
 
+// A violated invariant is a failed check, in place of the end of the process.
+struct CheckedInvariants {
+  CheckedInvariants() {
+    before = ProcessInvariants().SetHandler([](Invariant violated, const std::string& detail) {
+      BOOST_ERROR("violated: " << NameOf(violated) << ": " << detail);
+    });
+  }
+  ~CheckedInvariants() { ProcessInvariants().SetHandler(before); }
+  Invariants::Handler before;
+};
+BOOST_TEST_GLOBAL_FIXTURE(CheckedInvariants);
+
 // Three disks and two members without, as the small deployments have them.
 struct Core {
   Core() : cluster(5) {
@@ -27,6 +41,8 @@
     cluster.Run(span);
     cluster.At(index).disk.SetFull(false);
   }
+  // A disk that is not the primary's.
+  std::size_t IndexOfBackup() { return (IndexOfPrimary() + 1) % 3; }
   std::size_t IndexOfPrimary() {
     for (std::size_t i = 0; i < 3; ++i) {
       if (&cluster.At(i) == cluster.Primary()) return i;
@@ -65,5 +81,246 @@
   BOOST_TEST(core.cluster.ThePrimary().group().contents().at("first") == "1");
 }
 
+// ---- Odd moments.
+
+// Every disk takes writes, one is primary, and so many replicas hold what it holds.
+void CheckWhole(Cluster& cluster, std::size_t disks, std::size_t replicas) {
+  BOOST_REQUIRE(cluster.Put("last", "1", kRecovery));
+  const Contents expected = cluster.ThePrimary().group().contents();
+  std::size_t whole = 0;
+  const bool all = cluster.RunUntil(
+      [&] {
+        whole = 0;
+        for (std::size_t i = 0; i < disks; ++i) {
+          if (cluster.At(i).group().failed()) return false;
+          whole += cluster.At(i).group().contents() == expected ? 1 : 0;
+        }
+        return whole >= replicas;
+      },
+      kRecovery);
+  BOOST_TEST(all, whole << " replicas are whole");
+}
+
+// Runs for so long, and never meets two primaries.
+void RunWithOnePrimary(Cluster& cluster, net::Span span) {
+  const net::Time until = cluster.net.Now() + span;
+  while (cluster.net.Now() < until) {
+    cluster.Run(milliseconds(5));
+    std::size_t primaries = 0;
+    for (const auto& machine : cluster.machines) {
+      primaries += machine->up() && machine->group().is_primary() ? 1 : 0;
+    }
+    BOOST_REQUIRE(primaries <= 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_primary_whose_disk_refuses_steps_down_at_once_with_its_lease_running) {
+  Core core;
+  const std::size_t full = core.IndexOfPrimary();
+  Group& group = core.cluster.At(full).group();
+  std::vector<ErrorCode> codes;
+  for (const char* key : {"in-flight", "waiting"}) {
+    group.Submit(
+        [key](const Contents&) -> Result<std::vector<Write>> {
+          return std::vector<Write>{{key, "1"}};
+        },
+        [&](const Result<void>& result) {
+          codes.push_back(result.has_error() ? result.error().code : ErrorCode::kInvalid);
+        });
+  }
+  core.cluster.At(full).disk.SetFull(true);
+  core.cluster.Run(milliseconds(20));
+  BOOST_TEST(group.failed());
+  BOOST_TEST(!group.is_primary());
+  BOOST_TEST((codes == std::vector<ErrorCode>{ErrorCode::kUnknown, ErrorCode::kUnavailable}));
+  RunWithOnePrimary(core.cluster, seconds(3));
+  core.cluster.At(full).disk.SetFull(false);
+  RunWithOnePrimary(core.cluster, seconds(3));
+  CheckWhole(core.cluster, 3, 3);
+}
+
+// Leases are granted without a sync: a member must not go on granting until one has failed.
+BOOST_AUTO_TEST_CASE(a_member_notices_in_the_step_that_writes_that_its_disk_refuses) {
+  Core core;
+  Machine& machine = core.cluster.At(core.IndexOfBackup());
+  machine.sync_takes = milliseconds(800);
+  machine.disk.SetFull(true);
+  core.cluster.Put("second", "2", milliseconds(50));
+  BOOST_TEST(machine.group().failed());
+  core.cluster.Run(milliseconds(700));
+  machine.sync_takes = kSyncTakes;
+  machine.disk.SetFull(false);
+  CheckWhole(core.cluster, 3, 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_process_whose_disk_refuses_knows_the_primary_and_may_end) {
+  Core core;
+  const std::size_t full = core.IndexOfPrimary();
+  core.cluster.At(full).disk.SetFull(true);
+  BOOST_REQUIRE(core.cluster.Put("second", "2", seconds(4)));
+  core.cluster.Run(seconds(1));
+  Group& group = core.cluster.At(full).group();
+  BOOST_TEST(group.failed());
+  BOOST_TEST((group.primary() == core.cluster.ThePrimary().address()));
+  std::optional<bool> moved;
+  group.Transfer([&](bool result) { moved = result; });
+  core.cluster.Run(milliseconds(100));
+  BOOST_TEST(moved.value_or(false));
+}
+
+BOOST_AUTO_TEST_CASE(who_comes_back_is_another_incarnation_and_counts_its_failures) {
+  Core core;
+  const std::size_t full = core.IndexOfBackup();
+  Group& group = core.cluster.At(full).group();
+  std::set<std::uint64_t> incarnations{group.member().options().incarnation};
+  for (std::uint64_t round = 1; round <= 3; ++round) {
+    core.FillFor(full, seconds(1));
+    BOOST_REQUIRE(core.cluster.RunUntil([&] { return !group.failed(); }, kRecovery));
+    BOOST_TEST(incarnations.insert(group.member().options().incarnation).second);
+    BOOST_TEST(group.disk_status().failures == round);
+    BOOST_TEST(group.disk_status().recoveries == round);
+  }
+  CheckWhole(core.cluster, 3, 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_disk_that_is_full_at_the_start_is_used_once_there_is_room) {
+  Cluster cluster(5);
+  cluster.At(2).disk.SetFull(true);
+  for (std::size_t i = 0; i < 5; ++i) cluster.At(i).Start(true, i < 3);
+  BOOST_REQUIRE(cluster.Put("first", "1", seconds(4)));
+  cluster.Run(seconds(1));
+  BOOST_TEST(cluster.At(2).group().failed());
+  BOOST_TEST((cluster.At(2).group().primary() == cluster.ThePrimary().address()));
+  cluster.At(2).disk.SetFull(false);
+  CheckWhole(cluster, 3, 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_system_whose_disks_are_all_full_at_its_first_start_is_founded_later) {
+  Cluster cluster(3);
+  for (auto& machine : cluster.machines) machine->disk.SetFull(true);
+  cluster.StartAll();
+  cluster.Run(seconds(3));
+  BOOST_TEST((cluster.Primary() == nullptr));
+  for (auto& machine : cluster.machines) machine->disk.SetFull(false);
+  CheckWhole(cluster, 3, 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_disk_that_fills_during_an_election_delays_it_only) {
+  Core core;
+  for (const net::Span into : {milliseconds(900), milliseconds(1050), milliseconds(1300)}) {
+    const std::size_t primary = core.IndexOfPrimary();
+    const std::size_t full = core.IndexOfBackup();
+    core.cluster.At(primary).Stop();
+    core.cluster.Run(into);
+    core.cluster.At(full).disk.SetFull(true);
+    core.cluster.Run(seconds(2));
+    core.cluster.At(full).disk.SetFull(false);
+    BOOST_TEST(core.cluster.Put("elected", "1", kRecovery));
+    core.cluster.At(primary).Start(false);
+    CheckWhole(core.cluster, 3, 3);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_disk_that_fills_during_a_catch_up_begins_it_anew) {
+  Core core;
+  const std::size_t behind = core.IndexOfBackup();
+  core.cluster.At(behind).Stop();
+  for (int i = 0; i < 40; ++i) {
+    BOOST_REQUIRE(
+        core.cluster.Put("key-" + std::to_string(i), std::string(20000, 'v'), seconds(4)));
+  }
+  core.cluster.At(behind).Start(false);
+  for (int round = 0; round < 4; ++round) {
+    core.cluster.Run(milliseconds(30 + 20 * round));
+    core.cluster.At(behind).disk.SetFull(true);
+    core.cluster.Run(milliseconds(300));
+    core.cluster.At(behind).disk.SetFull(false);
+  }
+  CheckWhole(core.cluster, 3, 3);
+}
+
+// Four disks, one leaves for good: while the members change, another one's disk fills.
+BOOST_AUTO_TEST_CASE(a_disk_that_fills_during_a_change_of_members_loses_nothing) {
+  for (int of_primary = 0; of_primary < 2; ++of_primary) {
+    Cluster cluster(5);
+    for (std::size_t i = 0; i < 5; ++i) cluster.At(i).Start(true);
+    BOOST_REQUIRE(cluster.Put("first", "1", seconds(4)));
+    cluster.Run(seconds(2));
+    Machine& primary = cluster.ThePrimary();
+    Machine& gone = cluster.Other(primary);
+    Machine& full = of_primary == 1 ? primary : cluster.Other(primary, 1);
+    gone.Stop();
+    cluster.Run(milliseconds(560));
+    full.disk.SetFull(true);
+    RunWithOnePrimary(cluster, seconds(4));
+    full.disk.SetFull(false);
+    BOOST_TEST(cluster.Put("second", "2", kRecovery));
+    gone.Start(false);
+    CheckWhole(cluster, 5, 3);
+    BOOST_TEST(cluster.ThePrimary().group().contents().at("first") == "1");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_disk_that_is_full_again_and_again_while_it_recovers_comes_back_at_last) {
+  Core core;
+  const std::size_t full = core.IndexOfPrimary();
+  storage::CrashDisk& disk = core.cluster.At(full).disk;
+  core.FillFor(full, seconds(1));
+  for (std::uint64_t operation = 1; operation <= 12; ++operation) {
+    disk.FailFrom(operation, 2, storage::Failure::kFull);
+    BOOST_TEST(core.cluster.Put("again-" + std::to_string(operation), "x", seconds(6)));
+  }
+  CheckWhole(core.cluster, 3, 3);
+}
+
+BOOST_AUTO_TEST_CASE(two_full_disks_of_five_stop_nobody_where_two_are_tolerated) {
+  Cluster cluster(5, 1, 2);
+  cluster.StartAll();
+  BOOST_REQUIRE(cluster.Put("first", "1", seconds(4)));
+  cluster.Run(seconds(2));
+  Machine& primary = cluster.ThePrimary();
+  Machine& backup = cluster.Other(primary);
+  primary.disk.SetFull(true);
+  backup.disk.SetFull(true);
+  BOOST_TEST(cluster.Put("while-full", "x", kRecovery));
+  primary.disk.SetFull(false);
+  backup.disk.SetFull(false);
+  CheckWhole(cluster, 5, 5);
+}
+
+BOOST_AUTO_TEST_CASE(a_damaged_disk_comes_back_as_another) {
+  Core core;
+  Machine& machine = core.cluster.At(core.IndexOfBackup());
+  const std::string before = machine.group().member().options().self.disk;
+  machine.disk.FailFrom(1, 3, storage::Failure::kDamaged);
+  BOOST_REQUIRE(core.cluster.Put("second", "2", seconds(4)));
+  BOOST_TEST(core.cluster.RunUntil([&] { return !machine.group().failed(); }, kRecovery));
+  CheckWhole(core.cluster, 3, 3);
+  BOOST_TEST(!machine.group().member().options().self.disk.empty());
+  BOOST_TEST(machine.group().member().options().self.disk != before);
+}
+
+// A step back would show the owner of this process an older configuration than before.
+BOOST_AUTO_TEST_CASE(the_owner_is_told_no_older_map_than_before) {
+  Core core;
+  const std::size_t full = core.IndexOfBackup();
+  int newest = 0;
+  core.cluster.At(full).committed = [&](const std::vector<Write>& writes) {
+    for (const Write& write : writes) {
+      if (write.key != "count") continue;
+      const int told = std::stoi(write.value.value_or("0"));
+      BOOST_TEST(told >= newest);
+      newest = std::max(newest, told);
+    }
+  };
+  for (int count = 1; count <= 30; ++count) {
+    if (count % 5 == 0) core.cluster.At(full).disk.FailFrom(1, 2, storage::Failure::kTransient);
+    BOOST_REQUIRE(core.cluster.Put("count", std::to_string(count), seconds(4)));
+    core.cluster.Run(milliseconds(20 * (count % 7)));
+  }
+  BOOST_TEST(core.cluster.RunUntil([&] { return newest == 30; }, kRecovery));
+  CheckWhole(core.cluster, 3, 3);
+}
+
 }  // namespace
 }  // namespace shelflink::coordination
--- a/tests/tier/coordination/member_test.cpp
+++ b/tests/tier/coordination/member_test.cpp
@@ -99,5 +99,84 @@
   BOOST_TEST(world.history.findings().empty());
 }
 
+// ---- Members whose disks refuse.
+
+CoreMember MemberAt(std::size_t node, const std::string& disk) {
+  return {"node" + std::to_string(node), "zone", disk,
+          net::Address::V4(0x0a000001 + static_cast<std::uint32_t>(node), 7361)};
+}
+
+// Two of four witnesses promise, the others' processes answer without a disk: those still have
+// their votes, which may count for another proposal.
+BOOST_AUTO_TEST_CASE(an_answer_without_a_disk_is_that_of_no_replaced_witness) {
+  Record base;
+  base.number = 3;
+  for (std::size_t node = 0; node < 4; ++node) {
+    base.witnesses.push_back(MemberAt(node, "disk" + std::to_string(node)));
+  }
+  Proposer proposer(base, {1, "disk0", 7});
+  PrepareReply reply;
+  reply.number = 4;
+  reply.ballot = proposer.ballot();
+  reply.promised = true;
+  proposer.OnReply(base.witnesses[0], reply);
+  proposer.OnReply(base.witnesses[1], reply);
+  reply.promised = false;
+  proposer.OnReply(MemberAt(2, ""), reply);
+  proposer.OnReply(MemberAt(3, ""), reply);
+  BOOST_TEST((proposer.phase() == Proposer::Phase::kPreparing));
+  // With disks of another identity they would be gone.
+  proposer.OnReply(MemberAt(2, "new2"), reply);
+  proposer.OnReply(MemberAt(3, "new3"), reply);
+  BOOST_TEST((proposer.phase() == Proposer::Phase::kPrepared));
+}
+
+// Half of the witnesses refuse: were they taken for replaced ones, the rest would be a quorum.
+BOOST_AUTO_TEST_CASE(a_primary_does_not_take_witnesses_without_a_disk_for_replaced_ones) {
+  World world(4, 2);
+  world.NextOrder(0);
+  for (std::size_t node = 0; node < 4; ++node) world.Start(node, true);
+  world.Run(seconds(2));
+  BOOST_REQUIRE(world.Primary().has_value());
+  const std::size_t primary = *world.Primary();
+  BOOST_REQUIRE(world.nodes[primary].member->record().witnesses.size() == 4U);
+  world.FillDisk((primary + 1) % 4, 0);
+  world.FillDisk((primary + 2) % 4, 0);
+  world.Run(seconds(2));
+  BOOST_TEST(!world.Primary().has_value());
+  bool renews = false;
+  for (int i = 0; i < 300; ++i) {
+    world.Run(milliseconds(2));
+    for (const Flight& flight : world.flights) {
+      renews = renews || std::holds_alternative<Renew>(flight.message);
+    }
+  }
+  BOOST_TEST(!renews);
+  world.MakeRoom((primary + 1) % 4);
+  world.MakeRoom((primary + 2) % 4);
+  BOOST_TEST(world.Acknowledges(0, seconds(9)));
+}
+
+// The disk still has its vote; the process between must not answer for it.
+BOOST_AUTO_TEST_CASE(a_member_whose_disk_refuses_promises_nothing_and_grants_nothing) {
+  World world = Serving(3);
+  const std::size_t primary = world.Primary().value();
+  const std::size_t full = (primary + 1) % 3;
+  world.FillDisk(full, 0);
+  for (int i = 0; i < 2000; ++i) {
+    world.Run(milliseconds(1));
+    for (const Flight& flight : world.flights) {
+      if (flight.from.member.node != "node" + std::to_string(full)) continue;
+      BOOST_TEST(flight.from.member.disk.empty());
+      if (const auto* reply = std::get_if<RenewReply>(&flight.message)) {
+        BOOST_TEST(!reply->granted);
+      }
+      BOOST_TEST(!std::holds_alternative<PrepareReply>(flight.message));
+      BOOST_TEST(!std::holds_alternative<AcceptReply>(flight.message));
+    }
+  }
+  BOOST_TEST(world.nodes[full].member->primary_address().has_value());
+}
+
 }  // namespace
 }  // namespace shelflink::coordination
--- a/tests/tier/coordination/storm_test.cpp
+++ b/tests/tier/coordination/storm_test.cpp
@@ -91,8 +91,11 @@
 // What befalls one machine at a time, so that the core stays within its tolerance.
 class Storm {
  public:
-  explicit Storm(std::uint64_t seed)
-      : random_(seed), cluster_(SizeOf(seed), seed), hard_(seed % 4 == 3) {
+  explicit Storm(std::uint64_t seed, bool disks_refuse = false)
+      : random_(seed),
+        cluster_(SizeOf(seed), seed),
+        hard_(seed % 4 == 3),
+        disks_refuse_(disks_refuse) {
     net::Weather weather;
     weather.latency_high = milliseconds(1 + static_cast<int>(random_.Below(4)));
     weather.reset = random_.Below(3) == 0 ? 0.002 : 0;
@@ -110,6 +113,8 @@
     for (int round = 0; round < 5; ++round) {
       if (hard_) {
         Beyond();
+      } else if (disks_refuse_ && random_.Below(2) == 0) {
+        OneDiskRefuses();
       } else {
         Within();
       }
@@ -239,10 +244,34 @@
     For(milliseconds(5200));
   }
 
+  // Full for a while, or one of its next writes fails, once or a few times.
+  void OneDiskRefuses() {
+    Machine& victim = Victim();
+    const net::Span trouble = milliseconds(200 + static_cast<int>(random_.Below(4000)));
+    victim.disk.SetKeptOnFailure(Kept());
+    if (random_.Below(2) == 0) {
+      victim.disk.SetFull(true);
+    } else {
+      static constexpr storage::Failure kFailures[] = {
+          storage::Failure::kFull, storage::Failure::kTransient, storage::Failure::kDamaged,
+          storage::Failure::kFatal};
+      victim.disk.FailFrom(1 + random_.Below(12), 1 + random_.Below(4),
+                           kFailures[random_.Below(4)]);
+    }
+    For(trouble);
+    victim.disk.SetFull(false);
+    victim.disk.FailFrom(1, 0, storage::Failure::kNone);
+    For(milliseconds(5200));
+  }
+
   // Anything at any time, but no disk is lost: nothing acknowledged may be either.
   void Beyond() {
     for (int i = 0; i < 6; ++i) {
       Machine& victim = Victim();
+      if (disks_refuse_ && random_.Below(2) == 0) {
+        victim.disk.SetKeptOnFailure(Kept());
+        victim.disk.SetFull(random_.Below(2) == 0);
+      }
       switch (random_.Below(6)) {
         case 0:
           victim.Stop(Kept());
@@ -266,6 +295,7 @@
     }
     for (auto& machine : cluster_.machines) {
       machine->SetPaused(false);
+      machine->disk.SetFull(false);
       cluster_.net.SetCutOff(machine->host(), false);
       for (auto& other : cluster_.machines) {
         if (other != machine) cluster_.net.SetCut(machine->host(), other->host(), false);
@@ -279,6 +309,7 @@
   shelflab::Random random_;
   Cluster cluster_;
   bool hard_;
+  bool disks_refuse_;
   History history_;
   std::vector<std::unique_ptr<Client>> clients_;
   std::vector<std::string> failures_;
@@ -290,13 +321,11 @@
   return suite.argc > index ? std::strtoull(suite.argv[index], nullptr, 10) : otherwise;
 }
 
-BOOST_AUTO_TEST_CASE(promises_hold_over_many_seeds) {
-  const std::uint64_t first = Argument(1, 1);
-  const std::uint64_t count = Argument(2, 120);
+void PlaySeeds(std::uint64_t first, std::uint64_t count, bool disks_refuse) {
   net::Span longest{};
   std::size_t acknowledged = 0;
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
-    Storm storm(seed);
+    Storm storm(seed, disks_refuse);
     storm.Play();
     for (const std::string& finding : storm.Findings()) {
       BOOST_ERROR("seed " << seed << ": " << finding);
@@ -309,5 +338,13 @@
             << longest / milliseconds(1) << " ms\n";
 }
 
+BOOST_AUTO_TEST_CASE(promises_hold_over_many_seeds) {
+  PlaySeeds(Argument(1, 1), Argument(2, 120), false);
+}
+
+BOOST_AUTO_TEST_CASE(promises_hold_over_many_seeds_where_disks_refuse) {
+  PlaySeeds(Argument(1, 1), Argument(2, 120), true);
+}
+
 }  // namespace
 }  // namespace shelflink::coordination
--- a/tests/tier/coordination/world.cpp
+++ b/tests/tier/coordination/world.cpp
@@ -92,18 +92,35 @@
   return std::to_string(node) + "/" + std::to_string(nodes[node].lives);
 }
 
-void World::Start(std::size_t node, bool found) {
+void World::Start(std::size_t node, bool found) { StartMember(node, found, false); }
+
+void World::FillDisk(std::size_t node, std::size_t kept) {
+  Crash(node, kept);
+  nodes[node].refuses = true;
+  StartMember(node, false, true);
+}
+
+void World::MakeRoom(std::size_t node) {
+  if (!nodes[node].refuses) return;
+  Crash(node, 0);
+  StartMember(node, false, true);
+}
+
+void World::StartMember(std::size_t node, bool found, bool after_failure) {
   Node& one = nodes[node];
   ++one.lives;
   Member::Options options;
-  options.self = {"node" + std::to_string(node), "zone" + std::to_string(node), one.identity,
+  const std::string disk = one.refuses ? "" : one.identity;
+  options.self = {"node" + std::to_string(node), "zone" + std::to_string(node), disk,
                   AddressOf(node)};
   options.incarnation = node * 1000 + one.lives;
   options.found = found;
   options.failures = failures_;
+  options.after_failure = after_failure;
   for (const std::size_t seed : seeds) options.seeds.push_back(AddressOf(seed));
   one.transferred.reset();
-  const ModelStorage storage(one.disk);
+  one.nothing = ModelDisk();
+  const ModelStorage storage(one.refuses ? one.nothing : one.disk);
   one.member.emplace(options, storage, now);
   Run(node, [](Member& member, Step& step, MemberOutput& out) { member.Start(step, out); });
 }
@@ -113,6 +130,7 @@
   one.member.reset();
   one.syncs.clear();
   one.waiting.clear();
+  one.refuses = false;
   one.disk.Crash(kept);
 }
 
@@ -125,11 +143,11 @@
 void World::Run(std::size_t node, const Event& event) {
   Node& one = nodes[node];
   if (!one.member) return;
-  ModelStorage storage(one.disk);
+  ModelStorage storage(one.refuses ? one.nothing : one.disk);
   Step step{now, storage, ++one.ticket, false};
   MemberOutput out;
   event(*one.member, step, out);
-  if (step.wants_sync) one.syncs.emplace_back(step.ticket, one.disk.applied());
+  if (step.wants_sync && !one.refuses) one.syncs.emplace_back(step.ticket, one.disk.applied());
   Carry(node, out);
   Check();
 }
@@ -306,7 +324,10 @@
 std::uint64_t World::Fingerprint() const {
   cbor::Writer out;
   for (const Node& node : nodes) {
-    out.Bool(node.member.has_value()).Text(node.identity).Uint(node.syncs.size());
+    out.Bool(node.member.has_value())
+        .Bool(node.refuses)
+        .Text(node.identity)
+        .Uint(node.syncs.size());
     for (const auto& [key, value] : node.disk.contents()) out.Bytes(key).Bytes(value);
     if (node.member) node.member->Fingerprint(out, now);
     for (const auto& [position, order] : node.waiting) out.Uint(position.sequence);
--- a/tests/tier/coordination/world.h
+++ b/tests/tier/coordination/world.h
@@ -43,6 +43,8 @@
 
 struct Node {
   ModelDisk disk;
+  bool refuses = false;  // Its disk is full: the member is one without a disk.
+  ModelDisk nothing;     // What such a member stores, never read.
   std::string identity;
   std::optional<Member> member;  // None: it is down.
   std::uint64_t lives = 0;
@@ -76,6 +78,10 @@
   void Start(std::size_t node, bool found = false);
   void Crash(std::size_t node, std::size_t kept);
   void Wipe(std::size_t node);
+  // The disk refuses a write: of what was not synced `kept` batches remain, and the process goes on
+  // as a member without a disk.
+  void FillDisk(std::size_t node, std::size_t kept);
+  void MakeRoom(std::size_t node);       // Its member starts from what the disk holds.
   void Deliver(std::size_t flight);      // And takes it away.
   void DeliverCopy(std::size_t flight);  // It stays in flight.
   void Lose(std::size_t flight) { flights.erase(flights.begin() + static_cast<long>(flight)); }
@@ -109,6 +115,7 @@
 
  private:
   using Event = std::function<void(Member&, Step&, MemberOutput&)>;
+  void StartMember(std::size_t node, bool found, bool after_failure);
   void Run(std::size_t node, const Event& event);
   void Carry(std::size_t node, const MemberOutput& out);
   std::string NameOf(std::size_t node) const;
