Stores whose disks refuse look for room each second and never end by themselves

Cause: a store that could not open its disk for want of room ended with EXIT_FAILURE. One whose disk had failed looked for room after 0.5 to 8 s, doubling. 8 s stood there because a return and a look were one step, and each return moves partitions; so a disk that had room again could wait for longer than a machine has to take part again (5.2 s).

Change: StoreDisk keeps the store's work on its disk: it opens the disk, looks for room with pauses of 0.1 to 1 s, starts the work, ends it when the disk fails, and begins again; one log line a change between taking and refusing. A look moves nothing. What bounds the moves now: a disk that failed within 10 s of a return has to take every look's write for 0.25 s, doubling to 2 s, before the next return; so one that has room for the look alone returns every two seconds at most. A store without dataDir in its settings still ends: that is a fault of the settings.

--- /dev/null
+++ b/src/tier/batch/store_disk.cpp
@@ -0,0 +1,159 @@
+#include "tier/batch/store_disk.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "tier/foundation/log.h"
+
+namespace shelflink::batch {
+namespace {
+
+constexpr std::string_view kLogName = "batch.store";
+constexpr std::string_view kProbeKey = "probe";
+// As large as the smallest thing that a file system hands out.
+constexpr std::size_t kProbeBytes = 4096;
+
+}  // namespace
+
+StoreDisk::StoreDisk(net::Loop& loop, Open open, Work work)
+    : loop_(loop),
+      open_(std::move(open)),
+      work_(std::move(work)),
+      timer_(loop.NewTimer([this] { OnTimer(); })) {
+  ArmIn(milliseconds(0));
+}
+
+StoreDisk::~StoreDisk() {
+  *alive_ = false;
+  if (state_ == State::kWorking || state_ == State::kLeaving) work_.stop();
+}
+
+void StoreDisk::Leave(std::function<void()> done) {
+  ends_ = true;
+  ended_ = std::move(done);
+  if (state_ == State::kWorking) {
+    BeginLeave();
+  } else if (state_ != State::kLeaving) {
+    timer_->Cancel();
+    End();
+  }
+}
+
+void StoreDisk::End() {
+  state_ = State::kEnded;
+  if (ended_) ended_();
+}
+
+void StoreDisk::OnTimer() {
+  if (state_ == State::kLooking) Look();
+  if (state_ == State::kWorking) CheckDisk();
+}
+
+// --- Room ---------------------------------------------------------------------------------------
+
+void StoreDisk::Look() {
+  ++looks_;
+  if (storage_ == nullptr || storage_->failed()) {
+    storage_.reset();
+    auto opened = open_();
+    if (!opened) {
+      OnRefused(opened.error().text);
+      return;
+    }
+    storage_ = std::move(opened.value());
+  }
+  storage::Batch probe;
+  probe.Put(std::string(kProbeKey), std::string(kProbeBytes, '\0'));
+  storage_->Apply(probe);
+  storage_->Sync([this, alive = alive_](const Result<void>& synced) {
+    if (*alive) OnProbed(synced);
+  });
+}
+
+void StoreDisk::OnProbed(const Result<void>& synced) {
+  if (state_ != State::kLooking) return;
+  if (!synced) {
+    OnRefused(synced.error().text);
+    return;
+  }
+  pause_ = kFirstPause;
+  if (!taking_since_) taking_since_ = loop_.Now();
+  if (loop_.Now() - *taking_since_ < probation_) {
+    ArmIn(kFirstPause);
+    return;
+  }
+  // Not from inside the storage's call.
+  loop_.Post([this, alive = alive_] {
+    if (*alive && state_ == State::kLooking) StartWork();
+  });
+}
+
+void StoreDisk::OnRefused(const std::string& why) {
+  taking_since_.reset();
+  TellChange(false, "the disk takes no writes, looking for room: " + why);
+  ArmIn(pause_);
+  pause_ = std::min(pause_ * 2, kLongestPause);
+}
+
+// --- Work ---------------------------------------------------------------------------------------
+
+void StoreDisk::StartWork() {
+  TellChange(true, "the disk takes writes");
+  state_ = State::kWorking;
+  started_at_ = loop_.Now();
+  ++starts_;
+  work_.start(*storage_);
+  ArmIn(kDiskCheck);
+}
+
+// A disk that failed is vouched for no more: the leases go back, so that others take over.
+void StoreDisk::CheckDisk() {
+  if (!storage_->failed()) {
+    ArmIn(kDiskCheck);
+    return;
+  }
+  TellChange(false, "the disk takes no writes any more; the leases go back");
+  LengthenProbation();
+  BeginLeave();
+}
+
+void StoreDisk::BeginLeave() {
+  state_ = State::kLeaving;
+  work_.leave([this, alive = alive_] {
+    if (!*alive) return;
+    // Not from inside a call of the work, which ends here.
+    loop_.Post([this, alive] {
+      if (*alive) OnLeft();
+    });
+  });
+}
+
+void StoreDisk::OnLeft() {
+  if (state_ != State::kLeaving) return;
+  work_.stop();
+  if (ends_) {
+    End();
+    return;
+  }
+  state_ = State::kLooking;
+  taking_since_.reset();
+  pause_ = kFirstPause;
+  ArmIn(kFirstPause);
+}
+
+void StoreDisk::LengthenProbation() {
+  const bool failed_soon = loop_.Now() - started_at_ < kSteady;
+  const milliseconds longer = std::clamp(probation_ * 2, kFirstProbation, kLongestProbation);
+  probation_ = failed_soon ? longer : milliseconds(0);
+}
+
+void StoreDisk::TellChange(bool takes_writes, const std::string& text) {
+  const bool is_change = told_taking_ != takes_writes;
+  told_taking_ = takes_writes;
+  if (!is_change) return;
+  log::Line(takes_writes ? log::Level::kInfo : log::Level::kError, kLogName, text);
+}
+
+void StoreDisk::ArmIn(milliseconds span) { timer_->ArmAt(loop_.Now() + span); }
+
+}  // namespace shelflink::batch
--- /dev/null
+++ b/src/tier/batch/store_disk.h
@@ -0,0 +1,100 @@
+// Keeps a store's work on its disk for as long as the disk takes writes: opens the disk, looks for
+// room with retries, starts the work, ends it when the disk fails, and begins again. A disk that
+// refuses never ends the process; one log line tells each change between taking and refusing.
+//
+// Looking for room costs one small write and moves nothing; only a return of the store moves
+// partitions. A disk that failed soon after a return has to take writes without a break for a
+// while before the next one: that bounds the moves, not the pause between two looks.
+#ifndef SHELFLINK_TIER_BATCH_STORE_DISK_H_
+#define SHELFLINK_TIER_BATCH_STORE_DISK_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "net/loop.h"
+#include "tier/foundation/result.h"
+#include "tier/storage/storage.h"
+
+namespace shelflink::batch {
+
+class StoreDisk {
+ public:
+  using milliseconds = std::chrono::milliseconds;
+  // Opens the disk anew. An error (no room, no right) is retried; a damaged disk is set aside by
+  // the storage itself and comes back empty.
+  using Open = std::function<Result<std::unique_ptr<storage::Storage>>()>;
+  // What the store does on a disk that takes writes.
+  struct Work {
+    std::function<void(storage::Storage& disk)> start;
+    // Gives the leases back; `done` is called once, also when nobody answers.
+    std::function<void(std::function<void()> done)> leave;
+    // Nothing uses the disk when this has returned.
+    std::function<void()> stop;
+  };
+
+  static constexpr milliseconds kFirstPause{100};  // Between two looks for room; doubles.
+  static constexpr milliseconds kLongestPause{1000};
+  static constexpr milliseconds kDiskCheck{100};  // While the work goes on.
+  // A disk that failed within this time after a return has come back too early.
+  static constexpr milliseconds kSteady{10000};
+  static constexpr milliseconds kFirstProbation{250};  // Doubles at each such failure.
+  static constexpr milliseconds kLongestProbation{2000};
+
+  StoreDisk(net::Loop& loop, Open open, Work work);
+  ~StoreDisk();
+  StoreDisk(const StoreDisk&) = delete;
+  StoreDisk& operator=(const StoreDisk&) = delete;
+
+  // Ends the work in order, for good.
+  void Leave(std::function<void()> done);
+
+  bool is_working() const { return state_ == State::kWorking; }
+  std::uint64_t starts() const { return starts_; }  // Of the work.
+  std::uint64_t looks() const { return looks_; }    // For room.
+
+ private:
+  enum class State {
+    kLooking,  // For room; the work has not begun.
+    kWorking,
+    kLeaving,  // The work still holds leases.
+    kEnded,
+  };
+
+  void End();
+  void OnTimer();
+  void Look();
+  void OnProbed(const Result<void>& synced);
+  void OnRefused(const std::string& why);
+  void StartWork();
+  void CheckDisk();
+  void BeginLeave();
+  void OnLeft();
+  void LengthenProbation();
+  void TellChange(bool takes_writes, const std::string& text);
+  void ArmIn(milliseconds span);
+
+  net::Loop& loop_;
+  Open open_;
+  Work work_;
+  std::unique_ptr<storage::Storage> storage_;
+  State state_ = State::kLooking;
+  bool ends_ = false;
+  std::function<void()> ended_;
+  milliseconds pause_ = kFirstPause;
+  milliseconds probation_{0};
+  std::optional<net::Time> taking_since_;  // Every look since then has found room.
+  net::Time started_at_{};
+  std::optional<bool> told_taking_;
+  std::uint64_t starts_ = 0;
+  std::uint64_t looks_ = 0;
+  net::TimerPtr timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace shelflink::batch
+
+#endif  // SHELFLINK_TIER_BATCH_STORE_DISK_H_
--- a/tests/tier/batch/store.cmake
+++ b/tests/tier/batch/store.cmake
@@ -3,6 +3,7 @@
 if(TARGET shelflink_tier_core)
   shelflink_tier_test(batch/peer_frames_test shelflink_tier_store shelflink_tier_core shelflink_virtual)
   shelflink_tier_test(batch/store_test shelflink_tier_store shelflink_tier_core shelflink_virtual)
+  shelflink_tier_test(batch/store_disk_test shelflink_tier_store shelflink_tier_core shelflink_virtual)
   shelflink_tier_test(batch/store_loss_test shelflink_tier_store shelflink_tier_core shelflink_virtual)
 endif()
 # Measures running stores; no test.
--- a/tests/tier/batch/store_world.h
+++ b/tests/tier/batch/store_world.h
@@ -20,6 +20,7 @@
 #include "tier/batch/messages.h"
 #include "tier/batch/partition.h"
 #include "tier/batch/replica_host.h"
+#include "tier/batch/store_disk.h"
 #include "tier/batch/store_service.h"
 #include "tier/cluster/placement.h"
 #include "tier/storage/crash_storage.h"
@@ -68,21 +69,37 @@
 
 struct StoreMachine;
 
-// A start of the store's process.
+// A start of the store's process, on an opening of its disk.
 struct StoreProcessInTest {
+  // Without `opened` it opens the machine's disk itself and never looks whether it has failed.
   StoreProcessInTest(net::VirtualNet& net, StoreMachine& machine, std::uint64_t incarnation,
-                     std::size_t copies, std::function<std::uint64_t()> random,
+                     std::size_t copies, storage::Storage* opened,
+                     std::function<std::uint64_t()> random,
                      std::function<void(const cluster::BackupReport&)> report);
   ~StoreProcessInTest() { loop.Kill(); }
 
   net::VirtualProcess loop;
   Later later;
   transport::Hub hub;
-  storage::CrashStorage storage;
+  std::unique_ptr<storage::CrashStorage> own_storage;
+  storage::Storage& storage;
   storage::DiskIdentity identity;
   ReplicaHost replicas;
   StoreService service;
   bool identity_synced = false;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+// What keeps a store on its disk, as the store's program does, on a loop beside the store's.
+struct DiskKeeper {
+  DiskKeeper(net::VirtualNet& net, StoreMachine& machine, StoreDisk::Work work);
+  ~DiskKeeper();
+  std::unique_ptr<storage::Storage> OpenStorage(StoreMachine& machine);
+
+  net::VirtualProcess loop;
+  std::unique_ptr<Later> syncs;  // Of one opening.
+  bool opened = false;
+  std::unique_ptr<StoreDisk> disk;
 };
 
 struct StoreMachine {
@@ -90,6 +107,7 @@
   std::string zone;
   storage::CrashDisk disk;
   std::unique_ptr<StoreProcessInTest> process;
+  std::unique_ptr<DiskKeeper> keeper;  // Where the world keeps the stores on their disks.
   net::Time lease_until{};  // As the store counts it, under the newest placement it was told of.
   net::Time live_until{};   // As the core does.
   // The newest renewal: its end, and which placement the core had then.
@@ -136,20 +154,52 @@
 
 inline StoreProcessInTest::StoreProcessInTest(
     net::VirtualNet& net, StoreMachine& machine, std::uint64_t incarnation, std::size_t copies,
-    std::function<std::uint64_t()> random, std::function<void(const cluster::BackupReport&)> report)
+    storage::Storage* opened, std::function<std::uint64_t()> random,
+    std::function<void(const cluster::BackupReport&)> report)
     : loop(net, machine.host(), "store-" + std::to_string(machine.number), 200),
       later(loop),
       hub(loop, IdentityOf(machine, incarnation), {}),
-      storage(machine.disk,
-              [this](std::function<void()> step) { later.Run(kSyncTakes, std::move(step)); }),
+      own_storage(opened != nullptr ? nullptr
+                                    : std::make_unique<storage::CrashStorage>(
+                                          machine.disk,
+                                          [this](std::function<void()> step) {
+                                            later.Run(kSyncTakes, std::move(step));
+                                          })),
+      storage(opened != nullptr ? *opened : *own_storage),
       identity(storage::ReadOrDrawIdentity(storage, random)),
       replicas(loop, hub, storage, HostOptionsOf(identity.id, copies),
                {[&machine] { return machine.lease_until; }, std::move(report)}),
       service(loop, hub, replicas, {TestBounds(), random(), [&net] { return WallOf(net); }}) {
-  storage.Sync([this](const Result<void>& synced) { identity_synced = synced.has_value(); });
+  storage.Sync([this, alive = std::weak_ptr<bool>(alive)](const Result<void>& synced) {
+    if (!alive.expired()) identity_synced = synced.has_value();
+  });
   service.OnConfiguration(TestConfiguration());
 }
 
+inline DiskKeeper::DiskKeeper(net::VirtualNet& net, StoreMachine& machine, StoreDisk::Work work)
+    : loop(net, machine.host(), "disk-" + std::to_string(machine.number), 10) {
+  disk = std::make_unique<StoreDisk>(
+      loop,
+      [this, &machine]() -> Result<std::unique_ptr<storage::Storage>> {
+        return OpenStorage(machine);
+      },
+      std::move(work));
+}
+
+inline DiskKeeper::~DiskKeeper() {
+  disk.reset();
+  loop.Kill();
+}
+
+// What was not synced when a disk failed is gone.
+inline std::unique_ptr<storage::Storage> DiskKeeper::OpenStorage(StoreMachine& machine) {
+  if (std::exchange(opened, true)) machine.disk.LosePower(0);
+  syncs = std::make_unique<Later>(loop);
+  return std::make_unique<storage::CrashStorage>(machine.disk, [this](std::function<void()> step) {
+    syncs->Run(kSyncTakes, std::move(step));
+  });
+}
+
 // What clients were promised, and what they have seen.
 struct Promise {
   Submit submit;
@@ -214,8 +264,10 @@
 
 class StoreWorld {
  public:
-  StoreWorld(std::uint64_t seed, std::uint32_t stores, std::size_t copies = 2)
-      : net(seed), random_(seed * 7919 + 1), copies_(copies) {
+  // `keeps_disks`: stores leave when their disks fail and return when they take writes again.
+  StoreWorld(std::uint64_t seed, std::uint32_t stores, std::size_t copies = 2,
+             bool keeps_disks = false)
+      : net(seed), random_(seed * 7919 + 1), copies_(copies), keeps_disks_(keeps_disks) {
     rules_.copies = copies;
     for (std::uint32_t number = 0; number < stores; ++number) {
       auto machine = std::make_unique<StoreMachine>();
@@ -266,14 +318,17 @@
     machine.lease_until = {};
     machine.renewed_until = {};
     machine.known_placement = 0;
-    machine.process = std::make_unique<StoreProcessInTest>(
-        net, machine, ++incarnations_, copies_, [this] { return random_(); },
-        [this, number](const cluster::BackupReport& report) { OnReport(number, report); });
+    if (keeps_disks_) {
+      machine.keeper = std::make_unique<DiskKeeper>(net, machine, WorkOf(machine));
+    } else {
+      StartProcess(machine, nullptr);
+    }
   }
   // What LMDB had not committed is gone with the process, as with the power.
   void Kill(std::uint32_t number) {
     StoreMachine& machine = *machines[number];
-    if (!machine.process) return;
+    if (!machine.process && !machine.keeper) return;
+    machine.keeper.reset();
     machine.process.reset();
     machine.paused = false;
     machine.disk.LosePower(Draw(machine.disk.unsynced() + 1));
@@ -328,6 +383,29 @@
   std::set<std::string> finished;           // Items of which an endpoint gave the whole output.
 
  private:
+  void StartProcess(StoreMachine& machine, storage::Storage* opened) {
+    machine.lease_until = {};
+    machine.renewed_until = {};
+    machine.known_placement = 0;
+    machine.process = std::make_unique<StoreProcessInTest>(
+        net, machine, ++incarnations_, copies_, opened, [this] { return random_(); },
+        [this, number = machine.number](const cluster::BackupReport& report) {
+          OnReport(number, report);
+        });
+  }
+  StoreDisk::Work WorkOf(StoreMachine& machine) {
+    StoreDisk::Work work;
+    work.start = [this, &machine](storage::Storage& disk) { StartProcess(machine, &disk); };
+    // The core takes the lease back at once where it is in reach.
+    work.leave = [this, &machine](const std::function<void()>& done) {
+      machine.process->identity_synced = false;
+      if (machine.reaches_core()) machine.live_until = net.Now();
+      done();
+    };
+    work.stop = [&machine] { machine.process.reset(); };
+    return work;
+  }
+
   // --- The core -------------------------------------------------------------------------------
 
   void TickCore() {
@@ -423,6 +501,7 @@
 
   std::mt19937_64 random_;
   std::size_t copies_;
+  bool keeps_disks_;
   cluster::PlacementRules rules_;
   std::vector<cluster::PartitionRow> rows_;
   std::map<std::pair<std::size_t, std::string>, net::Time> stalled_until_;
--- a/tests/tier/tier_seeds/machines.cpp
+++ b/tests/tier/tier_seeds/machines.cpp
@@ -3,18 +3,14 @@
 #include <algorithm>
 #include <utility>
 
-#include "tier/cluster/messages.h"
-
 namespace shelflink::tier_seeds {
 namespace {
 
 constexpr std::size_t kDescriptors = 4096;
 constexpr Milliseconds kSyncTakes{4};
-// As in cluster/core_program.cpp and batch/store_program.cpp.
+// As in cluster/core_program.cpp.
 constexpr Milliseconds kTransferSpan{2000};
 constexpr Milliseconds kAnswerSpan{200};
-constexpr Milliseconds kReportTimeout{1000};
-constexpr std::uint64_t kResultBytesPerToken = 4;
 
 }  // namespace
 
@@ -95,6 +91,12 @@
       disk_, [this](std::function<void()> step) { ScheduleSync(std::move(step)); });
 }
 
+std::unique_ptr<storage::Storage> Machine::ReopenStorage() {
+  syncs_.clear();
+  disk_.LosePower(Draw() % (disk_.unsynced() + 1));
+  return OpenStorage();
+}
+
 // Syncs end in the order in which they were asked for.
 void Machine::ScheduleSync(std::function<void()> step) {
   syncs_.remove_if([](const PendingSync& pending) { return pending.done; });
@@ -144,66 +146,12 @@
 // ---- Store ----
 
 void StoreMachine::Open() {
-  storage_ = OpenStorage();
-  identity_ = storage::ReadOrDrawIdentity(*storage_, [this] { return Draw(); });
-  hub_ = std::make_unique<transport::Hub>(process(), Identity("store", ProcessKind::kStore),
-                                          transport::Hub::Options{});
-  agent_ = std::make_unique<cluster::Agent>(process(), *hub_, settings_, AgentChanges());
-  batch::ReplicaHost::Options options;
-  options.disk = identity_.id;
-  options.least_replicas = 1 + static_cast<std::size_t>(settings_.tolerance.machines);
-  replicas_ =
-      std::make_unique<batch::ReplicaHost>(process(), *hub_, *storage_, options, HostOutside());
-  service_ = std::make_unique<batch::StoreService>(
-      process(), *hub_, *replicas_,
-      batch::StoreService::Options{settings_.bounds, Draw(),
-                                   [this] { return batch::Micros(agent_->TrueMicros()); }});
-  agent_->SetStoreReport([this] { return Report(); });
-  storage_->Sync([this](const Result<void>& synced) { agent_->SetReady(synced.has_value()); });
-}
-
-void StoreMachine::Close() {
-  service_.reset();
-  replicas_.reset();
-  agent_.reset();
-  hub_.reset();
-  storage_.reset();
-}
-
-void StoreMachine::LeaveInOrder(std::function<void()> done) { agent_->Leave(std::move(done)); }
-
-cluster::Agent::Changes StoreMachine::AgentChanges() {
-  cluster::Agent::Changes changes;
-  changes.placement = [this] {
-    if (agent_->view().placement) replicas_->OnPlacement(*agent_->view().placement);
-  };
-  changes.configuration = [this] {
-    if (agent_->view().configuration) service_->OnConfiguration(*agent_->view().configuration);
-  };
-  return changes;
-}
-
-batch::ReplicaHost::Outside StoreMachine::HostOutside() {
-  batch::ReplicaHost::Outside outside;
-  outside.lease_until = [this] { return agent_->lease_until(); };
-  outside.report = [this](const cluster::BackupReport& report) {
-    const auto core = agent_->primary();
-    if (!core) return;
-    hub_->Call(*core, cluster::kBackupReportKind, cluster::Encode(report), kReportTimeout,
-               [](const Result<std::string>&) {});
-  };
-  outside.reserved_bytes = [this] { return 2 * kResultBytesPerToken * service_->queued_tokens(); };
-  return outside;
-}
-
-cluster::Agent::StoreReport StoreMachine::Report() const {
-  const storage::Usage usage = storage_->usage();
-  cluster::Agent::StoreReport report;
-  report.disk = identity_.id;
-  report.bytes_used = usage.bytes_used;
-  report.bytes_free = usage.bytes_limit - std::min(usage.bytes_used, usage.bytes_limit);
-  report.tokens_queued = service_->queued_tokens();
-  return report;
+  store_ = std::make_unique<batch::StoreProcess>(
+      process(), settings_,
+      [this, opened = false]() mutable {
+        return std::exchange(opened, true) ? ReopenStorage() : OpenStorage();
+      },
+      [this] { return Draw(); });
 }
 
 // ---- Proxy ----
--- a/tests/tier/tier_seeds/machines.h
+++ b/tests/tier/tier_seeds/machines.h
@@ -12,9 +12,7 @@
 #include <vector>
 
 #include "net/virtual.h"
-#include "tier/batch/replica_host.h"
-#include "tier/batch/store_service.h"
-#include "tier/cluster/agent.h"
+#include "tier/batch/store_process.h"
 #include "tier/cluster/core_service.h"
 #include "tier/coordination/group.h"
 #include "tier/foundation/settings.h"
@@ -43,6 +41,8 @@
   // SIGTERM: leaves in order and ends; SIGKILL after the time of grace.
   void Terminate();
   void SetFrozen(bool frozen);
+  // A full disk refuses writes until it has room again.
+  void SetDiskFull(bool full) { disk_.SetFull(full); }
   void SetDiskStalled(bool stalled) { disk_.SetStalled(stalled); }
   void SetSyncSpan(net::Span span) { sync_span_ = span; }
 
@@ -65,6 +65,8 @@
 
   transport::PeerIdentity Identity(const std::string& role, ProcessKind kind) const;
   std::unique_ptr<storage::Storage> OpenStorage();
+  // Within one life of the process, after a failure: what was not synced is gone, as far as drawn.
+  std::unique_ptr<storage::Storage> ReopenStorage();
   std::uint64_t Draw() { return (std::uint64_t{host_} << 32U) + lives_ * 1000003 + ++drawn_; }
   net::VirtualProcess& process() { return *process_; }
 
@@ -119,7 +121,6 @@
   std::unique_ptr<operator_api::Forwarder> forwarder_;
 };
 
-// A store, wired as batch/store_program.cpp wires it.
 class StoreMachine : public Machine {
  public:
   using Machine::Machine;
@@ -127,20 +128,11 @@
 
  protected:
   void Open() override;
-  void Close() override;
-  void LeaveInOrder(std::function<void()> done) override;
+  void Close() override { store_.reset(); }
+  void LeaveInOrder(std::function<void()> done) override { store_->Leave(std::move(done)); }
 
  private:
-  cluster::Agent::Changes AgentChanges();
-  batch::ReplicaHost::Outside HostOutside();
-  cluster::Agent::StoreReport Report() const;
-
-  std::unique_ptr<storage::Storage> storage_;
-  storage::DiskIdentity identity_;
-  std::unique_ptr<transport::Hub> hub_;
-  std::unique_ptr<cluster::Agent> agent_;
-  std::unique_ptr<batch::ReplicaHost> replicas_;
-  std::unique_ptr<batch::StoreService> service_;
+  std::unique_ptr<batch::StoreProcess> store_;
 };
 
 class ProxyMachine : public Machine {
