A store's disk is opened once and recovered in place, whatever class its failure has

Cause: StoreDisk opened the disk anew at each look; storages can now tell the class of a failure and recover from it, so a full disk need not be opened, and read whole, each second.

Change: StoreDisk opens once (also a disk that refuses at once) and calls Recover until it succeeds. A damaged disk is set aside by the storage and comes back empty, with another identity; a full one comes back as the disk that it was. The log line at a change names the reason.

--- a/src/tier/batch/store_disk.cpp
+++ b/src/tier/batch/store_disk.cpp
@@ -53,14 +53,11 @@
 
 void StoreDisk::Look() {
   ++looks_;
-  if (storage_ == nullptr || storage_->failed()) {
-    storage_.reset();
-    auto opened = open_();
-    if (!opened) {
-      OnRefused(opened.error().text);
-      return;
-    }
-    storage_ = std::move(opened.value());
+  if (storage_ == nullptr) storage_ = open_();
+  const Result<void> recovered = storage_->Recover();
+  if (!recovered) {
+    OnRefused(recovered.error().text);
+    return;
   }
   storage::Batch probe;
   probe.Put(std::string(kProbeKey), std::string(kProbeBytes, '\0'));
@@ -112,7 +109,8 @@
     ArmIn(kDiskCheck);
     return;
   }
-  TellChange(false, "the disk takes no writes any more; the leases go back");
+  TellChange(false,
+             "the disk takes no writes any more, the leases go back: " + storage_->failure_text());
   LengthenProbation();
   BeginLeave();
 }
--- a/src/tier/batch/store_disk.h
+++ b/src/tier/batch/store_disk.h
@@ -24,9 +24,9 @@
 class StoreDisk {
  public:
   using milliseconds = std::chrono::milliseconds;
-  // Opens the disk anew. An error (no room, no right) is retried; a damaged disk is set aside by
-  // the storage itself and comes back empty.
-  using Open = std::function<Result<std::unique_ptr<storage::Storage>>()>;
+  // Opens the disk, once; what it gives may have failed already (no room, no right). A failed one
+  // is recovered: where it is damaged it is set aside and empty then.
+  using Open = std::function<std::unique_ptr<storage::Storage>()>;
   // What the store does on a disk that takes writes.
   struct Work {
     std::function<void(storage::Storage& disk)> start;
--- a/src/tier/batch/store_program.cpp
+++ b/src/tier/batch/store_program.cpp
@@ -25,15 +25,12 @@
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-Result<std::unique_ptr<storage::Storage>> OpenDisk(net::Loop& loop,
-                                                   const ProcessSettings& settings) {
+std::unique_ptr<storage::Storage> OpenDisk(net::Loop& loop, const ProcessSettings& settings) {
   storage::LmdbStorage::Options options;
   options.folder = settings.data_dir + "/batch";
   options.bytes_limit = static_cast<std::uint64_t>(
       kMapShare * static_cast<double>(settings.limits.disk_mb * kBytesPerMegabyte));
-  auto opened = storage::LmdbStorage::Open(loop, options);
-  if (!opened) return opened.error();
-  return std::unique_ptr<storage::Storage>(std::move(opened.value()));
+  return storage::LmdbStorage::OpenOrFailed(loop, options);
 }
 
 void ReloadSettings(StoreProcess& process) {
