--- a/tests/tier/proxy/stand_in.h
+++ b/tests/tier/proxy/stand_in.h
@@ -121,6 +121,7 @@
       stream_->Reset();
     }
     bool open() const { return open_; }
+    net::Address peer() const { return stream_->peer(); }
     // Stops reading, until ReadOn.
     void Hold() { held_ = true; }
     void ReadOn() {
--- a/tests/tier/tier_seeds/day.cpp
+++ b/tests/tier/tier_seeds/day.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint64_t kDayStream = 8;
 constexpr std::int64_t kEpochMicros = 1'800'000'000'000'000;
 constexpr std::size_t kClientDescriptors = 100'000;
+constexpr milliseconds kChangePauseOfLongDays{250};
 // Since the start of all.
 constexpr milliseconds kOperatorsBegin{500};
 constexpr milliseconds kClientsBegin{2500};
@@ -51,9 +52,10 @@
       : deployment_(deployment),
         net_(deployment.seed, kEpochMicros),
         journal_(net_, trace),
-        ledger_(journal_),
+        ledger_(net_, journal_),
+        contact_(net_, deployment_.base.bounds.contact),
         platform_(net_, journal_, deployment_),
-        endpoints_(net_, journal_, ledger_, platform_, deployment_),
+        endpoints_(net_, journal_, ledger_, platform_, contact_, deployment_),
         operators_(net_, journal_, cores_, deployment_),
         outside_(net_, kFirstClients, "clients", kClientDescriptors),
         callers_(outside_),
@@ -65,8 +67,8 @@
     batch_ = std::make_unique<BatchClients>(net_, journal_, ledger_, proxies_, *ingress_, callers_,
                                             deployment_);
     troubles_ = std::make_unique<Troubles>(
-        net_, journal_, TierParts{cores_, stores_, proxies_, endpoints_, platform_, operators_},
-        deployment_);
+        net_, journal_, contact_,
+        TierParts{cores_, stores_, proxies_, endpoints_, platform_, operators_}, deployment_);
   }
   ~Day() {
     for (auto& core : cores_) core->Kill();
@@ -145,6 +147,7 @@
   net::VirtualNet net_;
   Journal journal_;
   Ledger ledger_;
+  ContactRecord contact_;
   PlatformWorld platform_;
   std::vector<std::unique_ptr<CoreMachine>> cores_;
   std::vector<std::unique_ptr<StoreMachine>> stores_;
@@ -162,8 +165,13 @@
 
 }  // namespace
 
-DayResult PlayDay(std::uint64_t seed, bool trace) {
-  Day day(DrawDeployment(seed), trace);
+DayResult PlayDay(std::uint64_t seed, const DayOptions& options) {
+  Deployment deployment = DrawDeployment(seed);
+  if (options.length) {
+    deployment.trouble = *options.length;
+    deployment.change_pause = kChangePauseOfLongDays;
+  }
+  Day day(deployment, options.trace);
   try {
     day.Play();
   } catch (const std::exception& error) {
--- a/tests/tier/tier_seeds/day.h
+++ b/tests/tier/tier_seeds/day.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,7 +22,14 @@
   std::uint64_t events = 0;
 };
 
-DayResult PlayDay(std::uint64_t seed, bool trace);
+struct DayOptions {
+  bool trace = false;
+  // How long there is trouble, in place of what the seed draws; the operators change the
+  // configuration several times a second then.
+  std::optional<net::Span> length;
+};
+
+DayResult PlayDay(std::uint64_t seed, const DayOptions& options);
 
 }  // namespace shelflink::tier_seeds
 
--- a/tests/tier/tier_seeds/deployment.h
+++ b/tests/tier/tier_seeds/deployment.h
@@ -2,6 +2,7 @@
 #ifndef SHELFLINK_TESTS_TIER_SEEDS_DEPLOYMENT_H_
 #define SHELFLINK_TESTS_TIER_SEEDS_DEPLOYMENT_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -31,11 +32,12 @@
   std::size_t cores = 3;
   std::size_t stores = 3;
   std::size_t proxies = 3;
-  std::size_t endpoints = 4;  // Of each service.
-  std::size_t failures = 1;   // Counted machines that may be lost at one time.
-  net::Span trouble{};        // How long there is trouble.
-  net::Span calm{};           // What the tier has for recovery after it.
-  ProcessSettings base;       // What all processes share.
+  std::size_t endpoints = 4;                     // Of each service.
+  std::size_t failures = 1;                      // Counted machines that may be lost at one time.
+  net::Span trouble{};                           // How long there is trouble.
+  std::chrono::milliseconds change_pause{1200};  // The longest between two of an operator's calls.
+  net::Span calm{};                              // What the tier has for recovery after it.
+  ProcessSettings base;                          // What all processes share.
 
   std::string ZoneOf(std::size_t index) const { return "zone-" + std::to_string(index % zones); }
 };
--- a/tests/tier/tier_seeds/endpoint_fleet.cpp
+++ b/tests/tier/tier_seeds/endpoint_fleet.cpp
@@ -13,6 +13,15 @@
 namespace {
 
 constexpr std::uint64_t kEndpointStream = 3;
+constexpr std::uint64_t kReleaseStream = 9;
+constexpr Milliseconds kFirstRelease{5000};
+constexpr int kShortestReleasePauseMs = 700;
+constexpr int kLongestReleasePauseMs = 4000;
+// Of the endpoints that leave: they serve for long after their drain span.
+constexpr double kLingersShare = 0.4;
+constexpr std::uint64_t kLingersMs = 8000;
+constexpr std::uint64_t kUsuallyStaysMs = 1000;
+constexpr int kMostReported = 3;  // Late requests of one endpoint; all are counted.
 constexpr std::size_t kSlots = 32;
 constexpr int kMostEvents = 12;
 constexpr std::size_t kShortBody = 30'000;
@@ -47,6 +56,11 @@
 
 // ---- Ledger ----
 
+void Ledger::Ask(const std::string& id, AskedRequest request) {
+  request.at = net_.Now();
+  asked_[id] = std::move(request);
+}
+
 const AskedRequest* Ledger::Asked(const std::string& id) const {
   const auto found = asked_.find(id);
   return found == asked_.end() ? nullptr : &found->second;
@@ -103,13 +117,16 @@
 // ---- Fleet ----
 
 EndpointFleet::EndpointFleet(net::VirtualNet& net, Journal& journal, Ledger& ledger,
-                             PlatformWorld& platform, const Deployment& deployment)
+                             PlatformWorld& platform, const ContactRecord& contact,
+                             const Deployment& deployment)
     : net_(net),
       journal_(journal),
       ledger_(ledger),
       platform_(platform),
+      contact_(contact),
       deployment_(deployment),
-      random_(deployment.seed, kEndpointStream) {
+      random_(deployment.seed, kEndpointStream),
+      releases_(deployment.seed, kReleaseStream) {
   for (const char* service : {"svc-a", "svc-b"}) {
     for (std::size_t index = 0; index < deployment.endpoints; ++index) {
       Place place;
@@ -124,6 +141,22 @@
 
 void EndpointFleet::Start() {
   for (std::size_t place = 0; place < places_.size(); ++place) StartAt(place, next_host_++);
+  net_.At(net_.Now() + kFirstRelease, [this] { ReleaseLater(); });
+}
+
+void EndpointFleet::ReleaseLater() {
+  Drain(AnyPlace(releases_));
+  const std::uint64_t span = kLongestReleasePauseMs - kShortestReleasePauseMs;
+  const std::chrono::milliseconds pause(kShortestReleasePauseMs + releases_.Below(span));
+  net_.At(net_.Now() + pause, [this] { ReleaseLater(); });
+}
+
+std::size_t EndpointFleet::AnyPlace(shelflab::Random& random) const {
+  std::vector<std::size_t> kept;
+  for (std::size_t place = 0; place < places_.size(); ++place) {
+    if (!places_[place].given_up && !places_[place].draining) kept.push_back(place);
+  }
+  return kept[random.Below(kept.size())];
 }
 
 void EndpointFleet::StartAt(std::size_t place, std::uint32_t host) {
@@ -180,7 +213,8 @@
   // The freed address goes to the other service if a place of it is vacant by then: swap zones of
   // services between two places that are both gone.
   for (std::size_t other = 0; other < places_.size(); ++other) {
-    if (places_[other].now == nullptr && places_[other].service != at.service) {
+    if (places_[other].now == nullptr && !places_[other].given_up &&
+        places_[other].service != at.service) {
       std::swap(places_[other].service, at.service);
       return;
     }
@@ -195,25 +229,57 @@
     net_.ResetBetween(kFirstProxy + proxy, at.host);
   }
   at.busy.clear();
+  at.harmed_at = net_.Now();
 }
 
 void EndpointFleet::Drain(std::size_t place) {
-  Place& at = places_[place];
-  if (at.now == nullptr || at.draining) return;
-  journal_.Note([&] { return at.now->id + " drains"; });
-  at.draining = true;
+  if (places_[place].now == nullptr || places_[place].draining) return;
+  journal_.Note([&] { return places_[place].now->id + " drains"; });
+  journal_.Count("endpoints released");
+  places_[place].draining = true;
   TellPlatform();
-  const Endpoint* leaving = at.now;
+  Place successor;
+  successor.service = places_[place].service;
+  successor.zone = places_[place].zone;
+  places_.push_back(std::move(successor));
+  net_.At(net_.Now() + kBootSpan,
+          [this, next = places_.size() - 1] { StartAt(next, next_host_++); });
+  const std::uint64_t stays_ms = random_.Chance(kLingersShare) ? kLingersMs : kUsuallyStaysMs;
   const net::Span until_end = deployment_.base.cloud.lag + deployment_.base.bounds.drain +
-                              std::chrono::milliseconds(500 + random_.Below(1000));
-  net_.At(net_.Now() + until_end, [this, place, leaving] {
-    if (places_[place].now != leaving) return;
-    places_[place].now->Crash();
-    places_[place].now = nullptr;
-    StartAt(place, next_host_++);
+                              std::chrono::milliseconds(500 + random_.Below(stays_ms));
+  net_.At(net_.Now() + until_end, [this, place] {
+    Place& left = places_[place];
+    left.now->Crash();
+    left.now = nullptr;
+    left.given_up = true;
+    TellPlatform();
   });
 }
 
+void EndpointFleet::CheckDrain(const Place& place, const Endpoint& endpoint, const Line& line,
+                               const std::string& id, const AskedRequest& asked) {
+  const std::optional<net::Span> shown = platform_.ShownAsLeaving(endpoint.id);
+  if (!shown) return;
+  journal_.Count("requests at a leaving endpoint");
+  if (*shown <= deployment_.base.bounds.drain) return;
+  const std::uint32_t proxy = line.peer().V4Host();
+  const std::optional<net::Time> in_touch_since = contact_.InTouchSince(proxy);
+  const bool taken_in_touch = in_touch_since && (asked.is_item || asked.at >= *in_touch_since);
+  const bool held_up =
+      place.harmed_at && net_.Now() - *place.harmed_at < deployment_.base.bounds.contact;
+  if (!taken_in_touch || held_up) {
+    journal_.Count("requests at a leaving endpoint, late, out of touch");
+    return;
+  }
+  journal_.Count("requests at a leaving endpoint, late");
+  if (++late_[endpoint.id] > kMostReported) return;
+  const auto late =
+      std::chrono::duration_cast<Milliseconds>(*shown - deployment_.base.bounds.drain);
+  journal_.Report("DRAIN", id + " " + asked.target + " reaches " + endpoint.id + " through proxy-" +
+                               std::to_string(proxy - kFirstProxy) + ", late by " +
+                               std::to_string(late.count()) + " ms");
+}
+
 net::Span EndpointFleet::ServiceTime() {
   if (random_.Chance(0.03)) return std::chrono::milliseconds(300 + random_.Below(1200));
   return std::chrono::microseconds(1000 + random_.Below(60'000));
@@ -275,6 +341,7 @@
     journal_.Report("UNASKED", "request " + id + " that nobody sent: " + request.first);
     return line.Write(Endpoint::NotRun(request));
   }
+  CheckDrain(at, endpoint, line, id, *asked);
   if (!Accepts(endpoint, at, line, request)) return;
   CheckUnchanged(id, *asked, request);
   if (!asked->service.empty() && asked->service != at.service) {
--- a/tests/tier/tier_seeds/endpoint_fleet.h
+++ b/tests/tier/tier_seeds/endpoint_fleet.h
@@ -15,6 +15,7 @@
 #include "emulator/random.h"
 #include "net/virtual.h"
 #include "proxy/stand_in.h"
+#include "tier_seeds/contact_record.h"
 #include "tier_seeds/deployment.h"
 #include "tier_seeds/journal.h"
 #include "tier_seeds/platform_world.h"
@@ -33,6 +34,7 @@
   bool resumable = false;
   bool is_item = false;  // Of a batch job.
   bool doomed = false;   // Every endpoint answers 422.
+  net::Time at{};        // When it was sent.
 };
 
 // One run of a request at an endpoint.
@@ -48,9 +50,9 @@
 
 class Ledger {
  public:
-  explicit Ledger(Journal& journal) : journal_(journal) {}
+  Ledger(const net::VirtualNet& net, Journal& journal) : net_(net), journal_(journal) {}
 
-  void Ask(const std::string& id, AskedRequest request) { asked_[id] = std::move(request); }
+  void Ask(const std::string& id, AskedRequest request);
   const AskedRequest* Asked(const std::string& id) const;
   // The client was told that it has not run and never will.
   void Promise(const std::string& id, const std::string& how);
@@ -64,6 +66,7 @@
   bool HasWholeRun(const std::string& id) const { return whole_.contains(id); }
 
  private:
+  const net::VirtualNet& net_;
   Journal& journal_;
   std::map<std::string, AskedRequest> asked_;
   std::map<std::string, std::vector<std::unique_ptr<EndpointRun>>> runs_;
@@ -80,15 +83,18 @@
 class EndpointFleet {
  public:
   EndpointFleet(net::VirtualNet& net, Journal& journal, Ledger& ledger, PlatformWorld& platform,
-                const Deployment& deployment);
+                const ContactRecord& contact, const Deployment& deployment);
   ~EndpointFleet();
 
+  // Endpoints leave in order now and then, all day.
   void Start();
-  std::size_t size() const { return places_.size(); }
+  // Of those that are not given up.
+  std::size_t AnyPlace(shelflab::Random& random) const;
   // A new incarnation takes the place after a while, perhaps at the address of another.
   void Crash(std::size_t place);
   void ResetConnections(std::size_t place);
-  // Leaves in order: listed as draining, ended afterwards, and another comes.
+  // Leaves in order: listed as draining and ended some time after its drain span, at times long
+  // after; another comes in a place of its own, and this one is given up.
   void Drain(std::size_t place);
   // Share of answers that something is wrong with.
   void SetMischief(double share) { mischief_ = share; }
@@ -108,12 +114,18 @@
     std::uint32_t host = 0;
     stand_in::Endpoint* now = nullptr;
     bool draining = false;
+    bool given_up = false;
+    std::optional<net::Time> harmed_at;  // The links to it were broken.
     std::set<stand_in::Endpoint::Line*> busy;
     std::set<stand_in::Endpoint::Line*> cut_short;  // Half an answer went out, no more follows.
   };
   using Line = stand_in::Endpoint::Line;
 
   void StartAt(std::size_t place, std::uint32_t host);
+  void ReleaseLater();
+  // Judges the rule DRAIN: a request that is no health check reaches the endpoint on this line.
+  void CheckDrain(const Place& place, const stand_in::Endpoint& endpoint, const Line& line,
+                  const std::string& id, const AskedRequest& asked);
   void TellPlatform();
   void Serve(std::size_t place, stand_in::Endpoint& endpoint, Line& line,
              const stand_in::Message& request);
@@ -136,10 +148,13 @@
   Journal& journal_;
   Ledger& ledger_;
   PlatformWorld& platform_;
+  const ContactRecord& contact_;
   const Deployment& deployment_;
   shelflab::Random random_;
+  shelflab::Random releases_;
   double mischief_ = 0;
   std::vector<Place> places_;
+  std::map<std::string, int> late_;  // Requests that broke DRAIN, by endpoint.
   std::vector<std::unique_ptr<stand_in::Endpoint>> all_;
   std::uint32_t next_host_ = kFirstEndpoint;
   std::uint64_t incarnations_ = 0;
--- a/tests/tier/tier_seeds/machines.cpp
+++ b/tests/tier/tier_seeds/machines.cpp
@@ -91,12 +91,6 @@
       disk_, [this](std::function<void()> step) { ScheduleSync(std::move(step)); });
 }
 
-std::unique_ptr<storage::Storage> Machine::ReopenStorage() {
-  syncs_.clear();
-  disk_.LosePower(Draw() % (disk_.unsynced() + 1));
-  return OpenStorage();
-}
-
 // Syncs end in the order in which they were asked for.
 void Machine::ScheduleSync(std::function<void()> step) {
   syncs_.remove_if([](const PendingSync& pending) { return pending.done; });
@@ -147,11 +141,7 @@
 
 void StoreMachine::Open() {
   store_ = std::make_unique<batch::StoreProcess>(
-      process(), settings_,
-      [this, opened = false]() mutable {
-        return std::exchange(opened, true) ? ReopenStorage() : OpenStorage();
-      },
-      [this] { return Draw(); });
+      process(), settings_, [this] { return OpenStorage(); }, [this] { return Draw(); });
 }
 
 // ---- Proxy ----
--- a/tests/tier/tier_seeds/machines.h
+++ b/tests/tier/tier_seeds/machines.h
@@ -41,8 +41,12 @@
   // SIGTERM: leaves in order and ends; SIGKILL after the time of grace.
   void Terminate();
   void SetFrozen(bool frozen);
-  // A full disk refuses writes until it has room again.
-  void SetDiskFull(bool full) { disk_.SetFull(full); }
+  // Refuses writes until it has room again; of what was not synced then the first `kept` remain.
+  void FillDisk(std::size_t kept) {
+    disk_.SetKeptOnFailure(kept);
+    disk_.SetFull(true);
+  }
+  void EmptyDisk() { disk_.SetFull(false); }
   void SetDiskStalled(bool stalled) { disk_.SetStalled(stalled); }
   void SetSyncSpan(net::Span span) { sync_span_ = span; }
 
@@ -65,8 +69,6 @@
 
   transport::PeerIdentity Identity(const std::string& role, ProcessKind kind) const;
   std::unique_ptr<storage::Storage> OpenStorage();
-  // Within one life of the process, after a failure: what was not synced is gone, as far as drawn.
-  std::unique_ptr<storage::Storage> ReopenStorage();
   std::uint64_t Draw() { return (std::uint64_t{host_} << 32U) + lives_ * 1000003 + ++drawn_; }
   net::VirtualProcess& process() { return *process_; }
 
--- a/tests/tier/tier_seeds/main.cpp
+++ b/tests/tier/tier_seeds/main.cpp
@@ -1,6 +1,7 @@
 // tier_seeds: plays days of whole tiers, one a seed, and prints what it found. Exit codes: 0
 // nothing found, 1 something found, 2 usage; with --until-found 0 something found, 1 nothing.
 #include <CLI/CLI.hpp>
+#include <chrono>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -21,6 +22,7 @@
   std::uint64_t from = 1;
   std::uint64_t count = 1;
   std::uint64_t seed = 0;  // Above 0: this one alone.
+  double length_s = 0;     // Above 0: how long there is trouble.
   bool trace = false;
   bool counts = false;
   bool until_found = false;
@@ -34,10 +36,20 @@
   std::cout.flush();
 }
 
+DayResult PlayOne(const Wanted& wanted, std::uint64_t seed) {
+  shelflink::tier_seeds::DayOptions options;
+  options.trace = wanted.trace;
+  if (wanted.length_s > 0) {
+    options.length =
+        std::chrono::duration_cast<net::Span>(std::chrono::duration<double>(wanted.length_s));
+  }
+  return shelflink::tier_seeds::PlayDay(seed, options);
+}
+
 // For a program with a fault compiled in: succeeds with the first seed that finds it.
 int PlayUntilFound(const Wanted& wanted) {
   for (std::uint64_t seed = wanted.from; seed < wanted.from + wanted.count; ++seed) {
-    const DayResult day = shelflink::tier_seeds::PlayDay(seed, false);
+    const DayResult day = PlayOne(wanted, seed);
     if (day.findings.empty()) continue;
     Print(day, true);
     return EXIT_SUCCESS;
@@ -53,7 +65,7 @@
   std::map<std::string, std::uint64_t> counts;
   std::uint64_t broken = 0;
   for (std::uint64_t seed = first; seed < first + count; ++seed) {
-    const DayResult day = shelflink::tier_seeds::PlayDay(seed, wanted.trace);
+    const DayResult day = PlayOne(wanted, seed);
     if (!day.findings.empty()) ++broken;
     Print(day, count == 1);
     for (const auto& [what, times] : day.counts) counts[what] += times;
@@ -74,6 +86,8 @@
   app.add_option("--from", wanted.from, "First seed");
   app.add_option("--count", wanted.count, "How many seeds");
   app.add_option("--seed", wanted.seed, "Only this seed");
+  app.add_option("--length", wanted.length_s,
+                 "Seconds of trouble, with changes several a second; default: drawn from the seed");
   app.add_flag("--trace", wanted.trace, "Print what happens");
   app.add_flag("--counts", wanted.counts, "Print what was played, and how often");
   app.add_flag("--until-found", wanted.until_found, "Succeed once something is found");
--- a/tests/tier/tier_seeds/operators.cpp
+++ b/tests/tier/tier_seeds/operators.cpp
@@ -27,7 +27,11 @@
 
 Operators::Operators(net::VirtualNet& net, Journal& journal, Cores& cores,
                      const Deployment& deployment)
-    : net_(net), journal_(journal), cores_(cores), random_(deployment.seed, kOperatorStream) {
+    : net_(net),
+      journal_(journal),
+      cores_(cores),
+      random_(deployment.seed, kOperatorStream),
+      change_pause_(deployment.change_pause) {
   for (std::size_t number = 0; number < kFlows; ++number) {
     flows_.push_back({number, kFirstOperator + static_cast<std::uint32_t>(number % 2), {}});
   }
@@ -55,7 +59,8 @@
 
 void Operators::Next(Flow& flow) {
   if (net_.Now() >= flow.until) return;
-  const milliseconds pause(50 + random_.Below(random_.Chance(0.3) ? 100 : 1200));
+  const std::uint64_t longest = static_cast<std::uint64_t>(change_pause_.count());
+  const milliseconds pause(50 + random_.Below(random_.Chance(0.3) ? 100 : longest));
   After(pause, [this, &flow] {
     if (net_.Now() >= flow.until) return;
     const auto next = [this, &flow] { Next(flow); };
--- a/tests/tier/tier_seeds/operators.h
+++ b/tests/tier/tier_seeds/operators.h
@@ -94,6 +94,7 @@
   Journal& journal_;
   Cores& cores_;
   shelflab::Random random_;
+  std::chrono::milliseconds change_pause_;
   double losses_ = 0;
   std::deque<Flow> flows_;
   std::vector<Order> orders_;
--- a/tests/tier/tier_seeds/platform_world.cpp
+++ b/tests/tier/tier_seeds/platform_world.cpp
@@ -1,5 +1,6 @@
 #include "tier_seeds/platform_world.h"
 
+#include <algorithm>
 #include <functional>
 
 namespace shelflink::tier_seeds {
@@ -89,6 +90,7 @@
 
 void PlatformWorld::SetList(std::vector<cluster::EndpointEntry> entries) {
   const net::Time since = lists_.empty() ? net::Time() : net_.Now() + lag_;
+  NoteLeaving(since, entries);
   lists_.emplace_back(since, std::move(entries));
   while (lists_.size() > 1 && lists_[1].first <= net_.Now()) lists_.pop_front();
 }
@@ -101,6 +103,47 @@
   return seen;
 }
 
+void PlatformWorld::NoteLeaving(net::Time seen_from,
+                                const std::vector<cluster::EndpointEntry>& entries) {
+  std::set<std::string> serving;
+  for (const cluster::EndpointEntry& entry : entries) {
+    if (!entry.draining) serving.insert(entry.id);
+  }
+  for (const std::string& endpoint : serving_) {
+    if (!serving.contains(endpoint)) leaving_from_.insert({endpoint, seen_from});
+  }
+  serving_ = std::move(serving);
+}
+
+std::optional<net::Span> PlatformWorld::ShownAsLeaving(const std::string& endpoint) const {
+  const auto found = leaving_from_.find(endpoint);
+  if (found == leaving_from_.end() || found->second > net_.Now()) return std::nullopt;
+  net::Span shown = net_.Now() - found->second;
+  for (const TroubleSpan& trouble : troubles_) {
+    const net::Time begin = std::max(trouble.begin, found->second);
+    const net::Time end = std::min(trouble.end, net_.Now());
+    if (begin < end) shown -= end - begin;
+  }
+  return shown;
+}
+
+void PlatformWorld::SetUp(bool up) {
+  up_ = up;
+  NoteTrouble();
+}
+
+void PlatformWorld::SetLostAnswers(double share) {
+  lost_answers_ = share;
+  NoteTrouble();
+}
+
+void PlatformWorld::NoteTrouble() {
+  const bool in_trouble = !up_ || lost_answers_ > 0;
+  const bool is_open = !troubles_.empty() && troubles_.back().end == net::Time::max();
+  if (in_trouble && !is_open) troubles_.push_back({net_.Now()});
+  if (!in_trouble && is_open) troubles_.back().end = net_.Now();
+}
+
 net::Span PlatformWorld::Way() { return std::chrono::microseconds(500 + random_.Below(20'000)); }
 
 bool PlatformWorld::TakeFence(const std::string& subject, const platform::DutyHolder& holder) {
--- a/tests/tier/tier_seeds/platform_world.h
+++ b/tests/tier/tier_seeds/platform_world.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -32,8 +33,11 @@
   // The endpoints as they are now; callers see them after the lag.
   void SetList(std::vector<cluster::EndpointEntry> entries);
   std::vector<cluster::EndpointEntry> ListSeen() const;
-  void SetUp(bool up) { up_ = up; }
-  void SetLostAnswers(double share) { lost_answers_ = share; }
+  void SetUp(bool up);
+  void SetLostAnswers(double share);
+  // For how long callers could see that the endpoint is draining or gone; the time does not run
+  // while the platform is down or loses answers. None: the list does not show it so.
+  std::optional<net::Span> ShownAsLeaving(const std::string& endpoint) const;
 
   bool Reaches(std::uint32_t host) const { return up_ && net_.Reaches(host, kPlatformHost); }
   bool LosesAnswer() { return random_.Chance(lost_answers_); }
@@ -45,6 +49,13 @@
   net::VirtualNet& net() { return net_; }
 
  private:
+  struct TroubleSpan {
+    net::Time begin{};
+    net::Time end = net::Time::max();  // Not over.
+  };
+
+  void NoteLeaving(net::Time seen_from, const std::vector<cluster::EndpointEntry>& entries);
+  void NoteTrouble();
   // False: a higher fence was seen for the subject.
   bool TakeFence(const std::string& subject, const platform::DutyHolder& holder);
 
@@ -55,6 +66,9 @@
   bool up_ = true;
   double lost_answers_ = 0;
   std::deque<std::pair<net::Time, std::vector<cluster::EndpointEntry>>> lists_;
+  std::set<std::string> serving_;                  // Endpoints listed as ready.
+  std::map<std::string, net::Time> leaving_from_;  // From when on the list shows it.
+  std::vector<TroubleSpan> troubles_;
   std::map<std::string, std::uint64_t> highest_fence_;                         // By subject.
   std::map<std::pair<std::string, std::uint64_t>, std::string> fence_holder_;  // By subject, fence.
   std::map<std::uint64_t, Counts> windows_;
--- a/tests/tier/tier_seeds/tier_seeds_test.cpp
+++ b/tests/tier/tier_seeds/tier_seeds_test.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 BOOST_AUTO_TEST_CASE(one_seed_is_one_day) {
-  const DayResult first = PlayDay(3, false);
-  const DayResult other = PlayDay(4, false);
-  const DayResult again = PlayDay(3, false);
+  const DayResult first = PlayDay(3, {});
+  const DayResult other = PlayDay(4, {});
+  const DayResult again = PlayDay(3, {});
   BOOST_TEST(first.hash == again.hash);
   BOOST_TEST(first.events == again.events);
   BOOST_TEST((first.counts == again.counts));
@@ -20,10 +20,11 @@
 
 // A day in which nothing is asked would find nothing.
 BOOST_AUTO_TEST_CASE(a_day_asks_for_everything) {
-  const DayResult day = PlayDay(1, false);
+  const DayResult day = PlayDay(1, {});
   for (const char* what :
        {"orders acknowledged", "orders repeated", "configurations read", "answers 200", "runs",
-        "usage reports", "batch jobs accepted", "results completed", "streams broken off"}) {
+        "usage reports", "batch jobs accepted", "results completed", "streams broken off",
+        "endpoints released", "requests at a leaving endpoint"}) {
     BOOST_TEST_CONTEXT(what) {
       const auto found = day.counts.find(what);
       BOOST_REQUIRE(found != day.counts.end());
--- a/tests/tier/tier_seeds/troubles.cpp
+++ b/tests/tier/tier_seeds/troubles.cpp
@@ -14,15 +14,23 @@
 constexpr milliseconds kLooksAgain{100};
 constexpr milliseconds kUsualSync{4};
 constexpr double kStrikeShare = 0.15;  // Of all acknowledgements.
+// Of the days: disks are full one after the other, and little else befalls what counts.
+constexpr double kDisksInTurnShare = 0.3;
+constexpr double kCountedShareInTurn = 0.15;  // Of the usual troubles of what counts, on such days.
+constexpr std::uint64_t kMostKeptOfFullDisk = 4;
+constexpr double kAllDisksShare = 0.4;        // Of the troubles that befall all of the core.
+constexpr double kAllDisksInTurnShare = 0.2;  // All core disks, in place of the next one alone.
+constexpr double kCoreDiskShare = 2.0 / 3;    // Of the disks that are full in turn.
 // While something goes on, its machine is lost for a time that nobody knows yet.
 constexpr net::Time kUntilHealed = net::Time::max();
 
 }  // namespace
 
-Troubles::Troubles(net::VirtualNet& net, Journal& journal, TierParts parts,
+Troubles::Troubles(net::VirtualNet& net, Journal& journal, ContactRecord& contact, TierParts parts,
                    const Deployment& deployment)
     : net_(net),
       journal_(journal),
+      contact_(contact),
       parts_(parts),
       deployment_(deployment),
       random_(deployment.seed, kTroubleStream) {}
@@ -52,6 +60,8 @@
   parts_.operators.on_acknowledged = [this] {
     if (net_.Now() < until_ && random_.Chance(kStrikeShare)) TroubleAtAcknowledgement();
   };
+  disks_in_turn_ = random_.Chance(kDisksInTurnShare);
+  if (disks_in_turn_) FillNextDisk();
   Next(until);
 }
 
@@ -88,6 +98,7 @@
 }
 
 void Troubles::TroubleCounted() {
+  if (disks_in_turn_ && !random_.Chance(kCountedShareInTurn)) return;
   std::vector<Machine*> all = Counted();
   Machine* first = all[random_.Below(all.size())];
   if (troubled_.contains(first) || !MayLose({first})) return;
@@ -99,7 +110,7 @@
 }
 
 void Troubles::TroubleOne(Machine& machine) {
-  switch (random_.Below(11)) {
+  switch (random_.Below(18)) {
     case 0:
       return KillFor(machine, Between(50, 1500), "is killed", [&] { machine.Kill(); });
     case 1:
@@ -119,9 +130,15 @@
     case 8:
       return Restart(machine);
     case 9:
+    case 10:
       return StallDiskFor(machine, Between(100, 3000));
+    case 11:
+    case 12:
+      return SlowDiskFor(machine, Between(500, 4000));
+    case 13:
+      return ResetFor(machine);
     default:
-      return random_.Chance(0.5) ? SlowDiskFor(machine, Between(500, 4000)) : ResetFor(machine);
+      return FillDiskFor(machine, Between(500, 6000));
   }
 }
 
@@ -149,13 +166,16 @@
   return random_.Chance(0.5) ? 0 : random_.Below(machine.unsynced() + 1);
 }
 
-// Every core process is killed, or all that counts loses power, at the same instant. Nothing else
-// is lost then.
+bool Troubles::IsAnyLost() const {
+  return std::any_of(lost_until_.begin(), lost_until_.end(),
+                     [&](const auto& entry) { return entry.second > net_.Now(); });
+}
+
+// Every core process is killed, or all that counts loses power, or all core disks are full, at the
+// same instant. Nothing else is lost then.
 void Troubles::TroubleAll() {
-  if (!MayLose({}) || std::any_of(lost_until_.begin(), lost_until_.end(),
-                                  [&](const auto& entry) { return entry.second > net_.Now(); })) {
-    return;
-  }
+  if (IsAnyLost()) return;
+  if (random_.Chance(kAllDisksShare)) return FillAllCoreDisks();
   const bool power = random_.Chance(0.4);
   std::vector<Machine*> all;
   if (power) {
@@ -170,14 +190,41 @@
   for (Machine* machine : all) {
     const net::Span span = Between(100, 1000);
     if (power) {
-      KillFor(*machine, span, "loses power with all",
-              [&] { machine->LosePower(KeptWrites(*machine)); });
+      KillFor(
+          *machine, span, "loses power with all", [&] { machine->LosePower(KeptWrites(*machine)); },
+          TroubleReach::kMostOfCore);
     } else {
-      KillFor(*machine, span, "is killed with all", [&] { machine->Kill(); });
+      KillFor(
+          *machine, span, "is killed with all", [&] { machine->Kill(); },
+          TroubleReach::kMostOfCore);
     }
   }
 }
 
+// They have room again one by one.
+void Troubles::FillAllCoreDisks() {
+  for (auto& core : parts_.cores) {
+    if (troubled_.contains(core.get())) return;
+  }
+  journal_.Count("all core disks are full");
+  for (auto& core : parts_.cores) FillDiskFor(*core, Between(500, 6000));
+}
+
+// One disk after the other, each as soon as the tolerance has room for it.
+void Troubles::FillNextDisk() {
+  net_.At(net_.Now() + Between(100, 600), [this] {
+    if (net_.Now() >= until_) return;
+    FillNextDisk();
+    if (!IsAnyLost() && random_.Chance(kAllDisksInTurnShare)) return FillAllCoreDisks();
+    Machine* machine = &OneOf(parts_.stores);
+    if (random_.Chance(kCoreDiskShare)) machine = &OneOf(parts_.cores);
+    if (!troubled_.contains(machine) && MayLose({machine})) {
+      journal_.Count("disks that are full in turn");
+      FillDiskFor(*machine, Between(500, 6000));
+    }
+  });
+}
+
 void Troubles::TroubleProxy() {
   ProxyMachine& proxy = OneOf(parts_.proxies);
   if (troubled_.contains(&proxy)) return;
@@ -200,7 +247,7 @@
 }
 
 void Troubles::TroubleEndpoint() {
-  const std::size_t place = random_.Below(parts_.endpoints.size());
+  const std::size_t place = parts_.endpoints.AnyPlace(random_);
   switch (random_.Below(3)) {
     case 0:
       return parts_.endpoints.Crash(place);
@@ -253,16 +300,18 @@
 // ---- One machine ----
 
 void Troubles::During(Machine& machine, net::Span span, const std::string& what, const Step& begin,
-                      const Step& end) {
+                      const Step& end, TroubleReach reach) {
   journal_.Note([&] { return machine.node() + " " + what; });
   journal_.Count("trouble: " + what);
   troubled_.insert(&machine);
   SetLost(machine, kUntilHealed);
+  contact_.Begin(machine.host(), reach);
   begin();
   const std::uint64_t number = ++numbers_;
-  heals_[number] = [this, &machine, what, end] {
+  heals_[number] = [this, &machine, what, end, reach] {
     journal_.Note([&] { return machine.node() + " no longer " + what; });
     end();
+    contact_.End(machine.host(), reach);
     troubled_.erase(&machine);
     SetLost(machine, net_.Now() + deployment_.base.bounds.catch_up);
   };
@@ -287,8 +336,23 @@
   }
 }
 
+TroubleReach Troubles::ReachOf(const Machine& machine) {
+  return machine.settings().role == "proxy" ? TroubleReach::kMachine : TroubleReach::kCore;
+}
+
+void Troubles::During(Machine& machine, net::Span span, const std::string& what, const Step& begin,
+                      const Step& end) {
+  During(machine, span, what, begin, end, ReachOf(machine));
+}
+
+void Troubles::KillFor(Machine& machine, net::Span span, const std::string& how, const Step& kill,
+                       TroubleReach reach) {
+  During(
+      machine, span, how, kill, [&machine] { machine.Start(); }, reach);
+}
+
 void Troubles::KillFor(Machine& machine, net::Span span, const std::string& how, const Step& kill) {
-  During(machine, span, how, kill, [&machine] { machine.Start(); });
+  KillFor(machine, span, how, kill, ReachOf(machine));
 }
 
 void Troubles::FreezeFor(Machine& machine, net::Span span) {
@@ -355,6 +419,14 @@
       [&machine] { machine.SetSyncSpan(kUsualSync); });
 }
 
+// Its machine runs and is connected meanwhile, so the core counts as stable.
+void Troubles::FillDiskFor(Machine& machine, net::Span span) {
+  During(
+      machine, span, "has a full disk",
+      [&] { machine.FillDisk(random_.Below(kMostKeptOfFullDisk)); },
+      [&machine] { machine.EmptyDisk(); }, TroubleReach::kMachine);
+}
+
 // SIGTERM; another start once the process has ended.
 void Troubles::Restart(Machine& machine) {
   if (!machine.up()) return;
@@ -362,6 +434,7 @@
   journal_.Count("trouble: is told to end");
   troubled_.insert(&machine);
   SetLost(machine, kUntilHealed);
+  contact_.Begin(machine.host(), ReachOf(machine));
   machine.Terminate();
   AwaitEnd(machine, machine.lives());
 }
@@ -371,6 +444,7 @@
     if (machine.up() && machine.lives() == life) return AwaitEnd(machine, life);
     net_.At(net_.Now() + kRestartTakes, [this, &machine] {
       machine.Start();
+      contact_.End(machine.host(), ReachOf(machine));
       troubled_.erase(&machine);
       SetLost(machine, net_.Now() + deployment_.base.bounds.catch_up);
     });
--- a/tests/tier/tier_seeds/troubles.h
+++ b/tests/tier/tier_seeds/troubles.h
@@ -15,6 +15,7 @@
 
 #include "emulator/random.h"
 #include "net/virtual.h"
+#include "tier_seeds/contact_record.h"
 #include "tier_seeds/deployment.h"
 #include "tier_seeds/endpoint_fleet.h"
 #include "tier_seeds/journal.h"
@@ -36,7 +37,8 @@
 
 class Troubles {
  public:
-  Troubles(net::VirtualNet& net, Journal& journal, TierParts parts, const Deployment& deployment);
+  Troubles(net::VirtualNet& net, Journal& journal, ContactRecord& contact, TierParts parts,
+           const Deployment& deployment);
 
   void Start(net::Time until);
   // Ends all that still goes on; every machine runs afterwards.
@@ -49,6 +51,7 @@
   void Draw();
   // Whether these may be lost besides those that are.
   bool MayLose(const std::vector<Machine*>& machines) const;
+  bool IsAnyLost() const;
   void SetLost(const Machine& machine, net::Time until);
   void TroubleCounted();
   void TroubleOne(Machine& machine);
@@ -62,17 +65,25 @@
   void TroubleNetwork();
 
   void KillFor(Machine& machine, net::Span span, const std::string& how, const Step& kill);
+  void KillFor(Machine& machine, net::Span span, const std::string& how, const Step& kill,
+               TroubleReach reach);
   void FreezeFor(Machine& machine, net::Span span);
   void CutOffFor(Machine& machine, net::Span span);
   void CutFromSomeFor(Machine& machine, net::Span span, bool one_way);
   void ResetFor(Machine& machine);
   void StallDiskFor(Machine& machine, net::Span span);
   void SlowDiskFor(Machine& machine, net::Span span);
+  void FillDiskFor(Machine& machine, net::Span span);
+  void FillNextDisk();
+  void FillAllCoreDisks();
   void Restart(Machine& machine);
   void AwaitEnd(Machine& machine, std::uint64_t life);
   // `begin` now, `end` after the span; the machine counts as lost meanwhile and for a while after.
   void During(Machine& machine, net::Span span, const std::string& what, const Step& begin,
               const Step& end);
+  void During(Machine& machine, net::Span span, const std::string& what, const Step& begin,
+              const Step& end, TroubleReach reach);
+  static TroubleReach ReachOf(const Machine& machine);
   void Heal(std::uint64_t number);
   std::vector<Machine*> Counted();
   std::vector<Machine*> AllMachines();
@@ -85,11 +96,13 @@
 
   net::VirtualNet& net_;
   Journal& journal_;
+  ContactRecord& contact_;
   TierParts parts_;
   const Deployment& deployment_;
   shelflab::Random random_;
   std::map<const Machine*, net::Time> lost_until_;  // Of those that count.
   std::set<const Machine*> troubled_;
+  bool disks_in_turn_ = false;
   std::uint64_t numbers_ = 0;
   net::Time until_{};
   std::map<std::uint64_t, Step> heals_;
