Known red: a drain does not bind while control stands still, nor a list read in a lapse

Cause: a proxy goes on with its last list without knowing its age, so whatever stops control (no core process, no primary, a primary that lost the platform, a core that stands still) stops drains as well. A list that is read while the primary's lease has lapsed counts as told though nothing was published, and an endpoint that was seen draining becomes ready again through an older list.

Change: tests alone; whole proxies beside cores, a platform, endpoints and clients on the virtual network.

--- a/tests/tier/cluster/rig.h
+++ b/tests/tier/cluster/rig.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -159,6 +160,8 @@
     std::uint64_t fence;
   };
   bool up = true;
+  // The calls of these processes fail.
+  std::set<const net::Loop*> cut_off;
   // The next report of use arrives, but its answer is lost.
   bool lose_next_answer = false;
   std::vector<EndpointEntry> list;
@@ -174,7 +177,7 @@
   void List(const platform::ListRequest&, ListDone done) override {
     ++world_.list_calls;
     loop_.Post([this, done = std::move(done)] {
-      if (!world_.up) {
+      if (!world_.up || world_.cut_off.contains(&loop_)) {
         done(platform::CallError{ErrorCode::kUnavailable, "down", std::nullopt});
         return;
       }
