The platform's list is read whole within half of drainMs after the platform answers again

Cause: the reader paused for up to 1 s after failures, heeded a Retry-After of up to 5 s, and waited for up to 4 s for an answer, whatever drainMs is. After the platform is back, the rule's time runs on, and little of it may be left.

Change: what the reader waits for is a share of drainMs (an answer a quarter, a pause a twelfth, a Retry-After a quarter). A call that is given up may still be answered, and its page is taken unless something newer was read, so that a slow platform is read as well. Eight connections in place of four, so that silent calls for the list leave room for others.

The test of the pauses asked for waits of up to 5 s; it now asks for the shorter bounds.

--- a/src/tier/platform/list_reader.cpp
+++ b/src/tier/platform/list_reader.cpp
@@ -10,26 +10,28 @@
 
 using std::chrono::milliseconds;
 
-constexpr double kLeastRate = 0.1;    // Calls a second.
-constexpr double kShareOfRate = 0.5;  // Others call too, and a former primary may still.
-constexpr int kWalksPerDrain = 4;     // So that one walk that fails leaves time for another.
+constexpr double kLeastRate = 0.1;  // Calls a second.
+constexpr int kWalksPerDrain = 4;   // So that one walk that fails leaves time for another.
 constexpr milliseconds kShortestPeriod{300};
 constexpr milliseconds kLongestPeriod{1500};
 constexpr milliseconds kFirstPause{100};  // After a failure; doubles.
-constexpr milliseconds kLongestPause{1000};
-constexpr milliseconds kLongestAdvice{5000};  // Of a Retry-After.
-constexpr std::uint32_t kTriesOfPage = 3;     // Then the walk starts anew.
+constexpr milliseconds kLeastWait{50};
+// Parts of the time in which a drain must bind. Patience and pause together are a third of it: the
+// platform's recovery is noticed so soon, and a sixth of it is left for the walk itself within the
+// half that is promised.
+constexpr int kPatiencePart = 4;           // For an answer.
+constexpr int kPausePart = 12;             // Between failures, at the longest.
+constexpr int kAdvicePart = 4;             // Heeded of a Retry-After, at the longest.
+constexpr std::uint32_t kTriesOfPage = 3;  // Then the walk starts anew.
 constexpr std::size_t kMostEntries = 200000;
 
-net::Span SpacingOf(double rate_per_s) {
-  const double calls_per_s = std::max(rate_per_s, kLeastRate) * kShareOfRate;
+net::Span SpacingOf(double rate_per_s, double share) {
+  const double calls_per_s = std::max(rate_per_s, kLeastRate) * share;
   return std::chrono::duration_cast<net::Span>(std::chrono::duration<double>(1.0 / calls_per_s));
 }
 
-net::Span PauseAfter(std::uint32_t failures) {
-  milliseconds pause = kFirstPause;
-  for (std::uint32_t i = 1; i < failures && pause < kLongestPause; ++i) pause *= 2;
-  return std::min(pause, kLongestPause);
+net::Span PartOf(net::Span drain, int part) {
+  return std::max<net::Span>(kLeastWait, drain / part);
 }
 
 // An endpoint that moves from one page to another while the list is walked may stand on both; what
@@ -49,8 +51,18 @@
 }  // namespace
 
 ListReader::ListReader(const Options& options)
-    : call_spacing_(SpacingOf(options.rate_per_s)),
-      walk_period_(std::clamp(options.drain / kWalksPerDrain, kShortestPeriod, kLongestPeriod)) {}
+    : call_spacing_(SpacingOf(options.rate_per_s, options.share_of_rate)),
+      walk_period_(std::clamp(options.drain / kWalksPerDrain, kShortestPeriod, kLongestPeriod)),
+      drain_(options.drain) {}
+
+net::Span ListReader::answer_patience() const { return PartOf(drain_, kPatiencePart); }
+
+net::Span ListReader::PauseAfterFailures() const {
+  const net::Span longest = PartOf(drain_, kPausePart);
+  net::Span pause = kFirstPause;
+  for (std::uint32_t i = 1; i < failures_ && pause < longest; ++i) pause *= 2;
+  return std::min(pause, longest);
+}
 
 void ListReader::Start(net::Time now) {
   running_ = true;
@@ -115,22 +127,33 @@
     ++failures_;
     next_call_ = AfterFailure(now);
   }
-  const milliseconds advised =
-      std::min(error.retry_after.value_or(milliseconds(0)), kLongestAdvice);
+  const net::Span advised =
+      std::min<net::Span>(error.retry_after.value_or(milliseconds(0)), PartOf(drain_, kAdvicePart));
   next_call_ = std::max(next_call_, now + advised);
 }
 
+std::optional<std::vector<cluster::EndpointEntry>> ListReader::OnLatePage(
+    net::Time now, const ListRequest& request, net::Time sent, InstancePage page) {
+  if (!running_ || request.page_token != page_token_) return std::nullopt;
+  const bool first_page = page_token_.empty();
+  if (first_page ? sent <= list_started_ : sent < walk_started_) return std::nullopt;
+  if (first_page) walk_started_ = sent;
+  under_way_ = true;  // In place of the call that has followed it.
+  return OnPage(now, std::move(page));
+}
+
 void ListReader::FailWalk(net::Time now) {
   ++failures_;
   BeginWalk(AfterFailure(now));
 }
 
 net::Time ListReader::AfterFailure(net::Time now) const {
-  return std::max(now + PauseAfter(failures_), last_call_ + call_spacing_);
+  return std::max(now + PauseAfterFailures(), last_call_ + call_spacing_);
 }
 
 std::vector<cluster::EndpointEntry> ListReader::FinishWalk() {
   failures_ = 0;
+  list_started_ = walk_started_;
   std::vector<cluster::EndpointEntry> whole = WithoutRepeats(std::move(entries_));
   BeginWalk(std::max(walk_started_ + walk_period_, last_call_ + call_spacing_));
   return whole;
--- a/src/tier/platform/list_reader.h
+++ b/src/tier/platform/list_reader.h
@@ -2,7 +2,12 @@
 // platform's rate. Yields complete lists only: a walk that fails midway is dropped and started
 // anew.
 //
-// Pure: it names the call that is due and is told what came of it; one call at a time.
+// Everything that it waits for is a share of `drain`, so that a whole list is read within half of
+// it once the platform answers again: kAnswerPatience for an answer, PauseAfter and kLongestAdvice
+// between calls. An answer that comes later than that is still taken (OnLatePage), so that a
+// platform that is slow is read as well.
+//
+// Pure: it names the call that is due and is told what came of it.
 #ifndef SHELFLINK_TIER_PLATFORM_LIST_READER_H_
 #define SHELFLINK_TIER_PLATFORM_LIST_READER_H_
 
@@ -17,12 +22,15 @@
 
 namespace shelflink::platform {
 
+// Of the platform's rate: for the core's reader. A former primary may still read as well.
+constexpr double kCoreShareOfRate = 0.5;
+
 class ListReader {
  public:
   struct Options {
-    double rate_per_s =
-        1.0;  // The platform's, for all callers together; half of it is used at most.
+    double rate_per_s = 1.0;                // The platform's, for all callers together.
     std::chrono::milliseconds drain{3000};  // An endpoint that drains must be known well within it.
+    double share_of_rate = kCoreShareOfRate;  // Used at most by this reader.
   };
 
   explicit ListReader(const Options& options);
@@ -40,7 +48,16 @@
   // The outcome of the call under way. OnPage answers the whole list after its last page.
   std::optional<std::vector<cluster::EndpointEntry>> OnPage(net::Time now, InstancePage page);
   void OnFailure(net::Time now, const CallError& error);
+  // How long an answer is waited for; then the call counts as failed and OnFailure is due.
+  net::Span answer_patience() const;
+  // The answer of a call that was given up: taken if that page is still the one that is wanted, and
+  // nothing newer has been read since.
+  std::optional<std::vector<cluster::EndpointEntry>> OnLatePage(net::Time now,
+                                                                const ListRequest& request,
+                                                                net::Time sent, InstancePage page);
 
+  // When the walk began that has yielded the last list; what the list says is not older.
+  net::Time list_started() const { return list_started_; }
   // Failures since the last complete list.
   std::uint32_t failures() const { return failures_; }
 
@@ -48,15 +65,18 @@
   void BeginWalk(net::Time due);
   void FailWalk(net::Time now);
   net::Time AfterFailure(net::Time now) const;
+  net::Span PauseAfterFailures() const;
   std::vector<cluster::EndpointEntry> FinishWalk();
 
   net::Span call_spacing_;
   net::Span walk_period_;
+  net::Span drain_;
   bool running_ = false;
   bool under_way_ = false;
   net::Time next_call_{};
   net::Time last_call_{};
   net::Time walk_started_{};
+  net::Time list_started_{};  // The walk of the last whole list.
   std::string page_token_;
   std::uint32_t page_failures_ = 0;    // Of the page that is due.
   std::set<std::string> tokens_seen_;  // Of this walk; a token that comes again would never end it.
--- a/src/tier/platform/soup_platform.h
+++ b/src/tier/platform/soup_platform.h
@@ -15,7 +15,7 @@
 namespace shelflink::platform {
 
 constexpr std::size_t kLargestAnswer = 16U << 20;
-constexpr unsigned kMostConnections = 4;
+constexpr unsigned kMostConnections = 8;  // Four silent calls for the list leave room for others.
 constexpr std::chrono::milliseconds kCallTimeout{1000};
 
 class SoupPlatform : public Platform {
--- a/tests/tier/platform/list_reader_test.cpp
+++ b/tests/tier/platform/list_reader_test.cpp
@@ -124,16 +124,77 @@
     pauses.push_back(*reader.next_due() - now);
     now = *reader.next_due();
   }
-  const std::vector<net::Span> wanted = {milliseconds(100), milliseconds(200),  milliseconds(400),
-                                         milliseconds(800), milliseconds(1000), milliseconds(1000)};
+  // A twelfth of the drain at the longest.
+  const std::vector<net::Span> wanted = {milliseconds(100), milliseconds(200), milliseconds(250),
+                                         milliseconds(250), milliseconds(250), milliseconds(250)};
   BOOST_TEST((pauses == wanted));
   reader.TakeDue(now);
-  reader.OnFailure(now, Failure(milliseconds(3000)));
-  BOOST_TEST((*reader.next_due() == now + milliseconds(3000)));
+  reader.OnFailure(now, Failure(milliseconds(600)));
+  BOOST_TEST((*reader.next_due() == now + milliseconds(600)));
   now = *reader.next_due();
   reader.TakeDue(now);
   reader.OnFailure(now, Failure(seconds(3000)));
-  BOOST_TEST((*reader.next_due() == now + seconds(5)));
+  BOOST_TEST((*reader.next_due() == now + milliseconds(750)));
+}
+
+// Whatever went before: silence, refusals with or without advice.
+BOOST_AUTO_TEST_CASE(a_whole_list_is_read_within_half_a_drain_of_the_platforms_recovery) {
+  for (std::uint32_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937 random(seed);
+    ListReader reader(Rate(44));
+    net::Time now = At(milliseconds(0));
+    const net::Time recovery = now + milliseconds(2000 + random() % 9000);
+    reader.Start(now);
+    std::size_t page = 0;
+    const std::size_t pages = 1 + random() % 8;
+    while (true) {
+      now = std::max(now, *reader.next_due());
+      const auto request = reader.TakeDue(now);
+      BOOST_REQUIRE(request.has_value());
+      if (now >= recovery) {
+        page = request->page_token.empty() ? 0 : std::stoul(request->page_token);
+        now += milliseconds(5);
+        const std::string next = page + 1 < pages ? std::to_string(page + 1) : "";
+        if (reader.OnPage(now, Page({Entry("a")}, next))) break;
+        continue;
+      }
+      const bool silent = random() % 2 == 0;
+      if (silent) now += reader.answer_patience();
+      const auto advice = random() % 2 == 0 ? std::optional(milliseconds(random() % 60000))
+                                            : std::optional<milliseconds>();
+      reader.OnFailure(now, Failure(silent ? std::nullopt : advice));
+    }
+    BOOST_TEST((now <= recovery + milliseconds(1500)), "seed " << seed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_late_answer_counts_unless_something_newer_was_read) {
+  ListReader reader(Rate(44));
+  reader.Start(At(milliseconds(0)));
+  const ListRequest first = *reader.TakeDue(At(milliseconds(0)));
+  reader.OnFailure(At(milliseconds(750)), Failure());
+  reader.TakeDue(*reader.next_due());
+  const auto list =
+      reader.OnLatePage(At(milliseconds(900)), first, At(milliseconds(0)), Page({Entry("a")}));
+  BOOST_REQUIRE(list.has_value());
+  BOOST_TEST((reader.list_started() == At(milliseconds(0))));
+  // The call that followed it is answered as well: it was sent later.
+  BOOST_TEST(
+      reader.OnLatePage(At(milliseconds(950)), first, At(milliseconds(850)), Page({Entry("b")}))
+          .has_value());
+  BOOST_TEST(
+      !reader.OnLatePage(At(milliseconds(960)), first, At(milliseconds(840)), Page({Entry("a")}))
+           .has_value());
+  // Of a page that is not wanted any more, and of a walk before this one.
+  reader.TakeDue(At(milliseconds(3000)));
+  reader.OnPage(At(milliseconds(3000)), Page({Entry("a")}, "p"));
+  BOOST_TEST(
+      !reader.OnLatePage(At(milliseconds(3001)), first, At(milliseconds(3000)), Page({Entry("a")}))
+           .has_value());
+  BOOST_TEST(
+      !reader
+           .OnLatePage(At(milliseconds(3001)), {{}, "p"}, At(milliseconds(900)), Page({Entry("a")}))
+           .has_value());
 }
 
 BOOST_AUTO_TEST_CASE(tokens_that_never_end_are_given_up) {
