A list of endpoints counts as told once it has been published

Cause: EndpointWatch kept a list as the one told before CoreService::PublishEndpoints could drop it because the lease had just lapsed. If the lease came back before the change of role was told, the list equalled the one read last and was never published.

Change: the watch keeps whether its newest list was published and offers it again, with each reading and before each answer to a renewal. The invariant read_list_is_published checks it there.

--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -15,6 +15,7 @@
 #include "tier/cluster/usage_duty.h"
 #include "tier/cluster/view_codec.h"
 #include "tier/cluster/view_publisher.h"
+#include "tier/foundation/invariants.h"
 #include "tier/foundation/log.h"
 
 namespace shelflink::cluster {
@@ -86,8 +87,9 @@
   void MakePlatformParts(platform::Platform& platform) {
     watch = std::make_unique<EndpointWatch>(
         loop, platform,
-        platform::ListReader::Options{settings.cloud.rate_per_s, settings.bounds.drain},
-        [this](const std::vector<EndpointEntry>& entries) { PublishEndpoints(entries); });
+        platform::ListReader::Options{settings.cloud.rate_per_s, settings.bounds.drain,
+                                      platform::kCoreShareOfRate},
+        [this](const std::vector<EndpointEntry>& entries) { return PublishEndpoints(entries); });
     if (HasDuty(settings, "usage_report")) {
       usage = std::make_unique<UsageDuty>(UsageDuty::Parts{loop, replicator, platform, ledger, pace,
                                                            [this] { return TrueMicros(); }},
@@ -243,6 +245,7 @@
     answer.primary = hub.self().address;
     answer.epoch = epoch;
     answer.incarnation = hub.self().incarnation;
+    PublishPendingEndpoints();
     answer.versions = publisher.versions();
     answer.true_micros = TrueMicros();
     answer.settled_before = ledger.settled_before();
@@ -340,9 +343,21 @@
     Publish(Part::kMembers, NextVersion(), EncodeMembers(all));
   }
 
-  void PublishEndpoints(const std::vector<EndpointEntry>& entries) {
-    if (!Leads()) return;
+  // Whether it is out: without a valid lease nothing is published, and the watch keeps it.
+  bool PublishEndpoints(const std::vector<EndpointEntry>& entries) {
+    if (!Leads()) return false;
     Publish(Part::kEndpoints, NextVersion(), EncodeEndpoints(entries));
+    return true;
+  }
+
+  // A list that was read while the lease had lapsed goes out before any renewal is answered.
+  void PublishPendingEndpoints() {
+    if (!watch) return;
+    watch->PublishPending();
+    const auto now =
+        std::chrono::duration_cast<std::chrono::microseconds>(loop.Now().time_since_epoch());
+    ProcessInvariants().Check(watch->published(), Invariant::kReadListIsPublished,
+                              "a renewal is answered before the list that was read", now.count());
   }
 
   // While the platform is out of reach, a new primary passes on the list that the members have.
--- a/src/tier/cluster/endpoint_watch.h
+++ b/src/tier/cluster/endpoint_watch.h
@@ -1,25 +1,26 @@
-// The one reader of the platform's list of endpoints: walks it on the core's primary and tells of
-// each list that differs from the one before. While the platform is down the last list stands.
+// The one reader of the platform's list of endpoints: walks it on the core's primary and has each
+// list published that differs from the one published before. While the platform is down the last
+// list stands.
 #ifndef SHELFLINK_TIER_CLUSTER_ENDPOINT_WATCH_H_
 #define SHELFLINK_TIER_CLUSTER_ENDPOINT_WATCH_H_
 
 #include <functional>
-#include <memory>
 #include <optional>
 #include <vector>
 
 #include "net/loop.h"
 #include "tier/cluster/view.h"
-#include "tier/platform/list_reader.h"
+#include "tier/platform/list_poller.h"
 
 namespace shelflink::cluster {
 
 class EndpointWatch {
  public:
-  using Changed = std::function<void(const std::vector<EndpointEntry>& entries)>;
+  // Whether the list has been published; one that has not is offered again.
+  using Publish = std::function<bool(const std::vector<EndpointEntry>& entries)>;
 
   EndpointWatch(net::Loop& loop, platform::Platform& platform,
-                const platform::ListReader::Options& options, Changed changed);
+                const platform::ListReader::Options& options, Publish publish);
   ~EndpointWatch();
   EndpointWatch(const EndpointWatch&) = delete;
   EndpointWatch& operator=(const EndpointWatch&) = delete;
@@ -28,24 +29,24 @@
   void Stop();
   // None: no whole list has been read since the start.
   const std::optional<std::vector<EndpointEntry>>& entries() const { return entries_; }
+  // When the reading of that list began.
+  net::Time read_at() const { return read_at_; }
+  // Offers the newest list again if it has not been published.
+  void PublishPending();
+  bool published() const { return published_; }
 
  private:
-  void Schedule();
-  void CallNext();
-  void OnAnswer(platform::CallResult<platform::InstancePage> answer);
+  void OnRead(std::vector<EndpointEntry> entries, net::Time read_at);
+  void OnFailed(const platform::CallError& error);
 
   net::Loop& loop_;
-  platform::Platform& platform_;
-  platform::ListReader reader_;
-  Changed changed_;
+  platform::ListPoller poller_;
+  Publish publish_;
   std::optional<std::vector<EndpointEntry>> entries_;
-  net::TimerPtr timer_;
-  std::shared_ptr<char> run_;  // Of the calls since the last start.
+  net::Time read_at_{};
+  bool published_ = true;  // The newest list, or one that is the same.
 };
 
-// Whether somebody who sends requests would act differently.
-bool SameEndpoints(const std::vector<EndpointEntry>& a, const std::vector<EndpointEntry>& b);
-
 }  // namespace shelflink::cluster
 
 #endif  // SHELFLINK_TIER_CLUSTER_ENDPOINT_WATCH_H_
