An endpoint that was seen draining stays so in the process that saw it

Cause: an id that was draining became ready again through a list that had been read earlier; lists come by pushes, fetches, adoption and soon by readings of a proxy's own.

Change: EndpointRegistry remembers each id that was seen draining, also beyond its leaving the lists (4,096 of these, the oldest are forgotten). New incarnations have new ids.

--- a/src/tier/proxy/endpoint_registry.cpp
+++ b/src/tier/proxy/endpoint_registry.cpp
@@ -1,7 +1,5 @@
 #include "tier/proxy/endpoint_registry.h"
 
-#include <unordered_set>
-
 namespace shelflink::proxy {
 
 void EndpointRegistry::Take(const cluster::EndpointList& list) {
@@ -11,17 +9,27 @@
     KnownEndpoint& known = known_[entry.id];
     if (known.number == 0) known.number = ++last_number_;
     known.address = entry.address;
-    known.draining = entry.draining;
+    if (entry.draining) seen_draining_.insert(entry.id);
+    known.draining = SeenDraining(entry.id);
     upstream_.SetEndpoint(known.number, known.address, known.takes_requests(), 0);
   }
   for (auto it = known_.begin(); it != known_.end();) {
     const auto present = it++;
     if (listed.contains(present->first)) continue;
     upstream_.Forget(present->second.number);
+    RememberDeparted(present->first);
     known_.erase(present);
   }
 }
 
+void EndpointRegistry::RememberDeparted(const std::string& id) {
+  if (!SeenDraining(id)) return;
+  departed_.push_back(id);
+  if (departed_.size() <= kMostDeparted) return;
+  seen_draining_.erase(departed_.front());
+  departed_.pop_front();
+}
+
 std::map<std::string, policy::ServiceInfo> EndpointRegistry::Services(
     const configuration::Configuration* configuration, const cluster::EndpointList* list,
     policy::Micros now) const {
--- a/src/tier/proxy/endpoint_registry.h
+++ b/src/tier/proxy/endpoint_registry.h
@@ -3,10 +3,13 @@
 #ifndef SHELFLINK_TIER_PROXY_ENDPOINT_REGISTRY_H_
 #define SHELFLINK_TIER_PROXY_ENDPOINT_REGISTRY_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "net/loop.h"
 #include "sidecar/upstream.h"
@@ -31,12 +34,15 @@
  public:
   explicit EndpointRegistry(kelpspring::Upstream& upstream) : upstream_(upstream) {}
 
-  // Draining or gone: nothing new goes there from this moment on, also what is being dialled.
+  // Draining or gone: nothing new goes there from this moment on, also what is being dialled. What
+  // was seen draining once stays so whatever a list says, as lists come by several ways and a new
+  // incarnation has a new id.
   void Take(const cluster::EndpointList& list);
   // The present list's endpoints by service, with what the configuration says of the services.
   std::map<std::string, policy::ServiceInfo> Services(
       const configuration::Configuration* configuration, const cluster::EndpointList* list,
       policy::Micros now) const;
+  bool SeenDraining(const std::string& id) const { return seen_draining_.contains(id); }
   // Null: not in the list.
   const KnownEndpoint* Find(const std::string& id) const;
   void NoteHeard(const std::string& id, net::Time now);
@@ -44,11 +50,17 @@
   void NoteMisdirected(const std::string& id);
 
  private:
+  // Of those that were seen draining and have left the lists; the oldest are forgotten.
+  static constexpr std::size_t kMostDeparted = 4096;
+
   KnownEndpoint* FindKnown(const std::string& id);
+  void RememberDeparted(const std::string& id);
 
   kelpspring::Upstream& upstream_;
   std::uint32_t last_number_ = 0;
   std::unordered_map<std::string, KnownEndpoint> known_;
+  std::unordered_set<std::string> seen_draining_;  // Listed or departed.
+  std::deque<std::string> departed_;
 };
 
 }  // namespace shelflink::proxy
