Each renewal tells how old the reading is that the list of endpoints stands for

Cause: a process could not tell a list that is confirmed each second from one that nobody has confirmed since control stopped.

Change: answers to renewals and detours carry the age of the primary's newest whole reading beside the versions; answers without the field are read as before. The agent keeps endpoints_read_at on its own clock, once it holds the version that the age belongs to. Messages by which proxies ask one another for a reading come with it.

--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -143,7 +143,8 @@
     parent = answer.parent;
     children = answer.children;
     ExtendLease(sent + milliseconds(answer.lease_ms));
-    RenewAfter(renew_again ? milliseconds(0) : milliseconds(answer.interval_ms));
+    renewal_interval = milliseconds(answer.interval_ms);
+    RenewAfter(renew_again ? milliseconds(0) : renewal_interval);
     Repair(answer.versions);
     ExtendPlacementLease();
   }
@@ -152,6 +153,16 @@
     uses.Acknowledge(answer.incarnation, told);
     uses.Settle(answer.settled_before);
     SetTrueTime(sent, answer.true_micros);
+    if (answer.endpoints_age) {
+      told_reading = {answer.versions[Part::kEndpoints], sent - *answer.endpoints_age};
+      TakeReading();
+    }
+  }
+
+  // What is held is at least as new as that reading once it has the version that was named with it.
+  void TakeReading() {
+    if (store.versions()[Part::kEndpoints] < told_reading.version) return;
+    endpoints_read_at = std::max(endpoints_read_at, told_reading.at);
   }
 
   void RenewAfter(milliseconds pause) { renew_timer->ArmAt(loop.Now() + pause); }
@@ -316,6 +327,7 @@
     PassOn(push);
     if (push.part == Part::kMembers) LearnCores();
     if (push.part == Part::kPlacement) ExtendPlacementLease();
+    if (push.part == Part::kEndpoints) TakeReading();
     Tell(push.part);
   }
 
@@ -475,6 +487,13 @@
   bool parent_silent = false;
   std::vector<net::Address> children;
   PartVersions newest;  // As the primary told last.
+  struct Reading {      // Of the platform's list.
+    Version version;    // Under which it was published.
+    net::Time at{};     // On this process's clock, no later than it began.
+  };
+  Reading told_reading;
+  net::Time endpoints_read_at{};
+  milliseconds renewal_interval{0};
   bool fetching[kParts] = {};
   bool detouring = false;
   std::size_t detour_turn = 0;
@@ -496,6 +515,10 @@
 
 net::Time Agent::placement_lease_until() const { return impl_->placement_lease_until; }
 
+net::Time Agent::endpoints_read_at() const { return impl_->endpoints_read_at; }
+
+net::Span Agent::renewal_interval() const { return impl_->renewal_interval; }
+
 std::int64_t Agent::TrueMicros() const { return impl_->TrueMicros(); }
 
 std::optional<net::Address> Agent::primary() const { return impl_->finder.primary(); }
--- a/src/tier/cluster/agent.h
+++ b/src/tier/cluster/agent.h
@@ -44,6 +44,11 @@
   // The same, of those leases alone under which the view has the newest placement that the core had
   // told: whoever decides by the placement must not decide by one that has been replaced.
   net::Time placement_lease_until() const;
+  // The reading of the platform's list that the view's endpoints stand for began then or later, on
+  // this process's clock; the clock's start where nothing is known of it.
+  net::Time endpoints_read_at() const;
+  // As the core asked for last.
+  net::Span renewal_interval() const;
   // Time of day as most processes have it, in microseconds since 1970; this machine's own before
   // the core has told.
   std::int64_t TrueMicros() const;
--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -247,6 +247,7 @@
     answer.incarnation = hub.self().incarnation;
     PublishPendingEndpoints();
     answer.versions = publisher.versions();
+    answer.endpoints_age = EndpointsAge();
     answer.true_micros = TrueMicros();
     answer.settled_before = ledger.settled_before();
     return answer;
@@ -346,7 +347,8 @@
   // Whether it is out: without a valid lease nothing is published, and the watch keeps it.
   bool PublishEndpoints(const std::vector<EndpointEntry>& entries) {
     if (!Leads()) return false;
-    Publish(Part::kEndpoints, NextVersion(), EncodeEndpoints(entries));
+    read_version = NextVersion();
+    Publish(Part::kEndpoints, read_version, EncodeEndpoints(entries));
     return true;
   }
 
@@ -360,6 +362,15 @@
                               "a renewal is answered before the list that was read", now.count());
   }
 
+  // How old the reading is that the published list stands for; none where it is not of this
+  // primary's reading.
+  std::optional<milliseconds> EndpointsAge() const {
+    const bool own =
+        read_version != Version() && publisher.versions()[Part::kEndpoints] == read_version;
+    if (!own || !watch || !watch->entries()) return std::nullopt;
+    return std::chrono::ceil<milliseconds>(loop.Now() - watch->read_at());
+  }
+
   // While the platform is out of reach, a new primary passes on the list that the members have.
   void AdoptEndpoints(const net::Address& member, const Version& has) {
     if (adopting || has <= publisher.versions()[Part::kEndpoints]) return;
@@ -485,6 +496,7 @@
   bool leading = false;
   std::uint64_t epoch = 0;
   std::uint64_t count = 0;  // Of the parts made under this epoch.
+  Version read_version;     // Of the endpoints that this process has read and published last.
   net::Time led_since{};
   net::Time next_tick{};
   bool members_changed = false;
--- a/src/tier/cluster/field_codec.h
+++ b/src/tier/cluster/field_codec.h
@@ -29,6 +29,12 @@
   ~FieldsReader() {
     for (; surplus_ > 0 && reader_.ok(); --surplus_) reader_.Skip();
   }
+  // Whether another field follows that an earlier program does not write; the caller reads it.
+  bool TakeAdded() {
+    if (surplus_ == 0 || !reader_.ok()) return false;
+    --surplus_;
+    return true;
+  }
   FieldsReader(const FieldsReader&) = delete;
   FieldsReader& operator=(const FieldsReader&) = delete;
 
--- a/src/tier/cluster/messages.cpp
+++ b/src/tier/cluster/messages.cpp
@@ -1,5 +1,7 @@
 #include "tier/cluster/messages.h"
 
+#include <algorithm>
+
 #include "tier/cluster/field_codec.h"
 
 namespace shelflink::cluster {
@@ -69,6 +71,19 @@
   return store;
 }
 
+constexpr std::uint64_t kMostAgeMs = std::uint64_t{1} << 40U;
+
+void WriteAge(cbor::Writer& writer, std::chrono::milliseconds age) {
+  const std::int64_t least = std::max<std::int64_t>(0, age.count());
+  writer.Uint(std::min(static_cast<std::uint64_t>(least), kMostAgeMs));
+}
+
+std::chrono::milliseconds ReadAge(cbor::Reader& reader) {
+  const std::uint64_t age = reader.Uint();
+  if (age > kMostAgeMs) reader.Fail();
+  return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(age, kMostAgeMs)));
+}
+
 // A message is usable when all of it could be read and nothing follows.
 template <typename T>
 Result<T> Checked(const cbor::Reader& reader, T message, const char* name) {
@@ -142,7 +157,7 @@
 
 std::string Encode(const RenewalAnswer& message) {
   cbor::Writer writer;
-  writer.Array(12).Bool(message.accepted);
+  writer.Array(13).Bool(message.accepted);
   cluster::Write(writer, message.primary);
   writer.Uint(message.epoch).Uint(message.incarnation);
   writer.Uint(message.lease_ms).Uint(message.interval_ms);
@@ -151,6 +166,11 @@
   WriteAddresses(writer, message.children);
   writer.Int(message.true_micros).Uint(message.settled_before);
   WriteAddresses(writer, message.cores);
+  if (message.endpoints_age) {
+    WriteAge(writer, *message.endpoints_age);
+  } else {
+    writer.Null();
+  }
   return writer.Take();
 }
 
@@ -158,7 +178,7 @@
   cbor::Reader reader(body);
   RenewalAnswer message;
   {
-    const FieldsReader fields(reader, 12);
+    FieldsReader fields(reader, 12);
     message.accepted = reader.Bool();
     message.primary = ReadOptionalAddress(reader);
     message.epoch = reader.Uint();
@@ -171,6 +191,7 @@
     message.true_micros = reader.Int();
     message.settled_before = reader.Uint();
     message.cores = ReadAddresses(reader);
+    if (fields.TakeAdded() && !reader.TakeNull()) message.endpoints_age = ReadAge(reader);
   }
   return Checked(reader, std::move(message), "answer to a renewal");
 }
@@ -235,4 +256,40 @@
   return Checked(reader, std::move(message), "report on a backup");
 }
 
+std::string Encode(const ListReadingFetch& message) {
+  cbor::Writer writer;
+  writer.Array(1);
+  WriteAge(writer, message.age);
+  return writer.Take();
+}
+
+Result<ListReadingFetch> DecodeListReadingFetch(std::string_view body) {
+  cbor::Reader reader(body);
+  ListReadingFetch message;
+  {
+    const FieldsReader fields(reader, 1);
+    message.age = ReadAge(reader);
+  }
+  return Checked(reader, message, "fetch of a reading");
+}
+
+std::string Encode(const ListReading& message) {
+  cbor::Writer writer;
+  writer.Array(2);
+  WriteAge(writer, message.age);
+  writer.Bytes(message.endpoints);
+  return writer.Take();
+}
+
+Result<ListReading> DecodeListReading(std::string_view body) {
+  cbor::Reader reader(body);
+  ListReading message;
+  {
+    const FieldsReader fields(reader, 2);
+    message.age = ReadAge(reader);
+    message.endpoints = reader.Bytes();
+  }
+  return Checked(reader, std::move(message), "reading of the list");
+}
+
 }  // namespace shelflink::cluster
--- a/src/tier/cluster/messages.h
+++ b/src/tier/cluster/messages.h
@@ -3,6 +3,7 @@
 #ifndef SHELFLINK_TIER_CLUSTER_MESSAGES_H_
 #define SHELFLINK_TIER_CLUSTER_MESSAGES_H_
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -31,6 +32,10 @@
 // core's primary: Detour -> RenewalAnswer without a lease.
 constexpr transport::MessageKind kDetourKind = transport::kClusterKinds + 5;
 
+// Call, proxy to a proxy that reads the platform's list itself: ListReadingFetch -> ListReading.
+// kNotFound: it knows nothing newer.
+constexpr transport::MessageKind kListReadingKind = transport::kClusterKinds + 6;
+
 enum class Part : std::uint8_t { kConfiguration, kEndpoints, kPlacement, kMembers };
 constexpr std::size_t kParts = 4;
 
@@ -91,10 +96,13 @@
   bool accepted = false;                // By the core's primary.
   std::optional<net::Address> primary;  // Where not accepted: who is, if known.
   std::uint64_t epoch = 0;
-  std::uint64_t incarnation = 0;       // Of the core process, which has taken the counts of use.
-  std::uint32_t lease_ms = 0;          // From when the renewal was sent.
-  std::uint32_t interval_ms = 0;       // Until the next renewal.
-  PartVersions versions;               // The newest.
+  std::uint64_t incarnation = 0;  // Of the core process, which has taken the counts of use.
+  std::uint32_t lease_ms = 0;     // From when the renewal was sent.
+  std::uint32_t interval_ms = 0;  // Until the next renewal.
+  PartVersions versions;          // The newest.
+  // Of the reading of the platform's list that the newest list of endpoints stands for, from its
+  // start; none: no list was read by this primary.
+  std::optional<std::chrono::milliseconds> endpoints_age;
   std::optional<net::Address> parent;  // In the relay tree; none: the core itself.
   std::vector<net::Address> children;  // Whom to pass pushes on to.
   std::int64_t true_micros = 0;        // Time of day as most processes have it.
@@ -116,6 +124,17 @@
   bool operator==(const Fetch&) const = default;
 };
 
+struct ListReadingFetch {
+  std::chrono::milliseconds age{0};  // Of what the caller knows; only what is newer is of use.
+  bool operator==(const ListReadingFetch&) const = default;
+};
+// The list of endpoints by which a proxy acts.
+struct ListReading {
+  std::chrono::milliseconds age{0};  // Of the reading of the platform's list, from its start.
+  std::string endpoints;             // See view_codec.h.
+  bool operator==(const ListReading&) const = default;
+};
+
 // Told by the primary of a partition, of one of its backups under that epoch of the row.
 enum class BackupCondition : std::uint8_t {
   kComplete,  // The joiner holds everything; every later write is synced there too.
@@ -135,6 +154,8 @@
 std::string Encode(const Push& message);
 std::string Encode(const Fetch& message);
 std::string Encode(const BackupReport& message);
+std::string Encode(const ListReadingFetch& message);
+std::string Encode(const ListReading& message);
 
 // kInvalid where the body is no such message.
 Result<Renewal> DecodeRenewal(std::string_view body);
@@ -143,6 +164,8 @@
 Result<Push> DecodePush(std::string_view body);
 Result<Fetch> DecodeFetch(std::string_view body);
 Result<BackupReport> DecodeBackupReport(std::string_view body);
+Result<ListReadingFetch> DecodeListReadingFetch(std::string_view body);
+Result<ListReading> DecodeListReading(std::string_view body);
 
 }  // namespace shelflink::cluster
 
--- a/tests/tier/cluster/cluster_messages_test.cpp
+++ b/tests/tier/cluster/cluster_messages_test.cpp
@@ -44,6 +44,7 @@
   message.true_micros = 1'700'000'000'000'000;
   message.settled_before = 75;
   message.cores = {kThere};
+  message.endpoints_age = std::chrono::milliseconds(740);
   return message;
 }
 
@@ -51,6 +52,9 @@
 Fetch SomeFetch() { return {Part::kEndpoints, {1, 2}}; }
 BackupReport SomeReport() { return {63, 5, "disk", BackupCondition::kStalled}; }
 
+ListReadingFetch SomeListReadingFetch() { return {std::chrono::milliseconds(1500)}; }
+ListReading SomeListReading() { return {std::chrono::milliseconds(90), "entries"}; }
+
 Detour SomeDetour() { return {{"node", "proxy", "zone", kHere, 12}, SomeRenewal()}; }
 
 PartitionRow SomeRow() { return {8, kHere, "one", {kThere}, {"two"}, {false}}; }
@@ -67,6 +71,10 @@
       return Encode(SomeFetch());
     case 4:
       return Encode(SomeReport());
+    case 5:
+      return Encode(SomeListReadingFetch());
+    case 6:
+      return Encode(SomeListReading());
     default:
       return Encode(SomeDetour());
   }
@@ -99,6 +107,14 @@
       const auto message = DecodeBackupReport(body);
       return message && stable(message.value(), DecodeBackupReport(Encode(message.value())));
     }
+    case 5: {
+      const auto message = DecodeListReadingFetch(body);
+      return message && stable(message.value(), DecodeListReadingFetch(Encode(message.value())));
+    }
+    case 6: {
+      const auto message = DecodeListReading(body);
+      return message && stable(message.value(), DecodeListReading(Encode(message.value())));
+    }
     default: {
       const auto message = DecodeDetour(body);
       if (!message) return false;
@@ -110,7 +126,7 @@
   }
 }
 
-constexpr std::size_t kKinds = 6;
+constexpr std::size_t kKinds = 8;
 
 BOOST_AUTO_TEST_CASE(each_message_comes_back_as_it_went) {
   BOOST_TEST((DecodeRenewal(Encode(SomeRenewal())).value() == SomeRenewal()));
@@ -119,6 +135,21 @@
   BOOST_TEST((DecodePush(Encode(SomePush())).value() == SomePush()));
   BOOST_TEST((DecodeFetch(Encode(SomeFetch())).value() == SomeFetch()));
   BOOST_TEST((DecodeBackupReport(Encode(SomeReport())).value() == SomeReport()));
+  BOOST_TEST(
+      (DecodeListReadingFetch(Encode(SomeListReadingFetch())).value() == SomeListReadingFetch()));
+  BOOST_TEST((DecodeListReading(Encode(SomeListReading())).value() == SomeListReading()));
+}
+
+// As a program of before the age of the list writes it.
+BOOST_AUTO_TEST_CASE(an_answer_to_a_renewal_without_the_lists_age_is_read) {
+  std::string body = Encode(SomeAnswer());
+  RenewalAnswer wanted = SomeAnswer();
+  wanted.endpoints_age.reset();
+  body[0] = static_cast<char>(static_cast<unsigned char>(body[0]) - 1);  // Items of the array.
+  body.resize(body.size() - 3);                                          // 740, in three bytes.
+  const auto message = DecodeRenewalAnswer(body);
+  BOOST_REQUIRE(message.has_value());
+  BOOST_TEST((message.value() == wanted));
 }
 
 BOOST_AUTO_TEST_CASE(a_message_cut_short_is_refused_at_every_length) {
@@ -134,9 +165,13 @@
 BOOST_AUTO_TEST_CASE(a_message_of_another_kind_is_refused) {
   for (std::size_t written = 0; written < kKinds; ++written) {
     for (std::size_t read = 0; read < kKinds; ++read) {
-      // A push begins as a fetch does; what follows could be a later program's field.
+      // A push begins as a fetch does; what follows could be a later program's field. So do those
+      // that begin with a number as a fetch of a reading does, which is nothing but one.
       const bool push_as_fetch = written == 2 && read == 3;
-      if (written != read) BOOST_TEST(Reads(read, AnyEncoded(written)) == push_as_fetch);
+      const bool begins_with_number =
+          read == 5 && (written == 2 || written == 3 || written == 4 || written == 6);
+      const bool begins_alike = push_as_fetch || begins_with_number;
+      if (written != read) BOOST_TEST(Reads(read, AnyEncoded(written)) == begins_alike);
     }
   }
 }
