A proxy whose list of endpoints is late reads the platform's list itself

Change: beyond half of drainMs without a newer reading a proxy reads the platform's list itself, as many at once as finish a walk in a quarter of drainMs at 0.4 of the platform's rate; the others ask those. What is read holds in that process alone, until the core's list is known to be newer. Batch items, which can wait, go by no list older than drainMs unless the platform does not answer.

The rig's platform for tests has pages, processes that it does not answer, silence and slowness; the paths of mutated sources are made absolute, as two spellings of one file broke build.ninja.

--- a/src/tier/programs/data_main.cpp
+++ b/src/tier/programs/data_main.cpp
@@ -13,6 +13,7 @@
 #include "net/glib_loop.h"
 #include "tier/foundation/log.h"
 #include "tier/foundation/settings.h"
+#include "tier/platform/soup_platform.h"
 #include "tier/proxy/program.h"
 
 namespace {
@@ -43,6 +44,16 @@
   }
 }
 
+std::unique_ptr<shelflink::platform::Platform> MakePlatform(const net::Address& address) {
+  return std::make_unique<shelflink::platform::SoupPlatform>(address);
+}
+
+shelflink::proxy::Program::PlatformFactory PlatformFactoryOf(
+    const shelflink::ProcessSettings& settings) {
+  if (!settings.cloud.address) return {};
+  return [address = *settings.cloud.address] { return MakePlatform(address); };
+}
+
 int RunProxy() {
   if (SettingsPath().empty()) {
     std::cerr << "shelflink-data: SHELFLINK_CONFIG: expected the path of the settings file\n";
@@ -56,7 +67,7 @@
   shelflink::log::Start(settings.value().node, shelflink::log::Level::kInfo);
   net::GlibLoop loop;
   try {
-    shelflink::proxy::Program program(loop, settings.value());
+    shelflink::proxy::Program program(loop, settings.value(), PlatformFactoryOf(settings.value()));
     loop.OnSignal(SIGTERM, [&] { program.Leave([&] { loop.Stop(); }); });
     loop.OnSignal(SIGHUP, [&] { Reload(program); });
     loop.Run();
--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "tier/foundation/invariants.h"
 #include "tier/proxy/answer_reading.h"
 #include "tier/proxy/event_stream.h"
 #include "tier/proxy/headers.h"
@@ -172,13 +173,14 @@
   if (!live) return;
   const AttemptKey key{decision.call, decision.attempt};
   live->Begin(decision.attempt, decision.endpoint);
-  live->forbidden = !live->user->MaySend();
+  live->forbidden = IsForbidden(*live);
   if (!Find(decision.call)) return;  // Cancelled by its user.
   const KnownEndpoint* known = registry_.Find(decision.endpoint);
   const net::Time now = loop_.Now();
   if (live->forbidden || known == nullptr || !live->MaySendMore(now)) {
     return EndUnsent(live, key, Outcome::kNeverSent);
   }
+  CheckSend(*live, *known);
   ++live->sends;
   live->message.set(kExpectInstanceHeader, decision.endpoint);
   if (live->events.events() > 0 && live->events.last_id()) {
@@ -196,12 +198,32 @@
                  [this, key](kelpspring::Answer answer) { EndAttempt(key, std::move(answer)); });
 }
 
+ListState EndpointCalls::ListStateNow() const {
+  return options_.list_state ? options_.list_state() : ListState::kExcused;
+}
+
+bool EndpointCalls::IsForbidden(LiveCall& live) const {
+  return !live.user->MaySend() || (live.request.batch && !ItemsMayGo(ListStateNow()));
+}
+
+void EndpointCalls::CheckSend(const LiveCall& live, const KnownEndpoint& known) const {
+  if (!known.takes_requests()) return;  // The connections refuse it.
+  if (ListStateNow() == ListState::kStale) {
+    ProcessInvariants().Violate(Invariant::kEndpointListIsFresh, "a request to " + live.endpoint,
+                                Now());
+  }
+  if (registry_.SeenDraining(live.endpoint)) {
+    ProcessInvariants().Violate(Invariant::kDrainingStaysDraining, "a request to " + live.endpoint,
+                                Now());
+  }
+}
+
 // ---- What endpoints answer ----
 
 bool EndpointCalls::OnUp(AttemptKey key) {
   const LivePtr live = FindAttempt(key);
   if (!live) return false;
-  live->forbidden = !live->user->MaySend();
+  live->forbidden = IsForbidden(*live);
   return !live->forbidden && Find(key.first) != nullptr;
 }
 
--- a/src/tier/proxy/endpoint_calls.h
+++ b/src/tier/proxy/endpoint_calls.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -21,6 +22,7 @@
 #include "tier/policy/module.h"
 #include "tier/proxy/calls.h"
 #include "tier/proxy/endpoint_registry.h"
+#include "tier/proxy/list_state.h"
 #include "tier/proxy/live_call.h"
 #include "tier/proxy/module_feed.h"
 
@@ -33,6 +35,7 @@
     std::string zone;
     std::uint64_t seed = 0;
     std::size_t most_held = 4096;
+    std::function<ListState()> list_state = {};  // Empty: nothing is known of the list's age.
   };
 
   EndpointCalls(net::Loop& loop, kelpspring::Log& log, kelpspring::SocketBudget& budget,
@@ -97,6 +100,9 @@
 
   void CarryOut();
   void StartAttempt(const Decision& decision);
+  bool IsForbidden(LiveCall& live) const;
+  ListState ListStateNow() const;
+  void CheckSend(const LiveCall& live, const KnownEndpoint& known) const;
   void EndAttempt(kelpspring::AttemptKey key, kelpspring::Answer answer);
   void EndUnsent(const LivePtr& live, kelpspring::AttemptKey key, policy::Outcome outcome);
   void EndBroken(const LivePtr& live, kelpspring::AttemptKey key, policy::Outcome outcome);
--- /dev/null
+++ b/src/tier/proxy/list_fallback.cpp
@@ -0,0 +1,225 @@
+#include "tier/proxy/list_fallback.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "tier/cluster/messages.h"
+#include "tier/cluster/same_endpoints.h"
+#include "tier/cluster/view_codec.h"
+#include "tier/foundation/log.h"
+
+namespace shelflink::proxy {
+namespace {
+
+using cluster::ListReading;
+using cluster::ListReadingFetch;
+using std::chrono::milliseconds;
+
+constexpr const char* kModule = "proxy.list";
+// A list may be so old, as a part of the time in which a drain must bind, before it counts as late.
+// While all is well it is at most a period of the core's walks (a quarter) and a renewal's
+// interval (a sixth) old. The other half is for the first call (a quarter at most behind the slots
+// of the other readers) and for the walk (a quarter, see kWalkPart).
+constexpr int kStalePart = 2;
+constexpr int kCoreWalkPart = 4;
+constexpr milliseconds kNewsSlack{250};  // Walk and ways, in a cluster that renews seldom.
+constexpr int kCheckPart = 12;           // Between looks at the core, and between fetches.
+constexpr milliseconds kFetchTimeout{250};
+
+milliseconds AgeOf(net::Time read_at, net::Time now) {
+  return std::chrono::ceil<milliseconds>(now - read_at);
+}
+
+}  // namespace
+
+ListFallback::ListFallback(net::Loop& loop, transport::Hub& hub, const cluster::Agent& agent,
+                           const ProcessSettings& settings, PlatformFactory make_platform,
+                           std::function<void()> changed)
+    : loop_(loop),
+      hub_(hub),
+      agent_(agent),
+      settings_(settings),
+      make_platform_(std::move(make_platform)),
+      changed_(std::move(changed)),
+      timer_(loop.NewTimer([this] { OnTimer(); })),
+      resumed_at_(loop.Now()) {
+  hub_.HandleCall(cluster::kListReadingKind,
+                  [this](const transport::PeerIdentity&, std::string_view body,
+                         const transport::Hub::Reply& reply) { reply(AnswerFetch(body)); });
+  if (make_platform_) ArmAt(loop_.Now() + StaleAfter());
+}
+
+ListFallback::~ListFallback() = default;
+
+// ---- What is known ----
+
+std::shared_ptr<const cluster::EndpointList> ListFallback::list() const {
+  return own_list_ ? own_list_ : agent_.view().endpoints;
+}
+
+net::Time ListFallback::read_at() const {
+  return std::max(own_read_at_, agent_.endpoints_read_at());
+}
+
+ListState ListFallback::State() const {
+  if (!make_platform_) return ListState::kExcused;
+  const net::Time now = loop_.Now();
+  if (now <= read_at() + settings_.bounds.drain) return ListState::kFresh;
+  const bool stands_still = now > timer_due_ + settings_.bounds.thaw_slack;
+  if (stands_still || now < resumed_at_ + settings_.bounds.contact) return ListState::kUnrenewed;
+  return refresh_failed_ ? ListState::kExcused : ListState::kStale;
+}
+
+// While the core's lists are late, one that comes may be older than what was read here.
+void ListFallback::OnCoreList() {
+  if (active_ && agent_.endpoints_read_at() <= own_read_at_) return;
+  own_list_.reset();
+  own_read_at_ = {};
+}
+
+void ListFallback::DropOlderOwnList() {
+  if (agent_.endpoints_read_at() <= own_read_at_) return;
+  own_read_at_ = {};
+  if (std::exchange(own_list_, nullptr)) changed_();
+}
+
+// ---- When to read ----
+
+net::Span ListFallback::StaleAfter() const {
+  const net::Span drain = settings_.bounds.drain;
+  const net::Span usual = drain / kCoreWalkPart + agent_.renewal_interval() + kNewsSlack;
+  return std::max(drain / kStalePart, usual);
+}
+
+bool ListFallback::CoreIsFresh(net::Time now) const {
+  return now < agent_.endpoints_read_at() + StaleAfter();
+}
+
+void ListFallback::ArmAt(net::Time due) {
+  timer_due_ = due;
+  timer_->ArmAt(due);
+}
+
+void ListFallback::NoteStandstill(net::Time now) {
+  if (now > timer_due_ + settings_.bounds.thaw_slack) resumed_at_ = now;
+}
+
+void ListFallback::OnTimer() {
+  const net::Time now = loop_.Now();
+  NoteStandstill(now);
+  DropOlderOwnList();
+  if (agent_.view().endpoints == nullptr) return ArmAt(now + StaleAfter());
+  if (CoreIsFresh(now)) {
+    Deactivate();
+    return ArmAt(agent_.endpoints_read_at() + StaleAfter());
+  }
+  // A process that stood still renews first.
+  if (resumed_at_ == now) return ArmAt(now + settings_.bounds.thaw_slack);
+  if (!active_) Activate();
+  if (!poller_) Fetch();
+  ArmAt(now + settings_.bounds.drain / kCheckPart);
+}
+
+void ListFallback::Activate() {
+  active_ = true;
+  log::Info(kModule, "the core's list of endpoints is late: it is read here");
+  const std::vector<net::Address> proxies = Proxies();
+  const ReadingPlan plan = PlanReading(settings_.cloud.rate_per_s, settings_.bounds.drain,
+                                       list()->entries.size(), proxies.size());
+  const auto self = std::find(proxies.begin(), proxies.end(), hub_.self().address);
+  const auto rank = static_cast<std::size_t>(self - proxies.begin());
+  if (rank >= plan.readers) {
+    readers_.assign(proxies.begin(), proxies.begin() + static_cast<std::ptrdiff_t>(plan.readers));
+    turn_ = rank;
+    return;
+  }
+  platform_ = make_platform_();
+  const platform::ListReader::Options options{settings_.cloud.rate_per_s, settings_.bounds.drain,
+                                              plan.share_of_rate};
+  platform::ListPoller::Events events;
+  events.read = [this](Entries entries, net::Time read_at) { Take(std::move(entries), read_at); };
+  events.failed = [this](const platform::CallError&) { refresh_failed_ = true; };
+  poller_ = std::make_unique<platform::ListPoller>(loop_, *platform_, options, std::move(events));
+  // One after the other, so that the platform is not asked by all at once.
+  const net::Span slot = settings_.bounds.drain / kWalkPart / static_cast<int>(plan.readers);
+  poller_->Start(loop_.Now() + slot * static_cast<int>(rank));
+}
+
+void ListFallback::Deactivate() {
+  if (!std::exchange(active_, false)) return;
+  log::Info(kModule, "the core's list of endpoints is fresh again");
+  poller_.reset();
+  platform_.reset();
+  readers_.clear();
+  refresh_failed_ = false;
+}
+
+// All of the fleet, in an order that each of them finds; this one too, where the list of members
+// does not name it yet.
+std::vector<net::Address> ListFallback::Proxies() const {
+  std::vector<net::Address> proxies;
+  if (agent_.view().members) {
+    for (const cluster::Member& member : agent_.view().members->all) {
+      if (member.role == "proxy") proxies.push_back(member.address);
+    }
+  }
+  std::sort(proxies.begin(), proxies.end());
+  const net::Address& self = hub_.self().address;
+  if (!std::binary_search(proxies.begin(), proxies.end(), self)) proxies.push_back(self);
+  return proxies;
+}
+
+// ---- What is read ----
+
+void ListFallback::Take(Entries entries, net::Time read_at) {
+  refresh_failed_ = false;
+  own_read_at_ = read_at;
+  const auto present = list();
+  if (present && cluster::SameEndpoints(present->entries, entries)) return;
+  const cluster::Version version = present ? present->version : cluster::Version();
+  own_list_ = std::make_shared<const cluster::EndpointList>(
+      cluster::EndpointList{version, std::move(entries)});
+  changed_();
+}
+
+void ListFallback::Fetch() {
+  if (fetching_ || readers_.empty()) return;
+  fetching_ = true;
+  const net::Time sent = loop_.Now();
+  const net::Address& reader = readers_[turn_ % readers_.size()];
+  hub_.Call(reader, cluster::kListReadingKind, Encode(ListReadingFetch{AgeOf(read_at(), sent)}),
+            kFetchTimeout,
+            [this, alive = std::weak_ptr<char>(life_), sent](const Result<std::string>& body) {
+              if (alive.expired()) return;
+              fetching_ = false;
+              OnFetched(sent, body);
+            });
+}
+
+void ListFallback::OnFetched(net::Time sent, const Result<std::string>& body) {
+  if (!active_) return;
+  const Result<ListReading> reading =
+      body ? cluster::DecodeListReading(body.value()) : Result<ListReading>(body.error());
+  Result<Entries> entries = reading ? cluster::DecodeEndpoints(reading.value().endpoints)
+                                    : Result<Entries>(reading.error());
+  if (!entries) {
+    refresh_failed_ = true;
+    ++turn_;
+    return;
+  }
+  const net::Time read_at = sent - reading.value().age;
+  if (read_at > this->read_at()) Take(std::move(entries.value()), read_at);
+}
+
+Result<std::string> ListFallback::AnswerFetch(std::string_view body) const {
+  const Result<ListReadingFetch> fetch = cluster::DecodeListReadingFetch(body);
+  if (!fetch) return fetch.error();
+  const milliseconds age = AgeOf(read_at(), loop_.Now());
+  if (!list() || age >= fetch.value().age) {
+    return MakeError(ErrorCode::kNotFound, "nothing newer has been read here");
+  }
+  return Encode(ListReading{age, cluster::EncodeEndpoints(list()->entries)});
+}
+
+}  // namespace shelflink::proxy
--- /dev/null
+++ b/src/tier/proxy/list_fallback.h
@@ -0,0 +1,94 @@
+// Keeps a proxy's list of endpoints fresh while the core's lists are late, for whatever reason: no
+// primary, a primary that does not reach the platform, a way to it that stands still.
+//
+// The agent knows when the reading began that the core's list stands for. Once that is longer ago
+// than StaleAfter, this reads the platform's list itself, or asks another proxy that does
+// (proxy/reading_plan.h says who), until the core's lists are fresh again. What is read holds in
+// this process alone: it is told as the list to act by, never as a version of the core's, and the
+// core's list replaces it as soon as that is known to be newer. At rest there is one check by a
+// timer in each StaleAfter.
+#ifndef SHELFLINK_TIER_PROXY_LIST_FALLBACK_H_
+#define SHELFLINK_TIER_PROXY_LIST_FALLBACK_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "net/loop.h"
+#include "tier/cluster/agent.h"
+#include "tier/foundation/settings.h"
+#include "tier/platform/list_poller.h"
+#include "tier/platform/platform.h"
+#include "tier/proxy/list_state.h"
+#include "tier/proxy/reading_plan.h"
+#include "tier/transport/hub.h"
+
+namespace shelflink::proxy {
+
+class ListFallback {
+ public:
+  // Makes the platform's client, on first need. Empty: there is no platform.
+  using PlatformFactory = std::function<std::unique_ptr<platform::Platform>()>;
+
+  // `changed`: another list is to be acted by. Registers its handler at the hub.
+  ListFallback(net::Loop& loop, transport::Hub& hub, const cluster::Agent& agent,
+               const ProcessSettings& settings, PlatformFactory make_platform,
+               std::function<void()> changed);
+  ~ListFallback();
+  ListFallback(const ListFallback&) = delete;
+  ListFallback& operator=(const ListFallback&) = delete;
+
+  // The agent has another list from the core.
+  void OnCoreList();
+  // The list to act by; null: none yet.
+  std::shared_ptr<const cluster::EndpointList> list() const;
+  // When the reading that it stands for began, at the latest known.
+  net::Time read_at() const;
+  ListState State() const;
+  // Whether this process reads or asks by itself at present.
+  bool active() const { return active_; }
+
+ private:
+  using Entries = std::vector<cluster::EndpointEntry>;
+
+  void OnTimer();
+  void NoteStandstill(net::Time now);
+  void DropOlderOwnList();
+  bool CoreIsFresh(net::Time now) const;
+  net::Span StaleAfter() const;
+  void ArmAt(net::Time due);
+
+  void Activate();
+  void Deactivate();
+  std::vector<net::Address> Proxies() const;
+  void Take(Entries entries, net::Time read_at);
+  void Fetch();
+  void OnFetched(net::Time sent, const Result<std::string>& body);
+  Result<std::string> AnswerFetch(std::string_view body) const;
+
+  net::Loop& loop_;
+  transport::Hub& hub_;
+  const cluster::Agent& agent_;
+  ProcessSettings settings_;
+  PlatformFactory make_platform_;
+  std::function<void()> changed_;
+  net::TimerPtr timer_;
+  net::Time timer_due_{};
+  net::Time resumed_at_{};  // When this process started or went on after a standstill.
+
+  bool active_ = false;
+  bool refresh_failed_ = false;  // The last try to read or to ask, since the last success.
+  std::unique_ptr<platform::Platform> platform_;
+  std::unique_ptr<platform::ListPoller> poller_;  // Null unless this process reads.
+  std::vector<net::Address> readers_;             // To be asked where it does not.
+  std::size_t turn_ = 0;                          // Which of them is asked next.
+  bool fetching_ = false;
+
+  std::shared_ptr<const cluster::EndpointList> own_list_;  // Null: the core's holds.
+  net::Time own_read_at_{};
+  std::shared_ptr<char> life_ = std::make_shared<char>();
+};
+
+}  // namespace shelflink::proxy
+
+#endif  // SHELFLINK_TIER_PROXY_LIST_FALLBACK_H_
--- /dev/null
+++ b/src/tier/proxy/list_state.h
@@ -0,0 +1,23 @@
+// How far the list of endpoints that a proxy acts by can be trusted.
+#ifndef SHELFLINK_TIER_PROXY_LIST_STATE_H_
+#define SHELFLINK_TIER_PROXY_LIST_STATE_H_
+
+#include <cstdint>
+
+namespace shelflink::proxy {
+
+enum class ListState : std::uint8_t {
+  kFresh,      // Read within `drainMs`.
+  kUnrenewed,  // Older; this process has started or has stood still a moment ago.
+  kExcused,    // Older; the platform does not answer, or there is none.
+  kStale,      // Older without an excuse.
+};
+
+// A batch item can wait in its store; by a list of which nothing is known it goes nowhere.
+inline bool ItemsMayGo(ListState state) {
+  return state == ListState::kFresh || state == ListState::kExcused;
+}
+
+}  // namespace shelflink::proxy
+
+#endif  // SHELFLINK_TIER_PROXY_LIST_STATE_H_
--- a/src/tier/proxy/program.cpp
+++ b/src/tier/proxy/program.cpp
@@ -14,6 +14,7 @@
 #include "tier/foundation/log.h"
 #include "tier/proxy/endpoint_calls.h"
 #include "tier/proxy/front.h"
+#include "tier/proxy/list_fallback.h"
 #include "tier/proxy/readiness.h"
 #include "tier/transport/hub.h"
 
@@ -59,7 +60,7 @@
 }  // namespace
 
 struct Program::Impl {
-  Impl(net::Loop& the_loop, const ProcessSettings& the_settings)
+  Impl(net::Loop& the_loop, const ProcessSettings& the_settings, PlatformFactory make_platform)
       : loop(the_loop),
         settings(the_settings),
         seed(SeedOf(loop, settings)),
@@ -68,11 +69,13 @@
         ready_budget{kReadySockets, 0, [] { return false; }, nullptr},
         hub(loop, IdentityOf(settings, seed), {}),
         agent(loop, hub, settings,
-              {[this] { OnConfiguration(); }, [this] { OnView(); }, [this] { OnPlacement(); },
+              {[this] { OnConfiguration(); }, [this] { OnCoreList(); }, [this] { OnPlacement(); },
                [this] { OnView(); }, [this](bool) { TellReady(); }}),
+        fallback(loop, hub, agent, settings, std::move(make_platform), [this] { OnView(); }),
         calls(loop, log, budget,
               {settings.node, settings.zone, seed,
-               kelpspring::Server::MostClients(budget.limit) / 8 * 7}),
+               kelpspring::Server::MostClients(budget.limit) / 8 * 7,
+               [this] { return fallback.State(); }}),
         batch_front(loop, hub, View(), settings.bounds),
         runner(loop, hub, calls, View(), settings.bounds),
         front(loop, log, loop.Listen(Needed(settings.listen_front, "listen.front")), budget, drain,
@@ -114,8 +117,14 @@
     batch_front.OnPlacement();
     runner.OnPlacement();
   }
+  void OnCoreList() {
+    fallback.OnCoreList();
+    OnView();
+  }
   void OnView() {
-    calls.OnView(agent.view());
+    cluster::View view = agent.view();
+    view.endpoints = fallback.list();
+    calls.OnView(view);
     TellReady();
   }
   void TellReady() { agent.SetReady(Ready()); }
@@ -157,6 +166,7 @@
   kelpspring::Drain drain;
   transport::Hub hub;
   cluster::Agent agent;
+  ListFallback fallback;
   EndpointCalls calls;
   batch::Front batch_front;
   batch::Runner runner;
@@ -169,12 +179,13 @@
   std::function<void()> done;
 };
 
-Program::Program(net::Loop& loop, const ProcessSettings& settings)
-    : impl_(std::make_unique<Impl>(loop, settings)) {}
+Program::Program(net::Loop& loop, const ProcessSettings& settings, PlatformFactory make_platform)
+    : impl_(std::make_unique<Impl>(loop, settings, std::move(make_platform))) {}
 Program::~Program() = default;
 
 void Program::Reload(const ProcessSettings& settings) { impl_->agent.SetSeeds(settings.seeds); }
 void Program::Leave(std::function<void()> done) { impl_->Leave(std::move(done)); }
 bool Program::ready() const { return impl_->Ready(); }
+net::Time Program::endpoints_read_at() const { return impl_->fallback.read_at(); }
 
 }  // namespace shelflink::proxy
--- a/src/tier/proxy/program.h
+++ b/src/tier/proxy/program.h
@@ -8,13 +8,17 @@
 
 #include "net/loop.h"
 #include "tier/foundation/settings.h"
+#include "tier/platform/platform.h"
 
 namespace shelflink::proxy {
 
 class Program {
  public:
+  // Makes the client of the platform that keeps the list, on first need; empty: there is none.
+  using PlatformFactory = std::function<std::unique_ptr<platform::Platform>()>;
+
   // Throws net::Error where an address is taken.
-  Program(net::Loop& loop, const ProcessSettings& settings);
+  Program(net::Loop& loop, const ProcessSettings& settings, PlatformFactory make_platform = {});
   ~Program();
   Program(const Program&) = delete;
   Program& operator=(const Program&) = delete;
@@ -24,6 +28,8 @@
   // Not ready from now on; finishes what is held; `done` is called after that.
   void Leave(std::function<void()> done);
   bool ready() const;
+  // The reading of the platform's list that is acted by began then or later.
+  net::Time endpoints_read_at() const;
 
  private:
   struct Impl;
--- /dev/null
+++ b/src/tier/proxy/reading_plan.cpp
@@ -0,0 +1,19 @@
+#include "tier/proxy/reading_plan.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shelflink::proxy {
+
+ReadingPlan PlanReading(double rate_per_s, std::chrono::milliseconds drain, std::size_t endpoints,
+                        std::size_t proxies) {
+  const std::size_t pages =
+      std::max<std::size_t>(1, (endpoints + kEntriesOfPage - 1) / kEntriesOfPage);
+  const double walk_s = std::chrono::duration<double>(drain).count() / kWalkPart;
+  const double calls = std::max(0.0, rate_per_s) * kProxiesShareOfRate * walk_s;
+  const double most = std::max<double>(1.0, static_cast<double>(proxies));
+  const double readers = std::clamp(std::floor(calls / static_cast<double>(pages)), 1.0, most);
+  return {static_cast<std::size_t>(readers), kProxiesShareOfRate / readers};
+}
+
+}  // namespace shelflink::proxy
--- a/tests/tier/cluster/rig.h
+++ b/tests/tier/cluster/rig.h
@@ -162,9 +162,12 @@
   bool up = true;
   // The calls of these processes fail.
   std::set<const net::Loop*> cut_off;
+  bool silent = false;     // Calls for the list get no answer.
+  net::Span list_takes{};  // Until a call for the list is answered.
   // The next report of use arrives, but its answer is lost.
   bool lose_next_answer = false;
   std::vector<EndpointEntry> list;
+  std::size_t page_size = 100000;
   std::vector<UsageCall> usage;
   std::vector<platform::ScaleOrder> orders;
   std::uint64_t list_calls = 0;
@@ -174,15 +177,24 @@
  public:
   FakePlatform(PlatformWorld& world, net::Loop& loop) : world_(world), loop_(loop) {}
 
-  void List(const platform::ListRequest&, ListDone done) override {
+  void List(const platform::ListRequest& request, ListDone done) override {
     ++world_.list_calls;
-    loop_.Post([this, done = std::move(done)] {
+    if (world_.silent) return;
+    const auto answer = [this, alive = std::weak_ptr<char>(life_), request,
+                         done = std::move(done)] {
+      if (alive.expired()) return;
       if (!world_.up || world_.cut_off.contains(&loop_)) {
         done(platform::CallError{ErrorCode::kUnavailable, "down", std::nullopt});
         return;
       }
-      done(platform::InstancePage{world_.list, ""});
-    });
+      done(PageOf(request));
+    };
+    if (world_.list_takes == net::Span()) {
+      loop_.Post(answer);
+      return;
+    }
+    timers_.push_back(loop_.NewTimer(answer));
+    timers_.back()->ArmAt(loop_.Now() + world_.list_takes);
   }
 
   void ReportUsage(const platform::UsageReport& report, const platform::DutyHolder& holder,
@@ -214,8 +226,22 @@
   }
 
  private:
+  platform::InstancePage PageOf(const platform::ListRequest& request) const {
+    const std::size_t all = world_.list.size();
+    const std::size_t first = request.page_token.empty() ? 0 : std::stoul(request.page_token);
+    const std::size_t behind = std::min(all, first + world_.page_size);
+    platform::InstancePage page;
+    for (std::size_t index = first; index < behind; ++index) {
+      page.entries.push_back(world_.list[index]);
+    }
+    if (behind < all) page.next_token = std::to_string(behind);
+    return page;
+  }
+
   PlatformWorld& world_;
   net::Loop& loop_;
+  std::vector<net::TimerPtr> timers_;
+  std::shared_ptr<char> life_ = std::make_shared<char>();
 };
 
 inline std::string RigConfiguration(std::uint64_t version) {
--- a/tests/tier/mutants.cmake
+++ b/tests/tier/mutants.cmake
@@ -4,7 +4,7 @@
 # replaced and sets `out` to the path of the result. A text that does not stand in the file exactly
 # once is an error, so that no mutant is the program itself.
 function(tier_mutated_source out name file text replacement)
-  set(source ${PROJECT_SOURCE_DIR}/src/tier/${file})
+  get_filename_component(source ${PROJECT_SOURCE_DIR}/src/tier/${file} ABSOLUTE)
   get_filename_component(leaf ${file} NAME)
   set(mutated ${CMAKE_CURRENT_BINARY_DIR}/mutants/${name}/${leaf})
   file(READ ${source} whole)
--- a/tests/tier/proxy/mutants.cmake
+++ b/tests/tier/proxy/mutants.cmake
@@ -1,6 +1,6 @@
 # One test a mutant: a source file with one text replaced, and the case that must find it. A text
 # that does not stand in its file exactly once is an error, so that no mutant is the program itself.
-foreach(suite exchange_table live_rules)
+foreach(suite exchange_table live_rules stale_list)
   add_library(tier_proxy_${suite}_cases OBJECT ${suite}_test.cpp)
   target_include_directories(tier_proxy_${suite}_cases PRIVATE ${PROJECT_SOURCE_DIR}/tests/tier
     ${PROJECT_SOURCE_DIR}/src)
@@ -8,6 +8,8 @@
   target_link_libraries(tier_proxy_${suite}_cases PUBLIC shelflink_tier_proxy shelflink_virtual
     Boost::unit_test_framework PRIVATE gaugecart_warnings)
 endforeach()
+target_link_libraries(tier_proxy_stale_list_cases PUBLIC shelflink_tier_proxy_program
+  shelflink_tier_core)
 
 function(proxy_mutant name suite case file text replacement)
   tier_mutated_source(mutated ${name} ../${file} "${text}" "${replacement}")
@@ -78,3 +80,45 @@
 proxy_mutant(connection_drops_the_protocols_headers live_rules
   the_protocols_headers_pass_whatever_connection_names
   tier/proxy/headers.cpp [=[!IsOfProtocol(name) && ]=] "")
+
+# The list of endpoints while control stands still.
+proxy_mutant(a_list_counts_as_published_once_it_is_read stale_list
+  a_list_that_was_read_while_the_lease_had_lapsed_is_published
+  tier/cluster/endpoint_watch.cpp
+  [=[  if (!published_) published_ = publish_(*entries_);]=]
+  [=[  if (!published_) publish_(*entries_);
+  published_ = true;]=])
+proxy_mutant(draining_endpoints_become_ready_again stale_list
+  what_was_seen_draining_stays_draining
+  tier/proxy/endpoint_registry.cpp
+  [=[known.draining = SeenDraining(entry.id);]=] [=[known.draining = entry.draining;]=])
+proxy_mutant(departed_endpoints_are_forgotten_at_once stale_list
+  what_was_seen_draining_stays_draining_beyond_its_end
+  tier/proxy/endpoint_registry.cpp
+  [=[    RememberDeparted(present->first);]=] [=[    seen_draining_.erase(present->first);]=])
+proxy_mutant(no_renewal_tells_the_lists_age stale_list no_proxy_reads_while_the_core_does
+  tier/cluster/core_service.cpp
+  [=[    answer.endpoints_age = EndpointsAge();]=] "")
+proxy_mutant(no_proxy_reads_the_list_itself stale_list a_drain_binds_without_any_core_process
+  tier/proxy/list_fallback.cpp
+  [=[  poller_->Start(loop_.Now() + slot * static_cast<int>(rank));]=] "")
+proxy_mutant(no_proxy_asks_another stale_list a_drain_binds_at_proxies_that_ask_those_that_read
+  tier/proxy/list_fallback.cpp
+  [=[  if (!poller_) Fetch();]=] "")
+proxy_mutant(a_proxy_reads_for_ever stale_list proxies_stop_to_read_once_the_core_does
+  tier/proxy/list_fallback.cpp
+  [=[    Deactivate();
+]=] "")
+proxy_mutant(items_go_by_any_list stale_list
+  a_send_by_a_stale_list_is_a_violation_and_an_item_is_not_sent
+  tier/proxy/endpoint_calls.cpp
+  [=[ || (live.request.batch && !ItemsMayGo(ListStateNow()))]=] "")
+proxy_mutant(a_silent_call_for_the_list_is_waited_for stale_list
+  a_drain_binds_soon_after_a_platform_that_was_silent_answers_again
+  tier/platform/list_poller.cpp
+  [=[    timer_->ArmAt(give_up_at_);]=] [=[    timer_->Cancel();]=])
+proxy_mutant(late_answers_of_the_platform_are_dropped stale_list the_list_of_a_slow_platform_is_read
+  tier/platform/list_poller.cpp
+  [=[  const bool in_time = awaiting_ && call.number == last_call_;]=]
+  [=[  const bool in_time = awaiting_ && call.number == last_call_;
+  if (!in_time) return;]=])
--- a/tests/tier/proxy/stale_list_test.cpp
+++ b/tests/tier/proxy/stale_list_test.cpp
@@ -8,7 +8,9 @@
 
 #include "cluster/rig.h"
 #include "proxy/stand_in.h"
+#include "tier/foundation/invariants.h"
 #include "tier/proxy/program.h"
+#include "tier/proxy/reading_plan.h"
 
 using shelflink::cluster::EndpointEntry;
 using shelflink::cluster::Rig;
@@ -29,13 +31,17 @@
 
 // One proxy program on a machine of its own.
 struct Proxy {
-  Proxy(Rig& rig, std::uint32_t index)
+  Proxy(Rig& rig, std::uint32_t index, double rate_per_s)
       : host(kFirstProxyHost + index),
         process(rig.net, host, "edge-" + std::to_string(index), 4100),
-        program(std::make_unique<shelflink::proxy::Program>(process, SettingsOf(index))) {}
+        program(std::make_unique<shelflink::proxy::Program>(
+            process, SettingsOf(index, rate_per_s), [this, &rig] {
+              return std::make_unique<shelflink::cluster::FakePlatform>(rig.platform, process);
+            })) {}
 
-  shelflink::ProcessSettings SettingsOf(std::uint32_t index) const {
+  shelflink::ProcessSettings SettingsOf(std::uint32_t index, double rate_per_s) const {
     shelflink::ProcessSettings settings = RigSettings(3);
+    settings.cloud.rate_per_s = rate_per_s;
     settings.node = "edge-" + std::to_string(index);
     settings.role = "proxy";
     settings.zone = "zone-" + std::to_string(index % 2);
@@ -46,11 +52,16 @@
     settings.listen_ready = net::Address::V4(host, 8687);
     return settings;
   }
+  void SetPaused(bool stands) {
+    paused = stands;
+    process.SetPaused(stands);
+  }
   net::Address front() const { return net::Address::V4(host, 8689); }
 
   std::uint32_t host;
   net::VirtualProcess process;
   std::unique_ptr<shelflink::proxy::Program> program;
+  bool paused = false;
 };
 
 // An endpoint that notes when each request reaches it.
@@ -70,9 +81,23 @@
   Endpoint endpoint;
 };
 
+// Violations of invariants since the last look; a test that expects none says so.
+std::vector<std::string> TakeViolations() {
+  static std::vector<std::string> seen;
+  static const bool set = [] {
+    shelflink::ProcessInvariants().SetHandler(
+        [](shelflink::Invariant invariant, const std::string& detail) {
+          seen.push_back(std::string(shelflink::NameOf(invariant)) + ": " + detail);
+        });
+    return true;
+  }();
+  static_cast<void>(set);
+  return std::exchange(seen, {});
+}
+
 class Scene {
  public:
-  explicit Scene(std::uint32_t proxy_count = 4, std::uint64_t seed = 1)
+  explicit Scene(std::uint32_t proxy_count = 4, std::uint64_t seed = 1, double rate_per_s = 40)
       : rig(3, 0, 0, seed), clients_(rig.net, 0x0a090001, "clients", 60000) {
     for (std::uint32_t index = 0; index < 3; ++index) {
       servers.push_back(std::make_unique<Server>(rig, index));
@@ -81,20 +106,25 @@
                                    milliseconds(0)});
     }
     for (std::uint32_t index = 0; index < proxy_count; ++index) {
-      proxies.push_back(std::make_unique<Proxy>(rig, index));
+      proxies.push_back(std::make_unique<Proxy>(rig, index, rate_per_s));
     }
+    TakeViolations();
     rig.Start();
     rig.Run(seconds(3));
     BOOST_REQUIRE(rig.Put(5, 0));
     rig.Run(seconds(1));
   }
-  ~Scene() { rig.net.Clear(); }
+  ~Scene() {
+    for (const std::string& violation : TakeViolations()) BOOST_ERROR(violation);
+    rig.net.Clear();
+  }
 
   // Requests at each proxy, evenly spread, until the span is over.
   void Traffic(net::Span span) {
     const net::Time end = rig.net.Now() + span;
     while (rig.net.Now() < end) {
       for (const auto& proxy : proxies) {
+        if (!proxy->program || proxy->paused) continue;
         asked_.push_back(std::make_unique<Client>(clients_, proxy->front()));
         asked_.back()->Send(Request("/a/x", "id" + std::to_string(++asked_count_)));
       }
@@ -126,6 +156,12 @@
     BOOST_TEST(TakeServed() > 0.99);
   }
 
+  std::uint64_t ListCalls(net::Span span) {
+    const std::uint64_t before = rig.platform.list_calls;
+    rig.Run(span);
+    return rig.platform.list_calls - before;
+  }
+
   Rig rig;
   std::vector<std::unique_ptr<Server>> servers;
   std::vector<std::unique_ptr<Proxy>> proxies;
@@ -180,6 +216,175 @@
   scene.CheckDrainBinds();
 }
 
+// In turn each proxy of a zone, and so the one that passes parts of the view on to the others.
+BOOST_AUTO_TEST_CASE(a_drain_binds_while_a_relay_stands_still) {
+  for (std::size_t paused = 0; paused < 6; paused += 2) {
+    BOOST_TEST_CONTEXT("paused from " << paused) {
+      Scene scene(6);
+      scene.Traffic(seconds(1));
+      scene.proxies[paused]->SetPaused(true);
+      scene.proxies[paused + 1]->SetPaused(true);
+      scene.Traffic(seconds(1));
+      scene.CheckDrainBinds();
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_drain_binds_soon_after_a_platform_that_was_silent_answers_again) {
+  Scene scene;
+  scene.Traffic(seconds(1));
+  scene.rig.platform.silent = true;
+  scene.Traffic(milliseconds(5500));
+  scene.rig.platform.silent = false;
+  scene.CheckDrainBinds();
+}
+
+// Slower than an answer is waited for before the next call.
+BOOST_AUTO_TEST_CASE(the_list_of_a_slow_platform_is_read) {
+  Scene scene;
+  scene.rig.platform.list_takes = seconds(2);
+  scene.rig.Run(seconds(3));
+  scene.Traffic(seconds(1));
+  const net::Time shown = scene.DrainFirst();
+  scene.Traffic(seconds(6));
+  BOOST_TEST(scene.servers[0]->ArrivalsAfter(shown + seconds(4)) == 0U);
+}
+
+// Fewer proxies read than there are: the others ask them, and go on to the next where one is gone.
+BOOST_AUTO_TEST_CASE(a_drain_binds_at_proxies_that_ask_those_that_read) {
+  for (const bool first_reader_ends : {false, true}) {
+    BOOST_TEST_CONTEXT("first reader ends: " << first_reader_ends) {
+      Scene scene(6, 1, 9);
+      scene.Traffic(seconds(1));
+      for (auto& core : scene.rig.cores) core->Stop();
+      if (first_reader_ends) {
+        scene.proxies[0]->process.Kill();
+        scene.proxies[0]->program.reset();
+      }
+      scene.Traffic(seconds(1));
+      scene.CheckDrainBinds();
+      BOOST_TEST(scene.ListCalls(seconds(10)) <= 36U);  // 0.4 of the rate.
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(no_proxy_reads_while_the_core_does) {
+  Scene scene;
+  BOOST_TEST(scene.ListCalls(seconds(9)) <= 13U);  // One each 750 ms, by the primary.
+  const net::Time now = scene.rig.net.Now();
+  for (const auto& proxy : scene.proxies) {
+    BOOST_TEST((proxy->program->endpoints_read_at() + kDrain / 2 >= now));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(proxies_stop_to_read_once_the_core_does) {
+  Scene scene;
+  scene.rig.map.Elect(nullptr);
+  scene.rig.Run(seconds(4));
+  BOOST_TEST(scene.ListCalls(seconds(9)) > 26U);
+  scene.rig.Elect(1);
+  scene.rig.Run(seconds(4));
+  BOOST_TEST(scene.ListCalls(seconds(9)) <= 13U);
+  scene.Traffic(seconds(1));
+  scene.CheckDrainBinds();
+}
+
+BOOST_AUTO_TEST_CASE(proxies_keep_within_their_share_of_the_rate) {
+  Scene scene(11, 1, 10);
+  for (auto& core : scene.rig.cores) core->Stop();
+  scene.rig.Run(seconds(4));
+  BOOST_TEST(scene.ListCalls(seconds(10)) <=
+             43U);  // 0.4 of the rate, and one begun of each reader.
+}
+
+// The rule's time stands still then: requests go on by what is known.
+BOOST_AUTO_TEST_CASE(requests_go_on_while_neither_core_nor_platform_answers) {
+  Scene scene;
+  for (auto& core : scene.rig.cores) core->Stop();
+  scene.rig.platform.up = false;
+  scene.rig.Run(seconds(5));
+  scene.Traffic(seconds(5));
+  BOOST_TEST(scene.TakeServed() > 0.99);
+  scene.rig.platform.up = true;
+  scene.CheckDrainBinds();
+}
+
+BOOST_AUTO_TEST_CASE(a_proxy_that_stood_still_binds_by_the_list_soon) {
+  Scene scene;
+  scene.Traffic(seconds(1));
+  for (const auto& proxy : scene.proxies) proxy->SetPaused(true);
+  scene.DrainFirst();
+  scene.rig.Run(seconds(8));
+  for (const auto& proxy : scene.proxies) proxy->SetPaused(false);
+  const net::Time resumed = scene.rig.net.Now();
+  scene.Traffic(seconds(3));
+  BOOST_TEST(scene.servers[0]->ArrivalsAfter(resumed + milliseconds(500)) == 0U);
+}
+
+// A list older than a drain without an excuse is told at the send that goes by it.
+BOOST_AUTO_TEST_CASE(a_send_by_a_stale_list_is_a_violation_and_an_item_is_not_sent) {
+  stand_in::World world;
+  auto state = shelflink::proxy::ListState::kStale;
+  shelflink::proxy::EndpointCalls calls(world.process, world.log, world.budget,
+                                        {"proxy", "zone", 1, 100, [&state] { return state; }});
+  TakeViolations();
+  Endpoint& endpoint = world.Add(stand_in::Answers("x"));
+  calls.OnView(world.view);
+  struct User : shelflink::proxy::CallUser {
+    void OnHead(int, const shelflink::proxy::HeaderList&, std::optional<std::uint64_t>) override {}
+    bool OnBody(std::string_view) override { return true; }
+    void OnEnd(const shelflink::proxy::CallSummary& summary) override {
+      ends.push_back(summary.end);
+    }
+    std::vector<shelflink::proxy::CallEnd> ends;
+  };
+  User user;
+  const auto start = [&](bool batch) {
+    shelflink::proxy::CallRequest request;
+    request.request_id = "0" + std::to_string(endpoint.requests.size()) + (batch ? "b" : "l");
+    request.target = "/get/a";
+    request.headers = {{"Host", "a.example"}};
+    request.configuration = world.view.configuration;
+    request.route = &world.view.configuration->routes[batch ? 5 : 0];
+    request.batch = batch;
+    calls.Start(std::move(request), user);
+    world.Run(milliseconds(300));
+  };
+  start(true);
+  BOOST_TEST(endpoint.requests.empty());
+  BOOST_TEST(TakeViolations().empty());
+  start(false);
+  BOOST_TEST(endpoint.requests.size() == 1U);
+  BOOST_TEST(TakeViolations().size() == 1U);
+  for (const auto harmless :
+       {shelflink::proxy::ListState::kFresh, shelflink::proxy::ListState::kExcused}) {
+    state = harmless;
+    start(true);
+    start(false);
+    BOOST_TEST(TakeViolations().empty());
+  }
+  BOOST_TEST(endpoint.requests.size() == 5U);
+  state = shelflink::proxy::ListState::kUnrenewed;
+  start(true);
+  BOOST_TEST(endpoint.requests.size() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(readers_and_their_pace_follow_from_the_rate) {
+  const auto plan = [](double rate, std::size_t endpoints, std::size_t proxies) {
+    return shelflink::proxy::PlanReading(rate, kDrain, endpoints, proxies);
+  };
+  BOOST_TEST(plan(44, 40, 11).readers == 11U);
+  BOOST_TEST(plan(44, 200, 11).readers == 3U);
+  BOOST_TEST(plan(44, 0, 1).readers == 1U);
+  BOOST_TEST(plan(44, 100000, 400).readers == 1U);
+  BOOST_TEST(plan(0, 40, 11).readers == 1U);
+  BOOST_TEST(plan(1e9, 40, 11).readers == 11U);
+  for (const std::size_t proxies : {1U, 3U, 11U, 400U}) {
+    const auto made = plan(44, 120, proxies);
+    BOOST_TEST(made.share_of_rate * static_cast<double>(made.readers) <= 0.4000001);
+  }
+}
+
 // The list that shows the drain is read while the primary's lease has lapsed; the lease is back
 // before the primary is told of another role.
 BOOST_AUTO_TEST_CASE(a_list_that_was_read_while_the_lease_had_lapsed_is_published) {
