--- a/tests/tier/tier_seeds/day.cpp
+++ b/tests/tier/tier_seeds/day.cpp
@@ -127,7 +127,7 @@
       ProcessSettings settings = SettingsOf(deployment_, "proxy", index);
       settings.listen_front = net::Address::V4(host, kFrontPort);
       settings.listen_ready = net::Address::V4(host, kReadyPort);
-      proxies_.push_back(std::make_unique<ProxyMachine>(net_, host, settings));
+      proxies_.push_back(std::make_unique<ProxyMachine>(net_, host, settings, platform_));
     }
   }
 
--- a/tests/tier/tier_seeds/machines.cpp
+++ b/tests/tier/tier_seeds/machines.cpp
@@ -208,6 +208,13 @@
 
 // ---- Proxy ----
 
-void ProxyMachine::Open() { program_ = std::make_unique<proxy::Program>(process(), settings_); }
+ProxyMachine::ProxyMachine(net::VirtualNet& net, std::uint32_t host, ProcessSettings settings,
+                           PlatformWorld& platform)
+    : Machine(net, host, std::move(settings)), platform_world_(platform) {}
+
+void ProxyMachine::Open() {
+  program_ = std::make_unique<proxy::Program>(
+      process(), settings_, [this] { return platform_world_.Connect(process(), host_); });
+}
 
 }  // namespace shelflink::tier_seeds
--- a/tests/tier/tier_seeds/machines.h
+++ b/tests/tier/tier_seeds/machines.h
@@ -145,7 +145,8 @@
 
 class ProxyMachine : public Machine {
  public:
-  using Machine::Machine;
+  ProxyMachine(net::VirtualNet& net, std::uint32_t host, ProcessSettings settings,
+               PlatformWorld& platform);
   ~ProxyMachine() override { Kill(); }
 
   net::Address front() const { return *settings_.listen_front; }
@@ -157,6 +158,7 @@
   void LeaveInOrder(std::function<void()> done) override { program_->Leave(std::move(done)); }
 
  private:
+  PlatformWorld& platform_world_;
   std::unique_ptr<proxy::Program> program_;
 };
 
