--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -144,7 +144,8 @@
     parent = answer.parent;
     children = answer.children;
     ExtendLease(sent + milliseconds(answer.lease_ms));
-    RenewAfter(renew_again ? milliseconds(0) : milliseconds(answer.interval_ms));
+    renewal_interval = milliseconds(answer.interval_ms);
+    RenewAfter(renew_again ? milliseconds(0) : renewal_interval);
     Repair(answer.versions);
     ExtendPlacementLease();
   }
@@ -153,6 +154,16 @@
     uses.Acknowledge(answer.incarnation, told);
     uses.Settle(answer.settled_before);
     SetTrueTime(sent, answer.true_micros);
+    if (answer.endpoints_age) {
+      told_reading = {answer.versions[Part::kEndpoints], sent - *answer.endpoints_age};
+      TakeReading();
+    }
+  }
+
+  // What is held is at least as new as that reading once it has the version that was named with it.
+  void TakeReading() {
+    if (store.versions()[Part::kEndpoints] < told_reading.version) return;
+    endpoints_read_at = std::max(endpoints_read_at, told_reading.at);
   }
 
   void RenewAfter(milliseconds pause) { renew_timer->ArmAt(loop.Now() + pause); }
@@ -319,6 +330,7 @@
     PassOn(push);
     if (push.part == Part::kMembers) LearnCores();
     if (push.part == Part::kPlacement) ExtendPlacementLease();
+    if (push.part == Part::kEndpoints) TakeReading();
     Tell(push.part);
   }
 
@@ -491,8 +503,19 @@
   std::optional<net::Address> parent;
   bool parent_silent = false;
   std::vector<net::Address> children;
+<<<<<<< HEAD
   net::Time endpoints_taken_at{};  // When the list of endpoints in the view was taken.
   PartVersions newest;             // As the primary told last.
+=======
+  PartVersions newest;  // As the primary told last.
+  struct Reading {      // Of the platform's list.
+    Version version;    // Under which it was published.
+    net::Time at{};     // On this process's clock, no later than it began.
+  };
+  Reading told_reading;
+  net::Time endpoints_read_at{};
+  milliseconds renewal_interval{0};
+>>>>>>> 09186c6d61d9d93fb9e6febbefd0ff6064ee53ec
   bool fetching[kParts] = {};
   bool detouring = false;
   std::size_t detour_turn = 0;
@@ -514,7 +537,13 @@
 
 net::Time Agent::placement_lease_until() const { return impl_->placement_lease_until; }
 
+<<<<<<< HEAD
 net::Time Agent::endpoints_taken_at() const { return impl_->endpoints_taken_at; }
+=======
+net::Time Agent::endpoints_read_at() const { return impl_->endpoints_read_at; }
+
+net::Span Agent::renewal_interval() const { return impl_->renewal_interval; }
+>>>>>>> 09186c6d61d9d93fb9e6febbefd0ff6064ee53ec
 
 std::int64_t Agent::TrueMicros() const { return impl_->TrueMicros(); }
 
--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -16,6 +16,7 @@
 #include "tier/cluster/usage_duty.h"
 #include "tier/cluster/view_codec.h"
 #include "tier/cluster/view_publisher.h"
+#include "tier/foundation/invariants.h"
 #include "tier/foundation/log.h"
 
 namespace shelflink::cluster {
@@ -87,8 +88,9 @@
   void MakePlatformParts(platform::Platform& platform) {
     watch = std::make_unique<EndpointWatch>(
         loop, platform,
-        platform::ListReader::Options{settings.cloud.rate_per_s, settings.bounds.drain},
-        [this](const std::vector<EndpointEntry>& entries) { PublishEndpoints(entries); });
+        platform::ListReader::Options{settings.cloud.rate_per_s, settings.bounds.drain,
+                                      platform::kCoreShareOfRate},
+        [this](const std::vector<EndpointEntry>& entries) { return PublishEndpoints(entries); });
     if (HasDuty(settings, "usage_report")) {
       usage = std::make_unique<UsageDuty>(UsageDuty::Parts{loop, replicator, platform, ledger, pace,
                                                            [this] { return TrueMicros(); }},
@@ -244,7 +246,9 @@
     answer.primary = hub.self().address;
     answer.epoch = epoch;
     answer.incarnation = hub.self().incarnation;
+    PublishPendingEndpoints();
     answer.versions = publisher.versions();
+    answer.endpoints_age = EndpointsAge();
     answer.true_micros = TrueMicros();
     answer.settled_before = ledger.settled_before();
     return answer;
@@ -341,6 +345,7 @@
     Publish(Part::kMembers, NextVersion(), EncodeMembers(all));
   }
 
+<<<<<<< HEAD
   void PublishEndpoints(const std::vector<EndpointEntry>& entries) {
     if (!Leads()) {
       SayNotPublished(entries);
@@ -386,6 +391,33 @@
     const std::optional<net::Time> read_at = watch->read_at();
     if (!read_at) return "never read";
     return "read " + std::to_string((loop.Now() - *read_at) / milliseconds(1)) + " ms ago";
+=======
+  // Whether it is out: without a valid lease nothing is published, and the watch keeps it.
+  bool PublishEndpoints(const std::vector<EndpointEntry>& entries) {
+    if (!Leads()) return false;
+    read_version = NextVersion();
+    Publish(Part::kEndpoints, read_version, EncodeEndpoints(entries));
+    return true;
+  }
+
+  // A list that was read while the lease had lapsed goes out before any renewal is answered.
+  void PublishPendingEndpoints() {
+    if (!watch) return;
+    watch->PublishPending();
+    const auto now =
+        std::chrono::duration_cast<std::chrono::microseconds>(loop.Now().time_since_epoch());
+    ProcessInvariants().Check(watch->published(), Invariant::kReadListIsPublished,
+                              "a renewal is answered before the list that was read", now.count());
+  }
+
+  // How old the reading is that the published list stands for; none where it is not of this
+  // primary's reading.
+  std::optional<milliseconds> EndpointsAge() const {
+    const bool own =
+        read_version != Version() && publisher.versions()[Part::kEndpoints] == read_version;
+    if (!own || !watch || !watch->entries()) return std::nullopt;
+    return std::chrono::ceil<milliseconds>(loop.Now() - watch->read_at());
+>>>>>>> 09186c6d61d9d93fb9e6febbefd0ff6064ee53ec
   }
 
   // While the platform is out of reach, a new primary passes on the list that the members have.
@@ -513,6 +545,7 @@
   bool leading = false;
   std::uint64_t epoch = 0;
   std::uint64_t count = 0;  // Of the parts made under this epoch.
+  Version read_version;     // Of the endpoints that this process has read and published last.
   net::Time led_since{};
   net::Time next_tick{};
   bool members_changed = false;
