The processes of the tier run on a loop that is handed to them

Cause: the soak needs the very same processes on a loop whose connections can be cut; RunCore and RunStore made their loop themselves, and the proxy's process stood in its binary's main.

Change: RunCore and RunStore take a net::GlibLoop; proxy::RunProxy (tier/proxy/proxy_process) is what main did after reading the settings. The two mains make the loop, and do nothing else that they did not do before.

--- a/src/tier/batch/store_program.cpp
+++ b/src/tier/batch/store_program.cpp
@@ -8,7 +8,6 @@
 #include <random>
 #include <string>
 
-#include "net/glib_loop.h"
 #include "tier/batch/replica_host.h"
 #include "tier/batch/store_service.h"
 #include "tier/cluster/agent.h"
@@ -188,8 +187,7 @@
 
 }  // namespace
 
-int RunStore(const ProcessSettings& settings) {
-  net::GlibLoop loop;
+int RunStore(const ProcessSettings& settings, net::GlibLoop& loop) {
   StoreProcess* current = nullptr;
   bool told_to_end = false;
   Milliseconds pause = kDiskPause;
--- a/src/tier/cluster/core_program.cpp
+++ b/src/tier/cluster/core_program.cpp
@@ -5,7 +5,6 @@
 #include <memory>
 #include <random>
 
-#include "net/glib_loop.h"
 #include "tier/cluster/core_service.h"
 #include "tier/coordination/group.h"
 #include "tier/foundation/log.h"
@@ -111,8 +110,7 @@
 
 }  // namespace
 
-int RunCore(const ProcessSettings& settings) {
-  net::GlibLoop loop;
+int RunCore(const ProcessSettings& settings, net::GlibLoop& loop) {
   auto disk = coordination::Group::OpenStorage(loop, settings);
   if (!disk) {
     log::Line(log::Level::kError, kModule, "cannot open the disk: " + disk.error().text);
--- a/src/tier/cluster/core_program.h
+++ b/src/tier/cluster/core_program.h
@@ -2,12 +2,13 @@
 #ifndef SHELFLINK_TIER_CLUSTER_CORE_PROGRAM_H_
 #define SHELFLINK_TIER_CLUSTER_CORE_PROGRAM_H_
 
+#include "net/glib_loop.h"
 #include "tier/foundation/settings.h"
 
 namespace shelflink::cluster {
 
-// Until SIGTERM. Returns the exit code.
-int RunCore(const ProcessSettings& settings);
+// Runs `loop` until SIGTERM. Returns the exit code.
+int RunCore(const ProcessSettings& settings, net::GlibLoop& loop);
 
 }  // namespace shelflink::cluster
 
--- a/src/tier/programs/control_main.cpp
+++ b/src/tier/programs/control_main.cpp
@@ -9,6 +9,7 @@
 #include <iostream>
 #include <string>
 
+#include "net/glib_loop.h"
 #include "tier/batch/store_program.h"
 #include "tier/cluster/core_program.h"
 #include "tier/foundation/log.h"
@@ -19,7 +20,7 @@
 constexpr int kBadSettings = 1;
 constexpr int kUsage = 2;
 
-using RunProcess = int (*)(const shelflink::ProcessSettings&);
+using RunProcess = int (*)(const shelflink::ProcessSettings&, net::GlibLoop&);
 
 int Run(RunProcess run) {
   const char* path = std::getenv("SHELFLINK_CONFIG");
@@ -35,7 +36,8 @@
     return kBadSettings;
   }
   shelflink::log::Start(settings.value().node, shelflink::log::Level::kInfo);
-  return run(settings.value());
+  net::GlibLoop loop;
+  return run(settings.value(), loop);
 }
 
 int RunCommand(int argc, char** argv) {
--- a/src/tier/programs/data_main.cpp
+++ b/src/tier/programs/data_main.cpp
@@ -7,13 +7,12 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
-#include <memory>
 #include <string>
 
 #include "net/glib_loop.h"
 #include "tier/foundation/log.h"
 #include "tier/foundation/settings.h"
-#include "tier/proxy/program.h"
+#include "tier/proxy/proxy_process.h"
 
 namespace {
 
@@ -31,18 +30,6 @@
   }
 }
 
-// Settings that cannot be used leave the old ones in force.
-void Reload(shelflink::proxy::Program& program) {
-  const auto settings = shelflink::ReadSettings(SettingsPath());
-  if (settings) {
-    program.Reload(settings.value());
-    shelflink::log::Info("proxy", "settings read again");
-  } else {
-    shelflink::log::Warning(
-        "proxy", "the old settings stay in force: " + shelflink::TextOf(settings.error()));
-  }
-}
-
 int RunProxy() {
   if (SettingsPath().empty()) {
     std::cerr << "shelflink-data: SHELFLINK_CONFIG: expected the path of the settings file\n";
@@ -55,16 +42,7 @@
   }
   shelflink::log::Start(settings.value().node, shelflink::log::Level::kInfo);
   net::GlibLoop loop;
-  try {
-    shelflink::proxy::Program program(loop, settings.value());
-    loop.OnSignal(SIGTERM, [&] { program.Leave([&] { loop.Stop(); }); });
-    loop.OnSignal(SIGHUP, [&] { Reload(program); });
-    loop.Run();
-  } catch (const net::Error& error) {
-    std::cerr << "shelflink-data: " << error.what() << '\n';
-    return kBadSettings;
-  }
-  return 0;
+  return shelflink::proxy::RunProxy(settings.value(), loop);
 }
 
 int Run(int argc, char** argv) {
--- /dev/null
+++ b/src/tier/proxy/proxy_process.cpp
@@ -0,0 +1,42 @@
+#include "tier/proxy/proxy_process.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "tier/foundation/log.h"
+#include "tier/proxy/program.h"
+
+namespace shelflink::proxy {
+namespace {
+
+constexpr const char* kModule = "proxy";
+
+// Settings that cannot be used leave the old ones in force.
+void ReloadSettings(Program& program) {
+  const char* path = std::getenv("SHELFLINK_CONFIG");
+  const auto settings = ReadSettings(path == nullptr ? "" : path);
+  if (settings) {
+    program.Reload(settings.value());
+    log::Info(kModule, "settings read again");
+  } else {
+    log::Warning(kModule, "the old settings stay in force: " + TextOf(settings.error()));
+  }
+}
+
+}  // namespace
+
+int RunProxy(const ProcessSettings& settings, net::GlibLoop& loop) {
+  try {
+    Program program(loop, settings);
+    loop.OnSignal(SIGTERM, [&] { program.Leave([&] { loop.Stop(); }); });
+    loop.OnSignal(SIGHUP, [&] { ReloadSettings(program); });
+    loop.Run();
+  } catch (const net::Error& error) {
+    std::cerr << "shelflink-data: " << error.what() << '\n';
+    return EXIT_FAILURE;
+  }
+  return EXIT_SUCCESS;
+}
+
+}  // namespace shelflink::proxy
