The soak: whole deployments of real processes under troubles that overlap

Change: tests/soak/run starts a deployment on loopback addresses (3 core processes and 3 stores with disks, 5 proxies) with stand-ins for platform, endpoints, clients and operators, plays three lanes of troubles drawn from a seed (kills, freezes, SIGTERM, wiped and full disks, cuts, platform, lost answers) and judges what was seen from outside. tests/run plays its short form after ctest, and the judge's own tests. docs/operate/soak.md.

--- /dev/null
+++ b/tests/soak/soak/operators.py
@@ -0,0 +1,105 @@
+"""Operators: change the configuration at any core process, repeat until it is clear, read back."""
+import asyncio
+import random
+from urllib.parse import urlsplit
+
+from soak import configurations
+from soak.deployment import CONTROL_PORT, Deployment, Role
+from soak.history import ConfigurationOrder, ConfigurationRead, History, OrderState
+from soak.http import Answer, Call, perform
+
+PATIENCE_S = 1.0
+PAUSE_S = (0.2, 0.8)
+PATCH_SHARE = 0.5
+READ_SHARE = 0.3
+MOST_PAUSE_S = 0.5
+REDIRECTS = 2
+
+
+class Operators:
+    """Two operators with one knowledge of the version in force."""
+
+    def __init__(self, deployment: Deployment, history: History, rng: random.Random) -> None:
+        self.lost_share = 0.0
+        self._cores = [machine.ip for machine in deployment.of_role(Role.CORE)]
+        self._history = history
+        self._rng = rng
+        self._known_version = 0
+        self._orders = 0
+
+    async def run(self) -> None:
+        """Changes and reads, until it is cancelled."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(*PAUSE_S))
+            if self._rng.random() < READ_SHARE:
+                await self.read(self._rng.choice(self._cores))
+            else:
+                await self.change(until=self._history.now() + 20.0)
+
+    async def change(self, until: float) -> bool:
+        """One change, sent again until its fate is clear; whether it was acknowledged."""
+        order = self._draw_order()
+        patches = order.base > 0 and self._rng.random() < PATCH_SHARE
+        make = configurations.patch if patches else configurations.whole
+        method = "PATCH" if patches else "PUT"
+        body = make(order.version, order.tag)
+        pause = 0.05
+        while self._history.now() < until and order.state is OrderState.OPEN:
+            status = (await self._call(method, {"If-Match": str(order.base)}, body)).status
+            self._take(order, status)
+            if order.state is OrderState.OPEN:
+                await asyncio.sleep(pause)
+                pause = min(pause * 2, MOST_PAUSE_S)
+        if order.state is OrderState.REFUSED:
+            await self.read(self._rng.choice(self._cores))
+        return order.state is OrderState.ACKNOWLEDGED
+
+    async def read(self, core: str) -> bool:
+        """Reads the configuration back from one core process; whether it came."""
+        sent = self._history.now()
+        answer = await self._call("GET", {}, b"", core)
+        if answer.status != 200 or not answer.complete:
+            return False
+        version, tag = configurations.read(answer.body)
+        self._history.reads.append(ConfigurationRead(sent, version, tag))
+        self._known_version = max(self._known_version, version)
+        return True
+
+    async def read_everywhere(self) -> bool:
+        """Whether every core process gives the configuration."""
+        return all([await self.read(core) for core in self._cores])
+
+    def _draw_order(self) -> ConfigurationOrder:
+        self._orders += 1
+        base = self._known_version
+        order = ConfigurationOrder(f"t{self._orders}", base, base + self._rng.randint(1, 3),
+                                   self._history.now())
+        self._history.orders.append(order)
+        return order
+
+    def _take(self, order: ConfigurationOrder, status: int) -> None:
+        if status == 200:
+            order.state = OrderState.ACKNOWLEDGED
+            self._known_version = max(self._known_version, order.version)
+        elif status in (400, 409, 412, 413, 422):
+            order.state = OrderState.REFUSED
+        else:
+            return
+        order.answered = self._history.now()
+
+    async def _call(self, method: str, headers: dict[str, str], body: bytes,
+                    core: str = "") -> Answer:
+        host = core or self._rng.choice(self._cores)
+        port = CONTROL_PORT
+        lost = self._rng.random() < self.lost_share
+        answer = Answer()
+        for _ in range(1 + REDIRECTS):
+            answer = await perform(Call(
+                host, port, method, "/config",
+                {"Host": f"{host}:{port}", "Content-Type": "application/json", **headers}, body,
+                PATIENCE_S, self._rng.uniform(0.0, 0.1) if lost else None))
+            if answer.status != 307:
+                break
+            location = urlsplit(answer.headers["location"])
+            host, port = location.hostname or host, location.port or port
+        return answer
