Soak: one trouble of each kind from outside at a time

Cause: where two troubles of the platform overlapped, the end of the first ended both, while the timeline went on with the second.

Change: a draw of a kind that is under way outside is left out.

--- a/tests/soak/soak/troubles.py
+++ b/tests/soak/soak/troubles.py
@@ -98,7 +98,7 @@
         if kind is TroubleKind.WIPE:
             if not await self._wait_to_wipe():
                 return
-        elif not self._may_strike(machines):
+        elif not self._may_strike(kind, machines):
             return
         names = frozenset(machine.name for machine in machines)
         trouble = Trouble(kind, names, self._world.history.now())
@@ -125,12 +125,18 @@
             return [rng.choice(cores + stores)]
         return [rng.choice(deployment.machines)]
 
-    def _may_strike(self, machines: list[Machine]) -> bool:
+    def _may_strike(self, kind: TroubleKind, machines: list[Machine]) -> bool:
         if any(machine.name in self._busy for machine in machines):
             return False
+        if kind in OUTSIDE and kind in self._kinds_under_way():
+            return False
         spared = self._world.history.now() < self._wiped_until
         return not (spared and any(machine.counts for machine in machines))
 
+    def _kinds_under_way(self) -> set[TroubleKind]:
+        return {trouble.kind for trouble in self._world.history.troubles
+                if trouble.end == float("inf")}
+
     async def _wait_to_wipe(self) -> bool:
         """Spares the machines that count until all of them have long been well; whether it may."""
         now = self._world.history.now()
