--- a/src/tier/batch/store_program.cpp
+++ b/src/tier/batch/store_program.cpp
@@ -7,7 +7,6 @@
 #include <string>
 #include <utility>
 
-#include "net/glib_loop.h"
 #include "tier/batch/store_process.h"
 #include "tier/foundation/log.h"
 #include "tier/storage/lmdb_storage.h"
@@ -46,12 +45,11 @@
 
 }  // namespace
 
-int RunStore(const ProcessSettings& settings) {
+int RunStore(const ProcessSettings& settings, net::GlibLoop& loop) {
   if (settings.data_dir.empty()) {
     log::Line(log::Level::kError, kLogName, "a store needs dataDir");
     return EXIT_FAILURE;
   }
-  net::GlibLoop loop;
   StoreProcess process(
       loop, settings, [&] { return OpenDisk(loop, settings); }, Draw);
   bool told_to_end = false;
--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -343,9 +343,10 @@
   std::string EndpointListText() const {
     const std::shared_ptr<const EndpointList>& list = store.view().endpoints;
     if (!list) return "endpoint list: none";
-    const std::int64_t age = (loop.Now() - endpoints_taken_at) / milliseconds(1);
-    return "endpoint list: " + TextOf(SummaryOf(list->version, list->entries)) + ", taken " +
-           std::to_string(age) + " ms ago";
+    const std::string text = "endpoint list: " + TextOf(SummaryOf(list->version, list->entries));
+    if (endpoints_read_at == net::Time{}) return text + ", of unknown age";
+    const std::int64_t age = (loop.Now() - endpoints_read_at) / milliseconds(1);
+    return text + ", read " + std::to_string(age) + " ms ago";
   }
 
   void LearnCores() {
@@ -503,10 +504,6 @@
   std::optional<net::Address> parent;
   bool parent_silent = false;
   std::vector<net::Address> children;
-<<<<<<< HEAD
-  net::Time endpoints_taken_at{};  // When the list of endpoints in the view was taken.
-  PartVersions newest;             // As the primary told last.
-=======
   PartVersions newest;  // As the primary told last.
   struct Reading {      // Of the platform's list.
     Version version;    // Under which it was published.
@@ -514,8 +511,8 @@
   };
   Reading told_reading;
   net::Time endpoints_read_at{};
+  net::Time endpoints_taken_at{};  // When the list of endpoints in the view was taken.
   milliseconds renewal_interval{0};
->>>>>>> 09186c6d61d9d93fb9e6febbefd0ff6064ee53ec
   bool fetching[kParts] = {};
   bool detouring = false;
   std::size_t detour_turn = 0;
@@ -537,13 +534,11 @@
 
 net::Time Agent::placement_lease_until() const { return impl_->placement_lease_until; }
 
-<<<<<<< HEAD
 net::Time Agent::endpoints_taken_at() const { return impl_->endpoints_taken_at; }
-=======
+
 net::Time Agent::endpoints_read_at() const { return impl_->endpoints_read_at; }
 
 net::Span Agent::renewal_interval() const { return impl_->renewal_interval; }
->>>>>>> 09186c6d61d9d93fb9e6febbefd0ff6064ee53ec
 
 std::int64_t Agent::TrueMicros() const { return impl_->TrueMicros(); }
 
--- a/src/tier/cluster/core_program.cpp
+++ b/src/tier/cluster/core_program.cpp
@@ -5,7 +5,6 @@
 #include <memory>
 #include <random>
 
-#include "net/glib_loop.h"
 #include "tier/cluster/core_metrics.h"
 #include "tier/cluster/core_service.h"
 #include "tier/coordination/group.h"
@@ -149,8 +148,7 @@
 
 }  // namespace
 
-int RunCore(const ProcessSettings& settings) {
-  net::GlibLoop loop;
+int RunCore(const ProcessSettings& settings, net::GlibLoop& loop) {
   auto disk = coordination::Group::OpenStorage(loop, settings);
   if (!disk) {
     log::Line(log::Level::kError, kModule, "cannot open the disk: " + disk.error().text);
--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -345,15 +345,16 @@
     Publish(Part::kMembers, NextVersion(), EncodeMembers(all));
   }
 
-<<<<<<< HEAD
-  void PublishEndpoints(const std::vector<EndpointEntry>& entries) {
+  // Whether it is out: without a valid lease nothing is published, and the watch keeps it.
+  bool PublishEndpoints(const std::vector<EndpointEntry>& entries) {
     if (!Leads()) {
       SayNotPublished(entries);
-      return;
+      return false;
     }
-    const Version version = NextVersion();
-    Publish(Part::kEndpoints, version, EncodeEndpoints(entries));
-    SayPublished(SummaryOf(version, entries));
+    read_version = NextVersion();
+    Publish(Part::kEndpoints, read_version, EncodeEndpoints(entries));
+    SayPublished(SummaryOf(read_version, entries));
+    return true;
   }
 
   void SayPublished(const EndpointSummary& list) {
@@ -391,13 +392,6 @@
     const std::optional<net::Time> read_at = watch->read_at();
     if (!read_at) return "never read";
     return "read " + std::to_string((loop.Now() - *read_at) / milliseconds(1)) + " ms ago";
-=======
-  // Whether it is out: without a valid lease nothing is published, and the watch keeps it.
-  bool PublishEndpoints(const std::vector<EndpointEntry>& entries) {
-    if (!Leads()) return false;
-    read_version = NextVersion();
-    Publish(Part::kEndpoints, read_version, EncodeEndpoints(entries));
-    return true;
   }
 
   // A list that was read while the lease had lapsed goes out before any renewal is answered.
@@ -415,9 +409,8 @@
   std::optional<milliseconds> EndpointsAge() const {
     const bool own =
         read_version != Version() && publisher.versions()[Part::kEndpoints] == read_version;
-    if (!own || !watch || !watch->entries()) return std::nullopt;
-    return std::chrono::ceil<milliseconds>(loop.Now() - watch->read_at());
->>>>>>> 09186c6d61d9d93fb9e6febbefd0ff6064ee53ec
+    if (!own || !watch || !watch->read_at()) return std::nullopt;
+    return std::chrono::ceil<milliseconds>(loop.Now() - *watch->read_at());
   }
 
   // While the platform is out of reach, a new primary passes on the list that the members have.
--- a/src/tier/cluster/endpoint_watch.h
+++ b/src/tier/cluster/endpoint_watch.h
@@ -29,16 +29,11 @@
   void Stop();
   // None: no whole list has been read since the start.
   const std::optional<std::vector<EndpointEntry>>& entries() const { return entries_; }
-<<<<<<< HEAD
-  // When a whole list was read last, also before the last start; none: never in this process.
+  // When the reading of that list began; none: no whole list has been read in this process.
   std::optional<net::Time> read_at() const { return read_at_; }
-=======
-  // When the reading of that list began.
-  net::Time read_at() const { return read_at_; }
   // Offers the newest list again if it has not been published.
   void PublishPending();
   bool published() const { return published_; }
->>>>>>> 09186c6d61d9d93fb9e6febbefd0ff6064ee53ec
 
  private:
   void OnRead(std::vector<EndpointEntry> entries, net::Time read_at);
@@ -48,14 +43,8 @@
   platform::ListPoller poller_;
   Publish publish_;
   std::optional<std::vector<EndpointEntry>> entries_;
-<<<<<<< HEAD
   std::optional<net::Time> read_at_;
-  net::TimerPtr timer_;
-  std::shared_ptr<char> run_;  // Of the calls since the last start.
-=======
-  net::Time read_at_{};
   bool published_ = true;  // The newest list, or one that is the same.
->>>>>>> 09186c6d61d9d93fb9e6febbefd0ff6064ee53ec
 };
 
 }  // namespace shelflink::cluster
--- a/src/tier/proxy/program.cpp
+++ b/src/tier/proxy/program.cpp
@@ -114,7 +114,7 @@
 
   // When the reading of the platform's list began that the list here stands for; net::Time() where
   // that is not known.
-  static net::Time EndpointsReadAt() { return net::Time(); }
+  net::Time EndpointsReadAt() const { return fallback.read_at(); }
 
   std::string Metrics() const { return MetricsOf(Figures(), ProcessInvariants()); }
 
