--- a/src/tier/coordination/group.cpp
+++ b/src/tier/coordination/group.cpp
@@ -256,7 +256,7 @@
       return;
     }
     may_found_ = false;
-    synced_ticket_ = ticket;
+    synced_ticket_ = std::max(synced_ticket_, ticket);
     Run([this, ticket](Step& step, MemberOutput& out) { member_->OnSynced(step, out, ticket); });
   });
 }
