--- a/src/tier/operator_api/requests.cpp
+++ b/src/tier/operator_api/requests.cpp
@@ -137,7 +137,8 @@
 HttpAnswer HttpAnswerOf(const Order& order, const Result<Answer>& result) {
   if (result) return {status::kOk, std::visit(BodyOf{}, result.value()), {}, {}};
   HttpAnswer answer = ErrorAnswer(StatusOf(order, result.error().code), result.error().text);
-  if (result.error().code == ErrorCode::kExhausted) answer.retry_after_s = kRetryAfterS;
+  // Nothing has happened, and the reason is one that passes.
+  if (answer.status == status::kServiceUnavailable) answer.retry_after_s = kRetryAfterS;
   return answer;
 }
 
--- a/tests/tier/operator_api/operator_requests_test.cpp
+++ b/tests/tier/operator_api/operator_requests_test.cpp
@@ -109,6 +109,10 @@
   BOOST_TEST(status(change, ErrorCode::kStorage) == 504);
   const HttpAnswer busy = HttpAnswerOf(change, MakeError(ErrorCode::kExhausted, "why \"so\""));
   BOOST_TEST(busy.retry_after_s.has_value());
+  const HttpAnswer away = HttpAnswerOf(change, MakeError(ErrorCode::kUnavailable, "no primary"));
+  BOOST_TEST(away.retry_after_s.has_value());
+  const HttpAnswer unsure = HttpAnswerOf(change, MakeError(ErrorCode::kUnknown, "no answer"));
+  BOOST_TEST(!unsure.retry_after_s.has_value());
   BOOST_TEST(busy.body == R"({"error":"why \"so\""})");
   BOOST_TEST(HttpAnswerOf(change, Answer(Document{"{\"a\":1.0}"})).body == "{\"a\":1.0}");
   BOOST_TEST(HttpAnswerOf(retire, Answer(RetireState::kRunning)).body == R"({"state":"running"})");
