--- a/tests/tier/coordination/full_disk_test.cpp
+++ b/tests/tier/coordination/full_disk_test.cpp
@@ -5,6 +5,8 @@
 #include <set>
 
 #include "coordination/cluster.h"
+#include "storage/file_size_limit.h"
+#include "storage/storage_folder.h"
 #include "tier/foundation/invariants.h"
 
 namespace shelflink::coordination {
@@ -195,6 +197,23 @@
   CheckWhole(cluster, 3, 3);
 }
 
+// The same with the real storage, whose file cannot even be made.
+BOOST_AUTO_TEST_CASE(a_core_process_starts_without_room_for_its_files) {
+  const storage::Folder folder;
+  storage::StepLoop loop;
+  ProcessSettings settings;
+  settings.data_dir = folder.path.string();
+  settings.limits.disk_mb = 64;
+  Result<std::unique_ptr<storage::Storage>> opened = [&] {
+    const storage::FileSizeLimit limit(4096);
+    return Group::OpenStorage(loop, settings);
+  }();
+  BOOST_REQUIRE(opened.has_value());
+  BOOST_TEST((opened.value()->failure() == storage::Failure::kFull));
+  BOOST_TEST(opened.value()->Recover().has_value());
+  BOOST_TEST(!opened.value()->failed());
+}
+
 BOOST_AUTO_TEST_CASE(a_system_whose_disks_are_all_full_at_its_first_start_is_founded_later) {
   Cluster cluster(3);
   for (auto& machine : cluster.machines) machine->disk.SetFull(true);
--- a/tests/tier/storage/recovery_test.cpp
+++ b/tests/tier/storage/recovery_test.cpp
@@ -1,13 +1,11 @@
 // Storages that have failed: of what kind, what they hold afterwards, and that they take writes
 // again. The real one on real files, whose growth a limit of the process refuses.
 #define BOOST_TEST_MODULE tier_storage_recovery
-#include <sys/resource.h>
-
 #include <boost/test/unit_test.hpp>
-#include <csignal>
 #include <fstream>
 #include <memory>
 
+#include "storage/file_size_limit.h"
 #include "storage/storage_folder.h"
 #include "tier/storage/crash_storage.h"
 
@@ -18,29 +16,6 @@
 constexpr rlim_t kSmallFile = 512U << 10;  // The storage grows beyond it.
 constexpr std::size_t kValue = 32U << 10;
 
-// While it lives no file of this process grows beyond the limit.
-class FileSizeLimit {
- public:
-  explicit FileSizeLimit(rlim_t bytes) : handler_(std::signal(SIGXFSZ, SIG_IGN)) {
-    BOOST_REQUIRE(getrlimit(RLIMIT_FSIZE, &before_) == 0);
-    Set(bytes);
-  }
-  ~FileSizeLimit() {
-    setrlimit(RLIMIT_FSIZE, &before_);
-    std::signal(SIGXFSZ, handler_);
-  }
-  FileSizeLimit(const FileSizeLimit&) = delete;
-  FileSizeLimit& operator=(const FileSizeLimit&) = delete;
-  void Set(rlim_t bytes) {
-    const rlimit limit{bytes, before_.rlim_max};
-    BOOST_REQUIRE(setrlimit(RLIMIT_FSIZE, &limit) == 0);
-  }
-
- private:
-  void (*handler_)(int);
-  rlimit before_{};
-};
-
 // How often a sync was told, and how the last time.
 struct Told {
   int times = 0;
