--- a/tests/tier/batch/mutants.cmake
+++ b/tests/tier/batch/mutants.cmake
@@ -47,3 +47,21 @@
       return;]=] [=[      break;]=]
   TEST batch/job_book_test RUN an_item_that_can_never_be_done_is_given_up_at_once
   LIBRARIES shelflink_tier_batch_book)
+# A store on a disk that refuses.
+tier_mutant(a_disk_that_failed_is_vouched_for batch/store_disk.cpp
+  [=[  if (!storage_->failed()) {]=] [=[  if (true) {]=]
+  TEST batch/store_disk_test RUN work_on_a_disk_that_failed_ends_at_once_and_begins_again_with_room
+  LIBRARIES ${batch_store_libraries})
+tier_mutant(a_disk_that_refused_is_looked_at_no_more batch/store_disk.cpp
+  [=[  ArmIn(pause_);]=] ""
+  TEST batch/store_disk_test RUN a_full_disk_is_looked_at_at_least_each_second_and_moves_nothing
+  LIBRARIES ${batch_store_libraries})
+tier_mutant(room_is_looked_for_every_eight_seconds batch/store_disk.cpp
+  [=[std::min(pause_ * 2, kLongestPause)]=] [=[std::min(pause_ * 2, 8 * kLongestPause)]=]
+  TEST batch/store_disk_test RUN a_disk_that_cannot_be_opened_is_tried_again_at_least_each_second
+  LIBRARIES ${batch_store_libraries})
+tier_mutant(every_look_that_finds_room_is_a_return batch/store_disk.cpp
+  [=[  if (loop_.Now() - *taking_since_ < probation_) {]=] [=[  if (false) {]=]
+  TEST batch/store_disk_test
+  RUN a_disk_that_fails_soon_after_each_return_comes_back_ever_more_seldom
+  LIBRARIES ${batch_store_libraries})
