--- a/tests/tier/tier_seeds/mutants.cmake
+++ b/tests/tier/tier_seeds/mutants.cmake
@@ -24,3 +24,5 @@
   [=[      repeatable(request.batch]=] [=[      repeatable(true || request.batch]=])
 tier_seeds_mutant(quotas_are_not_heeded batch/job_book.cpp
   [=[  if (!Fits(submit, owner, TokensOf(submit.items))) {]=] [=[  if (false) {]=] PkgConfig::GLIB)
+tier_seeds_mutant(drains_are_not_told cluster/view_codec.cpp
+  [=[  entry.draining = reader.Bool();]=] [=[  entry.draining = reader.Bool() && false;]=])
