A list counts as late beyond what is usual, and who knows no fleet reads nothing

Cause: at half of drainMs a list of three pages at a busy core would at times count as late in calm; a proxy that knows no list of members took itself for the only one and the whole share of the rate. Items waited by any list that is too old, for good where a walk takes longer than drainMs.

Change: late beyond a walk's period, a renewal and a sixth of drainMs (1,750 ms at 3 s); the first calls of all readers are spread over a sixth. Without a list of members nothing is read.

--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -17,14 +17,15 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kModule = "proxy.list";
-// A list may be so old, as a part of the time in which a drain must bind, before it counts as late.
-// While all is well it is at most a period of the core's walks (a quarter) and a renewal's
-// interval (a sixth) old. The other half is for the first call (a quarter at most behind the slots
-// of the other readers) and for the walk (a quarter, see kWalkPart).
-constexpr int kStalePart = 2;
+// Parts of the time in which a drain must bind. A list counts as late beyond half of it, and beyond
+// what is usual: a period of the core's walks, a renewal's interval, and a sixth for a walk of some
+// pages and a busy core. At 3 s and renewals each 500 ms that is 1,750 ms. Of the rest, 500 ms at
+// most are for the slot of the first call and 750 ms for the walk (kWalkPart).
+constexpr int kLatePart = 2;
 constexpr int kCoreWalkPart = 4;
-constexpr milliseconds kNewsSlack{250};  // Walk and ways, in a cluster that renews seldom.
-constexpr int kCheckPart = 12;           // Between looks at the core, and between fetches.
+constexpr int kSlackPart = 6;
+constexpr int kSlotsPart = 6;   // The first calls of all readers are spread over it.
+constexpr int kCheckPart = 12;  // Between looks at the core, and between fetches.
 constexpr milliseconds kFetchTimeout{250};
 
 milliseconds AgeOf(net::Time read_at, net::Time now) {
@@ -47,7 +48,7 @@
   hub_.HandleCall(cluster::kListReadingKind,
                   [this](const transport::PeerIdentity&, std::string_view body,
                          const transport::Hub::Reply& reply) { reply(AnswerFetch(body)); });
-  if (make_platform_) ArmAt(loop_.Now() + StaleAfter());
+  if (make_platform_) ArmAt(loop_.Now() + LateAfter());
 }
 
 ListFallback::~ListFallback() = default;
@@ -86,14 +87,14 @@
 
 // ---- When to read ----
 
-net::Span ListFallback::StaleAfter() const {
+net::Span ListFallback::LateAfter() const {
   const net::Span drain = settings_.bounds.drain;
-  const net::Span usual = drain / kCoreWalkPart + agent_.renewal_interval() + kNewsSlack;
-  return std::max(drain / kStalePart, usual);
+  const net::Span usual = drain / kCoreWalkPart + agent_.renewal_interval() + drain / kSlackPart;
+  return std::max(drain / kLatePart, usual);
 }
 
 bool ListFallback::CoreIsFresh(net::Time now) const {
-  return now < agent_.endpoints_read_at() + StaleAfter();
+  return now < agent_.endpoints_read_at() + LateAfter();
 }
 
 void ListFallback::ArmAt(net::Time due) {
@@ -109,16 +110,25 @@
   const net::Time now = loop_.Now();
   NoteStandstill(now);
   DropOlderOwnList();
-  if (agent_.view().endpoints == nullptr) return ArmAt(now + StaleAfter());
+  if (agent_.view().endpoints == nullptr) return ArmAt(now + LateAfter());
   if (CoreIsFresh(now)) {
     Deactivate();
-    return ArmAt(agent_.endpoints_read_at() + StaleAfter());
+    return ArmAt(agent_.endpoints_read_at() + LateAfter());
   }
   // A process that stood still renews first.
   if (resumed_at_ == now) return ArmAt(now + settings_.bounds.thaw_slack);
+  Refresh();
+  ArmAt(now + settings_.bounds.drain / kCheckPart);
+}
+
+// The rate could not be shared while it is not known among how many.
+void ListFallback::Refresh() {
+  if (!agent_.view().members) {
+    refresh_failed_ = true;
+    return;
+  }
   if (!active_) Activate();
   if (!poller_) Fetch();
-  ArmAt(now + settings_.bounds.drain / kCheckPart);
 }
 
 void ListFallback::Activate() {
@@ -142,7 +152,7 @@
   events.failed = [this](const platform::CallError&) { refresh_failed_ = true; };
   poller_ = std::make_unique<platform::ListPoller>(loop_, *platform_, options, std::move(events));
   // One after the other, so that the platform is not asked by all at once.
-  const net::Span slot = settings_.bounds.drain / kWalkPart / static_cast<int>(plan.readers);
+  const net::Span slot = settings_.bounds.drain / kSlotsPart / static_cast<int>(plan.readers);
   poller_->Start(loop_.Now() + slot * static_cast<int>(rank));
 }
 
@@ -159,10 +169,8 @@
 // does not name it yet.
 std::vector<net::Address> ListFallback::Proxies() const {
   std::vector<net::Address> proxies;
-  if (agent_.view().members) {
-    for (const cluster::Member& member : agent_.view().members->all) {
-      if (member.role == "proxy") proxies.push_back(member.address);
-    }
+  for (const cluster::Member& member : agent_.view().members->all) {
+    if (member.role == "proxy") proxies.push_back(member.address);
   }
   std::sort(proxies.begin(), proxies.end());
   const net::Address& self = hub_.self().address;
--- a/src/tier/proxy/list_fallback.h
+++ b/src/tier/proxy/list_fallback.h
@@ -2,11 +2,11 @@
 // primary, a primary that does not reach the platform, a way to it that stands still.
 //
 // The agent knows when the reading began that the core's list stands for. Once that is longer ago
-// than StaleAfter, this reads the platform's list itself, or asks another proxy that does
+// than LateAfter, this reads the platform's list itself, or asks another proxy that does
 // (proxy/reading_plan.h says who), until the core's lists are fresh again. What is read holds in
 // this process alone: it is told as the list to act by, never as a version of the core's, and the
 // core's list replaces it as soon as that is known to be newer. At rest there is one check by a
-// timer in each StaleAfter.
+// timer in each LateAfter.
 #ifndef SHELFLINK_TIER_PROXY_LIST_FALLBACK_H_
 #define SHELFLINK_TIER_PROXY_LIST_FALLBACK_H_
 
@@ -55,9 +55,10 @@
   void NoteStandstill(net::Time now);
   void DropOlderOwnList();
   bool CoreIsFresh(net::Time now) const;
-  net::Span StaleAfter() const;
+  net::Span LateAfter() const;
   void ArmAt(net::Time due);
 
+  void Refresh();
   void Activate();
   void Deactivate();
   std::vector<net::Address> Proxies() const;
--- a/src/tier/proxy/list_state.h
+++ b/src/tier/proxy/list_state.h
@@ -13,10 +13,8 @@
   kStale,      // Older without an excuse.
 };
 
-// A batch item can wait in its store; by a list of which nothing is known it goes nowhere.
-inline bool ItemsMayGo(ListState state) {
-  return state == ListState::kFresh || state == ListState::kExcused;
-}
+// A batch item can wait in its store until a process that stood still has renewed.
+inline bool ItemsMayGo(ListState state) { return state != ListState::kUnrenewed; }
 
 }  // namespace shelflink::proxy
 
