--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -12,6 +12,7 @@
 #include "tier/cluster/messages.h"
 #include "tier/cluster/placement_keeper.h"
 #include "tier/cluster/relay_tree.h"
+#include "tier/cluster/same_endpoints.h"
 #include "tier/cluster/scale_duty.h"
 #include "tier/cluster/usage_duty.h"
 #include "tier/cluster/view_codec.h"
@@ -351,6 +352,7 @@
       SayNotPublished(entries);
       return false;
     }
+    withheld_list.reset();
     read_version = NextVersion();
     Publish(Part::kEndpoints, read_version, EncodeEndpoints(entries));
     SayPublished(SummaryOf(read_version, entries));
@@ -366,7 +368,10 @@
                            (in_force ? "" : "; a newer one is in force"));
   }
 
+  // The watch offers it again and again: it counts once.
   void SayNotPublished(const std::vector<EndpointEntry>& entries) {
+    if (withheld_list && SameEndpoints(*withheld_list, entries)) return;
+    withheld_list = entries;
     ++lists_not_published;
     const char* reason = leading ? "the primary's lease has lapsed" : "not the primary";
     log::Bounded(
@@ -547,6 +552,7 @@
   std::optional<EndpointSummary> published_list;  // The last that was read here.
   std::uint64_t lists_published = 0;
   std::uint64_t lists_not_published = 0;
+  std::optional<std::vector<EndpointEntry>> withheld_list;  // Read last, and not published.
   std::shared_ptr<const configuration::Configuration> configuration;
   std::function<void(const std::shared_ptr<const configuration::Configuration>&)>
       configuration_watcher;
