A platform that is slow stops the time of a drain in the invariant as well

Whether the platform is in trouble is now seen at the time of its last failed or slow call (an answer after more than a twelfth of drainMs), and excuses for half of drainMs behind it, in which a platform that answers again is read. Before, one failed try excused until the next success, however long that took: a proxy that does not read any more although the platform answers is told now.

--- a/src/tier/platform/list_poller.cpp
+++ b/src/tier/platform/list_poller.cpp
@@ -30,6 +30,11 @@
   timer_->Cancel();
 }
 
+net::Time ListPoller::trouble_seen_at() const {
+  const net::Time now = loop_.Now();
+  return awaiting_ && now - awaited_since_ > reader_.slow_answer() ? now : trouble_ended_;
+}
+
 void ListPoller::Schedule() {
   if (awaiting_) {
     timer_->ArmAt(give_up_at_);
@@ -52,6 +57,7 @@
   if (!request) return;
   const Call call{++last_call_, std::move(*request), loop_.Now()};
   awaiting_ = true;
+  awaited_since_ = call.sent;
   give_up_at_ = call.sent + reader_.answer_patience();
   platform_.List(call.request,
                  [this, run = std::weak_ptr<char>(run_), call](CallResult<InstancePage> answer) {
@@ -67,6 +73,7 @@
     return Schedule();
   }
   const net::Time now = loop_.Now();
+  if (now - call.sent > reader_.slow_answer()) trouble_ended_ = now;
   auto whole = in_time
                    ? reader_.OnPage(now, std::move(answer.value()))
                    : reader_.OnLatePage(now, call.request, call.sent, std::move(answer.value()));
@@ -81,6 +88,7 @@
 
 void ListPoller::Fail(const CallError& error) {
   awaiting_ = false;
+  trouble_ended_ = loop_.Now();
   reader_.OnFailure(loop_.Now(), error);
   if (events_.failed) events_.failed(error);
 }
--- a/src/tier/platform/list_poller.h
+++ b/src/tier/platform/list_poller.h
@@ -34,6 +34,10 @@
   void Start(net::Time first);
   void Stop();
   bool running() const { return reader_.running(); }
+  // When the platform was last seen in trouble: a call failed or its answer was slow
+  // (ListReader::slow_answer), which includes a call that has waited for so long now. net::Time():
+  // never.
+  net::Time trouble_seen_at() const;
 
  private:
   struct Call {
@@ -56,6 +60,8 @@
   std::uint64_t last_call_ = 0;
   bool awaiting_ = false;  // The last call has neither been answered nor been given up.
   net::Time give_up_at_{};
+  net::Time awaited_since_{};
+  net::Time trouble_ended_{};  // As far as it has been seen.
   std::shared_ptr<char> run_;  // Of the calls since the last start.
 };
 
--- a/src/tier/platform/list_reader.cpp
+++ b/src/tier/platform/list_reader.cpp
@@ -21,6 +21,7 @@
 // half that is promised.
 constexpr int kPatiencePart = 4;           // For an answer.
 constexpr int kPausePart = 12;             // Between failures, at the longest.
+constexpr int kSlowAnswerPart = 12;        // From here on an answer counts as slow.
 constexpr int kAdvicePart = 4;             // Heeded of a Retry-After, at the longest.
 constexpr std::uint32_t kTriesOfPage = 3;  // Then the walk starts anew.
 constexpr std::size_t kMostEntries = 200000;
@@ -57,6 +58,8 @@
 
 net::Span ListReader::answer_patience() const { return PartOf(drain_, kPatiencePart); }
 
+net::Span ListReader::slow_answer() const { return PartOf(drain_, kSlowAnswerPart); }
+
 net::Span ListReader::PauseAfterFailures() const {
   const net::Span longest = PartOf(drain_, kPausePart);
   net::Span pause = kFirstPause;
--- a/src/tier/platform/list_reader.h
+++ b/src/tier/platform/list_reader.h
@@ -50,6 +50,8 @@
   void OnFailure(net::Time now, const CallError& error);
   // How long an answer is waited for; then the call counts as failed and OnFailure is due.
   net::Span answer_patience() const;
+  // A platform that takes longer than this for an answer is slow.
+  net::Span slow_answer() const;
   // The answer of a call that was given up: taken if that page is still the one that is wanted, and
   // nothing newer has been read since.
   std::optional<std::vector<cluster::EndpointEntry>> OnLatePage(net::Time now,
--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -27,6 +27,8 @@
 constexpr int kSlotsPart = 6;   // The first calls of all readers are spread over it.
 constexpr int kCheckPart = 12;  // Between looks at the core, and between fetches.
 constexpr milliseconds kFetchTimeout{250};
+// A platform that answers again is read within this part (platform/list_reader.h).
+constexpr int kRecoveryPart = 2;
 
 milliseconds AgeOf(net::Time read_at, net::Time now) {
   return std::chrono::ceil<milliseconds>(now - read_at);
@@ -69,7 +71,15 @@
   if (now <= read_at() + settings_.bounds.drain) return ListState::kFresh;
   const bool stands_still = now > timer_due_ + settings_.bounds.thaw_slack;
   if (stands_still || now < resumed_at_ + settings_.bounds.contact) return ListState::kUnrenewed;
-  return refresh_failed_ ? ListState::kExcused : ListState::kStale;
+  return PlatformInTrouble(now) ? ListState::kExcused : ListState::kStale;
+}
+
+// The time in which a drain must bind does not run then, and there is as much left of it behind as
+// it takes to read the list.
+bool ListFallback::PlatformInTrouble(net::Time now) const {
+  net::Time seen_at = trouble_seen_at_;
+  if (poller_) seen_at = std::max(seen_at, poller_->trouble_seen_at());
+  return seen_at != net::Time() && now < seen_at + settings_.bounds.drain / kRecoveryPart;
 }
 
 // While the core's lists are late, one that comes may be older than what was read here.
@@ -124,7 +134,7 @@
 // The rate could not be shared while it is not known among how many.
 void ListFallback::Refresh() {
   if (!agent_.view().members) {
-    refresh_failed_ = true;
+    trouble_seen_at_ = loop_.Now();
     return;
   }
   if (!active_) Activate();
@@ -149,7 +159,6 @@
                                               plan.share_of_rate};
   platform::ListPoller::Events events;
   events.read = [this](Entries entries, net::Time read_at) { Take(std::move(entries), read_at); };
-  events.failed = [this](const platform::CallError&) { refresh_failed_ = true; };
   poller_ = std::make_unique<platform::ListPoller>(loop_, *platform_, options, std::move(events));
   // One after the other, so that the platform is not asked by all at once.
   const net::Span slot = settings_.bounds.drain / kSlotsPart / static_cast<int>(plan.readers);
@@ -162,7 +171,7 @@
   poller_.reset();
   platform_.reset();
   readers_.clear();
-  refresh_failed_ = false;
+  trouble_seen_at_ = {};
 }
 
 // All of the fleet, in an order that each of them finds; this one too, where the list of members
@@ -181,7 +190,6 @@
 // ---- What is read ----
 
 void ListFallback::Take(Entries entries, net::Time read_at) {
-  refresh_failed_ = false;
   own_read_at_ = read_at;
   const auto present = list();
   if (present && cluster::SameEndpoints(present->entries, entries)) return;
@@ -212,7 +220,7 @@
   Result<Entries> entries = reading ? cluster::DecodeEndpoints(reading.value().endpoints)
                                     : Result<Entries>(reading.error());
   if (!entries) {
-    refresh_failed_ = true;
+    trouble_seen_at_ = loop_.Now();
     ++turn_;
     return;
   }
--- a/src/tier/proxy/list_fallback.h
+++ b/src/tier/proxy/list_fallback.h
@@ -53,6 +53,7 @@
 
   void OnTimer();
   void NoteStandstill(net::Time now);
+  bool PlatformInTrouble(net::Time now) const;
   void DropOlderOwnList();
   bool CoreIsFresh(net::Time now) const;
   net::Span LateAfter() const;
@@ -78,7 +79,7 @@
   net::Time resumed_at_{};  // When this process started or went on after a standstill.
 
   bool active_ = false;
-  bool refresh_failed_ = false;  // The last try to read or to ask, since the last success.
+  net::Time trouble_seen_at_{};  // When a try to ask failed, or none could be made.
   std::unique_ptr<platform::Platform> platform_;
   std::unique_ptr<platform::ListPoller> poller_;  // Null unless this process reads.
   std::vector<net::Address> readers_;             // To be asked where it does not.
