A proxy that comes in touch reads an old list at once, and is bound contactMs later

It looked at the list's age only once in LateAfter (1,750 ms), and the invariant bound it by the time since its start.

The age is looked at as the first list comes; where the core has not told it, a moment later.

--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -69,11 +69,18 @@
   if (!make_platform_) return ListState::kExcused;
   const net::Time now = loop_.Now();
   if (now <= read_at() + settings_.bounds.drain) return ListState::kFresh;
-  const bool stands_still = now > timer_due_ + settings_.bounds.thaw_slack;
-  if (stands_still || now < resumed_at_ + settings_.bounds.contact) return ListState::kUnrenewed;
+  if (JustBegun(now)) return ListState::kUnrenewed;
   return PlatformInTrouble(now) ? ListState::kExcused : ListState::kStale;
 }
 
+// Has not been in touch throughout `contactMs`: it stands still or did so, or has heard nothing of
+// the core before its first list.
+bool ListFallback::JustBegun(net::Time now) const {
+  const bool stands_still = now > timer_due_ + settings_.bounds.thaw_slack;
+  const net::Time begun_at = std::max(resumed_at_, first_list_at_.value_or(now));
+  return stands_still || now < begun_at + settings_.bounds.contact;
+}
+
 // The time in which a drain must bind does not run then, and there is as much left of it behind as
 // it takes to read the list.
 bool ListFallback::PlatformInTrouble(net::Time now) const {
@@ -84,11 +91,19 @@
 
 // While the core's lists are late, one that comes may be older than what was read here.
 void ListFallback::OnCoreList() {
+  if (make_platform_ && !first_list_at_) CheckFirstList();
   if (active_ && agent_.endpoints_read_at() <= own_read_at_) return;
   own_list_.reset();
   own_read_at_ = {};
 }
 
+// It may be old already. Where its age is not known, the core may be about to tell it.
+void ListFallback::CheckFirstList() {
+  first_list_at_ = loop_.Now();
+  const bool age_known = agent_.endpoints_read_at() != net::Time();
+  ArmAt(loop_.Now() + (age_known ? net::Span() : settings_.bounds.drain / kCheckPart));
+}
+
 void ListFallback::DropOlderOwnList() {
   if (agent_.endpoints_read_at() <= own_read_at_) return;
   own_read_at_ = {};
--- a/src/tier/proxy/list_fallback.h
+++ b/src/tier/proxy/list_fallback.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "net/loop.h"
@@ -54,6 +55,8 @@
   void OnTimer();
   void NoteStandstill(net::Time now);
   bool PlatformInTrouble(net::Time now) const;
+  bool JustBegun(net::Time now) const;
+  void CheckFirstList();
   void DropOlderOwnList();
   bool CoreIsFresh(net::Time now) const;
   net::Span LateAfter() const;
@@ -77,6 +80,7 @@
   net::TimerPtr timer_;
   net::Time timer_due_{};
   net::Time resumed_at_{};  // When this process started or went on after a standstill.
+  std::optional<net::Time> first_list_at_;
 
   bool active_ = false;
   net::Time trouble_seen_at_{};  // When a try to ask failed, or none could be made.
--- a/src/tier/proxy/list_state.h
+++ b/src/tier/proxy/list_state.h
@@ -8,7 +8,7 @@
 
 enum class ListState : std::uint8_t {
   kFresh,      // Read within `drainMs`.
-  kUnrenewed,  // Older; this process has started or has stood still a moment ago.
+  kUnrenewed,  // Older; its first list came, or this process stood still, a moment ago.
   kExcused,    // Older; the platform does not answer in time, or there is none.
   kStale,      // Older without an excuse.
 };
--- a/tests/tier/proxy/stale_list_excuses_test.cpp
+++ b/tests/tier/proxy/stale_list_excuses_test.cpp
@@ -6,6 +6,8 @@
 
 #include "proxy/stale_list_scene.h"
 
+using stale_list::kDrain;
+using stale_list::Proxy;
 using stale_list::Scene;
 using stale_list::TakeViolations;
 using stand_in::milliseconds;
@@ -21,6 +23,15 @@
   for (auto& core : scene.rig.cores) core->Stop();
 }
 
+// A proxy that starts while no core process is primary, so that it knows no list yet.
+void StartWithoutCore(Scene& scene, double rate_per_s) {
+  for (auto& core : scene.rig.cores) scene.rig.platform.cut_off.insert(&core->process());
+  scene.rig.map.Elect(nullptr);
+  const auto index = static_cast<std::uint32_t>(scene.proxies.size());
+  scene.proxies.push_back(std::make_unique<Proxy>(scene.rig, index, rate_per_s));
+  scene.rig.Run(seconds(5));
+}
+
 }  // namespace
 
 // Each answer comes within the time for which it is waited for, so that no call fails; a walk of
@@ -67,3 +78,34 @@
   scene.Traffic(seconds(4));
   BOOST_TEST(!TakeViolations().empty());
 }
+
+// Whenever that list comes between two of the looks at the core.
+BOOST_AUTO_TEST_CASE(a_proxy_whose_first_list_is_old_reads_at_once) {
+  for (const milliseconds later : {milliseconds(0), milliseconds(600), milliseconds(1200)}) {
+    BOOST_TEST_CONTEXT("later by " << later.count() << " ms") {
+      Scene scene;
+      StartWithoutCore(scene, 40);
+      scene.DrainFirst();
+      scene.rig.Run(later);
+      scene.rig.Elect(1);
+      while (!scene.proxies.back()->program->ready()) scene.rig.Run(milliseconds(10));
+      scene.Traffic(milliseconds(1100));
+      const net::Time read_by = scene.rig.net.Now();
+      scene.Traffic(seconds(4));
+      BOOST_TEST(scene.servers[0]->ArrivalsAfter(read_by) == 0U);
+      BOOST_TEST(TakeViolations().empty());
+      const net::Time read_at = scene.proxies.back()->program->endpoints_read_at();
+      BOOST_TEST((read_at + kDrain >= scene.rig.net.Now()));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_first_list_is_no_excuse_once_the_proxy_has_been_in_touch_for_long_enough) {
+  Scene scene(0);
+  StartWithoutCore(scene, kTooSeldomPerS);
+  scene.rig.Elect(0);  // No other core process knows a list.
+  scene.Traffic(seconds(3));
+  BOOST_TEST(TakeViolations().empty());
+  scene.Traffic(seconds(5));
+  BOOST_TEST(!TakeViolations().empty());
+}
