Fewer proxies read a list of small pages, and silent readers are not waited for

The plan took pages for 50 entries; these held 4, and a walk of four pages at 312 ms a call, begun 400 ms behind the others, ended later than drainMs after the last reading. The number of entries is now taken from a page that others follow; fewer proxies read then, each faster, and the rest go over to asking them.

A proxy that asks goes to the next reader at once where one does not answer, and reads by itself, at a bounded pace, after two in turn. Silence of a reader says nothing of the platform and is no excuse for an old list any more.

--- a/src/tier/platform/list_poller.cpp
+++ b/src/tier/platform/list_poller.cpp
@@ -74,6 +74,9 @@
   }
   const net::Time now = loop_.Now();
   if (now - call.sent > reader_.slow_answer()) trouble_ended_ = now;
+  if (events_.page && !answer.value().next_token.empty()) {
+    events_.page(answer.value().entries.size());
+  }
   auto whole = in_time
                    ? reader_.OnPage(now, std::move(answer.value()))
                    : reader_.OnLatePage(now, call.request, call.sent, std::move(answer.value()));
--- a/src/tier/platform/list_poller.h
+++ b/src/tier/platform/list_poller.h
@@ -5,6 +5,7 @@
 #ifndef SHELFLINK_TIER_PLATFORM_LIST_POLLER_H_
 #define SHELFLINK_TIER_PLATFORM_LIST_POLLER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -21,7 +22,9 @@
     // A whole list, by id; none of it was true before `read_at`.
     std::function<void(std::vector<cluster::EndpointEntry> entries, net::Time read_at)> read;
     // A call has failed or its answer is late. May be empty.
-    std::function<void(const CallError& error)> failed;
+    std::function<void(const CallError& error)> failed = {};
+    // A page that others follow has come with so many entries. May be empty.
+    std::function<void(std::size_t entries)> page = {};
   };
 
   ListPoller(net::Loop& loop, Platform& platform, const ListReader::Options& options,
@@ -34,6 +37,8 @@
   void Start(net::Time first);
   void Stop();
   bool running() const { return reader_.running(); }
+  // Holds from the next call on.
+  void SetShareOfRate(double share) { reader_.SetShareOfRate(share); }
   // When the platform was last seen in trouble: a call failed or its answer was slow
   // (ListReader::slow_answer), which includes a call that has waited for so long now. net::Time():
   // never.
--- a/src/tier/platform/list_reader.cpp
+++ b/src/tier/platform/list_reader.cpp
@@ -52,10 +52,13 @@
 }  // namespace
 
 ListReader::ListReader(const Options& options)
-    : call_spacing_(SpacingOf(options.rate_per_s, options.share_of_rate)),
+    : rate_per_s_(options.rate_per_s),
+      call_spacing_(SpacingOf(options.rate_per_s, options.share_of_rate)),
       walk_period_(std::clamp(options.drain / kWalksPerDrain, kShortestPeriod, kLongestPeriod)),
       drain_(options.drain) {}
 
+void ListReader::SetShareOfRate(double share) { call_spacing_ = SpacingOf(rate_per_s_, share); }
+
 net::Span ListReader::answer_patience() const { return PartOf(drain_, kPatiencePart); }
 
 net::Span ListReader::slow_answer() const { return PartOf(drain_, kSlowAnswerPart); }
--- a/src/tier/platform/list_reader.h
+++ b/src/tier/platform/list_reader.h
@@ -35,6 +35,9 @@
 
   explicit ListReader(const Options& options);
 
+  // Holds from the next call on.
+  void SetShareOfRate(double share);
+
   // The first walk is due at once; what was begun before is forgotten.
   void Start(net::Time now);
   void Stop();
@@ -70,6 +73,7 @@
   net::Span PauseAfterFailures() const;
   std::vector<cluster::EndpointEntry> FinishWalk();
 
+  double rate_per_s_;
   net::Span call_spacing_;
   net::Span walk_period_;
   net::Span drain_;
--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -27,6 +27,7 @@
 constexpr int kSlotsPart = 6;   // The first calls of all readers are spread over it.
 constexpr int kCheckPart = 12;  // Between looks at the core, and between fetches.
 constexpr milliseconds kFetchTimeout{250};
+constexpr std::size_t kMostUnanswered = 2;  // Fetches in turn; then the list is read here.
 // A platform that answers again is read within this part (platform/list_reader.h).
 constexpr int kRecoveryPart = 2;
 
@@ -153,6 +154,8 @@
     return;
   }
   if (!active_) Activate();
+  const ReadingPlan plan = Plan();
+  if (poller_ && rank_ >= plan.readers && unanswered_ == 0) Ask(plan);
   if (!poller_) Fetch();
 }
 
@@ -160,32 +163,74 @@
   active_ = true;
   log::Info(kModule, "the core's list of endpoints is late: it is read here");
   const std::vector<net::Address> proxies = Proxies();
-  const ReadingPlan plan = PlanReading(settings_.cloud.rate_per_s, settings_.bounds.drain,
-                                       list()->entries.size(), proxies.size());
+  const ReadingPlan plan = Plan();
   const auto self = std::find(proxies.begin(), proxies.end(), hub_.self().address);
   const auto rank = static_cast<std::size_t>(self - proxies.begin());
-  if (rank >= plan.readers) {
-    readers_.assign(proxies.begin(), proxies.begin() + static_cast<std::ptrdiff_t>(plan.readers));
-    turn_ = rank;
-    return;
+  rank_ = rank;
+  next_reader_ = rank;
+  if (rank < plan.readers) {
+    Read(plan, rank);
+  } else {
+    Ask(plan);
   }
+}
+
+ReadingPlan ListFallback::Plan() const {
+  return PlanReading(settings_.cloud.rate_per_s, settings_.bounds.drain, list()->entries.size(),
+                     Proxies().size(), entries_of_page_);
+}
+
+// Only those that read are kept.
+void ListFallback::Ask(const ReadingPlan& plan) {
+  poller_.reset();
+  platform_.reset();
+  unanswered_ = 0;
+  readers_ = Proxies();
+  readers_.resize(plan.readers);
+}
+
+void ListFallback::Read(const ReadingPlan& plan, std::size_t rank) {
+  readers_.clear();
   platform_ = make_platform_();
   const platform::ListReader::Options options{settings_.cloud.rate_per_s, settings_.bounds.drain,
                                               plan.share_of_rate};
   platform::ListPoller::Events events;
   events.read = [this](Entries entries, net::Time read_at) { Take(std::move(entries), read_at); };
+  events.page = [this](std::size_t entries) { NotePage(entries); };
   poller_ = std::make_unique<platform::ListPoller>(loop_, *platform_, options, std::move(events));
   // One after the other, so that the platform is not asked by all at once.
   const net::Span slot = settings_.bounds.drain / kSlotsPart / static_cast<int>(plan.readers);
   poller_->Start(loop_.Now() + slot * static_cast<int>(rank));
 }
 
+// Smaller pages make longer walks, and so fewer readers that call more often. One that is not among
+// them any more goes over to asking at the next look: its poller calls this.
+void ListFallback::NotePage(std::size_t entries) {
+  if (entries == 0 || entries == entries_of_page_) return;
+  entries_of_page_ = entries;
+  const ReadingPlan plan = Plan();
+  if (rank_ < plan.readers) {
+    poller_->SetShareOfRate(plan.share_of_rate);
+  } else {
+    ArmAt(loop_.Now());
+  }
+}
+
+// No reader answers this process. It reads at the pace of one of as many readers as there are
+// proxies, so that all of them together stay within one more share of the rate.
+void ListFallback::ReadUnanswered() {
+  log::Info(kModule, "no proxy that reads the list of endpoints answers: it is read here");
+  const std::size_t proxies = Proxies().size();
+  Read({proxies, kProxiesShareOfRate / static_cast<double>(proxies)}, 0);
+}
+
 void ListFallback::Deactivate() {
   if (!std::exchange(active_, false)) return;
   log::Info(kModule, "the core's list of endpoints is fresh again");
   poller_.reset();
   platform_.reset();
   readers_.clear();
+  unanswered_ = 0;
   trouble_seen_at_ = {};
 }
 
@@ -218,7 +263,7 @@
   if (fetching_ || readers_.empty()) return;
   fetching_ = true;
   const net::Time sent = loop_.Now();
-  const net::Address& reader = readers_[turn_ % readers_.size()];
+  const net::Address& reader = readers_[next_reader_ % readers_.size()];
   hub_.Call(reader, cluster::kListReadingKind, Encode(ListReadingFetch{AgeOf(read_at(), sent)}),
             kFetchTimeout,
             [this, alive = std::weak_ptr<char>(life_), sent](const Result<std::string>& body) {
@@ -234,9 +279,13 @@
       body ? cluster::DecodeListReading(body.value()) : Result<ListReading>(body.error());
   Result<Entries> entries = reading ? cluster::DecodeEndpoints(reading.value().endpoints)
                                     : Result<Entries>(reading.error());
+  const bool answered = body || body.error().code == ErrorCode::kNotFound;
+  unanswered_ = answered ? 0 : unanswered_ + 1;
   if (!entries) {
-    trouble_seen_at_ = loop_.Now();
-    ++turn_;
+    if (answered) trouble_seen_at_ = loop_.Now();  // The reader has nothing newer.
+    ++next_reader_;
+    if (unanswered_ >= kMostUnanswered) return ReadUnanswered();
+    if (!answered) Fetch();
     return;
   }
   const net::Time read_at = sent - reading.value().age;
--- a/src/tier/proxy/list_fallback.h
+++ b/src/tier/proxy/list_fallback.h
@@ -65,6 +65,11 @@
   void Refresh();
   void Activate();
   void Deactivate();
+  ReadingPlan Plan() const;
+  void Read(const ReadingPlan& plan, std::size_t rank);
+  void Ask(const ReadingPlan& plan);
+  void NotePage(std::size_t entries);
+  void ReadUnanswered();
   std::vector<net::Address> Proxies() const;
   void Take(Entries entries, net::Time read_at);
   void Fetch();
@@ -87,8 +92,11 @@
   std::unique_ptr<platform::Platform> platform_;
   std::unique_ptr<platform::ListPoller> poller_;  // Null unless this process reads.
   std::vector<net::Address> readers_;             // To be asked where it does not.
-  std::size_t turn_ = 0;                          // Which of them is asked next.
+  std::size_t rank_ = 0;                          // Of this one among the proxies.
+  std::size_t next_reader_ = 0;                   // Which of them is asked next.
   bool fetching_ = false;
+  std::size_t unanswered_ = 0;                    // Fetches since the last answer.
+  std::size_t entries_of_page_ = kEntriesOfPage;  // As the platform's pages have shown.
 
   std::shared_ptr<const cluster::EndpointList> own_list_;  // Null: the core's holds.
   net::Time own_read_at_{};
--- a/src/tier/proxy/reading_plan.cpp
+++ b/src/tier/proxy/reading_plan.cpp
@@ -6,9 +6,9 @@
 namespace shelflink::proxy {
 
 ReadingPlan PlanReading(double rate_per_s, std::chrono::milliseconds drain, std::size_t endpoints,
-                        std::size_t proxies) {
+                        std::size_t proxies, std::size_t entries_of_page) {
   const std::size_t pages =
-      std::max<std::size_t>(1, (endpoints + kEntriesOfPage - 1) / kEntriesOfPage);
+      std::max<std::size_t>(1, (endpoints + entries_of_page - 1) / entries_of_page);
   const double walk_s = std::chrono::duration<double>(drain).count() / kWalkPart;
   const double calls = std::max(0.0, rate_per_s) * kProxiesShareOfRate * walk_s;
   const double most = std::max<double>(1.0, static_cast<double>(proxies));
--- a/src/tier/proxy/reading_plan.h
+++ b/src/tier/proxy/reading_plan.h
@@ -11,8 +11,7 @@
 // Of the platform's rate, for all proxies together; a primary that is cut off may use the other
 // half (platform::kCoreShareOfRate), and some is left for calls that meet at the platform.
 constexpr double kProxiesShareOfRate = 0.4;
-// Entries on one page of the platform's list, as far as the number of readers goes by it. Smaller
-// pages make walks longer; the rate is kept whatever a page holds.
+// Entries on one page of the platform's list, until a page has shown how many it holds.
 constexpr std::size_t kEntriesOfPage = 50;
 // Each reader reads a whole list within this part of the time in which a drain must bind.
 constexpr int kWalkPart = 4;
@@ -22,9 +21,9 @@
   double share_of_rate = 0.0;  // Of one reader.
 };
 
-// `proxies`: of the fleet, this one among them.
+// `proxies`: of the fleet, this one among them. `entries_of_page`: at least one.
 ReadingPlan PlanReading(double rate_per_s, std::chrono::milliseconds drain, std::size_t endpoints,
-                        std::size_t proxies);
+                        std::size_t proxies, std::size_t entries_of_page = kEntriesOfPage);
 
 }  // namespace shelflink::proxy
 
--- a/tests/tier/proxy/mutants.cmake
+++ b/tests/tier/proxy/mutants.cmake
@@ -146,3 +146,10 @@
   tier/proxy/list_fallback.cpp
   [=[  return stands_still || now < begun_at + settings_.bounds.contact;]=]
   [=[  return stands_still || begun_at != net::Time();]=])
+proxy_mutant(pages_always_hold_fifty stale_list_excuses a_drain_binds_with_pages_that_are_small
+  tier/proxy/list_fallback.cpp
+  [=[  entries_of_page_ = entries;]=] "")
+proxy_mutant(silent_readers_are_waited_for stale_list_excuses
+  a_drain_binds_at_proxies_whose_readers_are_all_cut_off
+  tier/proxy/list_fallback.cpp
+  [=[ return ReadUnanswered();]=] [=[ return;]=])
--- a/tests/tier/proxy/stale_list_excuses_test.cpp
+++ b/tests/tier/proxy/stale_list_excuses_test.cpp
@@ -109,3 +109,30 @@
   scene.Traffic(seconds(5));
   BOOST_TEST(!TakeViolations().empty());
 }
+
+// At the pace of five readers, four pages would take longer than the last of them has.
+BOOST_AUTO_TEST_CASE(a_drain_binds_with_pages_that_are_small) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      Scene scene(5, seed);
+      scene.AddOthers(12);
+      scene.rig.platform.page_size = 4;
+      scene.Traffic(milliseconds(2000 + 150 * seed));
+      StopCore(scene);
+      scene.Traffic(milliseconds(300 * (seed - 1)));
+      scene.CheckDrainBinds();
+      BOOST_TEST(scene.ListCalls(seconds(10)) <= 160U + 5U);  // 0.4 of the rate; one begun of each.
+    }
+  }
+}
+
+// Silence, as of a cut: neither of the two that read answers those that ask.
+BOOST_AUTO_TEST_CASE(a_drain_binds_at_proxies_whose_readers_are_all_cut_off) {
+  Scene scene(6, 1, 9);
+  scene.Traffic(seconds(1));
+  StopCore(scene);
+  for (std::size_t index = 0; index < 2; ++index) scene.proxies[index]->SetPaused(true);
+  scene.Traffic(seconds(1));
+  scene.CheckDrainBinds();
+  BOOST_TEST(scene.ListCalls(seconds(10)) <= 36U);  // 0.4 of the rate.
+}
