--- a/src/tier/platform/list_poller.h
+++ b/src/tier/platform/list_poller.h
@@ -5,6 +5,7 @@
 #ifndef SHELFLINK_TIER_PLATFORM_LIST_POLLER_H_
 #define SHELFLINK_TIER_PLATFORM_LIST_POLLER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -21,7 +22,9 @@
     // A whole list, by id; none of it was true before `read_at`.
     std::function<void(std::vector<cluster::EndpointEntry> entries, net::Time read_at)> read;
     // A call has failed or its answer is late. May be empty.
-    std::function<void(const CallError& error)> failed;
+    std::function<void(const CallError& error)> failed = {};
+    // A page that others follow has come with so many entries. May be empty.
+    std::function<void(std::size_t entries)> page = {};
   };
 
   ListPoller(net::Loop& loop, Platform& platform, const ListReader::Options& options,
@@ -34,6 +37,12 @@
   void Start(net::Time first);
   void Stop();
   bool running() const { return reader_.running(); }
+  // Holds from the next call on.
+  void SetShareOfRate(double share) { reader_.SetShareOfRate(share); }
+  // When the platform was last seen in trouble: a call failed or its answer was slow
+  // (ListReader::slow_answer), which includes a call that has waited for so long now. net::Time():
+  // never.
+  net::Time trouble_seen_at() const;
 
  private:
   struct Call {
@@ -56,6 +65,8 @@
   std::uint64_t last_call_ = 0;
   bool awaiting_ = false;  // The last call has neither been answered nor been given up.
   net::Time give_up_at_{};
+  net::Time awaited_since_{};
+  net::Time trouble_ended_{};  // As far as it has been seen.
   std::shared_ptr<char> run_;  // Of the calls since the last start.
 };
 
--- a/src/tier/platform/list_reader.cpp
+++ b/src/tier/platform/list_reader.cpp
@@ -21,6 +21,7 @@
 // half that is promised.
 constexpr int kPatiencePart = 4;           // For an answer.
 constexpr int kPausePart = 12;             // Between failures, at the longest.
+constexpr int kSlowAnswerPart = 12;        // From here on an answer counts as slow.
 constexpr int kAdvicePart = 4;             // Heeded of a Retry-After, at the longest.
 constexpr std::uint32_t kTriesOfPage = 3;  // Then the walk starts anew.
 constexpr std::size_t kMostEntries = 200000;
@@ -51,12 +52,17 @@
 }  // namespace
 
 ListReader::ListReader(const Options& options)
-    : call_spacing_(SpacingOf(options.rate_per_s, options.share_of_rate)),
+    : rate_per_s_(options.rate_per_s),
+      call_spacing_(SpacingOf(options.rate_per_s, options.share_of_rate)),
       walk_period_(std::clamp(options.drain / kWalksPerDrain, kShortestPeriod, kLongestPeriod)),
       drain_(options.drain) {}
 
+void ListReader::SetShareOfRate(double share) { call_spacing_ = SpacingOf(rate_per_s_, share); }
+
 net::Span ListReader::answer_patience() const { return PartOf(drain_, kPatiencePart); }
 
+net::Span ListReader::slow_answer() const { return PartOf(drain_, kSlowAnswerPart); }
+
 net::Span ListReader::PauseAfterFailures() const {
   const net::Span longest = PartOf(drain_, kPausePart);
   net::Span pause = kFirstPause;
--- a/src/tier/platform/list_reader.h
+++ b/src/tier/platform/list_reader.h
@@ -35,6 +35,9 @@
 
   explicit ListReader(const Options& options);
 
+  // Holds from the next call on.
+  void SetShareOfRate(double share);
+
   // The first walk is due at once; what was begun before is forgotten.
   void Start(net::Time now);
   void Stop();
@@ -50,6 +53,8 @@
   void OnFailure(net::Time now, const CallError& error);
   // How long an answer is waited for; then the call counts as failed and OnFailure is due.
   net::Span answer_patience() const;
+  // A platform that takes longer than this for an answer is slow.
+  net::Span slow_answer() const;
   // The answer of a call that was given up: taken if that page is still the one that is wanted, and
   // nothing newer has been read since.
   std::optional<std::vector<cluster::EndpointEntry>> OnLatePage(net::Time now,
@@ -68,6 +73,7 @@
   net::Span PauseAfterFailures() const;
   std::vector<cluster::EndpointEntry> FinishWalk();
 
+  double rate_per_s_;
   net::Span call_spacing_;
   net::Span walk_period_;
   net::Span drain_;
--- a/src/tier/proxy/list_fallback.h
+++ b/src/tier/proxy/list_fallback.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "net/loop.h"
@@ -53,6 +54,9 @@
 
   void OnTimer();
   void NoteStandstill(net::Time now);
+  bool PlatformInTrouble(net::Time now) const;
+  bool JustBegun(net::Time now) const;
+  void CheckFirstList();
   void DropOlderOwnList();
   bool CoreIsFresh(net::Time now) const;
   net::Span LateAfter() const;
@@ -61,6 +65,11 @@
   void Refresh();
   void Activate();
   void Deactivate();
+  ReadingPlan Plan() const;
+  void Read(const ReadingPlan& plan, std::size_t rank);
+  void Ask(const ReadingPlan& plan);
+  void NotePage(std::size_t entries);
+  void ReadUnanswered();
   std::vector<net::Address> Proxies() const;
   void Take(Entries entries, net::Time read_at);
   void Fetch();
@@ -76,14 +85,18 @@
   net::TimerPtr timer_;
   net::Time timer_due_{};
   net::Time resumed_at_{};  // When this process started or went on after a standstill.
+  std::optional<net::Time> first_list_at_;
 
   bool active_ = false;
-  bool refresh_failed_ = false;  // The last try to read or to ask, since the last success.
+  net::Time trouble_seen_at_{};  // When a try to ask failed, or none could be made.
   std::unique_ptr<platform::Platform> platform_;
   std::unique_ptr<platform::ListPoller> poller_;  // Null unless this process reads.
   std::vector<net::Address> readers_;             // To be asked where it does not.
-  std::size_t turn_ = 0;                          // Which of them is asked next.
+  std::size_t rank_ = 0;                          // Of this one among the proxies.
+  std::size_t next_reader_ = 0;                   // Which of them is asked next.
   bool fetching_ = false;
+  std::size_t unanswered_ = 0;                    // Fetches since the last answer.
+  std::size_t entries_of_page_ = kEntriesOfPage;  // As the platform's pages have shown.
 
   std::shared_ptr<const cluster::EndpointList> own_list_;  // Null: the core's holds.
   net::Time own_read_at_{};
