Storage: a short file is opened if it has every page in use

Cause: LMDB counts pages that were allocated and freed within one commit and does not write them. Where they are the last ones, a whole file is shorter than its count, and CheckLength took it for a damaged one: the folder was set aside and the disk came back empty under a new identity. A learner that took an entry and the word that it is committed in one turn of the loop left such files.

Change: where the file is shorter than counted, the trees of the newest commit are followed with reads of the file (lmdb_pages.h); it is damaged only if a page in use lies beyond its end. Commits are as before, so there is no new moment for a loss of power, and files that are short already are opened. Weighed against lengthening around each commit in docs/design/full-disks.md, whose point 7 was false. The class Descriptor moves to a header of its own.

Result (Debug, sanitizers): before, recovery_test failed (20 checks) and learner_file_test failed; now both pass, and storage_test, failing_writes_test, full_disk_test, return_test and catch_up_test do. The mutant is found. A trial that opens each short file ended with SIGBUS in the new test; it is not among the mutants, which must fail by a check.

--- a/src/tier/storage/lmdb_file.cpp
+++ b/src/tier/storage/lmdb_file.cpp
@@ -1,42 +1,24 @@
 #include "tier/storage/lmdb_file.h"
 
-#include <fcntl.h>
 #include <lmdb.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include <cerrno>
 #include <filesystem>
 #include <system_error>
 
+#include "tier/storage/descriptor.h"
+
 namespace shelflink::storage {
 
 namespace {
 
 namespace fs = std::filesystem;
 
-constexpr mode_t kFileMode = 0600;
 constexpr std::size_t kProofBytes = 64U << 10;
 
 std::string FileIn(const std::string& folder) { return folder + "/data.mdb"; }
 
-// Closes a descriptor at the end of its scope.
-class Descriptor {
- public:
-  Descriptor(const std::string& path, int flags)
-      : number_(::open(path.c_str(), flags | O_CLOEXEC, kFileMode)) {}
-  ~Descriptor() {
-    if (number_ >= 0) ::close(number_);
-  }
-  Descriptor(const Descriptor&) = delete;
-  Descriptor& operator=(const Descriptor&) = delete;
-  bool open() const { return number_ >= 0; }
-  int number() const { return number_; }
-
- private:
-  int number_;
-};
-
 int WriteAll(int descriptor, const std::string& bytes) {
   std::size_t written = 0;
   while (written < bytes.size()) {
@@ -75,7 +57,8 @@
   if (code != 0) return code;
   code = mdb_env_set_mapsize(environment, bytes_limit);
   if (code == 0) {
-    code = mdb_env_open(environment, path.c_str(), MDB_NOLOCK | MDB_NOSUBDIR, kFileMode);
+    code =
+        mdb_env_open(environment, path.c_str(), MDB_NOLOCK | MDB_NOSUBDIR, Descriptor::kFileMode);
   }
   if (code == 0) code = mdb_env_sync(environment, 1);
   mdb_env_close(environment);
--- a/src/tier/storage/lmdb_storage.cpp
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -11,6 +11,7 @@
 #include "mix.h"
 #include "tier/foundation/log.h"
 #include "tier/storage/lmdb_file.h"
+#include "tier/storage/lmdb_pages.h"
 
 namespace shelflink::storage {
 
@@ -108,16 +109,19 @@
   return OpenTable();
 }
 
-// A file shorter than its pages would end the process at the first read beyond its end.
+// A read beyond the end of the file would end the process: a file that is shorter than LMDB counts
+// is opened only if it has each page that is in use.
 int LmdbStorage::CheckLength() const {
   MDB_envinfo info{};
   MDB_stat stat{};
   struct stat file {};
   mdb_env_info(environment_, &info);
   mdb_env_stat(environment_, &stat);
-  const std::uint64_t told = (std::uint64_t{info.me_last_pgno} + 1) * stat.ms_psize;
-  if (::stat((options_.folder + "/data.mdb").c_str(), &file) != 0) return MDB_CORRUPTED;
-  return static_cast<std::uint64_t>(file.st_size) < told ? MDB_CORRUPTED : 0;
+  const std::string path = options_.folder + "/data.mdb";
+  const std::uint64_t counted = (std::uint64_t{info.me_last_pgno} + 1) * stat.ms_psize;
+  if (::stat(path.c_str(), &file) != 0) return errno;
+  if (static_cast<std::uint64_t>(file.st_size) >= counted) return 0;
+  return CheckPagesInUse(path, stat.ms_psize, info.me_last_txnid);
 }
 
 int LmdbStorage::OpenTable() {
--- a/tests/tier/storage/mutants.cmake
+++ b/tests/tier/storage/mutants.cmake
@@ -14,3 +14,7 @@
       return Failure::kDamaged;]=]
   TEST storage/recovery_test RUN a_map_without_room_stays_full_and_whole
   LIBRARIES shelflink_tier_storage)
+tier_mutant(any_short_file_is_taken_for_a_damaged_one storage/lmdb_storage.cpp
+  [=[  return CheckPagesInUse(path, stat.ms_psize, info.me_last_txnid);]=] [=[  return MDB_CORRUPTED;]=]
+  TEST storage/recovery_test RUN a_value_that_came_and_went_before_a_sync_is_no_damage
+  LIBRARIES shelflink_tier_storage)
--- a/tests/tier/storage/recovery_test.cpp
+++ b/tests/tier/storage/recovery_test.cpp
@@ -128,6 +128,40 @@
   BOOST_TEST(!std::filesystem::exists(folder.path / "core.damaged"));
 }
 
+// What came and went within one sync may have been given the last pages of the file, which LMDB
+// counts and never writes then: the file is shorter than it says and yet whole.
+BOOST_AUTO_TEST_CASE(a_value_that_came_and_went_before_a_sync_is_no_damage) {
+  const Folder folder;
+  StepLoop loop;
+  int stored = 0;
+  {
+    const auto opened = LmdbStorage::Open(loop, folder.Options());
+    BOOST_REQUIRE(opened.has_value());
+    LmdbStorage& storage = *opened.value();
+    for (; stored < 8; ++stored) {
+      BOOST_TEST(Stores(loop, storage, Batch().Put(KeyOf(stored), std::string(kValue, 'v'))));
+    }
+    // Free pages from before are looked at, as in any file that has lived for a while.
+    BOOST_TEST(Stores(loop, storage, Batch().Put("other", "1")));
+    BOOST_TEST(Stores(loop, storage, Batch().Put("other", "2")));
+    storage.Apply(Batch().Put("tail", std::string(4 * kValue, 't')));
+    BOOST_TEST(Stores(loop, storage, Batch().Remove("tail")));
+    BOOST_TEST(!storage.failed());
+    {
+      const FileSizeLimit limit(kNoProof);
+      BOOST_TEST(!Stores(loop, storage, Batch().Put("refused", std::string(kValue, 'v'))));
+      BOOST_TEST((storage.failure() == Failure::kFull));
+    }
+    BOOST_REQUIRE(storage.Recover().has_value());
+    CheckHolds(storage, stored);
+    BOOST_TEST(!std::filesystem::exists(folder.path / "core.damaged"));
+  }
+  const auto again = LmdbStorage::Open(loop, folder.Options());
+  BOOST_REQUIRE(again.has_value());
+  CheckHolds(*again.value(), stored);
+  BOOST_TEST(!std::filesystem::exists(folder.path / "core.damaged"));
+}
+
 // No attempt makes room in a map; what is stored stays, also for a larger one.
 BOOST_AUTO_TEST_CASE(a_map_without_room_stays_full_and_whole) {
   const Folder folder;
--- a/tests/tier/storage/storage_test.cpp
+++ b/tests/tier/storage/storage_test.cpp
@@ -111,6 +111,55 @@
   CheckSetAside(loop, folder);
 }
 
+// Small values, large ones, and pages that are free again: several levels of pages.
+std::size_t WriteMany(StepLoop& loop, const Folder& folder) {
+  const auto opened = LmdbStorage::Open(loop, folder.Options());
+  BOOST_REQUIRE(opened.has_value());
+  LmdbStorage& storage = *opened.value();
+  const auto sync = [&] {
+    storage.Sync([](const Result<void>&) {});
+    loop.Run();
+  };
+  for (int number = 0; number < 300; ++number) {
+    const std::size_t size = number % 25 == 0 ? 9000 : 200;
+    storage.Apply(Batch().Put("key" + std::to_string(number), std::string(size, 'v')));
+    if (number % 20 == 19) sync();
+  }
+  storage.Apply(Batch().Put("tail", std::string(100000, 't')));
+  storage.Apply(Batch().Remove("tail"));
+  sync();
+  BOOST_REQUIRE(!storage.failed());
+  return KeysOf(storage, "").size();
+}
+
+// Everything or nothing, and never a read beyond the end, which would end this test.
+BOOST_AUTO_TEST_CASE(a_file_cut_anywhere_is_whole_or_set_aside) {
+  const Folder folder;
+  StepLoop loop;
+  const std::size_t stored = WriteMany(loop, folder);
+  const auto core = folder.path / "core";
+  const auto damaged = folder.path / "core.damaged";
+  const auto whole = folder.path / "whole";
+  std::filesystem::rename(core, whole);
+  constexpr std::uintmax_t kPage = 4096;
+  constexpr std::uintmax_t kStep = 3 * kPage / 2;  // Cuts at the end of a page and within one.
+  const std::uintmax_t size = std::filesystem::file_size(whole / "data.mdb");
+  int set_aside = 0;
+  for (std::uintmax_t length = size; length >= kPage; length -= kStep) {
+    std::filesystem::remove_all(core);
+    std::filesystem::remove_all(damaged);
+    std::filesystem::copy(whole, core);
+    std::filesystem::resize_file(core / "data.mdb", length);
+    const auto opened = LmdbStorage::Open(loop, folder.Options());
+    BOOST_REQUIRE(opened.has_value());
+    const bool aside = std::filesystem::exists(damaged);
+    BOOST_TEST(KeysOf(*opened.value(), "").size() == (aside ? 0 : stored));
+    if (aside) ++set_aside;
+    if (length == size) BOOST_TEST(!aside);
+  }
+  BOOST_TEST(set_aside > 20);
+}
+
 BOOST_AUTO_TEST_CASE(a_file_of_something_else_is_set_aside) {
   const Folder folder;
   StepLoop loop;
