Core: a disk that fails after each recovery is tried once a second

Cause: DiskHealth::Refuses kept the pause where a disk failed again soon after a recovery. A disk with room for the probes and not for the next entry was tried every 100 ms for ever, with two lines in the log each time.

Change: such a failure doubles the pause, as a failed attempt does. Of each of the two lines at most one a minute is told, with the number of those held back.

--- a/src/tier/coordination/disk_health.cpp
+++ b/src/tier/coordination/disk_health.cpp
@@ -13,7 +13,7 @@
 
 void DiskHealth::Refuses(net::Time now) {
   const bool again = status_.recoveries > 0 && now - status_.since < kForgotten;
-  pause_ = again ? pause_ : kShortestPause;
+  pause_ = again ? std::min(2 * pause_, kLongestPause) : kShortestPause;
   next_attempt_ = now + pause_;
   status_.refuses = true;
   status_.since = now;
--- a/src/tier/coordination/disk_health.h
+++ b/src/tier/coordination/disk_health.h
@@ -17,8 +17,8 @@
   std::uint64_t recoveries = 0;  // Times that it took writes again.
 };
 
-// Attempts to recover lie further and further apart, up to a second. One that fails again soon
-// after a recovery is tried as seldom as before.
+// Attempts to recover lie further and further apart, up to a second. A failure soon
+// after a recovery counts as one more attempt that failed.
 class DiskHealth {
  public:
   void Refuses(net::Time now);
--- a/src/tier/coordination/group.cpp
+++ b/src/tier/coordination/group.cpp
@@ -188,10 +188,11 @@
 // that found the failure leaves this process.
 void Group::OnDiskFailure() {
   const std::uint64_t epoch = member_ ? member_->record().number : 0;
-  log::Line(log::Level::kError, kModule,
-            std::string("the disk refuses (") + storage::NameOf(storage_->failure()) +
-                "): " + storage_->failure_text() +
-                "; this process is no member until it takes writes again");
+  log::Bounded(log::Level::kError, kModule, "refuses",
+               std::string("the disk refuses (") + storage::NameOf(storage_->failure()) +
+                   "): " + storage_->failure_text() +
+                   "; this process is no member until it takes writes again",
+               MicrosOf(loop_.Now()));
   disk_health_.Refuses(loop_.Now());
   running_ = false;
   if (told_primary_) ToldRole({false, epoch});
@@ -224,8 +225,10 @@
 
 void Group::OnRecovered() {
   const net::Time now = loop_.Now();
-  log::Line(log::Level::kInfo, kModule,
-            "the disk takes writes again after " + SecondsText(now - disk_health_.status().since));
+  log::Bounded(
+      log::Level::kInfo, kModule, "takes writes",
+      "the disk takes writes again after " + SecondsText(now - disk_health_.status().since),
+      MicrosOf(now));
   disk_health_.TakesWrites(now);
   StartMember();
 }
