Core: a process whose disk refuses stays while a record names its disk

Cause: after a failure the member has no disk, so Transfer compared an empty identity with the record and answered at once that nothing is held here: SIGTERM ended a process whose disk still counted as a copy.

Change: while the disk refuses, Group judges by the identity that it has read from the disk, and answers "not yet" while the record names it, or where record or identity are unknown. The process asks again until half of graceS, as before.

Tests: new, full_disk_test/a_process_whose_disk_refuses_stays_while_a_ record_names_the_disk, with a mutant. Changed, stricter: a_process_whose_disk_refuses_knows_the_primary_and_may_end also checks that the record names the disk no more.

--- a/src/tier/coordination/group.cpp
+++ b/src/tier/coordination/group.cpp
@@ -502,12 +502,25 @@
     loop_.Post([done = std::move(done)] { done(false); });
     return;
   }
+  // The member has no disk meanwhile, and knows nothing of the one that refuses.
+  if (failed()) {
+    loop_.Post([done = std::move(done), released = !MayHoldReplica(), alive = alive_] {
+      if (*alive) done(released);
+    });
+    return;
+  }
   transferred_ = std::move(done);
   transfer_begun_ = false;
   transfer_from_ = loop_.Now();
   if (!running_) Pump();
 }
 
+bool Group::MayHoldReplica() const {
+  const Record& record = member_->record();
+  if (record.number == 0 || identity_.empty()) return true;
+  return FindDisk(record.replicas, identity_) != nullptr;
+}
+
 void Group::BeginTransfer() {
   transfer_begun_ = true;
   Run([this](Step& step, MemberOutput& out) { member_->Transfer(step, out); });
--- a/src/tier/coordination/group.h
+++ b/src/tier/coordination/group.h
@@ -115,6 +115,9 @@
   void TryRecovery();
   void OnRecovered();
   void OnRecoveryFailed();
+  // Whether the newest record that is known may name the disk of this process, also while it
+  // refuses.
+  bool MayHoldReplica() const;
   void BeginTransfer();
   void EndTransfer(bool moved);
   void SayIfStuck(net::Time now);
--- a/tests/tier/coordination/full_disk_mutants.cmake
+++ b/tests/tier/coordination/full_disk_mutants.cmake
@@ -25,6 +25,9 @@
 full_disk_mutant(a_system_whose_disks_are_all_full_at_its_first_start_is_founded_later
   a_full_disk_at_the_first_start_founds_nothing coordination/group.cpp
   [=[  member.found = has_disk && may_found_;]=] [=[  member.found = has_disk && may_found_ && life_ == 1;]=])
+full_disk_mutant(a_process_whose_disk_refuses_stays_while_a_record_names_the_disk
+  a_process_whose_disk_refuses_may_end_at_once coordination/group.cpp
+  [=[released = !MayHoldReplica()]=] [=[released = true]=])
 
 # Answers of processes whose disks refuse.
 tier_mutant(an_answer_without_a_disk_counts_as_a_replaced_witness coordination/record.cpp
--- a/tests/tier/coordination/full_disk_test.cpp
+++ b/tests/tier/coordination/full_disk_test.cpp
@@ -155,19 +155,55 @@
   CheckWhole(core.cluster, 3, 3);
 }
 
+bool NamesReplica(const Group& group, const std::string& disk) {
+  return FindDisk(group.member().record().replicas, disk) != nullptr;
+}
+
+// What a process that is told to end is answered.
+bool MayEnd(Cluster& cluster, Group& group) {
+  std::optional<bool> moved;
+  group.Transfer([&](bool result) { moved = result; });
+  BOOST_TEST(cluster.RunUntil([&] { return moved.has_value(); }, milliseconds(100)));
+  return moved.value_or(false);
+}
+
 BOOST_AUTO_TEST_CASE(a_process_whose_disk_refuses_knows_the_primary_and_may_end) {
   Core core;
   const std::size_t full = core.IndexOfPrimary();
+  const std::string disk = core.cluster.At(full).group().member().options().self.disk;
   core.cluster.At(full).disk.SetFull(true);
   BOOST_REQUIRE(core.cluster.Put("second", "2", seconds(4)));
   core.cluster.Run(seconds(1));
   Group& group = core.cluster.At(full).group();
   BOOST_TEST(group.failed());
   BOOST_TEST((group.primary() == core.cluster.ThePrimary().address()));
-  std::optional<bool> moved;
-  group.Transfer([&](bool result) { moved = result; });
-  core.cluster.Run(milliseconds(100));
-  BOOST_TEST(moved.value_or(false));
+  BOOST_TEST(!NamesReplica(core.cluster.ThePrimary().group(), disk));
+  BOOST_TEST(MayEnd(core.cluster, group));
+}
+
+// The third disk is away, so that no record can name another in place of the one that refuses.
+BOOST_AUTO_TEST_CASE(a_process_whose_disk_refuses_stays_while_a_record_names_the_disk) {
+  Core core;
+  Machine& primary = core.cluster.ThePrimary();
+  Machine& full = core.cluster.At(core.IndexOfBackup());
+  Machine& away = core.cluster.At((core.IndexOfPrimary() + 2) % 3);
+  const std::string disk = full.group().member().options().self.disk;
+  away.Stop();
+  BOOST_REQUIRE(core.cluster.Put("second", "2", seconds(4)));
+  full.disk.SetFull(true);
+  core.cluster.Put("third", "3", milliseconds(50));
+  for (int i = 0; i < 10; ++i) {
+    BOOST_REQUIRE(full.group().failed());
+    BOOST_REQUIRE(NamesReplica(primary.group(), disk));
+    BOOST_TEST(!MayEnd(core.cluster, full.group()));
+    core.cluster.Run(milliseconds(200));
+  }
+  away.Start(false);
+  BOOST_TEST(core.cluster.RunUntil([&] { return MayEnd(core.cluster, full.group()); }, kRecovery));
+  BOOST_TEST(full.group().failed());
+  BOOST_TEST(!NamesReplica(core.cluster.ThePrimary().group(), disk));
+  full.disk.SetFull(false);
+  CheckWhole(core.cluster, 3, 3);
 }
 
 BOOST_AUTO_TEST_CASE(who_comes_back_is_another_incarnation_and_counts_its_failures) {
