The next proxies read the platform's list where the chosen readers do not

Cause: while control was down, the readers of the platform's list were fixed once, by address. With one reader (from seven pages on at 44 calls a second) nobody read once that one had ended or did not reach the platform. Besides, any failed question to a peer, "nothing newer" included, excused the age of the list.

Change: the fleet is cut into groups of as many readers as share the rate (reader_choice). Once all readers of the first group have failed a proxy in one round, the next group is in charge; who stands in goes on asking the first and stops once it reads. A reader says whether it reads and whether the platform answers it; one that reads in vain asks others. The plan is made anew at each failure. Only a second group that tells of the platform's trouble excuses the age of the list.

--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include "tier/cluster/messages.h"
@@ -29,6 +30,17 @@
 constexpr milliseconds kFetchTimeout{250};
 // A platform that answers again is read within this part (platform/list_reader.h).
 constexpr int kRecoveryPart = 2;
+// What a proxy answers that has no newer list to give; all other errors count as silence.
+constexpr ErrorCode kNothingNewerCode = ErrorCode::kNotFound;
+constexpr ErrorCode kTroubleCode = ErrorCode::kUnavailable;
+constexpr ErrorCode kNotReadingCode = ErrorCode::kConflict;
+
+ReaderAnswer AnswerOf(const Error& error) {
+  if (error.code == kNothingNewerCode) return ReaderAnswer::kNothingNewer;
+  if (error.code == kTroubleCode) return ReaderAnswer::kTrouble;
+  if (error.code == kNotReadingCode) return ReaderAnswer::kNotReading;
+  return ReaderAnswer::kSilent;
+}
 
 milliseconds AgeOf(net::Time read_at, net::Time now) {
   return std::chrono::ceil<milliseconds>(now - read_at);
@@ -79,6 +91,10 @@
 bool ListFallback::PlatformInTrouble(net::Time now) const {
   net::Time seen_at = trouble_seen_at_;
   if (poller_) seen_at = std::max(seen_at, poller_->trouble_seen_at());
+  return IsRecentTrouble(seen_at, now);
+}
+
+bool ListFallback::IsRecentTrouble(net::Time seen_at, net::Time now) const {
   return seen_at != net::Time() && now < seen_at + settings_.bounds.drain / kRecoveryPart;
 }
 
@@ -138,39 +154,57 @@
     return;
   }
   if (!active_) Activate();
-  if (!poller_) Fetch();
+  Fetch();
 }
 
 void ListFallback::Activate() {
   active_ = true;
   log::Info(kModule, "the core's list of endpoints is late: it is read here");
-  const std::vector<net::Address> proxies = Proxies();
-  const ReadingPlan plan = PlanReading(settings_.cloud.rate_per_s, settings_.bounds.drain,
-                                       list()->entries.size(), proxies.size());
-  const auto self = std::find(proxies.begin(), proxies.end(), hub_.self().address);
-  const auto rank = static_cast<std::size_t>(self - proxies.begin());
-  if (rank >= plan.readers) {
-    readers_.assign(proxies.begin(), proxies.begin() + static_cast<std::ptrdiff_t>(plan.readers));
-    turn_ = rank;
-    return;
-  }
+  MakePlan();
+  choice_.Reset();
+  ReadIfChosen();
+}
+
+// Again whenever a reader has failed: the list of members may be another since.
+void ListFallback::MakePlan() {
+  proxies_ = Proxies();
+  plan_ = PlanReading(settings_.cloud.rate_per_s, settings_.bounds.drain, list()->entries.size(),
+                      proxies_.size());
+  const auto self = std::find(proxies_.begin(), proxies_.end(), hub_.self().address);
+  const auto rank = static_cast<std::size_t>(self - proxies_.begin());
+  choice_.SetFleet(rank, proxies_.size(), plan_.readers);
+}
+
+void ListFallback::ReadIfChosen() {
+  if (!choice_.Reads()) return StopReading();
+  if (!poller_) StartReading();
+}
+
+void ListFallback::StartReading() {
   platform_ = make_platform_();
   const platform::ListReader::Options options{settings_.cloud.rate_per_s, settings_.bounds.drain,
-                                              plan.share_of_rate};
+                                              plan_.share_of_rate};
   platform::ListPoller::Events events;
-  events.read = [this](Entries entries, net::Time read_at) { Take(std::move(entries), read_at); };
+  events.read = [this](Entries entries, net::Time read_at) {
+    choice_.OnOwnReading();
+    Take(std::move(entries), read_at);
+  };
   poller_ = std::make_unique<platform::ListPoller>(loop_, *platform_, options, std::move(events));
   // One after the other, so that the platform is not asked by all at once.
-  const net::Span slot = settings_.bounds.drain / kSlotsPart / static_cast<int>(plan.readers);
-  poller_->Start(loop_.Now() + slot * static_cast<int>(rank));
+  const net::Span slot = settings_.bounds.drain / kSlotsPart / static_cast<int>(plan_.readers);
+  poller_->Start(loop_.Now() + slot * static_cast<int>(choice_.rank_in_group()));
+}
+
+void ListFallback::StopReading() {
+  poller_.reset();
+  platform_.reset();
 }
 
 void ListFallback::Deactivate() {
   if (!std::exchange(active_, false)) return;
   log::Info(kModule, "the core's list of endpoints is fresh again");
-  poller_.reset();
-  platform_.reset();
-  readers_.clear();
+  StopReading();
+  proxies_.clear();
   trouble_seen_at_ = {};
 }
 
@@ -200,42 +234,62 @@
 }
 
 void ListFallback::Fetch() {
-  if (fetching_ || readers_.empty()) return;
+  if (fetching_) return;
+  const std::optional<std::size_t> rank = choice_.NextToAsk(ReadsInVain(loop_.Now()));
+  if (!rank) return;
   fetching_ = true;
   const net::Time sent = loop_.Now();
-  const net::Address& reader = readers_[turn_ % readers_.size()];
+  const net::Address& reader = proxies_[*rank];
   hub_.Call(reader, cluster::kListReadingKind, Encode(ListReadingFetch{AgeOf(read_at(), sent)}),
             kFetchTimeout,
-            [this, alive = std::weak_ptr<char>(life_), sent](const Result<std::string>& body) {
+            [this, alive = std::weak_ptr<char>(life_), sent,
+             rank = *rank](const Result<std::string>& body) {
               if (alive.expired()) return;
               fetching_ = false;
-              OnFetched(sent, body);
+              OnFetched(rank, sent, body);
             });
 }
 
-void ListFallback::OnFetched(net::Time sent, const Result<std::string>& body) {
+void ListFallback::OnFetched(std::size_t rank, net::Time sent, const Result<std::string>& body) {
   if (!active_) return;
-  const Result<ListReading> reading =
-      body ? cluster::DecodeListReading(body.value()) : Result<ListReading>(body.error());
-  Result<Entries> entries = reading ? cluster::DecodeEndpoints(reading.value().endpoints)
-                                    : Result<Entries>(reading.error());
-  if (!entries) {
+  const ReaderAnswer answer = body ? TakeFetched(sent, body.value()) : AnswerOf(body.error());
+  // One reader alone may be cut off; a second one that says the same has tried the platform too.
+  if (answer == ReaderAnswer::kTrouble && choice_.first_group_given_up()) {
     trouble_seen_at_ = loop_.Now();
-    ++turn_;
-    return;
   }
+  const bool failed = choice_.OnAnswer(rank, answer);
+  if (failed) MakePlan();
+  ReadIfChosen();
+  if (failed && !poller_) Fetch();
+}
+
+ReaderAnswer ListFallback::TakeFetched(net::Time sent, std::string_view body) {
+  const Result<ListReading> reading = cluster::DecodeListReading(body);
+  Result<Entries> entries = reading ? cluster::DecodeEndpoints(reading.value().endpoints)
+                                    : Result<Entries>(reading.error());
+  if (!entries) return ReaderAnswer::kSilent;
   const net::Time read_at = sent - reading.value().age;
   if (read_at > this->read_at()) Take(std::move(entries.value()), read_at);
+  return ReaderAnswer::kList;
+}
+
+// Whether this process reads and the platform gives it nothing.
+bool ListFallback::ReadsInVain(net::Time now) const {
+  if (!poller_ || now < read_at() + LateAfter()) return false;
+  return IsRecentTrouble(poller_->trouble_seen_at(), now);
 }
 
 Result<std::string> ListFallback::AnswerFetch(std::string_view body) const {
   const Result<ListReadingFetch> fetch = cluster::DecodeListReadingFetch(body);
   if (!fetch) return fetch.error();
-  const milliseconds age = AgeOf(read_at(), loop_.Now());
-  if (!list() || age >= fetch.value().age) {
-    return MakeError(ErrorCode::kNotFound, "nothing newer has been read here");
+  const net::Time now = loop_.Now();
+  if (!poller_ && !CoreIsFresh(now)) return MakeError(kNotReadingCode, "the list is not read here");
+  const milliseconds age = AgeOf(read_at(), now);
+  if (list() && age < fetch.value().age) {
+    return Encode(ListReading{age, cluster::EncodeEndpoints(list()->entries)});
   }
-  return Encode(ListReading{age, cluster::EncodeEndpoints(list()->entries)});
+  if (ReadsInVain(now)) return MakeError(kTroubleCode, "the platform does not answer here");
+  return MakeError(kNothingNewerCode, "nothing newer has been read here");
 }
 
 }  // namespace shelflink::proxy
--- a/src/tier/proxy/list_fallback.h
+++ b/src/tier/proxy/list_fallback.h
@@ -3,7 +3,7 @@
 //
 // The agent knows when the reading began that the core's list stands for. Once that is longer ago
 // than LateAfter, this reads the platform's list itself, or asks another proxy that does
-// (proxy/reading_plan.h says who), until the core's lists are fresh again. What is read holds in
+// (proxy/reader_choice.h says who), until the core's lists are fresh again. What is read holds in
 // this process alone: it is told as the list to act by, never as a version of the core's, and the
 // core's list replaces it as soon as that is known to be newer. At rest there is one check by a
 // timer in each LateAfter.
@@ -20,6 +20,7 @@
 #include "tier/platform/list_poller.h"
 #include "tier/platform/platform.h"
 #include "tier/proxy/list_state.h"
+#include "tier/proxy/reader_choice.h"
 #include "tier/proxy/reading_plan.h"
 #include "tier/transport/hub.h"
 
@@ -62,10 +63,17 @@
   void Refresh();
   void Activate();
   void Deactivate();
+  void MakePlan();
+  void ReadIfChosen();
+  void StartReading();
+  void StopReading();
   std::vector<net::Address> Proxies() const;
   void Take(Entries entries, net::Time read_at);
   void Fetch();
-  void OnFetched(net::Time sent, const Result<std::string>& body);
+  void OnFetched(std::size_t rank, net::Time sent, const Result<std::string>& body);
+  ReaderAnswer TakeFetched(net::Time sent, std::string_view body);
+  bool ReadsInVain(net::Time now) const;
+  bool IsRecentTrouble(net::Time seen_at, net::Time now) const;
   Result<std::string> AnswerFetch(std::string_view body) const;
 
   net::Loop& loop_;
@@ -79,11 +87,12 @@
   net::Time resumed_at_{};  // When this process started or went on after a standstill.
 
   bool active_ = false;
-  net::Time trouble_seen_at_{};  // When a try to ask failed, or none could be made.
+  net::Time trouble_seen_at_{};  // As far as others said it, or no try could be made.
   std::unique_ptr<platform::Platform> platform_;
   std::unique_ptr<platform::ListPoller> poller_;  // Null unless this process reads.
-  std::vector<net::Address> readers_;             // To be asked where it does not.
-  std::size_t turn_ = 0;                          // Which of them is asked next.
+  std::vector<net::Address> proxies_;             // By rank; empty unless active.
+  ReadingPlan plan_;
+  ReaderChoice choice_;
   bool fetching_ = false;
 
   std::shared_ptr<const cluster::EndpointList> own_list_;  // Null: the core's holds.
--- a/tests/tier/proxy/mutants.cmake
+++ b/tests/tier/proxy/mutants.cmake
@@ -101,10 +101,24 @@
   [=[    answer.endpoints_age = EndpointsAge();]=] "")
 proxy_mutant(no_proxy_reads_the_list_itself stale_list a_drain_binds_without_any_core_process
   tier/proxy/list_fallback.cpp
-  [=[  poller_->Start(loop_.Now() + slot * static_cast<int>(rank));]=] "")
+  [=[  poller_->Start(loop_.Now() + slot * static_cast<int>(choice_.rank_in_group()));]=] "")
 proxy_mutant(no_proxy_asks_another stale_list a_drain_binds_at_proxies_that_ask_those_that_read
   tier/proxy/list_fallback.cpp
-  [=[  if (!poller_) Fetch();]=] "")
+  [=[  if (!active_) Activate();
+  Fetch();]=]
+  [=[  if (!active_) Activate();]=])
+proxy_mutant(nobody_stands_in_for_a_reader stale_list
+  a_drain_binds_after_the_only_proxy_that_reads_has_ended
+  tier/proxy/reader_choice.cpp
+  [=[  if (++failed_in_a_row_ >= OthersInGroup()) GoToNextGroup();]=] "")
+proxy_mutant(who_stands_in_reads_for_ever stale_list
+  who_stands_in_for_a_reader_keeps_within_the_rate_and_stops_once_it_is_back
+  tier/proxy/reader_choice.cpp
+  [=[    SetGroup(std::min(group_, rank / readers_));]=] "")
+proxy_mutant(a_platform_in_trouble_is_asked_by_all stale_list
+  a_platform_that_fails_is_not_asked_by_the_whole_fleet
+  tier/proxy/reader_choice.cpp
+  [=[  if (answer == ReaderAnswer::kTrouble && group_ > 0) return false;]=] "")
 proxy_mutant(a_proxy_reads_for_ever stale_list proxies_stop_to_read_once_the_core_does
   tier/proxy/list_fallback.cpp
   [=[    Deactivate();
--- a/tests/tier/proxy/stale_list_excuses_test.cpp
+++ b/tests/tier/proxy/stale_list_excuses_test.cpp
@@ -55,6 +55,16 @@
   BOOST_TEST(!TakeViolations().empty());
 }
 
+// Nor for one that asks it: that it has nothing newer says nothing of the platform.
+BOOST_AUTO_TEST_CASE(a_reader_without_anything_newer_is_no_excuse_for_a_proxy_that_asks_it) {
+  Scene scene(2, 1, kTooSeldomPerS);
+  scene.proxies[0]->paused = true;  // It runs, and has no traffic.
+  scene.Traffic(seconds(1));
+  StopCore(scene);
+  scene.Traffic(seconds(8));
+  BOOST_TEST(!TakeViolations().empty());
+}
+
 // Half of `drainMs` is what a proxy takes at most to read the list once the platform answers again.
 BOOST_AUTO_TEST_CASE(a_platform_that_was_slow_some_time_ago_is_no_excuse) {
   Scene scene(2, 1, kTooSeldomPerS);
--- a/tests/tier/proxy/stale_list_test.cpp
+++ b/tests/tier/proxy/stale_list_test.cpp
@@ -128,6 +128,87 @@
   }
 }
 
+// Only one proxy may read at this rate, and control stands still: once that one is gone, another
+// takes its place.
+BOOST_AUTO_TEST_CASE(a_drain_binds_after_the_only_proxy_that_reads_has_ended) {
+  Scene scene(6, 1, 5);
+  scene.Traffic(seconds(1));
+  scene.rig.map.Elect(nullptr);
+  scene.proxies[0]->process.Kill();
+  scene.proxies[0]->program.reset();
+  scene.Traffic(seconds(1));
+  scene.CheckDrainBinds();
+}
+
+// The reader itself is well and does not reach the platform.
+BOOST_AUTO_TEST_CASE(a_drain_binds_while_the_only_proxy_that_reads_does_not_reach_the_platform) {
+  Scene scene(6, 1, 5);
+  scene.Traffic(seconds(1));
+  scene.rig.map.Elect(nullptr);
+  scene.rig.platform.cut_off = {&scene.proxies[0]->process};
+  scene.Traffic(seconds(1));
+  scene.CheckDrainBinds();
+}
+
+// The drain is shown in the moment in which control and the only reader end, at any time of a walk.
+BOOST_AUTO_TEST_CASE(a_drain_binds_that_is_shown_as_the_only_proxy_that_reads_ends) {
+  for (const int later_ms : {0, 190, 380, 570}) {
+    for (const bool ends : {false, true}) {
+      BOOST_TEST_CONTEXT("later by " << later_ms << " ms, ends: " << ends) {
+        Scene scene(6, 1, 5);
+        scene.Traffic(milliseconds(1000 + later_ms));
+        scene.rig.map.Elect(nullptr);
+        if (ends) {
+          scene.proxies[0]->process.Kill();
+          scene.proxies[0]->program.reset();
+        } else {
+          scene.rig.platform.cut_off = {&scene.proxies[0]->process};
+        }
+        scene.CheckDrainBinds();
+      }
+    }
+  }
+}
+
+// Who stands in stops once the first reader is back; none of them reads beyond the share.
+BOOST_AUTO_TEST_CASE(who_stands_in_for_a_reader_keeps_within_the_rate_and_stops_once_it_is_back) {
+  constexpr std::uint64_t kMostCalls = 20 + 1;  // 0.4 of the rate, and one begun.
+  Scene scene(6, 1, 5);
+  for (auto& core : scene.rig.cores) core->Stop();
+  scene.proxies[0]->SetPaused(true);
+  scene.rig.Run(seconds(5));
+  const std::uint64_t calls = scene.ListCalls(seconds(10));
+  BOOST_TEST(calls >= 10U);
+  BOOST_TEST(calls <= kMostCalls);
+  scene.proxies[0]->SetPaused(false);
+  scene.rig.Run(seconds(3));
+  BOOST_TEST(scene.ListCalls(seconds(10)) <= kMostCalls);
+  scene.Traffic(seconds(1));
+  scene.CheckDrainBinds();
+}
+
+// A platform that fails is asked by the readers and those that stand in once, not by the fleet.
+BOOST_AUTO_TEST_CASE(a_platform_that_fails_is_not_asked_by_the_whole_fleet) {
+  Scene scene(8, 1, 5);
+  for (auto& core : scene.rig.cores) core->Stop();
+  scene.rig.platform.up = false;
+  scene.rig.Run(seconds(5));
+  BOOST_TEST(scene.ListCalls(seconds(10)) <= 2U * (20U + 1U));  // Twice 0.4 of the rate.
+}
+
+// Six pages: two readers, whose walks take as long as the plan allows.
+BOOST_AUTO_TEST_CASE(a_drain_binds_with_a_list_of_six_pages) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      Scene scene(8, seed, 44);
+      scene.AddOthers(290);
+      scene.Traffic(milliseconds(2000 + 130 * seed));
+      for (auto& core : scene.rig.cores) core->Stop();
+      scene.CheckDrainBinds();
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(no_proxy_reads_while_the_core_does) {
   Scene scene;
   BOOST_TEST(scene.ListCalls(seconds(9)) <= 13U);  // One each 750 ms, by the primary.
