--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -81,11 +81,18 @@
   if (!make_platform_) return ListState::kExcused;
   const net::Time now = loop_.Now();
   if (now <= read_at() + settings_.bounds.drain) return ListState::kFresh;
-  const bool stands_still = now > timer_due_ + settings_.bounds.thaw_slack;
-  if (stands_still || now < resumed_at_ + settings_.bounds.contact) return ListState::kUnrenewed;
+  if (JustBegun(now)) return ListState::kUnrenewed;
   return PlatformInTrouble(now) ? ListState::kExcused : ListState::kStale;
 }
 
+// Has not been in touch throughout `contactMs`: it stands still or did so, or has heard nothing of
+// the core before its first list.
+bool ListFallback::JustBegun(net::Time now) const {
+  const bool stands_still = now > timer_due_ + settings_.bounds.thaw_slack;
+  const net::Time begun_at = std::max(resumed_at_, first_list_at_.value_or(now));
+  return stands_still || now < begun_at + settings_.bounds.contact;
+}
+
 // The time in which a drain must bind does not run then, and there is as much left of it behind as
 // it takes to read the list.
 bool ListFallback::PlatformInTrouble(net::Time now) const {
@@ -100,11 +107,19 @@
 
 // While the core's lists are late, one that comes may be older than what was read here.
 void ListFallback::OnCoreList() {
+  if (make_platform_ && !first_list_at_) CheckFirstList();
   if (active_ && agent_.endpoints_read_at() <= own_read_at_) return;
   own_list_.reset();
   own_read_at_ = {};
 }
 
+// It may be old already. Where its age is not known, the core may be about to tell it.
+void ListFallback::CheckFirstList() {
+  first_list_at_ = loop_.Now();
+  const bool age_known = agent_.endpoints_read_at() != net::Time();
+  ArmAt(loop_.Now() + (age_known ? net::Span() : settings_.bounds.drain / kCheckPart));
+}
+
 void ListFallback::DropOlderOwnList() {
   if (agent_.endpoints_read_at() <= own_read_at_) return;
   own_read_at_ = {};
@@ -154,6 +169,7 @@
     return;
   }
   if (!active_) Activate();
+  ReadIfChosen();
   Fetch();
 }
 
@@ -162,17 +178,18 @@
   log::Info(kModule, "the core's list of endpoints is late: it is read here");
   MakePlan();
   choice_.Reset();
-  ReadIfChosen();
 }
 
-// Again whenever a reader has failed: the list of members may be another since.
+// Again whenever a reader has failed or the pages turn out to be of another size: the list of
+// members may be another since, too.
 void ListFallback::MakePlan() {
   proxies_ = Proxies();
   plan_ = PlanReading(settings_.cloud.rate_per_s, settings_.bounds.drain, list()->entries.size(),
-                      proxies_.size());
+                      proxies_.size(), entries_of_page_);
   const auto self = std::find(proxies_.begin(), proxies_.end(), hub_.self().address);
   const auto rank = static_cast<std::size_t>(self - proxies_.begin());
   choice_.SetFleet(rank, proxies_.size(), plan_.readers);
+  if (poller_) poller_->SetShareOfRate(plan_.share_of_rate);
 }
 
 void ListFallback::ReadIfChosen() {
@@ -189,6 +206,7 @@
     choice_.OnOwnReading();
     Take(std::move(entries), read_at);
   };
+  events.page = [this](std::size_t entries) { NotePage(entries); };
   poller_ = std::make_unique<platform::ListPoller>(loop_, *platform_, options, std::move(events));
   // One after the other, so that the platform is not asked by all at once.
   const net::Span slot = settings_.bounds.drain / kSlotsPart / static_cast<int>(plan_.readers);
@@ -200,6 +218,15 @@
   platform_.reset();
 }
 
+// Smaller pages make longer walks, and so fewer readers that call more often. One that is not among
+// them any more goes over to asking at the next look: its poller calls this.
+void ListFallback::NotePage(std::size_t entries) {
+  if (entries == 0 || entries == entries_of_page_) return;
+  entries_of_page_ = entries;
+  MakePlan();
+  if (!choice_.Reads()) ArmAt(loop_.Now());
+}
+
 void ListFallback::Deactivate() {
   if (!std::exchange(active_, false)) return;
   log::Info(kModule, "the core's list of endpoints is fresh again");
--- a/src/tier/proxy/list_fallback.h
+++ b/src/tier/proxy/list_fallback.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "net/loop.h"
@@ -55,6 +56,8 @@
   void OnTimer();
   void NoteStandstill(net::Time now);
   bool PlatformInTrouble(net::Time now) const;
+  bool JustBegun(net::Time now) const;
+  void CheckFirstList();
   void DropOlderOwnList();
   bool CoreIsFresh(net::Time now) const;
   net::Span LateAfter() const;
@@ -67,6 +70,7 @@
   void ReadIfChosen();
   void StartReading();
   void StopReading();
+  void NotePage(std::size_t entries);
   std::vector<net::Address> Proxies() const;
   void Take(Entries entries, net::Time read_at);
   void Fetch();
@@ -85,6 +89,7 @@
   net::TimerPtr timer_;
   net::Time timer_due_{};
   net::Time resumed_at_{};  // When this process started or went on after a standstill.
+  std::optional<net::Time> first_list_at_;
 
   bool active_ = false;
   net::Time trouble_seen_at_{};  // As far as others said it, or no try could be made.
@@ -94,6 +99,7 @@
   ReadingPlan plan_;
   ReaderChoice choice_;
   bool fetching_ = false;
+  std::size_t entries_of_page_ = kEntriesOfPage;  // As the platform's pages have shown.
 
   std::shared_ptr<const cluster::EndpointList> own_list_;  // Null: the core's holds.
   net::Time own_read_at_{};
--- a/tests/tier/proxy/stale_list_excuses_test.cpp
+++ b/tests/tier/proxy/stale_list_excuses_test.cpp
@@ -6,6 +6,8 @@
 
 #include "proxy/stale_list_scene.h"
 
+using stale_list::kDrain;
+using stale_list::Proxy;
 using stale_list::Scene;
 using stale_list::TakeViolations;
 using stand_in::milliseconds;
@@ -21,6 +23,15 @@
   for (auto& core : scene.rig.cores) core->Stop();
 }
 
+// A proxy that starts while no core process is primary, so that it knows no list yet.
+void StartWithoutCore(Scene& scene, double rate_per_s) {
+  for (auto& core : scene.rig.cores) scene.rig.platform.cut_off.insert(&core->process());
+  scene.rig.map.Elect(nullptr);
+  const auto index = static_cast<std::uint32_t>(scene.proxies.size());
+  scene.proxies.push_back(std::make_unique<Proxy>(scene.rig, index, rate_per_s));
+  scene.rig.Run(seconds(5));
+}
+
 }  // namespace
 
 // Each answer comes within the time for which it is waited for, so that no call fails; a walk of
@@ -77,3 +88,61 @@
   scene.Traffic(seconds(4));
   BOOST_TEST(!TakeViolations().empty());
 }
+
+// Whenever that list comes between two of the looks at the core.
+BOOST_AUTO_TEST_CASE(a_proxy_whose_first_list_is_old_reads_at_once) {
+  for (const milliseconds later : {milliseconds(0), milliseconds(600), milliseconds(1200)}) {
+    BOOST_TEST_CONTEXT("later by " << later.count() << " ms") {
+      Scene scene;
+      StartWithoutCore(scene, 40);
+      scene.DrainFirst();
+      scene.rig.Run(later);
+      scene.rig.Elect(1);
+      while (!scene.proxies.back()->program->ready()) scene.rig.Run(milliseconds(10));
+      scene.Traffic(milliseconds(1100));
+      const net::Time read_by = scene.rig.net.Now();
+      scene.Traffic(seconds(4));
+      BOOST_TEST(scene.servers[0]->ArrivalsAfter(read_by) == 0U);
+      BOOST_TEST(TakeViolations().empty());
+      const net::Time read_at = scene.proxies.back()->program->endpoints_read_at();
+      BOOST_TEST((read_at + kDrain >= scene.rig.net.Now()));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_first_list_is_no_excuse_once_the_proxy_has_been_in_touch_for_long_enough) {
+  Scene scene(0);
+  StartWithoutCore(scene, kTooSeldomPerS);
+  scene.rig.Elect(0);  // No other core process knows a list.
+  scene.Traffic(seconds(3));
+  BOOST_TEST(TakeViolations().empty());
+  scene.Traffic(seconds(5));
+  BOOST_TEST(!TakeViolations().empty());
+}
+
+// At the pace of five readers, four pages would take longer than the last of them has.
+BOOST_AUTO_TEST_CASE(a_drain_binds_with_pages_that_are_small) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      Scene scene(5, seed);
+      scene.AddOthers(12);
+      scene.rig.platform.page_size = 4;
+      scene.Traffic(milliseconds(2000 + 150 * seed));
+      StopCore(scene);
+      scene.Traffic(milliseconds(300 * (seed - 1)));
+      scene.CheckDrainBinds();
+      BOOST_TEST(scene.ListCalls(seconds(10)) <= 160U + 5U);  // 0.4 of the rate; one begun of each.
+    }
+  }
+}
+
+// Silence, as of a cut: neither of the two that read answers those that ask.
+BOOST_AUTO_TEST_CASE(a_drain_binds_at_proxies_whose_readers_are_all_cut_off) {
+  Scene scene(6, 1, 9);
+  scene.Traffic(seconds(1));
+  StopCore(scene);
+  for (std::size_t index = 0; index < 2; ++index) scene.proxies[index]->SetPaused(true);
+  scene.Traffic(seconds(1));
+  scene.CheckDrainBinds();
+  BOOST_TEST(scene.ListCalls(seconds(10)) <= 36U);  // 0.4 of the rate.
+}
--- a/tests/tier/proxy/stale_list_test.cpp
+++ b/tests/tier/proxy/stale_list_test.cpp
@@ -209,6 +209,20 @@
   }
 }
 
+// The protocol does not say how many entries a page holds: with four, five pages are walked here.
+BOOST_AUTO_TEST_CASE(a_drain_binds_with_a_list_of_small_pages) {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      Scene scene(5, seed, 40);
+      scene.AddOthers(17);
+      scene.rig.platform.page_size = 4;
+      scene.Traffic(milliseconds(2000 + 130 * seed));
+      scene.rig.map.Elect(nullptr);
+      scene.CheckDrainBinds();
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(no_proxy_reads_while_the_core_does) {
   Scene scene;
   BOOST_TEST(scene.ListCalls(seconds(9)) <= 13U);  // One each 750 ms, by the primary.
