--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include "tier/cluster/messages.h"
@@ -27,9 +28,19 @@
 constexpr int kSlotsPart = 6;   // The first calls of all readers are spread over it.
 constexpr int kCheckPart = 12;  // Between looks at the core, and between fetches.
 constexpr milliseconds kFetchTimeout{250};
-constexpr std::size_t kMostUnanswered = 2;  // Fetches in turn; then the list is read here.
 // A platform that answers again is read within this part (platform/list_reader.h).
 constexpr int kRecoveryPart = 2;
+// What a proxy answers that has no newer list to give; all other errors count as silence.
+constexpr ErrorCode kNothingNewerCode = ErrorCode::kNotFound;
+constexpr ErrorCode kTroubleCode = ErrorCode::kUnavailable;
+constexpr ErrorCode kNotReadingCode = ErrorCode::kConflict;
+
+ReaderAnswer AnswerOf(const Error& error) {
+  if (error.code == kNothingNewerCode) return ReaderAnswer::kNothingNewer;
+  if (error.code == kTroubleCode) return ReaderAnswer::kTrouble;
+  if (error.code == kNotReadingCode) return ReaderAnswer::kNotReading;
+  return ReaderAnswer::kSilent;
+}
 
 milliseconds AgeOf(net::Time read_at, net::Time now) {
   return std::chrono::ceil<milliseconds>(now - read_at);
@@ -87,6 +98,10 @@
 bool ListFallback::PlatformInTrouble(net::Time now) const {
   net::Time seen_at = trouble_seen_at_;
   if (poller_) seen_at = std::max(seen_at, poller_->trouble_seen_at());
+  return IsRecentTrouble(seen_at, now);
+}
+
+bool ListFallback::IsRecentTrouble(net::Time seen_at, net::Time now) const {
   return seen_at != net::Time() && now < seen_at + settings_.bounds.drain / kRecoveryPart;
 }
 
@@ -154,53 +169,53 @@
     return;
   }
   if (!active_) Activate();
-  const ReadingPlan plan = Plan();
-  if (poller_ && rank_ >= plan.readers && unanswered_ == 0) Ask(plan);
-  if (!poller_) Fetch();
+  ReadIfChosen();
+  Fetch();
 }
 
 void ListFallback::Activate() {
   active_ = true;
   log::Info(kModule, "the core's list of endpoints is late: it is read here");
-  const std::vector<net::Address> proxies = Proxies();
-  const ReadingPlan plan = Plan();
-  const auto self = std::find(proxies.begin(), proxies.end(), hub_.self().address);
-  const auto rank = static_cast<std::size_t>(self - proxies.begin());
-  rank_ = rank;
-  next_reader_ = rank;
-  if (rank < plan.readers) {
-    Read(plan, rank);
-  } else {
-    Ask(plan);
-  }
+  MakePlan();
+  choice_.Reset();
 }
 
-ReadingPlan ListFallback::Plan() const {
-  return PlanReading(settings_.cloud.rate_per_s, settings_.bounds.drain, list()->entries.size(),
-                     Proxies().size(), entries_of_page_);
+// Again whenever a reader has failed or the pages turn out to be of another size: the list of
+// members may be another since, too.
+void ListFallback::MakePlan() {
+  proxies_ = Proxies();
+  plan_ = PlanReading(settings_.cloud.rate_per_s, settings_.bounds.drain, list()->entries.size(),
+                      proxies_.size(), entries_of_page_);
+  const auto self = std::find(proxies_.begin(), proxies_.end(), hub_.self().address);
+  const auto rank = static_cast<std::size_t>(self - proxies_.begin());
+  choice_.SetFleet(rank, proxies_.size(), plan_.readers);
+  if (poller_) poller_->SetShareOfRate(plan_.share_of_rate);
 }
 
-// Only those that read are kept.
-void ListFallback::Ask(const ReadingPlan& plan) {
-  poller_.reset();
-  platform_.reset();
-  unanswered_ = 0;
-  readers_ = Proxies();
-  readers_.resize(plan.readers);
+void ListFallback::ReadIfChosen() {
+  if (!choice_.Reads()) return StopReading();
+  if (!poller_) StartReading();
 }
 
-void ListFallback::Read(const ReadingPlan& plan, std::size_t rank) {
-  readers_.clear();
+void ListFallback::StartReading() {
   platform_ = make_platform_();
   const platform::ListReader::Options options{settings_.cloud.rate_per_s, settings_.bounds.drain,
-                                              plan.share_of_rate};
+                                              plan_.share_of_rate};
   platform::ListPoller::Events events;
-  events.read = [this](Entries entries, net::Time read_at) { Take(std::move(entries), read_at); };
+  events.read = [this](Entries entries, net::Time read_at) {
+    choice_.OnOwnReading();
+    Take(std::move(entries), read_at);
+  };
   events.page = [this](std::size_t entries) { NotePage(entries); };
   poller_ = std::make_unique<platform::ListPoller>(loop_, *platform_, options, std::move(events));
   // One after the other, so that the platform is not asked by all at once.
-  const net::Span slot = settings_.bounds.drain / kSlotsPart / static_cast<int>(plan.readers);
-  poller_->Start(loop_.Now() + slot * static_cast<int>(rank));
+  const net::Span slot = settings_.bounds.drain / kSlotsPart / static_cast<int>(plan_.readers);
+  poller_->Start(loop_.Now() + slot * static_cast<int>(choice_.rank_in_group()));
+}
+
+void ListFallback::StopReading() {
+  poller_.reset();
+  platform_.reset();
 }
 
 // Smaller pages make longer walks, and so fewer readers that call more often. One that is not among
@@ -208,29 +223,15 @@
 void ListFallback::NotePage(std::size_t entries) {
   if (entries == 0 || entries == entries_of_page_) return;
   entries_of_page_ = entries;
-  const ReadingPlan plan = Plan();
-  if (rank_ < plan.readers) {
-    poller_->SetShareOfRate(plan.share_of_rate);
-  } else {
-    ArmAt(loop_.Now());
-  }
-}
-
-// No reader answers this process. It reads at the pace of one of as many readers as there are
-// proxies, so that all of them together stay within one more share of the rate.
-void ListFallback::ReadUnanswered() {
-  log::Info(kModule, "no proxy that reads the list of endpoints answers: it is read here");
-  const std::size_t proxies = Proxies().size();
-  Read({proxies, kProxiesShareOfRate / static_cast<double>(proxies)}, 0);
+  MakePlan();
+  if (!choice_.Reads()) ArmAt(loop_.Now());
 }
 
 void ListFallback::Deactivate() {
   if (!std::exchange(active_, false)) return;
   log::Info(kModule, "the core's list of endpoints is fresh again");
-  poller_.reset();
-  platform_.reset();
-  readers_.clear();
-  unanswered_ = 0;
+  StopReading();
+  proxies_.clear();
   trouble_seen_at_ = {};
 }
 
@@ -260,46 +261,62 @@
 }
 
 void ListFallback::Fetch() {
-  if (fetching_ || readers_.empty()) return;
+  if (fetching_) return;
+  const std::optional<std::size_t> rank = choice_.NextToAsk(ReadsInVain(loop_.Now()));
+  if (!rank) return;
   fetching_ = true;
   const net::Time sent = loop_.Now();
-  const net::Address& reader = readers_[next_reader_ % readers_.size()];
+  const net::Address& reader = proxies_[*rank];
   hub_.Call(reader, cluster::kListReadingKind, Encode(ListReadingFetch{AgeOf(read_at(), sent)}),
             kFetchTimeout,
-            [this, alive = std::weak_ptr<char>(life_), sent](const Result<std::string>& body) {
+            [this, alive = std::weak_ptr<char>(life_), sent,
+             rank = *rank](const Result<std::string>& body) {
               if (alive.expired()) return;
               fetching_ = false;
-              OnFetched(sent, body);
+              OnFetched(rank, sent, body);
             });
 }
 
-void ListFallback::OnFetched(net::Time sent, const Result<std::string>& body) {
+void ListFallback::OnFetched(std::size_t rank, net::Time sent, const Result<std::string>& body) {
   if (!active_) return;
-  const Result<ListReading> reading =
-      body ? cluster::DecodeListReading(body.value()) : Result<ListReading>(body.error());
+  const ReaderAnswer answer = body ? TakeFetched(sent, body.value()) : AnswerOf(body.error());
+  // One reader alone may be cut off; a second one that says the same has tried the platform too.
+  if (answer == ReaderAnswer::kTrouble && choice_.first_group_given_up()) {
+    trouble_seen_at_ = loop_.Now();
+  }
+  const bool failed = choice_.OnAnswer(rank, answer);
+  if (failed) MakePlan();
+  ReadIfChosen();
+  if (failed && !poller_) Fetch();
+}
+
+ReaderAnswer ListFallback::TakeFetched(net::Time sent, std::string_view body) {
+  const Result<ListReading> reading = cluster::DecodeListReading(body);
   Result<Entries> entries = reading ? cluster::DecodeEndpoints(reading.value().endpoints)
                                     : Result<Entries>(reading.error());
-  const bool answered = body || body.error().code == ErrorCode::kNotFound;
-  unanswered_ = answered ? 0 : unanswered_ + 1;
-  if (!entries) {
-    if (answered) trouble_seen_at_ = loop_.Now();  // The reader has nothing newer.
-    ++next_reader_;
-    if (unanswered_ >= kMostUnanswered) return ReadUnanswered();
-    if (!answered) Fetch();
-    return;
-  }
+  if (!entries) return ReaderAnswer::kSilent;
   const net::Time read_at = sent - reading.value().age;
   if (read_at > this->read_at()) Take(std::move(entries.value()), read_at);
+  return ReaderAnswer::kList;
+}
+
+// Whether this process reads and the platform gives it nothing.
+bool ListFallback::ReadsInVain(net::Time now) const {
+  if (!poller_ || now < read_at() + LateAfter()) return false;
+  return IsRecentTrouble(poller_->trouble_seen_at(), now);
 }
 
 Result<std::string> ListFallback::AnswerFetch(std::string_view body) const {
   const Result<ListReadingFetch> fetch = cluster::DecodeListReadingFetch(body);
   if (!fetch) return fetch.error();
-  const milliseconds age = AgeOf(read_at(), loop_.Now());
-  if (!list() || age >= fetch.value().age) {
-    return MakeError(ErrorCode::kNotFound, "nothing newer has been read here");
+  const net::Time now = loop_.Now();
+  if (!poller_ && !CoreIsFresh(now)) return MakeError(kNotReadingCode, "the list is not read here");
+  const milliseconds age = AgeOf(read_at(), now);
+  if (list() && age < fetch.value().age) {
+    return Encode(ListReading{age, cluster::EncodeEndpoints(list()->entries)});
   }
-  return Encode(ListReading{age, cluster::EncodeEndpoints(list()->entries)});
+  if (ReadsInVain(now)) return MakeError(kTroubleCode, "the platform does not answer here");
+  return MakeError(kNothingNewerCode, "nothing newer has been read here");
 }
 
 }  // namespace shelflink::proxy
--- a/src/tier/proxy/list_fallback.h
+++ b/src/tier/proxy/list_fallback.h
@@ -3,7 +3,7 @@
 //
 // The agent knows when the reading began that the core's list stands for. Once that is longer ago
 // than LateAfter, this reads the platform's list itself, or asks another proxy that does
-// (proxy/reading_plan.h says who), until the core's lists are fresh again. What is read holds in
+// (proxy/reader_choice.h says who), until the core's lists are fresh again. What is read holds in
 // this process alone: it is told as the list to act by, never as a version of the core's, and the
 // core's list replaces it as soon as that is known to be newer. At rest there is one check by a
 // timer in each LateAfter.
@@ -21,6 +21,7 @@
 #include "tier/platform/list_poller.h"
 #include "tier/platform/platform.h"
 #include "tier/proxy/list_state.h"
+#include "tier/proxy/reader_choice.h"
 #include "tier/proxy/reading_plan.h"
 #include "tier/transport/hub.h"
 
@@ -65,15 +66,18 @@
   void Refresh();
   void Activate();
   void Deactivate();
-  ReadingPlan Plan() const;
-  void Read(const ReadingPlan& plan, std::size_t rank);
-  void Ask(const ReadingPlan& plan);
+  void MakePlan();
+  void ReadIfChosen();
+  void StartReading();
+  void StopReading();
   void NotePage(std::size_t entries);
-  void ReadUnanswered();
   std::vector<net::Address> Proxies() const;
   void Take(Entries entries, net::Time read_at);
   void Fetch();
-  void OnFetched(net::Time sent, const Result<std::string>& body);
+  void OnFetched(std::size_t rank, net::Time sent, const Result<std::string>& body);
+  ReaderAnswer TakeFetched(net::Time sent, std::string_view body);
+  bool ReadsInVain(net::Time now) const;
+  bool IsRecentTrouble(net::Time seen_at, net::Time now) const;
   Result<std::string> AnswerFetch(std::string_view body) const;
 
   net::Loop& loop_;
@@ -88,14 +92,13 @@
   std::optional<net::Time> first_list_at_;
 
   bool active_ = false;
-  net::Time trouble_seen_at_{};  // When a try to ask failed, or none could be made.
+  net::Time trouble_seen_at_{};  // As far as others said it, or no try could be made.
   std::unique_ptr<platform::Platform> platform_;
   std::unique_ptr<platform::ListPoller> poller_;  // Null unless this process reads.
-  std::vector<net::Address> readers_;             // To be asked where it does not.
-  std::size_t rank_ = 0;                          // Of this one among the proxies.
-  std::size_t next_reader_ = 0;                   // Which of them is asked next.
+  std::vector<net::Address> proxies_;             // By rank; empty unless active.
+  ReadingPlan plan_;
+  ReaderChoice choice_;
   bool fetching_ = false;
-  std::size_t unanswered_ = 0;                    // Fetches since the last answer.
   std::size_t entries_of_page_ = kEntriesOfPage;  // As the platform's pages have shown.
 
   std::shared_ptr<const cluster::EndpointList> own_list_;  // Null: the core's holds.
