Tests: an order that is told after the wait for it writes into nothing that is gone

Cause: Cluster::Put kept references to its own frame in a call that may be answered later; two mutants ended in a sanitizer's report in place of a failed check. Change: the outcome is shared by the call and the wait; no assertion changed.

--- a/tests/tier/coordination/cluster.h
+++ b/tests/tier/coordination/cluster.h
@@ -185,15 +185,16 @@
         Run(milliseconds(20));
         continue;
       }
-      std::optional<bool> taken;
+      // May be told after the wait for it has ended.
+      const auto taken = std::make_shared<std::optional<bool>>();
       primary->group().Submit(
-          [&](const Contents&) -> Result<std::vector<Write>> {
+          [key, value](const Contents&) -> Result<std::vector<Write>> {
             return std::vector<Write>{{key, value}};
           },
-          [&](const Result<void>& result) { taken = result.has_value(); });
+          [taken](const Result<void>& result) { *taken = result.has_value(); });
       const Machine* const asked = primary;
-      RunUntil([&] { return taken.has_value() || !asked->up(); }, until - net.Now());
-      if (taken.value_or(false)) return true;
+      RunUntil([&] { return taken->has_value() || !asked->up(); }, until - net.Now());
+      if (taken->value_or(false)) return true;
       Run(milliseconds(50));
     }
     return false;
