A late list of endpoints is read within drainMs whatever the interval of renewals

Cause: the age from which a proxy reads by itself grew with the renewals' interval: 2,250 ms of 3,000 from 400 members on, and 500 of slots, 750 of the walk and 250 of a fetch are still to come. Also 1,750 and these three were more than 3,000.

--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -9,6 +9,7 @@
 #include "tier/cluster/same_endpoints.h"
 #include "tier/cluster/view_codec.h"
 #include "tier/foundation/log.h"
+#include "tier/proxy/list_times.h"
 
 namespace shelflink::proxy {
 namespace {
@@ -18,16 +19,7 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kModule = "proxy.list";
-// Parts of the time in which a drain must bind. A list counts as late beyond half of it, and beyond
-// what is usual: a period of the core's walks, a renewal's interval, and a sixth for a walk of some
-// pages and a busy core. At 3 s and renewals each 500 ms that is 1,750 ms. Of the rest, 500 ms at
-// most are for the slot of the first call and 750 ms for the walk (kWalkPart).
-constexpr int kLatePart = 2;
-constexpr int kCoreWalkPart = 4;
-constexpr int kSlackPart = 6;
-constexpr int kSlotsPart = 6;   // The first calls of all readers are spread over it.
 constexpr int kCheckPart = 12;  // Between looks at the core, and between fetches.
-constexpr milliseconds kFetchTimeout{250};
 // A platform that answers again is read within this part (platform/list_reader.h).
 constexpr int kRecoveryPart = 2;
 // What a proxy answers that has no newer list to give; all other errors count as silence.
@@ -129,9 +121,7 @@
 // ---- When to read ----
 
 net::Span ListFallback::LateAfter() const {
-  const net::Span drain = settings_.bounds.drain;
-  const net::Span usual = drain / kCoreWalkPart + agent_.renewal_interval() + drain / kSlackPart;
-  return std::max(drain / kLatePart, usual);
+  return proxy::LateAfter(settings_.bounds.drain, agent_.renewal_interval());
 }
 
 bool ListFallback::CoreIsFresh(net::Time now) const {
@@ -268,7 +258,7 @@
   const net::Time sent = loop_.Now();
   const net::Address& reader = proxies_[*rank];
   hub_.Call(reader, cluster::kListReadingKind, Encode(ListReadingFetch{AgeOf(read_at(), sent)}),
-            kFetchTimeout,
+            std::chrono::duration_cast<milliseconds>(settings_.bounds.drain) / kFetchPart,
             [this, alive = std::weak_ptr<char>(life_), sent,
              rank = *rank](const Result<std::string>& body) {
               if (alive.expired()) return;
--- a/tests/tier/proxy/stale_list_test.cpp
+++ b/tests/tier/proxy/stale_list_test.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "proxy/stale_list_scene.h"
+#include "tier/proxy/list_times.h"
 #include "tier/proxy/reading_plan.h"
 
 using shelflink::cluster::EndpointEntry;
@@ -343,6 +344,21 @@
   }
 }
 
+// Renewals become rarer in large fleets; what is left of a drain must do for the walk all the same.
+BOOST_AUTO_TEST_CASE(a_late_list_is_read_within_a_drain_whatever_the_renewals_interval) {
+  for (const milliseconds drain : {milliseconds(600), kDrain, milliseconds(30000)}) {
+    for (const milliseconds interval : {drain / 6, drain / 3, drain}) {
+      const net::Span late = shelflink::proxy::LateAfter(drain, interval);
+      const net::Span slots = drain / shelflink::proxy::kSlotsPart;
+      const net::Span walk = drain / shelflink::proxy::kWalkPart;
+      const net::Span fetch = drain / shelflink::proxy::kFetchPart;
+      BOOST_TEST((late + slots + walk + fetch < drain));
+      BOOST_TEST((late >= drain / 2));
+    }
+  }
+  BOOST_TEST((shelflink::proxy::LateAfter(kDrain, milliseconds(500)) == milliseconds(1750)));
+}
+
 // The list that shows the drain is read while the primary's lease has lapsed; the lease is back
 // before the primary is told of another role.
 BOOST_AUTO_TEST_CASE(a_list_that_was_read_while_the_lease_had_lapsed_is_published) {
