The list that a proxy has read itself and its time are one value

Cause: the time of a reading was the newest known of the core's and the own, while the own list stayed until the next look: another proxy was answered with the older list under the newer time. And a reading that was the same as the core's list was not held, so that an older push took its place under the reading's time.

Change: own_reading holds both, also where the list is the same, and drops both together; the older is dropped before another proxy is answered, and a reading older than what is held is not taken.

No test shows the fault on whole proxies.

--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "tier/cluster/messages.h"
-#include "tier/cluster/same_endpoints.h"
 #include "tier/cluster/view_codec.h"
 #include "tier/foundation/log.h"
 #include "tier/proxy/list_times.h"
@@ -62,11 +61,11 @@
 // ---- What is known ----
 
 std::shared_ptr<const cluster::EndpointList> ListFallback::list() const {
-  return own_list_ ? own_list_ : agent_.view().endpoints;
+  return own_.list() ? own_.list() : agent_.view().endpoints;
 }
 
 net::Time ListFallback::read_at() const {
-  return std::max(own_read_at_, agent_.endpoints_read_at());
+  return own_.list() ? own_.read_at() : agent_.endpoints_read_at();
 }
 
 ListState ListFallback::State() const {
@@ -100,9 +99,8 @@
 // While the core's lists are late, one that comes may be older than what was read here.
 void ListFallback::OnCoreList() {
   if (make_platform_ && !first_list_at_) CheckFirstList();
-  if (active_ && agent_.endpoints_read_at() <= own_read_at_) return;
-  own_list_.reset();
-  own_read_at_ = {};
+  if (active_ && agent_.endpoints_read_at() <= own_.read_at()) return;
+  own_.Drop();
 }
 
 // It may be old already. Where its age is not known, the core may be about to tell it.
@@ -113,9 +111,7 @@
 }
 
 void ListFallback::DropOlderOwnList() {
-  if (agent_.endpoints_read_at() <= own_read_at_) return;
-  own_read_at_ = {};
-  if (std::exchange(own_list_, nullptr)) changed_();
+  if (own_.DropOlderThan(agent_.endpoints_read_at())) changed_();
 }
 
 // ---- When to read ----
@@ -241,13 +237,9 @@
 // ---- What is read ----
 
 void ListFallback::Take(Entries entries, net::Time read_at) {
-  own_read_at_ = read_at;
-  const auto present = list();
-  if (present && cluster::SameEndpoints(present->entries, entries)) return;
-  const cluster::Version version = present ? present->version : cluster::Version();
-  own_list_ = std::make_shared<const cluster::EndpointList>(
-      cluster::EndpointList{version, std::move(entries)});
-  changed_();
+  DropOlderOwnList();
+  if (read_at <= this->read_at()) return;
+  if (own_.Take(list(), std::move(entries), read_at)) changed_();
 }
 
 void ListFallback::Fetch() {
@@ -286,7 +278,7 @@
                                     : Result<Entries>(reading.error());
   if (!entries) return ReaderAnswer::kSilent;
   const net::Time read_at = sent - reading.value().age;
-  if (read_at > this->read_at()) Take(std::move(entries.value()), read_at);
+  Take(std::move(entries.value()), read_at);
   return ReaderAnswer::kList;
 }
 
@@ -296,9 +288,10 @@
   return IsRecentTrouble(poller_->trouble_seen_at(), now);
 }
 
-Result<std::string> ListFallback::AnswerFetch(std::string_view body) const {
+Result<std::string> ListFallback::AnswerFetch(std::string_view body) {
   const Result<ListReadingFetch> fetch = cluster::DecodeListReadingFetch(body);
   if (!fetch) return fetch.error();
+  DropOlderOwnList();
   const net::Time now = loop_.Now();
   if (!poller_ && !CoreIsFresh(now)) return MakeError(kNotReadingCode, "the list is not read here");
   const milliseconds age = AgeOf(read_at(), now);
--- a/src/tier/proxy/list_fallback.h
+++ b/src/tier/proxy/list_fallback.h
@@ -21,6 +21,7 @@
 #include "tier/platform/list_poller.h"
 #include "tier/platform/platform.h"
 #include "tier/proxy/list_state.h"
+#include "tier/proxy/own_reading.h"
 #include "tier/proxy/reader_choice.h"
 #include "tier/proxy/reading_plan.h"
 #include "tier/transport/hub.h"
@@ -44,7 +45,7 @@
   void OnCoreList();
   // The list to act by; null: none yet.
   std::shared_ptr<const cluster::EndpointList> list() const;
-  // When the reading that it stands for began, at the latest known.
+  // When the reading began that it stands for.
   net::Time read_at() const;
   ListState State() const;
   // Whether this process reads or asks by itself at present.
@@ -78,7 +79,7 @@
   ReaderAnswer TakeFetched(net::Time sent, std::string_view body);
   bool ReadsInVain(net::Time now) const;
   bool IsRecentTrouble(net::Time seen_at, net::Time now) const;
-  Result<std::string> AnswerFetch(std::string_view body) const;
+  Result<std::string> AnswerFetch(std::string_view body);
 
   net::Loop& loop_;
   transport::Hub& hub_;
@@ -101,8 +102,7 @@
   bool fetching_ = false;
   std::size_t entries_of_page_ = kEntriesOfPage;  // As the platform's pages have shown.
 
-  std::shared_ptr<const cluster::EndpointList> own_list_;  // Null: the core's holds.
-  net::Time own_read_at_{};
+  OwnReading own_;  // Holds no list: the core's is acted by.
   std::shared_ptr<char> life_ = std::make_shared<char>();
 };
 
