A primary tells no age of a list that its lease ended too early to publish

Cause: the lease is looked at when a renewal is taken up and again when the list goes out. A standstill between the two left the list unpublished, told its age for the version before it, and broke read_list_is_published.

Change: no age unless the newest list is published; the invariant is checked under a valid lease.

--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -394,10 +394,12 @@
     return "read " + std::to_string((loop.Now() - *read_at) / milliseconds(1)) + " ms ago";
   }
 
-  // A list that was read while the lease had lapsed goes out before any renewal is answered.
+  // A list that was read while the lease had lapsed goes out before any renewal is answered. The
+  // lease may lapse since that renewal was taken up; then the list stays behind.
   void PublishPendingEndpoints() {
     if (!watch) return;
     watch->PublishPending();
+    if (!Leads()) return;
     const auto now =
         std::chrono::duration_cast<std::chrono::microseconds>(loop.Now().time_since_epoch());
     ProcessInvariants().Check(watch->published(), Invariant::kReadListIsPublished,
@@ -405,11 +407,11 @@
   }
 
   // How old the reading is that the published list stands for; none where it is not of this
-  // primary's reading.
+  // primary's reading, or where a newer one has not been published.
   std::optional<milliseconds> EndpointsAge() const {
     const bool own =
         read_version != Version() && publisher.versions()[Part::kEndpoints] == read_version;
-    if (!own || !watch || !watch->read_at()) return std::nullopt;
+    if (!own || !watch || !watch->published() || !watch->read_at()) return std::nullopt;
     return std::chrono::ceil<milliseconds>(loop.Now() - *watch->read_at());
   }
 
--- a/tests/tier/cluster/rig.h
+++ b/tests/tier/cluster/rig.h
@@ -43,6 +43,13 @@
   bool lose_next_done = false;
   std::vector<coordination::Write> unheard;
 
+  // The primary's lease lapses once it has been asked for so many times; negative: it holds.
+  int asked_until_lapse = -1;
+  bool LeaseHolds() {
+    if (asked_until_lapse > 0) --asked_until_lapse;
+    return asked_until_lapse != 0;
+  }
+
   void Elect(MemoryReplicator* next);
   // The same primary under another record.
   void RaiseEpoch();
@@ -73,7 +80,7 @@
   }
 
   const coordination::Contents& contents() const override { return map_.contents; }
-  bool is_primary() const override { return map_.primary == this; }
+  bool is_primary() const override { return map_.primary == this && map_.LeaseHolds(); }
   std::uint64_t epoch() const override { return map_.epoch; }
   std::optional<net::Address> primary() const override {
     if (map_.primary == nullptr) return std::nullopt;
--- a/tests/tier/proxy/stale_list_test.cpp
+++ b/tests/tier/proxy/stale_list_test.cpp
@@ -376,6 +376,33 @@
   BOOST_TEST(rig.proxies[0]->agent().view().endpoints->entries[0].draining);
 }
 
+// The primary stands still between two looks at its lease while it handles a renewal.
+BOOST_AUTO_TEST_CASE(no_age_is_told_of_a_list_that_the_lease_ended_too_early_to_publish) {
+  TakeViolations();
+  Rig rig(3, 2);
+  rig.platform.list = {{"i-0", "big", net::Address::V4(kFirstEndpointHost, 8080), "zone-0", 8,
+                        false, milliseconds(0)}};
+  rig.Start();
+  rig.Run(seconds(3));
+  const auto primary = std::exchange(rig.map.primary, nullptr);
+  rig.platform.list[0].draining = true;
+  const net::Time shown = rig.net.Now();
+  rig.Run(milliseconds(800));  // One walk at least.
+  rig.map.primary = primary;
+  for (int asked = 2; asked <= 12; ++asked) {
+    rig.map.asked_until_lapse = asked;
+    rig.Run(milliseconds(150));
+    for (const auto& proxy : rig.proxies) {
+      const bool held = proxy->agent().view().endpoints->entries[0].draining;
+      BOOST_TEST((held || proxy->agent().endpoints_read_at() <= shown));
+    }
+  }
+  rig.map.asked_until_lapse = -1;
+  rig.Run(seconds(2));
+  BOOST_TEST(rig.proxies[0]->agent().view().endpoints->entries[0].draining);
+  BOOST_TEST(TakeViolations().empty());
+}
+
 // Lists come by more than one way: what shows an endpoint as ready may have been read earlier.
 BOOST_AUTO_TEST_CASE(what_was_seen_draining_stays_draining) {
   stand_in::World world;
