The mutant of pages that always hold fifty is found by the list of five small pages

Cause: with the first calls spread over 200 ms in place of 500, four small pages are read in time even at the pace of five readers, so that its case passed.

Change: the mutant runs against a_drain_binds_with_a_list_of_small_pages, as strict, with a page more.

--- a/tests/tier/proxy/mutants.cmake
+++ b/tests/tier/proxy/mutants.cmake
@@ -160,7 +160,7 @@
   tier/proxy/list_fallback.cpp
   [=[  return stands_still || now < begun_at + settings_.bounds.contact;]=]
   [=[  return stands_still || begun_at != net::Time();]=])
-proxy_mutant(pages_always_hold_fifty stale_list_excuses a_drain_binds_with_pages_that_are_small
+proxy_mutant(pages_always_hold_fifty stale_list a_drain_binds_with_a_list_of_small_pages
   tier/proxy/list_fallback.cpp
   [=[  entries_of_page_ = entries;]=] "")
 proxy_mutant(silent_readers_are_waited_for stale_list_excuses
