--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -6,9 +6,9 @@
 #include <utility>
 
 #include "tier/cluster/messages.h"
-#include "tier/cluster/same_endpoints.h"
 #include "tier/cluster/view_codec.h"
 #include "tier/foundation/log.h"
+#include "tier/proxy/list_times.h"
 
 namespace shelflink::proxy {
 namespace {
@@ -18,16 +18,7 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kModule = "proxy.list";
-// Parts of the time in which a drain must bind. A list counts as late beyond half of it, and beyond
-// what is usual: a period of the core's walks, a renewal's interval, and a sixth for a walk of some
-// pages and a busy core. At 3 s and renewals each 500 ms that is 1,750 ms. Of the rest, 500 ms at
-// most are for the slot of the first call and 750 ms for the walk (kWalkPart).
-constexpr int kLatePart = 2;
-constexpr int kCoreWalkPart = 4;
-constexpr int kSlackPart = 6;
-constexpr int kSlotsPart = 6;   // The first calls of all readers are spread over it.
 constexpr int kCheckPart = 12;  // Between looks at the core, and between fetches.
-constexpr milliseconds kFetchTimeout{250};
 // A platform that answers again is read within this part (platform/list_reader.h).
 constexpr int kRecoveryPart = 2;
 // What a proxy answers that has no newer list to give; all other errors count as silence.
@@ -70,11 +61,11 @@
 // ---- What is known ----
 
 std::shared_ptr<const cluster::EndpointList> ListFallback::list() const {
-  return own_list_ ? own_list_ : agent_.view().endpoints;
+  return own_.list() ? own_.list() : agent_.view().endpoints;
 }
 
 net::Time ListFallback::read_at() const {
-  return std::max(own_read_at_, agent_.endpoints_read_at());
+  return own_.list() ? own_.read_at() : agent_.endpoints_read_at();
 }
 
 ListState ListFallback::State() const {
@@ -108,9 +99,8 @@
 // While the core's lists are late, one that comes may be older than what was read here.
 void ListFallback::OnCoreList() {
   if (make_platform_ && !first_list_at_) CheckFirstList();
-  if (active_ && agent_.endpoints_read_at() <= own_read_at_) return;
-  own_list_.reset();
-  own_read_at_ = {};
+  if (active_ && agent_.endpoints_read_at() <= own_.read_at()) return;
+  own_.Drop();
 }
 
 // It may be old already. Where its age is not known, the core may be about to tell it.
@@ -121,17 +111,13 @@
 }
 
 void ListFallback::DropOlderOwnList() {
-  if (agent_.endpoints_read_at() <= own_read_at_) return;
-  own_read_at_ = {};
-  if (std::exchange(own_list_, nullptr)) changed_();
+  if (own_.DropOlderThan(agent_.endpoints_read_at())) changed_();
 }
 
 // ---- When to read ----
 
 net::Span ListFallback::LateAfter() const {
-  const net::Span drain = settings_.bounds.drain;
-  const net::Span usual = drain / kCoreWalkPart + agent_.renewal_interval() + drain / kSlackPart;
-  return std::max(drain / kLatePart, usual);
+  return proxy::LateAfter(settings_.bounds.drain, agent_.renewal_interval());
 }
 
 bool ListFallback::CoreIsFresh(net::Time now) const {
@@ -251,13 +237,9 @@
 // ---- What is read ----
 
 void ListFallback::Take(Entries entries, net::Time read_at) {
-  own_read_at_ = read_at;
-  const auto present = list();
-  if (present && cluster::SameEndpoints(present->entries, entries)) return;
-  const cluster::Version version = present ? present->version : cluster::Version();
-  own_list_ = std::make_shared<const cluster::EndpointList>(
-      cluster::EndpointList{version, std::move(entries)});
-  changed_();
+  DropOlderOwnList();
+  if (read_at <= this->read_at()) return;
+  if (own_.Take(list(), std::move(entries), read_at)) changed_();
 }
 
 void ListFallback::Fetch() {
@@ -268,7 +250,7 @@
   const net::Time sent = loop_.Now();
   const net::Address& reader = proxies_[*rank];
   hub_.Call(reader, cluster::kListReadingKind, Encode(ListReadingFetch{AgeOf(read_at(), sent)}),
-            kFetchTimeout,
+            std::chrono::duration_cast<milliseconds>(settings_.bounds.drain) / kFetchPart,
             [this, alive = std::weak_ptr<char>(life_), sent,
              rank = *rank](const Result<std::string>& body) {
               if (alive.expired()) return;
@@ -296,7 +278,7 @@
                                     : Result<Entries>(reading.error());
   if (!entries) return ReaderAnswer::kSilent;
   const net::Time read_at = sent - reading.value().age;
-  if (read_at > this->read_at()) Take(std::move(entries.value()), read_at);
+  Take(std::move(entries.value()), read_at);
   return ReaderAnswer::kList;
 }
 
@@ -306,9 +288,10 @@
   return IsRecentTrouble(poller_->trouble_seen_at(), now);
 }
 
-Result<std::string> ListFallback::AnswerFetch(std::string_view body) const {
+Result<std::string> ListFallback::AnswerFetch(std::string_view body) {
   const Result<ListReadingFetch> fetch = cluster::DecodeListReadingFetch(body);
   if (!fetch) return fetch.error();
+  DropOlderOwnList();
   const net::Time now = loop_.Now();
   if (!poller_ && !CoreIsFresh(now)) return MakeError(kNotReadingCode, "the list is not read here");
   const milliseconds age = AgeOf(read_at(), now);
