Core: a disk with an identity and nothing else may still found

Cause: a recovery makes the identity durable before the member that founds is started. A process that ended in between found the identity at its next start, took the disk for one that had been used, and never founded; with two of three such disks the system was never founded.

Change: a process that might found stores that beside a new identity, in one batch. A disk that tells so, and on which no witness has ever stored anything, is as good as new at a later start.

--- a/src/tier/coordination/group.cpp
+++ b/src/tier/coordination/group.cpp
@@ -24,6 +24,8 @@
 constexpr std::uint64_t kMegabyte = 1U << 20;
 constexpr Milliseconds kTransferWaits{150};  // For a write under way.
 constexpr int kStuckLeases = 8;
+// Stored with an identity that was drawn by a process that might found the system.
+constexpr char kMayFoundKey[] = "may-found";
 
 // Whoever receives it counts on what this process has stored.
 bool Vouches(const Message& message) {
@@ -43,6 +45,11 @@
   return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10) + " s";
 }
 
+// A disk whose identity came to be durable, and nothing that a member stored: as good as new.
+bool HoldsIdentityOnly(const storage::Storage& storage) {
+  return storage.Get(kMayFoundKey).has_value() && !Witness::HasStored(storage);
+}
+
 // Whose processes this one may have to find by itself again.
 void AddAddressesOf(const Record& record, std::vector<net::Address>& seeds) {
   for (const CoreMember& member : MembersOf(record)) {
@@ -159,9 +166,11 @@
 }
 
 void Group::TakeIdentity() {
-  const storage::DiskIdentity identity = storage::ReadOrDrawIdentity(*storage_, random_);
-  // One that was drawn by this process and came to be durable before a failure is as good as new.
-  may_found_ = may_found_ && (identity.is_new || identity.id == identity_);
+  storage::Batch beside;
+  if (may_found_) beside.Put(kMayFoundKey, "");
+  const storage::DiskIdentity identity =
+      storage::ReadOrDrawIdentity(*storage_, random_, std::move(beside));
+  may_found_ = may_found_ && (identity.is_new || HoldsIdentityOnly(*storage_));
   identity_ = identity.id;
 }
 
--- a/src/tier/coordination/witness.cpp
+++ b/src/tier/coordination/witness.cpp
@@ -27,6 +27,10 @@
   Store(step);
 }
 
+bool Witness::HasStored(const storage::Storage& storage) {
+  return storage.Get(kStateKey).has_value();
+}
+
 bool Witness::Learn(Step& step, const Record& decided) {
   if (decided.number <= state_.record.number) return false;
   state_.record = decided;
--- a/src/tier/coordination/witness.h
+++ b/src/tier/coordination/witness.h
@@ -28,6 +28,9 @@
   // acts as if it had granted one at `now` to the primary of the newest record it knows.
   Witness(Options options, const storage::Storage& storage, net::Time now);
 
+  // Whether a witness has stored anything there: it never removes its state.
+  static bool HasStored(const storage::Storage& storage);
+
   // First start of the whole system: record 0 with the seeds as witnesses.
   void Found(Step& step, std::vector<CoreMember> seeds);
 
--- a/src/tier/storage/identity.cpp
+++ b/src/tier/storage/identity.cpp
@@ -6,7 +6,8 @@
 constexpr char kIdentityKey[] = "identity";
 }
 
-DiskIdentity ReadOrDrawIdentity(Storage& storage, const std::function<std::uint64_t()>& random) {
+DiskIdentity ReadOrDrawIdentity(Storage& storage, const std::function<std::uint64_t()>& random,
+                                Batch beside) {
   if (const auto stored = storage.Get(kIdentityKey)) return {*stored, false};
   static constexpr char kDigits[] = "0123456789abcdef";
   std::string id;
@@ -15,9 +16,8 @@
     id += kDigits[bits & 15U];
     bits >>= 4U;
   }
-  Batch batch;
-  batch.Put(kIdentityKey, id);
-  storage.Apply(batch);
+  beside.Put(kIdentityKey, id);
+  storage.Apply(beside);
   return {id, true};
 }
 
--- a/src/tier/storage/storage.h
+++ b/src/tier/storage/storage.h
@@ -84,12 +84,13 @@
 };
 
 // The identity of this disk: read, or drawn from `random` and applied (not yet synced) when the
-// storage holds none. `is_new` tells which.
+// storage holds none, in one batch with what is `beside` it. `is_new` tells which.
 struct DiskIdentity {
   std::string id;
   bool is_new = false;
 };
-DiskIdentity ReadOrDrawIdentity(Storage& storage, const std::function<std::uint64_t()>& random);
+DiskIdentity ReadOrDrawIdentity(Storage& storage, const std::function<std::uint64_t()>& random,
+                                Batch beside = {});
 
 }  // namespace shelflink::storage
 
--- a/tests/tier/coordination/full_disk_mutants.cmake
+++ b/tests/tier/coordination/full_disk_mutants.cmake
@@ -28,6 +28,12 @@
 full_disk_mutant(a_process_whose_disk_refuses_stays_while_a_record_names_the_disk
   a_process_whose_disk_refuses_may_end_at_once coordination/group.cpp
   [=[released = !MayHoldReplica()]=] [=[released = true]=])
+full_disk_mutant(a_system_whose_processes_end_between_identity_and_founding_is_founded_later
+  only_the_process_that_drew_an_identity_may_found coordination/group.cpp
+  [=[(identity.is_new || HoldsIdentityOnly(*storage_))]=] [=[identity.is_new]=])
+full_disk_mutant(a_disk_that_held_a_record_never_founds_again
+  a_disk_that_held_a_record_may_found_again coordination/group.cpp
+  [=[ && !Witness::HasStored(storage);]=] [=[;]=])
 
 # Answers of processes whose disks refuse.
 tier_mutant(an_answer_without_a_disk_counts_as_a_replaced_witness coordination/record.cpp
--- a/tests/tier/coordination/full_disk_test.cpp
+++ b/tests/tier/coordination/full_disk_test.cpp
@@ -260,6 +260,36 @@
   CheckWhole(cluster, 3, 3);
 }
 
+// The identity is durable before the member that founds is started.
+BOOST_AUTO_TEST_CASE(a_system_whose_processes_end_between_identity_and_founding_is_founded_later) {
+  Cluster cluster(3);
+  for (auto& machine : cluster.machines) machine->disk.SetFull(true);
+  cluster.StartAll();
+  cluster.Run(seconds(3));
+  for (std::size_t i = 0; i < 2; ++i) {
+    Machine& machine = cluster.At(i);
+    machine.disk.SetFull(false);
+    BOOST_REQUIRE(cluster.RunUntil([&] { return !machine.group().failed(); }, kRecovery));
+    const std::string disk = machine.group().member().options().self.disk;
+    machine.Stop();
+    machine.Start(true);
+    BOOST_TEST(machine.group().member().options().self.disk == disk);
+  }
+  cluster.At(2).disk.SetFull(false);
+  CheckWhole(cluster, 3, 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_disk_that_held_a_record_never_founds_again) {
+  Core core;
+  for (std::size_t i = 0; i < 3; ++i) core.cluster.At(i).Stop();
+  for (std::size_t i = 0; i < 3; ++i) {
+    core.cluster.At(i).Start(true);
+    BOOST_TEST(!core.cluster.At(i).group().member().options().found);
+  }
+  CheckWhole(core.cluster, 3, 3);
+  BOOST_TEST(core.cluster.ThePrimary().group().contents().at("first") == "1");
+}
+
 BOOST_AUTO_TEST_CASE(a_disk_that_fills_during_an_election_delays_it_only) {
   Core core;
   for (const net::Span into : {milliseconds(900), milliseconds(1050), milliseconds(1300)}) {
