Store: a listener that fails after a return of the disk ends nothing

Cause: each return of a disk makes a new StoreNode, which listens anew. A net::Error there left the timer and ended the process. The head comment of control_main.cpp said that exit 1 covers any disk that cannot be used.

Change: StoreDisk catches the error of a start after the first, tells the log at most once a minute and tries again a second later. At the first start it ends the process as before: an address that cannot be used is a fault of the settings. The comment says which disks end a process.

Tests: new in store_disk_test, a listener that fails after a return and one that fails at the first start.

Not run against the former code.

--- a/src/tier/batch/store_disk.cpp
+++ b/src/tier/batch/store_disk.cpp
@@ -96,13 +96,32 @@
 
 void StoreDisk::StartWork() {
   TellChange(true, "the disk takes writes");
+  if (!TryStart()) {
+    taking_since_.reset();
+    ArmIn(kLongestPause);
+    return;
+  }
   state_ = State::kWorking;
   started_at_ = loop_.Now();
   ++starts_;
-  work_.start(*storage_);
   ArmIn(kDiskCheck);
 }
 
+// What stands in the way, as an address that another process took meanwhile, may go away. At the
+// first start it is a fault of the settings, and ends the process.
+bool StoreDisk::TryStart() {
+  try {
+    work_.start(*storage_);
+    return true;
+  } catch (const net::Error& error) {
+    if (starts_ == 0) throw;
+    const auto now = loop_.Now().time_since_epoch() / std::chrono::microseconds(1);
+    log::Bounded(log::Level::kError, kLogName, "start",
+                 std::string("the store cannot begin again: ") + error.what(), now);
+    return false;
+  }
+}
+
 // A disk that failed is vouched for no more: the leases go back, so that others take over.
 void StoreDisk::CheckDisk() {
   if (!storage_->failed()) {
--- a/src/tier/batch/store_disk.h
+++ b/src/tier/batch/store_disk.h
@@ -29,6 +29,7 @@
   using Open = std::function<std::unique_ptr<storage::Storage>()>;
   // What the store does on a disk that takes writes.
   struct Work {
+    // Where it throws a net::Error after the first time, it is tried again a second later.
     std::function<void(storage::Storage& disk)> start;
     // Gives the leases back; `done` is called once, also when nobody answers.
     std::function<void(std::function<void()> done)> leave;
@@ -70,6 +71,7 @@
   void OnProbed(const Result<void>& synced);
   void OnRefused(const std::string& why);
   void StartWork();
+  bool TryStart();
   void CheckDisk();
   void BeginLeave();
   void OnLeft();
--- a/src/tier/programs/control_main.cpp
+++ b/src/tier/programs/control_main.cpp
@@ -1,6 +1,7 @@
 // shelflink-control: the control plane's binary. `core` serves the operator and the cluster,
 // `store` keeps batch jobs, each until SIGTERM; SIGHUP reads the settings file again. Exit codes: 0
-// left in order, 1 settings, addresses or a disk that cannot be used, 2 usage.
+// left in order; 1 settings or addresses that cannot be used, for `core` also a disk that it may
+// not use (a disk that is full, or any of a `store`, is tried again); 2 usage.
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
--- a/tests/tier/batch/store_disk_test.cpp
+++ b/tests/tier/batch/store_disk_test.cpp
@@ -35,7 +35,10 @@
   }
   StoreDisk::Work WorkHere() {
     StoreDisk::Work work;
-    work.start = [this](storage::Storage& opened) { storage = &opened; };
+    work.start = [this](storage::Storage& opened) {
+      if (listener_fails) throw net::Error(net::Fault::kOther, "listen: in use");
+      storage = &opened;
+    };
     work.leave = [this](std::function<void()> done) {
       ++leaves;
       if (core_answers) return done();
@@ -57,6 +60,7 @@
   Later later{loop};
   storage::Storage* storage = nullptr;  // While there is work on it.
   bool core_answers = true;
+  bool listener_fails = false;
   int openings = 0;
   int leaves = 0;
   std::function<void()> left;
@@ -98,6 +102,31 @@
   BOOST_TEST(kept.disk_keeper->is_working());
 }
 
+BOOST_AUTO_TEST_CASE(a_listener_that_fails_after_a_return_ends_nothing_and_is_tried_each_second) {
+  KeptDisk kept;
+  kept.RunFor(seconds(1));
+  BOOST_REQUIRE(kept.disk_keeper->is_working());
+  kept.disk.SetFull(true);
+  kept.Write();
+  kept.RunFor(milliseconds(150));
+  kept.disk.SetFull(false);
+  kept.listener_fails = true;
+  BOOST_CHECK_NO_THROW(kept.RunFor(seconds(30)));
+  BOOST_TEST(!kept.disk_keeper->is_working());
+  BOOST_TEST(kept.disk_keeper->starts() == 1U);
+  kept.listener_fails = false;
+  kept.RunFor(seconds(2));
+  BOOST_TEST(kept.disk_keeper->is_working());
+  BOOST_TEST(kept.storage != nullptr);
+}
+
+// An address that cannot be used at all is a fault of the settings.
+BOOST_AUTO_TEST_CASE(a_listener_that_fails_at_the_first_start_is_told) {
+  KeptDisk kept;
+  kept.listener_fails = true;
+  BOOST_CHECK_THROW(kept.RunFor(seconds(1)), net::Error);
+}
+
 BOOST_AUTO_TEST_CASE(work_on_a_disk_that_failed_ends_at_once_and_begins_again_with_room) {
   KeptDisk kept;
   kept.RunFor(seconds(1));
