--- a/tests/tier/mutants.cmake
+++ b/tests/tier/mutants.cmake
@@ -20,17 +20,18 @@
 endfunction()
 
 # tier_mutant(name file text replacement TEST folder/test RUN filter LIBRARIES ...): the mutated
-# file in place of that of the first library, linked into that Boost.Test program. Its test passes only if
+# file in place of that of the first library, linked with the objects of that Boost.Test program (a test
+# includes no mutated file). Its test passes only if
 # Boost.Test counts a failure in the test cases that `filter` names: a crash, a report of a
 # sanitizer or a filter that names nothing does not count as found.
 function(tier_mutant name file text replacement)
   cmake_parse_arguments(mutant "" "TEST;RUN" "LIBRARIES" ${ARGN})
   tier_mutated_source(mutated ${name} ${file} "${text}" "${replacement}")
   list(GET mutant_LIBRARIES 0 library)
-  add_executable(tier_mutant_${name} ${PROJECT_SOURCE_DIR}/tests/tier/${mutant_TEST}.cpp ${mutated})
+  get_filename_component(test ${mutant_TEST} NAME)
+  add_executable(tier_mutant_${name} $<TARGET_OBJECTS:tier_${test}> ${mutated})
   target_include_directories(tier_mutant_${name} PRIVATE ${PROJECT_SOURCE_DIR}/tests/tier
     ${PROJECT_SOURCE_DIR}/src $<TARGET_PROPERTY:${library},INCLUDE_DIRECTORIES>)
-  target_compile_definitions(tier_mutant_${name} PRIVATE BOOST_TEST_DYN_LINK)
   target_link_libraries(tier_mutant_${name} PRIVATE ${mutant_LIBRARIES} Boost::unit_test_framework
     gaugecart_warnings)
   target_compile_options(tier_mutant_${name} PRIVATE -Wno-unused-parameter -Wno-unused-variable
