--- a/tests/tier/coordination/catch_up_mutants.cmake
+++ b/tests/tier/coordination/catch_up_mutants.cmake
@@ -15,8 +15,8 @@
   target_include_directories(tier_mutant_${name} PRIVATE ${PROJECT_SOURCE_DIR}/src)
   target_link_libraries(tier_mutant_${name} PRIVATE tier_${cases}_cases tier_replica_site
     Boost::unit_test_framework gaugecart_warnings)
-  target_compile_options(tier_mutant_${name} PRIVATE -Wno-unused-parameter -Wno-unused-variable
-    -Wno-unused-function -Wno-unused-const-variable $<$<CONFIG:Debug>:-O1>)
+  tier_mutant_program(tier_mutant_${name})
+  target_compile_options(tier_mutant_${name} PRIVATE $<$<CONFIG:Debug>:-O1>)
   add_test(NAME tier.mutant_${name} COMMAND tier_mutant_${name} --run_test=${case})
   set_tests_properties(tier.mutant_${name} PROPERTIES WILL_FAIL TRUE)
 endfunction()
--- a/tests/tier/coordination/mutants.cmake
+++ b/tests/tier/coordination/mutants.cmake
@@ -13,8 +13,8 @@
   add_executable(tier_mutant_${name} ${mutated})
   target_link_libraries(tier_mutant_${name} PRIVATE ${main} tier_coordination_world
     gaugecart_warnings)
-  target_compile_options(tier_mutant_${name} PRIVATE -Wno-unused-parameter -Wno-unused-variable
-    $<$<CONFIG:Debug>:-O1>)
+  tier_mutant_program(tier_mutant_${name})
+  target_compile_options(tier_mutant_${name} PRIVATE $<$<CONFIG:Debug>:-O1>)
 endfunction()
 
 # Explored until something is found broken.
--- a/tests/tier/mutants.cmake
+++ b/tests/tier/mutants.cmake
@@ -19,6 +19,14 @@
   set(${out} ${mutated} PARENT_SCOPE)
 endfunction()
 
+# tier_mutant_program(target): how a program with a mutated source is built: what the mutation leaves
+# unused is no finding, and no symbols, for only whether its test fails is looked at.
+function(tier_mutant_program target)
+  target_compile_options(${target} PRIVATE -Wno-unused-parameter -Wno-unused-variable
+    -Wno-unused-function -Wno-unused-but-set-variable -Wno-unused-const-variable)
+  target_link_options(${target} PRIVATE -s)
+endfunction()
+
 # tier_mutant(name file text replacement TEST folder/test RUN filter LIBRARIES ...): the mutated
 # file in place of that of the first library, linked with the objects of that Boost.Test program (a test
 # includes no mutated file). Its test passes only if
@@ -34,8 +42,7 @@
     ${PROJECT_SOURCE_DIR}/src $<TARGET_PROPERTY:${library},INCLUDE_DIRECTORIES>)
   target_link_libraries(tier_mutant_${name} PRIVATE ${mutant_LIBRARIES} Boost::unit_test_framework
     gaugecart_warnings)
-  target_compile_options(tier_mutant_${name} PRIVATE -Wno-unused-parameter -Wno-unused-variable
-    -Wno-unused-function -Wno-unused-but-set-variable)
+  tier_mutant_program(tier_mutant_${name})
   add_test(NAME tier.mutant_${name}
     COMMAND tier_mutant_${name} --run_test=${mutant_RUN} --report_level=short)
   set_tests_properties(tier.mutant_${name} PROPERTIES
--- a/tests/tier/proxy/mutants.cmake
+++ b/tests/tier/proxy/mutants.cmake
@@ -19,8 +19,7 @@
   target_include_directories(tier_proxy_mutant_${name} PRIVATE ${PROJECT_SOURCE_DIR}/src)
   target_link_libraries(tier_proxy_mutant_${name} PRIVATE tier_proxy_${suite}_cases
     gaugecart_warnings)
-  target_compile_options(tier_proxy_mutant_${name} PRIVATE -Wno-unused-parameter
-    -Wno-unused-variable -Wno-unused-function)
+  tier_mutant_program(tier_proxy_mutant_${name})
   add_test(NAME tier.proxy_mutant_${name} COMMAND tier_proxy_mutant_${name} --run_test=${case})
   set_tests_properties(tier.proxy_mutant_${name} PROPERTIES
     PASS_REGULAR_EXPRESSION "failures? (is|are) detected in the test module")
--- a/tests/tier/tier_seeds/mutants.cmake
+++ b/tests/tier/tier_seeds/mutants.cmake
@@ -6,8 +6,8 @@
   add_executable(tier_seeds_mutant_${name} main.cpp ${mutated})
   target_link_libraries(tier_seeds_mutant_${name} PRIVATE tier_seeds_world CLI11::CLI11 ${ARGN}
     gaugecart_warnings)
-  target_compile_options(tier_seeds_mutant_${name} PRIVATE -Wno-unused-parameter
-    -Wno-unused-variable -Wno-unused-function $<$<CONFIG:Debug>:-O1>)
+  tier_mutant_program(tier_seeds_mutant_${name})
+  target_compile_options(tier_seeds_mutant_${name} PRIVATE $<$<CONFIG:Debug>:-O1>)
   add_test(NAME tier.seeds_mutant_${name}
     COMMAND tier_seeds_mutant_${name} --until-found --from 1 --count ${mutant_seeds})
   set_tests_properties(tier.seeds_mutant_${name} PROPERTIES TIMEOUT 600)
