--- a/tests/play_days_test.py
+++ b/tests/play_days_test.py
@@ -347,6 +347,22 @@
         self.assertEqual(status, 2)
         self.assertIn("bad.toml: point: expected a number from 1 to 5", text)
 
+    def test_variants_play_what_they_are_told_to(self):
+        (self.folder / "variants.toml").write_text(
+            '[[variant]]\nname = "three-stores"\nstores = 3\n[[variant]]\nname = "one-zone"\nzones = 1\n'
+        )
+        words = ("--variants", "variants.toml", "--variant", "three", "--on-variants", "kinds,long,hunt")
+        status, text = self.call(0, "--play", "variants", *words)
+        self.assertEqual(status, 0, text)
+        self.assertIn("| quay-three-stores | hunt | 1 | none | 0 | 0 |", text)
+        self.assertRegex(text, r"\| quay-three-stores \| score \| \d+ \| none \| 0 \| 0 \|")
+        self.assertNotIn("one-zone", text)
+        self.assertNotIn("| quay |", text)
+        self.call(0, "--play", "variants", *words, "--write", "out")
+        for part, name in (("days", "alone-hup-1"), ("long", "long-1")):
+            written = tomllib.loads((self.folder / "out/variants" / part / "quay-three-stores.toml").read_text())
+            self.assertIn(name, [day["name"] for day in written["day"]])
+
     def test_only_writing_plays_nothing(self):
         status, _ = self.call(0, "--play", "kinds,hunt", "--write", "out")
         self.assertEqual(status, 0)
--- a/tools/playdays/cli.py
+++ b/tools/playdays/cli.py
@@ -17,7 +17,9 @@
     parser.add_argument("--days", type=pathlib.Path, default=DEPLOY / "days", help="days by hand, and kinds.toml")
     parser.add_argument("--variants", type=pathlib.Path, default=DEPLOY / "sites" / "variants.toml")
     parser.add_argument("--play", default="days,kinds,hunt", help="of days, kinds, long, hunt, variants; with commas")
-    parser.add_argument("--only", default="", help="only days and variants whose names hold this")
+    parser.add_argument("--only", default="", help="only days whose names hold this")
+    parser.add_argument("--variant", default="", metavar="NAME", help="only variants whose names hold this")
+    parser.add_argument("--on-variants", default="hunt", help="of days, kinds, long, hunt: what variants play; with commas")
     parser.add_argument("--most", type=int, default=0, metavar="N", help="at most N days made from the kinds a site")
     parser.add_argument("--offset", type=int, default=0, help="which of them, where --most leaves some out")
     parser.add_argument("--partners", type=int, default=PARTNERS, help="kinds that each is paired with")
@@ -65,8 +67,10 @@
     return {**site, "day": [days.for_site(day, site) for day in own]}
 
 
-def _play_site(player: bench.Bench, path: pathlib.Path, options: argparse.Namespace, folder: pathlib.Path) -> list:
-    parts = set(options.play.split(","))
+def _play_parts(
+    player: bench.Bench, path: pathlib.Path, parts: set[str], options: argparse.Namespace, folder: pathlib.Path
+) -> list:
+    """The days, long days and hunts among `parts`, on the site at `path`."""
     site = sites.load(path)
     known = days.kinds_of_site(player.kinds(path))
     own = _own_days(options, parts, known, site["length_s"])
@@ -79,6 +83,12 @@
         plays += _play_long(player, path, options, folder)
     if "hunt" in parts and options.hunt and not options.write:
         plays.append(player.hunt(path, site["name"], options.hunt))
+    return plays
+
+
+def _play_site(player: bench.Bench, path: pathlib.Path, options: argparse.Namespace, folder: pathlib.Path) -> list:
+    parts = set(options.play.split(","))
+    plays = _play_parts(player, path, parts, options, folder)
     if "variants" in parts:
         plays += _play_variants(player, path, options, folder)
     return plays
@@ -86,14 +96,13 @@
 
 def _play_variants(player: bench.Bench, path: pathlib.Path, options: argparse.Namespace, folder: pathlib.Path) -> list:
     site = sites.load(path)
+    parts = set(options.on_variants.split(","))
     plays = []
     for variant in sites.load_variants(options.variants):
-        if options.only not in variant.name or variant.base not in ("", site["name"]):
+        if options.variant not in variant.name or variant.base not in ("", site["name"]):
             continue
-        edited = sites.apply(site, variant)
-        written = sites.write(edited, path, folder / "variants")
-        if not options.write:
-            plays.append(player.hunt(written, edited["name"], options.hunt))
+        written = sites.write(sites.apply(site, variant), path, folder / "variants")
+        plays += _play_parts(player, written, parts, options, folder / "variants")
     return plays
 
 
