Core: a replica that owes is replaced when its time is over; members tell how disks stand

Cause: a replica that answers and owes an acknowledgement (its disk stalls) was judged with the next renewal only, up to a third of a lease later. Change: NextSilence counts owing as it counts silence, so the record changes and a spare is invited then. Beside it, for operators: how the disks of the record stand (Member::copies), and what learners have been sent.

The other cases show that silence, a refusing disk and a machine that returns empty led to a copy at once before.

--- a/src/tier/coordination/group.cpp
+++ b/src/tier/coordination/group.cpp
@@ -149,6 +149,11 @@
 
 std::vector<CoreMember> Group::members() const { return MembersOf(member_->record()); }
 
+std::optional<CopiesOfMap> Group::copies() const {
+  if (!is_primary()) return std::nullopt;
+  return member_->copies(loop_.Now());
+}
+
 void Group::SetSeeds(const std::vector<net::Address>& control_seeds,
                      const ProcessSettings& settings) {
   std::vector<net::Address> seeds;
--- a/src/tier/coordination/group.h
+++ b/src/tier/coordination/group.h
@@ -66,6 +66,7 @@
   std::uint64_t epoch() const override;
   std::optional<net::Address> primary() const override;
   std::vector<CoreMember> members() const override;
+  std::optional<CopiesOfMap> copies() const override;
   void Transfer(std::function<void(bool)> done) override;
 
   void SetSeeds(const std::vector<net::Address>& control_seeds, const ProcessSettings& settings);
--- a/src/tier/coordination/member.h
+++ b/src/tier/coordination/member.h
@@ -101,6 +101,8 @@
   const Record& record() const { return witness_.record(); }
   const Replica& replica() const { return replica_; }
   std::optional<net::Address> primary_address() const;
+  // As the primary: how the members of the record stand, and the copies under way.
+  CopiesOfMap copies(net::Time now) const;
 
   const Options& options() const { return options_; }
 
@@ -111,6 +113,8 @@
     CoreMember member;
     std::uint64_t incarnation = 0;
     std::optional<net::Time> heard_at;
+    std::string former_disk;  // That was at this address before, and when it was last heard of.
+    std::optional<net::Time> former_heard_at;
     std::optional<net::Time> lease_until;  // Its promise to this primary.
     bool refuses = false;                  // Its newest answer to a renewal.
     bool fresh = false;
@@ -164,6 +168,7 @@
   // Another disk has been heard of at its address.
   bool IsReplaced(const CoreMember& member) const;
   bool Leaves(const std::string& disk, net::Time now) const;
+  MemberStanding StandingOf(const CoreMember& member, net::Time now) const;
   // Disks heard of lately that do not leave, this member first.
   std::vector<CoreMember> There(net::Time now, net::Span within) const;
 
@@ -200,6 +205,7 @@
   void PutLikeliestFirst(std::vector<CoreMember>& replicas, net::Time now) const;
   std::size_t CountOthersWhole(net::Time now) const;
   std::optional<net::Address> AddressOf(const std::string& disk) const;
+  // When the next replica will have been silent, or owing an acknowledgement, for too long.
   std::optional<net::Time> NextSilence() const;
   std::set<net::Address> OthersKnown() const;
 
--- a/src/tier/coordination/member_change.cpp
+++ b/src/tier/coordination/member_change.cpp
@@ -93,12 +93,16 @@
 
 std::optional<net::Time> Member::NextSilence() const {
   std::optional<net::Time> next;
+  const auto judge_since = [&](net::Time since) {
+    const net::Time at = std::max(since, judge_from_) + silent_after() + net::Span(1);
+    if (at <= reviewed_at_) return;  // Looked at again with each renewal.
+    next = std::min(next.value_or(at), at);
+  };
   for (const CoreMember& replica : record().replicas) {
     const Peer* const peer = FindPeer(replica.disk);
     if (IsSelf(replica.disk) || peer == nullptr || !peer->heard_at) continue;
-    const net::Time at = std::max(*peer->heard_at, judge_from_) + silent_after() + net::Span(1);
-    if (at <= reviewed_at_) continue;  // Looked at again with each renewal.
-    next = std::min(next.value_or(at), at);
+    judge_since(*peer->heard_at);
+    if (const auto owing_since = replica_.Owing(replica.disk)) judge_since(*owing_since);
   }
   return next;
 }
--- a/src/tier/coordination/member_peers.cpp
+++ b/src/tier/coordination/member_peers.cpp
@@ -7,7 +7,13 @@
 
 Member::Peer& Member::PeerOf(const CoreMember& member) {
   Peer& peer = peers_[member.address.Text()];
-  if (peer.member.disk != member.disk) peer = Peer{};
+  if (peer.member.disk != member.disk) {
+    Peer next;
+    const bool had_disk = !peer.member.disk.empty();
+    next.former_disk = had_disk ? peer.member.disk : peer.former_disk;
+    next.former_heard_at = had_disk ? peer.heard_at : peer.former_heard_at;
+    peer = std::move(next);
+  }
   peer.member = member;
   return peer;
 }
@@ -42,6 +48,48 @@
   return !found->second.member.disk.empty() && found->second.member.disk != member.disk;
 }
 
+MemberStanding Member::StandingOf(const CoreMember& member, net::Time now) const {
+  MemberStanding standing;
+  standing.member = member;
+  standing.is_replica = FindDisk(record().replicas, member.disk) != nullptr;
+  standing.is_witness = FindDisk(record().witnesses, member.disk) != nullptr;
+  if (IsSelf(member.disk)) {
+    standing.standing = DiskStanding::kTakesWrites;
+    standing.heard_at = now;
+    return standing;
+  }
+  if (const Peer* const peer = FindPeer(member.disk)) {
+    const bool there = Heard(*peer, now, silent_after());
+    standing.standing = there ? DiskStanding::kTakesWrites : DiskStanding::kSilent;
+    standing.heard_at = peer->heard_at;
+    return standing;
+  }
+  const auto found = peers_.find(member.address.Text());
+  if (found == peers_.end()) return standing;
+  const Peer& in_place = found->second;
+  if (in_place.former_disk == member.disk) standing.heard_at = in_place.former_heard_at;
+  if (!in_place.member.disk.empty()) {
+    standing.standing = DiskStanding::kReplaced;
+  } else if (Heard(in_place, now, silent_after())) {
+    standing.standing = DiskStanding::kRefuses;
+  }
+  return standing;
+}
+
+CopiesOfMap Member::copies(net::Time now) const {
+  CopiesOfMap copies;
+  copies.wanted = least_replicas();
+  for (const CoreMember& member : MembersOf(record())) {
+    copies.members.push_back(StandingOf(member, now));
+  }
+  copies.bytes_copied = replica_.copied_bytes();
+  for (const LearnerProgress& learner : replica_.learners()) {
+    copies.bytes_left =
+        std::min(copies.bytes_left.value_or(learner.bytes_left), learner.bytes_left);
+  }
+  return copies;
+}
+
 bool Member::Leaves(const std::string& disk, net::Time now) const {
   const Peer* const peer = FindPeer(disk);
   return peer != nullptr && peer->leaves_until && now < *peer->leaves_until;
--- a/src/tier/coordination/replica.h
+++ b/src/tier/coordination/replica.h
@@ -39,6 +39,13 @@
   std::vector<std::string> replicas;  // The primary among them.
 };
 
+// How far a learner's copy has come.
+struct LearnerProgress {
+  std::string disk;
+  std::uint64_t bytes_copied = 0;  // Of contents that were sent, in its present session.
+  std::uint64_t bytes_left = 0;    // At most: what is equal already is not sent.
+};
+
 // What a step of the replica brings about; the owner carries it out in this order.
 struct ReplicaOutput {
   std::vector<std::pair<std::string, ReplicaMessage>> messages;  // To disks.
@@ -99,6 +106,10 @@
   std::optional<net::Time> Owing(const std::string& disk) const;
   // All of this primary's entries are synced there.
   bool HasAll(const std::string& disk) const;
+  // Of this epoch.
+  std::vector<LearnerProgress> learners() const;
+  // Of contents that this process has sent to learners, ever.
+  std::uint64_t copied_bytes() const { return copied_bytes_; }
   // Its process is another: what was told to be committed may be forgotten there.
   void TellAgain(const std::string& disk);
 
@@ -149,6 +160,8 @@
     std::uint64_t tried_from = 0;  // Where a mismatch was last resent from.
     std::uint64_t session = 0;     // Of a learner; 0: a replica.
     bool joined = false;
+    std::uint64_t map_bytes = 0;                // Of a learner: when its present session began.
+    std::uint64_t copied_bytes = 0;             // Of contents, sent in that session.
     std::optional<net::Time> waited_for_until;  // Commits wait for this learner until then.
   };
   struct HeldReply {
@@ -225,6 +238,7 @@
   std::uint64_t own_match_ = 0;  // Synced here.
   std::deque<std::pair<Ticket, std::uint64_t>> own_syncs_;
   std::uint64_t barrier_ = 0;  // Last entry of earlier epochs.
+  std::uint64_t copied_bytes_ = 0;
 
   // As replica or learner, of this epoch.
   std::uint64_t verified_ = 0;  // Equal to the primary's entries up to here.
--- a/src/tier/coordination/replica_primary.cpp
+++ b/src/tier/coordination/replica_primary.cpp
@@ -12,6 +12,12 @@
 constexpr int kMostResendDoublings = 3;
 constexpr int kJoinWaitsApart = 4;  // Waits for a learner begin so many of their length apart.
 
+std::uint64_t SizeOf(const RangeContents& contents) {
+  std::uint64_t bytes = 0;
+  for (const auto& [key, value] : contents.items) bytes += key.size() + value.size();
+  return bytes;
+}
+
 }  // namespace
 
 Result<Position> Replica::Propose(Step& step, ReplicaOutput& out, std::vector<Write> writes) {
@@ -58,6 +64,17 @@
   return found != followers_.end() && found->second.synced >= LastSequence();
 }
 
+std::vector<LearnerProgress> Replica::learners() const {
+  std::vector<LearnerProgress> learners;
+  for (const auto& [disk, follower] : followers_) {
+    if (follower.session == 0) continue;
+    const std::uint64_t sent = std::min(follower.copied_bytes, follower.map_bytes);
+    const std::uint64_t left = follower.joined ? 0 : follower.map_bytes - sent;
+    learners.push_back({disk, follower.copied_bytes, left});
+  }
+  return learners;
+}
+
 void Replica::TellAgain(const std::string& disk) {
   const auto found = followers_.find(disk);
   if (found == followers_.end()) return;
@@ -175,6 +192,7 @@
     follower.next = applied_.sequence + 1;
     reply.start = true;
     reply.digests = SplitDigests(map, {}, kDigestParts);
+    for (const RangeDigest& digest : reply.digests) follower.map_bytes += digest.bytes;
     Send(out, from, std::move(reply));
     SendEntries(step, out, from, follower);
     return;
@@ -187,6 +205,9 @@
   }
   if (!message.contents.empty()) {
     reply.contents.push_back(ContentsOf(map, message.contents.front(), options_.most_copied_bytes));
+    const std::uint64_t bytes = SizeOf(reply.contents.back());
+    found->second.copied_bytes += bytes;
+    copied_bytes_ += bytes;
   }
   Send(out, from, std::move(reply));
 }
--- a/src/tier/coordination/replicator.h
+++ b/src/tier/coordination/replicator.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "net/address.h"
+#include "net/loop.h"
 #include "tier/foundation/result.h"
 
 namespace shelflink::coordination {
@@ -34,6 +35,30 @@
   net::Address address;
 };
 
+// How the disk of a member stands, as the primary knows it.
+enum class DiskStanding : std::uint8_t {
+  kTakesWrites,  // It answers.
+  kSilent,       // Nothing has been heard of it for longer than a moment.
+  kRefuses,      // Its process answers, without a disk that takes writes.
+  kReplaced,     // Another disk answers in its place: this one is lost.
+};
+
+struct MemberStanding {
+  CoreMember member;
+  bool is_replica = false;
+  bool is_witness = false;
+  DiskStanding standing = DiskStanding::kSilent;
+  std::optional<net::Time> heard_at;  // Of this disk; none: never by this process.
+};
+
+// The copies of the map, and what is copied to make more of them.
+struct CopiesOfMap {
+  std::vector<MemberStanding> members;
+  std::size_t wanted = 0;                   // Replicas: fault tolerance + 1.
+  std::uint64_t bytes_copied = 0;           // To learners, since the process began.
+  std::optional<std::uint64_t> bytes_left;  // To the learner that has come furthest, at most.
+};
+
 // The interface; coordination/group.h runs it over a hub and LMDB, tests use one of their own.
 class Replicator {
  public:
@@ -61,6 +86,8 @@
   virtual std::uint64_t epoch() const = 0;
   virtual std::optional<net::Address> primary() const = 0;  // Internal address, where known.
   virtual std::vector<CoreMember> members() const = 0;      // Replicas and witnesses.
+  // None where this is not the primary.
+  virtual std::optional<CopiesOfMap> copies() const { return std::nullopt; }
   // Hands the primary's place over (SIGTERM); done is told when another has it or it failed.
   virtual void Transfer(std::function<void(bool)> done) = 0;
 };
--- a/tests/tier/coordination/member_test.cpp
+++ b/tests/tier/coordination/member_test.cpp
@@ -1,6 +1,8 @@
 // Single steps of a member that long explorations seldom meet.
 #define BOOST_TEST_MODULE coordination_member
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <stdexcept>
 
 #include "coordination/world.h"
 
@@ -99,6 +101,139 @@
   BOOST_TEST(world.history.findings().empty());
 }
 
+// ---- Repair begins when a loss is known, not with the next renewal.
+
+constexpr net::Span kLease = seconds(1);
+constexpr net::Span kSilentAfter = kLease * 11 / 20;
+// A record takes a round of messages to prepare and one to accept, with a sync each.
+constexpr net::Span kDecidesWithin = milliseconds(12);
+
+bool AsksForCopy(const World& world) {
+  return std::any_of(world.flights.begin(), world.flights.end(), [](const Flight& flight) {
+    const auto* request = std::get_if<CatchUpRequest>(&flight.message);
+    return request != nullptr && request->start;
+  });
+}
+
+// How long until a spare asks the primary for its first bytes.
+net::Span UntilACopyBegins(World& world, const World::Trouble& trouble) {
+  const net::Time from = world.now;
+  while (!AsksForCopy(world) && world.now < from + seconds(3)) {
+    world.Run(milliseconds(1), trouble);
+  }
+  return world.now - from;
+}
+
+std::size_t ReplicaBesides(const World& world, std::size_t primary) {
+  const Record& record = world.nodes[primary].member->record();
+  for (std::size_t node = 0; node < world.nodes.size(); ++node) {
+    const bool named = FindDisk(record.replicas, world.nodes[node].identity) != nullptr;
+    if (node != primary && named) return node;
+  }
+  throw std::runtime_error("there is no other replica");
+}
+
+// At any place between two renewals.
+const std::vector<milliseconds> kPhases = {milliseconds(0),   milliseconds(60),  milliseconds(120),
+                                           milliseconds(180), milliseconds(240), milliseconds(300)};
+
+BOOST_AUTO_TEST_CASE(a_spare_copies_as_soon_as_a_replica_has_been_silent_for_too_long) {
+  const World serving = Serving(4);
+  for (const milliseconds phase : kPhases) {
+    World world = serving;
+    world.Run(phase);
+    const std::size_t lost = ReplicaBesides(world, world.Primary().value());
+    world.Crash(lost, 0);
+    // It was heard of a renewal ago at most, and what it sent last is still on its way.
+    const net::Span until = UntilACopyBegins(world, {});
+    BOOST_TEST((until <= kSilentAfter + kDecidesWithin));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_spare_copies_as_soon_as_a_replica_has_owed_for_too_long) {
+  const World serving = Serving(4);
+  for (const milliseconds phase : kPhases) {
+    World world = serving;
+    world.Run(phase);
+    const std::size_t primary = world.Primary().value();
+    const std::size_t stalled = ReplicaBesides(world, primary);
+    World::Trouble trouble;
+    trouble.stalled = [stalled](std::size_t node) { return node == stalled; };
+    world.Submit(primary, 0);
+    const net::Span until = UntilACopyBegins(world, trouble);
+    BOOST_TEST((until >= kSilentAfter));
+    BOOST_TEST((until <= kSilentAfter + kDecidesWithin),
+               "phase " << phase.count() << " ms: " << until / milliseconds(1));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_machine_that_returns_without_its_disk_copies_at_once) {
+  const World serving = Serving(4);
+  for (const milliseconds phase : kPhases) {
+    World world = serving;
+    world.Run(phase);
+    const std::size_t lost = ReplicaBesides(world, world.Primary().value());
+    world.Wipe(lost);
+    world.Start(lost);
+    BOOST_TEST((UntilACopyBegins(world, {}) <= kDecidesWithin));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_whose_disk_refuses_is_replaced_at_once) {
+  const World serving = Serving(4);
+  for (const milliseconds phase : kPhases) {
+    World world = serving;
+    world.Run(phase);
+    world.FillDisk(ReplicaBesides(world, world.Primary().value()), 0);
+    BOOST_TEST((UntilACopyBegins(world, {}) <= kDecidesWithin));
+  }
+}
+
+// ---- How members stand, as an operator is told.
+
+DiskStanding StandingOf(const World& world, std::size_t primary, const std::string& disk) {
+  const CopiesOfMap copies = world.nodes[primary].member->copies(world.now);
+  for (const MemberStanding& member : copies.members) {
+    if (member.member.disk == disk) return member.standing;
+  }
+  throw std::runtime_error("the record does not name " + disk);
+}
+
+BOOST_AUTO_TEST_CASE(the_primary_tells_how_the_disks_of_its_record_stand) {
+  // Of two, none can be replaced by another: the record goes on naming both.
+  const World serving = Serving(2);
+  const std::size_t primary = serving.Primary().value();
+  const std::size_t other = 1 - primary;
+  const std::string disk = serving.nodes[other].identity;
+  BOOST_TEST((StandingOf(serving, primary, disk) == DiskStanding::kTakesWrites));
+  BOOST_TEST(serving.nodes[primary].member->copies(serving.now).wanted == 2U);
+
+  World silent = serving;
+  silent.Crash(other, 0);
+  silent.Run(milliseconds(600));
+  BOOST_TEST((StandingOf(silent, primary, disk) == DiskStanding::kSilent));
+
+  World refusing = serving;
+  refusing.FillDisk(other, 0);
+  refusing.Run(milliseconds(50));
+  BOOST_TEST((StandingOf(refusing, primary, disk) == DiskStanding::kRefuses));
+  const CopiesOfMap copies = refusing.nodes[primary].member->copies(refusing.now);
+  for (const MemberStanding& member : copies.members) BOOST_TEST(member.heard_at.has_value());
+
+  World replaced = serving;
+  replaced.Wipe(other);
+  replaced.Start(other);
+  bool seen = false;
+  for (int step = 0; step < 100 && !seen; ++step) {
+    replaced.Run(milliseconds(1));
+    const CopiesOfMap now = replaced.nodes[primary].member->copies(replaced.now);
+    for (const MemberStanding& member : now.members) {
+      seen = seen || member.standing == DiskStanding::kReplaced;
+    }
+  }
+  BOOST_TEST(seen);
+}
+
 // ---- Members whose disks refuse.
 
 CoreMember MemberAt(std::size_t node, const std::string& disk) {
--- a/tests/tier/coordination/mutants.cmake
+++ b/tests/tier/coordination/mutants.cmake
@@ -88,3 +88,9 @@
     leaving_ = false;]=]
   [=[  {
     leaving_ = false;]=])
+
+# Repair begins when a loss is known.
+tier_mutant(owing_is_judged_with_the_renewals coordination/member_change.cpp
+  [=[    if (const auto owing_since = replica_.Owing(replica.disk)) judge_since(*owing_since);]=] ""
+  TEST coordination/member_test RUN a_spare_copies_as_soon_as_a_replica_has_owed_for_too_long
+  LIBRARIES tier_coordination_world)
