--- a/src/tier/batch/hosted_partition.cpp
+++ b/src/tier/batch/hosted_partition.cpp
@@ -253,6 +253,11 @@
   return stalled;
 }
 
+std::vector<coordination::LearnerProgress> HostedPartition::Learners() const {
+  if (!acting()) return {};
+  return replica_.learners();
+}
+
 std::vector<std::string> HostedPartition::RequireJoined() {
   std::vector<std::string> joined;
   if (!acting()) return joined;
--- a/src/tier/batch/hosted_partition.h
+++ b/src/tier/batch/hosted_partition.h
@@ -66,6 +66,8 @@
   // About every resend pause. Of the row's other disks: who stalls, who became complete.
   void OnTimer();
   std::vector<std::string> Stalled(net::Span patience) const;
+  // Copies to joiners, where this store is the primary.
+  std::vector<coordination::LearnerProgress> Learners() const;
   // Joiners that have everything. From now on nothing is committed without them.
   std::vector<std::string> RequireJoined();
   void CatchUp();
--- a/src/tier/batch/replica_host.cpp
+++ b/src/tier/batch/replica_host.cpp
@@ -21,6 +21,13 @@
 constexpr milliseconds kKeepUnnamed{20000};
 constexpr double kRoomShare = 0.8;
 
+std::uint64_t BytesCopiedTo(const HostedPartition& hosted, const std::string& disk) {
+  for (const coordination::LearnerProgress& learner : hosted.Learners()) {
+    if (learner.disk == disk) return learner.bytes_copied;
+  }
+  return 0;
+}
+
 }  // namespace
 
 ReplicaHost::ReplicaHost(net::Loop& loop, transport::Hub& hub, storage::Storage& storage,
@@ -191,9 +198,20 @@
   ArmTimer();
 }
 
+std::vector<cluster::CopyUnderWay> ReplicaHost::copying() const {
+  std::vector<cluster::CopyUnderWay> copies;
+  for (const auto& [partition, hosted] : hosted_) {
+    for (const coordination::LearnerProgress& learner : hosted->Learners()) {
+      copies.push_back({partition, learner.disk, learner.bytes_copied, learner.bytes_left});
+    }
+  }
+  return copies;
+}
+
 void ReplicaHost::ReportJoined(std::uint32_t partition, HostedPartition& hosted) {
   for (const std::string& disk : hosted.RequireJoined()) {
-    Report({partition, hosted.row_epoch(), disk, cluster::BackupCondition::kComplete});
+    Report({partition, hosted.row_epoch(), disk, cluster::BackupCondition::kComplete,
+            BytesCopiedTo(hosted, disk)});
   }
 }
 
--- a/src/tier/batch/replica_host.h
+++ b/src/tier/batch/replica_host.h
@@ -68,6 +68,8 @@
   void SetEvents(Events events) override { events_ = std::move(events); }
   void OnPlacement(const cluster::Placement& placement) override;
   void LeadAnew(std::uint32_t partition) override;
+  // Of partitions whose primary is here, the copies to their joiners.
+  std::vector<cluster::CopyUnderWay> copying() const;
   // Frames of other stores, by cause: "malformed", "older_epoch", "unnamed_disk", "not_hosted".
   const DropCounter::Counts& dropped() const { return dropped_; }
 
--- a/src/tier/batch/store_node.cpp
+++ b/src/tier/batch/store_node.cpp
@@ -103,6 +103,7 @@
   report.bytes_used = usage.bytes_used;
   report.bytes_free = usage.bytes_limit - std::min(usage.bytes_used, usage.bytes_limit);
   report.tokens_queued = service_.queued_tokens();
+  report.copying = replicas_.copying();
   return report;
 }
 
--- a/src/tier/batch/store_node.h
+++ b/src/tier/batch/store_node.h
@@ -31,6 +31,7 @@
   // `done` is called once: when the core has taken the lease back, or was given time enough to.
   void Leave(std::function<void()> done);
   void SetSeeds(const std::vector<net::Address>& seeds) { agent_.SetSeeds(seeds); }
+  std::vector<cluster::CopyUnderWay> copying() const { return replicas_.copying(); }
 
  private:
   cluster::Agent::Changes AgentChanges();
--- a/src/tier/batch/store_process.h
+++ b/src/tier/batch/store_process.h
@@ -26,6 +26,10 @@
   // The settings file has changed: other seeds, also of the nodes to come.
   void SetSeeds(const std::vector<net::Address>& seeds);
   const StoreDisk& disk() const { return disk_; }
+  // The copies that it makes for others, of partitions that it leads.
+  std::vector<cluster::CopyUnderWay> copying() const {
+    return node_ ? node_->copying() : std::vector<cluster::CopyUnderWay>();
+  }
 
  private:
   StoreDisk::Work WorkOnDisk();
--- a/src/tier/cluster/core_metrics.cpp
+++ b/src/tier/cluster/core_metrics.cpp
@@ -1,5 +1,7 @@
 #include "tier/cluster/core_metrics.h"
 
+#include <algorithm>
+
 namespace shelflink::cluster {
 namespace {
 
@@ -45,6 +47,62 @@
 constexpr MetricFamily kAnswers{"shelflink_operator_answers_total", MetricType::kCounter,
                                 "Answers to the operator's orders, by status code."};
 
+constexpr MetricFamily kLacking{"shelflink_redundancy_lacking", MetricType::kGauge,
+                                "What has too few whole copies now; of the primary only."};
+constexpr MetricFamily kLackingFor{"shelflink_redundancy_lacking_seconds", MetricType::kGauge,
+                                   "For how long the one that lacks copies longest does."};
+constexpr MetricFamily kLackingBytes{"shelflink_redundancy_left_bytes", MetricType::kGauge,
+                                     "Still to be copied, at most, as far as it is known."};
+constexpr MetricFamily kLosses{"shelflink_redundancy_losses_total", MetricType::kCounter,
+                               "Times that something came to have too few whole copies."};
+constexpr MetricFamily kLossesEnded{"shelflink_redundancy_losses_ended_total", MetricType::kCounter,
+                                    "Of those, the times that it had enough again."};
+constexpr MetricFamily kLossMedian{"shelflink_redundancy_median_seconds", MetricType::kGauge,
+                                   "Median time with too few copies, of the newest that ended."};
+constexpr MetricFamily kLossWorst{"shelflink_redundancy_worst_seconds", MetricType::kGauge,
+                                  "Longest time with too few copies of all that ended."};
+constexpr MetricFamily kLossCopied{"shelflink_redundancy_copied_bytes_total", MetricType::kCounter,
+                                   "Copied while something had too few copies."};
+
+constexpr std::string_view NameOf(CopyKind kind) {
+  return kind == CopyKind::kControl ? "control" : "batch";
+}
+
+void AddHistory(MetricsText& text, CopyKind kind, const LossHistory& history) {
+  const MetricLabels labels{{"kind", NameOf(kind)}};
+  text.Add(kLosses, history.begun, labels);
+  text.Add(kLossesEnded, history.ended, labels);
+  text.Add(kLossCopied, history.bytes_copied, labels);
+  if (history.ended == 0) return;
+  text.AddSeconds(kLossMedian, history.median, labels);
+  text.AddSeconds(kLossWorst, history.worst, labels);
+}
+
+void AddOpenLosses(MetricsText& text, CopyKind kind, const std::vector<OpenLoss>& open) {
+  const MetricLabels labels{{"kind", NameOf(kind)}};
+  std::uint64_t count = 0;
+  std::uint64_t bytes = 0;
+  net::Span longest{};
+  for (const OpenLoss& loss : open) {
+    if (loss.subject.kind != kind) continue;
+    ++count;
+    bytes += loss.bytes_left.value_or(0);
+    longest = std::max(longest, loss.lasts);
+  }
+  text.Add(kLacking, count, labels);
+  text.AddSeconds(kLackingFor, longest, labels);
+  text.Add(kLackingBytes, bytes, labels);
+}
+
+void AddRedundancy(MetricsText& text, const RedundancyFigures& figures) {
+  if (figures.leads) {
+    AddOpenLosses(text, CopyKind::kControl, figures.open);
+    if (figures.stores_heard) AddOpenLosses(text, CopyKind::kBatch, figures.open);
+  }
+  AddHistory(text, CopyKind::kControl, figures.control);
+  AddHistory(text, CopyKind::kBatch, figures.batch);
+}
+
 void AddMembers(MetricsText& text, const std::vector<std::string>& nodes, std::string_view part) {
   for (const std::string& node : nodes) {
     text.Add(kRecordMember, std::uint64_t{1}, {{"node", node}, {"part", part}});
@@ -88,6 +146,7 @@
   AddProcessMetrics(text, figures.process, invariants);
   AddGroup(text, figures.group);
   AddCluster(text, figures.cluster);
+  AddRedundancy(text, figures.cluster.redundancy);
   for (const auto& [outcome, count] : figures.platform_calls) {
     text.Add(kPlatformCalls, count,
              {{"call", NameOf(outcome.kind)}, {"outcome", OutcomeName(outcome)}});
--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -1,6 +1,7 @@
 #include "tier/cluster/core_service.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "tier/cluster/member_table.h"
 #include "tier/cluster/messages.h"
 #include "tier/cluster/placement_keeper.h"
+#include "tier/cluster/redundancy_watch.h"
 #include "tier/cluster/relay_tree.h"
 #include "tier/cluster/same_endpoints.h"
 #include "tier/cluster/scale_duty.h"
@@ -31,6 +33,7 @@
 constexpr milliseconds kMembersGapEach{1};  // and for each member.
 constexpr milliseconds kAdoptTimeout{500};
 constexpr std::size_t kMembersAtFullRate = 200;
+constexpr milliseconds kLeaseTimerLate{50};
 constexpr const char* kModule = "cluster.core";
 
 LeaseSpans SpansOf(const ProcessSettings& settings) {
@@ -47,6 +50,12 @@
   return rules;
 }
 
+std::uint64_t BytesOf(const coordination::Contents& contents) {
+  std::uint64_t bytes = 0;
+  for (const auto& [key, value] : contents) bytes += key.size() + value.size();
+  return bytes;
+}
+
 bool HasDuty(const ProcessSettings& settings, const std::string& duty) {
   return settings.contracts.count("leader") > 0 && settings.cloud.duties.count(duty) > 0;
 }
@@ -74,9 +83,11 @@
         members(spans),
         publisher(hub),
         keeper(loop, replicator, members, RulesOf(settings), spans.store),
+        redundancy(RulesOf(settings).copies),
         pace(settings.cloud.duty_per_s) {
     if (platform != nullptr) MakePlatformParts(*platform);
     tick_timer = loop.NewTimer([this] { Tick(); });
+    lease_timer = loop.NewTimer([this] { OnLeaseTimer(); });
     Serve();
     coordination::Replicator::Watcher watcher;
     watcher.committed = [this](const std::vector<coordination::Write>& writes) {
@@ -149,6 +160,7 @@
     tree.Clear();
     clock.Clear();
     members_changed = true;
+    redundancy.Begin(loop.Now());
     keeper.Start();
     if (watch) watch->Start();
     if (usage) usage->Start(epoch);
@@ -160,6 +172,7 @@
   void GoOnLeading(std::uint64_t the_epoch) {
     epoch = the_epoch;
     members_changed = true;
+    ObserveCopies();
     if (usage) usage->SetFence(epoch);
     if (scale) scale->SetFence(epoch);
   }
@@ -168,6 +181,9 @@
     log::Info(kModule, "no longer primary of epoch " + std::to_string(epoch));
     leading = false;
     tick_timer->Cancel();
+    lease_timer->Cancel();
+    led_before += loop.Now() - led_since;
+    redundancy.End();
     keeper.Stop();
     if (watch) watch->Stop();
     if (usage) usage->Stop();
@@ -179,21 +195,62 @@
     tick_timer->ArmAt(next_tick);
   }
 
-  void Tick() {
-    const net::Span late = loop.Now() - next_tick;
-    ArmTick();
-    if (!Leads()) return;
-    if (late > kTick) members.Extend(late);
+  void ArmLeaseTimer() {
+    lease_due = members.NextEnd();
+    if (lease_due < next_tick) lease_timer->ArmAt(lease_due);
+  }
+
+  // Between two ticks a lease may run out. Later than due: this process stood still, and the tick
+  // sees what that means.
+  void OnLeaseTimer() {
+    if (!Leads() || loop.Now() > lease_due + kLeaseTimerLate) return;
+    EndLeases();
+    ArmLeaseTimer();
+  }
+
+  void EndLeases() {
+    bool store_lost = false;
     for (const MemberLease& lease : members.Expire(loop.Now())) {
       log::Info(kModule,
                 "lease of " + lease.member.role + " " + lease.member.node + " has run out");
       Forget(lease.member.address);
-      if (lease.member.role == "store") keeper.Evaluate();
+      store_lost = store_lost || lease.member.role == "store";
     }
+    if (store_lost) OnStoresChanged();
+  }
+
+  // What is lost is seen before its repair begins.
+  void OnStoresChanged() {
+    ObserveCopies();
+    keeper.Evaluate();
+  }
+
+  void ObserveCopies() {
+    if (!Leads()) return;
+    const net::Time now = loop.Now();
+    if (const std::optional<coordination::CopiesOfMap> copies = replicator.copies()) {
+      redundancy.ObserveControl(now, *copies, [this] { return BytesOf(replicator.contents()); });
+    }
+    if (keeper.Patient()) return;
+    std::set<std::string> live;
+    for (const auto& [address, lease] : members.leases()) {
+      if (lease.store) live.insert(lease.store->disk);
+    }
+    redundancy.ObservePartitions(now, live);
+  }
+
+  void Tick() {
+    const net::Span late = loop.Now() - next_tick;
+    ArmTick();
+    if (!Leads()) return;
+    if (late > kTick) members.Extend(late);
+    EndLeases();
+    ObserveCopies();
     keeper.Tick();
     PublishMembers();
     if (usage) usage->Tick();
     if (scale) scale->Tick(configuration.get(), watch->entries());
+    ArmLeaseTimer();
   }
 
   // --- Members ---
@@ -220,9 +277,10 @@
       return MakeError(ErrorCode::kExhausted, "too many members");
     }
     HearMember(from, renewal.value());
+    if (renewal.value().store) redundancy.OnStore(loop.Now(), *renewal.value().store);
     if (renewed == MemberTable::Renewed::kChanged) {
       members_changed = true;
-      if (from.role == "store") keeper.Evaluate();
+      if (from.role == "store") OnStoresChanged();
     }
     return Encode(Accept(from.address));
   }
@@ -294,7 +352,7 @@
     if (members.Leave(from.address, from.incarnation)) {
       log::Info(kModule, from.role + " " + from.node + " leaves");
       Forget(from.address);
-      if (from.role == "store") keeper.Evaluate();
+      if (from.role == "store") OnStoresChanged();
     }
     return std::string();
   }
@@ -309,6 +367,7 @@
       reply(MakeError(ErrorCode::kUnavailable, "not the primary"));
       return;
     }
+    redundancy.OnReport(report.value());
     keeper.OnReport(report.value(), [reply = std::move(reply)](const Result<void>& result) {
       if (result) {
         reply(std::string());
@@ -390,9 +449,40 @@
     figures.lists_published = lists_published;
     figures.lists_not_published = lists_not_published;
     if (watch && watch->read_at()) figures.list_age = loop.Now() - *watch->read_at();
+    figures.redundancy = Redundancy();
+    return figures;
+  }
+
+  RedundancyFigures Redundancy() const {
+    RedundancyFigures figures;
+    figures.control = redundancy.book().history(CopyKind::kControl);
+    figures.batch = redundancy.book().history(CopyKind::kBatch);
+    figures.led = led_before;
+    if (!Leads()) return figures;
+    figures.leads = true;
+    figures.led += loop.Now() - led_since;
+    figures.stores_heard = !keeper.Patient();
+    figures.stores = Stores();
+    figures.partitions = redundancy.partitions();
+    figures.open = redundancy.book().open(loop.Now());
     return figures;
   }
 
+  std::vector<StoreFigures> Stores() const {
+    std::vector<StoreFigures> stores;
+    for (const StoreCandidate& store : keeper.Candidates(replicator.contents())) {
+      StoreFigures figures{store.node, store.zone, store.address.Text(), false, store.retiring};
+      const auto lease = members.leases().find(store.address);
+      if (lease != members.leases().end() && lease->second.store) {
+        figures.live = true;
+        figures.bytes_used = lease->second.store->bytes_used;
+        figures.bytes_free = lease->second.store->bytes_free;
+      }
+      stores.push_back(std::move(figures));
+    }
+    return stores;
+  }
+
   std::string AgeOfList() const {
     const std::optional<net::Time> read_at = watch->read_at();
     if (!read_at) return "never read";
@@ -445,8 +535,10 @@
     if (configuration_changed) TakeConfiguration();
     if (placement_changed) {
       const coordination::Contents& contents = replicator.contents();
-      Publish(Part::kPlacement, {0, NumberAt(contents, kPlacementCountKey)},
-              EncodePlacement(RowsOf(contents)));
+      std::vector<PartitionRow> rows = RowsOf(contents);
+      Publish(Part::kPlacement, {0, NumberAt(contents, kPlacementCountKey)}, EncodePlacement(rows));
+      redundancy.OnRows(std::move(rows));
+      ObserveCopies();
     }
   }
 
@@ -536,17 +628,21 @@
   UsageLedger ledger;
   ViewPublisher publisher;
   PlacementKeeper keeper;
+  RedundancyWatch redundancy;
   DutyPace pace;
   std::unique_ptr<EndpointWatch> watch;  // Null: no platform.
   std::unique_ptr<UsageDuty> usage;      // Null: not our duty.
   std::unique_ptr<ScaleDuty> scale;
   net::TimerPtr tick_timer;
+  net::TimerPtr lease_timer;
+  net::Time lease_due{};
 
   bool leading = false;
   std::uint64_t epoch = 0;
   std::uint64_t count = 0;  // Of the parts made under this epoch.
   Version read_version;     // Of the endpoints that this process has read and published last.
   net::Time led_since{};
+  net::Span led_before{};  // Of earlier terms of this process.
   net::Time next_tick{};
   bool members_changed = false;
   net::Time members_published{};
--- a/src/tier/cluster/messages.cpp
+++ b/src/tier/cluster/messages.cpp
@@ -51,23 +51,40 @@
   return load;
 }
 
+void WriteCopy(cbor::Writer& writer, const CopyUnderWay& copy) {
+  writer.Array(4).Uint(copy.partition).Text(copy.disk);
+  writer.Uint(copy.bytes_copied).Uint(copy.bytes_left);
+}
+
+CopyUnderWay ReadCopy(cbor::Reader& reader) {
+  const FieldsReader fields(reader, 4);
+  CopyUnderWay copy;
+  copy.partition = static_cast<std::uint32_t>(reader.Uint());
+  copy.disk = reader.Text();
+  copy.bytes_copied = reader.Uint();
+  copy.bytes_left = reader.Uint();
+  return copy;
+}
+
 void WriteStore(cbor::Writer& writer, const std::optional<StoreState>& store) {
   if (!store) {
     writer.Null();
     return;
   }
-  writer.Array(4).Text(store->disk).Uint(store->bytes_used).Uint(store->bytes_free);
+  writer.Array(5).Text(store->disk).Uint(store->bytes_used).Uint(store->bytes_free);
   writer.Uint(store->tokens_queued);
+  WriteList(writer, store->copying, WriteCopy);
 }
 
 std::optional<StoreState> ReadStore(cbor::Reader& reader) {
   if (reader.TakeNull()) return std::nullopt;
-  const FieldsReader fields(reader, 4);
+  FieldsReader fields(reader, 4);
   StoreState store;
   store.disk = reader.Text();
   store.bytes_used = reader.Uint();
   store.bytes_free = reader.Uint();
   store.tokens_queued = reader.Uint();
+  if (fields.TakeAdded()) store.copying = ReadList<CopyUnderWay>(reader, ReadCopy);
   return store;
 }
 
@@ -236,8 +253,8 @@
 
 std::string Encode(const BackupReport& message) {
   cbor::Writer writer;
-  writer.Array(4).Uint(message.partition).Uint(message.epoch).Text(message.disk);
-  writer.Uint(static_cast<std::uint64_t>(message.condition));
+  writer.Array(5).Uint(message.partition).Uint(message.epoch).Text(message.disk);
+  writer.Uint(static_cast<std::uint64_t>(message.condition)).Uint(message.bytes_copied);
   return writer.Take();
 }
 
@@ -245,13 +262,14 @@
   cbor::Reader reader(body);
   BackupReport message;
   {
-    const FieldsReader fields(reader, 4);
+    FieldsReader fields(reader, 4);
     message.partition = static_cast<std::uint32_t>(reader.Uint());
     message.epoch = reader.Uint();
     message.disk = reader.Text();
     const std::uint64_t condition = reader.Uint();
     if (condition > static_cast<std::uint64_t>(BackupCondition::kStalled)) reader.Fail();
     message.condition = condition == 1 ? BackupCondition::kStalled : BackupCondition::kComplete;
+    if (fields.TakeAdded()) message.bytes_copied = reader.Uint();
   }
   return Checked(reader, std::move(message), "report on a backup");
 }
--- a/src/tier/cluster/messages.h
+++ b/src/tier/cluster/messages.h
@@ -63,12 +63,23 @@
   bool operator==(const ServiceLoad&) const = default;
 };
 
+// How far the copy of a partition has come on its way to a joiner, as the partition's primary
+// tells.
+struct CopyUnderWay {
+  std::uint32_t partition = 0;
+  std::string disk;                // Of the joiner.
+  std::uint64_t bytes_copied = 0;  // Of contents, since the joiner's session began.
+  std::uint64_t bytes_left = 0;    // At most: what is equal already is not copied.
+  bool operator==(const CopyUnderWay&) const = default;
+};
+
 // What a store tells of itself.
 struct StoreState {
   std::string disk;
   std::uint64_t bytes_used = 0;
   std::uint64_t bytes_free = 0;
   std::uint64_t tokens_queued = 0;
+  std::vector<CopyUnderWay> copying = {};  // Of partitions that it leads.
   bool operator==(const StoreState&) const = default;
 };
 
@@ -145,6 +156,7 @@
   std::uint64_t epoch = 0;  // Of the row.
   std::string disk;         // Of the backup.
   BackupCondition condition = BackupCondition::kComplete;
+  std::uint64_t bytes_copied = 0;  // To a joiner that is complete.
   bool operator==(const BackupReport&) const = default;
 };
 
--- /dev/null
+++ b/src/tier/cluster/redundancy_watch.h
@@ -0,0 +1,89 @@
+// Folds what the core's primary knows of copies into the redundancy book: committed rows, renewals,
+// farewells and lost leases of stores, and how the members of its own group stand.
+//
+// Pure: the time comes with each event. Works while this process is the primary; rows are kept up
+// to date everywhere. What an earlier primary counted stays with that process: nothing of it is
+// handed on but what rows and leases tell anyhow.
+//
+// Limits: kPartitions rows, one time for each of at most kMostDisksHeard disks, one counter for
+// each joiner that a row names.
+#ifndef SHELFLINK_TIER_CLUSTER_REDUNDANCY_WATCH_H_
+#define SHELFLINK_TIER_CLUSTER_REDUNDANCY_WATCH_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/loop.h"
+#include "tier/cluster/messages.h"
+#include "tier/cluster/redundancy.h"
+#include "tier/cluster/view.h"
+#include "tier/coordination/replicator.h"
+
+namespace shelflink::cluster {
+
+constexpr std::size_t kMostDisksHeard = 8192;
+
+// Of the partitions as the rows and leases have them.
+struct PartitionFigures {
+  std::size_t partitions = 0;
+  std::size_t wanted = 0;  // Copies of each.
+  std::size_t whole = 0;   // Partitions that have as many.
+};
+
+class RedundancyWatch {
+ public:
+  // `wanted`: fault tolerance + 1.
+  explicit RedundancyWatch(std::size_t wanted) : wanted_(wanted) {}
+
+  // This process leads from now on, or does so no more.
+  void Begin(net::Time now) { began_ = now; }
+  void End();
+
+  // Committed, here or elsewhere.
+  void OnRows(std::vector<PartitionRow> rows);
+  // A renewal of a store.
+  void OnStore(net::Time now, const StoreState& store);
+  // The primary of a partition tells that a joiner has caught up.
+  void OnReport(const BackupReport& report);
+  // `live`: disks of stores whose leases hold. Only once all stores have had time to speak.
+  void ObservePartitions(net::Time now, const std::set<std::string>& live);
+  // `map_bytes`: of the control state, asked for only while a copy of it is missing.
+  template <typename MapBytes>
+  void ObserveControl(net::Time now, const coordination::CopiesOfMap& copies, MapBytes map_bytes) {
+    CountControl(now, copies);
+    if (!book_.IsOpen(kControlSubject)) return;
+    book_.OnLeft(kControlSubject, copies.bytes_left ? *copies.bytes_left : map_bytes());
+  }
+
+  const RedundancyBook& book() const { return book_; }
+  PartitionFigures partitions() const;
+
+ private:
+  static constexpr CopySubject kControlSubject{CopyKind::kControl, 0};
+
+  void CountControl(net::Time now, const coordination::CopiesOfMap& copies);
+  void Count(std::uint32_t partition, const std::string& disk, std::uint64_t copied);
+  RedundancyBook::Copies CopiesOfRow(std::uint32_t partition,
+                                     const std::set<std::string>& live) const;
+  void ForgetDisks();
+
+  std::size_t wanted_;
+  net::Time began_{};
+  std::vector<PartitionRow> rows_;
+  std::map<std::string, net::Time> heard_at_;  // By disk, while this process leads.
+  // Copied to a joiner so far, as its primary told last.
+  std::map<std::pair<std::uint32_t, std::string>, std::uint64_t> copied_;
+  std::uint64_t control_copied_ = 0;
+  std::size_t whole_partitions_ = 0;
+  RedundancyBook book_;
+};
+
+}  // namespace shelflink::cluster
+
+#endif  // SHELFLINK_TIER_CLUSTER_REDUNDANCY_WATCH_H_
--- a/tests/tier/cluster/cluster_messages_test.cpp
+++ b/tests/tier/cluster/cluster_messages_test.cpp
@@ -26,7 +26,7 @@
   message.window_open = 77;
   message.uses = {{76, "tenant", 12}, {77, "other", 1}};
   message.loads = {{"service", 1000, 20}};
-  message.store = StoreState{"disk", 5, 6, 7};
+  message.store = StoreState{"disk", 5, 6, 7, {{3, "joiner", 1000, 24}, {63, "other", 0, 9}}};
   return message;
 }
 
@@ -50,7 +50,7 @@
 
 Push SomePush() { return {Part::kMembers, {2, 8}, "bytes"}; }
 Fetch SomeFetch() { return {Part::kEndpoints, {1, 2}}; }
-BackupReport SomeReport() { return {63, 5, "disk", BackupCondition::kStalled}; }
+BackupReport SomeReport() { return {63, 5, "disk", BackupCondition::kStalled, 4096}; }
 
 ListReadingFetch SomeListReadingFetch() { return {std::chrono::milliseconds(1500)}; }
 ListReading SomeListReading() { return {std::chrono::milliseconds(90), "entries"}; }
--- a/tests/tier/cluster/cluster_parts_test.cpp
+++ b/tests/tier/cluster/cluster_parts_test.cpp
@@ -1,5 +1,5 @@
 // The small pure parts: finder of the core, relay tree, clock estimate, leases, orders of
-// endpoints, summaries of lists.
+// endpoints, summaries of lists, time without redundancy.
 #define BOOST_TEST_MODULE cluster_parts
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
@@ -11,6 +11,8 @@
 #include "tier/cluster/core_service.h"
 #include "tier/cluster/endpoint_summary.h"
 #include "tier/cluster/member_table.h"
+#include "tier/cluster/redundancy.h"
+#include "tier/cluster/redundancy_watch.h"
 #include "tier/cluster/relay_tree.h"
 #include "tier/cluster/scale_planner.h"
 
@@ -288,5 +290,226 @@
   BOOST_TEST(TextOf(SummaryOf({}, {})) == "version 0.0, 0 endpoints, 0 of them draining");
 }
 
+// --- Time without redundancy ---
+
+constexpr CopySubject kControl{CopyKind::kControl, 0};
+constexpr CopySubject PartitionOf(std::uint32_t number) { return {CopyKind::kBatch, number}; }
+
+RedundancyBook::Copies Seen(const CopySubject& subject, std::size_t whole, net::Time since) {
+  return {subject, whole, 2, since, false};
+}
+
+// Lost from `from` on, seen `seen_after` later, whole again `lasts` after `from`.
+void PlayLoss(RedundancyBook& book, const CopySubject& subject, net::Time from,
+              milliseconds seen_after, milliseconds lasts, std::uint64_t bytes) {
+  book.Observe(from + seen_after, Seen(subject, 1, from));
+  book.OnCopied(subject, bytes);
+  book.Observe(from + lasts, Seen(subject, 2, from));
+}
+
+BOOST_AUTO_TEST_CASE(a_loss_counts_from_when_the_copy_was_last_heard_of) {
+  RedundancyBook book;
+  book.Observe(After(seconds(10)), Seen(kControl, 2, After(seconds(10))));
+  BOOST_TEST(book.open(After(seconds(10))).empty());
+  book.Observe(After(milliseconds(12500)), Seen(kControl, 1, After(seconds(11))));
+  book.OnLeft(kControl, 700);
+  book.OnCopied(kControl, 300);
+  const std::vector<OpenLoss> open = book.open(After(seconds(13)));
+  BOOST_REQUIRE(open.size() == 1U);
+  BOOST_TEST((open[0].lasts == seconds(2)));
+  BOOST_TEST(open[0].whole == 1U);
+  BOOST_TEST(open[0].wanted == 2U);
+  BOOST_TEST(open[0].bytes_copied == 300U);
+  BOOST_TEST(open[0].bytes_left.value() == 700U);
+  BOOST_TEST(!open[0].at_least);
+  book.Observe(After(milliseconds(13250)), Seen(kControl, 2, {}));
+  BOOST_TEST(book.open(After(seconds(14))).empty());
+  const LossHistory history = book.history(CopyKind::kControl);
+  BOOST_TEST(history.begun == 1U);
+  BOOST_TEST(history.ended == 1U);
+  BOOST_TEST((history.median == milliseconds(2250)));
+  BOOST_TEST((history.worst == milliseconds(2250)));
+  BOOST_TEST(history.bytes_copied == 300U);
+  BOOST_TEST(book.history(CopyKind::kBatch).begun == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_further_loss_prolongs_the_one_that_is_open) {
+  RedundancyBook book;
+  book.Observe(After(seconds(2)), Seen(PartitionOf(3), 1, After(seconds(1))));
+  book.Observe(After(seconds(4)), Seen(PartitionOf(3), 0, After(seconds(3))));
+  BOOST_TEST(book.open(After(seconds(5)))[0].whole == 0U);
+  book.Observe(After(seconds(6)), Seen(PartitionOf(3), 1, After(seconds(3))));
+  book.Observe(After(seconds(7)), Seen(PartitionOf(3), 2, {}));
+  const LossHistory history = book.history(CopyKind::kBatch);
+  BOOST_TEST(history.begun == 1U);
+  BOOST_TEST((history.worst == seconds(6)));
+}
+
+// The missing copy of the second loss was missing in the first one already.
+BOOST_AUTO_TEST_CASE(no_moment_counts_twice) {
+  RedundancyBook book;
+  PlayLoss(book, kControl, After(seconds(1)), milliseconds(500), seconds(4), 0);
+  book.Observe(After(seconds(6)), Seen(kControl, 1, After(seconds(1))));
+  BOOST_TEST((book.open(After(seconds(8)))[0].lasts == seconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(what_is_copied_without_a_loss_is_not_counted) {
+  RedundancyBook book;
+  book.OnCopied(PartitionOf(1), 1000);
+  book.OnLeft(PartitionOf(1), 1000);
+  PlayLoss(book, PartitionOf(1), After(seconds(1)), milliseconds(0), seconds(1), 5);
+  BOOST_TEST(book.history(CopyKind::kBatch).bytes_copied == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(median_and_worst_are_told_by_the_bytes_copied) {
+  RedundancyBook book;
+  const std::vector<std::pair<std::uint64_t, int>> losses = {
+      {0, 100}, {0, 300}, {1, 400}, {64U << 10, 800}, {(64U << 10) + 1, 900}, {1U << 30, 5000}};
+  for (std::size_t index = 0; index < losses.size(); ++index) {
+    PlayLoss(book, PartitionOf(static_cast<std::uint32_t>(index)), After(seconds(1)),
+             milliseconds(50), milliseconds(losses[index].second), losses[index].first);
+  }
+  const LossHistory history = book.history(CopyKind::kBatch);
+  BOOST_TEST((history.median == milliseconds(800)));  // The upper of the two in the middle.
+  BOOST_TEST((history.worst == seconds(5)));
+  BOOST_REQUIRE(history.by_size.size() == 4U);
+  BOOST_TEST(history.by_size[0].most_bytes.value() == 0U);
+  BOOST_TEST(history.by_size[0].losses == 2U);
+  BOOST_TEST((history.by_size[0].median == milliseconds(300)));
+  BOOST_TEST(history.by_size[1].most_bytes.value() == 64U << 10);
+  BOOST_TEST(history.by_size[1].losses == 2U);
+  BOOST_TEST((history.by_size[1].worst == milliseconds(800)));
+  BOOST_TEST(history.by_size[2].most_bytes.value() == 1U << 20);
+  BOOST_TEST(history.by_size[2].losses == 1U);
+  BOOST_TEST(!history.by_size[3].most_bytes.has_value());
+  BOOST_TEST((history.by_size[3].worst == seconds(5)));
+}
+
+BOOST_AUTO_TEST_CASE(memory_stays_bounded_and_the_worst_is_kept) {
+  RedundancyBook book;
+  PlayLoss(book, kControl, After(seconds(1)), milliseconds(0), seconds(60), 0);
+  for (std::size_t loss = 0; loss < kMostRememberedLosses + 10; ++loss) {
+    PlayLoss(book, kControl, After(seconds(100 + 2 * static_cast<int>(loss))), milliseconds(0),
+             seconds(1), 0);
+  }
+  const LossHistory history = book.history(CopyKind::kControl);
+  BOOST_TEST(history.ended == kMostRememberedLosses + 11);
+  BOOST_TEST(history.by_size[0].losses == kMostRememberedLosses);
+  BOOST_TEST((history.by_size[0].worst == seconds(1)));
+  BOOST_TEST((history.worst == seconds(60)));
+}
+
+BOOST_AUTO_TEST_CASE(what_is_open_when_another_leads_is_handed_on_without_a_time) {
+  RedundancyBook book;
+  book.Observe(After(seconds(2)), Seen(kControl, 1, After(seconds(1))));
+  book.HandOn();
+  BOOST_TEST(book.open(After(seconds(3))).empty());
+  book.Observe(After(seconds(9)), Seen(kControl, 2, {}));
+  const LossHistory history = book.history(CopyKind::kControl);
+  BOOST_TEST(history.begun == 1U);
+  BOOST_TEST(history.ended == 0U);
+  BOOST_TEST(history.handed_on == 1U);
+}
+
+// --- Redundancy from rows, leases and standings ---
+
+PartitionRow RowOfDisks(std::vector<std::string> disks, bool last_is_complete) {
+  PartitionRow row;
+  row.epoch = 1;
+  row.primary = At(1);
+  row.primary_disk = disks[0];
+  for (std::size_t index = 1; index < disks.size(); ++index) {
+    row.backups.push_back(At(static_cast<std::uint32_t>(index + 1)));
+    row.backup_disks.push_back(disks[index]);
+    row.complete.push_back(index + 1 < disks.size() || last_is_complete);
+  }
+  return row;
+}
+
+StoreState StoreWith(const std::string& disk, std::vector<CopyUnderWay> copying = {}) {
+  return {disk, 0, 0, 0, std::move(copying)};
+}
+
+BOOST_AUTO_TEST_CASE(
+    a_partition_lacks_a_copy_from_the_last_renewal_of_its_store_until_another_is_whole) {
+  RedundancyWatch watch(2);
+  watch.Begin(After(seconds(1)));
+  watch.OnRows({RowOfDisks({"a", "b"}, true), RowOfDisks({"a", "c"}, true)});
+  watch.OnStore(After(seconds(3)), StoreWith("a"));
+  watch.OnStore(After(seconds(4)), StoreWith("b"));
+  watch.ObservePartitions(After(seconds(5)), {"a", "b", "c"});
+  BOOST_TEST(watch.partitions().whole == 2U);
+  watch.ObservePartitions(After(milliseconds(5500)), {"a", "c"});
+  BOOST_TEST(watch.partitions().whole == 1U);
+  BOOST_REQUIRE(watch.book().open(After(seconds(6))).size() == 1U);
+  BOOST_TEST((watch.book().open(After(seconds(6)))[0].lasts == seconds(2)));
+  // A joiner is named: the row has three copies, two of them whole, one of these lost.
+  watch.OnRows({RowOfDisks({"a", "b", "c"}, false), RowOfDisks({"a", "c"}, true)});
+  watch.OnStore(After(seconds(6)), StoreWith("a", {{0, "c", 100, 900}}));
+  watch.OnStore(After(seconds(7)), StoreWith("a", {{0, "c", 600, 400}}));
+  watch.ObservePartitions(After(seconds(7)), {"a", "c"});
+  const OpenLoss open = watch.book().open(After(seconds(7)))[0];
+  BOOST_TEST(open.bytes_copied == 600U);
+  BOOST_TEST(open.bytes_left.value() == 400U);
+  // Its session begins anew, and it comes to an end.
+  watch.OnStore(After(seconds(8)), StoreWith("a", {{0, "c", 50, 400}}));
+  watch.OnReport({0, 1, "c", BackupCondition::kComplete, 450});
+  watch.OnRows({RowOfDisks({"a", "b", "c"}, true), RowOfDisks({"a", "c"}, true)});
+  watch.ObservePartitions(After(seconds(9)), {"a", "c"});
+  const LossHistory history = watch.book().history(CopyKind::kBatch);
+  BOOST_TEST(history.ended == 1U);
+  BOOST_TEST((history.worst == seconds(5)));
+  BOOST_TEST(history.bytes_copied == 600U + 450U);
+}
+
+// A disk that another one replaced is named no more, though its store is there.
+BOOST_AUTO_TEST_CASE(a_loss_that_a_new_primary_finds_is_told_as_a_least) {
+  RedundancyWatch watch(2);
+  watch.OnRows({RowOfDisks({"a"}, true)});
+  watch.Begin(After(seconds(1)));
+  watch.OnStore(After(seconds(2)), StoreWith("a"));
+  watch.ObservePartitions(After(seconds(3)), {"a"});
+  BOOST_REQUIRE(watch.book().open(After(seconds(3))).size() == 1U);
+  BOOST_TEST(watch.book().open(After(seconds(3)))[0].at_least);
+  BOOST_TEST((watch.book().open(After(seconds(3)))[0].lasts == seconds(2)));
+  watch.End();
+  BOOST_TEST(watch.book().open(After(seconds(4))).empty());
+}
+
+coordination::MemberStanding Standing(const std::string& disk, coordination::DiskStanding standing,
+                                      net::Time heard_at) {
+  return {{"node", "zone", disk, At(1)}, true, true, standing, heard_at};
+}
+
+BOOST_AUTO_TEST_CASE(the_control_state_lacks_copies_where_too_few_replicas_stand) {
+  using coordination::DiskStanding;
+  RedundancyWatch watch(2);
+  watch.Begin(After(seconds(1)));
+  coordination::CopiesOfMap copies;
+  copies.wanted = 2;
+  copies.bytes_copied = 5000;  // Before this process led.
+  copies.members = {Standing("a", DiskStanding::kTakesWrites, After(seconds(2))),
+                    Standing("b", DiskStanding::kTakesWrites, After(seconds(2))),
+                    Standing("c", DiskStanding::kSilent, After(seconds(1)))};
+  const auto map_bytes = [] { return std::uint64_t{777}; };
+  watch.ObserveControl(After(seconds(2)), copies, map_bytes);
+  BOOST_TEST(watch.book().open(After(seconds(2))).empty());  // Two are enough.
+  copies.members[1] = Standing("b", DiskStanding::kRefuses, After(seconds(3)));
+  copies.members.pop_back();
+  watch.ObserveControl(After(seconds(4)), copies, map_bytes);
+  BOOST_REQUIRE(watch.book().open(After(seconds(5))).size() == 1U);
+  BOOST_TEST((watch.book().open(After(seconds(5)))[0].lasts == seconds(2)));
+  BOOST_TEST(watch.book().open(After(seconds(5)))[0].bytes_left.value() == 777U);
+  copies.bytes_copied = 5600;
+  copies.bytes_left = 177;
+  watch.ObserveControl(After(seconds(5)), copies, map_bytes);
+  BOOST_TEST(watch.book().open(After(seconds(5)))[0].bytes_left.value() == 177U);
+  copies.members[1] = Standing("c", DiskStanding::kTakesWrites, After(seconds(6)));
+  watch.ObserveControl(After(seconds(6)), copies, map_bytes);
+  const LossHistory history = watch.book().history(CopyKind::kControl);
+  BOOST_TEST((history.worst == seconds(3)));
+  BOOST_TEST(history.bytes_copied == 600U);
+}
+
 }  // namespace
 }  // namespace shelflink::cluster
--- a/tests/tier/cluster/core_metrics_test.cpp
+++ b/tests/tier/cluster/core_metrics_test.cpp
@@ -1,9 +1,13 @@
-// Every figure of a core process, byte for byte; and what is left out where it is not known.
+// Every figure of a core process, byte for byte; what is left out where it is not known; and its
+// status, as a command reads it.
 #define BOOST_TEST_MODULE core_metrics
 #include "tier/cluster/core_metrics.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include "tier/cluster/core_status.h"
+#include "tier/cluster/status_report.h"
+
 namespace shelflink::cluster {
 namespace {
 
@@ -13,6 +17,32 @@
   return text.find("\n" + line + "\n") != std::string::npos;
 }
 
+LossHistory SomeHistory() {
+  LossHistory history;
+  history.begun = 4;
+  history.ended = 2;
+  history.handed_on = 1;
+  history.median = milliseconds(1500);
+  history.worst = milliseconds(2250);
+  history.bytes_copied = 70000;
+  history.by_size = {{0, 1, milliseconds(1500), milliseconds(1500)},
+                     {std::nullopt, 1, milliseconds(2250), milliseconds(2250)}};
+  return history;
+}
+
+RedundancyFigures SomeRedundancy() {
+  RedundancyFigures redundancy;
+  redundancy.leads = true;
+  redundancy.stores_heard = true;
+  redundancy.stores = {{"storage-1", "zone-1", "10.3.0.1:7362", true, false, 1000, 250000000},
+                       {"storage-2", "zone-2", "10.3.0.2:7362", false, true}};
+  redundancy.partitions = {64, 2, 63};
+  redundancy.open = {{{CopyKind::kBatch, 7}, 1, 2, milliseconds(1250), true, 300, 500}};
+  redundancy.batch = SomeHistory();
+  redundancy.led = milliseconds(90000);
+  return redundancy;
+}
+
 CoreFigures SomeFigures() {
   CoreFigures figures;
   figures.process = {"edge-1", "core", milliseconds(1500)};
@@ -28,6 +58,7 @@
   figures.cluster.list_age = milliseconds(250);
   figures.cluster.lists_published = 7;
   figures.cluster.lists_not_published = 1;
+  figures.cluster.redundancy = SomeRedundancy();
   using platform::CallKind;
   figures.platform_calls[{CallKind::kList, std::nullopt}] = 80;
   figures.platform_calls[{CallKind::kList, ErrorCode::kExhausted}] = 3;
@@ -109,6 +140,44 @@
       "published.\n"
       "# TYPE shelflink_endpoint_lists_not_published_total counter\n"
       "shelflink_endpoint_lists_not_published_total 1\n"
+      "# HELP shelflink_redundancy_lacking What has too few whole copies now; of the primary "
+      "only.\n"
+      "# TYPE shelflink_redundancy_lacking gauge\n"
+      "shelflink_redundancy_lacking{kind=\"control\"} 0\n"
+      "shelflink_redundancy_lacking{kind=\"batch\"} 1\n"
+      "# HELP shelflink_redundancy_lacking_seconds For how long the one that lacks copies longest "
+      "does.\n"
+      "# TYPE shelflink_redundancy_lacking_seconds gauge\n"
+      "shelflink_redundancy_lacking_seconds{kind=\"control\"} 0\n"
+      "shelflink_redundancy_lacking_seconds{kind=\"batch\"} 1.25\n"
+      "# HELP shelflink_redundancy_left_bytes Still to be copied, at most, as far as it is "
+      "known.\n"
+      "# TYPE shelflink_redundancy_left_bytes gauge\n"
+      "shelflink_redundancy_left_bytes{kind=\"control\"} 0\n"
+      "shelflink_redundancy_left_bytes{kind=\"batch\"} 500\n"
+      "# HELP shelflink_redundancy_losses_total Times that something came to have too few whole "
+      "copies.\n"
+      "# TYPE shelflink_redundancy_losses_total counter\n"
+      "shelflink_redundancy_losses_total{kind=\"control\"} 0\n"
+      "shelflink_redundancy_losses_total{kind=\"batch\"} 4\n"
+      "# HELP shelflink_redundancy_losses_ended_total Of those, the times that it had enough "
+      "again.\n"
+      "# TYPE shelflink_redundancy_losses_ended_total counter\n"
+      "shelflink_redundancy_losses_ended_total{kind=\"control\"} 0\n"
+      "shelflink_redundancy_losses_ended_total{kind=\"batch\"} 2\n"
+      "# HELP shelflink_redundancy_copied_bytes_total Copied while something had too few "
+      "copies.\n"
+      "# TYPE shelflink_redundancy_copied_bytes_total counter\n"
+      "shelflink_redundancy_copied_bytes_total{kind=\"control\"} 0\n"
+      "shelflink_redundancy_copied_bytes_total{kind=\"batch\"} 70000\n"
+      "# HELP shelflink_redundancy_median_seconds Median time with too few copies, of the newest "
+      "that ended.\n"
+      "# TYPE shelflink_redundancy_median_seconds gauge\n"
+      "shelflink_redundancy_median_seconds{kind=\"batch\"} 1.5\n"
+      "# HELP shelflink_redundancy_worst_seconds Longest time with too few copies of all that "
+      "ended.\n"
+      "# TYPE shelflink_redundancy_worst_seconds gauge\n"
+      "shelflink_redundancy_worst_seconds{kind=\"batch\"} 2.25\n"
       "# HELP shelflink_platform_calls_total Calls to the platform that have ended, by outcome.\n"
       "# TYPE shelflink_platform_calls_total counter\n"
       "shelflink_platform_calls_total{call=\"list\",outcome=\"ok\"} 80\n"
@@ -129,10 +198,110 @@
   BOOST_TEST(Has(text, "shelflink_endpoint_lists_published_total 0"));
   for (const char* absent : {"shelflink_disk_", "shelflink_core_leases", "shelflink_core_record_",
                              "shelflink_endpoint_list_", "shelflink_platform_calls_total",
-                             "shelflink_operator_answers_total"}) {
+                             "shelflink_operator_answers_total", "shelflink_redundancy_lacking",
+                             "shelflink_redundancy_median_seconds"}) {
     BOOST_TEST(text.find(absent) == std::string::npos);
   }
 }
 
+// --- Status ---
+
+using coordination::DiskStanding;
+
+CoreFigures SomeStatus() {
+  CoreFigures figures = SomeFigures();
+  GroupFigures& group = figures.group;
+  group.primary = "edge-1";
+  group.primary_control = net::Address::Parse("10.1.0.14:8683");
+  group.wanted_replicas = 2;
+  const net::Address address = net::Address::V4(0x0a010001, 7361);
+  group.members = {
+      {{"edge-1", "zone-1", "d1", address}, true, true, DiskStanding::kTakesWrites, {}},
+      {{"edge-2", "zone-2", "d2", address}, false, true, DiskStanding::kRefuses, {}}};
+  return figures;
+}
+
+StatusReport Read(const CoreFigures& figures) {
+  const auto report = ReadStatusReport(StatusOf(figures));
+  BOOST_REQUIRE_MESSAGE(report.has_value(),
+                        TextOf(report.has_value() ? Findings() : report.error()));
+  return report.value();
+}
+
+BOOST_AUTO_TEST_CASE(the_status_of_a_primary_that_lacks_a_copy) {
+  const StatusReport report = Read(SomeStatus());
+  BOOST_TEST((RedundancyOf(report) == Redundancy::kLacking));
+  BOOST_TEST(
+      TextOf(report) ==
+      "control state: primary edge-1, epoch 3, 2 copies wanted\n"
+      "  edge-1 (zone-1): replica, witness; disk takes writes\n"
+      "  edge-2 (zone-2): witness; disk refuses\n"
+      "stores: 2, 1 live\n"
+      "  storage-1 (zone-1): live; 1.0 kB used, 250.0 MB free\n"
+      "  storage-2 (zone-2): no lease, being emptied\n"
+      "partitions: 64, 2 copies wanted of each, 63 whole\n"
+      "redundancy: LACKING\n"
+      "  partition 7: 1 of 2 copies for at least 1.250 s, 300 B copied, 500 B left at most\n"
+      "since edge-1 leads (90.000 s altogether):\n"
+      "  control state: 0 losses of redundancy, 0 ended\n"
+      "  batch partitions: 4 losses of redundancy, 2 ended, 1 went on under another primary; "
+      "without it median 1.500 s, worst 2.250 s; 70.0 kB copied\n"
+      "    up to 0 B copied: 1, median 1.500 s, worst 1.500 s\n"
+      "    more copied: 1, median 2.250 s, worst 2.250 s\n");
+}
+
+BOOST_AUTO_TEST_CASE(whole_is_said_by_a_primary_that_knows_its_stores_only) {
+  CoreFigures figures = SomeStatus();
+  figures.cluster.redundancy.open.clear();
+  BOOST_TEST((RedundancyOf(Read(figures)) == Redundancy::kWhole));
+  figures.cluster.redundancy.stores_heard = false;
+  BOOST_TEST((RedundancyOf(Read(figures)) == Redundancy::kUnknown));
+  BOOST_TEST(TextOf(Read(figures)).find("has not heard of all stores yet") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(who_does_not_lead_tells_whom_to_ask) {
+  CoreFigures figures = SomeStatus();
+  figures.cluster.redundancy = {};
+  const StatusReport report = Read(figures);
+  BOOST_TEST(!report.leads);
+  BOOST_TEST((RedundancyOf(report) == Redundancy::kUnknown));
+  BOOST_TEST(report.primary == "edge-1");
+  BOOST_TEST(report.primary_control->Text() == "10.1.0.14:8683");
+  BOOST_TEST(report.members[1].disk == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(a_status_that_cannot_be_read_is_refused_with_the_place) {
+  const auto finding = [](const std::string& json) {
+    const auto report = ReadStatusReport(json);
+    return report ? std::string() : TextOf(report.error());
+  };
+  const std::string whole = StatusOf(SomeStatus());
+  BOOST_TEST(finding(whole) == "");
+  BOOST_TEST(finding("") != "");
+  BOOST_TEST(finding("[]").find("document") != std::string::npos);
+  BOOST_TEST(finding("{}").find("leads") != std::string::npos);
+  const auto with = [&](const std::string& text, const std::string& other) {
+    std::string changed = whole;
+    changed.replace(changed.find(text), text.size(), other);
+    return finding(changed);
+  };
+  BOOST_TEST(with(R"("epoch":3)", R"("epoch":-3)").find("epoch") != std::string::npos);
+  BOOST_TEST(with(R"("partition":7)", R"("partition":"x")").find("lacking[0].partition") !=
+             std::string::npos);
+  BOOST_TEST(with(R"("losses":4)", R"("losses":1e300)").find("history.batch.losses") !=
+             std::string::npos);
+  BOOST_TEST(with(R"("stores":[)", R"("stores":3,"other":[)").find("stores") != std::string::npos);
+  // Cut short anywhere it is none.
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    BOOST_TEST(finding(whole.substr(0, length)) != "");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(what_a_terminal_would_obey_is_not_printed) {
+  CoreFigures figures = SomeStatus();
+  figures.group.members[0].member.node = "edge\x1b[2J";
+  BOOST_TEST(TextOf(Read(figures)).find('\x1b') == std::string::npos);
+}
+
 }  // namespace
 }  // namespace shelflink::cluster
--- a/tests/tier/cluster/core_service_test.cpp
+++ b/tests/tier/cluster/core_service_test.cpp
@@ -16,6 +16,10 @@
 
 std::vector<PartitionRow> Rows(const Rig& rig) { return RowsOf(rig.map.contents); }
 
+Version PlacementVersion(const Rig& rig) {
+  return {0, NumberAt(rig.map.contents, kPlacementCountKey)};
+}
+
 bool AllComplete(const std::vector<PartitionRow>& rows, std::size_t copies) {
   return !rows.empty() && std::all_of(rows.begin(), rows.end(), [&](const PartitionRow& row) {
     return row.backups.size() + 1 == copies &&
@@ -105,6 +109,94 @@
   }
 }
 
+// Its lease runs out 1.5 s after its last renewal; the loss is acted upon then, not with the next
+// look at all leases, and the joiners are told then, not with their next renewals.
+BOOST_AUTO_TEST_CASE(a_lost_store_is_replaced_at_the_end_of_its_lease) {
+  constexpr milliseconds kStoreLease{1500};
+  constexpr milliseconds kCommitAndPush{25};
+  for (int phase = 0; phase < 8; ++phase) {
+    Rig rig(3, 2, 4);
+    rig.Start();
+    BOOST_REQUIRE(rig.RunUntil([&] { return !Rows(rig).empty(); }, seconds(3)));
+    rig.Run(seconds(2) + milliseconds(31 * phase));
+    const std::vector<PartitionRow> before = Rows(rig);
+    RigAgent& lost = *rig.stores[1];
+    lost.Stop();
+    const net::Time from = rig.net.Now();
+    const auto all_told = [&] {
+      return IsBeingReplaced(rig, before, lost.disk) &&
+             std::all_of(rig.stores.begin(), rig.stores.end(), [&](const auto& store) {
+               const auto& placement = store->up() ? store->agent().view().placement : nullptr;
+               return !store->up() || placement->version == PlacementVersion(rig);
+             });
+    };
+    BOOST_TEST(rig.RunUntil(all_told, kStoreLease + kCommitAndPush), "phase " << phase);
+    BOOST_TEST((rig.net.Now() - from > milliseconds(500)));  // Not before the lease is over.
+    const RedundancyFigures figures = rig.Primary().service().figures().redundancy;
+    BOOST_TEST(figures.partitions.partitions == kPartitions);
+    BOOST_TEST(figures.partitions.whole < kPartitions);
+    BOOST_TEST(figures.open.size() == kPartitions - figures.partitions.whole);
+    for (const OpenLoss& loss : figures.open) {
+      BOOST_TEST(!loss.at_least);
+      BOOST_TEST((loss.lasts >= rig.net.Now() - from));
+      BOOST_TEST((loss.lasts <= kStoreLease + kCommitAndPush));
+    }
+  }
+}
+
+// The row that names its old disk no more comes a commit later; the loss began before.
+BOOST_AUTO_TEST_CASE(a_store_that_returns_with_another_disk_is_a_loss) {
+  Rig rig(3, 2, 4);
+  rig.Start();
+  BOOST_REQUIRE(rig.RunUntil([&] { return !Rows(rig).empty(); }, seconds(3)));
+  rig.Run(seconds(2));
+  RigAgent& lost = *rig.stores[1];
+  const std::string former = lost.disk;
+  const net::Time from = rig.net.Now();
+  lost.Stop();
+  rig.Run(milliseconds(400));
+  lost.disk = "another-disk";
+  lost.Start();
+  const auto figures = [&] { return rig.Primary().service().figures().redundancy; };
+  BOOST_REQUIRE(rig.RunUntil([&] { return !AnyNames(Rows(rig), former); }, milliseconds(200)));
+  BOOST_REQUIRE(!figures().open.empty());
+  for (const OpenLoss& loss : figures().open) {
+    BOOST_TEST(!loss.at_least);
+    BOOST_TEST((loss.lasts >= rig.net.Now() - from));
+    BOOST_TEST((loss.lasts <= rig.net.Now() - from + milliseconds(700)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_time_without_redundancy_is_told_once_the_copies_are_whole) {
+  Rig rig(3, 2, 4);
+  rig.Start();
+  BOOST_REQUIRE(rig.RunUntil([&] { return !Rows(rig).empty(); }, seconds(3)));
+  rig.Run(seconds(2));
+  const auto figures = [&] { return rig.Primary().service().figures().redundancy; };
+  BOOST_TEST(figures().open.empty());
+  BOOST_TEST(figures().batch.begun == 0U);
+  BOOST_TEST(figures().partitions.whole == kPartitions);
+  const net::Time from = rig.net.Now();
+  rig.stores[1]->Stop();
+  BOOST_REQUIRE(rig.RunUntil([&] { return !figures().open.empty(); }, seconds(2)));
+  const std::size_t lacking = figures().open.size();
+  BOOST_REQUIRE(Settles(rig, 2, seconds(10)));
+  BOOST_TEST(figures().open.empty());
+  const LossHistory batch = figures().batch;
+  BOOST_TEST(batch.begun == lacking);
+  BOOST_TEST(batch.ended == lacking);
+  BOOST_TEST((batch.median >= milliseconds(1000)));
+  BOOST_TEST((batch.worst <= rig.net.Now() - from + milliseconds(600)));
+  // Another primary has not seen it; this one still tells it.
+  RigCore& former = rig.Primary();
+  rig.Elect(1);
+  rig.Run(seconds(3));
+  BOOST_TEST(figures().batch.begun == 0U);
+  BOOST_TEST(figures().partitions.whole == kPartitions);
+  BOOST_TEST(former.service().figures().redundancy.batch.ended == lacking);
+  BOOST_TEST(!former.service().figures().redundancy.leads);
+}
+
 BOOST_AUTO_TEST_CASE(the_first_placement_waits_for_stores_that_start_together) {
   Rig rig(3, 1, 4);
   for (auto& core : rig.cores) core->Start();
--- a/tests/tier/cluster/mutants.cmake
+++ b/tests/tier/cluster/mutants.cmake
@@ -24,3 +24,21 @@
   [=[    if (the_epoch != epoch) count = 0;]=] [=[    count = 0;]=]
   TEST cluster/core_service_test RUN a_lease_that_lapsed_for_a_moment_holds_up_no_part_of_the_view
   LIBRARIES ${cluster_core})
+
+# Time without redundancy: what makes repair begin at once, and what the figures count.
+tier_mutant(lost_leases_wait_for_the_tick cluster/core_service.cpp
+  [=[    if (lease_due < next_tick) lease_timer->ArmAt(lease_due);]=] ""
+  TEST cluster/core_service_test RUN a_lost_store_is_replaced_at_the_end_of_its_lease
+  LIBRARIES ${cluster_core})
+tier_mutant(losses_count_from_when_they_are_seen cluster/redundancy.cpp
+  [=[  open.since = std::min(now, copies.missing_since);]=] [=[  open.since = now;]=]
+  TEST cluster/cluster_parts_test RUN a_loss_counts_from_when_the_copy_was_last_heard_of
+  LIBRARIES shelflink_tier_core)
+tier_mutant(moments_count_twice cluster/redundancy.cpp
+  [=[  if (ended_at != ended_at_.end()) open.since = std::max(open.since, ended_at->second);]=] ""
+  TEST cluster/cluster_parts_test RUN no_moment_counts_twice LIBRARIES shelflink_tier_core)
+tier_mutant(a_loss_is_seen_after_its_repair_has_begun cluster/core_service.cpp
+  [=[    ObserveCopies();
+    keeper.Evaluate();]=] [=[    keeper.Evaluate();]=]
+  TEST cluster/core_service_test RUN a_store_that_returns_with_another_disk_is_a_loss
+  LIBRARIES ${cluster_core})
--- a/tests/tier/tier_seeds/machines.h
+++ b/tests/tier/tier_seeds/machines.h
@@ -107,6 +107,7 @@
 
   operator_api::Forwarder& forwarder() { return *forwarder_; }
   coordination::Group& group() { return *group_; }
+  const cluster::CoreService& service() const { return *service_; }
   bool is_primary() const { return service_ && service_->is_primary(); }
 
  protected:
@@ -128,6 +129,11 @@
   using Machine::Machine;
   ~StoreMachine() override { Kill(); }
 
+  // Copies that it makes for others, of partitions that it leads.
+  std::vector<cluster::CopyUnderWay> copying() const {
+    return store_ ? store_->copying() : std::vector<cluster::CopyUnderWay>();
+  }
+
  protected:
   void Open() override;
   void Close() override { store_.reset(); }
--- a/tests/tier/tier_seeds/main.cpp
+++ b/tests/tier/tier_seeds/main.cpp
@@ -11,6 +11,7 @@
 
 #include "tier/foundation/log.h"
 #include "tier_seeds/day.h"
+#include "tier_seeds/repair_scene.h"
 
 namespace {
 
@@ -26,6 +27,9 @@
   bool trace = false;
   bool counts = false;
   bool until_found = false;
+  std::uint64_t loss_bytes = 0;  // With `losses`: of bodies in each partition.
+  double returns_s = -1;         // Of the lost store; below 0: it stays away.
+  bool losses = false;
 };
 
 void Print(const DayResult& day, bool always) {
@@ -78,6 +82,31 @@
   return broken == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
+double MillisOf(net::Span span) { return std::chrono::duration<double, std::milli>(span).count(); }
+
+// One line a seed, and the medians and worst as the primary tells them.
+int PlayLosses(const Wanted& wanted) {
+  for (std::uint64_t seed = wanted.from; seed < wanted.from + wanted.count; ++seed) {
+    shelflink::tier_seeds::RepairPlan plan;
+    plan.seed = seed;
+    plan.bytes_each = wanted.loss_bytes;
+    if (wanted.returns_s >= 0) {
+      plan.returns_after =
+          std::chrono::duration_cast<net::Span>(std::chrono::duration<double>(wanted.returns_s));
+    }
+    const auto outcome = shelflink::tier_seeds::PlayStoreLoss(plan);
+    const shelflink::cluster::LossHistory& batch = outcome.after.batch;
+    std::cout << "seed " << seed << ": " << outcome.rows_of_lost << " partitions, known after "
+              << MillisOf(outcome.known_after) << " ms, first bytes "
+              << MillisOf(outcome.copies_after) << " ms later, whole after "
+              << MillisOf(outcome.whole_after) << " ms; without redundancy median "
+              << MillisOf(batch.median) << " ms, worst " << MillisOf(batch.worst) << " ms; "
+              << batch.bytes_copied << " bytes copied\n";
+    std::cout.flush();
+  }
+  return EXIT_SUCCESS;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -90,6 +119,12 @@
                  "Seconds of trouble, with changes several a second; default: drawn from the seed");
   app.add_flag("--trace", wanted.trace, "Print what happens");
   app.add_flag("--counts", wanted.counts, "Print what was played, and how often");
+  app.add_flag("--losses", wanted.losses,
+               "In place of days: a quiet tier that loses one store, and how long copies lack");
+  app.add_option("--loss-bytes", wanted.loss_bytes, "Of bodies in each partition, with --losses");
+  app.add_option("--returns", wanted.returns_s,
+                 "Seconds until the lost store returns with an empty disk, with --losses; default: "
+                 "it stays away");
   app.add_flag("--until-found", wanted.until_found, "Succeed once something is found");
   try {
     app.parse(argc, argv);
@@ -98,5 +133,6 @@
     return code == 0 ? 0 : kUsage;
   }
   if (wanted.trace) shelflink::log::Start("tier", shelflink::log::Level::kInfo);
+  if (wanted.losses) return PlayLosses(wanted);
   return wanted.until_found ? PlayUntilFound(wanted) : Play(wanted);
 }
--- a/tests/tier/tier_seeds/tier_seeds_test.cpp
+++ b/tests/tier/tier_seeds/tier_seeds_test.cpp
@@ -1,9 +1,11 @@
-// The seeded days themselves: one seed is one day, and a day holds what it should.
+// The seeded days themselves: one seed is one day, and a day holds what it should. A tier that
+// loses a store: what its primary tells of copies.
 #define BOOST_TEST_MODULE tier_seeds
 #include <boost/test/unit_test.hpp>
 #include <set>
 
 #include "tier_seeds/day.h"
+#include "tier_seeds/repair_scene.h"
 
 namespace shelflink::tier_seeds {
 namespace {
@@ -53,5 +55,73 @@
   BOOST_TEST((failures == std::set<std::size_t>{1, 2}));
 }
 
+// --- A store is lost ---
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStoreLease{1500};
+// A commit of the rows, the way to the stores, a question and its answer.
+constexpr milliseconds kCopiesWithin{60};
+
+void CheckLoss(const RepairPlan& plan, const RepairOutcome& outcome) {
+  BOOST_TEST(outcome.before.open.empty());
+  BOOST_TEST(outcome.before.batch.begun == 0U);
+  BOOST_TEST(outcome.before.partitions.whole == 64U);
+  BOOST_TEST(outcome.rows_of_lost > 0U);
+  // All that had a copy there lack one, and nothing else.
+  BOOST_TEST(outcome.lacking.open.size() == outcome.rows_of_lost);
+  BOOST_TEST(outcome.lacking.partitions.whole == 64U - outcome.rows_of_lost);
+  for (const cluster::OpenLoss& loss : outcome.lacking.open) {
+    BOOST_TEST((loss.subject.kind == cluster::CopyKind::kBatch));
+    BOOST_TEST(loss.whole == plan.failures);
+    BOOST_TEST(loss.wanted == plan.failures + 1);
+    BOOST_TEST((loss.lasts >= outcome.known_after));  // Since it was last heard of.
+    BOOST_TEST((loss.lasts <= outcome.known_after + milliseconds(700)));
+  }
+  BOOST_TEST((outcome.copies_after <= kCopiesWithin));
+  const cluster::LossHistory& batch = outcome.after.batch;
+  BOOST_TEST(batch.begun == outcome.rows_of_lost);
+  BOOST_TEST(batch.ended == outcome.rows_of_lost);
+  BOOST_TEST((batch.median <= batch.worst));
+  BOOST_TEST((batch.worst >= outcome.whole_after));
+  BOOST_TEST((batch.worst <= outcome.whole_after + milliseconds(700)));
+  BOOST_TEST(batch.bytes_copied >= plan.bytes_each * outcome.rows_of_lost);
+  BOOST_TEST(batch.bytes_copied <= 2 * plan.bytes_each * outcome.rows_of_lost + 100000);
+  BOOST_TEST(outcome.after.control.begun == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_stays_away_is_made_good_from_the_end_of_its_lease) {
+  for (const std::size_t failures : {1U, 2U}) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      RepairPlan plan;
+      plan.seed = seed;
+      plan.failures = failures;
+      plan.cores = 2 * failures + 1;
+      plan.stores = failures + 3;
+      plan.bytes_each = 40000;
+      BOOST_TEST_CONTEXT("seed " << seed << " tolerance " << failures) {
+        const RepairOutcome outcome = PlayStoreLoss(plan);
+        CheckLoss(plan, outcome);
+        BOOST_TEST((outcome.known_after <= kStoreLease + milliseconds(2)));
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_returns_without_its_disk_is_made_good_from_its_return) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    RepairPlan plan;
+    plan.seed = seed;
+    plan.bytes_each = 40000;
+    plan.returns_after = milliseconds(300);
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      const RepairOutcome outcome = PlayStoreLoss(plan);
+      CheckLoss(plan, outcome);
+      // Its connection comes up, its new identity is synced, and it renews.
+      BOOST_TEST((outcome.known_after <= milliseconds(400)));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace shelflink::tier_seeds
