shelflink-control status: who holds copies of what, and how long there were too few

Change: GET /status on listen.control beside /metrics, on its terms (no other path of PROTOCOL begins so: the operator's are /config and /retire/NODE). The command asks core processes in turn, follows the one that an answer names as the primary, prints text or the answer as it came, and exits with 0 whole, 1 lacking, 2 cannot be told, with one line that names each address, what was expected and what came.

--- a/src/tier/cluster/core_program.cpp
+++ b/src/tier/cluster/core_program.cpp
@@ -7,6 +7,7 @@
 
 #include "tier/cluster/core_metrics.h"
 #include "tier/cluster/core_service.h"
+#include "tier/cluster/core_status.h"
 #include "tier/coordination/group.h"
 #include "tier/foundation/log.h"
 #include "tier/operator_api/forwarder.h"
@@ -47,7 +48,41 @@
   return nodes;
 }
 
-GroupFigures FiguresOf(const coordination::Group& group) {
+// Where a core process serves the operator: only what the settings tell of it is known.
+std::optional<net::Address> ControlAddressOf(const ProcessSettings& settings,
+                                             const net::Address& internal) {
+  std::vector<net::Address> controls = settings.seeds;
+  if (settings.listen_control) controls.push_back(*settings.listen_control);
+  for (const net::Address& control : controls) {
+    if (CoreAddressOf(settings, control) == internal) return control;
+  }
+  return std::nullopt;
+}
+
+void AddPrimary(const coordination::Record& record, const ProcessSettings& settings,
+                GroupFigures& figures) {
+  const coordination::CoreMember* primary = FindDisk(record.replicas, record.primary);
+  if (primary == nullptr) return;
+  figures.primary = primary->node;
+  figures.primary_control = ControlAddressOf(settings, primary->address);
+}
+
+// Whoever is not the primary does not know how the others stand.
+std::vector<coordination::MemberStanding> StandingsOf(const coordination::Group& group) {
+  if (std::optional<coordination::CopiesOfMap> copies = group.copies()) {
+    return std::move(copies->members);
+  }
+  const coordination::Record& record = group.member().record();
+  std::vector<coordination::MemberStanding> standings;
+  for (const coordination::CoreMember& member : MembersOf(record)) {
+    const bool is_replica = FindDisk(record.replicas, member.disk) != nullptr;
+    const bool is_witness = FindDisk(record.witnesses, member.disk) != nullptr;
+    standings.push_back({member, is_replica, is_witness, {}, {}});
+  }
+  return standings;
+}
+
+GroupFigures FiguresOf(const coordination::Group& group, const ProcessSettings& settings) {
   const coordination::Record& record = group.member().record();
   GroupFigures figures;
   figures.is_primary = group.is_primary();
@@ -55,6 +90,9 @@
   figures.epoch = record.number;
   figures.replicas = NodesOf(record.replicas);
   figures.witnesses = NodesOf(record.witnesses);
+  AddPrimary(record, settings, figures);
+  figures.wanted_replicas = group.member().options().failures + 1;
+  figures.members = StandingsOf(group);
   figures.contents_entries = group.contents().size();
   const storage::Usage usage = group.disk_usage();
   if (usage.bytes_limit > 0) {
@@ -84,6 +122,7 @@
             server_->SetLimits(configuration->limits);
           });
       server_->SetMetrics([this] { return MetricsOf(Figures(), ProcessInvariants()); });
+      server_->SetStatus([this] { return StatusOf(Figures()); });
     }
     loop_.OnSignal(SIGTERM, [this] { Leave(); });
     loop_.OnSignal(SIGHUP, [this] { ReloadSettings(); });
@@ -113,7 +152,7 @@
   CoreFigures Figures() const {
     CoreFigures figures;
     figures.process = {settings_.node, "core", loop_.Now() - started_at_};
-    figures.group = FiguresOf(group_);
+    figures.group = FiguresOf(group_, settings_);
     figures.cluster = service_.figures();
     if (platform_) figures.platform_calls = platform_->counts();
     figures.operator_answers = server_->counters().answers;
--- a/src/tier/operator_api/requests.cpp
+++ b/src/tier/operator_api/requests.cpp
@@ -112,6 +112,17 @@
   return status::kGatewayTimeout;
 }
 
+std::optional<HttpAnswer> FiguresAnswer(const HttpRequest& request, std::string_view path,
+                                        std::string_view content_type,
+                                        const std::function<std::string()>& text) {
+  if (request.path != path) return std::nullopt;
+  if (request.method != "GET" && request.method != "HEAD") return NotAllowed("GET, HEAD");
+  HttpAnswer answer;
+  answer.body = text();
+  answer.content_type = content_type;
+  return answer;
+}
+
 struct BodyOf {
   std::string operator()(const Acknowledged&) const { return R"({"result":"acknowledged"})"; }
   std::string operator()(const Document& document) const { return document.json; }
@@ -137,12 +148,12 @@
 
 std::optional<HttpAnswer> MetricsAnswerOf(const HttpRequest& request,
                                           const std::function<std::string()>& text) {
-  if (request.path != kMetricsPath) return std::nullopt;
-  if (request.method != "GET" && request.method != "HEAD") return NotAllowed("GET, HEAD");
-  HttpAnswer answer;
-  answer.body = text();
-  answer.content_type = kMetricsContentType;
-  return answer;
+  return FiguresAnswer(request, kMetricsPath, kMetricsContentType, text);
+}
+
+std::optional<HttpAnswer> StatusAnswerOf(const HttpRequest& request,
+                                         const std::function<std::string()>& text) {
+  return FiguresAnswer(request, kStatusPath, kJsonContentType, text);
 }
 
 HttpAnswer HttpAnswerOf(const Order& order, const Result<Answer>& result) {
--- a/src/tier/operator_api/requests.h
+++ b/src/tier/operator_api/requests.h
@@ -33,6 +33,7 @@
 };
 
 constexpr std::string_view kJsonContentType = "application/json";
+constexpr std::string_view kStatusPath = "/status";
 
 struct HttpAnswer {
   int status = status::kOk;
@@ -50,6 +51,9 @@
 // GET and HEAD of kMetricsPath; `text` is called for these only. None: another path.
 std::optional<HttpAnswer> MetricsAnswerOf(const HttpRequest& request,
                                           const std::function<std::string()>& text);
+// The same of kStatusPath, with JSON.
+std::optional<HttpAnswer> StatusAnswerOf(const HttpRequest& request,
+                                         const std::function<std::string()>& text);
 
 }  // namespace shelflink::operator_api
 
--- a/src/tier/operator_api/server.cpp
+++ b/src/tier/operator_api/server.cpp
@@ -157,6 +157,8 @@
   void OnGone(SoupServerMessage* message);
   void OnDisconnected(SoupServerMessage* message);
 
+  // Of metrics and status, where they are served.
+  std::optional<HttpAnswer> FiguresAnswerTo(const HttpRequest& request) const;
   void StartOrder(SoupServerMessage* message, Connection& connection, Order order);
   void FinishOrder(SoupServerMessage* message, const HttpAnswer& answer);
   void Reply(SoupServerMessage* message, const HttpAnswer& answer);  // Sent, counted and logged.
@@ -186,6 +188,7 @@
   net::Time overdue_at = net::Time::max();
   Counters counters;
   std::function<std::string()> metrics;  // Empty: the path is not served.
+  std::function<std::string()> status;   // The same.
   // Callbacks that outlive the server find it expired.
   std::shared_ptr<Impl*> self = std::make_shared<Impl*>(this);
 };
@@ -338,10 +341,8 @@
     Reply(message, ErrorAnswer(status::kBadRequest, "the body has no readable chunk"));
     return;
   }
-  const auto metrics_answer =
-      metrics ? MetricsAnswerOf(HttpRequestOf(message), metrics) : std::nullopt;
-  if (metrics_answer) {
-    Send(message, *metrics_answer);
+  if (const std::optional<HttpAnswer> figures = FiguresAnswerTo(HttpRequestOf(message))) {
+    Send(message, *figures);
     return;
   }
   auto wanted = OrderOf(HttpRequestOf(message));
@@ -354,6 +355,14 @@
   }
 }
 
+std::optional<HttpAnswer> Server::Impl::FiguresAnswerTo(const HttpRequest& request) const {
+  if (metrics) {
+    if (auto answer = MetricsAnswerOf(request, metrics)) return answer;
+  }
+  if (!status) return std::nullopt;
+  return StatusAnswerOf(request, status);
+}
+
 void Server::Impl::StartOrder(SoupServerMessage* message, Connection& connection, Order order) {
   ++orders;
   connection.phase = Phase::kOrder;
@@ -531,6 +540,8 @@
 
 void Server::SetMetrics(std::function<std::string()> text) { impl_->metrics = std::move(text); }
 
+void Server::SetStatus(std::function<std::string()> json) { impl_->status = std::move(json); }
+
 void Server::StopListening() { impl_->StopListening(); }
 
 net::Address Server::address() const { return impl_->bound; }
--- a/src/tier/operator_api/server.h
+++ b/src/tier/operator_api/server.h
@@ -1,6 +1,6 @@
 // The operator's HTTP interface on a core process: PUT, PATCH and GET /config, POST and GET
-// /retire/NODE, and GET /metrics where there are any. Checks the form of requests and turns answers
-// into status codes; knows nothing of configurations themselves.
+// /retire/NODE, and GET /metrics and /status where there are any. Checks the form of requests and
+// turns answers into status codes; knows nothing of configurations themselves.
 //
 // Limits: kMostOrders under way and kMostBytesHeld of bodies, beyond which 503 with Retry-After;
 // kMostConnections open; a body of kBodyLimit, beyond which 413; slow senders are closed after the
@@ -31,7 +31,7 @@
 class Server {
  public:
   struct Counters {
-    std::map<int, std::uint64_t> answers;  // By status code; those with metrics are not counted.
+    std::map<int, std::uint64_t> answers;  // By status code; those with figures are not counted.
     std::uint64_t refused_connections = 0;
     std::uint64_t slow_connections = 0;
   };
@@ -46,6 +46,8 @@
   void SetLimits(const configuration::ClientLimits& limits);
   // Serves GET /metrics with that text, at once and whatever orders are under way.
   void SetMetrics(std::function<std::string()> text);
+  // Serves GET /status with that JSON on the same terms.
+  void SetStatus(std::function<std::string()> json);
   // Takes no more connections; orders under way are answered.
   void StopListening();
   net::Address address() const;
--- a/src/tier/programs/control_main.cpp
+++ b/src/tier/programs/control_main.cpp
@@ -1,7 +1,8 @@
 // shelflink-control: the control plane's binary. `core` serves the operator and the cluster,
 // `store` keeps batch jobs, each until SIGTERM; SIGHUP reads the settings file again. Exit codes: 0
 // left in order; 1 settings or addresses that cannot be used, for `core` also a disk that it may
-// not use (a disk that is full, or any of a `store`, is tried again); 2 usage.
+// not use (a disk that is full, or any of a `store`, is tried again); 2 usage. `status` asks a core
+// process and ends: 0 everything has its copies, 1 something lacks them, 2 that cannot be told.
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
@@ -15,11 +16,13 @@
 #include "tier/cluster/core_program.h"
 #include "tier/foundation/log.h"
 #include "tier/foundation/settings.h"
+#include "tier/programs/status_command.h"
 
 namespace {
 
 constexpr int kBadSettings = 1;
 constexpr int kUsage = 2;
+constexpr int kLongestTimeoutMs = 60000;
 
 using RunProcess = int (*)(const shelflink::ProcessSettings&, net::GlibLoop&);
 
@@ -41,6 +44,25 @@
   return run(settings.value(), loop);
 }
 
+const CLI::App* AddStatus(CLI::App& app, shelflink::programs::StatusOptions& options) {
+  CLI::App* status = app.add_subcommand(
+      "status",
+      "Print who holds copies of what, and how long there were too few; exit status 0: everything "
+      "has its copies, 1: something lacks them, 2: that cannot be told");
+  status->add_option("--address", options.addresses,
+                     "listen.control of a core process, ADDRESS:PORT; may be given again. Without "
+                     "it: listen.control and seeds of the file named by SHELFLINK_CONFIG");
+  status
+      ->add_option_function<int>(
+          "--timeout-ms",
+          [&options](int millis) { options.timeout = std::chrono::milliseconds(millis); },
+          "Longest time that a core process may take to answer")
+      ->check(CLI::Range(1, kLongestTimeoutMs))
+      ->default_str(std::to_string(options.timeout.count()));
+  status->add_flag("--json", options.json, "Print the answer of the core process as it came");
+  return status;
+}
+
 int RunCommand(int argc, char** argv) {
   CLI::App app("Control plane of the shelflink serving tier");
   app.require_subcommand(1);
@@ -49,12 +71,15 @@
       "Serve the operator and the cluster; settings from the file named by SHELFLINK_CONFIG");
   const CLI::App* store = app.add_subcommand(
       "store", "Keep batch jobs; settings from the file named by SHELFLINK_CONFIG");
+  shelflink::programs::StatusOptions status_options;
+  const CLI::App* status = AddStatus(app, status_options);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
     const int code = app.exit(error);
     return code == 0 ? 0 : kUsage;
   }
+  if (status->parsed()) return shelflink::programs::RunStatus(status_options);
   if (core->parsed()) return Run(shelflink::cluster::RunCore);
   return store->parsed() ? Run(shelflink::batch::RunStore) : kUsage;
 }
--- a/tests/tier/operator_api/cut_orders_test.cpp
+++ b/tests/tier/operator_api/cut_orders_test.cpp
@@ -100,6 +100,7 @@
     Request("POST /retire/store-1", "", R"({"deadlineS":10})"),
     Request("GET /retire/store-1"),
     Request("GET /metrics"),
+    Request("GET /status"),
 };
 
 BOOST_FIXTURE_TEST_SUITE(cut_orders, CutScene)
@@ -107,6 +108,7 @@
 BOOST_DATA_TEST_CASE_F(CutScene, at_every_byte, boost::unit_test::data::make(kBodyBounds)) {
   SetBodyBound(sample);
   server->SetMetrics([] { return std::string("shelflink_x 1\n"); });
+  server->SetStatus([] { return std::string("{}"); });
   for (const std::string& order : kOrders) {
     whole_at = order.size();
     CheckCuts(order + Request("GET /config"), 1);
--- a/tests/tier/operator_api/operator_server_test.cpp
+++ b/tests/tier/operator_api/operator_server_test.cpp
@@ -100,6 +100,31 @@
   BOOST_TEST(asked == 2);
 }
 
+BOOST_AUTO_TEST_CASE(the_status_is_served_where_there_is_one) {
+  BOOST_TEST(StatusOf(Request("GET /status")) == 404);
+  int asked = 0;
+  server->SetStatus([&] {
+    ++asked;
+    return std::string(R"({"leads":true})");
+  });
+  const auto get = Connect(Request("GET /status?x=1"));
+  RunUntil([&] { return get->answers() == 1; });
+  BOOST_TEST(get->status() == 200);
+  BOOST_TEST(get->has("Content-Type: application/json"));
+  BOOST_TEST(get->has(R"({"leads":true})"));
+  const auto post = Connect(Request("POST /status", "", "{}"));
+  RunUntil([&] { return post->answers() == 1; });
+  BOOST_TEST(post->status() == 405);
+  BOOST_TEST(post->has("Allow: GET, HEAD"));
+  BOOST_TEST(StatusOf(Request("GET /status/")) == 404);
+  BOOST_TEST(StatusOf(Request("GET /metrics")) == 404);
+  BOOST_TEST(asked == 1);
+  // It is no order: nothing is asked of the service, and no answer is counted but 404.
+  BOOST_TEST(service.changes.empty());
+  const auto& answers = server->counters().answers;
+  BOOST_TEST((answers == std::map<int, std::uint64_t>{{404, 3}}));
+}
+
 // They tell why orders are not served, so they may not wait for what these wait for.
 BOOST_AUTO_TEST_CASE(metrics_are_served_beside_orders_and_change_nothing) {
   server->SetMetrics([] { return std::string("shelflink_x 1\n"); });
