--- a/src/tier/proxy/program.cpp
+++ b/src/tier/proxy/program.cpp
@@ -157,10 +157,13 @@
     fallback.OnCoreList();
     OnView();
   }
-  void OnView() {
+  cluster::View ActedBy() const {
     cluster::View view = agent.view();
     view.endpoints = fallback.list();
-    calls.OnView(view);
+    return view;
+  }
+  void OnView() {
+    calls.OnView(ActedBy());
     TellReady();
   }
   void TellReady() { agent.SetReady(Ready()); }
@@ -223,6 +226,7 @@
 void Program::Reload(const ProcessSettings& settings) { impl_->agent.SetSeeds(settings.seeds); }
 void Program::Leave(std::function<void()> done) { impl_->Leave(std::move(done)); }
 bool Program::ready() const { return impl_->Ready(); }
+cluster::View Program::view() const { return impl_->ActedBy(); }
 net::Time Program::endpoints_read_at() const { return impl_->fallback.read_at(); }
 
 }  // namespace shelflink::proxy
--- a/src/tier/proxy/program.h
+++ b/src/tier/proxy/program.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "net/loop.h"
+#include "tier/cluster/view.h"
 #include "tier/foundation/settings.h"
 #include "tier/platform/platform.h"
 
@@ -30,6 +31,8 @@
   bool ready() const;
   // The reading of the platform's list that is acted by began then or later.
   net::Time endpoints_read_at() const;
+  // What is acted by; its list of endpoints may be one that was read here.
+  cluster::View view() const;
 
  private:
   struct Impl;
--- a/tests/tier/tier_seeds/machines.cpp
+++ b/tests/tier/tier_seeds/machines.cpp
@@ -26,11 +26,21 @@
   frozen_ = false;
   leaving_ = false;
   process_ = std::make_unique<net::VirtualProcess>(net_, host_, settings_.node, kDescriptors);
+  if (link_) narrow_loop_ = std::make_unique<NarrowLoop>(*process_, *link_);
   Open();
   settings_.bootstrap = false;
   if (on_start) on_start();
 }
 
+void Machine::SetLink(std::uint64_t bytes_per_second) {
+  link_ = std::make_unique<NarrowLink>(net_, bytes_per_second);
+}
+
+net::Loop& Machine::process() {
+  if (narrow_loop_) return *narrow_loop_;
+  return *process_;
+}
+
 void Machine::End(bool in_order) {
   if (!up()) return;
   if (in_order) {
--- a/tests/tier/tier_seeds/machines.h
+++ b/tests/tier/tier_seeds/machines.h
@@ -20,6 +20,7 @@
 #include "tier/proxy/program.h"
 #include "tier/storage/crash_storage.h"
 #include "tier/transport/hub.h"
+#include "tier_seeds/narrow_link.h"
 #include "tier_seeds/platform_world.h"
 
 namespace shelflink::tier_seeds {
@@ -49,6 +50,8 @@
   void EmptyDisk() { disk_.SetFull(false); }
   void SetDiskStalled(bool stalled) { disk_.SetStalled(stalled); }
   void SetSyncSpan(net::Span span) { sync_span_ = span; }
+  // Of what it sends, from its next start on; without it the machine's link has no width.
+  void SetLink(std::uint64_t bytes_per_second);
 
   bool up() const { return process_ != nullptr; }
   bool frozen() const { return frozen_; }
@@ -70,7 +73,7 @@
   transport::PeerIdentity Identity(const std::string& role, ProcessKind kind) const;
   std::unique_ptr<storage::Storage> OpenStorage();
   std::uint64_t Draw() { return (std::uint64_t{host_} << 32U) + lives_ * 1000003 + ++drawn_; }
-  net::VirtualProcess& process() { return *process_; }
+  net::Loop& process();
 
   net::VirtualNet& net_;
   std::uint32_t host_;
@@ -90,7 +93,9 @@
   net::Span sync_span_;
   net::Time last_sync_due_{};
   std::list<PendingSync> syncs_;
+  std::unique_ptr<NarrowLink> link_;  // None: of no width.
   std::unique_ptr<net::VirtualProcess> process_;
+  std::unique_ptr<NarrowLoop> narrow_loop_;
   std::vector<std::unique_ptr<net::VirtualProcess>> past_;  // They outlive what they made.
   std::uint64_t lives_ = 0;
   std::uint64_t drawn_ = 0;
@@ -128,6 +133,8 @@
   using Machine::Machine;
   ~StoreMachine() override { Kill(); }
 
+  const batch::StoreProcess& store() const { return *store_; }
+
  protected:
   void Open() override;
   void Close() override { store_.reset(); }
@@ -145,6 +152,7 @@
 
   net::Address front() const { return *settings_.listen_front; }
   net::Address ready() const { return *settings_.listen_ready; }
+  const proxy::Program& program() const { return *program_; }
 
  protected:
   void Open() override;
--- a/tests/tier/tier_seeds/platform_world.cpp
+++ b/tests/tier/tier_seeds/platform_world.cpp
@@ -144,7 +144,9 @@
   if (!in_trouble && is_open) troubles_.back().end = net_.Now();
 }
 
-net::Span PlatformWorld::Way() { return std::chrono::microseconds(500 + random_.Below(20'000)); }
+net::Span PlatformWorld::Way() {
+  return std::chrono::microseconds(500 + random_.Below(20'000)) + slower_;
+}
 
 bool PlatformWorld::TakeFence(const std::string& subject, const platform::DutyHolder& holder) {
   const auto [known, is_new] = fence_holder_.insert({{subject, holder.fence}, holder.node});
--- a/tests/tier/tier_seeds/platform_world.h
+++ b/tests/tier/tier_seeds/platform_world.h
@@ -35,6 +35,8 @@
   std::vector<cluster::EndpointEntry> ListSeen() const;
   void SetUp(bool up);
   void SetLostAnswers(double share);
+  // Each way to it and back takes so much longer.
+  void SetSlower(net::Span by) { slower_ = by; }
   // For how long callers could see that the endpoint is draining or gone; the time does not run
   // while the platform is down or loses answers. None: the list does not show it so.
   std::optional<net::Span> ShownAsLeaving(const std::string& endpoint) const;
@@ -65,6 +67,7 @@
   net::Span lag_;
   bool up_ = true;
   double lost_answers_ = 0;
+  net::Span slower_{};
   std::deque<std::pair<net::Time, std::vector<cluster::EndpointEntry>>> lists_;
   std::set<std::string> serving_;                  // Endpoints listed as ready.
   std::map<std::string, net::Time> leaving_from_;  // From when on the list shows it.
