Lists of endpoints overtake documents on each hop; of a part only the newest waits

Cause: pushes of the core and of relays stand in one queue a connection. A list of endpoints waits there behind configuration documents, also those that a newer one has replaced meanwhile.

Change: a message may be urgent, then it goes before all that has not begun to leave; and it may have a slot, then it takes the place of an earlier one of that slot that waits.

--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -360,7 +360,9 @@
   void PassOn(const Push& push) {
     if (children.empty()) return;
     const std::string body = Encode(push);
-    for (const net::Address& child : children) hub.Send(child, kPushKind, body);
+    for (const net::Address& child : children) {
+      hub.Send(child, kPushKind, body, DeliveryOf(push.part));
+    }
   }
 
   void Tell(Part part) {
--- a/src/tier/cluster/messages.cpp
+++ b/src/tier/cluster/messages.cpp
@@ -7,6 +7,8 @@
 namespace shelflink::cluster {
 namespace {
 
+constexpr std::uint32_t kFirstSlot = kPushKind;  // One for each part.
+
 void Write(cbor::Writer& writer, const PartVersions& versions) {
   writer.Array(kParts);
   for (const Version& version : versions.of) cluster::Write(writer, version);
@@ -95,6 +97,13 @@
 
 }  // namespace
 
+transport::Delivery DeliveryOf(Part part) {
+  transport::Delivery delivery;
+  delivery.urgent = part == Part::kEndpoints;
+  delivery.slot = kFirstSlot + static_cast<std::uint32_t>(part);
+  return delivery;
+}
+
 std::string Encode(const Renewal& message) {
   cbor::Writer writer;
   writer.Array(9).Bool(message.ready);
--- a/src/tier/cluster/messages.h
+++ b/src/tier/cluster/messages.h
@@ -118,6 +118,10 @@
   bool operator==(const Push&) const = default;
 };
 
+// Only the newest version of a part is of use. The list of endpoints overtakes the others, which
+// may be large: drains must bind within `drainMs`.
+transport::Delivery DeliveryOf(Part part);
+
 struct Fetch {
   Part part = Part::kConfiguration;
   Version least;  // An older one is of no use.
--- a/src/tier/cluster/view_publisher.cpp
+++ b/src/tier/cluster/view_publisher.cpp
@@ -7,7 +7,9 @@
   versions_[push.part] = push.version;
   std::string& encoded = encoded_[static_cast<std::size_t>(push.part)];
   encoded = Encode(push);
-  for (const net::Address& target : targets) hub_.Send(target, kPushKind, encoded);
+  for (const net::Address& target : targets) {
+    hub_.Send(target, kPushKind, encoded, DeliveryOf(push.part));
+  }
 }
 
 Result<std::string> ViewPublisher::Answer(std::string_view body) const {
--- a/src/tier/transport/connection.cpp
+++ b/src/tier/transport/connection.cpp
@@ -24,19 +24,22 @@
 void Connection::StartGreeting() {
   state_ = State::kGreeting;
   state_deadline_ = loop_.Now() + spans_.silence;
-  Append(EncodeHello(self_, dial_));
+  // Nothing overtakes it.
+  Append(EncodeHello(self_, dial_), {.urgent = true});
   owner_.OnQueued(*this);
   owner_.OnChanged(*this);
   stream_->Receive();
 }
 
-std::uint64_t Connection::Append(std::string frame) {
+std::uint64_t Connection::Append(std::string frame, Delivery delivery) {
   owner_.OnBytesQueued(frame.size());
-  return outbox_.Append(std::move(frame));
+  const Outbox::Put put = outbox_.Append(std::move(frame), delivery);
+  if (put.replaced > 0) owner_.OnReplaced(put.replaced);
+  return put.place;
 }
 
-std::uint64_t Connection::Queue(std::string frame, Expects expects) {
-  const std::uint64_t place = Append(std::move(frame));
+std::uint64_t Connection::Queue(std::string frame, Expects expects, Delivery delivery) {
+  const std::uint64_t place = Append(std::move(frame), delivery);
   if (expects == Expects::kSignOfLife) {
     silence_.Sent(loop_.Now());
     owner_.OnChanged(*this);
--- a/src/tier/transport/connection.h
+++ b/src/tier/transport/connection.h
@@ -32,6 +32,8 @@
   virtual void OnBytesRead(std::size_t bytes) = 0;
   virtual void OnBytesQueued(std::size_t bytes) = 0;
   virtual void OnBytesWritten(std::size_t bytes) = 0;
+  // A frame of so many bytes was queued, and a newer one of its slot has gone in its place.
+  virtual void OnReplaced(std::size_t bytes) = 0;
 
  protected:
   ~ConnectionOwner() = default;
@@ -67,8 +69,9 @@
 
   // Whether the peer should be heard after this frame.
   enum class Expects { kNothing, kSignOfLife };
-  // Returns the frame's place in the stream.
-  std::uint64_t Queue(std::string frame, Expects expects);
+  // Returns the frame's place in the stream, of meaning only for one that is neither urgent nor of
+  // a slot.
+  std::uint64_t Queue(std::string frame, Expects expects, Delivery delivery = {});
   // Whether any byte from that place on has been handed to the machine.
   bool MayHaveLeft(std::uint64_t place) const { return outbox_.written() > place; }
   // Writes what the machine takes.
@@ -97,7 +100,7 @@
   void OnWritable() override;
 
   void StartGreeting();
-  std::uint64_t Append(std::string frame);
+  std::uint64_t Append(std::string frame, Delivery delivery);
   bool Take(std::string_view payload);
   void Greet(const Frame& frame);
   void Break(const char* cause);
--- a/src/tier/transport/hub.cpp
+++ b/src/tier/transport/hub.cpp
@@ -44,12 +44,13 @@
 
 // ---- Frames out ----
 
-void Hub::Impl::Send(const net::Address& to, MessageKind kind, std::string body) {
+void Hub::Impl::Send(const net::Address& to, MessageKind kind, std::string body,
+                     Delivery delivery) {
   if (body.size() > kLargestBody) return Drop(WordOf(FrameFault::kTooLong));
   if (to == self.address) {
     return Post([this, kind, body = std::move(body)] { TakeMessage(self, {kind, body}); });
   }
-  Deliver(to, EncodeMessage(kind, body), 0);
+  Deliver(to, {EncodeMessage(kind, body), 0, delivery});
 }
 
 void Hub::Impl::Call(const net::Address& to, MessageKind kind, std::string body, net::Span timeout,
@@ -61,30 +62,32 @@
     calls.Find(call)->handed_over = true;
     Post([this, kind, call, body = std::move(body)] { TakeCall(self, 0, {kind, call, body}); });
   } else {
-    Deliver(to, EncodeCall(kind, call, body), call);
+    Deliver(to, {EncodeCall(kind, call, body), call, {}});
   }
   Rearm();
 }
 
-void Hub::Impl::Deliver(const net::Address& to, std::string frame, std::uint64_t call) {
+void Hub::Impl::Deliver(const net::Address& to, WaitingFrame frame) {
   Peer& peer = PeerAt(to);
   Connection* connection = peer.connections.empty() ? nullptr : peer.connections.front();
   const std::size_t queued = connection == nullptr ? peer.waiting_bytes : connection->queued();
-  if (!HasRoom(queued, frame.size())) {
+  if (!HasRoom(queued, frame.bytes.size())) {
     Drop("queue");
-    if (call != 0) FinishLater(call, Unavailable("the queue to " + to.Text() + " is full"));
+    if (frame.call != 0) {
+      FinishLater(frame.call, Unavailable("the queue to " + to.Text() + " is full"));
+    }
     return;
   }
-  if (connection != nullptr) return QueueOn(*connection, {std::move(frame), call});
-  peer.waiting_bytes += frame.size();
-  queued_in_all += frame.size();
-  peer.waiting.push_back({std::move(frame), call});
+  if (connection != nullptr) return QueueOn(*connection, std::move(frame));
+  peer.waiting_bytes += frame.bytes.size();
+  queued_in_all += frame.bytes.size();
+  peer.waiting.push_back(std::move(frame));
   EnsureDial(to, peer);
 }
 
 void Hub::Impl::QueueOn(Connection& connection, WaitingFrame frame) {
   if (frame.call == 0) {
-    connection.Queue(std::move(frame.bytes), Connection::Expects::kSignOfLife);
+    connection.Queue(std::move(frame.bytes), Connection::Expects::kSignOfLife, frame.delivery);
     return;
   }
   PendingCall* pending = calls.Find(frame.call);
@@ -276,8 +279,8 @@
 
 void Hub::Watch(OnPeer watcher) { impl_->watchers.push_back(std::move(watcher)); }
 
-void Hub::Send(const net::Address& to, MessageKind kind, std::string body) {
-  impl_->Send(to, kind, std::move(body));
+void Hub::Send(const net::Address& to, MessageKind kind, std::string body, Delivery delivery) {
+  impl_->Send(to, kind, std::move(body), delivery);
 }
 
 void Hub::Call(const net::Address& to, MessageKind kind, std::string body,
--- a/src/tier/transport/hub.h
+++ b/src/tier/transport/hub.h
@@ -5,6 +5,8 @@
 // something was owed (pings at hub level). A message is delivered once or lost, never twice and,
 // between the same two processes within one connection, in order; after a loss the sender of a Call
 // learns kUnknown, the sender of a Send nothing. So whoever sends repeats, and receivers guard.
+// That order holds save for urgent messages, which overtake, and for messages of a slot, of which
+// only the newest is of use (transport/delivery.h).
 // Messages go on the oldest connection with the peer, whoever dialled it. Of several that one
 // process dialled only the newest counts: what an older one still holds is not delivered after it.
 //
@@ -24,6 +26,7 @@
 
 #include "net/loop.h"
 #include "tier/foundation/result.h"
+#include "tier/transport/delivery.h"
 
 namespace shelflink::transport {
 
@@ -78,18 +81,20 @@
   // Told of each first connection to a process and of the end of its last one.
   void Watch(OnPeer watcher);
 
-  void Send(const net::Address& to, MessageKind kind, std::string body);
+  void Send(const net::Address& to, MessageKind kind, std::string body, Delivery delivery = {});
   // `done` is called once, never from inside Call: the answer, the peer's error, kUnavailable where
   // the message certainly never left, kUnknown after `timeout` or when the connection broke.
   void Call(const net::Address& to, MessageKind kind, std::string body,
             std::chrono::milliseconds timeout, Reply done);
 
   bool Connected(const net::Address& to) const;
-  // Bytes written and read, frames dropped by cause ("version", "malformed", "too_long", "queue"),
-  // and lines of the log about frames that could not be read: one a minute for each cause.
+  // Bytes written and read, messages replaced, frames dropped by cause ("version", "malformed",
+  // "too_long", "queue"), and lines of the log about frames that could not be read: one a minute
+  // for each cause.
   struct Counters {
     std::uint64_t bytes_out = 0;
     std::uint64_t bytes_in = 0;
+    std::uint64_t replaced = 0;  // Messages in whose place a newer one of their slot has gone.
     std::map<std::string, std::uint64_t> dropped;
     std::uint64_t drop_lines = 0;
   };
--- a/src/tier/transport/hub_impl.h
+++ b/src/tier/transport/hub_impl.h
@@ -48,7 +48,7 @@
     }
   }
 
-  void Send(const net::Address& to, MessageKind kind, std::string body);
+  void Send(const net::Address& to, MessageKind kind, std::string body, Delivery delivery);
   void Call(const net::Address& to, MessageKind kind, std::string body, net::Span timeout,
             Reply done);
 
@@ -64,6 +64,10 @@
     counters.bytes_out += bytes;
     queued_in_all -= bytes;
   }
+  void OnReplaced(std::size_t bytes) override {
+    ++counters.replaced;
+    queued_in_all -= bytes;
+  }
 
   // Posts a step that is left out if the hub is gone by then.
   void Post(std::function<void()> step);
@@ -86,7 +90,7 @@
   bool HasRoom(std::size_t queued_to_peer, std::size_t more) const {
     return queued_to_peer + more <= kMostQueued && queued_in_all + more <= kMostQueuedInAll;
   }
-  void Deliver(const net::Address& to, std::string frame, std::uint64_t call);
+  void Deliver(const net::Address& to, WaitingFrame frame);
   void QueueOn(Connection& connection, WaitingFrame frame);
   void QueueAnswer(std::uint64_t connection, std::string frame);
   void Flush();
--- a/src/tier/transport/peer_table.h
+++ b/src/tier/transport/peer_table.h
@@ -21,6 +21,7 @@
 struct WaitingFrame {
   std::string bytes;
   std::uint64_t call = 0;  // 0: a message.
+  Delivery delivery;       // Of a message.
 };
 
 // All that is known of one address.
--- a/tests/tier/cluster/agent_test.cpp
+++ b/tests/tier/cluster/agent_test.cpp
@@ -330,5 +330,85 @@
   BOOST_TEST((rig.proxies[0]->agent().view().endpoints->version == before));
 }
 
+// ---- Narrow links ----
+
+constexpr std::size_t kLargeDocument = 1U << 20;
+
+// A window of 64 KB in twice that.
+net::Weather NarrowBy(milliseconds latency) {
+  net::Weather weather;
+  weather.latency_low = weather.latency_high = latency;
+  return weather;
+}
+
+// Not waited for: one after the other.
+void PutLarge(Rig& rig, std::uint64_t first, std::uint64_t last) {
+  for (std::uint64_t version = first; version <= last; ++version) {
+    std::string document = RigConfiguration(version);
+    document.pop_back();
+    document += R"(,"note":")" + std::string(kLargeDocument, 'n') + "\"}";
+    rig.Primary().service().ChangeConfiguration(
+        {configuration::ChangeMethod::kPut, version - 1, std::move(document)},
+        [](const Result<void>& told) { BOOST_TEST(told.has_value()); });
+  }
+}
+
+bool KnowsDrain(RigAgent& proxy) {
+  const auto& endpoints = proxy.agent().view().endpoints;
+  return endpoints && endpoints->entries[0].draining;
+}
+
+// One endpoint, and a first configuration in force everywhere.
+struct NarrowScene {
+  NarrowScene() : rig(1, 1) {
+    rig.platform.list = {
+        {"i-1", "big", net::Address::V4(0x0a640001, 80), "zone-0", 8, false, milliseconds(0)}};
+    rig.Start();
+    rig.Run(seconds(2));
+    BOOST_REQUIRE(rig.Put(1, 0));
+  }
+  RigAgent& parent() { return *rig.proxies[0]; }
+  // In the zone of the first proxy, which passes pushes on to it.
+  RigAgent& AddChild() {
+    for (int zone = 1; zone < 3; ++zone) rig.AddProxy();
+    RigAgent& child = rig.AddProxy();
+    child.Start();
+    rig.Run(seconds(2));
+    return child;
+  }
+  void Drain() { rig.platform.list[0].draining = true; }
+
+  Rig rig;
+};
+
+BOOST_AUTO_TEST_CASE(a_list_overtakes_the_documents_that_wait_at_the_core) {
+  NarrowScene scene;
+  scene.rig.net.SetWeather(NarrowBy(milliseconds(50)));  // A document takes 1.6 s.
+  PutLarge(scene.rig, 2, 3);
+  scene.Drain();
+  BOOST_REQUIRE(scene.rig.RunUntil([&] { return KnowsDrain(scene.parent()); }, seconds(10)));
+  BOOST_TEST(scene.parent().configuration_version() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_list_overtakes_the_documents_that_wait_at_a_relay) {
+  NarrowScene scene;
+  RigAgent& child = scene.AddChild();
+  const std::uint32_t core = scene.rig.cores[0]->host();
+  scene.rig.net.SetWeather(scene.parent().host(), child.host(), NarrowBy(milliseconds(50)));
+  scene.rig.net.SetCut(core, child.host(), true);  // It would ask there for what is late.
+  PutLarge(scene.rig, 2, 3);
+  scene.Drain();
+  BOOST_REQUIRE(scene.rig.RunUntil([&] { return KnowsDrain(child); }, seconds(10)));
+  BOOST_TEST(scene.parent().configuration_version() == 3U);
+  BOOST_TEST(child.configuration_version() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(documents_that_were_replaced_hold_nothing_up) {
+  NarrowScene scene;
+  scene.rig.net.SetWeather(NarrowBy(milliseconds(20)));  // A document takes 0.65 s.
+  PutLarge(scene.rig, 2, 11);
+  BOOST_TEST(scene.rig.RunUntil([&] { return scene.rig.AllHave(11); }, seconds(2)));
+}
+
 }  // namespace
 }  // namespace shelflink::cluster
--- a/tests/tier/cluster/mutants.cmake
+++ b/tests/tier/cluster/mutants.cmake
@@ -24,3 +24,17 @@
   [=[    if (the_epoch != epoch) count = 0;]=] [=[    count = 0;]=]
   TEST cluster/core_service_test RUN a_lease_that_lapsed_for_a_moment_holds_up_no_part_of_the_view
   LIBRARIES ${cluster_core})
+
+# Lists behind documents: each hop without the priority, and documents that nobody needs any more.
+tier_mutant(lists_wait_at_the_core cluster/view_publisher.cpp
+  [=[kPushKind, encoded, DeliveryOf(push.part));]=] [=[kPushKind, encoded);]=]
+  TEST cluster/agent_test RUN a_list_overtakes_the_documents_that_wait_at_the_core
+  LIBRARIES ${cluster_core})
+tier_mutant(lists_wait_at_a_relay cluster/agent.cpp
+  [=[kPushKind, body, DeliveryOf(push.part));]=] [=[kPushKind, body);]=]
+  TEST cluster/agent_test RUN a_list_overtakes_the_documents_that_wait_at_a_relay
+  LIBRARIES ${cluster_core})
+tier_mutant(documents_that_were_replaced_are_sent cluster/messages.cpp
+  [=[kFirstSlot = kPushKind;]=] [=[kFirstSlot = 0;]=]
+  TEST cluster/agent_test RUN documents_that_were_replaced_hold_nothing_up
+  LIBRARIES ${cluster_core})
--- a/tests/tier/transport/connection_test.cpp
+++ b/tests/tier/transport/connection_test.cpp
@@ -82,6 +82,7 @@
   void OnBytesRead(std::size_t) override {}
   void OnBytesQueued(std::size_t bytes) override { bytes_queued += bytes; }
   void OnBytesWritten(std::size_t bytes) override { bytes_written += bytes; }
+  void OnReplaced(std::size_t bytes) override { bytes_queued -= bytes; }
 
   int greeted = 0, frames = 0, queued = 0;
   std::size_t bytes_queued = 0, bytes_written = 0;
@@ -125,6 +126,31 @@
   BOOST_TEST(owner.bytes_queued - owner.bytes_written == connection.queued());
 }
 
+// What is queued once the peer has greeted may find the own greeting still waiting.
+BOOST_AUTO_TEST_CASE(NothingOvertakesTheGreeting) {
+  FakeLoop other_loop;
+  Owner other_owner;
+  Connection late{2, other_loop, other_owner, self, {milliseconds(1000), milliseconds(1000)}};
+  late.Dial(kPeer, 1);
+  other_loop.stream->user->OnConnected(net::Fault::kNone);
+  other_loop.stream->user->OnBytes(EncodeHello({"peer", "core", "zone", kPeer, 2}, 0));
+  BOOST_REQUIRE(other_owner.greeted == 1);
+  late.Queue("urgent", Connection::Expects::kNothing, {.urgent = true});
+  late.Flush();
+  const std::string hello = EncodeHello(self, 1);
+  BOOST_TEST((other_loop.stream->taken == hello + "urgent"));
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsReplacedIsNoLongerQueued) {
+  const Delivery in_slot{.slot = 1};
+  connection.Queue(std::string(100, 'x'), Connection::Expects::kSignOfLife, in_slot);
+  connection.Queue(std::string(300, 'y'), Connection::Expects::kSignOfLife, in_slot);
+  BOOST_TEST(connection.queued() == 300U);
+  BOOST_TEST(owner.bytes_queued - owner.bytes_written == connection.queued());
+  connection.Flush();
+  BOOST_TEST((loop.stream->taken == std::string(300, 'y')));
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsWrittenUntilThereIsRoom) {
   Queue(100);
   loop.stream->answers = {{60}};
--- a/tests/tier/transport/frames_test.cpp
+++ b/tests/tier/transport/frames_test.cpp
@@ -222,6 +222,68 @@
   BOOST_TEST((written == expected));
 }
 
+std::string TakeAll(Outbox& outbox) {
+  std::string taken;
+  while (!outbox.empty()) {
+    const std::string front(outbox.Front());
+    taken += front;
+    outbox.Written(front.size());
+  }
+  return taken;
+}
+
+constexpr Delivery kUrgent{.urgent = true};
+constexpr std::uint32_t kSlot = 7;
+
+BOOST_AUTO_TEST_CASE(UrgentFramesGoBeforeAllThatHasNotBegunToLeave) {
+  Outbox outbox;
+  const std::string large(Outbox::kChunk, 'x');
+  outbox.Append(large);
+  outbox.Append(large);
+  outbox.Written(1);
+  outbox.Append("first", kUrgent);
+  outbox.Append("second", kUrgent);
+  // What has begun is sent to its end.
+  BOOST_TEST(outbox.Front().size() == large.size() - 1);
+  outbox.Written(large.size() - 1);
+  BOOST_TEST(outbox.Front() == "firstsecond");
+  outbox.Written(3);
+  outbox.Append("ordinary");
+  BOOST_TEST(outbox.Front() == "stsecond");
+  outbox.Written(8);
+  BOOST_TEST((TakeAll(outbox) == large + "ordinary"));
+}
+
+BOOST_AUTO_TEST_CASE(OfASlotOnlyTheNewestWaitsAtThePlaceOfTheOldest) {
+  Outbox outbox;
+  BOOST_TEST(outbox.Append("old", {.slot = kSlot}).replaced == 0U);
+  outbox.Append("other", {.slot = kSlot + 1});
+  const std::uint64_t place = outbox.Append("call");
+  BOOST_TEST(outbox.Append("newest", {.slot = kSlot}).replaced == 3U);
+  BOOST_TEST(outbox.size() == 15U);
+  BOOST_TEST(outbox.Front() == "newest");
+  outbox.Written(1);
+  // Of one that has begun to leave nothing is replaced.
+  BOOST_TEST(outbox.Append("later", {.slot = kSlot}).replaced == 0U);
+  outbox.Written(5);
+  BOOST_TEST(outbox.written() <= place);
+  BOOST_TEST(outbox.Front() == "other");
+  outbox.Written(5);
+  BOOST_TEST(outbox.written() <= place);  // No byte of the call.
+  outbox.Written(1);
+  BOOST_TEST(outbox.written() > place);
+  BOOST_TEST(TakeAll(outbox) == "alllater");
+  BOOST_TEST(outbox.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(UrgentFramesHaveSlotsOfTheirOwn) {
+  Outbox outbox;
+  outbox.Append("document", {.slot = kSlot});
+  outbox.Append("list", {.urgent = true, .slot = kSlot + 1});
+  BOOST_TEST(outbox.Append("newer", {.urgent = true, .slot = kSlot + 1}).replaced == 4U);
+  BOOST_TEST(TakeAll(outbox) == "newerdocument");
+}
+
 // ---- Silence ----
 
 constexpr net::Span kSpan = milliseconds(1000);
--- a/tests/tier/transport/hub_test.cpp
+++ b/tests/tier/transport/hub_test.cpp
@@ -338,6 +338,57 @@
   BOOST_TEST(a->answers.at(0).value().value() == "echo x");
 }
 
+// ---- Urgent messages and slots ----
+
+constexpr std::size_t kDocument = 200'000;
+constexpr std::uint32_t kSlot = 1;
+
+// Of no more than a window of 64 KB in 40 ms.
+void Narrow(net::VirtualNet& net) {
+  net::Weather weather;
+  weather.latency_low = weather.latency_high = milliseconds(20);
+  net.SetWeather(weather);
+}
+
+BOOST_AUTO_TEST_CASE(AnUrgentMessageOvertakesWhatWaits) {
+  Connect();
+  Narrow(net);
+  const std::string document(kDocument, 'd');
+  for (int i = 0; i < 5; ++i) a->hub->Send(b->address(), kNote, document);
+  Run(milliseconds(5));
+  a->hub->Send(b->address(), kNote, "urgent", {.urgent = true});
+  Run(seconds(3));
+  BOOST_REQUIRE(b->notes.size() == 6U);
+  BOOST_TEST((b->notes[0] == document));  // It had begun to leave.
+  BOOST_TEST(b->notes[1] == "urgent");
+}
+
+BOOST_AUTO_TEST_CASE(OfASlotTheNewestGoesInPlaceOfThoseThatWait) {
+  Connect();
+  Narrow(net);
+  const auto document = [](char letter) { return std::string(kDocument, letter); };
+  a->hub->Send(b->address(), kNote, document('a'), {.slot = kSlot});
+  Run(milliseconds(5));
+  for (const char letter : {'b', 'c', 'd'}) {
+    a->hub->Send(b->address(), kNote, document(letter), {.slot = kSlot});
+  }
+  a->hub->Send(b->address(), kNote, "other");
+  a->hub->Send(b->address(), kNote, document('e'), {.slot = kSlot});
+  Run(seconds(3));
+  BOOST_TEST((b->notes == std::vector<std::string>{document('a'), document('e'), "other"}));
+  BOOST_TEST(a->hub->counters().replaced == 3U);
+  BOOST_TEST(a->hub->counters().dropped.empty());
+}
+
+BOOST_AUTO_TEST_CASE(WhatWaitsForAConnectionKeepsItsUrgencyAndItsSlot) {
+  a->hub->Send(b->address(), kNote, "old", {.slot = kSlot});
+  a->hub->Send(b->address(), kNote, "ordinary");
+  a->hub->Send(b->address(), kNote, "new", {.slot = kSlot});
+  a->hub->Send(b->address(), kNote, "urgent", {.urgent = true});
+  Run(milliseconds(50));
+  BOOST_TEST((b->notes == std::vector<std::string>{"urgent", "new", "ordinary"}));
+}
+
 // ---- Limits ----
 
 BOOST_AUTO_TEST_CASE(AFullQueueDropsMessagesAndRefusesCalls) {
