Agents do not ask again for documents that are coming

Cause: what a renewal names as newer is asked for after 40 ms. On narrow links a document of 100 KB takes longer: each child asked its parent for a second copy, and where the parent had none yet the core at once. 60 proxies did so together; their answers filled the link of the core's primary, whose entries to its backups went there too.

Change: a document is not asked for while a message of whoever would send it is coming in (Hub::Receives); and a parent that is late as well is waited for until the next renewal. Lists, placement and members are asked for as before.

Two cases of agent_test fail without it (mutants documents_on_their_way_are_asked_for and all_ask_the_core_at_once).

--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds kCoreFetchTimeout{1000};  // From the core.
 constexpr milliseconds kRetryPause{100};
 constexpr milliseconds kPushGrace{40};  // What a renewal names as newer may be on its way.
+constexpr milliseconds kComingPause{
+    100};  // Nothing more of a message for so long: it is not coming.
 constexpr milliseconds kReportTimeout{1000};
 constexpr milliseconds kLeaveTimeout{300};
 constexpr milliseconds kDetourTimeout{900};  // Two hops.
@@ -402,6 +404,9 @@
 
   // The renewal's answer names the newest versions; what a push has not brought is asked for.
   void Repair(const PartVersions& versions) {
+    named_before = newest;
+    moved = store.versions()[Part::kConfiguration] > had_at_renewal;
+    had_at_renewal = store.versions()[Part::kConfiguration];
     newest = versions;
     bool stale = false;
     bool missing = false;
@@ -414,12 +419,27 @@
 
   void FetchStaleParts() {
     for (const Part part : kAllParts) {
-      if (IsStale(part)) FetchPart(part);
+      if (!IsStale(part)) continue;
+      if (IsComing(part)) {
+        repair_timer->ArmAt(loop.Now() + kPushGrace);
+      } else {
+        FetchPart(part);
+      }
     }
   }
 
+  // A document that is on its way is not asked for again, it may be large: whoever is to send it
+  // sends something at this moment, which an answer would stand behind.
+  bool IsComing(Part part) const {
+    if (part != Part::kConfiguration) return false;
+    const std::optional<net::Address> source = FetchesFromParent() ? parent : finder.primary();
+    return source && hub.Receives(*source, kComingPause);
+  }
+
+  bool FetchesFromParent() const { return parent && !parent_silent; }
+
   void FetchPart(Part part) {
-    if (parent && !parent_silent) {
+    if (FetchesFromParent()) {
       FetchFrom(*parent, part, kFetchTimeout,
                 [this, part](const Result<std::string>& body) { AfterParent(part, body); });
     } else {
@@ -437,11 +457,19 @@
   // A parent that has no such version is late as well; only a silent one is replaced.
   void AfterParent(Part part, const Result<std::string>& body) {
     if (!IsStale(part)) return;
-    if (!body && body.error().code != ErrorCode::kNotFound) {
+    const bool late_too = !body && body.error().code == ErrorCode::kNotFound;
+    if (!body && !late_too) {
       parent_silent = true;
       RenewSoon();
     }
-    FetchFromCore(part);
+    if (!late_too || !ComesByParent(part)) FetchFromCore(part);
+  }
+
+  // All of a zone would ask the core at once for a document that their parents are about to have.
+  // One that was named by an earlier renewal already, with none newer taken since, is asked for.
+  bool ComesByParent(Part part) const {
+    if (part != Part::kConfiguration || !store.Has(part)) return false;
+    return moved || store.versions()[part] >= named_before[part];
   }
 
   // One at a time for each part. `after` is called once what came has been taken.
@@ -506,10 +534,13 @@
   std::optional<net::Address> parent;
   bool parent_silent = false;
   std::vector<net::Address> children;
-  PartVersions newest;  // As the primary told last.
-  struct Reading {      // Of the platform's list.
-    Version version;    // Under which it was published.
-    net::Time at{};     // On this process's clock, no later than it began.
+  PartVersions newest;        // As the primary told last.
+  PartVersions named_before;  // The same, by the renewal before.
+  Version had_at_renewal;     // Of the configuration, at the newest renewal;
+  bool moved = false;         // whether it was newer than at the one before.
+  struct Reading {            // Of the platform's list.
+    Version version;          // Under which it was published.
+    net::Time at{};           // On this process's clock, no later than it began.
   };
   Reading told_reading;
   net::Time endpoints_read_at{};
--- a/src/tier/transport/connection.cpp
+++ b/src/tier/transport/connection.cpp
@@ -121,7 +121,8 @@
 
 void Connection::OnBytes(std::string_view bytes) {
   owner_.OnBytesRead(bytes.size());
-  silence_.Heard(loop_.Now());
+  read_at_ = loop_.Now();
+  silence_.Heard(read_at_);
   const auto outcome = splitter_.Feed(bytes, largest_frame_,
                                       [this](std::string_view payload) { return Take(payload); });
   if (closed()) return;
--- a/src/tier/transport/connection.h
+++ b/src/tier/transport/connection.h
@@ -66,6 +66,8 @@
   bool closed() const { return state_ == State::kClosed; }
   const PeerIdentity& peer() const { return peer_; }  // Once greeted.
   std::size_t queued() const { return outbox_.size(); }
+  // Of a frame that is here in part some came since then.
+  bool Receives(net::Time since) const { return splitter_.held() > 0 && read_at_ >= since; }
 
   // Whether the peer should be heard after this frame.
   enum class Expects { kNothing, kSignOfLife };
@@ -120,6 +122,7 @@
   net::StreamPtr stream_;
   PeerIdentity peer_;
   FrameSplitter splitter_;
+  net::Time read_at_{};  // When the newest bytes came.
   Outbox outbox_;
   Silence silence_;
   std::unordered_set<std::uint64_t> open_calls_;
--- a/src/tier/transport/hub.cpp
+++ b/src/tier/transport/hub.cpp
@@ -293,6 +293,10 @@
   return impl_->peers.Connected(to);
 }
 
+bool Hub::Receives(const net::Address& from, net::Span within) const {
+  return impl_->peers.Receives(from, impl_->loop.Now() - within);
+}
+
 const Hub::Counters& Hub::counters() const { return impl_->counters; }
 
 }  // namespace shelflink::transport
--- a/src/tier/transport/hub.h
+++ b/src/tier/transport/hub.h
@@ -88,6 +88,8 @@
             std::chrono::milliseconds timeout, Reply done);
 
   bool Connected(const net::Address& to) const;
+  // A message of that process has begun to come, is not whole, and has grown within that span.
+  bool Receives(const net::Address& from, net::Span within) const;
   // Bytes written and read, messages replaced, frames dropped by cause ("version", "malformed",
   // "too_long", "queue"), and lines of the log about frames that could not be read: one a minute
   // for each cause.
--- a/src/tier/transport/peer_table.cpp
+++ b/src/tier/transport/peer_table.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "tier/transport/connection.h"
+
 namespace shelflink::transport {
 
 namespace {
@@ -32,6 +34,14 @@
   return found != peers_.end() && !found->second.connections.empty();
 }
 
+bool PeerTable::Receives(const net::Address& address, net::Time since) const {
+  const auto found = peers_.find(address);
+  if (found == peers_.end()) return false;
+  const std::vector<Connection*>& connections = found->second.connections;
+  return std::any_of(connections.begin(), connections.end(),
+                     [since](const Connection* connection) { return connection->Receives(since); });
+}
+
 void PeerTable::PauseAfterFailure(Peer& peer, net::Time now) const {
   const net::Span longest = std::max<net::Span>(kLongestPause, first_pause_);
   peer.pause = peer.pause == net::Span{} ? first_pause_ : std::min(peer.pause * 2, longest);
--- a/src/tier/transport/peer_table.h
+++ b/src/tier/transport/peer_table.h
@@ -42,6 +42,8 @@
   // Made where it is not known yet; those that there is nothing left to do with may go then.
   Peer& At(const net::Address& address, net::Time now);
   bool Connected(const net::Address& address) const;
+  // Some frame of that process is here in part, and some of it came since then.
+  bool Receives(const net::Address& address, net::Time since) const;
 
   // From now until when it is not dialled.
   void PauseAfterFailure(Peer& peer, net::Time now) const;
--- a/tests/tier/cluster/agent_test.cpp
+++ b/tests/tier/cluster/agent_test.cpp
@@ -403,6 +403,34 @@
   BOOST_TEST(child.configuration_version() == 2U);
 }
 
+std::uint64_t SentBy(RigMachine& machine) { return machine.hub().counters().bytes_out; }
+
+BOOST_AUTO_TEST_CASE(a_document_that_is_coming_is_not_asked_for) {
+  NarrowScene scene;
+  RigAgent& child = scene.AddChild();
+  scene.rig.net.SetWeather(scene.parent().host(), child.host(), NarrowBy(milliseconds(50)));
+  const std::uint64_t by_core = SentBy(*scene.rig.cores[0]);
+  const std::uint64_t by_parent = SentBy(scene.parent());
+  PutLarge(scene.rig, 2, 2);  // Takes 1.6 s, over three renewals.
+  BOOST_REQUIRE(scene.rig.RunUntil([&] { return scene.rig.AllHave(2); }, seconds(4)));
+  BOOST_TEST(SentBy(*scene.rig.cores[0]) - by_core < kLargeDocument * 3 / 2);
+  BOOST_TEST(SentBy(scene.parent()) - by_parent < kLargeDocument * 3 / 2);
+}
+
+BOOST_AUTO_TEST_CASE(nobody_asks_the_core_for_what_the_parent_is_about_to_have) {
+  NarrowScene scene;
+  constexpr std::size_t kChildren = 6;
+  std::vector<RigAgent*> children;
+  while (children.size() < kChildren) children.push_back(&scene.AddChild());
+  const std::uint32_t core = scene.rig.cores[0]->host();
+  // Its document takes 0.4 s, as long as the way between two renewals.
+  scene.rig.net.SetWeather(core, scene.parent().host(), NarrowBy(milliseconds(12)));
+  const std::uint64_t by_core = SentBy(*scene.rig.cores[0]);
+  PutLarge(scene.rig, 2, 2);
+  BOOST_REQUIRE(scene.rig.RunUntil([&] { return scene.rig.AllHave(2); }, seconds(2)));
+  BOOST_TEST(SentBy(*scene.rig.cores[0]) - by_core < kLargeDocument * 3 / 2);
+}
+
 BOOST_AUTO_TEST_CASE(documents_that_were_replaced_hold_nothing_up) {
   NarrowScene scene;
   scene.rig.net.SetWeather(NarrowBy(milliseconds(20)));  // A document takes 0.65 s.
--- a/tests/tier/cluster/mutants.cmake
+++ b/tests/tier/cluster/mutants.cmake
@@ -38,3 +38,11 @@
   [=[kFirstSlot = kPushKind;]=] [=[kFirstSlot = 0;]=]
   TEST cluster/agent_test RUN documents_that_were_replaced_hold_nothing_up
   LIBRARIES ${cluster_core})
+tier_mutant(documents_on_their_way_are_asked_for cluster/agent.cpp
+  [=[    return source && hub.Receives(*source, kComingPause);]=] [=[    return false;]=]
+  TEST cluster/agent_test RUN a_document_that_is_coming_is_not_asked_for
+  LIBRARIES ${cluster_core})
+tier_mutant(all_ask_the_core_at_once cluster/agent.cpp
+  [=[    return moved || store.versions()[part] >= named_before[part];]=] [=[    return false;]=]
+  TEST cluster/agent_test RUN nobody_asks_the_core_for_what_the_parent_is_about_to_have
+  LIBRARIES ${cluster_core})
