--- a/src/tier/transport/peer_table.h
+++ b/src/tier/transport/peer_table.h
@@ -21,6 +21,7 @@
 struct WaitingFrame {
   std::string bytes;
   std::uint64_t call = 0;  // 0: a message.
+  Delivery delivery;       // Of a message.
 };
 
 // All that is known of one address.
@@ -41,6 +42,8 @@
   // Made where it is not known yet; those that there is nothing left to do with may go then.
   Peer& At(const net::Address& address, net::Time now);
   bool Connected(const net::Address& address) const;
+  // Some frame of that process is here in part, and some of it came since then.
+  bool Receives(const net::Address& address, net::Time since) const;
 
   // From now until when it is not dialled.
   void PauseAfterFailure(Peer& peer, net::Time now) const;
--- a/tests/tier/cluster/mutants.cmake
+++ b/tests/tier/cluster/mutants.cmake
@@ -42,3 +42,24 @@
     keeper.Evaluate();]=] [=[    keeper.Evaluate();]=]
   TEST cluster/core_service_test RUN a_store_that_returns_with_another_disk_is_a_loss
   LIBRARIES ${cluster_core})
+# Lists behind documents: each hop without the priority, and documents that nobody needs any more.
+tier_mutant(lists_wait_at_the_core cluster/view_publisher.cpp
+  [=[kPushKind, encoded, DeliveryOf(push.part));]=] [=[kPushKind, encoded);]=]
+  TEST cluster/agent_test RUN a_list_overtakes_the_documents_that_wait_at_the_core
+  LIBRARIES ${cluster_core})
+tier_mutant(lists_wait_at_a_relay cluster/agent.cpp
+  [=[kPushKind, body, DeliveryOf(push.part));]=] [=[kPushKind, body);]=]
+  TEST cluster/agent_test RUN a_list_overtakes_the_documents_that_wait_at_a_relay
+  LIBRARIES ${cluster_core})
+tier_mutant(documents_that_were_replaced_are_sent cluster/messages.cpp
+  [=[kFirstSlot = kPushKind;]=] [=[kFirstSlot = 0;]=]
+  TEST cluster/agent_test RUN documents_that_were_replaced_hold_nothing_up
+  LIBRARIES ${cluster_core})
+tier_mutant(documents_on_their_way_are_asked_for cluster/agent.cpp
+  [=[    return source && hub.Receives(*source, kComingPause);]=] [=[    return false;]=]
+  TEST cluster/agent_test RUN a_document_that_is_coming_is_not_asked_for
+  LIBRARIES ${cluster_core})
+tier_mutant(all_ask_the_core_at_once cluster/agent.cpp
+  [=[    return moved || store.versions()[part] >= named_before[part];]=] [=[    return false;]=]
+  TEST cluster/agent_test RUN nobody_asks_the_core_for_what_the_parent_is_about_to_have
+  LIBRARIES ${cluster_core})
