--- a/src/tier/storage/crash_storage.cpp
+++ b/src/tier/storage/crash_storage.cpp
@@ -28,21 +28,42 @@
   unsynced_.clear();
 }
 
+void CrashDisk::Faults::Set(std::uint64_t nth, std::uint64_t times, Failure failure) {
+  from = count + nth;
+  left = times;
+  as = failure;
+}
+
+Failure CrashDisk::Faults::Next() {
+  ++count;
+  if (left == 0 || count < from) return Failure::kNone;
+  --left;
+  return as;
+}
+
 void CrashDisk::FailFrom(std::uint64_t nth, std::uint64_t times, Failure failure) {
-  fails_from_ = operations_ + nth;
-  fails_left_ = times;
-  fails_as_ = failure;
+  any_.Set(nth, times, failure);
 }
 
-Failure CrashDisk::Operate() {
-  ++operations_;
-  if (fails_left_ > 0 && operations_ >= fails_from_) {
-    --fails_left_;
-    return fails_as_;
-  }
-  return full_ ? Failure::kFull : Failure::kNone;
+void CrashDisk::FailFrom(DiskOperation kind, std::uint64_t nth, std::uint64_t times,
+                         Failure failure) {
+  kinds_[static_cast<std::size_t>(kind)].Set(nth, times, failure);
+}
+
+Failure CrashDisk::Operate(DiskOperation kind) {
+  const Failure of_any = any_.Next();
+  const Failure of_kind = kinds_[static_cast<std::size_t>(kind)].Next();
+  if (of_any != Failure::kNone) return of_any;
+  if (of_kind != Failure::kNone) return of_kind;
+  return full_ && kind != DiskOperation::kOpen ? Failure::kFull : Failure::kNone;
 }
 
+CrashStorage::CrashStorage(CrashDisk& disk, Schedule schedule)
+    : disk_(disk),
+      schedule_(std::move(schedule)),
+      applied_(disk.unsynced()),
+      failure_(disk.Operate(DiskOperation::kOpen)) {}
+
 std::optional<std::string> CrashStorage::Get(std::string_view key) const {
   const auto found = disk_.contents_.find(key);
   if (found == disk_.contents_.end()) return std::nullopt;
@@ -60,7 +81,7 @@
 
 void CrashStorage::Apply(const Batch& batch) {
   if (failed()) return;
-  failure_ = disk_.Operate();
+  failure_ = disk_.Operate(DiskOperation::kWrite);
   if (failed()) return;
   CrashDisk::ApplyTo(disk_.contents_, batch);
   disk_.unsynced_.push_back(batch);
@@ -82,7 +103,7 @@
     schedule_([this, covered, done] { EndSync(covered, done); });
     return;
   }
-  if (covered.batches > durable_) failure_ = disk_.Operate();
+  if (covered.batches > durable_) failure_ = disk_.Operate(DiskOperation::kSync);
   if (failed()) {
     done(ErrorNow());
     return;
@@ -112,21 +133,28 @@
   return MakeError(ErrorCode::kStorage, "the disk had failed meanwhile");
 }
 
-Result<void> CrashStorage::Recover() {
-  if (!failed()) return BOOST_OUTCOME_V2_NAMESPACE::success();
-  const Failure refused = disk_.Operate();
-  if (refused != Failure::kNone) {
-    return MakeError(ErrorCode::kStorage, std::string("the disk refuses: ") + NameOf(refused));
-  }
+Failure CrashStorage::TryRecover() {
   if (failure_ == Failure::kDamaged) {
+    const Failure refused = disk_.Operate(DiskOperation::kRename);
+    if (refused != Failure::kNone) return Failure::kDamaged;  // It still stands where it was.
     disk_.Wipe();
-  } else {
-    disk_.LosePower(disk_.kept_on_failure_);
   }
+  for (const DiskOperation step :
+       {DiskOperation::kOpen, DiskOperation::kWrite, DiskOperation::kSync}) {
+    const Failure refused = disk_.Operate(step);
+    if (refused != Failure::kNone) return refused;
+  }
+  return Failure::kNone;
+}
+
+Result<void> CrashStorage::Recover() {
+  if (!failed()) return BOOST_OUTCOME_V2_NAMESPACE::success();
+  failure_ = TryRecover();
+  if (failed()) return ErrorNow();
+  disk_.LosePower(disk_.kept_on_failure_);
   applied_ = 0;
   durable_ = 0;
   ++recoveries_;
-  failure_ = Failure::kNone;
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/tests/tier/coordination/failing_writes_test.cpp
+++ b/tests/tier/coordination/failing_writes_test.cpp
@@ -1,12 +1,19 @@
 // One disk fails at any of its writes while orders are acknowledged, members change, one catches up
-// and a primary is elected: nothing acknowledged is lost, and a primary is there again in time.
+// and a primary is elected: nothing acknowledged is lost, and a primary is there again in time. And
+// each kind of operation fails at each moment of each step of a core, played by itself.
+//
+//   tier_failing_writes_test [-- STRIDE]   one in so many of the matrix's runs, all by default
 #define BOOST_TEST_MODULE coordination_failing_writes
 #include <boost/test/unit_test.hpp>
-#include <limits>
+#include <cstdlib>
+#include <iostream>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "coordination/cluster.h"
+#include "coordination/failing_steps.h"
+#include "tier/foundation/invariants.h"
 
 namespace shelflink::coordination {
 namespace {
@@ -15,7 +22,18 @@
 constexpr std::size_t kDisks = 4;
 constexpr std::size_t kReplicas = 3;  // Where one failure is tolerated.
 constexpr std::size_t kAll = 1000;
-constexpr std::uint64_t kForEver = std::numeric_limits<std::uint64_t>::max();
+
+// A violated invariant is a failed check, in place of the end of the process.
+struct CheckedInvariants {
+  CheckedInvariants() {
+    before = ProcessInvariants().SetHandler([](Invariant violated, const std::string& detail) {
+      BOOST_ERROR("violated: " << NameOf(violated) << ": " << detail);
+    });
+  }
+  ~CheckedInvariants() { ProcessInvariants().SetHandler(before); }
+  Invariants::Handler before;
+};
+BOOST_TEST_GLOBAL_FIXTURE(CheckedInvariants);
 
 struct Fault {
   std::size_t disk = 0;
@@ -147,5 +165,96 @@
 BOOST_AUTO_TEST_CASE(damaged_at_any_write) { PlayAll(storage::Failure::kDamaged); }
 BOOST_AUTO_TEST_CASE(fatal_at_any_write) { PlayAll(storage::Failure::kFatal); }
 
+// ---- The matrix: step, disk, kind of operation, moment, how often, class.
+
+using storage::DiskOperation;
+using storage::Failure;
+
+constexpr Failure kFailures[] = {Failure::kFull, Failure::kTransient, Failure::kDamaged,
+                                 Failure::kFatal};
+constexpr std::uint64_t kTimes[] = {1, 3, kForEver};
+
+std::uint64_t Stride() {
+  const auto& suite = boost::unit_test::framework::master_test_suite();
+  return suite.argc > 1 ? std::max<std::uint64_t>(std::strtoull(suite.argv[1], nullptr, 10), 1) : 1;
+}
+
+// A disk that is lost with its machine, and another one that is damaged or refuses for good before
+// the time to catch up has passed, are two losses at one time: more than are tolerated here.
+bool IsTolerated(const StepFault& fault) {
+  const bool loses_another = fault.damages() || fault.is_for_ever();
+  return fault.step != CoreStep::kReplace || fault.disk == DiskOf::kMover || !loses_another;
+}
+
+// A write, a sync or the opening of a disk fails at its `nth` time in the step.
+void AddOperation(std::vector<StepFault>& all, CoreStep step, DiskOf disk, DiskOperation kind,
+                  std::uint64_t nth) {
+  for (const Failure failure : kFailures) {
+    for (const std::uint64_t times : kTimes) {
+      all.push_back({step, disk, {{kind, nth, times, failure}}, nth % 2 == 0 ? kAll : 0});
+    }
+  }
+}
+
+// The `nth` write fails, then what the recovery behind it does.
+void AddRecovery(std::vector<StepFault>& all, CoreStep step, DiskOf disk, std::uint64_t nth) {
+  for (const Failure failure : kFailures) {
+    for (const std::uint64_t times : kTimes) {
+      all.push_back({step,
+                     disk,
+                     {{DiskOperation::kWrite, nth, 1, Failure::kFull},
+                      {DiskOperation::kOpen, 1, times, failure}},
+                     0});
+      all.push_back({step,
+                     disk,
+                     {{DiskOperation::kWrite, nth, 1, Failure::kDamaged},
+                      {DiskOperation::kRename, 1, times, failure}},
+                     0});
+    }
+  }
+}
+
+std::vector<StepFault> FaultsOf(CoreStep step) {
+  std::vector<StepFault> all;
+  for (const DiskOf disk : kDisksOf) {
+    if (step == CoreStep::kTransfer && disk == DiskOf::kMover) continue;  // It is the primary.
+    auto operations = OperationsOf(step, disk);
+    for (const DiskOperation kind :
+         {DiskOperation::kWrite, DiskOperation::kSync, DiskOperation::kOpen}) {
+      for (std::uint64_t nth = 1; nth <= operations[kind]; ++nth) {
+        AddOperation(all, step, disk, kind, nth);
+      }
+    }
+    const std::uint64_t writes = operations[DiskOperation::kWrite];
+    BOOST_TEST(writes > 0U, NameOf(step) << ": nothing is written at the " << NameOf(disk));
+    for (const std::uint64_t nth : {std::uint64_t{1}, writes / 2 + 1}) {
+      AddRecovery(all, step, disk, nth);
+    }
+  }
+  std::erase_if(all, [](const StepFault& fault) { return !IsTolerated(fault); });
+  return all;
+}
+
+void PlayMatrix(CoreStep step) {
+  const std::vector<StepFault> all = FaultsOf(step);
+  const std::uint64_t stride = Stride();
+  std::size_t played = 0;
+  for (std::size_t at = 0; at < all.size(); at += stride) {
+    for (const std::string& broken : PlayStep(all[at], kRecovery)) {
+      BOOST_ERROR(TextOf(all[at]) << ": " << broken);
+    }
+    ++played;
+  }
+  std::cout << NameOf(step) << ": " << played << " of " << all.size() << " runs\n";
+}
+
+BOOST_AUTO_TEST_CASE(any_operation_of_a_commit_fails) { PlayMatrix(CoreStep::kCommit); }
+BOOST_AUTO_TEST_CASE(any_operation_of_an_election_fails) { PlayMatrix(CoreStep::kElection); }
+BOOST_AUTO_TEST_CASE(any_operation_of_a_catch_up_fails) { PlayMatrix(CoreStep::kCatchUp); }
+BOOST_AUTO_TEST_CASE(any_operation_of_a_join_fails) { PlayMatrix(CoreStep::kJoin); }
+BOOST_AUTO_TEST_CASE(any_operation_of_a_replacement_fails) { PlayMatrix(CoreStep::kReplace); }
+BOOST_AUTO_TEST_CASE(any_operation_of_a_retirement_fails) { PlayMatrix(CoreStep::kRetire); }
+BOOST_AUTO_TEST_CASE(any_operation_of_a_transfer_fails) { PlayMatrix(CoreStep::kTransfer); }
+
 }  // namespace
 }  // namespace shelflink::coordination
--- a/tests/tier/storage/recovery_test.cpp
+++ b/tests/tier/storage/recovery_test.cpp
@@ -1,13 +1,17 @@
 // Storages that have failed: of what kind, what they hold afterwards, and that they take writes
 // again. The real one on real files, whose growth a limit of the process refuses.
 #define BOOST_TEST_MODULE tier_storage_recovery
+#include <lmdb.h>
+
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <fstream>
 #include <memory>
 
 #include "storage/file_size_limit.h"
 #include "storage/storage_folder.h"
 #include "tier/storage/crash_storage.h"
+#include "tier/storage/lmdb_file.h"
 
 namespace shelflink::storage {
 namespace {
@@ -261,6 +265,19 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(codes_of_lmdb_have_their_classes) {
+  for (const int code : {MDB_MAP_FULL, ENOSPC, EDQUOT, EFBIG}) {
+    BOOST_TEST((FailureOfCode(code) == Failure::kFull));
+  }
+  for (const int code : {MDB_PANIC, MDB_BAD_TXN, EIO, EINTR, EAGAIN, ETIMEDOUT}) {
+    BOOST_TEST((FailureOfCode(code) == Failure::kTransient));
+  }
+  for (const int code : {MDB_CORRUPTED, MDB_PAGE_NOTFOUND, MDB_INVALID}) {
+    BOOST_TEST((FailureOfCode(code) == Failure::kDamaged));
+  }
+  BOOST_TEST((FailureOfCode(EACCES) == Failure::kFatal));
+}
+
 // ---- The stand-in of the tests fails in the same ways.
 
 constexpr Failure kAll[] = {Failure::kFull, Failure::kTransient, Failure::kDamaged,
@@ -297,6 +314,57 @@
   }
 }
 
+// Each kind of operation by itself, so often; the next attempt succeeds.
+BOOST_AUTO_TEST_CASE(the_stand_in_fails_at_each_kind_of_operation) {
+  for (const DiskOperation kind : {DiskOperation::kOpen, DiskOperation::kRename,
+                                   DiskOperation::kWrite, DiskOperation::kSync}) {
+    for (const std::uint64_t times : {1U, 3U}) {
+      CrashDisk disk;
+      CrashStorage storage(disk, [](const std::function<void()>& step) { step(); });
+      BOOST_TEST(!storage.failed());
+      disk.FailFrom(1, 1, Failure::kDamaged);
+      storage.Apply(Batch().Put("key", "1"));
+      disk.FailFrom(kind, 1, times, Failure::kFull);
+      for (std::uint64_t attempt = 0; attempt < times; ++attempt) {
+        BOOST_TEST(storage.Recover().has_error());
+        BOOST_TEST(storage.failed());
+      }
+      BOOST_TEST(storage.Recover().has_value());
+      storage.Apply(Batch().Put("key", "1"));
+      BOOST_TEST(!storage.failed());
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(the_stand_in_that_cannot_be_opened_has_failed_and_loses_nothing) {
+  CrashDisk disk;
+  const auto at_once = [](const std::function<void()>& step) { step(); };
+  {
+    CrashStorage storage(disk, at_once);
+    storage.Apply(Batch().Put("key", "1"));
+    storage.Sync([](const Result<void>&) {});
+  }
+  disk.FailFrom(DiskOperation::kOpen, 1, 2, Failure::kTransient);
+  CrashStorage storage(disk, at_once);
+  BOOST_TEST((storage.failure() == Failure::kTransient));
+  BOOST_TEST(storage.Recover().has_error());
+  BOOST_TEST(storage.Recover().has_value());
+  BOOST_TEST((storage.Get("key") == "1"));
+}
+
+// One that is full is opened and read; it refuses what is written.
+BOOST_AUTO_TEST_CASE(the_stand_in_that_is_full_is_opened) {
+  CrashDisk disk;
+  disk.SetFull(true);
+  CrashStorage storage(disk, [](const std::function<void()>& step) { step(); });
+  BOOST_TEST(!storage.failed());
+  storage.Apply(Batch().Put("key", "1"));
+  BOOST_TEST((storage.failure() == Failure::kFull));
+  BOOST_TEST(storage.Recover().has_error());
+  disk.SetFull(false);
+  BOOST_TEST(storage.Recover().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(batches_whose_sync_failed_may_remain_on_the_stand_in) {
   CrashDisk disk;
   CrashStorage storage(disk, [](const std::function<void()>& step) { step(); });
