Tests: a drain binds while disks of the core take seconds to sync

A commit holds up the whole process of a core member (LmdbStorage commits in the loop's one thread), and with it the reading and publishing of the endpoint list. GroupCore stands still for a drawn time while it commits; whole proxies, five of them, an order each 300 ms, commits of 1 to 4 s at the primary, a backup, all.

--- a/tests/tier/cluster/group_rig.h
+++ b/tests/tier/cluster/group_rig.h
@@ -3,6 +3,7 @@
 #define SHELFLINK_TESTS_TIER_CLUSTER_GROUP_RIG_H_
 
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
@@ -32,8 +33,12 @@
     Stop();
     disk_.Wipe();
   }
+  // The process stands still while it commits, as with LMDB.
+  bool stands_still() const { return stands_still_; }
   bool bootstrap = true;
   std::size_t kept_batches = 0;  // Of what no sync covers, at the next end.
+  // Draws how long a commit takes. Empty: each sync takes kSyncTakes and the process goes on.
+  std::function<net::Span()> commit_takes;
 
  protected:
   void Open() override {
@@ -49,6 +54,7 @@
   }
   void Close() override {
     syncs_.clear();
+    waiting_.clear();
     service_.reset();
     platform_.reset();
     group_.reset();
@@ -62,6 +68,25 @@
     bool done = false;
   };
   void Schedule(std::function<void()> step) {
+    if (!commit_takes) return RunAt(process_->Now() + kSyncTakes, std::move(step));
+    waiting_.push_back(std::move(step));
+    if (waiting_.size() == 1) process_->Post([this] { Commit(); });
+  }
+  // The steps that wait for it are the first that run after it.
+  void Commit() {
+    RunAt(process_->Now(), [steps = std::exchange(waiting_, {})] {
+      for (const auto& step : steps) step();
+    });
+    const net::Span takes = disk_.unsynced() > 0 ? commit_takes() : net::Span();
+    if (takes == net::Span()) return;
+    stands_still_ = true;
+    process_->SetPaused(true);
+    net_.At(net_.Now() + takes, [this, process = process_.get()] {
+      stands_still_ = false;
+      process->SetPaused(false);
+    });
+  }
+  void RunAt(net::Time at, std::function<void()> step) {
     syncs_.remove_if([](const Pending& pending) { return pending.done; });
     Pending& pending = syncs_.emplace_back();
     pending.timer = process_->NewTimer([&pending, step = std::move(step)] {
@@ -69,13 +94,15 @@
       const auto run = step;  // Scheduling again may free this.
       run();
     });
-    pending.timer->ArmAt(process_->Now() + kSyncTakes);
+    pending.timer->ArmAt(at);
   }
 
   PlatformWorld& platform_world_;
   storage::CrashDisk disk_;
   std::uint64_t drawn_ = 0;
   std::list<Pending> syncs_;
+  std::vector<std::function<void()>> waiting_;  // For the next commit.
+  bool stands_still_ = false;
   std::unique_ptr<FakePlatform> platform_;
   std::unique_ptr<coordination::Group> group_;
   std::unique_ptr<CoreService> service_;
--- a/tests/tier/proxy/mutants.cmake
+++ b/tests/tier/proxy/mutants.cmake
@@ -9,7 +9,7 @@
     Boost::unit_test_framework PRIVATE gaugecart_warnings)
 endforeach()
 target_link_libraries(tier_proxy_stale_list_cases PUBLIC shelflink_tier_proxy_program
-  shelflink_tier_core)
+  shelflink_tier_core shelflink_tier_coordination)
 target_link_libraries(tier_proxy_stale_list_excuses_cases PUBLIC shelflink_tier_proxy_program
   shelflink_tier_core)
 
@@ -104,6 +104,10 @@
 proxy_mutant(no_proxy_reads_the_list_itself stale_list a_drain_binds_without_any_core_process
   tier/proxy/list_fallback.cpp
   [=[  poller_->Start(loop_.Now() + slot * static_cast<int>(choice_.rank_in_group()));]=] "")
+proxy_mutant(no_proxy_reads_while_a_disk_is_slow stale_list
+  a_drain_binds_while_disks_of_the_core_take_seconds_to_sync
+  tier/proxy/list_fallback.cpp
+  [=[  poller_->Start(loop_.Now() + slot * static_cast<int>(choice_.rank_in_group()));]=] "")
 proxy_mutant(no_proxy_asks_another stale_list a_drain_binds_at_proxies_that_ask_those_that_read
   tier/proxy/list_fallback.cpp
   [=[  ReadIfChosen();
--- a/tests/tier/proxy/stale_list_scene.h
+++ b/tests/tier/proxy/stale_list_scene.h
@@ -100,23 +100,13 @@
 class Scene {
  public:
   explicit Scene(std::uint32_t proxy_count = 4, std::uint64_t seed = 1, double rate_per_s = 40)
-      : rig(3, 0, 0, seed), clients_(rig.net, 0x0a090001, "clients", 60000) {
-    for (std::uint32_t index = 0; index < 3; ++index) {
-      servers.push_back(std::make_unique<Server>(rig, index));
-      rig.platform.list.push_back({servers[index]->endpoint.id, "big",
-                                   servers[index]->endpoint.address, "zone-0", 8, false,
-                                   milliseconds(0)});
-    }
-    for (std::uint32_t index = 0; index < proxy_count; ++index) {
-      proxies.push_back(std::make_unique<Proxy>(rig, index, rate_per_s));
-    }
-    TakeViolations();
+      : Scene(NotStarted(), proxy_count, seed, rate_per_s) {
     rig.Start();
     rig.Run(seconds(3));
     BOOST_REQUIRE(rig.Put(5, 0));
     rig.Run(seconds(1));
   }
-  ~Scene() {
+  virtual ~Scene() {
     for (const std::string& violation : TakeViolations()) BOOST_ERROR(violation);
     rig.net.Clear();
   }
@@ -130,6 +120,7 @@
         asked_.push_back(std::make_unique<Client>(clients_, proxy->front()));
         asked_.back()->Send(Request("/a/x", "id" + std::to_string(++asked_count_)));
       }
+      Beside();
       rig.Run(kBetweenRequests);
     }
   }
@@ -182,6 +173,25 @@
   std::vector<std::unique_ptr<Server>> servers;
   std::vector<std::unique_ptr<Proxy>> proxies;
 
+ protected:
+  // Without a core: whoever derives from it starts one.
+  struct NotStarted {};
+  Scene(NotStarted, std::uint32_t proxy_count, std::uint64_t seed, double rate_per_s)
+      : rig(3, 0, 0, seed), clients_(rig.net, 0x0a090001, "clients", 60000) {
+    for (std::uint32_t index = 0; index < 3; ++index) {
+      servers.push_back(std::make_unique<Server>(rig, index));
+      rig.platform.list.push_back({servers[index]->endpoint.id, "big",
+                                   servers[index]->endpoint.address, "zone-0", 8, false,
+                                   milliseconds(0)});
+    }
+    for (std::uint32_t index = 0; index < proxy_count; ++index) {
+      proxies.push_back(std::make_unique<Proxy>(rig, index, rate_per_s));
+    }
+    TakeViolations();
+  }
+  // Between two requests of Traffic.
+  virtual void Beside() {}
+
  private:
   net::VirtualProcess clients_;
   std::vector<std::unique_ptr<Client>> asked_;
--- a/tests/tier/proxy/stale_list_test.cpp
+++ b/tests/tier/proxy/stale_list_test.cpp
@@ -4,13 +4,18 @@
 // showed it as draining, and requests are served by the other endpoints meanwhile.
 #define BOOST_TEST_MODULE proxy_stale_list
 #include <boost/test/unit_test.hpp>
+#include <functional>
+#include <memory>
 #include <vector>
 
+#include "cluster/group_rig.h"
+#include "emulator/random.h"
 #include "proxy/stale_list_scene.h"
 #include "tier/proxy/list_times.h"
 #include "tier/proxy/reading_plan.h"
 
 using shelflink::cluster::EndpointEntry;
+using shelflink::cluster::GroupCore;
 using shelflink::cluster::Rig;
 using stale_list::kDrain;
 using stale_list::kFirstEndpointHost;
@@ -21,6 +26,84 @@
 using stand_in::Request;
 using std::chrono::seconds;
 
+namespace {
+
+enum class SlowDisk { kPrimary, kBackup, kAll };
+
+// Core processes on disks of their own, and an operator whose orders make them commit. A process
+// stands still while it commits.
+class DiskScene : public Scene {
+ public:
+  explicit DiskScene(std::uint64_t seed) : Scene(NotStarted(), 5, seed, 40) {
+    for (const auto& core : rig.cores) {
+      cores.push_back(
+          std::make_unique<GroupCore>(rig.net, core->host(), core->settings(), rig.platform));
+      cores.back()->commit_takes = [] { return kUsualCommit; };
+      cores.back()->Start();
+    }
+    rig.Run(seconds(3));
+    Order();
+    rig.Run(seconds(1));
+    Order();
+    rig.Run(seconds(1));
+  }
+
+  // From now on; where the primary or a backup is to be slow, who is that now.
+  void SlowDown(SlowDisk which, const std::function<net::Span()>& commit_takes) {
+    GroupCore* primary = Primary();
+    BOOST_REQUIRE(primary != nullptr);
+    const auto& replicas = primary->group().member().record().replicas;
+    for (const auto& core : cores) {
+      const bool is_replica =
+          std::any_of(replicas.begin(), replicas.end(),
+                      [&](const auto& replica) { return replica.address == core->address(); });
+      const bool is_primary = core.get() == primary;
+      if (which == SlowDisk::kAll || (which == SlowDisk::kPrimary && is_primary) ||
+          (which == SlowDisk::kBackup && is_replica && !is_primary)) {
+        core->commit_takes = [this, commit_takes] {
+          const net::Span takes = commit_takes();
+          if (takes > kUsualCommit) ++slow_commits_;
+          return takes;
+        };
+      }
+    }
+  }
+
+  std::size_t slow_commits() const { return slow_commits_; }
+
+ private:
+  static constexpr milliseconds kUsualCommit{5};
+  static constexpr milliseconds kBetweenOrders{300};
+
+  GroupCore* Primary() {
+    for (const auto& core : cores) {
+      if (!core->stands_still() && core->service().is_primary()) return core.get();
+    }
+    return nullptr;
+  }
+  void Beside() override {
+    if (rig.net.Now() < next_order_) return;
+    next_order_ = rig.net.Now() + kBetweenOrders;
+    Order();
+  }
+  // A change of the newest configuration that the primary knows; whether it is taken is not asked.
+  void Order() {
+    GroupCore* primary = Primary();
+    if (primary == nullptr) return;
+    const auto newest = shelflink::configuration::CurrentConfiguration(primary->group().contents());
+    const std::uint64_t base = newest ? newest->version : 0;
+    primary->service().ChangeConfiguration({shelflink::configuration::ChangeMethod::kPut, base,
+                                            shelflink::cluster::RigConfiguration(base + 1)},
+                                           [](const shelflink::Result<void>&) {});
+  }
+
+  std::vector<std::unique_ptr<GroupCore>> cores;
+  net::Time next_order_{};
+  std::size_t slow_commits_ = 0;
+};
+
+}  // namespace
+
 BOOST_AUTO_TEST_CASE(a_drain_binds_while_control_works) {
   Scene scene;
   scene.Traffic(seconds(1));
@@ -63,6 +146,44 @@
   scene.CheckDrainBinds();
 }
 
+// A commit holds up its process, and with it the lists that this one reads and publishes.
+BOOST_AUTO_TEST_CASE(a_drain_binds_while_disks_of_the_core_take_seconds_to_sync) {
+  for (const SlowDisk which : {SlowDisk::kPrimary, SlowDisk::kBackup, SlowDisk::kAll}) {
+    for (const int takes_ms : {1000, 2000, 3000, 4000}) {
+      for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        BOOST_TEST_CONTEXT("disk " << int(which) << ", " << takes_ms << " ms, seed " << seed) {
+          DiskScene scene(seed);
+          scene.Traffic(milliseconds(1000 + 170 * seed));
+          scene.SlowDown(which, [takes_ms] { return milliseconds(takes_ms); });
+          scene.Traffic(milliseconds(250 * (seed - 1)));
+          scene.CheckDrainBinds();
+          BOOST_TEST(scene.slow_commits() > 0U);
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_drain_binds_with_small_pages_while_some_commits_of_the_core_take_seconds) {
+  constexpr std::uint64_t kSlowInHundred = 30;
+  for (std::uint64_t seed = 1; seed <= 16; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      shelflab::Random random(seed, 0x736c6f77);
+      DiskScene scene(seed);
+      scene.AddOthers(17);
+      scene.rig.platform.page_size = 4;
+      scene.Traffic(milliseconds(2000 + 70 * seed));
+      scene.SlowDown(SlowDisk::kAll, [&random] {
+        const bool slow = random.Below(100) < kSlowInHundred;
+        return milliseconds(slow ? 1000 + random.Below(3000) : 5);
+      });
+      scene.Traffic(milliseconds(100 * seed));
+      scene.CheckDrainBinds();
+      BOOST_TEST(scene.slow_commits() > 0U);
+    }
+  }
+}
+
 // In turn each proxy of a zone, and so the one that passes parts of the view on to the others.
 BOOST_AUTO_TEST_CASE(a_drain_binds_while_a_relay_stands_still) {
   for (std::size_t paused = 0; paused < 6; paused += 2) {
