Soak: a process may be cut off alone, and its machine's other processes not

A file of cuts a process in place of one a machine; lines name a machine by IP or a process by IP:port, so that a core process can be cut off from the proxies, the replicas or the witnesses only. Draws of seeds are unchanged.

--- a/tests/soak/soak/deployment.py
+++ b/tests/soak/soak/deployment.py
@@ -40,6 +40,10 @@
     STORE = "store"
 
 
+FIRST_PORT = 7360
+INTERNAL_PORTS = {Role.PROXY: FIRST_PORT, Role.CORE: FIRST_PORT + 1, Role.STORE: FIRST_PORT + 2}
+
+
 @dataclass(frozen=True)
 class Machine:
     """One loopback address and the programs that run there."""
@@ -91,9 +95,9 @@
         """The machine's disk."""
         return self._disks / machine.name
 
-    def cuts_file(self, machine: Machine) -> pathlib.Path:
-        """The file that tells the machine's processes what is cut."""
-        return self.folder / machine.name / "cuts"
+    def cuts_file(self, machine: Machine, role: Role) -> pathlib.Path:
+        """The file that tells a process from whom it is cut off."""
+        return self.folder / machine.name / f"{role.value}.cuts"
 
     def settings_file(self, machine: Machine, role: Role) -> pathlib.Path:
         """The settings of one process."""
@@ -110,7 +114,7 @@
         seeds = [f"{core.ip}:{CONTROL_PORT}" for core in self.of_role(Role.CORE)]
         values = {
             "node": machine.name, "role": role.value, "ip": machine.ip, "zone": machine.zone,
-            "region": "all", "portRange": "7360,7375", "seeds": ",".join(seeds),
+            "region": "all", "portRange": f"{FIRST_PORT},{FIRST_PORT + 15}", "seeds": ",".join(seeds),
             "countsForQuorum": "true" if machine.counts else "false",
             "limits.cpuShare": "0.45", "limits.cores": "1", "limits.memoryMb": "260",
             "limits.maxFds": "1000", "limits.linkMbps": "1000.0", "heartbeatMs": "1200",
@@ -144,8 +148,9 @@
         """Empty disks, and no cuts."""
         for machine in self.machines:
             self.data_folder(machine).mkdir(parents=True)
-            self.cuts_file(machine).parent.mkdir()
-            self.cuts_file(machine).write_text("")
+            (self.folder / machine.name).mkdir()
+            for role in machine.roles:
+                self.cuts_file(machine, role).write_text("")
 
 
 def machine_counts(name: str) -> bool:
--- a/tests/soak/soak/processes.py
+++ b/tests/soak/soak/processes.py
@@ -156,7 +156,7 @@
         environment = {
             **os.environ,
             "SHELFLINK_CONFIG": str(self._deployment.settings_file(self.machine, self.role)),
-            "SHELFLINK_SOAK_CUTS": str(self._deployment.cuts_file(self.machine)),
+            "SHELFLINK_SOAK_CUTS": str(self._deployment.cuts_file(self.machine, self.role)),
         }
         return await asyncio.create_subprocess_exec(
             *self._programs.command(self.role), env=environment, stdin=subprocess.DEVNULL,
--- a/tests/soak/soak/troubles.py
+++ b/tests/soak/soak/troubles.py
@@ -6,6 +6,7 @@
 
 from soak.batch_clients import BatchClients
 from soak.clients import Clients
+from soak.cuts import Cuts
 from soak.deployment import BOUNDS, Deployment, Machine, Role, machine_counts
 from soak.endpoints import EndpointFleet
 from soak.history import History, Trouble, TroubleKind
@@ -58,9 +59,11 @@
 class Troubles:
     """Draws and plays troubles, and ends them all in the end."""
 
-    def __init__(self, world: World, seed: int) -> None:
+    def __init__(self, world: World, seed: int, quiet: bool = False) -> None:
         self._world = world
         self._seed = seed
+        self._quiet = quiet  # Nothing but endpoints that leave.
+        self._cuts = Cuts(world.deployment)
         self._busy: set[str] = set()  # Machines in trouble now.
         self._wiped_until = 0.0  # Machines that count are spared until then.
         self._until = 0.0
@@ -79,11 +82,13 @@
     async def run(self, until: float) -> None:
         """Plays troubles until then, and waits for the end of the last one."""
         self._until = until
-        await asyncio.gather(*(self._lane(number) for number in range(LANES)))
+        await asyncio.gather(*(self._lane(number) for number in range(1 if self._quiet else LANES)))
 
     async def _lane(self, number: int) -> None:
         rng = random.Random(f"{self._seed}/lane {number}")
         kind = rng.choice(DISK_KINDS) if number == 0 else self._draw_kind(rng)
+        if self._quiet:
+            kind = TroubleKind.ENDPOINT_LEAVES
         while self._world.history.now() < self._until:
             await self._play(kind, random.Random(rng.getrandbits(64)))
             await asyncio.sleep(rng.uniform(*PAUSE_S))
@@ -91,6 +96,8 @@
 
     def _draw_kind(self, rng: random.Random) -> TroubleKind:
         kind = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
+        if self._quiet:
+            return TroubleKind.ENDPOINT_LEAVES
         return TroubleKind.KILL if kind is TroubleKind.CUT and not self._world.can_cut else kind
 
     async def _play(self, kind: TroubleKind, rng: random.Random) -> None:
@@ -230,31 +237,12 @@
         ways = rng.choice(["to", "from"]) if rng.random() < ONE_WAY_SHARE else "both"
         trouble.detail = f"{ways}: {', '.join(other.name for other in others)}"
         if ways in ("to", "both"):
-            self._change_cuts(struck, others, present=True)
+            self._cuts.between_machines([struck], others, present=True)
         if ways in ("from", "both"):
-            self._change_cuts_from(struck, others, present=True)
+            self._cuts.between_machines(others, [struck], present=True)
         await asyncio.sleep(rng.uniform(*CUT_S))
-        self._change_cuts(struck, others, present=False)
-        self._change_cuts_from(struck, others, present=False)
-
-    def _change_cuts_from(self, to: Machine, senders: list[Machine], present: bool) -> None:
-        for sender in senders:
-            self._change_cuts(sender, [to], present)
-
-    def _change_cuts(self, sender: Machine, receivers: list[Machine], present: bool) -> None:
-        """Bytes from `sender` do not reach `receivers`, whoever of them dialled."""
-        for receiver in receivers:
-            self._change_line(sender, f"to {receiver.ip}", present)
-            self._change_line(receiver, f"from {sender.ip}", present)
-
-    def _change_line(self, machine: Machine, line: str, present: bool) -> None:
-        file = self._world.deployment.cuts_file(machine)
-        lines = set(file.read_text().splitlines()) - {line}
-        if present:
-            lines.add(line)
-        new = file.with_suffix(".new")
-        new.write_text("".join(f"{each}\n" for each in sorted(lines)))
-        new.rename(file)
+        self._cuts.between_machines([struck], others, present=False)
+        self._cuts.between_machines(others, [struck], present=False)
 
     async def _leave(self, trouble: Trouble, _: random.Random) -> None:
         trouble.detail = self._world.endpoints.leave()
--- a/tests/tier/soak/cutting_loop.cpp
+++ b/tests/tier/soak/cutting_loop.cpp
@@ -31,10 +31,10 @@
   Cuts cuts;
   std::ifstream file(path);
   std::string way;
-  std::string ip;
-  while (file >> way >> ip) {
-    if (way == "to") cuts.to.insert(ip);
-    if (way == "from") cuts.from.insert(ip);
+  std::string peer;
+  while (file >> way >> peer) {
+    if (way == "to") cuts.to.insert(peer);
+    if (way == "from") cuts.from.insert(peer);
   }
   return cuts;
 }
@@ -43,7 +43,7 @@
 class CuttableStream : public net::Stream, private net::StreamUser {
  public:
   CuttableStream(CuttingLoop& loop, const net::Address& peer, net::StreamUser& user)
-      : loop_(loop), peer_(peer), ip_(peer.Host()), user_(&user) {
+      : loop_(loop), peer_(peer), ip_(peer.Host()), address_(peer.Text()), user_(&user) {
     loop_.streams_.insert(this);
     Dial();
   }
@@ -118,8 +118,11 @@
   }
 
  private:
-  bool HeldTo() const { return loop_.cuts_.to.contains(ip_); }
-  bool HeldFrom() const { return loop_.cuts_.from.contains(ip_); }
+  bool HeldTo() const { return IsAmong(loop_.cuts_.to); }
+  bool HeldFrom() const { return IsAmong(loop_.cuts_.from); }
+  bool IsAmong(const std::set<std::string>& cut) const {
+    return cut.contains(ip_) || cut.contains(address_);
+  }
   bool Held() const { return HeldTo() || HeldFrom(); }
 
   // A connection comes up only where bytes pass both ways.
@@ -190,6 +193,7 @@
   CuttingLoop& loop_;
   net::Address peer_;
   std::string ip_;
+  std::string address_;
   net::StreamUser* user_;  // None after Close.
   net::StreamPtr inner_;   // None until it is dialled: it waits for the end of the cut.
   std::optional<net::Fault> connected_;  // Not told yet.
--- a/tests/tier/soak/cutting_loop.h
+++ b/tests/tier/soak/cutting_loop.h
@@ -13,14 +13,16 @@
 
 namespace shelflink::soak {
 
-// The machines, by IP address, from which and to which no bytes pass now.
+// The peers from which and to which no bytes pass now: machines by IP address, processes by
+// "IP:port".
 struct Cuts {
   std::set<std::string> to;
   std::set<std::string> from;
   bool operator==(const Cuts&) const = default;
 };
 
-// Lines "to IP" and "from IP"; others and a file that is not there count as nothing.
+// Lines "to IP", "to IP:port", "from IP" and "from IP:port"; others and a file that is not there
+// count as nothing.
 Cuts ReadCuts(const std::string& path);
 
 class CuttableStream;
--- a/tests/tier/soak/cutting_loop_test.cpp
+++ b/tests/tier/soak/cutting_loop_test.cpp
@@ -65,10 +65,10 @@
   }
 
   // From now on; empty: nothing is cut.
-  void Cut(const std::string& ways) {
+  void Cut(const std::string& ways, const std::string& peer = kPeer) {
     std::ofstream file(path);
-    if (ways.find("to") != std::string::npos) file << "to " << kPeer << '\n';
-    if (ways.find("from") != std::string::npos) file << "from " << kPeer << '\n';
+    if (ways.find("to") != std::string::npos) file << "to " << peer << '\n';
+    if (ways.find("from") != std::string::npos) file << "from " << peer << '\n';
     file.close();
     Run();
   }
@@ -125,6 +125,25 @@
   BOOST_TEST(dialled.received == "back");
 }
 
+BOOST_FIXTURE_TEST_CASE(AProcessMayBeCutOffAlone, Connection) {
+  Dial();
+  Run();
+  const net::Address& at = listener->address();
+  Cut("to from", std::string(kPeer) + ":" + std::to_string(at.port() == 1 ? 2 : 1));
+  dialled.stream->Write("there");
+  Run();
+  BOOST_TEST(accepted.received == "there");
+  Cut("to from", at.Text());
+  dialled.stream->Write(" and on");
+  accepted.stream->Write("back");
+  Run();
+  BOOST_TEST(accepted.received == "there");
+  BOOST_TEST(dialled.received.empty());
+  Cut("");
+  BOOST_TEST(accepted.received == "there and on");
+  BOOST_TEST(dialled.received == "back");
+}
+
 BOOST_FIXTURE_TEST_CASE(AConnectionComesUpOnceTheCutIsOver, Connection) {
   Cut("from");
   Dial();
