Soak: list ages, slow disks, and cuts by a plan; logs are written from a thread

New rules of the judge: refusals of old state, answers in isolation, recovery within a lease of a cut; none was changed. Rules of DRAIN are as strict as before.

--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -7,9 +7,9 @@
 
 from soak.endpoints import event_count, event_text, whole_text  # noqa: E402
 from soak.history import (BatchJob, BatchRead, BatchResult, ConfigurationOrder,  # noqa: E402
-                          ConfigurationRead, EndpointRun, Fence, History, Leaving, LiveRequest,
-                          LogFinding, OrderState, ProcessEnd, RequestKind, Trouble, TroubleKind,
-                          UsageReport)
+                          ConfigurationRead, DriverLag, EndpointRun, Fence, History, Leaving,
+                          ListAge, LiveRequest, LogFinding, OperatorAnswer, OrderState,
+                          ProcessEnd, Recovery, RequestKind, Trouble, TroubleKind, UsageReport)
 from soak.judge import judge  # noqa: E402
 
 CALM_AT = 100.0
@@ -100,6 +100,63 @@
         self.expect("CONFIG")
 
 
+class CutOff(JudgeTest):
+    def setUp(self):
+        super().setUp()
+        self.history.orders = [order("t1", 0, 2), order("t2", 2, 3, OrderState.REFUSED)]
+        self.history.troubles = [Trouble(TroubleKind.CUT, frozenset({"edge-north-1"}), 10.0, 20.0,
+                                         isolates=True)]
+
+    def answer(self, tag, status, sent=15.0, core="edge-north-1"):
+        self.history.answers = [OperatorAnswer(core, tag, sent, sent + 0.1, status)]
+
+    def test_refused_by_no_state_that_there_was(self):
+        self.answer("t2", 412, core="edge-east-1")
+        self.expect("CONFIG")
+
+    def test_refused_for_another_order(self):
+        self.history.orders.append(order("t3", 2, 4, OrderState.OPEN))
+        self.answer("t2", 412, core="edge-east-1")
+        self.expect()
+
+    def test_refused_before_the_other_order_was_sent(self):
+        self.history.orders.append(ConfigurationOrder("t3", 2, 4, 30.0))
+        self.answer("t2", 412, core="edge-east-1")
+        self.expect("CONFIG")
+
+    def test_nothing_is_found_after_an_acknowledgement(self):
+        self.answer("", 404, core="edge-east-1")
+        self.expect("CONFIG")
+
+    def test_nothing_is_found_before_any_acknowledgement(self):
+        self.answer("", 404, sent=1.0, core="edge-east-1")
+        self.expect()
+
+    def test_vouches_while_it_is_cut_off(self):
+        self.answer("t1", 200)
+        self.expect("CONFIG")
+
+    def test_vouches_within_its_lease(self):
+        self.answer("t1", 200, sent=11.0)
+        self.expect()
+
+    def test_cannot_tell_while_it_is_cut_off(self):
+        self.answer("t1", 503)
+        self.expect()
+
+    def test_another_one_vouches(self):
+        self.answer("t1", 200, core="edge-east-1")
+        self.expect()
+
+    def test_right_again_late(self):
+        self.history.recoveries = [Recovery("edge-north-1", 20.0, 1.3)]
+        self.expect("RECOVER")
+
+    def test_right_again_in_time(self):
+        self.history.recoveries = [Recovery("edge-north-1", 20.0, 1.2)]
+        self.expect()
+
+
 class Requests(JudgeTest):
     def test_whole_answer(self):
         served(self.history)
@@ -172,6 +229,13 @@
     def test_late(self):
         self.expect("DRAIN")
 
+    def test_a_late_one_is_told_with_what_bears_on_it(self):
+        self.history.list_ages = [ListAge("edge-north-2", "proxy", 9.5, True, 2.75)]
+        self.history.lags = [DriverLag(9.0, 0.4)]
+        [finding] = judge(self.history)
+        self.assertIn("driver late by 400 ms", finding.text)
+        self.assertIn("9.50: 2.75 s", finding.text)
+
     def test_in_time(self):
         self.history.leavings = [Leaving("i-1", self.run.at - 2.9)]
         self.expect()
--- a/tests/soak/soak/history.py
+++ b/tests/soak/soak/history.py
@@ -37,6 +37,7 @@
     begin: float
     end: float = float("inf")
     detail: str = ""
+    isolates: bool = False  # A cut of core processes that leaves the one struck no other of them.
 
 
 class OrderState(enum.Enum):
@@ -68,6 +69,26 @@
     tag: str
 
 
+@dataclass(frozen=True)
+class OperatorAnswer:
+    """What a core process answered to one try of an operator; `tag` empty: a read."""
+
+    core: str
+    tag: str
+    sent: float
+    at: float
+    status: int
+
+
+@dataclass(frozen=True)
+class Recovery:
+    """A core process that was cut off answered `after` seconds after the cut's end."""
+
+    machine: str
+    end: float
+    after: float
+
+
 class RequestKind(enum.Enum):
     """How a live request may be repeated, and how it is answered."""
 
@@ -187,6 +208,25 @@
     line: str
 
 
+@dataclass(frozen=True)
+class ListAge:
+    """What a process told of its list of endpoints; `age` None: it does not know."""
+
+    machine: str
+    role: str
+    at: float
+    answered: bool
+    age: float | None
+
+
+@dataclass(frozen=True)
+class DriverLag:
+    """The driver came to a step of its own so much later than it was due."""
+
+    at: float
+    by: float
+
+
 @dataclass
 class Calm:
     """What came of the time after the last trouble."""
@@ -206,6 +246,8 @@
     troubles: list[Trouble] = field(default_factory=list)
     orders: list[ConfigurationOrder] = field(default_factory=list)
     reads: list[ConfigurationRead] = field(default_factory=list)
+    answers: list[OperatorAnswer] = field(default_factory=list)
+    recoveries: list[Recovery] = field(default_factory=list)
     requests: dict[str, LiveRequest] = field(default_factory=dict)
     runs: dict[str, list[EndpointRun]] = field(default_factory=dict)
     unasked: list[str] = field(default_factory=list)
@@ -218,9 +260,15 @@
     ends: list[ProcessEnd] = field(default_factory=list)
     log_findings: list[LogFinding] = field(default_factory=list)
     calm: Calm = field(default_factory=Calm)
-    longest_lag: float = 0.0  # Of the driver itself, which bears on every timing verdict.
+    list_ages: list[ListAge] = field(default_factory=list)
+    lags: list[DriverLag] = field(default_factory=list)  # Which bear on every timing verdict.
     started: float = field(default_factory=time.monotonic)
 
     def now(self) -> float:
         """Seconds since the start."""
         return time.monotonic() - self.started
+
+    def longest_lag(self, begin: float = 0.0, end: float = float("inf")) -> float:
+        """Of the driver itself within a span."""
+        return max((lag.by for lag in self.lags if begin <= lag.at and lag.at - lag.by <= end),
+                   default=0.0)
--- a/tests/soak/soak/judge.py
+++ b/tests/soak/soak/judge.py
@@ -6,12 +6,15 @@
 from soak.deployment import BOUNDS, machine_counts
 from soak.endpoints import event_count, event_text
 from soak.history import (PLATFORM_TROUBLES, BatchJob, BatchResult, ConfigurationOrder,
-                          EndpointRun, History, Leaving, LiveRequest, OrderState, RequestKind,
-                          Trouble, TroubleKind)
+                          EndpointRun, History, Leaving, LiveRequest, OperatorAnswer, OrderState,
+                          RequestKind, Trouble, TroubleKind)
 
 SERVED_SHARE = 0.8
 # A request's arrival is noted by the driver, some time after it came.
 DRIVER_SLACK_S = 0.25
+LEASE_S = 1.0  # Of the core's primary at the soak's bounds.
+REFUSALS = frozenset({400, 404, 409, 412})
+VOUCHED = REFUSALS | {200}  # Answers that need a lease.
 PROMISES = frozenset({408, 421, 429, 503})
 OUTSIDE_TROUBLES = PLATFORM_TROUBLES | {TroubleKind.ENDPOINT_LEAVES, TroubleKind.RELEASE,
                                         TroubleKind.ANSWERS_LOST}
@@ -32,7 +35,8 @@
 
 def judge(history: History) -> list[Finding]:
     """All findings."""
-    rules = (lost_configurations, wrong_acknowledgements, repeated_runs, broken_promises,
+    rules = (lost_configurations, wrong_acknowledgements, refusals_of_old_state,
+             answers_in_isolation, late_recoveries, repeated_runs, broken_promises,
              mixed_answers, late_at_leaving, lost_batches, changed_results, wrong_results,
              unasked, duties, own_ends, log_findings, calm)
     return [finding for rule in rules for finding in rule(history)]
@@ -77,6 +81,55 @@
             for base, tags in by_base.items() if len(tags) > 1]
 
 
+def refusals_of_old_state(history: History) -> list[Finding]:
+    """An order is refused only where another one that was sent may have taken its place."""
+    orders = {order.tag: order for order in history.orders}
+    findings = []
+    for answer in history.answers:
+        order = orders.get(answer.tag)
+        if answer.status not in REFUSALS or (order and _may_be_refused(history, order, answer)):
+            continue
+        if order is None and not _configuration_before(history, answer.sent):
+            continue
+        what = f"{order.tag} on version {order.base}" if order else "a read"
+        findings.append(Finding("CONFIG", f"{what} is answered {answer.status} by {answer.core} at"
+                                          f" {answer.at:.3f} s, by no state that there was"))
+    return findings
+
+
+def _may_be_refused(history: History, refused: ConfigurationOrder, answer: OperatorAnswer) -> bool:
+    return any(order.version > refused.base and order.tag != refused.tag
+               and order.sent < answer.at for order in history.orders)
+
+
+def _configuration_before(history: History, at: float) -> bool:
+    return any(order.state is OrderState.ACKNOWLEDGED and order.answered < at
+               for order in history.orders)
+
+
+def answers_in_isolation(history: History) -> list[Finding]:
+    """A core process that reaches no other one vouches for nothing once its lease has run out."""
+    findings = []
+    for trouble in history.troubles:
+        if not trouble.isolates:
+            continue
+        findings += [Finding("CONFIG", f"{answer.core} is cut off from {trouble.begin:.3f} s on and"
+                                       f" answers {answer.status} at {answer.at:.3f} s, asked at"
+                                       f" {answer.sent:.3f} s", timed=True)
+                     for answer in history.answers
+                     if answer.core in trouble.machines and answer.status in VOUCHED
+                     and answer.sent > trouble.begin + LEASE_S + DRIVER_SLACK_S
+                     and answer.at < trouble.end]
+    return findings
+
+
+def late_recoveries(history: History) -> list[Finding]:
+    """A core process is right again within a lease after a cut."""
+    return [Finding("RECOVER", f"{recovery.machine} answers an operator {recovery.after:.2f} s after"
+                               f" the end of its cut at {recovery.end:.3f} s", timed=True)
+            for recovery in history.recoveries if recovery.after > LEASE_S + DRIVER_SLACK_S]
+
+
 # ---- Requests ----
 
 def repeated_runs(history: History) -> list[Finding]:
@@ -185,7 +238,19 @@
         return []
     return [Finding("DRAIN", f"{request.request_id} reaches {run.endpoint} at {run.at:.3f} s"
                              f" through {request.machine}, {late * 1000:.0f} ms after the list"
-                             f" shows that it leaves", timed=True)]
+                             f" shows that it leaves{_sight(history, request, run, leaving)}",
+                    timed=True)]
+
+
+def _sight(history: History, request: LiveRequest, run: EndpointRun, leaving: Leaving) -> str:
+    """What tells a list that was old from a driver that was late."""
+    ages = [f"{each.at:.2f}: {'unknown' if each.age is None else f'{each.age:.2f} s'}"
+            for each in history.list_ages
+            if each.machine == request.machine and each.role == "proxy" and each.answered
+            and run.at - BOUNDS.drain <= each.at <= run.at]
+    lag = history.longest_lag(leaving.shown, run.at)
+    return (f"; sent by the client at {request.sent:.3f} s; driver late by {lag * 1000:.0f} ms at"
+            f" most since then; age of that proxy's list: {', '.join(ages[-6:]) or 'not told'}")
 
 
 # ---- Batch jobs ----
--- a/tests/soak/soak/main.py
+++ b/tests/soak/soak/main.py
@@ -8,6 +8,8 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
+from soak.cut_plan import longest, read_plan
+from soak.disk_load import disk_load
 from soak.processes import Programs, end_with_parent
 from soak.seed import BESIDE_S, Plan, play_seed
 
@@ -43,18 +45,33 @@
     parser.add_argument("--disks", type=pathlib.Path, default=default_disks(),
                         help="where the machines' disks are made; memory, so that no other load"
                              " holds up their syncs")
+    parser.add_argument("--disk-load", type=int, default=0, metavar="MB",
+                        help="beside the machines' disks so many megabytes are written and synced"
+                             " again and again")
+    parser.add_argument("--quiet", action="store_true", help="no trouble but endpoints that leave")
+    parser.add_argument("--plan", type=pathlib.Path,
+                        help="cuts in place of troubles that are drawn, as tests/soak/cuts.plan")
+    parser.add_argument("--logs", type=pathlib.Path, help="where the folder of logs is made")
     parser.add_argument("--folder", type=pathlib.Path, help=argparse.SUPPRESS)
     options = parser.parse_args(words)
+    options.cuts = tuple(read_plan(options.plan)) if options.plan else ()
+    if options.cuts:
+        options.length = longest(options.cuts)
     if options.short:
         options.seeds, options.length = list(SHORT_SEEDS), SHORT_LENGTH_S
+    if options.cuts and options.plain:
+        parser.error("the product's own binaries cannot be cut off")
     return options
 
 
 def play_in_process(options: argparse.Namespace, folder: pathlib.Path, seed: int) -> bool:
     """Plays a seed in a process of its own, which ends with this one; whether it is clean."""
     command = [sys.executable, str(RUN), "--seeds", str(seed), "--length", str(options.length),
-               "--build", str(options.build), "--disks", str(options.disks), "--folder", str(folder / f"seed-{seed}")]
-    result = subprocess.run(command + ["--plain"] * options.plain, text=True, check=False,
+               "--build", str(options.build), "--disks", str(options.disks),
+               "--disk-load", str(options.disk_load), "--folder", str(folder / f"seed-{seed}")]
+    command += ["--plain"] * options.plain + ["--quiet"] * options.quiet
+    command += ["--plan", str(options.plan)] if options.plan else []
+    result = subprocess.run(command, text=True, check=False,
                             stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
                             timeout=options.length + 2 * BESIDE_S, preexec_fn=end_with_parent)
     print(result.stdout, end="", flush=True)
@@ -69,9 +86,11 @@
     if options.folder:
         programs = Programs(options.build.resolve(), options.plain)
         disks = pathlib.Path(tempfile.mkdtemp(prefix="soak-disks-", dir=options.disks))
-        plan = Plan(options.seeds[0], options.length, options.folder, disks, programs)
-        return 0 if play_seed(plan) else 1
-    folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+        plan = Plan(options.seeds[0], options.length, options.folder, disks, programs,
+                    options.quiet, options.cuts)
+        with disk_load(disks, options.disk_load):
+            return 0 if play_seed(plan) else 1
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-", dir=options.logs))
     begin = time.monotonic()
     with ThreadPoolExecutor(options.jobs) as pool:
         clean = list(pool.map(lambda seed: play_in_process(options, folder, seed), options.seeds))
--- a/tests/soak/soak/operators.py
+++ b/tests/soak/soak/operators.py
@@ -5,7 +5,7 @@
 
 from soak import configurations
 from soak.deployment import CONTROL_PORT, Deployment, Role
-from soak.history import ConfigurationOrder, ConfigurationRead, History, OrderState
+from soak.history import ConfigurationOrder, ConfigurationRead, History, OperatorAnswer, OrderState
 from soak.http import Answer, Call, perform
 
 PATIENCE_S = 1.0
@@ -17,11 +17,14 @@
 
 
 class Operators:
-    """Two operators with one knowledge of the version in force."""
+    """Operators with one knowledge of the version in force, at all core processes or at `cores`."""
 
-    def __init__(self, deployment: Deployment, history: History, rng: random.Random) -> None:
+    def __init__(self, deployment: Deployment, history: History, rng: random.Random,
+                 cores: list[str] | None = None, prefix: str = "") -> None:
         self.lost_share = 0.0
-        self._cores = [machine.ip for machine in deployment.of_role(Role.CORE)]
+        self._names = {machine.ip: machine.name for machine in deployment.of_role(Role.CORE)}
+        self._cores = cores or list(self._names)
+        self._prefix = prefix  # Of the tags, which are its own.
         self._history = history
         self._rng = rng
         self._known_version = 0
@@ -45,8 +48,8 @@
         body = make(order.version, order.tag)
         pause = 0.05
         while self._history.now() < until and order.state is OrderState.OPEN:
-            status = (await self._call(method, {"If-Match": str(order.base)}, body)).status
-            self._take(order, status)
+            answer = await self._call(method, {"If-Match": str(order.base)}, body, tag=order.tag)
+            self._take(order, answer.status)
             if order.state is OrderState.OPEN:
                 await asyncio.sleep(pause)
                 pause = min(pause * 2, MOST_PAUSE_S)
@@ -72,7 +75,7 @@
     def _draw_order(self) -> ConfigurationOrder:
         self._orders += 1
         base = self._known_version
-        order = ConfigurationOrder(f"t{self._orders}", base, base + self._rng.randint(1, 3),
+        order = ConfigurationOrder(f"{self._prefix}t{self._orders}", base, base + self._rng.randint(1, 3),
                                    self._history.now())
         self._history.orders.append(order)
         return order
@@ -88,9 +91,10 @@
         order.answered = self._history.now()
 
     async def _call(self, method: str, headers: dict[str, str], body: bytes,
-                    core: str = "") -> Answer:
-        host = core or self._rng.choice(self._cores)
+                    core: str = "", tag: str = "") -> Answer:
+        host = asked = core or self._rng.choice(self._cores)
         port = CONTROL_PORT
+        sent = self._history.now()
         lost = self._rng.random() < self.lost_share
         answer = Answer()
         for _ in range(1 + REDIRECTS):
@@ -102,4 +106,6 @@
                 break
             location = urlsplit(answer.headers["location"])
             host, port = location.hostname or host, location.port or port
+        self._history.answers.append(OperatorAnswer(self._names[asked], tag, sent,
+                                                    self._history.now(), answer.status))
         return answer
--- a/tests/soak/soak/processes.py
+++ b/tests/soak/soak/processes.py
@@ -12,6 +12,7 @@
 
 from soak.deployment import BOUNDS, Deployment, Machine, Role
 from soak.history import History, LogFinding, ProcessEnd
+from soak.log_writer import LogWriter
 
 RESTART_DELAY_S = 0.3
 PR_SET_PDEATHSIG = 1
@@ -44,14 +45,15 @@
     """One process of the tier through all its lives."""
 
     def __init__(self, deployment: Deployment, machine: Machine, role: Role, programs: Programs,
-                 history: History) -> None:
+                 history: History, logs: LogWriter) -> None:
         self.machine = machine
         self.role = role
         self.name = f"{machine.name}.{role.value}"
         self._deployment = deployment
         self._programs = programs
         self._history = history
-        self._log = (deployment.folder / f"{self.name}.log").open("a")
+        self._logs = logs
+        self._log = deployment.folder / f"{self.name}.log"
         self._child: asyncio.subprocess.Process | None = None
         self._killed = False  # By the soak, in this life.
         self._told_to_end = False
@@ -74,7 +76,6 @@
         self.kill()
         if self._child:
             await self._child.wait()
-        self._log.close()
 
     def kill(self) -> None:
         """SIGKILL."""
@@ -178,16 +179,15 @@
         self._history.ends.append(end)
 
     def _write(self, text: str) -> None:
-        if not self._log.closed:
-            self._log.write(f"{self._history.now():8.3f} {text}\n")
-            self._log.flush()
+        self._logs.append(self._log, f"{self._history.now():8.3f} {text}\n")
 
 
 class Fleet:
     """All processes of a deployment."""
 
     def __init__(self, deployment: Deployment, programs: Programs, history: History) -> None:
-        self.processes = [Process(deployment, machine, role, programs, history)
+        self._logs = LogWriter()
+        self.processes = [Process(deployment, machine, role, programs, history, self._logs)
                           for machine in deployment.machines for role in machine.roles]
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -203,6 +203,7 @@
         for result in await asyncio.gather(*self._tasks, return_exceptions=True):
             if isinstance(result, Exception):
                 print(f"a process could not be run: {result!r}", file=sys.stderr)
+        self._logs.close()
 
     def on(self, machine: Machine) -> list[Process]:
         """The processes of a machine."""
--- a/tests/soak/soak/seed.py
+++ b/tests/soak/soak/seed.py
@@ -4,13 +4,16 @@
 import pathlib
 import random
 import shutil
+import statistics
 from dataclasses import dataclass
 
 from soak.batch_clients import BatchClients
 from soak.clients import Clients, Ingress
+from soak.cut_plan import CutPlan, Step
 from soak.deployment import BOUNDS, Deployment, reserve_block
 from soak.endpoints import EndpointFleet
-from soak.history import History, OrderState
+from soak.figures import Figures, text_of
+from soak.history import DriverLag, History, OrderState
 from soak.judge import Finding, judge
 from soak.operators import Operators
 from soak.platform import Platform
@@ -23,6 +26,7 @@
 COUNTED_S = 3.0
 LEAVE_AT_S = (3.2, 4.2)
 LAG_PERIOD_S = 0.05
+LEAST_LAG_S = 0.02  # Shorter ones are not noted.
 MOST_PRINTED = 5  # Findings of one rule.
 BESIDE_S = 120.0  # What a seed may take beside its troubles.
 
@@ -36,6 +40,8 @@
     folder: pathlib.Path  # Settings and logs.
     disks: pathlib.Path  # Of the machines; removed in the end.
     programs: Programs
+    quiet: bool = False  # No trouble but endpoints that leave.
+    cuts: tuple[Step, ...] = ()  # In place of troubles that are drawn.
 
 
 class NotStarted(Exception):
@@ -66,9 +72,14 @@
     def __init__(self, plan: Plan, block: int) -> None:
         self._plan = plan
         self._world, self._ingress = make_world(plan, block)
-        self._troubles = Troubles(self._world, plan.seed)
+        self._troubles = self._make_troubles()
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _make_troubles(self) -> Troubles | CutPlan:
+        if self._plan.cuts:
+            return CutPlan(self._world, self._plan.cuts, random.Random(f"{self._plan.seed}/cuts"))
+        return Troubles(self._world, self._plan.seed, self._plan.quiet)
+
     async def play(self) -> History:
         """The whole; everything that was started is gone after it, also on failure."""
         try:
@@ -84,7 +95,8 @@
         await world.platform.start()
         await world.endpoints.start()
         world.fleet.start()
-        self._spawn(self._watch_lag(), self._ingress.run())
+        self._spawn(self._watch_lag(), self._ingress.run(),
+                    Figures(world.deployment, world.history).run())
         until = world.history.now() + START_S
         if not await world.operators.change(until):
             raise NotStarted("no configuration was acknowledged")
@@ -103,7 +115,9 @@
         while True:
             due = history.now() + LAG_PERIOD_S
             await asyncio.sleep(LAG_PERIOD_S)
-            history.longest_lag = max(history.longest_lag, history.now() - due)
+            by = history.now() - due
+            if by >= LEAST_LAG_S:
+                history.lags.append(DriverLag(history.now(), by))
 
     async def _calm(self) -> None:
         world, seen = self._world, self._world.history.calm
@@ -182,8 +196,18 @@
     return (f"seed {seed}: {len(history.troubles)} troubles, {acknowledged} of"
             f" {len(history.orders)} orders acknowledged, {len(history.requests)} tries,"
             f" {accepted} batch jobs, calm: served {history.calm.served} of"
-            f" {history.calm.asked}; driver late by {history.longest_lag:.2f} s at most,"
-            f" load {os.getloadavg()[0]:.0f} on {os.cpu_count()} processors")
+            f" {history.calm.asked}; driver late by {history.longest_lag():.2f} s at most,"
+            f" load {os.getloadavg()[0]:.0f} on {os.cpu_count()} processors"
+            + recovery_text(history))
+
+
+def recovery_text(history: History) -> str:
+    """How soon core processes that had been cut off were right again."""
+    after = [recovery.after for recovery in history.recoveries]
+    if not after:
+        return ""
+    return (f"; {len(after)} cuts, right again after {statistics.median(after):.2f} s in the median,"
+            f" {max(after):.2f} s at most")
 
 
 def report(plan: Plan, history: History, findings: list[Finding]) -> None:
@@ -191,6 +215,7 @@
     print(summary(plan.seed, history))
     troubles = "\n".join(timeline(history))
     (plan.folder / "timeline").write_text(troubles + "\n")
+    (plan.folder / "figures").write_text(text_of(history))
     if not findings:
         return
     print(troubles)
