One function turns steady time into microseconds

Cause: the same conversion stood in nine places (Group, EndpointWatch, CoreService twice, Agent, ClockEstimate, EndpointCalls, StoreDisk, ItemRun), written in two ways.

No behaviour changes.

--- a/src/tier/batch/item_run.cpp
+++ b/src/tier/batch/item_run.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "tier/foundation/log.h"
+#include "tier/foundation/steady_time.h"
 #include "tier/proxy/levels.h"
 #include "tier/proxy/names.h"
 
@@ -152,8 +153,7 @@
   log::Bounded(log::Level::kWarning, "batch.run", "events",
                "an endpoint's event does not follow the last one; run of item " +
                    assign_.item.item + " given up",
-               std::chrono::duration_cast<std::chrono::microseconds>(loop_.Now().time_since_epoch())
-                   .count());
+               SteadyMicros(loop_.Now()));
   CancelCall();
   Over({RunOutcome::kInterrupted, false, std::nullopt});
 }
--- a/src/tier/batch/store_disk.cpp
+++ b/src/tier/batch/store_disk.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "tier/foundation/log.h"
+#include "tier/foundation/steady_time.h"
 
 namespace shelflink::batch {
 namespace {
@@ -115,9 +116,9 @@
     return true;
   } catch (const net::Error& error) {
     if (starts_ == 0) throw;
-    const auto now = loop_.Now().time_since_epoch() / std::chrono::microseconds(1);
     log::Bounded(log::Level::kError, kLogName, "start",
-                 std::string("the store cannot begin again: ") + error.what(), now);
+                 std::string("the store cannot begin again: ") + error.what(),
+                 SteadyMicros(loop_.Now()));
     return false;
   }
 }
--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -8,6 +8,7 @@
 #include "tier/cluster/use_counts.h"
 #include "tier/cluster/view_store.h"
 #include "tier/foundation/log.h"
+#include "tier/foundation/steady_time.h"
 
 namespace shelflink::cluster {
 namespace {
@@ -28,10 +29,6 @@
 constexpr std::size_t kMostDetours = 64;  // Forwarded for others at a time; one more is refused.
 constexpr const char* kModule = "cluster.agent";
 
-std::int64_t SteadyMicros(net::Time time) {
-  return duration_cast<microseconds>(time.time_since_epoch()).count();
-}
-
 constexpr Part kAllParts[] = {Part::kConfiguration, Part::kEndpoints, Part::kPlacement,
                               Part::kMembers};
 
--- a/src/tier/cluster/clock_estimate.cpp
+++ b/src/tier/cluster/clock_estimate.cpp
@@ -3,16 +3,14 @@
 #include <algorithm>
 #include <vector>
 
+#include "tier/foundation/steady_time.h"
+
 namespace shelflink::cluster {
 namespace {
 
 constexpr std::size_t kFewMembers = 64;
 constexpr std::chrono::milliseconds kKeptFor{200};
 
-std::int64_t SteadyMicros(net::Time now) {
-  return std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count();
-}
-
 }  // namespace
 
 void ClockEstimate::Hear(net::Time now, const net::Address& member, std::int64_t wall_micros) {
--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -19,6 +19,7 @@
 #include "tier/cluster/view_publisher.h"
 #include "tier/foundation/invariants.h"
 #include "tier/foundation/log.h"
+#include "tier/foundation/steady_time.h"
 
 namespace shelflink::cluster {
 namespace {
@@ -378,7 +379,7 @@
         log::Level::kWarning, kModule, "not published",
         "endpoint list read and not published: " + TextOf(SummaryOf({epoch, count}, entries)) +
             ", " + AgeOfList() + "; " + reason,
-        loop.Now().time_since_epoch() / std::chrono::microseconds(1));
+        SteadyMicros(loop.Now()));
   }
 
   ClusterFigures Figures() const {
@@ -405,10 +406,9 @@
     if (!watch) return;
     watch->PublishPending();
     if (!Leads()) return;
-    const auto now =
-        std::chrono::duration_cast<std::chrono::microseconds>(loop.Now().time_since_epoch());
     ProcessInvariants().Check(watch->published(), Invariant::kReadListIsPublished,
-                              "a renewal is answered before the list that was read", now.count());
+                              "a renewal is answered before the list that was read",
+                              SteadyMicros(loop.Now()));
   }
 
   // How old the reading is that the published list stands for; none where it is not of this
--- a/src/tier/cluster/endpoint_watch.cpp
+++ b/src/tier/cluster/endpoint_watch.cpp
@@ -5,6 +5,7 @@
 
 #include "tier/cluster/same_endpoints.h"
 #include "tier/foundation/log.h"
+#include "tier/foundation/steady_time.h"
 
 namespace shelflink::cluster {
 namespace {
@@ -34,9 +35,7 @@
 void EndpointWatch::Stop() { poller_.Stop(); }
 
 void EndpointWatch::OnFailed(const platform::CallError& error) {
-  const auto now =
-      std::chrono::duration_cast<std::chrono::microseconds>(loop_.Now().time_since_epoch());
-  log::Bounded(log::Level::kWarning, kModule, "list", error.text, now.count());
+  log::Bounded(log::Level::kWarning, kModule, "list", error.text, SteadyMicros(loop_.Now()));
 }
 
 void EndpointWatch::OnRead(std::vector<EndpointEntry> entries, net::Time read_at) {
--- a/src/tier/coordination/group.cpp
+++ b/src/tier/coordination/group.cpp
@@ -6,6 +6,7 @@
 
 #include "tier/foundation/invariants.h"
 #include "tier/foundation/log.h"
+#include "tier/foundation/steady_time.h"
 #include "tier/storage/lmdb_storage.h"
 
 namespace shelflink::coordination {
@@ -36,10 +37,6 @@
   return false;
 }
 
-std::int64_t MicrosOf(net::Time time) {
-  return time.time_since_epoch() / std::chrono::microseconds(1);
-}
-
 std::string SecondsText(net::Span span) {
   const auto tenths = span / std::chrono::milliseconds(100);
   return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10) + " s";
@@ -201,7 +198,7 @@
                std::string("the disk refuses (") + storage::NameOf(storage_->failure()) +
                    "): " + storage_->failure_text() +
                    "; this process is no member until it takes writes again",
-               MicrosOf(loop_.Now()));
+               SteadyMicros(loop_.Now()));
   disk_health_.Refuses(loop_.Now());
   running_ = false;
   if (told_primary_) ToldRole({false, epoch});
@@ -237,7 +234,7 @@
   log::Bounded(
       log::Level::kInfo, kModule, "takes writes",
       "the disk takes writes again after " + SecondsText(now - disk_health_.status().since),
-      MicrosOf(now));
+      SteadyMicros(now));
   disk_health_.TakesWrites(now);
   StartMember();
 }
@@ -289,7 +286,7 @@
 void Group::Send(const net::Address& to, const Message& message) {
   if (Vouches(message) && (storage_ == nullptr || failed() || storage_->failed())) {
     ProcessInvariants().Violate(Invariant::kMemberCanStore, "an answer to " + to.Text(),
-                                MicrosOf(loop_.Now()));
+                                SteadyMicros(loop_.Now()));
   }
   const Member::Options& self = member_->options();
   cbor::Writer frame;
@@ -309,7 +306,8 @@
       in.ok() && from.role == "core" ? DecodeMessage(encoded) : std::nullopt;
   if (!message) {
     log::Bounded(log::Level::kWarning, kModule, "malformed",
-                 "dropped a malformed message from " + from.address.Text(), MicrosOf(loop_.Now()));
+                 "dropped a malformed message from " + from.address.Text(),
+                 SteadyMicros(loop_.Now()));
     return;
   }
   Run([&](Step& step, MemberOutput& out) { member_->OnMessage(step, out, sender, *message); });
@@ -344,7 +342,7 @@
   log::Bounded(log::Level::kWarning, kModule, "stuck",
                "no primary: epoch " + std::to_string(member_->record().number) +
                    " needs one of its replicas and a majority of its witnesses; replicas:" + nodes,
-               MicrosOf(now));
+               SteadyMicros(now));
 }
 
 void Group::SayIfRecordChanged() {
@@ -387,7 +385,7 @@
   if (same && in_flight_->ticket > synced_ticket_) {
     ProcessInvariants().Violate(Invariant::kAcknowledgedIsSynced,
                                 "entry " + std::to_string(entry.position.sequence),
-                                MicrosOf(loop_.Now()));
+                                SteadyMicros(loop_.Now()));
   }
   in_flight_.reset();
   if (same) {
--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "tier/foundation/invariants.h"
+#include "tier/foundation/steady_time.h"
 #include "tier/proxy/answer_reading.h"
 #include "tier/proxy/event_stream.h"
 #include "tier/proxy/headers.h"
@@ -52,11 +53,7 @@
 
 EndpointCalls::~EndpointCalls() = default;
 
-Micros EndpointCalls::MicrosOf(net::Time time) const {
-  return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
-}
-
-Micros EndpointCalls::Now() const { return MicrosOf(loop_.Now()); }
+Micros EndpointCalls::Now() const { return SteadyMicros(loop_.Now()); }
 
 void EndpointCalls::OnView(const cluster::View& view) {
   feed_.OnView(Now(), view);
@@ -87,7 +84,7 @@
   call.level = request.level;
   call.flow = HashOf(request.tenant.empty() ? route.name : request.tenant);
   call.service = live.service;
-  if (!request.batch || request.due) call.due = MicrosOf(live.deadline);
+  if (!request.batch || request.due) call.due = SteadyMicros(live.deadline);
   call.timeout = std::chrono::duration_cast<std::chrono::microseconds>(route.timeout).count();
   call.objective = std::chrono::duration_cast<std::chrono::microseconds>(route.slo).count();
   call.max_attempts = live.max_attempts();
--- a/src/tier/proxy/endpoint_calls.h
+++ b/src/tier/proxy/endpoint_calls.h
@@ -74,7 +74,6 @@
   };
 
   policy::Micros Now() const;
-  policy::Micros MicrosOf(net::Time time) const;
 
   // policy::Actions
   void Send(policy::CallId call, std::uint32_t attempt, const std::string& endpoint) override;
