One back-off serves disks of core and stores

Cause: DiskHealth and StoreDisk each doubled a pause from 100 ms to 1 s by code of their own.

Change: foundation/back_off (pure) with back_off_test; the bounds stand once, in storage/recovery_pauses.h.

Shown: ctest back_off, disk_health, store_disk, full_disk, failing_writes tests and mutants room_is_looked_for_every_eight_seconds, a_disk_that_refused_is_looked_at_no_more, a_failure_soon_after_a_recovery_begins_the_pauses_anew pass (sanitizers).

--- a/src/tier/batch/store_disk.cpp
+++ b/src/tier/batch/store_disk.cpp
@@ -74,7 +74,7 @@
     OnRefused(synced.error().text);
     return;
   }
-  pause_ = kFirstPause;
+  pauses_.Reset();
   if (!taking_since_) taking_since_ = loop_.Now();
   if (loop_.Now() - *taking_since_ < probation_) {
     ArmIn(kFirstPause);
@@ -89,8 +89,7 @@
 void StoreDisk::OnRefused(const std::string& why) {
   taking_since_.reset();
   TellChange(false, "the disk takes no writes, looking for room: " + why);
-  ArmIn(pause_);
-  pause_ = std::min(pause_ * 2, kLongestPause);
+  ArmIn(pauses_.NextPause());
 }
 
 // --- Work ---------------------------------------------------------------------------------------
@@ -155,7 +154,7 @@
   }
   state_ = State::kLooking;
   taking_since_.reset();
-  pause_ = kFirstPause;
+  pauses_.Reset();
   ArmIn(kFirstPause);
 }
 
@@ -172,6 +171,6 @@
   log::Line(takes_writes ? log::Level::kInfo : log::Level::kError, kLogName, text);
 }
 
-void StoreDisk::ArmIn(milliseconds span) { timer_->ArmAt(loop_.Now() + span); }
+void StoreDisk::ArmIn(net::Span span) { timer_->ArmAt(loop_.Now() + span); }
 
 }  // namespace shelflink::batch
--- a/src/tier/batch/store_disk.h
+++ b/src/tier/batch/store_disk.h
@@ -16,7 +16,9 @@
 #include <string>
 
 #include "net/loop.h"
+#include "tier/foundation/back_off.h"
 #include "tier/foundation/result.h"
+#include "tier/storage/recovery_pauses.h"
 #include "tier/storage/storage.h"
 
 namespace shelflink::batch {
@@ -37,8 +39,9 @@
     std::function<void()> stop;
   };
 
-  static constexpr milliseconds kFirstPause{100};  // Between two looks for room; doubles.
-  static constexpr milliseconds kLongestPause{1000};
+  // Between two looks for room; doubles.
+  static constexpr net::Span kFirstPause = storage::kRecoveryPauses.shortest;
+  static constexpr net::Span kLongestPause = storage::kRecoveryPauses.longest;
   static constexpr milliseconds kDiskCheck{100};  // While the work goes on.
   // A disk that failed within this time after a return has come back too early.
   static constexpr milliseconds kSteady{10000};
@@ -77,7 +80,7 @@
   void OnLeft();
   void LengthenProbation();
   void TellChange(bool takes_writes, const std::string& text);
-  void ArmIn(milliseconds span);
+  void ArmIn(net::Span span);
 
   net::Loop& loop_;
   Open open_;
@@ -86,7 +89,7 @@
   State state_ = State::kLooking;
   bool ends_ = false;
   std::function<void()> ended_;
-  milliseconds pause_ = kFirstPause;
+  BackOff pauses_{storage::kRecoveryPauses};
   milliseconds probation_{0};
   std::optional<net::Time> taking_since_;  // Every look since then has found room.
   net::Time started_at_{};
--- a/src/tier/coordination/disk_health.h
+++ b/src/tier/coordination/disk_health.h
@@ -6,6 +6,8 @@
 #include <optional>
 
 #include "net/loop.h"
+#include "tier/foundation/back_off.h"
+#include "tier/storage/recovery_pauses.h"
 
 namespace shelflink::coordination {
 
@@ -32,7 +34,7 @@
 
  private:
   DiskStatus status_;
-  net::Span pause_{};
+  BackOff pauses_{storage::kRecoveryPauses};
   std::optional<net::Time> next_attempt_;
 };
 
--- a/tests/tier/batch/mutants.cmake
+++ b/tests/tier/batch/mutants.cmake
@@ -53,11 +53,11 @@
   TEST batch/store_disk_test RUN work_on_a_disk_that_failed_ends_at_once_and_begins_again_with_room
   LIBRARIES ${batch_store_libraries})
 tier_mutant(a_disk_that_refused_is_looked_at_no_more batch/store_disk.cpp
-  [=[  ArmIn(pause_);]=] ""
+  [=[  ArmIn(pauses_.NextPause());]=] ""
   TEST batch/store_disk_test RUN a_full_disk_is_looked_at_at_least_each_second_and_moves_nothing
   LIBRARIES ${batch_store_libraries})
-tier_mutant(room_is_looked_for_every_eight_seconds batch/store_disk.cpp
-  [=[std::min(pause_ * 2, kLongestPause)]=] [=[std::min(pause_ * 2, 8 * kLongestPause)]=]
+tier_mutant(room_is_looked_for_every_eight_seconds foundation/back_off.cpp
+  [=[std::min(2 * pause, bounds_.longest)]=] [=[std::min(2 * pause, 8 * bounds_.longest)]=]
   TEST batch/store_disk_test RUN a_disk_that_cannot_be_opened_is_tried_again_at_least_each_second
   LIBRARIES ${batch_store_libraries})
 tier_mutant(every_look_that_finds_room_is_a_return batch/store_disk.cpp
--- a/tests/tier/coordination/disk_health_test.cpp
+++ b/tests/tier/coordination/disk_health_test.cpp
@@ -3,10 +3,60 @@
 #include "tier/coordination/disk_health.h"
 
 #include <boost/test/unit_test.hpp>
+#include <vector>
 
 namespace shelflink::coordination {
 namespace {
 
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// From each attempt that fails to the next one.
+std::vector<long> PausesInMs(DiskHealth& health, net::Time now, int count) {
+  std::vector<long> pauses;
+  for (int i = 0; i < count; ++i) {
+    BOOST_REQUIRE(health.next_attempt().has_value());
+    pauses.push_back((*health.next_attempt() - now) / milliseconds(1));
+    now = *health.next_attempt();
+    health.AttemptBegins();
+    BOOST_TEST(!health.next_attempt().has_value());
+    health.AttemptFailed(now);
+  }
+  return pauses;
+}
+
+BOOST_AUTO_TEST_CASE(attempts_lie_at_twice_the_distance_each_time_up_to_a_second) {
+  DiskHealth health;
+  const net::Time now{seconds(100)};
+  health.Refuses(now);
+  const std::vector<long> expected{100, 200, 400, 800, 1000, 1000};
+  BOOST_TEST(PausesInMs(health, now, 6) == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_failure_soon_after_a_recovery_goes_on_where_the_last_one_stood) {
+  DiskHealth health;
+  net::Time now{seconds(100)};
+  health.Refuses(now);
+  PausesInMs(health, now, 2);
+  health.TakesWrites(now);
+  now += milliseconds(9999);
+  health.Refuses(now);
+  const std::vector<long> expected{800, 1000};
+  BOOST_TEST(PausesInMs(health, now, 2) == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_disk_that_took_writes_for_ten_seconds_begins_anew) {
+  DiskHealth health;
+  net::Time now{seconds(100)};
+  health.Refuses(now);
+  PausesInMs(health, now, 4);
+  health.TakesWrites(now);
+  now += seconds(10);
+  health.Refuses(now);
+  const std::vector<long> expected{100, 200};
+  BOOST_TEST(PausesInMs(health, now, 2) == expected, boost::test_tools::per_element());
+}
+
 // It has room for the probes of a recovery and not for the next entry.
 BOOST_AUTO_TEST_CASE(a_disk_that_fails_again_after_each_recovery_is_tried_about_once_a_second) {
   DiskHealth health;
--- a/tests/tier/coordination/full_disk_mutants.cmake
+++ b/tests/tier/coordination/full_disk_mutants.cmake
@@ -47,3 +47,9 @@
   TEST coordination/member_test
   RUN a_primary_does_not_take_witnesses_without_a_disk_for_replaced_ones
   LIBRARIES shelflink_tier_replication tier_coordination_world)
+# When it is tried again.
+tier_mutant(a_failure_soon_after_a_recovery_begins_the_pauses_anew coordination/disk_health.cpp
+  [=[  if (!again) pauses_.Reset();]=] [=[  pauses_.Reset();]=]
+  TEST coordination/disk_health_test
+  RUN a_failure_soon_after_a_recovery_goes_on_where_the_last_one_stood
+  LIBRARIES shelflink_tier_coordination)
