Figures of a list of endpoints are written by one module for core and proxies

Cause: core_metrics and the proxy's metrics each defined five families of the same names and wrote them by the same lines.

Change: cluster/endpoint_list_metrics holds names and writing; the help texts, which differ by role, stay with the roles. Every byte of both pages stays: core_metrics_test and metrics_test, which compare them byte by byte, are unchanged and pass (sanitizers).

--- a/src/tier/cluster/core_metrics.cpp
+++ b/src/tier/cluster/core_metrics.cpp
@@ -1,5 +1,7 @@
 #include "tier/cluster/core_metrics.h"
 
+#include "tier/cluster/endpoint_list_metrics.h"
+
 namespace shelflink::cluster {
 namespace {
 
@@ -25,16 +27,13 @@
                                     "Whether the disk refuses writes: it vouches for nothing."};
 constexpr MetricFamily kLeases{"shelflink_core_leases", MetricType::kGauge,
                                "Valid leases of members, by role; of the primary only."};
-constexpr MetricFamily kListEpoch{"shelflink_endpoint_list_epoch", MetricType::kGauge,
-                                  "Epoch of the list of endpoints published last from here."};
-constexpr MetricFamily kListSequence{"shelflink_endpoint_list_sequence", MetricType::kGauge,
-                                     "Number of that list within its epoch."};
-constexpr MetricFamily kListEntries{"shelflink_endpoint_list_entries", MetricType::kGauge,
-                                    "Endpoints in that list."};
-constexpr MetricFamily kListDraining{"shelflink_endpoint_list_draining_entries", MetricType::kGauge,
-                                     "Endpoints in that list that drain."};
-constexpr MetricFamily kListAge{"shelflink_endpoint_list_age_seconds", MetricType::kGauge,
-                                "Time since the platform's list was last read whole from here."};
+constexpr EndpointListHelp kListHelp{
+    .epoch = "Epoch of the list of endpoints published last from here.",
+    .sequence = "Number of that list within its epoch.",
+    .entries = "Endpoints in that list.",
+    .draining = "Endpoints in that list that drain.",
+    .age = "Time since the platform's list was last read whole from here.",
+};
 constexpr MetricFamily kListsPublished{"shelflink_endpoint_lists_published_total",
                                        MetricType::kCounter, "Lists of endpoints published."};
 constexpr MetricFamily kListsNotPublished{"shelflink_endpoint_lists_not_published_total",
@@ -70,13 +69,8 @@
   for (const auto& [role, count] : cluster.leases) {
     text.Add(kLeases, std::uint64_t{count}, {{"role", role}});
   }
-  if (cluster.published_list) {
-    text.Add(kListEpoch, cluster.published_list->version.epoch);
-    text.Add(kListSequence, cluster.published_list->version.count);
-    text.Add(kListEntries, std::uint64_t{cluster.published_list->entries});
-    text.Add(kListDraining, std::uint64_t{cluster.published_list->draining});
-  }
-  if (cluster.list_age) text.AddSeconds(kListAge, *cluster.list_age);
+  if (cluster.published_list) AddEndpointSummary(text, kListHelp, *cluster.published_list);
+  if (cluster.list_age) AddEndpointListAge(text, kListHelp, *cluster.list_age);
   text.Add(kListsPublished, cluster.lists_published);
   text.Add(kListsNotPublished, cluster.lists_not_published);
 }
--- a/src/tier/proxy/metrics.cpp
+++ b/src/tier/proxy/metrics.cpp
@@ -1,5 +1,7 @@
 #include "tier/proxy/metrics.h"
 
+#include "tier/cluster/endpoint_list_metrics.h"
+
 namespace shelflink::proxy {
 namespace {
 
@@ -9,20 +11,16 @@
                                 "Whether the lease from the core's primary is valid."};
 constexpr MetricFamily kLease{"shelflink_lease_remaining_seconds", MetricType::kGauge,
                               "Time until the lease ends; 0 without one."};
-constexpr MetricFamily kListEpoch{"shelflink_endpoint_list_epoch", MetricType::kGauge,
-                                  "Epoch of the primary that published the list of endpoints."};
-constexpr MetricFamily kListSequence{"shelflink_endpoint_list_sequence", MetricType::kGauge,
-                                     "Number of the list of endpoints within its epoch."};
-constexpr MetricFamily kListEntries{"shelflink_endpoint_list_entries", MetricType::kGauge,
-                                    "Endpoints in the list."};
-constexpr MetricFamily kListDraining{"shelflink_endpoint_list_draining_entries", MetricType::kGauge,
-                                     "Endpoints in the list that drain."};
+constexpr cluster::EndpointListHelp kListHelp{
+    .epoch = "Epoch of the primary that published the list of endpoints.",
+    .sequence = "Number of the list of endpoints within its epoch.",
+    .entries = "Endpoints in the list.",
+    .draining = "Endpoints in the list that drain.",
+    .age = "Time since the platform's list was read that the list of endpoints stands for.",
+};
 constexpr MetricFamily kListUnchanged{"shelflink_endpoint_list_unchanged_seconds",
                                       MetricType::kGauge,
                                       "Time since this process took the list of endpoints."};
-constexpr MetricFamily kListAge{
-    "shelflink_endpoint_list_age_seconds", MetricType::kGauge,
-    "Time since the platform's list was read that the list of endpoints stands for."};
 constexpr MetricFamily kDrainBound{"shelflink_drain_bound_seconds", MetricType::kGauge,
                                    "bounds.drainMs: no list of endpoints may be older."};
 constexpr MetricFamily kConfiguration{"shelflink_configuration_version", MetricType::kGauge,
@@ -35,14 +33,9 @@
                                     "Connections to endpoints that were opened."};
 
 void AddList(MetricsText& text, const ProxyFigures& figures) {
-  if (figures.endpoints) {
-    text.Add(kListEpoch, figures.endpoints->version.epoch);
-    text.Add(kListSequence, figures.endpoints->version.count);
-    text.Add(kListEntries, std::uint64_t{figures.endpoints->entries});
-    text.Add(kListDraining, std::uint64_t{figures.endpoints->draining});
-  }
+  if (figures.endpoints) cluster::AddEndpointSummary(text, kListHelp, *figures.endpoints);
   if (figures.endpoints_unchanged) text.AddSeconds(kListUnchanged, *figures.endpoints_unchanged);
-  if (figures.endpoints_age) text.AddSeconds(kListAge, *figures.endpoints_age);
+  if (figures.endpoints_age) cluster::AddEndpointListAge(text, kListHelp, *figures.endpoints_age);
   text.AddSeconds(kDrainBound, figures.drain_bound);
 }
 
