The draining invariant is checked where it can fail: on what the connections have taken

Cause: CheckSend looked for endpoints that were seen draining behind takes_requests(), which is false for all of them, as EndpointRegistry::Take derives one from the other. It could fire where that derivation is broken, and never where the connections, which keep a list of their own, let a request pass.

Change: replaced by one that is stricter, not removed: it runs once the connections have taken the attempt, and again when a connection has just come up, before the first byte.

Shown: a new case with a mutant that never tells the connections of a drain (connections_are_not_told_of_drains): the violation is reported, where the check before, which ran ahead of the drain, saw nothing (by reading).

--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -177,7 +177,7 @@
   if (live->forbidden || known == nullptr || !live->MaySendMore(now)) {
     return EndUnsent(live, key, Outcome::kNeverSent);
   }
-  CheckSend(*live, *known);
+  CheckList(*live, *known);
   ++live->sends;
   live->message.set(kExpectInstanceHeader, decision.endpoint);
   if (live->events.events() > 0 && live->events.last_id()) {
@@ -193,6 +193,7 @@
   outbound.repeatable = live->repeatable;
   upstream_.Send(key, known->number, outbound,
                  [this, key](kelpspring::Answer answer) { EndAttempt(key, std::move(answer)); });
+  if (FindAttempt(key)) CheckDraining(*live);
 }
 
 ListState EndpointCalls::ListStateNow() const {
@@ -203,12 +204,17 @@
   return !live.user->MaySend() || (live.request.batch && !ItemsMayGo(ListStateNow()));
 }
 
-void EndpointCalls::CheckSend(const LiveCall& live, const KnownEndpoint& known) const {
+void EndpointCalls::CheckList(const LiveCall& live, const KnownEndpoint& known) const {
   if (!known.takes_requests()) return;  // The connections refuse it.
   if (ListStateNow() == ListState::kStale) {
     ProcessInvariants().Violate(Invariant::kEndpointListIsFresh, "a request to " + live.endpoint,
                                 Now());
   }
+}
+
+// Of an attempt that the connections have taken: they keep a list of their own of where requests
+// may go, and refuse what it does not name.
+void EndpointCalls::CheckDraining(const LiveCall& live) const {
   if (registry_.SeenDraining(live.endpoint)) {
     ProcessInvariants().Violate(Invariant::kDrainingStaysDraining, "a request to " + live.endpoint,
                                 Now());
@@ -221,7 +227,9 @@
   const LivePtr live = FindAttempt(key);
   if (!live) return false;
   live->forbidden = IsForbidden(*live);
-  return !live->forbidden && Find(key.first) != nullptr;
+  if (live->forbidden || Find(key.first) == nullptr) return false;
+  CheckDraining(*live);
+  return true;
 }
 
 kelpspring::Reading EndpointCalls::ReadHead(AttemptKey key, const HttpResponse& head) const {
--- a/src/tier/proxy/endpoint_calls.h
+++ b/src/tier/proxy/endpoint_calls.h
@@ -101,7 +101,8 @@
   void StartAttempt(const Decision& decision);
   bool IsForbidden(LiveCall& live) const;
   ListState ListStateNow() const;
-  void CheckSend(const LiveCall& live, const KnownEndpoint& known) const;
+  void CheckList(const LiveCall& live, const KnownEndpoint& known) const;
+  void CheckDraining(const LiveCall& live) const;
   void EndAttempt(kelpspring::AttemptKey key, kelpspring::Answer answer);
   void EndUnsent(const LivePtr& live, kelpspring::AttemptKey key, policy::Outcome outcome);
   void EndBroken(const LivePtr& live, kelpspring::AttemptKey key, policy::Outcome outcome);
--- a/tests/tier/proxy/mutants.cmake
+++ b/tests/tier/proxy/mutants.cmake
@@ -98,6 +98,10 @@
   what_was_seen_draining_stays_draining_beyond_its_end
   tier/proxy/endpoint_registry.cpp
   [=[    RememberDeparted(present->first);]=] [=[    seen_draining_.erase(present->first);]=])
+proxy_mutant(connections_are_not_told_of_drains stale_list
+  a_send_to_what_was_seen_draining_is_a_violation
+  tier/proxy/endpoint_registry.cpp
+  [=[known.address, known.takes_requests(), 0);]=] [=[known.address, true, 0);]=])
 proxy_mutant(no_renewal_tells_the_lists_age stale_list no_proxy_reads_while_the_core_does
   tier/cluster/core_service.cpp
   [=[    answer.endpoints_age = EndpointsAge();]=] "")
--- a/tests/tier/proxy/stale_list_test.cpp
+++ b/tests/tier/proxy/stale_list_test.cpp
@@ -431,3 +431,20 @@
   world.Run(milliseconds(500));
   BOOST_TEST(endpoint.requests.empty());
 }
+
+// What checks itself: a connection comes up after the drain, and would carry the request.
+BOOST_AUTO_TEST_CASE(a_send_to_what_was_seen_draining_is_a_violation) {
+  TakeViolations();
+  stand_in::World world;
+  Endpoint& endpoint = world.Add(stand_in::Answers("x"));
+  net::Weather slow;
+  slow.latency_low = milliseconds(50);
+  slow.latency_high = milliseconds(50);
+  world.network.SetWeather(endpoint.process.host(), world.process.host(), slow);
+  auto client = world.Ask(Request("/get/a", "01"));
+  while (world.calls.dials() == 0) world.Run(milliseconds(1));
+  endpoint.draining = true;
+  world.Tell();
+  world.Run(milliseconds(500));
+  BOOST_TEST(TakeViolations().empty());
+}
