An endpoint that is listed again stands no more among the departed

Cause: an endpoint that was seen draining, left and was listed again stood in departed_ still, and twice once it had left again; it was forgotten with its first entry, also while it was listed. A later list that calls it ready then had it sent to again.

Change: EndpointRegistry takes it off the departed when a list names it again. Each id stands there once.

Shown: stale_list_test, case what_was_seen_draining_and_is_listed_again_is_not_forgotten_with_the_departed, fails without it (mutant what_is_listed_again_stays_among_the_departed: the endpoint gets the request) and passes with it (sanitizers).

--- a/src/tier/proxy/endpoint_registry.cpp
+++ b/src/tier/proxy/endpoint_registry.cpp
@@ -7,7 +7,10 @@
   for (const cluster::EndpointEntry& entry : list.entries) {
     listed.insert(entry.id);
     KnownEndpoint& known = known_[entry.id];
-    if (known.number == 0) known.number = ++last_number_;
+    if (known.number == 0) {
+      known.number = ++last_number_;
+      NoteListedAgain(entry.id);
+    }
     known.address = entry.address;
     if (entry.draining) seen_draining_.insert(entry.id);
     known.draining = SeenDraining(entry.id);
@@ -22,6 +25,11 @@
   }
 }
 
+// It would stand among the departed twice once it leaves again, and be forgotten with the first.
+void EndpointRegistry::NoteListedAgain(const std::string& id) {
+  if (SeenDraining(id)) std::erase(departed_, id);
+}
+
 void EndpointRegistry::RememberDeparted(const std::string& id) {
   if (!SeenDraining(id)) return;
   departed_.push_back(id);
--- a/src/tier/proxy/endpoint_registry.h
+++ b/src/tier/proxy/endpoint_registry.h
@@ -54,13 +54,14 @@
   static constexpr std::size_t kMostDeparted = 4096;
 
   KnownEndpoint* FindKnown(const std::string& id);
+  void NoteListedAgain(const std::string& id);
   void RememberDeparted(const std::string& id);
 
   kelpspring::Upstream& upstream_;
   std::uint32_t last_number_ = 0;
   std::unordered_map<std::string, KnownEndpoint> known_;
   std::unordered_set<std::string> seen_draining_;  // Listed or departed.
-  std::deque<std::string> departed_;
+  std::deque<std::string> departed_;               // Each once; the oldest in front.
 };
 
 }  // namespace shelflink::proxy
--- a/tests/tier/proxy/mutants.cmake
+++ b/tests/tier/proxy/mutants.cmake
@@ -98,6 +98,10 @@
   what_was_seen_draining_stays_draining_beyond_its_end
   tier/proxy/endpoint_registry.cpp
   [=[    RememberDeparted(present->first);]=] [=[    seen_draining_.erase(present->first);]=])
+proxy_mutant(what_is_listed_again_stays_among_the_departed stale_list
+  what_was_seen_draining_and_is_listed_again_is_not_forgotten_with_the_departed
+  tier/proxy/endpoint_registry.cpp
+  [=[  if (SeenDraining(id)) std::erase(departed_, id);]=] "")
 proxy_mutant(connections_are_not_told_of_drains stale_list
   a_send_to_what_was_seen_draining_is_a_violation
   tier/proxy/endpoint_registry.cpp
--- a/tests/tier/proxy/stale_list_test.cpp
+++ b/tests/tier/proxy/stale_list_test.cpp
@@ -432,6 +432,46 @@
   BOOST_TEST(endpoint.requests.empty());
 }
 
+namespace {
+
+// Tells the world's list with so many others in it, all of them draining.
+void TellWithOthers(stand_in::World& world, std::uint32_t others) {
+  auto list = std::make_shared<shelflink::cluster::EndpointList>(*world.view.endpoints);
+  for (std::uint32_t index = 0; index < others; ++index) {
+    EndpointEntry entry;
+    entry.id = "other-" + std::to_string(index);
+    entry.service = "svc";
+    entry.address = net::Address::V4(0x0a900001 + index, 8080);
+    entry.draining = true;
+    list->entries.push_back(entry);
+  }
+  world.view.endpoints = list;
+  world.calls.OnView(world.view);
+}
+
+}  // namespace
+
+// Whoever leaves meanwhile: one that is listed again is not among the departed any more.
+BOOST_AUTO_TEST_CASE(
+    what_was_seen_draining_and_is_listed_again_is_not_forgotten_with_the_departed) {
+  constexpr std::uint32_t kMoreThanAreRemembered = 4097;
+  stand_in::World world;
+  Endpoint& endpoint = world.Add(stand_in::Answers("x"));
+  endpoint.draining = true;
+  world.Tell();
+  endpoint.crashed = true;  // Not listed; its process goes on.
+  world.Tell();
+  endpoint.crashed = false;
+  endpoint.draining = false;
+  world.Tell();
+  TellWithOthers(world, kMoreThanAreRemembered);
+  world.Tell();  // The others have left.
+  world.Tell();
+  auto client = world.Ask(Request("/get/a", "01"));
+  world.Run(milliseconds(500));
+  BOOST_TEST(endpoint.requests.empty());
+}
+
 // What checks itself: a connection comes up after the drain, and would carry the request.
 BOOST_AUTO_TEST_CASE(a_send_to_what_was_seen_draining_is_a_violation) {
   TakeViolations();
