--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "tier/foundation/invariants.h"
+#include "tier/foundation/steady_time.h"
 #include "tier/proxy/answer_reading.h"
 #include "tier/proxy/event_stream.h"
 #include "tier/proxy/headers.h"
@@ -52,11 +53,7 @@
 
 EndpointCalls::~EndpointCalls() = default;
 
-Micros EndpointCalls::MicrosOf(net::Time time) const {
-  return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
-}
-
-Micros EndpointCalls::Now() const { return MicrosOf(loop_.Now()); }
+Micros EndpointCalls::Now() const { return SteadyMicros(loop_.Now()); }
 
 void EndpointCalls::OnView(const cluster::View& view) {
   feed_.OnView(Now(), view);
@@ -87,7 +84,7 @@
   call.level = request.level;
   call.flow = HashOf(request.tenant.empty() ? route.name : request.tenant);
   call.service = live.service;
-  if (!request.batch || request.due) call.due = MicrosOf(live.deadline);
+  if (!request.batch || request.due) call.due = SteadyMicros(live.deadline);
   call.timeout = std::chrono::duration_cast<std::chrono::microseconds>(route.timeout).count();
   call.objective = std::chrono::duration_cast<std::chrono::microseconds>(route.slo).count();
   call.max_attempts = live.max_attempts();
@@ -180,7 +177,7 @@
   if (live->forbidden || known == nullptr || !live->MaySendMore(now)) {
     return EndUnsent(live, key, Outcome::kNeverSent);
   }
-  CheckSend(*live, *known);
+  CheckList(*live, *known);
   ++live->sends;
   live->message.set(kExpectInstanceHeader, decision.endpoint);
   if (live->events.events() > 0 && live->events.last_id()) {
@@ -196,6 +193,7 @@
   outbound.repeatable = live->repeatable;
   upstream_.Send(key, known->number, outbound,
                  [this, key](kelpspring::Answer answer) { EndAttempt(key, std::move(answer)); });
+  if (FindAttempt(key)) CheckDraining(*live);
 }
 
 ListState EndpointCalls::ListStateNow() const {
@@ -206,12 +204,17 @@
   return !live.user->MaySend() || (live.request.batch && !ItemsMayGo(ListStateNow()));
 }
 
-void EndpointCalls::CheckSend(const LiveCall& live, const KnownEndpoint& known) const {
+void EndpointCalls::CheckList(const LiveCall& live, const KnownEndpoint& known) const {
   if (!known.takes_requests()) return;  // The connections refuse it.
   if (ListStateNow() == ListState::kStale) {
     ProcessInvariants().Violate(Invariant::kEndpointListIsFresh, "a request to " + live.endpoint,
                                 Now());
   }
+}
+
+// Of an attempt that the connections have taken: they keep a list of their own of where requests
+// may go, and refuse what it does not name.
+void EndpointCalls::CheckDraining(const LiveCall& live) const {
   if (registry_.SeenDraining(live.endpoint)) {
     ProcessInvariants().Violate(Invariant::kDrainingStaysDraining, "a request to " + live.endpoint,
                                 Now());
@@ -224,7 +227,9 @@
   const LivePtr live = FindAttempt(key);
   if (!live) return false;
   live->forbidden = IsForbidden(*live);
-  return !live->forbidden && Find(key.first) != nullptr;
+  if (live->forbidden || Find(key.first) == nullptr) return false;
+  CheckDraining(*live);
+  return true;
 }
 
 kelpspring::Reading EndpointCalls::ReadHead(AttemptKey key, const HttpResponse& head) const {
