The agent is split by concern: lease, heartbeat, detours, relay, times

Change: core_lease (the lease and contact), heartbeat (renewals), detours (over another sidecar, and forwarding), view_relay (pushes, fetches, place in the relay tree), and two pure values, true_time and list_reading_time, each with a case in cluster_parts_test; renewal_exchange is what heartbeat and detours have in common. Nothing on the wire, in settings or in log lines changes. Texts of three mutants moved with the code and still stand exactly once.

--- a/tests/tier/batch/mutants.cmake
+++ b/tests/tier/batch/mutants.cmake
@@ -21,7 +21,8 @@
   TEST batch/store_loss_test RUN a_partition_that_lost_every_complete_copy_takes_new_jobs
   LIBRARIES ${batch_store_libraries})
 tier_mutant(leases_count_under_any_placement cluster/agent.cpp
-  [=[    if (!IsStale(Part::kPlacement)) placement_lease_until]=] [=[    placement_lease_until]=]
+  [=[    if (!relay.IsStale(Part::kPlacement)) lease.ExtendPlacement();]=]
+  [=[    lease.ExtendPlacement();]=]
   TEST cluster/agent_test RUN a_lease_decides_nothing_by_a_placement_that_was_replaced
   LIBRARIES shelflink_tier_core shelflink_virtual)
 tier_mutant(whoever_ends_inside_an_event_is_whole batch/item_run.cpp
--- a/tests/tier/cluster/cluster_parts_test.cpp
+++ b/tests/tier/cluster/cluster_parts_test.cpp
@@ -1,5 +1,5 @@
-// The small pure parts: finder of the core, relay tree, clock estimate, leases, orders of
-// endpoints, summaries of lists.
+// The small pure parts: finder of the core, relay tree, clock estimate, true time, time of a
+// reading, leases, orders of endpoints, summaries of lists.
 #define BOOST_TEST_MODULE cluster_parts
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
@@ -10,9 +10,11 @@
 #include "tier/cluster/core_finder.h"
 #include "tier/cluster/core_service.h"
 #include "tier/cluster/endpoint_summary.h"
+#include "tier/cluster/list_reading_time.h"
 #include "tier/cluster/member_table.h"
 #include "tier/cluster/relay_tree.h"
 #include "tier/cluster/scale_planner.h"
+#include "tier/cluster/true_time.h"
 
 namespace shelflink::cluster {
 namespace {
@@ -155,6 +157,32 @@
   BOOST_TEST(estimate.TrueMicros(After(seconds(2)), truth + 9'000'000) == truth + 2'000'000);
 }
 
+// --- What the primary tells of time ---
+
+BOOST_AUTO_TEST_CASE(true_time_goes_on_from_the_middle_of_a_call) {
+  TrueTime time;
+  BOOST_TEST(time.Micros(After(seconds(5)), 77) == 77);
+  time.Take(After(seconds(1)), After(seconds(3)), 500'000'000);
+  BOOST_TEST(time.Micros(After(seconds(2)), 77) == 500'000'000);
+  BOOST_TEST(time.Micros(After(seconds(5)), 77) == 503'000'000);
+}
+
+BOOST_AUTO_TEST_CASE(a_reading_counts_once_its_list_is_held) {
+  ListReadingTime reading;
+  BOOST_TEST(!reading.known());
+  reading.OnTold({3, 7}, After(seconds(2)), {3, 6});
+  BOOST_TEST(!reading.known());
+  reading.OnHeld({3, 7});
+  BOOST_TEST((reading.read_at() == After(seconds(2))));
+}
+
+BOOST_AUTO_TEST_CASE(an_older_reading_told_late_changes_nothing) {
+  ListReadingTime reading;
+  reading.OnTold({3, 7}, After(seconds(2)), {3, 7});
+  reading.OnTold({3, 7}, After(seconds(1)), {3, 8});
+  BOOST_TEST((reading.read_at() == After(seconds(2))));
+}
+
 // --- Leases ---
 
 transport::PeerIdentity Who(std::uint32_t host, const std::string& role, std::uint64_t life) {
--- a/tests/tier/cluster/mutants.cmake
+++ b/tests/tier/cluster/mutants.cmake
@@ -2,13 +2,13 @@
 set(cluster_core shelflink_tier_core shelflink_virtual)
 
 tier_mutant(a_former_primary_gives_leases cluster/agent.cpp
-  [=[    if (answer.epoch < epoch) {  // A former primary, however it came to answer.]=]
-  [=[    if (false) {]=]
+  [=[    if (answer.epoch < epoch) return false;  // A former primary, however it came to answer.]=]
+  ""
   TEST cluster/old_primary_test RUN a_former_primary_gives_no_lease_and_nothing_older
   LIBRARIES ${cluster_core})
 tier_mutant(detours_to_a_former_primary_count cluster/agent.cpp
-  [=[!answer.value().accepted || answer.value().epoch < epoch) {]=]
-  [=[!answer.value().accepted) {]=]
+  [=[    if (answer.epoch < epoch) return false;
+]=] ""
   TEST cluster/old_primary_test RUN a_detour_to_a_former_primary_changes_nothing
   LIBRARIES ${cluster_core})
 tier_mutant(older_parts_are_taken cluster/view_store.cpp
