The core's service is split: lists of endpoints and retirement are modules of their own

Change: endpoint_list_publisher (publishes, adopts, tells the age of lists) and retirement (pure: what may be ordered, how far it has come). Log lines and figures stay as they were. Texts of two mutants moved with the code.

--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -6,20 +6,18 @@
 
 #include "tier/cluster/clock_estimate.h"
 #include "tier/cluster/control_state.h"
-#include "tier/cluster/endpoint_summary.h"
+#include "tier/cluster/endpoint_list_publisher.h"
 #include "tier/cluster/endpoint_watch.h"
 #include "tier/cluster/member_table.h"
 #include "tier/cluster/messages.h"
 #include "tier/cluster/placement_keeper.h"
 #include "tier/cluster/relay_tree.h"
-#include "tier/cluster/same_endpoints.h"
+#include "tier/cluster/retirement.h"
 #include "tier/cluster/scale_duty.h"
 #include "tier/cluster/usage_duty.h"
 #include "tier/cluster/view_codec.h"
 #include "tier/cluster/view_publisher.h"
-#include "tier/foundation/invariants.h"
 #include "tier/foundation/log.h"
-#include "tier/foundation/steady_time.h"
 
 namespace shelflink::cluster {
 namespace {
@@ -30,7 +28,6 @@
 constexpr milliseconds kLongestStoreLease{1500};
 constexpr milliseconds kMembersGap{250};    // Between two lists of members, at the least,
 constexpr milliseconds kMembersGapEach{1};  // and for each member.
-constexpr milliseconds kAdoptTimeout{500};
 constexpr std::size_t kMembersAtFullRate = 200;
 constexpr const char* kModule = "cluster.core";
 
@@ -74,6 +71,9 @@
         spans(SpansOf(settings)),
         members(spans),
         publisher(hub),
+        endpoint_lists(loop, hub, publisher, tree,
+                       {[this] { return Leads(); }, [this] { return NextVersion(); },
+                        [this] { return LastVersion(); }, [this] { return WhyNotLeading(); }}),
         keeper(loop, replicator, members, RulesOf(settings), spans.store),
         pace(settings.cloud.duty_per_s) {
     if (platform != nullptr) MakePlatformParts(*platform);
@@ -92,7 +92,10 @@
         loop, platform,
         platform::ListReader::Options{settings.cloud.rate_per_s, settings.bounds.drain,
                                       platform::kCoreShareOfRate},
-        [this](const std::vector<EndpointEntry>& entries) { return PublishEndpoints(entries); });
+        [this](const std::vector<EndpointEntry>& entries) {
+          return endpoint_lists.Publish(entries);
+        });
+    endpoint_lists.SetWatch(watch.get());
     if (HasDuty(settings, "usage_report")) {
       usage = std::make_unique<UsageDuty>(UsageDuty::Parts{loop, replicator, platform, ledger, pace,
                                                            [this] { return TrueMicros(); }},
@@ -129,6 +132,10 @@
 
   bool Leads() const { return leading && replicator.is_primary(); }
 
+  const char* WhyNotLeading() const {
+    return leading ? "the primary's lease has lapsed" : "not the primary";
+  }
+
   void OnRole(bool primary, std::uint64_t the_epoch) {
     if (primary && leading && the_epoch == epoch + 1) {
       GoOnLeading(the_epoch);
@@ -234,7 +241,7 @@
     if (renewal.parent_silent && parent && renewal.parent == parent) tree.Distrust(*parent);
     clock.Hear(loop.Now(), from.address, renewal.wall_micros);
     HearUses(from, renewal);
-    AdoptEndpoints(from.address, renewal.versions[Part::kEndpoints]);
+    endpoint_lists.Adopt(from.address, renewal.versions[Part::kEndpoints]);
   }
 
   void HearUses(const transport::PeerIdentity& from, const Renewal& renewal) {
@@ -248,9 +255,9 @@
     answer.primary = hub.self().address;
     answer.epoch = epoch;
     answer.incarnation = hub.self().incarnation;
-    PublishPendingEndpoints();
+    endpoint_lists.PublishPending();
     answer.versions = publisher.versions();
-    answer.endpoints_age = EndpointsAge();
+    answer.endpoints_age = endpoint_lists.Age();
     answer.true_micros = TrueMicros();
     answer.settled_before = ledger.settled_before();
     return answer;
@@ -324,6 +331,7 @@
   // --- Parts of the view ---
 
   Version NextVersion() { return {epoch, ++count}; }
+  Version LastVersion() const { return {epoch, count}; }
 
   void Publish(Part part, const Version& version, std::string body) {
     const bool push = Leads();
@@ -347,94 +355,15 @@
     Publish(Part::kMembers, NextVersion(), EncodeMembers(all));
   }
 
-  // Whether it is out: without a valid lease nothing is published, and the watch keeps it.
-  bool PublishEndpoints(const std::vector<EndpointEntry>& entries) {
-    if (!Leads()) {
-      SayNotPublished(entries);
-      return false;
-    }
-    withheld_list.reset();
-    read_version = NextVersion();
-    Publish(Part::kEndpoints, read_version, EncodeEndpoints(entries));
-    SayPublished(SummaryOf(read_version, entries));
-    return true;
-  }
-
-  void SayPublished(const EndpointSummary& list) {
-    published_list = list;
-    const bool in_force = publisher.versions()[Part::kEndpoints] == list.version;
-    ++(in_force ? lists_published : lists_not_published);
-    log::Info(kModule, std::string("endpoint list ") + (in_force ? "published" : "not published") +
-                           ": " + TextOf(list) + ", " + AgeOfList() +
-                           (in_force ? "" : "; a newer one is in force"));
-  }
-
-  // The watch offers it again and again: it counts once.
-  void SayNotPublished(const std::vector<EndpointEntry>& entries) {
-    if (withheld_list && SameEndpoints(*withheld_list, entries)) return;
-    withheld_list = entries;
-    ++lists_not_published;
-    const char* reason = leading ? "the primary's lease has lapsed" : "not the primary";
-    log::Bounded(
-        log::Level::kWarning, kModule, "not published",
-        "endpoint list read and not published: " + TextOf(SummaryOf({epoch, count}, entries)) +
-            ", " + AgeOfList() + "; " + reason,
-        SteadyMicros(loop.Now()));
-  }
-
   ClusterFigures Figures() const {
     ClusterFigures figures;
     if (Leads()) {
       for (const auto& [address, lease] : members.leases()) ++figures.leases[lease.member.role];
     }
-    figures.published_list = published_list;
-    figures.lists_published = lists_published;
-    figures.lists_not_published = lists_not_published;
-    if (watch && watch->read_at()) figures.list_age = loop.Now() - *watch->read_at();
+    endpoint_lists.AddFigures(figures);
     return figures;
   }
 
-  std::string AgeOfList() const {
-    const std::optional<net::Time> read_at = watch->read_at();
-    if (!read_at) return "never read";
-    return "read " + std::to_string((loop.Now() - *read_at) / milliseconds(1)) + " ms ago";
-  }
-
-  // A list that was read while the lease had lapsed goes out before any renewal is answered. The
-  // lease may lapse since that renewal was taken up; then the list stays behind.
-  void PublishPendingEndpoints() {
-    if (!watch) return;
-    watch->PublishPending();
-    if (!Leads()) return;
-    ProcessInvariants().Check(watch->published(), Invariant::kReadListIsPublished,
-                              "a renewal is answered before the list that was read",
-                              SteadyMicros(loop.Now()));
-  }
-
-  // How old the reading is that the published list stands for; none where it is not of this
-  // primary's reading, or where a newer one has not been published.
-  std::optional<milliseconds> EndpointsAge() const {
-    const bool own =
-        read_version != Version() && publisher.versions()[Part::kEndpoints] == read_version;
-    if (!own || !watch || !watch->published() || !watch->read_at()) return std::nullopt;
-    return std::chrono::ceil<milliseconds>(loop.Now() - *watch->read_at());
-  }
-
-  // While the platform is out of reach, a new primary passes on the list that the members have.
-  void AdoptEndpoints(const net::Address& member, const Version& has) {
-    if (adopting || has <= publisher.versions()[Part::kEndpoints]) return;
-    adopting = true;
-    hub.Call(member, kFetchKind, Encode(Fetch{Part::kEndpoints, has}), kAdoptTimeout,
-             [this, alive = std::weak_ptr<char>(life)](const Result<std::string>& body) {
-               if (alive.expired()) return;
-               adopting = false;
-               const Result<Push> push = body ? DecodePush(body.value()) : body.error();
-               if (push && push.value().part == Part::kEndpoints && Leads()) {
-                 publisher.Publish(push.value(), tree.PushTargets());
-               }
-             });
-  }
-
   void OnCommitted(const std::vector<coordination::Write>& writes) {
     bool configuration_changed = false;
     bool placement_changed = false;
@@ -484,7 +413,8 @@
         [this, alive = std::weak_ptr<char>(life),
          node](const Contents& committed) -> Result<Writes> {
           if (alive.expired()) return MakeError(ErrorCode::kUnavailable, "ending");
-          return PlanRetire(committed, node);
+          return PlanRetirement(committed, node, {keeper.Candidates(committed), keeper.Patient()},
+                                keeper.rules());
         },
         [this, alive = std::weak_ptr<char>(life), done](const Result<void>& result) {
           if (alive.expired()) return;
@@ -493,38 +423,6 @@
         });
   }
 
-  Result<Writes> PlanRetire(const Contents& committed, const std::string& node) const {
-    if (committed.contains(RetireKey(node))) return Writes();
-    const std::vector<StoreCandidate> stores = keeper.Candidates(committed);
-    const bool known = std::any_of(stores.begin(), stores.end(),
-                                   [&](const StoreCandidate& store) { return store.node == node; });
-    const bool enough_left = MayRetire(stores, node, keeper.rules());
-    if ((!known || !enough_left) && keeper.Patient()) {
-      return MakeError(ErrorCode::kUnavailable, "the stores have not all been heard of yet");
-    }
-    if (!known) return MakeError(ErrorCode::kNotFound, "no store of that name is known");
-    if (!enough_left) {
-      return MakeError(ErrorCode::kConflict, "too few stores would be left");
-    }
-    return Writes{{RetireKey(node), EncodeNumber(1)}};
-  }
-
-  Result<operator_api::RetireState> RetireStateOf(const std::string& node) const {
-    const Contents& contents = replicator.contents();
-    if (!contents.contains(RetireKey(node))) {
-      return MakeError(ErrorCode::kNotFound, "nobody asked for this store to be emptied");
-    }
-    const auto stores = StoresOf(contents);
-    const auto store = stores.find(node);
-    if (store == stores.end()) return operator_api::RetireState::kRunning;
-    const std::vector<PartitionRow> rows = RowsOf(contents);
-    const bool named = std::any_of(rows.begin(), rows.end(), [&](const PartitionRow& row) {
-      return Names(row, store->second.disk) || row.primary == store->second.address ||
-             std::count(row.backups.begin(), row.backups.end(), store->second.address) > 0;
-    });
-    return named ? operator_api::RetireState::kRunning : operator_api::RetireState::kCompleted;
-  }
-
   net::Loop& loop;
   transport::Hub& hub;
   coordination::Replicator& replicator;
@@ -535,6 +433,7 @@
   ClockEstimate clock;
   UsageLedger ledger;
   ViewPublisher publisher;
+  EndpointListPublisher endpoint_lists;
   PlacementKeeper keeper;
   DutyPace pace;
   std::unique_ptr<EndpointWatch> watch;  // Null: no platform.
@@ -545,16 +444,10 @@
   bool leading = false;
   std::uint64_t epoch = 0;
   std::uint64_t count = 0;  // Of the parts made under this epoch.
-  Version read_version;     // Of the endpoints that this process has read and published last.
   net::Time led_since{};
   net::Time next_tick{};
   bool members_changed = false;
   net::Time members_published{};
-  bool adopting = false;
-  std::optional<EndpointSummary> published_list;  // The last that was read here.
-  std::uint64_t lists_published = 0;
-  std::uint64_t lists_not_published = 0;
-  std::optional<std::vector<EndpointEntry>> withheld_list;  // Read last, and not published.
   std::shared_ptr<const configuration::Configuration> configuration;
   std::function<void(const std::shared_ptr<const configuration::Configuration>&)>
       configuration_watcher;
@@ -610,7 +503,7 @@
   impl_->ReadCommitted([impl = impl_.get(), node = std::move(node),
                         done = std::move(done)](const Result<void>& result) {
     if (result) {
-      done(impl->RetireStateOf(node));
+      done(RetirementState(impl->replicator.contents(), node));
     } else {
       done(result.error());
     }
--- /dev/null
+++ b/src/tier/cluster/retirement.cpp
@@ -0,0 +1,51 @@
+#include "tier/cluster/retirement.h"
+
+#include <algorithm>
+
+#include "tier/cluster/control_state.h"
+
+namespace shelflink::cluster {
+namespace {
+
+bool IsNamed(const PartitionRow& row, const StoreRecord& store) {
+  return Names(row, store.disk) || row.primary == store.address ||
+         std::count(row.backups.begin(), row.backups.end(), store.address) > 0;
+}
+
+}  // namespace
+
+Result<std::vector<coordination::Write>> PlanRetirement(const coordination::Contents& committed,
+                                                        const std::string& node,
+                                                        const KnownStores& stores,
+                                                        const PlacementRules& rules) {
+  using Writes = std::vector<coordination::Write>;
+  if (committed.contains(RetireKey(node))) return Writes();
+  const bool known = std::any_of(stores.all.begin(), stores.all.end(),
+                                 [&](const StoreCandidate& store) { return store.node == node; });
+  const bool enough_left = MayRetire(stores.all, node, rules);
+  if ((!known || !enough_left) && stores.may_be_more) {
+    return MakeError(ErrorCode::kUnavailable, "the stores have not all been heard of yet");
+  }
+  if (!known) return MakeError(ErrorCode::kNotFound, "no store of that name is known");
+  if (!enough_left) {
+    return MakeError(ErrorCode::kConflict, "too few stores would be left");
+  }
+  return Writes{{RetireKey(node), EncodeNumber(1)}};
+}
+
+Result<operator_api::RetireState> RetirementState(const coordination::Contents& contents,
+                                                  const std::string& node) {
+  if (!contents.contains(RetireKey(node))) {
+    return MakeError(ErrorCode::kNotFound, "nobody asked for this store to be emptied");
+  }
+  const auto stores = StoresOf(contents);
+  const auto store = stores.find(node);
+  if (store == stores.end()) return operator_api::RetireState::kRunning;
+  const std::vector<PartitionRow> rows = RowsOf(contents);
+  const bool named = std::any_of(rows.begin(), rows.end(), [&](const PartitionRow& row) {
+    return IsNamed(row, store->second);
+  });
+  return named ? operator_api::RetireState::kRunning : operator_api::RetireState::kCompleted;
+}
+
+}  // namespace shelflink::cluster
--- a/tests/tier/cluster/mutants.cmake
+++ b/tests/tier/cluster/mutants.cmake
@@ -16,8 +16,8 @@
   [=[  if (push.version == versions_[push.part]) return false;]=]
   TEST cluster/old_primary_test RUN late_pushes_of_a_former_primary_are_dropped
   LIBRARIES ${cluster_core})
-tier_mutant(a_new_primary_refuses_retirements cluster/core_service.cpp
-  [=[    if ((!known || !enough_left) && keeper.Patient()) {]=] [=[    if (false) {]=]
+tier_mutant(a_new_primary_refuses_retirements cluster/retirement.cpp
+  [=[  if ((!known || !enough_left) && stores.may_be_more) {]=] [=[  if (false) {]=]
   TEST cluster/core_service_test RUN a_new_primary_refuses_no_retirement_before_it_knows
   LIBRARIES ${cluster_core})
 tier_mutant(parts_are_counted_anew_after_a_lapse cluster/core_service.cpp
--- a/tests/tier/proxy/mutants.cmake
+++ b/tests/tier/proxy/mutants.cmake
@@ -108,7 +108,7 @@
   [=[known.address, known.takes_requests(), 0);]=] [=[known.address, true, 0);]=])
 proxy_mutant(no_renewal_tells_the_lists_age stale_list no_proxy_reads_while_the_core_does
   tier/cluster/core_service.cpp
-  [=[    answer.endpoints_age = EndpointsAge();]=] "")
+  [=[    answer.endpoints_age = endpoint_lists.Age();]=] "")
 proxy_mutant(no_proxy_reads_the_list_itself stale_list a_drain_binds_without_any_core_process
   tier/proxy/list_fallback.cpp
   [=[  poller_->Start(loop_.Now() + slot * static_cast<int>(choice_.rank_in_group()));]=] "")
