Decoders of the cluster's messages and of the view's parts share one shape

Cause: each decoder built a reader, read its fields in a block and checked the whole by a copy of the same template; encoders of three lists were alike.

Change: field_codec.h holds CheckWhole and DecodeWhole; each message is read by a function of its own. Bytes and texts of errors stay.

--- a/src/tier/cluster/field_codec.h
+++ b/src/tier/cluster/field_codec.h
@@ -6,11 +6,13 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "net/address.h"
 #include "tier/cluster/view.h"
 #include "tier/foundation/cbor.h"
+#include "tier/foundation/result.h"
 
 namespace shelflink::cluster {
 
@@ -43,6 +45,23 @@
   std::size_t surplus_ = 0;
 };
 
+// kInvalid, with "malformed " and `what`, unless all of the body could be read and nothing follows.
+template <typename T>
+Result<T> CheckWhole(const cbor::Reader& reader, T value, const char* what) {
+  if (!reader.ok() || !reader.AtEnd()) {
+    return MakeError(ErrorCode::kInvalid, std::string("malformed ") + what);
+  }
+  return value;
+}
+
+// The one value that a body holds, by the reader of such values; errors as above.
+template <typename T, typename ReadValue>
+Result<T> DecodeWhole(std::string_view body, const char* what, ReadValue read_value) {
+  cbor::Reader reader(body);
+  T value = read_value(reader);
+  return CheckWhole(reader, std::move(value), what);
+}
+
 inline void Write(cbor::Writer& writer, const Version& version) {
   writer.Array(2).Uint(version.epoch).Uint(version.count);
 }
--- a/src/tier/cluster/messages.cpp
+++ b/src/tier/cluster/messages.cpp
@@ -84,12 +84,81 @@
   return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(age, kMostAgeMs)));
 }
 
-// A message is usable when all of it could be read and nothing follows.
-template <typename T>
-Result<T> Checked(const cbor::Reader& reader, T message, const char* name) {
-  if (!reader.ok() || !reader.AtEnd()) {
-    return MakeError(ErrorCode::kInvalid, std::string("malformed message: ") + name);
-  }
+Renewal ReadRenewal(cbor::Reader& reader) {
+  const FieldsReader fields(reader, 9);
+  Renewal message;
+  message.ready = reader.Bool();
+  message.versions = ReadPartVersions(reader);
+  message.parent_silent = reader.Bool();
+  message.parent = ReadOptionalAddress(reader);
+  message.wall_micros = reader.Int();
+  message.window_open = reader.Uint();
+  message.uses = ReadList<UseCount>(reader, ReadUse);
+  message.loads = ReadList<ServiceLoad>(reader, ReadLoad);
+  message.store = ReadStore(reader);
+  return message;
+}
+
+RenewalAnswer ReadRenewalAnswer(cbor::Reader& reader) {
+  FieldsReader fields(reader, 12);
+  RenewalAnswer message;
+  message.accepted = reader.Bool();
+  message.primary = ReadOptionalAddress(reader);
+  message.epoch = reader.Uint();
+  message.incarnation = reader.Uint();
+  message.lease_ms = static_cast<std::uint32_t>(reader.Uint());
+  message.interval_ms = static_cast<std::uint32_t>(reader.Uint());
+  message.versions = ReadPartVersions(reader);
+  message.parent = ReadOptionalAddress(reader);
+  message.children = ReadAddresses(reader);
+  message.true_micros = reader.Int();
+  message.settled_before = reader.Uint();
+  message.cores = ReadAddresses(reader);
+  if (fields.TakeAdded() && !reader.TakeNull()) message.endpoints_age = ReadAge(reader);
+  return message;
+}
+
+Push ReadPush(cbor::Reader& reader) {
+  const FieldsReader fields(reader, 3);
+  Push message;
+  message.part = ReadPart(reader);
+  message.version = ReadVersion(reader);
+  message.body = reader.Bytes();
+  return message;
+}
+
+Fetch ReadFetch(cbor::Reader& reader) {
+  const FieldsReader fields(reader, 2);
+  Fetch message;
+  message.part = ReadPart(reader);
+  message.least = ReadVersion(reader);
+  return message;
+}
+
+BackupReport ReadBackupReport(cbor::Reader& reader) {
+  const FieldsReader fields(reader, 4);
+  BackupReport message;
+  message.partition = static_cast<std::uint32_t>(reader.Uint());
+  message.epoch = reader.Uint();
+  message.disk = reader.Text();
+  const std::uint64_t condition = reader.Uint();
+  if (condition > static_cast<std::uint64_t>(BackupCondition::kStalled)) reader.Fail();
+  message.condition = condition == 1 ? BackupCondition::kStalled : BackupCondition::kComplete;
+  return message;
+}
+
+ListReadingFetch ReadListReadingFetch(cbor::Reader& reader) {
+  const FieldsReader fields(reader, 1);
+  ListReadingFetch message;
+  message.age = ReadAge(reader);
+  return message;
+}
+
+ListReading ReadListReading(cbor::Reader& reader) {
+  const FieldsReader fields(reader, 2);
+  ListReading message;
+  message.age = ReadAge(reader);
+  message.endpoints = reader.Bytes();
   return message;
 }
 
@@ -110,21 +179,7 @@
 }
 
 Result<Renewal> DecodeRenewal(std::string_view body) {
-  cbor::Reader reader(body);
-  Renewal message;
-  {
-    const FieldsReader fields(reader, 9);
-    message.ready = reader.Bool();
-    message.versions = ReadPartVersions(reader);
-    message.parent_silent = reader.Bool();
-    message.parent = ReadOptionalAddress(reader);
-    message.wall_micros = reader.Int();
-    message.window_open = reader.Uint();
-    message.uses = ReadList<UseCount>(reader, ReadUse);
-    message.loads = ReadList<ServiceLoad>(reader, ReadLoad);
-    message.store = ReadStore(reader);
-  }
-  return Checked(reader, std::move(message), "renewal");
+  return DecodeWhole<Renewal>(body, "message: renewal", ReadRenewal);
 }
 
 std::string Encode(const Detour& message) {
@@ -152,7 +207,7 @@
   Result<Renewal> decoded = DecodeRenewal(renewal);
   if (!decoded) return decoded.error();
   message.renewal = std::move(decoded.value());
-  return Checked(reader, std::move(message), "detour of a renewal");
+  return CheckWhole(reader, std::move(message), "message: detour of a renewal");
 }
 
 std::string Encode(const RenewalAnswer& message) {
@@ -175,25 +230,7 @@
 }
 
 Result<RenewalAnswer> DecodeRenewalAnswer(std::string_view body) {
-  cbor::Reader reader(body);
-  RenewalAnswer message;
-  {
-    FieldsReader fields(reader, 12);
-    message.accepted = reader.Bool();
-    message.primary = ReadOptionalAddress(reader);
-    message.epoch = reader.Uint();
-    message.incarnation = reader.Uint();
-    message.lease_ms = static_cast<std::uint32_t>(reader.Uint());
-    message.interval_ms = static_cast<std::uint32_t>(reader.Uint());
-    message.versions = ReadPartVersions(reader);
-    message.parent = ReadOptionalAddress(reader);
-    message.children = ReadAddresses(reader);
-    message.true_micros = reader.Int();
-    message.settled_before = reader.Uint();
-    message.cores = ReadAddresses(reader);
-    if (fields.TakeAdded() && !reader.TakeNull()) message.endpoints_age = ReadAge(reader);
-  }
-  return Checked(reader, std::move(message), "answer to a renewal");
+  return DecodeWhole<RenewalAnswer>(body, "message: answer to a renewal", ReadRenewalAnswer);
 }
 
 std::string Encode(const Push& message) {
@@ -205,15 +242,7 @@
 }
 
 Result<Push> DecodePush(std::string_view body) {
-  cbor::Reader reader(body);
-  Push message;
-  {
-    const FieldsReader fields(reader, 3);
-    message.part = ReadPart(reader);
-    message.version = ReadVersion(reader);
-    message.body = reader.Bytes();
-  }
-  return Checked(reader, std::move(message), "push");
+  return DecodeWhole<Push>(body, "message: push", ReadPush);
 }
 
 std::string Encode(const Fetch& message) {
@@ -224,14 +253,7 @@
 }
 
 Result<Fetch> DecodeFetch(std::string_view body) {
-  cbor::Reader reader(body);
-  Fetch message;
-  {
-    const FieldsReader fields(reader, 2);
-    message.part = ReadPart(reader);
-    message.least = ReadVersion(reader);
-  }
-  return Checked(reader, message, "fetch");
+  return DecodeWhole<Fetch>(body, "message: fetch", ReadFetch);
 }
 
 std::string Encode(const BackupReport& message) {
@@ -242,18 +264,7 @@
 }
 
 Result<BackupReport> DecodeBackupReport(std::string_view body) {
-  cbor::Reader reader(body);
-  BackupReport message;
-  {
-    const FieldsReader fields(reader, 4);
-    message.partition = static_cast<std::uint32_t>(reader.Uint());
-    message.epoch = reader.Uint();
-    message.disk = reader.Text();
-    const std::uint64_t condition = reader.Uint();
-    if (condition > static_cast<std::uint64_t>(BackupCondition::kStalled)) reader.Fail();
-    message.condition = condition == 1 ? BackupCondition::kStalled : BackupCondition::kComplete;
-  }
-  return Checked(reader, std::move(message), "report on a backup");
+  return DecodeWhole<BackupReport>(body, "message: report on a backup", ReadBackupReport);
 }
 
 std::string Encode(const ListReadingFetch& message) {
@@ -264,13 +275,7 @@
 }
 
 Result<ListReadingFetch> DecodeListReadingFetch(std::string_view body) {
-  cbor::Reader reader(body);
-  ListReadingFetch message;
-  {
-    const FieldsReader fields(reader, 1);
-    message.age = ReadAge(reader);
-  }
-  return Checked(reader, message, "fetch of a reading");
+  return DecodeWhole<ListReadingFetch>(body, "message: fetch of a reading", ReadListReadingFetch);
 }
 
 std::string Encode(const ListReading& message) {
@@ -282,14 +287,7 @@
 }
 
 Result<ListReading> DecodeListReading(std::string_view body) {
-  cbor::Reader reader(body);
-  ListReading message;
-  {
-    const FieldsReader fields(reader, 2);
-    message.age = ReadAge(reader);
-    message.endpoints = reader.Bytes();
-  }
-  return Checked(reader, std::move(message), "reading of the list");
+  return DecodeWhole<ListReading>(body, "message: reading of the list", ReadListReading);
 }
 
 }  // namespace shelflink::cluster
--- a/src/tier/cluster/view_codec.cpp
+++ b/src/tier/cluster/view_codec.cpp
@@ -69,32 +69,37 @@
   return row;
 }
 
-template <typename T>
-Result<T> Checked(const cbor::Reader& reader, T value, const char* name) {
-  if (!reader.ok() || !reader.AtEnd()) {
-    return MakeError(ErrorCode::kInvalid, std::string("malformed part of the view: ") + name);
-  }
-  return value;
+std::vector<EndpointEntry> ReadEndpoints(cbor::Reader& reader) {
+  return ReadList<EndpointEntry>(reader, ReadEndpoint);
 }
 
-}  // namespace
+std::vector<PartitionRow> ReadRows(cbor::Reader& reader) {
+  return ReadList<PartitionRow>(reader, ReadRow);
+}
 
-std::string EncodeEndpoints(const std::vector<EndpointEntry>& entries) {
+std::vector<Member> ReadMembers(cbor::Reader& reader) {
+  return ReadList<Member>(reader, ReadMember);
+}
+
+template <typename T, typename WriteOne>
+std::string EncodeList(const std::vector<T>& list, WriteOne write_one) {
   cbor::Writer writer;
-  WriteList(writer, entries, WriteEndpoint);
+  WriteList(writer, list, write_one);
   return writer.Take();
 }
 
+}  // namespace
+
+std::string EncodeEndpoints(const std::vector<EndpointEntry>& entries) {
+  return EncodeList(entries, WriteEndpoint);
+}
+
 std::string EncodePlacement(const std::vector<PartitionRow>& rows) {
-  cbor::Writer writer;
-  WriteList(writer, rows, WriteRow);
-  return writer.Take();
+  return EncodeList(rows, WriteRow);
 }
 
 std::string EncodeMembers(const std::vector<Member>& members) {
-  cbor::Writer writer;
-  WriteList(writer, members, WriteMember);
-  return writer.Take();
+  return EncodeList(members, WriteMember);
 }
 
 std::string EncodeRow(const PartitionRow& row) {
@@ -104,27 +109,20 @@
 }
 
 Result<std::vector<EndpointEntry>> DecodeEndpoints(std::string_view body) {
-  cbor::Reader reader(body);
-  auto entries = ReadList<EndpointEntry>(reader, ReadEndpoint);
-  return Checked(reader, std::move(entries), "endpoints");
+  return DecodeWhole<std::vector<EndpointEntry>>(body, "part of the view: endpoints",
+                                                 ReadEndpoints);
 }
 
 Result<std::vector<PartitionRow>> DecodePlacement(std::string_view body) {
-  cbor::Reader reader(body);
-  auto rows = ReadList<PartitionRow>(reader, ReadRow);
-  return Checked(reader, std::move(rows), "placement");
+  return DecodeWhole<std::vector<PartitionRow>>(body, "part of the view: placement", ReadRows);
 }
 
 Result<std::vector<Member>> DecodeMembers(std::string_view body) {
-  cbor::Reader reader(body);
-  auto members = ReadList<Member>(reader, ReadMember);
-  return Checked(reader, std::move(members), "members");
+  return DecodeWhole<std::vector<Member>>(body, "part of the view: members", ReadMembers);
 }
 
 Result<PartitionRow> DecodeRow(std::string_view body) {
-  cbor::Reader reader(body);
-  PartitionRow row = ReadRow(reader);
-  return Checked(reader, std::move(row), "row of a partition");
+  return DecodeWhole<PartitionRow>(body, "part of the view: row of a partition", ReadRow);
 }
 
 }  // namespace shelflink::cluster
