Names of the field in policy, proxy, batch, storage and transport of the tier

Changes nothing else; nothing on the wire or in settings. Seats: LimitOf. Book, Unbook: AddAttempt, RemoveAttempt. Unwait: RemoveWaiting. Patience of a first event: first-event time-out; of a silent endpoint: failover silence; of the batch front: Timeouts; of reports and drains: kRunReportTimeout, kDrainTimeout. Lend, LendOne: LeaseNext, LeaseOne. Vouched, OnVouched: LastOfferTaken, OnOfferTaken. MustLetGo, LetGo, PutAside: MustRemap, Remap, SetFileAside. Heir: SuccessorCondition. WordOf: NameOf. ReadsInVain: OwnReadingFails.

--- a/src/tier/batch/front.cpp
+++ b/src/tier/batch/front.cpp
@@ -75,11 +75,11 @@
 }  // namespace
 
 Front::Front(net::Loop& loop, transport::Hub& hub, ViewSource view, const Bounds& bounds)
-    : Front(loop, hub, std::move(view), bounds, Patience()) {}
+    : Front(loop, hub, std::move(view), bounds, Timeouts()) {}
 
 Front::Front(net::Loop& loop, transport::Hub& hub, ViewSource view, const Bounds& bounds,
-             Patience patience)
-    : loop_(loop), bounds_(bounds), patience_(patience), stores_(loop, hub, std::move(view)) {}
+             Timeouts timeouts)
+    : loop_(loop), bounds_(bounds), timeouts_(timeouts), stores_(loop, hub, std::move(view)) {}
 
 void Front::Submit(const proxy::BatchCaller& caller, proxy::BatchSubmission submission,
                    Reply<void> reply) {
@@ -107,7 +107,7 @@
   StoreCaller::Question question;
   question.kind = kSubmit;
   question.job = JobOf(caller, submission.job);
-  question.until = caller.came + patience_.submit;
+  question.until = caller.came + timeouts_.submit;
   question.encode = [this, message = std::move(message),
                      came = caller.came](const JobRef& job) mutable {
     message.job = job;
@@ -127,11 +127,11 @@
     return;
   }
   const net::Time hold_until =
-      caller.came + std::clamp(read.wait, milliseconds(0), patience_.longest_wait);
+      caller.came + std::clamp(read.wait, milliseconds(0), timeouts_.longest_wait);
   StoreCaller::Question question;
   question.kind = kRead;
   question.job = JobOf(caller, read.job);
-  question.until = hold_until + patience_.read;
+  question.until = hold_until + timeouts_.read;
   question.encode = [this, after = read.after, hold_until](const JobRef& job) {
     batch::Read message;
     message.job = job;
@@ -155,7 +155,7 @@
   StoreCaller::Question question;
   question.kind = kBody;
   question.job = JobOf(caller, job);
-  question.until = caller.came + patience_.body;
+  question.until = caller.came + timeouts_.body;
   question.encode = [item](const JobRef& ref) { return Encode(ItemRef{ref, item}); };
   question.done = std::move(reply);
   stores_.Ask(std::move(question));
@@ -169,7 +169,7 @@
   StoreCaller::Question question;
   question.kind = kEnd;
   question.job = JobOf(caller, job);
-  question.until = caller.came + patience_.end;
+  question.until = caller.came + timeouts_.end;
   question.encode = [](const JobRef& ref) { return Encode(ref); };
   question.done = [reply = std::move(reply)](const Result<std::string>& answer) {
     if (answer) {
--- a/src/tier/batch/front.h
+++ b/src/tier/batch/front.h
@@ -20,7 +20,7 @@
   // How long a store is asked on a client's behalf, counted from the client's last byte. A question
   // goes on over a change of the partition's primary; afterwards the client is told that nothing is
   // certain and asks another sidecar.
-  struct Patience {
+  struct Timeouts {
     milliseconds submit{3000};
     milliseconds read{1200};  // Beyond the time that the client allows the answer to be held.
     milliseconds body{2500};
@@ -30,7 +30,7 @@
 
   Front(net::Loop& loop, transport::Hub& hub, ViewSource view, const Bounds& bounds);
   Front(net::Loop& loop, transport::Hub& hub, ViewSource view, const Bounds& bounds,
-        Patience patience);
+        Timeouts timeouts);
 
   void Submit(const proxy::BatchCaller& caller, proxy::BatchSubmission submission,
               Reply<void> reply) override;
@@ -47,7 +47,7 @@
  private:
   net::Loop& loop_;
   Bounds bounds_;
-  Patience patience_;
+  Timeouts timeouts_;
   StoreCaller stores_;
 };
 
--- a/src/tier/batch/offer_schedule.cpp
+++ b/src/tier/batch/offer_schedule.cpp
@@ -59,14 +59,14 @@
   if (found != stores_.end()) found->second.offering = false;
 }
 
-void OfferSchedule::OnVouched(const net::Address& store, net::Time sent) {
+void OfferSchedule::OnOfferTaken(const net::Address& store, net::Time sent) {
   const auto found = stores_.find(store);
-  if (found != stores_.end()) found->second.vouched = sent;
+  if (found != stores_.end()) found->second.offer_taken = sent;
 }
 
-std::optional<net::Time> OfferSchedule::Vouched(const net::Address& store) const {
+std::optional<net::Time> OfferSchedule::LastOfferTaken(const net::Address& store) const {
   const auto found = stores_.find(store);
-  return found == stores_.end() ? std::nullopt : found->second.vouched;
+  return found == stores_.end() ? std::nullopt : found->second.offer_taken;
 }
 
 void OfferSchedule::OnAssigned(const net::Address& store, net::Time now, net::Time soon) {
--- a/src/tier/batch/offer_schedule.h
+++ b/src/tier/batch/offer_schedule.h
@@ -36,9 +36,9 @@
   // Whatever came of it; the next one may go.
   void OnAnswered(const net::Address& store);
   // The store has answered the offer that was sent then.
-  void OnVouched(const net::Address& store, net::Time sent);
+  void OnOfferTaken(const net::Address& store, net::Time sent);
   // When the newest offer that the store has answered was sent.
-  std::optional<net::Time> Vouched(const net::Address& store) const;
+  std::optional<net::Time> LastOfferTaken(const net::Address& store) const;
   // The store has handed out an item. `soon`: when its next offer is due at the latest.
   void OnAssigned(const net::Address& store, net::Time now, net::Time soon);
   // The next offer to that store is due by then.
@@ -54,7 +54,7 @@
     OfferCredit credit;
     net::Time due = net::Time::min();  // The next offer.
     bool offering = false;             // An offer is under way.
-    std::optional<net::Time> vouched;
+    std::optional<net::Time> offer_taken;
   };
 
   std::map<net::Address, Store> stores_;
--- a/src/tier/batch/partition_server.cpp
+++ b/src/tier/batch/partition_server.cpp
@@ -216,7 +216,7 @@
   return book_.OnAdopt(clock_.Now(), holder, adoption);
 }
 
-std::optional<Assign> PartitionServer::Lend(const net::Address& proxy) {
+std::optional<Assign> PartitionServer::LeaseNext(const net::Address& proxy) {
   std::optional<JobBook::Assignment> assignment = book_.NextAssignment(clock_.Now(), proxy);
   if (!assignment) return {};
   Assign message = std::move(assignment->message);
--- a/src/tier/batch/partition_server.h
+++ b/src/tier/batch/partition_server.h
@@ -81,7 +81,7 @@
   void OnStall(Micros span) { book_.OnStall(span); }
 
   // Leases the next item to that proxy, payload and all.
-  std::optional<Assign> Lend(const net::Address& proxy);
+  std::optional<Assign> LeaseNext(const net::Address& proxy);
   std::vector<JobBook::Revocation> TakeRevocations() { return book_.TakeRevocations(); }
 
   void OnTick();
--- a/src/tier/batch/runner.cpp
+++ b/src/tier/batch/runner.cpp
@@ -66,10 +66,10 @@
     reports_.OnPlacement();
     offers_.SetStores(primaries_.All(), loop_.Now() + primaries_.FirstDelay(hub_.self().address));
     for (const auto& [lease, run] : runs_.all()) {
-      const auto known = vouching_.find(lease);
-      if (known != vouching_.end() && known->second != primaries_.Of(run->partition())) {
+      const auto known = renewed_by_.find(lease);
+      if (known != renewed_by_.end() && known->second != primaries_.Of(run->partition())) {
         run->output().ForgetConfirmed();
-        vouching_.erase(known);
+        renewed_by_.erase(known);
       }
       // The new primary gives an item to another proxy soon, unless it hears of the run.
       if (const auto primary = primaries_.Of(run->partition())) WantOffer(*primary, loop_.Now());
@@ -90,7 +90,7 @@
     for (const net::Address& store : offers_.stores()) SendOffer({store, 0});
     for (ItemRun* run : runs_.Snapshot()) run->HandBack();
     drain_timer_ = loop_.NewTimer([this] { TellDrained(); });
-    drain_timer_->ArmAt(loop_.Now() + kDrainPatience);
+    drain_timer_->ArmAt(loop_.Now() + kDrainTimeout);
     TellIfDrained();
   }
 
@@ -157,7 +157,7 @@
     if (!answer) return;
     const Result<OfferAnswer> decoded = Decode<OfferAnswer>(answer.value());
     if (!decoded || decoded.value().held.size() != named.size()) return;
-    offers_.OnVouched(address, sent);
+    offers_.OnOfferTaken(address, sent);
     std::vector<ItemRun*> unknown;
     for (std::size_t i = 0; i < named.size(); ++i) {
       ItemRun* run = runs_.Find(named[i].lease);
@@ -221,7 +221,7 @@
   }
 
   void OnRenewed(const net::Address& store, ItemRun& run, net::Time sent) {
-    vouching_[run.lease()] = store;
+    renewed_by_[run.lease()] = store;
     run.Extend(sent + span_);
     StartIfLeased(run);
   }
@@ -260,9 +260,9 @@
     }
     // The store gave the lease after it had taken the newest offer that it has answered, since
     // messages of one connection keep their order.
-    if (const std::optional<net::Time> vouched = offers_.Vouched(from)) {
-      vouching_[lease] = from;
-      added.Extend(*vouched + span_);
+    if (const std::optional<net::Time> offer_taken = offers_.LastOfferTaken(from)) {
+      renewed_by_[lease] = from;
+      added.Extend(*offer_taken + span_);
     }
     StartIfLeased(added);
     if (added.state() == ItemRun::State::kAwaitingLease) WantOffer(from, loop_.Now());
@@ -295,7 +295,7 @@
   // Cancels its call where there is one.
   void Forget(const LeaseId& lease) {
     runs_.Erase(lease);
-    vouching_.erase(lease);
+    renewed_by_.erase(lease);
     TellIfDrained();
   }
 
@@ -306,7 +306,7 @@
     StoreCaller::Question question;
     question.kind = kFinished;
     question.job = run.item().job;
-    question.until = loop_.Now() + kReportPatience;
+    question.until = loop_.Now() + kRunReportTimeout;
     // The table keeps the run until `done`, and `reports_` lives no longer than this.
     question.encode = [this, lease = run.lease()](const JobRef& job) {
       Finished report = runs_.Find(lease)->Report();
@@ -379,7 +379,7 @@
   net::TimerPtr timer_;
   OfferSchedule offers_;
   RunTable runs_;
-  std::map<LeaseId, net::Address> vouching_;  // Which store renewed a lease last.
+  std::map<LeaseId, net::Address> renewed_by_;  // Which store renewed a lease last.
   net::Time refused_until_ = net::Time::min();
   std::size_t typical_bytes_ = kLeastItemBytes;  // Of the largest items seen lately.
   bool draining_ = false;
--- a/src/tier/batch/runner.h
+++ b/src/tier/batch/runner.h
@@ -7,8 +7,8 @@
 // primary of a partition changes, its leases are adopted by the new one with their output.
 //
 // Limits: kMostRuns items, kMostHeldBytes of bodies and outputs beyond which no more is asked for
-// (what is assigned nevertheless is handed back beyond kMostRuns), kReportPatience for a report,
-// kDrainPatience for a drain, about kMostOffersAStore offers a second to one store from all proxies
+// (what is assigned nevertheless is handed back beyond kMostRuns), kRunReportTimeout for a report,
+// kDrainTimeout for a drain, about kMostOffersAStore offers a second to one store from all proxies
 // that hold none of its leases.
 #ifndef SHELFLINK_TIER_BATCH_RUNNER_H_
 #define SHELFLINK_TIER_BATCH_RUNNER_H_
@@ -30,8 +30,8 @@
 
 constexpr std::size_t kMostRuns = 512;
 constexpr std::size_t kMostHeldBytes = 32U << 20;
-constexpr std::chrono::seconds kReportPatience{60};
-constexpr std::chrono::seconds kDrainPatience{2};
+constexpr std::chrono::seconds kRunReportTimeout{60};
+constexpr std::chrono::seconds kDrainTimeout{2};
 
 class Runner {
  public:
@@ -58,7 +58,7 @@
   void OnPlacement();
   void OnConfiguration();
   // Takes no more items, hands back what is under way with its output, and calls `done` when the
-  // stores have it all or kDrainPatience is over.
+  // stores have it all or kDrainTimeout is over.
   void Drain(std::function<void()> done);
 
   std::size_t runs() const;  // Items held, reports under way included.
--- a/src/tier/batch/store_service.cpp
+++ b/src/tier/batch/store_service.cpp
@@ -271,7 +271,7 @@
     ProxyRoom::Leases leases = CountLeases();
     for (;;) {
       const std::optional<net::Address> proxy = room_.Most(loop_.Now(), leases);
-      if (!proxy || !LendOne(*proxy)) break;
+      if (!proxy || !LeaseOne(*proxy)) break;
       ++leases[*proxy];
     }
   }
@@ -286,14 +286,14 @@
   }
 }
 
-bool StoreService::LendOne(const net::Address& proxy) {
+bool StoreService::LeaseOne(const net::Address& proxy) {
   if (served_.empty()) return false;
   auto next = served_.upper_bound(last_lent_);
   for (std::size_t tried = 0; tried < served_.size(); ++tried) {
     if (next == served_.end()) next = served_.begin();
     Served& served = next->second;
     if (served.log->serving()) {
-      if (const std::optional<Assign> assign = served.server->Lend(proxy)) {
+      if (const std::optional<Assign> assign = served.server->LeaseNext(proxy)) {
         hub_.Send(proxy, kAssign, Encode(*assign));
         last_lent_ = next->first;
         return true;
--- a/src/tier/batch/store_service.h
+++ b/src/tier/batch/store_service.h
@@ -63,7 +63,7 @@
   void Work();
   void SendRevocations();
   bool HasWaiting() const;
-  bool LendOne(const net::Address& proxy);
+  bool LeaseOne(const net::Address& proxy);
   ProxyRoom::Leases CountLeases() const;
   void CorrectClock();
   void OnTimer();
--- a/src/tier/cluster/placement_planner.cpp
+++ b/src/tier/cluster/placement_planner.cpp
@@ -155,13 +155,13 @@
 
 std::optional<std::size_t> PlacementPlanner::Successor(std::size_t partition,
                                                        const std::vector<Copy>& copies,
-                                                       Heir least) const {
+                                                       SuccessorCondition least) const {
   std::optional<std::size_t> best;
   for (std::size_t index = 1; index < copies.size(); ++index) {
     const Copy& copy = copies[index];
     if (!copy.complete || !IsLive(copy.disk)) continue;
-    if (IsRetiring(copy.disk) && least == Heir::kSound) continue;
-    if (IsStalled(partition, copy.disk) && least != Heir::kStalled) continue;
+    if (IsRetiring(copy.disk) && least == SuccessorCondition::kSound) continue;
+    if (IsStalled(partition, copy.disk) && least != SuccessorCondition::kStalled) continue;
     if (!best || ShareOf(copy.disk).primaries < ShareOf(copies[*best].disk).primaries) {
       best = index;
     }
@@ -173,7 +173,8 @@
                                       bool& data_lost) {
   if (IsLive(copies.front().disk)) return;
   // That a backup stalls is the word of the primary that is lost: better than no primary.
-  for (const Heir least : {Heir::kSound, Heir::kRetiring, Heir::kStalled}) {
+  for (const SuccessorCondition least :
+       {SuccessorCondition::kSound, SuccessorCondition::kRetiring, SuccessorCondition::kStalled}) {
     if (const auto successor = Successor(partition, copies, least)) {
       std::swap(copies.front(), copies[*successor]);
       return;
@@ -247,7 +248,8 @@
 
 void PlacementPlanner::ReplaceRetiringPrimary(std::size_t partition, std::vector<Copy>& copies) {
   if (!IsRetiring(copies.front().disk)) return;
-  const std::optional<std::size_t> successor = Successor(partition, copies, Heir::kSound);
+  const std::optional<std::size_t> successor =
+      Successor(partition, copies, SuccessorCondition::kSound);
   if (successor) std::swap(copies.front(), copies[*successor]);
 }
 
@@ -275,7 +277,8 @@
     const bool whole = IsWhole(partition, copies[worst]);
     if (whole && CountWhole(partition, copies) <= rules_.copies) return;
     if (worst == 0) {
-      const std::optional<std::size_t> successor = Successor(partition, copies, Heir::kSound);
+      const std::optional<std::size_t> successor =
+          Successor(partition, copies, SuccessorCondition::kSound);
       if (!successor) return;
       std::swap(copies.front(), copies[*successor]);
       copies.erase(copies.begin() + static_cast<std::ptrdiff_t>(*successor));
--- a/src/tier/cluster/placement_planner.h
+++ b/src/tier/cluster/placement_planner.h
@@ -81,11 +81,11 @@
   void FollowAddresses(std::vector<Copy>& copies) const;
 
   // Which complete backups may become the primary.
-  enum class Heir { kSound, kRetiring, kStalled };
+  enum class SuccessorCondition { kSound, kRetiring, kStalled };
 
   // Index of a live complete backup with the fewest primaries' parts.
   std::optional<std::size_t> Successor(std::size_t partition, const std::vector<Copy>& copies,
-                                       Heir least) const;
+                                       SuccessorCondition least) const;
 
   // The lost primary stays named as a complete backup, see DropSurplus.
   void ReplacePrimary(std::size_t partition, std::vector<Copy>& copies, bool& data_lost);
--- a/src/tier/policy/call.h
+++ b/src/tier/policy/call.h
@@ -15,11 +15,11 @@
   Endpoint* endpoint = nullptr;  // Only while it is out; the endpoint may be gone later.
   std::uint64_t endpoint_hash = 0;
   Micros sent = 0;
-  bool out = true;            // Its outcome is not known yet.
-  bool begun = false;         // Its first event has come.
-  bool turned_away = false;   // Its endpoint will not run it: asked again, it would say so again.
-  Micros patience = 0;        // Its first event is overdue after that.
-  double model_tokens = 0.0;  // What was to be read before its first event.
+  bool out = true;           // Its outcome is not known yet.
+  bool begun = false;        // Its first event has come.
+  bool turned_away = false;  // Its endpoint will not run it: asked again, it would say so again.
+  Micros first_event_timeout = 0;   // Its first event is overdue after that.
+  double model_tokens = 0.0;        // What was to be read before its first event.
   std::uint64_t read_tokens = 0;    // Prompt tokens that the endpoint has to read, booked there.
   std::uint64_t output_tokens = 0;  // Still to come.
 };
--- a/src/tier/policy/endpoint.cpp
+++ b/src/tier/policy/endpoint.cpp
@@ -21,7 +21,7 @@
 }
 
 std::pair<Micros, Micros> OverdueKey(const Attempt& attempt) {
-  return {attempt.sent + attempt.patience, attempt.patience};
+  return {attempt.sent + attempt.first_event_timeout, attempt.first_event_timeout};
 }
 
 void Subtract(std::uint64_t& from, std::uint64_t amount) { from -= std::min(from, amount); }
@@ -46,7 +46,7 @@
   return listed_ && !drains && now >= unusable_until_;
 }
 
-void Endpoint::Book(Attempt& attempt, const Call& call) {
+void Endpoint::AddAttempt(Attempt& attempt, const Call& call) {
   ++calls_;
   unread_tokens_ += attempt.read_tokens;
   output_tokens_ += attempt.output_tokens;
@@ -73,7 +73,7 @@
   Subtract(output_tokens_, done);
 }
 
-void Endpoint::Unbook(Attempt& attempt, const Call& call) {
+void Endpoint::RemoveAttempt(Attempt& attempt, const Call& call) {
   --calls_;
   if (!attempt.begun) first_events_due_.erase(first_events_due_.find(OverdueKey(attempt)));
   Subtract(unread_tokens_, attempt.read_tokens);
@@ -91,8 +91,8 @@
 
 bool Endpoint::Silent(Micros now) const {
   if (first_events_due_.empty() || Mutated(Mutant::kTrustSilence)) return false;
-  const auto [overdue_at, patience] = *first_events_due_.begin();
-  return now >= overdue_at && now - last_sign_ >= patience;
+  const auto [overdue_at, timeout] = *first_events_due_.begin();
+  return now >= overdue_at && now - last_sign_ >= timeout;
 }
 
 void Endpoint::NoteLoad(Micros now, std::uint32_t running, std::uint32_t waiting,
--- a/src/tier/policy/endpoint.h
+++ b/src/tier/policy/endpoint.h
@@ -27,11 +27,11 @@
   bool Usable(Micros now) const;
 
   // Attempts.
-  // Its sums hold what the attempt carries until Unbook.
-  void Book(Attempt& attempt, const Call& call);
+  // Its sums hold what the attempt carries until RemoveAttempt.
+  void AddAttempt(Attempt& attempt, const Call& call);
   void NoteFirstEvent(Micros now, Attempt& attempt, const Call& call);
   void NoteProgress(Micros now, Attempt& attempt, std::uint32_t tokens);
-  void Unbook(Attempt& attempt, const Call& call);
+  void RemoveAttempt(Attempt& attempt, const Call& call);
   // It has shown a sign of life.
   void NoteSign(Micros now);
   // Turned the call away, or could not be connected to: passed over for `rest`, doubling.
@@ -81,7 +81,7 @@
   std::uint64_t output_tokens_ = 0;         // Still to come on own calls.
   std::uint64_t booked_output_tokens_ = 0;  // The same when they were sent.
   std::uint64_t memory_tokens_ = 0;
-  std::multiset<std::pair<Micros, Micros>> first_events_due_;  // When, and after what patience.
+  std::multiset<std::pair<Micros, Micros>> first_events_due_;  // When, and after what time-out.
   Micros last_sign_ = 0;
   Micros rest_until_ = 0;
   int rests_ = 0;
--- a/src/tier/policy/levels.cpp
+++ b/src/tier/policy/levels.cpp
@@ -58,17 +58,17 @@
 
 void Levels::Remove(std::uint32_t level, CallId call, std::uint64_t flow) {
   levels_[level].pool.queues.Remove(call, flow);
-  Unwait(levels_[level], flow);
+  RemoveWaiting(levels_[level], flow);
 }
 
 std::optional<gaugecart::Waiting> Levels::Next(Micros now, std::uint32_t level) {
   Entry& entry = levels_[level];
   if (entry.pool.queues.size() == 0) return std::nullopt;
-  if (static_cast<double>(entry.pool.in_flight) + 1.0 > std::max(1.0, Seats(now, level))) {
+  if (static_cast<double>(entry.pool.in_flight) + 1.0 > std::max(1.0, LimitOf(now, level))) {
     return std::nullopt;
   }
   const auto next = entry.pool.queues.Next([](const gaugecart::Waiting&) { return true; });
-  if (next) Unwait(entry, next->flow);
+  if (next) RemoveWaiting(entry, next->flow);
   return next;
 }
 
@@ -77,7 +77,7 @@
   ++levels_[level].waiting[waiting.flow];
 }
 
-void Levels::Unwait(Entry& entry, std::uint64_t flow) {
+void Levels::RemoveWaiting(Entry& entry, std::uint64_t flow) {
   const auto it = entry.waiting.find(flow);
   if (it != entry.waiting.end() && --it->second == 0) entry.waiting.erase(it);
 }
@@ -124,7 +124,7 @@
 
 bool Levels::IsBatch(std::uint32_t level) const { return count_ > 1 && level + 1 == count_; }
 
-double Levels::Seats(Micros now, std::uint32_t level) const {
+double Levels::LimitOf(Micros now, std::uint32_t level) const {
   const double all = limit();
   if (Mutated(Mutant::kLendPools)) return all;
   if (IsBatch(level)) return kBatchShare * all;
--- a/src/tier/policy/levels.h
+++ b/src/tier/policy/levels.h
@@ -61,7 +61,7 @@
   bool IsBatch(std::uint32_t level) const;
   // How long a call of the level usually holds its seat; 0: not known.
   Micros UsualSpan(std::uint32_t level) const;
-  double Seats(Micros now, std::uint32_t level) const;
+  double LimitOf(Micros now, std::uint32_t level) const;
   double limit() const { return std::max(floor_, limiter_->limit()); }
 
  private:
@@ -72,7 +72,7 @@
     std::unordered_map<std::uint64_t, std::uint32_t> waiting;  // Calls of each flow, where any.
   };
 
-  void Unwait(Entry& entry, std::uint64_t flow);
+  void RemoveWaiting(Entry& entry, std::uint64_t flow);
   double InFlight() const;
   void Overload(bool slow, bool late);
   void BeginAt(double limit);
--- a/src/tier/policy/module.cpp
+++ b/src/tier/policy/module.cpp
@@ -25,14 +25,14 @@
 constexpr double kBatchFactor = 0.35;    // The most batch calls at once, likewise.
 constexpr double kBatchReading = 1.0;    // Batch prompts unread at once, for each endpoint in use.
 constexpr double kSurePart = 0.25;       // Part of its pool that a lower level may use in any case.
-constexpr double kPatience = 4.0;        // Expected times to a first event until it is overdue...
-constexpr double kLeastPatience = 0.25;  // ...at least so many objectives...
-constexpr double kMostPatience = 2.0;    // ...and at most so many.
-constexpr double kBatchPatience = 5.0;   // Of batch calls, which endpoints let wait for others.
-constexpr double kLeastOffer = 0.1;      // Objectives that a retry must have left.
-constexpr double kAdviceLeast = 0.5;     // Objectives after which a refused call may come back...
-constexpr double kAdviceSpread = 1.0;    // ...and so many more, drawn for each...
-constexpr double kAdviceMost = 0.25;     // ...but never beyond this part of its time left.
+constexpr double kFirstEventFactor = 4.0;  // Expected times to a first event until it is overdue...
+constexpr double kShortestFirstEventTimeout = 0.25;  // ...at least so many objectives...
+constexpr double kLongestFirstEventTimeout = 2.0;    // ...and at most so many.
+constexpr double kBatchFirstEvent = 5.0;  // Of batch calls, which endpoints let wait for others.
+constexpr double kLeastOffer = 0.1;       // Objectives that a retry must have left.
+constexpr double kAdviceLeast = 0.5;      // Objectives after which a refused call may come back...
+constexpr double kAdviceSpread = 1.0;     // ...and so many more, drawn for each...
+constexpr double kAdviceMost = 0.25;      // ...but never beyond this part of its time left.
 Micros Part(double part, Micros span) {
   return static_cast<Micros>(part * static_cast<double>(span));
 }
@@ -128,7 +128,7 @@
     for (Attempt& attempt : held->attempts) {
       if (!attempt.out) continue;
       // A caller that left because nothing came tells what a time-out tells.
-      const bool overdue = !attempt.begun && now - attempt.sent >= attempt.patience;
+      const bool overdue = !attempt.begun && now - attempt.sent >= attempt.first_event_timeout;
       Learn(*held, attempt, overdue ? Outcome::kTimeout : Outcome::kCancelled);
       Finish(*held, attempt);
     }
@@ -163,7 +163,7 @@
 
   std::uint32_t Room(Micros now, std::uint32_t level) const {
     if (level >= levels_.count() || levels_.waiting(level) > 0) return 0;
-    double seats = levels_.Seats(now, level);
+    double seats = levels_.LimitOf(now, level);
     if (Mutated(Mutant::kBatchUnbounded)) return 1000;
     if (levels_.IsBatch(level)) {
       // Where live calls wait or slots are short, one at a time: batch is not to stand still.
@@ -261,7 +261,7 @@
     if (call.level == 0) return true;
     if (Mutated(Mutant::kStarveOthers)) return false;
     if (call.batch) return out == 0;
-    return static_cast<double>(out) + 1.0 <= kSurePart * levels_.Seats(now_, call.level);
+    return static_cast<double>(out) + 1.0 <= kSurePart * levels_.LimitOf(now_, call.level);
   }
 
   Choice Pick(const HeldCall& held) {
@@ -280,8 +280,8 @@
     attempt.read_tokens = Picker::ReadTokens(call, endpoint);
     attempt.model_tokens = static_cast<double>(attempt.read_tokens + endpoint.unread_tokens());
     attempt.output_tokens = call.output_tokens;
-    attempt.patience = PatienceOf(call, service.facts, attempt.model_tokens);
-    endpoint.Book(attempt, call);
+    attempt.first_event_timeout = FirstEventTimeout(call, service.facts, attempt.model_tokens);
+    endpoint.AddAttempt(attempt, call);
     if (call.batch) ++batch_reading_;
     endpoint.health().StartTrial();
     levels_.Start(call.level);
@@ -297,18 +297,20 @@
                   endpoint.info().id);
   }
 
-  static Micros PatienceOf(const Call& call, const ServiceFacts& facts, double tokens) {
+  static Micros FirstEventTimeout(const Call& call, const ServiceFacts& facts, double tokens) {
     const Micros objective = ObjectiveOf(call);
-    if (call.batch) return Part(kBatchPatience, objective);
-    if (!facts.first_event.Known()) return Part(kMostPatience, objective);
-    const auto patience = static_cast<Micros>(kPatience * facts.first_event.Expected(tokens));
-    return std::clamp(patience, Part(kLeastPatience, objective), Part(kMostPatience, objective));
+    if (call.batch) return Part(kBatchFirstEvent, objective);
+    if (!facts.first_event.Known()) return Part(kLongestFirstEventTimeout, objective);
+    const auto timeout =
+        static_cast<Micros>(kFirstEventFactor * facts.first_event.Expected(tokens));
+    return std::clamp(timeout, Part(kShortestFirstEventTimeout, objective),
+                      Part(kLongestFirstEventTimeout, objective));
   }
 
   // The attempt is over; its seat and what it held at the endpoint are free.
   void Finish(HeldCall& held, Attempt& attempt) {
     if (held.call.batch && !attempt.begun) --batch_reading_;
-    attempt.endpoint->Unbook(attempt, held.call);
+    attempt.endpoint->RemoveAttempt(attempt, held.call);
     attempt.endpoint = nullptr;
     attempt.out = false;
     levels_.Finish(held.call.level);
--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -258,7 +258,7 @@
   const net::Time last = std::min(live->end, live->moved + live->most_silence);
   if (now >= last) return std::nullopt;
   const KnownEndpoint* known = registry_.Find(live->endpoint);
-  const bool alive = known != nullptr && known->heard + live->patience > now;
+  const bool alive = known != nullptr && known->heard + live->failover_silence > now;
   if (!alive && (live->request.batch || CanMove(*live, key))) return std::nullopt;
   return std::min<net::Time>(last, now + kLookAgain);
 }
--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -244,7 +244,7 @@
 
 void ListFallback::Fetch() {
   if (fetching_) return;
-  const std::optional<std::size_t> rank = choice_.NextToAsk(ReadsInVain(loop_.Now()));
+  const std::optional<std::size_t> rank = choice_.NextToAsk(OwnReadingFails(loop_.Now()));
   if (!rank) return;
   fetching_ = true;
   const net::Time sent = loop_.Now();
@@ -283,7 +283,7 @@
 }
 
 // Whether this process reads and the platform gives it nothing.
-bool ListFallback::ReadsInVain(net::Time now) const {
+bool ListFallback::OwnReadingFails(net::Time now) const {
   if (!poller_ || now < read_at() + LateAfter()) return false;
   return IsRecentTrouble(poller_->trouble_seen_at(), now);
 }
@@ -298,7 +298,7 @@
   if (list() && age < fetch.value().age) {
     return Encode(ListReading{age, cluster::EncodeEndpoints(list()->entries)});
   }
-  if (ReadsInVain(now)) return MakeError(kTroubleCode, "the platform does not answer here");
+  if (OwnReadingFails(now)) return MakeError(kTroubleCode, "the platform does not answer here");
   return MakeError(kNothingNewerCode, "nothing newer has been read here");
 }
 
--- a/src/tier/proxy/list_fallback.h
+++ b/src/tier/proxy/list_fallback.h
@@ -77,7 +77,7 @@
   void Fetch();
   void OnFetched(std::size_t rank, net::Time sent, const Result<std::string>& body);
   ReaderAnswer TakeFetched(net::Time sent, std::string_view body);
-  bool ReadsInVain(net::Time now) const;
+  bool OwnReadingFails(net::Time now) const;
   bool IsRecentTrouble(net::Time seen_at, net::Time now) const;
   Result<std::string> AnswerFetch(std::string_view body);
 
--- a/src/tier/proxy/live_call.cpp
+++ b/src/tier/proxy/live_call.cpp
@@ -19,7 +19,7 @@
 constexpr auto kItemSpan = std::chrono::seconds(60);
 constexpr auto kItemFirstSilence = std::chrono::seconds(10);
 // Items wait behind what is more urgent, and a run too many is dearer than a late one.
-constexpr auto kItemPatience = std::chrono::seconds(3);
+constexpr auto kItemFailoverSilence = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -63,15 +63,15 @@
 void LiveCall::SetSilences(net::Time now) {
   const Route& route = *request.route;
   if (request.batch) {
-    patience = kItemPatience;
+    failover_silence = kItemFailoverSilence;
     most_silence = kItemFirstSilence;
-    first_silence = MayMove() ? patience : most_silence;
-    later_silence = MayMove() ? patience : net::Span(ClientSilence(route));
+    first_silence = MayMove() ? failover_silence : most_silence;
+    later_silence = MayMove() ? failover_silence : net::Span(ClientSilence(route));
     return;
   }
-  patience = MovePatience(route);
+  failover_silence = FailoverSilence(route);
   most_silence = std::max(net::Span::zero(), end - now);
-  first_silence = MayMove() ? patience : most_silence;
+  first_silence = MayMove() ? failover_silence : most_silence;
   later_silence = first_silence;
 }
 
--- a/src/tier/proxy/live_call.h
+++ b/src/tier/proxy/live_call.h
@@ -60,7 +60,7 @@
   net::Span most_silence{};           // how long nothing may follow at most,
   net::Span first_silence{};          // how long at first until its endpoint is looked at,
   net::Span later_silence{};          // how long inside its answer,
-  net::Span patience{};               // or, at an endpoint that has fallen silent for all.
+  net::Span failover_silence{};       // or, at an endpoint that has fallen silent for all.
   bool begun = false;                 // An event has come.
   bool streaming = false;             // Its answer is a stream of events.
   bool passing = false;               // It goes on in parts.
--- a/src/tier/proxy/outgoing_request.cpp
+++ b/src/tier/proxy/outgoing_request.cpp
@@ -18,8 +18,8 @@
 constexpr auto kLeastSilence = milliseconds(2000);
 constexpr int kSilentObjectives = 4;
 constexpr int kSilentGaps = 8;
-constexpr auto kLeastPatience = milliseconds(1000);
-constexpr int kPatientGaps = 5;
+constexpr auto kShortestFailoverSilence = milliseconds(1000);
+constexpr int kFailoverGaps = 5;
 
 }  // namespace
 
@@ -27,8 +27,9 @@
   return std::max({kLeastSilence, kSilentObjectives * route.slo, kSilentGaps * route.gap_aim});
 }
 
-milliseconds MovePatience(const Route& route) {
-  return std::min(ClientSilence(route), std::max(kLeastPatience, kPatientGaps * route.gap_aim));
+milliseconds FailoverSilence(const Route& route) {
+  return std::min(ClientSilence(route),
+                  std::max(kShortestFailoverSilence, kFailoverGaps * route.gap_aim));
 }
 
 std::uint64_t HashOf(std::string_view text) {
--- a/src/tier/proxy/outgoing_request.h
+++ b/src/tier/proxy/outgoing_request.h
@@ -27,7 +27,7 @@
 std::chrono::milliseconds ClientSilence(const configuration::Route& route);
 // After such a silence a stream that may be continued elsewhere is, if its endpoint has fallen
 // silent for all.
-std::chrono::milliseconds MovePatience(const configuration::Route& route);
+std::chrono::milliseconds FailoverSilence(const configuration::Route& route);
 
 }  // namespace shelflink::proxy
 
--- a/src/tier/proxy/reader_choice.cpp
+++ b/src/tier/proxy/reader_choice.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 // A later group may notice the end of the one before it a moment later than others do.
-constexpr std::size_t kNotReadingPatience = 2;
+constexpr std::size_t kMostNotReading = 2;
 
 bool IsFailure(ReaderAnswer answer) {
   return answer != ReaderAnswer::kList && answer != ReaderAnswer::kNothingNewer;
@@ -72,7 +72,7 @@
 bool ReaderChoice::OnFailure(ReaderAnswer answer) {
   ++turn_;
   if (answer == ReaderAnswer::kNotReading && group_ > 0) {
-    if (++not_reading_in_a_row_ >= kNotReadingPatience) SetGroup(0);
+    if (++not_reading_in_a_row_ >= kMostNotReading) SetGroup(0);
     return false;
   }
   if (answer == ReaderAnswer::kTrouble && group_ > 0) return false;
--- a/src/tier/storage/lmdb_storage.cpp
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -83,7 +83,7 @@
   error_ = 0;
   int code = OpenVerified();
   if (FailureOfCode(code) == Failure::kDamaged) {
-    code = PutAside();
+    code = SetFileAside();
     if (code == 0) code = OpenVerified();
   }
   if (code != 0) CloseEnvironment();
@@ -141,7 +141,7 @@
   return std::exchange(error_, 0);
 }
 
-int LmdbStorage::PutAside() {
+int LmdbStorage::SetFileAside() {
   CloseEnvironment();
   log::Line(log::Level::kError, kModule,
             options_.folder + " is damaged and set aside; this disk counts as a new one");
@@ -174,7 +174,7 @@
   CloseEnvironment();
   DropCachedPages(options_.folder);
   if (failure() == Failure::kDamaged) {
-    error_ = PutAside();
+    error_ = SetFileAside();
     if (failed()) return MakeError(ErrorCode::kStorage, failure_text());
   }
   OpenOrSetAside();
@@ -213,7 +213,7 @@
 void LmdbStorage::DoneReading() const {
   if (writing_ != nullptr || reading_ == nullptr) return;
   mdb_txn_reset(reading_);
-  if (writing_ == nullptr && MustLetGo()) LetGo();
+  if (writing_ == nullptr && MustRemap()) Remap();
 }
 
 std::optional<std::string> LmdbStorage::Get(std::string_view key) const {
@@ -246,7 +246,7 @@
     next = ScanPart(prefix, *next, visitor);
     // What is being written is made durable before its time, so that the map can be let go.
     if (next && writing_ != nullptr) EndWriting();
-    if (next && MustLetGo()) LetGo();
+    if (next && MustRemap()) Remap();
   }
 }
 
@@ -264,7 +264,7 @@
   MDB_val found{};
   int code = mdb_cursor_get(cursor, &key, &found, start.empty() ? MDB_FIRST : MDB_SET_RANGE);
   while (code == 0 && ToView(key).substr(0, prefix.size()) == prefix) {
-    if (MustLetGo()) {
+    if (MustRemap()) {
       next.emplace(ToView(key));
       break;
     }
@@ -345,7 +345,7 @@
   return FailureOfCode(room) == Failure::kFull ? room : code;
 }
 
-bool LmdbStorage::MustLetGo() const { return bytes_read_ >= kMostBytesRead; }
+bool LmdbStorage::MustRemap() const { return bytes_read_ >= kMostBytesRead; }
 
 void LmdbStorage::EndWriting() const {
   int code = mdb_txn_commit(writing_);
@@ -355,7 +355,7 @@
   if (code != 0) Fail(code);
 }
 
-void LmdbStorage::LetGo() const {
+void LmdbStorage::Remap() const {
   bytes_read_ = 0;
   // Setting the size maps the file anew; nothing may point into the old map.
   if (const int code = mdb_env_set_mapsize(environment_, options_.bytes_limit); code != 0)
--- a/src/tier/storage/lmdb_storage.h
+++ b/src/tier/storage/lmdb_storage.h
@@ -55,7 +55,7 @@
   int CheckLength() const;
   int OpenTable();
   int Verify() const;
-  int PutAside();
+  int SetFileAside();
   void CloseEnvironment();
   void WriteProbe();
   // Tells those that wait for a sync that it will not come.
@@ -73,8 +73,8 @@
   // that: the file is mapped anew after so many bytes. Not while a write is open.
   void EndWriting() const;
   int LikelyCause(int code) const;
-  bool MustLetGo() const;
-  void LetGo() const;
+  bool MustRemap() const;
+  void Remap() const;
   // Pages of the file that hold nothing.
   std::uint64_t FreePages() const;
 
--- a/src/tier/transport/connection.cpp
+++ b/src/tier/transport/connection.cpp
@@ -122,7 +122,7 @@
   const auto outcome = splitter_.Feed(bytes, largest_frame_,
                                       [this](std::string_view payload) { return Take(payload); });
   if (closed()) return;
-  if (outcome == FrameSplitter::Outcome::kTooLong) return Break(WordOf(FrameFault::kTooLong));
+  if (outcome == FrameSplitter::Outcome::kTooLong) return Break(NameOf(FrameFault::kTooLong));
   owner_.OnChanged(*this);
   stream_->Receive();
 }
@@ -143,11 +143,11 @@
 bool Connection::Take(std::string_view payload) {
   const FrameResult frame = DecodeFrame(payload);
   if (!frame) {
-    Break(WordOf(frame.error()));
+    Break(NameOf(frame.error()));
   } else if (state_ == State::kGreeting) {
     Greet(frame.value());
   } else if (std::holds_alternative<HelloFrame>(frame.value())) {
-    Break(WordOf(FrameFault::kMalformed));  // Said twice.
+    Break(NameOf(FrameFault::kMalformed));  // Said twice.
   } else if (std::holds_alternative<PingFrame>(frame.value())) {
     Queue(EncodePong(), Expects::kNothing);
   } else if (!std::holds_alternative<PongFrame>(frame.value())) {
@@ -158,7 +158,7 @@
 
 void Connection::Greet(const Frame& frame) {
   const auto* hello = std::get_if<HelloFrame>(&frame);
-  if (hello == nullptr) return Break(WordOf(FrameFault::kMalformed));
+  if (hello == nullptr) return Break(NameOf(FrameFault::kMalformed));
   peer_ = hello->identity;
   peer_dial_ = hello->dial;
   if (peer_.address == self_.address || (dialled() && peer_.address != dialled_address_)) {
--- a/src/tier/transport/frames.cpp
+++ b/src/tier/transport/frames.cpp
@@ -151,7 +151,7 @@
 
 }  // namespace
 
-const char* WordOf(FrameFault fault) {
+const char* NameOf(FrameFault fault) {
   switch (fault) {
     case FrameFault::kMalformed:
       return "malformed";
--- a/src/tier/transport/frames.h
+++ b/src/tier/transport/frames.h
@@ -45,7 +45,7 @@
 // Why a connection cannot go on.
 enum class FrameFault { kMalformed, kVersion, kTooLong };
 // "malformed", "version", "too_long"
-const char* WordOf(FrameFault fault);
+const char* NameOf(FrameFault fault);
 
 constexpr std::size_t kFrameHead = 4;           // Bytes of the length.
 constexpr std::size_t kMostEnvelope = 64;       // Bytes of a frame beside its body, at most.
--- a/src/tier/transport/hub.cpp
+++ b/src/tier/transport/hub.cpp
@@ -45,7 +45,7 @@
 // ---- Frames out ----
 
 void Hub::Impl::Send(const net::Address& to, MessageKind kind, std::string body) {
-  if (body.size() > kLargestBody) return Drop(WordOf(FrameFault::kTooLong));
+  if (body.size() > kLargestBody) return Drop(NameOf(FrameFault::kTooLong));
   if (to == self.address) {
     return Post([this, kind, body = std::move(body)] { TakeMessage(self, {kind, body}); });
   }
--- a/src/tier/transport/hub_connections.cpp
+++ b/src/tier/transport/hub_connections.cpp
@@ -15,8 +15,8 @@
 
 // What a peer has sent can't be read, or is not said by whom it should be.
 bool IsFaultOfPeer(std::string_view cause) {
-  return cause == WordOf(FrameFault::kMalformed) || cause == WordOf(FrameFault::kVersion) ||
-         cause == WordOf(FrameFault::kTooLong) || cause == "address";
+  return cause == NameOf(FrameFault::kMalformed) || cause == NameOf(FrameFault::kVersion) ||
+         cause == NameOf(FrameFault::kTooLong) || cause == "address";
 }
 
 }  // namespace
--- a/tests/tier/batch/runner_test.cpp
+++ b/tests/tier/batch/runner_test.cpp
@@ -477,7 +477,7 @@
 BOOST_FIXTURE_TEST_CASE(a_report_that_no_store_takes_is_given_up_in_the_end, Fixture) {
   first.refuse_reports = ErrorCode::kUnavailable;
   calls.Answer(Started(Item("i-1", 1)), 1, 2);
-  Pass(kReportPatience + seconds(1));
+  Pass(kRunReportTimeout + seconds(1));
   BOOST_TEST(runner->runs() == 0U);
   BOOST_TEST(runner->counters().reports_lost == 1U);
 }
@@ -582,7 +582,7 @@
   first.process.SetPaused(true);
   int drained = 0;
   runner->Drain([&] { ++drained; });
-  Pass(kDrainPatience - milliseconds(10));
+  Pass(kDrainTimeout - milliseconds(10));
   BOOST_TEST(drained == 0);
   Pass(kSoon);
   BOOST_TEST(drained == 1);
--- a/tests/tier/policy/policy_parts_test.cpp
+++ b/tests/tier/policy/policy_parts_test.cpp
@@ -121,10 +121,10 @@
     Attempt attempt;
     attempt.endpoint = &known;
     attempt.sent = now;
-    attempt.patience = 100 * kMs;
+    attempt.first_event_timeout = 100 * kMs;
     attempt.output_tokens = 20;
     attempt.read_tokens = 50;
-    known.Book(attempt, call);
+    known.AddAttempt(attempt, call);
     return attempt;
   }
   Endpoint known{1};
@@ -141,7 +141,7 @@
   BOOST_TEST(known.Silent(210 * kMs));
   known.NoteFirstEvent(220 * kMs, first, call);
   BOOST_TEST(!known.Silent(kSecond));
-  known.Unbook(first, call);
+  known.RemoveAttempt(first, call);
   BOOST_TEST(known.calls() == 0U);
   BOOST_TEST(known.unread_tokens() == 0U);
 }
@@ -163,7 +163,7 @@
   known.NoteProgress(0, attempt, 20);
   BOOST_TEST(known.Running(0) == 0.5);
   known.NoteProgress(0, attempt, 20);  // More than was announced.
-  known.Unbook(attempt, call);
+  known.RemoveAttempt(attempt, call);
   BOOST_TEST(known.Running(0) == 0.0);
 }
 
@@ -380,11 +380,11 @@
   levels.SetCount(3);
   levels.StartFrom(100.0);
   levels.NoteArrival(0, 0);
-  const double all = levels.Seats(0, 0) + levels.Seats(0, 1) + levels.Seats(0, 2);
-  BOOST_TEST(levels.Seats(0, 2) == 25.0);
+  const double all = levels.LimitOf(0, 0) + levels.LimitOf(0, 1) + levels.LimitOf(0, 2);
+  BOOST_TEST(levels.LimitOf(0, 2) == 25.0);
   BOOST_TEST(all <= 100.0 + 2.0);
-  BOOST_TEST(levels.Seats(0, 0) > levels.Seats(0, 1));
-  BOOST_TEST(levels.Seats(0, 1) >= 2.0);
+  BOOST_TEST(levels.LimitOf(0, 0) > levels.LimitOf(0, 1));
+  BOOST_TEST(levels.LimitOf(0, 1) >= 2.0);
 }
 
 BOOST_AUTO_TEST_CASE(releases_one_call_of_each_flow_in_turn_while_there_is_room) {
@@ -407,7 +407,7 @@
   Levels levels;
   levels.SetCount(1);
   std::size_t started = 0;
-  while (static_cast<double>(started) + 1.0 <= levels.Seats(0, 0)) {
+  while (static_cast<double>(started) + 1.0 <= levels.LimitOf(0, 0)) {
     levels.Start(0);
     ++started;
   }
@@ -448,8 +448,8 @@
   levels.Enqueue(3, {1, 5, 0});
   levels.SetCount(2);
   BOOST_TEST(levels.IsBatch(1));
-  BOOST_TEST(levels.Seats(0, 1) == 25.0);
-  BOOST_TEST(levels.Seats(0, 0) == 75.0);
+  BOOST_TEST(levels.LimitOf(0, 1) == 25.0);
+  BOOST_TEST(levels.LimitOf(0, 0) == 75.0);
   BOOST_TEST(levels.Next(0, 3).has_value());  // What was in one that is no more drains.
 }
 
@@ -501,8 +501,8 @@
     for (int i = 0; i < calls; ++i) {
       Attempt attempt;
       attempt.sent = now;
-      attempt.patience = kSecond;
-      known[index]->Book(attempt, other);
+      attempt.first_event_timeout = kSecond;
+      known[index]->AddAttempt(attempt, other);
     }
   }
   std::vector<std::unique_ptr<Endpoint>> known;
@@ -622,7 +622,7 @@
     Endpoint* endpoint = many.Pick();
     picked.insert(endpoint);
     Attempt attempt;
-    endpoint->Book(attempt, many.other);
+    endpoint->AddAttempt(attempt, many.other);
   }
   BOOST_TEST(picked.size() >= 80U);
 }
