--- a/src/tier/transport/hub.cpp
+++ b/src/tier/transport/hub.cpp
@@ -46,7 +46,7 @@
 
 void Hub::Impl::Send(const net::Address& to, MessageKind kind, std::string body,
                      Delivery delivery) {
-  if (body.size() > kLargestBody) return Drop(WordOf(FrameFault::kTooLong));
+  if (body.size() > kLargestBody) return Drop(NameOf(FrameFault::kTooLong));
   if (to == self.address) {
     return Post([this, kind, body = std::move(body)] { TakeMessage(self, {kind, body}); });
   }
--- a/tests/tier/cluster/mutants.cmake
+++ b/tests/tier/cluster/mutants.cmake
@@ -2,13 +2,13 @@
 set(cluster_core shelflink_tier_core shelflink_virtual)
 
 tier_mutant(a_former_primary_gives_leases cluster/agent.cpp
-  [=[    if (answer.epoch < epoch) {  // A former primary, however it came to answer.]=]
-  [=[    if (false) {]=]
+  [=[    if (answer.epoch < epoch) return false;  // A former primary, however it came to answer.]=]
+  ""
   TEST cluster/old_primary_test RUN a_former_primary_gives_no_lease_and_nothing_older
   LIBRARIES ${cluster_core})
 tier_mutant(detours_to_a_former_primary_count cluster/agent.cpp
-  [=[!answer.value().accepted || answer.value().epoch < epoch) {]=]
-  [=[!answer.value().accepted) {]=]
+  [=[    if (answer.epoch < epoch) return false;
+]=] ""
   TEST cluster/old_primary_test RUN a_detour_to_a_former_primary_changes_nothing
   LIBRARIES ${cluster_core})
 tier_mutant(older_parts_are_taken cluster/view_store.cpp
@@ -16,8 +16,8 @@
   [=[  if (push.version == versions_[push.part]) return false;]=]
   TEST cluster/old_primary_test RUN late_pushes_of_a_former_primary_are_dropped
   LIBRARIES ${cluster_core})
-tier_mutant(a_new_primary_refuses_retirements cluster/core_service.cpp
-  [=[    if ((!known || !enough_left) && keeper.Patient()) {]=] [=[    if (false) {]=]
+tier_mutant(a_new_primary_refuses_retirements cluster/retirement.cpp
+  [=[  if ((!known || !enough_left) && stores.may_be_more) {]=] [=[  if (false) {]=]
   TEST cluster/core_service_test RUN a_new_primary_refuses_no_retirement_before_it_knows
   LIBRARIES ${cluster_core})
 tier_mutant(parts_are_counted_anew_after_a_lapse cluster/core_service.cpp
@@ -47,7 +47,7 @@
   [=[kPushKind, encoded, DeliveryOf(push.part));]=] [=[kPushKind, encoded);]=]
   TEST cluster/agent_test RUN a_list_overtakes_the_documents_that_wait_at_the_core
   LIBRARIES ${cluster_core})
-tier_mutant(lists_wait_at_a_relay cluster/agent.cpp
+tier_mutant(lists_wait_at_a_relay cluster/view_relay.cpp
   [=[kPushKind, body, DeliveryOf(push.part));]=] [=[kPushKind, body);]=]
   TEST cluster/agent_test RUN a_list_overtakes_the_documents_that_wait_at_a_relay
   LIBRARIES ${cluster_core})
@@ -55,11 +55,11 @@
   [=[kFirstSlot = kPushKind;]=] [=[kFirstSlot = 0;]=]
   TEST cluster/agent_test RUN documents_that_were_replaced_hold_nothing_up
   LIBRARIES ${cluster_core})
-tier_mutant(documents_on_their_way_are_asked_for cluster/agent.cpp
-  [=[    return source && hub.Receives(*source, kComingPause);]=] [=[    return false;]=]
+tier_mutant(documents_on_their_way_are_asked_for cluster/view_relay.cpp
+  [=[  return source && hub_.Receives(*source, kComingPause);]=] [=[  return false;]=]
   TEST cluster/agent_test RUN a_document_that_is_coming_is_not_asked_for
   LIBRARIES ${cluster_core})
-tier_mutant(all_ask_the_core_at_once cluster/agent.cpp
-  [=[    return moved || store.versions()[part] >= named_before[part];]=] [=[    return false;]=]
+tier_mutant(all_ask_the_core_at_once cluster/view_relay.cpp
+  [=[  return moved_ || store_.versions()[part] >= named_before_[part];]=] [=[  return false;]=]
   TEST cluster/agent_test RUN nobody_asks_the_core_for_what_the_parent_is_about_to_have
   LIBRARIES ${cluster_core})
