Explorer: full disks together with crashes, losses and lost disks, to a stated depth; two mutants

Cause: every choice to a depth was explored with one full disk of 3 members and no more faults than the usual ones; a run that stopped short of its depth passed. The mutants of the sticky error and of the batch kept in memory were found by full_disk_test alone, not by the explorer's steps.

Change: 3 members (one loss tolerated) to depth 3 and 5 members (two) to depth 2, from each of the eight beginnings, with up to two full disks, crashes and lost messages and one or two lost disks; a depth that is not reached is a failure. "The vote not written" has been there (votes_are_not_stored, explorer; and the answer of a step that a refusing disk was to store, full_disk_test).

--- a/tests/tier/coordination/explorer_test.cpp
+++ b/tests/tier/coordination/explorer_test.cpp
@@ -7,10 +7,13 @@
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 #include <iostream>
+#include <limits>
 
 namespace shelflink::coordination {
 namespace {
 
+constexpr std::size_t kNoLimit = std::numeric_limits<std::size_t>::max();
+
 std::uint64_t Argument(int index, std::uint64_t otherwise) {
   const auto& suite = boost::unit_test::framework::master_test_suite();
   return suite.argc > index ? std::strtoull(suite.argv[index], nullptr, 10) : otherwise;
@@ -73,6 +76,30 @@
   }
 }
 
+// Disks that fill and have room again, together with crashes, lost messages and lost disks. The
+// depth is a part of what is claimed: a run that stops short of it has failed.
+BOOST_AUTO_TEST_CASE(every_choice_to_a_depth_with_full_disks_and_losses) {
+  struct Exploring {
+    std::size_t nodes;
+    std::size_t failures;
+    int depth;
+  };
+  for (const Exploring& one : {Exploring{3, 1, 3}, Exploring{5, 2, 2}}) {
+    Faults faults;
+    faults.full_disks = 2;
+    faults.losses = 2;
+    faults.crashes = 2;
+    faults.wipes = static_cast<int>(one.failures);
+    for (const NamedWorld& from : Beginnings(one.nodes, one.failures)) {
+      const std::string name =
+          std::to_string(one.nodes) + " members, full disks and losses, " + from.name;
+      const Exploration result = ExploreAll(from, faults, one.depth, kNoLimit, 256);
+      Report(name, result);
+      BOOST_TEST((result.finding || result.depth == one.depth), name << " ends before its depth");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(long_random_walks_with_full_disks) {
   const std::uint64_t first = Argument(1, 1);
   const std::size_t walks = Argument(2, 40);
--- a/tests/tier/coordination/full_disk_mutants.cmake
+++ b/tests/tier/coordination/full_disk_mutants.cmake
@@ -35,6 +35,28 @@
   a_disk_that_held_a_record_may_found_again coordination/group.cpp
   [=[ && !Witness::HasStored(storage);]=] [=[;]=])
 
+# What the explorer's world does with a full disk, replaced: its steps "full" and "room" find it.
+function(full_disk_world_mutant name text replacement)
+  add_coordination_mutant(tier_mutant_main ${name}
+    ../../../tests/tier/coordination/world.cpp "${text}" "${replacement}")
+  add_test(NAME tier.mutant_${name} COMMAND tier_mutant_${name} 6)
+endfunction()
+
+full_disk_world_mutant(a_disk_with_room_again_stays_out
+  [=[  if (!nodes[node].refuses) return;]=] [=[  return;]=])
+full_disk_world_mutant(a_failed_batch_is_kept_in_memory
+  [=[  Crash(node, kept);
+  nodes[node].refuses = true;
+  StartMember(node, false, true);]=]
+  [=[  Node& one = nodes[node];
+  const auto syncs = std::exchange(one.syncs, {});
+  one.disk.Crash(kept);
+  for (const auto& [ticket, covered] : syncs) {
+    Run(node, [&, told = ticket](Member& member, Step& step, MemberOutput& out) {
+      member.OnSynced(step, out, told);
+    });
+  }]=])
+
 # Answers of processes whose disks refuse.
 tier_mutant(an_answer_without_a_disk_counts_as_a_replaced_witness coordination/record.cpp
   [=[  if (base.number == 0 || member.disk.empty()) return nullptr;]=]
