--- a/tests/tier/measure/core_returns.cpp
+++ b/tests/tier/measure/core_returns.cpp
@@ -16,7 +16,9 @@
 using coordination::Write;
 using tier_seeds::CoreMachine;
 
-constexpr seconds kFull{4};
+constexpr milliseconds kShortestFull{4000};
+constexpr std::uint64_t kSpread =
+    1000;  // Milliseconds more, at most: all phases of the looks for room.
 constexpr seconds kLongestReturn{60};
 constexpr std::size_t kPiece = 64U << 10;
 constexpr std::size_t kPiecesAtOnce = 4;
@@ -60,6 +62,10 @@
          one.machine->group().member().replica().complete();
 }
 
+milliseconds FullOf(std::uint64_t seed) {
+  return kShortestFull + milliseconds(seed * 137 % kSpread);
+}
+
 class Run {
  public:
   Run(const Wanted& wanted, std::size_t megabytes, std::uint64_t seed)
@@ -73,19 +79,22 @@
   }
 
   void Play(Which which, std::uint64_t seed, Figures& figures) {
+    const milliseconds full = FullOf(seed);
     const std::size_t first = seed % returns_.size();
     const std::size_t second = (first + 1) % returns_.size();
     if (which == Which::kAll) {
       for (Return& one : returns_) one.machine->FillDisk(0);
-      tier_.Run(kFull);
+      tier_.Run(full);
       for (Return& one : returns_) GiveRoom(one);
     } else {
       returns_[first].machine->FillDisk(0);
-      tier_.Run(kFull);
+      tier_.Run(full);
       GiveRoom(returns_[first]);
       if (which == Which::kInTurn) {
+        const net::Time until = tier_.now() + full;
         returns_[second].machine->FillDisk(0);
-        Await(kFull, figures);
+        Await(full, figures);
+        if (tier_.now() < until) tier_.Run(until - tier_.now());
         GiveRoom(returns_[second]);
       }
     }
@@ -147,9 +156,7 @@
     return all;
   }
   void Await(net::Span most, Figures& figures) {
-    const net::Time end = tier_.now() + most;
-    tier_.RunUntil([&] { return Look(figures) && tier_.now() >= end - most; }, most);
-    if (tier_.now() < end && most == kFull) tier_.Run(end - tier_.now());
+    tier_.RunUntil([&] { return Look(figures); }, most);
   }
 
   MeasuredTier tier_;
@@ -160,7 +167,7 @@
 
 void PrintCoreReturns(const Wanted& wanted) {
   std::printf(
-      "3 core disks, %.0f Mbit/s a machine, full for 4 s, 4 small changes a second, %zu "
+      "3 core disks, %.0f Mbit/s a machine, full for 4 to 5 s, 4 small changes a second, %zu "
       "seeds; ms from the room's return\n\n",
       wanted.megabits_per_second, static_cast<std::size_t>(wanted.seeds));
   std::printf(
--- a/tests/tier/measure/store_returns.cpp
+++ b/tests/tier/measure/store_returns.cpp
@@ -22,7 +22,9 @@
 
 constexpr std::size_t kStores = 3;
 constexpr std::size_t kCopies = 2;
-constexpr seconds kFull{4};
+constexpr milliseconds kShortestFull{4000};
+constexpr std::uint64_t kSpread =
+    1000;  // Milliseconds more, at most: all phases of the looks for room.
 constexpr seconds kLongestReturn{120};
 constexpr std::size_t kMegabyte = 1U << 20;
 constexpr std::size_t kBody = 64U << 10;
@@ -135,19 +137,20 @@
   ~Run() { tier_.net().Clear(); }
 
   void Play(Which which, std::uint64_t seed, Figures& figures) {
+    const milliseconds full = kShortestFull + milliseconds(seed * 137 % kSpread);
     const std::size_t first = seed % returns_.size();
     const std::size_t second = (first + 1) % returns_.size();
     if (which == Which::kAll) {
       for (Return& one : returns_) one.machine->FillDisk(0);
-      tier_.Run(kFull);
+      tier_.Run(full);
       for (Return& one : returns_) GiveRoom(one);
     } else {
       returns_[first].machine->FillDisk(0);
-      tier_.Run(kFull);
+      tier_.Run(full);
       GiveRoom(returns_[first]);
       if (which == Which::kInTurn) {
         returns_[second].machine->FillDisk(0);
-        const net::Time until = tier_.now() + kFull;
+        const net::Time until = tier_.now() + full;
         while (tier_.now() < until) {
           Look(figures);
           tier_.Run(milliseconds(1));
@@ -230,7 +233,7 @@
 
 void PrintStoreReturns(const Wanted& wanted) {
   std::printf(
-      "3 stores, 64 partitions of 2 copies, %.0f Mbit/s a machine, full for 4 s, 4 jobs a "
+      "3 stores, 64 partitions of 2 copies, %.0f Mbit/s a machine, full for 4 to 5 s, 4 jobs a "
       "second, %zu seeds; ms from the room's return\n\n",
       wanted.megabits_per_second, static_cast<std::size_t>(wanted.seeds));
   std::printf(
