Storage: long values in pieces, what is used counted at once, a reserve for removals

Free pages were counted each 32 commits, so a storage that refused for want of room never counted again. A map that was full took no removal and no probe: it stayed full. Change: pieces of a page (lmdb_records), usage by LMDB's own page counts, the last thirty-second for batches that remove something and small ones (reserve.h, also in the stand-in), and recovery from a full map without reading the file anew.

--- a/src/tier/storage/crash_storage.cpp
+++ b/src/tier/storage/crash_storage.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "tier/storage/reserve.h"
+
 namespace shelflink::storage {
 
 void CrashDisk::ApplyTo(Contents& contents, const Batch& batch) {
@@ -22,6 +24,14 @@
   contents_ = durable_;
 }
 
+Usage CrashDisk::usage() const {
+  constexpr std::uint64_t kUsualLimit = 64U << 20;
+  if (!bytes_limit_) return {bytes_used_, kUsualLimit};
+  std::uint64_t bytes = 0;
+  for (const auto& [key, value] : contents_) bytes += key.size() + value.size();
+  return {bytes, *bytes_limit_};
+}
+
 void CrashDisk::Wipe() {
   durable_.clear();
   contents_.clear();
@@ -61,6 +71,9 @@
 void CrashStorage::Apply(const Batch& batch) {
   if (failed()) return;
   failure_ = disk_.Operate();
+  if (!failed() && disk_.bytes_limit_ && !HasRoomFor(batch, disk_.usage())) {
+    failure_ = Failure::kFull;
+  }
   if (failed()) return;
   CrashDisk::ApplyTo(disk_.contents_, batch);
   disk_.unsynced_.push_back(batch);
--- a/src/tier/storage/crash_storage.h
+++ b/src/tier/storage/crash_storage.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,9 @@
   // Of batches that no sync had covered before a failure, so many of the oldest remain.
   void SetKeptOnFailure(std::size_t kept) { kept_on_failure_ = kept; }
   void SetBytesUsed(std::uint64_t bytes) { bytes_used_ = bytes; }
+  // It holds no more than that, with a reserve (reserve.h); what it holds is counted then.
+  void SetLimit(std::uint64_t bytes) { bytes_limit_ = bytes; }
+  Usage usage() const;
   // While stalled no sync ends; the ones under way end when it is over.
   void SetStalled(bool stalled) { stalled_ = stalled; }
   std::size_t unsynced() const { return unsynced_.size(); }
@@ -53,7 +57,8 @@
   std::uint64_t fails_left_ = 0;
   Failure fails_as_ = Failure::kNone;
   std::size_t kept_on_failure_ = 0;
-  std::uint64_t bytes_used_ = 0;  // As told; nothing is counted.
+  std::uint64_t bytes_used_ = 0;  // As told; counted where there is a limit.
+  std::optional<std::uint64_t> bytes_limit_;
   bool stalled_ = false;
 };
 
@@ -69,7 +74,7 @@
   void Scan(std::string_view prefix, std::string_view from, const Visitor& visitor) const override;
   void Apply(const Batch& batch) override;
   void Sync(Synced done) override;
-  Usage usage() const override { return {disk_.bytes_used_, 64U << 20}; }
+  Usage usage() const override { return disk_.usage(); }
   Failure failure() const override { return failure_; }
   std::string failure_text() const override;
   Result<void> Recover() override;
--- a/src/tier/storage/lmdb_storage.cpp
+++ b/src/tier/storage/lmdb_storage.cpp
@@ -5,20 +5,19 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <cstring>
 #include <utility>
 
-#include "mix.h"
 #include "tier/foundation/log.h"
 #include "tier/storage/lmdb_file.h"
 #include "tier/storage/lmdb_pages.h"
+#include "tier/storage/lmdb_records.h"
+#include "tier/storage/reserve.h"
 
 namespace shelflink::storage {
 
 namespace {
 
 constexpr char kModule[] = "storage";
-constexpr std::size_t kChecksumSize = 8;
 constexpr mode_t kFileMode = 0600;
 // Read through the map before it is let go.
 constexpr std::size_t kMostBytesRead = 24U << 20;
@@ -27,18 +26,11 @@
 constexpr std::size_t kReachOfGet = 16U << 10;
 constexpr std::size_t kReachOfChange = 4U << 10;
 constexpr std::size_t kReachOfNext = 512;
-// Commits after which free pages are counted anew.
-constexpr std::size_t kCommitsPerCount = 32;
-constexpr MDB_dbi kFreePagesTable = 0;  // LMDB's own: lists of page numbers, the count in front.
+constexpr std::uint64_t kMetaPages = 2;  // In front of all others.
 // Written and removed again before a storage that failed is trusted.
 constexpr char kProbeKey[] = "probe";
 constexpr std::size_t kProbeBytes = 16U << 10;
 
-// It guards against damage, not against people.
-std::uint64_t Checksum(std::string_view key, std::string_view value) {
-  return gaugecart::Fnv1a(value, gaugecart::Fnv1a(key) * gaugecart::kFnvPrime);
-}
-
 MDB_val ToVal(std::string_view bytes) {
   return {bytes.size(), const_cast<char*>(bytes.data())};  // LMDB does not write through it.
 }
@@ -46,16 +38,6 @@
   return {static_cast<const char*>(val.mv_data), val.mv_size};
 }
 
-// The value without its checksum; none where it does not fit.
-std::optional<std::string_view> Checked(std::string_view key, std::string_view stored) {
-  if (stored.size() < kChecksumSize) return std::nullopt;
-  const std::string_view value = stored.substr(kChecksumSize);
-  std::uint64_t told = 0;
-  std::memcpy(&told, stored.data(), kChecksumSize);
-  if (told != Checksum(key, value)) return std::nullopt;
-  return value;
-}
-
 }  // namespace
 
 Result<std::unique_ptr<LmdbStorage>> LmdbStorage::Open(net::Loop& loop, const Options& options) {
@@ -156,7 +138,6 @@
   writing_ = nullptr;
   environment_ = nullptr;
   bytes_read_ = 0;
-  free_pages_.reset();
 }
 
 // ---- After a failure.
@@ -168,6 +149,7 @@
 Result<void> LmdbStorage::Recover() {
   if (!failed()) return BOOST_OUTCOME_V2_NAMESPACE::success();
   FailWaiting();
+  if (error_ == MDB_MAP_FULL) return RecoverFromFullMap();
   if (const int code = ProveRoom(options_.folder); code != 0) {
     return MakeError(ErrorCode::kStorage, mdb_strerror(code));
   }
@@ -183,10 +165,20 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+// The disk has done nothing wrong: what is stored is not in doubt, and need not be read anew.
+Result<void> LmdbStorage::RecoverFromFullMap() {
+  if (writing_ != nullptr) mdb_txn_abort(writing_);
+  writing_ = nullptr;
+  error_ = 0;
+  WriteProbe();
+  if (failed()) return MakeError(ErrorCode::kStorage, failure_text());
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 void LmdbStorage::WriteProbe() {
-  Apply(Batch().Put(kProbeKey, std::string(kProbeBytes, 'p')));
+  ApplyOrFail(Batch().Put(kProbeKey, std::string(kProbeBytes, 'p')));
   if (!failed()) EndWriting();
-  Apply(Batch().Remove(kProbeKey));
+  ApplyOrFail(Batch().Remove(kProbeKey));
   if (!failed()) EndWriting();
 }
 
@@ -223,18 +215,15 @@
   MDB_val name = ToVal(key);
   MDB_val found{};
   std::optional<std::string> result;
-  const int code = mdb_get(transaction, table_, &name, &found);
+  int code = mdb_get(transaction, table_, &name, &found);
   if (code == 0) {
-    const auto value = Checked(key, ToView(found));
-    if (value) {
-      bytes_read_ += found.mv_size + kReachOfGet;
-      result.emplace(*value);
-    } else {
-      Fail(MDB_CORRUPTED);
-    }
-  } else if (code != MDB_NOTFOUND) {
-    Fail(code);
+    std::string whole;
+    std::string_view value;
+    code = ReadRecord({transaction, table_}, key, ToView(found), whole, value);
+    bytes_read_ += value.size() + kReachOfGet;
+    if (code == 0) result.emplace(value);
   }
+  if (code != 0 && code != MDB_NOTFOUND) Fail(code);
   DoneReading();
   return result;
 }
@@ -260,18 +249,19 @@
     return std::nullopt;
   }
   std::optional<std::string> next;
+  std::string whole;
   MDB_val key = ToVal(start);
   MDB_val found{};
   int code = mdb_cursor_get(cursor, &key, &found, start.empty() ? MDB_FIRST : MDB_SET_RANGE);
-  while (code == 0 && ToView(key).substr(0, prefix.size()) == prefix) {
+  while (code == 0 && ToView(key).substr(0, prefix.size()) == prefix && !IsPiece(ToView(key))) {
     if (MustLetGo()) {
       next.emplace(ToView(key));
       break;
     }
-    const auto value = Checked(ToView(key), ToView(found));
-    bytes_read_ += found.mv_size + kReachOfNext;
-    if (!value) code = MDB_CORRUPTED;
-    if (!value || !visitor(ToView(key), *value)) break;
+    std::string_view value;
+    code = ReadRecord({transaction, table_}, ToView(key), ToView(found), whole, value);
+    bytes_read_ += value.size() + kReachOfNext;
+    if (code != 0 || !visitor(ToView(key), value)) break;
     code = mdb_cursor_get(cursor, &key, &found, MDB_NEXT);
   }
   mdb_cursor_close(cursor);
@@ -283,6 +273,15 @@
 // ---- Writing.
 
 void LmdbStorage::Apply(const Batch& batch) {
+  if (failed()) return;
+  if (HasRoomFor(batch, usage())) {
+    ApplyOrFail(batch);
+  } else {
+    Fail(MDB_MAP_FULL);
+  }
+}
+
+void LmdbStorage::ApplyOrFail(const Batch& batch) {
   if (failed()) return;
   if (const int code = ApplyAll(batch); code != 0) Fail(code);
 }
@@ -293,20 +292,12 @@
     if (code != 0) return code;
   }
   bytes_read_ += batch.changes().size() * kReachOfChange;
+  const RecordTable records{writing_, table_};
   for (const Batch::Change& change : batch.changes()) {
-    MDB_val key = ToVal(change.key);
-    if (!change.value) {
-      const int code = mdb_del(writing_, table_, &key, nullptr);
-      if (code != 0 && code != MDB_NOTFOUND) return code;
-      continue;
-    }
-    const std::uint64_t checksum = Checksum(change.key, *change.value);
-    MDB_val room{kChecksumSize + change.value->size(), nullptr};
-    const int code = mdb_put(writing_, table_, &key, &room, MDB_RESERVE);
+    if (IsPiece(change.key)) return EINVAL;
+    const int code = change.value ? PutRecord(records, change.key, *change.value)
+                                  : RemoveRecord(records, change.key);
     if (code != 0) return code;
-    char* const to = static_cast<char*>(room.mv_data);
-    std::memcpy(to, &checksum, kChecksumSize);
-    std::copy(change.value->begin(), change.value->end(), to + kChecksumSize);
   }
   return 0;
 }
@@ -320,13 +311,7 @@
 }
 
 void LmdbStorage::Commit() {
-  if (!failed() && writing_ != nullptr) {
-    EndWriting();
-    if (++commits_since_counted_ >= kCommitsPerCount) {
-      commits_since_counted_ = 0;
-      free_pages_.reset();
-    }
-  }
+  if (!failed() && writing_ != nullptr) EndWriting();
   const std::vector<Synced> told = std::move(waiting_);
   waiting_.clear();
   const std::shared_ptr<bool> alive = alive_;
@@ -362,34 +347,17 @@
     Fail(code);
 }
 
-std::uint64_t LmdbStorage::FreePages() const {
-  if (free_pages_) return *free_pages_;
-  std::uint64_t pages = 0;
-  MDB_txn* const transaction = Reading();
-  MDB_cursor* cursor = nullptr;
-  if (transaction != nullptr && mdb_cursor_open(transaction, kFreePagesTable, &cursor) == 0) {
-    MDB_val key{};
-    MDB_val list{};
-    while (mdb_cursor_get(cursor, &key, &list, MDB_NEXT) == 0) {
-      std::size_t count = 0;
-      std::memcpy(&count, list.mv_data, sizeof count);
-      pages += count;
-    }
-    mdb_cursor_close(cursor);
-  }
-  if (transaction != nullptr) DoneReading();
-  free_pages_ = pages;
-  return pages;
-}
-
+// What is not yet committed counts too. Without LMDB's own list of free pages, which takes a page
+// for each 500 of them.
 Usage LmdbStorage::usage() const {
   if (environment_ == nullptr) return {0, options_.bytes_limit};
-  MDB_envinfo info{};
   MDB_stat stat{};
-  mdb_env_info(environment_, &info);
-  mdb_env_stat(environment_, &stat);
-  const std::uint64_t pages = std::uint64_t{info.me_last_pgno} + 1;
-  return {(pages - std::min(pages, FreePages())) * stat.ms_psize, options_.bytes_limit};
+  if (failed() || writing_ == nullptr || mdb_stat(writing_, table_, &stat) != 0) {
+    mdb_env_stat(environment_, &stat);
+  }
+  const std::uint64_t pages =
+      kMetaPages + stat.ms_branch_pages + stat.ms_leaf_pages + stat.ms_overflow_pages;
+  return {pages * stat.ms_psize, options_.bytes_limit};
 }
 
 void LmdbStorage::Fail(int code) const {
--- a/src/tier/storage/lmdb_storage.h
+++ b/src/tier/storage/lmdb_storage.h
@@ -21,7 +21,8 @@
  public:
   struct Options {
     std::string folder;             // Made where it is missing; its parent must exist.
-    std::uint64_t bytes_limit = 0;  // Size of the map: the most that the file may grow to.
+    std::uint64_t bytes_limit = 0;  // Size of the map: the most that the file may grow to; its last
+                                    // part is a reserve (reserve.h).
     bool verify = true;             // Read everything once when opening.
     bool log_failures = true;       // False: the owner tells the log why nothing is stored.
   };
@@ -57,12 +58,14 @@
   int Verify() const;
   int PutAside();
   void CloseEnvironment();
+  Result<void> RecoverFromFullMap();
   void WriteProbe();
   // Tells those that wait for a sync that it will not come.
   void FailWaiting();
   // The write transaction where one is open, else the read transaction.
   MDB_txn* Reading() const;
   void DoneReading() const;
+  void ApplyOrFail(const Batch& batch);
   int ApplyAll(const Batch& batch);
   void Commit();
   void Fail(int code) const;
@@ -75,8 +78,6 @@
   int LikelyCause(int code) const;
   bool MustLetGo() const;
   void LetGo() const;
-  // Pages of the file that hold nothing.
-  std::uint64_t FreePages() const;
 
   net::Loop& loop_;
   Options options_;
@@ -84,9 +85,7 @@
   unsigned table_ = 0;
   mutable MDB_txn* writing_ = nullptr;
   mutable MDB_txn* reading_ = nullptr;
-  mutable std::size_t bytes_read_ = 0;               // Since the map was let go.
-  mutable std::optional<std::uint64_t> free_pages_;  // As counted since the last few commits.
-  std::size_t commits_since_counted_ = 0;
+  mutable std::size_t bytes_read_ = 0;  // Since the map was let go.
   std::vector<Synced> waiting_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   mutable int error_ = 0;  // Code of the first error; nothing is stored since.
--- a/src/tier/storage/storage.h
+++ b/src/tier/storage/storage.h
@@ -65,7 +65,7 @@
   // the storage.
   virtual void Scan(std::string_view prefix, std::string_view from,
                     const Visitor& visitor) const = 0;
-  // Keys are 1 to kLongestKey bytes long.
+  // Keys are 1 to kLongestKey bytes long; the byte 0xff, in front, is the storage's own.
   virtual void Apply(const Batch& batch) = 0;
   // Makes all batches applied so far durable; never calls back from inside. Several that are asked
   // for in one turn of the loop share one sync.
--- a/tests/tier/storage/mutants.cmake
+++ b/tests/tier/storage/mutants.cmake
@@ -18,3 +18,17 @@
   [=[  return CheckPagesInUse(path, stat.ms_psize, info.me_last_txnid);]=] [=[  return MDB_CORRUPTED;]=]
   TEST storage/recovery_test RUN a_value_that_came_and_went_before_a_sync_is_no_damage
   LIBRARIES shelflink_tier_storage)
+tier_mutant(a_full_map_stays_full storage/lmdb_storage.cpp
+  [=[  if (HasRoomFor(batch, usage())) {]=] [=[  if (true) {]=]
+  TEST storage/recovery_test RUN a_full_map_takes_removals_and_has_room_again
+  LIBRARIES shelflink_tier_storage)
+tier_mutant(pieces_of_a_replaced_value_stay storage/lmdb_records.cpp
+  [=[  if (const int code = RemovePieces(to, key); code != 0) return code;
+  return value.size()]=] [=[  return value.size()]=]
+  TEST storage/storage_test RUN a_removed_long_value_leaves_nothing,values_of_any_length_replace_each_other_and_last
+  LIBRARIES shelflink_tier_storage)
+tier_mutant(long_values_stand_in_one_record storage/lmdb_records.cpp
+  [=[  return value.size() <= kLongestShort ? PutShort(to, key, value) : PutLong(to, key, value);]=]
+  [=[  return PutShort(to, key, value);]=]
+  TEST storage/storage_test RUN a_long_value_needs_no_free_pages_that_follow_each_other
+  LIBRARIES shelflink_tier_storage)
