--- a/src/tier/batch/hosted_partition.cpp
+++ b/src/tier/batch/hosted_partition.cpp
@@ -1,6 +1,7 @@
 #include "tier/batch/hosted_partition.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "tier/coordination/catch_up.h"
 
@@ -15,6 +16,11 @@
 // Connections lose nothing while they last: sent again sooner, large writes would only come twice
 // to a backup that is slow already.
 constexpr std::chrono::milliseconds kResend{1000};
+// A storage that is nearly full has room for the note of so much that was removed at a time.
+constexpr std::size_t kMostErasedBytes = 1U << 20;
+// A disk that had no room for new jobs is asked again so often: while none are taken there may be
+// nothing else to say to it.
+constexpr std::chrono::milliseconds kAskFullDisks{1000};
 
 coordination::Replica::Options ReplicaOptions(const PartitionSurroundings& around,
                                               std::uint32_t partition) {
@@ -55,7 +61,7 @@
   TakeMembers(row);
   NoteEpoch(row.epoch);
   if (IsStartedEmpty()) {
-    Erase();
+    EraseUpTo(std::numeric_limits<std::size_t>::max());
     replica_ = coordination::Replica(ReplicaOptions(around_, partition_), around_.storage);
   }
   const bool nothing_stored = !replica_.complete() && replica_.tail_entries() == 0 &&
@@ -182,7 +188,7 @@
   const auto found = addresses_.find(disk);
   if (found == addresses_.end()) return;
   around_.send(found->second, {partition_, replica_.epoch(), around_.disk, around_.has_room(),
-                               std::move(message)});
+                               std::move(message), around_.takes_results()});
 }
 
 FrameUse HostedPartition::OnFrame(const ReplicaFrame& frame, std::size_t bytes) {
@@ -199,11 +205,7 @@
     return FrameUse::kOlderEpoch;
   }
   if (!named_ || !Names(row_, frame.disk)) return FrameUse::kUnnamed;
-  if (frame.has_room) {
-    full_disks_.erase(frame.disk);
-  } else {
-    full_disks_.insert(frame.disk);
-  }
+  NoteRoom(frame);
   const bool from_primary = frame.disk == row_.primary_disk && frame.disk != around_.disk;
   if (from_primary && frame.epoch > replica_.epoch()) AssignEpoch(frame.epoch, false);
   if (acting() && frame.epoch < replica_.epoch()) {
@@ -217,6 +219,14 @@
   return FrameUse::kTaken;
 }
 
+void HostedPartition::NoteRoom(const ReplicaFrame& frame) {
+  if (frame.has_room) {
+    full_disks_.erase(frame.disk);
+  } else {
+    full_disks_[frame.disk] = frame.takes_results;
+  }
+}
+
 void HostedPartition::TakeEarlyFrames() {
   const auto frames = std::exchange(early_, {});
   early_bytes_ = 0;
@@ -231,16 +241,24 @@
     Announce({});
   }
   if (!acting()) return;
+  AskFullDisks();
   Run([this](coordination::Step& step, coordination::ReplicaOutput& out) {
     replica_.OnTimer(step, out);
   });
 }
 
+// Each answer tells whether its disk has room by now.
+void HostedPartition::AskFullDisks() {
+  if (full_disks_.empty() || around_.loop.Now() - asked_full_disks_ < kAskFullDisks) return;
+  asked_full_disks_ = around_.loop.Now();
+  for (const auto& [disk, takes_results] : full_disks_) replica_.TellAgain(disk);
+}
+
 bool HostedPartition::busy() const {
   if (learning() || act_from_) return true;
   if (!acting()) return false;
   return replica_.tail_entries() > 0 || complete_copies() <= row_.backups.size() ||
-         around_.loop.Now() - active_at_ < kActiveSpan;
+         !full_disks_.empty() || around_.loop.Now() - active_at_ < kActiveSpan;
 }
 
 std::vector<std::string> HostedPartition::Stalled(net::Span patience) const {
@@ -271,15 +289,28 @@
   });
 }
 
-void HostedPartition::Erase() {
+// The replica's state goes with the first part, so that what is left is never taken for a copy: it
+// may be named again meanwhile.
+bool HostedPartition::EraseMore() {
+  const bool all = EraseUpTo(kMostErasedBytes);
+  replica_ = coordination::Replica(ReplicaOptions(around_, partition_), around_.storage);
+  AssignEpoch(ReplicaEpoch(row_.epoch, 0), false);
+  return all;
+}
+
+bool HostedPartition::EraseUpTo(std::size_t bytes) {
   storage::Batch batch;
+  batch.Remove(coordination::Replica::StateKeyOf(PrefixOf(partition_)));
+  std::size_t erased = 0;
   const std::string prefix = PrefixOf(partition_);
-  around_.storage.Scan(prefix, prefix, [&](std::string_view key, std::string_view) {
+  around_.storage.Scan(prefix, prefix, [&](std::string_view key, std::string_view value) {
     batch.Remove(std::string(key));
-    return true;
+    erased += key.size() + value.size();
+    return erased < bytes;
   });
   around_.storage.Apply(batch);
   around_.storage.Sync([](const Result<void>&) {});
+  return erased < bytes;
 }
 
 // --- Log ----------------------------------------------------------------------------------------
@@ -291,6 +322,12 @@
 
 bool HostedPartition::has_room() const { return full_disks_.empty() && around_.has_room(); }
 
+bool HostedPartition::takes_results() const {
+  return around_.takes_results() &&
+         std::all_of(full_disks_.begin(), full_disks_.end(),
+                     [](const auto& full_disk) { return full_disk.second; });
+}
+
 void HostedPartition::Commit(std::vector<coordination::Write> writes, Done done) {
   Result<coordination::Position> proposed =
       MakeError(ErrorCode::kUnavailable, "the store's disk has failed");
--- a/src/tier/batch/hosted_partition.h
+++ b/src/tier/batch/hosted_partition.h
@@ -31,7 +31,8 @@
   std::string disk;
   std::size_t least_replicas = 2;
   std::function<net::Time()> lease_until;
-  std::function<bool()> has_room;  // On this disk.
+  std::function<bool()> has_room;       // On this disk, for new jobs.
+  std::function<bool()> takes_results;  // The same, for results of what was accepted.
   std::function<coordination::Ticket()> next_ticket;
   std::function<void(const net::Address& to, ReplicaFrame frame)> send;
   std::function<void()> role_changed;  // `acting` or `leading` is another; look again, later.
@@ -87,12 +88,14 @@
   std::uint64_t row_epoch() const { return row_.epoch; }
   // When a row left this disk out; only if not named.
   net::Time left_at() const { return left_at_; }
-  // Removes everything stored of the partition. Destroy it then.
-  void Erase();
+  // Removes a part of what is stored of the partition, of which no row names this disk; whether
+  // that was all: destroy it then.
+  bool EraseMore();
 
   // PartitionLog
   bool serving() const override;
   bool has_room() const override;
+  bool takes_results() const override;
   std::uint64_t epoch() const override { return row_.epoch; }
   void Commit(std::vector<coordination::Write> writes, Done done) override;
   std::optional<std::string> Get(std::string_view key) const override;
@@ -111,6 +114,10 @@
   void Act();
   void AssignEpoch(std::uint64_t epoch, bool acting);
   void TakeEarlyFrames();
+  // Of what is stored of the partition; about so many bytes. Whether that was all.
+  bool EraseUpTo(std::size_t bytes);
+  void NoteRoom(const ReplicaFrame& frame);
+  void AskFullDisks();
   void FailCommits();
   void NoteEpoch(std::uint64_t row_epoch);
 
@@ -126,7 +133,9 @@
   std::vector<std::pair<ReplicaFrame, std::size_t>> early_;
   std::size_t early_bytes_ = 0;
   std::tuple<bool, bool, std::uint64_t> told_role_;  // Acting, leading, the term.
-  std::set<std::string> full_disks_;                 // Of the other replicas.
+  // The other replicas whose disks take no new jobs, and whether they take results; as told last.
+  std::map<std::string, bool> full_disks_;
+  net::Time asked_full_disks_{};
   std::deque<std::pair<coordination::Position, Done>> commits_;
   net::Time active_at_{};
   net::Time left_at_{};
--- a/src/tier/batch/job_book.cpp
+++ b/src/tier/batch/job_book.cpp
@@ -8,6 +8,8 @@
 
 constexpr milliseconds kQuotaRetryAfter{500};
 constexpr Micros kMicrosPerMilli = 1000;
+// Collected writes beyond which no further job is looked at.
+constexpr std::size_t kMostCheckedBytes = 32U << 10;
 // Results that nobody read to the end stay for so many times the status span.
 constexpr Micros kUnreadSpans = 4;
 
@@ -173,7 +175,10 @@
 
 void JobBook::OnTick(Micros now) {
   RequeueItemsOf(leases_.DropExpired(now));
-  while (!checks_.empty() && checks_.begin()->first <= now) {
+  // The rest follows with the next commit: what removes a lot is noted in parts, each of which also
+  // a full disk has room for.
+  while (!checks_.empty() && checks_.begin()->first <= now &&
+         collected_bytes_ < kMostCheckedBytes) {
     const JobNumber number = checks_.begin()->second;
     Check(now, number, jobs_.At(number));
   }
@@ -232,7 +237,7 @@
   };
   if (HasWaiting() && now < loaded_items_from_) consider(loaded_items_from_);
   if (const std::optional<Micros> expiry = leases_.NextExpiry()) consider(*expiry);
-  if (!checks_.empty()) consider(checks_.begin()->first);
+  if (!checks_.empty() && collected_bytes_ < kMostCheckedBytes) consider(checks_.begin()->first);
   return wake;
 }
 
--- a/src/tier/batch/job_book.h
+++ b/src/tier/batch/job_book.h
@@ -125,6 +125,7 @@
   std::uint64_t queued_tokens() const { return queued_.total(); }
   std::size_t jobs() const { return jobs_.size(); }
   std::size_t leases() const { return leases_.size(); }
+  std::size_t waiting() const { return queue_.size(); }  // Items that nobody runs.
 
  private:
   struct Pending {  // A change that becomes visible when durable.
--- a/src/tier/batch/partition_log.h
+++ b/src/tier/batch/partition_log.h
@@ -28,6 +28,9 @@
   virtual std::uint64_t epoch() const = 0;
   // Whether the disks of all replicas take new jobs and have room behind them for their results.
   virtual bool has_room() const = 0;
+  // Whether they take results of what was accepted before; else only what removes something, and
+  // what little must be noted for it.
+  virtual bool takes_results() const = 0;
   // All or nothing, in the order of the calls. `done` is never called from inside: success once
   // every replica of the row has it synced, kUnknown if that did not come about under this epoch;
   // whether the writes are in force is then decided by whoever is the primary next.
--- a/src/tier/batch/partition_server.cpp
+++ b/src/tier/batch/partition_server.cpp
@@ -203,6 +203,10 @@
     reply(MakeError(ErrorCode::kUnavailable, "too much waits for the commit under way"));
     return;
   }
+  if (finished.outcome == RunOutcome::kComplete && !log_.takes_results()) {
+    reply(MakeError(ErrorCode::kUnavailable, "no room for results on the disks of the stores"));
+    return;
+  }
   book_.OnFinished(clock_.Now(), finished);
   Answer(std::move(reply), {});
   events_.work();
@@ -217,6 +221,7 @@
 }
 
 std::optional<Assign> PartitionServer::Lend(const net::Address& proxy) {
+  if (!log_.takes_results()) return {};
   std::optional<JobBook::Assignment> assignment = book_.NextAssignment(clock_.Now(), proxy);
   if (!assignment) return {};
   Assign message = std::move(assignment->message);
--- a/src/tier/batch/replica_frame.h
+++ b/src/tier/batch/replica_frame.h
@@ -27,6 +27,7 @@
   std::string disk;                                     // Of the sender.
   bool has_room = true;                                 // The sender's disk takes new jobs.
   std::optional<coordination::ReplicaMessage> message;  // None: the epoch is the message.
+  bool takes_results = true;                            // As has_room, of accepted items.
 };
 
 std::string Encode(ReplicaFrame frame);
--- a/src/tier/batch/replica_host.cpp
+++ b/src/tier/batch/replica_host.cpp
@@ -19,7 +19,19 @@
 // A partition that no row gives to this disk any more is kept so long: the disk may be named again
 // soon, and then little has to move.
 constexpr milliseconds kKeepUnnamed{20000};
+// So much of the disk may be used where new jobs are accepted, what they will still need counted
+// in; where copies of partitions are taken up; and where results of accepted jobs are. The rest is
+// for what removes something: the storage itself keeps a last part for that (lmdb_storage.h).
 constexpr double kRoomShare = 0.8;
+constexpr double kCopyShare = 0.9;
+constexpr double kResultShare = 0.95;
+
+// A part of a copy for a joiner.
+bool IsCopy(const ReplicaFrame& frame) {
+  const auto* reply =
+      frame.message ? std::get_if<coordination::CatchUpReply>(&*frame.message) : nullptr;
+  return reply != nullptr && !reply->contents.empty();
+}
 
 }  // namespace
 
@@ -32,14 +44,15 @@
       outside_(std::move(outside)),
       drops_(loop, std::string(kLogName), dropped_),
       timer_(loop.NewTimer([this] { OnTimer(); })) {
-  around_ = std::make_unique<PartitionSurroundings>(PartitionSurroundings{
-      loop_, storage_, options_.disk, options_.least_replicas, outside_.lease_until,
-      [this] { return HasRoom(); }, [this] { return ++ticket_; },
-      [this](const net::Address& to, ReplicaFrame frame) {
-        hub_.Send(to, kReplicate, Encode(std::move(frame)));
-        ArmTimer();
-      },
-      [this] { LookLater(); }});
+  around_ = std::make_unique<PartitionSurroundings>(
+      PartitionSurroundings{loop_, storage_, options_.disk, options_.least_replicas,
+                            outside_.lease_until, [this] { return HasRoom(); },
+                            [this] { return IsBelow(kResultShare); }, [this] { return ++ticket_; },
+                            [this](const net::Address& to, ReplicaFrame frame) {
+                              hub_.Send(to, kReplicate, Encode(std::move(frame)));
+                              ArmTimer();
+                            },
+                            [this] { LookLater(); }});
   hub_.Handle(kReplicate, [this](const transport::PeerIdentity& from, std::string_view body) {
     OnFrame(from, body);
   });
@@ -134,6 +147,22 @@
   if (led_.erase(partition) != 0 && events_.lost) events_.lost(partition);
 }
 
+ReplicaHost::Copies ReplicaHost::copies() const {
+  Copies copies;
+  for (const auto& [partition, hosted] : hosted_) {
+    if (!hosted->named()) {
+      ++copies.left;
+    } else if (hosted->acting()) {
+      ++copies.primaries;
+    } else if (hosted->learning()) {
+      ++copies.incomplete;
+    } else {
+      ++copies.backups;
+    }
+  }
+  return copies;
+}
+
 // --- Frames -------------------------------------------------------------------------------------
 
 void ReplicaHost::OnFrame(const transport::PeerIdentity& from, std::string_view body) {
@@ -146,9 +175,11 @@
   const auto found = hosted_.find(frame.value().partition);
   if (found == hosted_.end()) return drops_.Count("not_hosted");
   HostedPartition& hosted = *found->second;
+  if (IsCopy(frame.value()) && !IsBelow(kCopyShare)) return drops_.Count("no_room");
   CountUse(hosted.OnFrame(frame.value(), body.size()), frame.value(), from);
   ReportJoined(found->first, hosted);
   if (hosted.learning()) LearnLater();
+  ArmTimer();
 }
 
 void ReplicaHost::CountUse(FrameUse use, const ReplicaFrame& frame,
@@ -239,11 +270,18 @@
   });
 }
 
+// A copy that has come in part stays, and goes on where there is room again.
 void ReplicaHost::ChooseLearners() {
   std::vector<HostedPartition*> learning;
   for (auto& [partition, hosted] : hosted_) {
     if (hosted->learning() && !hosted->caught_up()) learning.push_back(hosted.get());
   }
+  if (!learning.empty() && !IsBelow(kCopyShare)) {
+    log::Bounded(log::Level::kWarning, std::string(kLogName), "no_room",
+                 std::to_string(learning.size()) + " copies wait for room on this disk",
+                 loop_.Now().time_since_epoch() / std::chrono::microseconds(1));
+    return;
+  }
   std::stable_sort(learning.begin(), learning.end(),
                    [](const HostedPartition* one, const HostedPartition* other) {
                      return one->complete_copies() < other->complete_copies();
@@ -259,7 +297,10 @@
       ++entry;
       continue;
     }
-    hosted.Erase();
+    if (!hosted.EraseMore()) {
+      ++entry;
+      continue;
+    }
     Lost(entry->first);
     entry = hosted_.erase(entry);
   }
@@ -272,4 +313,9 @@
          kRoomShare * static_cast<double>(usage.bytes_limit);
 }
 
+bool ReplicaHost::IsBelow(double share) const {
+  const storage::Usage usage = storage_.usage();
+  return static_cast<double>(usage.bytes_used) < share * static_cast<double>(usage.bytes_limit);
+}
+
 }  // namespace shelflink::batch
--- a/src/tier/batch/replica_host.h
+++ b/src/tier/batch/replica_host.h
@@ -68,7 +68,16 @@
   void SetEvents(Events events) override { events_ = std::move(events); }
   void OnPlacement(const cluster::Placement& placement) override;
   void LeadAnew(std::uint32_t partition) override;
-  // Frames of other stores, by cause: "malformed", "older_epoch", "unnamed_disk", "not_hosted".
+  // Copies on this disk, by the part that they have; see cluster::StoreFigures.
+  struct Copies {
+    std::uint64_t primaries = 0;
+    std::uint64_t backups = 0;
+    std::uint64_t incomplete = 0;
+    std::uint64_t left = 0;
+  };
+  Copies copies() const;
+  // Frames of other stores, by cause: "malformed", "older_epoch", "unnamed_disk", "not_hosted",
+  // "no_room" (parts of copies).
   const DropCounter::Counts& dropped() const { return dropped_; }
 
  private:
@@ -94,6 +103,8 @@
   void DropUnnamed();
   // Whether this disk takes new jobs; the rest is kept for results of what has been accepted.
   bool HasRoom() const;
+  // Whether more than that share of the disk is free.
+  bool IsBelow(double share) const;
 
   net::Loop& loop_;
   transport::Hub& hub_;
--- a/src/tier/batch/store.cmake
+++ b/src/tier/batch/store.cmake
@@ -12,6 +12,7 @@
 
 # The process, with its part in the cluster.
 if(EXISTS ${PROJECT_SOURCE_DIR}/src/tier/cluster/agent.cpp)
-  target_sources(shelflink_tier_store PRIVATE store_node.cpp store_process.cpp store_program.cpp)
+  target_sources(shelflink_tier_store PRIVATE store_node.cpp store_process.cpp store_program.cpp
+    store_waiting.cpp)
   target_link_libraries(shelflink_tier_store PUBLIC shelflink_tier_cluster_agent shelflink_net_glib)
 endif()
--- a/src/tier/batch/store_disk.cpp
+++ b/src/tier/batch/store_disk.cpp
@@ -25,6 +25,7 @@
 
 StoreDisk::~StoreDisk() {
   *alive_ = false;
+  EndWait();
   if (state_ == State::kWorking || state_ == State::kLeaving) work_.stop();
 }
 
@@ -41,6 +42,7 @@
 
 void StoreDisk::End() {
   state_ = State::kEnded;
+  EndWait();
   if (ended_) ended_();
 }
 
@@ -88,14 +90,30 @@
 void StoreDisk::OnRefused(const std::string& why) {
   taking_since_.reset();
   TellChange(false, "the disk takes no writes, looking for room: " + why);
+  Wait();
   ArmIn(pause_);
   pause_ = std::min(pause_ * 2, kLongestPause);
 }
 
+void StoreDisk::Wait() {
+  if (waits_ || !work_.wait) return;
+  try {
+    work_.wait(*storage_);
+    waits_ = true;
+  } catch (const net::Error& error) {
+    TellAtTimes("wait", std::string("the core is not told that the disk refuses: ") + error.what());
+  }
+}
+
+void StoreDisk::EndWait() {
+  if (std::exchange(waits_, false)) work_.end_wait();
+}
+
 // --- Work ---------------------------------------------------------------------------------------
 
 void StoreDisk::StartWork() {
   TellChange(true, "the disk takes writes");
+  EndWait();
   if (!TryStart()) {
     taking_since_.reset();
     ArmIn(kLongestPause);
@@ -115,9 +133,7 @@
     return true;
   } catch (const net::Error& error) {
     if (starts_ == 0) throw;
-    const auto now = loop_.Now().time_since_epoch() / std::chrono::microseconds(1);
-    log::Bounded(log::Level::kError, kLogName, "start",
-                 std::string("the store cannot begin again: ") + error.what(), now);
+    TellAtTimes("start", std::string("the store cannot begin again: ") + error.what());
     return false;
   }
 }
@@ -171,6 +187,11 @@
   log::Line(takes_writes ? log::Level::kInfo : log::Level::kError, kLogName, text);
 }
 
+void StoreDisk::TellAtTimes(const std::string& key, const std::string& text) const {
+  const auto now = loop_.Now().time_since_epoch() / std::chrono::microseconds(1);
+  log::Bounded(log::Level::kError, kLogName, key, text, now);
+}
+
 void StoreDisk::ArmIn(milliseconds span) { timer_->ArmAt(loop_.Now() + span); }
 
 }  // namespace shelflink::batch
--- a/src/tier/batch/store_disk.h
+++ b/src/tier/batch/store_disk.h
@@ -35,6 +35,10 @@
     std::function<void(std::function<void()> done)> leave;
     // Nothing uses the disk when this has returned.
     std::function<void()> stop;
+    // Both may be empty. The disk was looked at and refuses: no work until end_wait. Where it
+    // throws a net::Error it is tried again with the next look.
+    std::function<void(const storage::Storage& disk)> wait = nullptr;
+    std::function<void()> end_wait = nullptr;
   };
 
   static constexpr milliseconds kFirstPause{100};  // Between two looks for room; doubles.
@@ -70,6 +74,8 @@
   void Look();
   void OnProbed(const Result<void>& synced);
   void OnRefused(const std::string& why);
+  void Wait();
+  void EndWait();
   void StartWork();
   bool TryStart();
   void CheckDisk();
@@ -77,6 +83,7 @@
   void OnLeft();
   void LengthenProbation();
   void TellChange(bool takes_writes, const std::string& text);
+  void TellAtTimes(const std::string& key, const std::string& text) const;
   void ArmIn(milliseconds span);
 
   net::Loop& loop_;
@@ -84,6 +91,7 @@
   Work work_;
   std::unique_ptr<storage::Storage> storage_;
   State state_ = State::kLooking;
+  bool waits_ = false;  // Between wait and end_wait.
   bool ends_ = false;
   std::function<void()> ended_;
   milliseconds pause_ = kFirstPause;
--- a/src/tier/batch/store_node.cpp
+++ b/src/tier/batch/store_node.cpp
@@ -5,7 +5,9 @@
 #include <string>
 #include <utility>
 
+#include "tier/batch/store_identity.h"
 #include "tier/cluster/messages.h"
+#include "tier/foundation/invariants.h"
 
 namespace shelflink::batch {
 namespace {
@@ -16,16 +18,6 @@
 // Of a result's text, for each token of its item, prompt and most out together.
 constexpr std::uint64_t kResultBytesPerToken = 4;
 
-transport::PeerIdentity IdentityOf(const ProcessSettings& settings, std::uint64_t incarnation) {
-  transport::PeerIdentity self;
-  self.node = settings.node;
-  self.role = "store";
-  self.zone = settings.zone;
-  self.address = InternalAddress(settings, ProcessKind::kStore);
-  self.incarnation = incarnation;
-  return self;
-}
-
 ReplicaHost::Options HostOptions(const ProcessSettings& settings, const std::string& disk) {
   const FaultTolerance& tolerance = settings.tolerance;
   ReplicaHost::Options options;
@@ -37,18 +29,29 @@
 
 }  // namespace
 
+cluster::StoreFigures FiguresOfDisk(const storage::Storage& disk) {
+  const storage::Usage usage = disk.usage();
+  cluster::StoreFigures figures;
+  figures.disk_refuses = disk.failed();
+  figures.bytes_used = usage.bytes_used;
+  figures.bytes_limit = usage.bytes_limit;
+  return figures;
+}
+
 StoreNode::StoreNode(net::Loop& loop, const ProcessSettings& settings, storage::Storage& disk,
-                     const Random& random)
+                     const Random& random, net::Time process_began)
     : loop_(loop),
+      process_began_(process_began),
       disk_(disk),
       identity_(storage::ReadOrDrawIdentity(disk, random)),
-      hub_(loop, IdentityOf(settings, random()), {}),
+      hub_(loop, StoreIdentityOf(settings, random()), {}),
       agent_(loop, hub_, settings, AgentChanges()),
       replicas_(loop, hub_, disk, HostOptions(settings, identity_.id), HostOutside()),
       service_(loop, hub_, replicas_,
                {settings.bounds, random(), [this] { return agent_.TrueMicros(); }}),
       leave_timer_(loop.NewTimer([this] { TellLeft(); })) {
   agent_.SetStoreReport([this] { return Report(); });
+  agent_.SetStoreFigures([this] { return Figures(); });
   // The disk's identity must be there for good before anybody counts on it.
   disk_.Sync([this, alive = alive_](const Result<void>& synced) {
     if (*alive) agent_.SetReady(synced.has_value());
@@ -106,4 +109,26 @@
   return report;
 }
 
+cluster::StoreFigures StoreNode::Figures() const {
+  cluster::StoreFigures figures = FiguresOfDisk(disk_);
+  figures.uptime = SinceInMs(process_began_);
+  const ReplicaHost::Copies copies = replicas_.copies();
+  figures.primaries = copies.primaries;
+  figures.backups = copies.backups;
+  figures.incomplete = copies.incomplete;
+  figures.left = copies.left;
+  const StoreService::Counts counts = service_.counts();
+  figures.jobs = counts.jobs;
+  figures.items_waiting = counts.items_waiting;
+  figures.items_leased = counts.items_leased;
+  figures.violations = ProcessInvariants().violations();
+  const net::Time read_at = agent_.endpoints_read_at();
+  if (read_at != net::Time()) figures.endpoints_age = SinceInMs(read_at);
+  return figures;
+}
+
+Milliseconds StoreNode::SinceInMs(net::Time time) const {
+  return std::chrono::duration_cast<Milliseconds>(loop_.Now() - time);
+}
+
 }  // namespace shelflink::batch
--- a/src/tier/batch/store_node.h
+++ b/src/tier/batch/store_node.h
@@ -18,12 +18,15 @@
 
 namespace shelflink::batch {
 
+// What the figures tell of the disk; all else is left open.
+cluster::StoreFigures FiguresOfDisk(const storage::Storage& disk);
+
 class StoreNode {
  public:
   using Random = std::function<std::uint64_t()>;
 
   StoreNode(net::Loop& loop, const ProcessSettings& settings, storage::Storage& disk,
-            const Random& random);
+            const Random& random, net::Time process_began);
   ~StoreNode();
   StoreNode(const StoreNode&) = delete;
   StoreNode& operator=(const StoreNode&) = delete;
@@ -36,9 +39,12 @@
   cluster::Agent::Changes AgentChanges();
   ReplicaHost::Outside HostOutside();
   cluster::Agent::StoreReport Report() const;
+  cluster::StoreFigures Figures() const;
+  Milliseconds SinceInMs(net::Time time) const;
   void TellLeft();
 
   net::Loop& loop_;
+  net::Time process_began_;
   storage::Storage& disk_;
   storage::DiskIdentity identity_;
   transport::Hub hub_;
--- a/src/tier/batch/store_process.h
+++ b/src/tier/batch/store_process.h
@@ -1,5 +1,5 @@
 // All of a store process above its loop: a StoreNode for as long as the disk takes writes, another
-// one each time that it does so again. Runs on any net::Loop.
+// one each time that it does so again, a StoreWaiting in between. Runs on any net::Loop.
 #ifndef SHELFLINK_TIER_BATCH_STORE_PROCESS_H_
 #define SHELFLINK_TIER_BATCH_STORE_PROCESS_H_
 
@@ -10,6 +10,7 @@
 #include "net/loop.h"
 #include "tier/batch/store_disk.h"
 #include "tier/batch/store_node.h"
+#include "tier/batch/store_waiting.h"
 #include "tier/foundation/settings.h"
 
 namespace shelflink::batch {
@@ -29,11 +30,14 @@
 
  private:
   StoreDisk::Work WorkOnDisk();
+  void Wait(const storage::Storage& disk);
 
   net::Loop& loop_;
   ProcessSettings settings_;
   StoreNode::Random random_;
+  net::Time began_;
   std::unique_ptr<StoreNode> node_;
+  std::unique_ptr<StoreWaiting> waiting_;
   StoreDisk disk_;  // Ends the node's work when it is destroyed.
 };
 
--- a/src/tier/batch/store_service.cpp
+++ b/src/tier/batch/store_service.cpp
@@ -248,6 +248,17 @@
   ScheduleWork();
 }
 
+StoreService::Counts StoreService::counts() const {
+  Counts counts;
+  for (const auto& [partition, served] : served_) {
+    const JobBook& book = served.server->book();
+    counts.jobs += book.jobs();
+    counts.items_waiting += book.waiting();
+    counts.items_leased += book.leases();
+  }
+  return counts;
+}
+
 std::uint64_t StoreService::queued_tokens() const {
   std::uint64_t tokens = 0;
   for (const auto& [partition, served] : served_) tokens += served.server->book().queued_tokens();
--- a/src/tier/batch/store_service.h
+++ b/src/tier/batch/store_service.h
@@ -37,7 +37,14 @@
   StoreService& operator=(const StoreService&) = delete;
 
   void OnConfiguration(const configuration::Configuration& configuration);
-  std::uint64_t queued_tokens() const;  // Of all partitions served here.
+  // Of all partitions served here.
+  struct Counts {
+    std::uint64_t jobs = 0;
+    std::uint64_t items_waiting = 0;
+    std::uint64_t items_leased = 0;
+  };
+  Counts counts() const;
+  std::uint64_t queued_tokens() const;
 
  private:
   using Reply = transport::Hub::Reply;
--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -1,6 +1,7 @@
 #include "tier/cluster/agent.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "tier/cluster/core_finder.h"
@@ -102,6 +103,7 @@
     renewal.uses = uses.Unacknowledged();
     for (const auto& [service, load] : loads) renewal.loads.push_back(load);
     if (report) renewal.store = report();
+    if (figures) renewal.figures = figures();
     return renewal;
   }
 
@@ -122,6 +124,7 @@
       return;
     }
     if (!answer.value().accepted) {
+      NoteDisk(by, answer.value().disk_refuses);
       const bool at_once = finder.Declined(by, answer.value().primary);
       RenewAfter(at_once ? milliseconds(0) : kRetryPause);
       return;
@@ -129,6 +132,14 @@
     OnAccepted(by, sent, told, answer.value());
   }
 
+  void NoteDisk(const net::Address& core, bool refuses) {
+    if (refuses) {
+      refusing_cores.insert(core);
+    } else {
+      refusing_cores.erase(core);
+    }
+  }
+
   void OnAccepted(const net::Address& by, net::Time sent, const std::vector<UseCount>& told,
                   const RenewalAnswer& answer) {
     if (answer.epoch < epoch) {  // A former primary, however it came to answer.
@@ -137,6 +148,7 @@
       return;
     }
     epoch = answer.epoch;
+    refusing_cores.clear();
     finder.Accepted(by);
     finder.Learn(answer.cores);
     TakeCommon(sent, told, answer);
@@ -486,6 +498,7 @@
   UseCounts uses;
   std::map<std::string, ServiceLoad> loads;
   std::function<StoreReport()> report;
+  std::function<StoreFigures()> figures;
   bool ready = false;
 
   net::TimerPtr renew_timer;
@@ -499,6 +512,7 @@
   net::Time lease_until{};
   net::Time placement_lease_until{};
   std::uint64_t epoch = 0;
+  std::set<net::Address> refusing_cores;   // As they said when they declined, see the header.
   std::optional<std::int64_t> true_ahead;  // True time less the steady clock, in microseconds.
 
   std::optional<net::Address> parent;
@@ -540,6 +554,8 @@
 
 net::Span Agent::renewal_interval() const { return impl_->renewal_interval; }
 
+std::size_t Agent::refusing_cores() const { return impl_->refusing_cores.size(); }
+
 std::int64_t Agent::TrueMicros() const { return impl_->TrueMicros(); }
 
 std::optional<net::Address> Agent::primary() const { return impl_->finder.primary(); }
@@ -563,6 +579,10 @@
   impl_->report = std::move(report);
 }
 
+void Agent::SetStoreFigures(std::function<StoreFigures()> figures) {
+  impl_->figures = std::move(figures);
+}
+
 void Agent::ReportBackup(const BackupReport& report, std::function<void(Result<void>)> done) {
   const std::optional<net::Address> target = impl_->finder.primary();
   if (!target) {
--- a/src/tier/cluster/agent.h
+++ b/src/tier/cluster/agent.h
@@ -51,6 +51,9 @@
   net::Time endpoints_taken_at() const;
   // As the core asked for last.
   net::Span renewal_interval() const;
+  // Core processes that have said, since one last accepted a renewal, that their disks refuse
+  // writes: why there may be no primary.
+  std::size_t refusing_cores() const;
   // Time of day as most processes have it, in microseconds since 1970; this machine's own before
   // the core has told.
   std::int64_t TrueMicros() const;
@@ -64,6 +67,8 @@
   void SetLoad(const std::string& service, std::uint64_t tokens_running,
                std::uint64_t tokens_waiting);
   void SetStoreReport(std::function<StoreReport()> report);
+  // The same for the metrics of the core.
+  void SetStoreFigures(std::function<StoreFigures()> figures);
   // Tells the core's primary of a backup of a partition. kUnavailable: no primary known or reached;
   // kConflict: the row has changed. Whoever reports repeats until the row says so.
   void ReportBackup(const BackupReport& report, std::function<void(Result<void>)> done);
--- a/src/tier/cluster/cluster_figures.h
+++ b/src/tier/cluster/cluster_figures.h
@@ -8,13 +8,23 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "tier/cluster/endpoint_summary.h"
+#include "tier/cluster/messages.h"
 
 namespace shelflink::cluster {
 
+// A store that the primary has heard of, now or in earlier lives.
+struct KnownStore {
+  std::string node;
+  bool in_touch = false;                // It holds a lease.
+  std::optional<StoreFigures> figures;  // As it told with the renewal of its lease.
+};
+
 struct ClusterFigures {
   std::map<std::string, std::size_t> leases;      // Of members, by role; only on the primary.
+  std::vector<KnownStore> stores;                 // By node; only on the primary.
   std::optional<EndpointSummary> published_list;  // The last of this process's own.
   std::uint64_t lists_published = 0;              // Since the start, as in the next.
   std::uint64_t lists_not_published = 0;          // Read all the same.
--- a/src/tier/cluster/core_metrics.cpp
+++ b/src/tier/cluster/core_metrics.cpp
@@ -45,6 +45,56 @@
 constexpr MetricFamily kAnswers{"shelflink_operator_answers_total", MetricType::kCounter,
                                 "Answers to the operator's orders, by status code."};
 
+constexpr MetricFamily kStoreInTouch{"shelflink_store_in_touch", MetricType::kGauge,
+                                     "Whether the store holds a lease; of the primary only."};
+constexpr MetricFamily kStoreUptime{"shelflink_store_uptime_seconds", MetricType::kGauge,
+                                    "Time since the store's process began."};
+constexpr MetricFamily kStoreDiskUsed{"shelflink_store_disk_used_bytes", MetricType::kGauge,
+                                      "What batch jobs take of the store's disk."};
+constexpr MetricFamily kStoreDiskLimit{"shelflink_store_disk_limit_bytes", MetricType::kGauge,
+                                       "What batch jobs may take of the store's disk."};
+constexpr MetricFamily kStoreDiskRefuses{"shelflink_store_disk_refuses_writes", MetricType::kGauge,
+                                         "Whether the store's disk refuses writes."};
+constexpr MetricFamily kStorePartitions{"shelflink_store_partitions", MetricType::kGauge,
+                                        "Copies of partitions on the store's disk, by part."};
+constexpr MetricFamily kStoreJobs{"shelflink_store_jobs", MetricType::kGauge,
+                                  "Batch jobs of the partitions that the store decides for."};
+constexpr MetricFamily kStoreItems{"shelflink_store_items", MetricType::kGauge,
+                                   "Items of these jobs that wait, or run somewhere."};
+constexpr MetricFamily kStoreViolations{"shelflink_store_invariant_violations_total",
+                                        MetricType::kCounter,
+                                        "Violations of what must hold in the store's process."};
+constexpr MetricFamily kStoreListAge{"shelflink_store_endpoint_list_age_seconds",
+                                     MetricType::kGauge,
+                                     "Time since the reading that the store's list stands for."};
+
+void AddPartitions(MetricsText& text, const std::string& node, const StoreFigures& figures) {
+  const auto add = [&](std::string_view part, std::uint64_t count) {
+    text.Add(kStorePartitions, count, {{"node", node}, {"part", part}});
+  };
+  add("primary", figures.primaries);
+  add("backup", figures.backups);
+  add("incomplete", figures.incomplete);
+  add("left", figures.left);
+}
+
+void AddStore(MetricsText& text, const KnownStore& store) {
+  const MetricLabels node{{"node", store.node}};
+  text.AddFlag(kStoreInTouch, store.in_touch, node);
+  if (!store.figures) return;
+  const StoreFigures& figures = *store.figures;
+  text.AddSeconds(kStoreUptime, figures.uptime, node);
+  text.AddFlag(kStoreDiskRefuses, figures.disk_refuses, node);
+  text.Add(kStoreDiskUsed, figures.bytes_used, node);
+  text.Add(kStoreDiskLimit, figures.bytes_limit, node);
+  AddPartitions(text, store.node, figures);
+  text.Add(kStoreJobs, figures.jobs, node);
+  text.Add(kStoreItems, figures.items_waiting, {{"node", store.node}, {"state", "waiting"}});
+  text.Add(kStoreItems, figures.items_leased, {{"node", store.node}, {"state", "leased"}});
+  text.Add(kStoreViolations, figures.violations, node);
+  if (figures.endpoints_age) text.AddSeconds(kStoreListAge, *figures.endpoints_age, node);
+}
+
 void AddMembers(MetricsText& text, const std::vector<std::string>& nodes, std::string_view part) {
   for (const std::string& node : nodes) {
     text.Add(kRecordMember, std::uint64_t{1}, {{"node", node}, {"part", part}});
@@ -70,6 +120,7 @@
   for (const auto& [role, count] : cluster.leases) {
     text.Add(kLeases, std::uint64_t{count}, {{"role", role}});
   }
+  for (const KnownStore& store : cluster.stores) AddStore(text, store);
   if (cluster.published_list) {
     text.Add(kListEpoch, cluster.published_list->version.epoch);
     text.Add(kListSequence, cluster.published_list->version.count);
--- a/src/tier/cluster/core_program.cpp
+++ b/src/tier/cluster/core_program.cpp
@@ -77,6 +77,7 @@
         forwarder_(loop, hub_, service_, {}),
         leave_timer_(loop.NewTimer([this] { loop_.Stop(); })),
         hand_over_timer_(loop.NewTimer([this] { HandOver(); })) {
+    service_.SetDiskCheck([this] { return group_.failed(); });
     if (settings.listen_control) {
       server_ = std::make_unique<operator_api::Server>(loop, forwarder_, *settings.listen_control);
       service_.WatchConfiguration(
--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -1,6 +1,7 @@
 #include "tier/cluster/core_service.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -208,6 +209,7 @@
     RenewalAnswer answer;
     answer.primary = replicator.primary();
     answer.epoch = replicator.epoch();
+    answer.disk_refuses = disk_refuses && disk_refuses();
     return answer;
   }
 
@@ -385,6 +387,7 @@
     ClusterFigures figures;
     if (Leads()) {
       for (const auto& [address, lease] : members.leases()) ++figures.leases[lease.member.role];
+      figures.stores = KnownStores();
     }
     figures.published_list = published_list;
     figures.lists_published = lists_published;
@@ -393,6 +396,29 @@
     return figures;
   }
 
+  std::vector<KnownStore> KnownStores() const {
+    std::map<std::string, KnownStore> by_node;
+    for (const auto& [node, record] : StoresOf(replicator.contents())) by_node[node].node = node;
+    for (const auto& [address, lease] : members.leases()) {
+      if (lease.member.role != "store") continue;
+      by_node[lease.member.node] = {lease.member.node, true, FiguresNow(lease)};
+    }
+    std::vector<KnownStore> stores;
+    stores.reserve(by_node.size());
+    for (auto& [node, store] : by_node) stores.push_back(std::move(store));
+    return stores;
+  }
+
+  // What grows by itself has gone on since the store told it.
+  std::optional<StoreFigures> FiguresNow(const MemberLease& lease) const {
+    std::optional<StoreFigures> figures = lease.figures;
+    if (!figures) return figures;
+    const auto since = std::chrono::duration_cast<milliseconds>(loop.Now() - lease.heard_at);
+    figures->uptime += since;
+    if (figures->endpoints_age) *figures->endpoints_age += since;
+    return figures;
+  }
+
   std::string AgeOfList() const {
     const std::optional<net::Time> read_at = watch->read_at();
     if (!read_at) return "never read";
@@ -558,6 +584,7 @@
   std::shared_ptr<const configuration::Configuration> configuration;
   std::function<void(const std::shared_ptr<const configuration::Configuration>&)>
       configuration_watcher;
+  std::function<bool()> disk_refuses;  // Empty: it has no disk, or does not tell.
   std::shared_ptr<char> life = std::make_shared<char>();
 };
 
@@ -573,6 +600,10 @@
   if (impl_->configuration) impl_->configuration_watcher(impl_->configuration);
 }
 
+void CoreService::SetDiskCheck(std::function<bool()> disk_refuses) {
+  impl_->disk_refuses = std::move(disk_refuses);
+}
+
 ClusterFigures CoreService::figures() const { return impl_->Figures(); }
 
 bool CoreService::is_primary() const { return impl_->Leads(); }
--- a/src/tier/cluster/core_service.h
+++ b/src/tier/cluster/core_service.h
@@ -36,6 +36,9 @@
   void WatchConfiguration(
       std::function<void(const std::shared_ptr<const configuration::Configuration>&)> watcher);
 
+  // Whether this process's disk refuses writes; members whose renewals are declined are told.
+  void SetDiskCheck(std::function<bool()> disk_refuses);
+
   // For metrics.
   ClusterFigures figures() const;
 
--- a/src/tier/cluster/member_table.cpp
+++ b/src/tier/cluster/member_table.cpp
@@ -23,6 +23,8 @@
   lease.incarnation = who.incarnation;
   lease.until = now + spans_.Of(who.role);
   lease.store = renewal.store;
+  lease.figures = renewal.figures;
+  lease.heard_at = now;
   lease.loads = renewal.loads;
   lease.versions = renewal.versions;
   lease.window_open = renewal.window_open;
--- a/src/tier/cluster/member_table.h
+++ b/src/tier/cluster/member_table.h
@@ -30,6 +30,8 @@
   std::uint64_t incarnation = 0;
   net::Time until;
   std::optional<StoreState> store;
+  std::optional<StoreFigures> figures;
+  net::Time heard_at{};
   std::vector<ServiceLoad> loads;
   PartVersions versions;          // What it has of the view.
   std::uint64_t window_open = 0;  // See Renewal.
--- a/src/tier/cluster/messages.cpp
+++ b/src/tier/cluster/messages.cpp
@@ -84,6 +84,56 @@
   return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(age, kMostAgeMs)));
 }
 
+void WriteOptionalAge(cbor::Writer& writer, const std::optional<std::chrono::milliseconds>& age) {
+  if (age) {
+    WriteAge(writer, *age);
+  } else {
+    writer.Null();
+  }
+}
+
+std::optional<std::chrono::milliseconds> ReadOptionalAge(cbor::Reader& reader) {
+  if (reader.TakeNull()) return std::nullopt;
+  return ReadAge(reader);
+}
+
+constexpr std::size_t kFigures = 13;
+
+void WriteFigures(cbor::Writer& writer, const std::optional<StoreFigures>& figures) {
+  if (!figures) {
+    writer.Null();
+    return;
+  }
+  writer.Array(kFigures);
+  WriteAge(writer, figures->uptime);
+  writer.Bool(figures->disk_refuses).Uint(figures->bytes_used).Uint(figures->bytes_limit);
+  writer.Uint(figures->primaries).Uint(figures->backups);
+  writer.Uint(figures->incomplete).Uint(figures->left);
+  writer.Uint(figures->jobs).Uint(figures->items_waiting).Uint(figures->items_leased);
+  writer.Uint(figures->violations);
+  WriteOptionalAge(writer, figures->endpoints_age);
+}
+
+std::optional<StoreFigures> ReadFigures(cbor::Reader& reader) {
+  if (reader.TakeNull()) return std::nullopt;
+  const FieldsReader fields(reader, kFigures);
+  StoreFigures figures;
+  figures.uptime = ReadAge(reader);
+  figures.disk_refuses = reader.Bool();
+  figures.bytes_used = reader.Uint();
+  figures.bytes_limit = reader.Uint();
+  figures.primaries = reader.Uint();
+  figures.backups = reader.Uint();
+  figures.incomplete = reader.Uint();
+  figures.left = reader.Uint();
+  figures.jobs = reader.Uint();
+  figures.items_waiting = reader.Uint();
+  figures.items_leased = reader.Uint();
+  figures.violations = reader.Uint();
+  figures.endpoints_age = ReadOptionalAge(reader);
+  return figures;
+}
+
 // A message is usable when all of it could be read and nothing follows.
 template <typename T>
 Result<T> Checked(const cbor::Reader& reader, T message, const char* name) {
@@ -97,7 +147,7 @@
 
 std::string Encode(const Renewal& message) {
   cbor::Writer writer;
-  writer.Array(9).Bool(message.ready);
+  writer.Array(10).Bool(message.ready);
   Write(writer, message.versions);
   writer.Bool(message.parent_silent);
   cluster::Write(writer, message.parent);
@@ -106,6 +156,7 @@
   WriteList(writer, message.uses, WriteUse);
   WriteList(writer, message.loads, WriteLoad);
   WriteStore(writer, message.store);
+  WriteFigures(writer, message.figures);
   return writer.Take();
 }
 
@@ -113,7 +164,7 @@
   cbor::Reader reader(body);
   Renewal message;
   {
-    const FieldsReader fields(reader, 9);
+    FieldsReader fields(reader, 9);
     message.ready = reader.Bool();
     message.versions = ReadPartVersions(reader);
     message.parent_silent = reader.Bool();
@@ -123,6 +174,7 @@
     message.uses = ReadList<UseCount>(reader, ReadUse);
     message.loads = ReadList<ServiceLoad>(reader, ReadLoad);
     message.store = ReadStore(reader);
+    if (fields.TakeAdded()) message.figures = ReadFigures(reader);
   }
   return Checked(reader, std::move(message), "renewal");
 }
@@ -157,7 +209,7 @@
 
 std::string Encode(const RenewalAnswer& message) {
   cbor::Writer writer;
-  writer.Array(13).Bool(message.accepted);
+  writer.Array(14).Bool(message.accepted);
   cluster::Write(writer, message.primary);
   writer.Uint(message.epoch).Uint(message.incarnation);
   writer.Uint(message.lease_ms).Uint(message.interval_ms);
@@ -166,11 +218,8 @@
   WriteAddresses(writer, message.children);
   writer.Int(message.true_micros).Uint(message.settled_before);
   WriteAddresses(writer, message.cores);
-  if (message.endpoints_age) {
-    WriteAge(writer, *message.endpoints_age);
-  } else {
-    writer.Null();
-  }
+  WriteOptionalAge(writer, message.endpoints_age);
+  writer.Bool(message.disk_refuses);
   return writer.Take();
 }
 
@@ -191,7 +240,8 @@
     message.true_micros = reader.Int();
     message.settled_before = reader.Uint();
     message.cores = ReadAddresses(reader);
-    if (fields.TakeAdded() && !reader.TakeNull()) message.endpoints_age = ReadAge(reader);
+    if (fields.TakeAdded()) message.endpoints_age = ReadOptionalAge(reader);
+    if (fields.TakeAdded()) message.disk_refuses = reader.Bool();
   }
   return Checked(reader, std::move(message), "answer to a renewal");
 }
--- a/src/tier/cluster/messages.h
+++ b/src/tier/cluster/messages.h
@@ -72,6 +72,28 @@
   bool operator==(const StoreState&) const = default;
 };
 
+// What a store tells of itself for the metrics of the core, as nobody may ask it from outside.
+struct StoreFigures {
+  std::chrono::milliseconds uptime{0};  // Of its process.
+  bool disk_refuses = false;            // No write is taken: it has no partition.
+  std::uint64_t bytes_used = 0;         // Of the disk.
+  std::uint64_t bytes_limit = 0;
+  // Copies of partitions: those that it decides for; others that are whole; others that a row asks
+  // for and that are not; and those that no row asks for any more.
+  std::uint64_t primaries = 0;
+  std::uint64_t backups = 0;
+  std::uint64_t incomplete = 0;
+  std::uint64_t left = 0;
+  // Of the partitions that it decides for.
+  std::uint64_t jobs = 0;
+  std::uint64_t items_waiting = 0;
+  std::uint64_t items_leased = 0;
+  std::uint64_t violations = 0;  // Of all invariants, in this process.
+  // Of the reading of the platform's list that its list of endpoints stands for; none: not known.
+  std::optional<std::chrono::milliseconds> endpoints_age;
+  bool operator==(const StoreFigures&) const = default;
+};
+
 struct Renewal {
   bool ready = false;
   PartVersions versions;
@@ -81,7 +103,8 @@
   std::uint64_t window_open = 0;  // All windows before this one are counted to their end.
   std::vector<UseCount> uses;     // Of every window that the core has not told as settled.
   std::vector<ServiceLoad> loads;
-  std::optional<StoreState> store;
+  std::optional<StoreState> store;  // None: no store, or one without a disk to place anything on.
+  std::optional<StoreFigures> figures;  // Of a store.
   bool operator==(const Renewal&) const = default;
 };
 
@@ -108,6 +131,7 @@
   std::int64_t true_micros = 0;        // Time of day as most processes have it.
   std::uint64_t settled_before = 0;    // Windows below are reported; their counts can go.
   std::vector<net::Address> cores;     // For an agent without members yet: all core processes.
+  bool disk_refuses = false;           // Of the core process that answers.
   bool operator==(const RenewalAnswer&) const = default;
 };
 
--- a/src/tier/coordination/replica.cpp
+++ b/src/tier/coordination/replica.cpp
@@ -31,7 +31,7 @@
 }
 
 void Replica::Load(const storage::Storage& storage) {
-  const auto state = storage.Get(options_.prefix + "s");
+  const auto state = storage.Get(StateKeyOf(options_.prefix));
   if (!state) return;
   cbor::Reader in(*state);
   if (in.Array() < 3) in.Fail();
@@ -210,7 +210,7 @@
 void Replica::PutState(storage::Batch& batch) const {
   cbor::Writer state;
   state.Array(3).Uint(applied_.epoch).Uint(applied_.sequence).Bool(complete_);
-  batch.Put(options_.prefix + "s", state.Take());
+  batch.Put(StateKeyOf(options_.prefix), state.Take());
 }
 
 void Replica::Truncate(storage::Batch& batch, std::uint64_t from) {
--- a/src/tier/coordination/replica.h
+++ b/src/tier/coordination/replica.h
@@ -72,6 +72,9 @@
     std::uint64_t told = 0;
   };
 
+  // Where the storage holds what says how far the map behind it is whole: without it there is none.
+  static std::string StateKeyOf(const std::string& prefix) { return prefix + "s"; }
+
   // Reads what the storage holds.
   Replica(Options options, const storage::Storage& storage);
 
--- a/tests/tier/batch/memory_replicas.h
+++ b/tests/tier/batch/memory_replicas.h
@@ -77,6 +77,7 @@
     bool serving() const override { return shared_.epoch == epoch_; }
     std::uint64_t epoch() const override { return epoch_; }
     bool has_room() const override { return true; }
+    bool takes_results() const override { return true; }
     void Commit(std::vector<coordination::Write> writes, Done done) override {
       Apply(seen_, writes);
       pending_.push_back({std::move(writes), std::move(done)});
--- a/tests/tier/batch/mutants.cmake
+++ b/tests/tier/batch/mutants.cmake
@@ -65,3 +65,20 @@
   TEST batch/store_disk_test
   RUN a_disk_that_fails_soon_after_each_return_comes_back_ever_more_seldom
   LIBRARIES ${batch_store_libraries})
+tier_mutant(a_full_disk_is_never_asked_again batch/hosted_partition.cpp
+  [=[  AskFullDisks();
+]=] "" TEST batch/store_disk_test RUN a_partition_takes_jobs_again_once_a_backups_disk_has_room
+  LIBRARIES ${batch_store_libraries})
+tier_mutant(copies_are_taken_whatever_room_is_left batch/replica_host.cpp
+  [=[constexpr double kCopyShare = 0.9;]=] [=[constexpr double kCopyShare = 9.0;]=]
+  TEST batch/store_disk_test RUN a_disk_with_little_room_takes_no_copies_and_keeps_what_it_has
+  LIBRARIES ${batch_store_libraries})
+tier_mutant(results_are_taken_whatever_room_is_left batch/replica_host.cpp
+  [=[constexpr double kResultShare = 0.95;]=] [=[constexpr double kResultShare = 9.5;]=]
+  TEST batch/store_disk_test RUN a_disk_with_hardly_any_room_takes_ends_and_no_results
+  LIBRARIES ${batch_store_libraries})
+tier_mutant(a_store_whose_disk_refuses_is_silent batch/store_process.cpp
+  [=[  work.wait = [this](const storage::Storage& disk) { Wait(disk); };
+  work.end_wait = [this] { waiting_.reset(); };
+]=] "" TEST batch/store_disk_test RUN the_core_tells_that_a_stores_disk_refuses
+  LIBRARIES ${batch_store_libraries})
--- a/tests/tier/batch/store_world.h
+++ b/tests/tier/batch/store_world.h
@@ -90,9 +90,16 @@
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
+// Opens a machine's disk; steps of its syncs may be scheduled with `syncs`.
+using OpenDisk = std::function<std::unique_ptr<storage::Storage>(StoreMachine& machine,
+                                                                 net::Loop& loop, Later& syncs)>;
+inline std::unique_ptr<storage::Storage> OpenCrashDisk(StoreMachine& machine, net::Loop& loop,
+                                                       Later& syncs);
+
 // What keeps a store on its disk, as the store's program does, on a loop beside the store's.
 struct DiskKeeper {
-  DiskKeeper(net::VirtualNet& net, StoreMachine& machine, StoreDisk::Work work);
+  DiskKeeper(net::VirtualNet& net, StoreMachine& machine, const OpenDisk& open,
+             StoreDisk::Work work);
   ~DiskKeeper() { loop.Kill(); }
 
   net::VirtualProcess loop;
@@ -174,17 +181,19 @@
   service.OnConfiguration(TestConfiguration());
 }
 
-inline DiskKeeper::DiskKeeper(net::VirtualNet& net, StoreMachine& machine, StoreDisk::Work work)
+inline std::unique_ptr<storage::Storage> OpenCrashDisk(StoreMachine& machine, net::Loop&,
+                                                       Later& syncs) {
+  return std::make_unique<storage::CrashStorage>(
+      machine.disk,
+      [&syncs](std::function<void()> step) { syncs.Run(kSyncTakes, std::move(step)); });
+}
+
+inline DiskKeeper::DiskKeeper(net::VirtualNet& net, StoreMachine& machine, const OpenDisk& open,
+                              StoreDisk::Work work)
     : loop(net, machine.host(), "disk-" + std::to_string(machine.number), 10),
       syncs(loop),
       disk(
-          loop,
-          [this, &machine] {
-            return std::make_unique<storage::CrashStorage>(
-                machine.disk,
-                [this](std::function<void()> step) { syncs.Run(kSyncTakes, std::move(step)); });
-          },
-          std::move(work)) {}
+          loop, [this, &machine, open] { return open(machine, loop, syncs); }, std::move(work)) {}
 
 // What clients were promised, and what they have seen.
 struct Promise {
@@ -252,8 +261,12 @@
  public:
   // `keeps_disks`: stores leave when their disks fail and return when they take writes again.
   StoreWorld(std::uint64_t seed, std::uint32_t stores, std::size_t copies = 2,
-             bool keeps_disks = false)
-      : net(seed), random_(seed * 7919 + 1), copies_(copies), keeps_disks_(keeps_disks) {
+             bool keeps_disks = false, OpenDisk open_disk = OpenCrashDisk)
+      : net(seed),
+        random_(seed * 7919 + 1),
+        copies_(copies),
+        keeps_disks_(keeps_disks),
+        open_disk_(std::move(open_disk)) {
     rules_.copies = copies;
     for (std::uint32_t number = 0; number < stores; ++number) {
       auto machine = std::make_unique<StoreMachine>();
@@ -305,7 +318,7 @@
     machine.renewed_until = {};
     machine.known_placement = 0;
     if (keeps_disks_) {
-      machine.keeper = std::make_unique<DiskKeeper>(net, machine, WorkOf(machine));
+      machine.keeper = std::make_unique<DiskKeeper>(net, machine, open_disk_, WorkOf(machine));
     } else {
       StartProcess(machine, nullptr);
     }
@@ -488,6 +501,7 @@
   std::mt19937_64 random_;
   std::size_t copies_;
   bool keeps_disks_;
+  OpenDisk open_disk_;
   cluster::PlacementRules rules_;
   std::vector<cluster::PartitionRow> rows_;
   std::map<std::pair<std::size_t, std::string>, net::Time> stalled_until_;
--- a/tests/tier/cluster/cluster_messages_test.cpp
+++ b/tests/tier/cluster/cluster_messages_test.cpp
@@ -16,6 +16,24 @@
 const net::Address kHere = net::Address::V4(0x0a000001, 7360);
 const net::Address kThere = net::Address::V4(0x0a000002, 7361);
 
+StoreFigures SomeFigures() {
+  StoreFigures figures;
+  figures.uptime = std::chrono::milliseconds(61000);
+  figures.disk_refuses = true;
+  figures.bytes_used = 4096;
+  figures.bytes_limit = 8192;
+  figures.primaries = 1;
+  figures.backups = 2;
+  figures.incomplete = 3;
+  figures.left = 4;
+  figures.jobs = 5;
+  figures.items_waiting = 6;
+  figures.items_leased = 7;
+  figures.violations = 8;
+  figures.endpoints_age = std::chrono::milliseconds(740);
+  return figures;
+}
+
 Renewal SomeRenewal() {
   Renewal message;
   message.ready = true;
@@ -27,6 +45,7 @@
   message.uses = {{76, "tenant", 12}, {77, "other", 1}};
   message.loads = {{"service", 1000, 20}};
   message.store = StoreState{"disk", 5, 6, 7};
+  message.figures = SomeFigures();
   return message;
 }
 
@@ -45,6 +64,7 @@
   message.settled_before = 75;
   message.cores = {kThere};
   message.endpoints_age = std::chrono::milliseconds(740);
+  message.disk_refuses = true;
   return message;
 }
 
@@ -145,13 +165,26 @@
   std::string body = Encode(SomeAnswer());
   RenewalAnswer wanted = SomeAnswer();
   wanted.endpoints_age.reset();
-  body[0] = static_cast<char>(static_cast<unsigned char>(body[0]) - 1);  // Items of the array.
-  body.resize(body.size() - 3);                                          // 740, in three bytes.
+  wanted.disk_refuses = false;
+  body[0] = static_cast<char>(static_cast<unsigned char>(body[0]) - 2);  // Items of the array.
+  body.resize(body.size() - 4);  // 740, in three bytes, and what a later one added, in one.
   const auto message = DecodeRenewalAnswer(body);
   BOOST_REQUIRE(message.has_value());
   BOOST_TEST((message.value() == wanted));
 }
 
+// As a program of before the figures writes it.
+BOOST_AUTO_TEST_CASE(a_renewal_without_a_stores_figures_is_read) {
+  Renewal wanted = SomeRenewal();
+  wanted.figures.reset();
+  std::string body = Encode(wanted);
+  body[0] = static_cast<char>(static_cast<unsigned char>(body[0]) - 1);  // Items of the array.
+  body.pop_back();                                                       // None, in one byte.
+  const auto message = DecodeRenewal(body);
+  BOOST_REQUIRE(message.has_value());
+  BOOST_TEST((message.value() == wanted));
+}
+
 BOOST_AUTO_TEST_CASE(a_message_cut_short_is_refused_at_every_length) {
   for (std::size_t which = 0; which < kKinds; ++which) {
     const std::string whole = AnyEncoded(which);
--- a/tests/tier/cluster/core_metrics_test.cpp
+++ b/tests/tier/cluster/core_metrics_test.cpp
@@ -13,6 +13,24 @@
   return text.find("\n" + line + "\n") != std::string::npos;
 }
 
+StoreFigures SomeStore() {
+  StoreFigures figures;
+  figures.uptime = milliseconds(61500);
+  figures.disk_refuses = true;
+  figures.bytes_used = 4096;
+  figures.bytes_limit = 607125504;
+  figures.primaries = 21;
+  figures.backups = 20;
+  figures.incomplete = 3;
+  figures.left = 1;
+  figures.jobs = 12;
+  figures.items_waiting = 300;
+  figures.items_leased = 40;
+  figures.violations = 2;
+  figures.endpoints_age = milliseconds(740);
+  return figures;
+}
+
 CoreFigures SomeFigures() {
   CoreFigures figures;
   figures.process = {"edge-1", "core", milliseconds(1500)};
@@ -24,6 +42,7 @@
   figures.group.contents_entries = 12;
   figures.group.disk = {4096, 33554432, true};
   figures.cluster.leases = {{"proxy", 33}, {"store", 2}};
+  figures.cluster.stores = {{"storage-1", true, SomeStore()}, {"storage-2", false, std::nullopt}};
   figures.cluster.published_list = EndpointSummary{{3, 7}, 60, 2};
   figures.cluster.list_age = milliseconds(250);
   figures.cluster.lists_published = 7;
@@ -85,6 +104,43 @@
       "# TYPE shelflink_core_leases gauge\n"
       "shelflink_core_leases{role=\"proxy\"} 33\n"
       "shelflink_core_leases{role=\"store\"} 2\n"
+      "# HELP shelflink_store_in_touch Whether the store holds a lease; of the primary only.\n"
+      "# TYPE shelflink_store_in_touch gauge\n"
+      "shelflink_store_in_touch{node=\"storage-1\"} 1\n"
+      "shelflink_store_in_touch{node=\"storage-2\"} 0\n"
+      "# HELP shelflink_store_uptime_seconds Time since the store's process began.\n"
+      "# TYPE shelflink_store_uptime_seconds gauge\n"
+      "shelflink_store_uptime_seconds{node=\"storage-1\"} 61.5\n"
+      "# HELP shelflink_store_disk_refuses_writes Whether the store's disk refuses writes.\n"
+      "# TYPE shelflink_store_disk_refuses_writes gauge\n"
+      "shelflink_store_disk_refuses_writes{node=\"storage-1\"} 1\n"
+      "# HELP shelflink_store_disk_used_bytes What batch jobs take of the store's disk.\n"
+      "# TYPE shelflink_store_disk_used_bytes gauge\n"
+      "shelflink_store_disk_used_bytes{node=\"storage-1\"} 4096\n"
+      "# HELP shelflink_store_disk_limit_bytes What batch jobs may take of the store's disk.\n"
+      "# TYPE shelflink_store_disk_limit_bytes gauge\n"
+      "shelflink_store_disk_limit_bytes{node=\"storage-1\"} 607125504\n"
+      "# HELP shelflink_store_partitions Copies of partitions on the store's disk, by part.\n"
+      "# TYPE shelflink_store_partitions gauge\n"
+      "shelflink_store_partitions{node=\"storage-1\",part=\"primary\"} 21\n"
+      "shelflink_store_partitions{node=\"storage-1\",part=\"backup\"} 20\n"
+      "shelflink_store_partitions{node=\"storage-1\",part=\"incomplete\"} 3\n"
+      "shelflink_store_partitions{node=\"storage-1\",part=\"left\"} 1\n"
+      "# HELP shelflink_store_jobs Batch jobs of the partitions that the store decides for.\n"
+      "# TYPE shelflink_store_jobs gauge\n"
+      "shelflink_store_jobs{node=\"storage-1\"} 12\n"
+      "# HELP shelflink_store_items Items of these jobs that wait, or run somewhere.\n"
+      "# TYPE shelflink_store_items gauge\n"
+      "shelflink_store_items{node=\"storage-1\",state=\"waiting\"} 300\n"
+      "shelflink_store_items{node=\"storage-1\",state=\"leased\"} 40\n"
+      "# HELP shelflink_store_invariant_violations_total Violations of what must hold in the "
+      "store's process.\n"
+      "# TYPE shelflink_store_invariant_violations_total counter\n"
+      "shelflink_store_invariant_violations_total{node=\"storage-1\"} 2\n"
+      "# HELP shelflink_store_endpoint_list_age_seconds Time since the reading that the store's "
+      "list stands for.\n"
+      "# TYPE shelflink_store_endpoint_list_age_seconds gauge\n"
+      "shelflink_store_endpoint_list_age_seconds{node=\"storage-1\"} 0.74\n"
       "# HELP shelflink_endpoint_list_epoch Epoch of the list of endpoints published last from "
       "here.\n"
       "# TYPE shelflink_endpoint_list_epoch gauge\n"
@@ -127,9 +183,10 @@
   BOOST_TEST(Has(text, "shelflink_core_is_primary 0"));
   BOOST_TEST(Has(text, "shelflink_core_knows_primary 0"));
   BOOST_TEST(Has(text, "shelflink_endpoint_lists_published_total 0"));
-  for (const char* absent : {"shelflink_disk_", "shelflink_core_leases", "shelflink_core_record_",
-                             "shelflink_endpoint_list_", "shelflink_platform_calls_total",
-                             "shelflink_operator_answers_total"}) {
+  for (const char* absent :
+       {"shelflink_disk_", "shelflink_store_", "shelflink_core_leases", "shelflink_core_record_",
+        "shelflink_endpoint_list_", "shelflink_platform_calls_total",
+        "shelflink_operator_answers_total"}) {
     BOOST_TEST(text.find(absent) == std::string::npos);
   }
 }
