GET /ready of a proxy tells reasons: out of touch, list too old, disks of the core

The status is decided as before (Readiness); the body's first line is ready or not ready, each further line a reason.

--- a/src/tier/proxy/program.cpp
+++ b/src/tier/proxy/program.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "mix.h"
@@ -18,6 +19,7 @@
 #include "tier/proxy/metrics.h"
 #include "tier/proxy/metrics_answer.h"
 #include "tier/proxy/readiness.h"
+#include "tier/proxy/ready_text.h"
 #include "tier/transport/hub.h"
 
 namespace shelflink::proxy {
@@ -28,6 +30,9 @@
 constexpr std::size_t kInternalDescriptors = 200;  // The hub's, the loop's, the ready listener's.
 constexpr std::size_t kLeastSockets = 64;
 constexpr std::size_t kReadySockets = 32;
+constexpr std::string_view kReadyPath = "/ready";
+constexpr unsigned kReadyStatus = 200;
+constexpr unsigned kNotReadyStatus = 503;
 // The lease is given back within this, or runs out by itself.
 constexpr auto kGiveBack = std::chrono::milliseconds(300);
 
@@ -55,7 +60,7 @@
 
 kelpspring::ServerTerms ReadyTerms() {
   kelpspring::ServerTerms terms;
-  terms.health_path = "/ready";
+  terms.health_path = "";  // /ready is answered here, with the reasons.
   return terms;
 }
 
@@ -87,9 +92,8 @@
             loop, log, loop.Listen(Needed(settings.listen_ready, "listen.ready")), ready_budget,
             drain, [this] { return Ready(); }, [] { return std::uint64_t{0}; },
             [this](const std::shared_ptr<kelpspring::Client>& client,
-                   const kelpspring::HttpRequest& request, kelpspring::Arrival) {
-              AnswerMetrics(*client, request, [this] { return Metrics(); });
-            },
+                   const kelpspring::HttpRequest& request,
+                   kelpspring::Arrival) { AnswerOperator(*client, request); },
             ReadyTerms()),
         load_timer(loop.NewTimer([this] { TellLoads(); })),
         leave_timer(loop.NewTimer([this] { Left(); })) {
@@ -101,7 +105,28 @@
     return [this]() -> const cluster::View& { return agent.view(); };
   }
 
-  bool Ready() const {
+  // What comes to the listener of /ready.
+  void AnswerOperator(kelpspring::Client& client, const kelpspring::HttpRequest& request) const {
+    if (kelpspring::PathOf(kelpspring::View(request.target())) == kReadyPath) {
+      client.RespondPlain(Ready() ? kReadyStatus : kNotReadyStatus, ReadyBody());
+    } else {
+      AnswerMetrics(client, request, [this] { return Metrics(); });
+    }
+  }
+
+  bool Ready() const { return ReadinessNow().Ready(loop.Now()); }
+
+  std::string ReadyBody() const {
+    const net::Time now = loop.Now();
+    ListCondition list;
+    list.state = fallback.State();
+    list.bound = settings.bounds.drain;
+    const net::Time read_at = EndpointsReadAt();
+    if (read_at != net::Time()) list.age = now - read_at;
+    return ReadyText(ReadinessNow(), list, agent.refusing_cores(), now);
+  }
+
+  Readiness ReadinessNow() const {
     Readiness readiness;
     readiness.leaving = !drain.serving();
     readiness.has_configuration = agent.view().configuration != nullptr;
@@ -109,7 +134,7 @@
     readiness.had_lease = agent.lease_until() > net::Time();
     readiness.lease_until = agent.lease_until();
     readiness.slack = settings.bounds.contact;
-    return readiness.Ready(loop.Now());
+    return readiness;
   }
 
   // When the reading of the platform's list began that the list here stands for; net::Time() where
--- /dev/null
+++ b/src/tier/proxy/ready_text.cpp
@@ -0,0 +1,57 @@
+#include "tier/proxy/ready_text.h"
+
+#include <chrono>
+#include <string_view>
+
+namespace shelflink::proxy {
+namespace {
+
+std::string InSeconds(net::Span span) {
+  const auto tenths = std::chrono::duration_cast<std::chrono::milliseconds>(span).count() / 100;
+  return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10) + " s";
+}
+
+std::string TextOfLease(const Readiness& readiness, net::Time now) {
+  if (!readiness.had_lease) return "no lease from the core yet\n";
+  if (now < readiness.lease_until) return "";
+  return "out of touch with the core for " + InSeconds(now - readiness.lease_until) + "\n";
+}
+
+std::string_view WhyOld(ListState state) {
+  switch (state) {
+    case ListState::kFresh:
+      return "";
+    case ListState::kUnrenewed:
+      return "; the process has just begun, or stood still";
+    case ListState::kExcused:
+      return "; the platform does not answer in time";
+    case ListState::kStale:
+      return "; neither the core nor another proxy has a newer one";
+  }
+  return "";
+}
+
+std::string TextOfList(const Readiness& readiness, const ListCondition& list) {
+  if (!readiness.has_endpoints) return "no list of endpoints yet\n";
+  if (!list.age) return "the list of endpoints is of unknown age\n";
+  if (*list.age <= list.bound) return "";
+  return "the list of endpoints is " + InSeconds(*list.age) + " old, " + InSeconds(list.bound) +
+         " are allowed" + std::string(WhyOld(list.state)) + "\n";
+}
+
+}  // namespace
+
+std::string ReadyText(const Readiness& readiness, const ListCondition& list,
+                      std::size_t refusing_cores, net::Time now) {
+  std::string text = readiness.Ready(now) ? "ready\n" : "not ready\n";
+  if (readiness.leaving) text += "told to end\n";
+  if (!readiness.has_configuration) text += "no configuration yet\n";
+  text += TextOfLease(readiness, now);
+  if (refusing_cores > 0) {
+    text += "core processes whose disks refuse writes: " + std::to_string(refusing_cores) + "\n";
+  }
+  text += TextOfList(readiness, list);
+  return text;
+}
+
+}  // namespace shelflink::proxy
--- a/tests/tier/proxy/metrics_test.cpp
+++ b/tests/tier/proxy/metrics_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "tier/proxy/ready_text.h"
+
 namespace shelflink::proxy {
 namespace {
 
@@ -86,5 +88,77 @@
   }
 }
 
+// --- What GET /ready says beside its status -----------------------------------------------------
+
+const net::Time kNow(std::chrono::seconds(100));
+
+Readiness Good() {
+  Readiness good;
+  good.has_configuration = true;
+  good.has_endpoints = true;
+  good.had_lease = true;
+  good.lease_until = kNow + milliseconds(10);
+  good.slack = milliseconds(3000);
+  return good;
+}
+
+ListCondition Fresh() {
+  ListCondition list;
+  list.age = milliseconds(1200);
+  list.bound = milliseconds(3000);
+  return list;
+}
+
+BOOST_AUTO_TEST_CASE(readiness_without_a_fault_has_no_reasons) {
+  BOOST_TEST(ReadyText(Good(), Fresh(), 0, kNow) == "ready\n");
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_has_just_begun_says_what_it_lacks) {
+  BOOST_TEST(ReadyText({}, {}, 0, kNow) ==
+             "not ready\nno configuration yet\nno lease from the core yet\n"
+             "no list of endpoints yet\n");
+}
+
+BOOST_AUTO_TEST_CASE(out_of_touch_is_told_before_it_is_a_reason) {
+  BOOST_TEST(ReadyText(Good(), Fresh(), 0, kNow + milliseconds(1510)) ==
+             "ready\nout of touch with the core for 1.5 s\n");
+  BOOST_TEST(ReadyText(Good(), Fresh(), 0, kNow + milliseconds(3010)) ==
+             "not ready\nout of touch with the core for 3.0 s\n");
+}
+
+BOOST_AUTO_TEST_CASE(full_disks_of_the_core_are_told) {
+  BOOST_TEST(ReadyText(Good(), Fresh(), 2, kNow + milliseconds(3010)) ==
+             "not ready\nout of touch with the core for 3.0 s\n"
+             "core processes whose disks refuse writes: 2\n");
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_leaves_says_so) {
+  Readiness leaving = Good();
+  leaving.leaving = true;
+  BOOST_TEST(ReadyText(leaving, Fresh(), 0, kNow) == "not ready\ntold to end\n");
+}
+
+BOOST_AUTO_TEST_CASE(a_list_that_is_too_old_is_told_with_the_reason) {
+  ListCondition list = Fresh();
+  list.age = milliseconds(3000);
+  BOOST_TEST(ReadyText(Good(), list, 0, kNow) == "ready\n");
+  list.age = milliseconds(4250);
+  list.state = ListState::kStale;
+  BOOST_TEST(ReadyText(Good(), list, 0, kNow) ==
+             "ready\nthe list of endpoints is 4.2 s old, 3.0 s are allowed; neither the core nor "
+             "another proxy has a newer one\n");
+  list.state = ListState::kExcused;
+  BOOST_TEST(ReadyText(Good(), list, 0, kNow) ==
+             "ready\nthe list of endpoints is 4.2 s old, 3.0 s are allowed; the platform does not "
+             "answer in time\n");
+  list.state = ListState::kUnrenewed;
+  BOOST_TEST(ReadyText(Good(), list, 0, kNow) ==
+             "ready\nthe list of endpoints is 4.2 s old, 3.0 s are allowed; the process has just "
+             "begun, or stood still\n");
+  list.age.reset();
+  BOOST_TEST(ReadyText(Good(), list, 0, kNow) ==
+             "ready\nthe list of endpoints is of unknown age\n");
+}
+
 }  // namespace
 }  // namespace shelflink::proxy
--- a/tests/tier/proxy/program_test.cpp
+++ b/tests/tier/proxy/program_test.cpp
@@ -64,7 +64,9 @@
     client.Leave();
     return answer;
   }
-  int Ready() { return Ask(8687, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").Status(); }
+  Message AskReady() { return Ask(8687, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"); }
+  int Ready() { return AskReady().Status(); }
+  std::string ReadyBody() { return AskReady().body; }
   Message Get() { return Ask(8689, Request("/a/x", "id" + std::to_string(++asked))); }
 
   Rig rig;
@@ -81,13 +83,18 @@
   Tier tier;
   tier.rig.Run(seconds(1));
   BOOST_TEST(tier.Ready() == 503);  // No core yet.
+  BOOST_TEST(tier.ReadyBody() ==
+             "not ready\nno configuration yet\nno lease from the core yet\n"
+             "no list of endpoints yet\n");
   BOOST_TEST(tier.Get().Status() == 503);
   tier.rig.Start();
   tier.rig.Run(seconds(3));
   BOOST_TEST(tier.Ready() == 503);  // No configuration yet.
+  BOOST_TEST(tier.ReadyBody() == "not ready\nno configuration yet\n");
   BOOST_REQUIRE(tier.rig.Put(5, 0));
   tier.rig.Run(seconds(1));
   BOOST_TEST(tier.Ready() == 200);
+  BOOST_TEST(tier.ReadyBody() == "ready\n");
   const Message answer = tier.Get();
   BOOST_TEST(answer.Status() == 200);
   BOOST_TEST(answer.body == "the bytes");
@@ -215,6 +222,7 @@
   BOOST_TEST(tier.Ready() == 200);
   tier.rig.Run(seconds(12));
   BOOST_TEST(tier.Ready() == 503);
+  BOOST_TEST(tier.ReadyBody().starts_with("not ready\nout of touch with the core for "));
   BOOST_TEST(tier.Get().Status() == 200);
   for (auto& core : tier.rig.cores) core->Start();
   tier.rig.Elect(0);
@@ -222,6 +230,21 @@
   BOOST_TEST(tier.Ready() == 200);
 }
 
+BOOST_AUTO_TEST_CASE(says_that_the_disks_of_the_core_refuse) {
+  Tier tier;
+  tier.Begin();
+  for (auto& core : tier.rig.cores) core->service().SetDiskCheck([] { return true; });
+  tier.rig.map.Elect(nullptr);
+  tier.rig.Run(seconds(15));
+  BOOST_TEST(tier.Ready() == 503);
+  BOOST_TEST(tier.ReadyBody().find("\ncore processes whose disks refuse writes: 3\n") !=
+             std::string::npos);
+  for (auto& core : tier.rig.cores) core->service().SetDiskCheck([] { return false; });
+  tier.rig.Elect(0);
+  tier.rig.Run(seconds(4));
+  BOOST_TEST(tier.ReadyBody() == "ready\n");
+}
+
 BOOST_AUTO_TEST_CASE(leaves_in_order) {
   Tier tier;
   tier.Begin();
