--- a/src/tier/cluster/agent.cpp
+++ b/src/tier/cluster/agent.cpp
@@ -1,6 +1,7 @@
 #include "tier/cluster/agent.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "tier/cluster/core_finder.h"
@@ -47,6 +48,9 @@
                   {[this] { return MakeRenewal(); },
                    [this](const RenewalExchange& exchange, const RenewalAnswer& answer) {
                      return OnAccepted(exchange, answer);
+                   },
+                   [this](const net::Address& core, const RenewalAnswer& answer) {
+                     NoteDisk(core, answer.disk_refuses);
                    }}) {
     SetSeeds(settings.seeds);
   }
@@ -73,12 +77,22 @@
     renewal.uses = uses.Unacknowledged();
     for (const auto& [service, load] : loads) renewal.loads.push_back(load);
     if (report) renewal.store = report();
+    if (figures) renewal.figures = figures();
     return renewal;
   }
 
+  void NoteDisk(const net::Address& core, bool refuses) {
+    if (refuses) {
+      refusing_cores.insert(core);
+    } else {
+      refusing_cores.erase(core);
+    }
+  }
+
   bool OnAccepted(const RenewalExchange& exchange, const RenewalAnswer& answer) {
     if (answer.epoch < epoch) return false;  // A former primary, however it came to answer.
     epoch = answer.epoch;
+    refusing_cores.clear();
     finder.Accepted(exchange.peer);
     finder.Learn(answer.cores);
     TakeCommon(exchange, answer);
@@ -221,9 +235,11 @@
   UseCounts uses;
   std::map<std::string, ServiceLoad> loads;
   std::function<StoreReport()> report;
+  std::function<StoreFigures()> figures;
   bool ready = false;
-  std::uint64_t epoch = 0;         // The highest of a primary that has answered.
-  net::Time endpoints_taken_at{};  // When the list of endpoints in the view was taken.
+  std::set<net::Address> refusing_cores;  // As they said when they declined, see the header.
+  std::uint64_t epoch = 0;                // The highest of a primary that has answered.
+  net::Time endpoints_taken_at{};         // When the list of endpoints in the view was taken.
   std::shared_ptr<char> life = std::make_shared<char>();
 };
 
@@ -246,6 +262,8 @@
 
 net::Span Agent::renewal_interval() const { return impl_->heartbeat.interval(); }
 
+std::size_t Agent::refusing_cores() const { return impl_->refusing_cores.size(); }
+
 std::int64_t Agent::TrueMicros() const { return impl_->TrueMicros(); }
 
 std::optional<net::Address> Agent::primary() const { return impl_->finder.primary(); }
@@ -269,6 +287,10 @@
   impl_->report = std::move(report);
 }
 
+void Agent::SetStoreFigures(std::function<StoreFigures()> figures) {
+  impl_->figures = std::move(figures);
+}
+
 void Agent::ReportBackup(const BackupReport& report, std::function<void(Result<void>)> done) {
   const std::optional<net::Address> target = impl_->finder.primary();
   if (!target) {
--- a/src/tier/cluster/cluster_figures.h
+++ b/src/tier/cluster/cluster_figures.h
@@ -11,12 +11,20 @@
 #include <vector>
 
 #include "tier/cluster/endpoint_summary.h"
+#include "tier/cluster/messages.h"
 #include "tier/cluster/redundancy.h"
 #include "tier/cluster/redundancy_watch.h"
 
 namespace shelflink::cluster {
 
-struct StoreFigures {
+// A store that the primary has heard of, now or in earlier lives.
+struct KnownStore {
+  std::string node;
+  bool in_touch = false;                // It holds a lease.
+  std::optional<StoreFigures> figures;  // As it told with the renewal of its lease.
+};
+
+struct StoreStanding {
   std::string node;
   std::string zone;
   std::string address;
@@ -30,7 +38,7 @@
 struct RedundancyFigures {
   bool leads = false;         // What stands now is known here; otherwise only the histories are.
   bool stores_heard = false;  // All stores have had time to speak with this primary.
-  std::vector<StoreFigures> stores;
+  std::vector<StoreStanding> stores;
   PartitionFigures partitions;
   std::vector<OpenLoss> open;
   LossHistory control;
@@ -40,6 +48,7 @@
 
 struct ClusterFigures {
   std::map<std::string, std::size_t> leases;      // Of members, by role; only on the primary.
+  std::vector<KnownStore> stores;                 // By node; only on the primary.
   std::optional<EndpointSummary> published_list;  // The last of this process's own.
   std::uint64_t lists_published = 0;              // Since the start, as in the next.
   std::uint64_t lists_not_published = 0;          // Read all the same.
--- a/src/tier/cluster/core_status.cpp
+++ b/src/tier/cluster/core_status.cpp
@@ -66,9 +66,9 @@
   if (group.primary_control) AddText(primary, "control", group.primary_control->Text());
 }
 
-void AddStores(cJSON* status, const std::vector<StoreFigures>& stores) {
+void AddStores(cJSON* status, const std::vector<StoreStanding>& stores) {
   cJSON* array = cJSON_AddArrayToObject(status, "stores");
-  for (const StoreFigures& store : stores) {
+  for (const StoreStanding& store : stores) {
     cJSON* item = AddItem(array);
     AddText(item, "node", store.node);
     AddText(item, "zone", store.zone);
--- a/src/tier/cluster/heartbeat.cpp
+++ b/src/tier/cluster/heartbeat.cpp
@@ -62,6 +62,7 @@
     return;
   }
   if (!answer.value().accepted) {
+    user_.declined(exchange.peer, answer.value());
     const bool at_once = finder_.Declined(exchange.peer, answer.value().primary);
     RenewAfter(at_once ? milliseconds(0) : kRetryPause);
     return;
--- a/src/tier/cluster/heartbeat.h
+++ b/src/tier/cluster/heartbeat.h
@@ -25,6 +25,8 @@
     // An answer that accepts. False: it is of no use (of a former primary); another is asked. True:
     // it has called RenewAfterInterval.
     std::function<bool(const RenewalExchange& exchange, const RenewalAnswer& answer)> accepted;
+    // An answer that does not.
+    std::function<void(const net::Address& core, const RenewalAnswer& answer)> declined;
   };
 
   // The first renewal goes out with the loop's next turn. All of them outlive it.
--- a/src/tier/cluster/messages.cpp
+++ b/src/tier/cluster/messages.cpp
@@ -103,8 +103,58 @@
   return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(age, kMostAgeMs)));
 }
 
+void WriteOptionalAge(cbor::Writer& writer, const std::optional<std::chrono::milliseconds>& age) {
+  if (age) {
+    WriteAge(writer, *age);
+  } else {
+    writer.Null();
+  }
+}
+
+std::optional<std::chrono::milliseconds> ReadOptionalAge(cbor::Reader& reader) {
+  if (reader.TakeNull()) return std::nullopt;
+  return ReadAge(reader);
+}
+
+constexpr std::size_t kFigures = 13;
+
+void WriteFigures(cbor::Writer& writer, const std::optional<StoreFigures>& figures) {
+  if (!figures) {
+    writer.Null();
+    return;
+  }
+  writer.Array(kFigures);
+  WriteAge(writer, figures->uptime);
+  writer.Bool(figures->disk_refuses).Uint(figures->bytes_used).Uint(figures->bytes_limit);
+  writer.Uint(figures->primaries).Uint(figures->backups);
+  writer.Uint(figures->incomplete).Uint(figures->left);
+  writer.Uint(figures->jobs).Uint(figures->items_waiting).Uint(figures->items_leased);
+  writer.Uint(figures->violations);
+  WriteOptionalAge(writer, figures->endpoints_age);
+}
+
+std::optional<StoreFigures> ReadFigures(cbor::Reader& reader) {
+  if (reader.TakeNull()) return std::nullopt;
+  const FieldsReader fields(reader, kFigures);
+  StoreFigures figures;
+  figures.uptime = ReadAge(reader);
+  figures.disk_refuses = reader.Bool();
+  figures.bytes_used = reader.Uint();
+  figures.bytes_limit = reader.Uint();
+  figures.primaries = reader.Uint();
+  figures.backups = reader.Uint();
+  figures.incomplete = reader.Uint();
+  figures.left = reader.Uint();
+  figures.jobs = reader.Uint();
+  figures.items_waiting = reader.Uint();
+  figures.items_leased = reader.Uint();
+  figures.violations = reader.Uint();
+  figures.endpoints_age = ReadOptionalAge(reader);
+  return figures;
+}
+
 Renewal ReadRenewal(cbor::Reader& reader) {
-  const FieldsReader fields(reader, 9);
+  FieldsReader fields(reader, 9);
   Renewal message;
   message.ready = reader.Bool();
   message.versions = ReadPartVersions(reader);
@@ -115,6 +165,7 @@
   message.uses = ReadList<UseCount>(reader, ReadUse);
   message.loads = ReadList<ServiceLoad>(reader, ReadLoad);
   message.store = ReadStore(reader);
+  if (fields.TakeAdded()) message.figures = ReadFigures(reader);
   return message;
 }
 
@@ -133,7 +184,8 @@
   message.true_micros = reader.Int();
   message.settled_before = reader.Uint();
   message.cores = ReadAddresses(reader);
-  if (fields.TakeAdded() && !reader.TakeNull()) message.endpoints_age = ReadAge(reader);
+  if (fields.TakeAdded()) message.endpoints_age = ReadOptionalAge(reader);
+  if (fields.TakeAdded()) message.disk_refuses = reader.Bool();
   return message;
 }
 
@@ -193,7 +245,7 @@
 
 std::string Encode(const Renewal& message) {
   cbor::Writer writer;
-  writer.Array(9).Bool(message.ready);
+  writer.Array(10).Bool(message.ready);
   Write(writer, message.versions);
   writer.Bool(message.parent_silent);
   cluster::Write(writer, message.parent);
@@ -202,6 +254,7 @@
   WriteList(writer, message.uses, WriteUse);
   WriteList(writer, message.loads, WriteLoad);
   WriteStore(writer, message.store);
+  WriteFigures(writer, message.figures);
   return writer.Take();
 }
 
@@ -239,7 +292,7 @@
 
 std::string Encode(const RenewalAnswer& message) {
   cbor::Writer writer;
-  writer.Array(13).Bool(message.accepted);
+  writer.Array(14).Bool(message.accepted);
   cluster::Write(writer, message.primary);
   writer.Uint(message.epoch).Uint(message.incarnation);
   writer.Uint(message.lease_ms).Uint(message.interval_ms);
@@ -248,11 +301,8 @@
   WriteAddresses(writer, message.children);
   writer.Int(message.true_micros).Uint(message.settled_before);
   WriteAddresses(writer, message.cores);
-  if (message.endpoints_age) {
-    WriteAge(writer, *message.endpoints_age);
-  } else {
-    writer.Null();
-  }
+  WriteOptionalAge(writer, message.endpoints_age);
+  writer.Bool(message.disk_refuses);
   return writer.Take();
 }
 
