--- a/src/tier/transport/outbox.cpp
+++ b/src/tier/transport/outbox.cpp
@@ -20,18 +20,21 @@
   return place;
 }
 
-std::size_t OutboxLane::Replace(std::string& frame, std::uint32_t slot) {
+std::optional<std::size_t> OutboxLane::FindWaiting(std::uint32_t slot) const {
   const std::size_t first_whole = begun() ? first_ + 1 : first_;
   for (std::size_t index = first_whole; index < chunks_.size(); ++index) {
-    Chunk& chunk = chunks_[index];
-    if (chunk.slot != slot) continue;
-    const std::size_t before = chunk.bytes.size();
-    size_ += frame.size();
-    size_ -= before;
-    chunk.bytes = std::move(frame);
-    return before;
+    if (chunks_[index].slot == slot) return index;
   }
-  return 0;
+  return std::nullopt;
+}
+
+std::size_t OutboxLane::Replace(std::size_t chunk, std::string frame) {
+  std::string& bytes = chunks_[chunk].bytes;
+  const std::size_t before = bytes.size();
+  size_ += frame.size();
+  size_ -= before;
+  bytes = std::move(frame);
+  return before;
 }
 
 // A chunk whose frame was replaced is of another size than the one that places count by.
@@ -60,10 +63,11 @@
 
 Outbox::Put Outbox::Append(std::string frame, Delivery delivery) {
   OutboxLane& lane = delivery.urgent ? urgent_ : ordinary_;
-  Put put;
-  if (delivery.slot != 0) put.replaced = lane.Replace(frame, delivery.slot);
-  if (put.replaced == 0) put.place = lane.Append(std::move(frame), delivery.slot);
-  return put;
+  if (delivery.slot != 0) {
+    const std::optional<std::size_t> waiting = lane.FindWaiting(delivery.slot);
+    if (waiting) return {.replaced = lane.Replace(*waiting, std::move(frame))};
+  }
+  return {.place = lane.Append(std::move(frame), delivery.slot)};
 }
 
 void Outbox::Written(std::size_t bytes) {
--- a/src/tier/transport/outbox.h
+++ b/src/tier/transport/outbox.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -28,9 +29,10 @@
   // Appends a frame and returns its place: the number of bytes that stand before it, those already
   // written included, each frame counted by the size that it was appended with.
   std::uint64_t Append(std::string frame, std::uint32_t slot);
-  // Puts the frame in place of one of its slot of which nothing has left; the size of that one, 0
-  // where there is none.
-  std::size_t Replace(std::string& frame, std::uint32_t slot);
+  // Which chunk is a frame of that slot of which nothing has left.
+  std::optional<std::size_t> FindWaiting(std::uint32_t slot) const;
+  // Puts the frame in place of that one; the size of the one that has gone.
+  std::size_t Replace(std::size_t chunk, std::string frame);
 
   bool empty() const { return first_ == chunks_.size(); }
   std::size_t size() const { return size_; }
