--- a/tests/tier/tier_seeds/day.cpp
+++ b/tests/tier/tier_seeds/day.cpp
@@ -24,6 +24,9 @@
 constexpr std::int64_t kEpochMicros = 1'800'000'000'000'000;
 constexpr std::size_t kClientDescriptors = 100'000;
 constexpr milliseconds kChangePauseOfLongDays{250};
+// A disk that is full, its return and the time to catch up; and so often for all at once.
+constexpr milliseconds kOneDiskTakes{8500};
+constexpr std::size_t kAllDisksTake = 4;
 // Since the start of all.
 constexpr milliseconds kOperatorsBegin{500};
 constexpr milliseconds kClientsBegin{2500};
@@ -171,6 +174,16 @@
     deployment.trouble = *options.length;
     deployment.change_pause = kChangePauseOfLongDays;
   }
+  if (options.fills_all_disks) {
+    deployment.of_disks = false;
+    deployment.fills_all_disks = true;
+    deployment.trouble =
+        kOneDiskTakes * static_cast<int>(deployment.cores + deployment.stores + kAllDisksTake);
+    // Results that were complete for so long may be forgotten: not on this day, as on any other.
+    deployment.base.bounds.status =
+        std::chrono::ceil<std::chrono::milliseconds>(deployment.trouble) +
+        deployment.base.bounds.status;
+  }
   Day day(deployment, options.trace);
   try {
     day.Play();
--- a/tests/tier/tier_seeds/day.h
+++ b/tests/tier/tier_seeds/day.h
@@ -27,6 +27,9 @@
   // How long there is trouble, in place of what the seed draws; the operators change the
   // configuration several times a second then.
   std::optional<net::Span> length;
+  // In place of what the seed draws: each core disk is full for a while, then all at once, then the
+  // same of the stores; as long as that takes.
+  bool fills_all_disks = false;
 };
 
 DayResult PlayDay(std::uint64_t seed, const DayOptions& options);
--- a/tests/tier/tier_seeds/deployment.cpp
+++ b/tests/tier/tier_seeds/deployment.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::uint64_t kDeploymentStream = 1;
+constexpr std::uint64_t kDisksStream = 11;  // Beside all others: other days are what they were.
+constexpr double kOfDisksShare = 0.25;
 constexpr std::uint16_t kFirstPort = 7360;
 constexpr std::uint16_t kLastPort = 7375;
 constexpr std::size_t kMostSeeds = 3;
@@ -59,6 +61,9 @@
   deployment.trouble = Seconds(random.Between(10, 24));
   deployment.calm = Seconds(12);
   deployment.base = BaseSettings(random, deployment);
+  shelflab::Random disks(seed, kDisksStream);
+  deployment.of_disks = disks.Chance(kOfDisksShare);
+  if (deployment.of_disks) deployment.trouble = Seconds(disks.Between(55, 85));
   return deployment;
 }
 
@@ -66,7 +71,8 @@
   return "seed " + std::to_string(deployment.seed) + ": " + std::to_string(deployment.zones) +
          " zones, " + std::to_string(deployment.cores) + " core processes, " +
          std::to_string(deployment.stores) + " stores, " + std::to_string(deployment.proxies) +
-         " proxies, tolerance " + std::to_string(deployment.failures);
+         " proxies, tolerance " + std::to_string(deployment.failures) +
+         (deployment.of_disks ? ", of disks" : "");
 }
 
 }  // namespace shelflink::tier_seeds
--- a/tests/tier/tier_seeds/deployment.h
+++ b/tests/tier/tier_seeds/deployment.h
@@ -32,8 +32,12 @@
   std::size_t cores = 3;
   std::size_t stores = 3;
   std::size_t proxies = 3;
-  std::size_t endpoints = 4;                     // Of each service.
-  std::size_t failures = 1;                      // Counted machines that may be lost at one time.
+  std::size_t endpoints = 4;  // Of each service.
+  std::size_t failures = 1;   // Counted machines that may be lost at one time.
+  // Disks and machines for good: each kind of trouble of theirs in turn, over a longer day.
+  bool of_disks = false;
+  // No other trouble than that each disk of the core is full, then all of them, and so the stores'.
+  bool fills_all_disks = false;
   net::Span trouble{};                           // How long there is trouble.
   std::chrono::milliseconds change_pause{1200};  // The longest between two of an operator's calls.
   net::Span calm{};                              // What the tier has for recovery after it.
--- a/tests/tier/tier_seeds/machines.cpp
+++ b/tests/tier/tier_seeds/machines.cpp
@@ -77,6 +77,11 @@
   process_->SetPaused(frozen);
 }
 
+void Machine::SetSeeds(std::vector<net::Address> seeds) {
+  settings_.seeds = std::move(seeds);
+  Deliver([this] { Reload(); });
+}
+
 void Machine::Deliver(std::function<void()> step) {
   if (up()) process_->Post(std::move(step));
 }
--- a/tests/tier/tier_seeds/machines.h
+++ b/tests/tier/tier_seeds/machines.h
@@ -41,6 +41,8 @@
   // SIGTERM: leaves in order and ends; SIGKILL after the time of grace.
   void Terminate();
   void SetFrozen(bool frozen);
+  // Its settings name other core processes from now on, also while it runs.
+  void SetSeeds(std::vector<net::Address> seeds);
   // Refuses writes until it has room again; of what was not synced then the first `kept` remain.
   void FillDisk(std::size_t kept) {
     disk_.SetKeptOnFailure(kept);
@@ -49,6 +51,8 @@
   void EmptyDisk() { disk_.SetFull(false); }
   void SetDiskStalled(bool stalled) { disk_.SetStalled(stalled); }
   void SetSyncSpan(net::Span span) { sync_span_ = span; }
+  // Its process knows that the disk takes no writes.
+  virtual bool knows_disk_refuses() const { return false; }
 
   bool up() const { return process_ != nullptr; }
   bool frozen() const { return frozen_; }
@@ -66,6 +70,8 @@
   virtual void Open() = 0;
   virtual void Close() = 0;
   virtual void LeaveInOrder(std::function<void()> done) = 0;
+  // The settings have changed; its process runs.
+  virtual void Reload() = 0;
 
   transport::PeerIdentity Identity(const std::string& role, ProcessKind kind) const;
   std::unique_ptr<storage::Storage> OpenStorage();
@@ -108,11 +114,13 @@
   operator_api::Forwarder& forwarder() { return *forwarder_; }
   coordination::Group& group() { return *group_; }
   bool is_primary() const { return service_ && service_->is_primary(); }
+  bool knows_disk_refuses() const override { return group_ && group_->failed(); }
 
  protected:
   void Open() override;
   void Close() override;
   void LeaveInOrder(std::function<void()> done) override;
+  void Reload() override { group_->SetSeeds(settings_.seeds, settings_); }
 
  private:
   PlatformWorld& platform_world_;
@@ -128,10 +136,13 @@
   using Machine::Machine;
   ~StoreMachine() override { Kill(); }
 
+  bool knows_disk_refuses() const override { return store_ && !store_->disk().is_working(); }
+
  protected:
   void Open() override;
   void Close() override { store_.reset(); }
   void LeaveInOrder(std::function<void()> done) override { store_->Leave(std::move(done)); }
+  void Reload() override { store_->SetSeeds(settings_.seeds); }
 
  private:
   std::unique_ptr<batch::StoreProcess> store_;
@@ -150,6 +161,7 @@
   void Open() override;
   void Close() override { program_.reset(); }
   void LeaveInOrder(std::function<void()> done) override { program_->Leave(std::move(done)); }
+  void Reload() override { program_->Reload(settings_); }
 
  private:
   PlatformWorld& platform_world_;
--- a/tests/tier/tier_seeds/main.cpp
+++ b/tests/tier/tier_seeds/main.cpp
@@ -23,6 +23,7 @@
   std::uint64_t count = 1;
   std::uint64_t seed = 0;  // Above 0: this one alone.
   double length_s = 0;     // Above 0: how long there is trouble.
+  bool fills_all_disks = false;
   bool trace = false;
   bool counts = false;
   bool until_found = false;
@@ -39,6 +40,7 @@
 DayResult PlayOne(const Wanted& wanted, std::uint64_t seed) {
   shelflink::tier_seeds::DayOptions options;
   options.trace = wanted.trace;
+  options.fills_all_disks = wanted.fills_all_disks;
   if (wanted.length_s > 0) {
     options.length =
         std::chrono::duration_cast<net::Span>(std::chrono::duration<double>(wanted.length_s));
@@ -88,6 +90,8 @@
   app.add_option("--seed", wanted.seed, "Only this seed");
   app.add_option("--length", wanted.length_s,
                  "Seconds of trouble, with changes several a second; default: drawn from the seed");
+  app.add_flag("--fill-all-disks", wanted.fills_all_disks,
+               "Only this: each core disk full, then all at once, then the same of the stores");
   app.add_flag("--trace", wanted.trace, "Print what happens");
   app.add_flag("--counts", wanted.counts, "Print what was played, and how often");
   app.add_flag("--until-found", wanted.until_found, "Succeed once something is found");
--- a/tests/tier/tier_seeds/operators.cpp
+++ b/tests/tier/tier_seeds/operators.cpp
@@ -1,6 +1,7 @@
 #include "tier_seeds/operators.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "tier/operator_api/requests.h"
@@ -17,6 +18,8 @@
 constexpr milliseconds kPatience{1000};
 constexpr milliseconds kGivesUp{7000};
 constexpr milliseconds kLongestPause{800};
+constexpr milliseconds kRetirementPause{300};
+constexpr std::string_view kRetirement = R"({"deadlineS":20})";
 constexpr std::size_t kBigDocument = 100'000;
 
 bool IsRefusal(int status) {
@@ -153,6 +156,49 @@
        });
 }
 
+void Operators::Retire(const std::string& node, const std::function<void()>& emptied) {
+  journal_.Note([&] { return "operator retires " + node; });
+  AskAboutStore(
+      "POST", node, [](const std::string&) { return true; },
+      [this, node, emptied] {
+        journal_.Count("retirements acknowledged");
+        emptying_.insert(node);
+        AskAboutStore(
+            "GET", node,
+            [](const std::string& body) { return body.find("completed") != std::string::npos; },
+            [this, node, emptied] {
+              emptying_.erase(node);
+              emptied();
+            });
+      });
+}
+
+void Operators::AskAboutStore(const std::string& method, const std::string& node,
+                              const std::function<bool(const std::string& body)>& is_done,
+                              const std::function<void()>& done) {
+  const bool asks = method == "POST";
+  const std::string path = "/retire/" + node;
+  operator_api::HttpRequest request;
+  request.method = method;
+  request.path = path;
+  if (asks) request.body = kRetirement;
+  Call(flows_.front(), request,
+       [this, method, node, is_done, done, asks](std::optional<int> status,
+                                                 const std::string& body) {
+         if (status && *status == 200 && is_done(body)) return done();
+         if (status && IsRefusal(*status)) {
+           journal_.Count("retirements refused");
+           if (!asks) {
+             journal_.Report("RETIRE", node + ", whose retirement was acknowledged, is answered " +
+                                           std::to_string(*status));
+           }
+           return;
+         }
+         After(kRetirementPause,
+               [this, method, node, is_done, done] { AskAboutStore(method, node, is_done, done); });
+       });
+}
+
 // One try at one core process, as over a connection of its own.
 void Operators::Call(const Flow& flow, const operator_api::HttpRequest& request,
                      const Answered& answered) {
@@ -328,6 +374,9 @@
 
 // One document a version; what others build on was taken.
 void Operators::JudgeHistory() {
+  for (const std::string& node : emptying_) {
+    journal_.Report("RETIRE", node + " is not empty at the end of the calm");
+  }
   for (const Order& order : orders_) {
     for (const Order& other : orders_) {
       if (other == order || !order->seen || !other->seen || order->version != other->version) {
--- a/tests/tier/tier_seeds/operators.h
+++ b/tests/tier/tier_seeds/operators.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,9 @@
   void SetLosses(double share) { losses_ = share; }
   // One change that has to be acknowledged by then, with all calm.
   void ChangeInCalm(net::Time until);
+  // Asks that the store be emptied, until it is answered, then for how that goes. `emptied` is
+  // called once it is complete; never after a refusal.
+  void Retire(const std::string& node, const std::function<void()>& emptied);
   // Reads back, judges what was seen in the whole day.
   void ReadBack(net::Time until);
   void JudgeHistory();
@@ -82,6 +86,10 @@
   void SendUntilDecided(Flow& flow, const Order& order, net::Time give_up, int attempt,
                         const std::function<void()>& done);
   void Read(Flow& flow, net::Time give_up, int attempt, const std::function<void(bool)>& done);
+  // Again and again until it is answered with 200 and `is_done` of the body; refused: never told.
+  void AskAboutStore(const std::string& method, const std::string& node,
+                     const std::function<bool(const std::string& body)>& is_done,
+                     const std::function<void()>& done);
   void Call(const Flow& flow, const operator_api::HttpRequest& request, const Answered& answered);
   void Decided(const Order& order, int status);
   void Acknowledged(const Order& order);
@@ -99,6 +107,7 @@
   std::deque<Flow> flows_;
   std::vector<Order> orders_;
   std::uint64_t known_version_ = 0;  // Acknowledged or read.
+  std::set<std::string> emptying_;   // Stores whose retirement was acknowledged and goes on.
 };
 
 }  // namespace shelflink::tier_seeds
--- a/tests/tier/tier_seeds/tier_seeds_test.cpp
+++ b/tests/tier/tier_seeds/tier_seeds_test.cpp
@@ -33,6 +33,54 @@
   }
 }
 
+// Each core disk is full for a while, then all at once; then the same of the stores.
+BOOST_AUTO_TEST_CASE(a_day_on_which_every_disk_is_full) {
+  DayOptions options;
+  options.fills_all_disks = true;
+  for (const std::uint64_t seed : {1U, 2U, 3U}) {
+    const DayResult day = PlayDay(seed, options);
+    for (const Finding& finding : day.findings) BOOST_ERROR(TextOf(finding));
+    const std::size_t disks = day.deployment.cores + day.deployment.stores;
+    const auto count_of = [&](const char* what) {
+      const auto found = day.counts.find(what);
+      return found == day.counts.end() ? std::uint64_t{0} : found->second;
+    };
+    BOOST_TEST_CONTEXT(TextOf(day.deployment)) {
+      BOOST_TEST(count_of("trouble: has a full disk") == 2 * disks);
+      BOOST_TEST(count_of("all core disks are full") == 1U);
+      BOOST_TEST(count_of("all disks of stores are full") == 1U);
+      // Whoever stores nothing meanwhile cannot know: replicas do, once in turn and once with all.
+      BOOST_TEST(count_of("full disks that were noticed by a core") >=
+                 2 * (day.deployment.failures + 1));
+      BOOST_TEST(count_of("full disks that were noticed by a store") >= day.deployment.stores);
+      BOOST_TEST(count_of("orders acknowledged") >= 20U);
+      BOOST_TEST(count_of("results completed") >= 20U);
+    }
+  }
+}
+
+// Within a few of them each kind of their troubles is played.
+BOOST_AUTO_TEST_CASE(days_of_disks_hold_all_of_their_troubles) {
+  std::map<std::string, std::uint64_t> counts;
+  std::size_t days = 0;
+  for (std::uint64_t seed = 1; days < 3; ++seed) {
+    if (!DrawDeployment(seed).of_disks) continue;
+    ++days;
+    const DayResult day = PlayDay(seed, {});
+    for (const Finding& finding : day.findings) BOOST_ERROR(seed << ": " << TextOf(finding));
+    for (const auto& [what, times] : day.counts) counts[what] += times;
+  }
+  for (const char* what :
+       {"trouble: has a full disk", "trouble: has a disk that stands still",
+        "trouble: has a slow disk", "trouble: loses its disk",
+        "trouble: a core machine is replaced by an empty one",
+        "trouble: a store is replaced by an empty one", "trouble: a core machine is retired",
+        "trouble: a store is retired", "stores that were retired", "all core disks are full",
+        "all disks of stores are full"}) {
+    BOOST_TEST(counts[what] >= 1U, what << " was not played");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(deployments_are_of_all_sizes) {
   std::set<std::size_t> zones;
   std::set<std::size_t> cores;
--- a/tests/tier/tier_seeds/troubles.cpp
+++ b/tests/tier/tier_seeds/troubles.cpp
@@ -33,7 +33,8 @@
       contact_(contact),
       parts_(parts),
       deployment_(deployment),
-      random_(deployment.seed, kTroubleStream) {}
+      random_(deployment.seed, kTroubleStream),
+      replacements_(net, parts.platform, parts.cores, parts.stores, parts.proxies) {}
 
 net::Span Troubles::Between(int least_ms, int most_ms) {
   return milliseconds(least_ms + static_cast<int>(random_.Below(
@@ -57,11 +58,13 @@
   parts_.endpoints.SetMischief(random_.Between(0, 0.12));
   parts_.operators.SetLosses(random_.Between(0, 0.25));
   until_ = until;
+  if (deployment_.fills_all_disks) return FillEachThenAll();
   parts_.operators.on_acknowledged = [this] {
     if (net_.Now() < until_ && random_.Chance(kStrikeShare)) TroubleAtAcknowledgement();
   };
-  disks_in_turn_ = random_.Chance(kDisksInTurnShare);
+  disks_in_turn_ = random_.Chance(kDisksInTurnShare) && !deployment_.of_disks;
   if (disks_in_turn_) FillNextDisk();
+  if (deployment_.of_disks) NextOfDisks();
   Next(until);
 }
 
@@ -84,7 +87,7 @@
   TroubleNetwork();
 }
 
-bool Troubles::MayLose(const std::vector<Machine*>& machines) const {
+bool Troubles::MayLose(const std::vector<const Machine*>& machines) const {
   std::set<const Machine*> lost;
   for (const auto& [machine, until] : lost_until_) {
     if (until > net_.Now()) lost.insert(machine);
@@ -98,7 +101,9 @@
 }
 
 void Troubles::TroubleCounted() {
-  if (disks_in_turn_ && !random_.Chance(kCountedShareInTurn)) return;
+  if (AwaitsQuiet()) return;
+  const bool is_rare = disks_in_turn_ || deployment_.of_disks;
+  if (is_rare && !random_.Chance(kCountedShareInTurn)) return;
   std::vector<Machine*> all = Counted();
   Machine* first = all[random_.Below(all.size())];
   if (troubled_.contains(first) || !MayLose({first})) return;
@@ -424,7 +429,13 @@
   During(
       machine, span, "has a full disk",
       [&] { machine.FillDisk(random_.Below(kMostKeptOfFullDisk)); },
-      [&machine] { machine.EmptyDisk(); }, TroubleReach::kMachine);
+      [this, &machine] {
+        if (machine.knows_disk_refuses()) {
+          journal_.Count("full disks that were noticed by a " + machine.settings().role);
+        }
+        machine.EmptyDisk();
+      },
+      TroubleReach::kMachine);
 }
 
 // SIGTERM; another start once the process has ended.
--- a/tests/tier/tier_seeds/troubles.h
+++ b/tests/tier/tier_seeds/troubles.h
@@ -22,6 +22,7 @@
 #include "tier_seeds/machines.h"
 #include "tier_seeds/operators.h"
 #include "tier_seeds/platform_world.h"
+#include "tier_seeds/replacements.h"
 
 namespace shelflink::tier_seeds {
 
@@ -50,7 +51,7 @@
   void Next(net::Time until);
   void Draw();
   // Whether these may be lost besides those that are.
-  bool MayLose(const std::vector<Machine*>& machines) const;
+  bool MayLose(const std::vector<const Machine*>& machines) const;
   bool IsAnyLost() const;
   void SetLost(const Machine& machine, net::Time until);
   void TroubleCounted();
@@ -76,6 +77,50 @@
   void FillDiskFor(Machine& machine, net::Span span);
   void FillNextDisk();
   void FillAllCoreDisks();
+  void FillAllStoreDisks();
+
+  // ---- Days of disks, and what is for good (troubles_of_disks.cpp).
+  enum class DiskTrouble {
+    kFullCore,
+    kFullStore,
+    kStallCore,
+    kStallStore,
+    kSlowCore,
+    kSlowStore,
+    kAllCores,
+    kAllStores,
+    kWipeCore,
+    kWipeStore,
+    kReplaceCore,
+    kReplaceStore,
+    kRetireCore,
+    kRetireStore,
+  };
+  void NextOfDisks();
+  // All disks at once come next, which needs that nothing is lost: nothing else begins.
+  bool AwaitsQuiet() const;
+  // Each kind once, in a new order each time.
+  void ShuffleDiskTroubles();
+  // False: not now.
+  bool Play(DiskTrouble trouble);
+  bool PlayOn(Machine& machine, DiskTrouble trouble);
+  bool PlayOnAll(DiskTrouble trouble);
+  bool PlayOnCore(DiskTrouble trouble);
+  bool PlayOnStore(DiskTrouble trouble);
+  bool MayTrouble(const Machine& machine) const;
+  // A machine that is gone for good, and its successor, which starts a while later.
+  void ReplaceCore(CoreMachine& core);
+  void ReplaceStore(StoreMachine& store);
+  void StartSuccessor(const Machine& gone, Machine& successor);
+  void RetireCore(CoreMachine& core);
+  void ReplaceOnceEnded(CoreMachine& core, std::uint64_t life);
+  // Asked of the core; taken away with its disk as soon as it is empty.
+  void RetireStore(StoreMachine& store);
+  void RemoveOnceCalm(StoreMachine& store);
+  // Core disks one by one, then all; then the stores'.
+  void FillEachThenAll();
+  bool FillNextOfAll();
+
   void Restart(Machine& machine);
   void AwaitEnd(Machine& machine, std::uint64_t life);
   // `begin` now, `end` after the span; the machine counts as lost meanwhile and for a while after.
@@ -103,6 +148,11 @@
   std::map<const Machine*, net::Time> lost_until_;  // Of those that count.
   std::set<const Machine*> troubled_;
   bool disks_in_turn_ = false;
+  Replacements replacements_;
+  std::vector<DiskTrouble> disk_troubles_;  // To come, the next one last.
+  std::set<const Machine*> retiring_;
+  std::size_t filled_cores_ = 0;  // Of a day that fills all disks; one more than there are: all.
+  std::size_t filled_stores_ = 0;
   std::uint64_t numbers_ = 0;
   net::Time until_{};
   std::map<std::uint64_t, Step> heals_;
