A drain binds where the core stands still before all members have spoken with it

Cause: a proxy without a list of members reads nothing itself, and the first one went out 1.25 s after a primary began, for fear of a short one in place of a longer one of an earlier primary. At a first start nobody has one. A proxy that the list does not name plans by those that it names and asks them, so that a short list does not raise the calls to the platform; before, it counted itself among the readers.

--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -150,7 +150,7 @@
 
 // The rate could not be shared while it is not known among how many.
 void ListFallback::Refresh() {
-  if (!agent_.view().members) {
+  if (ListedProxies().empty()) {
     trouble_seen_at_ = loop_.Now();
     return;
   }
@@ -169,11 +169,12 @@
 // Again whenever a reader has failed or the pages turn out to be of another size: the list of
 // members may be another since, too.
 void ListFallback::MakePlan() {
-  proxies_ = Proxies();
+  proxies_ = ListedProxies();
   plan_ = PlanReading(settings_.cloud.rate_per_s, settings_.bounds.drain, list()->entries.size(),
                       proxies_.size(), entries_of_page_);
   const auto self = std::find(proxies_.begin(), proxies_.end(), hub_.self().address);
   const auto rank = static_cast<std::size_t>(self - proxies_.begin());
+  if (self == proxies_.end()) proxies_.push_back(hub_.self().address);
   choice_.SetFleet(rank, proxies_.size(), plan_.readers);
   if (poller_) poller_->SetShareOfRate(plan_.share_of_rate);
 }
@@ -221,16 +222,15 @@
   trouble_seen_at_ = {};
 }
 
-// All of the fleet, in an order that each of them finds; this one too, where the list of members
-// does not name it yet.
-std::vector<net::Address> ListFallback::Proxies() const {
+// All that the list of members names, in an order that each of them finds. One that is not named is
+// in nobody's plan: it comes behind the others, and so in no first group.
+std::vector<net::Address> ListFallback::ListedProxies() const {
   std::vector<net::Address> proxies;
+  if (!agent_.view().members) return proxies;
   for (const cluster::Member& member : agent_.view().members->all) {
     if (member.role == "proxy") proxies.push_back(member.address);
   }
   std::sort(proxies.begin(), proxies.end());
-  const net::Address& self = hub_.self().address;
-  if (!std::binary_search(proxies.begin(), proxies.end(), self)) proxies.push_back(self);
   return proxies;
 }
 
--- a/src/tier/proxy/list_fallback.h
+++ b/src/tier/proxy/list_fallback.h
@@ -72,7 +72,7 @@
   void StartReading();
   void StopReading();
   void NotePage(std::size_t entries);
-  std::vector<net::Address> Proxies() const;
+  std::vector<net::Address> ListedProxies() const;
   void Take(Entries entries, net::Time read_at);
   void Fetch();
   void OnFetched(std::size_t rank, net::Time sent, const Result<std::string>& body);
--- a/tests/tier/proxy/mutants.cmake
+++ b/tests/tier/proxy/mutants.cmake
@@ -108,6 +108,14 @@
   a_drain_binds_while_disks_of_the_core_take_seconds_to_sync
   tier/proxy/list_fallback.cpp
   [=[  poller_->Start(loop_.Now() + slot * static_cast<int>(choice_.rank_in_group()));]=] "")
+proxy_mutant(the_first_list_of_members_waits stale_list
+  a_drain_binds_while_disks_of_a_core_that_has_just_begun_take_seconds_to_sync
+  tier/cluster/core_service.cpp
+  [=[(older_list_known && now < led_since + hearing)]=] [=[now < led_since + hearing]=])
+proxy_mutant(who_is_not_named_counts_as_named stale_list
+  proxies_that_the_list_of_members_does_not_name_ask_those_that_it_names
+  tier/proxy/list_fallback.cpp
+  [=[proxies_.size(), entries_of_page_);]=] [=[proxies_.size() + 1, entries_of_page_);]=])
 proxy_mutant(no_proxy_asks_another stale_list a_drain_binds_at_proxies_that_ask_those_that_read
   tier/proxy/list_fallback.cpp
   [=[  ReadIfChosen();
--- a/tests/tier/proxy/stale_list_test.cpp
+++ b/tests/tier/proxy/stale_list_test.cpp
@@ -338,6 +338,23 @@
   BOOST_TEST(scene.ListCalls(seconds(10)) <= 2U * (20U + 1U));  // Twice 0.4 of the rate.
 }
 
+// They have come within the moment between two lists of members, and control stands still since.
+BOOST_AUTO_TEST_CASE(proxies_that_the_list_of_members_does_not_name_ask_those_that_it_names) {
+  Scene scene(1);
+  scene.AddOthers(8);
+  scene.rig.platform.page_size = 4;
+  scene.rig.Run(seconds(2));
+  for (std::uint32_t index = 1; index < 8; ++index) {
+    scene.proxies.push_back(std::make_unique<stale_list::Proxy>(scene.rig, index, 40));
+  }
+  scene.rig.Run(milliseconds(100));
+  for (auto& core : scene.rig.cores) core->Stop();
+  scene.rig.Run(seconds(4));
+  BOOST_TEST(scene.ListCalls(seconds(10)) <= 160U + 8U);  // 0.4 of the rate; one begun of each.
+  scene.Traffic(seconds(1));
+  scene.CheckDrainBinds();
+}
+
 // Six pages: two readers, whose walks take as long as the plan allows.
 BOOST_AUTO_TEST_CASE(a_drain_binds_with_a_list_of_six_pages) {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
