Known red: who asks readers in trouble learns of it late where their lists differ in age

A reader that the platform does not answer tells so only where it has nothing newer to give (ListFallback::AnswerFetch). Lists that the readers read milliseconds apart go round among them, each one newer than the last; each counts as an answer, so that the first group is given up late: the excuse is missing, and where only the readers are cut off the next group reads late.

--- a/tests/tier/proxy/stale_list_excuses_test.cpp
+++ b/tests/tier/proxy/stale_list_excuses_test.cpp
@@ -58,6 +58,27 @@
   scene.CheckDrainBinds();
 }
 
+// Each reader has read a list of its own before, a little newer or older than those of the others.
+BOOST_AUTO_TEST_CASE(the_time_stands_still_for_those_that_ask_while_the_platform_is_silent) {
+  for (const std::size_t others : {6U, 8U, 10U, 12U}) {
+    for (const int later_ms : {0, 250, 500}) {
+      BOOST_TEST_CONTEXT(others << " others, silent after " << later_ms << " ms") {
+        Scene scene(5, others, 40);
+        scene.AddOthers(others);
+        scene.rig.platform.page_size = 4;
+        scene.Traffic(seconds(2));
+        scene.rig.platform.cut_off = {&scene.rig.cores[0]->process()};
+        scene.Traffic(milliseconds(2600));
+        scene.rig.platform.cut_off = {};
+        scene.Traffic(milliseconds(later_ms));
+        scene.rig.platform.silent = true;
+        scene.Traffic(seconds(6));
+        for (const std::string& violation : TakeViolations()) BOOST_ERROR(violation);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_platform_that_answers_is_no_excuse_for_a_proxy_that_reads_too_seldom) {
   Scene scene(2, 1, kTooSeldomPerS);
   scene.Traffic(seconds(1));
