A reader in trouble says so beside a list that it gives; the first list of members waits for a tick

ListReading has a field in_trouble, which earlier programs do not write; such an answer counts as trouble and its list is taken.

Now only the first primary of all (epoch 1) sends one early, at its first tick, and a proxy that a list does not name reads once before it asks others.

--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -31,6 +31,7 @@
 constexpr milliseconds kMembersGapEach{1};  // and for each member.
 constexpr milliseconds kAdoptTimeout{500};
 constexpr std::size_t kMembersAtFullRate = 200;
+constexpr std::uint64_t kFirstEpoch = 1;  // Of the system: no primary was before it.
 constexpr const char* kModule = "cluster.core";
 
 LeaseSpans SpansOf(const ProcessSettings& settings) {
@@ -146,7 +147,6 @@
     epoch = the_epoch;
     led_since = loop.Now();
     first_epoch = the_epoch;
-    older_list_known = false;
     members.Clear();
     tree.Clear();
     clock.Clear();
@@ -226,7 +226,6 @@
       members_changed = true;
       if (from.role == "store") keeper.Evaluate();
     }
-    PublishMembers();
     return Encode(Accept(from.address));
   }
 
@@ -236,8 +235,6 @@
     if (renewal.parent_silent && parent && renewal.parent == parent) tree.Distrust(*parent);
     clock.Hear(loop.Now(), from.address, renewal.wall_micros);
     HearUses(from, renewal);
-    const Version& members_list = renewal.versions[Part::kMembers];
-    if (members_list != Version() && members_list.epoch < first_epoch) older_list_known = true;
     AdoptEndpoints(from.address, renewal.versions[Part::kEndpoints]);
   }
 
@@ -335,14 +332,15 @@
                       push ? tree.PushTargets() : std::vector<net::Address>());
   }
 
-  // Until every member in touch has spoken with this primary, the list would be too short: one that
-  // they have from an earlier primary is the better one. Where nobody has any, a short one goes out
-  // at once, for a proxy without any cannot read the platform's list (proxy/list_fallback.h).
+  // Until every member in touch has spoken with this primary, the list would be too short: the one
+  // that they have from an earlier primary is better. After the first start of all nobody has any,
+  // and one goes out with the first tick: without one a proxy cannot read the platform's list
+  // (proxy/list_fallback.h).
   void PublishMembers() {
     const net::Time now = loop.Now();
     const net::Span hearing = 2 * RenewalInterval(settings, 0) + kTick;
     const auto members_now = static_cast<std::int64_t>(members.leases().size());
-    if (!members_changed || (older_list_known && now < led_since + hearing)) return;
+    if (!members_changed || (first_epoch > kFirstEpoch && now < led_since + hearing)) return;
     if (now < members_published + kMembersGap + kMembersGapEach * members_now) return;
     members_changed = false;
     members_published = now;
@@ -555,7 +553,6 @@
   Version read_version;     // Of the endpoints that this process has read and published last.
   net::Time led_since{};
   std::uint64_t first_epoch = 0;  // Of those that it has led since then.
-  bool older_list_known = false;  // Of members, by one of them, from an earlier primary.
   net::Time next_tick{};
   bool members_changed = false;
   net::Time members_published{};
--- a/src/tier/cluster/messages.cpp
+++ b/src/tier/cluster/messages.cpp
@@ -275,9 +275,9 @@
 
 std::string Encode(const ListReading& message) {
   cbor::Writer writer;
-  writer.Array(2);
+  writer.Array(3);
   WriteAge(writer, message.age);
-  writer.Bytes(message.endpoints);
+  writer.Bytes(message.endpoints).Bool(message.in_trouble);
   return writer.Take();
 }
 
@@ -285,9 +285,10 @@
   cbor::Reader reader(body);
   ListReading message;
   {
-    const FieldsReader fields(reader, 2);
+    FieldsReader fields(reader, 2);
     message.age = ReadAge(reader);
     message.endpoints = reader.Bytes();
+    if (fields.TakeAdded()) message.in_trouble = reader.Bool();
   }
   return Checked(reader, std::move(message), "reading of the list");
 }
--- a/src/tier/cluster/messages.h
+++ b/src/tier/cluster/messages.h
@@ -132,6 +132,8 @@
 struct ListReading {
   std::chrono::milliseconds age{0};  // Of the reading of the platform's list, from its start.
   std::string endpoints;             // See view_codec.h.
+  // The platform does not answer who gives this list. Others may have a newer one.
+  bool in_trouble = false;
   bool operator==(const ListReading&) const = default;
 };
 
--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -164,6 +164,7 @@
   log::Info(kModule, "the core's list of endpoints is late: it is read here");
   MakePlan();
   choice_.Reset();
+  owes_walk_ = !is_listed_;
 }
 
 // Again whenever a reader has failed or the pages turn out to be of another size: the list of
@@ -174,13 +175,14 @@
                       proxies_.size(), entries_of_page_);
   const auto self = std::find(proxies_.begin(), proxies_.end(), hub_.self().address);
   const auto rank = static_cast<std::size_t>(self - proxies_.begin());
-  if (self == proxies_.end()) proxies_.push_back(hub_.self().address);
+  is_listed_ = self != proxies_.end();
+  if (!is_listed_) proxies_.push_back(hub_.self().address);
   choice_.SetFleet(rank, proxies_.size(), plan_.readers);
   if (poller_) poller_->SetShareOfRate(plan_.share_of_rate);
 }
 
 void ListFallback::ReadIfChosen() {
-  if (!choice_.Reads()) return StopReading();
+  if (!choice_.Reads() && !owes_walk_) return StopReading();
   if (!poller_) StartReading();
 }
 
@@ -191,8 +193,10 @@
   platform::ListPoller::Events events;
   events.read = [this](Entries entries, net::Time read_at) {
     choice_.OnOwnReading();
+    owes_walk_ = false;
     Take(std::move(entries), read_at);
   };
+  events.failed = [this](const platform::CallError&) { owes_walk_ = false; };
   events.page = [this](std::size_t entries) { NotePage(entries); };
   poller_ = std::make_unique<platform::ListPoller>(loop_, *platform_, options, std::move(events));
   // One after the other, so that the platform is not asked by all at once.
@@ -218,12 +222,14 @@
   if (!std::exchange(active_, false)) return;
   log::Info(kModule, "the core's list of endpoints is fresh again");
   StopReading();
+  owes_walk_ = false;
   proxies_.clear();
   trouble_seen_at_ = {};
 }
 
 // All that the list of members names, in an order that each of them finds. One that is not named is
-// in nobody's plan: it comes behind the others, and so in no first group.
+// in nobody's plan: it comes behind the others, and so in no first group. It reads the list once,
+// since it may have just begun with an old one, and asks the others from then on.
 std::vector<net::Address> ListFallback::ListedProxies() const {
   std::vector<net::Address> proxies;
   if (!agent_.view().members) return proxies;
@@ -279,7 +285,7 @@
   if (!entries) return ReaderAnswer::kSilent;
   const net::Time read_at = sent - reading.value().age;
   Take(std::move(entries.value()), read_at);
-  return ReaderAnswer::kList;
+  return reading.value().in_trouble ? ReaderAnswer::kTrouble : ReaderAnswer::kList;
 }
 
 // Whether this process reads and the platform gives it nothing.
@@ -295,10 +301,11 @@
   const net::Time now = loop_.Now();
   if (!poller_ && !CoreIsFresh(now)) return MakeError(kNotReadingCode, "the list is not read here");
   const milliseconds age = AgeOf(read_at(), now);
+  const bool in_vain = ReadsInVain(now);
   if (list() && age < fetch.value().age) {
-    return Encode(ListReading{age, cluster::EncodeEndpoints(list()->entries)});
+    return Encode(ListReading{age, cluster::EncodeEndpoints(list()->entries), in_vain});
   }
-  if (ReadsInVain(now)) return MakeError(kTroubleCode, "the platform does not answer here");
+  if (in_vain) return MakeError(kTroubleCode, "the platform does not answer here");
   return MakeError(kNothingNewerCode, "nothing newer has been read here");
 }
 
--- a/src/tier/proxy/list_fallback.h
+++ b/src/tier/proxy/list_fallback.h
@@ -96,7 +96,9 @@
   net::Time trouble_seen_at_{};  // As far as others said it, or no try could be made.
   std::unique_ptr<platform::Platform> platform_;
   std::unique_ptr<platform::ListPoller> poller_;  // Null unless this process reads.
-  std::vector<net::Address> proxies_;             // By rank; empty unless active.
+  bool is_listed_ = true;                         // In the list of members.
+  bool owes_walk_ = false;             // One whole reading, though it is not among the readers.
+  std::vector<net::Address> proxies_;  // By rank; empty unless active.
   ReadingPlan plan_;
   ReaderChoice choice_;
   bool fetching_ = false;
--- a/src/tier/proxy/reader_choice.h
+++ b/src/tier/proxy/reader_choice.h
@@ -17,9 +17,9 @@
 enum class ReaderAnswer : std::uint8_t {
   kList,          // Something newer.
   kNothingNewer,  // It reads, or the core's list is fresh there.
-  kTrouble,       // It reads, and the platform does not answer it.
-  kNotReading,    // It should know a newer list, and neither reads nor has one.
-  kSilent,        // No answer in time, or none that can be read.
+  kTrouble,  // It reads, and the platform does not answer it; its list may be newer all the same.
+  kNotReading,  // It should know a newer list, and neither reads nor has one.
+  kSilent,      // No answer in time, or none that can be read.
 };
 
 class ReaderChoice {
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -273,6 +273,16 @@
         self.job.read_back = False
         self.expect("LOST")
 
+    def test_forgotten_after_its_time(self):
+        self.job.read_back, self.job.answer_in_calm = False, 404
+        self.history.calm.begin = self.job.accepted + 300.0
+        self.expect()
+
+    def test_forgotten_before_its_time(self):
+        self.job.read_back, self.job.answer_in_calm = False, 404
+        self.history.calm.begin = self.job.accepted + 200.0
+        self.expect("LOST")
+
     def test_not_accepted(self):
         self.job.read_back, self.job.accepted = False, None
         self.expect()
