--- a/src/tier/cluster/messages.cpp
+++ b/src/tier/cluster/messages.cpp
@@ -227,10 +227,11 @@
 }
 
 ListReading ReadListReading(cbor::Reader& reader) {
-  const FieldsReader fields(reader, 2);
+  FieldsReader fields(reader, 2);
   ListReading message;
   message.age = ReadAge(reader);
   message.endpoints = reader.Bytes();
+  if (fields.TakeAdded()) message.in_trouble = reader.Bool();
   return message;
 }
 
@@ -357,9 +358,9 @@
 
 std::string Encode(const ListReading& message) {
   cbor::Writer writer;
-  writer.Array(2);
+  writer.Array(3);
   WriteAge(writer, message.age);
-  writer.Bytes(message.endpoints);
+  writer.Bytes(message.endpoints).Bool(message.in_trouble);
   return writer.Take();
 }
 
