Known red: who stops to read as a silent platform answers again has forgotten its trouble

Its first page tells that pages hold four, so that fewer proxies read; who is not among them drops its poller (ListFallback::StopReading), and with it when the platform was last seen in trouble.

tier_stale_list_excuses_test the_time_stands_still_for_who_stops_to_read_as_a_silent_platform_answers_again: 8 violations.

--- a/tests/tier/proxy/stale_list_excuses_test.cpp
+++ b/tests/tier/proxy/stale_list_excuses_test.cpp
@@ -79,6 +79,25 @@
   }
 }
 
+// The first page tells that its readers are fewer: who stops to read has seen the trouble all the
+// same.
+BOOST_AUTO_TEST_CASE(
+    the_time_stands_still_for_who_stops_to_read_as_a_silent_platform_answers_again) {
+  for (const std::size_t others : {6U, 8U, 10U, 12U}) {
+    BOOST_TEST_CONTEXT(others << " others") {
+      Scene scene(5, others, 40);
+      scene.AddOthers(others);
+      scene.rig.platform.page_size = 4;
+      scene.Traffic(seconds(2));
+      scene.rig.platform.silent = true;
+      scene.Traffic(seconds(5));
+      scene.rig.platform.silent = false;
+      scene.Traffic(seconds(3));
+      for (const std::string& violation : TakeViolations()) BOOST_ERROR(violation);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_platform_that_answers_is_no_excuse_for_a_proxy_that_reads_too_seldom) {
   Scene scene(2, 1, kTooSeldomPerS);
   scene.Traffic(seconds(1));
