--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -204,7 +204,9 @@
   poller_->Start(loop_.Now() + slot * static_cast<int>(choice_.rank_in_group()));
 }
 
+// What was seen of the platform holds on.
 void ListFallback::StopReading() {
+  if (poller_) trouble_seen_at_ = std::max(trouble_seen_at_, poller_->trouble_seen_at());
   poller_.reset();
   platform_.reset();
 }
--- a/tests/tier/proxy/mutants.cmake
+++ b/tests/tier/proxy/mutants.cmake
@@ -184,3 +184,8 @@
   tier/proxy/list_fallback.cpp
   [=[reading.value().in_trouble ? ReaderAnswer::kTrouble : ReaderAnswer::kList;]=]
   [=[ReaderAnswer::kList;]=])
+proxy_mutant(who_stops_to_read_forgets_the_trouble stale_list_excuses
+  the_time_stands_still_for_who_stops_to_read_as_a_silent_platform_answers_again
+  tier/proxy/list_fallback.cpp
+  [=[  if (poller_) trouble_seen_at_ = std::max(trouble_seen_at_, poller_->trouble_seen_at());
+]=] "")
