Status client: the outcome is made in place

Cause: with optimisation the compiler sees a move of an Outcome result whose string may not be there (-Werror=maybe-uninitialized) and the release build ends.

Change: EndWith constructs the body or the error in the optional, without a result in between.

--- a/src/tier/operator_api/status_client.cpp
+++ b/src/tier/operator_api/status_client.cpp
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "tier/operator_api/requests.h"
 
@@ -66,7 +67,7 @@
     if (!call->stream_) return call->Fail(error);
     const auto status = static_cast<int>(soup_message_get_status(call->message_.get()));
     if (status != status::kOk) {
-      return call->Finish(MakeError(ErrorCode::kInvalid, "got status " + std::to_string(status)));
+      return call->EndWith(MakeError(ErrorCode::kInvalid, "got status " + std::to_string(status)));
     }
     call->Read();
   }
@@ -85,9 +86,9 @@
     const auto* text = static_cast<const char*>(g_bytes_get_data(bytes, &size));
     if (size > 0) call->body_.append(text, size);
     g_bytes_unref(bytes);
-    if (size == 0) return call->Finish(std::move(call->body_));
+    if (size == 0) return call->EndWith(std::move(call->body_));
     if (call->body_.size() > kMostStatusBytes) {
-      return call->Finish(MakeError(ErrorCode::kTooLarge, "got a longer answer"));
+      return call->EndWith(MakeError(ErrorCode::kTooLarge, "got a longer answer"));
     }
     call->Read();
   }
@@ -95,10 +96,14 @@
   void Fail(GError* error) {
     const std::string text = timed_out_ ? "got no answer in time" : error->message;
     g_error_free(error);
-    Finish(MakeError(ErrorCode::kUnavailable, text));
+    EndWith(MakeError(ErrorCode::kUnavailable, text));
   }
 
-  void Finish(Result<std::string> outcome) { outcome_ = std::move(outcome); }
+  // In place: the whole body, or an error.
+  template <typename T>
+  void EndWith(T&& outcome) {
+    outcome_.emplace(std::forward<T>(outcome));
+  }
 
   GMainContext* context_;
   Held<GCancellable> cancellable_;
