--- a/tests/tier/batch/store.cmake
+++ b/tests/tier/batch/store.cmake
@@ -7,6 +7,7 @@
   shelflink_tier_test(batch/store_write_failure_test shelflink_tier_store shelflink_tier_core shelflink_virtual)
   # Some hundred runs of whole stores: that takes optimised code.
   target_compile_options(tier_store_write_failure_test PRIVATE $<$<CONFIG:Debug>:-O1>)
+  set_tests_properties(tier.store_write_failure_test PROPERTIES TIMEOUT 1800)
   shelflink_tier_test(batch/store_loss_test shelflink_tier_store shelflink_tier_core shelflink_virtual)
 endif()
 # Measures running stores; no test.
