Tests: the fixture that checks invariants stands once for core tests

Cause: full_disk_test and failing_writes_test each held the same fixture.

Change: coordination/checked_invariants.h serves both; no assertion changes.

--- a/tests/tier/coordination/failing_writes_test.cpp
+++ b/tests/tier/coordination/failing_writes_test.cpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/checked_invariants.h"
 #include "coordination/cluster.h"
 #include "coordination/failing_steps.h"
 #include "tier/foundation/invariants.h"
@@ -23,16 +24,6 @@
 constexpr std::size_t kReplicas = 3;  // Where one failure is tolerated.
 constexpr std::size_t kAll = 1000;
 
-// A violated invariant is a failed check, in place of the end of the process.
-struct CheckedInvariants {
-  CheckedInvariants() {
-    before = ProcessInvariants().SetHandler([](Invariant violated, const std::string& detail) {
-      BOOST_ERROR("violated: " << NameOf(violated) << ": " << detail);
-    });
-  }
-  ~CheckedInvariants() { ProcessInvariants().SetHandler(before); }
-  Invariants::Handler before;
-};
 BOOST_TEST_GLOBAL_FIXTURE(CheckedInvariants);
 
 struct Fault {
--- a/tests/tier/coordination/full_disk_test.cpp
+++ b/tests/tier/coordination/full_disk_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <set>
 
+#include "coordination/checked_invariants.h"
 #include "coordination/cluster.h"
 #include "storage/file_size_limit.h"
 #include "storage/storage_folder.h"
@@ -16,16 +17,6 @@
 // From the return of the room until the member has its part again.
 constexpr net::Span kRecovery = seconds(12);
 
-// A violated invariant is a failed check, in place of the end of the process.
-struct CheckedInvariants {
-  CheckedInvariants() {
-    before = ProcessInvariants().SetHandler([](Invariant violated, const std::string& detail) {
-      BOOST_ERROR("violated: " << NameOf(violated) << ": " << detail);
-    });
-  }
-  ~CheckedInvariants() { ProcessInvariants().SetHandler(before); }
-  Invariants::Handler before;
-};
 BOOST_TEST_GLOBAL_FIXTURE(CheckedInvariants);
 
 // Three disks and two members without, as the small deployments have them.
