Policy: batch calls go by one owner an endpoint and a learned limit

Cause: Module::Room gave a proxy floor(0.35 x slots / proxies) seats for batch whatever the endpoints did: one each on 69 proxies, 69 seats for 384 slots, and its own view of three endpoints told it nothing of what others sent there.

Change: consistent hashing gives each endpoint one owner among the ready proxies of its zone (batch_owners.h); the owner keeps a limit for it that it learns from the first events of its batch calls (batch_limit.h), told against the least start seen lately (batch_start.h), and lowers it when live calls come late. The even share, the room by prompts over the subset and 0.7 of the slots in use as a bar are gone.

Tests: batch_share_test; fleet_scenarios (70 and 255 sidecars that are told of no load finish all jobs when due, live first events as without); the mutant with an owner in every sidecar. policy_parts_test asserted that batch's pool is a quarter of the limit: it now asserts that it is what it was told to be and takes nothing from live levels.

--- a/src/tier/policy/endpoint.cpp
+++ b/src/tier/policy/endpoint.cpp
@@ -14,6 +14,10 @@
 constexpr double kPaceGain = 0.2;  // Weight of one first event in an endpoint's pace.
 constexpr double kPaceSpan = 5e6;  // Microseconds in which an old pace is forgotten.
 constexpr double kMostPace = 8.0;  // Slower than this tells no more.
+// Of the slots that all calls take, beyond which no batch call is added.
+constexpr double kBatchPart = 0.8;
+// Batch prompts that an endpoint is given to read at once, among those of live calls.
+constexpr double kMostBatchUnread = 2.0;
 constexpr int kMostDoublings = 3;  // How often the rest of a full endpoint doubles.
 
 std::uint64_t MemoryOf(const Call& call) {
@@ -36,6 +40,7 @@
   info_ = info;
   listed_ = true;
   slots_ = std::max(1, info.slots);
+  batch_limit_.SetSlots(slots_);
   prefixes_.SetCapacity(kv_tokens);
 }
 
@@ -48,6 +53,10 @@
 
 void Endpoint::AddAttempt(Attempt& attempt, const Call& call) {
   ++calls_;
+  if (call.batch) {
+    ++batch_calls_;
+    ++batch_unread_;
+  }
   unread_tokens_ += attempt.read_tokens;
   output_tokens_ += attempt.output_tokens;
   booked_output_tokens_ += call.output_tokens;
@@ -63,6 +72,7 @@
   Subtract(unread_tokens_, attempt.read_tokens);
   attempt.read_tokens = 0;
   attempt.begun = true;
+  if (call.batch) --batch_unread_;
   prefixes_.NoteRead(call.prompt);
 }
 
@@ -75,6 +85,10 @@
 
 void Endpoint::RemoveAttempt(Attempt& attempt, const Call& call) {
   --calls_;
+  if (call.batch) {
+    --batch_calls_;
+    if (!attempt.begun) --batch_unread_;
+  }
   if (!attempt.begun) first_events_due_.erase(first_events_due_.find(OverdueKey(attempt)));
   Subtract(unread_tokens_, attempt.read_tokens);
   Subtract(output_tokens_, attempt.output_tokens);
@@ -104,6 +118,17 @@
   told_at_ = now;
 }
 
+double Endpoint::BatchPart() const { return std::max(1.0, kBatchPart * slots_); }
+
+double Endpoint::BatchRoom(Micros now) const {
+  if (!info_.runs_batch || !Usable(now) || Resting(now) || Silent(now)) return 0.0;
+  if (health_.Avoided(now)) return 0.0;
+  const double seats = batch_limit_.seats() - static_cast<double>(batch_calls_);
+  const double slots = BatchPart() - Running(now);
+  const double unread = kMostBatchUnread - static_cast<double>(batch_unread_);
+  return std::max(0.0, std::min({seats, slots, unread}));
+}
+
 double Endpoint::Others(Micros now) const {
   return told_others_ * std::exp(-static_cast<double>(now - told_at_) / kLoadSpan);
 }
--- a/src/tier/policy/endpoint.h
+++ b/src/tier/policy/endpoint.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "policy/health.h"
+#include "tier/policy/batch_limit.h"
 #include "tier/policy/call.h"
 #include "tier/policy/module.h"
 #include "tier/policy/prefix_cache.h"
@@ -54,6 +55,15 @@
   std::uint64_t unread_tokens() const { return unread_tokens_; }
   std::uint64_t memory_tokens() const { return memory_tokens_; }
 
+  // Batch calls.
+  BatchLimit& batch_limit() { return batch_limit_; }
+  const BatchLimit& batch_limit() const { return batch_limit_; }
+  std::size_t batch_calls() const { return batch_calls_; }
+  // Calls of any kind there, beyond which no batch call is added.
+  double BatchPart() const;
+  // More batch calls that may be sent there now; fractions included.
+  double BatchRoom(Micros now) const;
+
   // Time to the first event against what was expected.
   void NotePace(Micros now, double ratio);
   double Pace(Micros now) const;
@@ -77,6 +87,9 @@
   Micros unusable_until_ = 0;
 
   std::size_t calls_ = 0;
+  std::size_t batch_calls_ = 0;
+  std::size_t batch_unread_ = 0;  // Batch calls before their first event.
+  BatchLimit batch_limit_;
   std::uint64_t unread_tokens_ = 0;
   std::uint64_t output_tokens_ = 0;         // Still to come on own calls.
   std::uint64_t booked_output_tokens_ = 0;  // The same when they were sent.
--- a/src/tier/policy/learning.cpp
+++ b/src/tier/policy/learning.cpp
@@ -15,6 +15,9 @@
 // Signs of overload that one call turned away counts as: with one, every eighth send would find its
 // endpoint full once the limit stands still, urgent ones among them.
 constexpr int kFullWeight = 4;
+// A batch call waited for a slot where its first event came so much later than without a wait:
+// parts of the shortest objective of the live calls that would have waited too.
+constexpr double kBatchWait = 0.25;
 constexpr int kHeavy = 2;  // Failures that silence counts as: nothing else ends it so late.
 
 }  // namespace
@@ -23,24 +26,46 @@
   const double memory = static_cast<double>(call.prompt_tokens) + call.output_tokens;
   facts.usual_prompt += kUsualGain * (call.prompt_tokens - facts.usual_prompt);
   facts.usual_memory += kUsualGain * (memory - facts.usual_memory);
+  if (!call.batch) facts.shortest_objective = std::min(facts.shortest_objective, ObjectiveOf(call));
 }
 
 void Learning::NoteBegun(Micros now, const HeldCall& held, Attempt& attempt) {
   ServiceFacts& facts = services_.At(held.call.service).facts;
   const Micros took = now - attempt.sent;
   attempt.endpoint->NoteFirstEvent(now, attempt, held.call);
-  // How long a batch call waited for more urgent ones tells nothing of the endpoint.
-  if (!held.call.batch) {
+  // How long a batch call waited for more urgent ones tells nothing of the endpoint's pace.
+  if (held.call.batch) {
+    NoteBatchBegun(held, attempt, took);
+  } else {
     const double expected = facts.first_event.Expected(attempt.model_tokens);
     if (facts.first_event.Known() && expected > 0) {
       attempt.endpoint->NotePace(now, static_cast<double>(took) / expected);
     }
     facts.first_event.Note(attempt.model_tokens, static_cast<double>(took));
     levels_.NoteFirstEvent(now, held.call.level, took, ObjectiveOf(held.call));
+    if (took > ObjectiveOf(held.call)) NoteLiveLate(services_.At(held.call.service));
   }
   NoteHealth(now, held, *attempt.endpoint, false, 1);
 }
 
+void Learning::NoteLiveLate(Service& service) {
+  for (Endpoint* endpoint : service.batch_endpoints) endpoint->batch_limit().NoteLiveLate();
+}
+
+void Learning::NoteBatchBegun(const HeldCall& held, const Attempt& attempt, Micros took) {
+  ServiceFacts& facts = services_.At(held.call.service).facts;
+  Endpoint& endpoint = *attempt.endpoint;
+  const Micros objective = std::min(facts.shortest_objective, ObjectiveOf(held.call));
+  const double reading =
+      facts.first_event.Known() ? facts.first_event.PerToken() * attempt.model_tokens : 0.0;
+  const double waited = facts.batch_start.Note(static_cast<double>(took), reading);
+  if (waited > kBatchWait * static_cast<double>(objective)) {
+    endpoint.batch_limit().NoteWait();
+  } else {
+    endpoint.batch_limit().NotePrompt(endpoint.batch_calls());
+  }
+}
+
 void Learning::NoteOutcome(Micros now, const HeldCall& held, Attempt& attempt, Outcome outcome) {
   Endpoint& endpoint = *attempt.endpoint;
   switch (outcome) {
@@ -53,6 +78,7 @@
     case Outcome::kNotRun:
       endpoint.NoteSign(now);
       endpoint.NoteFull(now, kRest);
+      if (held.call.batch) endpoint.batch_limit().NoteFull();
       endpoint.prefixes().NoteUnread(held.call.prompt);
       endpoint.health().EndTrial();
       for (int i = 0; i < kFullWeight; ++i) NoteOverload(held.call);
--- a/src/tier/policy/learning.h
+++ b/src/tier/policy/learning.h
@@ -29,6 +29,8 @@
   void NoteTimeout(Micros now, const HeldCall& held, Attempt& attempt);
   void NoteOverload(const Call& call);
   void NoteHealth(Micros now, const HeldCall& held, Endpoint& endpoint, bool failed, int times);
+  static void NoteLiveLate(Service& service);
+  void NoteBatchBegun(const HeldCall& held, const Attempt& attempt, Micros took);
   static bool MostEjected(Micros now, Service& service);
 
   std::uint64_t seed_;
--- a/src/tier/policy/levels.cpp
+++ b/src/tier/policy/levels.cpp
@@ -8,7 +8,7 @@
 namespace shelflink::policy {
 namespace {
 
-constexpr double kBatchShare = 0.25;  // Of the limit, where there is a batch level.
+constexpr double kBatchShare = 0.25;  // Of the limit kept from live levels where there is batch.
 constexpr double kEvenPart = 0.25;    // Of what live levels have, dealt evenly; the rest by demand.
 constexpr double kUrgency = 4.0;      // Weight of a level's demand against the next one's.
 constexpr double kPromptPart = 0.5;   // First events within this part of the objective: more room.
@@ -127,7 +127,7 @@
 double Levels::LimitOf(Micros now, std::uint32_t level) const {
   const double all = limit();
   if (Mutated(Mutant::kLendPools)) return all;
-  if (IsBatch(level)) return kBatchShare * all;
+  if (IsBatch(level)) return batch_seats_;
   if (level >= count_) return gaugecart::kSeatFloor;  // What is left there still drains.
   const std::size_t live = count_ > 1 ? count_ - 1 : 1;
   double asked = 0.0;
--- a/src/tier/policy/levels.h
+++ b/src/tier/policy/levels.h
@@ -34,6 +34,10 @@
   // Seats that the limit never falls below: so many the endpoints surely have for this sidecar.
   void SetFloor(double seats) { floor_ = seats; }
 
+  // Seats of the batch level's pool: the slots of the endpoints that this sidecar runs batch calls
+  // at. The limit that live calls share does not bind it, each endpoint's batch limit does.
+  void SetBatchSeats(double seats) { batch_seats_ = seats; }
+
   // A call has come, which will take about as long as calls of its level do.
   void NoteArrival(Micros now, std::uint32_t level);
   // Returns the call shed to keep the queue's capacity, if any; possibly this one.
@@ -82,6 +86,7 @@
   std::optional<gaugecart::Limiter> limiter_;
   std::size_t count_ = 0;
   double floor_ = 0.0;
+  double batch_seats_ = 0.0;
   bool told_ = false;  // Of overload.
 };
 
--- a/src/tier/policy/module.cpp
+++ b/src/tier/policy/module.cpp
@@ -22,8 +22,6 @@
 constexpr double kWaitObjective = 0.25;  // ...and of the objective: later a refusal is late.
 constexpr double kStartFactor = 2.0;     // First limit, in even shares of all endpoints' slots.
 constexpr double kFloorFactor = 0.5;     // The least the limit falls to, likewise.
-constexpr double kBatchFactor = 0.35;    // The most batch calls at once, likewise.
-constexpr double kBatchReading = 1.0;    // Batch prompts unread at once, for each endpoint in use.
 constexpr double kSurePart = 0.25;       // Part of its pool that a lower level may use in any case.
 constexpr double kFirstEventFactor = 4.0;  // Expected times to a first event until it is overdue...
 constexpr double kShortestFirstEventTimeout = 0.25;  // ...at least so many objectives...
@@ -158,22 +156,17 @@
     if (!HasAttemptsLeft(*held, now) || !retry_budget_.Has()) return false;
     if (held->call.due - now < Part(kLeastOffer, ObjectiveOf(held->call))) return false;
     Service& service = services_.At(held->call.service);
-    return Picker::HasOther(now, *held, service.subset.Members(now), *attempt->endpoint);
+    return Picker::HasOther(now, *held, MembersFor(now, *held, service), *attempt->endpoint);
   }
 
+  BatchState batch() const { return services_.batch(); }
+
   std::uint32_t Room(Micros now, std::uint32_t level) const {
     if (level >= levels_.count() || levels_.waiting(level) > 0) return 0;
-    double seats = levels_.LimitOf(now, level);
     if (Mutated(Mutant::kBatchUnbounded)) return 1000;
-    if (levels_.IsBatch(level)) {
-      // Where live calls wait or slots are short, one at a time: batch is not to stand still.
-      const bool spare = !levels_.AnyWaiting() && services_.HasSpareSlots(now);
-      if (!spare && Mutated(Mutant::kStarveOthers)) return 0;
-      const double most = spare ? kBatchFactor * services_.EvenShare(services_.AllSlots()) : 1.0;
-      seats = std::min(seats, std::max(1.0, most));
-    }
-    double room = seats - static_cast<double>(levels_.in_flight(level));
-    if (levels_.IsBatch(level)) room = std::min(room, ReadingRoom(now));
+    const std::size_t in_flight = levels_.in_flight(level);
+    if (levels_.IsBatch(level)) return BatchRoom(now, in_flight);
+    const double room = levels_.LimitOf(now, level) - static_cast<double>(in_flight);
     return static_cast<std::uint32_t>(std::max(0.0, room));
   }
 
@@ -187,15 +180,17 @@
     const double share = services_.EvenShare(services_.AllSlots());
     levels_.StartFrom(kStartFactor * share);
     levels_.SetFloor(kFloorFactor * share);
+    levels_.SetBatchSeats(services_.BatchSlots());
     services_.ShareConnections();
   }
 
-  // Prompts of batch calls that may still be sent to be read. An endpoint reads them among those of
-  // live calls, whose first events come later for it.
-  double ReadingRoom(Micros now) const {
-    const auto members = static_cast<double>(services_.EndpointsInUse(now));
-    const double most = std::max(1.0, kBatchReading * members);
-    return most - static_cast<double>(batch_reading_);
+  std::uint32_t BatchRoom(Micros now, std::size_t in_flight) const {
+    if (!levels_.AnyWaiting()) {
+      if (const std::uint32_t room = services_.BatchRoom(now); room > 0) return room;
+    }
+    // Where live calls wait or slots are short, one at a time: batch is not to stand still.
+    if (Mutated(Mutant::kStarveOthers)) return 0;
+    return in_flight == 0 && services_.CanRunBatch(now) ? 1 : 0;
   }
 
   // ---- Calls ----
@@ -267,7 +262,13 @@
   Choice Pick(const HeldCall& held) {
     Service* service = services_.Find(held.call.service);
     if (service == nullptr) return {};
-    return service->picker.Pick(now_, held, service->subset.Members(now_), service->facts);
+    return service->picker.Pick(now_, held, MembersFor(now_, held, *service), service->facts);
+  }
+
+  const std::vector<Endpoint*>& MembersFor(Micros now, const HeldCall& held,
+                                           Service& service) const {
+    if (!held.call.batch) return service.subset.Members(now);
+    return services_.BatchMembers(now, service, held.last_slots);
   }
 
   void Send(HeldCall& held, Endpoint& endpoint) {
@@ -282,7 +283,6 @@
     attempt.output_tokens = call.output_tokens;
     attempt.first_event_timeout = FirstEventTimeout(call, service.facts, attempt.model_tokens);
     endpoint.AddAttempt(attempt, call);
-    if (call.batch) ++batch_reading_;
     endpoint.health().StartTrial();
     levels_.Start(call.level);
     ++service.in_flight;
@@ -309,7 +309,6 @@
 
   // The attempt is over; its seat and what it held at the endpoint are free.
   void Finish(HeldCall& held, Attempt& attempt) {
-    if (held.call.batch && !attempt.begun) --batch_reading_;
     attempt.endpoint->RemoveAttempt(attempt, held.call);
     attempt.endpoint = nullptr;
     attempt.out = false;
@@ -355,14 +354,9 @@
   }
 
   // The attempt's prompt has been read, whatever else its first event tells.
-  void Begin(const HeldCall& held, Attempt& attempt) {
-    if (held.call.batch) --batch_reading_;
-    learning_.NoteBegun(now_, held, attempt);
-  }
+  void Begin(const HeldCall& held, Attempt& attempt) { learning_.NoteBegun(now_, held, attempt); }
 
   void Learn(const HeldCall& held, Attempt& attempt, Outcome outcome) {
-    const bool begins = !attempt.begun && outcome == Outcome::kSuccess;
-    if (begins && held.call.batch) --batch_reading_;
     learning_.NoteOutcome(now_, held, attempt, outcome);
   }
 
@@ -370,7 +364,6 @@
   Actions& actions_;
   Micros now_ = 0;
   Shape shape_;
-  std::size_t batch_reading_ = 0;  // Attempts of batch calls before their first event.
   Levels levels_;
   Services services_;
   std::unordered_map<CallId, HeldCall> calls_;
@@ -412,4 +405,6 @@
   return impl_->Room(now, level);
 }
 
+BatchState Module::batch() const { return impl_->batch(); }
+
 }  // namespace shelflink::policy
--- a/src/tier/policy/module.h
+++ b/src/tier/policy/module.h
@@ -24,6 +24,7 @@
   int slots = 1;
   bool draining = false;
   Micros cold_until = 0;
+  bool runs_batch = true;  // This sidecar sends batch calls there (batch_owners.h).
 };
 
 struct ServiceInfo {
@@ -75,6 +76,13 @@
   kCancelled,    // Given up on this side.
 };
 
+// Of batch calls on this sidecar.
+struct BatchState {
+  std::uint32_t endpoints = 0;  // That it sends batch calls to.
+  double limit = 0.0;           // Batch calls that it keeps there at most, as learned.
+  std::uint32_t calls = 0;      // At endpoints now.
+};
+
 class Actions {
  public:
   virtual ~Actions() = default;
@@ -118,6 +126,7 @@
   bool CanMove(Micros now, CallId call, std::uint32_t attempt) const;
   // How many more calls of the level would run at once; for whoever takes batch items up.
   std::uint32_t Room(Micros now, std::uint32_t level) const;
+  BatchState batch() const;
 
  private:
   class Impl;
--- a/src/tier/policy/picker.cpp
+++ b/src/tier/policy/picker.cpp
@@ -41,13 +41,13 @@
 
 // Part of an endpoint's slots that a call may take unless it may take the last ones too.
 constexpr double kLowerPart = 0.95;
-constexpr double kBatchPart = 0.8;
 
-double MostLoad(const HeldCall& held) {
+// Calls that may be at the endpoint when this one is there too.
+double MostRunning(const HeldCall& held, const Endpoint& endpoint) {
   if (held.last_slots || Mutated(Mutant::kFillLastSlots)) {
     return std::numeric_limits<double>::infinity();
   }
-  return held.call.batch ? kBatchPart : kLowerPart;
+  return held.call.batch ? endpoint.BatchPart() : kLowerPart * endpoint.slots();
 }
 
 double Square(double x) { return x * x; }
@@ -98,7 +98,6 @@
 Choice Picker::Pick(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
                     const ServiceFacts& facts) {
   if (members.empty()) return {};
-  const double most_load = MostLoad(held);
   bool crowded = false;
   const Length length = LengthOf(held.call, facts);
   const Endpoint* owner = OwnerOf(now, held.call, members, facts, length);
@@ -106,7 +105,7 @@
   std::pair<Standing, double> best_cost;
   const auto consider = [&](Endpoint* endpoint) {
     if (!endpoint->Usable(now) || held.TurnedAwayBy(*endpoint)) return;
-    if (endpoint->Running(now) + 1.0 > most_load * endpoint->slots()) {
+    if (endpoint->Running(now) + 1.0 > MostRunning(held, *endpoint)) {
       crowded = true;
       return;
     }
@@ -131,11 +130,10 @@
 
 bool Picker::HasOther(Micros now, const HeldCall& held, const std::vector<Endpoint*>& members,
                       const Endpoint& present) {
-  const double most_load = MostLoad(held);
   return std::any_of(members.begin(), members.end(), [&](const Endpoint* endpoint) {
     return endpoint != &present && endpoint->Usable(now) && !held.TurnedAwayBy(*endpoint) &&
            StandingOf(now, held, *endpoint) < Standing::kSilent &&
-           endpoint->Running(now) + 1.0 <= most_load * endpoint->slots();
+           endpoint->Running(now) + 1.0 <= MostRunning(held, *endpoint);
   });
 }
 
--- a/src/tier/policy/picker.h
+++ b/src/tier/policy/picker.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <vector>
 
+#include "tier/policy/batch_start.h"
 #include "tier/policy/call.h"
 #include "tier/policy/endpoint.h"
 #include "tier/policy/first_event_model.h"
@@ -26,6 +27,8 @@
   double connections_share = 0.0;  // Of each endpoint's connections for this sidecar; 0: not told.
   double usual_prompt = 0.0;       // Tokens of a call's prompt, and of all of it.
   double usual_memory = 0.0;
+  Micros shortest_objective = kNever;  // Of the live calls that have come.
+  BatchStart batch_start;
   FirstEventModel first_event;
   LongPrompts long_prompts;
 };
--- a/src/tier/policy/services.cpp
+++ b/src/tier/policy/services.cpp
@@ -6,7 +6,6 @@
 namespace shelflink::policy {
 namespace {
 
-constexpr double kBusy = 0.7;              // Part of the slots taken from which none is spare.
 constexpr double kConnectionFactor = 2.0;  // Connections before one counts as too many, of a share.
 
 }  // namespace
@@ -30,6 +29,7 @@
   }
   service.facts.long_prompts.SetEndpoints(std::move(serving));
   UpdateTouched(service, info.endpoints);
+  TouchBatchEndpoints(service);
 }
 
 bool Services::Remove(const std::string& name) {
@@ -39,6 +39,8 @@
   it->second->slots = 0.0;
   it->second->subset.SetEndpoints({});
   UpdateTouched(*it->second, {});
+  it->second->batch_endpoints.clear();
+  it->second->batch_members.clear();
   if (it->second->in_flight == 0) services_.erase(it);
   return true;
 }
@@ -80,23 +82,51 @@
   return service != nullptr && !service->gone && !service->subset.Members(now_).empty();
 }
 
-std::size_t Services::EndpointsInUse(Micros now) const {
-  std::size_t members = 0;
-  for (const auto& [name, service] : services_) members += service->subset.Members(now).size();
-  return members;
+std::uint32_t Services::BatchRoom(Micros now) const {
+  std::uint32_t room = 0;
+  for (const auto& [name, service] : services_) {
+    for (const Endpoint* endpoint : service->batch_endpoints) {
+      room += static_cast<std::uint32_t>(endpoint->BatchRoom(now));
+    }
+  }
+  return room;
 }
 
-bool Services::HasSpareSlots(Micros now) const {
+BatchState Services::batch() const {
+  BatchState state;
   for (const auto& [name, service] : services_) {
-    double running = 0.0;
-    double slots = 0.0;
-    for (const Endpoint* endpoint : service->subset.Members(now)) {
-      running += endpoint->Running(now);
-      slots += endpoint->slots();
+    for (const Endpoint* endpoint : service->batch_endpoints) {
+      ++state.endpoints;
+      state.limit += endpoint->batch_limit().seats();
+      state.calls += static_cast<std::uint32_t>(endpoint->batch_calls());
     }
-    if (running < kBusy * slots) return true;
   }
-  return false;
+  return state;
+}
+
+double Services::BatchSlots() const {
+  double slots = 0.0;
+  for (const auto& [name, service] : services_) {
+    for (const Endpoint* endpoint : service->batch_endpoints) slots += endpoint->slots();
+  }
+  return slots;
+}
+
+const std::vector<Endpoint*>& Services::BatchMembers(Micros now, Service& service, bool any) const {
+  std::vector<Endpoint*>& members = service.batch_members;
+  members.clear();
+  for (Endpoint* endpoint : service.batch_endpoints) {
+    if (any ? endpoint->Usable(now) : endpoint->BatchRoom(now) >= 1.0) members.push_back(endpoint);
+  }
+  return members;
+}
+
+bool Services::CanRunBatch(Micros now) const {
+  return std::any_of(services_.begin(), services_.end(), [&](const auto& entry) {
+    const std::vector<Endpoint*>& owned = entry.second->batch_endpoints;
+    return std::any_of(owned.begin(), owned.end(),
+                       [&](const Endpoint* endpoint) { return endpoint->Usable(now); });
+  });
 }
 
 Service& Services::Named(const std::string& name) {
@@ -116,6 +146,15 @@
   return it->second;
 }
 
+void Services::TouchBatchEndpoints(Service& service) {
+  service.batch_endpoints.clear();
+  const std::vector<EndpointInfo>& listed = service.subset.endpoints();
+  for (std::size_t i = 0; i < listed.size(); ++i) {
+    if (!listed[i].runs_batch) continue;
+    service.batch_endpoints.push_back(&Touch(service, listed[i], service.subset.hashes()[i]));
+  }
+}
+
 void Services::Place(Service& service) const {
   service.subset.SetNode(shape_.node, shape_.zone);
   service.picker = Picker(shape_.zone);
--- a/src/tier/policy/services.h
+++ b/src/tier/policy/services.h
@@ -24,6 +24,8 @@
 
   std::unordered_map<std::string, Endpoint> touched;  // By id; only those that were ever members.
   Subset subset;
+  std::vector<Endpoint*> batch_endpoints;  // Those that this sidecar sends batch calls to...
+  std::vector<Endpoint*> batch_members;    // ...and which of them a call may go to now.
   Picker picker;
   ServiceFacts facts;
   gaugecart::UsualFailure usual_failure;
@@ -58,14 +60,21 @@
   double AllSlots() const;
   // Whether any endpoint of the service is in use.
   bool CanServe(const std::string& name);
-  std::size_t EndpointsInUse(Micros now) const;
-  // Whether the endpoints of any service are less than busy.
-  bool HasSpareSlots(Micros now) const;
+  // More batch calls that may be sent now, over all endpoints that this sidecar owns for batch.
+  std::uint32_t BatchRoom(Micros now) const;
+  BatchState batch() const;
+  // Slots of these endpoints.
+  double BatchSlots() const;
+  // Endpoints that a batch call may go to now; `any`: also those without room.
+  const std::vector<Endpoint*>& BatchMembers(Micros now, Service& service, bool any) const;
+  // Whether any endpoint that this sidecar owns for batch takes calls at all.
+  bool CanRunBatch(Micros now) const;
 
  private:
   Service& Named(const std::string& name);
   Endpoint& Touch(Service& service, const EndpointInfo& info, std::uint64_t hash);
   void Place(Service& service) const;
+  void TouchBatchEndpoints(Service& service);
   void UpdateTouched(Service& service, const std::vector<EndpointInfo>& listed) const;
 
   Shape shape_;
--- a/src/tier/proxy/endpoint_registry.cpp
+++ b/src/tier/proxy/endpoint_registry.cpp
@@ -55,7 +55,7 @@
       const bool takes = known != nullptr && known->takes_requests();
       const auto cold = std::chrono::duration_cast<std::chrono::microseconds>(entry.cold_left);
       services[entry.service].endpoints.push_back(
-          {entry.id, entry.zone, entry.slots, !takes, now + cold.count()});
+          {entry.id, entry.zone, entry.slots, !takes, now + cold.count(), false});
     }
   }
   for (auto& [name, info] : services) info.name = name;
--- a/src/tier/proxy/module_feed.cpp
+++ b/src/tier/proxy/module_feed.cpp
@@ -1,8 +1,20 @@
 #include "tier/proxy/module_feed.h"
 
-#include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace shelflink::proxy {
+namespace {
+
+std::vector<policy::BatchOwners::Sidecar> ReadyProxies(const cluster::Members& members) {
+  std::vector<policy::BatchOwners::Sidecar> ready;
+  for (const cluster::Member& member : members.all) {
+    if (member.role == "proxy" && member.ready) ready.push_back({member.node, member.zone});
+  }
+  return ready;
+}
+
+}  // namespace
 
 void ModuleFeed::OnView(policy::Micros now, const cluster::View& view) {
   const bool fresh_configuration = view.configuration != configuration_;
@@ -11,37 +23,41 @@
   configuration_ = view.configuration;
   list_ = view.endpoints;
   members_ = view.members;
-  if (fresh_configuration || fresh_members) TellShape(now, view);
+  bool fresh_owners = false;
+  if (fresh_configuration || fresh_members) fresh_owners = TellShape(now, view);
   if (fresh_list && list_) registry_.Take(*list_);
-  if (fresh_configuration || fresh_list) TellServices(now);
+  if (fresh_configuration || fresh_list || fresh_owners) TellServices(now);
 }
 
-void ModuleFeed::TellShape(policy::Micros now, const cluster::View& view) {
+bool ModuleFeed::TellShape(policy::Micros now, const cluster::View& view) {
   if (view.configuration) levels_ = Levels(*view.configuration);
   policy::Shape shape;
   shape.node = options_.node;
   shape.zone = options_.zone;
   shape.levels = levels_.count();
   shape.most_held = options_.most_held;
-  if (view.members) {
-    const auto ready = std::count_if(
-        view.members->all.begin(), view.members->all.end(),
-        [](const cluster::Member& member) { return member.role == "proxy" && member.ready; });
-    shape.sidecars = static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(1, ready));
-  }
+  std::vector<policy::BatchOwners::Sidecar> ready;
+  if (view.members) ready = ReadyProxies(*view.members);
+  // Who knows of no other is alone.
+  if (ready.empty()) ready.push_back({options_.node, options_.zone});
+  shape.sidecars = static_cast<std::uint32_t>(ready.size());
   module_.OnShape(now, shape);
+  return batch_owners_.SetSidecars(std::move(ready));
 }
 
 void ModuleFeed::TellServices(policy::Micros now) {
-  const auto services = registry_.Services(configuration_.get(), list_.get(), now);
+  auto services = registry_.Services(configuration_.get(), list_.get(), now);
   for (auto it = services_.begin(); it != services_.end();) {
     const auto present = it++;
     if (services.contains(*present)) continue;
     module_.OnServiceGone(now, *present);
     services_.erase(present);
   }
-  for (const auto& [name, info] : services) {
+  for (auto& [name, info] : services) {
     services_.insert(name);
+    for (policy::EndpointInfo& endpoint : info.endpoints) {
+      endpoint.runs_batch = batch_owners_.Owns(options_.node, endpoint.id, endpoint.zone);
+    }
     module_.OnService(now, info);
   }
 }
--- a/src/tier/proxy/module_feed.h
+++ b/src/tier/proxy/module_feed.h
@@ -9,6 +9,7 @@
 #include <unordered_set>
 
 #include "tier/cluster/view.h"
+#include "tier/policy/batch_owners.h"
 #include "tier/policy/module.h"
 #include "tier/proxy/endpoint_registry.h"
 #include "tier/proxy/levels.h"
@@ -32,7 +33,8 @@
   const Levels& levels() const { return levels_; }
 
  private:
-  void TellShape(policy::Micros now, const cluster::View& view);
+  // Returns whether the owners of endpoints for batch calls have changed.
+  bool TellShape(policy::Micros now, const cluster::View& view);
 
   policy::Module& module_;
   EndpointRegistry& registry_;
@@ -42,6 +44,7 @@
   std::shared_ptr<const cluster::EndpointList> list_;
   std::shared_ptr<const cluster::Members> members_;
   Levels levels_;
+  policy::BatchOwners batch_owners_;
 };
 
 }  // namespace shelflink::proxy
--- a/tests/tier/batch/mutants.cmake
+++ b/tests/tier/batch/mutants.cmake
@@ -83,3 +83,8 @@
   work.end_wait = [this] { waiting_.reset(); };
 ]=] "" TEST batch/store_disk_test RUN the_core_tells_that_a_stores_disk_refuses
   LIBRARIES ${batch_store_libraries})
+
+tier_mutant(every_sidecar_sends_batch_calls_everywhere policy/batch_owners.cpp
+  [=[  return next->node_hash == HashOf(node);]=] [=[  return true;]=]
+  TEST policy/batch_share_test RUN owners/each_endpoint_has_one_owner_in_its_zone
+  LIBRARIES shelflink_tier_policy)
--- a/tests/tier/policy/policy_parts_test.cpp
+++ b/tests/tier/policy/policy_parts_test.cpp
@@ -379,10 +379,15 @@
   Levels levels;
   levels.SetCount(3);
   levels.StartFrom(100.0);
+  levels.SetBatchSeats(25.0);
   levels.NoteArrival(0, 0);
   const double all = levels.LimitOf(0, 0) + levels.LimitOf(0, 1) + levels.LimitOf(0, 2);
   BOOST_TEST(levels.LimitOf(0, 2) == 25.0);
   BOOST_TEST(all <= 100.0 + 2.0);
+  const double live = levels.LimitOf(0, 0);
+  levels.SetBatchSeats(60.0);  // More slots for batch take nothing from live levels.
+  BOOST_TEST(levels.LimitOf(0, 2) == 60.0);
+  BOOST_TEST(levels.LimitOf(0, 0) == live);
   BOOST_TEST(levels.LimitOf(0, 0) > levels.LimitOf(0, 1));
   BOOST_TEST(levels.LimitOf(0, 1) >= 2.0);
 }
@@ -445,6 +450,7 @@
   Levels levels;
   levels.SetCount(4);
   levels.StartFrom(100.0);
+  levels.SetBatchSeats(25.0);
   levels.Enqueue(3, {1, 5, 0});
   levels.SetCount(2);
   BOOST_TEST(levels.IsBatch(1));
--- a/tests/tier/policy/scenarios.cpp
+++ b/tests/tier/policy/scenarios.cpp
@@ -1,8 +1,8 @@
 #include "policy/scenarios.h"
 
-#include <cmath>
 #include <optional>
 
+#include "policy/scenario_tools.h"
 #include "policy/world.h"
 
 namespace shelflink::policy::testing {
@@ -29,69 +29,10 @@
   return call;
 }
 
-using MakeCall = std::function<Call()>;
-
-// Calls that come at random, so many a second.
-void Pour(World& world, std::size_t sidecar, Micros from, Micros until, double per_second,
-          const MakeCall& make) {
-  const double gap = -std::log(1.0 - world.draws.Unit()) / per_second * 1e6;
-  const Micros at = from + static_cast<Micros>(gap);
-  if (at >= until) return;
-  world.At(at, [&world, sidecar, at, until, per_second, make] {
-    world.Ask(sidecar, make());
-    Pour(world, sidecar, at, until, per_second, make);
-  });
-}
-
-void PourAll(World& world, Micros until, double per_second, const MakeCall& make) {
-  for (std::size_t i = 0; i < world.sidecars(); ++i) Pour(world, i, 0, until, per_second, make);
-}
-
 MakeCall Triages(World& world) {
   return [&world] { return Triage(world, world.draws.Word() % 8); };
 }
 
-// Of the calls that came within the span.
-struct Tally {
-  double all = 0;
-  double served = 0;
-  double refused = 0;
-  double lost = 0;          // Neither served nor refused.
-  double held = 0;          // Sent later than they came.
-  Micros longest_wait = 0;  // Until they were sent or refused.
-  std::vector<Micros> first_events;
-
-  Micros FirstEvent(double part) {
-    if (first_events.empty()) return 0;
-    const auto at =
-        static_cast<std::ptrdiff_t>(part * static_cast<double>(first_events.size() - 1));
-    std::nth_element(first_events.begin(), first_events.begin() + at, first_events.end());
-    return first_events[static_cast<std::size_t>(at)];
-  }
-};
-
-using Filter = std::function<bool(const Record&)>;
-
-Tally Count(const World& world, Micros from, Micros until, const Filter& filter = {}) {
-  Tally tally;
-  for (const auto& [id, record] : world.records()) {
-    if (record.came < from || record.came >= until || (filter && !filter(record))) continue;
-    ++tally.all;
-    if (record.served) ++tally.served;
-    if (record.refused) ++tally.refused;
-    if (!record.served && !record.refused) ++tally.lost;
-    if (record.sent > record.came) ++tally.held;
-    const Micros decided = record.sent >= 0 ? record.sent : record.ended;
-    tally.longest_wait = std::max(tally.longest_wait, decided - record.came);
-    if (record.first_event >= 0) tally.first_events.push_back(record.first_event - record.came);
-  }
-  return tally;
-}
-
-void Expect(Findings& findings, bool holds, const std::string& what, double measured) {
-  if (!holds) findings.push_back(what + " (" + std::to_string(measured) + ")");
-}
-
 // One endpoint of eight is in trouble from the first second on.
 World OneInTrouble(std::uint64_t seed) { return World(seed, 4, 8); }
 
@@ -722,6 +663,8 @@
       {"all dark", AllDark, 20},
       {"all full", AllFull, 20},
       {"batch yields", BatchYields, 10},
+      {"fleet finishes batch", FleetFinishesBatch, 2},
+      {"large fleet finishes batch", LargeFleetFinishesBatch, 1},
       {"stickiness", Stickiness, 20},
       {"hot prefix", HotPrefix, 10},
       {"nobody starves", NobodyStarves, 20},
--- a/tests/tier/policy/scenarios.h
+++ b/tests/tier/policy/scenarios.h
@@ -44,6 +44,11 @@
 Findings AllFull(std::uint64_t seed);
 // Batch items taken up by the room that is told don't slow live calls, and get on.
 Findings BatchYields(std::uint64_t seed);
+// Batch jobs that the fleet's endpoints have room for are done when due, whoever holds them, and
+// live calls get their first events as without them: 70 and 255 sidecars that are not told of any
+// load.
+Findings FleetFinishesBatch(std::uint64_t seed);
+Findings LargeFleetFinishesBatch(std::uint64_t seed);
 // Calls with shared prompt parts meet where the parts are kept.
 Findings Stickiness(std::uint64_t seed);
 // Many calls of one prefix spread once their endpoint is loaded.
--- a/tests/tier/policy/world.h
+++ b/tests/tier/policy/world.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "draws.h"
+#include "tier/policy/batch_owners.h"
 #include "tier/policy/module.h"
 
 namespace shelflink::policy::testing {
@@ -30,6 +31,7 @@
   double micros_per_output_token = 1000.0;
   std::size_t most_waiting = 6;
   std::uint64_t kv_tokens = 200'000;
+  bool tells_load = true;  // With the first event of each call.
 };
 
 enum class Trouble {
@@ -111,19 +113,22 @@
  public:
   World(std::uint64_t seed, std::size_t sidecars, std::size_t engines,
         const EngineOptions& options = {}, std::uint32_t levels = 3)
-      : draws(gaugecart::Mix(seed)) {
+      : draws(gaugecart::Mix(seed)), seed_(seed) {
     for (std::size_t i = 0; i < engines; ++i) {
       engines_.push_back(std::make_unique<Engine>(*this, "endpoint-" + std::to_string(i), options));
     }
+    std::vector<BatchOwners::Sidecar> members;
     for (std::size_t i = 0; i < sidecars; ++i) {
       nodes_.push_back(std::make_unique<Node>(*this, i, seed));
       Shape shape;
-      shape.node = "edge-" + std::to_string(seed) + "-" + std::to_string(i);
+      shape.node = NodeName(i);
       shape.zone = "zone-" + std::to_string(i % 2);
       shape.sidecars = static_cast<std::uint32_t>(sidecars);
       shape.levels = levels;
       nodes_[i]->module.OnShape(0, shape);
+      members.push_back({shape.node, shape.zone});
     }
+    batch_owners_.SetSidecars(members);
     List();
   }
 
@@ -142,7 +147,12 @@
       info.cold_until = engines_[i]->cold_until;
       service.endpoints.push_back(info);
     }
-    for (auto& node : nodes_) node->module.OnService(now_, service);
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      for (EndpointInfo& info : service.endpoints) {
+        info.runs_batch = batch_owners_.Owns(NodeName(i), info.id, info.zone);
+      }
+      nodes_[i]->module.OnService(now_, service);
+    }
   }
 
   Engine& AddEngine() {
@@ -250,6 +260,10 @@
     Module module;
   };
 
+  std::string NodeName(std::size_t sidecar) const {
+    return "edge-" + std::to_string(seed_) + "-" + std::to_string(sidecar);
+  }
+
   static Record& Close(Record& record, Micros now) {
     record.ended = now;
     return record;
@@ -272,6 +286,8 @@
     });
   }
 
+  std::uint64_t seed_;
+  BatchOwners batch_owners_;
   Micros now_ = 0;
   std::vector<std::unique_ptr<Engine>> engines_;
   std::vector<std::unique_ptr<Node>> nodes_;
@@ -328,9 +344,11 @@
               Module& module = world_.module(work.sidecar);
               if (done == 0) {
                 record.first_event = world_.now();
-                module.OnLoad(world_.now(), id_, static_cast<std::uint32_t>(running),
-                              static_cast<std::uint32_t>(waiting),
-                              static_cast<std::uint32_t>(options_.slots));
+                if (options_.tells_load) {
+                  module.OnLoad(world_.now(), id_, static_cast<std::uint32_t>(running),
+                                static_cast<std::uint32_t>(waiting),
+                                static_cast<std::uint32_t>(options_.slots));
+                }
                 module.OnFirstEvent(world_.now(), work.call, work.attempt);
               }
               module.OnProgress(world_.now(), work.call, work.attempt, piece);
