Batch: room goes where work waits, and stores count what they refuse

Cause: OfferSchedule::Round dealt a proxy's room to all stores in turn, at least two items each, and a grant lay at its store until the next offer. With twelve stores and work at one (no tenants: one host, one partition) a proxy's seat reached the work about one time in twelve; with 45 stores nearly never.

Change: an offer is for now. The store hands out in answer to it or not at all, and tells how many follow and how many wait; a proxy offers room only to stores that told of work, half evenly and half by what waits. A store tells proxies when work comes (WorkWaits), those with the most room first, and spreads a job over them. The size of items is forgotten by items, not by rounds, which come more often now. Stores count jobs accepted and refused by reason, items handed out, their wait, and what waits beyond its due time, for the core's metrics.

Tests: offer_schedule_test (share of the fleet's room that reaches one store with work among 1, 12, 45 and 200; no store starves; mutants with rotation without demand, without notices, without the even part), run_queue_test (order by due time, mutants), runner_test: the cases on credit now assert where room goes, as strictly.

--- a/src/tier/batch/job_book.h
+++ b/src/tier/batch/job_book.h
@@ -60,6 +60,7 @@
   struct Assignment {
     std::string payload_key;  // Of the stored path, headers and body.
     Assign message;           // All but these and the partition.
+    Micros waited = 0;        // Since its job was first sent.
   };
   struct Revocation {
     net::Address to;
@@ -109,10 +110,10 @@
   void OnTick(Micros now);
   std::optional<Micros> NextWake(Micros now) const;
   bool HasWaiting() const { return queue_.size() > 0; }
+  // Whether NextAssignment would give an item.
+  bool HasRunnable(Micros now) const;
   // Leases the next item to that proxy, which must have room for it; none: no item may run now.
   std::optional<Assignment> NextAssignment(Micros now, const net::Address& proxy);
-  // Adds the number of leases that each proxy holds.
-  void CountLeases(std::map<net::Address, std::size_t>& held) const { leases_.Count(held); }
   std::vector<Revocation> TakeRevocations();
 
   std::vector<coordination::Write> TakeWrites();
@@ -126,6 +127,8 @@
   std::size_t jobs() const { return jobs_.size(); }
   std::size_t leases() const { return leases_.size(); }
   std::size_t waiting() const { return queue_.size(); }  // Items that nobody runs.
+  // Those of them whose job was due before.
+  std::size_t overdue(Micros now) const { return queue_.Overdue(now); }
 
  private:
   struct Pending {  // A change that becomes visible when durable.
--- a/src/tier/batch/job_book_runs.cpp
+++ b/src/tier/batch/job_book_runs.cpp
@@ -36,12 +36,18 @@
   message.tokens = header.tokens;
   message.failed_attempts = static_cast<std::uint32_t>(item.attempts.failed.size());
   message.max_attempts = job.header.max_attempts;
+  assignment.waited = now - job.header.first_sent;
   message.due_in = milliseconds((job.header.due - now) / kMicrosPerMilli);
   // Without an id of its last event an output cannot be continued.
   if (item.output.last_event_id) message.output = item.output;
   return assignment;
 }
 
+bool JobBook::HasRunnable(Micros now) const {
+  return queue_.HasRunnable(now,
+                            [this](const std::string& route) { return routes_.count(route) != 0; });
+}
+
 std::vector<JobBook::Revocation> JobBook::TakeRevocations() {
   return std::exchange(revocations_, {});
 }
--- a/src/tier/batch/lease_table.cpp
+++ b/src/tier/batch/lease_table.cpp
@@ -62,8 +62,4 @@
   return no_expiry_before_;
 }
 
-void LeaseTable::Count(std::map<net::Address, std::size_t>& held) const {
-  for (const auto& [proxy, holder] : holders_) held[proxy] += holder.leases.size();
-}
-
 }  // namespace shelflink::batch
--- a/src/tier/batch/lease_table.h
+++ b/src/tier/batch/lease_table.h
@@ -43,8 +43,6 @@
   // Whether a lease may have run out by then; none: there is no lease.
   std::optional<Micros> NextExpiry() const;
 
-  // Adds the number of leases that each proxy holds.
-  void Count(std::map<net::Address, std::size_t>& held) const;
   std::size_t size() const { return leases_.size(); }
   Micros span() const { return span_; }
 
--- a/src/tier/batch/messages.cpp
+++ b/src/tier/batch/messages.cpp
@@ -264,22 +264,32 @@
 }
 
 void Put(Writer& out, const Offer& value) {
-  out.Array(2).Uint(value.capacity);
+  out.Array(3).Uint(value.items).Uint(value.room);
   PutList(out, value.held);
 }
 void Take(Reader& in, Offer& value) {
-  const Fields fields(in, 2);
-  Take(in, value.capacity);
+  const Fields fields(in, 3);
+  Take(in, value.items);
+  Take(in, value.room);
   TakeList(in, value.held);
 }
 
 void Put(Writer& out, const OfferAnswer& value) {
-  out.Array(1);
+  out.Array(3);
   PutList(out, value.held);
+  out.Uint(value.assigned).Uint(value.waiting);
 }
 void Take(Reader& in, OfferAnswer& value) {
-  const Fields fields(in, 1);
+  const Fields fields(in, 3);
   TakeList(in, value.held);
+  Take(in, value.assigned);
+  Take(in, value.waiting);
+}
+
+void Put(Writer& out, const WorkWaits& value) { out.Array(1).Uint(value.items); }
+void Take(Reader& in, WorkWaits& value) {
+  const Fields fields(in, 1);
+  Take(in, value.items);
 }
 
 void Put(Writer& out, const Adoption& value) {
@@ -386,6 +396,7 @@
 std::string Encode(const ItemRef& message) { return EncodeOne(message); }
 std::string Encode(const Offer& message) { return EncodeOne(message); }
 std::string Encode(const OfferAnswer& message) { return EncodeOne(message); }
+std::string Encode(const WorkWaits& message) { return EncodeOne(message); }
 std::string Encode(const Adopt& message) { return EncodeOne(message); }
 std::string Encode(const AdoptAnswer& message) { return EncodeOne(message); }
 std::string Encode(const Finished& message) { return EncodeOne(message); }
@@ -409,6 +420,7 @@
 template Result<ItemRef> Decode<ItemRef>(std::string_view);
 template Result<Offer> Decode<Offer>(std::string_view);
 template Result<OfferAnswer> Decode<OfferAnswer>(std::string_view);
+template Result<WorkWaits> Decode<WorkWaits>(std::string_view);
 template Result<Adopt> Decode<Adopt>(std::string_view);
 template Result<AdoptAnswer> Decode<AdoptAnswer>(std::string_view);
 template Result<Finished> Decode<Finished>(std::string_view);
--- a/src/tier/batch/messages.h
+++ b/src/tier/batch/messages.h
@@ -37,6 +37,7 @@
   kFinished = transport::kBatchKinds + 6,    // Call: Finished, empty answer.
   kAssign = transport::kBatchKinds + 7,      // One-way, store to proxy: Assign.
   kRevoke = transport::kBatchKinds + 8,      // One-way, store to proxy: Revoke.
+  kWorkWaits = transport::kBatchKinds + 9,   // One-way, store to proxy: WorkWaits.
   kReplicate = transport::kBatchKinds + 20,  // From here on between stores: see replica messages.
 };
 
@@ -143,10 +144,12 @@
   std::optional<OutputPart> more;  // None: nothing new since what the store has confirmed.
 };
 
-// From a proxy to a store, about each 250 ms and upon a change, for all partitions of which that
-// store is the primary: renews the leases named, and tells how many items the proxy takes.
+// From a proxy to a store, for all partitions of which that store is the primary: renews the leases
+// named, and takes new items. The store hands them out in answer to this offer or not at all, so
+// room that one store does not use is free for the others at once.
 struct Offer {
-  std::uint32_t capacity = 0;  // Leases that the proxy wants to hold of this store, old and new.
+  std::uint32_t items = 0;  // New ones that the proxy takes, at most.
+  std::uint32_t room = 0;   // New ones that it has room for, over all stores.
   std::vector<HeldLease> held;
 };
 
@@ -158,6 +161,13 @@
 };
 struct OfferAnswer {
   std::vector<LeaseStatus> held;  // In the order of the offer.
+  std::uint32_t assigned = 0;     // New items, which follow this answer (Assign).
+  std::uint32_t waiting = 0;      // Items that others may still take now.
+};
+
+// Items wait at a store whose last answer to this proxy told of none.
+struct WorkWaits {
+  std::uint32_t items = 0;
 };
 
 // To a new primary of a partition (or a restarted one): the leases that the proxy holds, with all
@@ -217,6 +227,7 @@
 std::string Encode(const ItemRef& message);
 std::string Encode(const Offer& message);
 std::string Encode(const OfferAnswer& message);
+std::string Encode(const WorkWaits& message);
 std::string Encode(const Adopt& message);
 std::string Encode(const AdoptAnswer& message);
 std::string Encode(const Finished& message);
--- a/src/tier/batch/partition_server.cpp
+++ b/src/tier/batch/partition_server.cpp
@@ -18,12 +18,14 @@
 }  // namespace
 
 PartitionServer::PartitionServer(net::Loop& loop, const JobClock& clock, std::uint32_t partition,
-                                 PartitionLog& log, const JobBook::Options& options, Events events)
+                                 PartitionLog& log, const JobBook::Options& options,
+                                 JobCounters& counters, Events events)
     : loop_(loop),
       clock_(clock),
       partition_(partition),
       log_(log),
       book_(options),
+      counters_(counters),
       events_(std::move(events)) {}
 
 PartitionServer::~PartitionServer() {
@@ -104,11 +106,14 @@
 
 void PartitionServer::OnSubmit(const Submit& submit, Reply reply) {
   if (!log_.has_room() && !book_.Has(submit.job)) {
+    ++counters_.without_room;
     reply(MakeError(ErrorCode::kUnavailable, "no room on the disks of the stores"));
     return;
   }
   const SubmitAnswer answer = book_.OnSubmit(clock_.Now(), submit);
+  if (answer.outcome == SubmitOutcome::kExhausted) ++counters_.over_quota;
   if (answer.outcome == SubmitOutcome::kAccepted) {
+    ++counters_.accepted;
     Answer(std::move(reply), Encode(answer));
   } else {
     reply(Encode(answer));
@@ -240,9 +245,17 @@
   message.path = std::move(payload.value().path);
   message.headers = std::move(payload.value().headers);
   message.body = std::move(payload.value().body);
+  ++counters_.leases;
+  const std::chrono::microseconds waited(std::max<Micros>(0, assignment->waited));
+  counters_.lease_wait += std::chrono::duration_cast<milliseconds>(waited);
   return message;
 }
 
+std::size_t PartitionServer::Runnable() const {
+  if (!log_.takes_results() || !book_.HasRunnable(clock_.Now())) return 0;
+  return book_.waiting();
+}
+
 // --- Time ---------------------------------------------------------------------------------------
 
 void PartitionServer::OnTick() {
--- a/src/tier/batch/partition_server.h
+++ b/src/tier/batch/partition_server.h
@@ -18,6 +18,7 @@
 
 #include "net/loop.h"
 #include "tier/batch/job_book.h"
+#include "tier/batch/job_counters.h"
 #include "tier/batch/messages.h"
 #include "tier/batch/partition_log.h"
 #include "tier/transport/hub.h"
@@ -60,7 +61,8 @@
   };
 
   PartitionServer(net::Loop& loop, const JobClock& clock, std::uint32_t partition,
-                  PartitionLog& log, const JobBook::Options& options, Events events);
+                  PartitionLog& log, const JobBook::Options& options, JobCounters& counters,
+                  Events events);
   ~PartitionServer();
   PartitionServer(const PartitionServer&) = delete;
   PartitionServer& operator=(const PartitionServer&) = delete;
@@ -82,11 +84,15 @@
 
   // Leases the next item to that proxy, payload and all.
   std::optional<Assign> LeaseNext(const net::Address& proxy);
+  // Items that LeaseNext would give now, about; 0: none.
+  std::size_t Runnable() const;
   std::vector<JobBook::Revocation> TakeRevocations() { return book_.TakeRevocations(); }
 
   void OnTick();
   std::optional<net::Time> NextWake() const;
   const JobBook& book() const { return book_; }
+  // Items that nobody runs although their job was due.
+  std::size_t Overdue() const { return book_.overdue(clock_.Now()); }
 
  private:
   struct Owed {  // An answer that waits for durability.
@@ -115,6 +121,7 @@
   std::uint32_t partition_;
   PartitionLog& log_;
   JobBook book_;
+  JobCounters& counters_;
   Events events_;
   Revision durable_ = 0;
   bool committing_ = false;
--- a/src/tier/batch/primaries.cpp
+++ b/src/tier/batch/primaries.cpp
@@ -10,7 +10,7 @@
 
 using std::chrono::milliseconds;
 
-// In a small fleet. An offer counts at the store for longer (ProxyRoom::kOfferHolds).
+// In a small fleet.
 constexpr milliseconds kIdleInterval{800};
 
 }  // namespace
--- a/src/tier/batch/proxy_room.cpp
+++ b/src/tier/batch/proxy_room.cpp
@@ -1,31 +1,37 @@
 #include "tier/batch/proxy_room.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace shelflink::batch {
 
-void ProxyRoom::OnOffer(net::Time now, const net::Address& proxy, std::uint32_t capacity) {
-  proxies_[proxy] = {now, capacity};
+void ProxyRoom::OnOffer(const net::Address& proxy, std::uint32_t room, std::uint32_t waiting) {
+  proxies_[proxy] = {room, waiting > 0};
 }
 
-void ProxyRoom::Close(const net::Address& proxy) { proxies_.erase(proxy); }
+std::uint32_t ProxyRoom::MostOfOneOffer(std::size_t waiting) const {
+  const auto with_room = static_cast<std::size_t>(std::count_if(
+      proxies_.begin(), proxies_.end(), [](const auto& entry) { return entry.second.room > 0; }));
+  const std::size_t sharing = std::max<std::size_t>(1, with_room);
+  return static_cast<std::uint32_t>((waiting + sharing - 1) / sharing);
+}
 
-std::optional<net::Address> ProxyRoom::Most(net::Time now, const Leases& leases) {
-  std::optional<net::Address> best;
-  std::size_t best_room = 0;
-  for (auto entry = proxies_.begin(); entry != proxies_.end();) {
-    const auto& [address, offer] = *entry;
-    if (now - offer.at > kOfferHolds) {
-      entry = proxies_.erase(entry);
-      continue;
-    }
-    const auto found = leases.find(address);
-    const std::size_t held = found == leases.end() ? 0 : found->second;
-    if (offer.capacity > held && offer.capacity - held > best_room) {
-      best_room = offer.capacity - held;
-      best = address;
-    }
-    ++entry;
+std::vector<net::Address> ProxyRoom::Tell(std::size_t waiting) {
+  std::vector<std::pair<std::uint32_t, net::Address>> untold;
+  for (const auto& [address, entry] : proxies_) {
+    if (!entry.told) untold.emplace_back(entry.room, address);
+  }
+  std::sort(untold.begin(), untold.end(), [](const auto& one, const auto& other) {
+    return one.first != other.first ? one.first > other.first : one.second < other.second;
+  });
+  untold.resize(std::min(untold.size(), waiting));
+  std::vector<net::Address> told;
+  told.reserve(untold.size());
+  for (const auto& [room, address] : untold) {
+    proxies_.at(address).told = true;
+    told.push_back(address);
   }
-  return best;
+  return told;
 }
 
 }  // namespace shelflink::batch
--- a/src/tier/batch/proxy_room.h
+++ b/src/tier/batch/proxy_room.h
@@ -1,34 +1,37 @@
-// How many more items each proxy takes from this store, over all partitions. Pure.
+// Which proxies a store tells that items wait, and how many items one offer gets. Pure.
+//
+// A proxy that was told goes on offering what room it has until an answer says that nothing waits
+// any more. So each proxy is told once for each time that work comes to an idle store, those that
+// had the most room first, and only about as many as there are items.
 #ifndef SHELFLINK_TIER_BATCH_PROXY_ROOM_H_
 #define SHELFLINK_TIER_BATCH_PROXY_ROOM_H_
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <vector>
 
 #include "net/address.h"
-#include "net/loop.h"
 
 namespace shelflink::batch {
 
 class ProxyRoom {
  public:
-  using Leases = std::map<net::Address, std::size_t>;  // Those that each proxy holds.
-  // An offer counts so long: several times the pause between two.
-  static constexpr std::chrono::milliseconds kOfferHolds{1500};
+  // The proxy has offered to take so many new items, of `room` that it has for all stores, and was
+  // answered that `waiting` items still wait here.
+  void OnOffer(const net::Address& proxy, std::uint32_t room, std::uint32_t waiting);
+  // Its connection broke: it is told again when it has offered again.
+  void Close(const net::Address& proxy) { proxies_.erase(proxy); }
 
-  // The proxy wants to hold so many leases in all.
-  void OnOffer(net::Time now, const net::Address& proxy, std::uint32_t capacity);
-  // It takes nothing until its next offer: it gave an item back, or its connection broke.
-  void Close(const net::Address& proxy);
-  // The proxy with the most room; none: nobody has any.
-  std::optional<net::Address> Most(net::Time now, const Leases& held);
+  // Of `waiting` items, the most that one offer gets: they are spread over the proxies with room.
+  std::uint32_t MostOfOneOffer(std::size_t waiting) const;
+  // The proxies to tell now that so many items wait; they count as told.
+  std::vector<net::Address> Tell(std::size_t waiting);
 
  private:
   struct Entry {
-    net::Time at{};
-    std::uint32_t capacity = 0;
+    std::uint32_t room = 0;  // At its last offer.
+    bool told = false;       // It knows that items wait.
   };
   std::map<net::Address, Entry> proxies_;
 };
--- a/src/tier/batch/run_queue.cpp
+++ b/src/tier/batch/run_queue.cpp
@@ -73,6 +73,16 @@
   return Waiting{chosen->job, chosen->item.second};
 }
 
+bool RunQueue::HasRunnable(Micros now, const RouteOpen& route_open) const {
+  return std::any_of(owners_.begin(), owners_.end(), [&](const auto& owner) {
+    return std::any_of(owner.second.jobs.begin(), owner.second.jobs.end(),
+                       [&](const auto& waiting) {
+                         const Job& job = jobs_.at(waiting.second).job;
+                         return job.from <= now && route_open(job.route);
+                       });
+  });
+}
+
 std::optional<RunQueue::Candidate> RunQueue::BestOfOwner(const Owner& owner, Micros now,
                                                          const RouteOpen& route_open) const {
   std::optional<Candidate> best;
@@ -105,6 +115,17 @@
   return Candidate{urgent ? Urgency::kUrgent : Urgency::kAhead, number, largest};
 }
 
+std::size_t RunQueue::Overdue(Micros now) const {
+  std::size_t overdue = 0;
+  for (const auto& [name, owner] : owners_) {
+    for (const auto& [due, number] : owner.jobs) {
+      if (due >= now) break;  // Jobs come by due time.
+      overdue += jobs_.at(number).waiting.size();
+    }
+  }
+  return overdue;
+}
+
 Micros RunQueue::Estimate(const std::string& route, std::uint64_t tokens) const {
   const auto found = pace_.find(route);
   if (found == pace_.end()) return 0;
--- a/src/tier/batch/run_queue.h
+++ b/src/tier/batch/run_queue.h
@@ -47,9 +47,14 @@
   // Takes the next item out of the queue and counts it as served to its owner.
   std::optional<Waiting> Take(Micros now, const RouteOpen& route_open);
 
+  // Whether Take would give an item.
+  bool HasRunnable(Micros now, const RouteOpen& route_open) const;
+
   // A whole run of an item of that size took so long: how long others of the route will take.
   void LearnPace(const std::string& route, std::uint64_t tokens, Micros duration);
   std::size_t size() const { return size_; }
+  // Items whose job was due before.
+  std::size_t Overdue(Micros now) const;
 
  private:
   using Sized = std::pair<std::uint64_t, std::uint32_t>;  // Tokens, item.
--- a/src/tier/batch/runner.cpp
+++ b/src/tier/batch/runner.cpp
@@ -9,6 +9,7 @@
 
 #include "tier/batch/item_run.h"
 #include "tier/batch/offer_schedule.h"
+#include "tier/batch/partition.h"
 #include "tier/batch/primaries.h"
 #include "tier/batch/run_table.h"
 #include "tier/foundation/log.h"
@@ -26,6 +27,8 @@
 constexpr std::size_t kMostOfferedOutput = 4U << 20;
 // What an item is taken to need before any has been seen.
 constexpr std::size_t kLeastItemBytes = 4096;
+// Items over which the size of a large one is forgotten.
+constexpr std::size_t kBytesMemory = 16;
 
 // What an offer named, to read its answer by.
 struct NamedLease {
@@ -46,7 +49,8 @@
         view_(view),
         primaries_(view),
         span_(LeaseSpan(bounds)),
-        reports_(loop, hub, std::move(view)) {
+        reports_(loop, hub, std::move(view)),
+        offers_(StableHash(hub.self().address.Text())) {
     timer_ = loop_.NewTimer([this] { OfferToDue(); });
   }
 
@@ -59,6 +63,10 @@
                 [weak = weak_from_this()](const transport::PeerIdentity&, std::string_view body) {
                   if (const auto self = weak.lock()) self->OnRevoke(body);
                 });
+    hub_.Handle(kWorkWaits, [weak = weak_from_this()](const transport::PeerIdentity& from,
+                                                      std::string_view body) {
+      if (const auto self = weak.lock()) self->OnWorkWaits(from.address, body);
+    });
     OnPlacement();
   }
 
@@ -87,7 +95,7 @@
     draining_ = true;
     drained_ = std::move(done);
     // First the word that no more is wanted, so that what is handed back doesn't return.
-    for (const net::Address& store : offers_.stores()) SendOffer({store, 0});
+    for (const net::Address& store : offers_.stores()) SendOffer({store, 0}, 0);
     for (ItemRun* run : runs_.Snapshot()) run->HandBack();
     drain_timer_ = loop_.NewTimer([this] { TellDrained(); });
     drain_timer_->ArmAt(loop_.Now() + kDrainTimeout);
@@ -101,7 +109,8 @@
   // --- Offers ---
 
   // New items that may be asked for now, of all stores together.
-  std::uint32_t Room() {
+  std::uint32_t Room() const {
+    if (draining_) return 0;
     if (loop_.Now() < refused_until_) return 0;
     std::size_t room = calls_.BatchRoom();
     room -= std::min(room, runs_.awaiting_lease());
@@ -111,13 +120,13 @@
   }
 
   void OfferToDue() {
-    const std::vector<OfferSchedule::Grant> grants = offers_.Round(loop_.Now(), Room());
-    typical_bytes_ = std::max(kLeastItemBytes, typical_bytes_ - typical_bytes_ / 16);
-    for (const OfferSchedule::Grant& grant : grants) SendOffer(grant);
+    const std::uint32_t room = Room();
+    const std::vector<OfferSchedule::Grant> grants = offers_.Round(loop_.Now(), room);
+    for (const OfferSchedule::Grant& grant : grants) SendOffer(grant, room);
     ArmTimer();
   }
 
-  void SendOffer(const OfferSchedule::Grant& grant) {
+  void SendOffer(const OfferSchedule::Grant& grant, std::uint32_t room) {
     const net::Address& address = grant.store;
     const net::Time now = loop_.Now();
     Offer offer;
@@ -136,11 +145,10 @@
       named.push_back(name);
       offer.held.push_back(std::move(held));
     }
-    offer.capacity = draining_ ? 0 : static_cast<std::uint32_t>(offer.held.size()) + grant.items;
-    net::Time next = now + (named.empty() ? primaries_.IdleInterval() : kBusyInterval);
-    // Room is asked for again as soon as a pause after a refusal is over.
-    if (refused_until_ > now) next = std::min(next, refused_until_);
-    offers_.OnSent(address, next);
+    offer.items = grant.items;
+    counters_.offered += grant.items;
+    offer.room = room;
+    offers_.OnSent(grant, now + (named.empty() ? primaries_.IdleInterval() : kBusyInterval));
     hub_.Call(address, kOffer, Encode(offer), kAnswerTimeout,
               [weak = weak_from_this(), address, now,
                named = std::move(named)](const Result<std::string>& answer) {
@@ -153,11 +161,15 @@
   void OnOfferAnswer(const net::Address& address, net::Time sent,
                      const std::vector<NamedLease>& named, const Result<std::string>& answer) {
     offers_.OnAnswered(address);
+    if (answer) TakeOfferAnswer(address, sent, named, answer.value());
     ArmTimer();
-    if (!answer) return;
-    const Result<OfferAnswer> decoded = Decode<OfferAnswer>(answer.value());
+  }
+
+  void TakeOfferAnswer(const net::Address& address, net::Time sent,
+                       const std::vector<NamedLease>& named, std::string_view answer) {
+    const Result<OfferAnswer> decoded = Decode<OfferAnswer>(answer);
     if (!decoded || decoded.value().held.size() != named.size()) return;
-    offers_.OnOfferTaken(address, sent);
+    offers_.OnTaken(address, sent, decoded.value().assigned, decoded.value().waiting);
     std::vector<ItemRun*> unknown;
     for (std::size_t i = 0; i < named.size(); ++i) {
       ItemRun* run = runs_.Find(named[i].lease);
@@ -247,12 +259,14 @@
     if (runs_.Find(lease) != nullptr) return;
     ++counters_.assigned;
     DropOlderRun(assign.item);
-    offers_.OnAssigned(from, loop_.Now(), loop_.Now() + kBusyInterval);
+    offers_.OnAssigned(from, loop_.Now() + kBusyInterval);
     ArmTimer();
     auto run =
         std::make_unique<ItemRun>(loop_, calls_, std::move(assign),
                                   [this](ItemRun& over, const RunEnd& end) { OnOver(over, end); });
-    typical_bytes_ = std::max(typical_bytes_, run->body_bytes());
+    // The largest of late counts: it is forgotten over the next some ten items.
+    typical_bytes_ = std::max(
+        {kLeastItemBytes, run->body_bytes(), typical_bytes_ - typical_bytes_ / kBytesMemory});
     ItemRun& added = runs_.Add(std::move(run));
     if (draining_ || runs_.size() > kMostRuns) {
       added.HandBack();
@@ -279,6 +293,13 @@
     }
   }
 
+  void OnWorkWaits(const net::Address& from, std::string_view body) {
+    const Result<WorkWaits> decoded = Decode<WorkWaits>(body);
+    if (!decoded) return;
+    offers_.OnWaiting(from, decoded.value().items);
+    ArmTimer();
+  }
+
   void OnRevoke(std::string_view body) {
     const Result<Revoke> decoded = Decode<Revoke>(body);
     if (decoded) OnRevoked(decoded.value().lease);
@@ -338,8 +359,6 @@
       pause = std::max(pause, milliseconds(static_cast<std::int64_t>(asked_ms)));
     }
     refused_until_ = std::max(refused_until_, loop_.Now() + pause);
-    offers_.TakeBackGrants();
-    ArmTimer();
   }
 
   void Count(RunOutcome outcome) {
--- a/src/tier/batch/runner.h
+++ b/src/tier/batch/runner.h
@@ -36,6 +36,7 @@
 class Runner {
  public:
   struct Counters {
+    std::uint64_t offered = 0;  // Items that stores might hand out.
     std::uint64_t assigned = 0;
     std::uint64_t completed = 0;
     std::uint64_t errors = 0;      // Endpoints' 500.
--- a/src/tier/batch/store_node.cpp
+++ b/src/tier/batch/store_node.cpp
@@ -121,7 +121,15 @@
   const StoreService::Counts counts = service_.counts();
   figures.jobs = counts.jobs;
   figures.items_waiting = counts.items_waiting;
+  figures.items_overdue = counts.items_overdue;
   figures.items_leased = counts.items_leased;
+  const JobCounters& counters = service_.counters();
+  figures.jobs_accepted = counters.accepted;
+  figures.jobs_over_quota = counters.over_quota;
+  figures.jobs_without_room = counters.without_room;
+  figures.jobs_refused_busy = counters.busy;
+  figures.leases = counters.leases;
+  figures.lease_wait = counters.lease_wait;
   figures.violations = ProcessInvariants().violations();
   const net::Time read_at = agent_.endpoints_read_at();
   if (read_at != net::Time()) figures.endpoints_age = SinceInMs(read_at);
--- a/src/tier/batch/store_service.cpp
+++ b/src/tier/batch/store_service.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds kLeaseMargin{500};
 // Timers later than this: the process stood still.
 constexpr milliseconds kStall{300};
+// Between two rounds in which proxies are told that items wait.
+constexpr milliseconds kTellInterval{20};
 // Due times that lie closer together than this are handled in one wake-up.
 constexpr milliseconds kWakeGrain{20};
 
@@ -36,6 +38,7 @@
 const JobRef& JobOf(const Read& message) { return message.job; }
 const JobRef& JobOf(const JobRef& message) { return message; }
 const JobRef& JobOf(const ItemRef& message) { return message.job; }
+const JobRef& JobOf(const Finished& message) { return message.item.job; }
 
 }  // namespace
 
@@ -95,23 +98,10 @@
   HandleJobCall<JobRef>(kEnd, [](PartitionServer& server, const JobRef& job, Reply reply) {
     server.OnEnd(job, std::move(reply));
   });
-  hub_.HandleCall(kFinished,
-                  [this](const transport::PeerIdentity& from, std::string_view body, Reply reply) {
-                    const Result<Finished> finished = Decode<Finished>(body);
-                    if (!finished) {
-                      reply(finished.error());
-                      return;
-                    }
-                    const JobRef& job = finished.value().item.job;
-                    PartitionServer* server = Serving(job.partition, job.epoch);
-                    if (server == nullptr) {
-                      reply(NotServing());
-                      return;
-                    }
-                    if (finished.value().outcome == RunOutcome::kReturned)
-                      room_.Close(from.address);
-                    server->OnFinished(finished.value(), std::move(reply));
-                  });
+  HandleJobCall<Finished>(kFinished,
+                          [](PartitionServer& server, const Finished& finished, Reply reply) {
+                            server.OnFinished(finished, std::move(reply));
+                          });
   hub_.HandleCall(kOffer, [this](const transport::PeerIdentity& from, std::string_view body,
                                  const Reply& reply) {
     const Result<Offer> offer = Decode<Offer>(body);
@@ -135,7 +125,9 @@
 void StoreService::OnSubmit(std::string_view body, const Reply& reply) {
   const bool entered = gate_.Enter(
       std::string(body), [this, reply](const std::string& begun) { BeginSubmit(begun, reply); });
-  if (!entered) reply(MakeError(ErrorCode::kUnavailable, "too many submissions are under way"));
+  if (entered) return;
+  ++counters_.busy;
+  reply(MakeError(ErrorCode::kUnavailable, "too many submissions are under way"));
 }
 
 void StoreService::BeginSubmit(const std::string& body, const Reply& reply) {
@@ -179,8 +171,13 @@
     answer.held.push_back(server == nullptr ? LeaseStatus::kNotPrimary
                                             : server->OnHeld(holder, held));
   }
-  room_.OnOffer(loop_.Now(), from.address, offer.capacity);
+  const std::vector<Assign> assigned = Lease(from.address, offer.items);
+  answer.assigned = static_cast<std::uint32_t>(assigned.size());
+  answer.waiting = static_cast<std::uint32_t>(Runnable());
+  room_.OnOffer(from.address, offer.room, answer.waiting);
   reply(Encode(answer));
+  // Behind the answer: it is what vouches for their leases (Runner::OnAssign).
+  for (const Assign& assign : assigned) hub_.Send(from.address, kAssign, Encode(assign));
   ScheduleWork();
 }
 
@@ -210,7 +207,7 @@
   };
   ++book_options_.issuer;  // Each book counts its leases from the start.
   auto server = std::make_unique<PartitionServer>(loop_, clock_, partition, log, book_options_,
-                                                  std::move(events));
+                                                  counters_, std::move(events));
   const Result<void> loaded = server->Load();
   if (!loaded) {
     log::Line(
@@ -254,6 +251,7 @@
     const JobBook& book = served.server->book();
     counts.jobs += book.jobs();
     counts.items_waiting += book.waiting();
+    counts.items_overdue += served.server->Overdue();
     counts.items_leased += book.leases();
   }
   return counts;
@@ -278,17 +276,23 @@
 void StoreService::Work() {
   work_posted_ = false;
   SendRevocations();
-  if (HasWaiting()) {
-    ProxyRoom::Leases leases = CountLeases();
-    for (;;) {
-      const std::optional<net::Address> proxy = room_.Most(loop_.Now(), leases);
-      if (!proxy || !LeaseOne(*proxy)) break;
-      ++leases[*proxy];
-    }
-  }
+  TellOfWaiting();
   ArmTimer();
 }
 
+void StoreService::TellOfWaiting() {
+  const net::Time now = loop_.Now();
+  if (tell_at_ && now < *tell_at_) return;
+  tell_at_.reset();
+  const std::size_t waiting = Runnable();
+  if (waiting == 0) return;
+  const std::string message = Encode(WorkWaits{static_cast<std::uint32_t>(waiting)});
+  const std::vector<net::Address> told = room_.Tell(waiting);
+  for (const net::Address& proxy : told) hub_.Send(proxy, kWorkWaits, message);
+  // Those told may have no room; then others hear of it soon.
+  if (!told.empty()) tell_at_ = now + kTellInterval;
+}
+
 void StoreService::SendRevocations() {
   for (auto& [partition, served] : served_) {
     for (const JobBook::Revocation& revocation : served.server->TakeRevocations()) {
@@ -297,33 +301,40 @@
   }
 }
 
-bool StoreService::LeaseOne(const net::Address& proxy) {
-  if (served_.empty()) return false;
+std::vector<Assign> StoreService::Lease(const net::Address& proxy, std::uint32_t most) {
+  std::vector<Assign> leased;
+  if (most == 0) return leased;
+  most = std::min(most, room_.MostOfOneOffer(Runnable()));
+  while (leased.size() < most) {
+    std::optional<Assign> assign = LeaseOne(proxy);
+    if (!assign) break;
+    leased.push_back(std::move(*assign));
+  }
+  return leased;
+}
+
+std::optional<Assign> StoreService::LeaseOne(const net::Address& proxy) {
   auto next = served_.upper_bound(last_lent_);
   for (std::size_t tried = 0; tried < served_.size(); ++tried) {
     if (next == served_.end()) next = served_.begin();
     Served& served = next->second;
     if (served.log->serving()) {
-      if (const std::optional<Assign> assign = served.server->LeaseNext(proxy)) {
-        hub_.Send(proxy, kAssign, Encode(*assign));
+      if (std::optional<Assign> assign = served.server->LeaseNext(proxy)) {
         last_lent_ = next->first;
-        return true;
+        return assign;
       }
     }
     ++next;
   }
-  return false;
-}
-
-bool StoreService::HasWaiting() const {
-  return std::any_of(served_.begin(), served_.end(),
-                     [](const auto& entry) { return entry.second.server->book().HasWaiting(); });
+  return std::nullopt;
 }
 
-ProxyRoom::Leases StoreService::CountLeases() const {
-  ProxyRoom::Leases leases;
-  for (const auto& [partition, served] : served_) served.server->book().CountLeases(leases);
-  return leases;
+std::size_t StoreService::Runnable() const {
+  std::size_t runnable = 0;
+  for (const auto& [partition, served] : served_) {
+    if (served.log->serving()) runnable += served.server->Runnable();
+  }
+  return runnable;
 }
 
 // --- Time ---------------------------------------------------------------------------------------
@@ -353,6 +364,7 @@
     const std::optional<net::Time> at = served.server->NextWake();
     if (at && (!wake || *at < *wake)) wake = at;
   }
+  if (tell_at_ && (!wake || *tell_at_ < *wake)) wake = tell_at_;
   if (!wake) return;
   const net::Time at = std::max(*wake, loop_.Now()) + kWakeGrain;
   if (armed_ && armed_for_ <= at) return;
--- a/src/tier/batch/store_service.h
+++ b/src/tier/batch/store_service.h
@@ -41,9 +41,11 @@
   struct Counts {
     std::uint64_t jobs = 0;
     std::uint64_t items_waiting = 0;
+    std::uint64_t items_overdue = 0;  // Of those that wait.
     std::uint64_t items_leased = 0;
   };
   Counts counts() const;
+  const JobCounters& counters() const { return counters_; }
   std::uint64_t queued_tokens() const;
 
  private:
@@ -69,9 +71,13 @@
   void ScheduleWork();
   void Work();
   void SendRevocations();
-  bool HasWaiting() const;
-  bool LeaseOne(const net::Address& proxy);
-  ProxyRoom::Leases CountLeases() const;
+  // Tells proxies that items wait here.
+  void TellOfWaiting();
+  // Leases items to the proxy, at most so many.
+  std::vector<Assign> Lease(const net::Address& proxy, std::uint32_t most);
+  std::optional<Assign> LeaseOne(const net::Address& proxy);
+  // Items that may be handed out now, over all partitions.
+  std::size_t Runnable() const;
   void CorrectClock();
   void OnTimer();
   void ArmTimer();
@@ -88,11 +94,13 @@
   Options options_;
   JobClock clock_;
   JobBook::Options book_options_;
+  JobCounters counters_;
   SubmissionGate gate_;
   std::set<std::string> routes_;
   std::map<std::uint32_t, Served> served_;
   std::uint32_t last_lent_ = 0;  // Partitions take turns behind this one.
   ProxyRoom room_;
+  std::optional<net::Time> tell_at_;  // Not before then are more proxies told.
   bool work_posted_ = false;
   net::TimerPtr timer_;
   net::Time armed_for_{};
--- a/src/tier/cluster/core_metrics.cpp
+++ b/src/tier/cluster/core_metrics.cpp
@@ -118,6 +118,17 @@
                                   "Batch jobs of the partitions that the store decides for."};
 constexpr MetricFamily kStoreItems{"shelflink_store_items", MetricType::kGauge,
                                    "Items of these jobs that wait, or run somewhere."};
+constexpr MetricFamily kStoreOverdue{"shelflink_store_items_overdue", MetricType::kGauge,
+                                     "Items that wait although their jobs were due."};
+constexpr MetricFamily kStoreAccepted{"shelflink_store_jobs_accepted_total", MetricType::kCounter,
+                                      "Batch jobs that the store has accepted."};
+constexpr MetricFamily kStoreRefused{"shelflink_store_jobs_refused_total", MetricType::kCounter,
+                                     "Batch jobs that the store has refused, by reason."};
+constexpr MetricFamily kStoreLeases{"shelflink_store_leases_total", MetricType::kCounter,
+                                    "Items that the store has handed out to proxies."};
+constexpr MetricFamily kStoreLeaseWait{"shelflink_store_lease_wait_seconds_total",
+                                       MetricType::kCounter,
+                                       "Time that these waited since their jobs were sent."};
 constexpr MetricFamily kStoreViolations{"shelflink_store_invariant_violations_total",
                                         MetricType::kCounter,
                                         "Violations of what must hold in the store's process."};
@@ -135,6 +146,19 @@
   add("left", figures.left);
 }
 
+void AddJobs(MetricsText& text, const std::string& node, const StoreFigures& figures) {
+  text.Add(kStoreJobs, figures.jobs, {{"node", node}});
+  text.Add(kStoreItems, figures.items_waiting, {{"node", node}, {"state", "waiting"}});
+  text.Add(kStoreItems, figures.items_leased, {{"node", node}, {"state", "leased"}});
+  text.Add(kStoreOverdue, figures.items_overdue, {{"node", node}});
+  text.Add(kStoreAccepted, figures.jobs_accepted, {{"node", node}});
+  text.Add(kStoreRefused, figures.jobs_over_quota, {{"node", node}, {"reason", "quota"}});
+  text.Add(kStoreRefused, figures.jobs_without_room, {{"node", node}, {"reason", "disk"}});
+  text.Add(kStoreRefused, figures.jobs_refused_busy, {{"node", node}, {"reason", "busy"}});
+  text.Add(kStoreLeases, figures.leases, {{"node", node}});
+  text.AddSeconds(kStoreLeaseWait, figures.lease_wait, {{"node", node}});
+}
+
 void AddStore(MetricsText& text, const KnownStore& store) {
   const MetricLabels node{{"node", store.node}};
   text.AddFlag(kStoreInTouch, store.in_touch, node);
@@ -145,9 +169,7 @@
   text.Add(kStoreDiskUsed, figures.bytes_used, node);
   text.Add(kStoreDiskLimit, figures.bytes_limit, node);
   AddPartitions(text, store.node, figures);
-  text.Add(kStoreJobs, figures.jobs, node);
-  text.Add(kStoreItems, figures.items_waiting, {{"node", store.node}, {"state", "waiting"}});
-  text.Add(kStoreItems, figures.items_leased, {{"node", store.node}, {"state", "leased"}});
+  AddJobs(text, store.node, figures);
   text.Add(kStoreViolations, figures.violations, node);
   if (figures.endpoints_age) text.AddSeconds(kStoreListAge, *figures.endpoints_age, node);
 }
--- a/src/tier/cluster/messages.cpp
+++ b/src/tier/cluster/messages.cpp
@@ -116,7 +116,7 @@
   return ReadAge(reader);
 }
 
-constexpr std::size_t kFigures = 13;
+constexpr std::size_t kFigures = 20;
 
 void WriteFigures(cbor::Writer& writer, const std::optional<StoreFigures>& figures) {
   if (!figures) {
@@ -128,7 +128,10 @@
   writer.Bool(figures->disk_refuses).Uint(figures->bytes_used).Uint(figures->bytes_limit);
   writer.Uint(figures->primaries).Uint(figures->backups);
   writer.Uint(figures->incomplete).Uint(figures->left);
-  writer.Uint(figures->jobs).Uint(figures->items_waiting).Uint(figures->items_leased);
+  writer.Uint(figures->jobs).Uint(figures->items_waiting).Uint(figures->items_overdue);
+  writer.Uint(figures->items_leased).Uint(figures->jobs_accepted).Uint(figures->jobs_over_quota);
+  writer.Uint(figures->jobs_without_room).Uint(figures->jobs_refused_busy).Uint(figures->leases);
+  WriteAge(writer, figures->lease_wait);
   writer.Uint(figures->violations);
   WriteOptionalAge(writer, figures->endpoints_age);
 }
@@ -147,7 +150,14 @@
   figures.left = reader.Uint();
   figures.jobs = reader.Uint();
   figures.items_waiting = reader.Uint();
+  figures.items_overdue = reader.Uint();
   figures.items_leased = reader.Uint();
+  figures.jobs_accepted = reader.Uint();
+  figures.jobs_over_quota = reader.Uint();
+  figures.jobs_without_room = reader.Uint();
+  figures.jobs_refused_busy = reader.Uint();
+  figures.leases = reader.Uint();
+  figures.lease_wait = ReadAge(reader);
   figures.violations = reader.Uint();
   figures.endpoints_age = ReadOptionalAge(reader);
   return figures;
--- a/src/tier/cluster/messages.h
+++ b/src/tier/cluster/messages.h
@@ -98,7 +98,16 @@
   // Of the partitions that it decides for.
   std::uint64_t jobs = 0;
   std::uint64_t items_waiting = 0;
+  std::uint64_t items_overdue = 0;  // Of those that wait: their job was due before.
   std::uint64_t items_leased = 0;
+  // Since the process began: jobs accepted, refused by reason; items handed out, and how long they
+  // waited for it altogether since their jobs were first sent.
+  std::uint64_t jobs_accepted = 0;
+  std::uint64_t jobs_over_quota = 0;
+  std::uint64_t jobs_without_room = 0;
+  std::uint64_t jobs_refused_busy = 0;
+  std::uint64_t leases = 0;
+  std::chrono::milliseconds lease_wait{0};
   std::uint64_t violations = 0;  // Of all invariants, in this process.
   // Of the reading of the platform's list that its list of endpoints stands for; none: not known.
   std::optional<std::chrono::milliseconds> endpoints_age;
--- a/tests/fuzz/tier_parsers.cpp
+++ b/tests/fuzz/tier_parsers.cpp
@@ -153,6 +153,7 @@
     PlayBatch<batch::ItemRef>,
     PlayBatch<batch::Offer>,
     PlayBatch<batch::OfferAnswer>,
+    PlayBatch<batch::WorkWaits>,
     PlayBatch<batch::Adopt>,
     PlayBatch<batch::AdoptAnswer>,
     PlayBatch<batch::Finished>,
--- a/tests/tier/batch/leasing_store.h
+++ b/tests/tier/batch/leasing_store.h
@@ -32,6 +32,7 @@
   bool silent = false;  // Answers nothing.
   bool primary = true;
   bool adopts = true;
+  std::uint32_t waiting = 0;  // Items that it tells of in answer to offers.
   std::set<LeaseId> known;
   std::vector<Finished> finished;
   std::vector<Adoption> adoptions;
@@ -52,6 +53,7 @@
   std::string OnOffer(const Offer& offer) {
     OfferAnswer answered;
     for (const HeldLease& held : offer.held) answered.held.push_back(StatusOf(held));
+    answered.waiting = waiting;
     return Encode(answered);
   }
   LeaseStatus StatusOf(const HeldLease& held) {
--- a/tests/tier/batch/mutants.cmake
+++ b/tests/tier/batch/mutants.cmake
@@ -84,6 +84,29 @@
 ]=] "" TEST batch/store_disk_test RUN the_core_tells_that_a_stores_disk_refuses
   LIBRARIES ${batch_store_libraries})
 
+# Which room goes to which work.
+tier_mutant(room_goes_to_stores_in_turn batch/offer_schedule.cpp
+  [=[    if (!store.hungry()) continue;]=] [=[    if (store.offering) continue;]=]
+  TEST batch/offer_schedule_test
+  RUN a_store_that_tells_of_nothing_takes_no_room,one_store_with_work_gets_all_room_*
+  LIBRARIES shelflink_tier_batch_front shelflink_tier_batch_book)
+tier_mutant(waiting_work_is_told_to_nobody batch/proxy_room.cpp
+  [=[    if (!entry.told) ]=] [=[    if (false) ]=]
+  TEST batch/offer_schedule_test RUN one_store_with_work_gets_all_room_*,a_small_job_is_spread_*
+  LIBRARIES shelflink_tier_batch_book shelflink_tier_batch_front)
+tier_mutant(small_stores_get_room_by_what_waits_alone batch/offer_schedule.cpp
+  [=[constexpr double kEvenPart = 0.5;]=] [=[constexpr double kEvenPart = 0.0;]=]
+  TEST batch/offer_schedule_test RUN no_store_with_work_starves_beside_others_with_more
+  LIBRARIES shelflink_tier_batch_front shelflink_tier_batch_book)
+tier_mutant(due_times_are_ignored batch/run_queue.cpp
+  [=[  owner->second.jobs.emplace(entry.job.due, job);]=]
+  [=[  owner->second.jobs.emplace(-entry.job.due, job);]=]
+  TEST batch/run_queue_test RUN the_job_due_first_goes_first
+  LIBRARIES shelflink_tier_batch_book)
+tier_mutant(what_is_late_goes_before_the_rest batch/run_queue.cpp
+  [=[  const Micros left = entry.job.due - now;]=] [=[  const Micros left = entry.job.aim;]=]
+  TEST batch/run_queue_test RUN what_can_still_be_done_when_due_goes_before_what_cannot
+  LIBRARIES shelflink_tier_batch_book)
 tier_mutant(every_sidecar_sends_batch_calls_everywhere policy/batch_owners.cpp
   [=[  return next->node_hash == HashOf(node);]=] [=[  return true;]=]
   TEST policy/batch_share_test RUN owners/each_endpoint_has_one_owner_in_its_zone
--- a/tests/tier/cluster/cluster_messages_test.cpp
+++ b/tests/tier/cluster/cluster_messages_test.cpp
@@ -29,6 +29,13 @@
   figures.jobs = 5;
   figures.items_waiting = 6;
   figures.items_leased = 7;
+  figures.items_overdue = 9;
+  figures.jobs_accepted = 10;
+  figures.jobs_over_quota = 11;
+  figures.jobs_without_room = 12;
+  figures.jobs_refused_busy = 13;
+  figures.leases = 14;
+  figures.lease_wait = std::chrono::milliseconds(15);
   figures.violations = 8;
   figures.endpoints_age = std::chrono::milliseconds(740);
   return figures;
--- a/tests/tier/cluster/core_metrics_test.cpp
+++ b/tests/tier/cluster/core_metrics_test.cpp
@@ -56,6 +56,13 @@
   figures.jobs = 12;
   figures.items_waiting = 300;
   figures.items_leased = 40;
+  figures.items_overdue = 30;
+  figures.jobs_accepted = 50;
+  figures.jobs_over_quota = 3;
+  figures.jobs_without_room = 2;
+  figures.jobs_refused_busy = 1;
+  figures.leases = 900;
+  figures.lease_wait = milliseconds(2700500);
   figures.violations = 2;
   figures.endpoints_age = milliseconds(740);
   return figures;
@@ -164,6 +171,25 @@
       "# TYPE shelflink_store_items gauge\n"
       "shelflink_store_items{node=\"storage-1\",state=\"waiting\"} 300\n"
       "shelflink_store_items{node=\"storage-1\",state=\"leased\"} 40\n"
+      "# HELP shelflink_store_items_overdue Items that wait although their jobs were due.\n"
+      "# TYPE shelflink_store_items_overdue gauge\n"
+      "shelflink_store_items_overdue{node=\"storage-1\"} 30\n"
+      "# HELP shelflink_store_jobs_accepted_total Batch jobs that the store has accepted.\n"
+      "# TYPE shelflink_store_jobs_accepted_total counter\n"
+      "shelflink_store_jobs_accepted_total{node=\"storage-1\"} 50\n"
+      "# HELP shelflink_store_jobs_refused_total Batch jobs that the store has refused, by "
+      "reason.\n"
+      "# TYPE shelflink_store_jobs_refused_total counter\n"
+      "shelflink_store_jobs_refused_total{node=\"storage-1\",reason=\"quota\"} 3\n"
+      "shelflink_store_jobs_refused_total{node=\"storage-1\",reason=\"disk\"} 2\n"
+      "shelflink_store_jobs_refused_total{node=\"storage-1\",reason=\"busy\"} 1\n"
+      "# HELP shelflink_store_leases_total Items that the store has handed out to proxies.\n"
+      "# TYPE shelflink_store_leases_total counter\n"
+      "shelflink_store_leases_total{node=\"storage-1\"} 900\n"
+      "# HELP shelflink_store_lease_wait_seconds_total Time that these waited since their jobs "
+      "were sent.\n"
+      "# TYPE shelflink_store_lease_wait_seconds_total counter\n"
+      "shelflink_store_lease_wait_seconds_total{node=\"storage-1\"} 2700.5\n"
       "# HELP shelflink_store_invariant_violations_total Violations of what must hold in the "
       "store's process.\n"
       "# TYPE shelflink_store_invariant_violations_total counter\n"
