Metrics: what a proxy offers, takes and runs of batch items

Cause: nothing told whether batch items wait because endpoints are taken or because room does not reach them.

--- a/src/tier/proxy/endpoint_calls.h
+++ b/src/tier/proxy/endpoint_calls.h
@@ -51,6 +51,7 @@
   void Resume(policy::CallId call) override;
   void Cancel(policy::CallId call) override;
   std::uint32_t BatchRoom() const override;
+  policy::BatchState batch() const { return module_.batch(); }
 
   // Tokens of calls at endpoints and of calls that wait, by service.
   struct Load {
--- a/src/tier/proxy/metrics.cpp
+++ b/src/tier/proxy/metrics.cpp
@@ -32,6 +32,40 @@
 constexpr MetricFamily kConnections{"shelflink_endpoint_connections_total", MetricType::kCounter,
                                     "Connections to endpoints that were opened."};
 
+constexpr MetricFamily kBatchEndpoints{"shelflink_batch_endpoints", MetricType::kGauge,
+                                       "Endpoints that this proxy alone sends batch items to."};
+constexpr MetricFamily kBatchLimit{"shelflink_batch_limit_items", MetricType::kGauge,
+                                   "Batch items that it keeps there at most, as learned."};
+constexpr MetricFamily kBatchCalls{"shelflink_batch_endpoint_items", MetricType::kGauge,
+                                   "Batch items that are there now."};
+constexpr MetricFamily kBatchRoom{"shelflink_batch_room_items", MetricType::kGauge,
+                                  "More batch items that could be started now."};
+constexpr MetricFamily kBatchHeld{"shelflink_batch_held_items", MetricType::kGauge,
+                                  "Batch items that the proxy holds, with reports under way."};
+constexpr MetricFamily kBatchOffered{"shelflink_batch_items_offered_total", MetricType::kCounter,
+                                     "Batch items that stores were offered to hand out."};
+constexpr MetricFamily kBatchTaken{"shelflink_batch_items_taken_total", MetricType::kCounter,
+                                   "Batch items that stores have handed out."};
+constexpr MetricFamily kBatchEnded{"shelflink_batch_runs_ended_total", MetricType::kCounter,
+                                   "Runs of batch items that have ended, by outcome."};
+
+void AddBatch(MetricsText& text, const ProxyFigures& figures) {
+  text.Add(kBatchEndpoints, std::uint64_t{figures.batch.endpoints});
+  text.Add(kBatchLimit, figures.batch.limit);
+  text.Add(kBatchCalls, std::uint64_t{figures.batch.calls});
+  text.Add(kBatchRoom, std::uint64_t{figures.batch_room});
+  const BatchRunFigures& runs = figures.batch_runs;
+  text.Add(kBatchHeld, runs.held);
+  text.Add(kBatchOffered, runs.offered);
+  text.Add(kBatchTaken, runs.taken);
+  text.Add(kBatchEnded, runs.completed, {{"outcome", "completed"}});
+  text.Add(kBatchEnded, runs.failed, {{"outcome", "failed"}});
+  text.Add(kBatchEnded, runs.impossible, {{"outcome", "impossible"}});
+  text.Add(kBatchEnded, runs.interrupted, {{"outcome", "interrupted"}});
+  text.Add(kBatchEnded, runs.returned, {{"outcome", "returned"}});
+  text.Add(kBatchEnded, runs.revoked, {{"outcome", "revoked"}});
+}
+
 void AddList(MetricsText& text, const ProxyFigures& figures) {
   if (figures.endpoints) cluster::AddEndpointSummary(text, kListHelp, *figures.endpoints);
   if (figures.endpoints_unchanged) text.AddSeconds(kListUnchanged, *figures.endpoints_unchanged);
@@ -52,6 +86,7 @@
   if (figures.placement_version) text.Add(kPlacement, *figures.placement_version);
   text.Add(kCalls, figures.calls);
   text.Add(kConnections, figures.endpoint_connections);
+  AddBatch(text, figures);
   return text.Text();
 }
 
--- a/src/tier/proxy/metrics.h
+++ b/src/tier/proxy/metrics.h
@@ -9,9 +9,24 @@
 
 #include "tier/cluster/endpoint_summary.h"
 #include "tier/foundation/process_metrics.h"
+#include "tier/policy/module.h"
 
 namespace shelflink::proxy {
 
+// Of batch items since the start of the process.
+struct BatchRunFigures {
+  std::uint64_t held = 0;     // At this moment, reports under way included.
+  std::uint64_t offered = 0;  // Items that stores were offered to hand out.
+  std::uint64_t taken = 0;    // Items that stores handed out.
+  // Runs that have ended.
+  std::uint64_t completed = 0;
+  std::uint64_t failed = 0;       // The endpoint answered 500.
+  std::uint64_t impossible = 0;   // The endpoint answered 422.
+  std::uint64_t interrupted = 0;  // To be continued by another proxy.
+  std::uint64_t returned = 0;     // Not run.
+  std::uint64_t revoked = 0;      // Taken back by the store.
+};
+
 struct ProxyFigures {
   ProcessFigures process;
   bool ready = false;
@@ -26,6 +41,9 @@
   std::optional<std::uint64_t> placement_version;
   std::uint64_t calls = 0;                 // Requests that are held for endpoints at this moment.
   std::uint64_t endpoint_connections = 0;  // Opened since the start.
+  policy::BatchState batch;
+  std::uint32_t batch_room = 0;  // More items that could be started now.
+  BatchRunFigures batch_runs;
 };
 
 std::string MetricsOf(const ProxyFigures& figures, const Invariants& invariants);
--- a/src/tier/proxy/program.cpp
+++ b/src/tier/proxy/program.cpp
@@ -154,9 +154,25 @@
     NoteView(figures, now);
     figures.calls = calls.held();
     figures.endpoint_connections = calls.dials();
+    figures.batch = calls.batch();
+    figures.batch_room = calls.BatchRoom();
+    figures.batch_runs = BatchRuns();
     return figures;
   }
 
+  BatchRunFigures BatchRuns() const {
+    const batch::Runner::Counters& counters = runner.counters();
+    return {.held = runner.runs(),
+            .offered = counters.offered,
+            .taken = counters.assigned,
+            .completed = counters.completed,
+            .failed = counters.errors,
+            .impossible = counters.impossible,
+            .interrupted = counters.interrupted,
+            .returned = counters.returned,
+            .revoked = counters.revoked};
+  }
+
   void NoteView(ProxyFigures& figures, net::Time now) const {
     const cluster::View& view = agent.view();
     if (view.endpoints) {
--- a/tests/tier/proxy/metrics_test.cpp
+++ b/tests/tier/proxy/metrics_test.cpp
@@ -29,6 +29,9 @@
   figures.placement_version = 9;
   figures.calls = 17;
   figures.endpoint_connections = 1234;
+  figures.batch = {2, 6.5, 5};
+  figures.batch_room = 1;
+  figures.batch_runs = {7, 100, 90, 60, 5, 4, 3, 2, 1};
   BOOST_TEST(
       OwnText(figures) ==
       "# HELP shelflink_ready Whether GET /ready answers 200.\n"
@@ -75,7 +78,38 @@
       "shelflink_endpoint_calls 17\n"
       "# HELP shelflink_endpoint_connections_total Connections to endpoints that were opened.\n"
       "# TYPE shelflink_endpoint_connections_total counter\n"
-      "shelflink_endpoint_connections_total 1234\n");
+      "shelflink_endpoint_connections_total 1234\n"
+      "# HELP shelflink_batch_endpoints Endpoints that this proxy alone sends batch items to.\n"
+      "# TYPE shelflink_batch_endpoints gauge\n"
+      "shelflink_batch_endpoints 2\n"
+      "# HELP shelflink_batch_limit_items Batch items that it keeps there at most, as learned.\n"
+      "# TYPE shelflink_batch_limit_items gauge\n"
+      "shelflink_batch_limit_items 6.5\n"
+      "# HELP shelflink_batch_endpoint_items Batch items that are there now.\n"
+      "# TYPE shelflink_batch_endpoint_items gauge\n"
+      "shelflink_batch_endpoint_items 5\n"
+      "# HELP shelflink_batch_room_items More batch items that could be started now.\n"
+      "# TYPE shelflink_batch_room_items gauge\n"
+      "shelflink_batch_room_items 1\n"
+      "# HELP shelflink_batch_held_items Batch items that the proxy holds, with reports under "
+      "way.\n"
+      "# TYPE shelflink_batch_held_items gauge\n"
+      "shelflink_batch_held_items 7\n"
+      "# HELP shelflink_batch_items_offered_total Batch items that stores were offered to hand "
+      "out.\n"
+      "# TYPE shelflink_batch_items_offered_total counter\n"
+      "shelflink_batch_items_offered_total 100\n"
+      "# HELP shelflink_batch_items_taken_total Batch items that stores have handed out.\n"
+      "# TYPE shelflink_batch_items_taken_total counter\n"
+      "shelflink_batch_items_taken_total 90\n"
+      "# HELP shelflink_batch_runs_ended_total Runs of batch items that have ended, by outcome.\n"
+      "# TYPE shelflink_batch_runs_ended_total counter\n"
+      "shelflink_batch_runs_ended_total{outcome=\"completed\"} 60\n"
+      "shelflink_batch_runs_ended_total{outcome=\"failed\"} 5\n"
+      "shelflink_batch_runs_ended_total{outcome=\"impossible\"} 4\n"
+      "shelflink_batch_runs_ended_total{outcome=\"interrupted\"} 3\n"
+      "shelflink_batch_runs_ended_total{outcome=\"returned\"} 2\n"
+      "shelflink_batch_runs_ended_total{outcome=\"revoked\"} 1\n");
 }
 
 BOOST_AUTO_TEST_CASE(what_is_not_known_is_left_out) {
