Proxy: who knows no members owns no endpoint for batch

A proxy without a list of members took itself for the only one and owned all 72 endpoints; after the loss of power of 21 machines some nine of 26 logged ones stood so for a quarter of a second while lots burst.

Change: without a list, or with none ready, nobody is an owner. The test world of the proxy names its proxy as a member; three tests had shown it as alone.

Test: without_a_list_of_members_no_batch_item_is_taken fails without it.

--- a/src/tier/proxy/module_feed.cpp
+++ b/src/tier/proxy/module_feed.cpp
@@ -1,5 +1,6 @@
 #include "tier/proxy/module_feed.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -38,10 +39,10 @@
   shape.most_held = options_.most_held;
   std::vector<policy::BatchOwners::Sidecar> ready;
   if (view.members) ready = ReadyProxies(*view.members);
-  // Who knows of no other is alone.
-  if (ready.empty()) ready.push_back({options_.node, options_.zone});
-  shape.sidecars = static_cast<std::uint32_t>(ready.size());
+  shape.sidecars = static_cast<std::uint32_t>(std::max<std::size_t>(1, ready.size()));
   module_.OnShape(now, shape);
+  // Who knows of no other does not take itself for the only one: after a loss of power many begin
+  // so, and each of them would send batch calls to every endpoint.
   return batch_owners_.SetSidecars(std::move(ready));
 }
 
--- a/tests/tier/proxy/calls_test.cpp
+++ b/tests/tier/proxy/calls_test.cpp
@@ -64,6 +64,27 @@
 
 }  // namespace
 
+// After a loss of power many proxies begin without a list of members. None of them may take itself
+// for the only one that sends batch calls to the endpoints.
+BOOST_AUTO_TEST_CASE(without_a_list_of_members_no_batch_item_is_taken) {
+  World world;
+  world.Add(
+      [&](Line& line, const Message& request) { world.endpoints[0]->Stream(line, request, 3); });
+  world.view.members = nullptr;
+  world.calls.OnView(world.view);
+  BOOST_TEST(world.calls.BatchRoom() == 0U);
+  auto others = std::make_shared<shelflink::cluster::Members>();
+  others->all.push_back({"another", "proxy", "zone", {}, true});
+  world.view.members = others;
+  world.calls.OnView(world.view);
+  BOOST_TEST(world.calls.BatchRoom() == 0U);
+  auto own = std::make_shared<shelflink::cluster::Members>();
+  own->all.push_back({"proxy", "proxy", "zone", {}, true});
+  world.view.members = own;
+  world.calls.OnView(world.view);
+  BOOST_TEST(world.calls.BatchRoom() > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(an_item_runs_as_a_request_of_its_tenant) {
   World world;
   Endpoint& endpoint = world.Add(
--- a/tests/tier/proxy/stand_in.h
+++ b/tests/tier/proxy/stand_in.h
@@ -381,6 +381,9 @@
   ~World() { network.Clear(); }
 
   void SetConfiguration(Configuration configuration) {
+    auto members = std::make_shared<shelflink::cluster::Members>();
+    members->all.push_back({"proxy", "proxy", "zone", {}, true});
+    view.members = members;
     view.configuration = std::make_shared<const Configuration>(std::move(configuration));
     front.SetConfiguration(view.configuration);
     calls.OnView(view);
