Proxy: a first list that may be old is not gone by before a newer one was asked for

Seen: all core disks full, proxy-4 starts meanwhile, a new primary gives it its adopted list, of unknown age, before any list of members; the process took the missing list of members for an excuse and sent by the list. Ruled out: readers (never asked), the platform's outage (its time is left out). The rule counts contactMs from the process's start, docs/design/drain.md counted from the first list. Lines: ListFallback::JustBegun, Refresh.

Change: ListState::kUnchecked: the first list, older than drainMs or of unknown age, once the process is bound. Requests are refused as not run and /ready says no until a newer list was read or the platform is in trouble. A missing list of members excuses only who has had a fresh list.

Tests: no_request_goes_by_a_first_list_before_a_newer_one_was_asked_for fails without it (2 to 3 arrivals, three starts); requests_go_by_an_old_first_list_while_the_platform_does_not_answer; a_proxy_whose_first_list_is_old_reads_at_once now bounds the time until ready, as its mutant was no longer found. Mutant a_first_list_excuses_for_ever is gone with its line; four new ones.

--- a/src/tier/proxy/endpoint_calls.cpp
+++ b/src/tier/proxy/endpoint_calls.cpp
@@ -201,7 +201,9 @@
 }
 
 bool EndpointCalls::IsForbidden(LiveCall& live) const {
-  return !live.user->MaySend() || (live.request.batch && !ItemsMayGo(ListStateNow()));
+  if (!live.user->MaySend()) return true;
+  const ListState list = ListStateNow();
+  return live.request.batch ? !ItemsMayGo(list) : !RequestsMayGo(list);
 }
 
 void EndpointCalls::CheckList(const LiveCall& live, const KnownEndpoint& known) const {
--- a/src/tier/proxy/list_fallback.cpp
+++ b/src/tier/proxy/list_fallback.cpp
@@ -71,19 +71,34 @@
 ListState ListFallback::State() const {
   if (!make_platform_) return ListState::kExcused;
   const net::Time now = loop_.Now();
-  if (now <= read_at() + settings_.bounds.drain) return ListState::kFresh;
+  if (IsFresh(now)) return ListState::kFresh;
+  if (FirstListIsUnchecked(now)) {
+    return PlatformInTrouble(now) ? ListState::kExcused : ListState::kUnchecked;
+  }
   if (JustBegun(now)) return ListState::kUnrenewed;
   return PlatformInTrouble(now) ? ListState::kExcused : ListState::kStale;
 }
 
-// Has not been in touch throughout `contactMs`: it stands still or did so, or has heard nothing of
-// the core before its first list.
+bool ListFallback::IsFresh(net::Time now) const {
+  return now <= read_at() + settings_.bounds.drain;
+}
+
+// Has not been in touch throughout `contactMs`: it stands still or did so, or has just started.
 bool ListFallback::JustBegun(net::Time now) const {
   const bool stands_still = now > timer_due_ + settings_.bounds.thaw_slack;
-  const net::Time begun_at = std::max(resumed_at_, first_list_at_.value_or(now));
-  return stands_still || now < begun_at + settings_.bounds.contact;
+  return stands_still || now < resumed_at_ + settings_.bounds.contact;
 }
 
+// Drains bind a process from `contactMs` after its start on, whenever its first list comes: a
+// primary may give one that it adopted and that nobody has read for long. A little earlier than
+// that, as the machine began before the process did.
+bool ListFallback::FirstListIsUnchecked(net::Time now) const {
+  const net::Span unbound = settings_.bounds.contact - settings_.bounds.drain / kCheckPart;
+  return !was_fresh_ && now >= resumed_at_ + unbound;
+}
+
+void ListFallback::NoteFreshness() { was_fresh_ = was_fresh_ || IsFresh(loop_.Now()); }
+
 // The time in which a drain must bind does not run then, and there is as much left of it behind as
 // it takes to read the list.
 bool ListFallback::PlatformInTrouble(net::Time now) const {
@@ -98,14 +113,15 @@
 
 // While the core's lists are late, one that comes may be older than what was read here.
 void ListFallback::OnCoreList() {
-  if (make_platform_ && !first_list_at_) CheckFirstList();
+  if (make_platform_ && !has_list_) OnFirstList();
+  NoteFreshness();
   if (active_ && agent_.endpoints_read_at() <= own_.read_at()) return;
   own_.Drop();
 }
 
 // It may be old already. Where its age is not known, the core may be about to tell it.
-void ListFallback::CheckFirstList() {
-  first_list_at_ = loop_.Now();
+void ListFallback::OnFirstList() {
+  has_list_ = true;
   const bool age_known = agent_.endpoints_read_at() != net::Time();
   ArmAt(loop_.Now() + (age_known ? net::Span() : settings_.bounds.drain / kCheckPart));
 }
@@ -136,6 +152,7 @@
 void ListFallback::OnTimer() {
   const net::Time now = loop_.Now();
   NoteStandstill(now);
+  NoteFreshness();
   DropOlderOwnList();
   if (agent_.view().endpoints == nullptr) return ArmAt(now + LateAfter());
   if (CoreIsFresh(now)) {
@@ -148,10 +165,11 @@
   ArmAt(now + settings_.bounds.drain / kCheckPart);
 }
 
-// The rate could not be shared while it is not known among how many.
+// The rate could not be shared while it is not known among how many. That excuses a list that has
+// been fresh; a first one waits for the list of members, which follows it.
 void ListFallback::Refresh() {
   if (ListedProxies().empty()) {
-    trouble_seen_at_ = loop_.Now();
+    if (was_fresh_) trouble_seen_at_ = loop_.Now();
     return;
   }
   if (!active_) Activate();
@@ -247,7 +265,9 @@
 void ListFallback::Take(Entries entries, net::Time read_at) {
   DropOlderOwnList();
   if (read_at <= this->read_at()) return;
-  if (own_.Take(list(), std::move(entries), read_at)) changed_();
+  const bool is_changed = own_.Take(list(), std::move(entries), read_at);
+  NoteFreshness();
+  if (is_changed) changed_();
 }
 
 void ListFallback::Fetch() {
--- a/src/tier/proxy/list_fallback.h
+++ b/src/tier/proxy/list_fallback.h
@@ -57,8 +57,11 @@
   void OnTimer();
   void NoteStandstill(net::Time now);
   bool PlatformInTrouble(net::Time now) const;
+  bool IsFresh(net::Time now) const;
   bool JustBegun(net::Time now) const;
-  void CheckFirstList();
+  bool FirstListIsUnchecked(net::Time now) const;
+  void OnFirstList();
+  void NoteFreshness();
   void DropOlderOwnList();
   bool CoreIsFresh(net::Time now) const;
   net::Span LateAfter() const;
@@ -90,7 +93,8 @@
   net::TimerPtr timer_;
   net::Time timer_due_{};
   net::Time resumed_at_{};  // When this process started or went on after a standstill.
-  std::optional<net::Time> first_list_at_;
+  bool has_list_ = false;
+  bool was_fresh_ = false;  // Some list was known to be no older than `drainMs`.
 
   bool active_ = false;
   net::Time trouble_seen_at_{};  // As far as others said it, or no try could be made.
--- a/src/tier/proxy/readiness.h
+++ b/src/tier/proxy/readiness.h
@@ -9,7 +9,7 @@
 struct Readiness {
   bool leaving = false;
   bool has_configuration = false;
-  bool has_endpoints = false;  // A list of them, however short.
+  bool has_endpoints = false;  // A list of them that requests may go by, however short.
   bool had_lease = false;      // In this process's life.
   net::Time lease_until{};
   net::Span slack{};  // How long beyond its lease it may be behind and still be in touch.
--- a/src/tier/proxy/ready_text.cpp
+++ b/src/tier/proxy/ready_text.cpp
@@ -23,6 +23,8 @@
       return "";
     case ListState::kUnrenewed:
       return "; the process has just begun, or stood still";
+    case ListState::kUnchecked:
+      return "; it is the first one, and nothing newer has been read yet";
     case ListState::kExcused:
       return "; the platform does not answer in time";
     case ListState::kStale:
@@ -32,8 +34,14 @@
 }
 
 std::string TextOfList(const Readiness& readiness, const ListCondition& list) {
-  if (!readiness.has_endpoints) return "no list of endpoints yet\n";
-  if (!list.age) return "the list of endpoints is of unknown age\n";
+  if (!readiness.has_endpoints && list.state != ListState::kUnchecked) {
+    return "no list of endpoints yet\n";
+  }
+  if (!list.age) {
+    const bool tells_why = list.state == ListState::kUnchecked;
+    return "the list of endpoints is of unknown age" +
+           std::string(tells_why ? WhyOld(list.state) : "") + "\n";
+  }
   if (*list.age <= list.bound) return "";
   return "the list of endpoints is " + InSeconds(*list.age) + " old, " + InSeconds(list.bound) +
          " are allowed" + std::string(WhyOld(list.state)) + "\n";
--- a/tests/tier/proxy/metrics_test.cpp
+++ b/tests/tier/proxy/metrics_test.cpp
@@ -192,6 +192,12 @@
   list.age.reset();
   BOOST_TEST(ReadyText(Good(), list, 0, kNow) ==
              "ready\nthe list of endpoints is of unknown age\n");
+  list.state = ListState::kUnchecked;
+  Readiness unchecked = Good();
+  unchecked.has_endpoints = false;
+  BOOST_TEST(ReadyText(unchecked, list, 0, kNow) ==
+             "not ready\nthe list of endpoints is of unknown age; it is the first one, and nothing "
+             "newer has been read yet\n");
 }
 
 }  // namespace
--- a/tests/tier/proxy/mutants.cmake
+++ b/tests/tier/proxy/mutants.cmake
@@ -147,7 +147,13 @@
 proxy_mutant(items_go_by_any_list stale_list
   a_send_by_a_stale_list_is_a_violation_and_items_wait_for_a_renewal
   tier/proxy/endpoint_calls.cpp
-  [=[ || (live.request.batch && !ItemsMayGo(ListStateNow()))]=] "")
+  [=[  return live.request.batch ? !ItemsMayGo(list) : !RequestsMayGo(list);]=]
+  [=[  return !RequestsMayGo(list);]=])
+proxy_mutant(requests_go_by_any_list stale_list
+  a_send_by_a_stale_list_is_a_violation_and_items_wait_for_a_renewal
+  tier/proxy/endpoint_calls.cpp
+  [=[  return live.request.batch ? !ItemsMayGo(list) : !RequestsMayGo(list);]=]
+  [=[  return live.request.batch && !ItemsMayGo(list);]=])
 proxy_mutant(a_silent_call_for_the_list_is_waited_for stale_list
   a_drain_binds_soon_after_a_platform_that_was_silent_answers_again
   tier/platform/list_poller.cpp
@@ -174,11 +180,18 @@
   a_proxy_whose_first_list_is_old_reads_at_once
   tier/proxy/list_fallback.cpp
   [=[  ArmAt(loop_.Now() + (age_known ? net::Span() : settings_.bounds.drain / kCheckPart));]=] "")
-proxy_mutant(a_first_list_excuses_for_ever stale_list_excuses
+proxy_mutant(a_first_list_stays_unchecked stale_list_excuses
   a_first_list_is_no_excuse_once_the_proxy_has_been_in_touch_for_long_enough
   tier/proxy/list_fallback.cpp
-  [=[  return stands_still || now < begun_at + settings_.bounds.contact;]=]
-  [=[  return stands_still || begun_at != net::Time();]=])
+  [=[{ was_fresh_ = was_fresh_ || IsFresh(loop_.Now()); }]=] [=[{}]=])
+proxy_mutant(a_first_list_needs_no_check stale_list_excuses
+  no_request_goes_by_a_first_list_before_a_newer_one_was_asked_for
+  tier/proxy/list_fallback.cpp
+  [=[  return !was_fresh_ && now >= resumed_at_ + unbound;]=] [=[  return now < net::Time() + unbound;]=])
+proxy_mutant(an_unknown_fleet_excuses_a_first_list stale_list_excuses
+  no_request_goes_by_a_first_list_before_a_newer_one_was_asked_for
+  tier/proxy/list_fallback.cpp
+  [=[    if (was_fresh_) trouble_seen_at_ = loop_.Now();]=] [=[    trouble_seen_at_ = loop_.Now();]=])
 proxy_mutant(pages_always_hold_fifty stale_list a_drain_binds_with_a_list_of_small_pages
   tier/proxy/list_fallback.cpp
   [=[  entries_of_page_ = entries;]=] "")
--- a/tests/tier/proxy/stale_list_excuses_test.cpp
+++ b/tests/tier/proxy/stale_list_excuses_test.cpp
@@ -18,6 +18,9 @@
 // One call in 5 s by the one proxy that reads: so seldom that the list grows older than `drainMs`
 // although the platform answers.
 constexpr double kTooSeldomPerS = 0.5;
+// A primary's first list of members follows its list of endpoints within this.
+constexpr milliseconds kMembersFollow{1250};
+constexpr milliseconds kAsked{200};  // One reader, at the look that comes next.
 
 void StopCore(Scene& scene) {
   for (auto& core : scene.rig.cores) core->Stop();
@@ -138,7 +141,12 @@
       scene.DrainFirst();
       scene.rig.Run(later);
       scene.rig.Elect(1);
+      while (scene.proxies.back()->program->view().endpoints == nullptr) {
+        scene.rig.Run(milliseconds(10));
+      }
+      const net::Time listed = scene.rig.net.Now();
       while (!scene.proxies.back()->program->ready()) scene.rig.Run(milliseconds(10));
+      BOOST_TEST((scene.rig.net.Now() - listed <= kMembersFollow + kAsked));
       scene.Traffic(milliseconds(1100));
       const net::Time read_by = scene.rig.net.Now();
       scene.Traffic(seconds(4));
@@ -150,6 +158,37 @@
   }
 }
 
+// A new primary gives the list that it adopted, of unknown age, before the list of members.
+BOOST_AUTO_TEST_CASE(no_request_goes_by_a_first_list_before_a_newer_one_was_asked_for) {
+  for (const milliseconds later : {milliseconds(3000), milliseconds(3600), milliseconds(4200)}) {
+    BOOST_TEST_CONTEXT("later by " << later.count() << " ms") {
+      Scene scene;
+      StartWithoutCore(scene, 40);
+      scene.DrainFirst();
+      scene.rig.Run(later + kDrain);
+      const net::Time elected = scene.rig.net.Now();
+      scene.rig.Elect(1);
+      scene.Traffic(seconds(4));
+      BOOST_TEST(scene.servers[0]->ArrivalsAfter(elected) == 0U);
+      scene.TakeServed();
+      scene.Traffic(seconds(2));
+      BOOST_TEST(scene.TakeServed() > 0.99);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(requests_go_by_an_old_first_list_while_the_platform_does_not_answer) {
+  Scene scene;
+  StartWithoutCore(scene, 40);
+  scene.rig.platform.up = false;
+  scene.rig.Run(kDrain);
+  scene.rig.Elect(1);
+  scene.Traffic(seconds(4));
+  scene.TakeServed();
+  scene.Traffic(seconds(2));
+  BOOST_TEST(scene.TakeServed() > 0.99);
+}
+
 BOOST_AUTO_TEST_CASE(a_first_list_is_no_excuse_once_the_proxy_has_been_in_touch_for_long_enough) {
   Scene scene(0);
   StartWithoutCore(scene, kTooSeldomPerS);
--- a/tests/tier/proxy/stale_list_test.cpp
+++ b/tests/tier/proxy/stale_list_test.cpp
@@ -483,6 +483,12 @@
   BOOST_TEST(endpoint.requests.size() == 6U);
   start(false);
   BOOST_TEST(endpoint.requests.size() == 7U);
+  state = shelflink::proxy::ListState::kUnchecked;
+  start(true);
+  start(false);
+  BOOST_TEST(endpoint.requests.size() == 7U);
+  BOOST_TEST(user.ends.size() == 10U);
+  BOOST_TEST((user.ends.back() == shelflink::proxy::CallEnd::kRefused));
   BOOST_TEST(TakeViolations().empty());
 }
 
