Duties: tests and mutants of a fence that the platform refuses

Change: the stand-in platform keeps the highest fence and notes refused calls; duty_fence_test: one refused call a duty and epoch, duties go on under the next epoch, a raised epoch is a fence of its own.

--- a/tests/tier/cluster/mutants.cmake
+++ b/tests/tier/cluster/mutants.cmake
@@ -63,3 +63,15 @@
   [=[  return moved_ || store_.versions()[part] >= named_before_[part];]=] [=[  return false;]=]
   TEST cluster/agent_test RUN nobody_asks_the_core_for_what_the_parent_is_about_to_have
   LIBRARIES ${cluster_core})
+
+# Duties: who is refused since a higher fence was seen goes on calling.
+tier_mutant(a_refused_report_is_repeated cluster/usage_duty.cpp
+  [=[    log::Warning(kModule, "the platform knows a later holder of the duty");
+    Stop();]=] [=[    log::Warning(kModule, "the platform knows a later holder of the duty");]=]
+  TEST cluster/duty_fence_test RUN a_refused_fence_is_not_used_again_for_that_duty
+  LIBRARIES ${cluster_core})
+tier_mutant(a_refused_order_is_repeated cluster/scale_duty.cpp
+  [=[  if (code == ErrorCode::kConflict && fence == epoch_) {  // A later holder orders now.
+    Stop();]=] [=[  if (code == ErrorCode::kConflict && fence == epoch_) {  // A later holder orders now.]=]
+  TEST cluster/duty_fence_test RUN an_order_that_was_refused_is_not_repeated_with_its_fence
+  LIBRARIES ${cluster_core})
--- a/tests/tier/cluster/rig.h
+++ b/tests/tier/cluster/rig.h
@@ -166,7 +166,16 @@
     std::string holder;
     std::uint64_t fence;
   };
+  // A duty's call that was refused since a higher fence had been seen.
+  struct RefusedCall {
+    std::string subject;
+    std::string holder;
+    std::uint64_t fence;
+  };
   bool up = true;
+  // Duties' calls with a lower fence than this are refused.
+  std::uint64_t highest_fence = 0;
+  std::vector<RefusedCall> refused;
   // The calls of these processes fail.
   std::set<const net::Loop*> cut_off;
   bool silent = false;     // Calls for the list get no answer.
@@ -211,6 +220,7 @@
         done(platform::CallError{ErrorCode::kUnavailable, "down", std::nullopt});
         return;
       }
+      if (Refuses("usage", holder, done)) return;
       world_.usage.push_back({report.window, report.counts, holder.node, holder.fence});
       if (std::exchange(world_.lose_next_answer, false)) {
         done(platform::CallError{ErrorCode::kUnknown, "no answer", std::nullopt});
@@ -220,19 +230,27 @@
     });
   }
 
-  void Scale(const platform::ScaleOrder& order, const platform::DutyHolder&,
+  void Scale(const platform::ScaleOrder& order, const platform::DutyHolder& holder,
              DutyDone done) override {
-    loop_.Post([this, order, done = std::move(done)] {
+    loop_.Post([this, order, holder, done = std::move(done)] {
       if (!world_.up) {
         done(platform::CallError{ErrorCode::kUnavailable, "down", std::nullopt});
         return;
       }
+      if (Refuses("scale " + order.service + " " + order.zone, holder, done)) return;
       world_.orders.push_back(order);
       done(BOOST_OUTCOME_V2_NAMESPACE::success());
     });
   }
 
  private:
+  bool Refuses(const std::string& subject, const platform::DutyHolder& holder,
+               const DutyDone& done) const {
+    if (holder.fence >= world_.highest_fence) return false;
+    world_.refused.push_back({subject, holder.node, holder.fence});
+    done(platform::CallError{ErrorCode::kConflict, "a higher fence was seen", std::nullopt});
+    return true;
+  }
   platform::InstancePage PageOf(const platform::ListRequest& request) const {
     const std::size_t all = world_.list.size();
     const std::size_t first = request.page_token.empty() ? 0 : std::stoul(request.page_token);
