--- a/src/tier/batch/item_run.cpp
+++ b/src/tier/batch/item_run.cpp
@@ -76,7 +76,8 @@
       on_over_(std::move(on_over)),
       output_(std::move(assign_.output)),
       events_at_start_(output_.all().events),
-      body_bytes_(assign_.body.size()) {}
+      body_bytes_(assign_.body.size()),
+      assigned_at_(loop.Now()) {}
 
 ItemRun::~ItemRun() { CancelCall(); }
 
@@ -122,6 +123,11 @@
 
 void ItemRun::Extend(net::Time until) { lease_until_ = std::max(lease_until_, until); }
 
+std::optional<net::Span> ItemRun::first_event_wait() const {
+  if (!first_event_at_) return std::nullopt;
+  return *first_event_at_ - assigned_at_;
+}
+
 Finished ItemRun::Report() const {
   Finished report;
   report.item = assign_.item;
@@ -149,6 +155,7 @@
 
 void ItemRun::OnEvent(const proxy::Event& event) {
   if (state_ != State::kRunning || head_status_ != kStatusOk || !stamped_) return;
+  if (!first_event_at_) first_event_at_ = loop_.Now();
   if (output_.Take(event)) return;
   log::Bounded(log::Level::kWarning, "batch.run", "events",
                "an endpoint's event does not follow the last one; run of item " +
@@ -185,6 +192,7 @@
 void ItemRun::Over(const RunEnd& end) {
   if (state_ == State::kReporting) return;
   state_ = State::kReporting;
+  over_at_ = loop_.Now();
   end_ = end;
   on_over_(*this, end_);
 }
--- a/src/tier/batch/item_run.h
+++ b/src/tier/batch/item_run.h
@@ -58,6 +58,10 @@
   std::size_t body_bytes() const { return body_bytes_; }
   std::size_t bytes() const { return body_bytes_ + output_.all().text.size(); }
   ItemOutput& output() { return output_; }
+  // From when it was assigned until its first event came; none: none has come.
+  std::optional<net::Span> first_event_wait() const;
+  // Since the run was over; of no meaning before.
+  net::Span since_over() const { return loop_.Now() - over_at_; }
   Finished Report() const;
 
   bool adopting = false;  // An Adopt that names it is under way.
@@ -84,6 +88,9 @@
   std::uint64_t events_at_start_;
   std::size_t body_bytes_;
   State state_ = State::kAwaitingLease;
+  net::Time assigned_at_;
+  std::optional<net::Time> first_event_at_;
+  net::Time over_at_{};
   net::Time lease_until_ = net::Time::min();
   std::shared_ptr<const configuration::Configuration> configuration_;
   const configuration::Route* route_ = nullptr;
--- a/src/tier/batch/runner.cpp
+++ b/src/tier/batch/runner.cpp
@@ -323,6 +323,7 @@
   // Perhaps from inside an event of the run's call: the run must stay until the report is taken.
   void OnOver(ItemRun& run, const RunEnd& end) {
     Count(end.outcome);
+    CountFirstEvent(run);
     if (end.refused) PauseAfterRefusal(end);
     StoreCaller::Question question;
     question.kind = kFinished;
@@ -347,6 +348,9 @@
       ++counters_.reports_lost;
       log::Warning("batch.run",
                    "no store took the report of a run in time: " + answer.error().text);
+    } else if (answer) {
+      ++counters_.reported;
+      counters_.report_wait += runs_.Find(lease)->since_over();
     }
     Forget(lease);
   }
@@ -381,6 +385,13 @@
     }
   }
 
+  void CountFirstEvent(const ItemRun& run) {
+    const std::optional<net::Span> wait = run.first_event_wait();
+    if (!wait) return;
+    ++counters_.begun;
+    counters_.first_event_wait += *wait;
+  }
+
   void TellIfDrained() {
     if (draining_ && runs_.empty()) TellDrained();
   }
--- a/src/tier/batch/runner.h
+++ b/src/tier/batch/runner.h
@@ -46,6 +46,10 @@
     std::uint64_t revoked = 0;
     std::uint64_t adopted = 0;
     std::uint64_t reports_lost = 0;  // No store took the report in time.
+    std::uint64_t begun = 0;         // Runs that have had an event.
+    net::Span first_event_wait{};    // Of these: from the assignment on, summed.
+    std::uint64_t reported = 0;      // Runs whose report a store has taken.
+    net::Span report_wait{};  // Of these: from the end of the run until its results can be read.
   };
 
   // Registers its handlers at the hub, which must not deliver any more once this is gone.
--- a/src/tier/proxy/metrics.cpp
+++ b/src/tier/proxy/metrics.cpp
@@ -48,6 +48,16 @@
                                    "Batch items that stores have handed out."};
 constexpr MetricFamily kBatchEnded{"shelflink_batch_runs_ended_total", MetricType::kCounter,
                                    "Runs of batch items that have ended, by outcome."};
+constexpr MetricFamily kBatchBegun{"shelflink_batch_runs_begun_total", MetricType::kCounter,
+                                   "Ended runs of batch items that had an event."};
+constexpr MetricFamily kBatchFirstEventWait{
+    "shelflink_batch_first_event_wait_seconds_total", MetricType::kCounter,
+    "Time from when these were handed out until their first events."};
+constexpr MetricFamily kBatchReported{"shelflink_batch_reports_taken_total", MetricType::kCounter,
+                                      "Reports of ended runs that stores have taken."};
+constexpr MetricFamily kBatchReportWait{"shelflink_batch_report_wait_seconds_total",
+                                        MetricType::kCounter,
+                                        "Time from the ends of these runs until then."};
 
 void AddBatch(MetricsText& text, const ProxyFigures& figures) {
   text.Add(kBatchEndpoints, std::uint64_t{figures.batch.endpoints});
@@ -64,6 +74,10 @@
   text.Add(kBatchEnded, runs.interrupted, {{"outcome", "interrupted"}});
   text.Add(kBatchEnded, runs.returned, {{"outcome", "returned"}});
   text.Add(kBatchEnded, runs.revoked, {{"outcome", "revoked"}});
+  text.Add(kBatchBegun, runs.begun);
+  text.AddSeconds(kBatchFirstEventWait, runs.first_event_wait);
+  text.Add(kBatchReported, runs.reported);
+  text.AddSeconds(kBatchReportWait, runs.report_wait);
 }
 
 void AddList(MetricsText& text, const ProxyFigures& figures) {
--- a/src/tier/proxy/metrics.h
+++ b/src/tier/proxy/metrics.h
@@ -25,6 +25,12 @@
   std::uint64_t interrupted = 0;  // To be continued by another proxy.
   std::uint64_t returned = 0;     // Not run.
   std::uint64_t revoked = 0;      // Taken back by the store.
+  // Those that had an event, and how long they waited for the first one, summed.
+  std::uint64_t begun = 0;
+  std::chrono::nanoseconds first_event_wait{0};
+  // Those whose report a store has taken, and how long that took from their ends on, summed.
+  std::uint64_t reported = 0;
+  std::chrono::nanoseconds report_wait{0};
 };
 
 struct ProxyFigures {
--- a/src/tier/proxy/program.cpp
+++ b/src/tier/proxy/program.cpp
@@ -170,7 +170,11 @@
             .impossible = counters.impossible,
             .interrupted = counters.interrupted,
             .returned = counters.returned,
-            .revoked = counters.revoked};
+            .revoked = counters.revoked,
+            .begun = counters.begun,
+            .first_event_wait = counters.first_event_wait,
+            .reported = counters.reported,
+            .report_wait = counters.report_wait};
   }
 
   void NoteView(ProxyFigures& figures, net::Time now) const {
--- a/tests/tier/batch/runner_test.cpp
+++ b/tests/tier/batch/runner_test.cpp
@@ -99,6 +99,39 @@
   BOOST_TEST(runner->counters().completed == 1U);
 }
 
+// From the assignment to the first event, and from the end to the store's answer.
+BOOST_FIXTURE_TEST_CASE(counts_how_long_runs_wait_for_events_and_stores, Fixture) {
+  const policy::CallId call = Started(Item("i-1", 1));
+  BOOST_REQUIRE(calls.Send(call));
+  calls.Head(call, 200);
+  Pass(milliseconds(300));
+  calls.Event(call, 1, "e1");
+  Pass(milliseconds(2000));
+  BOOST_TEST(runner->counters().begun == 0U);
+  calls.Event(call, 2, "e2");
+  calls.Complete(call);
+  BOOST_TEST(runner->counters().begun == 1U);
+  BOOST_TEST((runner->counters().first_event_wait >= milliseconds(300)));
+  BOOST_TEST((runner->counters().first_event_wait < milliseconds(400)));
+  BOOST_TEST(runner->counters().reported == 0U);
+  Pass(kSoon);
+  BOOST_TEST(runner->counters().reported == 1U);
+  BOOST_TEST((runner->counters().report_wait > net::Span()));
+  BOOST_TEST((runner->counters().report_wait <= kSoon));
+}
+
+// What never had an event, or was reported to nobody, counts in neither.
+BOOST_FIXTURE_TEST_CASE(counts_no_wait_of_runs_without_event_or_report, Fixture) {
+  first.silent = true;
+  const policy::CallId call = Started(Item("i-1", 1));
+  calls.End(call, {proxy::CallEnd::kRefused, 0, std::nullopt, false});
+  Pass(kRunReportTimeout + seconds(1));
+  BOOST_TEST(runner->counters().begun == 0U);
+  BOOST_TEST((runner->counters().first_event_wait == net::Span()));
+  BOOST_TEST(runner->counters().reported == 0U);
+  BOOST_TEST((runner->counters().report_wait == net::Span()));
+}
+
 BOOST_FIXTURE_TEST_CASE(offers_room_only_where_work_waits, Fixture) {
   BOOST_TEST(first.Last<Offer>(kOffer).items == 0U);
   BOOST_TEST(first.Last<Offer>(kOffer).room == 100U);
--- a/tests/tier/proxy/metrics_test.cpp
+++ b/tests/tier/proxy/metrics_test.cpp
@@ -31,7 +31,8 @@
   figures.endpoint_connections = 1234;
   figures.batch = {2, 6.5, 5};
   figures.batch_room = 1;
-  figures.batch_runs = {7, 100, 90, 60, 5, 4, 3, 2, 1};
+  figures.batch_runs = {
+      7, 100, 90, 60, 5, 4, 3, 2, 1, 70, milliseconds(3500), 65, milliseconds(650)};
   BOOST_TEST(
       OwnText(figures) ==
       "# HELP shelflink_ready Whether GET /ready answers 200.\n"
@@ -109,7 +110,21 @@
       "shelflink_batch_runs_ended_total{outcome=\"impossible\"} 4\n"
       "shelflink_batch_runs_ended_total{outcome=\"interrupted\"} 3\n"
       "shelflink_batch_runs_ended_total{outcome=\"returned\"} 2\n"
-      "shelflink_batch_runs_ended_total{outcome=\"revoked\"} 1\n");
+      "shelflink_batch_runs_ended_total{outcome=\"revoked\"} 1\n"
+      "# HELP shelflink_batch_runs_begun_total Ended runs of batch items that had an event.\n"
+      "# TYPE shelflink_batch_runs_begun_total counter\n"
+      "shelflink_batch_runs_begun_total 70\n"
+      "# HELP shelflink_batch_first_event_wait_seconds_total Time from when these were handed out "
+      "until their first events.\n"
+      "# TYPE shelflink_batch_first_event_wait_seconds_total counter\n"
+      "shelflink_batch_first_event_wait_seconds_total 3.5\n"
+      "# HELP shelflink_batch_reports_taken_total Reports of ended runs that stores have taken.\n"
+      "# TYPE shelflink_batch_reports_taken_total counter\n"
+      "shelflink_batch_reports_taken_total 65\n"
+      "# HELP shelflink_batch_report_wait_seconds_total Time from the ends of these runs until "
+      "then.\n"
+      "# TYPE shelflink_batch_report_wait_seconds_total counter\n"
+      "shelflink_batch_report_wait_seconds_total 0.65\n");
 }
 
 BOOST_AUTO_TEST_CASE(what_is_not_known_is_left_out) {
