Variants: slots, endpoints, sizes and due times of batch jobs, tenants

Cause: variants of sites could change machines and bounds only; batch room depends on slots, endpoints, stores, jobs and tenants. Result: play_days_test.

--- a/tests/play_days_test.py
+++ b/tests/play_days_test.py
@@ -24,7 +24,9 @@
   { class = "front", zone = "south", count = 2, link_mbps = 50.0 },
   { class = "store", zone = "north", count = 2, link_mbps = 90.0, disk = { mb = 100, sync_ms = 3 } },
 ]
-services = [{ name = "s", servers = [{ zone = "north", count = 4 }, { zone = "south", count = 2 }] }]
+services = [{ name = "s", slots = 8, queue = 4, llm = { batch = 8 }, servers = [{ zone = "north", count = 4 }, { zone = "south", count = 2 }] }]
+contracts = ["base", "batch"]
+classes = [{ name = "live" }, { name = "late", lot = { run_aim_ms = 8000, items = { mean = 60.0, max = 150.0 } } }]
 traffic = [{ zone = "north", per_s = 5.0 }, { zone = "south", per_s = 7.0 }]
 [tolerate]
 machines = 1
@@ -105,8 +107,26 @@
         self.assertEqual(changed["machines"][3]["disk"], {"mb": 100, "sync_ms": 9})
         self.assertEqual(self.site["machines"][3]["disk"]["sync_ms"], 3)
 
+    def test_services_endpoints_and_lots_are_set(self):
+        edits = {"services": {"slots": 16, "llm": {"batch": 16}}, "endpoints": 9, "lots": {"items": {"mean": 15.0}}}
+        changed = sites.apply(self.site, variant(**edits))
+        service = changed["services"][0]
+        self.assertEqual((service["slots"], service["llm"], service["queue"]), (16, {"batch": 16}, 4))
+        self.assertEqual([server["count"] for server in service["servers"]], [5, 4])
+        self.assertEqual(changed["classes"][1]["lot"], {"run_aim_ms": 8000, "items": {"mean": 15.0, "max": 150.0}})
+        self.assertEqual(self.site["services"][0]["slots"], 8)
+
+    def test_tenants_come_and_go(self):
+        changed = sites.apply(self.site, variant(tenants=5))
+        self.assertEqual((changed["tenants"]["count"], changed["contracts"]), (5, ["base", "batch", "tenants"]))
+        gone = sites.apply(changed, variant(tenants=0))
+        self.assertEqual(("tenants" in gone, gone["contracts"]), (False, ["base", "batch"]))
+
     def test_edits_that_would_change_nothing_are_refused(self):
         for edits, text in (
+            ({"services": {"seats": 1}}, "services: seats: expected a field of such a service"),
+            ({"endpoints": 1}, "endpoints: 1: expected 2 or more, one a zone"),
+            ({"lots": {"due": 1}}, "lots: due: expected a field of such a lot"),
             ({"set": {"bounds.ack": 1}}, "set: bounds.ack: expected a value of the site file"),
             ({"set": {"bound.ack_ms": 1}}, "set: bound.ack_ms: expected a value of the site file"),
             ({"machines": {"shop": {}}}, "machines: shop: expected one of core, edge, store"),
--- a/tools/playdays/sites.py
+++ b/tools/playdays/sites.py
@@ -7,7 +7,11 @@
 
 from . import toml_writer
 
-VARIANT_KEYS = {"name", "base", "zones", "core_disks", "stores", "tolerance", "set", "machines"}
+VARIANT_KEYS = {
+    "name", "base", "zones", "core_disks", "stores", "tolerance", "set", "machines",
+    "endpoints", "services", "lots", "tenants",
+}
+TENANTS_CONTRACT = "tenants"
 FRONT = "front"
 STORE = "store"
 
@@ -138,16 +142,50 @@
     site["machines"] = changed
 
 
+def _edit_fields(table: dict, fields: dict, where: str, what: str) -> None:
+    """Sets fields that `table` has; a field that is a table itself is changed field by field."""
+    for name, value in fields.items():
+        if name not in table:
+            raise EditError(f"{where}: {name}: expected a field of such a {what}")
+        table[name] = {**table[name], **value} if isinstance(value, dict) else value
+
+
 def _edit_machines(site: dict, edits: dict) -> None:
-    """Sets fields of all machines of a group; `disk` is changed field by field."""
+    """Sets fields of all machines of a group."""
     for group, fields in edits.items():
         if group not in GROUPS:
             raise EditError(f"machines: {group}: expected one of {', '.join(GROUPS)}")
         for machine in filter(GROUPS[group], site["machines"]):
-            for name, value in fields.items():
-                if name not in machine:
-                    raise EditError(f"machines: {group}: {name}: expected a field of such a machine")
-                machine[name] = {**machine[name], **value} if isinstance(value, dict) else value
+            _edit_fields(machine, fields, f"machines: {group}", "machine")
+
+
+def _set_endpoints(site: dict, total: int) -> None:
+    """Deals `total` endpoints of each service over the zones that it has some in."""
+    for service in site["services"]:
+        servers = service["servers"]
+        if total < len(servers):
+            raise EditError(f"endpoints: {total}: expected {len(servers)} or more, one a zone")
+        for server, count in zip(servers, _deal(total, len(servers))):
+            server["count"] = count
+
+
+def _edit_lots(site: dict, fields: dict) -> None:
+    """Sets fields of the lots of all batch kinds of request."""
+    batch_kinds = [kind for kind in site.get("classes", []) if "lot" in kind]
+    if not batch_kinds:
+        raise EditError("lots: expected a site that has batch jobs")
+    for kind in batch_kinds:
+        _edit_fields(kind["lot"], fields, "lots", "lot")
+
+
+def _set_tenants(site: dict, count: int) -> None:
+    """Gives a site so many tenants without quotas on requests; 0: it has none."""
+    contracts = [name for name in site["contracts"] if name != TENANTS_CONTRACT]
+    site.pop("tenants", None)
+    if count:
+        contracts.append(TENANTS_CONTRACT)
+        site["tenants"] = {"count": count, "quota_x": 0.0}
+    site["contracts"] = contracts
 
 
 def apply(site: dict, variant: Variant) -> dict:
@@ -168,6 +206,14 @@
     for path, value in edits.get("set", {}).items():
         _set_path(result, path, value)
     _edit_machines(result, edits.get("machines", {}))
+    for service in result["services"]:
+        _edit_fields(service, edits.get("services", {}), "services", "service")
+    if "endpoints" in edits:
+        _set_endpoints(result, edits["endpoints"])
+    if "lots" in edits:
+        _edit_lots(result, edits["lots"])
+    if "tenants" in edits:
+        _set_tenants(result, edits["tenants"])
     return result
 
 
