--- a/tests/tier/tier_seeds/day.cpp
+++ b/tests/tier/tier_seeds/day.cpp
@@ -31,6 +31,10 @@
 constexpr milliseconds kOperatorsBegin{500};
 constexpr milliseconds kClientsBegin{2500};
 constexpr milliseconds kTroubleBegins{4000};
+// Before the end of all trouble, on days that close with a loss: from then on it may strike.
+constexpr milliseconds kClosingBegins{4000};
+// What other trouble there was has ended so long before that, besides the time to catch up.
+constexpr milliseconds kQuietBeforeClosing{500};
 // Since the end of all trouble.
 constexpr milliseconds kCalmChange{6000};
 constexpr milliseconds kCalmChangeDue{10000};
@@ -93,8 +97,7 @@
       clients_->Start(end);
       batch_->Start(trouble_ends, trouble_ends + kReadBack);
     });
-    At(net::Time() + kTroubleBegins, [this, trouble_ends] { troubles_->Start(trouble_ends); });
-    At(trouble_ends, [this] { troubles_->HealAll(); });
+    ScheduleTroubles(trouble_ends);
     At(trouble_ends + kCalmChange,
        [this, trouble_ends] { operators_.ChangeInCalm(trouble_ends + kCalmChangeDue); });
     At(trouble_ends + kCalmCount, [this] { clients_->CountFromNow(); });
@@ -116,6 +119,18 @@
  private:
   void At(net::Time at, std::function<void()> step) { net_.At(at, std::move(step)); }
 
+  void ScheduleTroubles(net::Time trouble_ends) {
+    At(trouble_ends, [this] { troubles_->HealAll(); });
+    net::Time others_end = trouble_ends;
+    if (deployment_.closes_with_loss) {
+      const net::Time closing = trouble_ends - kClosingBegins;
+      others_end = closing - kQuietBeforeClosing - deployment_.base.bounds.catch_up;
+      At(others_end, [this] { troubles_->HealAll(); });
+      At(closing, [this] { troubles_->CloseWithLoss(); });
+    }
+    At(net::Time() + kTroubleBegins, [this, others_end] { troubles_->Start(others_end); });
+  }
+
   void AddMachines() {
     for (std::size_t index = 0; index < deployment_.cores; ++index) {
       cores_.push_back(
@@ -184,6 +199,11 @@
         std::chrono::ceil<std::chrono::milliseconds>(deployment.trouble) +
         deployment.base.bounds.status;
   }
+  if (options.closes_with_loss) {
+    deployment.of_disks = false;
+    deployment.closes_with_loss = true;
+    deployment.trouble += kClosingBegins + kQuietBeforeClosing + deployment.base.bounds.catch_up;
+  }
   Day day(deployment, options.trace);
   try {
     day.Play();
--- a/tests/tier/tier_seeds/day.h
+++ b/tests/tier/tier_seeds/day.h
@@ -30,6 +30,9 @@
   // In place of what the seed draws: each core disk is full for a while, then all at once, then the
   // same of the stores; as long as that takes.
   bool fills_all_disks = false;
+  // At the end of the trouble, right after an acknowledgement where one comes in time: as many
+  // disks as the tolerance allows are lost, and all other machines lose power, proxies too.
+  bool closes_with_loss = false;
 };
 
 DayResult PlayDay(std::uint64_t seed, const DayOptions& options);
--- a/tests/tier/tier_seeds/deployment.h
+++ b/tests/tier/tier_seeds/deployment.h
@@ -38,6 +38,9 @@
   bool of_disks = false;
   // No other trouble than that each disk of the core is full, then all of them, and so the stores'.
   bool fills_all_disks = false;
+  // The trouble ends with a loss of as many disks as the tolerance allows, at the same moment as
+  // all other machines lose power.
+  bool closes_with_loss = false;
   net::Span trouble{};                           // How long there is trouble.
   std::chrono::milliseconds change_pause{1200};  // The longest between two of an operator's calls.
   net::Span calm{};                              // What the tier has for recovery after it.
--- a/tests/tier/tier_seeds/main.cpp
+++ b/tests/tier/tier_seeds/main.cpp
@@ -25,6 +25,7 @@
   std::uint64_t seed = 0;  // Above 0: this one alone.
   double length_s = 0;     // Above 0: how long there is trouble.
   bool fills_all_disks = false;
+  bool closes_with_loss = false;
   bool trace = false;
   bool counts = false;
   bool until_found = false;
@@ -46,6 +47,7 @@
   shelflink::tier_seeds::DayOptions options;
   options.trace = wanted.trace;
   options.fills_all_disks = wanted.fills_all_disks;
+  options.closes_with_loss = wanted.closes_with_loss;
   if (wanted.length_s > 0) {
     options.length =
         std::chrono::duration_cast<net::Span>(std::chrono::duration<double>(wanted.length_s));
@@ -138,6 +140,8 @@
                  "Seconds of trouble, with changes several a second; default: drawn from the seed");
   app.add_flag("--fill-all-disks", wanted.fills_all_disks,
                "Only this: each core disk full, then all at once, then the same of the stores");
+  app.add_flag("--close-with-loss", wanted.closes_with_loss,
+               "at the end disks are lost while all other machines lose power");
   app.add_flag("--trace", wanted.trace, "Print what happens");
   app.add_flag("--counts", wanted.counts, "Print what was played, and how often");
   app.add_flag("--losses", wanted.losses,
--- a/tests/tier/tier_seeds/mutants.cmake
+++ b/tests/tier/tier_seeds/mutants.cmake
@@ -1,6 +1,7 @@
 # One program a mutant (mutants.cmake of the folder above): a text of the product replaced, played until a day
 # finds something.
 set(mutant_seeds 60)
+set(mutant_options "")  # What days the seeds play, as options of tier_seeds.
 function(tier_seeds_mutant name file text replacement)
   tier_mutated_source(mutated ${name} ${file} "${text}" "${replacement}")
   add_executable(tier_seeds_mutant_${name} main.cpp ${mutated})
@@ -9,7 +10,8 @@
   tier_mutant_program(tier_seeds_mutant_${name})
   target_compile_options(tier_seeds_mutant_${name} PRIVATE $<$<CONFIG:Debug>:-O1>)
   add_test(NAME tier.seeds_mutant_${name}
-    COMMAND tier_seeds_mutant_${name} --until-found --from 1 --count ${mutant_seeds})
+    COMMAND tier_seeds_mutant_${name} --until-found --from 1 --count ${mutant_seeds}
+      ${mutant_options})
   set_tests_properties(tier.seeds_mutant_${name} PROPERTIES TIMEOUT 600)
 endfunction()
 
@@ -26,3 +28,11 @@
   [=[  if (!Fits(submit, owner, TokensOf(submit.items))) {]=] [=[  if (false) {]=] PkgConfig::GLIB)
 tier_seeds_mutant(drains_are_not_told cluster/view_codec.cpp
   [=[  entry.draining = reader.Bool();]=] [=[  entry.draining = reader.Bool() && false;]=])
+
+# What was acknowledged stands on too few disks: seen where disks are lost while all others lose power.
+set(mutant_options --close-with-loss)
+tier_seeds_mutant(told_before_it_is_synced coordination/replica.cpp
+  [=[  if (last_wanted_ <= last_synced_) {]=] [=[  if (last_wanted_ <= last_synced_ || true) {]=]
+  PkgConfig::GLIB)
+tier_seeds_mutant(acknowledged_by_the_primary_alone coordination/replica_primary.cpp
+  [=[    if (disk != options_.disk) limit_by(disk);]=] "" PkgConfig::GLIB)
--- a/tests/tier/tier_seeds/tier_seeds_test.cpp
+++ b/tests/tier/tier_seeds/tier_seeds_test.cpp
@@ -61,6 +61,19 @@
   }
 }
 
+// As many disks as the tolerance allows are lost, right after an acknowledgement, while all other
+// machines lose power: nothing that was acknowledged is lost with them.
+BOOST_AUTO_TEST_CASE(a_day_that_closes_with_lost_disks_and_power) {
+  DayOptions options;
+  options.closes_with_loss = true;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    const DayResult day = PlayDay(seed, options);
+    for (const Finding& finding : day.findings) BOOST_ERROR(seed << ": " << TextOf(finding));
+    BOOST_TEST(day.counts.at("days that close with a loss") == 1U);
+    BOOST_TEST(day.counts.at("disks lost while all others lose power") == day.deployment.failures);
+  }
+}
+
 // Within a few of them each kind of their troubles is played.
 BOOST_AUTO_TEST_CASE(days_of_disks_hold_all_of_their_troubles) {
   std::map<std::string, std::uint64_t> counts;
--- a/tests/tier/tier_seeds/troubles.cpp
+++ b/tests/tier/tier_seeds/troubles.cpp
@@ -13,7 +13,10 @@
 constexpr milliseconds kRestartTakes{300};
 constexpr milliseconds kLooksAgain{100};
 constexpr milliseconds kUsualSync{4};
-constexpr double kStrikeShare = 0.15;  // Of all acknowledgements.
+constexpr double kStrikeShare = 0.15;        // Of all acknowledgements.
+constexpr milliseconds kClosingWaits{2000};  // For an acknowledgement.
+constexpr double kPrimaryLostShare =
+    0.7;  // Of the losses that close a day: the primary's disk too.
 // Of the days: disks are full one after the other, and little else befalls what counts.
 constexpr double kDisksInTurnShare = 0.3;
 constexpr double kCountedShareInTurn = 0.15;  // Of the usual troubles of what counts, on such days.
@@ -60,6 +63,7 @@
   until_ = until;
   if (deployment_.fills_all_disks) return FillEachThenAll();
   parts_.operators.on_acknowledged = [this] {
+    if (closing_) return StrikeAll();
     if (net_.Now() < until_ && random_.Chance(kStrikeShare)) TroubleAtAcknowledgement();
   };
   disks_in_turn_ = random_.Chance(kDisksInTurnShare) && !deployment_.of_disks;
@@ -167,6 +171,37 @@
   }
 }
 
+void Troubles::CloseWithLoss() {
+  closing_ = true;
+  net_.At(net_.Now() + kClosingWaits, [this] {
+    if (closing_) StrikeAll();
+  });
+}
+
+void Troubles::StrikeAll() {
+  closing_ = false;
+  std::vector<Machine*> counted = Counted();
+  std::vector<Machine*> lost;
+  for (auto& core : parts_.cores) {
+    const bool leads = core->up() && core->is_primary();
+    if (leads && random_.Chance(kPrimaryLostShare)) lost.push_back(core.get());
+  }
+  while (lost.size() < deployment_.failures) {
+    Machine* machine = counted[random_.Below(counted.size())];
+    if (std::find(lost.begin(), lost.end(), machine) == lost.end()) lost.push_back(machine);
+  }
+  journal_.Count("days that close with a loss");
+  for (Machine* machine : AllMachines()) {
+    const bool loses_disk = std::find(lost.begin(), lost.end(), machine) != lost.end();
+    if (loses_disk) journal_.Count("disks lost while all others lose power");
+    const net::Span span = Between(100, 1000);
+    KillFor(
+        *machine, span, loses_disk ? "loses its disk" : "loses power with all",
+        [&] { loses_disk ? machine->Wipe() : machine->LosePower(KeptWrites(*machine)); },
+        TroubleReach::kMostOfCore);
+  }
+}
+
 std::size_t Troubles::KeptWrites(const Machine& machine) {
   return random_.Chance(0.5) ? 0 : random_.Below(machine.unsynced() + 1);
 }
--- a/tests/tier/tier_seeds/troubles.h
+++ b/tests/tier/tier_seeds/troubles.h
@@ -44,6 +44,9 @@
   void Start(net::Time until);
   // Ends all that still goes on; every machine runs afterwards.
   void HealAll();
+  // After the next acknowledgement, or soon where none comes: as many disks as the tolerance allows
+  // are lost, and all other machines lose power at the same moment. Nothing else may be lost then.
+  void CloseWithLoss();
 
  private:
   using Step = std::function<void()>;
@@ -59,6 +62,7 @@
   // Just after a configuration was acknowledged: what the primary alone held would be gone.
   void TroubleAtAcknowledgement();
   void TroubleAll();
+  void StrikeAll();
   void TroubleProxy();
   void TroubleEndpoint();
   void TroublePlatform();
@@ -153,6 +157,7 @@
   std::set<const Machine*> retiring_;
   std::size_t filled_cores_ = 0;  // Of a day that fills all disks; one more than there are: all.
   std::size_t filled_stores_ = 0;
+  bool closing_ = false;  // The loss that closes the day strikes at the next acknowledgement.
   std::uint64_t numbers_ = 0;
   net::Time until_{};
   std::map<std::uint64_t, Step> heals_;
