Tests: one step loop for storages, one way to submit jobs to a tier of stores

Cause: the measuring program had the storage tests' loop a second time, and four cases of store_test began with the same five lines. Change: storage/step_loop.h, SubmitJobs. Result: store_test and storage_test pass, nothing asserted differs.

--- a/tests/tier/batch/store_test.cpp
+++ b/tests/tier/batch/store_test.cpp
@@ -14,6 +14,14 @@
   BOOST_TEST(broken.empty());
 }
 
+// Once the stores have begun: `jobs` of them, named job-0 and on, with so many items each.
+void SubmitJobs(StoreWorld& world, Clients& clients, int jobs, int items) {
+  world.RunFor(seconds(1));
+  for (int number = 0; number < jobs; ++number) {
+    clients.SubmitJob("job-" + std::to_string(number), items, "a");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_job_is_accepted_run_and_read) {
   StoreWorld world(1, 3);
   Clients clients(world);
@@ -78,10 +86,7 @@
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     StoreWorld world(seed, 3);
     Clients clients(world);
-    world.RunFor(seconds(1));
-    for (int number = 0; number < 5; ++number) {
-      clients.SubmitJob("job-" + std::to_string(number), 3, "a");
-    }
+    SubmitJobs(world, clients, 5, 3);
     while (!clients.AllAcknowledged()) world.RunFor(milliseconds(1));
     world.RunFor(milliseconds(5));
     const auto primary = world.StoreAt(world.RowOf(world.promises.at("job-0").submit.job).primary);
@@ -161,10 +166,7 @@
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     StoreWorld world(seed, 3);
     Clients clients(world);
-    world.RunFor(seconds(1));
-    for (int number = 0; number < 5; ++number) {
-      clients.SubmitJob("job-" + std::to_string(number), 3, "a");
-    }
+    SubmitJobs(world, clients, 5, 3);
     while (!clients.AllAcknowledged()) world.RunFor(milliseconds(1));
     world.RunFor(milliseconds(world.Draw(2000)));
     const auto wiped = static_cast<std::uint32_t>(world.Draw(3));
@@ -180,10 +182,7 @@
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     StoreWorld world(seed, 4);
     Clients clients(world);
-    world.RunFor(seconds(1));
-    for (int number = 0; number < 5; ++number) {
-      clients.SubmitJob("job-" + std::to_string(number), 4, "a");
-    }
+    SubmitJobs(world, clients, 5, 4);
     world.RunFor(milliseconds(500));
     const auto retired = world.StoreAt(world.RowOf(world.promises.at("job-0").submit.job).primary);
     world.machines[*retired]->retiring = true;
@@ -203,10 +202,7 @@
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
     StoreWorld world(seed, 3);
     Clients clients(world);
-    world.RunFor(seconds(1));
-    for (int number = 0; number < 8; ++number) {
-      clients.SubmitJob("job-" + std::to_string(number), 10, "a");
-    }
+    SubmitJobs(world, clients, 8, 10);
     world.RunFor(milliseconds(400));
     for (int number = 0; number < 4; ++number) clients.End("job-" + std::to_string(number));
     CheckAllDone(world, clients);
--- a/tests/tier/measure/file_recoveries.cpp
+++ b/tests/tier/measure/file_recoveries.cpp
@@ -5,7 +5,6 @@
 #include <chrono>
 #include <csignal>
 #include <cstdio>
-#include <deque>
 #include <filesystem>
 #include <memory>
 #include <stdexcept>
@@ -14,6 +13,7 @@
 
 #include "measure/samples.h"
 #include "measure/tables.h"
+#include "storage/step_loop.h"
 #include "tier/coordination/group.h"
 #include "tier/storage/lmdb_storage.h"
 
@@ -22,6 +22,7 @@
 
 using storage::Batch;
 using storage::LmdbStorage;
+using storage::StepLoop;
 
 constexpr std::size_t kMegabyte = 1U << 20;
 constexpr std::size_t kValue = 64U << 10;
@@ -42,31 +43,6 @@
                                           {"store", 305, 100},
                                           {"store", 305, 305}}};
 
-// Runs what is posted when told.
-class PostedSteps : public net::Loop {
- public:
-  net::Time Now() const override { return {}; }
-  std::int64_t WallMicros() const override { return 0; }
-  std::int64_t LastingMicros() const override { return 0; }
-  net::TimerPtr NewTimer(std::function<void()>) override { return nullptr; }
-  void Post(std::function<void()> step) override { steps_.push_back(std::move(step)); }
-  net::StreamPtr Dial(const net::Address&, net::StreamUser&) override { return nullptr; }
-  net::ListenerPtr Listen(const net::Address&) override { return nullptr; }
-  net::DatagramsPtr Bind(const net::Address&, net::Datagrams::OnMessage) override {
-    return nullptr;
-  }
-  void Run() {
-    while (!steps_.empty()) {
-      const auto step = std::move(steps_.front());
-      steps_.pop_front();
-      step();
-    }
-  }
-
- private:
-  std::deque<std::function<void()>> steps_;
-};
-
 class NewFolder {
  public:
   NewFolder() {
@@ -103,7 +79,7 @@
   rlimit before_{};
 };
 
-bool Store(PostedSteps& loop, LmdbStorage& storage, const Batch& batch) {
+bool Store(StepLoop& loop, LmdbStorage& storage, const Batch& batch) {
   bool stored = false;
   storage.Apply(batch);
   storage.Sync([&](const Result<void>& result) { stored = result.has_value(); });
@@ -112,7 +88,7 @@
 }
 
 // Up to what a group leaves free.
-std::size_t Fill(PostedSteps& loop, LmdbStorage& storage, std::size_t megabytes) {
+std::size_t Fill(StepLoop& loop, LmdbStorage& storage, std::size_t megabytes) {
   std::size_t held = 0;
   while (held < megabytes * kMegabyte) {
     const storage::Usage usage = storage.usage();
@@ -134,7 +110,7 @@
 
 void PrintRow(const FileSize& size) {
   const NewFolder folder;
-  PostedSteps loop;
+  StepLoop loop;
   LmdbStorage::Options options;
   options.folder = folder.core();
   options.bytes_limit = size.map * kMegabyte;
