Proxy: readiness is told with each heartbeat, not by events alone

Line: TellReady is called from view and contact events only. Change: TellLoads, which runs each heartbeat, tells it too.

--- a/src/tier/proxy/program.cpp
+++ b/src/tier/proxy/program.cpp
@@ -221,6 +221,7 @@
     for (auto& [service, fresh] : loaded) {
       if (!std::exchange(fresh, false)) agent.SetLoad(service, 0, 0);
     }
+    TellReady();  // The age of a list passes its bound, or becomes known, without an event.
     load_timer->ArmAt(loop.Now() + settings.heartbeat);
   }
 
--- a/tests/tier/proxy/stale_list_excuses_test.cpp
+++ b/tests/tier/proxy/stale_list_excuses_test.cpp
@@ -35,6 +35,14 @@
   scene.rig.Run(seconds(5));
 }
 
+// Whether the list of members that the proxy holds calls it ready, as others see it.
+bool IsTellingReady(const Proxy& proxy) {
+  const std::vector<shelflink::cluster::Member>& all = proxy.program->view().members->all;
+  return std::any_of(all.begin(), all.end(), [&](const shelflink::cluster::Member& member) {
+    return member.address.V4Host() == proxy.host && member.ready;
+  });
+}
+
 }  // namespace
 
 // Each answer comes within the time for which it is waited for, so that no call fails; a walk of
@@ -177,6 +185,17 @@
   }
 }
 
+// What it then reads may be the very list that it had: no other event tells of it.
+BOOST_AUTO_TEST_CASE(a_proxy_whose_first_list_turns_out_fresh_tells_that_it_is_ready) {
+  Scene scene;
+  StartWithoutCore(scene, 40);
+  scene.rig.Run(kDrain);
+  scene.rig.Elect(1);
+  scene.rig.Run(seconds(4));
+  BOOST_TEST(scene.proxies.back()->program->ready());
+  BOOST_TEST(IsTellingReady(*scene.proxies.back()));
+}
+
 BOOST_AUTO_TEST_CASE(requests_go_by_an_old_first_list_while_the_platform_does_not_answer) {
   Scene scene;
   StartWithoutCore(scene, 40);
