--- a/src/tier/configuration/book.cpp
+++ b/src/tier/configuration/book.cpp
@@ -81,6 +81,11 @@
 
 Error Invalid(const Findings& findings) { return {ErrorCode::kInvalid, TextOf(findings)}; }
 
+Error TooLarge(std::size_t bytes, std::size_t most_bytes) {
+  return {ErrorCode::kTooLarge, "document: expected at most " + std::to_string(most_bytes) +
+                                    " bytes, found " + std::to_string(bytes)};
+}
+
 std::vector<Write> WritesOf(const Contents& committed, std::uint64_t version, std::string document,
                             std::string digest) {
   std::vector<Write> writes = ForgetOldOrders(committed);
@@ -103,6 +108,12 @@
 }
 
 Result<std::vector<Write>> PlanChange(const Contents& committed, const ChangeOrder& order) {
+  DocumentReader reader;
+  return PlanChange(committed, order, reader);
+}
+
+Result<std::vector<Write>> PlanChange(const Contents& committed, const ChangeOrder& order,
+                                      DocumentReader& reader, std::size_t most_bytes) {
   const StoredConfiguration current =
       CurrentConfiguration(committed).value_or(StoredConfiguration{});
   Findings findings;
@@ -127,7 +138,9 @@
     document = ApplyPatch(current.document, order.body, findings);
   }
   if (!document) return Invalid(findings);
-  const auto parsed = Parse(*document);
+  if (document->size() > most_bytes) return TooLarge(document->size(), most_bytes);
+  // The order has been read whole, for its version, and so had what it changes.
+  const auto parsed = reader.Read(*document);
   if (!parsed) {
     findings.insert(findings.end(), parsed.error().begin(), parsed.error().end());
   }
--- a/src/tier/configuration/book.h
+++ b/src/tier/configuration/book.h
@@ -15,6 +15,7 @@
 #include <string_view>
 #include <vector>
 
+#include "tier/configuration/document_reader.h"
 #include "tier/coordination/replicator.h"
 #include "tier/foundation/result.h"
 
@@ -39,9 +40,18 @@
   std::string body;                // JSON.
 };
 
+constexpr std::size_t kLargestDocument = 16U << 20;  // Bytes, where nothing smaller is asked for.
+
 // The writes that take the order. None: it has been taken before and is acknowledged again.
 // Errors: kInvalid (every finding in its text), kConflict (another version is in force and this
-// order was never taken), kUnknown (it may have been taken so long ago that its digest is gone).
+// order was never taken), kUnknown (it may have been taken so long ago that its digest is gone),
+// kTooLarge (the document would be longer than `most_bytes`).
+// The outcome does not depend on what `reader` has read before.
+Result<std::vector<coordination::Write>> PlanChange(const coordination::Contents& committed,
+                                                    const ChangeOrder& order,
+                                                    DocumentReader& reader,
+                                                    std::size_t most_bytes = kLargestDocument);
+// The same, of a reader that has read nothing.
 Result<std::vector<coordination::Write>> PlanChange(const coordination::Contents& committed,
                                                     const ChangeOrder& order);
 
--- a/src/tier/configuration/json.cpp
+++ b/src/tier/configuration/json.cpp
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace shelflink::json {
@@ -53,6 +54,54 @@
   return tree;
 }
 
+// The byte behind the string whose opening quote stands at `at`.
+std::size_t EndOfString(std::string_view text, std::size_t at) {
+  for (++at; at < text.size() && text[at] != '"'; ++at) {
+    if (text[at] == '\\') ++at;
+  }
+  return std::min(at + 1, text.size());
+}
+
+bool EndsScalar(char letter) {
+  return letter == ',' || letter == ']' || letter == '}' ||
+         static_cast<unsigned char>(letter) <= ' ';
+}
+
+// The byte behind the value that starts at `at`; its text is known to be JSON, so brackets match.
+std::size_t EndOfValue(std::string_view text, std::size_t at) {
+  std::size_t depth = 0;
+  while (at < text.size()) {
+    const char letter = text[at];
+    if (letter == '"') {
+      at = EndOfString(text, at);
+    } else if (letter == '{' || letter == '[') {
+      ++depth;
+      ++at;
+    } else if (depth > 0 && (letter == '}' || letter == ']')) {
+      --depth;
+      ++at;
+    } else if (depth > 0) {
+      ++at;
+    } else {
+      while (at < text.size() && !EndsScalar(text[at])) ++at;
+    }
+    if (depth == 0) return at;
+  }
+  return at;
+}
+
+// The string between quotes, its escapes resolved; none: it is no string.
+std::optional<std::string> TextOfString(std::string_view quoted) {
+  if (quoted.size() < 2 || quoted.front() != '"') return std::nullopt;
+  if (quoted.find('\\') == std::string_view::npos) {
+    return std::string(quoted.substr(1, quoted.size() - 2));
+  }
+  std::size_t end = 0;
+  const Tree tree = ReadValue(quoted, 0, end);
+  if (!cJSON_IsString(tree.get())) return std::nullopt;
+  return tree->valuestring;
+}
+
 // Walks the members or items between `open` and `close`.
 std::optional<std::vector<Part>> PartsOf(std::string_view text, char open, char close, bool named) {
   std::size_t at = SkipWhiteSpace(text, 0);
@@ -61,16 +110,17 @@
   at = SkipWhiteSpace(text, at + 1);
   while (at < text.size() && text[at] != close) {
     Part part;
-    std::size_t end = at;
+    std::size_t end = EndOfValue(text, at);
     if (named) {
-      const Tree name = ReadValue(text, at, end);
-      if (name == nullptr || !cJSON_IsString(name.get())) return std::nullopt;
-      part.name = name->valuestring;
+      std::optional<std::string> name = TextOfString(text.substr(at, end - at));
+      if (!name) return std::nullopt;
+      part.name = std::move(*name);
       at = SkipWhiteSpace(text, end);
       if (at >= text.size() || text[at] != ':') return std::nullopt;
       at = SkipWhiteSpace(text, at + 1);
+      end = EndOfValue(text, at);
     }
-    if (ReadValue(text, at, end) == nullptr) return std::nullopt;
+    if (end == at) return std::nullopt;
     part.value = text.substr(at, end - at);
     parts.push_back(std::move(part));
     at = SkipWhiteSpace(text, end);
@@ -94,8 +144,8 @@
     findings.push_back({"document", "expected no NUL in a string"});
     return nullptr;
   }
-  if (CountSeparators(text) >= kMostValues) {
-    findings.push_back({"document", "expected at most " + std::to_string(kMostValues) + " values"});
+  if (HoldsTooManyValues(text)) {
+    findings.push_back(TooManyValues());
     return nullptr;
   }
   std::size_t end = 0;
@@ -120,6 +170,14 @@
   return PartsOf(array, '[', ']', false);
 }
 
+std::optional<std::string> StringOf(std::string_view value) { return TextOfString(value); }
+
+bool HoldsTooManyValues(std::string_view text) { return CountSeparators(text) >= kMostValues; }
+
+Finding TooManyValues() {
+  return {"document", "expected at most " + std::to_string(kMostValues) + " values"};
+}
+
 std::string Quoted(std::string_view text) {
   const Tree tree(cJSON_CreateString(std::string(text).c_str()));
   char* printed = cJSON_PrintUnformatted(tree.get());
--- a/src/tier/configuration/json.h
+++ b/src/tier/configuration/json.h
@@ -37,6 +37,13 @@
 std::optional<std::vector<Part>> MembersOf(std::string_view object);
 std::optional<std::vector<Part>> ItemsOf(std::string_view array);
 
+// A value that is a string, without its quotes; none: it is of another kind.
+std::optional<std::string> StringOf(std::string_view value);
+
+// The text holds kMostValues or more, as ReadWhole counts them.
+bool HoldsTooManyValues(std::string_view text);
+Finding TooManyValues();
+
 // A string as a JSON text, with its quotes.
 std::string Quoted(std::string_view text);
 
--- a/src/tier/configuration/lookup.cpp
+++ b/src/tier/configuration/lookup.cpp
@@ -1,22 +1,12 @@
 #include <algorithm>
-#include <functional>
-#include <unordered_map>
 #include <utility>
 
 #include "tier/configuration/model.h"
+#include "tier/foundation/text_map.h"
 
 namespace shelflink::configuration {
 namespace {
 
-struct TextHash {
-  using is_transparent = void;
-  std::size_t operator()(std::string_view text) const {
-    return std::hash<std::string_view>{}(text);
-  }
-};
-template <typename T>
-using TextMap = std::unordered_map<std::string, T, TextHash, std::equal_to<>>;
-
 char LowerCase(char letter) {
   return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
 }
--- a/src/tier/configuration/model.h
+++ b/src/tier/configuration/model.h
@@ -21,6 +21,7 @@
 struct SplitPart {
   std::string service;
   double weight = 1.0;
+  bool operator==(const SplitPart&) const = default;
 };
 
 struct Route {
@@ -40,17 +41,20 @@
   milliseconds run_aim{0};  // Batch: all results are due so long after the first send.
   milliseconds keep{0};     // Batch: an item may be given up so long after the first send.
   std::optional<std::uint64_t> max_queued_tokens;  // Batch, where the route tells it.
+  bool operator==(const Route&) const = default;
 };
 
 struct Engine {
   int slots = 0;
   std::uint64_t kv_tokens = 0;
+  bool operator==(const Engine&) const = default;
 };
 
 struct Autoscale {
   int min = 0;  // For each zone.
   int max = 0;
   milliseconds boot{0};
+  bool operator==(const Autoscale&) const = default;
 };
 
 struct Service {
@@ -59,6 +63,7 @@
   int max_conns = 0;  // Of each endpoint, from all callers together; 0: not told.
   std::optional<Engine> engine;
   std::optional<Autoscale> autoscale;
+  bool operator==(const Service&) const = default;
 };
 
 struct ClientLimits {
@@ -66,6 +71,7 @@
   std::size_t max_body_bytes = 4194304;
   milliseconds header_timeout{3000};
   milliseconds idle_timeout{15000};
+  bool operator==(const ClientLimits&) const = default;
 };
 
 struct Tenant {
@@ -73,6 +79,7 @@
   std::vector<std::string> api_keys;
   std::optional<int> priority;
   std::optional<std::uint64_t> max_queued_tokens;
+  bool operator==(const Tenant&) const = default;
 };
 
 struct Configuration {
@@ -98,10 +105,13 @@
   std::shared_ptr<const Lookup> lookup_;
 };
 
-// All findings together. Unknown fields are kept by the document and ignored here.
-BOOST_OUTCOME_V2_NAMESPACE::basic_result<Configuration, Findings,
-                                         BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>
-Parse(std::string_view json);
+using ParseResult =
+    BOOST_OUTCOME_V2_NAMESPACE::basic_result<Configuration, Findings,
+                                             BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
+
+// All findings together. Unknown fields are kept by the document and ignored here. Whoever reads
+// one document after the other uses document_reader.h.
+ParseResult Parse(std::string_view json);
 
 }  // namespace shelflink::configuration
 
--- a/src/tier/configuration/patch.cpp
+++ b/src/tier/configuration/patch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -22,11 +23,10 @@
 }
 
 // A text that is a string; none: it is something else or empty.
-std::optional<std::string> StringOf(std::string_view text) {
-  Findings ignored;
-  const json::Tree tree = json::ReadWhole(text, ignored);
-  if (!cJSON_IsString(tree.get()) || tree->valuestring[0] == '\0') return std::nullopt;
-  return tree->valuestring;
+std::optional<std::string> NameIn(std::string_view text) {
+  std::optional<std::string> name = json::StringOf(text);
+  if (name && name->empty()) return std::nullopt;
+  return name;
 }
 
 const Part* Named(const Parts& parts, std::string_view name) {
@@ -40,7 +40,7 @@
   const auto members = json::MembersOf(item);
   if (!members) return std::nullopt;
   const Part* name = Named(*members, "name");
-  return name == nullptr ? std::nullopt : StringOf(name->value);
+  return name == nullptr ? std::nullopt : NameIn(name->value);
 }
 
 struct Item {
@@ -48,30 +48,39 @@
   std::string_view text;
 };
 
-// One list of the document while it is changed.
-struct ItemList {
-  std::vector<Item> items;
-
-  void Remove(const std::set<std::string>& names) {
-    std::erase_if(items, [&](const Item& item) { return names.contains(item.name); });
+// One list of the document while it is changed. Of items that share a name the first is replaced.
+class ItemList {
+ public:
+  void Append(Item item) {
+    positions_.try_emplace(item.name, items_.size());
+    items_.push_back(std::move(item));
   }
-  void Put(Item added) {
-    const auto found = std::find_if(items.begin(), items.end(),
-                                    [&](const Item& item) { return item.name == added.name; });
-    if (found == items.end()) {
-      items.push_back(std::move(added));
+  void Remove(const std::set<std::string>& names) {
+    std::erase_if(items_, [&](const Item& item) { return names.contains(item.name); });
+    positions_.clear();
+    for (std::size_t i = 0; i < items_.size(); ++i) positions_.try_emplace(items_[i].name, i);
+  }
+  void Put(const Item& added) {
+    const auto found = positions_.find(added.name);
+    if (found == positions_.end()) {
+      Append(added);
     } else {
-      *found = std::move(added);
+      items_[found->second] = added;
     }
   }
+  const std::vector<Item>& items() const { return items_; }
   std::string Text() const {
     std::string text = "[";
-    for (const Item& item : items) {
+    for (const Item& item : items_) {
       if (text.size() > 1) text += ',';
       text += item.text;
     }
     return text + "]";
   }
+
+ private:
+  std::vector<Item> items_;
+  std::unordered_map<std::string, std::size_t> positions_;
 };
 
 std::optional<ItemList> ItemsWithNames(std::string_view text, const std::string& place,
@@ -86,7 +95,7 @@
     const std::string_view item = (*parts)[i].value;
     const std::optional<std::string> name = NameOfItem(item);
     if (name) {
-      list.items.push_back({*name, item});
+      list.Append({*name, item});
     } else {
       findings.push_back({ItemPlace(place, i), "expected an object with a name"});
     }
@@ -102,7 +111,7 @@
     return names;
   }
   for (std::size_t i = 0; i < parts->size(); ++i) {
-    std::optional<std::string> name = StringOf((*parts)[i].value);
+    std::optional<std::string> name = NameIn((*parts)[i].value);
     if (name) {
       names.insert(std::move(*name));
     } else {
@@ -133,7 +142,7 @@
     auto added = ItemsWithNames(items, "upsert." + list_name, findings_);
     if (!added) return;
     Edit(list_name, [&](ItemList& list) {
-      for (Item& item : added->items) list.Put(std::move(item));
+      for (const Item& item : added->items()) list.Put(item);
     });
   }
 
--- a/tests/tier/configuration/book_test.cpp
+++ b/tests/tier/configuration/book_test.cpp
@@ -130,6 +130,19 @@
   BOOST_TEST(error.find("routes[0].timeoutMs") != std::string::npos);
 }
 
+// With its size and the bound; what is in force stays.
+BOOST_AUTO_TEST_CASE(refuses_a_document_beyond_the_bound) {
+  DocumentReader reader;
+  const ChangeOrder order{ChangeMethod::kPut, 0, kSample};
+  const auto refused = PlanChange({}, order, reader, kSample.size() - 1);
+  BOOST_REQUIRE(!refused);
+  BOOST_TEST((refused.error().code == ErrorCode::kTooLarge));
+  BOOST_TEST(refused.error().text == "document: expected at most " +
+                                         std::to_string(kSample.size() - 1) + " bytes, found " +
+                                         std::to_string(kSample.size()));
+  BOOST_TEST(PlanChange({}, order, reader, kSample.size()).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_patch_adds_replaces_and_removes_by_name) {
   Contents contents;
   Submit(contents, Put(0, kSample));
