Transport: long frames are cut into parts, between which urgent ones go

Cause: a list of endpoints waited for the end of a document that had begun to leave (1 MB at 30 Mbit/s: 0.27 s a hop).

Change: a frame of more than 32 KB that is neither urgent nor of a slot leaves as parts; a list may go between any two. Protocol version 2. Hub::queued_bytes for whoever must not add to a long queue.

connection_test: AnUrgentFrameGoesBetweenThePartsOfALongOne, PartsThatMakeNoFrameEndTheConnection; two mutants.

--- a/src/tier/transport/connection.cpp
+++ b/src/tier/transport/connection.cpp
@@ -1,5 +1,6 @@
 #include "tier/transport/connection.h"
 
+#include <optional>
 #include <utility>
 
 namespace shelflink::transport {
@@ -31,7 +32,21 @@
   stream_->Receive();
 }
 
+// Of the others a long one is cut, so that what is urgent need not wait for its end.
 std::uint64_t Connection::Append(std::string frame, Delivery delivery) {
+  const bool may_be_cut = !delivery.urgent && delivery.slot == 0;
+  if (!may_be_cut || frame.size() <= kFrameHead + kLongestPart) {
+    return AppendWhole(std::move(frame), delivery);
+  }
+  std::optional<std::uint64_t> first;
+  for (std::string& part : CutIntoParts(frame)) {
+    const std::uint64_t place = AppendWhole(std::move(part), delivery);
+    first = first.value_or(place);
+  }
+  return *first;
+}
+
+std::uint64_t Connection::AppendWhole(std::string frame, Delivery delivery) {
   owner_.OnBytesQueued(frame.size());
   const Outbox::Put put = outbox_.Append(std::move(frame), delivery);
   if (put.replaced > 0) owner_.OnReplaced(put.replaced);
@@ -154,12 +169,26 @@
     Break(NameOf(FrameFault::kMalformed));  // Said twice.
   } else if (std::holds_alternative<PingFrame>(frame.value())) {
     Queue(EncodePong(), Expects::kNothing);
+  } else if (const auto* part = std::get_if<PartFrame>(&frame.value())) {
+    TakePart(*part);
   } else if (!std::holds_alternative<PongFrame>(frame.value())) {
     owner_.OnFrame(*this, frame.value());
   }
   return !closed();
 }
 
+void Connection::TakePart(const PartFrame& part) {
+  if (parts_.size() + part.bytes.size() > kLargestFrame) return Break(NameOf(FrameFault::kTooLong));
+  parts_.append(part.bytes);
+  if (!part.last) return;
+  const std::string payload = std::exchange(parts_, {});
+  const FrameResult whole = DecodeFrame(payload);
+  if (!whole || std::holds_alternative<PartFrame>(whole.value())) {
+    return Break(NameOf(FrameFault::kMalformed));
+  }
+  Take(payload);
+}
+
 void Connection::Greet(const Frame& frame) {
   const auto* hello = std::get_if<HelloFrame>(&frame);
   if (hello == nullptr) return Break(NameOf(FrameFault::kMalformed));
--- a/src/tier/transport/connection.h
+++ b/src/tier/transport/connection.h
@@ -67,7 +67,9 @@
   const PeerIdentity& peer() const { return peer_; }  // Once greeted.
   std::size_t queued() const { return outbox_.size(); }
   // Of a frame that is here in part some came since then.
-  bool Receives(net::Time since) const { return splitter_.held() > 0 && read_at_ >= since; }
+  bool Receives(net::Time since) const {
+    return (splitter_.held() > 0 || !parts_.empty()) && read_at_ >= since;
+  }
 
   // Whether the peer should be heard after this frame.
   enum class Expects { kNothing, kSignOfLife };
@@ -103,7 +105,9 @@
 
   void StartGreeting();
   std::uint64_t Append(std::string frame, Delivery delivery);
+  std::uint64_t AppendWhole(std::string frame, Delivery delivery);
   bool Take(std::string_view payload);
+  void TakePart(const PartFrame& part);
   void Greet(const Frame& frame);
   void Break(const char* cause);
 
@@ -122,6 +126,7 @@
   net::StreamPtr stream_;
   PeerIdentity peer_;
   FrameSplitter splitter_;
+  std::string parts_;    // Of a long payload, what has come.
   net::Time read_at_{};  // When the newest bytes came.
   Outbox outbox_;
   Silence silence_;
--- a/src/tier/transport/frames.cpp
+++ b/src/tier/transport/frames.cpp
@@ -19,6 +19,7 @@
   kFailure = 4,
   kPing = 5,
   kPong = 6,
+  kPart = 7,
 };
 
 std::uint64_t Number(Type type) { return static_cast<std::uint64_t>(type); }
@@ -149,6 +150,14 @@
   return Frame(std::move(failure));
 }
 
+FrameResult ReadPart(cbor::Reader& reader) {
+  PartFrame part;
+  part.last = reader.Bool();
+  part.bytes = reader.Bytes();
+  if (!reader.ok() || part.bytes.empty()) return FrameFault::kMalformed;
+  return Frame(part);
+}
+
 }  // namespace
 
 const char* NameOf(FrameFault fault) {
@@ -200,6 +209,23 @@
 std::string EncodePing() { return FramedType(Type::kPing); }
 std::string EncodePong() { return FramedType(Type::kPong); }
 
+std::string EncodePart(bool last, std::string_view bytes) {
+  cbor::Writer writer;
+  writer.Array(3).Uint(Number(Type::kPart)).Bool(last);
+  return FramedWithBody(writer, bytes);
+}
+
+std::vector<std::string> CutIntoParts(std::string_view frame) {
+  std::string_view left = frame.substr(kFrameHead);
+  std::vector<std::string> parts;
+  while (!left.empty()) {
+    const std::string_view bytes = left.substr(0, kLongestPart);
+    left.remove_prefix(bytes.size());
+    parts.push_back(EncodePart(left.empty(), bytes));
+  }
+  return parts;
+}
+
 FrameResult DecodeFrame(std::string_view payload) {
   cbor::Reader reader(payload);
   const std::size_t fields = reader.Array();
@@ -220,6 +246,8 @@
       return Frame(PingFrame{});
     case Type::kPong:
       return Frame(PongFrame{});
+    case Type::kPart:
+      return ReadPart(reader);
   }
   return FrameFault::kMalformed;
 }
--- a/src/tier/transport/frames.h
+++ b/src/tier/transport/frames.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "tier/transport/hub.h"
 
@@ -39,8 +40,13 @@
 };
 struct PingFrame {};
 struct PongFrame {};
+// A piece of the payload of a long frame, which others may go between; the last one completes it.
+struct PartFrame {
+  bool last = false;
+  std::string_view bytes;
+};
 using Frame = std::variant<HelloFrame, MessageFrame, CallFrame, AnswerFrame, FailureFrame,
-                           PingFrame, PongFrame>;
+                           PingFrame, PongFrame, PartFrame>;
 
 // Why a connection cannot go on.
 enum class FrameFault { kMalformed, kVersion, kTooLong };
@@ -53,6 +59,7 @@
 constexpr std::size_t kLongestName = 255;       // Of a node, a role or a zone.
 constexpr std::size_t kLongestErrorText = 512;  // Longer ones are cut.
 constexpr std::size_t kLargestBody = kLargestFrame - kMostEnvelope;
+constexpr std::size_t kLongestPart = 32768;  // Bytes of a payload in one part, at most.
 
 // Each makes one whole frame, its length included.
 std::string EncodeHello(const PeerIdentity& identity, std::uint64_t dial,
@@ -63,6 +70,10 @@
 std::string EncodeFailure(std::uint64_t call, const Error& error);
 std::string EncodePing();
 std::string EncodePong();
+std::string EncodePart(bool last, std::string_view bytes);
+
+// The whole frame as parts, in their order.
+std::vector<std::string> CutIntoParts(std::string_view frame);
 
 using FrameResult =
     BOOST_OUTCOME_V2_NAMESPACE::basic_result<Frame, FrameFault,
--- a/src/tier/transport/hub.cpp
+++ b/src/tier/transport/hub.cpp
@@ -299,4 +299,6 @@
 
 const Hub::Counters& Hub::counters() const { return impl_->counters; }
 
+std::size_t Hub::queued_bytes() const { return impl_->queued_in_all; }
+
 }  // namespace shelflink::transport
--- a/src/tier/transport/hub.h
+++ b/src/tier/transport/hub.h
@@ -5,6 +5,7 @@
 // something was owed (pings at hub level). A message is delivered once or lost, never twice and,
 // between the same two processes within one connection, in order; after a loss the sender of a Call
 // learns kUnknown, the sender of a Send nothing. So whoever sends repeats, and receivers guard.
+// Long messages are cut, so that urgent ones need not wait for their end.
 // That order holds save for urgent messages, which overtake, and for messages of a slot, of which
 // only the newest is of use (transport/delivery.h).
 // Messages go on the oldest connection with the peer, whoever dialled it. Of several that one
@@ -30,7 +31,7 @@
 
 namespace shelflink::transport {
 
-constexpr std::uint64_t kProtocolVersion = 1;
+constexpr std::uint64_t kProtocolVersion = 2;
 constexpr std::size_t kLargestFrame = 48U << 20;
 constexpr std::size_t kMostQueued = 64U << 20;
 constexpr std::size_t kMostQueuedInAll = 96U << 20;
@@ -101,6 +102,8 @@
     std::uint64_t drop_lines = 0;
   };
   const Counters& counters() const;
+  // Of all messages that wait to be written, whoever they are for.
+  std::size_t queued_bytes() const;
 
  private:
   struct Impl;
--- a/tests/tier/transport/connection_test.cpp
+++ b/tests/tier/transport/connection_test.cpp
@@ -72,7 +72,10 @@
 
 struct Owner : ConnectionOwner {
   void OnGreeted(Connection&) override { ++greeted; }
-  void OnFrame(Connection&, const Frame&) override { ++frames; }
+  void OnFrame(Connection&, const Frame& frame) override {
+    ++frames;
+    if (const auto* message = std::get_if<MessageFrame>(&frame)) bodies.emplace_back(message->body);
+  }
   void OnBroken(Connection& connection, const char* cause) override {
     causes.emplace_back(cause);
     connection.Close();
@@ -87,6 +90,7 @@
   int greeted = 0, frames = 0, queued = 0;
   std::size_t bytes_queued = 0, bytes_written = 0;
   std::vector<std::string> causes;
+  std::vector<std::string> bodies;  // Of messages.
 };
 
 const net::Address kPeer = net::Address::V4(0x0a000002, 7000);
@@ -151,6 +155,63 @@
   BOOST_TEST((loop.stream->taken == std::string(300, 'y')));
 }
 
+// A list of endpoints need not wait for the end of a document that has begun to leave.
+BOOST_AUTO_TEST_CASE(AnUrgentFrameGoesBetweenThePartsOfALongOne) {
+  const std::string body(10 * kLongestPart, 'd');
+  const std::uint64_t place =
+      connection.Queue(EncodeMessage(201, body), Connection::Expects::kSignOfLife);
+  loop.stream->answers = {{100}};
+  connection.Flush();
+  BOOST_TEST(connection.MayHaveLeft(place));
+  const std::string list = EncodeMessage(202, "a list");
+  connection.Queue(list, Connection::Expects::kSignOfLife, {.urgent = true});
+  loop.stream->user->OnWritable();
+  const std::size_t at = loop.stream->taken.find(list);
+  BOOST_REQUIRE(at != std::string::npos);
+  BOOST_TEST(at <= OutboxLane::kChunk);
+  BOOST_TEST(owner.bytes_queued - owner.bytes_written == connection.queued());
+
+  FakeLoop other_loop;
+  Owner other_owner;
+  Connection reader{2, other_loop, other_owner, self, {milliseconds(1000), milliseconds(1000)}};
+  reader.Dial(kPeer, 1);
+  other_loop.stream->user->OnConnected(net::Fault::kNone);
+  other_loop.stream->user->OnBytes(EncodeHello({"peer", "core", "zone", kPeer, 2}, 0));
+  const net::Time before = other_loop.now;
+  const std::string_view bytes = loop.stream->taken;
+  constexpr std::size_t kPiece = 1000;
+  for (std::size_t from = 0; from < bytes.size(); from += kPiece) {
+    BOOST_TEST(reader.Receives(before) == (from > 0));
+    other_loop.stream->user->OnBytes(bytes.substr(from, kPiece));
+  }
+  BOOST_TEST(!reader.Receives(before));
+  BOOST_TEST((other_owner.bodies == std::vector<std::string>{"a list", body}));
+  BOOST_TEST(other_owner.causes.empty());
+}
+
+// One after the other: a part in a part, garbage, and more than a frame may hold.
+BOOST_AUTO_TEST_CASE(PartsThatMakeNoFrameEndTheConnection) {
+  const auto cause_of = [&](const std::vector<std::string>& parts) {
+    FakeLoop other_loop;
+    Owner other_owner;
+    Connection reader{2, other_loop, other_owner, self, {milliseconds(1000), milliseconds(1000)}};
+    reader.Dial(kPeer, 1);
+    other_loop.stream->user->OnConnected(net::Fault::kNone);
+    other_loop.stream->user->OnBytes(EncodeHello({"peer", "core", "zone", kPeer, 2}, 0));
+    for (const std::string& part : parts) {
+      if (other_owner.causes.empty()) other_loop.stream->user->OnBytes(part);
+    }
+    BOOST_TEST(other_owner.frames == 0);
+    return other_owner.causes.empty() ? std::string() : other_owner.causes.front();
+  };
+  const std::string inner = EncodePart(true, "x").substr(kFrameHead);
+  BOOST_TEST(cause_of({EncodePart(true, inner)}) == "malformed");
+  BOOST_TEST(cause_of({EncodePart(false, "gar"), EncodePart(true, "bage")}) == "malformed");
+  const std::string large = EncodePart(false, std::string(kLargestFrame / 2, 'x'));
+  BOOST_TEST(cause_of({large, large}).empty());
+  BOOST_TEST(cause_of({large, large, EncodePart(true, "x")}) == "too_long");
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsWrittenUntilThereIsRoom) {
   Queue(100);
   loop.stream->answers = {{60}};
--- a/tests/tier/transport/frames_test.cpp
+++ b/tests/tier/transport/frames_test.cpp
@@ -37,7 +37,8 @@
           EncodeAnswer(77, ""),
           EncodeFailure(78, MakeError(ErrorCode::kConflict, "another version is in place")),
           EncodePing(),
-          EncodePong()};
+          EncodePong(),
+          EncodePart(true, "the end of a payload")};
 }
 
 BOOST_AUTO_TEST_CASE(EachFrameComesBackAsItWas) {
@@ -78,6 +79,25 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(PartsAreThePayloadInOrder) {
+  for (const std::size_t size : {kLongestPart, kLongestPart + 1, 5 * kLongestPart - 3}) {
+    std::string body(size, '\0');
+    for (std::size_t at = 0; at < size; ++at) body[at] = static_cast<char>(at * 131 >> 3);
+    const std::string frame = EncodeAnswer(9, body);
+    const std::vector<std::string> parts = CutIntoParts(frame);
+    BOOST_TEST(parts.size() == (frame.size() - kFrameHead + kLongestPart - 1) / kLongestPart);
+    std::string payload;
+    for (const std::string& encoded : parts) {
+      const auto part = Decoded<PartFrame>(encoded);
+      BOOST_TEST(part.bytes.size() <= kLongestPart);
+      payload += part.bytes;
+      BOOST_TEST(part.last == (&encoded == &parts.back()));
+    }
+    BOOST_TEST((payload == PayloadOf(frame)));
+  }
+  BOOST_TEST(!DecodeFrame(PayloadOf(EncodePart(false, ""))).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(AnotherVersionIsToldApartFromGarbage) {
   const std::string frame = EncodeHello(kIdentity, 3, kProtocolVersion + 1);
   BOOST_CHECK(DecodeFrame(PayloadOf(frame)).error() == FrameFault::kVersion);
--- a/tests/tier/transport/mutants.cmake
+++ b/tests/tier/transport/mutants.cmake
@@ -21,3 +21,12 @@
   [=[Append(EncodeHello(self_, dial_), {});]=]
   TEST transport/connection_test RUN connection/NothingOvertakesTheGreeting
   LIBRARIES shelflink_tier_transport)
+tier_mutant(long_frames_leave_in_one_piece transport/connection.cpp
+  [=[  const bool may_be_cut = !delivery.urgent && delivery.slot == 0;]=]
+  [=[  const bool may_be_cut = false;]=]
+  TEST transport/connection_test RUN connection/AnUrgentFrameGoesBetweenThePartsOfALongOne
+  LIBRARIES shelflink_tier_transport)
+tier_mutant(parts_grow_without_a_bound transport/connection.cpp
+  [=[  if (parts_.size() + part.bytes.size() > kLargestFrame) return Break(NameOf(FrameFault::kTooLong));]=]
+  "" TEST transport/connection_test RUN connection/PartsThatMakeNoFrameEndTheConnection
+  LIBRARIES shelflink_tier_transport)
