Cluster: configurations travel as compressed steps, asked for where they are large

Cause: each change sent the whole document to each of 255 proxies; beyond some 1,500 routes the fetch from a parent took longer than its time-out, so that all asked the core, whose link then held up its own leases: with 2,000 routes the primary lost its lease 7 times in 7 s.

Change: ConfigurationHistory. Small steps are pushed, larger ones announced and asked for; a fetch tells what the asker has; a source that still sends is not silent; who returns waits for its parent; the core puts large answers off while 4 MB wait to leave.

--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -20,6 +20,8 @@
 #include "tier/cluster/usage_duty.h"
 #include "tier/cluster/view_codec.h"
 #include "tier/cluster/view_publisher.h"
+#include "tier/configuration/book.h"
+#include "tier/configuration/document_reader.h"
 #include "tier/foundation/log.h"
 
 namespace shelflink::cluster {
@@ -33,6 +35,9 @@
 constexpr milliseconds kMembersGapEach{1};  // and for each member.
 constexpr std::size_t kMembersAtFullRate = 200;
 constexpr milliseconds kLeaseTimerLate{50};
+// A document is held as text by the map, by what leads to it and by messages on their way, and
+// three times read: at most this part of a process's memory.
+constexpr std::uint64_t kDocumentPartOfMemory = 32;
 constexpr std::uint64_t kFirstEpoch = 1;  // Of the system: no primary was before it.
 constexpr const char* kModule = "cluster.core";
 
@@ -507,14 +512,14 @@
   void TakeConfiguration() {
     const auto current = configuration::CurrentConfiguration(replicator.contents());
     if (!current || (configuration && configuration->version >= current->version)) return;
-    Publish(Part::kConfiguration, {0, current->version}, std::string(current->document));
-    auto parsed = configuration::Parse(current->document);
+    auto parsed = documents.Read(current->document);
     if (!parsed) {
       log::Line(log::Level::kError, kModule,
                 "the configuration in force cannot be read: " + TextOf(parsed.error()));
       return;
     }
     configuration = std::make_shared<const configuration::Configuration>(std::move(parsed.value()));
+    publisher.Publish(configuration, Leads() ? tree.PushTargets() : std::vector<net::Address>());
     if (configuration_watcher) configuration_watcher(configuration);
   }
 
@@ -532,6 +537,22 @@
                       });
   }
 
+  // What no process of the tier could hold, beside what else it holds, is not taken.
+  std::size_t LargestDocument() const {
+    return std::min<std::size_t>(configuration::kLargestDocument,
+                                 (settings.limits.memory_mb << 20U) / kDocumentPartOfMemory);
+  }
+
+  void ChangeConfiguration(configuration::ChangeOrder order, ChangeDone done) {
+    replicator.Submit(
+        [this, alive = std::weak_ptr<char>(life),
+         order = std::move(order)](const Contents& committed) -> Result<Writes> {
+          if (alive.expired()) return MakeError(ErrorCode::kUnavailable, "ending");
+          return configuration::PlanChange(committed, order, documents, LargestDocument());
+        },
+        std::move(done));
+  }
+
   void Retire(const std::string& node, const RetireDone& done) {
     replicator.Submit(
         [this, alive = std::weak_ptr<char>(life),
@@ -578,6 +599,7 @@
   bool members_changed = false;
   net::Time members_published{};
   std::shared_ptr<const configuration::Configuration> configuration;
+  configuration::DocumentReader documents;
   std::function<void(const std::shared_ptr<const configuration::Configuration>&)>
       configuration_watcher;
   std::function<bool()> disk_refuses;  // Empty: it has no disk, or does not tell.
@@ -607,11 +629,7 @@
 std::optional<net::Address> CoreService::primary() const { return impl_->replicator.primary(); }
 
 void CoreService::ChangeConfiguration(configuration::ChangeOrder order, ChangeDone done) {
-  impl_->replicator.Submit(
-      [order = std::move(order)](const coordination::Contents& committed) {
-        return configuration::PlanChange(committed, order);
-      },
-      std::move(done));
+  impl_->ChangeConfiguration(std::move(order), std::move(done));
 }
 
 void CoreService::ReadConfiguration(DocumentDone done) {
--- a/src/tier/cluster/messages.cpp
+++ b/src/tier/cluster/messages.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "tier/cluster/configuration_history.h"
 #include "tier/cluster/field_codec.h"
 
 namespace shelflink::cluster {
@@ -209,10 +210,11 @@
 }
 
 Fetch ReadFetch(cbor::Reader& reader) {
-  const FieldsReader fields(reader, 2);
+  FieldsReader fields(reader, 2);
   Fetch message;
   message.part = ReadPart(reader);
   message.least = ReadVersion(reader);
+  if (fields.TakeAdded()) message.have = ReadVersion(reader);
   return message;
 }
 
@@ -247,10 +249,13 @@
 
 }  // namespace
 
-transport::Delivery DeliveryOf(Part part) {
+transport::Delivery DeliveryOf(const Push& push) {
   transport::Delivery delivery;
-  delivery.urgent = part == Part::kEndpoints;
-  delivery.slot = kFirstSlot + static_cast<std::uint32_t>(part);
+  const bool is_step =
+      push.part == Part::kConfiguration && push.body != ConfigurationHistory::Announcement();
+  if (is_step) return delivery;
+  delivery.urgent = push.part == Part::kEndpoints;
+  delivery.slot = kFirstSlot + static_cast<std::uint32_t>(push.part);
   return delivery;
 }
 
@@ -335,8 +340,9 @@
 
 std::string Encode(const Fetch& message) {
   cbor::Writer writer;
-  writer.Array(2).Uint(static_cast<std::uint64_t>(message.part));
+  writer.Array(3).Uint(static_cast<std::uint64_t>(message.part));
   cluster::Write(writer, message.least);
+  cluster::Write(writer, message.have);
   return writer.Take();
 }
 
--- a/src/tier/cluster/messages.h
+++ b/src/tier/cluster/messages.h
@@ -158,17 +158,19 @@
 struct Push {
   Part part = Part::kConfiguration;
   Version version;
-  std::string body;  // Configuration: its JSON; others: see view_codec.h.
+  std::string body;  // Configuration: see configuration_history.h; others: see view_codec.h.
   bool operator==(const Push&) const = default;
 };
 
-// Only the newest version of a part is of use. The list of endpoints overtakes the others, which
-// may be large: drains must bind within `drainMs`.
-transport::Delivery DeliveryOf(Part part);
+// Only the newest version of a part is of use, save that steps of the configuration lead on from
+// each other. The list of endpoints overtakes the others, which may be large: drains must bind
+// within `drainMs`.
+transport::Delivery DeliveryOf(const Push& push);
 
 struct Fetch {
   Part part = Part::kConfiguration;
-  Version least;  // An older one is of no use.
+  Version least;      // An older one is of no use.
+  Version have = {};  // What the asker has: of the configuration only what has changed since comes.
   bool operator==(const Fetch&) const = default;
 };
 
--- a/src/tier/cluster/view_codec.h
+++ b/src/tier/cluster/view_codec.h
@@ -1,4 +1,5 @@
-// The bodies of the parts of the view, as pushes carry them. The configuration travels as its JSON.
+// The bodies of the parts of the view, as pushes carry them. The configuration: see
+// configuration_history.h.
 #ifndef SHELFLINK_TIER_CLUSTER_VIEW_CODEC_H_
 #define SHELFLINK_TIER_CLUSTER_VIEW_CODEC_H_
 
--- a/src/tier/cluster/view_publisher.cpp
+++ b/src/tier/cluster/view_publisher.cpp
@@ -5,10 +5,24 @@
 void ViewPublisher::Publish(const Push& push, const std::vector<net::Address>& targets) {
   if (push.version <= versions_[push.part]) return;
   versions_[push.part] = push.version;
-  std::string& encoded = encoded_[static_cast<std::size_t>(push.part)];
-  encoded = Encode(push);
+  encoded_[static_cast<std::size_t>(push.part)] = Encode(push);
+  Send(push, targets);
+}
+
+void ViewPublisher::Publish(const ConfigurationHistory::Pointer& configuration,
+                            const std::vector<net::Address>& targets) {
+  const Version version{0, configuration->version};
+  if (version <= versions_[Part::kConfiguration]) return;
+  versions_[Part::kConfiguration] = version;
+  const std::uint64_t before = configuration_.version();
+  configuration_.Advance(configuration);
+  Send({Part::kConfiguration, version, configuration_.UpdateSince(before)}, targets);
+}
+
+void ViewPublisher::Send(const Push& push, const std::vector<net::Address>& targets) {
+  const std::string encoded = Encode(push);
   for (const net::Address& target : targets) {
-    hub_.Send(target, kPushKind, encoded, DeliveryOf(push.part));
+    hub_.Send(target, kPushKind, encoded, DeliveryOf(push));
   }
 }
 
@@ -19,7 +33,15 @@
   if (versions_[part] == Version() || versions_[part] < fetch.value().least) {
     return MakeError(ErrorCode::kNotFound, "no such version of the part here");
   }
-  return encoded_[static_cast<std::size_t>(part)];
+  std::string answer = encoded_[static_cast<std::size_t>(part)];
+  if (part == Part::kConfiguration) {
+    answer =
+        Encode(Push{part, versions_[part], configuration_.BodySince(fetch.value().have.count)});
+  }
+  if (answer.size() > kLargeAnswer && hub_.queued_bytes() + answer.size() > kMostWaiting) {
+    return MakeError(ErrorCode::kExhausted, "too much waits to leave this process");
+  }
+  return answer;
 }
 
 }  // namespace shelflink::cluster
--- a/src/tier/cluster/view_relay.cpp
+++ b/src/tier/cluster/view_relay.cpp
@@ -1,5 +1,6 @@
 #include "tier/cluster/view_relay.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "tier/foundation/log.h"
@@ -12,6 +13,8 @@
 
 constexpr milliseconds kFetchTimeout{400};       // From a parent; then the core is asked.
 constexpr milliseconds kCoreFetchTimeout{1000};  // From the core.
+constexpr milliseconds kLongestFetch{5000};      // However it grows.
+constexpr milliseconds kBusyPause{200};          // Then a busy source is asked again.
 constexpr milliseconds kPushGrace{40};           // What a renewal names as newer may be on its way.
 constexpr milliseconds kComingPause{
     100};  // Nothing more of a message for so long: it is not coming.
@@ -20,6 +23,10 @@
 constexpr Part kAllParts[] = {Part::kConfiguration, Part::kEndpoints, Part::kPlacement,
                               Part::kMembers};
 
+bool IsBusy(const Result<std::string>& body) {
+  return !body && body.error().code == ErrorCode::kExhausted;
+}
+
 }  // namespace
 
 ViewRelay::ViewRelay(net::Loop& loop, transport::Hub& hub, const CoreFinder& finder, User user)
@@ -59,26 +66,37 @@
                  SteadyMicros(loop_.Now()));
     return;
   }
-  Take(push.value());
+  Take(from.address, push.value());
 }
 
-void ViewRelay::Take(const Push& push) {
+void ViewRelay::Take(const net::Address& from, const Push& push) {
+  const Version before = store_.versions()[push.part];
   const Result<bool> taken = store_.Take(push);
+  if (!taken && taken.error().code == ErrorCode::kConflict) return AskForSteps(from, push);
   if (!taken) {
     log::Bounded(log::Level::kWarning, kModule, "part", taken.error().text,
                  SteadyMicros(loop_.Now()));
     return;
   }
   if (!taken.value()) return;
-  PassOn(push);
+  PassOn(push.part, before);
   user_.taken(push.part);
 }
 
-void ViewRelay::PassOn(const Push& push) {
+// It is newer than what is here, and more than what came is needed for it.
+void ViewRelay::AskForSteps(const net::Address& from, const Push& push) {
+  newest_[push.part] = std::max(newest_[push.part], push.version);
+  FetchFrom(from, push.part, kFetchTimeout, [this](const Result<std::string>& body) {
+    if (!body) repair_timer_->ArmAt(loop_.Now() + (IsBusy(body) ? kBusyPause : kPushGrace));
+  });
+}
+
+void ViewRelay::PassOn(Part part, const Version& before) {
   if (children_.empty()) return;
-  const std::string body = Encode(push);
+  const Push update = store_.UpdateOf(part, before);
+  const std::string body = Encode(update);
   for (const net::Address& child : children_) {
-    hub_.Send(child, kPushKind, body, DeliveryOf(push.part));
+    hub_.Send(child, kPushKind, body, DeliveryOf(update));
   }
 }
 
@@ -95,7 +113,7 @@
     reply(MakeError(ErrorCode::kNotFound, "no such version of the part here"));
     return;
   }
-  reply(Encode(store_.PushOf(part)));
+  reply(Encode(store_.PushOf(part, fetch.value().have)));
 }
 
 void ViewRelay::Repair(const PartVersions& newest) {
@@ -122,22 +140,10 @@
 void ViewRelay::FetchStale() {
   for (const Part part : kAllParts) {
     if (!IsStale(part)) continue;
-    if (IsComing(part)) {
-      repair_timer_->ArmAt(loop_.Now() + kPushGrace);
-    } else {
-      FetchPart(part);
-    }
+    FetchPart(part);
   }
 }
 
-// A document that is on its way is not asked for again, it may be large: whoever is to send it
-// sends something at this moment, which an answer would stand behind.
-bool ViewRelay::IsComing(Part part) const {
-  if (part != Part::kConfiguration) return false;
-  const std::optional<net::Address> source = FetchesFromParent() ? parent_ : finder_.primary();
-  return source && hub_.Receives(*source, kComingPause);
-}
-
 void ViewRelay::FetchPart(Part part) {
   if (FetchesFromParent()) {
     FetchFrom(*parent_, part, kFetchTimeout,
@@ -151,7 +157,9 @@
   const std::optional<net::Address> source = finder_.primary();
   if (!source) return;
   // The next renewal sees what is still missing.
-  FetchFrom(*source, part, kCoreFetchTimeout, [](const Result<std::string>&) {});
+  FetchFrom(*source, part, kCoreFetchTimeout, [this](const Result<std::string>& body) {
+    if (IsBusy(body)) repair_timer_->ArmAt(loop_.Now() + kBusyPause);
+  });
 }
 
 // A parent that has no such version is late as well; only a silent one is replaced.
@@ -165,29 +173,64 @@
   if (!late_too || !ComesByParent(part)) FetchFromCore(part);
 }
 
-// All of a zone would ask the core at once for a document that their parents are about to have.
-// One that was named by an earlier renewal already, with none newer taken since, is asked for.
+// All of a zone would ask the core at once for a document that their parents are about to have, or
+// to be told of. One that was named by an earlier renewal already, with none newer taken since, is
+// asked for.
 bool ViewRelay::ComesByParent(Part part) const {
-  if (part != Part::kConfiguration || !store_.Has(part)) return false;
+  if (part != Part::kConfiguration) return false;
   return moved_ || store_.versions()[part] >= named_before_[part];
 }
 
-// One at a time for each part. `after` is called once what came has been taken.
-void ViewRelay::FetchFrom(const net::Address& source, Part part, milliseconds timeout,
+// One at a time for each part. `after` is called once what came has been taken, or once the source
+// has sent nothing of it for `patience`: an answer that comes later is taken all the same.
+void ViewRelay::FetchFrom(const net::Address& source, Part part, milliseconds patience,
                           Fetched after) {
-  bool& under_way = fetching_[static_cast<std::size_t>(part)];
-  if (under_way) return;
-  under_way = true;
-  hub_.Call(source, kFetchKind, Encode(Fetch{part, newest_[part]}), timeout,
-            [this, alive = std::weak_ptr<char>(life_), part,
-             after = std::move(after)](const Result<std::string>& body) {
-              if (alive.expired()) return;
-              fetching_[static_cast<std::size_t>(part)] = false;
-              const Result<Push> push =
-                  body ? DecodePush(body.value()) : Result<Push>(body.error());
-              if (push) Take(push.value());
-              after(body);
+  FetchState& fetch = fetches_[static_cast<std::size_t>(part)];
+  if (fetch.source) {
+    fetch.asked_again = true;
+    return;
+  }
+  fetch.source = source;
+  fetch.asked_again = false;
+  fetch.after = std::move(after);
+  const std::uint64_t number = ++fetch.number;
+  if (!fetch.timer) fetch.timer = loop_.NewTimer([this, part] { OnPatienceEnds(part); });
+  fetch.timer->ArmAt(loop_.Now() + patience);
+  hub_.Call(source, kFetchKind, Encode(Fetch{part, newest_[part], store_.versions()[part]}),
+            kLongestFetch,
+            [this, alive = std::weak_ptr<char>(life_), source, part,
+             number](const Result<std::string>& body) {
+              if (!alive.expired()) OnFetched(source, part, number, body);
             });
 }
 
+void ViewRelay::OnFetched(const net::Address& source, Part part, std::uint64_t number,
+                          const Result<std::string>& body) {
+  const Result<Push> push = body ? DecodePush(body.value()) : Result<Push>(body.error());
+  if (push) Take(source, push.value());
+  const FetchState& fetch = fetches_[static_cast<std::size_t>(part)];
+  if (fetch.source && fetch.number == number) EndFetch(part, body);
+}
+
+// A large answer takes its time on a narrow link: its source is not silent while it grows.
+void ViewRelay::OnPatienceEnds(Part part) {
+  FetchState& fetch = fetches_[static_cast<std::size_t>(part)];
+  if (!fetch.source) return;
+  if (hub_.Receives(*fetch.source, kComingPause)) {
+    fetch.timer->ArmAt(loop_.Now() + kComingPause);
+    return;
+  }
+  EndFetch(part, MakeError(ErrorCode::kUnknown, "no answer in time"));
+}
+
+void ViewRelay::EndFetch(Part part, const Result<std::string>& outcome) {
+  FetchState& fetch = fetches_[static_cast<std::size_t>(part)];
+  fetch.timer->Cancel();
+  fetch.source.reset();
+  const Fetched after = std::exchange(fetch.after, nullptr);
+  after(outcome);
+  // Something newer was told of meanwhile.
+  if (fetch.asked_again && IsStale(part)) repair_timer_->ArmAt(loop_.Now());
+}
+
 }  // namespace shelflink::cluster
--- a/src/tier/cluster/view_relay.h
+++ b/src/tier/cluster/view_relay.h
@@ -52,21 +52,32 @@
 
  private:
   using Fetched = std::function<void(const Result<std::string>& body)>;
+  struct FetchState {
+    std::optional<net::Address> source;  // None: nothing is under way.
+    std::uint64_t number = 0;            // Of the fetches so far.
+    bool asked_again = false;            // While it was under way.
+    net::TimerPtr timer;
+    Fetched after;
+  };
 
   bool MayPush(const transport::PeerIdentity& from) const;
   void OnPush(const transport::PeerIdentity& from, std::string_view body);
-  void Take(const Push& push);
-  void PassOn(const Push& push);
+  void Take(const net::Address& from, const Push& push);
+  void AskForSteps(const net::Address& from, const Push& push);
+  void PassOn(Part part, const Version& before);
   void OnFetch(std::string_view body, const transport::Hub::Reply& reply) const;
   void FetchStale();
-  bool IsComing(Part part) const;
   bool FetchesFromParent() const { return parent_ && !parent_silent_; }
   bool ComesByParent(Part part) const;
   void FetchPart(Part part);
   void FetchFromCore(Part part);
   void AfterParent(Part part, const Result<std::string>& body);
-  void FetchFrom(const net::Address& source, Part part, std::chrono::milliseconds timeout,
+  void FetchFrom(const net::Address& source, Part part, std::chrono::milliseconds patience,
                  Fetched after);
+  void OnFetched(const net::Address& source, Part part, std::uint64_t number,
+                 const Result<std::string>& body);
+  void OnPatienceEnds(Part part);
+  void EndFetch(Part part, const Result<std::string>& outcome);
 
   net::Loop& loop_;
   transport::Hub& hub_;
@@ -81,7 +92,7 @@
   PartVersions named_before_;  // The same, by the renewal before.
   Version had_at_renewal_;     // Of the configuration, at the newest renewal;
   bool moved_ = false;         // whether it was newer than at the one before.
-  bool fetching_[kParts] = {};
+  FetchState fetches_[kParts];
   std::uint64_t pushes_refused_ = 0;
   std::shared_ptr<char> life_ = std::make_shared<char>();
 };
--- a/src/tier/cluster/view_store.cpp
+++ b/src/tier/cluster/view_store.cpp
@@ -9,14 +9,22 @@
   const Result<void> taken = TakeBody(push);
   if (!taken) return taken.error();
   versions_[push.part] = push.version;
-  bodies_[static_cast<std::size_t>(push.part)] = push.body;
+  if (push.part != Part::kConfiguration) bodies_[static_cast<std::size_t>(push.part)] = push.body;
   return true;
 }
 
-Push ViewStore::PushOf(Part part) const {
+Push ViewStore::PushOf(Part part, const Version& have) const {
+  if (part == Part::kConfiguration) {
+    return {part, versions_[part], configuration_.BodySince(have.count)};
+  }
   return {part, versions_[part], bodies_[static_cast<std::size_t>(part)]};
 }
 
+Push ViewStore::UpdateOf(Part part, const Version& before) const {
+  if (part != Part::kConfiguration) return PushOf(part, before);
+  return {part, versions_[part], configuration_.UpdateSince(before.count)};
+}
+
 Result<void> ViewStore::TakeBody(const Push& push) {
   switch (push.part) {
     case Part::kConfiguration:
@@ -32,14 +40,9 @@
 }
 
 Result<void> ViewStore::TakeConfiguration(const Push& push) {
-  auto parsed = configuration::Parse(push.body);
-  if (!parsed) return MakeError(ErrorCode::kInvalid, TextOf(parsed.error()));
-  if (parsed.value().version != push.version.count) {
-    return MakeError(ErrorCode::kInvalid, "the configuration is not of the version it came under");
-  }
-  view_.configuration =
-      std::make_shared<const configuration::Configuration>(std::move(parsed.value()));
-  return BOOST_OUTCOME_V2_NAMESPACE::success();
+  Result<void> taken = configuration_.Take(push.version.count, push.body);
+  if (taken) view_.configuration = configuration_.current();
+  return taken;
 }
 
 Result<void> ViewStore::TakeEndpoints(const Push& push) {
--- a/src/tier/cluster/view_store.h
+++ b/src/tier/cluster/view_store.h
@@ -5,6 +5,7 @@
 
 #include <string>
 
+#include "tier/cluster/configuration_history.h"
 #include "tier/cluster/messages.h"
 #include "tier/cluster/view.h"
 #include "tier/foundation/result.h"
@@ -13,13 +14,16 @@
 
 class ViewStore {
  public:
-  // Whether it was newer and has been taken; kInvalid where its body cannot be read.
+  // Whether it was newer and has been taken; kInvalid where its body cannot be read, kConflict
+  // where it leads on from a configuration that is not here.
   Result<bool> Take(const Push& push);
   const View& view() const { return view_; }
   const PartVersions& versions() const { return versions_; }
   bool Has(Part part) const { return versions_[part] != Version(); }
-  // As it came.
-  Push PushOf(Part part) const;
+  // For who has that version; of all parts but the configuration as it came.
+  Push PushOf(Part part, const Version& have) const;
+  // What is passed on down the relay tree by who had that version until now.
+  Push UpdateOf(Part part, const Version& before) const;
 
  private:
   Result<void> TakeConfiguration(const Push& push);
@@ -30,7 +34,8 @@
 
   View view_;
   PartVersions versions_;
-  std::string bodies_[kParts];
+  ConfigurationHistory configuration_;
+  std::string bodies_[kParts];  // Of all parts but the configuration.
 };
 
 }  // namespace shelflink::cluster
--- a/tests/tier/cluster/rig.h
+++ b/tests/tier/cluster/rig.h
@@ -17,6 +17,7 @@
 
 #include "net/virtual.h"
 #include "tier/cluster/agent.h"
+#include "tier/cluster/configuration_history.h"
 #include "tier/cluster/core_service.h"
 #include "tier/coordination/replicator.h"
 #include "tier/foundation/settings.h"
@@ -277,6 +278,14 @@
          R"("autoscale":{"min":2,"max":5,"bootS":4}}]})";
 }
 
+// How a process hears of that document from another one that has it, whatever itself has.
+inline std::string WholeBody(const std::string& document) {
+  auto parsed = configuration::Parse(document);
+  ConfigurationHistory history;
+  history.Advance(std::make_shared<const configuration::Configuration>(std::move(parsed.value())));
+  return history.BodySince(0);
+}
+
 inline ProcessSettings RigSettings(std::size_t cores) {
   ProcessSettings settings;
   settings.port_first = kFirstPort;
