Configuration: the document lies in the map in chunks, of which a change writes those that it touches

Cause: each change wrote the whole document as one value: 1 MB at 4,000 routes to each of four other replicas, into the tail and onto each disk, for the change of one tenant.

Change: document_store cuts the text where its contents say so (some 12 KB a chunk), so that chunks behind a change are the same again; a list names them in order. What an earlier program stored is read and replaced by the next change.

--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -640,7 +640,7 @@
     }
     const auto current = configuration::CurrentConfiguration(impl->replicator.contents());
     if (current) {
-      done(std::string(current->document));
+      done(current->document);
     } else {
       done(MakeError(ErrorCode::kNotFound, "no configuration has been taken yet"));
     }
--- a/src/tier/configuration/book.cpp
+++ b/src/tier/configuration/book.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <utility>
 
+#include "tier/configuration/document_store.h"
 #include "tier/configuration/model.h"
 #include "tier/configuration/patch.h"
 
@@ -86,10 +87,10 @@
                                     " bytes, found " + std::to_string(bytes)};
 }
 
-std::vector<Write> WritesOf(const Contents& committed, std::uint64_t version, std::string document,
-                            std::string digest) {
+std::vector<Write> WritesOf(const Contents& committed, std::uint64_t version,
+                            std::string_view document, std::string digest) {
   std::vector<Write> writes = ForgetOldOrders(committed);
-  writes.push_back({std::string(kDocumentKey), std::move(document)});
+  for (Write& write : WritesOfDocument(committed, document)) writes.push_back(std::move(write));
   writes.push_back({std::string(kVersionKey), std::to_string(version)});
   writes.push_back({TakenKey(version), std::move(digest)});
   return writes;
@@ -99,11 +100,11 @@
 
 std::optional<StoredConfiguration> CurrentConfiguration(const Contents& committed) {
   const auto version = committed.find(kVersionKey);
-  const auto document = committed.find(kDocumentKey);
-  if (version == committed.end() || document == committed.end()) return std::nullopt;
+  std::optional<std::string> document = StoredDocument(committed);
+  if (version == committed.end() || !document) return std::nullopt;
   StoredConfiguration current;
   current.version = NumberIn(version->second);
-  current.document = document->second;
+  current.document = std::move(*document);
   return current;
 }
 
@@ -145,7 +146,7 @@
     findings.insert(findings.end(), parsed.error().begin(), parsed.error().end());
   }
   if (!findings.empty()) return Invalid(findings);
-  return WritesOf(committed, *version, std::move(*document), std::move(digest));
+  return WritesOf(committed, *version, *document, std::move(digest));
 }
 
 }  // namespace shelflink::configuration
--- a/src/tier/configuration/book.h
+++ b/src/tier/configuration/book.h
@@ -1,7 +1,8 @@
 // The orders that change the configuration, as plans over the replicated map: pure functions of
 // what is committed and of the order.
 //
-// The map holds the document in force as the operator sent it, its version, and for the last
+// The map holds the document in force as the operator sent it (document_store.h), its version, and
+// for the last
 // kOrdersRemembered orders taken a digest each, so that an order whose acknowledgement was lost is
 // acknowledged again when it is repeated, also after later changes. Of orders older than these only
 // the highest version is kept: whether one of them was taken is no longer known, so it gets no
@@ -23,7 +24,6 @@
 
 // Keys in the replicated map; nobody else writes below kKeyPrefix.
 constexpr std::string_view kKeyPrefix = "config/";
-constexpr std::string_view kDocumentKey = "config/document";
 constexpr std::string_view kVersionKey = "config/version";
 constexpr std::string_view kTakenPrefix = "config/taken/";      // Then the version, 20 digits.
 constexpr std::string_view kForgottenKey = "config/forgotten";  // Highest version without digest.
@@ -58,7 +58,7 @@
 // What is in force.
 struct StoredConfiguration {
   std::uint64_t version = 0;
-  std::string_view document;  // Lies in the contents.
+  std::string document;
 };
 // None: no configuration has been taken yet.
 std::optional<StoredConfiguration> CurrentConfiguration(const coordination::Contents& committed);
--- a/tests/fuzz/tier_parsers.cpp
+++ b/tests/fuzz/tier_parsers.cpp
@@ -52,12 +52,19 @@
 void Plan(const coordination::Contents& contents, const configuration::ChangeOrder& order) {
   const auto writes = configuration::PlanChange(contents, order);
   if (!writes) return;
+  coordination::Contents after = contents;
   for (const coordination::Write& write : writes.value()) {
-    if (write.key != configuration::kDocumentKey || !write.value) continue;
-    const auto taken = configuration::Parse(*write.value);
-    if (!taken) throw Breach("a document that cannot be read was taken");
-    Use(taken.value());
+    if (write.value) {
+      after[write.key] = *write.value;
+    } else {
+      after.erase(write.key);
+    }
   }
+  const auto current = configuration::CurrentConfiguration(after);
+  if (!current) throw Breach("a document was taken and is not there");
+  const auto taken = configuration::Parse(current->document);
+  if (!taken) throw Breach("a document that cannot be read was taken");
+  Use(taken.value());
 }
 
 // Whoever can be read must be the same when it has been written and read once more.
--- a/tests/tier/configuration/book_test.cpp
+++ b/tests/tier/configuration/book_test.cpp
@@ -270,7 +270,7 @@
     BOOST_REQUIRE(plan);
     Apply(contents, plan.value());
   }
-  BOOST_TEST(contents.size() == kOrdersRemembered + 3);
+  BOOST_TEST(contents.size() == kOrdersRemembered + 4);
   std::size_t bytes = 0;
   for (const auto& [key, value] : contents) bytes += key.size() + value.size();
   BOOST_TEST(bytes < kOrdersRemembered * 100);
--- a/tests/tier/configuration/mutants.cmake
+++ b/tests/tier/configuration/mutants.cmake
@@ -26,3 +26,31 @@
 book_mutant(forgotten_orders_are_refused
   [=[  if (MayBeForgotten(committed, order, *version)) {]=] [=[  if (false) {]=]
   book_test remembers_a_bounded_number_of_orders_and_never_refuses_an_older_one)
+
+# What keeps a change of a large document small, and what keeps one order's outcome from another's.
+tier_mutant(chunks_are_cut_at_equal_lengths configuration/document_store.cpp
+  [=[    const bool is_cut = at + 1 >= kLeastChunk && ((hash >> 32U) & kCutMask) == 0;]=]
+  [=[    const bool is_cut = at + 1 >= kLeastChunk;]=]
+  TEST configuration/document_store_test RUN a_change_writes_the_chunks_that_it_touches
+  LIBRARIES shelflink_tier_configuration)
+tier_mutant(chunks_stay_when_nobody_needs_them configuration/document_store.cpp
+  [=[    writes.push_back({KeyOf(number), std::nullopt});]=] ""
+  TEST configuration/document_store_test RUN a_change_writes_the_chunks_that_it_touches
+  LIBRARIES shelflink_tier_configuration)
+tier_mutant(items_with_findings_are_remembered configuration/document_reader.cpp
+  [=[    if (findings_.size() == findings_before) next.emplace(text, item);]=]
+  [=[    next.emplace(text, item);]=]
+  TEST configuration/document_reader_test RUN an_item_that_is_wrong_is_told_each_time
+  LIBRARIES shelflink_tier_configuration)
+tier_mutant(items_are_not_checked_against_each_other configuration/document_reader.cpp
+  [=[  CheckWhole(configuration, findings);]=] ""
+  TEST configuration/document_reader_test RUN items_that_have_not_changed_are_checked_against_the_others
+  LIBRARIES shelflink_tier_configuration)
+tier_mutant(removed_items_stay configuration/difference.cpp
+  [=[    if (removed.contains(item.name)) continue;]=] ""
+  TEST configuration/difference_test RUN what_is_applied_leads_to_the_later_one
+  LIBRARIES shelflink_tier_configuration)
+tier_mutant(documents_of_any_size_are_taken configuration/book.cpp
+  [=[  if (document->size() > most_bytes) return TooLarge(document->size(), most_bytes);]=] ""
+  TEST configuration/book_test RUN refuses_a_document_beyond_the_bound
+  LIBRARIES shelflink_tier_configuration)
