Coordination: leases go between long entries, which are not sent again while they are on their way

Cause: with 8,000 routes more (2 MB to four replicas at 100 Mbit/s, 0.66 s) the primary lost its lease for 0.24 s and left a replica out: leases waited behind the entry, and what had not been acknowledged after 0.3 of a lease was sent once more.

Change: messages other than those of replication are urgent. A replica counts what it sent as on its way by the machine's link (half of limits.linkMbps): until then nothing is repeated or owed.

group_test and replica_test fail without either (two mutants).

--- a/src/tier/coordination/group.cpp
+++ b/src/tier/coordination/group.cpp
@@ -19,6 +19,8 @@
 constexpr transport::MessageKind kGroupMessage = transport::kCoordinationKinds;
 constexpr Milliseconds kShortestLease{400};
 constexpr Milliseconds kLongestLease{2000};
+constexpr double kBytesPerMegabit = 1e6 / 8;
+constexpr double kShareOfLink = 0.5;  // The machine's other process has the rest.
 // Of the disk: a small share, since what a member keeps is small. Bodies of batch jobs need the
 // rest.
 constexpr std::uint64_t kDiskShare = 2;
@@ -61,6 +63,13 @@
   return (std::uint64_t{device()} << 32U) | device();
 }
 
+// Entries and contents may be long and keep their order; leases and records need not wait for them.
+bool IsOfReplication(const Message& message) {
+  return std::holds_alternative<Append>(message) || std::holds_alternative<AppendReply>(message) ||
+         std::holds_alternative<CatchUpRequest>(message) ||
+         std::holds_alternative<CatchUpReply>(message);
+}
+
 }  // namespace
 
 Group::Options Group::OptionsOf(const ProcessSettings& settings) {
@@ -76,6 +85,8 @@
   const Milliseconds third = std::min(settings.bounds.contact, settings.bounds.lease) / 3;
   member.lease = std::clamp(third, kShortestLease, kLongestLease);
   member.reluctant = settings.bounds.lease;
+  member.link_bytes_per_second =
+      static_cast<std::uint64_t>(settings.limits.link_mbps * kBytesPerMegabit * kShareOfLink);
   options.patience = settings.bounds.ack * 3 / 4;
   return options;
 }
@@ -297,7 +308,7 @@
   const Member::Options& self = member_->options();
   cbor::Writer frame;
   frame.Array(3).Text(self.self.disk).Bytes(Encode(message)).Uint(self.incarnation);
-  hub_.Send(to, kGroupMessage, frame.Take());
+  hub_.Send(to, kGroupMessage, frame.Take(), {.urgent = !IsOfReplication(message)});
 }
 
 void Group::OnBody(const transport::PeerIdentity& from, std::string_view body) {
--- a/src/tier/coordination/member.cpp
+++ b/src/tier/coordination/member.cpp
@@ -13,6 +13,7 @@
                 .least_replicas = options_.failures + 1,
                 .resend = options_.lease * 3 / 10,
                 .catch_up_patience = options_.lease,
+                .link_bytes_per_second = options_.link_bytes_per_second,
                 .told = options_.told},
                storage),
       random_(options_.incarnation | 1U) {}
--- a/src/tier/coordination/member.h
+++ b/src/tier/coordination/member.h
@@ -58,6 +58,7 @@
     std::vector<net::Address> seeds;
     std::size_t failures = 1;  // That must be survived at one time.
     net::Span lease = std::chrono::milliseconds(1000);
+    std::uint64_t link_bytes_per_second = 0;  // See Replica::Options.
     // A member that lost the primary's place lets others campaign first for so long.
     net::Span reluctant = std::chrono::milliseconds(3000);
     std::string prefix = "core/";
--- a/src/tier/coordination/replica.h
+++ b/src/tier/coordination/replica.h
@@ -65,7 +65,10 @@
     // merely slow on its way must not be followed by more and more of the same.
     net::Span resend = std::chrono::milliseconds(300);
     net::Span catch_up_patience = std::chrono::seconds(1);  // Then the catch-up begins anew.
-    std::size_t most_message_bytes = 1U << 20;              // Of entries.
+    // How fast entries leave this process for all others together; 0: not known. What is still on
+    // its way by that is neither sent again nor owed.
+    std::uint64_t link_bytes_per_second = 0;
+    std::size_t most_message_bytes = 1U << 20;  // Of entries.
     // Of range contents in one answer: what lies on a narrow link delays acknowledgements there.
     std::size_t most_copied_bytes = 128U << 10;
     // A learner makes durable what it has copied after so much. Only then does a storage use the
@@ -150,6 +153,9 @@
   void Fingerprint(cbor::Writer& out, net::Time now) const;
 
  private:
+  // When so much has left that is sent now, behind what was sent before.
+  net::Time LeavesAt(net::Time now, std::size_t bytes);
+
   // What the primary knows of another replica or of a learner.
   struct Follower {
     std::uint64_t match = 0;  // Synced up to here; 0: not told in this epoch.
@@ -157,8 +163,8 @@
     std::uint64_t synced = 0;
     std::uint64_t next = 0;  // To be sent.
     std::optional<net::Time> owing_since;
-    net::Time sent_at{};
-    int resends = 0;  // Since it last acknowledged something new.
+    net::Time sent_at{};  // When what was sent last has left.
+    int resends = 0;      // Since it last acknowledged something new.
     std::uint64_t told_committed = 0;
     std::uint64_t tried_from = 0;  // Where a mismatch was last resent from.
     std::uint64_t session = 0;     // Of a learner; 0: a replica.
@@ -250,7 +256,8 @@
   Ticket last_synced_ = 0;
   std::optional<Session> session_;
   std::uint64_t sessions_ = 0;
-  net::Span patience_;  // With the primary's answers; longer where they are slow.
+  net::Time link_free_at_{};  // When all that was sent has left.
+  net::Span patience_;        // With the primary's answers; longer where they are slow.
 };
 
 }  // namespace shelflink::coordination
--- a/src/tier/coordination/replica_primary.cpp
+++ b/src/tier/coordination/replica_primary.cpp
@@ -95,12 +95,24 @@
     message.entries.push_back(entry);
     ++follower.next;
   }
-  follower.sent_at = step.now;
+  follower.sent_at = LeavesAt(step.now, bytes);
   follower.told_committed = applied_.sequence;
-  if (follower.match < LastSequence() && !follower.owing_since) follower.owing_since = step.now;
+  if (follower.match < LastSequence() && !follower.owing_since) {
+    follower.owing_since = follower.sent_at;
+  }
   Send(out, to, std::move(message));
 }
 
+net::Time Replica::LeavesAt(net::Time now, std::size_t bytes) {
+  link_free_at_ = std::max(link_free_at_, now);
+  if (options_.link_bytes_per_second > 0) {
+    const std::chrono::duration<double> takes(static_cast<double>(bytes) /
+                                              static_cast<double>(options_.link_bytes_per_second));
+    link_free_at_ += std::chrono::duration_cast<net::Span>(takes);
+  }
+  return link_free_at_;
+}
+
 void Replica::AdvanceCommitted(Step& step, ReplicaOutput& out) {
   if (!acting_ || assignment_.replicas.size() < options_.least_replicas) return;
   std::uint64_t everywhere = own_match_;
@@ -147,7 +159,7 @@
     const std::uint64_t match = std::min(message.match, LastSequence());
     if (match > follower.match) {
       follower.match = match;
-      follower.owing_since = step.now;
+      follower.owing_since = std::max(step.now, follower.sent_at);
       follower.resends = 0;
     }
     follower.next = std::max(follower.next, follower.match + 1);
--- a/tests/tier/coordination/cluster.h
+++ b/tests/tier/coordination/cluster.h
@@ -126,8 +126,11 @@
 
 class Cluster {
  public:
-  explicit Cluster(std::size_t size, std::uint64_t seed = 1, std::size_t failures = 1) : net(seed) {
+  explicit Cluster(std::size_t size, std::uint64_t seed = 1, std::size_t failures = 1,
+                   std::uint64_t link_bytes_per_second = 0)
+      : net(seed) {
     options_.member.failures = failures;
+    options_.member.link_bytes_per_second = link_bytes_per_second;
     for (std::size_t i = 0; i < std::min<std::size_t>(size, 3); ++i) {
       options_.member.seeds.push_back(net::Address::V4(HostOf(i), kPort));
     }
--- a/tests/tier/coordination/group_test.cpp
+++ b/tests/tier/coordination/group_test.cpp
@@ -24,7 +24,8 @@
 
 // A core of that size with a primary and one acknowledged write.
 struct Core {
-  explicit Core(std::size_t size, std::uint64_t seed = 1) : cluster(size, seed) {
+  explicit Core(std::size_t size, std::uint64_t seed = 1, std::uint64_t link_bytes_per_second = 0)
+      : cluster(size, seed, 1, link_bytes_per_second) {
     cluster.StartAll();
     BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Primary() != nullptr; }, seconds(3)));
     BOOST_REQUIRE(cluster.Put("first", "1", seconds(1)));
@@ -88,6 +89,26 @@
       seconds(1)));
 }
 
+// Leases go between its parts.
+BOOST_AUTO_TEST_CASE(a_long_entry_on_its_way_costs_the_primary_no_lease) {
+  constexpr std::uint64_t kWindowEachWay =
+      65536 * 10;  // Bytes a second, with 100 ms there and back.
+  Core core(3, 1, kWindowEachWay);
+  Machine& primary = core.cluster.ThePrimary();
+  net::Weather narrow;
+  narrow.latency_low = narrow.latency_high = milliseconds(50);
+  core.cluster.net.SetWeather(narrow);
+  core.cluster.Run(seconds(2));
+  bool lost = false;
+  primary.role = [&](bool is_primary, std::uint64_t) { lost = lost || !is_primary; };
+  constexpr std::size_t kLong = 1U << 20;  // 1.6 s, and a lease is 1 s.
+  const Result<void> result =
+      SubmitTo(core.cluster, primary, PlanToPut("key", std::string(kLong, 'x')));
+  BOOST_TEST(result.has_value(), (result ? "" : result.error().text));
+  core.cluster.Run(seconds(2));
+  BOOST_TEST(!lost);
+}
+
 BOOST_AUTO_TEST_CASE(replicas_follow_and_a_restarted_one_knows_what_it_had) {
   Core core(3);
   for (auto& machine : core.cluster.machines) {
--- a/tests/tier/coordination/mutants.cmake
+++ b/tests/tier/coordination/mutants.cmake
@@ -94,3 +94,13 @@
   [=[    if (const auto owing_since = replica_.Owing(replica.disk)) judge_since(*owing_since);]=] ""
   TEST coordination/member_test RUN a_spare_copies_as_soon_as_a_replica_has_owed_for_too_long
   LIBRARIES tier_coordination_world)
+
+# Large entries: leases and records go between their parts.
+tier_mutant(leases_wait_behind_entries coordination/group.cpp
+  [=[{.urgent = !IsOfReplication(message)}]=] [=[{.urgent = false}]=]
+  TEST coordination/group_test RUN a_long_entry_on_its_way_costs_the_primary_no_lease
+  LIBRARIES shelflink_tier_coordination shelflink_virtual)
+tier_mutant(what_is_on_its_way_is_sent_again coordination/replica_primary.cpp
+  [=[  follower.sent_at = LeavesAt(step.now, bytes);]=] [=[  follower.sent_at = step.now;]=]
+  TEST coordination/replica_test RUN what_is_still_on_its_way_is_neither_sent_again_nor_owed
+  LIBRARIES shelflink_tier_replication)
--- a/tests/tier/coordination/replica_test.cpp
+++ b/tests/tier/coordination/replica_test.cpp
@@ -14,9 +14,11 @@
 
 // A replica on a disk of its own; syncs end when told.
 struct One {
-  explicit One(const std::string& disk_name, bool founded = true)
+  explicit One(const std::string& disk_name, bool founded = true,
+               std::uint64_t link_bytes_per_second = 0)
       : storage(disk, [](const std::function<void()>& step) { step(); }),
-        replica({.disk = disk_name, .prefix = "p/"}, storage) {
+        replica({.disk = disk_name, .prefix = "p/", .link_bytes_per_second = link_bytes_per_second},
+                storage) {
     if (founded) {
       Step step = NewStep();
       replica.Found(step);
@@ -130,6 +132,32 @@
   BOOST_TEST(replica.replica.Get(replica.storage, "key").value() == "won");
 }
 
+// A long entry takes longer than a repetition waits: it must not be followed by itself.
+BOOST_AUTO_TEST_CASE(what_is_still_on_its_way_is_neither_sent_again_nor_owed) {
+  constexpr std::uint64_t kRate = 1'000'000;
+  One primary("a", true, kRate);
+  primary.Assign(1, "a", {"a", "b", "c"}, true);
+  primary.out = {};
+  BOOST_REQUIRE(primary.Propose("key", std::string(kRate, 'x')));
+  const auto sent_to = [&](const std::string& disk) {
+    return std::count_if(primary.out.messages.begin(), primary.out.messages.end(),
+                         [&](const auto& message) { return message.first == disk; });
+  };
+  const auto at = [&](int now) {
+    primary.now = now;
+    Step step = primary.NewStep();
+    primary.replica.OnTimer(step, primary.out);
+  };
+  BOOST_TEST(sent_to("b") + sent_to("c") == 2);
+  for (int now = 100; now <= 1200; now += 100) at(now);
+  BOOST_TEST(sent_to("b") + sent_to("c") == 2);
+  // One of them has it after a second, the other one after two.
+  BOOST_TEST((*primary.replica.Owing("b") >= net::Time(milliseconds(1000))));
+  BOOST_TEST((*primary.replica.Owing("c") >= net::Time(milliseconds(2000))));
+  at(2400);
+  BOOST_TEST(sent_to("b") + sent_to("c") > 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_gap_is_asked_for) {
   One replica("b");
   replica.Assign(1, "a", {"a", "b"}, false);
