--- a/tests/tier/batch/mutants.cmake
+++ b/tests/tier/batch/mutants.cmake
@@ -111,3 +111,9 @@
   [=[  return next->node_hash == HashOf(node);]=] [=[  return true;]=]
   TEST policy/batch_share_test RUN owners/each_endpoint_has_one_owner_in_its_zone
   LIBRARIES shelflink_tier_policy)
+tier_mutant(a_store_without_a_lease_decides batch/hosted_partition.cpp
+  [=[  return leading() && newest_epoch_ <= row_.epoch && !around_.storage.failed() &&
+         around_.loop.Now() < around_.lease_until();]=]
+  [=[  return leading() && newest_epoch_ <= row_.epoch && !around_.storage.failed();]=]
+  TEST batch/peer_frames_test RUN peer_frames/a_store_whose_lease_has_run_out_decides_nothing
+  LIBRARIES ${batch_store_libraries})
--- a/tests/tier/cluster/core_service_test.cpp
+++ b/tests/tier/cluster/core_service_test.cpp
@@ -346,6 +346,15 @@
   BOOST_TEST(Names(Rows(rig)[3], backup));
   BOOST_REQUIRE_EQUAL(Rows(rig)[3].backup_disks.size(), 2U);
   BOOST_TEST(!Rows(rig)[3].complete[1]);
+  // The row's primary reports on the row that it knows.
+  const auto knows_the_row = [&] {
+    return std::any_of(rig.stores.begin(), rig.stores.end(), [&](const auto& store) {
+      const auto& placement = store->agent().view().placement;
+      return store->disk == row.primary_disk && placement &&
+             placement->rows[3].epoch == row.epoch + 1;
+    });
+  };
+  BOOST_REQUIRE(rig.RunUntil(knows_the_row, milliseconds(100)));
   CompleteJoiners(rig);
   BOOST_TEST(rig.RunUntil([&] { return !Names(Rows(rig)[3], backup); }, seconds(1)));
 }
--- a/tests/tier/coordination/mutants.cmake
+++ b/tests/tier/coordination/mutants.cmake
@@ -104,3 +104,9 @@
   [=[  follower.sent_at = LeavesAt(step.now, bytes);]=] [=[  follower.sent_at = step.now;]=]
   TEST coordination/replica_test RUN what_is_still_on_its_way_is_neither_sent_again_nor_owed
   LIBRARIES shelflink_tier_replication)
+tier_mutant(who_has_not_synced_everything_joins coordination/replica_primary.cpp
+  [=[  return found != followers_.end() && found->second.joined &&
+         found->second.synced >= applied_.sequence;]=]
+  [=[  return found != followers_.end() && found->second.joined;]=]
+  TEST coordination/replica_test RUN commits_wait_for_a_learner_for_a_time_only
+  LIBRARIES shelflink_tier_replication)
--- a/tests/tier/coordination/second_loss_test.cpp
+++ b/tests/tier/coordination/second_loss_test.cpp
@@ -180,6 +180,29 @@
   }
 }
 
+// One disk more than is promised: whoever goes on has everything that was acknowledged, else nobody
+// does.
+BOOST_AUTO_TEST_CASE(beyond_the_tolerance_nothing_is_invented) {
+  std::size_t went_on = 0;
+  std::size_t stood_still = 0;
+  for (const Size size : {Size{3, 1}, Size{5, 2}, Size{6, 2}, Size{7, 2}}) {
+    const Core founded(size);
+    for (const auto& wiped : Subsets(size.members, size.failures + 1)) {
+      Core core = founded;
+      core.LoseAtOnce(wiped);
+      core.world.Run(seconds(10));
+      const auto primary = core.world.Primary();
+      ++(primary ? went_on : stood_still);
+      if (primary) core.world.history.AtTheEnd(core.world.DocumentAt(*primary));
+      for (const std::string& finding : core.world.history.findings()) {
+        BOOST_ERROR(NameOf(size, finding) << core.world.Describe());
+      }
+    }
+  }
+  BOOST_TEST(went_on > 0U);
+  BOOST_TEST(stood_still > 0U);
+}
+
 // Each machine in turn, twice round: by the time one counts again, the next may go.
 BOOST_AUTO_TEST_CASE(disks_are_lost_one_after_the_other_under_load) {
   std::vector<Size> sizes = kFullyPromised;
--- a/tests/tier/measure/large_documents.h
+++ b/tests/tier/measure/large_documents.h
@@ -29,6 +29,9 @@
   std::size_t jobs_missing = 0;  // Not readable by the bound.
 };
 
+// All machines at once; they start again 0.9 s later, within a fraction of a second.
+void LoseAllPower(MeasuredTier& tier);
+
 LargeDocumentFigures PlayLargeDocument(const TierSize& size, std::size_t routes);
 
 }  // namespace shelflink::measure
--- a/tests/tier/measure/measured_tier.h
+++ b/tests/tier/measure/measured_tier.h
@@ -55,6 +55,8 @@
     if (!under_way_) Send();
   }
   std::uint64_t acknowledged() const { return acknowledged_; }
+  // Answers that say that the change is not taken and will not be.
+  std::size_t refused() const { return refused_; }
   // Told of each version with its acknowledgement.
   std::function<void(std::uint64_t version)> on_acknowledged;
 
@@ -69,6 +71,7 @@
   std::size_t more_routes_ = 0;
   std::uint64_t round_ = 0;
   std::uint64_t acknowledged_ = 0;
+  std::size_t refused_ = 0;
   bool under_way_ = false;
   std::uint64_t attempt_ = 0;
   std::shared_ptr<char> life_ = std::make_shared<char>();
