--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -519,7 +519,12 @@
       return;
     }
     configuration = std::make_shared<const configuration::Configuration>(std::move(parsed.value()));
-    publisher.Publish(configuration, Leads() ? tree.PushTargets() : std::vector<net::Address>());
+    const std::size_t told = publisher.Publish(
+        configuration, Leads() ? tree.PushTargets() : std::vector<net::Address>());
+    log::Info(kModule, "configuration " + std::to_string(configuration->version) +
+                           " in force: " + std::to_string(configuration->routes.size()) +
+                           " routes, " + std::to_string(current->document.size()) + " bytes; " +
+                           std::to_string(told) + " bytes to each process below");
     if (configuration_watcher) configuration_watcher(configuration);
   }
 
--- a/src/tier/cluster/view_publisher.cpp
+++ b/src/tier/cluster/view_publisher.cpp
@@ -9,14 +9,16 @@
   Send(push, targets);
 }
 
-void ViewPublisher::Publish(const ConfigurationHistory::Pointer& configuration,
-                            const std::vector<net::Address>& targets) {
+std::size_t ViewPublisher::Publish(const ConfigurationHistory::Pointer& configuration,
+                                   const std::vector<net::Address>& targets) {
   const Version version{0, configuration->version};
-  if (version <= versions_[Part::kConfiguration]) return;
+  if (version <= versions_[Part::kConfiguration]) return 0;
   versions_[Part::kConfiguration] = version;
   const std::uint64_t before = configuration_.version();
   configuration_.Advance(configuration);
-  Send({Part::kConfiguration, version, configuration_.UpdateSince(before)}, targets);
+  const Push update{Part::kConfiguration, version, configuration_.UpdateSince(before)};
+  Send(update, targets);
+  return update.body.size();
 }
 
 void ViewPublisher::Send(const Push& push, const std::vector<net::Address>& targets) {
--- a/src/tier/cluster/view_publisher.h
+++ b/src/tier/cluster/view_publisher.h
@@ -3,6 +3,7 @@
 #ifndef SHELFLINK_TIER_CLUSTER_VIEW_PUBLISHER_H_
 #define SHELFLINK_TIER_CLUSTER_VIEW_PUBLISHER_H_
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -22,9 +23,10 @@
 
   // Of no effect unless it is newer than what stands.
   void Publish(const Push& push, const std::vector<net::Address>& targets);
-  // The same of a configuration, of which only what has changed goes out.
-  void Publish(const ConfigurationHistory::Pointer& configuration,
-               const std::vector<net::Address>& targets);
+  // The same of a configuration, of which only what has changed goes out: how many bytes to each
+  // target.
+  std::size_t Publish(const ConfigurationHistory::Pointer& configuration,
+                      const std::vector<net::Address>& targets);
   const PartVersions& versions() const { return versions_; }
   // kNotFound where that version is not here, kExhausted where too much waits to leave already.
   Result<std::string> Answer(std::string_view fetch) const;
