--- a/src/tier/configuration/item_readers.cpp
+++ b/src/tier/configuration/item_readers.cpp
@@ -82,7 +82,6 @@
   route.split.push_back(std::move(only));
 }
 
-
 std::optional<Engine> ReadEngine(const ObjectReader& service, Findings& findings) {
   const cJSON* member = service.Member("engine");
   if (member == nullptr) return std::nullopt;
