--- a/tests/tier/transport/connection_test.cpp
+++ b/tests/tier/transport/connection_test.cpp
@@ -101,10 +101,12 @@
     connection.Dial(kPeer, 1);
     loop.stream->user->OnConnected(net::Fault::kNone);
     connection.Flush();
-    loop.stream->user->OnBytes(EncodeHello({"peer", "core", "zone", kPeer, 2}, 0));
+    Say(EncodeHello({"peer", "core", "zone", kPeer, 2}, 0));
     BOOST_REQUIRE(owner.greeted == 1);
     loop.stream->taken.clear();
   }
+  // The peer does.
+  void Say(std::string_view bytes) { loop.stream->user->OnBytes(bytes); }
   std::uint64_t Queue(std::size_t bytes) {
     return connection.Queue(std::string(bytes, 'x'), Connection::Expects::kSignOfLife);
   }
@@ -171,38 +173,28 @@
   BOOST_TEST(at <= OutboxLane::kChunk);
   BOOST_TEST(owner.bytes_queued - owner.bytes_written == connection.queued());
 
-  FakeLoop other_loop;
-  Owner other_owner;
-  Connection reader{2, other_loop, other_owner, self, {milliseconds(1000), milliseconds(1000)}};
-  reader.Dial(kPeer, 1);
-  other_loop.stream->user->OnConnected(net::Fault::kNone);
-  other_loop.stream->user->OnBytes(EncodeHello({"peer", "core", "zone", kPeer, 2}, 0));
-  const net::Time before = other_loop.now;
+  Scene other;
+  const net::Time before = other.loop.now;
   const std::string_view bytes = loop.stream->taken;
   constexpr std::size_t kPiece = 1000;
   for (std::size_t from = 0; from < bytes.size(); from += kPiece) {
-    BOOST_TEST(reader.Receives(before) == (from > 0));
-    other_loop.stream->user->OnBytes(bytes.substr(from, kPiece));
+    BOOST_TEST(other.connection.Receives(before) == (from > 0));
+    other.Say(bytes.substr(from, kPiece));
   }
-  BOOST_TEST(!reader.Receives(before));
-  BOOST_TEST((other_owner.bodies == std::vector<std::string>{"a list", body}));
-  BOOST_TEST(other_owner.causes.empty());
+  BOOST_TEST(!other.connection.Receives(before));
+  BOOST_TEST((other.owner.bodies == std::vector<std::string>{"a list", body}));
+  BOOST_TEST(other.owner.causes.empty());
 }
 
 // One after the other: a part in a part, garbage, and more than a frame may hold.
 BOOST_AUTO_TEST_CASE(PartsThatMakeNoFrameEndTheConnection) {
   const auto cause_of = [&](const std::vector<std::string>& parts) {
-    FakeLoop other_loop;
-    Owner other_owner;
-    Connection reader{2, other_loop, other_owner, self, {milliseconds(1000), milliseconds(1000)}};
-    reader.Dial(kPeer, 1);
-    other_loop.stream->user->OnConnected(net::Fault::kNone);
-    other_loop.stream->user->OnBytes(EncodeHello({"peer", "core", "zone", kPeer, 2}, 0));
+    Scene other;
     for (const std::string& part : parts) {
-      if (other_owner.causes.empty()) other_loop.stream->user->OnBytes(part);
+      if (other.owner.causes.empty()) other.Say(part);
     }
-    BOOST_TEST(other_owner.frames == 0);
-    return other_owner.causes.empty() ? std::string() : other_owner.causes.front();
+    BOOST_TEST(other.owner.frames == 0);
+    return other.owner.causes.empty() ? std::string() : other.owner.causes.front();
   };
   const std::string inner = EncodePart(true, "x").substr(kFrameHead);
   BOOST_TEST(cause_of({EncodePart(true, inner)}) == "malformed");
