View publisher: a part of the view is encoded once for its targets and for who asks later

Found by reading the change: Publish encoded a list for the answers and Send encoded it again for the targets.

--- a/src/tier/cluster/view_publisher.cpp
+++ b/src/tier/cluster/view_publisher.cpp
@@ -5,8 +5,9 @@
 void ViewPublisher::Publish(const Push& push, const std::vector<net::Address>& targets) {
   if (push.version <= versions_[push.part]) return;
   versions_[push.part] = push.version;
-  encoded_[static_cast<std::size_t>(push.part)] = Encode(push);
-  Send(push, targets);
+  std::string& encoded = encoded_[static_cast<std::size_t>(push.part)];
+  encoded = Encode(push);
+  Send(push, encoded, targets);
 }
 
 std::size_t ViewPublisher::Publish(const ConfigurationHistory::Pointer& configuration,
@@ -17,12 +18,12 @@
   const std::uint64_t before = configuration_.version();
   configuration_.Advance(configuration);
   const Push update{Part::kConfiguration, version, configuration_.UpdateSince(before)};
-  Send(update, targets);
+  Send(update, Encode(update), targets);
   return update.body.size();
 }
 
-void ViewPublisher::Send(const Push& push, const std::vector<net::Address>& targets) {
-  const std::string encoded = Encode(push);
+void ViewPublisher::Send(const Push& push, const std::string& encoded,
+                         const std::vector<net::Address>& targets) {
   for (const net::Address& target : targets) {
     hub_.Send(target, kPushKind, encoded, DeliveryOf(push));
   }
--- a/src/tier/cluster/view_publisher.h
+++ b/src/tier/cluster/view_publisher.h
@@ -32,7 +32,7 @@
   Result<std::string> Answer(std::string_view fetch) const;
 
  private:
-  void Send(const Push& push, const std::vector<net::Address>& targets);
+  void Send(const Push& push, const std::string& encoded, const std::vector<net::Address>& targets);
 
   transport::Hub& hub_;
   PartVersions versions_;
