--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,94 +1,74 @@
-"""The route of finished batch jobs is removed by a change of the configuration; their results are read again."""
+"""An order that was refused by 412 comes into force: a core process that stood still takes it up later."""
 import asyncio
-import base64
 import json
 import pathlib
+import signal
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "lib"))
-from stage import CannotRun, Stage, main, route, service  # noqa: E402
+from stage import Stage, main, route, service  # noqa: E402
 
-KEY = {"Shelflink-Credential": "key-of-guild1"}
-JOBS, ITEMS = 4, 5
-APPLY_S, SETTLE_S, CONTACT_S = 2.0, 1.0, 3.0
+FREEZE_S = 3.2
+FIRST, SECOND, THIRD = 1, 7, 9  # Versions; each builds on the one before.
 
 
-def configuration():
-    routes = [route("r-alt", "/alt/", "streaming", "caption-desk"),
-              route("r-archive", "/archive/", "batch", "caption-desk", priority=2, runAimMs=8000, keepS=60,
-                    timeoutMs=8000)]
-    return {"configVersion": 1, "routes": routes, "services": [service("caption-desk", 32)],
-            "tenants": [{"name": "guild1", "apiKeys": ["key-of-guild1"], "maxQueuedTokens": 640000}],
+def configuration(version):
+    return {"configVersion": version, "routes": [route("r-alt", "/alt/", "streaming", "caption-desk")],
+            "services": [service("caption-desk", 32)], "tenants": [{"name": "guild1", "apiKeys": ["key-of-guild1"]}],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000}}
 
 
-async def submit(stage, record, job):
-    items = [{"id": f"{job}{index:02x}", "path": f"/archive/{job}/{index}", "tokens": 1200,
-              "headers": {"Shelflink-Model": "m", "Shelflink-Token-Count": "1172,28"},
-              "body": base64.b64encode(b"a frame").decode()} for index in range(ITEMS)]
-    document = json.dumps({"requests": items}).encode()
-    for attempt in range(10):
-        proxy = stage.proxies[attempt % len(stage.proxies)]
-        answer = await stage.request(proxy, "POST", f"/archive/{job}", {**KEY, "Shelflink-Request-Id": job},
-                                     document)
-        record.say(f"client: job {job} at {proxy.node}: {answer.status or 'no answer'}")
-        if answer.status == 202:
-            return
-        await asyncio.sleep(0.5)
-    raise CannotRun(f"job {job} was not accepted")
+def patch(version, timeout_ms):
+    changed = route("r-alt", "/alt/", "streaming", "caption-desk", timeoutMs=timeout_ms)
+    return json.dumps({"configVersion": version, "upsert": {"routes": [changed]}}).encode()
 
 
-async def read(stage, record, proxy, job):
-    """Status and results, all from the start."""
-    answer = await stage.request(proxy, "GET", f"/lots/{job}?afterId=0", {**KEY, "Shelflink-Wait-Ms": "500"})
-    results = json.loads(answer.body)["results"] if answer.status == 200 else []
-    record.say(f"client: read {job} at {proxy.node}: {answer.status or 'no answer'}, {len(results)} results"
-               + ("" if answer.status == 200 else f" {answer.body[:60]!r}"))
-    return answer.status, results
+async def change(stage, base, body, cores, pause):
+    """An operator's order, sent again unchanged, to the next core process, until the answer is clear."""
+    for core in cores:
+        answer = await stage.order("PATCH", "/config", body, base, core)
+        if answer.status == 200 or answer.status in (400, 409, 412, 413, 422):
+            return answer.status
+        await asyncio.sleep(pause)
+    return 0
+
+
+async def read_version(stage):
+    """The newest configuration, asked for until it comes."""
+    for _ in range(20):
+        answer = await stage.order("GET", "/config")
+        if answer.status == 200:
+            return json.loads(answer.body)["configVersion"]
+        await asyncio.sleep(0.3)
+    return None
 
 
 async def play(record, trouble):
     stage = Stage(record, ["seattle-hall", "portland-hall", "tacoma-hall"])
     try:
         await stage.start("caption-desk")
-        await stage.configure(configuration(), 0)
+        await stage.configure(configuration(FIRST), 0)
         await stage.wait_ready()
-        await asyncio.sleep(CONTACT_S + 1)
-        jobs = [f"{0xb0 + number:016x}" for number in range(JOBS)]
-        for job in jobs:
-            await submit(stage, record, job)
-        before = {}
-        for job in jobs:
-            for _ in range(20):
-                status, before[job] = await read(stage, record, stage.proxies[0], job)
-                if len(before[job]) == ITEMS:
-                    break
-                await asyncio.sleep(0.5)
-            else:
-                raise CannotRun(f"job {job} was not done in time")
-        # The last read, not the 202, is what the bound counts from.
-        await asyncio.sleep(SETTLE_S)
-        removed = "r-archive" if trouble else "r-alt"
-        change = json.dumps({"configVersion": 2, "remove": {"routes": [removed]}}).encode()
-        record.say(f"operator: removes the route {removed}", show=True)
-        for core in stage.cores:
-            answer = await stage.order("PATCH", "/config", change, 1, core)
-            if answer.status == 200:
-                break
-        else:
-            raise CannotRun("the change was not acknowledged")
-        await asyncio.sleep(APPLY_S + CONTACT_S)
-        lost = changed = 0
-        for job in jobs:
-            for proxy in stage.proxies:
-                status, results = await read(stage, record, proxy, job)
-                lost += status in (404, 410)
-                changed += status == 200 and results != before[job]
-        record.say(f"{JOBS} jobs, {JOBS * len(stage.proxies)} reads: {lost} answered 404 or 410, "
-                   f"{changed} with other results than before", show=True)
-        return not lost and not changed
+        await asyncio.sleep(4.0)
+        held, second, third = stage.cores[2], stage.cores[1], stage.cores[0]
+        if trouble:
+            record.say(f"trouble: {held.node}'s core process stands still for {FREEZE_S} s", show=True)
+            held.signal(signal.SIGSTOP)
+        thaw = asyncio.get_running_loop().call_later(FREEZE_S, held.signal, signal.SIGCONT)
+        # Two orders under way at once, the later on top of the earlier; both reach the same process first.
+        first_status, second_status = await asyncio.gather(
+            change(stage, FIRST, patch(SECOND, 4000), [held, third, second], 0.4),
+            change(stage, SECOND, patch(THIRD, 3000), [held, second, third], 0.1))
+        record.say(f"version {SECOND} on {FIRST}: {first_status}; version {THIRD} on {SECOND}: {second_status}",
+                   show=True)
+        at_once = await read_version(stage)
+        await asyncio.sleep(FREEZE_S + 4.0)
+        thaw.cancel()
+        in_the_end = await read_version(stage)
+        record.say(f"in force then: {at_once}; in the end: {in_the_end}", show=True)
+        return not (second_status == 412 and in_the_end == THIRD)
     finally:
         stage.stop()
 
