--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 import sys
 
 HERE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / "lib"))
+sys.path.insert(0, str(HERE.parent))
 from stage import Stage, main, route, service  # noqa: E402
 
 FREEZE_S = 3.2
--- a/review/lib/stage.py
+++ b/review/stage.py
@@ -20,7 +20,7 @@
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 FRONT, READY, CONTROL, PLATFORM, ENDPOINT = 8689, 8687, 8683, 8688, 8080
 PORTS = "7360,7375"
 HOST = "review.example"
