--- a/src/tier/cluster/core_service.cpp
+++ b/src/tier/cluster/core_service.cpp
@@ -496,7 +496,7 @@
     bool configuration_changed = false;
     bool placement_changed = false;
     for (const coordination::Write& write : writes) {
-      configuration_changed |= write.key.starts_with(configuration::kKeyPrefix);
+      configuration_changed |= write.key == configuration::kVersionKey;
       placement_changed |= write.key == kPlacementCountKey;
     }
     if (configuration_changed) TakeConfiguration();
@@ -549,25 +549,53 @@
                                  (settings.limits.memory_mb << 20U) / kDocumentPartOfMemory);
   }
 
-  void ChangeConfiguration(configuration::ChangeOrder order, ChangeDone done) {
+  // Submits what `judge` plans; its verdict is told once the writes are committed.
+  template <typename Judge>
+  void SubmitJudged(Judge judge, ChangeDone done) {
+    const auto verdict = std::make_shared<coordination::Verdict>();
     replicator.Submit(
-        [this, alive = std::weak_ptr<char>(life),
-         order = std::move(order)](const Contents& committed) -> Result<Writes> {
+        [alive = std::weak_ptr<char>(life), judge = std::move(judge),
+         verdict](const Contents& committed) -> Result<Writes> {
           if (alive.expired()) return MakeError(ErrorCode::kUnavailable, "ending");
+          Result<coordination::JudgedPlan> plan = judge(committed);
+          if (!plan) return plan.error();
+          *verdict = std::move(plan.value().verdict);
+          return std::move(plan.value().writes);
+        },
+        [verdict, done = std::move(done)](const Result<void>& result) {
+          if (!result) return done(result.error());
+          done(std::visit(VerdictTold{}, *verdict));
+        });
+  }
+
+  // What the operator is told of a verdict.
+  struct VerdictTold {
+    using Told = Result<operator_api::OrderOutcome>;
+    Told operator()(const coordination::Accepted&) const {
+      return operator_api::OrderOutcome(operator_api::Acknowledged{});
+    }
+    Told operator()(const coordination::Refused& refused) const { return refused.error; }
+    Told operator()(const coordination::ConfirmationRequired& required) const {
+      return operator_api::OrderOutcome(required);
+    }
+  };
+
+  void ChangeConfiguration(configuration::ChangeOrder order, ChangeDone done) {
+    SubmitJudged(
+        [this, order = std::move(order)](const Contents& committed) {
           return configuration::PlanChange(committed, order, documents, LargestDocument());
         },
         std::move(done));
   }
 
-  void Retire(const std::string& node, const RetireDone& done) {
-    replicator.Submit(
-        [this, alive = std::weak_ptr<char>(life),
-         node](const Contents& committed) -> Result<Writes> {
-          if (alive.expired()) return MakeError(ErrorCode::kUnavailable, "ending");
-          return PlanRetirement(committed, node, {keeper.Candidates(committed), keeper.Patient()},
+  void Retire(operator_api::RetireOrder order, const RetireDone& done) {
+    SubmitJudged(
+        [this, order = std::move(order)](const Contents& committed) {
+          return PlanRetirement(committed, order, {keeper.Candidates(committed), keeper.Patient()},
                                 keeper.rules());
         },
-        [this, alive = std::weak_ptr<char>(life), done](const Result<void>& result) {
+        [this, alive = std::weak_ptr<char>(life),
+         done](const Result<operator_api::OrderOutcome>& result) {
           if (alive.expired()) return;
           if (result) keeper.Evaluate();
           done(result);
@@ -654,7 +682,7 @@
 }
 
 void CoreService::Retire(operator_api::RetireOrder order, RetireDone done) {
-  impl_->Retire(order.node, done);
+  impl_->Retire(std::move(order), done);
 }
 
 void CoreService::ReadRetireState(std::string node, RetireStateDone done) {
--- a/src/tier/cluster/retirement.cpp
+++ b/src/tier/cluster/retirement.cpp
@@ -14,12 +14,12 @@
 
 }  // namespace
 
-Result<std::vector<coordination::Write>> PlanRetirement(const coordination::Contents& committed,
-                                                        const std::string& node,
-                                                        const KnownStores& stores,
-                                                        const PlacementRules& rules) {
-  using Writes = std::vector<coordination::Write>;
-  if (committed.contains(RetireKey(node))) return Writes();
+Result<coordination::JudgedPlan> PlanRetirement(const coordination::Contents& committed,
+                                                const operator_api::RetireOrder& order,
+                                                const KnownStores& stores,
+                                                const PlacementRules& rules) {
+  const std::string& node = order.node;
+  if (committed.contains(RetireKey(node))) return coordination::JudgedPlan{};
   const bool known = std::any_of(stores.all.begin(), stores.all.end(),
                                  [&](const StoreCandidate& store) { return store.node == node; });
   const bool enough_left = MayRetire(stores.all, node, rules);
@@ -30,7 +30,7 @@
   if (!enough_left) {
     return MakeError(ErrorCode::kConflict, "too few stores would be left");
   }
-  return Writes{{RetireKey(node), EncodeNumber(1)}};
+  return coordination::JudgedPlan{{{RetireKey(node), EncodeNumber(1)}}, {}};
 }
 
 Result<operator_api::RetireState> RetirementState(const coordination::Contents& contents,
--- a/src/tier/cluster/retirement.h
+++ b/src/tier/cluster/retirement.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "tier/cluster/placement.h"
+#include "tier/coordination/refusals.h"
 #include "tier/coordination/replicator.h"
 #include "tier/foundation/result.h"
 #include "tier/operator_api/service.h"
@@ -19,13 +20,13 @@
   bool may_be_more = false;  // It is so new that it may not have heard of every store yet.
 };
 
-// The writes that order the store `node` to be emptied; none where that has been ordered already.
+// What the order to empty a store comes to. Accepted without writes: that has been ordered already.
 // kUnavailable: it may be refused, but that cannot be known yet. kNotFound: there is no such store.
 // kConflict: too few others would be left for `rules`.
-Result<std::vector<coordination::Write>> PlanRetirement(const coordination::Contents& committed,
-                                                        const std::string& node,
-                                                        const KnownStores& stores,
-                                                        const PlacementRules& rules);
+Result<coordination::JudgedPlan> PlanRetirement(const coordination::Contents& committed,
+                                                const operator_api::RetireOrder& order,
+                                                const KnownStores& stores,
+                                                const PlacementRules& rules);
 
 // kNotFound: nobody asked for it.
 Result<operator_api::RetireState> RetirementState(const coordination::Contents& contents,
--- a/src/tier/configuration/book.cpp
+++ b/src/tier/configuration/book.cpp
@@ -17,14 +17,23 @@
 namespace {
 
 using coordination::Contents;
+using coordination::JudgedPlan;
+using coordination::RefusalRecords;
 using coordination::Write;
 
 constexpr int kVersionDigits = 20;
 
-std::string TakenKey(std::uint64_t version) {
+// Texts of versions sort as their numbers do.
+std::string Digits(std::uint64_t version) {
   std::string digits = std::to_string(version);
-  digits.insert(0, kVersionDigits - digits.size(), '0');
-  return std::string(kTakenPrefix) + digits;
+  return digits.insert(0, kVersionDigits - digits.size(), '0');
+}
+
+std::string TakenKey(std::uint64_t version) { return std::string(kTakenPrefix) + Digits(version); }
+
+// Sorts by base, so that what can't be taken any more comes first.
+std::string RefusalId(const ChangeOrder& order, const std::string& digest) {
+  return Digits(order.base_version) + "/" + digest;
 }
 
 // What makes two orders the same order: method, base and every byte of the body.
@@ -82,6 +91,10 @@
 
 Error Invalid(const Findings& findings) { return {ErrorCode::kInvalid, TextOf(findings)}; }
 
+Error Conflict(std::uint64_t current) {
+  return {ErrorCode::kConflict, "version " + std::to_string(current) + " is in force"};
+}
+
 Error TooLarge(std::size_t bytes, std::size_t most_bytes) {
   return {ErrorCode::kTooLarge, "document: expected at most " + std::to_string(most_bytes) +
                                     " bytes, found " + std::to_string(bytes)};
@@ -90,6 +103,8 @@
 std::vector<Write> WritesOf(const Contents& committed, std::uint64_t version,
                             std::string_view document, std::string digest) {
   std::vector<Write> writes = ForgetOldOrders(committed);
+  const RefusalRecords refusals(committed, kRefusedPrefix);
+  for (Write& write : refusals.ForgetBelow(Digits(version))) writes.push_back(std::move(write));
   for (Write& write : WritesOfDocument(committed, document)) writes.push_back(std::move(write));
   writes.push_back({std::string(kVersionKey), std::to_string(version)});
   writes.push_back({TakenKey(version), std::move(digest)});
@@ -108,27 +123,29 @@
   return current;
 }
 
-Result<std::vector<Write>> PlanChange(const Contents& committed, const ChangeOrder& order) {
+Result<JudgedPlan> PlanChange(const Contents& committed, const ChangeOrder& order) {
   DocumentReader reader;
   return PlanChange(committed, order, reader);
 }
 
-Result<std::vector<Write>> PlanChange(const Contents& committed, const ChangeOrder& order,
-                                      DocumentReader& reader, std::size_t most_bytes) {
+Result<JudgedPlan> PlanChange(const Contents& committed, const ChangeOrder& order,
+                              DocumentReader& reader, std::size_t most_bytes) {
   const StoredConfiguration current =
       CurrentConfiguration(committed).value_or(StoredConfiguration{});
   Findings findings;
   const std::optional<std::uint64_t> version = VersionOf(order.body, findings);
   if (!version) return Invalid(findings);
   std::string digest = DigestOf(order);
-  if (WasTaken(committed, *version, digest)) return std::vector<Write>{};
+  if (WasTaken(committed, *version, digest)) return JudgedPlan{};
   if (MayBeForgotten(committed, order, *version)) {
     return MakeError(ErrorCode::kUnknown, "so old an order may have been taken: version " +
                                               std::to_string(current.version) + " is in force");
   }
-  if (order.base_version != current.version) {
-    return MakeError(ErrorCode::kConflict,
-                     "version " + std::to_string(current.version) + " is in force");
+  if (order.base_version < current.version) return Conflict(current.version);
+  const RefusalRecords refusals(committed, kRefusedPrefix);
+  const std::string refusal_id = RefusalId(order, digest);
+  if (order.base_version > current.version) {
+    return refusals.Refuse(refusal_id, order.refusals_seen, Conflict(current.version));
   }
   if (*version <= current.version) {
     findings.push_back(
@@ -139,14 +156,17 @@
     document = ApplyPatch(current.document, order.body, findings);
   }
   if (!document) return Invalid(findings);
-  if (document->size() > most_bytes) return TooLarge(document->size(), most_bytes);
+  if (document->size() > most_bytes) {
+    return refusals.Refuse(refusal_id, order.refusals_seen, TooLarge(document->size(), most_bytes));
+  }
   // The order has been read whole, for its version, and so had what it changes.
   const auto parsed = reader.Read(*document);
   if (!parsed) {
     findings.insert(findings.end(), parsed.error().begin(), parsed.error().end());
   }
   if (!findings.empty()) return Invalid(findings);
-  return WritesOf(committed, *version, *document, std::move(digest));
+  return refusals.Accept(refusal_id, order.refusals_seen,
+                         WritesOf(committed, *version, *document, std::move(digest)));
 }
 
 }  // namespace shelflink::configuration
--- a/src/tier/operator_api/forwarder.cpp
+++ b/src/tier/operator_api/forwarder.cpp
@@ -38,10 +38,9 @@
 
  private:
   OperatorService::ChangeDone Acknowledge() {
-    return [done = std::move(done_)](Result<void> result) {
+    return [done = std::move(done_)](Result<OrderOutcome> result) {
       if (!result) return done(result.error());
-      const Answer acknowledged = Acknowledged{};
-      done(acknowledged);
+      done(std::visit([](const auto& outcome) { return Answer(outcome); }, result.value()));
     };
   }
 
--- a/src/tier/operator_api/forwarder.h
+++ b/src/tier/operator_api/forwarder.h
@@ -3,7 +3,9 @@
 // the order's time is over.
 //
 // Repeating an order is safe: a change that was taken is acknowledged again, one that was refused
-// stays refused.
+// stays refused unless its sender confirms it. So is an order that any process holds up for any
+// time: nothing here tells its age, and the primary judges it by what has been refused since
+// (coordination/refusals.h).
 #ifndef SHELFLINK_TIER_OPERATOR_API_FORWARDER_H_
 #define SHELFLINK_TIER_OPERATOR_API_FORWARDER_H_
 
--- a/src/tier/operator_api/messages.cpp
+++ b/src/tier/operator_api/messages.cpp
@@ -12,7 +12,13 @@
 
 // First field of each message.
 enum class OrderTag : std::uint8_t { kPut, kPatch, kRead, kRetire, kRetireState };
-enum class AnswerTag : std::uint8_t { kAcknowledged, kDocument, kRunning, kCompleted };
+enum class AnswerTag : std::uint8_t {
+  kAcknowledged,
+  kDocument,
+  kRunning,
+  kCompleted,
+  kConfirmationRequired
+};
 
 template <typename Tag>
 cbor::Writer& Start(cbor::Writer& writer, Tag tag, std::size_t more_fields) {
@@ -24,17 +30,32 @@
 
   void operator()(const ChangeOrder& order) const {
     const bool put = order.method == ChangeMethod::kPut;
-    Start(writer, put ? OrderTag::kPut : OrderTag::kPatch, 2)
+    Start(writer, put ? OrderTag::kPut : OrderTag::kPatch, 2 + ConfirmationFields(order))
         .Uint(order.base_version)
         .Bytes(order.body);
+    WriteConfirmation(order);
   }
   void operator()(const ReadConfigurationOrder&) const { Start(writer, OrderTag::kRead, 0); }
   void operator()(const RetireOrder& order) const {
-    Start(writer, OrderTag::kRetire, 2).Text(order.node).Int(order.deadline.count());
+    Start(writer, OrderTag::kRetire, 2 + ConfirmationFields(order))
+        .Text(order.node)
+        .Int(order.deadline.count());
+    WriteConfirmation(order);
   }
   void operator()(const RetireStateOrder& order) const {
     Start(writer, OrderTag::kRetireState, 1).Text(order.node);
   }
+
+ private:
+  // An order that needs no confirmation has no such field: earlier versions read it as well.
+  template <typename ConfirmedOrder>
+  static std::size_t ConfirmationFields(const ConfirmedOrder& order) {
+    return order.refusals_seen == 0 ? 0 : 1;
+  }
+  template <typename ConfirmedOrder>
+  void WriteConfirmation(const ConfirmedOrder& order) const {
+    if (order.refusals_seen != 0) writer.Uint(order.refusals_seen);
+  }
 };
 
 struct AnswerEncoder {
@@ -48,33 +69,45 @@
     const bool completed = state == RetireState::kCompleted;
     Start(writer, completed ? AnswerTag::kCompleted : AnswerTag::kRunning, 0);
   }
+  void operator()(const ConfirmationRequired& required) const {
+    Start(writer, AnswerTag::kConfirmationRequired, 1).Uint(required.refusals_seen);
+  }
 };
 
-ChangeOrder ReadChange(cbor::Reader& reader, ChangeMethod method) {
+// Fields of an order to change something, its tag and its confirmation among them.
+constexpr std::size_t kConfirmedOrderFields = 4;
+
+std::uint64_t ReadConfirmation(cbor::Reader& reader, std::size_t fields) {
+  return fields == kConfirmedOrderFields ? reader.Uint() : 0;
+}
+
+ChangeOrder ReadChange(cbor::Reader& reader, ChangeMethod method, std::size_t fields) {
   ChangeOrder order;
   order.method = method;
   order.base_version = reader.Uint();
   order.body = reader.Bytes();
+  order.refusals_seen = ReadConfirmation(reader, fields);
   return order;
 }
 
-RetireOrder ReadRetire(cbor::Reader& reader) {
+RetireOrder ReadRetire(cbor::Reader& reader, std::size_t fields) {
   RetireOrder order;
   order.node = reader.Text();
   order.deadline = std::chrono::milliseconds(reader.Int());
+  order.refusals_seen = ReadConfirmation(reader, fields);
   return order;
 }
 
-std::optional<Order> ReadOrder(cbor::Reader& reader) {
+std::optional<Order> ReadOrder(cbor::Reader& reader, std::size_t fields) {
   switch (static_cast<OrderTag>(reader.Uint())) {
     case OrderTag::kPut:
-      return ReadChange(reader, ChangeMethod::kPut);
+      return ReadChange(reader, ChangeMethod::kPut, fields);
     case OrderTag::kPatch:
-      return ReadChange(reader, ChangeMethod::kPatch);
+      return ReadChange(reader, ChangeMethod::kPatch, fields);
     case OrderTag::kRead:
       return ReadConfigurationOrder{};
     case OrderTag::kRetire:
-      return ReadRetire(reader);
+      return ReadRetire(reader, fields);
     case OrderTag::kRetireState:
       return RetireStateOrder{std::string(reader.Text())};
   }
@@ -91,6 +124,8 @@
       return RetireState::kRunning;
     case AnswerTag::kCompleted:
       return RetireState::kCompleted;
+    case AnswerTag::kConfirmationRequired:
+      return ConfirmationRequired{reader.Uint()};
   }
   return std::nullopt;
 }
@@ -105,8 +140,9 @@
 
 std::optional<Order> DecodeOrder(std::string_view message) {
   cbor::Reader reader(message);
-  if (reader.Array() == 0) return std::nullopt;
-  std::optional<Order> order = ReadOrder(reader);
+  const std::size_t fields = reader.Array();
+  if (fields == 0) return std::nullopt;
+  std::optional<Order> order = ReadOrder(reader, fields);
   return reader.ok() && reader.AtEnd() ? std::move(order) : std::nullopt;
 }
 
--- a/src/tier/operator_api/messages.h
+++ b/src/tier/operator_api/messages.h
@@ -18,12 +18,11 @@
 using Order =
     std::variant<configuration::ChangeOrder, ReadConfigurationOrder, RetireOrder, RetireStateOrder>;
 
-// What an order came to, where it succeeded.
-struct Acknowledged {};
+// What an order came to, where it was not refused.
 struct Document {
   std::string json;
 };
-using Answer = std::variant<Acknowledged, Document, RetireState>;
+using Answer = std::variant<Acknowledged, Document, RetireState, ConfirmationRequired>;
 
 std::string EncodeOrder(const Order& order);
 // None: malformed, or of a kind that this version doesn't know.
--- a/src/tier/operator_api/requests.cpp
+++ b/src/tier/operator_api/requests.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::string_view kConfigPath = "/config";
 constexpr std::string_view kRetirePrefix = "/retire/";
+constexpr std::string_view kConfirmed = "/confirmed/";
 constexpr std::size_t kLongestNodeName = 255;
 constexpr double kLongestDeadlineS = 1e9;
 constexpr double kMillisecondsPerSecond = 1000.0;
@@ -27,27 +28,49 @@
   return answer;
 }
 
+std::optional<std::uint64_t> WholeNumberIn(std::string_view digits) {
+  std::uint64_t number = 0;
+  const char* end = digits.data() + digits.size();
+  const auto [behind, error] = std::from_chars(digits.data(), end, number);
+  if (digits.empty() || error != std::errc() || behind != end) return std::nullopt;
+  return number;
+}
+
 // A version with or without quotes.
 std::optional<std::uint64_t> VersionOf(std::string_view if_match) {
   if (if_match.size() >= 2 && if_match.front() == '"' && if_match.back() == '"') {
     if_match = if_match.substr(1, if_match.size() - 2);
   }
-  std::uint64_t version = 0;
-  const char* end = if_match.data() + if_match.size();
-  const auto [behind, error] = std::from_chars(if_match.data(), end, version);
-  if (if_match.empty() || error != std::errc() || behind != end) return std::nullopt;
-  return version;
+  return WholeNumberIn(if_match);
+}
+
+// A path and the number that confirms an order there; 0: it is not confirmed.
+struct ConfirmedPath {
+  std::string_view path;
+  std::uint64_t refusals_seen = 0;
+};
+
+// None: what follows is no number above 0.
+std::optional<ConfirmedPath> ConfirmedPathOf(std::string_view path) {
+  const std::size_t at = path.find(kConfirmed);
+  if (at == std::string_view::npos) return ConfirmedPath{path, 0};
+  const auto number = WholeNumberIn(path.substr(at + kConfirmed.size()));
+  if (number.value_or(0) == 0) return std::nullopt;
+  return ConfirmedPath{path.substr(0, at), *number};
 }
 
-std::variant<Order, HttpAnswer> ChangeOf(const HttpRequest& request, ChangeMethod method) {
+std::variant<Order, HttpAnswer> ChangeOf(const HttpRequest& request, ChangeMethod method,
+                                         std::uint64_t refusals_seen) {
   const auto base = request.if_match ? VersionOf(*request.if_match) : std::nullopt;
   if (!base) return ErrorAnswer(status::kBadRequest, "If-Match: expected a version");
-  return Order(ChangeOrder{method, *base, std::string(request.body)});
+  return Order(ChangeOrder{method, *base, std::string(request.body), refusals_seen});
 }
 
-std::variant<Order, HttpAnswer> ConfigOrder(const HttpRequest& request) {
-  if (request.method == "PUT") return ChangeOf(request, ChangeMethod::kPut);
-  if (request.method == "PATCH") return ChangeOf(request, ChangeMethod::kPatch);
+std::variant<Order, HttpAnswer> ConfigOrder(const HttpRequest& request,
+                                            std::uint64_t refusals_seen) {
+  if (request.method == "PUT") return ChangeOf(request, ChangeMethod::kPut, refusals_seen);
+  if (request.method == "PATCH") return ChangeOf(request, ChangeMethod::kPatch, refusals_seen);
+  if (refusals_seen > 0) return NotAllowed("PUT, PATCH");
   if (request.method == "GET") return Order(ReadConfigurationOrder{});
   return NotAllowed("GET, PUT, PATCH");
 }
@@ -81,14 +104,17 @@
   return std::chrono::milliseconds(static_cast<std::int64_t>(milliseconds));
 }
 
-std::variant<Order, HttpAnswer> RetirementOrder(const HttpRequest& request) {
-  const std::string node(request.path.substr(kRetirePrefix.size()));
+std::variant<Order, HttpAnswer> RetirementOrder(const HttpRequest& request,
+                                                const ConfirmedPath& target) {
+  const std::string node(target.path.substr(kRetirePrefix.size()));
+  const bool is_confirmed = target.refusals_seen > 0;
   if (!IsNodeName(node)) return ErrorAnswer(status::kNotFound, "no such machine");
-  if (request.method == "GET") return Order(RetireStateOrder{node});
-  if (request.method != "POST") return NotAllowed("GET, POST");
+  if (request.method == "GET" && !is_confirmed) return Order(RetireStateOrder{node});
+  if (request.method != "POST") return NotAllowed(is_confirmed ? "POST" : "GET, POST");
   auto deadline = DeadlineOf(request.body);
   if (auto* refusal = std::get_if<HttpAnswer>(&deadline)) return std::move(*refusal);
-  return Order(RetireOrder{node, std::get<std::chrono::milliseconds>(deadline)});
+  return Order(
+      RetireOrder{node, std::get<std::chrono::milliseconds>(deadline), target.refusals_seen});
 }
 
 int StatusOf(const Order& order, ErrorCode code) {
@@ -129,8 +155,19 @@
   std::string operator()(RetireState state) const {
     return state == RetireState::kCompleted ? R"({"state":"completed"})" : R"({"state":"running"})";
   }
+  std::string operator()(const ConfirmationRequired&) const {
+    return R"({"error":"refused before: send it again to the Location if it is still wanted"})";
+  }
 };
 
+std::string ConfirmationPath(const Order& order, const ConfirmationRequired& required) {
+  std::string path(kConfigPath);
+  if (const auto* retire = std::get_if<RetireOrder>(&order)) {
+    path = std::string(kRetirePrefix) + retire->node;
+  }
+  return path + std::string(kConfirmed) + std::to_string(required.refusals_seen);
+}
+
 }  // namespace
 
 HttpAnswer ErrorAnswer(int status, std::string_view text) {
@@ -141,8 +178,10 @@
 }
 
 std::variant<Order, HttpAnswer> OrderOf(const HttpRequest& request) {
-  if (request.path == kConfigPath) return ConfigOrder(request);
-  if (request.path.starts_with(kRetirePrefix)) return RetirementOrder(request);
+  const std::optional<ConfirmedPath> target = ConfirmedPathOf(request.path);
+  if (!target) return ErrorAnswer(status::kNotFound, "no such path");
+  if (target->path == kConfigPath) return ConfigOrder(request, target->refusals_seen);
+  if (target->path.starts_with(kRetirePrefix)) return RetirementOrder(request, *target);
   return ErrorAnswer(status::kNotFound, "no such path");
 }
 
@@ -157,7 +196,15 @@
 }
 
 HttpAnswer HttpAnswerOf(const Order& order, const Result<Answer>& result) {
-  if (result) return {status::kOk, std::visit(BodyOf{}, result.value()), {}, {}, kJsonContentType};
+  if (result) {
+    HttpAnswer answer;
+    answer.body = std::visit(BodyOf{}, result.value());
+    if (const auto* required = std::get_if<ConfirmationRequired>(&result.value())) {
+      answer.status = status::kTemporaryRedirect;
+      answer.location = ConfirmationPath(order, *required);
+    }
+    return answer;
+  }
   HttpAnswer answer = ErrorAnswer(StatusOf(order, result.error().code), result.error().text);
   // Nothing has happened, and the reason is one that passes.
   if (answer.status == status::kServiceUnavailable) answer.retry_after_s = kRetryAfterS;
--- a/src/tier/operator_api/requests.h
+++ b/src/tier/operator_api/requests.h
@@ -15,6 +15,7 @@
 
 namespace status {
 constexpr int kOk = 200;
+constexpr int kTemporaryRedirect = 307;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
@@ -41,9 +42,12 @@
   std::string allow;  // With 405: the methods that there are.
   std::optional<double> retry_after_s;
   std::string_view content_type = kJsonContentType;  // Of a constant.
+  std::string location;  // With 307: the path at the same address that takes the request.
 };
 
-// What a request asks for, or the answer that refuses its form.
+// What a request asks for, or the answer that refuses its form. An order to change something is
+// confirmed by its path, where 307 has named it: /config/confirmed/N and /retire/NODE/confirmed/N,
+// N being `refusals_seen`.
 std::variant<Order, HttpAnswer> OrderOf(const HttpRequest& request);
 
 HttpAnswer HttpAnswerOf(const Order& order, const Result<Answer>& result);
--- a/src/tier/operator_api/server.cpp
+++ b/src/tier/operator_api/server.cpp
@@ -71,7 +71,7 @@
 // What of an order decides how its answer reads.
 Order WithoutBody(const Order& order) {
   if (const auto* change = std::get_if<configuration::ChangeOrder>(&order)) {
-    return configuration::ChangeOrder{change->method, change->base_version, {}};
+    return configuration::ChangeOrder{change->method, change->base_version, {}, 0};
   }
   return order;
 }
@@ -87,8 +87,13 @@
                                "close");
 }
 
-void WriteAnswer(SoupServerMessage* message, const HttpAnswer& answer) {
+// `self`: this server, for the addresses of its own paths.
+void WriteAnswer(SoupServerMessage* message, const HttpAnswer& answer, const net::Address& self) {
   SoupMessageHeaders* headers = soup_server_message_get_response_headers(message);
+  if (!answer.location.empty()) {
+    const std::string location = "http://" + self.Text() + answer.location;
+    soup_message_headers_replace(headers, "Location", location.c_str());
+  }
   if (!answer.allow.empty()) soup_message_headers_replace(headers, "Allow", answer.allow.c_str());
   if (answer.retry_after_s) {
     soup_message_headers_replace(headers, "Retry-After",
@@ -399,7 +404,7 @@
 
 void Server::Impl::Send(SoupServerMessage* message, const HttpAnswer& answer) {
   if (listener == nullptr) CloseAfterwards(message);
-  WriteAnswer(message, answer);
+  WriteAnswer(message, answer, bound);
   if (Connection* connection = ConnectionOf(message)) {
     connection->phase = Phase::kAnswered;
     SetDeadline(*connection, loop.Now() + limits.idle_timeout);
@@ -410,7 +415,7 @@
 void Server::Impl::RefuseLate(SoupServerMessage* message, const HttpAnswer& answer) {
   soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
   CloseAfterwards(message);
-  WriteAnswer(message, answer);
+  WriteAnswer(message, answer, bound);
   ++counters.answers[answer.status];
 }
 
--- a/src/tier/operator_api/server.h
+++ b/src/tier/operator_api/server.h
@@ -1,6 +1,7 @@
 // The operator's HTTP interface on a core process: PUT, PATCH and GET /config, POST and GET
-// /retire/NODE, and GET /metrics and /status where there are any. Checks the form of requests and
-// turns answers into status codes; knows nothing of configurations themselves.
+// /retire/NODE, 307 where an order that was refused before has to be confirmed, and GET /metrics
+// and /status where there are any. Checks the form of requests and turns answers into status codes;
+// knows nothing of configurations themselves.
 //
 // Limits: kMostOrders under way and kMostBytesHeld of bodies, beyond which 503 with Retry-After;
 // kMostConnections open; a body of kBodyLimit, beyond which 413; slow senders are closed after the
--- a/src/tier/operator_api/service.h
+++ b/src/tier/operator_api/service.h
@@ -8,9 +8,11 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <variant>
 
 #include "net/address.h"
 #include "tier/configuration/book.h"
+#include "tier/coordination/refusals.h"
 #include "tier/foundation/result.h"
 
 namespace shelflink::operator_api {
@@ -18,20 +20,28 @@
 struct RetireOrder {
   std::string node;                       // Name of a storage machine.
   std::chrono::milliseconds deadline{0};  // The machine should be empty by then.
+  std::uint64_t refusals_seen = 0;        // As its sender was told (coordination/refusals.h).
 };
 
+// What an order to change something came to, where it was not refused.
+struct Acknowledged {};
+// It was refused before. Whoever still wants it sends it again with that number.
+using coordination::ConfirmationRequired;
+using OrderOutcome = std::variant<Acknowledged, ConfirmationRequired>;
+
 enum class RetireState : std::uint8_t { kRunning, kCompleted };
 
 // Each `done` is called once, on the loop's thread, never from inside the call. Errors and what the
 // operator reads of them:
 //   kInvalid 400, kNotFound 404, kConflict 412 (a change) or 409 (a retirement),
 //   kTooLarge 413, kUnavailable and kExhausted 503 (nothing happened), kUnknown and kStorage 504.
+// ConfirmationRequired is no error: 307 to the path that carries the number.
 // A process that is not the primary answers kUnavailable; the caller then looks for the primary.
 class OperatorService {
  public:
-  using ChangeDone = std::function<void(Result<void>)>;
+  using ChangeDone = std::function<void(Result<OrderOutcome>)>;
   using DocumentDone = std::function<void(Result<std::string>)>;
-  using RetireDone = std::function<void(Result<void>)>;
+  using RetireDone = std::function<void(Result<OrderOutcome>)>;
   using RetireStateDone = std::function<void(Result<RetireState>)>;
 
   virtual ~OperatorService() = default;
--- a/tests/fuzz/tier_parsers.cpp
+++ b/tests/fuzz/tier_parsers.cpp
@@ -51,10 +51,10 @@
 
 // What the book would write for the order, if it takes it; the document must be readable.
 void Plan(const coordination::Contents& contents, const configuration::ChangeOrder& order) {
-  const auto writes = configuration::PlanChange(contents, order);
-  if (!writes) return;
+  const auto plan = configuration::PlanChange(contents, order);
+  if (!plan || !std::holds_alternative<coordination::Accepted>(plan.value().verdict)) return;
   coordination::Contents after = contents;
-  for (const coordination::Write& write : writes.value()) {
+  for (const coordination::Write& write : plan.value().writes) {
     if (write.value) {
       after[write.key] = *write.value;
     } else {
@@ -188,10 +188,10 @@
 
 void PlayPatch(std::string_view bytes) {
   coordination::Contents contents;
-  const auto writes =
+  const auto plan =
       configuration::PlanChange(contents, {configuration::ChangeMethod::kPut, 0, kInForce});
-  if (!writes) throw Breach("the document in force was not taken: " + writes.error().text);
-  for (const coordination::Write& write : writes.value()) contents[write.key] = *write.value;
+  if (!plan) throw Breach("the document in force was not taken: " + plan.error().text);
+  for (const coordination::Write& write : plan.value().writes) contents[write.key] = *write.value;
   Plan(contents, {configuration::ChangeMethod::kPatch, 7, std::string(bytes)});
 }
 
--- a/tests/tier/cluster/core_service_test.cpp
+++ b/tests/tier/cluster/core_service_test.cpp
@@ -80,10 +80,12 @@
   return false;
 }
 
-std::optional<Result<void>> Retire(Rig& rig, const std::string& node) {
-  std::optional<Result<void>> result;
-  rig.Primary().service().Retire({node, seconds(10)},
-                                 [&](Result<void> told) { result = std::move(told); });
+using Outcome = Result<operator_api::OrderOutcome>;
+
+std::optional<Outcome> Retire(Rig& rig, const std::string& node, std::uint64_t refusals_seen = 0) {
+  std::optional<Outcome> result;
+  rig.Primary().service().Retire({node, seconds(10), refusals_seen},
+                                 [&](Outcome told) { result = std::move(told); });
   rig.RunUntil([&] { return result.has_value(); }, seconds(1));
   return result;
 }
@@ -480,10 +482,10 @@
 BOOST_AUTO_TEST_CASE(a_process_that_is_not_the_primary_changes_nothing) {
   Rig rig;
   rig.Start();
-  std::optional<Result<void>> result;
+  std::optional<Outcome> result;
   rig.cores[1]->service().ChangeConfiguration(
       {configuration::ChangeMethod::kPut, 0, RigConfiguration(1)},
-      [&](Result<void> told) { result = std::move(told); });
+      [&](Outcome told) { result = std::move(told); });
   BOOST_REQUIRE(rig.RunUntil([&] { return result.has_value(); }, seconds(1)));
   BOOST_TEST((result->error().code == ErrorCode::kUnavailable));
   BOOST_TEST(rig.map.contents.empty());
--- a/tests/tier/cluster/group_rig.h
+++ b/tests/tier/cluster/group_rig.h
@@ -151,10 +151,10 @@
         rig_.Run(milliseconds(50));
         continue;
       }
-      auto outcome = std::make_shared<std::optional<Result<void>>>();
+      auto outcome = std::make_shared<std::optional<Result<operator_api::OrderOutcome>>>();
       primary->service().ChangeConfiguration(
           {configuration::ChangeMethod::kPut, base, RigConfiguration(version)},
-          [outcome](Result<void> told) { *outcome = std::move(told); });
+          [outcome](Result<operator_api::OrderOutcome> told) { *outcome = std::move(told); });
       rig_.RunUntil([&] { return outcome->has_value(); }, milliseconds(500));
       taken = outcome->has_value() && (*outcome)->has_value();
     }
--- a/tests/tier/cluster/history_test.cpp
+++ b/tests/tier/cluster/history_test.cpp
@@ -154,10 +154,10 @@
         Pass(milliseconds(100));
         continue;
       }
-      const auto outcome = std::make_shared<std::optional<Result<void>>>();
+      const auto outcome = std::make_shared<std::optional<Result<operator_api::OrderOutcome>>>();
       primary->service().ChangeConfiguration(
           {configuration::ChangeMethod::kPut, base, RigConfiguration(next)},
-          [outcome](Result<void> told) { *outcome = std::move(told); });
+          [outcome](Result<operator_api::OrderOutcome> told) { *outcome = std::move(told); });
       const net::Time give_up = tier_.net().Now() + milliseconds(800);
       while (!outcome->has_value() && tier_.net().Now() < give_up) Pass(milliseconds(50));
       if (!outcome->has_value()) continue;
--- a/tests/tier/cluster/rig.h
+++ b/tests/tier/cluster/rig.h
@@ -475,11 +475,11 @@
   }
 
   // Sends the configuration and waits for its acknowledgement.
-  Result<void> Put(std::uint64_t version, std::uint64_t base) {
-    std::optional<Result<void>> result;
+  Result<operator_api::OrderOutcome> Put(std::uint64_t version, std::uint64_t base) {
+    std::optional<Result<operator_api::OrderOutcome>> result;
     Primary().service().ChangeConfiguration(
         {configuration::ChangeMethod::kPut, base, RigConfiguration(version)},
-        [&](Result<void> told) { result = std::move(told); });
+        [&](Result<operator_api::OrderOutcome> told) { result = std::move(told); });
     RunUntil([&] { return result.has_value(); }, seconds(1));
     if (!result) return MakeError(ErrorCode::kUnknown, "no answer");
     return *result;
--- a/tests/tier/configuration/book_test.cpp
+++ b/tests/tier/configuration/book_test.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE configuration_book
 #include "tier/configuration/book.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <random>
@@ -10,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "configuration/order_caller.h"
 #include "configuration/sample.h"
 #include "tier/configuration/json.h"
 #include "tier/configuration/model.h"
@@ -21,29 +23,18 @@
 using coordination::Contents;
 using coordination::Write;
 
-void Apply(Contents& contents, const std::vector<Write>& writes) {
-  for (const Write& write : writes) {
-    if (write.value) {
-      contents[write.key] = *write.value;
-    } else {
-      contents.erase(write.key);
-    }
-  }
-}
-
 enum class Verdict { kTaken, kTakenBefore, kConflict, kInvalid };
 
-// Plans the order and, where it is new and good, commits it.
+// A new call with the order.
 Verdict Submit(Contents& contents, const ChangeOrder& order) {
-  auto plan = PlanChange(contents, order);
-  if (!plan) {
-    BOOST_REQUIRE(
-        (plan.error().code == ErrorCode::kConflict || plan.error().code == ErrorCode::kInvalid));
-    return plan.error().code == ErrorCode::kConflict ? Verdict::kConflict : Verdict::kInvalid;
+  const Outcome outcome = Call(contents, order);
+  BOOST_REQUIRE(outcome.refusals_to_confirm == 0U);
+  if (outcome.refusal) {
+    const ErrorCode code = outcome.refusal->code;
+    BOOST_REQUIRE((code == ErrorCode::kConflict || code == ErrorCode::kInvalid));
+    return code == ErrorCode::kConflict ? Verdict::kConflict : Verdict::kInvalid;
   }
-  if (plan.value().empty()) return Verdict::kTakenBefore;
-  Apply(contents, plan.value());
-  return Verdict::kTaken;
+  return outcome.is_taken_before ? Verdict::kTakenBefore : Verdict::kTaken;
 }
 
 std::string Document(std::uint64_t version, const std::string& note) {
@@ -134,13 +125,93 @@
 BOOST_AUTO_TEST_CASE(refuses_a_document_beyond_the_bound) {
   DocumentReader reader;
   const ChangeOrder order{ChangeMethod::kPut, 0, kSample};
-  const auto refused = PlanChange({}, order, reader, kSample.size() - 1);
-  BOOST_REQUIRE(!refused);
-  BOOST_TEST((refused.error().code == ErrorCode::kTooLarge));
-  BOOST_TEST(refused.error().text == "document: expected at most " +
-                                         std::to_string(kSample.size() - 1) + " bytes, found " +
-                                         std::to_string(kSample.size()));
-  BOOST_TEST(PlanChange({}, order, reader, kSample.size()).has_value());
+  Contents contents;
+  const auto plan = PlanChange(contents, order, reader, kSample.size() - 1);
+  BOOST_REQUIRE(plan);
+  const auto* refused = std::get_if<coordination::Refused>(&plan.value().verdict);
+  BOOST_REQUIRE(refused != nullptr);
+  BOOST_TEST((refused->error.code == ErrorCode::kTooLarge));
+  BOOST_TEST(refused->error.text == "document: expected at most " +
+                                        std::to_string(kSample.size() - 1) + " bytes, found " +
+                                        std::to_string(kSample.size()));
+  // At a primary that has room for it, a copy that was held up is not taken.
+  Apply(contents, plan.value().writes);
+  BOOST_TEST(SendCopy(contents, order).refusals_to_confirm > 0U);
+  BOOST_TEST(!CurrentConfiguration(contents).has_value());
+  BOOST_TEST((Submit(contents, order) == Verdict::kTaken));
+  Contents without_refusal;
+  BOOST_TEST((Submit(without_refusal, order) == Verdict::kTaken));
+}
+
+// Guards against a copy of an order, refused because its base was yet to come, that a process which
+// stood still hands on once that base is in force.
+BOOST_AUTO_TEST_CASE(a_refused_order_is_not_taken_when_its_base_has_come) {
+  Contents contents;
+  const ChangeOrder first = Put(0, Document(1, "first"));
+  const ChangeOrder second = Patch(1, R"({"configVersion":7})");
+  const ChangeOrder third = Patch(7, R"({"configVersion":9})");
+  BOOST_TEST((Submit(contents, first) == Verdict::kTaken));
+  BOOST_TEST((Submit(contents, third) == Verdict::kConflict));
+  BOOST_TEST((Submit(contents, second) == Verdict::kTaken));
+  for (int copy = 0; copy < 3; ++copy) {
+    BOOST_TEST(SendCopy(contents, third).refusals_to_confirm > 0U);
+    BOOST_TEST(CurrentConfiguration(contents)->version == 7U);
+  }
+  // Others on that base are not concerned.
+  Contents with_another = contents;
+  BOOST_TEST(!SendCopy(with_another, Patch(7, R"({"configVersion":8})")).refusal);
+  BOOST_TEST(CurrentConfiguration(with_another)->version == 8U);
+  BOOST_TEST((SendCopy(with_another, third).refusal->code == ErrorCode::kConflict));
+  // Whoever still wants it, in a new call.
+  BOOST_TEST((Submit(contents, third) == Verdict::kTaken));
+  BOOST_TEST((Submit(contents, third) == Verdict::kTakenBefore));
+}
+
+// A confirmation counts for the refusals that its sender was told of, and for no later one.
+BOOST_AUTO_TEST_CASE(a_confirmation_does_not_outlive_the_next_refusal) {
+  DocumentReader reader;
+  Contents contents;
+  ChangeOrder order = Put(0, kSample);
+  const auto refuse = [&] {
+    const auto plan = PlanChange(contents, order, reader, kSample.size() - 1);
+    BOOST_REQUIRE(plan);
+    BOOST_REQUIRE(std::holds_alternative<coordination::Refused>(plan.value().verdict));
+    Apply(contents, plan.value().writes);
+  };
+  refuse();
+  order.refusals_seen = SendCopy(contents, order).refusals_to_confirm;
+  BOOST_TEST(order.refusals_seen > 0U);
+  refuse();
+  const std::uint64_t later = SendCopy(contents, order).refusals_to_confirm;
+  BOOST_TEST(later > order.refusals_seen);
+  BOOST_TEST(!CurrentConfiguration(contents).has_value());
+  order.refusals_seen = later;
+  BOOST_TEST(!SendCopy(contents, order).refusal);
+  BOOST_TEST(CurrentConfiguration(contents)->version == 7U);
+}
+
+// Records of refused orders go when their base has gone by.
+BOOST_AUTO_TEST_CASE(refusals_are_forgotten_when_their_base_has_gone_by) {
+  const auto refusals = [](const Contents& contents) {
+    const std::string records = std::string(kRefusedPrefix) + "id/";
+    return std::count_if(contents.begin(), contents.end(),
+                         [&](const auto& entry) { return entry.first.starts_with(records); });
+  };
+  Contents contents;
+  Submit(contents, Put(0, Document(1, "first")));
+  const std::vector<std::uint64_t> bases = {2, 3, 4, 900};
+  for (const std::uint64_t base : bases) {
+    const ChangeOrder order = Put(base, Document(base + 1, "early"));
+    BOOST_TEST((Submit(contents, order) == Verdict::kConflict));
+    BOOST_TEST((Submit(contents, order) == Verdict::kConflict));
+  }
+  BOOST_TEST(refusals(contents) == 4);
+  Submit(contents, Put(1, Document(3, "second")));
+  BOOST_TEST(refusals(contents) == 3);
+  Submit(contents, Put(3, Document(5, "third")));
+  BOOST_TEST(refusals(contents) == 1);
+  BOOST_TEST((Submit(contents, Put(4, Document(5, "early"))) == Verdict::kConflict));
+  BOOST_TEST(refusals(contents) == 1);
 }
 
 BOOST_AUTO_TEST_CASE(a_patch_adds_replaces_and_removes_by_name) {
@@ -268,7 +339,7 @@
     const ChangeOrder next = order(number);
     auto plan = PlanChange(contents, next);
     BOOST_REQUIRE(plan);
-    Apply(contents, plan.value());
+    Apply(contents, plan.value().writes);
   }
   BOOST_TEST(contents.size() == kOrdersRemembered + 4);
   std::size_t bytes = 0;
--- a/tests/tier/configuration/mutants.cmake
+++ b/tests/tier/configuration/mutants.cmake
@@ -5,10 +5,10 @@
 endfunction()
 
 book_mutant(repeats_are_judged_anew
-  [=[  if (WasTaken(committed, *version, digest)) return std::vector<Write>{};]=] ""
+  [=[  if (WasTaken(committed, *version, digest)) return JudgedPlan{};]=] ""
   order_table_test good_orders)
 book_mutant(any_base_will_do
-  [=[  if (order.base_version != current.version) {]=] [=[  if (false) {]=]
+  [=[  if (order.base_version < current.version) return Conflict(current.version);]=] ""
   order_table_test one_of_two_on_one_base_wins)
 book_mutant(numbers_need_not_rise
   [=[  if (*version <= current.version) {]=] [=[  if (false) {]=]
@@ -26,6 +26,13 @@
 book_mutant(forgotten_orders_are_refused
   [=[  if (MayBeForgotten(committed, order, *version)) {]=] [=[  if (false) {]=]
   book_test remembers_a_bounded_number_of_orders_and_never_refuses_an_older_one)
+book_mutant(an_early_order_is_refused_without_a_record
+  [=[  if (order.base_version < current.version) return]=]
+  [=[  if (order.base_version != current.version) return]=]
+  book_test a_refused_order_is_not_taken_when_its_base_has_come)
+book_mutant(refusals_stay_when_their_base_has_gone_by
+  [=[  for (Write& write : refusals.ForgetBelow(Digits(version))) writes.push_back(std::move(write));]=] ""
+  book_test refusals_are_forgotten_when_their_base_has_gone_by)
 
 # What keeps a change of a large document small, and what keeps one order's outcome from another's.
 tier_mutant(chunks_are_cut_at_equal_lengths configuration/document_store.cpp
@@ -51,6 +58,6 @@
   TEST configuration/difference_test RUN what_is_applied_leads_to_the_later_one
   LIBRARIES shelflink_tier_configuration)
 tier_mutant(documents_of_any_size_are_taken configuration/book.cpp
-  [=[  if (document->size() > most_bytes) return TooLarge(document->size(), most_bytes);]=] ""
+  [=[  if (document->size() > most_bytes) {]=] [=[  if (false) {]=]
   TEST configuration/book_test RUN refuses_a_document_beyond_the_bound
   LIBRARIES shelflink_tier_configuration)
--- a/tests/tier/configuration/order_table_test.cpp
+++ b/tests/tier/configuration/order_table_test.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "configuration/order_caller.h"
 #include "tier/configuration/book.h"
 
 namespace shelflink::configuration {
@@ -49,20 +50,14 @@
 const std::string kAddService = R"("upsert":{"services":[{"name":"t"}]})";
 
 Owed Give(Contents& contents, const ChangeOrder& order) {
-  auto plan = PlanChange(contents, order);
-  if (!plan) {
-    BOOST_REQUIRE(
-        (plan.error().code == ErrorCode::kConflict || plan.error().code == ErrorCode::kInvalid));
-    return plan.error().code == ErrorCode::kConflict ? Owed::k412 : Owed::k400;
+  const Outcome outcome = Call(contents, order);
+  BOOST_REQUIRE(outcome.refusals_to_confirm == 0U);
+  if (outcome.refusal) {
+    const ErrorCode code = outcome.refusal->code;
+    BOOST_REQUIRE((code == ErrorCode::kConflict || code == ErrorCode::kInvalid));
+    return code == ErrorCode::kConflict ? Owed::k412 : Owed::k400;
   }
-  for (const coordination::Write& write : plan.value()) {
-    if (write.value) {
-      contents[write.key] = *write.value;
-    } else {
-      contents.erase(write.key);
-    }
-  }
-  return plan.value().empty() ? Owed::kAgain : Owed::kTaken;
+  return outcome.is_taken_before ? Owed::kAgain : Owed::kTaken;
 }
 void Take(Contents& contents, const ChangeOrder& order) {
   BOOST_REQUIRE_EQUAL(Give(contents, order), Owed::kTaken);
@@ -93,6 +88,15 @@
   return contents;
 }
 
+// What is in force and remembered as taken; the records of refusals are no part of it.
+Contents Configuration(const Contents& contents) {
+  Contents configuration;
+  for (const auto& [key, value] : contents) {
+    if (key.starts_with(kKeyPrefix)) configuration.emplace(key, value);
+  }
+  return configuration;
+}
+
 struct Row {
   const char* name;
   ChangeOrder order;
@@ -108,7 +112,7 @@
         const Contents before = contents;
         const Owed given = Give(contents, row.order);
         BOOST_TEST(given == row.owed[i]);
-        BOOST_TEST((contents == before) == (given != Owed::kTaken));
+        BOOST_TEST((Configuration(contents) == Configuration(before)) == (given != Owed::kTaken));
         // Whatever the answer was, the same order is owed the same again, or 200 once taken.
         const Owed again = given == Owed::kTaken ? Owed::kAgain : given;
         BOOST_TEST(Give(contents, row.order) == again);
--- a/tests/tier/coordination/mutants.cmake
+++ b/tests/tier/coordination/mutants.cmake
@@ -110,3 +110,24 @@
   [=[  return found != followers_.end() && found->second.joined;]=]
   TEST coordination/replica_test RUN commits_wait_for_a_learner_for_a_time_only
   LIBRARIES shelflink_tier_replication)
+
+# A refused request is not executed by a copy that was held up: each check of refusals.cpp removed.
+function(refusals_mutant name text replacement cases)
+  tier_mutant(${name} coordination/refusals.cpp "${text}" "${replacement}"
+    TEST coordination/refusals_test RUN ${cases} LIBRARIES shelflink_tier_refusals)
+endfunction()
+refusals_mutant(refusals_are_not_recorded
+  [=[  plan.writes.push_back({RecordKey(id), number});]=] ""
+  what_was_refused_is_accepted_only_when_it_is_confirmed)
+refusals_mutant(any_confirmation_will_do
+  [=[  if (refusals_seen < refusal) return]=] [=[  if (refusals_seen == 0 && refusal > 0) return]=]
+  a_later_refusal_needs_a_later_confirmation)
+refusals_mutant(dropped_refusals_are_forgotten
+  [=[  return dropped && id >= dropped->from ? dropped->number : 0;]=] [=[  return 0;]=]
+  the_limit_forgets_no_refusal)
+refusals_mutant(the_mark_of_dropped_refusals_moves_up
+  [=[    mark.from = std::min(mark.from, earlier->from);]=] ""
+  what_was_dropped_may_be_refused_again)
+refusals_mutant(what_was_dropped_is_refused_under_its_old_number
+  [=[  if (refusals_seen < NumberOf(id)) return plan;]=] [=[  if (NumberOf(id) > 0) return plan;]=]
+  what_was_dropped_may_be_refused_again)
--- a/tests/tier/operator_api/fake_service.h
+++ b/tests/tier/operator_api/fake_service.h
@@ -49,9 +49,9 @@
   std::optional<net::Address> known_primary;
   bool hold = false;  // Orders wait for Release.
 
-  Result<void> change_result = BOOST_OUTCOME_V2_NAMESPACE::success();
+  Result<OrderOutcome> change_result = OrderOutcome(Acknowledged{});
   Result<std::string> document_result = std::string("{}");
-  Result<void> retire_result = BOOST_OUTCOME_V2_NAMESPACE::success();
+  Result<OrderOutcome> retire_result = OrderOutcome(Acknowledged{});
   Result<RetireState> state_result = RetireState::kRunning;
 
   std::vector<configuration::ChangeOrder> changes;
--- a/tests/tier/operator_api/operator_requests_test.cpp
+++ b/tests/tier/operator_api/operator_requests_test.cpp
@@ -53,6 +53,36 @@
   BOOST_TEST(OrderIn<RetireStateOrder>(RequestOf("GET", "/retire/a_b.c")).node == "a_b.c");
 }
 
+// The path that 307 names is read as the same order with its confirmation.
+BOOST_AUTO_TEST_CASE(an_order_is_confirmed_by_the_path_that_it_was_told) {
+  const Order change = ChangeOrder{ChangeMethod::kPut, 5, "{}"};
+  const HttpAnswer told = HttpAnswerOf(change, Answer(ConfirmationRequired{12}));
+  BOOST_TEST(told.status == 307);
+  BOOST_TEST(told.location == "/config/confirmed/12");
+  BOOST_TEST(told.body.starts_with("{\"error\":"));
+  const auto put = OrderIn<ChangeOrder>(RequestOf("PUT", told.location, "5", "{}"));
+  BOOST_TEST(put.refusals_seen == 12U);
+  BOOST_TEST(put.base_version == 5U);
+  BOOST_TEST(OrderIn<ChangeOrder>(RequestOf("PATCH", told.location, "5", "x")).refusals_seen ==
+             12U);
+  BOOST_TEST(OrderIn<ChangeOrder>(RequestOf("PUT", "/config", "5", "{}")).refusals_seen == 0U);
+  const HttpAnswer again = HttpAnswerOf(Order(put), Answer(ConfirmationRequired{13}));
+  BOOST_TEST(again.location == "/config/confirmed/13");
+  const Order retire = RetireOrder{"a-1", {}};
+  const HttpAnswer of_retire = HttpAnswerOf(retire, Answer(ConfirmationRequired{7}));
+  BOOST_TEST(of_retire.location == "/retire/a-1/confirmed/7");
+  const auto retired = OrderIn<RetireOrder>(RequestOf("POST", of_retire.location));
+  BOOST_TEST(retired.node == "a-1");
+  BOOST_TEST(retired.refusals_seen == 7U);
+  for (const char* path : {"/config/confirmed/", "/config/confirmed/0", "/config/confirmed/-1",
+                           "/config/confirmed/1/confirmed/2", "/config/confirmed/1x",
+                           "/confirmed/1", "/retire/confirmed/1", "/retire//confirmed/1"}) {
+    BOOST_TEST_CONTEXT(path) { BOOST_TEST(StatusIn(RequestOf("PUT", path, "5", "{}")) == 404); }
+  }
+  BOOST_TEST(StatusIn(RequestOf("GET", "/config/confirmed/1")) == 405);
+  BOOST_TEST(StatusIn(RequestOf("GET", "/retire/a/confirmed/1")) == 405);
+}
+
 BOOST_AUTO_TEST_CASE(refuses_an_if_match_that_is_no_version) {
   BOOST_TEST(StatusIn(RequestOf("PUT", "/config", {}, "{}")) == 400);
   for (const char* if_match : {"", "\"", "\"\"", "*", "-1", "5x", "5 ", " 5", "W/\"5\"", "0x5",
@@ -123,9 +153,19 @@
 std::vector<Order> EachOrder() {
   std::string bytes = "body \xff";
   bytes += '\0';
-  return {ChangeOrder{ChangeMethod::kPut, 5, bytes}, ChangeOrder{ChangeMethod::kPatch, 0, ""},
-          ReadConfigurationOrder{}, RetireOrder{"node", milliseconds(10500)},
-          RetireStateOrder{"node"}};
+  return {ChangeOrder{ChangeMethod::kPut, 5, bytes},
+          ChangeOrder{ChangeMethod::kPatch, 0, ""},
+          ReadConfigurationOrder{},
+          RetireOrder{"node", milliseconds(10500)},
+          RetireStateOrder{"node"},
+          ChangeOrder{ChangeMethod::kPatch, 5, bytes, 700},
+          RetireOrder{"node", milliseconds(10500), 3}};
+}
+
+std::uint64_t RefusalsSeenOf(const Order& order) {
+  if (const auto* change = std::get_if<ChangeOrder>(&order)) return change->refusals_seen;
+  const auto* retire = std::get_if<RetireOrder>(&order);
+  return retire == nullptr ? 0 : retire->refusals_seen;
 }
 
 BOOST_AUTO_TEST_CASE(orders_cross_as_messages) {
@@ -135,6 +175,7 @@
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST(decoded->index() == order.index());
     BOOST_TEST(EncodeOrder(*decoded) == message);
+    BOOST_TEST(RefusalsSeenOf(*decoded) == RefusalsSeenOf(order));
     for (std::size_t length = 0; length < message.size(); ++length) {
       BOOST_TEST(!DecodeOrder(std::string_view(message).substr(0, length)).has_value());
     }
@@ -143,7 +184,7 @@
 
 BOOST_AUTO_TEST_CASE(answers_cross_as_messages) {
   const std::vector<Answer> answers = {Acknowledged{}, Document{"{\"a\":1}"}, RetireState::kRunning,
-                                       RetireState::kCompleted};
+                                       RetireState::kCompleted, ConfirmationRequired{70000}};
   for (const Answer& answer : answers) {
     const std::string message = EncodeAnswer(answer);
     const auto decoded = DecodeAnswer(message);
@@ -171,7 +212,7 @@
   }
   BOOST_TEST(!DecodeOrder("").has_value());
   BOOST_TEST(!DecodeOrder("\x81\x05").has_value());
-  BOOST_TEST(!DecodeAnswer("\x81\x04").has_value());
+  BOOST_TEST(!DecodeAnswer("\x81\x05").has_value());
 }
 
 }  // namespace
--- a/tests/tier/operator_api/operator_rig.h
+++ b/tests/tier/operator_api/operator_rig.h
@@ -13,6 +13,7 @@
 
 #include "cluster/group_rig.h"
 #include "emulator/random.h"
+#include "operator_api/confirmed_order.h"
 #include "operator_api/order_history.h"
 #include "tier/operator_api/forwarder.h"
 
@@ -97,21 +98,20 @@
   }
 
   // Sends one order to a core process on the way from `from_host`; every answer that is given is
-  // judged. `told` is called with the status if the answer finds its way back.
+  // judged. `told` is called with the status if the answer finds its way back. The sender follows a
+  // redirect if `waits` says that it has not turned away; empty: it never does.
   void Send(std::uint32_t from_host, OperatorCore& core, const SentOrder& sent,
-            std::function<void(int)> told) {
-    const net::Time sent_at = Now();
-    Execute(from_host, core, sent.order,
-            [this, &sent, sent_at, told = std::move(told)](const HttpAnswer& answer, bool arrives) {
-              history.Answered(sent, sent_at, Now(), answer.status);
-              if (arrives && told) told(answer.status);
-            });
+            std::function<void(int)> told, std::function<bool()> waits = nullptr) {
+    SendCopy(from_host, core, sent, sent.order, {std::move(told), std::move(waits)});
   }
   void SendRead(std::uint32_t from_host, OperatorCore& core, std::function<void(int)> told) {
     const std::uint64_t least = history.least_readable();
     const net::Time sent_at = Now();
-    Execute(from_host, core, ReadConfigurationOrder{},
-            [this, least, sent_at, told = std::move(told)](const HttpAnswer& answer, bool arrives) {
+    const Order read = ReadConfigurationOrder{};
+    Execute(from_host, core, read,
+            [this, least, sent_at, read, told = std::move(told)](const Result<Answer>& result,
+                                                                 bool arrives) {
+              const HttpAnswer answer = HttpAnswerOf(read, result);
               history.Read(least, sent_at, answer.status, answer.body);
               if (arrives && told) told(answer.status);
             });
@@ -134,19 +134,42 @@
   std::vector<std::unique_ptr<OperatorCore>> cores;
 
  private:
+  struct Sender {
+    std::function<void(int)> told;
+    std::function<bool()> waits;
+  };
+
+  void SendCopy(std::uint32_t from_host, OperatorCore& core, const SentOrder& sent,
+                const Order& order, Sender sender) {
+    const net::Time sent_at = Now();
+    Execute(from_host, core, order,
+            [this, from_host, &core, &sent, order, sent_at, sender = std::move(sender)](
+                const Result<Answer>& result, bool arrives) {
+              const int status = HttpAnswerOf(order, result).status;
+              history.Answered(sent, sent_at, Now(), status);
+              if (!arrives) return;
+              const std::optional<Order> confirmed = ConfirmedOrder(order, result);
+              if (confirmed) {
+                if (!sender.waits || sender.waits()) {
+                  SendCopy(from_host, core, sent, *confirmed, sender);
+                }
+              } else if (sender.told) {
+                sender.told(status);
+              }
+            });
+  }
+
   template <typename Answered>
   void Execute(std::uint32_t from_host, OperatorCore& core, Order order, Answered answered) {
     if (!core.up() || !net().Reaches(from_host, core.host())) return;
     // What a stopped process finds in its sockets when it goes on.
     core.process().Post([this, from_host, &core, order = std::move(order),
                          answered = std::move(answered)]() mutable {
-      Order kept = order;
-      core.forwarder().Execute(Now(), std::move(order),
-                               [this, from_host, &core, kept = std::move(kept),
-                                answered = std::move(answered)](const Result<Answer>& result) {
-                                 answered(HttpAnswerOf(kept, result),
-                                          net().Reaches(core.host(), from_host));
-                               });
+      core.forwarder().Execute(
+          Now(), std::move(order),
+          [this, from_host, &core, answered = std::move(answered)](const Result<Answer>& result) {
+            answered(result, net().Reaches(core.host(), from_host));
+          });
     });
   }
 
--- a/tests/tier/operator_api/operator_server_test.cpp
+++ b/tests/tier/operator_api/operator_server_test.cpp
@@ -65,6 +65,24 @@
   BOOST_TEST(StatusOf(Request("GET /retire/a")) == 404);
 }
 
+// As PROTOCOL.md has a redirect: the address in full, and the same request is taken there.
+BOOST_AUTO_TEST_CASE(an_order_to_be_confirmed_is_redirected) {
+  service.change_result = OrderOutcome(ConfirmationRequired{12});
+  const auto client = Connect(Request("PATCH /config", "If-Match: 7\r\n", "{}"));
+  RunUntil([&] { return client->answers() == 1; });
+  BOOST_TEST(client->status() == 307);
+  BOOST_TEST(
+      client->has("Location: http://" + server->address().Text() + "/config/confirmed/12\r\n"));
+  service.change_result = OrderOutcome(Acknowledged{});
+  client->Send(Request("PATCH /config/confirmed/12", "If-Match: 7\r\n", "{}"));
+  RunUntil([&] { return client->answers() == 2; });
+  BOOST_TEST(client->status(1) == 200);
+  BOOST_REQUIRE(service.changes.size() == 2U);
+  BOOST_TEST(service.changes[0].refusals_seen == 0U);
+  BOOST_TEST(service.changes[1].refusals_seen == 12U);
+  BOOST_TEST(service.changes[1].base_version == 7U);
+}
+
 BOOST_AUTO_TEST_CASE(other_methods_and_paths_are_refused) {
   BOOST_TEST(StatusOf(Request("POST /config", "", "{}")) == 405);
   BOOST_TEST(StatusOf(Request("DELETE /config")) == 405);
--- a/tests/tier/operator_api/operator_storm_test.cpp
+++ b/tests/tier/operator_api/operator_storm_test.cpp
@@ -153,8 +153,9 @@
       Storm storm(seed);
       storm.Play();
       commits += storm.history().commits().size();
-      for (const int status : {status::kOk, status::kBadRequest, status::kPreconditionFailed,
-                               status::kServiceUnavailable, status::kGatewayTimeout}) {
+      for (const int status :
+           {status::kOk, status::kTemporaryRedirect, status::kBadRequest,
+            status::kPreconditionFailed, status::kServiceUnavailable, status::kGatewayTimeout}) {
         answers[status] += storm.history().answers(status);
       }
     }
--- a/tests/tier/operator_api/operators.h
+++ b/tests/tier/operator_api/operators.h
@@ -1,7 +1,7 @@
 // Operators as PROTOCOL.md has them: each sends one order at a time to any core process, moves to
-// another after a failure, a 5xx or a second of silence, and ends at once on 400, 409, 412, 413.
-// They send orders on the newest version and on stale ones, the same number for different
-// documents, valid and invalid ones, PUT and PATCH, and old orders again.
+// another after a failure, a 5xx or a second of silence, follows redirects, and ends at once on
+// 400, 409, 412, 413. They send orders on the newest version and on stale ones, the same number for
+// different documents, valid and invalid ones, PUT and PATCH, and old orders again.
 #ifndef SHELFLINK_TESTS_TIER_OPERATOR_API_OPERATORS_H_
 #define SHELFLINK_TESTS_TIER_OPERATOR_API_OPERATORS_H_
 
@@ -41,6 +41,7 @@
   // A new order on that base; the answers to its first tries are lost as the draw says.
   void Begin(SentOrder& sent) {
     order_ = &sent;
+    rig_.history.CallBegun(sent);
     tries_ = 0;
     losses_ = random_.Chance(0.5) ? random_.Below(16) : 0;
     pause_ = kFirstPause;
@@ -94,14 +95,19 @@
     asked_at_ = rig_.Now();
     const bool lost = (losses_ >> std::min<std::uint64_t>(tries_, 63) & 1U) != 0;
     ++tries_;
-    rig_.Send(host_, AnyCore(), *order_, [this, lost, call = ++calls_](int status) {
-      if (!lost && call == calls_) Answered(status);
-    });
+    const std::uint64_t call = ++calls_;
+    rig_.Send(
+        host_, AnyCore(), *order_,
+        [this, lost, call](int status) {
+          if (!lost && call == calls_) Answered(status);
+        },
+        [this, lost, call] { return !lost && call == calls_; });
   }
   void Answered(int status) {
     awaited_ = false;
     ++calls_;
     if (status == status::kOk || status < 500) {
+      if (status != status::kOk) rig_.history.CallRefused(*order_);
       Over();
     } else {
       Again();
--- a/tests/tier/operator_api/order_history.h
+++ b/tests/tier/operator_api/order_history.h
@@ -25,6 +25,9 @@
   configuration::ChangeOrder order;
   std::uint64_t version = 0;
   bool valid = true;  // Of itself, on any base that may be in force.
+  // Of operators: calls with this order, and those that a refusal has ended.
+  std::size_t calls = 0;
+  std::size_t refused_calls = 0;
 };
 
 class OrderHistory {
@@ -51,6 +54,11 @@
   }
   const std::vector<std::string>& findings() const { return findings_; }
 
+  // An operator begins to send an order, until it has a clear answer or gives up.
+  void CallBegun(const SentOrder& sent) { ++orders_[sent.id].calls; }
+  // A refusal has reached the operator, and its call is over.
+  void CallRefused(const SentOrder& sent) { ++orders_[sent.id].refused_calls; }
+
   // A core process tells this configuration committed.
   void Committed(net::Time now, std::uint64_t version, std::string_view document) {
     const auto found = commits_.find(version);
@@ -61,6 +69,11 @@
     const std::uint64_t before = newest();
     if (version < before) Find(version, "came into force below " + std::to_string(before));
     commits_[version] = {std::string(document), before, now};
+    for (const SentOrder& sent : orders_) {
+      if (sent.version == version && OnlyRefused(sent) && IsTaken(sent)) {
+        Find(sent, "came into force though each call with it had ended with a refusal");
+      }
+    }
   }
 
   void Answered(const SentOrder& sent, net::Time sent_at, net::Time now, int status) {
@@ -70,12 +83,14 @@
       if (!sent.valid) Find(sent, "is invalid and was acknowledged");
       newest_acknowledged_ = std::max(newest_acknowledged_, sent.version);
     } else if (status == status::kPreconditionFailed) {
-      // On a base that is yet to come it says so much of this moment alone.
+      // On a base that is yet to come it ends this call, and a later one may be taken.
       if (sent.order.base_version <= VersionAt(now)) Refused(sent, status);
       if (!CurrentWasOther(sent, sent_at, now)) Find(sent, "412 though its base was current");
     } else if (status == status::kBadRequest) {
       Refused(sent, status);
       if (sent.valid && VersionAt(now) < sent.version) Find(sent, "400 though it is valid");
+    } else if (status == status::kTemporaryRedirect) {
+      if (!sent.valid) Find(sent, "is invalid and may be confirmed");
     } else if (status != status::kServiceUnavailable && status != status::kGatewayTimeout) {
       Find(sent, "answered " + std::to_string(status));
     }
@@ -128,6 +143,9 @@
                                      sent.order.body, ignored)
         .value_or("");
   }
+  static bool OnlyRefused(const SentOrder& sent) {
+    return sent.calls > 0 && sent.refused_calls == sent.calls;
+  }
   void Refused(const SentOrder& sent, int status) {
     if (IsTaken(sent)) Find(sent, "was taken and then refused with " + std::to_string(status));
     refused_.insert({sent.id, status});
--- a/tests/tier/proxy/program_test.cpp
+++ b/tests/tier/proxy/program_test.cpp
@@ -289,7 +289,7 @@
   bool taken = false;
   tier.rig.Primary().service().ChangeConfiguration(
       {shelflink::configuration::ChangeMethod::kPut, 5, keyed},
-      [&](const shelflink::Result<void>& result) { taken = result.has_value(); });
+      [&](const auto& result) { taken = result.has_value(); });
   tier.rig.Run(seconds(1));
   BOOST_REQUIRE(taken);
   BOOST_TEST(tier.Get().Status() == 401);
--- a/tests/tier/proxy/stale_list_test.cpp
+++ b/tests/tier/proxy/stale_list_test.cpp
@@ -102,7 +102,7 @@
     const std::uint64_t base = newest ? newest->version : 0;
     primary->service().ChangeConfiguration({shelflink::configuration::ChangeMethod::kPut, base,
                                             shelflink::cluster::RigConfiguration(base + 1)},
-                                           [](const shelflink::Result<void>&) {});
+                                           [](const auto&) {});
   }
 
   std::vector<std::unique_ptr<GroupCore>> cores;
--- a/tests/tier/tier_seeds/mutants.cmake
+++ b/tests/tier/tier_seeds/mutants.cmake
@@ -16,10 +16,10 @@
 endfunction()
 
 tier_seeds_mutant(orders_taken_are_forgotten configuration/book.cpp
-  [=[  if (WasTaken(committed, *version, digest)) return std::vector<Write>{};]=] "" PkgConfig::GLIB)
+  [=[  if (WasTaken(committed, *version, digest)) return JudgedPlan{};]=] "" PkgConfig::GLIB)
 tier_seeds_mutant(any_base_is_current configuration/book.cpp
-  [=[  if (order.base_version != current.version) {]=]
-  [=[  if (order.base_version > current.version) {]=] PkgConfig::GLIB)
+  [=[  if (order.base_version < current.version) return Conflict(current.version);]=] ""
+  PkgConfig::GLIB)
 tier_seeds_mutant(surplus_answers_are_taken proxy/response_classifier.cpp
   [=[if (!id.empty() && id != expected.request_id)]=] [=[if (id.empty())]=])
 tier_seeds_mutant(all_requests_may_run_again proxy/active_call.cpp
--- a/tests/tier/tier_seeds/operators.cpp
+++ b/tests/tier/tier_seeds/operators.cpp
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "operator_api/confirmed_order.h"
 #include "tier/operator_api/requests.h"
 #include "tier_seeds/configurations.h"
 
@@ -222,26 +223,38 @@
     if (order_lost || !net_.Reaches(from, core.host())) return;
     if (!core.up() || core.leaving()) return tell(operator_api::status::kServiceUnavailable, "");
     core.Deliver([this, &core, from, order, tell, answer_lost, way] {
-      core.forwarder().Execute(
-          net_.Now(), *order,
-          [this, &core, from, order, tell, answer_lost,
-           way](const Result<operator_api::Answer>& result) {
-            const operator_api::HttpAnswer answer = operator_api::HttpAnswerOf(*order, result);
-            journal_.Note([&] {
-              return core.node() + " answers " + std::to_string(answer.status) + " " +
-                     answer.body.substr(0, 120);
-            });
-            if (answer_lost || !net_.Reaches(core.host(), from)) return;
-            const bool changes = std::holds_alternative<configuration::ChangeOrder>(*order);
-            if (changes && answer.status == 200 && on_acknowledged) {
-              net_.At(net_.Now(), on_acknowledged);
-            }
-            After(way, [tell, answer] { tell(answer.status, answer.body); });
-          });
+      Execute({core, from, way, answer_lost, tell}, *order);
     });
   });
 }
 
+// As the core process that the try has reached; its caller follows a redirect.
+void Operators::Execute(const Try& sent, const operator_api::Order& order) {
+  sent.core.forwarder().Execute(
+      net_.Now(), order, [this, sent, order](const Result<operator_api::Answer>& result) {
+        const operator_api::HttpAnswer answer = operator_api::HttpAnswerOf(order, result);
+        journal_.Note([&] {
+          return sent.core.node() + " answers " + std::to_string(answer.status) + " " +
+                 answer.body.substr(0, 120);
+        });
+        if (sent.answer_lost || !net_.Reaches(sent.core.host(), sent.from)) return;
+        const bool changes = std::holds_alternative<configuration::ChangeOrder>(order);
+        if (changes && answer.status == 200 && on_acknowledged) {
+          net_.At(net_.Now(), on_acknowledged);
+        }
+        const auto confirmed = operator_api::ConfirmedOrder(order, result);
+        if (confirmed) {
+          journal_.Count("orders confirmed");
+          After(2 * sent.way, [this, sent, confirmed] {
+            if (!net_.Reaches(sent.from, sent.core.host()) || !sent.core.up()) return;
+            sent.core.Deliver([this, sent, confirmed] { Execute(sent, *confirmed); });
+          });
+          return;
+        }
+        After(sent.way, [tell = sent.tell, answer] { tell(answer.status, answer.body); });
+      });
+}
+
 std::string Operators::Name(const ConfigurationOrder& order) const {
   return order.tag + " (version " + std::to_string(order.version) + " on " +
          std::to_string(order.base) + ")";
--- a/tests/tier/tier_seeds/operators.h
+++ b/tests/tier/tier_seeds/operators.h
@@ -79,6 +79,14 @@
     net::Time until{};
   };
   using Order = std::shared_ptr<ConfigurationOrder>;
+  // One try at a core process.
+  struct Try {
+    CoreMachine& core;
+    std::uint32_t from = 0;  // Host of the operator.
+    net::Span way{};         // How long it takes there, and back.
+    bool answer_lost = false;
+    Answered tell;
+  };
 
   void Next(Flow& flow);
   void After(net::Span span, std::function<void()> step);
@@ -91,6 +99,7 @@
                      const std::function<bool(const std::string& body)>& is_done,
                      const std::function<void()>& done);
   void Call(const Flow& flow, const operator_api::HttpRequest& request, const Answered& answered);
+  void Execute(const Try& sent, const operator_api::Order& order);
   void Decided(const Order& order, int status);
   void Acknowledged(const Order& order);
   void Refused(const Order& order, int status);
