A refused retirement is not executed by a copy that was held up

What callers would see: POST /retire of a store answered 409 (too few left) or 404 (unknown); a copy of it, held up by a process that stood still, empties the store once more stores are there.

Result: core_service_test a_refused_retirement_is_not_executed_unless_it_is_confirmed passes; without the record the mutant retirements_are_refused_without_a_record fails it.

--- a/src/tier/cluster/retirement.cpp
+++ b/src/tier/cluster/retirement.cpp
@@ -26,11 +26,16 @@
   if ((!known || !enough_left) && stores.may_be_more) {
     return MakeError(ErrorCode::kUnavailable, "the stores have not all been heard of yet");
   }
-  if (!known) return MakeError(ErrorCode::kNotFound, "no store of that name is known");
+  const coordination::RefusalRecords refusals(committed, kRefusedRetirements);
+  if (!known) {
+    return refusals.Refuse(node, order.refusals_seen,
+                           {ErrorCode::kNotFound, "no store of that name is known"});
+  }
   if (!enough_left) {
-    return MakeError(ErrorCode::kConflict, "too few stores would be left");
+    return refusals.Refuse(node, order.refusals_seen,
+                           {ErrorCode::kConflict, "too few stores would be left"});
   }
-  return coordination::JudgedPlan{{{RetireKey(node), EncodeNumber(1)}}, {}};
+  return refusals.Accept(node, order.refusals_seen, {{RetireKey(node), EncodeNumber(1)}});
 }
 
 Result<operator_api::RetireState> RetirementState(const coordination::Contents& contents,
--- a/src/tier/cluster/retirement.h
+++ b/src/tier/cluster/retirement.h
@@ -4,6 +4,7 @@
 #define SHELFLINK_TIER_CLUSTER_RETIREMENT_H_
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "tier/cluster/placement.h"
@@ -20,9 +21,11 @@
   bool may_be_more = false;  // It is so new that it may not have heard of every store yet.
 };
 
+constexpr std::string_view kRefusedRetirements = "refused/retire/";  // Prefix of refusal records.
+
 // What the order to empty a store comes to. Accepted without writes: that has been ordered already.
-// kUnavailable: it may be refused, but that cannot be known yet. kNotFound: there is no such store.
-// kConflict: too few others would be left for `rules`.
+// Refused: kNotFound, there is no such store, or kConflict, too few others would be left for
+// `rules`; both may pass. Error kUnavailable: it may be refused, but that cannot be known yet.
 Result<coordination::JudgedPlan> PlanRetirement(const coordination::Contents& committed,
                                                 const operator_api::RetireOrder& order,
                                                 const KnownStores& stores,
--- a/tests/tier/cluster/core_service_test.cpp
+++ b/tests/tier/cluster/core_service_test.cpp
@@ -385,6 +385,41 @@
   BOOST_TEST((Retire(rig, "store-2")->error().code == ErrorCode::kConflict));
 }
 
+// What a caller is told of an order that was refused and could be accepted now.
+std::uint64_t RefusalsToConfirm(const std::optional<Outcome>& outcome) {
+  BOOST_REQUIRE(outcome && outcome->has_value());
+  const auto* required = std::get_if<operator_api::ConfirmationRequired>(&outcome->value());
+  BOOST_REQUIRE(required != nullptr);
+  return required->refusals_seen;
+}
+
+// Guards against a copy of a refused retirement, held up by a process that stood still, which
+// empties the store once enough others are there.
+BOOST_AUTO_TEST_CASE(a_refused_retirement_is_not_executed_unless_it_is_confirmed) {
+  Rig rig(3, 1, 4);
+  for (auto& core : rig.cores) core->Start();
+  for (std::size_t store = 0; store < 3; ++store) rig.stores[store]->Start();
+  rig.Elect(0);
+  rig.Run(seconds(3));
+  BOOST_TEST((Retire(rig, "store-3")->error().code == ErrorCode::kNotFound));
+  BOOST_REQUIRE(Retire(rig, "store-1")->has_value());
+  BOOST_TEST((Retire(rig, "store-2")->error().code == ErrorCode::kConflict));
+  rig.stores[3]->Start();
+  rig.Run(seconds(3));
+  // The copies that were held up.
+  const std::uint64_t refusals = RefusalsToConfirm(Retire(rig, "store-2"));
+  BOOST_TEST((StateOf(rig, "store-2")->error().code == ErrorCode::kNotFound));
+  rig.Elect(2);
+  rig.Run(seconds(3));
+  BOOST_TEST(RefusalsToConfirm(Retire(rig, "store-2")) == refusals);
+  BOOST_TEST(RefusalsToConfirm(Retire(rig, "store-3")) < refusals);
+  // Whoever still wants it.
+  const auto confirmed = Retire(rig, "store-2", refusals);
+  BOOST_REQUIRE(confirmed->has_value());
+  BOOST_TEST(std::holds_alternative<operator_api::Acknowledged>(confirmed->value()));
+  BOOST_TEST((StateOf(rig, "store-2")->value() == RetireState::kRunning));
+}
+
 // 404 and 409 are refusals: a primary that has not had the time to hear of every store gives none.
 BOOST_AUTO_TEST_CASE(a_new_primary_refuses_no_retirement_before_it_knows) {
   Rig rig(3, 1, 3);
--- a/tests/tier/cluster/mutants.cmake
+++ b/tests/tier/cluster/mutants.cmake
@@ -121,3 +121,9 @@
 tier_mutant(a_busy_core_is_asked_with_the_next_renewal cluster/view_relay.cpp
   [=[    if (IsBusy(body)) repair_timer_->ArmAt(loop_.Now() + kBusyPause);]=] ""
   TEST cluster/old_primary_test RUN a_busy_core_is_asked_again_soon LIBRARIES ${cluster_core})
+tier_mutant(retirements_are_refused_without_a_record cluster/retirement.cpp
+  [=[    return refusals.Refuse(node, order.refusals_seen,
+                           {ErrorCode::kConflict, "too few stores would be left"});]=]
+  [=[    return MakeError(ErrorCode::kConflict, "too few stores would be left");]=]
+  TEST cluster/core_service_test RUN a_refused_retirement_is_not_executed_unless_it_is_confirmed
+  LIBRARIES ${cluster_core})
