Wording: tier/operator_api: comments name their subject, and the forwarder's times by common terms

Comments say what a function returns, requires and limits, in whole sentences. Options of the forwarder: answer_timeout, attempt_timeout, retry_pause (answer_within, attempt, look_again). Nothing that leaves the process changes; no test changes but for these names.

--- a/src/tier/operator_api/forwarder.cpp
+++ b/src/tier/operator_api/forwarder.cpp
@@ -13,7 +13,7 @@
 
 using std::chrono::milliseconds;
 
-// Hands one order to the service; every answer becomes one of Answer.
+// Calls the service method of an order and converts its result to an Answer.
 class Dispatch {
  public:
   Dispatch(OperatorService& service, Forwarder::Done done)
@@ -48,8 +48,9 @@
   Forwarder::Done done_;
 };
 
-// Whoever sent an order on has given up long before; one that never ended is not counted any more.
-constexpr std::chrono::seconds kForwardedLife{10};
+// The core process that forwarded an order stops waiting long before. An order without an answer is
+// counted no longer than this.
+constexpr std::chrono::seconds kForwardedLifetime{10};
 
 bool Changes(const Order& order) {
   return std::holds_alternative<configuration::ChangeOrder>(order) ||
@@ -65,23 +66,23 @@
 
 }  // namespace
 
-// One order until its answer.
+// An order that this process received and has not answered yet.
 struct PendingOrder {
   Order order;
   Forwarder::Done done;
   net::Time deadline;
-  net::TimerPtr timer;  // The next look for the primary, or the deadline.
+  net::TimerPtr timer;  // The next attempt, or the deadline.
   bool attempt_under_way = false;
   bool may_have_happened = false;
 };
 using PendingPtr = std::shared_ptr<PendingOrder>;
 
-// Orders of others under way here.
+// Counts the orders that other core processes forwarded to this one.
 class ForwardedOrders {
  public:
-  // A number for End; none where there are too many.
+  // Returns the number to pass to End, or none if the limits are reached.
   std::optional<std::uint64_t> Begin(net::Time now, std::size_t bytes) {
-    while (!orders_.empty() && orders_.begin()->second.begun + kForwardedLife <= now) {
+    while (!orders_.empty() && orders_.begin()->second.begun + kForwardedLifetime <= now) {
       End(orders_.begin()->first);
     }
     if (orders_.size() >= kMostForwarded || bytes_ + bytes > kMostForwardedBytes) {
@@ -117,7 +118,7 @@
   void AttemptHere(const PendingPtr& pending);
   void AttemptAt(const net::Address& primary, const PendingPtr& pending);
   void OnOutcome(const PendingPtr& pending, Result<Answer> outcome);
-  void LookAgain(const PendingPtr& pending);
+  void ScheduleRetry(const PendingPtr& pending);
   void OnTimer(const PendingPtr& pending);
   void GiveUp(const PendingPtr& pending);
   void Finish(const PendingPtr& pending, Result<Answer> answer);
@@ -138,7 +139,7 @@
   const auto pending = std::make_shared<PendingOrder>();
   pending->order = std::move(order);
   pending->done = std::move(done);
-  pending->deadline = received + options.answer_within;
+  pending->deadline = received + options.answer_timeout;
   pending->timer = loop.NewTimer([this, weak = std::weak_ptr(pending)] {
     if (const PendingPtr held = weak.lock()) OnTimer(held);
   });
@@ -156,7 +157,7 @@
     AttemptAt(*primary, pending);
     return;
   }
-  LookAgain(pending);
+  ScheduleRetry(pending);
 }
 
 void Forwarder::Impl::AttemptHere(const PendingPtr& pending) {
@@ -176,7 +177,7 @@
   pending->attempt_under_way = true;
   pending->timer->ArmAt(pending->deadline);
   const auto left = std::chrono::duration_cast<milliseconds>(pending->deadline - loop.Now());
-  const milliseconds timeout = std::clamp(left, milliseconds(1), options.attempt);
+  const milliseconds timeout = std::clamp(left, milliseconds(1), options.attempt_timeout);
   hub.Call(
       primary, kOrderCall, EncodeOrder(pending->order), timeout,
       [weak_self = std::weak_ptr(self), weak = std::weak_ptr(pending)](Result<std::string> reply) {
@@ -196,16 +197,16 @@
   const ErrorCode code = outcome.error().code;
   if (code == ErrorCode::kUnknown || code == ErrorCode::kStorage) {
     pending->may_have_happened = true;
-    LookAgain(pending);
+    ScheduleRetry(pending);
   } else if (code == ErrorCode::kUnavailable) {
-    LookAgain(pending);
+    ScheduleRetry(pending);
   } else {
     Finish(pending, std::move(outcome));
   }
 }
 
-void Forwarder::Impl::LookAgain(const PendingPtr& pending) {
-  const net::Time again = loop.Now() + options.look_again;
+void Forwarder::Impl::ScheduleRetry(const PendingPtr& pending) {
+  const net::Time again = loop.Now() + options.retry_pause;
   pending->timer->ArmAt(std::min(again, pending->deadline));
 }
 
@@ -227,15 +228,16 @@
 }
 
 void Forwarder::Impl::Finish(const PendingPtr& pending, Result<Answer> answer) {
-  const auto held = pending_orders.extract(pending);  // Until `done` has returned.
+  const auto held = pending_orders.extract(pending);  // Keeps the order until `done` has returned.
   pending->attempt_under_way = false;
   pending->timer->Cancel();
   const Done done = std::move(pending->done);
   done(std::move(answer));
 }
 
-// An order that another core process received. It is not sent on: whoever sent it looks again.
-// What cannot be read here was read there, so it is no reason to refuse the operator's order.
+// Executes an order that another core process received. A process that is not the primary does not
+// forward it again: the sender looks for the primary itself. An order that cannot be decoded here
+// was valid for its sender, so the answer is not a refusal.
 void Forwarder::Impl::OnForwarded(const transport::PeerIdentity& from, std::string_view message,
                                   const transport::Hub::Reply& reply) {
   const std::optional<Order> order = from.role == "core" ? DecodeOrder(message) : std::nullopt;
--- a/src/tier/operator_api/forwarder.h
+++ b/src/tier/operator_api/forwarder.h
@@ -1,11 +1,11 @@
-// Executes the operator's orders at the primary, from whichever core process received them: here
-// where this is the primary, else by a call through the hub. It looks for the primary again until
-// the order's time is over.
+// Executes the operator's orders at the primary. Any core process may receive an order: the primary
+// executes it itself, every other process calls the primary through the hub. While no primary is
+// known or it does not answer, the forwarder tries again until the order's deadline.
 //
-// Repeating an order is safe: a change that was taken is acknowledged again, one that was refused
-// stays refused unless its sender confirms it. So is an order that any process holds up for any
-// time: nothing here tells its age, and the primary judges it by what has been refused since
-// (coordination/refusals.h).
+// An order may be executed more than once: the primary acknowledges an accepted change again, and a
+// refused one stays refused unless its sender confirms it. An order may also be delayed by any
+// process for any time: its age is unknown, and the primary compares it with the refusals committed
+// in the meantime (coordination/refusals.h).
 #ifndef SHELFLINK_TIER_OPERATOR_API_FORWARDER_H_
 #define SHELFLINK_TIER_OPERATOR_API_FORWARDER_H_
 
@@ -21,32 +21,31 @@
 namespace shelflink::operator_api {
 
 constexpr transport::MessageKind kOrderCall = transport::kOperatorKinds;
-// Orders of others under way here, and their bytes; more: kExhausted.
+// Limits of the orders that other processes forwarded here; beyond them the answer is kExhausted.
 constexpr std::size_t kMostForwarded = 64;
 constexpr std::size_t kMostForwardedBytes = 40U << 20;
 
 class Forwarder {
  public:
   struct Options {
-    // An order has its answer after so long, be it kUnavailable or kUnknown. The operator turns to
-    // another process after one second of silence.
-    std::chrono::milliseconds answer_within{800};
-    // A call to the primary that is silent for so long is made again, to whoever is the primary
-    // then.
-    std::chrono::milliseconds attempt{400};
-    // No primary known or reached: looks again after so long.
-    std::chrono::milliseconds look_again{40};
+    // Longest time until an order is answered; kUnavailable or kUnknown if the primary did not
+    // answer. Operators try another process after one second without an answer.
+    std::chrono::milliseconds answer_timeout{800};
+    // Longest time that one call to the primary may take before the next attempt.
+    std::chrono::milliseconds attempt_timeout{400};
+    // Pause before the next attempt if no primary is known or reached.
+    std::chrono::milliseconds retry_pause{40};
   };
-  // Called once, never from inside Execute; not after the forwarder is gone.
+  // Called once, never from inside Execute, and never after the forwarder was destroyed.
   using Done = std::function<void(Result<Answer>)>;
 
-  // Serves kOrderCall on the hub. Hub and service outlive it.
+  // Registers a handler for kOrderCall at the hub. `hub` and `service` must outlive the forwarder.
   Forwarder(net::Loop& loop, transport::Hub& hub, OperatorService& service, Options options);
   ~Forwarder();
   Forwarder(const Forwarder&) = delete;
   Forwarder& operator=(const Forwarder&) = delete;
 
-  // `received`: when the order came in; its time counts from there.
+  // `received`: when the head of the request was read; the deadline counts from it.
   void Execute(net::Time received, Order order, Done done);
 
  private:
--- a/src/tier/operator_api/messages.cpp
+++ b/src/tier/operator_api/messages.cpp
@@ -10,7 +10,7 @@
 using configuration::ChangeMethod;
 using configuration::ChangeOrder;
 
-// First field of each message.
+// The first field of each message. The numbers are part of the protocol.
 enum class OrderTag : std::uint8_t { kPut, kPatch, kRead, kRetire, kRetireState };
 enum class AnswerTag : std::uint8_t {
   kAcknowledged,
@@ -47,7 +47,7 @@
   }
 
  private:
-  // An order that needs no confirmation has no such field: earlier versions read it as well.
+  // The field is left out while it is 0, so that earlier versions can read the order.
   template <typename ConfirmedOrder>
   static std::size_t ConfirmationFields(const ConfirmedOrder& order) {
     return order.refusals_seen == 0 ? 0 : 1;
@@ -74,7 +74,7 @@
   }
 };
 
-// Fields of an order to change something, its tag and its confirmation among them.
+// Number of fields of a change or a retirement that carries `refusals_seen`, including its tag.
 constexpr std::size_t kConfirmedOrderFields = 4;
 
 std::uint64_t ReadConfirmation(cbor::Reader& reader, std::size_t fields) {
--- a/src/tier/operator_api/messages.h
+++ b/src/tier/operator_api/messages.h
@@ -1,4 +1,4 @@
-// The operator's orders and their answers as messages between core processes, in CBOR.
+// The CBOR messages by which core processes forward the operator's orders and return the answers.
 #ifndef SHELFLINK_TIER_OPERATOR_API_MESSAGES_H_
 #define SHELFLINK_TIER_OPERATOR_API_MESSAGES_H_
 
@@ -18,14 +18,14 @@
 using Order =
     std::variant<configuration::ChangeOrder, ReadConfigurationOrder, RetireOrder, RetireStateOrder>;
 
-// What an order came to, where it was not refused.
+// The result of an order that was not refused.
 struct Document {
   std::string json;
 };
 using Answer = std::variant<Acknowledged, Document, RetireState, ConfirmationRequired>;
 
 std::string EncodeOrder(const Order& order);
-// None: malformed, or of a kind that this version doesn't know.
+// Returns none if the message is malformed or of a kind that this version does not know.
 std::optional<Order> DecodeOrder(std::string_view message);
 
 std::string EncodeAnswer(const Answer& answer);
--- a/src/tier/operator_api/requests.cpp
+++ b/src/tier/operator_api/requests.cpp
@@ -36,7 +36,7 @@
   return number;
 }
 
-// A version with or without quotes.
+// Parses an If-Match header: a version with or without quotes.
 std::optional<std::uint64_t> VersionOf(std::string_view if_match) {
   if (if_match.size() >= 2 && if_match.front() == '"' && if_match.back() == '"') {
     if_match = if_match.substr(1, if_match.size() - 2);
@@ -44,13 +44,13 @@
   return WholeNumberIn(if_match);
 }
 
-// A path and the number that confirms an order there; 0: it is not confirmed.
+// A path without its confirmation, and the number in the confirmation; 0 if there is none.
 struct ConfirmedPath {
   std::string_view path;
   std::uint64_t refusals_seen = 0;
 };
 
-// None: what follows is no number above 0.
+// Returns none if the confirmation is not a number above 0.
 std::optional<ConfirmedPath> ConfirmedPathOf(std::string_view path) {
   const std::size_t at = path.find(kConfirmed);
   if (at == std::string_view::npos) return ConfirmedPath{path, 0};
@@ -85,7 +85,7 @@
          std::all_of(name.begin(), name.end(), fits);
 }
 
-// `deadlineS` of the body, 0 where it tells none.
+// Reads `deadlineS` from the body; 0 if the body is empty or has no such member.
 std::variant<std::chrono::milliseconds, HttpAnswer> DeadlineOf(std::string_view body) {
   if (body.empty()) return std::chrono::milliseconds(0);
   Findings findings;
@@ -206,7 +206,7 @@
     return answer;
   }
   HttpAnswer answer = ErrorAnswer(StatusOf(order, result.error().code), result.error().text);
-  // Nothing has happened, and the reason is one that passes.
+  // The order was not executed, and a later attempt may succeed.
   if (answer.status == status::kServiceUnavailable) answer.retry_after_s = kRetryAfterS;
   return answer;
 }
--- a/src/tier/operator_api/requests.h
+++ b/src/tier/operator_api/requests.h
@@ -1,4 +1,5 @@
-// The operator's requests as orders, and answers as status codes and JSON. Pure: no connection.
+// Converts HTTP requests to orders, and the results of orders to status codes and JSON. Pure: it
+// knows no connection.
 #ifndef SHELFLINK_TIER_OPERATOR_API_REQUESTS_H_
 #define SHELFLINK_TIER_OPERATOR_API_REQUESTS_H_
 
@@ -28,7 +29,7 @@
 
 struct HttpRequest {
   std::string_view method;
-  std::string_view path;  // Without the query.
+  std::string_view path;  // Excludes the query.
   std::optional<std::string_view> if_match;
   std::string_view body;
 };
@@ -39,23 +40,23 @@
 struct HttpAnswer {
   int status = status::kOk;
   std::string body;
-  std::string allow;  // With 405: the methods that there are.
+  std::string allow;  // With 405: the methods that the path supports.
   std::optional<double> retry_after_s;
-  std::string_view content_type = kJsonContentType;  // Of a constant.
-  std::string location;  // With 307: the path at the same address that takes the request.
+  std::string_view content_type = kJsonContentType;  // Must have static lifetime.
+  std::string location;  // With 307: the path, at the same address, to send the request to.
 };
 
-// What a request asks for, or the answer that refuses its form. An order to change something is
-// confirmed by its path, where 307 has named it: /config/confirmed/N and /retire/NODE/confirmed/N,
-// N being `refusals_seen`.
+// Returns the order of a request, or the answer that rejects a malformed one. The paths
+// /config/confirmed/N and /retire/NODE/confirmed/N, which a 307 names, set `refusals_seen` to N.
 std::variant<Order, HttpAnswer> OrderOf(const HttpRequest& request);
 
 HttpAnswer HttpAnswerOf(const Order& order, const Result<Answer>& result);
 HttpAnswer ErrorAnswer(int status, std::string_view text);
-// GET and HEAD of kMetricsPath; `text` is called for these only. None: another path.
+// Answers requests for kMetricsPath with the result of `text`, which is called for GET and HEAD
+// only. Returns none for any other path.
 std::optional<HttpAnswer> MetricsAnswerOf(const HttpRequest& request,
                                           const std::function<std::string()>& text);
-// The same of kStatusPath, with JSON.
+// The same for kStatusPath; `text` returns JSON.
 std::optional<HttpAnswer> StatusAnswerOf(const HttpRequest& request,
                                          const std::function<std::string()>& text);
 
--- a/src/tier/operator_api/server.cpp
+++ b/src/tier/operator_api/server.cpp
@@ -17,8 +17,8 @@
 namespace {
 
 constexpr std::string_view kLogName = "operator";
-// A body beyond the limit is read and dropped, up to so many times the limit: an answer that meets
-// unread bytes would be lost by a reset.
+// A body beyond the limit is read and discarded, up to this multiple of the limit. If the server
+// closed the connection with unread bytes, the reset would destroy the answer.
 constexpr std::size_t kDrainFactor = 4;
 constexpr std::chrono::milliseconds kBodyTime{10000};
 constexpr double kBusyRetryAfterS = 0.2;
@@ -28,24 +28,24 @@
 
 enum class Phase : std::uint8_t {
   kIdle,      // Between two requests.
-  kHead,      // A part of a head may have come.
-  kBody,      // The head has come.
-  kOrder,     // The order is under way.
+  kHead,      // A part of the head may have arrived.
+  kBody,      // The head has arrived.
+  kOrder,     // The order is being executed.
   kAnswered,  // The answer is being written.
 };
 
 struct Connection {
-  SoupServerMessage* message = nullptr;  // Of the request that is being served.
+  SoupServerMessage* message = nullptr;  // The request that is being served.
   Phase phase = Phase::kHead;
-  net::Time received{};               // The head.
-  std::optional<net::Time> deadline;  // Of this phase; then it is closed.
-  std::size_t body_bytes = 0;         // That have come, of this request.
-  std::size_t bytes_held = 0;         // Of them, those that are kept.
+  net::Time received{};               // When the head was read.
+  std::optional<net::Time> deadline;  // The connection is closed if this phase lasts longer.
+  std::size_t body_bytes = 0;         // Bytes of the body received so far.
+  std::size_t bytes_held = 0;         // The part of them that is kept in memory.
 };
 
 std::string_view TextOf(const char* text) { return text == nullptr ? "" : text; }
 
-// How often a header stands in the request.
+// Counts the occurrences of a header in the request.
 int CountOf(SoupMessageHeaders* headers, std::string_view wanted) {
   int count = 0;
   SoupMessageHeadersIter iterator;
@@ -58,7 +58,7 @@
   return count;
 }
 
-// Two readers could see different ends of such a request.
+// Such a request is ambiguous: an intermediary may see another end of the body than this server.
 bool HasTwoLengths(SoupMessageHeaders* headers) {
   return CountOf(headers, "Content-Length") + CountOf(headers, "Transfer-Encoding") > 1;
 }
@@ -68,7 +68,7 @@
   return length.find_first_not_of("0123456789, ") != std::string_view::npos;
 }
 
-// What of an order decides how its answer reads.
+// Copies an order without its body. HttpAnswerOf needs the rest of it.
 Order WithoutBody(const Order& order) {
   if (const auto* change = std::get_if<configuration::ChangeOrder>(&order)) {
     return configuration::ChangeOrder{change->method, change->base_version, {}, 0};
@@ -87,7 +87,7 @@
                                "close");
 }
 
-// `self`: this server, for the addresses of its own paths.
+// `self`: the address of this server, for Location.
 void WriteAnswer(SoupServerMessage* message, const HttpAnswer& answer, const net::Address& self) {
   SoupMessageHeaders* headers = soup_server_message_get_response_headers(message);
   if (!answer.location.empty()) {
@@ -104,7 +104,7 @@
                                    SOUP_MEMORY_COPY, answer.body.data(), answer.body.size());
 }
 
-// Keeps a message while its order is under way.
+// Holds a reference to a message while its order is being executed.
 class MessageReference {
  public:
   explicit MessageReference(SoupServerMessage* message)
@@ -118,7 +118,7 @@
   SoupServerMessage* message_;
 };
 
-// A socket that listens, with a queue for new connections longer than GLib's own.
+// Creates a listening socket with a longer backlog than GLib's default.
 GSocket* ListeningSocket(const net::Address& at) {
   GError* error = nullptr;
   const GSocketFamily family = at.v6() ? G_SOCKET_FAMILY_IPV6 : G_SOCKET_FAMILY_IPV4;
@@ -154,7 +154,7 @@
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
-  // What libsoup tells of a request.
+  // Events of a request, as libsoup reports them.
   void OnStarted(SoupServerMessage* message);
   void OnHead(SoupServerMessage* message);
   void OnChunk(SoupServerMessage* message, std::size_t bytes);
@@ -162,11 +162,11 @@
   void OnGone(SoupServerMessage* message);
   void OnDisconnected(SoupServerMessage* message);
 
-  // Of metrics and status, where they are served.
+  // Answers requests for metrics and status if they are served.
   std::optional<HttpAnswer> FiguresAnswerTo(const HttpRequest& request) const;
   void StartOrder(SoupServerMessage* message, Connection& connection, Order order);
   void FinishOrder(SoupServerMessage* message, const HttpAnswer& answer);
-  void Reply(SoupServerMessage* message, const HttpAnswer& answer);  // Sent, counted and logged.
+  void Reply(SoupServerMessage* message, const HttpAnswer& answer);  // Sends, counts and logs.
   void Send(SoupServerMessage* message, const HttpAnswer& answer);
   void RefuseLate(SoupServerMessage* message, const HttpAnswer& answer);
   void ForgetBody(Connection& connection);
@@ -187,7 +187,7 @@
   configuration::ClientLimits limits;
   std::size_t orders = 0;
   std::size_t bytes_held = 0;
-  std::map<GSocket*, Connection> connections;  // Each key holds a reference.
+  std::map<GSocket*, Connection> connections;  // Owns a reference to each socket.
   std::map<SoupServerMessage*, GSocket*> messages;
   net::TimerPtr overdue;
   net::Time overdue_at = net::Time::max();
@@ -237,7 +237,7 @@
   return request;
 }
 
-// libsoup takes a chunk size that it can't read for the end of the body.
+// libsoup ends a chunked body at a chunk size that it cannot parse.
 bool HasEmptyChunkedBody(SoupServerMessage* message) {
   SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
   return soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED &&
@@ -307,7 +307,7 @@
   SetDeadline(*connection, connection->received + kBodyTime);
   SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
   if (HasMalformedLength(headers)) {
-    Shut(messages.at(message));  // Where its body ends nobody knows.
+    Shut(messages.at(message));  // The end of the body is unknown.
     return;
   }
   if (HasTwoLengths(headers)) {
@@ -328,7 +328,7 @@
     Shut(messages.at(message));
     return;
   }
-  if (soup_server_message_get_status(message) != 0) return;  // Refused: dropped as it comes.
+  if (soup_server_message_get_status(message) != 0) return;  // Refused: the rest is discarded.
   connection->bytes_held += bytes;
   bytes_held += bytes;
   if (connection->body_bytes > kBodyLimit) {
@@ -371,7 +371,7 @@
 void Server::Impl::StartOrder(SoupServerMessage* message, Connection& connection, Order order) {
   ++orders;
   connection.phase = Phase::kOrder;
-  SetDeadline(connection, std::nullopt);  // The forwarder answers in time.
+  SetDeadline(connection, std::nullopt);  // The forwarder limits the time.
   soup_server_message_pause(message);
   Order kept = WithoutBody(order);
   forwarder.Execute(
@@ -385,7 +385,7 @@
 
 void Server::Impl::FinishOrder(SoupServerMessage* message, const HttpAnswer& answer) {
   --orders;
-  if (ConnectionOf(message) == nullptr) return;  // The operator has left.
+  if (ConnectionOf(message) == nullptr) return;  // The operator has disconnected.
   Reply(message, answer);
   soup_server_message_unpause(message);
 }
@@ -411,7 +411,8 @@
   }
 }
 
-// The answer to a request that is still coming: what comes is dropped, then it is written.
+// Refuses a request whose body has not arrived in full: the rest is discarded, then the answer is
+// written.
 void Server::Impl::RefuseLate(SoupServerMessage* message, const HttpAnswer& answer) {
   soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
   CloseAfterwards(message);
@@ -424,14 +425,14 @@
   connection.body_bytes = 0;
 }
 
-// The request is over; its connection stays for the next.
+// The request has ended; the connection stays open for the next one.
 void Server::Impl::OnGone(SoupServerMessage* message) {
   const auto found = messages.find(message);
   if (found == messages.end()) return;
   GSocket* socket = found->second;
   messages.erase(found);
   const auto place = connections.find(socket);
-  if (place == connections.end()) return;  // Let go before: the socket may be gone as well.
+  if (place == connections.end()) return;  // Released before: the socket may not exist.
   if (g_socket_is_closed(socket)) {
     Release(socket);
     return;
@@ -471,13 +472,13 @@
   g_object_unref(socket);
 }
 
-// libsoup then reads the end of the connection and lets it go.
+// libsoup then reads the end of the stream and releases the connection.
 void Server::Impl::Shut(GSocket* socket) {
   if (!g_socket_is_closed(socket)) g_socket_shutdown(socket, TRUE, TRUE, nullptr);
 }
 
-// Lets go of connections that the other side has closed while idle; if none is, closes the one that
-// has been idle for longest.
+// Releases one idle connection: one that the peer has closed, else the one that has been idle for
+// the longest time.
 void Server::Impl::MakeRoom() {
   std::vector<GSocket*> idle;
   for (const auto& [socket, connection] : connections) {
--- a/src/tier/operator_api/status_client.cpp
+++ b/src/tier/operator_api/status_client.cpp
@@ -19,7 +19,7 @@
 template <typename T>
 using Held = std::unique_ptr<T, Unref>;
 
-// One call, driven by a main context of its own.
+// One call, run on its own main context.
 class Call {
  public:
   Call(const net::Address& core, std::chrono::milliseconds timeout)
@@ -99,7 +99,7 @@
     EndWith(MakeError(ErrorCode::kUnavailable, text));
   }
 
-  // In place: the whole body, or an error.
+  // Set at the end of the call: the whole body, or an error.
   template <typename T>
   void EndWith(T&& outcome) {
     outcome_.emplace(std::forward<T>(outcome));
--- a/src/tier/operator_api/status_client.h
+++ b/src/tier/operator_api/status_client.h
@@ -1,6 +1,6 @@
-// Asks a core process for GET /status, for a command line: one call that waits for its end.
+// A blocking client for GET /status of a core process, for command-line tools.
 //
-// Limits: kMostStatusBytes of an answer, more is an error; one time-out for the whole call.
+// Limits: an answer of more than kMostStatusBytes is an error; one time-out for the whole call.
 #ifndef SHELFLINK_TIER_OPERATOR_API_STATUS_CLIENT_H_
 #define SHELFLINK_TIER_OPERATOR_API_STATUS_CLIENT_H_
 
@@ -15,8 +15,8 @@
 
 constexpr std::size_t kMostStatusBytes = 4U << 20;
 
-// The body of a 200. An error's text says what came instead: kUnavailable no connection or no
-// answer in time, kInvalid another status or an answer that cannot be read, kTooLarge a longer one.
+// Returns the body of a 200. Errors: kUnavailable if there is no connection or no answer in time,
+// kInvalid for another status or an answer that cannot be parsed, kTooLarge for a longer answer.
 Result<std::string> FetchStatus(const net::Address& core, std::chrono::milliseconds timeout);
 
 }  // namespace shelflink::operator_api
--- a/tests/tier/operator_api/forwarder_test.cpp
+++ b/tests/tier/operator_api/forwarder_test.cpp
@@ -138,7 +138,7 @@
 BOOST_AUTO_TEST_CASE(without_a_primary_it_waits_and_then_says_so) {
   a->service.known_primary.reset();
   a->Execute(kChange);
-  Run(kOptions.answer_within - milliseconds(1));
+  Run(kOptions.answer_timeout - milliseconds(1));
   BOOST_TEST(!a->answers[0].has_value());
   Run(milliseconds(2));
   BOOST_TEST((a->error(0) == ErrorCode::kUnavailable));
@@ -190,7 +190,7 @@
   net.SetCut(kHostA, kHostB, true);
   a->Execute(kChange);
   a->Execute(ReadConfigurationOrder{});
-  Run(kOptions.answer_within + milliseconds(1));
+  Run(kOptions.answer_timeout + milliseconds(1));
   BOOST_TEST((a->error(0) == ErrorCode::kUnknown || a->error(0) == ErrorCode::kUnavailable));
   BOOST_TEST((a->error(1) == ErrorCode::kUnavailable));
 }
@@ -201,7 +201,7 @@
   Run(milliseconds(50));
   BOOST_REQUIRE(b->service.changes.size() == 1U);
   net.SetCut(kHostA, kHostB, true);
-  Run(kOptions.answer_within);
+  Run(kOptions.answer_timeout);
   BOOST_TEST((a->error(0) == ErrorCode::kUnknown));
 }
 
@@ -212,7 +212,7 @@
   net.SetCut(kHostA, kHostB, true);
   a->service.known_primary = c->address();
   c->service.is_primary_here = true;
-  Run(kOptions.attempt + milliseconds(100));
+  Run(kOptions.attempt_timeout + milliseconds(100));
   BOOST_TEST(a->acknowledged(0));
   BOOST_REQUIRE(c->service.changes.size() == 1U);
   BOOST_TEST(c->service.changes[0].body == "body");
@@ -231,17 +231,17 @@
 BOOST_AUTO_TEST_CASE(a_service_that_never_answers_is_unknown_in_time) {
   b->service.hold = true;
   b->Execute(kChange);
-  Run(kOptions.answer_within + milliseconds(1));
+  Run(kOptions.answer_timeout + milliseconds(1));
   BOOST_TEST((b->error(0) == ErrorCode::kUnknown));
-  BOOST_TEST((b->answered_at[0].time_since_epoch() <= kOptions.answer_within + milliseconds(1)));
+  BOOST_TEST((b->answered_at[0].time_since_epoch() <= kOptions.answer_timeout + milliseconds(1)));
   b->service.Release();  // Late: told to nobody.
   Run(milliseconds(10));
 }
 
 // The operator turns to another process after a second of silence, its way there and back included.
 BOOST_AUTO_TEST_CASE(an_order_has_its_answer_well_within_a_second) {
-  BOOST_TEST((kOptions.answer_within <= milliseconds(900)));
-  BOOST_TEST((kOptions.attempt + kOptions.look_again < kOptions.answer_within));
+  BOOST_TEST((kOptions.answer_timeout <= milliseconds(900)));
+  BOOST_TEST((kOptions.attempt_timeout + kOptions.retry_pause < kOptions.answer_timeout));
 }
 
 BOOST_AUTO_TEST_CASE(time_counts_from_when_the_order_came) {
@@ -250,7 +250,7 @@
   a->service.known_primary.reset();
   a->forwarder->Execute(a->process.Now() - milliseconds(500), kChange,
                         [&](Result<Answer> result) { answer = std::move(result); });
-  Run(kOptions.answer_within - milliseconds(499));
+  Run(kOptions.answer_timeout - milliseconds(499));
   BOOST_TEST(answer.has_value());
 }
 
