--- a/src/tier/configuration/book.cpp
+++ b/src/tier/configuration/book.cpp
@@ -23,7 +23,7 @@
 
 constexpr int kVersionDigits = 20;
 
-// Texts of versions sort as their numbers do.
+// Formats a version with leading zeros, so that texts sort like the numbers.
 std::string Digits(std::uint64_t version) {
   std::string digits = std::to_string(version);
   return digits.insert(0, kVersionDigits - digits.size(), '0');
@@ -31,12 +31,12 @@
 
 std::string TakenKey(std::uint64_t version) { return std::string(kTakenPrefix) + Digits(version); }
 
-// Sorts by base, so that what can't be taken any more comes first.
+// Ids sort by base, so that orders which can no longer be accepted come first.
 std::string RefusalId(const ChangeOrder& order, const std::string& digest) {
   return Digits(order.base_version) + "/" + digest;
 }
 
-// What makes two orders the same order: method, base and every byte of the body.
+// Two orders are the same if their method, base and every byte of the body are equal.
 std::string DigestOf(const ChangeOrder& order) {
   const std::unique_ptr<GChecksum, decltype(&g_checksum_free)> sum(
       g_checksum_new(G_CHECKSUM_SHA256), &g_checksum_free);
@@ -61,7 +61,7 @@
   return number;
 }
 
-// The removals that leave room for one more order, and the mark that they leave behind.
+// Removes the oldest digests to make room for one more, and records the highest version removed.
 std::vector<Write> ForgetOldOrders(const Contents& committed) {
   const auto first = committed.lower_bound(kTakenPrefix);
   auto last = first;
@@ -81,8 +81,8 @@
   return writes;
 }
 
-// Its digest may be among those that were forgotten. An order is only ever taken under a version
-// above its base.
+// Whether the digest of the order may have been removed. An order is only ever accepted under a
+// version above its base.
 bool MayBeForgotten(const Contents& committed, const ChangeOrder& order, std::uint64_t version) {
   const auto forgotten = committed.find(kForgottenKey);
   return forgotten != committed.end() && version <= NumberIn(forgotten->second) &&
@@ -159,7 +159,7 @@
   if (document->size() > most_bytes) {
     return refusals.Refuse(refusal_id, order.refusals_seen, TooLarge(document->size(), most_bytes));
   }
-  // The order has been read whole, for its version, and so had what it changes.
+  // VersionOf has checked the JSON of the order, and the document in force was checked before.
   const auto parsed = reader.Read(*document);
   if (!parsed) {
     findings.insert(findings.end(), parsed.error().begin(), parsed.error().end());
--- a/src/tier/configuration/codec.h
+++ b/src/tier/configuration/codec.h
@@ -1,5 +1,5 @@
-// The configuration as it travels between processes: its typed values in CBOR, without what the
-// document holds beside them.
+// The CBOR encoding of configurations and of their differences for messages between processes. It
+// holds the typed values only, without unknown members of the document.
 #ifndef SHELFLINK_TIER_CONFIGURATION_CODEC_H_
 #define SHELFLINK_TIER_CONFIGURATION_CODEC_H_
 
@@ -15,7 +15,8 @@
 std::string Encode(const Configuration& configuration);
 std::string Encode(const Difference& difference);
 
-// kInvalid where the body is none. What is read was checked by whoever took the document.
+// Decoders return kInvalid for a malformed body. They do not check the values again: the primary
+// did when it accepted the document.
 Result<Configuration> DecodeConfiguration(std::string_view body);
 Result<Difference> DecodeDifference(std::string_view body);
 
--- a/src/tier/configuration/difference.h
+++ b/src/tier/configuration/difference.h
@@ -1,5 +1,5 @@
-// What leads from one configuration to a later one, by item: its size follows the change, not the
-// configuration. Pure.
+// The difference between two configurations, item by item. Its size grows with the change and not
+// with the configuration. Pure.
 #ifndef SHELFLINK_TIER_CONFIGURATION_DIFFERENCE_H_
 #define SHELFLINK_TIER_CONFIGURATION_DIFFERENCE_H_
 
@@ -11,16 +11,16 @@
 
 namespace shelflink::configuration {
 
-// Of one list of items with names. Those that are neither named here nor removed stay.
+// The difference of one list of named items. Items in neither `put` nor `removed` are unchanged.
 template <typename Item>
 struct ListDifference {
   std::vector<std::string> removed;
-  std::vector<Item> put;  // Added, or in place of the one of that name.
+  std::vector<Item> put;  // Added, or replacing the item of the same name.
   bool operator==(const ListDifference&) const = default;
 };
 
 struct Difference {
-  std::uint64_t base = 0;  // The version that it leads on from.
+  std::uint64_t base = 0;  // The version that it applies to.
   std::uint64_t version = 0;
   ListDifference<Route> routes;
   ListDifference<Service> services;
@@ -32,7 +32,7 @@
 
 Difference DifferenceOf(const Configuration& before, const Configuration& after);
 
-// The later configuration, indexed. Its items are those of `after` above, in whatever order.
+// Returns the later configuration, indexed. It has the items of the later one, in any order.
 // Requires that `difference` is based on `before`.
 Configuration Applied(const Configuration& before, const Difference& difference);
 
--- a/src/tier/configuration/document_reader.cpp
+++ b/src/tier/configuration/document_reader.cpp
@@ -43,7 +43,7 @@
          std::find(std::begin(kLists), std::end(kLists), member.name) != std::end(kLists);
 }
 
-// The document with empty lists in place of those that hold its items.
+// Returns the document with its lists of items emptied.
 std::string WithoutItems(const std::vector<Part>& members) {
   std::string text = "{";
   for (const Part& member : members) {
@@ -60,13 +60,13 @@
   return found == members.end() ? std::string_view() : found->value;
 }
 
-// Reads the items of one list, by the reader of one.
+// Parses the items of one list with the reader of a single item.
 template <typename Item>
 class ListReader {
  public:
   using ReadOne = Item (*)(const cJSON* item, const std::string& place, Findings& findings);
 
-  // `known`: items of the document before, by their texts; those of this one afterwards.
+  // `known`: the items of the previous document by their texts; replaced by those of this one.
   ListReader(TextMap<Item>& known, ReadOne read_one, Findings& findings)
       : known_(known), read_one_(read_one), findings_(findings) {}
 
--- a/src/tier/configuration/document_reader.h
+++ b/src/tier/configuration/document_reader.h
@@ -1,5 +1,5 @@
-// Reads the operators' documents one after the other. Items whose text stood in the document before
-// are taken from there, so that a small change of a large document costs little.
+// Parses successive documents of the operators. Items whose text is the same as in the previous
+// document are not parsed again, so that a small change of a large document costs little.
 #ifndef SHELFLINK_TIER_CONFIGURATION_DOCUMENT_READER_H_
 #define SHELFLINK_TIER_CONFIGURATION_DOCUMENT_READER_H_
 
@@ -12,12 +12,12 @@
 
 class DocumentReader {
  public:
-  // The same as Parse, but the text must be one that Parse or json::ReadWhole has taken, or that
-  // ApplyPatch has made of such ones. Holds the document's items and their texts until the next.
+  // Equivalent to Parse. Requires a text that Parse or json::ReadWhole has accepted, or that
+  // ApplyPatch has made of such texts. Keeps the items and their texts until the next call.
   ParseResult Read(std::string_view json);
 
  private:
-  TextMap<Route> routes_;  // By their texts.
+  TextMap<Route> routes_;  // By the text of the item.
   TextMap<Service> services_;
   TextMap<Tenant> tenants_;
 };
--- a/src/tier/configuration/document_store.cpp
+++ b/src/tier/configuration/document_store.cpp
@@ -17,11 +17,12 @@
 using coordination::Write;
 
 constexpr std::size_t kNumberDigits = 20;
-constexpr std::uint64_t kCutMask = (1U << 13U) - 1;  // One place in 8,192, beyond kLeastChunk.
+constexpr std::uint64_t kCutMask =
+    (1U << 13U) - 1;  // Every 8,192nd byte on average, beyond kLeastChunk.
 
-// ---- Where a text is cut ----
+// ---- Borders of chunks ----
 
-// A value for each byte, without any pattern (splitmix64).
+// A pseudo-random value for each byte (splitmix64).
 constexpr std::array<std::uint64_t, 256> MakeByteValues() {
   std::array<std::uint64_t, 256> values{};
   std::uint64_t state = 0;
@@ -35,8 +36,8 @@
 }
 constexpr std::array<std::uint64_t, 256> kByteValues = MakeByteValues();
 
-// How long the first chunk of a text is. The bytes before a place decide whether it is one, so the
-// chunks behind a change are the same again.
+// Returns the length of the first chunk of a text. Only the bytes before a border determine it, so
+// the chunks behind a change stay the same.
 std::size_t LengthOfChunk(std::string_view text) {
   const std::size_t longest = std::min(text.size(), kLargestChunk);
   std::uint64_t hash = 0;
@@ -58,7 +59,7 @@
   return chunks;
 }
 
-// ---- What lies in the map ----
+// ---- Contents of the map ----
 
 struct ChunkList {
   std::uint64_t next = 1;
@@ -110,7 +111,8 @@
 
 std::vector<Write> WritesOfDocument(const Contents& contents, std::string_view document) {
   const ChunkList before = StoredList(contents).value_or(ChunkList());
-  std::unordered_map<std::string_view, std::uint64_t> known;  // Numbers of chunks, by their texts.
+  std::unordered_map<std::string_view, std::uint64_t>
+      known;  // Numbers of the stored chunks by their texts.
   for (const std::uint64_t number : before.numbers) {
     const auto chunk = contents.find(KeyOf(number));
     if (chunk != contents.end()) known.emplace(chunk->second, number);
--- a/src/tier/configuration/document_store.h
+++ b/src/tier/configuration/document_store.h
@@ -1,6 +1,6 @@
-// The operators' document in the replicated map: cut into chunks where its contents say so, so that
-// a change writes the chunks that it touches and no others, however long the document is. The text
-// comes back byte by byte. Pure.
+// Stores the operators' document in the replicated map, in chunks whose borders depend on the
+// content (content-defined chunking). A change therefore writes only the chunks that it touches,
+// however long the document is. The text is returned byte for byte. Pure.
 #ifndef SHELFLINK_TIER_CONFIGURATION_DOCUMENT_STORE_H_
 #define SHELFLINK_TIER_CONFIGURATION_DOCUMENT_STORE_H_
 
@@ -14,20 +14,20 @@
 
 namespace shelflink::configuration {
 
-// Chunks lie under their numbers, 20 digits each; the list names those of the document in their
-// order, and the number that the next new one gets.
+// Chunks are stored under their numbers, 20 digits each. The list holds the numbers of the
+// document's chunks in order and the number of the next new chunk.
 constexpr std::string_view kChunkPrefix = "config/chunk/";
 constexpr std::string_view kChunkListKey = "config/chunks";
-// Where earlier programs kept the whole document; it is read where there is no list.
+// Key of the whole document in earlier versions of the program; read if there is no list.
 constexpr std::string_view kWholeDocumentKey = "config/document";
 
-constexpr std::size_t kLeastChunk = 4096;     // Bytes, but of the last one.
-constexpr std::size_t kLargestChunk = 65536;  // Some 12 KB on average.
+constexpr std::size_t kLeastChunk = 4096;     // Bytes; the last chunk may be shorter.
+constexpr std::size_t kLargestChunk = 65536;  // Bytes; the average is some 12 KB.
 
-// What is stored; none: nothing is.
+// Returns none if no document is stored.
 std::optional<std::string> StoredDocument(const coordination::Contents& contents);
 
-// The writes that put `document` in its place.
+// Returns the writes that replace the stored document by `document`.
 std::vector<coordination::Write> WritesOfDocument(const coordination::Contents& contents,
                                                   std::string_view document);
 
--- a/src/tier/configuration/item_readers.cpp
+++ b/src/tier/configuration/item_readers.cpp
@@ -15,11 +15,12 @@
 
 constexpr double kLargestInt = 2147483647.0;
 constexpr double kMillisecondsPerSecond = 1000.0;
-constexpr std::size_t kLongestHeaderText = 4096;  // Of what goes into a header of requests.
+constexpr std::size_t kLongestHeaderText =
+    4096;  // Bytes of a value that is sent in a request header.
 constexpr Range kCount{0.0, kLargestInt};
 constexpr Range kAtLeastOne{1.0, kLargestInt};
 
-// A text that stands in a header of the requests that are passed on.
+// Checks a text that is sent in a header of proxied requests.
 void ReadHeaderText(ObjectReader& reader, const char* name, std::string& target) {
   reader.RequiredText(name, target);
   if (target.size() <= kLongestHeaderText) return;
--- a/src/tier/configuration/item_readers.h
+++ b/src/tier/configuration/item_readers.h
@@ -1,5 +1,5 @@
-// Readers of the items of a configuration's lists, one at a time. What is wrong with one becomes
-// findings; what is returned is then of no use.
+// Parsers of the items of a configuration's lists, one function for each list. Errors are reported
+// as findings; the returned item must not be used if there are any.
 #ifndef SHELFLINK_TIER_CONFIGURATION_ITEM_READERS_H_
 #define SHELFLINK_TIER_CONFIGURATION_ITEM_READERS_H_
 
@@ -11,7 +11,7 @@
 
 namespace shelflink::configuration {
 
-// `place`: of the item, such as "routes[2]".
+// `place`: path of the item for findings, such as "routes[2]".
 Route ReadRoute(const cJSON* item, const std::string& place, Findings& findings);
 Service ReadService(const cJSON* item, const std::string& place, Findings& findings);
 Tenant ReadTenant(const cJSON* item, const std::string& place, Findings& findings);
--- a/src/tier/configuration/json.cpp
+++ b/src/tier/configuration/json.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
 
-// White space as cJSON has it: every control character is.
+// As in cJSON, every control character is white space.
 std::size_t SkipWhiteSpace(std::string_view text, std::size_t at) {
   while (at < text.size() && static_cast<unsigned char>(text[at]) <= ' ') ++at;
   return at;
@@ -27,7 +27,8 @@
   return false;
 }
 
-// What stands before values, outside strings: not fewer than the values but for the first.
+// Counts the characters outside strings that can precede a value: an upper bound of the number of
+// values, without the first.
 std::size_t CountSeparators(std::string_view text) {
   std::size_t count = 0;
   bool in_string = false;
@@ -46,7 +47,7 @@
 
 std::string PlaceOfByte(std::size_t offset) { return "byte " + std::to_string(offset); }
 
-// One value that starts at `at`, behind white space; `end` is the byte behind it.
+// The value that starts at `at`, after white space; `end` is the position after it.
 Tree ReadValue(std::string_view text, std::size_t at, std::size_t& end) {
   const char* behind = nullptr;
   Tree tree(cJSON_ParseWithLengthOpts(text.data() + at, text.size() - at, &behind, 0));
@@ -54,7 +55,7 @@
   return tree;
 }
 
-// The byte behind the string whose opening quote stands at `at`.
+// Returns the position after the string whose opening quote is at `at`.
 std::size_t EndOfString(std::string_view text, std::size_t at) {
   for (++at; at < text.size() && text[at] != '"'; ++at) {
     if (text[at] == '\\') ++at;
@@ -67,7 +68,7 @@
          static_cast<unsigned char>(letter) <= ' ';
 }
 
-// The byte behind the value that starts at `at`; its text is known to be JSON, so brackets match.
+// Returns the position after the value that starts at `at`. Requires valid JSON: brackets match.
 std::size_t EndOfValue(std::string_view text, std::size_t at) {
   std::size_t depth = 0;
   while (at < text.size()) {
@@ -90,7 +91,7 @@
   return at;
 }
 
-// The string between quotes, its escapes resolved; none: it is no string.
+// Returns the string in quotes with its escapes resolved; none if it is not a string.
 std::optional<std::string> TextOfString(std::string_view quoted) {
   if (quoted.size() < 2 || quoted.front() != '"') return std::nullopt;
   if (quoted.find('\\') == std::string_view::npos) {
@@ -102,7 +103,7 @@
   return tree->valuestring;
 }
 
-// Walks the members or items between `open` and `close`.
+// Visits the members or items between `open` and `close`.
 std::optional<std::vector<Part>> PartsOf(std::string_view text, char open, char close, bool named) {
   std::size_t at = SkipWhiteSpace(text, 0);
   if (at >= text.size() || text[at] != open) return std::nullopt;
--- a/src/tier/configuration/json.h
+++ b/src/tier/configuration/json.h
@@ -1,5 +1,5 @@
-// JSON texts read by cJSON: whole or not at all, and the byte ranges of their parts, so that a part
-// can be taken into another text without being printed anew (cJSON keeps numbers as doubles).
+// Parses JSON with cJSON and finds the byte ranges of members and items. A part of a text can so be
+// copied to another text unchanged; printing it with cJSON would convert its numbers to doubles.
 #ifndef SHELFLINK_TIER_CONFIGURATION_JSON_H_
 #define SHELFLINK_TIER_CONFIGURATION_JSON_H_
 
@@ -20,31 +20,31 @@
 };
 using Tree = std::unique_ptr<cJSON, TreeDelete>;
 
-// Values in one text. cJSON takes some 80 bytes for each, however short it is.
+// Limit of values in one text. cJSON allocates some 80 bytes for each, however short it is.
 constexpr std::size_t kMostValues = 500000;
 
-// The text as one value with nothing but white space behind it. Null, with a finding, where it is
-// cut short, followed by more, not UTF-8, holds more than kMostValues, or holds a NUL, which cJSON
-// would take for the end of a string.
+// Parses the text as one value, followed by white space only. Returns null, with a finding, if it
+// is incomplete, followed by other bytes, not UTF-8, or holds more than kMostValues or a NUL, which
+// cJSON would treat as the end of a string.
 Tree ReadWhole(std::string_view text, Findings& findings);
 
-// One member of an object, or one item of an array (then without a name), as it stands in the text.
+// A member of an object, or an item of an array (without a name), as a range of the text.
 struct Part {
   std::string name;
   std::string_view value;
 };
-// Of a text that ReadWhole has taken. None: it is of another kind.
+// Both require a text that ReadWhole has accepted and return none if it is of another kind.
 std::optional<std::vector<Part>> MembersOf(std::string_view object);
 std::optional<std::vector<Part>> ItemsOf(std::string_view array);
 
-// A value that is a string, without its quotes; none: it is of another kind.
+// Returns a string value without its quotes; none if the value is of another kind.
 std::optional<std::string> StringOf(std::string_view value);
 
-// The text holds kMostValues or more, as ReadWhole counts them.
+// Whether the text holds kMostValues or more, as ReadWhole counts them.
 bool HoldsTooManyValues(std::string_view text);
 Finding TooManyValues();
 
-// A string as a JSON text, with its quotes.
+// Formats a string as JSON, with its quotes.
 std::string Quoted(std::string_view text);
 
 }  // namespace shelflink::json
--- a/src/tier/configuration/lookup.cpp
+++ b/src/tier/configuration/lookup.cpp
@@ -41,9 +41,9 @@
 
 }  // namespace
 
-// Positions, not pointers: a copy of the configuration shares it.
+// Holds positions rather than pointers, because copies of the configuration share it.
 struct Configuration::Lookup {
-  TextMap<std::vector<PrefixEntry>> prefixes_of_host;  // Longest first.
+  TextMap<std::vector<PrefixEntry>> prefixes_of_host;  // The longest prefix first.
   TextMap<std::size_t> routes;
   TextMap<std::size_t> services;
   TextMap<std::size_t> tenants_of_keys;
--- a/src/tier/configuration/model.h
+++ b/src/tier/configuration/model.h
@@ -1,4 +1,4 @@
-// The operators' configuration as typed values, parsed and checked whole from its JSON.
+// The operators' configuration as typed values, and the parser that reads and checks its JSON.
 #ifndef SHELFLINK_TIER_CONFIGURATION_MODEL_H_
 #define SHELFLINK_TIER_CONFIGURATION_MODEL_H_
 
@@ -29,18 +29,18 @@
   std::string hostname;
   std::string path_prefix;  // Begins and ends with a slash.
   RouteKind kind = RouteKind::kNonIdempotent;
-  milliseconds timeout{0};  // 0 only where the kind has none (batch).
+  milliseconds timeout{0};  // 0 only for kinds without a time-out (batch).
   milliseconds slo{0};
   int priority = 0;              // 0 is highest.
-  std::vector<SplitPart> split;  // At least one; a plain `service` is one part.
+  std::vector<SplitPart> split;  // At least one; a `service` member is a single part.
   int max_attempts = 1;
   bool is_public = false;
   bool sticky = false;
   bool resumable = false;
   milliseconds gap_aim{0};
-  milliseconds run_aim{0};  // Batch: all results are due so long after the first send.
-  milliseconds keep{0};     // Batch: an item may be given up so long after the first send.
-  std::optional<std::uint64_t> max_queued_tokens;  // Batch, where the route tells it.
+  milliseconds run_aim{0};  // Batch: time from the first send until all results are due.
+  milliseconds keep{0};     // Batch: time from the first send until items may be given up.
+  std::optional<std::uint64_t> max_queued_tokens;  // Batch; none if the route has no limit.
   bool operator==(const Route&) const = default;
 };
 
@@ -60,7 +60,7 @@
 struct Service {
   std::string name;
   std::string health_path;
-  int max_conns = 0;  // Of each endpoint, from all callers together; 0: not told.
+  int max_conns = 0;  // For each endpoint, summed over all callers; 0: unknown.
   std::optional<Engine> engine;
   std::optional<Autoscale> autoscale;
   bool operator==(const Service&) const = default;
@@ -87,17 +87,17 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   ClientLimits limits;
-  bool has_tenants = false;  // Whether `tenants` stands in the document at all.
+  bool has_tenants = false;  // Whether the document has a member `tenants`.
   std::vector<Tenant> tenants;
 
-  // Longest prefix among the routes of that host (a port behind the host is ignored, case too);
-  // null: no route. `path` without the query.
+  // Returns the route of that host with the longest prefix of `path`, which excludes the query;
+  // null if there is none. Ignores the case of the host and its port.
   const Route* FindRoute(std::string_view host, std::string_view path) const;
   const Route* RouteNamed(std::string_view name) const;
   const Service* ServiceNamed(std::string_view name) const;
-  // Null: unknown key. Constant lookup, not a walk.
+  // Returns null if the key is unknown. Constant time.
   const Tenant* TenantOfKey(std::string_view key) const;
-  // Must be called after the lists have been changed by hand (tests); Parse does.
+  // Must be called after the lists have been changed directly, as tests do; Parse calls it.
   void Index();
 
  private:
@@ -109,8 +109,8 @@
     BOOST_OUTCOME_V2_NAMESPACE::basic_result<Configuration, Findings,
                                              BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>;
 
-// All findings together. Unknown fields are kept by the document and ignored here. Whoever reads
-// one document after the other uses document_reader.h.
+// Returns all findings at once. Unknown members are ignored; the document keeps them. To parse
+// successive documents use document_reader.h.
 ParseResult Parse(std::string_view json);
 
 }  // namespace shelflink::configuration
--- a/src/tier/configuration/object_reader.cpp
+++ b/src/tier/configuration/object_reader.cpp
@@ -12,7 +12,8 @@
 using std::chrono::milliseconds;
 
 constexpr double kLongestMilliseconds = 1e15;
-// A longer span is kept as this one, some thirty years: sums with it must fit into nanoseconds.
+// Longer spans are cut to this one, some thirty years: sums with it must not overflow in
+// nanoseconds.
 constexpr double kEndlessMilliseconds = 1e12;
 
 }  // namespace
@@ -31,7 +32,7 @@
   FindRepeatedNames();
 }
 
-// Readers differ in which of two they take, so neither is taken.
+// JSON parsers differ in which of two members of one name they use, so this is an error.
 void ObjectReader::FindRepeatedNames() {
   std::vector<std::string_view> names;
   for (const cJSON* member = object_->child; member != nullptr; member = member->next) {
--- a/src/tier/configuration/object_reader.h
+++ b/src/tier/configuration/object_reader.h
@@ -1,6 +1,6 @@
-// Reads the known members of a JSON object with their types; whatever is wrong becomes a finding.
-// Members that are missing or null leave their target as it is, unless they are required; unknown
-// ones are passed over.
+// Reads the known members of a JSON object with their types and reports errors as findings. A
+// member that is missing or null leaves its target unchanged, unless it is required. Unknown
+// members are ignored.
 #ifndef SHELFLINK_TIER_CONFIGURATION_OBJECT_READER_H_
 #define SHELFLINK_TIER_CONFIGURATION_OBJECT_READER_H_
 
@@ -17,10 +17,10 @@
 
 constexpr double kLargestExactInteger = 9007199254740992.0;  // 2^53: cJSON keeps doubles.
 
-// Beyond so many findings the items of a list are not read any more.
+// After this number of findings the remaining items of a list are not read.
 constexpr std::size_t kMostFindings = 1000;
 
-// Where a number must lie.
+// The range of a number.
 struct Range {
   double least = 0.0;
   double most = kLargestExactInteger;
@@ -31,20 +31,21 @@
 
 class ObjectReader {
  public:
-  // `place`: of the object, empty for a whole document. Findings outlive it.
+  // `place`: path of the object for findings, empty for a whole document. `findings` must outlive
+  // the reader.
   ObjectReader(const cJSON* object, std::string place, Findings& findings);
 
-  // It is an object.
+  // Whether the value is an object.
   bool usable() const { return object_ != nullptr; }
-  // Null where it is missing or null.
+  // Returns null if the member is missing or null.
   const cJSON* Member(const char* name) const;
   std::string PlaceOf(const char* name) const;
   void Report(const char* name, std::string expected);
 
   void Text(const char* name, std::string& target);
-  void RequiredText(const char* name, std::string& target);  // And not empty.
+  void RequiredText(const char* name, std::string& target);  // Must not be empty.
   void Flag(const char* name, bool& target);
-  // None where it is missing or wrong.
+  // Returns none if the member is missing or invalid.
   std::optional<double> Number(const char* name, Range range);
   std::optional<double> WholeNumber(const char* name, Range range);
   void Int(const char* name, Range range, int& target);
@@ -52,11 +53,11 @@
   void Size(const char* name, std::uint64_t& target);
   void OptionalSize(const char* name, std::optional<std::uint64_t>& target);
   void SizeAboveZero(const char* name, std::size_t& target);
-  // `scale`: milliseconds in one unit. Parts of a millisecond count as a whole one.
+  // `scale`: milliseconds in one unit. The result is rounded up to a millisecond.
   void Span(const char* name, double scale, std::chrono::milliseconds& target);
   void SpanAboveZero(const char* name, std::chrono::milliseconds& target);
 
-  // Calls `each(item, place)` for the items of a list. False: there is none.
+  // Calls `each(item, place)` for the items of a list. Returns false if there is no list.
   template <typename Each>
   bool List(const char* name, Each each) {
     const cJSON* list = Member(name);
--- a/src/tier/configuration/patch.cpp
+++ b/src/tier/configuration/patch.cpp
@@ -22,7 +22,7 @@
   return list + "[" + std::to_string(index) + "]";
 }
 
-// A text that is a string; none: it is something else or empty.
+// Returns a non-empty string value; none if the value is anything else.
 std::optional<std::string> NameIn(std::string_view text) {
   std::optional<std::string> name = json::StringOf(text);
   if (name && name->empty()) return std::nullopt;
@@ -35,7 +35,7 @@
   return found == parts.end() ? nullptr : &*found;
 }
 
-// The name that an item of a list has; none: it has none.
+// Returns the name of an item; none if it has no name.
 std::optional<std::string> NameOfItem(std::string_view item) {
   const auto members = json::MembersOf(item);
   if (!members) return std::nullopt;
@@ -48,7 +48,7 @@
   std::string_view text;
 };
 
-// One list of the document while it is changed. Of items that share a name the first is replaced.
+// A list of the document while it is changed. If items share a name, the first one is replaced.
 class ItemList {
  public:
   void Append(Item item) {
@@ -121,7 +121,7 @@
   return names;
 }
 
-// The document's members; a list that is changed gets its new text.
+// The members of the document. A changed list gets its new text.
 class DocumentEditor {
  public:
   DocumentEditor(const Parts& members, Findings& findings) : findings_(findings) {
@@ -187,7 +187,7 @@
   std::vector<EditedMember> members_;
 };
 
-// The lists under `upsert` or `remove`; empty where it is missing.
+// The lists under `upsert` or `remove`; empty if the member is missing.
 Parts ListsUnder(const Parts& change, std::string_view name, Findings& findings) {
   const Part* member = Named(change, name);
   if (member == nullptr || member->value == "null") return {};
--- a/src/tier/configuration/patch.h
+++ b/src/tier/configuration/patch.h
@@ -1,5 +1,6 @@
-// Changes of named items in a configuration's text. What a change doesn't name keeps its bytes, so
-// unknown members stay and numbers keep the form in which they were sent.
+// Applies changes of named items to the text of a configuration. Everything that a change does not
+// name keeps its bytes, so unknown members are kept and numbers keep the form in which they were
+// sent.
 #ifndef SHELFLINK_TIER_CONFIGURATION_PATCH_H_
 #define SHELFLINK_TIER_CONFIGURATION_PATCH_H_
 
@@ -12,14 +13,14 @@
 
 namespace shelflink::configuration {
 
-// `configVersion` of a whole configuration or of a change; none, with findings, where the text is
-// not a whole JSON object or tells none.
+// Returns `configVersion` of a configuration or of a change. Returns none, with findings, if the
+// text is not a complete JSON object or has no valid version.
 std::optional<std::uint64_t> VersionOf(std::string_view json, Findings& findings);
 
-// `document` with the change made: its `configVersion`, its `remove`, then its `upsert`, which
-// replaces an item in its place or adds it behind the others. An empty document stands for a
-// configuration without items. None, with findings, where the change has another form. Whether the
-// result is a valid configuration is Parse's to say.
+// Returns `document` with the change applied: `configVersion` first, then `remove`, then `upsert`,
+// which replaces an item in place or appends it. An empty document is a configuration without
+// items. Returns none, with findings, if the change is malformed. The result may be an invalid
+// configuration; Parse checks that.
 std::optional<std::string> ApplyPatch(std::string_view document, std::string_view change,
                                       Findings& findings);
 
--- a/src/tier/configuration/whole_checks.cpp
+++ b/src/tier/configuration/whole_checks.cpp
@@ -15,9 +15,9 @@
 
 using json::ItemPlace;
 
-constexpr char kBetween = '\0';  // A host and a prefix: no string of a document holds it.
+constexpr char kBetween = '\0';  // Separates host and prefix; no string of a document contains it.
 
-// Lists are told apart by their items' names, so a name stands once.
+// Changes refer to items by name, so a name may occur only once in a list.
 template <typename Item>
 void FindSharedNames(const char* list, const std::vector<Item>& items, Findings& findings) {
   std::unordered_map<std::string_view, std::size_t> first;
@@ -63,7 +63,7 @@
   }
 }
 
-// Keys are secrets: a finding names places, not keys.
+// API keys are secrets: a finding names their places and not the keys.
 void FindSharedKeys(const std::vector<Tenant>& tenants, Findings& findings) {
   std::unordered_map<std::string_view, std::size_t> holders;
   for (std::size_t i = 0; i < tenants.size(); ++i) {
--- a/src/tier/configuration/whole_checks.h
+++ b/src/tier/configuration/whole_checks.h
@@ -1,4 +1,4 @@
-// What must hold between the items of a configuration, whatever each of them holds by itself.
+// Checks the constraints between the items of a configuration. Items are valid by themselves.
 #ifndef SHELFLINK_TIER_CONFIGURATION_WHOLE_CHECKS_H_
 #define SHELFLINK_TIER_CONFIGURATION_WHOLE_CHECKS_H_
 
@@ -7,8 +7,8 @@
 
 namespace shelflink::configuration {
 
-// Names that stand twice in a list, routes with one place, services that are unknown, keys that two
-// tenants hold: a finding each.
+// Reports a finding for each name that occurs twice in a list, each pair of routes with the same
+// host and prefix, each unknown service, and each key that two tenants share.
 void CheckWhole(const Configuration& configuration, Findings& findings);
 
 }  // namespace shelflink::configuration
