--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -119,6 +119,19 @@
         self.answer("t2", 412, core="edge-east-1")
         self.expect()
 
+    def test_refused_before_its_base_was_acknowledged(self):
+        self.history.orders = [order("t1", 0, 2, OrderState.OPEN),
+                               order("t2", 2, 3, OrderState.REFUSED)]
+        self.answer("t2", 412, core="edge-east-1")
+        self.expect()
+
+    def test_refused_after_its_base_was_read(self):
+        self.history.orders = [order("t1", 0, 2, OrderState.OPEN),
+                               order("t2", 2, 3, OrderState.REFUSED)]
+        self.history.reads = [ConfigurationRead(3.0, 2, "t1")]
+        self.answer("t2", 412, core="edge-east-1")
+        self.expect("CONFIG")
+
     def test_refused_before_the_other_order_was_sent(self):
         self.history.orders.append(ConfigurationOrder("t3", 2, 4, 30.0))
         self.answer("t2", 412, core="edge-east-1")
