Tests: an order that has to be confirmed does not pass for an accepted one

Cause: with the new outcome of orders, has_value() in tests of the cluster also held for a required confirmation, and the fuzz target of patches no longer said so when its document in force was refused with a verdict. Change: AcceptedAtOnce reads the outcome as these tests meant it; the fuzz targets and the tests of the book share order_caller.h, and one apply_writes.h serves it and refusals_test. No product source changes. Not run again: the other tests, the fuzz corpus.

--- a/tests/fuzz/tier_parsers.cpp
+++ b/tests/fuzz/tier_parsers.cpp
@@ -1,6 +1,7 @@
 // Parsers of the serving tier. What is taken is used, or written and read again.
 #include <string>
 
+#include "configuration/order_caller.h"
 #include "fuzz/tier_targets.h"
 #include "proxy/proxy_fixture.h"
 #include "tier/batch/job_json.h"
@@ -51,16 +52,9 @@
 
 // What the book would write for the order, if it takes it; the document must be readable.
 void Plan(const coordination::Contents& contents, const configuration::ChangeOrder& order) {
-  const auto plan = configuration::PlanChange(contents, order);
-  if (!plan || !std::holds_alternative<coordination::Accepted>(plan.value().verdict)) return;
   coordination::Contents after = contents;
-  for (const coordination::Write& write : plan.value().writes) {
-    if (write.value) {
-      after[write.key] = *write.value;
-    } else {
-      after.erase(write.key);
-    }
-  }
+  const configuration::Outcome outcome = configuration::SendCopy(after, order);
+  if (outcome.refusal || outcome.refusals_to_confirm > 0) return;
   const auto current = configuration::CurrentConfiguration(after);
   if (!current) throw Breach("a document was taken and is not there");
   const auto taken = configuration::Parse(current->document);
@@ -188,10 +182,11 @@
 
 void PlayPatch(std::string_view bytes) {
   coordination::Contents contents;
-  const auto plan =
-      configuration::PlanChange(contents, {configuration::ChangeMethod::kPut, 0, kInForce});
-  if (!plan) throw Breach("the document in force was not taken: " + plan.error().text);
-  for (const coordination::Write& write : plan.value().writes) contents[write.key] = *write.value;
+  const configuration::Outcome outcome =
+      configuration::SendCopy(contents, {configuration::ChangeMethod::kPut, 0, kInForce});
+  if (outcome.refusal) {
+    throw Breach("the document in force was not taken: " + outcome.refusal->text);
+  }
   Plan(contents, {configuration::ChangeMethod::kPatch, 7, std::string(bytes)});
 }
 
--- a/tests/tier/cluster/agent_test.cpp
+++ b/tests/tier/cluster/agent_test.cpp
@@ -131,7 +131,7 @@
   BOOST_TEST((agent.placement_lease_until() == agent.lease_until()));
   // A placement is committed, and its primary dies before it tells anybody.
   rig.Primary().service().Retire({"store-0"}, [&](const auto& result) {
-    BOOST_REQUIRE(result.has_value());
+    BOOST_REQUIRE(operator_api::AcceptedAtOnce(result).has_value());
     rig.map.lose_next_done = true;
   });
   BOOST_REQUIRE(rig.RunUntil([&] { return !rig.map.unheard.empty(); }, seconds(1)));
@@ -371,7 +371,7 @@
   for (std::uint64_t version = first; version <= last; ++version) {
     rig.Primary().service().ChangeConfiguration(
         {configuration::ChangeMethod::kPut, version - 1, LargeConfiguration(version)},
-        [](const auto& told) { BOOST_TEST(told.has_value()); });
+        [](const auto& told) { BOOST_TEST(operator_api::AcceptedAtOnce(told).has_value()); });
   }
 }
 
@@ -481,11 +481,11 @@
   return document;
 }
 
-Result<operator_api::OrderOutcome> PutDocument(Rig& rig, std::uint64_t base, std::string document) {
-  std::optional<Result<operator_api::OrderOutcome>> result;
+Result<void> PutDocument(Rig& rig, std::uint64_t base, std::string document) {
+  std::optional<Result<void>> result;
   rig.Primary().service().ChangeConfiguration(
       {configuration::ChangeMethod::kPut, base, std::move(document)},
-      [&](Result<operator_api::OrderOutcome> told) { result = std::move(told); });
+      [&](const auto& told) { result = operator_api::AcceptedAtOnce(told); });
   rig.RunUntil([&] { return result.has_value(); }, seconds(1));
   return result.value_or(MakeError(ErrorCode::kUnknown, "no answer"));
 }
@@ -521,7 +521,7 @@
   const std::size_t bound = (rig.cores[0]->settings().limits.memory_mb << 20U) / 32;
   std::string document = RigConfiguration(2);
   document.insert(1, R"("note":")" + std::string(bound, 'n') + R"(",)");
-  const auto refused = PutDocument(rig, 1, document);
+  const Result<void> refused = PutDocument(rig, 1, document);
   BOOST_REQUIRE(!refused);
   BOOST_TEST((refused.error().code == ErrorCode::kTooLarge));
   BOOST_TEST(refused.error().text.find(std::to_string(document.size())) != std::string::npos);
--- a/tests/tier/cluster/core_service_test.cpp
+++ b/tests/tier/cluster/core_service_test.cpp
@@ -82,7 +82,8 @@
 
 using Outcome = Result<operator_api::OrderOutcome>;
 
-std::optional<Outcome> Retire(Rig& rig, const std::string& node, std::uint64_t refusals_seen = 0) {
+std::optional<Outcome> SendRetirement(Rig& rig, const std::string& node,
+                                      std::uint64_t refusals_seen = 0) {
   std::optional<Outcome> result;
   rig.Primary().service().Retire({node, seconds(10), refusals_seen},
                                  [&](Outcome told) { result = std::move(told); });
@@ -90,6 +91,12 @@
   return result;
 }
 
+std::optional<Result<void>> Retire(Rig& rig, const std::string& node) {
+  const std::optional<Outcome> outcome = SendRetirement(rig, node);
+  if (!outcome) return std::nullopt;
+  return operator_api::AcceptedAtOnce(*outcome);
+}
+
 std::optional<Result<RetireState>> StateOf(Rig& rig, const std::string& node) {
   std::optional<Result<RetireState>> result;
   rig.Primary().service().ReadRetireState(
@@ -407,14 +414,14 @@
   rig.stores[3]->Start();
   rig.Run(seconds(3));
   // The copies that were held up.
-  const std::uint64_t refusals = RefusalsToConfirm(Retire(rig, "store-2"));
+  const std::uint64_t refusals = RefusalsToConfirm(SendRetirement(rig, "store-2"));
   BOOST_TEST((StateOf(rig, "store-2")->error().code == ErrorCode::kNotFound));
   rig.Elect(2);
   rig.Run(seconds(3));
-  BOOST_TEST(RefusalsToConfirm(Retire(rig, "store-2")) == refusals);
-  BOOST_TEST(RefusalsToConfirm(Retire(rig, "store-3")) < refusals);
+  BOOST_TEST(RefusalsToConfirm(SendRetirement(rig, "store-2")) == refusals);
+  BOOST_TEST(RefusalsToConfirm(SendRetirement(rig, "store-3")) < refusals);
   // Whoever still wants it.
-  const auto confirmed = Retire(rig, "store-2", refusals);
+  const auto confirmed = SendRetirement(rig, "store-2", refusals);
   BOOST_REQUIRE(confirmed->has_value());
   BOOST_TEST(std::holds_alternative<operator_api::Acknowledged>(confirmed->value()));
   BOOST_TEST((StateOf(rig, "store-2")->value() == RetireState::kRunning));
--- a/tests/tier/cluster/group_rig.h
+++ b/tests/tier/cluster/group_rig.h
@@ -151,10 +151,10 @@
         rig_.Run(milliseconds(50));
         continue;
       }
-      auto outcome = std::make_shared<std::optional<Result<operator_api::OrderOutcome>>>();
+      auto outcome = std::make_shared<std::optional<Result<void>>>();
       primary->service().ChangeConfiguration(
           {configuration::ChangeMethod::kPut, base, RigConfiguration(version)},
-          [outcome](Result<operator_api::OrderOutcome> told) { *outcome = std::move(told); });
+          [outcome](const auto& told) { *outcome = operator_api::AcceptedAtOnce(told); });
       rig_.RunUntil([&] { return outcome->has_value(); }, milliseconds(500));
       taken = outcome->has_value() && (*outcome)->has_value();
     }
--- a/tests/tier/cluster/history_test.cpp
+++ b/tests/tier/cluster/history_test.cpp
@@ -154,10 +154,10 @@
         Pass(milliseconds(100));
         continue;
       }
-      const auto outcome = std::make_shared<std::optional<Result<operator_api::OrderOutcome>>>();
+      const auto outcome = std::make_shared<std::optional<Result<void>>>();
       primary->service().ChangeConfiguration(
           {configuration::ChangeMethod::kPut, base, RigConfiguration(next)},
-          [outcome](Result<operator_api::OrderOutcome> told) { *outcome = std::move(told); });
+          [outcome](const auto& told) { *outcome = operator_api::AcceptedAtOnce(told); });
       const net::Time give_up = tier_.net().Now() + milliseconds(800);
       while (!outcome->has_value() && tier_.net().Now() < give_up) Pass(milliseconds(50));
       if (!outcome->has_value()) continue;
--- a/tests/tier/cluster/rig.h
+++ b/tests/tier/cluster/rig.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "net/virtual.h"
+#include "operator_api/accepted_at_once.h"
 #include "tier/cluster/agent.h"
 #include "tier/cluster/configuration_history.h"
 #include "tier/cluster/core_service.h"
@@ -475,11 +476,11 @@
   }
 
   // Sends the configuration and waits for its acknowledgement.
-  Result<operator_api::OrderOutcome> Put(std::uint64_t version, std::uint64_t base) {
-    std::optional<Result<operator_api::OrderOutcome>> result;
+  Result<void> Put(std::uint64_t version, std::uint64_t base) {
+    std::optional<Result<void>> result;
     Primary().service().ChangeConfiguration(
         {configuration::ChangeMethod::kPut, base, RigConfiguration(version)},
-        [&](Result<operator_api::OrderOutcome> told) { result = std::move(told); });
+        [&](const auto& told) { result = operator_api::AcceptedAtOnce(told); });
     RunUntil([&] { return result.has_value(); }, seconds(1));
     if (!result) return MakeError(ErrorCode::kUnknown, "no answer");
     return *result;
--- a/tests/tier/configuration/order_caller.h
+++ b/tests/tier/configuration/order_caller.h
@@ -5,24 +5,13 @@
 
 #include <optional>
 #include <variant>
-#include <vector>
 
+#include "coordination/apply_writes.h"
 #include "tier/configuration/book.h"
 #include "tier/coordination/refusals.h"
 
 namespace shelflink::configuration {
 
-inline void Apply(coordination::Contents& contents,
-                  const std::vector<coordination::Write>& writes) {
-  for (const coordination::Write& write : writes) {
-    if (write.value) {
-      contents[write.key] = *write.value;
-    } else {
-      contents.erase(write.key);
-    }
-  }
-}
-
 // What one copy of an order comes to, its writes committed.
 struct Outcome {
   std::optional<Error> refusal;
--- a/tests/tier/coordination/refusals_test.cpp
+++ b/tests/tier/coordination/refusals_test.cpp
@@ -6,6 +6,8 @@
 #include <boost/test/unit_test.hpp>
 #include <string>
 
+#include "coordination/apply_writes.h"
+
 namespace shelflink::coordination {
 namespace {
 
@@ -14,15 +16,7 @@
 const std::vector<Write> kWrites = {{"accepted", "1"}};
 
 struct Map {
-  void Apply(const std::vector<Write>& writes) {
-    for (const Write& write : writes) {
-      if (write.value) {
-        contents[write.key] = *write.value;
-      } else {
-        contents.erase(write.key);
-      }
-    }
-  }
+  void Apply(const std::vector<Write>& writes) { coordination::Apply(contents, writes); }
   RefusalRecords records() const { return RefusalRecords(contents, kPrefix); }
 
   void Refuse(const std::string& id, std::uint64_t refusals_seen = 0) {
--- a/tests/tier/proxy/program_test.cpp
+++ b/tests/tier/proxy/program_test.cpp
@@ -288,8 +288,9 @@
       R"("services":[{"name":"big"}],"tenants":[{"name":"ten","apiKeys":["key-1"]}]})";
   bool taken = false;
   tier.rig.Primary().service().ChangeConfiguration(
-      {shelflink::configuration::ChangeMethod::kPut, 5, keyed},
-      [&](const auto& result) { taken = result.has_value(); });
+      {shelflink::configuration::ChangeMethod::kPut, 5, keyed}, [&](const auto& result) {
+        taken = shelflink::operator_api::AcceptedAtOnce(result).has_value();
+      });
   tier.rig.Run(seconds(1));
   BOOST_REQUIRE(taken);
   BOOST_TEST(tier.Get().Status() == 401);
