Transport: a claim from another host does not displace the process at that address

Cause: Hub::Impl::Supersede compared connections by the incarnation and the dial that their greetings claim, nothing else. A connection from any host that claims the address of a process, with its incarnation and a dial as high, made the process's own connection the older one, and one with another incarnation took its place at once.

Change: of two accepted connections with one address, one that comes from that address's host counts before one that comes from elsewhere (Hub::Impl::Compare). Where both or neither come from there, as on loopback or behind a relay, nothing changes. Nothing is signed, as before.

--- a/src/tier/transport/connection.cpp
+++ b/src/tier/transport/connection.cpp
@@ -202,6 +202,11 @@
   owner_.OnGreeted(*this);
 }
 
+bool Connection::FromClaimedHost() const {
+  const net::Address remote = stream_->peer();
+  return !dialled() && remote.v6() == peer_.address.v6() && remote.bytes() == peer_.address.bytes();
+}
+
 void Connection::Break(const char* cause) {
   if (!closed()) owner_.OnBroken(*this, cause);
 }
--- a/src/tier/transport/connection.h
+++ b/src/tier/transport/connection.h
@@ -65,6 +65,8 @@
   bool greeted() const { return state_ == State::kGreeted; }
   bool closed() const { return state_ == State::kClosed; }
   const PeerIdentity& peer() const { return peer_; }  // Once greeted.
+  // Accepted from the host on which the peer says that it listens. Once greeted.
+  bool FromClaimedHost() const;
   std::size_t queued() const { return outbox_.size(); }
   // Of a frame that is here in part some came since then.
   bool Receives(net::Time since) const {
--- a/src/tier/transport/hub_connections.cpp
+++ b/src/tier/transport/hub_connections.cpp
@@ -83,20 +83,31 @@
   }
 }
 
+// Which of two connections with one address counts; `greeted` is the one that greeted last.
+//
 // A process that was started anew does not use the connections of its earlier life, and whoever
 // dials again has given up what it dialled before. So what still lies unread in the older
-// connection can't be taken for newer. False if `connection` itself is the older one.
+// connection can't be taken for newer. What a process claims from another host than the one that it
+// names does not displace whoever speaks from there.
+Hub::Impl::Precedence Hub::Impl::Compare(const Connection& other, const Connection& greeted) {
+  const bool both_accepted = !other.dialled() && !greeted.dialled();
+  if (both_accepted && other.FromClaimedHost() != greeted.FromClaimedHost()) {
+    return other.FromClaimedHost() ? Precedence::kOther : Precedence::kGreeted;
+  }
+  if (other.peer().incarnation != greeted.peer().incarnation) return Precedence::kGreeted;
+  if (!both_accepted) return Precedence::kBoth;
+  return greeted.peer_dial() > other.peer_dial() ? Precedence::kGreeted : Precedence::kOther;
+}
+
+// Ends the connections with the peer that do not count. False if `connection` is one of them.
 bool Hub::Impl::Supersede(Connection& connection, Peer& peer) {
-  std::vector<Connection*> older;
+  std::vector<Connection*> superseded;
   for (Connection* other : peer.connections) {
-    if (other->peer().incarnation != connection.peer().incarnation) {
-      older.push_back(other);
-    } else if (!other->dialled() && !connection.dialled()) {
-      const bool newer = connection.peer_dial() > other->peer_dial();
-      older.push_back(newer ? other : &connection);
-    }
+    const Precedence precedence = Compare(*other, connection);
+    if (precedence == Precedence::kGreeted) superseded.push_back(other);
+    if (precedence == Precedence::kOther) superseded.push_back(&connection);
   }
-  for (Connection* one : older) {
+  for (Connection* one : superseded) {
     if (!one->closed()) OnBroken(*one, "superseded");
   }
   return !connection.closed();
--- a/src/tier/transport/hub_impl.h
+++ b/src/tier/transport/hub_impl.h
@@ -84,6 +84,8 @@
   void OnDialFailed(const net::Address& address);
   std::vector<WaitingFrame> TakeWaiting(Peer& peer);
   void DropWaiting(Peer& peer, const std::string& reason);
+  enum class Precedence { kBoth, kOther, kGreeted };
+  static Precedence Compare(const Connection& other, const Connection& greeted);
   bool Supersede(Connection& connection, Peer& peer);
 
   // Frames out.
--- a/tests/tier/transport/hub_test.cpp
+++ b/tests/tier/transport/hub_test.cpp
@@ -677,6 +677,37 @@
   BOOST_TEST(a->dropped("superseded") == 2U);
 }
 
+// Whoever claims the address of a process from another host must not cost that process a call,
+// whichever life and dial is claimed and whichever of the two greets first.
+BOOST_FIXTURE_TEST_CASE(AClaimFromAnotherHostDoesNotDisplaceTheProcessItself, StrangerScene) {
+  constexpr std::uint64_t kLife = 1;
+  b.reset();
+  for (const std::uint64_t claimed_life : {kLife, kLife + 1}) {
+    for (const std::uint64_t claimed_dial : {std::uint64_t{1}, UINT64_MAX}) {
+      for (const bool stranger_first : {true, false}) {
+        BOOST_TEST_CONTEXT("life " << claimed_life << " dial " << claimed_dial << " stranger first "
+                                   << stranger_first) {
+          b = std::make_unique<Node>(net, kHostB, kLife);
+          const std::string claim = EncodeHello(IdentityOf(kHostB, claimed_life), claimed_dial);
+          if (stranger_first) Say(claim);
+          b->Call(a->address(), kHold, "", seconds(10));
+          Run(milliseconds(50));
+          if (!stranger_first) Say(claim);
+          BOOST_TEST(stranger->ended);
+          BOOST_REQUIRE(a->held.size() == 1U);
+          a->held[0](std::string("answered"));
+          Run(milliseconds(50));
+          BOOST_REQUIRE(b->answers.at(0));
+          BOOST_TEST((*b->answers[0] && b->answers[0]->value() == "answered"));
+          a->held.clear();
+          b.reset();
+          Run(milliseconds(50));
+        }
+      }
+    }
+  }
+}
+
 // One message of a sound conversation is changed in one place; whatever it turns into, the hub goes
 // on serving others and keeps nothing of the stranger.
 BOOST_FIXTURE_TEST_CASE(OneMessageMutatedAtATimeHarmsNobodyElse, StrangerScene) {
--- a/tests/tier/transport/mutants.cmake
+++ b/tests/tier/transport/mutants.cmake
@@ -30,3 +30,9 @@
   [=[  if (parts_.size() + part.bytes.size() > kLargestFrame) return Break(NameOf(FrameFault::kTooLong));]=]
   "" TEST transport/connection_test RUN connection/PartsThatMakeNoFrameEndTheConnection
   LIBRARIES shelflink_tier_transport)
+# Who counts of two that claim one address.
+tier_mutant(a_claim_from_any_host_counts transport/hub_connections.cpp
+  [=[  if (both_accepted && other.FromClaimedHost() != greeted.FromClaimedHost()) {]=]
+  [=[  if (false) {]=]
+  TEST transport/hub_test RUN hub/AClaimFromAnotherHostDoesNotDisplaceTheProcessItself
+  LIBRARIES shelflink_tier_transport shelflink_virtual)
