Wording: comments of the tests of operator_api and configuration

Cause: these tests still described what they check in the former house style. Change: comments only, no line of code.

--- a/tests/tier/configuration/book_test.cpp
+++ b/tests/tier/configuration/book_test.cpp
@@ -25,7 +25,7 @@
 
 enum class Verdict { kTaken, kTakenBefore, kConflict, kInvalid };
 
-// A new call with the order.
+// Sends the order in a new call.
 Verdict Submit(Contents& contents, const ChangeOrder& order) {
   const Outcome outcome = Call(contents, order);
   BOOST_REQUIRE(outcome.refusals_to_confirm == 0U);
@@ -121,7 +121,7 @@
   BOOST_TEST(error.find("routes[0].timeoutMs") != std::string::npos);
 }
 
-// With its size and the bound; what is in force stays.
+// The refusal names the size and the bound; the configuration in force stays.
 BOOST_AUTO_TEST_CASE(refuses_a_document_beyond_the_bound) {
   DocumentReader reader;
   const ChangeOrder order{ChangeMethod::kPut, 0, kSample};
@@ -157,12 +157,12 @@
     BOOST_TEST(SendCopy(contents, third).refusals_to_confirm > 0U);
     BOOST_TEST(CurrentConfiguration(contents)->version == 7U);
   }
-  // Others on that base are not concerned.
+  // Other orders on that base are still taken.
   Contents with_another = contents;
   BOOST_TEST(!SendCopy(with_another, Patch(7, R"({"configVersion":8})")).refusal);
   BOOST_TEST(CurrentConfiguration(with_another)->version == 8U);
   BOOST_TEST((SendCopy(with_another, third).refusal->code == ErrorCode::kConflict));
-  // Whoever still wants it, in a new call.
+  // A new call with the same order is taken.
   BOOST_TEST((Submit(contents, third) == Verdict::kTaken));
   BOOST_TEST((Submit(contents, third) == Verdict::kTakenBefore));
 }
@@ -190,7 +190,7 @@
   BOOST_TEST(CurrentConfiguration(contents)->version == 7U);
 }
 
-// Records of refused orders go when their base has gone by.
+// Records of refused orders are erased once their base is no longer to come.
 BOOST_AUTO_TEST_CASE(refusals_are_forgotten_when_their_base_has_gone_by) {
   const auto refusals = [](const Contents& contents) {
     const std::string records = std::string(kRefusedPrefix) + "id/";
@@ -351,7 +351,8 @@
   for (const std::uint64_t number : {kBeyond + 1, kBeyond + 2, kAll - 1, kAll}) {
     BOOST_TEST((Submit(contents, order(number)) == Verdict::kTakenBefore));
   }
-  // Never taken for sure: a version not above its base, an unused number, another document.
+  // Orders that were certainly never taken: a version not above its base, an unused number, another
+  // document.
   BOOST_TEST((Submit(contents, Put(6, Document(5, ""))) == Verdict::kConflict));
   BOOST_TEST(
       (Submit(contents, Put(2 * kBeyond, Document(2 * kBeyond + 1, ""))) == Verdict::kConflict));
@@ -360,7 +361,7 @@
   BOOST_TEST((Submit(contents, Put(2 * kAll, Document(5, ""))) == Verdict::kInvalid));
 }
 
-// What the operators are owed, kept in the plainest way.
+// A simple model of the answers that operators must get.
 struct Model {
   struct Taken {
     std::uint64_t base = 0;
@@ -422,7 +423,7 @@
 void RunHistory(std::uint32_t seed, int steps) {
   RandomOperators operators(seed);
   Contents primary;
-  Contents replica;  // What every possible next primary has.
+  Contents replica;  // The contents of every possible next primary.
   Model model;
   Model durable;
   for (int step = 0; step < steps; ++step) {
--- a/tests/tier/configuration/document_reader_test.cpp
+++ b/tests/tier/configuration/document_reader_test.cpp
@@ -47,7 +47,7 @@
   BOOST_TEST(reader.Read(changed).value().FindRoute("stream.example", "/a/b/c")->name == "deep");
 }
 
-// What was wrong with an item is told again, with the place where it stands by then.
+// A faulty item is reported again with each document, at its position in that document.
 BOOST_AUTO_TEST_CASE(an_item_that_is_wrong_is_told_each_time) {
   DocumentReader reader;
   const std::string wrong = With(kSample, R"("timeoutMs":1000)", R"("timeoutMs":0)");
@@ -61,7 +61,7 @@
   CheckSame(reader.Read(kSample), Parse(kSample));
 }
 
-// What one item says may be wrong for what another one says.
+// An unchanged item may become invalid because another item has changed.
 BOOST_AUTO_TEST_CASE(items_that_have_not_changed_are_checked_against_the_others) {
   DocumentReader reader;
   CheckSame(reader.Read(kSample), Parse(kSample));
--- a/tests/tier/configuration/document_store_test.cpp
+++ b/tests/tier/configuration/document_store_test.cpp
@@ -87,7 +87,7 @@
   BOOST_TEST(BytesIn(contents) < document.size() * 11 / 10);
 }
 
-// What stands in it many times is stored once, and found again.
+// Chunks with equal content are stored once and read back at each place.
 BOOST_AUTO_TEST_CASE(equal_chunks_are_stored_once) {
   Contents contents;
   Store(contents, std::string(kLong, 'n'));
--- a/tests/tier/configuration/order_caller.h
+++ b/tests/tier/configuration/order_caller.h
@@ -1,5 +1,5 @@
-// A caller that is there for every answer: it confirms an order when it is asked to, and what its
-// order comes to is committed.
+// A caller that receives every answer and confirms its order when it is asked to; the writes of its
+// order are committed.
 #ifndef SHELFLINK_TESTS_TIER_CONFIGURATION_ORDER_CALLER_H_
 #define SHELFLINK_TESTS_TIER_CONFIGURATION_ORDER_CALLER_H_
 
@@ -12,10 +12,10 @@
 
 namespace shelflink::configuration {
 
-// What one copy of an order comes to, its writes committed.
+// Outcome of one copy of an order, after its writes were committed.
 struct Outcome {
   std::optional<Error> refusal;
-  std::uint64_t refusals_to_confirm = 0;  // Above 0: it has to be confirmed.
+  std::uint64_t refusals_to_confirm = 0;  // Above 0: the order has to be confirmed.
   bool is_taken_before = false;
 };
 
--- a/tests/tier/configuration/order_table_test.cpp
+++ b/tests/tier/configuration/order_table_test.cpp
@@ -88,7 +88,7 @@
   return contents;
 }
 
-// What is in force and remembered as taken; the records of refusals are no part of it.
+// The keys of the configuration in force and of the orders taken, without the records of refusals.
 Contents Configuration(const Contents& contents) {
   Contents configuration;
   for (const auto& [key, value] : contents) {
@@ -113,7 +113,7 @@
         const Owed given = Give(contents, row.order);
         BOOST_TEST(given == row.owed[i]);
         BOOST_TEST((Configuration(contents) == Configuration(before)) == (given != Owed::kTaken));
-        // Whatever the answer was, the same order is owed the same again, or 200 once taken.
+        // The same order gets the same answer again, or 200 once it was taken.
         const Owed again = given == Owed::kTaken ? Owed::kAgain : given;
         BOOST_TEST(Give(contents, row.order) == again);
       }
@@ -179,7 +179,7 @@
   });
 }
 
-// Orders like one that was taken, and yet others.
+// Orders that differ from a taken one in a single respect.
 BOOST_AUTO_TEST_CASE(near_repeats) {
   const ChangeOrder taken = Put(kBaseVersion, Document(kNumber, "a"));
   const ChangeOrder patch = Patch(kBaseVersion, kNumber, kAddService);
@@ -221,7 +221,8 @@
   }
 }
 
-// Two operators, one base, one number or two, in both orders of arrival: one of them wins.
+// Two operators send orders on one base, with one version or two, in both orders of arrival:
+// exactly one order is taken.
 BOOST_AUTO_TEST_CASE(one_of_two_on_one_base_wins) {
   const std::vector<ChangeOrder> orders = {
       Put(kBaseVersion, Document(kNumber, "a")), Put(kBaseVersion, Document(kNumber, "b")),
--- a/tests/tier/configuration/parse_test.cpp
+++ b/tests/tier/configuration/parse_test.cpp
@@ -202,7 +202,7 @@
   }
 }
 
-// What a short text makes of many values and findings stays within bounds.
+// A short text with many values or findings needs memory within bounds.
 BOOST_AUTO_TEST_CASE(bounds_values_and_findings) {
   const auto document_with = [](std::size_t items, const std::string& item) {
     std::string text = R"({"configVersion":1,"services":[],"note":",[{,\",[{","routes":[)";
@@ -226,7 +226,7 @@
   }
 }
 
-// Sums with it must fit into nanoseconds.
+// Sums of times with the longest timeout must fit into nanoseconds.
 BOOST_AUTO_TEST_CASE(an_endless_time_is_kept_as_thirty_years) {
   const std::string text = With(kSample, "\"timeoutMs\":4000", "\"timeoutMs\":1e15");
   const milliseconds timeout = Parsed(text).routes[0].timeout;
--- a/tests/tier/operator_api/cut_off_test.cpp
+++ b/tests/tier/operator_api/cut_off_test.cpp
@@ -12,11 +12,11 @@
 constexpr std::uint32_t kInside = kOperatorHosts;       // The operator beside the victim.
 constexpr std::uint32_t kOutside = kOperatorHosts + 1;  // The one on the other side.
 constexpr milliseconds kEvery{200};
-// What was granted or answered at the instant of the cut may still be on its way.
+// Leases and answers sent at the instant of the cut may still arrive within this.
 constexpr milliseconds kUnderWay{10};
-// Of a proxy, which counts from its last renewal.
+// Lease of a proxy, counted from its last renewal.
 constexpr milliseconds kProxyLease{3000};
-// A new primary: a lease, an election, one order that waits for it.
+// Within this the others have a new primary: a lease, an election and one order waiting for it.
 constexpr milliseconds kOthersAct{4000};
 
 struct Scenario {
@@ -55,7 +55,7 @@
   }
 
  private:
-  // Nobody of the core answers it or hears it.
+  // Whether the victim can neither hear nor reach any other core process.
   bool Isolates() const {
     return scenario_.from == CutFrom::kEverybody || scenario_.from == CutFrom::kCores;
   }
@@ -102,7 +102,7 @@
     for (const std::string& finding : rig_.history.findings()) BOOST_ERROR(finding);
   }
 
-  // As an operator who may reach all: a new order, until it is acknowledged.
+  // Sends a new order, as an operator who reaches all processes, until it is acknowledged.
   void Acknowledge(net::Span within) {
     const net::Time end = rig_.Now() + within;
     bool acknowledged = false;
@@ -124,8 +124,8 @@
   OperatorRig rig_;
   OperatorCore* victim_ = nullptr;
   std::size_t notes_ = 0;
-  net::Time fenced_from_ = net::Time::max();  // Until the cut ends.
-  std::size_t inside_answered_ = 0;           // In that time.
+  net::Time fenced_from_ = net::Time::max();  // From here the victim's lease has run out.
+  std::size_t inside_answered_ = 0;           // Answers of the victim after that.
   std::size_t outside_acknowledged_ = 0;
 };
 
--- a/tests/tier/operator_api/cut_orders_test.cpp
+++ b/tests/tier/operator_api/cut_orders_test.cpp
@@ -12,10 +12,10 @@
 namespace shelflink::operator_api {
 namespace {
 
-// The body bound of the server itself is never below a least one; these are what is asked for.
+// Body limits as configured; the server raises those below its own lower bound.
 constexpr std::size_t kBodyBounds[] = {0, 1, 4U << 20};
 
-// What one connection came to.
+// What the service and the client saw of one connection.
 struct Outcome {
   std::vector<std::string> orders;
   std::string answered;
@@ -37,7 +37,7 @@
     limits.max_body_bytes = bytes;
     server->SetLimits(limits);
   }
-  // All that is due at once; over loopback what was sent has come by then.
+  // Runs all that is due; what was sent over loopback has arrived by then.
   void Settle() {
     while (g_main_context_iteration(nullptr, FALSE) != 0) {
     }
@@ -59,7 +59,7 @@
     service.asked_states.clear();
     service.reads = 0;
   }
-  // Dates differ, and nothing else may.
+  // Dates may differ between two plays, and nothing else may.
   static std::string WithoutDates(std::string text) {
     for (std::size_t at = text.find("Date: "); at != text.npos; at = text.find("Date: ", at)) {
       text.erase(at, text.find("\r\n", at) + 2 - at);
@@ -88,7 +88,7 @@
   }
   bool Serves() { return StatusOf(Request("GET /config")) == 200; }
 
-  std::size_t whole_at = 0;  // The first order of a text ends here.
+  std::size_t whole_at = 0;  // Length of the first order of a text, in bytes.
 };
 
 const std::vector<std::string> kOrders = {
@@ -116,7 +116,7 @@
   }
 }
 
-// Each byte changed in some way; the places of the cuts move from one to the next.
+// Orders with one mutated byte; the cuts fall at other places in each.
 BOOST_DATA_TEST_CASE_F(CutScene, with_a_fault_in_one_place,
                        boost::unit_test::data::make(kBodyBounds)) {
   SetBodyBound(sample);
--- a/tests/tier/operator_api/fake_service.h
+++ b/tests/tier/operator_api/fake_service.h
@@ -1,4 +1,4 @@
-// A service that notes its orders and answers when the test says so.
+// An OperatorService that records the orders it is given and answers them when the test asks it to.
 #ifndef SHELFLINK_TESTS_TIER_OPERATOR_API_FAKE_SERVICE_H_
 #define SHELFLINK_TESTS_TIER_OPERATOR_API_FAKE_SERVICE_H_
 
@@ -37,7 +37,7 @@
     Answer(std::move(done), state_result);
   }
 
-  // Answers what has been held, oldest first.
+  // Answers the orders that are held, the oldest first.
   void Release() {
     std::vector<std::function<void()>> steps;
     steps.swap(held_);
@@ -47,7 +47,7 @@
 
   bool is_primary_here = false;
   std::optional<net::Address> known_primary;
-  bool hold = false;  // Orders wait for Release.
+  bool hold = false;  // Whether orders wait for Release.
 
   Result<OrderOutcome> change_result = OrderOutcome(Acknowledged{});
   Result<std::string> document_result = std::string("{}");
--- a/tests/tier/operator_api/operator_requests_test.cpp
+++ b/tests/tier/operator_api/operator_requests_test.cpp
@@ -1,5 +1,5 @@
-// The operator's requests as orders, answers as status codes, and both as messages between core
-// processes; one thing changed at a time.
+// Operators' requests parsed into orders, answers turned into status codes, and both encoded as
+// messages between core processes.
 #define BOOST_TEST_MODULE operator_requests
 #include <boost/test/unit_test.hpp>
 #include <string>
@@ -53,7 +53,7 @@
   BOOST_TEST(OrderIn<RetireStateOrder>(RequestOf("GET", "/retire/a_b.c")).node == "a_b.c");
 }
 
-// The path that 307 names is read as the same order with its confirmation.
+// The path in a 307's Location is parsed as the same order with its confirmation.
 BOOST_AUTO_TEST_CASE(an_order_is_confirmed_by_the_path_that_it_was_told) {
   const Order change = ChangeOrder{ChangeMethod::kPut, 5, "{}"};
   const HttpAnswer told = HttpAnswerOf(change, Answer(ConfirmationRequired{12}));
@@ -196,8 +196,8 @@
   }
 }
 
-// Each byte of a message in turn, with each of a few other values: read or refused, never a crash,
-// and never another kind of order than its first fields tell.
+// Each byte of a message with each other value: the message is decoded or refused, without a crash,
+// and never as another kind of order than its first two bytes state.
 BOOST_AUTO_TEST_CASE(a_message_with_one_other_byte_is_read_or_refused) {
   for (const Order& order : EachOrder()) {
     const std::string message = EncodeOrder(order);
--- a/tests/tier/operator_api/operator_rig.h
+++ b/tests/tier/operator_api/operator_rig.h
@@ -25,7 +25,7 @@
 constexpr std::size_t kCoreCount = 4;  // Fault tolerance 1.
 constexpr std::size_t kProxyCount = 4;
 constexpr std::uint32_t kOperatorHosts = 0x0a090001;
-constexpr milliseconds kLease{1000};  // Of the rig's settings.
+constexpr milliseconds kLease{1000};  // The primary's lease in the rig's settings.
 
 class OperatorCore : public cluster::GroupCore {
  public:
@@ -97,9 +97,9 @@
                        [](const auto& proxy) { return proxy->stepped_back; });
   }
 
-  // Sends one order to a core process on the way from `from_host`; every answer that is given is
-  // judged. `told` is called with the status if the answer finds its way back. The sender follows a
-  // redirect if `waits` says that it has not turned away; empty: it never does.
+  // Sends one order from `from_host` to a core process; the history judges every answer, also one
+  // that is lost on its way. `told` is called with the status of an answer that arrives. The sender
+  // follows a redirect while `waits` returns true; where `waits` is empty, always.
   void Send(std::uint32_t from_host, OperatorCore& core, const SentOrder& sent,
             std::function<void(int)> told, std::function<bool()> waits = nullptr) {
     SendCopy(from_host, core, sent, sent.order, {std::move(told), std::move(waits)});
@@ -117,7 +117,8 @@
             });
   }
 
-  // A valid PUT or PATCH of that version; `note` makes it unlike others of the same number.
+  // A valid PUT or PATCH of that version; `note` makes its document differ from others with the
+  // same version.
   SentOrder& NewPut(std::uint64_t base, std::uint64_t version, const std::string& note) {
     std::string body = cluster::RigConfiguration(version);
     body.replace(body.size() - 1, 1, R"(,"note":")" + note + "\"}");
@@ -162,7 +163,7 @@
   template <typename Answered>
   void Execute(std::uint32_t from_host, OperatorCore& core, Order order, Answered answered) {
     if (!core.up() || !net().Reaches(from_host, core.host())) return;
-    // What a stopped process finds in its sockets when it goes on.
+    // A paused process executes the order when it is resumed, as if it read its socket then.
     core.process().Post([this, from_host, &core, order = std::move(order),
                          answered = std::move(answered)]() mutable {
       core.forwarder().Execute(
--- a/tests/tier/operator_api/operator_server_test.cpp
+++ b/tests/tier/operator_api/operator_server_test.cpp
@@ -65,7 +65,7 @@
   BOOST_TEST(StatusOf(Request("GET /retire/a")) == 404);
 }
 
-// As PROTOCOL.md has a redirect: the address in full, and the same request is taken there.
+// PROTOCOL.md's redirect: Location holds the whole address, and the same request is accepted there.
 BOOST_AUTO_TEST_CASE(an_order_to_be_confirmed_is_redirected) {
   service.change_result = OrderOutcome(ConfirmationRequired{12});
   const auto client = Connect(Request("PATCH /config", "If-Match: 7\r\n", "{}"));
@@ -137,13 +137,13 @@
   BOOST_TEST(StatusOf(Request("GET /status/")) == 404);
   BOOST_TEST(StatusOf(Request("GET /metrics")) == 404);
   BOOST_TEST(asked == 1);
-  // It is no order: nothing is asked of the service, and no answer is counted but 404.
+  // A status request is no order: the service isn't called, and only the 404s are counted.
   BOOST_TEST(service.changes.empty());
   const auto& answers = server->counters().answers;
   BOOST_TEST((answers == std::map<int, std::uint64_t>{{404, 3}}));
 }
 
-// They tell why orders are not served, so they may not wait for what these wait for.
+// Metrics explain why orders are not served, so they must not wait for what orders wait for.
 BOOST_AUTO_TEST_CASE(metrics_are_served_beside_orders_and_change_nothing) {
   server->SetMetrics([] { return std::string("shelflink_x 1\n"); });
   service.hold = true;
@@ -241,7 +241,7 @@
   BOOST_TEST(StatusOf(Request("PUT /config", "If-Match: 5\r\n", fits)) == 200);
 }
 
-// A process may have an old configuration, or none: 413 is a refusal, so it may not come from that.
+// A process may hold an old configuration or none, so 413, a refusal, must not depend on it.
 BOOST_AUTO_TEST_CASE(the_limit_is_the_same_under_every_configuration) {
   const std::string fits(kBodyLimit, 'x');
   const std::string large(kBodyLimit + 1, 'x');
@@ -254,7 +254,7 @@
   }
 }
 
-// Whatever its form, none of these may become an order, and the server goes on.
+// No malformed request becomes an order, and the server goes on serving.
 BOOST_AUTO_TEST_CASE(malformed_requests_never_become_orders) {
   const std::string put = "PUT /config HTTP/1.1\r\nHost: a\r\nIf-Match: 5\r\n";
   const std::vector<std::string> malformed = {
--- a/tests/tier/operator_api/operator_storm_test.cpp
+++ b/tests/tier/operator_api/operator_storm_test.cpp
@@ -1,6 +1,6 @@
-// Seeded runs of a whole core with two operators (and a third that joins in races) while core
-// processes are cut off in every way, stopped, killed and lose power or their disks. Every answer
-// that any core process gives is judged by order_history.h. One seed is one run.
+// Seeded runs of a whole core with two operators, and further ones that race for a base, while core
+// processes are cut off, paused, killed, or lose power or their disks. order_history.h judges every
+// answer of every core process. One seed is one run.
 //
 //   tier_operator_storm_test [-- FIRST COUNT]
 #define BOOST_TEST_MODULE operator_storm
@@ -17,7 +17,7 @@
 constexpr std::uint64_t kSeedsInCi = 24;
 constexpr int kTroubles = 14;
 constexpr milliseconds kTick{10};
-constexpr milliseconds kRedundantAgain{6000};  // After a disk was lost.
+constexpr milliseconds kRedundantAgain{6000};  // Time to restore redundancy after a lost disk.
 
 class Storm {
  public:
@@ -49,7 +49,7 @@
     }
   }
 
-  // Two orders on one base in the same instant, at two processes, half of them of one number.
+  // Sends two orders on one base at the same instant to two processes; half have the same version.
   void Race() {
     const std::uint64_t base = rig_.history.newest();
     const std::uint64_t version = base + 1 + random_.Below(2);
--- a/tests/tier/operator_api/order_history.h
+++ b/tests/tier/operator_api/order_history.h
@@ -24,8 +24,8 @@
   std::size_t id = 0;
   configuration::ChangeOrder order;
   std::uint64_t version = 0;
-  bool valid = true;  // Of itself, on any base that may be in force.
-  // Of operators: calls with this order, and those that a refusal has ended.
+  bool valid = true;  // Whether the document is valid, whichever base is in force.
+  // Calls of operators with this order, and how many of them a refusal ended.
   std::size_t calls = 0;
   std::size_t refused_calls = 0;
 };
@@ -46,7 +46,7 @@
   const std::map<std::uint64_t, Commit>& commits() const { return commits_; }
   std::uint64_t newest() const { return commits_.empty() ? 0 : commits_.rbegin()->first; }
   std::uint64_t newest_acknowledged() const { return newest_acknowledged_; }
-  // What a read that is sent now must show at least.
+  // The lowest version that a read sent now may return.
   std::uint64_t least_readable() const { return std::max(newest_acknowledged_, newest_read_); }
   std::size_t answers(int status) const {
     const auto found = answers_.find(status);
@@ -59,7 +59,7 @@
   // A refusal has reached the operator, and its call is over.
   void CallRefused(const SentOrder& sent) { ++orders_[sent.id].refused_calls; }
 
-  // A core process tells this configuration committed.
+  // A core process reports this configuration as committed.
   void Committed(net::Time now, std::uint64_t version, std::string_view document) {
     const auto found = commits_.find(version);
     if (found != commits_.end()) {
@@ -124,7 +124,7 @@
     return found->second.document == DocumentOf(sent);
   }
 
-  // Nothing that was refused is in force, whenever it was taken.
+  // Checks that no refused order is in force, whenever it was taken.
   void AtTheEnd() {
     for (const auto& [id, status] : refused_) {
       if (IsTaken(orders_[id])) {
@@ -134,7 +134,7 @@
   }
 
  private:
-  // What the order makes of its base; empty where that is not known.
+  // The document that the order makes of its base; empty where the base is not known.
   std::string DocumentOf(const SentOrder& sent) const {
     if (sent.order.method == configuration::ChangeMethod::kPut) return sent.order.body;
     const auto base = commits_.find(sent.order.base_version);
@@ -150,7 +150,7 @@
     if (IsTaken(sent)) Find(sent, "was taken and then refused with " + std::to_string(status));
     refused_.insert({sent.id, status});
   }
-  // In force at that time.
+  // The version in force at that time; 0 where there is none.
   std::uint64_t VersionAt(net::Time time) const {
     std::uint64_t version = 0;
     for (const auto& [number, commit] : commits_) {
--- a/tests/tier/operator_api/server_scene.h
+++ b/tests/tier/operator_api/server_scene.h
@@ -1,5 +1,5 @@
-// The operator's HTTP interface over loopback, with clients that send what they like, byte by byte.
-// Nothing sleeps: each scene runs the loop until what it waits for has happened.
+// The operator's HTTP interface over loopback, with clients that send raw bytes. No test sleeps: a
+// scene runs the loop until its condition holds.
 #ifndef SHELFLINK_TESTS_TIER_OPERATOR_API_SERVER_SCENE_H_
 #define SHELFLINK_TESTS_TIER_OPERATOR_API_SERVER_SCENE_H_
 
@@ -27,9 +27,9 @@
 using std::chrono::milliseconds;
 
 inline const net::Address kAnyPort = net::Address::V4(0x7f000001, 0);
-constexpr auto kPatience = std::chrono::seconds(10);  // A scene that takes longer has failed.
+constexpr auto kPatience = std::chrono::seconds(10);  // A test that waits longer fails.
 
-// A connection that writes raw bytes and notes what comes back.
+// A connection that writes raw bytes and keeps what it receives.
 class Client : public net::StreamUser {
  public:
   Client(net::Loop& loop, const net::Address& server) : stream_(loop.Dial(server, *this)) {}
@@ -54,7 +54,7 @@
   void OnEnd(net::Fault) override { ended = true; }
   void OnWritable() override { WriteMore(); }
 
-  // Answers that have come whole: all of the server's carry a length.
+  // Number of whole answers received; each answer of the server has a Content-Length.
   std::size_t answers() const {
     std::size_t count = 0;
     std::size_t at = 0;
@@ -111,7 +111,7 @@
     client->Send(bytes);
     return client;
   }
-  // Orders have their answer after so long.
+  // Gives the forwarder this answer timeout.
   void AnswerWithin(milliseconds span) {
     server.reset();
     forwarder = std::make_unique<Forwarder>(loop, hub, service, Forwarder::Options{span});
@@ -129,7 +129,7 @@
   FakeService service{loop};
   transport::Hub hub{loop, transport::PeerIdentity{"node", "core", "zone", kAnyPort, 1},
                      transport::Hub::Options{}};
-  // Patient, so that a busy machine makes no difference.
+  // A long answer timeout, so that a busy machine makes no difference.
   std::unique_ptr<Forwarder> forwarder =
       std::make_unique<Forwarder>(loop, hub, service, Forwarder::Options{std::chrono::seconds(20)});
   std::unique_ptr<Server> server = std::make_unique<Server>(loop, *forwarder, kAnyPort);
