Coordination: one function applies writes to a map, and one reads its decimal numbers

Change: apply_writes.h moves to src and serves group.cpp, the rig of the cluster, the site of the replica explorer, the memory replicas of batch tests and the callers of orders; DecimalNumber serves the three readers. job_book_test.cpp keeps its loops, since its maps are of another type. Behaviour stays as it is; no assertion changes.

--- a/src/tier/cluster/control_state.cpp
+++ b/src/tier/cluster/control_state.cpp
@@ -1,9 +1,8 @@
 #include "tier/cluster/control_state.h"
 
-#include <charconv>
-
 #include "tier/cluster/field_codec.h"
 #include "tier/cluster/view_codec.h"
+#include "tier/coordination/decimal_number.h"
 
 namespace shelflink::cluster {
 namespace {
@@ -25,12 +24,6 @@
   }
 }
 
-std::uint64_t NumberOf(std::string_view digits) {
-  std::uint64_t number = 0;
-  std::from_chars(digits.data(), digits.data() + digits.size(), number);
-  return number;
-}
-
 }  // namespace
 
 std::string RowKey(std::size_t partition) {
@@ -100,7 +93,7 @@
   std::map<std::uint64_t, UsageCounts> windows;
   ForPrefix(contents, kUsagePrefix, [&](std::string_view digits, const std::string& value) {
     const Result<UsageCounts> counts = DecodeUsage(value);
-    if (counts) windows[NumberOf(digits)] = counts.value();
+    if (counts) windows[coordination::DecimalNumber(digits)] = counts.value();
   });
   return windows;
 }
--- a/src/tier/configuration/book.cpp
+++ b/src/tier/configuration/book.cpp
@@ -3,7 +3,6 @@
 #include <glib.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cstdio>
 #include <iterator>
 #include <memory>
@@ -12,11 +11,13 @@
 #include "tier/configuration/document_store.h"
 #include "tier/configuration/model.h"
 #include "tier/configuration/patch.h"
+#include "tier/coordination/decimal_number.h"
 
 namespace shelflink::configuration {
 namespace {
 
 using coordination::Contents;
+using coordination::DecimalNumber;
 using coordination::JudgedPlan;
 using coordination::RefusalRecords;
 using coordination::Write;
@@ -55,12 +56,6 @@
   return found != committed.end() && found->second == digest;
 }
 
-std::uint64_t NumberIn(std::string_view digits) {
-  std::uint64_t number = 0;
-  std::from_chars(digits.data(), digits.data() + digits.size(), number);
-  return number;
-}
-
 // Removes the oldest digests to make room for one more, and records the highest version removed.
 std::vector<Write> ForgetOldOrders(const Contents& committed) {
   const auto first = committed.lower_bound(kTakenPrefix);
@@ -73,7 +68,7 @@
   std::vector<Write> writes;
   std::uint64_t forgotten = 0;
   for (auto entry = first; entry != last && remembered >= kOrdersRemembered; ++entry) {
-    forgotten = NumberIn(std::string_view(entry->first).substr(kTakenPrefix.size()));
+    forgotten = DecimalNumber(std::string_view(entry->first).substr(kTakenPrefix.size()));
     writes.push_back({entry->first, std::nullopt});
     --remembered;
   }
@@ -85,7 +80,7 @@
 // version above its base.
 bool MayBeForgotten(const Contents& committed, const ChangeOrder& order, std::uint64_t version) {
   const auto forgotten = committed.find(kForgottenKey);
-  return forgotten != committed.end() && version <= NumberIn(forgotten->second) &&
+  return forgotten != committed.end() && version <= DecimalNumber(forgotten->second) &&
          version > order.base_version;
 }
 
@@ -118,7 +113,7 @@
   std::optional<std::string> document = StoredDocument(committed);
   if (version == committed.end() || !document) return std::nullopt;
   StoredConfiguration current;
-  current.version = NumberIn(version->second);
+  current.version = DecimalNumber(version->second);
   current.document = std::move(*document);
   return current;
 }
--- a/tests/tier/coordination/apply_writes.h
+++ b/src/tier/coordination/apply_writes.h
@@ -1,6 +1,6 @@
-// Commits writes to a map that a test holds.
-#ifndef SHELFLINK_TESTS_TIER_COORDINATION_APPLY_WRITES_H_
-#define SHELFLINK_TESTS_TIER_COORDINATION_APPLY_WRITES_H_
+// Applies committed writes to a copy of the replicated map.
+#ifndef SHELFLINK_TIER_COORDINATION_APPLY_WRITES_H_
+#define SHELFLINK_TIER_COORDINATION_APPLY_WRITES_H_
 
 #include <vector>
 
@@ -20,4 +20,4 @@
 
 }  // namespace shelflink::coordination
 
-#endif  // SHELFLINK_TESTS_TIER_COORDINATION_APPLY_WRITES_H_
+#endif  // SHELFLINK_TIER_COORDINATION_APPLY_WRITES_H_
--- a/src/tier/coordination/group.cpp
+++ b/src/tier/coordination/group.cpp
@@ -4,6 +4,7 @@
 #include <random>
 #include <utility>
 
+#include "tier/coordination/apply_writes.h"
 #include "tier/foundation/invariants.h"
 #include "tier/foundation/log.h"
 #include "tier/foundation/steady_time.h"
@@ -396,13 +397,7 @@
 }
 
 void Group::ApplyEntry(const Entry& entry) {
-  for (const Write& write : entry.writes) {
-    if (write.value) {
-      contents_[write.key] = *write.value;
-    } else {
-      contents_.erase(write.key);
-    }
-  }
+  Apply(contents_, entry.writes);
   delivered_sequence_ = entry.position.sequence;
   if (watcher_.committed) watcher_.committed(entry.writes);
   if (!in_flight_ || entry.position.sequence < in_flight_->position.sequence) return;
--- a/src/tier/coordination/refusals.cpp
+++ b/src/tier/coordination/refusals.cpp
@@ -1,10 +1,11 @@
 #include "tier/coordination/refusals.h"
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 #include <utility>
 
+#include "tier/coordination/decimal_number.h"
+
 namespace shelflink::coordination {
 namespace {
 
@@ -22,15 +23,9 @@
   return std::string(prefix).append(rest);
 }
 
-std::uint64_t NumberIn(std::string_view digits) {
-  std::uint64_t number = 0;
-  std::from_chars(digits.data(), digits.data() + digits.size(), number);
-  return number;
-}
-
 std::uint64_t NumberAt(const Contents& contents, const std::string& key) {
   const auto found = contents.find(key);
-  return found == contents.end() ? 0 : NumberIn(found->second);
+  return found == contents.end() ? 0 : DecimalNumber(found->second);
 }
 
 std::string TextOf(const DroppedMark& mark) {
@@ -41,7 +36,8 @@
   const auto found = contents.find(Join(prefix, kDroppedKey));
   if (found == contents.end()) return std::nullopt;
   const std::string& text = found->second;
-  return DroppedMark{NumberIn(text), text.substr(std::min(text.find(' '), text.size() - 1) + 1)};
+  return DroppedMark{DecimalNumber(text),
+                     text.substr(std::min(text.find(' '), text.size() - 1) + 1)};
 }
 
 }  // namespace
@@ -96,7 +92,7 @@
     ++count;
   }
   if (count < kMostRefusals) return;
-  DroppedMark mark{NumberIn(greatest->second), greatest->first.substr(records.size())};
+  DroppedMark mark{DecimalNumber(greatest->second), greatest->first.substr(records.size())};
   if (const auto earlier = DroppedMarkIn(committed_, prefix_)) {
     mark.number = std::max(mark.number, earlier->number);
     mark.from = std::min(mark.from, earlier->from);
--- a/tests/tier/batch/memory_replicas.h
+++ b/tests/tier/batch/memory_replicas.h
@@ -16,21 +16,12 @@
 
 #include "net/loop.h"
 #include "tier/batch/partition_replicas.h"
+#include "tier/coordination/apply_writes.h"
 
 namespace shelflink::batch {
 
 using Records = std::map<std::string, std::string, std::less<>>;
 
-inline void Apply(Records& records, const std::vector<coordination::Write>& writes) {
-  for (const coordination::Write& write : writes) {
-    if (write.value) {
-      records[write.key] = *write.value;
-    } else {
-      records.erase(write.key);
-    }
-  }
-}
-
 struct SharedPartitions {
   struct Partition {
     Records records;          // In force.
@@ -79,7 +70,7 @@
     bool has_room() const override { return true; }
     bool takes_results() const override { return true; }
     void Commit(std::vector<coordination::Write> writes, Done done) override {
-      Apply(seen_, writes);
+      coordination::Apply(seen_, writes);
       pending_.push_back({std::move(writes), std::move(done)});
       if (pending_.size() == 1) timer_->ArmAt(loop_.Now() + kSync);
     }
@@ -109,7 +100,7 @@
         pending.done(MakeError(ErrorCode::kUnknown, "another row is in force"));
         return;
       }
-      Apply(shared_.records, pending.writes);
+      coordination::Apply(shared_.records, pending.writes);
       pending.done(BOOST_OUTCOME_V2_NAMESPACE::success());
     }
 
--- a/tests/tier/cluster/rig.h
+++ b/tests/tier/cluster/rig.h
@@ -20,6 +20,7 @@
 #include "tier/cluster/agent.h"
 #include "tier/cluster/configuration_history.h"
 #include "tier/cluster/core_service.h"
+#include "tier/coordination/apply_writes.h"
 #include "tier/coordination/replicator.h"
 #include "tier/foundation/settings.h"
 #include "tier/platform/platform.h"
@@ -123,13 +124,7 @@
 
   void Commit(const std::vector<coordination::Write>& writes) {
     if (writes.empty()) return;
-    for (const coordination::Write& write : writes) {
-      if (write.value) {
-        map_.contents[write.key] = *write.value;
-      } else {
-        map_.contents.erase(write.key);
-      }
-    }
+    coordination::Apply(map_.contents, writes);
     if (map_.lose_next_done) {
       map_.unheard = writes;
       return;
--- a/tests/tier/configuration/order_caller.h
+++ b/tests/tier/configuration/order_caller.h
@@ -6,8 +6,8 @@
 #include <optional>
 #include <variant>
 
-#include "coordination/apply_writes.h"
 #include "tier/configuration/book.h"
+#include "tier/coordination/apply_writes.h"
 #include "tier/coordination/refusals.h"
 
 namespace shelflink::configuration {
--- a/tests/tier/coordination/refusals_test.cpp
+++ b/tests/tier/coordination/refusals_test.cpp
@@ -6,7 +6,7 @@
 #include <boost/test/unit_test.hpp>
 #include <string>
 
-#include "coordination/apply_writes.h"
+#include "tier/coordination/apply_writes.h"
 
 namespace shelflink::coordination {
 namespace {
--- a/tests/tier/coordination/replica_site.cpp
+++ b/tests/tier/coordination/replica_site.cpp
@@ -4,6 +4,7 @@
 #include <stdexcept>
 
 #include "mix.h"
+#include "tier/coordination/apply_writes.h"
 #include "tier/coordination/catch_up.h"
 
 namespace shelflink::coordination {
@@ -183,13 +184,7 @@
   for (const Entry& entry : out.committed) {
     if (entry.position < node.told_to) throw std::runtime_error("told an older entry");
     node.told_to = entry.position;
-    for (const Write& write : entry.writes) {
-      if (write.value) {
-        node.told[write.key] = *write.value;
-      } else {
-        node.told.erase(write.key);
-      }
-    }
+    Apply(node.told, entry.writes);
     if (checks_maps) CheckMap(name, node);
     const auto open = open_.find(entry.position.sequence);
     if (name != assignment_.primary || open == open_.end()) continue;
