Tests: the order table and the book's tests share one verdict of an order

Cause: book_test.cpp (Submit) and order_table_test.cpp (Give) classified an outcome by the same lines under two enumerations.

Change: configuration/verdict.h holds the enumeration and Submit. No assertion is removed or loosened.

--- a/tests/tier/configuration/book_test.cpp
+++ b/tests/tier/configuration/book_test.cpp
@@ -11,8 +11,8 @@
 #include <string>
 #include <vector>
 
-#include "configuration/order_caller.h"
 #include "configuration/sample.h"
+#include "configuration/verdict.h"
 #include "tier/configuration/json.h"
 #include "tier/configuration/model.h"
 #include "tier/configuration/patch.h"
@@ -23,20 +23,6 @@
 using coordination::Contents;
 using coordination::Write;
 
-enum class Verdict { kTaken, kTakenBefore, kConflict, kInvalid };
-
-// Sends the order in a new call.
-Verdict Submit(Contents& contents, const ChangeOrder& order) {
-  const Outcome outcome = Call(contents, order);
-  BOOST_REQUIRE(outcome.refusals_to_confirm == 0U);
-  if (outcome.refusal) {
-    const ErrorCode code = outcome.refusal->code;
-    BOOST_REQUIRE((code == ErrorCode::kConflict || code == ErrorCode::kInvalid));
-    return code == ErrorCode::kConflict ? Verdict::kConflict : Verdict::kInvalid;
-  }
-  return outcome.is_taken_before ? Verdict::kTakenBefore : Verdict::kTaken;
-}
-
 std::string Document(std::uint64_t version, const std::string& note) {
   return R"({"configVersion":)" + std::to_string(version) +
          R"(,"routes":[],"services":[],"note":")" + note + "\"}";
--- a/tests/tier/configuration/order_table_test.cpp
+++ b/tests/tier/configuration/order_table_test.cpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "configuration/order_caller.h"
+#include "configuration/verdict.h"
 #include "tier/configuration/book.h"
 
 namespace shelflink::configuration {
@@ -14,13 +14,6 @@
 
 using coordination::Contents;
 
-enum class Owed { kTaken, kAgain, k412, k400 };
-
-std::ostream& operator<<(std::ostream& out, Owed owed) {
-  constexpr const char* kNames[] = {"200 and taken", "200 and nothing changes", "412", "400"};
-  return out << kNames[static_cast<std::size_t>(owed)];
-}
-
 // In each: version 3 is in force at first (but for kNothing).
 enum class State {
   kNothing,      // No configuration yet.
@@ -49,18 +42,8 @@
 }
 const std::string kAddService = R"("upsert":{"services":[{"name":"t"}]})";
 
-Owed Give(Contents& contents, const ChangeOrder& order) {
-  const Outcome outcome = Call(contents, order);
-  BOOST_REQUIRE(outcome.refusals_to_confirm == 0U);
-  if (outcome.refusal) {
-    const ErrorCode code = outcome.refusal->code;
-    BOOST_REQUIRE((code == ErrorCode::kConflict || code == ErrorCode::kInvalid));
-    return code == ErrorCode::kConflict ? Owed::k412 : Owed::k400;
-  }
-  return outcome.is_taken_before ? Owed::kAgain : Owed::kTaken;
-}
 void Take(Contents& contents, const ChangeOrder& order) {
-  BOOST_REQUIRE_EQUAL(Give(contents, order), Owed::kTaken);
+  BOOST_REQUIRE_EQUAL(Submit(contents, order), Verdict::kTaken);
 }
 
 Contents ContentsIn(State state, const ChangeOrder& order) {
@@ -101,7 +84,7 @@
   const char* name;
   ChangeOrder order;
   std::vector<State> states;
-  std::vector<Owed> owed;  // In these.
+  std::vector<Verdict> owed;  // In these.
 };
 
 void Check(const std::vector<Row>& rows) {
@@ -110,20 +93,22 @@
       BOOST_TEST_CONTEXT(row.name << ", state " << static_cast<int>(row.states[i])) {
         Contents contents = ContentsIn(row.states[i], row.order);
         const Contents before = contents;
-        const Owed given = Give(contents, row.order);
+        const Verdict given = Submit(contents, row.order);
         BOOST_TEST(given == row.owed[i]);
-        BOOST_TEST((Configuration(contents) == Configuration(before)) == (given != Owed::kTaken));
+        BOOST_TEST((Configuration(contents) == Configuration(before)) ==
+                   (given != Verdict::kTaken));
         // The same order gets the same answer again, or 200 once it was taken.
-        const Owed again = given == Owed::kTaken ? Owed::kAgain : given;
-        BOOST_TEST(Give(contents, row.order) == again);
+        const Verdict again = given == Verdict::kTaken ? Verdict::kTakenBefore : given;
+        BOOST_TEST(Submit(contents, row.order) == again);
       }
     }
   }
 }
 
 const std::vector<State> kAll(std::begin(kStates), std::end(kStates));
-const std::vector<Owed> kOfAGoodOrder = {Owed::k412,   Owed::kTaken, Owed::kAgain,
-                                         Owed::kAgain, Owed::k412,   Owed::k412};
+const std::vector<Verdict> kOfAGoodOrder = {Verdict::kConflict,    Verdict::kTaken,
+                                            Verdict::kTakenBefore, Verdict::kTakenBefore,
+                                            Verdict::kConflict,    Verdict::kConflict};
 
 BOOST_AUTO_TEST_CASE(good_orders) {
   Check({
@@ -145,37 +130,37 @@
       {"invalid",
        Put(kBaseVersion, invalid),
        states,
-       {Owed::k412, Owed::k400, Owed::k412, Owed::k412}},
+       {Verdict::kConflict, Verdict::kInvalid, Verdict::kConflict, Verdict::kConflict}},
       {"not to be read",
        Put(kBaseVersion, unreadable),
        states,
-       {Owed::k400, Owed::k400, Owed::k400, Owed::k400}},
+       {Verdict::kInvalid, Verdict::kInvalid, Verdict::kInvalid, Verdict::kInvalid}},
       {"PATCH not to be read",
        {ChangeMethod::kPatch, kBaseVersion, unreadable},
        states,
-       {Owed::k400, Owed::k400, Owed::k400, Owed::k400}},
+       {Verdict::kInvalid, Verdict::kInvalid, Verdict::kInvalid, Verdict::kInvalid}},
       {"PATCH whose result is invalid",
        Patch(kBaseVersion, kNumber,
              R"("upsert":{"routes":[{"name":"r","hostname":"h","pathPrefix":"/",)"
              R"("routeKind":"idempotent","timeoutMs":1,"service":"unknown"}]})"),
        states,
-       {Owed::k412, Owed::k400, Owed::k412, Owed::k412}},
+       {Verdict::kConflict, Verdict::kInvalid, Verdict::kConflict, Verdict::kConflict}},
       {"number of its base",
        Put(kBaseVersion, Document(kBaseVersion, "a")),
        states,
-       {Owed::k412, Owed::k400, Owed::k412, Owed::k412}},
+       {Verdict::kConflict, Verdict::kInvalid, Verdict::kConflict, Verdict::kConflict}},
       {"number below its base",
        Put(kBaseVersion, Document(2, "a")),
        states,
-       {Owed::k412, Owed::k400, Owed::k412, Owed::k412}},
+       {Verdict::kConflict, Verdict::kInvalid, Verdict::kConflict, Verdict::kConflict}},
       {"base that is yet to come",
        Put(70, Document(71, "a")),
        states,
-       {Owed::k412, Owed::k412, Owed::k412, Owed::k412}},
+       {Verdict::kConflict, Verdict::kConflict, Verdict::kConflict, Verdict::kConflict}},
       {"base long gone",
        Put(1, Document(kNumber, "a")),
        states,
-       {Owed::k412, Owed::k412, Owed::k412, Owed::k412}},
+       {Verdict::kConflict, Verdict::kConflict, Verdict::kConflict, Verdict::kConflict}},
   });
 }
 
@@ -187,24 +172,29 @@
     const char* name;
     ChangeOrder first;
     ChangeOrder then;
-    Owed owed;
-    Owed owed_later;  // After two changes more.
+    Verdict owed;
+    Verdict owed_later;  // After two changes more.
   };
   const std::vector<Near> all = {
-      {"another document", taken, Put(kBaseVersion, Document(kNumber, "b")), Owed::k412,
-       Owed::k412},
-      {"other bytes", taken, Put(kBaseVersion, taken.body + " "), Owed::k412, Owed::k412},
-      {"another base", taken, Put(0, taken.body), Owed::k412, Owed::k412},
-      {"on top of itself", taken, Put(kNumber, taken.body), Owed::k400, Owed::k412},
-      {"another number", taken, Put(kBaseVersion, Document(kNumber + 1, "a")), Owed::k412,
-       Owed::k412},
-      {"as PATCH", taken, {ChangeMethod::kPatch, kBaseVersion, taken.body}, Owed::k412, Owed::k412},
+      {"another document", taken, Put(kBaseVersion, Document(kNumber, "b")), Verdict::kConflict,
+       Verdict::kConflict},
+      {"other bytes", taken, Put(kBaseVersion, taken.body + " "), Verdict::kConflict,
+       Verdict::kConflict},
+      {"another base", taken, Put(0, taken.body), Verdict::kConflict, Verdict::kConflict},
+      {"on top of itself", taken, Put(kNumber, taken.body), Verdict::kInvalid, Verdict::kConflict},
+      {"another number", taken, Put(kBaseVersion, Document(kNumber + 1, "a")), Verdict::kConflict,
+       Verdict::kConflict},
+      {"as PATCH",
+       taken,
+       {ChangeMethod::kPatch, kBaseVersion, taken.body},
+       Verdict::kConflict,
+       Verdict::kConflict},
       {"PATCH as PUT",
        patch,
        {ChangeMethod::kPut, kBaseVersion, patch.body},
-       Owed::k412,
-       Owed::k412},
-      {"what a PATCH has made, as PUT", patch, {}, Owed::k412, Owed::k412},
+       Verdict::kConflict,
+       Verdict::kConflict},
+      {"what a PATCH has made, as PUT", patch, {}, Verdict::kConflict, Verdict::kConflict},
   };
   for (const Near& near : all) {
     BOOST_TEST_CONTEXT(near.name) {
@@ -213,10 +203,10 @@
       if (then.body.empty()) {
         then = Put(kBaseVersion, std::string(CurrentConfiguration(contents)->document));
       }
-      BOOST_TEST(Give(contents, then) == near.owed);
+      BOOST_TEST(Submit(contents, then) == near.owed);
       Contents later = ContentsIn(State::kLater, near.first);
-      BOOST_TEST(Give(later, then) == near.owed_later);
-      BOOST_TEST(Give(later, near.first) == Owed::kAgain);
+      BOOST_TEST(Submit(later, then) == near.owed_later);
+      BOOST_TEST(Submit(later, near.first) == Verdict::kTakenBefore);
     }
   }
 }
@@ -232,9 +222,9 @@
     for (const ChangeOrder& second : orders) {
       if (&first == &second) continue;
       Contents contents = ContentsIn(State::kBase, first);
-      BOOST_TEST(Give(contents, first) == Owed::kTaken);
-      BOOST_TEST(Give(contents, second) == Owed::k412);
-      BOOST_TEST(Give(contents, first) == Owed::kAgain);
+      BOOST_TEST(Submit(contents, first) == Verdict::kTaken);
+      BOOST_TEST(Submit(contents, second) == Verdict::kConflict);
+      BOOST_TEST(Submit(contents, first) == Verdict::kTakenBefore);
     }
   }
 }
