Soak: what operators ordered and were answered is written beside the figures

Neither the output nor the logs tell what the operators had sent and read by then, so a fault of the tier and one of the judge look alike.

A seed's folder now holds 'operators': each order, each answer and each read, by time. A read carries the moment of its answer as well.

--- a/tests/soak/soak/history.py
+++ b/tests/soak/soak/history.py
@@ -67,6 +67,7 @@
     sent: float
     version: int
     tag: str
+    answered: float
 
 
 @dataclass(frozen=True)
--- a/tests/soak/soak/operators.py
+++ b/tests/soak/soak/operators.py
@@ -78,7 +78,8 @@
         if answer.status != 200 or not answer.complete:
             return False
         version, tag = configurations.read(answer.body)
-        self._history.reads.append(ConfigurationRead(sent, version, tag))
+        self._history.reads.append(ConfigurationRead(sent, version, tag,
+                                                      self._history.now()))
         self._known_version = max(self._known_version, version)
         return True
 
--- a/tests/soak/soak/seed.py
+++ b/tests/soak/soak/seed.py
@@ -210,12 +210,24 @@
             f" {max(after):.2f} s at most")
 
 
+def operators_text(history: History) -> str:
+    """A line for each order when it is drawn, and for each answer to an operator."""
+    lines = [(each.sent, f"{each.tag} on version {each.base} is to make version {each.version}")
+             for each in history.orders]
+    lines += [(each.at, f"{each.tag or 'read'} is answered {each.status} by {each.core},"
+                        f" asked at {each.sent:.3f}") for each in history.answers]
+    lines += [(each.answered, f"version {each.version} with {each.tag} is read,"
+                              f" asked at {each.sent:.3f}") for each in history.reads]
+    return "".join(f"{at:8.3f} {text}\n" for at, text in sorted(lines))
+
+
 def report(plan: Plan, history: History, findings: list[Finding]) -> None:
     """Prints the outcome; on findings also the timeline and where the logs are."""
     print(summary(plan.seed, history))
     troubles = "\n".join(timeline(history))
     (plan.folder / "timeline").write_text(troubles + "\n")
     (plan.folder / "figures").write_text(text_of(history))
+    (plan.folder / "operators").write_text(operators_text(history))
     if not findings:
         return
     print(troubles)
