Soak: the judge takes a read for known only once it has been answered

Cause, in the judge (_base_may_be_missing), not in the tier. An operator sends two orders at once, the second on top of the first. Where the second is judged first it is refused with 412: its base is not in force yet. The judge allows that unless the base had been read back before. It compared when the read was *asked*: a read that waited, in a cut say, and was answered with the base after the refusal, counted as knowledge from before it.

Change: the read's answer must have come before the order was asked.

--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -132,6 +132,21 @@
         self.answer("t2", 412, core="edge-east-1")
         self.expect("CONFIG")
 
+    def test_refused_while_its_base_was_on_its_way_to_a_reader(self):
+        """A read that was asked first and answered last tells of a later moment than the refusal."""
+        self.history.orders = [order("t1", 0, 2, OrderState.OPEN),
+                               order("t2", 2, 3, OrderState.REFUSED)]
+        self.history.reads = [ConfigurationRead(14.9, 2, "t1", 15.2)]
+        self.answer("t2", 412, core="edge-east-1")
+        self.expect()
+
+    def test_refused_after_its_base_was_read_a_moment_before(self):
+        self.history.orders = [order("t1", 0, 2, OrderState.OPEN),
+                               order("t2", 2, 3, OrderState.REFUSED)]
+        self.history.reads = [ConfigurationRead(14.8, 2, "t1", 14.9)]
+        self.answer("t2", 412, core="edge-east-1")
+        self.expect("CONFIG")
+
     def test_refused_before_the_other_order_was_sent(self):
         self.history.orders.append(ConfigurationOrder("t3", 2, 4, 30.0))
         self.answer("t2", 412, core="edge-east-1")
