--- a/src/tier/cluster/clock_estimate.h
+++ b/src/tier/cluster/clock_estimate.h
@@ -1,6 +1,6 @@
-// True time as most processes have it: each member tells its time of day, and the median of what
-// they are ahead of the primary's steady clock counts, so that a clock that is stepped moves
-// nothing. Pure.
+// True time as the median of the members' clocks: each member reports its time of day, and the
+// median of the differences to the primary's steady clock is used, so that a step of one clock has
+// no effect. Pure.
 #ifndef SHELFLINK_TIER_CLUSTER_CLOCK_ESTIMATE_H_
 #define SHELFLINK_TIER_CLUSTER_CLOCK_ESTIMATE_H_
 
@@ -20,14 +20,14 @@
     ahead_.clear();
     median_until_ = {};
   }
-  // Microseconds since 1970; `own_wall` counts as one more voice. Of many members it is computed a
-  // few times a second at most.
+  // Microseconds since 1970; `own_wall` is one more sample. With many members it is computed a few
+  // times a second at most.
   std::int64_t TrueMicros(net::Time now, std::int64_t own_wall);
 
  private:
   std::int64_t Median(std::int64_t own_ahead) const;
 
-  std::map<net::Address, std::int64_t> ahead_;  // Time of day less steady clock, in microseconds.
+  std::map<net::Address, std::int64_t> ahead_;  // Time of day minus steady clock, in microseconds.
   std::int64_t median_ = 0;
   net::Time median_until_{};
 };
--- a/src/tier/cluster/configuration_history.h
+++ b/src/tier/cluster/configuration_history.h
@@ -1,9 +1,9 @@
-// The configuration as one process holds it and passes it on. It travels in steps: differences
-// from one version to a later one, or the whole, each compressed once by whoever made it and passed
-// on as it came. What somebody needs is answered by the steps from the version that he has, as long
-// as these are remembered, else by the whole.
+// The configuration that one process holds and forwards. It is transferred in steps: differences
+// between two versions, or the whole configuration, compressed once by the process that creates
+// them and forwarded unchanged. A fetch is answered with the steps from the version that the
+// receiver holds if these are kept, otherwise with the whole configuration.
 //
-// A body is a CBOR array of steps. One without steps announces a version: whoever lacks it asks.
+// A body is a CBOR array of steps. One without steps announces a version, which has to be fetched.
 #ifndef SHELFLINK_TIER_CLUSTER_CONFIGURATION_HISTORY_H_
 #define SHELFLINK_TIER_CLUSTER_CONFIGURATION_HISTORY_H_
 
@@ -24,34 +24,34 @@
  public:
   using Pointer = std::shared_ptr<const configuration::Configuration>;
 
-  static constexpr std::size_t kLargestUpdate = 16U << 10;         // Bytes that nobody asked for.
-  static constexpr std::size_t kMostSteps = 64;                    // Remembered,
-  static constexpr std::size_t kMostStepBytes = 256U << 10;        // of so many bytes together.
-  static constexpr std::size_t kLargestConfiguration = 32U << 20;  // Of one step, as it is read.
+  static constexpr std::size_t kLargestUpdate = 16U << 10;   // Bytes of an unsolicited update.
+  static constexpr std::size_t kMostSteps = 64;              // Kept,
+  static constexpr std::size_t kMostStepBytes = 256U << 10;  // and their total size.
+  static constexpr std::size_t kLargestConfiguration = 32U << 20;  // One step, uncompressed.
 
-  // Null: none yet.
+  // Null: there is none yet.
   const Pointer& current() const { return current_; }
   std::uint64_t version() const { return current_ ? current_->version : 0; }
 
-  // `next` comes into force here.
+  // Makes `next` the current configuration.
   void Advance(Pointer next);
 
-  // Goes on to `version` by what somebody sent. kConflict: the steps lead on from a version that is
-  // not here, or there are none; ask for those from version() on. kInvalid: it cannot be read, or
-  // leads elsewhere. Nothing has changed then.
+  // Advances to `version` with a received body. kConflict: the steps begin at a version that is not
+  // held here, or there are none; fetch those from version() on. kInvalid: the body cannot be
+  // decoded or leads to another version. Nothing changes on errors.
   Result<void> Take(std::uint64_t version, std::string_view body);
 
-  // What leads from `version` (0: none) to the newest. Requires that there is one.
+  // The body that leads from `version` (0: none) to the current one, which must exist.
   std::string BodySince(std::uint64_t version) const;
 
-  // What others are told after a step from `version` on: the steps where these are small, else an
-  // announcement: who has it already, or is to have more than that, asks for what he needs.
+  // The update to forward after advancing from `version`: the steps if they are small, otherwise an
+  // announcement, after which each receiver fetches what it needs.
   std::string UpdateSince(std::uint64_t version) const;
   static std::string Announcement() { return EncodeSteps({}, 0); }
 
  private:
   struct Step {
-    std::uint64_t base = 0;  // 0: the whole.
+    std::uint64_t base = 0;  // 0: the whole configuration.
     std::uint64_t version = 0;
     std::string bytes;  // Compressed.
   };
@@ -60,14 +60,14 @@
   static Result<std::deque<Step>> DecodeSteps(std::string_view body);
   static Result<Pointer> Follow(const Pointer& from, const Step& step);
   void Remember(Step step);
-  // None: it is not remembered what led on from there.
+  // None: the step that begins there is not kept.
   std::optional<std::size_t> StepFrom(std::uint64_t version) const;
   const Step& Whole() const;
 
   Pointer current_;
-  std::deque<Step> steps_;  // Each leads on from the one before; the last to current_.
+  std::deque<Step> steps_;  // Consecutive; the last one leads to current_.
   std::size_t step_bytes_ = 0;
-  mutable Step whole_;  // Of an older version: not asked for since.
+  mutable Step whole_;  // Cached; may be of an older version.
 };
 
 }  // namespace shelflink::cluster
--- a/src/tier/cluster/control_state.h
+++ b/src/tier/cluster/control_state.h
@@ -1,9 +1,9 @@
-// What the cluster keeps in the replicated map, besides the configuration (configuration/book.h):
-// rows of the placement, stores known by their disk, retirement, and counts of use that are to be
-// reported. Keys, records and their readers.
+// Records of the cluster in the replicated map, besides the configuration (configuration/book.h):
+// rows of the placement, known stores with their disks, retirement, and usage counts that are to be
+// reported. Keys, encoding and decoding.
 //
 // Limits: kPartitions rows; a record for each store ever seen (a few hundred bytes); at most
-// kMostCommittedWindows windows of use, beyond which the oldest go unreported.
+// kMostCommittedWindows usage windows, beyond which the oldest are not reported.
 #ifndef SHELFLINK_TIER_CLUSTER_CONTROL_STATE_H_
 #define SHELFLINK_TIER_CLUSTER_CONTROL_STATE_H_
 
@@ -22,7 +22,7 @@
 namespace shelflink::cluster {
 
 constexpr std::string_view kRowPrefix = "placement/row/";
-constexpr std::string_view kPlacementCountKey = "placement/count";  // Rises with each change.
+constexpr std::string_view kPlacementCountKey = "placement/count";  // Increases with each change.
 constexpr std::string_view kStorePrefix = "store/";
 constexpr std::string_view kRetirePrefix = "retire/";
 constexpr std::string_view kUsagePrefix = "usage/window/";
@@ -34,7 +34,7 @@
 std::string RetireKey(const std::string& node);
 std::string UsageKey(std::uint64_t window);
 
-// A store as it was last seen; its lease is not kept here.
+// A store as it was last seen; its lease is not recorded.
 struct StoreRecord {
   std::string zone;
   net::Address address;
@@ -45,8 +45,8 @@
 std::string EncodeStoreRecord(const StoreRecord& record);
 std::string EncodeNumber(std::uint64_t number);
 
-// Readers of the map. A record that cannot be read is left out: it was written by this program, and
-// the replicator checks what the disk holds.
+// Decoders of the map. A record that cannot be decoded is skipped: it was written by this program,
+// and the replicator checks what the disk holds.
 std::vector<PartitionRow> RowsOf(const coordination::Contents& contents);
 std::uint64_t NumberAt(const coordination::Contents& contents, std::string_view key);
 std::map<std::string, StoreRecord> StoresOf(const coordination::Contents& contents);
--- a/src/tier/cluster/core_lease.h
+++ b/src/tier/cluster/core_lease.h
@@ -1,5 +1,5 @@
-// The lease that a proxy or store has from the core's primary: while it is valid the process is in
-// touch. Tells when contact is made and when it is lost.
+// The lease of a proxy or store from the core's primary: the process is in contact while it is
+// valid. Notifies when contact is made and when it is lost.
 #ifndef SHELFLINK_TIER_CLUSTER_CORE_LEASE_H_
 #define SHELFLINK_TIER_CLUSTER_CORE_LEASE_H_
 
@@ -11,21 +11,22 @@
 
 class CoreLease {
  public:
-  // `contact` is told of each change, from inside Extend() or the loop.
+  // `contact` is called on each change, from Extend() or from the loop.
   CoreLease(net::Loop& loop, std::function<void(bool in_touch)> contact);
   CoreLease(const CoreLease&) = delete;
   CoreLease& operator=(const CoreLease&) = delete;
 
   bool IsValid() const { return loop_.Now() < until_; }
-  // In the past where there is none.
+  // In the past if there is no lease.
   net::Time until() const { return until_; }
-  // The end of those leases alone under which the newest placement was held here.
+  // The end of the last lease under which the newest placement was held here.
   net::Time placement_until() const { return placement_until_; }
 
-  // Of no effect where it would end no later than now or than the present one.
+  // No effect unless it ends later than now and later than the current lease.
   void Extend(net::Time until);
-  // The placement here is the newest that the primary had told with this lease. A process that was
-  // frozen or cut off gets its lease back before it hears that its partitions have moved.
+  // The placement held here is the newest that the primary announced with this lease. A process
+  // that was paused or partitioned gets a new lease before it learns that its partitions have
+  // moved.
   void ExtendPlacement() { placement_until_ = until_; }
 
  private:
--- a/src/tier/cluster/core_metrics.h
+++ b/src/tier/cluster/core_metrics.h
@@ -1,5 +1,4 @@
-// What a core process tells of itself as metrics. Pure; docs/operate/metrics.md explains each
-// figure.
+// The metrics of a core process. Pure; docs/operate/metrics.md explains each of them.
 #ifndef SHELFLINK_TIER_CLUSTER_CORE_METRICS_H_
 #define SHELFLINK_TIER_CLUSTER_CORE_METRICS_H_
 
@@ -18,7 +17,7 @@
 
 namespace shelflink::cluster {
 
-// Of the member of the group that replicates the control state.
+// Metrics of the member of the group that replicates the control state.
 struct GroupFigures {
   struct Disk {
     std::uint64_t used_bytes = 0;
@@ -27,16 +26,16 @@
   };
 
   bool is_primary = false;     // With a valid lease.
-  bool knows_primary = false;  // Whoever it is.
+  bool knows_primary = false;  // Itself or another process.
   std::uint64_t epoch = 0;
-  std::vector<std::string> replicas;  // Nodes, by the newest record known here.
+  std::vector<std::string> replicas;  // Nodes, from the newest record known here.
   std::vector<std::string> witnesses;
-  std::optional<std::string> primary;               // Its node, where known.
-  std::optional<net::Address> primary_control;      // Where it serves the operator, where known.
+  std::optional<std::string> primary;               // Its node, if known.
+  std::optional<net::Address> primary_control;      // Its operator listener, if known.
   std::size_t wanted_replicas = 0;                  // Fault tolerance + 1.
   std::vector<coordination::MemberStatus> members;  // Of the record.
   std::uint64_t contents_entries = 0;
-  std::optional<Disk> disk;  // None: it has none.
+  std::optional<Disk> disk;  // None: the process has no disk.
 };
 
 struct CoreFigures {
--- a/src/tier/cluster/core_service.h
+++ b/src/tier/cluster/core_service.h
@@ -1,9 +1,9 @@
-// The cluster's services on a core process. Where it is the primary: takes renewals, makes and
-// pushes the parts of the view, keeps the placement, performs the duties, and executes the
-// operator's orders. Elsewhere it says who the primary is, and keeps what it hears committed.
+// The cluster services of a core process. On the primary: answers renewals, creates and publishes
+// the parts of the view, maintains the placement, performs the duties, and executes operator
+// orders. On other core processes: names the primary and applies what is committed.
 //
-// Nothing here lasts beyond a change of primary save what is in the replicated map; leases and
-// loads come back with the next renewals, within one interval.
+// Only the replicated map survives a change of primary. Leases and loads are restored by the next
+// renewals, within one renewal interval.
 #ifndef SHELFLINK_TIER_CLUSTER_CORE_SERVICE_H_
 #define SHELFLINK_TIER_CLUSTER_CORE_SERVICE_H_
 
@@ -25,21 +25,22 @@
 
 class CoreService : public operator_api::OperatorService {
  public:
-  // `platform` null: there is none. All of them outlive it. Becomes the replicator's watcher.
+  // `platform` may be null. The arguments must outlive this object, which becomes the replicator's
+  // watcher.
   CoreService(net::Loop& loop, transport::Hub& hub, coordination::Replicator& replicator,
               platform::Platform* platform, const ProcessSettings& settings);
   ~CoreService() override;
   CoreService(const CoreService&) = delete;
   CoreService& operator=(const CoreService&) = delete;
 
-  // Told of each configuration that comes into force here.
+  // `watcher` is called with each configuration that comes into force here.
   void WatchConfiguration(
       std::function<void(const std::shared_ptr<const configuration::Configuration>&)> watcher);
 
-  // Whether this process's disk refuses writes; members whose renewals are declined are told.
+  // `disk_refuses` returns whether this process's disk refuses writes. The answer to a declined
+  // renewal says so.
   void SetDiskCheck(std::function<bool()> disk_refuses);
 
-  // For metrics.
   ClusterFigures figures() const;
 
   bool is_primary() const override;
@@ -54,7 +55,8 @@
   std::unique_ptr<Impl> impl_;
 };
 
-// How often an agent renews, from the operators' bounds; longer in a large cluster.
+// The interval between two renewals of an agent, derived from the configured bounds; longer in a
+// large cluster.
 std::chrono::milliseconds RenewalInterval(const ProcessSettings& settings, std::size_t members);
 
 }  // namespace shelflink::cluster
--- a/src/tier/cluster/counting_progress.h
+++ b/src/tier/cluster/counting_progress.h
@@ -1,7 +1,7 @@
-// How far each sidecar has told its counts of use: which windows may be summed up. Pure.
+// How far each sidecar has reported its usage counts, and so which windows are complete. Pure.
 //
-// A sidecar that falls silent is waited for, as its counts may come after a cut or a freeze; one
-// that said farewell is not, nor one that has been silent for longer than a window may be late.
+// A silent sidecar is waited for, since its counts may arrive after a partition or a pause. One
+// that has left is not, nor one that has been silent for longer than a window may be late.
 #ifndef SHELFLINK_TIER_CLUSTER_COUNTING_PROGRESS_H_
 #define SHELFLINK_TIER_CLUSTER_COUNTING_PROGRESS_H_
 
@@ -18,7 +18,7 @@
  public:
   explicit CountingProgress(net::Span memory) : memory_(memory) {}
 
-  // All windows before `window_open` are counted to their end there.
+  // The sidecar has finished counting all windows before `window_open`.
   void Hear(net::Time now, const net::Address& sidecar, std::uint64_t window_open) {
     sidecars_[sidecar] = {window_open, now};
   }
--- a/src/tier/cluster/detours.h
+++ b/src/tier/cluster/detours.h
@@ -1,6 +1,6 @@
-// The way to the core over another sidecar, for one that reaches no core process itself: its counts
-// of use go up that way, the newest versions of the view come down. It gives no lease. The other
-// side: passes on what another sidecar sends.
+// Contact with the core through another sidecar, for a sidecar that reaches no core process itself:
+// usage counts are sent up this way and the newest versions of the view come back. It grants no
+// lease. Also forwards such renewals for other sidecars.
 #ifndef SHELFLINK_TIER_CLUSTER_DETOURS_H_
 #define SHELFLINK_TIER_CLUSTER_DETOURS_H_
 
@@ -24,27 +24,28 @@
 
 class Detours {
  public:
-  // Forwarded for others at a time; one more is refused with kExhausted.
+  // Renewals forwarded for others at a time; further ones are refused with kExhausted.
   static constexpr std::size_t kMostForwarded = 64;
 
   struct User {
-    // What this process tells of itself now.
+    // The current renewal of this process.
     std::function<Renewal()> renewal;
-    // An answer that accepts. False: it is of no use (of a former primary); the next sidecar is
-    // asked the next time.
+    // Called with an accepting answer. Returns false if it is useless (of a former primary); then
+    // another sidecar is asked next time.
     std::function<bool(const RenewalExchange& exchange, const RenewalAnswer& answer)> accepted;
   };
 
-  // Answers kDetourKind from now on. Other sidecars are those that the relay's view names. All of
-  // them outlive it.
+  // Handles kDetourKind from now on. Other sidecars are taken from the relay's view. The arguments
+  // must outlive this object.
   Detours(net::Loop& loop, transport::Hub& hub, const CoreFinder& finder, const CoreLease& lease,
           const ViewRelay& relay, User user);
   Detours(const Detours&) = delete;
   Detours& operator=(const Detours&) = delete;
 
-  // Contact was lost: detours are taken, one at a time, until it is made. Of a proxy only.
+  // Contact was lost: renews through other sidecars, one at a time, until contact is made again.
+  // Only for proxies.
   void Begin();
-  // Takes no more of them; goes on to forward those of others.
+  // Sends no more renewals this way; still forwards those of others.
   void Stop() { stopped_ = true; }
 
  private:
@@ -64,7 +65,7 @@
   bool under_way_ = false;
   bool stopped_ = false;
   std::size_t turn_ = 0;
-  std::size_t forwarded_ = 0;  // Not answered yet.
+  std::size_t forwarded_ = 0;  // In flight.
   std::shared_ptr<char> life_ = std::make_shared<char>();
 };
 
--- a/src/tier/cluster/duty_pace.h
+++ b/src/tier/cluster/duty_pace.h
@@ -1,4 +1,4 @@
-// Keeps the calls of all duties within the platform's rate.
+// Rate limiter for the platform calls of all duties.
 #ifndef SHELFLINK_TIER_CLUSTER_DUTY_PACE_H_
 #define SHELFLINK_TIER_CLUSTER_DUTY_PACE_H_
 
@@ -15,7 +15,7 @@
       : spacing_(std::chrono::nanoseconds(
             static_cast<std::int64_t>(1e9 / std::max(calls_per_s, kLeastRate)))) {}
 
-  // Whether a call may be made now; it then counts.
+  // Returns whether a call may be made now, and counts it if so.
   bool Take(net::Time now) {
     if (now < next_) return false;
     next_ = now + spacing_;
--- a/src/tier/cluster/endpoint_list_metrics.h
+++ b/src/tier/cluster/endpoint_list_metrics.h
@@ -1,5 +1,5 @@
-// The figures of a list of endpoints that core and proxies tell under the same names, so that a
-// reader compares one with the other. Pure; docs/operate/metrics.md explains each figure.
+// Metrics of an endpoint list that core processes and proxies export under the same names, so that
+// they can be compared. Pure; docs/operate/metrics.md explains each of them.
 #ifndef SHELFLINK_TIER_CLUSTER_ENDPOINT_LIST_METRICS_H_
 #define SHELFLINK_TIER_CLUSTER_ENDPOINT_LIST_METRICS_H_
 
@@ -11,7 +11,7 @@
 
 namespace shelflink::cluster {
 
-// Which list it is, differs by role: one sentence for each family.
+// Help text for each metric, which depends on the role.
 struct EndpointListHelp {
   std::string_view epoch;
   std::string_view sequence;
@@ -23,7 +23,7 @@
 // Version and size of the list.
 void AddEndpointSummary(MetricsText& text, const EndpointListHelp& help,
                         const EndpointSummary& list);
-// Since the platform's list was read that the list stands for; in seconds as metrics tell it.
+// Age of the platform reading behind the list; exported in seconds.
 void AddEndpointListAge(MetricsText& text, const EndpointListHelp& help,
                         std::chrono::nanoseconds age);
 
--- a/src/tier/cluster/endpoint_list_publisher.h
+++ b/src/tier/cluster/endpoint_list_publisher.h
@@ -1,6 +1,6 @@
-// Publishes the lists of endpoints that this core process reads from the platform, while it is the
-// primary, and says in log and figures which went out and which did not. A new primary passes on
-// the list that the members have until it has read one itself.
+// Publishes the endpoint lists that this core process reads from the platform while it is the
+// primary, and reports in logs and metrics which lists were published and which were not. A new
+// primary publishes the list that the members hold until it has read one itself.
 #ifndef SHELFLINK_TIER_CLUSTER_ENDPOINT_LIST_PUBLISHER_H_
 #define SHELFLINK_TIER_CLUSTER_ENDPOINT_LIST_PUBLISHER_H_
 
@@ -24,34 +24,35 @@
 
 class EndpointListPublisher {
  public:
-  // What it needs to know of the role.
+  // Access to the role of this core process.
   struct Role {
-    std::function<bool()> leads;            // With a valid lease.
-    std::function<Version()> next_version;  // For a part that is made now.
+    std::function<bool()> leads;            // Primary with a valid lease.
+    std::function<Version()> next_version;  // For a part that is created now.
     std::function<Version()> last_version;
-    std::function<const char*()> why_not;  // It does not lead; a clause for the log.
+    std::function<const char*()> why_not;  // Why it does not lead, as a clause for the log.
   };
 
-  // All of them outlive it.
+  // The arguments must outlive this object.
   EndpointListPublisher(net::Loop& loop, transport::Hub& hub, ViewPublisher& publisher,
                         const RelayTree& tree, Role role);
   EndpointListPublisher(const EndpointListPublisher&) = delete;
   EndpointListPublisher& operator=(const EndpointListPublisher&) = delete;
 
-  // Where the lists come from; it outlives this. Null: nothing is read here.
+  // The source of the lists, which must outlive this object. Null: none are read here.
   void SetWatch(EndpointWatch* watch) { watch_ = watch; }
 
-  // Whether it is out: without a valid lease nothing is published, and the watch keeps it.
+  // Returns whether it was published. Without a valid lease nothing is, and the watch keeps the
+  // list.
   bool Publish(const std::vector<EndpointEntry>& entries);
-  // A list that was read while the lease had lapsed goes out; before any renewal is answered.
+  // Publishes a list that was read while the lease had expired. Call before answering renewals.
   void PublishPending();
-  // The member holds that version of the list: it is fetched, and passed on, where nothing as new
-  // is here. One at a time.
+  // The member holds that version of the list: fetches and publishes it, unless one as new is held
+  // here. One fetch at a time.
   void Adopt(const net::Address& member, const Version& has);
-  // How old the reading is that the published list stands for; none where it is not of this
-  // process's reading, or where a newer one has not been published.
+  // Age of the platform reading behind the published list. None if this process did not read it, or
+  // if a newer list has not been published.
   std::optional<std::chrono::milliseconds> Age() const;
-  // Fills in those of lists.
+  // Sets the figures of endpoint lists.
   void AddFigures(ClusterFigures& figures) const;
 
  private:
@@ -67,11 +68,11 @@
   Role role_;
   EndpointWatch* watch_ = nullptr;
   bool adopting_ = false;
-  Version read_version_;                 // Of the list that was read and published here last.
+  Version read_version_;                 // Of the list read and published here last.
   std::optional<EndpointSummary> last_;  // The same list.
-  std::uint64_t published_ = 0;          // Lists, since the start, as in the next.
+  std::uint64_t published_ = 0;          // Lists since the start; likewise the next.
   std::uint64_t not_published_ = 0;
-  std::optional<std::vector<EndpointEntry>> withheld_;  // Read last, and not published.
+  std::optional<std::vector<EndpointEntry>> withheld_;  // Read last and not published.
   std::shared_ptr<char> life_ = std::make_shared<char>();
 };
 
--- a/src/tier/cluster/endpoint_summary.h
+++ b/src/tier/cluster/endpoint_summary.h
@@ -1,4 +1,4 @@
-// What logs and metrics tell of a list of endpoints.
+// Summary of an endpoint list for logs and metrics.
 #ifndef SHELFLINK_TIER_CLUSTER_ENDPOINT_SUMMARY_H_
 #define SHELFLINK_TIER_CLUSTER_ENDPOINT_SUMMARY_H_
 
--- a/src/tier/cluster/endpoint_watch.h
+++ b/src/tier/cluster/endpoint_watch.h
@@ -1,6 +1,5 @@
-// The one reader of the platform's list of endpoints: walks it on the core's primary and has each
-// list published that differs from the one published before. While the platform is down the last
-// list stands.
+// Reads the platform's endpoint list on the core's primary and publishes each list that differs
+// from the one published before. While the platform is down the last list remains in force.
 #ifndef SHELFLINK_TIER_CLUSTER_ENDPOINT_WATCH_H_
 #define SHELFLINK_TIER_CLUSTER_ENDPOINT_WATCH_H_
 
@@ -16,7 +15,7 @@
 
 class EndpointWatch {
  public:
-  // Whether the list has been published; one that has not is offered again.
+  // Returns whether the list has been published; otherwise it is offered again.
   using Publish = std::function<bool(const std::vector<EndpointEntry>& entries)>;
 
   EndpointWatch(net::Loop& loop, platform::Platform& platform,
@@ -27,11 +26,11 @@
 
   void Start();
   void Stop();
-  // None: no whole list has been read since the start.
+  // None: no complete list has been read since the start.
   const std::optional<std::vector<EndpointEntry>>& entries() const { return entries_; }
-  // When the reading of that list began; none: no whole list has been read in this process.
+  // When the reading of that list began; none: no complete list has been read by this process.
   std::optional<net::Time> read_at() const { return read_at_; }
-  // Offers the newest list again if it has not been published.
+  // Offers the newest list again if it is not published.
   void PublishPending();
   bool published() const { return published_; }
 
@@ -44,7 +43,7 @@
   Publish publish_;
   std::optional<std::vector<EndpointEntry>> entries_;
   std::optional<net::Time> read_at_;
-  bool published_ = true;  // The newest list, or one that is the same.
+  bool published_ = true;  // The newest list or an equal one.
 };
 
 }  // namespace shelflink::cluster
--- a/src/tier/cluster/field_codec.h
+++ b/src/tier/cluster/field_codec.h
@@ -1,4 +1,4 @@
-// Fields that several messages of the cluster share, in CBOR.
+// CBOR encoding of fields that several cluster messages share.
 #ifndef SHELFLINK_TIER_CLUSTER_FIELD_CODEC_H_
 #define SHELFLINK_TIER_CLUSTER_FIELD_CODEC_H_
 
--- a/src/tier/cluster/heartbeat.h
+++ b/src/tier/cluster/heartbeat.h
@@ -1,5 +1,5 @@
-// Renews a process's lease at the core's primary: one call at a time, to whom the finder names, and
-// at once elsewhere where one is silent, declines or is no primary any more.
+// Renews a process's lease with the core's primary: one call at a time, to the process that the
+// finder names, and to another one at once if it is silent, declines, or is no longer primary.
 #ifndef SHELFLINK_TIER_CLUSTER_HEARTBEAT_H_
 #define SHELFLINK_TIER_CLUSTER_HEARTBEAT_H_
 
@@ -20,28 +20,29 @@
 class Heartbeat {
  public:
   struct User {
-    // What this process tells of itself now.
+    // The current renewal of this process.
     std::function<Renewal()> renewal;
-    // An answer that accepts. False: it is of no use (of a former primary); another is asked. True:
-    // it has called RenewAfterInterval.
+    // Called with an accepting answer. Returns false if it is useless (of a former primary); then
+    // another process is tried. Otherwise the callee has called RenewAfterInterval.
     std::function<bool(const RenewalExchange& exchange, const RenewalAnswer& answer)> accepted;
-    // An answer that does not.
+    // Called with a declining answer.
     std::function<void(const net::Address& core, const RenewalAnswer& answer)> declined;
   };
 
-  // The first renewal goes out with the loop's next turn. All of them outlive it.
+  // Sends the first renewal in the next turn of the loop. The arguments must outlive this object.
   Heartbeat(net::Loop& loop, transport::Hub& hub, CoreFinder& finder, User user);
   Heartbeat(const Heartbeat&) = delete;
   Heartbeat& operator=(const Heartbeat&) = delete;
 
-  // Out of turn: what this process tells has changed. After the answer of one that is under way.
+  // Renews ahead of time, because the renewal's contents have changed; if a renewal is in flight,
+  // after its answer.
   void RenewSoon();
-  // The next one falls due `interval` from now, or at once where RenewSoon has asked for it.
+  // Schedules the next renewal `interval` from now, or at once if RenewSoon was called.
   void RenewAfterInterval(std::chrono::milliseconds interval);
-  // No more of them.
+  // Sends no more renewals.
   void Stop();
 
-  // As the core asked for last; 0 before its first answer.
+  // As requested by the core last; 0 before its first answer.
   std::chrono::milliseconds interval() const { return interval_; }
 
  private:
--- a/src/tier/cluster/list_reading_time.h
+++ b/src/tier/cluster/list_reading_time.h
@@ -1,6 +1,6 @@
-// When the platform's list was read that the list of endpoints here stands for. The core's primary
-// tells the time of its reading with a version; it holds here once that version, or a newer one,
-// has come by whatever way. Pure.
+// When the platform reading behind the local endpoint list took place. The core's primary reports
+// the time of its reading with a version. The time applies here once that version or a newer one
+// has arrived, by whatever way. Pure.
 #ifndef SHELFLINK_TIER_CLUSTER_LIST_READING_TIME_H_
 #define SHELFLINK_TIER_CLUSTER_LIST_READING_TIME_H_
 
@@ -14,19 +14,19 @@
 class ListReadingTime {
  public:
   // The reading published as `version` began at `at` or later, on this process's clock; `held` is
-  // the version of the list here.
+  // the version of the local list.
   void OnTold(const Version& version, net::Time at, const Version& held) {
     told_version_ = version;
     told_at_ = at;
     OnHeld(held);
   }
-  // A list of that version is held from now on.
+  // The local list has that version from now on.
   void OnHeld(const Version& held) {
     if (held < told_version_) return;
     read_at_ = std::max(read_at_, told_at_);
   }
   bool known() const { return read_at_ != net::Time{}; }
-  // The start of the clock where nothing is known.
+  // The start of the clock if it is unknown.
   net::Time read_at() const { return read_at_; }
 
  private:
--- a/src/tier/cluster/member_table.h
+++ b/src/tier/cluster/member_table.h
@@ -1,7 +1,7 @@
-// Leases of proxies and stores, as the core's primary keeps them in memory. Pure: the time comes
-// with each event.
+// The leases of proxies and stores, in memory on the core's primary. Pure: the time is an argument
+// of each event.
 //
-// Limits: kMostMembers entries; a newcomer beyond that is refused (its renewal is not accepted).
+// Limits: kMostMembers entries; renewals of further members are not accepted.
 #ifndef SHELFLINK_TIER_CLUSTER_MEMBER_TABLE_H_
 #define SHELFLINK_TIER_CLUSTER_MEMBER_TABLE_H_
 
@@ -21,7 +21,7 @@
 
 struct LeaseSpans {
   net::Span proxy;
-  net::Span store;  // Shorter: its partitions wait for its end.
+  net::Span store;  // Shorter, since its partitions are unavailable until it ends.
   net::Span Of(const std::string& role) const { return role == "store" ? store : proxy; }
 };
 
@@ -33,7 +33,7 @@
   std::optional<StoreFigures> figures;
   net::Time heard_at{};
   std::vector<ServiceLoad> loads;
-  PartVersions versions;          // What it has of the view.
+  PartVersions versions;          // Parts of the view that it holds.
   std::uint64_t window_open = 0;  // See Renewal.
 };
 
@@ -42,16 +42,16 @@
   explicit MemberTable(LeaseSpans spans) : spans_(spans) {}
 
   enum class Renewed { kKnown, kChanged, kRefused };
-  // kChanged: others would see a difference (a newcomer, another life, another readiness).
+  // kChanged: the member is new or restarted, or its readiness has changed.
   Renewed Renew(net::Time now, const transport::PeerIdentity& who, const Renewal& renewal);
-  // Whether it was a member. Another life's farewell does not end this one.
+  // Returns whether it was a member. A message of another incarnation has no effect.
   bool Leave(const net::Address& address, std::uint64_t incarnation);
-  // This process has stood still for so long and may not have heard renewals: all leases last that
-  // much longer here, which is safe, for their holders count from before they asked.
+  // This process was paused for `span` and may have missed renewals: extends all leases by it. That
+  // is safe, because holders count their leases from before they sent the renewal.
   void Extend(net::Span span);
-  // Ends the leases that have run out; the members that went.
+  // Removes the leases that have expired and returns them.
   std::vector<MemberLease> Expire(net::Time now);
-  // When the next lease ends unless it is renewed; Time::max() where there is none.
+  // When the next lease expires unless it is renewed; Time::max() if there is none.
   net::Time NextEnd() const;
   void Clear() { leases_.clear(); }
 
--- a/src/tier/cluster/placement_keeper.h
+++ b/src/tier/cluster/placement_keeper.h
@@ -1,6 +1,6 @@
-// Keeps the placement of partitions in the replicated map: commits what losses, reports of the
-// partitions' primaries and newcomers ask for, one plan at a time. Works on the core's primary
-// only.
+// Maintains the placement of partitions in the replicated map: commits the changes required by
+// losses, by reports of the partitions' primaries and by new stores, one plan at a time. Runs on
+// the core's primary only.
 #ifndef SHELFLINK_TIER_CLUSTER_PLACEMENT_KEEPER_H_
 #define SHELFLINK_TIER_CLUSTER_PLACEMENT_KEEPER_H_
 
@@ -19,28 +19,28 @@
 
 namespace shelflink::cluster {
 
-// Reports that wait for their commit; one that comes beyond is refused with kExhausted.
+// Reports waiting for their commit; further ones are refused with kExhausted.
 constexpr std::size_t kMostWaitingReports = 4096;
 
 class PlacementKeeper {
  public:
-  // Nobody counts as lost before `patience` has passed since the start: that long a store may have
-  // spoken with the primary before this one.
+  // No store counts as lost before `patience` has passed since the start: until then it may hold a
+  // lease of the previous primary.
   PlacementKeeper(net::Loop& loop, coordination::Replicator& replicator, const MemberTable& members,
                   PlacementRules rules, net::Span patience);
   ~PlacementKeeper();
 
   void Start();
   void Stop();
-  // Something about the stores has changed.
+  // The state of the stores has changed.
   void Evaluate();
-  // Does what falls due with time alone.
+  // Makes changes that become due by time alone.
   void Tick();
   void OnReport(const BackupReport& report, std::function<void(Result<void>)> done);
-  // All stores known, as of now.
+  // All known stores in their current state.
   std::vector<StoreCandidate> Candidates(const coordination::Contents& contents) const;
   const PlacementRules& rules() const { return rules_; }
-  // This primary is so new that it may not have heard of every store yet.
+  // This primary is too new to have heard from every store.
   bool Patient() const { return loop_.Now() < started_ + patience_; }
 
  private:
@@ -49,7 +49,7 @@
     std::function<void(Result<void>)> done;
     Result<void> outcome;
   };
-  struct Proposal {  // What a plan makes of the committed map.
+  struct Proposal {  // The result of a plan on the committed map.
     std::vector<PartitionRow> rows;
     std::vector<std::size_t> changed;  // Of the rows.
     std::vector<coordination::Write> writes;
@@ -72,11 +72,11 @@
   bool running_ = false;
   bool submitted_ = false;
   bool evaluate_again_ = false;
-  bool settled_ = false;  // Nothing is left to change until something happens.
+  bool settled_ = false;  // No change is needed until the next event.
   bool was_patient_ = false;
   net::Time started_{};
   std::vector<WaitingReport> waiting_;  // For the next plan.
-  std::vector<WaitingReport> in_plan_;  // Of the plan that is submitted.
+  std::vector<WaitingReport> in_plan_;  // In the submitted plan.
   std::map<std::pair<std::size_t, std::string>, net::Time> stalled_until_;
   std::shared_ptr<char> life_ = std::make_shared<char>();
 };
--- a/src/tier/cluster/placement_planner.h
+++ b/src/tier/cluster/placement_planner.h
@@ -1,6 +1,6 @@
-// Works out the changes of one placement: how much each store holds, and what a row needs next. Its
-// owner takes a row out of the count, changes it and counts it again. Pure; see placement.h for
-// what is promised.
+// Computes the changes of one placement: the load of each store and the next change of a row. The
+// caller removes a row from the count, changes it and adds it again. Pure; placement.h lists the
+// guarantees.
 #ifndef SHELFLINK_TIER_CLUSTER_PLACEMENT_PLANNER_H_
 #define SHELFLINK_TIER_CLUSTER_PLACEMENT_PLANNER_H_
 
@@ -20,36 +20,37 @@
 
 class PlacementPlanner {
  public:
-  // All of them outlive it.
+  // The arguments must outlive this object.
   PlacementPlanner(const std::vector<StoreCandidate>& stores, const Stalled& stalled,
                    const PlacementRules& rules);
 
-  // Adds a row's copies to what the stores hold (`sign` 1), or takes them out (-1).
+  // Adds a row's copies to the load of the stores (`sign` 1) or removes them (-1).
   void Count(const std::vector<Copy>& copies, int sign);
 
-  // What losses, stalls, retirement and finished moves ask of a row.
+  // Changes a row as required by losses, stalls, retirement and finished moves.
   void Repair(std::size_t partition, std::vector<Copy>& copies, bool& data_lost);
 
-  // How much better the row would lie with a joiner in place of one of its copies; 0: not at all.
+  // How much a move of one of the row's copies would improve the balance; 0: not at all.
   std::size_t GainOfMove(std::size_t partition, const std::vector<Copy>& copies) const;
 
-  // Adds the joiner that GainOfMove had in mind.
+  // Adds the joiner of that move.
   void Move(std::size_t partition, std::vector<Copy>& copies) const;
 
-  // Hands the primary's part to a complete backup that has fewer; says whether it did.
+  // Makes a complete backup the primary if its store is primary of fewer partitions; returns
+  // whether it did.
   bool SwapPrimary(std::size_t partition, std::vector<Copy>& copies);
 
-  // Makes the copy whose store leads the fewest partitions the primary.
+  // Makes the copy whose store is primary of the fewest partitions the primary.
   void PutFewestPrimariesFirst(std::vector<Copy>& copies) const;
 
-  // The least loaded usable store that may join those copies.
+  // The least loaded usable store that may be added to those copies.
   const StoreCandidate* Joiner(std::size_t partition, const std::vector<Copy>& copies,
                                bool zone_must_differ) const;
 
   bool HasZoneTwice(const std::vector<Copy>& copies) const;
 
  private:
-  // How much a store holds, kept up to date while rows change.
+  // Load of a store, updated while rows change.
   struct Share {
     std::size_t copies = 0;
     std::size_t primaries = 0;
@@ -57,46 +58,46 @@
 
   const StoreCandidate* Find(const std::string& disk) const;
   bool IsLive(const std::string& disk) const;
-  // No store has that disk any more: it will not come back.
+  // No store has that disk any more; it will not return.
   bool IsGone(const std::string& disk) const { return Find(disk) == nullptr; }
   bool IsRetiring(const std::string& disk) const;
   bool IsUsable(const std::string& disk) const { return IsLive(disk) && !IsRetiring(disk); }
   bool IsStalled(std::size_t partition, const std::string& disk) const;
-  // Live, answers its primary, and stays.
+  // Live, not stalled and not retiring.
   bool IsSound(std::size_t partition, const Copy& copy) const;
-  // One of those that a write needs: sound, and holds everything.
+  // Sound and complete.
   bool IsWhole(std::size_t partition, const Copy& copy) const;
 
   Share ShareOf(const std::string& disk) const;
 
-  // By a copy that is there to stay; one that is lost makes way for another in its zone.
+  // Whether a sound copy is in the zone; a lost one may be replaced within its zone.
   bool ZoneTaken(std::size_t partition, const std::vector<Copy>& copies,
                  const std::string& zone) const;
 
-  // Lower is better; the disk only makes it certain.
+  // Lower is better; the disk breaks ties.
   std::tuple<bool, std::size_t, std::uint64_t, std::string_view> Rank(
       std::size_t partition, const std::vector<Copy>& copies, const StoreCandidate& store) const;
 
-  // A store keeps its disk but may come back at another address.
+  // A store may return with its disk at another address.
   void FollowAddresses(std::vector<Copy>& copies) const;
 
-  // Which complete backups may become the primary.
+  // Requirement on a complete backup that becomes primary.
   enum class SuccessorCondition { kSound, kRetiring, kStalled };
 
-  // Index of a live complete backup with the fewest primaries' parts.
+  // Index of the live complete backup whose store is primary of the fewest partitions.
   std::optional<std::size_t> Successor(std::size_t partition, const std::vector<Copy>& copies,
                                        SuccessorCondition least) const;
 
-  // The lost primary stays named as a complete backup, see DropSurplus.
+  // The lost primary stays in the row as a complete backup, see DropSurplus.
   void ReplacePrimary(std::size_t partition, std::vector<Copy>& copies, bool& data_lost);
 
-  // Nobody who was complete will come back: goes on with what is left.
+  // No complete copy will return: continues with what is left.
   void RestartEmpty(std::size_t partition, std::vector<Copy>& copies, bool& data_lost);
 
   void DropGoneBackups(std::vector<Copy>& copies) const;
 
-  // A lost joiner holds nothing that others do not: another takes its place where there is one. A
-  // complete backup that is lost or stalls has everything and stays, see DropSurplus.
+  // Replaces a lost joiner if another store is available, since it holds nothing that others do
+  // not. A complete backup that is lost or stalled stays, see DropSurplus.
   void ReplaceLostJoiners(std::size_t partition, std::vector<Copy>& copies);
 
   void AddMissing(std::size_t partition, std::vector<Copy>& copies);
@@ -111,26 +112,26 @@
 
   std::size_t CountWhole(std::size_t partition, const std::vector<Copy>& copies) const;
 
-  // A joiner that still catches up: it was added to take another's place, so nobody goes before it
-  // is whole, itself least of all.
+  // A joiner that is still catching up: it was added to replace another copy, so no copy is dropped
+  // before it is complete.
   bool HasUsableJoiner(std::size_t partition, const std::vector<Copy>& copies) const;
 
-  // Once enough copies are whole, those that are lost or stall go, and when no joiner is under way
-  // those that retire or are one too many. Not sooner: what is acknowledged lies on the complete
-  // copies alone, and a row without enough whole ones acknowledges nothing, named as they may be.
+  // Once enough copies are whole, drops lost and stalled ones and, unless a joiner is catching up,
+  // retiring and surplus ones. Not earlier: acknowledged data is on the complete copies alone, and
+  // a row without enough whole copies acknowledges nothing anyway.
   void DropSurplus(std::size_t partition, std::vector<Copy>& copies) const;
 
   std::size_t WorstCopy(std::size_t partition, const std::vector<Copy>& copies) const;
 
-  // Higher goes first: who retires, is lost, stalls, misses something, shares a zone with another
-  // copy, or has most; a backup before the primary.
+  // The highest is dropped first: retiring, lost, stalled, incomplete, in the zone of another copy,
+  // most loaded; a backup before the primary.
   std::tuple<bool, bool, bool, bool, bool, std::size_t, bool> DropRank(
       std::size_t partition, const std::vector<Copy>& copies, std::size_t index) const;
 
   // The copy whose store holds the most.
   std::size_t Heaviest(const std::vector<Copy>& copies) const;
 
-  // Who would take the place of the heaviest copy, in no zone of the others.
+  // The store that would replace the heaviest copy, in a zone without another copy.
   const StoreCandidate* MoveTarget(std::size_t partition, const std::vector<Copy>& copies) const;
 
   const std::vector<StoreCandidate>& stores_;
--- a/src/tier/cluster/redundancy.h
+++ b/src/tier/cluster/redundancy.h
@@ -1,11 +1,11 @@
-// How long something stood on fewer copies than the fault tolerance asks for: what lacks copies
-// now, and figures of all earlier times, for the control state and for partitions of batch jobs.
+// Records how long the control state and partitions of batch jobs had fewer copies than the fault
+// tolerance requires: open losses and statistics of ended ones.
 //
-// Pure: events with their time in, views folded out. It repairs nothing and decides nothing.
+// Pure: the time is an argument of each event. It only observes; it repairs nothing.
 //
-// Limits: one open loss a subject (the control state, kPartitions partitions); of the losses that
-// have ended the last kMostRememberedLosses of each kind give the medians, the older ones only the
-// counts and the worst.
+// Limits: one open loss per subject (the control state, kPartitions partitions). Medians are
+// computed from the last kMostRememberedLosses ended losses of each kind; earlier ones only
+// contribute to the counts and the worst duration.
 #ifndef SHELFLINK_TIER_CLUSTER_REDUNDANCY_H_
 #define SHELFLINK_TIER_CLUSTER_REDUNDANCY_H_
 
@@ -26,7 +26,7 @@
 
 enum class CopyKind : std::uint8_t { kControl, kBatch };
 
-// What has copies: the control state (`number` 0), or a partition.
+// Something that is replicated: the control state (`number` 0) or a partition.
 struct CopySubject {
   CopyKind kind = CopyKind::kControl;
   std::uint32_t number = 0;
@@ -34,21 +34,21 @@
       default;  // NOLINT(modernize-use-nullptr): its error.
 };
 
-// Something has fewer whole copies than it should have.
+// A subject with fewer whole copies than wanted.
 struct OpenLoss {
   CopySubject subject;
   std::size_t whole = 0;
   std::size_t wanted = 0;
   net::Span lasts{};
-  bool at_least = false;  // It may have begun before this process could see it.
+  bool at_least = false;  // It may have begun before this process could observe it.
   std::uint64_t bytes_copied = 0;
-  std::optional<std::uint64_t> bytes_left;  // At most; none: not known.
+  std::optional<std::uint64_t> bytes_left;  // Upper bound; none: unknown.
 };
 
-// Losses that have ended, by the bytes that were copied meanwhile.
+// Ended losses, by the bytes copied while they lasted.
 struct LossSizeClass {
-  std::optional<std::uint64_t> most_bytes;  // Of this class; none in the last one.
-  std::uint64_t losses = 0;                 // Of those that are remembered, as in the next.
+  std::optional<std::uint64_t> most_bytes;  // Of this class; none for the last one.
+  std::uint64_t losses = 0;                 // Remembered ones; likewise the next.
   net::Span median{};
   net::Span worst{};
 };
@@ -58,29 +58,30 @@
 struct LossHistory {
   std::uint64_t begun = 0;
   std::uint64_t ended = 0;      // Whole again.
-  std::uint64_t handed_on = 0;  // Whose end this process did not see: it was no primary any more.
-  net::Span median{};           // Of the remembered ones that ended.
-  net::Span worst{};            // Of all that ended.
+  std::uint64_t handed_on = 0;  // Still open when this process stopped being primary.
+  net::Span median{};           // Of the remembered ended ones.
+  net::Span worst{};            // Of all ended ones.
   std::uint64_t bytes_copied = 0;
-  std::vector<LossSizeClass> by_size;  // kLossSizes and one more; those without a loss left out.
+  std::vector<LossSizeClass>
+      by_size;  // By kLossSizes, and larger; classes without losses are omitted.
 };
 
 class RedundancyBook {
  public:
   struct Copies {
     CopySubject subject;
-    std::size_t whole = 0;  // That hold everything and are there.
+    std::size_t whole = 0;  // Complete and live.
     std::size_t wanted = 0;
-    net::Time missing_since{};  // When the first of the missing ones was last heard of.
-    bool at_least = false;      // That is not known: they are missing for longer.
+    net::Time missing_since{};  // When the first missing one was last heard from.
+    bool at_least = false;      // They may have been missing before that.
   };
 
-  // As of now; begins and ends losses.
+  // The current state; begins and ends losses.
   void Observe(net::Time now, const Copies& copies);
-  // Counted for a loss that is open; dropped otherwise.
+  // Added to the open loss of the subject, if any.
   void OnCopied(const CopySubject& subject, std::uint64_t bytes);
   void OnLeft(const CopySubject& subject, std::optional<std::uint64_t> bytes);
-  // No longer the primary: how the open ones go on is not seen here.
+  // This process is no longer primary: closes the open losses as handed on.
   void HandOn();
 
   bool IsOpen(const CopySubject& subject) const { return open_.contains(subject); }
--- a/src/tier/cluster/redundancy_watch.h
+++ b/src/tier/cluster/redundancy_watch.h
@@ -1,12 +1,12 @@
-// Folds what the core's primary knows of copies into the redundancy book: committed rows, renewals,
-// farewells and lost leases of stores, and how the members of its own group stand.
+// Feeds the redundancy book on the core's primary from committed rows, from renewals, departures
+// and expired leases of stores, and from the state of the members of its own group.
 //
-// Pure: the time comes with each event. Works while this process is the primary; rows are kept up
-// to date everywhere. What an earlier primary counted stays with that process: nothing of it is
-// handed on but what rows and leases tell anyhow.
+// Pure: the time is an argument of each event. Active while this process is primary; rows are
+// tracked everywhere. The statistics of an earlier primary stay with that process; only what rows
+// and leases imply carries over.
 //
 // Limits: kPartitions rows, one time for each of at most kMostDisksHeard disks, one counter for
-// each joiner that a row names.
+// each joiner in a row.
 #ifndef SHELFLINK_TIER_CLUSTER_REDUNDANCY_WATCH_H_
 #define SHELFLINK_TIER_CLUSTER_REDUNDANCY_WATCH_H_
 
@@ -29,11 +29,11 @@
 
 constexpr std::size_t kMostDisksHeard = 8192;
 
-// Of the partitions as the rows and leases have them.
+// Partition counts, according to rows and leases.
 struct PartitionFigures {
   std::size_t partitions = 0;
-  std::size_t wanted = 0;  // Copies of each.
-  std::size_t whole = 0;   // Partitions that have as many.
+  std::size_t wanted = 0;  // Copies of each partition.
+  std::size_t whole = 0;   // Partitions with that many whole copies.
 };
 
 class RedundancyWatch {
@@ -41,19 +41,19 @@
   // `wanted`: fault tolerance + 1.
   explicit RedundancyWatch(std::size_t wanted) : wanted_(wanted) {}
 
-  // This process leads from now on, or does so no more.
+  // This process becomes primary, or stops being primary.
   void Begin(net::Time now) { began_ = now; }
   void End();
 
-  // Committed, here or elsewhere.
+  // The committed rows.
   void OnRows(std::vector<PartitionRow> rows);
   // A renewal of a store.
   void OnStore(net::Time now, const StoreState& store);
-  // The primary of a partition tells that a joiner has caught up.
+  // The primary of a partition reports that a joiner has caught up.
   void OnReport(const BackupReport& report);
-  // `live`: disks of stores whose leases hold. Only once all stores have had time to speak.
+  // `live`: disks of stores with valid leases. Call only once all stores have had time to renew.
   void ObservePartitions(net::Time now, const std::set<std::string>& live);
-  // `map_bytes`: of the control state, asked for only while a copy of it is missing.
+  // `map_bytes` returns the size of the control state; called only while a copy of it is missing.
   template <typename MapBytes>
   void ObserveControl(net::Time now, const coordination::ReplicationStatus& copies,
                       MapBytes map_bytes) {
@@ -78,7 +78,7 @@
   net::Time began_{};
   std::vector<PartitionRow> rows_;
   std::map<std::string, net::Time> heard_at_;  // By disk, while this process leads.
-  // Copied to a joiner so far, as its primary told last.
+  // Bytes copied to a joiner, as last reported by its primary.
   std::map<std::pair<std::uint32_t, std::string>, std::uint64_t> copied_;
   std::uint64_t control_copied_ = 0;
   std::size_t whole_partitions_ = 0;
--- a/src/tier/cluster/relay_tree.h
+++ b/src/tier/cluster/relay_tree.h
@@ -1,11 +1,11 @@
-// The tree that parts of the view flow down: the core's primary tells one leader in each zone, and
-// each process passes them on to a bounded number of children in its zone, so that a change crosses
-// between zones once. Pure.
+// The tree that distributes the parts of the view: the core's primary sends them to one leader in
+// each zone, and each process forwards them to a bounded number of children in its zone, so that a
+// change crosses between zones once. Pure.
 //
-// Within a zone the members stand in a list, a heap of kRelayFanOut branches whose first element is
-// the leader: the depth is logarithmic. A member that goes is replaced by the last one, so that few
-// others get another parent. A member whose child found it silent goes to the end, where it has no
-// children. The tree is for speed; what it loses is repaired by the versions in each renewal.
+// The members of a zone form a heap with kRelayFanOut branches whose first element is the leader;
+// its depth is logarithmic. A removed member is replaced by the last one, so that few others get
+// another parent. A member that was silent for a child moves to the end, where it has no children.
+// The tree only makes distribution fast; lost pushes are repaired by the versions in each renewal.
 #ifndef SHELFLINK_TIER_CLUSTER_RELAY_TREE_H_
 #define SHELFLINK_TIER_CLUSTER_RELAY_TREE_H_
 
@@ -24,16 +24,17 @@
  public:
   void Add(const net::Address& member, const std::string& zone);
   void Remove(const net::Address& member);
-  // A child has not heard from it.
+  // A child got no answer from the member.
   void Distrust(const net::Address& member);
   void Clear();
 
   // None: the core's primary itself.
   std::optional<net::Address> ParentOf(const net::Address& member) const;
   std::vector<net::Address> ChildrenOf(const net::Address& member) const;
-  // The member has been told these children and passes pushes on to them from now on.
+  // The member has been assigned these children and forwards pushes to them from now on.
   void MarkTold(const net::Address& member, std::vector<net::Address> children);
-  // Whom the primary tells itself: the leaders, and those whose parent does not know them yet.
+  // Receivers of the primary's own pushes: the leaders, and members whose parent has not been
+  // assigned them yet.
   std::vector<net::Address> PushTargets() const;
 
  private:
--- a/src/tier/cluster/renewal_exchange.h
+++ b/src/tier/cluster/renewal_exchange.h
@@ -1,4 +1,4 @@
-// A renewal that was sent and answered, by the core's primary itself or over another sidecar.
+// A renewal that was sent and answered, directly by the core's primary or through another sidecar.
 #ifndef SHELFLINK_TIER_CLUSTER_RENEWAL_EXCHANGE_H_
 #define SHELFLINK_TIER_CLUSTER_RENEWAL_EXCHANGE_H_
 
@@ -11,9 +11,9 @@
 namespace shelflink::cluster {
 
 struct RenewalExchange {
-  net::Address peer;           // Whom it was sent to.
-  net::Time sent;              // Before its answer was made.
-  std::vector<UseCount> uses;  // That it carried.
+  net::Address peer;           // The receiver.
+  net::Time sent;              // Time of sending.
+  std::vector<UseCount> uses;  // Usage counts in the renewal.
 };
 
 }  // namespace shelflink::cluster
--- a/src/tier/cluster/retirement.h
+++ b/src/tier/cluster/retirement.h
@@ -1,5 +1,5 @@
-// Emptying a store on the operator's order, by what the replicated map holds: whether it may be
-// asked for, and how far it has come. Pure.
+// Retirement of a store on an operator's order, based on the replicated map: whether it is allowed,
+// and its progress. Pure.
 #ifndef SHELFLINK_TIER_CLUSTER_RETIREMENT_H_
 #define SHELFLINK_TIER_CLUSTER_RETIREMENT_H_
 
@@ -15,23 +15,23 @@
 
 namespace shelflink::cluster {
 
-// The stores as the primary knows them.
+// The stores known to the primary.
 struct KnownStores {
   std::vector<StoreCandidate> all;
-  bool may_be_more = false;  // It is so new that it may not have heard of every store yet.
+  bool may_be_more = false;  // The primary is too new to have heard from every store.
 };
 
 constexpr std::string_view kRefusedRetirements = "refused/retire/";  // Prefix of refusal records.
 
-// What the order to empty a store comes to. Accepted without writes: that has been ordered already.
-// Refused: kNotFound, there is no such store, or kConflict, too few others would be left for
-// `rules`; both may pass. Error kUnavailable: it may be refused, but that cannot be known yet.
+// Verdict and writes of an order to retire a store. Accepted without writes: it was ordered before.
+// Refused: kNotFound, there is no such store, or kConflict, too few others would remain for
+// `rules`; both may change. Error kUnavailable: it is not known yet whether it has to be refused.
 Result<coordination::JudgedPlan> PlanRetirement(const coordination::Contents& committed,
                                                 const operator_api::RetireOrder& order,
                                                 const KnownStores& stores,
                                                 const PlacementRules& rules);
 
-// kNotFound: nobody asked for it.
+// kNotFound: no retirement of the node was ordered.
 Result<operator_api::RetireState> RetirementState(const coordination::Contents& contents,
                                                   const std::string& node);
 
--- a/src/tier/cluster/row_copies.h
+++ b/src/tier/cluster/row_copies.h
@@ -11,7 +11,7 @@
 
 namespace shelflink::cluster {
 
-// One copy of a partition, as a row names it.
+// One copy of a partition in a row.
 struct Copy {
   net::Address address;
   std::string disk;
@@ -20,9 +20,9 @@
 
 // The first one is the primary, which is complete.
 std::vector<Copy> CopiesOf(const PartitionRow& row);
-// `copies` holds one at least.
+// `copies` must not be empty.
 PartitionRow RowOf(std::uint64_t epoch, const std::vector<Copy>& copies);
-// Whatever their epochs.
+// Whether both rows have the same copies; epochs are ignored.
 bool SameCopies(const PartitionRow& a, const PartitionRow& b);
 bool Contains(const std::vector<Copy>& copies, const std::string& disk);
 
--- a/src/tier/cluster/same_endpoints.h
+++ b/src/tier/cluster/same_endpoints.h
@@ -1,4 +1,4 @@
-// When two lists of endpoints are alike.
+// Comparison of two endpoint lists.
 #ifndef SHELFLINK_TIER_CLUSTER_SAME_ENDPOINTS_H_
 #define SHELFLINK_TIER_CLUSTER_SAME_ENDPOINTS_H_
 
@@ -8,8 +8,8 @@
 
 namespace shelflink::cluster {
 
-// Whether somebody who sends requests would act alike by both. What remains of the cold time
-// shrinks with each reading and is no change. Both sorted by id.
+// Whether both lists lead to the same routing decisions. The remaining cold time, which shrinks
+// with each reading, is ignored. Both lists must be sorted by id.
 bool SameEndpoints(const std::vector<EndpointEntry>& a, const std::vector<EndpointEntry>& b);
 
 }  // namespace shelflink::cluster
--- a/src/tier/cluster/scale_duty.h
+++ b/src/tier/cluster/scale_duty.h
@@ -1,5 +1,5 @@
-// Orders of endpoints to the platform, by the core's primary: one for each service with autoscale
-// and zone in which it runs, when the number changes.
+// Orders endpoints from the platform, on the core's primary: one order for each service with
+// autoscaling and each zone in which it runs, when the number changes.
 #ifndef SHELFLINK_TIER_CLUSTER_SCALE_DUTY_H_
 #define SHELFLINK_TIER_CLUSTER_SCALE_DUTY_H_
 
@@ -36,9 +36,9 @@
 
   void Start(std::uint64_t epoch);
   void Stop();
-  // The same holder goes on under a later epoch.
+  // Continues under a later epoch of the same primary.
   void SetFence(std::uint64_t epoch) { epoch_ = epoch; }
-  // `endpoints`: as the platform tells them now; none: no list yet, nothing is ordered.
+  // `endpoints`: the current list of the platform; none: nothing is ordered.
   void Tick(const configuration::Configuration* configuration,
             const std::optional<std::vector<EndpointEntry>>& endpoints);
 
@@ -57,7 +57,7 @@
   ScalePlanner planner_;
   bool running_ = false;
   std::uint64_t epoch_ = 0;
-  std::map<Subject, int> waiting_;  // The newest value of each.
+  std::map<Subject, int> waiting_;  // The newest desired number of each.
   bool ordering_ = false;
   net::Time next_order_{};
   net::Span pause_{};
--- a/src/tier/cluster/scale_planner.h
+++ b/src/tier/cluster/scale_planner.h
@@ -1,8 +1,8 @@
-// How many endpoints of a service to order in each zone. Pure: the load as the sidecars tell it and
-// the time go in, orders come out.
+// Computes the number of endpoints of a service to order in each zone from the load reported by the
+// sidecars. Pure.
 //
-// Rises at once, for a new endpoint serves only after its boot; falls slowly, one at a time, for a
-// load that comes back finds nothing. Until a load has been told, what stands is held.
+// The number rises at once, because a new endpoint has to boot first, and falls slowly, one at a
+// time, because the load may return. It is kept unchanged until a load has been reported.
 #ifndef SHELFLINK_TIER_CLUSTER_SCALE_PLANNER_H_
 #define SHELFLINK_TIER_CLUSTER_SCALE_PLANNER_H_
 
@@ -19,8 +19,8 @@
 namespace shelflink::cluster {
 
 struct ScaleTuning {
-  double target_fill = 0.5;                         // Of an endpoint's token memory.
-  net::Span fall_after = std::chrono::seconds(15);  // The load has asked for less for so long.
+  double target_fill = 0.5;                         // Share of an endpoint's token memory.
+  net::Span fall_after = std::chrono::seconds(15);  // Duration of a lower load before a step down.
   net::Span fall_step = std::chrono::seconds(5);    // Between two steps down in a zone.
 };
 
@@ -28,17 +28,17 @@
   bool known = false;
   std::uint64_t tokens_running = 0;
   std::uint64_t tokens_waiting = 0;
-  std::map<std::string, int> standing;  // Endpoints not draining, by zone in which it runs.
+  std::map<std::string, int> standing;  // Endpoints that are not draining, by zone.
 };
 
-// Endpoints that the load asks for in one of `zones` zones, within the service's bounds.
+// Endpoints required by the load in each of `zones` zones, within the service's bounds.
 int WantedInZone(const configuration::Service& service, const ScaleLoad& load, std::size_t zones,
                  const ScaleTuning& tuning);
 
 class ScalePlanner {
  public:
   explicit ScalePlanner(ScaleTuning tuning) : tuning_(tuning) {}
-  // The orders that differ from what was ordered before (by this planner; a new holder repeats).
+  // The orders that differ from this planner's earlier ones; a new primary repeats all of them.
   std::vector<platform::ScaleOrder> Plan(net::Time now, const configuration::Service& service,
                                          const ScaleLoad& load);
   void Clear() { zones_.clear(); }
@@ -47,7 +47,7 @@
   struct ZoneState {
     int desired = 0;
     bool ordered = false;
-    net::Time enough_since;  // Since when less would do.
+    net::Time enough_since;  // Since when fewer are sufficient.
     bool less_would_do = false;
     net::Time last_fall;
   };
--- a/src/tier/cluster/status_report.h
+++ b/src/tier/cluster/status_report.h
@@ -1,5 +1,5 @@
-// The answer to GET /status as a command reads it: typed, as text for an operator, and as an exit
-// status. Pure. What it does not know it ignores, so that a newer core may tell more.
+// The answer to GET /status as decoded by the status command, with its text for operators and its
+// exit status. Pure. Unknown fields are ignored, so that a newer core may send more.
 #ifndef SHELFLINK_TIER_CLUSTER_STATUS_REPORT_H_
 #define SHELFLINK_TIER_CLUSTER_STATUS_REPORT_H_
 
@@ -32,7 +32,7 @@
     std::uint64_t bytes_free = 0;
   };
   struct Partitions {
-    bool known = false;  // Whether they are whole.
+    bool known = false;  // Whether `whole` is known.
     std::uint64_t count = 0;
     std::uint64_t wanted = 0;
     std::uint64_t whole = 0;
@@ -62,11 +62,11 @@
     std::vector<SizeClass> by_size;
   };
 
-  std::string node;    // Who answered.
-  bool leads = false;  // It is the primary: only then stores, partitions and lacking are told.
+  std::string node;    // The sender of the answer.
+  bool leads = false;  // It is the primary; only then stores, partitions and lacking are filled in.
   std::uint64_t epoch = 0;
-  std::string primary;                          // Empty: not known.
-  std::optional<net::Address> primary_control;  // Where to ask it.
+  std::string primary;                          // Empty: unknown.
+  std::optional<net::Address> primary_control;  // Its operator listener.
   std::uint64_t wanted = 0;                     // Copies of the control state.
   std::vector<Member> members;
   std::vector<Store> stores;
@@ -77,7 +77,7 @@
   History batch;
 };
 
-// Findings name the place and what was expected.
+// Findings name the field and what was expected.
 BOOST_OUTCOME_V2_NAMESPACE::basic_result<StatusReport, Findings,
                                          BOOST_OUTCOME_V2_NAMESPACE::policy::all_narrow>
 ReadStatusReport(std::string_view json);
--- a/src/tier/cluster/usage_duty.h
+++ b/src/tier/cluster/usage_duty.h
@@ -1,11 +1,10 @@
-// Reports of use to the platform, one for each window of true time, by the core's primary.
+// Usage reports to the platform, one for each window of true time, sent by the core's primary.
 //
 // The counts of a window are committed to the replicated map before the first call, and every call
-// for the window, also a repeated one by the next holder, sends exactly those: a window is never
-// reported with two counts. A window is committed when every sidecar heard of has counted it to its
-// end, or when 0.7 of the time it may be late has passed. A primary does not know at first whom it
-// has not heard yet (sidecars on the other side of a cut); until it has led for as long as a window
-// may be late, it takes that time.
+// for the window, including repetitions by a later primary, sends exactly these: a window is never
+// reported with two counts. A window is committed when every known sidecar has finished counting
+// it, or when 0.7 of the permitted delay has passed. A new primary does not know all sidecars (some
+// may be partitioned); until it has led for the permitted delay, it always waits that long.
 #ifndef SHELFLINK_TIER_CLUSTER_USAGE_DUTY_H_
 #define SHELFLINK_TIER_CLUSTER_USAGE_DUTY_H_
 
@@ -40,15 +39,15 @@
 
   void Start(std::uint64_t epoch);
   void Stop();
-  // The same holder goes on under a later epoch.
+  // Continues under a later epoch of the same primary.
   void SetFence(std::uint64_t epoch) { epoch_ = epoch; }
-  // A sidecar has told its counts; all windows before `window_open` to their end.
+  // A sidecar has reported its counts; those of windows before `window_open` are final.
   void Hear(const net::Address& sidecar, std::uint64_t window_open) {
     progress_.Hear(parts_.loop.Now(), sidecar, window_open);
   }
-  // It has said farewell.
+  // The sidecar has left.
   void Forget(const net::Address& sidecar) { progress_.Forget(sidecar); }
-  // Does what is due; called a few times a second.
+  // Commits and reports what is due; to be called a few times a second.
   void Tick();
 
  private:
@@ -68,7 +67,7 @@
   std::string node_;
   std::int64_t span_micros_;
   std::int64_t late_micros_;
-  net::Span hearing_;  // After so long clocks have been heard.
+  net::Span hearing_;  // Time after which the members' clocks are known.
   CountingProgress progress_;
 
   bool running_ = false;
@@ -76,8 +75,8 @@
   net::Time started_{};
   bool committing_ = false;
   bool reporting_ = false;
-  std::uint64_t first_window_ = 0;     // Where none has been committed: the first to report.
-  std::uint64_t reported_before_ = 0;  // The platform has all windows below that are committed.
+  std::uint64_t first_window_ = 0;     // The first window to report, if none is committed.
+  std::uint64_t reported_before_ = 0;  // All committed windows below are reported.
   net::Time next_report_{};
   net::Span pause_{};
   std::shared_ptr<char> run_;
--- a/src/tier/cluster/usage_ledger.h
+++ b/src/tier/cluster/usage_ledger.h
@@ -1,8 +1,9 @@
-// Requests that began to run, by window of true time and tenant: what every sidecar counted, merged
-// at the core's primary until a window is complete. Pure.
+// Requests that began to run, by window of true time and tenant: the counts of all sidecars, merged
+// on the core's primary until a window is complete. Pure.
 //
-// A sidecar's counts are cumulative for each window of one life, so repeated and overtaken messages
-// change nothing. Limits: kMostOpenWindows windows; counts of older ones are dropped and counted.
+// Counts are cumulative for each window and incarnation of a sidecar, so repeated and reordered
+// messages have no effect. Limits: kMostOpenWindows windows; counts of older ones are dropped, and
+// the drops are counted.
 #ifndef SHELFLINK_TIER_CLUSTER_USAGE_LEDGER_H_
 #define SHELFLINK_TIER_CLUSTER_USAGE_LEDGER_H_
 
@@ -21,7 +22,7 @@
 
 constexpr std::size_t kMostOpenWindows = 64;
 
-// Of one window, by tenant.
+// Counts of one window by tenant.
 using UsageCounts = std::map<std::string, std::uint64_t>;
 
 std::string EncodeUsage(const UsageCounts& counts);
@@ -31,9 +32,9 @@
  public:
   void Hear(const net::Address& member, std::uint64_t incarnation,
             const std::vector<UseCount>& uses);
-  // Sum over all lives heard of; empty where nobody counted anything.
+  // Sum over all known incarnations; empty if nothing was counted.
   UsageCounts Total(std::uint64_t window) const;
-  // The window is reported or given up, with all before it.
+  // The window and all before it are reported or given up.
   void Settle(std::uint64_t window);
   std::uint64_t settled_before() const { return settled_before_; }
   std::uint64_t dropped() const { return dropped_; }
--- a/src/tier/cluster/view.h
+++ b/src/tier/cluster/view.h
@@ -1,5 +1,6 @@
-// What every process of the tier knows of the tier, in parts with a version each. The core's
-// primary makes them; the relay tree carries them; a process never takes a lower version of a part.
+// The view of the cluster that every process holds, in parts with one version each. The core's
+// primary creates the parts and the relay tree distributes them. A process never replaces a part by
+// one with a lower version.
 #ifndef SHELFLINK_TIER_CLUSTER_VIEW_H_
 #define SHELFLINK_TIER_CLUSTER_VIEW_H_
 
@@ -14,7 +15,8 @@
 
 namespace shelflink::cluster {
 
-// Versions rise over changes of primary too: the epoch of the primary that made it, then its count.
+// Increases across changes of the primary: the epoch of the primary that created the part, then a
+// count within that epoch.
 struct Version {
   std::uint64_t epoch = 0;
   std::uint64_t count = 0;
@@ -22,7 +24,7 @@
 };
 
 struct EndpointEntry {
-  std::string id;  // Of this incarnation.
+  std::string id;  // Differs between incarnations.
   std::string service;
   net::Address address;
   std::string zone;
@@ -35,15 +37,15 @@
   std::vector<EndpointEntry> entries;
 };
 
-// Batch jobs lie in partitions by the hash of their tenant (batch/partition.h).
+// Batch jobs are assigned to partitions by the hash of their tenant (batch/partition.h).
 struct PartitionRow {
   std::uint64_t epoch =
-      0;  // Rises with every change of the row; fences what an older primary does.
+      0;  // Increases with every change of the row; the fencing token of its primary.
   net::Address primary;
-  std::string primary_disk;           // Identity of the disk, drawn when it was empty.
-  std::vector<net::Address> backups;  // Every write is synced by each of them too.
+  std::string primary_disk;           // Random identity, assigned when the disk was empty.
+  std::vector<net::Address> backups;  // Each of them syncs every write.
   std::vector<std::string> backup_disks;
-  std::vector<bool> complete;  // Of each backup: whether it has all, and may follow.
+  std::vector<bool> complete;  // Per backup: it holds everything and may become primary.
 };
 struct Placement {
   Version version;
@@ -63,7 +65,7 @@
 };
 
 struct View {
-  std::shared_ptr<const configuration::Configuration> configuration;  // Null: none yet.
+  std::shared_ptr<const configuration::Configuration> configuration;  // Null: none received yet.
   std::shared_ptr<const EndpointList> endpoints;
   std::shared_ptr<const Placement> placement;
   std::shared_ptr<const Members> members;
--- a/src/tier/cluster/view_publisher.h
+++ b/src/tier/cluster/view_publisher.h
@@ -1,5 +1,5 @@
-// The newest parts of the view at a core process: pushes them into the relay tree and answers
-// whoever asks for one.
+// Publishes the newest parts of the view from a core process: pushes them into the relay tree and
+// answers fetches.
 #ifndef SHELFLINK_TIER_CLUSTER_VIEW_PUBLISHER_H_
 #define SHELFLINK_TIER_CLUSTER_VIEW_PUBLISHER_H_
 
@@ -15,20 +15,20 @@
 
 class ViewPublisher {
  public:
-  // Bytes that wait to leave this process, beyond which large answers are put off.
+  // Bytes queued for sending beyond which large answers are refused.
   static constexpr std::size_t kMostWaiting = 4U << 20;
   static constexpr std::size_t kLargeAnswer = 16U << 10;
 
   explicit ViewPublisher(transport::Hub& hub) : hub_(hub) {}
 
-  // Of no effect unless it is newer than what stands.
+  // No effect unless it is newer than the published version.
   void Publish(const Push& push, const std::vector<net::Address>& targets);
-  // The same of a configuration, of which only what has changed goes out: how many bytes to each
-  // target.
+  // The same for a configuration, of which only the changes are sent. Returns the bytes sent to
+  // each target.
   std::size_t Publish(const ConfigurationHistory::Pointer& configuration,
                       const std::vector<net::Address>& targets);
   const PartVersions& versions() const { return versions_; }
-  // kNotFound where that version is not here, kExhausted where too much waits to leave already.
+  // kNotFound: that version is not held here; kExhausted: too much is queued for sending.
   Result<std::string> Answer(std::string_view fetch) const;
 
  private:
@@ -37,7 +37,7 @@
   transport::Hub& hub_;
   PartVersions versions_;
   ConfigurationHistory configuration_;
-  std::string encoded_[kParts];  // As they go out; of all parts but the configuration.
+  std::string encoded_[kParts];  // Encoded pushes; of all parts but the configuration.
 };
 
 }  // namespace shelflink::cluster
--- a/src/tier/cluster/view_relay.h
+++ b/src/tier/cluster/view_relay.h
@@ -1,6 +1,7 @@
-// A process's place in the relay tree: takes the parts of the view from its parent or the core,
-// passes them on to its children, answers who asks for one, and asks for what a push has not
-// brought. Trees are for speed; the versions in each renewal's answer make certain.
+// The node of the relay tree in one process: receives the parts of the view from its parent or the
+// core, forwards them to its children, answers fetches, and fetches parts that no push has
+// delivered. The tree only makes distribution fast. The versions in each renewal's answer make it
+// reliable.
 #ifndef SHELFLINK_TIER_CLUSTER_VIEW_RELAY_H_
 #define SHELFLINK_TIER_CLUSTER_VIEW_RELAY_H_
 
@@ -28,13 +29,13 @@
   static constexpr std::size_t kMostAskers = 64;
 
   struct User {
-    // The view has taken a newer one of that part, and the children have been sent it.
+    // A newer version of that part is stored in the view and has been sent to the children.
     std::function<void(Part part)> taken;
-    // The parent did not answer: the core should be told, and name another.
+    // The parent did not answer; the core should be asked for another parent.
     std::function<void()> parent_silent;
   };
 
-  // Takes kPushKind and answers kFetchKind from now on. All of them outlive it.
+  // Handles kPushKind and kFetchKind from now on. The arguments must outlive this object.
   ViewRelay(net::Loop& loop, transport::Hub& hub, const CoreFinder& finder, User user);
   ViewRelay(const ViewRelay&) = delete;
   ViewRelay& operator=(const ViewRelay&) = delete;
@@ -43,22 +44,25 @@
   const PartVersions& versions() const { return store_.versions(); }
   const std::optional<net::Address>& parent() const { return parent_; }
   bool parent_silent() const { return parent_silent_; }
-  // The primary has told of a newer one.
+  // The primary has announced a newer version.
   bool IsStale(Part part) const { return store_.versions()[part] < newest_[part]; }
 
-  // As the primary tells: without a parent this process hears the core itself.
+  // Position in the tree, as assigned by the primary. Without a parent this process receives from
+  // the core itself.
   void SetPlace(const std::optional<net::Address>& parent, std::vector<net::Address> children);
-  // The primary names its newest versions: what does not come by itself is asked for.
+  // The primary has announced its newest versions; parts that are not delivered in time are
+  // fetched.
   void Repair(const PartVersions& newest);
-  // The same, of another sidecar that has served a detour, at once.
+  // The same for versions that another sidecar forwarded (Detours); they are fetched from it at
+  // once.
   void RepairFrom(const net::Address& peer, const PartVersions& newest);
 
  private:
   using Fetched = std::function<void(const Result<std::string>& body)>;
   struct FetchState {
-    std::optional<net::Address> source;  // None: nothing is under way.
-    std::uint64_t number = 0;            // Of the fetches so far.
-    bool asked_again = false;            // While it was under way.
+    std::optional<net::Address> source;  // None: no fetch is in flight.
+    std::uint64_t number = 0;            // Fetches so far.
+    bool asked_again = false;            // Requested again while one was in flight.
     net::TimerPtr timer;
     Fetched after;
   };
@@ -91,12 +95,13 @@
   std::optional<net::Address> parent_;
   bool parent_silent_ = false;
   std::vector<net::Address> children_;
-  PartVersions newest_;        // As the primary told last.
-  PartVersions named_before_;  // The same, by the renewal before.
-  Version had_at_renewal_;     // Of the configuration, at the newest renewal;
-  bool moved_ = false;         // whether it was newer than at the one before.
+  PartVersions newest_;        // Announced by the primary last.
+  PartVersions named_before_;  // Announced by the answer to the renewal before.
+  Version had_at_renewal_;     // Version of the configuration held at the last renewal;
+  bool moved_ = false;         // whether it was newer than at the renewal before.
   FetchState fetches_[kParts];
-  // Who asked for what was not here, told once it is; kMostAskers at most, the others ask again.
+  // Processes that fetched a version that is not held here yet; they are notified once it is. At
+  // most kMostAskers, all others have to fetch again.
   std::set<net::Address> askers_[kParts];
   std::uint64_t pushes_refused_ = 0;
   std::shared_ptr<char> life_ = std::make_shared<char>();
--- a/src/tier/cluster/view_store.h
+++ b/src/tier/cluster/view_store.h
@@ -1,5 +1,5 @@
-// The view as one process holds it, with the bodies it came in, so that it can be passed on. Takes
-// a part only in a version above the one it has.
+// The view that one process holds, with the encoded bodies, so that they can be forwarded. A part
+// is replaced only by a higher version.
 #ifndef SHELFLINK_TIER_CLUSTER_VIEW_STORE_H_
 #define SHELFLINK_TIER_CLUSTER_VIEW_STORE_H_
 
@@ -14,15 +14,16 @@
 
 class ViewStore {
  public:
-  // Whether it was newer and has been taken; kInvalid where its body cannot be read, kConflict
-  // where it leads on from a configuration that is not here.
+  // Returns whether the part was newer and has been stored. kInvalid: its body cannot be decoded;
+  // kConflict: it is a change of a configuration that is not held here.
   Result<bool> Take(const Push& push);
   const View& view() const { return view_; }
   const PartVersions& versions() const { return versions_; }
   bool Has(Part part) const { return versions_[part] != Version(); }
-  // For who has that version; of all parts but the configuration as it came.
+  // A push for a receiver that holds version `have`. All parts but the configuration are sent as
+  // they were received.
   Push PushOf(Part part, const Version& have) const;
-  // What is passed on down the relay tree by who had that version until now.
+  // The push to forward down the relay tree after this process held version `before`.
   Push UpdateOf(Part part, const Version& before) const;
 
  private:
@@ -35,7 +36,7 @@
   View view_;
   PartVersions versions_;
   ConfigurationHistory configuration_;
-  std::string bodies_[kParts];  // Of all parts but the configuration.
+  std::string bodies_[kParts];  // Encoded; of all parts but the configuration.
 };
 
 }  // namespace shelflink::cluster
