Coordination: a step of a catch-up reads a bounded part of the map

Cause: SplitDigests hashed the whole map twice in one step of the primary's thread, the first time for nothing but the number of keys, for each session that a learner began; a learner gave its session up after a second of silence and began another. RangeRepair::OnDigests hashed all of the learner's map likewise.

Change: digests stand for adjacent ranges of 64 KB and cover 1 MB a step; the rest of a range is sent as not computed and asked for later. A learner reads no more of a range than the primary's digest stands for, replaces 1 MB a step, and asks for contents at once where it holds nothing. What is left to copy is added up by 1 MB a request and told once known.

Tests: catch_up_bounds_test holds every step of both sides to 60 visited keys of 4,000 (4,017 and 5,333 without the bound), six mutants. the_map_reported_after_catch_up_is_consistent gets digests of 64 bytes, so that ranges are still read at different positions (its mutant passed otherwise). The mutant that never syncs copies is found by a test of the syncs themselves: reads between the copies now make the storage sync before its space runs out.

--- a/src/tier/batch/replica_host.cpp
+++ b/src/tier/batch/replica_host.cpp
@@ -233,7 +233,8 @@
   std::vector<cluster::CopyUnderWay> copies;
   for (const auto& [partition, hosted] : hosted_) {
     for (const coordination::LearnerProgress& learner : hosted->Learners()) {
-      copies.push_back({partition, learner.disk, learner.bytes_copied, learner.bytes_left});
+      if (!learner.bytes_left) continue;
+      copies.push_back({partition, learner.disk, learner.bytes_copied, *learner.bytes_left});
     }
   }
   return copies;
--- a/src/tier/coordination/member_peers.cpp
+++ b/src/tier/coordination/member_peers.cpp
@@ -91,8 +91,9 @@
   }
   copies.bytes_copied = replica_.copied_bytes();
   for (const LearnerProgress& learner : replica_.learners()) {
+    if (!learner.bytes_left) continue;
     copies.bytes_left =
-        std::min(copies.bytes_left.value_or(learner.bytes_left), learner.bytes_left);
+        std::min(copies.bytes_left.value_or(*learner.bytes_left), *learner.bytes_left);
   }
   return copies;
 }
--- a/src/tier/coordination/messages.cpp
+++ b/src/tier/coordination/messages.cpp
@@ -93,17 +93,18 @@
 }
 
 void WriteDigest(Writer& out, const RangeDigest& digest) {
-  out.Array(4);
+  out.Array(5);
   WriteRange(out, digest.range);
-  out.Uint(digest.digest).Uint(digest.keys).Uint(digest.bytes);
+  out.Uint(digest.digest).Uint(digest.keys).Uint(digest.bytes).Bool(digest.computed);
 }
 RangeDigest ReadDigest(Reader& in) {
-  ExpectArray(in, 4);
+  ExpectArray(in, 5);
   RangeDigest digest;
   digest.range = ReadRange(in);
   digest.digest = in.Uint();
   digest.keys = in.Uint();
   digest.bytes = in.Uint();
+  digest.computed = in.Bool();
   return digest;
 }
 
--- a/src/tier/coordination/messages.h
+++ b/src/tier/coordination/messages.h
@@ -103,11 +103,14 @@
   std::string from;
   std::string until;
 };
+// Of the items of a range. Not `computed`: the range has not been read yet, and `digest`, `keys`
+// and `bytes` mean nothing; its digests have to be requested.
 struct RangeDigest {
   KeyRange range;
   std::uint64_t digest = 0;
   std::uint64_t keys = 0;
   std::uint64_t bytes = 0;
+  bool computed = true;
 };
 struct RangeContents {
   KeyRange range;  // `items` are all keys of this range.
--- a/src/tier/coordination/replica.h
+++ b/src/tier/coordination/replica.h
@@ -43,7 +43,8 @@
 struct LearnerProgress {
   std::string disk;
   std::uint64_t bytes_copied = 0;  // Of contents that were sent, in its present session.
-  std::uint64_t bytes_left = 0;    // At most: what is equal already is not sent.
+  // At most: what is equal already is not sent. None: the size of the map is not known yet.
+  std::optional<std::uint64_t> bytes_left;
 };
 
 // What a step of the replica brings about; the owner carries it out in this order.
@@ -71,6 +72,11 @@
     std::size_t most_message_bytes = 1U << 20;  // Of entries.
     // Of range contents in one answer: what lies on a narrow link delays acknowledgements there.
     std::size_t most_copied_bytes = 128U << 10;
+    // What else one step of a catch-up reads of the map: ranges whose digests are computed, bytes
+    // that are counted, and bytes of a learner that are replaced.
+    DigestLimits digests = {};
+    std::size_t most_counted_bytes = 1U << 20;
+    std::size_t most_replaced_bytes = 1U << 20;
     // A learner makes durable what it has copied after so much. Only then does a storage use the
     // room of what was replaced again.
     std::size_t copied_bytes_a_sync = 1U << 20;
@@ -169,7 +175,7 @@
     std::uint64_t tried_from = 0;  // Where a mismatch was last resent from.
     std::uint64_t session = 0;     // Of a learner; 0: a replica.
     bool joined = false;
-    std::uint64_t map_bytes = 0;                // Of a learner: when its present session began.
+    SizeCount map_size;                         // Of a learner: since its present session began.
     std::uint64_t copied_bytes = 0;             // Of contents, sent in that session.
     std::optional<net::Time> waited_for_until;  // Commits wait for this learner until then.
   };
@@ -209,6 +215,7 @@
   void AdvanceCommitted(Step& step, ReplicaOutput& out);
   net::Span ResendPause(const Follower& follower) const;
   void WaitForLearner(const Step& step, Follower& follower) const;
+  static std::optional<std::uint64_t> BytesLeft(const Follower& learner);
 
   void On(Step& step, ReplicaOutput& out, const std::string& from, const Append& message);
   void On(Step& step, ReplicaOutput& out, const std::string& from, const AppendReply& message);
@@ -220,7 +227,7 @@
   void Reply(ReplicaOutput& out, AppendReply reply);
   void StartSession(Step& step, ReplicaOutput& out);
   void TakeStart(Step& step, const CatchUpReply& message);
-  void TakeContents(Step& step, const RangeContents& contents);
+  void TakeContents(Step& step, RangeContents contents);
   void BeMorePatient();
   void AskOn(Step& step, ReplicaOutput& out);
   void FinishIfWhole(Step& step, ReplicaOutput& out);
--- a/src/tier/coordination/replica_learner.cpp
+++ b/src/tier/coordination/replica_learner.cpp
@@ -88,8 +88,9 @@
   session_->repair.OnDigests(StoredMap(step.storage), message.digests);
 }
 
-void Replica::TakeContents(Step& step, const RangeContents& contents) {
+void Replica::TakeContents(Step& step, RangeContents contents) {
   const KeyRange asked = session_->repair.first_pending();
+  LimitStoredBytes(StoredMap(step.storage), options_.most_replaced_bytes, contents);
   storage::Batch batch;
   ReplaceRange(StoredMap(step.storage), MapKey(""), contents, batch);
   if (!batch.empty()) step.storage.Apply(batch);
--- a/src/tier/coordination/replica_primary.cpp
+++ b/src/tier/coordination/replica_primary.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr std::size_t kDigestParts = 16;
-constexpr std::size_t kMostRangesAnswered = 4;
 constexpr int kMostResendDoublings = 3;
 constexpr int kJoinWaitsApart = 4;  // Waits for a learner begin so many of their length apart.
 
@@ -68,13 +66,18 @@
   std::vector<LearnerProgress> learners;
   for (const auto& [disk, follower] : followers_) {
     if (follower.session == 0) continue;
-    const std::uint64_t sent = std::min(follower.copied_bytes, follower.map_bytes);
-    const std::uint64_t left = follower.joined ? 0 : follower.map_bytes - sent;
-    learners.push_back({disk, follower.copied_bytes, left});
+    learners.push_back({disk, follower.copied_bytes, BytesLeft(follower)});
   }
   return learners;
 }
 
+std::optional<std::uint64_t> Replica::BytesLeft(const Follower& learner) {
+  if (learner.joined) return 0;
+  const std::optional<std::uint64_t> total = learner.map_size.total();
+  if (!total) return std::nullopt;
+  return *total - std::min(learner.copied_bytes, *total);
+}
+
 void Replica::TellAgain(const std::string& disk) {
   const auto found = followers_.find(disk);
   if (found == followers_.end()) return;
@@ -203,22 +206,23 @@
     follower.session = message.session;
     follower.next = applied_.sequence + 1;
     reply.start = true;
-    reply.digests = SplitDigests(map, {}, kDigestParts);
-    for (const RangeDigest& digest : reply.digests) follower.map_bytes += digest.bytes;
+    reply.digests = SplitDigests(map, {}, options_.digests);
+    follower.map_size.Advance(map, options_.most_counted_bytes);
     Send(out, from, std::move(reply));
     SendEntries(step, out, from, follower);
     return;
   }
   const auto found = followers_.find(from);
   if (found == followers_.end() || found->second.session != message.session) return;
-  for (std::size_t i = 0; i < std::min(message.digests.size(), kMostRangesAnswered); ++i) {
-    const auto digests = SplitDigests(map, message.digests[i], kDigestParts);
-    reply.digests.insert(reply.digests.end(), digests.begin(), digests.end());
+  Follower& learner = found->second;
+  learner.map_size.Advance(map, options_.most_counted_bytes);
+  if (!message.digests.empty()) {
+    reply.digests = SplitDigests(map, message.digests.front(), options_.digests);
   }
   if (!message.contents.empty()) {
     reply.contents.push_back(ContentsOf(map, message.contents.front(), options_.most_copied_bytes));
     const std::uint64_t bytes = SizeOf(reply.contents.back());
-    found->second.copied_bytes += bytes;
+    learner.copied_bytes += bytes;
     copied_bytes_ += bytes;
   }
   Send(out, from, std::move(reply));
--- a/tests/tier/coordination/catch_up_mutants.cmake
+++ b/tests/tier/coordination/catch_up_mutants.cmake
@@ -1,6 +1,6 @@
 # One test per mutant: the replica with one text replaced, run with one case of a test program, which
 # must then fail. The text must occur exactly once in its file.
-foreach(cases catch_up replica)
+foreach(cases catch_up catch_up_bounds replica)
   add_library(tier_${cases}_cases OBJECT ${cases}_test.cpp)
   target_compile_definitions(tier_${cases}_cases PRIVATE BOOST_TEST_DYN_LINK)
   target_include_directories(tier_${cases}_cases PRIVATE ${PROJECT_SOURCE_DIR}/tests/tier
@@ -21,7 +21,8 @@
   set_tests_properties(tier.mutant_${name} PROPERTIES WILL_FAIL TRUE)
 endfunction()
 
-replica_mutant(copied_bytes_are_never_synced replica_learner.cpp catch_up space_of_old_state_is_reused_for_its_replacement
+replica_mutant(copied_bytes_are_never_synced replica_learner.cpp catch_up_bounds
+  a_learner_syncs_what_it_has_copied_from_time_to_time
   [=[session_->unsynced_bytes >= options_.copied_bytes_a_sync]=] [=[false]=])
 replica_mutant(commits_never_wait_for_a_learner replica_primary.cpp catch_up
   catch_up_ends_under_continuous_writes
@@ -54,3 +55,24 @@
   the_map_reported_after_catch_up_is_consistent
   [=[  if (applied_.sequence < session_->newest.sequence) return;
 ]=] "")
+replica_mutant(all_of_a_map_is_digested_in_one_step catch_up.cpp catch_up_bounds
+  a_learner_that_has_all_compares_a_large_map_in_bounded_steps
+  [=[const bool computed = bytes < limits.step_bytes;]=] [=[const bool computed = true;]=])
+replica_mutant(all_of_a_map_is_counted_in_one_step catch_up.cpp catch_up_bounds
+  an_empty_learner_copies_a_large_map_in_bounded_steps
+  [=[if (bytes_ >= enough) {]=] [=[if (false) {]=])
+replica_mutant(a_learner_digests_more_than_the_primary_has catch_up.cpp catch_up_bounds
+  a_learner_removes_much_that_the_primary_lacks_in_bounded_steps
+  [=[return stored.keys <= digest.keys && stored.bytes <= digest.bytes;]=] [=[return true;]=])
+replica_mutant(a_learner_replaces_all_in_one_step replica_learner.cpp catch_up_bounds
+  a_learner_removes_much_that_the_primary_lacks_in_bounded_steps
+  [=[  LimitStoredBytes(StoredMap(step.storage), options_.most_replaced_bytes, contents);
+]=] "")
+replica_mutant(the_rest_of_a_range_is_forgotten catch_up.cpp catch_up_bounds
+  one_key_that_differs_is_found_in_a_large_map
+  [=[    pending_.push_front({digest->range, digest->computed || map.IsEmpty(digest->range)});
+]=] [=[    if (digest->computed) pending_.push_front({digest->range, true});
+]=])
+replica_mutant(what_was_not_read_counts_as_different catch_up.cpp catch_up_bounds
+  a_learner_that_has_all_compares_a_large_map_in_bounded_steps
+  [=[digest->computed || map.IsEmpty(digest->range)]=] [=[true]=])
--- a/tests/tier/coordination/catch_up_test.cpp
+++ b/tests/tier/coordination/catch_up_test.cpp
@@ -317,7 +317,8 @@
 BOOST_AUTO_TEST_CASE(the_map_reported_after_catch_up_is_consistent) {
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     shelflab::Random random(seed);
-    ReplicaSite site({"a", "b", "c"});
+    constexpr DigestLimits kManyRanges{64, 256};
+    ReplicaSite site({"a", "b", "c"}, {}, nullptr, kManyRanges);
     site.checks_maps = true;  // Throws if a reported map is not that of its position.
     Changes changes(seed, 2000);
     RunChanges(site, changes, 50);
--- a/tests/tier/coordination/learner_file_test.cpp
+++ b/tests/tier/coordination/learner_file_test.cpp
@@ -49,7 +49,7 @@
     reply.epoch = 1;
     reply.session = request.session;
     reply.start = true;
-    reply.digests = SplitDigests(PrefixView(disk, "none/"), {}, 16);
+    reply.digests = SplitDigests(PrefixView(disk, "none/"), {}, {});
     run([&](Step& step) { replica.OnMessage(step, out, "a", reply); });
     BOOST_REQUIRE(replica.complete());
     Position last;
--- a/tests/tier/coordination/messages_test.cpp
+++ b/tests/tier/coordination/messages_test.cpp
@@ -34,7 +34,12 @@
           Append{7, {7, 8}, {entry, entry}, 8},
           AppendReply{7, true, 9, 3, 11},
           CatchUpRequest{7, 11, true, {range}, {range, range}},
-          CatchUpReply{7, 11, false, {7, 9}, {{range, 1, 2, 3}}, {{range, {{"key", "value"}}}}}};
+          CatchUpReply{7,
+                       11,
+                       false,
+                       {7, 9},
+                       {{range, 1, 2, 3}, {range, 0, 0, 0, false}},
+                       {{range, {{"key", "value"}}}}}};
 }
 
 BOOST_AUTO_TEST_CASE(every_message_survives_encoding_and_decoding) {
--- a/tests/tier/coordination/replica_site.cpp
+++ b/tests/tier/coordination/replica_site.cpp
@@ -42,8 +42,9 @@
   std::string name_;
 };
 
-ReplicaSite::ReplicaSite(const std::vector<std::string>& names, SiteSpeeds speeds, OpenStorage open)
-    : speeds_(speeds), open_storage_(std::move(open)) {
+ReplicaSite::ReplicaSite(const std::vector<std::string>& names, SiteSpeeds speeds, OpenStorage open,
+                         DigestLimits digests)
+    : speeds_(speeds), open_storage_(std::move(open)), digests_(digests) {
   for (const std::string& name : names) {
     Start(name);
     RunStep(name, [&](Step& step, ReplicaOutput&) { ReplicaOf(name).Found(step); });
@@ -67,6 +68,7 @@
   Replica::Options options;
   options.disk = name;
   options.prefix = "p/";
+  options.digests = digests_;
   node.replica.emplace(options, *node.storage);
   if (assignment_.epoch == 0) return;
   RunStep(name, [&](Step& step, ReplicaOutput& out) {
--- a/tests/tier/coordination/replica_site.h
+++ b/tests/tier/coordination/replica_site.h
@@ -63,7 +63,7 @@
   // `names`: the founding replicas; the first one is the primary. Without `open` the disks are
   // crash disks.
   explicit ReplicaSite(const std::vector<std::string>& names, SiteSpeeds speeds = {},
-                       OpenStorage open = nullptr);
+                       OpenStorage open = nullptr, DigestLimits digests = {});
   ~ReplicaSite();
   ReplicaSite(const ReplicaSite&) = delete;
   ReplicaSite& operator=(const ReplicaSite&) = delete;
@@ -116,6 +116,7 @@
   Assignment assignment_;
   SiteSpeeds speeds_;
   OpenStorage open_storage_;
+  DigestLimits digests_;
   net::Time now_{std::chrono::seconds(100)};
   std::multimap<net::Time, std::function<void()>> events_;
   std::map<std::string, Node> nodes_;
