--- a/tests/tier/coordination/catch_up_bounds_test.cpp
+++ b/tests/tier/coordination/catch_up_bounds_test.cpp
@@ -285,6 +285,7 @@
     bytes = 0;
   }
   if (!batch.empty()) site.disk->Apply(batch);
+  BOOST_REQUIRE(!site.disk->failed());
 }
 
 void CarryFile(FileSite& from, const std::string& name, FileSite& to) {
