Tests: what the new tests of catch-up and of the soak's judge wrote twice stands once

Read again: catch_up_bounds_test assigned both replicas in three places, made its keys in two and had two cases with one set-up; judge_test spelt out the answer's time of each read; the soak's two lists of lines by time were joined by the same line twice.

Begin() and KeyOf() serve all of that test, the case that syncs is the one that replaces (its assertion moved, its mutant with it), read_back() stands beside order(), text_in_order() serves both files of a seed. The table's last column is called as in docs/measured/catch-up.md. No product code; each assertion stays.

--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -34,6 +34,11 @@
     return ConfigurationOrder(tag, base, version, 1.0, state, 2.0)
 
 
+def read_back(sent: float, version: int, tag: str) -> ConfigurationRead:
+    """A read that is answered after 0.1 s."""
+    return ConfigurationRead(sent, version, tag, sent + 0.1)
+
+
 def served(history: History, kind: RequestKind = RequestKind.ONCE,
            target: str = "/post/1") -> tuple[LiveRequest, EndpointRun]:
     """Adds a request with one run and its whole answer."""
@@ -68,31 +73,31 @@
 class Configurations(JudgeTest):
     def test_newest_acknowledged_is_read(self):
         self.history.orders = [order("t1", 0, 2), order("t2", 2, 3)]
-        self.history.reads = [ConfigurationRead(3.0, 3, "t2", 3.0 + 0.1)]
+        self.history.reads = [read_back(3.0, 3, "t2")]
         self.expect()
 
     def test_acknowledged_is_lost(self):
         self.history.orders = [order("t1", 0, 2), order("t2", 2, 3)]
-        self.history.reads = [ConfigurationRead(3.0, 2, "t1", 3.0 + 0.1)]
+        self.history.reads = [read_back(3.0, 2, "t1")]
         self.expect("CONFIG")
 
     def test_older_is_read_before_the_acknowledgement(self):
         self.history.orders = [order("t1", 0, 2), order("t2", 2, 3)]
-        self.history.reads = [ConfigurationRead(1.5, 2, "t1", 1.5 + 0.1)]
+        self.history.reads = [read_back(1.5, 2, "t1")]
         self.expect()
 
     def test_another_document_under_the_version(self):
         self.history.orders = [order("t1", 0, 2), order("t2", 0, 2, OrderState.OPEN)]
-        self.history.reads = [ConfigurationRead(3.0, 2, "t2", 3.0 + 0.1)]
+        self.history.reads = [read_back(3.0, 2, "t2")]
         self.expect("CONFIG")
 
     def test_never_sent(self):
-        self.history.reads = [ConfigurationRead(3.0, 2, "t9", 3.0 + 0.1)]
+        self.history.reads = [read_back(3.0, 2, "t9")]
         self.expect("CONFIG")
 
     def test_refused_is_in_force(self):
         self.history.orders = [order("t1", 0, 2, OrderState.REFUSED)]
-        self.history.reads = [ConfigurationRead(3.0, 2, "t1", 3.0 + 0.1)]
+        self.history.reads = [read_back(3.0, 2, "t1")]
         self.expect("CONFIG")
 
     def test_two_acknowledged_on_one_version(self):
@@ -128,7 +133,7 @@
     def test_refused_after_its_base_was_read(self):
         self.history.orders = [order("t1", 0, 2, OrderState.OPEN),
                                order("t2", 2, 3, OrderState.REFUSED)]
-        self.history.reads = [ConfigurationRead(3.0, 2, "t1", 3.0 + 0.1)]
+        self.history.reads = [read_back(3.0, 2, "t1")]
         self.answer("t2", 412, core="edge-east-1")
         self.expect("CONFIG")
 
@@ -143,7 +148,7 @@
     def test_refused_after_its_base_was_read_a_moment_before(self):
         self.history.orders = [order("t1", 0, 2, OrderState.OPEN),
                                order("t2", 2, 3, OrderState.REFUSED)]
-        self.history.reads = [ConfigurationRead(14.8, 2, "t1", 14.9)]
+        self.history.reads = [read_back(14.8, 2, "t1")]
         self.answer("t2", 412, core="edge-east-1")
         self.expect("CONFIG")
 
--- a/tests/soak/soak/figures.py
+++ b/tests/soak/soak/figures.py
@@ -76,6 +76,11 @@
                                                text is not None, age_of(text or "")))
 
 
+def text_in_order(lines: list[tuple[float, str]]) -> str:
+    """Texts with their seconds, by these."""
+    return "".join(f"{at:8.3f} {text}\n" for at, text in sorted(lines))
+
+
 def text_of(history: History) -> str:
     """A line for each answer, and for each moment in which the driver itself was late."""
     lines = [(each.at, f"{each.machine}.{each.role} list " + (
@@ -83,4 +88,4 @@
         "of unknown age" if each.age is None else f"read {each.age * 1000:.0f} ms ago"))
              for each in history.list_ages]
     lines += [(each.at, f"the driver is late by {each.by * 1000:.0f} ms") for each in history.lags]
-    return "".join(f"{at:8.3f} {text}\n" for at, text in sorted(lines))
+    return text_in_order(lines)
--- a/tests/soak/soak/seed.py
+++ b/tests/soak/soak/seed.py
@@ -12,7 +12,7 @@
 from soak.cut_plan import CutPlan, Step
 from soak.deployment import BOUNDS, Deployment, reserve_block
 from soak.endpoints import EndpointFleet
-from soak.figures import Figures, text_of
+from soak.figures import Figures, text_in_order, text_of
 from soak.history import DriverLag, History, OrderState
 from soak.judge import Finding, judge
 from soak.operators import Operators
@@ -218,7 +218,7 @@
                         f" asked at {each.sent:.3f}") for each in history.answers]
     lines += [(each.answered, f"version {each.version} with {each.tag} is read,"
                               f" asked at {each.sent:.3f}") for each in history.reads]
-    return "".join(f"{at:8.3f} {text}\n" for at, text in sorted(lines))
+    return text_in_order(lines)
 
 
 def report(plan: Plan, history: History, findings: list[Finding]) -> None:
--- a/tests/tier/coordination/catch_up_bounds_test.cpp
+++ b/tests/tier/coordination/catch_up_bounds_test.cpp
@@ -26,6 +26,11 @@
 constexpr std::size_t kValueBytes = 1000;
 constexpr std::string_view kMapPrefix = "p/m";
 
+std::string KeyOf(std::size_t number) {
+  const std::string digits = std::to_string(number);
+  return std::string(kMapPrefix) + std::string(8 - digits.size(), '0') + digits;
+}
+
 // Counts the keys that are visited.
 class CountingStorage final : public storage::CrashStorage {
  public:
@@ -77,9 +82,7 @@
   void Fill(std::size_t from, std::size_t until, char value) {
     storage::Batch batch;
     for (std::size_t number = from; number < until; ++number) {
-      const std::string digits = std::to_string(number);
-      batch.Put(std::string(kMapPrefix) + std::string(8 - digits.size(), '0') + digits,
-                std::string(kValueBytes, value));
+      batch.Put(KeyOf(number), std::string(kValueBytes, value));
     }
     if (!batch.empty()) storage.Apply(batch);
   }
@@ -100,16 +103,19 @@
   }
 }
 
-// Plays the messages between the two until there are none.
-void CatchUp(Site& primary, Site& learner) {
+// The learner asks for its first digests.
+template <typename AnySite>
+void Begin(AnySite& primary, AnySite& learner) {
+  const Assignment assignment{1, "a", {"a", "c"}};
   primary.Run([&](Step& step) { primary.replica.Found(step); });
-  primary.Run([&](Step& step) {
-    primary.replica.Assign(step, primary.out, {1, "a", {"a", "c"}}, true);
-  });
-  learner.Run([&](Step& step) {
-    learner.replica.Assign(step, learner.out, {1, "a", {"a", "c"}}, false);
-  });
+  primary.Run([&](Step& step) { primary.replica.Assign(step, primary.out, assignment, true); });
+  learner.Run([&](Step& step) { learner.replica.Assign(step, learner.out, assignment, false); });
   learner.Run([&](Step& step) { learner.replica.CatchUp(step, learner.out); });
+}
+
+// Plays the messages between the two until there are none.
+void CatchUp(Site& primary, Site& learner) {
+  Begin(primary, learner);
   while (!primary.out.messages.empty() || !learner.out.messages.empty()) {
     Carry(primary, "a", learner);
     Carry(learner, "b", primary);
@@ -174,16 +180,8 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(a_learner_replaces_all_values_in_bounded_steps) {
-  Site primary("a");
-  Site learner("b");
-  primary.Fill(0, kKeys, 'v');
-  learner.Fill(0, kKeys, 'w');
-  CheckCatchUp(primary, learner);
-}
-
 // A storage reuses the space of what was replaced only once the replacement is durable.
-BOOST_AUTO_TEST_CASE(a_learner_syncs_what_it_has_copied_from_time_to_time) {
+BOOST_AUTO_TEST_CASE(a_learner_replaces_all_values_in_bounded_steps_with_syncs_between) {
   Site primary("a");
   Site learner("b");
   primary.Fill(0, kKeys, 'v');
@@ -198,14 +196,7 @@
   Site learner("b");
   primary.Fill(0, kKeys, 'v');
   const std::uint64_t total = primary.Digest().bytes;
-  primary.Run([&](Step& step) { primary.replica.Found(step); });
-  primary.Run([&](Step& step) {
-    primary.replica.Assign(step, primary.out, {1, "a", {"a", "c"}}, true);
-  });
-  learner.Run([&](Step& step) {
-    learner.replica.Assign(step, learner.out, {1, "a", {"a", "c"}}, false);
-  });
-  learner.Run([&](Step& step) { learner.replica.CatchUp(step, learner.out); });
+  Begin(primary, learner);
   std::size_t known = 0;
   while (!primary.out.messages.empty() || !learner.out.messages.empty()) {
     Carry(learner, "b", primary);
@@ -230,21 +221,28 @@
   return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
 }
 
+std::unique_ptr<storage::Storage> Open(net::Loop& loop,
+                                       const storage::LmdbStorage::Options& options) {
+  auto opened = storage::LmdbStorage::Open(loop, options);
+  BOOST_REQUIRE(opened.has_value());
+  return std::move(opened).value();
+}
+
+Replica::Options UsualSteps(const std::string& disk, bool bounded) {
+  Replica::Options options;
+  options.disk = disk;
+  options.prefix = "p/";
+  if (!bounded) {
+    options.digests.step_bytes = std::numeric_limits<std::size_t>::max();
+    options.most_counted_bytes = std::numeric_limits<std::uint32_t>::max();
+  }
+  return options;
+}
+
 // A replica on a real file, and the processor time of its longest step.
 struct FileSite {
-  FileSite(const std::string& name, bool bounded, std::uint64_t limit) {
-    auto opened = storage::LmdbStorage::Open(loop, folder.Options(limit));
-    BOOST_REQUIRE(opened.has_value());
-    disk = std::move(opened).value();
-    Replica::Options options;
-    options.disk = name;
-    options.prefix = "p/";
-    if (!bounded) {
-      options.digests.step_bytes = std::numeric_limits<std::size_t>::max();
-      options.most_counted_bytes = std::numeric_limits<std::uint32_t>::max();
-    }
-    replica.emplace(options, *disk);
-  }
+  FileSite(const std::string& name, bool bounded, std::uint64_t limit)
+      : disk(Open(loop, folder.Options(limit))), replica(UsualSteps(name, bounded), *disk) {}
   template <typename Event>
   void Run(const Event& event) {
     Step step{net::Time(std::chrono::seconds(10)), *disk, ++ticket, false};
@@ -257,13 +255,13 @@
     if (!std::exchange(wants_sync, false)) return;
     disk->Sync([](const Result<void>&) {});
     loop.Run();
-    Run([&](Step& step) { replica->OnSynced(step, out, ticket); });
+    Run([&](Step& step) { replica.OnSynced(step, out, ticket); });
   }
 
   storage::Folder folder;
   storage::StepLoop loop;
-  std::unique_ptr<storage::LmdbStorage> disk;
-  std::optional<Replica> replica;
+  std::unique_ptr<storage::Storage> disk;
+  Replica replica;
   ReplicaOutput out;
   Ticket ticket = 0;
   bool wants_sync = false;
@@ -274,9 +272,7 @@
   storage::Batch batch;
   std::size_t bytes = 0;
   for (std::size_t number = 0; number * value_bytes < total_bytes; ++number) {
-    const std::string digits = std::to_string(number);
-    batch.Put(std::string(kMapPrefix) + std::string(8 - digits.size(), '0') + digits,
-              std::string(value_bytes, 'v'));
+    batch.Put(KeyOf(number), std::string(value_bytes, 'v'));
     bytes += value_bytes;
     if (bytes < (8U << 20)) continue;
     site.disk->Apply(std::exchange(batch, {}));
@@ -292,7 +288,7 @@
   for (const auto& [disk, message] : std::exchange(from.out.messages, {})) {
     const std::string bytes = Encode(AsMessage(message));
     to.Run([&](Step& step) {
-      to.replica->OnMessage(step, to.out, name, *AsReplicaMessage(*DecodeMessage(bytes)));
+      to.replica.OnMessage(step, to.out, name, *AsReplicaMessage(*DecodeMessage(bytes)));
     });
   }
   to.Sync();
@@ -305,20 +301,13 @@
   FileSite learner("b", bounded, limit);
   FillFile(primary, total, value_bytes);
   if (!empty) FillFile(learner, total, value_bytes);
-  primary.Run([&](Step& step) { primary.replica->Found(step); });
-  primary.Run([&](Step& step) {
-    primary.replica->Assign(step, primary.out, {1, "a", {"a", "c"}}, true);
-  });
-  learner.Run([&](Step& step) {
-    learner.replica->Assign(step, learner.out, {1, "a", {"a", "c"}}, false);
-  });
   const std::chrono::nanoseconds begin = ProcessorTime();
-  learner.Run([&](Step& step) { learner.replica->CatchUp(step, learner.out); });
+  Begin(primary, learner);
   while (!primary.out.messages.empty() || !learner.out.messages.empty()) {
     CarryFile(primary, "a", learner);
     CarryFile(learner, "b", primary);
   }
-  BOOST_TEST(learner.replica->complete());
+  BOOST_TEST(learner.replica.complete());
   std::cout << "| " << megabytes << " MB | " << value_bytes << " B | "
             << (empty ? "empty" : "equal") << " | " << (bounded ? "bounded" : "whole") << " | "
             << primary.longest / milliseconds(1) << " ms | " << learner.longest / milliseconds(1)
@@ -327,7 +316,7 @@
 
 BOOST_AUTO_TEST_CASE(table, *boost::unit_test::disabled()) {
   std::cout << "| map | values | learner | digests | longest step of the primary | of the learner "
-               "| whole |\n| --- | --- | --- | --- | --- | --- | --- |\n";
+               "| all |\n| --- | --- | --- | --- | --- | --- | --- |\n";
   for (const std::size_t megabytes : {10U, 100U, 390U, 600U}) {
     for (const std::size_t value_bytes : {std::size_t{1000}, std::size_t{200'000}}) {
       for (const bool empty : {true, false}) {
--- a/tests/tier/coordination/catch_up_mutants.cmake
+++ b/tests/tier/coordination/catch_up_mutants.cmake
@@ -22,7 +22,7 @@
 endfunction()
 
 replica_mutant(copied_bytes_are_never_synced replica_learner.cpp catch_up_bounds
-  a_learner_syncs_what_it_has_copied_from_time_to_time
+  a_learner_replaces_all_values_in_bounded_steps_with_syncs_between
   [=[session_->unsynced_bytes >= options_.copied_bytes_a_sync]=] [=[false]=])
 replica_mutant(commits_never_wait_for_a_learner replica_primary.cpp catch_up
   catch_up_ends_under_continuous_writes
