--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Nothing is compiled for the scripts of review/5 to review/8: their stand-ins are stage2.py, which
+# Nothing is compiled for the scripts of review/6 to review/8: their stand-ins are stage2.py, which
 # needs Python 3.9 and no package. This checks that it is there and that the programs are built.
 set -eu
 cd "$(dirname "$0")/.."
